--- /dev/null
+++ b/src/process/intern.h
@@ -0,0 +1,34 @@
+/*
+ * intern - stable small numbers for names
+ *
+ * A name keeps its number for the life of the process, so that tables which
+ * outlive a configuration version can be indexed by it. Not thread-safe: one
+ * thread adds names, the others only see numbers.
+ */
+#ifndef INTERN_H
+#define INTERN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <talloc.h>
+
+#define INTERN_NONE UINT32_MAX
+
+struct intern;
+
+/* intern_new - an empty table, owned by ctx */
+struct intern *intern_new(TALLOC_CTX *ctx);
+
+/* intern_add - the name's number, a new one if it has none */
+uint32_t intern_add(struct intern *t, const char *name);
+
+/* intern_find - the name's number or INTERN_NONE */
+uint32_t intern_find(const struct intern *t, const char *name);
+
+/* intern_name - the name, valid as long as the table */
+const char *intern_name(const struct intern *t, uint32_t id);
+
+/* intern_count - numbers given so far */
+uint32_t intern_count(const struct intern *t);
+
+#endif
--- /dev/null
+++ b/src/process/status.h
@@ -0,0 +1,32 @@
+/*
+ * status - a layer's last message
+ *
+ * Each layer has an enum of its own; this holds the text that goes with the
+ * last failure. A message names what failed and where.
+ */
+#ifndef STATUS_H
+#define STATUS_H
+
+#include <stdarg.h>
+#include <stdio.h>
+
+#define STATUS_MESSAGE_MAX 512 /* bytes, with the final NUL */
+
+struct status_message {
+	char text[STATUS_MESSAGE_MAX];
+};
+
+/*
+ * status_set - store a formatted message, cut to STATUS_MESSAGE_MAX
+ */
+__attribute__((format(printf, 2, 3))) static inline void status_set(
+	struct status_message *m, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(m->text, sizeof(m->text), fmt, ap);
+	va_end(ap);
+}
+
+#endif
