--- /dev/null
+++ b/Makefile
@@ -0,0 +1,98 @@
+# Targets: all, demo, check, lint, bench, bench-slopes, format, clean.
+# `make SANITIZE=1 ...` builds with the address and undefined sanitizers
+# into a folder of its own.
+
+CC = gcc
+PACKAGES = libtalloc-dev libtevent-dev libmicrohttpd-dev \
+	libcurl4-openssl-dev libprotobuf-c-dev libcyaml-dev libjansson-dev \
+	libargtable2-dev libsodium-dev libxxhash-dev libcmocka-dev \
+	pkg-config gcc make python3 valgrind clang-format clang-tidy \
+	cppcheck curl
+MODULES = talloc tevent libmicrohttpd libcurl libprotobuf-c libcyaml jansson \
+	argtable2 libsodium libxxhash
+
+ifdef SANITIZE
+B = build/sanitize
+EXTRA = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+else
+B = build
+EXTRA =
+endif
+
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-unused-parameter \
+	-Wmissing-prototypes -Wstrict-prototypes -D_GNU_SOURCE -Isrc -I. \
+	$(EXTRA)
+LIBS = $$(pkg-config --libs $(MODULES)) -lpthread -lm
+
+LIB_SRC = $(wildcard src/*/*.c) proto/peer.pb-c.c
+LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
+LIB = $(B)/libjackdawwell.a
+BINS = $(B)/jackdawwelld $(B)/jackdawwell
+STANDINS = $(B)/standin/platform $(B)/standin/worker
+TESTS = $(patsubst test/%.c,$(B)/test/%,$(wildcard test/*.c))
+BENCHES = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
+
+all: $(BINS) $(STANDINS) $(TESTS) $(BENCHES)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/jackdawwelld: $(B)/daemon/jackdawwelld.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/jackdawwell: $(patsubst %.c,$(B)/%.o,$(wildcard cli/*.c)) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/standin/%: $(B)/standin/%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(B)/test/%: $(B)/test/%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
+
+$(B)/bench/%: $(B)/bench/%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+# Installs what is missing; silent when nothing is.
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update -qq && \
+		DEBIAN_FRONTEND=noninteractive apt-get install -y -qq \
+		$(PACKAGES) >/dev/null; }
+
+proto:
+	cd proto && protoc-c --c_out=. peer.proto
+
+demo: packages
+	@$(MAKE) --no-print-directory -s all
+	@python3 tools/demo.py $(B)
+
+check: packages
+	@$(MAKE) --no-print-directory -s -j all
+	@python3 tools/check.py $(B)
+
+bench: packages
+	@$(MAKE) --no-print-directory -s all
+	@python3 tools/bench.py $(B)
+
+bench-slopes: packages
+	@$(MAKE) --no-print-directory -s all
+	@python3 tools/slopes.py $(B)
+
+lint: packages
+	@sh tools/lint.sh
+
+format:
+	clang-format -i $$(git ls-files '*.c' '*.h' | grep -v pb-c)
+
+clean:
+	rm -rf build
+
+-include $(wildcard $(B)/*/*.d $(B)/*/*/*.d)
+
+.PHONY: all packages proto demo check bench bench-slopes lint format clean
+.SECONDARY:
--- /dev/null
+++ b/cli/jackdawwell.c
@@ -0,0 +1,5 @@
+int main(void);
+int main(void)
+{
+	return 2;
+}
--- /dev/null
+++ b/src/connection/httpc.c
@@ -0,0 +1,465 @@
+#include "connection/httpc.h"
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "process/clock.h"
+
+#define HTTPC_BUFFER_FIRST 1024u      /* bytes */
+#define HTTPC_HEADERS_MAX (64u << 10) /* bytes */
+#define HTTPC_IDLE_HANDLES 256u	      /* easy handles kept for reuse */
+
+struct exchange {
+	struct httpc *client;
+	struct exchange *next_idle;
+	CURL *easy;
+	struct curl_slist *headers;
+	char error[CURL_ERROR_SIZE];
+	const char *body;
+	size_t body_length;
+	size_t body_sent;
+	size_t answer_max;
+	uint64_t send_before_us;
+	uint32_t sends; /* passes through the pre-request callback */
+	bool once;
+	bool framed; /* the answer says how long it is */
+	bool too_large;
+	bool late; /* not sent, because send_before_us had passed */
+	bool head;
+	httpc_done_fn done;
+	void *arg;
+	struct httpc_answer answer;
+};
+
+struct httpc {
+	struct tevent_context *ev;
+	struct tevent_timer *timer;
+	CURLM *multi;
+	struct exchange *idle;
+	uint32_t idle_count;
+	uint32_t active;
+};
+
+/* Answer buffers */
+
+static bool buffer_add(struct httpc_buffer *b, const char *data, size_t length)
+{
+	size_t room = b->room ? b->room : HTTPC_BUFFER_FIRST;
+	char *grown;
+
+	while (room < b->length + length)
+		room *= 2;
+	if (room != b->room) {
+		grown = realloc(b->data, room);
+		if (!grown)
+			return false;
+		b->data = grown;
+		b->room = room;
+	}
+	memcpy(b->data + b->length, data, length);
+	b->length += length;
+	return true;
+}
+
+char *httpc_take(struct httpc_buffer *buffer, size_t *length)
+{
+	char *data = buffer->data;
+
+	*length = buffer->length;
+	memset(buffer, 0, sizeof(*buffer));
+	return data;
+}
+
+/* libcurl's callbacks for one exchange */
+
+static int on_prerequest(void *arg, char *remote, char *local, int rport,
+			 int lport)
+{
+	struct exchange *x = arg;
+
+	(void)remote;
+	(void)local;
+	(void)rport;
+	(void)lport;
+	if (x->once && x->sends)
+		return CURL_PREREQFUNC_ABORT;
+	if (x->send_before_us && clock_now_us() > x->send_before_us) {
+		x->late = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	x->sends++;
+	x->body_sent = 0;
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t on_read(char *to, size_t size, size_t count, void *arg)
+{
+	struct exchange *x = arg;
+	size_t n = x->body_length - x->body_sent;
+
+	if (n > size * count)
+		n = size * count;
+	memcpy(to, x->body + x->body_sent, n);
+	x->body_sent += n;
+	return n;
+}
+
+static size_t on_write(char *data, size_t size, size_t count, void *arg)
+{
+	struct exchange *x = arg;
+
+	if (x->answer.body.length + size * count > x->answer_max) {
+		x->too_large = true;
+		return 0;
+	}
+	return buffer_add(&x->answer.body, data, size * count) ? size * count
+							       : 0;
+}
+
+static bool header_is(const char *line, size_t length, const char *name)
+{
+	size_t n = strlen(name);
+
+	return length > n && !strncasecmp(line, name, n) && line[n] == ':';
+}
+
+static size_t on_header(char *line, size_t size, size_t count, void *arg)
+{
+	struct exchange *x = arg;
+	size_t length = size * count;
+
+	if (length >= 5 && !memcmp(line, "HTTP/", 5)) {
+		x->answer.headers.length = 0; /* an interim answer came first */
+		x->framed = false;
+		return length;
+	}
+	if (length <= 2)
+		return length;
+	if (x->answer.headers.length + length > HTTPC_HEADERS_MAX) {
+		x->too_large = true;
+		return 0;
+	}
+	if (header_is(line, length, "Content-Length") ||
+	    header_is(line, length, "Transfer-Encoding"))
+		x->framed = true;
+	return buffer_add(&x->answer.headers, line, length) ? length : 0;
+}
+
+/* Exchanges, reused with their easy handles */
+
+static void exchange_reset(struct exchange *x)
+{
+	CURL *easy = x->easy;
+	struct httpc *client = x->client;
+
+	curl_slist_free_all(x->headers);
+	free(x->answer.headers.data);
+	free(x->answer.body.data);
+	curl_easy_reset(easy);
+	memset(x, 0, sizeof(*x));
+	x->easy = easy;
+	x->client = client;
+}
+
+static void exchange_free(struct exchange *x)
+{
+	curl_slist_free_all(x->headers);
+	free(x->answer.headers.data);
+	free(x->answer.body.data);
+	curl_easy_cleanup(x->easy);
+	free(x);
+}
+
+static struct exchange *exchange_get(struct httpc *c)
+{
+	struct exchange *x = c->idle;
+
+	if (x) {
+		c->idle = x->next_idle;
+		c->idle_count--;
+		x->next_idle = NULL;
+		return x;
+	}
+	x = calloc(1, sizeof(*x));
+	assert(x);
+	x->easy = curl_easy_init();
+	assert(x->easy);
+	x->client = c;
+	return x;
+}
+
+static void exchange_put(struct exchange *x)
+{
+	struct httpc *c = x->client;
+
+	if (c->idle_count >= HTTPC_IDLE_HANDLES) {
+		exchange_free(x);
+		return;
+	}
+	exchange_reset(x);
+	x->next_idle = c->idle;
+	c->idle = x;
+	c->idle_count++;
+}
+
+static bool answer_needs_no_body(const struct exchange *x, long code)
+{
+	return x->head || code == 204 || code == 304;
+}
+
+static enum httpc_status exchange_status(struct exchange *x, CURLcode code)
+{
+	if (!x->sends)
+		return HTTPC_NOT_SENT;
+	if (x->too_large)
+		return HTTPC_TOO_LARGE;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return HTTPC_TIMEOUT;
+	if (code != CURLE_OK)
+		return HTTPC_BROKEN;
+	if (!x->framed && !answer_needs_no_body(x, x->answer.code)) {
+		snprintf(x->error, sizeof(x->error),
+			 "answer without a length: cannot tell that it is "
+			 "whole");
+		return HTTPC_BROKEN;
+	}
+	return HTTPC_OK;
+}
+
+static void exchange_finish(struct exchange *x, CURLcode code)
+{
+	struct httpc *c = x->client;
+
+	curl_multi_remove_handle(c->multi, x->easy);
+	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->answer.code);
+	x->answer.status = exchange_status(x, code);
+	if (x->late)
+		x->answer.message = "not sent: the time to send it had passed";
+	else if (x->error[0])
+		x->answer.message = x->error;
+	else
+		x->answer.message = curl_easy_strerror(code);
+	c->active--;
+	x->done(x->arg, &x->answer);
+	exchange_put(x);
+}
+
+static void reap(struct httpc *c)
+{
+	struct CURLMsg *msg;
+	struct exchange *x;
+	int left;
+
+	while ((msg = curl_multi_info_read(c->multi, &left))) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&x);
+		exchange_finish(x, msg->data.result);
+	}
+}
+
+/* Sockets and timer */
+
+struct watch {
+	struct httpc *client;
+	struct tevent_fd *fde;
+	curl_socket_t fd;
+};
+
+static void on_socket(struct tevent_context *ev, struct tevent_fd *fde,
+		      uint16_t flags, void *arg)
+{
+	struct watch *w = arg;
+	struct httpc *c = w->client;
+	curl_socket_t fd = w->fd;
+	int mask = 0;
+	int running;
+
+	(void)ev;
+	(void)fde;
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(c->multi, fd, mask, &running);
+	reap(c);
+}
+
+static int on_watch(CURL *easy, curl_socket_t fd, int what, void *arg,
+		    void *watched)
+{
+	struct httpc *c = arg;
+	struct watch *w = watched;
+	uint16_t flags = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		talloc_free(w);
+		curl_multi_assign(c->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	if (w) {
+		tevent_fd_set_flags(w->fde, flags);
+		return 0;
+	}
+	w = talloc_zero(c, struct watch);
+	assert(w);
+	w->client = c;
+	w->fd = fd;
+	w->fde = tevent_add_fd(c->ev, w, fd, flags, on_socket, w);
+	assert(w->fde);
+	curl_multi_assign(c->multi, fd, w);
+	return 0;
+}
+
+static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *arg)
+{
+	struct httpc *c = arg;
+	int running;
+
+	(void)ev;
+	(void)now;
+	talloc_free(te);
+	c->timer = NULL;
+	curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	reap(c);
+}
+
+static int on_timeout_change(CURLM *multi, long ms, void *arg)
+{
+	struct httpc *c = arg;
+	struct timeval at;
+
+	(void)multi;
+	TALLOC_FREE(c->timer);
+	if (ms < 0)
+		return 0;
+	if (ms == 0)
+		at = tevent_timeval_zero();
+	else
+		at = tevent_timeval_current_ofs(ms / 1000, ms % 1000 * 1000);
+	c->timer = tevent_add_timer(c->ev, c, at, on_timer, c);
+	assert(c->timer);
+	return 0;
+}
+
+static int httpc_destroy(struct httpc *c)
+{
+	struct exchange *x;
+
+	while ((x = c->idle)) {
+		c->idle = x->next_idle;
+		exchange_free(x);
+	}
+	curl_multi_cleanup(c->multi);
+	return 0;
+}
+
+struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
+			uint32_t connections_max)
+{
+	struct httpc *c = talloc_zero(ctx, struct httpc);
+
+	if (!c)
+		return NULL;
+	c->ev = ev;
+	c->multi = curl_multi_init();
+	if (!c->multi) {
+		talloc_free(c);
+		return NULL;
+	}
+	curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, on_watch);
+	curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
+	curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, on_timeout_change);
+	curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
+	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
+			  (long)connections_max);
+	talloc_set_destructor(c, httpc_destroy);
+	return c;
+}
+
+static void set_headers(struct exchange *x, const char *const *headers)
+{
+	x->headers = curl_slist_append(NULL, "Expect:");
+	if (!x->body_length)
+		x->headers = curl_slist_append(x->headers, "Content-Type:");
+	for (; headers && *headers; headers++)
+		x->headers = curl_slist_append(x->headers, *headers);
+	curl_easy_setopt(x->easy, CURLOPT_HTTPHEADER, x->headers);
+}
+
+static void set_method(struct exchange *x, const struct httpc_request *r)
+{
+	CURL *e = x->easy;
+
+	x->head = !strcmp(r->method, "HEAD");
+	if (x->head) {
+		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (r->body_length || !strcmp(r->method, "POST")) {
+		curl_easy_setopt(e, CURLOPT_POST, 1L);
+		curl_easy_setopt(e, CURLOPT_READFUNCTION, on_read);
+		curl_easy_setopt(e, CURLOPT_READDATA, x);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)r->body_length);
+	}
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, r->method);
+}
+
+static void set_callbacks(struct exchange *x)
+{
+	CURL *e = x->easy;
+
+	curl_easy_setopt(e, CURLOPT_PRIVATE, x);
+	curl_easy_setopt(e, CURLOPT_ERRORBUFFER, x->error);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prerequest);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
+}
+
+void httpc_start(struct httpc *c, const struct httpc_request *r)
+{
+	struct exchange *x = exchange_get(c);
+	CURL *e = x->easy;
+
+	x->body = r->body;
+	x->body_length = r->body_length;
+	x->answer_max = r->answer_max ? r->answer_max : HTTPC_ANSWER_MAX;
+	x->once = r->once;
+	x->send_before_us = r->send_before_us;
+	x->done = r->done;
+	x->arg = r->arg;
+	set_callbacks(x);
+	set_method(x, r);
+	set_headers(x, r->headers);
+	curl_easy_setopt(e, CURLOPT_URL, r->url);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)r->connect_timeout_ms);
+	c->active++;
+	curl_multi_add_handle(c->multi, e);
+}
+
+uint32_t httpc_active(const struct httpc *c)
+{
+	return c->active;
+}
--- /dev/null
+++ b/src/connection/httpc.h
@@ -0,0 +1,81 @@
+/*
+ * httpc - HTTP client over libcurl's multi interface, driven by tevent
+ *
+ * One client belongs to one thread and one tevent context. Every request to
+ * an upstream, to the table service or to an entry passes through
+ * httpc_start, which keeps the one rule that must not depend on the caller:
+ * a request marked `once` leaves this process at most one time. libcurl by
+ * itself resends a request when a reused connection dies before any answer
+ * byte; the second pass through its pre-request callback is refused here.
+ */
+#ifndef HTTPC_H
+#define HTTPC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+#include <tevent.h>
+
+struct httpc;
+
+enum httpc_status {
+	HTTPC_OK,	 /* a whole answer, its length proved by its framing */
+	HTTPC_NOT_SENT,	 /* no byte of the request left this process */
+	HTTPC_BROKEN,	 /* some of it may have left; no whole answer came */
+	HTTPC_TIMEOUT,	 /* as HTTPC_BROKEN, because the time was over */
+	HTTPC_TOO_LARGE, /* sent; the answer exceeds answer_max */
+};
+
+struct httpc_buffer {
+	char *data;
+	size_t length; /* bytes in use */
+	size_t room;   /* bytes allocated */
+};
+
+struct httpc_answer {
+	enum httpc_status status;
+	long code;		     /* HTTP status, 0 without an answer */
+	struct httpc_buffer headers; /* "Name: value\r\n" lines, no status */
+	struct httpc_buffer body;
+	const char *message; /* what failed and where; valid in the callback */
+};
+
+typedef void (*httpc_done_fn)(void *arg, struct httpc_answer *answer);
+
+struct httpc_request {
+	const char *method;
+	const char *url;
+	const char *const *headers; /* "Name: value", NULL at the end */
+	const void *body;	    /* kept by the caller until done */
+	size_t body_length;
+	uint32_t timeout_ms;	     /* for the whole exchange */
+	uint32_t connect_timeout_ms; /* for the connection alone */
+	size_t answer_max;	     /* bytes of body; 0 for HTTPC_ANSWER_MAX */
+	bool once;		     /* never send it a second time */
+	uint64_t send_before_us; /* not sent after this time; 0 for no bound */
+	httpc_done_fn done;	 /* called once, never from httpc_start */
+	void *arg;
+};
+
+#define HTTPC_ANSWER_MAX (16u << 20) /* bytes */
+
+/* httpc_new - a client on ev, owned by ctx; NULL when libcurl fails */
+struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
+			uint32_t connections_max);
+
+/*
+ * httpc_start - send one request
+ *
+ * Method, URL and headers are copied. The answer's buffers belong to the
+ * client and are valid during the callback; httpc_take keeps one.
+ */
+void httpc_start(struct httpc *c, const struct httpc_request *request);
+
+/* httpc_take - move a buffer's bytes out; the caller frees them by free(3) */
+char *httpc_take(struct httpc_buffer *buffer, size_t *length);
+
+/* httpc_active - requests started and not yet done */
+uint32_t httpc_active(const struct httpc *c);
+
+#endif
--- /dev/null
+++ b/src/connection/httpd.h
@@ -0,0 +1,88 @@
+/*
+ * httpd - HTTP server over libmicrohttpd, driven by tevent
+ *
+ * One server belongs to one thread and one tevent context; several servers
+ * may listen on one port. A request is handed to the handler when its whole
+ * body has come; it is then suspended until httpd_answer is called, now or
+ * later, in the server's thread.
+ */
+#ifndef HTTPD_H
+#define HTTPD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+#include <tevent.h>
+
+struct httpd;
+
+struct httpd_request {
+	const char *method;
+	const char *path;  /* without the query */
+	const char *query; /* after the '?', "" without one */
+	char *body;
+	size_t body_length;
+	void *user; /* the handler's own */
+	struct httpd *server;
+	void *internal;
+};
+
+/*
+ * Runs for each whole request. The handler or a later event answers it by
+ * httpd_answer, exactly once.
+ */
+typedef void (*httpd_handler_fn)(void *arg, struct httpd_request *request);
+
+struct httpd_options {
+	const char *address; /* IP number */
+	uint16_t port;
+	size_t body_max; /* bytes; a larger body is answered 413 */
+	uint32_t connections_max;
+	uint32_t idle_timeout_s; /* a connection without traffic is closed */
+	httpd_handler_fn handler;
+	void *arg;
+};
+
+/* httpd_new - start to listen; NULL when the address cannot be bound */
+struct httpd *httpd_new(TALLOC_CTX *ctx, struct tevent_context *ev,
+			const struct httpd_options *options);
+
+/* httpd_header - the value of a request header or NULL */
+const char *httpd_header(const struct httpd_request *request, const char *name);
+
+/* httpd_each_header - call fn for each request header in order */
+void httpd_each_header(const struct httpd_request *request,
+		       void (*fn)(void *arg, const char *name,
+				  const char *value),
+		       void *arg);
+
+/*
+ * httpd_hung_up - whether the caller has closed its end
+ *
+ * A caller that only closes its sending side counts as gone too.
+ */
+bool httpd_hung_up(const struct httpd_request *request);
+
+/* httpd_descriptor - the connection's socket */
+int httpd_descriptor(const struct httpd_request *request);
+
+struct httpd_answer {
+	unsigned int code;
+	const char *headers; /* "Name: value\r\n" lines or NULL; copied */
+	size_t headers_length;
+	char *body; /* from malloc(3), taken over by the server; may be NULL */
+	size_t body_length;
+};
+
+/* httpd_answer - answer and resume the request, which is freed when sent */
+void httpd_answer(struct httpd_request *request,
+		  const struct httpd_answer *answer);
+
+/* httpd_stop_accepting - take no new connections; open ones go on */
+void httpd_stop_accepting(struct httpd *s);
+
+/* httpd_pending - requests handed to the handler and not yet sent */
+uint32_t httpd_pending(const struct httpd *s);
+
+#endif
--- /dev/null
+++ b/src/connection/peer.h
@@ -0,0 +1,72 @@
+/*
+ * peer - links between entries: TCP, length-prefixed protobuf frames
+ *
+ * Frames in order while a link is up, lost when it breaks. Both sides open
+ * with a Hello that proves the fleet's secret. The newer incarnation dials.
+ */
+#ifndef PEER_H
+#define PEER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "proto/peer.pb-c.h"
+
+#define PEER_FRAME_MAX (4u << 20) /* bytes */
+#define PEER_OUT_MAX (16u << 20)  /* bytes queued before a link breaks */
+
+struct peer_net;
+
+struct peer_callbacks {
+	void (*up)(void *arg, uint64_t incarnation);
+	void (*down)(void *arg, uint64_t incarnation);
+	void (*frame)(void *arg, uint64_t incarnation,
+		      const Jackdawwell__PeerFrame *frame);
+	void *arg;
+};
+
+struct peer_options {
+	const char *address; /* IP number and port to listen on */
+	const char *name;
+	const char *secret;
+	struct peer_callbacks callbacks;
+};
+
+struct peer_counters {
+	uint64_t frames_in;
+	uint64_t frames_out;
+	uint64_t bytes_in;
+	uint64_t bytes_out;
+	uint64_t refused; /* connections with a bad frame or proof */
+};
+
+/*
+ * peer_net_new - hold the address; NULL when it cannot be bound
+ *
+ * Links are made only after peer_identify: who registers an incarnation
+ * already holds its address.
+ */
+struct peer_net *peer_net_new(TALLOC_CTX *ctx, struct tevent_context *ev,
+			      const struct peer_options *options);
+
+/* peer_identify - begin to accept and dial as this incarnation */
+void peer_identify(struct peer_net *net, uint64_t incarnation);
+
+/* peer_dial - keep a link to an older incarnation at address */
+void peer_dial(struct peer_net *net, uint64_t incarnation, const char *address);
+
+/* peer_forget - close the link and dial no more */
+void peer_forget(struct peer_net *net, uint64_t incarnation);
+
+/* peer_linked - whether there is a link */
+bool peer_linked(struct peer_net *net, uint64_t incarnation);
+
+/* peer_send - queue a frame; false when there is no link */
+bool peer_send(struct peer_net *net, uint64_t incarnation,
+	       const Jackdawwell__PeerFrame *frame);
+
+const struct peer_counters *peer_counters(const struct peer_net *net);
+
+#endif
--- /dev/null
+++ b/src/entry/core.c
@@ -0,0 +1,706 @@
+#include "entry/core_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define CORE_EARLY_MIN 16 /* waiting jobs before a wait is estimated */
+#define CORE_FIRST_HOLDS 64u
+
+/* Tables that grow with the configuration */
+
+static void *grow(TALLOC_CTX *ctx, void *table, size_t size, uint32_t *count,
+		  uint32_t wanted)
+{
+	char *grown = table;
+
+	if (wanted <= *count)
+		return table;
+	grown = talloc_realloc_size(ctx, table, size * wanted);
+	assert(grown);
+	memset(grown + size * *count, 0, size * (wanted - *count));
+	*count = wanted;
+	return grown;
+}
+
+static void grow_tables(struct core *c, const struct cfg *cfg)
+{
+	uint32_t pools = c->pool_count;
+	uint32_t i;
+
+	c->teams = grow(c, c->teams, sizeof(*c->teams), &c->team_count,
+			cfg->team_count);
+	c->instances = grow(c, c->instances, sizeof(*c->instances),
+			    &c->instance_count, cfg->instance_count);
+	c->pools = grow(c, c->pools, sizeof(*c->pools), &c->pool_count,
+			cfg->pool_count);
+	for (i = pools; i < c->pool_count; i++)
+		c->pools[i].queue = fq_new(c);
+}
+
+/* Configuration */
+
+static void configure_teams(struct core *c, const struct cfg *cfg)
+{
+	char name[CFG_NAME_MAX + 3];
+	uint32_t i;
+
+	for (i = 0; i < cfg->team_count; i++) {
+		struct core_team *t = &c->teams[i];
+		const struct cfg_team *team = &cfg->teams[i];
+
+		if (!team->present && !t->configured)
+			continue;
+		if (!t->configured) {
+			snprintf(name, sizeof(name), "t:%s", team->name);
+			t->domain = ledger_domain(c->ledger, name);
+			t->configured = true;
+		}
+		ledger_configure(c->ledger, t->domain,
+				 team->present ? team->limit : 0, 0,
+				 cfg->version);
+	}
+}
+
+static uint32_t instance_units(const struct cfg_instance *w)
+{
+	return w->present && w->state == CFG_SERVING ? w->slots : 0;
+}
+
+static void configure_instances(struct core *c, const struct cfg *cfg)
+{
+	char name[CFG_NAME_MAX + 3];
+	uint32_t i;
+
+	for (i = 0; i < cfg->instance_count; i++) {
+		struct core_instance *n = &c->instances[i];
+		const struct cfg_instance *w = &cfg->instances[i];
+
+		if (!w->present && !n->configured)
+			continue;
+		if (!n->configured) {
+			snprintf(name, sizeof(name), "w:%s", w->name);
+			n->domain = ledger_domain(c->ledger, name);
+			n->configured = true;
+		}
+		ledger_configure(c->ledger, n->domain, instance_units(w),
+				 w->generation, cfg->version);
+	}
+}
+
+static void list_instances(struct core *c, const struct cfg *cfg)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->pool_count; i++) {
+		c->pools[i].instance_count = 0;
+		c->pools[i].slots = 0;
+	}
+	for (i = 0; i < cfg->instance_count; i++) {
+		const struct cfg_instance *w = &cfg->instances[i];
+		struct core_pool *p;
+
+		if (!w->present)
+			continue;
+		p = &c->pools[w->pool.i];
+		p->instances = talloc_realloc(c, p->instances, uint32_t,
+					      p->instance_count + 1);
+		assert(p->instances);
+		p->instances[p->instance_count++] = i;
+		p->slots += instance_units(w);
+	}
+}
+
+void core_configure(struct core *c, struct cfg *cfg, uint64_t now_ms)
+{
+	struct cfg *old = c->cfg;
+	uint32_t i;
+
+	c->now_ms = now_ms;
+	c->cfg = cfg_ref(cfg);
+	cfg_unref(old);
+	grow_tables(c, cfg);
+	configure_teams(c, cfg);
+	configure_instances(c, cfg);
+	list_instances(c, cfg);
+	for (i = 0; i < c->pool_count; i++)
+		core_dispatch(c, (pool_handle){ i });
+}
+
+/* Members and peers */
+
+struct core_peer *core_peer(struct core *c, uint64_t incarnation)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->peer_count; i++)
+		if (c->peers[i].incarnation == incarnation)
+			return &c->peers[i];
+	return NULL;
+}
+
+static void peer_add(struct core *c, uint64_t incarnation)
+{
+	struct core_peer *p;
+
+	if (incarnation == c->options.incarnation ||
+	    core_peer(c, incarnation) || c->peer_count == CORE_PEERS_MAX)
+		return;
+	p = &c->peers[c->peer_count++];
+	memset(p, 0, sizeof(*p));
+	p->incarnation = incarnation;
+	p->link = ledger_link_new(c, c->ledger);
+}
+
+void core_members(struct core *c, const struct ledger_members *members)
+{
+	uint32_t i;
+
+	talloc_free(c->member_ids);
+	c->member_ids = talloc_memdup(c, members->incarnations,
+				      members->count * sizeof(uint64_t));
+	c->members = *members;
+	c->members.incarnations = c->member_ids;
+	for (i = 0; i < members->count; i++)
+		peer_add(c, members->incarnations[i]);
+}
+
+void core_reachable(struct core *c, uint64_t incarnation, bool reachable)
+{
+	struct core_peer *p = core_peer(c, incarnation);
+
+	if (p)
+		p->reachable = reachable;
+	if (p && !reachable)
+		broker_forget(c->broker, incarnation);
+}
+
+void core_gone(struct core *c, uint64_t incarnation, uint64_t version)
+{
+	struct core_peer *p = core_peer(c, incarnation);
+
+	ledger_gone(c->ledger, version);
+	broker_forget(c->broker, incarnation);
+	if (!p)
+		return;
+	ledger_link_drop(p->link);
+	*p = c->peers[--c->peer_count];
+}
+
+/* The request's way */
+
+static void forget_waiting(struct core *c, const struct job *job)
+{
+	c->waiting--;
+	c->waiting_bytes -= job->bytes;
+	c->teams[job->team.i].waiting--;
+}
+
+static void add_waiting(struct core *c, const struct job *job)
+{
+	c->waiting++;
+	c->waiting_bytes += job->bytes;
+	c->teams[job->team.i].waiting++;
+}
+
+static void refuse(struct core *c, struct job *job, enum job_refusal why)
+{
+	forget_waiting(c, job);
+	job->state = JOB_DONE;
+	c->counters.refused[why]++;
+	c->options.callbacks.refuse(c->options.callbacks.arg, job, why);
+}
+
+/* Whether the configuration in force still lets the job's key use it. */
+static bool job_allowed(struct core *c, struct job *job, enum job_refusal *why)
+{
+	const struct cfg_key *key;
+	const struct cfg_queue *queue;
+
+	if (job->checked_version == c->cfg->version)
+		return true;
+	queue = cfg_find_queue(c->cfg, job->queue);
+	key = cfg_find_key(c->cfg, job->key);
+	if (*job->key && (!key || key->team.i != job->team.i ||
+			  memcmp(key->hash, job->key_hash, CFG_HASH_BYTES))) {
+		*why = JOB_REFUSED_KEY;
+		return false;
+	}
+	if (!queue || queue->pool.i != job->pool.i ||
+	    (!*job->key && !queue->open) ||
+	    (queue->team.i != INTERN_NONE && queue->team.i != job->team.i)) {
+		*why = JOB_REFUSED_QUEUE;
+		return false;
+	}
+	job->checked_version = c->cfg->version;
+	return true;
+}
+
+static bool was_tried(const struct job *job, uint32_t instance)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->tries; i++)
+		if (job->tried[i] == instance)
+			return true;
+	return false;
+}
+
+/* The worker with most free slots here that the job has not tried. */
+static bool choose_instance(struct core *c, const struct job *job,
+			    instance_handle *chosen)
+{
+	const struct core_pool *p = &c->pools[job->pool.i];
+	int64_t most = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->instance_count; i++) {
+		uint32_t id = p->instances[i];
+		const struct core_instance *n = &c->instances[id];
+		struct ledger_domain_view view;
+
+		if (ledger_may_take(c->ledger, n->domain) != LEDGER_OK ||
+		    !health_usable(&n->health, c->now_ms) || was_tried(job, id))
+			continue;
+		ledger_view(c->ledger, n->domain, &view);
+		if (view.held - view.running <= most)
+			continue;
+		most = view.held - view.running;
+		chosen->i = id;
+	}
+	return most > 0;
+}
+
+static bool team_may_start(void *arg, team_handle team)
+{
+	struct core *c = arg;
+
+	return ledger_may_take(c->ledger, c->teams[team.i].domain) == LEDGER_OK;
+}
+
+static void start(struct core *c, struct job *job, instance_handle instance)
+{
+	struct core_team *t = &c->teams[job->team.i];
+	struct core_pool *p = &c->pools[job->pool.i];
+	enum ledger_status status;
+
+	fq_remove(p->queue, job);
+	forget_waiting(c, job);
+	status = ledger_take(c->ledger, t->domain);
+	assert(status == LEDGER_OK);
+	status = ledger_take(c->ledger, c->instances[instance.i].domain);
+	assert(status == LEDGER_OK);
+	(void)status;
+	health_chosen(&c->instances[instance.i].health);
+	fq_started(p->queue, job->team, c->now_ms);
+	t->running++;
+	c->running++;
+	c->counters.started++;
+	if (!job->tries)
+		metric_observe(&t->waits[job->class],
+			       c->now_ms - job->arrived_ms);
+	job->state = JOB_RUNNING;
+	job->instance = instance;
+	job->started_ms = c->now_ms;
+	job->tried[job->tries++] = instance.i;
+	c->options.callbacks.start(c->options.callbacks.arg, job);
+}
+
+void core_dispatch(struct core *c, pool_handle pool)
+{
+	struct core_pool *p = &c->pools[pool.i];
+	instance_handle instance;
+	enum job_refusal why;
+	struct job *job;
+
+	if (!c->cfg || c->now_ms >= c->fresh_until_ms)
+		return;
+	core_units_pay_pool(c, pool.i);
+	while (fq_waiting(p->queue)) {
+		job = fq_pick(p->queue, c->now_ms, team_may_start, c);
+		if (!job)
+			return;
+		if (!job_allowed(c, job, &why)) {
+			fq_remove(p->queue, job);
+			refuse(c, job, why);
+			continue;
+		}
+		if (!choose_instance(c, job, &instance))
+			return;
+		start(c, job, instance);
+	}
+}
+
+/* A wait that would pass the deadline, by the rate of recent starts. */
+static bool too_late(const struct core *c, const struct job *job)
+{
+	struct fq_flow_view flow;
+	double wait;
+
+	if (job->class == CFG_URGENT ||
+	    !fq_team(c->pools[job->pool.i].queue, job->team, &flow) ||
+	    flow.waiting < CORE_EARLY_MIN)
+		return false;
+	wait = flow.waiting * flow.start_gap_ms;
+	return (double)c->now_ms + wait > (double)job->deadline_ms;
+}
+
+bool core_submit(struct core *c, struct job *job, uint64_t now_ms,
+		 enum job_refusal *why)
+{
+	bool refused = true;
+
+	c->now_ms = now_ms;
+	c->counters.submitted++;
+	if (c->stopping)
+		*why = JOB_REFUSED_STOPPING;
+	else if (c->waiting >= c->options.waiting_max ||
+		 c->waiting_bytes + job->bytes > c->options.waiting_bytes)
+		*why = JOB_REFUSED_FULL;
+	else if (too_late(c, job))
+		*why = JOB_REFUSED_EARLY;
+	else
+		refused = false;
+	if (refused) {
+		job->state = JOB_DONE;
+		c->counters.refused[*why]++;
+		return false;
+	}
+	job->state = JOB_WAITING;
+	job->tries = 0;
+	job->may_have_run = false;
+	job->not_before_ms = 0;
+	retry_earn(&c->teams[job->team.i].retries);
+	add_waiting(c, job);
+	fq_push(c->pools[job->pool.i].queue, job, now_ms);
+	core_dispatch(c, job->pool);
+	return true;
+}
+
+/* The one place that gives units back after work. */
+static void release(struct core *c, const struct core_hold *h)
+{
+	ledger_end(c->ledger, c->teams[h->team.i].domain);
+	ledger_end(c->ledger, c->instances[h->instance.i].domain);
+	fq_ended(c->pools[h->pool.i].queue, h->team, c->now_ms);
+	c->teams[h->team.i].running--;
+	c->running--;
+}
+
+static void hold(struct core *c, const struct core_hold *h)
+{
+	if (c->hold_count == c->hold_room) {
+		c->hold_room =
+			c->hold_room ? c->hold_room * 2 : CORE_FIRST_HOLDS;
+		c->holds = talloc_realloc(c, c->holds, struct core_hold,
+					  c->hold_room);
+		assert(c->holds);
+	}
+	c->holds[c->hold_count++] = *h;
+}
+
+static double peers_failure_rate(const struct core *c, pool_handle pool,
+				 uint32_t instance, uint32_t *out)
+{
+	const struct core_pool *p = &c->pools[pool.i];
+	double sum = 0;
+	uint32_t n = 0;
+	uint32_t i;
+
+	*out = 0;
+	for (i = 0; i < p->instance_count; i++) {
+		const struct health *h = &c->instances[p->instances[i]].health;
+
+		if (p->instances[i] == instance)
+			continue;
+		if (h->probe_ms ||
+		    c->cfg->instances[p->instances[i]].state != CFG_SERVING) {
+			(*out)++;
+			continue;
+		}
+		sum += h->failures;
+		n++;
+	}
+	return n ? sum / n : 1.0;
+}
+
+static void judge(struct core *c, const struct job *job, bool failed)
+{
+	struct health *h = &c->instances[job->instance.i].health;
+	uint32_t out;
+	double rate;
+
+	health_result(h, failed, c->now_ms);
+	if (!failed)
+		return;
+	rate = peers_failure_rate(c, job->pool, job->instance.i, &out);
+	if (!health_failing(h, rate) || job->pool.i >= c->cfg->pool_count ||
+	    out >= c->cfg->pools[job->pool.i].out_max)
+		return;
+	health_eject(h, c->now_ms);
+	c->counters.ejected++;
+}
+
+static bool may_retry(struct core *c, const struct job *job,
+		      enum job_result result)
+{
+	bool safe = result == JOB_NOT_SENT || result == JOB_NOT_RUN ||
+		    (result == JOB_MAY_RUN && job->idempotent);
+
+	return safe && job->tries < JOB_TRIES_MAX &&
+	       c->now_ms < job->deadline_ms &&
+	       job->tries < c->pools[job->pool.i].instance_count &&
+	       retry_spend(&c->teams[job->team.i].retries);
+}
+
+static uint32_t next_random(struct core *c)
+{
+	c->random = c->random * 6364136223846793005u + 1442695040888963407u;
+	return (uint32_t)(c->random >> 33);
+}
+
+static void retry(struct core *c, struct job *job)
+{
+	c->counters.retried++;
+	job->state = JOB_WAITING;
+	job->not_before_ms = c->now_ms + retry_delay_ms(next_random(c));
+	add_waiting(c, job);
+	fq_push_front(c->pools[job->pool.i].queue, job, c->now_ms);
+}
+
+static void count_result(struct core *c, enum job_result result)
+{
+	switch (result) {
+	case JOB_ENDED:
+		c->counters.ended++;
+		break;
+	case JOB_FAILED:
+		c->counters.ended++;
+		c->counters.failed++;
+		break;
+	case JOB_MAY_RUN:
+		c->counters.may_run++;
+		break;
+	case JOB_NOT_SENT:
+	case JOB_NOT_RUN:
+		break;
+	}
+}
+
+enum core_next core_end(struct core *c, struct job *job, enum job_result result,
+			uint64_t now_ms)
+{
+	struct core_hold h = { job->team, job->pool, job->instance,
+			       now_ms + job->run_max_ms + CORE_GRACE_MS };
+	bool again;
+
+	c->now_ms = now_ms;
+	count_result(c, result);
+	judge(c, job, result != JOB_ENDED && result != JOB_NOT_RUN);
+	again = may_retry(c, job, result);
+	if (result == JOB_MAY_RUN)
+		hold(c, &h);
+	else
+		release(c, &h);
+	job->may_have_run |= result == JOB_MAY_RUN;
+	job->state = JOB_DONE;
+	if (again)
+		retry(c, job);
+	core_units_pay_team(c, job->team.i);
+	core_dispatch(c, job->pool);
+	return again ? CORE_RETRIED : CORE_FINISHED;
+}
+
+/* Time */
+
+static bool job_expired(void *arg, const struct job *job)
+{
+	const struct core *c = arg;
+
+	return c->now_ms >= job->deadline_ms;
+}
+
+static void refuse_expired(void *arg, struct job *job)
+{
+	struct core *c = arg;
+
+	if (job->tries)
+		refuse(c, job, JOB_REFUSED_UNREACHED);
+	else
+		refuse(c, job, JOB_REFUSED_WAIT);
+}
+
+static void release_held(struct core *c)
+{
+	uint32_t i = 0;
+
+	while (i < c->hold_count) {
+		if (c->now_ms < c->holds[i].until_ms) {
+			i++;
+			continue;
+		}
+		release(c, &c->holds[i]);
+		c->holds[i] = c->holds[--c->hold_count];
+	}
+}
+
+void core_tick(struct core *c, uint64_t now_ms)
+{
+	uint32_t i;
+
+	c->now_ms = now_ms;
+	release_held(c);
+	for (i = 0; i < c->pool_count; i++)
+		if (fq_waiting(c->pools[i].queue))
+			fq_sweep(c->pools[i].queue, job_expired, refuse_expired,
+				 c);
+	core_units_tick(c);
+	for (i = 0; i < c->pool_count; i++)
+		core_dispatch(c, (pool_handle){ i });
+}
+
+void core_fresh(struct core *c, uint64_t until_ms)
+{
+	c->fresh_until_ms = until_ms;
+}
+
+void core_stop(struct core *c, uint64_t now_ms)
+{
+	c->stopping = true;
+	core_tick(c, now_ms);
+}
+
+bool core_drained(const struct core *c)
+{
+	return !c->running && !c->waiting && !ledger_holds_any(c->ledger);
+}
+
+/* Rows and messages */
+
+void core_row(struct core *c, uint32_t shard, const struct ledger_row *row,
+	      uint64_t now_ms)
+{
+	c->now_ms = now_ms;
+	ledger_seen(c->ledger, shard, row);
+	core_units_write(c);
+}
+
+void core_planned(struct core *c, uint32_t shard, enum ledger_cas_status status,
+		  uint64_t version, uint64_t now_ms)
+{
+	uint32_t i;
+
+	c->now_ms = now_ms;
+	ledger_planned(c->ledger, shard, status, version);
+	for (i = 0; i < c->pool_count; i++)
+		if (fq_waiting(c->pools[i].queue))
+			core_dispatch(c, (pool_handle){ i });
+}
+
+static void receive_lend(struct core *c, struct core_peer *p,
+			 const struct ledger_transfer *t)
+{
+	struct core_message ack = { .kind = CORE_LEND_ACK };
+	uint32_t i;
+
+	ack.u.ack = ledger_receive(p->link, t);
+	core_send(c, p->incarnation, &ack);
+	for (i = 0; i < c->pool_count; i++)
+		if (fq_waiting(c->pools[i].queue))
+			core_dispatch(c, (pool_handle){ i });
+}
+
+void core_receive(struct core *c, uint64_t from, const struct core_message *m,
+		  uint64_t now_ms)
+{
+	struct core_peer *p = core_peer(c, from);
+
+	if (!p && from != c->options.incarnation)
+		return;
+	c->now_ms = now_ms;
+	switch (m->kind) {
+	case CORE_LEND:
+		receive_lend(c, p, &m->u.lend);
+		break;
+	case CORE_LEND_ACK:
+		ledger_acked(p->link, m->u.ack);
+		break;
+	case CORE_DEMAND:
+		broker_report(c->broker, from, &m->u.demand, now_ms);
+		break;
+	case CORE_ADVICE:
+		core_units_advised(c, &m->u.advice);
+		break;
+	case CORE_ROUND:
+		ledger_hint(c->ledger, m->u.round.shard, m->u.round.round);
+		break;
+	}
+}
+
+void core_send(struct core *c, uint64_t to, const struct core_message *m)
+{
+	if (to == c->options.incarnation) {
+		core_receive(c, to, m, c->now_ms);
+		return;
+	}
+	c->counters.messages++;
+	c->options.callbacks.send(c->options.callbacks.arg, to, m);
+}
+
+/* Construction and views */
+
+static int core_destroy(struct core *c)
+{
+	cfg_unref(c->cfg);
+	return 0;
+}
+
+struct core *core_new(TALLOC_CTX *ctx, const struct core_options *options)
+{
+	struct core *c = talloc_zero(ctx, struct core);
+	struct ledger_options ledger = {
+		.incarnation = options->incarnation,
+		.shard_count = options->shard_count,
+		.round_pause_ms = 1000,
+	};
+
+	assert(c);
+	c->options = *options;
+	c->random = options->random;
+	c->ledger = ledger_new(c, &ledger);
+	c->broker = core_units_broker(c);
+	talloc_set_destructor(c, core_destroy);
+	return c;
+}
+
+struct ledger *core_ledger(struct core *c)
+{
+	return c->ledger;
+}
+
+const struct core_counters *core_counters(const struct core *c)
+{
+	return &c->counters;
+}
+
+uint32_t core_waiting(const struct core *c)
+{
+	return c->waiting;
+}
+
+void core_team_load(const struct core *c, pool_handle pool, team_handle team,
+		    uint32_t *waiting, uint32_t *running)
+{
+	struct fq_flow_view view = { 0 };
+
+	if (pool.i < c->pool_count)
+		fq_team(c->pools[pool.i].queue, team, &view);
+	*waiting = view.waiting;
+	*running = view.running;
+}
+
+bool core_instance_home(const struct core *c, instance_handle instance)
+{
+	return instance.i < c->instance_count &&
+	       c->instances[instance.i].configured &&
+	       ledger_all_home(c->ledger, c->instances[instance.i].domain);
+}
--- /dev/null
+++ b/src/entry/core_units.c
@@ -0,0 +1,420 @@
+#include "entry/core_internal.h"
+
+#include <string.h>
+
+#define REPORT_EVERY_MS 250
+#define REPORT_REPEAT_MS 2000 /* an unchanged report is sent again */
+#define ADVICE_TTL_MS 5000    /* older advice gives way to local targets */
+#define RESEND_MS 500	      /* transfers without acknowledgement */
+
+/* Drawing from the table service */
+
+static int64_t base_units(const struct core *c, int64_t total)
+{
+	int64_t entries = c->members.count ? c->members.count : 1;
+	int64_t base = total / entries;
+
+	return total && !base ? 1 : base;
+}
+
+static void want_domain(struct core *c, domain_handle d, uint32_t waiting)
+{
+	struct ledger_domain_view view;
+	int64_t want;
+
+	ledger_view(c->ledger, d, &view);
+	if (c->stopping && !c->waiting) {
+		ledger_want(c->ledger, d, 0);
+		ledger_release(c->ledger, d, view.held - view.running);
+		return;
+	}
+	want = base_units(c, view.total) - view.running;
+	if (want < waiting)
+		want = waiting;
+	ledger_want(c->ledger, d, want < view.total ? want : view.total);
+}
+
+/* Spreads a pool's need over its workers, those with free units first. */
+static void want_pool(struct core *c, struct core_pool *p)
+{
+	uint32_t need = fq_waiting(p->queue);
+	uint32_t i;
+
+	for (i = 0; i < p->instance_count; i++) {
+		domain_handle d = c->instances[p->instances[i]].domain;
+		struct ledger_domain_view view;
+		uint32_t part;
+
+		ledger_view(c->ledger, d, &view);
+		part = (uint32_t)(view.held - view.running +
+				  (view.free > 0 ? view.free : 0));
+		part = part < need ? part : need;
+		want_domain(c, d, part);
+		need -= part;
+	}
+}
+
+static void want_units(struct core *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->pool_count; i++)
+		want_pool(c, &c->pools[i]);
+	for (i = 0; i < c->team_count; i++)
+		if (c->teams[i].configured)
+			want_domain(c, c->teams[i].domain, c->teams[i].waiting);
+}
+
+void core_units_write(struct core *c)
+{
+	struct ledger_cas cas;
+	uint32_t shard;
+
+	if (!c->members.count)
+		return;
+	for (shard = 0; shard < c->options.shard_count; shard++) {
+		if (!ledger_plan(c->ledger, shard, c->now_ms, &c->members,
+				 &cas))
+			continue;
+		c->counters.writes++;
+		c->options.callbacks.write(c->options.callbacks.arg, shard,
+					   &cas);
+	}
+}
+
+/* Lending */
+
+static void send_transfers(struct core *c, struct core_peer *p, uint32_t newest)
+{
+	struct core_message m = { .kind = CORE_LEND };
+	const struct ledger_transfer *t;
+	uint32_t count;
+	uint32_t i;
+
+	t = ledger_outbox(p->link, &count);
+	for (i = count - newest; i < count; i++) {
+		m.u.lend = t[i];
+		core_send(c, p->incarnation, &m);
+	}
+}
+
+static uint32_t lend_domain(struct core *c, struct core_peer *p,
+			    domain_handle d, uint32_t units)
+{
+	uint32_t lent = ledger_lend(p->link, d, units);
+
+	if (!lent)
+		return 0;
+	c->counters.lent += lent;
+	send_transfers(c, p, 1);
+	return lent;
+}
+
+static void pay_pool_transfer(struct core *c, struct core_pool *pool,
+			      struct broker_transfer *t)
+{
+	struct core_peer *p = core_peer(c, t->to);
+	uint32_t i;
+
+	if (!p || !p->reachable)
+		return;
+	for (i = 0; i < pool->instance_count && t->units; i++)
+		t->units -= lend_domain(c, p,
+					c->instances[pool->instances[i]].domain,
+					t->units);
+}
+
+void core_units_pay_pool(struct core *c, uint32_t pool)
+{
+	struct core_pool *p = &c->pools[pool];
+	uint32_t i;
+
+	for (i = 0; i < p->owed.count; i++)
+		if (p->owed.transfers[i].units)
+			pay_pool_transfer(c, p, &p->owed.transfers[i]);
+}
+
+void core_units_pay_team(struct core *c, uint32_t team)
+{
+	struct core_team *t = &c->teams[team];
+	uint32_t i;
+
+	for (i = 0; i < t->owed.count; i++) {
+		struct broker_transfer *transfer = &t->owed.transfers[i];
+		struct core_peer *p = core_peer(c, transfer->to);
+
+		if (p && p->reachable && transfer->units)
+			transfer->units -=
+				lend_domain(c, p, t->domain, transfer->units);
+	}
+}
+
+static void resend(struct core *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->peer_count; i++) {
+		struct core_peer *p = &c->peers[i];
+		uint32_t count;
+
+		ledger_outbox(p->link, &count);
+		if (!count || !p->reachable) {
+			p->resent_ms = c->now_ms;
+			continue;
+		}
+		if (c->now_ms < p->resent_ms + RESEND_MS)
+			continue;
+		p->resent_ms = c->now_ms;
+		send_transfers(c, p, count);
+	}
+}
+
+/* Advice */
+
+static void keep_owed(struct core *c, struct core_owed *owed,
+		      const struct broker_advice *advice)
+{
+	talloc_free(owed->transfers);
+	owed->count = advice->transfer_count;
+	owed->transfers = talloc_memdup(c, advice->transfers,
+					owed->count * sizeof(*owed->transfers));
+}
+
+void core_units_advised(struct core *c, const struct broker_advice *advice)
+{
+	struct core_pool *p;
+	uint32_t i;
+
+	if (advice->group.kind == BROKER_TEAM) {
+		if (advice->group.id >= c->team_count)
+			return;
+		keep_owed(c, &c->teams[advice->group.id].owed, advice);
+		core_units_pay_team(c, advice->group.id);
+		return;
+	}
+	if (advice->group.id >= c->pool_count)
+		return;
+	p = &c->pools[advice->group.id];
+	p->advised_ms = c->now_ms;
+	keep_owed(c, &p->owed, advice);
+	for (i = 0; i < advice->target_count; i++)
+		if (advice->targets[i].team < c->team_count)
+			fq_set_target(p->queue,
+				      (team_handle){ advice->targets[i].team },
+				      advice->targets[i].milli_slots / 1000.0);
+	core_dispatch(c, (pool_handle){ advice->group.id });
+}
+
+static bool broker_team_view(void *arg, uint32_t team, uint32_t *share,
+			     uint32_t *limit)
+{
+	const struct core *c = arg;
+
+	if (!c->cfg || team >= c->cfg->team_count ||
+	    !c->cfg->teams[team].present)
+		return false;
+	*share = c->cfg->teams[team].share;
+	*limit = c->cfg->teams[team].limit;
+	return true;
+}
+
+static void broker_advises(void *arg, uint64_t entry,
+			   const struct broker_advice *advice)
+{
+	struct core_message m = { .kind = CORE_ADVICE };
+
+	m.u.advice = *advice;
+	core_send(arg, entry, &m);
+}
+
+struct broker *core_units_broker(struct core *c)
+{
+	struct broker_callbacks callbacks = {
+		.team = broker_team_view,
+		.advise = broker_advises,
+		.arg = c,
+	};
+
+	return broker_new(c, &callbacks);
+}
+
+/* Reports */
+
+static bool same_demand(const struct broker_demand *a,
+			const struct broker_demand *b)
+{
+	return a->held == b->held && a->idle == b->idle &&
+	       a->team_count == b->team_count &&
+	       !memcmp(a->teams, b->teams,
+		       a->team_count * sizeof(struct broker_team));
+}
+
+static uint64_t choose_broker(const struct core *c, enum broker_kind kind,
+			      const char *name)
+{
+	uint64_t live[CORE_PEERS_MAX + 1];
+	uint32_t n = 0;
+	uint32_t i;
+
+	live[n++] = c->options.incarnation;
+	for (i = 0; i < c->peer_count; i++)
+		if (c->peers[i].reachable)
+			live[n++] = c->peers[i].incarnation;
+	return broker_choose(kind, name, live, n);
+}
+
+/* Sends a demand to the group's broker if it is news; takes over teams. */
+static void report(struct core *c, const char *name,
+		   struct broker_demand *demand, struct broker_demand *sent,
+		   uint64_t *sent_ms)
+{
+	struct core_message m = { .kind = CORE_DEMAND };
+	bool nothing = !demand->held && !demand->team_count;
+
+	if (same_demand(demand, sent) &&
+	    (nothing || c->now_ms < *sent_ms + REPORT_REPEAT_MS)) {
+		talloc_free(demand->teams);
+		return;
+	}
+	talloc_free(sent->teams);
+	*sent = *demand;
+	*sent_ms = c->now_ms;
+	m.u.demand = *demand;
+	core_send(c, choose_broker(c, demand->group.kind, name), &m);
+}
+
+static uint32_t at_most(uint32_t value, uint32_t most)
+{
+	return value < most ? value : most;
+}
+
+static void collect_teams(struct core *c, const struct core_pool *p,
+			  struct broker_demand *demand)
+{
+	struct fq_flow_view flow;
+	uint32_t i;
+
+	demand->teams = talloc_zero_array(c, struct broker_team,
+					  fq_flows(p->queue) + 1);
+	for (i = 0; i < fq_flows(p->queue); i++) {
+		fq_view(p->queue, i, &flow);
+		if (!flow.waiting && !flow.running)
+			continue;
+		/* Beyond the pool's slots more waiting changes nothing. */
+		demand->teams[demand->team_count++] = (struct broker_team){
+			flow.team.i,
+			at_most(flow.waiting, p->slots),
+			flow.running,
+		};
+	}
+}
+
+static void report_pool(struct core *c, uint32_t id)
+{
+	struct core_pool *p = &c->pools[id];
+	struct broker_demand demand = { .group = { BROKER_POOL, id } };
+	struct ledger_domain_view view;
+	uint32_t i;
+
+	if (id >= c->cfg->pool_count || !c->cfg->pools[id].present)
+		return;
+	for (i = 0; i < p->instance_count; i++) {
+		ledger_view(c->ledger, c->instances[p->instances[i]].domain,
+			    &view);
+		demand.held += (uint32_t)view.held;
+		demand.idle += (uint32_t)(view.held - view.running);
+	}
+	collect_teams(c, p, &demand);
+	report(c, c->cfg->pools[id].name, &demand, &p->sent, &p->sent_ms);
+}
+
+/* A team's units move only where its limit is what it waits for. */
+static void report_team(struct core *c, uint32_t id)
+{
+	struct core_team *t = &c->teams[id];
+	struct broker_demand demand = { .group = { BROKER_TEAM, id } };
+	struct ledger_domain_view view;
+
+	if (!t->configured || id >= c->cfg->team_count ||
+	    !c->cfg->teams[id].present)
+		return;
+	ledger_view(c->ledger, t->domain, &view);
+	demand.held = (uint32_t)view.held;
+	demand.idle = (uint32_t)(view.held - view.running);
+	demand.teams = talloc_zero_array(c, struct broker_team, 1);
+	if (t->waiting || t->running)
+		demand.teams[demand.team_count++] = (struct broker_team){
+			id,
+			at_most(t->waiting, c->cfg->teams[id].limit),
+			t->running,
+		};
+	report(c, c->cfg->teams[id].name, &demand, &t->sent, &t->sent_ms);
+}
+
+/* Without advice each entry divides the slots that it holds itself. */
+static void local_targets(struct core *c, struct core_pool *p)
+{
+	uint32_t n = fq_flows(p->queue);
+	struct share_claim *claims;
+	struct fq_flow_view flow;
+	struct ledger_domain_view view;
+	double held = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->instance_count; i++) {
+		ledger_view(c->ledger, c->instances[p->instances[i]].domain,
+			    &view);
+		held += (double)view.held;
+	}
+	claims = talloc_zero_array(c, struct share_claim, n + 1);
+	for (i = 0; i < n; i++) {
+		uint32_t share = 1;
+		uint32_t limit = 0;
+
+		fq_view(p->queue, i, &flow);
+		broker_team_view(c, flow.team.i, &share, &limit);
+		claims[i].weight = share;
+		claims[i].demand = flow.waiting + flow.running;
+	}
+	share_divide(claims, n, held);
+	for (i = 0; i < n; i++) {
+		fq_view(p->queue, i, &flow);
+		fq_set_target(p->queue, flow.team, claims[i].given);
+	}
+	talloc_free(claims);
+}
+
+static void report_all(struct core *c)
+{
+	uint32_t i;
+
+	if (c->options.advice)
+		for (i = 0; i < c->team_count; i++)
+			report_team(c, i);
+	for (i = 0; i < c->pool_count; i++) {
+		if (c->options.advice)
+			report_pool(c, i);
+		if (!c->options.advice ||
+		    c->now_ms > c->pools[i].advised_ms + ADVICE_TTL_MS)
+			local_targets(c, &c->pools[i]);
+	}
+	broker_run(c->broker, c->now_ms);
+}
+
+void core_units_tick(struct core *c)
+{
+	uint32_t i;
+
+	if (!c->cfg)
+		return;
+	want_units(c);
+	core_units_write(c);
+	resend(c);
+	for (i = 0; i < c->team_count; i++)
+		if (c->teams[i].owed.count)
+			core_units_pay_team(c, i);
+	if (c->now_ms < c->reported_ms + REPORT_EVERY_MS)
+		return;
+	c->reported_ms = c->now_ms;
+	report_all(c);
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,17 @@
+/*
+ * entry - one entry process
+ */
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "process/settings.h"
+
+/*
+ * entry_run - serve until SIGTERM or SIGINT, then drain
+ *
+ * Returns the process's exit code: 0 after a drain, 1 when it could not
+ * start or was unregistered by its peers.
+ */
+int entry_run(const struct settings *settings);
+
+#endif
--- /dev/null
+++ b/src/entry/front.c
@@ -0,0 +1,639 @@
+/*
+ * front - callers' requests, one front a thread
+ *
+ * A front has a server for callers and a client for workers on one event
+ * loop. The core tells it by mail, from any thread, which of its requests
+ * start and which are refused.
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "connection/httpc.h"
+#include "entry/entry_internal.h"
+#include "process/clock.h"
+#include "process/log.h"
+#include "request/outcome.h"
+
+#define FRONT_SEND_MS 1000    /* from a start to its first byte */
+#define FRONT_CONNECT_MS 1000 /* for a connection to a worker */
+#define FRONT_IDLE_S 75	      /* a caller's connection without traffic */
+#define FRONT_HEADERS_MAX 100
+#define FRONT_URL_MAX 8192    /* bytes */
+#define FRONT_HEADER_MAX 4096 /* bytes of one header passed on */
+#define RUN_PREFIX "/run/"
+
+enum mail_kind { MAIL_NONE, MAIL_START, MAIL_REFUSE };
+
+/* A caller's request while this entry has it. */
+struct request {
+	struct job job; /* first member */
+	struct front *front;
+	struct httpd_request *http;
+	struct request *next_mail;
+	enum mail_kind mail;
+	enum job_refusal refusal;
+	bool timed_out;
+	const char *rest; /* of the path, after the queue's name */
+	const char *headers[FRONT_HEADERS_MAX + 1];
+	uint32_t header_count;
+};
+
+struct front {
+	struct entry *entry;
+	uint32_t index;
+	pthread_t thread;
+	struct tevent_context *ev;
+	struct httpd *server;
+	struct httpc *client;
+	struct cfg *cfg; /* as last seen */
+	int mail_fd;
+	pthread_mutex_t mail_lock;
+	struct request *mail;
+	struct request **mail_tail;
+	bool stop;    /* under mail_lock */
+	bool stopped; /* accepts no more */
+	_Atomic uint32_t pending;
+	_Atomic uint64_t outcomes[3]; /* by enum outcome */
+};
+
+/* Answers to callers */
+
+static void send_text(struct front *f, struct httpd_request *http,
+		      unsigned int code, enum outcome outcome,
+		      const char *reason)
+{
+	struct httpd_answer answer = { .code = code };
+	char headers[128];
+	char *body;
+
+	atomic_fetch_add(&f->outcomes[outcome], 1);
+	answer.headers_length =
+		(size_t)snprintf(headers, sizeof(headers),
+				 "Jackdawwell-Outcome: %s\r\nContent-Type: "
+				 "application/json\r\n",
+				 outcome_name(outcome));
+	answer.headers = headers;
+	if (asprintf(&body, "{\"outcome\":\"%s\",\"reason\":\"%s\"}\n",
+		     outcome_name(outcome), reason) < 0)
+		abort();
+	answer.body = body;
+	answer.body_length = strlen(body);
+	httpd_answer(http, &answer);
+}
+
+static void request_free(struct request *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->header_count; i++)
+		free((char *)r->headers[i]);
+	atomic_fetch_sub(&r->front->pending, 1);
+	free(r);
+}
+
+static void finish(struct request *r, const struct outcome_end *end)
+{
+	struct outcome_answer a = outcome_of(end);
+
+	send_text(r->front, r->http, a.code, a.outcome, a.reason);
+	request_free(r);
+}
+
+static void finish_refused(struct request *r, enum job_refusal why)
+{
+	struct outcome_end end = { .refused = true, .refusal = why };
+
+	end.may_have_run = r->job.may_have_run;
+	finish(r, &end);
+}
+
+/* Headers that belong to one connection, or are this system's own. */
+static bool is_hop_header(const char *name, size_t length)
+{
+	static const char *const names[] = {
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"Transfer-Encoding",
+		"Content-Length",
+		"Upgrade",
+		"TE",
+		"Trailer",
+		"Host",
+		"Expect",
+		"Authorization",
+		"Jackdawwell-Outcome",
+		"Jackdawwell-Not-Run",
+		"Jackdawwell-Lease-Ms",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (strlen(names[i]) == length &&
+		    !strncasecmp(names[i], name, length))
+			return true;
+	return false;
+}
+
+/* Keeps the end-to-end headers of a worker's answer, in place. */
+static size_t filter_headers(char *headers, size_t length)
+{
+	size_t kept = 0;
+	size_t at = 0;
+
+	while (at < length) {
+		char *line = headers + at;
+		char *end = memchr(line, '\n', length - at);
+		size_t n = end ? (size_t)(end - line) + 1 : length - at;
+		char *colon = memchr(line, ':', n);
+
+		if (colon && !is_hop_header(line, (size_t)(colon - line))) {
+			memmove(headers + kept, line, n);
+			kept += n;
+		}
+		at += n;
+	}
+	return kept;
+}
+
+static void finish_answered(struct request *r, struct httpc_answer *http)
+{
+	static const char outcome[] = "Jackdawwell-Outcome: answered\r\n";
+	struct front *f = r->front;
+	struct httpd_answer answer = { .code = (unsigned int)http->code };
+	size_t kept = filter_headers(http->headers.data, http->headers.length);
+	char *headers = malloc(kept + sizeof(outcome));
+
+	assert(headers);
+	memcpy(headers, outcome, sizeof(outcome) - 1);
+	if (kept)
+		memcpy(headers + sizeof(outcome) - 1, http->headers.data, kept);
+	answer.headers = headers;
+	answer.headers_length = sizeof(outcome) - 1 + kept;
+	answer.body = httpc_take(&http->body, &answer.body_length);
+	atomic_fetch_add(&f->outcomes[OUTCOME_ANSWERED], 1);
+	httpd_answer(r->http, &answer);
+	free(headers);
+	request_free(r);
+}
+
+/* Workers */
+
+static bool says_not_run(const struct httpc_answer *http)
+{
+	static const char name[] = "\nJackdawwell-Not-Run:";
+
+	if (http->code != 503 || !http->headers.data)
+		return false;
+	if (!strncasecmp(http->headers.data, name + 1, sizeof(name) - 2))
+		return true;
+	return memmem(http->headers.data, http->headers.length, name,
+		      sizeof(name) - 1) != NULL;
+}
+
+static enum job_result result_of(const struct httpc_answer *http)
+{
+	switch (http->status) {
+	case HTTPC_NOT_SENT:
+		return JOB_NOT_SENT;
+	case HTTPC_OK:
+		if (says_not_run(http))
+			return JOB_NOT_RUN;
+		return http->code >= 500 ? JOB_FAILED : JOB_ENDED;
+	default:
+		return JOB_MAY_RUN;
+	}
+}
+
+static enum core_next end_job(struct request *r, enum job_result result)
+{
+	struct entry *e = r->front->entry;
+	enum core_next next;
+
+	pthread_mutex_lock(&e->core_lock);
+	next = core_end(e->core, &r->job, result, clock_now_ms());
+	pthread_mutex_unlock(&e->core_lock);
+	return next;
+}
+
+static void on_answer(void *arg, struct httpc_answer *http)
+{
+	struct request *r = arg;
+	enum job_result result = result_of(http);
+	struct outcome_end end = { .result = result };
+
+	end.timed_out = http->status == HTTPC_TIMEOUT;
+	if (end_job(r, result) == CORE_RETRIED)
+		return;
+	end.may_have_run = r->job.may_have_run;
+	if (outcome_of(&end).outcome == OUTCOME_ANSWERED)
+		finish_answered(r, http);
+	else
+		finish(r, &end);
+}
+
+static void add_header(void *arg, const char *name, const char *value)
+{
+	struct request *r = arg;
+	char *line;
+
+	if (r->header_count >= FRONT_HEADERS_MAX - 1 ||
+	    is_hop_header(name, strlen(name)))
+		return;
+	/* libcurl sends a header without value when it ends in ';'. */
+	if (asprintf(&line, *value ? "%s: %s" : "%s;", name, value) < 0)
+		abort();
+	r->headers[r->header_count++] = line;
+}
+
+static void add_lease(struct request *r)
+{
+	char text[16];
+	char *line;
+
+	snprintf(text, sizeof(text), "%" PRIu32, r->job.run_max_ms);
+	if (asprintf(&line, "Jackdawwell-Lease-Ms: %s", text) < 0)
+		abort();
+	r->headers[r->header_count++] = line;
+}
+
+static void send_to_worker(struct request *r)
+{
+	struct front *f = r->front;
+	struct httpd_request *http = r->http;
+	char url[FRONT_URL_MAX];
+	struct httpc_request out = {
+		.method = http->method,
+		.url = url,
+		.headers = r->headers,
+		.body = http->body,
+		.body_length = http->body_length,
+		.timeout_ms = r->job.run_max_ms + FRONT_CONNECT_MS,
+		.connect_timeout_ms = FRONT_CONNECT_MS,
+		.once = !r->job.idempotent,
+		.send_before_us = (r->job.started_ms + FRONT_SEND_MS) * 1000,
+		.done = on_answer,
+		.arg = r,
+	};
+	const char *mark = *http->query ? "?" : "";
+
+	if (!r->header_count) {
+		httpd_each_header(http, add_header, r);
+		add_lease(r);
+	}
+	snprintf(url, sizeof(url), "http://%s/%s%s%s%s",
+		 f->cfg->instances[r->job.instance.i].address, r->job.queue,
+		 r->rest, mark, http->query);
+	httpc_start(f->client, &out);
+}
+
+/* Configuration in force, as this front sees it */
+
+static void refresh_cfg(struct front *f)
+{
+	struct entry *e = f->entry;
+	struct cfg *old = f->cfg;
+
+	if (old->version == atomic_load(&e->cfg_version))
+		return;
+	pthread_mutex_lock(&e->core_lock);
+	f->cfg = cfg_ref(e->cfg);
+	pthread_mutex_unlock(&e->core_lock);
+	cfg_unref(old);
+}
+
+/* Mail from the core */
+
+static void post(struct request *r, enum mail_kind kind)
+{
+	struct front *f = r->front;
+	uint64_t one = 1;
+	bool first;
+
+	pthread_mutex_lock(&f->mail_lock);
+	first = !f->mail;
+	r->mail = kind;
+	r->next_mail = NULL;
+	*f->mail_tail = r;
+	f->mail_tail = &r->next_mail;
+	pthread_mutex_unlock(&f->mail_lock);
+	if (first && write(f->mail_fd, &one, sizeof(one)) < 0)
+		abort(); /* an eventfd takes its first count */
+}
+
+void front_start(void *arg, struct job *job)
+{
+	(void)arg;
+	post((struct request *)job, MAIL_START);
+}
+
+void front_refuse(void *arg, struct job *job, enum job_refusal why)
+{
+	struct request *r = (struct request *)job;
+
+	(void)arg;
+	r->refusal = why;
+	post(r, MAIL_REFUSE);
+}
+
+static void start_job(struct request *r)
+{
+	if (!httpd_hung_up(r->http)) {
+		send_to_worker(r);
+		return;
+	}
+	/* A retry may find workers, but its caller would still be gone. */
+	if (end_job(r, JOB_NOT_SENT) == CORE_FINISHED)
+		finish_refused(r, JOB_REFUSED_HUNG_UP);
+}
+
+static struct request *take_mail(struct front *f, bool *stop)
+{
+	struct request *mail;
+
+	pthread_mutex_lock(&f->mail_lock);
+	mail = f->mail;
+	f->mail = NULL;
+	f->mail_tail = &f->mail;
+	*stop = f->stop;
+	pthread_mutex_unlock(&f->mail_lock);
+	return mail;
+}
+
+static void run_mail(struct front *f)
+{
+	struct request *r;
+	struct request *next;
+	bool stop;
+
+	refresh_cfg(f);
+	for (r = take_mail(f, &stop); r; r = next) {
+		next = r->next_mail;
+		if (r->mail == MAIL_START)
+			start_job(r);
+		else
+			finish_refused(r, r->refusal);
+	}
+	if (stop && !f->stopped) {
+		f->stopped = true;
+		httpd_stop_accepting(f->server);
+	}
+}
+
+static void on_mail(struct tevent_context *ev, struct tevent_fd *fde,
+		    uint16_t flags, void *arg)
+{
+	struct front *f = arg;
+	uint64_t count;
+
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	if (read(f->mail_fd, &count, sizeof(count)) > 0)
+		run_mail(f);
+}
+
+/* Requests from callers */
+
+static void refuse_now(struct front *f, struct httpd_request *http,
+		       unsigned int code, const char *reason)
+{
+	send_text(f, http, code, OUTCOME_NOT_RUN, reason);
+}
+
+static const char *bearer(const struct httpd_request *http)
+{
+	const char *value = httpd_header(http, "Authorization");
+
+	if (!value || strncasecmp(value, "Bearer ", 7))
+		return NULL;
+	return value + 7;
+}
+
+static void on_health(struct front *f, struct httpd_request *http)
+{
+	enum entry_state state = entry_state(f->entry);
+	bool live = !strcmp(http->path, "/healthz");
+	unsigned int code = live || state == ENTRY_SERVING ? 200 : 503;
+	struct httpd_answer answer = { .code = code };
+
+	answer.body = strdup(code == 200 ? "ok\n" : "not ready\n");
+	answer.body_length = strlen(answer.body);
+	httpd_answer(http, &answer);
+}
+
+/* Splits "/run/<queue>/rest"; false when there is no queue's name. */
+static bool split_path(struct request *r)
+{
+	const char *path = r->http->path;
+	size_t n;
+
+	if (strncmp(path, RUN_PREFIX, strlen(RUN_PREFIX)))
+		return false;
+	path += strlen(RUN_PREFIX);
+	n = strcspn(path, "/");
+	if (!n || n > CFG_NAME_MAX)
+		return false;
+	memcpy(r->job.queue, path, n);
+	r->job.queue[n] = '\0';
+	r->rest = path + n;
+	return true;
+}
+
+/* Whose work it is; an HTTP status, 0 when it may go on. */
+static unsigned int identify(struct request *r, const struct cfg_queue *queue,
+			     const char **reason)
+{
+	const struct front *f = r->front;
+	const char *text = bearer(r->http);
+	const struct cfg_key *key;
+
+	if (!text && queue->open) {
+		r->job.team = queue->team;
+		return 0;
+	}
+	key = text ? key_check(&f->entry->hasher, f->cfg, text) : NULL;
+	if (!key) {
+		*reason = "no valid key";
+		return 401;
+	}
+	if (queue->team.i != INTERN_NONE && queue->team.i != key->team.i) {
+		*reason = "the queue belongs to another team";
+		return 403;
+	}
+	r->job.team = key->team;
+	memcpy(r->job.key_hash, key->hash, CFG_HASH_BYTES);
+	snprintf(r->job.key, sizeof(r->job.key), "%s", key->name);
+	return 0;
+}
+
+static unsigned int prepare(struct request *r, const char **reason)
+{
+	const struct front *f = r->front;
+	const struct cfg_queue *queue;
+	struct job *job = &r->job;
+	unsigned int code;
+
+	if (!split_path(r) || !(queue = cfg_find_queue(f->cfg, job->queue))) {
+		*reason = "no such queue";
+		return 404;
+	}
+	code = identify(r, queue, reason);
+	if (code)
+		return code;
+	job->pool = queue->pool;
+	job->class = queue->class;
+	job->idempotent = queue->idempotent;
+	job->run_max_ms = queue->run_max_ms;
+	job->arrived_ms = clock_now_ms();
+	job->deadline_ms = job->arrived_ms + queue->wait_max_ms;
+	job->bytes = (uint32_t)(r->http->body_length + sizeof(*r));
+	job->checked_version = f->cfg->version;
+	return 0;
+}
+
+static void submit(struct request *r)
+{
+	struct entry *e = r->front->entry;
+	enum job_refusal why;
+	bool taken;
+
+	pthread_mutex_lock(&e->core_lock);
+	taken = core_submit(e->core, &r->job, clock_now_ms(), &why);
+	pthread_mutex_unlock(&e->core_lock);
+	if (!taken)
+		finish_refused(r, why);
+}
+
+static void on_request(void *arg, struct httpd_request *http)
+{
+	struct front *f = arg;
+	struct request *r;
+	const char *reason = "";
+	unsigned int code;
+
+	if (!strcmp(http->path, "/healthz") || !strcmp(http->path, "/readyz")) {
+		on_health(f, http);
+		return;
+	}
+	refresh_cfg(f);
+	if (entry_state(f->entry) == ENTRY_STARTING) {
+		refuse_now(f, http, 503, "the entry is starting");
+		return;
+	}
+	r = calloc(1, sizeof(*r));
+	assert(r);
+	r->front = f;
+	r->http = http;
+	atomic_fetch_add(&f->pending, 1);
+	code = prepare(r, &reason);
+	if (!code) {
+		submit(r);
+		return;
+	}
+	refuse_now(f, http, code, reason);
+	request_free(r);
+}
+
+/* The thread */
+
+static bool front_listen(struct front *f)
+{
+	const struct settings *s = f->entry->settings;
+	char ip[16];
+	struct httpd_options options = {
+		.address = ip,
+		.body_max = (size_t)s->body_max_kib << 10,
+		.connections_max = s->connections_max / s->threads + 1,
+		.idle_timeout_s = FRONT_IDLE_S,
+		.handler = on_request,
+		.arg = f,
+	};
+
+	settings_address(s->callers, ip, &options.port);
+	f->server = httpd_new(f, f->ev, &options);
+	return f->server != NULL;
+}
+
+static void *front_run(void *arg)
+{
+	struct front *f = arg;
+
+	while (!(f->stopped && !atomic_load(&f->pending) &&
+		 !httpd_pending(f->server)))
+		tevent_loop_once(f->ev);
+	return NULL;
+}
+
+struct front *front_new(struct entry *e, uint32_t index)
+{
+	struct front *f = talloc_zero(NULL, struct front);
+	const struct settings *s = e->settings;
+
+	assert(f);
+	f->entry = e;
+	f->index = index;
+	f->cfg = cfg_ref(e->cfg);
+	f->mail_tail = &f->mail;
+	pthread_mutex_init(&f->mail_lock, NULL);
+	f->ev = tevent_context_init(f);
+	f->mail_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	f->client = httpc_new(f, f->ev, s->connections_max);
+	if (!f->ev || f->mail_fd < 0 || !f->client || !front_listen(f) ||
+	    !tevent_add_fd(f->ev, f, f->mail_fd, TEVENT_FD_READ, on_mail, f) ||
+	    pthread_create(&f->thread, NULL, front_run, f)) {
+		talloc_free(f);
+		return NULL;
+	}
+	return f;
+}
+
+void front_stop_accepting(struct front *f)
+{
+	uint64_t one = 1;
+
+	pthread_mutex_lock(&f->mail_lock);
+	f->stop = true;
+	pthread_mutex_unlock(&f->mail_lock);
+	if (write(f->mail_fd, &one, sizeof(one)) < 0)
+		abort();
+}
+
+uint32_t front_pending(const struct front *f)
+{
+	return atomic_load(&f->pending);
+}
+
+void front_join(struct front *f)
+{
+	uint64_t one = 1;
+
+	if (write(f->mail_fd, &one, sizeof(one)) < 0)
+		abort();
+	pthread_join(f->thread, NULL);
+	close(f->mail_fd);
+	cfg_unref(f->cfg);
+	talloc_free(f);
+}
+
+void front_print(struct entry *e, FILE *out)
+{
+	uint32_t i;
+	int o;
+
+	for (o = OUTCOME_ANSWERED; o <= OUTCOME_UNKNOWN; o++) {
+		uint64_t sum = 0;
+
+		for (i = 0; i < e->settings->threads; i++)
+			sum += atomic_load(&e->fronts[i]->outcomes[o]);
+		fprintf(out,
+			"jackdawwell_requests_total{outcome=\"%s\"} %" PRIu64
+			"\n",
+			outcome_name((enum outcome)o), sum);
+	}
+}
--- /dev/null
+++ b/src/process/broker.c
@@ -0,0 +1,332 @@
+#include "process/broker.h"
+
+#include <assert.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "process/share.h"
+
+/* One entry's last report on a group. */
+struct report {
+	uint64_t entry;
+	uint64_t at_ms;
+	struct broker_demand demand;
+	double slots;	 /* that it should hold */
+	int32_t surplus; /* held beyond that; below zero: needed */
+	struct broker_target *targets;
+	uint32_t target_count;
+};
+
+struct group {
+	struct broker_group id;
+	struct report *reports;
+	uint32_t count;
+	bool changed;
+};
+
+struct broker {
+	struct broker_callbacks callbacks;
+	struct group *groups;
+	uint32_t count;
+};
+
+struct broker *broker_new(TALLOC_CTX *ctx,
+			  const struct broker_callbacks *callbacks)
+{
+	struct broker *b = talloc_zero(ctx, struct broker);
+
+	assert(b);
+	b->callbacks = *callbacks;
+	return b;
+}
+
+static struct group *group_get(struct broker *b, struct broker_group id)
+{
+	struct group *g;
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		if (b->groups[i].id.kind == id.kind &&
+		    b->groups[i].id.id == id.id)
+			return &b->groups[i];
+	b->groups = talloc_realloc(b, b->groups, struct group, b->count + 1);
+	assert(b->groups);
+	g = &b->groups[b->count++];
+	memset(g, 0, sizeof(*g));
+	g->id = id;
+	return g;
+}
+
+static struct report *report_get(struct broker *b, struct group *g,
+				 uint64_t entry)
+{
+	struct report *r;
+	uint32_t i;
+
+	for (i = 0; i < g->count; i++)
+		if (g->reports[i].entry == entry)
+			return &g->reports[i];
+	g->reports = talloc_realloc(b, g->reports, struct report, g->count + 1);
+	assert(g->reports);
+	r = &g->reports[g->count++];
+	memset(r, 0, sizeof(*r));
+	r->entry = entry;
+	return r;
+}
+
+static void report_remove(struct group *g, uint32_t i)
+{
+	talloc_free(g->reports[i].demand.teams);
+	talloc_free(g->reports[i].targets);
+	g->reports[i] = g->reports[--g->count];
+	g->changed = true;
+}
+
+void broker_report(struct broker *b, uint64_t entry,
+		   const struct broker_demand *demand, uint64_t now_ms)
+{
+	struct group *g = group_get(b, demand->group);
+	struct report *r = report_get(b, g, entry);
+
+	talloc_free(r->demand.teams);
+	r->demand = *demand;
+	r->demand.teams =
+		talloc_memdup(b, demand->teams,
+			      demand->team_count * sizeof(struct broker_team));
+	r->at_ms = now_ms;
+	g->changed = true;
+}
+
+void broker_forget(struct broker *b, uint64_t entry)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < b->count; i++)
+		for (k = 0; k < b->groups[i].count; k++)
+			if (b->groups[i].reports[k].entry == entry)
+				report_remove(&b->groups[i], k--);
+}
+
+/* Allocation */
+
+struct claims {
+	struct share_claim *claims;
+	uint32_t *teams;
+	double *demands; /* over all entries */
+	uint32_t count;
+};
+
+static uint32_t claim_index(struct claims *c, uint32_t team)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->count; i++)
+		if (c->teams[i] == team)
+			return i;
+	c->teams[c->count] = team;
+	c->demands[c->count] = 0;
+	return c->count++;
+}
+
+static void claims_collect(struct broker *b, struct group *g, struct claims *c)
+{
+	uint32_t room = 1;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < g->count; i++)
+		room += g->reports[i].demand.team_count;
+	c->claims = talloc_zero_array(b, struct share_claim, room);
+	c->teams = talloc_array(c->claims, uint32_t, room);
+	c->demands = talloc_array(c->claims, double, room);
+	c->count = 0;
+	for (i = 0; i < g->count; i++)
+		for (k = 0; k < g->reports[i].demand.team_count; k++) {
+			const struct broker_team *t =
+				&g->reports[i].demand.teams[k];
+
+			c->demands[claim_index(c, t->team)] +=
+				t->waiting + t->running;
+		}
+}
+
+static void claims_divide(struct broker *b, struct group *g, struct claims *c)
+{
+	double capacity = 0;
+	uint32_t i;
+
+	for (i = 0; i < g->count; i++)
+		capacity += g->reports[i].demand.held;
+	for (i = 0; i < c->count; i++) {
+		uint32_t share = 1;
+		uint32_t limit = 0;
+
+		b->callbacks.team(b->callbacks.arg, c->teams[i], &share,
+				  &limit);
+		c->claims[i].weight = share;
+		c->claims[i].demand =
+			c->demands[i] < limit ? c->demands[i] : limit;
+	}
+	share_divide(c->claims, c->count, capacity);
+}
+
+/* An entry's part of a team's allocation goes by its part of the demand. */
+static void report_targets(struct broker *b, struct report *r, struct claims *c)
+{
+	uint32_t i;
+
+	talloc_free(r->targets);
+	r->target_count = r->demand.team_count;
+	r->targets = talloc_array(b, struct broker_target, r->target_count + 1);
+	r->slots = 0;
+	for (i = 0; i < r->demand.team_count; i++) {
+		const struct broker_team *t = &r->demand.teams[i];
+		uint32_t k = claim_index(c, t->team);
+		double part = t->waiting + t->running;
+		double slots = 0;
+
+		if (c->demands[k] > 0)
+			slots = c->claims[k].given * part / c->demands[k];
+		r->targets[i].team = t->team;
+		r->targets[i].milli_slots = (uint32_t)(slots * 1000.0 + 0.5);
+		r->slots += slots;
+	}
+}
+
+/* Whole slots: the fractions that are largest round up. */
+static void round_slots(struct group *g)
+{
+	double sum = 0;
+	int32_t left;
+	uint32_t i;
+
+	for (i = 0; i < g->count; i++)
+		sum += g->reports[i].slots;
+	left = (int32_t)(sum + 0.5);
+	for (i = 0; i < g->count; i++) {
+		struct report *r = &g->reports[i];
+
+		r->surplus = (int32_t)r->demand.held - (int32_t)r->slots;
+		r->slots -= (int32_t)r->slots;
+		left -= (int32_t)r->demand.held - r->surplus;
+	}
+	while (left-- > 0) {
+		struct report *best = &g->reports[0];
+
+		for (i = 1; i < g->count; i++)
+			if (g->reports[i].slots > best->slots)
+				best = &g->reports[i];
+		best->slots -= 1.0;
+		best->surplus--;
+	}
+}
+
+static struct report *neediest(struct group *g)
+{
+	struct report *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < g->count; i++)
+		if (g->reports[i].surplus < 0 &&
+		    (!best || g->reports[i].surplus < best->surplus))
+			best = &g->reports[i];
+	return best;
+}
+
+/* What a holder with a surplus should send to whom. */
+static uint32_t plan_transfers(struct group *g, struct report *holder,
+			       struct broker_transfer *transfers)
+{
+	struct report *to;
+	uint32_t n = 0;
+
+	while (holder->surplus > 0 && (to = neediest(g))) {
+		int32_t units = -to->surplus < holder->surplus
+					? -to->surplus
+					: holder->surplus;
+
+		transfers[n].to = to->entry;
+		transfers[n++].units = (uint32_t)units;
+		holder->surplus -= units;
+		to->surplus += units;
+	}
+	return n;
+}
+
+static void send_advice(struct broker *b, struct group *g, struct report *r,
+			struct broker_transfer *transfers)
+{
+	struct broker_advice advice = {
+		.group = g->id,
+		.target_count = r->target_count,
+		.targets = r->targets,
+		.transfer_count = plan_transfers(g, r, transfers),
+		.transfers = transfers,
+	};
+
+	b->callbacks.advise(b->callbacks.arg, r->entry, &advice);
+}
+
+/* Holders with idle units come first, so that less work is waited for. */
+static void advise_all(struct broker *b, struct group *g)
+{
+	struct broker_transfer *transfers =
+		talloc_array(b, struct broker_transfer, g->count + 1);
+	uint32_t i;
+
+	for (i = 0; i < g->count; i++)
+		if (g->reports[i].demand.idle)
+			send_advice(b, g, &g->reports[i], transfers);
+	for (i = 0; i < g->count; i++)
+		if (!g->reports[i].demand.idle)
+			send_advice(b, g, &g->reports[i], transfers);
+	talloc_free(transfers);
+}
+
+static void group_run(struct broker *b, struct group *g, uint64_t now_ms)
+{
+	struct claims claims;
+	uint32_t i;
+
+	for (i = 0; i < g->count; i++)
+		if (now_ms > g->reports[i].at_ms + BROKER_REPORT_TTL_MS)
+			report_remove(g, i--);
+	if (!g->changed || !g->count)
+		return;
+	g->changed = false;
+	claims_collect(b, g, &claims);
+	claims_divide(b, g, &claims);
+	for (i = 0; i < g->count; i++)
+		report_targets(b, &g->reports[i], &claims);
+	round_slots(g);
+	advise_all(b, g);
+	talloc_free(claims.claims);
+}
+
+void broker_run(struct broker *b, uint64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->count; i++)
+		group_run(b, &b->groups[i], now_ms);
+}
+
+uint64_t broker_choose(enum broker_kind kind, const char *name,
+		       const uint64_t *entries, uint32_t count)
+{
+	uint64_t key = XXH64(name, strlen(name), kind);
+	uint64_t best = 0;
+	uint64_t best_hash = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		uint64_t hash = XXH64(&key, sizeof(key), entries[i]);
+
+		if (best && hash <= best_hash)
+			continue;
+		best = entries[i];
+		best_hash = hash;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/version/cfg.c
@@ -0,0 +1,626 @@
+#include "version/cfg.h"
+
+#include <assert.h>
+#include <sodium.h>
+#include <string.h>
+
+/* Fields of each kind of object */
+
+enum field_type {
+	FIELD_NUMBER,
+	FIELD_NAME,
+	FIELD_BOOL,
+	FIELD_CLASS,
+	FIELD_STATE,
+	FIELD_TEXT,
+};
+
+struct field {
+	const char *name;
+	enum field_type type;
+	bool required;
+	uint32_t low;
+	uint32_t high;
+};
+
+struct kind {
+	const char *name;
+	const struct field *fields;
+};
+
+static const struct field department_fields[] = {
+	{ "leaves", FIELD_TEXT, false, 0, 0 },
+	{ NULL, 0, false, 0, 0 },
+};
+
+static const struct field pool_fields[] = {
+	{ "service", FIELD_NAME, true, 0, 0 },
+	{ "serving_min", FIELD_NUMBER, false, 0, 100000 },
+	{ "out_max", FIELD_NUMBER, false, 0, 100000 },
+	{ NULL, 0, false, 0, 0 },
+};
+
+static const struct field instance_fields[] = {
+	{ "address", FIELD_TEXT, true, 0, 0 },
+	{ "pool", FIELD_NAME, true, 0, 0 },
+	{ "zone", FIELD_NAME, true, 0, 0 },
+	{ "rack", FIELD_NAME, true, 0, 0 },
+	{ "department", FIELD_NAME, false, 0, 0 },
+	{ "slots", FIELD_NUMBER, true, 1, 10000 },
+	{ "connections", FIELD_NUMBER, false, 1, 100000 },
+	{ "generation", FIELD_NUMBER, false, 0, UINT32_MAX },
+	{ "state", FIELD_STATE, false, 0, 0 },
+	{ NULL, 0, false, 0, 0 },
+};
+
+static const struct field team_fields[] = {
+	{ "share", FIELD_NUMBER, true, 1, 1000000 },
+	{ "limit", FIELD_NUMBER, true, 0, 1000000 },
+	{ NULL, 0, false, 0, 0 },
+};
+
+static const struct field queue_fields[] = {
+	{ "pool", FIELD_NAME, true, 0, 0 },
+	{ "team", FIELD_NAME, false, 0, 0 },
+	{ "class", FIELD_CLASS, false, 0, 0 },
+	{ "idempotent", FIELD_BOOL, false, 0, 0 },
+	{ "open", FIELD_BOOL, false, 0, 0 },
+	{ "run_max_ms", FIELD_NUMBER, true, 1, CFG_RUN_MAX_MS },
+	{ "wait_max_ms", FIELD_NUMBER, true, 1, CFG_RUN_MAX_MS },
+	{ NULL, 0, false, 0, 0 },
+};
+
+static const struct field key_fields[] = {
+	{ "team", FIELD_NAME, true, 0, 0 },
+	{ "hash", FIELD_TEXT, true, 0, 0 },
+	{ NULL, 0, false, 0, 0 },
+};
+
+static const struct kind kinds[] = {
+	{ "departments", department_fields }, { "pools", pool_fields },
+	{ "instances", instance_fields },     { "teams", team_fields },
+	{ "queues", queue_fields },	      { "keys", key_fields },
+};
+
+#define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
+
+static const char *const state_names[] = { "serving", "draining", "out",
+					   "departed" };
+
+/* Checks */
+
+static bool name_is_valid(const char *name)
+{
+	size_t n = strlen(name);
+
+	return n > 0 && n <= CFG_NAME_MAX &&
+	       strspn(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVW"
+			    "XYZ0123456789-_.") == n;
+}
+
+static int state_find(const char *name)
+{
+	int i;
+
+	for (i = 0; i < 4; i++)
+		if (!strcmp(state_names[i], name))
+			return i;
+	return -1;
+}
+
+static const char *wanted(const struct field *f)
+{
+	switch (f->type) {
+	case FIELD_NUMBER:
+		return "a whole number";
+	case FIELD_NAME:
+		return "a name of letters, digits, '-', '_' and '.'";
+	case FIELD_BOOL:
+		return "true or false";
+	case FIELD_CLASS:
+		return "normal or urgent";
+	case FIELD_STATE:
+		return "serving, draining, out or departed";
+	case FIELD_TEXT:
+		return "a text";
+	}
+	return "";
+}
+
+static bool value_fits(const struct field *f, const json_t *v)
+{
+	const char *s = json_string_value(v);
+
+	switch (f->type) {
+	case FIELD_NUMBER:
+		return json_is_integer(v) &&
+		       json_integer_value(v) >= (json_int_t)f->low &&
+		       json_integer_value(v) <= (json_int_t)f->high;
+	case FIELD_NAME:
+		return s && name_is_valid(s);
+	case FIELD_BOOL:
+		return json_is_boolean(v);
+	case FIELD_CLASS:
+		return s && (!strcmp(s, "normal") || !strcmp(s, "urgent"));
+	case FIELD_STATE:
+		return s && state_find(s) >= 0;
+	case FIELD_TEXT:
+		return s != NULL;
+	}
+	return false;
+}
+
+static const struct field *field_find(const struct kind *kind, const char *name)
+{
+	const struct field *f;
+
+	for (f = kind->fields; f->name; f++)
+		if (!strcmp(f->name, name))
+			return f;
+	return NULL;
+}
+
+static enum cfg_status fail_value(const struct kind *kind, const char *object,
+				  const struct field *f, const json_t *value,
+				  struct status_message *m)
+{
+	char *text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+
+	if (f->type == FIELD_NUMBER)
+		status_set(m,
+			   "%s \"%s\": field \"%s\" is %s, wanted a whole "
+			   "number from %u to %u",
+			   kind->name, object, f->name, text, f->low, f->high);
+	else
+		status_set(m, "%s \"%s\": field \"%s\" is %s, wanted %s",
+			   kind->name, object, f->name, text, wanted(f));
+	free(text);
+	return CFG_INVALID;
+}
+
+static enum cfg_status check_object(const struct kind *kind, const char *name,
+				    const json_t *object,
+				    struct status_message *m)
+{
+	const struct field *f;
+	const char *key;
+	json_t *value;
+
+	if (!name_is_valid(name)) {
+		status_set(m, "%s \"%s\": not a valid name", kind->name, name);
+		return CFG_INVALID;
+	}
+	if (!json_is_object(object)) {
+		status_set(m, "%s \"%s\": wanted an object", kind->name, name);
+		return CFG_INVALID;
+	}
+	json_object_foreach((json_t *)object, key, value)
+	{
+		f = field_find(kind, key);
+		if (!f) {
+			status_set(m, "%s \"%s\": unknown field \"%s\"",
+				   kind->name, name, key);
+			return CFG_INVALID;
+		}
+		if (!value_fits(f, value))
+			return fail_value(kind, name, f, value, m);
+	}
+	for (f = kind->fields; f->name; f++) {
+		if (!f->required || json_object_get(object, f->name))
+			continue;
+		status_set(m, "%s \"%s\": field \"%s\" is missing", kind->name,
+			   name, f->name);
+		return CFG_INVALID;
+	}
+	return CFG_OK;
+}
+
+static const struct kind *kind_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < KIND_COUNT; i++)
+		if (!strcmp(kinds[i].name, name))
+			return &kinds[i];
+	return NULL;
+}
+
+static enum cfg_status check_change(const json_t *change,
+				    struct status_message *m)
+{
+	const char *kind_name;
+	const char *name;
+	json_t *objects;
+	json_t *object;
+	const struct kind *kind;
+
+	if (!json_is_object(change)) {
+		status_set(m, "change: wanted an object of kinds");
+		return CFG_INVALID;
+	}
+	json_object_foreach((json_t *)change, kind_name, objects)
+	{
+		kind = kind_find(kind_name);
+		if (!kind || !json_is_object(objects)) {
+			status_set(m, "unknown kind \"%s\"", kind_name);
+			return CFG_INVALID;
+		}
+		json_object_foreach(objects, name, object)
+		{
+			if (json_is_null(object))
+				continue;
+			if (check_object(kind, name, object, m) != CFG_OK)
+				return CFG_INVALID;
+		}
+	}
+	return CFG_OK;
+}
+
+/* Documents */
+
+/* A copy of doc with the change's objects put in; objects are shared. */
+static json_t *doc_merge(const json_t *doc, const json_t *change)
+{
+	json_t *merged = json_object();
+	json_t *objects;
+	json_t *object;
+	const char *name;
+	size_t i;
+
+	for (i = 0; i < KIND_COUNT; i++) {
+		objects = json_copy(json_object_get(doc, kinds[i].name));
+		if (!objects)
+			objects = json_object();
+		json_object_foreach(json_object_get(change, kinds[i].name),
+				    name, object)
+		{
+			if (json_is_null(object))
+				json_object_del(objects, name);
+			else
+				json_object_set(objects, name, object);
+		}
+		json_object_set_new(merged, kinds[i].name, objects);
+	}
+	return merged;
+}
+
+json_t *cfg_diff(const json_t *base, const json_t *doc)
+{
+	json_t *change = json_object();
+	json_t *had;
+	json_t *has;
+	json_t *part;
+	json_t *object;
+	const char *name;
+	size_t i;
+
+	for (i = 0; i < KIND_COUNT; i++) {
+		has = json_object_get(doc, kinds[i].name);
+		had = json_object_get(base, kinds[i].name);
+		if (!has)
+			continue;
+		part = json_object();
+		json_object_foreach(has, name, object)
+		{
+			if (!json_equal(object, json_object_get(had, name)))
+				json_object_set(part, name, object);
+		}
+		json_object_foreach(had, name, object)
+		{
+			if (!json_object_get(has, name))
+				json_object_set_new(part, name, json_null());
+		}
+		if (json_object_size(part))
+			json_object_set(change, kinds[i].name, part);
+		json_decref(part);
+	}
+	return change;
+}
+
+/* Compiled tables */
+
+static uint32_t number(const json_t *object, const char *field,
+		       uint32_t without)
+{
+	const json_t *v = json_object_get(object, field);
+
+	return v ? (uint32_t)json_integer_value(v) : without;
+}
+
+static const char *text(const json_t *object, const char *field)
+{
+	const char *s = json_string_value(json_object_get(object, field));
+
+	return s ? s : "";
+}
+
+static void load_teams(struct cfg *c, struct cfg_names *names)
+{
+	json_t *all = json_object_get(c->doc, "teams");
+	const char *name;
+	json_t *o;
+
+	json_object_foreach(all, name, o)
+	{
+		intern_add(names->teams, name);
+	}
+	c->team_count = intern_count(names->teams);
+	c->teams = talloc_zero_array(c, struct cfg_team, c->team_count + 1);
+	json_object_foreach(all, name, o)
+	{
+		uint32_t id = intern_find(names->teams, name);
+		struct cfg_team *t = &c->teams[id];
+
+		t->name = intern_name(names->teams, id);
+		t->share = number(o, "share", 1);
+		t->limit = number(o, "limit", 0);
+		t->present = true;
+	}
+}
+
+static void load_pools(struct cfg *c, struct cfg_names *names)
+{
+	json_t *all = json_object_get(c->doc, "pools");
+	const char *name;
+	json_t *o;
+
+	json_object_foreach(all, name, o)
+	{
+		intern_add(names->pools, name);
+	}
+	c->pool_count = intern_count(names->pools);
+	c->pools = talloc_zero_array(c, struct cfg_pool, c->pool_count + 1);
+	json_object_foreach(all, name, o)
+	{
+		uint32_t id = intern_find(names->pools, name);
+		struct cfg_pool *p = &c->pools[id];
+
+		p->name = intern_name(names->pools, id);
+		p->service = text(o, "service");
+		p->serving_min = number(o, "serving_min", 0);
+		p->out_max = number(o, "out_max", 1);
+		p->present = true;
+	}
+}
+
+static enum cfg_status dangling(const char *kind, const char *object,
+				const char *field, const char *value,
+				struct status_message *m)
+{
+	status_set(m,
+		   "%s \"%s\": field \"%s\" names \"%s\", which does not "
+		   "exist",
+		   kind, object, field, value);
+	return CFG_INVALID;
+}
+
+static bool find_pool(const struct cfg *c, struct cfg_names *names,
+		      const char *name, pool_handle *pool)
+{
+	pool->i = intern_find(names->pools, name);
+	return pool->i != INTERN_NONE && pool->i < c->pool_count &&
+	       c->pools[pool->i].present;
+}
+
+static bool find_team(const struct cfg *c, struct cfg_names *names,
+		      const char *name, team_handle *team)
+{
+	team->i = intern_find(names->teams, name);
+	return team->i != INTERN_NONE && team->i < c->team_count &&
+	       c->teams[team->i].present;
+}
+
+static enum cfg_status load_instances(struct cfg *c, struct cfg_names *names,
+				      struct status_message *m)
+{
+	json_t *all = json_object_get(c->doc, "instances");
+	const char *name;
+	json_t *o;
+
+	json_object_foreach(all, name, o)
+	{
+		intern_add(names->instances, name);
+	}
+	c->instance_count = intern_count(names->instances);
+	c->instances = talloc_zero_array(c, struct cfg_instance,
+					 c->instance_count + 1);
+	json_object_foreach(all, name, o)
+	{
+		uint32_t id = intern_find(names->instances, name);
+		struct cfg_instance *w = &c->instances[id];
+		json_t *state = json_object_get(o, "state");
+
+		w->name = intern_name(names->instances, id);
+		w->address = text(o, "address");
+		w->zone = text(o, "zone");
+		w->rack = text(o, "rack");
+		w->department = text(o, "department");
+		w->slots = number(o, "slots", 1);
+		w->connections = number(o, "connections", 64);
+		w->generation = number(o, "generation", 0);
+		w->state = state ? (enum cfg_instance_state)state_find(
+					   json_string_value(state))
+				 : CFG_SERVING;
+		w->present = true;
+		if (!find_pool(c, names, text(o, "pool"), &w->pool))
+			return dangling("instances", name, "pool",
+					text(o, "pool"), m);
+		if (*w->department &&
+		    !json_object_get(json_object_get(c->doc, "departments"),
+				     w->department))
+			return dangling("instances", name, "department",
+					w->department, m);
+	}
+	return CFG_OK;
+}
+
+static enum cfg_status load_queues(struct cfg *c, struct cfg_names *names,
+				   struct status_message *m)
+{
+	json_t *all = json_object_get(c->doc, "queues");
+	const char *name;
+	json_t *o;
+
+	c->queue_names = intern_new(c);
+	c->queue_count = (uint32_t)json_object_size(all);
+	c->queues = talloc_zero_array(c, struct cfg_queue, c->queue_count + 1);
+	json_object_foreach(all, name, o)
+	{
+		uint32_t id = intern_add(c->queue_names, name);
+		struct cfg_queue *q = &c->queues[id];
+
+		q->name = intern_name(c->queue_names, id);
+		q->class = strcmp(text(o, "class"), "urgent") ? CFG_NORMAL
+							      : CFG_URGENT;
+		q->idempotent = json_is_true(json_object_get(o, "idempotent"));
+		q->open = json_is_true(json_object_get(o, "open"));
+		q->run_max_ms = number(o, "run_max_ms", 1);
+		q->wait_max_ms = number(o, "wait_max_ms", 1);
+		q->team.i = INTERN_NONE;
+		if (q->run_max_ms > c->run_max_ms)
+			c->run_max_ms = q->run_max_ms;
+		if (!find_pool(c, names, text(o, "pool"), &q->pool))
+			return dangling("queues", name, "pool", text(o, "pool"),
+					m);
+		if (json_object_get(o, "team") &&
+		    !find_team(c, names, text(o, "team"), &q->team))
+			return dangling("queues", name, "team", text(o, "team"),
+					m);
+		if (q->open && q->team.i == INTERN_NONE) {
+			status_set(m,
+				   "queues \"%s\": an open queue needs the "
+				   "field \"team\", for which its work counts",
+				   name);
+			return CFG_INVALID;
+		}
+	}
+	return CFG_OK;
+}
+
+static enum cfg_status load_keys(struct cfg *c, struct cfg_names *names,
+				 struct status_message *m)
+{
+	json_t *all = json_object_get(c->doc, "keys");
+	const char *name;
+	size_t length;
+	json_t *o;
+
+	c->key_names = intern_new(c);
+	c->key_count = (uint32_t)json_object_size(all);
+	c->keys = talloc_zero_array(c, struct cfg_key, c->key_count + 1);
+	json_object_foreach(all, name, o)
+	{
+		uint32_t id = intern_add(c->key_names, name);
+		struct cfg_key *k = &c->keys[id];
+		const char *hash = text(o, "hash");
+
+		k->name = intern_name(c->key_names, id);
+		if (sodium_hex2bin(k->hash, sizeof(k->hash), hash, strlen(hash),
+				   NULL, &length, NULL) ||
+		    length != sizeof(k->hash)) {
+			status_set(m,
+				   "keys \"%s\": field \"hash\" is not %d hex "
+				   "bytes",
+				   name, CFG_HASH_BYTES);
+			return CFG_INVALID;
+		}
+		if (!find_team(c, names, text(o, "team"), &k->team))
+			return dangling("keys", name, "team", text(o, "team"),
+					m);
+	}
+	return CFG_OK;
+}
+
+static int cfg_destroy(struct cfg *c)
+{
+	json_decref(c->doc);
+	return 0;
+}
+
+/* Takes over doc. */
+static enum cfg_status compile(json_t *doc, struct cfg_names *names,
+			       uint64_t version, uint32_t run_max_ms,
+			       struct cfg **out, struct status_message *m)
+{
+	struct cfg *c = talloc_zero(NULL, struct cfg);
+
+	assert(c);
+	c->doc = doc;
+	c->version = version;
+	c->run_max_ms = run_max_ms;
+	c->refs = 1;
+	talloc_set_destructor(c, cfg_destroy);
+	load_teams(c, names);
+	load_pools(c, names);
+	if (load_instances(c, names, m) != CFG_OK ||
+	    load_queues(c, names, m) != CFG_OK ||
+	    load_keys(c, names, m) != CFG_OK) {
+		talloc_free(c);
+		return CFG_INVALID;
+	}
+	*out = c;
+	return CFG_OK;
+}
+
+/* Versions */
+
+struct cfg_names *cfg_names_new(TALLOC_CTX *ctx)
+{
+	struct cfg_names *n = talloc_zero(ctx, struct cfg_names);
+
+	assert(n);
+	n->teams = intern_new(n);
+	n->pools = intern_new(n);
+	n->instances = intern_new(n);
+	return n;
+}
+
+struct cfg *cfg_empty(struct cfg_names *names)
+{
+	struct status_message m;
+	struct cfg *c = NULL;
+
+	compile(json_object(), names, 0, 0, &c, &m);
+	return c;
+}
+
+enum cfg_status cfg_apply(const struct cfg *base, struct cfg_names *names,
+			  const json_t *change, uint64_t version,
+			  struct cfg **out, struct status_message *message)
+{
+	if (check_change(change, message) != CFG_OK)
+		return CFG_INVALID;
+	return compile(doc_merge(base->doc, change), names, version,
+		       base->run_max_ms, out, message);
+}
+
+struct cfg *cfg_ref(struct cfg *c)
+{
+	__atomic_add_fetch(&c->refs, 1, __ATOMIC_RELAXED);
+	return c;
+}
+
+void cfg_unref(struct cfg *c)
+{
+	if (c && !__atomic_sub_fetch(&c->refs, 1, __ATOMIC_ACQ_REL))
+		talloc_free(c);
+}
+
+const struct cfg_queue *cfg_find_queue(const struct cfg *c, const char *name)
+{
+	uint32_t id = intern_find(c->queue_names, name);
+
+	return id == INTERN_NONE ? NULL : &c->queues[id];
+}
+
+const struct cfg_key *cfg_find_key(const struct cfg *c, const char *name)
+{
+	uint32_t id = intern_find(c->key_names, name);
+
+	return id == INTERN_NONE ? NULL : &c->keys[id];
+}
+
+const char *cfg_state_name(enum cfg_instance_state state)
+{
+	return state_names[state];
+}
--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,336 @@
+/*
+ * platform - stand-in of the platform's table service, object store and
+ * instance list
+ *
+ * Its rows are in memory. /control sets its faults; only tests use it:
+ *	outage		answers nothing, connections are closed unanswered
+ *	latency_ms	delays every answer
+ *	lose		commits whose answer is lost after their effect
+ *	instances	array of names that replaces the instance list
+ */
+#include <argtable2.h>
+#include <assert.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "connection/httpd.h"
+#include "process/log.h"
+
+#define BODY_MAX (64u << 20) /* bytes */
+#define SILENCE_S 30	     /* until a lost answer closes its connection */
+
+struct state {
+	struct tevent_context *ev;
+	json_t *rows; /* key -> {"version", "value"} */
+	json_t *objects;
+	json_t *instances;
+	uint64_t revision;
+	uint64_t reads;
+	uint64_t writes;
+	bool outage;
+	uint32_t latency_ms;
+	uint32_t lose;
+};
+
+struct reply {
+	struct httpd_request *request;
+	unsigned int code;
+	json_t *body;
+};
+
+static void send_reply(struct reply *r)
+{
+	struct httpd_answer answer = { .code = r->code };
+
+	answer.body = json_dumps(r->body, JSON_COMPACT);
+	answer.body_length = strlen(answer.body);
+	httpd_answer(r->request, &answer);
+	json_decref(r->body);
+	talloc_free(r);
+}
+
+static void on_delay(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *arg)
+{
+	(void)ev;
+	(void)te;
+	(void)now;
+	send_reply(arg);
+}
+
+/* Takes over body. */
+static void reply(struct state *s, struct httpd_request *request,
+		  unsigned int code, json_t *body, uint32_t delay_ms)
+{
+	struct reply *r = talloc_zero(s, struct reply);
+
+	r->request = request;
+	r->code = code;
+	r->body = body;
+	if (!delay_ms) {
+		send_reply(r);
+		return;
+	}
+	tevent_add_timer(s->ev, r,
+			 tevent_timeval_current_ofs(delay_ms / 1000,
+						    delay_ms % 1000 * 1000),
+			 on_delay, r);
+}
+
+static uint64_t row_version(const struct state *s, const char *key)
+{
+	return (uint64_t)json_integer_value(
+		json_object_get(json_object_get(s->rows, key), "version"));
+}
+
+static const char *conflict(const struct state *s, const json_t *txn)
+{
+	json_t *compare;
+	size_t i;
+
+	json_array_foreach(json_object_get(txn, "compare"), i, compare)
+	{
+		const char *key =
+			json_string_value(json_object_get(compare, "key"));
+		uint64_t version = (uint64_t)json_integer_value(
+			json_object_get(compare, "version"));
+
+		if (row_version(s, key) != version)
+			return key;
+	}
+	return NULL;
+}
+
+static void apply(struct state *s, const json_t *txn)
+{
+	json_t *item;
+	size_t i;
+
+	s->revision++;
+	json_array_foreach(json_object_get(txn, "put"), i, item)
+	{
+		json_object_set_new(
+			s->rows,
+			json_string_value(json_object_get(item, "key")),
+			json_pack("{s:I, s:O}", "version",
+				  (json_int_t)s->revision, "value",
+				  json_object_get(item, "value")));
+	}
+	json_array_foreach(json_object_get(txn, "delete"), i, item)
+	{
+		json_object_del(s->rows, json_string_value(item));
+	}
+}
+
+static void commit(struct state *s, struct httpd_request *r)
+{
+	json_t *txn =
+		json_loadb(r->body ? r->body : "", r->body_length, 0, NULL);
+	const char *key;
+	uint32_t delay = s->latency_ms;
+
+	s->writes++;
+	if (!txn) {
+		reply(s, r, 400, json_pack("{s:s}", "error", "bad JSON"),
+		      delay);
+		return;
+	}
+	key = conflict(s, txn);
+	if (key) {
+		reply(s, r, 409, json_pack("{s:s}", "key", key), delay);
+		json_decref(txn);
+		return;
+	}
+	apply(s, txn);
+	json_decref(txn);
+	if (s->lose) {
+		s->lose--;
+		delay = SILENCE_S * 1000;
+	}
+	reply(s, r, 200,
+	      json_pack("{s:I, s:n}", "revision", (json_int_t)s->revision,
+			"value"),
+	      delay);
+}
+
+static char *query_value(const struct httpd_request *r, const char *name)
+{
+	char *copy = talloc_strdup(NULL, r->query);
+	size_t n = strlen(name);
+	char *save;
+	char *part;
+
+	for (part = strtok_r(copy, "&", &save); part;
+	     part = strtok_r(NULL, "&", &save))
+		if (!strncmp(part, name, n) && part[n] == '=') {
+			part = talloc_strdup(NULL, part + n + 1);
+			talloc_free(copy);
+			return part;
+		}
+	talloc_free(copy);
+	return talloc_strdup(NULL, "");
+}
+
+static int by_key(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static json_t *rows_after(struct state *s, const char *prefix, uint64_t after)
+{
+	size_t count = json_object_size(s->rows);
+	const char **keys = talloc_array(s, const char *, count + 1);
+	json_t *found = json_array();
+	const char *key;
+	json_t *row;
+	size_t n = 0;
+	size_t i;
+
+	json_object_foreach(s->rows, key, row)
+	{
+		if (!strncmp(key, prefix, strlen(prefix)) &&
+		    row_version(s, key) > after)
+			keys[n++] = key;
+	}
+	qsort(keys, n, sizeof(*keys), by_key);
+	for (i = 0; i < n; i++) {
+		row = json_copy(json_object_get(s->rows, keys[i]));
+		json_object_set_new(row, "key", json_string(keys[i]));
+		json_array_append_new(found, row);
+	}
+	talloc_free(keys);
+	return found;
+}
+
+static void scan(struct state *s, struct httpd_request *r)
+{
+	char *prefix = query_value(r, "prefix");
+	char *after = query_value(r, "after");
+	json_t *rows = rows_after(s, prefix, strtoull(after, NULL, 10));
+
+	s->reads++;
+	reply(s, r, 200,
+	      json_pack("{s:I, s:o}", "revision", (json_int_t)s->revision,
+			"value", rows),
+	      s->latency_ms);
+	talloc_free(prefix);
+	talloc_free(after);
+}
+
+static void object(struct state *s, struct httpd_request *r)
+{
+	const char *name = r->path + strlen("/objects/");
+	json_t *value;
+
+	if (!strcmp(r->method, "PUT")) {
+		s->writes++;
+		value = json_loadb(r->body ? r->body : "", r->body_length,
+				   JSON_DECODE_ANY, NULL);
+		json_object_set_new(s->objects, name, value);
+		reply(s, r, 200, json_object(), s->latency_ms);
+		return;
+	}
+	s->reads++;
+	value = json_object_get(s->objects, name);
+	if (!value)
+		reply(s, r, 404, json_object(), s->latency_ms);
+	else
+		reply(s, r, 200, json_pack("{s:O}", "value", value),
+		      s->latency_ms);
+}
+
+static json_t *instance_list(const struct state *s)
+{
+	json_t *list = json_array();
+	json_t *name;
+	size_t i;
+
+	json_array_foreach(s->instances, i, name)
+	{
+		json_array_append_new(list, json_pack("{s:O, s:s}", "name",
+						      name, "state", "live"));
+	}
+	return list;
+}
+
+static void control(struct state *s, struct httpd_request *r)
+{
+	json_t *c = json_loadb(r->body ? r->body : "{}",
+			       r->body ? r->body_length : 2, 0, NULL);
+	json_t *v;
+
+	if ((v = json_object_get(c, "outage")))
+		s->outage = json_is_true(v);
+	if ((v = json_object_get(c, "latency_ms")))
+		s->latency_ms = (uint32_t)json_integer_value(v);
+	if ((v = json_object_get(c, "lose")))
+		s->lose = (uint32_t)json_integer_value(v);
+	if ((v = json_object_get(c, "instances")))
+		json_array_clear(s->instances),
+			json_array_extend(s->instances, v);
+	json_decref(c);
+	reply(s, r, 200,
+	      json_pack("{s:I, s:I, s:I}", "revision", (json_int_t)s->revision,
+			"reads", (json_int_t)s->reads, "writes",
+			(json_int_t)s->writes),
+	      0);
+}
+
+static void on_request(void *arg, struct httpd_request *r)
+{
+	struct state *s = arg;
+
+	if (!strcmp(r->path, "/control"))
+		control(s, r);
+	else if (s->outage)
+		reply(s, r, 500, json_object(), SILENCE_S * 1000);
+	else if (!strcmp(r->path, "/txn"))
+		commit(s, r);
+	else if (!strcmp(r->path, "/rows"))
+		scan(s, r);
+	else if (!strncmp(r->path, "/objects/", 9))
+		object(s, r);
+	else if (!strcmp(r->path, "/instances"))
+		reply(s, r, 200, json_pack("{s:o}", "value", instance_list(s)),
+		      s->latency_ms);
+	else
+		reply(s, r, 404, json_object(), 0);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *port = arg_int1("p", "port", "PORT", "listen here");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { port, end };
+	struct state *s = talloc_zero(NULL, struct state);
+	struct httpd_options options = {
+		.address = "127.0.0.1",
+		.body_max = BODY_MAX,
+		.connections_max = 1000,
+		.handler = on_request,
+		.arg = s,
+	};
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "platform");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	log_init(LOG_INFO, "platform");
+	s->ev = tevent_context_init(s);
+	s->rows = json_object();
+	s->objects = json_object();
+	s->instances = json_array();
+	options.port = (uint16_t)port->ival[0];
+	if (!httpd_new(s, s->ev, &options)) {
+		log_event(LOG_ERROR, "platform", "cannot listen on port %d",
+			  port->ival[0]);
+		return 1;
+	}
+	return tevent_loop_wait(s->ev);
+}
