--- a/cli/jackdawwell.c
+++ b/cli/jackdawwell.c
@@ -1,5 +1,107 @@
-int main(void);
-int main(void)
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli/command.h"
+#include "process/log.h"
+
+#define ENTRIES_MAX 64
+#define WORDS_MAX 1000
+
+static const struct command commands[] = {
+	{ "load", "FILE", 1, 1, command_load },
+	{ "key", "issue NAME TEAM | withdraw NAME", 1, 3, command_key },
+	{ "teams", "", 0, 0, command_teams },
+	{ "queues", "", 0, 0, command_queues },
+	{ "instances", "", 0, 0, command_instances },
+	{ "status", "", 0, 0, command_status },
+	{ "drain", "INSTANCE...", 1, WORDS_MAX, command_drain },
+	{ "undrain", "INSTANCE...", 1, WORDS_MAX, command_undrain },
+	{ "out", "INSTANCE...", 1, WORDS_MAX, command_out },
+	{ "move", "INSTANCE POOL", 2, 2, command_move },
+	{ "depart", "INSTANCE...", 1, WORDS_MAX, command_depart },
+};
+
+#define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
+
+static void usage(void **table)
 {
-	return 2;
+	size_t i;
+
+	fprintf(stderr, "usage: jackdawwell");
+	arg_print_syntax(stderr, table, "\n");
+	arg_print_glossary(stderr, table, "  %-24s %s\n");
+	fprintf(stderr, "commands:\n");
+	for (i = 0; i < COMMAND_COUNT; i++)
+		fprintf(stderr, "  %s %s\n", commands[i].name,
+			commands[i].words);
+}
+
+static const struct command *find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < COMMAND_COUNT; i++)
+		if (!strcmp(commands[i].name, name))
+			return &commands[i];
+	return NULL;
+}
+
+static int run(struct command_call *call, const char **words, int count,
+	       void **table)
+{
+	const struct command *command = find(words[0]);
+
+	call->words = words + 1;
+	call->word_count = count - 1;
+	if (command && call->word_count >= command->words_min &&
+	    call->word_count <= command->words_max)
+		return command->run(call);
+	if (!command)
+		fprintf(stderr, "jackdawwell: no command \"%s\"\n", words[0]);
+	else
+		fprintf(stderr, "jackdawwell: wanted `%s %s`\n", command->name,
+			command->words);
+	usage(table);
+	return EXIT_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *entries =
+		arg_strn("e", "entry", "IP:PORT", 1, ENTRIES_MAX,
+			 "administration address of an entry");
+	struct arg_str *token = arg_str0("t", "token", "TOKEN",
+					 "credential; else JACKDAWWELL_TOKEN");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_lit *dry =
+		arg_lit0(NULL, "dry-run", "show what load would change");
+	struct arg_str *words =
+		arg_strn(NULL, NULL, "COMMAND", 1, WORDS_MAX, "see below");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { entries, token, json, dry, words, end };
+	struct command_call call = { 0 };
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "jackdawwell");
+		usage(table);
+		return EXIT_USAGE;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	log_init(LOG_ERROR, "jackdawwell");
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT))
+		return EXIT_REFUSED;
+	call.api.entries = entries->sval;
+	call.api.entry_count = entries->count;
+	call.api.token =
+		token->count ? token->sval[0] : getenv("JACKDAWWELL_TOKEN");
+	if (!call.api.token)
+		call.api.token = "";
+	call.json = json->count;
+	call.dry_run = dry->count;
+	return run(&call, words->sval, words->count, table);
 }
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -75,11 +75,11 @@
 {
 	double seconds = (double)(now_ms - f->credited_ms) / 1000.0;
 
+	if (now_ms == f->credited_ms)
+		return;
 	f->credited_ms = now_ms;
 	if (!f->waiting) {
-		if (f->credit > 0)
-			f->credit = 0;
-		if (!f->running)
+		if (f->credit > 0 || !f->running)
 			f->credit = 0;
 		return;
 	}
--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -225,8 +225,7 @@
 	return NULL;
 }
 
-static enum cfg_status check_change(const json_t *change,
-				    struct status_message *m)
+enum cfg_status cfg_check(const json_t *change, struct status_message *m)
 {
 	const char *kind_name;
 	const char *name;
@@ -588,7 +587,7 @@
 			  const json_t *change, uint64_t version,
 			  struct cfg **out, struct status_message *message)
 {
-	if (check_change(change, message) != CFG_OK)
+	if (cfg_check(change, message) != CFG_OK)
 		return CFG_INVALID;
 	return compile(doc_merge(base->doc, change), names, version,
 		       base->run_max_ms, out, message);
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -139,6 +139,11 @@
 			  const json_t *change, uint64_t version,
 			  struct cfg **out, struct status_message *message);
 
+/*
+ * cfg_check - check a change's objects one by one, without their references
+ */
+enum cfg_status cfg_check(const json_t *change, struct status_message *message);
+
 /*
  * cfg_diff - the change that turns base's document into doc
  *
