--- a/src/version/inventory.c
+++ b/src/version/inventory.c
@@ -231,7 +231,7 @@
 static bool check_values(const json_t *doc, const char *path,
 			 struct status_message *m)
 {
-	struct status_message why;
+	struct status_message why = { "" };
 	char object[CFG_NAME_MAX + 1] = "";
 	const char *quote;
 
