--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1244,7 +1244,7 @@
   (ProtobufCMessageInit) jackdawwell__lend_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jackdawwell__team_demand__field_descriptors[3] =
+static const ProtobufCFieldDescriptor jackdawwell__team_demand__field_descriptors[2] =
 {
   {
     "team",
@@ -1259,24 +1259,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
+    "milli_slots",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Jackdawwell__TeamDemand, waiting),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "running",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jackdawwell__TeamDemand, running),
+    offsetof(Jackdawwell__TeamDemand, milli_slots),
     NULL,
     NULL,
     0,             /* flags */
@@ -1284,14 +1272,13 @@
   },
 };
 static const unsigned jackdawwell__team_demand__field_indices_by_name[] = {
-  2,   /* field[2] = running */
+  1,   /* field[1] = milli_slots */
   0,   /* field[0] = team */
-  1,   /* field[1] = waiting */
 };
 static const ProtobufCIntRange jackdawwell__team_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor jackdawwell__team_demand__descriptor =
 {
@@ -1301,7 +1288,7 @@
   "Jackdawwell__TeamDemand",
   "jackdawwell",
   sizeof(Jackdawwell__TeamDemand),
-  3,
+  2,
   jackdawwell__team_demand__field_descriptors,
   jackdawwell__team_demand__field_indices_by_name,
   1,  jackdawwell__team_demand__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -179,12 +179,14 @@
 {
   ProtobufCMessage base;
   char *team;
-  uint32_t waiting;
-  uint32_t running;
+  /*
+   * thousandths of a slot that it could use
+   */
+  uint32_t milli_slots;
 };
 #define JACKDAWWELL__TEAM_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jackdawwell__team_demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Jackdawwell__Demand
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -5,6 +5,8 @@
 
 #define CORE_EARLY_MIN 16 /* waiting jobs before a wait is estimated */
 #define CORE_FIRST_HOLDS 64u
+#define CORE_SPARE_MS 150    /* longest that a slot is kept back */
+#define CORE_SPARE_ABOVE 0.5 /* slots above its target */
 
 /* Tables that grow with the configuration */
 
@@ -305,6 +307,30 @@
 	c->options.callbacks.start(c->options.callbacks.arg, job);
 }
 
+/*
+ * Whether a slot is kept back from a team that is above its target. Where
+ * the pool's slots are all spoken for, one that falls free is about to be
+ * owed to another entry; who takes it at once passes teams below their
+ * share there.
+ */
+static bool keeps_back(struct core *c, struct core_pool *p,
+		       const struct job *job)
+{
+	struct fq_flow_view flow = { 0 };
+
+	fq_team(p->queue, job->team, &flow);
+	if (!c->options.advice ||
+	    c->now_ms > p->advised_ms + CORE_ADVICE_TTL_MS ||
+	    p->targets + 1.0 < p->sent.held ||
+	    flow.running < flow.target + CORE_SPARE_ABOVE) {
+		p->spared_ms = 0;
+		return false;
+	}
+	if (!p->spared_ms)
+		p->spared_ms = c->now_ms;
+	return c->now_ms < p->spared_ms + CORE_SPARE_MS;
+}
+
 void core_dispatch(struct core *c, pool_handle pool)
 {
 	struct core_pool *p = &c->pools[pool.i];
@@ -324,7 +350,8 @@
 			refuse(c, job, why);
 			continue;
 		}
-		if (!choose_instance(c, job, &instance))
+		if (!choose_instance(c, job, &instance) ||
+		    keeps_back(c, p, job))
 			return;
 		start(c, job, instance);
 	}
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -16,6 +16,7 @@
 #include "request/retry.h"
 
 #define CORE_PEERS_MAX 64 /* entries */
+#define CORE_ADVICE_TTL_MS 5000 /* older advice gives way to local targets */
 
 /* Units kept for work that may still run on a worker. */
 struct core_hold {
@@ -59,6 +60,8 @@
 	struct broker_demand sent;
 	uint64_t sent_ms;
 	uint64_t advised_ms;
+	double targets;	       /* sum of the advised ones */
+	uint64_t spared_ms;    /* since when a slot is kept back, 0 if none */
 };
 
 struct core_peer {
@@ -90,7 +93,6 @@
 	uint64_t random;
 	uint64_t fresh_until_ms;
 	uint64_t now_ms; /* of the call under way */
-	uint64_t reported_ms;
 	uint32_t waiting;
 	uint64_t waiting_bytes;
 	uint32_t running;
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -2,9 +2,11 @@
 
 #include <string.h>
 
-#define REPORT_EVERY_MS 250
+#define REPORT_EVERY_MS 250 /* of a group, unless its demand turns */
+#define NEWS_MILLI 300	      /* thousandths of a slot, and an eighth */
+#define NEWS_URGENT_MILLI 2000 /* thousandths of a slot, and a quarter */
+#define DEMAND_LEAST 0.05      /* slots; less is no demand */
 #define REPORT_REPEAT_MS 2000 /* an unchanged report is sent again */
-#define ADVICE_TTL_MS 5000    /* older advice gives way to local targets */
 #define RESEND_MS 500	      /* transfers without acknowledgement */
 
 /* Drawing from the table service */
@@ -196,7 +198,10 @@
 		return;
 	p = &c->pools[advice->group.id];
 	p->advised_ms = c->now_ms;
+	p->targets = 0;
 	keep_owed(c, &p->owed, advice);
+	for (i = 0; i < advice->target_count; i++)
+		p->targets += advice->targets[i].milli_slots / 1000.0;
 	for (i = 0; i < advice->target_count; i++)
 		if (advice->targets[i].team < c->team_count)
 			fq_set_target(p->queue,
@@ -240,13 +245,48 @@
 
 /* Reports */
 
-static bool same_demand(const struct broker_demand *a,
-			const struct broker_demand *b)
+/* How much a report differs from the last one. */
+enum news { NEWS_NONE, NEWS_SOME, NEWS_URGENT };
+
+static enum news team_news(uint32_t now, uint32_t sent)
+{
+	uint32_t change = now > sent ? now - sent : sent - now;
+
+	if (change > NEWS_URGENT_MILLI && change > sent / 4)
+		return NEWS_URGENT;
+	if (change > NEWS_MILLI && change > sent / 8)
+		return NEWS_SOME;
+	return NEWS_NONE;
+}
+
+static uint32_t demand_of(const struct broker_demand *d, uint32_t team)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->team_count; i++)
+		if (d->teams[i].team == team)
+			return d->teams[i].milli_slots;
+	return 0;
+}
+
+static enum news demand_news(const struct broker_demand *now,
+			     const struct broker_demand *sent)
 {
-	return a->held == b->held && a->idle == b->idle &&
-	       a->team_count == b->team_count &&
-	       !memcmp(a->teams, b->teams,
-		       a->team_count * sizeof(struct broker_team));
+	enum news most = now->held != sent->held ? NEWS_SOME : NEWS_NONE;
+	enum news news;
+	uint32_t i;
+
+	for (i = 0; i < now->team_count; i++) {
+		news = team_news(now->teams[i].milli_slots,
+				 demand_of(sent, now->teams[i].team));
+		most = news > most ? news : most;
+	}
+	for (i = 0; i < sent->team_count; i++) {
+		news = team_news(demand_of(now, sent->teams[i].team),
+				 sent->teams[i].milli_slots);
+		most = news > most ? news : most;
+	}
+	return most;
 }
 
 static uint64_t choose_broker(const struct core *c, enum broker_kind kind,
@@ -263,16 +303,29 @@
 	return broker_choose(kind, name, live, n);
 }
 
+static bool is_due(const struct core *c, const struct broker_demand *demand,
+		   const struct broker_demand *sent, uint64_t sent_ms)
+{
+	switch (demand_news(demand, sent)) {
+	case NEWS_URGENT:
+		return true;
+	case NEWS_SOME:
+		return c->now_ms >= sent_ms + REPORT_EVERY_MS;
+	case NEWS_NONE:
+		break;
+	}
+	return (demand->held || demand->team_count) &&
+	       c->now_ms >= sent_ms + REPORT_REPEAT_MS;
+}
+
 /* Sends a demand to the group's broker if it is news; takes over teams. */
 static void report(struct core *c, const char *name,
 		   struct broker_demand *demand, struct broker_demand *sent,
 		   uint64_t *sent_ms)
 {
 	struct core_message m = { .kind = CORE_DEMAND };
-	bool nothing = !demand->held && !demand->team_count;
 
-	if (same_demand(demand, sent) &&
-	    (nothing || c->now_ms < *sent_ms + REPORT_REPEAT_MS)) {
+	if (!is_due(c, demand, sent, *sent_ms)) {
 		talloc_free(demand->teams);
 		return;
 	}
@@ -298,13 +351,11 @@
 					  fq_flows(p->queue) + 1);
 	for (i = 0; i < fq_flows(p->queue); i++) {
 		fq_view(p->queue, i, &flow);
-		if (!flow.waiting && !flow.running)
+		if (flow.demand < DEMAND_LEAST)
 			continue;
-		/* Beyond the pool's slots more waiting changes nothing. */
 		demand->teams[demand->team_count++] = (struct broker_team){
 			flow.team.i,
-			at_most(flow.waiting, p->slots),
-			flow.running,
+			(uint32_t)(flow.demand * 1000.0),
 		};
 	}
 }
@@ -322,7 +373,7 @@
 		ledger_view(c->ledger, c->instances[p->instances[i]].domain,
 			    &view);
 		demand.held += (uint32_t)view.held;
-		demand.idle += (uint32_t)(view.held - view.running);
+		demand.idle |= view.held > view.running;
 	}
 	collect_teams(c, p, &demand);
 	report(c, c->cfg->pools[id].name, &demand, &p->sent, &p->sent_ms);
@@ -340,13 +391,13 @@
 		return;
 	ledger_view(c->ledger, t->domain, &view);
 	demand.held = (uint32_t)view.held;
-	demand.idle = (uint32_t)(view.held - view.running);
+	demand.idle = view.held > view.running;
 	demand.teams = talloc_zero_array(c, struct broker_team, 1);
 	if (t->waiting || t->running)
 		demand.teams[demand.team_count++] = (struct broker_team){
 			id,
-			at_most(t->waiting, c->cfg->teams[id].limit),
-			t->running,
+			1000 * (at_most(t->waiting, c->cfg->teams[id].limit) +
+				t->running),
 		};
 	report(c, c->cfg->teams[id].name, &demand, &t->sent, &t->sent_ms);
 }
@@ -392,10 +443,11 @@
 		for (i = 0; i < c->team_count; i++)
 			report_team(c, i);
 	for (i = 0; i < c->pool_count; i++) {
+		fq_smooth(c->pools[i].queue, c->pools[i].slots);
 		if (c->options.advice)
 			report_pool(c, i);
 		if (!c->options.advice ||
-		    c->now_ms > c->pools[i].advised_ms + ADVICE_TTL_MS)
+		    c->now_ms > c->pools[i].advised_ms + CORE_ADVICE_TTL_MS)
 			local_targets(c, &c->pools[i]);
 	}
 	broker_run(c->broker, c->now_ms);
@@ -413,8 +465,5 @@
 	for (i = 0; i < c->team_count; i++)
 		if (c->teams[i].owed.count)
 			core_units_pay_team(c, i);
-	if (c->now_ms < c->reported_ms + REPORT_EVERY_MS)
-		return;
-	c->reported_ms = c->now_ms;
 	report_all(c);
 }
--- a/src/entry/entry_wire.c
+++ b/src/entry/entry_wire.c
@@ -85,8 +85,7 @@
 
 	jackdawwell__team_demand__init(p);
 	p->team = copy(intern_name(e->names->teams, t->team));
-	p->waiting = t->waiting;
-	p->running = t->running;
+	p->milli_slots = t->milli_slots;
 	return p;
 }
 
@@ -229,8 +228,7 @@
 	teams = zero((d->n_teams + 1) * sizeof(*teams));
 	for (i = 0; i < d->n_teams; i++) {
 		teams[n].team = intern_find(e->names->teams, d->teams[i]->team);
-		teams[n].waiting = d->teams[i]->waiting;
-		teams[n].running = d->teams[i]->running;
+		teams[n].milli_slots = d->teams[i]->milli_slots;
 		n += teams[n].team != INTERN_NONE;
 	}
 	m.u.demand.held = d->held;
--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -6,22 +6,35 @@
 
 #include "process/share.h"
 
+#define RUN_EVERY_MS 250  /* of a group */
+#define RUN_TURNED_MS 100 /* of a group whose demand has turned */
+#define TURN_SLOTS 2.0
+#define ADVISE_EVERY_MS 2000 /* unchanged advice is sent again */
+#define ADVISE_MILLI 100     /* thousandths of a slot, and a twentieth */
+
 /* One entry's last report on a group. */
 struct report {
 	uint64_t entry;
 	uint64_t at_ms;
 	struct broker_demand demand;
 	double slots;	 /* that it should hold */
+	int32_t whole;	 /* the same, rounded */
 	int32_t surplus; /* held beyond that; below zero: needed */
 	struct broker_target *targets;
 	uint32_t target_count;
+	struct broker_target *advised; /* targets as last sent */
+	uint32_t advised_count;
+	uint64_t advised_ms;
+	bool owes; /* the last advice had transfers */
 };
 
 struct group {
 	struct broker_group id;
 	struct report *reports;
+	uint64_t run_ms; /* last run */
 	uint32_t count;
 	bool changed;
+	bool turned; /* a demand has changed much */
 };
 
 struct broker {
@@ -78,16 +91,39 @@
 {
 	talloc_free(g->reports[i].demand.teams);
 	talloc_free(g->reports[i].targets);
+	talloc_free(g->reports[i].advised);
 	g->reports[i] = g->reports[--g->count];
 	g->changed = true;
 }
 
+static double slots_of(const struct broker_demand *d)
+{
+	double slots = 0;
+	uint32_t i;
+
+	for (i = 0; i < d->team_count; i++)
+		slots += d->teams[i].milli_slots / 1000.0;
+	return slots;
+}
+
+static bool demand_turned(const struct broker_demand *was,
+			  const struct broker_demand *is)
+{
+	double before = slots_of(was);
+	double change = slots_of(is) - before;
+
+	if (change < 0)
+		change = -change;
+	return change > TURN_SLOTS && change > before / 4;
+}
+
 void broker_report(struct broker *b, uint64_t entry,
 		   const struct broker_demand *demand, uint64_t now_ms)
 {
 	struct group *g = group_get(b, demand->group);
 	struct report *r = report_get(b, g, entry);
 
+	g->turned |= demand_turned(&r->demand, demand);
 	talloc_free(r->demand.teams);
 	r->demand = *demand;
 	r->demand.teams =
@@ -147,7 +183,7 @@
 				&g->reports[i].demand.teams[k];
 
 			c->demands[claim_index(c, t->team)] +=
-				t->waiting + t->running;
+				t->milli_slots / 1000.0;
 		}
 }
 
@@ -183,7 +219,7 @@
 	for (i = 0; i < r->demand.team_count; i++) {
 		const struct broker_team *t = &r->demand.teams[i];
 		uint32_t k = claim_index(c, t->team);
-		double part = t->waiting + t->running;
+		double part = t->milli_slots / 1000.0;
 		double slots = 0;
 
 		if (c->demands[k] > 0)
@@ -194,6 +230,11 @@
 	}
 }
 
+static double fraction_left(const struct report *r)
+{
+	return r->slots - r->whole;
+}
+
 /* Whole slots: the fractions that are largest round up. */
 static void round_slots(struct group *g)
 {
@@ -205,21 +246,31 @@
 		sum += g->reports[i].slots;
 	left = (int32_t)(sum + 0.5);
 	for (i = 0; i < g->count; i++) {
-		struct report *r = &g->reports[i];
-
-		r->surplus = (int32_t)r->demand.held - (int32_t)r->slots;
-		r->slots -= (int32_t)r->slots;
-		left -= (int32_t)r->demand.held - r->surplus;
+		g->reports[i].whole = (int32_t)g->reports[i].slots;
+		left -= g->reports[i].whole;
 	}
 	while (left-- > 0) {
 		struct report *best = &g->reports[0];
 
 		for (i = 1; i < g->count; i++)
-			if (g->reports[i].slots > best->slots)
+			if (fraction_left(&g->reports[i]) > fraction_left(best))
 				best = &g->reports[i];
-		best->slots -= 1.0;
-		best->surplus--;
+		best->whole++;
 	}
+	for (i = 0; i < g->count; i++)
+		g->reports[i].surplus = (int32_t)g->reports[i].demand.held -
+					g->reports[i].whole;
+}
+
+/* What rounding adds or takes is shared by an entry's teams in proportion. */
+static void scale_targets(struct report *r)
+{
+	double scale = r->slots > 0 ? r->whole / r->slots : 0;
+	uint32_t i;
+
+	for (i = 0; i < r->target_count; i++)
+		r->targets[i].milli_slots =
+			(uint32_t)(r->targets[i].milli_slots * scale + 0.5);
 }
 
 static struct report *neediest(struct group *g)
@@ -254,8 +305,26 @@
 	return n;
 }
 
+static bool same_targets(const struct report *r)
+{
+	uint32_t i;
+
+	if (r->target_count != r->advised_count)
+		return false;
+	for (i = 0; i < r->target_count; i++) {
+		uint32_t is = r->targets[i].milli_slots;
+		uint32_t was = r->advised[i].milli_slots;
+		uint32_t change = is > was ? is - was : was - is;
+
+		if (r->targets[i].team != r->advised[i].team ||
+		    (change > ADVISE_MILLI && change > was / 20))
+			return false;
+	}
+	return true;
+}
+
 static void send_advice(struct broker *b, struct group *g, struct report *r,
-			struct broker_transfer *transfers)
+			struct broker_transfer *transfers, uint64_t now_ms)
 {
 	struct broker_advice advice = {
 		.group = g->id,
@@ -264,12 +333,22 @@
 		.transfer_count = plan_transfers(g, r, transfers),
 		.transfers = transfers,
 	};
+	bool owes = advice.transfer_count || r->owes;
 
+	if (!owes && same_targets(r) &&
+	    now_ms < r->advised_ms + ADVISE_EVERY_MS)
+		return;
+	r->owes = advice.transfer_count;
+	r->advised_ms = now_ms;
+	talloc_free(r->advised);
+	r->advised = talloc_memdup(b, r->targets,
+				   r->target_count * sizeof(*r->targets));
+	r->advised_count = r->target_count;
 	b->callbacks.advise(b->callbacks.arg, r->entry, &advice);
 }
 
 /* Holders with idle units come first, so that less work is waited for. */
-static void advise_all(struct broker *b, struct group *g)
+static void advise_all(struct broker *b, struct group *g, uint64_t now_ms)
 {
 	struct broker_transfer *transfers =
 		talloc_array(b, struct broker_transfer, g->count + 1);
@@ -277,10 +356,10 @@
 
 	for (i = 0; i < g->count; i++)
 		if (g->reports[i].demand.idle)
-			send_advice(b, g, &g->reports[i], transfers);
+			send_advice(b, g, &g->reports[i], transfers, now_ms);
 	for (i = 0; i < g->count; i++)
 		if (!g->reports[i].demand.idle)
-			send_advice(b, g, &g->reports[i], transfers);
+			send_advice(b, g, &g->reports[i], transfers, now_ms);
 	talloc_free(transfers);
 }
 
@@ -292,15 +371,20 @@
 	for (i = 0; i < g->count; i++)
 		if (now_ms > g->reports[i].at_ms + BROKER_REPORT_TTL_MS)
 			report_remove(g, i--);
-	if (!g->changed || !g->count)
+	if (!g->changed || !g->count ||
+	    now_ms < g->run_ms + (g->turned ? RUN_TURNED_MS : RUN_EVERY_MS))
 		return;
 	g->changed = false;
+	g->turned = false;
+	g->run_ms = now_ms;
 	claims_collect(b, g, &claims);
 	claims_divide(b, g, &claims);
 	for (i = 0; i < g->count; i++)
 		report_targets(b, &g->reports[i], &claims);
 	round_slots(g);
-	advise_all(b, g);
+	for (i = 0; i < g->count; i++)
+		scale_targets(&g->reports[i]);
+	advise_all(b, g, now_ms);
 	talloc_free(claims.claims);
 }
 
--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -27,14 +27,13 @@
 
 struct broker_team {
 	uint32_t team;
-	uint32_t waiting;
-	uint32_t running;
+	uint32_t milli_slots; /* thousandths that it could use */
 };
 
 struct broker_demand {
 	struct broker_group group;
 	uint32_t held;
-	uint32_t idle;
+	uint32_t idle; /* above zero when some of it is idle */
 	uint32_t team_count;
 	struct broker_team *teams;
 };
