core, ledger, broker: per-tick work follows activity, not size

A domain now remembers where its cell was; pools and teams without work are looked at once a second and when configuration or members change; claims are indexed by team.

--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -582,6 +582,17 @@
 	return (double)most * 1000.0 / (double)s->now;
 }
 
+/* Row writes of all entries together. */
+static double writes_a_second(const struct sim *s)
+{
+	uint64_t writes = 0;
+	uint32_t i;
+
+	for (i = 0; i < ENTRIES; i++)
+		writes += core_counters(s->nodes[i].core)->writes;
+	return (double)writes * 1000.0 / (double)s->now;
+}
+
 static const uint32_t wide_limits[TEAMS] = { 80, 80, 80, 80, 80, 80 };
 
 static int bench_way(const char *name, enum way way, bool skewed,
@@ -594,10 +605,10 @@
 	run(&s, seconds * 1000);
 	utilization = s.busy_ms / s.wanted_ms;
 	printf("%-7s %-6s worst %5.1f%% mean %4.1f%% over %3u, busy %5.1f%%, "
-	       "%6.0f B/s, %" PRIu64 " ended\n",
+	       "%6.0f B/s, %.2f writes/s, %" PRIu64 " ended\n",
 	       name, skewed ? "skewed" : "even", s.worst * 100,
 	       s.sum_error / s.intervals * 100, s.intervals, utilization * 100,
-	       bytes_a_second(&s), s.ended);
+	       bytes_a_second(&s), writes_a_second(&s), s.ended);
 	if (bound && (s.worst > 0.05 || utilization < 0.97 ||
 		      bytes_a_second(&s) > 6000)) {
 		printf("out of bounds: share 5%%, busy 97%%, 6000 B/s\n");
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -124,6 +124,7 @@
 	configure_teams(c, cfg);
 	configure_instances(c, cfg);
 	list_instances(c, cfg);
+	c->swept_ms = 0;
 	for (i = 0; i < c->pool_count; i++)
 		core_dispatch(c, (pool_handle){ i });
 }
@@ -162,6 +163,7 @@
 				      members->count * sizeof(uint64_t));
 	c->members = *members;
 	c->members.incarnations = c->member_ids;
+	c->swept_ms = 0;
 	for (i = 0; i < members->count; i++)
 		peer_add(c, members->incarnations[i]);
 }
@@ -593,6 +595,7 @@
 void core_stop(struct core *c, uint64_t now_ms)
 {
 	c->stopping = true;
+	c->swept_ms = 0;
 	core_tick(c, now_ms);
 }
 
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -92,7 +92,8 @@
 	struct core_counters counters;
 	uint64_t random;
 	uint64_t fresh_until_ms;
-	uint64_t now_ms; /* of the call under way */
+	uint64_t now_ms;   /* of the call under way */
+	uint64_t swept_ms; /* last look at pools and teams without work */
 	uint32_t waiting;
 	uint64_t waiting_bytes;
 	uint32_t running;
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -6,8 +6,9 @@
 #define NEWS_MILLI 300	       /* thousandths of a slot, and an eighth */
 #define NEWS_URGENT_MILLI 2000 /* thousandths of a slot, and a quarter */
 #define DEMAND_LEAST 0.05      /* slots; less is no demand */
-#define REPORT_REPEAT_MS 2000  /* an unchanged report is sent again */
-#define RESEND_MS 500	       /* transfers without acknowledgement */
+#define SWEEP_MS 1000 /* between looks at pools and teams without work */
+#define REPORT_REPEAT_MS 2000 /* an unchanged report is sent again */
+#define RESEND_MS 500	      /* transfers without acknowledgement */
 
 /* Drawing from the table service */
 
@@ -56,14 +57,28 @@
 	}
 }
 
-static void want_units(struct core *c)
+/* Idle pools and teams change only with rows, members and versions. */
+static bool pool_is_active(const struct core_pool *p)
+{
+	return fq_waiting(p->queue) || fq_running(p->queue) ||
+	       p->sent.team_count;
+}
+
+static bool team_is_active(const struct core_team *t)
+{
+	return t->waiting || t->running || t->sent.team_count;
+}
+
+static void want_units(struct core *c, bool all)
 {
 	uint32_t i;
 
 	for (i = 0; i < c->pool_count; i++)
-		want_pool(c, &c->pools[i]);
+		if (all || pool_is_active(&c->pools[i]))
+			want_pool(c, &c->pools[i]);
 	for (i = 0; i < c->team_count; i++)
-		if (c->teams[i].configured)
+		if (c->teams[i].configured &&
+		    (all || team_is_active(&c->teams[i])))
 			want_domain(c, c->teams[i].domain, c->teams[i].waiting);
 }
 
@@ -435,35 +450,46 @@
 	talloc_free(claims);
 }
 
-static void report_all(struct core *c)
+static void tick_pool(struct core *c, uint32_t id)
+{
+	struct core_pool *p = &c->pools[id];
+
+	fq_smooth(p->queue, p->slots);
+	if (c->options.advice)
+		report_pool(c, id);
+	if (!c->options.advice ||
+	    c->now_ms > p->advised_ms + CORE_ADVICE_TTL_MS)
+		local_targets(c, p);
+}
+
+static void report_all(struct core *c, bool all)
 {
 	uint32_t i;
 
 	if (c->options.advice)
 		for (i = 0; i < c->team_count; i++)
-			report_team(c, i);
-	for (i = 0; i < c->pool_count; i++) {
-		fq_smooth(c->pools[i].queue, c->pools[i].slots);
-		if (c->options.advice)
-			report_pool(c, i);
-		if (!c->options.advice ||
-		    c->now_ms > c->pools[i].advised_ms + CORE_ADVICE_TTL_MS)
-			local_targets(c, &c->pools[i]);
-	}
+			if (all || team_is_active(&c->teams[i]))
+				report_team(c, i);
+	for (i = 0; i < c->pool_count; i++)
+		if (all || pool_is_active(&c->pools[i]))
+			tick_pool(c, i);
 	broker_run(c->broker, c->now_ms);
 }
 
 void core_units_tick(struct core *c)
 {
+	bool all = !c->swept_ms || c->now_ms >= c->swept_ms + SWEEP_MS;
 	uint32_t i;
 
 	if (!c->cfg)
 		return;
-	want_units(c);
+	if (all)
+		c->swept_ms = c->now_ms;
+	want_units(c, all);
 	core_units_write(c);
 	resend(c);
 	for (i = 0; i < c->team_count; i++)
 		if (c->teams[i].owed.count)
 			core_units_pay_team(c, i);
-	report_all(c);
+	report_all(c, all);
 }
--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -150,32 +150,40 @@
 	struct share_claim *claims;
 	uint32_t *teams;
 	double *demands; /* over all entries */
+	uint32_t *index; /* by team, plus one */
 	uint32_t count;
 };
 
 static uint32_t claim_index(struct claims *c, uint32_t team)
 {
-	uint32_t i;
-
-	for (i = 0; i < c->count; i++)
-		if (c->teams[i] == team)
-			return i;
+	if (c->index[team])
+		return c->index[team] - 1;
 	c->teams[c->count] = team;
 	c->demands[c->count] = 0;
-	return c->count++;
+	c->index[team] = ++c->count;
+	return c->count - 1;
 }
 
 static void claims_collect(struct broker *b, struct group *g, struct claims *c)
 {
+	uint32_t most = 0;
 	uint32_t room = 1;
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < g->count; i++)
-		room += g->reports[i].demand.team_count;
+	for (i = 0; i < g->count; i++) {
+		const struct broker_demand *d = &g->reports[i].demand;
+
+		room += d->team_count;
+		for (k = 0; k < d->team_count; k++)
+			most = d->teams[k].team > most ? d->teams[k].team
+						       : most;
+	}
 	c->claims = talloc_zero_array(b, struct share_claim, room);
 	c->teams = talloc_array(c->claims, uint32_t, room);
 	c->demands = talloc_array(c->claims, double, room);
+	c->index = talloc_zero_array(c->claims, uint32_t, most + 1);
+	assert(c->claims && c->teams && c->demands && c->index);
 	c->count = 0;
 	for (i = 0; i < g->count; i++)
 		for (k = 0; k < g->reports[i].demand.team_count; k++) {
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -21,15 +21,22 @@
 	return copy;
 }
 
-struct ledger_cell *ledger_row_cell(struct ledger_row *row, domain_handle d)
+struct ledger_cell *ledger_row_cell(const struct ledger *l,
+				    struct ledger_row *row, domain_handle d)
 {
+	struct domain *domain = ledger_domain_of(l, d);
 	uint32_t i;
 
 	if (!row)
 		return NULL;
+	if (domain->cell < row->cell_count &&
+	    row->cells[domain->cell].domain.i == d.i)
+		return &row->cells[domain->cell];
 	for (i = 0; i < row->cell_count; i++)
-		if (row->cells[i].domain.i == d.i)
+		if (row->cells[i].domain.i == d.i) {
+			domain->cell = i;
 			return &row->cells[i];
+		}
 	return NULL;
 }
 
@@ -121,7 +128,7 @@
 {
 	struct domain *d = ledger_domain_of(l, handle);
 	const struct ledger_cell *cell =
-		ledger_row_cell(l->shards[d->shard].row, handle);
+		ledger_row_cell(l, l->shards[d->shard].row, handle);
 
 	if (!cell)
 		return;
@@ -135,7 +142,7 @@
 			int64_t total, uint64_t generation)
 {
 	const struct ledger_cell *cell =
-		ledger_row_cell(ledger_shard_at(l, handle)->row, handle);
+		ledger_row_cell(l, ledger_shard_at(l, handle)->row, handle);
 
 	return cell && (cell->total > total || cell->generation != generation);
 }
@@ -214,7 +221,7 @@
 {
 	const struct domain *d = ledger_domain_of(l, handle);
 	const struct ledger_cell *cell =
-		ledger_row_cell(l->shards[d->shard].row, handle);
+		ledger_row_cell(l, l->shards[d->shard].row, handle);
 
 	view->held = d->held;
 	view->running = d->running;
@@ -226,7 +233,7 @@
 bool ledger_all_home(const struct ledger *l, domain_handle handle)
 {
 	const struct ledger_cell *cell =
-		ledger_row_cell(ledger_shard_at(l, handle)->row, handle);
+		ledger_row_cell(l, ledger_shard_at(l, handle)->row, handle);
 
 	return cell && cell->total == 0 && cell->free == 0;
 }
--- a/src/process/ledger_internal.h
+++ b/src/process/ledger_internal.h
@@ -13,6 +13,7 @@
 
 struct domain {
 	uint32_t shard;
+	uint32_t cell; /* where its cell was last found in the row */
 	int64_t held;
 	int64_t running;
 	int64_t wanted;	 /* free units to draw up to */
@@ -72,7 +73,8 @@
 }
 
 /* ledger_row_cell - the domain's cell or NULL; row may be NULL */
-struct ledger_cell *ledger_row_cell(struct ledger_row *row, domain_handle d);
+struct ledger_cell *ledger_row_cell(const struct ledger *l,
+				    struct ledger_row *row, domain_handle d);
 
 /* ledger_row_awaits - whether the open round lacks the report */
 bool ledger_row_awaits(const struct ledger_row *row, uint64_t incarnation);
--- a/src/process/ledger_plan.c
+++ b/src/process/ledger_plan.c
@@ -178,7 +178,7 @@
 
 		if (!d->configured)
 			continue;
-		cell = ledger_row_cell(row, handle);
+		cell = ledger_row_cell(l, row, handle);
 		if (cell) {
 			changed |= plan_total(cell, d);
 			continue;
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -33,6 +33,7 @@
 	uint32_t count;
 	uint32_t team_room;
 	uint32_t waiting;
+	uint32_t running;
 };
 
 /* Flows */
@@ -186,6 +187,7 @@
 	flow_credit(f, now_ms);
 	note_start(f, now_ms);
 	f->running++;
+	q->running++;
 }
 
 void fq_ended(struct fq *q, team_handle team, uint64_t now_ms)
@@ -195,6 +197,7 @@
 	assert(f && f->running);
 	flow_credit(f, now_ms);
 	f->running--;
+	q->running--;
 }
 
 /* Urgent work of a team below its target goes before all other flows. */
@@ -298,6 +301,11 @@
 	return q->waiting;
 }
 
+uint32_t fq_running(const struct fq *q)
+{
+	return q->running;
+}
+
 static void sweep_list(struct fq *q, struct job_list *l,
 		       bool (*expired)(void *arg, const struct job *job),
 		       void (*refuse)(void *arg, struct job *job), void *arg)
--- a/src/request/fq.h
+++ b/src/request/fq.h
@@ -70,7 +70,9 @@
 /* fq_team - a team's flow; false when it never had work here */
 bool fq_team(const struct fq *q, team_handle team, struct fq_flow_view *view);
 
+/* fq_waiting, fq_running - work of all teams */
 uint32_t fq_waiting(const struct fq *q);
+uint32_t fq_running(const struct fq *q);
 
 /*
  * fq_sweep - call refuse for each waiting job that `expired` holds for
--- a/test/fuzz_client.c
+++ b/test/fuzz_client.c
@@ -138,8 +138,7 @@
 		for (i = 0; i < PER_CONNECTION; i++, sent++) {
 			size_t length = make(http, m);
 
-			if (send(fd, m, length, MSG_NOSIGNAL) < 0 ||
-			    !drain(fd))
+			if (send(fd, m, length, MSG_NOSIGNAL) < 0 || !drain(fd))
 				break;
 		}
 		sent++;
