--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -47,5 +47,7 @@
 	--suppress=normalCheckLevelMaxBranches -Isrc -I. \
 	src daemon cli standin || bad=1
 
+python3 tools/pages.py || bad=1
+
 [ $bad = 0 ] && echo "lint: clean"
 exit $bad
