--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -5,9 +5,12 @@
 times, expectations after the last call has ended.
 """
 
+import collections
 import re
 import signal
+import subprocess
 import sys
+import threading
 import time
 
 import fleet
@@ -49,6 +52,7 @@
         self.settings = {}
         self.teams = {}
         self.queues = {}
+        self.pool_of = {}
         self.actions = []
         self.always = []
         self.expects = []
@@ -63,6 +67,8 @@
         verb, rest = words[0], words[1:]
         if verb in ("entries", "workers", "slots"):
             setattr(self, verb, int(rest[0]))
+        elif verb == "pool":
+            self.pool_of.update({w: rest[0] for w in rest[1:]})
         elif verb == "setting":
             self.settings[rest[0]] = rest[1]
         elif verb == "team":
@@ -106,6 +112,10 @@
         self.serial = 0
         self.outcomes = {}  # request id -> outcome
         self.codes = []     # of operators' changes
+        self.spreads = []
+        self.stopped = set()
+        self.lock = threading.Lock()
+        self.out = {}       # worker -> from and to, ms
         self.background = fleet.Background()
         self.fleet = fleet.Fleet(
             build, case.settings,
@@ -115,7 +125,7 @@
         for i in range(self.case.entries):
             self.fleet.add_entry(f"entry-{i + 1}")
         self.fleet.load("entry-1", self.case.teams, self.case.queues,
-                        self.case.slots)
+                        self.case.slots, self.case.pool_of)
 
     def run(self):
         with self.fleet:
@@ -128,6 +138,8 @@
                     self.act(words)
                 except (ValueError, KeyError, IndexError) as e:
                     raise ScenarioError(f"{line.strip()}: {e!r}") from e
+            for calls in self.spreads:
+                calls.join()
             self.background.join()
             self.records = self.fleet.records()
             self.check_calls()
@@ -147,11 +159,19 @@
         """call N as TEAM to QUEUE [hold T] [via ENTRY] [behave B]
         [over T]: N calls, spread over the entries and the time."""
         opts = options(more)
-        alive = [n for n, p in self.fleet.entries.items() if p.running()]
-        gap = seconds(opts.get("over", "0s")) / int(count)
-        for i in range(int(count)):
-            self.serial += 1
-            request_id = f"{team}-{self.serial}"
+        calls = fleet.Background()
+        calls.start(self.spread, int(count), team, queue, opts)
+        self.spreads.append(calls)
+
+    def spread(self, count, team, queue, opts):
+        """Starts the calls of one action over its time."""
+        gap = seconds(opts.get("over", "0s")) / count
+        for i in range(count):
+            with self.lock:
+                self.serial += 1
+                request_id = f"{team}-{self.serial}"
+            alive = [n for n, p in self.fleet.entries.items()
+                     if p.running() and n not in self.stopped]
             entry = opts.get("via", alive[i % len(alive)])
             headers = {"X-Request-Id": request_id}
             if "hold" in opts:
@@ -188,11 +208,13 @@
             self.process(name).stop()
 
     def do_stop(self, name):
+        self.stopped.add(name)
         self.process(name).send(signal.SIGTERM)
 
     def do_start(self, *names):
         for name in names:
             self.fleet.add_entry(name, ready=False)
+            self.stopped.discard(name)
 
     def do_ready(self, name):
         self.fleet.wait_ready(name, 30.0)
@@ -228,6 +250,36 @@
     def do_withdraw(self, key, _via="via", entry="entry-1"):
         self.codes.append(self.fleet.change(entry, {"keys": {key: None}})[0])
 
+    def instance(self, name):
+        """An instance's object in the configuration, and the version."""
+        body = self.fleet.admin("entry-1", "GET", "/v1/config")[1]
+        return dict(body["config"]["instances"][name]), body["version"]
+
+    def do_set(self, name, state):
+        """set INSTANCE STATE; a refusal's status counts in `changes`."""
+        changed, _ = self.instance(name)
+        changed["state"] = state
+        now_ms = time.clock_gettime(time.CLOCK_MONOTONIC) * 1000
+        if state == "out":
+            self.out[name] = (now_ms, 1 << 62)
+        if state == "serving" and name in self.out:
+            self.out[name] = (self.out[name][0], now_ms)
+        self.codes.append(self.fleet.change(
+            "entry-1", {"instances": {name: changed}})[0])
+
+    def do_move(self, name, pool):
+        changed, _ = self.instance(name)
+        changed["pool"] = pool
+        self.codes.append(self.fleet.change(
+            "entry-1", {"instances": {name: changed}})[0])
+
+    def do_home(self, name):
+        """home INSTANCE: waits until no entry holds a slot of it."""
+        def home():
+            unit = self.fleet.status("entry-1")["units"][f"w:{name}"]
+            return unit["limit"] == 0 and unit["free"] == 0
+        fleet.wait_until(f"{name} home", home, 60.0)
+
     def process(self, name):
         return self.fleet.entries.get(name) or self.fleet.workers[name]
 
@@ -276,12 +328,28 @@
             return sum(p.running() for p in self.fleet.entries.values())
         if what == "exit":
             return self.fleet.entries[words[1]].popen.wait(timeout=30)
+        if what == "gap":
+            return self.longest_gap(words[1])
+        if what == "started":
+            return self.started_while_out(words[1])
         if what == "idle":
             return min(r["idle_ms"] for r in self.records.values()) / 1000
         if what == "lost":
             return self.lost_units()
         raise ScenarioError(f"unknown value: {' '.join(words)}")
 
+    def longest_gap(self, worker):
+        """Seconds for which a worker ran nothing, between two runs."""
+        runs = sorted(r[1:] for r in self.records[worker]["intervals"])
+        gaps = [b[0] - a[1] for a, b in zip(runs, runs[1:]) if a[1]]
+        return max(gaps, default=0) / 1000
+
+    def started_while_out(self, worker):
+        """Runs that a worker started between its `out` and its return."""
+        start, end = self.out.get(worker, (0, 0))
+        return sum(start < r[1] < end
+                   for r in self.records[worker]["intervals"])
+
     def lost_units(self):
         """Units that no live entry holds and the table does not show."""
         views = [self.fleet.status(n)["units"]
@@ -299,7 +367,7 @@
         if not COMPARE[compare](value, limit):
             raise ScenarioError(
                 f"{line.strip()}: it is {value}; outcomes "
-                f"{sorted(self.outcomes.values())}")
+                f"{dict(collections.Counter(self.outcomes.values()))}")
 
 
 def run_file(path, build):
@@ -311,7 +379,8 @@
         try:
             Run(case, build).run()
             yield case.title, None
-        except (ScenarioError, TimeoutError, RuntimeError, OSError) as e:
+        except (ScenarioError, TimeoutError, RuntimeError, OSError,
+                subprocess.SubprocessError) as e:
             yield case.title, e
 
 
