waves: planner, conductor, operators' command

A wave is an object of the configuration; its progress is the instances' own state. plan_next() is a pure function; the entry that rendezvous hashing chooses takes its steps as changes on the version they were planned with.

Ruled out for fencing: a lease row.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -86,9 +86,9 @@
 	}
 	for (i = 0; i < teams; i++) {
 		snprintf(name, sizeof(name), "team-%u", i);
-		json_object_set_new(team_objects, name,
-				    json_pack("{s:i, s:i}", "share", 1,
-					      "limit", 100));
+		json_object_set_new(
+			team_objects, name,
+			json_pack("{s:i, s:i}", "share", 1, "limit", 100));
 	}
 	return json_pack("{s:o, s:o, s:o}", "pools", pools, "instances", all,
 			 "teams", team_objects);
@@ -326,8 +326,7 @@
 	return us;
 }
 
-static bool one_team(void *arg, uint32_t team, uint32_t *share,
-		     uint32_t *limit)
+static bool one_team(void *arg, uint32_t team, uint32_t *share, uint32_t *limit)
 {
 	(void)arg;
 	(void)team;
@@ -348,8 +347,7 @@
 {
 	struct broker_callbacks callbacks = { one_team, no_advice, NULL };
 	struct broker *b = broker_new(NULL, &callbacks);
-	struct broker_team *t = talloc_zero_array(b, struct broker_team,
-						  teams);
+	struct broker_team *t = talloc_zero_array(b, struct broker_team, teams);
 	struct broker_demand d = { { BROKER_POOL, 0 }, 60, 0, teams, t };
 	uint64_t spent = 0;
 	uint64_t start;
@@ -397,18 +395,34 @@
 }
 
 static const struct slope slopes[] = {
-	{ "config-change", "us", "instance", cfg_change_us,
+	{ "config-change",
+	  "us",
+	  "instance",
+	  cfg_change_us,
 	  { 500, 1000, 2000, 3300 } },
-	{ "config-memory", "B", "instance", cfg_bytes,
+	{ "config-memory",
+	  "B",
+	  "instance",
+	  cfg_bytes,
 	  { 500, 1000, 2000, 3300 } },
-	{ "config-snapshot", "B", "instance", snapshot_bytes,
+	{ "config-snapshot",
+	  "B",
+	  "instance",
+	  snapshot_bytes,
 	  { 500, 1000, 2000, 3300 } },
 	{ "core-memory", "B", "worker", core_bytes, { 500, 1000, 2000, 3300 } },
 	{ "core-tick", "us", "worker", tick_us, { 500, 1000, 2000, 3300 } },
 	{ "ledger-row", "B", "domain", row_bytes, { 16, 64, 256, 1024 } },
-	{ "dispatch", "us", "waiting team", dispatch_us, { 50, 200, 400, 750 } },
+	{ "dispatch",
+	  "us",
+	  "waiting team",
+	  dispatch_us,
+	  { 50, 200, 400, 750 } },
 	{ "broker-run", "us", "waiting team", broker_us, { 25, 50, 100, 200 } },
-	{ "demand-report", "B", "waiting team", report_bytes,
+	{ "demand-report",
+	  "B",
+	  "waiting team",
+	  report_bytes,
 	  { 10, 50, 100, 200 } },
 };
 
--- a/cli/command.h
+++ b/cli/command.h
@@ -46,5 +46,6 @@
 int command_out(const struct command_call *call);
 int command_move(const struct command_call *call);
 int command_depart(const struct command_call *call);
+int command_wave(const struct command_call *call);
 
 #endif
--- a/cli/jackdawwell.c
+++ b/cli/jackdawwell.c
@@ -24,6 +24,10 @@
 	{ "out", "INSTANCE...", 1, WORDS_MAX, command_out },
 	{ "move", "INSTANCE POOL", 2, 2, command_move },
 	{ "depart", "INSTANCE...", 1, WORDS_MAX, command_depart },
+	{ "wave",
+	  "plan|start NAME [pool=P] [zone=Z] [rack=R] [return_max_s=N] | "
+	  "pause|resume|abort|show NAME",
+	  2, 6, command_wave },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/src/connection/platform_http.c
+++ b/src/connection/platform_http.c
@@ -189,6 +189,18 @@
 	start(p, "GET", path, NULL, fn, arg);
 }
 
+void platform_reboot(struct platform *p, const char *instance, uint32_t boots,
+		     platform_fn fn, void *arg)
+{
+	char path[PLATFORM_URL_MAX];
+	json_t *body = json_pack("{s:I}", "boots", (json_int_t)boots);
+
+	p->counters.writes++;
+	snprintf(path, sizeof(path), "/reboot/%s", instance);
+	start(p, "POST", path, json_dumps(body, JSON_COMPACT), fn, arg);
+	json_decref(body);
+}
+
 void platform_instances(struct platform *p, platform_fn fn, void *arg)
 {
 	p->counters.reads++;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,7 +13,7 @@
 
 #define SCAN_EVERY_MS 1000
 #define PROBE_EVERY_MS 1000
-#define LIST_EVERY_MS 2000
+#define LIST_EVERY_MS 1000
 #define NOTICE_MS 1000	  /* not ready, before it stops accepting */
 #define GIVE_HOME_MS 5000 /* for units to reach the table service */
 
@@ -36,8 +36,10 @@
 		return;
 	if (now_ms >= e->probed_ms + PROBE_EVERY_MS)
 		entry_probe(e);
-	if (now_ms >= e->listed_ms + LIST_EVERY_MS)
+	if (now_ms >= e->listed_ms + LIST_EVERY_MS) {
 		entry_read_list(e);
+		conductor_tick(e, now_ms);
+	}
 	entry_check_members(e, now_ms);
 	entry_changes_tick(e, now_ms);
 }
@@ -227,6 +229,7 @@
 	e->ev = tevent_context_init(e);
 	e->names = cfg_names_new(e);
 	e->cfg = cfg_empty(e->names);
+	e->conductor = conductor_new(e);
 	e->out_tail = &e->out;
 	e->out_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	pthread_mutex_init(&e->core_lock, NULL);
@@ -234,7 +237,7 @@
 	e->boot >>= 16; /* exact in a JSON number */
 	key_hasher_init(&e->hasher, settings->secret);
 	e->platform = platform_new(e, e->ev, settings->platform);
-	assert(e->ev && e->out_fd >= 0 && e->platform);
+	assert(e->ev && e->out_fd >= 0 && e->platform && e->conductor);
 	return e;
 }
 
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -9,6 +9,7 @@
  * entry_out.c		effects of the core, carried out by the control loop
  * front.c		callers' requests, one front a thread
  * admin.c		the administration API
+ * conductor.c		maintenance waves
  *
  * The control thread owns everything here but the core, which the fronts
  * share under core_lock. Lock order: core_lock, then a front's mail lock.
@@ -50,6 +51,7 @@
 
 struct front;
 struct entry_change;
+struct conductor;
 
 /* An effect of the core that the control thread carries out. */
 struct entry_out {
@@ -108,6 +110,7 @@
 	uint64_t head_version;		/* newest configuration committed */
 	struct entry_change *pending;	/* changes being accepted */
 	uint64_t nonce;
+	struct conductor *conductor;
 	uint64_t drain_since_ms;
 	uint64_t probed_ms;
 	uint64_t scanned_ms;
@@ -179,6 +182,16 @@
 void entry_run_out(struct entry *e);
 void entry_drop_out(struct entry *e);
 
+/* Waves */
+
+struct conductor *conductor_new(TALLOC_CTX *ctx);
+
+/* conductor_see - the platform's list of instances */
+void conductor_see(struct entry *e, const json_t *list);
+
+/* conductor_tick - take the next steps if this entry is the conductor */
+void conductor_tick(struct entry *e, uint64_t now_ms);
+
 /* Ledger rows */
 
 json_t *entry_row_json(const struct ledger *l, const struct ledger_row *row);
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -274,6 +274,7 @@
 
 	if (answer->status != PLATFORM_OK)
 		return;
+	conductor_see(e, answer->value);
 	for (i = 0; i < e->members.count; i++) {
 		const struct member *m = &e->members.list[i];
 		struct entry_gone *g = gone_of(e, m->incarnation);
--- /dev/null
+++ b/src/process/plan.c
@@ -0,0 +1,244 @@
+#include "process/plan.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+/* What is out now, by pool, zone and rack. */
+struct counts {
+	uint32_t *out;	   /* by pool */
+	uint32_t *serving; /* by pool */
+	uint32_t *zones;
+	uint32_t *racks;
+};
+
+static uint32_t *zeros(TALLOC_CTX *ctx, uint32_t count)
+{
+	uint32_t *a = talloc_zero_array(ctx, uint32_t, count + 1);
+
+	assert(a);
+	return a;
+}
+
+static void count_all(TALLOC_CTX *ctx, const struct plan_input *in,
+		      struct counts *c)
+{
+	uint32_t i;
+
+	c->out = zeros(ctx, in->pool_count);
+	c->serving = zeros(ctx, in->pool_count);
+	c->zones = zeros(ctx, in->zone_count);
+	c->racks = zeros(ctx, in->rack_count);
+	for (i = 0; i < in->instance_count; i++) {
+		const struct plan_instance *n = &in->instances[i];
+
+		if (n->state == PLAN_SERVING) {
+			c->serving[n->pool]++;
+			continue;
+		}
+		c->out[n->pool]++;
+		c->zones[n->zone]++;
+		c->racks[n->rack]++;
+	}
+}
+
+static enum plan_budget budget_in_way(const struct plan_input *in,
+				      const struct counts *c,
+				      const struct plan_instance *n)
+{
+	const struct plan_pool *p = &in->pools[n->pool];
+
+	if (c->out[n->pool] >= p->out_max)
+		return PLAN_OUT_MAX;
+	if (c->serving[n->pool] <= p->serving_min)
+		return PLAN_SERVING_MIN;
+	if (in->rules.zone_out_max &&
+	    c->zones[n->zone] >= in->rules.zone_out_max)
+		return PLAN_ZONE;
+	if (in->rules.rack_out_max &&
+	    c->racks[n->rack] >= in->rules.rack_out_max)
+		return PLAN_RACK;
+	return PLAN_FREE;
+}
+
+static void add_step(struct plan_result *out, enum plan_kind kind,
+		     uint32_t instance)
+{
+	out->steps[out->count].kind = kind;
+	out->steps[out->count++].instance = instance;
+}
+
+/* Steps that bring instances on their way further; they use no budget. */
+static void plan_further(const struct plan_input *in, struct plan_result *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < in->instance_count; i++) {
+		const struct plan_instance *n = &in->instances[i];
+
+		if (!n->wanted || n->done)
+			continue;
+		out->left++;
+		if (n->state == PLAN_DRAINING && n->home)
+			add_step(out, PLAN_TAKE_OUT, i);
+		else if (n->state == PLAN_OUT && n->rebooted)
+			add_step(out, PLAN_RETURN, i);
+	}
+}
+
+struct candidate {
+	uint32_t instance;
+	uint32_t zone;
+	uint32_t rack;
+};
+
+/* By zone and rack, so that what is out lies in few failure domains. */
+static int by_domain(const void *a, const void *b)
+{
+	const struct candidate *x = a;
+	const struct candidate *y = b;
+
+	if (x->zone != y->zone)
+		return x->zone < y->zone ? -1 : 1;
+	if (x->rack != y->rack)
+		return x->rack < y->rack ? -1 : 1;
+	return x->instance < y->instance ? -1 : x->instance > y->instance;
+}
+
+static uint32_t candidates(TALLOC_CTX *ctx, const struct plan_input *in,
+			   struct candidate **found)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	*found = talloc_array(ctx, struct candidate, in->instance_count + 1);
+	assert(*found);
+	for (i = 0; i < in->instance_count; i++) {
+		const struct plan_instance *x = &in->instances[i];
+
+		if (!x->wanted || x->done || x->state != PLAN_SERVING)
+			continue;
+		(*found)[n++] = (struct candidate){ i, x->zone, x->rack };
+	}
+	qsort(*found, n, sizeof(**found), by_domain);
+	return n;
+}
+
+static void plan_drains(TALLOC_CTX *ctx, const struct plan_input *in,
+			struct counts *c, struct plan_result *out)
+{
+	struct candidate *found;
+	uint32_t n = candidates(ctx, in, &found);
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct plan_instance *x =
+			&in->instances[found[i].instance];
+		enum plan_budget budget = budget_in_way(in, c, x);
+
+		if (budget != PLAN_FREE) {
+			if (out->blocked == PLAN_FREE) {
+				out->blocked = budget;
+				out->blocked_pool = x->pool;
+			}
+			continue;
+		}
+		c->out[x->pool]++;
+		c->serving[x->pool]--;
+		c->zones[x->zone]++;
+		c->racks[x->rack]++;
+		add_step(out, PLAN_DRAIN, found[i].instance);
+	}
+}
+
+void plan_next(TALLOC_CTX *ctx, const struct plan_input *in,
+	       struct plan_result *out)
+{
+	TALLOC_CTX *scratch = talloc_new(ctx);
+	struct counts counts;
+
+	*out = (struct plan_result){ .blocked = PLAN_FREE };
+	out->steps = talloc_array(ctx, struct plan_step,
+				  in->instance_count + 1);
+	assert(out->steps && scratch);
+	count_all(scratch, in, &counts);
+	plan_further(in, out);
+	plan_drains(scratch, in, &counts, out);
+	talloc_free(scratch);
+}
+
+/* How many of a pool may be out at once when all of it is well. */
+static uint32_t parallel(const struct plan_pool *p, uint32_t instances)
+{
+	uint32_t spare = instances > p->serving_min
+				 ? instances - p->serving_min
+				 : 0;
+
+	return spare < p->out_max ? spare : p->out_max;
+}
+
+static uint32_t *pool_sizes(TALLOC_CTX *ctx, const struct plan_input *in,
+			    bool wanted_only)
+{
+	uint32_t *sizes = zeros(ctx, in->pool_count);
+	uint32_t i;
+
+	for (i = 0; i < in->instance_count; i++)
+		if (!wanted_only ||
+		    (in->instances[i].wanted && !in->instances[i].done))
+			sizes[in->instances[i].pool]++;
+	return sizes;
+}
+
+bool plan_possible(const struct plan_input *in, struct plan_result *out)
+{
+	TALLOC_CTX *scratch = talloc_new(NULL);
+	uint32_t *all = pool_sizes(scratch, in, false);
+	uint32_t *wanted = pool_sizes(scratch, in, true);
+	uint32_t i;
+
+	*out = (struct plan_result){ .blocked = PLAN_FREE };
+	for (i = 0; i < in->pool_count && out->blocked == PLAN_FREE; i++) {
+		if (!wanted[i] || parallel(&in->pools[i], all[i]))
+			continue;
+		out->blocked_pool = i;
+		out->blocked = in->pools[i].out_max ? PLAN_SERVING_MIN
+						    : PLAN_OUT_MAX;
+	}
+	talloc_free(scratch);
+	return out->blocked == PLAN_FREE;
+}
+
+double plan_bound_s(const struct plan_input *in, double cycle_s)
+{
+	TALLOC_CTX *scratch = talloc_new(NULL);
+	uint32_t *all = pool_sizes(scratch, in, false);
+	uint32_t *wanted = pool_sizes(scratch, in, true);
+	double most = 0;
+	uint32_t i;
+
+	for (i = 0; i < in->pool_count; i++) {
+		uint32_t k = parallel(&in->pools[i], all[i]);
+		double s = k ? (wanted[i] + k - 1) / k * cycle_s : 0;
+
+		most = s > most ? s : most;
+	}
+	talloc_free(scratch);
+	return most;
+}
+
+const char *plan_budget_name(enum plan_budget budget)
+{
+	switch (budget) {
+	case PLAN_FREE:
+		return "none";
+	case PLAN_SERVING_MIN:
+		return "serving_min";
+	case PLAN_OUT_MAX:
+		return "out_max";
+	case PLAN_ZONE:
+		return "zone_out_max";
+	case PLAN_RACK:
+		return "rack_out_max";
+	}
+	return "none";
+}
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -76,7 +76,19 @@
 void platform_get_object(struct platform *p, const char *name, platform_fn fn,
 			 void *arg);
 
-/* platform_instances - value is an array of {"name", "state"}; it lags */
+/*
+ * platform_reboot - reboot an instance if it has booted `boots` times
+ *
+ * Asked again it does nothing more.
+ */
+void platform_reboot(struct platform *p, const char *instance, uint32_t boots,
+		     platform_fn fn, void *arg);
+
+/*
+ * platform_instances - value is an array of {"name", "state", "boots"}
+ *
+ * state is live, leaving or failed. The list lags.
+ */
 void platform_instances(struct platform *p, platform_fn fn, void *arg);
 
 const struct platform_counters *platform_counters(const struct platform *p);
--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -12,6 +12,7 @@
 	FIELD_BOOL,
 	FIELD_CLASS,
 	FIELD_STATE,
+	FIELD_WAVE_STATE,
 	FIELD_TEXT,
 };
 
@@ -50,6 +51,8 @@
 	{ "connections", FIELD_NUMBER, false, 1, 100000 },
 	{ "generation", FIELD_NUMBER, false, 0, UINT32_MAX },
 	{ "state", FIELD_STATE, false, 0, 0 },
+	{ "wave", FIELD_NAME, false, 0, 0 },
+	{ "boots", FIELD_NUMBER, false, 0, UINT32_MAX },
 	{ NULL, 0, false, 0, 0 },
 };
 
@@ -76,10 +79,24 @@
 	{ NULL, 0, false, 0, 0 },
 };
 
+static const struct field wave_fields[] = {
+	{ "state", FIELD_WAVE_STATE, true, 0, 0 },
+	{ "pool", FIELD_NAME, false, 0, 0 },
+	{ "zone", FIELD_NAME, false, 0, 0 },
+	{ "rack", FIELD_NAME, false, 0, 0 },
+	{ "return_max_s", FIELD_NUMBER, false, 1, 86400 },
+	{ "why", FIELD_TEXT, false, 0, 0 },
+	{ NULL, 0, false, 0, 0 },
+};
+
 static const struct kind kinds[] = {
-	{ "departments", department_fields }, { "pools", pool_fields },
-	{ "instances", instance_fields },     { "teams", team_fields },
-	{ "queues", queue_fields },	      { "keys", key_fields },
+	{ "departments", department_fields },
+	{ "pools", pool_fields },
+	{ "instances", instance_fields },
+	{ "teams", team_fields },
+	{ "queues", queue_fields },
+	{ "keys", key_fields },
+	{ "waves", wave_fields },
 };
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
@@ -87,6 +104,11 @@
 static const char *const state_names[] = { "serving", "draining", "out",
 					   "departed" };
 
+static const char *const wave_state_names[] = { "running", "paused", "halted",
+						"aborted", "done" };
+
+#define WAVE_RETURN_MAX_S 600 /* without the field */
+
 /* Checks */
 
 static bool name_is_valid(const char *name)
@@ -108,6 +130,16 @@
 	return -1;
 }
 
+static int wave_state_find(const char *name)
+{
+	int i;
+
+	for (i = 0; i <= CFG_WAVE_DONE; i++)
+		if (!strcmp(wave_state_names[i], name))
+			return i;
+	return -1;
+}
+
 static const char *wanted(const struct field *f)
 {
 	switch (f->type) {
@@ -121,6 +153,8 @@
 		return "normal or urgent";
 	case FIELD_STATE:
 		return "serving, draining, out or departed";
+	case FIELD_WAVE_STATE:
+		return "running, paused, halted, aborted or done";
 	case FIELD_TEXT:
 		return "a text";
 	}
@@ -144,6 +178,8 @@
 		return s && (!strcmp(s, "normal") || !strcmp(s, "urgent"));
 	case FIELD_STATE:
 		return s && state_find(s) >= 0;
+	case FIELD_WAVE_STATE:
+		return s && wave_state_find(s) >= 0;
 	case FIELD_TEXT:
 		return s != NULL;
 	}
@@ -437,6 +473,8 @@
 		w->slots = number(o, "slots", 1);
 		w->connections = number(o, "connections", 64);
 		w->generation = number(o, "generation", 0);
+		w->wave = text(o, "wave");
+		w->boots = number(o, "boots", 0);
 		w->state = state ? (enum cfg_instance_state)state_find(
 					   json_string_value(state))
 				 : CFG_SERVING;
@@ -530,6 +568,28 @@
 	return CFG_OK;
 }
 
+static void load_waves(struct cfg *c)
+{
+	json_t *all = json_object_get(c->doc, "waves");
+	const char *name;
+	json_t *o;
+
+	c->waves = talloc_zero_array(c, struct cfg_wave,
+				     json_object_size(all) + 1);
+	json_object_foreach(all, name, o)
+	{
+		struct cfg_wave *w = &c->waves[c->wave_count++];
+
+		w->name = talloc_strdup(c, name);
+		w->pool = text(o, "pool");
+		w->zone = text(o, "zone");
+		w->rack = text(o, "rack");
+		w->return_max_s = number(o, "return_max_s", WAVE_RETURN_MAX_S);
+		w->state =
+			(enum cfg_wave_state)wave_state_find(text(o, "state"));
+	}
+}
+
 static int cfg_destroy(struct cfg *c)
 {
 	json_decref(c->doc);
@@ -551,6 +611,7 @@
 	talloc_set_destructor(c, cfg_destroy);
 	load_teams(c, names);
 	load_pools(c, names);
+	load_waves(c);
 	if (load_instances(c, names, m) != CFG_OK ||
 	    load_queues(c, names, m) != CFG_OK ||
 	    load_keys(c, names, m) != CFG_OK) {
@@ -619,6 +680,11 @@
 	return id == INTERN_NONE ? NULL : &c->keys[id];
 }
 
+const char *cfg_wave_state_name(enum cfg_wave_state state)
+{
+	return wave_state_names[state];
+}
+
 const char *cfg_state_name(enum cfg_instance_state state)
 {
 	return state_names[state];
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -1,8 +1,8 @@
 /*
  * cfg - one version of the configuration, immutable once built
  *
- * A version is a JSON document of named objects in five kinds (departments,
- * pools, instances, teams, queues, keys) and the tables compiled from it. A
+ * A version is a JSON document of named objects in kinds (departments, pools,
+ * instances, teams, queues, keys, waves) and the tables compiled from it. A
  * change is a document of the same shape that holds only what differs: an
  * object replaces the one of its name, null removes it.
  *
@@ -73,10 +73,30 @@
 	uint32_t slots;
 	uint32_t connections;
 	uint32_t generation; /* goes up when the pool changes */
+	const char *wave;    /* the last that drained it, "" for none */
+	uint32_t boots;	     /* its count of boots when it was taken out */
 	enum cfg_instance_state state;
 	bool present;
 };
 
+enum cfg_wave_state {
+	CFG_WAVE_RUNNING,
+	CFG_WAVE_PAUSED,  /* what is out comes back, nothing new drains */
+	CFG_WAVE_HALTED,  /* paused by the conductor, which says why */
+	CFG_WAVE_ABORTED, /* what drains serves again */
+	CFG_WAVE_DONE,
+};
+
+/* A maintenance wave over the instances that fit all names given. */
+struct cfg_wave {
+	const char *name;
+	const char *pool; /* "" for any; zone and rack likewise */
+	const char *zone;
+	const char *rack;
+	uint32_t return_max_s; /* halts when an instance is out for longer */
+	enum cfg_wave_state state;
+};
+
 struct cfg_queue {
 	const char *name;
 	pool_handle pool;
@@ -109,11 +129,13 @@
 	struct cfg_instance *instances;
 	struct cfg_queue *queues;
 	struct cfg_key *keys;
+	struct cfg_wave *waves;
 	uint32_t team_count;
 	uint32_t pool_count;
 	uint32_t instance_count;
 	uint32_t queue_count;
 	uint32_t key_count;
+	uint32_t wave_count;
 	uint32_t run_max_ms; /* longest of all queues there ever were */
 	struct intern *queue_names;
 	struct intern *key_names;
@@ -161,6 +183,9 @@
 /* cfg_find_key - the key of that name or NULL */
 const struct cfg_key *cfg_find_key(const struct cfg *c, const char *name);
 
+/* cfg_wave_state_name - a wave's state in the document's words */
+const char *cfg_wave_state_name(enum cfg_wave_state state);
+
 /* cfg_state_name - an instance state in the document's words */
 const char *cfg_state_name(enum cfg_instance_state state);
 
--- /dev/null
+++ b/src/version/wave.c
@@ -0,0 +1,85 @@
+#include "version/wave.h"
+
+#include <assert.h>
+#include <string.h>
+
+static bool fits(const char *wanted, const char *is)
+{
+	return !*wanted || !strcmp(wanted, is);
+}
+
+static enum plan_state state_of(const struct cfg_instance *w)
+{
+	switch (w->state) {
+	case CFG_SERVING:
+		return PLAN_SERVING;
+	case CFG_DRAINING:
+		return PLAN_DRAINING;
+	case CFG_OUT:
+	case CFG_DEPARTED:
+		break;
+	}
+	return PLAN_OUT;
+}
+
+/* Departed and absent instances are in a pool of their own, without budget. */
+static void fill(const struct cfg *cfg, const struct cfg_wave *wave,
+		 const struct cfg_instance *w, struct plan_instance *p,
+		 struct intern *zones, struct intern *racks)
+{
+	bool begun;
+
+	p->pool = cfg->pool_count;
+	p->state = PLAN_OUT;
+	if (!w->present || w->state == CFG_DEPARTED)
+		return;
+	begun = !strcmp(w->wave, wave->name);
+	p->pool = w->pool.i;
+	p->zone = intern_add(zones, w->zone);
+	p->rack = intern_add(racks, w->rack);
+	p->state = state_of(w);
+	p->wanted = begun || (w->state == CFG_SERVING &&
+			      fits(wave->pool, cfg->pools[w->pool.i].name) &&
+			      fits(wave->zone, w->zone) &&
+			      fits(wave->rack, w->rack));
+	p->done = begun && w->state == CFG_SERVING;
+}
+
+struct plan_input *wave_input(TALLOC_CTX *ctx, const struct cfg *cfg,
+			      const struct cfg_wave *wave,
+			      struct plan_instance **instances)
+{
+	struct plan_input *in = talloc_zero(ctx, struct plan_input);
+	struct plan_instance *all = talloc_zero_array(
+		in, struct plan_instance, cfg->instance_count + 1);
+	struct plan_pool *pools = talloc_zero_array(in, struct plan_pool,
+						    cfg->pool_count + 1);
+	struct intern *zones = intern_new(in);
+	struct intern *racks = intern_new(in);
+	uint32_t i;
+
+	assert(in && all && pools);
+	for (i = 0; i < cfg->instance_count; i++)
+		fill(cfg, wave, &cfg->instances[i], &all[i], zones, racks);
+	for (i = 0; i < cfg->pool_count; i++)
+		pools[i] = (struct plan_pool){ cfg->pools[i].serving_min,
+					       cfg->pools[i].out_max };
+	in->instances = all;
+	in->pools = pools;
+	in->instance_count = cfg->instance_count;
+	in->pool_count = cfg->pool_count + 1;
+	in->zone_count = intern_count(zones);
+	in->rack_count = intern_count(racks);
+	*instances = all;
+	return in;
+}
+
+const struct cfg_wave *wave_find(const struct cfg *cfg, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < cfg->wave_count; i++)
+		if (!strcmp(cfg->waves[i].name, name))
+			return &cfg->waves[i];
+	return NULL;
+}
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -7,6 +7,7 @@
  *	latency_ms	delays every answer
  *	lose		commits whose answer is lost after their effect
  *	instances	array of names that replaces the instance list
+ *	reboot_ms	how long a reboot takes; 0 for never
  */
 #include <argtable2.h>
 #include <assert.h>
@@ -22,13 +23,16 @@
 #include "process/log.h"
 
 #define BODY_MAX (64u << 20) /* bytes */
-#define SILENCE_S 30	     /* until a lost answer closes its connection */
+#define REBOOT_MS 1000
+#define SILENCE_S 30 /* until a lost answer closes its connection */
 
 struct state {
 	struct tevent_context *ev;
 	json_t *rows; /* key -> {"version", "value"} */
 	json_t *objects;
 	json_t *instances;
+	json_t *boots; /* name -> boots so far */
+	uint32_t reboot_ms;
 	uint64_t revision;
 	uint64_t reads;
 	uint64_t writes;
@@ -252,12 +256,60 @@
 
 	json_array_foreach(s->instances, i, name)
 	{
-		json_array_append_new(list, json_pack("{s:O, s:s}", "name",
-						      name, "state", "live"));
+		json_array_append_new(
+			list,
+			json_pack("{s:O, s:s, s:I}", "name", name, "state",
+				  "live", "boots",
+				  json_integer_value(json_object_get(
+					  s->boots, json_string_value(name)))));
 	}
 	return list;
 }
 
+struct reboot {
+	struct state *state;
+	char *name;
+	uint64_t boots;
+};
+
+static void on_booted(struct tevent_context *ev, struct tevent_timer *te,
+		      struct timeval now, void *arg)
+{
+	struct reboot *b = arg;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	json_object_set_new(b->state->boots, b->name,
+			    json_integer((json_int_t)b->boots + 1));
+	talloc_free(b);
+}
+
+static void reboot(struct state *s, struct httpd_request *r)
+{
+	const char *name = r->path + strlen("/reboot/");
+	json_t *body =
+		json_loadb(r->body ? r->body : "", r->body_length, 0, NULL);
+	uint64_t boots =
+		(uint64_t)json_integer_value(json_object_get(body, "boots"));
+	struct reboot *b;
+
+	if (s->reboot_ms && boots == (uint64_t)json_integer_value(
+					     json_object_get(s->boots, name))) {
+		b = talloc_zero(s, struct reboot);
+		b->state = s;
+		b->name = talloc_strdup(b, name);
+		b->boots = boots;
+		tevent_add_timer(
+			s->ev, b,
+			tevent_timeval_current_ofs(s->reboot_ms / 1000,
+						   s->reboot_ms % 1000 * 1000),
+			on_booted, b);
+	}
+	json_decref(body);
+	reply(s, r, 200, json_object(), s->latency_ms);
+}
+
 static void control(struct state *s, struct httpd_request *r)
 {
 	json_t *c = json_loadb(r->body ? r->body : "{}",
@@ -270,6 +322,8 @@
 		s->latency_ms = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "lose")))
 		s->lose = (uint32_t)json_integer_value(v);
+	if ((v = json_object_get(c, "reboot_ms")))
+		s->reboot_ms = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "instances")))
 		json_array_clear(s->instances),
 			json_array_extend(s->instances, v);
@@ -295,6 +349,8 @@
 		scan(s, r);
 	else if (!strncmp(r->path, "/objects/", 9))
 		object(s, r);
+	else if (!strncmp(r->path, "/reboot/", 8))
+		reboot(s, r);
 	else if (!strcmp(r->path, "/instances"))
 		reply(s, r, 200, json_pack("{s:o}", "value", instance_list(s)),
 		      s->latency_ms);
@@ -326,6 +382,8 @@
 	s->rows = json_object();
 	s->objects = json_object();
 	s->instances = json_array();
+	s->boots = json_object();
+	s->reboot_ms = REBOOT_MS;
 	options.port = (uint16_t)port->ival[0];
 	if (!httpd_new(s, s->ev, &options)) {
 		log_event(LOG_ERROR, "platform", "cannot listen on port %d",
--- a/tools/check.py
+++ b/tools/check.py
@@ -4,6 +4,7 @@
 over: neither as passed nor as failed.
 """
 
+import concurrent.futures
 import glob
 import os
 import subprocess
@@ -75,6 +76,14 @@
                 if done.returncode else None)
 
 
+def run_scenarios(build):
+    """The cases of each file one after another, the files side by side."""
+    paths = sorted(glob.glob("test/scenarios/*.txt"))
+    with concurrent.futures.ThreadPoolExecutor(len(paths)) as pool:
+        yield from pool.map(
+            lambda path: list(scenario.run_file(path, build)), paths)
+
+
 def main(build):
     results = Results()
     for path in sorted(glob.glob(f"{build}/test/*_test")):
@@ -87,8 +96,9 @@
     make_sanitized()
     results.add("malformed requests and frames", fuzz.run(build))
     check_bench(results, build)
-    for path in sorted(glob.glob("test/scenarios/*.txt")):
-        for title, error in scenario.run_file(path, build):
+    results.command("bench waves", [f"{build}/bench/waves"])
+    for found in run_scenarios(build):
+        for title, error in found:
             results.add(title, error)
     print(f"{results.passed} passed, {results.failed} failed")
     return results.failed > 0
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -154,7 +154,8 @@
         wait_until(f"{name} ready: {self.log_text()}", ready, seconds)
 
     def list_instances(self, without=()):
-        names = [n for n in self.entries if n not in without]
+        names = [n for n in [*self.entries, *self.workers]
+                 if n not in without]
         self.control_platform(instances=names)
 
     def control_platform(self, **what):
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -273,6 +273,27 @@
         self.codes.append(self.fleet.change(
             "entry-1", {"instances": {name: changed}})[0])
 
+    def do_wave(self, name, state, *more):
+        """wave NAME STATE [FIELD VALUE]...: sets a wave's object."""
+        wave = {"state": state, **options(more)}
+        if "return_max_s" in wave:
+            wave["return_max_s"] = int(wave["return_max_s"])
+        self.codes.append(self.fleet.change(
+            "entry-1", {"waves": {name: wave}})[0])
+
+    def do_reboots(self, time_text):
+        self.fleet.control_platform(reboot_ms=int(seconds(time_text) * 1000))
+
+    def do_await(self, name, state):
+        """await WAVE STATE: waits for the conductor."""
+        def reached():
+            for p in self.fleet.entries.values():
+                if p.running() and p.name not in self.stopped:
+                    body = self.fleet.admin(p.name, "GET", "/v1/config")[1]
+                    return body["config"]["waves"][name]["state"] == state
+            return False
+        fleet.wait_until(f"wave {name} {state}", reached, 60.0)
+
     def do_home(self, name):
         """home INSTANCE: waits until no entry holds a slot of it."""
         def home():
@@ -330,6 +351,10 @@
             return self.fleet.entries[words[1]].popen.wait(timeout=30)
         if what == "gap":
             return self.longest_gap(words[1])
+        if what == "maintained":
+            body = self.fleet.admin("entry-1", "GET", "/v1/config")[1]
+            return sum(i.get("wave") == words[1] and i["state"] == "serving"
+                       for i in body["config"]["instances"].values())
         if what == "started":
             return self.started_while_out(words[1])
         if what == "idle":
