test: mutants; bound on a worker's connections

make mutants takes seven safeguards away, one at a time, on a copy of the tree; the scenario named for each must then fail.

Two settings had no effect. drain_s is gone; entries_max now bounds the connections that each thread keeps to a worker, with worker_connections.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, demo, check, lint, bench, bench-slopes, format, clean.
+# Targets: all, demo, check, lint, bench, bench-slopes, mutants, format, clean.
 # `make SANITIZE=1 ...` builds with the address and undefined sanitizers
 # into a folder of its own.
 
@@ -83,6 +83,9 @@
 	@$(MAKE) --no-print-directory -s all
 	@python3 tools/slopes.py $(B)
 
+mutants: packages
+	@python3 tools/mutants.py
+
 lint: packages
 	@sh tools/lint.sh
 
@@ -94,5 +97,6 @@
 
 -include $(wildcard $(B)/*/*.d $(B)/*/*/*.d)
 
-.PHONY: all packages proto demo check bench bench-slopes lint format clean
+.PHONY: all packages proto demo check bench bench-slopes mutants lint format \
+	clean
 .SECONDARY:
--- a/cli/api.c
+++ b/cli/api.c
@@ -36,7 +36,7 @@
 {
 	TALLOC_CTX *ctx = talloc_new(NULL);
 	struct tevent_context *ev = tevent_context_init(ctx);
-	struct httpc *http = httpc_new(ctx, ev, 1);
+	struct httpc *http = httpc_new(ctx, ev, 1, 0);
 	struct call call = { 0 };
 	char url[API_URL_MAX];
 	char authorization[API_HEADER_MAX];
--- a/cli/wave.c
+++ b/cli/wave.c
@@ -131,17 +131,17 @@
 /* A line a rack, grouped by availability zone, a mark an instance. */
 static void print_fleet(const struct cfg *cfg, const struct plan_input *in)
 {
-	struct place *places = talloc_array(NULL, struct place,
-					    cfg->instance_count + 1);
+	struct place *places =
+		talloc_array(NULL, struct place, cfg->instance_count + 1);
 	uint32_t n = 0;
 	uint32_t i;
 
 	for (i = 0; i < cfg->instance_count; i++)
 		if (cfg->instances[i].present)
-			places[n++] = (struct place){
-				cfg->instances[i].zone, cfg->instances[i].rack,
-				mark_of(&in->instances[i])
-			};
+			places[n++] =
+				(struct place){ cfg->instances[i].zone,
+						cfg->instances[i].rack,
+						mark_of(&in->instances[i]) };
 	qsort(places, n, sizeof(*places), by_place);
 	printf("# done  . to do  - not in the wave  d draining  o out");
 	for (i = 0; i < n; i++) {
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -441,7 +441,7 @@
 }
 
 struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
-			uint32_t connections_max)
+			uint32_t connections_max, uint32_t host_max)
 {
 	struct httpc *c = talloc_zero(ctx, struct httpc);
 
@@ -460,6 +460,8 @@
 	curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
 	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
 			  (long)connections_max);
+	curl_multi_setopt(c->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)host_max);
 	talloc_set_destructor(c, httpc_destroy);
 	return c;
 }
--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -60,9 +60,14 @@
 
 #define HTTPC_ANSWER_MAX (16u << 20) /* bytes */
 
-/* httpc_new - a client on ev, owned by ctx; NULL when libcurl fails */
+/*
+ * httpc_new - a client on ev, owned by ctx; NULL when libcurl fails
+ *
+ * It keeps up to connections_max connections, of them host_max to one host;
+ * 0 for no bound. A request beyond waits inside for a connection.
+ */
 struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
-			uint32_t connections_max);
+			uint32_t connections_max, uint32_t host_max);
 
 /*
  * httpc_start - send one request
--- a/src/connection/platform_http.c
+++ b/src/connection/platform_http.c
@@ -143,7 +143,7 @@
 
 	if (!p)
 		return NULL;
-	p->http = httpc_new(p, ev, PLATFORM_CONNECTIONS);
+	p->http = httpc_new(p, ev, PLATFORM_CONNECTIONS, 0);
 	p->url = talloc_strdup(p, url);
 	if (!p->http || !p->url)
 		TALLOC_FREE(p);
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -41,8 +41,8 @@
 
 	if (instance >= count) {
 		c->count = instance * 2 + 16;
-		c->sights = talloc_realloc(c, c->sights, struct sight,
-					   c->count);
+		c->sights =
+			talloc_realloc(c, c->sights, struct sight, c->count);
 		assert(c->sights);
 		memset(c->sights + count, 0,
 		       (c->count - count) * sizeof(*c->sights));
@@ -126,8 +126,8 @@
 static json_t *copy_of(const struct entry *e, const char *kind,
 		       const char *name)
 {
-	return json_copy(json_object_get(json_object_get(e->cfg->doc, kind),
-					 name));
+	return json_copy(
+		json_object_get(json_object_get(e->cfg->doc, kind), name));
 }
 
 static void set_wave(struct entry *e, const struct cfg_wave *wave,
@@ -153,9 +153,8 @@
 	json_object_set_new(object, "state",
 			    json_string(cfg_state_name(state)));
 	json_object_set_new(object, "wave", json_string(wave->name));
-	json_object_set_new(
-		object, "boots",
-		json_integer(sight_of(e->conductor, id)->boots));
+	json_object_set_new(object, "boots",
+			    json_integer(sight_of(e->conductor, id)->boots));
 	json_object_set_new(instances, name, object);
 }
 
@@ -171,9 +170,9 @@
 		const struct cfg_instance *w = &e->cfg->instances[i];
 		const struct sight *s = sight_of(e->conductor, i);
 
-		all[i].home = w->present &&
-			      core_instance_home(e->core,
-						 (instance_handle){ i });
+		all[i].home =
+			w->present &&
+			core_instance_home(e->core, (instance_handle){ i });
 		all[i].rebooted = w->present && s->boots > w->boots;
 		if (all[i].state == PLAN_SERVING && s->failed)
 			all[i].state = PLAN_FAILED;
@@ -248,9 +247,8 @@
 		if (step_state(wave, plan->steps[i].kind, &state))
 			add_step(e, instances, wave, plan->steps[i].instance,
 				 state);
-	for (i = 0; wave->state == CFG_WAVE_ABORTED &&
-		    i < e->cfg->instance_count;
-	     i++)
+	for (i = 0;
+	     wave->state == CFG_WAVE_ABORTED && i < e->cfg->instance_count; i++)
 		if (all[i].wanted && all[i].state == PLAN_DRAINING)
 			add_step(e, instances, wave, i, CFG_SERVING);
 	return instances;
@@ -271,8 +269,8 @@
 	steps = steps_json(e, wave, all, &plan);
 	if (tend_out(e, wave, all, now_ms, &late) &&
 	    wave->state == CFG_WAVE_RUNNING) {
-		snprintf(why, sizeof(why), "%s has not come back in %u s",
-			 late, wave->return_max_s);
+		snprintf(why, sizeof(why), "%s has not come back in %u s", late,
+			 wave->return_max_s);
 		json_decref(steps);
 		set_wave(e, wave, CFG_WAVE_HALTED, why);
 	} else if (json_object_size(steps)) {
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -577,6 +577,14 @@
 	return f->server != NULL;
 }
 
+/* This front's part of the connections that a worker takes. */
+static uint32_t host_max(const struct settings *s)
+{
+	uint32_t part = s->worker_connections / (s->entries_max * s->threads);
+
+	return part ? part : 1;
+}
+
 static void *front_run(void *arg)
 {
 	struct front *f = arg;
@@ -600,7 +608,7 @@
 	pthread_mutex_init(&f->mail_lock, NULL);
 	f->ev = tevent_context_init(f);
 	f->mail_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	f->client = httpc_new(f, f->ev, s->connections_max);
+	f->client = httpc_new(f, f->ev, s->connections_max, host_max(s));
 	if (!f->ev || f->mail_fd < 0 || !f->client || !front_listen(f) ||
 	    !tevent_add_fd(f->ev, f, f->mail_fd, TEVENT_FD_READ, on_mail, f) ||
 	    pthread_create(&f->thread, NULL, front_run, f)) {
--- a/src/process/plan.c
+++ b/src/process/plan.c
@@ -157,8 +157,8 @@
 	struct counts counts;
 
 	*out = (struct plan_result){ .blocked = PLAN_FREE };
-	out->steps = talloc_array(ctx, struct plan_step,
-				  in->instance_count + 1);
+	out->steps =
+		talloc_array(ctx, struct plan_step, in->instance_count + 1);
 	assert(out->steps && scratch);
 	count_all(scratch, in, &counts);
 	plan_further(in, out);
@@ -169,9 +169,8 @@
 /* How many of a pool may be out at once when all of it is well. */
 static uint32_t parallel(const struct plan_pool *p, uint32_t instances)
 {
-	uint32_t spare = instances > p->serving_min
-				 ? instances - p->serving_min
-				 : 0;
+	uint32_t spare =
+		instances > p->serving_min ? instances - p->serving_min : 0;
 
 	return spare < p->out_max ? spare : p->out_max;
 }
@@ -201,8 +200,8 @@
 		if (!wanted[i] || parallel(&in->pools[i], all[i]))
 			continue;
 		out->blocked_pool = i;
-		out->blocked = in->pools[i].out_max ? PLAN_SERVING_MIN
-						    : PLAN_OUT_MAX;
+		out->blocked =
+			in->pools[i].out_max ? PLAN_SERVING_MIN : PLAN_OUT_MAX;
 	}
 	talloc_free(scratch);
 	return out->blocked == PLAN_FREE;
--- a/src/process/plan.h
+++ b/src/process/plan.h
@@ -64,9 +64,9 @@
 };
 
 enum plan_budget {
-	PLAN_FREE,	   /* nothing stands in the way */
+	PLAN_FREE,	  /* nothing stands in the way */
 	PLAN_SERVING_MIN, /* of a pool */
-	PLAN_OUT_MAX,	   /* of a pool */
+	PLAN_OUT_MAX,	  /* of a pool */
 	PLAN_ZONE,
 	PLAN_RACK,
 };
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -16,6 +16,7 @@
 #define DEFAULT_BODY_MAX_KIB 1024
 #define DEFAULT_CONNECTIONS_MAX 20000
 #define DEFAULT_ENTRIES_MAX 7
+#define DEFAULT_WORKER_CONNECTIONS 64
 
 static const cyaml_schema_field_t operator_fields[] = {
 	CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER,
@@ -52,7 +53,7 @@
 	NUMBER_FIELD(body_max_kib),
 	NUMBER_FIELD(connections_max),
 	NUMBER_FIELD(entries_max),
-	NUMBER_FIELD(drain_s),
+	NUMBER_FIELD(worker_connections),
 	CYAML_FIELD_SEQUENCE("operators",
 			     CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 			     struct settings, operators, &operator_schema, 0,
@@ -87,7 +88,7 @@
 	BOUND(body_max_kib, DEFAULT_BODY_MAX_KIB, 1, 65536),
 	BOUND(connections_max, DEFAULT_CONNECTIONS_MAX, 1, 100000),
 	BOUND(entries_max, DEFAULT_ENTRIES_MAX, 1, 64),
-	BOUND(drain_s, 0, 0, 86400),
+	BOUND(worker_connections, DEFAULT_WORKER_CONNECTIONS, 1, 100000),
 };
 
 static bool check_numbers(struct settings *s, const char *path,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -28,8 +28,8 @@
 	uint32_t waiting_mib;	  /* MiB that they may take */
 	uint32_t body_max_kib;	  /* KiB of a request's body */
 	uint32_t connections_max; /* of callers */
-	uint32_t entries_max; /* entries that share a worker's connections */
-	uint32_t drain_s;     /* longest graceful stop; 0 for no bound */
+	uint32_t entries_max;	  /* that share a worker's connections */
+	uint32_t worker_connections; /* of all entries to one worker */
 	struct settings_operator *operators;
 	uint32_t operators_count;
 };
--- a/src/version/wave.c
+++ b/src/version/wave.c
@@ -38,10 +38,10 @@
 	p->zone = intern_add(zones, w->zone);
 	p->rack = intern_add(racks, w->rack);
 	p->state = state_of(w);
-	p->wanted = begun || (w->state == CFG_SERVING &&
-			      fits(wave->pool, cfg->pools[w->pool.i].name) &&
-			      fits(wave->zone, w->zone) &&
-			      fits(wave->rack, w->rack));
+	p->wanted = begun ||
+		    (w->state == CFG_SERVING &&
+		     fits(wave->pool, cfg->pools[w->pool.i].name) &&
+		     fits(wave->zone, w->zone) && fits(wave->rack, w->rack));
 	p->done = begun && w->state == CFG_SERVING;
 }
 
@@ -50,10 +50,10 @@
 			      struct plan_instance **instances)
 {
 	struct plan_input *in = talloc_zero(ctx, struct plan_input);
-	struct plan_instance *all = talloc_zero_array(
-		in, struct plan_instance, cfg->instance_count + 1);
-	struct plan_pool *pools = talloc_zero_array(in, struct plan_pool,
-						    cfg->pool_count + 1);
+	struct plan_instance *all = talloc_zero_array(in, struct plan_instance,
+						      cfg->instance_count + 1);
+	struct plan_pool *pools =
+		talloc_zero_array(in, struct plan_pool, cfg->pool_count + 1);
 	struct intern *zones = intern_new(in);
 	struct intern *racks = intern_new(in);
 	uint32_t i;
