--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 $(B)/jackdawwell: $(patsubst %.c,$(B)/%.o,$(wildcard cli/*.c)) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(B)/standin/%: $(B)/standin/%.o $(LIB)
+$(B)/standin/%: $(B)/standin/%.o $(B)/standin/serve.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
 $(B)/test/%: $(B)/test/%.o $(LIB)
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -1,8 +1,8 @@
 /*
  * core_internal - what the core's source files share
  *
- * core.c has configuration, members and the request's way; core_units.c
- * draws, lends and reports units; core_print.c writes the metrics.
+ * core.c has the request's way, core_cfg.c configuration and members;
+ * core_units.c draws, lends and reports units; core_print.c writes metrics.
  */
 #ifndef CORE_INTERNAL_H
 #define CORE_INTERNAL_H
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -8,6 +8,7 @@
  * entry_wire.c		frames between entries
  * entry_out.c		effects of the core, carried out by the control loop
  * front.c		callers' requests, one front a thread
+ * front_worker.c	exchanges with workers
  * admin.c		the administration API
  * conductor.c		maintenance waves
  *
--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -1,296 +1,11 @@
-#include "version/cfg.h"
+#include "version/cfg_internal.h"
 
 #include <assert.h>
 #include <sodium.h>
 #include <string.h>
 
-/* Fields of each kind of object */
-
-enum field_type {
-	FIELD_NUMBER,
-	FIELD_NAME,
-	FIELD_BOOL,
-	FIELD_CLASS,
-	FIELD_STATE,
-	FIELD_WAVE_STATE,
-	FIELD_TEXT,
-};
-
-struct field {
-	const char *name;
-	enum field_type type;
-	bool required;
-	uint32_t low;
-	uint32_t high;
-};
-
-struct kind {
-	const char *name;
-	const struct field *fields;
-};
-
-static const struct field department_fields[] = {
-	{ "leaves", FIELD_TEXT, false, 0, 0 },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct field pool_fields[] = {
-	{ "service", FIELD_NAME, true, 0, 0 },
-	{ "serving_min", FIELD_NUMBER, false, 0, 100000 },
-	{ "out_max", FIELD_NUMBER, false, 0, 100000 },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct field instance_fields[] = {
-	{ "address", FIELD_TEXT, true, 0, 0 },
-	{ "pool", FIELD_NAME, true, 0, 0 },
-	{ "zone", FIELD_NAME, true, 0, 0 },
-	{ "rack", FIELD_NAME, true, 0, 0 },
-	{ "department", FIELD_NAME, false, 0, 0 },
-	{ "slots", FIELD_NUMBER, true, 1, 10000 },
-	{ "connections", FIELD_NUMBER, false, 1, 100000 },
-	{ "generation", FIELD_NUMBER, false, 0, UINT32_MAX },
-	{ "state", FIELD_STATE, false, 0, 0 },
-	{ "wave", FIELD_NAME, false, 0, 0 },
-	{ "boots", FIELD_NUMBER, false, 0, UINT32_MAX },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct field team_fields[] = {
-	{ "share", FIELD_NUMBER, true, 1, 1000000 },
-	{ "limit", FIELD_NUMBER, true, 0, 1000000 },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct field queue_fields[] = {
-	{ "pool", FIELD_NAME, true, 0, 0 },
-	{ "team", FIELD_NAME, false, 0, 0 },
-	{ "class", FIELD_CLASS, false, 0, 0 },
-	{ "idempotent", FIELD_BOOL, false, 0, 0 },
-	{ "open", FIELD_BOOL, false, 0, 0 },
-	{ "run_max_ms", FIELD_NUMBER, true, 1, CFG_RUN_MAX_MS },
-	{ "wait_max_ms", FIELD_NUMBER, true, 1, CFG_RUN_MAX_MS },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct field key_fields[] = {
-	{ "team", FIELD_NAME, true, 0, 0 },
-	{ "hash", FIELD_TEXT, true, 0, 0 },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct field wave_fields[] = {
-	{ "state", FIELD_WAVE_STATE, true, 0, 0 },
-	{ "pool", FIELD_NAME, false, 0, 0 },
-	{ "zone", FIELD_NAME, false, 0, 0 },
-	{ "rack", FIELD_NAME, false, 0, 0 },
-	{ "return_max_s", FIELD_NUMBER, false, 1, 86400 },
-	{ "why", FIELD_TEXT, false, 0, 0 },
-	{ NULL, 0, false, 0, 0 },
-};
-
-static const struct kind kinds[] = {
-	{ "departments", department_fields },
-	{ "pools", pool_fields },
-	{ "instances", instance_fields },
-	{ "teams", team_fields },
-	{ "queues", queue_fields },
-	{ "keys", key_fields },
-	{ "waves", wave_fields },
-};
-
-#define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
-
-static const char *const state_names[] = { "serving", "draining", "out",
-					   "departed" };
-
-static const char *const wave_state_names[] = { "running", "paused", "halted",
-						"aborted", "done" };
-
 #define WAVE_RETURN_MAX_S 600 /* without the field */
 
-/* Checks */
-
-static bool name_is_valid(const char *name)
-{
-	size_t n = strlen(name);
-
-	return n > 0 && n <= CFG_NAME_MAX &&
-	       strspn(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVW"
-			    "XYZ0123456789-_.") == n;
-}
-
-static int state_find(const char *name)
-{
-	int i;
-
-	for (i = 0; i < 4; i++)
-		if (!strcmp(state_names[i], name))
-			return i;
-	return -1;
-}
-
-static int wave_state_find(const char *name)
-{
-	int i;
-
-	for (i = 0; i <= CFG_WAVE_DONE; i++)
-		if (!strcmp(wave_state_names[i], name))
-			return i;
-	return -1;
-}
-
-static const char *wanted(const struct field *f)
-{
-	switch (f->type) {
-	case FIELD_NUMBER:
-		return "a whole number";
-	case FIELD_NAME:
-		return "a name of letters, digits, '-', '_' and '.'";
-	case FIELD_BOOL:
-		return "true or false";
-	case FIELD_CLASS:
-		return "normal or urgent";
-	case FIELD_STATE:
-		return "serving, draining, out or departed";
-	case FIELD_WAVE_STATE:
-		return "running, paused, halted, aborted or done";
-	case FIELD_TEXT:
-		return "a text";
-	}
-	return "";
-}
-
-static bool value_fits(const struct field *f, const json_t *v)
-{
-	const char *s = json_string_value(v);
-
-	switch (f->type) {
-	case FIELD_NUMBER:
-		return json_is_integer(v) &&
-		       json_integer_value(v) >= (json_int_t)f->low &&
-		       json_integer_value(v) <= (json_int_t)f->high;
-	case FIELD_NAME:
-		return s && name_is_valid(s);
-	case FIELD_BOOL:
-		return json_is_boolean(v);
-	case FIELD_CLASS:
-		return s && (!strcmp(s, "normal") || !strcmp(s, "urgent"));
-	case FIELD_STATE:
-		return s && state_find(s) >= 0;
-	case FIELD_WAVE_STATE:
-		return s && wave_state_find(s) >= 0;
-	case FIELD_TEXT:
-		return s != NULL;
-	}
-	return false;
-}
-
-static const struct field *field_find(const struct kind *kind, const char *name)
-{
-	const struct field *f;
-
-	for (f = kind->fields; f->name; f++)
-		if (!strcmp(f->name, name))
-			return f;
-	return NULL;
-}
-
-static enum cfg_status fail_value(const struct kind *kind, const char *object,
-				  const struct field *f, const json_t *value,
-				  struct status_message *m)
-{
-	char *text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
-
-	if (f->type == FIELD_NUMBER)
-		status_set(m,
-			   "%s \"%s\": field \"%s\" is %s, wanted a whole "
-			   "number from %u to %u",
-			   kind->name, object, f->name, text, f->low, f->high);
-	else
-		status_set(m, "%s \"%s\": field \"%s\" is %s, wanted %s",
-			   kind->name, object, f->name, text, wanted(f));
-	free(text);
-	return CFG_INVALID;
-}
-
-static enum cfg_status check_object(const struct kind *kind, const char *name,
-				    const json_t *object,
-				    struct status_message *m)
-{
-	const struct field *f;
-	const char *key;
-	json_t *value;
-
-	if (!name_is_valid(name)) {
-		status_set(m, "%s \"%s\": not a valid name", kind->name, name);
-		return CFG_INVALID;
-	}
-	if (!json_is_object(object)) {
-		status_set(m, "%s \"%s\": wanted an object", kind->name, name);
-		return CFG_INVALID;
-	}
-	json_object_foreach((json_t *)object, key, value)
-	{
-		f = field_find(kind, key);
-		if (!f) {
-			status_set(m, "%s \"%s\": unknown field \"%s\"",
-				   kind->name, name, key);
-			return CFG_INVALID;
-		}
-		if (!value_fits(f, value))
-			return fail_value(kind, name, f, value, m);
-	}
-	for (f = kind->fields; f->name; f++) {
-		if (!f->required || json_object_get(object, f->name))
-			continue;
-		status_set(m, "%s \"%s\": field \"%s\" is missing", kind->name,
-			   name, f->name);
-		return CFG_INVALID;
-	}
-	return CFG_OK;
-}
-
-static const struct kind *kind_find(const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < KIND_COUNT; i++)
-		if (!strcmp(kinds[i].name, name))
-			return &kinds[i];
-	return NULL;
-}
-
-enum cfg_status cfg_check(const json_t *change, struct status_message *m)
-{
-	const char *kind_name;
-	const char *name;
-	json_t *objects;
-	json_t *object;
-	const struct kind *kind;
-
-	if (!json_is_object(change)) {
-		status_set(m, "change: wanted an object of kinds");
-		return CFG_INVALID;
-	}
-	json_object_foreach((json_t *)change, kind_name, objects)
-	{
-		kind = kind_find(kind_name);
-		if (!kind || !json_is_object(objects)) {
-			status_set(m, "unknown kind \"%s\"", kind_name);
-			return CFG_INVALID;
-		}
-		json_object_foreach(objects, name, object)
-		{
-			if (json_is_null(object))
-				continue;
-			if (check_object(kind, name, object, m) != CFG_OK)
-				return CFG_INVALID;
-		}
-	}
-	return CFG_OK;
-}
-
 /* Documents */
 
 /* A copy of doc with the change's objects put in; objects are shared. */
@@ -300,13 +15,13 @@
 	json_t *objects;
 	json_t *object;
 	const char *name;
-	size_t i;
+	uint32_t i;
 
-	for (i = 0; i < KIND_COUNT; i++) {
-		objects = json_copy(json_object_get(doc, kinds[i].name));
+	for (i = 0; i < CFG_KINDS; i++) {
+		objects = json_copy(json_object_get(doc, cfg_kind_name(i)));
 		if (!objects)
 			objects = json_object();
-		json_object_foreach(json_object_get(change, kinds[i].name),
+		json_object_foreach(json_object_get(change, cfg_kind_name(i)),
 				    name, object)
 		{
 			if (json_is_null(object))
@@ -314,7 +29,7 @@
 			else
 				json_object_set(objects, name, object);
 		}
-		json_object_set_new(merged, kinds[i].name, objects);
+		json_object_set_new(merged, cfg_kind_name(i), objects);
 	}
 	return merged;
 }
@@ -327,11 +42,11 @@
 	json_t *part;
 	json_t *object;
 	const char *name;
-	size_t i;
+	uint32_t i;
 
-	for (i = 0; i < KIND_COUNT; i++) {
-		has = json_object_get(doc, kinds[i].name);
-		had = json_object_get(base, kinds[i].name);
+	for (i = 0; i < CFG_KINDS; i++) {
+		has = json_object_get(doc, cfg_kind_name(i));
+		had = json_object_get(base, cfg_kind_name(i));
 		if (!has)
 			continue;
 		part = json_object();
@@ -346,7 +61,7 @@
 				json_object_set_new(part, name, json_null());
 		}
 		if (json_object_size(part))
-			json_object_set(change, kinds[i].name, part);
+			json_object_set(change, cfg_kind_name(i), part);
 		json_decref(part);
 	}
 	return change;
@@ -475,7 +190,7 @@
 		w->generation = number(o, "generation", 0);
 		w->wave = text(o, "wave");
 		w->boots = number(o, "boots", 0);
-		w->state = state ? (enum cfg_instance_state)state_find(
+		w->state = state ? (enum cfg_instance_state)cfg_state_find(
 					   json_string_value(state))
 				 : CFG_SERVING;
 		w->present = true;
@@ -585,8 +300,8 @@
 		w->zone = text(o, "zone");
 		w->rack = text(o, "rack");
 		w->return_max_s = number(o, "return_max_s", WAVE_RETURN_MAX_S);
-		w->state =
-			(enum cfg_wave_state)wave_state_find(text(o, "state"));
+		w->state = (enum cfg_wave_state)cfg_wave_state_find(
+			text(o, "state"));
 	}
 }
 
@@ -679,13 +394,3 @@
 
 	return id == INTERN_NONE ? NULL : &c->keys[id];
 }
-
-const char *cfg_wave_state_name(enum cfg_wave_state state)
-{
-	return wave_state_names[state];
-}
-
-const char *cfg_state_name(enum cfg_instance_state state)
-{
-	return state_names[state];
-}
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -13,16 +13,13 @@
 #include <assert.h>
 #include <inttypes.h>
 #include <jansson.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 #include <tevent.h>
 
-#include "connection/httpd.h"
-#include "process/log.h"
+#include "standin/serve.h"
 
-#define BODY_MAX (64u << 20) /* bytes */
 #define REBOOT_MS 1000
 #define SILENCE_S 30 /* until a lost answer closes its connection */
 
@@ -47,8 +44,9 @@
 	json_t *body;
 };
 
-static void send_reply(struct reply *r)
+static void send_reply(void *arg)
 {
+	struct reply *r = arg;
 	struct httpd_answer answer = { .code = r->code };
 
 	answer.body = json_dumps(r->body, JSON_COMPACT);
@@ -58,15 +56,6 @@
 	talloc_free(r);
 }
 
-static void on_delay(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval now, void *arg)
-{
-	(void)ev;
-	(void)te;
-	(void)now;
-	send_reply(arg);
-}
-
 /* Takes over body. */
 static void reply(struct state *s, struct httpd_request *request,
 		  unsigned int code, json_t *body, uint32_t delay_ms)
@@ -80,10 +69,7 @@
 		send_reply(r);
 		return;
 	}
-	tevent_add_timer(s->ev, r,
-			 tevent_timeval_current_ofs(delay_ms / 1000,
-						    delay_ms % 1000 * 1000),
-			 on_delay, r);
+	serve_after(r, s->ev, delay_ms, send_reply, r);
 }
 
 static uint64_t row_version(const struct state *s, const char *key)
@@ -272,14 +258,10 @@
 	uint64_t boots;
 };
 
-static void on_booted(struct tevent_context *ev, struct tevent_timer *te,
-		      struct timeval now, void *arg)
+static void on_booted(void *arg)
 {
 	struct reboot *b = arg;
 
-	(void)ev;
-	(void)te;
-	(void)now;
 	json_object_set_new(b->state->boots, b->name,
 			    json_integer((json_int_t)b->boots + 1));
 	talloc_free(b);
@@ -300,11 +282,7 @@
 		b->state = s;
 		b->name = talloc_strdup(b, name);
 		b->boots = boots;
-		tevent_add_timer(
-			s->ev, b,
-			tevent_timeval_current_ofs(s->reboot_ms / 1000,
-						   s->reboot_ms % 1000 * 1000),
-			on_booted, b);
+		serve_after(b, s->ev, s->reboot_ms, on_booted, b);
 	}
 	json_decref(body);
 	reply(s, r, 200, json_object(), s->latency_ms);
@@ -364,31 +342,18 @@
 	struct arg_end *end = arg_end(4);
 	void *table[] = { port, end };
 	struct state *s = talloc_zero(NULL, struct state);
-	struct httpd_options options = {
-		.address = "127.0.0.1",
-		.body_max = BODY_MAX,
-		.connections_max = 1000,
-		.handler = on_request,
-		.arg = s,
-	};
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "platform");
 		return 2;
 	}
-	signal(SIGPIPE, SIG_IGN);
-	log_init(LOG_INFO, "platform");
 	s->ev = tevent_context_init(s);
 	s->rows = json_object();
 	s->objects = json_object();
 	s->instances = json_array();
 	s->boots = json_object();
 	s->reboot_ms = REBOOT_MS;
-	options.port = (uint16_t)port->ival[0];
-	if (!httpd_new(s, s->ev, &options)) {
-		log_event(LOG_ERROR, "platform", "cannot listen on port %d",
-			  port->ival[0]);
+	if (!serve_listen(s, s->ev, "platform", port->ival[0], on_request, s))
 		return 1;
-	}
 	return tevent_loop_wait(s->ev);
 }
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -14,7 +14,6 @@
 #include <assert.h>
 #include <inttypes.h>
 #include <jansson.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -22,11 +21,10 @@
 #include <tevent.h>
 #include <unistd.h>
 
-#include "connection/httpd.h"
 #include "process/clock.h"
 #include "process/log.h"
+#include "standin/serve.h"
 
-#define BODY_MAX (64u << 20) /* bytes */
 #define BIG_BYTES (8u << 20)
 #define NEVER_MS 600000u
 
@@ -104,8 +102,9 @@
 	answer_text(r, 200, NULL, "");
 }
 
-static void finish(struct run *run)
+static void finish(void *arg)
 {
+	struct run *run = arg;
 	struct state *s = run->state;
 	struct httpd_request *r = run->request;
 	const char *b = run->behave;
@@ -137,15 +136,6 @@
 	talloc_free(run);
 }
 
-static void on_held(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *arg)
-{
-	(void)ev;
-	(void)te;
-	(void)now;
-	finish(arg);
-}
-
 static void note_run(struct state *s, struct run *run)
 {
 	const char *id = header(run->request, "X-Request-Id");
@@ -179,10 +169,7 @@
 		finish(run);
 		return;
 	}
-	tevent_add_timer(
-		s->ev, run,
-		tevent_timeval_current_ofs(ms / 1000, ms % 1000 * 1000),
-		on_held, run);
+	serve_after(run, s->ev, ms, finish, run);
 }
 
 static void control(struct state *s, struct httpd_request *r)
@@ -235,31 +222,18 @@
 	struct arg_end *end = arg_end(4);
 	void *table[] = { port, hold, quiet, end };
 	struct state *s = talloc_zero(NULL, struct state);
-	struct httpd_options options = {
-		.address = "127.0.0.1",
-		.body_max = BODY_MAX,
-		.connections_max = 1000,
-		.handler = on_request,
-		.arg = s,
-	};
 
 	hold->ival[0] = 0;
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "worker");
 		return 2;
 	}
-	signal(SIGPIPE, SIG_IGN);
-	log_init(LOG_INFO, "worker");
 	s->ev = tevent_context_init(s);
 	s->runs = json_object();
 	s->intervals = json_array();
 	s->hold_ms = (uint32_t)hold->ival[0];
 	s->record = !quiet->count;
-	options.port = (uint16_t)port->ival[0];
-	if (!httpd_new(s, s->ev, &options)) {
-		log_event(LOG_ERROR, "worker", "cannot listen on port %d",
-			  port->ival[0]);
+	if (!serve_listen(s, s->ev, "worker", port->ival[0], on_request, s))
 		return 1;
-	}
 	return tevent_loop_wait(s->ev);
 }
