front: mail posted while mail runs is run; shards checked; dead frame out

Cause, found by a new scenario (callers that hang up while they wait): a request that ends within the loop over mail lets the core start the next one of the same thread, which posts mail without a wake-up; the loop had already taken its list, so that request waited for some other event, up to a minute with nothing else going on. Ruled out: the retry of the abandoned request (one worker, no retry).

An entry whose settings divide the ledger into another number of shards is refused at registration; it would have counted limits in other rows. The frame that told peers of rounds was never sent and is gone.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -682,51 +682,6 @@
   assert(message->base.descriptor == &jackdawwell__advice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   jackdawwell__row_hint__init
-                     (Jackdawwell__RowHint         *message)
-{
-  static const Jackdawwell__RowHint init_value = JACKDAWWELL__ROW_HINT__INIT;
-  *message = init_value;
-}
-size_t jackdawwell__row_hint__get_packed_size
-                     (const Jackdawwell__RowHint *message)
-{
-  assert(message->base.descriptor == &jackdawwell__row_hint__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t jackdawwell__row_hint__pack
-                     (const Jackdawwell__RowHint *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &jackdawwell__row_hint__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t jackdawwell__row_hint__pack_to_buffer
-                     (const Jackdawwell__RowHint *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &jackdawwell__row_hint__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Jackdawwell__RowHint *
-       jackdawwell__row_hint__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Jackdawwell__RowHint *)
-     protobuf_c_message_unpack (&jackdawwell__row_hint__descriptor,
-                                allocator, len, data);
-}
-void   jackdawwell__row_hint__free_unpacked
-                     (Jackdawwell__RowHint *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jackdawwell__row_hint__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   jackdawwell__peer_frame__init
                      (Jackdawwell__PeerFrame         *message)
 {
@@ -1576,58 +1531,7 @@
   (ProtobufCMessageInit) jackdawwell__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jackdawwell__row_hint__field_descriptors[2] =
-{
-  {
-    "shard",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jackdawwell__RowHint, shard),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "round",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jackdawwell__RowHint, round),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jackdawwell__row_hint__field_indices_by_name[] = {
-  1,   /* field[1] = round */
-  0,   /* field[0] = shard */
-};
-static const ProtobufCIntRange jackdawwell__row_hint__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor jackdawwell__row_hint__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jackdawwell.RowHint",
-  "RowHint",
-  "Jackdawwell__RowHint",
-  "jackdawwell",
-  sizeof(Jackdawwell__RowHint),
-  2,
-  jackdawwell__row_hint__field_descriptors,
-  jackdawwell__row_hint__field_indices_by_name,
-  1,  jackdawwell__row_hint__number_ranges,
-  (ProtobufCMessageInit) jackdawwell__row_hint__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jackdawwell__peer_frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor jackdawwell__peer_frame__field_descriptors[11] =
 {
   {
     "hello",
@@ -1749,21 +1653,9 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "row_hint",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jackdawwell__PeerFrame, body_case),
-    offsetof(Jackdawwell__PeerFrame, row_hint),
-    &jackdawwell__row_hint__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "members_push",
-    12,
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Jackdawwell__PeerFrame, body_case),
@@ -1783,15 +1675,14 @@
   0,   /* field[0] = hello */
   6,   /* field[6] = lend */
   7,   /* field[7] = lend_ack */
-  11,   /* field[11] = members_push */
+  10,   /* field[10] = members_push */
   1,   /* field[1] = probe */
   2,   /* field[2] = probe_reply */
-  10,   /* field[10] = row_hint */
 };
 static const ProtobufCIntRange jackdawwell__peer_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor jackdawwell__peer_frame__descriptor =
 {
@@ -1801,7 +1692,7 @@
   "Jackdawwell__PeerFrame",
   "jackdawwell",
   sizeof(Jackdawwell__PeerFrame),
-  12,
+  11,
   jackdawwell__peer_frame__field_descriptors,
   jackdawwell__peer_frame__field_indices_by_name,
   1,  jackdawwell__peer_frame__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -30,7 +30,6 @@
 typedef struct Jackdawwell__Target Jackdawwell__Target;
 typedef struct Jackdawwell__Transfer Jackdawwell__Transfer;
 typedef struct Jackdawwell__Advice Jackdawwell__Advice;
-typedef struct Jackdawwell__RowHint Jackdawwell__RowHint;
 typedef struct Jackdawwell__PeerFrame Jackdawwell__PeerFrame;
 
 
@@ -262,20 +261,6 @@
     , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
-/*
- * Tells that a round is open in a shard of the ledger.
- */
-struct  Jackdawwell__RowHint
-{
-  ProtobufCMessage base;
-  uint32_t shard;
-  uint64_t round;
-};
-#define JACKDAWWELL__ROW_HINT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&jackdawwell__row_hint__descriptor) \
-    , 0, 0 }
-
-
 typedef enum {
   JACKDAWWELL__PEER_FRAME__BODY__NOT_SET = 0,
   JACKDAWWELL__PEER_FRAME__BODY_HELLO = 1,
@@ -288,8 +273,7 @@
   JACKDAWWELL__PEER_FRAME__BODY_LEND_ACK = 8,
   JACKDAWWELL__PEER_FRAME__BODY_DEMAND_REPORT = 9,
   JACKDAWWELL__PEER_FRAME__BODY_ADVICE = 10,
-  JACKDAWWELL__PEER_FRAME__BODY_ROW_HINT = 11,
-  JACKDAWWELL__PEER_FRAME__BODY_MEMBERS_PUSH = 12
+  JACKDAWWELL__PEER_FRAME__BODY_MEMBERS_PUSH = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JACKDAWWELL__PEER_FRAME__BODY__CASE)
 } Jackdawwell__PeerFrame__BodyCase;
 
@@ -308,7 +292,6 @@
     Jackdawwell__LendAck *lend_ack;
     Jackdawwell__DemandReport *demand_report;
     Jackdawwell__Advice *advice;
-    Jackdawwell__RowHint *row_hint;
     Jackdawwell__MembersPush *members_push;
   };
 };
@@ -602,25 +585,6 @@
 void   jackdawwell__advice__free_unpacked
                      (Jackdawwell__Advice *message,
                       ProtobufCAllocator *allocator);
-/* Jackdawwell__RowHint methods */
-void   jackdawwell__row_hint__init
-                     (Jackdawwell__RowHint         *message);
-size_t jackdawwell__row_hint__get_packed_size
-                     (const Jackdawwell__RowHint   *message);
-size_t jackdawwell__row_hint__pack
-                     (const Jackdawwell__RowHint   *message,
-                      uint8_t             *out);
-size_t jackdawwell__row_hint__pack_to_buffer
-                     (const Jackdawwell__RowHint   *message,
-                      ProtobufCBuffer     *buffer);
-Jackdawwell__RowHint *
-       jackdawwell__row_hint__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   jackdawwell__row_hint__free_unpacked
-                     (Jackdawwell__RowHint *message,
-                      ProtobufCAllocator *allocator);
 /* Jackdawwell__PeerFrame methods */
 void   jackdawwell__peer_frame__init
                      (Jackdawwell__PeerFrame         *message);
@@ -687,9 +651,6 @@
 typedef void (*Jackdawwell__Advice_Closure)
                  (const Jackdawwell__Advice *message,
                   void *closure_data);
-typedef void (*Jackdawwell__RowHint_Closure)
-                 (const Jackdawwell__RowHint *message,
-                  void *closure_data);
 typedef void (*Jackdawwell__PeerFrame_Closure)
                  (const Jackdawwell__PeerFrame *message,
                   void *closure_data);
@@ -714,7 +675,6 @@
 extern const ProtobufCMessageDescriptor jackdawwell__target__descriptor;
 extern const ProtobufCMessageDescriptor jackdawwell__transfer__descriptor;
 extern const ProtobufCMessageDescriptor jackdawwell__advice__descriptor;
-extern const ProtobufCMessageDescriptor jackdawwell__row_hint__descriptor;
 extern const ProtobufCMessageDescriptor jackdawwell__peer_frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -478,9 +478,6 @@
 	case CORE_ADVICE:
 		core_units_advised(c, &m->u.advice);
 		break;
-	case CORE_ROUND:
-		ledger_hint(c->ledger, m->u.round.shard, m->u.round.round);
-		break;
 	}
 }
 
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -31,7 +31,6 @@
 	CORE_LEND_ACK,
 	CORE_DEMAND,
 	CORE_ADVICE,
-	CORE_ROUND, /* a round is open in a shard */
 };
 
 struct core_message {
@@ -41,10 +40,6 @@
 		uint64_t ack;
 		struct broker_demand demand;
 		struct broker_advice advice;
-		struct {
-			uint32_t shard;
-			uint64_t round;
-		} round;
 	} u;
 };
 
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -164,6 +164,21 @@
 	json_decref(txn);
 }
 
+/* An entry that divides the ledger otherwise would count limits twice. */
+static void refuse_registration(struct entry *e)
+{
+	if (e->members.shards == e->settings->shards) {
+		log_event(LOG_ERROR, "members", "%d entries are registered",
+			  MEMBERS_MAX);
+		return;
+	}
+	log_event(LOG_ERROR, "members",
+		  "field \"shards\" is %u, the registered entries have %u",
+		  e->settings->shards, e->members.shards);
+	e->exit_code = 1;
+	atomic_store(&e->state, ENTRY_GONE);
+}
+
 void entry_register(struct entry *e)
 {
 	const struct member *known = find_boot(e);
@@ -179,9 +194,8 @@
 	snprintf(self.name, sizeof(self.name), "%s", e->settings->name);
 	snprintf(self.zone, sizeof(self.zone), "%s", e->settings->zone);
 	snprintf(self.address, sizeof(self.address), "%s", e->settings->peers);
-	if (!members_register(&next, &self)) {
-		log_event(LOG_ERROR, "members", "%d entries are registered",
-			  MEMBERS_MAX);
+	if (!members_register(&next, &self, e->settings->shards)) {
+		refuse_registration(e);
 		return;
 	}
 	commit_members(e, &next, on_registered);
--- a/src/entry/entry_wire.c
+++ b/src/entry/entry_wire.c
@@ -154,17 +154,6 @@
 	return f;
 }
 
-static frame_t *pack_round(uint32_t shard, uint64_t round)
-{
-	frame_t *f = frame_new(JACKDAWWELL__PEER_FRAME__BODY_ROW_HINT);
-
-	f->row_hint = zero(sizeof(*f->row_hint));
-	jackdawwell__row_hint__init(f->row_hint);
-	f->row_hint->shard = shard;
-	f->row_hint->round = round;
-	return f;
-}
-
 frame_t *entry_pack(struct entry *e, const struct core_message *m)
 {
 	switch (m->kind) {
@@ -176,8 +165,6 @@
 		return pack_demand(e, &m->u.demand);
 	case CORE_ADVICE:
 		return pack_advice(e, &m->u.advice);
-	case CORE_ROUND:
-		return pack_round(m->u.round.shard, m->u.round.round);
 	}
 	return NULL;
 }
@@ -292,13 +279,6 @@
 	case JACKDAWWELL__PEER_FRAME__BODY_ADVICE:
 		on_advice(e, from, f->advice);
 		break;
-	case JACKDAWWELL__PEER_FRAME__BODY_ROW_HINT:
-		m.kind = CORE_ROUND;
-		m.u.round.shard = f->row_hint->shard;
-		m.u.round.round = f->row_hint->round;
-		if (m.u.round.shard < e->settings->shards)
-			receive(e, from, &m);
-		break;
 	default:
 		break;
 	}
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -97,20 +97,28 @@
 	return mail;
 }
 
-void front_run_mail(struct front *f)
+static void run_list(struct request *r)
 {
-	struct request *r;
 	struct request *next;
-	bool stop;
 
-	refresh_cfg(f);
-	for (r = take_mail(f, &stop); r; r = next) {
+	for (; r; r = next) {
 		next = r->next_mail;
 		if (r->mail == MAIL_START)
 			start_job(r);
 		else
 			front_finish_refused(r, r->refusal);
 	}
+}
+
+void front_run_mail(struct front *f)
+{
+	struct request *mail;
+	bool stop;
+
+	refresh_cfg(f);
+	/* Running mail may post more of it, without a wake-up. */
+	while ((mail = take_mail(f, &stop)))
+		run_list(mail);
 	if (stop && !f->stopped) {
 		f->stopped = true;
 		httpd_stop_accepting(f->server);
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -301,22 +301,11 @@
 	}
 }
 
-uint64_t ledger_round(const struct ledger *l, uint32_t shard)
-{
-	return l->shards[shard].joined;
-}
-
 bool ledger_ready(const struct ledger *l, uint32_t shard)
 {
 	return l->shards[shard].row != NULL;
 }
 
-void ledger_hint(struct ledger *l, uint32_t shard, uint64_t round)
-{
-	if (ledger_ready(l, shard))
-		ledger_join(l, shard, round);
-}
-
 static void refresh_shard(struct ledger *l, uint32_t shard)
 {
 	struct ledger_row *row = l->shards[shard].row;
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -202,11 +202,6 @@
  */
 void ledger_gone(struct ledger *l, uint64_t members_version);
 
-uint64_t ledger_round(const struct ledger *l, uint32_t shard);
-
-/* ledger_hint - a peer tells that a round is open in a shard */
-void ledger_hint(struct ledger *l, uint32_t shard, uint64_t round);
-
 /* Transfers */
 
 /* ledger_link_new - a link to one incarnation of a peer, owned by ctx */
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -48,6 +48,8 @@
 	memset(m, 0, sizeof(*m));
 	m->version = version;
 	m->next = (uint64_t)json_integer_value(json_object_get(value, "next"));
+	m->shards =
+		(uint32_t)json_integer_value(json_object_get(value, "shards"));
 	if (!json_is_array(entries) || json_array_size(entries) > MEMBERS_MAX)
 		return false;
 	json_array_foreach(entries, i, entry)
@@ -74,8 +76,8 @@
 				  "incarnation", (json_int_t)e->incarnation,
 				  "boot", (json_int_t)e->boot));
 	}
-	return json_pack("{s:I, s:o}", "next", (json_int_t)m->next, "entries",
-			 entries);
+	return json_pack("{s:I, s:I, s:o}", "next", (json_int_t)m->next,
+			 "shards", (json_int_t)m->shards, "entries", entries);
 }
 
 struct member *members_find(struct members *m, uint64_t incarnation)
@@ -98,13 +100,15 @@
 	return n;
 }
 
-uint64_t members_register(struct members *m, const struct member *self)
+uint64_t members_register(struct members *m, const struct member *self,
+			  uint32_t shards)
 {
 	struct member *e;
 	uint32_t i;
 
-	if (m->count == MEMBERS_MAX)
+	if (m->count == MEMBERS_MAX || (m->shards && m->shards != shards))
 		return 0;
+	m->shards = shards;
 	for (i = 0; i < m->count; i++)
 		if (!strcmp(m->list[i].name, self->name))
 			m->list[i].state = MEMBER_DEAD;
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -31,6 +31,7 @@
 struct members {
 	uint64_t version; /* the row's revision, 0 without a row */
 	uint64_t next;	  /* incarnation of the next registration */
+	uint32_t shards;  /* of the ledger, set by the first registration */
 	uint32_t count;
 	struct member list[MEMBERS_MAX];
 };
@@ -47,9 +48,11 @@
  * members_register - add a new incarnation of an instance
  *
  * Older incarnations of the same name are dead: their address is in use by
- * this one. Returns the incarnation, 0 when there is no room.
+ * this one. Returns the incarnation, 0 when there is no room or the ledger
+ * has another number of shards.
  */
-uint64_t members_register(struct members *m, const struct member *self);
+uint64_t members_register(struct members *m, const struct member *self,
+			  uint32_t shards);
 
 void members_remove(struct members *m, uint64_t incarnation);
 
--- a/test/decide_test.c
+++ b/test/decide_test.c
@@ -241,10 +241,11 @@
 	json_t *json;
 
 	(void)state;
-	assert_int_equal(members_register(&m, &self), 1);
+	assert_int_equal(members_register(&m, &self, 4), 1);
 	assert_int_equal(m.list[0].state, MEMBER_FULL);
-	assert_int_equal(members_register(&m, &self), 2);
+	assert_int_equal(members_register(&m, &self, 4), 2);
 	assert_int_equal(m.list[0].state, MEMBER_DEAD);
+	assert_int_equal(members_register(&m, &self, 8), 0);
 	json = members_json(&m);
 	assert_true(members_parse(json, 5, &back));
 	assert_int_equal(back.next, 3);
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -143,6 +143,16 @@
         self.show("instructions a request, whole entry", entry, "",
                   worker / RATIO_LEAST)
 
+    def decisions(self):
+        """Instructions a request of the decision code, its bench included."""
+        done = subprocess.run(
+            [*CALLGRIND, f"{self.build}/bench/fairness", "--brief",
+             "--seconds", "20"], capture_output=True, text=True)
+        ended = int(re.search(r"(\d+) ended", done.stdout)[1])
+        count = int(re.search(r"Collected : (\d+)", done.stderr)[1])
+        self.show("instructions a request, decisions and their bench",
+                  count / ended, "")
+
     @staticmethod
     def slope(count):
         few, many = 500, 1500
@@ -182,6 +192,7 @@
     bench.waiting()
     bench.idle()
     bench.instructions()
+    bench.decisions()
     fair = subprocess.run([f"{build}/bench/fairness"])
     for name in bench.bad:
         print(f"out of bounds: {name}")
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -8,6 +8,7 @@
 import collections
 import re
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -112,6 +113,7 @@
         self.serial = 0
         self.outcomes = {}  # request id -> outcome
         self.codes = []     # of operators' changes
+        self.failed = 0     # answers that tell of a failure
         self.spreads = []
         self.stopped = set()
         self.lock = threading.Lock()
@@ -134,6 +136,8 @@
             for at, words, line in sorted(self.case.actions,
                                           key=lambda a: a[0]):
                 time.sleep(max(0.0, start + at - time.monotonic()))
+                self.last_ms = time.clock_gettime(
+                    time.CLOCK_MONOTONIC) * 1000
                 try:
                     self.act(words)
                 except (ValueError, KeyError, IndexError) as e:
@@ -193,8 +197,25 @@
         request_id = headers["X-Request-Id"]
         whole = answer == body or code != 200 or "X-Behave" in headers
         self.outcomes[request_id] = outcome if whole else "wrong answer"
+        self.failed += code == 500
         return code, outcome, answer
 
+    def do_abandon(self, count, _as, team, _to, queue):
+        """abandon N as TEAM to QUEUE: callers that hang up at once."""
+        for _ in range(int(count)):
+            with socket.create_connection(
+                    (fleet.HOST, self.fleet.entries["entry-1"].port)) as s:
+                s.sendall(f"POST /run/{queue} HTTP/1.1\r\nHost: x\r\n"
+                          f"Authorization: Bearer "
+                          f"{self.fleet.keys[team + '-key']}\r\n"
+                          f"Content-Length: 0\r\n\r\n".encode())
+                time.sleep(0.05)
+
+    def do_misfit(self, name):
+        self.fleet.settings["shards"] = 2
+        self.fleet.add_entry(name, ready=False)
+        self.stopped.add(name)
+
     def do_freeze(self, *names):
         for name in names:
             self.process(name).send(signal.SIGSTOP)
@@ -349,6 +370,11 @@
             return sum(p.running() for p in self.fleet.entries.values())
         if what == "exit":
             return self.fleet.entries[words[1]].popen.wait(timeout=30)
+        if what == "failed":
+            return self.failed
+        if what == "ran-last":
+            return sum(r[1] > self.last_ms
+                       for r in self.records[words[1]]["intervals"])
         if what == "gap":
             return self.longest_gap(words[1])
         if what == "maintained":
