broker: demand as it is, not smoothed: nearness to share within its bound

Cause of the departures left: an entry's demand was smoothed over 0.2 s before it was reported, so that slots followed a team that had stopped asking, or begun, two tenths of a second late. Smoothing is removed.

--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -5,7 +5,6 @@
 #define REPORT_EVERY_MS 250    /* of a group, unless its demand turns */
 #define NEWS_MILLI 300	       /* thousandths of a slot, and an eighth */
 #define NEWS_URGENT_MILLI 2000 /* thousandths of a slot, and a quarter */
-#define DEMAND_LEAST 0.05      /* slots; less is no demand */
 #define SWEEP_MS 1000 /* between looks at pools and teams without work */
 #define REPORT_REPEAT_MS 2000 /* an unchanged report is sent again */
 #define RESEND_MS 500	      /* transfers without acknowledgement */
@@ -366,11 +365,12 @@
 					  fq_flows(p->queue) + 1);
 	for (i = 0; i < fq_flows(p->queue); i++) {
 		fq_view(p->queue, i, &flow);
-		if (flow.demand < DEMAND_LEAST)
+		if (!flow.waiting && !flow.running)
 			continue;
+		/* Beyond the pool's slots more waiting changes nothing. */
 		demand->teams[demand->team_count++] = (struct broker_team){
 			flow.team.i,
-			(uint32_t)(flow.demand * 1000.0),
+			1000 * at_most(flow.waiting + flow.running, p->slots),
 		};
 	}
 }
@@ -454,7 +454,6 @@
 {
 	struct core_pool *p = &c->pools[id];
 
-	fq_smooth(p->queue, p->slots);
 	if (c->options.advice)
 		report_pool(c, id);
 	if (!c->options.advice ||
--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -6,8 +6,8 @@
 
 #include "process/share.h"
 
-#define RUN_EVERY_MS 250  /* of a group */
-#define RUN_TURNED_MS 100 /* of a group whose demand has turned */
+#define RUN_EVERY_MS 250 /* of a group */
+#define RUN_TURNED_MS 50 /* of a group whose demand has turned */
 #define TURN_SLOTS 2.0
 #define ADVISE_EVERY_MS 2000 /* unchanged advice is sent again */
 #define ADVISE_MILLI 100     /* thousandths of a slot, and a twentieth */
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -6,7 +6,6 @@
 #define FQ_CREDIT_MAX 8.0
 #define FQ_CREDIT_HALF_S 0.25 /* seconds in which a shortfall is caught up */
 #define FQ_GAP_WEIGHT 0.1     /* of the newest gap between starts */
-#define FQ_DEMAND_WEIGHT 0.25 /* of a tick's demand */
 #define FQ_CLASSES 2
 
 struct job_list {
@@ -22,7 +21,6 @@
 	double target;
 	double credit; /* slots */
 	double start_gap_ms;
-	double demand; /* slots, smoothed */
 	uint64_t credited_ms;
 	uint64_t last_start_ms;
 };
@@ -234,20 +232,6 @@
 	return best ? flow_head(best) : NULL;
 }
 
-void fq_smooth(struct fq *q, uint32_t slots_max)
-{
-	uint32_t i;
-
-	for (i = 0; i < q->count; i++) {
-		struct flow *f = &q->flows[i];
-		uint32_t now = f->waiting + f->running;
-
-		if (now > slots_max)
-			now = slots_max;
-		f->demand += FQ_DEMAND_WEIGHT * (now - f->demand);
-	}
-}
-
 void fq_set_target(struct fq *q, team_handle team, double slots)
 {
 	flow_get(q, team)->target = slots;
@@ -276,7 +260,6 @@
 	view->waiting = f->waiting;
 	view->running = f->running;
 	view->target = f->target;
-	view->demand = f->demand;
 	view->oldest_ms = flow_oldest_ms(f);
 	view->start_gap_ms = f->start_gap_ms;
 }
--- a/src/request/fq.h
+++ b/src/request/fq.h
@@ -43,13 +43,6 @@
 struct job *fq_pick(struct fq *q, uint64_t now_ms,
 		    bool (*may_start)(void *arg, team_handle team), void *arg);
 
-/*
- * fq_smooth - bring each flow's demand up to date; once a tick
- *
- * Beyond slots_max, the pool's slots, more waiting work changes nothing.
- */
-void fq_smooth(struct fq *q, uint32_t slots_max);
-
 /* fq_set_target - running work that a team should have here, in slots */
 void fq_set_target(struct fq *q, team_handle team, double slots);
 
@@ -58,7 +51,6 @@
 	uint32_t waiting;
 	uint32_t running;
 	double target;
-	double demand;	     /* slots that it could use, smoothed */
 	uint64_t oldest_ms;  /* arrival of the oldest waiting job, 0 if none */
 	double start_gap_ms; /* smoothed time between starts, 0 if unknown */
 };
