--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,9 @@
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
 $(B)/test/%: $(B)/test/%.o $(LIB)
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LIBS) -lcmocka
+
+$(B)/test/ledger_walk: $(B)/test/walk/world.o
 
 $(B)/bench/%: $(B)/bench/%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -139,12 +139,15 @@
 {
 	struct bench *b = arg;
 	Jackdawwell__PeerFrame *f;
+	size_t bytes;
 
 	(void)to;
 	if (m->kind != CORE_DEMAND || m->u.demand.group.kind != BROKER_POOL)
 		return;
 	f = entry_pack(&b->frames, m);
-	b->report_bytes = jackdawwell__peer_frame__get_packed_size(f) + 4;
+	bytes = jackdawwell__peer_frame__get_packed_size(f) + 4;
+	if (bytes > b->report_bytes)
+		b->report_bytes = bytes; /* of the pool with demand */
 	jackdawwell__peer_frame__free_unpacked(f, NULL);
 }
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -145,8 +145,6 @@
 	assert(te);
 }
 
-static bool finished;
-
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te,
 		    struct timeval now, void *arg)
 {
@@ -158,7 +156,7 @@
 	(void)now;
 	run_periodic(e, now_ms);
 	run_core(e, now_ms);
-	finished = tick_drain(e, now_ms);
+	e->finished = tick_drain(e, now_ms);
 	tick_later(e);
 }
 
@@ -274,7 +272,7 @@
 	if (!listen_all(e))
 		return 1;
 	watch(e);
-	while (!finished)
+	while (!e->finished)
 		tevent_loop_once(e->ev);
 	log_event(LOG_INFO, "entry", "stopped");
 	exit_code = e->exit_code;
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -383,16 +383,24 @@
 	}
 }
 
-static bool already_done(struct entry_change *c)
+/* A change repeated with its id has been committed already. */
+static void find_done(struct entry_change *c)
 {
 	uint64_t version = version_of_id(c->entry, c->id);
 
 	if (!version)
-		return false;
+		return;
 	c->version = version;
 	c->step = CHANGE_SPREAD;
-	c->since_ms = clock_now_ms();
-	return true;
+}
+
+static void append(struct entry *e, struct entry_change *c)
+{
+	struct entry_change **p = &e->pending;
+
+	while (*p)
+		p = &(*p)->next;
+	*p = c;
 }
 
 void entry_change(struct entry *e, uint64_t base, const json_t *change,
@@ -400,7 +408,6 @@
 		  entry_changed_fn done, void *arg)
 {
 	struct entry_change *c = talloc_zero(e, struct entry_change);
-	struct entry_change **p = &e->pending;
 
 	assert(c);
 	c->entry = e;
@@ -412,16 +419,15 @@
 	snprintf(c->id, sizeof(c->id), "%s", id);
 	c->record = json_pack("{s:s, s:s, s:o}", "id", id, "by", operator_name,
 			      "change", json_deep_copy(change));
-	while (*p)
-		p = &(*p)->next;
-	*p = c;
-	if (entry_state(e) == ENTRY_STARTING) {
-		finish_error(c, 503, "not changed: the entry is starting");
+	append(e, c);
+	if (!c->record) {
+		finish_error(c, 400, "id or operator's name is not text");
 		return;
 	}
-	if (!already_done(c) && !c->record) {
-		finish_error(c, 400, "change: not a valid document");
+	if (entry_state(e) == ENTRY_STARTING) {
+		finish_error(c, 503, "not changed: the entry is starting");
 		return;
 	}
+	find_done(c);
 	entry_changes_tick(e, clock_now_ms());
 }
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -118,6 +118,7 @@
 	uint64_t listed_ms;
 	uint64_t ticked_ms;
 	bool removed_self;
+	bool finished; /* the control loop may end */
 	int exit_code;
 };
 
--- a/test/ledger_walk.c
+++ b/test/ledger_walk.c
@@ -8,452 +8,17 @@
  * away and the walk must then find a violation.
  */
 #include <argtable2.h>
-#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "process/ledger.h"
-
-#define ENTRIES 5
-#define SLOTS_MAX 64 /* incarnations over one schedule */
-#define DOMAINS 3
-#define SHARDS 2
-#define STEPS 400
-#define MAIL_MAX 256
-#define HEAL_MS 5000
-#define TICK_MS 50
-
-enum op {
-	OP_START,
-	OP_END,
-	OP_WANT,
-	OP_RELEASE,
-	OP_LEND,
-	OP_RESEND,
-	OP_DELIVER,
-	OP_DROP,
-	OP_DUPLICATE,
-	OP_PLAN,
-	OP_ANSWER,
-	OP_LATE_WRITE,
-	OP_READ,
-	OP_FREEZE,
-	OP_THAW,
-	OP_KILL,
-	OP_GONE,
-	OP_REGISTER,
-	OP_OUTAGE,
-	OP_CONFIGURE,
-	OP_LEARN,
-	OP_SUSPECT,
-	OP_COUNT,
-};
-
-enum harness_unsafe {
-	UNSAFE_END_OF_WORK = 1 << 16, /* a unit ends while its work runs on */
-	UNSAFE_LEASE = 1 << 17,	      /* proved gone before the lease passed */
-};
-
-struct entry {
-	struct ledger *ledger;
-	struct ledger_link *links[SLOTS_MAX];
-	uint64_t incarnation;
-	bool alive;
-	bool frozen;
-	bool gone;
-	uint64_t conf; /* configuration it knows */
-	int64_t held_at_death[DOMAINS];
-	int64_t orphans[DOMAINS]; /* work that runs without a unit here */
-};
-
-struct mail {
-	uint32_t from;
-	uint32_t to;
-	bool ack;
-	struct ledger_transfer t;
-};
-
-struct write {
-	uint32_t entry;
-	uint32_t shard;
-	struct ledger_row *row;
-	uint64_t row_version;
-	uint64_t members_version;
-	bool abandoned; /* its entry was told that no answer came */
-	bool applied;
-	bool conflict;
-	uint64_t version;
-};
-
-struct world {
-	TALLOC_CTX *ctx;
-	uint64_t random;
-	unsigned int unsafe;
-	uint32_t weights[OP_COUNT];
-	uint32_t weight_sum;
-	struct entry entries[SLOTS_MAX];
-	uint32_t entry_count;
-	struct ledger_row *rows[SHARDS];
-	uint64_t revision;
-	uint64_t members[SLOTS_MAX];
-	uint32_t member_count;
-	uint64_t members_version;
-	struct mail mail[MAIL_MAX];
-	uint32_t mail_count;
-	struct write writes[MAIL_MAX];
-	uint32_t write_count;
-	int64_t totals[256][DOMAINS]; /* by configuration version */
-	uint64_t generations[256][DOMAINS];
-	uint64_t conf;
-	uint64_t now_ms;
-	bool outage;
-	bool healing;
-	char violation[256];
-	uint64_t rounds;
-};
-
-static const char *const domain_names[DOMAINS] = { "t:shop", "w:oven-1",
-						   "t:club" };
-
-static uint32_t pick(struct world *w, uint32_t n)
-{
-	w->random ^= w->random << 13;
-	w->random ^= w->random >> 7;
-	w->random ^= w->random << 17;
-	return (uint32_t)((w->random >> 11) % n);
-}
-
-static struct ledger_domain_view view_of(const struct entry *e, uint32_t d)
-{
-	struct ledger_domain_view view;
-	domain_handle handle = { d };
-
-	ledger_view(e->ledger, handle, &view);
-	return view;
-}
-
-static int64_t running_in(const struct world *w, uint32_t d)
-{
-	int64_t sum = 0;
-	uint32_t i;
-
-	for (i = 0; i < w->entry_count; i++) {
-		const struct entry *e = &w->entries[i];
-
-		sum += e->orphans[d];
-		if (!e->gone)
-			sum += view_of(e, d).running;
-	}
-	return sum;
-}
-
-static int64_t held_in(const struct world *w, uint32_t d)
-{
-	int64_t sum = 0;
-	uint32_t i;
-
-	for (i = 0; i < w->entry_count; i++) {
-		if (!w->entries[i].gone)
-			sum += view_of(&w->entries[i], d).held;
-		sum += w->entries[i].orphans[d]; /* runs, so it must be held */
-	}
-	return sum;
-}
-
-static struct ledger_cell *cell_of(const struct world *w, uint32_t d)
-{
-	uint32_t s;
-	uint32_t i;
-
-	for (s = 0; s < SHARDS; s++)
-		for (i = 0; w->rows[s] && i < w->rows[s]->cell_count; i++)
-			if (w->rows[s]->cells[i].domain.i == d)
-				return &w->rows[s]->cells[i];
-	return NULL;
-}
-
-static void check(struct world *w, const char *after)
-{
-	uint32_t d;
-
-	for (d = 0; d < DOMAINS && !*w->violation; d++) {
-		const struct ledger_cell *c = cell_of(w, d);
-
-		if (c && c->free + held_in(w, d) > c->total)
-			snprintf(w->violation, sizeof(w->violation),
-				 "after %s: %s free %" PRId64 " + held %" PRId64
-				 " > total %" PRId64,
-				 after, domain_names[d], c->free, held_in(w, d),
-				 c->total);
-	}
-}
-
-/* No start may pass a limit its entry knows, nor every newer one. */
-static void check_start(struct world *w, const struct entry *e, uint32_t d)
-{
-	int64_t allowed = 0;
-	uint64_t v;
-
-	for (v = e->conf; v <= w->conf; v++)
-		if (w->totals[v][d] > allowed)
-			allowed = w->totals[v][d];
-	if (running_in(w, d) > allowed)
-		snprintf(w->violation, sizeof(w->violation),
-			 "started %s: %" PRId64 " running, limit %" PRId64,
-			 domain_names[d], running_in(w, d), allowed);
-}
-
-/* Entries */
-
-static void learn(struct world *w, struct entry *e, uint64_t conf)
-{
-	domain_handle d;
-
-	for (d.i = 0; d.i < DOMAINS; d.i++)
-		ledger_configure(e->ledger, d, w->totals[conf][d.i],
-				 w->generations[conf][d.i], conf);
-	e->conf = conf;
-}
-
-static void read_rows(struct world *w, struct entry *e)
-{
-	uint32_t s;
-
-	for (s = 0; s < SHARDS; s++)
-		ledger_seen(e->ledger, s, w->rows[s]);
-}
-
-static void register_entry(struct world *w)
-{
-	struct entry *e;
-	struct ledger_options options = {
-		.shard_count = SHARDS,
-		.round_pause_ms = 100,
-		.unsafe = w->unsafe & 0xffff,
-	};
-	uint32_t d;
-
-	if (w->entry_count == SLOTS_MAX || w->outage)
-		return;
-	e = &w->entries[w->entry_count++];
-	e->incarnation = w->entry_count;
-	options.incarnation = e->incarnation;
-	e->ledger = ledger_new(w->ctx, &options);
-	e->alive = true;
-	for (d = 0; d < DOMAINS; d++)
-		ledger_domain(e->ledger, domain_names[d]);
-	w->members[w->member_count++] = e->incarnation;
-	w->members_version = ++w->revision;
-	read_rows(w, e);
-	learn(w, e, w->conf);
-}
-
-static struct entry *any_entry(struct world *w)
-{
-	uint32_t start = pick(w, w->entry_count);
-	uint32_t i;
-
-	for (i = 0; i < w->entry_count; i++) {
-		struct entry *e = &w->entries[(start + i) % w->entry_count];
-
-		if (e->alive && !e->frozen)
-			return e;
-	}
-	return NULL;
-}
-
-static uint32_t alive_count(const struct world *w)
-{
-	uint32_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < w->entry_count; i++)
-		n += w->entries[i].alive;
-	return n;
-}
-
-static void unregister(struct world *w, uint32_t index)
-{
-	uint32_t i;
-
-	for (i = 0; i < w->member_count; i++)
-		if (w->members[i] == w->entries[index].incarnation)
-			w->members[i--] = w->members[--w->member_count];
-	w->members_version = ++w->revision;
-	for (i = 0; i < w->entry_count; i++)
-		if (w->entries[i].alive) {
-			if (w->entries[i].links[index])
-				ledger_link_drop(w->entries[i].links[index]);
-			w->entries[i].links[index] = NULL;
-			ledger_gone(w->entries[i].ledger, w->members_version);
-		}
-}
-
-/* The list no longer shows a dead entry and its work's lease has passed. */
-static void prove_gone(struct world *w)
-{
-	uint32_t start = pick(w, w->entry_count);
-	uint32_t i;
-	uint32_t d;
-
-	for (i = 0; i < w->entry_count; i++) {
-		uint32_t index = (start + i) % w->entry_count;
-		struct entry *e = &w->entries[index];
-
-		if (e->alive || e->gone || w->outage)
-			continue;
-		if (w->unsafe & UNSAFE_LEASE)
-			for (d = 0; d < DOMAINS; d++)
-				e->orphans[d] += view_of(e, d).running;
-		e->gone = true;
-		unregister(w, index);
-		return;
-	}
-}
-
-/* Mail */
-
-static struct ledger_link *link_to(struct world *w, uint32_t from, uint32_t to)
-{
-	struct entry *e = &w->entries[from];
-
-	if (!e->links[to])
-		e->links[to] = ledger_link_new(e->ledger, e->ledger);
-	return e->links[to];
-}
-
-static void post(struct world *w, uint32_t from, uint32_t to, bool ack,
-		 const struct ledger_transfer *t)
-{
-	struct mail *m;
-
-	if (w->mail_count == MAIL_MAX)
-		return; /* lost */
-	m = &w->mail[w->mail_count++];
-	m->from = from;
-	m->to = to;
-	m->ack = ack;
-	m->t = *t;
-}
-
-static void deliver(struct world *w, uint32_t i, bool keep)
-{
-	struct mail m = w->mail[i];
-	struct entry *to = &w->entries[m.to];
-	struct ledger_link *link;
-
-	if (to->alive && to->frozen)
-		return;
-	if (!keep)
-		w->mail[i] = w->mail[--w->mail_count];
-	if (!to->alive || w->entries[m.from].gone)
-		return;
-	link = link_to(w, m.to, m.from);
-	if (m.ack) {
-		ledger_acked(link, m.t.seq);
-		return;
-	}
-	m.t.seq = ledger_receive(link, &m.t);
-	post(w, m.to, m.from, true, &m.t);
-}
-
-static void resend(struct world *w, struct entry *e)
-{
-	uint32_t from = (uint32_t)(e - w->entries);
-	uint32_t to;
-	uint32_t i;
-	uint32_t n;
-
-	for (to = 0; to < w->entry_count; to++) {
-		const struct ledger_transfer *t;
-
-		if (!e->links[to] || w->entries[to].gone)
-			continue;
-		t = ledger_outbox(e->links[to], &n);
-		for (i = 0; i < n; i++)
-			post(w, from, to, false, &t[i]);
-	}
-}
-
-/* Store */
-
-static void plan(struct world *w, struct entry *e, uint32_t shard)
-{
-	struct ledger_members members = { w->members_version, w->member_count,
-					  w->members };
-	struct ledger_cas cas;
-	struct write *write;
-
-	if (w->write_count == MAIL_MAX ||
-	    !ledger_plan(e->ledger, shard, w->now_ms, &members, &cas))
-		return;
-	write = &w->writes[w->write_count++];
-	memset(write, 0, sizeof(*write));
-	write->entry = (uint32_t)(e - w->entries);
-	write->shard = shard;
-	write->row = ledger_row_copy(w->ctx, cas.row);
-	write->row_version = cas.row_version;
-	write->members_version = cas.members_version;
-}
-
-static void apply(struct world *w, struct write *write)
-{
-	struct ledger_row **row = &w->rows[write->shard];
-
-	write->conflict = (*row)->version != write->row_version ||
-			  (write->members_version &&
-			   write->members_version != w->members_version);
-	write->applied = true;
-	if (write->conflict)
-		return;
-	if (write->row->round > (*row)->round)
-		w->rounds++;
-	talloc_free(*row);
-	*row = ledger_row_copy(w->ctx, write->row);
-	(*row)->version = write->version = ++w->revision;
-}
-
-static void write_remove(struct world *w, uint32_t i)
-{
-	talloc_free(w->writes[i].row);
-	w->writes[i] = w->writes[--w->write_count];
-}
-
-/* Brings a write's answer to its entry, or tells it that none came. */
-static void answer(struct world *w, uint32_t i, bool lost)
-{
-	struct write *write = &w->writes[i];
-	struct entry *e = &w->entries[write->entry];
-
-	if (e->alive && e->frozen)
-		return;
-	if (!w->outage && !write->applied)
-		apply(w, write);
-	if (!write->applied)
-		lost = true;
-	if (e->alive && !write->abandoned) {
-		if (lost)
-			ledger_planned(e->ledger, write->shard,
-				       LEDGER_CAS_UNKNOWN, 0);
-		else if (write->conflict)
-			ledger_planned(e->ledger, write->shard,
-				       LEDGER_CAS_CONFLICT, 0);
-		else
-			ledger_planned(e->ledger, write->shard, LEDGER_CAS_DONE,
-				       write->version);
-	}
-	write->abandoned = true;
-	if (write->applied)
-		write_remove(w, i);
-}
+#include "test/walk/world.h"
 
 /* Operations */
 
 static void configure(struct world *w)
 {
-	uint32_t d = pick(w, DOMAINS);
+	uint32_t d = walk_pick(w, DOMAINS);
 
 	if (w->conf == 255 || w->outage)
 		return;
@@ -462,53 +27,53 @@
 	memcpy(w->generations[w->conf + 1], w->generations[w->conf],
 	       sizeof(w->generations[0]));
 	w->conf++;
-	w->totals[w->conf][d] = pick(w, 9);
-	if (d == 1 && !pick(w, 3))
+	w->totals[w->conf][d] = walk_pick(w, 9);
+	if (d == 1 && !walk_pick(w, 3))
 		w->generations[w->conf][d]++;
 }
 
 static void start(struct world *w, struct entry *e)
 {
-	domain_handle d = { pick(w, DOMAINS) };
+	domain_handle d = { walk_pick(w, DOMAINS) };
 
 	if (ledger_take(e->ledger, d) == LEDGER_OK)
-		check_start(w, e, d.i);
+		walk_check_start(w, e, d.i);
 }
 
 static void end(struct world *w, struct entry *e)
 {
-	domain_handle d = { pick(w, DOMAINS) };
+	domain_handle d = { walk_pick(w, DOMAINS) };
 
-	if (view_of(e, d.i).running <= 0)
+	if (walk_view_of(e, d.i).running <= 0)
 		return;
 	ledger_end(e->ledger, d);
-	if ((w->unsafe & UNSAFE_END_OF_WORK) && !pick(w, 4))
+	if ((w->unsafe & UNSAFE_END_OF_WORK) && !walk_pick(w, 4))
 		e->orphans[d.i]++;
 }
 
 static void lend(struct world *w, struct entry *e)
 {
 	uint32_t from = (uint32_t)(e - w->entries);
-	uint32_t to = pick(w, w->entry_count);
-	domain_handle d = { pick(w, DOMAINS) };
+	uint32_t to = walk_pick(w, w->entry_count);
+	domain_handle d = { walk_pick(w, DOMAINS) };
 
 	if (to == from || !w->entries[to].alive)
 		return;
-	if (ledger_lend(link_to(w, from, to), d, 1 + pick(w, 3)))
-		resend(w, e);
+	if (ledger_lend(walk_link_to(w, from, to), d, 1 + walk_pick(w, 3)))
+		walk_resend(w, e);
 }
 
 static void kill_one(struct world *w)
 {
-	uint32_t i = pick(w, w->entry_count);
+	uint32_t i = walk_pick(w, w->entry_count);
 
-	if (alive_count(w) > 1 && w->entries[i].alive)
+	if (walk_alive_count(w) > 1 && w->entries[i].alive)
 		w->entries[i].alive = false;
 }
 
 static void step_entry(struct world *w, enum op op, struct entry *e)
 {
-	domain_handle d = { pick(w, DOMAINS) };
+	domain_handle d = { walk_pick(w, DOMAINS) };
 
 	switch (op) {
 	case OP_START:
@@ -518,29 +83,29 @@
 		end(w, e);
 		break;
 	case OP_WANT:
-		ledger_want(e->ledger, d, pick(w, 5));
+		ledger_want(e->ledger, d, walk_pick(w, 5));
 		break;
 	case OP_RELEASE:
-		ledger_release(e->ledger, d, pick(w, 3));
+		ledger_release(e->ledger, d, walk_pick(w, 3));
 		break;
 	case OP_LEND:
 		lend(w, e);
 		break;
 	case OP_RESEND:
-		resend(w, e);
+		walk_resend(w, e);
 		break;
 	case OP_PLAN:
-		plan(w, e, pick(w, SHARDS));
+		walk_plan(w, e, walk_pick(w, SHARDS));
 		break;
 	case OP_READ:
 		if (!w->outage)
-			read_rows(w, e);
+			walk_read_rows(w, e);
 		break;
 	case OP_FREEZE:
 		e->frozen = true;
 		break;
 	case OP_LEARN:
-		learn(w, e, w->conf);
+		walk_learn(w, e, w->conf);
 		break;
 	default:
 		ledger_suspect(e->ledger);
@@ -550,35 +115,35 @@
 
 static void thaw_one(struct world *w)
 {
-	w->entries[pick(w, w->entry_count)].frozen = false;
+	w->entries[walk_pick(w, w->entry_count)].frozen = false;
 }
 
 static void step_world(struct world *w, enum op op)
 {
-	uint32_t mail = w->mail_count ? pick(w, w->mail_count) : 0;
-	uint32_t write = w->write_count ? pick(w, w->write_count) : 0;
+	uint32_t mail = w->mail_count ? walk_pick(w, w->mail_count) : 0;
+	uint32_t write = w->write_count ? walk_pick(w, w->write_count) : 0;
 
 	if (op == OP_DELIVER && w->mail_count)
-		deliver(w, mail, false);
+		walk_deliver(w, mail, false);
 	else if (op == OP_DUPLICATE && w->mail_count)
-		deliver(w, mail, true);
+		walk_deliver(w, mail, true);
 	else if (op == OP_DROP && w->mail_count)
 		w->mail[mail] = w->mail[--w->mail_count];
 	else if (op == OP_ANSWER && w->write_count)
-		answer(w, write, !pick(w, 4));
+		walk_answer(w, write, !walk_pick(w, 4));
 	else if (op == OP_LATE_WRITE && w->write_count && !w->outage &&
 		 !w->writes[write].applied)
-		apply(w, &w->writes[write]);
+		walk_apply(w, &w->writes[write]);
 	else if (op == OP_THAW)
 		thaw_one(w);
 	else if (op == OP_KILL)
 		kill_one(w);
 	else if (op == OP_GONE)
-		prove_gone(w);
-	else if (op == OP_REGISTER && alive_count(w) < ENTRIES)
-		register_entry(w);
+		walk_prove_gone(w);
+	else if (op == OP_REGISTER && walk_alive_count(w) < ENTRIES)
+		walk_register_entry(w);
 	else if (op == OP_OUTAGE)
-		w->outage = !pick(w, 3);
+		w->outage = !walk_pick(w, 3);
 	else if (op == OP_CONFIGURE)
 		configure(w);
 }
@@ -591,21 +156,21 @@
 
 static void step(struct world *w)
 {
-	uint32_t n = pick(w, w->weight_sum);
+	uint32_t n = walk_pick(w, w->weight_sum);
 	struct entry *e;
 	int op = 0;
 
 	while (n >= w->weights[op])
 		n -= w->weights[op++];
-	w->now_ms += pick(w, 20);
+	w->now_ms += walk_pick(w, 20);
 	if (!op_is_of_entry((enum op)op)) {
 		step_world(w, (enum op)op);
 	} else {
-		e = any_entry(w);
+		e = walk_any_entry(w);
 		if (e)
 			step_entry(w, (enum op)op, e);
 	}
-	check(w, "a step");
+	walk_check(w, "a step");
 }
 
 static bool accounted(const struct world *w)
@@ -613,10 +178,10 @@
 	uint32_t d;
 
 	for (d = 0; d < DOMAINS; d++) {
-		const struct ledger_cell *c = cell_of(w, d);
+		const struct ledger_cell *c = walk_cell_of(w, d);
 
 		if (!c || c->total != w->totals[w->conf][d] ||
-		    c->free + held_in(w, d) != c->total || c->free < 0)
+		    c->free + walk_held_in(w, d) != c->total || c->free < 0)
 			return false;
 	}
 	return true;
@@ -633,17 +198,17 @@
 		if (!e->alive)
 			continue;
 		if (w->now_ms % 250 < TICK_MS)
-			read_rows(w, e);
-		learn(w, e, w->conf);
-		resend(w, e);
+			walk_read_rows(w, e);
+		walk_learn(w, e, w->conf);
+		walk_resend(w, e);
 		for (s = 0; s < SHARDS; s++)
-			plan(w, e, s);
+			walk_plan(w, e, s);
 	}
 	while (w->mail_count)
-		deliver(w, 0, false);
+		walk_deliver(w, 0, false);
 	while (w->write_count)
-		answer(w, 0, false);
-	check(w, "healing");
+		walk_answer(w, 0, false);
+	walk_check(w, "healing");
 }
 
 /* Ends all work that holds units, so that debts can be paid. */
@@ -654,7 +219,7 @@
 
 	for (i = 0; i < w->entry_count; i++)
 		for (d.i = 0; d.i < DOMAINS && w->entries[i].alive; d.i++)
-			while (view_of(&w->entries[i], d.i).running > 0)
+			while (walk_view_of(&w->entries[i], d.i).running > 0)
 				ledger_end(w->entries[i].ledger, d);
 }
 
@@ -663,14 +228,15 @@
 	uint32_t d;
 
 	for (d = 0; d < DOMAINS; d++) {
-		const struct ledger_cell *c = cell_of(w, d);
+		const struct ledger_cell *c = walk_cell_of(w, d);
 
 		if (c)
 			printf("%s: total %" PRId64 " (wanted %" PRId64
 			       ") free %" PRId64 " held %" PRId64
 			       " generation %" PRIu64 " (wanted %" PRIu64 ")\n",
-			       domain_names[d], c->total, w->totals[w->conf][d],
-			       c->free, held_in(w, d), c->generation,
+			       walk_domain_names[d], c->total,
+			       w->totals[w->conf][d], c->free,
+			       walk_held_in(w, d), c->generation,
 			       w->generations[w->conf][d]);
 	}
 }
@@ -685,7 +251,7 @@
 	for (i = 0; i < w->entry_count; i++)
 		w->entries[i].frozen = false;
 	for (i = 0; i < w->entry_count; i++)
-		prove_gone(w);
+		walk_prove_gone(w);
 	end_all_work(w);
 	until = w->now_ms + HEAL_MS;
 	while (w->now_ms < until && !*w->violation) {
@@ -710,9 +276,9 @@
 	w->random = seed * 0x9e3779b97f4a7c15u + 1;
 	w->unsafe = unsafe;
 	for (i = 0; i < 20; i++)
-		pick(w, 2);
+		walk_pick(w, 2);
 	for (i = 0; i < OP_COUNT; i++) {
-		w->weights[i] = 1 + pick(w, pick(w, 4) ? 12 : 60);
+		w->weights[i] = 1 + walk_pick(w, walk_pick(w, 4) ? 12 : 60);
 		w->weight_sum += w->weights[i];
 	}
 	for (i = 0; i < SHARDS; i++) {
@@ -721,9 +287,9 @@
 	}
 	w->conf = 1;
 	for (i = 0; i < DOMAINS; i++)
-		w->totals[1][i] = 2 + pick(w, 7);
+		w->totals[1][i] = 2 + walk_pick(w, 7);
 	for (i = 0; i < 3; i++)
-		register_entry(w);
+		walk_register_entry(w);
 }
 
 static bool walk(struct world *w, uint64_t seed, unsigned int unsafe)
