--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -99,7 +99,7 @@
 	for (i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
 		const struct bound *b = &bounds[i];
 		uint32_t *value = (uint32_t *)((char *)s + b->offset);
-		unsigned int line = yamlfile_line(path, b->field, 0);
+		unsigned int line = yamlfile_line(path, b->field, NULL);
 
 		if (!line)
 			*value = b->without;
@@ -125,7 +125,7 @@
 	status_set(m,
 		   "%s:%u: field \"%s\" is \"%s\", wanted an IP number and a "
 		   "port, as in 10.0.0.1:8080",
-		   path, yamlfile_line(path, field, 0), field, value);
+		   path, yamlfile_line(path, field, NULL), field, value);
 	return false;
 }
 
@@ -142,7 +142,7 @@
 	status_set(m,
 		   "%s:%u: field \"platform\" is \"%s\", wanted a URL that "
 		   "begins with http://",
-		   path, yamlfile_line(path, "platform", 0), s->platform);
+		   path, yamlfile_line(path, "platform", NULL), s->platform);
 	return false;
 }
 
--- a/src/process/yamlfile.c
+++ b/src/process/yamlfile.c
@@ -57,22 +57,38 @@
 	cyaml_free(&config, schema, value, 0);
 }
 
+/* Whether text goes on with the value and something that ends it. */
+static bool value_is(const char *text, const char *value)
+{
+	size_t n = strlen(value);
+
+	text += strspn(text, " \"'");
+	return !strncmp(text, value, n) &&
+	       (!text[n] || strchr(" \"',}\r\n#", text[n]));
+}
+
+static bool line_has(const char *text, const char *field, const char *value)
+{
+	const char *s = text + strspn(text, " -{");
+	size_t n = strlen(field);
+
+	return !strncmp(s, field, n) && s[n] == ':' &&
+	       (!value || value_is(s + n + 1, value));
+}
+
 unsigned int yamlfile_line(const char *path, const char *field,
-			   unsigned int after)
+			   const char *value)
 {
 	FILE *in = fopen(path, "r");
 	char text[YAMLFILE_LINE_MAX];
-	size_t n = strlen(field);
 	unsigned int line = 0;
 	unsigned int found = 0;
 
 	if (!in)
 		return 0;
 	while (!found && fgets(text, sizeof(text), in)) {
-		const char *s = text + strspn(text, " -");
-
 		line++;
-		if (line > after && !strncmp(s, field, n) && s[n] == ':')
+		if (line_has(text, field, value))
 			found = line;
 	}
 	fclose(in);
--- a/src/process/yamlfile.h
+++ b/src/process/yamlfile.h
@@ -21,9 +21,12 @@
 void yamlfile_free(const cyaml_schema_value_t *schema, void *value);
 
 /*
- * yamlfile_line - line of the first `field:` after line `after`; 0 if none
+ * yamlfile_line - line that begins with a field, 0 if none
+ *
+ * With a value, of the first that has it. A field in the middle of a line
+ * is not found.
  */
 unsigned int yamlfile_line(const char *path, const char *field,
-			   unsigned int after);
+			   const char *value);
 
 #endif
--- a/src/version/inventory.c
+++ b/src/version/inventory.c
@@ -162,7 +162,7 @@
 	json_t *all;
 	uint32_t i;
 
-	if (!objects && !yamlfile_line(path, kind, 0))
+	if (!objects && !yamlfile_line(path, kind, NULL))
 		return true;
 	all = json_object();
 	json_object_set_new(doc, kind, all);
@@ -195,30 +195,6 @@
 	return NULL;
 }
 
-/* Line of an object's `name:` in the file, 0 when it is not found. */
-static unsigned int object_line(const char *path, const char *name)
-{
-	FILE *in = fopen(path, "r");
-	char text[1024];
-	unsigned int line = 0;
-	unsigned int found = 0;
-
-	while (in && !found && fgets(text, sizeof(text), in)) {
-		const char *s = text + strspn(text, " -");
-
-		line++;
-		if (strncmp(s, "name:", 5))
-			continue;
-		s += 5 + strspn(s + 5, " \"'");
-		if (!strncmp(s, name, strlen(name)) &&
-		    strchr(" \"'\r\n#", s[strlen(name)]))
-			found = line;
-	}
-	if (in)
-		fclose(in);
-	return found;
-}
-
 /*
  * Checks a document as the entries will, so that a bad value is found with
  * its line. References to objects that are not in the file cannot be
@@ -236,8 +212,8 @@
 	quote = strchr(why.text, '"');
 	if (quote)
 		sscanf(quote + 1, "%63[^\"]", object);
-	status_set(m, "%s:%u: %.400s", path, object_line(path, object),
-		   why.text);
+	status_set(m, "%s:%u: %.400s", path,
+		   yamlfile_line(path, "name", object), why.text);
 	return false;
 }
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -76,6 +76,20 @@
                 if done.returncode else None)
 
 
+def check_file(build, path):
+    """A bad file is refused with the message that its second line expects."""
+    with open(path) as f:
+        what, expect = (f.readline()[2:].strip() for _ in range(2))
+    expect = expect[len("expect: "):]
+    command = {"settings": [f"{build}/jackdawwelld", "--check", path],
+               "inventory": [f"{build}/jackdawwell", "-e", "127.0.0.1:1",
+                             "load", path]}[what]
+    done = subprocess.run(command, capture_output=True, text=True)
+    if done.returncode and expect in done.stderr:
+        return None
+    return f"status {done.returncode}: {done.stderr.strip()}"
+
+
 def run_scenarios(build):
     """The cases of each file one after another, the files side by side."""
     paths = sorted(glob.glob("test/scenarios/*.txt"))
@@ -88,6 +102,9 @@
     results = Results()
     for path in sorted(glob.glob(f"{build}/test/*_test")):
         results.command(os.path.basename(path), [path])
+    for path in sorted(glob.glob("test/files/*.yaml")):
+        results.add(f"refused: {os.path.basename(path)}",
+                    check_file(build, path))
     walk = f"{build}/test/ledger_walk"
     results.command("ledger walk", [walk, "--count", str(WALK_SCHEDULES)])
     for guard in SAFEGUARDS:
