conductor: a drain that does not end halts the wave

A wave halted only for instances that did not come back; one whose work did not end drained for ever without a word.

--- a/cli/wave.c
+++ b/cli/wave.c
@@ -92,8 +92,8 @@
 	printf("wave %s %s [", wave->name, cfg_wave_state_name(wave->state));
 	for (i = 0; i < BAR_WIDTH; i++)
 		putchar(i < full ? '#' : '.');
-	printf("] %u of %u done, %u draining, %u out\n", p->done, p->wanted,
-	       p->draining, p->out);
+	printf("] %u of %u done, %u draining, %u out%s%s\n", p->done, p->wanted,
+	       p->draining, p->out, *wave->why ? ": " : "", wave->why);
 }
 
 static char mark_of(const struct plan_instance *x)
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -23,7 +23,7 @@
 struct sight {
 	uint32_t boots;	   /* by the platform's list */
 	bool failed;	   /* by the same */
-	uint64_t out_ms;   /* first seen out, 0 when it is not */
+	uint64_t away_ms;  /* first seen draining or out, 0 when it is not */
 	uint64_t asked_ms; /* last request to reboot */
 };
 
@@ -186,35 +186,48 @@
 	(void)answer; /* asked again until the list shows it */
 }
 
-/* Asks for reboots of what is out; true when one has not come back. */
-static bool tend_out(struct entry *e, const struct cfg_wave *wave,
-		     const struct plan_instance *all, uint64_t now_ms,
-		     const char **late)
+static void ask_reboot(struct entry *e, const struct cfg_instance *w,
+		       struct sight *s, uint64_t now_ms)
 {
+	if (now_ms < s->asked_ms + REBOOT_AGAIN_MS)
+		return;
+	s->asked_ms = now_ms;
+	platform_reboot(e->platform, w->name, w->boots, on_reboot, NULL);
+}
+
+/*
+ * Asks for reboots of what is out. False with the reason when an instance
+ * drains or is out for too long; nothing is ever cut off for that.
+ */
+static bool tend(struct entry *e, const struct cfg_wave *wave,
+		 const struct plan_instance *all, uint64_t now_ms,
+		 struct status_message *why)
+{
+	bool good = true;
 	uint32_t i;
 
 	for (i = 0; i < e->cfg->instance_count; i++) {
 		const struct cfg_instance *w = &e->cfg->instances[i];
 		struct sight *s = sight_of(e->conductor, i);
+		bool out = all[i].state == PLAN_OUT;
 
-		if (!all[i].wanted || all[i].state != PLAN_OUT ||
-		    all[i].rebooted) {
-			s->out_ms = 0;
+		if (!all[i].wanted || all[i].rebooted ||
+		    (!out && all[i].state != PLAN_DRAINING)) {
+			s->away_ms = 0;
 			continue;
 		}
-		if (!s->out_ms)
-			s->out_ms = now_ms;
-		if (now_ms >= s->asked_ms + REBOOT_AGAIN_MS) {
-			s->asked_ms = now_ms;
-			platform_reboot(e->platform, w->name, w->boots,
-					on_reboot, NULL);
-		}
-		if (now_ms >= s->out_ms + wave->return_max_s * 1000ull) {
-			*late = w->name;
-			return true;
-		}
+		if (!s->away_ms)
+			s->away_ms = now_ms;
+		if (out)
+			ask_reboot(e, w, s, now_ms);
+		if (!good || now_ms < s->away_ms + wave->return_max_s * 1000ull)
+			continue;
+		status_set(why, "%s %s after %u s", w->name,
+			   out ? "has not come back" : "still has work",
+			   wave->return_max_s);
+		good = false;
 	}
-	return false;
+	return good;
 }
 
 /* The state that a step leads to; false when the wave's state forbids it. */
@@ -260,19 +273,16 @@
 	struct plan_instance *all;
 	struct plan_input *in = wave_input(e, e->cfg, wave, &all);
 	struct plan_result plan;
-	const char *late = "";
+	struct status_message why = { "" };
 	json_t *steps;
-	char why[CFG_NAME_MAX + 64];
 
 	complete(e, all);
 	plan_next(in, in, &plan);
 	steps = steps_json(e, wave, all, &plan);
-	if (tend_out(e, wave, all, now_ms, &late) &&
+	if (!tend(e, wave, all, now_ms, &why) &&
 	    wave->state == CFG_WAVE_RUNNING) {
-		snprintf(why, sizeof(why), "%s has not come back in %u s", late,
-			 wave->return_max_s);
 		json_decref(steps);
-		set_wave(e, wave, CFG_WAVE_HALTED, why);
+		set_wave(e, wave, CFG_WAVE_HALTED, why.text);
 	} else if (json_object_size(steps)) {
 		commit(e, json_pack("{s:o}", "instances", steps));
 	} else {
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -93,7 +93,8 @@
 	const char *pool; /* "" for any; zone and rack likewise */
 	const char *zone;
 	const char *rack;
-	uint32_t return_max_s; /* halts when an instance is out for longer */
+	const char *why;       /* it was halted */
+	uint32_t return_max_s; /* halts when one drains or is out longer */
 	enum cfg_wave_state state;
 };
 
