--- a/src/entry/core_print.c
+++ b/src/entry/core_print.c
@@ -59,30 +59,48 @@
 	}
 }
 
-static uint64_t backlog_age_ms(const struct fq *q, uint64_t now_ms)
+/* Oldest waiting request of each queue, by the configuration's order. */
+struct ages {
+	const struct cfg *cfg;
+	uint64_t *oldest_ms;
+};
+
+static void note_age(void *arg, const struct job *job)
 {
-	struct fq_flow_view flow;
-	uint64_t age = 0;
+	struct ages *a = arg;
+	const struct cfg_queue *queue = cfg_find_queue(a->cfg, job->queue);
+	uint64_t *oldest;
+
+	if (!queue)
+		return;
+	oldest = &a->oldest_ms[queue - a->cfg->queues];
+	if (!*oldest || job->arrived_ms < *oldest)
+		*oldest = job->arrived_ms;
+}
+
+static void print_ages(const struct core *c, uint64_t now_ms, FILE *out)
+{
+	struct ages a = { c->cfg, NULL };
 	uint32_t i;
 
-	for (i = 0; i < fq_flows(q); i++) {
-		fq_view(q, i, &flow);
-		if (flow.oldest_ms && now_ms - flow.oldest_ms > age)
-			age = now_ms - flow.oldest_ms;
+	a.oldest_ms = talloc_zero_array(c, uint64_t, c->cfg->queue_count + 1);
+	assert(a.oldest_ms);
+	for (i = 0; i < c->pool_count; i++)
+		fq_each(c->pools[i].queue, note_age, &a);
+	for (i = 0; i < c->cfg->queue_count; i++) {
+		uint64_t age = a.oldest_ms[i] ? now_ms - a.oldest_ms[i] : 0;
+
+		fprintf(out,
+			"jackdawwell_backlog_age_seconds{queue=\"%s\"} %g\n",
+			c->cfg->queues[i].name, (double)age / 1000.0);
 	}
-	return age;
+	talloc_free(a.oldest_ms);
 }
 
-static void print_pool(const struct core *c, uint32_t id, uint64_t now_ms,
-		       FILE *out)
+static void print_pool(const struct core *c, uint32_t id, FILE *out)
 {
-	const char *name = c->cfg->pools[id].name;
-	const struct fq *q = c->pools[id].queue;
-
 	fprintf(out, "jackdawwell_pool_waiting{pool=\"%s\"} %" PRIu32 "\n",
-		name, fq_waiting(q));
-	fprintf(out, "jackdawwell_backlog_age_seconds{pool=\"%s\"} %g\n", name,
-		(double)backlog_age_ms(q, now_ms) / 1000.0);
+		c->cfg->pools[id].name, fq_waiting(c->pools[id].queue));
 }
 
 void core_print(struct core *c, FILE *out, uint64_t now_ms)
@@ -99,5 +117,6 @@
 			print_team(c, i, out);
 	for (i = 0; i < c->cfg->pool_count; i++)
 		if (c->cfg->pools[i].present)
-			print_pool(c, i, now_ms, out);
+			print_pool(c, i, out);
+	print_ages(c, now_ms, out);
 }
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -289,6 +289,20 @@
 	return q->running;
 }
 
+void fq_each(const struct fq *q, void (*fn)(void *arg, const struct job *job),
+	     void *arg)
+{
+	const struct job *job;
+	uint32_t i;
+	int class;
+
+	for (i = 0; i < q->count; i++)
+		for (class = 0; class < FQ_CLASSES; class ++)
+			for (job = q->flows[i].lists[class].head; job;
+			     job = job->next)
+				fn(arg, job);
+}
+
 static void sweep_list(struct fq *q, struct job_list *l,
 		       bool (*expired)(void *arg, const struct job *job),
 		       void (*refuse)(void *arg, struct job *job), void *arg)
--- a/src/request/fq.h
+++ b/src/request/fq.h
@@ -66,6 +66,10 @@
 uint32_t fq_waiting(const struct fq *q);
 uint32_t fq_running(const struct fq *q);
 
+/* fq_each - call fn for each waiting job */
+void fq_each(const struct fq *q, void (*fn)(void *arg, const struct job *job),
+	     void *arg);
+
 /*
  * fq_sweep - call refuse for each waiting job that `expired` holds for
  *
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -113,6 +113,7 @@
         self.serial = 0
         self.outcomes = {}  # request id -> outcome
         self.codes = []     # of operators' changes
+        self.backlogs = []  # seconds, as looked at
         self.failed = 0     # answers that tell of a failure
         self.spreads = []
         self.stopped = set()
@@ -216,6 +217,14 @@
         self.fleet.add_entry(name, ready=False)
         self.stopped.add(name)
 
+    def do_look(self, queue):
+        """look QUEUE: notes the backlog age that entry-1 shows."""
+        text = fleet.call(self.fleet.entries["entry-1"].admin, "GET",
+                          "/metrics")[2].decode()
+        found = re.search(r"backlog_age_seconds\{queue=\"" + queue
+                          + r"\"\} (\S+)", text)
+        self.backlogs.append(float(found[1]))
+
     def do_freeze(self, *names):
         for name in names:
             self.process(name).send(signal.SIGSTOP)
@@ -370,6 +379,8 @@
             return sum(p.running() for p in self.fleet.entries.values())
         if what == "exit":
             return self.fleet.entries[words[1]].popen.wait(timeout=30)
+        if what == "backlog":
+            return max(self.backlogs, default=0)
         if what == "failed":
             return self.failed
         if what == "ran-last":
