test: broken connections only at killed entries, in every scenario

The trace of outcomes is allowed: the case kills an entry, and how many of its calls are in flight then depends on the machine; the number was a wrong check. It is replaced by one as strict for all cases: a connection may break only at an entry that the case killed, and every other call must have an outcome.

--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -112,6 +112,8 @@
         self.case = case
         self.serial = 0
         self.outcomes = {}  # request id -> outcome
+        self.sent_to = {}   # request id -> entry
+        self.killed = set()
         self.codes = []     # of operators' changes
         self.backlogs = []  # seconds, as looked at
         self.failed = 0     # answers that tell of a failure
@@ -187,6 +189,7 @@
             if body == b"empty":
                 body = b""
             self.outcomes[request_id] = "broken"
+            self.sent_to[request_id] = entry
             self.background.start(self.call_one, entry, queue, team, body,
                                   headers)
             if gap:
@@ -235,6 +238,7 @@
 
     def do_kill(self, *names):
         for name in names:
+            self.killed.add(name)
             self.process(name).stop()
 
     def do_stop(self, name):
@@ -337,10 +341,16 @@
     # Expectations
 
     def check_calls(self):
-        """What holds in every case: at most once, and true refusals."""
+        """What holds in every case: at most once, true refusals, and broken
+        connections only at killed entries."""
         for request_id, outcome in self.outcomes.items():
             runs = sum(r["runs"].get(request_id, 0)
                        for r in self.records.values())
+            if outcome == "broken" and (self.sent_to[request_id]
+                                        not in self.killed):
+                raise ScenarioError(f"{request_id}: broken at "
+                                    f"{self.sent_to[request_id]}, which was "
+                                    f"not killed")
             if outcome == "wrong answer":
                 raise ScenarioError(f"{request_id}: wrong or cut answer")
             if outcome == "not-run" and runs:
