lead, sched: the strongest node leads; decisions without quadratic searches

Now a node tells its power, a weak one claims after the strong ones and gives way once; instances are found by machine and forgotten 5 s after they left; looks go on where the last search ended; time alone is looked at each 20 ms; events of 4 ms are decided together.

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -1217,7 +1217,7 @@
   (ProtobufCMessageInit) fleet__lead_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__node_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor fleet__node_row__field_descriptors[4] =
 {
   {
     "address",
@@ -1255,16 +1255,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "power",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__NodeRow, power),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__node_row__field_indices_by_name[] = {
   0,   /* field[0] = address */
   2,   /* field[2] = incarnation */
+  3,   /* field[3] = power */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange fleet__node_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor fleet__node_row__descriptor =
 {
@@ -1274,7 +1287,7 @@
   "Fleet__NodeRow",
   "fleet",
   sizeof(Fleet__NodeRow),
-  3,
+  4,
   fleet__node_row__field_descriptors,
   fleet__node_row__field_indices_by_name,
   1,  fleet__node_row__number_ranges,
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -249,10 +249,14 @@
   char *address;
   char *zone;
   uint64_t incarnation;
+  /*
+   * thousandths of a core; 0: not told
+   */
+  uint32_t power;
 };
 #define FLEET__NODE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__node_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -139,7 +139,7 @@
 			continue;
 		if (from->spare)
 			return m;
-		if (!fleet_instance_of(s, m->name, &load) || !load.usable ||
+		if (!sched_machine_load(s, m->name, &load) || !load.usable ||
 		    load.lasting || load.fillers || (idle_only && load.runs))
 			continue;
 		if (best && load.used.cpu >= best_used)
@@ -239,7 +239,7 @@
 		struct sched_instance_load load;
 
 		if (!v || v->spare || !movable(m, now) ||
-		    !fleet_instance_of(s, m->name, &load) || !load.usable ||
+		    !sched_machine_load(s, m->name, &load) || !load.usable ||
 		    load.runs) {
 			m->idle_ms = 0;
 			continue;
@@ -274,7 +274,7 @@
 	struct sched_instance_load load;
 
 	m->phase = PHASE_NONE;
-	if (fleet_instance_of(s, m->name, &load))
+	if (sched_machine_load(s, m->name, &load))
 		sched_reserve(s, load.instance, false, now);
 }
 
@@ -290,7 +290,7 @@
 		if (m->wave || m->phase != PHASE_DRAINING ||
 		    m->state != FLEET_UP)
 			continue;
-		if (fleet_instance_of(s, m->name, &load) && load.runs) {
+		if (sched_machine_load(s, m->name, &load) && load.runs) {
 			if (now - m->phase_ms > DRAIN_MAX_MS)
 				stay(m, s, now);
 			continue;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -94,29 +94,13 @@
 	}
 }
 
-bool fleet_instance_of(const struct sched *s, const char *machine,
-		       struct sched_instance_load *load)
-{
-	struct sched_instance_load l;
-	bool found = false;
-	uint32_t i;
-
-	/* The last instance is the newest life of its machine. */
-	for (i = 0; sched_instance_at(s, i, &l); i++)
-		if (!strcmp(l.machine, machine) && (l.usable || l.runs)) {
-			*load = l;
-			found = true;
-		}
-	return found;
-}
-
 void machine_drain(struct machine *m, struct sched *s, uint64_t now)
 {
 	struct sched_instance_load load;
 
 	m->phase = PHASE_DRAINING;
 	m->phase_ms = now;
-	if (fleet_instance_of(s, m->name, &load))
+	if (sched_machine_load(s, m->name, &load))
 		sched_reserve(s, load.instance, true, now);
 }
 
@@ -159,7 +143,7 @@
 	m->phase = PHASE_AWAY;
 	m->phase_ms = now;
 	m->state = m->wave ? FLEET_IN_UPKEEP : FLEET_MOVING;
-	if (fleet_instance_of(s, m->name, &load))
+	if (sched_machine_load(s, m->name, &load))
 		sched_machine_down(s, load.instance, now);
 	if (!m->wave) {
 		snprintf(m->pool, sizeof(m->pool), "%s", m->target);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -62,8 +62,6 @@
 
 /* fleet.c */
 struct machine *fleet_machine(const struct fleet *f, const char *name);
-bool fleet_instance_of(const struct sched *s, const char *machine,
-		       struct sched_instance_load *load);
 void machine_drain(struct machine *m, struct sched *s, uint64_t now);
 void fleet_want_list(struct fleet *f, uint64_t at);
 
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -75,7 +75,7 @@
 {
 	struct sched_instance_load load;
 
-	if (!fleet_instance_of(s, m->name, &load))
+	if (!sched_machine_load(s, m->name, &load))
 		return -1;
 	return (double)load.used.cpu + 100000.0 * load.lasting;
 }
@@ -135,7 +135,7 @@
 	struct sched_instance_load load;
 	bool patient = now - m->phase_ms < DRAIN_PATIENCE_MS;
 
-	if (!fleet_instance_of(s, m->name, &load) || !load.runs)
+	if (!sched_machine_load(s, m->name, &load) || !load.runs)
 		return true;
 	sched_reserve(s, load.instance, true, now);
 	sched_evacuate(s, load.instance, patient, now);
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -61,6 +61,20 @@
 	snprintf(p->address, sizeof(p->address), "%s", row->address);
 	snprintf(p->zone, sizeof(p->zone), "%s", row->zone);
 	p->incarnation = row->incarnation;
+	p->power = row->power;
+}
+
+/* The power of the strongest other node that was heard since since_ms. */
+uint32_t gossip_strongest(const struct node *n, uint64_t since_ms)
+{
+	uint32_t power = 0;
+	uint32_t i;
+
+	for (i = 0; i < n->peer_count; i++)
+		if (n->peers[i].heard_ms >= since_ms &&
+		    n->peers[i].power > power)
+			power = n->peers[i].power;
+	return power;
 }
 
 /* Beats */
@@ -71,6 +85,7 @@
 	row->address = (char *)n->settings.peers;
 	row->zone = (char *)n->settings.zone;
 	row->incarnation = n->incarnation;
+	row->power = n->settings.power;
 }
 
 /* What this node knows; the result is packed, owned by ctx. */
@@ -107,6 +122,7 @@
 		rows[i].address = (char *)p->address;
 		rows[i].zone = (char *)p->zone;
 		rows[i].incarnation = p->incarnation;
+		rows[i].power = p->power;
 		infos[i].node = (char *)p->name;
 		infos[i].row = &rows[i];
 		told[i] = &infos[i];
@@ -302,7 +318,7 @@
 	node_store_result(n, reply->status);
 	if (reply->status != STORE_OK)
 		return;
-	n->nodes_read = true;
+	lead_nodes_known(n);
 	for (i = 0; i < reply->row_count; i++) {
 		Fleet__NodeRow *row = fleet__node_row__unpack(
 			NULL, reply->rows[i].length, reply->rows[i].value);
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -17,11 +17,16 @@
 #define LEAD_SILENT_MS 1200u /* without news of the lead: claim */
 #define LEAD_RANK_MS 80u     /* between two nodes' claims */
 #define LEAD_RANKS 8u
-#define LEAD_CONFIRM_MS 800u /* between two confirmations */
-#define LEAD_ABLE_MS 1400u   /* without a confirmation: others may claim */
+#define LEAD_WEAK_MS 700u     /* a weak node claims after all strong ones */
+#define LEAD_STRONG_RATIO 1.5 /* of two nodes' power: the work is uneven */
+#define LEAD_STRONG_HEARD_MS 15000u /* a round of beats of 40 nodes */
+#define LEAD_FIRST_NODES_MS 2000u   /* for the table of nodes to be read */
+#define LEAD_YIELD_MS 3000u	    /* a weak node leads at least that long */
+#define LEAD_YIELD_HEARD_MS 600u    /* the stronger one is there now */
+#define LEAD_CONFIRM_MS 800u	    /* between two confirmations */
+#define LEAD_ABLE_MS 1400u /* without a confirmation: others may claim */
 #define LEAD_CLAIM_RETRY_MS 400u
-#define LEAD_GRACE_MS 1500u	/* for a lead that was just learnt of */
-#define LEAD_FIRST_READ_MS 300u /* before a new node claims, unless first */
+#define LEAD_GRACE_MS 1500u /* for a lead that was just learnt of */
 
 bool lead_is_self(const struct node *n)
 {
@@ -84,12 +89,31 @@
 	return node_pack(ctx, &l, length);
 }
 
+/* Whether a much stronger node was heard within the last heard_ms. */
+static bool is_weak(const struct node *n, uint64_t heard_ms)
+{
+	uint64_t now = clock_now_ms();
+	uint32_t strongest =
+		gossip_strongest(n, now > heard_ms ? now - heard_ms : 0);
+
+	return strongest > n->settings.power * LEAD_STRONG_RATIO;
+}
+
 static uint32_t claim_delay(const struct node *n)
 {
 	uint64_t hash = XXH64(n->settings.name, strlen(n->settings.name),
 			      n->lead.epoch);
+	uint32_t rank_ms = (uint32_t)(hash % LEAD_RANKS) * LEAD_RANK_MS;
+
+	return rank_ms + (is_weak(n, LEAD_STRONG_HEARD_MS) ? LEAD_WEAK_MS : 0);
+}
 
-	return (uint32_t)(hash % LEAD_RANKS) * LEAD_RANK_MS;
+/* The table of nodes was read: who is strong is known. */
+void lead_nodes_known(struct node *n)
+{
+	if (!n->nodes_read && !n->lead.known)
+		n->claim_ms = clock_now_ms() + claim_delay(n);
+	n->nodes_read = true;
 }
 
 /* What a beat or a row told about the lead. */
@@ -299,6 +323,7 @@
 	    !strcmp(name, n->lead.node) && incarnation != n->lead.incarnation) {
 		n->lead_ended = true;
 		n->lead_heard_ms = 0;
+		n->claim_ms = clock_now_ms() + claim_delay(n);
 	}
 	if (n->phase == LEAD_NONE || n->predecessor_gone ||
 	    strcmp(name, n->predecessor) ||
@@ -316,9 +341,10 @@
 
 	if (n->claiming || n->lead_reading || n->stopping)
 		return;
-	if (!n->lead.known && now - n->started_ms < LEAD_FIRST_READ_MS &&
-	    !n->settings.first_start) {
-		if (now >= n->claim_ms) {
+	/* Who leads, and who is strong, is not known before. */
+	if (!n->lead.known && !n->nodes_read &&
+	    now - n->started_ms < LEAD_FIRST_NODES_MS) {
+		if (now >= n->claim_ms && !n->settings.first_start) {
 			n->claim_ms = now + LEAD_CLAIM_RETRY_MS;
 			read_row(n, now);
 		}
@@ -327,8 +353,7 @@
 	if (n->lead.known && *n->lead.node &&
 	    silent < LEAD_SILENT_MS + claim_delay(n))
 		return;
-	if (now < n->claim_ms ||
-	    (!n->lead.known && now - n->started_ms < claim_delay(n)))
+	if (now < n->claim_ms)
 		return;
 	claim_lead(n, now);
 }
@@ -341,6 +366,13 @@
 	}
 	if (n->releasing || n->lead_reading)
 		return;
+	if (n->phase == LEAD_DECIDING && !n->yielded &&
+	    now - n->led_ms >= LEAD_YIELD_MS &&
+	    is_weak(n, LEAD_YIELD_HEARD_MS)) {
+		n->yielded = true;
+		lead_release(n);
+		return;
+	}
 	if (now - n->confirmed_ms >= LEAD_CONFIRM_MS ||
 	    (n->phase == LEAD_DECIDING && sched_wants_confirmation(n->sched)))
 		read_row(n, now);
@@ -354,14 +386,17 @@
 
 	node_store_result(n, reply->status);
 	n->releasing = false;
-	lead_resign(n, "stopping");
+	lead_resign(n, n->stopping ? "stopping" : "a stronger node is there");
 	n->lead.known = false;
-	n->stopped(n->stopped_arg);
+	n->claim_ms = clock_now_ms() + LEAD_SILENT_MS + claim_delay(n);
+	if (n->stopping)
+		n->stopped(n->stopped_arg);
 }
 
 /*
  * lead_release - leave the lead free to be claimed at once
  *
+ * A node that stops has n->stopped called once this is done or has failed.
  * The caller has stopped giving orders; a write under way is not waited
  * for, because its condition fails once the row is changed.
  */
@@ -374,6 +409,8 @@
 		n->stopped(n->stopped_arg);
 		return;
 	}
+	if (n->releasing)
+		return;
 	n->releasing = true;
 	view.node[0] = '\0';
 	view.incarnation = 0;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,17 +6,16 @@
 
 #include "node/node_internal.h"
 
+#define PUMP_MS 4u	      /* as long as an answer of the store takes */
 #define NODE_CONNECTIONS 256u /* to other nodes, kept */
 
-static void on_pump(struct tevent_context *ev, struct tevent_immediate *im,
-		    void *arg)
+static void pump(void *arg)
 {
 	struct node *n = arg;
 	uint64_t now = clock_now_ms();
 
-	(void)ev;
-	(void)im;
 	n->pump_wanted = false;
+	n->pump_ms = now;
 	if (n->phase != LEAD_DECIDING)
 		return;
 	sched_tick(n->sched, node_unix_ms(n), now);
@@ -24,13 +23,31 @@
 	commit_run(n, now);
 }
 
-/* Acts on what the last events have changed, once a turn of the loop. */
+static void on_pump_now(struct tevent_context *ev, struct tevent_immediate *im,
+			void *arg)
+{
+	(void)ev;
+	(void)im;
+	pump(arg);
+}
+
+/*
+ * node_pump - act on what the last events have changed
+ *
+ * At once after a calm moment; under load, events of PUMP_MS together.
+ */
 void node_pump(struct node *n)
 {
+	uint64_t past = clock_now_ms() - n->pump_ms;
+
 	if (n->pump_wanted)
 		return;
 	n->pump_wanted = true;
-	tevent_schedule_immediate(n->pump_now, n->ev, on_pump, n);
+	if (past < PUMP_MS) {
+		mtimer_set(n->pump_timer, PUMP_MS - past);
+		return;
+	}
+	tevent_schedule_immediate(n->pump_now, n->ev, on_pump_now, n);
 }
 
 static void on_tick(void *arg)
@@ -101,7 +118,9 @@
 	n->pump_now = tevent_create_immediate(n);
 	n->http = httpc_new(n, ev, NODE_CONNECTIONS, 0);
 	n->tick = mtimer_new(n, ev, on_tick, n);
-	if (!n->pump_now || !n->http || !n->tick || !gossip_start(n)) {
+	n->pump_timer = mtimer_new(n, ev, pump, n);
+	if (!n->pump_now || !n->pump_timer || !n->http || !n->tick ||
+	    !gossip_start(n)) {
 		talloc_free(n);
 		return NULL;
 	}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -44,6 +44,7 @@
 	char zone[64];
 	char address[64];
 	uint64_t incarnation;
+	uint32_t power;	   /* thousandths of a core */
 	uint64_t heard_ms; /* last beat or answer; 0: never */
 	bool beating;	   /* a beat waits for its answer */
 	uint64_t beat_ms;  /* when the last one was sent */
@@ -101,7 +102,9 @@
 	int64_t unix_offset_ms; /* time of day less steady time, at start */
 	struct mtimer *tick;
 	struct tevent_immediate *pump_now;
+	struct mtimer *pump_timer;
 	bool pump_wanted;
+	uint64_t pump_ms; /* the last one */
 
 	/* Peers */
 	struct httpc *http; /* to other nodes */
@@ -125,6 +128,7 @@
 	uint64_t lead_heard_ms;
 	bool lead_ended; /* its node runs as a new incarnation */
 	bool claiming;
+	bool yielded;	   /* it has left the lead to a stronger node once */
 	uint64_t claim_ms; /* not before */
 	bool lead_reading;
 	uint64_t lead_suspect_ms; /* asked again only after this */
@@ -186,6 +190,7 @@
 bool lead_may_order(const struct node *n, uint64_t now);
 void lead_release(struct node *n);
 void lead_confirmed(struct node *n, uint64_t sent_ms);
+void lead_nodes_known(struct node *n);
 void lead_heard(struct node *n, bool able, uint64_t now);
 void lead_peer_seen(struct node *n, const char *name, uint64_t incarnation);
 
@@ -219,6 +224,7 @@
 bool gossip_start(struct node *n);
 void gossip_tick(struct node *n, uint64_t now);
 void gossip_learn(struct node *n, const char *name, const Fleet__NodeRow *row);
+uint32_t gossip_strongest(const struct node *n, uint64_t since_ms);
 
 /* machines.c */
 void machines_begin(struct node *n);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -200,9 +200,10 @@
 static void drop_unlisted(struct node *n, const struct store_reply *reply)
 {
 	struct sched_instance_load load;
-	uint32_t i, r;
+	uint32_t slot = 0;
+	uint32_t r;
 
-	for (i = 0; sched_instance_at(n->sched, i, &load); i++) {
+	while (sched_instance_next(n->sched, &slot, &load)) {
 		for (r = 0; r < reply->row_count; r++)
 			if (!strcmp(reply->rows[r].key, load.id))
 				break;
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -9,6 +9,7 @@
 
 #include "pool/sched_internal.h"
 
+#define SWEEP_MS 20u  /* below a tenth of the shortest bound in time */
 #define TRACE_MAX 512 /* bytes of a trace's text */
 
 /* The tables' heads are not talloc's. */
@@ -18,6 +19,7 @@
 	HASH_CLEAR(hh, s->pools);
 	HASH_CLEAR(hh, s->workspaces);
 	HASH_CLEAR(hh, s->by_id);
+	HASH_CLEAR(hh, s->machines);
 	return 0;
 }
 
@@ -550,11 +552,12 @@
 	}
 }
 
-void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now)
+/* What time alone changes: jobs that come due or are forgotten, leases. */
+static void sweep(struct sched *s, uint64_t now)
 {
 	struct job *job, *next;
 
-	s->unix_ms = unix_ms;
+	s->sweep_ms = now + SWEEP_MS;
 	for (job = s->jobs; job; job = next) {
 		next = job->hh.next;
 		if (!job_is_over(job)) {
@@ -570,5 +573,12 @@
 			job_free(s, job);
 	}
 	instances_tick(s, now);
+}
+
+void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now)
+{
+	s->unix_ms = unix_ms;
+	if (now >= s->sweep_ms)
+		sweep(s, now);
 	sched_place(s, now);
 }
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -366,9 +366,16 @@
 	struct amount used;
 };
 
-/* sched_instance_at - index from 0; false beyond the last */
-bool sched_instance_at(const struct sched *s, uint32_t index,
-		       struct sched_instance_load *load);
+/* sched_instance_next - *slot is 0 at first; false beyond the last */
+bool sched_instance_next(const struct sched *s, uint32_t *slot,
+			 struct sched_instance_load *load);
+
+/*
+ * sched_machine_load - the newest life of a machine that is usable or runs
+ * something; false when there is none
+ */
+bool sched_machine_load(const struct sched *s, const char *machine,
+			struct sched_instance_load *load);
 
 /* sched_reserve - start nothing new there (true), or use it again */
 void sched_reserve(struct sched *s, instance_handle_t i, bool reserved,
@@ -377,7 +384,7 @@
 /*
  * sched_evacuate - stop what lasts there as far as budgets allow
  *
- * Called again until sched_instance_at shows no run. Tasks that end are left
+ * Called again until sched_machine_load shows no run. Tasks that end are left
  * to end while patient, else stopped too.
  */
 void sched_evacuate(struct sched *s, instance_handle_t i, bool patient,
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -101,7 +101,7 @@
 	uint64_t durable = durable_seq(s);
 	uint32_t i, n;
 
-	for (i = 0; i < s->instance_count; i++) {
+	for (i = 0; i < s->instance_slots; i++) {
 		struct instance *inst = s->instances[i];
 
 		if (!inst)
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -10,7 +10,8 @@
 #include "pool/sched_internal.h"
 
 #define INSTANCES_FIRST 64u
-#define LEASE_SLACK 0.03 /* the instance's clock may be 2% slow */
+#define INSTANCE_KEEP_MS 5000u /* unlisted: a directory regained in 2 s */
+#define LEASE_SLACK 0.03       /* the instance's clock may be 2% slow */
 #define LEASE_MARGIN_MS 150u
 #define FAILURES_MAX 3u /* of different jobs in a row, then it is shunned */
 #define SHUN_MS 4000u	/* before it is tried again */
@@ -19,7 +20,7 @@
 {
 	struct instance *i;
 
-	if (h.i >= s->instance_count)
+	if (h.i >= s->instance_slots)
 		return NULL;
 	i = s->instances[h.i];
 	return i && i->handle.generation == h.generation ? i : NULL;
@@ -103,7 +104,7 @@
 	s->epoch = epoch;
 	s->led_ms = now;
 	s->predecessor_end = predecessor_gone ? now : now + s->options.lead_ms;
-	for (n = 0; n < s->instance_count; n++)
+	for (n = 0; n < s->instance_slots; n++)
 		if (s->instances[n])
 			lease_unknown(s, s->instances[n]);
 }
@@ -115,7 +116,7 @@
 	if (s->predecessor_end <= now)
 		return;
 	s->predecessor_end = now;
-	for (n = 0; n < s->instance_count; n++)
+	for (n = 0; n < s->instance_slots; n++)
 		if (s->instances[n] && !s->instances[n]->seen)
 			lease_unknown(s, s->instances[n]);
 }
@@ -135,28 +136,91 @@
 	DL_APPEND2(pool->instances, i, pool_prev, pool_next);
 }
 
-static struct instance *instance_new(struct sched *s, const char *id,
-				     uint64_t now)
+static void instance_off(struct sched *s, struct instance *i)
 {
-	struct instance *i = talloc_zero(s, struct instance);
+	struct machine_lives *m = i->machine;
 
-	assert(i);
-	if (s->instance_count == s->instance_room) {
+	DL_DELETE2(m->lives, i, life_prev, life_next);
+	i->machine = NULL;
+	if (m->lives)
+		return;
+	HASH_DEL(s->machines, m);
+	talloc_free(m);
+}
+
+static void instance_on(struct sched *s, struct instance *i,
+			const char *machine)
+{
+	struct machine_lives *m = i->machine;
+
+	if (m && !strcmp(m->machine, machine))
+		return;
+	if (m)
+		instance_off(s, i);
+	HASH_FIND_STR(s->machines, machine, m);
+	if (!m) {
+		m = talloc_zero(s, struct machine_lives);
+		assert(m);
+		snprintf(m->machine, sizeof(m->machine), "%s", machine);
+		HASH_ADD_STR(s->machines, machine, m);
+	}
+	i->machine = m;
+	DL_APPEND2(m->lives, i, life_prev, life_next);
+}
+
+/* A slot that was forgotten, or a new one. */
+static uint32_t slot_for(struct sched *s)
+{
+	uint32_t n;
+
+	for (n = 0; n < s->instance_slots; n++)
+		if (!s->instances[n])
+			return n;
+	if (s->instance_slots == s->instance_room) {
 		s->instance_room = s->instance_room ? s->instance_room * 2
 						    : INSTANCES_FIRST;
 		s->instances = talloc_realloc(
 			s, s->instances, struct instance *, s->instance_room);
 		assert(s->instances);
 	}
-	i->handle.i = s->instance_count;
-	i->handle.generation = 1;
-	s->instances[s->instance_count++] = i;
+	return s->instance_slots++;
+}
+
+static struct instance *instance_new(struct sched *s, const char *id,
+				     const char *machine, uint64_t now)
+{
+	struct instance *i = talloc_zero(s, struct instance);
+
+	assert(i);
+	i->handle.i = slot_for(s);
+	i->handle.generation = ++s->instance_generation;
+	s->instances[i->handle.i] = i;
 	snprintf(i->id, sizeof(i->id), "%s", id);
 	i->look_ms = i->known_ms = now;
 	HASH_ADD_STR(s->by_id, id, i);
+	instance_on(s, i, machine);
 	return i;
 }
 
+static void instance_forget(struct sched *s, struct instance *i)
+{
+	sched_trace(s, "instance-forgotten", i->id, "\"machine\":\"%s\"",
+		    i->machine->machine);
+	HASH_DEL(s->by_id, i);
+	DL_DELETE2(i->pool->instances, i, pool_prev, pool_next);
+	instance_off(s, i);
+	s->instances[i->handle.i] = NULL;
+	talloc_free(i);
+}
+
+/* Nothing runs on it, nothing is owed to it, and it is not coming back. */
+static bool instance_forgettable(const struct instance *i, uint64_t now)
+{
+	return i->unlisted_ms && now - i->unlisted_ms >= INSTANCE_KEEP_MS &&
+	       !i->run_count && !i->unacked_count && !i->looking &&
+	       !i->pool_counted;
+}
+
 static void copy_labels(struct instance *i,
 			const struct sched_instance_info *info)
 {
@@ -176,7 +240,7 @@
 	HASH_FIND_STR(s->by_id, info->id, i);
 	is_new = !i;
 	if (is_new)
-		i = instance_new(s, info->id, now);
+		i = instance_new(s, info->id, info->machine, now);
 	if (is_new || i->leaving != info->leaving || !i->listed)
 		sched_trace(s, "instance", i->id,
 			    "\"pool\":\"%s\",\"machine\":\"%s\",\"new\":%d,"
@@ -184,11 +248,12 @@
 			    info->pool, info->machine, is_new, info->leaving);
 	snprintf(i->address, sizeof(i->address), "%s", info->address);
 	snprintf(i->zone, sizeof(i->zone), "%s", info->zone);
-	snprintf(i->machine, sizeof(i->machine), "%s", info->machine);
+	instance_on(s, i, info->machine);
 	copy_labels(i, info);
 	i->capacity = info->capacity;
 	i->leaving = info->leaving;
 	i->listed = true;
+	i->unlisted_ms = 0;
 	instance_place(s, i, info->pool);
 	if (is_new) {
 		lease_unknown(s, i);
@@ -204,8 +269,7 @@
 	HASH_FIND_STR(s->by_id, id, i);
 	if (i)
 		return;
-	i = instance_new(s, id, now);
-	snprintf(i->machine, sizeof(i->machine), "%s", machine);
+	i = instance_new(s, id, machine, now);
 	instance_place(s, i, pool);
 	lease_unknown(s, i);
 	if (i->pool->instances)
@@ -223,14 +287,16 @@
 void sched_machine_holds(struct sched *s, const char *machine, const char *id,
 			 uint64_t sent_ms, uint64_t now)
 {
-	uint32_t n;
+	struct machine_lives *m;
+	struct instance *i, *next;
 
-	for (n = 0; n < s->instance_count; n++) {
-		struct instance *i = s->instances[n];
-
-		if (strcmp(i->machine, machine) || !strcmp(i->id, id) ||
-		    !is_mute(i) || i->clock_at >= sent_ms ||
-		    i->known_ms >= sent_ms)
+	HASH_FIND_STR(s->machines, machine, m);
+	if (!m)
+		return;
+	DL_FOREACH_SAFE2(m->lives, i, next, life_next)
+	{
+		if (!strcmp(i->id, id) || !is_mute(i) ||
+		    i->clock_at >= sent_ms || i->known_ms >= sent_ms)
 			continue;
 		instance_expire(s, i, "its machine holds another or none", now);
 	}
@@ -240,8 +306,8 @@
 {
 	uint32_t n;
 
-	for (n = 0; n < s->instance_count; n++)
-		if (is_mute(s->instances[n]))
+	for (n = 0; n < s->instance_slots; n++)
+		if (s->instances[n] && is_mute(s->instances[n]))
 			return true;
 	return false;
 }
@@ -266,6 +332,7 @@
 	if (!i || !i->listed)
 		return;
 	i->listed = false;
+	i->unlisted_ms = now;
 	i->look_ms = now;
 	sched_trace(s, "instance-unlisted", id, "\"runs\":%u", i->run_count);
 }
@@ -324,10 +391,12 @@
 {
 	uint32_t n;
 
-	for (n = 0; n < s->instance_count; n++)
-		if (s->instances[n]->seen && s->instances[n]->listed &&
-		    s->instances[n]->met_ms >= s->confirmed_ms)
+	for (n = 0; n < s->instance_slots; n++) {
+		const struct instance *i = s->instances[n];
+
+		if (i && i->seen && i->listed && i->met_ms >= s->confirmed_ms)
 			return true;
+	}
 	return false;
 }
 
@@ -375,8 +444,15 @@
 {
 	uint32_t n;
 
-	for (n = 0; n < s->instance_count; n++)
-		instance_tick(s, s->instances[n], now);
+	for (n = 0; n < s->instance_slots; n++) {
+		struct instance *i = s->instances[n];
+
+		if (!i)
+			continue;
+		instance_tick(s, i, now);
+		if (instance_forgettable(i, now))
+			instance_forget(s, i);
+	}
 	/* Whatever a predecessor started has ended by then. */
 	if (now >= s->predecessor_end +
 			   s->options.lease_ms * (1 + LEASE_SLACK) +
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -157,12 +157,19 @@
 	uint64_t seq; /* durable once all changes up to here are */
 };
 
+/* The instances that are lives of one machine, oldest first. */
+struct machine_lives {
+	char machine[128];
+	struct instance *lives;
+	UT_hash_handle hh;
+};
+
 struct instance {
 	instance_handle_t handle;
 	char id[128];
 	char address[64];
 	char zone[64];
-	char machine[128];
+	struct machine_lives *machine;
 	char labels[SCHED_LABELS_MAX][SCHED_LABEL_MAX];
 	uint32_t label_count;
 	struct pool *pool;
@@ -179,6 +186,7 @@
 	bool pool_counted;     /* in its pool's unseen */
 	struct amount counted; /* in the scheduler's unseen */
 	uint64_t known_ms;     /* when this lead first knew of it */
+	uint64_t unlisted_ms;  /* when it left the directory; 0: it is there */
 	uint64_t met_ms;       /* first report of its life to this lead */
 	uint64_t look_ms;      /* when the next look is due */
 	uint64_t clock_ms;     /* its clock... */
@@ -197,6 +205,7 @@
 	uint64_t calm_ms;	/* when fillers may be let go again */
 	uint32_t unanswered;	/* orders in a row */
 	struct instance *pool_prev, *pool_next;
+	struct instance *life_prev, *life_next; /* of its machine */
 	UT_hash_handle hh;
 };
 
@@ -214,9 +223,13 @@
 	struct pool *pools;
 	struct workspace *workspaces;
 	struct instance *by_id;
-	struct instance **instances;
-	uint32_t instance_count;
+	struct machine_lives *machines;
+	struct instance **instances; /* NULL where one was forgotten */
+	uint32_t instance_slots;     /* in use or forgotten */
 	uint32_t instance_room;
+	uint32_t instance_generation; /* of the newest */
+	uint32_t look_turn; /* slot where the search for looks goes on */
+	uint64_t sweep_ms;  /* when time alone changes something again */
 	struct run **runs;
 	uint32_t *run_generations;
 	uint32_t run_room;
--- a/src/pool/sched_look.c
+++ b/src/pool/sched_look.c
@@ -39,12 +39,14 @@
 			       (!i->seen && !i->expired));
 }
 
+/* Each search goes on where the last one ended, so that a pass is one round. */
 bool sched_next_look(struct sched *s, uint64_t now, struct sched_look *look)
 {
 	uint32_t n;
 
-	for (n = 0; n < s->instance_count; n++) {
-		struct instance *i = s->instances[n];
+	for (n = 0; n < s->instance_slots; n++) {
+		uint32_t slot = s->look_turn++ % s->instance_slots;
+		struct instance *i = s->instances[slot];
 
 		if (!i || i->looking || now < i->look_ms || !look_wanted(i))
 			continue;
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -521,19 +521,14 @@
 
 /* What the decisions about machines look at */
 
-bool sched_instance_at(const struct sched *s, uint32_t index,
-		       struct sched_instance_load *load)
+static void load_of(const struct instance *i, struct sched_instance_load *load)
 {
-	const struct instance *i;
 	const struct run *run;
 
-	if (index >= s->instance_count)
-		return false;
-	i = s->instances[index];
 	memset(load, 0, sizeof(*load));
 	load->instance = i->handle;
 	load->id = i->id;
-	load->machine = i->machine;
+	load->machine = i->machine->machine;
 	load->pool = i->pool->name;
 	load->rack = rack_of(i);
 	load->usable = i->listed && !i->leaving && !i->silent && !i->expired;
@@ -547,7 +542,39 @@
 		else if (run->task->step->spec->lasting)
 			load->lasting++;
 	}
-	return true;
+}
+
+bool sched_instance_next(const struct sched *s, uint32_t *slot,
+			 struct sched_instance_load *load)
+{
+	while (*slot < s->instance_slots) {
+		const struct instance *i = s->instances[(*slot)++];
+
+		if (!i)
+			continue;
+		load_of(i, load);
+		return true;
+	}
+	return false;
+}
+
+bool sched_machine_load(const struct sched *s, const char *machine,
+			struct sched_instance_load *load)
+{
+	const struct machine_lives *m;
+	const struct instance *i;
+	const struct instance *newest = NULL;
+
+	HASH_FIND_STR(s->machines, machine, m);
+	if (!m)
+		return false;
+	DL_FOREACH2(m->lives, i, life_next)
+	if (i->run_count ||
+	    (i->listed && !i->leaving && !i->silent && !i->expired))
+		newest = i;
+	if (newest)
+		load_of(newest, load);
+	return newest != NULL;
 }
 
 void sched_reserve(struct sched *s, instance_handle_t h, bool reserved,
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -10,7 +10,7 @@
 {
 	*stats = s->stats;
 	stats->jobs = HASH_COUNT(s->jobs);
-	stats->instances = s->instance_count;
+	stats->instances = HASH_COUNT(s->by_id);
 }
 
 struct sched_queue_stats *queue_stats(struct sched *s, const char *queue)
--- a/standin/site.c
+++ b/standin/site.c
@@ -28,7 +28,7 @@
 #include "process/mtimer.h"
 #include "standin/serve.h"
 
-#define WORKERS_MAX 64
+#define WORKERS_MAX 512
 #define TICK_MS 10u
 #define CRASH_MS 2000u
 #define CAPACITY_CPU 16000
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -567,6 +567,43 @@
 	talloc_free(r.s);
 }
 
+static uint32_t instances_known(const struct rig *r)
+{
+	struct sched_stats stats;
+
+	sched_stats(r->s, &stats);
+	return stats.instances;
+}
+
+/* An instance that left is forgotten, but not while something may run there. */
+static void test_forgotten_instances(void **state)
+{
+	struct sched_instance_load load;
+	struct rig r;
+	uint32_t known;
+
+	(void)state;
+	rig_new(&r);
+	rig_lead(&r);
+	see_all_empty(&r);
+	known = instances_known(&r);
+	submit(&r, id_a, 1, 1, false);
+	write_all(&r);
+	assert_int_equal(orders(&r), 1);
+	answer_all(&r, ORDER_DONE);
+	assert_true(sched_machine_load(r.s, "i-0", &load));
+	sched_instance_gone(r.s, "i-0", r.now);
+	sched_instance_gone(r.s, "i-1", r.now);
+	r.now += 60000;
+	sched_tick(r.s, r.now, r.now);
+	assert_int_equal(instances_known(&r), known - 1);
+	assert_int_equal(sched_machine_load(r.s, "i-0", &load) +
+				 sched_machine_load(r.s, "i-1", &load),
+			 1);
+	assert_int_equal(load.runs, 1);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -587,6 +624,7 @@
 		cmocka_unit_test(test_gang),
 		cmocka_unit_test(test_attempts),
 		cmocka_unit_test(test_refusals),
+		cmocka_unit_test(test_forgotten_instances),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/walk/fleet_world_lead.c
+++ b/test/walk/fleet_world_lead.c
@@ -236,8 +236,9 @@
 	sched_tick(l->s, w->now, w->now);
 	if (chance(w, FAULT_EVACUATIONS, 5)) {
 		struct sched_instance_load load;
+		uint32_t slot = pick(w, WORLD_INSTANCES);
 
-		if (sched_instance_at(l->s, pick(w, WORLD_INSTANCES), &load))
+		if (sched_instance_next(l->s, &slot, &load))
 			sched_evacuate(l->s, load.instance, true, w->now);
 	}
 	lead_send(w, who);
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -28,6 +28,8 @@
 store: 127.0.0.1:{store}
 fleet: 127.0.0.1:{store}
 first_start: false
+processor_share: {share}
+processor_cores: 1
 descriptors_max: 1000
 stop_ms: 6000
 lease_max_ms: 10000
@@ -36,6 +38,7 @@
 move_s: 2
 upkeep_s: 2
 """
+SHARE = 0.3       # of a core, as told to a node
 KEY = "key-of-the-shop-workspace"
 CALL_S = 5.0
 SETTLE_S = 30.0
@@ -96,6 +99,12 @@
                           "value": config(self.version, **changes)})
         self.version += 1
 
+    strong = ()
+
+    def share(self, name):
+        """Of a core; a third of it for the others where some are strong."""
+        return SHARE if not self.strong or name in self.strong else SHARE / 3
+
     def prepare_node(self, name):
         callers, readiness, peers = fleet.free_ports(3)
         self.ports[name] = (callers, readiness, peers)
@@ -104,7 +113,7 @@
         with open(path, "w") as f:
             f.write(NODE_SETTINGS.format(
                 name=name, callers=callers, readiness=readiness, peers=peers,
-                seeds=seeds, store=self.port))
+                seeds=seeds, store=self.port, share=self.share(name)))
         self.nodes[name] = fleet.Process(
             name, callers, [f"{self.build}/jackdawwell-node", path], self.log)
 
@@ -184,6 +193,7 @@
         self.title = lines[0].lstrip("# ")
         self.actions, self.expects = [], []
         self.nodes, self.workers = 3, 4
+        self.strong = ()
         for line in lines[1:]:
             if line.startswith("#"):
                 continue
@@ -192,6 +202,8 @@
                 self.actions.append((seconds(words[1]), words[2:]))
             elif words[0] == "expect":
                 self.expects.append(words[1:])
+            elif words[0] == "strong":
+                self.strong = words[1:]
             elif words[0] in ("nodes", "workers"):
                 setattr(self, words[0], int(words[1]))
             else:
@@ -357,6 +369,8 @@
             return int(self.wave_state() == words[1])
         if words[0] == "status":
             return self.status(words[1], words[2])
+        if words[0] == "lead":
+            return int(self.site.lead() == words[1])
         if words[0] == "takeovers":
             return max(self.site.metric(n, "lead_epoch")
                        for n in self.site.nodes)
@@ -419,6 +433,7 @@
 
 def play(case, build):
     with Site(build, case.workers) as site:
+        site.strong = case.strong
         site.configure()
         site.start_nodes(case.nodes)
         run = Run(case, site)
