httpc: several multi handles; a socket that never connected leaves the event loop

Until it is connected a duplicate is watched now. (2) libcurl walks over all connections of a multi handle when a request ends, and over its cache of names; hosts are spread over 16 handles, nothing is cached, one timer serves all.

test_connections_that_hang fails before (it aborts in tevent).

--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -2,23 +2,42 @@
 
 #include <assert.h>
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <unistd.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "process/clock.h"
 #include "process/mtimer.h"
 
 #define HTTPC_BUFFER_FIRST 1024u      /* bytes */
+#define HTTPC_BUFFER_KEEP 4096u	      /* bytes, in an idle handle */
 #define HTTPC_HEADERS_MAX (64u << 10) /* bytes */
 #define HTTPC_FIRST_WATCHES 64
 #define HTTPC_READ_BYTES 16384L
 #define HTTPC_IDLE_HANDLES 256u /* easy handles kept for reuse */
+/*
+ * libcurl walks over all connections of a multi handle when a request ends;
+ * hosts are spread over several, so that each has few.
+ */
+#define HTTPC_SHARDS 16u
+
+struct httpc;
+
+/* One multi handle, for some of the hosts. */
+struct shard {
+	struct httpc *client;
+	CURLM *multi;
+	struct tevent_immediate *now; /* a time-out of zero */
+	uint64_t due_ms;	      /* its next time-out; 0: none */
+};
 
 struct exchange {
 	struct httpc *client;
+	struct shard *shard; /* that the request is under way in */
 	struct exchange *next_idle;
 	struct exchange *prev, *next; /* of those under way */
 	CURL *easy;
@@ -42,9 +61,9 @@
 
 struct httpc {
 	struct tevent_context *ev;
-	struct mtimer *timer;
-	struct tevent_immediate *now; /* a time-out of zero */
-	CURLM *multi;
+	struct mtimer *timer; /* of all shards */
+	uint64_t timer_ms;    /* when it goes off; 0: it is not set */
+	struct shard shards[HTTPC_SHARDS];
 	struct exchange *idle;
 	struct exchange *under_way;
 	struct watch **watches; /* by descriptor */
@@ -74,6 +93,17 @@
 	return true;
 }
 
+/* An empty buffer with the bytes of b, unless they are many. */
+static struct httpc_buffer buffer_keep(struct httpc_buffer *b)
+{
+	struct httpc_buffer kept = { b->data, 0, b->room };
+
+	if (b->room <= HTTPC_BUFFER_KEEP)
+		return kept;
+	free(b->data);
+	return (struct httpc_buffer){ 0 };
+}
+
 char *httpc_take(struct httpc_buffer *buffer, size_t *length)
 {
 	char *data = buffer->data;
@@ -155,12 +185,15 @@
 	CURL *easy = x->easy;
 	struct httpc *client = x->client;
 
+	struct httpc_buffer headers = buffer_keep(&x->answer.headers);
+	struct httpc_buffer body = buffer_keep(&x->answer.body);
+
 	curl_slist_free_all(x->headers);
-	free(x->answer.headers.data);
-	free(x->answer.body.data);
 	memset(x, 0, sizeof(*x));
 	x->easy = easy;
 	x->client = client;
+	x->answer.headers = headers;
+	x->answer.body = body;
 }
 
 static void exchange_free(struct exchange *x)
@@ -186,6 +219,8 @@
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
 	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->client);
+	/* Hosts are IP numbers; entries would be walked over each time. */
+	curl_easy_setopt(e, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
@@ -256,7 +291,7 @@
 {
 	struct httpc *c = x->client;
 
-	curl_multi_remove_handle(c->multi, x->easy);
+	curl_multi_remove_handle(x->shard->multi, x->easy);
 	DL_DELETE(c->under_way, x);
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->answer.code);
 	x->answer.status = exchange_status(x, code);
@@ -271,13 +306,13 @@
 	exchange_put(x);
 }
 
-static void reap(struct httpc *c)
+static void reap(struct shard *s)
 {
 	struct CURLMsg *msg;
 	struct exchange *x;
 	int left;
 
-	while ((msg = curl_multi_info_read(c->multi, &left))) {
+	while ((msg = curl_multi_info_read(s->multi, &left))) {
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
@@ -291,19 +326,31 @@
 /*
  * A socket stays watched for reading between two requests, which saves the
  * system calls of taking it out and in again; libcurl closes it by on_close.
+ * A socket that never connected it closes by itself, before it says so, and
+ * the event loop must not know a descriptor that is closed: until a socket is
+ * connected, a duplicate of it is watched.
  */
 struct watch {
-	struct httpc *client;
+	struct shard *shard;
 	struct tevent_fd *fde;
 	curl_socket_t fd;
-	bool unused; /* libcurl does not ask for it now */
+	int duplicate; /* of fd, watched in its place; -1: none */
+	bool unused;   /* libcurl does not ask for it now */
 };
 
+static int watch_destroy(struct watch *w)
+{
+	TALLOC_FREE(w->fde);
+	if (w->duplicate >= 0)
+		close(w->duplicate);
+	return 0;
+}
+
 static void on_socket(struct tevent_context *ev, struct tevent_fd *fde,
 		      uint16_t flags, void *arg)
 {
 	struct watch *w = arg;
-	struct httpc *c = w->client;
+	struct shard *s = w->shard;
 	curl_socket_t fd = w->fd;
 	int mask = 0;
 	int running;
@@ -317,8 +364,8 @@
 		mask |= CURL_CSELECT_IN;
 	if (flags & TEVENT_FD_WRITE)
 		mask |= CURL_CSELECT_OUT;
-	curl_multi_socket_action(c->multi, fd, mask, &running);
-	reap(c);
+	curl_multi_socket_action(s->multi, fd, mask, &running);
+	reap(s);
 }
 
 static struct watch *watch_of(struct httpc *c, curl_socket_t fd)
@@ -326,14 +373,17 @@
 	return fd < c->watch_room ? c->watches[fd] : NULL;
 }
 
-static struct watch *watch_new(struct httpc *c, curl_socket_t fd)
+static struct watch *watch_new(struct shard *s, curl_socket_t fd)
 {
+	struct httpc *c = s->client;
 	struct watch *w = talloc_zero(c, struct watch);
 	int room = c->watch_room;
 
 	assert(w);
-	w->client = c;
+	w->shard = s;
 	w->fd = fd;
+	w->duplicate = -1;
+	talloc_set_destructor(w, watch_destroy);
 	if (fd >= room) {
 		c->watch_room = fd * 2 + HTTPC_FIRST_WATCHES;
 		c->watches = talloc_realloc(c, c->watches, struct watch *,
@@ -346,17 +396,47 @@
 	return w;
 }
 
+static void watch_forget(struct httpc *c, struct watch *w)
+{
+	c->watches[w->fd] = NULL;
+	talloc_free(w);
+}
+
+static void watch_flags(struct watch *w, struct tevent_context *ev,
+			uint16_t flags, bool connected)
+{
+	if (connected && w->duplicate >= 0) {
+		TALLOC_FREE(w->fde);
+		close(w->duplicate);
+		w->duplicate = -1;
+	}
+	if (!w->fde) {
+		if (!connected)
+			w->duplicate = fcntl(w->fd, F_DUPFD_CLOEXEC, 0);
+		w->fde = tevent_add_fd(ev, w,
+				       w->duplicate >= 0 ? w->duplicate : w->fd,
+				       flags, on_socket, w);
+		assert(w->fde);
+	} else if (tevent_fd_get_flags(w->fde) != flags) {
+		tevent_fd_set_flags(w->fde, flags);
+	}
+}
+
 static int on_watch(CURL *easy, curl_socket_t fd, int what, void *arg,
 		    void *unused)
 {
-	struct httpc *c = arg;
+	struct shard *s = arg;
+	struct httpc *c = s->client;
 	struct watch *w = watch_of(c, fd);
+	struct exchange *x;
 	uint16_t flags = 0;
 
-	(void)easy;
 	(void)unused;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&x);
 	if (what == CURL_POLL_REMOVE) {
-		if (w)
+		if (w && w->duplicate >= 0)
+			watch_forget(c, w);
+		else if (w)
 			w->unused = true;
 		return 0;
 	}
@@ -365,13 +445,9 @@
 	if (what & CURL_POLL_OUT)
 		flags |= TEVENT_FD_WRITE;
 	if (!w)
-		w = watch_new(c, fd);
+		w = watch_new(s, fd);
 	w->unused = false;
-	if (!w->fde)
-		w->fde = tevent_add_fd(c->ev, w, fd, flags, on_socket, w);
-	else if (tevent_fd_get_flags(w->fde) != flags)
-		tevent_fd_set_flags(w->fde, flags);
-	assert(w->fde);
+	watch_flags(w, c->ev, flags, x->sends > 0);
 	return 0;
 }
 
@@ -380,95 +456,142 @@
 	struct httpc *c = arg;
 	struct watch *w = watch_of(c, fd);
 
-	if (w) {
-		c->watches[fd] = NULL;
-		talloc_free(w);
-	}
+	if (w)
+		watch_forget(c, w);
 	return close(fd);
 }
 
-static void on_timer(void *arg)
+static void shard_time_out(struct shard *s)
 {
-	struct httpc *c = arg;
 	int running;
 
-	curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-	reap(c);
+	s->due_ms = 0;
+	curl_multi_socket_action(s->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	reap(s);
 }
 
-static void on_now(struct tevent_context *ev, struct tevent_immediate *im,
-		   void *arg)
+/* A timer that is set goes off early rather than be set anew each time. */
+static void timer_before(struct httpc *c, uint64_t due_ms, uint64_t now)
+{
+	if (c->timer_ms && c->timer_ms <= due_ms)
+		return;
+	c->timer_ms = due_ms;
+	mtimer_set(c->timer, due_ms > now ? due_ms - now : 1);
+}
+
+static void on_timer(void *arg)
 {
 	struct httpc *c = arg;
-	int running;
+	uint64_t now = clock_now_ms();
+	uint32_t i;
+
+	c->timer_ms = 0;
+	for (i = 0; i < HTTPC_SHARDS; i++)
+		if (c->shards[i].due_ms && c->shards[i].due_ms <= now)
+			shard_time_out(&c->shards[i]);
+	for (i = 0; i < HTTPC_SHARDS; i++)
+		if (c->shards[i].due_ms)
+			timer_before(c, c->shards[i].due_ms, now);
+}
 
+static void on_now(struct tevent_context *ev, struct tevent_immediate *im,
+		   void *arg)
+{
 	(void)ev;
 	(void)im;
-	curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-	reap(c);
+	shard_time_out(arg);
 }
 
 static int on_timeout_change(CURLM *multi, long ms, void *arg)
 {
-	struct httpc *c = arg;
+	struct shard *s = arg;
+	uint64_t now = clock_now_ms();
 
 	(void)multi;
-	mtimer_clear(c->timer);
+	s->due_ms = 0;
 	if (ms < 0)
 		return 0;
 	if (ms == 0) {
-		tevent_schedule_immediate(c->now, c->ev, on_now, c);
+		tevent_schedule_immediate(s->now, s->client->ev, on_now, s);
 		return 0;
 	}
-	mtimer_set(c->timer, (uint64_t)ms);
+	s->due_ms = now + (uint64_t)ms;
+	timer_before(s->client, s->due_ms, now);
 	return 0;
 }
 
 static int httpc_destroy(struct httpc *c)
 {
 	struct exchange *x;
+	uint32_t i;
 
 	/* Nobody waits for these any more: done is not called. */
 	while ((x = c->under_way)) {
 		DL_DELETE(c->under_way, x);
-		curl_multi_remove_handle(c->multi, x->easy);
+		curl_multi_remove_handle(x->shard->multi, x->easy);
 		exchange_free(x);
 	}
 	while ((x = c->idle)) {
 		c->idle = x->next_idle;
 		exchange_free(x);
 	}
-	curl_multi_cleanup(c->multi);
+	for (i = 0; i < HTTPC_SHARDS; i++)
+		curl_multi_cleanup(c->shards[i].multi);
 	return 0;
 }
 
+static bool shard_open(struct httpc *c, struct shard *s,
+		       uint32_t connections_max, uint32_t host_max)
+{
+	s->client = c;
+	s->now = tevent_create_immediate(c);
+	s->multi = curl_multi_init();
+	if (!s->now || !s->multi)
+		return false;
+	curl_multi_setopt(s->multi, CURLMOPT_SOCKETFUNCTION, on_watch);
+	curl_multi_setopt(s->multi, CURLMOPT_SOCKETDATA, s);
+	curl_multi_setopt(s->multi, CURLMOPT_TIMERFUNCTION, on_timeout_change);
+	curl_multi_setopt(s->multi, CURLMOPT_TIMERDATA, s);
+	curl_multi_setopt(s->multi, CURLMOPT_MAXCONNECTS,
+			  (long)connections_max);
+	curl_multi_setopt(s->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)host_max);
+	return true;
+}
+
 struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			uint32_t connections_max, uint32_t host_max)
 {
 	struct httpc *c = talloc_zero(ctx, struct httpc);
+	uint32_t i;
 
 	if (!c)
 		return NULL;
 	c->ev = ev;
-	c->now = tevent_create_immediate(c);
 	c->timer = mtimer_new(c, ev, on_timer, c);
-	c->multi = curl_multi_init();
-	if (!c->now || !c->timer || !c->multi) {
-		talloc_free(c);
-		return NULL;
-	}
-	curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, on_watch);
-	curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
-	curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, on_timeout_change);
-	curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
-	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
-			  (long)connections_max);
-	curl_multi_setopt(c->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-			  (long)host_max);
 	talloc_set_destructor(c, httpc_destroy);
+	if (!c->timer)
+		goto failed;
+	for (i = 0; i < HTTPC_SHARDS; i++)
+		if (!shard_open(c, &c->shards[i],
+				connections_max / HTTPC_SHARDS + 1, host_max))
+			goto failed;
 	return c;
+failed:
+	talloc_free(c);
+	return NULL;
 }
 
+/* The scheme, host and port decide; the path does not. */
+static struct shard *shard_of(struct httpc *c, const char *url)
+{
+	const char *host = strstr(url, "://");
+	size_t length;
+
+	host = host ? host + 3 : url;
+	length = strcspn(host, "/");
+	return &c->shards[XXH64(host, length, 0) % HTTPC_SHARDS];
+}
 static void set_headers(struct exchange *x, const char *const *headers)
 {
 	x->headers = curl_slist_append(NULL, "Expect:");
@@ -515,9 +638,10 @@
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)r->connect_timeout_ms);
+	x->shard = shard_of(c, r->url);
 	c->active++;
 	DL_APPEND(c->under_way, x);
-	curl_multi_add_handle(c->multi, e);
+	curl_multi_add_handle(x->shard->multi, e);
 }
 
 uint32_t httpc_active(const struct httpc *c)
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -393,6 +393,12 @@
 	       step_estimate_ms(step->spec);
 }
 
+/* Whether the instance counts for what its pool can do. */
+static bool takes_part(const struct instance *i)
+{
+	return i->listed && !i->leaving && !i->expired && !i->reserved;
+}
+
 static void add_running(const struct instance *i, uint64_t now,
 			struct sched_pool_load *load)
 {
@@ -447,7 +453,7 @@
 		return false;
 	DL_FOREACH2(pool->instances, i, pool_next)
 	{
-		if (!i->listed || i->leaving || i->expired || i->reserved)
+		if (!takes_part(i))
 			continue;
 		load->instances++;
 		amount_add(&load->capacity, &i->capacity);
@@ -472,11 +478,17 @@
 uint32_t sched_backlog_ms(const struct sched *s, const struct pool *pool,
 			  uint64_t now)
 {
-	struct sched_pool_load load;
+	const struct instance *i;
+	const struct step *step;
+	uint64_t work = 0;
+	int64_t cpu = 0;
 
-	if (!sched_pool_load(s, pool->name, now, &load) || !load.capacity.cpu)
-		return 0;
-	return (uint32_t)(load.waiting_work / (uint64_t)load.capacity.cpu);
+	DL_FOREACH2(pool->instances, i, pool_next)
+	if (takes_part(i))
+		cpu += i->capacity.cpu;
+	DL_FOREACH(pool->ready, step)
+	work += step_waiting_work(step);
+	return cpu ? (uint32_t)(work / (uint64_t)cpu) : 0;
 }
 
 /* Refusal */
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -14,7 +14,9 @@
 
 #include "connection/httpc.h"
 
-#define TURNS 3 /* of the loop: the requests are sent, none is answered */
+#define QUEUE_FILL 8 /* connections; more than a queue of 0 takes */
+#define HANGING 8    /* requests, one after the other */
+#define TURNS 3	     /* of the loop: the requests are sent, none is answered */
 
 /* A loopback port that takes connections and answers nothing. */
 static int listen_mute(uint16_t *port)
@@ -69,10 +71,83 @@
 	}
 }
 
+/* Connections that fill a port's queue, so that the next one hangs. */
+static void fill_queue(uint16_t port, int *fds, int count)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port = htons(port) };
+	int i;
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (i = 0; i < count; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(fds[i], (struct sockaddr *)&a, sizeof(a));
+	}
+}
+
+static void on_loop_message(void *arg, enum tevent_debug_level level,
+			    const char *fmt, va_list ap)
+{
+	if (level > TEVENT_DEBUG_ERROR)
+		return;
+	vprintf(fmt, ap);
+	(*(int *)arg)++;
+}
+
+static void on_counted(void *arg, struct httpc_answer *answer)
+{
+	assert_int_not_equal(answer->status, HTTPC_OK);
+	(*(int *)arg)++;
+}
+
+/*
+ * A connection that is never made leaves nothing behind in the event loop:
+ * its descriptor is soon another's.
+ */
+static void test_connections_that_hang(void **state)
+{
+	struct tevent_context *ev = tevent_context_init_byname(NULL, "epoll");
+	struct httpc *client = httpc_new(ev, ev, 4, 0);
+	uint16_t ports[2];
+	int listeners[2] = { listen_mute(&ports[0]), listen_mute(&ports[1]) };
+	int fillers[QUEUE_FILL];
+	int messages = 0;
+	int done = 0;
+	char urls[2][64];
+	int i;
+
+	(void)state;
+	listen(listeners[0], 0);
+	fill_queue(ports[0], fillers, QUEUE_FILL);
+	tevent_set_debug(ev, on_loop_message, &messages);
+	for (i = 0; i < HANGING; i++) {
+		struct httpc_request r = { .method = "GET",
+					   .url = urls[i % 2],
+					   .timeout_ms = 60,
+					   .connect_timeout_ms = 30,
+					   .done = on_counted,
+					   .arg = &done };
+
+		snprintf(urls[i % 2], sizeof(urls[0]), "http://127.0.0.1:%u/",
+			 ports[i % 2]);
+		httpc_start(client, &r);
+		while (done <= i)
+			tevent_loop_once(ev);
+	}
+	assert_int_equal(messages, 0);
+	talloc_free(client);
+	talloc_free(ev);
+	for (i = 0; i < QUEUE_FILL; i++)
+		close(fillers[i]);
+	close(listeners[0]);
+	close(listeners[1]);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_freed_under_way),
+		cmocka_unit_test(test_connections_that_hang),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
