ask: a lead says nothing of jobs that it does not know

Ruled out: the cancel's own row (none was written).

Case 'A job is cancelled that the lead has not heard of yet' fails before.

--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -108,7 +108,13 @@
 	}
 }
 
-/* ask_decide - the lead's own answer; it may wait for a write */
+/*
+ * ask_decide - the lead's own answer; it may wait for a write
+ *
+ * Of a job that it does not know it says nothing: another node may have
+ * recorded it, and the news comes late while the store is disturbed. The
+ * store's rows say whether there is one.
+ */
 void ask_decide(struct node *n, const struct node_ask *ask)
 {
 	struct node_answer r = { .result = FLEET__RESULT__UNANSWERED };
@@ -124,14 +130,12 @@
 		break;
 	case FLEET__VERB__STATE:
 		r.state = sched_state(n->sched, ask->id, ask->queue);
-		r.result = r.state ? FLEET__RESULT__KNOWN
-				   : FLEET__RESULT__NO_SUCH_JOB;
+		if (r.state)
+			r.result = FLEET__RESULT__KNOWN;
 		break;
 	case FLEET__VERB__CANCEL:
-		if (!sched_cancel(n->sched, ask->id, ask->queue, now)) {
-			r.result = FLEET__RESULT__NO_SUCH_JOB;
+		if (!sched_cancel(n->sched, ask->id, ask->queue, now))
 			break;
-		}
 		r.result = FLEET__RESULT__ACCEPTED;
 		waits = !sched_durable(n->sched, ask->id);
 		break;
--- a/standin/site.c
+++ b/standin/site.c
@@ -6,6 +6,7 @@
  * milliseconds as its text begins with; "0" lasts until it is stopped.
  * /control sets faults and writes what operators write; only tests use it:
  *	down		the store and the list answer 503
+ *	mute		table whose feeds do not answer; "" ends it
  *	lose		transactions whose answer is lost after their effect
  *	crash		name of a worker: it forgets everything, for 2 s dark
  *	put		{"table", "key", "value"} as an operator's write
@@ -89,6 +90,7 @@
 	struct feed_wait *waits;
 	json_t *record;
 	bool down;
+	char *mute; /* table whose feeds are silent, or NULL */
 	uint32_t lose;
 	uint64_t transactions, reads;
 	int worker_count;
@@ -267,7 +269,13 @@
 	struct feed_wait *w;
 
 	while ((w = *at)) {
-		json_t *rows = changes_after(s, w->table, w->after);
+		json_t *rows;
+
+		if (s->mute && !strcmp(w->table, s->mute)) {
+			at = &w->next;
+			continue;
+		}
+		rows = changes_after(s, w->table, w->after);
 
 		if (!json_array_size(rows) && now < w->until_ms && !s->down) {
 			json_decref(rows);
@@ -623,6 +631,13 @@
 
 	if (json_object_get(o, "down"))
 		s->down = json_is_true(json_object_get(o, "down"));
+	if (json_object_get(o, "mute")) {
+		TALLOC_FREE(s->mute);
+		if (*json_string_value(json_object_get(o, "mute")))
+			s->mute = talloc_strdup(
+				s,
+				json_string_value(json_object_get(o, "mute")));
+	}
 	if (json_object_get(o, "lose"))
 		s->lose = (uint32_t)number(o, "lose");
 	if (json_object_get(o, "crash"))
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -272,6 +272,8 @@
             self.in_thread(self.cancel, job)
         elif verb == "store":
             site.control(down=words[0] == "down")
+        elif verb in ("mute", "unmute"):
+            site.control(mute=words[0] if words else "")
         elif verb == "lose":
             site.control(lose=int(words[0]))
         elif verb == "crash":
