--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -327,8 +327,8 @@
  * A socket stays watched for reading between two requests, which saves the
  * system calls of taking it out and in again; libcurl closes it by on_close.
  * A socket that never connected it closes by itself, before it says so, and
- * the event loop must not know a descriptor that is closed: until a socket is
- * connected, a duplicate of it is watched.
+ * the event loop must not know a descriptor that is closed: until libcurl only
+ * waits for an answer, and so is connected, a duplicate is watched.
  */
 struct watch {
 	struct shard *shard;
@@ -428,11 +428,10 @@
 	struct shard *s = arg;
 	struct httpc *c = s->client;
 	struct watch *w = watch_of(c, fd);
-	struct exchange *x;
 	uint16_t flags = 0;
 
+	(void)easy;
 	(void)unused;
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&x);
 	if (what == CURL_POLL_REMOVE) {
 		if (w && w->duplicate >= 0)
 			watch_forget(c, w);
@@ -447,7 +446,7 @@
 	if (!w)
 		w = watch_new(s, fd);
 	w->unused = false;
-	watch_flags(w, c->ev, flags, x->sends > 0);
+	watch_flags(w, c->ev, flags, what == CURL_POLL_IN);
 	return 0;
 }
 
