gossip, lead: configurations by the store first; nodes vouch for the lead

Now a node asks for a configuration along with a beat when the store has not brought it for 0.4 s; beats tell how long ago the sender knew the lead able, and a claim needs the silence that all have seen (1.0 s, was 1.2 s for one); a node claims only once it has read who there is; a job keeps its queue's settings.

test/jobs/strong.txt started its nodes as if not for the first time, and so depended on who came first; it starts them as the platform does now.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -2,9 +2,9 @@
  * gossip - beats between nodes and the server they meet at
  *
  * Each node beats to the lead and, in turn, to the others. A beat carries
- * who leads, who else there is, and the configuration version; whoever has
- * the newer configuration sends it along. So news reaches a node that the
- * store turns away.
+ * who leads, since when that lead was heard of, who else there is, and the
+ * configuration version; a node that lacks the newest asks for it along with
+ * a beat. So news reaches a node that the store turns away.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -19,6 +19,7 @@
 #define BEAT_OTHER_MS 300u /* between two beats to one of the others */
 #define BEAT_WAIT_MS 500u
 #define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
+#define CONFIG_WAIT_MS 400u	 /* for the store to bring it; a fifth of 2 s */
 #define BEAT_PEERS_TOLD 16u
 #define PEER_GONE_MS 60000u /* silent that long: forgotten */
 #define SEED_MS 1000u	    /* between two beats to a seed */
@@ -28,7 +29,6 @@
 	struct node *node;
 	uint8_t *body;
 	char address[64];
-	uint64_t config_version;
 };
 
 static struct peer_node *peer_find(struct node *n, const char *name)
@@ -88,6 +88,17 @@
 	row->power = n->settings.power;
 }
 
+/*
+ * A configuration is large and reaches most nodes from the store; it is asked
+ * of a peer only when the store has not brought it soon.
+ */
+static bool config_wanted(const struct node *n)
+{
+	return !n->config ||
+	       (n->config_behind_ms &&
+		clock_now_ms() - n->config_behind_ms >= CONFIG_WAIT_MS);
+}
+
 /* What this node knows; the result is packed, owned by ctx. */
 static uint8_t *beat_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
 			  size_t *length)
@@ -107,7 +118,9 @@
 	beat.lead_address = n->lead.address;
 	beat.lead_incarnation = n->lead.incarnation;
 	beat.config_version = n->config ? n->config->version : 0;
+	beat.want_config = config_wanted(n);
 	beat.leading = lead_is_able(n);
+	beat.lead_age_ms = lead_age_ms(n);
 	beat.stopping = n->stopping;
 	if (with_config && n->config) {
 		beat.config.data = n->config_bytes;
@@ -148,6 +161,11 @@
 	lead_learn(n, &view, "peer");
 }
 
+static bool beat_is_newer(const struct node *n, uint64_t config_version)
+{
+	return config_version > (n->config ? n->config->version : 0);
+}
+
 static void beat_learn(struct node *n, const Fleet__Beat *beat)
 {
 	struct peer_node *p;
@@ -164,18 +182,21 @@
 		lead_peer_seen(n, beat->node, beat->row->incarnation);
 	if (!strcmp(beat->node, n->lead.node))
 		lead_heard(n, beat->leading, now);
+	else if (beat->epoch == n->lead.epoch)
+		lead_vouched(n, beat->lead_age_ms, now);
 	p = peer_find(n, beat->node);
 	if (p) {
 		p->heard_ms = now;
-		p->config_version = beat->config_version;
 	}
+	if (!beat_is_newer(n, beat->config_version))
+		return;
+	if (!n->config_behind_ms)
+		n->config_behind_ms = now;
 	if (beat->config.len)
 		watch_config_bytes(n, beat->config.data, beat->config.len,
 				   "peer");
 }
 
-static void beat_send(struct node *n, struct peer_node *p, const char *address);
-
 static void on_beat_answer(void *arg, struct httpc_answer *h)
 {
 	struct beat_call *call = arg;
@@ -190,15 +211,7 @@
 		beat = fleet__beat__unpack(NULL, h->body.length,
 					   (uint8_t *)h->body.data);
 	if (beat) {
-		struct peer_node *p;
-
 		beat_learn(n, beat);
-		p = peer_find(n, beat->node);
-		/* It is behind: send it the newer configuration now. */
-		if (p && n->config &&
-		    beat->config_version < n->config->version &&
-		    call->config_version < n->config->version)
-			beat_send(n, p, p->address);
 		fleet__beat__free_unpacked(beat, NULL);
 	}
 	talloc_free(call);
@@ -207,8 +220,6 @@
 static void beat_send(struct node *n, struct peer_node *p, const char *address)
 {
 	struct beat_call *call = talloc_zero(n, struct beat_call);
-	bool behind = p && n->config && p->config_version &&
-		      p->config_version < n->config->version;
 	struct httpc_request r = {
 		.method = "POST",
 		.timeout_ms = BEAT_WAIT_MS,
@@ -218,9 +229,8 @@
 
 	assert(call);
 	call->node = n;
-	call->config_version = behind ? n->config->version : 0;
 	snprintf(call->address, sizeof(call->address), "%s", address);
-	call->body = beat_pack(n, call, behind, &r.body_length);
+	call->body = beat_pack(n, call, false, &r.body_length);
 	r.body = call->body;
 	r.url = talloc_asprintf(call, "http://%s/beat", address);
 	r.arg = call;
@@ -289,6 +299,9 @@
 
 	n->registering = false;
 	n->registered = reply->status == STORE_OK;
+	/* The others register within moments of a first start, not before. */
+	if (n->registered && !n->settings.first_start)
+		n->register_ms = 0;
 	node_store_result(n, reply->status);
 }
 
@@ -376,7 +389,7 @@
 {
 	Fleet__Beat *beat = fleet__beat__unpack(NULL, request->body_length,
 						(uint8_t *)request->body);
-	uint64_t theirs;
+	bool wanted;
 	uint8_t *bytes;
 	size_t length;
 
@@ -385,10 +398,10 @@
 		return;
 	}
 	beat_learn(n, beat);
-	theirs = beat->config_version;
+	wanted = beat->want_config && n->config &&
+		 beat->config_version < n->config->version;
 	fleet__beat__free_unpacked(beat, NULL);
-	bytes = beat_pack(n, n, n->config && theirs < n->config->version,
-			  &length);
+	bytes = beat_pack(n, n, wanted, &length);
 	send_bytes(request, bytes, length);
 	talloc_free(bytes);
 }
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -14,8 +14,9 @@
 
 #include "node/node_internal.h"
 
-#define LEAD_SILENT_MS 1200u /* without news of the lead: claim */
-#define LEAD_RANK_MS 80u     /* between two nodes' claims */
+#define LEAD_SILENT_MS 1000u   /* without news of the lead at any node: claim */
+#define LEAD_AGE_MAX_MS 60000u /* older news are none */
+#define LEAD_RANK_MS 80u       /* between two nodes' claims */
 #define LEAD_RANKS 8u
 #define LEAD_WEAK_MS 700u     /* a weak node claims after all strong ones */
 #define LEAD_STRONG_RATIO 1.5 /* of two nodes' power: the work is uneven */
@@ -111,7 +112,7 @@
 /* The table of nodes was read: who is strong is known. */
 void lead_nodes_known(struct node *n)
 {
-	if (!n->nodes_read && !n->lead.known)
+	if (!n->nodes_read)
 		n->claim_ms = clock_now_ms() + claim_delay(n);
 	n->nodes_read = true;
 }
@@ -140,8 +141,10 @@
 			return;
 		}
 	}
-	if (changed)
+	if (changed) {
 		n->lead_ended = false;
+		n->lead_able_ms = n->lead_unable_ms = 0;
+	}
 	n->lead = *view;
 	if (!strcmp(view->node, n->settings.name))
 		lead_peer_seen(n, view->node, n->incarnation);
@@ -310,12 +313,44 @@
 /* The lead itself has said whether it can decide. */
 void lead_heard(struct node *n, bool able, uint64_t now)
 {
-	if (able)
-		n->lead_heard_ms = now;
-	else if (n->lead_heard_ms > now - LEAD_SILENT_MS)
+	if (able) {
+		n->lead_heard_ms = n->lead_able_ms = now;
+		return;
+	}
+	n->lead_unable_ms = now;
+	if (n->lead_heard_ms > now - LEAD_SILENT_MS)
 		n->lead_heard_ms = now - LEAD_SILENT_MS;
 }
 
+/* How long ago this node knew that the lead can decide. */
+uint32_t lead_age_ms(const struct node *n)
+{
+	uint64_t now = clock_now_ms();
+
+	if (lead_is_able(n))
+		return 0;
+	return n->lead_able_ms && now - n->lead_able_ms < LEAD_AGE_MAX_MS
+		       ? (uint32_t)(now - n->lead_able_ms)
+		       : LEAD_AGE_MAX_MS;
+}
+
+/*
+ * Another node knew age_ms ago that the lead can decide: so a claim needs the
+ * silence that all see, not that of one node which is slow or cut off itself.
+ */
+void lead_vouched(struct node *n, uint32_t age_ms, uint64_t now)
+{
+	uint64_t able_ms = now - age_ms;
+
+	if (age_ms >= LEAD_AGE_MAX_MS || n->phase != LEAD_NONE ||
+	    n->lead_ended || able_ms <= n->lead_unable_ms ||
+	    able_ms <= n->lead_able_ms)
+		return;
+	n->lead_able_ms = able_ms;
+	if (able_ms > n->lead_heard_ms)
+		n->lead_heard_ms = able_ms;
+}
+
 /* A new incarnation of a lead proves that the old one has ended. */
 void lead_peer_seen(struct node *n, const char *name, uint64_t incarnation)
 {
@@ -342,9 +377,9 @@
 	if (n->claiming || n->lead_reading || n->stopping)
 		return;
 	/* Who leads, and who is strong, is not known before. */
-	if (!n->lead.known && !n->nodes_read &&
-	    now - n->started_ms < LEAD_FIRST_NODES_MS) {
-		if (now >= n->claim_ms && !n->settings.first_start) {
+	if (!n->nodes_read && now - n->started_ms < LEAD_FIRST_NODES_MS) {
+		if (!n->lead.known && now >= n->claim_ms &&
+		    !n->settings.first_start) {
 			n->claim_ms = now + LEAD_CLAIM_RETRY_MS;
 			read_row(n, now);
 		}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -48,7 +48,6 @@
 	uint64_t heard_ms; /* last beat or answer; 0: never */
 	bool beating;	   /* a beat waits for its answer */
 	uint64_t beat_ms;  /* when the last one was sent */
-	uint64_t config_version;
 };
 
 enum lead_phase {
@@ -121,12 +120,15 @@
 	struct config *config;
 	uint8_t *config_bytes; /* as the operators wrote it, for peers */
 	size_t config_length;
+	uint64_t config_behind_ms; /* since a peer has a newer one; 0: none */
 
 	/* Lead */
 	struct lead_view lead;
 	enum lead_phase phase;
-	uint64_t lead_heard_ms;
-	bool lead_ended; /* its node runs as a new incarnation */
+	uint64_t lead_heard_ms;	 /* silence counts from here */
+	uint64_t lead_able_ms;	 /* it was known able then; 0: never */
+	uint64_t lead_unable_ms; /* it said then that it is not */
+	bool lead_ended;	 /* its node runs as a new incarnation */
 	bool claiming;
 	bool yielded;	   /* it has left the lead to a stronger node once */
 	uint64_t claim_ms; /* not before */
@@ -190,6 +192,8 @@
 bool lead_may_order(const struct node *n, uint64_t now);
 void lead_release(struct node *n);
 void lead_confirmed(struct node *n, uint64_t sent_ms);
+uint32_t lead_age_ms(const struct node *n);
+void lead_vouched(struct node *n, uint32_t age_ms, uint64_t now);
 void lead_nodes_known(struct node *n);
 void lead_heard(struct node *n, bool able, uint64_t now);
 void lead_peer_seen(struct node *n, const char *name, uint64_t incarnation);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -55,6 +55,7 @@
 	talloc_free(n->config_bytes);
 	n->config_bytes = talloc_memdup(n, value, length);
 	n->config_length = length;
+	n->config_behind_ms = 0;
 	if (n->phase == LEAD_DECIDING)
 		node_pump(n);
 }
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -130,7 +130,7 @@
 
 void job_follow_queue(struct sched *s, struct job *job)
 {
-	const struct config_queue *q = config_queue(s->config, job->queue);
+	const struct config_queue *q = job->conf;
 
 	/* A removed queue's jobs are still owed, in the pool that it had. */
 	if (q && strcmp(q->pool, job->pool->name)) {
@@ -167,9 +167,13 @@
 		w->conf = config_workspace(c, w->name);
 	for (p = s->pools; p; p = p->hh.next)
 		p->conf = config_pool(c, p->name);
-	for (job = s->jobs; job; job = job->hh.next)
-		if (job->row && !job_is_over(job))
+	for (job = s->jobs; job; job = job->hh.next) {
+		bool owed = job->row && !job_is_over(job);
+
+		job->conf = owed ? config_queue(c, job->queue) : NULL;
+		if (owed)
 			job_follow_queue(s, job);
+	}
 	(void)now;
 }
 
@@ -335,12 +339,10 @@
 		step_refresh(step);
 }
 
-static uint32_t attempts_max(const struct sched *s, const struct job *job)
+static uint32_t attempts_max(const struct job *job)
 {
-	const struct config_queue *q =
-		s->config ? config_queue(s->config, job->queue) : NULL;
-
-	return q && q->attempts_max ? q->attempts_max : UINT32_MAX;
+	return job->conf && job->conf->attempts_max ? job->conf->attempts_max
+						    : UINT32_MAX;
 }
 
 void task_failed(struct sched *s, struct task *task, uint64_t number,
@@ -365,7 +367,7 @@
 	step->failed_count++;
 	counted->failed++;
 	job_change(s, step->job);
-	if (counted->failed >= attempts_max(s, step->job))
+	if (counted->failed >= attempts_max(step->job))
 		job_end(s, step->job, FLEET__JOB_STATE__FAILED, now);
 }
 
@@ -419,7 +421,9 @@
 	job->occurrences = talloc_zero_array(job, struct occurrence,
 					     job->occurrence_count);
 	assert(job->occurrences);
-	job_estimate(s, job);
+	if (s->config)
+		job->conf = config_queue(s->config, job->queue);
+	job_estimate(job);
 	HASH_ADD_STR(s->jobs, id, job);
 	if (!row->times)
 		occurrence_begin(s, job, 0, now);
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -19,12 +19,9 @@
 #define ADVICE_RETRY_MS 300u  /* after a call that was refused */
 #define ADVICE_AGAIN_MS 1000u /* after one that approved none with room */
 
-bool step_advised(const struct sched *s, const struct step *step)
+bool step_advised(const struct step *step)
 {
-	const struct config_queue *q =
-		s->config ? config_queue(s->config, step->job->queue) : NULL;
-
-	return q && q->advised;
+	return step->job->conf && step->job->conf->advised;
 }
 
 const char *step_ticket(const struct step *step, const struct instance *i,
@@ -70,7 +67,7 @@
 static bool wants(const struct sched *s, const struct step *step, uint64_t now)
 {
 	return step->job->taken && !step->advising && step->idle &&
-	       now >= step->advise_ms && step_advised(s, step);
+	       now >= step->advise_ms && step_advised(step);
 }
 
 static struct step *next_step(const struct sched *s, uint64_t now)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -107,6 +107,7 @@
 struct job {
 	char id[SCHED_ID_BYTES + 1];
 	Fleet__JobRow *row;
+	const struct config_queue *conf; /* NULL: removed, or it has ended */
 	struct pool *pool;
 	struct workspace *workspace;
 	Fleet__JobState state; /* decided; shown once durable */
@@ -344,7 +345,7 @@
 void instance_praised(struct instance *i);
 
 /* sched_advice.c */
-bool step_advised(const struct sched *s, const struct step *step);
+bool step_advised(const struct step *step);
 const char *step_ticket(const struct step *step, const struct instance *i,
 			uint64_t now);
 
@@ -355,7 +356,7 @@
 			  uint64_t now);
 uint32_t sched_refusal(const struct sched *s, const struct job *job,
 		       uint64_t now);
-void job_estimate(struct sched *s, struct job *job);
+void job_estimate(struct job *job);
 
 /* sched_pace.c */
 void instance_pace(struct sched *s, struct instance *i, uint64_t now);
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -51,10 +51,9 @@
 	return longest;
 }
 
-void job_estimate(struct sched *s, struct job *job)
+void job_estimate(struct job *job)
 {
-	const struct config_queue *q =
-		s->config ? config_queue(s->config, job->queue) : NULL;
+	const struct config_queue *q = job->conf;
 	size_t i;
 
 	job->chain_ms = chain_ms(job->row);
@@ -113,8 +112,7 @@
 static void step_rank(const struct sched *s, struct step *step, uint64_t now)
 {
 	const struct job *job = step->job;
-	const struct config_queue *q =
-		s->config ? config_queue(s->config, job->queue) : NULL;
+	const struct config_queue *q = job->conf;
 	double slack;
 
 	step->rank = q ? q->priority * RANK_PRIORITY : 0;
@@ -234,7 +232,7 @@
 {
 	const struct pool *pool = task->step->job->pool;
 	const struct amount a = step_amount(task->step->spec);
-	const bool advised = step_advised(s, task->step);
+	const bool advised = step_advised(task->step);
 	struct instance *best = NULL;
 	struct instance *i;
 	double best_score = 0;
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -27,7 +27,7 @@
 seeds: "{seeds}"
 store: 127.0.0.1:{store}
 fleet: 127.0.0.1:{store}
-first_start: false
+first_start: {first}
 processor_share: {share}
 processor_cores: 1
 descriptors_max: 1000
@@ -106,16 +106,22 @@
         return SHARE if not self.strong or name in self.strong else SHARE / 3
 
     def prepare_node(self, name):
-        callers, readiness, peers = fleet.free_ports(3)
-        self.ports[name] = (callers, readiness, peers)
+        self.ports[name] = fleet.free_ports(3)
+        path = self.write_settings(name, first=True)
+        self.nodes[name] = fleet.Process(
+            name, self.ports[name][0],
+            [f"{self.build}/jackdawwell-node", path], self.log)
+
+    def write_settings(self, name, first):
+        callers, readiness, peers = self.ports[name]
         seeds = ",".join(f"127.0.0.1:{p[2]}" for p in self.ports.values())
         path = os.path.join(self.dir.name, f"{name}.yaml")
         with open(path, "w") as f:
             f.write(NODE_SETTINGS.format(
                 name=name, callers=callers, readiness=readiness, peers=peers,
-                seeds=seeds, store=self.port, share=self.share(name)))
-        self.nodes[name] = fleet.Process(
-            name, callers, [f"{self.build}/jackdawwell-node", path], self.log)
+                seeds=seeds, store=self.port, share=self.share(name),
+                first=str(first).lower()))
+        return path
 
     def ready(self, name):
         try:
@@ -130,6 +136,8 @@
             p.start()
         for name in self.nodes:
             fleet.wait_until(name, lambda n=name: self.ready(n))
+        for name in self.nodes:
+            self.write_settings(name, first=False)
 
     def metric(self, name, metric):
         try:
