lead: an old beat tells nothing of a new lead; a lead without the store like all stays

It counts only with the epoch that is known now. (2) When the store came back after 4 s of silence whoever's claim came first won; a node that had no answer from the store now reads the row, and claims 0.8 s later at the soonest, so the lead, whose read of the row hangs 0.6 s at most, is confirmed before.

Ruled out: overload of the strong lead (its lag was 60 ms then).

'expect takeovers == 1' in the case of the store that is down passes before as well, since the stand-in's store refuses at once; (1) has no test of its own.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -180,10 +180,13 @@
 	learn_lead(n, beat);
 	if (beat->row)
 		lead_peer_seen(n, beat->node, beat->row->incarnation);
-	if (!strcmp(beat->node, n->lead.node))
-		lead_heard(n, beat->leading, now);
-	else if (beat->epoch == n->lead.epoch)
-		lead_vouched(n, beat->lead_age_ms, now);
+	/* A beat that was sent before the last claim tells nothing of it. */
+	if (beat->epoch == n->lead.epoch) {
+		if (!strcmp(beat->node, n->lead.node))
+			lead_heard(n, beat->leading, now);
+		else
+			lead_vouched(n, beat->lead_age_ms, now);
+	}
 	p = peer_find(n, beat->node);
 	if (p) {
 		p->heard_ms = now;
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -27,6 +27,8 @@
 #define LEAD_CONFIRM_MS 800u	    /* between two confirmations */
 #define LEAD_ABLE_MS 1400u /* without a confirmation: others may claim */
 #define LEAD_CLAIM_RETRY_MS 400u
+#define LEAD_READ_MS 600u   /* a read of the row; a slow store takes 300 ms */
+#define LEAD_REGAIN_MS 800u /* a read that hangs, and the next one */
 #define LEAD_GRACE_MS 1500u /* for a lead that was just learnt of */
 
 bool lead_is_self(const struct node *n)
@@ -117,6 +119,19 @@
 	n->nodes_read = true;
 }
 
+/*
+ * The store answers this node again. A lead that was without it likewise is
+ * confirmed by its next call, and need not be replaced.
+ */
+void lead_store_regained(struct node *n)
+{
+	uint64_t claim_ms = clock_now_ms() + LEAD_REGAIN_MS + claim_delay(n);
+
+	if (n->phase == LEAD_NONE && n->lead.known && *n->lead.node &&
+	    n->claim_ms < claim_ms)
+		n->claim_ms = claim_ms;
+}
+
 /* What a beat or a row told about the lead. */
 void lead_learn(struct node *n, const struct lead_view *view, const char *how)
 {
@@ -307,7 +322,7 @@
 	r->lead_epoch = n->lead_epoch;
 	n->lead_reading = true;
 	n->services->read(n->services->impl, NODE_TABLE_LEAD, NODE_LEAD_KEY,
-			  NULL, NODE_STORE_MS, on_read, r);
+			  NULL, LEAD_READ_MS, on_read, r);
 }
 
 /* The lead itself has said whether it can decide. */
@@ -390,6 +405,11 @@
 		return;
 	if (now < n->claim_ms)
 		return;
+	if (!n->store_ok) {
+		n->claim_ms = now + LEAD_CLAIM_RETRY_MS;
+		read_row(n, now);
+		return;
+	}
 	claim_lead(n, now);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -103,6 +103,8 @@
 	n->store_ok = ok;
 	event_log(ok ? "store-regained" : "store-lost", NULL, "\"status\":%d",
 		  status);
+	if (ok)
+		lead_store_regained(n);
 }
 
 struct node *node_new(TALLOC_CTX *ctx, struct tevent_context *ev,
