upkeep, soak: waves keep few machines free of work; a soak of random faults

Now idle machines go at once, busy ones as many at a time as 0.6 of the wave's time needs (all when the node cannot know when the wave was asked for), and what lasts avoids machines that are due.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# Targets: all, demo, check, lint, bench, bench-slopes, mutants, format, clean.
+# Targets: all, demo, check, lint, bench, bench-slopes, soak, mutants, format,
+# clean.
 # `make SANITIZE=1 ...` builds with the address and undefined sanitizers
 # into a folder of its own.
 
@@ -101,6 +102,11 @@
 	@$(MAKE) --no-print-directory -s all
 	@python3 tools/slopes.py $(B)
 
+# Faults at random for a minute a seed: SOAK="--seed 7 --count 10".
+soak: packages
+	@$(MAKE) --no-print-directory -s all
+	@python3 tools/soak.py $(B) $(SOAK)
+
 mutants: packages
 	@python3 tools/mutants.py
 
@@ -115,6 +121,6 @@
 
 -include $(wildcard $(B)/*/*.d $(B)/*/*/*.d)
 
-.PHONY: all packages proto demo check bench bench-slopes mutants lint format \
+.PHONY: all packages proto demo check bench bench-slopes soak mutants lint format \
 	clean target/jackdawwell-node
 .SECONDARY:
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -67,10 +67,12 @@
 /* fleet_configure - the pools there are; kept by reference */
 void fleet_configure(struct fleet *f, const struct config *c);
 
-/* fleet_wave - a wave asked for; the same number again is ignored */
+/*
+ * fleet_wave - a wave asked for at begun_ms; the same number again is ignored
+ */
 void fleet_wave(struct fleet *f, const char *name, uint64_t number,
 		uint32_t at_once, uint32_t duration_ms,
-		const char *const *machines, uint32_t count, uint64_t now);
+		const char *const *machines, uint32_t count, uint64_t begun_ms);
 
 /* fleet_had_upkeep - recorded earlier: the machine's part of a wave is done */
 void fleet_had_upkeep(struct fleet *f, uint64_t wave, const char *machine);
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -1,6 +1,11 @@
 /*
  * upkeep - waves: each machine of a wave has its upkeep in time, at most
  * so many at once, and nothing that lasts goes below its budget
+ *
+ * The load it answers: a wave comes while queues ask for more than their
+ * pools hold, and what lasts sits on most machines. Idle machines have their
+ * upkeep at once; of the busy ones only as many are kept free of work at a
+ * time as the wave's time needs.
  */
 #include <assert.h>
 #include <stdio.h>
@@ -11,10 +16,14 @@
 #define DRAIN_AHEAD 1u		/* drained beyond those that may be away */
 #define DRAIN_PATIENCE_MS 2500u /* for work that ends by itself */
 #define ORDER_RETRY_MS 300u
+#define DRAIN_EXPECT_MS 1500u /* until a busy machine is empty */
+#define WAVE_PLAN_SHARE                                      \
+	0.6 /* of a wave's time; an outage may take the rest \
+	     */
 
 void fleet_wave(struct fleet *f, const char *name, uint64_t number,
 		uint32_t at_once, uint32_t duration_ms,
-		const char *const *machines, uint32_t count, uint64_t now)
+		const char *const *machines, uint32_t count, uint64_t begun_ms)
 {
 	struct wave *w;
 	uint32_t i;
@@ -27,8 +36,8 @@
 	snprintf(w->name, sizeof(w->name), "%s", name);
 	w->number = number;
 	w->at_once = at_once ? at_once : 1;
-	w->begun_ms = now;
-	w->due_ms = now + duration_ms;
+	w->begun_ms = begun_ms;
+	w->due_ms = begun_ms + duration_ms;
 	w->count = count;
 	w->upkeeps = talloc_zero_array(w, struct upkeep, count ? count : 1);
 	assert(w->upkeeps);
@@ -70,18 +79,22 @@
 	return count;
 }
 
-/* What is lost by draining the machine now; the least goes first. */
-static double drain_cost(const struct sched *s, const struct machine *m)
+/*
+ * What is lost by draining the machine now; the least goes first, and 0 or
+ * less is nothing. What lasts should not be placed there any more.
+ */
+static double drain_cost(struct sched *s, const struct machine *m)
 {
 	struct sched_instance_load load;
 
 	if (!sched_machine_load(s, m->name, &load))
 		return -1;
+	sched_mark_due(s, load.instance);
 	return (double)load.used.cpu + 100000.0 * load.lasting;
 }
 
 static struct machine *cheapest_due(struct fleet *f, struct sched *s,
-				    struct wave *w)
+				    struct wave *w, double *cost_of)
 {
 	struct machine *best = NULL;
 	double best_cost = 0;
@@ -101,6 +114,7 @@
 		best = m;
 		best_cost = cost;
 	}
+	*cost_of = best_cost;
 	return best;
 }
 
@@ -113,15 +127,39 @@
 			w->upkeeps[i].state = UPKEEP_TAKEN;
 }
 
+/* How many machines must be under way to be done within the planned time. */
+static uint32_t needed_at_once(const struct fleet *f, const struct wave *w,
+			       uint64_t now)
+{
+	uint64_t planned =
+		w->begun_ms +
+		(uint64_t)(WAVE_PLAN_SHARE * (double)(w->due_ms - w->begun_ms));
+	uint64_t each_ms = DRAIN_EXPECT_MS + f->options.upkeep_ms;
+	uint64_t left = 0;
+	uint32_t i;
+
+	if (now + each_ms >= planned)
+		return w->at_once + DRAIN_AHEAD;
+	for (i = 0; i < w->count; i++)
+		left += w->upkeeps[i].state != UPKEEP_HAD;
+	return (uint32_t)(left * each_ms / (planned - now)) + DRAIN_AHEAD;
+}
+
 static void drain_more(struct fleet *f, struct sched *s, struct wave *w,
 		       uint64_t now)
 {
+	uint32_t needed = needed_at_once(f, w, now);
 	struct machine *m;
+	double cost;
 
-	while (wave_in_phase(f, w, true) + wave_in_phase(f, w, false) <
-	       w->at_once + DRAIN_AHEAD) {
-		m = cheapest_due(f, s, w);
-		if (!m)
+	for (;;) {
+		uint32_t under_way =
+			wave_in_phase(f, w, true) + wave_in_phase(f, w, false);
+
+		if (under_way >= w->at_once + DRAIN_AHEAD)
+			return;
+		m = cheapest_due(f, s, w, &cost);
+		if (!m || (cost > 0 && under_way >= needed))
 			return;
 		m->wave = w;
 		take(w, m);
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -15,6 +15,7 @@
 #define LIST_RETRY_MS 200u
 #define LIST_MUTE_MS 400u /* between lists while an instance is mute */
 #define POOLS_LOG_MS 1000u
+#define WAVE_NEW_MS 5000u /* a node reads what was asked for before it came */
 #define HOLDER_MARGIN_MS 300u
 #define HOLDER_CONFIRMED_MS 1500u /* a confirmation no older than that */
 #define UPKEEP_READ_RETRY_MS 300u
@@ -52,12 +53,13 @@
 {
 	fleet_wave(m->fleet, w->name, w->number, w->at_once, w->duration_ms,
 		   (const char *const *)w->machines, w->machine_count,
-		   clock_now_ms());
+		   w->begun_ms);
 }
 
 void machines_wave(struct node *n, struct wave_request *request)
 {
 	struct machines *m = machines_of(n);
+	uint64_t now = clock_now_ms();
 	uint32_t i;
 
 	for (i = 0; i < m->wave_count; i++)
@@ -70,6 +72,10 @@
 		  "\"duration_ms\":%u",
 		  request->number, request->machine_count, request->at_once,
 		  request->duration_ms);
+	request->begun_ms = now;
+	/* It may have been asked for long before this life of the node. */
+	if (!n->settings.first_start && now - n->started_ms < WAVE_NEW_MS)
+		request->begun_ms = now - request->duration_ms;
 	m->waves = talloc_realloc(m, m->waves, struct wave_request *,
 				  m->wave_count + 1);
 	assert(m->waves);
@@ -355,10 +361,10 @@
 		    !l.waiting_work)
 			continue;
 		event_log("pool-waits", name,
-			  "\"instances\":%u,\"cpu\":%" PRId64
+			  "\"instances\":%u,\"pinned\":%u,\"cpu\":%" PRId64
 			  ",\"used_cpu\":%" PRId64 ",\"waiting_cpu\":%" PRId64
 			  ",\"waiting_work\":%" PRIu64,
-			  l.instances, l.capacity.cpu, l.used.cpu,
+			  l.instances, l.pinned, l.capacity.cpu, l.used.cpu,
 			  l.waiting.cpu, l.waiting_work);
 	}
 }
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -119,6 +119,7 @@
 	uint64_t number;
 	uint32_t at_once; /* machines down at one time */
 	uint32_t duration_ms;
+	uint64_t begun_ms; /* when this node learned of it */
 	uint32_t machine_count;
 	char **machines; /* owned by the request */
 };
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -339,6 +339,7 @@
 struct sched_pool_load {
 	const char *pool;
 	uint32_t instances; /* usable now */
+	uint32_t pinned;    /* of these, with tasks that last */
 	struct amount capacity;
 	struct amount used;
 	struct amount waiting;	  /* asked by tasks that could start now */
@@ -381,6 +382,10 @@
 void sched_reserve(struct sched *s, instance_handle_t i, bool reserved,
 		   uint64_t now);
 
+/* sched_mark_due - the instance will be emptied: nothing that lasts goes there
+ * while there is another place */
+void sched_mark_due(struct sched *s, instance_handle_t i);
+
 /*
  * sched_evacuate - stop what lasts there as far as budgets allow
  *
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -182,6 +182,7 @@
 	bool seen;     /* has reported to this lead */
 	bool expired;  /* nothing can run there any more */
 	bool silent;   /* its last look or order was not answered */
+	bool due;      /* for an upkeep: it will be emptied */
 	bool reserved; /* by the decisions about machines */
 	bool looking;
 	bool pool_counted;     /* in its pool's unseen */
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -18,6 +18,7 @@
 #define BEGUN_BONUS_MS 1500.0 /* what is begun counts as that more urgent */
 #define SHARE_MS 300.0 /* a workspace at twice its share waits that longer */
 #define SHARE_ABOVE_MAX 2.0
+#define DUE_PENALTY 1.5 /* an instance that is due is worse than a full one */
 #define STEPS_TRIED_MAX 64u /* that found no room, in one pass */
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
@@ -218,6 +219,8 @@
 
 	if (!spec->lasting)
 		score = -score;
+	else if (i->due)
+		score -= DUE_PENALTY;
 	if (spec->same_rack)
 		score += 4 * step_on_rack(task->step, rack_of(i));
 	if (*spec->near_rack && has_label(i, spec->near_rack))
@@ -397,6 +400,16 @@
 	return i->listed && !i->leaving && !i->expired && !i->reserved;
 }
 
+static bool is_pinned(const struct instance *i)
+{
+	const struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (run->task->step->spec->lasting)
+		return true;
+	return false;
+}
+
 static void add_running(const struct instance *i, uint64_t now,
 			struct sched_pool_load *load)
 {
@@ -454,6 +467,7 @@
 		if (!takes_part(i))
 			continue;
 		load->instances++;
+		load->pinned += is_pinned(i);
 		amount_add(&load->capacity, &i->capacity);
 		amount_add(&load->used, &i->used);
 		add_running(i, now, load);
@@ -587,6 +601,14 @@
 	return newest != NULL;
 }
 
+void sched_mark_due(struct sched *s, instance_handle_t h)
+{
+	struct instance *i = instance_of(s, h);
+
+	if (i)
+		i->due = true;
+}
+
 void sched_reserve(struct sched *s, instance_handle_t h, bool reserved,
 		   uint64_t now)
 {
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -71,8 +71,6 @@
 	}
 }
 
-/* Moves */
-
 static void named_instance(struct rig *r, const char *id, const char *pool)
 {
 	struct sched_instance_info info = {
@@ -89,6 +87,80 @@
 	sched_instance(r->s, &info, r->now);
 }
 
+struct pace_case {
+	const char *what;
+	uint32_t busy;	     /* of six machines, all of the wave */
+	uint64_t elapsed_ms; /* of a wave of 60 s, six at once */
+	uint32_t ordered_min;
+	uint32_t draining_min, draining_max;
+};
+
+static const struct pace_case pace_cases[] = {
+	{ "idle machines go at once", 0, 0, 6, 0, 0 },
+	{ "busy ones a few at a time", 6, 0, 0, 1, 2 },
+	{ "idle ones first", 4, 0, 2, 0, 1 },
+	{ "all, when little time is left", 6, 34000, 0, 6, 6 },
+};
+
+/* A wave keeps no more machines free of work than its time needs. */
+static void test_wave_pace(void **state)
+{
+	static const char *const ids[] = { "m-0", "m-1", "m-2",
+					   "m-3", "m-4", "m-5" };
+	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(pace_cases) / sizeof(pace_cases[0]); c++) {
+		const struct pace_case *p = &pace_cases[c];
+		struct fleet_machine_info infos[6];
+		struct fleet_action action;
+		struct fleet_stats stats;
+		uint32_t ordered = 0;
+		Fleet__JobRow *row;
+		uint32_t i, after;
+		struct rig r;
+		struct fleet *f;
+
+		rig_new(&r);
+		r.workspace.cap.cpu = 0;
+		for (i = 0; i < 6; i++) {
+			named_instance(&r, ids[i], "p");
+			infos[i] =
+				(struct fleet_machine_info){ ids[i], "p", "r1",
+							     FLEET_UP };
+		}
+		sched_lead(r.s, 1, true, r.now);
+		sched_expected(r.s, r.now);
+		see_all_empty(&r);
+		row = job_row(p->busy ? p->busy : 1, 1, false);
+		row->steps[0]->cpu = 4000; /* one fills an instance */
+		if (p->busy)
+			sched_submit(r.s, id_a, row, r.now, r.now, &after);
+		else
+			fleet__job_row__free_unpacked(row, NULL);
+		write_all(&r);
+		assert_int_equal(orders(&r), p->busy);
+		answer_all(&r, ORDER_DONE);
+		f = fleet_new(r.s, &options);
+		fleet_configure(f, &r.config);
+		fleet_machines(f, infos, 6, r.now);
+		fleet_wave(f, "wave/1", 1, 6, 60000, ids, 6, r.now);
+		r.now += p->elapsed_ms;
+		while (fleet_next(f, r.s, r.now, &action))
+			ordered += action.kind == FLEET_UPKEEP;
+		fleet_stats(f, &stats);
+		if (ordered < p->ordered_min ||
+		    stats.draining < p->draining_min ||
+		    stats.draining > p->draining_max)
+			fail_msg("%s: %u ordered, %u draining", p->what,
+				 ordered, stats.draining);
+		talloc_free(r.s);
+	}
+}
+
+/* Moves */
+
 struct move_case {
 	const char *what;
 	uint32_t lasting; /* tasks of a step that spreads over instances */
@@ -178,6 +250,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_wave),
+		cmocka_unit_test(test_wave_pace),
 		cmocka_unit_test(test_moves),
 	};
 
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -164,6 +164,8 @@
     def request(self, method, path, body=None, node=None, key=KEY):
         names = [n for n, p in self.nodes.items()
                  if p.running() and n not in self.frozen]
+        if not names:
+            raise ConnectionError("no node runs")
         name = node or names[hash(path + str(time.monotonic())) % len(names)]
         headers = {"Host": "jobs.example", "Deadline-Ms": "3000",
                    "X-Api-Key": key}
@@ -350,9 +352,9 @@
             elif code == 410:
                 raise ScenarioError(f"accepted job {job.id} is not known")
 
-    def settle(self):
+    def settle(self, within_s=SETTLE_S):
         """Waits until every accepted job that ends has ended."""
-        deadline = time.monotonic() + SETTLE_S
+        deadline = time.monotonic() + within_s
         while time.monotonic() < deadline:
             self.ask_states()
             if all(j.state in TERMINAL or j.body["taskSpec"] == "0 ms"
