--- a/src/pool/sched_ask.c
+++ b/src/pool/sched_ask.c
@@ -12,9 +12,9 @@
 static void trace_refusal(struct sched *s, const struct job *job,
 			  uint32_t retry_after_ms, uint64_t now)
 {
-	struct sched_pool_load load;
+	struct amount capacity, used;
 
-	sched_pool_load(s, job->pool->name, now, &load);
+	pool_amounts(job->pool, &capacity, &used);
 	sched_trace(s, "job-refuse", job->id,
 		    "\"queue\":\"%s\",\"pool\":\"%s\",\"backlog_ms\":%u,"
 		    "\"pool_cpu\":%" PRId64 ",\"used_cpu\":%" PRId64
@@ -22,8 +22,8 @@
 		    ",\"objective_ms\":%" PRIu64 ",\"config\":%" PRIu64
 		    ",\"retry_after_ms\":%u",
 		    job->queue, job->pool->name,
-		    sched_backlog_ms(s, job->pool, now), load.capacity.cpu,
-		    load.used.cpu, job->work, job->chain_ms,
+		    sched_backlog_ms(s, job->pool, now), capacity.cpu, used.cpu,
+		    job->work, job->chain_ms,
 		    job->objective_ms - job->accepted_ms,
 		    s->config ? s->config->version : 0, retry_after_ms);
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -353,6 +353,8 @@
 /* sched_place.c */
 bool instance_could_run(const struct instance *i, const Fleet__Step *spec);
 void sched_place(struct sched *s, uint64_t now);
+void pool_amounts(const struct pool *pool, struct amount *capacity,
+		  struct amount *used);
 uint32_t sched_backlog_ms(const struct sched *s, const struct pool *pool,
 			  uint64_t now);
 uint32_t sched_refusal(const struct sched *s, const struct job *job,
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -487,20 +487,33 @@
 	return true;
 }
 
+void pool_amounts(const struct pool *pool, struct amount *capacity,
+		  struct amount *used)
+{
+	const struct instance *i;
+
+	memset(capacity, 0, sizeof(*capacity));
+	memset(used, 0, sizeof(*used));
+	DL_FOREACH2(pool->instances, i, pool_next)
+	{
+		if (!takes_part(i))
+			continue;
+		amount_add(capacity, &i->capacity);
+		amount_add(used, &i->used);
+	}
+}
+
 uint32_t sched_backlog_ms(const struct sched *s, const struct pool *pool,
 			  uint64_t now)
 {
-	const struct instance *i;
+	struct amount capacity, used;
 	const struct step *step;
 	uint64_t work = 0;
-	int64_t cpu = 0;
 
-	DL_FOREACH2(pool->instances, i, pool_next)
-	if (takes_part(i))
-		cpu += i->capacity.cpu;
+	pool_amounts(pool, &capacity, &used);
 	DL_FOREACH(pool->ready, step)
 	work += step_waiting_work(step);
-	return cpu ? (uint32_t)(work / (uint64_t)cpu) : 0;
+	return capacity.cpu ? (uint32_t)(work / (uint64_t)capacity.cpu) : 0;
 }
 
 /* Refusal */
--- a/tools/check.py
+++ b/tools/check.py
@@ -18,7 +18,7 @@
 WALK_SCHEDULES = 10000
 FLEET_WALK_SEEDS = 10000
 QUICK_RESTART_FAULTS = 4095  # all, and workers that restart in 0.5 s
-QUICK_RESTART_SEEDS = (7953, 8710)
+QUICK_RESTART_SEEDS = (22, 4822, 7953, 8217, 8710)
 FLEET_WALK_PARTS = 5 # side by side
 SAFEGUARDS = ("round-tag", "sequence", "late-draw", "report", "debt",
               "unknown", "end-of-work", "lease")
