sched, node: workers that restart within a look's time; a node that stood still

After a gap of 0.5 s in its reports nothing is acknowledged. Ruled out: instances that are forgotten (none was in these traces).

A weak node claims 1.2 s after the strong ones (0.7 before): beside five busy processes it came first once in test/jobs/strong.txt.

--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -18,7 +18,7 @@
 #define LEAD_AGE_MAX_MS 60000u /* older news are none */
 #define LEAD_RANK_MS 80u       /* between two nodes' claims */
 #define LEAD_RANKS 8u
-#define LEAD_WEAK_MS 700u     /* a weak node claims after all strong ones */
+#define LEAD_WEAK_MS 1200u    /* a weak node claims after all strong ones */
 #define LEAD_STRONG_RATIO 1.5 /* of two nodes' power: the work is uneven */
 #define LEAD_STRONG_HEARD_MS 15000u /* a round of beats of 40 nodes */
 #define LEAD_FIRST_NODES_MS 2000u   /* for the table of nodes to be read */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,9 +6,27 @@
 
 #include "node/node_internal.h"
 
-#define PUMP_MS 4u	      /* as long as an answer of the store takes */
+#define PUMP_MS 4u   /* as long as an answer of the store takes */
+#define GAP_MS 1000u /* 20 ticks; the longest lag seen under load is 0.7 s */
 #define NODE_CONNECTIONS 256u /* to other nodes, kept */
 
+/*
+ * A node that stood still, frozen or suspended, may have been replaced as the
+ * lead, and what it knows of instances is old: it asks before it orders.
+ */
+static void notice_gap(struct node *n, uint64_t now)
+{
+	uint64_t gap_ms = now - n->awake_ms;
+
+	n->awake_ms = now;
+	if (gap_ms < GAP_MS || n->phase == LEAD_NONE)
+		return;
+	event_log("stood-still", NULL, "\"for_ms\":%llu,\"epoch\":%llu",
+		  (unsigned long long)gap_ms,
+		  (unsigned long long)n->lead.epoch);
+	n->confirmed_ms = 0;
+}
+
 static void pump(void *arg)
 {
 	struct node *n = arg;
@@ -16,6 +34,7 @@
 
 	n->pump_wanted = false;
 	n->pump_ms = now;
+	notice_gap(n, now);
 	if (n->phase != LEAD_DECIDING)
 		return;
 	sched_tick(n->sched, node_unix_ms(n), now);
@@ -55,6 +74,7 @@
 	struct node *n = arg;
 	uint64_t now = clock_now_ms();
 
+	notice_gap(n, now);
 	lead_tick(n, now);
 	watch_tick(n, now);
 	gossip_tick(n, now);
@@ -121,7 +141,7 @@
 	randombytes_buf(&n->incarnation, sizeof(n->incarnation));
 	n->incarnation >>= 1; /* stays positive wherever it is printed */
 	n->started_ms = clock_now_ms();
-	n->lead_heard_ms = n->started_ms;
+	n->lead_heard_ms = n->awake_ms = n->started_ms;
 	n->store_ok = true;
 	clock_gettime(CLOCK_REALTIME, &ts);
 	n->unix_offset_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000 -
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,13 +26,14 @@
 	const char *peers; /* IP number and port, for other nodes */
 	uint32_t seed_count;
 	const char *seeds[NODE_SEEDS_MAX]; /* addresses of some others */
-	uint32_t power;	      /* of its processor, thousandths of a core */
-	bool first_start;     /* the whole system starts for the first time */
-	uint32_t lease_ms;    /* of what runs on instances */
-	uint32_t end_keep_ms; /* an ended job's state is told that long */
-	uint32_t holder_ms;   /* orders to machines: apart for two holders */
-	uint32_t move_ms;     /* a machine's move */
-	uint32_t upkeep_ms;   /* a machine's upkeep */
+	uint32_t power;	       /* of its processor, thousandths of a core */
+	bool first_start;      /* the whole system starts for the first time */
+	uint32_t lease_ms;     /* of what runs on instances */
+	uint32_t lease_max_ms; /* instances shorten longer ones to this */
+	uint32_t end_keep_ms;  /* an ended job's state is told that long */
+	uint32_t holder_ms;    /* orders to machines: apart for two holders */
+	uint32_t move_ms;      /* a machine's move */
+	uint32_t upkeep_ms;    /* a machine's upkeep */
 };
 
 /* node_new - NULL when the peers' address cannot be bound */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -103,7 +103,8 @@
 	struct tevent_immediate *pump_now;
 	struct mtimer *pump_timer;
 	bool pump_wanted;
-	uint64_t pump_ms; /* the last one */
+	uint64_t pump_ms;  /* the last one */
+	uint64_t awake_ms; /* when the loop last turned */
 
 	/* Peers */
 	struct httpc *http; /* to other nodes */
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -155,6 +155,7 @@
 	struct node *n = t->node;
 	struct sched_options options = {
 		.lease_ms = n->settings.lease_ms,
+		.lease_max_ms = n->settings.lease_max_ms,
 		.lead_ms = LEAD_ORDERS_MS,
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -41,8 +41,9 @@
 } instance_handle_t;
 
 struct sched_options {
-	uint32_t lease_ms; /* what an order extends an instance's work by */
-	uint32_t lead_ms;  /* how long a predecessor may still give orders */
+	uint32_t lease_ms;     /* what an order extends an instance's work by */
+	uint32_t lease_max_ms; /* instances shorten what is longer to this */
+	uint32_t lead_ms; /* how long a predecessor may still give orders */
 	uint32_t start_wait_ms; /* before an unanswered start is settled */
 	uint32_t end_keep_ms;	/* an ended job's state is told that long */
 };
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -351,6 +351,19 @@
 	return i->clock_ms + (now - i->clock_at) + s->options.lease_ms;
 }
 
+/*
+ * A new life has read a deadline by its own clock: it may hold work as long as
+ * any instance does.
+ */
+void instance_held_long(const struct sched *s, struct instance *i, uint64_t now)
+{
+	uint64_t end = now + LEASE_MARGIN_MS +
+		       (uint64_t)(s->options.lease_max_ms * (1 + LEASE_SLACK));
+
+	if (end > i->lease_end)
+		i->lease_end = end;
+}
+
 /* Everything on it has lapsed or was killed. */
 void instance_expire(struct sched *s, struct instance *i, const char *why,
 		     uint64_t now)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -336,6 +336,8 @@
 struct instance *instance_of(const struct sched *s, instance_handle_t h);
 uint64_t instance_lease(const struct sched *s, struct instance *i,
 			uint64_t now);
+void instance_held_long(const struct sched *s, struct instance *i,
+			uint64_t now);
 void instance_expire(struct sched *s, struct instance *i, const char *why,
 		     uint64_t now);
 bool instance_usable(const struct sched *s, const struct instance *i,
--- a/src/pool/sched_look.c
+++ b/src/pool/sched_look.c
@@ -12,6 +12,7 @@
 #define LOOK_WAIT_IDLE_MS 2000u	  /* the same where nothing runs */
 #define LOOK_WAIT_SERVING_MS 500u /* the same beside tasks with a target */
 #define LOOK_UNWRITTEN_MS 300u	  /* between looks while ends are not durable */
+#define SESSION_GAP_MS 500u	  /* above LOOK_UNWRITTEN_MS and a pass */
 #define LOOK_FAILED_MS 150u	  /* before an unanswered look is repeated */
 
 static bool instance_serves(const struct instance *i)
@@ -39,6 +40,15 @@
 			       (!i->seen && !i->expired));
 }
 
+/*
+ * Looks follow one another without a gap while an instance answers. After a
+ * gap it may have started again, and number its ends anew.
+ */
+static bool same_session(const struct instance *i, uint64_t now)
+{
+	return !i->silent && now - i->clock_at <= SESSION_GAP_MS;
+}
+
 /* Each search goes on where the last one ended, so that a pass is one round. */
 bool sched_next_look(struct sched *s, uint64_t now, struct sched_look *look)
 {
@@ -54,8 +64,7 @@
 		look->instance = i->handle;
 		look->instance_id = i->id;
 		look->address = i->address;
-		/* It may have started again, and number its ends anew. */
-		look->acked = i->silent ? 0 : i->acked;
+		look->acked = same_session(i, now) ? i->acked : 0;
 		look->wait_ms = look_wait(i);
 		look->lease_until = 0;
 		/* One that does not answer is not extended, so it lapses. */
@@ -226,11 +235,14 @@
 }
 
 static void new_life(struct sched *s, struct instance *i,
-		     const struct sched_report *r)
+		     const struct sched_report *r, uint64_t now)
 {
-	if (i->born && r->born && r->born != i->born)
+	if (i->born && r->born && r->born != i->born) {
 		sched_trace(s, "instance-reborn", i->id, "\"runs\":%u",
 			    i->run_count);
+		if (i->run_count)
+			instance_held_long(s, i, now);
+	}
 	i->born = r->born;
 	i->last_n = 0;
 	i->acked = 0;
@@ -284,7 +296,7 @@
 		return;
 	}
 	if (i->born != r->born || !i->seen) {
-		new_life(s, i, r);
+		new_life(s, i, r, now);
 		i->met_ms = now;
 	}
 	if (i->silent) {
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -8,6 +8,7 @@
 #define RUNS_FIRST 64u
 #define STOP_RETRY_MS 300u    /* between two tries of an unanswered stop */
 #define REFUSED_RETRY_MS 100u /* before a refused task is tried again */
+#define CLOCK_BACK_MS 1000u   /* answers overtake each other by less */
 #define UNANSWERED_MAX 2u     /* orders in a row before an instance is silent */
 
 static uint32_t slot_find(struct sched *s)
@@ -245,14 +246,34 @@
 	run->instance->look_ms = now;
 }
 
+/*
+ * A clock that went back is that of a new life, which read the order's
+ * deadline by it and may hold the work for long. Until it reports, nothing
+ * is known of it, and ends are not acknowledged by the old life's numbers.
+ */
+static void check_life(struct sched *s, struct instance *i,
+		       const struct sched_order *order, uint64_t clock_ms,
+		       uint64_t now)
+{
+	if (!clock_ms || !i->clock_at ||
+	    clock_ms + CLOCK_BACK_MS >= i->clock_ms)
+		return;
+	sched_trace(s, "instance-restarted", i->id,
+		    "\"clock_ms\":%" PRIu64 ",\"known_clock_ms\":%" PRIu64,
+		    clock_ms, i->clock_ms);
+	if (order->kind == ORDER_START)
+		instance_held_long(s, i, now);
+	i->clock_at = 0;
+	i->silent = true;
+	i->look_ms = now;
+}
+
 void sched_ordered(struct sched *s, const struct sched_order *order,
 		   enum sched_order_result result, uint64_t clock_ms,
 		   uint64_t sent_ms, uint64_t now)
 {
 	struct run *run = run_of(s, order->run);
 
-	(void)clock_ms;
-	(void)sent_ms;
 	sched_trace(s, "order", order->task,
 		    "\"kind\":%d,\"instance\":\"%s\",\"run\":%" PRIu64
 		    ",\"result\":%d,\"took_ms\":%" PRIu64,
@@ -260,6 +281,7 @@
 		    now - sent_ms);
 	if (!run)
 		return;
+	check_life(s, run->instance, order, clock_ms, now);
 	run->in_flight = false;
 	switch (order->kind) {
 	case ORDER_START:
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -34,7 +34,7 @@
 	FAULT_EVACUATIONS = 1 << 9,
 	FAULT_UNLISTED = 1 << 10,
 	FAULT_ALL = (1 << 11) - 1,
-	FAULT_QUICK_RESTARTS = 1 << 11, /* known red, see KNOWN-RED.txt */
+	FAULT_QUICK_RESTARTS = 1 << 11, /* within the time of a look */
 };
 
 struct world_result {
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -14,6 +14,8 @@
 #include "test/walk/fleet_world.h"
 
 #define LEASE_MS 4000u
+#define LEASE_MAX_MS 10000u
+#define GAP_MS 1000u	/* as a node: it has stood still, and asks who leads */
 #define ORDERS_MS 6000u /* a lead's orders after its last confirmation */
 #define CONFIRM_MS 800u
 #define ORDER_TIMEOUT_MS 500u
@@ -23,7 +25,6 @@
 #define STOP_TAKES_MS 200u
 #define STARTUP_MS 300u /* of a task that lasts */
 #define UNLISTED_MS 3000u
-/* A look times out in less; see docs/QUESTIONS.md, a life's clock. */
 #define RESTART_MS 2000u
 #define QUICK_RESTART_MS 500u
 #define TASKS_MAX 8u
@@ -147,6 +148,7 @@
 	uint64_t revision, fence, epoch;
 	uint64_t confirmed_ms;
 	uint64_t frozen_until_ms;
+	uint64_t advanced_ms;  /* when it last decided */
 	uint64_t cut_until_ms; /* from the store */
 	uint64_t machines_ms;  /* when the list of machines reaches it */
 	bool committing, settle;
--- a/test/walk/fleet_world_lead.c
+++ b/test/walk/fleet_world_lead.c
@@ -86,6 +86,7 @@
 void claim(struct world *w, uint32_t who)
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
+					 .lease_max_ms = LEASE_MAX_MS,
 					 .lead_ms = ORDERS_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
@@ -219,6 +220,9 @@
 
 	if (!l->s || w->now < l->frozen_until_ms)
 		return;
+	if (w->now - l->advanced_ms >= GAP_MS)
+		l->confirmed_ms = 0;
+	l->advanced_ms = w->now;
 	lead_machines(w, l);
 	lead_inbox(w, l);
 	directory(w, l);
--- a/tools/check.py
+++ b/tools/check.py
@@ -18,7 +18,6 @@
 WALK_SCHEDULES = 10000
 FLEET_WALK_SEEDS = 10000
 QUICK_RESTART_FAULTS = 4095  # all, and workers that restart in 0.5 s
-QUICK_RESTART_SEEDS = (22, 4822, 7953, 8217, 8710)
 FLEET_WALK_PARTS = 5 # side by side
 SAFEGUARDS = ("round-tag", "sequence", "late-draw", "report", "debt",
               "unknown", "end-of-work", "lease")
@@ -110,12 +109,12 @@
                 lambda path, r=runner: list(r.run_file(path, build)), paths)
 
 
-def fleet_walk(build):
+def fleet_walk(build, *options):
     """The walk over the scheduler, its seeds in parts side by side."""
     part = FLEET_WALK_SEEDS // FLEET_WALK_PARTS
     walks = [subprocess.Popen(
         [f"{build}/test/fleet_walk", "--seed", str(i * part + 1), "--count",
-         str(part)], stdout=subprocess.PIPE, text=True)
+         str(part), *options], stdout=subprocess.PIPE, text=True)
         for i in range(FLEET_WALK_PARTS)]
     outputs = [w.communicate()[0] for w in walks]
     return "\n".join(out for out, w in zip(outputs, walks)
@@ -135,10 +134,8 @@
         results.command(f"ledger walk finds {guard} removed",
                         [walk, "--without", guard, "--count", "30000"])
     results.add("fleet walk", fleet_walk(build))
-    for seed in QUICK_RESTART_SEEDS:
-        results.command(f"fleet walk, quick restarts, seed {seed}", [
-            f"{build}/test/fleet_walk", "--seed", str(seed), "--faults",
-            str(QUICK_RESTART_FAULTS)])
+    results.add("fleet walk, quick restarts",
+                fleet_walk(build, "--faults", str(QUICK_RESTART_FAULTS)))
     make_sanitized()
     results.command("ledger walk with sanitizers", [
         f"{build}/sanitize/test/ledger_walk", "--count", "500"])
