--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -547,6 +547,321 @@
   assert(message->base.descriptor == &fleet__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   fleet__call__init
+                     (Fleet__Call         *message)
+{
+  static const Fleet__Call init_value = FLEET__CALL__INIT;
+  *message = init_value;
+}
+size_t fleet__call__get_packed_size
+                     (const Fleet__Call *message)
+{
+  assert(message->base.descriptor == &fleet__call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__call__pack
+                     (const Fleet__Call *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__call__pack_to_buffer
+                     (const Fleet__Call *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__Call *
+       fleet__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__Call *)
+     protobuf_c_message_unpack (&fleet__call__descriptor,
+                                allocator, len, data);
+}
+void   fleet__call__free_unpacked
+                     (Fleet__Call *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__calls__init
+                     (Fleet__Calls         *message)
+{
+  static const Fleet__Calls init_value = FLEET__CALLS__INIT;
+  *message = init_value;
+}
+size_t fleet__calls__get_packed_size
+                     (const Fleet__Calls *message)
+{
+  assert(message->base.descriptor == &fleet__calls__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__calls__pack
+                     (const Fleet__Calls *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__calls__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__calls__pack_to_buffer
+                     (const Fleet__Calls *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__calls__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__Calls *
+       fleet__calls__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__Calls *)
+     protobuf_c_message_unpack (&fleet__calls__descriptor,
+                                allocator, len, data);
+}
+void   fleet__calls__free_unpacked
+                     (Fleet__Calls *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__calls__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__call_running__init
+                     (Fleet__CallRunning         *message)
+{
+  static const Fleet__CallRunning init_value = FLEET__CALL_RUNNING__INIT;
+  *message = init_value;
+}
+size_t fleet__call_running__get_packed_size
+                     (const Fleet__CallRunning *message)
+{
+  assert(message->base.descriptor == &fleet__call_running__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__call_running__pack
+                     (const Fleet__CallRunning *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__call_running__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__call_running__pack_to_buffer
+                     (const Fleet__CallRunning *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__call_running__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__CallRunning *
+       fleet__call_running__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__CallRunning *)
+     protobuf_c_message_unpack (&fleet__call_running__descriptor,
+                                allocator, len, data);
+}
+void   fleet__call_running__free_unpacked
+                     (Fleet__CallRunning *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__call_running__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__call_ended__init
+                     (Fleet__CallEnded         *message)
+{
+  static const Fleet__CallEnded init_value = FLEET__CALL_ENDED__INIT;
+  *message = init_value;
+}
+size_t fleet__call_ended__get_packed_size
+                     (const Fleet__CallEnded *message)
+{
+  assert(message->base.descriptor == &fleet__call_ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__call_ended__pack
+                     (const Fleet__CallEnded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__call_ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__call_ended__pack_to_buffer
+                     (const Fleet__CallEnded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__call_ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__CallEnded *
+       fleet__call_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__CallEnded *)
+     protobuf_c_message_unpack (&fleet__call_ended__descriptor,
+                                allocator, len, data);
+}
+void   fleet__call_ended__free_unpacked
+                     (Fleet__CallEnded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__call_ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__call_report__init
+                     (Fleet__CallReport         *message)
+{
+  static const Fleet__CallReport init_value = FLEET__CALL_REPORT__INIT;
+  *message = init_value;
+}
+size_t fleet__call_report__get_packed_size
+                     (const Fleet__CallReport *message)
+{
+  assert(message->base.descriptor == &fleet__call_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__call_report__pack
+                     (const Fleet__CallReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__call_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__call_report__pack_to_buffer
+                     (const Fleet__CallReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__call_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__CallReport *
+       fleet__call_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__CallReport *)
+     protobuf_c_message_unpack (&fleet__call_report__descriptor,
+                                allocator, len, data);
+}
+void   fleet__call_report__free_unpacked
+                     (Fleet__CallReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__call_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__call_result__init
+                     (Fleet__CallResult         *message)
+{
+  static const Fleet__CallResult init_value = FLEET__CALL_RESULT__INIT;
+  *message = init_value;
+}
+size_t fleet__call_result__get_packed_size
+                     (const Fleet__CallResult *message)
+{
+  assert(message->base.descriptor == &fleet__call_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__call_result__pack
+                     (const Fleet__CallResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__call_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__call_result__pack_to_buffer
+                     (const Fleet__CallResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__call_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__CallResult *
+       fleet__call_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__CallResult *)
+     protobuf_c_message_unpack (&fleet__call_result__descriptor,
+                                allocator, len, data);
+}
+void   fleet__call_result__free_unpacked
+                     (Fleet__CallResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__call_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   fleet__call_results__init
+                     (Fleet__CallResults         *message)
+{
+  static const Fleet__CallResults init_value = FLEET__CALL_RESULTS__INIT;
+  *message = init_value;
+}
+size_t fleet__call_results__get_packed_size
+                     (const Fleet__CallResults *message)
+{
+  assert(message->base.descriptor == &fleet__call_results__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fleet__call_results__pack
+                     (const Fleet__CallResults *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fleet__call_results__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fleet__call_results__pack_to_buffer
+                     (const Fleet__CallResults *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fleet__call_results__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fleet__CallResults *
+       fleet__call_results__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fleet__CallResults *)
+     protobuf_c_message_unpack (&fleet__call_results__descriptor,
+                                allocator, len, data);
+}
+void   fleet__call_results__free_unpacked
+                     (Fleet__CallResults *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fleet__call_results__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor fleet__step__field_descriptors[18] =
 {
   {
@@ -1217,7 +1532,7 @@
   (ProtobufCMessageInit) fleet__lead_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__node_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor fleet__node_row__field_descriptors[5] =
 {
   {
     "address",
@@ -1267,17 +1582,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "links",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__NodeRow, links),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__node_row__field_indices_by_name[] = {
   0,   /* field[0] = address */
   2,   /* field[2] = incarnation */
+  4,   /* field[4] = links */
   3,   /* field[3] = power */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange fleet__node_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor fleet__node_row__descriptor =
 {
@@ -1287,7 +1615,7 @@
   "Fleet__NodeRow",
   "fleet",
   sizeof(Fleet__NodeRow),
-  4,
+  5,
   fleet__node_row__field_descriptors,
   fleet__node_row__field_indices_by_name,
   1,  fleet__node_row__number_ranges,
@@ -1744,67 +2072,723 @@
   (ProtobufCMessageInit) fleet__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue fleet__job_state__enum_values_by_number[6] =
-{
-  { "UNKNOWN", "FLEET__JOB_STATE__UNKNOWN", 0 },
-  { "QUEUED", "FLEET__JOB_STATE__QUEUED", 1 },
-  { "RUNNING", "FLEET__JOB_STATE__RUNNING", 2 },
-  { "COMPLETED", "FLEET__JOB_STATE__COMPLETED", 3 },
-  { "FAILED", "FLEET__JOB_STATE__FAILED", 4 },
-  { "CANCELLED", "FLEET__JOB_STATE__CANCELLED", 5 },
-};
-static const ProtobufCIntRange fleet__job_state__value_ranges[] = {
-{0, 0},{0, 6}
-};
-static const ProtobufCEnumValueIndex fleet__job_state__enum_values_by_name[6] =
-{
-  { "CANCELLED", 5 },
-  { "COMPLETED", 3 },
-  { "FAILED", 4 },
-  { "QUEUED", 1 },
-  { "RUNNING", 2 },
-  { "UNKNOWN", 0 },
-};
-const ProtobufCEnumDescriptor fleet__job_state__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "fleet.JobState",
-  "JobState",
-  "Fleet__JobState",
-  "fleet",
-  6,
-  fleet__job_state__enum_values_by_number,
-  6,
-  fleet__job_state__enum_values_by_name,
-  1,
-  fleet__job_state__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue fleet__verb__enum_values_by_number[5] =
-{
-  { "NONE", "FLEET__VERB__NONE", 0 },
-  { "SUBMIT", "FLEET__VERB__SUBMIT", 1 },
-  { "STATE", "FLEET__VERB__STATE", 2 },
-  { "CANCEL", "FLEET__VERB__CANCEL", 3 },
-  { "PENDING", "FLEET__VERB__PENDING", 4 },
-};
-static const ProtobufCIntRange fleet__verb__value_ranges[] = {
-{0, 0},{0, 5}
-};
-static const ProtobufCEnumValueIndex fleet__verb__enum_values_by_name[5] =
-{
-  { "CANCEL", 3 },
-  { "NONE", 0 },
-  { "PENDING", 4 },
-  { "STATE", 2 },
-  { "SUBMIT", 1 },
-};
-const ProtobufCEnumDescriptor fleet__verb__descriptor =
+static const ProtobufCFieldDescriptor fleet__call__field_descriptors[14] =
 {
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "fleet.Verb",
-  "Verb",
-  "Fleet__Verb",
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, kind),
+    &fleet__call_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instance",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, lease_until),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, acked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Call, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__call__field_indices_by_name[] = {
+  12,   /* field[12] = acked */
+  3,   /* field[3] = address */
+  0,   /* field[0] = id */
+  2,   /* field[2] = instance */
+  1,   /* field[1] = kind */
+  7,   /* field[7] = lease_until */
+  6,   /* field[6] = number */
+  8,   /* field[8] = payload */
+  11,   /* field[11] = percent */
+  9,   /* field[9] = saved */
+  5,   /* field[5] = task */
+  10,   /* field[10] = ticket */
+  4,   /* field[4] = timeout_ms */
+  13,   /* field[13] = wait_ms */
+};
+static const ProtobufCIntRange fleet__call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor fleet__call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.Call",
+  "Call",
+  "Fleet__Call",
+  "fleet",
+  sizeof(Fleet__Call),
+  14,
+  fleet__call__field_descriptors,
+  fleet__call__field_indices_by_name,
+  1,  fleet__call__number_ranges,
+  (ProtobufCMessageInit) fleet__call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__calls__field_descriptors[2] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Calls, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "calls",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__Calls, n_calls),
+    offsetof(Fleet__Calls, calls),
+    &fleet__call__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__calls__field_indices_by_name[] = {
+  1,   /* field[1] = calls */
+  0,   /* field[0] = fence */
+};
+static const ProtobufCIntRange fleet__calls__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor fleet__calls__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.Calls",
+  "Calls",
+  "Fleet__Calls",
+  "fleet",
+  sizeof(Fleet__Calls),
+  2,
+  fleet__calls__field_descriptors,
+  fleet__calls__field_indices_by_name,
+  1,  fleet__calls__number_ranges,
+  (ProtobufCMessageInit) fleet__calls__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__call_running__field_descriptors[5] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallRunning, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallRunning, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallRunning, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallRunning, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallRunning, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__call_running__field_indices_by_name[] = {
+  4,   /* field[4] = load */
+  1,   /* field[1] = number */
+  3,   /* field[3] = percent */
+  2,   /* field[2] = saved */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange fleet__call_running__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor fleet__call_running__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.CallRunning",
+  "CallRunning",
+  "Fleet__CallRunning",
+  "fleet",
+  sizeof(Fleet__CallRunning),
+  5,
+  fleet__call_running__field_descriptors,
+  fleet__call_running__field_indices_by_name,
+  1,  fleet__call_running__number_ranges,
+  (ProtobufCMessageInit) fleet__call_running__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__call_ended__field_descriptors[5] =
+{
+  {
+    "n",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallEnded, n),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallEnded, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallEnded, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallEnded, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallEnded, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__call_ended__field_indices_by_name[] = {
+  3,   /* field[3] = how */
+  0,   /* field[0] = n */
+  2,   /* field[2] = number */
+  4,   /* field[4] = saved */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange fleet__call_ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor fleet__call_ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.CallEnded",
+  "CallEnded",
+  "Fleet__CallEnded",
+  "fleet",
+  sizeof(Fleet__CallEnded),
+  5,
+  fleet__call_ended__field_descriptors,
+  fleet__call_ended__field_indices_by_name,
+  1,  fleet__call_ended__number_ranges,
+  (ProtobufCMessageInit) fleet__call_ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__call_report__field_descriptors[4] =
+{
+  {
+    "clock_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallReport, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallReport, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__CallReport, n_running),
+    offsetof(Fleet__CallReport, running),
+    &fleet__call_running__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__CallReport, n_ended),
+    offsetof(Fleet__CallReport, ended),
+    &fleet__call_ended__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__call_report__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  0,   /* field[0] = clock_ms */
+  3,   /* field[3] = ended */
+  2,   /* field[2] = running */
+};
+static const ProtobufCIntRange fleet__call_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor fleet__call_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.CallReport",
+  "CallReport",
+  "Fleet__CallReport",
+  "fleet",
+  sizeof(Fleet__CallReport),
+  4,
+  fleet__call_report__field_descriptors,
+  fleet__call_report__field_indices_by_name,
+  1,  fleet__call_report__number_ranges,
+  (ProtobufCMessageInit) fleet__call_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__call_result__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallResult, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallResult, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallResult, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "newer_lead",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallResult, newer_lead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallResult, report),
+    &fleet__call_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__call_result__field_indices_by_name[] = {
+  2,   /* field[2] = clock_ms */
+  0,   /* field[0] = id */
+  3,   /* field[3] = newer_lead */
+  4,   /* field[4] = report */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange fleet__call_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor fleet__call_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.CallResult",
+  "CallResult",
+  "Fleet__CallResult",
+  "fleet",
+  sizeof(Fleet__CallResult),
+  5,
+  fleet__call_result__field_descriptors,
+  fleet__call_result__field_indices_by_name,
+  1,  fleet__call_result__number_ranges,
+  (ProtobufCMessageInit) fleet__call_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor fleet__call_results__field_descriptors[2] =
+{
+  {
+    "results",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fleet__CallResults, n_results),
+    offsetof(Fleet__CallResults, results),
+    &fleet__call_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallResults, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fleet__call_results__field_indices_by_name[] = {
+  0,   /* field[0] = results */
+  1,   /* field[1] = stopping */
+};
+static const ProtobufCIntRange fleet__call_results__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor fleet__call_results__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fleet.CallResults",
+  "CallResults",
+  "Fleet__CallResults",
+  "fleet",
+  sizeof(Fleet__CallResults),
+  2,
+  fleet__call_results__field_descriptors,
+  fleet__call_results__field_indices_by_name,
+  1,  fleet__call_results__number_ranges,
+  (ProtobufCMessageInit) fleet__call_results__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue fleet__job_state__enum_values_by_number[6] =
+{
+  { "UNKNOWN", "FLEET__JOB_STATE__UNKNOWN", 0 },
+  { "QUEUED", "FLEET__JOB_STATE__QUEUED", 1 },
+  { "RUNNING", "FLEET__JOB_STATE__RUNNING", 2 },
+  { "COMPLETED", "FLEET__JOB_STATE__COMPLETED", 3 },
+  { "FAILED", "FLEET__JOB_STATE__FAILED", 4 },
+  { "CANCELLED", "FLEET__JOB_STATE__CANCELLED", 5 },
+};
+static const ProtobufCIntRange fleet__job_state__value_ranges[] = {
+{0, 0},{0, 6}
+};
+static const ProtobufCEnumValueIndex fleet__job_state__enum_values_by_name[6] =
+{
+  { "CANCELLED", 5 },
+  { "COMPLETED", 3 },
+  { "FAILED", 4 },
+  { "QUEUED", 1 },
+  { "RUNNING", 2 },
+  { "UNKNOWN", 0 },
+};
+const ProtobufCEnumDescriptor fleet__job_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "fleet.JobState",
+  "JobState",
+  "Fleet__JobState",
+  "fleet",
+  6,
+  fleet__job_state__enum_values_by_number,
+  6,
+  fleet__job_state__enum_values_by_name,
+  1,
+  fleet__job_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue fleet__verb__enum_values_by_number[5] =
+{
+  { "NONE", "FLEET__VERB__NONE", 0 },
+  { "SUBMIT", "FLEET__VERB__SUBMIT", 1 },
+  { "STATE", "FLEET__VERB__STATE", 2 },
+  { "CANCEL", "FLEET__VERB__CANCEL", 3 },
+  { "PENDING", "FLEET__VERB__PENDING", 4 },
+};
+static const ProtobufCIntRange fleet__verb__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex fleet__verb__enum_values_by_name[5] =
+{
+  { "CANCEL", 3 },
+  { "NONE", 0 },
+  { "PENDING", 4 },
+  { "STATE", 2 },
+  { "SUBMIT", 1 },
+};
+const ProtobufCEnumDescriptor fleet__verb__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "fleet.Verb",
+  "Verb",
+  "Fleet__Verb",
   "fleet",
   5,
   fleet__verb__enum_values_by_number,
@@ -1850,3 +2834,35 @@
   fleet__result__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue fleet__call_kind__enum_values_by_number[4] =
+{
+  { "LOOK", "FLEET__CALL_KIND__LOOK", 0 },
+  { "START", "FLEET__CALL_KIND__START", 1 },
+  { "STOP", "FLEET__CALL_KIND__STOP", 2 },
+  { "PACE", "FLEET__CALL_KIND__PACE", 3 },
+};
+static const ProtobufCIntRange fleet__call_kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex fleet__call_kind__enum_values_by_name[4] =
+{
+  { "LOOK", 0 },
+  { "PACE", 3 },
+  { "START", 1 },
+  { "STOP", 2 },
+};
+const ProtobufCEnumDescriptor fleet__call_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "fleet.CallKind",
+  "CallKind",
+  "Fleet__CallKind",
+  "fleet",
+  4,
+  fleet__call_kind__enum_values_by_number,
+  4,
+  fleet__call_kind__enum_values_by_name,
+  1,
+  fleet__call_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -27,6 +27,13 @@
 typedef struct Fleet__Beat Fleet__Beat;
 typedef struct Fleet__Ask Fleet__Ask;
 typedef struct Fleet__Answer Fleet__Answer;
+typedef struct Fleet__Call Fleet__Call;
+typedef struct Fleet__Calls Fleet__Calls;
+typedef struct Fleet__CallRunning Fleet__CallRunning;
+typedef struct Fleet__CallEnded Fleet__CallEnded;
+typedef struct Fleet__CallReport Fleet__CallReport;
+typedef struct Fleet__CallResult Fleet__CallResult;
+typedef struct Fleet__CallResults Fleet__CallResults;
 
 
 /* --- enums --- */
@@ -66,6 +73,13 @@
   FLEET__RESULT__UNSETTLED = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__RESULT)
 } Fleet__Result;
+typedef enum _Fleet__CallKind {
+  FLEET__CALL_KIND__LOOK = 0,
+  FLEET__CALL_KIND__START = 1,
+  FLEET__CALL_KIND__STOP = 2,
+  FLEET__CALL_KIND__PACE = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__CALL_KIND)
+} Fleet__CallKind;
 
 /* --- messages --- */
 
@@ -253,10 +267,14 @@
    * thousandths of a core; 0: not told
    */
   uint32_t power;
+  /*
+   * where it takes frames; empty: nowhere
+   */
+  char *links;
 };
 #define FLEET__NODE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__node_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -357,6 +375,131 @@
     , FLEET__RESULT__UNANSWERED, FLEET__JOB_STATE__UNKNOWN, 0, 0 }
 
 
+struct  Fleet__Call
+{
+  ProtobufCMessage base;
+  uint32_t id;
+  Fleet__CallKind kind;
+  char *instance;
+  char *address;
+  uint32_t timeout_ms;
+  char *task;
+  uint64_t number;
+  /*
+   * instance's clock, 0: unknown
+   */
+  uint64_t lease_until;
+  char *payload;
+  char *saved;
+  char *ticket;
+  uint32_t percent;
+  uint64_t acked;
+  uint32_t wait_ms;
+};
+#define FLEET__CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__call__descriptor) \
+    , 0, FLEET__CALL_KIND__LOOK, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * From the lead; without calls it asks for a sign of life.
+ */
+struct  Fleet__Calls
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+  size_t n_calls;
+  Fleet__Call **calls;
+};
+#define FLEET__CALLS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__calls__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Fleet__CallRunning
+{
+  ProtobufCMessage base;
+  char *task;
+  uint64_t number;
+  char *saved;
+  uint32_t percent;
+  double load;
+};
+#define FLEET__CALL_RUNNING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__call_running__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Fleet__CallEnded
+{
+  ProtobufCMessage base;
+  uint64_t n;
+  char *task;
+  uint64_t number;
+  /*
+   * enum sched_how
+   */
+  uint32_t how;
+  char *saved;
+};
+#define FLEET__CALL_ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__call_ended__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Fleet__CallReport
+{
+  ProtobufCMessage base;
+  uint64_t clock_ms;
+  uint64_t born;
+  size_t n_running;
+  Fleet__CallRunning **running;
+  size_t n_ended;
+  Fleet__CallEnded **ended;
+};
+#define FLEET__CALL_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__call_report__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Fleet__CallResult
+{
+  ProtobufCMessage base;
+  uint32_t id;
+  /*
+   * enum sched_order_result, of an order
+   */
+  uint32_t result;
+  uint64_t clock_ms;
+  protobuf_c_boolean newer_lead;
+  /*
+   * of a look that was answered
+   */
+  Fleet__CallReport *report;
+};
+#define FLEET__CALL_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__call_result__descriptor) \
+    , 0, 0, 0, 0, NULL }
+
+
+/*
+ * To the lead; without results it is a sign of life.
+ */
+struct  Fleet__CallResults
+{
+  ProtobufCMessage base;
+  size_t n_results;
+  Fleet__CallResult **results;
+  /*
+   * give it no more calls
+   */
+  protobuf_c_boolean stopping;
+};
+#define FLEET__CALL_RESULTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fleet__call_results__descriptor) \
+    , 0,NULL, 0 }
+
+
 /* Fleet__Step methods */
 void   fleet__step__init
                      (Fleet__Step         *message);
@@ -585,6 +728,139 @@
 void   fleet__answer__free_unpacked
                      (Fleet__Answer *message,
                       ProtobufCAllocator *allocator);
+/* Fleet__Call methods */
+void   fleet__call__init
+                     (Fleet__Call         *message);
+size_t fleet__call__get_packed_size
+                     (const Fleet__Call   *message);
+size_t fleet__call__pack
+                     (const Fleet__Call   *message,
+                      uint8_t             *out);
+size_t fleet__call__pack_to_buffer
+                     (const Fleet__Call   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Call *
+       fleet__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__call__free_unpacked
+                     (Fleet__Call *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__Calls methods */
+void   fleet__calls__init
+                     (Fleet__Calls         *message);
+size_t fleet__calls__get_packed_size
+                     (const Fleet__Calls   *message);
+size_t fleet__calls__pack
+                     (const Fleet__Calls   *message,
+                      uint8_t             *out);
+size_t fleet__calls__pack_to_buffer
+                     (const Fleet__Calls   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__Calls *
+       fleet__calls__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__calls__free_unpacked
+                     (Fleet__Calls *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__CallRunning methods */
+void   fleet__call_running__init
+                     (Fleet__CallRunning         *message);
+size_t fleet__call_running__get_packed_size
+                     (const Fleet__CallRunning   *message);
+size_t fleet__call_running__pack
+                     (const Fleet__CallRunning   *message,
+                      uint8_t             *out);
+size_t fleet__call_running__pack_to_buffer
+                     (const Fleet__CallRunning   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__CallRunning *
+       fleet__call_running__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__call_running__free_unpacked
+                     (Fleet__CallRunning *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__CallEnded methods */
+void   fleet__call_ended__init
+                     (Fleet__CallEnded         *message);
+size_t fleet__call_ended__get_packed_size
+                     (const Fleet__CallEnded   *message);
+size_t fleet__call_ended__pack
+                     (const Fleet__CallEnded   *message,
+                      uint8_t             *out);
+size_t fleet__call_ended__pack_to_buffer
+                     (const Fleet__CallEnded   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__CallEnded *
+       fleet__call_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__call_ended__free_unpacked
+                     (Fleet__CallEnded *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__CallReport methods */
+void   fleet__call_report__init
+                     (Fleet__CallReport         *message);
+size_t fleet__call_report__get_packed_size
+                     (const Fleet__CallReport   *message);
+size_t fleet__call_report__pack
+                     (const Fleet__CallReport   *message,
+                      uint8_t             *out);
+size_t fleet__call_report__pack_to_buffer
+                     (const Fleet__CallReport   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__CallReport *
+       fleet__call_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__call_report__free_unpacked
+                     (Fleet__CallReport *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__CallResult methods */
+void   fleet__call_result__init
+                     (Fleet__CallResult         *message);
+size_t fleet__call_result__get_packed_size
+                     (const Fleet__CallResult   *message);
+size_t fleet__call_result__pack
+                     (const Fleet__CallResult   *message,
+                      uint8_t             *out);
+size_t fleet__call_result__pack_to_buffer
+                     (const Fleet__CallResult   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__CallResult *
+       fleet__call_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__call_result__free_unpacked
+                     (Fleet__CallResult *message,
+                      ProtobufCAllocator *allocator);
+/* Fleet__CallResults methods */
+void   fleet__call_results__init
+                     (Fleet__CallResults         *message);
+size_t fleet__call_results__get_packed_size
+                     (const Fleet__CallResults   *message);
+size_t fleet__call_results__pack
+                     (const Fleet__CallResults   *message,
+                      uint8_t             *out);
+size_t fleet__call_results__pack_to_buffer
+                     (const Fleet__CallResults   *message,
+                      ProtobufCBuffer     *buffer);
+Fleet__CallResults *
+       fleet__call_results__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fleet__call_results__free_unpacked
+                     (Fleet__CallResults *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Fleet__Step_Closure)
@@ -623,6 +899,27 @@
 typedef void (*Fleet__Answer_Closure)
                  (const Fleet__Answer *message,
                   void *closure_data);
+typedef void (*Fleet__Call_Closure)
+                 (const Fleet__Call *message,
+                  void *closure_data);
+typedef void (*Fleet__Calls_Closure)
+                 (const Fleet__Calls *message,
+                  void *closure_data);
+typedef void (*Fleet__CallRunning_Closure)
+                 (const Fleet__CallRunning *message,
+                  void *closure_data);
+typedef void (*Fleet__CallEnded_Closure)
+                 (const Fleet__CallEnded *message,
+                  void *closure_data);
+typedef void (*Fleet__CallReport_Closure)
+                 (const Fleet__CallReport *message,
+                  void *closure_data);
+typedef void (*Fleet__CallResult_Closure)
+                 (const Fleet__CallResult *message,
+                  void *closure_data);
+typedef void (*Fleet__CallResults_Closure)
+                 (const Fleet__CallResults *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -632,6 +929,7 @@
 extern const ProtobufCEnumDescriptor    fleet__job_state__descriptor;
 extern const ProtobufCEnumDescriptor    fleet__verb__descriptor;
 extern const ProtobufCEnumDescriptor    fleet__result__descriptor;
+extern const ProtobufCEnumDescriptor    fleet__call_kind__descriptor;
 extern const ProtobufCMessageDescriptor fleet__step__descriptor;
 extern const ProtobufCMessageDescriptor fleet__job_row__descriptor;
 extern const ProtobufCMessageDescriptor fleet__step_progress__descriptor;
@@ -644,6 +942,13 @@
 extern const ProtobufCMessageDescriptor fleet__beat__descriptor;
 extern const ProtobufCMessageDescriptor fleet__ask__descriptor;
 extern const ProtobufCMessageDescriptor fleet__answer__descriptor;
+extern const ProtobufCMessageDescriptor fleet__call__descriptor;
+extern const ProtobufCMessageDescriptor fleet__calls__descriptor;
+extern const ProtobufCMessageDescriptor fleet__call_running__descriptor;
+extern const ProtobufCMessageDescriptor fleet__call_ended__descriptor;
+extern const ProtobufCMessageDescriptor fleet__call_report__descriptor;
+extern const ProtobufCMessageDescriptor fleet__call_result__descriptor;
+extern const ProtobufCMessageDescriptor fleet__call_results__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -1,38 +1,19 @@
 #include "connection/peer.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
-#include <errno.h>
-#include <fcntl.h>
-#include <netinet/tcp.h>
 #include <sodium.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include "process/log.h"
-#include "process/settings.h"
+#include "connection/frames.h"
 
 #define PEER_REDIAL_MS 500
-#define PEER_READ_BYTES 65536u
-#define PEER_PREFIX 4u /* bytes of a frame's length */
-#define PEER_BACKLOG 64
-
-struct buffer {
-	uint8_t *data;
-	size_t length;
-	size_t room;
-};
 
 struct link {
 	struct peer_net *net;
 	struct link *next;
-	struct tevent_fd *fde;
+	struct frame_stream *stream;
 	uint64_t incarnation; /* 0 before its Hello */
-	struct buffer in;
-	struct buffer out;
-	int fd;
-	bool broken; /* to be closed from the loop */
+	bool broken;	      /* its stream will be closed */
 };
 
 /* A peer that this entry dials. */
@@ -46,71 +27,25 @@
 struct peer_net {
 	struct peer_options options;
 	struct tevent_context *ev;
+	struct frames *frames;
 	struct link *links;
 	struct target *targets;
 	struct peer_counters counters;
 	uint64_t incarnation; /* this entry's */
-	int listener;
 };
 
-static void link_event(struct tevent_context *ev, struct tevent_fd *fde,
-		       uint16_t flags, void *arg);
-
-/* Buffers */
-
-static uint8_t *buffer_extend(TALLOC_CTX *ctx, struct buffer *b, size_t length)
-{
-	size_t room = b->room ? b->room : 4096;
-
-	while (room < b->length + length)
-		room *= 2;
-	if (room != b->room) {
-		b->data = talloc_realloc(ctx, b->data, uint8_t, room);
-		assert(b->data);
-		b->room = room;
-	}
-	return b->data + b->length;
-}
-
-static void buffer_drop(struct buffer *b, size_t length)
-{
-	if (!length)
-		return;
-	b->length -= length;
-	memmove(b->data, b->data + length, b->length);
-}
-
 /* Links */
 
-static int link_destroy(struct link *link)
-{
-	struct link **p = &link->net->links;
-
-	while (*p && *p != link)
-		p = &(*p)->next;
-	if (*p)
-		*p = link->next;
-	TALLOC_FREE(link->fde);
-	close(link->fd);
-	return 0;
-}
-
-static struct link *link_new(struct peer_net *net, int fd)
+static struct link *link_new(struct peer_net *net, struct frame_stream *stream)
 {
 	struct link *link = talloc_zero(net, struct link);
-	int on = 1;
 
 	assert(link);
-	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	link->net = net;
-	link->fd = fd;
-	link->fde = tevent_add_fd(net->ev, link, fd, TEVENT_FD_READ, link_event,
-				  link);
-	assert(link->fde);
+	link->stream = stream;
+	frame_stream_set(stream, link);
 	link->next = net->links;
 	net->links = link;
-	talloc_set_destructor(link, link_destroy);
 	return link;
 }
 
@@ -124,56 +59,44 @@
 	return NULL;
 }
 
-static void link_close(struct link *link)
+static void link_break(struct link *link)
 {
-	struct peer_net *net = link->net;
+	link->broken = true;
+	frame_stream_break(link->stream);
+}
+
+static void on_closed(void *arg, struct frame_stream *stream)
+{
+	struct peer_net *net = arg;
+	struct link *link = frame_stream_data(stream);
 	uint64_t incarnation = link->incarnation;
+	struct link **p = &net->links;
 	struct target *t;
 
 	for (t = net->targets; t; t = t->next)
 		if (t->link == link)
 			t->link = NULL;
+	while (*p != link)
+		p = &(*p)->next;
+	*p = link->next;
 	talloc_free(link);
 	if (incarnation && !link_find(net, incarnation))
 		net->options.callbacks.down(net->options.callbacks.arg,
 					    incarnation);
 }
 
-static void link_flush(struct link *link)
-{
-	ssize_t n;
-
-	while (link->out.length) {
-		n = send(link->fd, link->out.data, link->out.length,
-			 MSG_NOSIGNAL);
-		if (n <= 0)
-			break;
-		link->net->counters.bytes_out += (uint64_t)n;
-		buffer_drop(&link->out, (size_t)n);
-	}
-	if (link->out.length)
-		tevent_fd_set_flags(link->fde,
-				    TEVENT_FD_READ | TEVENT_FD_WRITE);
-	else
-		tevent_fd_set_flags(link->fde, TEVENT_FD_READ);
-}
-
 static void link_send(struct link *link, const Jackdawwell__PeerFrame *frame)
 {
-	size_t length = jackdawwell__peer_frame__get_packed_size(frame);
-	uint32_t prefix = htonl((uint32_t)length);
-	uint8_t *to;
+	uint8_t *to =
+		frame_room(link->stream,
+			   jackdawwell__peer_frame__get_packed_size(frame));
 
-	if (link->out.length + length > PEER_OUT_MAX) {
+	if (!to) {
 		link->broken = true;
 		return;
 	}
-	to = buffer_extend(link, &link->out, PEER_PREFIX + length);
-	memcpy(to, &prefix, PEER_PREFIX);
-	jackdawwell__peer_frame__pack(frame, to + PEER_PREFIX);
-	link->out.length += PEER_PREFIX + length;
-	link->net->counters.frames_out++;
-	link_flush(link);
+	jackdawwell__peer_frame__pack(frame, to);
+	frame_send(link->stream);
 }
 
 /* Hello: a keyed hash shows that the sender knows the fleet's secret. */
@@ -232,124 +155,41 @@
 
 /* Reading */
 
-static bool take_frame(struct link *link, const uint8_t *data, size_t length)
+static bool on_frame(void *arg, struct frame_stream *stream,
+		     const uint8_t *data, size_t length)
 {
+	struct peer_net *net = arg;
+	struct link *link = frame_stream_data(stream);
 	Jackdawwell__PeerFrame *frame;
-	struct peer_net *net = link->net;
 	bool good = true;
 
 	frame = jackdawwell__peer_frame__unpack(NULL, length, data);
-	if (!frame)
-		return false;
-	net->counters.frames_in++;
-	if (!link->incarnation)
+	if (frame && !link->incarnation)
 		good = take_hello(link, frame);
-	else
+	else if (frame)
 		net->options.callbacks.frame(net->options.callbacks.arg,
 					     link->incarnation, frame);
-	jackdawwell__peer_frame__free_unpacked(frame, NULL);
-	return good;
-}
-
-/* Handles every whole frame; false when the bytes make no sense. */
-static bool take_frames(struct link *link)
-{
-	size_t at = 0;
-	uint32_t length;
-
-	while (link->in.length - at >= PEER_PREFIX) {
-		memcpy(&length, link->in.data + at, PEER_PREFIX);
-		length = ntohl(length);
-		if (length > PEER_FRAME_MAX)
-			return false;
-		if (link->in.length - at < PEER_PREFIX + length)
-			break;
-		if (!take_frame(link, link->in.data + at + PEER_PREFIX, length))
-			return false;
-		at += PEER_PREFIX + length;
-	}
-	buffer_drop(&link->in, at);
-	return true;
-}
-
-static void link_read(struct link *link)
-{
-	uint8_t *to = buffer_extend(link, &link->in, PEER_READ_BYTES);
-	ssize_t n = recv(link->fd, to, PEER_READ_BYTES, 0);
-
-	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
+	if (!frame || !good)
 		link->broken = true;
-		return;
-	}
-	if (n < 0)
-		return;
-	link->net->counters.bytes_in += (uint64_t)n;
-	link->in.length += (size_t)n;
-	if (take_frames(link))
-		return;
-	link->net->counters.refused++;
-	link->broken = true;
-}
-
-static void link_event(struct tevent_context *ev, struct tevent_fd *fde,
-		       uint16_t flags, void *arg)
-{
-	struct link *link = arg;
-
-	(void)ev;
-	(void)fde;
-	if (flags & TEVENT_FD_WRITE)
-		link_flush(link);
-	if (flags & TEVENT_FD_READ)
-		link_read(link);
-	if (link->broken)
-		link_close(link);
+	if (frame)
+		jackdawwell__peer_frame__free_unpacked(frame, NULL);
+	return !link->broken;
 }
 
 /* Listening and dialling */
 
-static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
-		      uint16_t flags, void *arg)
-{
-	struct peer_net *net = arg;
-	int fd = accept4(net->listener, NULL, NULL, SOCK_CLOEXEC);
-
-	(void)ev;
-	(void)fde;
-	(void)flags;
-	if (fd >= 0)
-		send_hello(link_new(net, fd));
-}
-
-static bool address_of(const char *text, struct sockaddr_in *address)
+static void on_opened(void *arg, struct frame_stream *stream)
 {
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
-
-	memset(address, 0, sizeof(*address));
-	address->sin_family = AF_INET;
-	if (!settings_address(text, ip, &port))
-		return false;
-	address->sin_port = htons(port);
-	return inet_pton(AF_INET, ip, &address->sin_addr) == 1;
+	send_hello(link_new(arg, stream));
 }
 
 static void dial(struct target *t, struct peer_net *net)
 {
-	struct sockaddr_in address;
-	int fd;
+	struct frame_stream *stream = frames_dial(net->frames, t->address);
 
-	if (!address_of(t->address, &address))
-		return;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
+	if (!stream)
 		return;
-	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) &&
-	    errno != EINPROGRESS) {
-		close(fd);
-		return;
-	}
-	t->link = link_new(net, fd);
+	t->link = link_new(net, stream);
 	send_hello(t->link);
 }
 
@@ -381,58 +221,36 @@
 	redial_later(net);
 }
 
-static int net_destroy(struct peer_net *net)
-{
-	close(net->listener);
-	return 0;
-}
-
-static int listen_on(const char *text)
-{
-	struct sockaddr_in address;
-	int on = 1;
-	int fd;
-
-	if (!address_of(text, &address))
-		return -1;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
-	    listen(fd, PEER_BACKLOG)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 struct peer_net *peer_net_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			      const struct peer_options *options)
 {
 	struct peer_net *net = talloc_zero(ctx, struct peer_net);
+	struct frames_options frames = {
+		.address = options->address,
+		.frame_max = PEER_FRAME_MAX,
+		.out_max = PEER_OUT_MAX,
+		.opened = on_opened,
+		.frame = on_frame,
+		.closed = on_closed,
+		.arg = net,
+	};
 
 	if (!net)
 		return NULL;
 	net->options = *options;
 	net->ev = ev;
-	net->listener = listen_on(options->address);
-	if (net->listener < 0) {
+	net->frames = frames_new(net, ev, &frames);
+	if (!net->frames) {
 		talloc_free(net);
 		return NULL;
 	}
-	talloc_set_destructor(net, net_destroy);
 	return net;
 }
 
 void peer_identify(struct peer_net *net, uint64_t incarnation)
 {
-	struct tevent_fd *fde;
-
 	net->incarnation = incarnation;
-	fde = tevent_add_fd(net->ev, net, net->listener, TEVENT_FD_READ,
-			    on_accept, net);
-	assert(fde);
+	frames_accept(net->frames);
 	redial_later(net);
 }
 
@@ -468,8 +286,7 @@
 	link = link_find(net, incarnation);
 	if (!link)
 		return;
-	link->broken = true; /* closed by its own event */
-	shutdown(link->fd, SHUT_RDWR);
+	link_break(link);
 }
 
 bool peer_linked(struct peer_net *net, uint64_t incarnation)
@@ -488,7 +305,16 @@
 	return true;
 }
 
-const struct peer_counters *peer_counters(const struct peer_net *net)
+const struct peer_counters *peer_counters(struct peer_net *net)
 {
+	const struct frames_counters *c = frames_counters(net->frames);
+
+	net->counters = (struct peer_counters){
+		.frames_in = c->frames_in,
+		.frames_out = c->frames_out,
+		.bytes_in = c->bytes_in,
+		.bytes_out = c->bytes_out,
+		.refused = c->refused,
+	};
 	return &net->counters;
 }
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -67,6 +67,6 @@
 bool peer_send(struct peer_net *net, uint64_t incarnation,
 	       const Jackdawwell__PeerFrame *frame);
 
-const struct peer_counters *peer_counters(const struct peer_net *net);
+const struct peer_counters *peer_counters(struct peer_net *net);
 
 #endif
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -60,6 +60,7 @@
 	}
 	snprintf(p->address, sizeof(p->address), "%s", row->address);
 	snprintf(p->zone, sizeof(p->zone), "%s", row->zone);
+	snprintf(p->links, sizeof(p->links), "%s", row->links);
 	p->incarnation = row->incarnation;
 	p->power = row->power;
 }
@@ -84,6 +85,8 @@
 	fleet__node_row__init(row);
 	row->address = (char *)n->settings.peers;
 	row->zone = (char *)n->settings.zone;
+	if (n->settings.links)
+		row->links = (char *)n->settings.links;
 	row->incarnation = n->incarnation;
 	row->power = n->settings.power;
 }
@@ -134,6 +137,7 @@
 		fleet__node_row__init(&rows[i]);
 		rows[i].address = (char *)p->address;
 		rows[i].zone = (char *)p->zone;
+		rows[i].links = (char *)p->links;
 		rows[i].incarnation = p->incarnation;
 		rows[i].power = p->power;
 		infos[i].node = (char *)p->name;
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -191,6 +191,7 @@
 	n->committing = false;
 	waiters_drop(n);
 	machines_end(n);
+	relay_end(n);
 	TALLOC_FREE(n->takeover);
 	TALLOC_FREE(n->sched);
 	n->lead_heard_ms = clock_now_ms();
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -78,7 +78,9 @@
 	lead_tick(n, now);
 	watch_tick(n, now);
 	gossip_tick(n, now);
+	relay_serve_tick(n, now);
 	if (n->phase == LEAD_DECIDING) {
+		relay_tick(n, now);
 		machines_tick(n, now);
 		waiters_tick(n, now);
 		node_pump(n);
@@ -151,7 +153,7 @@
 	n->tick = mtimer_new(n, ev, on_tick, n);
 	n->pump_timer = mtimer_new(n, ev, pump, n);
 	if (!n->pump_now || !n->pump_timer || !n->http || !n->tick ||
-	    !gossip_start(n)) {
+	    !gossip_start(n) || !relay_start(n) || !relay_serve_start(n)) {
 		talloc_free(n);
 		return NULL;
 	}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -10,12 +10,15 @@
  * ask.c       a caller's question, by the lead or by the store
  * gossip.c    beats between nodes and the server they meet at
  * machines.c  moves and upkeep, decided in fleet/
+ * relay.c     calls that other nodes make for the lead
+ * relay_serve.c  calls that this node makes for another that leads
  */
 #ifndef NODE_INTERNAL_H
 #define NODE_INTERNAL_H
 
 #include <utlist.h>
 
+#include "connection/frames.h"
 #include "connection/httpc.h"
 #include "connection/httpd.h"
 #include "fleet/fleet.h"
@@ -43,6 +46,7 @@
 	char name[128];
 	char zone[64];
 	char address[64];
+	char links[64]; /* where it takes frames; empty: nowhere */
 	uint64_t incarnation;
 	uint32_t power;	   /* thousandths of a core */
 	uint64_t heard_ms; /* last beat or answer; 0: never */
@@ -91,6 +95,14 @@
 };
 
 struct machines;
+struct relay;
+struct relay_serve;
+
+struct relay_stats {
+	uint64_t calls; /* handed to peers */
+	uint64_t lost;	/* of these, without a result */
+	uint32_t peers; /* that help now */
+};
 
 struct node {
 	struct tevent_context *ev;
@@ -155,6 +167,8 @@
 	struct sched *sched;
 	struct takeover *takeover;
 	struct machines *machines; /* decisions about machines */
+	struct relay *relay;
+	struct relay_serve *relay_serve; /* NULL: no address for it */
 	uint64_t lead_epoch; /* rises with each phase change, for callbacks */
 	struct waiter *waiters;
 	struct inbox_id *inbox;
@@ -169,6 +183,7 @@
 	uint64_t answers[8]; /* by result */
 	uint64_t store_calls, store_unknown, store_refused, claims, takeovers;
 	uint64_t commits, looks, looks_failed, orders;
+	uint64_t calls_served; /* for other nodes */
 };
 
 static inline uint64_t node_unix_ms(const struct node *n)
@@ -244,6 +259,34 @@
 void gossip_learn(struct node *n, const char *name, const Fleet__NodeRow *row);
 uint32_t gossip_strongest(const struct node *n, uint64_t since_ms);
 
+/* relay.c */
+bool relay_start(struct node *n);
+void relay_begin(struct node *n);
+void relay_end(struct node *n);
+void relay_tick(struct node *n, uint64_t now);
+
+/* relay_power_needed - of peers, for a lead that calls `alone` by itself */
+uint32_t relay_power_needed(uint32_t instances, uint32_t alone);
+
+/* relay_is_gathering - links to peers are being made: wait with calls */
+bool relay_is_gathering(const struct node *n, uint64_t now);
+
+/*
+ * relay_order, relay_look - false when no peer helps: call the instance here
+ *
+ * Calls leave with relay_flush; what they point to must last until then.
+ */
+bool relay_order(struct node *n, const struct sched_order *order,
+		 uint32_t timeout_ms, order_fn fn, void *arg);
+bool relay_look(struct node *n, const struct sched_look *look,
+		uint32_t timeout_ms, look_fn fn, void *arg);
+void relay_flush(struct node *n);
+void relay_stats(const struct node *n, struct relay_stats *stats);
+
+/* relay_serve.c */
+bool relay_serve_start(struct node *n);
+void relay_serve_tick(struct node *n, uint64_t now);
+
 /* machines.c */
 void machines_begin(struct node *n);
 void machines_end(struct node *n);
--- /dev/null
+++ b/src/node/relay.c
@@ -0,0 +1,565 @@
+/*
+ * relay - calls to instances that other nodes make for the lead
+ *
+ * The load it answers: more instances than one node can call. The lead
+ * decides; strong peers carry its calls under its fence, each for a share of
+ * the instances, so that connections stay. Work for one peer is gathered and
+ * leaves as one frame. A peer that gives no sign of life is left, and what it
+ * was told is in doubt, as any call without an answer; that is no evidence
+ * against instances.
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+#include "node/node_internal.h"
+
+#define RELAY_FRAME_MAX (8u << 20) /* bytes */
+#define RELAY_OUT_MAX (8u << 20)   /* bytes that wait for one peer */
+#define RELAY_SILENT_MS 600u	   /* six signs of life */
+#define RELAY_RETRY_MS 2000u	   /* before a peer is tried again */
+#define RELAY_ANSWER_SLACK_MS 300u /* for the way there and back */
+#define RELAY_CHOOSE_MS 200u	   /* between two choices of peers */
+#define RELAY_GATHER_MS 150u	   /* a new lead waits that long for links */
+#define RELAY_PEERS_MAX 24u
+#define RELAY_POWER_EACH 6u /* thousandths of a core an instance */
+
+enum relay_kind { RELAY_ORDER, RELAY_LOOK };
+
+struct relay_peer;
+
+struct relay_call {
+	struct relay_call *prev, *next; /* of the peer */
+	struct relay_peer *peer;
+	uint32_t id;
+	uint64_t deadline_ms;
+	enum relay_kind kind;
+	union {
+		order_fn order;
+		look_fn look;
+	} done;
+	void *arg;
+	UT_hash_handle hh;
+};
+
+struct relay_peer {
+	struct relay_peer *prev, *next;
+	char name[128];
+	uint64_t hash;
+	uint32_t power;
+	struct frame_stream *stream; /* NULL: its link broke */
+	bool linked;		     /* it has given a sign of life */
+	bool stopping;
+	uint64_t heard_ms;
+	uint64_t retry_ms; /* not tried before, while there is no stream */
+	struct relay_call *calls;
+	uint8_t *out; /* packed calls that wait */
+	size_t out_length;
+	size_t out_room;
+};
+
+struct relay {
+	struct node *node;
+	struct frames *frames;
+	struct relay_peer *peers;
+	struct relay_call *by_id;
+	uint32_t next_id;
+	uint64_t choose_ms;
+	uint64_t begun_ms;
+	struct relay_stats stats;
+};
+
+/* Calls */
+
+static void call_forget(struct relay *r, struct relay_call *c)
+{
+	DL_DELETE(c->peer->calls, c);
+	HASH_DEL(r->by_id, c);
+}
+
+/* Nobody will say what became of the call. */
+static void call_lost(struct relay *r, struct relay_call *c)
+{
+	call_forget(r, c);
+	r->stats.lost++;
+	switch (c->kind) {
+	case RELAY_ORDER:
+		c->done.order(c->arg, ORDER_LOST, 0);
+		break;
+	case RELAY_LOOK:
+		c->done.look(c->arg, LOOK_LOST, NULL);
+		break;
+	}
+	talloc_free(c);
+}
+
+static void calls_lost(struct relay *r, struct relay_peer *p)
+{
+	struct relay_call *c, *next;
+
+	DL_FOREACH_SAFE(p->calls, c, next)
+	call_lost(r, c);
+}
+
+static void peer_leave(struct relay *r, struct relay_peer *p, const char *why,
+		       uint64_t now)
+{
+	if (p->linked)
+		event_log("relay-lost", p->name,
+			  "\"why\":\"%s\",\"heard_ms_ago\":%" PRIu64, why,
+			  now - p->heard_ms);
+	if (p->stream) {
+		frame_stream_set(p->stream, NULL);
+		frame_stream_break(p->stream);
+	}
+	p->stream = NULL;
+	p->linked = false;
+	p->out_length = 0;
+	p->retry_ms = now + RELAY_RETRY_MS;
+	calls_lost(r, p);
+}
+
+/* The peer that calls this instance: the same one while the peers stay. */
+static struct relay_peer *peer_for(struct relay *r, const char *instance)
+{
+	uint64_t hash = XXH64(instance, strlen(instance), 0);
+	struct relay_peer *best = NULL;
+	struct relay_peer *p;
+	uint64_t best_score = 0;
+
+	DL_FOREACH(r->peers, p)
+	{
+		uint64_t pair[2] = { hash, p->hash };
+		uint64_t score;
+
+		if (!p->linked || p->stopping)
+			continue;
+		score = XXH64(pair, sizeof(pair), 0);
+		if (best && score <= best_score)
+			continue;
+		best = p;
+		best_score = score;
+	}
+	return best;
+}
+
+/* Packed messages of one type after each other are one message. */
+static void out_add(struct relay_peer *p, const Fleet__Calls *calls)
+{
+	size_t length = fleet__calls__get_packed_size(calls);
+
+	if (p->out_length + length > p->out_room) {
+		p->out_room = 2 * (p->out_length + length);
+		p->out = talloc_realloc(p, p->out, uint8_t, p->out_room);
+		assert(p->out);
+	}
+	p->out_length += fleet__calls__pack(calls, p->out + p->out_length);
+}
+
+static struct relay_call *call_new(struct relay *r, struct relay_peer *p,
+				   Fleet__Call *call, enum relay_kind kind,
+				   uint32_t timeout_ms, void *arg)
+{
+	struct relay_call *c = talloc_zero(r, struct relay_call);
+	Fleet__Calls calls = FLEET__CALLS__INIT;
+
+	assert(c);
+	c->peer = p;
+	c->id = ++r->next_id;
+	c->kind = kind;
+	c->arg = arg;
+	c->deadline_ms = clock_now_ms() + timeout_ms + RELAY_ANSWER_SLACK_MS;
+	DL_APPEND(p->calls, c);
+	HASH_ADD_INT(r->by_id, id, c);
+	call->id = c->id;
+	call->timeout_ms = timeout_ms;
+	calls.calls = &call;
+	calls.n_calls = 1;
+	out_add(p, &calls);
+	r->stats.calls++;
+	return c;
+}
+
+bool relay_order(struct node *n, const struct sched_order *order,
+		 uint32_t timeout_ms, order_fn fn, void *arg)
+{
+	static const Fleet__CallKind kinds[] = {
+		[ORDER_START] = FLEET__CALL_KIND__START,
+		[ORDER_STOP] = FLEET__CALL_KIND__STOP,
+		[ORDER_PACE] = FLEET__CALL_KIND__PACE,
+	};
+	struct relay_peer *p = peer_for(n->relay, order->instance_id);
+	Fleet__Call call = FLEET__CALL__INIT;
+
+	if (!p)
+		return false;
+	call.kind = kinds[order->kind];
+	call.instance = (char *)order->instance_id;
+	call.address = (char *)order->address;
+	call.task = (char *)order->task;
+	call.number = order->number;
+	if (order->kind == ORDER_START) {
+		call.lease_until = order->lease_until;
+		call.payload = (char *)order->payload;
+		call.saved = (char *)(order->saved ? order->saved : "");
+		call.ticket = (char *)(order->ticket ? order->ticket : "");
+	}
+	call.percent = order->percent;
+	call_new(n->relay, p, &call, RELAY_ORDER, timeout_ms, arg)
+		->done.order = fn;
+	return true;
+}
+
+bool relay_look(struct node *n, const struct sched_look *look,
+		uint32_t timeout_ms, look_fn fn, void *arg)
+{
+	struct relay_peer *p = peer_for(n->relay, look->instance_id);
+	Fleet__Call call = FLEET__CALL__INIT;
+
+	if (!p)
+		return false;
+	call.kind = FLEET__CALL_KIND__LOOK;
+	call.instance = (char *)look->instance_id;
+	call.address = (char *)look->address;
+	call.lease_until = look->lease_until;
+	call.acked = look->acked;
+	call.wait_ms = look->wait_ms;
+	call_new(n->relay, p, &call, RELAY_LOOK, timeout_ms, arg)->done.look =
+		fn;
+	return true;
+}
+
+void relay_flush(struct node *n)
+{
+	struct relay_peer *p;
+
+	DL_FOREACH(n->relay->peers, p)
+	{
+		Fleet__Calls calls = FLEET__CALLS__INIT;
+		uint8_t *to;
+
+		if (!p->out_length || !p->stream)
+			continue;
+		calls.fence = n->fence;
+		out_add(p, &calls);
+		to = frame_room(p->stream, p->out_length);
+		if (to) {
+			memcpy(to, p->out, p->out_length);
+			frame_send(p->stream);
+		}
+		p->out_length = 0;
+	}
+}
+
+/* Results */
+
+static struct sched_report *report_of(TALLOC_CTX *ctx,
+				      const Fleet__CallReport *in)
+{
+	struct sched_report *report = talloc_zero(ctx, struct sched_report);
+	struct sched_running *running =
+		talloc_zero_array(ctx, struct sched_running, in->n_running + 1);
+	struct sched_ended *ended =
+		talloc_zero_array(ctx, struct sched_ended, in->n_ended + 1);
+	size_t i;
+
+	assert(report && running && ended);
+	for (i = 0; i < in->n_running; i++) {
+		const Fleet__CallRunning *from = in->running[i];
+
+		running[i] = (struct sched_running){ from->task, from->number,
+						     from->saved,
+						     from->percent,
+						     from->load };
+	}
+	for (i = 0; i < in->n_ended; i++) {
+		const Fleet__CallEnded *from = in->ended[i];
+
+		ended[i] = (struct sched_ended){ from->n, from->task,
+						 from->number,
+						 (enum sched_how)from->how,
+						 from->saved };
+	}
+	report->clock_ms = in->clock_ms;
+	report->born = in->born;
+	report->running_count = (uint32_t)in->n_running;
+	report->ended_count = (uint32_t)in->n_ended;
+	report->running = running;
+	report->ended = ended;
+	return report;
+}
+
+static void take_result(struct relay *r, const Fleet__CallResult *result)
+{
+	struct sched_report *report = NULL;
+	enum look_result look = LOOK_UNANSWERED;
+	struct relay_call *c;
+
+	HASH_FIND_INT(r->by_id, &result->id, c);
+	if (!c)
+		return;
+	call_forget(r, c);
+	switch (c->kind) {
+	case RELAY_ORDER:
+		c->done.order(c->arg, (enum sched_order_result)result->result,
+			      result->clock_ms);
+		break;
+	case RELAY_LOOK:
+		if (result->report) {
+			report = report_of(c, result->report);
+			look = LOOK_ANSWERED;
+		} else if (result->newer_lead) {
+			look = LOOK_NEWER_LEAD;
+		}
+		c->done.look(c->arg, look, report);
+		break;
+	}
+	talloc_free(c);
+}
+
+static bool results_sound(const Fleet__CallResults *results)
+{
+	size_t i, e;
+
+	for (i = 0; i < results->n_results; i++) {
+		const Fleet__CallReport *report = results->results[i]->report;
+
+		if (results->results[i]->result > ORDER_LOST)
+			return false;
+		for (e = 0; report && e < report->n_ended; e++)
+			if (report->ended[e]->how > SCHED_ALONE)
+				return false;
+	}
+	return true;
+}
+
+static bool on_frame(void *arg, struct frame_stream *stream,
+		     const uint8_t *data, size_t length)
+{
+	struct relay *r = arg;
+	struct relay_peer *p = frame_stream_data(stream);
+	Fleet__CallResults *results =
+		fleet__call_results__unpack(NULL, length, data);
+	bool sound = results && results_sound(results);
+	size_t i;
+
+	if (p && sound) {
+		p->heard_ms = clock_now_ms();
+		p->stopping = results->stopping;
+		if (!p->linked)
+			event_log("relay-linked", p->name, "\"power\":%u",
+				  p->power);
+		p->linked = true;
+		for (i = 0; i < results->n_results; i++)
+			take_result(r, results->results[i]);
+	}
+	if (results)
+		fleet__call_results__free_unpacked(results, NULL);
+	return sound;
+}
+
+static void on_closed(void *arg, struct frame_stream *stream)
+{
+	struct relay *r = arg;
+	struct relay_peer *p = frame_stream_data(stream);
+
+	if (!p)
+		return;
+	p->stream = NULL;
+	peer_leave(r, p, "its link broke", clock_now_ms());
+	node_pump(r->node);
+}
+
+/* Peers */
+
+static struct relay_peer *peer_find(struct relay *r, const char *name)
+{
+	struct relay_peer *p;
+
+	DL_FOREACH(r->peers, p)
+	if (!strcmp(p->name, name))
+		return p;
+	return NULL;
+}
+
+uint32_t relay_power_needed(uint32_t instances, uint32_t alone)
+{
+	return instances > alone ? instances * RELAY_POWER_EACH : 0;
+}
+
+static uint32_t power_needed(const struct node *n)
+{
+	struct sched_stats stats;
+
+	if (!n->sched)
+		return 0;
+	sched_stats(n->sched, &stats);
+	return relay_power_needed(stats.instances, n->settings.calls_alone);
+}
+
+static void peer_dial(struct relay *r, const struct peer_node *from,
+		      uint64_t now)
+{
+	struct relay_peer *p = peer_find(r, from->name);
+
+	if (!p) {
+		p = talloc_zero(r, struct relay_peer);
+		assert(p);
+		snprintf(p->name, sizeof(p->name), "%s", from->name);
+		p->hash = XXH64(p->name, strlen(p->name), 0);
+		DL_APPEND(r->peers, p);
+	}
+	p->power = from->power;
+	p->stopping = false;
+	p->heard_ms = now;
+	p->retry_ms = now + RELAY_RETRY_MS;
+	p->stream = frames_dial(r->frames, from->links);
+	if (p->stream)
+		frame_stream_set(p->stream, p);
+}
+
+/* The strongest node that could help and does not yet; NULL: none. */
+static const struct peer_node *strongest_left(struct relay *r, uint64_t now)
+{
+	const struct node *n = r->node;
+	const struct peer_node *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < n->peer_count; i++) {
+		const struct peer_node *from = &n->peers[i];
+		const struct relay_peer *p;
+
+		if (!*from->links || (best && from->power <= best->power))
+			continue;
+		p = peer_find(r, from->name);
+		if (p && (p->stream || now < p->retry_ms))
+			continue;
+		best = from;
+	}
+	return best;
+}
+
+static void choose_peers(struct relay *r, uint64_t now)
+{
+	const struct peer_node *from;
+	struct relay_peer *p;
+	uint32_t needed = power_needed(r->node);
+	uint32_t power = 0;
+	uint32_t count = 0;
+
+	r->choose_ms = now + RELAY_CHOOSE_MS;
+	DL_FOREACH(r->peers, p)
+	{
+		if (!p->stream || p->stopping)
+			continue;
+		power += p->power;
+		count++;
+	}
+	while (power < needed && count < RELAY_PEERS_MAX &&
+	       (from = strongest_left(r, now))) {
+		peer_dial(r, from, now);
+		power += from->power ? from->power : 1;
+		count++;
+	}
+}
+
+bool relay_is_gathering(const struct node *n, uint64_t now)
+{
+	const struct relay_peer *p;
+	uint32_t dialled = 0, linked = 0;
+
+	DL_FOREACH(n->relay->peers, p)
+	{
+		dialled += p->stream != NULL;
+		linked += p->linked;
+	}
+	return linked * 2 < dialled &&
+	       now - n->relay->begun_ms < RELAY_GATHER_MS;
+}
+
+void relay_begin(struct node *n)
+{
+	struct relay *r = n->relay;
+
+	r->begun_ms = clock_now_ms();
+	choose_peers(r, r->begun_ms);
+}
+
+void relay_end(struct node *n)
+{
+	struct relay *r = n->relay;
+	struct relay_peer *p, *next;
+	uint64_t now = clock_now_ms();
+
+	DL_FOREACH_SAFE(r->peers, p, next)
+	{
+		p->linked = false; /* left, not lost */
+		peer_leave(r, p, "", now);
+		DL_DELETE(r->peers, p);
+		talloc_free(p);
+	}
+}
+
+static void calls_expire(struct relay *r, struct relay_peer *p, uint64_t now)
+{
+	struct relay_call *c, *next;
+
+	DL_FOREACH_SAFE(p->calls, c, next)
+	if (now >= c->deadline_ms)
+		call_lost(r, c);
+}
+
+void relay_tick(struct node *n, uint64_t now)
+{
+	struct relay *r = n->relay;
+	struct relay_peer *p;
+
+	DL_FOREACH(r->peers, p)
+	{
+		if (p->stream && now - p->heard_ms >= RELAY_SILENT_MS)
+			peer_leave(r, p, "no sign of life", now);
+		else
+			calls_expire(r, p, now);
+	}
+	if (now >= r->choose_ms)
+		choose_peers(r, now);
+}
+
+void relay_stats(const struct node *n, struct relay_stats *stats)
+{
+	const struct relay_peer *p;
+
+	*stats = n->relay->stats;
+	stats->peers = 0;
+	DL_FOREACH(n->relay->peers, p)
+	stats->peers += p->linked;
+}
+
+static int relay_destroy(struct relay *r)
+{
+	HASH_CLEAR(hh, r->by_id);
+	return 0;
+}
+
+bool relay_start(struct node *n)
+{
+	struct relay *r = talloc_zero(n, struct relay);
+	struct frames_options options = {
+		.frame_max = RELAY_FRAME_MAX,
+		.out_max = RELAY_OUT_MAX,
+		.frame = on_frame,
+		.closed = on_closed,
+		.arg = r,
+	};
+
+	assert(r);
+	r->node = n;
+	r->frames = frames_new(r, n->ev, &options);
+	n->relay = r;
+	talloc_set_destructor(r, relay_destroy);
+	return r->frames != NULL;
+}
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -77,8 +77,16 @@
 
 typedef void (*order_fn)(void *arg, enum sched_order_result result,
 			 uint64_t clock_ms);
-typedef void (*look_fn)(void *arg, const struct sched_report *report,
-			bool newer_lead);
+
+enum look_result {
+	LOOK_ANSWERED,	 /* the report is not NULL */
+	LOOK_UNANSWERED, /* by the instance */
+	LOOK_NEWER_LEAD, /* it knows a newer lead and told nothing else */
+	LOOK_LOST,	 /* by the node that looked for this one */
+};
+
+typedef void (*look_fn)(void *arg, enum look_result result,
+			const struct sched_report *report);
 
 /* Advice; rows are NULL when the adviser did not answer */
 typedef void (*advice_fn)(void *arg, const struct sched_approval *rows,
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -26,21 +26,33 @@
 	char instance_id[128];
 };
 
-static void on_looked(void *arg, const struct sched_report *report,
-		      bool newer_lead)
+static void on_looked(void *arg, enum look_result result,
+		      const struct sched_report *report)
 {
 	struct look_call *call = arg;
 	struct node *n = call->node;
+	uint64_t now = clock_now_ms();
 
-	if (call->lead_epoch == n->lead_epoch) {
-		if (!report)
-			n->looks_failed++;
+	if (call->lead_epoch != n->lead_epoch) {
+		talloc_free(call);
+		return;
+	}
+	switch (result) {
+	case LOOK_LOST:
+		sched_look_lost(n->sched, call->instance, now);
+		break;
+	case LOOK_NEWER_LEAD:
+		n->confirmed_ms = 0; /* ask the store before more */
+		/* fallthrough */
+	case LOOK_UNANSWERED:
+		n->looks_failed++;
+		/* fallthrough */
+	case LOOK_ANSWERED:
 		sched_looked(n->sched, call->instance, report, call->sent_ms,
-			     clock_now_ms());
-		if (newer_lead)
-			n->confirmed_ms = 0; /* ask the store before more */
-		node_pump(n);
+			     now);
+		break;
 	}
+	node_pump(n);
 	talloc_free(call);
 }
 
@@ -74,6 +86,8 @@
 	memcpy(call->instance_id, order->instance_id,
 	       strnlen(order->instance_id, sizeof(call->instance_id) - 1));
 	n->orders++;
+	if (relay_order(n, order, ORDER_MS, on_ordered, call))
+		return;
 	n->services->order(n->services->impl, order, n->fence, ORDER_MS,
 			   on_ordered, call);
 }
@@ -89,6 +103,8 @@
 	call->sent_ms = now;
 	call->instance = look->instance;
 	n->looks++;
+	if (relay_look(n, look, look->wait_ms + LOOK_SLACK_MS, on_looked, call))
+		return;
 	n->services->look(n->services->impl, look, n->fence,
 			  look->wait_ms + LOOK_SLACK_MS, on_looked, call);
 }
@@ -136,7 +152,8 @@
 	struct sched_order order;
 	struct sched_look look;
 
-	if (!lead_may_order(n, now) || n->releasing)
+	if (!lead_may_order(n, now) || n->releasing ||
+	    relay_is_gathering(n, now))
 		return;
 	while (n->advising < ADVICE_CALLS_MAX &&
 	       sched_next_advice(n->sched, now, &advice))
@@ -145,4 +162,5 @@
 		send_order(n, &order, now);
 	while (sched_next_look(n->sched, now, &look))
 		send_look(n, &look, now);
+	relay_flush(n);
 }
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -183,6 +183,7 @@
 		  "\"took_ms\":%" PRIu64,
 		  n->lead.epoch, stats.jobs, stats.instances, now - n->led_ms);
 	machines_begin(n);
+	relay_begin(n);
 	TALLOC_FREE(n->takeover);
 	node_pump(n);
 }
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -125,6 +125,7 @@
 	ORDER_REFUSED,	 /* certainly not carried out */
 	ORDER_UNREACHED, /* no connection: certainly not carried out */
 	ORDER_UNKNOWN,	 /* may have been or may still be carried out */
+	ORDER_LOST, /* likewise, for no fault of the instance */
 };
 
 /* One look at an instance, which also extends its work. */
@@ -264,6 +265,9 @@
 		  const struct sched_report *report, uint64_t sent_ms,
 		  uint64_t now);
 
+/* sched_look_lost - nobody will say what it found; that proves nothing */
+void sched_look_lost(struct sched *s, instance_handle_t i, uint64_t now);
+
 /* sched_tick - time has passed */
 void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now);
 
--- a/src/pool/sched_look.c
+++ b/src/pool/sched_look.c
@@ -276,6 +276,16 @@
 	i->unacked_count = 0;
 }
 
+void sched_look_lost(struct sched *s, instance_handle_t h, uint64_t now)
+{
+	struct instance *i = instance_of(s, h);
+
+	if (!i)
+		return;
+	i->looking = false;
+	i->look_ms = now;
+}
+
 void sched_looked(struct sched *s, instance_handle_t h,
 		  const struct sched_report *r, uint64_t sent_ms, uint64_t now)
 {
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -226,10 +226,12 @@
 		run_begun(s, run, now);
 		return;
 	case ORDER_UNKNOWN:
+	case ORDER_LOST:
 		s->stats.starts_unknown++;
 		if (run->state == RUN_ORDERED)
 			run->state = RUN_DOUBTFUL;
-		instance_unanswered(s, run->instance, now);
+		if (result == ORDER_UNKNOWN)
+			instance_unanswered(s, run->instance, now);
 		return;
 	default:
 		start_refused(s, run, result, now);
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -24,6 +24,7 @@
 callers: 127.0.0.1:{callers}
 readiness: 127.0.0.1:{readiness}
 peers: 127.0.0.1:{peers}
+links: 127.0.0.1:{links}
 seeds: "{seeds}"
 store: 127.0.0.1:{store}
 fleet: 127.0.0.1:{store}
@@ -31,6 +32,7 @@
 processor_share: {share}
 processor_cores: 1
 descriptors_max: 1000
+calls_alone: {alone}
 stop_ms: 6000
 lease_max_ms: 10000
 end_keep_s: 120
@@ -100,25 +102,27 @@
         self.version += 1
 
     strong = ()
+    alone = 1000  # instances that a lead calls without help
 
     def share(self, name):
         """Of a core; a third of it for the others where some are strong."""
         return SHARE if not self.strong or name in self.strong else SHARE / 3
 
     def prepare_node(self, name):
-        self.ports[name] = fleet.free_ports(3)
+        self.ports[name] = fleet.free_ports(4)
         path = self.write_settings(name, first=True)
         self.nodes[name] = fleet.Process(
             name, self.ports[name][0],
             [f"{self.build}/jackdawwell-node", path], self.log)
 
     def write_settings(self, name, first):
-        callers, readiness, peers = self.ports[name]
+        callers, readiness, peers, links = self.ports[name]
         seeds = ",".join(f"127.0.0.1:{p[2]}" for p in self.ports.values())
         path = os.path.join(self.dir.name, f"{name}.yaml")
         with open(path, "w") as f:
             f.write(NODE_SETTINGS.format(
                 name=name, callers=callers, readiness=readiness, peers=peers,
+                links=links, alone=self.alone,
                 seeds=seeds, store=self.port, share=self.share(name),
                 first=str(first).lower()))
         return path
