--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -15,6 +15,10 @@
 #include "node/node_internal.h"
 
 #define ASK_LEAD_MS 700u     /* for the lead's answer: a write and its wait */
+#define ASK_LEAD_HEARD_MS 1400u /* the same of a lead that was just heard */
+#define LEAD_HEARD_MS 600u      /* two beats */
+#define STORE_SPARE_MS 500u     /* a store that turned a new job away... */
+#define STORE_SPARE_PEER_MS 10u /* ...and more for each other node */
 #define ASK_LEAD_PART 2u     /* at most the deadline divided by this */
 #define ASK_MARGIN_MS 100u   /* answered that long before the deadline */
 #define ASK_LEAST_MS 150u    /* less than that is not worth a store call */
@@ -201,6 +205,8 @@
 		break;
 	case STORE_REFUSED:
 	case STORE_LOST:
+		n->store_busy_ms = clock_now_ms() + STORE_SPARE_MS +
+				   n->peer_count * STORE_SPARE_PEER_MS;
 		break;
 	}
 	answer_result(a, FLEET__RESULT__UNANSWERED);
@@ -306,7 +312,15 @@
 
 static void ask_store(struct asking *a)
 {
-	if (time_left(a) < ASK_LEAST_MS || a->verb == FLEET__VERB__PENDING) {
+	/*
+	 * Each node by itself recording jobs is more than a busy store takes,
+	 * and it would hold up the lead's own writes.
+	 */
+	bool spare = a->verb == FLEET__VERB__SUBMIT &&
+		     clock_now_ms() < a->node->store_busy_ms;
+
+	if (time_left(a) < ASK_LEAST_MS || a->verb == FLEET__VERB__PENDING ||
+	    spare) {
 		answer_result(a, FLEET__RESULT__UNANSWERED);
 		return;
 	}
@@ -359,6 +373,8 @@
 	static const char *const headers[] = {
 		"Content-Type: application/octet-stream", NULL
 	};
+	bool heard = lead_age_ms(a->node) < LEAD_HEARD_MS;
+	uint32_t most = heard ? ASK_LEAD_HEARD_MS : ASK_LEAD_MS;
 	uint32_t left = time_left(a) / ASK_LEAD_PART;
 	struct httpc_request r = {
 		.method = "POST",
@@ -366,7 +382,7 @@
 		.headers = headers,
 		.body = a->body,
 		.body_length = a->length,
-		.timeout_ms = left < ASK_LEAD_MS ? left : ASK_LEAD_MS,
+		.timeout_ms = left < most ? left : most,
 		.connect_timeout_ms = left < ASK_LEAD_MS ? left : ASK_LEAD_MS,
 		.once = a->verb == FLEET__VERB__SUBMIT,
 		.done = on_lead_answer,
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -11,7 +11,6 @@
 
 #include "node/node_internal.h"
 
-#define TABLE_UPKEEP "upkeep" /* key WAVE/MACHINE: it had its upkeep */
 #define LIST_RETRY_MS 200u
 #define LIST_MUTE_MS 400u /* between lists while an instance is mute */
 #define POOLS_LOG_MS 1000u
@@ -32,6 +31,10 @@
 	bool upkeeps_read;
 	uint64_t upkeeps_retry_ms;
 	bool upkeeps_reading;
+	uint32_t unwritten_count; /* upkeeps that were ordered */
+	char **unwritten;	  /* keys of their rows */
+	bool writing;
+	uint64_t write_retry_ms;
 };
 
 struct machine_call {
@@ -223,24 +226,63 @@
 	talloc_free(call);
 }
 
-static void on_ignored(void *arg, const struct store_reply *reply)
+/* Upkeeps that were ordered, in as few transactions as they fit in. */
+
+struct upkeeps_write {
+	struct node *node;
+	struct store_txn txn;
+	uint32_t count;
+};
+
+static void on_upkeeps_written(void *arg, const struct store_reply *reply)
 {
-	node_store_result(arg, reply->status);
+	struct upkeeps_write *w = arg;
+	struct machines *m = w->node->machines;
+
+	node_store_result(w->node, reply->status);
+	m->writing = false;
+	if (reply->status == STORE_OK) {
+		while (w->count-- > 0) {
+			talloc_free(m->unwritten[0]);
+			memmove(m->unwritten, m->unwritten + 1,
+				--m->unwritten_count * sizeof(*m->unwritten));
+		}
+	} else {
+		m->write_retry_ms = clock_now_ms() + UPKEEP_READ_RETRY_MS;
+	}
+	talloc_free(w);
+}
+
+static void write_upkeeps(struct node *n, uint64_t now)
+{
+	struct machines *m = n->machines;
+	struct upkeeps_write *w;
+	uint32_t i;
+
+	if (m->writing || !m->unwritten_count || now < m->write_retry_ms)
+		return;
+	w = talloc_zero(n, struct upkeeps_write);
+	assert(w);
+	w->node = n;
+	for (i = 0; i < m->unwritten_count && i < STORE_TXN_MAX; i++)
+		w->txn.puts[i] = (struct store_put){ NODE_TABLE_UPKEEP,
+						     m->unwritten[i],
+						     (const uint8_t *)"1", 1 };
+	w->txn.put_count = w->count = i;
+	m->writing = true;
+	n->services->txn(n->services->impl, &w->txn, NODE_STORE_MS,
+			 on_upkeeps_written, w);
 }
 
 static void record_upkeep(struct node *n, const struct fleet_action *a)
 {
-	struct store_txn *txn = talloc_zero(n, struct store_txn);
+	struct machines *m = n->machines;
 
-	assert(txn);
-	txn->put_count = 1;
-	txn->puts[0].table = TABLE_UPKEEP;
-	txn->puts[0].key =
-		talloc_asprintf(txn, "%" PRIu64 "/%s", a->wave, a->machine);
-	txn->puts[0].value = (const uint8_t *)"1";
-	txn->puts[0].length = 1;
-	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_ignored, n);
-	talloc_free(txn);
+	m->unwritten = talloc_realloc(m, m->unwritten, char *,
+				      m->unwritten_count + 1);
+	assert(m->unwritten);
+	m->unwritten[m->unwritten_count++] = talloc_asprintf(
+		m, "%" PRIu64 "/%s", a->wave, a->machine);
 }
 
 /* Orders */
@@ -378,11 +420,12 @@
 		return;
 	fleet_configure(m->fleet, n->config);
 	log_pools(n, now);
+	write_upkeeps(n, now);
 	if (!m->upkeeps_read) {
 		if (m->upkeeps_reading || now < m->upkeeps_retry_ms)
 			return;
 		m->upkeeps_reading = true;
-		n->services->read(n->services->impl, TABLE_UPKEEP, "", NULL,
+		n->services->read(n->services->impl, NODE_TABLE_UPKEEP, "", NULL,
 				  NODE_STORE_MS, on_upkeeps, call_new(n));
 		return;
 	}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -33,6 +33,7 @@
 #define NODE_TABLE_PROGRESS "progress"
 #define NODE_TABLE_END "end"
 #define NODE_TABLE_INBOX "inbox"
+#define NODE_TABLE_UPKEEP "upkeep" /* key WAVE/MACHINE: it had its upkeep */
 #define NODE_LEAD_KEY "lead"
 #define NODE_PEERS_MAX 512u
 #define NODE_TICK_MS 50u
@@ -158,6 +159,7 @@
 	bool registering;
 	bool nodes_read;
 	bool store_ok;
+	uint64_t store_busy_ms; /* it turned a new job away: spared until then */
 	bool stopping;
 	void (*stopped)(void *arg);
 	void *stopped_arg;
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -66,6 +66,15 @@
 	(512u << 10) /* of values, below the platform's 1 MB \
 		      */
 
+/*
+ * store_part - the partition that holds a table's rows
+ *
+ * The store changes a partition by one transaction after another, and a
+ * transaction changes one partition. What is written by many at once, and
+ * under no condition of other tables, is kept apart from the jobs.
+ */
+const char *store_part(const char *table);
+
 struct store_txn {
 	uint32_t condition_count, put_count, drop_count;
 	struct store_condition conditions[STORE_TXN_MAX];
