--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -15,10 +15,14 @@
 #include "node/node_internal.h"
 
 #define ASK_LEAD_MS 700u     /* for the lead's answer: a write and its wait */
-#define ASK_LEAD_HEARD_MS 1400u /* the same of a lead that was just heard */
+#define ASK_LEAD_HEARD_MS 2200u /* the same of a lead that was just heard */
 #define LEAD_HEARD_MS 600u      /* two beats */
-#define STORE_SPARE_MS 500u     /* a store that turned a new job away... */
-#define STORE_SPARE_PEER_MS 10u /* ...and more for each other node */
+/*
+ * New jobs that all nodes together record in a second. The store changes one
+ * partition 200 times a second, and the lead's own writes go there too.
+ */
+#define RECORDS_PER_S 100u
+#define RECORDS_BURST 2.0 /* of one node */
 #define ASK_LEAD_PART 2u     /* at most the deadline divided by this */
 #define ASK_MARGIN_MS 100u   /* answered that long before the deadline */
 #define ASK_LEAST_MS 150u    /* less than that is not worth a store call */
@@ -37,6 +41,7 @@
 	uint64_t job_revision; /* of its row, as read; 0: there was none */
 	uint64_t deadline_ms;
 	bool maybe_recorded; /* an earlier try may have taken effect */
+	bool lead_slow; /* it did not answer in time and was heard meanwhile */
 	node_answer_fn fn;
 	void *arg;
 };
@@ -205,8 +210,6 @@
 		break;
 	case STORE_REFUSED:
 	case STORE_LOST:
-		n->store_busy_ms = clock_now_ms() + STORE_SPARE_MS +
-				   n->peer_count * STORE_SPARE_PEER_MS;
 		break;
 	}
 	answer_result(a, FLEET__RESULT__UNANSWERED);
@@ -310,17 +313,38 @@
 	read_row(a, NODE_TABLE_END, on_end_row);
 }
 
-static void ask_store(struct asking *a)
+bool record_allowance_take(struct record_allowance *r, uint32_t nodes,
+			   uint64_t now)
+{
+	double gained = (double)(now - r->at_ms) / 1000 * RECORDS_PER_S /
+			(nodes ? nodes : 1);
+
+	r->left = r->left + gained > RECORDS_BURST ? RECORDS_BURST
+						   : r->left + gained;
+	r->at_ms = now;
+	if (r->left < 1)
+		return false;
+	r->left--;
+	return true;
+}
+
+/*
+ * A lead that is heard and slow waits for the store itself; recording the job
+ * there as well would hold it up more.
+ */
+static bool may_record(const struct asking *a)
 {
-	/*
-	 * Each node by itself recording jobs is more than a busy store takes,
-	 * and it would hold up the lead's own writes.
-	 */
-	bool spare = a->verb == FLEET__VERB__SUBMIT &&
-		     clock_now_ms() < a->node->store_busy_ms;
+	struct node *n = a->node;
 
+	return !a->lead_slow &&
+	       record_allowance_take(&n->records, n->peer_count + 1,
+				     clock_now_ms());
+}
+
+static void ask_store(struct asking *a)
+{
 	if (time_left(a) < ASK_LEAST_MS || a->verb == FLEET__VERB__PENDING ||
-	    spare) {
+	    (a->verb == FLEET__VERB__SUBMIT && !may_record(a))) {
 		answer_result(a, FLEET__RESULT__UNANSWERED);
 		return;
 	}
@@ -346,7 +370,10 @@
 		if (h->status != HTTPC_NOT_SENT &&
 		    a->verb == FLEET__VERB__SUBMIT)
 			a->maybe_recorded = true;
-		n->lead_suspect_ms = clock_now_ms() + LEAD_SUSPECT_MS;
+		a->lead_slow = h->status == HTTPC_TIMEOUT &&
+			       lead_age_ms(n) < LEAD_HEARD_MS;
+		if (!a->lead_slow)
+			n->lead_suspect_ms = clock_now_ms() + LEAD_SUSPECT_MS;
 		ask_store(a);
 		return;
 	}
@@ -375,7 +402,7 @@
 	};
 	bool heard = lead_age_ms(a->node) < LEAD_HEARD_MS;
 	uint32_t most = heard ? ASK_LEAD_HEARD_MS : ASK_LEAD_MS;
-	uint32_t left = time_left(a) / ASK_LEAD_PART;
+	uint32_t left = heard ? time_left(a) : time_left(a) / ASK_LEAD_PART;
 	struct httpc_request r = {
 		.method = "POST",
 		.url = a->url,
@@ -383,7 +410,7 @@
 		.body = a->body,
 		.body_length = a->length,
 		.timeout_ms = left < most ? left : most,
-		.connect_timeout_ms = left < ASK_LEAD_MS ? left : ASK_LEAD_MS,
+		.connect_timeout_ms = ASK_LEAD_MS,
 		.once = a->verb == FLEET__VERB__SUBMIT,
 		.done = on_lead_answer,
 		.arg = a,
@@ -441,7 +468,7 @@
 	if (lead_may_order(n, now) && !n->releasing) {
 		struct node_ask own = *ask;
 
-		own.deadline_ms = time_left(a) / ASK_LEAD_PART;
+		own.deadline_ms = time_left(a);
 		own.fn = on_own_answer;
 		own.arg = a;
 		ask_decide(n, &own);
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -1,10 +1,12 @@
 /*
- * commit - what the lead decided, written in one transaction at a time
+ * commit - what the lead decided, written in transactions
  *
- * Each transaction holds under the condition that the lead row is unchanged,
- * so none of a former lead takes effect. When an answer is lost, the next
- * transaction also changes the lead row: the lost one, if it was not done,
- * can then never be.
+ * One at a time while the store answers soon, so that each holds what has
+ * gathered meanwhile; while it is slow, several side by side, each of other
+ * jobs. Each holds under the condition that the lead row is unchanged, so
+ * none of a former lead takes effect. When an answer is lost, the next
+ * transaction also changes the lead row, and no other is under way beside it:
+ * the lost one, if it was not done, can then never be.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -15,12 +17,15 @@
 
 #define COMMIT_MS 1000u /* an answer's time; a slow store takes half of it */
 #define COMMIT_RETRY_MS 100u
+#define COMMIT_SLOW_MS 30u /* without an answer: the next one is sent */
+#define COMMITS_MAX 6u	   /* under way; each may be answered 0.3 s later */
 #define COMMIT_ENTRIES_A_JOB 5u /* the most that one job's change takes */
 
 struct batch {
 	struct node *node;
 	uint64_t lead_epoch;
 	uint64_t sent_ms;
+	uint32_t number;
 	bool settles;
 	struct store_txn txn;
 	size_t bytes;
@@ -237,7 +242,7 @@
 		talloc_free(b);
 		return;
 	}
-	n->committing = false;
+	n->commits_under_way--;
 	switch (reply->status) {
 	case STORE_OK:
 		n->commits++;
@@ -247,11 +252,11 @@
 			n->lead.settled++;
 			n->settle = false;
 		}
-		sched_changed(n->sched, true, now);
+		sched_changed(n->sched, b->number, true, now);
 		waiters_durable(n);
 		break;
 	case STORE_CONFLICT:
-		sched_changed(n->sched, false, now);
+		sched_changed(n->sched, b->number, false, now);
 		on_conflict(n, reply);
 		break;
 	case STORE_UNKNOWN:
@@ -261,7 +266,7 @@
 		/* fallthrough */
 	case STORE_REFUSED:
 	case STORE_LOST:
-		sched_changed(n->sched, false, now);
+		sched_changed(n->sched, b->number, false, now);
 		n->commit_retry_ms = now + COMMIT_RETRY_MS;
 		break;
 	}
@@ -270,26 +275,37 @@
 		node_pump(n);
 }
 
+bool commit_may_begin(uint32_t under_way, bool settle, uint64_t waited_ms)
+{
+	if (!under_way)
+		return true;
+	return !settle && under_way < COMMITS_MAX &&
+	       waited_ms >= COMMIT_SLOW_MS;
+}
+
 void commit_run(struct node *n, uint64_t now)
 {
 	struct sched_change change;
 	struct batch *b;
 
-	if (n->committing || n->releasing || now < n->commit_retry_ms ||
+	if (n->releasing || now < n->commit_retry_ms ||
+	    !commit_may_begin(n->commits_under_way, n->settle,
+			      now - n->commit_ms) ||
 	    !sched_change_pending(n->sched))
 		return;
 	b = talloc_zero(n, struct batch);
 	assert(b);
 	b->node = n;
 	b->lead_epoch = n->lead_epoch;
-	b->sent_ms = now;
+	b->sent_ms = n->commit_ms = now;
+	b->number = ++n->batch;
 	add_condition(b, NODE_TABLE_LEAD, NODE_LEAD_KEY, n->lead.revision);
 	if (n->settle)
 		add_settling(b);
 	while (entries(&b->txn) + COMMIT_ENTRIES_A_JOB <= STORE_TXN_MAX &&
 	       b->bytes < STORE_TXN_BYTES &&
-	       sched_next_change(n->sched, &change))
+	       sched_next_change(n->sched, b->number, &change))
 		add_change(b, &change);
-	n->committing = true;
+	n->commits_under_way++;
 	n->services->txn(n->services->impl, &b->txn, COMMIT_MS, on_written, b);
 }
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -23,6 +23,7 @@
 #define BEAT_PEERS_TOLD 16u
 #define PEER_GONE_MS 60000u /* silent that long: forgotten */
 #define SEED_MS 1000u	    /* between two beats to a seed */
+#define ASKED_WAIT_MS 2000u /* for a write, before another node is answered */
 #define SERVER_IDLE_S 60u
 
 struct beat_call {
@@ -429,7 +430,7 @@
 {
 	Fleet__Ask *in = fleet__ask__unpack(NULL, request->body_length,
 					    (uint8_t *)request->body);
-	struct node_ask ask = { .deadline_ms = NODE_STORE_MS,
+	struct node_ask ask = { .deadline_ms = ASKED_WAIT_MS,
 				.fn = on_asked,
 				.arg = request };
 
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -188,7 +188,7 @@
 		  n->lead.epoch);
 	n->phase = LEAD_NONE;
 	n->lead_epoch++;
-	n->committing = false;
+	n->commits_under_way = 0;
 	waiters_drop(n);
 	machines_end(n);
 	relay_end(n);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -99,6 +99,12 @@
 struct relay;
 struct relay_serve;
 
+/* New jobs that this node may record in the store by itself. */
+struct record_allowance {
+	double left;
+	uint64_t at_ms; /* when left was so; 0: never */
+};
+
 struct relay_stats {
 	uint64_t calls; /* handed to peers */
 	uint64_t lost;	/* of these, without a result */
@@ -159,7 +165,7 @@
 	bool registering;
 	bool nodes_read;
 	bool store_ok;
-	uint64_t store_busy_ms; /* it turned a new job away: spared until then */
+	struct record_allowance records;
 	bool stopping;
 	void (*stopped)(void *arg);
 	void *stopped_arg;
@@ -175,7 +181,9 @@
 	struct waiter *waiters;
 	struct inbox_id *inbox;
 	uint32_t advising; /* calls to the adviser under way */
-	bool committing;
+	uint32_t commits_under_way;
+	uint32_t batch; /* the newest */
+	uint64_t commit_ms; /* when it was sent */
 	bool settle; /* a write's outcome is unknown: void it */
 	uint64_t commit_retry_ms;
 	struct feed feeds[FEED_COUNT];
@@ -233,6 +241,13 @@
 void takeover_begin(struct node *n);
 
 /* commit.c */
+
+/*
+ * commit_may_begin - whether one more transaction may be sent
+ *
+ * settle: the outcome of one is unknown; waited_ms: since the last was sent.
+ */
+bool commit_may_begin(uint32_t under_way, bool settle, uint64_t waited_ms);
 void commit_run(struct node *n, uint64_t now);
 void waiters_tick(struct node *n, uint64_t now);
 void waiters_drop(struct node *n);
@@ -253,6 +268,10 @@
 			const char *from);
 
 /* ask.c */
+
+/* record_allowance_take - false when this node, of so many, must not */
+bool record_allowance_take(struct record_allowance *r, uint32_t nodes,
+			   uint64_t now);
 void ask_decide(struct node *n, const struct node_ask *ask);
 
 /* gossip.c */
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -311,11 +311,13 @@
 /*
  * sched_next_change - the next job of the batch that is being gathered
  *
- * sched_changed ends the batch: with true all its jobs are durable, with
+ * A job is in one batch at a time, so batches may be written side by side.
+ * sched_changed ends a batch: with true all its jobs are durable, with
  * false they are gathered again.
  */
-bool sched_next_change(struct sched *s, struct sched_change *change);
-void sched_changed(struct sched *s, bool written, uint64_t now);
+bool sched_next_change(struct sched *s, uint32_t batch,
+		       struct sched_change *change);
+void sched_changed(struct sched *s, uint32_t batch, bool written, uint64_t now);
 
 /* sched_change_pending - whether anything waits to be written */
 bool sched_change_pending(const struct sched *s);
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -15,7 +15,12 @@
 
 bool sched_change_pending(const struct sched *s)
 {
-	return s->changed != NULL;
+	const struct job *job;
+
+	DL_FOREACH(s->changed, job)
+	if (job->change == CHANGE_WAITING)
+		return true;
+	return false;
 }
 
 /* Whether anything of the job runs, or may run where nobody looked. */
@@ -37,7 +42,8 @@
 	return false;
 }
 
-bool sched_next_change(struct sched *s, struct sched_change *change)
+bool sched_next_change(struct sched *s, uint32_t batch,
+		       struct sched_change *change)
 {
 	struct job *job;
 
@@ -49,6 +55,7 @@
 	memset(change, 0, sizeof(*change));
 	memcpy(change->id, job->id, sizeof(change->id));
 	job->change = CHANGE_GATHERED;
+	job->batch = batch;
 	job->changed_again = false;
 	change->is_new = !job->stored;
 	change->job = job->row;
@@ -121,13 +128,13 @@
 	}
 }
 
-void sched_changed(struct sched *s, bool written, uint64_t now)
+void sched_changed(struct sched *s, uint32_t batch, bool written, uint64_t now)
 {
 	struct job *job, *next;
 
 	DL_FOREACH_SAFE(s->changed, job, next)
 	{
-		if (job->change != CHANGE_GATHERED)
+		if (job->change != CHANGE_GATHERED || job->batch != batch)
 			continue;
 		if (!written) {
 			job->change = CHANGE_WAITING;
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -128,6 +128,7 @@
 	struct occurrence *occurrences;
 	char queue[128]; /* name, also after its row is gone */
 	enum change_state change;
+	uint32_t batch;		 /* that it was gathered for */
 	bool changed_again;	 /* while gathered */
 	uint64_t change_seq;	 /* of the change that is unwritten */
 	uint64_t again_seq;	 /* of the change made while gathered */
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -140,7 +140,7 @@
 	struct sched_change change;
 	uint32_t count = 0;
 
-	while (sched_next_change(r->s, &change)) {
+	while (sched_next_change(r->s, 1, &change)) {
 		if (change.progress)
 			fleet__progress_row__free_unpacked(change.progress,
 							   NULL);
@@ -152,7 +152,7 @@
 void write_all(struct rig *r)
 {
 	gather(r);
-	sched_changed(r->s, true, r->now);
+	sched_changed(r->s, 1, true, r->now);
 }
 
 uint32_t orders(struct rig *r)
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -18,7 +18,7 @@
 	assert_false(sched_durable(r.s, id_a));
 	gather(&r);
 	assert_int_equal(orders(&r), 0);
-	sched_changed(r.s, false, r.now);
+	sched_changed(r.s, 1, false, r.now);
 	assert_int_equal(orders(&r), 0);
 	write_all(&r);
 	assert_true(sched_durable(r.s, id_a));
@@ -38,7 +38,7 @@
 	sched_recorded(r.s, id_a, job_row(2, 1, false), r.now);
 	assert_int_equal(orders(&r), 0);
 	assert_int_equal(gather(&r), 1);
-	sched_changed(r.s, true, r.now);
+	sched_changed(r.s, 1, true, r.now);
 	assert_int_equal(orders(&r), 2);
 	talloc_free(r.s);
 }
@@ -108,7 +108,7 @@
 	r.now += 400;
 	look = next_look(&r, i);
 	report(&r, i, NULL, 0, ended, 3, r.now);
-	sched_changed(r.s, true, r.now); /* the first end is written */
+	sched_changed(r.s, 1, true, r.now); /* the first end is written */
 	r.now += 400;
 	look = next_look(&r, i);
 	assert_int_equal(look.acked, 1);
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -95,7 +95,7 @@
 	(void)w;
 	TALLOC_FREE(l->s);
 	l->life++;
-	l->committing = false;
+	l->commits--;
 }
 
 static void answer_order(struct world *w, struct call *c, bool timed_out)
@@ -141,11 +141,11 @@
 {
 	struct lead *l = &w->leads[c->lead];
 
-	l->committing = false;
+	l->commits--;
 	if (timed_out) {
 		l->settle = true;
 		l->retry_ms = w->now + 100;
-		sched_changed(l->s, false, w->now);
+		sched_changed(l->s, c->batch, false, w->now);
 		return;
 	}
 	if (c->applied) {
@@ -156,10 +156,10 @@
 		if (c->sent_ms > l->confirmed_ms)
 			l->confirmed_ms = c->sent_ms;
 		sched_confirmed(l->s, c->sent_ms);
-		sched_changed(l->s, true, w->now);
+		sched_changed(l->s, c->batch, true, w->now);
 		return;
 	}
-	sched_changed(l->s, false, w->now);
+	sched_changed(l->s, c->batch, false, w->now);
 	if (c->conflict_job) {
 		sched_exists(l->s, w->jobs[c->conflict_job - 1].id);
 	} else if (w->holder == c->lead + 1) {
--- a/test/walk/fleet_world_lead.c
+++ b/test/walk/fleet_world_lead.c
@@ -103,7 +103,8 @@
 	l->revision = l->fence = w->lead_revision;
 	l->epoch = w->epoch;
 	l->confirmed_ms = w->now;
-	l->committing = l->settle = false;
+	l->commits = 0;
+	l->settle = false;
 	l->retry_ms = 0;
 	l->machines_ms = w->now + 20 + pick(w, 200);
 	l->s = sched_new(NULL, &options);
@@ -159,15 +160,19 @@
 	struct lead *l = &w->leads[who];
 	struct sched_change change;
 	struct call *c;
+	uint32_t most;
 
-	if (l->committing || w->now < l->retry_ms ||
+	if (w->now < l->retry_ms || l->commits >= COMMITS_MAX ||
+	    (l->commits && (l->settle || pick(w, 4))) ||
 	    !sched_change_pending(l->s))
 		return;
 	c = call_new(w, who, CALL_TXN, TXN_TIMEOUT_MS);
 	c->condition = l->revision;
+	c->batch = ++w->batches;
+	most = 1 + pick(w, WORLD_JOBS);
 	c->settles = l->settle;
-	while (c->change_count < WORLD_JOBS &&
-	       sched_next_change(l->s, &change)) {
+	while (c->change_count < most &&
+	       sched_next_change(l->s, c->batch, &change)) {
 		struct change *ch = &c->changes[c->change_count++];
 		uint32_t i;
 
@@ -185,7 +190,7 @@
 								ch->progress);
 		fleet__progress_row__free_unpacked(change.progress, NULL);
 	}
-	l->committing = true;
+	l->commits++;
 }
 
 static void lead_send(struct world *w, uint32_t who)
