--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -31,6 +31,7 @@
 	bool upkeeps_read;
 	uint64_t upkeeps_retry_ms;
 	bool upkeeps_reading;
+	char *upkeeps_from; /* the next page begins there */
 	uint32_t unwritten_count; /* upkeeps that were ordered */
 	char **unwritten;	  /* keys of their rows */
 	bool writing;
@@ -195,34 +196,49 @@
 	m->fleet = fleet_new(n, &options);
 	m->listing = m->upkeeps_read = m->upkeeps_reading = false;
 	m->list_retry_ms = m->upkeeps_retry_ms = 0;
+	TALLOC_FREE(m->upkeeps_from);
 	for (i = 0; i < m->wave_count; i++)
 		pass_wave(m, m->waves[i]);
 	read_list(n);
 }
 
+static void take_upkeeps(struct machines *m, const struct store_reply *reply)
+{
+	uint32_t i;
+
+	for (i = 0; i < reply->row_count; i++) {
+		uint64_t wave;
+		char machine[FLEET_NAME_MAX];
+
+		if (sscanf(reply->rows[i].key, "%" SCNu64 "/%127s", &wave,
+			   machine) == 2)
+			fleet_had_upkeep(m->fleet, wave, machine);
+	}
+}
+
+/* A wave of hundreds of machines takes more than one page. */
 static void on_upkeeps(void *arg, const struct store_reply *reply)
 {
 	struct machine_call *call = arg;
 	struct node *n = call->node;
 	struct machines *m = n->machines;
-	uint32_t i;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch == n->lead_epoch && m->fleet) {
-		m->upkeeps_reading = false;
+	if (call->lead_epoch != n->lead_epoch || !m->fleet)
+		goto out;
+	m->upkeeps_reading = false;
+	if (reply->status != STORE_OK) {
 		m->upkeeps_retry_ms = clock_now_ms() + UPKEEP_READ_RETRY_MS;
-		if (reply->status == STORE_OK)
-			m->upkeeps_read = !reply->more;
-		for (i = 0; reply->status == STORE_OK && i < reply->row_count;
-		     i++) {
-			uint64_t wave;
-			char machine[FLEET_NAME_MAX];
-
-			if (sscanf(reply->rows[i].key, "%" SCNu64 "/%127s",
-				   &wave, machine) == 2)
-				fleet_had_upkeep(m->fleet, wave, machine);
-		}
+		goto out;
+	}
+	take_upkeeps(m, reply);
+	m->upkeeps_read = !reply->more || !reply->row_count;
+	if (!m->upkeeps_read) {
+		talloc_free(m->upkeeps_from);
+		m->upkeeps_from = node_key_after(
+			m, reply->rows[reply->row_count - 1].key);
 	}
+out:
 	talloc_free(call);
 }
 
@@ -425,8 +441,9 @@
 		if (m->upkeeps_reading || now < m->upkeeps_retry_ms)
 			return;
 		m->upkeeps_reading = true;
-		n->services->read(n->services->impl, NODE_TABLE_UPKEEP, "", NULL,
-				  NODE_STORE_MS, on_upkeeps, call_new(n));
+		n->services->read(n->services->impl, NODE_TABLE_UPKEEP,
+				  m->upkeeps_from, NULL, NODE_STORE_MS,
+				  on_upkeeps, call_new(n));
 		return;
 	}
 	if (!m->listing && now >= m->list_retry_ms &&
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -100,6 +100,15 @@
 	return bytes;
 }
 
+/* Where the page after the one that ends with key begins; owned by ctx. */
+char *node_key_after(TALLOC_CTX *ctx, const char *key)
+{
+	char *after = talloc_asprintf(ctx, "%s%c", key, '\x01');
+
+	assert(after);
+	return after;
+}
+
 /* The end of a range that holds only key; owned by ctx. */
 char *node_key_end(TALLOC_CTX *ctx, const char *key)
 {
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -203,6 +203,7 @@
 
 /* node.c */
 uint8_t *node_pack(TALLOC_CTX *ctx, const void *message, size_t *length);
+char *node_key_after(TALLOC_CTX *ctx, const char *key);
 char *node_key_end(TALLOC_CTX *ctx, const char *key);
 void node_pump(struct node *n);
 void node_store_result(struct node *n, enum store_status status);
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -200,11 +200,9 @@
 
 static void next_page(struct table_read *t, const struct store_reply *reply)
 {
-	const char *last = reply->rows[reply->row_count - 1].key;
-
 	talloc_free(t->from);
-	t->from = talloc_asprintf(t->takeover, "%s%c", last, '\x01');
-	assert(t->from);
+	t->from = node_key_after(t->takeover,
+				 reply->rows[reply->row_count - 1].key);
 	read_page(t);
 }
 
