machines, watch: orders at once after a restart of all nodes; listings of many pages

After lost history only the first 500 of 1,100 instances were read again, and none of those that had gone was dropped.

--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -2,7 +2,8 @@
  * machines - carries out what fleet/ decides, while this node leads
  *
  * Two leads must not give orders to machines within holder_ms of each other:
- * a new lead waits that long, and a lead stops when it is not confirmed.
+ * a new lead waits that long, and a lead stops when it is not confirmed. After
+ * a restart of all nodes nothing of the last lead is under way.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -387,10 +388,20 @@
 	}
 }
 
+bool machines_holder_free(const struct holder_view *v, uint64_t now)
+{
+	if (now - v->led_ms >= v->holder_ms + HOLDER_MARGIN_MS)
+		return true;
+	return v->predecessor_gone && now - v->started_ms < v->holder_ms;
+}
+
 static bool may_order(const struct node *n, uint64_t now)
 {
-	return now - n->led_ms >= n->settings.holder_ms + HOLDER_MARGIN_MS &&
-	       n->confirmed_ms && now - n->confirmed_ms < HOLDER_CONFIRMED_MS &&
+	struct holder_view view = { n->started_ms, n->led_ms,
+				    n->settings.holder_ms,
+				    n->predecessor_gone };
+
+	return machines_holder_free(&view, now) && n->confirmed_ms && now - n->confirmed_ms < HOLDER_CONFIRMED_MS &&
 	       !n->releasing && !n->stopping;
 }
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -77,6 +77,8 @@
 
 struct feed {
 	uint64_t revision; /* read up to here; 0: read the table anew */
+	uint64_t first_revision; /* of the first page of such a reading */
+	char *from;		 /* its next page begins there; NULL: first */
 	uint64_t retry_ms; /* not asked before */
 	bool under_way;
 };
@@ -310,6 +312,21 @@
 void relay_serve_tick(struct node *n, uint64_t now);
 
 /* machines.c */
+
+struct holder_view {
+	uint64_t started_ms; /* this process */
+	uint64_t led_ms;     /* since when it leads */
+	uint32_t holder_ms;
+	bool predecessor_gone; /* its process has ended */
+};
+
+/*
+ * machines_holder_free - whether no other lead's order to a machine can be
+ * less than holder_ms away
+ *
+ * A predecessor that ended shortly before this process began went with it.
+ */
+bool machines_holder_free(const struct holder_view *view, uint64_t now);
 void machines_begin(struct node *n);
 void machines_end(struct node *n);
 void machines_tick(struct node *n, uint64_t now);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -195,25 +195,57 @@
 /* The feed goes on after this revision, or by reading the table anew. */
 void watch_from(struct node *n, enum feed_kind kind, uint64_t revision)
 {
+	TALLOC_FREE(n->feeds[kind].from);
 	n->feeds[kind] = (struct feed){ .revision = revision };
 }
 
-/* A whole table says which instances are gone by leaving them out. */
-static void drop_unlisted(struct node *n, const struct store_reply *reply)
+static int by_key(const void *key, const void *row)
 {
+	return strcmp(key, ((const struct store_row *)row)->key);
+}
+
+/*
+ * A page says which instances of its range of keys are gone by leaving them
+ * out; rows come in the order of their keys.
+ */
+static void drop_unlisted(struct node *n, const char *from,
+			  const struct store_reply *reply)
+{
+	const char *last = reply->more && reply->row_count
+				   ? reply->rows[reply->row_count - 1].key
+				   : NULL;
 	struct sched_instance_load load;
 	uint32_t slot = 0;
-	uint32_t r;
 
 	while (sched_instance_next(n->sched, &slot, &load)) {
-		for (r = 0; r < reply->row_count; r++)
-			if (!strcmp(reply->rows[r].key, load.id))
-				break;
-		if (r == reply->row_count)
+		if (strcmp(load.id, from) < 0 ||
+		    (last && strcmp(load.id, last) > 0))
+			continue;
+		if (!reply->row_count ||
+		    !bsearch(load.id, reply->rows, reply->row_count,
+			     sizeof(*reply->rows), by_key))
 			sched_instance_gone(n->sched, load.id, clock_now_ms());
 	}
 }
 
+/* The feed goes on after a table's first page, so nothing is missed. */
+static void page_read(struct node *n, enum feed_kind kind,
+		      const struct store_reply *reply)
+{
+	struct feed *feed = &n->feeds[kind];
+
+	if (kind == FEED_INSTANCES)
+		drop_unlisted(n, feed->from ? feed->from : "", reply);
+	if (!feed->from)
+		feed->first_revision = reply->revision;
+	TALLOC_FREE(feed->from);
+	if (reply->more && reply->row_count)
+		feed->from = node_key_after(
+			n, reply->rows[reply->row_count - 1].key);
+	else
+		feed->revision = feed->first_revision;
+}
+
 static void on_feed(void *arg, const struct store_reply *reply)
 {
 	struct feed_call *call = arg;
@@ -235,9 +267,10 @@
 	case STORE_OK:
 		for (i = 0; i < reply->row_count; i++)
 			take_row(n, kind, &reply->rows[i]);
-		if (reading && kind == FEED_INSTANCES && !reply->more)
-			drop_unlisted(n, reply);
-		feed->revision = reply->revision;
+		if (reading)
+			page_read(n, kind, reply);
+		else
+			feed->revision = reply->revision;
 		if (reply->row_count && kind != FEED_OPERATOR)
 			node_pump(n);
 		feed_start(n, kind, false);
@@ -279,8 +312,8 @@
 	call->reading = reading || !feed->revision;
 	feed->under_way = true;
 	if (call->reading)
-		n->services->read(n->services->impl, table_of(n, kind), "",
-				  NULL, NODE_STORE_MS, on_feed, call);
+		n->services->read(n->services->impl, table_of(n, kind),
+				  feed->from, NULL, NODE_STORE_MS, on_feed, call);
 	else
 		n->services->feed(n->services->impl, table_of(n, kind),
 				  feed->revision, FEED_WAIT_MS, on_feed, call);
