--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -15,10 +15,10 @@
 
 #include "node/node_internal.h"
 
-#define COMMIT_MS 1000u /* an answer's time; a slow store takes half of it */
+#define COMMIT_MS 1500u /* two transactions of a store that takes 0.6 s each */
 #define COMMIT_RETRY_MS 100u
 #define COMMIT_SLOW_MS 30u /* without an answer: the next one is sent */
-#define COMMITS_MAX 6u	   /* under way; each may be answered 0.3 s later */
+#define COMMITS_MAX 2u	   /* under way: the store does one after another */
 #define COMMIT_ENTRIES_A_JOB 5u /* the most that one job's change takes */
 
 struct batch {
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -100,6 +100,7 @@
 
 char *node_metrics(const struct node *n)
 {
+	struct relay_stats relay;
 	char *text = NULL;
 	size_t length;
 	FILE *out = open_memstream(&text, &length);
@@ -120,6 +121,11 @@
 	counter(out, "looks_total", "", n->looks);
 	counter(out, "looks_failed_total", "", n->looks_failed);
 	counter(out, "orders_total", "", n->orders);
+	relay_stats(n, &relay);
+	counter(out, "relay_peers", "", relay.peers);
+	counter(out, "relay_calls_total", "", relay.calls);
+	counter(out, "relay_calls_lost_total", "", relay.lost);
+	counter(out, "relay_calls_served_total", "", n->calls_served);
 	counter(out, "log_lines_dropped_total", "", event_dropped());
 	fclose(out);
 	return text;
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -42,14 +42,29 @@
 	return false;
 }
 
-bool sched_next_change(struct sched *s, uint32_t batch,
-		       struct sched_change *change)
+/* New jobs go first: callers wait for them, and nothing of them has begun. */
+static struct job *first_waiting(const struct sched *s)
 {
+	struct job *first = NULL;
 	struct job *job;
 
 	DL_FOREACH(s->changed, job)
-	if (job->change == CHANGE_WAITING)
-		break;
+	{
+		if (job->change != CHANGE_WAITING)
+			continue;
+		if (!job->stored)
+			return job;
+		if (!first)
+			first = job;
+	}
+	return first;
+}
+
+bool sched_next_change(struct sched *s, uint32_t batch,
+		       struct sched_change *change)
+{
+	struct job *job = first_waiting(s);
+
 	if (!job)
 		return false;
 	memset(change, 0, sizeof(*change));
--- a/standin/site.c
+++ b/standin/site.c
@@ -8,6 +8,8 @@
  *	down		the store and the list answer 503
  *	mute		table whose feeds do not answer; "" ends it
  *	lose		transactions whose answer is lost after their effect
+ *	page		rows of one answer at most
+ *	forget		true: what changed so far is no longer in any feed
  *	crash		name of a worker: it forgets everything, for 2 s dark
  *	put		{"table", "key", "value"} as an operator's write
  * /record lists what workers ran: [task, run, worker, begin, end, how] in
@@ -34,7 +36,7 @@
 #define CRASH_MS 2000u
 #define CAPACITY_CPU 16000
 #define CAPACITY_MEM 65536
-#define READ_ROWS_MAX 500u
+#define PAGE_ROWS 500u
 #define LOST_MS 5000u /* until a lost answer closes its connection */
 
 struct site;
@@ -92,6 +94,8 @@
 	bool down;
 	char *mute; /* table whose feeds are silent, or NULL */
 	uint32_t lose;
+	uint32_t page;	    /* rows of one answer at most */
+	uint64_t forgotten; /* feeds from before this revision are refused */
 	uint64_t transactions, reads, rows_read;
 	int worker_count;
 	struct worker workers[WORKERS_MAX];
@@ -238,10 +242,10 @@
 			found[count++] = r;
 	}
 	qsort(found, count, sizeof(*found), by_key);
-	for (i = 0; i < count && i < READ_ROWS_MAX; i++)
+	for (i = 0; i < count && i < s->page; i++)
 		json_array_append_new(rows, row_json(found[i]));
 	s->rows_read += json_array_size(rows);
-	reply(request, 200, rows_reply(s, rows, count > READ_ROWS_MAX));
+	reply(request, 200, rows_reply(s, rows, count > s->page));
 	talloc_free(tmp);
 }
 
@@ -298,6 +302,11 @@
 	w->request = request;
 	w->table = query(w, request->query, "table");
 	w->after = strtoull(query(w, request->query, "after"), NULL, 10);
+	if (w->after && w->after < s->forgotten) {
+		talloc_free(w);
+		reply(request, 410, NULL);
+		return;
+	}
 	w->until_ms = clock_now_ms() +
 		      strtoull(query(w, request->query, "waitMs"), NULL, 10);
 	w->next = s->waits;
@@ -639,6 +648,10 @@
 				s,
 				json_string_value(json_object_get(o, "mute")));
 	}
+	if (json_object_get(o, "page"))
+		s->page = (uint32_t)number(o, "page");
+	if (json_is_true(json_object_get(o, "forget")))
+		s->forgotten = s->revision;
 	if (json_object_get(o, "lose"))
 		s->lose = (uint32_t)number(o, "lose");
 	if (json_object_get(o, "crash"))
@@ -739,6 +752,7 @@
 	assert(s && sodium_init() >= 0);
 	s->ev = tevent_context_init(s);
 	s->record = json_array();
+	s->page = PAGE_ROWS;
 	if (!serve_listen(s, s->ev, "site", port->ival[0], on_request, s))
 		return 1;
 	for (i = 0; i < workers->count; i++) {
--- /dev/null
+++ b/test/frames_test.c
@@ -0,0 +1,245 @@
+/*
+ * Frames over TCP: whole, in order, however the bytes are cut; streams that
+ * make no sense end, and nothing else does.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "connection/frames.h"
+
+#define FRAME_MAX 1000u
+#define TURNS 40 /* of the loop, for what is sent on loopback */
+#define FRAMES 50u
+
+struct got {
+	uint32_t frames, bytes, opened, closed;
+	bool in_order;
+	uint8_t refuse; /* a frame that begins so is refused; 0: none */
+	struct frame_stream *last;
+};
+
+static void on_opened(void *arg, struct frame_stream *stream)
+{
+	struct got *got = arg;
+
+	got->opened++;
+	got->last = stream;
+}
+
+static bool on_frame(void *arg, struct frame_stream *stream,
+		     const uint8_t *data, size_t length)
+{
+	struct got *got = arg;
+
+	(void)stream;
+	if (length && got->refuse && data[0] == got->refuse)
+		return false;
+	if (length && data[0] != (uint8_t)got->frames)
+		got->in_order = false;
+	got->frames++;
+	got->bytes += (uint32_t)length;
+	return true;
+}
+
+static void on_closed(void *arg, struct frame_stream *stream)
+{
+	struct got *got = arg;
+
+	(void)stream;
+	got->closed++;
+}
+
+static void on_turn(struct tevent_context *ev, struct tevent_timer *te,
+		    struct timeval now, void *arg)
+{
+	(void)ev;
+	(void)te;
+	(void)now;
+	(void)arg;
+}
+
+static void turn(struct tevent_context *ev)
+{
+	int i;
+
+	for (i = 0; i < TURNS; i++) {
+		tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, 1000),
+				 on_turn, NULL);
+		tevent_loop_once(ev);
+	}
+}
+
+static struct frames *frames_on(struct tevent_context *ev, struct got *got,
+				uint16_t *port, char *address)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET };
+	socklen_t length = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct frames_options o = {
+		.address = address,
+		.frame_max = FRAME_MAX,
+		.out_max = 1u << 20,
+		.opened = on_opened,
+		.frame = on_frame,
+		.closed = on_closed,
+		.arg = got,
+	};
+	struct frames *f;
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &length), 0);
+	*port = ntohs(a.sin_port);
+	close(fd);
+	snprintf(address, 64, "127.0.0.1:%u", *port);
+	f = frames_new(ev, ev, &o);
+	assert_non_null(f);
+	frames_accept(f);
+	return f;
+}
+
+static int dial(uint16_t port)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	return fd;
+}
+
+/* One frame after the other, in pieces of a given size. */
+static void test_pieces(void **state)
+{
+	static const size_t pieces[] = { 1, 3, 7, 64, 4096 };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(pieces) / sizeof(pieces[0]); c++) {
+		struct tevent_context *ev = tevent_context_init(NULL);
+		struct got got = { .in_order = true };
+		uint8_t bytes[FRAMES * 16];
+		size_t length = 0, at;
+		char address[64];
+		uint16_t port;
+		uint32_t i;
+		int fd;
+
+		frames_on(ev, &got, &port, address);
+		fd = dial(port);
+		for (i = 0; i < FRAMES; i++) {
+			uint32_t size = i % 12;
+			uint32_t prefix = htonl(size);
+
+			memcpy(bytes + length, &prefix, sizeof(prefix));
+			memset(bytes + length + 4, (int)i, size);
+			length += 4 + size;
+		}
+		for (at = 0; at < length; at += pieces[c]) {
+			size_t n = length - at < pieces[c] ? length - at
+							   : pieces[c];
+
+			assert_int_equal(send(fd, bytes + at, n, 0), n);
+			if (at % 97 == 0)
+				tevent_loop_once(ev);
+		}
+		turn(ev);
+		assert_int_equal(got.frames, FRAMES);
+		assert_true(got.in_order);
+		close(fd);
+		turn(ev);
+		assert_int_equal(got.closed, 1);
+		talloc_free(ev);
+	}
+}
+
+struct bad_case {
+	const char *what;
+	const char *bytes;
+	size_t length;
+	uint8_t refuse;
+};
+
+static void test_no_sense(void **state)
+{
+	static const struct bad_case cases[] = {
+		{ "a length beyond the most", "\xff\xff\xff\xff", 4, 0 },
+		{ "one byte too long", "\0\0\x03\xe9", 4, 0 },
+		{ "a frame that its owner refuses", "\0\0\0\1z", 5, 'z' },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct tevent_context *ev = tevent_context_init(NULL);
+		struct got got = { .refuse = cases[c].refuse };
+		struct frames *f;
+		char address[64];
+		uint16_t port;
+		int bad, good;
+
+		f = frames_on(ev, &got, &port, address);
+		bad = dial(port);
+		good = dial(port);
+		turn(ev);
+		send(bad, cases[c].bytes, cases[c].length, 0);
+		turn(ev);
+		if (got.closed != 1 || got.opened != 2)
+			fail_msg("%s: %u closed", cases[c].what, got.closed);
+		assert_int_equal(frames_counters(f)->refused, 1);
+		send(good, "\0\0\0\0", 4, 0);
+		turn(ev);
+		assert_int_equal(got.frames, 1);
+		close(bad);
+		close(good);
+		talloc_free(ev);
+	}
+}
+
+/* A peer that does not read breaks its stream, and only it. */
+static void test_peer_that_does_not_read(void **state)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct got got = { 0 };
+	char address[64];
+	uint16_t port;
+	uint32_t sent = 0;
+	uint8_t *to;
+	int fd;
+
+	(void)state;
+	frames_on(ev, &got, &port, address);
+	fd = dial(port);
+	turn(ev);
+	assert_non_null(got.last);
+	while (sent < 1000000 && (to = frame_room(got.last, FRAME_MAX))) {
+		memset(to, 0, FRAME_MAX);
+		frame_send(got.last);
+		sent++;
+	}
+	assert_true(sent < 1000000);
+	turn(ev);
+	assert_int_equal(got.closed, 1);
+	close(fd);
+	talloc_free(ev);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_pieces),
+		cmocka_unit_test(test_no_sense),
+		cmocka_unit_test(test_peer_that_does_not_read),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/node_test.c
@@ -0,0 +1,162 @@
+/*
+ * Decisions of a node that need neither a network nor a clock: what it may
+ * write, record and order, and whom it asks for help.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "node/node_internal.h"
+
+#define PARTITION_PER_S 200u /* transactions that the store does in one */
+#define BURST_MS 1000u	     /* that it lets wait */
+
+/* What many nodes write at once must not hold up the lead's own writes. */
+static void test_partitions(void **state)
+{
+	static const struct {
+		const char *table;
+		bool with_jobs; /* named in transactions beside the lead row */
+	} cases[] = {
+		{ NODE_TABLE_LEAD, true },	{ NODE_TABLE_JOB, true },
+		{ NODE_TABLE_PROGRESS, true },	{ NODE_TABLE_END, true },
+		{ NODE_TABLE_INBOX, true },	{ "status", true },
+		{ NODE_TABLE_NODE, false },	{ NODE_TABLE_UPKEEP, false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		if (!*store_part(cases[c].table) != cases[c].with_jobs)
+			fail_msg("%s: in partition \"%s\"", cases[c].table,
+				 store_part(cases[c].table));
+}
+
+/*
+ * The load: no lead, and callers at each node that come again at once. All
+ * nodes together leave half of the partition to the lead that comes.
+ */
+static void test_records_of_all_nodes(void **state)
+{
+	static const uint32_t sizes[] = { 1, 6, 45, 147, 300 };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(sizes) / sizeof(sizes[0]); c++) {
+		uint32_t nodes = sizes[c];
+		struct record_allowance each[300] = { { 0, 0 } };
+		uint32_t recorded = 0, first_second = 0;
+		uint64_t now;
+		uint32_t i;
+
+		for (now = 100000; now < 110000; now += 10)
+			for (i = 0; i < nodes; i++)
+				recorded += record_allowance_take(&each[i],
+								  nodes, now);
+		for (i = 0; i < nodes; i++)
+			each[i] = (struct record_allowance){ 2, 110000 };
+		for (now = 110000; now < 111000; now += 10)
+			for (i = 0; i < nodes; i++)
+				first_second += record_allowance_take(
+					&each[i], nodes, now);
+		if (recorded > 10 * PARTITION_PER_S / 2 + 2 * nodes)
+			fail_msg("%u nodes: %u in 10 s", nodes, recorded);
+		if (nodes < 100 && recorded < 900)
+			fail_msg("%u nodes: only %u in 10 s", nodes, recorded);
+		if (first_second > PARTITION_PER_S / 2 + 2 * nodes)
+			fail_msg("%u nodes: %u at once", nodes, first_second);
+	}
+}
+
+struct commit_case {
+	const char *what;
+	uint32_t under_way;
+	bool settle;
+	uint64_t waited_ms;
+	bool may;
+};
+
+static void test_commits_side_by_side(void **state)
+{
+	static const struct commit_case cases[] = {
+		{ "none under way", 0, false, 0, true },
+		{ "one, the store answers soon", 1, false, 9, false },
+		{ "one, the store is slow", 1, false, 300, true },
+		{ "an unknown outcome is settled alone", 1, true, 5000, false },
+		{ "settling when nothing is under way", 0, true, 0, true },
+		{ "as many as are allowed", 6, false, 5000, false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		const struct commit_case *k = &cases[c];
+
+		if (commit_may_begin(k->under_way, k->settle, k->waited_ms) !=
+		    k->may)
+			fail_msg("%s", k->what);
+	}
+}
+
+struct holder_case {
+	const char *what;
+	struct holder_view view;
+	uint64_t now;
+	bool free;
+};
+
+/* Two leads' orders to machines are holder_ms apart. */
+static void test_holder(void **state)
+{
+	static const struct holder_case cases[] = {
+		{ "the last lead was killed, this node was not",
+		  { 1000, 60000, 3000, true }, 60100, false },
+		{ "the last lead may still give orders",
+		  { 59500, 60000, 3000, false }, 60100, false },
+		{ "all nodes were restarted",
+		  { 59500, 60000, 3000, true }, 60100, true },
+		{ "this node started long before it leads",
+		  { 56000, 60000, 3000, true }, 60100, false },
+		{ "it has waited", { 1000, 60000, 3000, false }, 63400, true },
+		{ "a little less", { 1000, 60000, 3000, false }, 63200, false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		if (machines_holder_free(&cases[c].view, cases[c].now) !=
+		    cases[c].free)
+			fail_msg("%s", cases[c].what);
+}
+
+static void test_help_for_many_instances(void **state)
+{
+	static const struct {
+		uint32_t instances, alone;
+		bool help;
+	} cases[] = { { 0, 150, false },   { 49, 150, false },
+		      { 150, 150, false }, { 350, 150, true },
+		      { 1100, 150, true }, { 1, 0, true } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		if ((relay_power_needed(cases[c].instances, cases[c].alone) >
+		     0) != cases[c].help)
+			fail_msg("%u instances", cases[c].instances);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_partitions),
+		cmocka_unit_test(test_records_of_all_nodes),
+		cmocka_unit_test(test_commits_side_by_side),
+		cmocka_unit_test(test_holder),
+		cmocka_unit_test(test_help_for_many_instances),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -604,6 +604,90 @@
 	talloc_free(r.s);
 }
 
+/*
+ * Calls that another node made and that were lost with it: the starts are in
+ * doubt, the instances are not. A look that was lost is due again at once.
+ */
+static void test_lost_calls_blame_nobody(void **state)
+{
+	static const struct {
+		enum sched_order_result result;
+		bool usable;
+	} cases[] = { { ORDER_LOST, true }, { ORDER_UNKNOWN, false } };
+	struct sched_instance_load load;
+	struct sched_look look;
+	struct rig r;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		rig_new(&r);
+		r.workspace.cap.cpu = 0;
+		instance(&r, "i-0", false);
+		sched_lead(r.s, 1, true, r.now);
+		sched_expected(r.s, r.now);
+		see_all_empty(&r);
+		submit(&r, id_a, 4, 1, false);
+		write_all(&r);
+		assert_int_equal(orders(&r), 4);
+		answer_all(&r, cases[c].result);
+		assert_true(sched_machine_load(r.s, "i-0", &load));
+		assert_int_equal(load.usable, cases[c].usable);
+		assert_int_equal(load.runs, 4);
+		/* In doubt: none of the tasks is started anywhere else. */
+		assert_int_equal(orders(&r), 0);
+		r.now += 2500;
+		look = next_look(&r, r.orders[0].instance);
+		sched_look_lost(r.s, look.instance, r.now);
+		look = next_look(&r, look.instance);
+		assert_int_equal(look.instance.i, load.instance.i);
+		talloc_free(r.s);
+	}
+}
+
+static const char *next_changed(struct rig *r, uint32_t batch)
+{
+	static struct sched_change change;
+
+	if (!sched_next_change(r->s, batch, &change))
+		return "";
+	if (change.progress)
+		fleet__progress_row__free_unpacked(change.progress, NULL);
+	return change.id;
+}
+
+/*
+ * The load: a slow store writes few rows a second. Callers wait for new jobs,
+ * so these go first; each batch is of other jobs and ends by itself.
+ */
+static void test_batches_side_by_side(void **state)
+{
+	static const char *const ids[] = { "000000000000000b",
+					   "000000000000000c" };
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	rig_lead(&r);
+	see_all_empty(&r);
+	sched_recorded(r.s, id_a, job_row(1, 1, false), r.now);
+	submit(&r, ids[0], 1, 1, false);
+	submit(&r, ids[1], 1, 1, false);
+	assert_string_equal(next_changed(&r, 1), ids[0]);
+	assert_string_equal(next_changed(&r, 2), ids[1]);
+	assert_string_equal(next_changed(&r, 2), id_a);
+	assert_false(sched_change_pending(r.s));
+	sched_changed(r.s, 2, true, r.now);
+	assert_false(sched_durable(r.s, ids[0]));
+	assert_true(sched_durable(r.s, ids[1]));
+	assert_true(sched_durable(r.s, id_a));
+	sched_changed(r.s, 1, false, r.now);
+	assert_string_equal(next_changed(&r, 3), ids[0]);
+	sched_changed(r.s, 3, true, r.now);
+	assert_true(sched_durable(r.s, ids[0]));
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -625,6 +709,8 @@
 		cmocka_unit_test(test_attempts),
 		cmocka_unit_test(test_refusals),
 		cmocka_unit_test(test_forgotten_instances),
+		cmocka_unit_test(test_lost_calls_blame_nobody),
+		cmocka_unit_test(test_batches_side_by_side),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -7,8 +7,11 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -46,6 +49,8 @@
 SETTLE_S = 30.0
 RETRIES = 40     # of one call: callers come again until they know
 RETRY_S = 0.25
+GARBAGE_SEED = 20261204
+GARBAGE_SIZES = (0, 1, 5, 64, 700)  # bytes of a frame
 TERMINAL = ("completed", "failed", "cancelled")
 
 
@@ -208,6 +213,7 @@
         self.actions, self.expects = [], []
         self.nodes, self.workers = 3, 4
         self.strong = ()
+        self.alone = Site.alone
         for line in lines[1:]:
             if line.startswith("#"):
                 continue
@@ -218,7 +224,7 @@
                 self.expects.append(words[1:])
             elif words[0] == "strong":
                 self.strong = words[1:]
-            elif words[0] in ("nodes", "workers"):
+            elif words[0] in ("nodes", "workers", "alone"):
                 setattr(self, words[0], int(words[1]))
             else:
                 raise ScenarioError(f"not understood: {line}")
@@ -288,6 +294,12 @@
             site.control(down=words[0] == "down")
         elif verb in ("mute", "unmute"):
             site.control(mute=words[0] if words else "")
+        elif verb == "page":
+            site.control(page=int(words[0]))
+        elif verb == "forget":
+            site.control(forget=True)
+        elif verb == "garbage":
+            self.garbage(words[0])
         elif verb == "lose":
             site.control(lose=int(words[0]))
         elif verb == "crash":
@@ -323,6 +335,17 @@
                 site.nodes[name].popen.wait()
             site.nodes[name].start()
 
+    def garbage(self, name):
+        """Frames that make no sense, whole and torn, to a node's links."""
+        draw = random.Random(GARBAGE_SEED)
+        for size in GARBAGE_SIZES:
+            body = draw.randbytes(size)
+            for head in (struct.pack(">I", size), struct.pack(">I", size + 9),
+                         b"\xff\xff\xff\xff"):
+                with socket.create_connection(
+                        (fleet.HOST, self.site.ports[name][3])) as s:
+                    s.sendall(head + body)
+
     def cancel(self, job):
         for _ in range(RETRIES):
             try:
@@ -385,6 +408,11 @@
             return int(self.wave_state() == words[1])
         if words[0] == "status":
             return self.status(words[1], words[2])
+        if words[0] == "served":
+            return sum(self.site.metric(n, "relay_calls_served_total")
+                       for n in self.site.nodes)
+        if words[0] == "up":
+            return sum(p.running() for p in self.site.nodes.values())
         if words[0] == "rows-read":
             return self.site.control()["rows_read"]
         if words[0] == "lead":
@@ -452,6 +480,7 @@
 def play(case, build):
     with Site(build, case.workers) as site:
         site.strong = case.strong
+        site.alone = case.alone
         site.configure()
         site.start_nodes(case.nodes)
         run = Run(case, site)
