--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -140,7 +140,7 @@
 		if (from->spare)
 			return m;
 		if (!sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.lasting || load.fillers || (idle_only && load.runs))
+		    load.unknown || load.lasting || load.fillers || (idle_only && load.runs))
 			continue;
 		if (best && load.used.cpu >= best_used)
 			continue;
@@ -240,7 +240,7 @@
 
 		if (!v || v->spare || !movable(m, now) ||
 		    !sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.runs) {
+		    load.runs || load.unknown) {
 			m->idle_ms = 0;
 			continue;
 		}
@@ -290,7 +290,8 @@
 		if (m->wave || m->phase != PHASE_DRAINING ||
 		    m->state != FLEET_UP)
 			continue;
-		if (sched_machine_load(s, m->name, &load) && load.runs) {
+		if (sched_machine_load(s, m->name, &load) &&
+		    (load.runs || load.unknown)) {
 			if (now - m->phase_ms > DRAIN_MAX_MS)
 				stay(m, s, now);
 			continue;
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -17,6 +17,7 @@
 #define DRAIN_PATIENCE_MS 2500u /* for work that ends by itself */
 #define ORDER_RETRY_MS 300u
 #define DRAIN_EXPECT_MS 1500u /* until a busy machine is empty */
+#define COST_UNKNOWN 1e12 /* nobody has looked: not drained now */
 #define WAVE_PLAN_SHARE                                      \
 	0.6 /* of a wave's time; an outage may take the rest \
 	     */
@@ -89,6 +90,8 @@
 
 	if (!sched_machine_load(s, m->name, &load))
 		return -1;
+	if (load.unknown)
+		return COST_UNKNOWN;
 	sched_mark_due(s, load.instance);
 	return (double)load.used.cpu + 100000.0 * load.lasting;
 }
@@ -109,6 +112,8 @@
 		    m->state != FLEET_UP)
 			continue;
 		cost = drain_cost(s, m);
+		if (cost >= COST_UNKNOWN)
+			continue;
 		if (best && cost >= best_cost)
 			continue;
 		best = m;
@@ -173,7 +178,11 @@
 	struct sched_instance_load load;
 	bool patient = now - m->phase_ms < DRAIN_PATIENCE_MS;
 
-	if (!sched_machine_load(s, m->name, &load) || !load.runs)
+	if (!sched_machine_load(s, m->name, &load))
+		return true;
+	if (load.unknown)
+		return false;
+	if (!load.runs)
 		return true;
 	sched_reserve(s, load.instance, true, now);
 	sched_evacuate(s, load.instance, patient, now);
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -23,6 +23,7 @@
  */
 #define RECORDS_PER_S 100u
 #define RECORDS_BURST 2.0 /* of one node */
+#define RETRY_STALLED_MS 1000u /* after a store that does not answer */
 #define ASK_LEAD_PART 2u     /* at most the deadline divided by this */
 #define ASK_MARGIN_MS 100u   /* answered that long before the deadline */
 #define ASK_LEAST_MS 150u    /* less than that is not worth a store call */
@@ -96,10 +97,21 @@
 			  struct node_answer *r, bool *waits)
 {
 	uint64_t now = clock_now_ms();
-	size_t length;
-	uint8_t *bytes = node_pack(n, ask->job, &length);
+	uint8_t *bytes;
 	Fleet__JobRow *row;
+	size_t length;
 
+	/* It could not be accepted in its caller's time. */
+	if (commit_is_stalled(n->commit_waits_ms, now) &&
+	    !sched_state(n->sched, ask->id, ask->queue)) {
+		event_log("job-turned-away", ask->id,
+			  "\"queue\":\"%s\",\"store_silent_ms\":%" PRIu64,
+			  ask->queue, now - n->commit_waits_ms);
+		r->retry_after_ms = RETRY_STALLED_MS;
+		r->result = FLEET__RESULT__REFUSED;
+		return;
+	}
+	bytes = node_pack(n, ask->job, &length);
 	row = fleet__job_row__unpack(NULL, length, bytes);
 	assert(row);
 	talloc_free(bytes);
@@ -336,7 +348,7 @@
 {
 	struct node *n = a->node;
 
-	return !a->lead_slow &&
+	return !a->lead_slow && n->store_ok &&
 	       record_allowance_take(&n->records, n->peer_count + 1,
 				     clock_now_ms());
 }
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -17,6 +17,7 @@
 
 #define COMMIT_MS 1500u /* two transactions of a store that takes 0.6 s each */
 #define COMMIT_RETRY_MS 100u
+#define COMMIT_STALLED_MS 800u /* a slow store takes 0.6 s */
 #define COMMIT_SLOW_MS 30u /* without an answer: the next one is sent */
 #define COMMITS_MAX 2u	   /* under way: the store does one after another */
 #define COMMIT_ENTRIES_A_JOB 5u /* the most that one job's change takes */
@@ -243,6 +244,8 @@
 		return;
 	}
 	n->commits_under_way--;
+	if (reply->status == STORE_OK || reply->status == STORE_CONFLICT)
+		n->commit_waits_ms = n->commits_under_way ? now : 0;
 	switch (reply->status) {
 	case STORE_OK:
 		n->commits++;
@@ -275,6 +278,11 @@
 		node_pump(n);
 }
 
+bool commit_is_stalled(uint64_t waits_ms, uint64_t now)
+{
+	return waits_ms && now - waits_ms >= COMMIT_STALLED_MS;
+}
+
 bool commit_may_begin(uint32_t under_way, bool settle, uint64_t waited_ms)
 {
 	if (!under_way)
@@ -298,6 +306,8 @@
 	b->node = n;
 	b->lead_epoch = n->lead_epoch;
 	b->sent_ms = n->commit_ms = now;
+	if (!n->commit_waits_ms)
+		n->commit_waits_ms = now;
 	b->number = ++n->batch;
 	add_condition(b, NODE_TABLE_LEAD, NODE_LEAD_KEY, n->lead.revision);
 	if (n->settle)
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -189,6 +189,7 @@
 	n->phase = LEAD_NONE;
 	n->lead_epoch++;
 	n->commits_under_way = 0;
+	n->commit_waits_ms = 0;
 	waiters_drop(n);
 	machines_end(n);
 	relay_end(n);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -186,6 +186,7 @@
 	uint32_t commits_under_way;
 	uint32_t batch; /* the newest */
 	uint64_t commit_ms; /* when it was sent */
+	uint64_t commit_waits_ms; /* none was answered since; 0: none waits */
 	bool settle; /* a write's outcome is unknown: void it */
 	uint64_t commit_retry_ms;
 	struct feed feeds[FEED_COUNT];
@@ -252,6 +253,9 @@
  */
 bool commit_may_begin(uint32_t under_way, bool settle, uint64_t waited_ms);
 void commit_run(struct node *n, uint64_t now);
+
+/* commit_is_stalled - the store has not answered a transaction for long */
+bool commit_is_stalled(uint64_t waits_ms, uint64_t now);
 void waiters_tick(struct node *n, uint64_t now);
 void waiters_drop(struct node *n);
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -367,7 +367,7 @@
 	const char *pool;
 	const char *rack;
 	bool usable;
-	bool seen; /* it has reported to this lead */
+	bool unknown; /* something may run that this lead has not seen */
 	uint32_t runs;
 	uint32_t lasting; /* of these, tasks that last and do not fill */
 	uint32_t fillers; /* and those that do */
@@ -379,8 +379,8 @@
 			 struct sched_instance_load *load);
 
 /*
- * sched_machine_load - the newest life of a machine that is usable or runs
- * something; false when there is none
+ * sched_machine_load - the newest life of a machine that is usable, or runs
+ * something, or may do so unseen; false when there is none
  */
 bool sched_machine_load(const struct sched *s, const char *machine,
 			struct sched_instance_load *load);
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -569,7 +569,7 @@
 	load->pool = i->pool->name;
 	load->rack = rack_of(i);
 	load->usable = i->listed && !i->leaving && !i->silent && !i->expired;
-	load->seen = i->seen;
+	load->unknown = !i->seen && !i->expired;
 	load->runs = i->run_count;
 	load->used = i->used;
 	DL_FOREACH(i->runs, run)
@@ -606,7 +606,7 @@
 	if (!m)
 		return false;
 	DL_FOREACH2(m->lives, i, life_next)
-	if (i->run_count ||
+	if (i->run_count || (!i->seen && !i->expired) ||
 	    (i->listed && !i->leaving && !i->silent && !i->expired))
 		newest = i;
 	if (newest)
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -159,6 +159,65 @@
 	}
 }
 
+/*
+ * A new lead has looked at some machines only: the others may run what lasts,
+ * and get no order before they were looked at or their lease ran out.
+ */
+static void test_wave_waits_for_looks(void **state)
+{
+	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
+	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	static const struct {
+		const char *what;
+		bool listed; /* in the directory; all are in the list */
+		bool looked;
+		uint64_t later_ms;
+		uint32_t ordered;
+	} cases[] = {
+		{ "nobody has looked", true, false, 10, 0 },
+		{ "nor is it in the directory", false, false, 10, 0 },
+		{ "they were looked at", true, true, 10, 4 },
+		{ "their leases ran out", true, false, 20000, 4 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fleet_machine_info infos[4];
+		struct fleet_action action;
+		uint32_t ordered = 0;
+		struct rig r;
+		struct fleet *f;
+		uint32_t i;
+
+		rig_new(&r);
+		for (i = 0; i < 4; i++) {
+			if (cases[c].listed)
+				named_instance(&r, ids[i], "p");
+			else
+				sched_expect(r.s, ids[i], "p", ids[i], r.now);
+			infos[i] =
+				(struct fleet_machine_info){ ids[i], "p", "r1",
+							     FLEET_UP };
+		}
+		sched_lead(r.s, 2, true, r.now);
+		sched_expected(r.s, r.now);
+		if (cases[c].looked)
+			see_all_empty(&r);
+		f = fleet_new(r.s, &options);
+		fleet_configure(f, &r.config);
+		fleet_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
+		r.now += cases[c].later_ms;
+		sched_tick(r.s, r.now, r.now);
+		fleet_machines(f, infos, 4, r.now);
+		while (fleet_next(f, r.s, r.now, &action))
+			ordered += action.kind == FLEET_UPKEEP;
+		if (ordered != cases[c].ordered)
+			fail_msg("%s: %u ordered", cases[c].what, ordered);
+		talloc_free(r.s);
+	}
+}
+
 /* Moves */
 
 struct move_case {
@@ -251,6 +310,7 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_wave),
 		cmocka_unit_test(test_wave_pace),
+		cmocka_unit_test(test_wave_waits_for_looks),
 		cmocka_unit_test(test_moves),
 	};
 
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -100,6 +100,28 @@
 	}
 }
 
+/* The load: a store that takes 0.6 s for a transaction, or is silent. */
+static void test_stalled_store(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t waits_ms, now;
+		bool stalled;
+	} cases[] = {
+		{ "nothing waits", 0, 90000, false },
+		{ "a calm store", 50000, 50009, false },
+		{ "a slow store", 50000, 50600, false },
+		{ "a silent store", 50000, 51000, true },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		if (commit_is_stalled(cases[c].waits_ms, cases[c].now) !=
+		    cases[c].stalled)
+			fail_msg("%s", cases[c].what);
+}
+
 struct holder_case {
 	const char *what;
 	struct holder_view view;
@@ -154,6 +176,7 @@
 		cmocka_unit_test(test_partitions),
 		cmocka_unit_test(test_records_of_all_nodes),
 		cmocka_unit_test(test_commits_side_by_side),
+		cmocka_unit_test(test_stalled_store),
 		cmocka_unit_test(test_holder),
 		cmocka_unit_test(test_help_for_many_instances),
 	};
