--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -339,7 +339,6 @@
 	node_store_result(n, reply->status);
 	if (reply->status != STORE_OK)
 		return;
-	lead_nodes_known(n);
 	for (i = 0; i < reply->row_count; i++) {
 		Fleet__NodeRow *row = fleet__node_row__unpack(
 			NULL, reply->rows[i].length, reply->rows[i].value);
@@ -349,6 +348,7 @@
 		gossip_learn(n, reply->rows[i].key, row);
 		fleet__node_row__free_unpacked(row, NULL);
 	}
+	lead_nodes_known(n); /* now the strong are known */
 }
 
 static void register_tick(struct node *n, uint64_t now)
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -398,9 +398,17 @@
 		sched_predecessor_gone(n->sched, clock_now_ms());
 }
 
+uint32_t lead_silent_ms(uint64_t heard_ms, uint64_t now)
+{
+	if (heard_ms >= now)
+		return 0; /* one that was just learnt of has a grace */
+	return now - heard_ms < LEAD_AGE_MAX_MS ? (uint32_t)(now - heard_ms)
+						: LEAD_AGE_MAX_MS;
+}
+
 static void tick_follower(struct node *n, uint64_t now)
 {
-	uint64_t silent = now - n->lead_heard_ms;
+	uint32_t silent = lead_silent_ms(n->lead_heard_ms, now);
 
 	if (n->claiming || n->lead_reading || n->stopping)
 		return;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -223,6 +223,8 @@
  * strongest that is known come after all of these.
  */
 uint32_t lead_claim_delay_ms(uint32_t power, uint32_t strongest, uint64_t hash);
+/* lead_silent_ms - how long nothing was heard of a lead; heard_ms may lie ahead */
+uint32_t lead_silent_ms(uint64_t heard_ms, uint64_t now);
 void lead_tick(struct node *n, uint64_t now);
 void lead_learn(struct node *n, const struct lead_view *view, const char *how);
 bool lead_decode(const struct store_row *row, struct lead_view *view);
--- a/test/lead_test.c
+++ b/test/lead_test.c
@@ -54,10 +54,33 @@
 	assert_true(weak_first > strong_last + START_SKEW_MS);
 }
 
+/* A lead that was just learnt of is not silent: nobody claims in its grace. */
+static void test_silence(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t heard_ms, now;
+		uint32_t silent_ms;
+	} silences[] = {
+		{ "heard now", 50000, 50000, 0 },
+		{ "learnt of with a grace", 50500, 50000, 0 },
+		{ "silent for a second", 49000, 50000, 1000 },
+		{ "its process has ended", 0, 500000, 60000 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(silences) / sizeof(silences[0]); c++)
+		if (lead_silent_ms(silences[c].heard_ms, silences[c].now) !=
+		    silences[c].silent_ms)
+			fail_msg("%s", silences[c].what);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order_of_claims),
+		cmocka_unit_test(test_silence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
