--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -307,9 +307,6 @@
 
 	n->registering = false;
 	n->registered = reply->status == STORE_OK;
-	/* The others register within moments of a first start, not before. */
-	if (n->registered && !n->settings.first_start)
-		n->register_ms = 0;
 	node_store_result(n, reply->status);
 }
 
@@ -349,20 +346,30 @@
 		fleet__node_row__free_unpacked(row, NULL);
 	}
 	lead_nodes_known(n); /* now the strong are known */
+	if (!n->registered)
+		n->register_ms = 0;
 }
 
+static void read_nodes(struct node *n)
+{
+	n->registering = true;
+	n->services->read(n->services->impl, NODE_TABLE_NODE, "", NULL,
+			  NODE_STORE_MS, on_nodes, n);
+}
+
+/*
+ * After a restart the others' rows are there: who is strong is read at once.
+ * Hundreds of nodes that write theirs first would wait for one another.
+ */
 static void register_tick(struct node *n, uint64_t now)
 {
 	if (n->registering || now < n->register_ms)
 		return;
 	n->register_ms = now + SEED_MS;
-	if (!n->registered) {
+	if (!n->registered && (n->settings.first_start || n->nodes_read))
 		register_self(n);
-	} else if (!n->nodes_read) {
-		n->registering = true;
-		n->services->read(n->services->impl, NODE_TABLE_NODE, "", NULL,
-				  NODE_STORE_MS, on_nodes, n);
-	}
+	else if (!n->nodes_read)
+		read_nodes(n);
 }
 
 void gossip_tick(struct node *n, uint64_t now)
