--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -87,9 +87,8 @@
 
 static void link_send(struct link *link, const Jackdawwell__PeerFrame *frame)
 {
-	uint8_t *to =
-		frame_room(link->stream,
-			   jackdawwell__peer_frame__get_packed_size(frame));
+	uint8_t *to = frame_room(
+		link->stream, jackdawwell__peer_frame__get_packed_size(frame));
 
 	if (!to) {
 		link->broken = true;
--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -140,7 +140,8 @@
 		if (from->spare)
 			return m;
 		if (!sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.unknown || load.lasting || load.fillers || (idle_only && load.runs))
+		    load.unknown || load.lasting || load.fillers ||
+		    (idle_only && load.runs))
 			continue;
 		if (best && load.used.cpu >= best_used)
 			continue;
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -17,7 +17,7 @@
 #define DRAIN_PATIENCE_MS 2500u /* for work that ends by itself */
 #define ORDER_RETRY_MS 300u
 #define DRAIN_EXPECT_MS 1500u /* until a busy machine is empty */
-#define COST_UNKNOWN 1e12 /* nobody has looked: not drained now */
+#define COST_UNKNOWN 1e12     /* nobody has looked: not drained now */
 #define WAVE_PLAN_SHARE                                      \
 	0.6 /* of a wave's time; an outage may take the rest \
 	     */
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -14,20 +14,20 @@
 
 #include "node/node_internal.h"
 
-#define ASK_LEAD_MS 700u     /* for the lead's answer: a write and its wait */
+#define ASK_LEAD_MS 700u /* for the lead's answer: a write and its wait */
 #define ASK_LEAD_HEARD_MS 2200u /* the same of a lead that was just heard */
-#define LEAD_HEARD_MS 600u      /* two beats */
+#define LEAD_HEARD_MS 600u	/* two beats */
 /*
  * New jobs that all nodes together record in a second. The store changes one
  * partition 200 times a second, and the lead's own writes go there too.
  */
 #define RECORDS_PER_S 100u
-#define RECORDS_BURST 2.0 /* of one node */
+#define RECORDS_BURST 2.0      /* of one node */
 #define RETRY_STALLED_MS 1000u /* after a store that does not answer */
-#define ASK_LEAD_PART 2u     /* at most the deadline divided by this */
-#define ASK_MARGIN_MS 100u   /* answered that long before the deadline */
-#define ASK_LEAST_MS 150u    /* less than that is not worth a store call */
-#define LEAD_SUSPECT_MS 700u /* not asked again after it did not answer */
+#define ASK_LEAD_PART 2u       /* at most the deadline divided by this */
+#define ASK_MARGIN_MS 100u     /* answered that long before the deadline */
+#define ASK_LEAST_MS 150u      /* less than that is not worth a store call */
+#define LEAD_SUSPECT_MS 700u   /* not asked again after it did not answer */
 
 struct asking {
 	struct node *node;
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -15,11 +15,12 @@
 
 #include "node/node_internal.h"
 
-#define COMMIT_MS 1500u /* two transactions of a store that takes 0.6 s each */
+#define COMMIT_MS 1500u /* two transactions of a store that takes 0.6 s each \
+			 */
 #define COMMIT_RETRY_MS 100u
 #define COMMIT_STALLED_MS 800u /* a slow store takes 0.6 s */
-#define COMMIT_SLOW_MS 30u /* without an answer: the next one is sent */
-#define COMMITS_MAX 2u	   /* under way: the store does one after another */
+#define COMMIT_SLOW_MS 30u     /* without an answer: the next one is sent */
+#define COMMITS_MAX 2u	       /* under way: the store does one after another */
 #define COMMIT_ENTRIES_A_JOB 5u /* the most that one job's change takes */
 
 struct batch {
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -20,7 +20,8 @@
 #define BEAT_WAIT_MS 500u
 #define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
 #define CONFIG_WAIT_MS 400u	 /* for the store to bring it; a fifth of 2 s */
-#define BEAT_PEERS_TOLD 16u
+#define BEAT_PEERS_TOLD \
+	3u /* each node also makes itself known to all in turn */
 #define PEER_GONE_MS 60000u /* silent that long: forgotten */
 #define SEED_MS 1000u	    /* between two beats to a seed */
 #define ASKED_WAIT_MS 2000u /* for a write, before another node is answered */
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -346,6 +346,8 @@
 		return;
 	}
 	n->lead_unable_ms = now;
+	if (n->lead_heard_ms > now)
+		return; /* its claim's answer may still be on its way to it */
 	if (n->lead_heard_ms > now - LEAD_SILENT_MS)
 		n->lead_heard_ms = now - LEAD_SILENT_MS;
 }
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -32,7 +32,7 @@
 	bool upkeeps_read;
 	uint64_t upkeeps_retry_ms;
 	bool upkeeps_reading;
-	char *upkeeps_from; /* the next page begins there */
+	char *upkeeps_from;	  /* the next page begins there */
 	uint32_t unwritten_count; /* upkeeps that were ordered */
 	char **unwritten;	  /* keys of their rows */
 	bool writing;
@@ -282,9 +282,9 @@
 	assert(w);
 	w->node = n;
 	for (i = 0; i < m->unwritten_count && i < STORE_TXN_MAX; i++)
-		w->txn.puts[i] = (struct store_put){ NODE_TABLE_UPKEEP,
-						     m->unwritten[i],
-						     (const uint8_t *)"1", 1 };
+		w->txn.puts[i] =
+			(struct store_put){ NODE_TABLE_UPKEEP, m->unwritten[i],
+					    (const uint8_t *)"1", 1 };
 	w->txn.put_count = w->count = i;
 	m->writing = true;
 	n->services->txn(n->services->impl, &w->txn, NODE_STORE_MS,
@@ -295,11 +295,11 @@
 {
 	struct machines *m = n->machines;
 
-	m->unwritten = talloc_realloc(m, m->unwritten, char *,
-				      m->unwritten_count + 1);
+	m->unwritten =
+		talloc_realloc(m, m->unwritten, char *, m->unwritten_count + 1);
 	assert(m->unwritten);
-	m->unwritten[m->unwritten_count++] = talloc_asprintf(
-		m, "%" PRIu64 "/%s", a->wave, a->machine);
+	m->unwritten[m->unwritten_count++] =
+		talloc_asprintf(m, "%" PRIu64 "/%s", a->wave, a->machine);
 }
 
 /* Orders */
@@ -401,8 +401,9 @@
 				    n->settings.holder_ms,
 				    n->predecessor_gone };
 
-	return machines_holder_free(&view, now) && n->confirmed_ms && now - n->confirmed_ms < HOLDER_CONFIRMED_MS &&
-	       !n->releasing && !n->stopping;
+	return machines_holder_free(&view, now) && n->confirmed_ms &&
+	       now - n->confirmed_ms < HOLDER_CONFIRMED_MS && !n->releasing &&
+	       !n->stopping;
 }
 
 /* machines_stats - false while this node does not lead */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,8 +23,8 @@
 struct node_settings {
 	const char *name;
 	const char *zone;
-	const char *peers; /* IP number and port, for other nodes */
-	const char *links; /* the same, for frames; NULL: none */
+	const char *peers;    /* IP number and port, for other nodes */
+	const char *links;    /* the same, for frames; NULL: none */
 	uint32_t calls_alone; /* instances that a lead calls without help */
 	uint32_t seed_count;
 	const char *seeds[NODE_SEEDS_MAX]; /* addresses of some others */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -76,10 +76,10 @@
 enum feed_kind { FEED_OPERATOR, FEED_INSTANCES, FEED_INBOX, FEED_COUNT };
 
 struct feed {
-	uint64_t revision; /* read up to here; 0: read the table anew */
+	uint64_t revision;	 /* read up to here; 0: read the table anew */
 	uint64_t first_revision; /* of the first page of such a reading */
 	char *from;		 /* its next page begins there; NULL: first */
-	uint64_t retry_ms; /* not asked before */
+	uint64_t retry_ms;	 /* not asked before */
 	bool under_way;
 };
 
@@ -184,10 +184,10 @@
 	struct inbox_id *inbox;
 	uint32_t advising; /* calls to the adviser under way */
 	uint32_t commits_under_way;
-	uint32_t batch; /* the newest */
-	uint64_t commit_ms; /* when it was sent */
+	uint32_t batch;		  /* the newest */
+	uint64_t commit_ms;	  /* when it was sent */
 	uint64_t commit_waits_ms; /* none was answered since; 0: none waits */
-	bool settle; /* a write's outcome is unknown: void it */
+	bool settle;		  /* a write's outcome is unknown: void it */
 	uint64_t commit_retry_ms;
 	struct feed feeds[FEED_COUNT];
 
@@ -223,7 +223,8 @@
  * strongest that is known come after all of these.
  */
 uint32_t lead_claim_delay_ms(uint32_t power, uint32_t strongest, uint64_t hash);
-/* lead_silent_ms - how long nothing was heard of a lead; heard_ms may lie ahead */
+/* lead_silent_ms - how long nothing was heard of a lead; heard_ms may lie ahead
+ */
 uint32_t lead_silent_ms(uint64_t heard_ms, uint64_t now);
 void lead_tick(struct node *n, uint64_t now);
 void lead_learn(struct node *n, const struct lead_view *view, const char *how);
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -209,8 +209,8 @@
 		call.ticket = (char *)(order->ticket ? order->ticket : "");
 	}
 	call.percent = order->percent;
-	call_new(n->relay, p, &call, RELAY_ORDER, timeout_ms, arg)
-		->done.order = fn;
+	call_new(n->relay, p, &call, RELAY_ORDER, timeout_ms, arg)->done.order =
+		fn;
 	return true;
 }
 
@@ -272,17 +272,16 @@
 		const Fleet__CallRunning *from = in->running[i];
 
 		running[i] = (struct sched_running){ from->task, from->number,
-						     from->saved,
-						     from->percent,
+						     from->saved, from->percent,
 						     from->load };
 	}
 	for (i = 0; i < in->n_ended; i++) {
 		const Fleet__CallEnded *from = in->ended[i];
 
-		ended[i] = (struct sched_ended){ from->n, from->task,
-						 from->number,
-						 (enum sched_how)from->how,
-						 from->saved };
+		ended[i] =
+			(struct sched_ended){ from->n, from->task, from->number,
+					      (enum sched_how)from->how,
+					      from->saved };
 	}
 	report->clock_ms = in->clock_ms;
 	report->born = in->born;
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -43,7 +43,7 @@
 		break;
 	case LOOK_NEWER_LEAD:
 		n->confirmed_ms = 0; /* ask the store before more */
-		/* fallthrough */
+				     /* fallthrough */
 	case LOOK_UNANSWERED:
 		n->looks_failed++;
 		/* fallthrough */
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -313,7 +313,8 @@
 	feed->under_way = true;
 	if (call->reading)
 		n->services->read(n->services->impl, table_of(n, kind),
-				  feed->from, NULL, NODE_STORE_MS, on_feed, call);
+				  feed->from, NULL, NODE_STORE_MS, on_feed,
+				  call);
 	else
 		n->services->feed(n->services->impl, table_of(n, kind),
 				  feed->revision, FEED_WAIT_MS, on_feed, call);
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -125,7 +125,7 @@
 	ORDER_REFUSED,	 /* certainly not carried out */
 	ORDER_UNREACHED, /* no connection: certainly not carried out */
 	ORDER_UNKNOWN,	 /* may have been or may still be carried out */
-	ORDER_LOST, /* likewise, for no fault of the instance */
+	ORDER_LOST,	 /* likewise, for no fault of the instance */
 };
 
 /* One look at an instance, which also extends its work. */
--- a/test/lead_test.c
+++ b/test/lead_test.c
@@ -76,11 +76,42 @@
 			fail_msg("%s", silences[c].what);
 }
 
+/*
+ * A lead that says it cannot decide is soon replaced, but not one that was just
+ * learnt of: others may know of its claim before it does.
+ */
+static void test_unable_lead(void **state)
+{
+	static const struct {
+		const char *what;
+		int64_t heard_ms; /* from now */
+		uint32_t silent_ms;
+	} unable[] = {
+		{ "just learnt of", 400, 0 },
+		{ "heard a moment ago", -100, 1000 },
+		{ "silent for long", -4000, 4000 },
+	};
+	const uint64_t now = 50000;
+	struct node *n = talloc_zero(NULL, struct node);
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(unable) / sizeof(unable[0]); c++) {
+		n->lead_heard_ms = now + (uint64_t)unable[c].heard_ms;
+		lead_heard(n, false, now);
+		if (lead_silent_ms(n->lead_heard_ms, now) !=
+		    unable[c].silent_ms)
+			fail_msg("%s", unable[c].what);
+	}
+	talloc_free(n);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order_of_claims),
 		cmocka_unit_test(test_silence),
+		cmocka_unit_test(test_unable_lead),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -20,10 +20,10 @@
 		const char *table;
 		bool with_jobs; /* named in transactions beside the lead row */
 	} cases[] = {
-		{ NODE_TABLE_LEAD, true },	{ NODE_TABLE_JOB, true },
-		{ NODE_TABLE_PROGRESS, true },	{ NODE_TABLE_END, true },
-		{ NODE_TABLE_INBOX, true },	{ "status", true },
-		{ NODE_TABLE_NODE, false },	{ NODE_TABLE_UPKEEP, false },
+		{ NODE_TABLE_LEAD, true },     { NODE_TABLE_JOB, true },
+		{ NODE_TABLE_PROGRESS, true }, { NODE_TABLE_END, true },
+		{ NODE_TABLE_INBOX, true },    { "status", true },
+		{ NODE_TABLE_NODE, false },    { NODE_TABLE_UPKEEP, false },
 	};
 	size_t c;
 
@@ -134,13 +134,21 @@
 {
 	static const struct holder_case cases[] = {
 		{ "the last lead was killed, this node was not",
-		  { 1000, 60000, 3000, true }, 60100, false },
+		  { 1000, 60000, 3000, true },
+		  60100,
+		  false },
 		{ "the last lead may still give orders",
-		  { 59500, 60000, 3000, false }, 60100, false },
+		  { 59500, 60000, 3000, false },
+		  60100,
+		  false },
 		{ "all nodes were restarted",
-		  { 59500, 60000, 3000, true }, 60100, true },
+		  { 59500, 60000, 3000, true },
+		  60100,
+		  true },
 		{ "this node started long before it leads",
-		  { 56000, 60000, 3000, true }, 60100, false },
+		  { 56000, 60000, 3000, true },
+		  60100,
+		  false },
 		{ "it has waited", { 1000, 60000, 3000, false }, 63400, true },
 		{ "a little less", { 1000, 60000, 3000, false }, 63200, false },
 	};
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -21,7 +21,7 @@
 #define ORDER_TIMEOUT_MS 500u
 #define LOOK_SLACK_MS 600u
 #define TXN_TIMEOUT_MS 1000u
-#define COMMITS_MAX 3u /* transactions of a lead side by side */
+#define COMMITS_MAX 3u	   /* transactions of a lead side by side */
 #define LATE_MAX_MS 12000u /* a call may be carried out that late */
 #define STOP_TAKES_MS 200u
 #define STARTUP_MS 300u /* of a task that lasts */
@@ -153,7 +153,7 @@
 	uint64_t advanced_ms;  /* when it last decided */
 	uint64_t cut_until_ms; /* from the store */
 	uint64_t machines_ms;  /* when the list of machines reaches it */
-	uint32_t commits;	/* under way */
+	uint32_t commits;      /* under way */
 	bool settle;
 	uint64_t retry_ms;
 	uint64_t inbox_seen[WORLD_JOBS]; /* when it learns of it; 0: not */
