fleet, machines: what a former lead ordered away counts; only an ended lead is not waited for

Now the predecessor's process must have ended without handing over, and machines that the list shows in upkeep count for their wave. test/fleet_test.c (0 ordered with as many away), test/node_test.c.

--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -16,6 +16,7 @@
 #define DRAIN_AHEAD 1u		/* drained beyond those that may be away */
 #define DRAIN_PATIENCE_MS 2500u /* for work that ends by itself */
 #define ORDER_RETRY_MS 300u
+#define LIST_AWAY_MS 500u     /* between lists while a former lead's are away */
 #define DRAIN_EXPECT_MS 1500u /* until a busy machine is empty */
 #define COST_UNKNOWN 1e12     /* nobody has looked: not drained now */
 #define WAVE_PLAN_SHARE                                      \
@@ -67,6 +68,22 @@
 		fleet_had_upkeep(f, m->wave->number, m->name);
 }
 
+/* Machines of the wave that a former lead ordered away, by the last list. */
+static uint32_t away_for_others(const struct fleet *f, const struct wave *w)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < w->count; i++) {
+		const struct machine *m =
+			fleet_machine(f, w->upkeeps[i].machine);
+
+		count += m && m->phase == PHASE_NONE && m->listed &&
+			 m->state == FLEET_IN_UPKEEP;
+	}
+	return count;
+}
+
 static uint32_t wave_in_phase(const struct fleet *f, const struct wave *w,
 			      bool draining)
 {
@@ -77,7 +94,7 @@
 		if (m->wave == w && m->phase != PHASE_NONE &&
 		    (m->phase == PHASE_DRAINING) == draining)
 			count++;
-	return count;
+	return draining ? count : count + away_for_others(f, w);
 }
 
 /*
@@ -255,6 +272,8 @@
 		}
 		if (tell(w, false, action))
 			return true;
+		if (away_for_others(f, w))
+			fleet_want_list(f, f->list_ms + LIST_AWAY_MS);
 		drain_more(f, s, w, now);
 		if (order_ready(f, s, w, now, action))
 			return true;
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -15,8 +15,8 @@
 
 #include "node/node_internal.h"
 
-#define COMMIT_MS 1500u /* two transactions of a store that takes 0.6 s each \
-			 */
+/* Two transactions of a store that takes 0.6 s for each. */
+#define COMMIT_MS 1500u
 #define COMMIT_RETRY_MS 100u
 #define COMMIT_STALLED_MS 800u /* a slow store takes 0.6 s */
 #define COMMIT_SLOW_MS 30u     /* without an answer: the next one is sent */
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -290,6 +290,7 @@
 	snprintf(n->predecessor, sizeof(n->predecessor), "%s", n->lead.node);
 	n->predecessor_incarnation = n->lead.incarnation;
 	n->predecessor_gone = !n->lead.known || !*n->lead.node || n->lead_ended;
+	n->predecessor_ended = n->lead.known && *n->lead.node && n->lead_ended;
 	fill_lead_txn(n, txn, &claim->wanted);
 	n->claiming = true;
 	n->claims++;
@@ -394,7 +395,7 @@
 	    strcmp(name, n->predecessor) ||
 	    incarnation == n->predecessor_incarnation)
 		return;
-	n->predecessor_gone = true;
+	n->predecessor_gone = n->predecessor_ended = true;
 	event_log("predecessor-gone", NULL, "\"predecessor\":\"%s\"", name);
 	if (n->phase == LEAD_DECIDING)
 		sched_predecessor_gone(n->sched, clock_now_ms());
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -392,14 +392,14 @@
 {
 	if (now - v->led_ms >= v->holder_ms + HOLDER_MARGIN_MS)
 		return true;
-	return v->predecessor_gone && now - v->started_ms < v->holder_ms;
+	return v->predecessor_ended && now - v->started_ms < v->holder_ms;
 }
 
 static bool may_order(const struct node *n, uint64_t now)
 {
 	struct holder_view view = { n->started_ms, n->led_ms,
 				    n->settings.holder_ms,
-				    n->predecessor_gone };
+				    n->predecessor_ended };
 
 	return machines_holder_free(&view, now) && n->confirmed_ms &&
 	       now - n->confirmed_ms < HOLDER_CONFIRMED_MS && !n->releasing &&
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -158,9 +158,10 @@
 	uint64_t lead_suspect_ms; /* asked again only after this */
 	uint64_t fence;
 	uint64_t led_ms;
-	uint64_t confirmed_ms; /* when the last confirmed call was sent; 0:
-				  doubt */
-	bool predecessor_gone;
+	uint64_t confirmed_ms;	/* when the last confirmed call was sent; 0:
+				   doubt */
+	bool predecessor_gone;	/* it gives no more orders */
+	bool predecessor_ended; /* its process has, without handing over */
 	char predecessor[128];
 	uint64_t predecessor_incarnation;
 	bool registered; /* the row of this node is written */
@@ -324,7 +325,7 @@
 	uint64_t started_ms; /* this process */
 	uint64_t led_ms;     /* since when it leads */
 	uint32_t holder_ms;
-	bool predecessor_gone; /* its process has ended */
+	bool predecessor_ended; /* its process has, without handing over */
 };
 
 /*
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -42,8 +42,9 @@
 		sched_look_lost(n->sched, call->instance, now);
 		break;
 	case LOOK_NEWER_LEAD:
-		n->confirmed_ms = 0; /* ask the store before more */
-				     /* fallthrough */
+		/* The store is asked before more is ordered. */
+		n->confirmed_ms = 0;
+		/* fallthrough */
 	case LOOK_UNANSWERED:
 		n->looks_failed++;
 		/* fallthrough */
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -218,6 +218,46 @@
 	}
 }
 
+/* What a former lead ordered away counts, as long as the list shows it. */
+static void test_wave_counts_former_orders(void **state)
+{
+	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
+	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	static const struct {
+		uint32_t away, at_once, ordered;
+	} cases[] = { { 0, 2, 2 }, { 1, 2, 1 }, { 2, 2, 0 }, { 3, 2, 0 } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fleet_machine_info infos[4];
+		struct fleet_action action;
+		uint32_t ordered = 0;
+		struct rig r;
+		struct fleet *f;
+		uint32_t i;
+
+		rig_new(&r);
+		for (i = 0; i < 4; i++)
+			infos[i] = (struct fleet_machine_info){
+				ids[i], "p", "r1",
+				i < cases[c].away ? FLEET_IN_UPKEEP : FLEET_UP
+			};
+		f = fleet_new(r.s, &options);
+		fleet_configure(f, &r.config);
+		fleet_wave(f, "wave/1", 1, cases[c].at_once, 60000, ids, 4,
+			   r.now);
+		fleet_machines(f, infos, 4, r.now);
+		while (fleet_next(f, r.s, r.now, &action))
+			ordered += action.kind == FLEET_UPKEEP;
+		if (ordered != cases[c].ordered)
+			fail_msg("%u away: %u ordered", cases[c].away, ordered);
+		if (cases[c].away)
+			assert_true(fleet_wants_list(f, r.now + 1000));
+		talloc_free(r.s);
+	}
+}
+
 /* Moves */
 
 struct move_case {
@@ -311,6 +351,7 @@
 		cmocka_unit_test(test_wave),
 		cmocka_unit_test(test_wave_pace),
 		cmocka_unit_test(test_wave_waits_for_looks),
+		cmocka_unit_test(test_wave_counts_former_orders),
 		cmocka_unit_test(test_moves),
 	};
 
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -141,7 +141,7 @@
 		  { 59500, 60000, 3000, false },
 		  60100,
 		  false },
-		{ "all nodes were restarted",
+		{ "all nodes were restarted, the last lead too",
 		  { 59500, 60000, 3000, true },
 		  60100,
 		  true },
