--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -210,13 +210,14 @@
 }
 
 enum sched_order_result exec_order(struct world *w, struct world_instance *i,
-				   const struct call *c)
+				   struct call *c)
 {
 	uint32_t r;
 
 	if (c->fence < i->fence)
 		return ORDER_REFUSED_FENCE;
 	i->fence = c->fence;
+	c->clock_ms = clock_of(w, i); /* each answer tells it */
 	if (c->order.kind == ORDER_START)
 		return exec_start(w, i, c);
 	if (c->order.kind == ORDER_PACE)
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -192,7 +192,7 @@
 uint64_t clock_of(const struct world *w, const struct world_instance *i);
 void instance_advance(struct world *w, struct world_instance *i);
 enum sched_order_result exec_order(struct world *w, struct world_instance *i,
-				   const struct call *c);
+				   struct call *c);
 void exec_look(struct world *w, struct world_instance *i, struct call *c);
 
 /* fleet_world_call.c */
