runners: ports that nobody else gets; a node that does not start fails its case

A node whose port is taken ends with "cannot listen" (seen by hand with one port held), and the runner waited 10 s for it, outside of what it reports as a failure of a case.

--- /dev/null
+++ b/test/runner_test.py
@@ -0,0 +1,62 @@
+"""The runner of cases itself: ports, and a node that does not start."""
+
+import os
+import socket
+import subprocess
+import sys
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tools"))
+
+import fleet
+import jobs
+
+TAKE_PORTS = "import fleet; print(*fleet.free_ports(200))"
+CASE = """# A node whose port something else has
+nodes 1
+expect accepted == 0
+"""
+
+
+class PortsTest(unittest.TestCase):
+    def test_two_runs_get_different_ports(self):
+        runs = [subprocess.Popen(
+            [sys.executable, "-c", f"{TAKE_PORTS}; input()"],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            env={**os.environ, "PYTHONPATH": os.path.dirname(fleet.__file__)})
+            for _ in range(3)]
+        ports = [int(p) for r in runs for p in r.stdout.readline().split()]
+        for r in runs:
+            r.communicate("\n")
+        self.assertEqual(len(ports), 600)
+        self.assertEqual(len(set(ports)), 600)
+
+    def test_the_kernel_gives_none_of_them_to_a_client(self):
+        for port in fleet.free_ports(100):
+            self.assertLess(port, fleet.Ports.end())
+
+
+class StartTest(unittest.TestCase):
+    def test_a_node_that_ends_at_its_start_fails_its_case(self):
+        taken = []
+
+        class Site(jobs.Site):
+            def write_settings(self, name, first):
+                s = socket.socket()
+                s.bind((fleet.HOST, self.ports[name][0]))
+                taken.append(s)
+                return super().write_settings(name, first)
+
+        site, jobs.Site = jobs.Site, Site
+        try:
+            error = jobs.play(jobs.Case(CASE), "build")
+        finally:
+            jobs.Site = site
+            for s in taken:
+                s.close()
+        self.assertIn("node-1 ended with", error)
+        self.assertIn("cannot listen", error)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/check.py
+++ b/tools/check.py
@@ -125,6 +125,7 @@
     results = Results()
     for path in sorted(glob.glob(f"{build}/test/*_test")):
         results.command(os.path.basename(path), [path])
+    results.command("runner_test", [sys.executable, "test/runner_test.py"])
     for path in sorted(glob.glob("test/files/*.yaml")):
         results.add(f"refused: {os.path.basename(path)}",
                     check_file(build, path))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -7,6 +7,8 @@
 import http.client
 import json
 import os
+import random
+import re
 import signal
 import socket
 import subprocess
@@ -17,19 +19,71 @@
 HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-for-tests"
 READY_S = 10.0
+PORTS_BEGIN, PORTS_END = 11000, 32000
+PORT_BLOCK = 50
 
 
-def free_ports(count):
-    """Returns ports that nothing listened on a moment ago."""
-    held = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind((HOST, 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
+def bound(port):
+    """A socket bound to the port; None if something else has it."""
+    s = socket.socket()
+    try:
+        s.bind((HOST, port))
+    except OSError:
         s.close()
-    return ports
+        return None
+    return s
+
+
+class Ports:
+    """Ports that nothing else gets while this process lives.
+
+    They lie below the range from which the kernel takes the ports of
+    outgoing connections. A block of them belongs to whoever holds its first
+    port bound, so that several runs on one machine keep apart.
+    """
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.free = []
+        self.held = []
+
+    @staticmethod
+    def end():
+        try:
+            with open("/proc/sys/net/ipv4/ip_local_port_range") as f:
+                return min(PORTS_END, int(f.read().split()[0]))
+        except OSError:
+            return PORTS_END
+
+    def claim_block(self):
+        blocks = list(range(PORTS_BEGIN, self.end() - PORT_BLOCK, PORT_BLOCK))
+        random.shuffle(blocks)
+        for first in blocks:
+            s = bound(first)
+            if s:
+                self.held.append(s)
+                self.free.extend(range(first + 1, first + PORT_BLOCK))
+                return
+        raise OSError("no block of ports is free")
+
+    def take(self):
+        with self.lock:
+            while True:
+                if not self.free:
+                    self.claim_block()
+                port = self.free.pop(0)
+                s = bound(port)
+                if s:
+                    s.close()
+                    return port
+
+
+PORTS = Ports()
+
+
+def free_ports(count):
+    """Returns ports that no other process is given."""
+    return [PORTS.take() for _ in range(count)]
 
 
 def call(port, method, path, body=None, headers=None, timeout=15.0):
@@ -53,6 +107,17 @@
     raise TimeoutError(what)
 
 
+def keep_log(build, title, text):
+    """Keeps the log of a failed case; returns the file's path."""
+    folder = os.path.join(build, "failed")
+    os.makedirs(folder, exist_ok=True)
+    name = re.sub(r"[^a-z0-9]+", "-", title.lower())[:60]
+    path = os.path.join(folder, f"{name}-{os.getpid()}.log")
+    with open(path, "w") as f:
+        f.write(text)
+    return path
+
+
 class Process:
     """One process of the fleet, on a port."""
 
@@ -226,10 +291,13 @@
                                  f"/run/{queue}", body, all_headers, timeout)
         return code, got.get("Jackdawwell-Outcome"), answer
 
-    def log_text(self):
+    def whole_log(self):
         self.log.flush()
         with open(self.log.name) as f:
-            return f.read()[-8000:]
+            return f.read()
+
+    def log_text(self):
+        return self.whole_log()[-8000:]
 
     def close(self):
         for p in [*self.entries.values(), *self.workers.values(),
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -51,6 +51,10 @@
 RETRY_S = 0.25
 GARBAGE_SEED = 20261204
 GARBAGE_SIZES = (0, 1, 5, 64, 700)  # bytes of a frame
+LEADING_EVENTS = ("start", "stop", "end", "lead", "claim", "takeover",
+                  "resign", "predecessor-gone", "store-lost",
+                  "store-regained", "stood-still", "write-unknown")
+LEADING_LINES = 60
 TERMINAL = ("completed", "failed", "cancelled")
 
 
@@ -138,13 +142,20 @@
         except OSError:
             return False
 
+    def ready_or_ended(self, name):
+        if not self.nodes[name].running():
+            raise ScenarioError(
+                f"{name} ended with {self.nodes[name].popen.returncode}")
+        return self.ready(name)
+
     def start_nodes(self, count):
         for i in range(count):
             self.prepare_node(f"node-{i + 1}")
         for p in self.nodes.values():
             p.start()
         for name in self.nodes:
-            fleet.wait_until(name, lambda n=name: self.ready(n))
+            fleet.wait_until(f"{name} is ready",
+                             lambda n=name: self.ready_or_ended(n))
         for name in self.nodes:
             self.write_settings(name, first=False)
 
@@ -477,20 +488,28 @@
                     f"expected {' '.join(words)}, got {got}")
 
 
+def leading_lines(text):
+    """The lines of a log that tell who led and what was believed of whom."""
+    return "\n".join([l for l in text.splitlines() if any(
+        f'"event":"{event}"' in l for event in LEADING_EVENTS)
+        or not l.startswith("{")][-LEADING_LINES:])
+
+
 def play(case, build):
     with Site(build, case.workers) as site:
         site.strong = case.strong
         site.alone = case.alone
-        site.configure()
-        site.start_nodes(case.nodes)
-        run = Run(case, site)
         try:
+            site.configure()
+            site.start_nodes(case.nodes)
+            run = Run(case, site)
             run.play()
             run.check()
         except (ScenarioError, TimeoutError, OSError) as e:
             site.log.seek(0)
-            tail = site.log.read()[-3000:]
-            return f"{e}\n{tail}"
+            text = site.log.read()
+            path = fleet.keep_log(build, case.title, text)
+            return f"{e}; whole log: {path}\n{leading_lines(text)}"
     return None
 
 
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -122,6 +122,7 @@
         self.lock = threading.Lock()
         self.out = {}       # worker -> from and to, ms
         self.background = fleet.Background()
+        self.log_text = ""  # of all processes, once it has ended
         self.fleet = fleet.Fleet(
             build, case.settings,
             [f"w{i + 1}" for i in range(case.workers)])
@@ -134,24 +135,30 @@
 
     def run(self):
         with self.fleet:
-            self.set_up()
-            start = time.monotonic()
-            for at, words, line in sorted(self.case.actions,
-                                          key=lambda a: a[0]):
-                time.sleep(max(0.0, start + at - time.monotonic()))
-                self.last_ms = time.clock_gettime(
-                    time.CLOCK_MONOTONIC) * 1000
-                try:
-                    self.act(words)
-                except (ValueError, KeyError, IndexError) as e:
-                    raise ScenarioError(f"{line.strip()}: {e!r}") from e
-            for calls in self.spreads:
-                calls.join()
-            self.background.join()
-            self.records = self.fleet.records()
-            self.check_calls()
-            for words, line in self.case.always + self.case.expects:
-                self.expect(words, line)
+            try:
+                self.play()
+            finally:
+                self.log_text = self.fleet.whole_log()
+
+    def play(self):
+        self.set_up()
+        start = time.monotonic()
+        for at, words, line in sorted(self.case.actions,
+                                      key=lambda a: a[0]):
+            time.sleep(max(0.0, start + at - time.monotonic()))
+            self.last_ms = time.clock_gettime(
+                time.CLOCK_MONOTONIC) * 1000
+            try:
+                self.act(words)
+            except (ValueError, KeyError, IndexError) as e:
+                raise ScenarioError(f"{line.strip()}: {e!r}") from e
+        for calls in self.spreads:
+            calls.join()
+        self.background.join()
+        self.records = self.fleet.records()
+        self.check_calls()
+        for words, line in self.case.always + self.case.expects:
+            self.expect(words, line)
 
     # Actions
 
@@ -442,18 +449,27 @@
                 f"{dict(collections.Counter(self.outcomes.values()))}")
 
 
+def kept_log(run, case, build):
+    """Where the log of a failed case lies."""
+    if not run:
+        return "it did not begin"
+    return f"whole log: {fleet.keep_log(build, case.title, run.log_text)}"
+
+
 def run_file(path, build):
     """Yields (title, error or None) for each case of a file."""
     with open(path) as f:
         texts = re.split(r"^-{3,}$", f.read(), flags=re.M)
     for text in texts:
         case = Case(text)
+        run = None
         try:
-            Run(case, build).run()
+            run = Run(case, build)
+            run.run()
             yield case.title, None
         except (ScenarioError, TimeoutError, RuntimeError, OSError,
                 subprocess.SubprocessError) as e:
-            yield case.title, e
+            yield case.title, f"{e}; {kept_log(run, case, build)}"
 
 
 if __name__ == "__main__":
