relay: a lead that reads late does not take its peers for silent

Their first words were waiting in the sockets: one descriptor a turn of the loop, behind a thousand others. Ruled out: peers that were not up (all had started 0.3 s before the claim).

A peer of which bytes wait to be read is not silent; one that never answered is tried again after 0.4 s; a new lead waits 0.3 s, not 0.15, for half of its links; `relay-lost` is logged for peers that were never linked too. Tests: test_unread_bytes, test_silent_peers.

--- a/src/connection/frames.c
+++ b/src/connection/frames.c
@@ -225,6 +225,14 @@
 	return s;
 }
 
+bool frame_stream_waits(const struct frame_stream *s)
+{
+	uint8_t byte;
+
+	return !s->broken &&
+	       recv(s->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
 void frame_stream_set(struct frame_stream *s, void *data)
 {
 	s->data = data;
--- a/src/connection/frames.h
+++ b/src/connection/frames.h
@@ -58,6 +58,9 @@
 uint8_t *frame_room(struct frame_stream *stream, size_t length);
 void frame_send(struct frame_stream *stream);
 
+/* frame_stream_waits - whether bytes from the peer wait to be read */
+bool frame_stream_waits(const struct frame_stream *stream);
+
 /* frame_stream_break - close it from the event loop */
 void frame_stream_break(struct frame_stream *stream);
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -300,6 +300,12 @@
 /* relay_power_needed - of peers, for a lead that calls `alone` by itself */
 uint32_t relay_power_needed(uint32_t instances, uint32_t alone);
 
+/*
+ * relay_is_silent - whether a peer that was last heard then is to be left;
+ * unread: words of it wait to be read
+ */
+bool relay_is_silent(uint64_t heard_ms, bool unread, uint64_t now);
+
 /* relay_is_gathering - links to peers are being made: wait with calls */
 bool relay_is_gathering(const struct node *n, uint64_t now);
 
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -22,9 +22,10 @@
 #define RELAY_OUT_MAX (8u << 20)   /* bytes that wait for one peer */
 #define RELAY_SILENT_MS 600u	   /* six signs of life */
 #define RELAY_RETRY_MS 2000u	   /* before a peer is tried again */
+#define RELAY_DIAL_RETRY_MS 400u   /* the same for one that never answered */
 #define RELAY_ANSWER_SLACK_MS 300u /* for the way there and back */
 #define RELAY_CHOOSE_MS 200u	   /* between two choices of peers */
-#define RELAY_GATHER_MS 150u	   /* a new lead waits that long for links */
+#define RELAY_GATHER_MS 300u	   /* a new lead waits that long for links */
 #define RELAY_PEERS_MAX 24u
 #define RELAY_POWER_EACH 6u /* thousandths of a core an instance */
 
@@ -108,18 +109,17 @@
 static void peer_leave(struct relay *r, struct relay_peer *p, const char *why,
 		       uint64_t now)
 {
-	if (p->linked)
-		event_log("relay-lost", p->name,
-			  "\"why\":\"%s\",\"heard_ms_ago\":%" PRIu64, why,
-			  now - p->heard_ms);
+	event_log("relay-lost", p->name,
+		  "\"why\":\"%s\",\"linked\":%d,\"heard_ms_ago\":%" PRIu64, why,
+		  p->linked, now - p->heard_ms);
 	if (p->stream) {
 		frame_stream_set(p->stream, NULL);
 		frame_stream_break(p->stream);
 	}
 	p->stream = NULL;
+	p->retry_ms = now + (p->linked ? RELAY_RETRY_MS : RELAY_DIAL_RETRY_MS);
 	p->linked = false;
 	p->out_length = 0;
-	p->retry_ms = now + RELAY_RETRY_MS;
 	calls_lost(r, p);
 }
 
@@ -496,8 +496,7 @@
 
 	DL_FOREACH_SAFE(r->peers, p, next)
 	{
-		p->linked = false; /* left, not lost */
-		peer_leave(r, p, "", now);
+		peer_leave(r, p, "this node leads no more", now);
 		DL_DELETE(r->peers, p);
 		talloc_free(p);
 	}
@@ -512,6 +511,11 @@
 		call_lost(r, c);
 }
 
+bool relay_is_silent(uint64_t heard_ms, bool unread, uint64_t now)
+{
+	return !unread && now - heard_ms >= RELAY_SILENT_MS;
+}
+
 void relay_tick(struct node *n, uint64_t now)
 {
 	struct relay *r = n->relay;
@@ -519,7 +523,9 @@
 
 	DL_FOREACH(r->peers, p)
 	{
-		if (p->stream && now - p->heard_ms >= RELAY_SILENT_MS)
+		if (p->stream &&
+		    relay_is_silent(p->heard_ms, frame_stream_waits(p->stream),
+				    now))
 			peer_leave(r, p, "no sign of life", now);
 		else
 			calls_expire(r, p, now);
--- a/test/frames_test.c
+++ b/test/frames_test.c
@@ -162,6 +162,50 @@
 	}
 }
 
+static struct frame_stream *opened_stream;
+
+static void on_opened_keep(void *arg, struct frame_stream *stream)
+{
+	(void)arg;
+	opened_stream = stream;
+}
+
+/* A reader that is behind can tell a peer that wrote from a silent one. */
+static void test_unread_bytes(void **state)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct frames_options o = {
+		.address = "127.0.0.1:0",
+		.frame_max = FRAME_MAX,
+		.out_max = 1u << 20,
+		.opened = on_opened_keep,
+		.frame = on_frame,
+		.closed = on_closed,
+	};
+	struct got got = { .in_order = true };
+	char address[64];
+	uint16_t port;
+	int fd;
+
+	(void)state;
+	/* Only its port is wanted. */
+	talloc_free(frames_on(ev, &got, &port, address));
+	o.address = address;
+	o.arg = &got;
+	frames_accept(frames_new(ev, ev, &o));
+	fd = dial(port);
+	turn(ev);
+	assert_non_null(opened_stream);
+	assert_false(frame_stream_waits(opened_stream));
+	assert_int_equal(send(fd, "\0\0\0\1x", 5, 0), 5);
+	assert_true(frame_stream_waits(opened_stream));
+	turn(ev);
+	assert_int_equal(got.frames, 1);
+	assert_false(frame_stream_waits(opened_stream));
+	close(fd);
+	talloc_free(ev);
+}
+
 struct bad_case {
 	const char *what;
 	const char *bytes;
@@ -237,6 +281,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pieces),
+		cmocka_unit_test(test_unread_bytes),
 		cmocka_unit_test(test_no_sense),
 		cmocka_unit_test(test_peer_that_does_not_read),
 	};
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -178,6 +178,27 @@
 			fail_msg("%u instances", cases[c].instances);
 }
 
+/*
+ * The load: a new lead with hundreds of instances reads its links late. A
+ * peer whose words wait to be read is there.
+ */
+static void test_silent_peers(void **state)
+{
+	static const struct {
+		uint64_t heard_ms_ago;
+		bool unread, silent;
+	} cases[] = { { 0, false, false },   { 500, false, false },
+		      { 600, false, true },  { 600, true, false },
+		      { 5000, true, false }, { 5000, false, true } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		assert_int_equal(relay_is_silent(10000 - cases[c].heard_ms_ago,
+						 cases[c].unread, 10000),
+				 cases[c].silent);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -187,6 +208,7 @@
 		cmocka_unit_test(test_stalled_store),
 		cmocka_unit_test(test_holder),
 		cmocka_unit_test(test_help_for_many_instances),
+		cmocka_unit_test(test_silent_peers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
