lead: a refused connection tells that the lead's process has ended

A lead that was killed was replaced after 1.0 s of silence and a claim's delay, or when its next incarnation was heard of. The machine itself says it sooner: a frozen, slow or cut off process refuses no connection, only one that has ended does. Beats (each 0.3 s from each node) and asks carry the incarnation that they are meant for; a refusal ends that one and no later lead. Beats give up a connection after 0.25 s: machines without power do not answer. Tests: test_refused (client), test_refused_lead. Logged: `lead-ended`.

--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -1,6 +1,7 @@
 #include "connection/httpc.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <curl/curl.h>
 #include <fcntl.h>
 #include <stdlib.h>
@@ -287,6 +288,17 @@
 	return HTTPC_OK;
 }
 
+/* The other machine itself says that no process listens on the port. */
+static bool connection_refused(struct exchange *x, CURLcode code)
+{
+	long os_error = 0;
+
+	if (code != CURLE_COULDNT_CONNECT)
+		return false;
+	curl_easy_getinfo(x->easy, CURLINFO_OS_ERRNO, &os_error);
+	return os_error == ECONNREFUSED;
+}
+
 static void exchange_finish(struct exchange *x, CURLcode code)
 {
 	struct httpc *c = x->client;
@@ -295,6 +307,7 @@
 	DL_DELETE(c->under_way, x);
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->answer.code);
 	x->answer.status = exchange_status(x, code);
+	x->answer.refused = connection_refused(x, code);
 	if (x->late)
 		x->answer.message = "not sent: the time to send it had passed";
 	else if (x->error[0])
--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -35,7 +35,8 @@
 
 struct httpc_answer {
 	enum httpc_status status;
-	long code;		     /* HTTP status, 0 without an answer */
+	long code;    /* HTTP status, 0 without an answer */
+	bool refused; /* nothing listens there: its process has ended */
 	struct httpc_buffer headers; /* "Name: value\r\n" lines, no status */
 	struct httpc_buffer body;
 	const char *message; /* what failed and where; valid in the callback */
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -35,7 +35,8 @@
 	char id[SCHED_ID_BYTES + 1];
 	char queue[128];
 	char *url;
-	uint8_t *body; /* of the call to the lead */
+	uint64_t lead_incarnation; /* of the lead that is asked */
+	uint8_t *body;		   /* of the call to the lead */
 	size_t length;
 	uint8_t *job; /* row of a SUBMIT */
 	size_t job_length;
@@ -375,6 +376,8 @@
 	Fleet__Answer *got = NULL;
 	struct node_answer r;
 
+	if (h->refused)
+		lead_refused(n, a->lead_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		got = fleet__answer__unpack(NULL, h->body.length,
 					    (uint8_t *)h->body.data);
@@ -491,6 +494,7 @@
 		ask_store(a);
 		return;
 	}
+	a->lead_incarnation = n->lead.incarnation;
 	a->url = talloc_asprintf(a, "http://%s/ask", n->lead.address);
 	assert(a->url);
 	ask_lead(a);
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -18,6 +18,7 @@
 #define BEAT_LEAD_MS 300u  /* between two beats to the lead */
 #define BEAT_OTHER_MS 300u /* between two beats to one of the others */
 #define BEAT_WAIT_MS 500u
+#define BEAT_CONNECT_MS 250u	 /* a machine without power does not answer */
 #define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
 #define CONFIG_WAIT_MS 400u	 /* for the store to bring it; a fifth of 2 s */
 #define BEAT_PEERS_TOLD \
@@ -31,6 +32,7 @@
 	struct node *node;
 	uint8_t *body;
 	char address[64];
+	uint64_t lead_incarnation; /* of the lead that is there; 0: none */
 };
 
 static struct peer_node *peer_find(struct node *n, const char *name)
@@ -216,6 +218,8 @@
 	for (i = 0; i < n->peer_count; i++)
 		if (!strcmp(n->peers[i].address, call->address))
 			n->peers[i].beating = false;
+	if (h->refused)
+		lead_refused(n, call->lead_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		beat = fleet__beat__unpack(NULL, h->body.length,
 					   (uint8_t *)h->body.data);
@@ -232,13 +236,15 @@
 	struct httpc_request r = {
 		.method = "POST",
 		.timeout_ms = BEAT_WAIT_MS,
-		.connect_timeout_ms = BEAT_WAIT_MS,
+		.connect_timeout_ms = BEAT_CONNECT_MS,
 		.done = on_beat_answer,
 	};
 
 	assert(call);
 	call->node = n;
 	snprintf(call->address, sizeof(call->address), "%s", address);
+	if (!strcmp(address, n->lead.address))
+		call->lead_incarnation = n->lead.incarnation;
 	call->body = beat_pack(n, call, false, &r.body_length);
 	r.body = call->body;
 	r.url = talloc_asprintf(call, "http://%s/beat", address);
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -382,15 +382,35 @@
 		n->lead_heard_ms = able_ms;
 }
 
+static void lead_has_ended(struct node *n, const char *how)
+{
+	if (!n->lead_ended)
+		event_log("lead-ended", NULL,
+			  "\"lead\":\"%s\",\"epoch\":%" PRIu64
+			  ",\"how\":\"%s\"",
+			  n->lead.node, n->lead.epoch, how);
+	n->lead_ended = true;
+	n->lead_heard_ms = 0;
+	n->claim_ms = clock_now_ms() + claim_delay(n);
+}
+
+/*
+ * Nothing listens where that incarnation of a lead did, so its process has
+ * ended: one that is frozen, slow or cut off refuses no connection.
+ */
+void lead_refused(struct node *n, uint64_t incarnation)
+{
+	if (n->phase == LEAD_NONE && n->lead.known && *n->lead.node &&
+	    incarnation && incarnation == n->lead.incarnation && !n->lead_ended)
+		lead_has_ended(n, "connection refused");
+}
+
 /* A new incarnation of a lead proves that the old one has ended. */
 void lead_peer_seen(struct node *n, const char *name, uint64_t incarnation)
 {
 	if (n->phase == LEAD_NONE && n->lead.known && n->lead.incarnation &&
-	    !strcmp(name, n->lead.node) && incarnation != n->lead.incarnation) {
-		n->lead_ended = true;
-		n->lead_heard_ms = 0;
-		n->claim_ms = clock_now_ms() + claim_delay(n);
-	}
+	    !strcmp(name, n->lead.node) && incarnation != n->lead.incarnation)
+		lead_has_ended(n, "a new incarnation");
 	if (n->phase == LEAD_NONE || n->predecessor_gone ||
 	    strcmp(name, n->predecessor) ||
 	    incarnation == n->predecessor_incarnation)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -243,6 +243,7 @@
 void lead_store_regained(struct node *n);
 void lead_nodes_known(struct node *n);
 void lead_heard(struct node *n, bool able, uint64_t now);
+void lead_refused(struct node *n, uint64_t incarnation);
 void lead_peer_seen(struct node *n, const char *name, uint64_t incarnation);
 
 /* takeover.c */
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -143,11 +143,76 @@
 	close(listeners[1]);
 }
 
+struct told {
+	bool done, refused;
+	enum httpc_status status;
+};
+
+static void on_told(void *arg, struct httpc_answer *answer)
+{
+	struct told *told = arg;
+
+	told->done = true;
+	told->refused = answer->refused;
+	told->status = answer->status;
+}
+
+/* A process that is gone refuses connections; one that is silent does not. */
+static void test_refused(void **state)
+{
+	static const struct {
+		const char *what;
+		bool listens, full, refused;
+		enum httpc_status status;
+	} cases[] = {
+		{ "nothing listens", false, false, true, HTTPC_NOT_SENT },
+		{ "it accepts nothing", true, true, false, HTTPC_NOT_SENT },
+		{ "it does not answer", true, false, false, HTTPC_TIMEOUT },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct tevent_context *ev = tevent_context_init(NULL);
+		struct httpc *client = httpc_new(ev, ev, 4, 0);
+		struct told told = { 0 };
+		int fillers[QUEUE_FILL];
+		char url[64];
+		uint16_t port;
+		int fd = listen_mute(&port);
+		struct httpc_request r = { .method = "GET",
+					   .url = url,
+					   .timeout_ms = 200,
+					   .connect_timeout_ms = 100,
+					   .done = on_told,
+					   .arg = &told };
+
+		if (!cases[c].listens)
+			close(fd);
+		if (cases[c].full) {
+			listen(fd, 0);
+			fill_queue(port, fillers, QUEUE_FILL);
+		}
+		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
+		httpc_start(client, &r);
+		while (!told.done)
+			tevent_loop_once(ev);
+		if (told.refused != cases[c].refused ||
+		    told.status != cases[c].status)
+			fail_msg("%s: refused %d, status %d", cases[c].what,
+				 told.refused, told.status);
+		talloc_free(ev);
+		if (cases[c].listens)
+			close(fd);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_freed_under_way),
 		cmocka_unit_test(test_connections_that_hang),
+		cmocka_unit_test(test_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/lead_test.c
+++ b/test/lead_test.c
@@ -106,12 +106,53 @@
 	talloc_free(n);
 }
 
+/*
+ * A refused connection proves that the lead's process has ended, if it was
+ * that lead which the call was for; silence or a new lead prove nothing.
+ */
+static void test_refused_lead(void **state)
+{
+	static const struct {
+		const char *what;
+		enum lead_phase phase;
+		uint64_t asked, leads;
+		const char *node;
+		bool ended;
+	} refused[] = {
+		{ "the lead", LEAD_NONE, 7, 7, "n-1", true },
+		{ "one that leads since", LEAD_NONE, 7, 8, "n-1", false },
+		{ "a node that did not lead", LEAD_NONE, 0, 7, "n-1", false },
+		{ "nobody leads", LEAD_NONE, 0, 0, "", false },
+		{ "this node leads itself", LEAD_DECIDING, 7, 7, "n-0", false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(refused) / sizeof(refused[0]); c++) {
+		struct node *n = talloc_zero(NULL, struct node);
+
+		n->settings.name = "n-0";
+		n->phase = refused[c].phase;
+		n->lead.known = true;
+		n->lead.incarnation = refused[c].leads;
+		snprintf(n->lead.node, sizeof(n->lead.node), "%s",
+			 refused[c].node);
+		n->lead_heard_ms = clock_now_ms();
+		lead_refused(n, refused[c].asked);
+		if (n->lead_ended != refused[c].ended ||
+		    (n->lead_heard_ms == 0) != refused[c].ended)
+			fail_msg("%s", refused[c].what);
+		talloc_free(n);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order_of_claims),
 		cmocka_unit_test(test_silence),
 		cmocka_unit_test(test_unable_lead),
+		cmocka_unit_test(test_refused_lead),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
