balance: the pool that lacks least first, no more than twice what asks

The pool whose turn began stayed at 4 instances with 330 core-seconds waiting for 5 s. And of two pools in need the one that lacked most took all.

Needed is at most twice what runs and waits; the pool that lacks least is served first. Test: test_turns, each of its cases fails without one of the two.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -15,12 +15,13 @@
 
 #define THINK_MS 100u	     /* between two thoughts */
 #define DRAIN_TARGET_MS 250u /* waiting work should take no longer */
-#define DRAIN_MAX_MS 2000u   /* for a machine to become empty; then it stays */
-#define GIVE_SHARE 0.7	     /* of its capacity a giving pool keeps in use */
-#define IDLE_MS 1000u	     /* idle that long before a machine is sent off */
-#define KEEP_MIN 2u	     /* machines that a pool keeps in any case */
-#define SPREAD_SLACK 1u	     /* instances beyond what a step that lasts needs */
-#define STAY_MS 1500u	     /* a machine stays at least that long */
+#define HEADROOM 2.0	   /* times what runs and waits: more comes meanwhile */
+#define DRAIN_MAX_MS 2000u /* for a machine to become empty; then it stays */
+#define GIVE_SHARE 0.7	   /* of its capacity a giving pool keeps in use */
+#define IDLE_MS 1000u	   /* idle that long before a machine is sent off */
+#define KEEP_MIN 2u	   /* machines that a pool keeps in any case */
+#define SPREAD_SLACK 1u	   /* instances beyond what a step that lasts needs */
+#define STAY_MS 1500u	   /* a machine stays at least that long */
 #define POOLS_MAX 256u
 
 struct pool_view {
@@ -74,7 +75,10 @@
 	int64_t needed = (int64_t)(l->waiting_work / DRAIN_TARGET_MS);
 	int64_t busy = l->used.cpu + l->waiting.cpu;
 	uint32_t machines = l->instances + v->coming;
+	int64_t at_once = (int64_t)(HEADROOM * (double)busy);
 
+	if (needed > at_once)
+		needed = at_once;
 	v->lacking = needed > capacity ? needed - capacity : 0;
 	if (machines < v->load.spread + SPREAD_SLACK && v->load.spread)
 		v->lacking += v->machine_cpu *
@@ -159,14 +163,19 @@
 	machine_drain(m, s, now);
 }
 
-static struct pool_view *neediest(struct balance *b)
+/*
+ * The pool that lacks least goes first: where there is not enough for all, the
+ * one whose turn it is would take every machine, and each other pool is served
+ * by a few.
+ */
+static struct pool_view *first_served(struct balance *b)
 {
 	struct pool_view *best = NULL;
 	uint32_t i;
 
 	for (i = 0; i < b->pool_count; i++)
 		if (b->pools[i].lacking > 0 && !b->pools[i].spare &&
-		    (!best || b->pools[i].lacking > best->lacking))
+		    (!best || b->pools[i].lacking < best->lacking))
 			best = &b->pools[i];
 	return best;
 }
@@ -264,7 +273,7 @@
 		f->balance = talloc_zero(f, struct balance);
 	assert(f->balance);
 	look_around(f, s, now);
-	while ((to = neediest(f->balance)))
+	while ((to = first_served(f->balance)))
 		if (!give_one(f, s, to, now))
 			to->lacking = 0;
 	send_off(f, s, now);
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -345,6 +345,118 @@
 	}
 }
 
+#define SPARES 10u
+
+struct turn_case {
+	const char *what;
+	uint32_t jobs[2]; /* of one core each, in the pools p and o */
+	uint32_t ms[2];	  /* their estimates */
+	uint32_t moves_min[2], moves_max[2];
+};
+
+/* Machines have four cores; each of the pools has one. */
+static const struct turn_case turn_cases[] = {
+	{ "a turn takes what is off",
+	  { 0, 200 },
+	  { 500, 500 },
+	  { 0, SPARES },
+	  { 0, SPARES } },
+	{ "beside a turn the other pool gets its few",
+	  { 12, 200 },
+	  { 500, 500 },
+	  { 2, 4 },
+	  { 6, SPARES - 2 } },
+	{ "long tasks ask for no more than could run at once",
+	  { 6, 0 },
+	  { 4000, 500 },
+	  { 1, 0 },
+	  { 2, 0 } },
+};
+
+static void submit_to(struct rig *r, const char *queue, uint32_t number,
+		      uint32_t estimate_ms)
+{
+	Fleet__JobRow *row = job_row(1, 1, false);
+	uint32_t after;
+	char id[17];
+
+	snprintf(id, sizeof(id), "%016x", number);
+	free(row->queue);
+	free(row->pool);
+	row->queue = strdup(queue);
+	row->pool = strdup(queue);
+	row->steps[0]->estimate_ms = estimate_ms;
+	sched_submit(r->s, id, row, r->now, r->now, &after);
+}
+
+/*
+ * The load: one queue's turn comes while another has a little work, and what
+ * is off does not suffice for all; a few long tasks are no turn.
+ */
+static void test_turns(void **state)
+{
+	static const char *const names[] = { "p", "o" };
+	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(turn_cases) / sizeof(turn_cases[0]); c++) {
+		const struct turn_case *t = &turn_cases[c];
+		struct config_pool pools[3] = { { "p", true, false },
+						{ "o", true, false },
+						{ "off", true, true } };
+		struct config_queue queues[2];
+		struct fleet_machine_info infos[SPARES + 2];
+		char ids[SPARES + 2][8];
+		uint32_t moves[2] = { 0, 0 };
+		struct fleet_action action;
+		uint32_t i, q;
+		struct rig r;
+		struct fleet *f;
+
+		rig_new(&r);
+		for (q = 0; q < 2; q++) {
+			queues[q] = r.queue;
+			queues[q].name = queues[q].pool = names[q];
+			queues[q].slack_ms = 60000;
+		}
+		r.workspace.cap.cpu = 0;
+		r.config = (struct config){ 1,	    2,	   3,		1,
+					    queues, pools, &r.workspace };
+		for (i = 0; i < SPARES + 2; i++) {
+			snprintf(ids[i], sizeof(ids[i]), "m-%u", i);
+			infos[i] = (struct fleet_machine_info){
+				ids[i], i < 2 ? names[i] : "off", "r1", FLEET_UP
+			};
+			if (i < 2)
+				named_instance(&r, ids[i], names[i]);
+		}
+		sched_lead(r.s, 1, true, r.now);
+		sched_expected(r.s, r.now);
+		see_all_empty(&r);
+		for (q = 0; q < 2; q++)
+			for (i = 0; i < t->jobs[q]; i++)
+				submit_to(&r, names[q], (q + 1) * 1000 + i,
+					  t->ms[q]);
+		write_all(&r);
+		orders(&r);
+		f = fleet_new(r.s, &options);
+		fleet_configure(f, &r.config);
+		r.now += 5000;
+		fleet_machines(f, infos, SPARES + 2, r.now);
+		while (fleet_next(f, r.s, r.now, &action))
+			for (q = 0; q < 2; q++)
+				moves[q] += action.kind == FLEET_MOVE &&
+					    !strcmp(action.pool, names[q]);
+		for (q = 0; q < 2; q++)
+			if (moves[q] < t->moves_min[q] ||
+			    moves[q] > t->moves_max[q])
+				fail_msg("%s: %u to %s", t->what, moves[q],
+					 names[q]);
+		talloc_free(r.s);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -353,6 +465,7 @@
 		cmocka_unit_test(test_wave_waits_for_looks),
 		cmocka_unit_test(test_wave_counts_former_orders),
 		cmocka_unit_test(test_moves),
+		cmocka_unit_test(test_turns),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
