lead: one that the store turns away says so after 0.3 s, not 1.4 s

A call that is slow is no refusal and changes nothing; when the store serves nobody, no claim is done either, and the lead goes on when it is confirmed, as before. Test: test_lead_without_store.

--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -25,7 +25,8 @@
 #define LEAD_YIELD_MS 3000u	    /* a weak node leads at least that long */
 #define LEAD_YIELD_HEARD_MS 600u    /* the stronger one is there now */
 #define LEAD_CONFIRM_MS 800u	    /* between two confirmations */
-#define LEAD_ABLE_MS 1400u /* without a confirmation: others may claim */
+#define LEAD_ABLE_MS 1400u   /* without a confirmation: others may claim */
+#define LEAD_REFUSED_MS 300u /* the same while the store fails each call */
 #define LEAD_CLAIM_RETRY_MS 400u
 #define LEAD_READ_MS 600u   /* a read of the row; a slow store takes 300 ms */
 #define LEAD_REGAIN_MS 800u /* a read that hangs, and the next one */
@@ -53,11 +54,22 @@
 	node_pump(n);
 }
 
-/* A lead that the store does not answer tells nobody that it leads. */
+bool lead_has_store(uint64_t confirmed_ms, uint64_t failing_ms, uint64_t now)
+{
+	return now - confirmed_ms < LEAD_ABLE_MS &&
+	       (!failing_ms || now - failing_ms < LEAD_REFUSED_MS);
+}
+
+/*
+ * A lead that the store does not answer tells nobody that it leads: the store
+ * may turn this node alone away. Where it serves no other either, no claim is
+ * done, and the lead goes on when it is confirmed.
+ */
 bool lead_is_able(const struct node *n)
 {
 	return n->phase != LEAD_NONE && !n->stopping &&
-	       clock_now_ms() - n->confirmed_ms < LEAD_ABLE_MS;
+	       lead_has_store(n->confirmed_ms, n->store_failing_ms,
+			      clock_now_ms());
 }
 
 bool lead_decode(const struct store_row *row, struct lead_view *view)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -132,6 +132,7 @@
 	if (ok == n->store_ok)
 		return;
 	n->store_ok = ok;
+	n->store_failing_ms = ok ? 0 : clock_now_ms();
 	event_log(ok ? "store-regained" : "store-lost", NULL, "\"status\":%d",
 		  status);
 	if (ok)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -147,10 +147,11 @@
 	/* Lead */
 	struct lead_view lead;
 	enum lead_phase phase;
-	uint64_t lead_heard_ms;	 /* silence counts from here */
-	uint64_t lead_able_ms;	 /* it was known able then; 0: never */
-	uint64_t lead_unable_ms; /* it said then that it is not */
-	bool lead_ended;	 /* its node runs as a new incarnation */
+	uint64_t store_failing_ms; /* no call was answered since; 0: it is */
+	uint64_t lead_heard_ms;	   /* silence counts from here */
+	uint64_t lead_able_ms;	   /* it was known able then; 0: never */
+	uint64_t lead_unable_ms;   /* it said then that it is not */
+	bool lead_ended;	   /* its node runs as a new incarnation */
 	bool claiming;
 	bool yielded;	   /* it has left the lead to a stronger node once */
 	uint64_t claim_ms; /* not before */
@@ -243,6 +244,12 @@
 void lead_store_regained(struct node *n);
 void lead_nodes_known(struct node *n);
 void lead_heard(struct node *n, bool able, uint64_t now);
+
+/*
+ * lead_has_store - whether a lead that was confirmed then, and whose calls to
+ * the store fail since failing_ms (0: they do not), may say that it leads
+ */
+bool lead_has_store(uint64_t confirmed_ms, uint64_t failing_ms, uint64_t now);
 void lead_refused(struct node *n, uint64_t incarnation);
 void lead_peer_seen(struct node *n, const char *name, uint64_t incarnation);
 
--- a/test/lead_test.c
+++ b/test/lead_test.c
@@ -146,6 +146,33 @@
 	}
 }
 
+/* A lead that is turned away says so soon, one that waits for an answer not. */
+static void test_lead_without_store(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t confirmed_ago, failing_ago; /* 0: not failing */
+		bool able;
+	} stores[] = {
+		{ "calm", 100, 0, true },
+		{ "a slow store", 900, 0, true },
+		{ "no answer for long", 1500, 0, false },
+		{ "one call was refused", 100, 1, true },
+		{ "refused for a while", 400, 350, false },
+	};
+	const uint64_t now = 50000;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(stores) / sizeof(stores[0]); c++)
+		if (lead_has_store(now - stores[c].confirmed_ago,
+				   stores[c].failing_ago
+					   ? now - stores[c].failing_ago
+					   : 0,
+				   now) != stores[c].able)
+			fail_msg("%s", stores[c].what);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -153,6 +180,7 @@
 		cmocka_unit_test(test_silence),
 		cmocka_unit_test(test_unable_lead),
 		cmocka_unit_test(test_refused_lead),
+		cmocka_unit_test(test_lead_without_store),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
