sched: what runs unseen of a job that ended during a takeover is found

Tasks that are done were no longer counted as possibly running. A loaded job now keeps its tasks until every instance of its pool was seen. Its rows are dropped then, one more write for jobs that end in those moments. Ruled out: the changed times of looks; the chain needs none of them. Test: test_takeover_finds_a_twin, fails on the code before.

--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -29,6 +29,9 @@
 	uint32_t k, t;
 	size_t i;
 
+	/* Even of a task that is known to be done another run may be there. */
+	if (job->loaded)
+		return true;
 	for (k = 0; k < job->occurrence_count; k++)
 		for (i = 0; job->occurrences[k].steps && i < job->row->n_steps;
 		     i++)
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -298,6 +298,45 @@
 	talloc_free(r.s);
 }
 
+/*
+ * A task that an old run has done may run once more where a new lead has not
+ * looked yet: what is found there of a job that has ended meanwhile is stopped
+ * and counts until it is gone.
+ */
+static void test_takeover_finds_a_twin(void **state)
+{
+	struct sched_ended ended = { 1, "000000000000000a.0.0.0", 10001,
+				     SCHED_DONE, "" };
+	struct sched_running running = { "000000000000000a.0.0.0", 10002, "",
+					 100, 0 };
+	struct sched_instance_load load;
+	struct sched_look first, second;
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	instance(&r, "i-0", false);
+	instance(&r, "i-1", false);
+	sched_load_job(r.s, id_a, job_row(1, 1, false), NULL, r.now);
+	sched_lead(r.s, 2, false, r.now);
+	sched_expected(r.s, r.now);
+	assert_true(sched_next_look(r.s, r.now, &first));
+	assert_true(sched_next_look(r.s, r.now, &second));
+	report(&r, first.instance, NULL, 0, &ended, 1, r.now);
+	write_all(&r);
+	assert_int_equal(sched_state(r.s, id_a, "q"),
+			 FLEET__JOB_STATE__COMPLETED);
+	r.now += 300;
+	orders(&r);
+	report(&r, second.instance, &running, 1, NULL, 0, r.now - 1);
+	assert_int_equal(orders(&r), 1);
+	assert_int_equal(r.orders[0].kind, ORDER_STOP);
+	assert_int_equal(r.orders[0].number, 10002);
+	assert_true(sched_machine_load(r.s, second.instance_id, &load));
+	assert_int_equal(load.runs, 1);
+	talloc_free(r.s);
+}
+
 /* A loaded job whose queue has another pool now may still run in the old. */
 static void test_takeover_after_a_route(void **state)
 {
@@ -812,6 +851,7 @@
 		cmocka_unit_test(test_silent_instance_lapses),
 		cmocka_unit_test(test_ack_of_former_life),
 		cmocka_unit_test(test_takeover_waits_for_the_unseen),
+		cmocka_unit_test(test_takeover_finds_a_twin),
 		cmocka_unit_test(test_takeover_after_a_route),
 		cmocka_unit_test(test_cap),
 		cmocka_unit_test(test_budget_of_what_lasts),
