ask: nodes record nothing in a store that is slow; failed claims are logged

The other nodes recorded jobs there by themselves (one of 740 tries was done in 5 s), which kept more than a second of work waiting, so the store refused everything, the claims too: nobody led from 12.0 to 16.4 s and longer than the store was slow. A node that saw a call take 0.15 s or be refused within 1.5 s records nothing; callers are told to come again, as before when the record failed. Claims that fail are logged with status and time. What binds still: claims of several nodes compete for two changes a second.

--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -23,6 +23,7 @@
  */
 #define RECORDS_PER_S 100u
 #define RECORDS_BURST 2.0      /* of one node */
+#define RECORD_PAUSE_MS 1500u  /* after the store was seen to be slow */
 #define RETRY_STALLED_MS 1000u /* after a store that does not answer */
 #define ASK_LEAD_PART 2u       /* at most the deadline divided by this */
 #define ASK_MARGIN_MS 100u     /* answered that long before the deadline */
@@ -42,7 +43,8 @@
 	size_t job_length;
 	uint64_t job_revision; /* of its row, as read; 0: there was none */
 	uint64_t deadline_ms;
-	bool maybe_recorded; /* an earlier try may have taken effect */
+	uint64_t recorded_ms; /* when it was sent to the store */
+	bool maybe_recorded;  /* an earlier try may have taken effect */
 	bool lead_slow; /* it did not answer in time and was heard meanwhile */
 	node_answer_fn fn;
 	void *arg;
@@ -203,7 +205,7 @@
 	bool same = true;
 	uint32_t i;
 
-	node_store_result(n, reply->status);
+	node_store_took(n, reply->status, a->recorded_ms);
 	switch (reply->status) {
 	case STORE_OK:
 		event_log("ask-recorded", a->id, "\"verb\":%d", a->verb);
@@ -259,6 +261,7 @@
 						   a->job, a->job_length };
 		txn->put_count = 2;
 	}
+	a->recorded_ms = clock_now_ms();
 	a->node->services->txn(a->node->services->impl, txn, store_time(a),
 			       on_recorded, a);
 }
@@ -341,6 +344,16 @@
 	return true;
 }
 
+/*
+ * The load it answers: no lead while the store is slow. Its partition changes
+ * two times a second then, and what nodes record would keep out the claim
+ * that ends this.
+ */
+bool record_may_begin(uint64_t store_slow_ms, uint64_t now)
+{
+	return !store_slow_ms || now - store_slow_ms >= RECORD_PAUSE_MS;
+}
+
 /*
  * A lead that is heard and slow waits for the store itself; recording the job
  * there as well would hold it up more.
@@ -350,6 +363,7 @@
 	struct node *n = a->node;
 
 	return !a->lead_slow && n->store_ok &&
+	       record_may_begin(n->store_slow_ms, clock_now_ms()) &&
 	       record_allowance_take(&n->records, n->peer_count + 1,
 				     clock_now_ms());
 }
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -243,7 +243,7 @@
 	uint32_t i;
 
 	n->claiming = false;
-	node_store_result(n, reply->status);
+	node_store_took(n, reply->status, claim->sent_ms);
 	n->claim_ms = clock_now_ms() + LEAD_CLAIM_RETRY_MS;
 	switch (reply->status) {
 	case STORE_OK:
@@ -268,6 +268,12 @@
 	case STORE_UNKNOWN:
 		break;
 	}
+	if (reply->status != STORE_OK)
+		event_log("claim-failed", NULL,
+			  "\"epoch\":%" PRIu64
+			  ",\"status\":%d,\"took_ms\":%" PRIu64,
+			  claim->wanted.epoch, reply->status,
+			  clock_now_ms() - claim->sent_ms);
 	talloc_free(claim);
 }
 
@@ -325,7 +331,7 @@
 	struct lead_view view;
 
 	n->lead_reading = false;
-	node_store_result(n, reply->status);
+	node_store_took(n, reply->status, r->sent_ms);
 	if (reply->status == STORE_OK && reply->row_count &&
 	    lead_decode(&reply->rows[0], &view)) {
 		if (n->phase != LEAD_NONE && r->lead_epoch == n->lead_epoch &&
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -8,6 +8,7 @@
 
 #define PUMP_MS 4u   /* as long as an answer of the store takes */
 #define GAP_MS 1000u /* 20 ticks; the longest lag seen under load is 0.7 s */
+#define STORE_SLOW_MS 150u    /* for a call that takes 14 ms on a calm day */
 #define NODE_CONNECTIONS 256u /* to other nodes, kept */
 
 /*
@@ -139,6 +140,15 @@
 		lead_store_regained(n);
 }
 
+void node_store_took(struct node *n, enum store_status status, uint64_t sent_ms)
+{
+	uint64_t now = clock_now_ms();
+
+	if (status == STORE_REFUSED || now - sent_ms >= STORE_SLOW_MS)
+		n->store_slow_ms = now;
+	node_store_result(n, status);
+}
+
 struct node *node_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 		      const struct node_settings *settings,
 		      const struct services *services)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -147,6 +147,7 @@
 	/* Lead */
 	struct lead_view lead;
 	enum lead_phase phase;
+	uint64_t store_slow_ms; /* when a call last took long or was refused */
 	uint64_t store_failing_ms; /* no call was answered since; 0: it is */
 	uint64_t lead_heard_ms;	   /* silence counts from here */
 	uint64_t lead_able_ms;	   /* it was known able then; 0: never */
@@ -213,6 +214,10 @@
 void node_pump(struct node *n);
 void node_store_result(struct node *n, enum store_status status);
 
+/* node_store_took - the same of a call sent then, which tells of its pace */
+void node_store_took(struct node *n, enum store_status status,
+		     uint64_t sent_ms);
+
 /* lead.c */
 
 /* lead_is_weaker - whether a node leaves the lead to the strongest other */
@@ -288,6 +293,12 @@
 
 /* ask.c */
 
+/*
+ * record_may_begin - whether a store that was last seen to be slow then has
+ * room for jobs that nodes record by themselves; 0: it never was
+ */
+bool record_may_begin(uint64_t store_slow_ms, uint64_t now);
+
 /* record_allowance_take - false when this node, of so many, must not */
 bool record_allowance_take(struct record_allowance *r, uint32_t nodes,
 			   uint64_t now);
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -70,6 +70,64 @@
 	}
 }
 
+/*
+ * The load: no lead while the store changes two rows a second. What nodes
+ * record there would keep out the claim of the next lead.
+ */
+static void test_records_in_a_slow_store(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t slow_ms_ago; /* 0: never */
+		bool may;
+	} cases[] = {
+		{ "it was never slow", 0, true },
+		{ "a call has just been refused", 1, false },
+		{ "it was slow a second ago", 1000, false },
+		{ "it has recovered", 1500, true },
+	};
+	const uint64_t now = 50000;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		if (record_may_begin(cases[c].slow_ms_ago
+					     ? now - cases[c].slow_ms_ago
+					     : 0,
+				     now) != cases[c].may)
+			fail_msg("%s", cases[c].what);
+}
+
+/* Which calls tell that the store is slow. */
+static void test_pace_of_the_store(void **state)
+{
+	static const struct {
+		const char *what;
+		enum store_status status;
+		uint64_t took_ms;
+		bool slow;
+	} cases[] = {
+		{ "calm", STORE_OK, 14, false },
+		{ "a row that has changed", STORE_CONFLICT, 14, false },
+		{ "slow", STORE_OK, 400, true },
+		{ "too much waits there", STORE_REFUSED, 5, true },
+		{ "no answer", STORE_UNKNOWN, 1500, true },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct node *n = talloc_zero(NULL, struct node);
+
+		n->store_ok = true;
+		node_store_took(n, cases[c].status,
+				clock_now_ms() - cases[c].took_ms);
+		if ((n->store_slow_ms != 0) != cases[c].slow)
+			fail_msg("%s", cases[c].what);
+		talloc_free(n);
+	}
+}
+
 struct commit_case {
 	const char *what;
 	uint32_t under_way;
@@ -204,6 +262,8 @@
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_partitions),
 		cmocka_unit_test(test_records_of_all_nodes),
+		cmocka_unit_test(test_records_in_a_slow_store),
+		cmocka_unit_test(test_pace_of_the_store),
 		cmocka_unit_test(test_commits_side_by_side),
 		cmocka_unit_test(test_stalled_store),
 		cmocka_unit_test(test_holder),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -60,7 +60,8 @@
     ("lapsing", "src/pool/sched_look.c",
      "if (i->run_count && !i->silent)", "if (i->run_count)", "sched_test"),
     ("a life's own acknowledgements", "src/pool/sched_look.c",
-     "look->acked = i->silent ? 0 : i->acked;", "look->acked = i->acked;",
+     "look->acked = same_session(i, now) ? i->acked : 0;",
+     "look->acked = i->acked;",
      "sched_test"),
     ("instances without a row", "src/pool/sched_instance.c",
      "	count_unseen(s, i);\n	sched_trace", "	sched_trace",
@@ -96,12 +97,29 @@
      "return v->predecessor_ended && now", "return now", "node_test"),
     ("a store that is left to the lead", "src/node/ask.c",
      "(nodes ? nodes : 1)", "1", "node_test"),
+    ("a directory's gap", "src/pool/sched_look.c",
+     "i->report_ms >= i->listed_ms &&", "", "sched_test"),
+    ("the unseen runs of a job that has ended", "src/pool/sched_change.c",
+     "	if (job->loaded)\n		return true;\n", "", "sched_test"),
+    ("short waits while calls are lost", "src/pool/sched_look.c",
+     "? LOOK_WAIT_LOSSY_MS", "? LOOK_WAIT_MS", "sched_test"),
+    ("which lead refused", "src/node/lead.c",
+     "incarnation == n->lead.incarnation &&", "", "lead_test"),
+    ("saying that the store refuses", "src/node/lead.c",
+     "(!failing_ms || now - failing_ms < LEAD_REFUSED_MS)", "1",
+     "lead_test"),
+    ("peers' unread words", "src/node/relay.c", "return !unread && ",
+     "return ", "node_test"),
+    ("few machines for a few long tasks", "src/fleet/balance.c",
+     "if (needed > at_once)", "if (0)", "fleet_test"),
+    ("the pool that lacks least", "src/fleet/balance.c",
+     "b->pools[i].lacking < best->lacking", "b->pools[i].lacking > best->lacking",
+     "fleet_test"),
     ("keeping rows while something runs", "src/pool/sched_change.c",
      "change->drop = !job_has_runs(job);", "change->drop = true;",
      "fleet_walk"),
 )
-TESTS = {"sched_test": ["build/test/sched_test"],
-         "fleet_walk": ["build/test/fleet_walk", "--count", "10000"]}
+OPTIONS = {"fleet_walk": ["--count", "10000"]}  # of a test
 
 
 def cases(path, wanted):
@@ -152,12 +170,15 @@
 
 def try_scheduler(folder, file, old, new, test):
     return without(folder, file, old, new, [f"build/test/{test}"],
-                   lambda: fails(folder, TESTS[test]))
+                   lambda: fails(folder, [f"build/test/{test}",
+                                          *OPTIONS.get(test, [])]))
 
 
-def main(only=None):
+def main(only=None, words=""):
+    """only: "scheduler" leaves the others out; words: those that have them."""
     rows = [(try_mutant, row) for row in MUTANTS if only != "scheduler"]
     rows += [(try_scheduler, row) for row in SCHEDULER]
+    rows = [(attempt, row) for attempt, row in rows if words in row[0]]
     failed = 0
     with tempfile.TemporaryDirectory() as parent:
         folder = os.path.join(parent, "tree")
