--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -15,7 +15,7 @@
 
 #define THINK_MS 100u	     /* between two thoughts */
 #define DRAIN_TARGET_MS 250u /* waiting work should take no longer */
-#define HEADROOM 2.0	   /* times what runs and waits: more comes meanwhile */
+#define HEADROOM 4.0	   /* times what runs and waits: more comes meanwhile */
 #define DRAIN_MAX_MS 2000u /* for a machine to become empty; then it stays */
 #define GIVE_SHARE 0.7	   /* of its capacity a giving pool keeps in use */
 #define IDLE_MS 1000u	   /* idle that long before a machine is sent off */
