--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -18,7 +18,7 @@
 #define BEAT_LEAD_MS 300u  /* between two beats to the lead */
 #define BEAT_OTHER_MS 300u /* between two beats to one of the others */
 #define BEAT_WAIT_MS 500u
-#define BEAT_CONNECT_MS 250u	 /* a machine without power does not answer */
+#define BEAT_CONNECT_MS 250u	 /* a machine without power refuses nothing */
 #define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
 #define CONFIG_WAIT_MS 400u	 /* for the store to bring it; a fifth of 2 s */
 #define BEAT_PEERS_TOLD \
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -8,7 +8,7 @@
 
 #define PUMP_MS 4u   /* as long as an answer of the store takes */
 #define GAP_MS 1000u /* 20 ticks; the longest lag seen under load is 0.7 s */
-#define STORE_SLOW_MS 150u    /* for a call that takes 14 ms on a calm day */
+#define STORE_SLOW_MS 150u    /* ten calls of a calm store */
 #define NODE_CONNECTIONS 256u /* to other nodes, kept */
 
 /*
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -152,7 +152,7 @@
 	uint64_t lead_heard_ms;	   /* silence counts from here */
 	uint64_t lead_able_ms;	   /* it was known able then; 0: never */
 	uint64_t lead_unable_ms;   /* it said then that it is not */
-	bool lead_ended;	   /* its node runs as a new incarnation */
+	bool lead_ended;	   /* its process is known to have ended */
 	bool claiming;
 	bool yielded;	   /* it has left the lead to a stronger node once */
 	uint64_t claim_ms; /* not before */
--- a/src/pool/sched_look.c
+++ b/src/pool/sched_look.c
@@ -16,9 +16,9 @@
 #define LOOK_WAIT_SERVING_MS 500u /* the same beside tasks with a target */
 #define LOOK_UNWRITTEN_MS 300u	  /* between looks while ends are not durable */
 #define SESSION_GAP_MS 500u	  /* above LOOK_UNWRITTEN_MS and a pass */
-#define LOOK_ANSWER_MS 300u	  /* beyond the wait; 30 ms on a busy day */
-#define LOOK_FAILED_MS 50u	  /* before an unanswered look is repeated */
-#define LOOK_FAILED_GAP_MS 200u	  /* from one look that fails to the next */
+#define LOOK_ANSWER_MS 300u /* beyond the wait, for the way and a busy lead */
+#define LOOK_FAILED_MS 50u  /* before an unanswered look is repeated */
+#define LOOK_FAILED_GAP_MS 200u /* from one look that fails to the next */
 
 static bool instance_serves(const struct instance *i)
 {
