--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,7 +6,8 @@
 
 #include "node/node_internal.h"
 
-#define PUMP_MS 4u   /* as long as an answer of the store takes */
+#define PUMP_MS 4u /* as long as an answer of the store takes */
+#define PUMP_PAUSE_MAX_MS 100u
 #define GAP_MS 1000u /* 20 ticks; the longest lag seen under load is 0.7 s */
 #define STORE_SLOW_MS 150u    /* ten calls of a calm store */
 #define NODE_CONNECTIONS 256u /* to other nodes, kept */
@@ -41,6 +42,8 @@
 	sched_tick(n->sched, node_unix_ms(n), now);
 	session_run(n, now);
 	commit_run(n, now);
+	n->pump_ms = clock_now_ms();
+	n->pump_took_ms = n->pump_ms - now;
 }
 
 static void on_pump_now(struct tevent_context *ev, struct tevent_immediate *im,
@@ -51,20 +54,29 @@
 	pump(arg);
 }
 
+uint32_t node_pump_pause_ms(uint64_t took_ms)
+{
+	if (took_ms < PUMP_MS)
+		return PUMP_MS;
+	return took_ms < PUMP_PAUSE_MAX_MS ? (uint32_t)took_ms
+					   : PUMP_PAUSE_MAX_MS;
+}
+
 /*
  * node_pump - act on what the last events have changed
  *
- * At once after a calm moment; under load, events of PUMP_MS together.
+ * At once after a calm moment; under load, the events of a pause together.
  */
 void node_pump(struct node *n)
 {
 	uint64_t past = clock_now_ms() - n->pump_ms;
+	uint32_t pause_ms = node_pump_pause_ms(n->pump_took_ms);
 
 	if (n->pump_wanted)
 		return;
 	n->pump_wanted = true;
-	if (past < PUMP_MS) {
-		mtimer_set(n->pump_timer, PUMP_MS - past);
+	if (past < pause_ms) {
+		mtimer_set(n->pump_timer, pause_ms - past);
 		return;
 	}
 	tevent_schedule_immediate(n->pump_now, n->ev, on_pump_now, n);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -124,8 +124,9 @@
 	struct tevent_immediate *pump_now;
 	struct mtimer *pump_timer;
 	bool pump_wanted;
-	uint64_t pump_ms;  /* the last one */
-	uint64_t awake_ms; /* when the loop last turned */
+	uint64_t pump_ms;      /* when the last one ended */
+	uint64_t pump_took_ms; /* the last one */
+	uint64_t awake_ms;     /* when the loop last turned */
 
 	/* Peers */
 	struct httpc *http; /* to other nodes */
@@ -212,6 +213,15 @@
 char *node_key_after(TALLOC_CTX *ctx, const char *key);
 char *node_key_end(TALLOC_CTX *ctx, const char *key);
 void node_pump(struct node *n);
+
+/*
+ * node_pump_pause_ms - between two turns of deciding, when one took so long
+ *
+ * The load it answers: a lead with a thousand instances in a turn. The event
+ * loop hears of one descriptor between two turns, so deciding must leave half
+ * of the time to hearing.
+ */
+uint32_t node_pump_pause_ms(uint64_t took_ms);
 void node_store_result(struct node *n, enum store_status status);
 
 /* node_store_took - the same of a call sent then, which tells of its pace */
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -128,6 +128,23 @@
 	}
 }
 
+/* Deciding takes at most half of a lead's time, and is never put off for long.
+ */
+static void test_pause_after_deciding(void **state)
+{
+	static const struct {
+		uint64_t took_ms;
+		uint32_t pause_ms;
+	} cases[] = { { 0, 4 },	  { 3, 4 },	 { 4, 4 },	{ 20, 20 },
+		      { 99, 99 }, { 1000, 100 }, { 60000, 100 } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		assert_int_equal(node_pump_pause_ms(cases[c].took_ms),
+				 cases[c].pause_ms);
+}
+
 struct commit_case {
 	const char *what;
 	uint32_t under_way;
@@ -264,6 +281,7 @@
 		cmocka_unit_test(test_records_of_all_nodes),
 		cmocka_unit_test(test_records_in_a_slow_store),
 		cmocka_unit_test(test_pace_of_the_store),
+		cmocka_unit_test(test_pause_after_deciding),
 		cmocka_unit_test(test_commits_side_by_side),
 		cmocka_unit_test(test_stalled_store),
 		cmocka_unit_test(test_holder),
