--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -281,6 +281,13 @@
             raise RuntimeError(f"load: {code} {body}")
         for team in teams:
             self.issue(entry, f"{team}-key", team)
+        self.wait_in_force(self.status(entry)["version"])
+
+    def wait_in_force(self, version):
+        """Waits until every entry has the version, or a newer one."""
+        for name in self.entries:
+            wait_until(f"{name} has version {version}",
+                       lambda n=name: self.status(n)["version"] >= version)
 
     def request(self, entry, queue, key=None, body=b"", headers=None,
                 timeout=15.0, method="POST"):
