--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -33,6 +33,8 @@
 	uint8_t *body;
 	char address[64];
 	uint64_t lead_incarnation; /* of the lead that is there; 0: none */
+	uint64_t sent_ms;
+	bool wants_config;
 };
 
 static struct peer_node *peer_find(struct node *n, const char *name)
@@ -201,8 +203,14 @@
 	}
 	if (!beat_is_newer(n, beat->config_version))
 		return;
-	if (!n->config_behind_ms)
+	if (!n->config_behind_ms) {
 		n->config_behind_ms = now;
+		event_log("config-behind", NULL,
+			  "\"peer\":\"%s\",\"version\":%" PRIu64
+			  ",\"own\":%" PRIu64,
+			  beat->node, beat->config_version,
+			  n->config ? n->config->version : 0);
+	}
 	if (beat->config.len)
 		watch_config_bytes(n, beat->config.data, beat->config.len,
 				   "peer");
@@ -218,6 +226,12 @@
 	for (i = 0; i < n->peer_count; i++)
 		if (!strcmp(n->peers[i].address, call->address))
 			n->peers[i].beating = false;
+	if (call->wants_config)
+		event_log("config-asked", NULL,
+			  "\"address\":\"%s\",\"status\":%d,\"bytes\":%zu,"
+			  "\"took_ms\":%" PRIu64,
+			  call->address, h->status, h->body.length,
+			  clock_now_ms() - call->sent_ms);
 	if (h->refused)
 		lead_refused(n, call->lead_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
@@ -245,6 +259,8 @@
 	snprintf(call->address, sizeof(call->address), "%s", address);
 	if (!strcmp(address, n->lead.address))
 		call->lead_incarnation = n->lead.incarnation;
+	call->sent_ms = clock_now_ms();
+	call->wants_config = config_wanted(n);
 	call->body = beat_pack(n, call, false, &r.body_length);
 	r.body = call->body;
 	r.url = talloc_asprintf(call, "http://%s/beat", address);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -23,6 +23,8 @@
 	struct node *node;
 	enum feed_kind kind;
 	uint64_t lead_epoch;
+	uint64_t after; /* changes since this revision */
+	uint64_t sent_ms;
 	bool reading; /* the whole table, not its changes */
 };
 
@@ -246,6 +248,27 @@
 		feed->revision = feed->first_revision;
 }
 
+/* What a call for the operators' table brought, unless nothing has changed. */
+static void log_watch(const struct node *n, const struct feed_call *call,
+		      const struct store_reply *reply)
+{
+	size_t bytes = 0;
+	uint32_t i;
+
+	if (call->kind != FEED_OPERATOR ||
+	    (reply->status == STORE_OK && !reply->row_count))
+		return;
+	for (i = 0; i < reply->row_count; i++)
+		bytes += reply->rows[i].length;
+	event_log("watch", NULL,
+		  "\"table\":\"%s\",\"reading\":%d,\"after\":%" PRIu64
+		  ",\"status\":%d,\"rows\":%u,\"bytes\":%zu,"
+		  "\"took_ms\":%" PRIu64,
+		  table_of(n, call->kind), call->reading, call->after,
+		  reply->status, reply->row_count, bytes,
+		  clock_now_ms() - call->sent_ms);
+}
+
 static void on_feed(void *arg, const struct store_reply *reply)
 {
 	struct feed_call *call = arg;
@@ -258,6 +281,7 @@
 					  n->phase != LEAD_DECIDING);
 	uint32_t i;
 
+	log_watch(n, call, reply);
 	talloc_free(call);
 	node_store_result(n, reply->status);
 	if (stale)
@@ -310,6 +334,8 @@
 	call->kind = kind;
 	call->lead_epoch = n->lead_epoch;
 	call->reading = reading || !feed->revision;
+	call->after = feed->revision;
+	call->sent_ms = clock_now_ms();
 	feed->under_way = true;
 	if (call->reading)
 		n->services->read(n->services->impl, table_of(n, kind),
