--- a/standin/site.c
+++ b/standin/site.c
@@ -37,6 +37,7 @@
 #define CAPACITY_CPU 16000
 #define CAPACITY_MEM 65536
 #define PAGE_ROWS 500u
+#define CHANGES_FIRST 256u
 #define LOST_MS 5000u /* until a lost answer closes its connection */
 
 struct site;
@@ -88,6 +89,8 @@
 	struct mtimer *tick;
 	uint32_t row_count;
 	struct row *rows;
+	uint32_t change_count, change_room;
+	struct row *changes; /* every one, oldest first */
 	uint64_t revision;
 	struct feed_wait *waits;
 	json_t *record;
@@ -140,6 +143,23 @@
 	return NULL;
 }
 
+/* Feeds bring every change of a row, not only its newest value. */
+static void changes_add(struct site *s, const struct row *r)
+{
+	struct row *c;
+
+	if (s->change_count == s->change_room) {
+		s->change_room =
+			s->change_room ? 2 * s->change_room : CHANGES_FIRST;
+		s->changes = talloc_realloc(s, s->changes, struct row,
+					    s->change_room);
+		assert(s->changes);
+	}
+	c = &s->changes[s->change_count++];
+	*c = *r;
+	c->value = r->value ? talloc_strdup(s, r->value) : NULL;
+}
+
 static void row_put(struct site *s, const char *table, const char *key,
 		    const char *value)
 {
@@ -157,6 +177,7 @@
 	talloc_free(r->value);
 	r->value = value ? talloc_strdup(s, value) : NULL;
 	r->revision = s->revision;
+	changes_add(s, r);
 }
 
 static json_t *row_json(const struct row *r)
@@ -184,14 +205,6 @@
 		      (*(const struct row *const *)b)->key);
 }
 
-static int by_revision(const void *a, const void *b)
-{
-	const struct row *x = *(const struct row *const *)a;
-	const struct row *y = *(const struct row *const *)b;
-
-	return x->revision < y->revision ? -1 : x->revision > y->revision;
-}
-
 static char *query(TALLOC_CTX *ctx, const char *q, const char *name)
 {
 	size_t n = strlen(name);
@@ -249,22 +262,17 @@
 	talloc_free(tmp);
 }
 
+/* Changes are kept in the order of their revisions. */
 static json_t *changes_after(struct site *s, const char *table, uint64_t after)
 {
-	const struct row **found =
-		talloc_array(s, const struct row *, s->row_count + 1);
 	json_t *rows = json_array();
-	uint32_t count = 0;
-	uint32_t i;
+	uint32_t i = s->change_count;
 
-	for (i = 0; i < s->row_count; i++)
-		if (s->rows[i].revision > after &&
-		    !strcmp(s->rows[i].table, table))
-			found[count++] = &s->rows[i];
-	qsort(found, count, sizeof(*found), by_revision);
-	for (i = 0; i < count; i++)
-		json_array_append_new(rows, row_json(found[i]));
-	talloc_free(found);
+	while (i && s->changes[i - 1].revision > after)
+		i--;
+	for (; i < s->change_count; i++)
+		if (!strcmp(s->changes[i].table, table))
+			json_array_append_new(rows, row_json(&s->changes[i]));
 	return rows;
 }
 
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -19,6 +19,8 @@
 import time
 
 import fleet
+import versions
+from link import Link
 from scenario import COMPARE, ScenarioError, seconds
 
 NODE_SETTINGS = """\
@@ -30,7 +32,7 @@
 links: 127.0.0.1:{links}
 seeds: "{seeds}"
 store: 127.0.0.1:{store}
-fleet: 127.0.0.1:{store}
+fleet: 127.0.0.1:{fleet}
 first_start: {first}
 processor_share: {share}
 processor_cores: 1
@@ -44,6 +46,7 @@
 upkeep_s: 2
 """
 SHARE = 0.3       # of a core, as told to a node
+POOLS = {"q0": "p0", "q1": "p1"}  # of queues; any other has the first
 KEY = "key-of-the-shop-workspace"
 CALL_S = 5.0
 SETTLE_S = 30.0
@@ -58,14 +61,16 @@
 TERMINAL = ("completed", "failed", "cancelled")
 
 
-def config(version, queues=("q0", "q1"), cap=400000):
+def config(version, queues=("q0", "q1"), cap=400000, routes=0):
     """The operators' document: a queue a pool, one workspace."""
+    more = tuple(f"more{i}" for i in range(routes))
     return {
         "version": version,
         "routes": [{"name": q, "host": "jobs.example", "pathPrefix": f"/{q}/",
-                    "service": q.replace("q", "p"), "sloMs": 20000,
+                    "service": POOLS.get(q, "p0"), "sloMs": 20000,
                     "stretch": 10.0, "maxAttempts": 3, "priority": 0,
-                    "timeoutMs": 3000, "public": False} for q in queues],
+                    "timeoutMs": 3000, "public": False}
+                   for q in (*queues, *more)],
         "services": [{"name": "p0", "admissionCheck": True, "spare": False},
                      {"name": "p1", "admissionCheck": True, "spare": False}],
         "tenants": [{"name": "shop", "apiKeys": [KEY], "weight": 1,
@@ -90,12 +95,17 @@
         fleet.wait_until("site", lambda: fleet.Fleet.listens(self.port))
         self.nodes = {}
         self.ports = {}
+        self.links = {}  # of each node to the store
         self.version = 1
+        self.versions = versions.Versions(self)
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exc):
+        self.versions.close()
+        for link in self.links.values():
+            link.close()
         for p in [*self.nodes.values(), self.site]:
             p.stop()
         self.log.close()
@@ -119,6 +129,7 @@
 
     def prepare_node(self, name):
         self.ports[name] = fleet.free_ports(4)
+        self.links[name] = Link(self.port)
         path = self.write_settings(name, first=True)
         self.nodes[name] = fleet.Process(
             name, self.ports[name][0],
@@ -132,7 +143,8 @@
             f.write(NODE_SETTINGS.format(
                 name=name, callers=callers, readiness=readiness, peers=peers,
                 links=links, alone=self.alone,
-                seeds=seeds, store=self.port, share=self.share(name),
+                seeds=seeds, store=self.links[name].port,
+                fleet=self.port, share=self.share(name),
                 first=str(first).lower()))
         return path
 
@@ -315,6 +327,10 @@
             site.control(lose=int(words[0]))
         elif verb == "crash":
             site.control(crash=words[0])
+        elif verb == "link":
+            site.links[words[0]].kb_per_s = int(words[1])
+        elif verb == "version":
+            site.versions.write(int(words[1]))
         elif verb == "configure":
             site.configure(queues=words)
         elif verb == "wave":
@@ -422,6 +438,8 @@
         if words[0] == "served":
             return sum(self.site.metric(n, "relay_calls_served_total")
                        for n in self.site.nodes)
+        if words[0] == "in-force":
+            return self.site.versions.in_force()
         if words[0] == "up":
             return sum(p.running() for p in self.site.nodes.values())
         if words[0] == "rows-read":
@@ -454,7 +472,13 @@
         return self.site.request(method, path)[0]
 
     def check_always(self):
-        """No task runs twice at once, or again after it was done."""
+        """No task runs twice at once, or again after it was done.
+
+        No node answers by a version that is too old.
+        """
+        if self.site.versions.errors:
+            raise ScenarioError("; ".join(self.site.versions.errors[:3]) +
+                                f" ({len(self.site.versions.errors)} in all)")
         runs = {}
         for task, run, worker, begin, end, how in self.site.record():
             runs.setdefault(task, []).append((begin, end, how, worker))
