watch: a node that missed versions reads the newest, it does not catch up

Cause: the operators' table was watched on from the last revision seen. Such a feed brings each version since (measured: 3 versions, 1.1 MB), and it had 2.2 s for the whole answer whatever the link. On 10 Mbit/s it ended without an answer and was begun again from the same revision until the store had dropped its history.

A call that was under way when a feed begins elsewhere no longer moves it.

--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -47,6 +47,8 @@
 	size_t body_length;
 	size_t answer_max;
 	uint64_t send_before_us;
+	uint64_t progress_ms; /* when a byte last came, or it began */
+	uint32_t stall_timeout_ms;
 	uint32_t sends; /* passes through the pre-request callback */
 	bool once;
 	bool framed; /* the answer says how long it is */
@@ -141,6 +143,7 @@
 {
 	struct exchange *x = arg;
 
+	x->progress_ms = clock_now_ms();
 	if (x->answer.body.length + size * count > x->answer_max) {
 		x->too_large = true;
 		return 0;
@@ -161,6 +164,7 @@
 	struct exchange *x = arg;
 	size_t length = size * count;
 
+	x->progress_ms = clock_now_ms();
 	if (length >= 5 && !memcmp(line, "HTTP/", 5)) {
 		x->answer.headers.length = 0; /* an interim answer came first */
 		x->framed = false;
@@ -491,6 +495,27 @@
 	mtimer_set(c->timer, due_ms > now ? due_ms - now : 1);
 }
 
+static void end_stalled(struct httpc *c, uint64_t now)
+{
+	struct exchange *x, *next;
+
+	DL_FOREACH_SAFE(c->under_way, x, next)
+	{
+		uint64_t due_ms = x->progress_ms + x->stall_timeout_ms;
+
+		if (!x->stall_timeout_ms)
+			continue;
+		if (due_ms > now) {
+			timer_before(c, due_ms, now);
+			continue;
+		}
+		snprintf(x->error, sizeof(x->error),
+			 "no byte of the answer for %u ms",
+			 x->stall_timeout_ms);
+		exchange_finish(x, CURLE_OPERATION_TIMEDOUT);
+	}
+}
+
 static void on_timer(void *arg)
 {
 	struct httpc *c = arg;
@@ -498,6 +523,7 @@
 	uint32_t i;
 
 	c->timer_ms = 0;
+	end_stalled(c, now);
 	for (i = 0; i < HTTPC_SHARDS; i++)
 		if (c->shards[i].due_ms && c->shards[i].due_ms <= now)
 			shard_time_out(&c->shards[i]);
@@ -642,6 +668,8 @@
 	x->answer_max = r->answer_max ? r->answer_max : HTTPC_ANSWER_MAX;
 	x->once = r->once;
 	x->send_before_us = r->send_before_us;
+	x->stall_timeout_ms = r->stall_timeout_ms;
+	x->progress_ms = clock_now_ms();
 	x->done = r->done;
 	x->arg = r->arg;
 	set_method(x, r);
@@ -654,6 +682,9 @@
 	c->active++;
 	DL_APPEND(c->under_way, x);
 	curl_multi_add_handle(x->shard->multi, e);
+	if (x->stall_timeout_ms)
+		timer_before(c, x->progress_ms + x->stall_timeout_ms,
+			     x->progress_ms);
 }
 
 uint32_t httpc_active(const struct httpc *c)
--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -52,6 +52,7 @@
 	size_t body_length;
 	uint32_t timeout_ms;	     /* for the whole exchange */
 	uint32_t connect_timeout_ms; /* for the connection alone */
+	uint32_t stall_timeout_ms;   /* without a byte of answer; 0: none */
 	size_t answer_max;	     /* bytes of body; 0 for HTTPC_ANSWER_MAX */
 	bool once;		     /* never send it a second time */
 	uint64_t send_before_us; /* not sent after this time; 0 for no bound */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,7 +21,10 @@
 	uint64_t gap_ms = now - n->awake_ms;
 
 	n->awake_ms = now;
-	if (gap_ms < GAP_MS || n->phase == LEAD_NONE)
+	if (gap_ms < GAP_MS)
+		return;
+	watch_from(n, FEED_OPERATOR, 0);
+	if (n->phase == LEAD_NONE)
 		return;
 	event_log("stood-still", NULL, "\"for_ms\":%llu,\"epoch\":%llu",
 		  (unsigned long long)gap_ms,
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -80,6 +80,7 @@
 	uint64_t first_revision; /* of the first page of such a reading */
 	char *from;		 /* its next page begins there; NULL: first */
 	uint64_t retry_ms;	 /* not asked before */
+	uint32_t turn;		 /* rises when it begins elsewhere */
 	bool under_way;
 };
 
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -39,6 +39,7 @@
 	uint32_t row_count;
 	struct store_row *rows; /* valid during the call */
 	bool more;
+	bool cut; /* UNKNOWN, though a part of the answer has come */
 };
 
 typedef void (*store_fn)(void *arg, const struct store_reply *reply);
@@ -153,10 +154,16 @@
 
 	void (*txn)(void *impl, const struct store_txn *txn,
 		    uint32_t timeout_ms, store_fn fn, void *arg);
-	/* Rows with from <= key < to; to may be NULL. */
+	/*
+	 * Rows with from <= key < to; to may be NULL. A reading or a feed is
+	 * given up when no part of its answer comes for timeout_ms; a large
+	 * one may take longer on a slow link.
+	 */
 	void (*read)(void *impl, const char *table, const char *from,
 		     const char *to, uint32_t timeout_ms, store_fn fn,
 		     void *arg);
+	/* Every change since after; cut when it is far more than one reading.
+	 */
 	void (*feed)(void *impl, const char *table, uint64_t after,
 		     uint32_t wait_ms, store_fn fn, void *arg);
 
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -25,6 +25,7 @@
 	uint64_t lead_epoch;
 	uint64_t after; /* changes since this revision */
 	uint64_t sent_ms;
+	uint32_t turn;
 	bool reading; /* the whole table, not its changes */
 };
 
@@ -194,11 +195,16 @@
 	}
 }
 
-/* The feed goes on after this revision, or by reading the table anew. */
+/*
+ * The feed goes on after this revision, or by reading the table anew. A feed
+ * brings each version since; a reading only the newest, so who has missed
+ * several reads.
+ */
 void watch_from(struct node *n, enum feed_kind kind, uint64_t revision)
 {
 	TALLOC_FREE(n->feeds[kind].from);
-	n->feeds[kind] = (struct feed){ .revision = revision };
+	n->feeds[kind] = (struct feed){ .revision = revision,
+					.turn = n->feeds[kind].turn + 1 };
 }
 
 static int by_key(const void *key, const void *row)
@@ -276,6 +282,7 @@
 	enum feed_kind kind = call->kind;
 	struct feed *feed = &n->feeds[kind];
 	bool reading = call->reading;
+	bool superseded = call->turn != feed->turn;
 	bool stale =
 		kind != FEED_OPERATOR && (call->lead_epoch != n->lead_epoch ||
 					  n->phase != LEAD_DECIDING);
@@ -286,6 +293,12 @@
 	node_store_result(n, reply->status);
 	if (stale)
 		return;
+	if (superseded) {
+		if (kind == FEED_OPERATOR && reply->status == STORE_OK)
+			for (i = 0; i < reply->row_count; i++)
+				take_row(n, kind, &reply->rows[i]);
+		return;
+	}
 	feed->under_way = false;
 	switch (reply->status) {
 	case STORE_OK:
@@ -308,6 +321,9 @@
 	case STORE_CONFLICT:
 	case STORE_REFUSED:
 	case STORE_UNKNOWN:
+		if (reply->cut ||
+		    (kind == FEED_OPERATOR && n->config_behind_ms))
+			watch_from(n, kind, 0);
 		feed->retry_ms = clock_now_ms() + FEED_RETRY_MS;
 		break;
 	}
@@ -336,6 +352,7 @@
 	call->reading = reading || !feed->revision;
 	call->after = feed->revision;
 	call->sent_ms = clock_now_ms();
+	call->turn = feed->turn;
 	feed->under_way = true;
 	if (call->reading)
 		n->services->read(n->services->impl, table_of(n, kind),
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -8,7 +8,9 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <arpa/inet.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -71,6 +73,55 @@
 	}
 }
 
+static void on_stalled(void *arg, struct httpc_answer *answer)
+{
+	assert_int_equal(answer->status, HTTPC_TIMEOUT);
+	*(bool *)arg = true;
+}
+
+/* The server sends a part of an answer and then nothing more. */
+static void test_stalled_answer_is_given_up(void **state)
+{
+	static const char *const parts[] = {
+		"",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(parts) / sizeof(parts[0]); c++) {
+		struct tevent_context *ev = tevent_context_init(NULL);
+		struct httpc *client = httpc_new(ev, ev, 4, 0);
+		uint16_t port;
+		int fd = listen_mute(&port);
+		int peer = -1;
+		bool ended = false;
+		char url[64];
+		struct httpc_request r = { .method = "GET",
+					   .url = url,
+					   .timeout_ms = 60000,
+					   .stall_timeout_ms = 50,
+					   .connect_timeout_ms = 60000,
+					   .done = on_stalled,
+					   .arg = &ended };
+
+		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
+		httpc_start(client, &r);
+		tevent_loop_once(ev); /* it begins to connect */
+		peer = accept(fd, NULL, NULL);
+		assert_int_equal(write(peer, parts[c], strlen(parts[c])),
+				 strlen(parts[c]));
+		while (!ended)
+			tevent_loop_once(ev);
+		assert_int_equal(httpc_active(client), 0);
+		talloc_free(client);
+		talloc_free(ev);
+		close(peer);
+		close(fd);
+	}
+}
+
 /* Connections that fill a port's queue, so that the next one hangs. */
 static void fill_queue(uint16_t port, int *fds, int count)
 {
@@ -211,6 +262,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_freed_under_way),
+		cmocka_unit_test(test_stalled_answer_is_given_up),
 		cmocka_unit_test(test_connections_that_hang),
 		cmocka_unit_test(test_refused),
 	};
