gossip: a node that is behind asks one peer at a time for a copy

Cause: a node that was behind asked for the whole document along with every beat, of the lead and of one other each 300 ms, with 500 ms for the answer. On 10 Mbit/s none of 370 KB came whole; the parts that did come kept the watch of the store from its share of the link. The answers that were cut off were lost as beats too.

A copy is a call of its own now, one at a time, to a peer that told of a newer version, given up when no byte comes for 1 s. A node sends three a second at most and says 503 beyond, so that a few fresh nodes are not swamped; a node whose store answers waits 1.2 s for it first. What a copy says of the lead is not believed: it is seconds old.

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -1724,7 +1724,7 @@
   (ProtobufCMessageInit) fleet__peer_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__beat__field_descriptors[13] =
+static const ProtobufCFieldDescriptor fleet__beat__field_descriptors[12] =
 {
   {
     "node",
@@ -1858,18 +1858,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "want_config",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fleet__Beat, want_config),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "lead_age_ms",
     13,
@@ -1889,19 +1877,19 @@
   2,   /* field[2] = epoch */
   3,   /* field[3] = lead */
   4,   /* field[4] = lead_address */
-  12,   /* field[12] = lead_age_ms */
+  11,   /* field[11] = lead_age_ms */
   5,   /* field[5] = lead_incarnation */
   9,   /* field[9] = leading */
   0,   /* field[0] = node */
   8,   /* field[8] = peers */
   1,   /* field[1] = row */
   10,   /* field[10] = stopping */
-  11,   /* field[11] = want_config */
 };
-static const ProtobufCIntRange fleet__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange fleet__beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 13, 11 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor fleet__beat__descriptor =
 {
@@ -1911,10 +1899,10 @@
   "Fleet__Beat",
   "fleet",
   sizeof(Fleet__Beat),
-  13,
+  12,
   fleet__beat__field_descriptors,
   fleet__beat__field_indices_by_name,
-  1,  fleet__beat__number_ranges,
+  2,  fleet__beat__number_ranges,
   (ProtobufCMessageInit) fleet__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -332,10 +332,6 @@
    */
   protobuf_c_boolean leading;
   protobuf_c_boolean stopping;
-  /*
-   * the sender lacks the newest it heard of
-   */
-  protobuf_c_boolean want_config;
   /*
    * since the sender knew the lead able
    */
@@ -343,7 +339,7 @@
 };
 #define FLEET__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0 }
 
 
 struct  Fleet__Ask
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -499,12 +499,13 @@
 {
 	struct exchange *x, *next;
 
-	DL_FOREACH_SAFE(c->under_way, x, next)
-	{
-		uint64_t due_ms = x->progress_ms + x->stall_timeout_ms;
+	for (x = c->under_way; x; x = next) {
+		uint64_t due_ms;
 
+		next = x->next;
 		if (!x->stall_timeout_ms)
 			continue;
+		due_ms = x->progress_ms + x->stall_timeout_ms;
 		if (due_ms > now) {
 			timer_before(c, due_ms, now);
 			continue;
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -3,8 +3,8 @@
  *
  * Each node beats to the lead and, in turn, to the others. A beat carries
  * who leads, since when that lead was heard of, who else there is, and the
- * configuration version; a node that lacks the newest asks for it along with
- * a beat. So news reaches a node that the store turns away.
+ * configuration version; a node that lacks the newest asks one of those that
+ * have it for a copy. So news reaches a node that the store turns away.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -21,6 +21,11 @@
 #define BEAT_CONNECT_MS 250u	 /* a machine without power refuses nothing */
 #define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
 #define CONFIG_WAIT_MS 400u	 /* for the store to bring it; a fifth of 2 s */
+#define CONFIG_WAIT_OK_MS 1200u	 /* the same of a store that answers */
+#define COPY_MS 10000u		 /* as long as bytes come */
+#define COPY_STALL_MS 1000u
+#define COPY_PAUSE_MS 100u   /* before another peer is asked */
+#define COPIES_SENT_PER_S 3u /* by one node: half of a link of 10 Mbit/s */
 #define BEAT_PEERS_TOLD \
 	3u /* each node also makes itself known to all in turn */
 #define PEER_GONE_MS 60000u /* silent that long: forgotten */
@@ -34,7 +39,7 @@
 	char address[64];
 	uint64_t lead_incarnation; /* of the lead that is there; 0: none */
 	uint64_t sent_ms;
-	bool wants_config;
+	bool copy; /* asks for the configuration */
 };
 
 static struct peer_node *peer_find(struct node *n, const char *name)
@@ -99,13 +104,16 @@
 
 /*
  * A configuration is large and reaches most nodes from the store; it is asked
- * of a peer only when the store has not brought it soon.
+ * of a peer only when the store has not brought it soon, of one at a time.
  */
-static bool config_wanted(const struct node *n)
+static bool copy_wanted(const struct node *n, uint64_t now)
 {
+	uint32_t wait_ms = n->store_ok ? CONFIG_WAIT_OK_MS : CONFIG_WAIT_MS;
+
+	if (n->copying || now < n->copy_ms)
+		return false;
 	return !n->config ||
-	       (n->config_behind_ms &&
-		clock_now_ms() - n->config_behind_ms >= CONFIG_WAIT_MS);
+	       (n->config_behind_ms && now - n->config_behind_ms >= wait_ms);
 }
 
 /* What this node knows; the result is packed, owned by ctx. */
@@ -127,7 +135,6 @@
 	beat.lead_address = n->lead.address;
 	beat.lead_incarnation = n->lead.incarnation;
 	beat.config_version = n->config ? n->config->version : 0;
-	beat.want_config = config_wanted(n);
 	beat.leading = lead_is_able(n);
 	beat.lead_age_ms = lead_age_ms(n);
 	beat.stopping = n->stopping;
@@ -176,6 +183,23 @@
 	return config_version > (n->config ? n->config->version : 0);
 }
 
+static void learn_config(struct node *n, const Fleet__Beat *beat)
+{
+	if (!beat_is_newer(n, beat->config_version))
+		return;
+	if (!n->config_behind_ms) {
+		n->config_behind_ms = clock_now_ms();
+		event_log("config-behind", NULL,
+			  "\"peer\":\"%s\",\"version\":%" PRIu64
+			  ",\"own\":%" PRIu64,
+			  beat->node, beat->config_version,
+			  n->config ? n->config->version : 0);
+	}
+	if (beat->config.len)
+		watch_config_bytes(n, beat->config.data, beat->config.len,
+				   "peer");
+}
+
 static void beat_learn(struct node *n, const Fleet__Beat *beat)
 {
 	struct peer_node *p;
@@ -200,20 +224,21 @@
 	p = peer_find(n, beat->node);
 	if (p) {
 		p->heard_ms = now;
+		p->config_version = beat->config_version;
 	}
-	if (!beat_is_newer(n, beat->config_version))
-		return;
-	if (!n->config_behind_ms) {
-		n->config_behind_ms = now;
-		event_log("config-behind", NULL,
-			  "\"peer\":\"%s\",\"version\":%" PRIu64
-			  ",\"own\":%" PRIu64,
-			  beat->node, beat->config_version,
-			  n->config ? n->config->version : 0);
-	}
-	if (beat->config.len)
-		watch_config_bytes(n, beat->config.data, beat->config.len,
-				   "peer");
+	learn_config(n, beat);
+}
+
+static void copy_ended(struct node *n, const struct beat_call *call,
+		       const struct httpc_answer *h)
+{
+	n->copying = false;
+	n->copy_ms = clock_now_ms() + COPY_PAUSE_MS;
+	event_log("config-asked", NULL,
+		  "\"address\":\"%s\",\"status\":%d,\"code\":%ld,"
+		  "\"bytes\":%zu,\"took_ms\":%" PRIu64,
+		  call->address, h->status, h->code, h->body.length,
+		  clock_now_ms() - call->sent_ms);
 }
 
 static void on_beat_answer(void *arg, struct httpc_answer *h)
@@ -223,33 +248,34 @@
 	Fleet__Beat *beat = NULL;
 	uint32_t i;
 
+	if (call->copy)
+		copy_ended(n, call, h);
 	for (i = 0; i < n->peer_count; i++)
-		if (!strcmp(n->peers[i].address, call->address))
+		if (!call->copy && !strcmp(n->peers[i].address, call->address))
 			n->peers[i].beating = false;
-	if (call->wants_config)
-		event_log("config-asked", NULL,
-			  "\"address\":\"%s\",\"status\":%d,\"bytes\":%zu,"
-			  "\"took_ms\":%" PRIu64,
-			  call->address, h->status, h->body.length,
-			  clock_now_ms() - call->sent_ms);
 	if (h->refused)
 		lead_refused(n, call->lead_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		beat = fleet__beat__unpack(NULL, h->body.length,
 					   (uint8_t *)h->body.data);
 	if (beat) {
-		beat_learn(n, beat);
+		/* A copy is long under way: its word on the lead is old. */
+		if (call->copy)
+			learn_config(n, beat);
+		else
+			beat_learn(n, beat);
 		fleet__beat__free_unpacked(beat, NULL);
 	}
 	talloc_free(call);
 }
 
-static void beat_send(struct node *n, struct peer_node *p, const char *address)
+static void beat_call_start(struct node *n, const char *address, bool copy)
 {
 	struct beat_call *call = talloc_zero(n, struct beat_call);
 	struct httpc_request r = {
 		.method = "POST",
-		.timeout_ms = BEAT_WAIT_MS,
+		.timeout_ms = copy ? COPY_MS : BEAT_WAIT_MS,
+		.stall_timeout_ms = copy ? COPY_STALL_MS : 0,
 		.connect_timeout_ms = BEAT_CONNECT_MS,
 		.done = on_beat_answer,
 	};
@@ -260,16 +286,53 @@
 	if (!strcmp(address, n->lead.address))
 		call->lead_incarnation = n->lead.incarnation;
 	call->sent_ms = clock_now_ms();
-	call->wants_config = config_wanted(n);
+	call->copy = copy;
 	call->body = beat_pack(n, call, false, &r.body_length);
 	r.body = call->body;
-	r.url = talloc_asprintf(call, "http://%s/beat", address);
+	r.url = talloc_asprintf(call, "http://%s/%s", address,
+				copy ? "config" : "beat");
 	r.arg = call;
+	httpc_start(n->http, &r);
+}
+
+static void beat_send(struct node *n, struct peer_node *p, const char *address)
+{
 	if (p) {
 		p->beating = true;
 		p->beat_ms = clock_now_ms();
 	}
-	httpc_start(n->http, &r);
+	beat_call_start(n, address, false);
+}
+
+/* One of those that told of a newer version, another one each time. */
+static const struct peer_node *copy_peer(struct node *n)
+{
+	uint64_t own = n->config ? n->config->version : 0;
+	uint32_t i;
+
+	for (i = 0; i < n->peer_count; i++) {
+		const struct peer_node *p =
+			&n->peers[(n->copy_turn + i) % n->peer_count];
+
+		if (p->config_version <= own)
+			continue;
+		n->copy_turn = (n->copy_turn + i + 1) % n->peer_count;
+		return p;
+	}
+	return NULL;
+}
+
+static void copy_tick(struct node *n, uint64_t now)
+{
+	const struct peer_node *p;
+
+	if (!copy_wanted(n, now))
+		return;
+	p = copy_peer(n);
+	if (!p)
+		return;
+	n->copying = true;
+	beat_call_start(n, p->address, true);
 }
 
 static void beat_lead(struct node *n, uint64_t now)
@@ -401,6 +464,7 @@
 	beat_lead(n, now);
 	beat_other(n, now);
 	beat_seed(n, now);
+	copy_tick(n, now);
 }
 
 /* Server */
@@ -423,11 +487,25 @@
 	httpd_answer(request, &answer);
 }
 
-static void serve_beat(struct node *n, struct httpd_request *request)
+/*
+ * The load it answers: many nodes that missed a large configuration ask the
+ * few that have it; each node sends no more than its link carries, and whoever
+ * has a copy can send it on.
+ */
+static bool copy_may_be_sent(struct node *n, uint64_t now)
+{
+	if (n->copies_second != now / 1000) {
+		n->copies_second = now / 1000;
+		n->copies_sent = 0;
+	}
+	return n->copies_sent++ < COPIES_SENT_PER_S;
+}
+
+static void serve_beat(struct node *n, struct httpd_request *request, bool copy)
 {
 	Fleet__Beat *beat = fleet__beat__unpack(NULL, request->body_length,
 						(uint8_t *)request->body);
-	bool wanted;
+	bool newer;
 	uint8_t *bytes;
 	size_t length;
 
@@ -436,10 +514,13 @@
 		return;
 	}
 	beat_learn(n, beat);
-	wanted = beat->want_config && n->config &&
-		 beat->config_version < n->config->version;
+	newer = n->config && beat->config_version < n->config->version;
 	fleet__beat__free_unpacked(beat, NULL);
-	bytes = beat_pack(n, n, wanted, &length);
+	if (copy && newer && !copy_may_be_sent(n, clock_now_ms())) {
+		send_code(request, 503);
+		return;
+	}
+	bytes = beat_pack(n, n, copy && newer, &length);
 	send_bytes(request, bytes, length);
 	talloc_free(bytes);
 }
@@ -548,7 +629,9 @@
 	struct node *n = arg;
 
 	if (!strcmp(request->path, "/beat"))
-		serve_beat(n, request);
+		serve_beat(n, request, false);
+	else if (!strcmp(request->path, "/config"))
+		serve_beat(n, request, true);
 	else if (!strcmp(request->path, "/ask"))
 		serve_ask(n, request);
 	else if (!strcmp(request->path, "/metrics"))
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -8,7 +8,7 @@
  * session.c   looks at instances and orders to them
  * watch.c     rows that others write: configuration, instances, inbox, waves
  * ask.c       a caller's question, by the lead or by the store
- * gossip.c    beats between nodes and the server they meet at
+ * gossip.c    beats and copies between nodes, the server they meet at
  * machines.c  moves and upkeep, decided in fleet/
  * relay.c     calls that other nodes make for the lead
  * relay_serve.c  calls that this node makes for another that leads
@@ -49,10 +49,11 @@
 	char address[64];
 	char links[64]; /* where it takes frames; empty: nowhere */
 	uint64_t incarnation;
-	uint32_t power;	   /* thousandths of a core */
-	uint64_t heard_ms; /* last beat or answer; 0: never */
-	bool beating;	   /* a beat waits for its answer */
-	uint64_t beat_ms;  /* when the last one was sent */
+	uint32_t power;		 /* thousandths of a core */
+	uint64_t heard_ms;	 /* last beat or answer; 0: never */
+	bool beating;		 /* a beat waits for its answer */
+	uint64_t beat_ms;	 /* when the last one was sent */
+	uint64_t config_version; /* that it told last */
 };
 
 enum lead_phase {
@@ -145,6 +146,11 @@
 	uint8_t *config_bytes; /* as the operators wrote it, for peers */
 	size_t config_length;
 	uint64_t config_behind_ms; /* since a peer has a newer one; 0: none */
+	bool copying;		   /* a peer is asked for its configuration */
+	uint64_t copy_ms;	   /* none is asked before */
+	uint32_t copy_turn;	   /* the peer that is asked next */
+	uint64_t copies_second;	   /* of the clock, that copies_sent counts */
+	uint32_t copies_sent;
 
 	/* Lead */
 	struct lead_view lead;
