node: answers rest on a configuration that is known to be the newest

Cause, of the whole class: nothing that answers a caller asked how old the node's knowledge is.

A node keeps the last time at which its version is known to have been the newest: the store shows it (the row itself, or a feed that brought nothing), or a peer of the same version that tells the age of its own knowledge. Only answers count, from the time at which they were asked for. The feed waits 1.0 s, not 1.5 s, so that a slow store still shows it within 2 s.

Not chosen: refusing everything while the store is out for all. No version can be confirmed by a store that serves nobody, and states of jobs are still true.

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -1724,7 +1724,7 @@
   (ProtobufCMessageInit) fleet__peer_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor fleet__beat__field_descriptors[13] =
 {
   {
     "node",
@@ -1870,9 +1870,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_age_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Beat, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__beat__field_indices_by_name[] = {
   7,   /* field[7] = config */
+  12,   /* field[12] = config_age_ms */
   6,   /* field[6] = config_version */
   2,   /* field[2] = epoch */
   3,   /* field[3] = lead */
@@ -1889,7 +1902,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor fleet__beat__descriptor =
 {
@@ -1899,14 +1912,14 @@
   "Fleet__Beat",
   "fleet",
   sizeof(Fleet__Beat),
-  12,
+  13,
   fleet__beat__field_descriptors,
   fleet__beat__field_indices_by_name,
   2,  fleet__beat__number_ranges,
   (ProtobufCMessageInit) fleet__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[5] =
 {
   {
     "verb",
@@ -1956,8 +1969,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Ask, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__ask__field_indices_by_name[] = {
+  4,   /* field[4] = config_version */
   2,   /* field[2] = id */
   3,   /* field[3] = job */
   1,   /* field[1] = queue */
@@ -1966,7 +1992,7 @@
 static const ProtobufCIntRange fleet__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor fleet__ask__descriptor =
 {
@@ -1976,7 +2002,7 @@
   "Fleet__Ask",
   "fleet",
   sizeof(Fleet__Ask),
-  4,
+  5,
   fleet__ask__field_descriptors,
   fleet__ask__field_indices_by_name,
   1,  fleet__ask__number_ranges,
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -336,10 +336,14 @@
    * since the sender knew the lead able
    */
   uint32_t lead_age_ms;
+  /*
+   * since its version was known to be the newest
+   */
+  uint32_t config_age_ms;
 };
 #define FLEET__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Fleet__Ask
@@ -352,10 +356,14 @@
    * JobRow of a SUBMIT
    */
   ProtobufCBinaryData job;
+  /*
+   * the lead must know none newer; 0: it may
+   */
+  uint64_t config_version;
 };
 #define FLEET__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__ask__descriptor) \
-    , FLEET__VERB__NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+    , FLEET__VERB__NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 struct  Fleet__Answer
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -41,7 +41,8 @@
 	size_t length;
 	uint8_t *job; /* row of a SUBMIT */
 	size_t job_length;
-	uint64_t job_revision; /* of its row, as read; 0: there was none */
+	uint64_t job_revision;	 /* of its row, as read; 0: there was none */
+	uint64_t config_version; /* as in struct node_ask */
 	uint64_t deadline_ms;
 	uint64_t recorded_ms; /* when it was sent to the store */
 	bool maybe_recorded;  /* an earlier try may have taken effect */
@@ -146,7 +147,9 @@
 	bool waits = false;
 
 	n->asks[ask->verb]++;
-	if (!lead_may_order(n, now) || n->releasing)
+	if (!lead_may_order(n, now) || n->releasing ||
+	    !currency_agrees(n, ask->config_version) ||
+	    (ask->verb == FLEET__VERB__SUBMIT && !currency_holds(n, now)))
 		goto out;
 	switch (ask->verb) {
 	case FLEET__VERB__SUBMIT:
@@ -368,9 +371,11 @@
 				     clock_now_ms());
 }
 
+/* The store's rows do not say whether the caller may still ask. */
 static void ask_store(struct asking *a)
 {
-	if (time_left(a) < ASK_LEAST_MS || a->verb == FLEET__VERB__PENDING ||
+	if (a->config_version || time_left(a) < ASK_LEAST_MS ||
+	    a->verb == FLEET__VERB__PENDING ||
 	    (a->verb == FLEET__VERB__SUBMIT && !may_record(a))) {
 		answer_result(a, FLEET__RESULT__UNANSWERED);
 		return;
@@ -458,6 +463,7 @@
 		out.job.data = a->job;
 		out.job.len = a->job_length;
 	}
+	out.config_version = a->config_version;
 	out.verb = ask->verb;
 	out.id = a->id;
 	out.queue = a->queue;
@@ -486,6 +492,7 @@
 	assert(a);
 	a->node = n;
 	a->verb = ask->verb;
+	a->config_version = currency_for_ask(n, now);
 	snprintf(a->id, sizeof(a->id), "%s", ask->id);
 	snprintf(a->queue, sizeof(a->queue), "%s", ask->queue);
 	a->deadline_ms = now + (ask->deadline_ms > ASK_MARGIN_MS
--- /dev/null
+++ b/src/node/currency.c
@@ -0,0 +1,73 @@
+/*
+ * currency - how long ago a node's configuration was known to be the newest
+ *
+ * The store shows it: a feed that brings nothing, or the row itself. So does a
+ * peer that has the same version and tells how old its own knowledge is. Only
+ * answers count, from the time at which their question was sent: a message
+ * may have been under way for any time.
+ */
+#include <inttypes.h>
+
+#include "node/node_internal.h"
+
+/* The rest of the operators' bound is for a request on its way. */
+#define CURRENCY_PARTS 10u
+#define CURRENCY_PARTS_KEPT 9u
+
+void currency_shown(struct node *n, uint64_t at_ms)
+{
+	if (n->config && at_ms > n->config_shown_ms)
+		n->config_shown_ms = at_ms;
+}
+
+uint32_t currency_age_ms(const struct node *n, uint64_t now)
+{
+	uint64_t age_ms = now - n->config_shown_ms;
+
+	if (!n->config || !n->config_shown_ms || age_ms >= CURRENCY_NEVER)
+		return CURRENCY_NEVER;
+	return now < n->config_shown_ms ? 0 : (uint32_t)age_ms;
+}
+
+bool currency_holds(const struct node *n, uint64_t now)
+{
+	uint32_t bound_ms = n->settings.config_ms;
+
+	return currency_age_ms(n, now) <=
+	       bound_ms / CURRENCY_PARTS * CURRENCY_PARTS_KEPT;
+}
+
+void currency_peer(struct node *n, uint64_t version, uint32_t age_ms,
+		   uint64_t asked_ms)
+{
+	if (!n->config || version != n->config->version ||
+	    age_ms >= CURRENCY_NEVER || age_ms >= asked_ms)
+		return;
+	currency_shown(n, asked_ms - age_ms);
+}
+
+uint64_t currency_for_ask(const struct node *n, uint64_t now)
+{
+	return n->config && !currency_holds(n, now) ? n->config->version : 0;
+}
+
+bool currency_agrees(const struct node *n, uint64_t version)
+{
+	return !version || (n->config && n->config->version <= version);
+}
+
+void currency_tick(struct node *n, uint64_t now)
+{
+	bool holds = currency_holds(n, now);
+
+	if (holds == n->config_current)
+		return;
+	n->config_current = holds;
+	event_log(holds ? "config-current" : "config-not-current", NULL,
+		  "\"version\":%" PRIu64 ",\"age_ms\":%u,\"store_ok\":%d,"
+		  "\"behind_ms\":%" PRIu64 ",\"copying\":%d",
+		  n->config ? n->config->version : 0, currency_age_ms(n, now),
+		  n->store_ok,
+		  n->config_behind_ms ? now - n->config_behind_ms : 0,
+		  n->copying);
+}
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -135,6 +135,7 @@
 	beat.lead_address = n->lead.address;
 	beat.lead_incarnation = n->lead.incarnation;
 	beat.config_version = n->config ? n->config->version : 0;
+	beat.config_age_ms = currency_age_ms(n, clock_now_ms());
 	beat.leading = lead_is_able(n);
 	beat.lead_age_ms = lead_age_ms(n);
 	beat.stopping = n->stopping;
@@ -264,6 +265,8 @@
 			learn_config(n, beat);
 		else
 			beat_learn(n, beat);
+		currency_peer(n, beat->config_version, beat->config_age_ms,
+			      call->sent_ms);
 		fleet__beat__free_unpacked(beat, NULL);
 	}
 	talloc_free(call);
@@ -549,6 +552,7 @@
 		send_code(request, 400);
 		goto out;
 	}
+	ask.config_version = in->config_version;
 	ask.verb = in->verb;
 	ask.id = in->id;
 	ask.queue = in->queue;
@@ -610,10 +614,11 @@
 		n,
 		"{\"node\":\"%s\",\"zone\":\"%s\",\"leads\":\"%s\","
 		"\"lead\":\"%s\",\"epoch\":%" PRIu64 ",\"config\":%" PRIu64
-		",\"store\":%s,\"peers\":%u,\"jobs\":%u,"
+		",\"config_age_ms\":%u,\"store\":%s,\"peers\":%u,\"jobs\":%u,"
 		"\"instances\":%u}\n",
 		n->settings.name, n->settings.zone, phases[n->phase],
 		n->lead.node, n->lead.epoch, n->config ? n->config->version : 0,
+		currency_age_ms(n, clock_now_ms()),
 		n->store_ok ? "true" : "false", n->peer_count, s.jobs,
 		s.instances);
 	assert(text);
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -111,6 +111,8 @@
 	counter(out, "lead", "", n->phase == LEAD_DECIDING);
 	counter(out, "lead_epoch", "", n->lead.epoch);
 	counter(out, "config_version", "", n->config ? n->config->version : 0);
+	counter(out, "config_age_ms", "", currency_age_ms(n, clock_now_ms()));
+	counter(out, "config_holds", "", node_config_holds(n));
 	counter(out, "peers", "", n->peer_count);
 	counter(out, "store_calls_total", "", n->store_calls);
 	counter(out, "store_unknown_total", "", n->store_unknown);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -95,6 +95,7 @@
 	watch_tick(n, now);
 	gossip_tick(n, now);
 	relay_serve_tick(n, now);
+	currency_tick(n, now);
 	if (n->phase == LEAD_DECIDING) {
 		relay_tick(n, now);
 		machines_tick(n, now);
@@ -206,9 +207,14 @@
 	return n->config;
 }
 
+bool node_config_holds(const struct node *n)
+{
+	return currency_holds(n, clock_now_ms());
+}
+
 bool node_ready(const struct node *n)
 {
-	return n->config && !n->stopping;
+	return node_config_holds(n) && !n->stopping;
 }
 
 void node_stop(struct node *n, void (*done)(void *arg), void *arg)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -36,6 +36,7 @@
 	uint32_t holder_ms;    /* orders to machines: apart for two holders */
 	uint32_t move_ms;      /* a machine's move */
 	uint32_t upkeep_ms;    /* a machine's upkeep */
+	uint32_t config_ms;    /* a confirmed version is in force after that */
 };
 
 /* node_new - NULL when the peers' address cannot be bound */
@@ -46,6 +47,14 @@
 /* node_config - the newest version known, or NULL */
 const struct config *node_config(const struct node *n);
 
+/*
+ * node_config_holds - whether an answer may rest on node_config
+ *
+ * False once the node cannot show that no newer version was confirmed for
+ * config_ms: a queue or key that it does not know may be there by now.
+ */
+bool node_config_holds(const struct node *n);
+
 /* node_ready - whether callers should come */
 bool node_ready(const struct node *n);
 
@@ -64,7 +73,12 @@
 	const char *id;	      /* "" for PENDING */
 	Fleet__JobRow *job;   /* of a SUBMIT; kept by the caller, copied */
 	uint32_t deadline_ms; /* the caller waits that long */
-	node_answer_fn fn;    /* called once, maybe before node_ask returns */
+	/*
+	 * By which it was let in, when that may be too old: answered only if
+	 * the lead knows none newer. 0: it is not.
+	 */
+	uint64_t config_version;
+	node_answer_fn fn; /* called once, maybe before node_ask returns */
 	void *arg;
 };
 
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -7,6 +7,7 @@
  * commit.c    changed rows, in one transaction at a time
  * session.c   looks at instances and orders to them
  * watch.c     rows that others write: configuration, instances, inbox, waves
+ * currency.c  how old the knowledge of the configuration is
  * ask.c       a caller's question, by the lead or by the store
  * gossip.c    beats and copies between nodes, the server they meet at
  * machines.c  moves and upkeep, decided in fleet/
@@ -145,6 +146,8 @@
 	struct config *config;
 	uint8_t *config_bytes; /* as the operators wrote it, for peers */
 	size_t config_length;
+	uint64_t config_shown_ms;  /* it was the newest then; 0: not known */
+	bool config_current;	   /* as last logged */
 	uint64_t config_behind_ms; /* since a peer has a newer one; 0: none */
 	bool copying;		   /* a peer is asked for its configuration */
 	uint64_t copy_ms;	   /* none is asked before */
@@ -308,6 +311,35 @@
 void watch_config_bytes(struct node *n, const uint8_t *value, size_t length,
 			const char *from);
 
+/* currency.c */
+
+#define CURRENCY_NEVER UINT32_MAX /* ms: it was never shown */
+
+/* currency_shown - the configuration was the newest at at_ms */
+void currency_shown(struct node *n, uint64_t at_ms);
+
+/* currency_age_ms - since it was known to be the newest */
+uint32_t currency_age_ms(const struct node *n, uint64_t now);
+
+/* currency_holds - it may be answered by: its age is within the bound */
+bool currency_holds(const struct node *n, uint64_t now);
+
+/*
+ * currency_peer - a peer, asked at asked_ms, said that its version was the
+ * newest age_ms before it answered; of another version it shows nothing
+ */
+void currency_peer(struct node *n, uint64_t version, uint32_t age_ms,
+		   uint64_t asked_ms);
+
+/* currency_for_ask - the version that the lead must agree to; 0: any */
+uint64_t currency_for_ask(const struct node *n, uint64_t now);
+
+/* currency_agrees - the lead knows none newer than that; 0: it need not */
+bool currency_agrees(const struct node *n, uint64_t version);
+
+/* currency_tick - logs when it begins and ceases to hold */
+void currency_tick(struct node *n, uint64_t now);
+
 /* ask.c */
 
 /*
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -15,7 +15,7 @@
  * A connection may go silent for good. The feed's wait is bounded so that a
  * change is seen within the operators' bound of 2 s after contact is back.
  */
-#define FEED_WAIT_MS 1500u
+#define FEED_WAIT_MS 1000u
 #define FEED_RETRY_MS 250u
 #define INBOX_BYTES_MAX 64u
 
@@ -27,6 +27,7 @@
 	uint64_t sent_ms;
 	uint32_t turn;
 	bool reading; /* the whole table, not its changes */
+	bool later;   /* a page after the first */
 };
 
 static const char *table_of(const struct node *n, enum feed_kind kind);
@@ -275,6 +276,22 @@
 		  clock_now_ms() - call->sent_ms);
 }
 
+/*
+ * The row was in the answer, or nothing had changed since it was read. A feed
+ * that brings nothing has waited at the store for all of its time.
+ */
+static uint64_t shown_at(const struct feed_call *call,
+			 const struct store_reply *reply)
+{
+	uint64_t waited_ms = call->sent_ms + FEED_WAIT_MS;
+
+	if (call->later || reply->more)
+		return 0; /* its row may be on another page */
+	if (call->reading || reply->row_count || waited_ms > clock_now_ms())
+		return call->sent_ms;
+	return waited_ms;
+}
+
 static void on_feed(void *arg, const struct store_reply *reply)
 {
 	struct feed_call *call = arg;
@@ -286,6 +303,7 @@
 	bool stale =
 		kind != FEED_OPERATOR && (call->lead_epoch != n->lead_epoch ||
 					  n->phase != LEAD_DECIDING);
+	uint64_t shown_ms = shown_at(call, reply);
 	uint32_t i;
 
 	log_watch(n, call, reply);
@@ -297,13 +315,15 @@
 		if (kind == FEED_OPERATOR && reply->status == STORE_OK)
 			for (i = 0; i < reply->row_count; i++)
 				take_row(n, kind, &reply->rows[i]);
-		return;
+		return; /* what else has changed since is not known */
 	}
 	feed->under_way = false;
 	switch (reply->status) {
 	case STORE_OK:
 		for (i = 0; i < reply->row_count; i++)
 			take_row(n, kind, &reply->rows[i]);
+		if (kind == FEED_OPERATOR)
+			currency_shown(n, shown_ms);
 		if (reading)
 			page_read(n, kind, reply);
 		else
@@ -353,6 +373,7 @@
 	call->after = feed->revision;
 	call->sent_ms = clock_now_ms();
 	call->turn = feed->turn;
+	call->later = feed->from != NULL;
 	feed->under_way = true;
 	if (call->reading)
 		n->services->read(n->services->impl, table_of(n, kind),
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -44,6 +44,7 @@
 holder_ms: 300
 move_s: 2
 upkeep_s: 2
+config_ms: 2000
 """
 SHARE = 0.3       # of a core, as told to a node
 POOLS = {"q0": "p0", "q1": "p1"}  # of queues; any other has the first
