ask: a lead says nothing of queues and workspaces that it does not know yet

An ask carries the version by which it was let in. Where the lead's differs and lacks the queue or workspace, the newer one decides: a dropped queue is refused, a new one is not answered, so the caller comes again.

test/currency_test.c: table of verdicts (the code before had none).

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -1919,7 +1919,7 @@
   (ProtobufCMessageInit) fleet__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor fleet__ask__field_descriptors[6] =
 {
   {
     "verb",
@@ -1981,8 +1981,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_old",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__Ask, config_old),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__ask__field_indices_by_name[] = {
+  5,   /* field[5] = config_old */
   4,   /* field[4] = config_version */
   2,   /* field[2] = id */
   3,   /* field[3] = job */
@@ -1992,7 +2005,7 @@
 static const ProtobufCIntRange fleet__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor fleet__ask__descriptor =
 {
@@ -2002,7 +2015,7 @@
   "Fleet__Ask",
   "fleet",
   sizeof(Fleet__Ask),
-  5,
+  6,
   fleet__ask__field_descriptors,
   fleet__ask__field_indices_by_name,
   1,  fleet__ask__number_ranges,
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -357,13 +357,17 @@
    */
   ProtobufCBinaryData job;
   /*
-   * the lead must know none newer; 0: it may
+   * by which the call was let in
    */
   uint64_t config_version;
+  /*
+   * it may be too old: the lead must know none newer
+   */
+  protobuf_c_boolean config_old;
 };
 #define FLEET__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__ask__descriptor) \
-    , FLEET__VERB__NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , FLEET__VERB__NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 struct  Fleet__Answer
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -24,6 +24,7 @@
 #define RECORDS_PER_S 100u
 #define RECORDS_BURST 2.0      /* of one node */
 #define RECORD_PAUSE_MS 1500u  /* after the store was seen to be slow */
+#define RETRY_DROPPED_MS 1000u /* by then the node that was asked knows */
 #define RETRY_STALLED_MS 1000u /* after a store that does not answer */
 #define ASK_LEAD_PART 2u       /* at most the deadline divided by this */
 #define ASK_MARGIN_MS 100u     /* answered that long before the deadline */
@@ -43,6 +44,7 @@
 	size_t job_length;
 	uint64_t job_revision;	 /* of its row, as read; 0: there was none */
 	uint64_t config_version; /* as in struct node_ask */
+	bool config_old;
 	uint64_t deadline_ms;
 	uint64_t recorded_ms; /* when it was sent to the store */
 	bool maybe_recorded;  /* an earlier try may have taken effect */
@@ -133,6 +135,27 @@
 	}
 }
 
+/* A job that the lead knows is not let in anew. */
+static bool verdict_allows(struct node *n, const struct node_ask *ask,
+			   struct node_answer *r)
+{
+	enum currency_verdict verdict = currency_verdict(n->config, ask);
+
+	if (verdict == CURRENCY_DECIDES ||
+	    (!ask->config_old && sched_state(n->sched, ask->id, ask->queue)))
+		return true;
+	if (verdict == CURRENCY_DROPPED) {
+		r->result = FLEET__RESULT__REFUSED;
+		r->retry_after_ms = RETRY_DROPPED_MS;
+	}
+	event_log("ask-other-version", event_text(ask->id),
+		  "\"verb\":%d,\"queue\":\"%s\",\"verdict\":%d,"
+		  "\"asked_by\":%" PRIu64 ",\"own\":%" PRIu64,
+		  ask->verb, event_text(ask->queue), verdict,
+		  ask->config_version, n->config ? n->config->version : 0);
+	return false;
+}
+
 /*
  * ask_decide - the lead's own answer; it may wait for a write
  *
@@ -148,8 +171,8 @@
 
 	n->asks[ask->verb]++;
 	if (!lead_may_order(n, now) || n->releasing ||
-	    !currency_agrees(n, ask->config_version) ||
-	    (ask->verb == FLEET__VERB__SUBMIT && !currency_holds(n, now)))
+	    (ask->verb == FLEET__VERB__SUBMIT && !currency_holds(n, now)) ||
+	    !verdict_allows(n, ask, &r))
 		goto out;
 	switch (ask->verb) {
 	case FLEET__VERB__SUBMIT:
@@ -374,7 +397,7 @@
 /* The store's rows do not say whether the caller may still ask. */
 static void ask_store(struct asking *a)
 {
-	if (a->config_version || time_left(a) < ASK_LEAST_MS ||
+	if (a->config_old || time_left(a) < ASK_LEAST_MS ||
 	    a->verb == FLEET__VERB__PENDING ||
 	    (a->verb == FLEET__VERB__SUBMIT && !may_record(a))) {
 		answer_result(a, FLEET__RESULT__UNANSWERED);
@@ -464,6 +487,7 @@
 		out.job.len = a->job_length;
 	}
 	out.config_version = a->config_version;
+	out.config_old = a->config_old;
 	out.verb = ask->verb;
 	out.id = a->id;
 	out.queue = a->queue;
@@ -492,7 +516,8 @@
 	assert(a);
 	a->node = n;
 	a->verb = ask->verb;
-	a->config_version = currency_for_ask(n, now);
+	a->config_version = n->config ? n->config->version : 0;
+	a->config_old = !currency_holds(n, now);
 	snprintf(a->id, sizeof(a->id), "%s", ask->id);
 	snprintf(a->queue, sizeof(a->queue), "%s", ask->queue);
 	a->deadline_ms = now + (ask->deadline_ms > ASK_MARGIN_MS
--- a/src/node/currency.c
+++ b/src/node/currency.c
@@ -46,14 +46,21 @@
 	currency_shown(n, asked_ms - age_ms);
 }
 
-uint64_t currency_for_ask(const struct node *n, uint64_t now)
+enum currency_verdict currency_verdict(const struct config *own,
+				       const struct node_ask *ask)
 {
-	return n->config && !currency_holds(n, now) ? n->config->version : 0;
-}
+	const char *workspace = ask->job ? ask->job->workspace : "";
+	uint64_t version = own ? own->version : 0;
 
-bool currency_agrees(const struct node *n, uint64_t version)
-{
-	return !version || (n->config && n->config->version <= version);
+	if (!own || (ask->config_old && version > ask->config_version))
+		return CURRENCY_BEHIND;
+	if (ask->verb != FLEET__VERB__SUBMIT ||
+	    version == ask->config_version ||
+	    (config_queue(own, ask->queue) &&
+	     (!*workspace || config_workspace(own, workspace))))
+		return CURRENCY_DECIDES;
+	return version < ask->config_version ? CURRENCY_BEHIND
+					     : CURRENCY_DROPPED;
 }
 
 void currency_tick(struct node *n, uint64_t now)
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -553,6 +553,7 @@
 		goto out;
 	}
 	ask.config_version = in->config_version;
+	ask.config_old = in->config_old;
 	ask.verb = in->verb;
 	ask.id = in->id;
 	ask.queue = in->queue;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -70,14 +70,12 @@
 struct node_ask {
 	Fleet__Verb verb;
 	const char *queue;
-	const char *id;	      /* "" for PENDING */
-	Fleet__JobRow *job;   /* of a SUBMIT; kept by the caller, copied */
-	uint32_t deadline_ms; /* the caller waits that long */
-	/*
-	 * By which it was let in, when that may be too old: answered only if
-	 * the lead knows none newer. 0: it is not.
-	 */
-	uint64_t config_version;
+	const char *id;		 /* "" for PENDING */
+	Fleet__JobRow *job;	 /* of a SUBMIT; kept by the caller, copied */
+	uint32_t deadline_ms;	 /* the caller waits that long */
+	uint64_t config_version; /* by which it was let in */
+	bool config_old;   /* that may be too old: the lead must know none newer
+			    */
 	node_answer_fn fn; /* called once, maybe before node_ask returns */
 	void *arg;
 };
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -331,11 +331,19 @@
 void currency_peer(struct node *n, uint64_t version, uint32_t age_ms,
 		   uint64_t asked_ms);
 
-/* currency_for_ask - the version that the lead must agree to; 0: any */
-uint64_t currency_for_ask(const struct node *n, uint64_t now);
+enum currency_verdict {
+	CURRENCY_DECIDES,
+	CURRENCY_DROPPED, /* a newer version has it no more */
+	CURRENCY_BEHIND,  /* this node cannot say */
+};
 
-/* currency_agrees - the lead knows none newer than that; 0: it need not */
-bool currency_agrees(const struct node *n, uint64_t version);
+/*
+ * currency_verdict - whether the lead's configuration can decide a call
+ *
+ * The node that was asked let the call in by another version, maybe.
+ */
+enum currency_verdict currency_verdict(const struct config *own,
+				       const struct node_ask *ask);
 
 /* currency_tick - logs when it begins and ceases to hold */
 void currency_tick(struct node *n, uint64_t now);
--- a/test/currency_test.c
+++ b/test/currency_test.c
@@ -49,32 +49,60 @@
 	}
 }
 
-static void test_lead_agrees(void **state)
+/* Whether the lead's version can decide what another version let in. */
+static void test_verdicts(void **state)
 {
 	static const struct {
 		const char *what;
-		uint64_t own, asked;
-		bool agrees;
+		Fleet__Verb verb;
+		const char *queue, *workspace;
+		uint64_t asked_by;
+		bool old;
+		enum currency_verdict verdict;
 	} cases[] = {
-		{ "the asking node's version is current", 9, 0, true },
-		{ "the same version", 9, 9, true },
-		{ "the lead knows a newer one", 9, 8, false },
-		{ "the lead is behind", 8, 9, true },
-		{ "the lead has none", 0, 9, false },
+		{ "the same version", FLEET__VERB__SUBMIT, "q", "w", 9, false,
+		  CURRENCY_DECIDES },
+		{ "an open queue", FLEET__VERB__SUBMIT, "q", "", 9, false,
+		  CURRENCY_DECIDES },
+		{ "let in by an older version that may be current",
+		  FLEET__VERB__SUBMIT, "q", "w", 8, false, CURRENCY_DECIDES },
+		{ "let in by one that may be too old", FLEET__VERB__STATE, "q",
+		  "", 8, true, CURRENCY_BEHIND },
+		{ "not shown to be current, and it is", FLEET__VERB__STATE, "q",
+		  "", 9, true, CURRENCY_DECIDES },
+		{ "a queue that was dropped", FLEET__VERB__SUBMIT, "gone", "w",
+		  8, false, CURRENCY_DROPPED },
+		{ "a queue that the lead does not know yet",
+		  FLEET__VERB__SUBMIT, "new", "w", 10, false, CURRENCY_BEHIND },
+		{ "a workspace that it does not know yet", FLEET__VERB__SUBMIT,
+		  "q", "new", 10, false, CURRENCY_BEHIND },
+		{ "its job is asked for by a queue that was dropped",
+		  FLEET__VERB__STATE, "gone", "", 8, false, CURRENCY_DECIDES },
 	};
+	struct config_queue queue = { .name = "q" };
+	struct config_workspace workspace = { .name = "w" };
+	struct config own = { .version = 9,
+			      .queue_count = 1,
+			      .queues = &queue,
+			      .workspace_count = 1,
+			      .workspaces = &workspace };
 	size_t c;
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
-		struct node *n = talloc_zero(NULL, struct node);
+		Fleet__JobRow job = FLEET__JOB_ROW__INIT;
+		struct node_ask ask = { .verb = cases[c].verb,
+					.queue = cases[c].queue,
+					.config_version = cases[c].asked_by,
+					.config_old = cases[c].old };
 
-		if (cases[c].own) {
-			n->config = talloc_zero(n, struct config);
-			n->config->version = cases[c].own;
-		}
-		if (currency_agrees(n, cases[c].asked) != cases[c].agrees)
+		job.workspace = (char *)cases[c].workspace;
+		if (cases[c].verb == FLEET__VERB__SUBMIT)
+			ask.job = &job;
+		if (currency_verdict(&own, &ask) != cases[c].verdict)
 			fail_msg("%s", cases[c].what);
-		talloc_free(n);
+		if (currency_verdict(NULL, &ask) != CURRENCY_BEHIND)
+			fail_msg("%s, without a configuration", cases[c].what);
 	}
 }
 
@@ -242,7 +270,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_what_shows_it),
-		cmocka_unit_test(test_lead_agrees),
+		cmocka_unit_test(test_verdicts),
 		cmocka_unit_test(test_no_answer_by_an_old_version),
 	};
 
