watch: a feed without an answer is followed by a reading; the soak has versions

After a feed that was not answered the table is read. A lead that cannot show its version to be the newest though the store answers it says nothing to an entry in the same state; while the store answers nobody it still tells of jobs, since no version is confirmed then.

--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -135,6 +135,20 @@
 	}
 }
 
+/*
+ * While the store serves nobody, no version is confirmed, and what the lead
+ * says of the jobs that it knows stays true. A store that answers would show
+ * the lead's version to be the newest if it were.
+ */
+static bool lead_may_vouch(const struct node *n, const struct node_ask *ask,
+			   uint64_t now)
+{
+	if (currency_holds(n, now))
+		return true;
+	return ask->verb != FLEET__VERB__SUBMIT &&
+	       (!ask->config_old || !n->store_ok);
+}
+
 /* A job that the lead knows is not let in anew. */
 static bool verdict_allows(struct node *n, const struct node_ask *ask,
 			   struct node_answer *r)
@@ -171,8 +185,7 @@
 
 	n->asks[ask->verb]++;
 	if (!lead_may_order(n, now) || n->releasing ||
-	    (ask->verb == FLEET__VERB__SUBMIT && !currency_holds(n, now)) ||
-	    !verdict_allows(n, ask, &r))
+	    !lead_may_vouch(n, ask, now) || !verdict_allows(n, ask, &r))
 		goto out;
 	switch (ask->verb) {
 	case FLEET__VERB__SUBMIT:
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -39,7 +39,6 @@
 	uint32_t row_count;
 	struct store_row *rows; /* valid during the call */
 	bool more;
-	bool cut; /* UNKNOWN, though a part of the answer has come */
 };
 
 typedef void (*store_fn)(void *arg, const struct store_reply *reply);
@@ -162,8 +161,7 @@
 	void (*read)(void *impl, const char *table, const char *from,
 		     const char *to, uint32_t timeout_ms, store_fn fn,
 		     void *arg);
-	/* Every change since after; cut when it is far more than one reading.
-	 */
+	/* Every change since; UNKNOWN when it is far more than a reading. */
 	void (*feed)(void *impl, const char *table, uint64_t after,
 		     uint32_t wait_ms, store_fn fn, void *arg);
 
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -338,11 +338,15 @@
 		feed->revision = 0;
 		feed_start(n, kind, true);
 		break;
+	case STORE_UNKNOWN:
+		/* Whether feeds are silent or too large for the link: read. */
+		if (!reading)
+			watch_from(n, kind, 0);
+		feed->retry_ms = clock_now_ms() + FEED_RETRY_MS;
+		break;
 	case STORE_CONFLICT:
 	case STORE_REFUSED:
-	case STORE_UNKNOWN:
-		if (reply->cut ||
-		    (kind == FEED_OPERATOR && n->config_behind_ms))
+		if (kind == FEED_OPERATOR && n->config_behind_ms)
 			watch_from(n, kind, 0);
 		feed->retry_ms = clock_now_ms() + FEED_RETRY_MS;
 		break;
--- /dev/null
+++ b/test/event_test.c
@@ -0,0 +1,101 @@
+/*
+ * The log when its reader is slow: whole lines, in order, or counted as
+ * dropped.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "process/event.h"
+
+#define PIPE_BYTES 4096 /* the least that the kernel allows */
+#define LINES 900u	/* below the rate of one kind */
+#define FLUSH_EVERY 20u
+
+/* Reads up to most bytes of the pipe to the end of text. */
+static size_t read_some(int fd, char *text, size_t used, size_t most)
+{
+	ssize_t n = read(fd, text + used, most);
+
+	return used + (n > 0 ? (size_t)n : 0);
+}
+
+static uint32_t count_lines(char *text)
+{
+	uint32_t lines = 0;
+	json_error_t error;
+	char *line, *rest = text;
+
+	while ((line = strsep(&rest, "\n")) && *line) {
+		json_t *o = json_loads(line, 0, &error);
+
+		if (!o)
+			fail_msg("no whole line: %s", line);
+		if (!strcmp(json_string_value(json_object_get(o, "event")),
+			    "probe"))
+			lines++;
+		json_decref(o);
+	}
+	return lines;
+}
+
+static void test_lines_stay_whole(void **state)
+{
+	static const size_t reads[] = { 1, 7, 1000, 4096 }; /* bytes a flush */
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(reads) / sizeof(reads[0]); c++) {
+		size_t room = LINES * 1024;
+		char *text = calloc(1, room);
+		uint64_t dropped = event_dropped();
+		int saved = dup(STDOUT_FILENO);
+		size_t used = 0, before;
+		uint32_t i, lines;
+		int ends[2];
+
+		assert_int_equal(pipe2(ends, O_NONBLOCK), 0);
+		fcntl(ends[1], F_SETPIPE_SZ, PIPE_BYTES);
+		fflush(stdout);
+		dup2(ends[1], STDOUT_FILENO);
+		event_open("node-1");
+		for (i = 0; i < LINES; i++) {
+			event_log("probe", NULL, "\"n\":%u,\"text\":\"%0*u\"",
+				  i, (int)(i % 200), i);
+			if (i % FLUSH_EVERY)
+				continue;
+			event_flush();
+			used = read_some(ends[0], text, used, reads[c]);
+		}
+		do {
+			before = used;
+			event_flush();
+			used = read_some(ends[0], text, used, PIPE_BYTES);
+		} while (used > before);
+		dup2(saved, STDOUT_FILENO);
+		lines = count_lines(text);
+		assert_int_equal(lines + event_dropped() - dropped, LINES);
+		close(ends[0]);
+		close(ends[1]);
+		close(saved);
+		free(text);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lines_stay_whole),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,8 @@
 """Faults at random on nodes and the stand-in of the users' platform.
 
-Callers hand in jobs all the time while nodes are killed, frozen and stopped,
-workers forget everything, and the store refuses or loses answers; what
+Callers hand in jobs and operators write versions all the time while nodes are
+killed, frozen and stopped, links from the store turn slow, workers forget
+everything, and the store refuses or loses answers; what
 docs/SCENARIOS.md says is checked in every case is checked at the end. The
 same seed draws the same faults at the same times; processes and their
 answers are real, so two runs differ. Ends with status 0 if all held.
@@ -20,6 +21,9 @@
 JOBS_A_SECOND = 4.0
 SETTLE_S = 60       # for what is owed when the faults are over
 WORKERS = 8
+VERSIONS_A_SECOND = 0.5
+ROUTES = (0, 0, 100, 1600)  # more, of a version
+LINK_KB = (20, 100, 500)    # a second, of a link that is slow
 
 
 class Soak:
@@ -28,13 +32,18 @@
     def __init__(self, run, rng):
         self.run = run
         self.rng = rng
+        self.store_up = True
+
+    def set_store(self, up):
+        self.store_up = up
+        self.run.do("store", ["up" if up else "down"])
 
     def fault(self):
         """Draws one fault; returns what ends it."""
         site, run, rng = self.run.site, self.run, self.rng
         node = rng.choice(sorted(site.nodes))
         kind = rng.choice(("kill", "kill lead", "kill all", "freeze", "stop",
-                           "store", "lose", "mute", "crash"))
+                           "store", "lose", "mute", "crash", "link"))
         print(f"  {kind} {node}", flush=True)
         if kind == "kill lead":
             node = site.lead() or node
@@ -48,8 +57,11 @@
             run.do("freeze", [node])
             return lambda: run.do("thaw", [])
         if kind == "store":
-            run.do("store", ["down"])
-            return lambda: run.do("store", ["up"])
+            self.set_store(False)
+            return lambda: self.set_store(True)
+        if kind == "link":
+            run.do("link", [node, str(rng.choice(LINK_KB))])
+            return lambda: run.do("link", [node, "0"])
         if kind == "mute":
             run.do("mute", [rng.choice(("inbox", "servers", "op"))])
             return lambda: run.do("unmute", [])
@@ -66,14 +78,23 @@
                                "steps", str(rng.randint(1, 2)),
                                "ms", str(rng.randint(50, 1500))])
 
+    def version(self):
+        """A store that serves nobody confirms nothing."""
+        if self.store_up:
+            self.run.do("version", ["with", str(self.rng.choice(ROUTES)),
+                                    "routes"])
+
     def play(self, seconds):
         begin = time.monotonic()
-        next_job = next_fault = 0.0
+        next_job = next_fault = next_version = 0.0
         end = None
         while (now := time.monotonic() - begin) < seconds:
             if now >= next_job:
                 self.submit()
                 next_job = now + self.rng.expovariate(JOBS_A_SECOND)
+            if now >= next_version:
+                self.version()
+                next_version = now + self.rng.expovariate(VERSIONS_A_SECOND)
             if now >= next_fault:
                 if end:
                     end()
