currency: a proof a moment newer than the caller's time is age 0, not none

An age was taken by subtraction before its sign was looked at, so a proof that came after the caller had read the clock counted as none: a 503 for a moment, or a node not ready at one check. Found by reading; the table of ages failed before.

--- a/src/node/currency.c
+++ b/src/node/currency.c
@@ -22,11 +22,14 @@
 
 uint32_t currency_age_ms(const struct node *n, uint64_t now)
 {
-	uint64_t age_ms = now - n->config_shown_ms;
+	uint64_t shown_ms = n->config_shown_ms;
 
-	if (!n->config || !n->config_shown_ms || age_ms >= CURRENCY_NEVER)
+	if (!n->config || !shown_ms)
 		return CURRENCY_NEVER;
-	return now < n->config_shown_ms ? 0 : (uint32_t)age_ms;
+	if (now <= shown_ms)
+		return 0;
+	return now - shown_ms < CURRENCY_NEVER ? (uint32_t)(now - shown_ms)
+					       : CURRENCY_NEVER;
 }
 
 bool currency_holds(const struct node *n, uint64_t now)
--- a/test/currency_test.c
+++ b/test/currency_test.c
@@ -49,6 +49,34 @@
 	}
 }
 
+static void test_ages(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t shown_ms, now;
+		uint32_t age_ms;
+	} cases[] = {
+		{ "it was never shown", 0, 5000, CURRENCY_NEVER },
+		{ "a while ago", 4000, 5000, 1000 },
+		{ "just now", 5000, 5000, 0 },
+		{ "after the caller took the time", 5001, 5000, 0 },
+		{ "longer ago than can be told", 1, 1ull << 33,
+		  CURRENCY_NEVER },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct node *n = talloc_zero(NULL, struct node);
+
+		n->config = talloc_zero(n, struct config);
+		n->config_shown_ms = cases[c].shown_ms;
+		if (currency_age_ms(n, cases[c].now) != cases[c].age_ms)
+			fail_msg("%s", cases[c].what);
+		talloc_free(n);
+	}
+}
+
 /* Whether the lead's version can decide what another version let in. */
 static void test_verdicts(void **state)
 {
@@ -270,6 +298,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_what_shows_it),
+		cmocka_unit_test(test_ages),
 		cmocka_unit_test(test_verdicts),
 		cmocka_unit_test(test_no_answer_by_an_old_version),
 	};
