--- a/src/node/node.c
+++ b/src/node/node.c
@@ -189,7 +189,7 @@
 	n->tick = mtimer_new(n, ev, on_tick, n);
 	n->pump_timer = mtimer_new(n, ev, pump, n);
 	if (!n->pump_now || !n->pump_timer || !n->http || !n->tick ||
-	    !gossip_start(n) || !relay_start(n) || !relay_serve_start(n)) {
+	    !peer_server_start(n) || !relay_start(n) || !relay_serve_start(n)) {
 		talloc_free(n);
 		return NULL;
 	}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -9,7 +9,8 @@
  * watch.c     rows that others write: configuration, instances, inbox, waves
  * currency.c  how old the knowledge of the configuration is
  * ask.c       a caller's question, by the lead or by the store
- * gossip.c    beats and copies between nodes, the server they meet at
+ * gossip.c    beats between nodes, copies of the configuration
+ * peer_server.c  what is answered to other nodes and to operators
  * machines.c  moves and upkeep, decided in fleet/
  * relay.c     calls that other nodes make for the lead
  * relay_serve.c  calls that this node makes for another that leads
@@ -362,7 +363,11 @@
 void ask_decide(struct node *n, const struct node_ask *ask);
 
 /* gossip.c */
-bool gossip_start(struct node *n);
+
+/* gossip_pack - what this node knows, packed; owned by ctx */
+uint8_t *gossip_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
+		     size_t *length);
+void gossip_hear(struct node *n, const Fleet__Beat *beat);
 void gossip_tick(struct node *n, uint64_t now);
 void gossip_learn(struct node *n, const char *name, const Fleet__NodeRow *row);
 uint32_t gossip_strongest(const struct node *n, uint64_t since_ms);
@@ -401,6 +406,9 @@
 bool relay_serve_start(struct node *n);
 void relay_serve_tick(struct node *n, uint64_t now);
 
+/* peer_server.c */
+bool peer_server_start(struct node *n);
+
 /* machines.c */
 
 struct holder_view {
--- /dev/null
+++ b/src/node/peer_server.c
@@ -0,0 +1,212 @@
+/*
+ * peer_server - what a node answers to other nodes and to operators
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_internal.h"
+#include "process/settings.h"
+
+#define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
+#define COPIES_SENT_PER_S 3u	 /* by one node: half of a link of 10 Mbit/s */
+#define ASKED_WAIT_MS 2000u /* for a write, before another node is answered */
+#define SERVER_IDLE_S 60u
+
+static void send_bytes(struct httpd_request *request, const uint8_t *bytes,
+		       size_t length)
+{
+	struct httpd_answer answer = { .code = 200, .body_length = length };
+
+	answer.body = malloc(length ? length : 1);
+	assert(answer.body);
+	memcpy(answer.body, bytes, length);
+	httpd_answer(request, &answer);
+}
+
+static void send_code(struct httpd_request *request, unsigned int code)
+{
+	struct httpd_answer answer = { .code = code };
+
+	httpd_answer(request, &answer);
+}
+
+/*
+ * The load it answers: many nodes that missed a large configuration ask the
+ * few that have it; each node sends no more than its link carries, and whoever
+ * has a copy can send it on.
+ */
+static bool copy_may_be_sent(struct node *n, uint64_t now)
+{
+	if (n->copies_second != now / 1000) {
+		n->copies_second = now / 1000;
+		n->copies_sent = 0;
+	}
+	return n->copies_sent++ < COPIES_SENT_PER_S;
+}
+
+static void serve_beat(struct node *n, struct httpd_request *request, bool copy)
+{
+	Fleet__Beat *beat = fleet__beat__unpack(NULL, request->body_length,
+						(uint8_t *)request->body);
+	bool newer;
+	uint8_t *bytes;
+	size_t length;
+
+	if (!beat) {
+		send_code(request, 400);
+		return;
+	}
+	gossip_hear(n, beat);
+	newer = n->config && beat->config_version < n->config->version;
+	fleet__beat__free_unpacked(beat, NULL);
+	if (copy && newer && !copy_may_be_sent(n, clock_now_ms())) {
+		send_code(request, 503);
+		return;
+	}
+	bytes = gossip_pack(n, n, copy && newer, &length);
+	send_bytes(request, bytes, length);
+	talloc_free(bytes);
+}
+
+static void on_asked(void *arg, const struct node_answer *r)
+{
+	Fleet__Answer out = FLEET__ANSWER__INIT;
+	uint8_t bytes[64];
+
+	out.result = r->result;
+	out.state = r->state;
+	out.pending = r->pending;
+	out.retry_after_ms = r->retry_after_ms;
+	send_bytes(arg, bytes, fleet__answer__pack(&out, bytes));
+}
+
+static void serve_ask(struct node *n, struct httpd_request *request)
+{
+	Fleet__Ask *in = fleet__ask__unpack(NULL, request->body_length,
+					    (uint8_t *)request->body);
+	struct node_ask ask = { .deadline_ms = ASKED_WAIT_MS,
+				.fn = on_asked,
+				.arg = request };
+
+	if (!in || strlen(in->id) > SCHED_ID_BYTES) {
+		send_code(request, 400);
+		goto out;
+	}
+	ask.config_version = in->config_version;
+	ask.config_old = in->config_old;
+	ask.verb = in->verb;
+	ask.id = in->id;
+	ask.queue = in->queue;
+	if (in->verb == FLEET__VERB__SUBMIT) {
+		ask.job =
+			fleet__job_row__unpack(NULL, in->job.len, in->job.data);
+		if (!ask.job) {
+			send_code(request, 400);
+			goto out;
+		}
+	}
+	ask_decide(n, &ask);
+	if (ask.job)
+		fleet__job_row__free_unpacked(ask.job, NULL);
+out:
+	if (in)
+		fleet__ask__free_unpacked(in, NULL);
+}
+
+static void serve_metrics(struct node *n, struct httpd_request *request)
+{
+	struct httpd_answer answer = { .code = 200 };
+
+	answer.headers = "Content-Type: text/plain; version=0.0.4\r\n";
+	answer.headers_length = strlen(answer.headers);
+	answer.body = node_metrics(n);
+	answer.body_length = strlen(answer.body);
+	httpd_answer(request, &answer);
+}
+
+static void serve_explain(struct node *n, struct httpd_request *request,
+			  const char *id)
+{
+	struct httpd_answer answer = { .code = 200 };
+	char *text = n->sched ? sched_explain(n->sched, n, id) : NULL;
+
+	if (!text) {
+		send_code(request, 404);
+		return;
+	}
+	answer.body = strdup(text);
+	assert(answer.body);
+	answer.body_length = strlen(answer.body);
+	talloc_free(text);
+	httpd_answer(request, &answer);
+}
+
+/* What operators ask of each node; names come from settings and rows. */
+static void serve_status(struct node *n, struct httpd_request *request)
+{
+	static const char *const phases[] = { "no", "reads the store", "yes" };
+	struct httpd_answer answer = { .code = 200 };
+	struct sched_stats s = { 0 };
+	char *text;
+
+	if (n->sched)
+		sched_stats(n->sched, &s);
+	text = talloc_asprintf(
+		n,
+		"{\"node\":\"%s\",\"zone\":\"%s\",\"leads\":\"%s\","
+		"\"lead\":\"%s\",\"epoch\":%" PRIu64 ",\"config\":%" PRIu64
+		",\"config_age_ms\":%u,\"store\":%s,\"peers\":%u,\"jobs\":%u,"
+		"\"instances\":%u}\n",
+		n->settings.name, n->settings.zone, phases[n->phase],
+		n->lead.node, n->lead.epoch, n->config ? n->config->version : 0,
+		currency_age_ms(n, clock_now_ms()),
+		n->store_ok ? "true" : "false", n->peer_count, s.jobs,
+		s.instances);
+	assert(text);
+	answer.body = strdup(text);
+	assert(answer.body);
+	answer.body_length = strlen(answer.body);
+	talloc_free(text);
+	httpd_answer(request, &answer);
+}
+
+static void on_request(void *arg, struct httpd_request *request)
+{
+	struct node *n = arg;
+
+	if (!strcmp(request->path, "/beat"))
+		serve_beat(n, request, false);
+	else if (!strcmp(request->path, "/config"))
+		serve_beat(n, request, true);
+	else if (!strcmp(request->path, "/ask"))
+		serve_ask(n, request);
+	else if (!strcmp(request->path, "/metrics"))
+		serve_metrics(n, request);
+	else if (!strcmp(request->path, "/status"))
+		serve_status(n, request);
+	else if (!strncmp(request->path, "/explain/", 9))
+		serve_explain(n, request, request->path + 9);
+	else
+		send_code(request, 404);
+}
+
+bool peer_server_start(struct node *n)
+{
+	char ip[64];
+	struct httpd_options options = {
+		.address = ip,
+		.body_max = BEAT_BODY_MAX,
+		.connections_max = NODE_PEERS_MAX * 2,
+		.idle_timeout_s = SERVER_IDLE_S,
+		.handler = on_request,
+		.arg = n,
+	};
+
+	if (!settings_address(n->settings.peers, ip, &options.port))
+		return false;
+	n->server = httpd_new(n, n->ev, &options);
+	return n->server != NULL;
+}
