runner: a port that was tried can be bound while another thread forks

A child that another thread was starting held a copy of it between fork and exec, so Link, or a node, could not bind the port that take() had just returned.

take() now tries a port with SO_REUSEADDR. A listener or a socket without the option is still found, and the first port of a block stays exclusive, so two runs keep apart as before; no check is eased.

runner_test.py has the loop: 16,000 rounds of take() and a bind as Link does it, beside 6 threads that start /bin/true.

--- a/test/runner_test.py
+++ b/test/runner_test.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tools"))
@@ -11,6 +12,8 @@
 import fleet
 import jobs
 
+PORT_ROUNDS = 16000
+FORKING_THREADS = 6
 TAKE_PORTS = "import fleet; print(*fleet.free_ports(200))"
 CASE = """# A node whose port something else has
 nodes 1
@@ -35,6 +38,36 @@
         for port in fleet.free_ports(100):
             self.assertLess(port, fleet.Ports.end())
 
+    def test_a_taken_port_can_be_bound_while_processes_start(self):
+        """A child holds its parent's sockets between fork and exec."""
+        done = threading.Event()
+        refused = []
+
+        def start_processes():
+            while not done.is_set():
+                subprocess.run(["/bin/true"], check=True)
+
+        threads = [threading.Thread(target=start_processes)
+                   for _ in range(FORKING_THREADS)]
+        for t in threads:
+            t.start()
+        try:
+            ports = fleet.Ports()
+            for _ in range(PORT_ROUNDS):
+                port = ports.take()
+                ports.free.append(port)
+                with socket.socket() as s:
+                    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    try:
+                        s.bind((fleet.HOST, port))
+                    except OSError as e:
+                        refused.append(f"{port}: {e}")
+        finally:
+            done.set()
+            for t in threads:
+                t.join()
+        self.assertEqual(refused, [])
+
 
 class StartTest(unittest.TestCase):
     def test_a_node_that_ends_at_its_start_fails_its_case(self):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -23,9 +23,15 @@
 PORT_BLOCK = 50
 
 
-def bound(port):
-    """A socket bound to the port; None if something else has it."""
+def bound(port, exclusive):
+    """A socket bound to the port; None if something else has it.
+
+    A child that another thread is starting holds a copy until its exec. One
+    that is not exclusive lets the port be bound again meanwhile.
+    """
     s = socket.socket()
+    if not exclusive:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         s.bind((HOST, port))
     except OSError:
@@ -59,7 +65,7 @@
         blocks = list(range(PORTS_BEGIN, self.end() - PORT_BLOCK, PORT_BLOCK))
         random.shuffle(blocks)
         for first in blocks:
-            s = bound(first)
+            s = bound(first, exclusive=True)
             if s:
                 self.held.append(s)
                 self.free.extend(range(first + 1, first + PORT_BLOCK))
@@ -72,7 +78,7 @@
                 if not self.free:
                     self.claim_block()
                 port = self.free.pop(0)
-                s = bound(port)
+                s = bound(port, exclusive=False)
                 if s:
                     s.close()
                     return port
