--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -1,11 +1,11 @@
 /*
- * balance - machines between pools
+ * balance - moves of machines between pools
  *
- * The load it answers: queues ask several times what their pool holds for
- * some seconds by turns, and a fraction in between. A pool whose waiting work
- * would take long gets machines that are off, then machines that other pools
- * leave idle. Machines that stay idle are sent to be off, since each second
- * of a machine in a pool is paid for.
+ * Designed for queues that by turns demand several times the capacity of their
+ * pool for some seconds, and a fraction of it in between. A pool whose waiting
+ * work would take too long gets powered-off machines first, then machines that
+ * other pools do not need. Machines that stay idle are moved to the spare pool
+ * and powered off, since each second of a machine in a pool is paid for.
  */
 #include <assert.h>
 #include <stdio.h>
@@ -13,34 +13,35 @@
 
 #include "fleet/fleet_internal.h"
 
-#define THINK_MS 100u	     /* between two thoughts */
-#define DRAIN_TARGET_MS 250u /* waiting work should take no longer */
-#define HEADROOM 4.0	   /* times what runs and waits: more comes meanwhile */
-#define DRAIN_MAX_MS 2000u /* for a machine to become empty; then it stays */
-#define GIVE_SHARE 0.7	   /* of its capacity a giving pool keeps in use */
-#define IDLE_MS 1000u	   /* idle that long before a machine is sent off */
-#define KEEP_MIN 2u	   /* machines that a pool keeps in any case */
-#define SPREAD_SLACK 1u	   /* instances beyond what a step that lasts needs */
-#define STAY_MS 1500u	   /* a machine stays at least that long */
+#define BALANCE_INTERVAL_MS 100u /* between two planning runs */
+#define BACKLOG_TARGET_MS 250u	 /* drain time aimed at for waiting work */
+#define HEADROOM_FACTOR 4.0    /* limits demand to a multiple of current work */
+#define DRAIN_TIMEOUT_MS 2000u /* after which a move is cancelled */
+#define DONOR_UTILIZATION_MAX 0.7 /* of a pool that gives machines away */
+#define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
+#define POOL_MACHINES_MIN 2u	  /* left in a donor pool in any case */
+#define SPREAD_RESERVE 1u	  /* beyond a long-running step's spread */
+#define MOVE_COOLDOWN_MS 1500u	  /* between two moves of the same machine */
+#define MACHINE_CPU_DEFAULT 16000 /* millicores, before it is known */
 #define POOLS_MAX 256u
 
-struct pool_view {
+struct pool_balance {
 	const char *name;
 	bool spare;
 	struct sched_pool_load load;
-	uint32_t coming; /* machines on their way to it */
-	uint32_t leaving;
-	int64_t machine_cpu; /* of one of its machines */
-	int64_t lacking;     /* thousandths of a core */
+	uint32_t incoming; /* machines that are being moved to it */
+	uint32_t outgoing;
+	int64_t machine_cpu; /* mean capacity of a machine, in millicores */
+	int64_t deficit;     /* millicores */
 	int64_t surplus;
 };
 
 struct balance {
-	struct pool_view pools[POOLS_MAX];
+	struct pool_balance pools[POOLS_MAX];
 	uint32_t pool_count;
 };
 
-static struct pool_view *view_of(struct balance *b, const char *name)
+static struct pool_balance *balance_of(struct balance *b, const char *name)
 {
 	uint32_t i;
 
@@ -55,58 +56,59 @@
 	struct machine *m;
 
 	for (m = f->machines; m; m = m->hh.next) {
-		struct pool_view *to, *from;
+		struct pool_balance *to, *from;
 
 		if (m->wave || m->phase == PHASE_NONE)
 			continue;
-		to = view_of(b, m->target);
-		from = view_of(b, m->pool);
+		to = balance_of(b, m->target_pool);
+		from = balance_of(b, m->pool);
 		if (to)
-			to->coming++;
+			to->incoming++;
 		if (from && m->phase == PHASE_DRAINING)
-			from->leaving++;
+			from->outgoing++;
 	}
 }
 
-static void judge(struct pool_view *v)
+static void compute_demand(struct pool_balance *v)
 {
 	const struct sched_pool_load *l = &v->load;
-	int64_t capacity = l->capacity.cpu + v->coming * v->machine_cpu;
-	int64_t needed = (int64_t)(l->waiting_work / DRAIN_TARGET_MS);
-	int64_t busy = l->used.cpu + l->waiting.cpu;
-	uint32_t machines = l->instances + v->coming;
-	int64_t at_once = (int64_t)(HEADROOM * (double)busy);
-
-	if (needed > at_once)
-		needed = at_once;
-	v->lacking = needed > capacity ? needed - capacity : 0;
-	if (machines < v->load.spread + SPREAD_SLACK && v->load.spread)
-		v->lacking += v->machine_cpu *
-			      (v->load.spread + SPREAD_SLACK - machines);
-	if (!v->lacking && v->load.lasting_waiting && !v->coming)
-		v->lacking = v->machine_cpu;
+	int64_t capacity = l->capacity.cpu + v->incoming * v->machine_cpu;
+	int64_t needed_cpu = (int64_t)(l->waiting_work / BACKLOG_TARGET_MS);
+	int64_t busy_cpu = l->used.cpu + l->waiting.cpu;
+	uint32_t machines = l->instances + v->incoming;
+	int64_t limit_cpu = (int64_t)(HEADROOM_FACTOR * (double)busy_cpu);
+
+	/* More work than is known now may arrive while machines move. */
+	if (needed_cpu > limit_cpu)
+		needed_cpu = limit_cpu;
+	v->deficit = needed_cpu > capacity ? needed_cpu - capacity : 0;
+	if (machines < v->load.spread + SPREAD_RESERVE && v->load.spread)
+		v->deficit += v->machine_cpu *
+			      (v->load.spread + SPREAD_RESERVE - machines);
+	if (!v->deficit && v->load.lasting_waiting && !v->incoming)
+		v->deficit = v->machine_cpu;
 	v->surplus = 0;
-	if (!v->lacking)
-		v->surplus =
-			l->capacity.cpu - (int64_t)((double)busy / GIVE_SHARE);
+	if (!v->deficit)
+		v->surplus = l->capacity.cpu - (int64_t)((double)busy_cpu /
+							 DONOR_UTILIZATION_MAX);
 }
 
-/* Machines that the pool does not give away. */
-static uint32_t keep(const struct pool_view *v)
+/* Number of machines that the pool does not give away. */
+static uint32_t min_machines(const struct pool_balance *v)
 {
-	uint32_t spread = v->load.spread ? v->load.spread + SPREAD_SLACK : 0;
+	uint32_t spread = v->load.spread ? v->load.spread + SPREAD_RESERVE : 0;
 
-	return spread > KEEP_MIN ? spread : KEEP_MIN;
+	return spread > POOL_MACHINES_MIN ? spread : POOL_MACHINES_MIN;
 }
 
-static void look_around(struct fleet *f, const struct sched *s, uint64_t now)
+static void assess_pools(struct fleet *f, const struct sched *s, uint64_t now)
 {
 	struct balance *b = f->balance;
 	uint32_t i;
 
 	b->pool_count = 0;
 	for (i = 0; i < f->config->pool_count && i < POOLS_MAX; i++) {
-		struct pool_view *v = &b->pools[b->pool_count++];
+		struct pool_balance *v = &b->pools[b->pool_count++];
 
 		memset(v, 0, sizeof(*v));
 		v->name = f->config->pools[i].name;
@@ -114,23 +116,23 @@
 		sched_pool_load(s, v->name, now, &v->load);
 		v->machine_cpu = v->load.instances ? v->load.capacity.cpu /
 							     v->load.instances
-						   : 16000;
+						   : MACHINE_CPU_DEFAULT;
 	}
 	count_moving(f, b);
 	for (i = 0; i < b->pool_count; i++)
-		judge(&b->pools[i]);
+		compute_demand(&b->pools[i]);
 }
 
 static bool movable(const struct machine *m, uint64_t now)
 {
 	return m->listed && m->phase == PHASE_NONE && m->state == FLEET_UP &&
-	       now - m->moved_ms >= STAY_MS;
+	       now - m->pool_since_ms >= MOVE_COOLDOWN_MS;
 }
 
-/* A machine of a spare pool, which is off, or the emptiest of a pool. */
-static struct machine *donor(struct fleet *f, const struct sched *s,
-			     const struct pool_view *from, bool idle_only,
-			     uint64_t now)
+/* Picks any machine of a spare pool, or the least used one of another pool. */
+static struct machine *pick_machine(struct fleet *f, const struct sched *s,
+				    const struct pool_balance *from,
+				    bool idle_only, uint64_t now)
 {
 	struct machine *best = NULL;
 	struct machine *m;
@@ -155,45 +157,50 @@
 	return best;
 }
 
-static void send(struct machine *m, const char *pool, struct sched *s,
-		 uint64_t now)
+static void start_move(struct machine *m, const char *pool, struct sched *s,
+		       uint64_t now)
 {
-	snprintf(m->target, sizeof(m->target), "%s", pool);
+	snprintf(m->target_pool, sizeof(m->target_pool), "%s", pool);
 	m->wave = NULL;
 	machine_drain(m, s, now);
 }
 
 /*
- * The pool that lacks least goes first: where there is not enough for all, the
- * one whose turn it is would take every machine, and each other pool is served
- * by a few.
+ * Returns the pool with the smallest deficit. When there are too few machines
+ * for all pools, one at its demand peak would take every machine, while each
+ * other pool needs only a few.
  */
-static struct pool_view *first_served(struct balance *b)
+static struct pool_balance *smallest_deficit(struct balance *b)
 {
-	struct pool_view *best = NULL;
+	struct pool_balance *best = NULL;
 	uint32_t i;
 
 	for (i = 0; i < b->pool_count; i++)
-		if (b->pools[i].lacking > 0 && !b->pools[i].spare &&
-		    (!best || b->pools[i].lacking < best->lacking))
+		if (b->pools[i].deficit > 0 && !b->pools[i].spare &&
+		    (!best || b->pools[i].deficit < best->deficit))
 			best = &b->pools[i];
 	return best;
 }
 
-/* The pool that gives next: one that is off, else the one with most idle. */
-static struct pool_view *giver(struct balance *b, const struct pool_view *to)
+/*
+ * Returns the pool to take a machine from: a spare pool if one is left, else
+ * the one with the largest surplus.
+ */
+static struct pool_balance *donor_pool(struct balance *b,
+				       const struct pool_balance *to)
 {
-	struct pool_view *best = NULL;
+	struct pool_balance *best = NULL;
 	uint32_t i;
 
 	for (i = 0; i < b->pool_count; i++) {
-		struct pool_view *v = &b->pools[i];
+		struct pool_balance *v = &b->pools[i];
 
-		if (v == to || v->lacking)
+		if (v == to || v->deficit)
 			continue;
 		if (v->spare)
 			return v;
-		if (v->surplus < v->machine_cpu || v->load.instances <= keep(v))
+		if (v->surplus < v->machine_cpu ||
+		    v->load.instances <= min_machines(v))
 			continue;
 		if (!best || v->surplus > best->surplus)
 			best = v;
@@ -201,32 +208,32 @@
 	return best;
 }
 
-static bool give_one(struct fleet *f, struct sched *s, struct pool_view *to,
+static bool move_one(struct fleet *f, struct sched *s, struct pool_balance *to,
 		     uint64_t now)
 {
 	struct balance *b = f->balance;
-	struct pool_view *from;
+	struct pool_balance *from;
 	struct machine *m;
 
-	while ((from = giver(b, to))) {
-		m = donor(f, s, from, false, now);
+	while ((from = donor_pool(b, to))) {
+		m = pick_machine(f, s, from, false, now);
 		if (!m) {
-			/* Nothing to be had there now. */
+			/* no machine of this pool can be moved now */
 			from->spare = false;
 			from->surplus = 0;
 			continue;
 		}
-		send(m, to->name, s, now);
+		start_move(m, to->name, s, now);
 		from->surplus -= from->machine_cpu;
 		if (from->load.instances)
 			from->load.instances--;
-		to->lacking -= to->machine_cpu;
+		to->deficit -= to->machine_cpu;
 		return true;
 	}
 	return false;
 }
 
-static const char *spare_pool(const struct fleet *f)
+static const char *find_spare_pool(const struct fleet *f)
 {
 	uint32_t i;
 
@@ -236,50 +243,51 @@
 	return NULL;
 }
 
-/* Machines that have been idle for long are sent to be off. */
-static void send_off(struct fleet *f, struct sched *s, uint64_t now)
+/* Moves machines that have been idle for long to the spare pool. */
+static void move_idle_off(struct fleet *f, struct sched *s, uint64_t now)
 {
-	const char *off = spare_pool(f);
+	const char *spare_name = find_spare_pool(f);
 	struct machine *m;
 
-	if (!off)
+	if (!spare_name)
 		return;
 	for (m = f->machines; m; m = m->hh.next) {
-		struct pool_view *v = view_of(f->balance, m->pool);
+		struct pool_balance *v = balance_of(f->balance, m->pool);
 		struct sched_instance_load load;
 
 		if (!v || v->spare || !movable(m, now) ||
 		    !sched_machine_load(s, m->name, &load) || !load.usable ||
 		    load.runs || load.unknown) {
-			m->idle_ms = 0;
+			m->idle_since_ms = 0;
 			continue;
 		}
-		if (!m->idle_ms)
-			m->idle_ms = now;
-		if (now - m->idle_ms < IDLE_MS || v->surplus < v->machine_cpu ||
-		    v->load.instances <= keep(v))
+		if (!m->idle_since_ms)
+			m->idle_since_ms = now;
+		if (now - m->idle_since_ms < IDLE_BEFORE_OFF_MS ||
+		    v->surplus < v->machine_cpu ||
+		    v->load.instances <= min_machines(v))
 			continue;
 		v->surplus -= v->machine_cpu;
 		v->load.instances--;
-		send(m, off, s, now);
+		start_move(m, spare_name, s, now);
 	}
 }
 
-static void think(struct fleet *f, struct sched *s, uint64_t now)
+static void plan_moves(struct fleet *f, struct sched *s, uint64_t now)
 {
-	struct pool_view *to;
+	struct pool_balance *to;
 
 	if (!f->balance)
 		f->balance = talloc_zero(f, struct balance);
 	assert(f->balance);
-	look_around(f, s, now);
-	while ((to = first_served(f->balance)))
-		if (!give_one(f, s, to, now))
-			to->lacking = 0;
-	send_off(f, s, now);
+	assess_pools(f, s, now);
+	while ((to = smallest_deficit(f->balance)))
+		if (!move_one(f, s, to, now))
+			to->deficit = 0;
+	move_idle_off(f, s, now);
 }
 
-static void stay(struct machine *m, struct sched *s, uint64_t now)
+static void cancel_move(struct machine *m, struct sched *s, uint64_t now)
 {
 	struct sched_instance_load load;
 
@@ -288,9 +296,12 @@
 		sched_reserve(s, load.instance, false, now);
 }
 
-/* A machine that is empty goes; one that does not become empty stays. */
-static bool order_ready(struct fleet *f, struct sched *s, uint64_t now,
-			struct fleet_action *action)
+/*
+ * Orders the move of a drained machine. A machine that takes too long to drain
+ * stays in its pool.
+ */
+static bool next_move(struct fleet *f, struct sched *s, uint64_t now,
+		      struct fleet_action *action)
 {
 	struct machine *m;
 
@@ -302,16 +313,17 @@
 			continue;
 		if (sched_machine_load(s, m->name, &load) &&
 		    (load.runs || load.unknown)) {
-			if (now - m->phase_ms > DRAIN_MAX_MS)
-				stay(m, s, now);
+			if (now - m->phase_since_ms > DRAIN_TIMEOUT_MS)
+				cancel_move(m, s, now);
 			continue;
 		}
 		m->phase = PHASE_ORDERING;
-		m->phase_ms = now;
-		action->kind = FLEET_MOVE;
+		m->phase_since_ms = now;
+		action->kind = FLEET_ACTION_MOVE;
 		snprintf(action->machine, sizeof(action->machine), "%s",
 			 m->name);
-		snprintf(action->pool, sizeof(action->pool), "%s", m->target);
+		snprintf(action->pool, sizeof(action->pool), "%s",
+			 m->target_pool);
 		return true;
 	}
 	return false;
@@ -322,9 +334,9 @@
 {
 	if (!f->config)
 		return false;
-	if (now >= f->balance_ms) {
-		f->balance_ms = now + THINK_MS;
-		think(f, s, now);
+	if (now >= f->balance_due_ms) {
+		f->balance_due_ms = now + BALANCE_INTERVAL_MS;
+		plan_moves(f, s, now);
 	}
-	return order_ready(f, s, now, action);
+	return next_move(f, s, now, action);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,9 +6,9 @@
 
 #include "fleet/fleet_internal.h"
 
-#define LIST_CALM_MS 5000u   /* between two readings of the list */
-#define LIST_UNSURE_MS 300u  /* the same while an order's outcome is unknown */
-#define RETURN_SLACK_MS 400u /* a machine may be away that much longer */
+#define LIST_INTERVAL_MS 5000u /* between two readings of the list */
+#define LIST_UNCERTAIN_MS 300u /* after an order of unknown outcome */
+#define RETURN_SLACK_MS 400u   /* added to a machine's expected absence */
 
 struct fleet *fleet_new(TALLOC_CTX *ctx, const struct fleet_options *options)
 {
@@ -16,7 +16,7 @@
 
 	assert(f);
 	f->options = *options;
-	f->list_wanted_ms = 1;
+	f->list_due_ms = 1;
 	return f;
 }
 
@@ -33,16 +33,16 @@
 	return m;
 }
 
-void fleet_want_list(struct fleet *f, uint64_t at)
+void fleet_schedule_list(struct fleet *f, uint64_t at)
 {
-	if (!f->list_wanted_ms || at < f->list_wanted_ms)
-		f->list_wanted_ms = at;
+	if (!f->list_due_ms || at < f->list_due_ms)
+		f->list_due_ms = at;
 }
 
-bool fleet_wants_list(const struct fleet *f, uint64_t now)
+bool fleet_needs_machine_list(const struct fleet *f, uint64_t now)
 {
-	return (f->list_wanted_ms && now >= f->list_wanted_ms) ||
-	       now - f->list_ms >= LIST_CALM_MS;
+	return (f->list_due_ms && now >= f->list_due_ms) ||
+	       now - f->list_read_ms >= LIST_INTERVAL_MS;
 }
 
 static struct machine *machine_get(struct fleet *f, const char *name)
@@ -58,30 +58,32 @@
 	return m;
 }
 
-/* An order whose answer was lost shows in the list. */
-static void machine_settle(struct fleet *f, struct machine *m, uint64_t now)
+/* Resolves an order whose outcome is unknown from the state in the list. */
+static void machine_resolve_order(struct fleet *f, struct machine *m,
+				  uint64_t now)
 {
-	bool moved = m->state == FLEET_MOVING || !strcmp(m->pool, m->target);
+	bool moved =
+		m->state == FLEET_MOVING || !strcmp(m->pool, m->target_pool);
 
-	if (m->phase != PHASE_UNSURE)
+	if (m->phase != PHASE_UNCERTAIN)
 		return;
-	if (m->wave ? m->state == FLEET_IN_UPKEEP : moved) {
+	if (m->wave ? m->state == FLEET_IN_MAINTENANCE : moved) {
 		m->phase = PHASE_AWAY;
-		m->phase_ms = now;
-		upkeep_answered(f, m, now);
+		m->phase_since_ms = now;
+		maintenance_ordered(f, m, now);
 	} else {
-		m->phase = PHASE_DRAINING; /* ordered again: it is idempotent */
+		m->phase = PHASE_DRAINING; /* idempotent, so sent again */
 	}
 }
 
-void fleet_machines(struct fleet *f, const struct fleet_machine_info *list,
-		    uint32_t count, uint64_t now)
+void fleet_set_machines(struct fleet *f, const struct fleet_machine_info *list,
+			uint32_t count, uint64_t now)
 {
 	struct machine *m;
 	uint32_t i;
 
-	f->list_ms = now;
-	f->list_wanted_ms = 0;
+	f->list_read_ms = now;
+	f->list_due_ms = 0;
 	for (m = f->machines; m; m = m->hh.next)
 		m->listed = false;
 	for (i = 0; i < count; i++) {
@@ -90,7 +92,7 @@
 		snprintf(m->rack, sizeof(m->rack), "%s", list[i].rack);
 		m->state = list[i].state;
 		m->listed = true;
-		machine_settle(f, m, now);
+		machine_resolve_order(f, m, now);
 	}
 }
 
@@ -99,63 +101,63 @@
 	struct sched_instance_load load;
 
 	m->phase = PHASE_DRAINING;
-	m->phase_ms = now;
+	m->phase_since_ms = now;
 	if (sched_machine_load(s, m->name, &load))
 		sched_reserve(s, load.instance, true, now);
 }
 
-/* A machine that was ordered away is back after its time. */
-static void machines_return(struct fleet *f, uint64_t now)
+/* Marks machines as back once their expected absence is over. */
+static void machines_mark_returned(struct fleet *f, uint64_t now)
 {
 	struct machine *m;
 
 	for (m = f->machines; m; m = m->hh.next) {
-		uint64_t away =
-			m->wave ? f->options.upkeep_ms : f->options.move_ms;
+		uint64_t away_ms = m->wave ? f->options.maintenance_ms
+					   : f->options.move_ms;
 
 		if (m->phase != PHASE_AWAY ||
-		    now - m->phase_ms < away + RETURN_SLACK_MS)
+		    now - m->phase_since_ms < away_ms + RETURN_SLACK_MS)
 			continue;
 		m->phase = PHASE_NONE;
 		m->state = FLEET_UP;
 		if (!m->wave)
-			m->moved_ms = now;
+			m->pool_since_ms = now;
 		m->wave = NULL;
 	}
 }
 
-bool fleet_next(struct fleet *f, struct sched *s, uint64_t now,
-		struct fleet_action *action)
+bool fleet_next_action(struct fleet *f, struct sched *s, uint64_t now,
+		       struct fleet_action *action)
 {
 	memset(action, 0, sizeof(*action));
-	machines_return(f, now);
+	machines_mark_returned(f, now);
 	if (!f->machines)
 		return false;
-	return upkeep_next(f, s, now, action) ||
+	return maintenance_next(f, s, now, action) ||
 	       balance_next(f, s, now, action);
 }
 
-static void ordered_away(struct fleet *f, struct sched *s, struct machine *m,
-			 uint64_t now)
+static void order_carried_out(struct fleet *f, struct sched *s,
+			      struct machine *m, uint64_t now)
 {
 	struct sched_instance_load load;
 
 	m->phase = PHASE_AWAY;
-	m->phase_ms = now;
-	m->state = m->wave ? FLEET_IN_UPKEEP : FLEET_MOVING;
+	m->phase_since_ms = now;
+	m->state = m->wave ? FLEET_IN_MAINTENANCE : FLEET_MOVING;
 	if (sched_machine_load(s, m->name, &load))
 		sched_machine_down(s, load.instance, now);
 	if (!m->wave) {
-		snprintf(m->pool, sizeof(m->pool), "%s", m->target);
+		snprintf(m->pool, sizeof(m->pool), "%s", m->target_pool);
 		f->stats.moves++;
 	} else {
-		f->stats.upkeeps++;
+		f->stats.maintenances++;
 	}
-	upkeep_answered(f, m, now);
+	maintenance_ordered(f, m, now);
 }
 
-static void wave_told(struct fleet *f, const struct fleet_action *a,
-		      enum fleet_result result)
+static void wave_reported(struct fleet *f, const struct fleet_action *a,
+			  enum fleet_result result)
 {
 	struct wave *w;
 
@@ -163,42 +165,42 @@
 	{
 		if (w->number != a->wave)
 			continue;
-		w->telling = false;
+		w->reporting = false;
 		if (result != FLEET_DONE)
 			continue;
-		w->told_running = true;
-		if (a->completed && !w->told_completed) {
-			w->told_completed = true;
+		w->reported_running = true;
+		if (a->completed && !w->reported_completed) {
+			w->reported_completed = true;
 			f->stats.waves_completed++;
 		}
 	}
 }
 
-void fleet_answered(struct fleet *f, struct sched *s,
-		    const struct fleet_action *action, enum fleet_result result,
-		    uint64_t now)
+void fleet_action_result(struct fleet *f, struct sched *s,
+			 const struct fleet_action *action,
+			 enum fleet_result result, uint64_t now)
 {
 	struct machine *m = fleet_machine(f, action->machine);
 
-	if (action->kind == FLEET_WAVE_STATE) {
-		wave_told(f, action, result);
+	if (action->kind == FLEET_ACTION_WAVE_STATE) {
+		wave_reported(f, action, result);
 		return;
 	}
 	if (!m || m->phase != PHASE_ORDERING)
 		return;
 	switch (result) {
 	case FLEET_DONE:
-		ordered_away(f, s, m, now);
+		order_carried_out(f, s, m, now);
 		break;
 	case FLEET_BUSY:
 	case FLEET_UNKNOWN:
-		m->phase = PHASE_UNSURE;
-		m->phase_ms = now;
-		fleet_want_list(f, now + LIST_UNSURE_MS);
+		m->phase = PHASE_UNCERTAIN;
+		m->phase_since_ms = now;
+		fleet_schedule_list(f, now + LIST_UNCERTAIN_MS);
 		break;
 	case FLEET_REFUSED:
 		m->phase = PHASE_DRAINING;
-		m->phase_ms = now;
+		m->phase_since_ms = now;
 		break;
 	}
 }
@@ -211,7 +213,7 @@
 	*stats = f->stats;
 	stats->machines = HASH_COUNT(f->machines);
 	DL_FOREACH(f->waves, w)
-	if (!w->told_completed)
+	if (!w->reported_completed)
 		stats->waves_running++;
 	for (m = f->machines; m; m = m->hh.next)
 		if (m->phase == PHASE_DRAINING)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,11 +1,11 @@
 /*
- * fleet - which machine has its upkeep or moves to another pool, and when
+ * fleet - planner of machine maintenance and of moves between pools
  *
- * Works out one order at a time from waves that operators ask for, from the
- * machines there are and from what the scheduler knows of their instances.
- * A machine is first kept free of new work, then emptied within the budgets
- * of what lasts, then ordered. No clock or I/O inside; times are those of
- * the scheduler.
+ * Yields one action at a time, from the waves that operators request, the list
+ * of machines and the scheduler's view of their instances. A machine first gets
+ * no new work, then is drained within the disruption budgets of its
+ * long-running tasks, and is then ordered into maintenance or to another pool.
+ * No clock or I/O inside; times are the scheduler's.
  */
 #ifndef FLEET_H
 #define FLEET_H
@@ -21,15 +21,15 @@
 struct fleet;
 
 struct fleet_options {
-	uint32_t upkeep_ms; /* a machine is away for its upkeep */
-	uint32_t move_ms;   /* a machine is away for a move */
+	uint32_t maintenance_ms; /* absence of a machine for its maintenance */
+	uint32_t move_ms;	 /* absence of a machine for a move */
 };
 
 enum fleet_machine_state {
 	FLEET_UP,
-	FLEET_IN_UPKEEP,
+	FLEET_IN_MAINTENANCE,
 	FLEET_MOVING,
-	FLEET_DOWN, /* by itself: it comes back, or never does */
+	FLEET_DOWN, /* not by an order; may never come back */
 };
 
 struct fleet_machine_info {
@@ -40,9 +40,9 @@
 };
 
 enum fleet_action_kind {
-	FLEET_UPKEEP,	 /* order a machine's upkeep */
-	FLEET_MOVE,	 /* order a machine to another pool */
-	FLEET_WAVE_STATE /* tell operators how a wave stands */
+	FLEET_ACTION_MAINTENANCE, /* order a machine into maintenance */
+	FLEET_ACTION_MOVE,	  /* order a machine to another pool */
+	FLEET_ACTION_WAVE_STATE	  /* report that a wave runs or is complete */
 };
 
 struct fleet_action {
@@ -51,53 +51,57 @@
 	char pool[FLEET_NAME_MAX];
 	uint64_t wave;
 	char wave_name[FLEET_NAME_MAX];
-	bool completed; /* of FLEET_WAVE_STATE */
+	bool completed; /* of FLEET_ACTION_WAVE_STATE */
 };
 
 enum fleet_result {
 	FLEET_DONE,
-	FLEET_BUSY,    /* the machine is not up: look at the list */
+	FLEET_BUSY,    /* the machine is not up: the list shows its state */
 	FLEET_REFUSED, /* nothing was done */
-	FLEET_UNKNOWN, /* it may have been done */
+	FLEET_UNKNOWN, /* outcome unknown: it may have been done */
 };
 
-/* fleet_new - without machines and waves, owned by ctx */
+/* fleet_new - a planner without machines and waves, owned by ctx */
 struct fleet *fleet_new(TALLOC_CTX *ctx, const struct fleet_options *options);
 
-/* fleet_configure - the pools there are; kept by reference */
+/* fleet_configure - set the configuration, which is kept by reference */
 void fleet_configure(struct fleet *f, const struct config *c);
 
 /*
- * fleet_wave - a wave asked for at begun_ms; the same number again is ignored
+ * fleet_add_wave - add a wave requested at started_ms
+ *
+ * A wave whose number is already known is ignored.
  */
-void fleet_wave(struct fleet *f, const char *name, uint64_t number,
-		uint32_t at_once, uint32_t duration_ms,
-		const char *const *machines, uint32_t count, uint64_t begun_ms);
+void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
+		    uint32_t max_concurrent, uint32_t duration_ms,
+		    const char *const *machines, uint32_t count,
+		    uint64_t started_ms);
 
-/* fleet_had_upkeep - recorded earlier: the machine's part of a wave is done */
-void fleet_had_upkeep(struct fleet *f, uint64_t wave, const char *machine);
+/* fleet_record_maintenance - the machine's part of the wave is done */
+void fleet_record_maintenance(struct fleet *f, uint64_t wave,
+			      const char *machine);
 
-/* fleet_machines - the whole list of machines, as read at `now` */
-void fleet_machines(struct fleet *f, const struct fleet_machine_info *list,
-		    uint32_t count, uint64_t now);
+/* fleet_set_machines - update from the complete list, as read at `now` */
+void fleet_set_machines(struct fleet *f, const struct fleet_machine_info *list,
+			uint32_t count, uint64_t now);
 
-/* fleet_wants_list - whether the list should be read now */
-bool fleet_wants_list(const struct fleet *f, uint64_t now);
+/* fleet_needs_machine_list - whether the list should be read now */
+bool fleet_needs_machine_list(const struct fleet *f, uint64_t now);
 
 /*
- * fleet_next - what to order now; false when nothing
+ * fleet_next_action - the next action to carry out; false when there is none
  *
- * Also reserves and empties instances in the scheduler. Each action is
- * answered by fleet_answered once.
+ * Also reserves and drains instances in the scheduler. Each action gets exactly
+ * one fleet_action_result.
  */
-bool fleet_next(struct fleet *f, struct sched *s, uint64_t now,
-		struct fleet_action *action);
-void fleet_answered(struct fleet *f, struct sched *s,
-		    const struct fleet_action *action, enum fleet_result result,
-		    uint64_t now);
+bool fleet_next_action(struct fleet *f, struct sched *s, uint64_t now,
+		       struct fleet_action *action);
+void fleet_action_result(struct fleet *f, struct sched *s,
+			 const struct fleet_action *action,
+			 enum fleet_result result, uint64_t now);
 
 struct fleet_stats {
-	uint64_t upkeeps, moves, waves_completed;
+	uint64_t maintenances, moves, waves_completed;
 	uint32_t waves_running, machines, draining;
 };
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -6,12 +6,12 @@
 
 #include "fleet/fleet.h"
 
-enum job_phase {
+enum machine_phase {
 	PHASE_NONE,
-	PHASE_DRAINING, /* kept free of new work, being emptied */
-	PHASE_ORDERING, /* the order waits for its answer */
-	PHASE_UNSURE,	/* it may have been carried out: read the list */
-	PHASE_AWAY,	/* it was; until it is back */
+	PHASE_DRAINING,	 /* gets no new work until nothing runs on it */
+	PHASE_ORDERING,	 /* the order is sent and not answered yet */
+	PHASE_UNCERTAIN, /* outcome of the order unknown; the list shows it */
+	PHASE_AWAY,	 /* the order was carried out; not back yet */
 };
 
 struct machine {
@@ -19,33 +19,33 @@
 	char pool[FLEET_NAME_MAX];
 	char rack[FLEET_NAME_MAX];
 	enum fleet_machine_state state;
-	bool listed; /* in the last list */
-	enum job_phase phase;
-	struct wave *wave; /* whose upkeep it is in; NULL: a move */
-	char target[FLEET_NAME_MAX];
-	uint64_t phase_ms; /* since when */
-	uint64_t moved_ms; /* last came to its pool */
-	uint64_t idle_ms; /* since when nothing runs on it; 0: something does */
+	bool listed; /* present in the last list */
+	enum machine_phase phase;
+	struct wave *wave; /* the wave of its maintenance; NULL during a move */
+	char target_pool[FLEET_NAME_MAX];
+	uint64_t phase_since_ms;
+	uint64_t pool_since_ms; /* end of its last move */
+	uint64_t idle_since_ms; /* 0 while something runs on it */
 	UT_hash_handle hh;
 };
 
-enum upkeep_state { UPKEEP_DUE, UPKEEP_TAKEN, UPKEEP_HAD };
+enum wave_member_state { MEMBER_DUE, MEMBER_IN_PROGRESS, MEMBER_DONE };
 
-struct upkeep {
+struct wave_member {
 	char machine[FLEET_NAME_MAX];
-	enum upkeep_state state;
+	enum wave_member_state state;
 };
 
 struct wave {
 	struct wave *prev, *next;
 	char name[FLEET_NAME_MAX];
 	uint64_t number;
-	uint32_t at_once;
-	uint64_t begun_ms;
-	uint64_t due_ms;
+	uint32_t max_concurrent;
+	uint64_t started_ms;
+	uint64_t deadline_ms;
 	uint32_t count;
-	struct upkeep *upkeeps;
-	bool told_running, told_completed, telling;
+	struct wave_member *members;
+	bool reported_running, reported_completed, reporting;
 };
 
 struct fleet {
@@ -53,9 +53,9 @@
 	const struct config *config;
 	struct machine *machines;
 	struct wave *waves;
-	uint64_t list_ms;	 /* when the list was last read */
-	uint64_t list_wanted_ms; /* read it at this time; 0: not wanted */
-	uint64_t balance_ms;	 /* next thought about moves */
+	uint64_t list_read_ms;
+	uint64_t list_due_ms;	 /* 0: LIST_INTERVAL_MS applies */
+	uint64_t balance_due_ms; /* next planning of moves */
 	struct fleet_stats stats;
 	struct balance *balance;
 };
@@ -63,12 +63,12 @@
 /* fleet.c */
 struct machine *fleet_machine(const struct fleet *f, const char *name);
 void machine_drain(struct machine *m, struct sched *s, uint64_t now);
-void fleet_want_list(struct fleet *f, uint64_t at);
+void fleet_schedule_list(struct fleet *f, uint64_t at);
 
-/* upkeep.c */
-bool upkeep_next(struct fleet *f, struct sched *s, uint64_t now,
-		 struct fleet_action *action);
-void upkeep_answered(struct fleet *f, struct machine *m, uint64_t now);
+/* maintenance.c */
+bool maintenance_next(struct fleet *f, struct sched *s, uint64_t now,
+		      struct fleet_action *action);
+void maintenance_ordered(struct fleet *f, struct machine *m, uint64_t now);
 
 /* balance.c */
 bool balance_next(struct fleet *f, struct sched *s, uint64_t now,
--- /dev/null
+++ b/src/fleet/maintenance.c
@@ -0,0 +1,297 @@
+/*
+ * maintenance - waves of machine maintenance
+ *
+ * Every machine of a wave gets its maintenance before the wave's deadline, at
+ * most max_concurrent machines at a time, and no long-running step goes below
+ * its disruption budget.
+ *
+ * Designed for a wave that comes while queues demand more than their pools hold
+ * and long-running tasks run on most machines. Idle machines are ordered at
+ * once; of the busy ones only as many are drained at a time as the deadline
+ * requires.
+ */
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet/fleet_internal.h"
+
+#define DRAIN_AHEAD 1u /* machines drained beyond max_concurrent */
+#define TASK_END_WAIT_MS \
+	2500u /* before tasks that end by themselves are stopped */
+#define ORDER_RETRY_MS 300u
+#define LIST_IN_PROGRESS_MS \
+	500u /* between two readings while an earlier leader's orders run */
+#define DRAIN_EXPECTED_MS 1500u /* estimated drain time of a busy machine */
+#define COST_UNKNOWN 1e12	/* may run unreported work: not drained now */
+#define WAVE_PLANNED_SHARE \
+	0.6 /* of its duration; the rest is a reserve for an outage */
+
+void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
+		    uint32_t max_concurrent, uint32_t duration_ms,
+		    const char *const *machines, uint32_t count,
+		    uint64_t started_ms)
+{
+	struct wave *w;
+	uint32_t i;
+
+	DL_FOREACH(f->waves, w)
+	if (w->number == number)
+		return;
+	w = talloc_zero(f, struct wave);
+	assert(w);
+	snprintf(w->name, sizeof(w->name), "%s", name);
+	w->number = number;
+	w->max_concurrent = max_concurrent ? max_concurrent : 1;
+	w->started_ms = started_ms;
+	w->deadline_ms = started_ms + duration_ms;
+	w->count = count;
+	w->members =
+		talloc_zero_array(w, struct wave_member, count ? count : 1);
+	assert(w->members);
+	for (i = 0; i < count; i++)
+		snprintf(w->members[i].machine, FLEET_NAME_MAX, "%s",
+			 machines[i]);
+	DL_APPEND(f->waves, w);
+}
+
+void fleet_record_maintenance(struct fleet *f, uint64_t wave,
+			      const char *machine)
+{
+	struct wave *w;
+	uint32_t i;
+
+	DL_FOREACH(f->waves, w)
+	for (i = 0; w->number == wave && i < w->count; i++)
+		if (!strcmp(w->members[i].machine, machine))
+			w->members[i].state = MEMBER_DONE;
+}
+
+/* The machine's order was carried out: its part of the wave is done. */
+void maintenance_ordered(struct fleet *f, struct machine *m, uint64_t now)
+{
+	(void)now;
+	if (m->wave)
+		fleet_record_maintenance(f, m->wave->number, m->name);
+}
+
+/* Machines of the wave that an earlier leader ordered, by the last list. */
+static uint32_t ordered_by_earlier_leader(const struct fleet *f,
+					  const struct wave *w)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < w->count; i++) {
+		const struct machine *m =
+			fleet_machine(f, w->members[i].machine);
+
+		count += m && m->phase == PHASE_NONE && m->listed &&
+			 m->state == FLEET_IN_MAINTENANCE;
+	}
+	return count;
+}
+
+/* Counts the machines that are draining, or else those ordered or absent. */
+static uint32_t wave_count_machines(const struct fleet *f, const struct wave *w,
+				    bool draining)
+{
+	const struct machine *m;
+	uint32_t count = 0;
+
+	for (m = f->machines; m; m = m->hh.next)
+		if (m->wave == w && m->phase != PHASE_NONE &&
+		    (m->phase == PHASE_DRAINING) == draining)
+			count++;
+	return draining ? count : count + ordered_by_earlier_leader(f, w);
+}
+
+/*
+ * Returns the cost of draining the machine now, where the cheapest machine goes
+ * first and 0 or less is free. Also asks the scheduler to place no long-running
+ * task there any more.
+ */
+static double drain_cost(struct sched *s, const struct machine *m)
+{
+	struct sched_instance_load load;
+
+	if (!sched_machine_load(s, m->name, &load))
+		return -1;
+	if (load.unknown)
+		return COST_UNKNOWN;
+	sched_mark_due(s, load.instance);
+	return (double)load.used.cpu + 100000.0 * load.lasting;
+}
+
+static struct machine *cheapest_candidate(struct fleet *f, struct sched *s,
+					  struct wave *w, double *cheapest_cost)
+{
+	struct machine *best = NULL;
+	double best_cost = 0;
+	uint32_t i;
+
+	for (i = 0; i < w->count; i++) {
+		struct machine *m = fleet_machine(f, w->members[i].machine);
+		double cost;
+
+		if (w->members[i].state != MEMBER_DUE || !m ||
+		    m->phase != PHASE_NONE || !m->listed ||
+		    m->state != FLEET_UP)
+			continue;
+		cost = drain_cost(s, m);
+		if (cost >= COST_UNKNOWN)
+			continue;
+		if (best && cost >= best_cost)
+			continue;
+		best = m;
+		best_cost = cost;
+	}
+	*cheapest_cost = best_cost;
+	return best;
+}
+
+static void mark_in_progress(struct wave *w, struct machine *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->count; i++)
+		if (!strcmp(w->members[i].machine, m->name))
+			w->members[i].state = MEMBER_IN_PROGRESS;
+}
+
+/* How many machines must be in progress to finish within the planned share. */
+static uint32_t needed_concurrency(const struct fleet *f, const struct wave *w,
+				   uint64_t now)
+{
+	uint64_t planned_end_ms =
+		w->started_ms +
+		(uint64_t)(WAVE_PLANNED_SHARE *
+			   (double)(w->deadline_ms - w->started_ms));
+	uint64_t each_ms = DRAIN_EXPECTED_MS + f->options.maintenance_ms;
+	uint64_t remaining = 0;
+	uint32_t i;
+
+	if (now + each_ms >= planned_end_ms)
+		return w->max_concurrent + DRAIN_AHEAD;
+	for (i = 0; i < w->count; i++)
+		remaining += w->members[i].state != MEMBER_DONE;
+	return (uint32_t)(remaining * each_ms / (planned_end_ms - now)) +
+	       DRAIN_AHEAD;
+}
+
+static void start_draining(struct fleet *f, struct sched *s, struct wave *w,
+			   uint64_t now)
+{
+	uint32_t needed = needed_concurrency(f, w, now);
+	struct machine *m;
+	double cost;
+
+	for (;;) {
+		uint32_t active = wave_count_machines(f, w, true) +
+				  wave_count_machines(f, w, false);
+
+		if (active >= w->max_concurrent + DRAIN_AHEAD)
+			return;
+		m = cheapest_candidate(f, s, w, &cost);
+		if (!m || (cost > 0 && active >= needed))
+			return;
+		m->wave = w;
+		mark_in_progress(w, m);
+		machine_drain(m, s, now);
+	}
+}
+
+/* Whether the machine is empty; drains it further if not. */
+static bool drain_finished(struct sched *s, struct machine *m, uint64_t now)
+{
+	struct sched_instance_load load;
+	bool let_tasks_end = now - m->phase_since_ms < TASK_END_WAIT_MS;
+
+	if (!sched_machine_load(s, m->name, &load))
+		return true;
+	if (load.unknown)
+		return false;
+	if (!load.runs)
+		return true;
+	sched_reserve(s, load.instance, true, now);
+	sched_evacuate(s, load.instance, let_tasks_end, now);
+	return false;
+}
+
+static bool next_order(struct fleet *f, struct sched *s, struct wave *w,
+		       uint64_t now, struct fleet_action *action)
+{
+	bool may_order = wave_count_machines(f, w, false) < w->max_concurrent;
+	struct machine *m;
+
+	for (m = f->machines; m; m = m->hh.next) {
+		if (m->wave != w || m->phase != PHASE_DRAINING ||
+		    m->state != FLEET_UP)
+			continue;
+		if (!drain_finished(s, m, now) || !may_order)
+			continue;
+		m->phase = PHASE_ORDERING;
+		m->phase_since_ms = now;
+		action->kind = FLEET_ACTION_MAINTENANCE;
+		action->wave = w->number;
+		snprintf(action->machine, sizeof(action->machine), "%s",
+			 m->name);
+		return true;
+	}
+	return false;
+}
+
+/* A machine missing from the complete list is not waited for. */
+static bool wave_is_complete(const struct fleet *f, const struct wave *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->count; i++) {
+		const struct machine *m =
+			fleet_machine(f, w->members[i].machine);
+
+		if (w->members[i].state != MEMBER_DONE && m && m->listed)
+			return false;
+	}
+	return true;
+}
+
+static bool report_wave(struct wave *w, bool completed,
+			struct fleet_action *action)
+{
+	if (w->reporting ||
+	    (completed ? w->reported_completed : w->reported_running))
+		return false;
+	w->reporting = true;
+	action->kind = FLEET_ACTION_WAVE_STATE;
+	action->wave = w->number;
+	action->completed = completed;
+	snprintf(action->wave_name, sizeof(action->wave_name), "%s", w->name);
+	return true;
+}
+
+bool maintenance_next(struct fleet *f, struct sched *s, uint64_t now,
+		      struct fleet_action *action)
+{
+	struct wave *w;
+
+	DL_FOREACH(f->waves, w)
+	{
+		if (w->reported_completed)
+			continue;
+		if (wave_is_complete(f, w)) {
+			if (report_wave(w, true, action))
+				return true;
+			continue;
+		}
+		if (report_wave(w, false, action))
+			return true;
+		if (ordered_by_earlier_leader(f, w))
+			fleet_schedule_list(f, f->list_read_ms +
+						       LIST_IN_PROGRESS_MS);
+		start_draining(f, s, w, now);
+		if (next_order(f, s, w, now, action))
+			return true;
+	}
+	return false;
+}
--- a/src/job/config.c
+++ b/src/job/config.c
@@ -64,8 +64,8 @@
 	return NULL;
 }
 
-const struct config_workspace *config_key(const struct config *c,
-					  const char *key)
+const struct config_workspace *config_workspace_by_key(const struct config *c,
+						       const char *key)
 {
 	uint32_t i, j;
 
--- a/src/job/config.h
+++ b/src/job/config.h
@@ -1,8 +1,8 @@
 /*
- * config - the operators' configuration as one immutable version
+ * config - one immutable version of the operators' configuration
  *
- * Built by whoever decodes the operators' document, owned as one talloc
- * tree, never changed afterwards.
+ * Built by the decoder of the operators' document, owned as one talloc tree,
+ * never changed afterwards.
  */
 #ifndef CONFIG_H
 #define CONFIG_H
@@ -11,7 +11,7 @@
 #include <stdint.h>
 #include <talloc.h>
 
-/* Amounts of what tasks use: thousandths of a core, MiB, accelerators. */
+/* Resources of a task or instance: millicores, MiB, accelerators. */
 struct amount {
 	int64_t cpu;
 	int64_t mem;
@@ -20,29 +20,29 @@
 
 struct config_queue {
 	const char *name;
-	const char *host;   /* of the calls that reach it */
+	const char *host;   /* of its calls */
 	const char *prefix; /* of their path */
 	const char *pool;
-	double stretch;	     /* objective: longest chain times this... */
-	uint32_t slack_ms;   /* ...and this more */
-	uint32_t timeout_ms; /* of a call */
-	uint32_t priority;   /* 0 first */
+	double objective_factor;     /* times the critical path of the job... */
+	uint32_t objective_slack_ms; /* ...plus this is its objective */
+	uint32_t timeout_ms;	     /* of a call */
+	uint32_t priority;	     /* 0 is served first */
 	uint32_t attempts_max;
-	bool open;    /* calls need no key */
-	bool advised; /* an adviser names the instances that may run a step */
+	bool is_public;	   /* calls need no key */
+	bool needs_advice; /* an adviser names the instances for a step */
 	uint32_t advice_valid_ms;
 };
 
 struct config_pool {
 	const char *name;
-	bool guards; /* its instances refuse what does not fit */
-	bool spare;  /* its machines are off */
+	bool has_admission_check; /* its instances reject what does not fit */
+	bool spare;		  /* its machines are powered off */
 };
 
 struct config_workspace {
 	const char *name;
-	uint32_t weight;   /* share when all is full */
-	struct amount cap; /* most that may run; 0 for no limit */
+	uint32_t weight;   /* relative share while resources are scarce */
+	struct amount cap; /* limit on running tasks; 0 is unlimited */
 	uint32_t key_count;
 	const char **keys;
 };
@@ -57,19 +57,19 @@
 	struct config_workspace *workspaces;
 };
 
-/* config_route - the queue of a call: its host, the longest prefix; or NULL */
+/* config_route - the queue for a host and path (longest prefix), or NULL */
 const struct config_queue *config_route(const struct config *c,
 					const char *host, const char *path);
 
-/* config_queue, config_pool, config_workspace - by name, or NULL */
+/* config_queue, config_pool, config_workspace - look up by name, or NULL */
 const struct config_queue *config_queue(const struct config *c,
 					const char *name);
 const struct config_pool *config_pool(const struct config *c, const char *name);
 const struct config_workspace *config_workspace(const struct config *c,
 						const char *name);
 
-/* config_key - the workspace that holds a key, or NULL */
-const struct config_workspace *config_key(const struct config *c,
-					  const char *key);
+/* config_workspace_by_key - the workspace that holds the key, or NULL */
+const struct config_workspace *config_workspace_by_key(const struct config *c,
+						       const char *key);
 
 #endif
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -56,9 +56,9 @@
 
 static void pass_wave(struct machines *m, const struct wave_request *w)
 {
-	fleet_wave(m->fleet, w->name, w->number, w->at_once, w->duration_ms,
-		   (const char *const *)w->machines, w->machine_count,
-		   w->begun_ms);
+	fleet_add_wave(m->fleet, w->name, w->number, w->at_once, w->duration_ms,
+		       (const char *const *)w->machines, w->machine_count,
+		       w->begun_ms);
 }
 
 void machines_wave(struct node *n, struct wave_request *request)
@@ -136,7 +136,7 @@
 	static const enum fleet_machine_state states[] = {
 		[MACHINE_UP] = FLEET_UP,
 		[MACHINE_MOVING] = FLEET_MOVING,
-		[MACHINE_UPKEEP] = FLEET_IN_UPKEEP,
+		[MACHINE_UPKEEP] = FLEET_IN_MAINTENANCE,
 		[MACHINE_DOWN] = FLEET_DOWN,
 	};
 	struct machine_call *call = arg;
@@ -158,7 +158,8 @@
 			infos[i].state = states[machines[i].state];
 		}
 		if (whole) {
-			fleet_machines(m->fleet, infos, count, clock_now_ms());
+			fleet_set_machines(m->fleet, infos, count,
+					   clock_now_ms());
 			expect_instances(n, machines, count, call->sent_ms);
 		} else {
 			m->list_retry_ms = clock_now_ms() + LIST_RETRY_MS;
@@ -189,7 +190,7 @@
 {
 	struct machines *m = machines_of(n);
 	struct fleet_options options = {
-		.upkeep_ms = n->settings.upkeep_ms,
+		.maintenance_ms = n->settings.upkeep_ms,
 		.move_ms = n->settings.move_ms,
 	};
 	uint32_t i;
@@ -213,7 +214,7 @@
 
 		if (sscanf(reply->rows[i].key, "%" SCNu64 "/%127s", &wave,
 			   machine) == 2)
-			fleet_had_upkeep(m->fleet, wave, machine);
+			fleet_record_maintenance(m->fleet, wave, machine);
 	}
 }
 
@@ -319,9 +320,10 @@
 		  "\"kind\":%d,\"result\":%d,\"took_ms\":%" PRIu64,
 		  call->action.kind, result, clock_now_ms() - call->sent_ms);
 	if (call->lead_epoch == n->lead_epoch && n->machines->fleet) {
-		fleet_answered(n->machines->fleet, n->sched, &call->action,
-			       results[result], clock_now_ms());
-		if (result == MACHINE_OK && call->action.kind == FLEET_UPKEEP)
+		fleet_action_result(n->machines->fleet, n->sched, &call->action,
+				    results[result], clock_now_ms());
+		if (result == MACHINE_OK &&
+		    call->action.kind == FLEET_ACTION_MAINTENANCE)
 			record_upkeep(n, &call->action);
 		node_pump(n);
 	}
@@ -335,10 +337,10 @@
 
 	node_store_result(n, reply->status);
 	if (call->lead_epoch == n->lead_epoch && n->machines->fleet)
-		fleet_answered(n->machines->fleet, n->sched, &call->action,
-			       reply->status == STORE_OK ? FLEET_DONE
-							 : FLEET_REFUSED,
-			       clock_now_ms());
+		fleet_action_result(n->machines->fleet, n->sched, &call->action,
+				    reply->status == STORE_OK ? FLEET_DONE
+							      : FLEET_REFUSED,
+				    clock_now_ms());
 	talloc_free(call);
 }
 
@@ -369,17 +371,17 @@
 
 	call->action = *a;
 	switch (a->kind) {
-	case FLEET_WAVE_STATE:
+	case FLEET_ACTION_WAVE_STATE:
 		tell_wave(n, call);
 		return;
-	case FLEET_UPKEEP:
+	case FLEET_ACTION_MAINTENANCE:
 		event_log("upkeep-order", a->machine, "\"wave\":%" PRIu64,
 			  a->wave);
 		n->services->machine_upkeep(n->services->impl, &holder,
 					    a->machine, a->wave, on_machine,
 					    call);
 		return;
-	case FLEET_MOVE:
+	case FLEET_ACTION_MOVE:
 		event_log("move-order", a->machine, "\"pool\":\"%s\"", a->pool);
 		n->services->machine_move(n->services->impl, &holder,
 					  a->machine, a->pool, on_machine,
@@ -459,11 +461,11 @@
 		return;
 	}
 	if (!m->listing && now >= m->list_retry_ms &&
-	    (fleet_wants_list(m->fleet, now) ||
+	    (fleet_needs_machine_list(m->fleet, now) ||
 	     (sched_wants_list(n->sched) && now - m->list_ms >= LIST_MUTE_MS)))
 		read_list(n);
 	if (!may_order(n, now))
 		return;
-	while (fleet_next(m->fleet, n->sched, now, &action))
+	while (fleet_next_action(m->fleet, n->sched, now, &action))
 		carry_out(n, &action);
 }
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -64,7 +64,7 @@
 	if (!machines_stats(n, &f))
 		return;
 	counter(out, "machine_moves_total", "", f.moves);
-	counter(out, "machine_upkeeps_total", "", f.upkeeps);
+	counter(out, "machine_upkeeps_total", "", f.maintenances);
 	counter(out, "waves_completed_total", "", f.waves_completed);
 	counter(out, "waves_running", "", f.waves_running);
 	counter(out, "machines", "", f.machines);
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -21,7 +21,7 @@
 
 bool step_advised(const struct step *step)
 {
-	return step->job->conf && step->job->conf->advised;
+	return step->job->conf && step->job->conf->needs_advice;
 }
 
 const char *step_ticket(const struct step *step, const struct instance *i,
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -66,9 +66,9 @@
 			job->work += (uint64_t)st->count * st->cpu *
 				     step_estimate_ms(st);
 	}
-	job->objective_ms =
-		job->accepted_ms + (q ? q->slack_ms : 0) +
-		(uint64_t)((q ? q->stretch : 1.0) * (double)job->chain_ms);
+	job->objective_ms = job->accepted_ms + (q ? q->objective_slack_ms : 0) +
+			    (uint64_t)((q ? q->objective_factor : 1.0) *
+				       (double)job->chain_ms);
 }
 
 static uint64_t step_chain_ms(const struct step *step)
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -14,11 +14,11 @@
 };
 
 static const struct wave_case wave_cases[] = {
-	{ "carried out", FLEET_DONE, FLEET_IN_UPKEEP, true },
-	{ "busy because it is in upkeep", FLEET_BUSY, FLEET_IN_UPKEEP, true },
+	{ "carried out", FLEET_DONE, FLEET_IN_MAINTENANCE, true },
+	{ "busy because it is in upkeep", FLEET_BUSY, FLEET_IN_MAINTENANCE, true },
 	{ "busy because it is down by itself", FLEET_BUSY, FLEET_DOWN, false },
 	{ "not answered and not done", FLEET_UNKNOWN, FLEET_UP, false },
-	{ "not answered and done", FLEET_UNKNOWN, FLEET_IN_UPKEEP, true },
+	{ "not answered and done", FLEET_UNKNOWN, FLEET_IN_MAINTENANCE, true },
 	{ "refused", FLEET_REFUSED, FLEET_UP, false },
 };
 
@@ -26,10 +26,10 @@
 			 enum fleet_action_kind kind,
 			 struct fleet_action *action)
 {
-	while (fleet_next(f, s, now, action)) {
+	while (fleet_next_action(f, s, now, action)) {
 		if (action->kind == kind)
 			return true;
-		fleet_answered(f, s, action, FLEET_DONE, now);
+		fleet_action_result(f, s, action, FLEET_DONE, now);
 	}
 	return false;
 }
@@ -37,7 +37,7 @@
 static void test_wave(void **state)
 {
 	static const char *const machines[] = { "m-0" };
-	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
 	struct fleet_machine_info info = { "m-0", "p", "r1", FLEET_UP };
 	struct fleet_action action;
 	size_t i;
@@ -53,16 +53,16 @@
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		info.state = FLEET_UP;
-		fleet_machines(f, &info, 1, r.now);
-		fleet_wave(f, "wave/1", 1, 1, 20000, machines, 1, r.now);
-		assert_true(next_of_kind(f, r.s, r.now, FLEET_UPKEEP, &action));
-		fleet_answered(f, r.s, &action, c->answer, r.now);
+		fleet_set_machines(f, &info, 1, r.now);
+		fleet_add_wave(f, "wave/1", 1, 1, 20000, machines, 1, r.now);
+		assert_true(next_of_kind(f, r.s, r.now, FLEET_ACTION_MAINTENANCE, &action));
+		fleet_action_result(f, r.s, &action, c->answer, r.now);
 		r.now += 400;
 		info.state = c->listed;
-		fleet_machines(f, &info, 1, r.now);
-		while (fleet_next(f, r.s, r.now, &action) &&
-		       action.kind == FLEET_WAVE_STATE)
-			fleet_answered(f, r.s, &action, FLEET_DONE, r.now);
+		fleet_set_machines(f, &info, 1, r.now);
+		while (fleet_next_action(f, r.s, r.now, &action) &&
+		       action.kind == FLEET_ACTION_WAVE_STATE)
+			fleet_action_result(f, r.s, &action, FLEET_DONE, r.now);
 		fleet_stats(f, &stats);
 		if (stats.waves_completed != c->had)
 			fail_msg("%s: completed %d", c->what,
@@ -107,7 +107,7 @@
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2",
 					   "m-3", "m-4", "m-5" };
-	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
 	size_t c;
 
 	(void)state;
@@ -144,11 +144,11 @@
 		answer_all(&r, ORDER_DONE);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
-		fleet_machines(f, infos, 6, r.now);
-		fleet_wave(f, "wave/1", 1, 6, 60000, ids, 6, r.now);
+		fleet_set_machines(f, infos, 6, r.now);
+		fleet_add_wave(f, "wave/1", 1, 6, 60000, ids, 6, r.now);
 		r.now += p->elapsed_ms;
-		while (fleet_next(f, r.s, r.now, &action))
-			ordered += action.kind == FLEET_UPKEEP;
+		while (fleet_next_action(f, r.s, r.now, &action))
+			ordered += action.kind == FLEET_ACTION_MAINTENANCE;
 		fleet_stats(f, &stats);
 		if (ordered < p->ordered_min ||
 		    stats.draining < p->draining_min ||
@@ -166,7 +166,7 @@
 static void test_wave_waits_for_looks(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
-	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
 	static const struct {
 		const char *what;
 		bool listed; /* in the directory; all are in the list */
@@ -206,12 +206,12 @@
 			see_all_empty(&r);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
-		fleet_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
+		fleet_add_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
 		r.now += cases[c].later_ms;
 		sched_tick(r.s, r.now, r.now);
-		fleet_machines(f, infos, 4, r.now);
-		while (fleet_next(f, r.s, r.now, &action))
-			ordered += action.kind == FLEET_UPKEEP;
+		fleet_set_machines(f, infos, 4, r.now);
+		while (fleet_next_action(f, r.s, r.now, &action))
+			ordered += action.kind == FLEET_ACTION_MAINTENANCE;
 		if (ordered != cases[c].ordered)
 			fail_msg("%s: %u ordered", cases[c].what, ordered);
 		talloc_free(r.s);
@@ -222,7 +222,7 @@
 static void test_wave_counts_former_orders(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
-	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
 	static const struct {
 		uint32_t away, at_once, ordered;
 	} cases[] = { { 0, 2, 2 }, { 1, 2, 1 }, { 2, 2, 0 }, { 3, 2, 0 } };
@@ -241,19 +241,19 @@
 		for (i = 0; i < 4; i++)
 			infos[i] = (struct fleet_machine_info){
 				ids[i], "p", "r1",
-				i < cases[c].away ? FLEET_IN_UPKEEP : FLEET_UP
+				i < cases[c].away ? FLEET_IN_MAINTENANCE : FLEET_UP
 			};
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
-		fleet_wave(f, "wave/1", 1, cases[c].at_once, 60000, ids, 4,
+		fleet_add_wave(f, "wave/1", 1, cases[c].at_once, 60000, ids, 4,
 			   r.now);
-		fleet_machines(f, infos, 4, r.now);
-		while (fleet_next(f, r.s, r.now, &action))
-			ordered += action.kind == FLEET_UPKEEP;
+		fleet_set_machines(f, infos, 4, r.now);
+		while (fleet_next_action(f, r.s, r.now, &action))
+			ordered += action.kind == FLEET_ACTION_MAINTENANCE;
 		if (ordered != cases[c].ordered)
 			fail_msg("%u away: %u ordered", cases[c].away, ordered);
 		if (cases[c].away)
-			assert_true(fleet_wants_list(f, r.now + 1000));
+			assert_true(fleet_needs_machine_list(f, r.now + 1000));
 		talloc_free(r.s);
 	}
 }
@@ -279,7 +279,7 @@
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2",
 					   "m-3", "m-4", "m-5" };
-	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
 	size_t c;
 
 	(void)state;
@@ -301,7 +301,7 @@
 		queues[0] = queues[1] = r.queue;
 		queues[1].name = "o";
 		queues[1].pool = "o";
-		queues[1].slack_ms = 60000;
+		queues[1].objective_slack_ms = 60000;
 		r.workspace.cap.cpu = 0;
 		r.config = (struct config){ 1,	    2,	   2,		1,
 					    queues, pools, &r.workspace };
@@ -336,9 +336,9 @@
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		r.now += 5000;
-		fleet_machines(f, infos, 6, r.now);
-		while (fleet_next(f, r.s, r.now, &action))
-			moves += action.kind == FLEET_MOVE;
+		fleet_set_machines(f, infos, 6, r.now);
+		while (fleet_next_action(f, r.s, r.now, &action))
+			moves += action.kind == FLEET_ACTION_MOVE;
 		if (moves < m->moves_min || moves > m->moves_max)
 			fail_msg("%s: %u moves", m->what, moves);
 		talloc_free(r.s);
@@ -396,7 +396,7 @@
 static void test_turns(void **state)
 {
 	static const char *const names[] = { "p", "o" };
-	struct fleet_options options = { .upkeep_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
 	size_t c;
 
 	(void)state;
@@ -418,7 +418,7 @@
 		for (q = 0; q < 2; q++) {
 			queues[q] = r.queue;
 			queues[q].name = queues[q].pool = names[q];
-			queues[q].slack_ms = 60000;
+			queues[q].objective_slack_ms = 60000;
 		}
 		r.workspace.cap.cpu = 0;
 		r.config = (struct config){ 1,	    2,	   3,		1,
@@ -443,10 +443,10 @@
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		r.now += 5000;
-		fleet_machines(f, infos, SPARES + 2, r.now);
-		while (fleet_next(f, r.s, r.now, &action))
+		fleet_set_machines(f, infos, SPARES + 2, r.now);
+		while (fleet_next_action(f, r.s, r.now, &action))
 			for (q = 0; q < 2; q++)
-				moves[q] += action.kind == FLEET_MOVE &&
+				moves[q] += action.kind == FLEET_ACTION_MOVE &&
 					    !strcmp(action.pool, names[q]);
 		for (q = 0; q < 2; q++)
 			if (moves[q] < t->moves_min[q] ||
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -31,8 +31,8 @@
 					  .host = "h",
 					  .prefix = "/",
 					  .pool = "p",
-					  .stretch = 2,
-					  .slack_ms = QUEUE_SLACK_MS,
+					  .objective_factor = 2,
+					  .objective_slack_ms = QUEUE_SLACK_MS,
 					  .attempts_max = 2 };
 	r->pool = (struct config_pool){ "p", true, false };
 	r->workspace =
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -452,7 +452,7 @@
 
 	(void)state;
 	rig_new(&r);
-	r.queue.advised = true;
+	r.queue.needs_advice = true;
 	rig_lead(&r);
 	see_all_empty(&r);
 	submit(&r, id_a, 1, 1, false);
--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -280,8 +280,8 @@
 			.host = "h",
 			.prefix = "/",
 			.pool = i ? "p1" : "p0",
-			.stretch = 10,
-			.slack_ms = 60000,
+			.objective_factor = 10,
+			.objective_slack_ms = 60000,
 			.attempts_max = ATTEMPTS_MAX,
 		};
 		w->pools[i] =
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -4,7 +4,7 @@
  * fleet_world.c           set-up, faults, callers, checks at the end
  * fleet_world_instance.c  what instances do, and the checks of a start
  * fleet_world_call.c      calls under way, the store
- * fleet_world_lead.c      leads around the real scheduler
+ * fleet_world_leader.c      leads around the real scheduler
  */
 #ifndef FLEET_WORLD_INTERNAL_H
 #define FLEET_WORLD_INTERNAL_H
@@ -200,7 +200,7 @@
 void calls_advance(struct world *w);
 void lead_resign(struct world *w, struct lead *l);
 
-/* fleet_world_lead.c */
+/* fleet_world_leader.c */
 void claim(struct world *w, uint32_t who);
 void lead_advance(struct world *w, uint32_t who);
 
