--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -1,24 +1,23 @@
-/*
- * Decisions about machines in virtual time: waves of upkeep and moves.
- */
+/* Planning of machine maintenance and of moves in virtual time. */
 #include "fleet/fleet.h"
 #include "test/rig/sched_rig.h"
 
-/* Waves */
+/* Waves of maintenance */
 
 struct wave_case {
-	const char *what;
-	enum fleet_result answer;
+	const char *name;
+	enum fleet_result result;
 	enum fleet_machine_state listed; /* afterwards */
-	bool had;			 /* its upkeep */
+	bool completed;			 /* its maintenance */
 };
 
 static const struct wave_case wave_cases[] = {
 	{ "carried out", FLEET_DONE, FLEET_IN_MAINTENANCE, true },
-	{ "busy because it is in upkeep", FLEET_BUSY, FLEET_IN_MAINTENANCE, true },
-	{ "busy because it is down by itself", FLEET_BUSY, FLEET_DOWN, false },
-	{ "not answered and not done", FLEET_UNKNOWN, FLEET_UP, false },
-	{ "not answered and done", FLEET_UNKNOWN, FLEET_IN_MAINTENANCE, true },
+	{ "busy, in maintenance", FLEET_BUSY, FLEET_IN_MAINTENANCE, true },
+	{ "busy, down without an order", FLEET_BUSY, FLEET_DOWN, false },
+	{ "not answered and not carried out", FLEET_UNKNOWN, FLEET_UP, false },
+	{ "not answered but carried out", FLEET_UNKNOWN, FLEET_IN_MAINTENANCE,
+	  true },
 	{ "refused", FLEET_REFUSED, FLEET_UP, false },
 };
 
@@ -37,7 +36,8 @@
 static void test_wave(void **state)
 {
 	static const char *const machines[] = { "m-0" };
-	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
 	struct fleet_machine_info info = { "m-0", "p", "r1", FLEET_UP };
 	struct fleet_action action;
 	size_t i;
@@ -55,8 +55,9 @@
 		info.state = FLEET_UP;
 		fleet_set_machines(f, &info, 1, r.now);
 		fleet_add_wave(f, "wave/1", 1, 1, 20000, machines, 1, r.now);
-		assert_true(next_of_kind(f, r.s, r.now, FLEET_ACTION_MAINTENANCE, &action));
-		fleet_action_result(f, r.s, &action, c->answer, r.now);
+		assert_true(next_of_kind(f, r.s, r.now,
+					 FLEET_ACTION_MAINTENANCE, &action));
+		fleet_action_result(f, r.s, &action, c->result, r.now);
 		r.now += 400;
 		info.state = c->listed;
 		fleet_set_machines(f, &info, 1, r.now);
@@ -64,8 +65,8 @@
 		       action.kind == FLEET_ACTION_WAVE_STATE)
 			fleet_action_result(f, r.s, &action, FLEET_DONE, r.now);
 		fleet_stats(f, &stats);
-		if (stats.waves_completed != c->had)
-			fail_msg("%s: completed %d", c->what,
+		if (stats.waves_completed != c->completed)
+			fail_msg("%s: completed %d", c->name,
 				 (int)stats.waves_completed);
 		talloc_free(r.s);
 	}
@@ -87,32 +88,33 @@
 	sched_instance(r->s, &info, r->now);
 }
 
-struct pace_case {
-	const char *what;
-	uint32_t busy;	     /* of six machines, all of the wave */
-	uint64_t elapsed_ms; /* of a wave of 60 s, six at once */
+struct drain_case {
+	const char *name;
+	uint32_t busy;	     /* of six machines, all in the wave */
+	uint64_t elapsed_ms; /* of a wave of 60 s, six machines at a time */
 	uint32_t ordered_min;
 	uint32_t draining_min, draining_max;
 };
 
-static const struct pace_case pace_cases[] = {
-	{ "idle machines go at once", 0, 0, 6, 0, 0 },
-	{ "busy ones a few at a time", 6, 0, 0, 1, 2 },
-	{ "idle ones first", 4, 0, 2, 0, 1 },
-	{ "all, when little time is left", 6, 34000, 0, 6, 6 },
+static const struct drain_case drain_cases[] = {
+	{ "idle machines are ordered at once", 0, 0, 6, 0, 0 },
+	{ "busy machines are drained a few at a time", 6, 0, 0, 1, 2 },
+	{ "idle machines first", 4, 0, 2, 0, 1 },
+	{ "all machines when little time is left", 6, 34000, 0, 6, 6 },
 };
 
-/* A wave keeps no more machines free of work than its time needs. */
-static void test_wave_pace(void **state)
+/* A wave drains no more machines than its deadline requires. */
+static void test_wave_drains_as_needed(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2",
 					   "m-3", "m-4", "m-5" };
-	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
 	size_t c;
 
 	(void)state;
-	for (c = 0; c < sizeof(pace_cases) / sizeof(pace_cases[0]); c++) {
-		const struct pace_case *p = &pace_cases[c];
+	for (c = 0; c < sizeof(drain_cases) / sizeof(drain_cases[0]); c++) {
+		const struct drain_case *p = &drain_cases[c];
 		struct fleet_machine_info infos[6];
 		struct fleet_action action;
 		struct fleet_stats stats;
@@ -134,7 +136,7 @@
 		sched_expected(r.s, r.now);
 		see_all_empty(&r);
 		row = job_row(p->busy ? p->busy : 1, 1, false);
-		row->steps[0]->cpu = 4000; /* one fills an instance */
+		row->steps[0]->cpu = 4000; /* one task fills an instance */
 		if (p->busy)
 			sched_submit(r.s, id_a, row, r.now, r.now, &after);
 		else
@@ -153,31 +155,32 @@
 		if (ordered < p->ordered_min ||
 		    stats.draining < p->draining_min ||
 		    stats.draining > p->draining_max)
-			fail_msg("%s: %u ordered, %u draining", p->what,
+			fail_msg("%s: %u ordered, %u draining", p->name,
 				 ordered, stats.draining);
 		talloc_free(r.s);
 	}
 }
 
 /*
- * A new lead has looked at some machines only: the others may run what lasts,
- * and get no order before they were looked at or their lease ran out.
+ * A new leader must not order maintenance of a machine that has not reported to
+ * it: the machine may run long-running tasks until its lease has expired.
  */
-static void test_wave_waits_for_looks(void **state)
+static void test_wave_waits_for_reports(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
-	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
 	static const struct {
-		const char *what;
+		const char *name;
 		bool listed; /* in the directory; all are in the list */
-		bool looked;
-		uint64_t later_ms;
+		bool reported;
+		uint64_t elapsed_ms;
 		uint32_t ordered;
 	} cases[] = {
-		{ "nobody has looked", true, false, 10, 0 },
-		{ "nor is it in the directory", false, false, 10, 0 },
-		{ "they were looked at", true, true, 10, 4 },
-		{ "their leases ran out", true, false, 20000, 4 },
+		{ "no report yet", true, false, 10, 0 },
+		{ "no report and not in the directory", false, false, 10, 0 },
+		{ "all have reported", true, true, 10, 4 },
+		{ "their leases have expired", true, false, 20000, 4 },
 	};
 	size_t c;
 
@@ -202,29 +205,33 @@
 		}
 		sched_lead(r.s, 2, true, r.now);
 		sched_expected(r.s, r.now);
-		if (cases[c].looked)
+		if (cases[c].reported)
 			see_all_empty(&r);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		fleet_add_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
-		r.now += cases[c].later_ms;
+		r.now += cases[c].elapsed_ms;
 		sched_tick(r.s, r.now, r.now);
 		fleet_set_machines(f, infos, 4, r.now);
 		while (fleet_next_action(f, r.s, r.now, &action))
 			ordered += action.kind == FLEET_ACTION_MAINTENANCE;
 		if (ordered != cases[c].ordered)
-			fail_msg("%s: %u ordered", cases[c].what, ordered);
+			fail_msg("%s: %u ordered", cases[c].name, ordered);
 		talloc_free(r.s);
 	}
 }
 
-/* What a former lead ordered away counts, as long as the list shows it. */
-static void test_wave_counts_former_orders(void **state)
+/*
+ * Machines that an earlier leader ordered count against the limit as long as
+ * the list shows them in maintenance.
+ */
+static void test_wave_counts_earlier_orders(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
-	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
 	static const struct {
-		uint32_t away, at_once, ordered;
+		uint32_t in_maintenance, max_concurrent, ordered;
 	} cases[] = { { 0, 2, 2 }, { 1, 2, 1 }, { 2, 2, 0 }, { 3, 2, 0 } };
 	size_t c;
 
@@ -241,18 +248,21 @@
 		for (i = 0; i < 4; i++)
 			infos[i] = (struct fleet_machine_info){
 				ids[i], "p", "r1",
-				i < cases[c].away ? FLEET_IN_MAINTENANCE : FLEET_UP
+				i < cases[c].in_maintenance
+					? FLEET_IN_MAINTENANCE
+					: FLEET_UP
 			};
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
-		fleet_add_wave(f, "wave/1", 1, cases[c].at_once, 60000, ids, 4,
-			   r.now);
+		fleet_add_wave(f, "wave/1", 1, cases[c].max_concurrent, 60000,
+			       ids, 4, r.now);
 		fleet_set_machines(f, infos, 4, r.now);
 		while (fleet_next_action(f, r.s, r.now, &action))
 			ordered += action.kind == FLEET_ACTION_MAINTENANCE;
 		if (ordered != cases[c].ordered)
-			fail_msg("%u away: %u ordered", cases[c].away, ordered);
-		if (cases[c].away)
+			fail_msg("%u in maintenance: %u ordered",
+				 cases[c].in_maintenance, ordered);
+		if (cases[c].in_maintenance)
 			assert_true(fleet_needs_machine_list(f, r.now + 1000));
 		talloc_free(r.s);
 	}
@@ -261,25 +271,26 @@
 /* Moves */
 
 struct move_case {
-	const char *what;
-	uint32_t lasting; /* tasks of a step that spreads over instances */
-	uint32_t waiting; /* jobs of the other pool */
+	const char *name;
+	uint32_t long_running; /* tasks of a step, one on each instance */
+	uint32_t waiting;      /* jobs in the other pool */
 	uint32_t moves_max;
 	uint32_t moves_min;
 };
 
 static const struct move_case move_cases[] = {
 	{ "nothing waits", 0, 0, 0, 0 },
-	{ "work waits: all but two machines are given", 0, 60, 3, 3 },
-	{ "what lasts keeps its spread and one more", 3, 60, 1, 1 },
-	{ "what lasts needs all", 4, 60, 0, 0 },
+	{ "work waits: all but two machines are moved", 0, 60, 3, 3 },
+	{ "a long-running step keeps its spread and one more", 3, 60, 1, 1 },
+	{ "a long-running step needs all", 4, 60, 0, 0 },
 };
 
 static void test_moves(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2",
 					   "m-3", "m-4", "m-5" };
-	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
 	size_t c;
 
 	(void)state;
@@ -316,8 +327,8 @@
 		sched_lead(r.s, 1, true, r.now);
 		sched_expected(r.s, r.now);
 		see_all_empty(&r);
-		if (m->lasting) {
-			row = job_row(m->lasting, 1, true);
+		if (m->long_running) {
+			row = job_row(m->long_running, 1, true);
 			row->steps[0]->spread_limit = 1;
 			row->steps[0]->cpu = 100;
 			sched_submit(r.s, id_a, row, r.now, r.now, &after);
@@ -340,41 +351,41 @@
 		while (fleet_next_action(f, r.s, r.now, &action))
 			moves += action.kind == FLEET_ACTION_MOVE;
 		if (moves < m->moves_min || moves > m->moves_max)
-			fail_msg("%s: %u moves", m->what, moves);
+			fail_msg("%s: %u moves", m->name, moves);
 		talloc_free(r.s);
 	}
 }
 
 #define SPARES 10u
 
-struct turn_case {
-	const char *what;
-	uint32_t jobs[2]; /* of one core each, in the pools p and o */
+struct peak_case {
+	const char *name;
+	uint32_t jobs[2]; /* of one core each, in pools p and o */
 	uint32_t ms[2];	  /* their estimates */
 	uint32_t moves_min[2], moves_max[2];
 };
 
-/* Machines have four cores; each of the pools has one. */
-static const struct turn_case turn_cases[] = {
-	{ "a turn takes what is off",
+/* Machines have four cores; each pool has one machine. */
+static const struct peak_case peak_cases[] = {
+	{ "a demand peak takes the powered-off machines",
 	  { 0, 200 },
 	  { 500, 500 },
 	  { 0, SPARES },
 	  { 0, SPARES } },
-	{ "beside a turn the other pool gets its few",
+	{ "the other pool gets its few during a peak",
 	  { 12, 200 },
 	  { 500, 500 },
 	  { 2, 4 },
 	  { 6, SPARES - 2 } },
-	{ "long tasks ask for a few times what they could use",
+	{ "demand of long tasks is limited",
 	  { 6, 0 },
 	  { 4000, 500 },
 	  { 1, 0 },
 	  { 5, 0 } },
 };
 
-static void submit_to(struct rig *r, const char *queue, uint32_t number,
-		      uint32_t estimate_ms)
+static void submit_job(struct rig *r, const char *queue, uint32_t number,
+		       uint32_t estimate_ms)
 {
 	Fleet__JobRow *row = job_row(1, 1, false);
 	uint32_t after;
@@ -390,18 +401,20 @@
 }
 
 /*
- * The load: one queue's turn comes while another has a little work, and what
- * is off does not suffice for all; a few long tasks are no turn.
+ * During a demand peak in one queue, the few machines that another queue needs
+ * must still reach its pool, although the powered-off machines do not suffice
+ * for both. A few long tasks are not a peak.
  */
-static void test_turns(void **state)
+static void test_demand_peaks(void **state)
 {
 	static const char *const names[] = { "p", "o" };
-	struct fleet_options options = { .maintenance_ms = 2000, .move_ms = 1500 };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
 	size_t c;
 
 	(void)state;
-	for (c = 0; c < sizeof(turn_cases) / sizeof(turn_cases[0]); c++) {
-		const struct turn_case *t = &turn_cases[c];
+	for (c = 0; c < sizeof(peak_cases) / sizeof(peak_cases[0]); c++) {
+		const struct peak_case *t = &peak_cases[c];
 		struct config_pool pools[3] = { { "p", true, false },
 						{ "o", true, false },
 						{ "off", true, true } };
@@ -436,8 +449,8 @@
 		see_all_empty(&r);
 		for (q = 0; q < 2; q++)
 			for (i = 0; i < t->jobs[q]; i++)
-				submit_to(&r, names[q], (q + 1) * 1000 + i,
-					  t->ms[q]);
+				submit_job(&r, names[q], (q + 1) * 1000 + i,
+					   t->ms[q]);
 		write_all(&r);
 		orders(&r);
 		f = fleet_new(r.s, &options);
@@ -451,7 +464,7 @@
 		for (q = 0; q < 2; q++)
 			if (moves[q] < t->moves_min[q] ||
 			    moves[q] > t->moves_max[q])
-				fail_msg("%s: %u to %s", t->what, moves[q],
+				fail_msg("%s: %u to %s", t->name, moves[q],
 					 names[q]);
 		talloc_free(r.s);
 	}
@@ -461,11 +474,11 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_wave),
-		cmocka_unit_test(test_wave_pace),
-		cmocka_unit_test(test_wave_waits_for_looks),
-		cmocka_unit_test(test_wave_counts_former_orders),
+		cmocka_unit_test(test_wave_drains_as_needed),
+		cmocka_unit_test(test_wave_waits_for_reports),
+		cmocka_unit_test(test_wave_counts_earlier_orders),
 		cmocka_unit_test(test_moves),
-		cmocka_unit_test(test_turns),
+		cmocka_unit_test(test_demand_peaks),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/fleet_walk.c
+++ b/test/fleet_walk.c
@@ -1,5 +1,6 @@
 /*
- * Random walk over the scheduler with several leads; see walk/fleet_world.h.
+ * Randomized simulation of the scheduler with several leaders; see
+ * walk/fleet_world.h.
  *
  *	fleet_walk [--count N] [--seed N] [--faults MASK] [--verbose]
  */
@@ -12,18 +13,18 @@
 int main(int argc, char **argv)
 {
 	struct arg_int *count =
-		arg_int0(NULL, "count", "N", "seeds to play, 200 by default");
-	struct arg_int *seed = arg_int0(NULL, "seed", "N", "the first seed");
-	struct arg_int *faults = arg_int0(NULL, "faults", "MASK",
-					  "enum world_fault, all by default");
-	struct arg_lit *verbose =
-		arg_lit0("v", "verbose", "print what happens");
+		arg_int0(NULL, "count", "N", "number of seeds, 200 by default");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "first seed");
+	struct arg_int *faults =
+		arg_int0(NULL, "faults", "MASK",
+			 "enum world_fault, FAULT_ALL by default");
+	struct arg_lit *verbose = arg_lit0("v", "verbose", "print all events");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { count, seed, faults, verbose, end };
 	unsigned int mask;
 	struct world_result total = { 0 };
 	int first, seeds, i;
-	bool loud;
+	bool print_events;
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "fleet_walk");
@@ -32,14 +33,15 @@
 	first = seed->count ? seed->ival[0] : 1;
 	seeds = count->count ? count->ival[0] : seed->count ? 1 : 200;
 	mask = faults->count ? (unsigned int)faults->ival[0] : FAULT_ALL;
-	loud = verbose->count > 0;
+	print_events = verbose->count > 0;
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	for (i = first; i < first + seeds; i++) {
 		struct world_result r;
 
-		world_run((uint64_t)i, mask, loud, &r);
+		world_run((uint64_t)i, mask, print_events, &r);
 		if (*r.error) {
-			printf("seed %d: %s\nagain: fleet_walk --seed %d "
+			printf("seed %d: %s\nreproduce with: fleet_walk --seed "
+			       "%d "
 			       "--faults %u --verbose\n",
 			       i, r.error, i, mask);
 			return 1;
--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -7,20 +7,21 @@
 
 #include "test/walk/fleet_world_internal.h"
 
-uint32_t pick(struct world *w, uint32_t below)
+uint32_t random_below(struct world *w, uint32_t below)
 {
-	w->counter++;
-	return (uint32_t)(XXH64(&w->counter, sizeof(w->counter), w->seed) %
+	w->random_counter++;
+	return (uint32_t)(XXH64(&w->random_counter, sizeof(w->random_counter),
+				w->seed) %
 			  below);
 }
 
-bool chance(struct world *w, unsigned int fault, uint32_t per_mille)
+bool fault_occurs(struct world *w, unsigned int fault, uint32_t per_mille)
 {
 	return w->now < WORLD_FAULTS_MS && (w->faults & fault) &&
-	       pick(w, 1000) < per_mille;
+	       random_below(w, 1000) < per_mille;
 }
 
-void broken(struct world *w, const char *fmt, ...)
+void violation(struct world *w, const char *fmt, ...)
 {
 	char text[200];
 	va_list ap;
@@ -34,7 +35,7 @@
 		 (double)w->now / 1000.0, text);
 }
 
-void say(const struct world *w, const char *fmt, ...)
+void trace(const struct world *w, const char *fmt, ...)
 {
 	va_list ap;
 
@@ -49,8 +50,8 @@
 
 /* Tasks by name */
 
-struct world_job *job_of(struct world *w, const char *task, uint32_t *step,
-			 uint32_t *index)
+struct world_job *job_of_task(struct world *w, const char *task, uint32_t *step,
+			      uint32_t *index)
 {
 	char id[SCHED_ID_BYTES + 1];
 	unsigned int k;
@@ -66,23 +67,23 @@
 
 /* Callers */
 
-static struct lead *holder(struct world *w)
+static struct leader *holder(struct world *w)
 {
-	struct lead *l = w->holder ? &w->leads[w->holder - 1] : NULL;
+	struct leader *l = w->holder ? &w->leaders[w->holder - 1] : NULL;
 
-	return l && l->s && w->now >= l->frozen_until_ms ? l : NULL;
+	return l && l->s && w->now >= l->paused_until_ms ? l : NULL;
 }
 
 static void submit(struct world *w, uint32_t j)
 {
 	struct world_job *job = &w->jobs[j];
-	struct lead *l = holder(w);
+	struct leader *l = holder(w);
 	uint8_t bytes[2048];
 	uint32_t after;
 	uint32_t i;
 
 	job->submitted = true;
-	if (l && pick(w, 2)) {
+	if (l && random_below(w, 2)) {
 		size_t length = fleet__job_row__pack(job->row, bytes);
 
 		sched_submit(l->s, job->id,
@@ -90,24 +91,25 @@
 			     w->now, w->now, &after);
 		return;
 	}
-	/* Recorded by another node: every lead there is learns of it. */
+	/* Recorded by another node, which notifies every leader. */
 	if (!job->has_row && !job->end)
 		job->has_row = true;
-	for (i = 0; i < WORLD_LEADS; i++)
-		if (w->leads[i].s)
-			w->leads[i].inbox_seen[j] = w->now + pick(w, 400);
+	for (i = 0; i < WORLD_LEADERS; i++)
+		if (w->leaders[i].s)
+			w->leaders[i].inbox_due_ms[j] =
+				w->now + random_below(w, 400);
 	job->accepted = true;
 	if (!l)
-		job->submit_ms = w->now + 500; /* the caller asks again */
+		job->submit_ms = w->now + 500; /* the caller retries */
 }
 
-static void callers(struct world *w)
+static void callers_advance(struct world *w)
 {
 	uint32_t j;
 
 	for (j = 0; j < WORLD_JOBS; j++) {
 		struct world_job *job = &w->jobs[j];
-		struct lead *l = holder(w);
+		struct leader *l = holder(w);
 
 		if (w->now >= job->submit_ms && !job->has_row && !job->end) {
 			submit(w, j);
@@ -127,82 +129,86 @@
 	}
 }
 
-/* What is shown must be true. */
-static void check_shown(struct world *w)
+/* A job reported as completed must have completed every task. */
+static void check_reported_states(struct world *w)
 {
 	uint32_t l, j, st, t;
 
-	for (l = 0; l < WORLD_LEADS; l++)
-		for (j = 0; w->leads[l].s && j < WORLD_JOBS; j++) {
+	for (l = 0; l < WORLD_LEADERS; l++)
+		for (j = 0; w->leaders[l].s && j < WORLD_JOBS; j++) {
 			struct world_job *job = &w->jobs[j];
 
-			if (sched_state(w->leads[l].s, job->id,
+			if (sched_state(w->leaders[l].s, job->id,
 					job->row->queue) !=
 			    FLEET__JOB_STATE__COMPLETED)
 				continue;
 			for (st = 0; st < job->row->n_steps; st++)
 				for (t = 0; t < job->row->steps[st]->count; t++)
 					if (!job->done[st][t])
-						broken(w,
-						       "MIXED: %s is shown as "
-						       "completed",
-						       job->id);
+						violation(w,
+							  "FALSE STATE: %s is "
+							  "reported as "
+							  "completed",
+							  job->id);
 		}
 }
 
 /* Faults */
 
-static uint32_t restart_ms(const struct world *w)
+static uint32_t restart_delay_ms(const struct world *w)
 {
 	return w->faults & FAULT_QUICK_RESTARTS ? QUICK_RESTART_MS : RESTART_MS;
 }
 
-static void strike(struct world *w)
+static void inject_faults(struct world *w)
 {
-	struct world_instance *i = &w->instances[pick(w, WORLD_INSTANCES)];
-	struct lead *l = &w->leads[pick(w, WORLD_LEADS)];
+	struct world_instance *i =
+		&w->instances[random_below(w, WORLD_INSTANCES)];
+	struct leader *l = &w->leaders[random_below(w, WORLD_LEADERS)];
 
-	if (chance(w, FAULT_CRASHES, 3) && i->up) {
+	if (fault_occurs(w, FAULT_CRASHES, 3) && i->up) {
 		i->up = false;
 		i->run_count = 0;
-		i->back_ms = w->now + restart_ms(w) + pick(w, 6000);
-		say(w, "%s crashes", i->id);
+		i->restart_ms =
+			w->now + restart_delay_ms(w) + random_below(w, 6000);
+		trace(w, "%s crashed", i->id);
 	}
-	if (chance(w, FAULT_CUTS, 3)) {
-		i->cut_until_ms = w->now + 500 + pick(w, 7000);
-		say(w, "%s is cut off", i->id);
+	if (fault_occurs(w, FAULT_PARTITIONS, 3)) {
+		i->partitioned_until_ms = w->now + 500 + random_below(w, 7000);
+		trace(w, "%s is partitioned", i->id);
 	}
-	if (chance(w, FAULT_UNLISTED, 3))
-		i->unlisted_until_ms = w->now + pick(w, UNLISTED_MS);
-	if (chance(w, FAULT_FAILING, 2))
+	if (fault_occurs(w, FAULT_UNLISTED, 3))
+		i->unlisted_until_ms = w->now + random_below(w, UNLISTED_MS);
+	if (fault_occurs(w, FAULT_FAILING, 2))
 		i->failing = !i->failing;
-	if (chance(w, FAULT_FREEZES, 3))
-		l->frozen_until_ms = w->now + pick(w, 8000);
-	if (chance(w, FAULT_STORE, 3))
-		l->cut_until_ms = w->now + pick(w, 8000);
+	if (fault_occurs(w, FAULT_PAUSES, 3))
+		l->paused_until_ms = w->now + random_below(w, 8000);
+	if (fault_occurs(w, FAULT_STORE, 3))
+		l->partitioned_until_ms = w->now + random_below(w, 8000);
 	if (w->now >= WORLD_FAULTS_MS)
 		i->failing = false;
 }
 
-static bool lead_is_idle(const struct world *w)
+static bool leader_is_unresponsive(const struct world *w)
 {
-	const struct lead *l = w->holder ? &w->leads[w->holder - 1] : NULL;
+	const struct leader *l = w->holder ? &w->leaders[w->holder - 1] : NULL;
 
-	return !l || !l->s || w->now < l->frozen_until_ms ||
+	return !l || !l->s || w->now < l->paused_until_ms ||
 	       w->now - l->confirmed_ms > 1400;
 }
 
-static void elections(struct world *w)
+static void election_advance(struct world *w)
 {
-	uint32_t who = pick(w, WORLD_LEADS);
+	uint32_t who = random_below(w, WORLD_LEADERS);
 
-	if (w->now < w->claim_ms || w->now < w->leads[who].frozen_until_ms ||
-	    w->now < w->leads[who].cut_until_ms)
+	if (w->now < w->next_claim_ms ||
+	    w->now < w->leaders[who].paused_until_ms ||
+	    w->now < w->leaders[who].partitioned_until_ms)
 		return;
-	if (!lead_is_idle(w) && !chance(w, FAULT_TAKEOVERS, 5))
+	if (!leader_is_unresponsive(w) && !fault_occurs(w, FAULT_TAKEOVERS, 5))
 		return;
-	claim(w, who);
-	w->claim_ms = w->now + 300;
+	leader_claim(w, who);
+	w->next_claim_ms = w->now + 300;
 }
 
 static void directory_advance(struct world *w)
@@ -218,7 +224,7 @@
 
 /* Set-up */
 
-static Fleet__Step *step_new(uint32_t count, uint32_t cpu)
+static Fleet__Step *new_step(uint32_t count, uint32_t cpu)
 {
 	Fleet__Step *st = calloc(1, sizeof(*st));
 
@@ -234,25 +240,26 @@
 	return st;
 }
 
-static void job_setup(struct world *w, uint32_t j)
+static void setup_job(struct world *w, uint32_t j)
 {
 	struct world_job *job = &w->jobs[j];
 	Fleet__JobRow *row = calloc(1, sizeof(*row));
-	uint32_t steps = 1 + pick(w, 3);
+	uint32_t steps = 1 + random_below(w, 3);
 	uint32_t i;
 
 	assert(row);
 	fleet__job_row__init(row);
 	snprintf(job->id, sizeof(job->id), "%016x", j + 1);
-	job->lasting = j % 5 == 4;
+	job->long_running = j % 5 == 4;
 	row->queue = strdup(j % 2 ? "q1" : "q0");
 	row->pool = strdup(j % 2 ? "p1" : "p0");
-	row->workspace = strdup(job->lasting ? "" : "w1");
+	row->workspace = strdup(job->long_running ? "" : "w1");
 	row->payload = strdup("x");
-	row->n_steps = job->lasting ? 1 : steps;
+	row->n_steps = job->long_running ? 1 : steps;
 	row->steps = calloc(row->n_steps, sizeof(*row->steps));
 	for (i = 0; i < row->n_steps; i++) {
-		Fleet__Step *st = step_new(1 + pick(w, 5), 500 + pick(w, 1500));
+		Fleet__Step *st = new_step(1 + random_below(w, 5),
+					   500 + random_below(w, 1500));
 
 		row->steps[i] = st;
 		if (i) {
@@ -260,13 +267,13 @@
 			st->after[0] = i - 1;
 			st->n_after = 1;
 		}
-		st->lasting = job->lasting;
-		st->may_miss = job->lasting ? 1 : 0;
+		st->lasting = job->long_running;
+		st->may_miss = job->long_running ? 1 : 0;
 	}
 	job->row = row;
-	job->submit_ms = pick(w, 10000);
-	if ((w->faults & FAULT_CANCELS) && !pick(w, 4))
-		job->cancel_ms = job->submit_ms + pick(w, 6000);
+	job->submit_ms = random_below(w, 10000);
+	if ((w->faults & FAULT_CANCELS) && !random_below(w, 4))
+		job->cancel_ms = job->submit_ms + random_below(w, 6000);
 }
 
 static void setup(struct world *w)
@@ -303,14 +310,14 @@
 		snprintf(in->id, sizeof(in->id), "i-%u", i);
 		in->pool = i % 2 ? "p1" : "p0";
 		in->up = true;
-		in->born = 1 + i;
-		in->rate = 0.98 + 0.02 * pick(w, 100) / 100.0;
+		in->incarnation = 1 + i;
+		in->rate = 0.98 + 0.02 * random_below(w, 100) / 100.0;
 	}
 	for (i = 0; i < WORLD_JOBS; i++)
-		job_setup(w, i);
+		setup_job(w, i);
 }
 
-static void check_end(struct world *w)
+static void check_final_state(struct world *w)
 {
 	uint32_t j, i, r;
 
@@ -325,9 +332,10 @@
 				running +=
 					!strncmp(w->instances[i].runs[r].task,
 						 job->id, SCHED_ID_BYTES);
-		if (!job->lasting || running < job->row->steps[0]->count)
-			broken(w, "LOST: %s has not ended (%u run)", job->id,
-			       running);
+		if (!job->long_running || running < job->row->steps[0]->count)
+			violation(w,
+				  "LOST JOB: %s has not ended (%u tasks run)",
+				  job->id, running);
 	}
 }
 
@@ -338,8 +346,8 @@
 
 	DL_FOREACH_SAFE(w->calls, c, next)
 	free(c);
-	for (i = 0; i < WORLD_LEADS; i++)
-		talloc_free(w->leads[i].s);
+	for (i = 0; i < WORLD_LEADERS; i++)
+		talloc_free(w->leaders[i].s);
 	for (i = 0; i < WORLD_JOBS; i++) {
 		w->result->completed +=
 			w->jobs[i].end == FLEET__JOB_STATE__COMPLETED;
@@ -364,17 +372,17 @@
 	setup(w);
 	for (; w->now < WORLD_END_MS && !*result->error;
 	     w->now += WORLD_TICK_MS) {
-		strike(w);
+		inject_faults(w);
 		directory_advance(w);
 		for (i = 0; i < WORLD_INSTANCES; i++)
 			instance_advance(w, &w->instances[i]);
-		elections(w);
+		election_advance(w);
 		calls_advance(w);
-		callers(w);
-		for (i = 0; i < WORLD_LEADS; i++)
-			lead_advance(w, i);
-		check_shown(w);
+		callers_advance(w);
+		for (i = 0; i < WORLD_LEADERS; i++)
+			leader_advance(w, i);
+		check_reported_states(w);
 	}
-	check_end(w);
+	check_final_state(w);
 	cleanup(w);
 }
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -21,7 +21,7 @@
 			job->end = ch->end;
 			if (ch->drop)
 				job->has_row = job->has_progress = false;
-			say(w, "store: %s ended as %d", job->id, ch->end);
+			trace(w, "store: %s ended as %d", job->id, ch->end);
 		} else if (ch->has_progress) {
 			job->has_progress = true;
 			job->progress_length = ch->progress_length;
@@ -35,7 +35,7 @@
 {
 	uint32_t n;
 
-	if (c->condition != w->lead_revision) {
+	if (c->condition != w->leader_revision) {
 		c->conflict = true;
 		return;
 	}
@@ -49,13 +49,13 @@
 	apply_changes(w, c);
 	c->applied = true;
 	c->revision = ++w->store_revision;
-	if (c->settles)
-		w->lead_revision = c->revision;
+	if (c->resolves)
+		w->leader_revision = c->revision;
 }
 
 /* Calls */
 
-struct call *call_new(struct world *w, uint32_t lead, enum call_kind kind,
+struct call *call_new(struct world *w, uint32_t leader, enum call_kind kind,
 		      uint32_t timeout_ms)
 {
 	struct call *c = calloc(1, sizeof(*c));
@@ -64,16 +64,16 @@
 
 	assert(c);
 	c->kind = kind;
-	c->lead = lead;
-	c->lead_life = w->leads[lead].life;
+	c->leader = leader;
+	c->leader_incarnation = w->leaders[leader].incarnation;
 	c->sent_ms = w->now;
 	c->timeout_ms = w->now + timeout_ms;
-	c->exec_ms = w->now + pick(w, 3) * WORLD_TICK_MS;
-	c->answer_ms = c->exec_ms + pick(w, 3) * WORLD_TICK_MS;
-	if (chance(w, late, 60)) {
-		c->exec_ms = w->now + 500 + pick(w, LATE_MAX_MS);
+	c->exec_ms = w->now + random_below(w, 3) * WORLD_TICK_MS;
+	c->answer_ms = c->exec_ms + random_below(w, 3) * WORLD_TICK_MS;
+	if (fault_occurs(w, late, 60)) {
+		c->exec_ms = w->now + 500 + random_below(w, LATE_MAX_MS);
 		c->answer_ms = UINT64_MAX;
-	} else if (chance(w, lost, 60)) {
+	} else if (fault_occurs(w, lost, 60)) {
 		c->answer_ms = UINT64_MAX;
 	}
 	DL_APPEND(w->calls, c);
@@ -83,24 +83,24 @@
 static bool reachable(const struct world *w, const struct call *c)
 {
 	if (c->kind == CALL_TXN)
-		return w->now >= w->leads[c->lead].cut_until_ms;
-	/* What was on its way to a process that has ended is lost with it. */
+		return w->now >= w->leaders[c->leader].partitioned_until_ms;
+	/* A call to a process that has ended is lost with it. */
 	return w->instances[c->instance].up &&
-	       w->instances[c->instance].born == c->life &&
-	       w->now >= w->instances[c->instance].cut_until_ms;
+	       w->instances[c->instance].incarnation == c->target_incarnation &&
+	       w->now >= w->instances[c->instance].partitioned_until_ms;
 }
 
-void lead_resign(struct world *w, struct lead *l)
+void leader_resign(struct world *w, struct leader *l)
 {
 	(void)w;
 	TALLOC_FREE(l->s);
-	l->life++;
+	l->incarnation++;
 	l->commits--;
 }
 
 static void answer_order(struct world *w, struct call *c, bool timed_out)
 {
-	struct lead *l = &w->leads[c->lead];
+	struct leader *l = &w->leaders[c->leader];
 
 	if (!timed_out && c->result == ORDER_REFUSED_FENCE)
 		l->confirmed_ms = 0;
@@ -108,13 +108,13 @@
 		      c->clock_ms, c->sent_ms, w->now);
 }
 
-static void answer_look(struct world *w, struct call *c, bool timed_out)
+static void answer_poll(struct world *w, struct call *c, bool timed_out)
 {
-	struct lead *l = &w->leads[c->lead];
+	struct leader *l = &w->leaders[c->leader];
 	struct sched_running running[RUNS_MAX];
 	struct sched_ended ended[ENDS_MAX];
 	struct sched_report report = { .clock_ms = c->clock_ms,
-				       .born = c->born,
+				       .born = c->incarnation,
 				       .running_count = c->running_count,
 				       .ended_count = c->ended_count,
 				       .running = running,
@@ -132,26 +132,26 @@
 					      c->ended[r].how, "" };
 	if (!timed_out && c->refused)
 		l->confirmed_ms = 0;
-	sched_looked(l->s, c->look.instance,
+	sched_looked(l->s, c->poll.instance,
 		     timed_out || c->refused ? NULL : &report, c->sent_ms,
 		     w->now);
 }
 
 static void answer_txn(struct world *w, struct call *c, bool timed_out)
 {
-	struct lead *l = &w->leads[c->lead];
+	struct leader *l = &w->leaders[c->leader];
 
 	l->commits--;
 	if (timed_out) {
-		l->settle = true;
+		l->resolve = true;
 		l->retry_ms = w->now + 100;
 		sched_changed(l->s, c->batch, false, w->now);
 		return;
 	}
 	if (c->applied) {
-		if (c->settles) {
+		if (c->resolves) {
 			l->revision = c->revision;
-			l->settle = false;
+			l->resolve = false;
 		}
 		if (c->sent_ms > l->confirmed_ms)
 			l->confirmed_ms = c->sent_ms;
@@ -162,25 +162,27 @@
 	sched_changed(l->s, c->batch, false, w->now);
 	if (c->conflict_job) {
 		sched_exists(l->s, w->jobs[c->conflict_job - 1].id);
-	} else if (w->holder == c->lead + 1) {
-		l->revision = w->lead_revision; /* its settling was done */
-		l->settle = false;
+	} else if (w->holder == c->leader + 1) {
+		l->revision =
+			w->leader_revision; /* resolved by an earlier write */
+		l->resolve = false;
 	} else {
-		lead_resign(w, l);
+		leader_resign(w, l);
 	}
 }
 
 static void call_answer(struct world *w, struct call *c, bool timed_out)
 {
 	c->answered = true;
-	if (c->lead_life != w->leads[c->lead].life || !w->leads[c->lead].s)
+	if (c->leader_incarnation != w->leaders[c->leader].incarnation ||
+	    !w->leaders[c->leader].s)
 		return;
 	switch (c->kind) {
 	case CALL_ORDER:
 		answer_order(w, c, timed_out);
 		break;
-	case CALL_LOOK:
-		answer_look(w, c, timed_out);
+	case CALL_POLL:
+		answer_poll(w, c, timed_out);
 		break;
 	case CALL_TXN:
 		answer_txn(w, c, timed_out);
@@ -199,8 +201,8 @@
 	case CALL_ORDER:
 		c->result = exec_order(w, &w->instances[c->instance], c);
 		break;
-	case CALL_LOOK:
-		exec_look(w, &w->instances[c->instance], c);
+	case CALL_POLL:
+		exec_poll(w, &w->instances[c->instance], c);
 		break;
 	case CALL_TXN:
 		exec_txn(w, c);
@@ -214,11 +216,11 @@
 
 	DL_FOREACH_SAFE(w->calls, c, next)
 	{
-		bool frozen = w->now < w->leads[c->lead].frozen_until_ms;
+		bool paused = w->now < w->leaders[c->leader].paused_until_ms;
 
 		if (!c->executed && w->now >= c->exec_ms)
 			call_exec(w, c);
-		if (frozen)
+		if (paused)
 			continue;
 		if (!c->answered && c->executed && w->now >= c->answer_ms &&
 		    w->now < c->timeout_ms)
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -7,17 +7,18 @@
 
 /* Instances */
 
-uint64_t clock_of(const struct world *w, const struct world_instance *i)
+uint64_t instance_clock_ms(const struct world *w,
+			   const struct world_instance *i)
 {
 	return 1000 + (uint64_t)((double)(w->now - i->clock_start) * i->rate);
 }
 
-static void list_end(struct world *w, struct world_instance *i,
-		     const struct world_run_on *r, enum sched_how how)
+static void report_end(struct world *w, struct world_instance *i,
+		       const struct world_task_run *r, enum sched_how how)
 {
 	struct world_end *e = &i->ends[i->end_count++];
 	uint32_t step, index;
-	struct world_job *job = job_of(w, r->task, &step, &index);
+	struct world_job *job = job_of_task(w, r->task, &step, &index);
 
 	assert(i->end_count < ENDS_MAX);
 	e->n = ++i->next_n;
@@ -27,12 +28,12 @@
 	if (how == SCHED_DONE)
 		job->done[step][index] = true;
 	w->result->ends++;
-	say(w, "%s ends %s run %llu as %d", i->id, r->task,
-	    (unsigned long long)r->number, how);
+	trace(w, "%s: %s run %llu ended as %d", i->id, r->task,
+	      (unsigned long long)r->number, how);
 }
 
-static void remember_stopped(struct world_instance *i, const char *task,
-			     uint64_t number)
+static void record_stopped(struct world_instance *i, const char *task,
+			   uint64_t number)
 {
 	struct stopped_run *s = &i->stopped[i->stopped_count++ % ENDS_MAX];
 
@@ -40,9 +41,9 @@
 	s->number = number;
 }
 
-static void drop_run(struct world_instance *i, uint32_t r)
+static void remove_run(struct world_instance *i, uint32_t r)
 {
-	remember_stopped(i, i->runs[r].task, i->runs[r].number);
+	record_stopped(i, i->runs[r].task, i->runs[r].number);
 	i->runs[r] = i->runs[--i->run_count];
 }
 
@@ -51,61 +52,66 @@
 	uint32_t r;
 
 	if (!i->up) {
-		if (i->back_ms && w->now >= i->back_ms) {
+		if (i->restart_ms && w->now >= i->restart_ms) {
 			i->up = true;
-			i->born = w->now + 1;
+			i->incarnation = w->now + 1;
 			i->clock_start = w->now;
 			i->fence = i->lease_end = i->next_n = 0;
 			i->run_count = i->end_count = i->stopped_count = 0;
-			say(w, "%s is up again", i->id);
+			trace(w, "%s restarted", i->id);
 		}
 		return;
 	}
 	for (r = 0; r < i->run_count;) {
-		struct world_run_on *run = &i->runs[r];
+		struct world_task_run *run = &i->runs[r];
 		enum sched_how how;
 
 		if (run->ends_ms && w->now >= run->ends_ms)
 			how = run->fails ? SCHED_FAILED : SCHED_DONE;
 		else if (run->stop_ms && w->now >= run->stop_ms)
 			how = SCHED_STOPPED;
-		else if (clock_of(w, i) >= i->lease_end)
+		else if (instance_clock_ms(w, i) >= i->lease_end)
 			how = SCHED_LAPSED;
 		else {
 			r++;
 			continue;
 		}
-		list_end(w, i, run, how);
-		drop_run(i, r);
+		report_end(w, i, run, how);
+		remove_run(i, r);
 	}
 }
 
-/* Checks of a start, by what is true in the world */
+/* Checks of a start against the true state of the simulation */
 
-static void check_twice(struct world *w, const struct world_instance *here,
-			const struct sched_order *o, bool in_touch)
+static void check_duplicate_start(struct world *w,
+				  const struct world_instance *here,
+				  const struct sched_order *o, bool reachable)
 {
 	uint32_t i, r, step, index;
-	struct world_job *job = job_of(w, o->task, &step, &index);
+	struct world_job *job = job_of_task(w, o->task, &step, &index);
 
 	for (i = 0; i < WORLD_INSTANCES; i++) {
 		const struct world_instance *other = &w->instances[i];
 
 		for (r = 0; other->up && r < other->run_count; r++)
 			if (!strcmp(other->runs[r].task, o->task))
-				broken(w, "TWICE: %s starts on %s, runs on %s",
-				       o->task, here->id, other->id);
+				violation(w,
+					  "DUPLICATE START: %s on %s "
+					  "while it runs on %s",
+					  o->task, here->id, other->id);
 	}
-	if (job->noted[step][index] && !job->lasting)
-		broken(w, "TWICE: %s starts on %s after its end was noted",
-		       o->task, here->id);
-	(void)in_touch;
+	if (job->acknowledged[step][index] && !job->long_running)
+		violation(w,
+			  "DUPLICATE START: %s on %s after its end was "
+			  "acknowledged",
+			  o->task, here->id);
+	(void)reachable;
 }
 
-static void check_order(struct world *w, const struct sched_order *o)
+static void check_step_order(struct world *w, const struct sched_order *o)
 {
 	uint32_t step, index;
-	struct world_job *job = job_of(w, o->task, &step, &index);
+	struct world_job *job = job_of_task(w, o->task, &step, &index);
 	const Fleet__Step *spec = job->row->steps[step];
 	size_t a;
 	uint32_t t;
@@ -113,17 +119,19 @@
 	for (a = 0; a < spec->n_after; a++)
 		for (t = 0; t < job->row->steps[spec->after[a]]->count; t++)
 			if (!job->done[spec->after[a]][t])
-				broken(w, "ORDER: %s starts before step %u",
-				       o->task, spec->after[a]);
-	if (job->failures[step][index] >= ATTEMPTS_MAX && !job->lasting)
-		broken(w, "BUDGET: %s starts after %u failed ends", o->task,
-		       job->failures[step][index]);
+				violation(w,
+					  "STEP ORDER: %s starts before "
+					  "the end of step %u",
+					  o->task, spec->after[a]);
+	if (job->failures[step][index] >= ATTEMPTS_MAX && !job->long_running)
+		violation(w, "ATTEMPTS: %s starts after %u failed attempts",
+			  o->task, job->failures[step][index]);
 }
 
 static void check_quota(struct world *w, const struct sched_order *o)
 {
 	uint32_t i, r, step, index;
-	struct world_job *job = job_of(w, o->task, &step, &index);
+	struct world_job *job = job_of_task(w, o->task, &step, &index);
 	int64_t used = -(int64_t)job->row->steps[step]->cpu;
 
 	if (!*job->row->workspace)
@@ -132,31 +140,37 @@
 		for (r = 0; w->instances[i].up && r < w->instances[i].run_count;
 		     r++) {
 			uint32_t st, ix;
-			struct world_job *j = job_of(
+			struct world_job *j = job_of_task(
 				w, w->instances[i].runs[r].task, &st, &ix);
 
 			if (!strcmp(j->row->workspace, job->row->workspace))
 				used += j->row->steps[st]->cpu;
 		}
-	/* One task more than the cap and its allowance may come in. */
+	/* Before this start, use may reach the cap and its allowance of 10%. */
 	if (used > CAP_CPU * 11 / 10)
-		broken(w, "QUOTA: %lld in use when %s starts", (long long)used,
-		       o->task);
+		violation(w,
+			  "CAP EXCEEDED: %lld millicores in use when %s starts",
+			  (long long)used, o->task);
 }
 
-static void check_asked(struct world *w, const struct sched_order *o,
-			uint64_t sent_ms)
+static void check_requested(struct world *w, const struct sched_order *o,
+			    uint64_t sent_ms)
 {
 	uint32_t step, index;
-	struct world_job *job = job_of(w, o->task, &step, &index);
+	struct world_job *job = job_of_task(w, o->task, &step, &index);
 
 	if (!job->submitted)
-		broken(w, "UNASKED: %s", o->task);
+		violation(
+			w,
+			"NOT REQUESTED: %s starts before its job was submitted",
+			o->task);
 	if (job->cancelled_ms &&
-	    sent_ms > job->cancelled_ms + CANCEL_MS + ORDERS_MS)
-		broken(w, "UNASKED: %s starts %llu ms after its cancelling",
-		       o->task,
-		       (unsigned long long)(sent_ms - job->cancelled_ms));
+	    sent_ms > job->cancelled_ms + CANCEL_GRACE_MS + ORDERS_VALID_MS)
+		violation(w,
+			  "NOT REQUESTED: %s starts %llu ms after its "
+			  "cancellation",
+			  o->task,
+			  (unsigned long long)(sent_ms - job->cancelled_ms));
 }
 
 static bool was_stopped(const struct world_instance *i, const char *task,
@@ -176,11 +190,11 @@
 					  const struct call *c)
 {
 	const struct sched_order *o = &c->order;
-	struct world_run_on *run;
+	struct world_task_run *run;
 	uint32_t step, index, r;
-	struct world_job *job = job_of(w, o->task, &step, &index);
+	struct world_job *job = job_of_task(w, o->task, &step, &index);
 
-	if (o->lease_until <= clock_of(w, i))
+	if (o->lease_until <= instance_clock_ms(w, i))
 		return ORDER_REFUSED_LATE;
 	for (r = 0; r < i->run_count; r++)
 		if (!strcmp(i->runs[r].task, o->task))
@@ -189,9 +203,9 @@
 				       : ORDER_REFUSED_OLD;
 	if (was_stopped(i, o->task, o->number))
 		return ORDER_REFUSED_OLD;
-	check_twice(w, i, o, true);
-	check_order(w, o);
-	check_asked(w, o, c->sent_ms);
+	check_duplicate_start(w, i, o, true);
+	check_step_order(w, o);
+	check_requested(w, o, c->sent_ms);
 	if (o->lease_until > i->lease_end)
 		i->lease_end = o->lease_until;
 	assert(i->run_count < RUNS_MAX);
@@ -199,13 +213,14 @@
 	memset(run, 0, sizeof(*run));
 	snprintf(run->task, sizeof(run->task), "%s", o->task);
 	run->number = o->number;
-	run->begun_ms = w->now;
-	run->ends_ms = job->lasting ? 0 : w->now + 100 + pick(w, 1500);
-	run->fails = i->failing && !job->lasting;
+	run->started_ms = w->now;
+	run->ends_ms =
+		job->long_running ? 0 : w->now + 100 + random_below(w, 1500);
+	run->fails = i->failing && !job->long_running;
 	check_quota(w, o);
 	w->result->starts++;
-	say(w, "%s starts %s run %llu for lead %u", i->id, o->task,
-	    (unsigned long long)o->number, c->lead);
+	trace(w, "%s starts %s run %llu for leader %u", i->id, o->task,
+	      (unsigned long long)o->number, c->leader);
 	return ORDER_DONE;
 }
 
@@ -217,20 +232,22 @@
 	if (c->fence < i->fence)
 		return ORDER_REFUSED_FENCE;
 	i->fence = c->fence;
-	c->clock_ms = clock_of(w, i); /* each answer tells it */
+	c->clock_ms = instance_clock_ms(w, i); /* every answer carries it */
 	if (c->order.kind == ORDER_START)
 		return exec_start(w, i, c);
 	if (c->order.kind == ORDER_PACE)
 		return ORDER_DONE;
-	remember_stopped(i, c->order.task, c->order.number);
+	record_stopped(i, c->order.task, c->order.number);
 	for (r = 0; r < i->run_count; r++)
 		if (!strcmp(i->runs[r].task, c->order.task) &&
 		    i->runs[r].number == c->order.number)
-			i->runs[r].stop_ms = w->now + pick(w, STOP_TAKES_MS);
+			i->runs[r].stop_ms =
+				w->now + random_below(w, STOP_MAX_MS);
 	return ORDER_DONE;
 }
 
-static void note_ends(struct world *w, struct world_instance *i, uint64_t upto)
+static void acknowledge_ends(struct world *w, struct world_instance *i,
+			     uint64_t upto)
 {
 	uint32_t e, step, index;
 
@@ -242,16 +259,16 @@
 			e++;
 			continue;
 		}
-		job = job_of(w, end->task, &step, &index);
+		job = job_of_task(w, end->task, &step, &index);
 		if (end->how == SCHED_DONE)
-			job->noted[step][index] = true;
+			job->acknowledged[step][index] = true;
 		if (end->how == SCHED_FAILED)
 			job->failures[step][index]++;
 		memmove(end, end + 1, (--i->end_count - e) * sizeof(*end));
 	}
 }
 
-void exec_look(struct world *w, struct world_instance *i, struct call *c)
+void exec_poll(struct world *w, struct world_instance *i, struct call *c)
 {
 	uint32_t r;
 
@@ -260,16 +277,16 @@
 		return;
 	}
 	i->fence = c->fence;
-	if (c->look.lease_until > i->lease_end)
-		i->lease_end = c->look.lease_until;
-	note_ends(w, i, c->look.acked);
-	c->clock_ms = clock_of(w, i);
-	c->born = i->born;
+	if (c->poll.lease_until > i->lease_end)
+		i->lease_end = c->poll.lease_until;
+	acknowledge_ends(w, i, c->poll.acked);
+	c->clock_ms = instance_clock_ms(w, i);
+	c->incarnation = i->incarnation;
 	c->running_count = i->run_count;
 	memcpy(c->running, i->runs, sizeof(c->running));
 	for (r = 0; r < i->run_count; r++)
 		c->percents[r] =
-			w->now - i->runs[r].begun_ms > STARTUP_MS ? 100 : 10;
+			w->now - i->runs[r].started_ms > STARTUP_MS ? 100 : 10;
 	c->ended_count = i->end_count;
 	memcpy(c->ended, i->ends, sizeof(c->ended));
 }
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -5,7 +5,7 @@
 
 #include "test/walk/fleet_world_internal.h"
 
-/* Leads */
+/* Leaders */
 
 static uint32_t instance_index(const struct world *w, const char *id)
 {
@@ -17,7 +17,7 @@
 	abort();
 }
 
-static void directory(struct world *w, struct lead *l)
+static void leader_read_directory(struct world *w, struct leader *l)
 {
 	uint32_t i;
 
@@ -41,7 +41,7 @@
 	}
 }
 
-static void load_rows(struct world *w, struct lead *l)
+static void leader_load_rows(struct world *w, struct leader *l)
 {
 	uint32_t i;
 
@@ -52,7 +52,7 @@
 		uint8_t bytes[2048];
 		size_t length;
 
-		l->inbox_seen[i] = 0;
+		l->inbox_due_ms[i] = 0;
 		if (job->end && !job->has_row) {
 			end.queue = job->row->queue;
 			end.state = job->end;
@@ -80,50 +80,51 @@
 static void on_trace(void *arg, const char *kind, const char *id,
 		     const char *text)
 {
-	say(arg, "    %s %s %s", kind, id, text);
+	trace(arg, "    %s %s %s", kind, id, text);
 }
 
-void claim(struct world *w, uint32_t who)
+void leader_claim(struct world *w, uint32_t who)
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = LEASE_MAX_MS,
-					 .lead_ms = ORDERS_MS,
+					 .lead_ms = ORDERS_VALID_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
-	struct lead *l = &w->leads[who];
+	struct leader *l = &w->leaders[who];
 
 	if (l->s)
-		lead_resign(w, l);
-	l->life++;
+		leader_resign(w, l);
+	l->incarnation++;
 	w->holder = who + 1;
-	w->lead_revision = ++w->store_revision;
+	w->leader_revision = ++w->store_revision;
 	w->epoch++;
 	w->result->takeovers++;
-	say(w, "lead %u claims epoch %llu", who, (unsigned long long)w->epoch);
-	l->revision = l->fence = w->lead_revision;
+	trace(w, "leader %u claims epoch %llu", who,
+	      (unsigned long long)w->epoch);
+	l->revision = l->fence = w->leader_revision;
 	l->epoch = w->epoch;
 	l->confirmed_ms = w->now;
 	l->commits = 0;
-	l->settle = false;
+	l->resolve = false;
 	l->retry_ms = 0;
-	l->machines_ms = w->now + 20 + pick(w, 200);
+	l->machines_due_ms = w->now + 20 + random_below(w, 200);
 	l->s = sched_new(NULL, &options);
 	if (w->verbose)
 		sched_set_trace(l->s, on_trace, w);
 	sched_clock(l->s, w->now);
 	sched_configure(l->s, &w->config, w->now);
-	directory(w, l);
-	load_rows(w, l);
+	leader_read_directory(w, l);
+	leader_load_rows(w, l);
 	sched_lead(l->s, l->epoch, false, w->now);
 }
 
-static void lead_machines(struct world *w, struct lead *l)
+static void leader_read_machines(struct world *w, struct leader *l)
 {
 	uint32_t i;
 
-	if (!l->machines_ms || w->now < l->machines_ms)
+	if (!l->machines_due_ms || w->now < l->machines_due_ms)
 		return;
-	l->machines_ms = 0;
+	l->machines_due_ms = 0;
 	for (i = 0; i < WORLD_INSTANCES; i++)
 		if (w->instances[i].up)
 			sched_expect(l->s, w->instances[i].id,
@@ -132,7 +133,7 @@
 	sched_expected(l->s, w->now);
 }
 
-static void lead_inbox(struct world *w, struct lead *l)
+static void leader_read_inbox(struct world *w, struct leader *l)
 {
 	uint8_t bytes[2048];
 	uint32_t i;
@@ -141,9 +142,9 @@
 		struct world_job *job = &w->jobs[i];
 		size_t length;
 
-		if (!l->inbox_seen[i] || w->now < l->inbox_seen[i])
+		if (!l->inbox_due_ms[i] || w->now < l->inbox_due_ms[i])
 			continue;
-		l->inbox_seen[i] = 0;
+		l->inbox_due_ms[i] = 0;
 		if (!job->has_row)
 			continue;
 		length = fleet__job_row__pack(job->row, bytes);
@@ -155,23 +156,23 @@
 	}
 }
 
-static void lead_commit(struct world *w, uint32_t who)
+static void leader_commit(struct world *w, uint32_t who)
 {
-	struct lead *l = &w->leads[who];
+	struct leader *l = &w->leaders[who];
 	struct sched_change change;
 	struct call *c;
-	uint32_t most;
+	uint32_t change_limit;
 
 	if (w->now < l->retry_ms || l->commits >= COMMITS_MAX ||
-	    (l->commits && (l->settle || pick(w, 4))) ||
+	    (l->commits && (l->resolve || random_below(w, 4))) ||
 	    !sched_change_pending(l->s))
 		return;
 	c = call_new(w, who, CALL_TXN, TXN_TIMEOUT_MS);
 	c->condition = l->revision;
-	c->batch = ++w->batches;
-	most = 1 + pick(w, WORLD_JOBS);
-	c->settles = l->settle;
-	while (c->change_count < most &&
+	c->batch = ++w->last_batch;
+	change_limit = 1 + random_below(w, WORLD_JOBS);
+	c->resolves = l->resolve;
+	while (c->change_count < change_limit &&
 	       sched_next_change(l->s, c->batch, &change)) {
 		struct change *ch = &c->changes[c->change_count++];
 		uint32_t i;
@@ -193,63 +194,64 @@
 	l->commits++;
 }
 
-static void lead_send(struct world *w, uint32_t who)
+static void leader_send(struct world *w, uint32_t who)
 {
-	struct lead *l = &w->leads[who];
+	struct leader *l = &w->leaders[who];
 	struct sched_order order;
-	struct sched_look look;
+	struct sched_look poll;
 	struct call *c;
 
-	if (!l->confirmed_ms || w->now - l->confirmed_ms >= ORDERS_MS)
+	if (!l->confirmed_ms || w->now - l->confirmed_ms >= ORDERS_VALID_MS)
 		return;
 	while (sched_next_order(l->s, w->now, &order)) {
 		c = call_new(w, who, CALL_ORDER, ORDER_TIMEOUT_MS);
 		c->order = order;
 		c->fence = l->fence;
 		c->instance = instance_index(w, order.instance_id);
-		c->life = w->instances[c->instance].born;
+		c->target_incarnation = w->instances[c->instance].incarnation;
 	}
-	while (sched_next_look(l->s, w->now, &look)) {
-		c = call_new(w, who, CALL_LOOK, look.answer_ms);
-		c->look = look;
+	while (sched_next_look(l->s, w->now, &poll)) {
+		c = call_new(w, who, CALL_POLL, poll.answer_ms);
+		c->poll = poll;
 		c->fence = l->fence;
-		c->instance = instance_index(w, look.instance_id);
-		c->life = w->instances[c->instance].born;
-		c->answer_ms += c->answer_ms == UINT64_MAX ? 0 : pick(w, 200);
+		c->instance = instance_index(w, poll.instance_id);
+		c->target_incarnation = w->instances[c->instance].incarnation;
+		c->answer_ms +=
+			c->answer_ms == UINT64_MAX ? 0 : random_below(w, 200);
 	}
 }
 
-void lead_advance(struct world *w, uint32_t who)
+void leader_advance(struct world *w, uint32_t who)
 {
-	struct lead *l = &w->leads[who];
+	struct leader *l = &w->leaders[who];
 
-	if (!l->s || w->now < l->frozen_until_ms)
+	if (!l->s || w->now < l->paused_until_ms)
 		return;
-	if (w->now - l->advanced_ms >= GAP_MS)
+	if (w->now - l->advanced_ms >= PAUSE_DETECT_MS)
 		l->confirmed_ms = 0;
 	l->advanced_ms = w->now;
-	lead_machines(w, l);
-	lead_inbox(w, l);
-	directory(w, l);
-	/* Reading the row confirms the lead, or ends it. */
-	if ((w->now - l->confirmed_ms >= CONFIRM_MS ||
+	leader_read_machines(w, l);
+	leader_read_inbox(w, l);
+	leader_read_directory(w, l);
+	/* Reading the leader row confirms the leader or ends its term. */
+	if ((w->now - l->confirmed_ms >= CONFIRM_INTERVAL_MS ||
 	     sched_wants_confirmation(l->s)) &&
-	    w->now >= l->cut_until_ms && !pick(w, 4)) {
+	    w->now >= l->partitioned_until_ms && !random_below(w, 4)) {
 		if (w->holder != who + 1) {
-			lead_resign(w, l);
+			leader_resign(w, l);
 			return;
 		}
 		l->confirmed_ms = w->now;
 		sched_confirmed(l->s, w->now);
 	}
 	sched_tick(l->s, w->now, w->now);
-	if (chance(w, FAULT_EVACUATIONS, 5)) {
+	if (fault_occurs(w, FAULT_EVACUATIONS, 5)) {
 		struct sched_instance_load load;
-		uint32_t slot = pick(w, WORLD_INSTANCES);
+		uint32_t slot = random_below(w, WORLD_INSTANCES);
 
 		if (sched_instance_next(l->s, &slot, &load))
 			sched_evacuate(l->s, load.instance, true, w->now);
 	}
-	lead_send(w, who);
-	lead_commit(w, who);
+	leader_send(w, who);
+	leader_commit(w, who);
 }
