--- a/src/node/currency.c
+++ b/src/node/currency.c
@@ -50,7 +50,7 @@
 }
 
 enum currency_verdict currency_verdict(const struct config *own,
-				       const struct node_ask *ask)
+				       const struct node_request *ask)
 {
 	const char *workspace = ask->job ? ask->job->workspace : "";
 	uint64_t version = own ? own->version : 0;
@@ -79,5 +79,5 @@
 		  n->config ? n->config->version : 0, currency_age_ms(n, now),
 		  n->store_ok,
 		  n->config_behind_ms ? now - n->config_behind_ms : 0,
-		  n->copying);
+		  n->fetching_config);
 }
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -1,10 +1,11 @@
 /*
- * gossip - beats between nodes, and copies of the configuration
+ * gossip - heartbeats between nodes, and configuration fetched from peers
  *
- * Each node beats to the lead and, in turn, to the others. A beat carries
- * who leads, since when that lead was heard of, who else there is, and the
- * configuration version; a node that lacks the newest asks one of those that
- * have it for a copy. So news reaches a node that the store turns away.
+ * Each node sends heartbeats to the leader and, round robin, to the other
+ * nodes. A heartbeat carries the leader as the sender knows it and the age of
+ * that knowledge, some other peers, and the configuration version. A node that
+ * lacks the newest version fetches it from a peer that has it. So a node stays
+ * up to date while the store refuses its calls.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -14,30 +15,32 @@
 
 #include "node/node_internal.h"
 
-#define BEAT_LEAD_MS 300u  /* between two beats to the lead */
-#define BEAT_OTHER_MS 300u /* between two beats to one of the others */
-#define BEAT_WAIT_MS 500u
-#define BEAT_CONNECT_MS 250u	/* a machine without power refuses nothing */
-#define CONFIG_WAIT_MS 400u	/* for the store to bring it; a fifth of 2 s */
-#define CONFIG_WAIT_OK_MS 1200u /* the same of a store that answers */
-#define COPY_MS 10000u		/* as long as bytes come */
-#define COPY_STALL_MS 1000u
-#define COPY_PAUSE_MS 100u /* before another peer is asked */
-#define BEAT_PEERS_TOLD \
-	3u /* each node also makes itself known to all in turn */
-#define PEER_GONE_MS 60000u /* silent that long: forgotten */
-#define SEED_MS 1000u	    /* between two beats to a seed */
-
-struct beat_call {
+#define LEADER_HEARTBEAT_MS 300u /* interval of heartbeats to the leader */
+#define PEER_HEARTBEAT_MS 300u	 /* interval of those to other peers */
+#define HEARTBEAT_TIMEOUT_MS 500u
+#define CONNECT_TIMEOUT_MS 250u /* a powered-off machine never refuses */
+/* Wait for the configuration from the store before a peer is asked. */
+#define CONFIG_WAIT_STORE_MS 1200u   /* while the store answers */
+#define CONFIG_WAIT_NO_STORE_MS 400u /* otherwise; a fifth of 2 s */
+#define FETCH_TIMEOUT_MS 10000u	     /* while bytes keep arriving */
+#define FETCH_STALL_MS 1000u
+#define FETCH_PAUSE_MS 100u /* between two fetches */
+/* Peers described per heartbeat; few, since each node contacts all others. */
+#define HEARTBEAT_PEERS 3u
+#define PEER_FORGET_MS 60000u  /* without a message: the peer is removed */
+#define SEED_INTERVAL_MS 1000u /* for seeds, and for tries of the node table \
+				*/
+
+struct heartbeat_call {
 	struct node *node;
 	uint8_t *body;
 	char address[64];
-	uint64_t lead_incarnation; /* of the lead that is there; 0: none */
+	uint64_t leader_incarnation; /* if it is the leader; else 0 */
 	uint64_t sent_ms;
-	bool copy; /* asks for the configuration */
+	bool fetch_config; /* requests the configuration too */
 };
 
-static struct peer_node *peer_find(struct node *n, const char *name)
+static struct peer_node *find_peer(struct node *n, const char *name)
 {
 	uint32_t i;
 
@@ -47,20 +50,21 @@
 	return NULL;
 }
 
-void gossip_learn(struct node *n, const char *name, const Fleet__NodeRow *row)
+void gossip_update_peer(struct node *n, const char *name,
+			const Fleet__NodeRow *row)
 {
 	struct peer_node *p;
 
 	if (!strcmp(name, n->settings.name) || !row || !*row->address)
 		return;
-	p = peer_find(n, name);
+	p = find_peer(n, name);
 	if (!p) {
 		if (n->peer_count == NODE_PEERS_MAX)
 			return;
 		p = &n->peers[n->peer_count++];
 		memset(p, 0, sizeof(*p));
 		snprintf(p->name, sizeof(p->name), "%s", name);
-		p->heard_ms = clock_now_ms();
+		p->last_heard_ms = clock_now_ms();
 		event_log("peer", NULL, "\"peer\":\"%s\",\"address\":\"%s\"",
 			  name, row->address);
 	}
@@ -71,22 +75,22 @@
 	p->power = row->power;
 }
 
-/* The power of the strongest other node that was heard since since_ms. */
-uint32_t gossip_strongest(const struct node *n, uint64_t since_ms)
+/* Largest power among the peers that were heard from since since_ms. */
+uint32_t gossip_max_power(const struct node *n, uint64_t since_ms)
 {
 	uint32_t power = 0;
 	uint32_t i;
 
 	for (i = 0; i < n->peer_count; i++)
-		if (n->peers[i].heard_ms >= since_ms &&
+		if (n->peers[i].last_heard_ms >= since_ms &&
 		    n->peers[i].power > power)
 			power = n->peers[i].power;
 	return power;
 }
 
-/* Beats */
+/* Heartbeats */
 
-static void fill_row(const struct node *n, Fleet__NodeRow *row)
+static void fill_node_row(const struct node *n, Fleet__NodeRow *row)
 {
 	fleet__node_row__init(row);
 	row->address = (char *)n->settings.peers;
@@ -98,31 +102,31 @@
 }
 
 /*
- * A configuration is large and reaches most nodes from the store; it is asked
- * of a peer only when the store has not brought it soon, of one at a time.
+ * A configuration is large and reaches most nodes through the store. It is
+ * fetched from a peer, one at a time, only when the store is late.
  */
-static bool copy_wanted(const struct node *n, uint64_t now)
+static bool config_fetch_due(const struct node *n, uint64_t now)
 {
-	uint32_t wait_ms = n->store_ok ? CONFIG_WAIT_OK_MS : CONFIG_WAIT_MS;
+	uint32_t wait_ms =
+		n->store_ok ? CONFIG_WAIT_STORE_MS : CONFIG_WAIT_NO_STORE_MS;
 
-	if (n->copying || now < n->copy_ms)
+	if (n->fetching_config || now < n->next_fetch_ms)
 		return false;
 	return !n->config ||
 	       (n->config_behind_ms && now - n->config_behind_ms >= wait_ms);
 }
 
-/* What this node knows; the result is packed, owned by ctx. */
 uint8_t *gossip_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
 		     size_t *length)
 {
 	Fleet__Beat beat = FLEET__BEAT__INIT;
 	Fleet__NodeRow self;
-	Fleet__PeerInfo infos[BEAT_PEERS_TOLD];
-	Fleet__NodeRow rows[BEAT_PEERS_TOLD];
-	Fleet__PeerInfo *told[BEAT_PEERS_TOLD];
+	Fleet__PeerInfo infos[HEARTBEAT_PEERS];
+	Fleet__NodeRow rows[HEARTBEAT_PEERS];
+	Fleet__PeerInfo *peers[HEARTBEAT_PEERS];
 	uint32_t i;
 
-	fill_row(n, &self);
+	fill_node_row(n, &self);
 	beat.node = (char *)n->settings.name;
 	beat.row = &self;
 	beat.epoch = n->lead.epoch;
@@ -138,9 +142,9 @@
 		beat.config.data = n->config_bytes;
 		beat.config.len = n->config_length;
 	}
-	for (i = 0; i < BEAT_PEERS_TOLD && i < n->peer_count; i++) {
+	for (i = 0; i < HEARTBEAT_PEERS && i < n->peer_count; i++) {
 		const struct peer_node *p =
-			&n->peers[(n->peer_turn + i) % n->peer_count];
+			&n->peers[(n->next_peer + i) % n->peer_count];
 
 		fleet__peer_info__init(&infos[i]);
 		fleet__node_row__init(&rows[i]);
@@ -151,20 +155,20 @@
 		rows[i].power = p->power;
 		infos[i].node = (char *)p->name;
 		infos[i].row = &rows[i];
-		told[i] = &infos[i];
+		peers[i] = &infos[i];
 	}
-	beat.peers = told;
+	beat.peers = peers;
 	beat.n_peers = i;
 	return node_pack(ctx, &beat, length);
 }
 
-static void learn_lead(struct node *n, const Fleet__Beat *beat)
+static void update_leader(struct node *n, const Fleet__Beat *beat)
 {
 	struct lead_view view = { .known = true };
 
 	if (!beat->epoch || beat->epoch < n->lead.epoch)
 		return;
-	/* The same claim is known already, with its revision. */
+	/* The claim is known already, and with its revision. */
 	if (n->lead.known && beat->epoch == n->lead.epoch)
 		return;
 	snprintf(view.node, sizeof(view.node), "%s", beat->lead);
@@ -174,14 +178,14 @@
 	lead_learn(n, &view, "peer");
 }
 
-static bool beat_is_newer(const struct node *n, uint64_t config_version)
+static bool config_is_newer(const struct node *n, uint64_t config_version)
 {
 	return config_version > (n->config ? n->config->version : 0);
 }
 
-static void learn_config(struct node *n, const Fleet__Beat *beat)
+static void update_config(struct node *n, const Fleet__Beat *beat)
 {
-	if (!beat_is_newer(n, beat->config_version))
+	if (!config_is_newer(n, beat->config_version))
 		return;
 	if (!n->config_behind_ms) {
 		n->config_behind_ms = clock_now_ms();
@@ -196,40 +200,41 @@
 				   "peer");
 }
 
-void gossip_hear(struct node *n, const Fleet__Beat *beat)
+void gossip_receive(struct node *n, const Fleet__Beat *beat)
 {
 	struct peer_node *p;
 	uint64_t now = clock_now_ms();
 	size_t i;
 
-	gossip_learn(n, beat->node, beat->row);
+	gossip_update_peer(n, beat->node, beat->row);
 	for (i = 0; i < beat->n_peers; i++)
-		if (!peer_find(n, beat->peers[i]->node))
-			gossip_learn(n, beat->peers[i]->node,
-				     beat->peers[i]->row);
-	learn_lead(n, beat);
+		if (!find_peer(n, beat->peers[i]->node))
+			gossip_update_peer(n, beat->peers[i]->node,
+					   beat->peers[i]->row);
+	update_leader(n, beat);
 	if (beat->row)
 		lead_peer_seen(n, beat->node, beat->row->incarnation);
-	/* A beat that was sent before the last claim tells nothing of it. */
+	/* A heartbeat of an earlier epoch says nothing about this leader. */
 	if (beat->epoch == n->lead.epoch) {
 		if (!strcmp(beat->node, n->lead.node))
 			lead_heard(n, beat->leading, now);
 		else
 			lead_vouched(n, beat->lead_age_ms, now);
 	}
-	p = peer_find(n, beat->node);
+	p = find_peer(n, beat->node);
 	if (p) {
-		p->heard_ms = now;
+		p->last_heard_ms = now;
 		p->config_version = beat->config_version;
 	}
-	learn_config(n, beat);
+	update_config(n, beat);
 }
 
-static void copy_ended(struct node *n, const struct beat_call *call,
-		       const struct httpc_answer *h)
+static void config_fetch_ended(struct node *n,
+			       const struct heartbeat_call *call,
+			       const struct httpc_answer *h)
 {
-	n->copying = false;
-	n->copy_ms = clock_now_ms() + COPY_PAUSE_MS;
+	n->fetching_config = false;
+	n->next_fetch_ms = clock_now_ms() + FETCH_PAUSE_MS;
 	event_log("config-asked", NULL,
 		  "\"address\":\"%s\",\"status\":%d,\"code\":%ld,"
 		  "\"bytes\":%zu,\"took_ms\":%" PRIu64,
@@ -237,29 +242,30 @@
 		  clock_now_ms() - call->sent_ms);
 }
 
-static void on_beat_answer(void *arg, struct httpc_answer *h)
+static void on_heartbeat_answer(void *arg, struct httpc_answer *h)
 {
-	struct beat_call *call = arg;
+	struct heartbeat_call *call = arg;
 	struct node *n = call->node;
 	Fleet__Beat *beat = NULL;
 	uint32_t i;
 
-	if (call->copy)
-		copy_ended(n, call, h);
+	if (call->fetch_config)
+		config_fetch_ended(n, call, h);
 	for (i = 0; i < n->peer_count; i++)
-		if (!call->copy && !strcmp(n->peers[i].address, call->address))
-			n->peers[i].beating = false;
+		if (!call->fetch_config &&
+		    !strcmp(n->peers[i].address, call->address))
+			n->peers[i].heartbeat_pending = false;
 	if (h->refused)
-		lead_refused(n, call->lead_incarnation);
+		lead_refused(n, call->leader_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		beat = fleet__beat__unpack(NULL, h->body.length,
 					   (uint8_t *)h->body.data);
 	if (beat) {
-		/* A copy is long under way: its word on the lead is old. */
-		if (call->copy)
-			learn_config(n, beat);
+		/* After a long transfer, its view of the leader is stale. */
+		if (call->fetch_config)
+			update_config(n, beat);
 		else
-			gossip_hear(n, beat);
+			gossip_receive(n, beat);
 		currency_peer(n, beat->config_version, beat->config_age_ms,
 			      call->sent_ms);
 		fleet__beat__free_unpacked(beat, NULL);
@@ -267,120 +273,125 @@
 	talloc_free(call);
 }
 
-static void beat_call_start(struct node *n, const char *address, bool copy)
+static void heartbeat_call_start(struct node *n, const char *address,
+				 bool fetch_config)
 {
-	struct beat_call *call = talloc_zero(n, struct beat_call);
+	struct heartbeat_call *call = talloc_zero(n, struct heartbeat_call);
 	struct httpc_request r = {
 		.method = "POST",
-		.timeout_ms = copy ? COPY_MS : BEAT_WAIT_MS,
-		.stall_timeout_ms = copy ? COPY_STALL_MS : 0,
-		.connect_timeout_ms = BEAT_CONNECT_MS,
-		.done = on_beat_answer,
+		.timeout_ms =
+			fetch_config ? FETCH_TIMEOUT_MS : HEARTBEAT_TIMEOUT_MS,
+		.stall_timeout_ms = fetch_config ? FETCH_STALL_MS : 0,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.done = on_heartbeat_answer,
 	};
 
 	assert(call);
 	call->node = n;
 	snprintf(call->address, sizeof(call->address), "%s", address);
 	if (!strcmp(address, n->lead.address))
-		call->lead_incarnation = n->lead.incarnation;
+		call->leader_incarnation = n->lead.incarnation;
 	call->sent_ms = clock_now_ms();
-	call->copy = copy;
+	call->fetch_config = fetch_config;
 	call->body = gossip_pack(n, call, false, &r.body_length);
 	r.body = call->body;
 	r.url = talloc_asprintf(call, "http://%s/%s", address,
-				copy ? "config" : "beat");
+				fetch_config ? "config" : "beat");
 	r.arg = call;
 	httpc_start(n->http, &r);
 }
 
-static void beat_send(struct node *n, struct peer_node *p, const char *address)
+static void heartbeat_send(struct node *n, struct peer_node *p,
+			   const char *address)
 {
 	if (p) {
-		p->beating = true;
-		p->beat_ms = clock_now_ms();
+		p->heartbeat_pending = true;
+		p->heartbeat_sent_ms = clock_now_ms();
 	}
-	beat_call_start(n, address, false);
+	heartbeat_call_start(n, address, false);
 }
 
-/* One of those that told of a newer version, another one each time. */
-static const struct peer_node *copy_peer(struct node *n)
+/* Round robin over the peers that reported a newer version. */
+static const struct peer_node *next_config_peer(struct node *n)
 {
 	uint64_t own = n->config ? n->config->version : 0;
 	uint32_t i;
 
 	for (i = 0; i < n->peer_count; i++) {
 		const struct peer_node *p =
-			&n->peers[(n->copy_turn + i) % n->peer_count];
+			&n->peers[(n->next_fetch_peer + i) % n->peer_count];
 
 		if (p->config_version <= own)
 			continue;
-		n->copy_turn = (n->copy_turn + i + 1) % n->peer_count;
+		n->next_fetch_peer =
+			(n->next_fetch_peer + i + 1) % n->peer_count;
 		return p;
 	}
 	return NULL;
 }
 
-static void copy_tick(struct node *n, uint64_t now)
+static void config_fetch_tick(struct node *n, uint64_t now)
 {
 	const struct peer_node *p;
 
-	if (!copy_wanted(n, now))
+	if (!config_fetch_due(n, now))
 		return;
-	p = copy_peer(n);
+	p = next_config_peer(n);
 	if (!p)
 		return;
-	n->copying = true;
-	beat_call_start(n, p->address, true);
+	n->fetching_config = true;
+	heartbeat_call_start(n, p->address, true);
 }
 
-static void beat_lead(struct node *n, uint64_t now)
+static void heartbeat_leader(struct node *n, uint64_t now)
 {
 	struct peer_node *p;
 
 	if (n->phase != LEAD_NONE || !n->lead.known || !*n->lead.node)
 		return;
-	p = peer_find(n, n->lead.node);
+	p = find_peer(n, n->lead.node);
 	if (!p) {
 		Fleet__NodeRow row = FLEET__NODE_ROW__INIT;
 
 		row.address = n->lead.address;
 		row.incarnation = n->lead.incarnation;
-		gossip_learn(n, n->lead.node, &row);
+		gossip_update_peer(n, n->lead.node, &row);
 		return;
 	}
-	if (!p->beating && now - p->beat_ms >= BEAT_LEAD_MS)
-		beat_send(n, p, p->address);
+	if (!p->heartbeat_pending &&
+	    now - p->heartbeat_sent_ms >= LEADER_HEARTBEAT_MS)
+		heartbeat_send(n, p, p->address);
 }
 
-static void beat_other(struct node *n, uint64_t now)
+static void heartbeat_peer(struct node *n, uint64_t now)
 {
 	struct peer_node *p;
 
-	if (!n->peer_count || now - n->other_beat_ms < BEAT_OTHER_MS)
+	if (!n->peer_count || now - n->peer_heartbeat_ms < PEER_HEARTBEAT_MS)
 		return;
-	n->other_beat_ms = now;
-	n->peer_turn = (n->peer_turn + 1) % n->peer_count;
-	p = &n->peers[n->peer_turn];
-	if (now - p->heard_ms > PEER_GONE_MS) {
+	n->peer_heartbeat_ms = now;
+	n->next_peer = (n->next_peer + 1) % n->peer_count;
+	p = &n->peers[n->next_peer];
+	if (now - p->last_heard_ms > PEER_FORGET_MS) {
 		event_log("peer-forgotten", NULL, "\"peer\":\"%s\"", p->name);
 		*p = n->peers[--n->peer_count];
 		return;
 	}
-	if (!p->beating)
-		beat_send(n, p, p->address);
+	if (!p->heartbeat_pending)
+		heartbeat_send(n, p, p->address);
 }
 
-static void beat_seed(struct node *n, uint64_t now)
+static void heartbeat_seed(struct node *n, uint64_t now)
 {
 	const char *seed;
 
 	if (n->peer_count || !n->settings.seed_count ||
-	    now - n->seed_ms < SEED_MS)
+	    now - n->seed_heartbeat_ms < SEED_INTERVAL_MS)
 		return;
-	n->seed_ms = now;
-	seed = n->settings.seeds[n->seed_turn++ % n->settings.seed_count];
+	n->seed_heartbeat_ms = now;
+	seed = n->settings.seeds[n->next_seed++ % n->settings.seed_count];
 	if (strcmp(seed, n->settings.peers))
-		beat_send(n, NULL, seed);
+		heartbeat_send(n, NULL, seed);
 }
 
 /* The node table */
@@ -400,7 +411,7 @@
 	Fleet__NodeRow row;
 
 	assert(txn);
-	fill_row(n, &row);
+	fill_node_row(n, &row);
 	txn->put_count = 1;
 	txn->puts[0].table = NODE_TABLE_NODE;
 	txn->puts[0].key = n->settings.name;
@@ -426,10 +437,10 @@
 
 		if (!row)
 			continue;
-		gossip_learn(n, reply->rows[i].key, row);
+		gossip_update_peer(n, reply->rows[i].key, row);
 		fleet__node_row__free_unpacked(row, NULL);
 	}
-	lead_nodes_known(n); /* now the strong are known */
+	lead_nodes_known(n); /* the strongest node is known now */
 	if (!n->registered)
 		n->register_ms = 0;
 }
@@ -442,14 +453,15 @@
 }
 
 /*
- * After a restart the others' rows are there: who is strong is read at once.
- * Hundreds of nodes that write theirs first would wait for one another.
+ * After a restart the rows of all nodes exist, so they are read first and show
+ * which nodes are the strongest. If hundreds of nodes wrote their own rows
+ * first, the reads would wait behind these writes.
  */
 static void register_tick(struct node *n, uint64_t now)
 {
 	if (n->registering || now < n->register_ms)
 		return;
-	n->register_ms = now + SEED_MS;
+	n->register_ms = now + SEED_INTERVAL_MS;
 	if (!n->registered && (n->settings.first_start || n->nodes_read))
 		register_self(n);
 	else if (!n->nodes_read)
@@ -459,8 +471,8 @@
 void gossip_tick(struct node *n, uint64_t now)
 {
 	register_tick(n, now);
-	beat_lead(n, now);
-	beat_other(n, now);
-	beat_seed(n, now);
-	copy_tick(n, now);
+	heartbeat_leader(n, now);
+	heartbeat_peer(n, now);
+	heartbeat_seed(n, now);
+	config_fetch_tick(n, now);
 }
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -121,7 +121,7 @@
 {
 	uint64_t now = clock_now_ms();
 
-	return gossip_strongest(n, now > heard_ms ? now - heard_ms : 0);
+	return gossip_max_power(n, now > heard_ms ? now - heard_ms : 0);
 }
 
 static uint32_t claim_delay(const struct node *n)
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -1,9 +1,9 @@
 /*
- * machines - carries out what fleet/ decides, while this node leads
+ * machines - carries out the decisions of fleet/ while this node is the leader
  *
- * Two leads must not give orders to machines within holder_ms of each other:
- * a new lead waits that long, and a lead stops when it is not confirmed. After
- * a restart of all nodes nothing of the last lead is under way.
+ * Orders of two leaders to machines must be at least holder_ms apart. A new
+ * leader waits that long, and a leader stops when it is not confirmed. After a
+ * restart of all nodes, no order of the previous leader is pending.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -13,28 +13,28 @@
 #include "node/node_internal.h"
 
 #define LIST_RETRY_MS 200u
-#define LIST_MUTE_MS 400u /* between lists while an instance is mute */
+#define LIST_UNRESPONSIVE_MS 400u /* while an instance is unresponsive */
 #define POOLS_LOG_MS 1000u
-#define WAVE_NEW_MS 5000u /* a node reads what was asked for before it came */
+#define WAVE_REPLAY_MS 5000u /* so soon after start, a wave may be old */
 #define HOLDER_MARGIN_MS 300u
-#define HOLDER_CONFIRMED_MS 1500u /* a confirmation no older than that */
-#define UPKEEP_READ_RETRY_MS 300u
+#define HOLDER_CONFIRMED_MS 1500u /* maximum age of the confirmation */
+#define MAINTENANCE_RETRY_MS 300u
 
 struct machines {
-	struct fleet *fleet; /* while this node leads */
+	struct fleet *fleet; /* while this node is the leader */
 	uint32_t wave_count;
-	struct wave_request **waves; /* all that operators asked for */
+	struct wave_request **waves; /* all that operators requested */
 	bool listing;
-	bool list_lost; /* its last answer was none */
+	bool list_failed; /* the last answer was incomplete */
 	uint64_t list_retry_ms;
-	uint64_t list_ms;  /* when it was last asked for */
-	uint64_t pools_ms; /* when their load was logged */
-	bool upkeeps_read;
-	uint64_t upkeeps_retry_ms;
-	bool upkeeps_reading;
-	char *upkeeps_from;	  /* the next page begins there */
-	uint32_t unwritten_count; /* upkeeps that were ordered */
-	char **unwritten;	  /* keys of their rows */
+	uint64_t list_sent_ms;	  /* when it was last requested */
+	uint64_t pools_logged_ms; /* when their load was last logged */
+	bool maintenance_read;
+	uint64_t maintenance_retry_ms;
+	bool maintenance_reading;
+	char *maintenance_next_key; /* first key of the next page */
+	uint32_t unwritten_count;   /* ordered, not yet recorded */
+	char **unwritten;	    /* keys of the rows to write */
 	bool writing;
 	uint64_t write_retry_ms;
 };
@@ -46,7 +46,7 @@
 	uint64_t sent_ms;
 };
 
-static struct machines *machines_of(struct node *n)
+static struct machines *machines_get(struct node *n)
 {
 	if (!n->machines)
 		n->machines = talloc_zero(n, struct machines);
@@ -54,16 +54,16 @@
 	return n->machines;
 }
 
-static void pass_wave(struct machines *m, const struct wave_request *w)
+static void start_wave(struct machines *m, const struct wave_request *w)
 {
 	fleet_wave(m->fleet, w->name, w->number, w->at_once, w->duration_ms,
 		   (const char *const *)w->machines, w->machine_count,
 		   w->begun_ms);
 }
 
-void machines_wave(struct node *n, struct wave_request *request)
+void machines_add_wave(struct node *n, struct wave_request *request)
 {
-	struct machines *m = machines_of(n);
+	struct machines *m = machines_get(n);
 	uint64_t now = clock_now_ms();
 	uint32_t i;
 
@@ -78,15 +78,15 @@
 		  request->number, request->machine_count, request->at_once,
 		  request->duration_ms);
 	request->begun_ms = now;
-	/* It may have been asked for long before this life of the node. */
-	if (!n->settings.first_start && now - n->started_ms < WAVE_NEW_MS)
+	/* It may have been requested long before this process started. */
+	if (!n->settings.first_start && now - n->started_ms < WAVE_REPLAY_MS)
 		request->begun_ms = now - request->duration_ms;
 	m->waves = talloc_realloc(m, m->waves, struct wave_request *,
 				  m->wave_count + 1);
 	assert(m->waves);
 	m->waves[m->wave_count++] = talloc_steal(m, request);
 	if (m->fleet)
-		pass_wave(m, request);
+		start_wave(m, request);
 }
 
 void machines_end(struct node *n)
@@ -95,11 +95,9 @@
 		TALLOC_FREE(n->machines->fleet);
 }
 
-/* Reading what is there */
-
 /*
- * The directory may lack instances for a while, and keep those that are gone;
- * the list names what is up.
+ * The instance directory may lack new instances for a while and keep entries
+ * of instances that are gone. The machine list shows what is up.
  */
 static void expect_instances(struct node *n,
 			     const struct machine_info *machines,
@@ -120,12 +118,12 @@
 	node_pump(n);
 }
 
-/* Logs when the list of machines is lost or regained. */
-static void list_result(struct machines *m, bool whole)
+/* Logs when the machine list becomes unavailable or available again. */
+static void log_list_result(struct machines *m, bool whole)
 {
-	if (whole == !m->list_lost)
+	if (whole == !m->list_failed)
 		return;
-	m->list_lost = !whole;
+	m->list_failed = !whole;
 	event_log(whole ? "fleet-regained" : "fleet-lost", NULL, "\"list\":%d",
 		  whole);
 }
@@ -147,7 +145,7 @@
 
 	if (call->lead_epoch == n->lead_epoch && m->fleet) {
 		m->listing = false;
-		list_result(m, whole);
+		log_list_result(m, whole);
 		infos = talloc_zero_array(call, struct fleet_machine_info,
 					  count ? count : 1);
 		assert(infos);
@@ -181,13 +179,13 @@
 static void read_list(struct node *n)
 {
 	n->machines->listing = true;
-	n->machines->list_ms = clock_now_ms();
+	n->machines->list_sent_ms = clock_now_ms();
 	n->services->machines(n->services->impl, on_list, call_new(n));
 }
 
 void machines_begin(struct node *n)
 {
-	struct machines *m = machines_of(n);
+	struct machines *m = machines_get(n);
 	struct fleet_options options = {
 		.upkeep_ms = n->settings.upkeep_ms,
 		.move_ms = n->settings.move_ms,
@@ -195,15 +193,15 @@
 	uint32_t i;
 
 	m->fleet = fleet_new(n, &options);
-	m->listing = m->upkeeps_read = m->upkeeps_reading = false;
-	m->list_retry_ms = m->upkeeps_retry_ms = 0;
-	TALLOC_FREE(m->upkeeps_from);
+	m->listing = m->maintenance_read = m->maintenance_reading = false;
+	m->list_retry_ms = m->maintenance_retry_ms = 0;
+	TALLOC_FREE(m->maintenance_next_key);
 	for (i = 0; i < m->wave_count; i++)
-		pass_wave(m, m->waves[i]);
+		start_wave(m, m->waves[i]);
 	read_list(n);
 }
 
-static void take_upkeeps(struct machines *m, const struct store_reply *reply)
+static void add_maintenance(struct machines *m, const struct store_reply *reply)
 {
 	uint32_t i;
 
@@ -218,7 +216,7 @@
 }
 
 /* A wave of hundreds of machines takes more than one page. */
-static void on_upkeeps(void *arg, const struct store_reply *reply)
+static void on_maintenance(void *arg, const struct store_reply *reply)
 {
 	struct machine_call *call = arg;
 	struct node *n = call->node;
@@ -227,33 +225,33 @@
 	node_store_result(n, reply->status);
 	if (call->lead_epoch != n->lead_epoch || !m->fleet)
 		goto out;
-	m->upkeeps_reading = false;
+	m->maintenance_reading = false;
 	if (reply->status != STORE_OK) {
-		m->upkeeps_retry_ms = clock_now_ms() + UPKEEP_READ_RETRY_MS;
+		m->maintenance_retry_ms = clock_now_ms() + MAINTENANCE_RETRY_MS;
 		goto out;
 	}
-	take_upkeeps(m, reply);
-	m->upkeeps_read = !reply->more || !reply->row_count;
-	if (!m->upkeeps_read) {
-		talloc_free(m->upkeeps_from);
-		m->upkeeps_from = node_key_after(
+	add_maintenance(m, reply);
+	m->maintenance_read = !reply->more || !reply->row_count;
+	if (!m->maintenance_read) {
+		talloc_free(m->maintenance_next_key);
+		m->maintenance_next_key = node_key_after(
 			m, reply->rows[reply->row_count - 1].key);
 	}
 out:
 	talloc_free(call);
 }
 
-/* Upkeeps that were ordered, in as few transactions as they fit in. */
+/* Records ordered maintenance in as few transactions as possible. */
 
-struct upkeeps_write {
+struct maintenance_write {
 	struct node *node;
 	struct store_txn txn;
 	uint32_t count;
 };
 
-static void on_upkeeps_written(void *arg, const struct store_reply *reply)
+static void on_maintenance_written(void *arg, const struct store_reply *reply)
 {
-	struct upkeeps_write *w = arg;
+	struct maintenance_write *w = arg;
 	struct machines *m = w->node->machines;
 
 	node_store_result(w->node, reply->status);
@@ -265,20 +263,20 @@
 				--m->unwritten_count * sizeof(*m->unwritten));
 		}
 	} else {
-		m->write_retry_ms = clock_now_ms() + UPKEEP_READ_RETRY_MS;
+		m->write_retry_ms = clock_now_ms() + MAINTENANCE_RETRY_MS;
 	}
 	talloc_free(w);
 }
 
-static void write_upkeeps(struct node *n, uint64_t now)
+static void write_maintenance(struct node *n, uint64_t now)
 {
 	struct machines *m = n->machines;
-	struct upkeeps_write *w;
+	struct maintenance_write *w;
 	uint32_t i;
 
 	if (m->writing || !m->unwritten_count || now < m->write_retry_ms)
 		return;
-	w = talloc_zero(n, struct upkeeps_write);
+	w = talloc_zero(n, struct maintenance_write);
 	assert(w);
 	w->node = n;
 	for (i = 0; i < m->unwritten_count && i < STORE_TXN_MAX; i++)
@@ -288,10 +286,10 @@
 	w->txn.put_count = w->count = i;
 	m->writing = true;
 	n->services->txn(n->services->impl, &w->txn, NODE_STORE_MS,
-			 on_upkeeps_written, w);
+			 on_maintenance_written, w);
 }
 
-static void record_upkeep(struct node *n, const struct fleet_action *a)
+static void record_maintenance(struct node *n, const struct fleet_action *a)
 {
 	struct machines *m = n->machines;
 
@@ -304,7 +302,7 @@
 
 /* Orders */
 
-static void on_machine(void *arg, enum machine_result result)
+static void on_machine_answer(void *arg, enum machine_result result)
 {
 	static const enum fleet_result results[] = {
 		[MACHINE_OK] = FLEET_DONE,
@@ -322,13 +320,13 @@
 		fleet_answered(n->machines->fleet, n->sched, &call->action,
 			       results[result], clock_now_ms());
 		if (result == MACHINE_OK && call->action.kind == FLEET_UPKEEP)
-			record_upkeep(n, &call->action);
+			record_maintenance(n, &call->action);
 		node_pump(n);
 	}
 	talloc_free(call);
 }
 
-static void on_told(void *arg, const struct store_reply *reply)
+static void on_wave_state_written(void *arg, const struct store_reply *reply)
 {
 	struct machine_call *call = arg;
 	struct node *n = call->node;
@@ -342,7 +340,7 @@
 	talloc_free(call);
 }
 
-static void tell_wave(struct node *n, struct machine_call *call)
+static void write_wave_state(struct node *n, struct machine_call *call)
 {
 	const struct fleet_action *a = &call->action;
 	struct store_txn *txn = talloc_zero(call, struct store_txn);
@@ -359,10 +357,11 @@
 	txn->puts[0].key = a->wave_name;
 	txn->puts[0].value = (const uint8_t *)text;
 	txn->puts[0].length = strlen(text);
-	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_told, call);
+	n->services->txn(n->services->impl, txn, NODE_STORE_MS,
+			 on_wave_state_written, call);
 }
 
-static void carry_out(struct node *n, const struct fleet_action *a)
+static void run_action(struct node *n, const struct fleet_action *a)
 {
 	struct machine_holder holder = { n->settings.name, n->fence };
 	struct machine_call *call = call_new(n);
@@ -370,27 +369,27 @@
 	call->action = *a;
 	switch (a->kind) {
 	case FLEET_WAVE_STATE:
-		tell_wave(n, call);
+		write_wave_state(n, call);
 		return;
 	case FLEET_UPKEEP:
 		event_log("upkeep-order", a->machine, "\"wave\":%" PRIu64,
 			  a->wave);
 		n->services->machine_upkeep(n->services->impl, &holder,
-					    a->machine, a->wave, on_machine,
-					    call);
+					    a->machine, a->wave,
+					    on_machine_answer, call);
 		return;
 	case FLEET_MOVE:
 		event_log("move-order", a->machine, "\"pool\":\"%s\"", a->pool);
 		n->services->machine_move(n->services->impl, &holder,
-					  a->machine, a->pool, on_machine,
-					  call);
+					  a->machine, a->pool,
+					  on_machine_answer, call);
 		return;
 	}
 }
 
 bool machines_holder_free(const struct holder_view *v, uint64_t now)
 {
-	if (now - v->led_ms >= v->holder_ms + HOLDER_MARGIN_MS)
+	if (now - v->leader_since_ms >= v->holder_ms + HOLDER_MARGIN_MS)
 		return true;
 	return v->predecessor_ended && now - v->started_ms < v->holder_ms;
 }
@@ -406,7 +405,7 @@
 	       !n->stopping;
 }
 
-/* machines_stats - false while this node does not lead */
+/* machines_stats - false while this node is not the leader */
 bool machines_stats(const struct node *n, struct fleet_stats *stats)
 {
 	if (!n->machines || !n->machines->fleet)
@@ -415,14 +414,14 @@
 	return true;
 }
 
-/* Once a second, the pools in which work waits. */
+/* Logs the pools in which work waits. */
 static void log_pools(struct node *n, uint64_t now)
 {
 	uint32_t i;
 
-	if (now - n->machines->pools_ms < POOLS_LOG_MS)
+	if (now - n->machines->pools_logged_ms < POOLS_LOG_MS)
 		return;
-	n->machines->pools_ms = now;
+	n->machines->pools_logged_ms = now;
 	for (i = 0; i < n->config->pool_count; i++) {
 		const char *name = n->config->pools[i].name;
 		struct sched_pool_load l;
@@ -441,29 +440,30 @@
 
 void machines_tick(struct node *n, uint64_t now)
 {
-	struct machines *m = machines_of(n);
+	struct machines *m = machines_get(n);
 	struct fleet_action action;
 
 	if (!m->fleet || !n->config)
 		return;
 	fleet_configure(m->fleet, n->config);
 	log_pools(n, now);
-	write_upkeeps(n, now);
-	if (!m->upkeeps_read) {
-		if (m->upkeeps_reading || now < m->upkeeps_retry_ms)
+	write_maintenance(n, now);
+	if (!m->maintenance_read) {
+		if (m->maintenance_reading || now < m->maintenance_retry_ms)
 			return;
-		m->upkeeps_reading = true;
+		m->maintenance_reading = true;
 		n->services->read(n->services->impl, NODE_TABLE_UPKEEP,
-				  m->upkeeps_from, NULL, NODE_STORE_MS,
-				  on_upkeeps, call_new(n));
+				  m->maintenance_next_key, NULL, NODE_STORE_MS,
+				  on_maintenance, call_new(n));
 		return;
 	}
 	if (!m->listing && now >= m->list_retry_ms &&
 	    (fleet_wants_list(m->fleet, now) ||
-	     (sched_wants_list(n->sched) && now - m->list_ms >= LIST_MUTE_MS)))
+	     (sched_wants_list(n->sched) &&
+	      now - m->list_sent_ms >= LIST_UNRESPONSIVE_MS)))
 		read_list(n);
 	if (!may_order(n, now))
 		return;
 	while (fleet_next(m->fleet, n->sched, now, &action))
-		carry_out(n, &action);
+		run_action(n, &action);
 }
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -27,7 +27,7 @@
 
 	for (i = 1; i < sizeof(verbs) / sizeof(verbs[0]); i++) {
 		snprintf(labels, sizeof(labels), "verb=\"%s\"", verbs[i]);
-		counter(out, "asks_total", labels, n->asks[i]);
+		counter(out, "asks_total", labels, n->requests[i]);
 	}
 	for (i = 0; i < sizeof(results) / sizeof(results[0]); i++) {
 		snprintf(labels, sizeof(labels), "result=\"%s\"", results[i]);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -94,7 +94,7 @@
 	lead_tick(n, now);
 	watch_tick(n, now);
 	gossip_tick(n, now);
-	relay_serve_tick(n, now);
+	relay_server_tick(n, now);
 	currency_tick(n, now);
 	if (n->phase == LEAD_DECIDING) {
 		relay_tick(n, now);
@@ -189,7 +189,8 @@
 	n->tick = mtimer_new(n, ev, on_tick, n);
 	n->pump_timer = mtimer_new(n, ev, pump, n);
 	if (!n->pump_now || !n->pump_timer || !n->http || !n->tick ||
-	    !peer_server_start(n) || !relay_start(n) || !relay_serve_start(n)) {
+	    !peer_server_start(n) || !relay_start(n) ||
+	    !relay_server_start(n)) {
 		talloc_free(n);
 		return NULL;
 	}
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -67,7 +67,7 @@
 
 typedef void (*node_answer_fn)(void *arg, const struct node_answer *answer);
 
-struct node_ask {
+struct node_request {
 	Fleet__Verb verb;
 	const char *queue;
 	const char *id;		 /* "" for PENDING */
@@ -76,11 +76,11 @@
 	uint64_t config_version; /* by which it was let in */
 	bool config_old;   /* that may be too old: the lead must know none newer
 			    */
-	node_answer_fn fn; /* called once, maybe before node_ask returns */
+	node_answer_fn fn; /* called once, maybe before node_request returns */
 	void *arg;
 };
 
-void node_ask(struct node *n, const struct node_ask *ask);
+void node_request(struct node *n, const struct node_request *req);
 
 /* node_stop - hand over, then call done once; asks go on being answered */
 void node_stop(struct node *n, void (*done)(void *arg), void *arg);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -8,12 +8,12 @@
  * session.c   looks at instances and orders to them
  * watch.c     rows that others write: configuration, instances, inbox, waves
  * currency.c  how old the knowledge of the configuration is
- * ask.c       a caller's question, by the lead or by the store
+ * request.c       a caller's question, by the lead or by the store
  * gossip.c    beats between nodes, copies of the configuration
  * peer_server.c  what is answered to other nodes and to operators
  * machines.c  moves and upkeep, decided in fleet/
  * relay.c     calls that other nodes make for the lead
- * relay_serve.c  calls that this node makes for another that leads
+ * relay_server.c  calls that this node makes for another that leads
  */
 #ifndef NODE_INTERNAL_H
 #define NODE_INTERNAL_H
@@ -51,11 +51,11 @@
 	char address[64];
 	char links[64]; /* where it takes frames; empty: nowhere */
 	uint64_t incarnation;
-	uint32_t power;		 /* thousandths of a core */
-	uint64_t heard_ms;	 /* last beat or answer; 0: never */
-	bool beating;		 /* a beat waits for its answer */
-	uint64_t beat_ms;	 /* when the last one was sent */
-	uint64_t config_version; /* that it told last */
+	uint32_t power;		    /* thousandths of a core */
+	uint64_t last_heard_ms;	    /* last beat or answer; 0: never */
+	bool heartbeat_pending;	    /* a beat waits for its answer */
+	uint64_t heartbeat_sent_ms; /* when the last one was sent */
+	uint64_t config_version;    /* that it told last */
 };
 
 enum lead_phase {
@@ -103,12 +103,12 @@
 
 struct machines;
 struct relay;
-struct relay_serve;
+struct relay_server;
 
 /* New jobs that this node may record in the store by itself. */
-struct record_allowance {
-	double left;
-	uint64_t at_ms; /* when left was so; 0: never */
+struct record_bucket {
+	double tokens;
+	uint64_t updated_ms; /* when left was so; 0: never */
 };
 
 struct relay_stats {
@@ -137,11 +137,11 @@
 	struct httpd *server;
 	uint32_t peer_count;
 	struct peer_node peers[NODE_PEERS_MAX];
-	uint32_t peer_turn;
-	uint32_t seed_turn;
-	uint64_t seed_ms;	/* when a seed was last asked */
-	uint64_t other_beat_ms; /* when one of the others was */
-	uint64_t register_ms;	/* next try of the node table */
+	uint32_t next_peer;
+	uint32_t next_seed;
+	uint64_t seed_heartbeat_ms; /* when a seed was last asked */
+	uint64_t peer_heartbeat_ms; /* when one of the others was */
+	uint64_t register_ms;	    /* next try of the node table */
 
 	/* Configuration */
 	struct config *config;
@@ -150,11 +150,11 @@
 	uint64_t config_shown_ms;  /* it was the newest then; 0: not known */
 	bool config_current;	   /* as last logged */
 	uint64_t config_behind_ms; /* since a peer has a newer one; 0: none */
-	bool copying;		   /* a peer is asked for its configuration */
-	uint64_t copy_ms;	   /* none is asked before */
-	uint32_t copy_turn;	   /* the peer that is asked next */
-	uint64_t copies_second;	   /* of the clock, that copies_sent counts */
-	uint32_t copies_sent;
+	bool fetching_config;	   /* a peer is asked for its configuration */
+	uint64_t next_fetch_ms;	   /* none is asked before */
+	uint32_t next_fetch_peer;  /* the peer that is asked next */
+	uint64_t configs_window_s; /* of the clock, that configs_sent counts */
+	uint32_t configs_sent;
 
 	/* Lead */
 	struct lead_view lead;
@@ -182,7 +182,7 @@
 	bool registering;
 	bool nodes_read;
 	bool store_ok;
-	struct record_allowance records;
+	struct record_bucket record_bucket;
 	bool stopping;
 	void (*stopped)(void *arg);
 	void *stopped_arg;
@@ -193,11 +193,11 @@
 	struct takeover *takeover;
 	struct machines *machines; /* decisions about machines */
 	struct relay *relay;
-	struct relay_serve *relay_serve; /* NULL: no address for it */
+	struct relay_server *relay_server; /* NULL: no address for it */
 	uint64_t lead_epoch; /* rises with each phase change, for callbacks */
 	struct waiter *waiters;
 	struct inbox_id *inbox;
-	uint32_t advising; /* calls to the adviser under way */
+	uint32_t advice_calls; /* calls to the adviser under way */
 	uint32_t commits_under_way;
 	uint32_t batch;		  /* the newest */
 	uint64_t commit_ms;	  /* when it was sent */
@@ -207,8 +207,8 @@
 	struct feed feeds[FEED_COUNT];
 
 	/* Counters */
-	uint64_t asks[8];    /* by verb */
-	uint64_t answers[8]; /* by result */
+	uint64_t requests[8]; /* by verb */
+	uint64_t answers[8];  /* by result */
 	uint64_t store_calls, store_unknown, store_refused, claims, takeovers;
 	uint64_t commits, looks, looks_failed, orders;
 	uint64_t calls_served; /* for other nodes */
@@ -344,33 +344,33 @@
  * The node that was asked let the call in by another version, maybe.
  */
 enum currency_verdict currency_verdict(const struct config *own,
-				       const struct node_ask *ask);
+				       const struct node_request *req);
 
 /* currency_tick - logs when it begins and ceases to hold */
 void currency_tick(struct node *n, uint64_t now);
 
-/* ask.c */
+/* request.c */
 
 /*
- * record_may_begin - whether a store that was last seen to be slow then has
+ * record_pause_is_over - whether a store that was last seen to be slow then has
  * room for jobs that nodes record by themselves; 0: it never was
  */
-bool record_may_begin(uint64_t store_slow_ms, uint64_t now);
+bool record_pause_is_over(uint64_t store_slow_ms, uint64_t now);
 
-/* record_allowance_take - false when this node, of so many, must not */
-bool record_allowance_take(struct record_allowance *r, uint32_t nodes,
-			   uint64_t now);
-void ask_decide(struct node *n, const struct node_ask *ask);
+/* record_bucket_take - false when this node, of so many, must not */
+bool record_bucket_take(struct record_bucket *r, uint32_t nodes, uint64_t now);
+void request_decide(struct node *n, const struct node_request *req);
 
 /* gossip.c */
 
 /* gossip_pack - what this node knows, packed; owned by ctx */
 uint8_t *gossip_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
 		     size_t *length);
-void gossip_hear(struct node *n, const Fleet__Beat *beat);
+void gossip_receive(struct node *n, const Fleet__Beat *beat);
 void gossip_tick(struct node *n, uint64_t now);
-void gossip_learn(struct node *n, const char *name, const Fleet__NodeRow *row);
-uint32_t gossip_strongest(const struct node *n, uint64_t since_ms);
+void gossip_update_peer(struct node *n, const char *name,
+			const Fleet__NodeRow *row);
+uint32_t gossip_max_power(const struct node *n, uint64_t since_ms);
 
 /* relay.c */
 bool relay_start(struct node *n);
@@ -382,29 +382,29 @@
 uint32_t relay_power_needed(uint32_t instances, uint32_t alone);
 
 /*
- * relay_is_silent - whether a peer that was last heard then is to be left;
- * unread: words of it wait to be read
+ * relay_is_unresponsive - whether a peer that was last heard then is to be
+ * left; unread: words of it wait to be read
  */
-bool relay_is_silent(uint64_t heard_ms, bool unread, uint64_t now);
+bool relay_is_unresponsive(uint64_t heard_ms, bool unread, uint64_t now);
 
-/* relay_is_gathering - links to peers are being made: wait with calls */
-bool relay_is_gathering(const struct node *n, uint64_t now);
+/* relay_is_connecting - links to peers are being made: wait with calls */
+bool relay_is_connecting(const struct node *n, uint64_t now);
 
 /*
- * relay_order, relay_look - false when no peer helps: call the instance here
+ * relay_order, relay_poll - false when no peer helps: call the instance here
  *
  * Calls leave with relay_flush; what they point to must last until then.
  */
 bool relay_order(struct node *n, const struct sched_order *order,
 		 uint32_t timeout_ms, order_fn fn, void *arg);
-bool relay_look(struct node *n, const struct sched_look *look,
+bool relay_poll(struct node *n, const struct sched_look *poll,
 		uint32_t timeout_ms, look_fn fn, void *arg);
 void relay_flush(struct node *n);
 void relay_stats(const struct node *n, struct relay_stats *stats);
 
-/* relay_serve.c */
-bool relay_serve_start(struct node *n);
-void relay_serve_tick(struct node *n, uint64_t now);
+/* relay_server.c */
+bool relay_server_start(struct node *n);
+void relay_server_tick(struct node *n, uint64_t now);
 
 /* peer_server.c */
 bool peer_server_start(struct node *n);
@@ -412,8 +412,8 @@
 /* machines.c */
 
 struct holder_view {
-	uint64_t started_ms; /* this process */
-	uint64_t led_ms;     /* since when it leads */
+	uint64_t started_ms;	  /* this process */
+	uint64_t leader_since_ms; /* since when it leads */
 	uint32_t holder_ms;
 	bool predecessor_ended; /* its process has, without handing over */
 };
@@ -429,6 +429,6 @@
 void machines_end(struct node *n);
 void machines_tick(struct node *n, uint64_t now);
 bool machines_stats(const struct node *n, struct fleet_stats *stats);
-void machines_wave(struct node *n, struct wave_request *request);
+void machines_add_wave(struct node *n, struct wave_request *request);
 
 #endif
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -1,5 +1,5 @@
 /*
- * peer_server - what a node answers to other nodes and to operators
+ * peer_server - HTTP server for other nodes and for operators
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -10,9 +10,9 @@
 #include "node/node_internal.h"
 #include "process/settings.h"
 
-#define BEAT_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
-#define COPIES_SENT_PER_S 3u	 /* by one node: half of a link of 10 Mbit/s */
-#define ASKED_WAIT_MS 2000u /* for a write, before another node is answered */
+#define SERVER_BODY_MAX (1u << 20) /* a configuration is at most 1 MB */
+#define CONFIGS_SENT_PER_S 3u	   /* per node: half of a 10 Mbit/s link */
+#define REQUEST_TIMEOUT_MS 2000u   /* for the write that an answer waits for */
 #define SERVER_IDLE_S 60u
 
 static void send_bytes(struct httpd_request *request, const uint8_t *bytes,
@@ -34,20 +34,21 @@
 }
 
 /*
- * The load it answers: many nodes that missed a large configuration ask the
- * few that have it; each node sends no more than its link carries, and whoever
- * has a copy can send it on.
+ * Designed for many nodes that missed a large configuration and fetch it from
+ * the few that have it. Each node sends no more than its link carries; a node
+ * that has received the configuration serves it too.
  */
-static bool copy_may_be_sent(struct node *n, uint64_t now)
+static bool may_send_config(struct node *n, uint64_t now)
 {
-	if (n->copies_second != now / 1000) {
-		n->copies_second = now / 1000;
-		n->copies_sent = 0;
+	if (n->configs_window_s != now / 1000) {
+		n->configs_window_s = now / 1000;
+		n->configs_sent = 0;
 	}
-	return n->copies_sent++ < COPIES_SENT_PER_S;
+	return n->configs_sent++ < CONFIGS_SENT_PER_S;
 }
 
-static void serve_beat(struct node *n, struct httpd_request *request, bool copy)
+static void serve_heartbeat(struct node *n, struct httpd_request *request,
+			    bool with_config)
 {
 	Fleet__Beat *beat = fleet__beat__unpack(NULL, request->body_length,
 						(uint8_t *)request->body);
@@ -59,19 +60,19 @@
 		send_code(request, 400);
 		return;
 	}
-	gossip_hear(n, beat);
+	gossip_receive(n, beat);
 	newer = n->config && beat->config_version < n->config->version;
 	fleet__beat__free_unpacked(beat, NULL);
-	if (copy && newer && !copy_may_be_sent(n, clock_now_ms())) {
+	if (with_config && newer && !may_send_config(n, clock_now_ms())) {
 		send_code(request, 503);
 		return;
 	}
-	bytes = gossip_pack(n, n, copy && newer, &length);
+	bytes = gossip_pack(n, n, with_config && newer, &length);
 	send_bytes(request, bytes, length);
 	talloc_free(bytes);
 }
 
-static void on_asked(void *arg, const struct node_answer *r)
+static void on_decided(void *arg, const struct node_answer *r)
 {
 	Fleet__Answer out = FLEET__ANSWER__INIT;
 	uint8_t bytes[64];
@@ -83,34 +84,34 @@
 	send_bytes(arg, bytes, fleet__answer__pack(&out, bytes));
 }
 
-static void serve_ask(struct node *n, struct httpd_request *request)
+static void serve_node_request(struct node *n, struct httpd_request *request)
 {
 	Fleet__Ask *in = fleet__ask__unpack(NULL, request->body_length,
 					    (uint8_t *)request->body);
-	struct node_ask ask = { .deadline_ms = ASKED_WAIT_MS,
-				.fn = on_asked,
-				.arg = request };
+	struct node_request req = { .deadline_ms = REQUEST_TIMEOUT_MS,
+				    .fn = on_decided,
+				    .arg = request };
 
 	if (!in || strlen(in->id) > SCHED_ID_BYTES) {
 		send_code(request, 400);
 		goto out;
 	}
-	ask.config_version = in->config_version;
-	ask.config_old = in->config_old;
-	ask.verb = in->verb;
-	ask.id = in->id;
-	ask.queue = in->queue;
+	req.config_version = in->config_version;
+	req.config_old = in->config_old;
+	req.verb = in->verb;
+	req.id = in->id;
+	req.queue = in->queue;
 	if (in->verb == FLEET__VERB__SUBMIT) {
-		ask.job =
+		req.job =
 			fleet__job_row__unpack(NULL, in->job.len, in->job.data);
-		if (!ask.job) {
+		if (!req.job) {
 			send_code(request, 400);
 			goto out;
 		}
 	}
-	ask_decide(n, &ask);
-	if (ask.job)
-		fleet__job_row__free_unpacked(ask.job, NULL);
+	request_decide(n, &req);
+	if (req.job)
+		fleet__job_row__free_unpacked(req.job, NULL);
 out:
 	if (in)
 		fleet__ask__free_unpacked(in, NULL);
@@ -144,7 +145,7 @@
 	httpd_answer(request, &answer);
 }
 
-/* What operators ask of each node; names come from settings and rows. */
+/* For operators. The names come from settings and rows. */
 static void serve_status(struct node *n, struct httpd_request *request)
 {
 	static const char *const phases[] = { "no", "reads the store", "yes" };
@@ -178,11 +179,11 @@
 	struct node *n = arg;
 
 	if (!strcmp(request->path, "/beat"))
-		serve_beat(n, request, false);
+		serve_heartbeat(n, request, false);
 	else if (!strcmp(request->path, "/config"))
-		serve_beat(n, request, true);
+		serve_heartbeat(n, request, true);
 	else if (!strcmp(request->path, "/ask"))
-		serve_ask(n, request);
+		serve_node_request(n, request);
 	else if (!strcmp(request->path, "/metrics"))
 		serve_metrics(n, request);
 	else if (!strcmp(request->path, "/status"))
@@ -198,7 +199,7 @@
 	char ip[64];
 	struct httpd_options options = {
 		.address = ip,
-		.body_max = BEAT_BODY_MAX,
+		.body_max = SERVER_BODY_MAX,
 		.connections_max = NODE_PEERS_MAX * 2,
 		.idle_timeout_s = SERVER_IDLE_S,
 		.handler = on_request,
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -1,12 +1,12 @@
 /*
- * relay - calls to instances that other nodes make for the lead
+ * relay - calls to instances that peers make for the leader
  *
- * The load it answers: more instances than one node can call. The lead
- * decides; strong peers carry its calls under its fence, each for a share of
- * the instances, so that connections stay. Work for one peer is gathered and
- * leaves as one frame. A peer that gives no sign of life is left, and what it
- * was told is in doubt, as any call without an answer; that is no evidence
- * against instances.
+ * Designed for more instances than one node can call. The leader decides; the
+ * strongest peers make its calls under its fence, each for the same share
+ * of the instances, so that connections are reused. Calls for one peer are
+ * batched into one frame. An unresponsive peer is disconnected; the outcome of
+ * its pending calls is unknown, like that of any call without an answer, and
+ * does not count as a failure of the instances.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -19,29 +19,29 @@
 #include "node/node_internal.h"
 
 #define RELAY_FRAME_MAX (8u << 20) /* bytes */
-#define RELAY_OUT_MAX (8u << 20)   /* bytes that wait for one peer */
-#define RELAY_SILENT_MS 600u	   /* six signs of life */
-#define RELAY_RETRY_MS 2000u	   /* before a peer is tried again */
-#define RELAY_DIAL_RETRY_MS 400u   /* the same for one that never answered */
-#define RELAY_ANSWER_SLACK_MS 300u /* for the way there and back */
-#define RELAY_CHOOSE_MS 200u	   /* between two choices of peers */
-#define RELAY_GATHER_MS 300u	   /* a new lead waits that long for links */
+#define RELAY_OUT_MAX (8u << 20)   /* bytes queued for one peer */
+#define RELAY_UNRESPONSIVE_MS 600u /* six keepalive intervals */
+#define RELAY_RETRY_MS 2000u	   /* delay before a peer is dialed again */
+#define RELAY_FIRST_RETRY_MS 400u  /* if it has not answered yet */
+#define RELAY_ANSWER_SLACK_MS 300u /* for the round trip to the peer */
+#define RELAY_CHOICE_MS 200u	   /* interval of choosing peers */
+#define RELAY_CONNECT_WAIT_MS 300u /* a new leader waits so long for links */
 #define RELAY_PEERS_MAX 24u
-#define RELAY_POWER_EACH 6u /* thousandths of a core an instance */
+#define RELAY_POWER_PER_INSTANCE 6u /* thousandths of a core */
 
-enum relay_kind { RELAY_ORDER, RELAY_LOOK };
+enum relay_kind { RELAY_ORDER, RELAY_POLL };
 
 struct relay_peer;
 
 struct relay_call {
-	struct relay_call *prev, *next; /* of the peer */
+	struct relay_call *prev, *next; /* calls of the same peer */
 	struct relay_peer *peer;
 	uint32_t id;
 	uint64_t deadline_ms;
 	enum relay_kind kind;
 	union {
 		order_fn order;
-		look_fn look;
+		look_fn poll;
 	} done;
 	void *arg;
 	UT_hash_handle hh;
@@ -52,15 +52,15 @@
 	char name[128];
 	uint64_t hash;
 	uint32_t power;
-	struct frame_stream *stream; /* NULL: its link broke */
-	bool linked;		     /* it has given a sign of life */
+	struct frame_stream *stream; /* NULL: disconnected */
+	bool linked;		     /* it has sent a frame */
 	bool stopping;
-	uint64_t heard_ms;
-	uint64_t retry_ms; /* not tried before, while there is no stream */
+	uint64_t last_heard_ms;
+	uint64_t retry_ms; /* not dialed earlier, if disconnected */
 	struct relay_call *calls;
-	uint8_t *out; /* packed calls that wait */
-	size_t out_length;
-	size_t out_room;
+	uint8_t *batch; /* packed calls to send */
+	size_t batch_length;
+	size_t batch_capacity;
 };
 
 struct relay {
@@ -69,61 +69,61 @@
 	struct relay_peer *peers;
 	struct relay_call *by_id;
 	uint32_t next_id;
-	uint64_t choose_ms;
-	uint64_t begun_ms;
+	uint64_t next_choice_ms;
+	uint64_t leader_since_ms;
 	struct relay_stats stats;
 };
 
 /* Calls */
 
-static void call_forget(struct relay *r, struct relay_call *c)
+static void call_remove(struct relay *r, struct relay_call *c)
 {
 	DL_DELETE(c->peer->calls, c);
 	HASH_DEL(r->by_id, c);
 }
 
-/* Nobody will say what became of the call. */
-static void call_lost(struct relay *r, struct relay_call *c)
+/* Ends a call whose outcome will never be reported. */
+static void call_fail(struct relay *r, struct relay_call *c)
 {
-	call_forget(r, c);
+	call_remove(r, c);
 	r->stats.lost++;
 	switch (c->kind) {
 	case RELAY_ORDER:
 		c->done.order(c->arg, ORDER_LOST, 0);
 		break;
-	case RELAY_LOOK:
-		c->done.look(c->arg, LOOK_LOST, NULL);
+	case RELAY_POLL:
+		c->done.poll(c->arg, LOOK_LOST, NULL);
 		break;
 	}
 	talloc_free(c);
 }
 
-static void calls_lost(struct relay *r, struct relay_peer *p)
+static void calls_fail_all(struct relay *r, struct relay_peer *p)
 {
 	struct relay_call *c, *next;
 
 	DL_FOREACH_SAFE(p->calls, c, next)
-	call_lost(r, c);
+	call_fail(r, c);
 }
 
-static void peer_leave(struct relay *r, struct relay_peer *p, const char *why,
-		       uint64_t now)
+static void peer_disconnect(struct relay *r, struct relay_peer *p,
+			    const char *why, uint64_t now)
 {
 	event_log("relay-lost", p->name,
 		  "\"why\":\"%s\",\"linked\":%d,\"heard_ms_ago\":%" PRIu64, why,
-		  p->linked, now - p->heard_ms);
+		  p->linked, now - p->last_heard_ms);
 	if (p->stream) {
 		frame_stream_set(p->stream, NULL);
 		frame_stream_break(p->stream);
 	}
 	p->stream = NULL;
-	p->retry_ms = now + (p->linked ? RELAY_RETRY_MS : RELAY_DIAL_RETRY_MS);
+	p->retry_ms = now + (p->linked ? RELAY_RETRY_MS : RELAY_FIRST_RETRY_MS);
 	p->linked = false;
-	p->out_length = 0;
-	calls_lost(r, p);
+	p->batch_length = 0;
+	calls_fail_all(r, p);
 }
 
-/* The peer that calls this instance: the same one while the peers stay. */
+/* Rendezvous hashing: an instance keeps its peer while the peers stay. */
 static struct relay_peer *peer_for(struct relay *r, const char *instance)
 {
 	uint64_t hash = XXH64(instance, strlen(instance), 0);
@@ -147,17 +147,19 @@
 	return best;
 }
 
-/* Packed messages of one type after each other are one message. */
-static void out_add(struct relay_peer *p, const Fleet__Calls *calls)
+/* Concatenated protobuf messages of one type parse as one message. */
+static void batch_add(struct relay_peer *p, const Fleet__Calls *calls)
 {
 	size_t length = fleet__calls__get_packed_size(calls);
 
-	if (p->out_length + length > p->out_room) {
-		p->out_room = 2 * (p->out_length + length);
-		p->out = talloc_realloc(p, p->out, uint8_t, p->out_room);
-		assert(p->out);
+	if (p->batch_length + length > p->batch_capacity) {
+		p->batch_capacity = 2 * (p->batch_length + length);
+		p->batch =
+			talloc_realloc(p, p->batch, uint8_t, p->batch_capacity);
+		assert(p->batch);
 	}
-	p->out_length += fleet__calls__pack(calls, p->out + p->out_length);
+	p->batch_length +=
+		fleet__calls__pack(calls, p->batch + p->batch_length);
 }
 
 static struct relay_call *call_new(struct relay *r, struct relay_peer *p,
@@ -179,7 +181,7 @@
 	call->timeout_ms = timeout_ms;
 	calls.calls = &call;
 	calls.n_calls = 1;
-	out_add(p, &calls);
+	batch_add(p, &calls);
 	r->stats.calls++;
 	return c;
 }
@@ -214,21 +216,21 @@
 	return true;
 }
 
-bool relay_look(struct node *n, const struct sched_look *look,
+bool relay_poll(struct node *n, const struct sched_look *poll,
 		uint32_t timeout_ms, look_fn fn, void *arg)
 {
-	struct relay_peer *p = peer_for(n->relay, look->instance_id);
+	struct relay_peer *p = peer_for(n->relay, poll->instance_id);
 	Fleet__Call call = FLEET__CALL__INIT;
 
 	if (!p)
 		return false;
 	call.kind = FLEET__CALL_KIND__LOOK;
-	call.instance = (char *)look->instance_id;
-	call.address = (char *)look->address;
-	call.lease_until = look->lease_until;
-	call.acked = look->acked;
-	call.wait_ms = look->wait_ms;
-	call_new(n->relay, p, &call, RELAY_LOOK, timeout_ms, arg)->done.look =
+	call.instance = (char *)poll->instance_id;
+	call.address = (char *)poll->address;
+	call.lease_until = poll->lease_until;
+	call.acked = poll->acked;
+	call.wait_ms = poll->wait_ms;
+	call_new(n->relay, p, &call, RELAY_POLL, timeout_ms, arg)->done.poll =
 		fn;
 	return true;
 }
@@ -242,16 +244,16 @@
 		Fleet__Calls calls = FLEET__CALLS__INIT;
 		uint8_t *to;
 
-		if (!p->out_length || !p->stream)
+		if (!p->batch_length || !p->stream)
 			continue;
 		calls.fence = n->fence;
-		out_add(p, &calls);
-		to = frame_room(p->stream, p->out_length);
+		batch_add(p, &calls);
+		to = frame_room(p->stream, p->batch_length);
 		if (to) {
-			memcpy(to, p->out, p->out_length);
+			memcpy(to, p->batch, p->batch_length);
 			frame_send(p->stream);
 		}
-		p->out_length = 0;
+		p->batch_length = 0;
 	}
 }
 
@@ -292,35 +294,35 @@
 	return report;
 }
 
-static void take_result(struct relay *r, const Fleet__CallResult *result)
+static void deliver_result(struct relay *r, const Fleet__CallResult *result)
 {
 	struct sched_report *report = NULL;
-	enum look_result look = LOOK_UNANSWERED;
+	enum look_result poll = LOOK_UNANSWERED;
 	struct relay_call *c;
 
 	HASH_FIND_INT(r->by_id, &result->id, c);
 	if (!c)
 		return;
-	call_forget(r, c);
+	call_remove(r, c);
 	switch (c->kind) {
 	case RELAY_ORDER:
 		c->done.order(c->arg, (enum sched_order_result)result->result,
 			      result->clock_ms);
 		break;
-	case RELAY_LOOK:
+	case RELAY_POLL:
 		if (result->report) {
 			report = report_of(c, result->report);
-			look = LOOK_ANSWERED;
+			poll = LOOK_ANSWERED;
 		} else if (result->newer_lead) {
-			look = LOOK_NEWER_LEAD;
+			poll = LOOK_NEWER_LEAD;
 		}
-		c->done.look(c->arg, look, report);
+		c->done.poll(c->arg, poll, report);
 		break;
 	}
 	talloc_free(c);
 }
 
-static bool results_sound(const Fleet__CallResults *results)
+static bool results_valid(const Fleet__CallResults *results)
 {
 	size_t i, e;
 
@@ -343,22 +345,22 @@
 	struct relay_peer *p = frame_stream_data(stream);
 	Fleet__CallResults *results =
 		fleet__call_results__unpack(NULL, length, data);
-	bool sound = results && results_sound(results);
+	bool valid = results && results_valid(results);
 	size_t i;
 
-	if (p && sound) {
-		p->heard_ms = clock_now_ms();
+	if (p && valid) {
+		p->last_heard_ms = clock_now_ms();
 		p->stopping = results->stopping;
 		if (!p->linked)
 			event_log("relay-linked", p->name, "\"power\":%u",
 				  p->power);
 		p->linked = true;
 		for (i = 0; i < results->n_results; i++)
-			take_result(r, results->results[i]);
+			deliver_result(r, results->results[i]);
 	}
 	if (results)
 		fleet__call_results__free_unpacked(results, NULL);
-	return sound;
+	return valid;
 }
 
 static void on_closed(void *arg, struct frame_stream *stream)
@@ -369,13 +371,13 @@
 	if (!p)
 		return;
 	p->stream = NULL;
-	peer_leave(r, p, "its link broke", clock_now_ms());
+	peer_disconnect(r, p, "the connection was lost", clock_now_ms());
 	node_pump(r->node);
 }
 
 /* Peers */
 
-static struct relay_peer *peer_find(struct relay *r, const char *name)
+static struct relay_peer *find_peer(struct relay *r, const char *name)
 {
 	struct relay_peer *p;
 
@@ -387,7 +389,7 @@
 
 uint32_t relay_power_needed(uint32_t instances, uint32_t alone)
 {
-	return instances > alone ? instances * RELAY_POWER_EACH : 0;
+	return instances > alone ? instances * RELAY_POWER_PER_INSTANCE : 0;
 }
 
 static uint32_t power_needed(const struct node *n)
@@ -403,7 +405,7 @@
 static void peer_dial(struct relay *r, const struct peer_node *from,
 		      uint64_t now)
 {
-	struct relay_peer *p = peer_find(r, from->name);
+	struct relay_peer *p = find_peer(r, from->name);
 
 	if (!p) {
 		p = talloc_zero(r, struct relay_peer);
@@ -414,15 +416,16 @@
 	}
 	p->power = from->power;
 	p->stopping = false;
-	p->heard_ms = now;
+	p->last_heard_ms = now;
 	p->retry_ms = now + RELAY_RETRY_MS;
 	p->stream = frames_dial(r->frames, from->links);
 	if (p->stream)
 		frame_stream_set(p->stream, p);
 }
 
-/* The strongest node that could help and does not yet; NULL: none. */
-static const struct peer_node *strongest_left(struct relay *r, uint64_t now)
+/* The strongest node that is not in use and may be dialed; NULL: none. */
+static const struct peer_node *strongest_candidate(struct relay *r,
+						   uint64_t now)
 {
 	const struct node *n = r->node;
 	const struct peer_node *best = NULL;
@@ -434,7 +437,7 @@
 
 		if (!*from->links || (best && from->power <= best->power))
 			continue;
-		p = peer_find(r, from->name);
+		p = find_peer(r, from->name);
 		if (p && (p->stream || now < p->retry_ms))
 			continue;
 		best = from;
@@ -450,7 +453,7 @@
 	uint32_t power = 0;
 	uint32_t count = 0;
 
-	r->choose_ms = now + RELAY_CHOOSE_MS;
+	r->next_choice_ms = now + RELAY_CHOICE_MS;
 	DL_FOREACH(r->peers, p)
 	{
 		if (!p->stream || p->stopping)
@@ -459,33 +462,33 @@
 		count++;
 	}
 	while (power < needed && count < RELAY_PEERS_MAX &&
-	       (from = strongest_left(r, now))) {
+	       (from = strongest_candidate(r, now))) {
 		peer_dial(r, from, now);
 		power += from->power ? from->power : 1;
 		count++;
 	}
 }
 
-bool relay_is_gathering(const struct node *n, uint64_t now)
+bool relay_is_connecting(const struct node *n, uint64_t now)
 {
 	const struct relay_peer *p;
-	uint32_t dialled = 0, linked = 0;
+	uint32_t dialed = 0, linked = 0;
 
 	DL_FOREACH(n->relay->peers, p)
 	{
-		dialled += p->stream != NULL;
+		dialed += p->stream != NULL;
 		linked += p->linked;
 	}
-	return linked * 2 < dialled &&
-	       now - n->relay->begun_ms < RELAY_GATHER_MS;
+	return linked * 2 < dialed &&
+	       now - n->relay->leader_since_ms < RELAY_CONNECT_WAIT_MS;
 }
 
 void relay_begin(struct node *n)
 {
 	struct relay *r = n->relay;
 
-	r->begun_ms = clock_now_ms();
-	choose_peers(r, r->begun_ms);
+	r->leader_since_ms = clock_now_ms();
+	choose_peers(r, r->leader_since_ms);
 }
 
 void relay_end(struct node *n)
@@ -496,7 +499,7 @@
 
 	DL_FOREACH_SAFE(r->peers, p, next)
 	{
-		peer_leave(r, p, "this node leads no more", now);
+		peer_disconnect(r, p, "this node no longer leads", now);
 		DL_DELETE(r->peers, p);
 		talloc_free(p);
 	}
@@ -508,12 +511,12 @@
 
 	DL_FOREACH_SAFE(p->calls, c, next)
 	if (now >= c->deadline_ms)
-		call_lost(r, c);
+		call_fail(r, c);
 }
 
-bool relay_is_silent(uint64_t heard_ms, bool unread, uint64_t now)
+bool relay_is_unresponsive(uint64_t heard_ms, bool unread, uint64_t now)
 {
-	return !unread && now - heard_ms >= RELAY_SILENT_MS;
+	return !unread && now - heard_ms >= RELAY_UNRESPONSIVE_MS;
 }
 
 void relay_tick(struct node *n, uint64_t now)
@@ -524,13 +527,13 @@
 	DL_FOREACH(r->peers, p)
 	{
 		if (p->stream &&
-		    relay_is_silent(p->heard_ms, frame_stream_waits(p->stream),
-				    now))
-			peer_leave(r, p, "no sign of life", now);
+		    relay_is_unresponsive(p->last_heard_ms,
+					  frame_stream_waits(p->stream), now))
+			peer_disconnect(r, p, "no answer", now);
 		else
 			calls_expire(r, p, now);
 	}
-	if (now >= r->choose_ms)
+	if (now >= r->next_choice_ms)
 		choose_peers(r, now);
 }
 
--- /dev/null
+++ b/src/node/request.c
@@ -0,0 +1,563 @@
+/*
+ * request - serves a caller's request through the leader or the store
+ *
+ * The leader is tried first. When it cannot be reached or does not decide, a
+ * new job or a cancellation is recorded in the store, where the leader finds
+ * it, and a job's state is read from the store. A request is refused only
+ * when nothing was recorded and nothing can be recorded later.
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node_internal.h"
+
+#define LEADER_TIMEOUT_MS 700u /* for an answer that needs a store write */
+#define LEADER_TIMEOUT_LIVE_MS 2200u /* while the leader is live */
+#define LEADER_LIVE_MS 600u /* live: heard from within two heartbeats */
+/*
+ * New jobs that all nodes together record per second. The store accepts 200
+ * changes per second in one partition, and the leader writes to the same one.
+ */
+#define RECORDS_PER_S 100u
+#define RECORD_BURST 2.0       /* jobs, per node */
+#define RECORD_PAUSE_MS 1500u  /* after a slow or refused store call */
+#define RETRY_DROPPED_MS 1000u /* by then all nodes know the version */
+#define RETRY_STALLED_MS 1000u /* while the store does not answer */
+#define LEADER_TIME_DIVISOR 2u /* of the time left, if it is not live */
+#define ANSWER_MARGIN_MS 100u  /* between the answer and the deadline */
+#define STORE_CALL_MIN_MS 150u /* with less time left, none is made */
+#define LEADER_SUSPECT_MS 700u /* no request is sent after one failed */
+
+struct pending_request {
+	struct node *node;
+	Fleet__Verb verb;
+	char id[SCHED_ID_BYTES + 1];
+	char queue[128];
+	char *url;
+	uint64_t leader_incarnation; /* of the leader that was called */
+	uint8_t *body;		     /* of the call to the leader */
+	size_t length;
+	uint8_t *job; /* packed job row of a SUBMIT */
+	size_t job_length;
+	uint64_t job_revision;	 /* of its row, as read; 0: no row */
+	uint64_t config_version; /* see struct node_request */
+	bool config_old;
+	uint64_t deadline_ms;
+	uint64_t recorded_ms;	/* when the write was sent */
+	bool possibly_recorded; /* outcome of a write is unknown */
+	bool leader_slow;	/* it timed out while it was live */
+	node_answer_fn fn;
+	void *arg;
+};
+
+static void finish(struct pending_request *p, const struct node_answer *answer)
+{
+	struct node *n = p->node;
+
+	n->answers[answer->result]++;
+	if (answer->result == FLEET__RESULT__UNANSWERED ||
+	    answer->result == FLEET__RESULT__UNSETTLED)
+		event_log("ask-unanswered", p->id,
+			  "\"verb\":%d,\"result\":%d,\"lead\":\"%s\","
+			  "\"lead_heard_ms_ago\":%" PRIu64 ",\"store_ok\":%d",
+			  p->verb, answer->result, n->lead.node,
+			  clock_now_ms() - n->lead_heard_ms, n->store_ok);
+	p->fn(p->arg, answer);
+	talloc_free(p);
+}
+
+static void finish_with(struct pending_request *p, Fleet__Result result)
+{
+	struct node_answer r = { .result = result };
+
+	if (result == FLEET__RESULT__UNANSWERED && p->possibly_recorded)
+		r.result = FLEET__RESULT__UNSETTLED;
+	finish(p, &r);
+}
+
+static uint32_t time_left_ms(const struct pending_request *p)
+{
+	uint64_t now = clock_now_ms();
+
+	return p->deadline_ms > now ? (uint32_t)(p->deadline_ms - now) : 0;
+}
+
+static uint32_t store_timeout_ms(const struct pending_request *p)
+{
+	uint32_t left_ms = time_left_ms(p);
+
+	return left_ms < NODE_STORE_MS ? left_ms : NODE_STORE_MS;
+}
+
+/* Decided by this node as the leader */
+
+struct decide_arg {
+	node_answer_fn fn;
+	void *arg;
+};
+
+static void decide_submit(struct node *n, const struct node_request *req,
+			  struct node_answer *r, bool *must_wait)
+{
+	uint64_t now = clock_now_ms();
+	uint8_t *bytes;
+	Fleet__JobRow *row;
+	size_t length;
+
+	/* The write could not become durable before the deadline. */
+	if (commit_is_stalled(n->commit_waits_ms, now) &&
+	    !sched_state(n->sched, req->id, req->queue)) {
+		event_log("job-turned-away", req->id,
+			  "\"queue\":\"%s\",\"store_silent_ms\":%" PRIu64,
+			  req->queue, now - n->commit_waits_ms);
+		r->retry_after_ms = RETRY_STALLED_MS;
+		r->result = FLEET__RESULT__REFUSED;
+		return;
+	}
+	bytes = node_pack(n, req->job, &length);
+	row = fleet__job_row__unpack(NULL, length, bytes);
+	assert(row);
+	talloc_free(bytes);
+	switch (sched_submit(n->sched, req->id, row, node_unix_ms(n), now,
+			     &r->retry_after_ms)) {
+	case SUBMIT_ACCEPTED:
+	case SUBMIT_KNOWN:
+		*must_wait = !sched_durable(n->sched, req->id);
+		r->result = FLEET__RESULT__ACCEPTED;
+		break;
+	case SUBMIT_REFUSED:
+	case SUBMIT_INVALID:
+		r->result = FLEET__RESULT__REFUSED;
+		break;
+	}
+}
+
+/*
+ * Without the store no new configuration version can be confirmed, so what the
+ * leader knows of its jobs stays valid. While the store answers, a leader with
+ * a stale configuration may have missed a newer version and does not answer a
+ * node whose version is stale too.
+ */
+static bool leader_may_answer(const struct node *n,
+			      const struct node_request *req, uint64_t now)
+{
+	if (currency_holds(n, now))
+		return true;
+	return req->verb != FLEET__VERB__SUBMIT &&
+	       (!req->config_old || !n->store_ok);
+}
+
+/* A job that the leader already has needs no new admission. */
+static bool verdict_allows(struct node *n, const struct node_request *req,
+			   struct node_answer *r)
+{
+	enum currency_verdict verdict = currency_verdict(n->config, req);
+
+	if (verdict == CURRENCY_DECIDES ||
+	    (!req->config_old && sched_state(n->sched, req->id, req->queue)))
+		return true;
+	if (verdict == CURRENCY_DROPPED) {
+		r->result = FLEET__RESULT__REFUSED;
+		r->retry_after_ms = RETRY_DROPPED_MS;
+	}
+	event_log("ask-other-version", event_text(req->id),
+		  "\"verb\":%d,\"queue\":\"%s\",\"verdict\":%d,"
+		  "\"asked_by\":%" PRIu64 ",\"own\":%" PRIu64,
+		  req->verb, event_text(req->queue), verdict,
+		  req->config_version, n->config ? n->config->version : 0);
+	return false;
+}
+
+/*
+ * request_decide - the leader's answer; may wait until a write is durable
+ *
+ * A job that the leader does not have is left unanswered: another node may
+ * have recorded it, and the leader learns of that late while the store fails.
+ * The rows in the store are authoritative.
+ */
+void request_decide(struct node *n, const struct node_request *req)
+{
+	struct node_answer r = { .result = FLEET__RESULT__UNANSWERED };
+	uint64_t now = clock_now_ms();
+	bool must_wait = false;
+
+	n->requests[req->verb]++;
+	if (!lead_may_order(n, now) || n->releasing ||
+	    !leader_may_answer(n, req, now) || !verdict_allows(n, req, &r))
+		goto out;
+	switch (req->verb) {
+	case FLEET__VERB__SUBMIT:
+		decide_submit(n, req, &r, &must_wait);
+		break;
+	case FLEET__VERB__STATE:
+		r.state = sched_state(n->sched, req->id, req->queue);
+		if (r.state)
+			r.result = FLEET__RESULT__KNOWN;
+		break;
+	case FLEET__VERB__CANCEL:
+		if (!sched_cancel(n->sched, req->id, req->queue, now))
+			break;
+		r.result = FLEET__RESULT__ACCEPTED;
+		must_wait = !sched_durable(n->sched, req->id);
+		break;
+	case FLEET__VERB__PENDING:
+		r.pending = sched_pending(n->sched, req->queue);
+		r.result = FLEET__RESULT__KNOWN;
+		break;
+	default:
+		break;
+	}
+	node_pump(n);
+	if (must_wait) {
+		waiter_add(n, req->id, now + req->deadline_ms, req->fn,
+			   req->arg);
+		return;
+	}
+out:
+	n->answers[r.result]++;
+	req->fn(req->arg, &r);
+}
+
+/* Through the store */
+
+static bool row_is_job(const struct pending_request *p,
+		       const struct store_row *row, bool *same_queue)
+{
+	Fleet__JobRow *job;
+
+	if (strcmp(row->key, p->id) || !row->revision)
+		return false;
+	job = fleet__job_row__unpack(NULL, row->length, row->value);
+	if (!job)
+		return false;
+	*same_queue = !strcmp(job->queue, p->queue);
+	fleet__job_row__free_unpacked(job, NULL);
+	return true;
+}
+
+static void on_recorded(void *arg, const struct store_reply *reply)
+{
+	struct pending_request *p = arg;
+	struct node *n = p->node;
+	bool same = true;
+	uint32_t i;
+
+	node_store_took(n, reply->status, p->recorded_ms);
+	switch (reply->status) {
+	case STORE_OK:
+		event_log("ask-recorded", p->id, "\"verb\":%d", p->verb);
+		finish_with(p, FLEET__RESULT__ACCEPTED);
+		return;
+	case STORE_CONFLICT:
+		/* The job exists already, or has ended. */
+		for (i = 0; i < reply->row_count; i++)
+			if (!strcmp(reply->rows[i].table, NODE_TABLE_JOB) &&
+			    row_is_job(p, &reply->rows[i], &same))
+				break;
+		finish_with(p, same ? FLEET__RESULT__ACCEPTED
+				    : FLEET__RESULT__REFUSED);
+		return;
+	case STORE_UNKNOWN:
+		p->possibly_recorded = true;
+		break;
+	case STORE_REFUSED:
+	case STORE_LOST:
+		break;
+	}
+	finish_with(p, FLEET__RESULT__UNANSWERED);
+}
+
+static uint8_t *inbox_row(struct pending_request *p, bool cancel,
+			  size_t *length)
+{
+	Fleet__InboxRow in = FLEET__INBOX_ROW__INIT;
+
+	in.cancel = cancel;
+	in.queue = p->queue;
+	return node_pack(p, &in, length);
+}
+
+static void record(struct pending_request *p, bool cancel, uint64_t revision)
+{
+	struct store_txn *txn = talloc_zero(p, struct store_txn);
+	size_t length;
+
+	assert(txn);
+	txn->conditions[0] =
+		(struct store_condition){ NODE_TABLE_JOB, p->id, revision };
+	txn->condition_count = 1;
+	txn->puts[0].table = NODE_TABLE_INBOX;
+	txn->puts[0].key = p->id;
+	txn->puts[0].value = inbox_row(p, cancel, &length);
+	txn->puts[0].length = length;
+	txn->put_count = 1;
+	if (!cancel) {
+		txn->conditions[1] =
+			(struct store_condition){ NODE_TABLE_END, p->id, 0 };
+		txn->condition_count = 2;
+		txn->puts[1] = (struct store_put){ NODE_TABLE_JOB, p->id,
+						   p->job, p->job_length };
+		txn->put_count = 2;
+	}
+	p->recorded_ms = clock_now_ms();
+	p->node->services->txn(p->node->services->impl, txn,
+			       store_timeout_ms(p), on_recorded, p);
+}
+
+static void read_row(struct pending_request *p, const char *table, store_fn fn)
+{
+	p->node->services->read(p->node->services->impl, table, p->id,
+				node_key_end(p, p->id), store_timeout_ms(p), fn,
+				p);
+}
+
+static void on_end_row(void *arg, const struct store_reply *reply)
+{
+	struct pending_request *p = arg;
+	struct node_answer r = { .result = FLEET__RESULT__KNOWN };
+	Fleet__EndRow *end = NULL;
+
+	node_store_result(p->node, reply->status);
+	if (reply->status != STORE_OK) {
+		finish_with(p, FLEET__RESULT__UNANSWERED);
+		return;
+	}
+	if (reply->row_count && !strcmp(reply->rows[0].key, p->id))
+		end = fleet__end_row__unpack(NULL, reply->rows[0].length,
+					     reply->rows[0].value);
+	if (end && strcmp(end->queue, p->queue)) {
+		finish_with(p, FLEET__RESULT__NO_SUCH_JOB);
+	} else if (end) {
+		r.state = end->state;
+		if (p->verb == FLEET__VERB__CANCEL)
+			r.result = FLEET__RESULT__ACCEPTED;
+		finish(p, &r);
+	} else if (!p->job_revision) {
+		finish_with(p, FLEET__RESULT__NO_SUCH_JOB);
+	} else if (p->verb == FLEET__VERB__CANCEL) {
+		record(p, true, p->job_revision);
+	} else {
+		r.state = FLEET__JOB_STATE__QUEUED;
+		finish(p, &r);
+	}
+	if (end)
+		fleet__end_row__free_unpacked(end, NULL);
+}
+
+/*
+ * The end row is written before or together with the deletion of the job row.
+ * Reading the job row first finds at least one of them; the end row wins.
+ */
+static void on_job_row(void *arg, const struct store_reply *reply)
+{
+	struct pending_request *p = arg;
+	bool same = false;
+
+	node_store_result(p->node, reply->status);
+	if (reply->status != STORE_OK) {
+		finish_with(p, FLEET__RESULT__UNANSWERED);
+		return;
+	}
+	if (reply->row_count && row_is_job(p, &reply->rows[0], &same)) {
+		if (!same) {
+			finish_with(p, FLEET__RESULT__NO_SUCH_JOB);
+			return;
+		}
+		p->job_revision = reply->rows[0].revision;
+	}
+	read_row(p, NODE_TABLE_END, on_end_row);
+}
+
+bool record_bucket_take(struct record_bucket *r, uint32_t nodes, uint64_t now)
+{
+	double gained = (double)(now - r->updated_ms) / 1000 * RECORDS_PER_S /
+			(nodes ? nodes : 1);
+
+	r->tokens = r->tokens + gained > RECORD_BURST ? RECORD_BURST
+						      : r->tokens + gained;
+	r->updated_ms = now;
+	if (r->tokens < 1)
+		return false;
+	r->tokens--;
+	return true;
+}
+
+/*
+ * Designed for a slow store without a leader: the partition then accepts two
+ * changes per second, and jobs that nodes record would crowd out the claim of
+ * the next leader.
+ */
+bool record_pause_is_over(uint64_t store_slow_ms, uint64_t now)
+{
+	return !store_slow_ms || now - store_slow_ms >= RECORD_PAUSE_MS;
+}
+
+/*
+ * A leader that is live but slow waits for the store itself; recording the job
+ * there as well would delay it further.
+ */
+static bool may_record(const struct pending_request *p)
+{
+	struct node *n = p->node;
+
+	return !p->leader_slow && n->store_ok &&
+	       record_pause_is_over(n->store_slow_ms, clock_now_ms()) &&
+	       record_bucket_take(&n->record_bucket, n->peer_count + 1,
+				  clock_now_ms());
+}
+
+/* With a stale configuration, the caller's permission cannot be checked. */
+static void try_store(struct pending_request *p)
+{
+	if (p->config_old || time_left_ms(p) < STORE_CALL_MIN_MS ||
+	    p->verb == FLEET__VERB__PENDING ||
+	    (p->verb == FLEET__VERB__SUBMIT && !may_record(p))) {
+		finish_with(p, FLEET__RESULT__UNANSWERED);
+		return;
+	}
+	if (p->verb == FLEET__VERB__SUBMIT)
+		record(p, false, 0);
+	else
+		read_row(p, NODE_TABLE_JOB, on_job_row);
+}
+
+/* Forwarded to the leader */
+
+static void on_leader_answer(void *arg, struct httpc_answer *h)
+{
+	struct pending_request *p = arg;
+	struct node *n = p->node;
+	Fleet__Answer *got = NULL;
+	struct node_answer r;
+
+	if (h->refused)
+		lead_refused(n, p->leader_incarnation);
+	if (h->status == HTTPC_OK && h->code == 200)
+		got = fleet__answer__unpack(NULL, h->body.length,
+					    (uint8_t *)h->body.data);
+	if (!got) {
+		if (h->status != HTTPC_NOT_SENT &&
+		    p->verb == FLEET__VERB__SUBMIT)
+			p->possibly_recorded = true;
+		p->leader_slow = h->status == HTTPC_TIMEOUT &&
+				 lead_age_ms(n) < LEADER_LIVE_MS;
+		if (!p->leader_slow)
+			n->lead_suspect_ms = clock_now_ms() + LEADER_SUSPECT_MS;
+		try_store(p);
+		return;
+	}
+	r.result = got->result;
+	r.state = got->state;
+	r.pending = got->pending;
+	r.retry_after_ms = got->retry_after_ms;
+	fleet__answer__free_unpacked(got, NULL);
+	switch (r.result) {
+	case FLEET__RESULT__UNSETTLED:
+		p->possibly_recorded = true;
+		/* fallthrough */
+	case FLEET__RESULT__UNANSWERED:
+		try_store(p);
+		return;
+	default:
+		finish(p, &r);
+		return;
+	}
+}
+
+static void forward_to_leader(struct pending_request *p)
+{
+	static const char *const headers[] = {
+		"Content-Type: application/octet-stream", NULL
+	};
+	bool live = lead_age_ms(p->node) < LEADER_LIVE_MS;
+	uint32_t max_ms = live ? LEADER_TIMEOUT_LIVE_MS : LEADER_TIMEOUT_MS;
+	uint32_t left_ms =
+		live ? time_left_ms(p) : time_left_ms(p) / LEADER_TIME_DIVISOR;
+	struct httpc_request r = {
+		.method = "POST",
+		.url = p->url,
+		.headers = headers,
+		.body = p->body,
+		.body_length = p->length,
+		.timeout_ms = left_ms < max_ms ? left_ms : max_ms,
+		.connect_timeout_ms = LEADER_TIMEOUT_MS,
+		.once = p->verb == FLEET__VERB__SUBMIT,
+		.done = on_leader_answer,
+		.arg = p,
+	};
+
+	httpc_start(p->node->http, &r);
+}
+
+static void pack_body(struct pending_request *p, const struct node_request *req)
+{
+	Fleet__Ask out = FLEET__ASK__INIT;
+
+	if (req->job) {
+		req->job->accepted_unix_ms = node_unix_ms(p->node);
+		p->job = node_pack(p, req->job, &p->job_length);
+		out.job.data = p->job;
+		out.job.len = p->job_length;
+	}
+	out.config_version = p->config_version;
+	out.config_old = p->config_old;
+	out.verb = req->verb;
+	out.id = p->id;
+	out.queue = p->queue;
+	p->body = node_pack(p, &out, &p->length);
+}
+
+/* The answer of this node as leader; undecided requests go to the store. */
+static void on_local_answer(void *arg, const struct node_answer *r)
+{
+	struct pending_request *p = arg;
+
+	if (r->result == FLEET__RESULT__UNSETTLED)
+		p->possibly_recorded = true;
+	if (r->result == FLEET__RESULT__UNSETTLED ||
+	    r->result == FLEET__RESULT__UNANSWERED)
+		try_store(p);
+	else
+		finish(p, r);
+}
+
+void node_request(struct node *n, const struct node_request *req)
+{
+	struct pending_request *p = talloc_zero(n, struct pending_request);
+	uint64_t now = clock_now_ms();
+
+	assert(p);
+	p->node = n;
+	p->verb = req->verb;
+	p->config_version = n->config ? n->config->version : 0;
+	p->config_old = !currency_holds(n, now);
+	snprintf(p->id, sizeof(p->id), "%s", req->id);
+	snprintf(p->queue, sizeof(p->queue), "%s", req->queue);
+	p->deadline_ms = now + (req->deadline_ms > ANSWER_MARGIN_MS
+					? req->deadline_ms - ANSWER_MARGIN_MS
+					: 0);
+	p->fn = req->fn;
+	p->arg = req->arg;
+	pack_body(p, req);
+	if (lead_may_order(n, now) && !n->releasing) {
+		struct node_request own = *req;
+
+		own.deadline_ms = time_left_ms(p);
+		own.fn = on_local_answer;
+		own.arg = p;
+		request_decide(n, &own);
+		return;
+	}
+	if (!n->lead.known || !*n->lead.node || lead_is_self(n) ||
+	    now < n->lead_suspect_ms) {
+		try_store(p);
+		return;
+	}
+	p->leader_incarnation = n->lead.incarnation;
+	p->url = talloc_asprintf(p, "http://%s/ask", n->lead.address);
+	assert(p->url);
+	forward_to_leader(p);
+}
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -103,7 +103,7 @@
 	call->sent_ms = now;
 	call->instance = look->instance;
 	n->looks++;
-	if (relay_look(n, look, look->answer_ms, on_looked, call))
+	if (relay_poll(n, look, look->answer_ms, on_looked, call))
 		return;
 	n->services->look(n->services->impl, look, n->fence, look->answer_ms,
 			  on_looked, call);
@@ -123,7 +123,7 @@
 	struct node *n = call->node;
 
 	if (call->lead_epoch == n->lead_epoch) {
-		n->advising--;
+		n->advice_calls--;
 		sched_advised(n->sched, call->step, rows, count, valid_ms,
 			      call->sent_ms, clock_now_ms());
 		node_pump(n);
@@ -141,7 +141,7 @@
 	call->lead_epoch = n->lead_epoch;
 	call->sent_ms = now;
 	memcpy(call->step, advice->step, sizeof(call->step));
-	n->advising++;
+	n->advice_calls++;
 	n->services->advise(n->services->impl, advice, ADVICE_MS, on_advised,
 			    call);
 }
@@ -153,9 +153,9 @@
 	struct sched_look look;
 
 	if (!lead_may_order(n, now) || n->releasing ||
-	    relay_is_gathering(n, now))
+	    relay_is_connecting(n, now))
 		return;
-	while (n->advising < ADVICE_CALLS_MAX &&
+	while (n->advice_calls < ADVICE_CALLS_MAX &&
 	       sched_next_advice(n->sched, now, &advice))
 		ask_adviser(n, &advice, now);
 	while (sched_next_order(n->sched, now, &order))
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -80,7 +80,7 @@
 	wave = n->services->wave(n, row->value, row->length);
 	if (wave) {
 		snprintf(wave->name, sizeof(wave->name), "%s", row->key);
-		machines_wave(n, wave);
+		machines_add_wave(n, wave);
 	}
 }
 
--- a/test/currency_test.c
+++ b/test/currency_test.c
@@ -119,10 +119,10 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		Fleet__JobRow job = FLEET__JOB_ROW__INIT;
-		struct node_ask ask = { .verb = cases[c].verb,
-					.queue = cases[c].queue,
-					.config_version = cases[c].asked_by,
-					.config_old = cases[c].old };
+		struct node_request ask = { .verb = cases[c].verb,
+					    .queue = cases[c].queue,
+					    .config_version = cases[c].asked_by,
+					    .config_old = cases[c].old };
 
 		job.workspace = (char *)cases[c].workspace;
 		if (cases[c].verb == FLEET__VERB__SUBMIT)
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -46,21 +46,21 @@
 	(void)state;
 	for (c = 0; c < sizeof(sizes) / sizeof(sizes[0]); c++) {
 		uint32_t nodes = sizes[c];
-		struct record_allowance each[300] = { { 0, 0 } };
+		struct record_bucket each[300] = { { 0, 0 } };
 		uint32_t recorded = 0, first_second = 0;
 		uint64_t now;
 		uint32_t i;
 
 		for (now = 100000; now < 110000; now += 10)
 			for (i = 0; i < nodes; i++)
-				recorded += record_allowance_take(&each[i],
-								  nodes, now);
+				recorded += record_bucket_take(&each[i], nodes,
+							       now);
 		for (i = 0; i < nodes; i++)
-			each[i] = (struct record_allowance){ 2, 110000 };
+			each[i] = (struct record_bucket){ 2, 110000 };
 		for (now = 110000; now < 111000; now += 10)
 			for (i = 0; i < nodes; i++)
-				first_second += record_allowance_take(
-					&each[i], nodes, now);
+				first_second += record_bucket_take(&each[i],
+								   nodes, now);
 		if (recorded > 10 * PARTITION_PER_S / 2 + 2 * nodes)
 			fail_msg("%u nodes: %u in 10 s", nodes, recorded);
 		if (nodes < 100 && recorded < 900)
@@ -91,10 +91,10 @@
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
-		if (record_may_begin(cases[c].slow_ms_ago
-					     ? now - cases[c].slow_ms_ago
-					     : 0,
-				     now) != cases[c].may)
+		if (record_pause_is_over(cases[c].slow_ms_ago
+						 ? now - cases[c].slow_ms_ago
+						 : 0,
+					 now) != cases[c].may)
 			fail_msg("%s", cases[c].what);
 }
 
@@ -269,9 +269,10 @@
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
-		assert_int_equal(relay_is_silent(10000 - cases[c].heard_ms_ago,
-						 cases[c].unread, 10000),
-				 cases[c].silent);
+		assert_int_equal(
+			relay_is_unresponsive(10000 - cases[c].heard_ms_ago,
+					      cases[c].unread, 10000),
+			cases[c].silent);
 }
 
 int main(void)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -95,7 +95,7 @@
      "return !settle && under_way", "return under_way", "node_test"),
     ("the wait for the last holder", "src/node/machines.c",
      "return v->predecessor_ended && now", "return now", "node_test"),
-    ("a store that is left to the lead", "src/node/ask.c",
+    ("a store that is left to the lead", "src/node/request.c",
      "(nodes ? nodes : 1)", "1", "node_test"),
     ("a directory's gap", "src/pool/sched_look.c",
      "i->report_ms >= i->listed_ms &&", "", "look_test"),
