--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -28,8 +28,7 @@
 /* Peers described per heartbeat; few, since each node contacts all others. */
 #define HEARTBEAT_PEERS 3u
 #define PEER_FORGET_MS 60000u  /* without a message: the peer is removed */
-#define SEED_INTERVAL_MS 1000u /* for seeds, and for tries of the node table \
-				*/
+#define SEED_INTERVAL_MS 1000u /* for seeds and for the node table */
 
 struct heartbeat_call {
 	struct node *node;
@@ -119,7 +118,7 @@
 uint8_t *gossip_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
 		     size_t *length)
 {
-	Fleet__Beat beat = FLEET__BEAT__INIT;
+	Fleet__Beat heartbeat = FLEET__BEAT__INIT;
 	Fleet__NodeRow self;
 	Fleet__PeerInfo infos[HEARTBEAT_PEERS];
 	Fleet__NodeRow rows[HEARTBEAT_PEERS];
@@ -127,20 +126,20 @@
 	uint32_t i;
 
 	fill_node_row(n, &self);
-	beat.node = (char *)n->settings.name;
-	beat.row = &self;
-	beat.epoch = n->lead.epoch;
-	beat.lead = n->lead.node;
-	beat.lead_address = n->lead.address;
-	beat.lead_incarnation = n->lead.incarnation;
-	beat.config_version = n->config ? n->config->version : 0;
-	beat.config_age_ms = currency_age_ms(n, clock_now_ms());
-	beat.leading = lead_is_able(n);
-	beat.lead_age_ms = lead_age_ms(n);
-	beat.stopping = n->stopping;
+	heartbeat.node = (char *)n->settings.name;
+	heartbeat.row = &self;
+	heartbeat.epoch = n->lead.epoch;
+	heartbeat.lead = n->lead.node;
+	heartbeat.lead_address = n->lead.address;
+	heartbeat.lead_incarnation = n->lead.incarnation;
+	heartbeat.config_version = n->config ? n->config->version : 0;
+	heartbeat.config_age_ms = currency_age_ms(n, clock_now_ms());
+	heartbeat.leading = lead_is_able(n);
+	heartbeat.lead_age_ms = lead_age_ms(n);
+	heartbeat.stopping = n->stopping;
 	if (with_config && n->config) {
-		beat.config.data = n->config_bytes;
-		beat.config.len = n->config_length;
+		heartbeat.config.data = n->config_bytes;
+		heartbeat.config.len = n->config_length;
 	}
 	for (i = 0; i < HEARTBEAT_PEERS && i < n->peer_count; i++) {
 		const struct peer_node *p =
@@ -157,24 +156,25 @@
 		infos[i].row = &rows[i];
 		peers[i] = &infos[i];
 	}
-	beat.peers = peers;
-	beat.n_peers = i;
-	return node_pack(ctx, &beat, length);
+	heartbeat.peers = peers;
+	heartbeat.n_peers = i;
+	return node_pack(ctx, &heartbeat, length);
 }
 
-static void update_leader(struct node *n, const Fleet__Beat *beat)
+static void update_leader(struct node *n, const Fleet__Beat *heartbeat)
 {
 	struct lead_view view = { .known = true };
 
-	if (!beat->epoch || beat->epoch < n->lead.epoch)
+	if (!heartbeat->epoch || heartbeat->epoch < n->lead.epoch)
 		return;
 	/* The claim is known already, and with its revision. */
-	if (n->lead.known && beat->epoch == n->lead.epoch)
+	if (n->lead.known && heartbeat->epoch == n->lead.epoch)
 		return;
-	snprintf(view.node, sizeof(view.node), "%s", beat->lead);
-	snprintf(view.address, sizeof(view.address), "%s", beat->lead_address);
-	view.incarnation = beat->lead_incarnation;
-	view.epoch = beat->epoch;
+	snprintf(view.node, sizeof(view.node), "%s", heartbeat->lead);
+	snprintf(view.address, sizeof(view.address), "%s",
+		 heartbeat->lead_address);
+	view.incarnation = heartbeat->lead_incarnation;
+	view.epoch = heartbeat->epoch;
 	lead_learn(n, &view, "peer");
 }
 
@@ -183,50 +183,50 @@
 	return config_version > (n->config ? n->config->version : 0);
 }
 
-static void update_config(struct node *n, const Fleet__Beat *beat)
+static void update_config(struct node *n, const Fleet__Beat *heartbeat)
 {
-	if (!config_is_newer(n, beat->config_version))
+	if (!config_is_newer(n, heartbeat->config_version))
 		return;
 	if (!n->config_behind_ms) {
 		n->config_behind_ms = clock_now_ms();
 		event_log("config-behind", NULL,
 			  "\"peer\":\"%s\",\"version\":%" PRIu64
 			  ",\"own\":%" PRIu64,
-			  beat->node, beat->config_version,
+			  heartbeat->node, heartbeat->config_version,
 			  n->config ? n->config->version : 0);
 	}
-	if (beat->config.len)
-		watch_config_bytes(n, beat->config.data, beat->config.len,
-				   "peer");
+	if (heartbeat->config.len)
+		watch_config_bytes(n, heartbeat->config.data,
+				   heartbeat->config.len, "peer");
 }
 
-void gossip_receive(struct node *n, const Fleet__Beat *beat)
+void gossip_receive(struct node *n, const Fleet__Beat *heartbeat)
 {
 	struct peer_node *p;
 	uint64_t now = clock_now_ms();
 	size_t i;
 
-	gossip_update_peer(n, beat->node, beat->row);
-	for (i = 0; i < beat->n_peers; i++)
-		if (!find_peer(n, beat->peers[i]->node))
-			gossip_update_peer(n, beat->peers[i]->node,
-					   beat->peers[i]->row);
-	update_leader(n, beat);
-	if (beat->row)
-		lead_peer_seen(n, beat->node, beat->row->incarnation);
+	gossip_update_peer(n, heartbeat->node, heartbeat->row);
+	for (i = 0; i < heartbeat->n_peers; i++)
+		if (!find_peer(n, heartbeat->peers[i]->node))
+			gossip_update_peer(n, heartbeat->peers[i]->node,
+					   heartbeat->peers[i]->row);
+	update_leader(n, heartbeat);
+	if (heartbeat->row)
+		lead_peer_seen(n, heartbeat->node, heartbeat->row->incarnation);
 	/* A heartbeat of an earlier epoch says nothing about this leader. */
-	if (beat->epoch == n->lead.epoch) {
-		if (!strcmp(beat->node, n->lead.node))
-			lead_heard(n, beat->leading, now);
+	if (heartbeat->epoch == n->lead.epoch) {
+		if (!strcmp(heartbeat->node, n->lead.node))
+			lead_heard(n, heartbeat->leading, now);
 		else
-			lead_vouched(n, beat->lead_age_ms, now);
+			lead_vouched(n, heartbeat->lead_age_ms, now);
 	}
-	p = find_peer(n, beat->node);
+	p = find_peer(n, heartbeat->node);
 	if (p) {
 		p->last_heard_ms = now;
-		p->config_version = beat->config_version;
+		p->config_version = heartbeat->config_version;
 	}
-	update_config(n, beat);
+	update_config(n, heartbeat);
 }
 
 static void config_fetch_ended(struct node *n,
@@ -246,7 +246,7 @@
 {
 	struct heartbeat_call *call = arg;
 	struct node *n = call->node;
-	Fleet__Beat *beat = NULL;
+	Fleet__Beat *heartbeat = NULL;
 	uint32_t i;
 
 	if (call->fetch_config)
@@ -258,17 +258,17 @@
 	if (h->refused)
 		lead_refused(n, call->leader_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
-		beat = fleet__beat__unpack(NULL, h->body.length,
-					   (uint8_t *)h->body.data);
-	if (beat) {
+		heartbeat = fleet__beat__unpack(NULL, h->body.length,
+						(uint8_t *)h->body.data);
+	if (heartbeat) {
 		/* After a long transfer, its view of the leader is stale. */
 		if (call->fetch_config)
-			update_config(n, beat);
+			update_config(n, heartbeat);
 		else
-			gossip_receive(n, beat);
-		currency_peer(n, beat->config_version, beat->config_age_ms,
-			      call->sent_ms);
-		fleet__beat__free_unpacked(beat, NULL);
+			gossip_receive(n, heartbeat);
+		currency_peer(n, heartbeat->config_version,
+			      heartbeat->config_age_ms, call->sent_ms);
+		fleet__beat__free_unpacked(heartbeat, NULL);
 	}
 	talloc_free(call);
 }
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -50,19 +50,19 @@
 static void serve_heartbeat(struct node *n, struct httpd_request *request,
 			    bool with_config)
 {
-	Fleet__Beat *beat = fleet__beat__unpack(NULL, request->body_length,
-						(uint8_t *)request->body);
+	Fleet__Beat *heartbeat = fleet__beat__unpack(NULL, request->body_length,
+						     (uint8_t *)request->body);
 	bool newer;
 	uint8_t *bytes;
 	size_t length;
 
-	if (!beat) {
+	if (!heartbeat) {
 		send_code(request, 400);
 		return;
 	}
-	gossip_receive(n, beat);
-	newer = n->config && beat->config_version < n->config->version;
-	fleet__beat__free_unpacked(beat, NULL);
+	gossip_receive(n, heartbeat);
+	newer = n->config && heartbeat->config_version < n->config->version;
+	fleet__beat__free_unpacked(heartbeat, NULL);
 	if (with_config && newer && !may_send_config(n, clock_now_ms())) {
 		send_code(request, 503);
 		return;
