--- a/src/connection/frames.c
+++ b/src/connection/frames.c
@@ -12,14 +12,14 @@
 #include "process/settings.h"
 
 #define FRAMES_READ_BYTES 65536u
-#define FRAMES_FIRST_BYTES 4096u
+#define FRAMES_BUFFER_BYTES 4096u
 #define FRAMES_PREFIX 4u /* bytes of a frame's length */
 #define FRAMES_BACKLOG 64
 
 struct buffer {
 	uint8_t *data;
 	size_t length;
-	size_t room;
+	size_t capacity;
 };
 
 struct frame_stream {
@@ -30,7 +30,7 @@
 	void *data;
 	struct buffer in;
 	struct buffer out;
-	size_t filling; /* bytes of the frame that frame_room began */
+	size_t reserved; /* bytes reserved by frame_reserve */
 	int fd;
 	bool broken;
 };
@@ -40,7 +40,7 @@
 	struct tevent_context *ev;
 	struct frame_stream *streams;
 	struct frames_counters counters;
-	struct tevent_fd *accepting;
+	struct tevent_fd *accept_fde;
 	int listener; /* -1: none */
 };
 
@@ -48,19 +48,19 @@
 
 static uint8_t *buffer_extend(TALLOC_CTX *ctx, struct buffer *b, size_t length)
 {
-	size_t room = b->room ? b->room : FRAMES_FIRST_BYTES;
+	size_t capacity = b->capacity ? b->capacity : FRAMES_BUFFER_BYTES;
 
-	while (room < b->length + length)
-		room *= 2;
-	if (room != b->room) {
-		b->data = talloc_realloc(ctx, b->data, uint8_t, room);
+	while (capacity < b->length + length)
+		capacity *= 2;
+	if (capacity != b->capacity) {
+		b->data = talloc_realloc(ctx, b->data, uint8_t, capacity);
 		assert(b->data);
-		b->room = room;
+		b->capacity = capacity;
 	}
 	return b->data + b->length;
 }
 
-static void buffer_drop(struct buffer *b, size_t length)
+static void buffer_consume(struct buffer *b, size_t length)
 {
 	if (!length)
 		return;
@@ -117,13 +117,13 @@
 		s->frames->counters.bytes_out += (uint64_t)n;
 		sent += (size_t)n;
 	}
-	buffer_drop(&s->out, sent);
+	buffer_consume(&s->out, sent);
 	tevent_fd_set_flags(s->fde, s->out.length
 					    ? TEVENT_FD_READ | TEVENT_FD_WRITE
 					    : TEVENT_FD_READ);
 }
 
-uint8_t *frame_room(struct frame_stream *s, size_t length)
+uint8_t *frame_reserve(struct frame_stream *s, size_t length)
 {
 	uint32_t prefix = htonl((uint32_t)length);
 	uint8_t *to;
@@ -136,20 +136,20 @@
 	}
 	to = buffer_extend(s, &s->out, FRAMES_PREFIX + length);
 	memcpy(to, &prefix, FRAMES_PREFIX);
-	s->filling = FRAMES_PREFIX + length;
+	s->reserved = FRAMES_PREFIX + length;
 	return to + FRAMES_PREFIX;
 }
 
 void frame_send(struct frame_stream *s)
 {
-	s->out.length += s->filling;
-	s->filling = 0;
+	s->out.length += s->reserved;
+	s->reserved = 0;
 	s->frames->counters.frames_out++;
 	stream_flush(s);
 }
 
-/* Handles every whole frame; false when the bytes make no sense. */
-static bool take_frames(struct frame_stream *s)
+/* Handles each complete frame; false when one is malformed. */
+static bool handle_frames(struct frame_stream *s)
 {
 	const struct frames_options *o = &s->frames->options;
 	size_t at = 0;
@@ -170,7 +170,7 @@
 			return true;
 		at += FRAMES_PREFIX + length;
 	}
-	buffer_drop(&s->in, at);
+	buffer_consume(&s->in, at);
 	return true;
 }
 
@@ -187,7 +187,7 @@
 		return;
 	s->frames->counters.bytes_in += (uint64_t)n;
 	s->in.length += (size_t)n;
-	if (take_frames(s))
+	if (handle_frames(s))
 		return;
 	s->frames->counters.refused++;
 	frame_stream_break(s);
@@ -225,7 +225,7 @@
 	return s;
 }
 
-bool frame_stream_waits(const struct frame_stream *s)
+bool frame_stream_has_unread(const struct frame_stream *s)
 {
 	uint8_t byte;
 
@@ -233,7 +233,7 @@
 	       recv(s->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
 }
 
-void frame_stream_set(struct frame_stream *s, void *data)
+void frame_stream_set_data(struct frame_stream *s, void *data)
 {
 	s->data = data;
 }
@@ -243,7 +243,7 @@
 	return s->data;
 }
 
-/* Listening and dialling */
+/* Listening and dialing */
 
 static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
 		      uint16_t flags, void *arg)
@@ -313,7 +313,7 @@
 {
 	while (f->streams)
 		talloc_free(f->streams);
-	TALLOC_FREE(f->accepting);
+	TALLOC_FREE(f->accept_fde);
 	if (f->listener >= 0)
 		close(f->listener);
 	return 0;
@@ -339,9 +339,9 @@
 
 void frames_accept(struct frames *f)
 {
-	f->accepting = tevent_add_fd(f->ev, f, f->listener, TEVENT_FD_READ,
-				     on_accept, f);
-	assert(f->accepting);
+	f->accept_fde = tevent_add_fd(f->ev, f, f->listener, TEVENT_FD_READ,
+				      on_accept, f);
+	assert(f->accept_fde);
 }
 
 const struct frames_counters *frames_counters(const struct frames *f)
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -14,46 +14,46 @@
 #include "process/clock.h"
 #include "process/mtimer.h"
 
-#define HTTPC_BUFFER_FIRST 1024u      /* bytes */
-#define HTTPC_BUFFER_KEEP 4096u	      /* bytes, in an idle handle */
+#define HTTPC_BUFFER_BYTES 1024u      /* bytes */
+#define HTTPC_BUFFER_KEEP 4096u	      /* bytes, of an idle handle */
 #define HTTPC_HEADERS_MAX (64u << 10) /* bytes */
-#define HTTPC_FIRST_WATCHES 64
+#define HTTPC_WATCHES_MIN 64
 #define HTTPC_READ_BYTES 16384L
 #define HTTPC_IDLE_HANDLES 256u /* easy handles kept for reuse */
 /*
- * libcurl walks over all connections of a multi handle when a request ends;
- * hosts are spread over several, so that each has few.
+ * libcurl iterates over all connections of a multi handle when a request ends.
+ * Hosts are distributed over several handles, so that each has few connections.
  */
 #define HTTPC_SHARDS 16u
 
 struct httpc;
 
-/* One multi handle, for some of the hosts. */
+/* One multi handle, for a part of the hosts. */
 struct shard {
 	struct httpc *client;
 	CURLM *multi;
-	struct tevent_immediate *now; /* a time-out of zero */
-	uint64_t due_ms;	      /* its next time-out; 0: none */
+	struct tevent_immediate *now; /* runs a timeout of zero */
+	uint64_t due_ms;	      /* next timeout; 0: none */
 };
 
 struct exchange {
 	struct httpc *client;
-	struct shard *shard; /* that the request is under way in */
+	struct shard *shard; /* that runs the request */
 	struct exchange *next_idle;
-	struct exchange *prev, *next; /* of those under way */
+	struct exchange *prev, *next; /* in_flight */
 	CURL *easy;
 	struct curl_slist *headers;
 	char error[CURL_ERROR_SIZE];
 	size_t body_length;
 	size_t answer_max;
 	uint64_t send_before_us;
-	uint64_t progress_ms; /* when a byte last came, or it began */
+	uint64_t progress_ms; /* last byte received, or start */
 	uint32_t stall_timeout_ms;
-	uint32_t sends; /* passes through the pre-request callback */
+	uint32_t sends; /* times that on_prerequest let it pass */
 	bool once;
-	bool framed; /* the answer says how long it is */
+	bool framed; /* the answer declares its length */
 	bool too_large;
-	bool late; /* not sent, because send_before_us had passed */
+	bool late; /* not sent: send_before_us had passed */
 	bool head;
 	httpc_done_fn done;
 	void *arg;
@@ -64,13 +64,13 @@
 
 struct httpc {
 	struct tevent_context *ev;
-	struct mtimer *timer; /* of all shards */
-	uint64_t timer_ms;    /* when it goes off; 0: it is not set */
+	struct mtimer *timer;  /* shared by all shards */
+	uint64_t timer_due_ms; /* when it fires; 0: not set */
 	struct shard shards[HTTPC_SHARDS];
 	struct exchange *idle;
-	struct exchange *under_way;
-	struct watch **watches; /* by descriptor */
-	int watch_room;
+	struct exchange *in_flight;
+	struct watch **watches; /* indexed by descriptor */
+	int watch_capacity;
 	uint32_t idle_count;
 	uint32_t active;
 };
@@ -79,29 +79,29 @@
 
 static bool buffer_add(struct httpc_buffer *b, const char *data, size_t length)
 {
-	size_t room = b->room ? b->room : HTTPC_BUFFER_FIRST;
+	size_t capacity = b->capacity ? b->capacity : HTTPC_BUFFER_BYTES;
 	char *grown;
 
-	while (room < b->length + length)
-		room *= 2;
-	if (room != b->room) {
-		grown = realloc(b->data, room);
+	while (capacity < b->length + length)
+		capacity *= 2;
+	if (capacity != b->capacity) {
+		grown = realloc(b->data, capacity);
 		if (!grown)
 			return false;
 		b->data = grown;
-		b->room = room;
+		b->capacity = capacity;
 	}
 	memcpy(b->data + b->length, data, length);
 	b->length += length;
 	return true;
 }
 
-/* An empty buffer with the bytes of b, unless they are many. */
-static struct httpc_buffer buffer_keep(struct httpc_buffer *b)
+/* Empties a buffer; its memory is kept unless it is large. */
+static struct httpc_buffer buffer_recycle(struct httpc_buffer *b)
 {
-	struct httpc_buffer kept = { b->data, 0, b->room };
+	struct httpc_buffer kept = { b->data, 0, b->capacity };
 
-	if (b->room <= HTTPC_BUFFER_KEEP)
+	if (b->capacity <= HTTPC_BUFFER_KEEP)
 		return kept;
 	free(b->data);
 	return (struct httpc_buffer){ 0 };
@@ -166,7 +166,7 @@
 
 	x->progress_ms = clock_now_ms();
 	if (length >= 5 && !memcmp(line, "HTTP/", 5)) {
-		x->answer.headers.length = 0; /* an interim answer came first */
+		x->answer.headers.length = 0; /* drop an interim answer */
 		x->framed = false;
 		return length;
 	}
@@ -184,14 +184,14 @@
 
 /* Exchanges, reused with their easy handles */
 
-/* Forgets a request; the handle keeps the options that never change. */
+/* Clears the request; the easy handle keeps its fixed options. */
 static void exchange_reset(struct exchange *x)
 {
 	CURL *easy = x->easy;
 	struct httpc *client = x->client;
 
-	struct httpc_buffer headers = buffer_keep(&x->answer.headers);
-	struct httpc_buffer body = buffer_keep(&x->answer.body);
+	struct httpc_buffer headers = buffer_recycle(&x->answer.headers);
+	struct httpc_buffer body = buffer_recycle(&x->answer.body);
 
 	curl_slist_free_all(x->headers);
 	memset(x, 0, sizeof(*x));
@@ -210,7 +210,7 @@
 	free(x);
 }
 
-static void set_constants(struct exchange *x)
+static void set_fixed_options(struct exchange *x)
 {
 	CURL *e = x->easy;
 
@@ -224,7 +224,7 @@
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
 	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
 	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->client);
-	/* Hosts are IP numbers; entries would be walked over each time. */
+	/* Hosts are IP addresses; libcurl would scan the cache each time. */
 	curl_easy_setopt(e, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
@@ -250,11 +250,11 @@
 	x->easy = curl_easy_init();
 	assert(x->easy);
 	x->client = c;
-	set_constants(x);
+	set_fixed_options(x);
 	return x;
 }
 
-static void exchange_put(struct exchange *x)
+static void exchange_release(struct exchange *x)
 {
 	struct httpc *c = x->client;
 
@@ -285,14 +285,14 @@
 		return HTTPC_BROKEN;
 	if (!x->framed && !answer_needs_no_body(x, x->answer.code)) {
 		snprintf(x->error, sizeof(x->error),
-			 "answer without a length: cannot tell that it is "
-			 "whole");
+			 "answer without a length: cannot tell whether it is "
+			 "complete");
 		return HTTPC_BROKEN;
 	}
 	return HTTPC_OK;
 }
 
-/* The other machine itself says that no process listens on the port. */
+/* The remote machine reports that no process listens on the port. */
 static bool connection_refused(struct exchange *x, CURLcode code)
 {
 	long os_error = 0;
@@ -308,7 +308,7 @@
 	struct httpc *c = x->client;
 
 	curl_multi_remove_handle(x->shard->multi, x->easy);
-	DL_DELETE(c->under_way, x);
+	DL_DELETE(c->in_flight, x);
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->answer.code);
 	x->answer.status = exchange_status(x, code);
 	x->answer.refused = connection_refused(x, code);
@@ -320,7 +320,7 @@
 		x->answer.message = curl_easy_strerror(code);
 	c->active--;
 	x->done(x->arg, &x->answer);
-	exchange_put(x);
+	exchange_release(x);
 }
 
 static void reap(struct shard *s)
@@ -342,17 +342,18 @@
 
 /*
  * A socket stays watched for reading between two requests, which saves the
- * system calls of taking it out and in again; libcurl closes it by on_close.
- * A socket that never connected it closes by itself, before it says so, and
- * the event loop must not know a descriptor that is closed: until libcurl only
- * waits for an answer, and so is connected, a duplicate is watched.
+ * system calls that remove and add it; libcurl closes it through on_close. A
+ * socket that never connected is closed by libcurl before it calls on_watch,
+ * and the event loop must not hold a closed descriptor. So a duplicate is
+ * watched until libcurl polls for reading only, which shows that the socket is
+ * connected.
  */
 struct watch {
 	struct shard *shard;
 	struct tevent_fd *fde;
 	curl_socket_t fd;
-	int duplicate; /* of fd, watched in its place; -1: none */
-	bool unused;   /* libcurl does not ask for it now */
+	int duplicate; /* of fd, watched instead; -1: none */
+	bool unused;   /* libcurl does not poll it now */
 };
 
 static int watch_destroy(struct watch *w)
@@ -387,40 +388,41 @@
 
 static struct watch *watch_of(struct httpc *c, curl_socket_t fd)
 {
-	return fd < c->watch_room ? c->watches[fd] : NULL;
+	return fd < c->watch_capacity ? c->watches[fd] : NULL;
 }
 
 static struct watch *watch_new(struct shard *s, curl_socket_t fd)
 {
 	struct httpc *c = s->client;
 	struct watch *w = talloc_zero(c, struct watch);
-	int room = c->watch_room;
+	int capacity = c->watch_capacity;
 
 	assert(w);
 	w->shard = s;
 	w->fd = fd;
 	w->duplicate = -1;
 	talloc_set_destructor(w, watch_destroy);
-	if (fd >= room) {
-		c->watch_room = fd * 2 + HTTPC_FIRST_WATCHES;
+	if (fd >= capacity) {
+		c->watch_capacity = fd * 2 + HTTPC_WATCHES_MIN;
 		c->watches = talloc_realloc(c, c->watches, struct watch *,
-					    c->watch_room);
+					    c->watch_capacity);
 		assert(c->watches);
-		memset(c->watches + room, 0,
-		       (size_t)(c->watch_room - room) * sizeof(*c->watches));
+		memset(c->watches + capacity, 0,
+		       (size_t)(c->watch_capacity - capacity) *
+			       sizeof(*c->watches));
 	}
 	c->watches[fd] = w;
 	return w;
 }
 
-static void watch_forget(struct httpc *c, struct watch *w)
+static void watch_remove(struct httpc *c, struct watch *w)
 {
 	c->watches[w->fd] = NULL;
 	talloc_free(w);
 }
 
-static void watch_flags(struct watch *w, struct tevent_context *ev,
-			uint16_t flags, bool connected)
+static void watch_set_flags(struct watch *w, struct tevent_context *ev,
+			    uint16_t flags, bool connected)
 {
 	if (connected && w->duplicate >= 0) {
 		TALLOC_FREE(w->fde);
@@ -451,7 +453,7 @@
 	(void)unused;
 	if (what == CURL_POLL_REMOVE) {
 		if (w && w->duplicate >= 0)
-			watch_forget(c, w);
+			watch_remove(c, w);
 		else if (w)
 			w->unused = true;
 		return 0;
@@ -463,7 +465,7 @@
 	if (!w)
 		w = watch_new(s, fd);
 	w->unused = false;
-	watch_flags(w, c->ev, flags, what == CURL_POLL_IN);
+	watch_set_flags(w, c->ev, flags, what == CURL_POLL_IN);
 	return 0;
 }
 
@@ -473,11 +475,11 @@
 	struct watch *w = watch_of(c, fd);
 
 	if (w)
-		watch_forget(c, w);
+		watch_remove(c, w);
 	return close(fd);
 }
 
-static void shard_time_out(struct shard *s)
+static void shard_run_timeout(struct shard *s)
 {
 	int running;
 
@@ -486,12 +488,12 @@
 	reap(s);
 }
 
-/* A timer that is set goes off early rather than be set anew each time. */
-static void timer_before(struct httpc *c, uint64_t due_ms, uint64_t now)
+/* A pending timer may fire early; that is cheaper than resetting it. */
+static void timer_set_before(struct httpc *c, uint64_t due_ms, uint64_t now)
 {
-	if (c->timer_ms && c->timer_ms <= due_ms)
+	if (c->timer_due_ms && c->timer_due_ms <= due_ms)
 		return;
-	c->timer_ms = due_ms;
+	c->timer_due_ms = due_ms;
 	mtimer_set(c->timer, due_ms > now ? due_ms - now : 1);
 }
 
@@ -499,7 +501,7 @@
 {
 	struct exchange *x, *next;
 
-	for (x = c->under_way; x; x = next) {
+	for (x = c->in_flight; x; x = next) {
 		uint64_t due_ms;
 
 		next = x->next;
@@ -507,7 +509,7 @@
 			continue;
 		due_ms = x->progress_ms + x->stall_timeout_ms;
 		if (due_ms > now) {
-			timer_before(c, due_ms, now);
+			timer_set_before(c, due_ms, now);
 			continue;
 		}
 		snprintf(x->error, sizeof(x->error),
@@ -523,14 +525,14 @@
 	uint64_t now = clock_now_ms();
 	uint32_t i;
 
-	c->timer_ms = 0;
+	c->timer_due_ms = 0;
 	end_stalled(c, now);
 	for (i = 0; i < HTTPC_SHARDS; i++)
 		if (c->shards[i].due_ms && c->shards[i].due_ms <= now)
-			shard_time_out(&c->shards[i]);
+			shard_run_timeout(&c->shards[i]);
 	for (i = 0; i < HTTPC_SHARDS; i++)
 		if (c->shards[i].due_ms)
-			timer_before(c, c->shards[i].due_ms, now);
+			timer_set_before(c, c->shards[i].due_ms, now);
 }
 
 static void on_now(struct tevent_context *ev, struct tevent_immediate *im,
@@ -538,7 +540,7 @@
 {
 	(void)ev;
 	(void)im;
-	shard_time_out(arg);
+	shard_run_timeout(arg);
 }
 
 static int on_timeout_change(CURLM *multi, long ms, void *arg)
@@ -555,7 +557,7 @@
 		return 0;
 	}
 	s->due_ms = now + (uint64_t)ms;
-	timer_before(s->client, s->due_ms, now);
+	timer_set_before(s->client, s->due_ms, now);
 	return 0;
 }
 
@@ -564,9 +566,9 @@
 	struct exchange *x;
 	uint32_t i;
 
-	/* Nobody waits for these any more: done is not called. */
-	while ((x = c->under_way)) {
-		DL_DELETE(c->under_way, x);
+	/* The owner frees the client: done is not called. */
+	while ((x = c->in_flight)) {
+		DL_DELETE(c->in_flight, x);
 		curl_multi_remove_handle(x->shard->multi, x->easy);
 		exchange_free(x);
 	}
@@ -621,7 +623,7 @@
 	return NULL;
 }
 
-/* The scheme, host and port decide; the path does not. */
+/* The host and port choose the shard. */
 static struct shard *shard_of(struct httpc *c, const char *url)
 {
 	const char *host = strstr(url, "://");
@@ -681,11 +683,11 @@
 			 (long)r->connect_timeout_ms);
 	x->shard = shard_of(c, r->url);
 	c->active++;
-	DL_APPEND(c->under_way, x);
+	DL_APPEND(c->in_flight, x);
 	curl_multi_add_handle(x->shard->multi, e);
 	if (x->stall_timeout_ms)
-		timer_before(c, x->progress_ms + x->stall_timeout_ms,
-			     x->progress_ms);
+		timer_set_before(c, x->progress_ms + x->stall_timeout_ms,
+				 x->progress_ms);
 }
 
 uint32_t httpc_active(const struct httpc *c)
--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -2,11 +2,10 @@
  * httpc - HTTP client over libcurl's multi interface, driven by tevent
  *
  * One client belongs to one thread and one tevent context. Every request to
- * an upstream, to the table service or to an entry passes through
- * httpc_start, which keeps the one rule that must not depend on the caller:
- * a request marked `once` leaves this process at most one time. libcurl by
- * itself resends a request when a reused connection dies before any answer
- * byte; the second pass through its pre-request callback is refused here.
+ * an upstream, to the table service or to an entry passes through httpc_start,
+ * which guarantees that a request marked `once` is sent at most once. libcurl
+ * itself resends a request when a reused connection closes before the first
+ * byte of an answer; its pre-request callback aborts this second attempt.
  */
 #ifndef HTTPC_H
 #define HTTPC_H
@@ -20,26 +19,26 @@
 struct httpc;
 
 enum httpc_status {
-	HTTPC_OK,	 /* a whole answer, its length proved by its framing */
+	HTTPC_OK,	 /* complete answer, checked by its framing */
 	HTTPC_NOT_SENT,	 /* no byte of the request left this process */
-	HTTPC_BROKEN,	 /* some of it may have left; no whole answer came */
-	HTTPC_TIMEOUT,	 /* as HTTPC_BROKEN, because the time was over */
+	HTTPC_BROKEN,	 /* possibly sent; no complete answer */
+	HTTPC_TIMEOUT,	 /* as HTTPC_BROKEN, after timeout_ms */
 	HTTPC_TOO_LARGE, /* sent; the answer exceeds answer_max */
 };
 
 struct httpc_buffer {
 	char *data;
-	size_t length; /* bytes in use */
-	size_t room;   /* bytes allocated */
+	size_t length;	 /* bytes in use */
+	size_t capacity; /* bytes allocated */
 };
 
 struct httpc_answer {
 	enum httpc_status status;
 	long code;    /* HTTP status, 0 without an answer */
-	bool refused; /* nothing listens there: its process has ended */
+	bool refused; /* connection refused: no process listens */
 	struct httpc_buffer headers; /* "Name: value\r\n" lines, no status */
 	struct httpc_buffer body;
-	const char *message; /* what failed and where; valid in the callback */
+	const char *message; /* error text; valid in the callback */
 };
 
 typedef void (*httpc_done_fn)(void *arg, struct httpc_answer *answer);
@@ -48,15 +47,15 @@
 	const char *method;
 	const char *url;
 	const char *const *headers; /* "Name: value", NULL at the end */
-	const void *body;	    /* kept by the caller until done */
+	const void *body;	    /* must stay valid until done */
 	size_t body_length;
 	uint32_t timeout_ms;	     /* for the whole exchange */
-	uint32_t connect_timeout_ms; /* for the connection alone */
-	uint32_t stall_timeout_ms;   /* without a byte of answer; 0: none */
-	size_t answer_max;	     /* bytes of body; 0 for HTTPC_ANSWER_MAX */
-	bool once;		     /* never send it a second time */
-	uint64_t send_before_us; /* not sent after this time; 0 for no bound */
-	httpc_done_fn done;	 /* called once, never from httpc_start */
+	uint32_t connect_timeout_ms; /* for connecting alone */
+	uint32_t stall_timeout_ms;   /* without a byte received; 0: none */
+	size_t answer_max;	     /* bytes of body; 0: HTTPC_ANSWER_MAX */
+	bool once;		     /* never send it twice */
+	uint64_t send_before_us;     /* not sent later; 0: no limit */
+	httpc_done_fn done;	     /* called once, never from httpc_start */
 	void *arg;
 };
 
@@ -65,8 +64,8 @@
 /*
  * httpc_new - a client on ev, owned by ctx; NULL when libcurl fails
  *
- * It keeps up to connections_max connections, of them host_max to one host;
- * 0 for no bound. A request beyond waits inside for a connection.
+ * It keeps up to connections_max connections, at most host_max to one host; 0
+ * means no limit. Further requests wait for a free connection.
  */
 struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			uint32_t connections_max, uint32_t host_max);
@@ -75,14 +74,14 @@
  * httpc_start - send one request
  *
  * Method, URL and headers are copied. The answer's buffers belong to the
- * client and are valid during the callback; httpc_take keeps one.
+ * client and are valid during the callback; httpc_take takes ownership of one.
  */
 void httpc_start(struct httpc *c, const struct httpc_request *request);
 
-/* httpc_take - move a buffer's bytes out; the caller frees them by free(3) */
+/* httpc_take - take a buffer's bytes; the caller frees them with free(3) */
 char *httpc_take(struct httpc_buffer *buffer, size_t *length);
 
-/* httpc_active - requests started and not yet done */
+/* httpc_active - number of requests in flight */
 uint32_t httpc_active(const struct httpc *c);
 
 #endif
--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -11,8 +11,8 @@
 
 #include "process/mtimer.h"
 
-#define HTTPD_BODY_FIRST 1024u		   /* bytes */
-#define HTTPD_CONNECTION_MEMORY (8u << 10) /* bytes, bounds all headers */
+#define HTTPD_BODY_BYTES 1024u		   /* bytes */
+#define HTTPD_CONNECTION_MEMORY (8u << 10) /* bytes, limits the headers */
 
 struct httpd {
 	struct tevent_context *ev;
@@ -22,22 +22,22 @@
 	struct MHD_Daemon *daemon;
 	struct httpd_options options;
 	uint32_t pending;
-	bool running; /* inside MHD_run */
-	bool again;   /* MHD_run is wanted once more */
+	bool running;	/* in MHD_run */
+	bool run_again; /* MHD_run must be called again */
 	int quiesced_fd;
 };
 
-/* One request, from its first header to the end of its answer. */
+/* A request, from its first header to the end of its answer. */
 struct exchange {
 	struct httpd_request request; /* first member */
 	struct MHD_Connection *connection;
 	struct MHD_Response *response;
 	char *path;
 	char *query;
-	size_t room;
+	size_t capacity;
 	unsigned int code;
 	bool too_large;
-	bool handed; /* the handler has it */
+	bool dispatched; /* passed to the handler */
 };
 
 static void serve(struct httpd *s);
@@ -47,19 +47,19 @@
 static bool body_add(struct exchange *x, const char *data, size_t length)
 {
 	struct httpd_request *r = &x->request;
-	size_t room = x->room ? x->room : HTTPD_BODY_FIRST;
+	size_t capacity = x->capacity ? x->capacity : HTTPD_BODY_BYTES;
 	char *grown;
 
 	if (r->body_length + length > r->server->options.body_max)
 		return false;
-	while (room < r->body_length + length)
-		room *= 2;
-	if (room != x->room) {
-		grown = realloc(r->body, room);
+	while (capacity < r->body_length + length)
+		capacity *= 2;
+	if (capacity != x->capacity) {
+		grown = realloc(r->body, capacity);
 		if (!grown)
 			return false;
 		r->body = grown;
-		x->room = room;
+		x->capacity = capacity;
 	}
 	memcpy(r->body + r->body_length, data, length);
 	r->body_length += length;
@@ -102,13 +102,13 @@
 	return result;
 }
 
-static enum MHD_Result hand_over(struct exchange *x, const char *method)
+static enum MHD_Result dispatch(struct exchange *x, const char *method)
 {
 	struct httpd *s = x->request.server;
 
 	if (x->too_large)
 		return send_too_large(x);
-	x->handed = true;
+	x->dispatched = true;
 	x->request.method = method;
 	s->pending++;
 	MHD_suspend_connection(x->connection);
@@ -149,7 +149,7 @@
 		*size = 0;
 		return MHD_YES;
 	}
-	return hand_over(x, method);
+	return dispatch(x, method);
 }
 
 static void on_completed(void *arg, struct MHD_Connection *con, void **state,
@@ -162,7 +162,7 @@
 	(void)code;
 	if (!x)
 		return;
-	if (x->handed)
+	if (x->dispatched)
 		s->pending--;
 	if (x->response)
 		MHD_destroy_response(x->response);
@@ -207,10 +207,10 @@
 	MHD_UNSIGNED_LONG_LONG ms;
 
 	s->running = true;
-	s->again = false;
+	s->run_again = false;
 	MHD_run(s->daemon);
 	s->running = false;
-	if (s->again) {
+	if (s->run_again) {
 		wake_now(s);
 		return;
 	}
@@ -284,18 +284,18 @@
 					   name);
 }
 
-struct each {
+struct header_visitor {
 	void (*fn)(void *arg, const char *name, const char *value);
 	void *arg;
 };
 
-static enum MHD_Result on_each(void *arg, enum MHD_ValueKind kind,
-			       const char *name, const char *value)
+static enum MHD_Result on_header(void *arg, enum MHD_ValueKind kind,
+				 const char *name, const char *value)
 {
-	struct each *each = arg;
+	struct header_visitor *visitor = arg;
 
 	(void)kind;
-	each->fn(each->arg, name, value ? value : "");
+	visitor->fn(visitor->arg, name, value ? value : "");
 	return MHD_YES;
 }
 
@@ -305,10 +305,10 @@
 		       void *arg)
 {
 	const struct exchange *x = request->internal;
-	struct each each = { fn, arg };
+	struct header_visitor visitor = { fn, arg };
 
-	MHD_get_connection_values(x->connection, MHD_HEADER_KIND, on_each,
-				  &each);
+	MHD_get_connection_values(x->connection, MHD_HEADER_KIND, on_header,
+				  &visitor);
 }
 
 int httpd_descriptor(const struct httpd_request *request)
@@ -366,7 +366,7 @@
 			    answer->headers_length);
 	MHD_resume_connection(x->connection);
 	if (s->running)
-		s->again = true;
+		s->run_again = true;
 	else
 		wake_now(s);
 }
--- a/src/connection/httpd.h
+++ b/src/connection/httpd.h
@@ -2,9 +2,9 @@
  * httpd - HTTP server over libmicrohttpd, driven by tevent
  *
  * One server belongs to one thread and one tevent context; several servers
- * may listen on one port. A request is handed to the handler when its whole
- * body has come; it is then suspended until httpd_answer is called, now or
- * later, in the server's thread.
+ * may listen on one port. The handler is called when the whole body has been
+ * received. The request is then suspended until httpd_answer is called, from
+ * the handler or later, in the server's thread.
  */
 #ifndef HTTPD_H
 #define HTTPD_H
@@ -23,32 +23,32 @@
 	const char *query; /* after the '?', "" without one */
 	char *body;
 	size_t body_length;
-	void *user; /* the handler's own */
+	void *user; /* for use by the handler */
 	struct httpd *server;
 	void *internal;
 };
 
 /*
- * Runs for each whole request. The handler or a later event answers it by
- * httpd_answer, exactly once.
+ * Called for each complete request. The handler or a later event answers it
+ * with httpd_answer, exactly once.
  */
 typedef void (*httpd_handler_fn)(void *arg, struct httpd_request *request);
 
 struct httpd_options {
 	const char *address; /* IP number */
 	uint16_t port;
-	size_t body_max; /* bytes; a larger body is answered 413 */
+	size_t body_max; /* bytes; a larger body gets status 413 */
 	uint32_t connections_max;
 	uint32_t idle_timeout_s; /* a connection without traffic is closed */
 	httpd_handler_fn handler;
 	void *arg;
 };
 
-/* httpd_new - start to listen; NULL when the address cannot be bound */
+/* httpd_new - start listening; NULL when the address cannot be bound */
 struct httpd *httpd_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			const struct httpd_options *options);
 
-/* httpd_header - the value of a request header or NULL */
+/* httpd_header - value of a request header or NULL */
 const char *httpd_header(const struct httpd_request *request, const char *name);
 
 /* httpd_each_header - call fn for each request header in order */
@@ -60,7 +60,7 @@
 /*
  * httpd_hung_up - whether the caller has closed its end
  *
- * A caller that only closes its sending side counts as gone too.
+ * A half-closed connection counts as closed too.
  */
 bool httpd_hung_up(const struct httpd_request *request);
 
@@ -71,7 +71,7 @@
 	unsigned int code;
 	const char *headers; /* "Name: value\r\n" lines or NULL; copied */
 	size_t headers_length;
-	char *body; /* from malloc(3), taken over by the server; may be NULL */
+	char *body; /* from malloc(3), owned by the server; may be NULL */
 	size_t body_length;
 };
 
@@ -79,10 +79,10 @@
 void httpd_answer(struct httpd_request *request,
 		  const struct httpd_answer *answer);
 
-/* httpd_stop_accepting - take no new connections; open ones go on */
+/* httpd_stop_accepting - accept no new connections; open ones continue */
 void httpd_stop_accepting(struct httpd *s);
 
-/* httpd_pending - requests handed to the handler and not yet sent */
+/* httpd_pending - requests passed to the handler, answer not yet sent */
 uint32_t httpd_pending(const struct httpd *s);
 
 #endif
--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -12,7 +12,7 @@
 	struct peer_net *net;
 	struct link *next;
 	struct frame_stream *stream;
-	uint64_t incarnation; /* 0 before its Hello */
+	uint64_t incarnation; /* 0 until its Hello */
 	bool broken;	      /* its stream will be closed */
 };
 
@@ -43,7 +43,7 @@
 	assert(link);
 	link->net = net;
 	link->stream = stream;
-	frame_stream_set(stream, link);
+	frame_stream_set_data(stream, link);
 	link->next = net->links;
 	net->links = link;
 	return link;
@@ -87,7 +87,7 @@
 
 static void link_send(struct link *link, const Jackdawwell__PeerFrame *frame)
 {
-	uint8_t *to = frame_room(
+	uint8_t *to = frame_reserve(
 		link->stream, jackdawwell__peer_frame__get_packed_size(frame));
 
 	if (!to) {
@@ -98,7 +98,7 @@
 	frame_send(link->stream);
 }
 
-/* Hello: a keyed hash shows that the sender knows the fleet's secret. */
+/* The Hello's keyed hash proves that the sender knows the fleet's secret. */
 
 #define PROOF_BYTES 32
 
@@ -135,7 +135,7 @@
 	link_send(link, &frame);
 }
 
-static bool take_hello(struct link *link, const Jackdawwell__PeerFrame *frame)
+static bool handle_hello(struct link *link, const Jackdawwell__PeerFrame *frame)
 {
 	uint8_t proof[PROOF_BYTES];
 	const Jackdawwell__Hello *hello = frame->hello;
@@ -160,22 +160,22 @@
 	struct peer_net *net = arg;
 	struct link *link = frame_stream_data(stream);
 	Jackdawwell__PeerFrame *frame;
-	bool good = true;
+	bool valid = true;
 
 	frame = jackdawwell__peer_frame__unpack(NULL, length, data);
 	if (frame && !link->incarnation)
-		good = take_hello(link, frame);
+		valid = handle_hello(link, frame);
 	else if (frame)
 		net->options.callbacks.frame(net->options.callbacks.arg,
 					     link->incarnation, frame);
-	if (!frame || !good)
+	if (!frame || !valid)
 		link->broken = true;
 	if (frame)
 		jackdawwell__peer_frame__free_unpacked(frame, NULL);
 	return !link->broken;
 }
 
-/* Listening and dialling */
+/* Listening and dialing */
 
 static void on_opened(void *arg, struct frame_stream *stream)
 {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -1,8 +1,9 @@
 /*
  * peer - links between entries: TCP, length-prefixed protobuf frames
  *
- * Frames in order while a link is up, lost when it breaks. Both sides open
- * with a Hello that proves the fleet's secret. The newer incarnation dials.
+ * Frames arrive in order while a link is up; pending frames are lost when it
+ * breaks. Both sides first send a Hello that proves knowledge of the fleet's
+ * secret. The newer incarnation dials.
  */
 #ifndef PEER_H
 #define PEER_H
@@ -15,7 +16,7 @@
 #include "proto/peer.pb-c.h"
 
 #define PEER_FRAME_MAX (4u << 20) /* bytes */
-#define PEER_OUT_MAX (16u << 20)  /* bytes queued before a link breaks */
+#define PEER_OUT_MAX (16u << 20)  /* bytes queued; more break the link */
 
 struct peer_net;
 
@@ -39,25 +40,25 @@
 	uint64_t frames_out;
 	uint64_t bytes_in;
 	uint64_t bytes_out;
-	uint64_t refused; /* connections with a bad frame or proof */
+	uint64_t refused; /* connections with an invalid frame or proof */
 };
 
 /*
- * peer_net_new - hold the address; NULL when it cannot be bound
+ * peer_net_new - bind the address; NULL when that fails
  *
- * Links are made only after peer_identify: who registers an incarnation
- * already holds its address.
+ * No link is made before peer_identify, so that the address is bound before
+ * the incarnation is registered.
  */
 struct peer_net *peer_net_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			      const struct peer_options *options);
 
-/* peer_identify - begin to accept and dial as this incarnation */
+/* peer_identify - start to accept and dial as this incarnation */
 void peer_identify(struct peer_net *net, uint64_t incarnation);
 
 /* peer_dial - keep a link to an older incarnation at address */
 void peer_dial(struct peer_net *net, uint64_t incarnation, const char *address);
 
-/* peer_forget - close the link and dial no more */
+/* peer_forget - close the link and stop dialing */
 void peer_forget(struct peer_net *net, uint64_t incarnation);
 
 /* peer_linked - whether there is a link */
--- a/src/connection/platform_http.c
+++ b/src/connection/platform_http.c
@@ -1,7 +1,7 @@
 /*
  * platform_http - the platform's services over HTTP and JSON
  *
- * The users' real formats replace this file alone.
+ * An installation with other formats replaces only this file.
  */
 #include "process/platform.h"
 
@@ -14,7 +14,7 @@
 
 #define PLATFORM_CONNECTIONS 4u
 #define PLATFORM_URL_MAX 512	  /* bytes */
-#define PLATFORM_HEADER_BYTES 250 /* of a request and its answer, about */
+#define PLATFORM_HEADER_BYTES 250 /* estimate, request and answer */
 
 struct platform {
 	struct httpc *http;
@@ -62,8 +62,8 @@
 
 /* Calls */
 
-static enum platform_status status_of(const struct httpc_answer *http,
-				      const json_t *value)
+static enum platform_status call_status(const struct httpc_answer *http,
+					const json_t *value)
 {
 	switch (http->status) {
 	case HTTPC_NOT_SENT:
@@ -88,7 +88,7 @@
 	json_t *root = json_loadb(http->body.data ? http->body.data : "",
 				  http->body.length, JSON_DECODE_ANY, NULL);
 	struct platform_answer answer = {
-		.status = status_of(http, root),
+		.status = call_status(http, root),
 		.started_ms = call->started_ms,
 		.message = http->message,
 	};
@@ -103,8 +103,8 @@
 	talloc_free(call);
 }
 
-static void start(struct platform *p, const char *method, const char *path,
-		  char *body, platform_fn fn, void *arg)
+static void start_call(struct platform *p, const char *method, const char *path,
+		       char *body, platform_fn fn, void *arg)
 {
 	static const char *const json_headers[] = {
 		"Content-Type: application/json", NULL
@@ -154,7 +154,7 @@
 		     void *arg)
 {
 	p->counters.writes++;
-	start(p, "POST", "/txn", json_dumps(txn, JSON_COMPACT), fn, arg);
+	start_call(p, "POST", "/txn", json_dumps(txn, JSON_COMPACT), fn, arg);
 }
 
 void platform_scan(struct platform *p, const char *prefix, uint64_t after,
@@ -165,7 +165,7 @@
 	p->counters.reads++;
 	snprintf(path, sizeof(path), "/rows?prefix=%s&after=%" PRIu64, prefix,
 		 after);
-	start(p, "GET", path, NULL, fn, arg);
+	start_call(p, "GET", path, NULL, fn, arg);
 }
 
 void platform_put_object(struct platform *p, const char *name,
@@ -175,8 +175,8 @@
 
 	p->counters.writes++;
 	snprintf(path, sizeof(path), "/objects/%s", name);
-	start(p, "PUT", path, json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY),
-	      fn, arg);
+	start_call(p, "PUT", path,
+		   json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY), fn, arg);
 }
 
 void platform_get_object(struct platform *p, const char *name, platform_fn fn,
@@ -186,7 +186,7 @@
 
 	p->counters.reads++;
 	snprintf(path, sizeof(path), "/objects/%s", name);
-	start(p, "GET", path, NULL, fn, arg);
+	start_call(p, "GET", path, NULL, fn, arg);
 }
 
 void platform_reboot(struct platform *p, const char *instance, uint32_t boots,
@@ -197,14 +197,14 @@
 
 	p->counters.writes++;
 	snprintf(path, sizeof(path), "/reboot/%s", instance);
-	start(p, "POST", path, json_dumps(body, JSON_COMPACT), fn, arg);
+	start_call(p, "POST", path, json_dumps(body, JSON_COMPACT), fn, arg);
 	json_decref(body);
 }
 
 void platform_instances(struct platform *p, platform_fn fn, void *arg)
 {
 	p->counters.reads++;
-	start(p, "GET", "/instances", NULL, fn, arg);
+	start_call(p, "GET", "/instances", NULL, fn, arg);
 }
 
 const struct platform_counters *platform_counters(const struct platform *p)
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -113,7 +113,7 @@
 		  "\"why\":\"%s\",\"linked\":%d,\"heard_ms_ago\":%" PRIu64, why,
 		  p->linked, now - p->last_heard_ms);
 	if (p->stream) {
-		frame_stream_set(p->stream, NULL);
+		frame_stream_set_data(p->stream, NULL);
 		frame_stream_break(p->stream);
 	}
 	p->stream = NULL;
@@ -248,7 +248,7 @@
 			continue;
 		calls.fence = n->fence;
 		batch_add(p, &calls);
-		to = frame_room(p->stream, p->batch_length);
+		to = frame_reserve(p->stream, p->batch_length);
 		if (to) {
 			memcpy(to, p->batch, p->batch_length);
 			frame_send(p->stream);
@@ -420,7 +420,7 @@
 	p->retry_ms = now + RELAY_RETRY_MS;
 	p->stream = frames_dial(r->frames, from->links);
 	if (p->stream)
-		frame_stream_set(p->stream, p);
+		frame_stream_set_data(p->stream, p);
 }
 
 /* The strongest node that is not in use and may be dialed; NULL: none. */
@@ -528,7 +528,8 @@
 	{
 		if (p->stream &&
 		    relay_is_unresponsive(p->last_heard_ms,
-					  frame_stream_waits(p->stream), now))
+					  frame_stream_has_unread(p->stream),
+					  now))
 			peer_disconnect(r, p, "no answer", now);
 		else
 			calls_expire(r, p, now);
--- a/src/node/relay_server.c
+++ b/src/node/relay_server.c
@@ -55,7 +55,7 @@
 
 	end.stopping = link->server->node->stopping;
 	length = fleet__call_results__get_packed_size(&end);
-	to = frame_room(link->stream, link->batch_length + length);
+	to = frame_reserve(link->stream, link->batch_length + length);
 	if (to) {
 		memcpy(to, link->batch, link->batch_length);
 		fleet__call_results__pack(&end, to + link->batch_length);
@@ -280,7 +280,7 @@
 	assert(link);
 	link->server = server;
 	link->stream = stream;
-	frame_stream_set(stream, link);
+	frame_stream_set_data(stream, link);
 	DL_APPEND(server->links, link);
 	send_results(link, clock_now_ms());
 }
--- a/test/frames_test.c
+++ b/test/frames_test.c
@@ -1,6 +1,6 @@
 /*
- * Frames over TCP: whole, in order, however the bytes are cut; streams that
- * make no sense end, and nothing else does.
+ * Frames over TCP arrive whole and in order however the bytes are split. Only
+ * streams with malformed frames are closed.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -16,49 +16,49 @@
 #include "connection/frames.h"
 
 #define FRAME_MAX 1000u
-#define TURNS 40 /* of the loop, for what is sent on loopback */
+#define ITERATIONS 40 /* of the event loop, until sent bytes are read */
 #define FRAMES 50u
 
-struct got {
+struct received {
 	uint32_t frames, bytes, opened, closed;
 	bool in_order;
-	uint8_t refuse; /* a frame that begins so is refused; 0: none */
+	uint8_t refuse; /* first byte of frames to reject; 0: none */
 	struct frame_stream *last;
 };
 
 static void on_opened(void *arg, struct frame_stream *stream)
 {
-	struct got *got = arg;
+	struct received *received = arg;
 
-	got->opened++;
-	got->last = stream;
+	received->opened++;
+	received->last = stream;
 }
 
 static bool on_frame(void *arg, struct frame_stream *stream,
 		     const uint8_t *data, size_t length)
 {
-	struct got *got = arg;
+	struct received *received = arg;
 
 	(void)stream;
-	if (length && got->refuse && data[0] == got->refuse)
+	if (length && received->refuse && data[0] == received->refuse)
 		return false;
-	if (length && data[0] != (uint8_t)got->frames)
-		got->in_order = false;
-	got->frames++;
-	got->bytes += (uint32_t)length;
+	if (length && data[0] != (uint8_t)received->frames)
+		received->in_order = false;
+	received->frames++;
+	received->bytes += (uint32_t)length;
 	return true;
 }
 
 static void on_closed(void *arg, struct frame_stream *stream)
 {
-	struct got *got = arg;
+	struct received *received = arg;
 
 	(void)stream;
-	got->closed++;
+	received->closed++;
 }
 
-static void on_turn(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *arg)
+static void on_iteration(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *arg)
 {
 	(void)ev;
 	(void)te;
@@ -66,19 +66,20 @@
 	(void)arg;
 }
 
-static void turn(struct tevent_context *ev)
+static void iterate(struct tevent_context *ev)
 {
 	int i;
 
-	for (i = 0; i < TURNS; i++) {
+	for (i = 0; i < ITERATIONS; i++) {
 		tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, 1000),
-				 on_turn, NULL);
+				 on_iteration, NULL);
 		tevent_loop_once(ev);
 	}
 }
 
-static struct frames *frames_on(struct tevent_context *ev, struct got *got,
-				uint16_t *port, char *address)
+static struct frames *frames_on(struct tevent_context *ev,
+				struct received *received, uint16_t *port,
+				char *address)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET };
 	socklen_t length = sizeof(a);
@@ -90,7 +91,7 @@
 		.opened = on_opened,
 		.frame = on_frame,
 		.closed = on_closed,
-		.arg = got,
+		.arg = received,
 	};
 	struct frames *f;
 
@@ -117,8 +118,8 @@
 	return fd;
 }
 
-/* One frame after the other, in pieces of a given size. */
-static void test_pieces(void **state)
+/* Consecutive frames, sent in pieces of a given size. */
+static void test_split_frames(void **state)
 {
 	static const size_t pieces[] = { 1, 3, 7, 64, 4096 };
 	size_t c;
@@ -126,7 +127,7 @@
 	(void)state;
 	for (c = 0; c < sizeof(pieces) / sizeof(pieces[0]); c++) {
 		struct tevent_context *ev = tevent_context_init(NULL);
-		struct got got = { .in_order = true };
+		struct received received = { .in_order = true };
 		uint8_t bytes[FRAMES * 16];
 		size_t length = 0, at;
 		char address[64];
@@ -134,7 +135,7 @@
 		uint32_t i;
 		int fd;
 
-		frames_on(ev, &got, &port, address);
+		frames_on(ev, &received, &port, address);
 		fd = dial(port);
 		for (i = 0; i < FRAMES; i++) {
 			uint32_t size = i % 12;
@@ -152,12 +153,12 @@
 			if (at % 97 == 0)
 				tevent_loop_once(ev);
 		}
-		turn(ev);
-		assert_int_equal(got.frames, FRAMES);
-		assert_true(got.in_order);
+		iterate(ev);
+		assert_int_equal(received.frames, FRAMES);
+		assert_true(received.in_order);
 		close(fd);
-		turn(ev);
-		assert_int_equal(got.closed, 1);
+		iterate(ev);
+		assert_int_equal(received.closed, 1);
 		talloc_free(ev);
 	}
 }
@@ -170,7 +171,7 @@
 	opened_stream = stream;
 }
 
-/* A reader that is behind can tell a peer that wrote from a silent one. */
+/* A slow reader can tell a peer that has sent bytes from a silent one. */
 static void test_unread_bytes(void **state)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
@@ -182,26 +183,26 @@
 		.frame = on_frame,
 		.closed = on_closed,
 	};
-	struct got got = { .in_order = true };
+	struct received received = { .in_order = true };
 	char address[64];
 	uint16_t port;
 	int fd;
 
 	(void)state;
-	/* Only its port is wanted. */
-	talloc_free(frames_on(ev, &got, &port, address));
+	/* Only to get a free port. */
+	talloc_free(frames_on(ev, &received, &port, address));
 	o.address = address;
-	o.arg = &got;
+	o.arg = &received;
 	frames_accept(frames_new(ev, ev, &o));
 	fd = dial(port);
-	turn(ev);
+	iterate(ev);
 	assert_non_null(opened_stream);
-	assert_false(frame_stream_waits(opened_stream));
+	assert_false(frame_stream_has_unread(opened_stream));
 	assert_int_equal(send(fd, "\0\0\0\1x", 5, 0), 5);
-	assert_true(frame_stream_waits(opened_stream));
-	turn(ev);
-	assert_int_equal(got.frames, 1);
-	assert_false(frame_stream_waits(opened_stream));
+	assert_true(frame_stream_has_unread(opened_stream));
+	iterate(ev);
+	assert_int_equal(received.frames, 1);
+	assert_false(frame_stream_has_unread(opened_stream));
 	close(fd);
 	talloc_free(ev);
 }
@@ -213,10 +214,10 @@
 	uint8_t refuse;
 };
 
-static void test_no_sense(void **state)
+static void test_malformed_frames(void **state)
 {
 	static const struct bad_case cases[] = {
-		{ "a length beyond the most", "\xff\xff\xff\xff", 4, 0 },
+		{ "a length far beyond the limit", "\xff\xff\xff\xff", 4, 0 },
 		{ "one byte too long", "\0\0\x03\xe9", 4, 0 },
 		{ "a frame that its owner refuses", "\0\0\0\1z", 5, 'z' },
 	};
@@ -225,35 +226,36 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		struct tevent_context *ev = tevent_context_init(NULL);
-		struct got got = { .refuse = cases[c].refuse };
+		struct received received = { .refuse = cases[c].refuse };
 		struct frames *f;
 		char address[64];
 		uint16_t port;
 		int bad, good;
 
-		f = frames_on(ev, &got, &port, address);
+		f = frames_on(ev, &received, &port, address);
 		bad = dial(port);
 		good = dial(port);
-		turn(ev);
+		iterate(ev);
 		send(bad, cases[c].bytes, cases[c].length, 0);
-		turn(ev);
-		if (got.closed != 1 || got.opened != 2)
-			fail_msg("%s: %u closed", cases[c].what, got.closed);
+		iterate(ev);
+		if (received.closed != 1 || received.opened != 2)
+			fail_msg("%s: %u closed", cases[c].what,
+				 received.closed);
 		assert_int_equal(frames_counters(f)->refused, 1);
 		send(good, "\0\0\0\0", 4, 0);
-		turn(ev);
-		assert_int_equal(got.frames, 1);
+		iterate(ev);
+		assert_int_equal(received.frames, 1);
 		close(bad);
 		close(good);
 		talloc_free(ev);
 	}
 }
 
-/* A peer that does not read breaks its stream, and only it. */
+/* A peer that does not read breaks its own stream and no other. */
 static void test_peer_that_does_not_read(void **state)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
-	struct got got = { 0 };
+	struct received received = { 0 };
 	char address[64];
 	uint16_t port;
 	uint32_t sent = 0;
@@ -261,18 +263,19 @@
 	int fd;
 
 	(void)state;
-	frames_on(ev, &got, &port, address);
+	frames_on(ev, &received, &port, address);
 	fd = dial(port);
-	turn(ev);
-	assert_non_null(got.last);
-	while (sent < 1000000 && (to = frame_room(got.last, FRAME_MAX))) {
+	iterate(ev);
+	assert_non_null(received.last);
+	while (sent < 1000000 &&
+	       (to = frame_reserve(received.last, FRAME_MAX))) {
 		memset(to, 0, FRAME_MAX);
-		frame_send(got.last);
+		frame_send(received.last);
 		sent++;
 	}
 	assert_true(sent < 1000000);
-	turn(ev);
-	assert_int_equal(got.closed, 1);
+	iterate(ev);
+	assert_int_equal(received.closed, 1);
 	close(fd);
 	talloc_free(ev);
 }
@@ -280,9 +283,9 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_pieces),
+		cmocka_unit_test(test_split_frames),
 		cmocka_unit_test(test_unread_bytes),
-		cmocka_unit_test(test_no_sense),
+		cmocka_unit_test(test_malformed_frames),
 		cmocka_unit_test(test_peer_that_does_not_read),
 	};
 
--- a/test/fuzz_client.c
+++ b/test/fuzz_client.c
@@ -1,9 +1,9 @@
 /*
  * fuzz_client - malformed requests and peer frames from a fixed seed
  *
- * Sends mutated HTTP requests to a callers' port and mutated frames to a
- * peers' port of an entry, one connection at a time, and reads what comes
- * back. The caller of this program then checks that the entry still serves.
+ * Sends mutated HTTP requests to the callers' port and mutated frames to the
+ * peers' port of an entry, one connection at a time, and discards the answers.
+ * The caller of this program then checks that the entry still serves.
  */
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -61,7 +61,7 @@
 		case 0:
 			m[at] = (uint8_t)pick(256);
 			break;
-		case 1: /* cut */
+		case 1: /* truncate */
 			length = at + 1;
 			break;
 		case 2: /* repeat a part */
@@ -78,7 +78,7 @@
 	return length;
 }
 
-static size_t make(bool http, uint8_t *m)
+static size_t make_message(bool http, uint8_t *m)
 {
 	size_t length;
 
@@ -100,7 +100,7 @@
 static int dial(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
-	struct linger hard = { 1, 0 };
+	struct linger reset_on_close = { 1, 0 };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	address.sin_port = htons(port);
@@ -109,11 +109,12 @@
 		perror("fuzz_client: connect");
 		exit(1);
 	}
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+		   sizeof(reset_on_close));
 	return fd;
 }
 
-/* Reads what is there; false when the other side has closed. */
+/* Discards received bytes; false when the other side has closed. */
 static bool drain(int fd)
 {
 	struct pollfd p = { .fd = fd, .events = POLLIN };
@@ -136,7 +137,7 @@
 		int fd = dial(port);
 
 		for (i = 0; i < PER_CONNECTION; i++, sent++) {
-			size_t length = make(http, m);
+			size_t length = make_message(http, m);
 
 			if (send(fd, m, length, MSG_NOSIGNAL) < 0 || !drain(fd))
 				break;
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -1,6 +1,6 @@
 /*
- * The HTTP client's life: what it holds when it is freed early. Leaks show
- * under the address sanitizer.
+ * The HTTP client: requests in flight when it is freed, stalled answers and
+ * failed connections. The address sanitizer shows leaks.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -16,12 +16,12 @@
 
 #include "connection/httpc.h"
 
-#define QUEUE_FILL 8 /* connections; more than a queue of 0 takes */
-#define HANGING 8    /* requests, one after the other */
-#define TURNS 3	     /* of the loop: the requests are sent, none is answered */
+#define QUEUE_FILL 8 /* connections; more than a backlog of 0 holds */
+#define HANGING 8    /* consecutive requests */
+#define ITERATIONS 3 /* of the event loop: sent, none is answered */
 
-/* A loopback port that takes connections and answers nothing. */
-static int listen_mute(uint16_t *port)
+/* Listens on a loopback port and never answers. */
+static int listen_silent(uint16_t *port)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET };
 	socklen_t length = sizeof(a);
@@ -42,7 +42,7 @@
 	fail_msg("a freed client answered");
 }
 
-static void test_freed_under_way(void **state)
+static void test_freed_in_flight(void **state)
 {
 	static const int requests[] = { 0, 1, 5 };
 	size_t c;
@@ -53,7 +53,7 @@
 		struct tevent_context *ev = tevent_context_init(NULL);
 		struct httpc *client = httpc_new(ev, ev, 4, 0);
 		uint16_t port;
-		int fd = listen_mute(&port);
+		int fd = listen_silent(&port);
 		char url[64];
 		struct httpc_request r = { .method = "GET",
 					   .url = url,
@@ -64,7 +64,7 @@
 		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
 		for (i = 0; i < requests[c]; i++)
 			httpc_start(client, &r);
-		for (i = 0; requests[c] && i < TURNS; i++)
+		for (i = 0; requests[c] && i < ITERATIONS; i++)
 			tevent_loop_once(ev);
 		assert_int_equal(httpc_active(client), requests[c]);
 		talloc_free(client);
@@ -79,8 +79,8 @@
 	*(bool *)arg = true;
 }
 
-/* The server sends a part of an answer and then nothing more. */
-static void test_stalled_answer_is_given_up(void **state)
+/* The server sends part of an answer and then stops. */
+static void test_stalled_answer(void **state)
 {
 	static const char *const parts[] = {
 		"",
@@ -94,7 +94,7 @@
 		struct tevent_context *ev = tevent_context_init(NULL);
 		struct httpc *client = httpc_new(ev, ev, 4, 0);
 		uint16_t port;
-		int fd = listen_mute(&port);
+		int fd = listen_silent(&port);
 		int peer = -1;
 		bool ended = false;
 		char url[64];
@@ -108,7 +108,7 @@
 
 		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
 		httpc_start(client, &r);
-		tevent_loop_once(ev); /* it begins to connect */
+		tevent_loop_once(ev); /* starts to connect */
 		peer = accept(fd, NULL, NULL);
 		assert_int_equal(write(peer, parts[c], strlen(parts[c])),
 				 strlen(parts[c]));
@@ -122,7 +122,7 @@
 	}
 }
 
-/* Connections that fill a port's queue, so that the next one hangs. */
+/* Fills a port's backlog, so that the next connection stays pending. */
 static void fill_queue(uint16_t port, int *fds, int count)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
@@ -152,15 +152,16 @@
 }
 
 /*
- * A connection that is never made leaves nothing behind in the event loop:
- * its descriptor is soon another's.
+ * A connection that is never established must leave no descriptor in the event
+ * loop, since its number is soon reused.
  */
-static void test_connections_that_hang(void **state)
+static void test_unconnected_sockets(void **state)
 {
 	struct tevent_context *ev = tevent_context_init_byname(NULL, "epoll");
 	struct httpc *client = httpc_new(ev, ev, 4, 0);
 	uint16_t ports[2];
-	int listeners[2] = { listen_mute(&ports[0]), listen_mute(&ports[1]) };
+	int listeners[2] = { listen_silent(&ports[0]),
+			     listen_silent(&ports[1]) };
 	int fillers[QUEUE_FILL];
 	int messages = 0;
 	int done = 0;
@@ -194,21 +195,21 @@
 	close(listeners[1]);
 }
 
-struct told {
+struct outcome {
 	bool done, refused;
 	enum httpc_status status;
 };
 
-static void on_told(void *arg, struct httpc_answer *answer)
+static void on_outcome(void *arg, struct httpc_answer *answer)
 {
-	struct told *told = arg;
+	struct outcome *outcome = arg;
 
-	told->done = true;
-	told->refused = answer->refused;
-	told->status = answer->status;
+	outcome->done = true;
+	outcome->refused = answer->refused;
+	outcome->status = answer->status;
 }
 
-/* A process that is gone refuses connections; one that is silent does not. */
+/* Only a port without a process refuses connections; a silent one does not. */
 static void test_refused(void **state)
 {
 	static const struct {
@@ -226,17 +227,17 @@
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		struct tevent_context *ev = tevent_context_init(NULL);
 		struct httpc *client = httpc_new(ev, ev, 4, 0);
-		struct told told = { 0 };
+		struct outcome outcome = { 0 };
 		int fillers[QUEUE_FILL];
 		char url[64];
 		uint16_t port;
-		int fd = listen_mute(&port);
+		int fd = listen_silent(&port);
 		struct httpc_request r = { .method = "GET",
 					   .url = url,
 					   .timeout_ms = 200,
 					   .connect_timeout_ms = 100,
-					   .done = on_told,
-					   .arg = &told };
+					   .done = on_outcome,
+					   .arg = &outcome };
 
 		if (!cases[c].listens)
 			close(fd);
@@ -246,12 +247,12 @@
 		}
 		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
 		httpc_start(client, &r);
-		while (!told.done)
+		while (!outcome.done)
 			tevent_loop_once(ev);
-		if (told.refused != cases[c].refused ||
-		    told.status != cases[c].status)
+		if (outcome.refused != cases[c].refused ||
+		    outcome.status != cases[c].status)
 			fail_msg("%s: refused %d, status %d", cases[c].what,
-				 told.refused, told.status);
+				 outcome.refused, outcome.status);
 		talloc_free(ev);
 		if (cases[c].listens)
 			close(fd);
@@ -261,9 +262,9 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_freed_under_way),
-		cmocka_unit_test(test_stalled_answer_is_given_up),
-		cmocka_unit_test(test_connections_that_hang),
+		cmocka_unit_test(test_freed_in_flight),
+		cmocka_unit_test(test_stalled_answer),
+		cmocka_unit_test(test_unconnected_sockets),
 		cmocka_unit_test(test_refused),
 	};
 
