--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -63,8 +63,9 @@
 		event_log("ask-unanswered", a->id,
 			  "\"verb\":%d,\"result\":%d,\"lead\":\"%s\","
 			  "\"lead_heard_ms_ago\":%" PRIu64 ",\"store_ok\":%d",
-			  a->verb, answer->result, n->lead.node,
-			  clock_now_ms() - n->lead_heard_ms, n->store_ok);
+			  a->verb, answer->result, n->leader.node,
+			  clock_now_ms() - n->leader_last_heard_ms,
+			  n->store_ok);
 	a->fn(a->arg, answer);
 	talloc_free(a);
 }
@@ -108,11 +109,11 @@
 	size_t length;
 
 	/* It could not be accepted in its caller's time. */
-	if (commit_is_stalled(n->commit_waits_ms, now) &&
+	if (commit_is_stalled(n->commit_waiting_since_ms, now) &&
 	    !sched_state(n->sched, ask->id, ask->queue)) {
 		event_log("job-turned-away", ask->id,
 			  "\"queue\":\"%s\",\"store_silent_ms\":%" PRIu64,
-			  ask->queue, now - n->commit_waits_ms);
+			  ask->queue, now - n->commit_waiting_since_ms);
 		r->retry_after_ms = RETRY_STALLED_MS;
 		r->result = FLEET__RESULT__REFUSED;
 		return;
@@ -143,7 +144,7 @@
 static bool lead_may_vouch(const struct node *n, const struct node_ask *ask,
 			   uint64_t now)
 {
-	if (currency_holds(n, now))
+	if (staleness_in_bound(n, now))
 		return true;
 	return ask->verb != FLEET__VERB__SUBMIT &&
 	       (!ask->config_old || !n->store_ok);
@@ -153,12 +154,12 @@
 static bool verdict_allows(struct node *n, const struct node_ask *ask,
 			   struct node_answer *r)
 {
-	enum currency_verdict verdict = currency_verdict(n->config, ask);
+	enum staleness_verdict verdict = staleness_verdict(n->config, ask);
 
-	if (verdict == CURRENCY_DECIDES ||
+	if (verdict == STALENESS_DECIDES ||
 	    (!ask->config_old && sched_state(n->sched, ask->id, ask->queue)))
 		return true;
-	if (verdict == CURRENCY_DROPPED) {
+	if (verdict == STALENESS_REMOVED) {
 		r->result = FLEET__RESULT__REFUSED;
 		r->retry_after_ms = RETRY_DROPPED_MS;
 	}
@@ -184,7 +185,7 @@
 	bool waits = false;
 
 	n->asks[ask->verb]++;
-	if (!lead_may_order(n, now) || n->releasing ||
+	if (!leader_may_order(n, now) || n->releasing ||
 	    !lead_may_vouch(n, ask, now) || !verdict_allows(n, ask, &r))
 		goto out;
 	switch (ask->verb) {
@@ -244,7 +245,7 @@
 	bool same = true;
 	uint32_t i;
 
-	node_store_took(n, reply->status, a->recorded_ms);
+	node_store_timed_result(n, reply->status, a->recorded_ms);
 	switch (reply->status) {
 	case STORE_OK:
 		event_log("ask-recorded", a->id, "\"verb\":%d", a->verb);
@@ -263,7 +264,7 @@
 		a->maybe_recorded = true;
 		break;
 	case STORE_REFUSED:
-	case STORE_LOST:
+	case STORE_HISTORY_LOST:
 		break;
 	}
 	answer_result(a, FLEET__RESULT__UNANSWERED);
@@ -402,7 +403,7 @@
 	struct node *n = a->node;
 
 	return !a->lead_slow && n->store_ok &&
-	       record_may_begin(n->store_slow_ms, clock_now_ms()) &&
+	       record_may_begin(n->store_last_slow_ms, clock_now_ms()) &&
 	       record_allowance_take(&n->records, n->peer_count + 1,
 				     clock_now_ms());
 }
@@ -432,7 +433,7 @@
 	struct node_answer r;
 
 	if (h->refused)
-		lead_refused(n, a->lead_incarnation);
+		leader_connection_refused(n, a->lead_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		got = fleet__answer__unpack(NULL, h->body.length,
 					    (uint8_t *)h->body.data);
@@ -441,9 +442,10 @@
 		    a->verb == FLEET__VERB__SUBMIT)
 			a->maybe_recorded = true;
 		a->lead_slow = h->status == HTTPC_TIMEOUT &&
-			       lead_age_ms(n) < LEAD_HEARD_MS;
+			       leader_live_age_ms(n) < LEAD_HEARD_MS;
 		if (!a->lead_slow)
-			n->lead_suspect_ms = clock_now_ms() + LEAD_SUSPECT_MS;
+			n->leader_suspect_until_ms =
+				clock_now_ms() + LEAD_SUSPECT_MS;
 		ask_store(a);
 		return;
 	}
@@ -470,7 +472,7 @@
 	static const char *const headers[] = {
 		"Content-Type: application/octet-stream", NULL
 	};
-	bool heard = lead_age_ms(a->node) < LEAD_HEARD_MS;
+	bool heard = leader_live_age_ms(a->node) < LEAD_HEARD_MS;
 	uint32_t most = heard ? ASK_LEAD_HEARD_MS : ASK_LEAD_MS;
 	uint32_t left = heard ? time_left(a) : time_left(a) / ASK_LEAD_PART;
 	struct httpc_request r = {
@@ -530,7 +532,7 @@
 	a->node = n;
 	a->verb = ask->verb;
 	a->config_version = n->config ? n->config->version : 0;
-	a->config_old = !currency_holds(n, now);
+	a->config_old = !staleness_in_bound(n, now);
 	snprintf(a->id, sizeof(a->id), "%s", ask->id);
 	snprintf(a->queue, sizeof(a->queue), "%s", ask->queue);
 	a->deadline_ms = now + (ask->deadline_ms > ASK_MARGIN_MS
@@ -539,7 +541,7 @@
 	a->fn = ask->fn;
 	a->arg = ask->arg;
 	pack(a, ask);
-	if (lead_may_order(n, now) && !n->releasing) {
+	if (leader_may_order(n, now) && !n->releasing) {
 		struct node_ask own = *ask;
 
 		own.deadline_ms = time_left(a);
@@ -548,13 +550,13 @@
 		ask_decide(n, &own);
 		return;
 	}
-	if (!n->lead.known || !*n->lead.node || lead_is_self(n) ||
-	    now < n->lead_suspect_ms) {
+	if (!n->leader.known || !*n->leader.node || leader_is_self(n) ||
+	    now < n->leader_suspect_until_ms) {
 		ask_store(a);
 		return;
 	}
-	a->lead_incarnation = n->lead.incarnation;
-	a->url = talloc_asprintf(a, "http://%s/ask", n->lead.address);
+	a->lead_incarnation = n->leader.incarnation;
+	a->url = talloc_asprintf(a, "http://%s/ask", n->leader.address);
 	assert(a->url);
 	ask_lead(a);
 }
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -1,12 +1,12 @@
 /*
- * commit - what the lead decided, written in transactions
+ * commit - writes the leader's decisions in transactions
  *
- * One at a time while the store answers soon, so that each holds what has
- * gathered meanwhile; while it is slow, several side by side, each of other
- * jobs. Each holds under the condition that the lead row is unchanged, so
- * none of a former lead takes effect. When an answer is lost, the next
- * transaction also changes the lead row, and no other is under way beside it:
- * the lost one, if it was not done, can then never be.
+ * One transaction at a time while the store answers fast, so that each batches
+ * all changes made meanwhile; several concurrently while it is slow, each about
+ * different jobs. Every transaction has the condition that the leader row is
+ * unchanged, so none of a former leader takes effect. When a reply is lost, the
+ * next transaction also changes the leader row and runs alone: if the lost one
+ * wasn't applied before, it never will be.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -15,25 +15,25 @@
 
 #include "node/node_internal.h"
 
-/* Two transactions of a store that takes 0.6 s for each. */
+/* Timeout; covers two transactions of a store that takes 0.6 s for each. */
 #define COMMIT_MS 1500u
 #define COMMIT_RETRY_MS 100u
-#define COMMIT_STALLED_MS 800u /* a slow store takes 0.6 s */
-#define COMMIT_SLOW_MS 30u     /* without an answer: the next one is sent */
-#define COMMITS_MAX 2u	       /* under way: the store does one after another */
-#define COMMIT_ENTRIES_A_JOB 5u /* the most that one job's change takes */
+#define COMMIT_STALLED_MS 800u	  /* a slow store takes 0.6 s */
+#define COMMIT_SLOW_MS 30u	  /* without a reply: send the next one */
+#define COMMITS_IN_FLIGHT_MAX 2u  /* the store applies them one by one */
+#define COMMIT_ENTRIES_PER_JOB 5u /* maximum for one job's change */
 
 struct batch {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t generation;
 	uint64_t sent_ms;
 	uint32_t number;
-	bool settles;
+	bool resolves;
 	struct store_txn txn;
 	size_t bytes;
 };
 
-/* Asks that wait */
+/* Requests that wait until the decision is durable */
 
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
 		node_answer_fn fn, void *arg)
@@ -59,7 +59,7 @@
 	talloc_free(w);
 }
 
-static void waiters_durable(struct node *n)
+static void answer_durable_waiters(struct node *n)
 {
 	struct waiter *w, *next;
 
@@ -83,7 +83,7 @@
 		waiter_answer(n, n->waiters, FLEET__RESULT__UNSETTLED);
 }
 
-void inbox_remember(struct node *n, const char *id)
+void inbox_add(struct node *n, const char *id)
 {
 	struct inbox_id *entry;
 
@@ -96,7 +96,7 @@
 	DL_APPEND(n->inbox, entry);
 }
 
-static bool inbox_forget(struct node *n, const char *id)
+static bool inbox_remove(struct node *n, const char *id)
 {
 	struct inbox_id *entry;
 
@@ -111,9 +111,9 @@
 
 /* Batches */
 
-static uint32_t entries(const struct store_txn *t)
+static uint32_t entry_count(const struct store_txn *t)
 {
-	return t->condition_count + t->put_count + t->drop_count;
+	return t->condition_count + t->put_count + t->delete_count;
 }
 
 static void add_condition(struct batch *b, const char *table, const char *key,
@@ -131,9 +131,10 @@
 	b->bytes += length;
 }
 
-static void add_drop(struct batch *b, const char *table, const char *key)
+static void add_delete(struct batch *b, const char *table, const char *key)
 {
-	b->txn.drops[b->txn.drop_count++] = (struct store_drop){ table, key };
+	b->txn.deletes[b->txn.delete_count++] =
+		(struct store_delete){ table, key };
 }
 
 static void add_job_row(struct batch *b, const char *key,
@@ -147,18 +148,18 @@
 }
 
 static void add_end(struct batch *b, const char *key, const Fleet__EndRow *end,
-		    bool drop)
+		    bool delete_job)
 {
 	size_t length;
 	uint8_t *bytes = node_pack(b, end, &length);
 
 	add_put(b, NODE_TABLE_END, key, bytes, length);
-	if (!drop)
+	if (!delete_job)
 		return;
-	add_drop(b, NODE_TABLE_JOB, key);
-	add_drop(b, NODE_TABLE_PROGRESS, key);
-	if (inbox_forget(b->node, key))
-		add_drop(b, NODE_TABLE_INBOX, key);
+	add_delete(b, NODE_TABLE_JOB, key);
+	add_delete(b, NODE_TABLE_PROGRESS, key);
+	if (inbox_remove(b->node, key))
+		add_delete(b, NODE_TABLE_INBOX, key);
 }
 
 static void add_progress(struct batch *b, const char *key,
@@ -185,22 +186,22 @@
 	}
 }
 
-/* Adds what voids every earlier write of this lead that is not done yet. */
-static void add_settling(struct batch *b)
+/* Voids every earlier write of this leader that isn't applied yet. */
+static void add_resolution(struct batch *b)
 {
-	struct lead_view view = b->node->lead;
+	struct leader_view view = b->node->leader;
 	uint8_t *bytes;
 	size_t length;
 
-	view.settled++;
-	bytes = lead_encode(b, &view, &length);
-	add_put(b, NODE_TABLE_LEAD, NODE_LEAD_KEY, bytes, length);
-	b->settles = true;
+	view.resolved++;
+	bytes = leader_encode(b, &view, &length);
+	add_put(b, NODE_TABLE_LEADER, NODE_LEADER_KEY, bytes, length);
+	b->resolves = true;
 }
 
 static void on_conflict(struct node *n, const struct store_reply *reply)
 {
-	struct lead_view view;
+	struct leader_view view;
 	bool explained = false;
 	uint32_t i;
 
@@ -214,17 +215,17 @@
 			}
 			continue;
 		}
-		if (strcmp(row->table, NODE_TABLE_LEAD) ||
-		    !lead_decode(row, &view))
+		if (strcmp(row->table, NODE_TABLE_LEADER) ||
+		    !leader_decode(row, &view))
 			continue;
 		if (view.incarnation != n->incarnation) {
-			lead_learn(n, &view, "write refused");
+			leader_learn(n, &view, "write refused");
 			return;
 		}
-		/* A settling write of unknown outcome had been done. */
-		if (view.revision != n->lead.revision) {
-			n->lead = view;
-			n->settle = false;
+		/* An earlier resolving write had been applied. */
+		if (view.revision != n->leader.revision) {
+			n->leader = view;
+			n->resolve_pending = false;
 			explained = true;
 		}
 	}
@@ -240,55 +241,55 @@
 	uint64_t now = clock_now_ms();
 
 	node_store_result(n, reply->status);
-	if (b->lead_epoch != n->lead_epoch) {
+	if (b->generation != n->phase_generation) {
 		talloc_free(b);
 		return;
 	}
-	n->commits_under_way--;
+	n->commits_in_flight--;
 	if (reply->status == STORE_OK || reply->status == STORE_CONFLICT)
-		n->commit_waits_ms = n->commits_under_way ? now : 0;
+		n->commit_waiting_since_ms = n->commits_in_flight ? now : 0;
 	switch (reply->status) {
 	case STORE_OK:
 		n->commits++;
-		lead_confirmed(n, b->sent_ms);
-		if (b->settles) {
-			n->lead.revision = reply->revision;
-			n->lead.settled++;
-			n->settle = false;
+		leader_confirmed(n, b->sent_ms);
+		if (b->resolves) {
+			n->leader.revision = reply->revision;
+			n->leader.resolved++;
+			n->resolve_pending = false;
 		}
 		sched_changed(n->sched, b->number, true, now);
-		waiters_durable(n);
+		answer_durable_waiters(n);
 		break;
 	case STORE_CONFLICT:
 		sched_changed(n->sched, b->number, false, now);
 		on_conflict(n, reply);
 		break;
 	case STORE_UNKNOWN:
-		n->settle = true;
+		n->resolve_pending = true;
 		event_log("write-unknown", NULL, "\"after_ms\":%" PRIu64,
 			  now - b->sent_ms);
 		/* fallthrough */
 	case STORE_REFUSED:
-	case STORE_LOST:
+	case STORE_HISTORY_LOST:
 		sched_changed(n->sched, b->number, false, now);
 		n->commit_retry_ms = now + COMMIT_RETRY_MS;
 		break;
 	}
 	talloc_free(b);
-	if (n->phase == LEAD_DECIDING)
+	if (n->phase == LEADER_DECIDING)
 		node_pump(n);
 }
 
-bool commit_is_stalled(uint64_t waits_ms, uint64_t now)
+bool commit_is_stalled(uint64_t waiting_since_ms, uint64_t now)
 {
-	return waits_ms && now - waits_ms >= COMMIT_STALLED_MS;
+	return waiting_since_ms && now - waiting_since_ms >= COMMIT_STALLED_MS;
 }
 
-bool commit_may_begin(uint32_t under_way, bool settle, uint64_t waited_ms)
+bool commit_may_begin(uint32_t in_flight, bool resolving, uint64_t waited_ms)
 {
-	if (!under_way)
+	if (!in_flight)
 		return true;
-	return !settle && under_way < COMMITS_MAX &&
+	return !resolving && in_flight < COMMITS_IN_FLIGHT_MAX &&
 	       waited_ms >= COMMIT_SLOW_MS;
 }
 
@@ -298,25 +299,26 @@
 	struct batch *b;
 
 	if (n->releasing || now < n->commit_retry_ms ||
-	    !commit_may_begin(n->commits_under_way, n->settle,
-			      now - n->commit_ms) ||
+	    !commit_may_begin(n->commits_in_flight, n->resolve_pending,
+			      now - n->last_commit_ms) ||
 	    !sched_change_pending(n->sched))
 		return;
 	b = talloc_zero(n, struct batch);
 	assert(b);
 	b->node = n;
-	b->lead_epoch = n->lead_epoch;
-	b->sent_ms = n->commit_ms = now;
-	if (!n->commit_waits_ms)
-		n->commit_waits_ms = now;
-	b->number = ++n->batch;
-	add_condition(b, NODE_TABLE_LEAD, NODE_LEAD_KEY, n->lead.revision);
-	if (n->settle)
-		add_settling(b);
-	while (entries(&b->txn) + COMMIT_ENTRIES_A_JOB <= STORE_TXN_MAX &&
+	b->generation = n->phase_generation;
+	b->sent_ms = n->last_commit_ms = now;
+	if (!n->commit_waiting_since_ms)
+		n->commit_waiting_since_ms = now;
+	b->number = ++n->last_batch;
+	add_condition(b, NODE_TABLE_LEADER, NODE_LEADER_KEY,
+		      n->leader.revision);
+	if (n->resolve_pending)
+		add_resolution(b);
+	while (entry_count(&b->txn) + COMMIT_ENTRIES_PER_JOB <= STORE_TXN_MAX &&
 	       b->bytes < STORE_TXN_BYTES &&
 	       sched_next_change(n->sched, b->number, &change))
 		add_change(b, &change);
-	n->commits_under_way++;
+	n->commits_in_flight++;
 	n->services->txn(n->services->impl, &b->txn, COMMIT_MS, on_written, b);
 }
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -107,8 +107,8 @@
 
 	if (n->copying || now < n->copy_ms)
 		return false;
-	return !n->config ||
-	       (n->config_behind_ms && now - n->config_behind_ms >= wait_ms);
+	return !n->config || (n->config_behind_since_ms &&
+			      now - n->config_behind_since_ms >= wait_ms);
 }
 
 /* What this node knows; the result is packed, owned by ctx. */
@@ -125,14 +125,14 @@
 	fill_row(n, &self);
 	beat.node = (char *)n->settings.name;
 	beat.row = &self;
-	beat.epoch = n->lead.epoch;
-	beat.lead = n->lead.node;
-	beat.lead_address = n->lead.address;
-	beat.lead_incarnation = n->lead.incarnation;
+	beat.epoch = n->leader.epoch;
+	beat.lead = n->leader.node;
+	beat.lead_address = n->leader.address;
+	beat.lead_incarnation = n->leader.incarnation;
 	beat.config_version = n->config ? n->config->version : 0;
-	beat.config_age_ms = currency_age_ms(n, clock_now_ms());
-	beat.leading = lead_is_able(n);
-	beat.lead_age_ms = lead_age_ms(n);
+	beat.config_age_ms = staleness_ms(n, clock_now_ms());
+	beat.leading = leader_is_live(n);
+	beat.lead_age_ms = leader_live_age_ms(n);
 	beat.stopping = n->stopping;
 	if (with_config && n->config) {
 		beat.config.data = n->config_bytes;
@@ -160,18 +160,18 @@
 
 static void learn_lead(struct node *n, const Fleet__Beat *beat)
 {
-	struct lead_view view = { .known = true };
+	struct leader_view view = { .known = true };
 
-	if (!beat->epoch || beat->epoch < n->lead.epoch)
+	if (!beat->epoch || beat->epoch < n->leader.epoch)
 		return;
 	/* The same claim is known already, with its revision. */
-	if (n->lead.known && beat->epoch == n->lead.epoch)
+	if (n->leader.known && beat->epoch == n->leader.epoch)
 		return;
 	snprintf(view.node, sizeof(view.node), "%s", beat->lead);
 	snprintf(view.address, sizeof(view.address), "%s", beat->lead_address);
 	view.incarnation = beat->lead_incarnation;
 	view.epoch = beat->epoch;
-	lead_learn(n, &view, "peer");
+	leader_learn(n, &view, "peer");
 }
 
 static bool beat_is_newer(const struct node *n, uint64_t config_version)
@@ -183,8 +183,8 @@
 {
 	if (!beat_is_newer(n, beat->config_version))
 		return;
-	if (!n->config_behind_ms) {
-		n->config_behind_ms = clock_now_ms();
+	if (!n->config_behind_since_ms) {
+		n->config_behind_since_ms = clock_now_ms();
 		event_log("config-behind", NULL,
 			  "\"peer\":\"%s\",\"version\":%" PRIu64
 			  ",\"own\":%" PRIu64,
@@ -209,13 +209,13 @@
 				     beat->peers[i]->row);
 	learn_lead(n, beat);
 	if (beat->row)
-		lead_peer_seen(n, beat->node, beat->row->incarnation);
+		leader_peer_seen(n, beat->node, beat->row->incarnation);
 	/* A beat that was sent before the last claim tells nothing of it. */
-	if (beat->epoch == n->lead.epoch) {
-		if (!strcmp(beat->node, n->lead.node))
-			lead_heard(n, beat->leading, now);
+	if (beat->epoch == n->leader.epoch) {
+		if (!strcmp(beat->node, n->leader.node))
+			leader_heartbeat(n, beat->leading, now);
 		else
-			lead_vouched(n, beat->lead_age_ms, now);
+			leader_reported_live(n, beat->lead_age_ms, now);
 	}
 	p = peer_find(n, beat->node);
 	if (p) {
@@ -250,7 +250,7 @@
 		if (!call->copy && !strcmp(n->peers[i].address, call->address))
 			n->peers[i].beating = false;
 	if (h->refused)
-		lead_refused(n, call->lead_incarnation);
+		leader_connection_refused(n, call->lead_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		beat = fleet__beat__unpack(NULL, h->body.length,
 					   (uint8_t *)h->body.data);
@@ -260,8 +260,8 @@
 			learn_config(n, beat);
 		else
 			gossip_hear(n, beat);
-		currency_peer(n, beat->config_version, beat->config_age_ms,
-			      call->sent_ms);
+		staleness_peer_report(n, beat->config_version,
+				      beat->config_age_ms, call->sent_ms);
 		fleet__beat__free_unpacked(beat, NULL);
 	}
 	talloc_free(call);
@@ -281,8 +281,8 @@
 	assert(call);
 	call->node = n;
 	snprintf(call->address, sizeof(call->address), "%s", address);
-	if (!strcmp(address, n->lead.address))
-		call->lead_incarnation = n->lead.incarnation;
+	if (!strcmp(address, n->leader.address))
+		call->lead_incarnation = n->leader.incarnation;
 	call->sent_ms = clock_now_ms();
 	call->copy = copy;
 	call->body = gossip_pack(n, call, false, &r.body_length);
@@ -337,15 +337,15 @@
 {
 	struct peer_node *p;
 
-	if (n->phase != LEAD_NONE || !n->lead.known || !*n->lead.node)
+	if (n->phase != LEADER_NONE || !n->leader.known || !*n->leader.node)
 		return;
-	p = peer_find(n, n->lead.node);
+	p = peer_find(n, n->leader.node);
 	if (!p) {
 		Fleet__NodeRow row = FLEET__NODE_ROW__INIT;
 
-		row.address = n->lead.address;
-		row.incarnation = n->lead.incarnation;
-		gossip_learn(n, n->lead.node, &row);
+		row.address = n->leader.address;
+		row.incarnation = n->leader.incarnation;
+		gossip_learn(n, n->leader.node, &row);
 		return;
 	}
 	if (!p->beating && now - p->beat_ms >= BEAT_LEAD_MS)
@@ -429,9 +429,9 @@
 		gossip_learn(n, reply->rows[i].key, row);
 		fleet__node_row__free_unpacked(row, NULL);
 	}
-	lead_nodes_known(n); /* now the strong are known */
+	leader_nodes_loaded(n); /* now the strong are known */
 	if (!n->registered)
-		n->register_ms = 0;
+		n->next_register_ms = 0;
 }
 
 static void read_nodes(struct node *n)
@@ -447,9 +447,9 @@
  */
 static void register_tick(struct node *n, uint64_t now)
 {
-	if (n->registering || now < n->register_ms)
+	if (n->registering || now < n->next_register_ms)
 		return;
-	n->register_ms = now + SEED_MS;
+	n->next_register_ms = now + SEED_MS;
 	if (!n->registered && (n->settings.first_start || n->nodes_read))
 		register_self(n);
 	else if (!n->nodes_read)
--- /dev/null
+++ b/src/node/leader.c
@@ -0,0 +1,560 @@
+/*
+ * leader - leader election
+ *
+ * The leader row of the store names the node. A claim replaces the row under
+ * the condition that it is unchanged; its new revision is the fencing token
+ * that instances check. A leader that is not confirmed for LEADER_ORDERS_MS
+ * stops giving orders, so its successor knows when the tasks that it cannot
+ * see have ended.
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "node/node_internal.h"
+
+#define LEADER_SILENT_MS 1000u	 /* no node heard from the leader: claim */
+#define LEADER_AGE_MAX_MS 60000u /* ages from here on count as unknown */
+#define LEADER_CLAIM_RANK_MS 80u /* delay between two nodes' claims */
+#define LEADER_CLAIM_RANKS 8u
+#define LEADER_WEAK_DELAY_MS 1200u /* weak nodes claim after strong ones */
+#define LEADER_GRACE_MS 1500u	   /* until a newly learned leader is silent */
+#define LEADER_NODES_WAIT_MS 2000u /* for the node table to be read */
+
+/* Ratio of power that makes a node weak; the load per node is uneven. */
+#define LEADER_POWER_RATIO 1.5
+#define LEADER_POWER_HEARD_MS 15000u   /* heartbeats with all of 40 nodes */
+#define LEADER_MIN_TERM_MS 3000u       /* before a weak leader steps down */
+#define LEADER_STEP_DOWN_HEARD_MS 600u /* the stronger node is up now */
+
+#define LEADER_CONFIRM_MS 800u /* interval of confirmations */
+#define LEADER_LIVE_MS 1400u   /* unconfirmed for longer: others may claim */
+#define LEADER_REFUSED_MS 300u /* same, while every store call fails */
+#define LEADER_CLAIM_RETRY_MS 400u
+#define LEADER_READ_MS 600u	/* timeout; a slow store takes 300 ms */
+#define LEADER_RECOVERY_MS 800u /* a read that times out, and the next one */
+
+bool leader_is_self(const struct node *n)
+{
+	return n->leader.known && n->leader.incarnation == n->incarnation;
+}
+
+bool leader_may_order(const struct node *n, uint64_t now)
+{
+	return n->phase == LEADER_DECIDING && n->confirmed_ms &&
+	       now - n->confirmed_ms < LEADER_ORDERS_MS;
+}
+
+/* A store call that was sent at sent_ms found the row unchanged. */
+void leader_confirmed(struct node *n, uint64_t sent_ms)
+{
+	if (sent_ms > n->confirmed_ms)
+		n->confirmed_ms = sent_ms;
+	if (n->phase != LEADER_DECIDING)
+		return;
+	sched_confirmed(n->sched, sent_ms);
+	node_pump(n);
+}
+
+bool leader_has_store(uint64_t confirmed_ms, uint64_t failing_since_ms,
+		      uint64_t now)
+{
+	return now - confirmed_ms < LEADER_LIVE_MS &&
+	       (!failing_since_ms ||
+		now - failing_since_ms < LEADER_REFUSED_MS);
+}
+
+/*
+ * A leader that gets no answer from the store doesn't report itself as live:
+ * the store may be refusing this node only. If the store serves no other node
+ * either, no claim succeeds, and the leader continues once it is confirmed.
+ */
+bool leader_is_live(const struct node *n)
+{
+	return n->phase != LEADER_NONE && !n->stopping &&
+	       leader_has_store(n->confirmed_ms, n->store_failing_since_ms,
+				clock_now_ms());
+}
+
+bool leader_decode(const struct store_row *row, struct leader_view *view)
+{
+	Fleet__LeadRow *l =
+		fleet__lead_row__unpack(NULL, row->length, row->value);
+
+	if (!l)
+		return false;
+	memset(view, 0, sizeof(*view));
+	snprintf(view->node, sizeof(view->node), "%s", l->node);
+	snprintf(view->address, sizeof(view->address), "%s", l->address);
+	view->incarnation = l->incarnation;
+	view->epoch = l->epoch;
+	view->resolved = l->settled;
+	view->revision = row->revision;
+	view->known = true;
+	fleet__lead_row__free_unpacked(l, NULL);
+	return true;
+}
+
+uint8_t *leader_encode(TALLOC_CTX *ctx, const struct leader_view *view,
+		       size_t *length)
+{
+	Fleet__LeadRow l = FLEET__LEAD_ROW__INIT;
+
+	l.node = (char *)view->node;
+	l.address = (char *)view->address;
+	l.incarnation = view->incarnation;
+	l.epoch = view->epoch;
+	l.settled = view->resolved;
+	return node_pack(ctx, &l, length);
+}
+
+bool leader_is_weaker(uint32_t power, uint32_t strongest)
+{
+	return strongest > power * LEADER_POWER_RATIO;
+}
+
+uint32_t leader_claim_delay_ms(uint32_t power, uint32_t strongest,
+			       uint64_t hash)
+{
+	uint32_t rank_ms =
+		(uint32_t)(hash % LEADER_CLAIM_RANKS) * LEADER_CLAIM_RANK_MS;
+
+	return rank_ms +
+	       (leader_is_weaker(power, strongest) ? LEADER_WEAK_DELAY_MS : 0);
+}
+
+/* Power of the strongest other node heard from within the last heard_ms. */
+static uint32_t strongest_within(const struct node *n, uint64_t heard_ms)
+{
+	uint64_t now = clock_now_ms();
+
+	return gossip_strongest(n, now > heard_ms ? now - heard_ms : 0);
+}
+
+static uint32_t claim_delay(const struct node *n)
+{
+	uint64_t hash = XXH64(n->settings.name, strlen(n->settings.name),
+			      n->leader.epoch);
+
+	return leader_claim_delay_ms(n->settings.power,
+				     strongest_within(n, LEADER_POWER_HEARD_MS),
+				     hash);
+}
+
+/* The node table was read: the power of all nodes is known. */
+void leader_nodes_loaded(struct node *n)
+{
+	if (!n->nodes_read)
+		n->next_claim_ms = clock_now_ms() + claim_delay(n);
+	n->nodes_read = true;
+}
+
+/*
+ * The store answers this node again. A leader that was cut off from it as well
+ * is confirmed by its next call and needn't be replaced.
+ */
+void leader_store_recovered(struct node *n)
+{
+	uint64_t claim_ms =
+		clock_now_ms() + LEADER_RECOVERY_MS + claim_delay(n);
+
+	if (n->phase == LEADER_NONE && n->leader.known && *n->leader.node &&
+	    n->next_claim_ms < claim_ms)
+		n->next_claim_ms = claim_ms;
+}
+
+/* Takes over newer knowledge about the leader from a heartbeat or a row. */
+void leader_learn(struct node *n, const struct leader_view *view,
+		  const char *how)
+{
+	uint64_t now = clock_now_ms();
+	bool changed = !n->leader.known || view->epoch != n->leader.epoch ||
+		       view->incarnation != n->leader.incarnation;
+
+	if (n->leader.known && view->epoch < n->leader.epoch)
+		return;
+	if (!changed && view->revision < n->leader.revision)
+		return;
+	if (changed) {
+		event_log("lead", NULL,
+			  "\"lead\":\"%s\",\"epoch\":%" PRIu64
+			  ",\"how\":\"%s\"",
+			  view->node, view->epoch, how);
+		n->leader_last_heard_ms =
+			now - LEADER_SILENT_MS + LEADER_GRACE_MS;
+		if (n->phase != LEADER_NONE &&
+		    view->incarnation != n->incarnation) {
+			n->leader = *view;
+			leader_resign(n, "another node is the leader");
+			return;
+		}
+	}
+	if (changed) {
+		n->leader_ended = false;
+		n->leader_live_ms = n->leader_not_live_ms = 0;
+	}
+	n->leader = *view;
+	if (!strcmp(view->node, n->settings.name))
+		leader_peer_seen(n, view->node, n->incarnation);
+	if (!*view->node && !n->stopping) {
+		n->leader_last_heard_ms = 0;
+		n->next_claim_ms = now + claim_delay(n);
+	}
+}
+
+void leader_resign(struct node *n, const char *why)
+{
+	if (n->phase == LEADER_NONE)
+		return;
+	event_log("resign", NULL, "\"why\":\"%s\",\"epoch\":%" PRIu64, why,
+		  n->leader.epoch);
+	n->phase = LEADER_NONE;
+	n->phase_generation++;
+	n->commits_in_flight = 0;
+	n->commit_waiting_since_ms = 0;
+	waiters_drop(n);
+	machines_end(n);
+	relay_end(n);
+	TALLOC_FREE(n->takeover);
+	TALLOC_FREE(n->sched);
+	n->leader_last_heard_ms = clock_now_ms();
+}
+
+static void start_term(struct node *n, const struct leader_view *view)
+{
+	n->leader = *view;
+	n->fence = view->revision;
+	n->phase = LEADER_LOADING;
+	n->phase_generation++;
+	n->leader_since_ms = n->confirmed_ms = clock_now_ms();
+	n->resolve_pending = false;
+	n->takeovers++;
+	event_log("claim", NULL,
+		  "\"epoch\":%" PRIu64 ",\"fence\":%" PRIu64
+		  ",\"predecessor\":\"%s\",\"predecessor_gone\":%d",
+		  view->epoch, view->revision, n->predecessor,
+		  n->predecessor_gone);
+	takeover_begin(n);
+}
+
+/* Claims */
+
+struct claim {
+	struct node *node;
+	struct leader_view wanted;
+	uint64_t sent_ms;
+};
+
+static void on_claim(void *arg, const struct store_reply *reply)
+{
+	struct claim *claim = arg;
+	struct node *n = claim->node;
+	struct leader_view view;
+	uint32_t i;
+
+	n->claiming = false;
+	node_store_timed_result(n, reply->status, claim->sent_ms);
+	n->next_claim_ms = clock_now_ms() + LEADER_CLAIM_RETRY_MS;
+	switch (reply->status) {
+	case STORE_OK:
+		claim->wanted.revision = reply->revision;
+		start_term(n, &claim->wanted);
+		n->confirmed_ms = claim->sent_ms;
+		break;
+	case STORE_CONFLICT:
+		for (i = 0; i < reply->row_count; i++) {
+			if (strcmp(reply->rows[i].table, NODE_TABLE_LEADER) ||
+			    !leader_decode(&reply->rows[i], &view))
+				continue;
+			/* An earlier claim with a lost reply had succeeded. */
+			if (view.incarnation == n->incarnation && *view.node)
+				start_term(n, &view);
+			else
+				leader_learn(n, &view, "claim refused");
+		}
+		break;
+	case STORE_REFUSED:
+	case STORE_HISTORY_LOST:
+	case STORE_UNKNOWN:
+		break;
+	}
+	if (reply->status != STORE_OK)
+		event_log("claim-failed", NULL,
+			  "\"epoch\":%" PRIu64
+			  ",\"status\":%d,\"took_ms\":%" PRIu64,
+			  claim->wanted.epoch, reply->status,
+			  clock_now_ms() - claim->sent_ms);
+	talloc_free(claim);
+}
+
+/* Replaces the leader row if it is as last known; txn owns the bytes. */
+static void fill_leader_txn(const struct node *n, struct store_txn *txn,
+			    const struct leader_view *view)
+{
+	txn->condition_count = txn->put_count = 1;
+	txn->conditions[0] =
+		(struct store_condition){ NODE_TABLE_LEADER, NODE_LEADER_KEY,
+					  n->leader.revision };
+	txn->puts[0].table = NODE_TABLE_LEADER;
+	txn->puts[0].key = NODE_LEADER_KEY;
+	txn->puts[0].value = leader_encode(txn, view, &txn->puts[0].length);
+}
+
+static void claim_leadership(struct node *n, uint64_t now)
+{
+	struct claim *claim = talloc_zero(n, struct claim);
+	struct store_txn *txn = talloc_zero(claim, struct store_txn);
+
+	assert(claim && txn);
+	claim->node = n;
+	claim->sent_ms = now;
+	snprintf(claim->wanted.node, sizeof(claim->wanted.node), "%s",
+		 n->settings.name);
+	snprintf(claim->wanted.address, sizeof(claim->wanted.address), "%s",
+		 n->settings.peers);
+	claim->wanted.incarnation = n->incarnation;
+	claim->wanted.epoch = n->leader.epoch + 1;
+	claim->wanted.known = true;
+	snprintf(n->predecessor, sizeof(n->predecessor), "%s", n->leader.node);
+	n->predecessor_incarnation = n->leader.incarnation;
+	n->predecessor_gone =
+		!n->leader.known || !*n->leader.node || n->leader_ended;
+	n->predecessor_ended =
+		n->leader.known && *n->leader.node && n->leader_ended;
+	fill_leader_txn(n, txn, &claim->wanted);
+	n->claiming = true;
+	n->claims++;
+	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_claim,
+			 claim);
+}
+
+/* Reads of the leader row */
+
+struct leader_read {
+	struct node *node;
+	uint64_t sent_ms;
+	uint64_t generation;
+};
+
+static void on_read(void *arg, const struct store_reply *reply)
+{
+	struct leader_read *r = arg;
+	struct node *n = r->node;
+	struct leader_view view;
+
+	n->leader_reading = false;
+	node_store_timed_result(n, reply->status, r->sent_ms);
+	if (reply->status == STORE_OK && reply->row_count &&
+	    leader_decode(&reply->rows[0], &view)) {
+		if (n->phase != LEADER_NONE &&
+		    r->generation == n->phase_generation &&
+		    view.incarnation == n->incarnation) {
+			leader_confirmed(n, r->sent_ms);
+		} else {
+			leader_learn(n, &view, "row");
+		}
+	}
+	talloc_free(r);
+}
+
+static void read_row(struct node *n, uint64_t now)
+{
+	struct leader_read *r = talloc_zero(n, struct leader_read);
+
+	assert(r);
+	r->node = n;
+	r->sent_ms = now;
+	r->generation = n->phase_generation;
+	n->leader_reading = true;
+	n->services->read(n->services->impl, NODE_TABLE_LEADER, NODE_LEADER_KEY,
+			  NULL, LEADER_READ_MS, on_read, r);
+}
+
+/* A heartbeat from the leader itself; live: it reports that it can decide. */
+void leader_heartbeat(struct node *n, bool live, uint64_t now)
+{
+	if (live) {
+		n->leader_last_heard_ms = n->leader_live_ms = now;
+		return;
+	}
+	n->leader_not_live_ms = now;
+	if (n->leader_last_heard_ms > now)
+		return; /* the reply to its claim may still be under way */
+	if (n->leader_last_heard_ms > now - LEADER_SILENT_MS)
+		n->leader_last_heard_ms = now - LEADER_SILENT_MS;
+}
+
+/* Time since this node last knew that the leader was live. */
+uint32_t leader_live_age_ms(const struct node *n)
+{
+	uint64_t now = clock_now_ms();
+
+	if (leader_is_live(n))
+		return 0;
+	return n->leader_live_ms && now - n->leader_live_ms < LEADER_AGE_MAX_MS
+		       ? (uint32_t)(now - n->leader_live_ms)
+		       : LEADER_AGE_MAX_MS;
+}
+
+/*
+ * A peer reports that the leader was live age_ms ago. Because of this a claim
+ * needs silence towards all nodes, not only towards one that is slow or cut off
+ * itself.
+ */
+void leader_reported_live(struct node *n, uint32_t age_ms, uint64_t now)
+{
+	uint64_t live_ms = now - age_ms;
+
+	if (age_ms >= LEADER_AGE_MAX_MS || n->phase != LEADER_NONE ||
+	    n->leader_ended || live_ms <= n->leader_not_live_ms ||
+	    live_ms <= n->leader_live_ms)
+		return;
+	n->leader_live_ms = live_ms;
+	if (live_ms > n->leader_last_heard_ms)
+		n->leader_last_heard_ms = live_ms;
+}
+
+static void leader_has_ended(struct node *n, const char *how)
+{
+	if (!n->leader_ended)
+		event_log("lead-ended", NULL,
+			  "\"lead\":\"%s\",\"epoch\":%" PRIu64
+			  ",\"how\":\"%s\"",
+			  n->leader.node, n->leader.epoch, how);
+	n->leader_ended = true;
+	n->leader_last_heard_ms = 0;
+	n->next_claim_ms = clock_now_ms() + claim_delay(n);
+}
+
+/*
+ * A connection to the address of this incarnation of a leader was refused, so
+ * its process has ended: a process that is frozen, slow or cut off refuses no
+ * connection.
+ */
+void leader_connection_refused(struct node *n, uint64_t incarnation)
+{
+	if (n->phase == LEADER_NONE && n->leader.known && *n->leader.node &&
+	    incarnation && incarnation == n->leader.incarnation &&
+	    !n->leader_ended)
+		leader_has_ended(n, "connection refused");
+}
+
+/* A new incarnation of a leader proves that the old process has ended. */
+void leader_peer_seen(struct node *n, const char *name, uint64_t incarnation)
+{
+	if (n->phase == LEADER_NONE && n->leader.known &&
+	    n->leader.incarnation && !strcmp(name, n->leader.node) &&
+	    incarnation != n->leader.incarnation)
+		leader_has_ended(n, "a new incarnation");
+	if (n->phase == LEADER_NONE || n->predecessor_gone ||
+	    strcmp(name, n->predecessor) ||
+	    incarnation == n->predecessor_incarnation)
+		return;
+	n->predecessor_gone = n->predecessor_ended = true;
+	event_log("predecessor-gone", NULL, "\"predecessor\":\"%s\"", name);
+	if (n->phase == LEADER_DECIDING)
+		sched_predecessor_gone(n->sched, clock_now_ms());
+}
+
+uint32_t leader_silent_ms(uint64_t heard_ms, uint64_t now)
+{
+	if (heard_ms >= now)
+		return 0; /* grace period of a newly learned leader */
+	return now - heard_ms < LEADER_AGE_MAX_MS ? (uint32_t)(now - heard_ms)
+						  : LEADER_AGE_MAX_MS;
+}
+
+static void tick_follower(struct node *n, uint64_t now)
+{
+	uint32_t silent_ms = leader_silent_ms(n->leader_last_heard_ms, now);
+
+	if (n->claiming || n->leader_reading || n->stopping)
+		return;
+	/* Until then neither the leader nor the nodes' power is known. */
+	if (!n->nodes_read && now - n->started_ms < LEADER_NODES_WAIT_MS) {
+		if (!n->leader.known && now >= n->next_claim_ms &&
+		    !n->settings.first_start) {
+			n->next_claim_ms = now + LEADER_CLAIM_RETRY_MS;
+			read_row(n, now);
+		}
+		return;
+	}
+	if (n->leader.known && *n->leader.node &&
+	    silent_ms < LEADER_SILENT_MS + claim_delay(n))
+		return;
+	if (now < n->next_claim_ms)
+		return;
+	if (!n->store_ok) {
+		n->next_claim_ms = now + LEADER_CLAIM_RETRY_MS;
+		read_row(n, now);
+		return;
+	}
+	claim_leadership(n, now);
+}
+
+void leader_tick(struct node *n, uint64_t now)
+{
+	if (n->phase == LEADER_NONE) {
+		tick_follower(n, now);
+		return;
+	}
+	if (n->releasing || n->leader_reading)
+		return;
+	if (n->phase == LEADER_DECIDING && !n->stepped_down &&
+	    now - n->leader_since_ms >= LEADER_MIN_TERM_MS &&
+	    leader_is_weaker(n->settings.power,
+			     strongest_within(n, LEADER_STEP_DOWN_HEARD_MS))) {
+		n->stepped_down = true;
+		leader_release(n);
+		return;
+	}
+	if (now - n->confirmed_ms >= LEADER_CONFIRM_MS ||
+	    (n->phase == LEADER_DECIDING && sched_wants_confirmation(n->sched)))
+		read_row(n, now);
+}
+
+/* Release */
+
+static void on_release(void *arg, const struct store_reply *reply)
+{
+	struct node *n = arg;
+
+	node_store_result(n, reply->status);
+	n->releasing = false;
+	leader_resign(n, n->stopping ? "stopping"
+				     : "a stronger node is available");
+	n->leader.known = false;
+	n->next_claim_ms = clock_now_ms() + LEADER_SILENT_MS + claim_delay(n);
+	if (n->stopping)
+		n->stopped(n->stopped_arg);
+}
+
+/*
+ * leader_release - give up leadership, so that another node can claim at once
+ *
+ * On a node that is stopping, calls n->stopped once this has succeeded or
+ * failed. The caller has stopped giving orders. Doesn't wait for a write in
+ * flight, because its condition fails once the row is changed.
+ */
+void leader_release(struct node *n)
+{
+	struct leader_view view = n->leader;
+	struct store_txn *txn;
+
+	if (n->phase == LEADER_NONE) {
+		n->stopped(n->stopped_arg);
+		return;
+	}
+	if (n->releasing)
+		return;
+	n->releasing = true;
+	view.node[0] = '\0';
+	view.incarnation = 0;
+	txn = talloc_zero(n, struct store_txn);
+	assert(txn);
+	fill_leader_txn(n, txn, &view);
+	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_release, n);
+	talloc_free(txn);
+}
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -136,7 +136,7 @@
 	static const enum fleet_machine_state states[] = {
 		[MACHINE_UP] = FLEET_UP,
 		[MACHINE_MOVING] = FLEET_MOVING,
-		[MACHINE_UPKEEP] = FLEET_IN_UPKEEP,
+		[MACHINE_MAINTENANCE] = FLEET_IN_UPKEEP,
 		[MACHINE_DOWN] = FLEET_DOWN,
 	};
 	struct machine_call *call = arg;
@@ -145,7 +145,7 @@
 	struct fleet_machine_info *infos;
 	uint32_t i;
 
-	if (call->lead_epoch == n->lead_epoch && m->fleet) {
+	if (call->lead_epoch == n->phase_generation && m->fleet) {
 		m->listing = false;
 		list_result(m, whole);
 		infos = talloc_zero_array(call, struct fleet_machine_info,
@@ -173,7 +173,7 @@
 
 	assert(call);
 	call->node = n;
-	call->lead_epoch = n->lead_epoch;
+	call->lead_epoch = n->phase_generation;
 	call->sent_ms = clock_now_ms();
 	return call;
 }
@@ -189,7 +189,7 @@
 {
 	struct machines *m = machines_of(n);
 	struct fleet_options options = {
-		.upkeep_ms = n->settings.upkeep_ms,
+		.upkeep_ms = n->settings.maintenance_ms,
 		.move_ms = n->settings.move_ms,
 	};
 	uint32_t i;
@@ -225,7 +225,7 @@
 	struct machines *m = n->machines;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch != n->lead_epoch || !m->fleet)
+	if (call->lead_epoch != n->phase_generation || !m->fleet)
 		goto out;
 	m->upkeeps_reading = false;
 	if (reply->status != STORE_OK) {
@@ -282,9 +282,9 @@
 	assert(w);
 	w->node = n;
 	for (i = 0; i < m->unwritten_count && i < STORE_TXN_MAX; i++)
-		w->txn.puts[i] =
-			(struct store_put){ NODE_TABLE_UPKEEP, m->unwritten[i],
-					    (const uint8_t *)"1", 1 };
+		w->txn.puts[i] = (struct store_put){ NODE_TABLE_MAINTENANCE,
+						     m->unwritten[i],
+						     (const uint8_t *)"1", 1 };
 	w->txn.put_count = w->count = i;
 	m->writing = true;
 	n->services->txn(n->services->impl, &w->txn, NODE_STORE_MS,
@@ -318,7 +318,7 @@
 	event_log("machine-answer", call->action.machine,
 		  "\"kind\":%d,\"result\":%d,\"took_ms\":%" PRIu64,
 		  call->action.kind, result, clock_now_ms() - call->sent_ms);
-	if (call->lead_epoch == n->lead_epoch && n->machines->fleet) {
+	if (call->lead_epoch == n->phase_generation && n->machines->fleet) {
 		fleet_answered(n->machines->fleet, n->sched, &call->action,
 			       results[result], clock_now_ms());
 		if (result == MACHINE_OK && call->action.kind == FLEET_UPKEEP)
@@ -334,7 +334,7 @@
 	struct node *n = call->node;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch == n->lead_epoch && n->machines->fleet)
+	if (call->lead_epoch == n->phase_generation && n->machines->fleet)
 		fleet_answered(n->machines->fleet, n->sched, &call->action,
 			       reply->status == STORE_OK ? FLEET_DONE
 							 : FLEET_REFUSED,
@@ -352,8 +352,8 @@
 	event_log("wave-state", a->wave_name, "\"completed\":%d", a->completed);
 	txn->condition_count = 1;
 	txn->conditions[0] =
-		(struct store_condition){ NODE_TABLE_LEAD, NODE_LEAD_KEY,
-					  n->lead.revision };
+		(struct store_condition){ NODE_TABLE_LEADER, NODE_LEADER_KEY,
+					  n->leader.revision };
 	txn->put_count = 1;
 	txn->puts[0].table = n->services->status_table;
 	txn->puts[0].key = a->wave_name;
@@ -375,9 +375,9 @@
 	case FLEET_UPKEEP:
 		event_log("upkeep-order", a->machine, "\"wave\":%" PRIu64,
 			  a->wave);
-		n->services->machine_upkeep(n->services->impl, &holder,
-					    a->machine, a->wave, on_machine,
-					    call);
+		n->services->machine_maintenance(n->services->impl, &holder,
+						 a->machine, a->wave,
+						 on_machine, call);
 		return;
 	case FLEET_MOVE:
 		event_log("move-order", a->machine, "\"pool\":\"%s\"", a->pool);
@@ -390,14 +390,14 @@
 
 bool machines_holder_free(const struct holder_view *v, uint64_t now)
 {
-	if (now - v->led_ms >= v->holder_ms + HOLDER_MARGIN_MS)
+	if (now - v->leader_since_ms >= v->holder_ms + HOLDER_MARGIN_MS)
 		return true;
 	return v->predecessor_ended && now - v->started_ms < v->holder_ms;
 }
 
 static bool may_order(const struct node *n, uint64_t now)
 {
-	struct holder_view view = { n->started_ms, n->led_ms,
+	struct holder_view view = { n->started_ms, n->leader_since_ms,
 				    n->settings.holder_ms,
 				    n->predecessor_ended };
 
@@ -453,7 +453,7 @@
 		if (m->upkeeps_reading || now < m->upkeeps_retry_ms)
 			return;
 		m->upkeeps_reading = true;
-		n->services->read(n->services->impl, NODE_TABLE_UPKEEP,
+		n->services->read(n->services->impl, NODE_TABLE_MAINTENANCE,
 				  m->upkeeps_from, NULL, NODE_STORE_MS,
 				  on_upkeeps, call_new(n));
 		return;
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -1,5 +1,5 @@
 /*
- * metrics - counters in the text form that scrapers read
+ * metrics - counters in the Prometheus text format
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -15,7 +15,7 @@
 		*labels ? "{" : "", labels, *labels ? "}" : "", value);
 }
 
-static void print_asks(FILE *out, const struct node *n)
+static void print_requests(FILE *out, const struct node *n)
 {
 	static const char *const verbs[] = { NULL, "submit", "state", "cancel",
 					     "pending" };
@@ -56,7 +56,7 @@
 	}
 }
 
-/* The users' measures: moves, and machine seconds that wait in pools. */
+/* Machine moves, maintenance and waves. */
 static void print_machines(FILE *out, const struct node *n)
 {
 	struct fleet_stats f;
@@ -106,13 +106,13 @@
 	FILE *out = open_memstream(&text, &length);
 
 	assert(out);
-	print_asks(out, n);
+	print_requests(out, n);
 	print_sched(out, n);
-	counter(out, "lead", "", n->phase == LEAD_DECIDING);
-	counter(out, "lead_epoch", "", n->lead.epoch);
+	counter(out, "lead", "", n->phase == LEADER_DECIDING);
+	counter(out, "lead_epoch", "", n->leader.epoch);
 	counter(out, "config_version", "", n->config ? n->config->version : 0);
-	counter(out, "config_age_ms", "", currency_age_ms(n, clock_now_ms()));
-	counter(out, "config_holds", "", node_config_holds(n));
+	counter(out, "config_age_ms", "", staleness_ms(n, clock_now_ms()));
+	counter(out, "config_holds", "", node_config_is_current(n));
 	counter(out, "peers", "", n->peer_count);
 	counter(out, "store_calls_total", "", n->store_calls);
 	counter(out, "store_unknown_total", "", n->store_unknown);
@@ -120,8 +120,8 @@
 	counter(out, "claims_total", "", n->claims);
 	counter(out, "takeovers_total", "", n->takeovers);
 	counter(out, "commits_total", "", n->commits);
-	counter(out, "looks_total", "", n->looks);
-	counter(out, "looks_failed_total", "", n->looks_failed);
+	counter(out, "looks_total", "", n->polls);
+	counter(out, "looks_failed_total", "", n->polls_failed);
 	counter(out, "orders_total", "", n->orders);
 	relay_stats(n, &relay);
 	counter(out, "relay_peers", "", relay.peers);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,29 +6,30 @@
 
 #include "node/node_internal.h"
 
-#define PUMP_MS 4u /* as long as an answer of the store takes */
+#define PUMP_PAUSE_MIN_MS 4u /* as long as a store call takes */
 #define PUMP_PAUSE_MAX_MS 100u
-#define GAP_MS 1000u /* 20 ticks; the longest lag seen under load is 0.7 s */
-#define STORE_SLOW_MS 150u    /* ten calls of a calm store */
-#define NODE_CONNECTIONS 256u /* to other nodes, kept */
+#define STALL_MS 1000u	   /* 20 ticks; under load the loop lags up to 0.7 s */
+#define STORE_SLOW_MS 150u /* ten times the normal duration of a call */
+#define NODE_CONNECTIONS_MAX 256u /* persistent, to other nodes */
 
 /*
- * A node that stood still, frozen or suspended, may have been replaced as the
- * lead, and what it knows of instances is old: it asks before it orders.
+ * A process that was frozen or suspended may have been replaced as leader, and
+ * its knowledge of instances is old: it needs a new confirmation from the store
+ * before it gives orders.
  */
-static void notice_gap(struct node *n, uint64_t now)
+static void check_stall(struct node *n, uint64_t now)
 {
-	uint64_t gap_ms = now - n->awake_ms;
+	uint64_t stalled_ms = now - n->last_iteration_ms;
 
-	n->awake_ms = now;
-	if (gap_ms < GAP_MS)
+	n->last_iteration_ms = now;
+	if (stalled_ms < STALL_MS)
 		return;
 	watch_from(n, FEED_OPERATOR, 0);
-	if (n->phase == LEAD_NONE)
+	if (n->phase == LEADER_NONE)
 		return;
 	event_log("stood-still", NULL, "\"for_ms\":%llu,\"epoch\":%llu",
-		  (unsigned long long)gap_ms,
-		  (unsigned long long)n->lead.epoch);
+		  (unsigned long long)stalled_ms,
+		  (unsigned long long)n->leader.epoch);
 	n->confirmed_ms = 0;
 }
 
@@ -37,16 +38,16 @@
 	struct node *n = arg;
 	uint64_t now = clock_now_ms();
 
-	n->pump_wanted = false;
-	n->pump_ms = now;
-	notice_gap(n, now);
-	if (n->phase != LEAD_DECIDING)
+	n->pump_scheduled = false;
+	n->pump_ended_ms = now;
+	check_stall(n, now);
+	if (n->phase != LEADER_DECIDING)
 		return;
 	sched_tick(n->sched, node_unix_ms(n), now);
 	session_run(n, now);
 	commit_run(n, now);
-	n->pump_ms = clock_now_ms();
-	n->pump_took_ms = n->pump_ms - now;
+	n->pump_ended_ms = clock_now_ms();
+	n->pump_duration_ms = n->pump_ended_ms - now;
 }
 
 static void on_pump_now(struct tevent_context *ev, struct tevent_immediate *im,
@@ -59,27 +60,27 @@
 
 uint32_t node_pump_pause_ms(uint64_t took_ms)
 {
-	if (took_ms < PUMP_MS)
-		return PUMP_MS;
+	if (took_ms < PUMP_PAUSE_MIN_MS)
+		return PUMP_PAUSE_MIN_MS;
 	return took_ms < PUMP_PAUSE_MAX_MS ? (uint32_t)took_ms
 					   : PUMP_PAUSE_MAX_MS;
 }
 
 /*
- * node_pump - act on what the last events have changed
+ * node_pump - schedule decisions about what the last events have changed
  *
- * At once after a calm moment; under load, the events of a pause together.
+ * At once if the node was idle; under load, one run for all events of a pause.
  */
 void node_pump(struct node *n)
 {
-	uint64_t past = clock_now_ms() - n->pump_ms;
-	uint32_t pause_ms = node_pump_pause_ms(n->pump_took_ms);
+	uint64_t since_ms = clock_now_ms() - n->pump_ended_ms;
+	uint32_t pause_ms = node_pump_pause_ms(n->pump_duration_ms);
 
-	if (n->pump_wanted)
+	if (n->pump_scheduled)
 		return;
-	n->pump_wanted = true;
-	if (past < pause_ms) {
-		mtimer_set(n->pump_timer, pause_ms - past);
+	n->pump_scheduled = true;
+	if (since_ms < pause_ms) {
+		mtimer_set(n->pump_timer, pause_ms - since_ms);
 		return;
 	}
 	tevent_schedule_immediate(n->pump_now, n->ev, on_pump_now, n);
@@ -90,13 +91,13 @@
 	struct node *n = arg;
 	uint64_t now = clock_now_ms();
 
-	notice_gap(n, now);
-	lead_tick(n, now);
+	check_stall(n, now);
+	leader_tick(n, now);
 	watch_tick(n, now);
 	gossip_tick(n, now);
 	relay_serve_tick(n, now);
-	currency_tick(n, now);
-	if (n->phase == LEAD_DECIDING) {
+	staleness_tick(n, now);
+	if (n->phase == LEADER_DECIDING) {
 		relay_tick(n, now);
 		machines_tick(n, now);
 		waiters_tick(n, now);
@@ -105,7 +106,7 @@
 	event_flush();
 }
 
-/* A protobuf message's bytes, owned by ctx; never NULL. */
+/* Serializes a protobuf message; owned by ctx, never NULL. */
 uint8_t *node_pack(TALLOC_CTX *ctx, const void *message, size_t *length)
 {
 	uint8_t *bytes;
@@ -117,7 +118,7 @@
 	return bytes;
 }
 
-/* Where the page after the one that ends with key begins; owned by ctx. */
+/* First key of the page after the one that ends with key; owned by ctx. */
 char *node_key_after(TALLOC_CTX *ctx, const char *key)
 {
 	char *after = talloc_asprintf(ctx, "%s%c", key, '\x01');
@@ -126,7 +127,7 @@
 	return after;
 }
 
-/* The end of a range that holds only key; owned by ctx. */
+/* End of the range that contains only key; owned by ctx. */
 char *node_key_end(TALLOC_CTX *ctx, const char *key)
 {
 	char *end = talloc_asprintf(ctx, "%s~", key);
@@ -135,11 +136,11 @@
 	return end;
 }
 
-/* Counts an answer of the store and logs when it is lost or regained. */
+/* Counts a store reply and logs when the store is lost or regained. */
 void node_store_result(struct node *n, enum store_status status)
 {
 	bool ok = status == STORE_OK || status == STORE_CONFLICT ||
-		  status == STORE_LOST;
+		  status == STORE_HISTORY_LOST;
 
 	n->store_calls++;
 	if (status == STORE_UNKNOWN)
@@ -149,19 +150,20 @@
 	if (ok == n->store_ok)
 		return;
 	n->store_ok = ok;
-	n->store_failing_ms = ok ? 0 : clock_now_ms();
+	n->store_failing_since_ms = ok ? 0 : clock_now_ms();
 	event_log(ok ? "store-regained" : "store-lost", NULL, "\"status\":%d",
 		  status);
 	if (ok)
-		lead_store_regained(n);
+		leader_store_recovered(n);
 }
 
-void node_store_took(struct node *n, enum store_status status, uint64_t sent_ms)
+void node_store_timed_result(struct node *n, enum store_status status,
+			     uint64_t sent_ms)
 {
 	uint64_t now = clock_now_ms();
 
 	if (status == STORE_REFUSED || now - sent_ms >= STORE_SLOW_MS)
-		n->store_slow_ms = now;
+		n->store_last_slow_ms = now;
 	node_store_result(n, status);
 }
 
@@ -177,15 +179,15 @@
 	n->settings = *settings;
 	n->services = services;
 	randombytes_buf(&n->incarnation, sizeof(n->incarnation));
-	n->incarnation >>= 1; /* stays positive wherever it is printed */
+	n->incarnation >>= 1; /* positive also where it is printed as signed */
 	n->started_ms = clock_now_ms();
-	n->lead_heard_ms = n->awake_ms = n->started_ms;
+	n->leader_last_heard_ms = n->last_iteration_ms = n->started_ms;
 	n->store_ok = true;
 	clock_gettime(CLOCK_REALTIME, &ts);
 	n->unix_offset_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000 -
 			    (int64_t)n->started_ms;
 	n->pump_now = tevent_create_immediate(n);
-	n->http = httpc_new(n, ev, NODE_CONNECTIONS, 0);
+	n->http = httpc_new(n, ev, NODE_CONNECTIONS_MAX, 0);
 	n->tick = mtimer_new(n, ev, on_tick, n);
 	n->pump_timer = mtimer_new(n, ev, pump, n);
 	if (!n->pump_now || !n->pump_timer || !n->http || !n->tick ||
@@ -207,14 +209,14 @@
 	return n->config;
 }
 
-bool node_config_holds(const struct node *n)
+bool node_config_is_current(const struct node *n)
 {
-	return currency_holds(n, clock_now_ms());
+	return staleness_in_bound(n, clock_now_ms());
 }
 
 bool node_ready(const struct node *n)
 {
-	return node_config_holds(n) && !n->stopping;
+	return node_config_is_current(n) && !n->stopping;
 }
 
 void node_stop(struct node *n, void (*done)(void *arg), void *arg)
@@ -223,5 +225,5 @@
 	n->stopped = done;
 	n->stopped_arg = arg;
 	event_log("stop", NULL, "\"phase\":%d", n->phase);
-	lead_release(n);
+	leader_release(n);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,9 +1,9 @@
 /*
  * node - one of the equal processes between callers and instances
  *
- * Each node answers callers. One of them, the lead, decides about all jobs;
- * it is chosen by a row of the store, changed under a condition. The others
- * ask it, and use the store where it cannot be asked.
+ * Every node answers callers. One of them, the leader, decides about all jobs;
+ * it is elected by a conditional write of a row of the store. The others
+ * forward requests to it, and use the store while it can't be reached.
  */
 #ifndef NODE_H
 #define NODE_H
@@ -23,20 +23,20 @@
 struct node_settings {
 	const char *name;
 	const char *zone;
-	const char *peers;    /* IP number and port, for other nodes */
-	const char *links;    /* the same, for frames; NULL: none */
-	uint32_t calls_alone; /* instances that a lead calls without help */
+	const char *peers;    /* IP address and port for other nodes */
+	const char *links;    /* same, for framed links; NULL: none */
+	uint32_t calls_alone; /* instances that a leader calls without relays */
 	uint32_t seed_count;
-	const char *seeds[NODE_SEEDS_MAX]; /* addresses of some others */
-	uint32_t power;	       /* of its processor, thousandths of a core */
-	bool first_start;      /* the whole system starts for the first time */
-	uint32_t lease_ms;     /* of what runs on instances */
-	uint32_t lease_max_ms; /* instances shorten longer ones to this */
-	uint32_t end_keep_ms;  /* an ended job's state is told that long */
-	uint32_t holder_ms;    /* orders to machines: apart for two holders */
-	uint32_t move_ms;      /* a machine's move */
-	uint32_t upkeep_ms;    /* a machine's upkeep */
-	uint32_t config_ms;    /* a confirmed version is in force after that */
+	const char *seeds[NODE_SEEDS_MAX]; /* addresses of some other nodes */
+	uint32_t power;			   /* CPU, thousandths of a core */
+	bool first_start;		   /* first start of the whole system */
+	uint32_t lease_ms;		   /* lease of a task on an instance */
+	uint32_t lease_max_ms; /* instances shorten longer leases to this */
+	uint32_t end_keep_ms;  /* retention of an ended job's state */
+	uint32_t holder_ms;    /* gap between two leaders' orders to machines */
+	uint32_t move_ms;      /* duration of a machine's move */
+	uint32_t maintenance_ms; /* duration of a machine's maintenance */
+	uint32_t config_ms; /* time for a confirmed version to take effect */
 };
 
 /* node_new - NULL when the peers' address cannot be bound */
@@ -44,18 +44,18 @@
 		      const struct node_settings *settings,
 		      const struct services *services);
 
-/* node_config - the newest version known, or NULL */
+/* node_config - the newest known configuration, or NULL */
 const struct config *node_config(const struct node *n);
 
 /*
- * node_config_holds - whether an answer may rest on node_config
+ * node_config_is_current - whether node_config may be used for an answer
  *
- * False once the node cannot show that no newer version was confirmed for
- * config_ms: a queue or key that it does not know may be there by now.
+ * False once the node can't prove that no newer version was confirmed more than
+ * config_ms ago: a queue or key that it doesn't know may exist by then.
  */
-bool node_config_holds(const struct node *n);
+bool node_config_is_current(const struct node *n);
 
-/* node_ready - whether callers should come */
+/* node_ready - readiness to serve callers */
 bool node_ready(const struct node *n);
 
 struct node_answer {
@@ -71,21 +71,21 @@
 	Fleet__Verb verb;
 	const char *queue;
 	const char *id;		 /* "" for PENDING */
-	Fleet__JobRow *job;	 /* of a SUBMIT; kept by the caller, copied */
-	uint32_t deadline_ms;	 /* the caller waits that long */
-	uint64_t config_version; /* by which it was let in */
-	bool config_old;   /* that may be too old: the lead must know none newer
-			    */
+	Fleet__JobRow *job;	 /* of a SUBMIT; owned by the caller, copied */
+	uint32_t deadline_ms;	 /* how long the caller waits */
+	uint64_t config_version; /* by which the request was admitted */
+	bool config_old; /* it may be outdated: the leader must have no newer */
 	node_answer_fn fn; /* called once, maybe before node_ask returns */
 	void *arg;
 };
 
 void node_ask(struct node *n, const struct node_ask *ask);
 
-/* node_stop - hand over, then call done once; asks go on being answered */
+/* node_stop - hand over leadership, then call done once; still answers requests
+ */
 void node_stop(struct node *n, void (*done)(void *arg), void *arg);
 
-/* node_metrics - in the text form that scrapers read; from malloc(3) */
+/* node_metrics - metrics in the Prometheus text format; from malloc(3) */
 char *node_metrics(const struct node *n);
 
 #endif
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -161,10 +161,10 @@
 		",\"config_age_ms\":%u,\"store\":%s,\"peers\":%u,\"jobs\":%u,"
 		"\"instances\":%u}\n",
 		n->settings.name, n->settings.zone, phases[n->phase],
-		n->lead.node, n->lead.epoch, n->config ? n->config->version : 0,
-		currency_age_ms(n, clock_now_ms()),
-		n->store_ok ? "true" : "false", n->peer_count, s.jobs,
-		s.instances);
+		n->leader.node, n->leader.epoch,
+		n->config ? n->config->version : 0,
+		staleness_ms(n, clock_now_ms()), n->store_ok ? "true" : "false",
+		n->peer_count, s.jobs, s.instances);
 	assert(text);
 	answer.body = strdup(text);
 	assert(answer.body);
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -41,7 +41,7 @@
 	enum relay_kind kind;
 	union {
 		order_fn order;
-		look_fn look;
+		poll_fn look;
 	} done;
 	void *arg;
 	UT_hash_handle hh;
@@ -92,7 +92,7 @@
 		c->done.order(c->arg, ORDER_LOST, 0);
 		break;
 	case RELAY_LOOK:
-		c->done.look(c->arg, LOOK_LOST, NULL);
+		c->done.look(c->arg, POLL_LOST, NULL);
 		break;
 	}
 	talloc_free(c);
@@ -215,7 +215,7 @@
 }
 
 bool relay_look(struct node *n, const struct sched_look *look,
-		uint32_t timeout_ms, look_fn fn, void *arg)
+		uint32_t timeout_ms, poll_fn fn, void *arg)
 {
 	struct relay_peer *p = peer_for(n->relay, look->instance_id);
 	Fleet__Call call = FLEET__CALL__INIT;
@@ -295,7 +295,7 @@
 static void take_result(struct relay *r, const Fleet__CallResult *result)
 {
 	struct sched_report *report = NULL;
-	enum look_result look = LOOK_UNANSWERED;
+	enum poll_result look = POLL_UNANSWERED;
 	struct relay_call *c;
 
 	HASH_FIND_INT(r->by_id, &result->id, c);
@@ -310,9 +310,9 @@
 	case RELAY_LOOK:
 		if (result->report) {
 			report = report_of(c, result->report);
-			look = LOOK_ANSWERED;
+			look = POLL_ANSWERED;
 		} else if (result->newer_lead) {
-			look = LOOK_NEWER_LEAD;
+			look = POLL_NEWER_LEADER;
 		}
 		c->done.look(c->arg, look, report);
 		break;
--- a/src/node/relay_serve.c
+++ b/src/node/relay_serve.c
@@ -153,15 +153,15 @@
 	out->born = report->born;
 }
 
-static void on_looked(void *arg, enum look_result result,
+static void on_looked(void *arg, enum poll_result result,
 		      const struct sched_report *report)
 {
 	struct served_call *c = arg;
 	Fleet__CallResult out = FLEET__CALL_RESULT__INIT;
 	Fleet__CallReport filled = FLEET__CALL_REPORT__INIT;
 
-	out.newer_lead = result == LOOK_NEWER_LEAD;
-	if (result == LOOK_ANSWERED) {
+	out.newer_lead = result == POLL_NEWER_LEADER;
+	if (result == POLL_ANSWERED) {
 		fill_report(c, report, &filled);
 		out.report = &filled;
 	}
@@ -198,7 +198,7 @@
 		.wait_ms = call->wait_ms,
 	};
 
-	n->services->look(n->services->impl, &look, fence, call->timeout_ms,
+	n->services->poll(n->services->impl, &look, fence, call->timeout_ms,
 			  on_looked, c);
 }
 
@@ -249,7 +249,7 @@
 {
 	struct relay_serve *serve = arg;
 	struct served *s = frame_stream_data(stream);
-	uint64_t still_ms = clock_now_ms() - serve->node->awake_ms;
+	uint64_t still_ms = clock_now_ms() - serve->node->last_iteration_ms;
 	Fleet__Calls *calls;
 	bool sound;
 	size_t i;
--- a/src/node/services.c
+++ b/src/node/services.c
@@ -4,14 +4,14 @@
 
 #include "node/node_internal.h"
 
-const char *store_part(const char *table)
+const char *store_partition(const char *table)
 {
-	static const char *const apart[] = { NODE_TABLE_NODE,
-					     NODE_TABLE_UPKEEP };
+	static const char *const separate[] = { NODE_TABLE_NODE,
+						NODE_TABLE_MAINTENANCE };
 	size_t i;
 
-	for (i = 0; i < sizeof(apart) / sizeof(apart[0]); i++)
-		if (!strcmp(table, apart[i]))
-			return apart[i];
+	for (i = 0; i < sizeof(separate) / sizeof(separate[0]); i++)
+		if (!strcmp(table, separate[i]))
+			return separate[i];
 	return "";
 }
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -1,8 +1,8 @@
 /*
- * services - what a node needs from the platform, by interface
+ * services - interface of the platform to a node
  *
- * One struct of functions, filled by whoever knows the platform's words.
- * Each call is answered once, later, in the node's thread.
+ * One struct of functions, filled in by the adapter of the platform. Every call
+ * calls back exactly once, later, in the node's thread.
  */
 #ifndef SERVICES_H
 #define SERVICES_H
@@ -14,14 +14,14 @@
 #include "job/config.h"
 #include "pool/sched.h"
 
-/* The store: rows by table and key, changed under conditions */
+/* The store: rows by table and key, with conditional writes */
 
 enum store_status {
 	STORE_OK,
-	STORE_CONFLICT, /* a condition did not hold: nothing was done */
-	STORE_REFUSED,	/* nothing was done */
-	STORE_LOST,	/* history asked for is gone: read anew */
-	STORE_UNKNOWN,	/* it may have been done, or may be done later */
+	STORE_CONFLICT,	    /* a condition failed: nothing was written */
+	STORE_REFUSED,	    /* nothing was written */
+	STORE_HISTORY_LOST, /* the requested history is gone: read again */
+	STORE_UNKNOWN,	    /* it may have been applied, or may be later */
 };
 
 struct store_row {
@@ -30,12 +30,12 @@
 	uint8_t *value;
 	size_t length;
 	uint64_t revision;
-	bool dropped;
+	bool deleted;
 };
 
 struct store_reply {
 	enum store_status status;
-	uint64_t revision; /* newest of the store */
+	uint64_t revision; /* newest revision of the store */
 	uint32_t row_count;
 	struct store_row *rows; /* valid during the call */
 	bool more;
@@ -46,7 +46,7 @@
 struct store_condition {
 	const char *table;
 	const char *key;
-	uint64_t revision; /* 0: there is no such row */
+	uint64_t revision; /* 0: no such row */
 };
 
 struct store_put {
@@ -56,30 +56,28 @@
 	size_t length;
 };
 
-struct store_drop {
+struct store_delete {
 	const char *table;
 	const char *key;
 };
 
-#define STORE_TXN_MAX 100u /* entries of one transaction */
-#define STORE_TXN_BYTES                                      \
-	(512u << 10) /* of values, below the platform's 1 MB \
-		      */
+#define STORE_TXN_MAX 100u	     /* entries of one transaction */
+#define STORE_TXN_BYTES (512u << 10) /* values; the platform allows 1 MB */
 
 /*
- * store_part - the partition that holds a table's rows
+ * store_partition - the partition that holds a table's rows
  *
- * The store changes a partition by one transaction after another, and a
- * transaction changes one partition. What is written by many at once, and
- * under no condition of other tables, is kept apart from the jobs.
+ * The store applies the transactions of a partition one after another, and a
+ * transaction changes one partition. Tables that many nodes write at once,
+ * without conditions on other tables, are kept out of the jobs' partition.
  */
-const char *store_part(const char *table);
+const char *store_partition(const char *table);
 
 struct store_txn {
-	uint32_t condition_count, put_count, drop_count;
+	uint32_t condition_count, put_count, delete_count;
 	struct store_condition conditions[STORE_TXN_MAX];
 	struct store_put puts[STORE_TXN_MAX];
-	struct store_drop drops[STORE_TXN_MAX];
+	struct store_delete deletes[STORE_TXN_MAX];
 };
 
 /* Orders to instances */
@@ -87,23 +85,28 @@
 typedef void (*order_fn)(void *arg, enum sched_order_result result,
 			 uint64_t clock_ms);
 
-enum look_result {
-	LOOK_ANSWERED,	 /* the report is not NULL */
-	LOOK_UNANSWERED, /* by the instance */
-	LOOK_NEWER_LEAD, /* it knows a newer lead and told nothing else */
-	LOOK_LOST,	 /* by the node that looked for this one */
+enum poll_result {
+	POLL_ANSWERED,	   /* report isn't NULL */
+	POLL_UNANSWERED,   /* the instance didn't answer */
+	POLL_NEWER_LEADER, /* it knows a newer leader; no report */
+	POLL_LOST,	   /* with the relaying node; no news of the instance */
 };
 
-typedef void (*look_fn)(void *arg, enum look_result result,
+typedef void (*poll_fn)(void *arg, enum poll_result result,
 			const struct sched_report *report);
 
-/* Advice; rows are NULL when the adviser did not answer */
+/* Advice; rows is NULL when the adviser didn't answer */
 typedef void (*advice_fn)(void *arg, const struct sched_approval *rows,
 			  uint32_t count, uint32_t valid_ms);
 
 /* Machines */
 
-enum machine_state { MACHINE_UP, MACHINE_MOVING, MACHINE_UPKEEP, MACHINE_DOWN };
+enum machine_state {
+	MACHINE_UP,
+	MACHINE_MOVING,
+	MACHINE_MAINTENANCE,
+	MACHINE_DOWN
+};
 
 struct machine_info {
 	const char *machine;
@@ -120,7 +123,7 @@
 	MACHINE_UNKNOWN, /* it may have been done */
 };
 
-typedef void (*machines_fn)(void *arg, bool whole,
+typedef void (*machines_fn)(void *arg, bool complete,
 			    const struct machine_info *machines,
 			    uint32_t count);
 typedef void (*machine_fn)(void *arg, enum machine_result result);
@@ -130,11 +133,11 @@
 	uint64_t fence;
 };
 
-/* A wave of upkeep that operators ask for. */
+/* A wave of machine maintenance that operators request. */
 struct wave_request {
 	char name[64];
 	uint64_t number;
-	uint32_t at_once; /* machines down at one time */
+	uint32_t at_once; /* maximum of machines down at a time */
 	uint32_t duration_ms;
 	uint64_t begun_ms; /* when this node learned of it */
 	uint32_t machine_count;
@@ -144,32 +147,32 @@
 struct services {
 	void *impl;
 
-	/* Tables that operators and instances write. */
+	/* Tables written by operators and instances */
 	const char *operator_table;
 	const char *instance_table;
 	const char *status_table;
 	const char *config_key;
-	const char *wave_prefix; /* of keys in both tables */
+	const char *wave_prefix; /* of keys of waves and of their status */
 
 	void (*txn)(void *impl, const struct store_txn *txn,
 		    uint32_t timeout_ms, store_fn fn, void *arg);
 	/*
-	 * Rows with from <= key < to; to may be NULL. A reading or a feed is
-	 * given up when no part of its answer comes for timeout_ms; a large
-	 * one may take longer on a slow link.
+	 * Rows with from <= key < to; to may be NULL. A read or a feed is
+	 * aborted when no part of its reply arrives for timeout_ms; a large
+	 * reply may take longer in total on a slow link.
 	 */
 	void (*read)(void *impl, const char *table, const char *from,
 		     const char *to, uint32_t timeout_ms, store_fn fn,
 		     void *arg);
-	/* Every change since; UNKNOWN when it is far more than a reading. */
+	/* Every change since after; UNKNOWN if far larger than a read. */
 	void (*feed)(void *impl, const char *table, uint64_t after,
 		     uint32_t wait_ms, store_fn fn, void *arg);
 
 	void (*order)(void *impl, const struct sched_order *order,
 		      uint64_t fence, uint32_t timeout_ms, order_fn fn,
 		      void *arg);
-	void (*look)(void *impl, const struct sched_look *look, uint64_t fence,
-		     uint32_t timeout_ms, look_fn fn, void *arg);
+	void (*poll)(void *impl, const struct sched_look *poll, uint64_t fence,
+		     uint32_t timeout_ms, poll_fn fn, void *arg);
 
 	void (*advise)(void *impl, const struct sched_advice *advice,
 		       uint32_t timeout_ms, advice_fn fn, void *arg);
@@ -178,13 +181,14 @@
 	void (*machine_move)(void *impl, const struct machine_holder *holder,
 			     const char *machine, const char *pool,
 			     machine_fn fn, void *arg);
-	void (*machine_upkeep)(void *impl, const struct machine_holder *holder,
-			       const char *machine, uint64_t wave,
-			       machine_fn fn, void *arg);
+	void (*machine_maintenance)(void *impl,
+				    const struct machine_holder *holder,
+				    const char *machine, uint64_t wave,
+				    machine_fn fn, void *arg);
 
 	/*
-	 * Pure decoders. A row that cannot be read is logged once and gives
-	 * NULL or false.
+	 * Decoders without side effects. A malformed row is logged once and
+	 * gives NULL or false.
 	 */
 	struct config *(*config)(TALLOC_CTX *ctx, const uint8_t *value,
 				 size_t length);
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -1,53 +1,53 @@
 /*
- * session - looks at instances and orders to them, while this node leads
+ * session - polls of instances and orders to them, while this node leads
  */
 #include <assert.h>
 #include <string.h>
 
 #include "node/node_internal.h"
 
-#define ORDER_MS 300u	    /* an order's answer; 3 ms on a calm day */
-#define ADVICE_MS 4000u	    /* calls wait for one another there */
-#define ADVICE_CALLS_MAX 4u /* 32 may wait; a long line only ages */
+#define ORDER_MS 300u	    /* timeout of an order; normally answered in 3 ms */
+#define ADVICE_MS 4000u	    /* timeout; the adviser queues calls */
+#define ADVICE_CALLS_MAX 4u /* it queues up to 32, but advice ages there */
 
-struct look_call {
+struct poll_call {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t generation;
 	uint64_t sent_ms;
 	instance_handle_t instance;
 };
 
 struct order_call {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t generation;
 	uint64_t sent_ms;
 	struct sched_order order;
 	char instance_id[128];
 };
 
-static void on_looked(void *arg, enum look_result result,
+static void on_polled(void *arg, enum poll_result result,
 		      const struct sched_report *report)
 {
-	struct look_call *call = arg;
+	struct poll_call *call = arg;
 	struct node *n = call->node;
 	uint64_t now = clock_now_ms();
 
-	if (call->lead_epoch != n->lead_epoch) {
+	if (call->generation != n->phase_generation) {
 		talloc_free(call);
 		return;
 	}
 	switch (result) {
-	case LOOK_LOST:
+	case POLL_LOST:
 		sched_look_lost(n->sched, call->instance, now);
 		break;
-	case LOOK_NEWER_LEAD:
-		/* The store is asked before more is ordered. */
+	case POLL_NEWER_LEADER:
+		/* Confirm with the store before giving more orders. */
 		n->confirmed_ms = 0;
 		/* fallthrough */
-	case LOOK_UNANSWERED:
-		n->looks_failed++;
+	case POLL_UNANSWERED:
+		n->polls_failed++;
 		/* fallthrough */
-	case LOOK_ANSWERED:
+	case POLL_ANSWERED:
 		sched_looked(n->sched, call->instance, report, call->sent_ms,
 			     now);
 		break;
@@ -62,7 +62,7 @@
 	struct order_call *call = arg;
 	struct node *n = call->node;
 
-	if (call->lead_epoch == n->lead_epoch) {
+	if (call->generation == n->phase_generation) {
 		call->order.instance_id = call->instance_id;
 		sched_ordered(n->sched, &call->order, result, clock_ms,
 			      call->sent_ms, clock_now_ms());
@@ -80,7 +80,7 @@
 
 	assert(call);
 	call->node = n;
-	call->lead_epoch = n->lead_epoch;
+	call->generation = n->phase_generation;
 	call->sent_ms = now;
 	call->order = *order;
 	memcpy(call->instance_id, order->instance_id,
@@ -92,26 +92,26 @@
 			   on_ordered, call);
 }
 
-static void send_look(struct node *n, const struct sched_look *look,
+static void send_poll(struct node *n, const struct sched_look *poll,
 		      uint64_t now)
 {
-	struct look_call *call = talloc_zero(n, struct look_call);
+	struct poll_call *call = talloc_zero(n, struct poll_call);
 
 	assert(call);
 	call->node = n;
-	call->lead_epoch = n->lead_epoch;
+	call->generation = n->phase_generation;
 	call->sent_ms = now;
-	call->instance = look->instance;
-	n->looks++;
-	if (relay_look(n, look, look->answer_ms, on_looked, call))
+	call->instance = poll->instance;
+	n->polls++;
+	if (relay_look(n, poll, poll->answer_ms, on_polled, call))
 		return;
-	n->services->look(n->services->impl, look, n->fence, look->answer_ms,
-			  on_looked, call);
+	n->services->poll(n->services->impl, poll, n->fence, poll->answer_ms,
+			  on_polled, call);
 }
 
 struct advice_call {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t generation;
 	uint64_t sent_ms;
 	char step[SCHED_TASK_MAX];
 };
@@ -122,7 +122,7 @@
 	struct advice_call *call = arg;
 	struct node *n = call->node;
 
-	if (call->lead_epoch == n->lead_epoch) {
+	if (call->generation == n->phase_generation) {
 		n->advising--;
 		sched_advised(n->sched, call->step, rows, count, valid_ms,
 			      call->sent_ms, clock_now_ms());
@@ -131,14 +131,14 @@
 	talloc_free(call);
 }
 
-static void ask_adviser(struct node *n, const struct sched_advice *advice,
-			uint64_t now)
+static void request_advice(struct node *n, const struct sched_advice *advice,
+			   uint64_t now)
 {
 	struct advice_call *call = talloc_zero(n, struct advice_call);
 
 	assert(call);
 	call->node = n;
-	call->lead_epoch = n->lead_epoch;
+	call->generation = n->phase_generation;
 	call->sent_ms = now;
 	memcpy(call->step, advice->step, sizeof(call->step));
 	n->advising++;
@@ -150,17 +150,17 @@
 {
 	struct sched_advice advice;
 	struct sched_order order;
-	struct sched_look look;
+	struct sched_look poll;
 
-	if (!lead_may_order(n, now) || n->releasing ||
+	if (!leader_may_order(n, now) || n->releasing ||
 	    relay_is_gathering(n, now))
 		return;
 	while (n->advising < ADVICE_CALLS_MAX &&
 	       sched_next_advice(n->sched, now, &advice))
-		ask_adviser(n, &advice, now);
+		request_advice(n, &advice, now);
 	while (sched_next_order(n->sched, now, &order))
 		send_order(n, &order, now);
-	while (sched_next_look(n->sched, now, &look))
-		send_look(n, &look, now);
+	while (sched_next_look(n->sched, now, &poll))
+		send_poll(n, &poll, now);
 	relay_flush(n);
 }
--- /dev/null
+++ b/src/node/staleness.c
@@ -0,0 +1,85 @@
+/*
+ * staleness - time since a node's configuration was known to be the newest
+ *
+ * The store verifies it, by a feed without changes or by the row itself. So
+ * does a peer that has the same version and reports the age of its own
+ * knowledge. Only replies count, and from the time at which the request was
+ * sent, because a message may be delayed for any time.
+ */
+#include <inttypes.h>
+
+#include "node/node_internal.h"
+
+/* The rest of the operators' bound is left for a request in transit. */
+#define STALENESS_BOUND_PARTS 10u
+#define STALENESS_BOUND_PARTS_USED 9u
+
+void staleness_verified(struct node *n, uint64_t at_ms)
+{
+	if (n->config && at_ms > n->config_verified_ms)
+		n->config_verified_ms = at_ms;
+}
+
+uint32_t staleness_ms(const struct node *n, uint64_t now)
+{
+	uint64_t verified_ms = n->config_verified_ms;
+
+	if (!n->config || !verified_ms)
+		return STALENESS_UNKNOWN;
+	if (now <= verified_ms)
+		return 0;
+	return now - verified_ms < STALENESS_UNKNOWN
+		       ? (uint32_t)(now - verified_ms)
+		       : STALENESS_UNKNOWN;
+}
+
+bool staleness_in_bound(const struct node *n, uint64_t now)
+{
+	uint32_t bound_ms = n->settings.config_ms;
+
+	return staleness_ms(n, now) <=
+	       bound_ms / STALENESS_BOUND_PARTS * STALENESS_BOUND_PARTS_USED;
+}
+
+void staleness_peer_report(struct node *n, uint64_t version, uint32_t age_ms,
+			   uint64_t requested_ms)
+{
+	if (!n->config || version != n->config->version ||
+	    age_ms >= STALENESS_UNKNOWN || age_ms >= requested_ms)
+		return;
+	staleness_verified(n, requested_ms - age_ms);
+}
+
+enum staleness_verdict staleness_verdict(const struct config *own,
+					 const struct node_ask *ask)
+{
+	const char *workspace = ask->job ? ask->job->workspace : "";
+	uint64_t version = own ? own->version : 0;
+
+	if (!own || (ask->config_old && version > ask->config_version))
+		return STALENESS_BEHIND;
+	if (ask->verb != FLEET__VERB__SUBMIT ||
+	    version == ask->config_version ||
+	    (config_queue(own, ask->queue) &&
+	     (!*workspace || config_workspace(own, workspace))))
+		return STALENESS_DECIDES;
+	return version < ask->config_version ? STALENESS_BEHIND
+					     : STALENESS_REMOVED;
+}
+
+void staleness_tick(struct node *n, uint64_t now)
+{
+	bool current = staleness_in_bound(n, now);
+
+	if (current == n->config_current)
+		return;
+	n->config_current = current;
+	event_log(current ? "config-current" : "config-not-current", NULL,
+		  "\"version\":%" PRIu64 ",\"age_ms\":%u,\"store_ok\":%d,"
+		  "\"behind_ms\":%" PRIu64 ",\"copying\":%d",
+		  n->config ? n->config->version : 0, staleness_ms(n, now),
+		  n->store_ok,
+		  n->config_behind_since_ms ? now - n->config_behind_since_ms
+					    : 0,
+		  n->copying);
+}
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -1,8 +1,8 @@
 /*
- * takeover - what a new lead reads before its first decision
+ * takeover - loads the store's tables before a new leader decides
  *
- * Each table is read in pages. The revision of a table's first page is where
- * its feed goes on, so nothing is missed between the two.
+ * Each table is read in pages. A table's feed continues from the revision of
+ * its first page, so no change is missed between the two.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -12,7 +12,7 @@
 #include "node/node_internal.h"
 
 #define TAKEOVER_RETRY_MS 200u
-/* From a start without an answer to its stop; an answer takes 3 ms. */
+/* Delay before an unanswered start is stopped; an answer takes 3 ms. */
 #define START_WAIT_MS 400u
 #define TAKEOVER_READ_MS 2500u /* a full page is 1 MB */
 
@@ -39,22 +39,22 @@
 	const char *table;
 	char *from;
 	uint64_t first_revision;
-	bool whole;
+	bool complete;
 	struct mtimer *retry;
 	struct row_copy *rows;
 };
 
-/* Callbacks of a takeover that was given up find its link empty. */
+/* Callbacks of an abandoned takeover see another phase_generation. */
 struct takeover {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t generation;
 	struct table_read tables[READ_COUNT];
 	bool done;
 };
 
 struct page {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t generation;
 	enum table_kind kind;
 };
 
@@ -76,8 +76,10 @@
 {
 	struct row_copy *copy;
 
-	/* Both tables are in the order of keys: found rows move to the end
-	 * of what was searched, so a whole pass is linear. */
+	/*
+	 * Both tables are sorted by key: rows that were passed are dropped from
+	 * the list, so all look-ups together are linear.
+	 */
 	DL_FOREACH(t->rows, copy)
 	{
 		int order = strcmp(copy->key, key);
@@ -156,7 +158,7 @@
 	struct sched_options options = {
 		.lease_ms = n->settings.lease_ms,
 		.lease_max_ms = n->settings.lease_max_ms,
-		.lead_ms = LEAD_ORDERS_MS,
+		.lead_ms = LEADER_ORDERS_MS,
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
 	};
@@ -170,8 +172,8 @@
 		sched_configure(n->sched, n->config, now);
 	load_rows(n, &t->tables[READ_INSTANCES], watch_instance_row);
 	load_jobs(t);
-	sched_lead(n->sched, n->lead.epoch, n->predecessor_gone, now);
-	n->phase = LEAD_DECIDING;
+	sched_lead(n->sched, n->leader.epoch, n->predecessor_gone, now);
+	n->phase = LEADER_DECIDING;
 	watch_from(n, FEED_INSTANCES, t->tables[READ_INSTANCES].first_revision);
 	watch_from(n, FEED_INBOX, t->tables[READ_INBOX].first_revision);
 	n->commit_retry_ms = 0;
@@ -181,19 +183,20 @@
 	event_log("takeover", NULL,
 		  "\"epoch\":%" PRIu64 ",\"jobs\":%u,\"instances\":%u,"
 		  "\"took_ms\":%" PRIu64,
-		  n->lead.epoch, stats.jobs, stats.instances, now - n->led_ms);
+		  n->leader.epoch, stats.jobs, stats.instances,
+		  now - n->leader_since_ms);
 	machines_begin(n);
 	relay_begin(n);
 	TALLOC_FREE(n->takeover);
 	node_pump(n);
 }
 
-static bool all_whole(const struct takeover *t)
+static bool all_complete(const struct takeover *t)
 {
 	uint32_t i;
 
 	for (i = 0; i < READ_COUNT; i++)
-		if (!t->tables[i].whole)
+		if (!t->tables[i].complete)
 			return false;
 	return true;
 }
@@ -215,7 +218,7 @@
 	uint32_t i;
 
 	node_store_result(n, reply->status);
-	if (!t || n->lead_epoch != page->lead_epoch) {
+	if (!t || n->phase_generation != page->generation) {
 		talloc_free(page);
 		return;
 	}
@@ -233,8 +236,8 @@
 		next_page(table, reply);
 		return;
 	}
-	table->whole = true;
-	if (all_whole(t))
+	table->complete = true;
+	if (all_complete(t))
 		finish(t);
 }
 
@@ -245,7 +248,7 @@
 
 	assert(page);
 	page->node = n;
-	page->lead_epoch = n->lead_epoch;
+	page->generation = n->phase_generation;
 	page->kind = t->kind;
 	n->services->read(n->services->impl, t->table, t->from, NULL,
 			  TAKEOVER_READ_MS, on_page, page);
@@ -271,7 +274,7 @@
 	assert(t);
 	n->takeover = t;
 	t->node = n;
-	t->lead_epoch = n->lead_epoch;
+	t->generation = n->phase_generation;
 	for (i = 0; i < READ_COUNT; i++) {
 		struct table_read *table = &t->tables[i];
 
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -1,8 +1,9 @@
 /*
- * watch - rows that others write, followed by feeds
+ * watch - follows tables that others write, by change feeds
  *
- * Every node follows the operators' table; the lead also the instances' and
- * the inbox. When history is gone, the table is read anew.
+ * Every node follows the operators' table; the leader also follows the instance
+ * table and the inbox. When the store no longer has the history, the table is
+ * read again.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -12,8 +13,8 @@
 #include "node/node_internal.h"
 
 /*
- * A connection may go silent for good. The feed's wait is bounded so that a
- * change is seen within the operators' bound of 2 s after contact is back.
+ * A connection may stay silent for ever. The feed's wait is bounded so that a
+ * change is seen within the operators' bound of 2 s after contact is restored.
  */
 #define FEED_WAIT_MS 1000u
 #define FEED_RETRY_MS 250u
@@ -22,12 +23,12 @@
 struct feed_call {
 	struct node *node;
 	enum feed_kind kind;
-	uint64_t lead_epoch;
+	uint64_t phase_generation;
 	uint64_t after; /* changes since this revision */
 	uint64_t sent_ms;
-	uint32_t turn;
-	bool reading; /* the whole table, not its changes */
-	bool later;   /* a page after the first */
+	uint32_t generation;
+	bool reading;	 /* the whole table, not a feed of changes */
+	bool later_page; /* a page after the first */
 };
 
 static const char *table_of(const struct node *n, enum feed_kind kind);
@@ -59,8 +60,8 @@
 	talloc_free(n->config_bytes);
 	n->config_bytes = talloc_memdup(n, value, length);
 	n->config_length = length;
-	n->config_behind_ms = 0;
-	if (n->phase == LEAD_DECIDING)
+	n->config_behind_since_ms = 0;
+	if (n->phase == LEADER_DECIDING)
 		node_pump(n);
 }
 
@@ -69,7 +70,7 @@
 	const char *prefix = n->services->wave_prefix;
 	struct wave_request *wave;
 
-	if (row->dropped)
+	if (row->deleted)
 		return;
 	if (!strcmp(row->key, n->services->config_key)) {
 		watch_config_bytes(n, row->value, row->length, "store");
@@ -91,7 +92,7 @@
 	struct sched_instance_info info;
 	TALLOC_CTX *tmp;
 
-	if (row->dropped) {
+	if (row->deleted) {
 		sched_instance_gone(n->sched, row->key, clock_now_ms());
 		return;
 	}
@@ -109,7 +110,7 @@
 
 struct inbox_read {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t phase_generation;
 	char id[SCHED_ID_BYTES + 1];
 	bool cancel;
 	char queue[128];
@@ -122,12 +123,13 @@
 	uint64_t now = clock_now_ms();
 
 	node_store_result(n, reply->status);
-	if (r->lead_epoch != n->lead_epoch || n->phase != LEAD_DECIDING) {
+	if (r->phase_generation != n->phase_generation ||
+	    n->phase != LEADER_DECIDING) {
 		talloc_free(r);
 		return;
 	}
 	if (reply->status != STORE_OK) {
-		/* The feed goes back to before the row. */
+		/* Read the inbox again, from before this row. */
 		n->feeds[FEED_INBOX].revision = 0;
 		talloc_free(r);
 		return;
@@ -140,7 +142,7 @@
 			sched_recorded(n->sched, r->id, job, now);
 		if (r->cancel)
 			sched_cancel(n->sched, r->id, r->queue, now);
-		inbox_remember(n, r->id);
+		inbox_add(n, r->id);
 	}
 	node_pump(n);
 	talloc_free(r);
@@ -151,7 +153,7 @@
 	Fleet__InboxRow *in;
 	struct inbox_read *r;
 
-	if (row->dropped || strlen(row->key) > SCHED_ID_BYTES)
+	if (row->deleted || strlen(row->key) > SCHED_ID_BYTES)
 		return;
 	in = fleet__inbox_row__unpack(NULL, row->length, row->value);
 	if (!in)
@@ -161,12 +163,12 @@
 		if (in->cancel)
 			sched_cancel(n->sched, row->key, in->queue,
 				     clock_now_ms());
-		inbox_remember(n, row->key);
+		inbox_add(n, row->key);
 	} else {
 		r = talloc_zero(n, struct inbox_read);
 		assert(r);
 		r->node = n;
-		r->lead_epoch = n->lead_epoch;
+		r->phase_generation = n->phase_generation;
 		r->cancel = in->cancel;
 		snprintf(r->id, sizeof(r->id), "%s", row->key);
 		snprintf(r->queue, sizeof(r->queue), "%s", in->queue);
@@ -179,8 +181,8 @@
 
 /* Feeds */
 
-static void take_row(struct node *n, enum feed_kind kind,
-		     const struct store_row *row)
+static void apply_row(struct node *n, enum feed_kind kind,
+		      const struct store_row *row)
 {
 	switch (kind) {
 	case FEED_OPERATOR:
@@ -197,15 +199,16 @@
 }
 
 /*
- * The feed goes on after this revision, or by reading the table anew. A feed
- * brings each version since; a reading only the newest, so who has missed
- * several reads.
+ * Continues the feed after this revision; 0 reads the table again. A feed
+ * returns every version since, a read only the newest one, so a node that has
+ * missed several versions should read.
  */
 void watch_from(struct node *n, enum feed_kind kind, uint64_t revision)
 {
-	TALLOC_FREE(n->feeds[kind].from);
-	n->feeds[kind] = (struct feed){ .revision = revision,
-					.turn = n->feeds[kind].turn + 1 };
+	TALLOC_FREE(n->feeds[kind].page_from);
+	n->feeds[kind] =
+		(struct feed){ .revision = revision,
+			       .generation = n->feeds[kind].generation + 1 };
 }
 
 static int by_key(const void *key, const void *row)
@@ -214,11 +217,11 @@
 }
 
 /*
- * A page says which instances of its range of keys are gone by leaving them
- * out; rows come in the order of their keys.
+ * Removes the instances within the page's range of keys that the page doesn't
+ * list; rows are sorted by key.
  */
-static void drop_unlisted(struct node *n, const char *from,
-			  const struct store_reply *reply)
+static void remove_unlisted(struct node *n, const char *from,
+			    const struct store_reply *reply)
 {
 	const char *last = reply->more && reply->row_count
 				   ? reply->rows[reply->row_count - 1].key
@@ -237,25 +240,26 @@
 	}
 }
 
-/* The feed goes on after a table's first page, so nothing is missed. */
-static void page_read(struct node *n, enum feed_kind kind,
-		      const struct store_reply *reply)
+/* The feed continues after the table's first page, so no change is missed. */
+static void finish_page(struct node *n, enum feed_kind kind,
+			const struct store_reply *reply)
 {
 	struct feed *feed = &n->feeds[kind];
 
 	if (kind == FEED_INSTANCES)
-		drop_unlisted(n, feed->from ? feed->from : "", reply);
-	if (!feed->from)
+		remove_unlisted(n, feed->page_from ? feed->page_from : "",
+				reply);
+	if (!feed->page_from)
 		feed->first_revision = reply->revision;
-	TALLOC_FREE(feed->from);
+	TALLOC_FREE(feed->page_from);
 	if (reply->more && reply->row_count)
-		feed->from = node_key_after(
+		feed->page_from = node_key_after(
 			n, reply->rows[reply->row_count - 1].key);
 	else
 		feed->revision = feed->first_revision;
 }
 
-/* What a call for the operators' table brought, unless nothing has changed. */
+/* Logs a call for the operators' table, unless nothing has changed. */
 static void log_watch(const struct node *n, const struct feed_call *call,
 		      const struct store_reply *reply)
 {
@@ -277,15 +281,16 @@
 }
 
 /*
- * The row was in the answer, or nothing had changed since it was read. A feed
- * that brings nothing has waited at the store for all of its time.
+ * The time at which this reply proves the configuration to be the newest: the
+ * row was in the reply, or it hadn't changed since it was read. A feed without
+ * changes has waited at the store for its full time. 0: it proves nothing.
  */
-static uint64_t shown_at(const struct feed_call *call,
-			 const struct store_reply *reply)
+static uint64_t verified_at(const struct feed_call *call,
+			    const struct store_reply *reply)
 {
 	uint64_t waited_ms = call->sent_ms + FEED_WAIT_MS;
 
-	if (call->later || reply->more)
+	if (call->later_page || reply->more)
 		return 0; /* its row may be on another page */
 	if (call->reading || reply->row_count || waited_ms > clock_now_ms())
 		return call->sent_ms;
@@ -299,11 +304,11 @@
 	enum feed_kind kind = call->kind;
 	struct feed *feed = &n->feeds[kind];
 	bool reading = call->reading;
-	bool superseded = call->turn != feed->turn;
-	bool stale =
-		kind != FEED_OPERATOR && (call->lead_epoch != n->lead_epoch ||
-					  n->phase != LEAD_DECIDING);
-	uint64_t shown_ms = shown_at(call, reply);
+	bool superseded = call->generation != feed->generation;
+	bool stale = kind != FEED_OPERATOR &&
+		     (call->phase_generation != n->phase_generation ||
+		      n->phase != LEADER_DECIDING);
+	uint64_t verified_ms = verified_at(call, reply);
 	uint32_t i;
 
 	log_watch(n, call, reply);
@@ -314,39 +319,39 @@
 	if (superseded) {
 		if (kind == FEED_OPERATOR && reply->status == STORE_OK)
 			for (i = 0; i < reply->row_count; i++)
-				take_row(n, kind, &reply->rows[i]);
-		return; /* what else has changed since is not known */
+				apply_row(n, kind, &reply->rows[i]);
+		return; /* what else has changed is unknown */
 	}
-	feed->under_way = false;
+	feed->in_flight = false;
 	switch (reply->status) {
 	case STORE_OK:
 		for (i = 0; i < reply->row_count; i++)
-			take_row(n, kind, &reply->rows[i]);
+			apply_row(n, kind, &reply->rows[i]);
 		if (kind == FEED_OPERATOR)
-			currency_shown(n, shown_ms);
+			staleness_verified(n, verified_ms);
 		if (reading)
-			page_read(n, kind, reply);
+			finish_page(n, kind, reply);
 		else
 			feed->revision = reply->revision;
 		if (reply->row_count && kind != FEED_OPERATOR)
 			node_pump(n);
 		feed_start(n, kind, false);
 		break;
-	case STORE_LOST:
+	case STORE_HISTORY_LOST:
 		event_log("feed-lost", NULL, "\"table\":\"%s\"",
 			  table_of(n, kind));
 		feed->revision = 0;
 		feed_start(n, kind, true);
 		break;
 	case STORE_UNKNOWN:
-		/* Whether feeds are silent or too large for the link: read. */
+		/* The feed got no reply or is too large for the link: read. */
 		if (!reading)
 			watch_from(n, kind, 0);
 		feed->retry_ms = clock_now_ms() + FEED_RETRY_MS;
 		break;
 	case STORE_CONFLICT:
 	case STORE_REFUSED:
-		if (kind == FEED_OPERATOR && n->config_behind_ms)
+		if (kind == FEED_OPERATOR && n->config_behind_since_ms)
 			watch_from(n, kind, 0);
 		feed->retry_ms = clock_now_ms() + FEED_RETRY_MS;
 		break;
@@ -372,16 +377,16 @@
 	assert(call);
 	call->node = n;
 	call->kind = kind;
-	call->lead_epoch = n->lead_epoch;
+	call->phase_generation = n->phase_generation;
 	call->reading = reading || !feed->revision;
 	call->after = feed->revision;
 	call->sent_ms = clock_now_ms();
-	call->turn = feed->turn;
-	call->later = feed->from != NULL;
-	feed->under_way = true;
+	call->generation = feed->generation;
+	call->later_page = feed->page_from != NULL;
+	feed->in_flight = true;
 	if (call->reading)
 		n->services->read(n->services->impl, table_of(n, kind),
-				  feed->from, NULL, NODE_STORE_MS, on_feed,
+				  feed->page_from, NULL, NODE_STORE_MS, on_feed,
 				  call);
 	else
 		n->services->feed(n->services->impl, table_of(n, kind),
@@ -393,9 +398,9 @@
 	enum feed_kind kind;
 
 	for (kind = 0; kind < FEED_COUNT; kind++) {
-		if (kind != FEED_OPERATOR && n->phase != LEAD_DECIDING)
+		if (kind != FEED_OPERATOR && n->phase != LEADER_DECIDING)
 			continue;
-		if (!n->feeds[kind].under_way && now >= n->feeds[kind].retry_ms)
+		if (!n->feeds[kind].in_flight && now >= n->feeds[kind].retry_ms)
 			feed_start(n, kind, false);
 	}
 }
--- /dev/null
+++ b/test/leader_test.c
@@ -0,0 +1,192 @@
+/*
+ * Leader election: the order of claims of nodes of unequal power, and when a
+ * leader counts as silent, ended or not live.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "node/node_internal.h"
+
+#define START_SKEW_MS 300u /* between the starts of two nodes */
+
+struct claim_case {
+	const char *what;
+	uint32_t power, strongest;
+	bool weaker;
+};
+
+static const struct claim_case cases[] = {
+	{ "alone", 250, 0, false },
+	{ "all equal", 250, 250, false },
+	{ "a little weaker", 250, 300, false },
+	{ "half", 250, 500, true },
+	{ "a quarter", 120, 500, true },
+	{ "the strongest", 500, 120, false },
+	{ "power not reported", 0, 120, true },
+};
+
+/* The last strong node claims before the first weak one. */
+static void test_order_of_claims(void **state)
+{
+	uint32_t strong_last = 0;
+	uint32_t weak_first = UINT32_MAX;
+	uint64_t hash;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		const struct claim_case *k = &cases[c];
+
+		if (leader_is_weaker(k->power, k->strongest) != k->weaker)
+			fail_msg("%s: weaker %d", k->what, !k->weaker);
+		for (hash = 0; hash < 1000; hash++) {
+			uint32_t ms = leader_claim_delay_ms(k->power,
+							    k->strongest, hash);
+
+			if (k->weaker && ms < weak_first)
+				weak_first = ms;
+			if (!k->weaker && ms > strong_last)
+				strong_last = ms;
+		}
+	}
+	assert_true(weak_first > strong_last + START_SKEW_MS);
+}
+
+/* A newly learned leader isn't silent: nobody claims in its grace period. */
+static void test_silence(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t heard_ms, now;
+		uint32_t silent_ms;
+	} silences[] = {
+		{ "heard now", 50000, 50000, 0 },
+		{ "newly learned, in its grace period", 50500, 50000, 0 },
+		{ "silent for a second", 49000, 50000, 1000 },
+		{ "its process has ended", 0, 500000, 60000 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(silences) / sizeof(silences[0]); c++)
+		if (leader_silent_ms(silences[c].heard_ms, silences[c].now) !=
+		    silences[c].silent_ms)
+			fail_msg("%s", silences[c].what);
+}
+
+/*
+ * A leader that reports not to be live is replaced soon, but not a newly
+ * learned one: others may know of its claim before it does itself.
+ */
+static void test_leader_not_live(void **state)
+{
+	static const struct {
+		const char *what;
+		int64_t heard_ms; /* from now */
+		uint32_t silent_ms;
+	} not_live[] = {
+		{ "newly learned", 400, 0 },
+		{ "heard a moment ago", -100, 1000 },
+		{ "silent for a long time", -4000, 4000 },
+	};
+	const uint64_t now = 50000;
+	struct node *n = talloc_zero(NULL, struct node);
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(not_live) / sizeof(not_live[0]); c++) {
+		n->leader_last_heard_ms = now + (uint64_t)not_live[c].heard_ms;
+		leader_heartbeat(n, false, now);
+		if (leader_silent_ms(n->leader_last_heard_ms, now) !=
+		    not_live[c].silent_ms)
+			fail_msg("%s", not_live[c].what);
+	}
+	talloc_free(n);
+}
+
+/*
+ * A refused connection proves that the leader's process has ended only if the
+ * call was made to this incarnation of it.
+ */
+static void test_leader_connection_refused(void **state)
+{
+	static const struct {
+		const char *what;
+		enum leader_phase phase;
+		uint64_t called, leader;
+		const char *node;
+		bool ended;
+	} refused[] = {
+		{ "the leader", LEADER_NONE, 7, 7, "n-1", true },
+		{ "another one leads by now", LEADER_NONE, 7, 8, "n-1", false },
+		{ "a node that did not lead", LEADER_NONE, 0, 7, "n-1", false },
+		{ "nobody leads", LEADER_NONE, 0, 0, "", false },
+		{ "this node leads itself", LEADER_DECIDING, 7, 7, "n-0",
+		  false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(refused) / sizeof(refused[0]); c++) {
+		struct node *n = talloc_zero(NULL, struct node);
+
+		n->settings.name = "n-0";
+		n->phase = refused[c].phase;
+		n->leader.known = true;
+		n->leader.incarnation = refused[c].leader;
+		snprintf(n->leader.node, sizeof(n->leader.node), "%s",
+			 refused[c].node);
+		n->leader_last_heard_ms = clock_now_ms();
+		leader_connection_refused(n, refused[c].called);
+		if (n->leader_ended != refused[c].ended ||
+		    (n->leader_last_heard_ms == 0) != refused[c].ended)
+			fail_msg("%s", refused[c].what);
+		talloc_free(n);
+	}
+}
+
+/*
+ * A leader whose store calls are refused soon stops reporting itself as live;
+ * one that waits for a reply does so later.
+ */
+static void test_leader_without_store(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t confirmed_ago, failing_ago; /* 0: not failing */
+		bool live;
+	} stores[] = {
+		{ "normal", 100, 0, true },
+		{ "a slow store", 900, 0, true },
+		{ "no reply for a long time", 1500, 0, false },
+		{ "one call was refused", 100, 1, true },
+		{ "refused for a while", 400, 350, false },
+	};
+	const uint64_t now = 50000;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(stores) / sizeof(stores[0]); c++)
+		if (leader_has_store(now - stores[c].confirmed_ago,
+				     stores[c].failing_ago
+					     ? now - stores[c].failing_ago
+					     : 0,
+				     now) != stores[c].live)
+			fail_msg("%s", stores[c].what);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_order_of_claims),
+		cmocka_unit_test(test_silence),
+		cmocka_unit_test(test_leader_not_live),
+		cmocka_unit_test(test_leader_connection_refused),
+		cmocka_unit_test(test_leader_without_store),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -1,6 +1,6 @@
 /*
  * Decisions of a node that need neither a network nor a clock: what it may
- * write, record and order, and whom it asks for help.
+ * write, record and order, and when a leader uses relays.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -10,33 +10,37 @@
 
 #include "node/node_internal.h"
 
-#define PARTITION_PER_S 200u /* transactions that the store does in one */
-#define BURST_MS 1000u	     /* that it lets wait */
+#define PARTITION_PER_S 200u /* the store's limit of transactions */
+#define BURST_MS 1000u	     /* the backlog that the store accepts */
 
-/* What many nodes write at once must not hold up the lead's own writes. */
+/* Writes of many nodes at once must not delay the leader's own writes. */
 static void test_partitions(void **state)
 {
 	static const struct {
 		const char *table;
-		bool with_jobs; /* named in transactions beside the lead row */
+		bool with_jobs; /* in transactions with the leader row */
 	} cases[] = {
-		{ NODE_TABLE_LEAD, true },     { NODE_TABLE_JOB, true },
-		{ NODE_TABLE_PROGRESS, true }, { NODE_TABLE_END, true },
-		{ NODE_TABLE_INBOX, true },    { "status", true },
-		{ NODE_TABLE_NODE, false },    { NODE_TABLE_UPKEEP, false },
+		{ NODE_TABLE_LEADER, true },
+		{ NODE_TABLE_JOB, true },
+		{ NODE_TABLE_PROGRESS, true },
+		{ NODE_TABLE_END, true },
+		{ NODE_TABLE_INBOX, true },
+		{ "status", true },
+		{ NODE_TABLE_NODE, false },
+		{ NODE_TABLE_MAINTENANCE, false },
 	};
 	size_t c;
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
-		if (!*store_part(cases[c].table) != cases[c].with_jobs)
+		if (!*store_partition(cases[c].table) != cases[c].with_jobs)
 			fail_msg("%s: in partition \"%s\"", cases[c].table,
-				 store_part(cases[c].table));
+				 store_partition(cases[c].table));
 }
 
 /*
- * The load: no lead, and callers at each node that come again at once. All
- * nodes together leave half of the partition to the lead that comes.
+ * Load: no leader, and callers at every node that repeat at once. All nodes
+ * together leave half of the partition's rate to the next leader.
  */
 static void test_records_of_all_nodes(void **state)
 {
@@ -71,8 +75,8 @@
 }
 
 /*
- * The load: no lead while the store changes two rows a second. What nodes
- * record there would keep out the claim of the next lead.
+ * Load: no leader while the store changes two rows a second. Jobs that nodes
+ * record would block the claim of the next leader.
  */
 static void test_records_in_a_slow_store(void **state)
 {
@@ -98,8 +102,8 @@
 			fail_msg("%s", cases[c].what);
 }
 
-/* Which calls tell that the store is slow. */
-static void test_pace_of_the_store(void **state)
+/* Which calls show that the store is slow. */
+static void test_slow_store_calls(void **state)
 {
 	static const struct {
 		const char *what;
@@ -107,11 +111,11 @@
 		uint64_t took_ms;
 		bool slow;
 	} cases[] = {
-		{ "calm", STORE_OK, 14, false },
+		{ "normal", STORE_OK, 14, false },
 		{ "a row that has changed", STORE_CONFLICT, 14, false },
 		{ "slow", STORE_OK, 400, true },
-		{ "too much waits there", STORE_REFUSED, 5, true },
-		{ "no answer", STORE_UNKNOWN, 1500, true },
+		{ "its backlog is full", STORE_REFUSED, 5, true },
+		{ "no reply", STORE_UNKNOWN, 1500, true },
 	};
 	size_t c;
 
@@ -120,16 +124,15 @@
 		struct node *n = talloc_zero(NULL, struct node);
 
 		n->store_ok = true;
-		node_store_took(n, cases[c].status,
-				clock_now_ms() - cases[c].took_ms);
-		if ((n->store_slow_ms != 0) != cases[c].slow)
+		node_store_timed_result(n, cases[c].status,
+					clock_now_ms() - cases[c].took_ms);
+		if ((n->store_last_slow_ms != 0) != cases[c].slow)
 			fail_msg("%s", cases[c].what);
 		talloc_free(n);
 	}
 }
 
-/* Deciding takes at most half of a lead's time, and is never put off for long.
- */
+/* Decisions take at most half of a leader's time and are never long delayed. */
 static void test_pause_after_deciding(void **state)
 {
 	static const struct {
@@ -147,20 +150,21 @@
 
 struct commit_case {
 	const char *what;
-	uint32_t under_way;
-	bool settle;
+	uint32_t in_flight;
+	bool resolving;
 	uint64_t waited_ms;
 	bool may;
 };
 
-static void test_commits_side_by_side(void **state)
+static void test_concurrent_commits(void **state)
 {
 	static const struct commit_case cases[] = {
-		{ "none under way", 0, false, 0, true },
-		{ "one, the store answers soon", 1, false, 9, false },
+		{ "none in flight", 0, false, 0, true },
+		{ "one, the store answers fast", 1, false, 9, false },
 		{ "one, the store is slow", 1, false, 300, true },
-		{ "an unknown outcome is settled alone", 1, true, 5000, false },
-		{ "settling when nothing is under way", 0, true, 0, true },
+		{ "an unknown outcome is resolved alone", 1, true, 5000,
+		  false },
+		{ "resolving when nothing is in flight", 0, true, 0, true },
 		{ "as many as are allowed", 6, false, 5000, false },
 	};
 	size_t c;
@@ -169,31 +173,31 @@
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		const struct commit_case *k = &cases[c];
 
-		if (commit_may_begin(k->under_way, k->settle, k->waited_ms) !=
-		    k->may)
+		if (commit_may_begin(k->in_flight, k->resolving,
+				     k->waited_ms) != k->may)
 			fail_msg("%s", k->what);
 	}
 }
 
-/* The load: a store that takes 0.6 s for a transaction, or is silent. */
+/* Load: a store that takes 0.6 s for a transaction, or doesn't answer. */
 static void test_stalled_store(void **state)
 {
 	static const struct {
 		const char *what;
-		uint64_t waits_ms, now;
+		uint64_t waiting_since_ms, now;
 		bool stalled;
 	} cases[] = {
 		{ "nothing waits", 0, 90000, false },
-		{ "a calm store", 50000, 50009, false },
+		{ "a normal store", 50000, 50009, false },
 		{ "a slow store", 50000, 50600, false },
-		{ "a silent store", 50000, 51000, true },
+		{ "a store that does not answer", 50000, 51000, true },
 	};
 	size_t c;
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
-		if (commit_is_stalled(cases[c].waits_ms, cases[c].now) !=
-		    cases[c].stalled)
+		if (commit_is_stalled(cases[c].waiting_since_ms,
+				      cases[c].now) != cases[c].stalled)
 			fail_msg("%s", cases[c].what);
 }
 
@@ -204,28 +208,34 @@
 	bool free;
 };
 
-/* Two leads' orders to machines are holder_ms apart. */
+/* Two leaders' orders to machines are holder_ms apart. */
 static void test_holder(void **state)
 {
 	static const struct holder_case cases[] = {
-		{ "the last lead was killed, this node was not",
+		{ "the last leader was killed, this node was not",
 		  { 1000, 60000, 3000, true },
 		  60100,
 		  false },
-		{ "the last lead may still give orders",
+		{ "the last leader may still give orders",
 		  { 59500, 60000, 3000, false },
 		  60100,
 		  false },
-		{ "all nodes were restarted, the last lead too",
+		{ "all nodes were restarted, the last leader too",
 		  { 59500, 60000, 3000, true },
 		  60100,
 		  true },
-		{ "this node started long before it leads",
+		{ "this node started long before it became leader",
 		  { 56000, 60000, 3000, true },
 		  60100,
 		  false },
-		{ "it has waited", { 1000, 60000, 3000, false }, 63400, true },
-		{ "a little less", { 1000, 60000, 3000, false }, 63200, false },
+		{ "it has waited long enough",
+		  { 1000, 60000, 3000, false },
+		  63400,
+		  true },
+		{ "it has waited a little less",
+		  { 1000, 60000, 3000, false },
+		  63200,
+		  false },
 	};
 	size_t c;
 
@@ -236,11 +246,11 @@
 			fail_msg("%s", cases[c].what);
 }
 
-static void test_help_for_many_instances(void **state)
+static void test_relays_for_many_instances(void **state)
 {
 	static const struct {
 		uint32_t instances, alone;
-		bool help;
+		bool relays;
 	} cases[] = { { 0, 150, false },   { 49, 150, false },
 		      { 150, 150, false }, { 350, 150, true },
 		      { 1100, 150, true }, { 1, 0, true } };
@@ -249,13 +259,13 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
 		if ((relay_power_needed(cases[c].instances, cases[c].alone) >
-		     0) != cases[c].help)
+		     0) != cases[c].relays)
 			fail_msg("%u instances", cases[c].instances);
 }
 
 /*
- * The load: a new lead with hundreds of instances reads its links late. A
- * peer whose words wait to be read is there.
+ * Load: a new leader with hundreds of instances reads its links late. A peer
+ * whose data waits to be read is not lost.
  */
 static void test_silent_peers(void **state)
 {
@@ -280,12 +290,12 @@
 		cmocka_unit_test(test_partitions),
 		cmocka_unit_test(test_records_of_all_nodes),
 		cmocka_unit_test(test_records_in_a_slow_store),
-		cmocka_unit_test(test_pace_of_the_store),
+		cmocka_unit_test(test_slow_store_calls),
 		cmocka_unit_test(test_pause_after_deciding),
-		cmocka_unit_test(test_commits_side_by_side),
+		cmocka_unit_test(test_concurrent_commits),
 		cmocka_unit_test(test_stalled_store),
 		cmocka_unit_test(test_holder),
-		cmocka_unit_test(test_help_for_many_instances),
+		cmocka_unit_test(test_relays_for_many_instances),
 		cmocka_unit_test(test_silent_peers),
 	};
 
--- a/test/currency_test.c
+++ b/test/staleness_test.c
@@ -1,6 +1,6 @@
 /*
- * How long a node may answer by its configuration: what shows that it is the
- * newest, and a walk over nodes that stand still, lose answers and hear late.
+ * How long a node may use its configuration: what proves it to be the newest,
+ * and a random walk over nodes that freeze, lose replies and get them late.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -12,23 +12,22 @@
 
 #define BOUND_MS 2000u
 
-static void test_what_shows_it(void **state)
+static void test_peer_reports(void **state)
 {
 	static const struct {
 		const char *what;
 		uint64_t version, peer_version;
 		uint32_t peer_age_ms;
-		uint64_t asked_ms_ago;
-		bool holds;
+		uint64_t requested_ms_ago;
+		bool in_bound;
 	} cases[] = {
 		{ "a peer of the same version", 7, 7, 100, 50, true },
 		{ "a peer that is behind", 7, 6, 100, 50, false },
 		{ "a peer that is ahead", 7, 8, 100, 50, false },
-		{ "a peer that does not know", 7, 7, CURRENCY_NEVER, 50,
+		{ "a peer that does not know", 7, 7, STALENESS_UNKNOWN, 50,
 		  false },
 		{ "a peer whose knowledge is old", 7, 7, 1900, 50, false },
-		{ "an answer that was long on its way", 7, 7, 100, 1800,
-		  false },
+		{ "a reply that was delayed", 7, 7, 100, 1800, false },
 		{ "just within the bound", 7, 7, 1700, 100, true },
 	};
 	const uint64_t now = 500000;
@@ -41,27 +40,28 @@
 		n->settings.config_ms = BOUND_MS;
 		n->config = talloc_zero(n, struct config);
 		n->config->version = cases[c].version;
-		currency_peer(n, cases[c].peer_version, cases[c].peer_age_ms,
-			      now - cases[c].asked_ms_ago);
-		if (currency_holds(n, now) != cases[c].holds)
+		staleness_peer_report(n, cases[c].peer_version,
+				      cases[c].peer_age_ms,
+				      now - cases[c].requested_ms_ago);
+		if (staleness_in_bound(n, now) != cases[c].in_bound)
 			fail_msg("%s", cases[c].what);
 		talloc_free(n);
 	}
 }
 
-static void test_ages(void **state)
+static void test_staleness_ms(void **state)
 {
 	static const struct {
 		const char *what;
-		uint64_t shown_ms, now;
+		uint64_t verified_ms, now;
 		uint32_t age_ms;
 	} cases[] = {
-		{ "it was never shown", 0, 5000, CURRENCY_NEVER },
+		{ "never verified", 0, 5000, STALENESS_UNKNOWN },
 		{ "a while ago", 4000, 5000, 1000 },
 		{ "just now", 5000, 5000, 0 },
-		{ "after the caller took the time", 5001, 5000, 0 },
-		{ "longer ago than can be told", 1, 1ull << 33,
-		  CURRENCY_NEVER },
+		{ "after the caller read the clock", 5001, 5000, 0 },
+		{ "longer ago than can be reported", 1, 1ull << 33,
+		  STALENESS_UNKNOWN },
 	};
 	size_t c;
 
@@ -70,42 +70,43 @@
 		struct node *n = talloc_zero(NULL, struct node);
 
 		n->config = talloc_zero(n, struct config);
-		n->config_shown_ms = cases[c].shown_ms;
-		if (currency_age_ms(n, cases[c].now) != cases[c].age_ms)
+		n->config_verified_ms = cases[c].verified_ms;
+		if (staleness_ms(n, cases[c].now) != cases[c].age_ms)
 			fail_msg("%s", cases[c].what);
 		talloc_free(n);
 	}
 }
 
-/* Whether the lead's version can decide what another version let in. */
+/* Whether the leader's version can decide what another version admitted. */
 static void test_verdicts(void **state)
 {
 	static const struct {
 		const char *what;
 		Fleet__Verb verb;
 		const char *queue, *workspace;
-		uint64_t asked_by;
+		uint64_t admitted_by;
 		bool old;
-		enum currency_verdict verdict;
+		enum staleness_verdict verdict;
 	} cases[] = {
 		{ "the same version", FLEET__VERB__SUBMIT, "q", "w", 9, false,
-		  CURRENCY_DECIDES },
+		  STALENESS_DECIDES },
 		{ "an open queue", FLEET__VERB__SUBMIT, "q", "", 9, false,
-		  CURRENCY_DECIDES },
-		{ "let in by an older version that may be current",
-		  FLEET__VERB__SUBMIT, "q", "w", 8, false, CURRENCY_DECIDES },
-		{ "let in by one that may be too old", FLEET__VERB__STATE, "q",
-		  "", 8, true, CURRENCY_BEHIND },
-		{ "not shown to be current, and it is", FLEET__VERB__STATE, "q",
-		  "", 9, true, CURRENCY_DECIDES },
+		  STALENESS_DECIDES },
+		{ "admitted by an older version that may be current",
+		  FLEET__VERB__SUBMIT, "q", "w", 8, false, STALENESS_DECIDES },
+		{ "admitted by a version that may be too old",
+		  FLEET__VERB__STATE, "q", "", 8, true, STALENESS_BEHIND },
+		{ "not known to be current, but it is", FLEET__VERB__STATE, "q",
+		  "", 9, true, STALENESS_DECIDES },
 		{ "a queue that was dropped", FLEET__VERB__SUBMIT, "gone", "w",
-		  8, false, CURRENCY_DROPPED },
-		{ "a queue that the lead does not know yet",
-		  FLEET__VERB__SUBMIT, "new", "w", 10, false, CURRENCY_BEHIND },
+		  8, false, STALENESS_REMOVED },
+		{ "a queue that the leader does not know yet",
+		  FLEET__VERB__SUBMIT, "new", "w", 10, false,
+		  STALENESS_BEHIND },
 		{ "a workspace that it does not know yet", FLEET__VERB__SUBMIT,
-		  "q", "new", 10, false, CURRENCY_BEHIND },
-		{ "its job is asked for by a queue that was dropped",
-		  FLEET__VERB__STATE, "gone", "", 8, false, CURRENCY_DECIDES },
+		  "q", "new", 10, false, STALENESS_BEHIND },
+		{ "the state of a job of a queue that was dropped",
+		  FLEET__VERB__STATE, "gone", "", 8, false, STALENESS_DECIDES },
 	};
 	struct config_queue queue = { .name = "q" };
 	struct config_workspace workspace = { .name = "w" };
@@ -121,33 +122,33 @@
 		Fleet__JobRow job = FLEET__JOB_ROW__INIT;
 		struct node_ask ask = { .verb = cases[c].verb,
 					.queue = cases[c].queue,
-					.config_version = cases[c].asked_by,
+					.config_version = cases[c].admitted_by,
 					.config_old = cases[c].old };
 
 		job.workspace = (char *)cases[c].workspace;
 		if (cases[c].verb == FLEET__VERB__SUBMIT)
 			ask.job = &job;
-		if (currency_verdict(&own, &ask) != cases[c].verdict)
+		if (staleness_verdict(&own, &ask) != cases[c].verdict)
 			fail_msg("%s", cases[c].what);
-		if (currency_verdict(NULL, &ask) != CURRENCY_BEHIND)
+		if (staleness_verdict(NULL, &ask) != STALENESS_BEHIND)
 			fail_msg("%s, without a configuration", cases[c].what);
 	}
 }
 
-/* The walk */
+/* Random walk */
 
 #define NODES 6u
 #define SEEDS 200u
 #define WALK_MS 60000u
 #define STEP_MS 10u
-#define FAULT_STEPS 3000u /* between two faults of a kind at a node, about */
-#define SLOW_PART 8u	  /* one in so many calls is slow, each way */
-#define CALLS 2u	  /* of a node at one time: the store and a peer */
+#define FAULT_STEPS 3000u /* mean interval of faults of one kind at a node */
+#define SLOW_PART 8u	  /* one call in SLOW_PART is slow, in each direction */
+#define CALLS 2u /* concurrent calls of a node: to the store and to a peer */
 
 struct walk_call {
-	bool under_way, lost;
-	uint64_t asked_ms, decided_ms, arrives_ms;
-	uint64_t version; /* that the answer tells */
+	bool in_flight, lost;
+	uint64_t sent_ms, processed_ms, arrives_ms;
+	uint64_t version; /* in the reply */
 	uint32_t age_ms;  /* of a peer's knowledge */
 };
 
@@ -158,57 +159,58 @@
 };
 
 struct walk {
-	uint64_t draw;
+	uint64_t random;
 	uint64_t version;
-	uint64_t confirmed_ms[WALK_MS]; /* of each version */
+	uint64_t confirmed_ms[WALK_MS]; /* by version */
 	struct walk_node nodes[NODES];
 	uint32_t answered;
 };
 
-static uint32_t draw(struct walk *w, uint32_t below)
+static uint32_t pick(struct walk *w, uint32_t below)
 {
-	w->draw = w->draw * 6364136223846793005u + 1442695040888963407u;
-	return (uint32_t)((w->draw >> 33) % below);
+	w->random = w->random * 6364136223846793005u + 1442695040888963407u;
+	return (uint32_t)((w->random >> 33) % below);
 }
 
-static void ask(struct walk *w, struct walk_node *o, struct walk_call *c,
-		uint64_t now)
+static void send_call(struct walk *w, struct walk_node *o, struct walk_call *c,
+		      uint64_t now)
 {
-	c->under_way = true;
-	c->asked_ms = now;
-	c->decided_ms = now + draw(w, draw(w, SLOW_PART) ? 20 : 2000);
-	c->arrives_ms = c->decided_ms + draw(w, draw(w, SLOW_PART) ? 20 : 3000);
-	c->lost = now < o->cut_until_ms || !draw(w, 10);
+	c->in_flight = true;
+	c->sent_ms = now;
+	c->processed_ms = now + pick(w, pick(w, SLOW_PART) ? 20 : 2000);
+	c->arrives_ms =
+		c->processed_ms + pick(w, pick(w, SLOW_PART) ? 20 : 3000);
+	c->lost = now < o->cut_until_ms || !pick(w, 10);
 	c->version = 0;
 }
 
-/* The one that is asked puts what it knows into its answer. */
-static void decide(struct walk *w, struct walk_call *c, bool store,
-		   uint64_t now)
+/* The callee puts what it knows into its reply. */
+static void process_call(struct walk *w, struct walk_call *c, bool store,
+			 uint64_t now)
 {
-	const struct walk_node *peer = &w->nodes[draw(w, NODES)];
+	const struct walk_node *peer = &w->nodes[pick(w, NODES)];
 
-	if (c->version || now < c->decided_ms)
+	if (c->version || now < c->processed_ms)
 		return;
 	c->version = store ? w->version : peer->node->config->version;
-	c->age_ms = store ? 0 : currency_age_ms(peer->node, now);
+	c->age_ms = store ? 0 : staleness_ms(peer->node, now);
 	c->lost |= !store && now < peer->frozen_until_ms;
 }
 
-static void hear(struct walk *w, struct walk_node *o, struct walk_call *c,
-		 bool store)
+static void receive_reply(struct walk *w, struct walk_node *o,
+			  struct walk_call *c, bool store)
 {
 	struct node *n = o->node;
 
-	c->under_way = false;
+	c->in_flight = false;
 	if (c->lost)
 		return;
-	if (c->version > n->config->version && (store || !draw(w, 3)))
+	if (c->version > n->config->version && (store || !pick(w, 3)))
 		n->config->version = c->version;
 	if (store && c->version == n->config->version)
-		currency_shown(n, c->asked_ms);
+		staleness_verified(n, c->sent_ms);
 	else if (!store)
-		currency_peer(n, c->version, c->age_ms, c->asked_ms);
+		staleness_peer_report(n, c->version, c->age_ms, c->sent_ms);
 }
 
 static void node_step(struct walk *w, struct walk_node *o, uint64_t now)
@@ -217,17 +219,17 @@
 
 	if (now < o->frozen_until_ms)
 		return;
-	if (!draw(w, FAULT_STEPS))
-		o->frozen_until_ms = now + draw(w, 5000);
-	if (!draw(w, FAULT_STEPS))
-		o->cut_until_ms = now + draw(w, 5000);
+	if (!pick(w, FAULT_STEPS))
+		o->frozen_until_ms = now + pick(w, 5000);
+	if (!pick(w, FAULT_STEPS))
+		o->cut_until_ms = now + pick(w, 5000);
 	for (i = 0; i < CALLS; i++) {
 		struct walk_call *c = &o->calls[i];
 
-		if (!c->under_way && !draw(w, 20))
-			ask(w, o, c, now);
-		if (c->under_way && c->version && now >= c->arrives_ms)
-			hear(w, o, c, i == 0);
+		if (!c->in_flight && !pick(w, 20))
+			send_call(w, o, c, now);
+		if (c->in_flight && c->version && now >= c->arrives_ms)
+			receive_reply(w, o, c, i == 0);
 	}
 }
 
@@ -236,13 +238,13 @@
 {
 	const struct node *n = o->node;
 
-	if (now < o->frozen_until_ms || !currency_holds(n, now))
+	if (now < o->frozen_until_ms || !staleness_in_bound(n, now))
 		return;
 	w->answered++;
 	if (n->config->version < w->version &&
 	    w->confirmed_ms[n->config->version + 1] + BOUND_MS < now)
-		fail_msg("seed %u, %llu ms: answers by %llu, not %llu", seed,
-			 (unsigned long long)now,
+		fail_msg("seed %u, %llu ms: answers by version %llu, not %llu",
+			 seed, (unsigned long long)now,
 			 (unsigned long long)n->config->version,
 			 (unsigned long long)w->version);
 }
@@ -254,7 +256,7 @@
 	uint64_t now;
 	uint32_t i, k;
 
-	w->draw = seed;
+	w->random = seed;
 	w->version = 1;
 	for (i = 0; i < NODES; i++) {
 		struct node *n = talloc_zero(w, struct node);
@@ -265,13 +267,13 @@
 		n->config->version = 1;
 	}
 	for (now = 100000; now < 100000 + WALK_MS; now += STEP_MS) {
-		if (!draw(w, 150))
+		if (!pick(w, 150))
 			w->confirmed_ms[++w->version] = now;
 		for (i = 0; i < NODES; i++)
 			for (k = 0; k < CALLS; k++)
-				if (w->nodes[i].calls[k].under_way)
-					decide(w, &w->nodes[i].calls[k], k == 0,
-					       now);
+				if (w->nodes[i].calls[k].in_flight)
+					process_call(w, &w->nodes[i].calls[k],
+						     k == 0, now);
 		for (i = 0; i < NODES; i++) {
 			node_step(w, &w->nodes[i], now);
 			check(w, &w->nodes[i], now, seed);
@@ -282,7 +284,7 @@
 	return answered;
 }
 
-static void test_no_answer_by_an_old_version(void **state)
+static void test_no_answer_by_stale_version(void **state)
 {
 	uint64_t answered = 0;
 	uint32_t seed;
@@ -290,17 +292,17 @@
 	(void)state;
 	for (seed = 1; seed <= SEEDS; seed++)
 		answered += walk_run(seed);
-	/* A rule that lets nobody answer would hold too. */
+	/* A bound that no node ever meets would pass the checks too. */
 	assert_true(answered > (uint64_t)SEEDS * NODES * WALK_MS / STEP_MS / 2);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_what_shows_it),
-		cmocka_unit_test(test_ages),
+		cmocka_unit_test(test_peer_reports),
+		cmocka_unit_test(test_staleness_ms),
 		cmocka_unit_test(test_verdicts),
-		cmocka_unit_test(test_no_answer_by_an_old_version),
+		cmocka_unit_test(test_no_answer_by_stale_version),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
