Merge src/node (leader, takeover, commit, watch, staleness, session): the wording

Readers took "lead", "vouched", "currency", "settle", "turn", "yielded" for other things. Terms now: leader, a peer reports that the leader is live, staleness, resolving a write of unknown outcome, generation, stepped down.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -111,8 +111,8 @@
 
 	if (n->fetching_config || now < n->next_fetch_ms)
 		return false;
-	return !n->config ||
-	       (n->config_behind_ms && now - n->config_behind_ms >= wait_ms);
+	return !n->config || (n->config_behind_since_ms &&
+			      now - n->config_behind_since_ms >= wait_ms);
 }
 
 uint8_t *gossip_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
@@ -128,14 +128,14 @@
 	fill_node_row(n, &self);
 	heartbeat.node = (char *)n->settings.name;
 	heartbeat.row = &self;
-	heartbeat.epoch = n->lead.epoch;
-	heartbeat.lead = n->lead.node;
-	heartbeat.lead_address = n->lead.address;
-	heartbeat.lead_incarnation = n->lead.incarnation;
+	heartbeat.epoch = n->leader.epoch;
+	heartbeat.lead = n->leader.node;
+	heartbeat.lead_address = n->leader.address;
+	heartbeat.lead_incarnation = n->leader.incarnation;
 	heartbeat.config_version = n->config ? n->config->version : 0;
-	heartbeat.config_age_ms = currency_age_ms(n, clock_now_ms());
-	heartbeat.leading = lead_is_able(n);
-	heartbeat.lead_age_ms = lead_age_ms(n);
+	heartbeat.config_age_ms = staleness_ms(n, clock_now_ms());
+	heartbeat.leading = leader_is_live(n);
+	heartbeat.lead_age_ms = leader_live_age_ms(n);
 	heartbeat.stopping = n->stopping;
 	if (with_config && n->config) {
 		heartbeat.config.data = n->config_bytes;
@@ -163,19 +163,19 @@
 
 static void update_leader(struct node *n, const Fleet__Beat *heartbeat)
 {
-	struct lead_view view = { .known = true };
+	struct leader_view view = { .known = true };
 
-	if (!heartbeat->epoch || heartbeat->epoch < n->lead.epoch)
+	if (!heartbeat->epoch || heartbeat->epoch < n->leader.epoch)
 		return;
 	/* The claim is known already, and with its revision. */
-	if (n->lead.known && heartbeat->epoch == n->lead.epoch)
+	if (n->leader.known && heartbeat->epoch == n->leader.epoch)
 		return;
 	snprintf(view.node, sizeof(view.node), "%s", heartbeat->lead);
 	snprintf(view.address, sizeof(view.address), "%s",
 		 heartbeat->lead_address);
 	view.incarnation = heartbeat->lead_incarnation;
 	view.epoch = heartbeat->epoch;
-	lead_learn(n, &view, "peer");
+	leader_learn(n, &view, "peer");
 }
 
 static bool config_is_newer(const struct node *n, uint64_t config_version)
@@ -187,8 +187,8 @@
 {
 	if (!config_is_newer(n, heartbeat->config_version))
 		return;
-	if (!n->config_behind_ms) {
-		n->config_behind_ms = clock_now_ms();
+	if (!n->config_behind_since_ms) {
+		n->config_behind_since_ms = clock_now_ms();
 		event_log("config-behind", NULL,
 			  "\"peer\":\"%s\",\"version\":%" PRIu64
 			  ",\"own\":%" PRIu64,
@@ -213,13 +213,14 @@
 					   heartbeat->peers[i]->row);
 	update_leader(n, heartbeat);
 	if (heartbeat->row)
-		lead_peer_seen(n, heartbeat->node, heartbeat->row->incarnation);
+		leader_peer_seen(n, heartbeat->node,
+				 heartbeat->row->incarnation);
 	/* A heartbeat of an earlier epoch says nothing about this leader. */
-	if (heartbeat->epoch == n->lead.epoch) {
-		if (!strcmp(heartbeat->node, n->lead.node))
-			lead_heard(n, heartbeat->leading, now);
+	if (heartbeat->epoch == n->leader.epoch) {
+		if (!strcmp(heartbeat->node, n->leader.node))
+			leader_heartbeat(n, heartbeat->leading, now);
 		else
-			lead_vouched(n, heartbeat->lead_age_ms, now);
+			leader_reported_live(n, heartbeat->lead_age_ms, now);
 	}
 	p = find_peer(n, heartbeat->node);
 	if (p) {
@@ -256,7 +257,7 @@
 		    !strcmp(n->peers[i].address, call->address))
 			n->peers[i].heartbeat_pending = false;
 	if (h->refused)
-		lead_refused(n, call->leader_incarnation);
+		leader_connection_refused(n, call->leader_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		heartbeat = fleet__beat__unpack(NULL, h->body.length,
 						(uint8_t *)h->body.data);
@@ -266,8 +267,8 @@
 			update_config(n, heartbeat);
 		else
 			gossip_receive(n, heartbeat);
-		currency_peer(n, heartbeat->config_version,
-			      heartbeat->config_age_ms, call->sent_ms);
+		staleness_peer_report(n, heartbeat->config_version,
+				      heartbeat->config_age_ms, call->sent_ms);
 		fleet__beat__free_unpacked(heartbeat, NULL);
 	}
 	talloc_free(call);
@@ -289,8 +290,8 @@
 	assert(call);
 	call->node = n;
 	snprintf(call->address, sizeof(call->address), "%s", address);
-	if (!strcmp(address, n->lead.address))
-		call->leader_incarnation = n->lead.incarnation;
+	if (!strcmp(address, n->leader.address))
+		call->leader_incarnation = n->leader.incarnation;
 	call->sent_ms = clock_now_ms();
 	call->fetch_config = fetch_config;
 	call->body = gossip_pack(n, call, false, &r.body_length);
@@ -347,15 +348,15 @@
 {
 	struct peer_node *p;
 
-	if (n->phase != LEAD_NONE || !n->lead.known || !*n->lead.node)
+	if (n->phase != LEADER_NONE || !n->leader.known || !*n->leader.node)
 		return;
-	p = find_peer(n, n->lead.node);
+	p = find_peer(n, n->leader.node);
 	if (!p) {
 		Fleet__NodeRow row = FLEET__NODE_ROW__INIT;
 
-		row.address = n->lead.address;
-		row.incarnation = n->lead.incarnation;
-		gossip_update_peer(n, n->lead.node, &row);
+		row.address = n->leader.address;
+		row.incarnation = n->leader.incarnation;
+		gossip_update_peer(n, n->leader.node, &row);
 		return;
 	}
 	if (!p->heartbeat_pending &&
@@ -440,9 +441,9 @@
 		gossip_update_peer(n, reply->rows[i].key, row);
 		fleet__node_row__free_unpacked(row, NULL);
 	}
-	lead_nodes_known(n); /* the strongest node is known now */
+	leader_nodes_loaded(n); /* the strongest node is known now */
 	if (!n->registered)
-		n->register_ms = 0;
+		n->next_register_ms = 0;
 }
 
 static void read_nodes(struct node *n)
@@ -459,9 +460,9 @@
  */
 static void register_tick(struct node *n, uint64_t now)
 {
-	if (n->registering || now < n->register_ms)
+	if (n->registering || now < n->next_register_ms)
 		return;
-	n->register_ms = now + SEED_INTERVAL_MS;
+	n->next_register_ms = now + SEED_INTERVAL_MS;
 	if (!n->registered && (n->settings.first_start || n->nodes_read))
 		register_self(n);
 	else if (!n->nodes_read)
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -134,7 +134,7 @@
 	static const enum fleet_machine_state states[] = {
 		[MACHINE_UP] = FLEET_UP,
 		[MACHINE_MOVING] = FLEET_MOVING,
-		[MACHINE_UPKEEP] = FLEET_IN_MAINTENANCE,
+		[MACHINE_MAINTENANCE] = FLEET_IN_MAINTENANCE,
 		[MACHINE_DOWN] = FLEET_DOWN,
 	};
 	struct machine_call *call = arg;
@@ -143,7 +143,7 @@
 	struct fleet_machine_info *infos;
 	uint32_t i;
 
-	if (call->lead_epoch == n->lead_epoch && m->fleet) {
+	if (call->lead_epoch == n->phase_generation && m->fleet) {
 		m->listing = false;
 		log_list_result(m, whole);
 		infos = talloc_zero_array(call, struct fleet_machine_info,
@@ -172,7 +172,7 @@
 
 	assert(call);
 	call->node = n;
-	call->lead_epoch = n->lead_epoch;
+	call->lead_epoch = n->phase_generation;
 	call->sent_ms = clock_now_ms();
 	return call;
 }
@@ -188,7 +188,7 @@
 {
 	struct machines *m = machines_get(n);
 	struct fleet_options options = {
-		.maintenance_ms = n->settings.upkeep_ms,
+		.maintenance_ms = n->settings.maintenance_ms,
 		.move_ms = n->settings.move_ms,
 	};
 	uint32_t i;
@@ -224,7 +224,7 @@
 	struct machines *m = n->machines;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch != n->lead_epoch || !m->fleet)
+	if (call->lead_epoch != n->phase_generation || !m->fleet)
 		goto out;
 	m->maintenance_reading = false;
 	if (reply->status != STORE_OK) {
@@ -281,9 +281,9 @@
 	assert(w);
 	w->node = n;
 	for (i = 0; i < m->unwritten_count && i < STORE_TXN_MAX; i++)
-		w->txn.puts[i] =
-			(struct store_put){ NODE_TABLE_UPKEEP, m->unwritten[i],
-					    (const uint8_t *)"1", 1 };
+		w->txn.puts[i] = (struct store_put){ NODE_TABLE_MAINTENANCE,
+						     m->unwritten[i],
+						     (const uint8_t *)"1", 1 };
 	w->txn.put_count = w->count = i;
 	m->writing = true;
 	n->services->txn(n->services->impl, &w->txn, NODE_STORE_MS,
@@ -317,7 +317,7 @@
 	event_log("machine-answer", call->action.machine,
 		  "\"kind\":%d,\"result\":%d,\"took_ms\":%" PRIu64,
 		  call->action.kind, result, clock_now_ms() - call->sent_ms);
-	if (call->lead_epoch == n->lead_epoch && n->machines->fleet) {
+	if (call->lead_epoch == n->phase_generation && n->machines->fleet) {
 		fleet_action_result(n->machines->fleet, n->sched, &call->action,
 				    results[result], clock_now_ms());
 		if (result == MACHINE_OK &&
@@ -334,7 +334,7 @@
 	struct node *n = call->node;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch == n->lead_epoch && n->machines->fleet)
+	if (call->lead_epoch == n->phase_generation && n->machines->fleet)
 		fleet_action_result(n->machines->fleet, n->sched, &call->action,
 				    reply->status == STORE_OK ? FLEET_DONE
 							      : FLEET_REFUSED,
@@ -352,8 +352,8 @@
 	event_log("wave-state", a->wave_name, "\"completed\":%d", a->completed);
 	txn->condition_count = 1;
 	txn->conditions[0] =
-		(struct store_condition){ NODE_TABLE_LEAD, NODE_LEAD_KEY,
-					  n->lead.revision };
+		(struct store_condition){ NODE_TABLE_LEADER, NODE_LEADER_KEY,
+					  n->leader.revision };
 	txn->put_count = 1;
 	txn->puts[0].table = n->services->status_table;
 	txn->puts[0].key = a->wave_name;
@@ -376,9 +376,9 @@
 	case FLEET_ACTION_MAINTENANCE:
 		event_log("upkeep-order", a->machine, "\"wave\":%" PRIu64,
 			  a->wave);
-		n->services->machine_upkeep(n->services->impl, &holder,
-					    a->machine, a->wave,
-					    on_machine_answer, call);
+		n->services->machine_maintenance(n->services->impl, &holder,
+						 a->machine, a->wave,
+						 on_machine_answer, call);
 		return;
 	case FLEET_ACTION_MOVE:
 		event_log("move-order", a->machine, "\"pool\":\"%s\"", a->pool);
@@ -398,7 +398,7 @@
 
 static bool may_order(const struct node *n, uint64_t now)
 {
-	struct holder_view view = { n->started_ms, n->led_ms,
+	struct holder_view view = { n->started_ms, n->leader_since_ms,
 				    n->settings.holder_ms,
 				    n->predecessor_ended };
 
@@ -454,7 +454,7 @@
 		if (m->maintenance_reading || now < m->maintenance_retry_ms)
 			return;
 		m->maintenance_reading = true;
-		n->services->read(n->services->impl, NODE_TABLE_UPKEEP,
+		n->services->read(n->services->impl, NODE_TABLE_MAINTENANCE,
 				  m->maintenance_next_key, NULL, NODE_STORE_MS,
 				  on_maintenance, call_new(n));
 		return;
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -41,7 +41,7 @@
 	enum relay_kind kind;
 	union {
 		order_fn order;
-		look_fn poll;
+		poll_fn poll;
 	} done;
 	void *arg;
 	UT_hash_handle hh;
@@ -92,7 +92,7 @@
 		c->done.order(c->arg, ORDER_LOST, 0);
 		break;
 	case RELAY_POLL:
-		c->done.poll(c->arg, LOOK_LOST, NULL);
+		c->done.poll(c->arg, POLL_LOST, NULL);
 		break;
 	}
 	talloc_free(c);
@@ -217,7 +217,7 @@
 }
 
 bool relay_poll(struct node *n, const struct sched_look *poll,
-		uint32_t timeout_ms, look_fn fn, void *arg)
+		uint32_t timeout_ms, poll_fn fn, void *arg)
 {
 	struct relay_peer *p = peer_for(n->relay, poll->instance_id);
 	Fleet__Call call = FLEET__CALL__INIT;
@@ -297,7 +297,7 @@
 static void deliver_result(struct relay *r, const Fleet__CallResult *result)
 {
 	struct sched_report *report = NULL;
-	enum look_result poll = LOOK_UNANSWERED;
+	enum poll_result poll = POLL_UNANSWERED;
 	struct relay_call *c;
 
 	HASH_FIND_INT(r->by_id, &result->id, c);
@@ -312,9 +312,9 @@
 	case RELAY_POLL:
 		if (result->report) {
 			report = report_of(c, result->report);
-			poll = LOOK_ANSWERED;
+			poll = POLL_ANSWERED;
 		} else if (result->newer_lead) {
-			poll = LOOK_NEWER_LEAD;
+			poll = POLL_NEWER_LEADER;
 		}
 		c->done.poll(c->arg, poll, report);
 		break;
--- a/src/node/relay_server.c
+++ b/src/node/relay_server.c
@@ -155,15 +155,15 @@
 	out->born = report->born;
 }
 
-static void on_poll_answer(void *arg, enum look_result result,
+static void on_poll_answer(void *arg, enum poll_result result,
 			   const struct sched_report *report)
 {
 	struct relayed_call *c = arg;
 	Fleet__CallResult out = FLEET__CALL_RESULT__INIT;
 	Fleet__CallReport filled = FLEET__CALL_REPORT__INIT;
 
-	out.newer_lead = result == LOOK_NEWER_LEAD;
-	if (result == LOOK_ANSWERED) {
+	out.newer_lead = result == POLL_NEWER_LEADER;
+	if (result == POLL_ANSWERED) {
 		fill_report(c, report, &filled);
 		out.report = &filled;
 	}
@@ -200,7 +200,7 @@
 		.wait_ms = call->wait_ms,
 	};
 
-	n->services->look(n->services->impl, &poll, fence, call->timeout_ms,
+	n->services->poll(n->services->impl, &poll, fence, call->timeout_ms,
 			  on_poll_answer, c);
 }
 
@@ -252,7 +252,7 @@
 {
 	struct relay_server *server = arg;
 	struct leader_link *link = frame_stream_data(stream);
-	uint64_t stalled_ms = clock_now_ms() - server->node->awake_ms;
+	uint64_t stalled_ms = clock_now_ms() - server->node->last_iteration_ms;
 	Fleet__Calls *calls;
 	bool valid;
 	size_t i;
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -63,8 +63,9 @@
 		event_log("ask-unanswered", p->id,
 			  "\"verb\":%d,\"result\":%d,\"lead\":\"%s\","
 			  "\"lead_heard_ms_ago\":%" PRIu64 ",\"store_ok\":%d",
-			  p->verb, answer->result, n->lead.node,
-			  clock_now_ms() - n->lead_heard_ms, n->store_ok);
+			  p->verb, answer->result, n->leader.node,
+			  clock_now_ms() - n->leader_last_heard_ms,
+			  n->store_ok);
 	p->fn(p->arg, answer);
 	talloc_free(p);
 }
@@ -108,11 +109,11 @@
 	size_t length;
 
 	/* The write could not become durable before the deadline. */
-	if (commit_is_stalled(n->commit_waits_ms, now) &&
+	if (commit_is_stalled(n->commit_waiting_since_ms, now) &&
 	    !sched_state(n->sched, req->id, req->queue)) {
 		event_log("job-turned-away", req->id,
 			  "\"queue\":\"%s\",\"store_silent_ms\":%" PRIu64,
-			  req->queue, now - n->commit_waits_ms);
+			  req->queue, now - n->commit_waiting_since_ms);
 		r->retry_after_ms = RETRY_STALLED_MS;
 		r->result = FLEET__RESULT__REFUSED;
 		return;
@@ -144,7 +145,7 @@
 static bool leader_may_answer(const struct node *n,
 			      const struct node_request *req, uint64_t now)
 {
-	if (currency_holds(n, now))
+	if (staleness_in_bound(n, now))
 		return true;
 	return req->verb != FLEET__VERB__SUBMIT &&
 	       (!req->config_old || !n->store_ok);
@@ -154,12 +155,12 @@
 static bool verdict_allows(struct node *n, const struct node_request *req,
 			   struct node_answer *r)
 {
-	enum currency_verdict verdict = currency_verdict(n->config, req);
+	enum staleness_verdict verdict = staleness_verdict(n->config, req);
 
-	if (verdict == CURRENCY_DECIDES ||
+	if (verdict == STALENESS_DECIDES ||
 	    (!req->config_old && sched_state(n->sched, req->id, req->queue)))
 		return true;
-	if (verdict == CURRENCY_DROPPED) {
+	if (verdict == STALENESS_REMOVED) {
 		r->result = FLEET__RESULT__REFUSED;
 		r->retry_after_ms = RETRY_DROPPED_MS;
 	}
@@ -185,7 +186,7 @@
 	bool must_wait = false;
 
 	n->requests[req->verb]++;
-	if (!lead_may_order(n, now) || n->releasing ||
+	if (!leader_may_order(n, now) || n->releasing ||
 	    !leader_may_answer(n, req, now) || !verdict_allows(n, req, &r))
 		goto out;
 	switch (req->verb) {
@@ -245,7 +246,7 @@
 	bool same = true;
 	uint32_t i;
 
-	node_store_took(n, reply->status, p->recorded_ms);
+	node_store_timed_result(n, reply->status, p->recorded_ms);
 	switch (reply->status) {
 	case STORE_OK:
 		event_log("ask-recorded", p->id, "\"verb\":%d", p->verb);
@@ -264,7 +265,7 @@
 		p->possibly_recorded = true;
 		break;
 	case STORE_REFUSED:
-	case STORE_LOST:
+	case STORE_HISTORY_LOST:
 		break;
 	}
 	finish_with(p, FLEET__RESULT__UNANSWERED);
@@ -404,7 +405,7 @@
 	struct node *n = p->node;
 
 	return !p->leader_slow && n->store_ok &&
-	       record_pause_is_over(n->store_slow_ms, clock_now_ms()) &&
+	       record_pause_is_over(n->store_last_slow_ms, clock_now_ms()) &&
 	       record_bucket_take(&n->record_bucket, n->peer_count + 1,
 				  clock_now_ms());
 }
@@ -434,7 +435,7 @@
 	struct node_answer r;
 
 	if (h->refused)
-		lead_refused(n, p->leader_incarnation);
+		leader_connection_refused(n, p->leader_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
 		got = fleet__answer__unpack(NULL, h->body.length,
 					    (uint8_t *)h->body.data);
@@ -443,9 +444,10 @@
 		    p->verb == FLEET__VERB__SUBMIT)
 			p->possibly_recorded = true;
 		p->leader_slow = h->status == HTTPC_TIMEOUT &&
-				 lead_age_ms(n) < LEADER_LIVE_MS;
+				 leader_live_age_ms(n) < LEADER_LIVE_MS;
 		if (!p->leader_slow)
-			n->lead_suspect_ms = clock_now_ms() + LEADER_SUSPECT_MS;
+			n->leader_suspect_until_ms =
+				clock_now_ms() + LEADER_SUSPECT_MS;
 		try_store(p);
 		return;
 	}
@@ -472,7 +474,7 @@
 	static const char *const headers[] = {
 		"Content-Type: application/octet-stream", NULL
 	};
-	bool live = lead_age_ms(p->node) < LEADER_LIVE_MS;
+	bool live = leader_live_age_ms(p->node) < LEADER_LIVE_MS;
 	uint32_t max_ms = live ? LEADER_TIMEOUT_LIVE_MS : LEADER_TIMEOUT_MS;
 	uint32_t left_ms =
 		live ? time_left_ms(p) : time_left_ms(p) / LEADER_TIME_DIVISOR;
@@ -533,7 +535,7 @@
 	p->node = n;
 	p->verb = req->verb;
 	p->config_version = n->config ? n->config->version : 0;
-	p->config_old = !currency_holds(n, now);
+	p->config_old = !staleness_in_bound(n, now);
 	snprintf(p->id, sizeof(p->id), "%s", req->id);
 	snprintf(p->queue, sizeof(p->queue), "%s", req->queue);
 	p->deadline_ms = now + (req->deadline_ms > ANSWER_MARGIN_MS
@@ -542,7 +544,7 @@
 	p->fn = req->fn;
 	p->arg = req->arg;
 	pack_body(p, req);
-	if (lead_may_order(n, now) && !n->releasing) {
+	if (leader_may_order(n, now) && !n->releasing) {
 		struct node_request own = *req;
 
 		own.deadline_ms = time_left_ms(p);
@@ -551,13 +553,13 @@
 		request_decide(n, &own);
 		return;
 	}
-	if (!n->lead.known || !*n->lead.node || lead_is_self(n) ||
-	    now < n->lead_suspect_ms) {
+	if (!n->leader.known || !*n->leader.node || leader_is_self(n) ||
+	    now < n->leader_suspect_until_ms) {
 		try_store(p);
 		return;
 	}
-	p->leader_incarnation = n->lead.incarnation;
-	p->url = talloc_asprintf(p, "http://%s/ask", n->lead.address);
+	p->leader_incarnation = n->leader.incarnation;
+	p->url = talloc_asprintf(p, "http://%s/ask", n->leader.address);
 	assert(p->url);
 	forward_to_leader(p);
 }
