--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -83,7 +83,7 @@
 	if (machines < v->load.spread + SPREAD_SLACK && v->load.spread)
 		v->lacking += v->machine_cpu *
 			      (v->load.spread + SPREAD_SLACK - machines);
-	if (!v->lacking && v->load.lasting_waiting && !v->coming)
+	if (!v->lacking && v->load.long_running_waiting && !v->coming)
 		v->lacking = v->machine_cpu;
 	v->surplus = 0;
 	if (!v->lacking)
@@ -144,7 +144,7 @@
 		if (from->spare)
 			return m;
 		if (!sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.unknown || load.lasting || load.fillers ||
+		    load.unreported || load.long_running || load.fillers ||
 		    (idle_only && load.runs))
 			continue;
 		if (best && load.used.cpu >= best_used)
@@ -250,7 +250,7 @@
 
 		if (!v || v->spare || !movable(m, now) ||
 		    !sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.runs || load.unknown) {
+		    load.runs || load.unreported) {
 			m->idle_ms = 0;
 			continue;
 		}
@@ -301,7 +301,7 @@
 		    m->state != FLEET_UP)
 			continue;
 		if (sched_machine_load(s, m->name, &load) &&
-		    (load.runs || load.unknown)) {
+		    (load.runs || load.unreported)) {
 			if (now - m->phase_ms > DRAIN_MAX_MS)
 				stay(m, s, now);
 			continue;
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -107,10 +107,10 @@
 
 	if (!sched_machine_load(s, m->name, &load))
 		return -1;
-	if (load.unknown)
+	if (load.unreported)
 		return COST_UNKNOWN;
-	sched_mark_due(s, load.instance);
-	return (double)load.used.cpu + 100000.0 * load.lasting;
+	sched_mark_maintenance(s, load.instance);
+	return (double)load.used.cpu + 100000.0 * load.long_running;
 }
 
 static struct machine *cheapest_due(struct fleet *f, struct sched *s,
@@ -197,7 +197,7 @@
 
 	if (!sched_machine_load(s, m->name, &load))
 		return true;
-	if (load.unknown)
+	if (load.unreported)
 		return false;
 	if (!load.runs)
 		return true;
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -209,7 +209,7 @@
 
 		if (!strcmp(row->table, NODE_TABLE_JOB)) {
 			if (row->revision) {
-				sched_exists(n->sched, row->key);
+				sched_row_exists(n->sched, row->key);
 				explained = true;
 			}
 			continue;
@@ -256,11 +256,11 @@
 			n->lead.settled++;
 			n->settle = false;
 		}
-		sched_changed(n->sched, b->number, true, now);
+		sched_batch_done(n->sched, b->number, true, now);
 		waiters_durable(n);
 		break;
 	case STORE_CONFLICT:
-		sched_changed(n->sched, b->number, false, now);
+		sched_batch_done(n->sched, b->number, false, now);
 		on_conflict(n, reply);
 		break;
 	case STORE_UNKNOWN:
@@ -270,7 +270,7 @@
 		/* fallthrough */
 	case STORE_REFUSED:
 	case STORE_LOST:
-		sched_changed(n->sched, b->number, false, now);
+		sched_batch_done(n->sched, b->number, false, now);
 		n->commit_retry_ms = now + COMMIT_RETRY_MS;
 		break;
 	}
--- a/src/node/lead.c
+++ b/src/node/lead.c
@@ -50,7 +50,7 @@
 		n->confirmed_ms = sent_ms;
 	if (n->phase != LEAD_DECIDING)
 		return;
-	sched_confirmed(n->sched, sent_ms);
+	sched_leader_confirmed(n->sched, sent_ms);
 	node_pump(n);
 }
 
@@ -492,7 +492,7 @@
 		return;
 	}
 	if (now - n->confirmed_ms >= LEAD_CONFIRM_MS ||
-	    (n->phase == LEAD_DECIDING && sched_wants_confirmation(n->sched)))
+	    (n->phase == LEAD_DECIDING && sched_needs_confirmation(n->sched)))
 		read_row(n, now);
 }
 
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -113,10 +113,11 @@
 		const char *up = m->state == MACHINE_UP ? m->instance : "";
 
 		if (*up)
-			sched_expect(n->sched, up, m->pool, m->machine, now);
-		sched_machine_holds(n->sched, m->machine, up, sent_ms, now);
+			sched_expect_instance(n->sched, up, m->pool, m->machine,
+					      now);
+		sched_machine_listed(n->sched, m->machine, up, sent_ms, now);
 	}
-	sched_expected(n->sched, now);
+	sched_expect_complete(n->sched, now);
 	node_pump(n);
 }
 
@@ -460,7 +461,8 @@
 	}
 	if (!m->listing && now >= m->list_retry_ms &&
 	    (fleet_wants_list(m->fleet, now) ||
-	     (sched_wants_list(n->sched) && now - m->list_ms >= LIST_MUTE_MS)))
+	     (sched_needs_machine_list(n->sched) &&
+	      now - m->list_ms >= LIST_MUTE_MS)))
 		read_list(n);
 	if (!may_order(n, now))
 		return;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -397,7 +397,7 @@
  */
 bool relay_order(struct node *n, const struct sched_order *order,
 		 uint32_t timeout_ms, order_fn fn, void *arg);
-bool relay_look(struct node *n, const struct sched_look *look,
+bool relay_look(struct node *n, const struct sched_poll *look,
 		uint32_t timeout_ms, look_fn fn, void *arg);
 void relay_flush(struct node *n);
 void relay_stats(const struct node *n, struct relay_stats *stats);
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -190,7 +190,7 @@
 	static const Fleet__CallKind kinds[] = {
 		[ORDER_START] = FLEET__CALL_KIND__START,
 		[ORDER_STOP] = FLEET__CALL_KIND__STOP,
-		[ORDER_PACE] = FLEET__CALL_KIND__PACE,
+		[ORDER_THROTTLE] = FLEET__CALL_KIND__PACE,
 	};
 	struct relay_peer *p = peer_for(n->relay, order->instance_id);
 	Fleet__Call call = FLEET__CALL__INIT;
@@ -205,7 +205,8 @@
 	if (order->kind == ORDER_START) {
 		call.lease_until = order->lease_until;
 		call.payload = (char *)order->payload;
-		call.saved = (char *)(order->saved ? order->saved : "");
+		call.saved =
+			(char *)(order->checkpoint ? order->checkpoint : "");
 		call.ticket = (char *)(order->ticket ? order->ticket : "");
 	}
 	call.percent = order->percent;
@@ -214,7 +215,7 @@
 	return true;
 }
 
-bool relay_look(struct node *n, const struct sched_look *look,
+bool relay_look(struct node *n, const struct sched_poll *look,
 		uint32_t timeout_ms, look_fn fn, void *arg)
 {
 	struct relay_peer *p = peer_for(n->relay, look->instance_id);
@@ -280,11 +281,11 @@
 
 		ended[i] =
 			(struct sched_ended){ from->n, from->task, from->number,
-					      (enum sched_how)from->how,
+					      (enum sched_outcome)from->how,
 					      from->saved };
 	}
 	report->clock_ms = in->clock_ms;
-	report->born = in->born;
+	report->started_unix_ms = in->born;
 	report->running_count = (uint32_t)in->n_running;
 	report->ended_count = (uint32_t)in->n_ended;
 	report->running = running;
@@ -330,7 +331,7 @@
 		if (results->results[i]->result > ORDER_LOST)
 			return false;
 		for (e = 0; report && e < report->n_ended; e++)
-			if (report->ended[e]->how > SCHED_ALONE)
+			if (report->ended[e]->how > SCHED_GANG_INCOMPLETE)
 				return false;
 	}
 	return true;
--- a/src/node/relay_serve.c
+++ b/src/node/relay_serve.c
@@ -131,7 +131,7 @@
 		fleet__call_running__init(&running[i]);
 		running[i].task = (char *)from->task;
 		running[i].number = from->number;
-		running[i].saved = (char *)from->saved;
+		running[i].saved = (char *)from->checkpoint;
 		running[i].percent = from->percent;
 		running[i].load = from->load;
 		out->running[i] = &running[i];
@@ -140,17 +140,17 @@
 		const struct sched_ended *from = &report->ended[i];
 
 		fleet__call_ended__init(&ended[i]);
-		ended[i].n = from->n;
+		ended[i].n = from->seq;
 		ended[i].task = (char *)from->task;
 		ended[i].number = from->number;
-		ended[i].how = from->how;
-		ended[i].saved = (char *)from->saved;
+		ended[i].how = from->outcome;
+		ended[i].saved = (char *)from->checkpoint;
 		out->ended[i] = &ended[i];
 	}
 	out->n_running = report->running_count;
 	out->n_ended = report->ended_count;
 	out->clock_ms = report->clock_ms;
-	out->born = report->born;
+	out->born = report->started_unix_ms;
 }
 
 static void on_looked(void *arg, enum look_result result,
@@ -180,7 +180,7 @@
 	order.number = call->number;
 	order.lease_until = call->lease_until;
 	order.payload = call->payload;
-	order.saved = call->saved;
+	order.checkpoint = call->saved;
 	order.ticket = call->ticket;
 	order.percent = call->percent;
 	n->services->order(n->services->impl, &order, fence, call->timeout_ms,
@@ -190,7 +190,7 @@
 static void make_look(struct node *n, const Fleet__Call *call, uint64_t fence,
 		      struct served_call *c)
 {
-	struct sched_look look = {
+	struct sched_poll look = {
 		.instance_id = call->instance,
 		.address = call->address,
 		.lease_until = call->lease_until,
@@ -225,7 +225,7 @@
 		break;
 	case FLEET__CALL_KIND__PACE:
 	default:
-		make_order(n, call, ORDER_PACE, fence, c);
+		make_order(n, call, ORDER_THROTTLE, fence, c);
 		break;
 	}
 }
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -168,7 +168,7 @@
 	void (*order)(void *impl, const struct sched_order *order,
 		      uint64_t fence, uint32_t timeout_ms, order_fn fn,
 		      void *arg);
-	void (*look)(void *impl, const struct sched_look *look, uint64_t fence,
+	void (*look)(void *impl, const struct sched_poll *look, uint64_t fence,
 		     uint32_t timeout_ms, look_fn fn, void *arg);
 
 	void (*advise)(void *impl, const struct sched_advice *advice,
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -38,7 +38,7 @@
 	}
 	switch (result) {
 	case LOOK_LOST:
-		sched_look_lost(n->sched, call->instance, now);
+		sched_poll_lost(n->sched, call->instance, now);
 		break;
 	case LOOK_NEWER_LEAD:
 		/* The store is asked before more is ordered. */
@@ -48,8 +48,8 @@
 		n->looks_failed++;
 		/* fallthrough */
 	case LOOK_ANSWERED:
-		sched_looked(n->sched, call->instance, report, call->sent_ms,
-			     now);
+		sched_poll_done(n->sched, call->instance, report, call->sent_ms,
+				now);
 		break;
 	}
 	node_pump(n);
@@ -64,8 +64,8 @@
 
 	if (call->lead_epoch == n->lead_epoch) {
 		call->order.instance_id = call->instance_id;
-		sched_ordered(n->sched, &call->order, result, clock_ms,
-			      call->sent_ms, clock_now_ms());
+		sched_order_done(n->sched, &call->order, result, clock_ms,
+				 call->sent_ms, clock_now_ms());
 		if (result == ORDER_REFUSED_FENCE)
 			n->confirmed_ms = 0;
 		node_pump(n);
@@ -92,7 +92,7 @@
 			   on_ordered, call);
 }
 
-static void send_look(struct node *n, const struct sched_look *look,
+static void send_look(struct node *n, const struct sched_poll *look,
 		      uint64_t now)
 {
 	struct look_call *call = talloc_zero(n, struct look_call);
@@ -103,9 +103,9 @@
 	call->sent_ms = now;
 	call->instance = look->instance;
 	n->looks++;
-	if (relay_look(n, look, look->answer_ms, on_looked, call))
+	if (relay_look(n, look, look->timeout_ms, on_looked, call))
 		return;
-	n->services->look(n->services->impl, look, n->fence, look->answer_ms,
+	n->services->look(n->services->impl, look, n->fence, look->timeout_ms,
 			  on_looked, call);
 }
 
@@ -124,8 +124,8 @@
 
 	if (call->lead_epoch == n->lead_epoch) {
 		n->advising--;
-		sched_advised(n->sched, call->step, rows, count, valid_ms,
-			      call->sent_ms, clock_now_ms());
+		sched_advice_done(n->sched, call->step, rows, count, valid_ms,
+				  call->sent_ms, clock_now_ms());
 		node_pump(n);
 	}
 	talloc_free(call);
@@ -150,7 +150,7 @@
 {
 	struct sched_advice advice;
 	struct sched_order order;
-	struct sched_look look;
+	struct sched_poll look;
 
 	if (!lead_may_order(n, now) || n->releasing ||
 	    relay_is_gathering(n, now))
@@ -160,7 +160,7 @@
 		ask_adviser(n, &advice, now);
 	while (sched_next_order(n->sched, now, &order))
 		send_order(n, &order, now);
-	while (sched_next_look(n->sched, now, &look))
+	while (sched_next_poll(n->sched, now, &look))
 		send_look(n, &look, now);
 	relay_flush(n);
 }
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -156,7 +156,7 @@
 	struct sched_options options = {
 		.lease_ms = n->settings.lease_ms,
 		.lease_max_ms = n->settings.lease_max_ms,
-		.lead_ms = LEAD_ORDERS_MS,
+		.former_leader_ms = LEAD_ORDERS_MS,
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
 	};
@@ -165,12 +165,12 @@
 
 	n->sched = sched_new(n, &options);
 	sched_set_trace(n->sched, on_trace, n);
-	sched_clock(n->sched, node_unix_ms(n));
+	sched_set_clock(n->sched, node_unix_ms(n));
 	if (n->config)
 		sched_configure(n->sched, n->config, now);
 	load_rows(n, &t->tables[READ_INSTANCES], watch_instance_row);
 	load_jobs(t);
-	sched_lead(n->sched, n->lead.epoch, n->predecessor_gone, now);
+	sched_become_leader(n->sched, n->lead.epoch, n->predecessor_gone, now);
 	n->phase = LEAD_DECIDING;
 	watch_from(n, FEED_INSTANCES, t->tables[READ_INSTANCES].first_revision);
 	watch_from(n, FEED_INBOX, t->tables[READ_INBOX].first_revision);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -92,13 +92,13 @@
 	TALLOC_CTX *tmp;
 
 	if (row->dropped) {
-		sched_instance_gone(n->sched, row->key, clock_now_ms());
+		sched_instance_unlisted(n->sched, row->key, clock_now_ms());
 		return;
 	}
 	tmp = talloc_new(NULL);
 	if (n->services->instance(tmp, row->key, row->value, row->length,
 				  &info))
-		sched_instance(n->sched, &info, clock_now_ms());
+		sched_instance_listed(n->sched, &info, clock_now_ms());
 	else
 		event_log("instance-unreadable", event_text(row->key),
 			  "\"bytes\":%zu", row->length);
@@ -233,7 +233,8 @@
 		if (!reply->row_count ||
 		    !bsearch(load.id, reply->rows, reply->row_count,
 			     sizeof(*reply->rows), by_key))
-			sched_instance_gone(n->sched, load.id, clock_now_ms());
+			sched_instance_unlisted(n->sched, load.id,
+						clock_now_ms());
 	}
 }
 
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -146,7 +146,7 @@
 				}
 		}
 		job->pool = sched_pool(s, q->pool);
-		job->moved |= job->loaded;
+		job->pool_changed |= job->loaded;
 		for (k = 0; k < job->occurrence_count; k++) {
 			struct step *steps = job->occurrences[k].steps;
 
@@ -168,10 +168,10 @@
 	for (p = s->pools; p; p = p->hh.next)
 		p->conf = config_pool(c, p->name);
 	for (job = s->jobs; job; job = job->hh.next) {
-		bool owed = job->row && !job_is_over(job);
+		bool unfinished = job->row && !job_is_over(job);
 
-		job->conf = owed ? config_queue(c, job->queue) : NULL;
-		if (owed)
+		job->conf = unfinished ? config_queue(c, job->queue) : NULL;
+		if (unfinished)
 			job_follow_queue(s, job);
 	}
 	(void)now;
@@ -181,24 +181,24 @@
 
 bool task_startable(const struct task *task, uint64_t now)
 {
-	return !task->done && !task->maybe_running && !task->runs &&
+	return !task->done && !task->possibly_running && !task->runs &&
 	       now >= task->retry_ms;
 }
 
 /* A task that may run where nobody has looked counts for its workspace. */
-void task_set_unseen(struct task *task, bool unseen)
+void task_set_possibly_running(struct task *task, bool possibly_running)
 {
 	const Fleet__Step *spec = task->step->spec;
 	struct workspace *w = task->step->job->workspace;
 	struct amount a = { spec->cpu, spec->mem, spec->gpu };
 
-	if (task->maybe_running == unseen)
+	if (task->possibly_running == possibly_running)
 		return;
-	task->maybe_running = unseen;
-	if (w && unseen)
-		amount_add(&w->unseen, &a);
+	task->possibly_running = possibly_running;
+	if (w && possibly_running)
+		amount_add(&w->unreported, &a);
 	else if (w)
-		amount_sub(&w->unseen, &a);
+		amount_sub(&w->unreported, &a);
 }
 
 /* A step is in its pool's list while it has tasks that could start. */
@@ -208,15 +208,15 @@
 	bool wanted = false;
 	uint32_t i;
 
-	step->idle = 0;
+	step->startable = 0;
 	if (step->ready && !job_is_over(job))
 		for (i = 0; i < step->spec->count; i++) {
 			struct task *t = &step->tasks[i];
 
-			if (!t->done && !t->runs && !t->maybe_running)
-				step->idle++;
+			if (!t->done && !t->runs && !t->possibly_running)
+				step->startable++;
 		}
-	wanted = step->idle > 0;
+	wanted = step->startable > 0;
 	if (wanted && !step->queued)
 		DL_APPEND(job->pool->ready, step);
 	else if (!wanted && step->queued)
@@ -224,7 +224,7 @@
 	step->queued = wanted;
 }
 
-static bool step_is_free(const struct job *job, const struct step *step)
+static bool step_is_unblocked(const struct job *job, const struct step *step)
 {
 	const struct occurrence *o = &job->occurrences[step->occurrence];
 	size_t i;
@@ -232,7 +232,7 @@
 	if (!o->due)
 		return false;
 	for (i = 0; i < step->spec->n_after; i++)
-		if (o->steps[step->spec->after[i]].left)
+		if (o->steps[step->spec->after[i]].tasks_left)
 			return false;
 	return true;
 }
@@ -245,7 +245,7 @@
 	for (i = 0; o->steps && i < job->row->n_steps; i++) {
 		struct step *step = &o->steps[i];
 
-		if (step->ready || !step_is_free(job, step))
+		if (step->ready || !step_is_unblocked(job, step))
 			continue;
 		step->ready = true;
 		step_refresh(step);
@@ -263,7 +263,7 @@
 		return;
 	o->steps = talloc_zero_array(job, struct step, job->row->n_steps);
 	assert(o->steps);
-	o->left = (uint32_t)job->row->n_steps;
+	o->steps_left = (uint32_t)job->row->n_steps;
 	for (i = 0; i < job->row->n_steps; i++) {
 		struct step *step = &o->steps[i];
 
@@ -271,7 +271,7 @@
 		step->spec = job->row->steps[i];
 		step->occurrence = k;
 		step->index = (uint32_t)i;
-		step->left = step->spec->count;
+		step->tasks_left = step->spec->count;
 		step->tasks = talloc_zero_array(o->steps, struct task,
 						step->spec->count);
 		assert(step->tasks);
@@ -301,7 +301,7 @@
 	struct occurrence *o = &job->occurrences[step->occurrence];
 
 	step_refresh(step);
-	if (--o->left) {
+	if (--o->steps_left) {
 		occurrence_refresh(s, job, step->occurrence);
 		return;
 	}
@@ -319,21 +319,21 @@
 	if (task->done)
 		return;
 	task->done = true;
-	task_set_unseen(task, false);
+	task_set_possibly_running(task, false);
 	DL_FOREACH2(task->runs, run, task_next)
 	run_stop(s, run);
-	job_change(s, step->job);
+	job_mark_changed(s, step->job);
 	if (step->spec->gang) {
 		/* One member's end stands for all of them. */
 		for (i = 0; i < step->spec->count; i++) {
 			step->tasks[i].done = true;
-			task_set_unseen(&step->tasks[i], false);
+			task_set_possibly_running(&step->tasks[i], false);
 		}
-		step->left = 0;
+		step->tasks_left = 0;
 	} else {
-		step->left--;
+		step->tasks_left--;
 	}
-	if (step->left == 0)
+	if (step->tasks_left == 0)
 		step_done(s, step, now);
 	else
 		step_refresh(step);
@@ -366,7 +366,7 @@
 	step->failed[2 * step->failed_count + 1] = (uint32_t)number;
 	step->failed_count++;
 	counted->failed++;
-	job_change(s, step->job);
+	job_mark_changed(s, step->job);
 	if (counted->failed >= attempts_max(step->job))
 		job_end(s, step->job, FLEET__JOB_STATE__FAILED, now);
 }
@@ -379,13 +379,13 @@
 }
 
 /* Puts a job behind all others that wait to be written. */
-void job_change(struct sched *s, struct job *job)
+void job_mark_changed(struct sched *s, struct job *job)
 {
-	if (job->change == CHANGE_GATHERED) {
+	if (job->change == CHANGE_BATCHED) {
 		s->change_seq++;
-		if (!job->changed_again)
-			job->again_seq = s->change_seq;
-		job->changed_again = true;
+		if (!job->changed_while_batched)
+			job->next_change_seq = s->change_seq;
+		job->changed_while_batched = true;
 		return;
 	}
 	if (job->change == CHANGE_WAITING)
@@ -441,7 +441,7 @@
 	talloc_free(job);
 }
 
-void steps_leave(struct job *job)
+void job_refresh_steps(struct job *job)
 {
 	uint32_t k;
 	size_t i;
@@ -453,14 +453,14 @@
 }
 
 /* Takes a job's steps out of their pool's list, for a job that goes. */
-void steps_forget(struct sched *s, struct job *job)
+void job_discard_steps(struct sched *s, struct job *job)
 {
 	job->state = FLEET__JOB_STATE__CANCELLED;
-	steps_leave(job);
+	job_refresh_steps(job);
 	(void)s;
 }
 
-static void steps_stop(struct sched *s, struct job *job)
+static void job_stop_runs(struct sched *s, struct job *job)
 {
 	struct run *run;
 	uint32_t k, t;
@@ -484,10 +484,10 @@
 		return;
 	job->state = state;
 	job->ended_ms = now;
-	steps_leave(job);
-	steps_stop(s, job);
-	job_change(s, job);
-	job_counted(s, job, now);
+	job_refresh_steps(job);
+	job_stop_runs(s, job);
+	job_mark_changed(s, job);
+	job_count_end(s, job, now);
 	sched_trace(s, "job-end", job->id,
 		    "\"state\":%d,\"age_ms\":%" PRIu64
 		    ",\"objective_in_ms\":%" PRId64,
@@ -515,8 +515,8 @@
 		return FLEET__JOB_STATE__UNKNOWN;
 	if (job->shown >= FLEET__JOB_STATE__COMPLETED)
 		return job->shown;
-	return job->begun ? FLEET__JOB_STATE__RUNNING
-			  : FLEET__JOB_STATE__QUEUED;
+	return job->started ? FLEET__JOB_STATE__RUNNING
+			    : FLEET__JOB_STATE__QUEUED;
 }
 
 uint32_t sched_pending(const struct sched *s, const char *queue)
@@ -525,7 +525,7 @@
 	uint32_t count = 0;
 
 	for (job = s->jobs; job; job = job->hh.next)
-		if (!job_is_over(job) && !job->begun &&
+		if (!job_is_over(job) && !job->started &&
 		    !strcmp(job->queue, queue))
 			count++;
 	return count;
@@ -533,7 +533,7 @@
 
 /* Time */
 
-void sched_clock(struct sched *s, uint64_t unix_ms)
+void sched_set_clock(struct sched *s, uint64_t unix_ms)
 {
 	s->unix_ms = unix_ms;
 }
@@ -561,7 +561,7 @@
 {
 	struct job *job, *next;
 
-	s->sweep_ms = now + SWEEP_MS;
+	s->next_sweep_ms = now + SWEEP_MS;
 	for (job = s->jobs; job; job = next) {
 		next = job->hh.next;
 		if (!job_is_over(job)) {
@@ -582,7 +582,7 @@
 void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now)
 {
 	s->unix_ms = unix_ms;
-	if (now >= s->sweep_ms)
+	if (now >= s->next_sweep_ms)
 		sweep(s, now);
 	sched_place(s, now);
 }
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -21,10 +21,10 @@
 #include "process/metric.h"
 #include "proto/fleet.pb-c.h"
 
-#define SCHED_ID_BYTES 16   /* of a job's id */
-#define SCHED_TASK_MAX 64   /* bytes of a task's name, with the NUL */
-#define SCHED_SAVED_MAX 128 /* bytes of a checkpoint, with the NUL */
-#define SCHED_LABEL_MAX 64  /* bytes of a label, with the NUL */
+#define SCHED_ID_BYTES 16	 /* of a job's id */
+#define SCHED_TASK_MAX 64	 /* bytes of a task's name, with the NUL */
+#define SCHED_CHECKPOINT_MAX 128 /* bytes of a checkpoint, with the NUL */
+#define SCHED_LABEL_MAX 64	 /* bytes of a label, with the NUL */
 #define SCHED_LABELS_MAX 8
 
 struct sched;
@@ -43,9 +43,10 @@
 struct sched_options {
 	uint32_t lease_ms;     /* what an order extends an instance's work by */
 	uint32_t lease_max_ms; /* instances shorten what is longer to this */
-	uint32_t lead_ms; /* how long a predecessor may still give orders */
-	uint32_t start_wait_ms; /* before an unanswered start is settled */
-	uint32_t end_keep_ms;	/* an ended job's state is told that long */
+	uint32_t former_leader_ms; /* how long a predecessor may still give
+				      orders */
+	uint32_t start_wait_ms;	   /* before an unanswered start is settled */
+	uint32_t end_keep_ms;	   /* an ended job's state is told that long */
 };
 
 /* What the directory tells about an instance. */
@@ -55,49 +56,49 @@
 	const char *zone;
 	const char *pool;
 	const char *machine;
-	uint64_t born; /* unix ms of its start, 0 if not told */
+	uint64_t started_unix_ms; /* unix ms of its start, 0 if not told */
 	struct amount capacity;
 	bool leaving;
 	uint32_t label_count;
 	const char *labels[SCHED_LABELS_MAX]; /* its kind, then its rack */
 };
 
-enum sched_how {
+enum sched_outcome {
 	SCHED_DONE,
 	SCHED_FAILED,
 	SCHED_STOPPED,
 	SCHED_LAPSED,
-	SCHED_BROKEN, /* another member of the gang ended */
-	SCHED_ALONE,  /* the gang's others did not come */
+	SCHED_GANG_BROKEN,     /* another member of the gang ended */
+	SCHED_GANG_INCOMPLETE, /* the gang's others did not come */
 };
 
 struct sched_running {
 	const char *task;
 	uint64_t number;
-	const char *saved;
+	const char *checkpoint;
 	uint32_t percent; /* work done, or being at work for a lasting task */
 	double load;	  /* tail in ms if it serves, else cpu in use */
 };
 
 struct sched_ended {
-	uint64_t n;
+	uint64_t seq;
 	const char *task;
 	uint64_t number;
-	enum sched_how how;
-	const char *saved;
+	enum sched_outcome outcome;
+	const char *checkpoint;
 };
 
 /* An instance's own account of what it runs and what has ended. */
 struct sched_report {
 	uint64_t clock_ms; /* of the instance */
-	uint64_t born;
+	uint64_t started_unix_ms;
 	uint32_t running_count;
 	uint32_t ended_count;
 	const struct sched_running *running;
 	const struct sched_ended *ended;
 };
 
-enum sched_order_kind { ORDER_START, ORDER_STOP, ORDER_PACE };
+enum sched_order_kind { ORDER_START, ORDER_STOP, ORDER_THROTTLE };
 
 /* Strings are valid until the next call that changes the scheduler. */
 struct sched_order {
@@ -110,7 +111,7 @@
 	uint64_t number;
 	uint64_t lease_until; /* instance's clock, 0 if its clock is unknown */
 	const char *payload;
-	const char *saved;
+	const char *checkpoint;
 	const char *ticket;
 	uint32_t percent;
 };
@@ -118,8 +119,8 @@
 enum sched_order_result {
 	ORDER_DONE,
 	ORDER_REFUSED_FENCE, /* a newer lead is known there */
-	ORDER_REFUSED_OLD,   /* a higher run number is known there */
-	ORDER_REFUSED_ROOM,
+	ORDER_REFUSED_STALE, /* a higher run number is known there */
+	ORDER_REFUSED_CAPACITY,
 	ORDER_REFUSED_LATE,
 	ORDER_REFUSED_TICKET,
 	ORDER_REFUSED,	 /* certainly not carried out */
@@ -129,14 +130,14 @@
 };
 
 /* One look at an instance, which also extends its work. */
-struct sched_look {
+struct sched_poll {
 	instance_handle_t instance;
 	const char *instance_id;
 	const char *address;
 	uint64_t lease_until; /* instance's clock, 0 if its clock is unknown */
 	uint64_t acked;	      /* ends up to here are durable */
 	uint32_t wait_ms;     /* the instance waits that long for an end */
-	uint32_t answer_ms;   /* then its answer is taken for lost */
+	uint32_t timeout_ms;  /* then its answer is taken for lost */
 };
 
 enum sched_submit {
@@ -168,12 +169,13 @@
 /* sched_new - without jobs and instances, owned by ctx */
 struct sched *sched_new(TALLOC_CTX *ctx, const struct sched_options *options);
 
-/* sched_clock - the time of day, before rows with times in them are read */
-void sched_clock(struct sched *s, uint64_t unix_ms);
+/* sched_set_clock - the time of day, before rows with times in them are read */
+void sched_set_clock(struct sched *s, uint64_t unix_ms);
 
-/* sched_lead - begin to decide as the given epoch; all instances unseen */
-void sched_lead(struct sched *s, uint64_t epoch, bool predecessor_gone,
-		uint64_t now);
+/* sched_become_leader - begin to decide as the given epoch; all instances
+ * unseen */
+void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
+			 uint64_t now);
 
 /* sched_predecessor_gone - the lead before this one gives no more orders */
 void sched_predecessor_gone(struct sched *s, uint64_t now);
@@ -182,16 +184,16 @@
 void sched_configure(struct sched *s, const struct config *c, uint64_t now);
 
 /*
- * sched_confirmed - the lead row was unchanged at sent_ms or later
+ * sched_leader_confirmed - the lead row was unchanged at sent_ms or later
  *
  * An instance that is new to this lead, or was silent, is used after the next
  * confirmation: it may know no newer fence, and a former lead must not start
  * work there that a successor, which did not see it, starts elsewhere.
  */
-void sched_confirmed(struct sched *s, uint64_t sent_ms);
+void sched_leader_confirmed(struct sched *s, uint64_t sent_ms);
 
-/* sched_wants_confirmation - whether an instance waits for one */
-bool sched_wants_confirmation(const struct sched *s);
+/* sched_needs_confirmation - whether an instance waits for one */
+bool sched_needs_confirmation(const struct sched *s);
 
 /* Rows read at takeover */
 
@@ -232,42 +234,44 @@
 
 /* Instances */
 
-void sched_instance(struct sched *s, const struct sched_instance_info *info,
-		    uint64_t now);
-void sched_instance_gone(struct sched *s, const char *id, uint64_t now);
+void sched_instance_listed(struct sched *s,
+			   const struct sched_instance_info *info,
+			   uint64_t now);
+void sched_instance_unlisted(struct sched *s, const char *id, uint64_t now);
 
 /*
- * sched_expect - an instance that the list of machines names
+ * sched_expect_instance - an instance that the list of machines names
  *
  * The directory may have lost its row for a while; until it is seen, what a
- * predecessor started may run there. After sched_expected all are named.
+ * predecessor started may run there. After sched_expect_complete all are named.
  */
-void sched_expect(struct sched *s, const char *id, const char *pool,
-		  const char *machine, uint64_t now);
-void sched_expected(struct sched *s, uint64_t now);
+void sched_expect_instance(struct sched *s, const char *id, const char *pool,
+			   const char *machine, uint64_t now);
+void sched_expect_complete(struct sched *s, uint64_t now);
 
 /*
- * sched_machine_holds - what a list asked for at sent_ms says of a machine
+ * sched_machine_listed - what a list asked for at sent_ms says of a machine
  *
  * id is the instance that is up on it, "" when none is. Other instances of
  * that machine which have not reported since run nothing any more.
  */
-void sched_machine_holds(struct sched *s, const char *machine, const char *id,
-			 uint64_t sent_ms, uint64_t now);
+void sched_machine_listed(struct sched *s, const char *machine, const char *id,
+			  uint64_t sent_ms, uint64_t now);
 
-/* sched_wants_list - whether the list could tell what an instance does not */
-bool sched_wants_list(const struct sched *s);
+/* sched_needs_machine_list - whether the list could tell what an instance does
+ * not */
+bool sched_needs_machine_list(const struct sched *s);
 
-/* sched_next_look - the next look that is due; false when none is */
-bool sched_next_look(struct sched *s, uint64_t now, struct sched_look *look);
+/* sched_next_poll - the next look that is due; false when none is */
+bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll);
 
-/* sched_looked - its report, or NULL when none came; once for each look */
-void sched_looked(struct sched *s, instance_handle_t i,
-		  const struct sched_report *report, uint64_t sent_ms,
-		  uint64_t now);
+/* sched_poll_done - its report, or NULL when none came; once for each look */
+void sched_poll_done(struct sched *s, instance_handle_t i,
+		     const struct sched_report *report, uint64_t sent_ms,
+		     uint64_t now);
 
-/* sched_look_lost - nobody will say what it found; that proves nothing */
-void sched_look_lost(struct sched *s, instance_handle_t i, uint64_t now);
+/* sched_poll_lost - nobody will say what it found; that proves nothing */
+void sched_poll_lost(struct sched *s, instance_handle_t i, uint64_t now);
 
 /* sched_tick - time has passed */
 void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now);
@@ -275,12 +279,12 @@
 /*
  * sched_next_order - the next order to be sent now; false when none is
  *
- * Each order is answered by sched_ordered exactly once.
+ * Each order is answered by sched_order_done exactly once.
  */
 bool sched_next_order(struct sched *s, uint64_t now, struct sched_order *order);
-void sched_ordered(struct sched *s, const struct sched_order *order,
-		   enum sched_order_result result, uint64_t clock_ms,
-		   uint64_t sent_ms, uint64_t now);
+void sched_order_done(struct sched *s, const struct sched_order *order,
+		      enum sched_order_result result, uint64_t clock_ms,
+		      uint64_t sent_ms, uint64_t now);
 
 /* Advice: queues of which only an adviser knows where a step may run */
 
@@ -302,10 +306,11 @@
 bool sched_next_advice(struct sched *s, uint64_t now,
 		       struct sched_advice *advice);
 
-/* sched_advised - its answer, rows NULL when none came; once for each call */
-void sched_advised(struct sched *s, const char *step,
-		   const struct sched_approval *rows, uint32_t count,
-		   uint32_t valid_ms, uint64_t sent_ms, uint64_t now);
+/* sched_advice_done - its answer, rows NULL when none came; once for each call
+ */
+void sched_advice_done(struct sched *s, const char *step,
+		       const struct sched_approval *rows, uint32_t count,
+		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now);
 
 /* Rows */
 
@@ -313,18 +318,19 @@
  * sched_next_change - the next job of the batch that is being gathered
  *
  * A job is in one batch at a time, so batches may be written side by side.
- * sched_changed ends a batch: with true all its jobs are durable, with
+ * sched_batch_done ends a batch: with true all its jobs are durable, with
  * false they are gathered again.
  */
 bool sched_next_change(struct sched *s, uint32_t batch,
 		       struct sched_change *change);
-void sched_changed(struct sched *s, uint32_t batch, bool written, uint64_t now);
+void sched_batch_done(struct sched *s, uint32_t batch, bool written,
+		      uint64_t now);
 
 /* sched_change_pending - whether anything waits to be written */
 bool sched_change_pending(const struct sched *s);
 
-/* sched_exists - the store has a row of that new job already */
-void sched_exists(struct sched *s, const char *id);
+/* sched_row_exists - the store has a row of that new job already */
+void sched_row_exists(struct sched *s, const char *id);
 
 void sched_stats(const struct sched *s, struct sched_stats *stats);
 
@@ -350,11 +356,12 @@
 	uint32_t pinned;    /* of these, with tasks that last */
 	struct amount capacity;
 	struct amount used;
-	struct amount waiting;	  /* asked by tasks that could start now */
-	uint32_t spread;	  /* instances that a step that lasts needs */
-	uint32_t lasting_waiting; /* most tasks that last and wait, of a step */
-	uint64_t waiting_work;	  /* thousandths of core x ms */
-	uint64_t running_work;	  /* left of what runs, same unit */
+	struct amount waiting; /* asked by tasks that could start now */
+	uint32_t spread;       /* instances that a step that lasts needs */
+	uint32_t long_running_waiting; /* most tasks that last and wait, of a
+					  step */
+	uint64_t waiting_work;	       /* thousandths of core x ms */
+	uint64_t running_work;	       /* left of what runs, same unit */
 };
 
 /* sched_pool_load - false when no instance and no job has that pool */
@@ -368,10 +375,10 @@
 	const char *pool;
 	const char *rack;
 	bool usable;
-	bool unknown; /* something may run that this lead has not seen */
+	bool unreported; /* something may run that this lead has not seen */
 	uint32_t runs;
-	uint32_t lasting; /* of these, tasks that last and do not fill */
-	uint32_t fillers; /* and those that do */
+	uint32_t long_running; /* of these, tasks that last and do not fill */
+	uint32_t fillers;      /* and those that do */
 	struct amount used;
 };
 
@@ -390,9 +397,9 @@
 void sched_reserve(struct sched *s, instance_handle_t i, bool reserved,
 		   uint64_t now);
 
-/* sched_mark_due - the instance will be emptied: nothing that lasts goes there
- * while there is another place */
-void sched_mark_due(struct sched *s, instance_handle_t i);
+/* sched_mark_maintenance - the instance will be emptied: nothing that lasts
+ * goes there while there is another place */
+void sched_mark_maintenance(struct sched *s, instance_handle_t i);
 
 /*
  * sched_evacuate - stop what lasts there as far as budgets allow
@@ -400,7 +407,7 @@
  * Called again until sched_machine_load shows no run. Tasks that end are left
  * to end while patient, else stopped too.
  */
-void sched_evacuate(struct sched *s, instance_handle_t i, bool patient,
+void sched_evacuate(struct sched *s, instance_handle_t i, bool graceful,
 		    uint64_t now);
 
 /*
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -14,12 +14,12 @@
 
 #include "pool/sched_internal.h"
 
-#define ADVICE_LEAST 4u	      /* instances named in a call */
-#define ADVICE_MARGIN_MS 400u /* a ticket must be valid that much longer */
-#define ADVICE_RETRY_MS 300u  /* after a call that was refused */
-#define ADVICE_AGAIN_MS 1000u /* after one that approved none with room */
+#define ADVICE_INSTANCES_MIN 4u /* instances named in a call */
+#define ADVICE_MARGIN_MS 400u	/* a ticket must be valid that much longer */
+#define ADVICE_RETRY_MS 300u	/* after a call that was refused */
+#define ADVICE_REPEAT_MS 1000u	/* after one that approved none with room */
 
-bool step_advised(const struct step *step)
+bool step_needs_advice(const struct step *step)
 {
 	return step->job->conf && step->job->conf->advised;
 }
@@ -32,14 +32,15 @@
 	for (n = 0; n < step->ticket_count; n++) {
 		const struct ticket *t = &step->tickets[n];
 
-		if (t->instance == i->handle.i && t->born == i->born &&
-		    now + ADVICE_MARGIN_MS < t->until_ms)
+		if (t->instance == i->handle.i &&
+		    t->started_unix_ms == i->started_unix_ms &&
+		    now + ADVICE_MARGIN_MS < t->valid_until_ms)
 			return t->text;
 	}
 	return NULL;
 }
 
-static int by_room(const void *a, const void *b)
+static int by_free_cpu(const void *a, const void *b)
 {
 	const struct instance *x = *(struct instance *const *)a;
 	const struct instance *y = *(struct instance *const *)b;
@@ -59,15 +60,16 @@
 	if (count < room && instance_usable(s, i, now) &&
 	    instance_could_run(i, step->spec))
 		list[count++] = i;
-	qsort(list, count, sizeof(*list), by_room);
+	qsort(list, count, sizeof(*list), by_free_cpu);
 	return count;
 }
 
 /* A step that found no approved room asks, unless it has just done so. */
-static bool wants(const struct sched *s, const struct step *step, uint64_t now)
+static bool wants_advice(const struct sched *s, const struct step *step,
+			 uint64_t now)
 {
-	return step->job->taken && !step->advising && step->idle &&
-	       now >= step->advise_ms && step_advised(step);
+	return step->job->claimed && !step->advice_pending && step->startable &&
+	       now >= step->advice_due_ms && step_needs_advice(step);
 }
 
 static struct step *next_step(const struct sched *s, uint64_t now)
@@ -77,7 +79,7 @@
 
 	for (pool = s->pools; pool; pool = pool->hh.next)
 		DL_FOREACH(pool->ready, step)
-	if (wants(s, step, now))
+	if (wants_advice(s, step, now))
 		return step;
 	return NULL;
 }
@@ -92,10 +94,11 @@
 	if (!step)
 		return false;
 	count = candidates(s, step, list, SCHED_ADVICE_MAX * 4, now);
-	step->advise_ms = now + ADVICE_RETRY_MS;
+	step->advice_due_ms = now + ADVICE_RETRY_MS;
 	if (!count)
 		return false;
-	n = step->spec->count > ADVICE_LEAST ? step->spec->count : ADVICE_LEAST;
+	n = step->spec->count > ADVICE_INSTANCES_MIN ? step->spec->count
+						     : ADVICE_INSTANCES_MIN;
 	if (n > SCHED_ADVICE_MAX)
 		n = SCHED_ADVICE_MAX;
 	if (n > count)
@@ -105,7 +108,7 @@
 		 step->occurrence, step->index);
 	for (advice->count = 0; advice->count < n; advice->count++)
 		advice->instances[advice->count] = list[advice->count]->id;
-	step->advising = true;
+	step->advice_pending = true;
 	return true;
 }
 
@@ -119,25 +122,25 @@
 	return t ? t->step : NULL;
 }
 
-void sched_advised(struct sched *s, const char *name,
-		   const struct sched_approval *rows, uint32_t count,
-		   uint32_t valid_ms, uint64_t sent_ms, uint64_t now)
+void sched_advice_done(struct sched *s, const char *name,
+		       const struct sched_approval *rows, uint32_t count,
+		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now)
 {
 	struct step *step = step_of(s, name);
 	uint32_t n;
 
 	if (!step)
 		return;
-	step->advising = false;
+	step->advice_pending = false;
 	sched_trace(s, "advice", step->job->id,
 		    "\"step\":%u,\"approved\":%u,\"valid_ms\":%u,"
 		    "\"took_ms\":%" PRIu64,
 		    step->index, count, valid_ms, now - sent_ms);
 	if (!rows) {
-		step->advise_ms = now + ADVICE_RETRY_MS;
+		step->advice_due_ms = now + ADVICE_RETRY_MS;
 		return;
 	}
-	step->advise_ms = now + ADVICE_AGAIN_MS;
+	step->advice_due_ms = now + ADVICE_REPEAT_MS;
 	step->tickets = talloc_realloc(step->job, step->tickets, struct ticket,
 				       count + 1);
 	assert(step->tickets);
@@ -150,8 +153,8 @@
 		if (!i)
 			continue;
 		t->instance = i->handle.i;
-		t->born = i->born;
-		t->until_ms = sent_ms + valid_ms;
+		t->started_unix_ms = i->started_unix_ms;
+		t->valid_until_ms = sent_ms + valid_ms;
 		snprintf(t->text, sizeof(t->text), "%s", rows[n].ticket);
 		step->ticket_count++;
 	}
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -12,38 +12,40 @@
 #define REPORT_MAX_MS 2500u /* older, a report says nothing about now */
 
 /* Whether the instance has said lately what runs on it. */
-static bool heard_of(const struct instance *i, uint64_t now)
+static bool reported_lately(const struct instance *i, uint64_t now)
 {
-	return !i->silent && i->clock_at && now - i->clock_at < REPORT_MAX_MS;
+	return !i->unresponsive && i->clock_read_ms &&
+	       now - i->clock_read_ms < REPORT_MAX_MS;
 }
 
-static bool task_away(const struct task *task, uint64_t now)
+static bool task_unavailable(const struct task *task, uint64_t now)
 {
 	const struct run *run;
 
 	DL_FOREACH2(task->runs, run, task_next)
-	if (run_at_work(run) && run->pace == 100 &&
-	    heard_of(run->instance, now))
+	if (run_is_available(run) && run->speed_percent == 100 &&
+	    reported_lately(run->instance, now))
 		return false;
 	return true;
 }
 
 /* Whether the task may be stopped without passing its step's budget. */
-bool task_may_leave(const struct task *task, uint64_t now)
+bool task_may_stop(const struct task *task, uint64_t now)
 {
 	const struct step *step = task->step;
-	uint32_t away = 0;
+	uint32_t unavailable = 0;
 	uint32_t t;
 
 	if (!step->spec->may_miss)
 		return true;
 	for (t = 0; t < step->spec->count; t++)
-		if (&step->tasks[t] != task && task_away(&step->tasks[t], now))
-			away++;
-	return away < step->spec->may_miss;
+		if (&step->tasks[t] != task &&
+		    task_unavailable(&step->tasks[t], now))
+			unavailable++;
+	return unavailable < step->spec->may_miss;
 }
 
-void sched_evacuate(struct sched *s, instance_handle_t h, bool patient,
+void sched_evacuate(struct sched *s, instance_handle_t h, bool graceful,
 		    uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
@@ -53,11 +55,11 @@
 		return;
 	DL_FOREACH(i->runs, run)
 	{
-		if (run->state != RUN_BEGUN)
+		if (run->state != RUN_RUNNING)
 			continue;
-		if (!run->task->step->spec->lasting && patient)
+		if (!run->task->step->spec->lasting && graceful)
 			continue;
-		if (!task_may_leave(run->task, now))
+		if (!task_may_stop(run->task, now))
 			continue;
 		run_stop(s, run);
 	}
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -39,7 +39,7 @@
 				const struct task *task =
 					&job->occurrences[k].steps[i].tasks[t];
 
-				if (task->runs || task->maybe_running)
+				if (task->runs || task->possibly_running)
 					return true;
 			}
 	return false;
@@ -72,9 +72,9 @@
 		return false;
 	memset(change, 0, sizeof(*change));
 	memcpy(change->id, job->id, sizeof(change->id));
-	job->change = CHANGE_GATHERED;
+	job->change = CHANGE_BATCHED;
 	job->batch = batch;
-	job->changed_again = false;
+	job->changed_while_batched = false;
 	change->is_new = !job->stored;
 	change->job = job->row;
 	change->is_ended = job_is_over(job);
@@ -99,7 +99,7 @@
 	if (job_has_runs(job))
 		return; /* still to be stopped */
 	if (job->rows_kept) {
-		job_change(s, job);
+		job_mark_changed(s, job);
 		return;
 	}
 	talloc_free(job->occurrences);
@@ -132,9 +132,9 @@
 		if (!inst)
 			continue;
 		for (n = 0; n < inst->unacked_count; n++) {
-			if (inst->unacked[n].seq > durable)
+			if (inst->unacked[n].change_seq > durable)
 				break;
-			inst->acked = inst->unacked[n].n;
+			inst->acked = inst->unacked[n].end_seq;
 		}
 		if (!n)
 			continue;
@@ -142,17 +142,18 @@
 		memmove(inst->unacked, inst->unacked + n,
 			inst->unacked_count * sizeof(*inst->unacked));
 		if (!inst->unacked_count)
-			inst->look_ms = now;
+			inst->next_poll_ms = now;
 	}
 }
 
-void sched_changed(struct sched *s, uint32_t batch, bool written, uint64_t now)
+void sched_batch_done(struct sched *s, uint32_t batch, bool written,
+		      uint64_t now)
 {
 	struct job *job, *next;
 
 	DL_FOREACH_SAFE(s->changed, job, next)
 	{
-		if (job->change != CHANGE_GATHERED || job->batch != batch)
+		if (job->change != CHANGE_BATCHED || job->batch != batch)
 			continue;
 		if (!written) {
 			job->change = CHANGE_WAITING;
@@ -160,11 +161,11 @@
 		}
 		DL_DELETE(s->changed, job);
 		job->stored = true;
-		job->taken = true;
+		job->claimed = true;
 		job->change = CHANGE_NONE;
-		if (job->changed_again) {
+		if (job->changed_while_batched) {
 			job->change = CHANGE_WAITING;
-			job->change_seq = job->again_seq;
+			job->change_seq = job->next_change_seq;
 			DL_APPEND(s->changed, job);
 			continue;
 		}
@@ -175,7 +176,7 @@
 	acknowledge(s, now);
 }
 
-void sched_exists(struct sched *s, const char *id)
+void sched_row_exists(struct sched *s, const char *id)
 {
 	struct job *job = sched_job(s, id);
 
--- a/src/pool/sched_explain.c
+++ b/src/pool/sched_explain.c
@@ -12,25 +12,25 @@
 static char *explain_step(char *text, const struct step *step)
 {
 	uint32_t running = 0;
-	uint32_t doubtful = 0;
+	uint32_t ordered_or_stopping = 0;
 	uint32_t waiting = 0;
-	uint32_t unseen = 0;
+	uint32_t possibly_running = 0;
 	const struct run *run;
 	uint32_t t;
 
 	for (t = 0; t < step->spec->count; t++) {
 		const struct task *task = &step->tasks[t];
 
-		if (task->maybe_running)
-			unseen++;
+		if (task->possibly_running)
+			possibly_running++;
 		else if (!task->done && !task->runs)
 			waiting++;
 		DL_FOREACH2(task->runs, run, task_next)
 		{
-			if (run->state == RUN_BEGUN)
+			if (run->state == RUN_RUNNING)
 				running++;
 			else
-				doubtful++;
+				ordered_or_stopping++;
 		}
 	}
 	return talloc_asprintf_append(
@@ -39,8 +39,9 @@
 		"\"ready\":%d,\"running\":%u,\"ordered_or_stopping\":%u,"
 		"\"waiting\":%u,\"may_run_unseen\":%u,\"failed_ends\":%u}",
 		text[strlen(text) - 1] == '[' ? "" : ",", step->occurrence,
-		step->index, step->spec->count, step->spec->count - step->left,
-		step->ready, running, doubtful, waiting, unseen,
+		step->index, step->spec->count,
+		step->spec->count - step->tasks_left, step->ready, running,
+		ordered_or_stopping, waiting, possibly_running,
 		step->failed_count);
 }
 
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -1,6 +1,6 @@
 /*
- * sched_instance - instances: the directory, the list of machines, leases,
- * and evidence against them
+ * sched_instance_listed - instances: the directory, the list of machines,
+ * leases, and evidence against them
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -14,7 +14,7 @@
 #define LEASE_SLACK 0.03       /* the instance's clock may be 2% slow */
 #define LEASE_MARGIN_MS 150u
 #define FAILURES_MAX 3u /* of different jobs in a row, then it is shunned */
-#define SHUN_MS 4000u	/* before it is tried again */
+#define EJECT_MS 4000u	/* before it is tried again */
 
 struct instance *instance_of(const struct sched *s, instance_handle_t h)
 {
@@ -26,12 +26,12 @@
 	return i && i->handle.generation == h.generation ? i : NULL;
 }
 
-static bool all_seen(const struct sched *s)
+static bool all_reported(const struct sched *s)
 {
 	const struct pool *pool;
 
 	for (pool = s->pools; pool; pool = pool->hh.next)
-		if (pool->unseen)
+		if (pool->unreported)
 			return false;
 	return true;
 }
@@ -40,24 +40,24 @@
  * The pool may settle: nothing of a predecessor runs where nobody looked. A
  * job whose queue has changed its pool may run in either.
  */
-static void pool_settled(struct sched *s, struct pool *pool)
+static void pool_clear_possibly_running(struct sched *s, struct pool *pool)
 {
-	bool everywhere = all_seen(s);
+	bool everywhere = all_reported(s);
 	struct job *job;
 	uint32_t k, t;
 	size_t i;
 
 	for (job = s->jobs; job; job = job->hh.next) {
 		if (!job->loaded || !job->row ||
-		    (!everywhere && (job->pool != pool || job->moved)))
+		    (!everywhere && (job->pool != pool || job->pool_changed)))
 			continue;
 		for (k = 0; k < job->occurrence_count; k++) {
 			struct step *steps = job->occurrences[k].steps;
 
 			for (i = 0; steps && i < job->row->n_steps; i++) {
 				for (t = 0; t < steps[i].spec->count; t++)
-					task_set_unseen(&steps[i].tasks[t],
-							false);
+					task_set_possibly_running(
+						&steps[i].tasks[t], false);
 				step_refresh(&steps[i]);
 			}
 		}
@@ -65,64 +65,65 @@
 	}
 }
 
-static void pool_check(struct sched *s, struct pool *pool)
+static void pool_check_reported(struct sched *s, struct pool *pool)
 {
-	if (s->expected && !pool->unseen)
-		pool_settled(s, pool);
+	if (s->expect_complete && !pool->unreported)
+		pool_clear_possibly_running(s, pool);
 }
 
-void count_seen(struct sched *s, struct instance *i)
+void instance_count_reported(struct sched *s, struct instance *i)
 {
-	if (!i->pool_counted)
+	if (!i->counted_unreported)
 		return;
-	i->pool_counted = false;
-	i->pool->unseen--;
-	amount_sub(&s->unseen, &i->counted);
-	pool_check(s, i->pool);
+	i->counted_unreported = false;
+	i->pool->unreported--;
+	amount_sub(&s->unreported, &i->unreported_capacity);
+	pool_check_reported(s, i->pool);
 }
 
-static void count_unseen(struct sched *s, struct instance *i)
+static void instance_count_unreported(struct sched *s, struct instance *i)
 {
-	i->pool->unseen++;
-	i->pool_counted = true;
-	i->counted = i->capacity;
-	amount_add(&s->unseen, &i->counted);
+	i->pool->unreported++;
+	i->counted_unreported = true;
+	i->unreported_capacity = i->capacity;
+	amount_add(&s->unreported, &i->unreported_capacity);
 }
 
-static void lease_unknown(struct sched *s, struct instance *i)
+static void lease_set_from_predecessor(struct sched *s, struct instance *i)
 {
-	i->lease_end = s->predecessor_end +
-		       (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK)) +
-		       LEASE_MARGIN_MS;
+	i->lease_end_ms = s->predecessor_end_ms +
+			  (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK)) +
+			  LEASE_MARGIN_MS;
 }
 
-void sched_lead(struct sched *s, uint64_t epoch, bool predecessor_gone,
-		uint64_t now)
+void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
+			 uint64_t now)
 {
 	uint32_t n;
 
 	s->epoch = epoch;
-	s->led_ms = now;
-	s->predecessor_end = predecessor_gone ? now : now + s->options.lead_ms;
+	s->leader_since_ms = now;
+	s->predecessor_end_ms =
+		predecessor_gone ? now : now + s->options.former_leader_ms;
 	for (n = 0; n < s->instance_slots; n++)
 		if (s->instances[n])
-			lease_unknown(s, s->instances[n]);
+			lease_set_from_predecessor(s, s->instances[n]);
 }
 
 void sched_predecessor_gone(struct sched *s, uint64_t now)
 {
 	uint32_t n;
 
-	if (s->predecessor_end <= now)
+	if (s->predecessor_end_ms <= now)
 		return;
-	s->predecessor_end = now;
+	s->predecessor_end_ms = now;
 	for (n = 0; n < s->instance_slots; n++)
-		if (s->instances[n] && !s->instances[n]->seen)
-			lease_unknown(s, s->instances[n]);
+		if (s->instances[n] && !s->instances[n]->reported)
+			lease_set_from_predecessor(s, s->instances[n]);
 }
 
-static void instance_place(struct sched *s, struct instance *i,
-			   const char *name)
+static void instance_set_pool(struct sched *s, struct instance *i,
+			      const char *name)
 {
 	struct pool *pool = sched_pool(s, name);
 
@@ -130,46 +131,46 @@
 		return;
 	if (i->pool) {
 		DL_DELETE2(i->pool->instances, i, pool_prev, pool_next);
-		count_seen(s, i);
+		instance_count_reported(s, i);
 	}
 	i->pool = pool;
 	DL_APPEND2(pool->instances, i, pool_prev, pool_next);
 }
 
-static void instance_off(struct sched *s, struct instance *i)
+static void instance_clear_machine(struct sched *s, struct instance *i)
 {
-	struct machine_lives *m = i->machine;
+	struct machine_instances *m = i->machine;
 
-	DL_DELETE2(m->lives, i, life_prev, life_next);
+	DL_DELETE2(m->instances, i, machine_prev, machine_next);
 	i->machine = NULL;
-	if (m->lives)
+	if (m->instances)
 		return;
 	HASH_DEL(s->machines, m);
 	talloc_free(m);
 }
 
-static void instance_on(struct sched *s, struct instance *i,
-			const char *machine)
+static void instance_set_machine(struct sched *s, struct instance *i,
+				 const char *machine)
 {
-	struct machine_lives *m = i->machine;
+	struct machine_instances *m = i->machine;
 
 	if (m && !strcmp(m->machine, machine))
 		return;
 	if (m)
-		instance_off(s, i);
+		instance_clear_machine(s, i);
 	HASH_FIND_STR(s->machines, machine, m);
 	if (!m) {
-		m = talloc_zero(s, struct machine_lives);
+		m = talloc_zero(s, struct machine_instances);
 		assert(m);
 		snprintf(m->machine, sizeof(m->machine), "%s", machine);
 		HASH_ADD_STR(s->machines, machine, m);
 	}
 	i->machine = m;
-	DL_APPEND2(m->lives, i, life_prev, life_next);
+	DL_APPEND2(m->instances, i, machine_prev, machine_next);
 }
 
 /* A slot that was forgotten, or a new one. */
-static uint32_t slot_for(struct sched *s)
+static uint32_t free_slot(struct sched *s)
 {
 	uint32_t n;
 
@@ -192,13 +193,13 @@
 	struct instance *i = talloc_zero(s, struct instance);
 
 	assert(i);
-	i->handle.i = slot_for(s);
+	i->handle.i = free_slot(s);
 	i->handle.generation = ++s->instance_generation;
 	s->instances[i->handle.i] = i;
 	snprintf(i->id, sizeof(i->id), "%s", id);
-	i->look_ms = i->known_ms = now;
+	i->next_poll_ms = i->known_ms = now;
 	HASH_ADD_STR(s->by_id, id, i);
-	instance_on(s, i, machine);
+	instance_set_machine(s, i, machine);
 	return i;
 }
 
@@ -208,7 +209,7 @@
 		    i->machine->machine);
 	HASH_DEL(s->by_id, i);
 	DL_DELETE2(i->pool->instances, i, pool_prev, pool_next);
-	instance_off(s, i);
+	instance_clear_machine(s, i);
 	s->instances[i->handle.i] = NULL;
 	talloc_free(i);
 }
@@ -217,8 +218,8 @@
 static bool instance_forgettable(const struct instance *i, uint64_t now)
 {
 	return i->unlisted_ms && now - i->unlisted_ms >= INSTANCE_KEEP_MS &&
-	       !i->run_count && !i->unacked_count && !i->looking &&
-	       !i->pool_counted;
+	       !i->run_count && !i->unacked_count && !i->polling &&
+	       !i->counted_unreported;
 }
 
 static void copy_labels(struct instance *i,
@@ -231,8 +232,8 @@
 		snprintf(i->labels[n], SCHED_LABEL_MAX, "%s", info->labels[n]);
 }
 
-void sched_instance(struct sched *s, const struct sched_instance_info *info,
-		    uint64_t now)
+void sched_instance_listed(struct sched *s,
+			   const struct sched_instance_info *info, uint64_t now)
 {
 	struct instance *i;
 	bool is_new;
@@ -248,7 +249,7 @@
 			    info->pool, info->machine, is_new, info->leaving);
 	snprintf(i->address, sizeof(i->address), "%s", info->address);
 	snprintf(i->zone, sizeof(i->zone), "%s", info->zone);
-	instance_on(s, i, info->machine);
+	instance_set_machine(s, i, info->machine);
 	copy_labels(i, info);
 	i->capacity = info->capacity;
 	i->leaving = info->leaving;
@@ -256,15 +257,15 @@
 		i->listed_ms = now;
 	i->listed = true;
 	i->unlisted_ms = 0;
-	instance_place(s, i, info->pool);
+	instance_set_pool(s, i, info->pool);
 	if (is_new) {
-		lease_unknown(s, i);
-		count_unseen(s, i);
+		lease_set_from_predecessor(s, i);
+		instance_count_unreported(s, i);
 	}
 }
 
-void sched_expect(struct sched *s, const char *id, const char *pool,
-		  const char *machine, uint64_t now)
+void sched_expect_instance(struct sched *s, const char *id, const char *pool,
+			   const char *machine, uint64_t now)
 {
 	struct instance *i;
 
@@ -272,61 +273,61 @@
 	if (i)
 		return;
 	i = instance_new(s, id, machine, now);
-	instance_place(s, i, pool);
-	lease_unknown(s, i);
+	instance_set_pool(s, i, pool);
+	lease_set_from_predecessor(s, i);
 	if (i->pool->instances)
 		i->capacity = i->pool->instances->capacity;
-	count_unseen(s, i);
+	instance_count_unreported(s, i);
 	sched_trace(s, "instance-expected", id, "\"pool\":\"%s\"", pool);
 }
 
-static bool is_mute(const struct instance *i)
+static bool is_unaccounted(const struct instance *i)
 {
-	return (i->silent || !i->seen) && !i->expired &&
-	       (i->run_count || !i->seen);
+	return (i->unresponsive || !i->reported) && !i->expired &&
+	       (i->run_count || !i->reported);
 }
 
-void sched_machine_holds(struct sched *s, const char *machine, const char *id,
-			 uint64_t sent_ms, uint64_t now)
+void sched_machine_listed(struct sched *s, const char *machine, const char *id,
+			  uint64_t sent_ms, uint64_t now)
 {
-	struct machine_lives *m;
+	struct machine_instances *m;
 	struct instance *i, *next;
 
 	HASH_FIND_STR(s->machines, machine, m);
 	if (!m)
 		return;
-	DL_FOREACH_SAFE2(m->lives, i, next, life_next)
+	DL_FOREACH_SAFE2(m->instances, i, next, machine_next)
 	{
-		if (!strcmp(i->id, id) || !is_mute(i) ||
-		    i->clock_at >= sent_ms || i->known_ms >= sent_ms)
+		if (!strcmp(i->id, id) || !is_unaccounted(i) ||
+		    i->clock_read_ms >= sent_ms || i->known_ms >= sent_ms)
 			continue;
 		instance_expire(s, i, "its machine holds another or none", now);
 	}
 }
 
-bool sched_wants_list(const struct sched *s)
+bool sched_needs_machine_list(const struct sched *s)
 {
 	uint32_t n;
 
 	for (n = 0; n < s->instance_slots; n++)
-		if (s->instances[n] && is_mute(s->instances[n]))
+		if (s->instances[n] && is_unaccounted(s->instances[n]))
 			return true;
 	return false;
 }
 
-void sched_expected(struct sched *s, uint64_t now)
+void sched_expect_complete(struct sched *s, uint64_t now)
 {
 	struct pool *pool;
 
-	if (s->expected)
+	if (s->expect_complete)
 		return;
-	s->expected = true;
+	s->expect_complete = true;
 	for (pool = s->pools; pool; pool = pool->hh.next)
-		pool_check(s, pool);
+		pool_check_reported(s, pool);
 	(void)now;
 }
 
-void sched_instance_gone(struct sched *s, const char *id, uint64_t now)
+void sched_instance_unlisted(struct sched *s, const char *id, uint64_t now)
 {
 	struct instance *i;
 
@@ -335,35 +336,37 @@
 		return;
 	i->listed = false;
 	i->unlisted_ms = now;
-	i->look_ms = now;
+	i->next_poll_ms = now;
 	sched_trace(s, "instance-unlisted", id, "\"runs\":%u", i->run_count);
 }
 
 /* Leases */
 
-uint64_t instance_lease(const struct sched *s, struct instance *i, uint64_t now)
+uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
+			       uint64_t now)
 {
 	uint64_t end = now + LEASE_MARGIN_MS +
 		       (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK));
 
-	if (end > i->lease_end)
-		i->lease_end = end;
-	if (!i->clock_at)
+	if (end > i->lease_end_ms)
+		i->lease_end_ms = end;
+	if (!i->clock_read_ms)
 		return 0;
-	return i->clock_ms + (now - i->clock_at) + s->options.lease_ms;
+	return i->clock_ms + (now - i->clock_read_ms) + s->options.lease_ms;
 }
 
 /*
  * A new life has read a deadline by its own clock: it may hold work as long as
  * any instance does.
  */
-void instance_held_long(const struct sched *s, struct instance *i, uint64_t now)
+void instance_extend_lease_max(const struct sched *s, struct instance *i,
+			       uint64_t now)
 {
 	uint64_t end = now + LEASE_MARGIN_MS +
 		       (uint64_t)(s->options.lease_max_ms * (1 + LEASE_SLACK));
 
-	if (end > i->lease_end)
-		i->lease_end = end;
+	if (end > i->lease_end_ms)
+		i->lease_end_ms = end;
 }
 
 /* Everything on it has lapsed or was killed. */
@@ -372,7 +375,7 @@
 {
 	struct run *run, *next;
 
-	if (i->run_count || !i->seen)
+	if (i->run_count || !i->reported)
 		sched_trace(s, "instance-expired", i->id,
 			    "\"why\":\"%s\",\"runs\":%u", why, i->run_count);
 	DL_FOREACH_SAFE(i->runs, run, next)
@@ -381,7 +384,7 @@
 		run_free(s, run, now);
 	}
 	i->expired = true;
-	count_seen(s, i);
+	instance_count_reported(s, i);
 }
 
 void sched_machine_down(struct sched *s, instance_handle_t h, uint64_t now)
@@ -391,25 +394,26 @@
 	if (!i)
 		return;
 	i->leaving = true;
-	i->silent = true;
+	i->unresponsive = true;
 	instance_expire(s, i, "machine ordered away", now);
 }
 
-void sched_confirmed(struct sched *s, uint64_t sent_ms)
+void sched_leader_confirmed(struct sched *s, uint64_t sent_ms)
 {
-	if (sent_ms <= s->confirmed_ms)
+	if (sent_ms <= s->leader_confirmed_ms)
 		return;
-	s->confirmed_ms = sent_ms;
+	s->leader_confirmed_ms = sent_ms;
 }
 
-bool sched_wants_confirmation(const struct sched *s)
+bool sched_needs_confirmation(const struct sched *s)
 {
 	uint32_t n;
 
 	for (n = 0; n < s->instance_slots; n++) {
 		const struct instance *i = s->instances[n];
 
-		if (i && i->seen && i->listed && i->met_ms >= s->confirmed_ms)
+		if (i && i->reported && i->listed &&
+		    i->first_report_ms >= s->leader_confirmed_ms)
 			return true;
 	}
 	return false;
@@ -418,30 +422,30 @@
 bool instance_usable(const struct sched *s, const struct instance *i,
 		     uint64_t now)
 {
-	return i->seen && i->met_ms < s->confirmed_ms && i->listed &&
-	       !i->leaving && !i->silent && !i->expired && !i->reserved &&
-	       i->clock_at && now >= i->shunned_until;
+	return i->reported && i->first_report_ms < s->leader_confirmed_ms &&
+	       i->listed && !i->leaving && !i->unresponsive && !i->expired &&
+	       !i->reserved && i->clock_read_ms && now >= i->ejected_until_ms;
 }
 
 /* Evidence against an instance, and for it */
 
-void instance_blamed(struct sched *s, struct instance *i, const struct job *job,
-		     uint64_t now)
+void instance_record_failure(struct sched *s, struct instance *i,
+			     const struct job *job, uint64_t now)
 {
 	if (i->failures && !strcmp(i->failed_job, job->id))
 		return;
 	memcpy(i->failed_job, job->id, sizeof(i->failed_job));
 	if (++i->failures < FAILURES_MAX)
 		return;
-	i->shunned_until = now + SHUN_MS;
+	i->ejected_until_ms = now + EJECT_MS;
 	i->failures = FAILURES_MAX - 1; /* one more failure shuns it again */
-	sched_trace(s, "instance-shunned", i->id, "\"for_ms\":%u", SHUN_MS);
+	sched_trace(s, "instance-shunned", i->id, "\"for_ms\":%u", EJECT_MS);
 }
 
-void instance_praised(struct instance *i)
+void instance_record_success(struct instance *i)
 {
 	i->failures = 0;
-	i->shunned_until = 0;
+	i->ejected_until_ms = 0;
 }
 
 void instance_tick(struct sched *s, struct instance *i, uint64_t now)
@@ -450,8 +454,8 @@
 
 	DL_FOREACH_SAFE(i->runs, run, next)
 	run_tick(s, run, now);
-	if (!i->expired && now >= i->lease_end && (i->silent || !i->seen) &&
-	    (i->run_count || !i->seen))
+	if (!i->expired && now >= i->lease_end_ms &&
+	    (i->unresponsive || !i->reported) && (i->run_count || !i->reported))
 		instance_expire(s, i, "its lease ran out", now);
 }
 
@@ -469,8 +473,8 @@
 			instance_forget(s, i);
 	}
 	/* Whatever a predecessor started has ended by then. */
-	if (now >= s->predecessor_end +
+	if (now >= s->predecessor_end_ms +
 			   s->options.lease_ms * (1 + LEASE_SLACK) +
 			   LEASE_MARGIN_MS)
-		sched_expected(s, now);
+		sched_expect_complete(s, now);
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -3,10 +3,10 @@
  *
  * sched.c        jobs, steps and their ends
  * sched_change.c rows that have to be written
- * sched_ask.c    jobs that come
+ * sched_submit.c    jobs that come
  * sched_run.c    runs: orders and what comes of them
  * sched_instance.c instances, their leases, evidence against them
- * sched_look.c   looks and reports
+ * sched_poll.c   looks and reports
  * sched_advice.c queues of which an adviser says where
  * sched_place.c  whom to serve first, and where
  * sched_row.c    rows from and to the store
@@ -26,8 +26,8 @@
 
 enum run_state {
 	RUN_ORDERED,  /* to be sent, or sent and not answered */
-	RUN_DOUBTFUL, /* its start was not answered: it may begin any time */
-	RUN_BEGUN,    /* known to run */
+	RUN_UNKNOWN,  /* its start was not answered: it may begin any time */
+	RUN_RUNNING,  /* known to run */
 	RUN_STOPPING, /* its stop was ordered */
 };
 
@@ -37,15 +37,16 @@
 	struct instance *instance;
 	uint64_t number;
 	enum run_state state;
-	uint64_t begun_ms;   /* when it was ordered, or first seen */
-	uint64_t ordered_ms; /* when its last order was sent */
-	uint64_t known_ms;   /* when it was known to have begun; 0: not yet */
-	uint64_t stopped_ms; /* when its stop was answered; 0: not yet */
-	bool to_send;	     /* its order waits in the queue */
-	bool in_flight;	     /* its order waits for an answer */
-	uint32_t percent;    /* as reported */
-	uint32_t pace;	     /* as ordered, 0 to 100 */
-	uint32_t pace_wanted;
+	uint64_t created_ms;	   /* when it was ordered, or first seen */
+	uint64_t ordered_ms;	   /* when its last order was sent */
+	uint64_t running_since_ms; /* when it was known to have begun; 0: not
+				      yet */
+	uint64_t stop_done_ms;	   /* when its stop was answered; 0: not yet */
+	bool to_send;		   /* its order waits in the queue */
+	bool in_flight;		   /* its order waits for an answer */
+	uint32_t percent;	   /* as reported */
+	uint32_t speed_percent;	   /* as ordered, 0 to 100 */
+	uint32_t speed_wanted;
 	double load;
 	struct run *prev, *next;	     /* of the instance */
 	struct run *task_prev, *task_next;   /* of the task */
@@ -56,21 +57,23 @@
 	struct step *step;
 	uint32_t index;
 	bool done;
-	bool maybe_running; /* left by a predecessor, not yet seen anywhere */
+	bool possibly_running; /* left by a predecessor, not yet seen anywhere
+				*/
 	uint32_t failed;
-	uint32_t counter;  /* starts in this epoch */
-	uint32_t avoid;	   /* instance index + 1 where it failed last */
-	uint64_t away_ms;  /* lasting: since when it is not at work, 0: it is */
-	uint64_t retry_ms; /* not started before */
+	uint32_t starts;	 /* starts in this epoch */
+	uint32_t avoid_instance; /* instance index + 1 where it failed last */
+	uint64_t unavailable_since_ms; /* lasting: since when it is not at work,
+					  0: it is */
+	uint64_t retry_ms;	       /* not started before */
 	struct run *runs;
-	char saved[SCHED_SAVED_MAX];
+	char checkpoint[SCHED_CHECKPOINT_MAX];
 };
 
 /* An adviser's word that a step may run on one life of an instance. */
 struct ticket {
 	uint32_t instance; /* index */
-	uint64_t born;
-	uint64_t until_ms;
+	uint64_t started_unix_ms;
+	uint64_t valid_until_ms;
 	char text[SCHED_TICKET_MAX];
 };
 
@@ -80,15 +83,15 @@
 	const Fleet__Step *spec;
 	uint32_t occurrence;
 	uint32_t index;
-	uint32_t left; /* tasks not done */
-	uint32_t idle; /* tasks that could be started */
-	bool ready;    /* all steps before it are done */
-	bool queued;   /* in its pool's list */
+	uint32_t tasks_left; /* tasks not done */
+	uint32_t startable;  /* tasks that could be started */
+	bool ready;	     /* all steps before it are done */
+	bool queued;	     /* in its pool's list */
 	uint32_t failed_count;
 	uint32_t *failed; /* pairs of index and run number, as stored */
 	struct task *tasks;
-	bool advising;	    /* an adviser's answer is awaited */
-	uint64_t advise_ms; /* not asked again before */
+	bool advice_pending;	/* an adviser's answer is awaited */
+	uint64_t advice_due_ms; /* not asked again before */
 	uint32_t ticket_count;
 	struct ticket *tickets;
 	double rank;		  /* of the current pass, lower first */
@@ -96,13 +99,13 @@
 };
 
 struct occurrence {
-	uint32_t left; /* steps not done */
+	uint32_t steps_left; /* steps not done */
 	bool due;
 	uint64_t due_ms;
 	struct step *steps;
 };
 
-enum change_state { CHANGE_NONE, CHANGE_WAITING, CHANGE_GATHERED };
+enum change_state { CHANGE_NONE, CHANGE_WAITING, CHANGE_BATCHED };
 
 struct job {
 	char id[SCHED_ID_BYTES + 1];
@@ -114,32 +117,32 @@
 	Fleet__JobState shown;
 	bool stored;	/* its row is in the store */
 	bool rows_kept; /* it has ended, its rows are needed for its runs */
-	bool taken;	/* this or an earlier lead has written of it */
-	bool begun;
-	bool moved;  /* loaded, and its queue has another pool since */
-	bool loaded; /* from a predecessor's rows */
+	bool claimed;	/* this or an earlier lead has written of it */
+	bool started;
+	bool pool_changed; /* loaded, and its queue has another pool since */
+	bool loaded;	   /* from a predecessor's rows */
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
-	uint64_t objective_ms; /* when it should be done */
-	uint64_t chain_ms;     /* longest chain, as estimated */
-	uint64_t work;	       /* thousandths of core x ms, as estimated */
+	uint64_t objective_ms;	   /* when it should be done */
+	uint64_t critical_path_ms; /* longest chain, as estimated */
+	uint64_t work;		   /* thousandths of core x ms, as estimated */
 	uint32_t occurrence_count;
 	uint32_t occurrences_left;
 	struct occurrence *occurrences;
 	char queue[128]; /* name, also after its row is gone */
 	enum change_state change;
-	uint32_t batch;		 /* that it was gathered for */
-	bool changed_again;	 /* while gathered */
-	uint64_t change_seq;	 /* of the change that is unwritten */
-	uint64_t again_seq;	 /* of the change made while gathered */
-	struct job *prev, *next; /* of changed jobs */
+	uint32_t batch;		    /* that it was gathered for */
+	bool changed_while_batched; /* while gathered */
+	uint64_t change_seq;	    /* of the change that is unwritten */
+	uint64_t next_change_seq;   /* of the change made while gathered */
+	struct job *prev, *next;    /* of changed jobs */
 	UT_hash_handle hh;
 };
 
 struct workspace {
 	char name[128];
 	struct amount used;
-	struct amount unseen;		     /* of tasks that may run unseen */
+	struct amount unreported;	     /* of tasks that may run unseen */
 	const struct config_workspace *conf; /* NULL when it is gone */
 	UT_hash_handle hh;
 };
@@ -149,20 +152,20 @@
 	const struct config_pool *conf;
 	struct step *ready;
 	struct instance *instances;
-	uint32_t unseen; /* instances that have not reported to this lead */
+	uint32_t unreported; /* instances that have not reported to this lead */
 	UT_hash_handle hh;
 };
 
 /* Ends of a report that wait for a write before they are acknowledged. */
 struct unacked {
-	uint64_t n;
-	uint64_t seq; /* durable once all changes up to here are */
+	uint64_t end_seq;
+	uint64_t change_seq; /* durable once all changes up to here are */
 };
 
 /* The instances that are lives of one machine, oldest first. */
-struct machine_lives {
+struct machine_instances {
 	char machine[128];
-	struct instance *lives;
+	struct instance *instances;
 	UT_hash_handle hh;
 };
 
@@ -171,34 +174,36 @@
 	char id[128];
 	char address[64];
 	char zone[64];
-	struct machine_lives *machine;
+	struct machine_instances *machine;
 	char labels[SCHED_LABELS_MAX][SCHED_LABEL_MAX];
 	uint32_t label_count;
 	struct pool *pool;
 	struct amount capacity;
 	struct amount used;
-	uint64_t born;
-	bool listed;   /* in the directory */
-	bool leaving;  /* by the directory */
-	bool seen;     /* has reported to this lead */
-	bool expired;  /* nothing can run there any more */
-	bool silent;   /* its last look or order was not answered */
-	bool due;      /* for an upkeep: it will be emptied */
-	bool reserved; /* by the decisions about machines */
-	bool looking;
-	bool pool_counted;     /* in its pool's unseen */
-	struct amount counted; /* in the scheduler's unseen */
-	uint64_t known_ms;     /* when this lead first knew of it */
-	uint64_t unlisted_ms;  /* when it left the directory; 0: it is there */
-	uint64_t listed_ms;    /* when it last came into the directory */
-	uint64_t report_ms;    /* when the look that gave its report was sent */
-	uint64_t met_ms;       /* first report of its life to this lead */
-	uint64_t look_ms;      /* when the next look is due */
-	uint64_t clock_ms;     /* its clock... */
-	uint64_t clock_at;     /* ...at this time of ours; 0: unknown */
-	uint64_t lease_end; /* of ours: when all there has lapsed; 0: unknown */
-	uint64_t last_n;    /* highest end seen */
-	uint64_t acked;	    /* highest end that is durable */
+	uint64_t started_unix_ms;
+	bool listed;	      /* in the directory */
+	bool leaving;	      /* by the directory */
+	bool reported;	      /* has reported to this lead */
+	bool expired;	      /* nothing can run there any more */
+	bool unresponsive;    /* its last look or order was not answered */
+	bool maintenance_due; /* for an upkeep: it will be emptied */
+	bool reserved;	      /* by the decisions about machines */
+	bool polling;
+	bool counted_unreported;	   /* in its pool's unseen */
+	struct amount unreported_capacity; /* in the scheduler's unseen */
+	uint64_t known_ms;		   /* when this lead first knew of it */
+	uint64_t unlisted_ms; /* when it left the directory; 0: it is there */
+	uint64_t listed_ms;   /* when it last came into the directory */
+	uint64_t report_sent_ms;  /* when the look that gave its report was sent
+				   */
+	uint64_t first_report_ms; /* first report of its life to this lead */
+	uint64_t next_poll_ms;	  /* when the next look is due */
+	uint64_t clock_ms;	  /* its clock... */
+	uint64_t clock_read_ms;	  /* ...at this time of ours; 0: unknown */
+	uint64_t lease_end_ms; /* of ours: when all there has lapsed; 0: unknown
+				*/
+	uint64_t last_end_seq; /* highest end seen */
+	uint64_t acked;	       /* highest end that is durable */
 	struct unacked *unacked;
 	uint32_t unacked_count;
 	uint32_t unacked_room;
@@ -206,11 +211,11 @@
 	struct run *runs;
 	uint32_t failures; /* in a row, of different jobs */
 	char failed_job[SCHED_ID_BYTES + 1];
-	uint64_t shunned_until; /* no starts before, for its failures */
-	uint64_t calm_ms;	/* when fillers may be let go again */
-	uint32_t unanswered;	/* orders in a row */
+	uint64_t ejected_until_ms;  /* no starts before, for its failures */
+	uint64_t next_throttle_ms;  /* when fillers may be let go again */
+	uint32_t unanswered_orders; /* orders in a row */
 	struct instance *pool_prev, *pool_next;
-	struct instance *life_prev, *life_next; /* of its machine */
+	struct instance *machine_prev, *machine_next; /* of its machine */
 	UT_hash_handle hh;
 };
 
@@ -218,9 +223,9 @@
 	struct sched_options options;
 	const struct config *config;
 	uint64_t epoch;
-	uint64_t led_ms;	  /* when this epoch began */
-	uint64_t confirmed_ms;	  /* as the lead, at this time or later */
-	uint64_t predecessor_end; /* orders of the last lead end by then */
+	uint64_t leader_since_ms;     /* when this epoch began */
+	uint64_t leader_confirmed_ms; /* as the lead, at this time or later */
+	uint64_t predecessor_end_ms;  /* orders of the last lead end by then */
 	uint64_t unix_ms;
 	struct job *jobs;
 	struct job *changed;
@@ -228,21 +233,21 @@
 	struct pool *pools;
 	struct workspace *workspaces;
 	struct instance *by_id;
-	struct machine_lives *machines;
+	struct machine_instances *machines;
 	struct instance **instances; /* NULL where one was forgotten */
 	uint32_t instance_slots;     /* in use or forgotten */
 	uint32_t instance_room;
 	uint32_t instance_generation; /* of the newest */
-	uint64_t call_lost_ms; /* when an instance last left one unanswered */
-	uint32_t look_turn;    /* slot where the search for looks goes on */
-	uint64_t sweep_ms;     /* when time alone changes something again */
+	uint64_t call_lost_ms;	 /* when an instance last left one unanswered */
+	uint32_t next_poll_slot; /* slot where the search for looks goes on */
+	uint64_t next_sweep_ms;	 /* when time alone changes something again */
 	struct run **runs;
 	uint32_t *run_generations;
 	uint32_t run_room;
 	uint32_t run_free_hint;
 	struct run *to_send;
-	struct amount unseen; /* capacity of instances not seen yet */
-	bool expected;	      /* all instances there may be are in the tables */
+	struct amount unreported; /* capacity of instances not seen yet */
+	bool expect_complete; /* all instances there may be are in the tables */
 	struct sched_stats stats;
 	uint32_t queue_count;
 	struct sched_queue_stats *queues;
@@ -288,15 +293,15 @@
 		    uint64_t now);
 void job_free(struct sched *s, struct job *job);
 void job_follow_queue(struct sched *s, struct job *job);
-void job_change(struct sched *s, struct job *job);
+void job_mark_changed(struct sched *s, struct job *job);
 void job_end(struct sched *s, struct job *job, Fleet__JobState state,
 	     uint64_t now);
 bool job_is_over(const struct job *job);
-void steps_leave(struct job *job);
+void job_refresh_steps(struct job *job);
 
 /* sched_stats.c */
 struct sched_queue_stats *queue_stats(struct sched *s, const char *queue);
-void job_counted(struct sched *s, const struct job *job, uint64_t now);
+void job_count_end(struct sched *s, const struct job *job, uint64_t now);
 
 /* sched_change.c */
 bool job_has_runs(const struct job *job);
@@ -306,13 +311,13 @@
 void occurrence_begin(struct sched *s, struct job *job, uint32_t k,
 		      uint64_t now);
 void step_refresh(struct step *step);
-void steps_forget(struct sched *s, struct job *job);
+void job_discard_steps(struct sched *s, struct job *job);
 void step_done(struct sched *s, struct step *step, uint64_t now);
 void task_done(struct sched *s, struct task *task, uint64_t now);
 void task_failed(struct sched *s, struct task *task, uint64_t number,
 		 uint64_t now);
 void task_name(const struct task *task, char *name);
-void task_set_unseen(struct task *task, bool unseen);
+void task_set_possibly_running(struct task *task, bool possibly_running);
 bool task_startable(const struct task *task, uint64_t now);
 
 /* sched_row.c */
@@ -326,33 +331,34 @@
 		    struct instance *instance, uint64_t number, uint64_t now);
 void run_free(struct sched *s, struct run *run, uint64_t now);
 struct run *run_of(const struct sched *s, run_handle h);
-void run_order(struct sched *s, struct run *run);
+void run_queue_order(struct sched *s, struct run *run);
 void run_stop(struct sched *s, struct run *run);
-void run_begun(struct sched *s, struct run *run, uint64_t now);
+void run_mark_running(struct sched *s, struct run *run, uint64_t now);
 void run_tick(struct sched *s, struct run *run, uint64_t now);
 uint64_t sched_run_number(const struct sched *s, struct task *task);
-bool run_at_work(const struct run *run);
+bool run_is_available(const struct run *run);
 
 /* sched_instance.c */
-void count_seen(struct sched *s, struct instance *i);
+void instance_count_reported(struct sched *s, struct instance *i);
 void instances_tick(struct sched *s, uint64_t now);
 void instance_tick(struct sched *s, struct instance *i, uint64_t now);
 struct instance *instance_of(const struct sched *s, instance_handle_t h);
-uint64_t instance_lease(const struct sched *s, struct instance *i,
-			uint64_t now);
-void instance_held_long(const struct sched *s, struct instance *i,
-			uint64_t now);
+uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
+			       uint64_t now);
+void instance_extend_lease_max(const struct sched *s, struct instance *i,
+			       uint64_t now);
 void instance_expire(struct sched *s, struct instance *i, const char *why,
 		     uint64_t now);
 bool instance_usable(const struct sched *s, const struct instance *i,
 		     uint64_t now);
-void instance_unanswered(struct sched *s, struct instance *i, uint64_t now);
-void instance_blamed(struct sched *s, struct instance *i, const struct job *job,
-		     uint64_t now);
-void instance_praised(struct instance *i);
+void instance_record_no_answer(struct sched *s, struct instance *i,
+			       uint64_t now);
+void instance_record_failure(struct sched *s, struct instance *i,
+			     const struct job *job, uint64_t now);
+void instance_record_success(struct instance *i);
 
 /* sched_advice.c */
-bool step_advised(const struct step *step);
+bool step_needs_advice(const struct step *step);
 const char *step_ticket(const struct step *step, const struct instance *i,
 			uint64_t now);
 
@@ -363,14 +369,14 @@
 		  struct amount *used);
 uint32_t sched_backlog_ms(const struct sched *s, const struct pool *pool,
 			  uint64_t now);
-uint32_t sched_refusal(const struct sched *s, const struct job *job,
-		       uint64_t now);
+uint32_t sched_retry_after(const struct sched *s, const struct job *job,
+			   uint64_t now);
 void job_estimate(struct job *job);
 
-/* sched_pace.c */
-void instance_pace(struct sched *s, struct instance *i, uint64_t now);
+/* sched_throttle.c */
+void instance_throttle(struct sched *s, struct instance *i, uint64_t now);
 
 /* sched_avail.c */
-bool task_may_leave(const struct task *task, uint64_t now);
+bool task_may_stop(const struct task *task, uint64_t now);
 
 #endif
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -12,13 +12,15 @@
 
 #include "pool/sched_internal.h"
 
-#define RANK_PRIORITY 1e12    /* a queue's priority goes before all else */
-#define RANK_LATE 1e9	      /* work that is late goes behind work in time */
-#define RANK_LASTING -1e9     /* tasks that last serve callers now */
-#define BEGUN_BONUS_MS 1500.0 /* what is begun counts as that more urgent */
-#define SHARE_MS 300.0 /* a workspace at twice its share waits that longer */
+#define RANK_PRIORITY 1e12	/* a queue's priority goes before all else */
+#define RANK_LATE 1e9		/* work that is late goes behind work in time */
+#define RANK_LONG_RUNNING -1e9	/* tasks that last serve callers now */
+#define STARTED_BONUS_MS 1500.0 /* what is begun counts as that more urgent */
+#define SHARE_PENALTY_MS \
+	300.0 /* a workspace at twice its share waits that longer */
 #define SHARE_ABOVE_MAX 2.0
-#define DUE_PENALTY 1.5 /* an instance that is due is worse than a full one */
+#define MAINTENANCE_PENALTY \
+	1.5 /* an instance that is due is worse than a full one */
 #define STEPS_TRIED_MAX 64u /* that found no room, in one pass */
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
@@ -33,7 +35,7 @@
 }
 
 /* The longest chain of estimates from each step to the end. */
-static uint64_t chain_ms(const Fleet__JobRow *row)
+static uint64_t critical_path_ms(const Fleet__JobRow *row)
 {
 	uint64_t ends[row->n_steps ? row->n_steps : 1];
 	uint64_t longest = 0;
@@ -57,7 +59,7 @@
 	const struct config_queue *q = job->conf;
 	size_t i;
 
-	job->chain_ms = chain_ms(job->row);
+	job->critical_path_ms = critical_path_ms(job->row);
 	job->work = 0;
 	for (i = 0; i < job->row->n_steps; i++) {
 		const Fleet__Step *st = job->row->steps[i];
@@ -66,21 +68,25 @@
 			job->work += (uint64_t)st->count * st->cpu *
 				     step_estimate_ms(st);
 	}
-	job->objective_ms =
-		job->accepted_ms + (q ? q->slack_ms : 0) +
-		(uint64_t)((q ? q->stretch : 1.0) * (double)job->chain_ms);
+	job->objective_ms = job->accepted_ms + (q ? q->slack_ms : 0) +
+			    (uint64_t)((q ? q->stretch : 1.0) *
+				       (double)job->critical_path_ms);
 }
 
-static uint64_t step_chain_ms(const struct step *step)
+static uint64_t step_critical_path_ms(const struct step *step)
 {
 	const Fleet__JobRow *row = step->job->row;
 	uint64_t done = 0;
 	size_t i;
 
 	for (i = 0; i < step->index; i++)
-		if (!step->job->occurrences[step->occurrence].steps[i].left)
+		if (!step->job->occurrences[step->occurrence]
+			     .steps[i]
+			     .tasks_left)
 			done += step_estimate_ms(row->steps[i]);
-	return step->job->chain_ms > done ? step->job->chain_ms - done : 0;
+	return step->job->critical_path_ms > done
+		       ? step->job->critical_path_ms - done
+		       : 0;
 }
 
 /* Order */
@@ -118,16 +124,16 @@
 
 	step->rank = q ? q->priority * RANK_PRIORITY : 0;
 	if (step->spec->lasting) {
-		step->rank += RANK_LASTING + (step->spec->filler ? 1 : 0);
+		step->rank += RANK_LONG_RUNNING + (step->spec->filler ? 1 : 0);
 		return;
 	}
 	slack = (double)job->objective_ms - (double)now -
-		(double)step_chain_ms(step);
+		(double)step_critical_path_ms(step);
 	if (slack < 0)
 		step->rank += RANK_LATE + (double)job->work / 1e6;
 	else
-		step->rank += slack - (job->begun ? BEGUN_BONUS_MS : 0) +
-			      SHARE_MS * above_share(s, job->workspace);
+		step->rank += slack - (job->started ? STARTED_BONUS_MS : 0) +
+			      SHARE_PENALTY_MS * above_share(s, job->workspace);
 }
 
 static int by_rank(const struct step *a, const struct step *b)
@@ -159,7 +165,7 @@
 	       i->used.gpu + a->gpu <= i->capacity.gpu;
 }
 
-static uint32_t step_on(const struct instance *i, const struct step *step)
+static uint32_t step_runs_on(const struct instance *i, const struct step *step)
 {
 	const struct run *run;
 	uint32_t count = 0;
@@ -189,7 +195,8 @@
 		return false;
 	if (*spec->label && !has_label(i, spec->label))
 		return false;
-	return !spec->spread_limit || step_on(i, step) < spec->spread_limit;
+	return !spec->spread_limit ||
+	       step_runs_on(i, step) < spec->spread_limit;
 }
 
 /* 1 when others of the step run on the rack, -1 when they run elsewhere. */
@@ -219,23 +226,23 @@
 
 	if (!spec->lasting)
 		score = -score;
-	else if (i->due)
-		score -= DUE_PENALTY;
+	else if (i->maintenance_due)
+		score -= MAINTENANCE_PENALTY;
 	if (spec->same_rack)
 		score += 4 * step_on_rack(task->step, rack_of(i));
 	if (*spec->near_rack && has_label(i, spec->near_rack))
 		score += 4;
-	if (task->avoid == i->handle.i + 1)
+	if (task->avoid_instance == i->handle.i + 1)
 		score -= 2;
 	return score;
 }
 
-static struct instance *place_of(const struct sched *s, const struct task *task,
-				 uint64_t now)
+static struct instance *choose_instance(const struct sched *s,
+					const struct task *task, uint64_t now)
 {
 	const struct pool *pool = task->step->job->pool;
 	const struct amount a = step_amount(task->step->spec);
-	const bool advised = step_advised(task->step);
+	const bool advised = step_needs_advice(task->step);
 	struct instance *best = NULL;
 	struct instance *i;
 	double best_score = 0;
@@ -257,7 +264,7 @@
 	return best;
 }
 
-static int64_t least(int64_t a, int64_t b)
+static int64_t min_int64(int64_t a, int64_t b)
 {
 	return a < b ? a : b;
 }
@@ -276,23 +283,23 @@
 	if (!w || !w->conf)
 		return true;
 	cap = &w->conf->cap;
-	cpu = w->used.cpu + least(w->unseen.cpu, s->unseen.cpu) +
+	cpu = w->used.cpu + min_int64(w->unreported.cpu, s->unreported.cpu) +
 	      (int64_t)tasks * step->spec->cpu;
-	mem = w->used.mem + least(w->unseen.mem, s->unseen.mem) +
+	mem = w->used.mem + min_int64(w->unreported.mem, s->unreported.mem) +
 	      (int64_t)tasks * step->spec->mem;
-	gpu = w->used.gpu + least(w->unseen.gpu, s->unseen.gpu) +
+	gpu = w->used.gpu + min_int64(w->unreported.gpu, s->unreported.gpu) +
 	      (int64_t)tasks * step->spec->gpu;
 	return (!cap->cpu || cpu <= cap->cpu) &&
 	       (!cap->mem || mem <= cap->mem) && (!cap->gpu || gpu <= cap->gpu);
 }
 
-static struct run *start(struct sched *s, struct task *task, struct instance *i,
-			 uint64_t number, uint64_t now)
+static struct run *start_run(struct sched *s, struct task *task,
+			     struct instance *i, uint64_t number, uint64_t now)
 {
 	struct run *run = run_new(s, task, i, number, now);
 
 	run->state = RUN_ORDERED;
-	run_order(s, run);
+	run_queue_order(s, run);
 	return run;
 }
 
@@ -313,17 +320,17 @@
 
 		if (n > number) {
 			number = n;
-			highest = step->tasks[t].counter;
+			highest = step->tasks[t].starts;
 		}
 	}
 	for (t = 0; t < step->spec->count; t++)
-		step->tasks[t].counter = highest;
+		step->tasks[t].starts = highest;
 	for (t = 0; t < step->spec->count; t++) {
-		struct instance *i = place_of(s, &step->tasks[t], now);
+		struct instance *i = choose_instance(s, &step->tasks[t], now);
 
 		if (!i)
 			break;
-		start(s, &step->tasks[t], i, number, now);
+		start_run(s, &step->tasks[t], i, number, now);
 	}
 	if (t == step->spec->count)
 		return true;
@@ -347,10 +354,10 @@
 			continue;
 		if (!cap_allows(s, step, 1))
 			return false;
-		i = place_of(s, task, now);
+		i = choose_instance(s, task, now);
 		if (!i)
 			return false;
-		start(s, task, i, sched_run_number(s, task), now);
+		start_run(s, task, i, sched_run_number(s, task), now);
 	}
 	return true;
 }
@@ -366,7 +373,7 @@
 	DL_FOREACH_SAFE(pool->ready, step, next)
 	{
 		/* What is not written yet may never have been accepted. */
-		if (!step->job->taken)
+		if (!step->job->claimed)
 			continue;
 		if (!place_step(s, step, now) && ++failed >= STEPS_TRIED_MAX)
 			return;
@@ -390,12 +397,12 @@
 {
 	if (step->spec->lasting)
 		return 0;
-	return (uint64_t)step->idle * step->spec->cpu *
+	return (uint64_t)step->startable * step->spec->cpu *
 	       step_estimate_ms(step->spec);
 }
 
 /* Whether the instance counts for what its pool can do. */
-static bool takes_part(const struct instance *i)
+static bool counts_as_capacity(const struct instance *i)
 {
 	return i->listed && !i->leaving && !i->expired && !i->reserved;
 }
@@ -418,11 +425,11 @@
 	DL_FOREACH(i->runs, run)
 	{
 		const Fleet__Step *spec = run->task->step->spec;
-		uint64_t whole = step_estimate_ms(spec);
-		uint64_t past = now - run->begun_ms;
+		uint64_t estimate = step_estimate_ms(spec);
+		uint64_t elapsed = now - run->created_ms;
 
-		if (!spec->lasting && past < whole)
-			load->running_work += spec->cpu * (whole - past);
+		if (!spec->lasting && elapsed < estimate)
+			load->running_work += spec->cpu * (estimate - elapsed);
 	}
 }
 
@@ -464,7 +471,7 @@
 		return false;
 	DL_FOREACH2(pool->instances, i, pool_next)
 	{
-		if (!takes_part(i))
+		if (!counts_as_capacity(i))
 			continue;
 		load->instances++;
 		load->pinned += is_pinned(i);
@@ -477,12 +484,13 @@
 	{
 		struct amount a = step_amount(step->spec);
 
-		load->waiting.cpu += a.cpu * step->idle;
-		load->waiting.mem += a.mem * step->idle;
-		load->waiting.gpu += a.gpu * step->idle;
+		load->waiting.cpu += a.cpu * step->startable;
+		load->waiting.mem += a.mem * step->startable;
+		load->waiting.gpu += a.gpu * step->startable;
 		load->waiting_work += step_waiting_work(step);
-		if (step->spec->lasting && step->idle > load->lasting_waiting)
-			load->lasting_waiting = step->idle;
+		if (step->spec->lasting &&
+		    step->startable > load->long_running_waiting)
+			load->long_running_waiting = step->startable;
 	}
 	return true;
 }
@@ -496,7 +504,7 @@
 	memset(used, 0, sizeof(*used));
 	DL_FOREACH2(pool->instances, i, pool_next)
 	{
-		if (!takes_part(i))
+		if (!counts_as_capacity(i))
 			continue;
 		amount_add(capacity, &i->capacity);
 		amount_add(used, &i->used);
@@ -537,8 +545,8 @@
  * Milliseconds to come back after, or 0 to accept. A job is refused when
  * what waits before it would alone make it so late that it earns nothing.
  */
-uint32_t sched_refusal(const struct sched *s, const struct job *job,
-		       uint64_t now)
+uint32_t sched_retry_after(const struct sched *s, const struct job *job,
+			   uint64_t now)
 {
 	uint64_t objective = job->objective_ms - job->accepted_ms;
 	uint32_t backlog = sched_backlog_ms(s, job->pool, now);
@@ -558,7 +566,8 @@
 
 /* What the decisions about machines look at */
 
-static void load_of(const struct instance *i, struct sched_instance_load *load)
+static void fill_load(const struct instance *i,
+		      struct sched_instance_load *load)
 {
 	const struct run *run;
 
@@ -568,8 +577,9 @@
 	load->machine = i->machine->machine;
 	load->pool = i->pool->name;
 	load->rack = rack_of(i);
-	load->usable = i->listed && !i->leaving && !i->silent && !i->expired;
-	load->unknown = !i->seen && !i->expired;
+	load->usable =
+		i->listed && !i->leaving && !i->unresponsive && !i->expired;
+	load->unreported = !i->reported && !i->expired;
 	load->runs = i->run_count;
 	load->used = i->used;
 	DL_FOREACH(i->runs, run)
@@ -577,7 +587,7 @@
 		if (run->task->step->spec->filler)
 			load->fillers++;
 		else if (run->task->step->spec->lasting)
-			load->lasting++;
+			load->long_running++;
 	}
 }
 
@@ -589,7 +599,7 @@
 
 		if (!i)
 			continue;
-		load_of(i, load);
+		fill_load(i, load);
 		return true;
 	}
 	return false;
@@ -598,28 +608,28 @@
 bool sched_machine_load(const struct sched *s, const char *machine,
 			struct sched_instance_load *load)
 {
-	const struct machine_lives *m;
+	const struct machine_instances *m;
 	const struct instance *i;
 	const struct instance *newest = NULL;
 
 	HASH_FIND_STR(s->machines, machine, m);
 	if (!m)
 		return false;
-	DL_FOREACH2(m->lives, i, life_next)
-	if (i->run_count || (!i->seen && !i->expired) ||
-	    (i->listed && !i->leaving && !i->silent && !i->expired))
+	DL_FOREACH2(m->instances, i, machine_next)
+	if (i->run_count || (!i->reported && !i->expired) ||
+	    (i->listed && !i->leaving && !i->unresponsive && !i->expired))
 		newest = i;
 	if (newest)
-		load_of(newest, load);
+		fill_load(newest, load);
 	return newest != NULL;
 }
 
-void sched_mark_due(struct sched *s, instance_handle_t h)
+void sched_mark_maintenance(struct sched *s, instance_handle_t h)
 {
 	struct instance *i = instance_of(s, h);
 
 	if (i)
-		i->due = true;
+		i->maintenance_due = true;
 }
 
 void sched_reserve(struct sched *s, instance_handle_t h, bool reserved,
--- a/src/pool/sched_look.c
+++ b/src/pool/sched_poll.c
@@ -1,5 +1,5 @@
 /*
- * sched_look - looks at instances and what their reports prove
+ * sched_poll - looks at instances and what their reports prove
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -8,17 +8,17 @@
 
 #include "pool/sched_internal.h"
 
-#define LOOK_WAIT_MS 1000u	  /* a look waits that long for an end */
-#define LOOK_WAIT_IDLE_MS 2000u	  /* the same where nothing runs */
-#define LOOK_WAIT_ENDING_MS 500u  /* the same beside tasks that end */
-#define LOOK_WAIT_LOSSY_MS 200u	  /* the same while calls go unanswered */
+#define POLL_WAIT_MS 1000u	  /* a look waits that long for an end */
+#define POLL_WAIT_IDLE_MS 2000u	  /* the same where nothing runs */
+#define POLL_WAIT_ENDING_MS 500u  /* the same beside tasks that end */
+#define POLL_WAIT_LOSSY_MS 200u	  /* the same while calls go unanswered */
 #define CALLS_LOSSY_MS 3000u	  /* after the last one that did */
-#define LOOK_WAIT_SERVING_MS 500u /* the same beside tasks with a target */
-#define LOOK_UNWRITTEN_MS 300u	  /* between looks while ends are not durable */
-#define SESSION_GAP_MS 500u	  /* above LOOK_UNWRITTEN_MS and a pass */
-#define LOOK_ANSWER_MS 300u /* beyond the wait, for the way and a busy lead */
-#define LOOK_FAILED_MS 50u  /* before an unanswered look is repeated */
-#define LOOK_FAILED_GAP_MS 200u /* from one look that fails to the next */
+#define POLL_WAIT_SERVING_MS 500u /* the same beside tasks with a target */
+#define POLL_UNWRITTEN_MS 300u	  /* between looks while ends are not durable */
+#define SESSION_GAP_MS 500u	  /* above POLL_UNWRITTEN_MS and a pass */
+#define POLL_ANSWER_MS 300u /* beyond the wait, for the way and a busy lead */
+#define POLL_FAILED_MS 50u  /* before an unanswered look is repeated */
+#define POLL_FAILED_GAP_MS 200u /* from one look that fails to the next */
 
 static bool instance_serves(const struct instance *i)
 {
@@ -45,24 +45,24 @@
  * there is heard of with the next look, so where ends are awaited a look that
  * is lost must be noticed soon.
  */
-static uint32_t look_wait(const struct sched *s, const struct instance *i,
+static uint32_t poll_wait(const struct sched *s, const struct instance *i,
 			  uint64_t now)
 {
-	if (!i->seen || i->unacked_count || i->silent)
+	if (!i->reported || i->unacked_count || i->unresponsive)
 		return 0;
 	if (!i->run_count)
-		return LOOK_WAIT_IDLE_MS;
+		return POLL_WAIT_IDLE_MS;
 	if (instance_has_ending(i))
 		return s->call_lost_ms && now - s->call_lost_ms < CALLS_LOSSY_MS
-			       ? LOOK_WAIT_LOSSY_MS
-			       : LOOK_WAIT_ENDING_MS;
-	return instance_serves(i) ? LOOK_WAIT_SERVING_MS : LOOK_WAIT_MS;
+			       ? POLL_WAIT_LOSSY_MS
+			       : POLL_WAIT_ENDING_MS;
+	return instance_serves(i) ? POLL_WAIT_SERVING_MS : POLL_WAIT_MS;
 }
 
-static bool look_wanted(const struct instance *i)
+static bool poll_needed(const struct instance *i)
 {
 	return *i->address && (i->listed || i->run_count || i->unacked_count ||
-			       (!i->seen && !i->expired));
+			       (!i->reported && !i->expired));
 }
 
 /*
@@ -72,32 +72,33 @@
  */
 static bool same_session(const struct instance *i, uint64_t now)
 {
-	return !i->silent && i->report_ms >= i->listed_ms &&
-	       now - i->clock_at <= SESSION_GAP_MS;
+	return !i->unresponsive && i->report_sent_ms >= i->listed_ms &&
+	       now - i->clock_read_ms <= SESSION_GAP_MS;
 }
 
 /* Each search goes on where the last one ended, so that a pass is one round. */
-bool sched_next_look(struct sched *s, uint64_t now, struct sched_look *look)
+bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll)
 {
 	uint32_t n;
 
 	for (n = 0; n < s->instance_slots; n++) {
-		uint32_t slot = s->look_turn++ % s->instance_slots;
+		uint32_t slot = s->next_poll_slot++ % s->instance_slots;
 		struct instance *i = s->instances[slot];
 
-		if (!i || i->looking || now < i->look_ms || !look_wanted(i))
+		if (!i || i->polling || now < i->next_poll_ms ||
+		    !poll_needed(i))
 			continue;
-		i->looking = true;
-		look->instance = i->handle;
-		look->instance_id = i->id;
-		look->address = i->address;
-		look->acked = same_session(i, now) ? i->acked : 0;
-		look->wait_ms = look_wait(s, i, now);
-		look->answer_ms = look->wait_ms + LOOK_ANSWER_MS;
-		look->lease_until = 0;
+		i->polling = true;
+		poll->instance = i->handle;
+		poll->instance_id = i->id;
+		poll->address = i->address;
+		poll->acked = same_session(i, now) ? i->acked : 0;
+		poll->wait_ms = poll_wait(s, i, now);
+		poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
+		poll->lease_until = 0;
 		/* One that does not answer is not extended, so it lapses. */
-		if (i->run_count && !i->silent)
-			look->lease_until = instance_lease(s, i, now);
+		if (i->run_count && !i->unresponsive)
+			poll->lease_until = instance_extend_lease(s, i, now);
 		return true;
 	}
 	return false;
@@ -115,26 +116,26 @@
 }
 
 /* What is there and should not be is stopped as a run of its own. */
-static void adopt(struct sched *s, struct instance *i,
-		  const struct sched_running *r, struct task *task,
-		  uint64_t now)
+static void adopt_run(struct sched *s, struct instance *i,
+		      const struct sched_running *r, struct task *task,
+		      uint64_t now)
 {
 	struct step *step = task->step;
-	bool twin = task->runs && !step->spec->duplicates;
+	bool duplicate = task->runs && !step->spec->duplicates;
 	struct run *run = run_new(s, task, i, r->number, now);
 
-	run->state = RUN_BEGUN;
-	run_begun(s, run, now);
+	run->state = RUN_RUNNING;
+	run_mark_running(s, run, now);
 	sched_trace(s, "run-found", r->task,
 		    "\"instance\":\"%s\",\"run\":%" PRIu64 ",\"twin\":%d",
-		    i->id, r->number, twin);
-	if (twin || task->done || job_is_over(step->job))
+		    i->id, r->number, duplicate);
+	if (duplicate || task->done || job_is_over(step->job))
 		run_stop(s, run);
 }
 
-static void saw_running(struct sched *s, struct instance *i,
-			const struct sched_running *r, uint64_t sent_ms,
-			uint64_t now)
+static void apply_running(struct sched *s, struct instance *i,
+			  const struct sched_running *r, uint64_t sent_ms,
+			  uint64_t now)
 {
 	struct task *task = sched_task(s, r->task);
 	struct run *run;
@@ -146,20 +147,21 @@
 	}
 	run = run_find(i, task, r->number);
 	if (!run) {
-		adopt(s, i, r, task, now);
+		adopt_run(s, i, r, task, now);
 		run = run_find(i, task, r->number);
 	}
-	run_begun(s, run, now);
+	run_mark_running(s, run, now);
 	run->percent = r->percent;
 	run->load = r->load;
-	if (*r->saved)
-		snprintf(task->saved, sizeof(task->saved), "%s", r->saved);
-	if (run_at_work(run))
-		task->away_ms = 0;
+	if (*r->checkpoint)
+		snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
+			 r->checkpoint);
+	if (run_is_available(run))
+		task->unavailable_since_ms = 0;
 	(void)sent_ms;
 }
 
-static void remember_unacked(struct sched *s, struct instance *i, uint64_t n)
+static void add_unacked(struct sched *s, struct instance *i, uint64_t n)
 {
 	if (i->unacked_count == i->unacked_room) {
 		i->unacked_room = i->unacked_room ? i->unacked_room * 2 : 8;
@@ -167,8 +169,8 @@
 					    i->unacked_room);
 		assert(i->unacked);
 	}
-	i->unacked[i->unacked_count].n = n;
-	i->unacked[i->unacked_count].seq = s->change_seq;
+	i->unacked[i->unacked_count].end_seq = n;
+	i->unacked[i->unacked_count].change_seq = s->change_seq;
 	i->unacked_count++;
 }
 
@@ -182,7 +184,7 @@
 	run_stop(s, run);
 }
 
-static void saw_ended(struct sched *s, struct instance *i,
+static void apply_end(struct sched *s, struct instance *i,
 		      const struct sched_ended *e, uint64_t now)
 {
 	struct task *task = sched_task(s, e->task);
@@ -193,24 +195,25 @@
 	sched_trace(s, "run-end", e->task,
 		    "\"instance\":\"%s\",\"run\":%" PRIu64
 		    ",\"how\":%d,\"n\":%" PRIu64,
-		    i->id, e->number, e->how, e->n);
+		    i->id, e->number, e->outcome, e->seq);
 	run = run_find(i, task, e->number);
-	task->step->job->begun = true;
-	if (*e->saved)
-		snprintf(task->saved, sizeof(task->saved), "%s", e->saved);
+	task->step->job->started = true;
+	if (*e->checkpoint)
+		snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
+			 e->checkpoint);
 	if (run)
 		run_free(s, run, now);
-	switch (e->how) {
+	switch (e->outcome) {
 	case SCHED_DONE:
 		s->stats.ends_done++;
-		instance_praised(i);
+		instance_record_success(i);
 		if (!job_is_over(task->step->job) && !task->step->spec->lasting)
 			task_done(s, task, now);
 		break;
 	case SCHED_FAILED:
 		s->stats.ends_failed++;
-		instance_blamed(s, i, task->step->job, now);
-		task->avoid = i->handle.i + 1;
+		instance_record_failure(s, i, task->step->job, now);
+		task->avoid_instance = i->handle.i + 1;
 		if (!job_is_over(task->step->job))
 			task_failed(s, task, e->number, now);
 		break;
@@ -220,8 +223,8 @@
 	case SCHED_LAPSED:
 		s->stats.ends_lapsed++;
 		break;
-	case SCHED_BROKEN:
-	case SCHED_ALONE:
+	case SCHED_GANG_BROKEN:
+	case SCHED_GANG_INCOMPLETE:
 		break;
 	}
 	if (task->step->spec->gang && !task->done)
@@ -229,9 +232,9 @@
 }
 
 /* Runs that should be in the report and are not. */
-static void find_missing(struct sched *s, struct instance *i,
-			 const struct sched_report *r, uint64_t sent_ms,
-			 uint64_t now)
+static void free_missing_runs(struct sched *s, struct instance *i,
+			      const struct sched_report *r, uint64_t sent_ms,
+			      uint64_t now)
 {
 	struct run *run, *next;
 	char name[SCHED_TASK_MAX];
@@ -240,10 +243,12 @@
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
 		/* In the same millisecond either may have come first. */
-		bool begun = run->known_ms && run->known_ms < sent_ms;
-		bool prevented = run->stopped_ms && run->stopped_ms < sent_ms;
+		bool was_running = run->running_since_ms &&
+				   run->running_since_ms < sent_ms;
+		bool prevented =
+			run->stop_done_ms && run->stop_done_ms < sent_ms;
 
-		if (!begun && !prevented)
+		if (!was_running && !prevented)
 			continue;
 		task_name(run->task, name);
 		for (n = 0; n < r->running_count; n++)
@@ -262,36 +267,37 @@
 	}
 }
 
-static void new_life(struct sched *s, struct instance *i,
-		     const struct sched_report *r, uint64_t now)
+static void new_incarnation(struct sched *s, struct instance *i,
+			    const struct sched_report *r, uint64_t now)
 {
-	if (i->born && r->born && r->born != i->born) {
+	if (i->started_unix_ms && r->started_unix_ms &&
+	    r->started_unix_ms != i->started_unix_ms) {
 		sched_trace(s, "instance-reborn", i->id, "\"runs\":%u",
 			    i->run_count);
 		if (i->run_count)
-			instance_held_long(s, i, now);
+			instance_extend_lease_max(s, i, now);
 	}
-	i->born = r->born;
-	i->last_n = 0;
+	i->started_unix_ms = r->started_unix_ms;
+	i->last_end_seq = 0;
 	i->acked = 0;
 	i->unacked_count = 0;
 	i->failures = 0;
-	i->shunned_until = 0;
+	i->ejected_until_ms = 0;
 }
 
-static void saw_ends(struct sched *s, struct instance *i,
-		     const struct sched_report *r, uint64_t now)
+static void apply_ends(struct sched *s, struct instance *i,
+		       const struct sched_report *r, uint64_t now)
 {
 	uint32_t n;
 
 	for (n = 0; n < r->ended_count; n++) {
 		const struct sched_ended *e = &r->ended[n];
 
-		if (e->n <= i->last_n)
+		if (e->seq <= i->last_end_seq)
 			continue;
-		i->last_n = e->n;
-		saw_ended(s, i, e, now);
-		remember_unacked(s, i, e->n);
+		i->last_end_seq = e->seq;
+		apply_end(s, i, e, now);
+		add_unacked(s, i, e->seq);
 	}
 }
 
@@ -300,18 +306,18 @@
 {
 	if (s->changed || !i->unacked_count)
 		return;
-	i->acked = i->unacked[i->unacked_count - 1].n;
+	i->acked = i->unacked[i->unacked_count - 1].end_seq;
 	i->unacked_count = 0;
 }
 
-void sched_look_lost(struct sched *s, instance_handle_t h, uint64_t now)
+void sched_poll_lost(struct sched *s, instance_handle_t h, uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
 
 	if (!i)
 		return;
-	i->looking = false;
-	i->look_ms = now;
+	i->polling = false;
+	i->next_poll_ms = now;
 }
 
 static uint64_t later(uint64_t a, uint64_t b)
@@ -319,50 +325,51 @@
 	return a > b ? a : b;
 }
 
-void sched_looked(struct sched *s, instance_handle_t h,
-		  const struct sched_report *r, uint64_t sent_ms, uint64_t now)
+void sched_poll_done(struct sched *s, instance_handle_t h,
+		     const struct sched_report *r, uint64_t sent_ms,
+		     uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
 	uint32_t n;
 
 	if (!i)
 		return;
-	i->looking = false;
+	i->polling = false;
 	if (!r) {
-		if (!i->silent && i->seen)
+		if (!i->unresponsive && i->reported)
 			s->call_lost_ms = now;
-		if (!i->silent)
+		if (!i->unresponsive)
 			sched_trace(s, "instance-silent", i->id,
 				    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
 				    i->run_count,
-				    (int64_t)(i->lease_end - now));
-		i->silent = true;
-		i->look_ms = later(now + LOOK_FAILED_MS,
-				   sent_ms + LOOK_FAILED_GAP_MS);
+				    (int64_t)(i->lease_end_ms - now));
+		i->unresponsive = true;
+		i->next_poll_ms = later(now + POLL_FAILED_MS,
+					sent_ms + POLL_FAILED_GAP_MS);
 		return;
 	}
-	if (i->born != r->born || !i->seen) {
-		new_life(s, i, r, now);
-		i->met_ms = now;
+	if (i->started_unix_ms != r->started_unix_ms || !i->reported) {
+		new_incarnation(s, i, r, now);
+		i->first_report_ms = now;
 	}
-	if (i->silent) {
-		i->met_ms = now;
+	if (i->unresponsive) {
+		i->first_report_ms = now;
 		sched_trace(s, "instance-answers", i->id, "\"runs\":%u",
 			    r->running_count);
 	}
 	i->clock_ms = r->clock_ms;
-	i->clock_at = now;
-	i->report_ms = sent_ms;
-	i->silent = false;
-	i->unanswered = 0;
+	i->clock_read_ms = now;
+	i->report_sent_ms = sent_ms;
+	i->unresponsive = false;
+	i->unanswered_orders = 0;
 	i->expired = false;
-	i->seen = true;
+	i->reported = true;
 	for (n = 0; n < r->running_count; n++)
-		saw_running(s, i, &r->running[n], sent_ms, now);
-	saw_ends(s, i, r, now);
-	find_missing(s, i, r, sent_ms, now);
-	count_seen(s, i);
+		apply_running(s, i, &r->running[n], sent_ms, now);
+	apply_ends(s, i, r, now);
+	free_missing_runs(s, i, r, sent_ms, now);
+	instance_count_reported(s, i);
 	acknowledge_unchanged(s, i);
-	i->look_ms = i->unacked_count ? now + LOOK_UNWRITTEN_MS : now;
-	instance_pace(s, i, now);
+	i->next_poll_ms = i->unacked_count ? now + POLL_UNWRITTEN_MS : now;
+	instance_throttle(s, i, now);
 }
--- a/src/pool/sched_row.c
+++ b/src/pool/sched_row.c
@@ -9,7 +9,7 @@
 static bool step_has_progress(const struct step *step)
 {
 	return step->failed_count ||
-	       (step->left < step->spec->count && !step->spec->lasting);
+	       (step->tasks_left < step->spec->count && !step->spec->lasting);
 }
 
 static Fleet__StepProgress *step_progress(const struct step *step)
@@ -111,16 +111,16 @@
 		if (!(p->done.data[i / 8] & 1u << i % 8) || t->done)
 			continue;
 		t->done = true;
-		task_set_unseen(t, false);
-		step->left--;
+		task_set_possibly_running(t, false);
+		step->tasks_left--;
 	}
-	if (step->left == 0)
+	if (step->tasks_left == 0)
 		step_done(s, step, step->job->accepted_ms);
 	else
 		step_refresh(step);
 }
 
-static void mark_maybe_running(struct job *job, uint32_t k)
+static void mark_possibly_running(struct job *job, uint32_t k)
 {
 	struct step *steps = job->occurrences[k].steps;
 	size_t i;
@@ -128,7 +128,7 @@
 
 	for (i = 0; i < job->row->n_steps; i++) {
 		for (t = 0; t < job->row->steps[i]->count; t++)
-			task_set_unseen(&steps[i].tasks[t], true);
+			task_set_possibly_running(&steps[i].tasks[t], true);
 		step_refresh(&steps[i]);
 	}
 }
@@ -140,14 +140,14 @@
 
 	for (k = 0; k < job->occurrence_count; k++)
 		if (job->occurrences[k].steps)
-			mark_maybe_running(job, k);
+			mark_possibly_running(job, k);
 	for (i = 0; row && i < row->n_steps; i++) {
 		const Fleet__StepProgress *p = row->steps[i];
 
 		if (p->occurrence >= job->occurrence_count ||
 		    p->step >= job->row->n_steps)
 			continue;
-		job->begun = true;
+		job->started = true;
 		occurrence_begin(s, job, p->occurrence, job->accepted_ms);
 		apply_step(s, &job->occurrences[p->occurrence].steps[p->step],
 			   p);
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -11,7 +11,7 @@
 #define CLOCK_BACK_MS 1000u   /* answers overtake each other by less */
 #define UNANSWERED_MAX 2u     /* orders in a row before an instance is silent */
 
-static uint32_t slot_find(struct sched *s)
+static uint32_t free_slot(struct sched *s)
 {
 	uint32_t room = s->run_room;
 	uint32_t i;
@@ -41,22 +41,22 @@
 	return s->runs[h.i];
 }
 
-static void account(struct run *run, bool begins)
+static void account_run(struct run *run, bool begins)
 {
 	const struct step *step = run->task->step;
 	struct workspace *w = step->job->workspace;
-	struct amount here = step_amount(step->spec);
-	struct amount asked = { step->spec->cpu, step->spec->mem,
-				step->spec->gpu };
+	struct amount on_instance = step_amount(step->spec);
+	struct amount requested = { step->spec->cpu, step->spec->mem,
+				    step->spec->gpu };
 
 	if (begins) {
-		amount_add(&run->instance->used, &here);
+		amount_add(&run->instance->used, &on_instance);
 		if (w)
-			amount_add(&w->used, &asked);
+			amount_add(&w->used, &requested);
 	} else {
-		amount_sub(&run->instance->used, &here);
+		amount_sub(&run->instance->used, &on_instance);
 		if (w)
-			amount_sub(&w->used, &asked);
+			amount_sub(&w->used, &requested);
 	}
 }
 
@@ -64,7 +64,7 @@
 		    struct instance *instance, uint64_t number, uint64_t now)
 {
 	struct run *run = talloc_zero(s, struct run);
-	uint32_t slot = slot_find(s);
+	uint32_t slot = free_slot(s);
 
 	assert(run);
 	s->runs[slot] = run;
@@ -74,13 +74,13 @@
 	run->task = task;
 	run->instance = instance;
 	run->number = number;
-	run->begun_ms = now;
-	run->pace = run->pace_wanted = 100;
+	run->created_ms = now;
+	run->speed_percent = run->speed_wanted = 100;
 	DL_APPEND(instance->runs, run);
 	DL_APPEND2(task->runs, run, task_prev, task_next);
 	instance->run_count++;
-	task_set_unseen(task, false);
-	account(run, true);
+	task_set_possibly_running(task, false);
+	account_run(run, true);
 	step_refresh(task->step);
 	return run;
 }
@@ -90,7 +90,7 @@
 {
 	struct task *task = run->task;
 
-	account(run, false);
+	account_run(run, false);
 	if (run->to_send)
 		DL_DELETE2(s->to_send, run, order_prev, order_next);
 	DL_DELETE(run->instance->runs, run);
@@ -99,13 +99,13 @@
 	s->runs[run->handle.i] = NULL;
 	s->run_generations[run->handle.i]++;
 	s->run_free_hint = run->handle.i;
-	if (task->step->spec->lasting && !task->away_ms)
-		task->away_ms = now;
+	if (task->step->spec->lasting && !task->unavailable_since_ms)
+		task->unavailable_since_ms = now;
 	step_refresh(task->step);
 	talloc_free(run);
 }
 
-void run_order(struct sched *s, struct run *run)
+void run_queue_order(struct sched *s, struct run *run)
 {
 	if (run->to_send)
 		return;
@@ -118,34 +118,34 @@
 	if (run->state == RUN_STOPPING)
 		return;
 	run->state = RUN_STOPPING;
-	run->stopped_ms = 0;
+	run->stop_done_ms = 0;
 	if (!run->in_flight)
-		run_order(s, run);
+		run_queue_order(s, run);
 }
 
-void run_begun(struct sched *s, struct run *run, uint64_t now)
+void run_mark_running(struct sched *s, struct run *run, uint64_t now)
 {
 	struct job *job = run->task->step->job;
 
-	if (!job->begun)
+	if (!job->started)
 		metric_observe(&queue_stats(s, job->queue)->first_start,
 			       now - job->accepted_ms);
-	if (run->state == RUN_ORDERED || run->state == RUN_DOUBTFUL)
-		run->state = RUN_BEGUN;
-	if (!run->known_ms)
-		run->known_ms = now;
-	job->begun = true;
+	if (run->state == RUN_ORDERED || run->state == RUN_UNKNOWN)
+		run->state = RUN_RUNNING;
+	if (!run->running_since_ms)
+		run->running_since_ms = now;
+	job->started = true;
 }
 
-bool run_at_work(const struct run *run)
+bool run_is_available(const struct run *run)
 {
-	return run->state == RUN_BEGUN && run->percent >= 100;
+	return run->state == RUN_RUNNING && run->percent >= 100;
 }
 
 /* Orders */
 
-static bool order_of(struct sched *s, struct run *run, uint64_t now,
-		     struct sched_order *o)
+static bool fill_order(struct sched *s, struct run *run, uint64_t now,
+		       struct sched_order *o)
 {
 	struct instance *i = run->instance;
 
@@ -158,10 +158,10 @@
 		o->kind = ORDER_STOP;
 		break;
 	default:
-		if (run->pace == run->pace_wanted)
+		if (run->speed_percent == run->speed_wanted)
 			return false;
-		o->kind = ORDER_PACE;
-		o->percent = run->pace_wanted;
+		o->kind = ORDER_THROTTLE;
+		o->percent = run->speed_wanted;
 		break;
 	}
 	o->run = run->handle;
@@ -171,10 +171,10 @@
 	task_name(run->task, o->task);
 	o->number = run->number;
 	o->payload = run->task->step->job->row->payload;
-	o->saved = run->task->saved;
+	o->checkpoint = run->task->checkpoint;
 	if (o->kind == ORDER_START) {
 		o->ticket = step_ticket(run->task->step, i, now);
-		o->lease_until = instance_lease(s, i, now);
+		o->lease_until = instance_extend_lease(s, i, now);
 	}
 	return true;
 }
@@ -186,7 +186,7 @@
 	while ((run = s->to_send)) {
 		DL_DELETE2(s->to_send, run, order_prev, order_next);
 		run->to_send = false;
-		if (!order_of(s, run, now, order))
+		if (!fill_order(s, run, now, order))
 			continue;
 		run->in_flight = true;
 		run->ordered_ms = now;
@@ -207,31 +207,31 @@
 
 	s->stats.starts_refused++;
 	task->retry_ms = now + REFUSED_RETRY_MS;
-	task->avoid = run->instance->handle.i + 1;
+	task->avoid_instance = run->instance->handle.i + 1;
 	if (result == ORDER_UNREACHED)
-		instance_unanswered(s, run->instance, now);
+		instance_record_no_answer(s, run->instance, now);
 	if (result == ORDER_REFUSED)
-		instance_blamed(s, run->instance, task->step->job, now);
-	if (result == ORDER_REFUSED_ROOM || result == ORDER_REFUSED_OLD)
-		run->instance->look_ms = now;
+		instance_record_failure(s, run->instance, task->step->job, now);
+	if (result == ORDER_REFUSED_CAPACITY || result == ORDER_REFUSED_STALE)
+		run->instance->next_poll_ms = now;
 	run_free(s, run, now);
 }
 
-static void started(struct sched *s, struct run *run,
-		    enum sched_order_result result, uint64_t now)
+static void start_answered(struct sched *s, struct run *run,
+			   enum sched_order_result result, uint64_t now)
 {
 	switch (result) {
 	case ORDER_DONE:
-		run->instance->unanswered = 0;
-		run_begun(s, run, now);
+		run->instance->unanswered_orders = 0;
+		run_mark_running(s, run, now);
 		return;
 	case ORDER_UNKNOWN:
 	case ORDER_LOST:
 		s->stats.starts_unknown++;
 		if (run->state == RUN_ORDERED)
-			run->state = RUN_DOUBTFUL;
+			run->state = RUN_UNKNOWN;
 		if (result == ORDER_UNKNOWN)
-			instance_unanswered(s, run->instance, now);
+			instance_record_no_answer(s, run->instance, now);
 		return;
 	default:
 		start_refused(s, run, result, now);
@@ -239,13 +239,13 @@
 	}
 }
 
-static void stopped(struct run *run, enum sched_order_result result,
-		    uint64_t now)
+static void stop_answered(struct run *run, enum sched_order_result result,
+			  uint64_t now)
 {
 	if (result != ORDER_DONE)
 		return; /* tried again by the instance's tick */
-	run->stopped_ms = now;
-	run->instance->look_ms = now;
+	run->stop_done_ms = now;
+	run->instance->next_poll_ms = now;
 }
 
 /*
@@ -253,26 +253,26 @@
  * deadline by it and may hold the work for long. Until it reports, nothing
  * is known of it, and ends are not acknowledged by the old life's numbers.
  */
-static void check_life(struct sched *s, struct instance *i,
-		       const struct sched_order *order, uint64_t clock_ms,
-		       uint64_t now)
+static void check_restart(struct sched *s, struct instance *i,
+			  const struct sched_order *order, uint64_t clock_ms,
+			  uint64_t now)
 {
-	if (!clock_ms || !i->clock_at ||
+	if (!clock_ms || !i->clock_read_ms ||
 	    clock_ms + CLOCK_BACK_MS >= i->clock_ms)
 		return;
 	sched_trace(s, "instance-restarted", i->id,
 		    "\"clock_ms\":%" PRIu64 ",\"known_clock_ms\":%" PRIu64,
 		    clock_ms, i->clock_ms);
 	if (order->kind == ORDER_START)
-		instance_held_long(s, i, now);
-	i->clock_at = 0;
-	i->silent = true;
-	i->look_ms = now;
+		instance_extend_lease_max(s, i, now);
+	i->clock_read_ms = 0;
+	i->unresponsive = true;
+	i->next_poll_ms = now;
 }
 
-void sched_ordered(struct sched *s, const struct sched_order *order,
-		   enum sched_order_result result, uint64_t clock_ms,
-		   uint64_t sent_ms, uint64_t now)
+void sched_order_done(struct sched *s, const struct sched_order *order,
+		      enum sched_order_result result, uint64_t clock_ms,
+		      uint64_t sent_ms, uint64_t now)
 {
 	struct run *run = run_of(s, order->run);
 
@@ -283,57 +283,59 @@
 		    now - sent_ms);
 	if (!run)
 		return;
-	check_life(s, run->instance, order, clock_ms, now);
+	check_restart(s, run->instance, order, clock_ms, now);
 	run->in_flight = false;
 	switch (order->kind) {
 	case ORDER_START:
-		started(s, run, result, now);
+		start_answered(s, run, result, now);
 		break;
 	case ORDER_STOP:
-		stopped(run, result, now);
+		stop_answered(run, result, now);
 		break;
-	case ORDER_PACE:
+	case ORDER_THROTTLE:
 		if (result == ORDER_DONE)
-			run->pace = order->percent;
+			run->speed_percent = order->percent;
 		break;
 	}
 	run = run_of(s, order->run);
 	if (run && run->state == RUN_STOPPING && order->kind != ORDER_STOP)
-		run_order(s, run);
+		run_queue_order(s, run);
 }
 
 /* Settles what is in doubt and repeats stops that were not answered. */
 void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
-	if (run->in_flight || run->to_send || run->instance->silent)
+	if (run->in_flight || run->to_send || run->instance->unresponsive)
 		return;
 	switch (run->state) {
-	case RUN_DOUBTFUL:
+	case RUN_UNKNOWN:
 		if (now - run->ordered_ms >= s->options.start_wait_ms)
 			run_stop(s, run);
 		break;
 	case RUN_STOPPING:
-		if (!run->stopped_ms && now - run->ordered_ms >= STOP_RETRY_MS)
-			run_order(s, run);
+		if (!run->stop_done_ms &&
+		    now - run->ordered_ms >= STOP_RETRY_MS)
+			run_queue_order(s, run);
 		break;
-	case RUN_BEGUN:
-		if (run->pace != run->pace_wanted &&
+	case RUN_RUNNING:
+		if (run->speed_percent != run->speed_wanted &&
 		    now - run->ordered_ms >= STOP_RETRY_MS)
-			run_order(s, run);
+			run_queue_order(s, run);
 		break;
 	case RUN_ORDERED:
 		break;
 	}
 }
 
-void instance_unanswered(struct sched *s, struct instance *i, uint64_t now)
+void instance_record_no_answer(struct sched *s, struct instance *i,
+			       uint64_t now)
 {
 	s->call_lost_ms = now;
-	if (++i->unanswered >= UNANSWERED_MAX)
-		i->silent = true;
+	if (++i->unanswered_orders >= UNANSWERED_MAX)
+		i->unresponsive = true;
 }
 
 uint64_t sched_run_number(const struct sched *s, struct task *task)
 {
-	return s->epoch * RUN_NUMBER_STRIDE + ++task->counter;
+	return s->epoch * RUN_NUMBER_STRIDE + ++task->starts;
 }
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -34,7 +34,7 @@
 }
 
 /* A job has ended. */
-void job_counted(struct sched *s, const struct job *job, uint64_t now)
+void job_count_end(struct sched *s, const struct job *job, uint64_t now)
 {
 	struct sched_queue_stats *q = queue_stats(s, job->queue);
 
--- a/src/pool/sched_ask.c
+++ b/src/pool/sched_submit.c
@@ -23,7 +23,7 @@
 		    ",\"retry_after_ms\":%u",
 		    job->queue, job->pool->name,
 		    sched_backlog_ms(s, job->pool, now), capacity.cpu, used.cpu,
-		    job->work, job->chain_ms,
+		    job->work, job->critical_path_ms,
 		    job->objective_ms - job->accepted_ms,
 		    s->config ? s->config->version : 0, retry_after_ms);
 }
@@ -44,24 +44,24 @@
 	s->unix_ms = unix_ms;
 	row->accepted_unix_ms = unix_ms;
 	job = job_new(s, id, row, now);
-	wait = sched_refusal(s, job, now);
+	wait = sched_retry_after(s, job, now);
 	if (wait) {
 		trace_refusal(s, job, wait, now);
 		*retry_after_ms = wait;
 		s->stats.refused++;
 		queue_stats(s, job->queue)->refused++;
-		steps_forget(s, job);
+		job_discard_steps(s, job);
 		job_free(s, job);
 		return SUBMIT_REFUSED;
 	}
 	s->stats.accepted++;
 	queue_stats(s, job->queue)->accepted++;
-	job_change(s, job);
+	job_mark_changed(s, job);
 	sched_trace(s, "job-accept", id,
 		    "\"queue\":\"%s\",\"workspace\":\"%s\",\"steps\":%zu,"
 		    "\"work\":%" PRIu64 ",\"chain_ms\":%" PRIu64,
 		    job->queue, job->row->workspace, job->row->n_steps,
-		    job->work, job->chain_ms);
+		    job->work, job->critical_path_ms);
 	return SUBMIT_ACCEPTED;
 }
 
@@ -81,7 +81,7 @@
 	 */
 	job = job_new(s, id, row, now);
 	job->stored = true;
-	job_change(s, job);
+	job_mark_changed(s, job);
 	s->stats.accepted++;
 	sched_trace(s, "job-recorded", id, "\"queue\":\"%s\"", job->queue);
 }
@@ -103,9 +103,9 @@
 		      : 0;
 	job = job_new(s, id, row, now > age ? now - age : 0);
 	job->stored = true;
-	job->taken = true;
+	job->claimed = true;
 	job->loaded = true;
-	job->moved = strcmp(row->pool, job->pool->name) != 0;
+	job->pool_changed = strcmp(row->pool, job->pool->name) != 0;
 	row_apply(s, job, progress);
 }
 
@@ -119,7 +119,7 @@
 		job->state = job->shown = row->state;
 		job->ended_ms = now;
 		job->rows_kept = true;
-		steps_leave(job);
+		job_refresh_steps(job);
 		return;
 	}
 	job = talloc_zero(s, struct job);
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -84,7 +84,7 @@
 		.labels = { "r1" },
 	};
 
-	sched_instance(r->s, &info, r->now);
+	sched_instance_listed(r->s, &info, r->now);
 }
 
 struct pace_case {
@@ -130,9 +130,9 @@
 				(struct fleet_machine_info){ ids[i], "p", "r1",
 							     FLEET_UP };
 		}
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		row = job_row(p->busy ? p->busy : 1, 1, false);
 		row->steps[0]->cpu = 4000; /* one fills an instance */
 		if (p->busy)
@@ -195,15 +195,16 @@
 			if (cases[c].listed)
 				named_instance(&r, ids[i], "p");
 			else
-				sched_expect(r.s, ids[i], "p", ids[i], r.now);
+				sched_expect_instance(r.s, ids[i], "p", ids[i],
+						      r.now);
 			infos[i] =
 				(struct fleet_machine_info){ ids[i], "p", "r1",
 							     FLEET_UP };
 		}
-		sched_lead(r.s, 2, true, r.now);
-		sched_expected(r.s, r.now);
+		sched_become_leader(r.s, 2, true, r.now);
+		sched_expect_complete(r.s, r.now);
 		if (cases[c].looked)
-			see_all_empty(&r);
+			make_all_usable(&r);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		fleet_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
@@ -313,9 +314,9 @@
 				(struct fleet_machine_info){ ids[i], pool, "r1",
 							     FLEET_UP };
 		}
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		if (m->lasting) {
 			row = job_row(m->lasting, 1, true);
 			row->steps[0]->spread_limit = 1;
@@ -431,9 +432,9 @@
 			if (i < 2)
 				named_instance(&r, ids[i], names[i]);
 		}
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		for (q = 0; q < 2; q++)
 			for (i = 0; i < t->jobs[q]; i++)
 				submit_to(&r, names[q], (q + 1) * 1000 + i,
--- a/test/look_test.c
+++ b/test/poll_test.c
@@ -5,7 +5,7 @@
 #include "test/rig/sched_rig.h"
 
 /* The acknowledgement of one life is not sent to the next. */
-static void test_ack_of_former_life(void **state)
+static void test_ack_of_former_incarnation(void **state)
 {
 	static const enum {
 		ANSWERED,
@@ -14,39 +14,40 @@
 	} cases[] = { ANSWERED, UNANSWERED, RELISTED };
 	struct sched_ended ended;
 	struct rig r;
-	struct sched_look look;
+	struct sched_poll poll;
 	size_t c;
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		rig_new(&r);
-		rig_lead(&r);
-		see_all_empty(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
 		submit(&r, id_a, 1, 1, false);
 		write_all(&r);
 		orders(&r);
 		answer_all(&r, ORDER_DONE);
 		r.now += 2500;
-		look = next_look(&r, r.orders[0].instance);
+		poll = next_poll(&r, r.orders[0].instance);
 		ended = (struct sched_ended){ 5, r.orders[0].task,
 					      r.orders[0].number, SCHED_DONE,
 					      "" };
-		report(&r, look.instance, NULL, 0, &ended, 1, r.now);
+		report(&r, poll.instance, NULL, 0, &ended, 1, r.now);
 		write_all(&r);
 		r.now += 400;
-		look = next_look(&r, look.instance);
-		assert_int_equal(look.acked, 5);
+		poll = next_poll(&r, poll.instance);
+		assert_int_equal(poll.acked, 5);
 		if (cases[c] == RELISTED) {
-			sched_instance_gone(r.s, look.instance_id, r.now + 1);
-			instance(&r, look.instance_id, false);
+			sched_instance_unlisted(r.s, poll.instance_id,
+						r.now + 1);
+			instance(&r, poll.instance_id, false);
 		}
 		if (cases[c] == UNANSWERED)
-			sched_looked(r.s, look.instance, NULL, r.now, r.now);
+			sched_poll_done(r.s, poll.instance, NULL, r.now, r.now);
 		else
-			report(&r, look.instance, NULL, 0, NULL, 0, r.now - 1);
+			report(&r, poll.instance, NULL, 0, NULL, 0, r.now - 1);
 		r.now += 400;
-		look = next_look(&r, look.instance);
-		assert_int_equal(look.acked, cases[c] == ANSWERED ? 5 : 0);
+		poll = next_poll(&r, poll.instance);
+		assert_int_equal(poll.acked, cases[c] == ANSWERED ? 5 : 0);
 		talloc_free(r.s);
 	}
 }
@@ -61,25 +62,25 @@
 					 "", 100, 0 };
 	struct sched_ended ended = { 1, r->orders[0].task, r->orders[0].number,
 				     SCHED_DONE, "" };
-	struct sched_look look = next_look(r, r->orders[0].instance);
+	struct sched_poll poll = next_poll(r, r->orders[0].instance);
 	uint64_t ended_ms;
 
 	if (lossy) {
-		r->now += look.answer_ms;
-		sched_looked(r->s, look.instance, NULL, r->now - look.answer_ms,
-			     r->now);
+		r->now += poll.timeout_ms;
+		sched_poll_done(r->s, poll.instance, NULL,
+				r->now - poll.timeout_ms, r->now);
 		r->now += 500;
-		look = next_look(r, look.instance);
-		report(r, look.instance, &running, 1, NULL, 0, r->now);
-		look = next_look(r, look.instance);
+		poll = next_poll(r, poll.instance);
+		report(r, poll.instance, &running, 1, NULL, 0, r->now);
+		poll = next_poll(r, poll.instance);
 	}
 	ended_ms = r->now + 1;
-	r->now += look.answer_ms;
-	sched_looked(r->s, look.instance, NULL, ended_ms - 1, r->now);
+	r->now += poll.timeout_ms;
+	sched_poll_done(r->s, poll.instance, NULL, ended_ms - 1, r->now);
 	r->now += 50;
-	look = next_look(r, look.instance);
-	assert_int_equal(look.wait_ms, 0);
-	report(r, look.instance, NULL, 0, &ended, 1, r->now);
+	poll = next_poll(r, poll.instance);
+	assert_int_equal(poll.wait_ms, 0);
+	report(r, poll.instance, NULL, 0, &ended, 1, r->now);
 	return r->now - ended_ms;
 }
 
@@ -88,7 +89,7 @@
  * unanswered. A task's end must be known within the slack of its queue, or
  * one lost look makes its job late. Where nothing ends looks stay rare.
  */
-static void test_lost_looks(void **state)
+static void test_lost_polls(void **state)
 {
 	static const struct {
 		bool lasting, lossy;
@@ -99,15 +100,15 @@
 		{ false, true, QUEUE_SLACK_MS, 500 },
 		{ true, false, 0, 1000 },
 	};
-	struct sched_look look;
+	struct sched_poll poll;
 	struct rig r;
 	size_t c;
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		rig_new(&r);
-		rig_lead(&r);
-		see_all_empty(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
 		submit(&r, id_a, 1, 1, cases[c].lasting);
 		write_all(&r);
 		assert_int_equal(orders(&r), 1);
@@ -117,42 +118,42 @@
 			assert_in_range(end_known_after(&r, cases[c].lossy), 1,
 					cases[c].known_within_ms);
 		} else {
-			look = next_look(&r, r.orders[0].instance);
-			assert_int_equal(look.wait_ms, cases[c].wait_ms);
+			poll = next_poll(&r, r.orders[0].instance);
+			assert_int_equal(poll.wait_ms, cases[c].wait_ms);
 		}
 		talloc_free(r.s);
 	}
 }
 
 /* An instance that refuses looks at once is not asked without a pause. */
-static void test_refused_looks_are_spaced(void **state)
+static void test_refused_polls_are_spaced(void **state)
 {
-	struct sched_look look;
+	struct sched_poll poll;
 	struct rig r;
-	uint32_t looks = 0;
+	uint32_t polls = 0;
 	uint64_t end;
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	r.now += 2500;
 	for (end = r.now + 1000; r.now < end; r.now += 10)
-		while (sched_next_look(r.s, r.now, &look)) {
-			sched_looked(r.s, look.instance, NULL, r.now,
-				     r.now + 1);
-			looks++;
+		while (sched_next_poll(r.s, r.now, &poll)) {
+			sched_poll_done(r.s, poll.instance, NULL, r.now,
+					r.now + 1);
+			polls++;
 		}
-	assert_in_range(looks, 2, 12); /* of two instances */
+	assert_in_range(polls, 2, 12); /* of two instances */
 	talloc_free(r.s);
 }
 
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_ack_of_former_life),
-		cmocka_unit_test(test_lost_looks),
-		cmocka_unit_test(test_refused_looks_are_spaced),
+		cmocka_unit_test(test_ack_of_former_incarnation),
+		cmocka_unit_test(test_lost_polls),
+		cmocka_unit_test(test_refused_polls_are_spaced),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -14,14 +14,14 @@
 		.labels = { "r1" },
 	};
 
-	sched_instance(r->s, &info, r->now);
+	sched_instance_listed(r->s, &info, r->now);
 }
 
 void rig_new(struct rig *r)
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = 10000,
-					 .lead_ms = 6000,
+					 .former_leader_ms = 6000,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
 
@@ -41,17 +41,17 @@
 		1, 1, 1, 1, &r->queue, &r->pool, &r->workspace
 	};
 	r->s = sched_new(NULL, &options);
-	sched_clock(r->s, r->now);
+	sched_set_clock(r->s, r->now);
 	sched_configure(r->s, &r->config, r->now);
 }
 
 /* Leads from nothing, with both instances seen and confirmed. */
-void rig_lead(struct rig *r)
+void rig_become_leader(struct rig *r)
 {
 	instance(r, "i-0", false);
 	instance(r, "i-1", false);
-	sched_lead(r->s, 1, true, r->now);
-	sched_expected(r->s, r->now);
+	sched_become_leader(r->s, 1, true, r->now);
+	sched_expect_complete(r->s, r->now);
 }
 
 void report(struct rig *r, instance_handle_t i,
@@ -60,32 +60,32 @@
 	    uint64_t sent_ms)
 {
 	struct sched_report rep = { .clock_ms = r->now,
-				    .born = 7,
+				    .started_unix_ms = 7,
 				    .running = running,
 				    .running_count = running_count,
 				    .ended = ended,
 				    .ended_count = ended_count };
 
-	sched_looked(r->s, i, &rep, sent_ms, r->now);
+	sched_poll_done(r->s, i, &rep, sent_ms, r->now);
 }
 
 /* Answers each look that is due once, as instances with nothing on them. */
-void look_all_empty(struct rig *r)
+void poll_all_empty(struct rig *r)
 {
-	struct sched_look looks[8];
+	struct sched_poll polls[8];
 	uint32_t count = 0;
 
-	while (count < 8 && sched_next_look(r->s, r->now, &looks[count]))
+	while (count < 8 && sched_next_poll(r->s, r->now, &polls[count]))
 		count++;
 	while (count-- > 0)
-		report(r, looks[count].instance, NULL, 0, NULL, 0, r->now);
+		report(r, polls[count].instance, NULL, 0, NULL, 0, r->now);
 }
 
-void see_all_empty(struct rig *r)
+void make_all_usable(struct rig *r)
 {
-	look_all_empty(r);
+	poll_all_empty(r);
 	r->now++;
-	sched_confirmed(r->s, r->now);
+	sched_leader_confirmed(r->s, r->now);
 }
 
 Fleet__JobRow *job_row(uint32_t tasks, uint32_t steps, bool lasting)
@@ -135,7 +135,7 @@
 }
 
 /* Gathers all changes; returns how many. */
-uint32_t gather(struct rig *r)
+uint32_t batch_all(struct rig *r)
 {
 	struct sched_change change;
 	uint32_t count = 0;
@@ -151,8 +151,8 @@
 
 void write_all(struct rig *r)
 {
-	gather(r);
-	sched_changed(r->s, 1, true, r->now);
+	batch_all(r);
+	sched_batch_done(r->s, 1, true, r->now);
 }
 
 uint32_t orders(struct rig *r)
@@ -170,25 +170,27 @@
 	uint32_t i;
 
 	for (i = 0; i < r->order_count; i++)
-		sched_ordered(r->s, &r->orders[i], result, 0, r->now, r->now);
+		sched_order_done(r->s, &r->orders[i], result, 0, r->now,
+				 r->now);
 }
 
 /* The next look at an instance; answered by the test. */
-struct sched_look next_look(struct rig *r, instance_handle_t i)
+struct sched_poll next_poll(struct rig *r, instance_handle_t i)
 {
-	struct sched_look look;
+	struct sched_poll poll;
 	uint32_t n;
 
-	while (r->taken_count < 8 &&
-	       sched_next_look(r->s, r->now, &r->taken[r->taken_count]))
-		r->taken_count++;
-	for (n = 0; n < r->taken_count; n++) {
-		if (r->taken[n].instance.i != i.i)
+	while (r->sent_poll_count < 8 &&
+	       sched_next_poll(r->s, r->now,
+			       &r->sent_polls[r->sent_poll_count]))
+		r->sent_poll_count++;
+	for (n = 0; n < r->sent_poll_count; n++) {
+		if (r->sent_polls[n].instance.i != i.i)
 			continue;
-		look = r->taken[n];
-		r->taken[n] = r->taken[--r->taken_count];
-		return look;
+		poll = r->sent_polls[n];
+		r->sent_polls[n] = r->sent_polls[--r->sent_poll_count];
+		return poll;
 	}
 	fail_msg("no look at instance %u", i.i);
-	return look;
+	return poll;
 }
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -29,28 +29,28 @@
 	struct config_workspace workspace;
 	struct sched_order orders[64];
 	uint32_t order_count;
-	struct sched_look taken[8]; /* looks sent and not answered yet */
-	uint32_t taken_count;
+	struct sched_poll sent_polls[8]; /* looks sent and not answered yet */
+	uint32_t sent_poll_count;
 };
 
 extern const char id_a[]; /* the job of most cases */
 
 void instance(struct rig *r, const char *id, bool leaving);
 void rig_new(struct rig *r);
-void rig_lead(struct rig *r);
+void rig_become_leader(struct rig *r);
 void report(struct rig *r, instance_handle_t i,
 	    const struct sched_running *running, uint32_t running_count,
 	    const struct sched_ended *ended, uint32_t ended_count,
 	    uint64_t sent_ms);
-void look_all_empty(struct rig *r);
-void see_all_empty(struct rig *r);
+void poll_all_empty(struct rig *r);
+void make_all_usable(struct rig *r);
 Fleet__JobRow *job_row(uint32_t tasks, uint32_t steps, bool lasting);
 void submit(struct rig *r, const char *id, uint32_t tasks, uint32_t steps,
 	    bool lasting);
-uint32_t gather(struct rig *r);
+uint32_t batch_all(struct rig *r);
 void write_all(struct rig *r);
 uint32_t orders(struct rig *r);
 void answer_all(struct rig *r, enum sched_order_result result);
-struct sched_look next_look(struct rig *r, instance_handle_t i);
+struct sched_poll next_poll(struct rig *r, instance_handle_t i);
 
 #endif
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -11,14 +11,14 @@
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 2, 1, false);
 	assert_int_equal(orders(&r), 0);
 	assert_false(sched_durable(r.s, id_a));
-	gather(&r);
+	batch_all(&r);
 	assert_int_equal(orders(&r), 0);
-	sched_changed(r.s, 1, false, r.now);
+	sched_batch_done(r.s, 1, false, r.now);
 	assert_int_equal(orders(&r), 0);
 	write_all(&r);
 	assert_true(sched_durable(r.s, id_a));
@@ -27,18 +27,18 @@
 }
 
 /* A job that another node recorded is written of before it is started. */
-static void test_recorded_is_taken(void **state)
+static void test_recorded_is_written_first(void **state)
 {
 	struct rig r;
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	sched_recorded(r.s, id_a, job_row(2, 1, false), r.now);
 	assert_int_equal(orders(&r), 0);
-	assert_int_equal(gather(&r), 1);
-	sched_changed(r.s, 1, true, r.now);
+	assert_int_equal(batch_all(&r), 1);
+	sched_batch_done(r.s, 1, true, r.now);
 	assert_int_equal(orders(&r), 2);
 	talloc_free(r.s);
 }
@@ -50,15 +50,15 @@
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	sched_confirmed(r.s, r.now);
+	rig_become_leader(&r);
+	sched_leader_confirmed(r.s, r.now);
 	submit(&r, id_a, 2, 1, false);
 	write_all(&r);
 	r.now += 10;
-	look_all_empty(&r);
-	assert_true(sched_wants_confirmation(r.s));
+	poll_all_empty(&r);
+	assert_true(sched_needs_confirmation(r.s));
 	assert_int_equal(orders(&r), 0);
-	sched_confirmed(r.s, r.now + 1);
+	sched_leader_confirmed(r.s, r.now + 1);
 	assert_int_equal(orders(&r), 2);
 	talloc_free(r.s);
 }
@@ -72,23 +72,23 @@
 	struct sched_ended ended[3];
 	struct sched_running running[2];
 	struct rig r;
-	struct sched_look look;
+	struct sched_poll poll;
 	instance_handle_t i;
 
 	(void)state;
 	rig_new(&r);
 	r.workspace.cap.cpu = 0;
 	instance(&r, "i-0", false);
-	sched_lead(r.s, 1, true, r.now);
-	sched_expected(r.s, r.now);
-	see_all_empty(&r);
+	sched_become_leader(r.s, 1, true, r.now);
+	sched_expect_complete(r.s, r.now);
+	make_all_usable(&r);
 	submit(&r, id_a, 3, 1, false);
 	write_all(&r);
 	assert_int_equal(orders(&r), 3);
 	answer_all(&r, ORDER_DONE);
 	i = r.orders[0].instance;
 	r.now += 2500;
-	look = next_look(&r, i);
+	poll = next_poll(&r, i);
 	ended[0] = (struct sched_ended){ 1, r.orders[0].task,
 					 r.orders[0].number, SCHED_DONE, "" };
 	ended[1] = (struct sched_ended){ 2, r.orders[1].task,
@@ -100,23 +100,23 @@
 	running[1] = (struct sched_running){ r.orders[2].task,
 					     r.orders[2].number, "", 50, 0 };
 	report(&r, i, running, 2, ended, 1, r.now);
-	assert_int_equal(gather(&r), 1); /* of the first end */
+	assert_int_equal(batch_all(&r), 1); /* of the first end */
 	r.now += 400;
-	look = next_look(&r, i);
-	assert_int_equal(look.acked, 0);
+	poll = next_poll(&r, i);
+	assert_int_equal(poll.acked, 0);
 	report(&r, i, &running[1], 1, ended, 2, r.now);
 	r.now += 400;
-	look = next_look(&r, i);
+	poll = next_poll(&r, i);
 	report(&r, i, NULL, 0, ended, 3, r.now);
-	sched_changed(r.s, 1, true, r.now); /* the first end is written */
+	sched_batch_done(r.s, 1, true, r.now); /* the first end is written */
 	r.now += 400;
-	look = next_look(&r, i);
-	assert_int_equal(look.acked, 1);
+	poll = next_poll(&r, i);
+	assert_int_equal(poll.acked, 1);
 	report(&r, i, NULL, 0, ended + 1, 2, r.now);
 	write_all(&r);
 	r.now += 400;
-	look = next_look(&r, i);
-	assert_int_equal(look.acked, 3);
+	poll = next_poll(&r, i);
+	assert_int_equal(poll.acked, 3);
 	talloc_free(r.s);
 }
 
@@ -124,22 +124,22 @@
 static void test_same_millisecond(void **state)
 {
 	struct rig r;
-	struct sched_look look;
+	struct sched_poll poll;
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
 	assert_int_equal(orders(&r), 1);
 	answer_all(&r, ORDER_DONE);
-	look = next_look(&r, r.orders[0].instance);
-	report(&r, look.instance, NULL, 0, NULL, 0, r.now);
+	poll = next_poll(&r, r.orders[0].instance);
+	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
 	assert_int_equal(orders(&r), 0);
 	r.now += 10;
-	look = next_look(&r, r.orders[0].instance);
-	report(&r, look.instance, NULL, 0, NULL, 0, r.now);
+	poll = next_poll(&r, r.orders[0].instance);
+	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
 	assert_int_equal(orders(&r), 1); /* it was lost: started again */
 	talloc_free(r.s);
 }
@@ -151,13 +151,13 @@
 							    ORDER_UNREACHED,
 							    ORDER_REFUSED };
 	struct rig r;
-	struct sched_look look;
+	struct sched_poll poll;
 	size_t n;
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
 	assert_int_equal(orders(&r), 1);
@@ -171,64 +171,65 @@
 		assert_int_equal(r.orders[0].kind, ORDER_STOP);
 		answer_all(&r, refusals[n]);
 		r.now += 10;
-		look = next_look(&r, r.orders[0].instance);
-		report(&r, look.instance, NULL, 0, NULL, 0, r.now);
+		poll = next_poll(&r, r.orders[0].instance);
+		report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
 		assert_int_equal(orders(&r), 0);
 		r.now += 400;
 	}
 	assert_int_equal(orders(&r), 1);
 	answer_all(&r, ORDER_DONE);
 	r.now += 10;
-	look = next_look(&r, r.orders[0].instance);
-	report(&r, look.instance, NULL, 0, NULL, 0, r.now);
+	poll = next_poll(&r, r.orders[0].instance);
+	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
 	assert_int_equal(orders(&r), 1);
 	assert_int_equal(r.orders[0].kind, ORDER_START);
 	talloc_free(r.s);
 }
 
 /* What ran on an instance that falls silent is restarted after its lease. */
-static void test_silent_instance_lapses(void **state)
+static void test_unresponsive_instance_lapses(void **state)
 {
-	struct sched_look looks[8];
+	struct sched_poll polls[8];
 	struct rig r;
 	uint64_t begun;
-	instance_handle_t silent;
+	instance_handle_t unresponsive;
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, true);
 	write_all(&r);
 	assert_int_equal(orders(&r), 1);
 	answer_all(&r, ORDER_DONE);
-	silent = r.orders[0].instance;
+	unresponsive = r.orders[0].instance;
 	begun = r.now;
 	while (!orders(&r) && r.now - begun < 3 * LEASE_MS) {
 		uint32_t n = 0;
 
 		r.now += 50;
-		while (n < 8 && sched_next_look(r.s, r.now, &looks[n]))
+		while (n < 8 && sched_next_poll(r.s, r.now, &polls[n]))
 			n++;
 		while (n-- > 0) {
-			if (looks[n].instance.i == silent.i)
-				sched_looked(r.s, silent, NULL, r.now, r.now);
+			if (polls[n].instance.i == unresponsive.i)
+				sched_poll_done(r.s, unresponsive, NULL, r.now,
+						r.now);
 			else
-				report(&r, looks[n].instance, NULL, 0, NULL, 0,
+				report(&r, polls[n].instance, NULL, 0, NULL, 0,
 				       r.now);
 		}
-		sched_confirmed(r.s, r.now);
+		sched_leader_confirmed(r.s, r.now);
 	}
 	assert_int_equal(r.order_count, 1);
 	assert_int_equal(r.orders[0].kind, ORDER_START);
-	assert_int_not_equal(r.orders[0].instance.i, silent.i);
+	assert_int_not_equal(r.orders[0].instance.i, unresponsive.i);
 	assert_true(r.now - begun >= LEASE_MS);
 	assert_true(r.now - begun < 2 * LEASE_MS);
 	talloc_free(r.s);
 }
 
 /* A new lead starts nothing that may run where it has not looked. */
-static void test_takeover_waits_for_the_unseen(void **state)
+static void test_takeover_waits_for_unreported(void **state)
 {
 	struct rig r;
 
@@ -237,16 +238,17 @@
 	instance(&r, "i-0", false);
 	instance(&r, "i-1", false);
 	sched_load_job(r.s, id_a, job_row(2, 1, false), NULL, r.now);
-	sched_lead(r.s, 2, false, r.now);
-	sched_expect(r.s, "i-2", "p", "m-2", r.now); /* its row is gone */
-	sched_expected(r.s, r.now);
-	see_all_empty(&r);
+	sched_become_leader(r.s, 2, false, r.now);
+	sched_expect_instance(r.s, "i-2", "p", "m-2",
+			      r.now); /* its row is gone */
+	sched_expect_complete(r.s, r.now);
+	make_all_usable(&r);
 	assert_int_equal(orders(&r), 0);
 	instance(&r, "i-2", false);
 	r.now += 10;
-	look_all_empty(&r);
+	poll_all_empty(&r);
 	r.now++;
-	sched_confirmed(r.s, r.now);
+	sched_leader_confirmed(r.s, r.now);
 	assert_int_equal(orders(&r), 2);
 	talloc_free(r.s);
 }
@@ -256,14 +258,14 @@
  * looked yet: what is found there of a job that has ended meanwhile is stopped
  * and counts until it is gone.
  */
-static void test_takeover_finds_a_twin(void **state)
+static void test_takeover_finds_a_duplicate(void **state)
 {
 	struct sched_ended ended = { 1, "000000000000000a.0.0.0", 10001,
 				     SCHED_DONE, "" };
 	struct sched_running running = { "000000000000000a.0.0.0", 10002, "",
 					 100, 0 };
 	struct sched_instance_load load;
-	struct sched_look first, second;
+	struct sched_poll first, second;
 	struct rig r;
 
 	(void)state;
@@ -271,10 +273,10 @@
 	instance(&r, "i-0", false);
 	instance(&r, "i-1", false);
 	sched_load_job(r.s, id_a, job_row(1, 1, false), NULL, r.now);
-	sched_lead(r.s, 2, false, r.now);
-	sched_expected(r.s, r.now);
-	assert_true(sched_next_look(r.s, r.now, &first));
-	assert_true(sched_next_look(r.s, r.now, &second));
+	sched_become_leader(r.s, 2, false, r.now);
+	sched_expect_complete(r.s, r.now);
+	assert_true(sched_next_poll(r.s, r.now, &first));
+	assert_true(sched_next_poll(r.s, r.now, &second));
 	report(&r, first.instance, NULL, 0, &ended, 1, r.now);
 	write_all(&r);
 	assert_int_equal(sched_state(r.s, id_a, "q"),
@@ -291,7 +293,7 @@
 }
 
 /* A loaded job whose queue has another pool now may still run in the old. */
-static void test_takeover_after_a_route(void **state)
+static void test_takeover_after_pool_change(void **state)
 {
 	struct config_pool pools[2] = { { "p", true, false },
 					{ "o", true, false } };
@@ -305,7 +307,7 @@
 		.label_count = 1,
 		.labels = { "r1" },
 	};
-	struct sched_look looks[2];
+	struct sched_poll polls[2];
 	struct rig r;
 	uint32_t i;
 
@@ -316,20 +318,20 @@
 	r.config.pools = pools;
 	sched_configure(r.s, &r.config, r.now);
 	instance(&r, "i-0", false);
-	sched_instance(r.s, &info, r.now);
+	sched_instance_listed(r.s, &info, r.now);
 	sched_load_job(r.s, id_a, job_row(2, 1, false), NULL, r.now);
-	sched_lead(r.s, 2, false, r.now);
-	sched_expected(r.s, r.now);
+	sched_become_leader(r.s, 2, false, r.now);
+	sched_expect_complete(r.s, r.now);
 	for (i = 0; i < 2; i++)
-		assert_true(sched_next_look(r.s, r.now, &looks[i]));
-	assert_string_equal(looks[1].instance_id, "o-0");
-	report(&r, looks[1].instance, NULL, 0, NULL, 0, r.now);
+		assert_true(sched_next_poll(r.s, r.now, &polls[i]));
+	assert_string_equal(polls[1].instance_id, "o-0");
+	report(&r, polls[1].instance, NULL, 0, NULL, 0, r.now);
 	r.now++;
-	sched_confirmed(r.s, r.now);
+	sched_leader_confirmed(r.s, r.now);
 	assert_int_equal(orders(&r), 0);
-	report(&r, looks[0].instance, NULL, 0, NULL, 0, r.now);
+	report(&r, polls[0].instance, NULL, 0, NULL, 0, r.now);
 	r.now++;
-	sched_confirmed(r.s, r.now);
+	sched_leader_confirmed(r.s, r.now);
 	assert_int_equal(orders(&r), 2);
 	assert_string_equal(r.orders[0].instance_id, "o-0");
 	talloc_free(r.s);
@@ -342,8 +344,8 @@
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 6, 1, false);
 	write_all(&r);
 	assert_int_equal(orders(&r), 3);
@@ -351,18 +353,18 @@
 }
 
 /* Upkeep takes one task of a step at a time, and none while one is away. */
-static void test_budget_of_what_lasts(void **state)
+static void test_availability_budget(void **state)
 {
 	struct sched_running running[2];
 	struct rig r;
-	struct sched_look look;
+	struct sched_poll poll;
 	uint32_t i;
 
 	(void)state;
 	rig_new(&r);
 	r.workspace.cap.cpu = 0;
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 2, 1, true);
 	write_all(&r);
 	assert_int_equal(orders(&r), 2);
@@ -373,21 +375,21 @@
 		running[i] = (struct sched_running){ r.orders[i].task,
 						     r.orders[i].number, "",
 						     100, 0 };
-		look = next_look(&r, r.orders[i].instance);
-		report(&r, look.instance, &running[i], 1, NULL, 0, r.now);
+		poll = next_poll(&r, r.orders[i].instance);
+		report(&r, poll.instance, &running[i], 1, NULL, 0, r.now);
 	}
 	/* The other's instance has not reported for long: it counts as away. */
 	r.now += 2600;
-	look = next_look(&r, r.orders[0].instance);
-	report(&r, look.instance, &running[0], 1, NULL, 0, r.now);
+	poll = next_poll(&r, r.orders[0].instance);
+	report(&r, poll.instance, &running[0], 1, NULL, 0, r.now);
 	sched_evacuate(r.s, r.orders[0].instance, true, r.now);
 	{
 		struct rig other = r;
 
 		assert_int_equal(orders(&other), 0);
 	}
-	look = next_look(&r, r.orders[1].instance);
-	report(&r, look.instance, &running[1], 1, NULL, 0, r.now);
+	poll = next_poll(&r, r.orders[1].instance);
+	report(&r, poll.instance, &running[1], 1, NULL, 0, r.now);
 	sched_evacuate(r.s, r.orders[0].instance, true, r.now);
 	sched_evacuate(r.s, r.orders[1].instance, true, r.now);
 	assert_int_equal(orders(&r), 1);
@@ -419,8 +421,8 @@
 		r.config.workspace_count = 2;
 		r.config.workspaces = ws;
 		sched_configure(r.s, &r.config, r.now);
-		rig_lead(&r);
-		see_all_empty(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
 		submit(&r, id_a, 6, 1, false); /* of w: 6 of 8 cores */
 		row = job_row(1, 1, false);
 		free(row->workspace);
@@ -453,8 +455,8 @@
 	(void)state;
 	rig_new(&r);
 	r.queue.advised = true;
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
 	assert_int_equal(orders(&r), 0);
@@ -462,15 +464,18 @@
 	assert_int_equal(advice.count, 2);
 	assert_false(sched_next_advice(r.s, r.now, &advice));
 	rows[0] = (struct sched_approval){ "i-1", "t-1" };
-	sched_advised(r.s, "000000000000000a.0.0", rows, 1, 100, r.now, r.now);
+	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 100, r.now,
+			  r.now);
 	assert_int_equal(orders(&r), 0); /* it would run out on the way */
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
-	sched_advised(r.s, "000000000000000a.0.0", NULL, 0, 0, r.now, r.now);
+	sched_advice_done(r.s, "000000000000000a.0.0", NULL, 0, 0, r.now,
+			  r.now);
 	assert_int_equal(orders(&r), 0);
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
-	sched_advised(r.s, "000000000000000a.0.0", rows, 1, 3000, r.now, r.now);
+	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 3000, r.now,
+			  r.now);
 	assert_int_equal(orders(&r), 1);
 	assert_string_equal(r.orders[0].instance_id, "i-1");
 	assert_string_equal(r.orders[0].ticket, "t-1");
@@ -495,8 +500,8 @@
 
 		rig_new(&r);
 		r.workspace.cap.cpu = 0;
-		rig_lead(&r);
-		see_all_empty(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
 		row->steps[0]->gang = true;
 		sched_submit(r.s, id_a, row, r.now, r.now, &after);
 		write_all(&r);
@@ -513,13 +518,13 @@
 {
 	struct sched_ended ended;
 	struct rig r;
-	struct sched_look look;
+	struct sched_poll poll;
 	uint32_t n;
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
 	for (n = 1; n <= 2; n++) {
@@ -529,11 +534,11 @@
 		assert_int_equal(orders(&r), 1);
 		answer_all(&r, ORDER_DONE);
 		r.now += 2500;
-		look = next_look(&r, r.orders[0].instance);
+		poll = next_poll(&r, r.orders[0].instance);
 		ended = (struct sched_ended){ 1, r.orders[0].task,
 					      r.orders[0].number, SCHED_FAILED,
 					      "" };
-		report(&r, look.instance, NULL, 0, &ended, 1, r.now);
+		report(&r, poll.instance, NULL, 0, &ended, 1, r.now);
 	}
 	assert_int_equal(orders(&r), 0);
 	/* Shown once it is written. */
@@ -556,8 +561,8 @@
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	row->steps[0]->cpu = 5000;
 	assert_int_equal(sched_submit(r.s, id_a, row, r.now, r.now, &after),
 			 SUBMIT_REFUSED);
@@ -592,16 +597,16 @@
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	known = instances_known(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
 	assert_int_equal(orders(&r), 1);
 	answer_all(&r, ORDER_DONE);
 	assert_true(sched_machine_load(r.s, "i-0", &load));
-	sched_instance_gone(r.s, "i-0", r.now);
-	sched_instance_gone(r.s, "i-1", r.now);
+	sched_instance_unlisted(r.s, "i-0", r.now);
+	sched_instance_unlisted(r.s, "i-1", r.now);
 	r.now += 60000;
 	sched_tick(r.s, r.now, r.now);
 	assert_int_equal(instances_known(&r), known - 1);
@@ -616,14 +621,14 @@
  * Calls that another node made and that were lost with it: the starts are in
  * doubt, the instances are not. A look that was lost is due again at once.
  */
-static void test_lost_calls_blame_nobody(void **state)
+static void test_lost_calls_are_not_failures(void **state)
 {
 	static const struct {
 		enum sched_order_result result;
 		bool usable;
 	} cases[] = { { ORDER_LOST, true }, { ORDER_UNKNOWN, false } };
 	struct sched_instance_load load;
-	struct sched_look look;
+	struct sched_poll poll;
 	struct rig r;
 	size_t c;
 
@@ -632,9 +637,9 @@
 		rig_new(&r);
 		r.workspace.cap.cpu = 0;
 		instance(&r, "i-0", false);
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		submit(&r, id_a, 4, 1, false);
 		write_all(&r);
 		assert_int_equal(orders(&r), 4);
@@ -645,10 +650,10 @@
 		/* In doubt: none of the tasks is started anywhere else. */
 		assert_int_equal(orders(&r), 0);
 		r.now += 2500;
-		look = next_look(&r, r.orders[0].instance);
-		sched_look_lost(r.s, look.instance, r.now);
-		look = next_look(&r, look.instance);
-		assert_int_equal(look.instance.i, load.instance.i);
+		poll = next_poll(&r, r.orders[0].instance);
+		sched_poll_lost(r.s, poll.instance, r.now);
+		poll = next_poll(&r, poll.instance);
+		assert_int_equal(poll.instance.i, load.instance.i);
 		talloc_free(r.s);
 	}
 }
@@ -676,8 +681,8 @@
 
 	(void)state;
 	rig_new(&r);
-	rig_lead(&r);
-	see_all_empty(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
 	sched_recorded(r.s, id_a, job_row(1, 1, false), r.now);
 	submit(&r, ids[0], 1, 1, false);
 	submit(&r, ids[1], 1, 1, false);
@@ -685,13 +690,13 @@
 	assert_string_equal(next_changed(&r, 2), ids[1]);
 	assert_string_equal(next_changed(&r, 2), id_a);
 	assert_false(sched_change_pending(r.s));
-	sched_changed(r.s, 2, true, r.now);
+	sched_batch_done(r.s, 2, true, r.now);
 	assert_false(sched_durable(r.s, ids[0]));
 	assert_true(sched_durable(r.s, ids[1]));
 	assert_true(sched_durable(r.s, id_a));
-	sched_changed(r.s, 1, false, r.now);
+	sched_batch_done(r.s, 1, false, r.now);
 	assert_string_equal(next_changed(&r, 3), ids[0]);
-	sched_changed(r.s, 3, true, r.now);
+	sched_batch_done(r.s, 3, true, r.now);
 	assert_true(sched_durable(r.s, ids[0]));
 	talloc_free(r.s);
 }
@@ -700,24 +705,24 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_start_after_write),
-		cmocka_unit_test(test_recorded_is_taken),
+		cmocka_unit_test(test_recorded_is_written_first),
 		cmocka_unit_test(test_new_instance_waits_for_confirmation),
 		cmocka_unit_test(test_end_waits_for_its_change),
 		cmocka_unit_test(test_same_millisecond),
 		cmocka_unit_test(test_unanswered_start),
-		cmocka_unit_test(test_silent_instance_lapses),
-		cmocka_unit_test(test_takeover_waits_for_the_unseen),
-		cmocka_unit_test(test_takeover_finds_a_twin),
-		cmocka_unit_test(test_takeover_after_a_route),
+		cmocka_unit_test(test_unresponsive_instance_lapses),
+		cmocka_unit_test(test_takeover_waits_for_unreported),
+		cmocka_unit_test(test_takeover_finds_a_duplicate),
+		cmocka_unit_test(test_takeover_after_pool_change),
 		cmocka_unit_test(test_cap),
-		cmocka_unit_test(test_budget_of_what_lasts),
+		cmocka_unit_test(test_availability_budget),
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_advice),
 		cmocka_unit_test(test_gang),
 		cmocka_unit_test(test_attempts),
 		cmocka_unit_test(test_refusals),
 		cmocka_unit_test(test_forgotten_instances),
-		cmocka_unit_test(test_lost_calls_blame_nobody),
+		cmocka_unit_test(test_lost_calls_are_not_failures),
 		cmocka_unit_test(test_batches_side_by_side),
 	};
 
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -104,8 +104,8 @@
 
 	if (!timed_out && c->result == ORDER_REFUSED_FENCE)
 		l->confirmed_ms = 0;
-	sched_ordered(l->s, &c->order, timed_out ? ORDER_UNKNOWN : c->result,
-		      c->clock_ms, c->sent_ms, w->now);
+	sched_order_done(l->s, &c->order, timed_out ? ORDER_UNKNOWN : c->result,
+			 c->clock_ms, c->sent_ms, w->now);
 }
 
 static void answer_look(struct world *w, struct call *c, bool timed_out)
@@ -114,7 +114,7 @@
 	struct sched_running running[RUNS_MAX];
 	struct sched_ended ended[ENDS_MAX];
 	struct sched_report report = { .clock_ms = c->clock_ms,
-				       .born = c->born,
+				       .started_unix_ms = c->born,
 				       .running_count = c->running_count,
 				       .ended_count = c->ended_count,
 				       .running = running,
@@ -132,9 +132,9 @@
 					      c->ended[r].how, "" };
 	if (!timed_out && c->refused)
 		l->confirmed_ms = 0;
-	sched_looked(l->s, c->look.instance,
-		     timed_out || c->refused ? NULL : &report, c->sent_ms,
-		     w->now);
+	sched_poll_done(l->s, c->look.instance,
+			timed_out || c->refused ? NULL : &report, c->sent_ms,
+			w->now);
 }
 
 static void answer_txn(struct world *w, struct call *c, bool timed_out)
@@ -145,7 +145,7 @@
 	if (timed_out) {
 		l->settle = true;
 		l->retry_ms = w->now + 100;
-		sched_changed(l->s, c->batch, false, w->now);
+		sched_batch_done(l->s, c->batch, false, w->now);
 		return;
 	}
 	if (c->applied) {
@@ -155,13 +155,13 @@
 		}
 		if (c->sent_ms > l->confirmed_ms)
 			l->confirmed_ms = c->sent_ms;
-		sched_confirmed(l->s, c->sent_ms);
-		sched_changed(l->s, c->batch, true, w->now);
+		sched_leader_confirmed(l->s, c->sent_ms);
+		sched_batch_done(l->s, c->batch, true, w->now);
 		return;
 	}
-	sched_changed(l->s, c->batch, false, w->now);
+	sched_batch_done(l->s, c->batch, false, w->now);
 	if (c->conflict_job) {
-		sched_exists(l->s, w->jobs[c->conflict_job - 1].id);
+		sched_row_exists(l->s, w->jobs[c->conflict_job - 1].id);
 	} else if (w->holder == c->lead + 1) {
 		l->revision = w->lead_revision; /* its settling was done */
 		l->settle = false;
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -13,7 +13,7 @@
 }
 
 static void list_end(struct world *w, struct world_instance *i,
-		     const struct world_run_on *r, enum sched_how how)
+		     const struct world_run_on *r, enum sched_outcome how)
 {
 	struct world_end *e = &i->ends[i->end_count++];
 	uint32_t step, index;
@@ -63,7 +63,7 @@
 	}
 	for (r = 0; r < i->run_count;) {
 		struct world_run_on *run = &i->runs[r];
-		enum sched_how how;
+		enum sched_outcome how;
 
 		if (run->ends_ms && w->now >= run->ends_ms)
 			how = run->fails ? SCHED_FAILED : SCHED_DONE;
@@ -186,9 +186,9 @@
 		if (!strcmp(i->runs[r].task, o->task))
 			return i->runs[r].number == o->number
 				       ? ORDER_DONE
-				       : ORDER_REFUSED_OLD;
+				       : ORDER_REFUSED_STALE;
 	if (was_stopped(i, o->task, o->number))
-		return ORDER_REFUSED_OLD;
+		return ORDER_REFUSED_STALE;
 	check_twice(w, i, o, true);
 	check_order(w, o);
 	check_asked(w, o, c->sent_ms);
@@ -220,7 +220,7 @@
 	c->clock_ms = clock_of(w, i); /* each answer tells it */
 	if (c->order.kind == ORDER_START)
 		return exec_start(w, i, c);
-	if (c->order.kind == ORDER_PACE)
+	if (c->order.kind == ORDER_THROTTLE)
 		return ORDER_DONE;
 	remember_stopped(i, c->order.task, c->order.number);
 	for (r = 0; r < i->run_count; r++)
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -49,7 +49,7 @@
 	uint64_t n;
 	char task[SCHED_TASK_MAX];
 	uint64_t number;
-	enum sched_how how;
+	enum sched_outcome how;
 };
 
 struct stopped_run {
@@ -122,7 +122,7 @@
 	uint32_t instance;
 	uint64_t fence;
 	struct sched_order order;
-	struct sched_look look;
+	struct sched_poll look;
 	uint64_t life; /* of the instance when it was sent */
 	enum sched_order_result result;
 	uint64_t clock_ms;
--- a/test/walk/fleet_world_lead.c
+++ b/test/walk/fleet_world_lead.c
@@ -35,9 +35,9 @@
 		};
 
 		if (in->listed)
-			sched_instance(l->s, &info, w->now);
+			sched_instance_listed(l->s, &info, w->now);
 		else
-			sched_instance_gone(l->s, in->id, w->now);
+			sched_instance_unlisted(l->s, in->id, w->now);
 	}
 }
 
@@ -87,7 +87,7 @@
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = LEASE_MAX_MS,
-					 .lead_ms = ORDERS_MS,
+					 .former_leader_ms = ORDERS_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
 	struct lead *l = &w->leads[who];
@@ -110,11 +110,11 @@
 	l->s = sched_new(NULL, &options);
 	if (w->verbose)
 		sched_set_trace(l->s, on_trace, w);
-	sched_clock(l->s, w->now);
+	sched_set_clock(l->s, w->now);
 	sched_configure(l->s, &w->config, w->now);
 	directory(w, l);
 	load_rows(w, l);
-	sched_lead(l->s, l->epoch, false, w->now);
+	sched_become_leader(l->s, l->epoch, false, w->now);
 }
 
 static void lead_machines(struct world *w, struct lead *l)
@@ -126,10 +126,10 @@
 	l->machines_ms = 0;
 	for (i = 0; i < WORLD_INSTANCES; i++)
 		if (w->instances[i].up)
-			sched_expect(l->s, w->instances[i].id,
-				     w->instances[i].pool, w->instances[i].id,
-				     w->now);
-	sched_expected(l->s, w->now);
+			sched_expect_instance(l->s, w->instances[i].id,
+					      w->instances[i].pool,
+					      w->instances[i].id, w->now);
+	sched_expect_complete(l->s, w->now);
 }
 
 static void lead_inbox(struct world *w, struct lead *l)
@@ -197,7 +197,7 @@
 {
 	struct lead *l = &w->leads[who];
 	struct sched_order order;
-	struct sched_look look;
+	struct sched_poll look;
 	struct call *c;
 
 	if (!l->confirmed_ms || w->now - l->confirmed_ms >= ORDERS_MS)
@@ -209,8 +209,8 @@
 		c->instance = instance_index(w, order.instance_id);
 		c->life = w->instances[c->instance].born;
 	}
-	while (sched_next_look(l->s, w->now, &look)) {
-		c = call_new(w, who, CALL_LOOK, look.answer_ms);
+	while (sched_next_poll(l->s, w->now, &look)) {
+		c = call_new(w, who, CALL_LOOK, look.timeout_ms);
 		c->look = look;
 		c->fence = l->fence;
 		c->instance = instance_index(w, look.instance_id);
@@ -233,14 +233,14 @@
 	directory(w, l);
 	/* Reading the row confirms the lead, or ends it. */
 	if ((w->now - l->confirmed_ms >= CONFIRM_MS ||
-	     sched_wants_confirmation(l->s)) &&
+	     sched_needs_confirmation(l->s)) &&
 	    w->now >= l->cut_until_ms && !pick(w, 4)) {
 		if (w->holder != who + 1) {
 			lead_resign(w, l);
 			return;
 		}
 		l->confirmed_ms = w->now;
-		sched_confirmed(l->s, w->now);
+		sched_leader_confirmed(l->s, w->now);
 	}
 	sched_tick(l->s, w->now, w->now);
 	if (chance(w, FAULT_EVACUATIONS, 5)) {
--- a/tools/check.py
+++ b/tools/check.py
@@ -65,7 +65,7 @@
                     f"{folder}/test/ledger_walk",
                     f"{folder}/test/fleet_walk",
                     f"{folder}/test/sched_test",
-                    f"{folder}/test/look_test",
+                    f"{folder}/test/poll_test",
                     f"{folder}/test/httpc_test"], check=True)
 
 
@@ -146,7 +146,7 @@
     results.command("sched_test with sanitizers", [
         f"{build}/sanitize/test/sched_test"])
     results.command("look_test with sanitizers", [
-        f"{build}/sanitize/test/look_test"])
+        f"{build}/sanitize/test/poll_test"])
     results.command("httpc_test with sanitizers", [
         f"{build}/sanitize/test/httpc_test"])
     results.add("malformed requests and frames", fuzz.run(build))
