--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -1,3 +1,6 @@
+/*
+ * sched - jobs, their steps and tasks
+ */
 #include "pool/sched.h"
 
 #include <assert.h>
@@ -9,10 +12,10 @@
 
 #include "pool/sched_internal.h"
 
-#define SWEEP_MS 20u  /* below a tenth of the shortest bound in time */
-#define TRACE_MAX 512 /* bytes of a trace's text */
+#define SWEEP_MS 20u  /* a tenth of the shortest timeout or less */
+#define TRACE_MAX 512 /* bytes of the text of one event */
 
-/* The tables' heads are not talloc's. */
+/* uthash allocates table heads with malloc(3), outside talloc. */
 static int sched_destroy(struct sched *s)
 {
 	HASH_CLEAR(hh, s->jobs);
@@ -132,7 +135,7 @@
 {
 	const struct config_queue *q = job->conf;
 
-	/* A removed queue's jobs are still owed, in the pool that it had. */
+	/* A removed queue's jobs are still done, in the pool that it had. */
 	if (q && strcmp(q->pool, job->pool->name)) {
 		uint32_t k, i;
 
@@ -185,7 +188,7 @@
 	       now >= task->retry_ms;
 }
 
-/* A task that may run where nobody has looked counts for its workspace. */
+/* A possibly running task counts towards the cap of its workspace. */
 void task_set_possibly_running(struct task *task, bool possibly_running)
 {
 	const Fleet__Step *spec = task->step->spec;
@@ -201,7 +204,7 @@
 		amount_sub(&w->unreported, &a);
 }
 
-/* A step is in its pool's list while it has tasks that could start. */
+/* Keeps a step in its pool's ready list while it has startable tasks. */
 void step_refresh(struct step *step)
 {
 	struct job *job = step->job;
@@ -252,7 +255,7 @@
 	}
 }
 
-/* Makes an occurrence's tables; due or not is up to the caller. */
+/* Allocates the steps of an occurrence, whether it is due or not. */
 static void occurrence_build(struct job *job, uint32_t k)
 {
 	struct occurrence *o = &job->occurrences[k];
@@ -309,7 +312,7 @@
 		job_end(s, job, FLEET__JOB_STATE__COMPLETED, now);
 }
 
-/* A task ended done: its other runs have become needless. */
+/* Completes a task; its other runs are no longer needed. */
 void task_done(struct sched *s, struct task *task, uint64_t now)
 {
 	struct step *step = task->step;
@@ -324,7 +327,7 @@
 	run_stop(s, run);
 	job_mark_changed(s, step->job);
 	if (step->spec->gang) {
-		/* One member's end stands for all of them. */
+		/* The end of one member completes the gang. */
 		for (i = 0; i < step->spec->count; i++) {
 			step->tasks[i].done = true;
 			task_set_possibly_running(&step->tasks[i], false);
@@ -378,7 +381,7 @@
 	return job->state >= FLEET__JOB_STATE__COMPLETED;
 }
 
-/* Puts a job behind all others that wait to be written. */
+/* Appends a job to the list of jobs to be written. */
 void job_mark_changed(struct sched *s, struct job *job)
 {
 	if (job->change == CHANGE_BATCHED) {
@@ -427,7 +430,7 @@
 	HASH_ADD_STR(s->jobs, id, job);
 	if (!row->times)
 		occurrence_begin(s, job, 0, now);
-	/* The node that took the job may know an older configuration. */
+	/* The node that accepted it may have an older configuration. */
 	if (s->config)
 		job_follow_queue(s, job);
 	return job;
@@ -452,7 +455,7 @@
 			step_refresh(&job->occurrences[k].steps[i]);
 }
 
-/* Takes a job's steps out of their pool's list, for a job that goes. */
+/* Removes a job's steps from their pool's list before it is freed. */
 void job_discard_steps(struct sched *s, struct job *job)
 {
 	job->state = FLEET__JOB_STATE__CANCELLED;
@@ -556,7 +559,7 @@
 	}
 }
 
-/* What time alone changes: jobs that come due or are forgotten, leases. */
+/* Handles timers: jobs that become due, ended jobs to drop, leases. */
 static void sweep(struct sched *s, uint64_t now)
 {
 	struct job *job, *next;
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -1,14 +1,15 @@
 /*
- * sched - the lead node's decisions about jobs, tasks and instances
+ * sched - the leader's decisions about jobs, tasks and instances
  *
- * Holds every job that is owed, every instance and what runs on it. Events
- * come in with a time in milliseconds of a steady clock; what to do comes
- * out as orders to instances and as rows to be written. No clock, socket,
- * thread or random number inside.
+ * Holds every job that is accepted and unfinished, every instance and what
+ * runs on it. Events come in with a time in milliseconds of a monotonic clock;
+ * decisions come out as orders to instances and as rows to be written. The
+ * module is deterministic: it uses no clock, socket, thread or random number.
  *
- * A run is one start of a task on an instance. Between its start order and
- * the proof that it ended or never began it counts as running: for room,
- * for its workspace's cap, and against another start of its task.
+ * A run is one start of a task on an instance. From its start order until the
+ * proof that it ended or never began it counts as running: for the capacity
+ * of the instance, for the cap of its workspace, and against another start of
+ * its task.
  */
 #ifndef SCHED_H
 #define SCHED_H
@@ -34,33 +35,32 @@
 	uint32_t generation;
 } run_handle;
 
-/* Not the instance_handle of version/cfg.h, which numbers the inventory. */
+/* Differs from instance_handle in version/cfg.h, an index of the inventory. */
 typedef struct {
 	uint32_t i;
 	uint32_t generation;
 } instance_handle_t;
 
 struct sched_options {
-	uint32_t lease_ms;     /* what an order extends an instance's work by */
-	uint32_t lease_max_ms; /* instances shorten what is longer to this */
-	uint32_t former_leader_ms; /* how long a predecessor may still give
-				      orders */
-	uint32_t start_wait_ms;	   /* before an unanswered start is settled */
-	uint32_t end_keep_ms;	   /* an ended job's state is told that long */
+	uint32_t lease_ms;	   /* granted by each start and each poll */
+	uint32_t lease_max_ms;	   /* instances shorten longer leases to this */
+	uint32_t former_leader_ms; /* a predecessor may order for this long */
+	uint32_t start_wait_ms;	   /* until an unanswered start is resolved */
+	uint32_t end_keep_ms;	   /* retention of an ended job's state */
 };
 
-/* What the directory tells about an instance. */
+/* The directory's entry of an instance. */
 struct sched_instance_info {
 	const char *id;
 	const char *address;
 	const char *zone;
 	const char *pool;
 	const char *machine;
-	uint64_t started_unix_ms; /* unix ms of its start, 0 if not told */
+	uint64_t started_unix_ms; /* 0 if unknown */
 	struct amount capacity;
 	bool leaving;
 	uint32_t label_count;
-	const char *labels[SCHED_LABELS_MAX]; /* its kind, then its rack */
+	const char *labels[SCHED_LABELS_MAX]; /* kind, then rack */
 };
 
 enum sched_outcome {
@@ -69,15 +69,15 @@
 	SCHED_STOPPED,
 	SCHED_LAPSED,
 	SCHED_GANG_BROKEN,     /* another member of the gang ended */
-	SCHED_GANG_INCOMPLETE, /* the gang's others did not come */
+	SCHED_GANG_INCOMPLETE, /* other members did not start */
 };
 
 struct sched_running {
 	const char *task;
 	uint64_t number;
 	const char *checkpoint;
-	uint32_t percent; /* work done, or being at work for a lasting task */
-	double load;	  /* tail in ms if it serves, else cpu in use */
+	uint32_t percent; /* of the work; a long-running task serves at 100 */
+	double load;	  /* tail latency in ms if it serves, else CPU in use */
 };
 
 struct sched_ended {
@@ -88,9 +88,9 @@
 	const char *checkpoint;
 };
 
-/* An instance's own account of what it runs and what has ended. */
+/* What an instance runs and what has ended there, as it reports. */
 struct sched_report {
-	uint64_t clock_ms; /* of the instance */
+	uint64_t clock_ms; /* the instance's clock */
 	uint64_t started_unix_ms;
 	uint32_t running_count;
 	uint32_t ended_count;
@@ -118,32 +118,32 @@
 
 enum sched_order_result {
 	ORDER_DONE,
-	ORDER_REFUSED_FENCE, /* a newer lead is known there */
-	ORDER_REFUSED_STALE, /* a higher run number is known there */
+	ORDER_REFUSED_FENCE, /* the instance knows a newer leader */
+	ORDER_REFUSED_STALE, /* it knows a higher run number */
 	ORDER_REFUSED_CAPACITY,
 	ORDER_REFUSED_LATE,
 	ORDER_REFUSED_TICKET,
-	ORDER_REFUSED,	 /* certainly not carried out */
-	ORDER_UNREACHED, /* no connection: certainly not carried out */
+	ORDER_REFUSED,	 /* not carried out */
+	ORDER_UNREACHED, /* no connection: not carried out */
 	ORDER_UNKNOWN,	 /* may have been or may still be carried out */
-	ORDER_LOST,	 /* likewise, for no fault of the instance */
+	ORDER_LOST,	 /* the same, through no fault of the instance */
 };
 
-/* One look at an instance, which also extends its work. */
+/* One poll of an instance, which also renews its lease. */
 struct sched_poll {
 	instance_handle_t instance;
 	const char *instance_id;
 	const char *address;
 	uint64_t lease_until; /* instance's clock, 0 if its clock is unknown */
-	uint64_t acked;	      /* ends up to here are durable */
-	uint32_t wait_ms;     /* the instance waits that long for an end */
-	uint32_t timeout_ms;  /* then its answer is taken for lost */
+	uint64_t acked;	      /* ends up to this number are durable */
+	uint32_t wait_ms;     /* the instance holds the poll for an end */
+	uint32_t timeout_ms;  /* until the poll counts as unanswered */
 };
 
 enum sched_submit {
 	SUBMIT_ACCEPTED, /* tell the caller once it is durable */
-	SUBMIT_KNOWN,	 /* the same job came before; it is durable or waits */
-	SUBMIT_REFUSED,	 /* cannot be done in its time */
+	SUBMIT_KNOWN,	 /* submitted before; durable or being written */
+	SUBMIT_REFUSED,	 /* cannot be done in time */
 	SUBMIT_INVALID,
 };
 
@@ -151,10 +151,11 @@
 struct sched_change {
 	char id[SCHED_ID_BYTES + 1];
 	bool is_new;   /* its row does not exist yet */
-	bool is_ended; /* write `end`... */
-	bool drop;     /* ...and drop its other rows: nothing of it runs */
+	bool is_ended; /* write `end` */
+	bool drop;     /* delete its other rows: nothing of it runs */
 	const Fleet__JobRow *job;
-	Fleet__ProgressRow *progress; /* NULL without progress; sched's own */
+	Fleet__ProgressRow
+		*progress; /* owned by sched; NULL without progress */
 	Fleet__EndRow end;
 };
 
@@ -166,36 +167,36 @@
 	uint32_t jobs, instances, runs;
 };
 
-/* sched_new - without jobs and instances, owned by ctx */
+/* sched_new - creates an empty scheduler, owned by ctx */
 struct sched *sched_new(TALLOC_CTX *ctx, const struct sched_options *options);
 
-/* sched_set_clock - the time of day, before rows with times in them are read */
+/* sched_set_clock - sets the time of day; before rows with times are loaded */
 void sched_set_clock(struct sched *s, uint64_t unix_ms);
 
-/* sched_become_leader - begin to decide as the given epoch; all instances
- * unseen */
+/* sched_become_leader - starts an epoch; all instances are unreported */
 void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
 			 uint64_t now);
 
-/* sched_predecessor_gone - the lead before this one gives no more orders */
+/* sched_predecessor_gone - the former leader sends no more orders */
 void sched_predecessor_gone(struct sched *s, uint64_t now);
 
-/* sched_configure - decide by this version; kept by reference */
+/* sched_configure - applies a version; keeps a reference to it */
 void sched_configure(struct sched *s, const struct config *c, uint64_t now);
 
 /*
- * sched_leader_confirmed - the lead row was unchanged at sent_ms or later
+ * sched_leader_confirmed - the leader row was unchanged at sent_ms or later
  *
- * An instance that is new to this lead, or was silent, is used after the next
- * confirmation: it may know no newer fence, and a former lead must not start
- * work there that a successor, which did not see it, starts elsewhere.
+ * An instance that is new to this leader, or was unresponsive, is used only
+ * after the next confirmation: it may know no newer fence, and a former leader
+ * must not start work there that its successor, which has not polled it,
+ * starts elsewhere.
  */
 void sched_leader_confirmed(struct sched *s, uint64_t sent_ms);
 
-/* sched_needs_confirmation - whether an instance waits for one */
+/* sched_needs_confirmation - whether an instance cannot be used without one */
 bool sched_needs_confirmation(const struct sched *s);
 
-/* Rows read at takeover */
+/* Rows loaded at takeover */
 
 void sched_load_job(struct sched *s, const char *id, Fleet__JobRow *row,
 		    const Fleet__ProgressRow *progress, uint64_t now);
@@ -205,16 +206,16 @@
 /* Callers */
 
 /*
- * sched_submit - a job has come; takes over row
+ * sched_submit - submits a job; takes ownership of row
  *
- * On SUBMIT_REFUSED retry_after_ms says when to come again. After
- * SUBMIT_ACCEPTED and SUBMIT_KNOWN, sched_durable tells when the job lasts.
+ * Sets retry_after_ms with SUBMIT_REFUSED. After SUBMIT_ACCEPTED and
+ * SUBMIT_KNOWN, sched_durable says when the job is in the store.
  */
 enum sched_submit sched_submit(struct sched *s, const char *id,
 			       Fleet__JobRow *row, uint64_t unix_ms,
 			       uint64_t now, uint32_t *retry_after_ms);
 
-/* sched_recorded - a job that another node has already written */
+/* sched_recorded - adds a job whose row another node has written */
 void sched_recorded(struct sched *s, const char *id, Fleet__JobRow *row,
 		    uint64_t now);
 
@@ -226,10 +227,10 @@
 Fleet__JobState sched_state(const struct sched *s, const char *id,
 			    const char *queue);
 
-/* sched_durable - whether nothing about the job waits to be written */
+/* sched_durable - whether all changes of the job are written */
 bool sched_durable(const struct sched *s, const char *id);
 
-/* sched_pending - jobs of a queue of which no task has begun */
+/* sched_pending - number of jobs of a queue that have not started */
 uint32_t sched_pending(const struct sched *s, const char *queue);
 
 /* Instances */
@@ -240,53 +241,53 @@
 void sched_instance_unlisted(struct sched *s, const char *id, uint64_t now);
 
 /*
- * sched_expect_instance - an instance that the list of machines names
+ * sched_expect_instance - adds an instance that the machine list names
  *
- * The directory may have lost its row for a while; until it is seen, what a
- * predecessor started may run there. After sched_expect_complete all are named.
+ * The directory may have lost its row for a while; until the instance reports,
+ * tasks that a predecessor started may run there. sched_expect_complete says
+ * that all such instances have been added.
  */
 void sched_expect_instance(struct sched *s, const char *id, const char *pool,
 			   const char *machine, uint64_t now);
 void sched_expect_complete(struct sched *s, uint64_t now);
 
 /*
- * sched_machine_listed - what a list asked for at sent_ms says of a machine
+ * sched_machine_listed - a machine's entry of a list requested at sent_ms
  *
  * id is the instance that is up on it, "" when none is. Other instances of
- * that machine which have not reported since run nothing any more.
+ * that machine which have not reported since then run nothing any more.
  */
 void sched_machine_listed(struct sched *s, const char *machine, const char *id,
 			  uint64_t sent_ms, uint64_t now);
 
-/* sched_needs_machine_list - whether the list could tell what an instance does
- * not */
+/* sched_needs_machine_list - whether an instance does not report its runs */
 bool sched_needs_machine_list(const struct sched *s);
 
-/* sched_next_poll - the next look that is due; false when none is */
+/* sched_next_poll - the next poll that is due; false when none is */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll);
 
-/* sched_poll_done - its report, or NULL when none came; once for each look */
+/* sched_poll_done - its report, NULL for no answer; once for each poll */
 void sched_poll_done(struct sched *s, instance_handle_t i,
 		     const struct sched_report *report, uint64_t sent_ms,
 		     uint64_t now);
 
-/* sched_poll_lost - nobody will say what it found; that proves nothing */
+/* sched_poll_lost - its outcome will stay unknown; this proves nothing */
 void sched_poll_lost(struct sched *s, instance_handle_t i, uint64_t now);
 
-/* sched_tick - time has passed */
+/* sched_tick - handles timers and places tasks */
 void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now);
 
 /*
- * sched_next_order - the next order to be sent now; false when none is
+ * sched_next_order - the next order to send; false when there is none
  *
- * Each order is answered by sched_order_done exactly once.
+ * sched_order_done is called exactly once for each order.
  */
 bool sched_next_order(struct sched *s, uint64_t now, struct sched_order *order);
 void sched_order_done(struct sched *s, const struct sched_order *order,
 		      enum sched_order_result result, uint64_t clock_ms,
 		      uint64_t sent_ms, uint64_t now);
 
-/* Advice: queues of which only an adviser knows where a step may run */
+/* Advice: for queues whose placement policy an external adviser decides */
 
 #define SCHED_ADVICE_MAX 30u /* instances named in one call */
 #define SCHED_TICKET_MAX 128 /* bytes, with the NUL */
@@ -299,15 +300,14 @@
 
 struct sched_approval {
 	const char *instance;
-	const char *ticket; /* a start there carries it */
+	const char *ticket; /* sent with a start there */
 };
 
 /* sched_next_advice - the next call to the adviser; false when none is due */
 bool sched_next_advice(struct sched *s, uint64_t now,
 		       struct sched_advice *advice);
 
-/* sched_advice_done - its answer, rows NULL when none came; once for each call
- */
+/* sched_advice_done - its answer, rows NULL without one; once for each call */
 void sched_advice_done(struct sched *s, const char *step,
 		       const struct sched_approval *rows, uint32_t count,
 		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now);
@@ -315,56 +315,55 @@
 /* Rows */
 
 /*
- * sched_next_change - the next job of the batch that is being gathered
+ * sched_next_change - adds the next changed job to a batch
  *
- * A job is in one batch at a time, so batches may be written side by side.
- * sched_batch_done ends a batch: with true all its jobs are durable, with
- * false they are gathered again.
+ * A job is in one batch at a time, so batches may be written concurrently.
+ * sched_batch_done ends a batch: if written, all its jobs are durable,
+ * otherwise they are put into a later batch.
  */
 bool sched_next_change(struct sched *s, uint32_t batch,
 		       struct sched_change *change);
 void sched_batch_done(struct sched *s, uint32_t batch, bool written,
 		      uint64_t now);
 
-/* sched_change_pending - whether anything waits to be written */
+/* sched_change_pending - whether a changed job is in no batch yet */
 bool sched_change_pending(const struct sched *s);
 
-/* sched_row_exists - the store has a row of that new job already */
+/* sched_row_exists - the store already has a row of that new job */
 void sched_row_exists(struct sched *s, const char *id);
 
 void sched_stats(const struct sched *s, struct sched_stats *stats);
 
-/* What callers of one queue got; kept also when the queue is gone. */
+/* Outcomes of one queue's jobs; kept after the queue is removed. */
 struct sched_queue_stats {
 	const char *queue;
 	uint64_t accepted, refused, in_time, late, failed, cancelled;
-	struct metric_histogram first_start; /* from acceptance */
-	struct metric_histogram completed;   /* the same, to the last end */
+	struct metric_histogram first_start; /* ms from acceptance */
+	struct metric_histogram completed;   /* ms from acceptance */
 };
 
-#define SCHED_QUEUE_STATS_MAX 256u /* queues beyond share the last entry */
+#define SCHED_QUEUE_STATS_MAX 256u /* further queues share the last entry */
 
 /* sched_queue_stats - index from 0; NULL beyond the last */
 const struct sched_queue_stats *sched_queue_stats(const struct sched *s,
 						  uint32_t index);
 
-/* What the decisions about machines need (fleet/) */
+/* Load, for the decisions about machines (fleet/) */
 
 struct sched_pool_load {
 	const char *pool;
 	uint32_t instances; /* usable now */
-	uint32_t pinned;    /* of these, with tasks that last */
+	uint32_t pinned;    /* of these, with long-running tasks */
 	struct amount capacity;
 	struct amount used;
-	struct amount waiting; /* asked by tasks that could start now */
-	uint32_t spread;       /* instances that a step that lasts needs */
-	uint32_t long_running_waiting; /* most tasks that last and wait, of a
-					  step */
+	struct amount waiting; /* requested by startable tasks */
+	uint32_t spread;       /* instances that spread_limit requires */
+	uint32_t long_running_waiting; /* the most of any one step */
 	uint64_t waiting_work;	       /* thousandths of core x ms */
-	uint64_t running_work;	       /* left of what runs, same unit */
+	uint64_t running_work;	       /* left of running tasks, same unit */
 };
 
-/* sched_pool_load - false when no instance and no job has that pool */
+/* sched_pool_load - false when no instance or job uses that pool */
 bool sched_pool_load(const struct sched *s, const char *pool, uint64_t now,
 		     struct sched_pool_load *load);
 
@@ -375,59 +374,61 @@
 	const char *pool;
 	const char *rack;
 	bool usable;
-	bool unreported; /* something may run that this lead has not seen */
+	bool unreported; /* has not reported to this leader: runs unknown */
 	uint32_t runs;
-	uint32_t long_running; /* of these, tasks that last and do not fill */
-	uint32_t fillers;      /* and those that do */
+	uint32_t long_running; /* of these, long-running, without fillers */
+	uint32_t fillers;
 	struct amount used;
 };
 
-/* sched_instance_next - *slot is 0 at first; false beyond the last */
+/* sched_instance_next - iterates; *slot starts at 0; false at the end */
 bool sched_instance_next(const struct sched *s, uint32_t *slot,
 			 struct sched_instance_load *load);
 
 /*
- * sched_machine_load - the newest life of a machine that is usable, or runs
- * something, or may do so unseen; false when there is none
+ * sched_machine_load - the newest instance of a machine that is usable, has
+ * runs, or has not reported and may have some; false when there is none
  */
 bool sched_machine_load(const struct sched *s, const char *machine,
 			struct sched_instance_load *load);
 
-/* sched_reserve - start nothing new there (true), or use it again */
+/* sched_reserve - excludes an instance from placement, or ends that */
 void sched_reserve(struct sched *s, instance_handle_t i, bool reserved,
 		   uint64_t now);
 
-/* sched_mark_maintenance - the instance will be emptied: nothing that lasts
- * goes there while there is another place */
+/*
+ * sched_mark_maintenance - the instance will be emptied
+ *
+ * Long-running tasks are placed there only if no other instance fits.
+ */
 void sched_mark_maintenance(struct sched *s, instance_handle_t i);
 
 /*
- * sched_evacuate - stop what lasts there as far as budgets allow
+ * sched_evacuate - stops long-running tasks as far as budgets allow
  *
- * Called again until sched_machine_load shows no run. Tasks that end are left
- * to end while patient, else stopped too.
+ * Called repeatedly until sched_machine_load shows no run. If graceful, other
+ * tasks may finish, otherwise they are stopped too.
  */
 void sched_evacuate(struct sched *s, instance_handle_t i, bool graceful,
 		    uint64_t now);
 
 /*
- * sched_may_interrupt - whether all that runs there may end at once
+ * sched_may_interrupt - whether all runs there may end at once
  *
- * False while it would take a step below its budget.
+ * False while a step with an availability budget runs there.
  */
 bool sched_may_interrupt(const struct sched *s, instance_handle_t i);
 
-/* sched_machine_down - its machine was ordered away: nothing runs there */
+/* sched_machine_down - its machine was ordered down: nothing runs there */
 void sched_machine_down(struct sched *s, instance_handle_t i, uint64_t now);
 
-/* sched_explain - JSON text of one job, for operators; owned by ctx */
+/* sched_explain - describes one job as JSON for operators; owned by ctx */
 char *sched_explain(const struct sched *s, TALLOC_CTX *ctx, const char *id);
 
 /*
- * sched_set_trace - call fn for each decision about a job or an instance
+ * sched_set_trace - calls fn for each decision about a job or an instance
  *
- * kind names the decision, id the job or instance; text holds "key":value
- * pairs of JSON.
+ * kind names the decision, id the job or instance; text holds JSON members.
  */
 void sched_set_trace(struct sched *s,
 		     void (*fn)(void *arg, const char *kind, const char *id,
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -1,10 +1,10 @@
 /*
- * sched_advice - queues whose policy only an adviser knows
+ * sched_advice - queues whose placement policy an external adviser decides
  *
- * The adviser takes time for each call and for each instance named, and
- * serves one call of this node after another. So a step asks once, for the
- * instances with most room, and again only when what was approved has no
- * room or has run out.
+ * The adviser takes time for each call and for each instance named in it, and
+ * handles the calls of this node one at a time. So a step makes one call, for
+ * the instances with the most free CPU, and another one only when the approved
+ * instances have no room or the approval has expired.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -14,10 +14,10 @@
 
 #include "pool/sched_internal.h"
 
-#define ADVICE_INSTANCES_MIN 4u /* instances named in a call */
-#define ADVICE_MARGIN_MS 400u	/* a ticket must be valid that much longer */
-#define ADVICE_RETRY_MS 300u	/* after a call that was refused */
-#define ADVICE_REPEAT_MS 1000u	/* after one that approved none with room */
+#define ADVICE_INSTANCES_MIN 4u /* named in a call, if there are enough */
+#define ADVICE_MARGIN_MS 400u	/* remaining validity that a start needs */
+#define ADVICE_RETRY_MS 300u	/* delay after a call without an answer */
+#define ADVICE_REPEAT_MS 1000u	/* delay after an answered call */
 
 bool step_needs_advice(const struct step *step)
 {
@@ -51,20 +51,20 @@
 }
 
 static uint32_t candidates(const struct sched *s, const struct step *step,
-			   struct instance **list, uint32_t room, uint64_t now)
+			   struct instance **list, uint32_t max, uint64_t now)
 {
 	struct instance *i;
 	uint32_t count = 0;
 
 	DL_FOREACH2(step->job->pool->instances, i, pool_next)
-	if (count < room && instance_usable(s, i, now) &&
+	if (count < max && instance_usable(s, i, now) &&
 	    instance_could_run(i, step->spec))
 		list[count++] = i;
 	qsort(list, count, sizeof(*list), by_free_cpu);
 	return count;
 }
 
-/* A step that found no approved room asks, unless it has just done so. */
+/* Whether a step needs approval for more instances and may ask again. */
 static bool wants_advice(const struct sched *s, const struct step *step,
 			 uint64_t now)
 {
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -1,17 +1,17 @@
 /*
  * sched_avail - emptying an instance within availability budgets
  *
- * A step that lasts says how many of its tasks may be away at once because
- * of us. A task is taken away only while fewer of its step's others are
- * away, and a place for it is free elsewhere.
+ * A long-running step declares how many of its tasks may be unavailable at
+ * once because of maintenance. A task is stopped only while fewer of the other
+ * tasks of its step are unavailable.
  */
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
-#define REPORT_MAX_MS 2500u /* older, a report says nothing about now */
+#define REPORT_MAX_MS 2500u /* age beyond which a report is outdated */
 
-/* Whether the instance has said lately what runs on it. */
+/* Whether the instance has recently reported what runs on it. */
 static bool reported_lately(const struct instance *i, uint64_t now)
 {
 	return !i->unresponsive && i->clock_read_ms &&
@@ -29,7 +29,7 @@
 	return true;
 }
 
-/* Whether the task may be stopped without passing its step's budget. */
+/* Whether the task may be stopped within the budget of its step. */
 bool task_may_stop(const struct task *task, uint64_t now)
 {
 	const struct step *step = task->step;
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -1,6 +1,6 @@
 /*
- * sched_change - jobs whose rows have to be written, and what follows once
- * they are
+ * sched_change - jobs whose rows have to be written, and acknowledgement of
+ * ends once they are
  */
 #include <string.h>
 
@@ -23,13 +23,13 @@
 	return false;
 }
 
-/* Whether anything of the job runs, or may run where nobody looked. */
+/* Whether any task of the job runs or possibly runs. */
 bool job_has_runs(const struct job *job)
 {
 	uint32_t k, t;
 	size_t i;
 
-	/* Even of a task that is known to be done another run may be there. */
+	/* Even a task that is done may have another, unreported run. */
 	if (job->loaded)
 		return true;
 	for (k = 0; k < job->occurrence_count; k++)
@@ -45,7 +45,7 @@
 	return false;
 }
 
-/* New jobs go first: callers wait for them, and nothing of them has begun. */
+/* New jobs go first: callers wait for them, and none of them has started. */
 static struct job *first_waiting(const struct sched *s)
 {
 	struct job *first = NULL;
@@ -93,11 +93,11 @@
 	return true;
 }
 
-/* Forgets what only a job that runs needs. */
+/* Frees what only a job with runs needs; first has its rows dropped. */
 void job_shrink(struct sched *s, struct job *job)
 {
 	if (job_has_runs(job))
-		return; /* still to be stopped */
+		return; /* they are still being stopped */
 	if (job->rows_kept) {
 		job_mark_changed(s, job);
 		return;
@@ -109,7 +109,7 @@
 	job->row = NULL;
 }
 
-/* Ends up to a seq may be acknowledged once no older change is unwritten. */
+/* The number up to which all changes are written. */
 static uint64_t durable_seq(const struct sched *s)
 {
 	uint64_t least = s->change_seq + 1;
--- a/src/pool/sched_explain.c
+++ b/src/pool/sched_explain.c
@@ -1,5 +1,5 @@
 /*
- * sched_explain - one job as the lead sees it, for operators
+ * sched_explain - the leader's state of one job, for operators
  */
 #include <inttypes.h>
 #include <string.h>
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -1,6 +1,6 @@
 /*
- * sched_instance_listed - instances: the directory, the list of machines,
- * leases, and evidence against them
+ * sched_instance - instances: the directory, the machine list, leases, and
+ * ejection after failures
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -10,11 +10,11 @@
 #include "pool/sched_internal.h"
 
 #define INSTANCES_FIRST 64u
-#define INSTANCE_KEEP_MS 5000u /* unlisted: a directory regained in 2 s */
+#define INSTANCE_KEEP_MS 5000u /* unlisted; a lost directory is back in 2 s */
 #define LEASE_SLACK 0.03       /* the instance's clock may be 2% slow */
 #define LEASE_MARGIN_MS 150u
-#define FAILURES_MAX 3u /* of different jobs in a row, then it is shunned */
-#define EJECT_MS 4000u	/* before it is tried again */
+#define FAILURES_MAX 3u /* consecutive, of different jobs, before ejection */
+#define EJECT_MS 4000u	/* until an ejected instance is used again */
 
 struct instance *instance_of(const struct sched *s, instance_handle_t h)
 {
@@ -37,8 +37,9 @@
 }
 
 /*
- * The pool may settle: nothing of a predecessor runs where nobody looked. A
- * job whose queue has changed its pool may run in either.
+ * All instances of the pool have reported, so no unreported run of a
+ * predecessor is left there. A job whose queue was moved to another pool may
+ * run in either, so it is cleared when all pools have reported.
  */
 static void pool_clear_possibly_running(struct sched *s, struct pool *pool)
 {
@@ -169,7 +170,7 @@
 	DL_APPEND2(m->instances, i, machine_prev, machine_next);
 }
 
-/* A slot that was forgotten, or a new one. */
+/* Returns a free slot or a new one. */
 static uint32_t free_slot(struct sched *s)
 {
 	uint32_t n;
@@ -177,11 +178,11 @@
 	for (n = 0; n < s->instance_slots; n++)
 		if (!s->instances[n])
 			return n;
-	if (s->instance_slots == s->instance_room) {
-		s->instance_room = s->instance_room ? s->instance_room * 2
-						    : INSTANCES_FIRST;
+	if (s->instance_slots == s->instance_alloc) {
+		s->instance_alloc = s->instance_alloc ? s->instance_alloc * 2
+						      : INSTANCES_FIRST;
 		s->instances = talloc_realloc(
-			s, s->instances, struct instance *, s->instance_room);
+			s, s->instances, struct instance *, s->instance_alloc);
 		assert(s->instances);
 	}
 	return s->instance_slots++;
@@ -214,7 +215,7 @@
 	talloc_free(i);
 }
 
-/* Nothing runs on it, nothing is owed to it, and it is not coming back. */
+/* It has left for good, with no run and no end to acknowledge. */
 static bool instance_forgettable(const struct instance *i, uint64_t now)
 {
 	return i->unlisted_ms && now - i->unlisted_ms >= INSTANCE_KEEP_MS &&
@@ -301,7 +302,8 @@
 		if (!strcmp(i->id, id) || !is_unaccounted(i) ||
 		    i->clock_read_ms >= sent_ms || i->known_ms >= sent_ms)
 			continue;
-		instance_expire(s, i, "its machine holds another or none", now);
+		instance_expire(
+			s, i, "its machine runs another instance or none", now);
 	}
 }
 
@@ -356,8 +358,8 @@
 }
 
 /*
- * A new life has read a deadline by its own clock: it may hold work as long as
- * any instance does.
+ * A restarted instance has read a deadline by its new clock, so it may hold
+ * work for the longest lease that instances accept.
  */
 void instance_extend_lease_max(const struct sched *s, struct instance *i,
 			       uint64_t now)
@@ -369,7 +371,7 @@
 		i->lease_end_ms = end;
 }
 
-/* Everything on it has lapsed or was killed. */
+/* All runs on it have lapsed or were killed. */
 void instance_expire(struct sched *s, struct instance *i, const char *why,
 		     uint64_t now)
 {
@@ -395,7 +397,7 @@
 		return;
 	i->leaving = true;
 	i->unresponsive = true;
-	instance_expire(s, i, "machine ordered away", now);
+	instance_expire(s, i, "its machine was ordered down", now);
 }
 
 void sched_leader_confirmed(struct sched *s, uint64_t sent_ms)
@@ -427,7 +429,7 @@
 	       !i->reserved && i->clock_read_ms && now >= i->ejected_until_ms;
 }
 
-/* Evidence against an instance, and for it */
+/* Failures */
 
 void instance_record_failure(struct sched *s, struct instance *i,
 			     const struct job *job, uint64_t now)
@@ -438,7 +440,7 @@
 	if (++i->failures < FAILURES_MAX)
 		return;
 	i->ejected_until_ms = now + EJECT_MS;
-	i->failures = FAILURES_MAX - 1; /* one more failure shuns it again */
+	i->failures = FAILURES_MAX - 1; /* one more ejects it again */
 	sched_trace(s, "instance-shunned", i->id, "\"for_ms\":%u", EJECT_MS);
 }
 
@@ -456,7 +458,7 @@
 	run_tick(s, run, now);
 	if (!i->expired && now >= i->lease_end_ms &&
 	    (i->unresponsive || !i->reported) && (i->run_count || !i->reported))
-		instance_expire(s, i, "its lease ran out", now);
+		instance_expire(s, i, "its lease expired", now);
 }
 
 void instances_tick(struct sched *s, uint64_t now)
@@ -472,7 +474,7 @@
 		if (instance_forgettable(i, now))
 			instance_forget(s, i);
 	}
-	/* Whatever a predecessor started has ended by then. */
+	/* All runs that a predecessor started have ended by then. */
 	if (now >= s->predecessor_end_ms +
 			   s->options.lease_ms * (1 + LEASE_SLACK) +
 			   LEASE_MARGIN_MS)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -1,15 +1,19 @@
 /*
  * sched_internal - the tables behind sched.h
  *
- * sched.c        jobs, steps and their ends
- * sched_change.c rows that have to be written
- * sched_submit.c    jobs that come
- * sched_run.c    runs: orders and what comes of them
- * sched_instance.c instances, their leases, evidence against them
- * sched_poll.c   looks and reports
- * sched_advice.c queues of which an adviser says where
- * sched_place.c  whom to serve first, and where
- * sched_row.c    rows from and to the store
+ * sched.c          jobs, steps and their ends
+ * sched_change.c   rows to be written, acknowledgement of ends
+ * sched_submit.c   new jobs and jobs loaded at takeover
+ * sched_run.c      runs, their orders and the outcomes of orders
+ * sched_instance.c instances, leases, ejection of failing instances
+ * sched_poll.c     polls and reports
+ * sched_advice.c   queues whose placement an adviser decides
+ * sched_avail.c    availability budgets
+ * sched_throttle.c speed of fillers beside tasks that serve
+ * sched_place.c    order of steps, placement, admission
+ * sched_row.c      encoding and decoding of progress rows
+ * sched_stats.c    counters and histograms
+ * sched_explain.c  state of one job for operators
  */
 #ifndef SCHED_INTERNAL_H
 #define SCHED_INTERNAL_H
@@ -25,10 +29,10 @@
 struct instance;
 
 enum run_state {
-	RUN_ORDERED,  /* to be sent, or sent and not answered */
-	RUN_UNKNOWN,  /* its start was not answered: it may begin any time */
+	RUN_ORDERED,  /* start order queued or in flight */
+	RUN_UNKNOWN,  /* start was not answered: it may begin any time */
 	RUN_RUNNING,  /* known to run */
-	RUN_STOPPING, /* its stop was ordered */
+	RUN_STOPPING, /* stop order queued, in flight or carried out */
 };
 
 struct run {
@@ -37,15 +41,14 @@
 	struct instance *instance;
 	uint64_t number;
 	enum run_state state;
-	uint64_t created_ms;	   /* when it was ordered, or first seen */
+	uint64_t created_ms;	   /* when placed, or found in a report */
 	uint64_t ordered_ms;	   /* when its last order was sent */
-	uint64_t running_since_ms; /* when it was known to have begun; 0: not
-				      yet */
-	uint64_t stop_done_ms;	   /* when its stop was answered; 0: not yet */
-	bool to_send;		   /* its order waits in the queue */
-	bool in_flight;		   /* its order waits for an answer */
+	uint64_t running_since_ms; /* when first known to run; 0: not yet */
+	uint64_t stop_done_ms;	   /* when its stop was done; 0: not yet */
+	bool to_send;		   /* its order is queued */
+	bool in_flight;		   /* its order is not answered yet */
 	uint32_t percent;	   /* as reported */
-	uint32_t speed_percent;	   /* as ordered, 0 to 100 */
+	uint32_t speed_percent;	   /* of fillers, as carried out, 0 to 100 */
 	uint32_t speed_wanted;
 	double load;
 	struct run *prev, *next;	     /* of the instance */
@@ -57,19 +60,17 @@
 	struct step *step;
 	uint32_t index;
 	bool done;
-	bool possibly_running; /* left by a predecessor, not yet seen anywhere
-				*/
+	bool possibly_running; /* started by a predecessor, in no report yet */
 	uint32_t failed;
-	uint32_t starts;	 /* starts in this epoch */
-	uint32_t avoid_instance; /* instance index + 1 where it failed last */
-	uint64_t unavailable_since_ms; /* lasting: since when it is not at work,
-					  0: it is */
-	uint64_t retry_ms;	       /* not started before */
+	uint32_t starts;	       /* in this epoch */
+	uint32_t avoid_instance;       /* index + 1 of where it failed last */
+	uint64_t unavailable_since_ms; /* long-running tasks; 0: available */
+	uint64_t retry_ms;	       /* earliest next start */
 	struct run *runs;
 	char checkpoint[SCHED_CHECKPOINT_MAX];
 };
 
-/* An adviser's word that a step may run on one life of an instance. */
+/* An adviser's approval of a step for one incarnation of an instance. */
 struct ticket {
 	uint32_t instance; /* index */
 	uint64_t started_unix_ms;
@@ -83,23 +84,23 @@
 	const Fleet__Step *spec;
 	uint32_t occurrence;
 	uint32_t index;
-	uint32_t tasks_left; /* tasks not done */
-	uint32_t startable;  /* tasks that could be started */
-	bool ready;	     /* all steps before it are done */
-	bool queued;	     /* in its pool's list */
+	uint32_t tasks_left;
+	uint32_t startable; /* tasks that could be started */
+	bool ready;	    /* all steps before it are done */
+	bool queued;	    /* in its pool's list */
 	uint32_t failed_count;
 	uint32_t *failed; /* pairs of index and run number, as stored */
 	struct task *tasks;
-	bool advice_pending;	/* an adviser's answer is awaited */
-	uint64_t advice_due_ms; /* not asked again before */
+	bool advice_pending;	/* a call to the adviser is not answered */
+	uint64_t advice_due_ms; /* earliest next call */
 	uint32_t ticket_count;
 	struct ticket *tickets;
-	double rank;		  /* of the current pass, lower first */
+	double rank;		  /* in the current pass, lowest first */
 	struct step *prev, *next; /* of the pool's ready steps */
 };
 
 struct occurrence {
-	uint32_t steps_left; /* steps not done */
+	uint32_t steps_left;
 	bool due;
 	uint64_t due_ms;
 	struct step *steps;
@@ -110,40 +111,40 @@
 struct job {
 	char id[SCHED_ID_BYTES + 1];
 	Fleet__JobRow *row;
-	const struct config_queue *conf; /* NULL: removed, or it has ended */
+	const struct config_queue *conf; /* NULL: queue removed, or job ended */
 	struct pool *pool;
 	struct workspace *workspace;
-	Fleet__JobState state; /* decided; shown once durable */
-	Fleet__JobState shown;
-	bool stored;	/* its row is in the store */
-	bool rows_kept; /* it has ended, its rows are needed for its runs */
-	bool claimed;	/* this or an earlier lead has written of it */
+	Fleet__JobState state; /* as decided */
+	Fleet__JobState shown; /* to callers: state once durable */
+	bool stored;	       /* its row is in the store */
+	bool rows_kept; /* it ended, its rows are kept for remaining runs */
+	bool claimed;	/* a leader has written its rows: tasks may start */
 	bool started;
-	bool pool_changed; /* loaded, and its queue has another pool since */
+	bool pool_changed; /* queue was moved to another pool since loading */
 	bool loaded;	   /* from a predecessor's rows */
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
-	uint64_t objective_ms;	   /* when it should be done */
-	uint64_t critical_path_ms; /* longest chain, as estimated */
-	uint64_t work;		   /* thousandths of core x ms, as estimated */
+	uint64_t objective_ms;	   /* completion deadline */
+	uint64_t critical_path_ms; /* estimate */
+	uint64_t work;		   /* estimate, thousandths of core x ms */
 	uint32_t occurrence_count;
 	uint32_t occurrences_left;
 	struct occurrence *occurrences;
-	char queue[128]; /* name, also after its row is gone */
+	char queue[128]; /* name; outlives row */
 	enum change_state change;
-	uint32_t batch;		    /* that it was gathered for */
-	bool changed_while_batched; /* while gathered */
-	uint64_t change_seq;	    /* of the change that is unwritten */
-	uint64_t next_change_seq;   /* of the change made while gathered */
-	struct job *prev, *next;    /* of changed jobs */
+	uint32_t batch; /* that it is in */
+	bool changed_while_batched;
+	uint64_t change_seq;	  /* of the unwritten change */
+	uint64_t next_change_seq; /* of the change made while batched */
+	struct job *prev, *next;  /* of changed jobs */
 	UT_hash_handle hh;
 };
 
 struct workspace {
 	char name[128];
 	struct amount used;
-	struct amount unreported;	     /* of tasks that may run unseen */
-	const struct config_workspace *conf; /* NULL when it is gone */
+	struct amount unreported;	     /* of possibly running tasks */
+	const struct config_workspace *conf; /* NULL when it was removed */
 	UT_hash_handle hh;
 };
 
@@ -152,17 +153,17 @@
 	const struct config_pool *conf;
 	struct step *ready;
 	struct instance *instances;
-	uint32_t unreported; /* instances that have not reported to this lead */
+	uint32_t unreported; /* instances without a report to this leader */
 	UT_hash_handle hh;
 };
 
-/* Ends of a report that wait for a write before they are acknowledged. */
+/* A reported end to be acknowledged once its changes are durable. */
 struct unacked {
 	uint64_t end_seq;
-	uint64_t change_seq; /* durable once all changes up to here are */
+	uint64_t change_seq; /* of the last change to wait for */
 };
 
-/* The instances that are lives of one machine, oldest first. */
+/* The instances that have been up on one machine, oldest first. */
 struct machine_instances {
 	char machine[128];
 	struct instance *instances;
@@ -182,40 +183,38 @@
 	struct amount used;
 	uint64_t started_unix_ms;
 	bool listed;	      /* in the directory */
-	bool leaving;	      /* by the directory */
-	bool reported;	      /* has reported to this lead */
+	bool leaving;	      /* according to the directory */
+	bool reported;	      /* to this leader */
 	bool expired;	      /* nothing can run there any more */
-	bool unresponsive;    /* its last look or order was not answered */
-	bool maintenance_due; /* for an upkeep: it will be emptied */
+	bool unresponsive;    /* poll or orders were not answered */
+	bool maintenance_due; /* it will be emptied */
 	bool reserved;	      /* by the decisions about machines */
 	bool polling;
-	bool counted_unreported;	   /* in its pool's unseen */
-	struct amount unreported_capacity; /* in the scheduler's unseen */
-	uint64_t known_ms;		   /* when this lead first knew of it */
-	uint64_t unlisted_ms; /* when it left the directory; 0: it is there */
-	uint64_t listed_ms;   /* when it last came into the directory */
-	uint64_t report_sent_ms;  /* when the look that gave its report was sent
-				   */
-	uint64_t first_report_ms; /* first report of its life to this lead */
-	uint64_t next_poll_ms;	  /* when the next look is due */
-	uint64_t clock_ms;	  /* its clock... */
-	uint64_t clock_read_ms;	  /* ...at this time of ours; 0: unknown */
-	uint64_t lease_end_ms; /* of ours: when all there has lapsed; 0: unknown
-				*/
-	uint64_t last_end_seq; /* highest end seen */
-	uint64_t acked;	       /* highest end that is durable */
+	bool counted_unreported;	   /* in its pool's unreported */
+	struct amount unreported_capacity; /* counted in sched.unreported */
+	uint64_t known_ms;	  /* when this leader first learned of it */
+	uint64_t unlisted_ms;	  /* left the directory; 0: it is listed */
+	uint64_t listed_ms;	  /* last added to the directory */
+	uint64_t report_sent_ms;  /* when the poll of its report was sent */
+	uint64_t first_report_ms; /* since it started or was unresponsive */
+	uint64_t next_poll_ms;
+	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
+	uint64_t clock_read_ms; /* on the leader's clock; 0: unknown */
+	uint64_t lease_end_ms;	/* on the leader's clock: all has lapsed */
+	uint64_t last_end_seq;	/* highest end reported */
+	uint64_t acked;		/* highest end that is durable */
 	struct unacked *unacked;
 	uint32_t unacked_count;
-	uint32_t unacked_room;
+	uint32_t unacked_alloc;
 	uint32_t run_count;
 	struct run *runs;
-	uint32_t failures; /* in a row, of different jobs */
+	uint32_t failures; /* consecutive, of different jobs */
 	char failed_job[SCHED_ID_BYTES + 1];
-	uint64_t ejected_until_ms;  /* no starts before, for its failures */
-	uint64_t next_throttle_ms;  /* when fillers may be let go again */
-	uint32_t unanswered_orders; /* orders in a row */
+	uint64_t ejected_until_ms;  /* no starts before, after failures */
+	uint64_t next_throttle_ms;  /* earliest next change of speed */
+	uint32_t unanswered_orders; /* consecutive */
 	struct instance *pool_prev, *pool_next;
-	struct instance *machine_prev, *machine_next; /* of its machine */
+	struct instance *machine_prev, *machine_next;
 	UT_hash_handle hh;
 };
 
@@ -224,8 +223,8 @@
 	const struct config *config;
 	uint64_t epoch;
 	uint64_t leader_since_ms;     /* when this epoch began */
-	uint64_t leader_confirmed_ms; /* as the lead, at this time or later */
-	uint64_t predecessor_end_ms;  /* orders of the last lead end by then */
+	uint64_t leader_confirmed_ms; /* still leader at this time */
+	uint64_t predecessor_end_ms;  /* former leader's last orders */
 	uint64_t unix_ms;
 	struct job *jobs;
 	struct job *changed;
@@ -234,20 +233,20 @@
 	struct workspace *workspaces;
 	struct instance *by_id;
 	struct machine_instances *machines;
-	struct instance **instances; /* NULL where one was forgotten */
-	uint32_t instance_slots;     /* in use or forgotten */
-	uint32_t instance_room;
+	struct instance **instances; /* NULL in free slots */
+	uint32_t instance_slots;     /* used or free */
+	uint32_t instance_alloc;
 	uint32_t instance_generation; /* of the newest */
-	uint64_t call_lost_ms;	 /* when an instance last left one unanswered */
-	uint32_t next_poll_slot; /* slot where the search for looks goes on */
-	uint64_t next_sweep_ms;	 /* when time alone changes something again */
+	uint64_t call_lost_ms;	      /* when a call was last not answered */
+	uint32_t next_poll_slot;      /* where the search for polls goes on */
+	uint64_t next_sweep_ms;
 	struct run **runs;
 	uint32_t *run_generations;
-	uint32_t run_room;
+	uint32_t run_alloc;
 	uint32_t run_free_hint;
 	struct run *to_send;
-	struct amount unreported; /* capacity of instances not seen yet */
-	bool expect_complete; /* all instances there may be are in the tables */
+	struct amount unreported; /* capacity of unreported instances */
+	bool expect_complete;	  /* all possible instances are in the tables */
 	struct sched_stats stats;
 	uint32_t queue_count;
 	struct sched_queue_stats *queues;
@@ -270,7 +269,7 @@
 	a->gpu -= b->gpu;
 }
 
-/* step_amount - what a task of the step takes of an instance */
+/* step_amount - resources that a task of the step takes of its instance */
 static inline struct amount step_amount(const Fleet__Step *spec)
 {
 	struct amount a = { spec->filler ? 0 : spec->cpu, spec->mem,
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -1,31 +1,29 @@
 /*
- * sched_place - whom to serve first, where, and whom to refuse
+ * sched_place - order of steps, placement of tasks, admission of jobs
  *
- * The load it answers: queues ask several times what their pool holds for
- * some seconds by turns, and a fraction in between; estimates are off by up
- * to their own size; a job earns little once it is late. So work that can
- * still be in time goes first, begun jobs before others, and a job that
- * would be late for certain is refused when it comes.
+ * Designed for queues whose demand alternates between several times the
+ * capacity of their pool, for some seconds, and a fraction of it; for estimates
+ * that are off by up to 100%; and for jobs that are worth little once they are
+ * late. So work that can still be in time goes first, started jobs before
+ * others, and a job that is certain to be late is refused at submission.
  */
 #include <assert.h>
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
-#define RANK_PRIORITY 1e12	/* a queue's priority goes before all else */
-#define RANK_LATE 1e9		/* work that is late goes behind work in time */
-#define RANK_LONG_RUNNING -1e9	/* tasks that last serve callers now */
-#define STARTED_BONUS_MS 1500.0 /* what is begun counts as that more urgent */
-#define SHARE_PENALTY_MS \
-	300.0 /* a workspace at twice its share waits that longer */
+#define RANK_PRIORITY 1e12	/* a queue's priority precedes all else */
+#define RANK_LATE 1e9		/* late work goes after work in time */
+#define RANK_LONG_RUNNING -1e9	/* long-running tasks serve callers now */
+#define STARTED_BONUS_MS 1500.0 /* urgency of started jobs */
+#define SHARE_PENALTY_MS 300.0	/* for a workspace at twice its share */
 #define SHARE_ABOVE_MAX 2.0
-#define MAINTENANCE_PENALTY \
-	1.5 /* an instance that is due is worse than a full one */
-#define STEPS_TRIED_MAX 64u /* that found no room, in one pass */
+#define MAINTENANCE_PENALTY 1.5 /* ranks below a full instance */
+#define STEPS_TRIED_MAX 64u	/* that found no room, in one pass */
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_MAX_MS 5000u
-#define LATE_FACTOR 3.0 /* beyond that many objectives a job earns nothing */
+#define LATE_FACTOR 3.0 /* times the objective: then a job is worth nothing */
 
 /* Estimates */
 
@@ -34,7 +32,7 @@
 	return spec->estimate_ms ? spec->estimate_ms : DEFAULT_ESTIMATE_MS;
 }
 
-/* The longest chain of estimates from each step to the end. */
+/* The longest path of estimates through the steps. */
 static uint64_t critical_path_ms(const Fleet__JobRow *row)
 {
 	uint64_t ends[row->n_steps ? row->n_steps : 1];
@@ -89,10 +87,10 @@
 		       : 0;
 }
 
-/* Order */
+/* Order of steps */
 
 /*
- * How far a workspace is above its share of what is in use, in parts of the
+ * How far a workspace is above its share of the CPU in use, relative to the
  * share: 0 at its share, -1 with nothing in use.
  */
 static double above_share(const struct sched *s, const struct workspace *w)
@@ -141,7 +139,7 @@
 	return a->rank < b->rank ? -1 : a->rank > b->rank;
 }
 
-/* Place */
+/* Placement */
 
 static bool has_label(const struct instance *i, const char *label)
 {
@@ -199,7 +197,7 @@
 	       step_runs_on(i, step) < spec->spread_limit;
 }
 
-/* 1 when others of the step run on the rack, -1 when they run elsewhere. */
+/* 1 if other tasks of the step run on the rack, -1 if on another rack. */
 static int step_on_rack(const struct step *step, const char *rack)
 {
 	uint32_t t;
@@ -214,9 +212,9 @@
 }
 
 /*
- * How good a place is, higher first. What lasts goes where most is free,
- * since it meets the load of others there for long. What ends is spread
- * likewise: a run shares more with its neighbours than room tells.
+ * Score of an instance for a task, highest first. Long-running tasks go where
+ * most CPU is free, since they share the instance with the load of others for
+ * long. Other tasks go where least is free.
  */
 static double place_score(const struct instance *i, const struct task *task)
 {
@@ -270,8 +268,8 @@
 }
 
 /*
- * A workspace's cap counts what is asked, over all pools. What may run where
- * this lead has not looked yet counts, up to what those instances hold.
+ * A workspace's cap limits the requested resources over all pools. Possibly
+ * running tasks count, up to the capacity of the unreported instances.
  */
 static bool cap_allows(const struct sched *s, const struct step *step,
 		       uint32_t tasks)
@@ -303,7 +301,7 @@
 	return run;
 }
 
-/* All members of a gang or none, under one number. */
+/* Places all members of a gang or none, under one run number. */
 static bool place_gang(struct sched *s, struct step *step, uint64_t now)
 {
 	uint64_t number = 0;
@@ -339,7 +337,7 @@
 	return false;
 }
 
-/* True when all tasks that could be started were. */
+/* Returns true if all startable tasks were placed. */
 static bool place_step(struct sched *s, struct step *step, uint64_t now)
 {
 	uint32_t t;
@@ -372,7 +370,7 @@
 	DL_SORT(pool->ready, by_rank);
 	DL_FOREACH_SAFE(pool->ready, step, next)
 	{
-		/* What is not written yet may never have been accepted. */
+		/* Until its rows are written, a job is not accepted. */
 		if (!step->job->claimed)
 			continue;
 		if (!place_step(s, step, now) && ++failed >= STEPS_TRIED_MAX)
@@ -401,7 +399,7 @@
 	       step_estimate_ms(step->spec);
 }
 
-/* Whether the instance counts for what its pool can do. */
+/* Whether the instance counts towards the capacity of its pool. */
 static bool counts_as_capacity(const struct instance *i)
 {
 	return i->listed && !i->leaving && !i->expired && !i->reserved;
@@ -433,7 +431,7 @@
 	}
 }
 
-/* How many instances the widest step that lasts must have for itself. */
+/* The most instances that the spread limit of one step requires. */
 static void add_spread(const struct sched *s, const struct pool *pool,
 		       struct sched_pool_load *load)
 {
@@ -524,7 +522,7 @@
 	return capacity.cpu ? (uint32_t)(work / (uint64_t)capacity.cpu) : 0;
 }
 
-/* Refusal */
+/* Admission */
 
 /* Whether any instance of the pool, however busy, could run the step. */
 static bool could_ever_run(const struct pool *pool, const Fleet__Step *spec)
@@ -542,8 +540,8 @@
 }
 
 /*
- * Milliseconds to come back after, or 0 to accept. A job is refused when
- * what waits before it would alone make it so late that it earns nothing.
+ * Returns 0 to accept a job, or milliseconds to retry after. A job is refused
+ * when the backlog alone would make it so late that it is worth nothing.
  */
 uint32_t sched_retry_after(const struct sched *s, const struct job *job,
 			   uint64_t now)
@@ -564,7 +562,7 @@
 	return backlog > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : backlog;
 }
 
-/* What the decisions about machines look at */
+/* Load of instances, for the decisions about machines */
 
 static void fill_load(const struct instance *i,
 		      struct sched_instance_load *load)
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -1,5 +1,5 @@
 /*
- * sched_poll - looks at instances and what their reports prove
+ * sched_poll - polls of instances and what their reports prove
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -8,17 +8,17 @@
 
 #include "pool/sched_internal.h"
 
-#define POLL_WAIT_MS 1000u	  /* a look waits that long for an end */
-#define POLL_WAIT_IDLE_MS 2000u	  /* the same where nothing runs */
-#define POLL_WAIT_ENDING_MS 500u  /* the same beside tasks that end */
-#define POLL_WAIT_LOSSY_MS 200u	  /* the same while calls go unanswered */
-#define CALLS_LOSSY_MS 3000u	  /* after the last one that did */
-#define POLL_WAIT_SERVING_MS 500u /* the same beside tasks with a target */
-#define POLL_UNWRITTEN_MS 300u	  /* between looks while ends are not durable */
-#define SESSION_GAP_MS 500u	  /* above POLL_UNWRITTEN_MS and a pass */
-#define POLL_ANSWER_MS 300u /* beyond the wait, for the way and a busy lead */
-#define POLL_FAILED_MS 50u  /* before an unanswered look is repeated */
-#define POLL_FAILED_GAP_MS 200u /* from one look that fails to the next */
+#define POLL_WAIT_MS 1000u	  /* the instance holds a poll for an end */
+#define POLL_WAIT_IDLE_MS 2000u	  /* the same, where nothing runs */
+#define POLL_WAIT_ENDING_MS 500u  /* the same, beside tasks that end */
+#define POLL_WAIT_LOSSY_MS 200u	  /* the same, while calls go unanswered */
+#define CALLS_LOSSY_MS 3000u	  /* since the last unanswered call */
+#define POLL_WAIT_SERVING_MS 500u /* the same, beside tasks that serve */
+#define POLL_UNWRITTEN_MS 300u	  /* between polls while ends are not durable */
+#define SESSION_GAP_MS 500u	/* above POLL_UNWRITTEN_MS plus an iteration */
+#define POLL_ANSWER_MS 300u	/* beyond the wait: network, busy leader */
+#define POLL_FAILED_MS 50u	/* delay before a poll is repeated */
+#define POLL_FAILED_GAP_MS 200u /* between two failing polls */
 
 static bool instance_serves(const struct instance *i)
 {
@@ -41,9 +41,8 @@
 }
 
 /*
- * The load it answers: instances that leave calls unanswered. What ended
- * there is heard of with the next look, so where ends are awaited a look that
- * is lost must be noticed soon.
+ * Designed for instances that leave calls unanswered. An end is reported by
+ * the next poll, so where ends are expected a lost poll must be noticed soon.
  */
 static uint32_t poll_wait(const struct sched *s, const struct instance *i,
 			  uint64_t now)
@@ -66,9 +65,9 @@
 }
 
 /*
- * Looks follow one another without a gap while an instance answers. After a
- * gap, or when it came into the directory again, it may have started again,
- * and number its ends anew.
+ * Polls follow one another without a gap while an instance answers. After a
+ * gap, or when it was listed in the directory again, it may have restarted,
+ * and its ends may be numbered from the start again.
  */
 static bool same_session(const struct instance *i, uint64_t now)
 {
@@ -76,7 +75,7 @@
 	       now - i->clock_read_ms <= SESSION_GAP_MS;
 }
 
-/* Each search goes on where the last one ended, so that a pass is one round. */
+/* Each search goes on where the last one ended: round robin. */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll)
 {
 	uint32_t n;
@@ -96,7 +95,7 @@
 		poll->wait_ms = poll_wait(s, i, now);
 		poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
 		poll->lease_until = 0;
-		/* One that does not answer is not extended, so it lapses. */
+		/* The lease of an unresponsive instance is left to expire. */
 		if (i->run_count && !i->unresponsive)
 			poll->lease_until = instance_extend_lease(s, i, now);
 		return true;
@@ -115,7 +114,7 @@
 	return NULL;
 }
 
-/* What is there and should not be is stopped as a run of its own. */
+/* Adds a run found in a report; stops it if it should not be there. */
 static void adopt_run(struct sched *s, struct instance *i,
 		      const struct sched_running *r, struct task *task,
 		      uint64_t now)
@@ -163,10 +162,10 @@
 
 static void add_unacked(struct sched *s, struct instance *i, uint64_t n)
 {
-	if (i->unacked_count == i->unacked_room) {
-		i->unacked_room = i->unacked_room ? i->unacked_room * 2 : 8;
+	if (i->unacked_count == i->unacked_alloc) {
+		i->unacked_alloc = i->unacked_alloc ? i->unacked_alloc * 2 : 8;
 		i->unacked = talloc_realloc(i, i->unacked, struct unacked,
-					    i->unacked_room);
+					    i->unacked_alloc);
 		assert(i->unacked);
 	}
 	i->unacked[i->unacked_count].end_seq = n;
@@ -231,7 +230,7 @@
 		gang_restart(s, task->step);
 }
 
-/* Runs that should be in the report and are not. */
+/* Frees runs that should be in the report and are not. */
 static void free_missing_runs(struct sched *s, struct instance *i,
 			      const struct sched_report *r, uint64_t sent_ms,
 			      uint64_t now)
@@ -242,7 +241,7 @@
 
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
-		/* In the same millisecond either may have come first. */
+		/* Within one millisecond the order is unknown. */
 		bool was_running = run->running_since_ms &&
 				   run->running_since_ms < sent_ms;
 		bool prevented =
@@ -301,7 +300,7 @@
 	}
 }
 
-/* Ends that no change waits for are acknowledged by the next look. */
+/* With no change to be written, the next poll acknowledges all ends. */
 static void acknowledge_unchanged(struct sched *s, struct instance *i)
 {
 	if (s->changed || !i->unacked_count)
--- a/src/pool/sched_row.c
+++ b/src/pool/sched_row.c
@@ -1,10 +1,13 @@
+/*
+ * sched_row - progress rows of jobs, to and from the store
+ */
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
-/* Progress as it stands, from malloc(3) as protobuf-c frees it. */
+/* Rows are allocated with malloc(3), as protobuf-c frees them. */
 
 static bool step_has_progress(const struct step *step)
 {
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -1,42 +1,45 @@
+/*
+ * sched_run - runs of tasks, their orders and the outcomes of orders
+ */
 #include <assert.h>
 #include <inttypes.h>
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
-#define RUN_NUMBER_STRIDE 10000u /* starts of one task in one epoch */
+#define RUN_NUMBER_STRIDE 10000u /* most starts of a task in one epoch */
 #define RUNS_FIRST 64u
-#define STOP_RETRY_MS 300u    /* between two tries of an unanswered stop */
-#define REFUSED_RETRY_MS 100u /* before a refused task is tried again */
-#define CLOCK_BACK_MS 1000u   /* answers overtake each other by less */
-#define UNANSWERED_MAX 2u     /* orders in a row before an instance is silent */
+#define STOP_RETRY_MS 300u    /* between attempts of an unanswered order */
+#define REFUSED_RETRY_MS 100u /* before a refused task is placed again */
+#define CLOCK_BACK_MS 1000u   /* answers are reordered by less */
+#define UNANSWERED_MAX 2u     /* consecutive orders, then it is unresponsive */
 
 static uint32_t free_slot(struct sched *s)
 {
-	uint32_t room = s->run_room;
+	uint32_t alloc = s->run_alloc;
 	uint32_t i;
 
-	for (i = s->run_free_hint; i < room; i++)
+	for (i = s->run_free_hint; i < alloc; i++)
 		if (!s->runs[i])
 			return i;
-	for (i = 0; i < s->run_free_hint && i < room; i++)
+	for (i = 0; i < s->run_free_hint && i < alloc; i++)
 		if (!s->runs[i])
 			return i;
-	s->run_room = room ? room * 2 : RUNS_FIRST;
-	s->runs = talloc_realloc(s, s->runs, struct run *, s->run_room);
+	s->run_alloc = alloc ? alloc * 2 : RUNS_FIRST;
+	s->runs = talloc_realloc(s, s->runs, struct run *, s->run_alloc);
 	s->run_generations =
-		talloc_realloc(s, s->run_generations, uint32_t, s->run_room);
+		talloc_realloc(s, s->run_generations, uint32_t, s->run_alloc);
 	assert(s->runs && s->run_generations);
-	for (i = room; i < s->run_room; i++) {
+	for (i = alloc; i < s->run_alloc; i++) {
 		s->runs[i] = NULL;
 		s->run_generations[i] = 0;
 	}
-	return room;
+	return alloc;
 }
 
 struct run *run_of(const struct sched *s, run_handle h)
 {
-	if (h.i >= s->run_room || s->run_generations[h.i] != h.generation)
+	if (h.i >= s->run_alloc || s->run_generations[h.i] != h.generation)
 		return NULL;
 	return s->runs[h.i];
 }
@@ -85,7 +88,7 @@
 	return run;
 }
 
-/* Nothing of the run exists any more, and it cannot begin. */
+/* Frees a run that has ended or can no longer begin. */
 void run_free(struct sched *s, struct run *run, uint64_t now)
 {
 	struct task *task = run->task;
@@ -199,7 +202,7 @@
 	return false;
 }
 
-/* A start was certainly not carried out. */
+/* A start was not carried out. */
 static void start_refused(struct sched *s, struct run *run,
 			  enum sched_order_result result, uint64_t now)
 {
@@ -243,15 +246,16 @@
 			  uint64_t now)
 {
 	if (result != ORDER_DONE)
-		return; /* tried again by the instance's tick */
+		return; /* tried again by run_tick() */
 	run->stop_done_ms = now;
 	run->instance->next_poll_ms = now;
 }
 
 /*
- * A clock that went back is that of a new life, which read the order's
- * deadline by it and may hold the work for long. Until it reports, nothing
- * is known of it, and ends are not acknowledged by the old life's numbers.
+ * A clock that went back shows that the instance has restarted: it has read
+ * the order's deadline by its new clock and may hold the work for long. Until
+ * it reports, its state is unknown, and ends are not acknowledged with the
+ * numbers of its former incarnation.
  */
 static void check_restart(struct sched *s, struct instance *i,
 			  const struct sched_order *order, uint64_t clock_ms,
@@ -302,7 +306,7 @@
 		run_queue_order(s, run);
 }
 
-/* Settles what is in doubt and repeats stops that were not answered. */
+/* Resolves starts of unknown outcome by a stop; repeats unanswered orders. */
 void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
 	if (run->in_flight || run->to_send || run->instance->unresponsive)
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -33,7 +33,6 @@
 	return q;
 }
 
-/* A job has ended. */
 void job_count_end(struct sched *s, const struct job *job, uint64_t now)
 {
 	struct sched_queue_stats *q = queue_stats(s, job->queue);
--- a/src/pool/sched_submit.c
+++ b/src/pool/sched_submit.c
@@ -1,6 +1,6 @@
 /*
- * sched_ask - jobs that come: from callers, from other nodes, from the rows
- * of a former lead
+ * sched_submit - jobs from callers, from other nodes, and from the rows of a
+ * former leader
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -76,8 +76,8 @@
 		return;
 	}
 	/*
-	 * A former lead may learn of it too. Only the one that can still
-	 * write starts it, so it is written of first.
+	 * A former leader may receive the job too. Only the leader that can
+	 * still write may start it, so its rows are written first.
 	 */
 	job = job_new(s, id, row, now);
 	job->stored = true;
@@ -115,7 +115,7 @@
 	struct job *job = sched_job(s, id);
 
 	if (job) {
-		/* Its other rows were kept, for what may still run of it. */
+		/* Its other rows were kept because runs of it may remain. */
 		job->state = job->shown = row->state;
 		job->ended_ms = now;
 		job->rows_kept = true;
--- a/src/pool/sched_throttle.c
+++ b/src/pool/sched_throttle.c
@@ -1,23 +1,23 @@
 /*
- * sched_pace - fillers beside tasks that serve
+ * sched_throttle - speed of fillers beside tasks that serve
  *
- * A task that serves must keep the tail of its response times under its
- * target. Fillers on its instance are slowed as soon as the tail comes near
- * and let go again step by step, so that they take what is left.
+ * A task that serves must keep its tail latency under its target. Fillers on
+ * its instance are slowed down as soon as the tail comes near the target, and
+ * sped up again step by step, so that they use the remaining capacity.
  */
 #include <inttypes.h>
 
 #include "pool/sched_internal.h"
 
-#define SLOWDOWN_ABOVE 0.85	  /* of the target: slow fillers */
-#define SPEEDUP_BELOW 0.6	  /* of the target: let them go again */
-#define SLOWDOWN_DIVISOR 2u	  /* a slowing halves the pace */
-#define SPEEDUP_STEP 10u	  /* percent at a time on the way up */
-#define SPEED_MIN 5u		  /* percent; below, a filler stands still */
-#define SPEEDUP_INTERVAL_MS 1500u /* between two steps up */
-#define SLOWDOWN_INTERVAL_MS 500u /* before a change shows in the tail */
+#define SLOWDOWN_ABOVE 0.85	  /* ratio of tail to target */
+#define SPEEDUP_BELOW 0.6	  /* ratio of tail to target */
+#define SLOWDOWN_DIVISOR 2u	  /* halves the speed at once */
+#define SPEEDUP_STEP 10u	  /* percentage points */
+#define SPEED_MIN 5u		  /* percent; below, a filler is paused */
+#define SPEEDUP_INTERVAL_MS 1500u /* wait after a step up */
+#define SLOWDOWN_INTERVAL_MS 500u /* wait for the effect on the tail */
 
-/* The worst tail on the instance as a part of its target. */
+/* The highest ratio of tail latency to target on the instance. */
 static double worst_tail(const struct instance *i)
 {
 	const struct run *run;
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -1,10 +1,10 @@
 /*
- * Looks at instances in virtual time: when they are sent, what is acknowledged
- * by them, and how soon one that is lost is noticed.
+ * Polls of instances in virtual time: when they are sent, which ends they
+ * acknowledge, and how soon a lost poll is noticed.
  */
 #include "test/rig/sched_rig.h"
 
-/* The acknowledgement of one life is not sent to the next. */
+/* Ends of a former incarnation are not acknowledged to the next one. */
 static void test_ack_of_former_incarnation(void **state)
 {
 	static const enum {
@@ -53,8 +53,8 @@
 }
 
 /*
- * How long after its end a task is known to have ended, when the instance
- * leaves the look that would have told it unanswered.
+ * Returns the time from a task's end until it is known, when the poll that
+ * would have reported it is not answered.
  */
 static uint64_t end_known_after(struct rig *r, bool lossy)
 {
@@ -85,9 +85,9 @@
 }
 
 /*
- * The load: a turn's burst while instances leave a part of the calls
- * unanswered. A task's end must be known within the slack of its queue, or
- * one lost look makes its job late. Where nothing ends looks stay rare.
+ * A demand peak while instances leave some calls unanswered. A task's end must
+ * be known within the slack of its queue, or one lost poll makes its job late.
+ * Where no task ends polls stay rare.
  */
 static void test_lost_polls(void **state)
 {
@@ -125,7 +125,7 @@
 	}
 }
 
-/* An instance that refuses looks at once is not asked without a pause. */
+/* An instance that refuses polls at once is polled with pauses. */
 static void test_refused_polls_are_spaced(void **state)
 {
 	struct sched_poll poll;
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -45,7 +45,7 @@
 	sched_configure(r->s, &r->config, r->now);
 }
 
-/* Leads from nothing, with both instances seen and confirmed. */
+/* Becomes leader without a predecessor, with two listed instances. */
 void rig_become_leader(struct rig *r)
 {
 	instance(r, "i-0", false);
@@ -69,7 +69,7 @@
 	sched_poll_done(r->s, i, &rep, sent_ms, r->now);
 }
 
-/* Answers each look that is due once, as instances with nothing on them. */
+/* Answers each due poll once, with a report of no runs. */
 void poll_all_empty(struct rig *r)
 {
 	struct sched_poll polls[8];
@@ -81,6 +81,7 @@
 		report(r, polls[count].instance, NULL, 0, NULL, 0, r->now);
 }
 
+/* Lets all instances report no runs, then confirms the leader. */
 void make_all_usable(struct rig *r)
 {
 	poll_all_empty(r);
@@ -134,7 +135,7 @@
 			 SUBMIT_ACCEPTED);
 }
 
-/* Gathers all changes; returns how many. */
+/* Puts all changes into batch 1; returns how many. */
 uint32_t batch_all(struct rig *r)
 {
 	struct sched_change change;
@@ -174,7 +175,7 @@
 				 r->now);
 }
 
-/* The next look at an instance; answered by the test. */
+/* The next poll of an instance, to be answered by the test. */
 struct sched_poll next_poll(struct rig *r, instance_handle_t i)
 {
 	struct sched_poll poll;
@@ -191,6 +192,6 @@
 		r->sent_polls[n] = r->sent_polls[--r->sent_poll_count];
 		return poll;
 	}
-	fail_msg("no look at instance %u", i.i);
+	fail_msg("no poll of instance %u", i.i);
 	return poll;
 }
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -19,7 +19,7 @@
 #define QUEUE_SLACK_MS 600u
 #define ENDS_MAX 16
 
-/* One scheduler, two instances, and what the test says they report. */
+/* The test supplies the reports of the instances. */
 struct rig {
 	struct sched *s;
 	uint64_t now;
@@ -29,11 +29,11 @@
 	struct config_workspace workspace;
 	struct sched_order orders[64];
 	uint32_t order_count;
-	struct sched_poll sent_polls[8]; /* looks sent and not answered yet */
+	struct sched_poll sent_polls[8]; /* polls without an answer yet */
 	uint32_t sent_poll_count;
 };
 
-extern const char id_a[]; /* the job of most cases */
+extern const char id_a[]; /* job of most cases */
 
 void instance(struct rig *r, const char *id, bool leaving);
 void rig_new(struct rig *r);
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -1,6 +1,6 @@
 /*
- * The scheduler's decisions in virtual time: one case for each fault that
- * plays have found, and for each promise that a caller relies on.
+ * Scheduler decisions in virtual time: one case for each fault found in test
+ * runs, and for each guarantee that callers rely on.
  */
 #include "test/rig/sched_rig.h"
 
@@ -26,7 +26,7 @@
 	talloc_free(r.s);
 }
 
-/* A job that another node recorded is written of before it is started. */
+/* The leader writes a job that another node recorded before starting it. */
 static void test_recorded_is_written_first(void **state)
 {
 	struct rig r;
@@ -43,7 +43,7 @@
 	talloc_free(r.s);
 }
 
-/* An instance is used only after a confirmation that is newer than it. */
+/* An instance is used only after a confirmation newer than its report. */
 static void test_new_instance_waits_for_confirmation(void **state)
 {
 	struct rig r;
@@ -64,8 +64,8 @@
 }
 
 /*
- * Two ends of one job while its first change is being written: the one
- * behind it is not acknowledged before the second change is written.
+ * A second end of a job is reported while its first change is being written:
+ * it is not acknowledged before the second change is written.
  */
 static void test_end_waits_for_its_change(void **state)
 {
@@ -120,7 +120,7 @@
 	talloc_free(r.s);
 }
 
-/* A report of the very millisecond of a start's answer does not deny it. */
+/* A report in the millisecond of a start's answer does not disprove it. */
 static void test_same_millisecond(void **state)
 {
 	struct rig r;
@@ -140,7 +140,7 @@
 	r.now += 10;
 	poll = next_poll(&r, r.orders[0].instance);
 	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
-	assert_int_equal(orders(&r), 1); /* it was lost: started again */
+	assert_int_equal(orders(&r), 1); /* the run was lost */
 	talloc_free(r.s);
 }
 
@@ -186,7 +186,7 @@
 	talloc_free(r.s);
 }
 
-/* What ran on an instance that falls silent is restarted after its lease. */
+/* Tasks of an unresponsive instance are restarted after its lease. */
 static void test_unresponsive_instance_lapses(void **state)
 {
 	struct sched_poll polls[8];
@@ -228,7 +228,7 @@
 	talloc_free(r.s);
 }
 
-/* A new lead starts nothing that may run where it has not looked. */
+/* A new leader starts no task that may run on an unreported instance. */
 static void test_takeover_waits_for_unreported(void **state)
 {
 	struct rig r;
@@ -254,9 +254,9 @@
 }
 
 /*
- * A task that an old run has done may run once more where a new lead has not
- * looked yet: what is found there of a job that has ended meanwhile is stopped
- * and counts until it is gone.
+ * A task that is done may have a second run on an instance that has not
+ * reported to the new leader. If its job has ended meanwhile, the run is
+ * stopped when it is reported, and counts until it has ended.
  */
 static void test_takeover_finds_a_duplicate(void **state)
 {
@@ -292,7 +292,7 @@
 	talloc_free(r.s);
 }
 
-/* A loaded job whose queue has another pool now may still run in the old. */
+/* A loaded job whose queue was moved may still run in the old pool. */
 static void test_takeover_after_pool_change(void **state)
 {
 	struct config_pool pools[2] = { { "p", true, false },
@@ -337,7 +337,7 @@
 	talloc_free(r.s);
 }
 
-/* No workspace passes its cap, what may run unseen counted. */
+/* No workspace exceeds its cap. */
 static void test_cap(void **state)
 {
 	struct rig r;
@@ -352,7 +352,7 @@
 	talloc_free(r.s);
 }
 
-/* Upkeep takes one task of a step at a time, and none while one is away. */
+/* Maintenance stops one task of a step, and none while one is unavailable. */
 static void test_availability_budget(void **state)
 {
 	struct sched_running running[2];
@@ -378,7 +378,7 @@
 		poll = next_poll(&r, r.orders[i].instance);
 		report(&r, poll.instance, &running[i], 1, NULL, 0, r.now);
 	}
-	/* The other's instance has not reported for long: it counts as away. */
+	/* The other task's report is outdated: it counts as unavailable. */
 	r.now += 2600;
 	poll = next_poll(&r, r.orders[0].instance);
 	report(&r, poll.instance, &running[0], 1, NULL, 0, r.now);
@@ -397,7 +397,7 @@
 	talloc_free(r.s);
 }
 
-/* When all is full, a workspace above its share waits for one below. */
+/* In a full pool a workspace above its share waits for one below. */
 static void test_shares(void **state)
 {
 	static const struct {
@@ -445,7 +445,7 @@
 	}
 }
 
-/* Where an adviser decides, a task starts only where it said so, in time. */
+/* A task of an advised queue starts only with a valid approval. */
 static void test_advice(void **state)
 {
 	struct sched_approval rows[1];
@@ -466,7 +466,7 @@
 	rows[0] = (struct sched_approval){ "i-1", "t-1" };
 	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 100, r.now,
 			  r.now);
-	assert_int_equal(orders(&r), 0); /* it would run out on the way */
+	assert_int_equal(orders(&r), 0); /* it would expire on the way */
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
 	sched_advice_done(r.s, "000000000000000a.0.0", NULL, 0, 0, r.now,
@@ -482,7 +482,7 @@
 	talloc_free(r.s);
 }
 
-/* A gang starts whole, under one number, or not at all. */
+/* A gang starts as a whole, under one run number, or not at all. */
 static void test_gang(void **state)
 {
 	static const struct {
@@ -513,7 +513,7 @@
 	}
 }
 
-/* A failed end counts once, also when it is listed to two leads. */
+/* After the last attempt fails, the job fails, once that is written. */
 static void test_attempts(void **state)
 {
 	struct sched_ended ended;
@@ -541,7 +541,7 @@
 		report(&r, poll.instance, NULL, 0, &ended, 1, r.now);
 	}
 	assert_int_equal(orders(&r), 0);
-	/* Shown once it is written. */
+	/* Callers see the state once it is written. */
 	assert_int_equal(sched_state(r.s, id_a, "q"),
 			 FLEET__JOB_STATE__RUNNING);
 	write_all(&r);
@@ -549,8 +549,7 @@
 	talloc_free(r.s);
 }
 
-/* A job that no instance could hold, or that is late for certain, is refused.
- */
+/* A job that fits no instance, or is certain to be late, is refused. */
 static void test_refusals(void **state)
 {
 	Fleet__JobRow *row = job_row(1, 1, false);
@@ -588,7 +587,7 @@
 	return stats.instances;
 }
 
-/* An instance that left is forgotten, but not while something may run there. */
+/* An instance that left is removed, but not while tasks may run there. */
 static void test_forgotten_instances(void **state)
 {
 	struct sched_instance_load load;
@@ -618,8 +617,9 @@
 }
 
 /*
- * Calls that another node made and that were lost with it: the starts are in
- * doubt, the instances are not. A look that was lost is due again at once.
+ * Calls that a peer made for the leader and that were lost with the peer: the
+ * outcome of the starts is unknown, but the instances stay usable. A lost poll
+ * is repeated at once.
  */
 static void test_lost_calls_are_not_failures(void **state)
 {
@@ -647,7 +647,7 @@
 		assert_true(sched_machine_load(r.s, "i-0", &load));
 		assert_int_equal(load.usable, cases[c].usable);
 		assert_int_equal(load.runs, 4);
-		/* In doubt: none of the tasks is started anywhere else. */
+		/* Outcome unknown: no task is started elsewhere. */
 		assert_int_equal(orders(&r), 0);
 		r.now += 2500;
 		poll = next_poll(&r, r.orders[0].instance);
@@ -670,8 +670,8 @@
 }
 
 /*
- * The load: a slow store writes few rows a second. Callers wait for new jobs,
- * so these go first; each batch is of other jobs and ends by itself.
+ * With a slow store few rows are written per second. Callers wait for new
+ * jobs, so these go first; batches hold different jobs and end independently.
  */
 static void test_batches_side_by_side(void **state)
 {
