--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -337,7 +337,7 @@
 	talloc_free(r.s);
 }
 
-/* No workspace exceeds its cap. */
+/* No workspace exceeds its cap, with possibly running tasks counted. */
 static void test_cap(void **state)
 {
 	struct rig r;
@@ -513,7 +513,7 @@
 	}
 }
 
-/* After the last attempt fails, the job fails, once that is written. */
+/* A failed end counts once, also when it is reported to two leaders. */
 static void test_attempts(void **state)
 {
 	struct sched_ended ended;
