Merge src/pool: the wording of the scheduler

Readers took "look", "unseen", "gathered", "pace", "praised", "chain" and "how" for other things. Terms now: poll and report, unreported, batched, throttle, record_success, critical path, outcome.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -85,7 +85,7 @@
 	if (machines < v->load.spread + SPREAD_RESERVE && v->load.spread)
 		v->deficit += v->machine_cpu *
 			      (v->load.spread + SPREAD_RESERVE - machines);
-	if (!v->deficit && v->load.lasting_waiting && !v->incoming)
+	if (!v->deficit && v->load.long_running_waiting && !v->incoming)
 		v->deficit = v->machine_cpu;
 	v->surplus = 0;
 	if (!v->deficit)
@@ -146,7 +146,7 @@
 		if (from->spare)
 			return m;
 		if (!sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.unknown || load.lasting || load.fillers ||
+		    load.unreported || load.long_running || load.fillers ||
 		    (idle_only && load.runs))
 			continue;
 		if (best && load.used.cpu >= best_used)
@@ -257,7 +257,7 @@
 
 		if (!v || v->spare || !movable(m, now) ||
 		    !sched_machine_load(s, m->name, &load) || !load.usable ||
-		    load.runs || load.unknown) {
+		    load.runs || load.unreported) {
 			m->idle_since_ms = 0;
 			continue;
 		}
@@ -312,7 +312,7 @@
 		    m->state != FLEET_UP)
 			continue;
 		if (sched_machine_load(s, m->name, &load) &&
-		    (load.runs || load.unknown)) {
+		    (load.runs || load.unreported)) {
 			if (now - m->phase_since_ms > DRAIN_TIMEOUT_MS)
 				cancel_move(m, s, now);
 			continue;
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -210,7 +210,7 @@
 
 		if (!strcmp(row->table, NODE_TABLE_JOB)) {
 			if (row->revision) {
-				sched_exists(n->sched, row->key);
+				sched_row_exists(n->sched, row->key);
 				explained = true;
 			}
 			continue;
@@ -257,11 +257,11 @@
 			n->leader.resolved++;
 			n->resolve_pending = false;
 		}
-		sched_changed(n->sched, b->number, true, now);
+		sched_batch_done(n->sched, b->number, true, now);
 		answer_durable_waiters(n);
 		break;
 	case STORE_CONFLICT:
-		sched_changed(n->sched, b->number, false, now);
+		sched_batch_done(n->sched, b->number, false, now);
 		on_conflict(n, reply);
 		break;
 	case STORE_UNKNOWN:
@@ -271,7 +271,7 @@
 		/* fallthrough */
 	case STORE_REFUSED:
 	case STORE_HISTORY_LOST:
-		sched_changed(n->sched, b->number, false, now);
+		sched_batch_done(n->sched, b->number, false, now);
 		n->commit_retry_ms = now + COMMIT_RETRY_MS;
 		break;
 	}
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -54,7 +54,7 @@
 		n->confirmed_ms = sent_ms;
 	if (n->phase != LEADER_DECIDING)
 		return;
-	sched_confirmed(n->sched, sent_ms);
+	sched_leader_confirmed(n->sched, sent_ms);
 	node_pump(n);
 }
 
@@ -511,7 +511,7 @@
 		return;
 	}
 	if (now - n->confirmed_ms >= LEADER_CONFIRM_MS ||
-	    (n->phase == LEADER_DECIDING && sched_wants_confirmation(n->sched)))
+	    (n->phase == LEADER_DECIDING && sched_needs_confirmation(n->sched)))
 		read_row(n, now);
 }
 
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -171,7 +171,7 @@
 	void (*order)(void *impl, const struct sched_order *order,
 		      uint64_t fence, uint32_t timeout_ms, order_fn fn,
 		      void *arg);
-	void (*poll)(void *impl, const struct sched_look *poll, uint64_t fence,
+	void (*poll)(void *impl, const struct sched_poll *poll, uint64_t fence,
 		     uint32_t timeout_ms, poll_fn fn, void *arg);
 
 	void (*advise)(void *impl, const struct sched_advice *advice,
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -38,7 +38,7 @@
 	}
 	switch (result) {
 	case POLL_LOST:
-		sched_look_lost(n->sched, call->instance, now);
+		sched_poll_lost(n->sched, call->instance, now);
 		break;
 	case POLL_NEWER_LEADER:
 		/* Confirm with the store before giving more orders. */
@@ -48,8 +48,8 @@
 		n->polls_failed++;
 		/* fallthrough */
 	case POLL_ANSWERED:
-		sched_looked(n->sched, call->instance, report, call->sent_ms,
-			     now);
+		sched_poll_done(n->sched, call->instance, report, call->sent_ms,
+				now);
 		break;
 	}
 	node_pump(n);
@@ -64,8 +64,8 @@
 
 	if (call->generation == n->phase_generation) {
 		call->order.instance_id = call->instance_id;
-		sched_ordered(n->sched, &call->order, result, clock_ms,
-			      call->sent_ms, clock_now_ms());
+		sched_order_done(n->sched, &call->order, result, clock_ms,
+				 call->sent_ms, clock_now_ms());
 		if (result == ORDER_REFUSED_FENCE)
 			n->confirmed_ms = 0;
 		node_pump(n);
@@ -92,7 +92,7 @@
 			   on_ordered, call);
 }
 
-static void send_poll(struct node *n, const struct sched_look *poll,
+static void send_poll(struct node *n, const struct sched_poll *poll,
 		      uint64_t now)
 {
 	struct poll_call *call = talloc_zero(n, struct poll_call);
@@ -103,9 +103,9 @@
 	call->sent_ms = now;
 	call->instance = poll->instance;
 	n->polls++;
-	if (relay_poll(n, poll, poll->answer_ms, on_polled, call))
+	if (relay_poll(n, poll, poll->timeout_ms, on_polled, call))
 		return;
-	n->services->poll(n->services->impl, poll, n->fence, poll->answer_ms,
+	n->services->poll(n->services->impl, poll, n->fence, poll->timeout_ms,
 			  on_polled, call);
 }
 
@@ -124,8 +124,8 @@
 
 	if (call->generation == n->phase_generation) {
 		n->advice_calls--;
-		sched_advised(n->sched, call->step, rows, count, valid_ms,
-			      call->sent_ms, clock_now_ms());
+		sched_advice_done(n->sched, call->step, rows, count, valid_ms,
+				  call->sent_ms, clock_now_ms());
 		node_pump(n);
 	}
 	talloc_free(call);
@@ -150,7 +150,7 @@
 {
 	struct sched_advice advice;
 	struct sched_order order;
-	struct sched_look poll;
+	struct sched_poll poll;
 
 	if (!leader_may_order(n, now) || n->releasing ||
 	    relay_is_connecting(n, now))
@@ -160,7 +160,7 @@
 		request_advice(n, &advice, now);
 	while (sched_next_order(n->sched, now, &order))
 		send_order(n, &order, now);
-	while (sched_next_look(n->sched, now, &poll))
+	while (sched_next_poll(n->sched, now, &poll))
 		send_poll(n, &poll, now);
 	relay_flush(n);
 }
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -1,49 +1,51 @@
 /*
  * sched_avail - emptying an instance within availability budgets
  *
- * A step that lasts says how many of its tasks may be away at once because
- * of us. A task is taken away only while fewer of its step's others are
- * away, and a place for it is free elsewhere.
+ * A long-running step declares how many of its tasks may be unavailable at
+ * once because of maintenance. A task is stopped only while fewer of the other
+ * tasks of its step are unavailable.
  */
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
-#define REPORT_MAX_MS 2500u /* older, a report says nothing about now */
+#define REPORT_MAX_MS 2500u /* age beyond which a report is outdated */
 
-/* Whether the instance has said lately what runs on it. */
-static bool heard_of(const struct instance *i, uint64_t now)
+/* Whether the instance has recently reported what runs on it. */
+static bool reported_lately(const struct instance *i, uint64_t now)
 {
-	return !i->silent && i->clock_at && now - i->clock_at < REPORT_MAX_MS;
+	return !i->unresponsive && i->clock_read_ms &&
+	       now - i->clock_read_ms < REPORT_MAX_MS;
 }
 
-static bool task_away(const struct task *task, uint64_t now)
+static bool task_unavailable(const struct task *task, uint64_t now)
 {
 	const struct run *run;
 
 	DL_FOREACH2(task->runs, run, task_next)
-	if (run_at_work(run) && run->pace == 100 &&
-	    heard_of(run->instance, now))
+	if (run_is_available(run) && run->speed_percent == 100 &&
+	    reported_lately(run->instance, now))
 		return false;
 	return true;
 }
 
-/* Whether the task may be stopped without passing its step's budget. */
-bool task_may_leave(const struct task *task, uint64_t now)
+/* Whether the task may be stopped within the budget of its step. */
+bool task_may_stop(const struct task *task, uint64_t now)
 {
 	const struct step *step = task->step;
-	uint32_t away = 0;
+	uint32_t unavailable = 0;
 	uint32_t t;
 
 	if (!step->spec->may_miss)
 		return true;
 	for (t = 0; t < step->spec->count; t++)
-		if (&step->tasks[t] != task && task_away(&step->tasks[t], now))
-			away++;
-	return away < step->spec->may_miss;
+		if (&step->tasks[t] != task &&
+		    task_unavailable(&step->tasks[t], now))
+			unavailable++;
+	return unavailable < step->spec->may_miss;
 }
 
-void sched_evacuate(struct sched *s, instance_handle_t h, bool patient,
+void sched_evacuate(struct sched *s, instance_handle_t h, bool graceful,
 		    uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
@@ -53,11 +55,11 @@
 		return;
 	DL_FOREACH(i->runs, run)
 	{
-		if (run->state != RUN_BEGUN)
+		if (run->state != RUN_RUNNING)
 			continue;
-		if (!run->task->step->spec->lasting && patient)
+		if (!run->task->step->spec->lasting && graceful)
 			continue;
-		if (!task_may_leave(run->task, now))
+		if (!task_may_stop(run->task, now))
 			continue;
 		run_stop(s, run);
 	}
--- /dev/null
+++ b/src/pool/sched_poll.c
@@ -0,0 +1,374 @@
+/*
+ * sched_poll - polls of instances and what their reports prove
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "pool/sched_internal.h"
+
+#define POLL_WAIT_MS 1000u	  /* the instance holds a poll for an end */
+#define POLL_WAIT_IDLE_MS 2000u	  /* the same, where nothing runs */
+#define POLL_WAIT_ENDING_MS 500u  /* the same, beside tasks that end */
+#define POLL_WAIT_LOSSY_MS 200u	  /* the same, while calls go unanswered */
+#define CALLS_LOSSY_MS 3000u	  /* since the last unanswered call */
+#define POLL_WAIT_SERVING_MS 500u /* the same, beside tasks that serve */
+#define POLL_UNWRITTEN_MS 300u	  /* between polls while ends are not durable */
+#define SESSION_GAP_MS 500u	/* above POLL_UNWRITTEN_MS plus an iteration */
+#define POLL_ANSWER_MS 300u	/* beyond the wait: network, busy leader */
+#define POLL_FAILED_MS 50u	/* delay before a poll is repeated */
+#define POLL_FAILED_GAP_MS 200u /* between two failing polls */
+
+static bool instance_serves(const struct instance *i)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (run->task->step->spec->target_ms)
+		return true;
+	return false;
+}
+
+static bool instance_has_ending(const struct instance *i)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (!run->task->step->spec->lasting)
+		return true;
+	return false;
+}
+
+/*
+ * Designed for instances that leave calls unanswered. An end is reported by
+ * the next poll, so where ends are expected a lost poll must be noticed soon.
+ */
+static uint32_t poll_wait(const struct sched *s, const struct instance *i,
+			  uint64_t now)
+{
+	if (!i->reported || i->unacked_count || i->unresponsive)
+		return 0;
+	if (!i->run_count)
+		return POLL_WAIT_IDLE_MS;
+	if (instance_has_ending(i))
+		return s->call_lost_ms && now - s->call_lost_ms < CALLS_LOSSY_MS
+			       ? POLL_WAIT_LOSSY_MS
+			       : POLL_WAIT_ENDING_MS;
+	return instance_serves(i) ? POLL_WAIT_SERVING_MS : POLL_WAIT_MS;
+}
+
+static bool poll_needed(const struct instance *i)
+{
+	return *i->address && (i->listed || i->run_count || i->unacked_count ||
+			       (!i->reported && !i->expired));
+}
+
+/*
+ * Polls follow one another without a gap while an instance answers. After a
+ * gap, or when it was listed in the directory again, it may have restarted,
+ * and its ends may be numbered from the start again.
+ */
+static bool same_session(const struct instance *i, uint64_t now)
+{
+	return !i->unresponsive && i->report_sent_ms >= i->listed_ms &&
+	       now - i->clock_read_ms <= SESSION_GAP_MS;
+}
+
+/* Each search goes on where the last one ended: round robin. */
+bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll)
+{
+	uint32_t n;
+
+	for (n = 0; n < s->instance_slots; n++) {
+		uint32_t slot = s->next_poll_slot++ % s->instance_slots;
+		struct instance *i = s->instances[slot];
+
+		if (!i || i->polling || now < i->next_poll_ms ||
+		    !poll_needed(i))
+			continue;
+		i->polling = true;
+		poll->instance = i->handle;
+		poll->instance_id = i->id;
+		poll->address = i->address;
+		poll->acked = same_session(i, now) ? i->acked : 0;
+		poll->wait_ms = poll_wait(s, i, now);
+		poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
+		poll->lease_until = 0;
+		/* The lease of an unresponsive instance is left to expire. */
+		if (i->run_count && !i->unresponsive)
+			poll->lease_until = instance_extend_lease(s, i, now);
+		return true;
+	}
+	return false;
+}
+
+static struct run *run_find(const struct instance *i, const struct task *task,
+			    uint64_t number)
+{
+	struct run *run;
+
+	DL_FOREACH2(task->runs, run, task_next)
+	if (run->instance == i && run->number == number)
+		return run;
+	return NULL;
+}
+
+/* Adds a run found in a report; stops it if it should not be there. */
+static void adopt_run(struct sched *s, struct instance *i,
+		      const struct sched_running *r, struct task *task,
+		      uint64_t now)
+{
+	struct step *step = task->step;
+	bool duplicate = task->runs && !step->spec->duplicates;
+	struct run *run = run_new(s, task, i, r->number, now);
+
+	run->state = RUN_RUNNING;
+	run_mark_running(s, run, now);
+	sched_trace(s, "run-found", r->task,
+		    "\"instance\":\"%s\",\"run\":%" PRIu64 ",\"twin\":%d",
+		    i->id, r->number, duplicate);
+	if (duplicate || task->done || job_is_over(step->job))
+		run_stop(s, run);
+}
+
+static void apply_running(struct sched *s, struct instance *i,
+			  const struct sched_running *r, uint64_t sent_ms,
+			  uint64_t now)
+{
+	struct task *task = sched_task(s, r->task);
+	struct run *run;
+
+	if (!task) {
+		sched_trace(s, "run-unknown", r->task, "\"instance\":\"%s\"",
+			    i->id);
+		return;
+	}
+	run = run_find(i, task, r->number);
+	if (!run) {
+		adopt_run(s, i, r, task, now);
+		run = run_find(i, task, r->number);
+	}
+	run_mark_running(s, run, now);
+	run->percent = r->percent;
+	run->load = r->load;
+	if (*r->checkpoint)
+		snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
+			 r->checkpoint);
+	if (run_is_available(run))
+		task->unavailable_since_ms = 0;
+	(void)sent_ms;
+}
+
+static void add_unacked(struct sched *s, struct instance *i, uint64_t n)
+{
+	if (i->unacked_count == i->unacked_alloc) {
+		i->unacked_alloc = i->unacked_alloc ? i->unacked_alloc * 2 : 8;
+		i->unacked = talloc_realloc(i, i->unacked, struct unacked,
+					    i->unacked_alloc);
+		assert(i->unacked);
+	}
+	i->unacked[i->unacked_count].end_seq = n;
+	i->unacked[i->unacked_count].change_seq = s->change_seq;
+	i->unacked_count++;
+}
+
+static void gang_restart(struct sched *s, struct step *step)
+{
+	struct run *run;
+	uint32_t t;
+
+	for (t = 0; t < step->spec->count; t++)
+		DL_FOREACH2(step->tasks[t].runs, run, task_next)
+	run_stop(s, run);
+}
+
+static void apply_end(struct sched *s, struct instance *i,
+		      const struct sched_ended *e, uint64_t now)
+{
+	struct task *task = sched_task(s, e->task);
+	struct run *run;
+
+	if (!task)
+		return;
+	sched_trace(s, "run-end", e->task,
+		    "\"instance\":\"%s\",\"run\":%" PRIu64
+		    ",\"how\":%d,\"n\":%" PRIu64,
+		    i->id, e->number, e->outcome, e->seq);
+	run = run_find(i, task, e->number);
+	task->step->job->started = true;
+	if (*e->checkpoint)
+		snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
+			 e->checkpoint);
+	if (run)
+		run_free(s, run, now);
+	switch (e->outcome) {
+	case SCHED_DONE:
+		s->stats.ends_done++;
+		instance_record_success(i);
+		if (!job_is_over(task->step->job) && !task->step->spec->lasting)
+			task_done(s, task, now);
+		break;
+	case SCHED_FAILED:
+		s->stats.ends_failed++;
+		instance_record_failure(s, i, task->step->job, now);
+		task->avoid_instance = i->handle.i + 1;
+		if (!job_is_over(task->step->job))
+			task_failed(s, task, e->number, now);
+		break;
+	case SCHED_STOPPED:
+		s->stats.ends_stopped++;
+		break;
+	case SCHED_LAPSED:
+		s->stats.ends_lapsed++;
+		break;
+	case SCHED_GANG_BROKEN:
+	case SCHED_GANG_INCOMPLETE:
+		break;
+	}
+	if (task->step->spec->gang && !task->done)
+		gang_restart(s, task->step);
+}
+
+/* Frees runs that should be in the report and are not. */
+static void free_missing_runs(struct sched *s, struct instance *i,
+			      const struct sched_report *r, uint64_t sent_ms,
+			      uint64_t now)
+{
+	struct run *run, *next;
+	char name[SCHED_TASK_MAX];
+	uint32_t n;
+
+	DL_FOREACH_SAFE(i->runs, run, next)
+	{
+		/* Within one millisecond the order is unknown. */
+		bool was_running = run->running_since_ms &&
+				   run->running_since_ms < sent_ms;
+		bool prevented =
+			run->stop_done_ms && run->stop_done_ms < sent_ms;
+
+		if (!was_running && !prevented)
+			continue;
+		task_name(run->task, name);
+		for (n = 0; n < r->running_count; n++)
+			if (r->running[n].number == run->number &&
+			    !strcmp(r->running[n].task, name))
+				break;
+		if (n < r->running_count)
+			continue;
+		if (!prevented) {
+			s->stats.runs_lost++;
+			sched_trace(s, "run-lost", name,
+				    "\"instance\":\"%s\",\"run\":%" PRIu64,
+				    i->id, run->number);
+		}
+		run_free(s, run, now);
+	}
+}
+
+static void new_incarnation(struct sched *s, struct instance *i,
+			    const struct sched_report *r, uint64_t now)
+{
+	if (i->started_unix_ms && r->started_unix_ms &&
+	    r->started_unix_ms != i->started_unix_ms) {
+		sched_trace(s, "instance-reborn", i->id, "\"runs\":%u",
+			    i->run_count);
+		if (i->run_count)
+			instance_extend_lease_max(s, i, now);
+	}
+	i->started_unix_ms = r->started_unix_ms;
+	i->last_end_seq = 0;
+	i->acked = 0;
+	i->unacked_count = 0;
+	i->failures = 0;
+	i->ejected_until_ms = 0;
+}
+
+static void apply_ends(struct sched *s, struct instance *i,
+		       const struct sched_report *r, uint64_t now)
+{
+	uint32_t n;
+
+	for (n = 0; n < r->ended_count; n++) {
+		const struct sched_ended *e = &r->ended[n];
+
+		if (e->seq <= i->last_end_seq)
+			continue;
+		i->last_end_seq = e->seq;
+		apply_end(s, i, e, now);
+		add_unacked(s, i, e->seq);
+	}
+}
+
+/* With no change to be written, the next poll acknowledges all ends. */
+static void acknowledge_unchanged(struct sched *s, struct instance *i)
+{
+	if (s->changed || !i->unacked_count)
+		return;
+	i->acked = i->unacked[i->unacked_count - 1].end_seq;
+	i->unacked_count = 0;
+}
+
+void sched_poll_lost(struct sched *s, instance_handle_t h, uint64_t now)
+{
+	struct instance *i = instance_of(s, h);
+
+	if (!i)
+		return;
+	i->polling = false;
+	i->next_poll_ms = now;
+}
+
+static uint64_t later(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+void sched_poll_done(struct sched *s, instance_handle_t h,
+		     const struct sched_report *r, uint64_t sent_ms,
+		     uint64_t now)
+{
+	struct instance *i = instance_of(s, h);
+	uint32_t n;
+
+	if (!i)
+		return;
+	i->polling = false;
+	if (!r) {
+		if (!i->unresponsive && i->reported)
+			s->call_lost_ms = now;
+		if (!i->unresponsive)
+			sched_trace(s, "instance-silent", i->id,
+				    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
+				    i->run_count,
+				    (int64_t)(i->lease_end_ms - now));
+		i->unresponsive = true;
+		i->next_poll_ms = later(now + POLL_FAILED_MS,
+					sent_ms + POLL_FAILED_GAP_MS);
+		return;
+	}
+	if (i->started_unix_ms != r->started_unix_ms || !i->reported) {
+		new_incarnation(s, i, r, now);
+		i->first_report_ms = now;
+	}
+	if (i->unresponsive) {
+		i->first_report_ms = now;
+		sched_trace(s, "instance-answers", i->id, "\"runs\":%u",
+			    r->running_count);
+	}
+	i->clock_ms = r->clock_ms;
+	i->clock_read_ms = now;
+	i->report_sent_ms = sent_ms;
+	i->unresponsive = false;
+	i->unanswered_orders = 0;
+	i->expired = false;
+	i->reported = true;
+	for (n = 0; n < r->running_count; n++)
+		apply_running(s, i, &r->running[n], sent_ms, now);
+	apply_ends(s, i, r, now);
+	free_missing_runs(s, i, r, sent_ms, now);
+	instance_count_reported(s, i);
+	acknowledge_unchanged(s, i);
+	i->next_poll_ms = i->unacked_count ? now + POLL_UNWRITTEN_MS : now;
+	instance_throttle(s, i, now);
+}
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -85,7 +85,7 @@
 		.labels = { "r1" },
 	};
 
-	sched_instance(r->s, &info, r->now);
+	sched_instance_listed(r->s, &info, r->now);
 }
 
 struct drain_case {
@@ -132,9 +132,9 @@
 				(struct fleet_machine_info){ ids[i], "p", "r1",
 							     FLEET_UP };
 		}
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		row = job_row(p->busy ? p->busy : 1, 1, false);
 		row->steps[0]->cpu = 4000; /* one task fills an instance */
 		if (p->busy)
@@ -198,15 +198,16 @@
 			if (cases[c].listed)
 				named_instance(&r, ids[i], "p");
 			else
-				sched_expect(r.s, ids[i], "p", ids[i], r.now);
+				sched_expect_instance(r.s, ids[i], "p", ids[i],
+						      r.now);
 			infos[i] =
 				(struct fleet_machine_info){ ids[i], "p", "r1",
 							     FLEET_UP };
 		}
-		sched_lead(r.s, 2, true, r.now);
-		sched_expected(r.s, r.now);
+		sched_become_leader(r.s, 2, true, r.now);
+		sched_expect_complete(r.s, r.now);
 		if (cases[c].reported)
-			see_all_empty(&r);
+			make_all_usable(&r);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		fleet_add_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
@@ -324,9 +325,9 @@
 				(struct fleet_machine_info){ ids[i], pool, "r1",
 							     FLEET_UP };
 		}
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		if (m->long_running) {
 			row = job_row(m->long_running, 1, true);
 			row->steps[0]->spread_limit = 1;
@@ -444,9 +445,9 @@
 			if (i < 2)
 				named_instance(&r, ids[i], names[i]);
 		}
-		sched_lead(r.s, 1, true, r.now);
-		sched_expected(r.s, r.now);
-		see_all_empty(&r);
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
 		for (q = 0; q < 2; q++)
 			for (i = 0; i < t->jobs[q]; i++)
 				submit_job(&r, names[q], (q + 1) * 1000 + i,
--- /dev/null
+++ b/test/poll_test.c
@@ -0,0 +1,160 @@
+/*
+ * Polls of instances in virtual time: when they are sent, which ends they
+ * acknowledge, and how soon a lost poll is noticed.
+ */
+#include "test/rig/sched_rig.h"
+
+/* Ends of a former incarnation are not acknowledged to the next one. */
+static void test_ack_of_former_incarnation(void **state)
+{
+	static const enum {
+		ANSWERED,
+		UNANSWERED,
+		RELISTED
+	} cases[] = { ANSWERED, UNANSWERED, RELISTED };
+	struct sched_ended ended;
+	struct rig r;
+	struct sched_poll poll;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, false);
+		write_all(&r);
+		orders(&r);
+		answer_all(&r, ORDER_DONE);
+		r.now += 2500;
+		poll = next_poll(&r, r.orders[0].instance);
+		ended = (struct sched_ended){ 5, r.orders[0].task,
+					      r.orders[0].number, SCHED_DONE,
+					      "" };
+		report(&r, poll.instance, NULL, 0, &ended, 1, r.now);
+		write_all(&r);
+		r.now += 400;
+		poll = next_poll(&r, poll.instance);
+		assert_int_equal(poll.acked, 5);
+		if (cases[c] == RELISTED) {
+			sched_instance_unlisted(r.s, poll.instance_id,
+						r.now + 1);
+			instance(&r, poll.instance_id, false);
+		}
+		if (cases[c] == UNANSWERED)
+			sched_poll_done(r.s, poll.instance, NULL, r.now, r.now);
+		else
+			report(&r, poll.instance, NULL, 0, NULL, 0, r.now - 1);
+		r.now += 400;
+		poll = next_poll(&r, poll.instance);
+		assert_int_equal(poll.acked, cases[c] == ANSWERED ? 5 : 0);
+		talloc_free(r.s);
+	}
+}
+
+/*
+ * Returns the time from a task's end until it is known, when the poll that
+ * would have reported it is not answered.
+ */
+static uint64_t end_known_after(struct rig *r, bool lossy)
+{
+	struct sched_running running = { r->orders[0].task, r->orders[0].number,
+					 "", 100, 0 };
+	struct sched_ended ended = { 1, r->orders[0].task, r->orders[0].number,
+				     SCHED_DONE, "" };
+	struct sched_poll poll = next_poll(r, r->orders[0].instance);
+	uint64_t ended_ms;
+
+	if (lossy) {
+		r->now += poll.timeout_ms;
+		sched_poll_done(r->s, poll.instance, NULL,
+				r->now - poll.timeout_ms, r->now);
+		r->now += 500;
+		poll = next_poll(r, poll.instance);
+		report(r, poll.instance, &running, 1, NULL, 0, r->now);
+		poll = next_poll(r, poll.instance);
+	}
+	ended_ms = r->now + 1;
+	r->now += poll.timeout_ms;
+	sched_poll_done(r->s, poll.instance, NULL, ended_ms - 1, r->now);
+	r->now += 50;
+	poll = next_poll(r, poll.instance);
+	assert_int_equal(poll.wait_ms, 0);
+	report(r, poll.instance, NULL, 0, &ended, 1, r->now);
+	return r->now - ended_ms;
+}
+
+/*
+ * A demand peak while instances leave some calls unanswered. A task's end must
+ * be known within the slack of its queue, or one lost poll makes its job late.
+ * Where no task ends polls stay rare.
+ */
+static void test_lost_polls(void **state)
+{
+	static const struct {
+		bool lasting, lossy;
+		uint64_t known_within_ms;
+		uint32_t wait_ms;
+	} cases[] = {
+		{ false, false, QUEUE_SLACK_MS * 3 / 2, 500 },
+		{ false, true, QUEUE_SLACK_MS, 500 },
+		{ true, false, 0, 1000 },
+	};
+	struct sched_poll poll;
+	struct rig r;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, cases[c].lasting);
+		write_all(&r);
+		assert_int_equal(orders(&r), 1);
+		answer_all(&r, ORDER_DONE);
+		r.now += 2500;
+		if (cases[c].known_within_ms) {
+			assert_in_range(end_known_after(&r, cases[c].lossy), 1,
+					cases[c].known_within_ms);
+		} else {
+			poll = next_poll(&r, r.orders[0].instance);
+			assert_int_equal(poll.wait_ms, cases[c].wait_ms);
+		}
+		talloc_free(r.s);
+	}
+}
+
+/* An instance that refuses polls at once is polled with pauses. */
+static void test_refused_polls_are_spaced(void **state)
+{
+	struct sched_poll poll;
+	struct rig r;
+	uint32_t polls = 0;
+	uint64_t end;
+
+	(void)state;
+	rig_new(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
+	r.now += 2500;
+	for (end = r.now + 1000; r.now < end; r.now += 10)
+		while (sched_next_poll(r.s, r.now, &poll)) {
+			sched_poll_done(r.s, poll.instance, NULL, r.now,
+					r.now + 1);
+			polls++;
+		}
+	assert_in_range(polls, 2, 12); /* of two instances */
+	talloc_free(r.s);
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_ack_of_former_incarnation),
+		cmocka_unit_test(test_lost_polls),
+		cmocka_unit_test(test_refused_polls_are_spaced),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -14,7 +14,7 @@
 }
 
 static void report_end(struct world *w, struct world_instance *i,
-		       const struct world_task_run *r, enum sched_how how)
+		       const struct world_task_run *r, enum sched_outcome how)
 {
 	struct world_end *e = &i->ends[i->end_count++];
 	uint32_t step, index;
@@ -64,7 +64,7 @@
 	}
 	for (r = 0; r < i->run_count;) {
 		struct world_task_run *run = &i->runs[r];
-		enum sched_how how;
+		enum sched_outcome how;
 
 		if (run->ends_ms && w->now >= run->ends_ms)
 			how = run->fails ? SCHED_FAILED : SCHED_DONE;
@@ -200,9 +200,9 @@
 		if (!strcmp(i->runs[r].task, o->task))
 			return i->runs[r].number == o->number
 				       ? ORDER_DONE
-				       : ORDER_REFUSED_OLD;
+				       : ORDER_REFUSED_STALE;
 	if (was_stopped(i, o->task, o->number))
-		return ORDER_REFUSED_OLD;
+		return ORDER_REFUSED_STALE;
 	check_duplicate_start(w, i, o, true);
 	check_step_order(w, o);
 	check_requested(w, o, c->sent_ms);
@@ -235,7 +235,7 @@
 	c->clock_ms = instance_clock_ms(w, i); /* every answer carries it */
 	if (c->order.kind == ORDER_START)
 		return exec_start(w, i, c);
-	if (c->order.kind == ORDER_PACE)
+	if (c->order.kind == ORDER_THROTTLE)
 		return ORDER_DONE;
 	record_stopped(i, c->order.task, c->order.number);
 	for (r = 0; r < i->run_count; r++)
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -35,9 +35,9 @@
 		};
 
 		if (in->listed)
-			sched_instance(l->s, &info, w->now);
+			sched_instance_listed(l->s, &info, w->now);
 		else
-			sched_instance_gone(l->s, in->id, w->now);
+			sched_instance_unlisted(l->s, in->id, w->now);
 	}
 }
 
@@ -87,7 +87,7 @@
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = LEASE_MAX_MS,
-					 .lead_ms = ORDERS_VALID_MS,
+					 .former_leader_ms = ORDERS_VALID_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
 	struct leader *l = &w->leaders[who];
@@ -111,11 +111,11 @@
 	l->s = sched_new(NULL, &options);
 	if (w->verbose)
 		sched_set_trace(l->s, on_trace, w);
-	sched_clock(l->s, w->now);
+	sched_set_clock(l->s, w->now);
 	sched_configure(l->s, &w->config, w->now);
 	leader_read_directory(w, l);
 	leader_load_rows(w, l);
-	sched_lead(l->s, l->epoch, false, w->now);
+	sched_become_leader(l->s, l->epoch, false, w->now);
 }
 
 static void leader_read_machines(struct world *w, struct leader *l)
@@ -127,10 +127,10 @@
 	l->machines_due_ms = 0;
 	for (i = 0; i < WORLD_INSTANCES; i++)
 		if (w->instances[i].up)
-			sched_expect(l->s, w->instances[i].id,
-				     w->instances[i].pool, w->instances[i].id,
-				     w->now);
-	sched_expected(l->s, w->now);
+			sched_expect_instance(l->s, w->instances[i].id,
+					      w->instances[i].pool,
+					      w->instances[i].id, w->now);
+	sched_expect_complete(l->s, w->now);
 }
 
 static void leader_read_inbox(struct world *w, struct leader *l)
@@ -198,7 +198,7 @@
 {
 	struct leader *l = &w->leaders[who];
 	struct sched_order order;
-	struct sched_look poll;
+	struct sched_poll poll;
 	struct call *c;
 
 	if (!l->confirmed_ms || w->now - l->confirmed_ms >= ORDERS_VALID_MS)
@@ -210,8 +210,8 @@
 		c->instance = instance_index(w, order.instance_id);
 		c->target_incarnation = w->instances[c->instance].incarnation;
 	}
-	while (sched_next_look(l->s, w->now, &poll)) {
-		c = call_new(w, who, CALL_POLL, poll.answer_ms);
+	while (sched_next_poll(l->s, w->now, &poll)) {
+		c = call_new(w, who, CALL_POLL, poll.timeout_ms);
 		c->poll = poll;
 		c->fence = l->fence;
 		c->instance = instance_index(w, poll.instance_id);
@@ -235,14 +235,14 @@
 	leader_read_directory(w, l);
 	/* Reading the leader row confirms the leader or ends its term. */
 	if ((w->now - l->confirmed_ms >= CONFIRM_INTERVAL_MS ||
-	     sched_wants_confirmation(l->s)) &&
+	     sched_needs_confirmation(l->s)) &&
 	    w->now >= l->partitioned_until_ms && !random_below(w, 4)) {
 		if (w->holder != who + 1) {
 			leader_resign(w, l);
 			return;
 		}
 		l->confirmed_ms = w->now;
-		sched_confirmed(l->s, w->now);
+		sched_leader_confirmed(l->s, w->now);
 	}
 	sched_tick(l->s, w->now, w->now);
 	if (fault_occurs(w, FAULT_EVACUATIONS, 5)) {
