--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -404,8 +404,8 @@
 
 		if (!t->backlogged)
 			continue;
-		error = fabs(t->slot_ms / ms - claims[i].given) /
-			claims[i].given;
+		error = fabs(t->slot_ms / ms - claims[i].allocated) /
+			claims[i].allocated;
 		if (error > s->worst)
 			s->worst = error;
 		s->sum_error += error;
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -270,7 +270,7 @@
 		snprintf(name, sizeof(name), "w:worker-%u", i);
 		row.cells[i].domain = ledger_domain(l, name);
 		row.cells[i].total = 8;
-		row.cells[i].conf = 1234567;
+		row.cells[i].config_version = 1234567;
 	}
 	json = entry_row_json(l, &row);
 	text = json_dumps(json, JSON_COMPACT);
--- a/bench/waves.c
+++ b/bench/waves.c
@@ -91,8 +91,8 @@
 		p->pool = i % POOLS;
 		p->rack = i / 4;
 		p->zone = p->rack % ZONES;
-		p->wanted = true;
-		p->home = false;
+		p->selected = true;
+		p->empty = false;
 	}
 	for (i = 0; i < POOLS; i++)
 		r->pools[i] =
@@ -167,7 +167,7 @@
 		r->cut += w->plan.state != PLAN_DRAINING ||
 			  r->now_s < w->work_ends_s;
 		w->plan.state = PLAN_OUT;
-		w->plan.home = false;
+		w->plan.empty = false;
 		w->back_s = r->now_s + REBOOT_S * (0.8 + 0.4 * uniform(r));
 		break;
 	case PLAN_RETURN:
@@ -248,9 +248,9 @@
 		struct worker *w = &r->workers[i];
 
 		r->out_s += w->plan.state != PLAN_SERVING;
-		w->plan.home = w->plan.state == PLAN_DRAINING &&
-			       (r->now_s >= w->work_ends_s ||
-				r->without == GUARD_HOME);
+		w->plan.empty = w->plan.state == PLAN_DRAINING &&
+				(r->now_s >= w->work_ends_s ||
+				 r->without == GUARD_HOME);
 		w->plan.rebooted =
 			w->plan.state == PLAN_OUT && r->now_s >= w->back_s;
 		if (w->plan.state == PLAN_FAILED && r->now_s >= w->back_s)
@@ -331,7 +331,7 @@
 	set_up(&r, user, WAY_PLANNER, 1);
 	struct plan_input in = input_of(&r, view);
 
-	bound = plan_bound_s(&in, DRAIN_S + REBOOT_S);
+	bound = plan_min_duration_s(&in, DRAIN_S + REBOOT_S);
 	for (way = WAY_PLANNER; way <= WAY_RACK; way++) {
 		set_up(&r, user, (enum way)way, 1);
 		double s = wave(&r, false);
@@ -380,7 +380,7 @@
 			w[i] = (struct plan_instance){ .pool = i % 60,
 						       .zone = i % 11,
 						       .rack = i / 4,
-						       .wanted = true };
+						       .selected = true };
 		for (i = 0; i < 60; i++)
 			pools[i] = (struct plan_pool){ 0, 2 };
 		before = mallinfo2().uordblks;
--- a/cli/wave.c
+++ b/cli/wave.c
@@ -73,7 +73,7 @@
 	for (i = 0; i < in->instance_count; i++) {
 		const struct plan_instance *x = &in->instances[i];
 
-		if (!x->wanted)
+		if (!x->selected)
 			continue;
 		p.wanted++;
 		p.done += x->done;
@@ -93,7 +93,8 @@
 	for (i = 0; i < BAR_WIDTH; i++)
 		putchar(i < full ? '#' : '.');
 	printf("] %u of %u done, %u draining, %u out%s%s\n", p->done, p->wanted,
-	       p->draining, p->out, *wave->why ? ": " : "", wave->why);
+	       p->draining, p->out, *wave->halt_reason ? ": " : "",
+	       wave->halt_reason);
 }
 
 static char mark_of(const struct plan_instance *x)
@@ -102,7 +103,7 @@
 		return '#';
 	switch (x->state) {
 	case PLAN_SERVING:
-		return x->wanted ? '.' : '-';
+		return x->selected ? '.' : '-';
 	case PLAN_DRAINING:
 		return 'd';
 	case PLAN_OUT:
@@ -156,7 +157,7 @@
 
 static void print_bound(const struct plan_input *in)
 {
-	double s = plan_bound_s(in, CYCLE_S);
+	double s = plan_min_duration_s(in, CYCLE_S);
 
 	printf("at %.0f s an instance it takes at least %.0f min\n", CYCLE_S,
 	       s / 60);
@@ -167,7 +168,7 @@
 {
 	struct plan_result result;
 
-	if (plan_possible(in, &result))
+	if (plan_feasible(in, &result))
 		return true;
 	fprintf(stderr,
 		"jackdawwell: the wave cannot be met: pool \"%s\", %s stands "
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -133,8 +133,8 @@
 	static const char *const states[] = { "starting", "serving", "notice",
 					      "draining", "gone" };
 	json_t *members = json_array();
-	uint64_t until = fresh_until(&e->fresh, &e->members, e->incarnation,
-				     e->cfg->version);
+	uint64_t until = freshness_until(&e->freshness, &e->members,
+					 e->incarnation, e->cfg->version);
 	json_t *body;
 	uint32_t i;
 
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -170,7 +170,7 @@
 		const struct cfg_instance *w = &e->cfg->instances[i];
 		const struct sight *s = sight_of(e->conductor, i);
 
-		all[i].home =
+		all[i].empty =
 			w->present &&
 			core_instance_home(e->core, (instance_handle){ i });
 		all[i].rebooted = w->present && s->boots > w->boots;
@@ -211,7 +211,7 @@
 		struct sight *s = sight_of(e->conductor, i);
 		bool out = all[i].state == PLAN_OUT;
 
-		if (!all[i].wanted || all[i].rebooted ||
+		if (!all[i].selected || all[i].rebooted ||
 		    (!out && all[i].state != PLAN_DRAINING)) {
 			s->away_ms = 0;
 			continue;
@@ -262,7 +262,7 @@
 				 state);
 	for (i = 0;
 	     wave->state == CFG_WAVE_ABORTED && i < e->cfg->instance_count; i++)
-		if (all[i].wanted && all[i].state == PLAN_DRAINING)
+		if (all[i].selected && all[i].state == PLAN_DRAINING)
 			add_step(e, instances, wave, i, CFG_SERVING);
 	return instances;
 }
@@ -287,7 +287,7 @@
 		commit(e, json_pack("{s:o}", "instances", steps));
 	} else {
 		json_decref(steps);
-		if (!plan.left && wave->state == CFG_WAVE_RUNNING)
+		if (!plan.remaining && wave->state == CFG_WAVE_RUNNING)
 			set_wave(e, wave, CFG_WAVE_DONE, "");
 	}
 	talloc_free(in);
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -61,8 +61,8 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < job->tries; i++)
-		if (job->tried[i] == instance)
+	for (i = 0; i < job->attempts; i++)
+		if (job->attempted[i] == instance)
 			return true;
 	return false;
 }
@@ -80,8 +80,9 @@
 		const struct core_instance *n = &c->instances[id];
 		struct ledger_domain_view view;
 
-		if (ledger_may_take(c->ledger, n->domain) != LEDGER_OK ||
-		    !health_usable(&n->health, c->now_ms) || was_tried(job, id))
+		if (ledger_can_start(c->ledger, n->domain) != LEDGER_OK ||
+		    !health_available(&n->health, c->now_ms) ||
+		    was_tried(job, id))
 			continue;
 		ledger_view(c->ledger, n->domain, &view);
 		if (view.held - view.running <= most)
@@ -96,7 +97,8 @@
 {
 	struct core *c = arg;
 
-	return ledger_may_take(c->ledger, c->teams[team.i].domain) == LEDGER_OK;
+	return ledger_can_start(c->ledger, c->teams[team.i].domain) ==
+	       LEDGER_OK;
 }
 
 static void start(struct core *c, struct job *job, instance_handle instance)
@@ -107,23 +109,23 @@
 
 	fq_remove(p->queue, job);
 	forget_waiting(c, job);
-	status = ledger_take(c->ledger, t->domain);
+	status = ledger_start_unit(c->ledger, t->domain);
 	assert(status == LEDGER_OK);
-	status = ledger_take(c->ledger, c->instances[instance.i].domain);
+	status = ledger_start_unit(c->ledger, c->instances[instance.i].domain);
 	assert(status == LEDGER_OK);
 	(void)status;
-	health_chosen(&c->instances[instance.i].health);
+	health_request_started(&c->instances[instance.i].health);
 	fq_started(p->queue, job->team, c->now_ms);
 	t->running++;
 	c->running++;
 	c->counters.started++;
-	if (!job->tries)
+	if (!job->attempts)
 		metric_observe(&t->waits[job->class],
 			       c->now_ms - job->arrived_ms);
 	job->state = JOB_RUNNING;
 	job->instance = instance;
 	job->started_ms = c->now_ms;
-	job->tried[job->tries++] = instance.i;
+	job->attempted[job->attempts++] = instance.i;
 	c->options.callbacks.start(c->options.callbacks.arg, job);
 }
 
@@ -138,7 +140,7 @@
 {
 	struct fq_flow_view flow = { 0 };
 
-	fq_team(p->queue, job->team, &flow);
+	fq_team_view(p->queue, job->team, &flow);
 	if (!c->options.advice ||
 	    c->now_ms > p->advised_ms + CORE_ADVICE_TTL_MS ||
 	    p->targets + 1.0 < p->sent.held ||
@@ -184,7 +186,7 @@
 	double wait;
 
 	if (job->class == CFG_URGENT ||
-	    !fq_team(c->pools[job->pool.i].queue, job->team, &flow) ||
+	    !fq_team_view(c->pools[job->pool.i].queue, job->team, &flow) ||
 	    flow.waiting < CORE_EARLY_MIN)
 		return false;
 	wait = flow.waiting * flow.start_gap_ms;
@@ -213,10 +215,10 @@
 		return false;
 	}
 	job->state = JOB_WAITING;
-	job->tries = 0;
+	job->attempts = 0;
 	job->may_have_run = false;
 	job->not_before_ms = 0;
-	retry_earn(&c->teams[job->team.i].retries);
+	retry_credit(&c->teams[job->team.i].retries);
 	add_waiting(c, job);
 	fq_push(c->pools[job->pool.i].queue, job, now_ms);
 	core_dispatch(c, job->pool);
@@ -226,8 +228,8 @@
 /* The one place that gives units back after work. */
 static void release(struct core *c, const struct core_hold *h)
 {
-	ledger_end(c->ledger, c->teams[h->team.i].domain);
-	ledger_end(c->ledger, c->instances[h->instance.i].domain);
+	ledger_end_unit(c->ledger, c->teams[h->team.i].domain);
+	ledger_end_unit(c->ledger, c->instances[h->instance.i].domain);
 	fq_ended(c->pools[h->pool.i].queue, h->team, c->now_ms);
 	c->teams[h->team.i].running--;
 	c->running--;
@@ -259,12 +261,12 @@
 
 		if (p->instances[i] == instance)
 			continue;
-		if (h->probe_ms ||
+		if (h->next_probe_ms ||
 		    c->cfg->instances[p->instances[i]].state != CFG_SERVING) {
 			(*out)++;
 			continue;
 		}
-		sum += h->failures;
+		sum += h->failure_rate;
 		n++;
 	}
 	return n ? sum / n : 1.0;
@@ -276,11 +278,12 @@
 	uint32_t out;
 	double rate;
 
-	health_result(h, failed, c->now_ms);
+	health_record(h, failed, c->now_ms);
 	if (!failed)
 		return;
 	rate = peers_failure_rate(c, job->pool, job->instance.i, &out);
-	if (!health_failing(h, rate) || job->pool.i >= c->cfg->pool_count ||
+	if (!health_should_eject(h, rate) ||
+	    job->pool.i >= c->cfg->pool_count ||
 	    out >= c->cfg->pools[job->pool.i].out_max)
 		return;
 	health_eject(h, c->now_ms);
@@ -291,12 +294,12 @@
 		      enum job_result result)
 {
 	bool safe = result == JOB_NOT_SENT || result == JOB_NOT_RUN ||
-		    (result == JOB_MAY_RUN && job->idempotent);
+		    (result == JOB_POSSIBLY_RUNNING && job->idempotent);
 
-	return safe && job->tries < JOB_TRIES_MAX &&
+	return safe && job->attempts < JOB_ATTEMPTS_MAX &&
 	       c->now_ms < job->deadline_ms &&
-	       job->tries < c->pools[job->pool.i].instance_count &&
-	       retry_spend(&c->teams[job->team.i].retries);
+	       job->attempts < c->pools[job->pool.i].instance_count &&
+	       retry_consume(&c->teams[job->team.i].retries);
 }
 
 static uint32_t next_random(struct core *c)
@@ -324,7 +327,7 @@
 		c->counters.ended++;
 		c->counters.failed++;
 		break;
-	case JOB_MAY_RUN:
+	case JOB_POSSIBLY_RUNNING:
 		c->counters.may_run++;
 		break;
 	case JOB_NOT_SENT:
@@ -344,11 +347,11 @@
 	count_result(c, result);
 	judge(c, job, result != JOB_ENDED && result != JOB_NOT_RUN);
 	again = may_retry(c, job, result);
-	if (result == JOB_MAY_RUN)
+	if (result == JOB_POSSIBLY_RUNNING)
 		hold(c, &h);
 	else
 		release(c, &h);
-	job->may_have_run |= result == JOB_MAY_RUN;
+	job->may_have_run |= result == JOB_POSSIBLY_RUNNING;
 	job->state = JOB_DONE;
 	if (again)
 		retry(c, job);
@@ -370,7 +373,7 @@
 {
 	struct core *c = arg;
 
-	if (job->tries)
+	if (job->attempts)
 		refuse(c, job, JOB_REFUSED_UNREACHED);
 	else
 		refuse(c, job, JOB_REFUSED_WAIT);
@@ -398,8 +401,8 @@
 	release_held(c);
 	for (i = 0; i < c->pool_count; i++)
 		if (fq_waiting(c->pools[i].queue))
-			fq_sweep(c->pools[i].queue, job_expired, refuse_expired,
-				 c);
+			fq_expire(c->pools[i].queue, job_expired,
+				  refuse_expired, c);
 	core_units_tick(c);
 	for (i = 0; i < c->pool_count; i++)
 		core_dispatch(c, (pool_handle){ i });
@@ -428,7 +431,7 @@
 	      uint64_t now_ms)
 {
 	c->now_ms = now_ms;
-	ledger_seen(c->ledger, shard, row);
+	ledger_set_row(c->ledger, shard, row);
 	core_units_write(c);
 }
 
@@ -438,7 +441,7 @@
 	uint32_t i;
 
 	c->now_ms = now_ms;
-	ledger_planned(c->ledger, shard, status, version);
+	ledger_finish_cas(c->ledger, shard, status, version);
 	for (i = 0; i < c->pool_count; i++)
 		if (fq_waiting(c->pools[i].queue))
 			core_dispatch(c, (pool_handle){ i });
@@ -470,7 +473,7 @@
 		receive_lend(c, p, &m->u.lend);
 		break;
 	case CORE_LEND_ACK:
-		ledger_acked(p->link, m->u.ack);
+		ledger_acknowledge(p->link, m->u.ack);
 		break;
 	case CORE_DEMAND:
 		broker_report(c->broker, from, &m->u.demand, now_ms);
@@ -505,7 +508,7 @@
 	struct ledger_options ledger = {
 		.incarnation = options->incarnation,
 		.shard_count = options->shard_count,
-		.round_pause_ms = 1000,
+		.round_interval_min_ms = 1000,
 	};
 
 	assert(c);
@@ -538,7 +541,7 @@
 	struct fq_flow_view view = { 0 };
 
 	if (pool.i < c->pool_count)
-		fq_team(c->pools[pool.i].queue, team, &view);
+		fq_team_view(c->pools[pool.i].queue, team, &view);
 	*waiting = view.waiting;
 	*running = view.running;
 }
@@ -547,5 +550,5 @@
 {
 	return instance.i < c->instance_count &&
 	       c->instances[instance.i].configured &&
-	       ledger_all_home(c->ledger, c->instances[instance.i].domain);
+	       ledger_is_empty(c->ledger, c->instances[instance.i].domain);
 }
--- a/src/entry/core_cfg.c
+++ b/src/entry/core_cfg.c
@@ -176,7 +176,7 @@
 {
 	struct core_peer *p = core_peer(c, incarnation);
 
-	ledger_gone(c->ledger, version);
+	ledger_member_removed(c->ledger, version);
 	broker_forget(c->broker, incarnation);
 	if (!p)
 		return;
--- a/src/entry/core_print.c
+++ b/src/entry/core_print.c
@@ -86,7 +86,7 @@
 	a.oldest_ms = talloc_zero_array(c, uint64_t, c->cfg->queue_count + 1);
 	assert(a.oldest_ms);
 	for (i = 0; i < c->pool_count; i++)
-		fq_each(c->pools[i].queue, note_age, &a);
+		fq_for_each(c->pools[i].queue, note_age, &a);
 	for (i = 0; i < c->cfg->queue_count; i++) {
 		uint64_t age = a.oldest_ms[i] ? now_ms - a.oldest_ms[i] : 0;
 
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -26,14 +26,15 @@
 
 	ledger_view(c->ledger, d, &view);
 	if (c->stopping && !c->waiting) {
-		ledger_want(c->ledger, d, 0);
-		ledger_release(c->ledger, d, view.held - view.running);
+		ledger_set_idle_target(c->ledger, d, 0);
+		ledger_return_units(c->ledger, d, view.held - view.running);
 		return;
 	}
 	want = base_units(c, view.total) - view.running;
 	if (want < waiting)
 		want = waiting;
-	ledger_want(c->ledger, d, want < view.total ? want : view.total);
+	ledger_set_idle_target(c->ledger, d,
+			       want < view.total ? want : view.total);
 }
 
 /* Spreads a pool's need over its workers, those with free units first. */
@@ -89,8 +90,8 @@
 	if (!c->members.count)
 		return;
 	for (shard = 0; shard < c->options.shard_count; shard++) {
-		if (!ledger_plan(c->ledger, shard, c->now_ms, &c->members,
-				 &cas))
+		if (!ledger_plan_cas(c->ledger, shard, c->now_ms, &c->members,
+				     &cas))
 			continue;
 		c->counters.writes++;
 		c->options.callbacks.write(c->options.callbacks.arg, shard,
@@ -362,8 +363,8 @@
 	uint32_t i;
 
 	demand->teams = talloc_zero_array(c, struct broker_team,
-					  fq_flows(p->queue) + 1);
-	for (i = 0; i < fq_flows(p->queue); i++) {
+					  fq_flow_count(p->queue) + 1);
+	for (i = 0; i < fq_flow_count(p->queue); i++) {
 		fq_view(p->queue, i, &flow);
 		if (!flow.waiting && !flow.running)
 			continue;
@@ -420,7 +421,7 @@
 /* Without advice each entry divides the slots that it holds itself. */
 static void local_targets(struct core *c, struct core_pool *p)
 {
-	uint32_t n = fq_flows(p->queue);
+	uint32_t n = fq_flow_count(p->queue);
 	struct share_claim *claims;
 	struct fq_flow_view flow;
 	struct ledger_domain_view view;
@@ -445,7 +446,7 @@
 	share_divide(claims, n, held);
 	for (i = 0; i < n; i++) {
 		fq_view(p->queue, i, &flow);
-		fq_set_target(p->queue, flow.team, claims[i].given);
+		fq_set_target(p->queue, flow.team, claims[i].allocated);
 	}
 	talloc_free(claims);
 }
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -346,8 +346,8 @@
 static void await_majority(struct entry_change *c, uint64_t now_ms)
 {
 	struct entry *e = c->entry;
-	uint32_t knowing = fresh_knowing(&e->fresh, &e->members, e->incarnation,
-					 c->version);
+	uint32_t knowing = freshness_count_config(&e->freshness, &e->members,
+						  e->incarnation, c->version);
 	bool accepted = knowing >= members_majority(&e->members);
 
 	if (!accepted && now_ms < c->since_ms + CHANGE_SPREAD_MS)
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -27,7 +27,7 @@
 #include "connection/peer.h"
 #include "entry/core.h"
 #include "entry/entry.h"
-#include "process/fresh.h"
+#include "process/freshness.h"
 #include "process/members.h"
 #include "process/platform.h"
 #include "version/key.h"
@@ -101,7 +101,7 @@
 	struct members members;
 	struct entry_gone gone[MEMBERS_MAX];
 	uint32_t gone_count;
-	struct fresh fresh;
+	struct freshness freshness;
 	uint64_t incarnation;
 	uint64_t boot;
 	uint64_t registered_version;
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -46,7 +46,7 @@
 		  "%s (incarnation %" PRIu64 ") is unregistered", m->name,
 		  m->incarnation);
 	peer_forget(e->net, m->incarnation);
-	fresh_forget(&e->fresh, m->incarnation);
+	freshness_forget(&e->freshness, m->incarnation);
 	pthread_mutex_lock(&e->core_lock);
 	core_gone(e->core, m->incarnation, version);
 	pthread_mutex_unlock(&e->core_lock);
@@ -147,7 +147,7 @@
 	uint32_t i;
 
 	for (i = 0; i < e->members.count; i++)
-		if (e->members.list[i].boot == e->boot)
+		if (e->members.list[i].nonce == e->boot)
 			return &e->members.list[i];
 	return NULL;
 }
@@ -159,7 +159,7 @@
 
 	e->writing_members = true;
 	platform_compare(txn, ROW_MEMBERS, e->members.version);
-	platform_put(txn, ROW_MEMBERS, members_json(next));
+	platform_put(txn, ROW_MEMBERS, members_to_json(next));
 	platform_commit(e->platform, txn, fn, e);
 	json_decref(txn);
 }
@@ -183,7 +183,7 @@
 {
 	const struct member *known = find_boot(e);
 	struct members next = e->members;
-	struct member self = { .boot = e->boot };
+	struct member self = { .nonce = e->boot };
 
 	if (known) {
 		registered(e, known->incarnation);
@@ -346,7 +346,8 @@
 		}
 	}
 	if (self && self->state == MEMBER_JOINING &&
-	    fresh_knowing_members(&e->fresh, next, e->registered_version) >=
+	    freshness_count_members(&e->freshness, next,
+				    e->registered_version) >=
 		    members_majority(next)) {
 		self->state = MEMBER_FULL;
 		changed = true;
--- a/src/entry/entry_row.c
+++ b/src/entry/entry_row.c
@@ -20,14 +20,14 @@
 			cells, ledger_domain_name(l, c->domain),
 			json_pack("[I,I,I,I,I,I]", (json_int_t)c->total,
 				  (json_int_t)c->free, (json_int_t)c->reported,
-				  (json_int_t)c->drawn,
+				  (json_int_t)c->acquired,
 				  (json_int_t)c->generation,
-				  (json_int_t)c->conf));
+				  (json_int_t)c->config_version));
 	}
 	return json_pack("{s:I, s:I, s:b, s:o, s:o}", "round",
 			 (json_int_t)row->round, "opened_at",
-			 (json_int_t)row->opened_at, "open", (int)row->open,
-			 "pending", pending, "cells", cells);
+			 (json_int_t)row->members_version, "open",
+			 (int)row->open, "pending", pending, "cells", cells);
 }
 
 static int64_t item(const json_t *array, size_t i)
@@ -54,9 +54,9 @@
 		c->total = item(value, 0);
 		c->free = item(value, 1);
 		c->reported = item(value, 2);
-		c->drawn = item(value, 3);
+		c->acquired = item(value, 3);
 		c->generation = (uint64_t)item(value, 4);
-		c->conf = (uint64_t)item(value, 5);
+		c->config_version = (uint64_t)item(value, 5);
 	}
 }
 
@@ -71,7 +71,7 @@
 	row->version = version;
 	row->round =
 		(uint64_t)json_integer_value(json_object_get(value, "round"));
-	row->opened_at = (uint64_t)json_integer_value(
+	row->members_version = (uint64_t)json_integer_value(
 		json_object_get(value, "opened_at"));
 	row->open = json_is_true(json_object_get(value, "open"));
 	row->pending_count = (uint32_t)json_array_size(pending);
--- a/src/entry/entry_sync.c
+++ b/src/entry/entry_sync.c
@@ -196,8 +196,8 @@
 			e->revision = 0;
 		return;
 	}
-	if (answer->started_ms > e->fresh.store_ms)
-		e->fresh.store_ms = answer->started_ms;
+	if (answer->started_ms > e->freshness.store_read_ms)
+		e->freshness.store_read_ms = answer->started_ms;
 	serve_when_ready(e);
 	entry_freshen(e);
 }
@@ -213,8 +213,8 @@
 
 void entry_freshen(struct entry *e)
 {
-	uint64_t until = fresh_until(&e->fresh, &e->members, e->incarnation,
-				     e->cfg->version);
+	uint64_t until = freshness_until(&e->freshness, &e->members,
+					 e->incarnation, e->cfg->version);
 
 	if (!e->core || entry_state(e) == ENTRY_STARTING ||
 	    entry_state(e) == ENTRY_GONE)
--- a/src/entry/entry_wire.c
+++ b/src/entry/entry_wire.c
@@ -347,7 +347,7 @@
 {
 	frame_t frame = JACKDAWWELL__PEER_FRAME__INIT;
 	Jackdawwell__MembersPush push = JACKDAWWELL__MEMBERS_PUSH__INIT;
-	json_t *members = members_json(&e->members);
+	json_t *members = members_to_json(&e->members);
 
 	frame.body_case = JACKDAWWELL__PEER_FRAME__BODY_MEMBERS_PUSH;
 	frame.members_push = &push;
@@ -361,12 +361,12 @@
 static void on_probe_reply(struct entry *e, uint64_t from,
 			   const Jackdawwell__ProbeReply *r)
 {
-	struct fresh_peer peer = { from, r->nonce, r->version,
-				   r->members_version };
+	struct freshness_peer peer = { from, r->nonce, r->version,
+				       r->members_version };
 
 	if (r->nonce > e->probed_ms)
 		return; /* not a question of this entry */
-	fresh_told(&e->fresh, &peer);
+	freshness_record(&e->freshness, &peer);
 	if (r->version > e->cfg->version)
 		ask_changes(e, from);
 	if (r->members_version < e->members.version)
@@ -394,10 +394,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < e->fresh.count; i++)
-		if (e->fresh.peers[i].incarnation == from &&
-		    version > e->fresh.peers[i].version)
-			e->fresh.peers[i].version = version;
+	for (i = 0; i < e->freshness.count; i++)
+		if (e->freshness.peers[i].incarnation == from &&
+		    version > e->freshness.peers[i].config_version)
+			e->freshness.peers[i].config_version = version;
 	entry_changes_tick(e, clock_now_ms());
 }
 
--- a/src/entry/front_worker.c
+++ b/src/entry/front_worker.c
@@ -49,7 +49,7 @@
 	free(r);
 }
 
-static void finish(struct request *r, const struct outcome_end *end)
+static void finish(struct request *r, const struct outcome_input *end)
 {
 	struct outcome_answer a = outcome_of(end);
 
@@ -59,7 +59,7 @@
 
 void front_finish_refused(struct request *r, enum job_refusal why)
 {
-	struct outcome_end end = { .refused = true, .refusal = why };
+	struct outcome_input end = { .refused = true, .refusal = why };
 
 	end.may_have_run = r->job.may_have_run;
 	finish(r, &end);
@@ -159,7 +159,7 @@
 			return JOB_NOT_RUN;
 		return http->code >= 500 ? JOB_FAILED : JOB_ENDED;
 	default:
-		return JOB_MAY_RUN;
+		return JOB_POSSIBLY_RUNNING;
 	}
 }
 
@@ -181,7 +181,7 @@
 	struct request *r = arg;
 	struct front *f = r->front;
 	enum job_result result = result_of(http);
-	struct outcome_end end = { .result = result };
+	struct outcome_input end = { .result = result };
 
 	end.timed_out = http->status == HTTPC_TIMEOUT;
 	if (front_end_job(r, result) == CORE_FINISHED) {
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -162,10 +162,10 @@
 		r->result = FLEET__RESULT__REFUSED;
 		r->retry_after_ms = RETRY_DROPPED_MS;
 	}
-	event_log("ask-other-version", event_text(ask->id),
+	event_log("ask-other-version", event_sanitize(ask->id),
 		  "\"verb\":%d,\"queue\":\"%s\",\"verdict\":%d,"
 		  "\"asked_by\":%" PRIu64 ",\"own\":%" PRIu64,
-		  ask->verb, event_text(ask->queue), verdict,
+		  ask->verb, event_sanitize(ask->queue), verdict,
 		  ask->config_version, n->config ? n->config->version : 0);
 	return false;
 }
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -111,7 +111,7 @@
 		if (job)
 			sched_load_job(n->sched, row->key, job, progress, now);
 		else
-			event_log("row-unreadable", event_text(row->key),
+			event_log("row-unreadable", event_sanitize(row->key),
 				  "\"table\":\"job\"");
 		if (progress)
 			fleet__progress_row__free_unpacked(progress, NULL);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -100,7 +100,7 @@
 				  &info))
 		sched_instance(n->sched, &info, clock_now_ms());
 	else
-		event_log("instance-unreadable", event_text(row->key),
+		event_log("instance-unreadable", event_sanitize(row->key),
 			  "\"bytes\":%zu", row->length);
 	talloc_free(tmp);
 }
--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -6,35 +6,35 @@
 
 #include "process/share.h"
 
-#define RUN_EVERY_MS 250 /* of a group */
-#define RUN_TURNED_MS 50 /* of a group whose demand has turned */
-#define TURN_SLOTS 2.0
-#define ADVISE_EVERY_MS 2000 /* unchanged advice is sent again */
-#define ADVISE_MILLI 100     /* thousandths of a slot, and a twentieth */
+#define RUN_INTERVAL_MS 250	    /* between two allocations of a group */
+#define RUN_SHIFTED_INTERVAL_MS 50  /* after a large change of demand */
+#define SHIFT_SLOTS_MIN 2.0	    /* change of demand that counts as large */
+#define ADVICE_REPEAT_MS 2000	    /* resends unchanged advice after this */
+#define ADVICE_CHANGE_MIN_MILLI 100 /* smaller changes are not sent */
 
-/* One entry's last report on a group. */
+/* One entry's latest report on a group. */
 struct report {
 	uint64_t entry;
-	uint64_t at_ms;
+	uint64_t received_ms;
 	struct broker_demand demand;
-	double slots;	 /* that it should hold */
-	int32_t whole;	 /* the same, rounded */
-	int32_t surplus; /* held beyond that; below zero: needed */
+	double slots;	 /* allocated */
+	int32_t rounded; /* allocated, in whole slots */
+	int32_t surplus; /* held above that; negative: lacking */
 	struct broker_target *targets;
 	uint32_t target_count;
-	struct broker_target *advised; /* targets as last sent */
+	struct broker_target *advised; /* targets last sent */
 	uint32_t advised_count;
 	uint64_t advised_ms;
-	bool owes; /* the last advice had transfers */
+	bool had_transfers; /* the last advice had transfers */
 };
 
 struct group {
 	struct broker_group id;
 	struct report *reports;
-	uint64_t run_ms; /* last run */
+	uint64_t run_ms; /* last allocation */
 	uint32_t count;
 	bool changed;
-	bool turned; /* a demand has changed much */
+	bool shifted; /* some demand has changed by a large amount */
 };
 
 struct broker {
@@ -106,15 +106,15 @@
 	return slots;
 }
 
-static bool demand_turned(const struct broker_demand *was,
-			  const struct broker_demand *is)
+static bool demand_shifted(const struct broker_demand *was,
+			   const struct broker_demand *is)
 {
 	double before = slots_of(was);
 	double change = slots_of(is) - before;
 
 	if (change < 0)
 		change = -change;
-	return change > TURN_SLOTS && change > before / 4;
+	return change > SHIFT_SLOTS_MIN && change > before / 4;
 }
 
 void broker_report(struct broker *b, uint64_t entry,
@@ -123,13 +123,13 @@
 	struct group *g = group_get(b, demand->group);
 	struct report *r = report_get(b, g, entry);
 
-	g->turned |= demand_turned(&r->demand, demand);
+	g->shifted |= demand_shifted(&r->demand, demand);
 	talloc_free(r->demand.teams);
 	r->demand = *demand;
 	r->demand.teams =
 		talloc_memdup(b, demand->teams,
 			      demand->team_count * sizeof(struct broker_team));
-	r->at_ms = now_ms;
+	r->received_ms = now_ms;
 	g->changed = true;
 }
 
@@ -149,8 +149,8 @@
 struct claims {
 	struct share_claim *claims;
 	uint32_t *teams;
-	double *demands; /* over all entries */
-	uint32_t *index; /* by team, plus one */
+	double *demands; /* sum over all entries */
+	uint32_t *index; /* by team; 0 for none, else index + 1 */
 	uint32_t count;
 };
 
@@ -166,23 +166,24 @@
 
 static void claims_collect(struct broker *b, struct group *g, struct claims *c)
 {
-	uint32_t most = 0;
-	uint32_t room = 1;
+	uint32_t max_team = 0;
+	uint32_t capacity = 1;
 	uint32_t i;
 	uint32_t k;
 
 	for (i = 0; i < g->count; i++) {
 		const struct broker_demand *d = &g->reports[i].demand;
 
-		room += d->team_count;
+		capacity += d->team_count;
 		for (k = 0; k < d->team_count; k++)
-			most = d->teams[k].team > most ? d->teams[k].team
-						       : most;
+			max_team = d->teams[k].team > max_team
+					   ? d->teams[k].team
+					   : max_team;
 	}
-	c->claims = talloc_zero_array(b, struct share_claim, room);
-	c->teams = talloc_array(c->claims, uint32_t, room);
-	c->demands = talloc_array(c->claims, double, room);
-	c->index = talloc_zero_array(c->claims, uint32_t, most + 1);
+	c->claims = talloc_zero_array(b, struct share_claim, capacity);
+	c->teams = talloc_array(c->claims, uint32_t, capacity);
+	c->demands = talloc_array(c->claims, double, capacity);
+	c->index = talloc_zero_array(c->claims, uint32_t, max_team + 1);
 	assert(c->claims && c->teams && c->demands && c->index);
 	c->count = 0;
 	for (i = 0; i < g->count; i++)
@@ -195,7 +196,7 @@
 		}
 }
 
-static void claims_divide(struct broker *b, struct group *g, struct claims *c)
+static void claims_allocate(struct broker *b, struct group *g, struct claims *c)
 {
 	double capacity = 0;
 	uint32_t i;
@@ -215,7 +216,7 @@
 	share_divide(c->claims, c->count, capacity);
 }
 
-/* An entry's part of a team's allocation goes by its part of the demand. */
+/* Divides each team's allocation among entries in proportion to demand. */
 static void report_targets(struct broker *b, struct report *r, struct claims *c)
 {
 	uint32_t i;
@@ -231,19 +232,19 @@
 		double slots = 0;
 
 		if (c->demands[k] > 0)
-			slots = c->claims[k].given * part / c->demands[k];
+			slots = c->claims[k].allocated * part / c->demands[k];
 		r->targets[i].team = t->team;
 		r->targets[i].milli_slots = (uint32_t)(slots * 1000.0 + 0.5);
 		r->slots += slots;
 	}
 }
 
-static double fraction_left(const struct report *r)
+static double remainder_of(const struct report *r)
 {
-	return r->slots - r->whole;
+	return r->slots - r->rounded;
 }
 
-/* Whole slots: the fractions that are largest round up. */
+/* Rounds to whole slots by the largest-remainder method. */
 static void round_slots(struct group *g)
 {
 	double sum = 0;
@@ -254,26 +255,26 @@
 		sum += g->reports[i].slots;
 	left = (int32_t)(sum + 0.5);
 	for (i = 0; i < g->count; i++) {
-		g->reports[i].whole = (int32_t)g->reports[i].slots;
-		left -= g->reports[i].whole;
+		g->reports[i].rounded = (int32_t)g->reports[i].slots;
+		left -= g->reports[i].rounded;
 	}
 	while (left-- > 0) {
 		struct report *best = &g->reports[0];
 
 		for (i = 1; i < g->count; i++)
-			if (fraction_left(&g->reports[i]) > fraction_left(best))
+			if (remainder_of(&g->reports[i]) > remainder_of(best))
 				best = &g->reports[i];
-		best->whole++;
+		best->rounded++;
 	}
 	for (i = 0; i < g->count; i++)
 		g->reports[i].surplus = (int32_t)g->reports[i].demand.held -
-					g->reports[i].whole;
+					g->reports[i].rounded;
 }
 
-/* What rounding adds or takes is shared by an entry's teams in proportion. */
+/* Scales an entry's targets so that their sum is its whole slots. */
 static void scale_targets(struct report *r)
 {
-	double scale = r->slots > 0 ? r->whole / r->slots : 0;
+	double scale = r->slots > 0 ? r->rounded / r->slots : 0;
 	uint32_t i;
 
 	for (i = 0; i < r->target_count; i++)
@@ -293,7 +294,7 @@
 	return best;
 }
 
-/* What a holder with a surplus should send to whom. */
+/* Matches a holder's surplus with the entries that lack most. */
 static uint32_t plan_transfers(struct group *g, struct report *holder,
 			       struct broker_transfer *transfers)
 {
@@ -325,7 +326,7 @@
 		uint32_t change = is > was ? is - was : was - is;
 
 		if (r->targets[i].team != r->advised[i].team ||
-		    (change > ADVISE_MILLI && change > was / 20))
+		    (change > ADVICE_CHANGE_MIN_MILLI && change > was / 20))
 			return false;
 	}
 	return true;
@@ -341,12 +342,12 @@
 		.transfer_count = plan_transfers(g, r, transfers),
 		.transfers = transfers,
 	};
-	bool owes = advice.transfer_count || r->owes;
+	bool has_transfers = advice.transfer_count || r->had_transfers;
 
-	if (!owes && same_targets(r) &&
-	    now_ms < r->advised_ms + ADVISE_EVERY_MS)
+	if (!has_transfers && same_targets(r) &&
+	    now_ms < r->advised_ms + ADVICE_REPEAT_MS)
 		return;
-	r->owes = advice.transfer_count;
+	r->had_transfers = advice.transfer_count;
 	r->advised_ms = now_ms;
 	talloc_free(r->advised);
 	r->advised = talloc_memdup(b, r->targets,
@@ -355,8 +356,8 @@
 	b->callbacks.advise(b->callbacks.arg, r->entry, &advice);
 }
 
-/* Holders with idle units come first, so that less work is waited for. */
-static void advise_all(struct broker *b, struct group *g, uint64_t now_ms)
+/* Holders with idle units come first: those can be lent at once. */
+static void advise_entries(struct broker *b, struct group *g, uint64_t now_ms)
 {
 	struct broker_transfer *transfers =
 		talloc_array(b, struct broker_transfer, g->count + 1);
@@ -377,22 +378,23 @@
 	uint32_t i;
 
 	for (i = 0; i < g->count; i++)
-		if (now_ms > g->reports[i].at_ms + BROKER_REPORT_TTL_MS)
+		if (now_ms > g->reports[i].received_ms + BROKER_REPORT_TTL_MS)
 			report_remove(g, i--);
 	if (!g->changed || !g->count ||
-	    now_ms < g->run_ms + (g->turned ? RUN_TURNED_MS : RUN_EVERY_MS))
+	    now_ms < g->run_ms + (g->shifted ? RUN_SHIFTED_INTERVAL_MS
+					     : RUN_INTERVAL_MS))
 		return;
 	g->changed = false;
-	g->turned = false;
+	g->shifted = false;
 	g->run_ms = now_ms;
 	claims_collect(b, g, &claims);
-	claims_divide(b, g, &claims);
+	claims_allocate(b, g, &claims);
 	for (i = 0; i < g->count; i++)
 		report_targets(b, &g->reports[i], &claims);
 	round_slots(g);
 	for (i = 0; i < g->count; i++)
 		scale_targets(&g->reports[i]);
-	advise_all(b, g, now_ms);
+	advise_entries(b, g, now_ms);
 	talloc_free(claims.claims);
 }
 
--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -1,12 +1,13 @@
 /*
- * broker - advice on how a group's units should lie over the entries
+ * broker - fleet-wide allocation of a group's units to the entries
  *
- * A group is a pool's worker slots or one team's units. Entries report what
- * they hold and what their callers ask; the broker works out the weighted
- * max-min allocation over the fleet and answers with targets for each team
- * and with transfers for each holder. The broker is chosen by rendezvous
- * hashing over the live entries and keeps soft state only: two brokers at
- * once, or none, cost fairness for a moment and never safety.
+ * A group is a pool's worker slots or one team's units. Entries report the
+ * units that they hold and the demand of their callers. The broker computes
+ * the weighted max-min allocation over all entries and sends each of them a
+ * target per team and the transfers to make. Each group's broker is chosen by
+ * rendezvous hashing over the live entries and keeps soft state only. Two
+ * brokers at once, or none, make the allocation unfair for a moment; limits
+ * hold regardless, as the ledger enforces them.
  */
 #ifndef BROKER_H
 #define BROKER_H
@@ -15,11 +16,11 @@
 #include <stdint.h>
 #include <talloc.h>
 
-#define BROKER_REPORT_TTL_MS 5000 /* a silent entry is then left out */
+#define BROKER_REPORT_TTL_MS 5000 /* older reports are discarded */
 
 enum broker_kind { BROKER_POOL, BROKER_TEAM };
 
-/* kind and the pool's or team's number */
+/* A pool or a team, by its process-wide id. */
 struct broker_group {
 	enum broker_kind kind;
 	uint32_t id;
@@ -27,13 +28,13 @@
 
 struct broker_team {
 	uint32_t team;
-	uint32_t milli_slots; /* thousandths that it could use */
+	uint32_t milli_slots; /* demand, in thousandths of a slot */
 };
 
 struct broker_demand {
 	struct broker_group group;
 	uint32_t held;
-	uint32_t idle; /* above zero when some of it is idle */
+	uint32_t idle; /* nonzero if some of `held` is idle */
 	uint32_t team_count;
 	struct broker_team *teams;
 };
@@ -44,7 +45,7 @@
 };
 
 struct broker_transfer {
-	uint64_t to; /* incarnation */
+	uint64_t to; /* entry's incarnation */
 	uint32_t units;
 };
 
@@ -60,7 +61,7 @@
 	/* A team's share and limit; false when the team does not exist. */
 	bool (*team)(void *arg, uint32_t team, uint32_t *share,
 		     uint32_t *limit);
-	/* Advice for one entry; valid during the call. */
+	/* Sends advice to one entry; advice is valid during the call. */
 	void (*advise)(void *arg, uint64_t entry,
 		       const struct broker_advice *advice);
 	void *arg;
@@ -68,24 +69,24 @@
 
 struct broker;
 
-/* broker_new - without reports, owned by ctx */
+/* broker_new - a broker without reports, owned by ctx */
 struct broker *broker_new(TALLOC_CTX *ctx,
 			  const struct broker_callbacks *callbacks);
 
-/* broker_report - one entry's demand, replacing its last one */
+/* broker_report - store an entry's demand; replaces its previous one */
 void broker_report(struct broker *b, uint64_t entry,
 		   const struct broker_demand *demand, uint64_t now_ms);
 
 /* broker_forget - drop all reports of an entry */
 void broker_forget(struct broker *b, uint64_t entry);
 
-/* broker_run - advise on every group that has had reports since */
+/* broker_run - allocate and advise for groups with new reports */
 void broker_run(struct broker *b, uint64_t now_ms);
 
 /*
- * broker_choose - the entry that is a group's broker among the live ones
+ * broker_choose - the live entry that is a group's broker
  *
- * name is the pool's or team's; numbers differ between processes.
+ * Takes the pool's or team's name, as ids differ between processes.
  */
 uint64_t broker_choose(enum broker_kind kind, const char *name,
 		       const uint64_t *entries, uint32_t count);
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -1,8 +1,8 @@
 /*
- * clock - steady time
+ * clock - monotonic time
  *
- * Decision code takes the time as an argument; only the code that wires it
- * to sockets reads a clock, and reads it here.
+ * Decision code takes the time as an argument. Only the code that connects it
+ * to sockets reads a clock, through these functions.
  */
 #ifndef CLOCK_H
 #define CLOCK_H
@@ -13,8 +13,8 @@
 /*
  * clock_now_us - microseconds since an arbitrary start
  *
- * CLOCK_BOOTTIME goes on while a process is stopped and while its machine is
- * suspended, so either finds its timestamps old when it wakes.
+ * CLOCK_BOOTTIME also advances while the machine is suspended, so that a
+ * process that was stopped or suspended finds its timestamps expired.
  */
 static inline uint64_t clock_now_us(void)
 {
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -13,13 +13,13 @@
 
 #define EVENT_LINE_MAX 1024u	 /* bytes */
 #define EVENT_BUFFER (64u << 10) /* bytes */
-#define EVENT_KINDS_MAX 64u	 /* kinds with a rate of their own */
-/* Lines a second of one kind: five times the mean of starts on a busy day. */
-#define EVENT_RATE 1000u
+#define EVENT_KINDS_MAX 64u	 /* kinds that are rate limited */
+/* Lines per second of one kind; 5 times the mean of starts on a busy day. */
+#define EVENT_RATE_MAX 1000u
 #define EVENT_TEXT_MAX 256u
 
 struct kind {
-	const char *name; /* by address: kinds are literals */
+	const char *name; /* compared by address: kinds are literals */
 	uint64_t second;
 	uint32_t count;
 };
@@ -30,7 +30,7 @@
 	size_t used;
 	struct kind kinds[EVENT_KINDS_MAX];
 	uint64_t dropped;
-	uint64_t told; /* of dropped, already logged */
+	uint64_t dropped_logged; /* of `dropped`, already reported in the log */
 } log_state = { .node = "" };
 
 void event_open(const char *node)
@@ -59,7 +59,7 @@
 		k->second = now_ms / 1000;
 		k->count = 0;
 	}
-	return ++k->count <= EVENT_RATE;
+	return ++k->count <= EVENT_RATE_MAX;
 }
 
 static size_t line_format(char *line, const char *kind, const char *id,
@@ -108,7 +108,7 @@
 	log_state.used += n;
 }
 
-const char *event_text(const char *text)
+const char *event_sanitize(const char *text)
 {
 	static char copy[EVENT_TEXT_MAX];
 	size_t i;
@@ -134,16 +134,17 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n < 0) {
-		log_state.used = 0; /* nobody reads any more */
+		log_state.used = 0; /* the reader closed the pipe */
 		log_state.dropped++;
 		return;
 	}
 	log_state.used -= (size_t)n;
 	memmove(log_state.buffer, log_state.buffer + n, log_state.used);
-	if (log_state.dropped == log_state.told || log_state.used)
+	if (log_state.dropped == log_state.dropped_logged || log_state.used)
 		return;
-	log_state.told = log_state.dropped;
-	event_log("log-dropped", NULL, "\"lines\":%" PRIu64, log_state.told);
+	log_state.dropped_logged = log_state.dropped;
+	event_log("log-dropped", NULL, "\"lines\":%" PRIu64,
+		  log_state.dropped_logged);
 }
 
 uint64_t event_dropped(void)
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -1,35 +1,35 @@
 /*
- * event - structured log: one JSON object a line on standard output
+ * event - structured log: one JSON object per line on standard output
  *
- * Lines are gathered and written without blocking; what a full pipe does not
- * take and what passes a kind's rate is dropped and counted, and the count
- * is logged when lines flow again.
+ * Lines are buffered and written without blocking. Lines that do not fit in
+ * the buffer while the pipe is full, and lines above their kind's rate, are
+ * dropped and counted; the count is logged once the buffer has been written.
  */
 #ifndef EVENT_H
 #define EVENT_H
 
 #include <stdint.h>
 
-/* event_open - log as this node; standard output becomes non-blocking */
+/* event_open - set the node's name; makes standard output non-blocking */
 void event_open(const char *node);
 
 /*
- * event_log - one line: time, node, kind, id and fmt's "key":value pairs
+ * event_log - log time, node, kind, id and the "key":value pairs of fmt
  *
- * id may be NULL. Strings inside fmt's values must need no escapes; use
- * event_text for what comes from outside.
+ * id may be NULL. Strings must not need JSON escapes; pass external text
+ * through event_sanitize. kind must be a literal.
  */
 __attribute__((format(printf, 3, 4))) void event_log(const char *kind,
 						     const char *id,
 						     const char *fmt, ...);
 
-/* event_text - a copy of text without what JSON would escape; one static */
-const char *event_text(const char *text);
+/* event_sanitize - text with "?" for unsafe bytes; in one static buffer */
+const char *event_sanitize(const char *text);
 
-/* event_flush - hand the gathered lines to the kernel */
+/* event_flush - write the buffered lines to standard output */
 void event_flush(void);
 
-/* event_dropped - lines dropped so far */
+/* event_dropped - number of lines dropped so far */
 uint64_t event_dropped(void);
 
 #endif
--- a/src/process/fresh.c
+++ b/src/process/freshness.c
@@ -1,11 +1,11 @@
-#include "process/fresh.h"
+#include "process/freshness.h"
 
 #include <stdbool.h>
 
-#define FRESH_ALWAYS (UINT64_MAX - FRESH_MS)
+#define FRESHNESS_ALWAYS (UINT64_MAX - FRESHNESS_LIFETIME_MS)
 
-static const struct fresh_peer *find(const struct fresh *f,
-				     uint64_t incarnation)
+static const struct freshness_peer *find(const struct freshness *f,
+					 uint64_t incarnation)
 {
 	uint32_t i;
 
@@ -15,21 +15,21 @@
 	return NULL;
 }
 
-void fresh_told(struct fresh *f, const struct fresh_peer *peer)
+void freshness_record(struct freshness *f, const struct freshness_peer *peer)
 {
-	struct fresh_peer *known =
-		(struct fresh_peer *)find(f, peer->incarnation);
+	struct freshness_peer *known =
+		(struct freshness_peer *)find(f, peer->incarnation);
 
 	if (!known && f->count < MEMBERS_MAX) {
 		f->peers[f->count++] = *peer;
 		return;
 	}
-	if (!known || peer->asked_ms < known->asked_ms)
+	if (!known || peer->sent_ms < known->sent_ms)
 		return;
 	*known = *peer;
 }
 
-void fresh_forget(struct fresh *f, uint64_t incarnation)
+void freshness_forget(struct freshness *f, uint64_t incarnation)
 {
 	uint32_t i;
 
@@ -50,14 +50,14 @@
 	return false;
 }
 
-/* The time that the wanted number of peers have answered since. */
-static uint64_t nth_newest(uint64_t *times, uint32_t count, uint32_t wanted)
+/* The needed-th newest of the times: so many peers responded since then. */
+static uint64_t nth_newest(uint64_t *times, uint32_t count, uint32_t needed)
 {
 	uint32_t best;
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < wanted; i++) {
+	for (i = 0; i < needed; i++) {
 		uint64_t swap;
 
 		best = i;
@@ -68,58 +68,61 @@
 		times[i] = times[best];
 		times[best] = swap;
 	}
-	return times[wanted - 1];
+	return times[needed - 1];
 }
 
-static uint64_t peers_ms(const struct fresh *f, const struct members *members,
-			 uint64_t self, uint64_t version)
+static uint64_t peers_ms(const struct freshness *f,
+			 const struct members *members, uint64_t self,
+			 uint64_t version)
 {
 	uint64_t times[MEMBERS_MAX];
-	uint32_t wanted = members_majority(members) - 1;
+	uint32_t needed = members_majority(members) - 1;
 	uint32_t n = 0;
 	uint32_t i;
 
 	if (!is_full(members, self))
 		return 0;
-	if (!wanted)
-		return FRESH_ALWAYS; /* nothing is accepted without it */
+	if (!needed)
+		return FRESHNESS_ALWAYS; /* no change without this entry */
 	for (i = 0; i < f->count; i++) {
-		const struct fresh_peer *p = &f->peers[i];
+		const struct freshness_peer *p = &f->peers[i];
 
 		if (!is_full(members, p->incarnation))
 			continue;
-		if (p->version > version ||
+		if (p->config_version > version ||
 		    p->members_version > members->version)
 			return 0;
-		times[n++] = p->asked_ms;
+		times[n++] = p->sent_ms;
 	}
-	return n < wanted ? 0 : nth_newest(times, n, wanted);
+	return n < needed ? 0 : nth_newest(times, n, needed);
 }
 
-uint64_t fresh_until(const struct fresh *f, const struct members *members,
-		     uint64_t self, uint64_t version)
+uint64_t freshness_until(const struct freshness *f,
+			 const struct members *members, uint64_t self,
+			 uint64_t version)
 {
 	uint64_t peers = peers_ms(f, members, self, version);
-	uint64_t newest = peers > f->store_ms ? peers : f->store_ms;
+	uint64_t newest = peers > f->store_read_ms ? peers : f->store_read_ms;
 
-	return newest ? newest + FRESH_MS : 0;
+	return newest ? newest + FRESHNESS_LIFETIME_MS : 0;
 }
 
-uint32_t fresh_knowing(const struct fresh *f, const struct members *members,
-		       uint64_t self, uint64_t version)
+uint32_t freshness_count_config(const struct freshness *f,
+				const struct members *members, uint64_t self,
+				uint64_t version)
 {
 	uint32_t n = is_full(members, self);
 	uint32_t i;
 
 	for (i = 0; i < f->count; i++)
 		n += is_full(members, f->peers[i].incarnation) &&
-		     f->peers[i].version >= version;
+		     f->peers[i].config_version >= version;
 	return n;
 }
 
-uint32_t fresh_knowing_members(const struct fresh *f,
-			       const struct members *members,
-			       uint64_t members_version)
+uint32_t freshness_count_members(const struct freshness *f,
+				 const struct members *members,
+				 uint64_t members_version)
 {
 	uint32_t n = 0;
 	uint32_t i;
--- a/src/process/health.h
+++ b/src/process/health.h
@@ -1,10 +1,10 @@
 /*
- * health - which workers fail what they start
+ * health - outlier ejection of workers
  *
- * A worker is ejected when it fails most of its recent work while its pool's
- * others do not: work that fails everywhere is the work's fault. Ejected
- * workers count against the pool's availability budget, and after a pause
- * one request at a time probes whether the worker is well again.
+ * A worker is ejected when most of its recent requests fail while those of the
+ * pool's other workers succeed: requests that fail at all workers are to blame
+ * themselves. Ejected workers count against the pool's availability budget.
+ * After a delay, one request at a time probes whether the worker has recovered.
  */
 #ifndef HEALTH_H
 #define HEALTH_H
@@ -12,33 +12,33 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define HEALTH_EJECT_RATE 0.5 /* recent failures, of 1 */
-#define HEALTH_PEER_RATE 0.25 /* the others' mean must be below this */
-#define HEALTH_SAMPLES_MIN 5  /* results before a worker is judged */
-#define HEALTH_PAUSE_MS 2000  /* first pause before a probe */
-#define HEALTH_PAUSE_MAX_MS 30000
+#define HEALTH_EJECT_RATE 0.5	   /* minimum failure rate to eject */
+#define HEALTH_PEER_RATE_MAX 0.25  /* mean of the other workers */
+#define HEALTH_SAMPLES_MIN 5	   /* results needed to eject a worker */
+#define HEALTH_PROBE_DELAY_MS 2000 /* doubles after each failed probe */
+#define HEALTH_PROBE_DELAY_MAX_MS 30000
 
 struct health {
-	double failures; /* smoothed rate, 0 to 1 */
+	double failure_rate; /* smoothed rate, 0 to 1 */
 	uint32_t samples;
-	uint64_t probe_ms; /* when a probe may go, 0 when not ejected */
-	uint32_t pause_ms;
+	uint64_t next_probe_ms; /* earliest probe, 0 if not ejected */
+	uint32_t probe_delay_ms;
 	bool probing;
 };
 
-/* health_result - count one result; true when the worker was let back in */
-bool health_result(struct health *h, bool failed, uint64_t now_ms);
+/* health_record - count a result; true if it ends the ejection */
+bool health_record(struct health *h, bool failed, uint64_t now_ms);
 
-/* health_eject - take the worker out until a probe succeeds */
+/* health_eject - stop sending requests until a probe succeeds */
 void health_eject(struct health *h, uint64_t now_ms);
 
-/* health_failing - whether it fails most work though its peers' rate is low */
-bool health_failing(const struct health *h, double peer_rate);
+/* health_should_eject - whether its failure rate is high, its peers' low */
+bool health_should_eject(const struct health *h, double peer_rate);
 
-/* health_usable - whether it may get a request now */
-bool health_usable(const struct health *h, uint64_t now_ms);
+/* health_available - whether a request may be sent to it now */
+bool health_available(const struct health *h, uint64_t now_ms);
 
-/* health_chosen - it gets a request: a probe if it is ejected */
-void health_chosen(struct health *h);
+/* health_request_started - a request is sent, as a probe if it is ejected */
+void health_request_started(struct health *h);
 
 #endif
--- a/src/process/intern.c
+++ b/src/process/intern.c
@@ -4,12 +4,12 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define INTERN_FIRST_BUCKETS 64u
+#define INTERN_INITIAL_BUCKETS 64u
 
 struct intern {
 	const char **names;
 	uint32_t count;
-	uint32_t *buckets; /* id + 1, 0 when empty */
+	uint32_t *buckets; /* id + 1, 0 if empty */
 	uint32_t bucket_count;
 };
 
@@ -41,7 +41,7 @@
 	struct intern *t = talloc_zero(ctx, struct intern);
 
 	assert(t);
-	t->bucket_count = INTERN_FIRST_BUCKETS / 2;
+	t->bucket_count = INTERN_INITIAL_BUCKETS / 2;
 	intern_grow(t);
 	return t;
 }
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define LEDGER_FIRST_DOMAINS 64u
+#define LEDGER_INITIAL_DOMAINS 64u
 
 /* Rows */
 
@@ -29,12 +29,12 @@
 
 	if (!row)
 		return NULL;
-	if (domain->cell < row->cell_count &&
-	    row->cells[domain->cell].domain.i == d.i)
-		return &row->cells[domain->cell];
+	if (domain->cell_hint < row->cell_count &&
+	    row->cells[domain->cell_hint].domain.i == d.i)
+		return &row->cells[domain->cell_hint];
 	for (i = 0; i < row->cell_count; i++)
 		if (row->cells[i].domain.i == d.i) {
-			domain->cell = i;
+			domain->cell_hint = i;
 			return &row->cells[i];
 		}
 	return NULL;
@@ -76,12 +76,15 @@
 
 static void domains_grow(struct ledger *l)
 {
-	uint32_t room = l->room;
+	uint32_t old_capacity = l->domain_capacity;
 
-	l->room = room ? room * 2 : LEDGER_FIRST_DOMAINS;
-	l->domains = talloc_realloc(l, l->domains, struct domain, l->room);
+	l->domain_capacity =
+		old_capacity ? old_capacity * 2 : LEDGER_INITIAL_DOMAINS;
+	l->domains = talloc_realloc(l, l->domains, struct domain,
+				    l->domain_capacity);
 	assert(l->domains);
-	memset(l->domains + room, 0, (l->room - room) * sizeof(struct domain));
+	memset(l->domains + old_capacity, 0,
+	       (l->domain_capacity - old_capacity) * sizeof(struct domain));
 }
 
 domain_handle ledger_domain(struct ledger *l, const char *name)
@@ -92,7 +95,7 @@
 	if (d.i != INTERN_NONE)
 		return d;
 	d.i = intern_add(l->names, name);
-	if (d.i >= l->room)
+	if (d.i >= l->domain_capacity)
 		domains_grow(l);
 	shard = (uint32_t)(XXH64(name, strlen(name), 0) %
 			   l->options.shard_count);
@@ -118,9 +121,9 @@
 
 bool ledger_cell_applied(const struct ledger_cell *cell, const struct domain *d)
 {
-	if (cell->conf >= d->conf)
+	if (cell->config_version >= d->config_version)
 		return true;
-	return !d->lower_conf && cell->total == d->total &&
+	return !d->lowering_version && cell->total == d->total &&
 	       cell->generation == d->generation;
 }
 
@@ -132,12 +135,12 @@
 
 	if (!cell)
 		return;
-	if (d->lower_conf && ledger_cell_applied(cell, d))
-		d->lower_conf = 0;
-	d->debt = cell->free < 0;
+	if (d->lowering_version && ledger_cell_applied(cell, d))
+		d->lowering_version = 0;
+	d->deficit = cell->free < 0;
 }
 
-/* Whether the row still allows more than a total just learned. */
+/* Whether the row has a higher total or another generation than configured. */
 static bool row_exceeds(const struct ledger *l, domain_handle handle,
 			int64_t total, uint64_t generation)
 {
@@ -155,64 +158,66 @@
 			     ? total < d->total || generation != d->generation
 			     : row_exceeds(l, handle, total, generation);
 
-	d->conf = conf;
+	d->config_version = conf;
 	if (d->configured && total == d->total && generation == d->generation)
 		return;
 	d->configured = true;
 	d->total = total;
 	d->generation = generation;
 	if (lower)
-		d->lower_conf = conf;
+		d->lowering_version = conf;
 	l->shards[d->shard].dirty = true;
 	domain_refresh(l, handle);
 }
 
-enum ledger_status ledger_may_take(const struct ledger *l, domain_handle handle)
+enum ledger_status ledger_can_start(const struct ledger *l,
+				    domain_handle handle)
 {
 	const struct domain *d = ledger_domain_of(l, handle);
 
-	if ((d->lower_conf || d->debt) &&
-	    !(l->options.unsafe & LEDGER_UNSAFE_DEBT))
+	if ((d->lowering_version || d->deficit) &&
+	    !(l->options.unsafe & LEDGER_UNSAFE_DEFICIT))
 		return LEDGER_CLOSED;
 	return ledger_idle(d) > 0 ? LEDGER_OK : LEDGER_EXHAUSTED;
 }
 
-enum ledger_status ledger_take(struct ledger *l, domain_handle handle)
+enum ledger_status ledger_start_unit(struct ledger *l, domain_handle handle)
 {
-	enum ledger_status status = ledger_may_take(l, handle);
+	enum ledger_status status = ledger_can_start(l, handle);
 
 	if (status == LEDGER_OK)
 		ledger_domain_of(l, handle)->running++;
 	return status;
 }
 
-void ledger_end(struct ledger *l, domain_handle handle)
+void ledger_end_unit(struct ledger *l, domain_handle handle)
 {
 	struct domain *d = ledger_domain_of(l, handle);
 
 	assert(d->running > 0);
 	d->running--;
-	if (d->debt || d->to_home)
+	if (d->deficit || d->to_return)
 		l->shards[d->shard].dirty = true;
 }
 
-void ledger_want(struct ledger *l, domain_handle handle, int64_t units)
+void ledger_set_idle_target(struct ledger *l, domain_handle handle,
+			    int64_t units)
 {
 	struct domain *d = ledger_domain_of(l, handle);
 
-	if (units == d->wanted)
+	if (units == d->idle_target)
 		return;
-	d->wanted = units;
+	d->idle_target = units;
 	l->shards[d->shard].dirty = true;
 }
 
-void ledger_release(struct ledger *l, domain_handle handle, int64_t units)
+void ledger_return_units(struct ledger *l, domain_handle handle, int64_t units)
 {
 	struct domain *d = ledger_domain_of(l, handle);
 
-	if (units == d->to_home)
+	if (units == d->to_return)
 		return;
-	d->to_home = units;
+	d->to_return = units;
 	l->shards[d->shard].dirty = true;
 }
 
@@ -227,10 +232,10 @@
 	view->running = d->running;
 	view->total = d->total;
 	view->free = cell ? cell->free : 0;
-	view->closed = d->lower_conf || d->debt;
+	view->closed = d->lowering_version || d->deficit;
 }
 
-bool ledger_all_home(const struct ledger *l, domain_handle handle)
+bool ledger_is_empty(const struct ledger *l, domain_handle handle)
 {
 	const struct ledger_cell *cell =
 		ledger_row_cell(l, ledger_shard_at(l, handle)->row, handle);
@@ -250,7 +255,7 @@
 
 /* Rounds */
 
-void ledger_fix_reports(struct ledger *l, uint32_t shard)
+void ledger_set_reports(struct ledger *l, uint32_t shard)
 {
 	const struct shard *s = &l->shards[shard];
 	uint32_t i;
@@ -262,27 +267,27 @@
 	}
 }
 
-void ledger_join(struct ledger *l, uint32_t shard, uint64_t round)
+void ledger_join_round(struct ledger *l, uint32_t shard, uint64_t round)
 {
 	struct shard *s = &l->shards[shard];
 
-	if (round <= s->joined)
+	if (round <= s->joined_round)
 		return;
-	s->joined = round;
+	s->joined_round = round;
 	s->dirty = true;
-	ledger_fix_reports(l, shard);
+	ledger_set_reports(l, shard);
 }
 
 void ledger_suspect_shard(struct ledger *l, uint32_t shard)
 {
 	struct shard *s = &l->shards[shard];
 
-	s->suspect = true;
+	s->loss_suspected = true;
 	s->dirty = true;
-	s->suspect_after = s->joined;
+	s->suspected_in_round = s->joined_round;
 }
 
-void ledger_suspect(struct ledger *l)
+void ledger_suspect_loss(struct ledger *l)
 {
 	uint32_t i;
 
@@ -290,14 +295,14 @@
 		ledger_suspect_shard(l, i);
 }
 
-void ledger_gone(struct ledger *l, uint64_t members_version)
+void ledger_member_removed(struct ledger *l, uint64_t members_version)
 {
 	uint32_t i;
 
 	for (i = 0; i < l->options.shard_count; i++) {
-		l->shards[i].suspect = true;
+		l->shards[i].loss_suspected = true;
 		l->shards[i].dirty = true;
-		l->shards[i].gone_at = members_version;
+		l->shards[i].removed_at = members_version;
 	}
 }
 
@@ -315,20 +320,22 @@
 		domain_refresh(l, row->cells[i].domain);
 }
 
-void ledger_seen(struct ledger *l, uint32_t shard, const struct ledger_row *row)
+void ledger_set_row(struct ledger *l, uint32_t shard,
+		    const struct ledger_row *row)
 {
 	struct shard *s = &l->shards[shard];
 
 	if (s->row && row->version <= s->row->version)
 		return;
 	if (!s->row)
-		s->joined = row->round; /* held nothing before this */
+		s->joined_round = row->round; /* nothing held before */
 	TALLOC_FREE(s->row);
 	s->row = ledger_row_copy(l, row);
 	s->dirty = true;
 	if (row->open && ledger_row_awaits(row, l->options.incarnation))
-		ledger_join(l, shard, row->round);
-	if (row->round > s->suspect_after && row->opened_at >= s->gone_at)
-		s->suspect = false;
+		ledger_join_round(l, shard, row->round);
+	if (row->round > s->suspected_in_round &&
+	    row->members_version >= s->removed_at)
+		s->loss_suspected = false;
 	refresh_shard(l, shard);
 }
--- a/src/process/ledger_plan.c
+++ b/src/process/ledger_cas.c
@@ -17,7 +17,7 @@
 	return cell;
 }
 
-static void row_unpend(struct ledger_row *row, uint64_t incarnation)
+static void row_remove_pending(struct ledger_row *row, uint64_t incarnation)
 {
 	uint32_t i;
 
@@ -28,13 +28,13 @@
 		}
 }
 
-/* Adds to a cell's free units what is drawn (below zero) or given back. */
+/* Adds returned units to a cell's free units; acquired ones are negative. */
 static void cell_add_free(const struct ledger_row *row,
 			  struct ledger_cell *cell, int64_t units)
 {
 	cell->free += units;
 	if (row->open)
-		cell->drawn -= units;
+		cell->acquired -= units;
 }
 
 static void row_close(struct ledger_row *row)
@@ -45,9 +45,9 @@
 	for (i = 0; i < row->cell_count; i++) {
 		struct ledger_cell *c = &row->cells[i];
 
-		c->free = c->total - c->reported - c->drawn;
+		c->free = c->total - c->reported - c->acquired;
 		c->reported = 0;
-		c->drawn = 0;
+		c->acquired = 0;
 	}
 }
 
@@ -59,11 +59,11 @@
 	uint32_t i;
 
 	if (l->options.unsafe & LEDGER_UNSAFE_REPORT)
-		ledger_fix_reports(l, shard);
+		ledger_set_reports(l, shard);
 	for (i = 0; i < row->cell_count; i++)
 		row->cells[i].reported +=
 			ledger_domain_of(l, row->cells[i].domain)->report;
-	row_unpend(row, l->options.incarnation);
+	row_remove_pending(row, l->options.incarnation);
 }
 
 static void row_open_round(struct ledger_row *row,
@@ -73,14 +73,14 @@
 
 	row->open = true;
 	row->round++;
-	row->opened_at = m->version;
+	row->members_version = m->version;
 	talloc_free(row->pending);
 	row->pending = talloc_memdup(row, m->incarnations,
 				     m->count * sizeof(uint64_t));
 	row->pending_count = m->count;
 	for (i = 0; i < row->cell_count; i++) {
 		row->cells[i].reported = 0;
-		row->cells[i].drawn = 0;
+		row->cells[i].acquired = 0;
 	}
 }
 
@@ -94,8 +94,8 @@
 	return false;
 }
 
-static bool awaits_gone(const struct ledger_row *row,
-			const struct ledger_members *m)
+static bool awaits_removed(const struct ledger_row *row,
+			   const struct ledger_members *m)
 {
 	uint32_t i;
 
@@ -106,32 +106,33 @@
 }
 
 /*
- * Opens a round when units may be lost, or anew when the open one awaits an
- * incarnation that is gone: that one may have joined and lent units before
- * its report was written, so its report cannot be taken as nothing.
+ * Opens a round when units may be lost, or when the open one awaits the report
+ * of an incarnation that was unregistered. That report cannot be taken as 0:
+ * the incarnation may have joined the round and then lent units.
  */
-static bool plan_open(struct ledger *l, uint32_t shard, uint64_t now_ms,
-		      const struct ledger_members *m, struct ledger_row *row)
+static bool plan_round(struct ledger *l, uint32_t shard, uint64_t now_ms,
+		       const struct ledger_members *m, struct ledger_row *row)
 {
 	struct shard *s = &l->shards[shard];
 
-	if (row->open ? !awaits_gone(row, m) : !s->suspect)
+	if (row->open ? !awaits_removed(row, m) : !s->loss_suspected)
 		return false;
 	if (!row->cell_count)
 		return false;
-	if (s->opened_ms && now_ms < s->opened_ms + l->options.round_pause_ms) {
+	if (s->round_opened_ms &&
+	    now_ms < s->round_opened_ms + l->options.round_interval_min_ms) {
 		s->dirty = true;
 		return false;
 	}
-	s->opened_ms = now_ms;
+	s->round_opened_ms = now_ms;
 	row_open_round(row, m);
 	return true;
 }
 
 /*
- * Reports to the open round and closes it after the last report. The round
- * was joined when its row was seen: joining in the operation that opens it
- * would leave a stale report behind when that operation fails.
+ * Adds this entry's reports to the open round and closes it after the last
+ * report. The entry joins a round when it sees the row, not when it plans to
+ * open the round: if that write failed, the recorded report would be stale.
  */
 static bool plan_report(struct ledger *l, uint32_t shard,
 			struct ledger_row *row)
@@ -146,12 +147,12 @@
 
 static bool plan_total(struct ledger_cell *cell, const struct domain *d)
 {
-	bool moved = cell->generation != d->generation;
+	bool new_generation = cell->generation != d->generation;
 
 	if (ledger_cell_applied(cell, d))
 		return false;
-	if (moved && (cell->total || cell->free)) {
-		/* Every unit comes home before the new pool. */
+	if (new_generation && (cell->total || cell->free)) {
+		/* All units are returned before the pool changes. */
 		if (!cell->total)
 			return false;
 		cell->free -= cell->total;
@@ -161,7 +162,7 @@
 	cell->free += d->total - cell->total;
 	cell->total = d->total;
 	cell->generation = d->generation;
-	cell->conf = d->conf;
+	cell->config_version = d->config_version;
 	return true;
 }
 
@@ -185,7 +186,7 @@
 		}
 		cell = row_add_cell(row, handle);
 		cell->generation = d->generation;
-		cell->conf = d->conf;
+		cell->config_version = d->config_version;
 		cell->total = d->total;
 		cell->free = d->total;
 		changed = true;
@@ -193,26 +194,26 @@
 	return changed;
 }
 
-/* Units that a domain gives home now: as asked, or what its debt needs. */
-static int64_t units_to_give(const struct domain *d,
-			     const struct ledger_cell *cell)
+/* Idle units to return now: as requested, or as the deficit needs. */
+static int64_t units_to_return(const struct domain *d,
+			       const struct ledger_cell *cell)
 {
-	int64_t give = d->to_home;
+	int64_t returned = d->to_return;
 
-	if (cell->free < 0 && give < -cell->free)
-		give = -cell->free;
-	return give < ledger_idle(d) ? give : ledger_idle(d);
+	if (cell->free < 0 && returned < -cell->free)
+		returned = -cell->free;
+	return returned < ledger_idle(d) ? returned : ledger_idle(d);
 }
 
-static int64_t units_to_draw(const struct domain *d,
-			     const struct ledger_cell *cell)
+static int64_t units_to_acquire(const struct domain *d,
+				const struct ledger_cell *cell)
 {
-	int64_t draw = d->wanted - ledger_idle(d);
+	int64_t acquired = d->idle_target - ledger_idle(d);
 
-	if (d->lower_conf || d->to_home > 0 ||
+	if (d->lowering_version || d->to_return > 0 ||
 	    cell->generation != d->generation)
 		return 0;
-	return draw < cell->free ? draw : cell->free;
+	return acquired < cell->free ? acquired : cell->free;
 }
 
 static bool plan_units(struct ledger *l, struct ledger_row *row)
@@ -223,107 +224,111 @@
 	for (i = 0; i < row->cell_count; i++) {
 		struct ledger_cell *cell = &row->cells[i];
 		struct domain *d = ledger_domain_of(l, cell->domain);
-		int64_t give = units_to_give(d, cell);
-		int64_t draw = units_to_draw(d, cell);
-
-		if (give > 0) {
-			d->giving = give;
-			d->held -= give;
-			d->to_home -= give < d->to_home ? give : d->to_home;
-			cell_add_free(row, cell, give);
+		int64_t returned = units_to_return(d, cell);
+		int64_t acquired = units_to_acquire(d, cell);
+
+		if (returned > 0) {
+			d->returning = returned;
+			d->held -= returned;
+			d->to_return -= returned < d->to_return ? returned
+								: d->to_return;
+			cell_add_free(row, cell, returned);
 			changed = true;
-		} else if (draw > 0) {
-			d->drawing = draw;
-			cell_add_free(row, cell, -draw);
+		} else if (acquired > 0) {
+			d->acquiring = acquired;
+			cell_add_free(row, cell, -acquired);
 			changed = true;
 		}
 	}
 	return changed;
 }
 
-bool ledger_plan(struct ledger *l, uint32_t shard, uint64_t now_ms,
-		 const struct ledger_members *members, struct ledger_cas *cas)
+bool ledger_plan_cas(struct ledger *l, uint32_t shard, uint64_t now_ms,
+		     const struct ledger_members *members,
+		     struct ledger_cas *cas)
 {
 	struct shard *s = &l->shards[shard];
 	struct ledger_row *row;
-	bool opens;
+	bool opens_round;
 	bool changed;
 
-	if (s->busy || !s->row || !s->dirty)
+	if (s->cas_pending || !s->row || !s->dirty)
 		return false;
-	s->dirty = s->suspect;
+	s->dirty = s->loss_suspected;
 	row = ledger_row_copy(l, s->row);
 	changed = plan_totals(l, s, row);
-	opens = plan_open(l, shard, now_ms, members, row);
-	if (!opens) { /* units that move now would be counted twice */
+	opens_round = plan_round(l, shard, now_ms, members, row);
+	/* The reports would count units moved in an opening write again. */
+	if (!opens_round) {
 		changed |= plan_report(l, shard, row);
 		changed |= plan_units(l, row);
 	}
-	if (!changed && !opens) {
+	if (!changed && !opens_round) {
 		talloc_free(row);
 		return false;
 	}
-	s->busy = true;
-	s->next = row;
-	s->op_round = s->joined;
+	s->cas_pending = true;
+	s->next_row = row;
+	s->cas_round = s->joined_round;
 	cas->row = row;
 	cas->row_version = s->row->version;
-	cas->members_version = opens ? members->version : 0;
+	cas->members_version = opens_round ? members->version : 0;
 	return true;
 }
 
-enum settle { SETTLE_APPLIED, SETTLE_UNDONE, SETTLE_LOST };
+enum cas_effect { EFFECT_APPLIED, EFFECT_UNDONE, EFFECT_LOST };
 
 /*
- * A round joined while the operation was under way counts neither its draws
- * nor its gives as held, so they are dropped and that round reclaims them.
+ * A round that was joined while the compare-and-set was in progress counts
+ * neither the acquired nor the returned units as held, so they are dropped
+ * here and the round reclaims them.
  */
-static void settle(struct ledger *l, const struct shard *s, enum settle how,
-		   bool same_round)
+static void apply_effect(struct ledger *l, const struct shard *s,
+			 enum cas_effect effect, bool same_round)
 {
 	uint32_t i;
 
 	for (i = 0; i < s->domain_count; i++) {
 		struct domain *d = &l->domains[s->domains[i]];
 
-		if (how == SETTLE_APPLIED && same_round)
-			d->held += d->drawing;
-		if (how == SETTLE_UNDONE && same_round)
-			d->held += d->giving;
-		d->drawing = 0;
-		d->giving = 0;
+		if (effect == EFFECT_APPLIED && same_round)
+			d->held += d->acquiring;
+		if (effect == EFFECT_UNDONE && same_round)
+			d->held += d->returning;
+		d->acquiring = 0;
+		d->returning = 0;
 	}
 }
 
-static bool op_is_of_this_round(const struct ledger *l, const struct shard *s)
+static bool round_unchanged(const struct ledger *l, const struct shard *s)
 {
-	return s->op_round == s->joined ||
-	       (l->options.unsafe & LEDGER_UNSAFE_LATE_DRAW);
+	return s->cas_round == s->joined_round ||
+	       (l->options.unsafe & LEDGER_UNSAFE_LATE_ACQUIRE);
 }
 
-void ledger_planned(struct ledger *l, uint32_t shard,
-		    enum ledger_cas_status status, uint64_t version)
+void ledger_finish_cas(struct ledger *l, uint32_t shard,
+		       enum ledger_cas_status status, uint64_t version)
 {
 	struct shard *s = &l->shards[shard];
-	struct ledger_row *next = s->next;
-	bool same_round = op_is_of_this_round(l, s);
+	struct ledger_row *next = s->next_row;
+	bool same_round = round_unchanged(l, s);
 
-	s->busy = false;
+	s->cas_pending = false;
 	s->dirty = true;
-	s->next = NULL;
+	s->next_row = NULL;
 	switch (status) {
 	case LEDGER_CAS_DONE:
-		settle(l, s, SETTLE_APPLIED, same_round);
+		apply_effect(l, s, EFFECT_APPLIED, same_round);
 		next->version = version;
-		ledger_seen(l, shard, next);
+		ledger_set_row(l, shard, next);
 		break;
 	case LEDGER_CAS_CONFLICT:
-		settle(l, s, SETTLE_UNDONE, same_round);
+		apply_effect(l, s, EFFECT_UNDONE, same_round);
 		break;
 	case LEDGER_CAS_UNKNOWN:
 		if (l->options.unsafe & LEDGER_UNSAFE_UNKNOWN)
-			settle(l, s, SETTLE_APPLIED, same_round);
-		settle(l, s, SETTLE_LOST, same_round);
+			apply_effect(l, s, EFFECT_APPLIED, same_round);
+		apply_effect(l, s, EFFECT_LOST, same_round);
 		ledger_suspect_shard(l, shard);
 		break;
 	}
--- a/src/process/ledger_internal.h
+++ b/src/process/ledger_internal.h
@@ -1,7 +1,7 @@
 /*
- * ledger_internal - what the ledger's source files share
+ * ledger_internal - declarations shared by the ledger's source files
  *
- * ledger.c has domains and rounds, ledger_plan.c the compare-and-set on a
+ * ledger.c handles domains and rounds, ledger_cas.c the compare-and-set on a
  * shard's row, ledger_link.c transfers between peers.
  */
 #ifndef LEDGER_INTERNAL_H
@@ -13,43 +13,43 @@
 
 struct domain {
 	uint32_t shard;
-	uint32_t cell; /* where its cell was last found in the row */
+	uint32_t cell_hint; /* index of its cell in the row last seen */
 	int64_t held;
 	int64_t running;
-	int64_t wanted;	 /* free units to draw up to */
-	int64_t to_home; /* free units to give home */
-	int64_t report;	 /* fixed on joining the shard's round */
+	int64_t idle_target; /* idle units to acquire up to */
+	int64_t to_return;   /* idle units to return to the store */
+	int64_t report;	     /* units held on joining the shard's round */
 	int64_t total;
 	uint64_t generation;
-	uint64_t conf;	     /* newest configuration version known */
-	uint64_t lower_conf; /* a lowering not yet seen in the row, 0 none */
+	uint64_t config_version;   /* newest version known */
+	uint64_t lowering_version; /* lower total, not in the row; or 0 */
 	bool configured;
-	bool debt;
-	/* The compare-and-set under way */
-	int64_t drawing;
-	int64_t giving;
+	bool deficit;
+	/* Units moved by the compare-and-set in progress */
+	int64_t acquiring;
+	int64_t returning;
 };
 
 struct shard {
 	uint32_t *domains;
 	uint32_t domain_count;
-	struct ledger_row *row;	 /* as last seen, NULL before */
-	struct ledger_row *next; /* being written */
-	uint64_t joined;	 /* newest round joined */
-	uint64_t op_round;	/* round of the row the operation is based on */
-	uint64_t suspect_after; /* a newer round is wanted when suspect */
-	uint64_t gone_at;	/* a round opened after this is wanted */
-	uint64_t opened_ms;
-	bool suspect;
-	bool busy;  /* a compare-and-set is under way */
-	bool dirty; /* something changed since the last plan */
+	struct ledger_row *row;	     /* as last seen, NULL before the first */
+	struct ledger_row *next_row; /* being written by the compare-and-set */
+	uint64_t joined_round;	     /* newest */
+	uint64_t cas_round;	     /* joined_round at ledger_plan_cas */
+	uint64_t suspected_in_round; /* needs a newer round */
+	uint64_t removed_at; /* members version; see ledger_member_removed */
+	uint64_t round_opened_ms;
+	bool loss_suspected;
+	bool cas_pending; /* a compare-and-set is in progress */
+	bool dirty;	  /* state changed since the last ledger_plan_cas */
 };
 
 struct ledger {
 	struct ledger_options options;
 	struct intern *names;
 	struct domain *domains;
-	uint32_t room;
+	uint32_t domain_capacity;
 	struct shard *shards;
 	int64_t outbound; /* units in the outboxes of all links */
 };
@@ -76,25 +76,25 @@
 struct ledger_cell *ledger_row_cell(const struct ledger *l,
 				    struct ledger_row *row, domain_handle d);
 
-/* ledger_row_awaits - whether the open round lacks the report */
+/* ledger_row_awaits - whether the incarnation has yet to report */
 bool ledger_row_awaits(const struct ledger_row *row, uint64_t incarnation);
 
-/* ledger_cell_applied - whether the row shows what the configuration says */
+/* ledger_cell_applied - whether the cell has the configured total */
 bool ledger_cell_applied(const struct ledger_cell *cell,
 			 const struct domain *d);
 
 /*
- * ledger_join - join a round of a shard
+ * ledger_join_round - join a round of a shard
  *
- * Fixes what is held as the report. From here on transfers of older rounds
- * are refused.
+ * Records the units held as the report. Transfers of older rounds are refused
+ * from here on.
  */
-void ledger_join(struct ledger *l, uint32_t shard, uint64_t round);
+void ledger_join_round(struct ledger *l, uint32_t shard, uint64_t round);
 
-/* ledger_fix_reports - take what is held now as the shard's reports */
-void ledger_fix_reports(struct ledger *l, uint32_t shard);
+/* ledger_set_reports - record the units held now as the shard's reports */
+void ledger_set_reports(struct ledger *l, uint32_t shard);
 
-/* ledger_suspect_shard - units may be lost: a newer round is wanted */
+/* ledger_suspect_shard - units may be lost: ask for a newer round */
 void ledger_suspect_shard(struct ledger *l, uint32_t shard);
 
 #endif
--- a/src/process/ledger_link.c
+++ b/src/process/ledger_link.c
@@ -2,15 +2,15 @@
 
 #include <string.h>
 
-#define LEDGER_FIRST_OUTBOX 8u /* transfers */
+#define LEDGER_INITIAL_OUTBOX 8u /* transfers */
 
 struct ledger_link {
 	struct ledger *ledger;
 	struct ledger_transfer *outbox;
 	uint32_t count;
-	uint32_t room;
+	uint32_t outbox_capacity;
 	uint64_t next_seq;
-	uint64_t received; /* last sequence number taken */
+	uint64_t received_seq; /* last one accepted */
 };
 
 struct ledger_link *ledger_link_new(TALLOC_CTX *ctx, struct ledger *l)
@@ -44,10 +44,13 @@
 
 static struct ledger_transfer *outbox_add(struct ledger_link *link)
 {
-	if (link->count == link->room) {
-		link->room = link->room ? link->room * 2 : LEDGER_FIRST_OUTBOX;
-		link->outbox = talloc_realloc(
-			link, link->outbox, struct ledger_transfer, link->room);
+	if (link->count == link->outbox_capacity) {
+		link->outbox_capacity = link->outbox_capacity
+						? link->outbox_capacity * 2
+						: LEDGER_INITIAL_OUTBOX;
+		link->outbox = talloc_realloc(link, link->outbox,
+					      struct ledger_transfer,
+					      link->outbox_capacity);
 		assert(link->outbox);
 	}
 	return &link->outbox[link->count++];
@@ -60,7 +63,7 @@
 	struct domain *d = ledger_domain_of(l, handle);
 	struct ledger_transfer *t;
 
-	if (ledger_may_take(l, handle) != LEDGER_OK || d->to_home > 0)
+	if (ledger_can_start(l, handle) != LEDGER_OK || d->to_return > 0)
 		return 0;
 	if (units > ledger_idle(d))
 		units = (uint32_t)ledger_idle(d);
@@ -72,7 +75,7 @@
 	t->seq = link->next_seq++;
 	t->domain = handle;
 	t->units = units;
-	t->round = l->shards[d->shard].joined;
+	t->round = l->shards[d->shard].joined_round;
 	t->generation = d->generation;
 	return units;
 }
@@ -84,7 +87,7 @@
 	return link->outbox;
 }
 
-void ledger_acked(struct ledger_link *link, uint64_t seq)
+void ledger_acknowledge(struct ledger_link *link, uint64_t seq)
 {
 	uint32_t n = 0;
 
@@ -98,11 +101,11 @@
 	struct domain *d = ledger_domain_of(l, t->domain);
 	struct shard *s = &l->shards[d->shard];
 
-	if (t->round > s->joined)
-		ledger_join(l, d->shard, t->round);
-	if (t->round < s->joined &&
+	if (t->round > s->joined_round)
+		ledger_join_round(l, d->shard, t->round);
+	if (t->round < s->joined_round &&
 	    !(l->options.unsafe & LEDGER_UNSAFE_ROUND_TAG))
-		return; /* the round joined here reclaims them */
+		return; /* the newer round reclaims them */
 	if (t->generation != d->generation) {
 		ledger_suspect_shard(l, d->shard);
 		return;
@@ -114,19 +117,19 @@
 			const struct ledger_transfer *t)
 {
 	struct ledger *l = link->ledger;
-	bool next = t->seq == link->received + 1;
+	bool next = t->seq == link->received_seq + 1;
 
 	if (!ledger_ready(l, ledger_domain_of(l, t->domain)->shard))
-		return link->received;
+		return link->received_seq;
 	if (l->options.unsafe & LEDGER_UNSAFE_SEQUENCE) {
 		accept_units(l, t);
-		if (t->seq > link->received)
-			link->received = t->seq;
-		return link->received;
+		if (t->seq > link->received_seq)
+			link->received_seq = t->seq;
+		return link->received_seq;
 	}
 	if (!next)
-		return link->received;
-	link->received = t->seq;
+		return link->received_seq;
+	link->received_seq = t->seq;
 	accept_units(l, t);
-	return link->received;
+	return link->received_seq;
 }
--- a/src/process/limits.h
+++ b/src/process/limits.h
@@ -1,11 +1,11 @@
 /*
- * limits - bounds of names and times in a configuration
+ * limits - limits of names and times in a configuration
  */
 #ifndef LIMITS_H
 #define LIMITS_H
 
 #define CFG_NAME_MAX 63		       /* bytes */
-#define CFG_HASH_BYTES 32	       /* a key's keyed hash */
+#define CFG_HASH_BYTES 32	       /* keyed hash of a caller's key */
 #define CFG_RUN_MAX_MS (3600u * 1000u) /* longest task lease */
 
 #endif
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -6,12 +6,12 @@
 
 #define LOG_LINE_MAX 1024 /* bytes */
 
-static enum log_level log_lowest = LOG_INFO;
+static enum log_level log_max_level = LOG_INFO;
 static const char *log_name = "jackdawwell";
 
-void log_init(enum log_level lowest, const char *name)
+void log_init(enum log_level max_level, const char *name)
 {
-	log_lowest = lowest;
+	log_max_level = max_level;
 	log_name = name;
 }
 
@@ -25,7 +25,7 @@
 	char stamp[32];
 	va_list ap;
 
-	if (level > log_lowest)
+	if (level > log_max_level)
 		return;
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -35,7 +35,7 @@
 	snprintf(m->zone, sizeof(m->zone), "%s", zone);
 	snprintf(m->address, sizeof(m->address), "%s", address);
 	m->incarnation = (uint64_t)incarnation;
-	m->boot = (uint64_t)boot;
+	m->nonce = (uint64_t)boot;
 	return parse_state(state, &m->state);
 }
 
@@ -47,7 +47,8 @@
 
 	memset(m, 0, sizeof(*m));
 	m->version = version;
-	m->next = (uint64_t)json_integer_value(json_object_get(value, "next"));
+	m->next_incarnation =
+		(uint64_t)json_integer_value(json_object_get(value, "next"));
 	m->shards =
 		(uint32_t)json_integer_value(json_object_get(value, "shards"));
 	if (!json_is_array(entries) || json_array_size(entries) > MEMBERS_MAX)
@@ -60,7 +61,7 @@
 	return true;
 }
 
-json_t *members_json(const struct members *m)
+json_t *members_to_json(const struct members *m)
 {
 	json_t *entries = json_array();
 	uint32_t i;
@@ -74,10 +75,11 @@
 				  e->name, "zone", e->zone, "address",
 				  e->address, "state", state_names[e->state],
 				  "incarnation", (json_int_t)e->incarnation,
-				  "boot", (json_int_t)e->boot));
+				  "boot", (json_int_t)e->nonce));
 	}
-	return json_pack("{s:I, s:I, s:o}", "next", (json_int_t)m->next,
-			 "shards", (json_int_t)m->shards, "entries", entries);
+	return json_pack("{s:I, s:I, s:o}", "next",
+			 (json_int_t)m->next_incarnation, "shards",
+			 (json_int_t)m->shards, "entries", entries);
 }
 
 struct member *members_find(struct members *m, uint64_t incarnation)
@@ -112,11 +114,11 @@
 	for (i = 0; i < m->count; i++)
 		if (!strcmp(m->list[i].name, self->name))
 			m->list[i].state = MEMBER_DEAD;
-	if (!m->next)
-		m->next = 1;
+	if (!m->next_incarnation)
+		m->next_incarnation = 1;
 	e = &m->list[m->count];
 	*e = *self;
-	e->incarnation = m->next++;
+	e->incarnation = m->next_incarnation++;
 	e->state = full_count(m) ? MEMBER_JOINING : MEMBER_FULL;
 	m->count++;
 	return e->incarnation;
--- a/src/process/metric.c
+++ b/src/process/metric.c
@@ -15,13 +15,13 @@
 
 uint64_t metric_quantile_ms(const struct metric_histogram *h, double quantile)
 {
-	uint64_t wanted = (uint64_t)(quantile * (double)h->count);
-	uint64_t seen = 0;
+	uint64_t rank = (uint64_t)(quantile * (double)h->count);
+	uint64_t cumulative = 0;
 	uint32_t i;
 
 	for (i = 0; i <= METRIC_BUCKETS; i++) {
-		seen += h->buckets[i];
-		if (seen > wanted)
+		cumulative += h->buckets[i];
+		if (cumulative > rank)
 			break;
 	}
 	return (uint64_t)1 << (i > METRIC_BUCKETS ? METRIC_BUCKETS : i);
@@ -31,14 +31,14 @@
 		  const struct metric_histogram *h)
 {
 	const char *comma = *labels ? "," : "";
-	uint64_t seen = 0;
+	uint64_t cumulative = 0;
 	uint32_t i;
 
 	for (i = 0; i < METRIC_BUCKETS; i++) {
-		seen += h->buckets[i];
+		cumulative += h->buckets[i];
 		fprintf(out, "%s_bucket{%s%sle=\"%g\"} %" PRIu64 "\n", name,
 			labels, comma, (double)((uint64_t)1 << i) / 1000.0,
-			seen);
+			cumulative);
 	}
 	fprintf(out, "%s_bucket{%s%sle=\"+Inf\"} %" PRIu64 "\n", name, labels,
 		comma, h->count);
--- a/src/process/metric.h
+++ b/src/process/metric.h
@@ -1,8 +1,8 @@
 /*
  * metric - histograms of durations
  *
- * Buckets double from one millisecond; one histogram a team and class.
- * Counters are plain integers of the module that counts.
+ * Bucket bounds double from one millisecond. There is one histogram per team
+ * and class. Counters are plain integers in the module that counts.
  */
 #ifndef METRIC_H
 #define METRIC_H
@@ -10,7 +10,7 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#define METRIC_BUCKETS 18 /* up to 2^17 ms, then infinity */
+#define METRIC_BUCKETS 18 /* up to 2^17 ms; one more for larger values */
 
 struct metric_histogram {
 	uint64_t buckets[METRIC_BUCKETS + 1];
@@ -18,16 +18,16 @@
 	uint64_t sum_ms;
 };
 
-/* metric_observe - count one duration */
+/* metric_observe - add one duration */
 void metric_observe(struct metric_histogram *h, uint64_t ms);
 
-/* metric_quantile_ms - upper bound of the bucket that holds the quantile */
+/* metric_quantile_ms - upper bound of the bucket that has the quantile */
 uint64_t metric_quantile_ms(const struct metric_histogram *h, double quantile);
 
 /*
- * metric_print - write in the text format that scrapers read
+ * metric_print - write in Prometheus's text format
  *
- * labels is the inside of the braces, "" for none.
+ * labels is the text between the braces, "" for none.
  */
 void metric_print(FILE *out, const char *name, const char *labels,
 		  const struct metric_histogram *h);
--- a/src/process/mtimer.c
+++ b/src/process/mtimer.c
@@ -24,7 +24,7 @@
 	(void)flags;
 	if (read(t->fd, &expirations, sizeof(expirations)) !=
 	    sizeof(expirations))
-		return; /* replaced between its expiry and now */
+		return; /* set or cleared after it expired */
 	t->pending = t->repeats;
 	t->fn(t->arg);
 }
--- a/src/process/mtimer.h
+++ b/src/process/mtimer.h
@@ -1,8 +1,8 @@
 /*
  * mtimer - a timer on the monotonic clock
  *
- * tevent's own timers follow the time of day and stand still while it jumps
- * back. Each mtimer is a timerfd, watched by tevent as any descriptor.
+ * tevent's own timers follow the wall clock and are late when it is set back.
+ * Each mtimer is a timerfd that tevent polls.
  */
 #ifndef MTIMER_H
 #define MTIMER_H
@@ -16,20 +16,20 @@
 
 typedef void (*mtimer_fn)(void *arg);
 
-/* mtimer_new - not running, owned by ctx; NULL when no descriptor is left */
+/* mtimer_new - a stopped timer, owned by ctx; NULL if out of descriptors */
 struct mtimer *mtimer_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			  mtimer_fn fn, void *arg);
 
-/* mtimer_set - run fn once after ms; replaces an earlier time */
+/* mtimer_set - call fn once after ms; replaces the previous setting */
 void mtimer_set(struct mtimer *t, uint64_t ms);
 
-/* mtimer_every - run fn every ms */
+/* mtimer_every - call fn every ms */
 void mtimer_every(struct mtimer *t, uint64_t ms);
 
-/* mtimer_clear - do not run fn */
+/* mtimer_clear - stop the timer */
 void mtimer_clear(struct mtimer *t);
 
-/* mtimer_pending - whether fn will run */
+/* mtimer_pending - whether fn will be called */
 bool mtimer_pending(const struct mtimer *t);
 
 #endif
--- a/src/process/plan.c
+++ b/src/process/plan.c
@@ -3,15 +3,15 @@
 #include <assert.h>
 #include <stdlib.h>
 
-/* What is out now, by pool, zone and rack. */
-struct counts {
+/* Instances serving by pool; not serving by pool, zone and rack. */
+struct counters {
 	uint32_t *out;	   /* by pool */
 	uint32_t *serving; /* by pool */
 	uint32_t *zones;
 	uint32_t *racks;
 };
 
-static uint32_t *zeros(TALLOC_CTX *ctx, uint32_t count)
+static uint32_t *new_counters(TALLOC_CTX *ctx, uint32_t count)
 {
 	uint32_t *a = talloc_zero_array(ctx, uint32_t, count + 1);
 
@@ -19,15 +19,15 @@
 	return a;
 }
 
-static void count_all(TALLOC_CTX *ctx, const struct plan_input *in,
-		      struct counts *c)
+static void count_instances(TALLOC_CTX *ctx, const struct plan_input *in,
+			    struct counters *c)
 {
 	uint32_t i;
 
-	c->out = zeros(ctx, in->pool_count);
-	c->serving = zeros(ctx, in->pool_count);
-	c->zones = zeros(ctx, in->zone_count);
-	c->racks = zeros(ctx, in->rack_count);
+	c->out = new_counters(ctx, in->pool_count);
+	c->serving = new_counters(ctx, in->pool_count);
+	c->zones = new_counters(ctx, in->zone_count);
+	c->racks = new_counters(ctx, in->rack_count);
 	for (i = 0; i < in->instance_count; i++) {
 		const struct plan_instance *n = &in->instances[i];
 
@@ -41,9 +41,9 @@
 	}
 }
 
-static enum plan_budget budget_in_way(const struct plan_input *in,
-				      const struct counts *c,
-				      const struct plan_instance *n)
+static enum plan_budget blocking_budget(const struct plan_input *in,
+					const struct counters *c,
+					const struct plan_instance *n)
 {
 	const struct plan_pool *p = &in->pools[n->pool];
 
@@ -57,7 +57,7 @@
 	if (in->rules.rack_out_max &&
 	    c->racks[n->rack] >= in->rules.rack_out_max)
 		return PLAN_RACK;
-	return PLAN_FREE;
+	return PLAN_NOT_BLOCKED;
 }
 
 static void add_step(struct plan_result *out, enum plan_kind kind,
@@ -67,18 +67,19 @@
 	out->steps[out->count++].instance = instance;
 }
 
-/* Steps that bring instances on their way further; they use no budget. */
-static void plan_further(const struct plan_input *in, struct plan_result *out)
+/* Next steps of instances already draining or out; these need no budget. */
+static void plan_in_progress(const struct plan_input *in,
+			     struct plan_result *out)
 {
 	uint32_t i;
 
 	for (i = 0; i < in->instance_count; i++) {
 		const struct plan_instance *n = &in->instances[i];
 
-		if (!n->wanted || n->done)
+		if (!n->selected || n->done)
 			continue;
-		out->left++;
-		if (n->state == PLAN_DRAINING && n->home)
+		out->remaining++;
+		if (n->state == PLAN_DRAINING && n->empty)
 			add_step(out, PLAN_TAKE_OUT, i);
 		else if (n->state == PLAN_OUT && n->rebooted)
 			add_step(out, PLAN_RETURN, i);
@@ -91,8 +92,8 @@
 	uint32_t rack;
 };
 
-/* By zone and rack, so that what is out lies in few failure domains. */
-static int by_domain(const void *a, const void *b)
+/* By zone and rack, so that the instances out are in few failure domains. */
+static int by_failure_domain(const void *a, const void *b)
 {
 	const struct candidate *x = a;
 	const struct candidate *y = b;
@@ -115,16 +116,16 @@
 	for (i = 0; i < in->instance_count; i++) {
 		const struct plan_instance *x = &in->instances[i];
 
-		if (!x->wanted || x->done || x->state != PLAN_SERVING)
+		if (!x->selected || x->done || x->state != PLAN_SERVING)
 			continue;
 		(*found)[n++] = (struct candidate){ i, x->zone, x->rack };
 	}
-	qsort(*found, n, sizeof(**found), by_domain);
+	qsort(*found, n, sizeof(**found), by_failure_domain);
 	return n;
 }
 
 static void plan_drains(TALLOC_CTX *ctx, const struct plan_input *in,
-			struct counts *c, struct plan_result *out)
+			struct counters *c, struct plan_result *out)
 {
 	struct candidate *found;
 	uint32_t n = candidates(ctx, in, &found);
@@ -133,10 +134,10 @@
 	for (i = 0; i < n; i++) {
 		const struct plan_instance *x =
 			&in->instances[found[i].instance];
-		enum plan_budget budget = budget_in_way(in, c, x);
+		enum plan_budget budget = blocking_budget(in, c, x);
 
-		if (budget != PLAN_FREE) {
-			if (out->blocked == PLAN_FREE) {
+		if (budget != PLAN_NOT_BLOCKED) {
+			if (out->blocked == PLAN_NOT_BLOCKED) {
 				out->blocked = budget;
 				out->blocked_pool = x->pool;
 			}
@@ -154,20 +155,20 @@
 	       struct plan_result *out)
 {
 	TALLOC_CTX *scratch = talloc_new(ctx);
-	struct counts counts;
+	struct counters counters;
 
-	*out = (struct plan_result){ .blocked = PLAN_FREE };
+	*out = (struct plan_result){ .blocked = PLAN_NOT_BLOCKED };
 	out->steps =
 		talloc_array(ctx, struct plan_step, in->instance_count + 1);
 	assert(out->steps && scratch);
-	count_all(scratch, in, &counts);
-	plan_further(in, out);
-	plan_drains(scratch, in, &counts, out);
+	count_instances(scratch, in, &counters);
+	plan_in_progress(in, out);
+	plan_drains(scratch, in, &counters, out);
 	talloc_free(scratch);
 }
 
-/* How many of a pool may be out at once when all of it is well. */
-static uint32_t parallel(const struct plan_pool *p, uint32_t instances)
+/* Instances of a pool that may be out at once if all are healthy. */
+static uint32_t max_parallel(const struct plan_pool *p, uint32_t instances)
 {
 	uint32_t spare =
 		instances > p->serving_min ? instances - p->serving_min : 0;
@@ -176,59 +177,60 @@
 }
 
 static uint32_t *pool_sizes(TALLOC_CTX *ctx, const struct plan_input *in,
-			    bool wanted_only)
+			    bool selected_only)
 {
-	uint32_t *sizes = zeros(ctx, in->pool_count);
+	uint32_t *sizes = new_counters(ctx, in->pool_count);
 	uint32_t i;
 
 	for (i = 0; i < in->instance_count; i++)
-		if (!wanted_only ||
-		    (in->instances[i].wanted && !in->instances[i].done))
+		if (!selected_only ||
+		    (in->instances[i].selected && !in->instances[i].done))
 			sizes[in->instances[i].pool]++;
 	return sizes;
 }
 
-bool plan_possible(const struct plan_input *in, struct plan_result *out)
+bool plan_feasible(const struct plan_input *in, struct plan_result *out)
 {
 	TALLOC_CTX *scratch = talloc_new(NULL);
 	uint32_t *all = pool_sizes(scratch, in, false);
-	uint32_t *wanted = pool_sizes(scratch, in, true);
+	uint32_t *selected = pool_sizes(scratch, in, true);
 	uint32_t i;
 
-	*out = (struct plan_result){ .blocked = PLAN_FREE };
-	for (i = 0; i < in->pool_count && out->blocked == PLAN_FREE; i++) {
-		if (!wanted[i] || parallel(&in->pools[i], all[i]))
+	*out = (struct plan_result){ .blocked = PLAN_NOT_BLOCKED };
+	for (i = 0; i < in->pool_count && out->blocked == PLAN_NOT_BLOCKED;
+	     i++) {
+		if (!selected[i] || max_parallel(&in->pools[i], all[i]))
 			continue;
 		out->blocked_pool = i;
 		out->blocked =
 			in->pools[i].out_max ? PLAN_SERVING_MIN : PLAN_OUT_MAX;
 	}
 	talloc_free(scratch);
-	return out->blocked == PLAN_FREE;
+	return out->blocked == PLAN_NOT_BLOCKED;
 }
 
-double plan_bound_s(const struct plan_input *in, double cycle_s)
+double plan_min_duration_s(const struct plan_input *in, double cycle_s)
 {
 	TALLOC_CTX *scratch = talloc_new(NULL);
 	uint32_t *all = pool_sizes(scratch, in, false);
-	uint32_t *wanted = pool_sizes(scratch, in, true);
-	double most = 0;
+	uint32_t *selected = pool_sizes(scratch, in, true);
+	double longest = 0;
 	uint32_t i;
 
 	for (i = 0; i < in->pool_count; i++) {
-		uint32_t k = parallel(&in->pools[i], all[i]);
-		double s = k ? (wanted[i] + k - 1) / k * cycle_s : 0;
+		uint32_t k = max_parallel(&in->pools[i], all[i]);
+		double s = k ? (selected[i] + k - 1) / k * cycle_s : 0;
 
-		most = s > most ? s : most;
+		longest = s > longest ? s : longest;
 	}
 	talloc_free(scratch);
-	return most;
+	return longest;
 }
 
 const char *plan_budget_name(enum plan_budget budget)
 {
 	switch (budget) {
-	case PLAN_FREE:
+	case PLAN_NOT_BLOCKED:
 		return "none";
 	case PLAN_SERVING_MIN:
 		return "serving_min";
--- a/src/process/plan.h
+++ b/src/process/plan.h
@@ -1,9 +1,9 @@
 /*
- * plan - the next steps of a maintenance wave
+ * plan - planner of a maintenance wave
  *
- * A pure function of what is: which instances the wave has, what is out now
- * for whatever reason, and the budgets. It keeps no state of its own, so a
- * conductor that takes over goes on from the rows.
+ * A pure function of the current state: the instances of the wave, those out
+ * of service for any reason, and the availability budgets. It keeps no state,
+ * so a new conductor continues from the stored rows.
  */
 #ifndef PLAN_H
 #define PLAN_H
@@ -18,7 +18,7 @@
 	PLAN_SERVING,
 	PLAN_DRAINING,
 	PLAN_OUT,
-	PLAN_FAILED, /* out without being asked to be */
+	PLAN_FAILED, /* out of service, but not for maintenance */
 };
 
 struct plan_instance {
@@ -26,19 +26,19 @@
 	uint32_t zone;
 	uint32_t rack;
 	enum plan_state state;
-	bool wanted;   /* the wave is to maintain it */
-	bool done;     /* the wave has maintained it */
-	bool home;     /* no entry holds a unit of it */
-	bool rebooted; /* since it was taken out, and well */
+	bool selected; /* part of the wave */
+	bool done;     /* the wave has finished with it */
+	bool empty;    /* no entry holds a unit of it */
+	bool rebooted; /* since it was taken out, and live again */
 };
 
 struct plan_pool {
-	uint32_t serving_min; /* least instances serving */
-	uint32_t out_max;     /* most out at once, for any reason */
+	uint32_t serving_min; /* minimum of instances serving */
+	uint32_t out_max;     /* maximum out at once, for any reason */
 };
 
 struct plan_rules {
-	uint32_t zone_out_max; /* most out at once in a zone, 0 for no bound */
+	uint32_t zone_out_max; /* maximum out at once in a zone; 0: no limit */
 	uint32_t rack_out_max;
 };
 
@@ -64,7 +64,7 @@
 };
 
 enum plan_budget {
-	PLAN_FREE,	  /* nothing stands in the way */
+	PLAN_NOT_BLOCKED, /* no budget is exhausted */
 	PLAN_SERVING_MIN, /* of a pool */
 	PLAN_OUT_MAX,	  /* of a pool */
 	PLAN_ZONE,
@@ -72,10 +72,10 @@
 };
 
 struct plan_result {
-	struct plan_step *steps; /* owned by the result's context */
+	struct plan_step *steps; /* owned by plan_next's ctx */
 	uint32_t count;
-	uint32_t left;		  /* instances not yet done */
-	enum plan_budget blocked; /* what keeps the next one back */
+	uint32_t remaining;	  /* selected instances not yet done */
+	enum plan_budget blocked; /* what delays the next drain */
 	uint32_t blocked_pool;
 };
 
@@ -84,21 +84,21 @@
 	       struct plan_result *out);
 
 /*
- * plan_possible - whether the budgets allow the wave at all
+ * plan_feasible - whether the budgets allow the wave at all
  *
- * False with the pool whose budget stands in its way, and which one.
+ * If false, out->blocked and out->blocked_pool name the budget that does not.
  */
-bool plan_possible(const struct plan_input *in, struct plan_result *out);
+bool plan_feasible(const struct plan_input *in, struct plan_result *out);
 
 /*
- * plan_bound_s - least time of the wave, in seconds
+ * plan_min_duration_s - lower bound of the wave's duration, in seconds
  *
- * cycle_s is the time that an instance is out. Pools go side by side; in
- * each, as many as its budgets allow.
+ * cycle_s is the time that an instance is out. Assumes that pools proceed in
+ * parallel and each has as many instances out as its budgets allow.
  */
-double plan_bound_s(const struct plan_input *in, double cycle_s);
+double plan_min_duration_s(const struct plan_input *in, double cycle_s);
 
-/* plan_budget_name - a budget in operators' words */
+/* plan_budget_name - a budget's name in the configuration */
 const char *plan_budget_name(enum plan_budget budget);
 
 #endif
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -1,9 +1,9 @@
 /*
- * platform - the table service, the object store and the instance list
+ * platform - client of the table service, object store and instance list
  *
- * The one interface to what the platform gives. Rows are JSON values under
- * a key, each with the revision that wrote it. All calls return at once;
- * each calls back exactly once, never before it returns.
+ * A row is a JSON value under a key, with the revision that wrote it. All
+ * calls are asynchronous: each invokes its callback exactly once, never
+ * before it returns.
  */
 #ifndef PLATFORM_H
 #define PLATFORM_H
@@ -14,20 +14,20 @@
 #include <talloc.h>
 #include <tevent.h>
 
-#define PLATFORM_TIMEOUT_MS 2000 /* of one call */
+#define PLATFORM_TIMEOUT_MS 2000 /* per call */
 
 enum platform_status {
 	PLATFORM_OK,
 	PLATFORM_CONFLICT, /* a compared row has another version */
 	PLATFORM_ABSENT,   /* no such object */
-	PLATFORM_NOT_SENT, /* certainly without effect */
-	PLATFORM_UNKNOWN,  /* no answer; a write may have taken effect */
+	PLATFORM_NOT_SENT, /* had no effect */
+	PLATFORM_UNKNOWN,  /* no response; a write may have taken effect */
 };
 
 struct platform_answer {
 	enum platform_status status;
 	uint64_t revision;   /* of a commit */
-	json_t *value;	     /* borrowed: rows, object or instances */
+	json_t *value;	     /* rows, object or instances; borrowed */
 	uint64_t started_ms; /* when the call was made */
 	const char *message; /* what failed and where */
 };
@@ -47,47 +47,48 @@
 			      const char *url);
 
 /*
- * platform_txn - an empty transaction; the caller's reference
+ * platform_txn - an empty transaction, as a new reference
  *
- * platform_compare: the row's version must be this, 0 for absent.
- * platform_put takes over value's reference.
+ * platform_compare requires a version of the row, 0 for an absent one.
+ * platform_put takes over the reference to value.
  */
 json_t *platform_txn(void);
 void platform_compare(json_t *txn, const char *key, uint64_t version);
 void platform_put(json_t *txn, const char *key, json_t *value);
 void platform_delete(json_t *txn, const char *key);
 
-/* platform_commit - all or nothing; borrows txn */
+/* platform_commit - apply a transaction atomically; borrows txn */
 void platform_commit(struct platform *p, const json_t *txn, platform_fn fn,
 		     void *arg);
 
 /*
- * platform_scan - rows under a prefix that changed after a revision
+ * platform_scan - read the rows under a prefix that changed after a revision
  *
- * value is an array of {"key", "version", "value"} by key; revision is the
- * one that the rows were read at.
+ * The callback's value is an array of {"key", "version", "value"}, sorted by
+ * key; its revision is the one at which the rows were read.
  */
 void platform_scan(struct platform *p, const char *prefix, uint64_t after,
 		   platform_fn fn, void *arg);
 
-/* platform_put_object, platform_get_object - value is the object */
+/* platform_put_object, platform_get_object - write or read an object */
 void platform_put_object(struct platform *p, const char *name,
 			 const json_t *value, platform_fn fn, void *arg);
 void platform_get_object(struct platform *p, const char *name, platform_fn fn,
 			 void *arg);
 
 /*
- * platform_reboot - reboot an instance if it has booted `boots` times
+ * platform_reboot - reboot an instance whose boot count is `boots`
  *
- * Asked again it does nothing more.
+ * Idempotent: the boot count has changed when it is called again.
  */
 void platform_reboot(struct platform *p, const char *instance, uint32_t boots,
 		     platform_fn fn, void *arg);
 
 /*
- * platform_instances - value is an array of {"name", "state", "boots"}
+ * platform_instances - read the instance list
  *
- * state is live, leaving or failed. The list lags.
+ * The callback's value is an array of {"name", "state", "boots"}; state is
+ * live, leaving or failed. The list lags behind the instances.
  */
 void platform_instances(struct platform *p, platform_fn fn, void *arg);
 
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -7,7 +7,7 @@
 
 #include "process/yamlfile.h"
 
-#define TEXT_MAX 256  /* bytes of a text */
+#define TEXT_MAX 256  /* bytes */
 #define SECRET_MIN 16 /* bytes */
 #define DEFAULT_THREADS 1
 #define DEFAULT_SHARDS 4
@@ -65,19 +65,20 @@
 	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct settings, fields),
 };
 
-/* Checks beyond the schema */
+/* Checks that the schema cannot express */
 
 struct bound {
 	const char *field;
 	size_t offset;
-	uint32_t without; /* value when the file gives none */
-	uint32_t low;
-	uint32_t high;
+	uint32_t default_value; /* if the file has none */
+	uint32_t min;
+	uint32_t max;
 };
 
-#define BOUND(field, without, low, high)                                     \
-	{                                                                    \
-#field, offsetof(struct settings, field), without, low, high \
+#define BOUND(field, default_value, min, max)                                 \
+	{                                                                     \
+#field, offsetof(struct settings, field), default_value, min, \
+			max                                                   \
 	}
 
 static const struct bound bounds[] = {
@@ -102,13 +103,13 @@
 		unsigned int line = yamlfile_line(path, b->field, NULL);
 
 		if (!line)
-			*value = b->without;
-		if (*value >= b->low && *value <= b->high)
+			*value = b->default_value;
+		if (*value >= b->min && *value <= b->max)
 			continue;
 		status_set(m,
 			   "%s:%u: field \"%s\" is %u, wanted a number from "
 			   "%u to %u",
-			   path, line, b->field, *value, b->low, b->high);
+			   path, line, b->field, *value, b->min, b->max);
 		return false;
 	}
 	return true;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -1,5 +1,5 @@
 /*
- * settings - what an entry is told at its start
+ * settings - an entry's settings file
  */
 #ifndef SETTINGS_H
 #define SETTINGS_H
@@ -17,16 +17,16 @@
 struct settings {
 	char *name;	/* as in the platform's instance list */
 	char *zone;	/* availability zone */
-	char *callers;	/* IP number and port */
-	char *admin;	/* IP number and port */
-	char *peers;	/* IP number and port */
+	char *callers;	/* IP address and port */
+	char *admin;	/* IP address and port */
+	char *peers;	/* IP address and port */
 	char *platform; /* URL of the table service */
-	char *secret;	/* fleet-wide; hashes keys, proves peers */
+	char *secret;	/* fleet-wide; hashes keys, authenticates peers */
 	uint32_t threads;
 	uint32_t shards;	  /* of the ledger; the same at all entries */
 	uint32_t waiting_max;	  /* requests */
-	uint32_t waiting_mib;	  /* MiB that they may take */
-	uint32_t body_max_kib;	  /* KiB of a request's body */
+	uint32_t waiting_mib;	  /* memory for them, in MiB */
+	uint32_t body_max_kib;	  /* size of a request's body, in KiB */
 	uint32_t connections_max; /* of callers */
 	uint32_t entries_max;	  /* that share a worker's connections */
 	uint32_t worker_connections; /* of all entries to one worker */
@@ -37,8 +37,8 @@
 /*
  * settings_load - read and check a file
  *
- * Returns NULL with a message that names file, line, field and what was
- * wanted.
+ * On failure returns NULL; the message names file, line, field and the
+ * expected value.
  */
 struct settings *settings_load(const char *path,
 			       struct status_message *message);
@@ -48,7 +48,7 @@
 /*
  * settings_address - split "IP:port"
  *
- * ip has room for INET_ADDRSTRLEN bytes.
+ * ip is a buffer of INET_ADDRSTRLEN bytes.
  */
 bool settings_address(const char *text, char *ip, uint16_t *port);
 
--- a/src/process/share.c
+++ b/src/process/share.c
@@ -2,36 +2,37 @@
 
 #include <stdbool.h>
 
-#define SHARE_OPEN (-1.0) /* not yet given its demand */
+#define SHARE_UNALLOCATED (-1.0) /* demand is not met yet */
 
-static double open_weight(const struct share_claim *claims, uint32_t count)
+static double unallocated_weight(const struct share_claim *claims,
+				 uint32_t count)
 {
 	double sum = 0;
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		if (claims[i].given < 0)
+		if (claims[i].allocated < 0)
 			sum += claims[i].weight;
 	return sum;
 }
 
-/* Gives their demand to all claims below the level; true if there was one. */
+/* Meets all claims whose demand is below the level; true if there were any. */
 static bool satisfy(struct share_claim *claims, uint32_t count, double level,
 		    double *capacity)
 {
-	bool any = false;
+	bool found = false;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
 		struct share_claim *c = &claims[i];
 
-		if (c->given >= 0 || c->demand > level * c->weight)
+		if (c->allocated >= 0 || c->demand > level * c->weight)
 			continue;
-		c->given = c->demand;
+		c->allocated = c->demand;
 		*capacity -= c->demand;
-		any = true;
+		found = true;
 	}
-	return any;
+	return found;
 }
 
 void share_divide(struct share_claim *claims, uint32_t count, double capacity)
@@ -40,15 +41,16 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		claims[i].given = SHARE_OPEN;
+		claims[i].allocated = SHARE_UNALLOCATED;
 	do {
-		weight = open_weight(claims, count);
+		weight = unallocated_weight(claims, count);
 		if (weight <= 0)
 			return;
 		if (capacity < 0)
 			capacity = 0;
 	} while (satisfy(claims, count, capacity / weight, &capacity));
 	for (i = 0; i < count; i++)
-		if (claims[i].given < 0)
-			claims[i].given = capacity * claims[i].weight / weight;
+		if (claims[i].allocated < 0)
+			claims[i].allocated =
+				capacity * claims[i].weight / weight;
 }
--- a/src/process/share.h
+++ b/src/process/share.h
@@ -1,8 +1,8 @@
 /*
  * share - weighted max-min allocation
  *
- * Capacity goes to claimants in proportion to their weights; what one cannot
- * use is divided among the others in the same way.
+ * Divides capacity among claims in proportion to their weights; what a claim
+ * cannot use is divided among the others in the same way.
  */
 #ifndef SHARE_H
 #define SHARE_H
@@ -10,12 +10,12 @@
 #include <stdint.h>
 
 struct share_claim {
-	double weight; /* above zero */
-	double demand; /* most that it can use */
-	double given;  /* result */
+	double weight;	  /* above zero */
+	double demand;	  /* maximum that it can use */
+	double allocated; /* result */
 };
 
-/* share_divide - set `given` of each claim; their sum is at most capacity */
+/* share_divide - set `allocated` of each claim, at most capacity in sum */
 void share_divide(struct share_claim *claims, uint32_t count, double capacity);
 
 #endif
--- a/src/process/status.h
+++ b/src/process/status.h
@@ -1,8 +1,8 @@
 /*
- * status - a layer's last message
+ * status - text of an error message
  *
- * Each layer has an enum of its own; this holds the text that goes with the
- * last failure. A message names what failed and where.
+ * Each module has its own status enum; this holds the text that goes with a
+ * failure. A message names what failed and where.
  */
 #ifndef STATUS_H
 #define STATUS_H
@@ -10,15 +10,13 @@
 #include <stdarg.h>
 #include <stdio.h>
 
-#define STATUS_MESSAGE_MAX 512 /* bytes, with the final NUL */
+#define STATUS_MESSAGE_MAX 512 /* bytes, including the final NUL */
 
 struct status_message {
 	char text[STATUS_MESSAGE_MAX];
 };
 
-/*
- * status_set - store a formatted message, cut to STATUS_MESSAGE_MAX
- */
+/* status_set - format a message, truncated to STATUS_MESSAGE_MAX bytes */
 __attribute__((format(printf, 2, 3))) static inline void status_set(
 	struct status_message *m, const char *fmt, ...)
 {
--- a/src/process/yamlfile.c
+++ b/src/process/yamlfile.c
@@ -5,7 +5,7 @@
 
 #define YAMLFILE_LINE_MAX 1024 /* bytes */
 
-/* Appends one of libcyaml's error lines, without its line end. */
+/* Appends one of libcyaml's log lines, without its newline. */
 static void on_log(cyaml_log_t level, void *arg, const char *fmt, va_list ap)
 {
 	struct status_message *m = arg;
@@ -57,7 +57,7 @@
 	cyaml_free(&config, schema, value, 0);
 }
 
-/* Whether text goes on with the value and something that ends it. */
+/* Whether text continues with exactly this value. */
 static bool value_is(const char *text, const char *value)
 {
 	size_t n = strlen(value);
--- a/src/process/yamlfile.h
+++ b/src/process/yamlfile.h
@@ -1,5 +1,5 @@
 /*
- * yamlfile - files checked by libcyaml, with its errors as one message
+ * yamlfile - YAML files checked by a libcyaml schema
  */
 #ifndef YAMLFILE_H
 #define YAMLFILE_H
@@ -10,10 +10,10 @@
 #include "process/status.h"
 
 /*
- * yamlfile_load - load a file by a schema
+ * yamlfile_load - load a file and check it against a schema
  *
- * Returns false with a message that names file, line, field and what was
- * wanted. The loaded value is freed by yamlfile_free.
+ * On failure returns false; the message names file, line, field and the
+ * expected value. Free the value with yamlfile_free.
  */
 bool yamlfile_load(const char *path, const cyaml_schema_value_t *schema,
 		   void **value, struct status_message *message);
@@ -21,10 +21,10 @@
 void yamlfile_free(const cyaml_schema_value_t *schema, void *value);
 
 /*
- * yamlfile_line - line that begins with a field, 0 if none
+ * yamlfile_line - number of the first line that begins with a field, or 0
  *
- * With a value, of the first that has it. A field in the middle of a line
- * is not found.
+ * With a value, the first line that gives the field this value. Does not find
+ * a field in the middle of a line.
  */
 unsigned int yamlfile_line(const char *path, const char *field,
 			   const char *value);
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -29,7 +29,7 @@
 	struct flow *flows;
 	uint32_t *by_team; /* index + 1 */
 	uint32_t count;
-	uint32_t team_room;
+	uint32_t team_capacity;
 	uint32_t waiting;
 	uint32_t running;
 };
@@ -38,21 +38,22 @@
 
 static struct flow *flow_find(const struct fq *q, team_handle team)
 {
-	if (team.i >= q->team_room || !q->by_team[team.i])
+	if (team.i >= q->team_capacity || !q->by_team[team.i])
 		return NULL;
 	return &q->flows[q->by_team[team.i] - 1];
 }
 
 static void team_room(struct fq *q, uint32_t team)
 {
-	uint32_t room = q->team_room;
+	uint32_t room = q->team_capacity;
 
 	if (team < room)
 		return;
-	q->team_room = (team + 1) * 2;
-	q->by_team = talloc_realloc(q, q->by_team, uint32_t, q->team_room);
+	q->team_capacity = (team + 1) * 2;
+	q->by_team = talloc_realloc(q, q->by_team, uint32_t, q->team_capacity);
 	assert(q->by_team);
-	memset(q->by_team + room, 0, (q->team_room - room) * sizeof(uint32_t));
+	memset(q->by_team + room, 0,
+	       (q->team_capacity - room) * sizeof(uint32_t));
 }
 
 static struct flow *flow_get(struct fq *q, team_handle team)
@@ -239,7 +240,7 @@
 
 /* Views */
 
-uint32_t fq_flows(const struct fq *q)
+uint32_t fq_flow_count(const struct fq *q)
 {
 	return q->count;
 }
@@ -270,7 +271,8 @@
 	flow_view(&q->flows[index], view);
 }
 
-bool fq_team(const struct fq *q, team_handle team, struct fq_flow_view *view)
+bool fq_team_view(const struct fq *q, team_handle team,
+		  struct fq_flow_view *view)
 {
 	const struct flow *f = flow_find(q, team);
 
@@ -289,8 +291,8 @@
 	return q->running;
 }
 
-void fq_each(const struct fq *q, void (*fn)(void *arg, const struct job *job),
-	     void *arg)
+void fq_for_each(const struct fq *q,
+		 void (*fn)(void *arg, const struct job *job), void *arg)
 {
 	const struct job *job;
 	uint32_t i;
@@ -319,8 +321,8 @@
 	}
 }
 
-void fq_sweep(struct fq *q, bool (*expired)(void *arg, const struct job *job),
-	      void (*refuse)(void *arg, struct job *job), void *arg)
+void fq_expire(struct fq *q, bool (*expired)(void *arg, const struct job *job),
+	       void (*refuse)(void *arg, struct job *job), void *arg)
 {
 	uint32_t i;
 	int class;
--- a/src/request/fq.h
+++ b/src/request/fq.h
@@ -55,27 +55,28 @@
 	double start_gap_ms; /* smoothed time between starts, 0 if unknown */
 };
 
-/* fq_flows - how many flows there are; fq_view - one of them */
-uint32_t fq_flows(const struct fq *q);
+/* fq_flow_count - how many flows there are; fq_view - one of them */
+uint32_t fq_flow_count(const struct fq *q);
 void fq_view(const struct fq *q, uint32_t index, struct fq_flow_view *view);
 
-/* fq_team - a team's flow; false when it never had work here */
-bool fq_team(const struct fq *q, team_handle team, struct fq_flow_view *view);
+/* fq_team_view - a team's flow; false when it never had work here */
+bool fq_team_view(const struct fq *q, team_handle team,
+		  struct fq_flow_view *view);
 
 /* fq_waiting, fq_running - work of all teams */
 uint32_t fq_waiting(const struct fq *q);
 uint32_t fq_running(const struct fq *q);
 
-/* fq_each - call fn for each waiting job */
-void fq_each(const struct fq *q, void (*fn)(void *arg, const struct job *job),
-	     void *arg);
+/* fq_for_each - call fn for each waiting job */
+void fq_for_each(const struct fq *q,
+		 void (*fn)(void *arg, const struct job *job), void *arg);
 
 /*
- * fq_sweep - call refuse for each waiting job that `expired` holds for
+ * fq_expire - call refuse for each waiting job that `expired` holds for
  *
  * The job is out of the queue before refuse is called.
  */
-void fq_sweep(struct fq *q, bool (*expired)(void *arg, const struct job *job),
-	      void (*refuse)(void *arg, struct job *job), void *arg);
+void fq_expire(struct fq *q, bool (*expired)(void *arg, const struct job *job),
+	       void (*refuse)(void *arg, struct job *job), void *arg);
 
 #endif
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -12,7 +12,7 @@
 
 #include "version/cfg.h"
 
-#define JOB_TRIES_MAX 3 /* attempts, the first one counted */
+#define JOB_ATTEMPTS_MAX 3 /* attempts, the first one counted */
 
 enum job_state { JOB_NEW, JOB_WAITING, JOB_RUNNING, JOB_DONE };
 
@@ -30,11 +30,11 @@
 
 /* What is known about a job's work after an attempt. */
 enum job_result {
-	JOB_ENDED,    /* a whole answer: the work has ended */
-	JOB_FAILED,   /* a whole answer that tells of a failure (5xx) */
-	JOB_NOT_SENT, /* no byte of it left for the worker */
-	JOB_NOT_RUN,  /* the worker refused it before starting */
-	JOB_MAY_RUN,  /* sent, and no whole answer: it may still run */
+	JOB_ENDED,	      /* a whole answer: the work has ended */
+	JOB_FAILED,	      /* a whole answer that tells of a failure (5xx) */
+	JOB_NOT_SENT,	      /* no byte of it left for the worker */
+	JOB_NOT_RUN,	      /* the worker refused it before starting */
+	JOB_POSSIBLY_RUNNING, /* sent, and no whole answer: it may still run */
 };
 
 struct job {
@@ -60,8 +60,8 @@
 	uint64_t started_ms;
 	uint64_t not_before_ms; /* of a retry */
 	bool may_have_run;	/* an attempt was sent without whole answer */
-	uint32_t tries;
-	uint32_t tried[JOB_TRIES_MAX]; /* instances */
+	uint32_t attempts;
+	uint32_t attempted[JOB_ATTEMPTS_MAX]; /* instances */
 };
 
 #endif
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -20,7 +20,7 @@
 	[JOB_REFUSED_HUNG_UP] = { "hung_up", 499, "the caller hung up" },
 };
 
-static struct outcome_answer unknown(const struct outcome_end *end)
+static struct outcome_answer unknown(const struct outcome_input *end)
 {
 	struct outcome_answer a = { OUTCOME_UNKNOWN, 502,
 				    "no whole answer from the worker" };
@@ -32,7 +32,7 @@
 	return a;
 }
 
-struct outcome_answer outcome_of(const struct outcome_end *end)
+struct outcome_answer outcome_of(const struct outcome_input *end)
 {
 	struct outcome_answer answered = { OUTCOME_ANSWERED, 0, NULL };
 	struct outcome_answer not_run = { OUTCOME_NOT_RUN, 503,
@@ -41,7 +41,8 @@
 	if (!end->refused &&
 	    (end->result == JOB_ENDED || end->result == JOB_FAILED))
 		return answered;
-	if (end->may_have_run || (!end->refused && end->result == JOB_MAY_RUN))
+	if (end->may_have_run ||
+	    (!end->refused && end->result == JOB_POSSIBLY_RUNNING))
 		return unknown(end);
 	if (end->refused) {
 		not_run.code = refusals[end->refusal].code;
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -16,7 +16,7 @@
 };
 
 /* How a job's way through the core came to its end. */
-struct outcome_end {
+struct outcome_input {
 	bool refused; /* refusal holds, otherwise result */
 	enum job_refusal refusal;
 	enum job_result result;
@@ -31,7 +31,7 @@
 };
 
 /* outcome_of - what to tell the caller */
-struct outcome_answer outcome_of(const struct outcome_end *end);
+struct outcome_answer outcome_of(const struct outcome_input *end);
 
 /* outcome_name - the value of the Jackdawwell-Outcome header */
 const char *outcome_name(enum outcome outcome);
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -19,16 +19,16 @@
 	uint32_t milli;
 };
 
-/* retry_earn - count a request */
-static inline void retry_earn(struct retry_budget *b)
+/* retry_credit - count a request */
+static inline void retry_credit(struct retry_budget *b)
 {
 	b->milli += RETRY_EARNED_MILLI;
 	if (b->milli > RETRY_STORE_MILLI)
 		b->milli = RETRY_STORE_MILLI;
 }
 
-/* retry_spend - take one retry; false when the budget is used up */
-static inline bool retry_spend(struct retry_budget *b)
+/* retry_consume - take one retry; false when the budget is used up */
+static inline bool retry_consume(struct retry_budget *b)
 {
 	if (b->milli < 1000)
 		return false;
--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -299,7 +299,7 @@
 		w->pool = text(o, "pool");
 		w->zone = text(o, "zone");
 		w->rack = text(o, "rack");
-		w->why = text(o, "why");
+		w->halt_reason = text(o, "why");
 		w->return_max_s = number(o, "return_max_s", WAVE_RETURN_MAX_S);
 		w->state = (enum cfg_wave_state)cfg_wave_state_find(
 			text(o, "state"));
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -93,8 +93,8 @@
 	const char *pool; /* "" for any; zone and rack likewise */
 	const char *zone;
 	const char *rack;
-	const char *why;       /* it was halted */
-	uint32_t return_max_s; /* halts when one drains or is out longer */
+	const char *halt_reason; /* it was halted */
+	uint32_t return_max_s;	 /* halts when one drains or is out longer */
 	enum cfg_wave_state state;
 };
 
--- a/src/version/wave.c
+++ b/src/version/wave.c
@@ -38,10 +38,10 @@
 	p->zone = intern_add(zones, w->zone);
 	p->rack = intern_add(racks, w->rack);
 	p->state = state_of(w);
-	p->wanted = begun ||
-		    (w->state == CFG_SERVING &&
-		     fits(wave->pool, cfg->pools[w->pool.i].name) &&
-		     fits(wave->zone, w->zone) && fits(wave->rack, w->rack));
+	p->selected = begun ||
+		      (w->state == CFG_SERVING &&
+		       fits(wave->pool, cfg->pools[w->pool.i].name) &&
+		       fits(wave->zone, w->zone) && fits(wave->rack, w->rack));
 	p->done = begun && w->state == CFG_SERVING;
 }
 
--- a/test/decide_test.c
+++ b/test/decide_test.c
@@ -1,6 +1,6 @@
 /*
- * Small decisions: shares, the fair queue, health, retries, freshness,
- * members and brokers.
+ * Tests of shares, the fair queue, health, retries, freshness, members and
+ * brokers.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -11,7 +11,7 @@
 #include <string.h>
 
 #include "process/broker.h"
-#include "process/fresh.h"
+#include "process/freshness.h"
 #include "process/health.h"
 #include "process/share.h"
 #include "request/fq.h"
@@ -46,7 +46,8 @@
 
 		share_divide(r.claims, 3, r.capacity);
 		for (k = 0; k < 3; k++)
-			assert_float_equal(r.claims[k].given, r.given[k], 1e-6);
+			assert_float_equal(r.claims[k].allocated, r.given[k],
+					   1e-6);
 	}
 }
 
@@ -88,10 +89,10 @@
 	assert_ptr_equal(fq_pick(q, 5, not_team_1, NULL), &c);
 	fq_remove(q, &c);
 	assert_ptr_equal(fq_pick(q, 5, not_team_1, NULL), &a);
-	/* A team below its target goes first, however late it came. */
+	/* A team below its target goes first, regardless of arrival. */
 	fq_set_target(q, (team_handle){ 1 }, 2.0);
 	assert_ptr_equal(fq_pick(q, 5, any_team, NULL), &d);
-	/* A retry waits for its delay and nothing of its team passes it. */
+	/* A delayed retry is not overtaken by other work of its team. */
 	fq_remove(q, &a);
 	a.not_before_ms = 50;
 	fq_push_front(q, &a, 6);
@@ -102,7 +103,7 @@
 
 static void test_fq_shares_over_time(void **state)
 {
-	/* One slot, targets of 0.75 and 0.25: three in four for team 0. */
+	/* One slot, targets 0.75 and 0.25: team 0 gets 3 of 4 starts. */
 	struct fq *q = fq_new(NULL);
 	struct job jobs[2];
 	uint32_t starts[2] = { 0 };
@@ -138,38 +139,39 @@
 
 	(void)state;
 	for (i = 0; i < 5; i++)
-		health_result(&h, true, now);
-	assert_false(health_failing(&h, 0.9)); /* the work's fault */
-	assert_true(health_failing(&h, 0.0));
+		health_record(&h, true, now);
+	assert_false(health_should_eject(&h, 0.9)); /* requests to blame */
+	assert_true(health_should_eject(&h, 0.0));
 	health_eject(&h, now);
-	assert_false(health_usable(&h, now + HEALTH_PAUSE_MS - 1));
-	assert_true(health_usable(&h, now + HEALTH_PAUSE_MS));
-	health_chosen(&h);
-	assert_false(health_usable(&h, now + HEALTH_PAUSE_MS)); /* one probe */
-	assert_false(health_result(&h, true, now + HEALTH_PAUSE_MS));
-	assert_false(health_usable(&h, now + 2 * HEALTH_PAUSE_MS));
-	health_chosen(&h);
-	assert_true(health_result(&h, false, now + 4 * HEALTH_PAUSE_MS));
-	assert_true(health_usable(&h, now + 4 * HEALTH_PAUSE_MS));
+	assert_false(health_available(&h, now + HEALTH_PROBE_DELAY_MS - 1));
+	assert_true(health_available(&h, now + HEALTH_PROBE_DELAY_MS));
+	health_request_started(&h);
+	/* One probe at a time. */
+	assert_false(health_available(&h, now + HEALTH_PROBE_DELAY_MS));
+	assert_false(health_record(&h, true, now + HEALTH_PROBE_DELAY_MS));
+	assert_false(health_available(&h, now + 2 * HEALTH_PROBE_DELAY_MS));
+	health_request_started(&h);
+	assert_true(health_record(&h, false, now + 4 * HEALTH_PROBE_DELAY_MS));
+	assert_true(health_available(&h, now + 4 * HEALTH_PROBE_DELAY_MS));
 }
 
 static void test_retry_budget(void **state)
 {
 	struct retry_budget b = { 0 };
-	int spent = 0;
+	int granted = 0;
 	int i;
 
 	(void)state;
 	for (i = 0; i < 1000; i++) {
-		retry_earn(&b);
-		spent += retry_spend(&b);
+		retry_credit(&b);
+		granted += retry_consume(&b);
 	}
-	assert_in_range(spent, 99, 100);
+	assert_in_range(granted, 99, 100);
 }
 
 /* Freshness */
 
-struct fresh_row {
+struct freshness_row {
 	const char *what;
 	uint64_t store_ms;
 	uint64_t peer_ms[2];
@@ -177,17 +179,37 @@
 	uint64_t until;
 };
 
-static const struct fresh_row fresh_rows[] = {
-	{ "nothing heard", 0, { 0, 0 }, { 0, 0 }, 0 },
-	{ "read the store", 5000, { 0, 0 }, { 0, 0 }, 5000 + FRESH_MS },
-	{ "one of two peers", 0, { 4000, 0 }, { 7, 0 }, 4000 + FRESH_MS },
-	{ "the newer of two", 0, { 4000, 6000 }, { 7, 7 }, 6000 + FRESH_MS },
+static const struct freshness_row freshness_rows[] = {
+	{ "nothing known", 0, { 0, 0 }, { 0, 0 }, 0 },
+	{ "read the store",
+	  5000,
+	  { 0, 0 },
+	  { 0, 0 },
+	  5000 + FRESHNESS_LIFETIME_MS },
+	{ "one of two peers",
+	  0,
+	  { 4000, 0 },
+	  { 7, 0 },
+	  4000 + FRESHNESS_LIFETIME_MS },
+	{ "the newer of two",
+	  0,
+	  { 4000, 6000 },
+	  { 7, 7 },
+	  6000 + FRESHNESS_LIFETIME_MS },
 	{ "a peer knows more", 0, { 4000, 6000 }, { 8, 7 }, 0 },
-	{ "a peer knows less", 0, { 4000, 6000 }, { 6, 7 }, 6000 + FRESH_MS },
-	{ "store newer", 9000, { 4000, 6000 }, { 7, 7 }, 9000 + FRESH_MS },
+	{ "a peer knows less",
+	  0,
+	  { 4000, 6000 },
+	  { 6, 7 },
+	  6000 + FRESHNESS_LIFETIME_MS },
+	{ "store newer",
+	  9000,
+	  { 4000, 6000 },
+	  { 7, 7 },
+	  9000 + FRESHNESS_LIFETIME_MS },
 };
 
-static void test_fresh(void **state)
+static void test_freshness(void **state)
 {
 	struct members m = { .version = 3, .count = 3 };
 	size_t i;
@@ -198,46 +220,48 @@
 		m.list[k].incarnation = (uint64_t)k + 1;
 		m.list[k].state = MEMBER_FULL;
 	}
-	for (i = 0; i < sizeof(fresh_rows) / sizeof(fresh_rows[0]); i++) {
-		const struct fresh_row *r = &fresh_rows[i];
-		struct fresh f = { .store_ms = r->store_ms };
+	for (i = 0; i < sizeof(freshness_rows) / sizeof(freshness_rows[0]);
+	     i++) {
+		const struct freshness_row *r = &freshness_rows[i];
+		struct freshness f = { .store_read_ms = r->store_ms };
 
 		for (k = 0; k < 2; k++) {
-			struct fresh_peer p = { (uint64_t)k + 2, r->peer_ms[k],
-						r->peer_version[k], 3 };
+			struct freshness_peer p = { (uint64_t)k + 2,
+						    r->peer_ms[k],
+						    r->peer_version[k], 3 };
 
 			if (r->peer_ms[k])
-				fresh_told(&f, &p);
+				freshness_record(&f, &p);
 		}
-		if (fresh_until(&f, &m, 1, 7) != r->until)
+		if (freshness_until(&f, &m, 1, 7) != r->until)
 			fail_msg("%s", r->what);
 	}
 }
 
-static void test_fresh_joining_does_not_count(void **state)
+static void test_freshness_joining_does_not_count(void **state)
 {
 	struct members m = { .version = 3, .count = 3 };
-	struct fresh f = { 0 };
-	struct fresh_peer p = { 2, 4000, 7, 3 };
+	struct freshness f = { 0 };
+	struct freshness_peer p = { 2, 4000, 7, 3 };
 
 	(void)state;
 	m.list[0] = (struct member){ .incarnation = 1, .state = MEMBER_FULL };
 	m.list[1] =
 		(struct member){ .incarnation = 2, .state = MEMBER_JOINING };
 	m.list[2] = (struct member){ .incarnation = 3, .state = MEMBER_FULL };
-	fresh_told(&f, &p);
-	assert_int_equal(fresh_until(&f, &m, 1, 7), 0);
-	assert_int_equal(fresh_knowing(&f, &m, 1, 7), 1);
+	freshness_record(&f, &p);
+	assert_int_equal(freshness_until(&f, &m, 1, 7), 0);
+	assert_int_equal(freshness_count_config(&f, &m, 1, 7), 1);
 	m.list[2].state = MEMBER_DEAD;
-	/* Alone among the full: nothing can be accepted without it. */
-	assert_true(fresh_until(&f, &m, 1, 7) > 1u << 30);
+	/* The only full member: no change is accepted without it. */
+	assert_true(freshness_until(&f, &m, 1, 7) > 1u << 30);
 }
 
 static void test_members_register(void **state)
 {
 	struct members m = { 0 };
 	struct members back;
-	struct member self = { .name = "entry-1", .boot = 9 };
+	struct member self = { .name = "entry-1", .nonce = 9 };
 	json_t *json;
 
 	(void)state;
@@ -246,10 +270,10 @@
 	assert_int_equal(members_register(&m, &self, 4), 2);
 	assert_int_equal(m.list[0].state, MEMBER_DEAD);
 	assert_int_equal(members_register(&m, &self, 8), 0);
-	json = members_json(&m);
+	json = members_to_json(&m);
 	assert_true(members_parse(json, 5, &back));
-	assert_int_equal(back.next, 3);
-	assert_int_equal(back.list[1].boot, 9);
+	assert_int_equal(back.next_incarnation, 3);
+	assert_int_equal(back.list[1].nonce, 9);
 	json_decref(json);
 }
 
@@ -291,7 +315,7 @@
 	struct broker_demand d = { { BROKER_POOL, 0 }, 6, 0, 1, &t };
 
 	(void)state;
-	broker_report(b, 1, &d, 1000); /* all the callers, 6 slots */
+	broker_report(b, 1, &d, 1000); /* all of the demand, 6 of 18 slots */
 	d.team_count = 0;
 	d.idle = 6;
 	broker_report(b, 2, &d, 1000);
@@ -338,8 +362,8 @@
 		cmocka_unit_test(test_fq_shares_over_time),
 		cmocka_unit_test(test_health),
 		cmocka_unit_test(test_retry_budget),
-		cmocka_unit_test(test_fresh),
-		cmocka_unit_test(test_fresh_joining_does_not_count),
+		cmocka_unit_test(test_freshness),
+		cmocka_unit_test(test_freshness_joining_does_not_count),
 		cmocka_unit_test(test_members_register),
 		cmocka_unit_test(test_broker_moves_units_to_demand),
 		cmocka_unit_test(test_broker_choice_is_stable),
--- a/test/event_test.c
+++ b/test/event_test.c
@@ -1,6 +1,6 @@
 /*
- * The log when its reader is slow: whole lines, in order, or counted as
- * dropped.
+ * With a slow reader of the log, every line is either written whole or
+ * counted as dropped.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -17,11 +17,11 @@
 
 #include "process/event.h"
 
-#define PIPE_BYTES 4096 /* the least that the kernel allows */
-#define LINES 900u	/* below the rate of one kind */
+#define PIPE_BYTES 4096 /* the minimum of the kernel */
+#define LINES 900u	/* below the rate limit of one kind */
 #define FLUSH_EVERY 20u
 
-/* Reads up to most bytes of the pipe to the end of text. */
+/* Appends up to `most` bytes from the pipe to text. */
 static size_t read_some(int fd, char *text, size_t used, size_t most)
 {
 	ssize_t n = read(fd, text + used, most);
@@ -39,7 +39,7 @@
 		json_t *o = json_loads(line, 0, &error);
 
 		if (!o)
-			fail_msg("no whole line: %s", line);
+			fail_msg("not a complete line: %s", line);
 		if (!strcmp(json_string_value(json_object_get(o, "event")),
 			    "probe"))
 			lines++;
@@ -50,7 +50,8 @@
 
 static void test_lines_stay_whole(void **state)
 {
-	static const size_t reads[] = { 1, 7, 1000, 4096 }; /* bytes a flush */
+	static const size_t reads[] = { 1, 7, 1000,
+					4096 }; /* bytes per flush */
 	size_t c;
 
 	(void)state;
--- a/test/ledger_walk.c
+++ b/test/ledger_walk.c
@@ -1,11 +1,12 @@
 /*
- * ledger_walk - random schedules of entries, store and network over the ledger
+ * ledger_walk - randomized simulation of entries, store and network
  *
- * Virtual time, fixed seeds. The weights of the operations are drawn anew for
- * each seed, so that rare ends of work, long freezes and many kills all
- * come up. Invariants are checked after every step; when the faults end, all
- * units must be accounted for within HEAL_MS. --unsafe takes one safeguard
- * away and the walk must then find a violation.
+ * Runs the ledger in virtual time, with a fixed seed per schedule. The weights
+ * of the operations are random per seed, so that schedules with few ends of
+ * work, long freezes or many kills all occur. Invariants are checked after
+ * every step; once the faults end, all units must be accounted for within
+ * RECOVERY_MS. --without disables one safeguard; the simulation must then find
+ * a violation.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -18,54 +19,54 @@
 
 static void configure(struct world *w)
 {
-	uint32_t d = walk_pick(w, DOMAINS);
+	uint32_t d = walk_random(w, DOMAINS);
 
-	if (w->conf == 255 || w->outage)
+	if (w->config_version == 255 || w->outage)
 		return;
-	memcpy(w->totals[w->conf + 1], w->totals[w->conf],
+	memcpy(w->totals[w->config_version + 1], w->totals[w->config_version],
 	       sizeof(w->totals[0]));
-	memcpy(w->generations[w->conf + 1], w->generations[w->conf],
-	       sizeof(w->generations[0]));
-	w->conf++;
-	w->totals[w->conf][d] = walk_pick(w, 9);
-	if (d == 1 && !walk_pick(w, 3))
-		w->generations[w->conf][d]++;
+	memcpy(w->generations[w->config_version + 1],
+	       w->generations[w->config_version], sizeof(w->generations[0]));
+	w->config_version++;
+	w->totals[w->config_version][d] = walk_random(w, 9);
+	if (d == 1 && !walk_random(w, 3))
+		w->generations[w->config_version][d]++;
 }
 
 static void start(struct world *w, struct entry *e)
 {
-	domain_handle d = { walk_pick(w, DOMAINS) };
+	domain_handle d = { walk_random(w, DOMAINS) };
 
-	if (ledger_take(e->ledger, d) == LEDGER_OK)
+	if (ledger_start_unit(e->ledger, d) == LEDGER_OK)
 		walk_check_start(w, e, d.i);
 }
 
 static void end(struct world *w, struct entry *e)
 {
-	domain_handle d = { walk_pick(w, DOMAINS) };
+	domain_handle d = { walk_random(w, DOMAINS) };
 
-	if (walk_view_of(e, d.i).running <= 0)
+	if (walk_domain_view(e, d.i).running <= 0)
 		return;
-	ledger_end(e->ledger, d);
-	if ((w->unsafe & UNSAFE_END_OF_WORK) && !walk_pick(w, 4))
-		e->orphans[d.i]++;
+	ledger_end_unit(e->ledger, d);
+	if ((w->unsafe & UNSAFE_END_OF_WORK) && !walk_random(w, 4))
+		e->orphaned[d.i]++;
 }
 
 static void lend(struct world *w, struct entry *e)
 {
 	uint32_t from = (uint32_t)(e - w->entries);
-	uint32_t to = walk_pick(w, w->entry_count);
-	domain_handle d = { walk_pick(w, DOMAINS) };
+	uint32_t to = walk_random(w, w->entry_count);
+	domain_handle d = { walk_random(w, DOMAINS) };
 
 	if (to == from || !w->entries[to].alive)
 		return;
-	if (ledger_lend(walk_link_to(w, from, to), d, 1 + walk_pick(w, 3)))
+	if (ledger_lend(walk_link(w, from, to), d, 1 + walk_random(w, 3)))
 		walk_resend(w, e);
 }
 
 static void kill_one(struct world *w)
 {
-	uint32_t i = walk_pick(w, w->entry_count);
+	uint32_t i = walk_random(w, w->entry_count);
 
 	if (walk_alive_count(w) > 1 && w->entries[i].alive)
 		w->entries[i].alive = false;
@@ -73,7 +74,7 @@
 
 static void step_entry(struct world *w, enum op op, struct entry *e)
 {
-	domain_handle d = { walk_pick(w, DOMAINS) };
+	domain_handle d = { walk_random(w, DOMAINS) };
 
 	switch (op) {
 	case OP_START:
@@ -82,11 +83,11 @@
 	case OP_END:
 		end(w, e);
 		break;
-	case OP_WANT:
-		ledger_want(e->ledger, d, walk_pick(w, 5));
+	case OP_SET_IDLE_TARGET:
+		ledger_set_idle_target(e->ledger, d, walk_random(w, 5));
 		break;
-	case OP_RELEASE:
-		ledger_release(e->ledger, d, walk_pick(w, 3));
+	case OP_RETURN:
+		ledger_return_units(e->ledger, d, walk_random(w, 3));
 		break;
 	case OP_LEND:
 		lend(w, e);
@@ -94,8 +95,8 @@
 	case OP_RESEND:
 		walk_resend(w, e);
 		break;
-	case OP_PLAN:
-		walk_plan(w, e, walk_pick(w, SHARDS));
+	case OP_PLAN_CAS:
+		walk_plan_cas(w, e, walk_random(w, SHARDS));
 		break;
 	case OP_READ:
 		if (!w->outage)
@@ -104,90 +105,91 @@
 	case OP_FREEZE:
 		e->frozen = true;
 		break;
-	case OP_LEARN:
-		walk_learn(w, e, w->conf);
+	case OP_CONFIGURE_ENTRY:
+		walk_configure(w, e, w->config_version);
 		break;
 	default:
-		ledger_suspect(e->ledger);
+		ledger_suspect_loss(e->ledger);
 		break;
 	}
 }
 
-static void thaw_one(struct world *w)
+static void unfreeze_one(struct world *w)
 {
-	w->entries[walk_pick(w, w->entry_count)].frozen = false;
+	w->entries[walk_random(w, w->entry_count)].frozen = false;
 }
 
 static void step_world(struct world *w, enum op op)
 {
-	uint32_t mail = w->mail_count ? walk_pick(w, w->mail_count) : 0;
-	uint32_t write = w->write_count ? walk_pick(w, w->write_count) : 0;
-
-	if (op == OP_DELIVER && w->mail_count)
-		walk_deliver(w, mail, false);
-	else if (op == OP_DUPLICATE && w->mail_count)
-		walk_deliver(w, mail, true);
-	else if (op == OP_DROP && w->mail_count)
-		w->mail[mail] = w->mail[--w->mail_count];
-	else if (op == OP_ANSWER && w->write_count)
-		walk_answer(w, write, !walk_pick(w, 4));
+	uint32_t message =
+		w->message_count ? walk_random(w, w->message_count) : 0;
+	uint32_t write = w->write_count ? walk_random(w, w->write_count) : 0;
+
+	if (op == OP_DELIVER && w->message_count)
+		walk_deliver(w, message, false);
+	else if (op == OP_DUPLICATE && w->message_count)
+		walk_deliver(w, message, true);
+	else if (op == OP_DROP && w->message_count)
+		w->messages[message] = w->messages[--w->message_count];
+	else if (op == OP_RESPOND && w->write_count)
+		walk_respond(w, write, !walk_random(w, 4));
 	else if (op == OP_LATE_WRITE && w->write_count && !w->outage &&
 		 !w->writes[write].applied)
-		walk_apply(w, &w->writes[write]);
-	else if (op == OP_THAW)
-		thaw_one(w);
+		walk_apply_write(w, &w->writes[write]);
+	else if (op == OP_UNFREEZE)
+		unfreeze_one(w);
 	else if (op == OP_KILL)
 		kill_one(w);
-	else if (op == OP_GONE)
-		walk_prove_gone(w);
+	else if (op == OP_REMOVE_DEAD)
+		walk_remove_dead(w);
 	else if (op == OP_REGISTER && walk_alive_count(w) < ENTRIES)
 		walk_register_entry(w);
 	else if (op == OP_OUTAGE)
-		w->outage = !walk_pick(w, 3);
+		w->outage = !walk_random(w, 3);
 	else if (op == OP_CONFIGURE)
 		configure(w);
 }
 
 static bool op_is_of_entry(enum op op)
 {
-	return op <= OP_RESEND || op == OP_PLAN || op == OP_READ ||
-	       op == OP_FREEZE || op == OP_LEARN || op == OP_SUSPECT;
+	return op <= OP_RESEND || op == OP_PLAN_CAS || op == OP_READ ||
+	       op == OP_FREEZE || op == OP_CONFIGURE_ENTRY || op == OP_SUSPECT;
 }
 
 static void step(struct world *w)
 {
-	uint32_t n = walk_pick(w, w->weight_sum);
+	uint32_t n = walk_random(w, w->weight_sum);
 	struct entry *e;
 	int op = 0;
 
 	while (n >= w->weights[op])
 		n -= w->weights[op++];
-	w->now_ms += walk_pick(w, 20);
+	w->now_ms += walk_random(w, 20);
 	if (!op_is_of_entry((enum op)op)) {
 		step_world(w, (enum op)op);
 	} else {
-		e = walk_any_entry(w);
+		e = walk_random_entry(w);
 		if (e)
 			step_entry(w, (enum op)op, e);
 	}
-	walk_check(w, "a step");
+	walk_check_units(w, "a step");
 }
 
-static bool accounted(const struct world *w)
+static bool all_accounted(const struct world *w)
 {
 	uint32_t d;
 
 	for (d = 0; d < DOMAINS; d++) {
-		const struct ledger_cell *c = walk_cell_of(w, d);
+		const struct ledger_cell *c = walk_cell(w, d);
 
-		if (!c || c->total != w->totals[w->conf][d] ||
-		    c->free + walk_held_in(w, d) != c->total || c->free < 0)
+		if (!c || c->total != w->totals[w->config_version][d] ||
+		    c->free + walk_held(w, d) != c->total || c->free < 0)
 			return false;
 	}
 	return true;
 }
 
-static void heal_tick(struct world *w)
+static void recovery_tick(struct world *w)
 {
 	uint32_t i;
 	uint32_t s;
@@ -199,19 +201,19 @@
 			continue;
 		if (w->now_ms % 250 < TICK_MS)
 			walk_read_rows(w, e);
-		walk_learn(w, e, w->conf);
+		walk_configure(w, e, w->config_version);
 		walk_resend(w, e);
 		for (s = 0; s < SHARDS; s++)
-			walk_plan(w, e, s);
+			walk_plan_cas(w, e, s);
 	}
-	while (w->mail_count)
+	while (w->message_count)
 		walk_deliver(w, 0, false);
 	while (w->write_count)
-		walk_answer(w, 0, false);
-	walk_check(w, "healing");
+		walk_respond(w, 0, false);
+	walk_check_units(w, "a recovery step");
 }
 
-/* Ends all work that holds units, so that debts can be paid. */
+/* Ends all work that holds units, so that deficits can be covered. */
 static void end_all_work(struct world *w)
 {
 	uint32_t i;
@@ -219,52 +221,54 @@
 
 	for (i = 0; i < w->entry_count; i++)
 		for (d.i = 0; d.i < DOMAINS && w->entries[i].alive; d.i++)
-			while (walk_view_of(&w->entries[i], d.i).running > 0)
-				ledger_end(w->entries[i].ledger, d);
+			while (walk_domain_view(&w->entries[i], d.i).running >
+			       0)
+				ledger_end_unit(w->entries[i].ledger, d);
 }
 
-static void describe(const struct world *w)
+static void print_domains(const struct world *w)
 {
 	uint32_t d;
 
 	for (d = 0; d < DOMAINS; d++) {
-		const struct ledger_cell *c = walk_cell_of(w, d);
+		const struct ledger_cell *c = walk_cell(w, d);
 
 		if (c)
-			printf("%s: total %" PRId64 " (wanted %" PRId64
+			printf("%s: total %" PRId64 " (configured %" PRId64
 			       ") free %" PRId64 " held %" PRId64
-			       " generation %" PRIu64 " (wanted %" PRIu64 ")\n",
+			       " generation %" PRIu64 " (configured %" PRIu64
+			       ")\n",
 			       walk_domain_names[d], c->total,
-			       w->totals[w->conf][d], c->free,
-			       walk_held_in(w, d), c->generation,
-			       w->generations[w->conf][d]);
+			       w->totals[w->config_version][d], c->free,
+			       walk_held(w, d), c->generation,
+			       w->generations[w->config_version][d]);
 	}
 }
 
-static void heal(struct world *w)
+static void recover(struct world *w)
 {
 	uint64_t until;
 	uint32_t i;
 
 	w->outage = false;
-	w->healing = true;
+	w->recovering = true;
 	for (i = 0; i < w->entry_count; i++)
 		w->entries[i].frozen = false;
 	for (i = 0; i < w->entry_count; i++)
-		walk_prove_gone(w);
+		walk_remove_dead(w);
 	end_all_work(w);
-	until = w->now_ms + HEAL_MS;
+	until = w->now_ms + RECOVERY_MS;
 	while (w->now_ms < until && !*w->violation) {
 		w->now_ms += TICK_MS;
-		heal_tick(w);
-		if (accounted(w))
+		recovery_tick(w);
+		if (all_accounted(w))
 			return;
 	}
 	if (*w->violation)
 		return;
-	describe(w);
+	print_domains(w);
 	snprintf(w->violation, sizeof(w->violation),
-		 "units not accounted for %d ms after the faults", HEAL_MS);
+		 "units not accounted for %d ms after the faults", RECOVERY_MS);
 }
 
 static void set_up(struct world *w, uint64_t seed, unsigned int unsafe)
@@ -276,18 +280,18 @@
 	w->random = seed * 0x9e3779b97f4a7c15u + 1;
 	w->unsafe = unsafe;
 	for (i = 0; i < 20; i++)
-		walk_pick(w, 2);
+		walk_random(w, 2);
 	for (i = 0; i < OP_COUNT; i++) {
-		w->weights[i] = 1 + walk_pick(w, walk_pick(w, 4) ? 12 : 60);
+		w->weights[i] = 1 + walk_random(w, walk_random(w, 4) ? 12 : 60);
 		w->weight_sum += w->weights[i];
 	}
 	for (i = 0; i < SHARDS; i++) {
 		w->rows[i] = talloc_zero(w->ctx, struct ledger_row);
 		w->rows[i]->version = ++w->revision;
 	}
-	w->conf = 1;
+	w->config_version = 1;
 	for (i = 0; i < DOMAINS; i++)
-		w->totals[1][i] = 2 + walk_pick(w, 7);
+		w->totals[1][i] = 2 + walk_random(w, 7);
 	for (i = 0; i < 3; i++)
 		walk_register_entry(w);
 }
@@ -300,7 +304,7 @@
 	for (i = 0; i < STEPS && !*w->violation; i++)
 		step(w);
 	if (!*w->violation)
-		heal(w);
+		recover(w);
 	talloc_free(w->ctx);
 	return !*w->violation;
 }
@@ -314,9 +318,9 @@
 	{ "none", 0 },
 	{ "round-tag", LEDGER_UNSAFE_ROUND_TAG },
 	{ "sequence", LEDGER_UNSAFE_SEQUENCE },
-	{ "late-draw", LEDGER_UNSAFE_LATE_DRAW },
+	{ "late-draw", LEDGER_UNSAFE_LATE_ACQUIRE },
 	{ "report", LEDGER_UNSAFE_REPORT },
-	{ "debt", LEDGER_UNSAFE_DEBT },
+	{ "debt", LEDGER_UNSAFE_DEFICIT },
 	{ "unknown", LEDGER_UNSAFE_UNKNOWN },
 	{ "end-of-work", UNSAFE_END_OF_WORK },
 	{ "lease", UNSAFE_LEASE },
@@ -348,7 +352,7 @@
 int main(int argc, char **argv)
 {
 	struct arg_str *without =
-		arg_str0(NULL, "without", "SAFEGUARD", "take a safeguard away");
+		arg_str0(NULL, "without", "SAFEGUARD", "disable a safeguard");
 	struct arg_int *first = arg_int0(NULL, "first", "SEED", "first seed");
 	struct arg_int *count = arg_int0(NULL, "count", "N", "schedules");
 	struct arg_end *stop = arg_end(4);
--- a/test/outcome_test.c
+++ b/test/outcome_test.c
@@ -12,7 +12,7 @@
 
 struct row {
 	const char *proof;
-	struct outcome_end end;
+	struct outcome_input end;
 	enum outcome outcome;
 	unsigned int code;
 };
@@ -47,9 +47,9 @@
 	  OUTCOME_ANSWERED,
 	  0 },
 	/* Nothing proves that it has not run */
-	{ "broken", RESULT(JOB_MAY_RUN), OUTCOME_UNKNOWN, 502 },
+	{ "broken", RESULT(JOB_POSSIBLY_RUNNING), OUTCOME_UNKNOWN, 502 },
 	{ "timed out",
-	  { .result = JOB_MAY_RUN, .timed_out = true },
+	  { .result = JOB_POSSIBLY_RUNNING, .timed_out = true },
 	  OUTCOME_UNKNOWN,
 	  504 },
 	{ "refused after an unknown attempt",
--- a/test/walk/world.c
+++ b/test/walk/world.c
@@ -7,7 +7,7 @@
 const char *const walk_domain_names[DOMAINS] = { "t:shop", "w:oven-1",
 						 "t:club" };
 
-uint32_t walk_pick(struct world *w, uint32_t n)
+uint32_t walk_random(struct world *w, uint32_t n)
 {
 	w->random ^= w->random << 13;
 	w->random ^= w->random >> 7;
@@ -15,7 +15,7 @@
 	return (uint32_t)((w->random >> 11) % n);
 }
 
-struct ledger_domain_view walk_view_of(const struct entry *e, uint32_t d)
+struct ledger_domain_view walk_domain_view(const struct entry *e, uint32_t d)
 {
 	struct ledger_domain_view view;
 	domain_handle handle = { d };
@@ -24,7 +24,7 @@
 	return view;
 }
 
-int64_t walk_running_in(const struct world *w, uint32_t d)
+int64_t walk_running(const struct world *w, uint32_t d)
 {
 	int64_t sum = 0;
 	uint32_t i;
@@ -32,27 +32,28 @@
 	for (i = 0; i < w->entry_count; i++) {
 		const struct entry *e = &w->entries[i];
 
-		sum += e->orphans[d];
-		if (!e->gone)
-			sum += walk_view_of(e, d).running;
+		sum += e->orphaned[d];
+		if (!e->removed)
+			sum += walk_domain_view(e, d).running;
 	}
 	return sum;
 }
 
-int64_t walk_held_in(const struct world *w, uint32_t d)
+int64_t walk_held(const struct world *w, uint32_t d)
 {
 	int64_t sum = 0;
 	uint32_t i;
 
 	for (i = 0; i < w->entry_count; i++) {
-		if (!w->entries[i].gone)
-			sum += walk_view_of(&w->entries[i], d).held;
-		sum += w->entries[i].orphans[d]; /* runs, so it must be held */
+		if (!w->entries[i].removed)
+			sum += walk_domain_view(&w->entries[i], d).held;
+		sum += w->entries[i].orphaned[d]; /* each must hold a unit while
+						     it runs */
 	}
 	return sum;
 }
 
-struct ledger_cell *walk_cell_of(const struct world *w, uint32_t d)
+struct ledger_cell *walk_cell(const struct world *w, uint32_t d)
 {
 	uint32_t s;
 	uint32_t i;
@@ -64,47 +65,48 @@
 	return NULL;
 }
 
-void walk_check(struct world *w, const char *after)
+void walk_check_units(struct world *w, const char *after)
 {
 	uint32_t d;
 
 	for (d = 0; d < DOMAINS && !*w->violation; d++) {
-		const struct ledger_cell *c = walk_cell_of(w, d);
+		const struct ledger_cell *c = walk_cell(w, d);
 
-		if (c && c->free + walk_held_in(w, d) > c->total)
+		if (c && c->free + walk_held(w, d) > c->total)
 			snprintf(w->violation, sizeof(w->violation),
 				 "after %s: %s free %" PRId64 " + held %" PRId64
 				 " > total %" PRId64,
 				 after, walk_domain_names[d], c->free,
-				 walk_held_in(w, d), c->total);
+				 walk_held(w, d), c->total);
 	}
 }
 
-/* No start may pass a limit its entry knows, nor every newer one. */
+/* A start may exceed neither its entry's limit nor all newer ones. */
 void walk_check_start(struct world *w, const struct entry *e, uint32_t d)
 {
 	int64_t allowed = 0;
 	uint64_t v;
 
-	for (v = e->conf; v <= w->conf; v++)
+	for (v = e->config_version; v <= w->config_version; v++)
 		if (w->totals[v][d] > allowed)
 			allowed = w->totals[v][d];
-	if (walk_running_in(w, d) > allowed)
+	if (walk_running(w, d) > allowed)
 		snprintf(w->violation, sizeof(w->violation),
 			 "started %s: %" PRId64 " running, limit %" PRId64,
-			 walk_domain_names[d], walk_running_in(w, d), allowed);
+			 walk_domain_names[d], walk_running(w, d), allowed);
 }
 
 /* Entries */
 
-void walk_learn(struct world *w, struct entry *e, uint64_t conf)
+void walk_configure(struct world *w, struct entry *e, uint64_t config_version)
 {
 	domain_handle d;
 
 	for (d.i = 0; d.i < DOMAINS; d.i++)
-		ledger_configure(e->ledger, d, w->totals[conf][d.i],
-				 w->generations[conf][d.i], conf);
-	e->conf = conf;
+		ledger_configure(e->ledger, d, w->totals[config_version][d.i],
+				 w->generations[config_version][d.i],
+				 config_version);
+	e->config_version = config_version;
 }
 
 void walk_read_rows(struct world *w, struct entry *e)
@@ -112,7 +114,7 @@
 	uint32_t s;
 
 	for (s = 0; s < SHARDS; s++)
-		ledger_seen(e->ledger, s, w->rows[s]);
+		ledger_set_row(e->ledger, s, w->rows[s]);
 }
 
 void walk_register_entry(struct world *w)
@@ -120,12 +122,12 @@
 	struct entry *e;
 	struct ledger_options options = {
 		.shard_count = SHARDS,
-		.round_pause_ms = 100,
+		.round_interval_min_ms = 100,
 		.unsafe = w->unsafe & 0xffff,
 	};
 	uint32_t d;
 
-	if (w->entry_count == SLOTS_MAX || w->outage)
+	if (w->entry_count == INCARNATIONS_MAX || w->outage)
 		return;
 	e = &w->entries[w->entry_count++];
 	e->incarnation = w->entry_count;
@@ -137,12 +139,12 @@
 	w->members[w->member_count++] = e->incarnation;
 	w->members_version = ++w->revision;
 	walk_read_rows(w, e);
-	walk_learn(w, e, w->conf);
+	walk_configure(w, e, w->config_version);
 }
 
-struct entry *walk_any_entry(struct world *w)
+struct entry *walk_random_entry(struct world *w)
 {
-	uint32_t start = walk_pick(w, w->entry_count);
+	uint32_t start = walk_random(w, w->entry_count);
 	uint32_t i;
 
 	for (i = 0; i < w->entry_count; i++) {
@@ -177,14 +179,15 @@
 			if (w->entries[i].links[index])
 				ledger_link_drop(w->entries[i].links[index]);
 			w->entries[i].links[index] = NULL;
-			ledger_gone(w->entries[i].ledger, w->members_version);
+			ledger_member_removed(w->entries[i].ledger,
+					      w->members_version);
 		}
 }
 
-/* The list no longer shows a dead entry and its work's lease has passed. */
-void walk_prove_gone(struct world *w)
+/* Removes a dead entry, as if the leases of its work had expired. */
+void walk_remove_dead(struct world *w)
 {
-	uint32_t start = walk_pick(w, w->entry_count);
+	uint32_t start = walk_random(w, w->entry_count);
 	uint32_t i;
 	uint32_t d;
 
@@ -192,20 +195,21 @@
 		uint32_t index = (start + i) % w->entry_count;
 		struct entry *e = &w->entries[index];
 
-		if (e->alive || e->gone || w->outage)
+		if (e->alive || e->removed || w->outage)
 			continue;
 		if (w->unsafe & UNSAFE_LEASE)
 			for (d = 0; d < DOMAINS; d++)
-				e->orphans[d] += walk_view_of(e, d).running;
-		e->gone = true;
+				e->orphaned[d] +=
+					walk_domain_view(e, d).running;
+		e->removed = true;
 		unregister(w, index);
 		return;
 	}
 }
 
-/* Mail */
+/* Messages */
 
-struct ledger_link *walk_link_to(struct world *w, uint32_t from, uint32_t to)
+struct ledger_link *walk_link(struct world *w, uint32_t from, uint32_t to)
 {
 	struct entry *e = &w->entries[from];
 
@@ -214,14 +218,14 @@
 	return e->links[to];
 }
 
-static void post(struct world *w, uint32_t from, uint32_t to, bool ack,
-		 const struct ledger_transfer *t)
+static void enqueue(struct world *w, uint32_t from, uint32_t to, bool ack,
+		    const struct ledger_transfer *t)
 {
-	struct mail *m;
+	struct message *m;
 
-	if (w->mail_count == MAIL_MAX)
+	if (w->message_count == QUEUE_MAX)
 		return; /* lost */
-	m = &w->mail[w->mail_count++];
+	m = &w->messages[w->message_count++];
 	m->from = from;
 	m->to = to;
 	m->ack = ack;
@@ -230,23 +234,23 @@
 
 void walk_deliver(struct world *w, uint32_t i, bool keep)
 {
-	struct mail m = w->mail[i];
+	struct message m = w->messages[i];
 	struct entry *to = &w->entries[m.to];
 	struct ledger_link *link;
 
 	if (to->alive && to->frozen)
 		return;
 	if (!keep)
-		w->mail[i] = w->mail[--w->mail_count];
-	if (!to->alive || w->entries[m.from].gone)
+		w->messages[i] = w->messages[--w->message_count];
+	if (!to->alive || w->entries[m.from].removed)
 		return;
-	link = walk_link_to(w, m.to, m.from);
+	link = walk_link(w, m.to, m.from);
 	if (m.ack) {
-		ledger_acked(link, m.t.seq);
+		ledger_acknowledge(link, m.t.seq);
 		return;
 	}
 	m.t.seq = ledger_receive(link, &m.t);
-	post(w, m.to, m.from, true, &m.t);
+	enqueue(w, m.to, m.from, true, &m.t);
 }
 
 void walk_resend(struct world *w, struct entry *e)
@@ -259,25 +263,25 @@
 	for (to = 0; to < w->entry_count; to++) {
 		const struct ledger_transfer *t;
 
-		if (!e->links[to] || w->entries[to].gone)
+		if (!e->links[to] || w->entries[to].removed)
 			continue;
 		t = ledger_outbox(e->links[to], &n);
 		for (i = 0; i < n; i++)
-			post(w, from, to, false, &t[i]);
+			enqueue(w, from, to, false, &t[i]);
 	}
 }
 
 /* Store */
 
-void walk_plan(struct world *w, struct entry *e, uint32_t shard)
+void walk_plan_cas(struct world *w, struct entry *e, uint32_t shard)
 {
 	struct ledger_members members = { w->members_version, w->member_count,
 					  w->members };
 	struct ledger_cas cas;
 	struct write *write;
 
-	if (w->write_count == MAIL_MAX ||
-	    !ledger_plan(e->ledger, shard, w->now_ms, &members, &cas))
+	if (w->write_count == QUEUE_MAX ||
+	    !ledger_plan_cas(e->ledger, shard, w->now_ms, &members, &cas))
 		return;
 	write = &w->writes[w->write_count++];
 	memset(write, 0, sizeof(*write));
@@ -288,7 +292,7 @@
 	write->members_version = cas.members_version;
 }
 
-void walk_apply(struct world *w, struct write *write)
+void walk_apply_write(struct world *w, struct write *write)
 {
 	struct ledger_row **row = &w->rows[write->shard];
 
@@ -311,8 +315,8 @@
 	w->writes[i] = w->writes[--w->write_count];
 }
 
-/* Brings a write's answer to its entry, or tells it that none came. */
-void walk_answer(struct world *w, uint32_t i, bool lost)
+/* Delivers a write's outcome to its entry, or that it is unknown. */
+void walk_respond(struct world *w, uint32_t i, bool lost)
 {
 	struct write *write = &w->writes[i];
 	struct entry *e = &w->entries[write->entry];
@@ -320,19 +324,19 @@
 	if (e->alive && e->frozen)
 		return;
 	if (!w->outage && !write->applied)
-		walk_apply(w, write);
+		walk_apply_write(w, write);
 	if (!write->applied)
 		lost = true;
 	if (e->alive && !write->abandoned) {
 		if (lost)
-			ledger_planned(e->ledger, write->shard,
-				       LEDGER_CAS_UNKNOWN, 0);
+			ledger_finish_cas(e->ledger, write->shard,
+					  LEDGER_CAS_UNKNOWN, 0);
 		else if (write->conflict)
-			ledger_planned(e->ledger, write->shard,
-				       LEDGER_CAS_CONFLICT, 0);
+			ledger_finish_cas(e->ledger, write->shard,
+					  LEDGER_CAS_CONFLICT, 0);
 		else
-			ledger_planned(e->ledger, write->shard, LEDGER_CAS_DONE,
-				       write->version);
+			ledger_finish_cas(e->ledger, write->shard,
+					  LEDGER_CAS_DONE, write->version);
 	}
 	write->abandoned = true;
 	if (write->applied)
--- a/test/walk/world.h
+++ b/test/walk/world.h
@@ -1,8 +1,8 @@
 /*
- * world - entries, table service and network of the ledger's random walk
+ * world - simulated entries, table service and network for ledger_walk
  *
- * Everything that happens is a call made by the walk; nothing happens by
- * itself. The invariants are checked by walk_check and walk_check_start.
+ * Events happen only by calls of these functions. walk_check_units and
+ * walk_check_start check the invariants.
  */
 #ifndef WALK_WORLD_H
 #define WALK_WORLD_H
@@ -14,58 +14,60 @@
 #include "process/ledger.h"
 
 #define ENTRIES 5
-#define SLOTS_MAX 64 /* incarnations over one schedule */
+#define INCARNATIONS_MAX 64 /* over one schedule */
 #define DOMAINS 3
 #define SHARDS 2
 #define STEPS 400
-#define MAIL_MAX 256
-#define HEAL_MS 5000
+#define QUEUE_MAX 256
+#define RECOVERY_MS 5000
 #define TICK_MS 50
 
 enum op {
 	OP_START,
 	OP_END,
-	OP_WANT,
-	OP_RELEASE,
+	OP_SET_IDLE_TARGET,
+	OP_RETURN,
 	OP_LEND,
 	OP_RESEND,
 	OP_DELIVER,
 	OP_DROP,
 	OP_DUPLICATE,
-	OP_PLAN,
-	OP_ANSWER,
+	OP_PLAN_CAS,
+	OP_RESPOND,
 	OP_LATE_WRITE,
 	OP_READ,
 	OP_FREEZE,
-	OP_THAW,
+	OP_UNFREEZE,
 	OP_KILL,
-	OP_GONE,
+	OP_REMOVE_DEAD,
 	OP_REGISTER,
 	OP_OUTAGE,
 	OP_CONFIGURE,
-	OP_LEARN,
+	OP_CONFIGURE_ENTRY,
 	OP_SUSPECT,
 	OP_COUNT,
 };
 
-enum harness_unsafe {
-	UNSAFE_END_OF_WORK = 1 << 16, /* a unit ends while its work runs on */
-	UNSAFE_LEASE = 1 << 17,	      /* proved gone before the lease passed */
+enum walk_unsafe {
+	/* End a unit while its work still runs. */
+	UNSAFE_END_OF_WORK = 1 << 16,
+	/* Remove a dead entry before its leases expire. */
+	UNSAFE_LEASE = 1 << 17,
 };
 
 struct entry {
 	struct ledger *ledger;
-	struct ledger_link *links[SLOTS_MAX];
+	struct ledger_link *links[INCARNATIONS_MAX];
 	uint64_t incarnation;
 	bool alive;
 	bool frozen;
-	bool gone;
-	uint64_t conf; /* configuration it knows */
+	bool removed;
+	uint64_t config_version; /* that it has */
 	int64_t held_at_death[DOMAINS];
-	int64_t orphans[DOMAINS]; /* work that runs without a unit here */
+	int64_t orphaned[DOMAINS]; /* running work without a unit here */
 };
 
-struct mail {
+struct message {
 	uint32_t from;
 	uint32_t to;
 	bool ack;
@@ -78,7 +80,7 @@
 	struct ledger_row *row;
 	uint64_t row_version;
 	uint64_t members_version;
-	bool abandoned; /* its entry was told that no answer came */
+	bool abandoned; /* its entry was told that the outcome is unknown */
 	bool applied;
 	bool conflict;
 	uint64_t version;
@@ -90,47 +92,47 @@
 	unsigned int unsafe;
 	uint32_t weights[OP_COUNT];
 	uint32_t weight_sum;
-	struct entry entries[SLOTS_MAX];
+	struct entry entries[INCARNATIONS_MAX];
 	uint32_t entry_count;
 	struct ledger_row *rows[SHARDS];
 	uint64_t revision;
-	uint64_t members[SLOTS_MAX];
+	uint64_t members[INCARNATIONS_MAX];
 	uint32_t member_count;
 	uint64_t members_version;
-	struct mail mail[MAIL_MAX];
-	uint32_t mail_count;
-	struct write writes[MAIL_MAX];
+	struct message messages[QUEUE_MAX];
+	uint32_t message_count;
+	struct write writes[QUEUE_MAX];
 	uint32_t write_count;
 	int64_t totals[256][DOMAINS]; /* by configuration version */
 	uint64_t generations[256][DOMAINS];
-	uint64_t conf;
+	uint64_t config_version;
 	uint64_t now_ms;
 	bool outage;
-	bool healing;
+	bool recovering;
 	char violation[256];
 	uint64_t rounds;
 };
 
 extern const char *const walk_domain_names[DOMAINS];
 
-uint32_t walk_pick(struct world *w, uint32_t n);
-struct ledger_domain_view walk_view_of(const struct entry *e, uint32_t d);
-int64_t walk_running_in(const struct world *w, uint32_t d);
-int64_t walk_held_in(const struct world *w, uint32_t d);
-struct ledger_cell *walk_cell_of(const struct world *w, uint32_t d);
-void walk_check(struct world *w, const char *after);
+uint32_t walk_random(struct world *w, uint32_t n);
+struct ledger_domain_view walk_domain_view(const struct entry *e, uint32_t d);
+int64_t walk_running(const struct world *w, uint32_t d);
+int64_t walk_held(const struct world *w, uint32_t d);
+struct ledger_cell *walk_cell(const struct world *w, uint32_t d);
+void walk_check_units(struct world *w, const char *after);
 void walk_check_start(struct world *w, const struct entry *e, uint32_t d);
-void walk_learn(struct world *w, struct entry *e, uint64_t conf);
+void walk_configure(struct world *w, struct entry *e, uint64_t config_version);
 void walk_read_rows(struct world *w, struct entry *e);
 void walk_register_entry(struct world *w);
-struct entry *walk_any_entry(struct world *w);
+struct entry *walk_random_entry(struct world *w);
 uint32_t walk_alive_count(const struct world *w);
-void walk_prove_gone(struct world *w);
-struct ledger_link *walk_link_to(struct world *w, uint32_t from, uint32_t to);
+void walk_remove_dead(struct world *w);
+struct ledger_link *walk_link(struct world *w, uint32_t from, uint32_t to);
 void walk_deliver(struct world *w, uint32_t i, bool keep);
 void walk_resend(struct world *w, struct entry *e);
-void walk_plan(struct world *w, struct entry *e, uint32_t shard);
-void walk_apply(struct world *w, struct write *write);
-void walk_answer(struct world *w, uint32_t i, bool lost);
+void walk_plan_cas(struct world *w, struct entry *e, uint32_t shard);
+void walk_apply_write(struct world *w, struct write *write);
+void walk_respond(struct world *w, uint32_t i, bool lost);
 
 #endif
