request: wording of the fair queue, jobs, outcomes and retries

The comment on refusals promised that a refused job has not run; after an earlier attempt its outcome is unknown, and the comment no longer says otherwise. Reasons in response bodies are unchanged.

--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -3,9 +3,9 @@
 #include <assert.h>
 #include <string.h>
 
-#define FQ_CREDIT_MAX 8.0
-#define FQ_CREDIT_HALF_S 0.25 /* seconds in which a shortfall is caught up */
-#define FQ_GAP_WEIGHT 0.1     /* of the newest gap between starts */
+#define FQ_CREDIT_MAX 8.0     /* slots, either sign */
+#define FQ_CREDIT_TIME_S 0.25 /* in which a shortfall of one slot earns one */
+#define FQ_GAP_SMOOTHING 0.1  /* weight of the newest gap between starts */
 #define FQ_CLASSES 2
 
 struct job_list {
@@ -19,15 +19,15 @@
 	uint32_t waiting;
 	uint32_t running;
 	double target;
-	double credit; /* slots */
+	double credit; /* accumulated shortfall, slots */
 	double start_gap_ms;
-	uint64_t credited_ms;
+	uint64_t credit_updated_ms;
 	uint64_t last_start_ms;
 };
 
 struct fq {
 	struct flow *flows;
-	uint32_t *by_team; /* index + 1 */
+	uint32_t *by_team; /* flow's index + 1, 0 for none */
 	uint32_t count;
 	uint32_t team_capacity;
 	uint32_t waiting;
@@ -43,17 +43,17 @@
 	return &q->flows[q->by_team[team.i] - 1];
 }
 
-static void team_room(struct fq *q, uint32_t team)
+static void teams_grow(struct fq *q, uint32_t team)
 {
-	uint32_t room = q->team_capacity;
+	uint32_t old_capacity = q->team_capacity;
 
-	if (team < room)
+	if (team < old_capacity)
 		return;
 	q->team_capacity = (team + 1) * 2;
 	q->by_team = talloc_realloc(q, q->by_team, uint32_t, q->team_capacity);
 	assert(q->by_team);
-	memset(q->by_team + room, 0,
-	       (q->team_capacity - room) * sizeof(uint32_t));
+	memset(q->by_team + old_capacity, 0,
+	       (q->team_capacity - old_capacity) * sizeof(uint32_t));
 }
 
 static struct flow *flow_get(struct fq *q, team_handle team)
@@ -62,7 +62,7 @@
 
 	if (f)
 		return f;
-	team_room(q, team.i);
+	teams_grow(q, team.i);
 	q->flows = talloc_realloc(q, q->flows, struct flow, q->count + 1);
 	assert(q->flows);
 	f = &q->flows[q->count++];
@@ -72,20 +72,20 @@
 	return f;
 }
 
-/* Brings the shortfall up to date; an idle flow has none. */
-static void flow_credit(struct flow *f, uint64_t now_ms)
+/* Updates the accumulated shortfall; a flow without work has none. */
+static void flow_update_credit(struct flow *f, uint64_t now_ms)
 {
-	double seconds = (double)(now_ms - f->credited_ms) / 1000.0;
+	double seconds = (double)(now_ms - f->credit_updated_ms) / 1000.0;
 
-	if (now_ms == f->credited_ms)
+	if (now_ms == f->credit_updated_ms)
 		return;
-	f->credited_ms = now_ms;
+	f->credit_updated_ms = now_ms;
 	if (!f->waiting) {
 		if (f->credit > 0 || !f->running)
 			f->credit = 0;
 		return;
 	}
-	f->credit += (f->target - f->running) * seconds / FQ_CREDIT_HALF_S;
+	f->credit += (f->target - f->running) * seconds / FQ_CREDIT_TIME_S;
 	if (f->credit > FQ_CREDIT_MAX)
 		f->credit = FQ_CREDIT_MAX;
 	if (f->credit < -FQ_CREDIT_MAX)
@@ -144,7 +144,7 @@
 	struct flow *f = flow_get(q, job->team);
 	struct job_list *l = &f->lists[job->class];
 
-	flow_credit(f, now_ms);
+	flow_update_credit(f, now_ms);
 	list_add(l, front ? NULL : l->tail, job);
 	f->waiting++;
 	q->waiting++;
@@ -170,12 +170,12 @@
 	q->waiting--;
 }
 
-static void note_start(struct flow *f, uint64_t now_ms)
+static void flow_record_start(struct flow *f, uint64_t now_ms)
 {
 	double gap = (double)(now_ms - f->last_start_ms);
 
 	if (f->last_start_ms && f->waiting)
-		f->start_gap_ms += FQ_GAP_WEIGHT * (gap - f->start_gap_ms);
+		f->start_gap_ms += FQ_GAP_SMOOTHING * (gap - f->start_gap_ms);
 	f->last_start_ms = now_ms;
 }
 
@@ -183,8 +183,8 @@
 {
 	struct flow *f = flow_get(q, team);
 
-	flow_credit(f, now_ms);
-	note_start(f, now_ms);
+	flow_update_credit(f, now_ms);
+	flow_record_start(f, now_ms);
 	f->running++;
 	q->running++;
 }
@@ -194,13 +194,13 @@
 	struct flow *f = flow_find(q, team);
 
 	assert(f && f->running);
-	flow_credit(f, now_ms);
+	flow_update_credit(f, now_ms);
 	f->running--;
 	q->running--;
 }
 
-/* Urgent work of a team below its target goes before all other flows. */
-static bool goes_before(const struct flow *a, const struct flow *b)
+/* A team below its target that has urgent work precedes all other flows. */
+static bool flow_precedes(const struct flow *a, const struct flow *b)
 {
 	bool urgent_a = a->lists[CFG_URGENT].head && a->running < a->target;
 	bool urgent_b = b->lists[CFG_URGENT].head && b->running < b->target;
@@ -226,8 +226,8 @@
 		if (!f->waiting || flow_head(f)->not_before_ms > now_ms ||
 		    !may_start(arg, f->team))
 			continue;
-		flow_credit(f, now_ms);
-		if (!best || goes_before(f, best))
+		flow_update_credit(f, now_ms);
+		if (!best || flow_precedes(f, best))
 			best = f;
 	}
 	return best ? flow_head(best) : NULL;
@@ -305,9 +305,9 @@
 				fn(arg, job);
 }
 
-static void sweep_list(struct fq *q, struct job_list *l,
-		       bool (*expired)(void *arg, const struct job *job),
-		       void (*refuse)(void *arg, struct job *job), void *arg)
+static void list_expire(struct fq *q, struct job_list *l,
+			bool (*expired)(void *arg, const struct job *job),
+			void (*refuse)(void *arg, struct job *job), void *arg)
 {
 	struct job *job = l->head;
 	struct job *next;
@@ -329,6 +329,6 @@
 
 	for (i = 0; i < q->count; i++)
 		for (class = 0; class < FQ_CLASSES; class ++)
-			sweep_list(q, &q->flows[i].lists[class], expired,
-				   refuse, arg);
+			list_expire(q, &q->flows[i].lists[class], expired,
+				    refuse, arg);
 }
--- a/src/request/fq.h
+++ b/src/request/fq.h
@@ -1,13 +1,13 @@
 /*
- * fq - fair queue of one pool
+ * fq - weighted fair queue of one pool
  *
- * A flow is a team's work for the pool. A free slot goes to the flow that is
- * furthest below its target of running work; the shortfall over the last
- * seconds counts too, so that targets of a fraction of a slot are met over
- * time. Within a flow urgent work goes first, then the order of arrival:
- * nothing passes older work of its own flow and class.
+ * A flow is one team's work for the pool. A free slot goes to the flow that is
+ * furthest below its target of running work. The shortfall of the last seconds
+ * counts too, so that a target of a fraction of a slot is met over time.
+ * Within a flow urgent work goes first, then earlier work: a job never
+ * overtakes another one of its flow and class.
  *
- * Takes the time as an argument and allocates only when a team is new.
+ * Takes the time as an argument and allocates memory only for a new team.
  */
 #ifndef FQ_H
 #define FQ_H
@@ -23,27 +23,27 @@
 /* fq_new - an empty queue, owned by ctx */
 struct fq *fq_new(TALLOC_CTX *ctx);
 
-/* fq_push - queue a job behind its class; fq_push_front for a retry */
+/* fq_push - append a job to its class; fq_push_front for a retry */
 void fq_push(struct fq *q, struct job *job, uint64_t now_ms);
 void fq_push_front(struct fq *q, struct job *job, uint64_t now_ms);
 
-/* fq_remove - take a waiting job out */
+/* fq_remove - remove a waiting job */
 void fq_remove(struct fq *q, struct job *job);
 
-/* fq_started, fq_ended - count running work of a team */
+/* fq_started, fq_ended - count a team's running work */
 void fq_started(struct fq *q, team_handle team, uint64_t now_ms);
 void fq_ended(struct fq *q, team_handle team, uint64_t now_ms);
 
 /*
- * fq_pick - the job that a free slot should go to, or NULL
+ * fq_pick - the job that should get a free slot, or NULL
  *
- * may_start tells whether a team's unit can be had now. The job stays in
- * the queue; the caller removes it.
+ * may_start returns whether the team has an idle unit. The job stays in the
+ * queue until the caller removes it.
  */
 struct job *fq_pick(struct fq *q, uint64_t now_ms,
 		    bool (*may_start)(void *arg, team_handle team), void *arg);
 
-/* fq_set_target - running work that a team should have here, in slots */
+/* fq_set_target - set how much work of a team should run here, in slots */
 void fq_set_target(struct fq *q, team_handle team, double slots);
 
 struct fq_flow_view {
@@ -55,11 +55,11 @@
 	double start_gap_ms; /* smoothed time between starts, 0 if unknown */
 };
 
-/* fq_flow_count - how many flows there are; fq_view - one of them */
+/* fq_flow_count - number of flows; fq_view - one of them, by index */
 uint32_t fq_flow_count(const struct fq *q);
 void fq_view(const struct fq *q, uint32_t index, struct fq_flow_view *view);
 
-/* fq_team_view - a team's flow; false when it never had work here */
+/* fq_team_view - a team's flow; false if it never had work here */
 bool fq_team_view(const struct fq *q, team_handle team,
 		  struct fq_flow_view *view);
 
@@ -72,9 +72,9 @@
 		 void (*fn)(void *arg, const struct job *job), void *arg);
 
 /*
- * fq_expire - call refuse for each waiting job that `expired` holds for
+ * fq_expire - remove each waiting job for which `expired` returns true
  *
- * The job is out of the queue before refuse is called.
+ * Calls refuse with the job after it has been removed.
  */
 void fq_expire(struct fq *q, bool (*expired)(void *arg, const struct job *job),
 	       void (*refuse)(void *arg, struct job *job), void *arg);
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -1,8 +1,8 @@
 /*
- * job - one request on its way through an entry
+ * job - one request that an entry queues and sends to a worker
  *
- * Whoever accepts the request owns the job and fills the first part; the
- * rest belongs to the core while the job is with it.
+ * The code that accepts the request owns the job and fills in the first part;
+ * the core maintains the rest from core_submit until the job is done.
  */
 #ifndef JOB_H
 #define JOB_H
@@ -12,29 +12,29 @@
 
 #include "version/cfg.h"
 
-#define JOB_ATTEMPTS_MAX 3 /* attempts, the first one counted */
+#define JOB_ATTEMPTS_MAX 3 /* including the first one */
 
 enum job_state { JOB_NEW, JOB_WAITING, JOB_RUNNING, JOB_DONE };
 
-/* Why a job was refused; each is a promise that it has not run. */
+/* Why a job was refused. A job that was never sent has not run. */
 enum job_refusal {
-	JOB_REFUSED_WAIT,      /* could not start in time */
-	JOB_REFUSED_EARLY,     /* would not start in time */
+	JOB_REFUSED_WAIT,      /* was not started in time */
+	JOB_REFUSED_EARLY,     /* is not expected to start in time */
 	JOB_REFUSED_FULL,      /* the queue is full */
-	JOB_REFUSED_KEY,       /* its key was withdrawn while it waited */
+	JOB_REFUSED_KEY,       /* its key was revoked while it waited */
 	JOB_REFUSED_QUEUE,     /* its queue was removed while it waited */
-	JOB_REFUSED_STOPPING,  /* the entry is going away */
+	JOB_REFUSED_STOPPING,  /* the entry is shutting down */
 	JOB_REFUSED_UNREACHED, /* no worker could be reached */
-	JOB_REFUSED_HUNG_UP,   /* the caller had gone */
+	JOB_REFUSED_HUNG_UP,   /* the caller closed the connection */
 };
 
-/* What is known about a job's work after an attempt. */
+/* What is known about a job after an attempt. */
 enum job_result {
-	JOB_ENDED,	      /* a whole answer: the work has ended */
-	JOB_FAILED,	      /* a whole answer that tells of a failure (5xx) */
-	JOB_NOT_SENT,	      /* no byte of it left for the worker */
-	JOB_NOT_RUN,	      /* the worker refused it before starting */
-	JOB_POSSIBLY_RUNNING, /* sent, and no whole answer: it may still run */
+	JOB_ENDED,	      /* complete response: the work has ended */
+	JOB_FAILED,	      /* complete response with a 5xx status */
+	JOB_NOT_SENT,	      /* no byte of it was sent to the worker */
+	JOB_NOT_RUN,	      /* the worker refused it before starting it */
+	JOB_POSSIBLY_RUNNING, /* sent, response incomplete: may still run */
 };
 
 struct job {
@@ -46,20 +46,20 @@
 	uint32_t run_max_ms;
 	uint64_t arrived_ms;
 	uint64_t deadline_ms;	  /* refused if not started by then */
-	uint32_t bytes;		  /* memory it takes while it waits */
-	uint64_t checked_version; /* configuration its key was checked with */
+	uint32_t bytes;		  /* memory that it takes while it waits */
+	uint64_t checked_version; /* of the configuration with its key */
 	char key[CFG_NAME_MAX + 1];
 	char queue[CFG_NAME_MAX + 1];
 	uint8_t key_hash[CFG_HASH_BYTES];
 
-	/* The core's */
+	/* Set by the core */
 	struct job *prev;
 	struct job *next;
 	enum job_state state;
 	instance_handle instance; /* while it runs */
 	uint64_t started_ms;
-	uint64_t not_before_ms; /* of a retry */
-	bool may_have_run;	/* an attempt was sent without whole answer */
+	uint64_t not_before_ms; /* earliest start of a retry */
+	bool may_have_run;	/* response to some attempt was incomplete */
 	uint32_t attempts;
 	uint32_t attempted[JOB_ATTEMPTS_MAX]; /* instances */
 };
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -1,8 +1,9 @@
 /*
- * outcome - what a caller is told
+ * outcome - the outcome of a request as reported to its caller
  *
- * "not run" is a promise, and outcome_of is the only place that makes it.
- * Everything else that is not a whole answer is unknown.
+ * "not-run" guarantees that the request has not run and will not; only
+ * outcome_of decides this. Without a complete response from the worker, every
+ * other outcome is "unknown".
  */
 #ifndef OUTCOME_H
 #define OUTCOME_H
@@ -10,33 +11,33 @@
 #include "request/job.h"
 
 enum outcome {
-	OUTCOME_ANSWERED, /* the worker's whole answer */
-	OUTCOME_NOT_RUN,  /* it has not run and will not */
-	OUTCOME_UNKNOWN,  /* it may have run, or may still run */
+	OUTCOME_ANSWERED, /* complete response from the worker */
+	OUTCOME_NOT_RUN,  /* has not run and will not */
+	OUTCOME_UNKNOWN,  /* may have run, or may still run */
 };
 
-/* How a job's way through the core came to its end. */
+/* How the core finished a job. */
 struct outcome_input {
-	bool refused; /* refusal holds, otherwise result */
+	bool refused; /* `refusal` is valid, otherwise `result` */
 	enum job_refusal refusal;
 	enum job_result result;
-	bool may_have_run; /* by an earlier attempt */
+	bool may_have_run; /* in an earlier attempt */
 	bool timed_out;	   /* the last attempt */
 };
 
 struct outcome_answer {
 	enum outcome outcome;
-	unsigned int code;  /* HTTP status, 0 for the worker's own */
-	const char *reason; /* for the body, NULL for the worker's own */
+	unsigned int code;  /* HTTP status, 0 to use the worker's */
+	const char *reason; /* for the body, NULL to use the worker's */
 };
 
-/* outcome_of - what to tell the caller */
+/* outcome_of - the response for the caller */
 struct outcome_answer outcome_of(const struct outcome_input *end);
 
-/* outcome_name - the value of the Jackdawwell-Outcome header */
+/* outcome_name - value of the Jackdawwell-Outcome header */
 const char *outcome_name(enum outcome outcome);
 
-/* outcome_refusal_name - a refusal as a metric's label */
+/* outcome_refusal_name - a refusal's name in metric labels */
 const char *outcome_refusal_name(enum job_refusal refusal);
 
 #endif
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -1,8 +1,8 @@
 /*
- * retry - a team's budget of retries
+ * retry - a team's retry budget, a token bucket
  *
- * Each request earns a fraction of a retry, up to a small store, so that
- * retries stay a fraction of the team's traffic and cannot feed an overload.
+ * Each request adds a fraction of a retry, so that retries stay a fraction of
+ * the team's traffic and cannot amplify an overload.
  */
 #ifndef RETRY_H
 #define RETRY_H
@@ -10,8 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define RETRY_EARNED_MILLI 100 /* thousandths of a retry a request earns */
-#define RETRY_STORE_MILLI 10000
+#define RETRY_CREDIT_MILLI 100 /* thousandths of a retry per request */
+#define RETRY_BUDGET_MAX_MILLI 10000
 #define RETRY_DELAY_MIN_MS 5
 #define RETRY_DELAY_MAX_MS 50
 
@@ -19,15 +19,15 @@
 	uint32_t milli;
 };
 
-/* retry_credit - count a request */
+/* retry_credit - add the credit of one request */
 static inline void retry_credit(struct retry_budget *b)
 {
-	b->milli += RETRY_EARNED_MILLI;
-	if (b->milli > RETRY_STORE_MILLI)
-		b->milli = RETRY_STORE_MILLI;
+	b->milli += RETRY_CREDIT_MILLI;
+	if (b->milli > RETRY_BUDGET_MAX_MILLI)
+		b->milli = RETRY_BUDGET_MAX_MILLI;
 }
 
-/* retry_consume - take one retry; false when the budget is used up */
+/* retry_consume - take one retry; false if the budget is exhausted */
 static inline bool retry_consume(struct retry_budget *b)
 {
 	if (b->milli < 1000)
@@ -36,7 +36,7 @@
 	return true;
 }
 
-/* retry_delay_ms - a random delay; random is any number */
+/* retry_delay_ms - a delay with jitter, from any random number */
 static inline uint32_t retry_delay_ms(uint32_t random)
 {
 	return RETRY_DELAY_MIN_MS +
--- a/test/outcome_test.c
+++ b/test/outcome_test.c
@@ -1,6 +1,6 @@
 /*
- * Every path to "not run" with its proof, and every path that must not
- * lead there.
+ * Every path to the outcome "not run" with the proof for it, and every path
+ * that must not lead to it.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -36,10 +36,10 @@
 	{ "stopping", REFUSED(JOB_REFUSED_STOPPING), OUTCOME_NOT_RUN, 503 },
 	{ "unreached", REFUSED(JOB_REFUSED_UNREACHED), OUTCOME_NOT_RUN, 503 },
 	{ "hung up", REFUSED(JOB_REFUSED_HUNG_UP), OUTCOME_NOT_RUN, 499 },
-	/* Attempts that prove it has not run */
+	/* Attempts that prove that it has not run */
 	{ "not sent", RESULT(JOB_NOT_SENT), OUTCOME_NOT_RUN, 503 },
 	{ "worker refused", RESULT(JOB_NOT_RUN), OUTCOME_NOT_RUN, 503 },
-	/* Whole answers */
+	/* Complete responses */
 	{ "answer", RESULT(JOB_ENDED), OUTCOME_ANSWERED, 0 },
 	{ "failure answered", RESULT(JOB_FAILED), OUTCOME_ANSWERED, 0 },
 	{ "answer after an unknown attempt",
