version: wording of configuration, keys, inventory and waves

References and ids have their usual names: a new reference, an id per name (formerly a number), min and max of a field, a default value, a dangling reference. cfg_wave.why is halt_reason (the document keeps "why"). Messages are unchanged: the "wanted" of configuration errors is matched by test/files.

--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -4,11 +4,11 @@
 #include <sodium.h>
 #include <string.h>
 
-#define WAVE_RETURN_MAX_S 600 /* without the field */
+#define WAVE_RETURN_MAX_S 600 /* default */
 
 /* Documents */
 
-/* A copy of doc with the change's objects put in; objects are shared. */
+/* A copy of doc with the change applied; objects are shared. */
 static json_t *doc_merge(const json_t *doc, const json_t *change)
 {
 	json_t *merged = json_object();
@@ -37,47 +37,47 @@
 json_t *cfg_diff(const json_t *base, const json_t *doc)
 {
 	json_t *change = json_object();
-	json_t *had;
-	json_t *has;
-	json_t *part;
+	json_t *old;
+	json_t *new;
+	json_t *diff;
 	json_t *object;
 	const char *name;
 	uint32_t i;
 
 	for (i = 0; i < CFG_KINDS; i++) {
-		has = json_object_get(doc, cfg_kind_name(i));
-		had = json_object_get(base, cfg_kind_name(i));
-		if (!has)
+		new = json_object_get(doc, cfg_kind_name(i));
+		old = json_object_get(base, cfg_kind_name(i));
+		if (!new)
 			continue;
-		part = json_object();
-		json_object_foreach(has, name, object)
+		diff = json_object();
+		json_object_foreach(new, name, object)
 		{
-			if (!json_equal(object, json_object_get(had, name)))
-				json_object_set(part, name, object);
+			if (!json_equal(object, json_object_get(old, name)))
+				json_object_set(diff, name, object);
 		}
-		json_object_foreach(had, name, object)
+		json_object_foreach(old, name, object)
 		{
-			if (!json_object_get(has, name))
-				json_object_set_new(part, name, json_null());
+			if (!json_object_get(new, name))
+				json_object_set_new(diff, name, json_null());
 		}
-		if (json_object_size(part))
-			json_object_set(change, cfg_kind_name(i), part);
-		json_decref(part);
+		if (json_object_size(diff))
+			json_object_set(change, cfg_kind_name(i), diff);
+		json_decref(diff);
 	}
 	return change;
 }
 
 /* Compiled tables */
 
-static uint32_t number(const json_t *object, const char *field,
-		       uint32_t without)
+static uint32_t get_number(const json_t *object, const char *field,
+			   uint32_t default_value)
 {
 	const json_t *v = json_object_get(object, field);
 
-	return v ? (uint32_t)json_integer_value(v) : without;
+	return v ? (uint32_t)json_integer_value(v) : default_value;
 }
 
-static const char *text(const json_t *object, const char *field)
+static const char *get_text(const json_t *object, const char *field)
 {
 	const char *s = json_string_value(json_object_get(object, field));
 
@@ -102,8 +102,8 @@
 		struct cfg_team *t = &c->teams[id];
 
 		t->name = intern_name(names->teams, id);
-		t->share = number(o, "share", 1);
-		t->limit = number(o, "limit", 0);
+		t->share = get_number(o, "share", 1);
+		t->limit = get_number(o, "limit", 0);
 		t->present = true;
 	}
 }
@@ -126,16 +126,16 @@
 		struct cfg_pool *p = &c->pools[id];
 
 		p->name = intern_name(names->pools, id);
-		p->service = text(o, "service");
-		p->serving_min = number(o, "serving_min", 0);
-		p->out_max = number(o, "out_max", 1);
+		p->service = get_text(o, "service");
+		p->serving_min = get_number(o, "serving_min", 0);
+		p->out_max = get_number(o, "out_max", 1);
 		p->present = true;
 	}
 }
 
-static enum cfg_status dangling(const char *kind, const char *object,
-				const char *field, const char *value,
-				struct status_message *m)
+static enum cfg_status dangling_reference(const char *kind, const char *object,
+					  const char *field, const char *value,
+					  struct status_message *m)
 {
 	status_set(m,
 		   "%s \"%s\": field \"%s\" names \"%s\", which does not "
@@ -181,27 +181,28 @@
 		json_t *state = json_object_get(o, "state");
 
 		w->name = intern_name(names->instances, id);
-		w->address = text(o, "address");
-		w->zone = text(o, "zone");
-		w->rack = text(o, "rack");
-		w->department = text(o, "department");
-		w->slots = number(o, "slots", 1);
-		w->connections = number(o, "connections", 64);
-		w->generation = number(o, "generation", 0);
-		w->wave = text(o, "wave");
-		w->boots = number(o, "boots", 0);
+		w->address = get_text(o, "address");
+		w->zone = get_text(o, "zone");
+		w->rack = get_text(o, "rack");
+		w->department = get_text(o, "department");
+		w->slots = get_number(o, "slots", 1);
+		w->connections = get_number(o, "connections", 64);
+		w->generation = get_number(o, "generation", 0);
+		w->wave = get_text(o, "wave");
+		w->boots = get_number(o, "boots", 0);
 		w->state = state ? (enum cfg_instance_state)cfg_state_find(
 					   json_string_value(state))
 				 : CFG_SERVING;
 		w->present = true;
-		if (!find_pool(c, names, text(o, "pool"), &w->pool))
-			return dangling("instances", name, "pool",
-					text(o, "pool"), m);
+		if (!find_pool(c, names, get_text(o, "pool"), &w->pool))
+			return dangling_reference("instances", name, "pool",
+						  get_text(o, "pool"), m);
 		if (*w->department &&
 		    !json_object_get(json_object_get(c->doc, "departments"),
 				     w->department))
-			return dangling("instances", name, "department",
-					w->department, m);
+			return dangling_reference("instances", name,
+						  "department", w->department,
+						  m);
 	}
 	return CFG_OK;
 }
@@ -222,22 +223,22 @@
 		struct cfg_queue *q = &c->queues[id];
 
 		q->name = intern_name(c->queue_names, id);
-		q->class = strcmp(text(o, "class"), "urgent") ? CFG_NORMAL
-							      : CFG_URGENT;
+		q->class = strcmp(get_text(o, "class"), "urgent") ? CFG_NORMAL
+								  : CFG_URGENT;
 		q->idempotent = json_is_true(json_object_get(o, "idempotent"));
 		q->open = json_is_true(json_object_get(o, "open"));
-		q->run_max_ms = number(o, "run_max_ms", 1);
-		q->wait_max_ms = number(o, "wait_max_ms", 1);
+		q->run_max_ms = get_number(o, "run_max_ms", 1);
+		q->wait_max_ms = get_number(o, "wait_max_ms", 1);
 		q->team.i = INTERN_NONE;
 		if (q->run_max_ms > c->run_max_ms)
 			c->run_max_ms = q->run_max_ms;
-		if (!find_pool(c, names, text(o, "pool"), &q->pool))
-			return dangling("queues", name, "pool", text(o, "pool"),
-					m);
+		if (!find_pool(c, names, get_text(o, "pool"), &q->pool))
+			return dangling_reference("queues", name, "pool",
+						  get_text(o, "pool"), m);
 		if (json_object_get(o, "team") &&
-		    !find_team(c, names, text(o, "team"), &q->team))
-			return dangling("queues", name, "team", text(o, "team"),
-					m);
+		    !find_team(c, names, get_text(o, "team"), &q->team))
+			return dangling_reference("queues", name, "team",
+						  get_text(o, "team"), m);
 		if (q->open && q->team.i == INTERN_NONE) {
 			status_set(m,
 				   "queues \"%s\": an open queue needs the "
@@ -264,7 +265,7 @@
 	{
 		uint32_t id = intern_add(c->key_names, name);
 		struct cfg_key *k = &c->keys[id];
-		const char *hash = text(o, "hash");
+		const char *hash = get_text(o, "hash");
 
 		k->name = intern_name(c->key_names, id);
 		if (sodium_hex2bin(k->hash, sizeof(k->hash), hash, strlen(hash),
@@ -276,9 +277,9 @@
 				   name, CFG_HASH_BYTES);
 			return CFG_INVALID;
 		}
-		if (!find_team(c, names, text(o, "team"), &k->team))
-			return dangling("keys", name, "team", text(o, "team"),
-					m);
+		if (!find_team(c, names, get_text(o, "team"), &k->team))
+			return dangling_reference("keys", name, "team",
+						  get_text(o, "team"), m);
 	}
 	return CFG_OK;
 }
@@ -296,13 +297,14 @@
 		struct cfg_wave *w = &c->waves[c->wave_count++];
 
 		w->name = talloc_strdup(c, name);
-		w->pool = text(o, "pool");
-		w->zone = text(o, "zone");
-		w->rack = text(o, "rack");
-		w->halt_reason = text(o, "why");
-		w->return_max_s = number(o, "return_max_s", WAVE_RETURN_MAX_S);
+		w->pool = get_text(o, "pool");
+		w->zone = get_text(o, "zone");
+		w->rack = get_text(o, "rack");
+		w->halt_reason = get_text(o, "why");
+		w->return_max_s =
+			get_number(o, "return_max_s", WAVE_RETURN_MAX_S);
 		w->state = (enum cfg_wave_state)cfg_wave_state_find(
-			text(o, "state"));
+			get_text(o, "state"));
 	}
 }
 
@@ -312,7 +314,7 @@
 	return 0;
 }
 
-/* Takes over doc. */
+/* Builds a version; takes over the reference to doc. */
 static enum cfg_status compile(json_t *doc, struct cfg_names *names,
 			       uint64_t version, uint32_t run_max_ms,
 			       struct cfg **out, struct status_message *m)
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -1,14 +1,14 @@
 /*
  * cfg - one version of the configuration, immutable once built
  *
- * A version is a JSON document of named objects in kinds (departments, pools,
- * instances, teams, queues, keys, waves) and the tables compiled from it. A
- * change is a document of the same shape that holds only what differs: an
- * object replaces the one of its name, null removes it.
+ * A version consists of a JSON document and the tables compiled from it. The
+ * document has named objects by kind (departments, pools, instances, teams,
+ * queues, keys, waves). A change is a document of the same form that has only
+ * what differs: an object replaces the one of its name, null removes it.
  *
- * Teams, pools and instances have process-wide numbers, so that counters and
- * ledgers outlive a version. Queues and keys are looked up by name in the
- * version itself.
+ * Teams, pools and instances have process-wide ids, so that counters and
+ * ledgers outlive a version. Queues and keys are looked up by name in one
+ * version.
  */
 #ifndef CFG_H
 #define CFG_H
@@ -43,58 +43,58 @@
 
 enum cfg_instance_state {
 	CFG_SERVING,
-	CFG_DRAINING, /* no new work; units go home */
-	CFG_OUT,      /* all units were home; may reboot or move */
+	CFG_DRAINING, /* no new work; units are returned */
+	CFG_OUT,      /* all units were returned; may reboot or move */
 	CFG_DEPARTED,
 };
 
 struct cfg_team {
 	const char *name;
-	uint32_t share; /* weight when everything is full */
-	uint32_t limit; /* units of work running at once, fleet-wide */
+	uint32_t share; /* weight under contention */
+	uint32_t limit; /* units running at once, fleet-wide */
 	bool present;
 };
 
 struct cfg_pool {
 	const char *name;
 	const char *service;
-	uint32_t serving_min; /* instances; the availability budget */
-	uint32_t out_max;     /* instances out at once, for any reason */
+	uint32_t serving_min; /* availability budget: minimum of instances */
+	uint32_t out_max;     /* maximum out at once, for any reason */
 	bool present;
 };
 
 struct cfg_instance {
 	const char *name;
-	const char *address; /* IP number and port */
+	const char *address; /* IP address and port */
 	const char *zone;    /* availability zone */
 	const char *rack;
 	const char *department;
 	pool_handle pool;
 	uint32_t slots;
 	uint32_t connections;
-	uint32_t generation; /* goes up when the pool changes */
-	const char *wave;    /* the last that drained it, "" for none */
-	uint32_t boots;	     /* its count of boots when it was taken out */
+	uint32_t generation; /* incremented when the pool changes */
+	const char *wave;    /* the last one that drained it, "" for none */
+	uint32_t boots;	     /* boot count when it was taken out */
 	enum cfg_instance_state state;
 	bool present;
 };
 
 enum cfg_wave_state {
 	CFG_WAVE_RUNNING,
-	CFG_WAVE_PAUSED,  /* what is out comes back, nothing new drains */
-	CFG_WAVE_HALTED,  /* paused by the conductor, which says why */
-	CFG_WAVE_ABORTED, /* what drains serves again */
+	CFG_WAVE_PAUSED,  /* finishes instances that are out, drains no more */
+	CFG_WAVE_HALTED,  /* paused by the conductor, with a reason */
+	CFG_WAVE_ABORTED, /* draining instances serve again */
 	CFG_WAVE_DONE,
 };
 
-/* A maintenance wave over the instances that fit all names given. */
+/* A maintenance wave over the instances that match all given names. */
 struct cfg_wave {
 	const char *name;
 	const char *pool; /* "" for any; zone and rack likewise */
 	const char *zone;
 	const char *rack;
-	const char *halt_reason; /* it was halted */
-	uint32_t return_max_s;	 /* halts when one drains or is out longer */
+	const char *halt_reason; /* "" if not halted */
+	uint32_t return_max_s;	 /* halts if one drains or is out longer */
 	enum cfg_wave_state state;
 };
 
@@ -104,9 +104,9 @@
 	team_handle team; /* owner; INTERN_NONE: any team with a key */
 	enum cfg_class class;
 	bool idempotent;
-	bool open; /* also without a key; the work then counts for team */
+	bool open; /* accepts requests without a key, on behalf of team */
 	uint32_t run_max_ms;  /* task lease */
-	uint32_t wait_max_ms; /* refused as not run after this */
+	uint32_t wait_max_ms; /* refused as not-run after this */
 };
 
 struct cfg_key {
@@ -115,7 +115,7 @@
 	uint8_t hash[CFG_HASH_BYTES];
 };
 
-/* The process-wide numbers; touched by the control thread alone. */
+/* The process-wide ids; used by the control thread only. */
 struct cfg_names {
 	struct intern *teams;
 	struct intern *pools;
@@ -137,7 +137,7 @@
 	uint32_t queue_count;
 	uint32_t key_count;
 	uint32_t wave_count;
-	uint32_t run_max_ms; /* longest of all queues there ever were */
+	uint32_t run_max_ms; /* of all queues so far */
 	struct intern *queue_names;
 	struct intern *key_names;
 	int refs; /* atomic */
@@ -146,25 +146,20 @@
 /* cfg_names_new - empty name tables, owned by ctx */
 struct cfg_names *cfg_names_new(TALLOC_CTX *ctx);
 
-/*
- * cfg_empty - version 0, without objects; one reference for the caller
- */
+/* cfg_empty - version 0, without objects, as a new reference */
 struct cfg *cfg_empty(struct cfg_names *names);
 
 /*
  * cfg_apply - build the version that follows base
  *
- * Borrows change. On CFG_OK *out has one reference. Otherwise nothing has
- * changed and message tells kind, object, field, the value met and what was
- * wanted.
+ * Borrows change. On CFG_OK, *out is a new reference. Otherwise message names
+ * kind, object, field, the value found and the expected value.
  */
 enum cfg_status cfg_apply(const struct cfg *base, struct cfg_names *names,
 			  const json_t *change, uint64_t version,
 			  struct cfg **out, struct status_message *message);
 
-/*
- * cfg_check - check a change's objects one by one, without their references
- */
+/* cfg_check - check each object of a change, but not the names it refers to */
 enum cfg_status cfg_check(const json_t *change, struct status_message *message);
 
 /*
@@ -174,7 +169,7 @@
  */
 json_t *cfg_diff(const json_t *base, const json_t *doc);
 
-/* cfg_ref, cfg_unref - count holders of a version; thread-safe */
+/* cfg_ref, cfg_unref - add or drop a reference; thread-safe */
 struct cfg *cfg_ref(struct cfg *c);
 void cfg_unref(struct cfg *c);
 
@@ -184,10 +179,10 @@
 /* cfg_find_key - the key of that name or NULL */
 const struct cfg_key *cfg_find_key(const struct cfg *c, const char *name);
 
-/* cfg_wave_state_name - a wave's state in the document's words */
+/* cfg_wave_state_name - a wave's state as written in the document */
 const char *cfg_wave_state_name(enum cfg_wave_state state);
 
-/* cfg_state_name - an instance state in the document's words */
+/* cfg_state_name - an instance's state as written in the document */
 const char *cfg_state_name(enum cfg_instance_state state);
 
 #endif
--- a/src/version/cfg_check.c
+++ b/src/version/cfg_check.c
@@ -19,8 +19,8 @@
 	const char *name;
 	enum field_type type;
 	bool required;
-	uint32_t low;
-	uint32_t high;
+	uint32_t min;
+	uint32_t max;
 };
 
 struct kind {
@@ -138,7 +138,7 @@
 	return -1;
 }
 
-static const char *wanted(const struct field *f)
+static const char *expected_value(const struct field *f)
 {
 	switch (f->type) {
 	case FIELD_NUMBER:
@@ -159,15 +159,15 @@
 	return "";
 }
 
-static bool value_fits(const struct field *f, const json_t *v)
+static bool value_is_valid(const struct field *f, const json_t *v)
 {
 	const char *s = json_string_value(v);
 
 	switch (f->type) {
 	case FIELD_NUMBER:
 		return json_is_integer(v) &&
-		       json_integer_value(v) >= (json_int_t)f->low &&
-		       json_integer_value(v) <= (json_int_t)f->high;
+		       json_integer_value(v) >= (json_int_t)f->min &&
+		       json_integer_value(v) <= (json_int_t)f->max;
 	case FIELD_NAME:
 		return s && name_is_valid(s);
 	case FIELD_BOOL:
@@ -204,10 +204,11 @@
 		status_set(m,
 			   "%s \"%s\": field \"%s\" is %s, wanted a whole "
 			   "number from %u to %u",
-			   kind->name, object, f->name, text, f->low, f->high);
+			   kind->name, object, f->name, text, f->min, f->max);
 	else
 		status_set(m, "%s \"%s\": field \"%s\" is %s, wanted %s",
-			   kind->name, object, f->name, text, wanted(f));
+			   kind->name, object, f->name, text,
+			   expected_value(f));
 	free(text);
 	return CFG_INVALID;
 }
@@ -236,7 +237,7 @@
 				   kind->name, name, key);
 			return CFG_INVALID;
 		}
-		if (!value_fits(f, value))
+		if (!value_is_valid(f, value))
 			return fail_value(kind, name, f, value, m);
 	}
 	for (f = kind->fields; f->name; f++) {
--- a/src/version/inventory.c
+++ b/src/version/inventory.c
@@ -7,7 +7,7 @@
 
 #define TEXT_MAX 256 /* bytes */
 
-/* One object of any kind; the kind's schema says which fields it has. */
+/* An object of any kind; which fields it has depends on the kind's schema. */
 struct object {
 	char *name;
 	char *service;
@@ -109,7 +109,7 @@
 			    inventory_fields),
 };
 
-/* Into a document */
+/* Conversion to a configuration document */
 
 static void set_text(json_t *o, const char *field, const char *value)
 {
@@ -196,24 +196,23 @@
 }
 
 /*
- * Checks a document as the entries will, so that a bad value is found with
- * its line. References to objects that are not in the file cannot be
- * checked here.
+ * Makes the checks that the entries make, so that an invalid value is reported
+ * with its line. References to objects outside the file cannot be checked.
  */
 static bool check_values(const json_t *doc, const char *path,
 			 struct status_message *m)
 {
-	struct status_message why = { "" };
+	struct status_message error = { "" };
 	char object[CFG_NAME_MAX + 1] = "";
 	const char *quote;
 
-	if (cfg_check(doc, &why) == CFG_OK)
+	if (cfg_check(doc, &error) == CFG_OK)
 		return true;
-	quote = strchr(why.text, '"');
+	quote = strchr(error.text, '"');
 	if (quote)
 		sscanf(quote + 1, "%63[^\"]", object);
 	status_set(m, "%s:%u: %.400s", path,
-		   yamlfile_line(path, "name", object), why.text);
+		   yamlfile_line(path, "name", object), error.text);
 	return false;
 }
 
--- a/src/version/inventory.h
+++ b/src/version/inventory.h
@@ -1,9 +1,9 @@
 /*
- * inventory - operators' files of inventory and rules
+ * inventory - operators' YAML files of inventory and rules
  *
- * A YAML file lists departments, pools, instances, teams and queues, each
- * with a name. It becomes a configuration document; kinds that the file does
- * not mention are left as they are.
+ * A file lists departments, pools, instances, teams and queues by name. It is
+ * converted to a configuration document; kinds that are not in the file stay
+ * unchanged.
  */
 #ifndef INVENTORY_H
 #define INVENTORY_H
@@ -15,8 +15,8 @@
 /*
  * inventory_load - read and check a file
  *
- * Returns a new reference, or NULL with a message that names file, line,
- * field, the value met and what was wanted.
+ * Returns a new reference. On failure returns NULL; the message names file,
+ * line, field, the value found and the expected value.
  */
 json_t *inventory_load(const char *path, struct status_message *message);
 
--- a/src/version/wave.c
+++ b/src/version/wave.c
@@ -3,9 +3,9 @@
 #include <assert.h>
 #include <string.h>
 
-static bool fits(const char *wanted, const char *is)
+static bool matches(const char *pattern, const char *name)
 {
-	return !*wanted || !strcmp(wanted, is);
+	return !*pattern || !strcmp(pattern, name);
 }
 
 static enum plan_state state_of(const struct cfg_instance *w)
@@ -22,27 +22,28 @@
 	return PLAN_OUT;
 }
 
-/* Departed and absent instances are in a pool of their own, without budget. */
-static void fill(const struct cfg *cfg, const struct cfg_wave *wave,
-		 const struct cfg_instance *w, struct plan_instance *p,
-		 struct intern *zones, struct intern *racks)
+/* Departed and absent instances are in an extra pool without a budget. */
+static void fill_instance(const struct cfg *cfg, const struct cfg_wave *wave,
+			  const struct cfg_instance *w, struct plan_instance *p,
+			  struct intern *zones, struct intern *racks)
 {
-	bool begun;
+	bool started;
 
 	p->pool = cfg->pool_count;
 	p->state = PLAN_OUT;
 	if (!w->present || w->state == CFG_DEPARTED)
 		return;
-	begun = !strcmp(w->wave, wave->name);
+	started = !strcmp(w->wave, wave->name);
 	p->pool = w->pool.i;
 	p->zone = intern_add(zones, w->zone);
 	p->rack = intern_add(racks, w->rack);
 	p->state = state_of(w);
-	p->selected = begun ||
-		      (w->state == CFG_SERVING &&
-		       fits(wave->pool, cfg->pools[w->pool.i].name) &&
-		       fits(wave->zone, w->zone) && fits(wave->rack, w->rack));
-	p->done = begun && w->state == CFG_SERVING;
+	p->selected =
+		started ||
+		(w->state == CFG_SERVING &&
+		 matches(wave->pool, cfg->pools[w->pool.i].name) &&
+		 matches(wave->zone, w->zone) && matches(wave->rack, w->rack));
+	p->done = started && w->state == CFG_SERVING;
 }
 
 struct plan_input *wave_input(TALLOC_CTX *ctx, const struct cfg *cfg,
@@ -60,7 +61,8 @@
 
 	assert(in && all && pools);
 	for (i = 0; i < cfg->instance_count; i++)
-		fill(cfg, wave, &cfg->instances[i], &all[i], zones, racks);
+		fill_instance(cfg, wave, &cfg->instances[i], &all[i], zones,
+			      racks);
 	for (i = 0; i < cfg->pool_count; i++)
 		pools[i] = (struct plan_pool){ cfg->pools[i].serving_min,
 					       cfg->pools[i].out_max };
--- a/src/version/wave.h
+++ b/src/version/wave.h
@@ -1,5 +1,5 @@
 /*
- * wave - a maintenance wave of a configuration as the planner's input
+ * wave - conversion of a maintenance wave to the planner's input
  */
 #ifndef WAVE_H
 #define WAVE_H
@@ -8,11 +8,11 @@
 #include "version/cfg.h"
 
 /*
- * wave_input - what the configuration says of a wave; allocated on ctx
+ * wave_input - a wave as the planner's input, allocated on ctx
  *
- * Instances are those of the configuration, by instance_handle; ones that
- * are not present are neither wanted nor in a pool that has any. `home` and
- * `rebooted` are left false: only the entry knows.
+ * Has all instances of the configuration, by instance_handle; those that are
+ * not present are not selected and are in an extra pool. `empty` and
+ * `rebooted` are left false: the entry fills them in.
  */
 struct plan_input *wave_input(TALLOC_CTX *ctx, const struct cfg *cfg,
 			      const struct cfg_wave *wave,
--- a/test/cfg_test.c
+++ b/test/cfg_test.c
@@ -1,6 +1,6 @@
 /*
- * Configuration versions: what is refused and with which message, what a
- * change does, and callers' keys.
+ * Configuration versions: invalid changes and their messages, the effect of
+ * valid ones, and callers' keys.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -22,12 +22,12 @@
 	"\"queues\":{\"renew\":{\"pool\":\"p1\",\"team\":\"shop\","
 	"\"run_max_ms\":1000,\"wait_max_ms\":2000}}}";
 
-struct refused {
+struct invalid_change {
 	const char *change;
 	const char *message;
 };
 
-static const struct refused refused[] = {
+static const struct invalid_change invalid_changes[] = {
 	{ "{\"teams\":{\"shop\":{\"share\":0,\"limit\":1}}}",
 	  "teams \"shop\": field \"share\" is 0, wanted a whole number from 1 "
 	  "to 1000000" },
@@ -93,15 +93,16 @@
 	return 0;
 }
 
-static void test_refused(void **state)
+static void test_invalid_changes(void **state)
 {
 	size_t i;
 
-	for (i = 0; i < sizeof(refused) / sizeof(refused[0]); i++) {
+	for (i = 0; i < sizeof(invalid_changes) / sizeof(invalid_changes[0]);
+	     i++) {
 		struct status_message m = { "" };
 
-		assert_null(apply(*state, refused[i].change, &m));
-		assert_string_equal(m.text, refused[i].message);
+		assert_null(apply(*state, invalid_changes[i].change, &m));
+		assert_string_equal(m.text, invalid_changes[i].message);
 	}
 }
 
@@ -120,7 +121,7 @@
 	cfg_unref(next);
 }
 
-static void test_diff_leads_from_one_to_the_other(void **state)
+static void test_diff_of_documents(void **state)
 {
 	struct fixture *f = *state;
 	json_t *doc = json_loads("{\"teams\":{\"club\":{\"share\":1,"
@@ -136,7 +137,7 @@
 	json_decref(doc);
 }
 
-static void test_longest_lease_is_kept(void **state)
+static void test_maximum_lease_is_kept(void **state)
 {
 	struct status_message m;
 	struct cfg *next = apply(*state, "{\"queues\":{\"renew\":null}}", &m);
@@ -181,10 +182,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_refused),
+		cmocka_unit_test(test_invalid_changes),
 		cmocka_unit_test(test_change_replaces_one_object),
-		cmocka_unit_test(test_diff_leads_from_one_to_the_other),
-		cmocka_unit_test(test_longest_lease_is_kept),
+		cmocka_unit_test(test_diff_of_documents),
+		cmocka_unit_test(test_maximum_lease_is_kept),
 		cmocka_unit_test(test_key),
 	};
 
