--- a/src/node/request.c
+++ b/src/node/request.c
@@ -164,10 +164,10 @@
 		r->result = FLEET__RESULT__REFUSED;
 		r->retry_after_ms = RETRY_DROPPED_MS;
 	}
-	event_log("ask-other-version", event_text(req->id),
+	event_log("ask-other-version", event_sanitize(req->id),
 		  "\"verb\":%d,\"queue\":\"%s\",\"verdict\":%d,"
 		  "\"asked_by\":%" PRIu64 ",\"own\":%" PRIu64,
-		  req->verb, event_text(req->queue), verdict,
+		  req->verb, event_sanitize(req->queue), verdict,
 		  req->config_version, n->config ? n->config->version : 0);
 	return false;
 }
--- a/test/outcome_test.c
+++ b/test/outcome_test.c
@@ -1,6 +1,6 @@
 /*
- * Every path to "not run" with its proof, and every path that must not
- * lead there.
+ * Every path to the outcome "not run" with the proof for it, and every path
+ * that must not lead to it.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -12,7 +12,7 @@
 
 struct row {
 	const char *proof;
-	struct outcome_end end;
+	struct outcome_input end;
 	enum outcome outcome;
 	unsigned int code;
 };
@@ -36,10 +36,10 @@
 	{ "stopping", REFUSED(JOB_REFUSED_STOPPING), OUTCOME_NOT_RUN, 503 },
 	{ "unreached", REFUSED(JOB_REFUSED_UNREACHED), OUTCOME_NOT_RUN, 503 },
 	{ "hung up", REFUSED(JOB_REFUSED_HUNG_UP), OUTCOME_NOT_RUN, 499 },
-	/* Attempts that prove it has not run */
+	/* Attempts that prove that it has not run */
 	{ "not sent", RESULT(JOB_NOT_SENT), OUTCOME_NOT_RUN, 503 },
 	{ "worker refused", RESULT(JOB_NOT_RUN), OUTCOME_NOT_RUN, 503 },
-	/* Whole answers */
+	/* Complete responses */
 	{ "answer", RESULT(JOB_ENDED), OUTCOME_ANSWERED, 0 },
 	{ "failure answered", RESULT(JOB_FAILED), OUTCOME_ANSWERED, 0 },
 	{ "answer after an unknown attempt",
@@ -47,9 +47,9 @@
 	  OUTCOME_ANSWERED,
 	  0 },
 	/* Nothing proves that it has not run */
-	{ "broken", RESULT(JOB_MAY_RUN), OUTCOME_UNKNOWN, 502 },
+	{ "broken", RESULT(JOB_POSSIBLY_RUNNING), OUTCOME_UNKNOWN, 502 },
 	{ "timed out",
-	  { .result = JOB_MAY_RUN, .timed_out = true },
+	  { .result = JOB_POSSIBLY_RUNNING, .timed_out = true },
 	  OUTCOME_UNKNOWN,
 	  504 },
 	{ "refused after an unknown attempt",
