--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -189,7 +189,7 @@
 static void on_send(void *arg, uint64_t to, const struct core_message *m)
 {
 	struct node *n = arg;
-	Jackdawwell__PeerFrame *frame = entry_pack(&n->frames, m);
+	Jackdawwell__PeerFrame *frame = entry_pack_message(&n->frames, m);
 	size_t bytes = jackdawwell__peer_frame__get_packed_size(frame) + 4;
 	struct event *e;
 
@@ -217,20 +217,22 @@
 	uint32_t i;
 
 	if (s->store_out) {
-		core_planned(n->core, e->shard, LEDGER_CAS_CONFLICT, 0, s->now);
+		core_finish_cas(n->core, e->shard, LEDGER_CAS_CONFLICT, 0,
+				s->now);
 	} else if (s->way != WAY_STATIC && (*row)->version != e->row_version) {
-		core_planned(n->core, e->shard, LEDGER_CAS_CONFLICT, 0, s->now);
-		core_row(n->core, e->shard, *row, s->now);
+		core_finish_cas(n->core, e->shard, LEDGER_CAS_CONFLICT, 0,
+				s->now);
+		core_set_row(n->core, e->shard, *row, s->now);
 	} else {
 		talloc_free(*row);
 		*row = ledger_row_copy(s->ctx, e->row);
 		(*row)->version = ++s->revision;
-		core_planned(n->core, e->shard, LEDGER_CAS_DONE, s->revision,
-			     s->now);
+		core_finish_cas(n->core, e->shard, LEDGER_CAS_DONE, s->revision,
+				s->now);
 		for (i = 0; i < ENTRIES && s->way != WAY_STATIC; i++)
 			if (!s->nodes[i].dead && s->now % 1000 < 50)
-				core_row(s->nodes[i].core, e->shard, *row,
-					 s->now);
+				core_set_row(s->nodes[i].core, e->shard, *row,
+					     s->now);
 	}
 	talloc_free(e->row);
 }
@@ -241,7 +243,7 @@
 	s->workers[job->instance.i]--;
 	s->ended++;
 	if (!n->dead)
-		core_end(n->core, job, JOB_ENDED, s->now);
+		core_end_attempt(n->core, job, JOB_ENDED, s->now);
 	free(job);
 }
 
@@ -516,12 +518,12 @@
 	n->frames.names = s->names;
 	n->frames.core = n->core;
 	core_configure(n->core, cfg, 0);
-	core_members(n->core, &members);
+	core_set_members(n->core, &members);
 	for (k = 0; k < ENTRIES; k++)
-		core_reachable(n->core, k + 1, true);
-	core_fresh(n->core, UINT64_MAX);
+		core_set_reachable(n->core, k + 1, true);
+	core_set_fresh_until(n->core, UINT64_MAX);
 	for (k = 0; k < SHARDS; k++)
-		core_row(n->core, k, &empty, 0);
+		core_set_row(n->core, k, &empty, 0);
 	cfg_unref(cfg);
 }
 
@@ -589,7 +591,7 @@
 	uint32_t i;
 
 	for (i = 0; i < ENTRIES; i++)
-		writes += core_counters(s->nodes[i].core)->writes;
+		writes += core_counters(s->nodes[i].core)->row_writes;
 	return (double)writes * 1000.0 / (double)s->now;
 }
 
@@ -661,7 +663,7 @@
 	s.store_out = true;
 	s.nodes[3].dead = true;
 	for (i = 0; i < ENTRIES; i++)
-		core_reachable(s.nodes[i].core, 4, false);
+		core_set_reachable(s.nodes[i].core, 4, false);
 	run(&s, 40000);
 	for (i = 0; i < ENTRIES; i++)
 		for (d.i = 0;
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -144,7 +144,7 @@
 	(void)to;
 	if (m->kind != CORE_DEMAND || m->u.demand.group.kind != BROKER_POOL)
 		return;
-	f = entry_pack(&b->frames, m);
+	f = entry_pack_message(&b->frames, m);
 	bytes = jackdawwell__peer_frame__get_packed_size(f) + 4;
 	if (bytes > b->report_bytes)
 		b->report_bytes = bytes; /* of the pool with demand */
@@ -181,14 +181,15 @@
 	b->frames.names = b->names;
 	b->frames.core = b->core;
 	core_configure(b->core, cfg, 0);
-	core_members(b->core, &members);
-	core_fresh(b->core, UINT64_MAX);
-	core_row(b->core, 0, &empty, 1);
+	core_set_members(b->core, &members);
+	core_set_fresh_until(b->core, UINT64_MAX);
+	core_set_row(b->core, 0, &empty, 1);
 	while (b->written) {
 		struct ledger_row *row = b->written;
 
 		b->written = NULL;
-		core_planned(b->core, 0, LEDGER_CAS_DONE, row->version + 1, 1);
+		core_finish_cas(b->core, 0, LEDGER_CAS_DONE, row->version + 1,
+				1);
 		talloc_free(row);
 		core_tick(b->core, 1);
 	}
@@ -320,7 +321,7 @@
 		struct job *job = b->started;
 
 		now++;
-		core_end(b->core, job, JOB_ENDED, now);
+		core_end_attempt(b->core, job, JOB_ENDED, now);
 		job->arrived_ms = now;
 		core_submit(b->core, job, now, &why);
 	}
@@ -380,9 +381,9 @@
 	double bytes;
 	uint32_t i;
 
-	core_members(b->core, &members);
+	core_set_members(b->core, &members);
 	for (i = 2; i <= ENTRIES; i++)
-		core_reachable(b->core, i, true);
+		core_set_reachable(b->core, i, true);
 	for (i = 0; i < teams * 2; i++) {
 		jobs[i].team.i = i / 2;
 		jobs[i].pool.i = 7; /* its broker is another entry */
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -1,7 +1,7 @@
 /*
- * admin - the administration API
+ * admin - administration API
  *
- *	GET  /v1/status		this entry's view
+ *	GET  /v1/status		this entry's state
  *	GET  /v1/config		{"version", "config"}
  *	POST /v1/config		{"base", "id", "change"}
  *	POST /v1/keys		{"base", "id", "name", "team"}
@@ -18,13 +18,13 @@
 #include "process/clock.h"
 
 #define ADMIN_BODY_MAX (64u << 20) /* bytes */
-#define ADMIN_CONNECTIONS 256
-#define ADMIN_IDLE_S 60
+#define ADMIN_CONNECTIONS_MAX 256
+#define ADMIN_IDLE_TIMEOUT_S 60
 
-struct change_call {
+struct change_request {
 	struct entry *entry;
 	struct httpd_request *http;
-	char key[KEY_TEXT_MAX]; /* issued with the change, "" otherwise */
+	char key[KEY_TEXT_MAX]; /* key issued by this change, else "" */
 };
 
 static void send_body(struct httpd_request *http, unsigned int code,
@@ -57,15 +57,15 @@
 	send_json(http, code, json_pack("{s:s}", "error", text));
 }
 
-/* Operators' credentials */
+/* Authentication */
 
-static bool same_text(const char *a, const char *b)
+static bool tokens_equal(const char *a, const char *b)
 {
 	return strlen(a) == strlen(b) && !sodium_memcmp(a, b, strlen(a));
 }
 
-static const char *operator_of(const struct entry *e,
-			       const struct httpd_request *http)
+static const char *authenticate(const struct entry *e,
+				const struct httpd_request *http)
 {
 	const char *value = httpd_header(http, "Authorization");
 	const struct settings *s = e->settings;
@@ -74,7 +74,7 @@
 	if (!value || strncasecmp(value, "Bearer ", 7))
 		return NULL;
 	for (i = 0; i < s->operators_count; i++)
-		if (same_text(s->operators[i].token, value + 7))
+		if (tokens_equal(s->operators[i].token, value + 7))
 			return s->operators[i].name;
 	return NULL;
 }
@@ -166,14 +166,14 @@
 	FILE *out = open_memstream(&text, &length);
 
 	assert(out);
-	front_print(e, out);
+	front_print_metrics(e, out);
 	fprintf(out, "jackdawwell_config_version %" PRIu64 "\n",
 		e->cfg->version);
 	fprintf(out, "jackdawwell_store_reads_total %" PRIu64 "\n", p->reads);
 	fprintf(out, "jackdawwell_store_writes_total %" PRIu64 "\n", p->writes);
 	pthread_mutex_lock(&e->core_lock);
 	if (e->core)
-		core_print(e->core, out, clock_now_ms());
+		core_print_metrics(e->core, out, clock_now_ms());
 	pthread_mutex_unlock(&e->core_lock);
 	fclose(out);
 	send_body(http, 200, "text/plain; version=0.0.4", text, length);
@@ -191,7 +191,7 @@
 
 static void on_changed(void *arg, unsigned int code, json_t *body)
 {
-	struct change_call *call = arg;
+	struct change_request *call = arg;
 
 	if (*call->key && code <= 202)
 		json_object_set_new(body, "key", json_string(call->key));
@@ -207,8 +207,8 @@
 	sodium_bin2hex(id, sizeof(bytes) * 2 + 1, bytes, sizeof(bytes));
 }
 
-/* The version that the operator saw; without one, the one in force. */
-static uint64_t base_of(const struct entry *e, const json_t *body)
+/* The version that the operator's change is based on; default: the current. */
+static uint64_t base_version(const struct entry *e, const json_t *body)
 {
 	const json_t *base = json_object_get(body, "base");
 
@@ -219,20 +219,20 @@
 			 const json_t *body, const json_t *change,
 			 const char *operator_name, const char *key)
 {
-	struct change_call *call = talloc_zero(e, struct change_call);
+	struct change_request *call = talloc_zero(e, struct change_request);
 	const char *id = json_string_value(json_object_get(body, "id"));
-	char made[33];
+	char generated[33];
 
 	assert(call);
 	call->entry = e;
 	call->http = http;
 	snprintf(call->key, sizeof(call->key), "%s", key);
 	if (!id) {
-		random_id(made);
-		id = made;
+		random_id(generated);
+		id = generated;
 	}
-	entry_change(e, base_of(e, body), change, id, operator_name, on_changed,
-		     call);
+	entry_change(e, base_version(e, body), change, id, operator_name,
+		     on_changed, call);
 }
 
 static void on_change(struct entry *e, struct httpd_request *http,
@@ -327,7 +327,7 @@
 			  strdup(ready ? "ok\n" : "no\n"), 3);
 		return;
 	}
-	operator_name = operator_of(e, http);
+	operator_name = authenticate(e, http);
 	if (!operator_name)
 		send_error(http, 401, "no valid operator's token");
 	else if (!strcmp(http->method, "POST"))
@@ -342,8 +342,8 @@
 	struct httpd_options options = {
 		.address = ip,
 		.body_max = ADMIN_BODY_MAX,
-		.connections_max = ADMIN_CONNECTIONS,
-		.idle_timeout_s = ADMIN_IDLE_S,
+		.connections_max = ADMIN_CONNECTIONS_MAX,
+		.idle_timeout_s = ADMIN_IDLE_TIMEOUT_S,
 		.handler = on_request,
 		.arg = e,
 	};
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -1,10 +1,10 @@
 /*
- * conductor - carries waves out, a step at a time
+ * conductor - carries out maintenance waves step by step
  *
- * The entry that rendezvous hashing chooses among those it reaches conducts.
- * No lease is needed: each step is a change of the configuration made on the
- * version that it was planned with, so of two conductors, or one that was
- * frozen, the later one's step is refused.
+ * Each entry picks the conductor by rendezvous hashing over the entries that
+ * it can reach. No lease is needed: a step is a configuration change based on
+ * the version that it was planned with. When two entries act as conductor, or
+ * one was frozen meanwhile, the later step conflicts and is refused.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -16,38 +16,39 @@
 #include "process/log.h"
 #include "version/wave.h"
 
-#define STEPS_MAX 50 /* in one change */
-#define REBOOT_AGAIN_MS 5000
+#define STEPS_PER_CHANGE 50  /* instances in one configuration change */
+#define REBOOT_RETRY_MS 5000 /* between requests to reboot an instance */
 
-/* What the conductor has seen of an instance. */
-struct sight {
-	uint32_t boots;	   /* by the platform's list */
-	bool failed;	   /* by the same */
-	uint64_t away_ms;  /* first seen draining or out, 0 when it is not */
-	uint64_t asked_ms; /* last request to reboot */
+/* What this entry has observed of an instance. */
+struct conductor_instance {
+	uint32_t boots;		 /* in the platform's list */
+	bool failed;		 /* state in the platform's list */
+	uint64_t away_since_ms;	 /* draining or out since, else 0 */
+	uint64_t reboot_sent_ms; /* last request to reboot */
 };
 
 struct conductor {
-	struct sight *sights; /* by instance_handle */
+	struct conductor_instance *instances; /* index: instance_handle */
 	uint32_t count;
 	bool changing; /* a step is being committed */
 };
 
-/* Sights */
+/* Observations */
 
-static struct sight *sight_of(struct conductor *c, uint32_t instance)
+static struct conductor_instance *get_instance(struct conductor *c,
+					       uint32_t instance)
 {
 	uint32_t count = c->count;
 
 	if (instance >= count) {
 		c->count = instance * 2 + 16;
-		c->sights =
-			talloc_realloc(c, c->sights, struct sight, c->count);
-		assert(c->sights);
-		memset(c->sights + count, 0,
-		       (c->count - count) * sizeof(*c->sights));
+		c->instances = talloc_realloc(
+			c, c->instances, struct conductor_instance, c->count);
+		assert(c->instances);
+		memset(c->instances + count, 0,
+		       (c->count - count) * sizeof(*c->instances));
 	}
-	return &c->sights[instance];
+	return &c->instances[instance];
 }
 
 struct conductor *conductor_new(TALLOC_CTX *ctx)
@@ -55,7 +56,7 @@
 	return talloc_zero(ctx, struct conductor);
 }
 
-void conductor_see(struct entry *e, const json_t *list)
+void conductor_set_instances(struct entry *e, const json_t *list)
 {
 	json_t *item;
 	size_t i;
@@ -68,18 +69,18 @@
 			json_string_value(json_object_get(item, "state"));
 		uint32_t id = name ? intern_find(e->names->instances, name)
 				   : INTERN_NONE;
-		struct sight *s;
+		struct conductor_instance *s;
 
 		if (id == INTERN_NONE)
 			continue;
-		s = sight_of(e->conductor, id);
+		s = get_instance(e->conductor, id);
 		s->boots = (uint32_t)json_integer_value(
 			json_object_get(item, "boots"));
 		s->failed = state && !strcmp(state, "failed");
 	}
 }
 
-static bool is_chosen(struct entry *e)
+static bool is_conductor(struct entry *e)
 {
 	uint64_t live[MEMBERS_MAX];
 	uint32_t n = 0;
@@ -105,7 +106,8 @@
 
 	e->conductor->changing = false;
 	if (code != 200 && code != 202 && code != 409)
-		log_event(LOG_WARN, "conductor", "step refused: %s",
+		log_event(LOG_WARN, "conductor",
+			  "configuration change refused: %s",
 			  json_string_value(json_object_get(body, "error")));
 	json_decref(body);
 }
@@ -153,26 +155,28 @@
 	json_object_set_new(object, "state",
 			    json_string(cfg_state_name(state)));
 	json_object_set_new(object, "wave", json_string(wave->name));
-	json_object_set_new(object, "boots",
-			    json_integer(sight_of(e->conductor, id)->boots));
+	json_object_set_new(
+		object, "boots",
+		json_integer(get_instance(e->conductor, id)->boots));
 	json_object_set_new(instances, name, object);
 }
 
 /* Planning */
 
-/* Adds what only this entry knows of the instances. */
-static void complete(struct entry *e, struct plan_instance *all)
+/* Completes the plan's input with this entry's observations. */
+static void add_observations(struct entry *e, struct plan_instance *all)
 {
 	uint32_t i;
 
 	pthread_mutex_lock(&e->core_lock);
 	for (i = 0; i < e->cfg->instance_count; i++) {
 		const struct cfg_instance *w = &e->cfg->instances[i];
-		const struct sight *s = sight_of(e->conductor, i);
+		const struct conductor_instance *s =
+			get_instance(e->conductor, i);
 
 		all[i].home =
 			w->present &&
-			core_instance_home(e->core, (instance_handle){ i });
+			core_instance_is_empty(e->core, (instance_handle){ i });
 		all[i].rebooted = w->present && s->boots > w->boots;
 		if (all[i].state == PLAN_SERVING && s->failed)
 			all[i].state = PLAN_FAILED;
@@ -183,44 +187,46 @@
 static void on_reboot(void *arg, const struct platform_answer *answer)
 {
 	(void)arg;
-	(void)answer; /* asked again until the list shows it */
+	(void)answer; /* requested again until the list shows the reboot */
 }
 
-static void ask_reboot(struct entry *e, const struct cfg_instance *w,
-		       struct sight *s, uint64_t now_ms)
+static void request_reboot(struct entry *e, const struct cfg_instance *w,
+			   struct conductor_instance *s, uint64_t now_ms)
 {
-	if (now_ms < s->asked_ms + REBOOT_AGAIN_MS)
+	if (now_ms < s->reboot_sent_ms + REBOOT_RETRY_MS)
 		return;
-	s->asked_ms = now_ms;
+	s->reboot_sent_ms = now_ms;
 	platform_reboot(e->platform, w->name, w->boots, on_reboot, NULL);
 }
 
 /*
- * Asks for reboots of what is out. False with the reason when an instance
- * drains or is out for too long; nothing is ever cut off for that.
+ * Requests reboots of the wave's instances that are out. Returns false with
+ * the reason when one has been draining or out for too long; running work is
+ * never stopped for that.
  */
-static bool tend(struct entry *e, const struct cfg_wave *wave,
-		 const struct plan_instance *all, uint64_t now_ms,
-		 struct status_message *why)
+static bool reboot_instances(struct entry *e, const struct cfg_wave *wave,
+			     const struct plan_instance *all, uint64_t now_ms,
+			     struct status_message *why)
 {
 	bool good = true;
 	uint32_t i;
 
 	for (i = 0; i < e->cfg->instance_count; i++) {
 		const struct cfg_instance *w = &e->cfg->instances[i];
-		struct sight *s = sight_of(e->conductor, i);
+		struct conductor_instance *s = get_instance(e->conductor, i);
 		bool out = all[i].state == PLAN_OUT;
 
 		if (!all[i].wanted || all[i].rebooted ||
 		    (!out && all[i].state != PLAN_DRAINING)) {
-			s->away_ms = 0;
+			s->away_since_ms = 0;
 			continue;
 		}
-		if (!s->away_ms)
-			s->away_ms = now_ms;
+		if (!s->away_since_ms)
+			s->away_since_ms = now_ms;
 		if (out)
-			ask_reboot(e, w, s, now_ms);
-		if (!good || now_ms < s->away_ms + wave->return_max_s * 1000ull)
+			request_reboot(e, w, s, now_ms);
+		if (!good ||
+		    now_ms < s->away_since_ms + wave->return_max_s * 1000ull)
 			continue;
 		status_set(why, "%s %s after %u s", w->name,
 			   out ? "has not come back" : "still has work",
@@ -230,7 +236,7 @@
 	return good;
 }
 
-/* The state that a step leads to; false when the wave's state forbids it. */
+/* The instance state after a step; false when the wave's state forbids it. */
 static bool step_state(const struct cfg_wave *wave, enum plan_kind kind,
 		       enum cfg_instance_state *state)
 {
@@ -256,7 +262,7 @@
 	enum cfg_instance_state state;
 	uint32_t i;
 
-	for (i = 0; i < plan->count && i < STEPS_MAX; i++)
+	for (i = 0; i < plan->count && i < STEPS_PER_CHANGE; i++)
 		if (step_state(wave, plan->steps[i].kind, &state))
 			add_step(e, instances, wave, plan->steps[i].instance,
 				 state);
@@ -267,8 +273,8 @@
 	return instances;
 }
 
-static void conduct(struct entry *e, const struct cfg_wave *wave,
-		    uint64_t now_ms)
+static void run_wave(struct entry *e, const struct cfg_wave *wave,
+		     uint64_t now_ms)
 {
 	struct plan_instance *all;
 	struct plan_input *in = wave_input(e, e->cfg, wave, &all);
@@ -276,10 +282,10 @@
 	struct status_message why = { "" };
 	json_t *steps;
 
-	complete(e, all);
+	add_observations(e, all);
 	plan_next(in, in, &plan);
 	steps = steps_json(e, wave, all, &plan);
-	if (!tend(e, wave, all, now_ms, &why) &&
+	if (!reboot_instances(e, wave, all, now_ms, &why) &&
 	    wave->state == CFG_WAVE_RUNNING) {
 		json_decref(steps);
 		set_wave(e, wave, CFG_WAVE_HALTED, why.text);
@@ -299,9 +305,9 @@
 	uint32_t i;
 
 	if (!cfg->wave_count || e->conductor->changing ||
-	    entry_state(e) != ENTRY_SERVING || !is_chosen(e))
+	    entry_state(e) != ENTRY_SERVING || !is_conductor(e))
 		return;
 	for (i = 0; i < cfg->wave_count && !e->conductor->changing; i++)
 		if (cfg->waves[i].state != CFG_WAVE_DONE)
-			conduct(e, &cfg->waves[i], now_ms);
+			run_wave(e, &cfg->waves[i], now_ms);
 }
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -3,14 +3,14 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define CORE_EARLY_MIN 16 /* waiting jobs before a wait is estimated */
-#define CORE_FIRST_HOLDS 64u
-#define CORE_SPARE_MS 150    /* longest that a slot is kept back */
-#define CORE_SPARE_ABOVE 0.5 /* slots above its target */
+#define CORE_ESTIMATE_MIN 16 /* waiting jobs needed to estimate a wait */
+#define CORE_HOLDS_INITIAL 64u
+#define CORE_RESERVE_MAX_MS 150	      /* longest reservation of a free slot */
+#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots */
 
-/* The request's way */
+/* Request path */
 
-static void forget_waiting(struct core *c, const struct job *job)
+static void remove_waiting(struct core *c, const struct job *job)
 {
 	c->waiting--;
 	c->waiting_bytes -= job->bytes;
@@ -26,13 +26,13 @@
 
 static void refuse(struct core *c, struct job *job, enum job_refusal why)
 {
-	forget_waiting(c, job);
+	remove_waiting(c, job);
 	job->state = JOB_DONE;
 	c->counters.refused[why]++;
 	c->options.callbacks.refuse(c->options.callbacks.arg, job, why);
 }
 
-/* Whether the configuration in force still lets the job's key use it. */
+/* Whether the current configuration lets the job's key use its queue. */
 static bool job_allowed(struct core *c, struct job *job, enum job_refusal *why)
 {
 	const struct cfg_key *key;
@@ -57,7 +57,7 @@
 	return true;
 }
 
-static bool was_tried(const struct job *job, uint32_t instance)
+static bool was_attempted(const struct job *job, uint32_t instance)
 {
 	uint32_t i;
 
@@ -67,7 +67,7 @@
 	return false;
 }
 
-/* The worker with most free slots here that the job has not tried. */
+/* Chooses the worker with the most free slots, among those not yet tried. */
 static bool choose_instance(struct core *c, const struct job *job,
 			    instance_handle *chosen)
 {
@@ -81,7 +81,8 @@
 		struct ledger_domain_view view;
 
 		if (ledger_may_take(c->ledger, n->domain) != LEDGER_OK ||
-		    !health_usable(&n->health, c->now_ms) || was_tried(job, id))
+		    !health_usable(&n->health, c->now_ms) ||
+		    was_attempted(job, id))
 			continue;
 		ledger_view(c->ledger, n->domain, &view);
 		if (view.held - view.running <= most)
@@ -106,7 +107,7 @@
 	enum ledger_status status;
 
 	fq_remove(p->queue, job);
-	forget_waiting(c, job);
+	remove_waiting(c, job);
 	status = ledger_take(c->ledger, t->domain);
 	assert(status == LEDGER_OK);
 	status = ledger_take(c->ledger, c->instances[instance.i].domain);
@@ -128,27 +129,27 @@
 }
 
 /*
- * Whether a slot is kept back from a team that is above its target. Where
- * the pool's slots are all spoken for, one that falls free is about to be
- * owed to another entry; who takes it at once passes teams below their
- * share there.
+ * Whether a free slot stays reserved instead of going to a team that is
+ * above its target. When targets take up all slots held here, the broker is
+ * about to advise lending a freed slot to another entry. Using it at once
+ * would put this team ahead of teams there that are below their share.
  */
-static bool keeps_back(struct core *c, struct core_pool *p,
-		       const struct job *job)
+static bool reserves_slot(struct core *c, struct core_pool *p,
+			  const struct job *job)
 {
 	struct fq_flow_view flow = { 0 };
 
 	fq_team(p->queue, job->team, &flow);
 	if (!c->options.advice ||
 	    c->now_ms > p->advised_ms + CORE_ADVICE_TTL_MS ||
-	    p->targets + 1.0 < p->sent.held ||
-	    flow.running < flow.target + CORE_SPARE_ABOVE) {
-		p->spared_ms = 0;
+	    p->target_sum + 1.0 < p->reported.held ||
+	    flow.running < flow.target + CORE_RESERVE_ABOVE_TARGET) {
+		p->reserved_since_ms = 0;
 		return false;
 	}
-	if (!p->spared_ms)
-		p->spared_ms = c->now_ms;
-	return c->now_ms < p->spared_ms + CORE_SPARE_MS;
+	if (!p->reserved_since_ms)
+		p->reserved_since_ms = c->now_ms;
+	return c->now_ms < p->reserved_since_ms + CORE_RESERVE_MAX_MS;
 }
 
 void core_dispatch(struct core *c, pool_handle pool)
@@ -160,7 +161,7 @@
 
 	if (!c->cfg || c->now_ms >= c->fresh_until_ms)
 		return;
-	core_units_pay_pool(c, pool.i);
+	core_units_lend_pool(c, pool.i);
 	while (fq_waiting(p->queue)) {
 		job = fq_pick(p->queue, c->now_ms, team_may_start, c);
 		if (!job)
@@ -171,21 +172,21 @@
 			continue;
 		}
 		if (!choose_instance(c, job, &instance) ||
-		    keeps_back(c, p, job))
+		    reserves_slot(c, p, job))
 			return;
 		start(c, job, instance);
 	}
 }
 
-/* A wait that would pass the deadline, by the rate of recent starts. */
-static bool too_late(const struct core *c, const struct job *job)
+/* Whether the estimated wait, by the rate of recent starts, is too long. */
+static bool would_expire(const struct core *c, const struct job *job)
 {
 	struct fq_flow_view flow;
 	double wait;
 
 	if (job->class == CFG_URGENT ||
 	    !fq_team(c->pools[job->pool.i].queue, job->team, &flow) ||
-	    flow.waiting < CORE_EARLY_MIN)
+	    flow.waiting < CORE_ESTIMATE_MIN)
 		return false;
 	wait = flow.waiting * flow.start_gap_ms;
 	return (double)c->now_ms + wait > (double)job->deadline_ms;
@@ -203,7 +204,7 @@
 	else if (c->waiting >= c->options.waiting_max ||
 		 c->waiting_bytes + job->bytes > c->options.waiting_bytes)
 		*why = JOB_REFUSED_FULL;
-	else if (too_late(c, job))
+	else if (would_expire(c, job))
 		*why = JOB_REFUSED_EARLY;
 	else
 		refused = false;
@@ -223,8 +224,8 @@
 	return true;
 }
 
-/* The one place that gives units back after work. */
-static void release(struct core *c, const struct core_hold *h)
+/* Frees the units of an ended attempt; they're freed nowhere else. */
+static void free_units(struct core *c, const struct core_hold *h)
 {
 	ledger_end(c->ledger, c->teams[h->team.i].domain);
 	ledger_end(c->ledger, c->instances[h->instance.i].domain);
@@ -233,27 +234,27 @@
 	c->running--;
 }
 
-static void hold(struct core *c, const struct core_hold *h)
+static void hold_units(struct core *c, const struct core_hold *h)
 {
-	if (c->hold_count == c->hold_room) {
-		c->hold_room =
-			c->hold_room ? c->hold_room * 2 : CORE_FIRST_HOLDS;
+	if (c->hold_count == c->hold_capacity) {
+		c->hold_capacity = c->hold_capacity ? c->hold_capacity * 2
+						    : CORE_HOLDS_INITIAL;
 		c->holds = talloc_realloc(c, c->holds, struct core_hold,
-					  c->hold_room);
+					  c->hold_capacity);
 		assert(c->holds);
 	}
 	c->holds[c->hold_count++] = *h;
 }
 
 static double peers_failure_rate(const struct core *c, pool_handle pool,
-				 uint32_t instance, uint32_t *out)
+				 uint32_t instance, uint32_t *unavailable)
 {
 	const struct core_pool *p = &c->pools[pool.i];
 	double sum = 0;
 	uint32_t n = 0;
 	uint32_t i;
 
-	*out = 0;
+	*unavailable = 0;
 	for (i = 0; i < p->instance_count; i++) {
 		const struct health *h = &c->instances[p->instances[i]].health;
 
@@ -261,7 +262,7 @@
 			continue;
 		if (h->probe_ms ||
 		    c->cfg->instances[p->instances[i]].state != CFG_SERVING) {
-			(*out)++;
+			(*unavailable)++;
 			continue;
 		}
 		sum += h->failures;
@@ -270,21 +271,21 @@
 	return n ? sum / n : 1.0;
 }
 
-static void judge(struct core *c, const struct job *job, bool failed)
+static void record_health(struct core *c, const struct job *job, bool failed)
 {
 	struct health *h = &c->instances[job->instance.i].health;
-	uint32_t out;
+	uint32_t unavailable;
 	double rate;
 
 	health_result(h, failed, c->now_ms);
 	if (!failed)
 		return;
-	rate = peers_failure_rate(c, job->pool, job->instance.i, &out);
+	rate = peers_failure_rate(c, job->pool, job->instance.i, &unavailable);
 	if (!health_failing(h, rate) || job->pool.i >= c->cfg->pool_count ||
-	    out >= c->cfg->pools[job->pool.i].out_max)
+	    unavailable >= c->cfg->pools[job->pool.i].out_max)
 		return;
 	health_eject(h, c->now_ms);
-	c->counters.ejected++;
+	c->counters.workers_ejected++;
 }
 
 static bool may_retry(struct core *c, const struct job *job,
@@ -325,7 +326,7 @@
 		c->counters.failed++;
 		break;
 	case JOB_MAY_RUN:
-		c->counters.may_run++;
+		c->counters.possibly_running++;
 		break;
 	case JOB_NOT_SENT:
 	case JOB_NOT_RUN:
@@ -333,31 +334,32 @@
 	}
 }
 
-enum core_next core_end(struct core *c, struct job *job, enum job_result result,
-			uint64_t now_ms)
+enum core_next core_end_attempt(struct core *c, struct job *job,
+				enum job_result result, uint64_t now_ms)
 {
 	struct core_hold h = { job->team, job->pool, job->instance,
-			       now_ms + job->run_max_ms + CORE_GRACE_MS };
-	bool again;
+			       now_ms + job->run_max_ms +
+				       CORE_LEASE_MARGIN_MS };
+	bool retried;
 
 	c->now_ms = now_ms;
 	count_result(c, result);
-	judge(c, job, result != JOB_ENDED && result != JOB_NOT_RUN);
-	again = may_retry(c, job, result);
+	record_health(c, job, result != JOB_ENDED && result != JOB_NOT_RUN);
+	retried = may_retry(c, job, result);
 	if (result == JOB_MAY_RUN)
-		hold(c, &h);
+		hold_units(c, &h);
 	else
-		release(c, &h);
+		free_units(c, &h);
 	job->may_have_run |= result == JOB_MAY_RUN;
 	job->state = JOB_DONE;
-	if (again)
+	if (retried)
 		retry(c, job);
-	core_units_pay_team(c, job->team.i);
+	core_units_lend_team(c, job->team.i);
 	core_dispatch(c, job->pool);
-	return again ? CORE_RETRIED : CORE_FINISHED;
+	return retried ? CORE_RETRIED : CORE_FINISHED;
 }
 
-/* Time */
+/* Periodic work */
 
 static bool job_expired(void *arg, const struct job *job)
 {
@@ -376,7 +378,7 @@
 		refuse(c, job, JOB_REFUSED_WAIT);
 }
 
-static void release_held(struct core *c)
+static void free_expired_holds(struct core *c)
 {
 	uint32_t i = 0;
 
@@ -385,7 +387,7 @@
 			i++;
 			continue;
 		}
-		release(c, &c->holds[i]);
+		free_units(c, &c->holds[i]);
 		c->holds[i] = c->holds[--c->hold_count];
 	}
 }
@@ -395,7 +397,7 @@
 	uint32_t i;
 
 	c->now_ms = now_ms;
-	release_held(c);
+	free_expired_holds(c);
 	for (i = 0; i < c->pool_count; i++)
 		if (fq_waiting(c->pools[i].queue))
 			fq_sweep(c->pools[i].queue, job_expired, refuse_expired,
@@ -405,7 +407,7 @@
 		core_dispatch(c, (pool_handle){ i });
 }
 
-void core_fresh(struct core *c, uint64_t until_ms)
+void core_set_fresh_until(struct core *c, uint64_t until_ms)
 {
 	c->fresh_until_ms = until_ms;
 }
@@ -413,7 +415,7 @@
 void core_stop(struct core *c, uint64_t now_ms)
 {
 	c->stopping = true;
-	c->swept_ms = 0;
+	c->full_update_ms = 0;
 	core_tick(c, now_ms);
 }
 
@@ -424,16 +426,17 @@
 
 /* Rows and messages */
 
-void core_row(struct core *c, uint32_t shard, const struct ledger_row *row,
-	      uint64_t now_ms)
+void core_set_row(struct core *c, uint32_t shard, const struct ledger_row *row,
+		  uint64_t now_ms)
 {
 	c->now_ms = now_ms;
 	ledger_seen(c->ledger, shard, row);
 	core_units_write(c);
 }
 
-void core_planned(struct core *c, uint32_t shard, enum ledger_cas_status status,
-		  uint64_t version, uint64_t now_ms)
+void core_finish_cas(struct core *c, uint32_t shard,
+		     enum ledger_cas_status status, uint64_t version,
+		     uint64_t now_ms)
 {
 	uint32_t i;
 
@@ -476,7 +479,7 @@
 		broker_report(c->broker, from, &m->u.demand, now_ms);
 		break;
 	case CORE_ADVICE:
-		core_units_advised(c, &m->u.advice);
+		core_units_set_advice(c, &m->u.advice);
 		break;
 	}
 }
@@ -487,7 +490,7 @@
 		core_receive(c, to, m, c->now_ms);
 		return;
 	}
-	c->counters.messages++;
+	c->counters.peer_messages++;
 	c->options.callbacks.send(c->options.callbacks.arg, to, m);
 }
 
@@ -543,7 +546,7 @@
 	*running = view.running;
 }
 
-bool core_instance_home(const struct core *c, instance_handle instance)
+bool core_instance_is_empty(const struct core *c, instance_handle instance)
 {
 	return instance.i < c->instance_count &&
 	       c->instances[instance.i].configured &&
--- a/src/entry/core_cfg.c
+++ b/src/entry/core_cfg.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-/* Tables that grow with the configuration */
+/* Tables sized by the configuration */
 
 static void *grow(TALLOC_CTX *ctx, void *table, size_t size, uint32_t *count,
 		  uint32_t wanted)
@@ -118,7 +118,7 @@
 	configure_teams(c, cfg);
 	configure_instances(c, cfg);
 	list_instances(c, cfg);
-	c->swept_ms = 0;
+	c->full_update_ms = 0;
 	for (i = 0; i < c->pool_count; i++)
 		core_dispatch(c, (pool_handle){ i });
 }
@@ -148,7 +148,7 @@
 	p->link = ledger_link_new(c, c->ledger);
 }
 
-void core_members(struct core *c, const struct ledger_members *members)
+void core_set_members(struct core *c, const struct ledger_members *members)
 {
 	uint32_t i;
 
@@ -157,12 +157,12 @@
 				      members->count * sizeof(uint64_t));
 	c->members = *members;
 	c->members.incarnations = c->member_ids;
-	c->swept_ms = 0;
+	c->full_update_ms = 0;
 	for (i = 0; i < members->count; i++)
 		peer_add(c, members->incarnations[i]);
 }
 
-void core_reachable(struct core *c, uint64_t incarnation, bool reachable)
+void core_set_reachable(struct core *c, uint64_t incarnation, bool reachable)
 {
 	struct core_peer *p = core_peer(c, incarnation);
 
@@ -172,7 +172,7 @@
 		broker_forget(c->broker, incarnation);
 }
 
-void core_gone(struct core *c, uint64_t incarnation, uint64_t version)
+void core_member_removed(struct core *c, uint64_t incarnation, uint64_t version)
 {
 	struct core_peer *p = core_peer(c, incarnation);
 
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -1,8 +1,10 @@
 /*
- * core_internal - what the core's source files share
+ * core_internal - shared by the core's source files
  *
- * core.c has the request's way, core_cfg.c configuration and members;
- * core_units.c draws, lends and reports units; core_print.c writes metrics.
+ * core.c		jobs from submission to their end
+ * core_cfg.c		configuration, members and peers
+ * core_units.c		acquires and lends units, reports demand
+ * core_print.c		metrics
  */
 #ifndef CORE_INTERNAL_H
 #define CORE_INTERNAL_H
@@ -16,9 +18,9 @@
 #include "request/retry.h"
 
 #define CORE_PEERS_MAX 64	/* entries */
-#define CORE_ADVICE_TTL_MS 5000 /* older advice gives way to local targets */
+#define CORE_ADVICE_TTL_MS 5000 /* then local targets are used instead */
 
-/* Units kept for work that may still run on a worker. */
+/* Units withheld because a job's attempt may still run on a worker. */
 struct core_hold {
 	team_handle team;
 	pool_handle pool;
@@ -26,19 +28,19 @@
 	uint64_t until_ms;
 };
 
-/* What a holder owes to other entries by its broker's advice. */
-struct core_owed {
-	struct broker_transfer *transfers;
+/* Units that the broker advises this entry to lend. */
+struct core_transfers {
+	struct broker_transfer *list;
 	uint32_t count;
 };
 
 struct core_team {
 	domain_handle domain;
 	struct retry_budget retries;
-	struct metric_histogram waits[2]; /* by enum cfg_class */
-	struct core_owed owed;
-	struct broker_demand sent; /* last report */
-	uint64_t sent_ms;
+	struct metric_histogram waits[2]; /* index: enum cfg_class */
+	struct core_transfers transfers;
+	struct broker_demand reported; /* last demand sent to the broker */
+	uint64_t reported_ms;
 	uint32_t waiting;
 	uint32_t running;
 	bool known;
@@ -53,15 +55,15 @@
 
 struct core_pool {
 	struct fq *queue;
-	uint32_t *instances; /* serving or draining, by configuration */
+	uint32_t *instances; /* all that the configuration has in the pool */
 	uint32_t instance_count;
-	uint32_t slots; /* of serving instances */
-	struct core_owed owed;
-	struct broker_demand sent;
-	uint64_t sent_ms;
+	uint32_t slots; /* total of serving instances */
+	struct core_transfers transfers;
+	struct broker_demand reported;
+	uint64_t reported_ms;
 	uint64_t advised_ms;
-	double targets;	    /* sum of the advised ones */
-	uint64_t spared_ms; /* since when a slot is kept back, 0 if none */
+	double target_sum;	    /* sum of the advised targets, in slots */
+	uint64_t reserved_since_ms; /* 0 when no slot is reserved */
 };
 
 struct core_peer {
@@ -88,41 +90,43 @@
 	struct ledger_members members;
 	struct core_hold *holds;
 	uint32_t hold_count;
-	uint32_t hold_room;
+	uint32_t hold_capacity;
 	struct core_counters counters;
 	uint64_t random;
 	uint64_t fresh_until_ms;
-	uint64_t now_ms;   /* of the call under way */
-	uint64_t swept_ms; /* last look at pools and teams without work */
+	uint64_t now_ms;	 /* time of the current call */
+	uint64_t full_update_ms; /* last update of idle pools and teams */
 	uint32_t waiting;
 	uint64_t waiting_bytes;
 	uint32_t running;
 	bool stopping;
 };
 
-/* core_dispatch - start what can start in a pool */
+/* core_dispatch - start the jobs that can start in a pool */
 void core_dispatch(struct core *c, pool_handle pool);
 
-/* core_peer - the peer of that incarnation or NULL */
+/* core_peer - find a peer by incarnation, NULL when unknown */
 struct core_peer *core_peer(struct core *c, uint64_t incarnation);
 
-/* core_units_tick - draw, give home, lend, report demand, write rows */
+/* core_units_tick - acquire, return and lend units, report demand */
 void core_units_tick(struct core *c);
 
-/* core_units_write - write the shards' rows that need it */
+/* core_units_write - write the shard rows with pending changes */
 void core_units_write(struct core *c);
 
-/* core_units_pay - lend a pool's free slots that are owed */
-void core_units_pay_pool(struct core *c, uint32_t pool);
-void core_units_pay_team(struct core *c, uint32_t team);
+/* core_units_lend_pool - lend a pool's free slots as advised */
+void core_units_lend_pool(struct core *c, uint32_t pool);
 
-/* core_units_advised - keep a broker's advice */
-void core_units_advised(struct core *c, const struct broker_advice *advice);
+/* core_units_lend_team - lend a team's free units as advised */
+void core_units_lend_team(struct core *c, uint32_t team);
 
-/* core_units_broker - a broker whose advice goes out through the core */
+/* core_units_set_advice - store a broker's advice and follow it */
+void core_units_set_advice(struct core *c, const struct broker_advice *advice);
+
+/* core_units_broker - create the broker that sends advice by core_send */
 struct broker *core_units_broker(struct core *c);
 
-/* core_send - count and send a message; to this entry itself, deliver it */
+/* core_send - send a message to a peer, or deliver it to this entry itself */
 void core_send(struct core *c, uint64_t to, const struct core_message *message);
 
 #endif
--- a/src/entry/core_print.c
+++ b/src/entry/core_print.c
@@ -13,19 +13,19 @@
 		{ "started", n->started },
 		{ "ended", n->ended },
 		{ "failed", n->failed },
-		{ "may_run", n->may_run },
+		{ "may_run", n->possibly_running },
 		{ "retried", n->retried },
-		{ "lent_units", n->lent },
-		{ "row_writes", n->writes },
-		{ "peer_messages", n->messages },
-		{ "workers_ejected", n->ejected },
+		{ "lent_units", n->lent_units },
+		{ "row_writes", n->row_writes },
+		{ "peer_messages", n->peer_messages },
+		{ "workers_ejected", n->workers_ejected },
 	};
 	size_t i;
 
 	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++)
 		fprintf(out, "jackdawwell_%s_total %" PRIu64 "\n",
 			lines[i].name, lines[i].value);
-	for (i = 0; i < CORE_REFUSALS; i++)
+	for (i = 0; i < CORE_REFUSAL_COUNT; i++)
 		fprintf(out,
 			"jackdawwell_refused_total{reason=\"%s\"} %" PRIu64
 			"\n",
@@ -59,15 +59,15 @@
 	}
 }
 
-/* Oldest waiting request of each queue, by the configuration's order. */
-struct ages {
+/* Arrival of each queue's oldest waiting job, in configuration order. */
+struct backlog_ages {
 	const struct cfg *cfg;
 	uint64_t *oldest_ms;
 };
 
-static void note_age(void *arg, const struct job *job)
+static void record_age(void *arg, const struct job *job)
 {
-	struct ages *a = arg;
+	struct backlog_ages *a = arg;
 	const struct cfg_queue *queue = cfg_find_queue(a->cfg, job->queue);
 	uint64_t *oldest;
 
@@ -80,13 +80,13 @@
 
 static void print_ages(const struct core *c, uint64_t now_ms, FILE *out)
 {
-	struct ages a = { c->cfg, NULL };
+	struct backlog_ages a = { c->cfg, NULL };
 	uint32_t i;
 
 	a.oldest_ms = talloc_zero_array(c, uint64_t, c->cfg->queue_count + 1);
 	assert(a.oldest_ms);
 	for (i = 0; i < c->pool_count; i++)
-		fq_each(c->pools[i].queue, note_age, &a);
+		fq_each(c->pools[i].queue, record_age, &a);
 	for (i = 0; i < c->cfg->queue_count; i++) {
 		uint64_t age = a.oldest_ms[i] ? now_ms - a.oldest_ms[i] : 0;
 
@@ -103,7 +103,7 @@
 		c->cfg->pools[id].name, fq_waiting(c->pools[id].queue));
 }
 
-void core_print(struct core *c, FILE *out, uint64_t now_ms)
+void core_print_metrics(struct core *c, FILE *out, uint64_t now_ms)
 {
 	uint32_t i;
 
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -2,16 +2,16 @@
 
 #include <string.h>
 
-#define REPORT_EVERY_MS 250    /* of a group, unless its demand turns */
-#define NEWS_MILLI 300	       /* thousandths of a slot, and an eighth */
-#define NEWS_URGENT_MILLI 2000 /* thousandths of a slot, and a quarter */
-#define SWEEP_MS 1000 /* between looks at pools and teams without work */
-#define REPORT_REPEAT_MS 2000 /* an unchanged report is sent again */
-#define RESEND_MS 500	      /* transfers without acknowledgement */
+#define REPORT_INTERVAL_MS 250 /* unless demand changes urgently */
+#define CHANGE_MILLI 300 /* thousandths of a slot; also more than an eighth */
+#define CHANGE_URGENT_MILLI 2000 /* same; also more than a quarter */
+#define FULL_UPDATE_MS 1000	 /* between updates of idle pools and teams */
+#define REPORT_REFRESH_MS 2000	 /* resend of an unchanged report */
+#define TRANSFER_RESEND_MS 500	 /* for unacknowledged transfers */
 
-/* Drawing from the table service */
+/* Acquiring units from the table service */
 
-static int64_t base_units(const struct core *c, int64_t total)
+static int64_t equal_share(const struct core *c, int64_t total)
 {
 	int64_t entries = c->members.count ? c->members.count : 1;
 	int64_t base = total / entries;
@@ -19,7 +19,8 @@
 	return total && !base ? 1 : base;
 }
 
-static void want_domain(struct core *c, domain_handle d, uint32_t waiting)
+static void update_idle_target(struct core *c, domain_handle d,
+			       uint32_t waiting)
 {
 	struct ledger_domain_view view;
 	int64_t want;
@@ -30,14 +31,17 @@
 		ledger_release(c->ledger, d, view.held - view.running);
 		return;
 	}
-	want = base_units(c, view.total) - view.running;
+	want = equal_share(c, view.total) - view.running;
 	if (want < waiting)
 		want = waiting;
 	ledger_want(c->ledger, d, want < view.total ? want : view.total);
 }
 
-/* Spreads a pool's need over its workers, those with free units first. */
-static void want_pool(struct core *c, struct core_pool *p)
+/*
+ * Spreads the need of a pool's waiting jobs over its workers, in order. Each
+ * takes at most the idle units held here plus the free ones in the store.
+ */
+static void update_pool_targets(struct core *c, struct core_pool *p)
 {
 	uint32_t need = fq_waiting(p->queue);
 	uint32_t i;
@@ -51,34 +55,38 @@
 		part = (uint32_t)(view.held - view.running +
 				  (view.free > 0 ? view.free : 0));
 		part = part < need ? part : need;
-		want_domain(c, d, part);
+		update_idle_target(c, d, part);
 		need -= part;
 	}
 }
 
-/* Idle pools and teams change only with rows, members and versions. */
+/*
+ * A pool or team without work, here or in its last report, changes only with
+ * rows, members and configuration; those are handled by a full update.
+ */
 static bool pool_is_active(const struct core_pool *p)
 {
 	return fq_waiting(p->queue) || fq_running(p->queue) ||
-	       p->sent.team_count;
+	       p->reported.team_count;
 }
 
 static bool team_is_active(const struct core_team *t)
 {
-	return t->waiting || t->running || t->sent.team_count;
+	return t->waiting || t->running || t->reported.team_count;
 }
 
-static void want_units(struct core *c, bool all)
+static void update_all_targets(struct core *c, bool all)
 {
 	uint32_t i;
 
 	for (i = 0; i < c->pool_count; i++)
 		if (all || pool_is_active(&c->pools[i]))
-			want_pool(c, &c->pools[i]);
+			update_pool_targets(c, &c->pools[i]);
 	for (i = 0; i < c->team_count; i++)
 		if (c->teams[i].configured &&
 		    (all || team_is_active(&c->teams[i])))
-			want_domain(c, c->teams[i].domain, c->teams[i].waiting);
+			update_idle_target(c, c->teams[i].domain,
+					   c->teams[i].waiting);
 }
 
 void core_units_write(struct core *c)
@@ -92,7 +100,7 @@
 		if (!ledger_plan(c->ledger, shard, c->now_ms, &c->members,
 				 &cas))
 			continue;
-		c->counters.writes++;
+		c->counters.row_writes++;
 		c->options.callbacks.write(c->options.callbacks.arg, shard,
 					   &cas);
 	}
@@ -121,13 +129,13 @@
 
 	if (!lent)
 		return 0;
-	c->counters.lent += lent;
+	c->counters.lent_units += lent;
 	send_transfers(c, p, 1);
 	return lent;
 }
 
-static void pay_pool_transfer(struct core *c, struct core_pool *pool,
-			      struct broker_transfer *t)
+static void lend_pool_transfer(struct core *c, struct core_pool *pool,
+			       struct broker_transfer *t)
 {
 	struct core_peer *p = core_peer(c, t->to);
 	uint32_t i;
@@ -140,23 +148,23 @@
 					t->units);
 }
 
-void core_units_pay_pool(struct core *c, uint32_t pool)
+void core_units_lend_pool(struct core *c, uint32_t pool)
 {
 	struct core_pool *p = &c->pools[pool];
 	uint32_t i;
 
-	for (i = 0; i < p->owed.count; i++)
-		if (p->owed.transfers[i].units)
-			pay_pool_transfer(c, p, &p->owed.transfers[i]);
+	for (i = 0; i < p->transfers.count; i++)
+		if (p->transfers.list[i].units)
+			lend_pool_transfer(c, p, &p->transfers.list[i]);
 }
 
-void core_units_pay_team(struct core *c, uint32_t team)
+void core_units_lend_team(struct core *c, uint32_t team)
 {
 	struct core_team *t = &c->teams[team];
 	uint32_t i;
 
-	for (i = 0; i < t->owed.count; i++) {
-		struct broker_transfer *transfer = &t->owed.transfers[i];
+	for (i = 0; i < t->transfers.count; i++) {
+		struct broker_transfer *transfer = &t->transfers.list[i];
 		struct core_peer *p = core_peer(c, transfer->to);
 
 		if (p && p->reachable && transfer->units)
@@ -178,7 +186,7 @@
 			p->resent_ms = c->now_ms;
 			continue;
 		}
-		if (c->now_ms < p->resent_ms + RESEND_MS)
+		if (c->now_ms < p->resent_ms + TRANSFER_RESEND_MS)
 			continue;
 		p->resent_ms = c->now_ms;
 		send_transfers(c, p, count);
@@ -187,16 +195,17 @@
 
 /* Advice */
 
-static void keep_owed(struct core *c, struct core_owed *owed,
-		      const struct broker_advice *advice)
+static void replace_transfers(struct core *c, struct core_transfers *transfers,
+			      const struct broker_advice *advice)
 {
-	talloc_free(owed->transfers);
-	owed->count = advice->transfer_count;
-	owed->transfers = talloc_memdup(c, advice->transfers,
-					owed->count * sizeof(*owed->transfers));
+	talloc_free(transfers->list);
+	transfers->count = advice->transfer_count;
+	transfers->list =
+		talloc_memdup(c, advice->transfers,
+			      transfers->count * sizeof(*transfers->list));
 }
 
-void core_units_advised(struct core *c, const struct broker_advice *advice)
+void core_units_set_advice(struct core *c, const struct broker_advice *advice)
 {
 	struct core_pool *p;
 	uint32_t i;
@@ -204,18 +213,19 @@
 	if (advice->group.kind == BROKER_TEAM) {
 		if (advice->group.id >= c->team_count)
 			return;
-		keep_owed(c, &c->teams[advice->group.id].owed, advice);
-		core_units_pay_team(c, advice->group.id);
+		replace_transfers(c, &c->teams[advice->group.id].transfers,
+				  advice);
+		core_units_lend_team(c, advice->group.id);
 		return;
 	}
 	if (advice->group.id >= c->pool_count)
 		return;
 	p = &c->pools[advice->group.id];
 	p->advised_ms = c->now_ms;
-	p->targets = 0;
-	keep_owed(c, &p->owed, advice);
+	p->target_sum = 0;
+	replace_transfers(c, &p->transfers, advice);
 	for (i = 0; i < advice->target_count; i++)
-		p->targets += advice->targets[i].milli_slots / 1000.0;
+		p->target_sum += advice->targets[i].milli_slots / 1000.0;
 	for (i = 0; i < advice->target_count; i++)
 		if (advice->targets[i].team < c->team_count)
 			fq_set_target(p->queue,
@@ -237,8 +247,8 @@
 	return true;
 }
 
-static void broker_advises(void *arg, uint64_t entry,
-			   const struct broker_advice *advice)
+static void send_advice(void *arg, uint64_t entry,
+			const struct broker_advice *advice)
 {
 	struct core_message m = { .kind = CORE_ADVICE };
 
@@ -250,7 +260,7 @@
 {
 	struct broker_callbacks callbacks = {
 		.team = broker_team_view,
-		.advise = broker_advises,
+		.advise = send_advice,
 		.arg = c,
 	};
 
@@ -259,18 +269,22 @@
 
 /* Reports */
 
-/* How much a report differs from the last one. */
-enum news { NEWS_NONE, NEWS_SOME, NEWS_URGENT };
+/* How much demand differs from the last report. */
+enum demand_change {
+	DEMAND_UNCHANGED,
+	DEMAND_CHANGED,
+	DEMAND_CHANGED_URGENTLY
+};
 
-static enum news team_news(uint32_t now, uint32_t sent)
+static enum demand_change compare_team(uint32_t now, uint32_t sent)
 {
 	uint32_t change = now > sent ? now - sent : sent - now;
 
-	if (change > NEWS_URGENT_MILLI && change > sent / 4)
-		return NEWS_URGENT;
-	if (change > NEWS_MILLI && change > sent / 8)
-		return NEWS_SOME;
-	return NEWS_NONE;
+	if (change > CHANGE_URGENT_MILLI && change > sent / 4)
+		return DEMAND_CHANGED_URGENTLY;
+	if (change > CHANGE_MILLI && change > sent / 8)
+		return DEMAND_CHANGED;
+	return DEMAND_UNCHANGED;
 }
 
 static uint32_t demand_of(const struct broker_demand *d, uint32_t team)
@@ -283,22 +297,23 @@
 	return 0;
 }
 
-static enum news demand_news(const struct broker_demand *now,
-			     const struct broker_demand *sent)
+static enum demand_change compare_demand(const struct broker_demand *now,
+					 const struct broker_demand *sent)
 {
-	enum news most = now->held != sent->held ? NEWS_SOME : NEWS_NONE;
-	enum news news;
+	enum demand_change most =
+		now->held != sent->held ? DEMAND_CHANGED : DEMAND_UNCHANGED;
+	enum demand_change change;
 	uint32_t i;
 
 	for (i = 0; i < now->team_count; i++) {
-		news = team_news(now->teams[i].milli_slots,
-				 demand_of(sent, now->teams[i].team));
-		most = news > most ? news : most;
+		change = compare_team(now->teams[i].milli_slots,
+				      demand_of(sent, now->teams[i].team));
+		most = change > most ? change : most;
 	}
 	for (i = 0; i < sent->team_count; i++) {
-		news = team_news(demand_of(now, sent->teams[i].team),
-				 sent->teams[i].milli_slots);
-		most = news > most ? news : most;
+		change = compare_team(demand_of(now, sent->teams[i].team),
+				      sent->teams[i].milli_slots);
+		most = change > most ? change : most;
 	}
 	return most;
 }
@@ -317,29 +332,30 @@
 	return broker_choose(kind, name, live, n);
 }
 
-static bool is_due(const struct core *c, const struct broker_demand *demand,
-		   const struct broker_demand *sent, uint64_t sent_ms)
+static bool report_is_due(const struct core *c,
+			  const struct broker_demand *demand,
+			  const struct broker_demand *sent, uint64_t sent_ms)
 {
-	switch (demand_news(demand, sent)) {
-	case NEWS_URGENT:
+	switch (compare_demand(demand, sent)) {
+	case DEMAND_CHANGED_URGENTLY:
 		return true;
-	case NEWS_SOME:
-		return c->now_ms >= sent_ms + REPORT_EVERY_MS;
-	case NEWS_NONE:
+	case DEMAND_CHANGED:
+		return c->now_ms >= sent_ms + REPORT_INTERVAL_MS;
+	case DEMAND_UNCHANGED:
 		break;
 	}
 	return (demand->held || demand->team_count) &&
-	       c->now_ms >= sent_ms + REPORT_REPEAT_MS;
+	       c->now_ms >= sent_ms + REPORT_REFRESH_MS;
 }
 
-/* Sends a demand to the group's broker if it is news; takes over teams. */
-static void report(struct core *c, const char *name,
-		   struct broker_demand *demand, struct broker_demand *sent,
-		   uint64_t *sent_ms)
+/* Sends demand to the group's broker when due; takes over demand->teams. */
+static void report_demand(struct core *c, const char *name,
+			  struct broker_demand *demand,
+			  struct broker_demand *sent, uint64_t *sent_ms)
 {
 	struct core_message m = { .kind = CORE_DEMAND };
 
-	if (!is_due(c, demand, sent, *sent_ms)) {
+	if (!report_is_due(c, demand, sent, *sent_ms)) {
 		talloc_free(demand->teams);
 		return;
 	}
@@ -350,7 +366,7 @@
 	core_send(c, choose_broker(c, demand->group.kind, name), &m);
 }
 
-static uint32_t at_most(uint32_t value, uint32_t most)
+static uint32_t min_u32(uint32_t value, uint32_t most)
 {
 	return value < most ? value : most;
 }
@@ -367,10 +383,10 @@
 		fq_view(p->queue, i, &flow);
 		if (!flow.waiting && !flow.running)
 			continue;
-		/* Beyond the pool's slots more waiting changes nothing. */
+		/* More demand than the pool's slots changes no allocation. */
 		demand->teams[demand->team_count++] = (struct broker_team){
 			flow.team.i,
-			1000 * at_most(flow.waiting + flow.running, p->slots),
+			1000 * min_u32(flow.waiting + flow.running, p->slots),
 		};
 	}
 }
@@ -391,10 +407,11 @@
 		demand.idle |= view.held > view.running;
 	}
 	collect_teams(c, p, &demand);
-	report(c, c->cfg->pools[id].name, &demand, &p->sent, &p->sent_ms);
+	report_demand(c, c->cfg->pools[id].name, &demand, &p->reported,
+		      &p->reported_ms);
 }
 
-/* A team's units move only where its limit is what it waits for. */
+/* A team's units need to move only where the team waits for its limit. */
 static void report_team(struct core *c, uint32_t id)
 {
 	struct core_team *t = &c->teams[id];
@@ -411,14 +428,15 @@
 	if (t->waiting || t->running)
 		demand.teams[demand.team_count++] = (struct broker_team){
 			id,
-			1000 * (at_most(t->waiting, c->cfg->teams[id].limit) +
+			1000 * (min_u32(t->waiting, c->cfg->teams[id].limit) +
 				t->running),
 		};
-	report(c, c->cfg->teams[id].name, &demand, &t->sent, &t->sent_ms);
+	report_demand(c, c->cfg->teams[id].name, &demand, &t->reported,
+		      &t->reported_ms);
 }
 
-/* Without advice each entry divides the slots that it holds itself. */
-static void local_targets(struct core *c, struct core_pool *p)
+/* Without advice an entry divides the slots that it holds among its teams. */
+static void set_local_targets(struct core *c, struct core_pool *p)
 {
 	uint32_t n = fq_flows(p->queue);
 	struct share_claim *claims;
@@ -458,10 +476,10 @@
 		report_pool(c, id);
 	if (!c->options.advice ||
 	    c->now_ms > p->advised_ms + CORE_ADVICE_TTL_MS)
-		local_targets(c, p);
+		set_local_targets(c, p);
 }
 
-static void report_all(struct core *c, bool all)
+static void report_and_target(struct core *c, bool all)
 {
 	uint32_t i;
 
@@ -477,18 +495,19 @@
 
 void core_units_tick(struct core *c)
 {
-	bool all = !c->swept_ms || c->now_ms >= c->swept_ms + SWEEP_MS;
+	bool all = !c->full_update_ms ||
+		   c->now_ms >= c->full_update_ms + FULL_UPDATE_MS;
 	uint32_t i;
 
 	if (!c->cfg)
 		return;
 	if (all)
-		c->swept_ms = c->now_ms;
-	want_units(c, all);
+		c->full_update_ms = c->now_ms;
+	update_all_targets(c, all);
 	core_units_write(c);
 	resend(c);
 	for (i = 0; i < c->team_count; i++)
-		if (c->teams[i].owed.count)
-			core_units_pay_team(c, i);
-	report_all(c, all);
+		if (c->teams[i].transfers.count)
+			core_units_lend_team(c, i);
+	report_and_target(c, all);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -11,15 +11,15 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define SCAN_EVERY_MS 1000
-#define PROBE_EVERY_MS 1000
-#define LIST_EVERY_MS 1000
-#define NOTICE_MS 1000	  /* not ready, before it stops accepting */
-#define GIVE_HOME_MS 5000 /* for units to reach the table service */
+#define SCAN_INTERVAL_MS 1000
+#define PROBE_INTERVAL_MS 1000
+#define LIST_INTERVAL_MS 1000
+#define NOTICE_DELAY_MS 1000   /* from not ready to accepting no more */
+#define RETURN_TIMEOUT_MS 5000 /* to return all units to the store */
 
-/* The control loop's clock */
+/* Periodic work */
 
-static void run_core(struct entry *e, uint64_t now_ms)
+static void tick_core(struct entry *e, uint64_t now_ms)
 {
 	if (!e->core)
 		return;
@@ -30,14 +30,14 @@
 
 static void run_periodic(struct entry *e, uint64_t now_ms)
 {
-	if (now_ms >= e->scanned_ms + SCAN_EVERY_MS)
+	if (now_ms >= e->scanned_ms + SCAN_INTERVAL_MS)
 		entry_scan(e);
 	if (!e->core)
 		return;
-	if (now_ms >= e->probed_ms + PROBE_EVERY_MS)
+	if (now_ms >= e->probed_ms + PROBE_INTERVAL_MS)
 		entry_probe(e);
-	if (now_ms >= e->listed_ms + LIST_EVERY_MS) {
-		entry_read_list(e);
+	if (now_ms >= e->listed_ms + LIST_INTERVAL_MS) {
+		entry_read_instances(e);
 		conductor_tick(e, now_ms);
 	}
 	entry_check_members(e, now_ms);
@@ -78,7 +78,7 @@
 	    !atomic_compare_exchange_strong(&e->state, &starting, ENTRY_NOTICE))
 		return;
 	e->drain_since_ms = clock_now_ms();
-	log_event(LOG_INFO, "entry", "stopping: no longer ready");
+	log_event(LOG_INFO, "entry", "stopping: reporting not ready");
 }
 
 static void begin_drain(struct entry *e, uint64_t now_ms)
@@ -94,17 +94,22 @@
 		pthread_mutex_unlock(&e->core_lock);
 	}
 	e->drain_since_ms = now_ms;
-	log_event(LOG_INFO, "entry", "draining: accepts nothing more");
+	log_event(LOG_INFO, "entry",
+		  "draining: no longer accepting connections");
 }
 
-/* After its work an entry leaves the members, if all its units are home. */
+/*
+ * Whether draining is finished. An entry unregisters once it has no work and
+ * has returned all its units; after RETURN_TIMEOUT_MS it stops anyway.
+ */
 static bool drain_done(struct entry *e, uint64_t now_ms)
 {
 	if (!fronts_idle(e)) {
 		e->drain_since_ms = now_ms;
 		return false;
 	}
-	if (!core_is_drained(e) && now_ms < e->drain_since_ms + GIVE_HOME_MS)
+	if (!core_is_drained(e) &&
+	    now_ms < e->drain_since_ms + RETURN_TIMEOUT_MS)
 		return false;
 	if (!e->core || !core_is_drained(e))
 		return true;
@@ -114,14 +119,14 @@
 		e->removed_self = true;
 		entry_remove_self(e);
 	}
-	return now_ms >= e->drain_since_ms + GIVE_HOME_MS;
+	return now_ms >= e->drain_since_ms + RETURN_TIMEOUT_MS;
 }
 
-static bool tick_drain(struct entry *e, uint64_t now_ms)
+static bool advance_drain(struct entry *e, uint64_t now_ms)
 {
 	switch (entry_state(e)) {
 	case ENTRY_NOTICE:
-		if (now_ms >= e->drain_since_ms + NOTICE_MS)
+		if (now_ms >= e->drain_since_ms + NOTICE_DELAY_MS)
 			begin_drain(e, now_ms);
 		return false;
 	case ENTRY_DRAINING:
@@ -136,7 +141,7 @@
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te,
 		    struct timeval now, void *arg);
 
-static void tick_later(struct entry *e)
+static void schedule_tick(struct entry *e)
 {
 	struct tevent_timer *te = tevent_add_timer(
 		e->ev, e, tevent_timeval_current_ofs(0, CORE_TICK_MS * 1000),
@@ -155,13 +160,13 @@
 	(void)te;
 	(void)now;
 	run_periodic(e, now_ms);
-	run_core(e, now_ms);
-	e->finished = tick_drain(e, now_ms);
-	tick_later(e);
+	tick_core(e, now_ms);
+	e->finished = advance_drain(e, now_ms);
+	schedule_tick(e);
 }
 
-static void on_out(struct tevent_context *ev, struct tevent_fd *fde,
-		   uint16_t flags, void *arg)
+static void on_effects(struct tevent_context *ev, struct tevent_fd *fde,
+		       uint16_t flags, void *arg)
 {
 	struct entry *e = arg;
 	uint64_t count;
@@ -169,8 +174,8 @@
 	(void)ev;
 	(void)fde;
 	(void)flags;
-	if (read(e->out_fd, &count, sizeof(count)) > 0)
-		entry_run_out(e);
+	if (read(e->effects_fd, &count, sizeof(count)) > 0)
+		entry_run_effects(e);
 }
 
 static void on_signal(struct tevent_context *ev, struct tevent_signal *se,
@@ -228,26 +233,26 @@
 	e->names = cfg_names_new(e);
 	e->cfg = cfg_empty(e->names);
 	e->conductor = conductor_new(e);
-	e->out_tail = &e->out;
-	e->out_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	e->effects_tail = &e->effects;
+	e->effects_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	pthread_mutex_init(&e->core_lock, NULL);
-	randombytes_buf(&e->boot, sizeof(e->boot));
-	e->boot >>= 16; /* exact in a JSON number */
+	randombytes_buf(&e->registration_nonce, sizeof(e->registration_nonce));
+	e->registration_nonce >>= 16; /* exact in a JSON number */
 	key_hasher_init(&e->hasher, settings->secret);
 	e->platform = platform_new(e, e->ev, settings->platform);
-	assert(e->ev && e->out_fd >= 0 && e->platform && e->conductor);
+	assert(e->ev && e->effects_fd >= 0 && e->platform && e->conductor);
 	return e;
 }
 
-static void watch(struct entry *e)
+static void start_events(struct entry *e)
 {
-	struct tevent_fd *fde =
-		tevent_add_fd(e->ev, e, e->out_fd, TEVENT_FD_READ, on_out, e);
+	struct tevent_fd *fde = tevent_add_fd(e->ev, e, e->effects_fd,
+					      TEVENT_FD_READ, on_effects, e);
 
 	assert(fde);
 	tevent_add_signal(e->ev, e, SIGTERM, 0, on_signal, e);
 	tevent_add_signal(e->ev, e, SIGINT, 0, on_signal, e);
-	tick_later(e);
+	schedule_tick(e);
 	entry_scan(e);
 }
 
@@ -255,10 +260,10 @@
 {
 	uint32_t i;
 
-	entry_drop_out(e);
-	for (i = 0; i < ENTRY_CHANGES; i++)
+	entry_discard_effects(e);
+	for (i = 0; i < ENTRY_CHANGES_KEPT; i++)
 		json_decref(e->changes[i]);
-	close(e->out_fd);
+	close(e->effects_fd);
 	cfg_unref(e->cfg);
 	talloc_free(e);
 }
@@ -271,13 +276,13 @@
 
 	if (!listen_all(e))
 		return 1;
-	watch(e);
+	start_events(e);
 	while (!e->finished)
 		tevent_loop_once(e->ev);
 	log_event(LOG_INFO, "entry", "stopped");
 	exit_code = e->exit_code;
 	if (entry_state(e) == ENTRY_GONE)
-		_exit(exit_code); /* what runs here is no longer its own */
+		_exit(exit_code); /* running work no longer has its units */
 	for (i = 0; i < settings->threads; i++)
 		front_join(e->fronts[i]);
 	entry_free(e);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,5 +1,5 @@
 /*
- * entry - one entry process
+ * entry - an entry process: serves requests, takes part in the fleet
  */
 #ifndef ENTRY_H
 #define ENTRY_H
@@ -7,10 +7,10 @@
 #include "process/settings.h"
 
 /*
- * entry_run - serve until SIGTERM or SIGINT, then drain
+ * entry_run - serve until SIGTERM or SIGINT, then drain and stop
  *
- * Returns the process's exit code: 0 after a drain, 1 when it could not
- * start or was unregistered by its peers.
+ * Returns the process's exit code: 0 after a drain, 1 when the entry could
+ * not start or was unregistered by its peers.
  */
 int entry_run(const struct settings *settings);
 
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -6,25 +6,30 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define CHANGE_SETTLE_MS 6000 /* until an operator is told it is unsettled */
-#define CHANGE_SPREAD_MS 5000 /* for a majority to know it */
-#define CHANGE_RETRY_MS 300
-#define SNAPSHOT_EVERY 256 /* versions */
-
-enum change_step { CHANGE_QUEUED, CHANGE_WRITING, CHANGE_RETRY, CHANGE_SPREAD };
+#define CHANGE_RESOLVE_MS 6000 /* then the outcome is reported as unknown */
+#define CHANGE_ACCEPT_MS 5000  /* for a majority of entries to know a change */
+#define CHANGE_RETRY_MS 300    /* between attempts to write */
+#define SNAPSHOT_INTERVAL 256  /* versions */
+
+enum change_step {
+	CHANGE_QUEUED,
+	CHANGE_WRITING,
+	CHANGE_RETRY,
+	CHANGE_COMMITTED
+};
 
 struct entry_change {
 	struct entry *entry;
 	struct entry_change *next;
 	enum change_step step;
-	json_t *record; /* the log's row */
+	json_t *record; /* row of the log */
 	char id[ENTRY_KEY_MAX];
 	uint64_t base;
-	uint64_t version; /* once committed */
+	uint64_t version; /* set once committed */
 	uint64_t since_ms;
 	uint64_t retry_ms;
-	bool may_be_written; /* an attempt had no answer */
-	entry_changed_fn done;
+	bool may_be_written; /* an attempt has an unknown outcome */
+	entry_change_fn done;
 	void *arg;
 };
 
@@ -50,9 +55,9 @@
 	finish(c, code, json_pack("{s:s}", "error", text));
 }
 
-static json_t *kept_change(const struct entry *e, uint64_t version)
+static json_t *find_change(const struct entry *e, uint64_t version)
 {
-	json_t *change = e->changes[version % ENTRY_CHANGES];
+	json_t *change = e->changes[version % ENTRY_CHANGES_KEPT];
 
 	if ((uint64_t)json_integer_value(json_object_get(change, "version")) !=
 	    version)
@@ -60,7 +65,7 @@
 	return change;
 }
 
-/* Names what has changed since the version that the operator saw. */
+/* Answers with the changes since the version that the operator saw. */
 static void finish_conflict(struct entry_change *c)
 {
 	struct entry *e = c->entry;
@@ -68,7 +73,7 @@
 	uint64_t v;
 
 	for (v = c->base + 1; v <= e->cfg->version; v++) {
-		json_t *change = kept_change(e, v);
+		json_t *change = find_change(e, v);
 
 		if (change)
 			json_array_append(others, change);
@@ -86,9 +91,9 @@
 	uint64_t v = e->cfg->version;
 	uint32_t i;
 
-	for (i = 0; i < ENTRY_CHANGES && v > i; i++) {
+	for (i = 0; i < ENTRY_CHANGES_KEPT && v > i; i++) {
 		const char *known = json_string_value(
-			json_object_get(kept_change(e, v - i), "id"));
+			json_object_get(find_change(e, v - i), "id"));
 
 		if (known && !strcmp(known, id))
 			return v - i;
@@ -96,9 +101,9 @@
 	return 0;
 }
 
-/* Rules that tie a change to what runs */
+/* Rules about instances that are in use */
 
-static enum cfg_instance_state state_in(const json_t *object)
+static enum cfg_instance_state parse_state(const json_t *object)
 {
 	const char *state = json_string_value(json_object_get(object, "state"));
 	int i;
@@ -109,14 +114,14 @@
 	return CFG_SERVING;
 }
 
-static bool is_home(struct entry *e, uint32_t instance)
+static bool instance_is_empty(struct entry *e, uint32_t instance)
 {
-	bool home;
+	bool empty;
 
 	pthread_mutex_lock(&e->core_lock);
-	home = core_instance_home(e->core, (instance_handle){ instance });
+	empty = core_instance_is_empty(e->core, (instance_handle){ instance });
 	pthread_mutex_unlock(&e->core_lock);
-	return home;
+	return empty;
 }
 
 static bool check_instance(struct entry *e, const char *name, json_t *object,
@@ -131,11 +136,11 @@
 	    !e->cfg->instances[id].present)
 		return true;
 	now = &e->cfg->instances[id];
-	stops = json_is_null(object) || state_in(object) >= CFG_OUT;
+	stops = json_is_null(object) || parse_state(object) >= CFG_OUT;
 	moves = !stops &&
 		strcmp(e->cfg->pools[now->pool.i].name,
 		       json_string_value(json_object_get(object, "pool")));
-	if (stops && now->state < CFG_OUT && !is_home(e, id)) {
+	if (stops && now->state < CFG_OUT && !instance_is_empty(e, id)) {
 		status_set(m,
 			   "instances \"%s\" is %s and has or may get work: "
 			   "drain it first",
@@ -170,7 +175,7 @@
 	return true;
 }
 
-/* Snapshots, for entries that start later */
+/* Snapshots: entries that start later don't read the whole log */
 
 struct snapshot {
 	struct entry *entry;
@@ -199,9 +204,11 @@
 	platform_put(txn, ROW_SNAPSHOT,
 		     json_pack("{s:I, s:I}", "version", (json_int_t)s->version,
 			       "run_max_ms", (json_int_t)s->run_max_ms));
-	for (v = 1; v <= SNAPSHOT_EVERY && s->version > SNAPSHOT_EVERY; v++) {
+	for (v = 1; v <= SNAPSHOT_INTERVAL && s->version > SNAPSHOT_INTERVAL;
+	     v++) {
 		snprintf(key, sizeof(key), ROW_LOG "%016" PRIx64,
-			 s->version - SNAPSHOT_EVERY - SNAPSHOT_EVERY + v);
+			 s->version - SNAPSHOT_INTERVAL - SNAPSHOT_INTERVAL +
+				 v);
 		platform_delete(txn, key);
 	}
 	platform_commit(s->entry->platform, txn, on_snapshot_row, s);
@@ -213,7 +220,7 @@
 	struct snapshot *s;
 	char name[ENTRY_KEY_MAX];
 
-	if (e->cfg->version % SNAPSHOT_EVERY)
+	if (e->cfg->version % SNAPSHOT_INTERVAL)
 		return;
 	s = talloc_zero(e, struct snapshot);
 	assert(s);
@@ -233,7 +240,7 @@
 	uint32_t i;
 
 	c->version = version;
-	c->step = CHANGE_SPREAD;
+	c->step = CHANGE_COMMITTED;
 	c->since_ms = clock_now_ms();
 	log_event(LOG_INFO, "config", "version %" PRIu64 " committed by %s",
 		  version, json_string_value(json_object_get(c->record, "by")));
@@ -254,7 +261,7 @@
 	if (answer->status == PLATFORM_OK) {
 		e->head_revision = answer->revision;
 		e->head_version = version;
-		entry_take_change(e, version, c->record);
+		entry_apply_change(e, version, c->record);
 		committed(c, version);
 		entry_changes_tick(e, clock_now_ms());
 		return;
@@ -285,8 +292,8 @@
 	json_decref(txn);
 }
 
-/* Checks against the version in force, then writes. */
-static void begin(struct entry_change *c)
+/* Validates against the current version, then writes. */
+static void check_and_write(struct entry_change *c)
 {
 	struct entry *e = c->entry;
 	struct status_message m;
@@ -311,10 +318,11 @@
 }
 
 /*
- * After an attempt without success: the log tells whether it was written,
- * and a head that has moved on tells that it never will be.
+ * Resolves a write that failed or whose outcome is unknown. The change is
+ * committed when the log has its id. When another change has become the
+ * next version, this one can no longer be written. Otherwise it is retried.
  */
-static void settle(struct entry_change *c, uint64_t now_ms)
+static void resolve(struct entry_change *c, uint64_t now_ms)
 {
 	struct entry *e = c->entry;
 	uint64_t version = version_of_id(e, c->id);
@@ -327,7 +335,7 @@
 		finish_conflict(c);
 		return;
 	}
-	if (now_ms >= c->since_ms + CHANGE_SETTLE_MS) {
+	if (now_ms >= c->since_ms + CHANGE_RESOLVE_MS) {
 		if (c->may_be_written)
 			finish_error(c, 504,
 				     "unsettled: the table service gave no "
@@ -346,15 +354,15 @@
 static void await_majority(struct entry_change *c, uint64_t now_ms)
 {
 	struct entry *e = c->entry;
-	uint32_t knowing = fresh_knowing(&e->fresh, &e->members, e->incarnation,
-					 c->version);
-	bool accepted = knowing >= members_majority(&e->members);
+	uint32_t known_by = fresh_knowing(&e->fresh, &e->members,
+					  e->incarnation, c->version);
+	bool accepted = known_by >= members_majority(&e->members);
 
-	if (!accepted && now_ms < c->since_ms + CHANGE_SPREAD_MS)
+	if (!accepted && now_ms < c->since_ms + CHANGE_ACCEPT_MS)
 		return;
 	finish(c, accepted ? 200 : 202,
 	       json_pack("{s:I, s:b, s:i}", "version", (json_int_t)c->version,
-			 "accepted", (int)accepted, "known_by", (int)knowing));
+			 "accepted", (int)accepted, "known_by", (int)known_by));
 }
 
 void entry_changes_tick(struct entry *e, uint64_t now_ms)
@@ -366,15 +374,15 @@
 	for (c = e->pending; c; c = next) {
 		next = c->next;
 		switch (c->step) {
-		case CHANGE_SPREAD:
+		case CHANGE_COMMITTED:
 			await_majority(c, now_ms);
-			continue; /* others need not wait for it */
+			continue; /* doesn't block the changes behind it */
 		case CHANGE_QUEUED:
 			if (first)
-				begin(c);
+				check_and_write(c);
 			break;
 		case CHANGE_RETRY:
-			settle(c, now_ms);
+			resolve(c, now_ms);
 			break;
 		case CHANGE_WRITING:
 			break;
@@ -383,15 +391,15 @@
 	}
 }
 
-/* A change repeated with its id has been committed already. */
-static void find_done(struct entry_change *c)
+/* Skips the write when a change with the same id is committed already. */
+static void find_committed(struct entry_change *c)
 {
 	uint64_t version = version_of_id(c->entry, c->id);
 
 	if (!version)
 		return;
 	c->version = version;
-	c->step = CHANGE_SPREAD;
+	c->step = CHANGE_COMMITTED;
 }
 
 static void append(struct entry *e, struct entry_change *c)
@@ -405,7 +413,7 @@
 
 void entry_change(struct entry *e, uint64_t base, const json_t *change,
 		  const char *id, const char *operator_name,
-		  entry_changed_fn done, void *arg)
+		  entry_change_fn done, void *arg)
 {
 	struct entry_change *c = talloc_zero(e, struct entry_change);
 
@@ -428,6 +436,6 @@
 		finish_error(c, 503, "not changed: the entry is starting");
 		return;
 	}
-	find_done(c);
+	find_committed(c);
 	entry_changes_tick(e, clock_now_ms());
 }
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -1,19 +1,21 @@
 /*
- * entry_internal - what the entry's source files share
+ * entry_internal - shared by the entry's source files
  *
- * entry.c		the process: start, drain, the control loop
- * entry_sync.c		rows of the table service into the entry's state
- * entry_register.c	registration, and entries that are gone
- * entry_change.c	changes of the configuration
+ * entry.c		the process: start, control loop, drain
+ * entry_sync.c		reads rows from the table service
+ * entry_register.c	registration, removal of entries that have ended
+ * entry_change.c	commits configuration changes
+ * entry_row.c		ledger rows as JSON
  * entry_wire.c		frames between entries
- * entry_out.c		effects of the core, carried out by the control loop
- * front.c		callers' requests, one front a thread
+ * entry_effect.c	messages and row writes ordered by the core
+ * front.c		callers' requests, one front per thread
  * front_worker.c	exchanges with workers
  * admin.c		the administration API
  * conductor.c		maintenance waves
  *
- * The control thread owns everything here but the core, which the fronts
- * share under core_lock. Lock order: core_lock, then a front's mail lock.
+ * The control thread owns everything here except the core, which it shares
+ * with the fronts under core_lock. Lock order: core_lock, then message_lock
+ * of a front.
  */
 #ifndef ENTRY_INTERNAL_H
 #define ENTRY_INTERNAL_H
@@ -39,37 +41,37 @@
 #define ROW_SNAPSHOT ROW_PREFIX "config/snapshot"
 #define ROW_LEDGER ROW_PREFIX "ledger/"
 
-#define ENTRY_CHANGES 256 /* newest changes kept in memory */
-#define ENTRY_KEY_MAX 128 /* bytes of a row's key */
+#define ENTRY_CHANGES_KEPT 256 /* most recent changes kept in memory */
+#define ENTRY_KEY_MAX 128      /* bytes of a row's key */
 
 enum entry_state {
-	ENTRY_STARTING, /* not registered or without a configuration */
+	ENTRY_STARTING, /* not registered or configuration not yet read */
 	ENTRY_SERVING,
-	ENTRY_NOTICE,	/* not ready for the balancer, still accepting */
-	ENTRY_DRAINING, /* accepts nothing, finishes what it has */
-	ENTRY_GONE,	/* unregistered by its peers: must stop */
+	ENTRY_NOTICE,	/* reports not ready to load balancers, still accepts */
+	ENTRY_DRAINING, /* accepts no connections, finishes its requests */
+	ENTRY_GONE,	/* unregistered by its peers, or refused: must stop */
 };
 
 struct front;
 struct entry_change;
 struct conductor;
 
-/* An effect of the core that the control thread carries out. */
-struct entry_out {
-	struct entry_out *next;
+/* A message or row write from the core, for the control thread to send. */
+struct entry_effect {
+	struct entry_effect *next;
 	bool is_write;
-	uint64_t incarnation; /* of a message's receiver */
+	uint64_t incarnation; /* receiver of the message */
 	Jackdawwell__PeerFrame *frame;
 	uint32_t shard;
 	json_t *txn;
 };
 
-/* When a member was first seen to be gone. */
-struct entry_gone {
+/* Whether a member's process has ended, as far as this entry can tell. */
+struct entry_absence {
 	uint64_t incarnation;
 	uint64_t since_ms;
-	bool listed; /* the platform's list once showed its name */
-	bool gone;
+	bool was_listed; /* the platform's instance list once had its name */
+	bool absent;
 };
 
 struct entry {
@@ -85,31 +87,31 @@
 	/* Under core_lock */
 	pthread_mutex_t core_lock;
 	struct core *core; /* NULL before the registration */
-	struct cfg *cfg;   /* in force; written by the control thread */
-	struct entry_out *out;
-	struct entry_out **out_tail;
+	struct cfg *cfg;   /* current version; set by the control thread */
+	struct entry_effect *effects;
+	struct entry_effect **effects_tail;
 
-	/* The control thread's */
-	int out_fd; /* eventfd that tells of new effects */
+	/* Owned by the control thread */
+	int effects_fd; /* eventfd, signaled when effects stops being empty */
 	struct cfg_names *names;
 	_Atomic uint64_t cfg_version;
-	uint64_t revision; /* rows are known up to here */
+	uint64_t revision; /* rows have been read up to this revision */
 	bool scanning;
-	bool loading; /* a snapshot is on its way */
+	bool loading_snapshot; /* a snapshot is being read */
 	uint64_t snapshot_version;
 	uint32_t snapshot_run_max_ms;
 	struct members members;
-	struct entry_gone gone[MEMBERS_MAX];
-	uint32_t gone_count;
+	struct entry_absence absences[MEMBERS_MAX];
+	uint32_t absence_count;
 	struct fresh fresh;
 	uint64_t incarnation;
-	uint64_t boot;
+	uint64_t registration_nonce;
 	uint64_t registered_version;
 	bool writing_members;
-	json_t *changes[ENTRY_CHANGES]; /* by version modulo ENTRY_CHANGES */
-	uint64_t head_revision;		/* of ROW_HEAD */
-	uint64_t head_version;		/* newest configuration committed */
-	struct entry_change *pending;	/* changes being accepted */
+	json_t *changes[ENTRY_CHANGES_KEPT]; /* index: version modulo size */
+	uint64_t head_revision;		     /* of ROW_HEAD */
+	uint64_t head_version;		     /* last committed configuration */
+	struct entry_change *pending; /* unfinished changes, oldest first */
 	uint64_t nonce;
 	struct conductor *conductor;
 	uint64_t drain_since_ms;
@@ -124,74 +126,86 @@
 
 /* Sync */
 
-/* entry_scan - read what changed in the table service */
+/* entry_scan - read the rows changed since the last scan */
 void entry_scan(struct entry *e);
 
-/* entry_install - put a configuration version in force; takes it over */
+/* entry_install - make cfg the current configuration; takes it over */
 void entry_install(struct entry *e, struct cfg *cfg);
 
 /*
- * entry_take_change - a change of the log, from the store or a peer
+ * entry_apply_change - apply a row of the log, from the store or a peer
  *
- * Returns false when it does not follow the version in force.
+ * Returns false unless it is the current version's successor and applies.
  */
-bool entry_take_change(struct entry *e, uint64_t version, json_t *change);
+bool entry_apply_change(struct entry *e, uint64_t version, json_t *change);
 
-/* entry_freshen - tell the core until when it is fresh */
-void entry_freshen(struct entry *e);
+/* entry_update_freshness - recompute until when the core may start jobs */
+void entry_update_freshness(struct entry *e);
 
 /* Registration */
 
-void entry_take_members(struct entry *e, const json_t *value, uint64_t version);
+/* entry_set_members - apply the members' row; older versions are ignored */
+void entry_set_members(struct entry *e, const json_t *value, uint64_t version);
+
 bool entry_listen_to_peers(struct entry *e);
+
+/* entry_register - add this entry to the members and start the core */
 void entry_register(struct entry *e);
+
+/* entry_check_members - mark or remove ended members, make this one full */
 void entry_check_members(struct entry *e, uint64_t now_ms);
-void entry_read_list(struct entry *e);
+
+/* entry_read_instances - read the platform's instance list */
+void entry_read_instances(struct entry *e);
+
+/* entry_remove_self - unregister this entry */
 void entry_remove_self(struct entry *e);
 
 /* Changes */
 
-typedef void (*entry_changed_fn)(void *arg, unsigned int code, json_t *body);
+typedef void (*entry_change_fn)(void *arg, unsigned int code, json_t *body);
 
 /*
- * entry_change - commit a change of the configuration
+ * entry_change - commit a configuration change
  *
- * change is borrowed; id names the change, so that a repeated one is not
- * committed twice. done gets the answer's status and body, and owns body.
+ * base is the version that the change was made for. change is borrowed. id
+ * identifies the change, so that a repeated request isn't committed twice.
+ * done gets the answer's status and body and owns the body.
  */
 void entry_change(struct entry *e, uint64_t base, const json_t *change,
 		  const char *id, const char *operator_name,
-		  entry_changed_fn done, void *arg);
+		  entry_change_fn done, void *arg);
 
-/* entry_changes_tick - acceptance and time-outs of changes under way */
+/* entry_changes_tick - advance the pending changes, check their timeouts */
 void entry_changes_tick(struct entry *e, uint64_t now_ms);
 
 /* Wire */
 
+/* entry_probe - ask all peers for their versions */
 void entry_probe(struct entry *e);
 void entry_push_members(struct entry *e, uint64_t to);
 void entry_on_frame(void *arg, uint64_t from,
 		    const Jackdawwell__PeerFrame *frame);
-Jackdawwell__PeerFrame *entry_pack(struct entry *e,
-				   const struct core_message *m);
+Jackdawwell__PeerFrame *entry_pack_message(struct entry *e,
+					   const struct core_message *m);
 void entry_push_change(struct entry *e, uint64_t to, uint64_t version);
 
-/* Out */
+/* Core callbacks that queue effects, and the control loop's side */
 
 void entry_core_send(void *arg, uint64_t incarnation,
 		     const struct core_message *m);
 void entry_core_write(void *arg, uint32_t shard, const struct ledger_cas *cas);
-void entry_run_out(struct entry *e);
-void entry_drop_out(struct entry *e);
+void entry_run_effects(struct entry *e);
+void entry_discard_effects(struct entry *e);
 
 /* Waves */
 
 struct conductor *conductor_new(TALLOC_CTX *ctx);
 
-/* conductor_see - the platform's list of instances */
-void conductor_see(struct entry *e, const json_t *list);
+/* conductor_set_instances - update from the platform's instance list */
+void conductor_set_instances(struct entry *e, const json_t *list);
 
-/* conductor_tick - take the next steps if this entry is the conductor */
+/* conductor_tick - advance the waves if this entry is the conductor */
 void conductor_tick(struct entry *e, uint64_t now_ms);
 
 /* Ledger rows */
@@ -208,7 +222,7 @@
 void front_stop_accepting(struct front *f);
 uint32_t front_pending(const struct front *f);
 void front_join(struct front *f);
-void front_print(struct entry *e, FILE *out);
+void front_print_metrics(struct entry *e, FILE *out);
 
 /* Administration */
 
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -6,9 +6,9 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-/* Members into the core and the peer links */
+/* Members in the core and as peer links */
 
-static void tell_core(struct entry *e)
+static void update_core_members(struct entry *e)
 {
 	uint64_t ids[MEMBERS_MAX];
 	struct ledger_members members = { e->members.version, e->members.count,
@@ -20,15 +20,15 @@
 	for (i = 0; i < e->members.count; i++)
 		ids[i] = e->members.list[i].incarnation;
 	pthread_mutex_lock(&e->core_lock);
-	core_members(e->core, &members);
-	/* A link may have come up before its peer was known. */
+	core_set_members(e->core, &members);
+	/* A link may have come up before the core knew its peer. */
 	for (i = 0; i < e->members.count; i++)
 		if (peer_linked(e->net, ids[i]))
-			core_reachable(e->core, ids[i], true);
+			core_set_reachable(e->core, ids[i], true);
 	pthread_mutex_unlock(&e->core_lock);
 }
 
-static void dial_all(struct entry *e)
+static void dial_peers(struct entry *e)
 {
 	uint32_t i;
 
@@ -40,7 +40,8 @@
 	}
 }
 
-static void forget(struct entry *e, const struct member *m, uint64_t version)
+static void remove_member(struct entry *e, const struct member *m,
+			  uint64_t version)
 {
 	log_event(LOG_INFO, "members",
 		  "%s (incarnation %" PRIu64 ") is unregistered", m->name,
@@ -48,17 +49,17 @@
 	peer_forget(e->net, m->incarnation);
 	fresh_forget(&e->fresh, m->incarnation);
 	pthread_mutex_lock(&e->core_lock);
-	core_gone(e->core, m->incarnation, version);
+	core_member_removed(e->core, m->incarnation, version);
 	pthread_mutex_unlock(&e->core_lock);
 }
 
-static void forget_removed(struct entry *e, struct members *now)
+static void remove_unregistered(struct entry *e, struct members *now)
 {
 	uint32_t i;
 
 	for (i = 0; i < e->members.count; i++)
 		if (!members_find(now, e->members.list[i].incarnation))
-			forget(e, &e->members.list[i], now->version);
+			remove_member(e, &e->members.list[i], now->version);
 }
 
 static void check_self(struct entry *e)
@@ -72,7 +73,7 @@
 	e->exit_code = 1;
 }
 
-void entry_take_members(struct entry *e, const json_t *value, uint64_t version)
+void entry_set_members(struct entry *e, const json_t *value, uint64_t version)
 {
 	struct members now;
 
@@ -87,10 +88,10 @@
 		e->members = now;
 		return;
 	}
-	forget_removed(e, &now);
+	remove_unregistered(e, &now);
 	e->members = now;
-	tell_core(e);
-	dial_all(e);
+	update_core_members(e);
+	dial_peers(e);
 	check_self(e);
 }
 
@@ -103,7 +104,7 @@
 		.shard_count = e->settings->shards,
 		.waiting_max = e->settings->waiting_max,
 		.waiting_bytes = (uint64_t)e->settings->waiting_mib << 20,
-		.random = e->boot,
+		.random = e->registration_nonce,
 		.advice = true,
 		.callbacks = {
 			.start = front_start,
@@ -120,14 +121,14 @@
 	pthread_mutex_unlock(&e->core_lock);
 }
 
-static void registered(struct entry *e, uint64_t incarnation)
+static void finish_registration(struct entry *e, uint64_t incarnation)
 {
 	e->incarnation = incarnation;
 	e->registered_version = e->members.version;
 	make_core(e);
 	peer_identify(e->net, incarnation);
-	tell_core(e);
-	dial_all(e);
+	update_core_members(e);
+	dial_peers(e);
 	e->revision = 0;
 	entry_scan(e);
 }
@@ -139,15 +140,15 @@
 	(void)answer;
 	e->writing_members = false;
 	e->revision = 0;
-	entry_scan(e); /* finds the registration by its boot number */
+	entry_scan(e); /* finds the registration by its nonce */
 }
 
-static const struct member *find_boot(const struct entry *e)
+static const struct member *find_registration(const struct entry *e)
 {
 	uint32_t i;
 
 	for (i = 0; i < e->members.count; i++)
-		if (e->members.list[i].boot == e->boot)
+		if (e->members.list[i].boot == e->registration_nonce)
 			return &e->members.list[i];
 	return NULL;
 }
@@ -164,11 +165,15 @@
 	json_decref(txn);
 }
 
-/* An entry that divides the ledger otherwise would count limits twice. */
+/*
+ * Every entry must map the ledger's domains to the same shards: with another
+ * number of shards, limits would be counted twice.
+ */
 static void refuse_registration(struct entry *e)
 {
 	if (e->members.shards == e->settings->shards) {
-		log_event(LOG_ERROR, "members", "%d entries are registered",
+		log_event(LOG_ERROR, "members",
+			  "cannot register: there are already %d entries",
 			  MEMBERS_MAX);
 		return;
 	}
@@ -181,12 +186,12 @@
 
 void entry_register(struct entry *e)
 {
-	const struct member *known = find_boot(e);
+	const struct member *known = find_registration(e);
 	struct members next = e->members;
-	struct member self = { .boot = e->boot };
+	struct member self = { .boot = e->registration_nonce };
 
 	if (known) {
-		registered(e, known->incarnation);
+		finish_registration(e, known->incarnation);
 		return;
 	}
 	if (e->writing_members)
@@ -211,7 +216,7 @@
 		  incarnation);
 	pthread_mutex_lock(&e->core_lock);
 	if (e->core)
-		core_reachable(e->core, incarnation, true);
+		core_set_reachable(e->core, incarnation, true);
 	pthread_mutex_unlock(&e->core_lock);
 	entry_push_members(e, incarnation);
 	entry_probe(e);
@@ -227,7 +232,7 @@
 		  incarnation);
 	pthread_mutex_lock(&e->core_lock);
 	if (e->core)
-		core_reachable(e->core, incarnation, false);
+		core_set_reachable(e->core, incarnation, false);
 	pthread_mutex_unlock(&e->core_lock);
 }
 
@@ -244,43 +249,45 @@
 	return e->net != NULL;
 }
 
-/* Entries that are gone */
+/* Entries whose process has ended */
 
-static struct entry_gone *gone_of(struct entry *e, uint64_t incarnation)
+static struct entry_absence *absence_of(struct entry *e, uint64_t incarnation)
 {
 	uint32_t i;
 
-	for (i = 0; i < e->gone_count; i++)
-		if (e->gone[i].incarnation == incarnation)
-			return &e->gone[i];
-	if (e->gone_count == MEMBERS_MAX) {
-		memmove(e->gone, e->gone + 1,
-			(MEMBERS_MAX - 1) * sizeof(e->gone[0]));
-		e->gone_count--;
+	for (i = 0; i < e->absence_count; i++)
+		if (e->absences[i].incarnation == incarnation)
+			return &e->absences[i];
+	if (e->absence_count == MEMBERS_MAX) {
+		memmove(e->absences, e->absences + 1,
+			(MEMBERS_MAX - 1) * sizeof(e->absences[0]));
+		e->absence_count--;
 	}
-	memset(&e->gone[e->gone_count], 0, sizeof(e->gone[0]));
-	e->gone[e->gone_count].incarnation = incarnation;
-	return &e->gone[e->gone_count++];
+	memset(&e->absences[e->absence_count], 0, sizeof(e->absences[0]));
+	e->absences[e->absence_count].incarnation = incarnation;
+	return &e->absences[e->absence_count++];
 }
 
-static bool list_shows(const json_t *list, const char *name)
+static bool is_listed(const json_t *list, const char *name)
 {
 	json_t *item;
 	size_t i;
 
 	json_array_foreach((json_t *)list, i, item)
 	{
-		const char *shown =
+		const char *listed =
 			json_string_value(json_object_get(item, "name"));
 
-		if (shown && !strcmp(shown, name))
+		if (listed && !strcmp(listed, name))
 			return true;
 	}
 	return false;
 }
 
-/* Gone: the list once showed it and no longer does, or its address is
- * another incarnation's. */
+/*
+ * A member is absent when the list had its name and no longer has it, or when
+ * it is marked dead, as one is whose address belongs to another incarnation.
+ */
 static void on_list(void *arg, const struct platform_answer *answer)
 {
 	struct entry *e = arg;
@@ -288,21 +295,22 @@
 
 	if (answer->status != PLATFORM_OK)
 		return;
-	conductor_see(e, answer->value);
+	conductor_set_instances(e, answer->value);
 	for (i = 0; i < e->members.count; i++) {
 		const struct member *m = &e->members.list[i];
-		struct entry_gone *g = gone_of(e, m->incarnation);
-		bool shown = list_shows(answer->value, m->name);
-		bool gone = m->state == MEMBER_DEAD || (g->listed && !shown);
-
-		g->listed |= shown;
-		if (gone && !g->gone)
-			g->since_ms = clock_now_ms();
-		g->gone = gone;
+		struct entry_absence *a = absence_of(e, m->incarnation);
+		bool listed = is_listed(answer->value, m->name);
+		bool absent =
+			m->state == MEMBER_DEAD || (a->was_listed && !listed);
+
+		a->was_listed |= listed;
+		if (absent && !a->absent)
+			a->since_ms = clock_now_ms();
+		a->absent = absent;
 	}
 }
 
-void entry_read_list(struct entry *e)
+void entry_read_instances(struct entry *e)
 {
 	e->listed_ms = clock_now_ms();
 	platform_instances(e->platform, on_list, e);
@@ -317,13 +325,13 @@
 	entry_scan(e);
 }
 
-/* The longest that work of a gone entry may still run on a worker. */
+/* Longest time that an ended entry's work may still run on a worker. */
 static uint64_t lease_ms(const struct entry *e)
 {
-	return e->cfg->run_max_ms + CORE_GRACE_MS;
+	return e->cfg->run_max_ms + CORE_LEASE_MARGIN_MS;
 }
 
-/* What the members' row should say; true when that differs from it. */
+/* Updates next to what the row should be; true when anything changed. */
 static bool next_members(struct entry *e, struct members *next, uint64_t now_ms)
 {
 	struct member *self = members_find(next, e->incarnation);
@@ -332,11 +340,11 @@
 
 	for (i = 0; i < next->count; i++) {
 		struct member *m = &next->list[i];
-		const struct entry_gone *g = gone_of(e, m->incarnation);
+		const struct entry_absence *a = absence_of(e, m->incarnation);
 
-		if (m == self || !g->gone)
+		if (m == self || !a->absent)
 			continue;
-		if (now_ms >= g->since_ms + lease_ms(e)) {
+		if (now_ms >= a->since_ms + lease_ms(e)) {
 			members_remove(next, m->incarnation);
 			return true;
 		}
--- a/src/entry/entry_sync.c
+++ b/src/entry/entry_sync.c
@@ -24,15 +24,15 @@
 		  cfg->version);
 }
 
-static void keep_change(struct entry *e, uint64_t version, json_t *change)
+static void store_change(struct entry *e, uint64_t version, json_t *change)
 {
-	json_t **slot = &e->changes[version % ENTRY_CHANGES];
+	json_t **slot = &e->changes[version % ENTRY_CHANGES_KEPT];
 
 	json_decref(*slot);
 	*slot = json_incref(change);
 }
 
-bool entry_take_change(struct entry *e, uint64_t version, json_t *change)
+bool entry_apply_change(struct entry *e, uint64_t version, json_t *change)
 {
 	struct status_message m;
 	struct cfg *next;
@@ -46,7 +46,7 @@
 			  m.text);
 		return false;
 	}
-	keep_change(e, version, change);
+	store_change(e, version, change);
 	entry_install(e, next);
 	return true;
 }
@@ -58,10 +58,10 @@
 	struct cfg *empty;
 	struct cfg *next;
 
-	e->loading = false;
-	e->revision = 0; /* read the log again from the snapshot on */
+	e->loading_snapshot = false;
+	e->revision = 0; /* read the log again, from the snapshot on */
 	if (answer->status != PLATFORM_OK) {
-		log_event(LOG_WARN, "config", "snapshot not read: %s",
+		log_event(LOG_WARN, "config", "cannot read the snapshot: %s",
 			  answer->message);
 		return;
 	}
@@ -72,7 +72,8 @@
 			next->run_max_ms = e->snapshot_run_max_ms;
 		entry_install(e, next);
 	} else {
-		log_event(LOG_ERROR, "config", "snapshot refused: %s", m.text);
+		log_event(LOG_ERROR, "config", "cannot apply the snapshot: %s",
+			  m.text);
 	}
 	cfg_unref(empty);
 	entry_scan(e);
@@ -82,9 +83,9 @@
 {
 	char name[ENTRY_KEY_MAX];
 
-	if (e->loading || e->snapshot_version <= e->cfg->version)
+	if (e->loading_snapshot || e->snapshot_version <= e->cfg->version)
 		return;
-	e->loading = true;
+	e->loading_snapshot = true;
 	snprintf(name, sizeof(name), "jackdawwell-config-%" PRIu64,
 		 e->snapshot_version);
 	platform_get_object(e->platform, name, on_snapshot, e);
@@ -92,16 +93,16 @@
 
 /* Rows */
 
-static void take_log(struct entry *e, const char *key, json_t *value)
+static void apply_log_row(struct entry *e, const char *key, json_t *value)
 {
 	uint64_t version = strtoull(key + strlen(ROW_LOG), NULL, 16);
 
 	if (version > e->cfg->version)
-		entry_take_change(e, version, value);
+		entry_apply_change(e, version, value);
 }
 
-static void take_ledger(struct entry *e, const char *key, const json_t *value,
-			uint64_t version)
+static void apply_ledger_row(struct entry *e, const char *key,
+			     const json_t *value, uint64_t version)
 {
 	uint32_t shard = (uint32_t)strtoul(key + strlen(ROW_LEDGER), NULL, 10);
 	struct ledger_row *row;
@@ -110,16 +111,16 @@
 		return;
 	pthread_mutex_lock(&e->core_lock);
 	row = entry_row_parse(e, core_ledger(e->core), value, version);
-	core_row(e->core, shard, row, clock_now_ms());
+	core_set_row(e->core, shard, row, clock_now_ms());
 	pthread_mutex_unlock(&e->core_lock);
 	talloc_free(row);
 }
 
-static void take_row(struct entry *e, const char *key, json_t *value,
-		     uint64_t version)
+static void apply_row(struct entry *e, const char *key, json_t *value,
+		      uint64_t version)
 {
 	if (!strcmp(key, ROW_MEMBERS)) {
-		entry_take_members(e, value, version);
+		entry_set_members(e, value, version);
 	} else if (!strcmp(key, ROW_HEAD)) {
 		e->head_revision = version;
 		e->head_version = (uint64_t)json_integer_value(
@@ -130,14 +131,14 @@
 		e->snapshot_run_max_ms = (uint32_t)json_integer_value(
 			json_object_get(value, "run_max_ms"));
 	} else if (!strncmp(key, ROW_LOG, strlen(ROW_LOG))) {
-		take_log(e, key, value);
+		apply_log_row(e, key, value);
 	} else if (!strncmp(key, ROW_LEDGER, strlen(ROW_LEDGER))) {
-		take_ledger(e, key, value, version);
+		apply_ledger_row(e, key, value, version);
 	}
 }
 
-/* Shards without a row begin with an empty one. */
-static void start_shards(struct entry *e)
+/* A shard without a row starts with an empty one. */
+static void init_missing_shards(struct entry *e)
 {
 	struct ledger_row empty = { 0 };
 	uint32_t shard;
@@ -147,21 +148,21 @@
 	pthread_mutex_lock(&e->core_lock);
 	for (shard = 0; shard < e->settings->shards; shard++)
 		if (!ledger_ready(core_ledger(e->core), shard))
-			core_row(e->core, shard, &empty, clock_now_ms());
+			core_set_row(e->core, shard, &empty, clock_now_ms());
 	pthread_mutex_unlock(&e->core_lock);
 }
 
-static void take_rows(struct entry *e, json_t *rows)
+static void apply_rows(struct entry *e, json_t *rows)
 {
 	json_t *row;
 	size_t i;
 
 	json_array_foreach(rows, i, row)
 	{
-		take_row(e, json_string_value(json_object_get(row, "key")),
-			 json_object_get(row, "value"),
-			 (uint64_t)json_integer_value(
-				 json_object_get(row, "version")));
+		apply_row(e, json_string_value(json_object_get(row, "key")),
+			  json_object_get(row, "value"),
+			  (uint64_t)json_integer_value(
+				  json_object_get(row, "version")));
 	}
 }
 
@@ -183,35 +184,35 @@
 	e->scanning = false;
 	if (answer->status != PLATFORM_OK)
 		return;
-	take_rows(e, answer->value);
+	apply_rows(e, answer->value);
 	if (!e->core) {
 		entry_register(e);
 		return;
 	}
-	start_shards(e);
+	init_missing_shards(e);
 	e->revision = answer->revision;
 	if (e->cfg->version < e->head_version) {
 		load_snapshot(e);
-		if (!e->loading)
+		if (!e->loading_snapshot)
 			e->revision = 0;
 		return;
 	}
 	if (answer->started_ms > e->fresh.store_ms)
 		e->fresh.store_ms = answer->started_ms;
 	serve_when_ready(e);
-	entry_freshen(e);
+	entry_update_freshness(e);
 }
 
 void entry_scan(struct entry *e)
 {
-	if (e->scanning || e->loading)
+	if (e->scanning || e->loading_snapshot)
 		return;
 	e->scanning = true;
 	e->scanned_ms = clock_now_ms();
 	platform_scan(e->platform, ROW_PREFIX, e->revision, on_scan, e);
 }
 
-void entry_freshen(struct entry *e)
+void entry_update_freshness(struct entry *e)
 {
 	uint64_t until = fresh_until(&e->fresh, &e->members, e->incarnation,
 				     e->cfg->version);
@@ -222,6 +223,6 @@
 	if (!e->core)
 		return;
 	pthread_mutex_lock(&e->core_lock);
-	core_fresh(e->core, until);
+	core_set_fresh_until(e->core, until);
 	pthread_mutex_unlock(&e->core_lock);
 }
--- a/src/entry/entry_wire.c
+++ b/src/entry/entry_wire.c
@@ -9,11 +9,11 @@
 typedef Jackdawwell__PeerFrame frame_t;
 
 /*
- * Frames are built on the heap with the allocator of protobuf-c, so that
- * free_unpacked frees them whole.
+ * Frames are allocated by malloc, as protobuf-c's default allocator does, so
+ * that free_unpacked frees a frame with all its parts.
  */
 
-static void *zero(size_t size)
+static void *xzalloc(size_t size)
 {
 	void *p = calloc(1, size);
 
@@ -21,7 +21,7 @@
 	return p;
 }
 
-static char *copy(const char *text)
+static char *xstrdup(const char *text)
 {
 	char *s = strdup(text);
 
@@ -31,24 +31,24 @@
 
 static frame_t *frame_new(Jackdawwell__PeerFrame__BodyCase body)
 {
-	frame_t *f = zero(sizeof(*f));
+	frame_t *f = xzalloc(sizeof(*f));
 
 	jackdawwell__peer_frame__init(f);
 	f->body_case = body;
 	return f;
 }
 
-/* Packing the core's messages */
+/* Core messages to frames */
 
 static frame_t *pack_lend(struct entry *e, const struct ledger_transfer *t)
 {
 	frame_t *f = frame_new(JACKDAWWELL__PEER_FRAME__BODY_LEND);
 
-	f->lend = zero(sizeof(*f->lend));
+	f->lend = xzalloc(sizeof(*f->lend));
 	jackdawwell__lend__init(f->lend);
 	f->lend->seq = t->seq;
 	f->lend->domain =
-		copy(ledger_domain_name(core_ledger(e->core), t->domain));
+		xstrdup(ledger_domain_name(core_ledger(e->core), t->domain));
 	f->lend->units = t->units;
 	f->lend->round = t->round;
 	f->lend->generation = t->generation;
@@ -59,7 +59,7 @@
 {
 	frame_t *f = frame_new(JACKDAWWELL__PEER_FRAME__BODY_LEND_ACK);
 
-	f->lend_ack = zero(sizeof(*f->lend_ack));
+	f->lend_ack = xzalloc(sizeof(*f->lend_ack));
 	jackdawwell__lend_ack__init(f->lend_ack);
 	f->lend_ack->seq = seq;
 	return f;
@@ -75,16 +75,16 @@
 	else
 		snprintf(name, sizeof(name), "t:%s",
 			 intern_name(e->names->teams, g.id));
-	return copy(name);
+	return xstrdup(name);
 }
 
 static Jackdawwell__TeamDemand *pack_team(const struct entry *e,
 					  const struct broker_team *t)
 {
-	Jackdawwell__TeamDemand *p = zero(sizeof(*p));
+	Jackdawwell__TeamDemand *p = xzalloc(sizeof(*p));
 
 	jackdawwell__team_demand__init(p);
-	p->team = copy(intern_name(e->names->teams, t->team));
+	p->team = xstrdup(intern_name(e->names->teams, t->team));
 	p->milli_slots = t->milli_slots;
 	return p;
 }
@@ -93,20 +93,20 @@
 			    const struct broker_demand *d)
 {
 	frame_t *f = frame_new(JACKDAWWELL__PEER_FRAME__BODY_DEMAND_REPORT);
-	Jackdawwell__Demand *p = zero(sizeof(*p));
+	Jackdawwell__Demand *p = xzalloc(sizeof(*p));
 	uint32_t i;
 
-	f->demand_report = zero(sizeof(*f->demand_report));
+	f->demand_report = xzalloc(sizeof(*f->demand_report));
 	jackdawwell__demand_report__init(f->demand_report);
 	f->demand_report->n_demands = 1;
-	f->demand_report->demands = zero(sizeof(p));
+	f->demand_report->demands = xzalloc(sizeof(p));
 	f->demand_report->demands[0] = p;
 	jackdawwell__demand__init(p);
 	p->group = group_name(e, d->group);
 	p->held = d->held;
 	p->idle = d->idle;
 	p->n_teams = d->team_count;
-	p->teams = zero((d->team_count + 1) * sizeof(*p->teams));
+	p->teams = xzalloc((d->team_count + 1) * sizeof(*p->teams));
 	for (i = 0; i < d->team_count; i++)
 		p->teams[i] = pack_team(e, &d->teams[i]);
 	return f;
@@ -115,17 +115,17 @@
 static Jackdawwell__Target *pack_target(const struct entry *e,
 					const struct broker_target *t)
 {
-	Jackdawwell__Target *p = zero(sizeof(*p));
+	Jackdawwell__Target *p = xzalloc(sizeof(*p));
 
 	jackdawwell__target__init(p);
-	p->team = copy(intern_name(e->names->teams, t->team));
+	p->team = xstrdup(intern_name(e->names->teams, t->team));
 	p->milli_slots = t->milli_slots;
 	return p;
 }
 
 static Jackdawwell__Transfer *pack_transfer(const struct broker_transfer *t)
 {
-	Jackdawwell__Transfer *p = zero(sizeof(*p));
+	Jackdawwell__Transfer *p = xzalloc(sizeof(*p));
 
 	jackdawwell__transfer__init(p);
 	p->to = t->to;
@@ -137,24 +137,24 @@
 			    const struct broker_advice *a)
 {
 	frame_t *f = frame_new(JACKDAWWELL__PEER_FRAME__BODY_ADVICE);
-	Jackdawwell__Advice *p = zero(sizeof(*p));
+	Jackdawwell__Advice *p = xzalloc(sizeof(*p));
 	uint32_t i;
 
 	f->advice = p;
 	jackdawwell__advice__init(p);
 	p->group = group_name(e, a->group);
 	p->n_targets = a->target_count;
-	p->targets = zero((a->target_count + 1) * sizeof(*p->targets));
+	p->targets = xzalloc((a->target_count + 1) * sizeof(*p->targets));
 	for (i = 0; i < a->target_count; i++)
 		p->targets[i] = pack_target(e, &a->targets[i]);
 	p->n_transfers = a->transfer_count;
-	p->transfers = zero((a->transfer_count + 1) * sizeof(*p->transfers));
+	p->transfers = xzalloc((a->transfer_count + 1) * sizeof(*p->transfers));
 	for (i = 0; i < a->transfer_count; i++)
 		p->transfers[i] = pack_transfer(&a->transfers[i]);
 	return f;
 }
 
-frame_t *entry_pack(struct entry *e, const struct core_message *m)
+frame_t *entry_pack_message(struct entry *e, const struct core_message *m)
 {
 	switch (m->kind) {
 	case CORE_LEND:
@@ -169,7 +169,7 @@
 	return NULL;
 }
 
-/* Frames into the core */
+/* Frames to core messages */
 
 static void receive(struct entry *e, uint64_t from,
 		    const struct core_message *m)
@@ -189,7 +189,7 @@
 	receive(e, from, &m);
 }
 
-/* False for a group that this entry does not know yet. */
+/* Returns false for a group that this entry does not know yet. */
 static bool parse_group(const struct entry *e, const char *name,
 			struct broker_group *g)
 {
@@ -212,7 +212,7 @@
 
 	if (!parse_group(e, d->group, &m.u.demand.group))
 		return;
-	teams = zero((d->n_teams + 1) * sizeof(*teams));
+	teams = xzalloc((d->n_teams + 1) * sizeof(*teams));
 	for (i = 0; i < d->n_teams; i++) {
 		teams[n].team = intern_find(e->names->teams, d->teams[i]->team);
 		teams[n].milli_slots = d->teams[i]->milli_slots;
@@ -237,8 +237,8 @@
 
 	if (!parse_group(e, a->group, &m.u.advice.group))
 		return;
-	targets = zero((a->n_targets + 1) * sizeof(*targets));
-	transfers = zero((a->n_transfers + 1) * sizeof(*transfers));
+	targets = xzalloc((a->n_targets + 1) * sizeof(*targets));
+	transfers = xzalloc((a->n_transfers + 1) * sizeof(*transfers));
 	for (i = 0; i < a->n_targets; i++) {
 		targets[n].team =
 			intern_find(e->names->teams, a->targets[i]->team);
@@ -284,7 +284,7 @@
 	}
 }
 
-/* Configuration between entries */
+/* Configuration and members */
 
 void entry_probe(struct entry *e)
 {
@@ -317,7 +317,7 @@
 
 void entry_push_change(struct entry *e, uint64_t to, uint64_t version)
 {
-	json_t *change = e->changes[version % ENTRY_CHANGES];
+	json_t *change = e->changes[version % ENTRY_CHANGES_KEPT];
 	frame_t frame = JACKDAWWELL__PEER_FRAME__INIT;
 	Jackdawwell__ConfigPush push = JACKDAWWELL__CONFIG_PUSH__INIT;
 
@@ -332,7 +332,7 @@
 	free(push.change);
 }
 
-static void ask_changes(struct entry *e, uint64_t from)
+static void request_changes(struct entry *e, uint64_t from)
 {
 	frame_t frame = JACKDAWWELL__PEER_FRAME__INIT;
 	Jackdawwell__ConfigPull pull = JACKDAWWELL__CONFIG_PULL__INIT;
@@ -365,13 +365,13 @@
 				   r->members_version };
 
 	if (r->nonce > e->probed_ms)
-		return; /* not a question of this entry */
+		return; /* not the nonce of a probe sent by this process */
 	fresh_told(&e->fresh, &peer);
 	if (r->version > e->cfg->version)
-		ask_changes(e, from);
+		request_changes(e, from);
 	if (r->members_version < e->members.version)
 		entry_push_members(e, from);
-	entry_freshen(e);
+	entry_update_freshness(e);
 }
 
 static void on_config_push(struct entry *e, uint64_t from,
@@ -382,7 +382,7 @@
 	Jackdawwell__ConfigAck ack = JACKDAWWELL__CONFIG_ACK__INIT;
 
 	if (change && p->version > e->cfg->version)
-		entry_take_change(e, p->version, change);
+		entry_apply_change(e, p->version, change);
 	json_decref(change);
 	frame.body_case = JACKDAWWELL__PEER_FRAME__BODY_CONFIG_ACK;
 	frame.config_ack = &ack;
@@ -406,7 +406,7 @@
 	json_t *members = json_loads(p->members, 0, NULL);
 
 	if (members)
-		entry_take_members(e, members, p->version);
+		entry_set_members(e, members, p->version);
 	json_decref(members);
 }
 
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -1,9 +1,9 @@
 /*
- * front - callers' requests, one front a thread
+ * front - serves callers' requests, one front per thread
  *
- * A front has a server for callers and a client for workers on one event
- * loop. The core tells it by mail, from any thread, which of its requests
- * start and which are refused.
+ * A front runs a server for callers and a client for workers on one event
+ * loop. The core, on any thread, puts messages into the front's queue to say
+ * which of its requests start and which are refused.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -17,11 +17,11 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define FRONT_WAITED_MS 10 /* a shorter wait needs no look for a hang-up */
-#define FRONT_IDLE_S 75	   /* a caller's connection without traffic */
+#define HANG_UP_CHECK_MS 10 /* after shorter waits no hang-up is looked for */
+#define FRONT_IDLE_TIMEOUT_S 75 /* for callers' connections */
 #define RUN_PREFIX "/run/"
 
-/* Configuration in force, as this front sees it */
+/* Configuration */
 
 static void refresh_cfg(struct front *f)
 {
@@ -36,30 +36,30 @@
 	cfg_unref(old);
 }
 
-/* Mail from the core */
+/* Messages from the core */
 
-static void post(struct request *r, enum mail_kind kind)
+static void enqueue(struct request *r, enum front_message kind)
 {
 	struct front *f = r->front;
 	uint64_t one = 1;
 	bool first;
 
-	pthread_mutex_lock(&f->mail_lock);
-	first = !f->mail;
-	r->mail = kind;
-	r->next_mail = NULL;
-	*f->mail_tail = r;
-	f->mail_tail = &r->next_mail;
-	pthread_mutex_unlock(&f->mail_lock);
+	pthread_mutex_lock(&f->message_lock);
+	first = !f->messages;
+	r->message = kind;
+	r->next_message = NULL;
+	*f->messages_tail = r;
+	f->messages_tail = &r->next_message;
+	pthread_mutex_unlock(&f->message_lock);
 	if (first && f != front_in_core &&
-	    write(f->mail_fd, &one, sizeof(one)) < 0)
-		abort(); /* an eventfd takes its first count */
+	    write(f->message_fd, &one, sizeof(one)) < 0)
+		abort(); /* the write can't fail on an empty eventfd */
 }
 
 void front_start(void *arg, struct job *job)
 {
 	(void)arg;
-	post((struct request *)job, MAIL_START);
+	enqueue((struct request *)job, FRONT_MESSAGE_START);
 }
 
 void front_refuse(void *arg, struct job *job, enum job_refusal why)
@@ -68,65 +68,65 @@
 
 	(void)arg;
 	r->refusal = why;
-	post(r, MAIL_REFUSE);
+	enqueue(r, FRONT_MESSAGE_REFUSE);
 }
 
 static void start_job(struct request *r)
 {
-	bool waited = r->job.started_ms > r->job.arrived_ms + FRONT_WAITED_MS;
+	bool waited = r->job.started_ms > r->job.arrived_ms + HANG_UP_CHECK_MS;
 
 	if (!waited || !httpd_hung_up(r->http)) {
 		front_send_to_worker(r);
 		return;
 	}
-	/* A retry may find workers, but its caller would still be gone. */
-	if (front_end_job(r, JOB_NOT_SENT) == CORE_FINISHED)
+	/* If the core retries, the next start finds the caller gone as well. */
+	if (front_end_attempt(r, JOB_NOT_SENT) == CORE_FINISHED)
 		front_finish_refused(r, JOB_REFUSED_HUNG_UP);
 }
 
-static struct request *take_mail(struct front *f, bool *stop)
+static struct request *take_messages(struct front *f, bool *stop)
 {
-	struct request *mail;
+	struct request *messages;
 
-	pthread_mutex_lock(&f->mail_lock);
-	mail = f->mail;
-	f->mail = NULL;
-	f->mail_tail = &f->mail;
+	pthread_mutex_lock(&f->message_lock);
+	messages = f->messages;
+	f->messages = NULL;
+	f->messages_tail = &f->messages;
 	*stop = f->stop;
-	pthread_mutex_unlock(&f->mail_lock);
-	return mail;
+	pthread_mutex_unlock(&f->message_lock);
+	return messages;
 }
 
-static void run_list(struct request *r)
+static void process_list(struct request *r)
 {
 	struct request *next;
 
 	for (; r; r = next) {
-		next = r->next_mail;
-		if (r->mail == MAIL_START)
+		next = r->next_message;
+		if (r->message == FRONT_MESSAGE_START)
 			start_job(r);
 		else
 			front_finish_refused(r, r->refusal);
 	}
 }
 
-void front_run_mail(struct front *f)
+void front_process_messages(struct front *f)
 {
-	struct request *mail;
+	struct request *messages;
 	bool stop;
 
 	refresh_cfg(f);
-	/* Running mail may post more of it, without a wake-up. */
-	while ((mail = take_mail(f, &stop)))
-		run_list(mail);
+	/* Processing may enqueue further messages without a wake-up. */
+	while ((messages = take_messages(f, &stop)))
+		process_list(messages);
 	if (stop && !f->stopped) {
 		f->stopped = true;
 		httpd_stop_accepting(f->server);
 	}
 }
 
-static void on_mail(struct tevent_context *ev, struct tevent_fd *fde,
-		    uint16_t flags, void *arg)
+static void on_messages(struct tevent_context *ev, struct tevent_fd *fde,
+			uint16_t flags, void *arg)
 {
 	struct front *f = arg;
 	uint64_t count;
@@ -134,8 +134,8 @@
 	(void)ev;
 	(void)fde;
 	(void)flags;
-	if (read(f->mail_fd, &count, sizeof(count)) > 0)
-		front_run_mail(f);
+	if (read(f->message_fd, &count, sizeof(count)) > 0)
+		front_process_messages(f);
 }
 
 /* Requests from callers */
@@ -146,7 +146,7 @@
 	front_send_text(f, http, code, OUTCOME_NOT_RUN, reason);
 }
 
-static const char *bearer(const struct httpd_request *http)
+static const char *bearer_token(const struct httpd_request *http)
 {
 	const char *value = httpd_header(http, "Authorization");
 
@@ -167,7 +167,7 @@
 	httpd_answer(http, &answer);
 }
 
-/* Splits "/run/<queue>/rest"; false when there is no queue's name. */
+/* Parses "/run/QUEUE/SUFFIX"; false when there is no valid queue name. */
 static bool split_path(struct request *r)
 {
 	const char *path = r->http->path;
@@ -181,16 +181,17 @@
 		return false;
 	memcpy(r->job.queue, path, n);
 	r->job.queue[n] = '\0';
-	r->rest = path + n;
+	r->path_suffix = path + n;
 	return true;
 }
 
-/* Whose work it is; an HTTP status, 0 when it may go on. */
-static unsigned int identify(struct request *r, const struct cfg_queue *queue,
-			     const char **reason)
+/* Determines the request's team. Returns an HTTP status, 0 for success. */
+static unsigned int authenticate(struct request *r,
+				 const struct cfg_queue *queue,
+				 const char **reason)
 {
 	const struct front *f = r->front;
-	const char *text = bearer(r->http);
+	const char *text = bearer_token(r->http);
 	const struct cfg_key *key;
 
 	if (!text && queue->open) {
@@ -212,6 +213,7 @@
 	return 0;
 }
 
+/* Fills in the job. Returns an HTTP status, 0 for success. */
 static unsigned int prepare(struct request *r, const char **reason)
 {
 	const struct front *f = r->front;
@@ -223,7 +225,7 @@
 		*reason = "no such queue";
 		return 404;
 	}
-	code = identify(r, queue, reason);
+	code = authenticate(r, queue, reason);
 	if (code)
 		return code;
 	job->pool = queue->pool;
@@ -242,16 +244,16 @@
 	struct front *f = r->front;
 	struct entry *e = f->entry;
 	enum job_refusal why;
-	bool taken;
+	bool accepted;
 
 	front_in_core = f;
 	pthread_mutex_lock(&e->core_lock);
-	taken = core_submit(e->core, &r->job, clock_now_ms(), &why);
+	accepted = core_submit(e->core, &r->job, clock_now_ms(), &why);
 	pthread_mutex_unlock(&e->core_lock);
 	front_in_core = NULL;
-	if (!taken)
+	if (!accepted)
 		front_finish_refused(r, why);
-	front_run_mail(f);
+	front_process_messages(f);
 }
 
 static void on_request(void *arg, struct httpd_request *http)
@@ -284,7 +286,7 @@
 	front_request_free(r);
 }
 
-/* The thread */
+/* Thread */
 
 static bool front_listen(struct front *f)
 {
@@ -294,7 +296,7 @@
 		.address = ip,
 		.body_max = (size_t)s->body_max_kib << 10,
 		.connections_max = s->connections_max / s->threads + 1,
-		.idle_timeout_s = FRONT_IDLE_S,
+		.idle_timeout_s = FRONT_IDLE_TIMEOUT_S,
 		.handler = on_request,
 		.arg = f,
 	};
@@ -304,8 +306,8 @@
 	return f->server != NULL;
 }
 
-/* This front's part of the connections that a worker takes. */
-static uint32_t host_max(const struct settings *s)
+/* This front's part of the connections that a worker may get. */
+static uint32_t connections_per_worker(const struct settings *s)
 {
 	uint32_t part = s->worker_connections / (s->entries_max * s->threads);
 
@@ -331,13 +333,15 @@
 	f->entry = e;
 	f->index = index;
 	f->cfg = cfg_ref(e->cfg);
-	f->mail_tail = &f->mail;
-	pthread_mutex_init(&f->mail_lock, NULL);
+	f->messages_tail = &f->messages;
+	pthread_mutex_init(&f->message_lock, NULL);
 	f->ev = tevent_context_init(f);
-	f->mail_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	f->client = httpc_new(f, f->ev, s->connections_max, host_max(s));
-	if (!f->ev || f->mail_fd < 0 || !f->client || !front_listen(f) ||
-	    !tevent_add_fd(f->ev, f, f->mail_fd, TEVENT_FD_READ, on_mail, f) ||
+	f->message_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	f->client = httpc_new(f, f->ev, s->connections_max,
+			      connections_per_worker(s));
+	if (!f->ev || f->message_fd < 0 || !f->client || !front_listen(f) ||
+	    !tevent_add_fd(f->ev, f, f->message_fd, TEVENT_FD_READ, on_messages,
+			   f) ||
 	    pthread_create(&f->thread, NULL, front_run, f)) {
 		talloc_free(f);
 		return NULL;
@@ -349,10 +353,10 @@
 {
 	uint64_t one = 1;
 
-	pthread_mutex_lock(&f->mail_lock);
+	pthread_mutex_lock(&f->message_lock);
 	f->stop = true;
-	pthread_mutex_unlock(&f->mail_lock);
-	if (write(f->mail_fd, &one, sizeof(one)) < 0)
+	pthread_mutex_unlock(&f->message_lock);
+	if (write(f->message_fd, &one, sizeof(one)) < 0)
 		abort();
 }
 
@@ -365,15 +369,15 @@
 {
 	uint64_t one = 1;
 
-	if (write(f->mail_fd, &one, sizeof(one)) < 0)
+	if (write(f->message_fd, &one, sizeof(one)) < 0)
 		abort();
 	pthread_join(f->thread, NULL);
-	close(f->mail_fd);
+	close(f->message_fd);
 	cfg_unref(f->cfg);
 	talloc_free(f);
 }
 
-void front_print(struct entry *e, FILE *out)
+void front_print_metrics(struct entry *e, FILE *out)
 {
 	uint32_t i;
 	int o;
--- a/src/entry/front_internal.h
+++ b/src/entry/front_internal.h
@@ -1,8 +1,8 @@
 /*
- * front_internal - what the fronts' source files share
+ * front_internal - shared by the fronts' source files
  *
- * front.c has the threads, requests from callers and mail from the core;
- * front_worker.c has the exchange with workers and answers to callers.
+ * front.c		threads, callers' requests, messages from the core
+ * front_worker.c	exchanges with workers, answers to callers
  */
 #ifndef FRONT_INTERNAL_H
 #define FRONT_INTERNAL_H
@@ -13,18 +13,22 @@
 
 #define FRONT_HEADERS_MAX 100
 
-enum mail_kind { MAIL_NONE, MAIL_START, MAIL_REFUSE };
+enum front_message {
+	FRONT_MESSAGE_NONE,
+	FRONT_MESSAGE_START,
+	FRONT_MESSAGE_REFUSE
+};
 
-/* A caller's request while this entry has it. */
+/* A caller's request, until it is answered. */
 struct request {
-	struct job job; /* first member */
+	struct job job; /* must be first: callbacks cast it to the request */
 	struct front *front;
 	struct httpd_request *http;
-	struct request *next_mail;
-	enum mail_kind mail;
+	struct request *next_message;
+	enum front_message message;
 	enum job_refusal refusal;
 	bool timed_out;
-	const char *rest; /* of the path, after the queue's name */
+	const char *path_suffix; /* follows the queue's name */
 	const char *headers[FRONT_HEADERS_MAX + 1];
 	uint32_t header_count;
 };
@@ -36,38 +40,41 @@
 	struct tevent_context *ev;
 	struct httpd *server;
 	struct httpc *client;
-	struct cfg *cfg; /* as last seen */
-	int mail_fd;
-	pthread_mutex_t mail_lock;
-	struct request *mail;
-	struct request **mail_tail;
-	bool stop;    /* under mail_lock */
-	bool stopped; /* accepts no more */
+	struct cfg *cfg; /* the version this front works with */
+	int message_fd;
+	pthread_mutex_t message_lock;
+	struct request *messages;
+	struct request **messages_tail;
+	bool stop;    /* under message_lock */
+	bool stopped; /* no longer accepts connections */
 	_Atomic uint32_t pending;
-	_Atomic uint64_t outcomes[3]; /* by enum outcome */
+	_Atomic uint64_t outcomes[3]; /* index: enum outcome */
 };
 
-/* The front whose thread is in the core now; its mail needs no wake-up. */
+/*
+ * The front on whose thread the core is running, else NULL. Messages for it
+ * need no wake-up: it processes them when the core returns.
+ */
 extern __thread struct front *front_in_core;
 
-/* front_run_mail - carry out what the core has posted */
-void front_run_mail(struct front *f);
+/* front_process_messages - process the messages from the core */
+void front_process_messages(struct front *f);
 
-/* front_send_text - answer with an outcome and its reason */
+/* front_send_text - answer with an outcome and a reason */
 void front_send_text(struct front *f, struct httpd_request *http,
 		     unsigned int code, enum outcome outcome,
 		     const char *reason);
 
-/* front_request_free - forget an answered request */
+/* front_request_free - free an answered request */
 void front_request_free(struct request *r);
 
 /* front_finish_refused - answer a refused request and free it */
 void front_finish_refused(struct request *r, enum job_refusal why);
 
-/* front_end_job - report an attempt's result to the core */
-enum core_next front_end_job(struct request *r, enum job_result result);
+/* front_end_attempt - report an attempt's result to the core */
+enum core_next front_end_attempt(struct request *r, enum job_result result);
 
-/* front_send_to_worker - start the attempt that the core has chosen */
+/* front_send_to_worker - send the request to the instance chosen by the core */
 void front_send_to_worker(struct request *r);
 
 #endif
--- a/src/entry/front_worker.c
+++ b/src/entry/front_worker.c
@@ -8,9 +8,9 @@
 
 #include "process/clock.h"
 
-#define FRONT_SEND_MS 1000    /* from a start to its first byte */
-#define FRONT_CONNECT_MS 1000 /* for a connection to a worker */
-#define FRONT_URL_MAX 8192    /* bytes */
+#define FRONT_SEND_TIMEOUT_MS 1000 /* from the start to the first byte sent */
+#define FRONT_CONNECT_TIMEOUT_MS 1000 /* to connect to a worker */
+#define FRONT_URL_MAX 8192	      /* bytes */
 
 __thread struct front *front_in_core;
 
@@ -65,7 +65,7 @@
 	finish(r, &end);
 }
 
-/* Headers that belong to one connection, or are this system's own. */
+/* Whether a header belongs to one connection or to this system. */
 static bool is_hop_header(const char *name, size_t length)
 {
 	static const char *const names[] = {
@@ -93,7 +93,7 @@
 	return false;
 }
 
-/* Keeps the end-to-end headers of a worker's answer, in place. */
+/* Removes all but the end-to-end headers of a worker's answer, in place. */
 static size_t filter_headers(char *headers, size_t length)
 {
 	size_t kept = 0;
@@ -114,7 +114,7 @@
 	return kept;
 }
 
-static void finish_answered(struct request *r, struct httpc_answer *http)
+static void forward_answer(struct request *r, struct httpc_answer *http)
 {
 	static const char outcome[] = "Jackdawwell-Outcome: answered\r\n";
 	struct front *f = r->front;
@@ -137,7 +137,7 @@
 
 /* Workers */
 
-static bool says_not_run(const struct httpc_answer *http)
+static bool reports_not_run(const struct httpc_answer *http)
 {
 	static const char name[] = "\nJackdawwell-Not-Run:";
 
@@ -149,13 +149,13 @@
 		      sizeof(name) - 1) != NULL;
 }
 
-static enum job_result result_of(const struct httpc_answer *http)
+static enum job_result attempt_result(const struct httpc_answer *http)
 {
 	switch (http->status) {
 	case HTTPC_NOT_SENT:
 		return JOB_NOT_SENT;
 	case HTTPC_OK:
-		if (says_not_run(http))
+		if (reports_not_run(http))
 			return JOB_NOT_RUN;
 		return http->code >= 500 ? JOB_FAILED : JOB_ENDED;
 	default:
@@ -163,14 +163,14 @@
 	}
 }
 
-enum core_next front_end_job(struct request *r, enum job_result result)
+enum core_next front_end_attempt(struct request *r, enum job_result result)
 {
 	struct entry *e = r->front->entry;
 	enum core_next next;
 
 	front_in_core = r->front;
 	pthread_mutex_lock(&e->core_lock);
-	next = core_end(e->core, &r->job, result, clock_now_ms());
+	next = core_end_attempt(e->core, &r->job, result, clock_now_ms());
 	pthread_mutex_unlock(&e->core_lock);
 	front_in_core = NULL;
 	return next;
@@ -180,18 +180,18 @@
 {
 	struct request *r = arg;
 	struct front *f = r->front;
-	enum job_result result = result_of(http);
+	enum job_result result = attempt_result(http);
 	struct outcome_end end = { .result = result };
 
 	end.timed_out = http->status == HTTPC_TIMEOUT;
-	if (front_end_job(r, result) == CORE_FINISHED) {
+	if (front_end_attempt(r, result) == CORE_FINISHED) {
 		end.may_have_run = r->job.may_have_run;
 		if (outcome_of(&end).outcome == OUTCOME_ANSWERED)
-			finish_answered(r, http);
+			forward_answer(r, http);
 		else
 			finish(r, &end);
 	}
-	front_run_mail(f);
+	front_process_messages(f);
 }
 
 static void add_header(void *arg, const char *name, const char *value)
@@ -202,7 +202,7 @@
 	if (r->header_count >= FRONT_HEADERS_MAX - 1 ||
 	    is_hop_header(name, strlen(name)))
 		return;
-	/* libcurl sends a header without value when it ends in ';'. */
+	/* For libcurl a final ';' means a header with an empty value. */
 	if (asprintf(&line, *value ? "%s: %s" : "%s;", name, value) < 0)
 		abort();
 	r->headers[r->header_count++] = line;
@@ -230,10 +230,11 @@
 		.headers = r->headers,
 		.body = http->body,
 		.body_length = http->body_length,
-		.timeout_ms = r->job.run_max_ms + FRONT_CONNECT_MS,
-		.connect_timeout_ms = FRONT_CONNECT_MS,
+		.timeout_ms = r->job.run_max_ms + FRONT_CONNECT_TIMEOUT_MS,
+		.connect_timeout_ms = FRONT_CONNECT_TIMEOUT_MS,
 		.once = !r->job.idempotent,
-		.send_before_us = (r->job.started_ms + FRONT_SEND_MS) * 1000,
+		.send_before_us =
+			(r->job.started_ms + FRONT_SEND_TIMEOUT_MS) * 1000,
 		.done = on_answer,
 		.arg = r,
 	};
@@ -245,6 +246,6 @@
 	}
 	snprintf(url, sizeof(url), "http://%s/%s%s%s%s",
 		 f->cfg->instances[r->job.instance.i].address, r->job.queue,
-		 r->rest, mark, http->query);
+		 r->path_suffix, mark, http->query);
 	httpc_start(f->client, &out);
 }
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -29,7 +29,8 @@
      "platform_compare(txn, ROW_HEAD, e->head_revision);", ";", "faults.txt",
      "Two operators race: one wins, the other is told of the conflict"),
     ("the proof that an instance is empty", "src/entry/entry_change.c",
-     "if (stops && now->state < CFG_OUT && !is_home(e, id))", "if (0)",
+     "if (stops && now->state < CFG_OUT && !instance_is_empty(e, id))",
+     "if (0)",
      "moves.txt", "An instance changes its pool only while it is out, and "
      "departs only empty"),
     ("the ledger's limits", "src/process/ledger.c",
