--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -273,7 +273,7 @@
 		row.cells[i].total = 8;
 		row.cells[i].conf = 1234567;
 	}
-	json = entry_row_json(l, &row);
+	json = entry_row_to_json(l, &row);
 	text = json_dumps(json, JSON_COMPACT);
 	bytes = (double)strlen(text);
 	free(text);
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -254,9 +254,9 @@
 	return false;
 }
 
-static json_t *steps_json(struct entry *e, const struct cfg_wave *wave,
-			  const struct plan_instance *all,
-			  const struct plan_result *plan)
+static json_t *steps_to_json(struct entry *e, const struct cfg_wave *wave,
+			     const struct plan_instance *all,
+			     const struct plan_result *plan)
 {
 	json_t *instances = json_object();
 	enum cfg_instance_state state;
@@ -284,7 +284,7 @@
 
 	add_observations(e, all);
 	plan_next(in, in, &plan);
-	steps = steps_json(e, wave, all, &plan);
+	steps = steps_to_json(e, wave, all, &plan);
 	if (!reboot_instances(e, wave, all, now_ms, &why) &&
 	    wave->state == CFG_WAVE_RUNNING) {
 		json_decref(steps);
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -23,7 +23,7 @@
 			       uint32_t waiting)
 {
 	struct ledger_domain_view view;
-	int64_t want;
+	int64_t target;
 
 	ledger_view(c->ledger, d, &view);
 	if (c->stopping && !c->waiting) {
@@ -31,10 +31,10 @@
 		ledger_release(c->ledger, d, view.held - view.running);
 		return;
 	}
-	want = equal_share(c, view.total) - view.running;
-	if (want < waiting)
-		want = waiting;
-	ledger_want(c->ledger, d, want < view.total ? want : view.total);
+	target = equal_share(c, view.total) - view.running;
+	if (target < waiting)
+		target = waiting;
+	ledger_want(c->ledger, d, target < view.total ? target : view.total);
 }
 
 /*
@@ -276,13 +276,13 @@
 	DEMAND_CHANGED_URGENTLY
 };
 
-static enum demand_change compare_team(uint32_t now, uint32_t sent)
+static enum demand_change compare_team(uint32_t now, uint32_t reported)
 {
-	uint32_t change = now > sent ? now - sent : sent - now;
+	uint32_t change = now > reported ? now - reported : reported - now;
 
-	if (change > CHANGE_URGENT_MILLI && change > sent / 4)
+	if (change > CHANGE_URGENT_MILLI && change > reported / 4)
 		return DEMAND_CHANGED_URGENTLY;
-	if (change > CHANGE_MILLI && change > sent / 8)
+	if (change > CHANGE_MILLI && change > reported / 8)
 		return DEMAND_CHANGED;
 	return DEMAND_UNCHANGED;
 }
@@ -298,21 +298,21 @@
 }
 
 static enum demand_change compare_demand(const struct broker_demand *now,
-					 const struct broker_demand *sent)
+					 const struct broker_demand *reported)
 {
 	enum demand_change most =
-		now->held != sent->held ? DEMAND_CHANGED : DEMAND_UNCHANGED;
+		now->held != reported->held ? DEMAND_CHANGED : DEMAND_UNCHANGED;
 	enum demand_change change;
 	uint32_t i;
 
 	for (i = 0; i < now->team_count; i++) {
 		change = compare_team(now->teams[i].milli_slots,
-				      demand_of(sent, now->teams[i].team));
+				      demand_of(reported, now->teams[i].team));
 		most = change > most ? change : most;
 	}
-	for (i = 0; i < sent->team_count; i++) {
-		change = compare_team(demand_of(now, sent->teams[i].team),
-				      sent->teams[i].milli_slots);
+	for (i = 0; i < reported->team_count; i++) {
+		change = compare_team(demand_of(now, reported->teams[i].team),
+				      reported->teams[i].milli_slots);
 		most = change > most ? change : most;
 	}
 	return most;
@@ -334,34 +334,35 @@
 
 static bool report_is_due(const struct core *c,
 			  const struct broker_demand *demand,
-			  const struct broker_demand *sent, uint64_t sent_ms)
+			  const struct broker_demand *reported,
+			  uint64_t reported_ms)
 {
-	switch (compare_demand(demand, sent)) {
+	switch (compare_demand(demand, reported)) {
 	case DEMAND_CHANGED_URGENTLY:
 		return true;
 	case DEMAND_CHANGED:
-		return c->now_ms >= sent_ms + REPORT_INTERVAL_MS;
+		return c->now_ms >= reported_ms + REPORT_INTERVAL_MS;
 	case DEMAND_UNCHANGED:
 		break;
 	}
 	return (demand->held || demand->team_count) &&
-	       c->now_ms >= sent_ms + REPORT_REFRESH_MS;
+	       c->now_ms >= reported_ms + REPORT_REFRESH_MS;
 }
 
 /* Sends demand to the group's broker when due; takes over demand->teams. */
 static void report_demand(struct core *c, const char *name,
 			  struct broker_demand *demand,
-			  struct broker_demand *sent, uint64_t *sent_ms)
+			  struct broker_demand *reported, uint64_t *reported_ms)
 {
 	struct core_message m = { .kind = CORE_DEMAND };
 
-	if (!report_is_due(c, demand, sent, *sent_ms)) {
+	if (!report_is_due(c, demand, reported, *reported_ms)) {
 		talloc_free(demand->teams);
 		return;
 	}
-	talloc_free(sent->teams);
-	*sent = *demand;
-	*sent_ms = c->now_ms;
+	talloc_free(reported->teams);
+	*reported = *demand;
+	*reported_ms = c->now_ms;
 	m.u.demand = *demand;
 	core_send(c, choose_broker(c, demand->group.kind, name), &m);
 }
--- a/src/entry/entry_effect.c
+++ b/src/entry/entry_effect.c
@@ -51,7 +51,7 @@
 		platform_compare(effect->txn, ROW_MEMBERS,
 				 cas->members_version);
 	platform_put(effect->txn, key,
-		     entry_row_json(core_ledger(e->core), cas->row));
+		     entry_row_to_json(core_ledger(e->core), cas->row));
 	enqueue(e, effect);
 }
 
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -106,7 +106,7 @@
 	struct fresh fresh;
 	uint64_t incarnation;
 	uint64_t registration_nonce;
-	uint64_t registered_version;
+	uint64_t registered_members_version;
 	bool writing_members;
 	json_t *changes[ENTRY_CHANGES_KEPT]; /* index: version modulo size */
 	uint64_t head_revision;		     /* of ROW_HEAD */
@@ -183,6 +183,7 @@
 
 /* entry_probe - ask all peers for their versions */
 void entry_probe(struct entry *e);
+
 void entry_push_members(struct entry *e, uint64_t to);
 void entry_on_frame(void *arg, uint64_t from,
 		    const Jackdawwell__PeerFrame *frame);
@@ -210,7 +211,7 @@
 
 /* Ledger rows */
 
-json_t *entry_row_json(const struct ledger *l, const struct ledger_row *row);
+json_t *entry_row_to_json(const struct ledger *l, const struct ledger_row *row);
 struct ledger_row *entry_row_parse(TALLOC_CTX *ctx, struct ledger *l,
 				   const json_t *value, uint64_t version);
 
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -124,7 +124,7 @@
 static void finish_registration(struct entry *e, uint64_t incarnation)
 {
 	e->incarnation = incarnation;
-	e->registered_version = e->members.version;
+	e->registered_members_version = e->members.version;
 	make_core(e);
 	peer_identify(e->net, incarnation);
 	update_core_members(e);
@@ -354,7 +354,8 @@
 		}
 	}
 	if (self && self->state == MEMBER_JOINING &&
-	    fresh_knowing_members(&e->fresh, next, e->registered_version) >=
+	    fresh_knowing_members(&e->fresh, next,
+				  e->registered_members_version) >=
 		    members_majority(next)) {
 		self->state = MEMBER_FULL;
 		changed = true;
--- a/src/entry/entry_row.c
+++ b/src/entry/entry_row.c
@@ -4,7 +4,7 @@
 
 #define CELL_FIELDS 6
 
-json_t *entry_row_json(const struct ledger *l, const struct ledger_row *row)
+json_t *entry_row_to_json(const struct ledger *l, const struct ledger_row *row)
 {
 	json_t *cells = json_object();
 	json_t *pending = json_array();
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -17,7 +17,7 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define HANG_UP_CHECK_MS 10 /* after shorter waits no hang-up is looked for */
+#define HANG_UP_CHECK_MS 10	/* longer waits: check for a hang-up at start */
 #define FRONT_IDLE_TIMEOUT_S 75 /* for callers' connections */
 #define RUN_PREFIX "/run/"
 
