cli, daemon: wording of the command line and of the daemon

"Words" and "calls" were the arguments and the context of a command, "wanted" instances are the selected ones, and "stands in its way" is a budget that blocks a wave. The terms are command_context, args, usage, base version, subcommand, feasible and minimum duration. Usage errors begin with "usage:" or name the expected arguments; the others say what failed. No test or tool matches the changed messages.

--- a/cli/api.c
+++ b/cli/api.c
@@ -7,6 +7,7 @@
 
 #include "connection/httpc.h"
 
+#define API_ANSWER_MAX (256u << 20) /* bytes */
 #define API_TIMEOUT_MS 20000
 #define API_CONNECT_MS 2000
 #define API_URL_MAX 512	   /* bytes */
@@ -30,9 +31,9 @@
 				answer->body.length, JSON_DECODE_ANY, NULL);
 }
 
-json_t *api_call_at(const struct api *api, const char *entry,
-		    const char *method, const char *path, const json_t *body,
-		    long *code)
+json_t *api_call_entry(const struct api *api, const char *entry,
+		       const char *method, const char *path, const json_t *body,
+		       long *code)
 {
 	TALLOC_CTX *ctx = talloc_new(NULL);
 	struct tevent_context *ev = tevent_context_init(ctx);
@@ -41,16 +42,16 @@
 	char url[API_URL_MAX];
 	char authorization[API_HEADER_MAX];
 	const char *headers[] = { authorization, NULL };
-	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+	char *request_body = body ? json_dumps(body, JSON_COMPACT) : NULL;
 	struct httpc_request request = {
 		.method = method,
 		.url = url,
 		.headers = headers,
-		.body = text,
-		.body_length = text ? strlen(text) : 0,
+		.body = request_body,
+		.body_length = request_body ? strlen(request_body) : 0,
 		.timeout_ms = API_TIMEOUT_MS,
 		.connect_timeout_ms = API_CONNECT_MS,
-		.answer_max = 256u << 20,
+		.answer_max = API_ANSWER_MAX,
 		.once = true,
 		.done = on_answer,
 		.arg = &call,
@@ -63,7 +64,7 @@
 	while (!call.done)
 		tevent_loop_once(ev);
 	talloc_free(ctx);
-	free(text);
+	free(request_body);
 	*code = call.code;
 	return call.body;
 }
@@ -76,7 +77,7 @@
 
 	*code = 0;
 	for (i = 0; i < api->entry_count && !*code; i++)
-		answer = api_call_at(api, api->entries[i], method, path, body,
-				     code);
+		answer = api_call_entry(api, api->entries[i], method, path,
+					body, code);
 	return answer;
 }
--- a/cli/command.c
+++ b/cli/command.c
@@ -37,7 +37,7 @@
 	}
 }
 
-/* Prints an error answer; the exit code that goes with it. */
+/* Prints an error answer; returns the exit code for it. */
 static int print_error(long code, const json_t *answer)
 {
 	const char *error = json_string_value(json_object_get(answer, "error"));
@@ -52,14 +52,14 @@
 	return EXIT_REFUSED;
 }
 
-static void print_accepted(const struct command_call *call, long code,
+static void print_accepted(const struct command_context *cmd, long code,
 			   const json_t *answer)
 {
 	json_int_t version =
 		json_integer_value(json_object_get(answer, "version"));
 	const char *key = json_string_value(json_object_get(answer, "key"));
 
-	if (call->json) {
+	if (cmd->json) {
 		print_json(answer);
 		return;
 	}
@@ -83,16 +83,17 @@
 	json_object_set_new(body, "id", json_string(id));
 }
 
-static int post(const struct command_call *call, const char *path, json_t *body)
+static int post_change(const struct command_context *cmd, const char *path,
+		       json_t *body)
 {
 	long code;
 	json_t *answer;
 	int exit_code = 0;
 
 	add_id(body);
-	answer = api_call(&call->api, "POST", path, body, &code);
+	answer = api_call(&cmd->api, "POST", path, body, &code);
 	if (code == 200 || code == 202)
-		print_accepted(call, code, answer);
+		print_accepted(cmd, code, answer);
 	else
 		exit_code = print_error(code, answer);
 	json_decref(answer);
@@ -100,17 +101,18 @@
 	return exit_code;
 }
 
-int command_change(const struct command_call *call, json_int_t base,
+int command_change(const struct command_context *cmd, json_int_t base_version,
 		   json_t *change)
 {
-	return post(call, "/v1/config",
-		    json_pack("{s:I, s:o}", "base", base, "change", change));
+	return post_change(cmd, "/v1/config",
+			   json_pack("{s:I, s:o}", "base", base_version,
+				     "change", change));
 }
 
-json_t *command_config(const struct command_call *call, int *exit_code)
+json_t *command_config(const struct command_context *cmd, int *exit_code)
 {
 	long code;
-	json_t *answer = api_call(&call->api, "GET", "/v1/config", NULL, &code);
+	json_t *answer = api_call(&cmd->api, "GET", "/v1/config", NULL, &code);
 
 	*exit_code = code == 200 ? 0 : print_error(code, answer);
 	if (!*exit_code)
@@ -119,7 +121,7 @@
 	return NULL;
 }
 
-static json_int_t version_of(const json_t *answer)
+static json_int_t answer_version(const json_t *answer)
 {
 	return json_integer_value(json_object_get(answer, "version"));
 }
@@ -129,18 +131,20 @@
 static void print_object_change(const char *kind, const char *name,
 				const json_t *before, const json_t *after)
 {
-	char *was = before ? json_dumps(before, JSON_COMPACT | JSON_SORT_KEYS)
-			   : NULL;
-	char *is = json_is_null(after)
-			   ? NULL
-			   : json_dumps(after, JSON_COMPACT | JSON_SORT_KEYS);
-
-	if (was)
-		printf("- %s %s %s\n", kind, name, was);
-	if (is)
-		printf("+ %s %s %s\n", kind, name, is);
-	free(was);
-	free(is);
+	char *old_text =
+		before ? json_dumps(before, JSON_COMPACT | JSON_SORT_KEYS)
+		       : NULL;
+	char *new_text =
+		json_is_null(after)
+			? NULL
+			: json_dumps(after, JSON_COMPACT | JSON_SORT_KEYS);
+
+	if (old_text)
+		printf("- %s %s %s\n", kind, name, old_text);
+	if (new_text)
+		printf("+ %s %s %s\n", kind, name, new_text);
+	free(old_text);
+	free(new_text);
 }
 
 static void print_change(const json_t *config, const json_t *change)
@@ -163,89 +167,89 @@
 	}
 }
 
-/* States and generations are the system's; a file does not set them. */
-static void keep_state(const json_t *config, json_t *doc)
+/* A file cannot change states and generations: the current ones are kept. */
+static void keep_current_state(const json_t *config, json_t *doc)
 {
 	const char *name;
 	json_t *object;
-	json_t *known;
+	json_t *current;
 
 	json_object_foreach(json_object_get(doc, "instances"), name, object)
 	{
-		known = json_object_get(json_object_get(config, "instances"),
-					name);
-		if (json_object_get(known, "state"))
+		current = json_object_get(json_object_get(config, "instances"),
+					  name);
+		if (json_object_get(current, "state"))
 			json_object_set(object, "state",
-					json_object_get(known, "state"));
+					json_object_get(current, "state"));
 		else
 			json_object_set_new(object, "state",
 					    json_string("serving"));
-		if (json_object_get(known, "generation"))
+		if (json_object_get(current, "generation"))
 			json_object_set(object, "generation",
-					json_object_get(known, "generation"));
+					json_object_get(current, "generation"));
 	}
 }
 
-static int load_doc(const struct command_call *call, json_t *doc)
+static int load_doc(const struct command_context *cmd, json_t *doc)
 {
 	int exit_code;
-	json_t *answer = command_config(call, &exit_code);
+	json_t *answer = command_config(cmd, &exit_code);
 	const json_t *config = json_object_get(answer, "config");
 	json_t *change;
 
 	if (!answer)
 		return exit_code;
-	keep_state(config, doc);
+	keep_current_state(config, doc);
 	change = cfg_diff(config, doc);
-	if (!call->json)
+	if (!cmd->json)
 		print_change(config, change);
-	else if (call->dry_run)
+	else if (cmd->dry_run)
 		print_json(change);
 	if (!json_object_size(change)) {
 		printf("nothing to change\n");
 		json_decref(change);
-	} else if (call->dry_run) {
+	} else if (cmd->dry_run) {
 		json_decref(change);
 	} else {
-		exit_code = command_change(call, version_of(answer), change);
+		exit_code = command_change(cmd, answer_version(answer), change);
 	}
 	json_decref(answer);
 	return exit_code;
 }
 
-int command_load(const struct command_call *call)
+int command_load(const struct command_context *cmd)
 {
 	struct status_message message;
-	json_t *doc = inventory_load(call->words[0], &message);
+	json_t *doc = inventory_load(cmd->args[0], &message);
 	int exit_code;
 
 	if (!doc) {
 		fprintf(stderr, "jackdawwell: %s\n", message.text);
 		return EXIT_REFUSED;
 	}
-	exit_code = load_doc(call, doc);
+	exit_code = load_doc(cmd, doc);
 	json_decref(doc);
 	return exit_code;
 }
 
-/* key issue NAME TEAM, key withdraw NAME */
+/* key */
 
-int command_key(const struct command_call *call)
+int command_key(const struct command_context *cmd)
 {
-	const char *name = call->word_count > 1 ? call->words[1] : "";
+	const char *name = cmd->arg_count > 1 ? cmd->args[1] : "";
 	int exit_code;
 	json_t *answer;
 
-	if (!strcmp(call->words[0], "issue") && call->word_count == 3)
-		return post(call, "/v1/keys",
-			    json_pack("{s:s, s:s}", "name", name, "team",
-				      call->words[2]));
-	if (strcmp(call->words[0], "withdraw") || call->word_count != 2) {
-		fprintf(stderr, "jackdawwell: wanted `key issue NAME TEAM` or "
-				"`key withdraw NAME`\n");
+	if (!strcmp(cmd->args[0], "issue") && cmd->arg_count == 3)
+		return post_change(cmd, "/v1/keys",
+				   json_pack("{s:s, s:s}", "name", name, "team",
+					     cmd->args[2]));
+	if (strcmp(cmd->args[0], "withdraw") || cmd->arg_count != 2) {
+		fprintf(stderr, "usage: jackdawwell key issue NAME TEAM | "
+				"withdraw NAME\n");
 		return EXIT_USAGE;
 	}
-	answer = command_config(call, &exit_code);
+	answer = command_config(cmd, &exit_code);
 	if (!answer)
 		return exit_code;
 	if (!json_object_get(
@@ -255,7 +259,7 @@
 		json_decref(answer);
 		return EXIT_REFUSED;
 	}
-	exit_code = command_change(call, version_of(answer),
+	exit_code = command_change(cmd, answer_version(answer),
 				   json_pack("{s:{s:n}}", "keys", name));
 	json_decref(answer);
 	return exit_code;
@@ -263,17 +267,17 @@
 
 /* Lists */
 
-int command_list(const struct command_call *call, const char *kind,
+int command_list(const struct command_context *cmd, const char *kind,
 		 const char *const *columns)
 {
 	int exit_code;
-	json_t *answer = command_config(call, &exit_code);
+	json_t *answer = command_config(cmd, &exit_code);
 	const json_t *objects;
 
 	if (!answer)
 		return exit_code;
 	objects = json_object_get(json_object_get(answer, "config"), kind);
-	if (call->json)
+	if (cmd->json)
 		print_json(objects);
 	else
 		table_print(objects, kind, columns);
@@ -281,30 +285,30 @@
 	return 0;
 }
 
-int command_teams(const struct command_call *call)
+int command_teams(const struct command_context *cmd)
 {
 	static const char *const columns[] = { "share", "limit", NULL };
 
-	return command_list(call, "teams", columns);
+	return command_list(cmd, "teams", columns);
 }
 
-int command_queues(const struct command_call *call)
+int command_queues(const struct command_context *cmd)
 {
 	static const char *const columns[] = { "pool",	      "team",
 					       "class",	      "idempotent",
 					       "open",	      "run_max_ms",
 					       "wait_max_ms", NULL };
 
-	return command_list(call, "queues", columns);
+	return command_list(cmd, "queues", columns);
 }
 
-int command_instances(const struct command_call *call)
+int command_instances(const struct command_context *cmd)
 {
 	static const char *const columns[] = { "state",	  "pool",  "zone",
 					       "rack",	  "slots", "department",
 					       "address", NULL };
 
-	return command_list(call, "instances", columns);
+	return command_list(cmd, "instances", columns);
 }
 
 /* status */
@@ -319,21 +323,21 @@
 			 json_object_get(status, "incarnation"));
 }
 
-int command_status(const struct command_call *call)
+int command_status(const struct command_context *cmd)
 {
 	static const char *const columns[] = { "zone",	      "state",
 					       "version",     "fresh",
 					       "incarnation", NULL };
 	json_t *rows = json_object();
-	json_t *all = json_object();
+	json_t *statuses = json_object();
 	int reached = 0;
 	int i;
 
-	for (i = 0; i < call->api.entry_count; i++) {
+	for (i = 0; i < cmd->api.entry_count; i++) {
 		long code;
-		const char *entry = call->api.entries[i];
-		json_t *status = api_call_at(&call->api, entry, "GET",
-					     "/v1/status", NULL, &code);
+		const char *entry = cmd->api.entries[i];
+		json_t *status = api_call_entry(&cmd->api, entry, "GET",
+						"/v1/status", NULL, &code);
 
 		if (code == 200) {
 			reached++;
@@ -341,7 +345,7 @@
 					    json_string_value(json_object_get(
 						    status, "name")),
 					    status_row(status));
-			json_object_set(all, entry, status);
+			json_object_set(statuses, entry, status);
 		} else if (code) {
 			print_error(code, status);
 		} else {
@@ -349,23 +353,23 @@
 		}
 		json_decref(status);
 	}
-	if (call->json)
-		print_json(all);
+	if (cmd->json)
+		print_json(statuses);
 	else if (reached)
 		table_print(rows, "entry", columns);
 	json_decref(rows);
-	json_decref(all);
+	json_decref(statuses);
 	return reached ? 0 : EXIT_UNREACHABLE;
 }
 
-/* Instances' states */
+/* States of instances */
 
-/* A change that gives each named instance a field's value. */
-static int change_instances(const struct command_call *call, int count,
+/* Sets a field of each named instance in one change. */
+static int change_instances(const struct command_context *cmd, int count,
 			    const char *field, const char *value)
 {
 	int exit_code;
-	json_t *answer = command_config(call, &exit_code);
+	json_t *answer = command_config(cmd, &exit_code);
 	json_t *instances;
 	json_t *changed = json_object();
 	int i;
@@ -378,48 +382,48 @@
 		json_object_get(json_object_get(answer, "config"), "instances");
 	for (i = 0; i < count && !exit_code; i++) {
 		json_t *object =
-			json_copy(json_object_get(instances, call->words[i]));
+			json_copy(json_object_get(instances, cmd->args[i]));
 
 		if (!object) {
 			fprintf(stderr, "jackdawwell: no instance \"%s\"\n",
-				call->words[i]);
+				cmd->args[i]);
 			exit_code = EXIT_REFUSED;
 			break;
 		}
 		json_object_set_new(object, field, json_string(value));
-		json_object_set_new(changed, call->words[i], object);
+		json_object_set_new(changed, cmd->args[i], object);
 	}
 	if (exit_code)
 		json_decref(changed);
 	else
 		exit_code = command_change(
-			call, version_of(answer),
+			cmd, answer_version(answer),
 			json_pack("{s:o}", "instances", changed));
 	json_decref(answer);
 	return exit_code;
 }
 
-int command_drain(const struct command_call *call)
+int command_drain(const struct command_context *cmd)
 {
-	return change_instances(call, call->word_count, "state", "draining");
+	return change_instances(cmd, cmd->arg_count, "state", "draining");
 }
 
-int command_undrain(const struct command_call *call)
+int command_undrain(const struct command_context *cmd)
 {
-	return change_instances(call, call->word_count, "state", "serving");
+	return change_instances(cmd, cmd->arg_count, "state", "serving");
 }
 
-int command_out(const struct command_call *call)
+int command_out(const struct command_context *cmd)
 {
-	return change_instances(call, call->word_count, "state", "out");
+	return change_instances(cmd, cmd->arg_count, "state", "out");
 }
 
-int command_depart(const struct command_call *call)
+int command_depart(const struct command_context *cmd)
 {
-	return change_instances(call, call->word_count, "state", "departed");
+	return change_instances(cmd, cmd->arg_count, "state", "departed");
 }
 
-int command_move(const struct command_call *call)
+int command_move(const struct command_context *cmd)
 {
-	return change_instances(call, 1, "pool", call->words[1]);
+	return change_instances(cmd, 1, "pool", cmd->args[1]);
 }
--- a/cli/jackdawwell.c
+++ b/cli/jackdawwell.c
@@ -1,3 +1,6 @@
+/*
+ * jackdawwell - command line for operators
+ */
 #include <argtable2.h>
 #include <curl/curl.h>
 #include <signal.h>
@@ -10,7 +13,7 @@
 #include "process/log.h"
 
 #define ENTRIES_MAX 64
-#define WORDS_MAX 1000
+#define ARGS_MAX 1000
 
 static const struct command commands[] = {
 	{ "load", "FILE", 1, 1, command_load },
@@ -19,11 +22,11 @@
 	{ "queues", "", 0, 0, command_queues },
 	{ "instances", "", 0, 0, command_instances },
 	{ "status", "", 0, 0, command_status },
-	{ "drain", "INSTANCE...", 1, WORDS_MAX, command_drain },
-	{ "undrain", "INSTANCE...", 1, WORDS_MAX, command_undrain },
-	{ "out", "INSTANCE...", 1, WORDS_MAX, command_out },
+	{ "drain", "INSTANCE...", 1, ARGS_MAX, command_drain },
+	{ "undrain", "INSTANCE...", 1, ARGS_MAX, command_undrain },
+	{ "out", "INSTANCE...", 1, ARGS_MAX, command_out },
 	{ "move", "INSTANCE POOL", 2, 2, command_move },
-	{ "depart", "INSTANCE...", 1, WORDS_MAX, command_depart },
+	{ "depart", "INSTANCE...", 1, ARGS_MAX, command_depart },
 	{ "wave",
 	  "plan|start NAME [pool=P] [zone=Z] [rack=R] [return_max_s=N] | "
 	  "pause|resume|abort|show NAME",
@@ -34,20 +37,20 @@
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
 
-static void usage(void **table)
+static void print_usage(void **arg_table)
 {
 	size_t i;
 
 	fprintf(stderr, "usage: jackdawwell");
-	arg_print_syntax(stderr, table, "\n");
-	arg_print_glossary(stderr, table, "  %-24s %s\n");
+	arg_print_syntax(stderr, arg_table, "\n");
+	arg_print_glossary(stderr, arg_table, "  %-24s %s\n");
 	fprintf(stderr, "commands:\n");
 	for (i = 0; i < COMMAND_COUNT; i++)
 		fprintf(stderr, "  %s %s\n", commands[i].name,
-			commands[i].words);
+			commands[i].usage);
 }
 
-static const struct command *find(const char *name)
+static const struct command *find_command(const char *name)
 {
 	size_t i;
 
@@ -57,22 +60,24 @@
 	return NULL;
 }
 
-static int run(struct command_call *call, const char **words, int count,
-	       void **table)
+static int run_command(struct command_context *cmd, const char **words,
+		       int count, void **arg_table)
 {
-	const struct command *command = find(words[0]);
+	const struct command *command = find_command(words[0]);
 
-	call->words = words + 1;
-	call->word_count = count - 1;
-	if (command && call->word_count >= command->words_min &&
-	    call->word_count <= command->words_max)
-		return command->run(call);
+	cmd->args = words + 1;
+	cmd->arg_count = count - 1;
+	if (command && cmd->arg_count >= command->args_min &&
+	    cmd->arg_count <= command->args_max)
+		return command->run(cmd);
 	if (!command)
-		fprintf(stderr, "jackdawwell: no command \"%s\"\n", words[0]);
+		fprintf(stderr, "jackdawwell: unknown command \"%s\"\n",
+			words[0]);
 	else
-		fprintf(stderr, "jackdawwell: wanted `%s %s`\n", command->name,
-			command->words);
-	usage(table);
+		fprintf(stderr,
+			"jackdawwell: wrong arguments, expected `%s %s`\n",
+			command->name, command->usage);
+	print_usage(arg_table);
 	return EXIT_USAGE;
 }
 
@@ -84,30 +89,30 @@
 	struct arg_str *token = arg_str0("t", "token", "TOKEN",
 					 "credential; else JACKDAWWELL_TOKEN");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
-	struct arg_lit *dry =
+	struct arg_lit *dry_run =
 		arg_lit0(NULL, "dry-run", "show what load would change");
 	struct arg_str *words =
-		arg_strn(NULL, NULL, "COMMAND", 1, WORDS_MAX, "see below");
+		arg_strn(NULL, NULL, "COMMAND", 1, ARGS_MAX, "see below");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { entries, token, json, dry, words, end };
-	struct command_call call = { 0 };
+	void *arg_table[] = { entries, token, json, dry_run, words, end };
+	struct command_context cmd = { 0 };
 
-	if (arg_parse(argc, argv, table)) {
+	if (arg_parse(argc, argv, arg_table)) {
 		arg_print_errors(stderr, end, "jackdawwell");
-		usage(table);
+		print_usage(arg_table);
 		return EXIT_USAGE;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	log_init(LOG_ERROR, "jackdawwell");
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT))
 		return EXIT_REFUSED;
-	call.api.entries = entries->sval;
-	call.api.entry_count = entries->count;
-	call.api.token =
+	cmd.api.entries = entries->sval;
+	cmd.api.entry_count = entries->count;
+	cmd.api.token =
 		token->count ? token->sval[0] : getenv("JACKDAWWELL_TOKEN");
-	if (!call.api.token)
-		call.api.token = "";
-	call.json = json->count;
-	call.dry_run = dry->count;
-	return run(&call, words->sval, words->count, table);
+	if (!cmd.api.token)
+		cmd.api.token = "";
+	cmd.json = json->count;
+	cmd.dry_run = dry_run->count;
+	return run_command(&cmd, words->sval, words->count, arg_table);
 }
--- a/cli/node.c
+++ b/cli/node.c
@@ -1,6 +1,7 @@
 /*
- * node - commands about nodes of the users' platform; -e gives their peers'
- * addresses
+ * node - commands for nodes of the users' platform
+ *
+ * Here the option -e gives the nodes' addresses for peers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,7 +10,7 @@
 #include "cli/command.h"
 #include "cli/table.h"
 
-#define PATH_MAX_BYTES 64
+#define EXPLAIN_PATH_MAX 64 /* bytes */
 
 static void print_document(const json_t *document)
 {
@@ -19,7 +20,7 @@
 	free(text);
 }
 
-int command_nodes(const struct command_call *call)
+int command_nodes(const struct command_context *cmd)
 {
 	static const char *const columns[] = { "zone",	"leads",  "lead",
 					       "epoch", "config", "store",
@@ -28,11 +29,11 @@
 	int exit_code;
 	int i;
 
-	for (i = 0; i < call->api.entry_count; i++) {
-		const char *entry = call->api.entries[i];
+	for (i = 0; i < cmd->api.entry_count; i++) {
+		const char *entry = cmd->api.entries[i];
 		long code;
-		json_t *status = api_call_at(&call->api, entry, "GET",
-					     "/status", NULL, &code);
+		json_t *status = api_call_entry(&cmd->api, entry, "GET",
+						"/status", NULL, &code);
 		const char *name =
 			json_string_value(json_object_get(status, "node"));
 
@@ -43,7 +44,7 @@
 		json_decref(status);
 	}
 	exit_code = json_object_size(rows) ? 0 : EXIT_UNREACHABLE;
-	if (call->json)
+	if (cmd->json)
 		print_document(rows);
 	else if (!exit_code)
 		table_print(rows, "node", columns);
@@ -51,18 +52,18 @@
 	return exit_code;
 }
 
-/* Only the lead knows a job whole, so the first node that knows it is it. */
-int command_explain(const struct command_call *call)
+/* Only the leader knows all of a job, so the first answer is the leader's. */
+int command_explain(const struct command_context *cmd)
 {
-	char path[PATH_MAX_BYTES];
+	char path[EXPLAIN_PATH_MAX];
 	int reached = 0;
 	int i;
 
-	snprintf(path, sizeof(path), "/explain/%s", call->words[0]);
-	for (i = 0; i < call->api.entry_count; i++) {
+	snprintf(path, sizeof(path), "/explain/%s", cmd->args[0]);
+	for (i = 0; i < cmd->api.entry_count; i++) {
 		long code;
-		json_t *job = api_call_at(&call->api, call->api.entries[i],
-					  "GET", path, NULL, &code);
+		json_t *job = api_call_entry(&cmd->api, cmd->api.entries[i],
+					     "GET", path, NULL, &code);
 
 		reached += code != 0;
 		if (code == 200 && job) {
@@ -77,6 +78,6 @@
 		return EXIT_UNREACHABLE;
 	}
 	fprintf(stderr, "jackdawwell: no job %s at the nodes asked\n",
-		call->words[0]);
+		cmd->args[0]);
 	return EXIT_REFUSED;
 }
--- a/cli/table.c
+++ b/cli/table.c
@@ -21,13 +21,13 @@
 		snprintf(text, TABLE_CELL_MAX, "-");
 }
 
-static void widen(size_t *width, const char *text)
+static void grow_width(size_t *width, const char *text)
 {
 	if (strlen(text) > *width)
 		*width = strlen(text);
 }
 
-static int by_name(const void *a, const void *b)
+static int compare_names(const void *a, const void *b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
@@ -44,7 +44,7 @@
 	{
 		names[(*count)++] = name;
 	}
-	qsort(names, *count, sizeof(*names), by_name);
+	qsort(names, *count, sizeof(*names), compare_names);
 	return names;
 }
 
@@ -63,10 +63,10 @@
 	for (i = 0; i < count; i++) {
 		json_t *o = json_object_get(objects, names[i]);
 
-		widen(&widths[0], names[i]);
+		grow_width(&widths[0], names[i]);
 		for (c = 0; columns[c]; c++) {
 			cell_text(json_object_get(o, columns[c]), text);
-			widen(&widths[c + 1], text);
+			grow_width(&widths[c + 1], text);
 		}
 	}
 	printf("%-*s", (int)widths[0], title);
--- a/cli/table.h
+++ b/cli/table.h
@@ -1,5 +1,5 @@
 /*
- * table - named objects as aligned columns
+ * table - prints objects as aligned columns
  */
 #ifndef TABLE_H
 #define TABLE_H
@@ -7,7 +7,9 @@
 #include <jansson.h>
 
 /*
- * table_print - one row an object, by name; columns ends with NULL
+ * table_print - print one row for each object, sorted by name
+ *
+ * columns is a list of field names that ends with NULL.
  */
 void table_print(const json_t *objects, const char *title,
 		 const char *const *columns);
--- a/cli/wave.c
+++ b/cli/wave.c
@@ -1,3 +1,6 @@
+/*
+ * wave - the command `wave`: plan, start, pause, resume, abort and show waves
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,22 +9,22 @@
 #include "version/wave.h"
 
 #define BAR_WIDTH 30
-#define CYCLE_S 300.0 /* taken for an instance's drain and reboot */
+#define DRAIN_REBOOT_S 300.0 /* estimate for one instance */
 
-/* A wave's object from words `field=value`; NULL after printing why not. */
-static json_t *wave_object(const struct command_call *call, int from)
+/* A wave from arguments `field=value`; NULL after printing the error. */
+static json_t *parse_wave(const struct command_context *cmd, int first_arg)
 {
 	json_t *object = json_pack("{s:s}", "state", "running");
 	int i;
 
-	for (i = from; i < call->word_count; i++) {
-		const char *word = call->words[i];
+	for (i = first_arg; i < cmd->arg_count; i++) {
+		const char *word = cmd->args[i];
 		const char *equals = strchr(word, '=');
 		char field[32];
 
 		if (!equals || equals - word >= (int)sizeof(field)) {
 			fprintf(stderr,
-				"jackdawwell: \"%s\": wanted pool=NAME, "
+				"jackdawwell: \"%s\": expected pool=NAME, "
 				"zone=NAME, rack=NAME or return_max_s=N\n",
 				word);
 			json_decref(object);
@@ -39,9 +42,10 @@
 	return object;
 }
 
-/* The configuration as the entries see it, with the wave put in. */
-static struct cfg *compile(TALLOC_CTX *ctx, json_t *config, const char *name,
-			   json_t *wave, struct status_message *m)
+/* Compiles the configuration as the entries do, with the wave added. */
+static struct cfg *compile_config(TALLOC_CTX *ctx, json_t *config,
+				  const char *name, json_t *wave,
+				  struct status_message *m)
 {
 	struct cfg_names *names = cfg_names_new(ctx);
 	struct cfg *empty = cfg_empty(names);
@@ -59,13 +63,13 @@
 }
 
 struct progress {
-	uint32_t wanted;
+	uint32_t selected;
 	uint32_t done;
 	uint32_t draining;
 	uint32_t out;
 };
 
-static struct progress progress_of(const struct plan_input *in)
+static struct progress count_progress(const struct plan_input *in)
 {
 	struct progress p = { 0 };
 	uint32_t i;
@@ -75,7 +79,7 @@
 
 		if (!x->wanted)
 			continue;
-		p.wanted++;
+		p.selected++;
 		p.done += x->done;
 		p.draining += !x->done && x->state == PLAN_DRAINING;
 		p.out += !x->done && x->state == PLAN_OUT;
@@ -86,17 +90,18 @@
 static void print_progress(const struct cfg_wave *wave,
 			   const struct progress *p)
 {
-	uint32_t full = p->wanted ? p->done * BAR_WIDTH / p->wanted : 0;
+	uint32_t filled = p->selected ? p->done * BAR_WIDTH / p->selected : 0;
 	uint32_t i;
 
 	printf("wave %s %s [", wave->name, cfg_wave_state_name(wave->state));
 	for (i = 0; i < BAR_WIDTH; i++)
-		putchar(i < full ? '#' : '.');
-	printf("] %u of %u done, %u draining, %u out%s%s\n", p->done, p->wanted,
-	       p->draining, p->out, *wave->why ? ": " : "", wave->why);
+		putchar(i < filled ? '#' : '.');
+	printf("] %u of %u done, %u draining, %u out%s%s\n", p->done,
+	       p->selected, p->draining, p->out, *wave->why ? ": " : "",
+	       wave->why);
 }
 
-static char mark_of(const struct plan_instance *x)
+static char instance_mark(const struct plan_instance *x)
 {
 	if (x->done)
 		return '#';
@@ -113,77 +118,76 @@
 	return '?';
 }
 
-struct place {
+struct fleet_cell {
 	const char *zone;
 	const char *rack;
 	char mark;
 };
 
-static int by_place(const void *a, const void *b)
+static int compare_cells(const void *a, const void *b)
 {
-	const struct place *x = a;
-	const struct place *y = b;
+	const struct fleet_cell *x = a;
+	const struct fleet_cell *y = b;
 	int zones = strcmp(x->zone, y->zone);
 
 	return zones ? zones : strcmp(x->rack, y->rack);
 }
 
-/* A line a rack, grouped by availability zone, a mark an instance. */
+/* One line per rack, grouped by availability zone; one mark per instance. */
 static void print_fleet(const struct cfg *cfg, const struct plan_input *in)
 {
-	struct place *places =
-		talloc_array(NULL, struct place, cfg->instance_count + 1);
+	struct fleet_cell *cells =
+		talloc_array(NULL, struct fleet_cell, cfg->instance_count + 1);
 	uint32_t n = 0;
 	uint32_t i;
 
 	for (i = 0; i < cfg->instance_count; i++)
 		if (cfg->instances[i].present)
-			places[n++] =
-				(struct place){ cfg->instances[i].zone,
-						cfg->instances[i].rack,
-						mark_of(&in->instances[i]) };
-	qsort(places, n, sizeof(*places), by_place);
+			cells[n++] = (struct fleet_cell){
+				cfg->instances[i].zone, cfg->instances[i].rack,
+				instance_mark(&in->instances[i])
+			};
+	qsort(cells, n, sizeof(*cells), compare_cells);
 	printf("# done  . to do  - not in the wave  d draining  o out");
 	for (i = 0; i < n; i++) {
-		if (!i || by_place(&places[i - 1], &places[i]))
-			printf("\n%-10s %-10s ", places[i].zone,
-			       places[i].rack);
-		putchar(places[i].mark);
+		if (!i || compare_cells(&cells[i - 1], &cells[i]))
+			printf("\n%-10s %-10s ", cells[i].zone, cells[i].rack);
+		putchar(cells[i].mark);
 	}
 	printf("\n");
-	talloc_free(places);
+	talloc_free(cells);
 }
 
-static void print_bound(const struct plan_input *in)
+static void print_min_duration(const struct plan_input *in)
 {
-	double s = plan_bound_s(in, CYCLE_S);
+	double s = plan_bound_s(in, DRAIN_REBOOT_S);
 
-	printf("at %.0f s an instance it takes at least %.0f min\n", CYCLE_S,
-	       s / 60);
+	printf("at %.0f s per instance the wave takes at least %.0f min\n",
+	       DRAIN_REBOOT_S, s / 60);
 }
 
-/* False after printing which budget stands in the way. */
-static bool check_possible(const struct cfg *cfg, const struct plan_input *in)
+/* False after printing which budget blocks the wave. */
+static bool check_feasible(const struct cfg *cfg, const struct plan_input *in)
 {
 	struct plan_result result;
 
 	if (plan_possible(in, &result))
 		return true;
 	fprintf(stderr,
-		"jackdawwell: the wave cannot be met: pool \"%s\", %s stands "
-		"in its way until it is changed\n",
+		"jackdawwell: the wave is not feasible: pool \"%s\", budget "
+		"%s blocks it until it is changed\n",
 		cfg->pools[result.blocked_pool].name,
 		plan_budget_name(result.blocked));
 	return false;
 }
 
-static int show(json_t *config, const char *name, json_t *wave, bool plan)
+static int show_wave(json_t *config, const char *name, json_t *wave, bool plan)
 {
 	TALLOC_CTX *ctx = talloc_new(NULL);
 	struct status_message m = { "" };
-	struct cfg *cfg = compile(ctx, config, name, wave, &m);
+	struct cfg *cfg = compile_config(ctx, config, name, wave, &m);
 	const struct cfg_wave *found = cfg ? wave_find(cfg, name) : NULL;
-	struct plan_instance *all;
+	struct plan_instance *instances;
 	struct plan_input *in;
 	struct progress progress;
 	int exit_code = 0;
@@ -193,13 +197,13 @@
 			cfg ? "no such wave" : m.text);
 		exit_code = EXIT_REFUSED;
 	} else {
-		in = wave_input(ctx, cfg, found, &all);
-		progress = progress_of(in);
+		in = wave_input(ctx, cfg, found, &instances);
+		progress = count_progress(in);
 		print_progress(found, &progress);
 		print_fleet(cfg, in);
 		if (plan)
-			print_bound(in);
-		if (plan && !check_possible(cfg, in))
+			print_min_duration(in);
+		if (plan && !check_feasible(cfg, in))
 			exit_code = EXIT_REFUSED;
 	}
 	cfg_unref(cfg);
@@ -207,79 +211,81 @@
 	return exit_code;
 }
 
-static int set_state(const struct command_call *call, const json_t *answer,
-		     const char *name, const char *state)
+static int set_wave_state(const struct command_context *cmd,
+			  const json_t *answer, const char *name,
+			  const char *state)
 {
-	json_t *known = json_object_get(
+	json_t *current = json_object_get(
 		json_object_get(json_object_get(answer, "config"), "waves"),
 		name);
 	json_t *object;
 
-	if (!known) {
+	if (!current) {
 		fprintf(stderr, "jackdawwell: no wave \"%s\"\n", name);
 		return EXIT_REFUSED;
 	}
-	object = json_copy(known);
+	object = json_copy(current);
 	json_object_set_new(object, "state", json_string(state));
 	json_object_del(object, "why");
 	return command_change(
-		call, json_integer_value(json_object_get(answer, "version")),
+		cmd, json_integer_value(json_object_get(answer, "version")),
 		json_pack("{s:{s:o}}", "waves", name, object));
 }
 
-static int start(const struct command_call *call, json_t *answer,
-		 const char *name, bool really)
+static int plan_or_start(const struct command_context *cmd, json_t *answer,
+			 const char *name, bool commit)
 {
-	json_t *wave = wave_object(call, 2);
+	json_t *wave = parse_wave(cmd, 2);
 	json_t *config = json_object_get(answer, "config");
 	int exit_code;
 
 	if (!wave)
 		return EXIT_USAGE;
 	if (json_object_get(json_object_get(config, "waves"), name)) {
-		fprintf(stderr, "jackdawwell: a wave \"%s\" exists\n", name);
+		fprintf(stderr, "jackdawwell: wave \"%s\" exists already\n",
+			name);
 		json_decref(wave);
 		return EXIT_REFUSED;
 	}
-	exit_code = show(config, name, wave, true);
-	if (!exit_code && really)
+	exit_code = show_wave(config, name, wave, true);
+	if (!exit_code && commit)
 		exit_code = command_change(
-			call,
+			cmd,
 			json_integer_value(json_object_get(answer, "version")),
 			json_pack("{s:{s:O}}", "waves", name, wave));
 	json_decref(wave);
 	return exit_code;
 }
 
-static int run(const struct command_call *call, json_t *answer)
+static int run_subcommand(const struct command_context *cmd, json_t *answer)
 {
-	const char *verb = call->words[0];
-	const char *name = call->words[1];
+	const char *verb = cmd->args[0];
+	const char *name = cmd->args[1];
 
 	if (!strcmp(verb, "plan") || !strcmp(verb, "start"))
-		return start(call, answer, name, !strcmp(verb, "start"));
+		return plan_or_start(cmd, answer, name, !strcmp(verb, "start"));
 	if (!strcmp(verb, "show"))
-		return show(json_object_get(answer, "config"), name, NULL,
-			    false);
+		return show_wave(json_object_get(answer, "config"), name, NULL,
+				 false);
 	if (!strcmp(verb, "pause"))
-		return set_state(call, answer, name, "paused");
+		return set_wave_state(cmd, answer, name, "paused");
 	if (!strcmp(verb, "resume"))
-		return set_state(call, answer, name, "running");
+		return set_wave_state(cmd, answer, name, "running");
 	if (!strcmp(verb, "abort"))
-		return set_state(call, answer, name, "aborted");
-	fprintf(stderr, "jackdawwell: wanted `wave plan|start|pause|resume|"
-			"abort|show NAME`\n");
+		return set_wave_state(cmd, answer, name, "aborted");
+	fprintf(stderr, "usage: jackdawwell wave plan|start|pause|resume|"
+			"abort|show NAME\n");
 	return EXIT_USAGE;
 }
 
-int command_wave(const struct command_call *call)
+int command_wave(const struct command_context *cmd)
 {
 	int exit_code;
-	json_t *answer = command_config(call, &exit_code);
+	json_t *answer = command_config(cmd, &exit_code);
 
 	if (!answer)
 		return exit_code;
-	exit_code = run(call, answer);
+	exit_code = run_subcommand(cmd, answer);
 	json_decref(answer);
 	return exit_code;
 }
--- a/daemon/jackdawwelld.c
+++ b/daemon/jackdawwelld.c
@@ -1,3 +1,6 @@
+/*
+ * jackdawwelld - runs one entry
+ */
 #include <argtable2.h>
 #include <curl/curl.h>
 #include <signal.h>
@@ -17,15 +20,15 @@
 		arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *verbose = arg_lit0("v", "verbose", "log more");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { check, verbose, file, end };
+	void *arg_table[] = { check, verbose, file, end };
 	struct status_message message;
 	struct settings *settings;
 	int code;
 
-	if (arg_parse(argc, argv, table)) {
+	if (arg_parse(argc, argv, arg_table)) {
 		arg_print_errors(stderr, end, "jackdawwelld");
 		fprintf(stderr, "usage: jackdawwelld");
-		arg_print_syntax(stderr, table, "\n");
+		arg_print_syntax(stderr, arg_table, "\n");
 		return EXIT_USAGE;
 	}
 	settings = settings_load(file->filename[0], &message);
@@ -34,18 +37,19 @@
 		return EXIT_USAGE;
 	}
 	if (check->count) {
-		printf("%s: settings are good\n", file->filename[0]);
+		printf("%s: settings are valid\n", file->filename[0]);
 		settings_free(settings);
 		return 0;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
-		fprintf(stderr, "jackdawwelld: a library cannot start\n");
+		fprintf(stderr, "jackdawwelld: cannot initialize libsodium or "
+				"libcurl\n");
 		return 1;
 	}
 	log_init(verbose->count ? LOG_DEBUG : LOG_INFO, settings->name);
 	code = entry_run(settings);
 	settings_free(settings);
-	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	arg_freetable(arg_table, sizeof(arg_table) / sizeof(arg_table[0]));
 	return code;
 }
