standin: wording of the stand-ins

"Dark", "looking", "born", "lasts" and "duty" were a worker that is down, a poll in progress, a start time, a task that runs until it is stopped and an order to the machine service. Handlers are named serve_*, pending feeds, muted_table, replies_to_lose and history_start say what a fault does. The head of worker.c lists all values of X-Behave. JSON keys, /control fields, options and recorded values are unchanged.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -1,13 +1,14 @@
 /*
- * platform - stand-in of the platform's table service, object store and
+ * platform - stand-in for the platform's table service, object store and
  * instance list
  *
- * Its rows are in memory. /control sets its faults; only tests use it:
- *	outage		answers nothing, connections are closed unanswered
- *	latency_ms	delays every answer
- *	lose		commits whose answer is lost after their effect
+ * Rows are kept in memory. Tests inject faults with a POST to /control:
+ *	outage		true: requests are answered with 500 after 30 s, later
+ *			than any client waits
+ *	latency_ms	delay of every answer
+ *	lose		number of commits whose answer is lost after the commit
  *	instances	array of names that replaces the instance list
- *	reboot_ms	how long a reboot takes; 0 for never
+ *	reboot_ms	duration of a reboot; 0: it never ends
  */
 #include <argtable2.h>
 #include <assert.h>
@@ -21,21 +22,21 @@
 #include "standin/serve.h"
 
 #define REBOOT_MS 1000
-#define SILENCE_S 30 /* until a lost answer closes its connection */
+#define LOST_REPLY_S 30 /* delay of a lost answer, longer than clients wait */
 
 struct state {
 	struct tevent_context *ev;
 	json_t *rows; /* key -> {"version", "value"} */
 	json_t *objects;
 	json_t *instances;
-	json_t *boots; /* name -> boots so far */
+	json_t *boots; /* name -> number of boots */
 	uint32_t reboot_ms;
 	uint64_t revision;
 	uint64_t reads;
 	uint64_t writes;
 	bool outage;
 	uint32_t latency_ms;
-	uint32_t lose;
+	uint32_t replies_to_lose;
 };
 
 struct reply {
@@ -56,7 +57,7 @@
 	talloc_free(r);
 }
 
-/* Takes over body. */
+/* Takes over the reference to body. */
 static void reply(struct state *s, struct httpd_request *request,
 		  unsigned int code, json_t *body, uint32_t delay_ms)
 {
@@ -78,7 +79,7 @@
 		json_object_get(json_object_get(s->rows, key), "version"));
 }
 
-static const char *conflict(const struct state *s, const json_t *txn)
+static const char *find_conflict(const struct state *s, const json_t *txn)
 {
 	json_t *compare;
 	size_t i;
@@ -96,7 +97,7 @@
 	return NULL;
 }
 
-static void apply(struct state *s, const json_t *txn)
+static void apply_txn(struct state *s, const json_t *txn)
 {
 	json_t *item;
 	size_t i;
@@ -117,7 +118,7 @@
 	}
 }
 
-static void commit(struct state *s, struct httpd_request *r)
+static void commit_txn(struct state *s, struct httpd_request *r)
 {
 	json_t *txn =
 		json_loadb(r->body ? r->body : "", r->body_length, 0, NULL);
@@ -130,17 +131,17 @@
 		      delay);
 		return;
 	}
-	key = conflict(s, txn);
+	key = find_conflict(s, txn);
 	if (key) {
 		reply(s, r, 409, json_pack("{s:s}", "key", key), delay);
 		json_decref(txn);
 		return;
 	}
-	apply(s, txn);
+	apply_txn(s, txn);
 	json_decref(txn);
-	if (s->lose) {
-		s->lose--;
-		delay = SILENCE_S * 1000;
+	if (s->replies_to_lose) {
+		s->replies_to_lose--;
+		delay = LOST_REPLY_S * 1000;
 	}
 	reply(s, r, 200,
 	      json_pack("{s:I, s:n}", "revision", (json_int_t)s->revision,
@@ -148,25 +149,25 @@
 	      delay);
 }
 
-static char *query_value(const struct httpd_request *r, const char *name)
+static char *query_parameter(const struct httpd_request *r, const char *name)
 {
 	char *copy = talloc_strdup(NULL, r->query);
 	size_t n = strlen(name);
 	char *save;
-	char *part;
+	char *parameter;
 
-	for (part = strtok_r(copy, "&", &save); part;
-	     part = strtok_r(NULL, "&", &save))
-		if (!strncmp(part, name, n) && part[n] == '=') {
-			part = talloc_strdup(NULL, part + n + 1);
+	for (parameter = strtok_r(copy, "&", &save); parameter;
+	     parameter = strtok_r(NULL, "&", &save))
+		if (!strncmp(parameter, name, n) && parameter[n] == '=') {
+			parameter = talloc_strdup(NULL, parameter + n + 1);
 			talloc_free(copy);
-			return part;
+			return parameter;
 		}
 	talloc_free(copy);
 	return talloc_strdup(NULL, "");
 }
 
-static int by_key(const void *a, const void *b)
+static int compare_keys(const void *a, const void *b)
 {
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
@@ -187,7 +188,7 @@
 		    row_version(s, key) > after)
 			keys[n++] = key;
 	}
-	qsort(keys, n, sizeof(*keys), by_key);
+	qsort(keys, n, sizeof(*keys), compare_keys);
 	for (i = 0; i < n; i++) {
 		row = json_copy(json_object_get(s->rows, keys[i]));
 		json_object_set_new(row, "key", json_string(keys[i]));
@@ -197,10 +198,10 @@
 	return found;
 }
 
-static void scan(struct state *s, struct httpd_request *r)
+static void read_rows(struct state *s, struct httpd_request *r)
 {
-	char *prefix = query_value(r, "prefix");
-	char *after = query_value(r, "after");
+	char *prefix = query_parameter(r, "prefix");
+	char *after = query_parameter(r, "after");
 	json_t *rows = rows_after(s, prefix, strtoull(after, NULL, 10));
 
 	s->reads++;
@@ -212,7 +213,7 @@
 	talloc_free(after);
 }
 
-static void object(struct state *s, struct httpd_request *r)
+static void serve_object(struct state *s, struct httpd_request *r)
 {
 	const char *name = r->path + strlen("/objects/");
 	json_t *value;
@@ -267,7 +268,7 @@
 	talloc_free(b);
 }
 
-static void reboot(struct state *s, struct httpd_request *r)
+static void start_reboot(struct state *s, struct httpd_request *r)
 {
 	const char *name = r->path + strlen("/reboot/");
 	json_t *body =
@@ -288,7 +289,7 @@
 	reply(s, r, 200, json_object(), s->latency_ms);
 }
 
-static void control(struct state *s, struct httpd_request *r)
+static void serve_control(struct state *s, struct httpd_request *r)
 {
 	json_t *c = json_loadb(r->body ? r->body : "{}",
 			       r->body ? r->body_length : 2, 0, NULL);
@@ -299,7 +300,7 @@
 	if ((v = json_object_get(c, "latency_ms")))
 		s->latency_ms = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "lose")))
-		s->lose = (uint32_t)json_integer_value(v);
+		s->replies_to_lose = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "reboot_ms")))
 		s->reboot_ms = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "instances")))
@@ -318,17 +319,17 @@
 	struct state *s = arg;
 
 	if (!strcmp(r->path, "/control"))
-		control(s, r);
+		serve_control(s, r);
 	else if (s->outage)
-		reply(s, r, 500, json_object(), SILENCE_S * 1000);
+		reply(s, r, 500, json_object(), LOST_REPLY_S * 1000);
 	else if (!strcmp(r->path, "/txn"))
-		commit(s, r);
+		commit_txn(s, r);
 	else if (!strcmp(r->path, "/rows"))
-		scan(s, r);
+		read_rows(s, r);
 	else if (!strncmp(r->path, "/objects/", 9))
-		object(s, r);
+		serve_object(s, r);
 	else if (!strncmp(r->path, "/reboot/", 8))
-		reboot(s, r);
+		start_reboot(s, r);
 	else if (!strcmp(r->path, "/instances"))
 		reply(s, r, 200, json_pack("{s:o}", "value", instance_list(s)),
 		      s->latency_ms);
@@ -340,10 +341,10 @@
 {
 	struct arg_int *port = arg_int1("p", "port", "PORT", "listen here");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { port, end };
+	void *arg_table[] = { port, end };
 	struct state *s = talloc_zero(NULL, struct state);
 
-	if (arg_parse(argc, argv, table)) {
+	if (arg_parse(argc, argv, arg_table)) {
 		arg_print_errors(stderr, end, "platform");
 		return 2;
 	}
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -8,7 +8,7 @@
 #define BODY_MAX (64u << 20) /* bytes */
 #define CONNECTIONS_MAX 1000
 
-struct later {
+struct delayed_call {
 	void (*fn)(void *arg);
 	void *arg;
 };
@@ -36,28 +36,28 @@
 static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
 		     struct timeval now, void *arg)
 {
-	struct later later = *(struct later *)arg;
+	struct delayed_call call = *(struct delayed_call *)arg;
 
 	(void)ev;
 	(void)now;
 	talloc_free(te);
-	later.fn(later.arg);
+	call.fn(call.arg);
 }
 
 void serve_after(TALLOC_CTX *ctx, struct tevent_context *ev, uint32_t ms,
 		 void (*fn)(void *arg), void *arg)
 {
-	struct later *later;
+	struct delayed_call *call;
 	struct tevent_timer *te;
 
-	later = talloc_zero(ctx, struct later);
-	assert(later);
-	later->fn = fn;
-	later->arg = arg;
+	call = talloc_zero(ctx, struct delayed_call);
+	assert(call);
+	call->fn = fn;
+	call->arg = arg;
 	te = tevent_add_timer(
 		ev, ctx,
 		tevent_timeval_current_ofs(ms / 1000, ms % 1000 * 1000),
-		on_timer, later);
+		on_timer, call);
 	assert(te);
-	talloc_steal(te, later);
+	talloc_steal(te, call);
 }
--- a/standin/serve.h
+++ b/standin/serve.h
@@ -1,16 +1,16 @@
 /*
- * serve - what the stand-ins share: a server on loopback and timers
+ * serve - HTTP server on loopback and one-shot timers, for the stand-ins
  */
 #ifndef SERVE_H
 #define SERVE_H
 
 #include "connection/httpd.h"
 
-/* serve_listen - serve on a loopback port; false after logging why not */
+/* serve_listen - serve on a loopback port; false after logging the error */
 bool serve_listen(TALLOC_CTX *ctx, struct tevent_context *ev, const char *name,
 		  int port, httpd_handler_fn handler, void *arg);
 
-/* serve_after - call fn once after a time; cancelled with ctx */
+/* serve_after - call fn once after ms; freeing ctx cancels it */
 void serve_after(TALLOC_CTX *ctx, struct tevent_context *ev, uint32_t ms,
 		 void (*fn)(void *arg), void *arg);
 
--- a/standin/site.c
+++ b/standin/site.c
@@ -1,19 +1,22 @@
 /*
- * site - stand-in of the users' platform: store, machines and workers
+ * site - stand-in for the users' platform: store, machines and workers
  *
  * One process serves the platform's store and its list of machines on one
- * port, and each worker on a port of its own. A task runs as many
- * milliseconds as its text begins with; "0" lasts until it is stopped.
- * /control sets faults and writes what operators write; only tests use it:
- *	down		the store and the list answer 503
- *	mute		table whose feeds do not answer; "" ends it
- *	lose		transactions whose answer is lost after their effect
- *	page		rows of one answer at most
- *	forget		true: what changed so far is no longer in any feed
- *	crash		name of a worker: it forgets everything, for 2 s dark
- *	put		{"table", "key", "value"} as an operator's write
- * /record lists what workers ran: [task, run, worker, begin, end, how] in
- * milliseconds of the machine's monotonic clock; end 0 while it runs.
+ * port, and each worker on a port of its own. The payload of a task starts
+ * with its run time in milliseconds; "0" runs until it is stopped.
+ * Tests inject faults and operators' writes with a POST to /control:
+ *	down		true: the store and the machine list answer 503
+ *	mute		table whose feeds are not answered; "": none
+ *	lose		number of transactions whose answer is lost after the
+ *			commit
+ *	page		maximum number of rows in one answer
+ *	forget		true: drops the history so far, so that a feed from an
+ *			older revision is answered with 410
+ *	crash		name of a worker that loses all state and does not
+ *			answer for 2 s
+ *	put		{"table", "key", "value"}: writes a row as an operator
+ * GET /record lists what the workers ran: [task, run, worker, begin, end, how]
+ * in milliseconds of the machine's monotonic clock; end is 0 while it runs.
  */
 #include <argtable2.h>
 #include <assert.h>
@@ -32,25 +35,27 @@
 #include "standin/serve.h"
 
 #define WORKERS_MAX 512
+#define RUNNING_MAX 256 /* tasks of one worker at a time */
+#define NAME_MAX_BYTES 32
 #define TICK_MS 10u
-#define CRASH_MS 2000u
+#define CRASH_DOWN_MS 2000u
 #define CAPACITY_CPU 16000
 #define CAPACITY_MEM 65536
 #define PAGE_ROWS 500u
-#define CHANGES_FIRST 256u
-#define LOST_MS 5000u /* until a lost answer closes its connection */
+#define CHANGES_INITIAL 256u
+#define LOST_REPLY_MS 5000u /* until the connection is closed unanswered */
 
 struct site;
 
 struct row {
 	char *table;
 	char *key;
-	char *value; /* base64, NULL once dropped */
+	char *value; /* base64; NULL: deleted */
 	uint64_t revision;
 };
 
-struct feed_wait {
-	struct feed_wait *next;
+struct pending_feed {
+	struct pending_feed *next;
 	struct httpd_request *request;
 	char *table;
 	uint64_t after;
@@ -60,28 +65,28 @@
 struct running {
 	char *task;
 	uint64_t run;
-	uint64_t begin_ms;
-	uint64_t end_ms; /* 0: lasts */
+	uint64_t start_ms;
+	uint64_t end_ms; /* 0: runs until stopped */
 	uint64_t stop_ms;
 	json_t *record; /* borrowed */
 };
 
 struct worker {
 	struct site *site;
-	char name[32];
-	char pool[32];
+	char name[NAME_MAX_BYTES];
+	char pool[NAME_MAX_BYTES];
 	int port;
-	uint64_t born;
-	uint64_t dark_until_ms;
+	uint64_t started_ms;
+	uint64_t down_until_ms;
 	uint64_t fence;
 	uint64_t lease_ms;
-	uint64_t next_n;
-	json_t *ended;	 /* rows as published */
+	uint64_t last_end_seq;
+	json_t *ended;	 /* as in a report, until acknowledged */
 	json_t *blocked; /* task -> highest run that may not start */
 	uint32_t running_count;
-	struct running running[256];
-	struct httpd_request *looking;
-	uint64_t look_until_ms;
+	struct running running[RUNNING_MAX];
+	struct httpd_request *poll_request;
+	uint64_t poll_deadline_ms;
 };
 
 struct site {
@@ -89,16 +94,16 @@
 	struct mtimer *tick;
 	uint32_t row_count;
 	struct row *rows;
-	uint32_t change_count, change_room;
-	struct row *changes; /* every one, oldest first */
+	uint32_t change_count, change_capacity;
+	struct row *changes; /* all so far, oldest first */
 	uint64_t revision;
-	struct feed_wait *waits;
+	struct pending_feed *pending_feeds;
 	json_t *record;
 	bool down;
-	char *mute; /* table whose feeds are silent, or NULL */
-	uint32_t lose;
-	uint32_t page;	    /* rows of one answer at most */
-	uint64_t forgotten; /* feeds from before this revision are refused */
+	char *muted_table; /* its feeds are not answered; may be NULL */
+	uint32_t replies_to_lose;
+	uint32_t page_rows;	/* maximum in one answer */
+	uint64_t history_start; /* older revisions get 410 */
 	uint64_t transactions, reads, rows_read;
 	int worker_count;
 	struct worker workers[WORKERS_MAX];
@@ -118,21 +123,21 @@
 	httpd_answer(request, &answer);
 }
 
-static const char *text(const json_t *o, const char *field)
+static const char *get_text(const json_t *o, const char *field)
 {
 	const char *t = json_string_value(json_object_get(o, field));
 
 	return t ? t : "";
 }
 
-static uint64_t number(const json_t *o, const char *field)
+static uint64_t get_number(const json_t *o, const char *field)
 {
 	return (uint64_t)json_integer_value(json_object_get(o, field));
 }
 
 /* Rows */
 
-static struct row *row_find(struct site *s, const char *table, const char *key)
+static struct row *find_row(struct site *s, const char *table, const char *key)
 {
 	uint32_t i;
 
@@ -143,16 +148,16 @@
 	return NULL;
 }
 
-/* Feeds bring every change of a row, not only its newest value. */
-static void changes_add(struct site *s, const struct row *r)
+/* A feed sends every change of a row, not only its newest value. */
+static void add_change(struct site *s, const struct row *r)
 {
 	struct row *c;
 
-	if (s->change_count == s->change_room) {
-		s->change_room =
-			s->change_room ? 2 * s->change_room : CHANGES_FIRST;
+	if (s->change_count == s->change_capacity) {
+		s->change_capacity = s->change_capacity ? 2 * s->change_capacity
+							: CHANGES_INITIAL;
 		s->changes = talloc_realloc(s, s->changes, struct row,
-					    s->change_room);
+					    s->change_capacity);
 		assert(s->changes);
 	}
 	c = &s->changes[s->change_count++];
@@ -160,10 +165,10 @@
 	c->value = r->value ? talloc_strdup(s, r->value) : NULL;
 }
 
-static void row_put(struct site *s, const char *table, const char *key,
+static void put_row(struct site *s, const char *table, const char *key,
 		    const char *value)
 {
-	struct row *r = row_find(s, table, key);
+	struct row *r = find_row(s, table, key);
 
 	if (!r) {
 		s->rows = talloc_realloc(s, s->rows, struct row,
@@ -177,10 +182,10 @@
 	talloc_free(r->value);
 	r->value = value ? talloc_strdup(s, value) : NULL;
 	r->revision = s->revision;
-	changes_add(s, r);
+	add_change(s, r);
 }
 
-static json_t *row_json(const struct row *r)
+static json_t *encode_row(const struct row *r)
 {
 	json_t *o = json_pack("{s:s, s:s, s:s, s:s, s:I}", "table", r->table,
 			      "part", "", "key", r->key, "value",
@@ -192,20 +197,20 @@
 	return o;
 }
 
-static json_t *rows_reply(struct site *s, json_t *rows, bool more)
+static json_t *encode_rows(struct site *s, json_t *rows, bool more)
 {
 	return json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "hasMore", more,
 			 "revision", (json_int_t)s->revision, "nowMs",
 			 (json_int_t)clock_now_ms());
 }
 
-static int by_key(const void *a, const void *b)
+static int compare_keys(const void *a, const void *b)
 {
 	return strcmp((*(const struct row *const *)a)->key,
 		      (*(const struct row *const *)b)->key);
 }
 
-static char *query(TALLOC_CTX *ctx, const char *q, const char *name)
+static char *query_parameter(TALLOC_CTX *ctx, const char *q, const char *name)
 {
 	size_t n = strlen(name);
 	const char *at = q;
@@ -233,12 +238,12 @@
 	return out;
 }
 
-static void rows_get(struct site *s, struct httpd_request *request)
+static void serve_rows_get(struct site *s, struct httpd_request *request)
 {
 	TALLOC_CTX *tmp = talloc_new(s);
-	const char *table = query(tmp, request->query, "table");
-	const char *from = query(tmp, request->query, "from");
-	const char *to = query(tmp, request->query, "to");
+	const char *table = query_parameter(tmp, request->query, "table");
+	const char *from = query_parameter(tmp, request->query, "from");
+	const char *to = query_parameter(tmp, request->query, "to");
 	const struct row **found =
 		talloc_array(tmp, const struct row *, s->row_count + 1);
 	json_t *rows = json_array();
@@ -254,15 +259,15 @@
 		    (!*to || strcmp(r->key, to) < 0))
 			found[count++] = r;
 	}
-	qsort(found, count, sizeof(*found), by_key);
-	for (i = 0; i < count && i < s->page; i++)
-		json_array_append_new(rows, row_json(found[i]));
+	qsort(found, count, sizeof(*found), compare_keys);
+	for (i = 0; i < count && i < s->page_rows; i++)
+		json_array_append_new(rows, encode_row(found[i]));
 	s->rows_read += json_array_size(rows);
-	reply(request, 200, rows_reply(s, rows, count > s->page));
+	reply(request, 200, encode_rows(s, rows, count > s->page_rows));
 	talloc_free(tmp);
 }
 
-/* Changes are kept in the order of their revisions. */
+/* s->changes is sorted by revision. */
 static json_t *changes_after(struct site *s, const char *table, uint64_t after)
 {
 	json_t *rows = json_array();
@@ -272,19 +277,19 @@
 		i--;
 	for (; i < s->change_count; i++)
 		if (!strcmp(s->changes[i].table, table))
-			json_array_append_new(rows, row_json(&s->changes[i]));
+			json_array_append_new(rows, encode_row(&s->changes[i]));
 	return rows;
 }
 
-static void feeds_wake(struct site *s, uint64_t now)
+static void answer_feeds(struct site *s, uint64_t now)
 {
-	struct feed_wait **at = &s->waits;
-	struct feed_wait *w;
+	struct pending_feed **at = &s->pending_feeds;
+	struct pending_feed *w;
 
 	while ((w = *at)) {
 		json_t *rows;
 
-		if (s->mute && !strcmp(w->table, s->mute)) {
+		if (s->muted_table && !strcmp(w->table, s->muted_table)) {
 			at = &w->next;
 			continue;
 		}
@@ -296,53 +301,56 @@
 			continue;
 		}
 		*at = w->next;
-		reply(w->request, 200, rows_reply(s, rows, false));
+		reply(w->request, 200, encode_rows(s, rows, false));
 		talloc_free(w);
 	}
 }
 
-static void rows_feed(struct site *s, struct httpd_request *request)
+static void serve_rows_feed(struct site *s, struct httpd_request *request)
 {
-	struct feed_wait *w = talloc_zero(s, struct feed_wait);
+	struct pending_feed *w = talloc_zero(s, struct pending_feed);
 
 	assert(w);
 	s->reads++;
 	w->request = request;
-	w->table = query(w, request->query, "table");
-	w->after = strtoull(query(w, request->query, "after"), NULL, 10);
-	if (w->after && w->after < s->forgotten) {
+	w->table = query_parameter(w, request->query, "table");
+	w->after =
+		strtoull(query_parameter(w, request->query, "after"), NULL, 10);
+	if (w->after && w->after < s->history_start) {
 		talloc_free(w);
 		reply(request, 410, NULL);
 		return;
 	}
 	w->until_ms = clock_now_ms() +
-		      strtoull(query(w, request->query, "waitMs"), NULL, 10);
-	w->next = s->waits;
-	s->waits = w;
-	feeds_wake(s, clock_now_ms());
+		      strtoull(query_parameter(w, request->query, "waitMs"),
+			       NULL, 10);
+	w->next = s->pending_feeds;
+	s->pending_feeds = w;
+	answer_feeds(s, clock_now_ms());
 }
 
-/* The first condition that does not hold makes the whole call conflict. */
-static bool conditions_hold(struct site *s, const json_t *conditions,
-			    json_t *rows)
+/* False if any condition fails; rows gets the current rows of all of them. */
+static bool check_conditions(struct site *s, const json_t *conditions,
+			     json_t *rows)
 {
 	bool hold = true;
 	size_t i;
 
 	for (i = 0; i < json_array_size(conditions); i++) {
 		const json_t *c = json_array_get(conditions, i);
-		struct row *r = row_find(s, text(c, "table"), text(c, "key"));
+		struct row *r =
+			find_row(s, get_text(c, "table"), get_text(c, "key"));
 		uint64_t revision = r && r->value ? r->revision : 0;
 
-		if (revision != number(c, "revision"))
+		if (revision != get_number(c, "revision"))
 			hold = false;
 		if (revision)
-			json_array_append_new(rows, row_json(r));
+			json_array_append_new(rows, encode_row(r));
 	}
 	return hold;
 }
 
-static void on_lost(void *arg)
+static void close_unanswered(void *arg)
 {
 	struct httpd_request *request = arg;
 
@@ -350,17 +358,17 @@
 	reply(request, 500, NULL);
 }
 
-static void rows_tx(struct site *s, struct httpd_request *request,
-		    const json_t *o)
+static void serve_rows_tx(struct site *s, struct httpd_request *request,
+			  const json_t *o)
 {
 	json_t *rows = json_array();
 	const json_t *puts = json_object_get(o, "setKeys");
-	const json_t *drops = json_object_get(o, "remove");
+	const json_t *deletes = json_object_get(o, "remove");
 	size_t i;
 
 	s->transactions++;
-	if (!conditions_hold(s, json_object_get(o, "precondition"), rows)) {
-		reply(request, 412, rows_reply(s, rows, false));
+	if (!check_conditions(s, json_object_get(o, "precondition"), rows)) {
+		reply(request, 412, encode_rows(s, rows, false));
 		return;
 	}
 	json_decref(rows);
@@ -368,18 +376,20 @@
 	for (i = 0; i < json_array_size(puts); i++) {
 		const json_t *p = json_array_get(puts, i);
 
-		row_put(s, text(p, "table"), text(p, "key"), text(p, "value"));
+		put_row(s, get_text(p, "table"), get_text(p, "key"),
+			get_text(p, "value"));
 	}
-	for (i = 0; i < json_array_size(drops); i++) {
-		const json_t *d = json_array_get(drops, i);
+	for (i = 0; i < json_array_size(deletes); i++) {
+		const json_t *d = json_array_get(deletes, i);
 
-		if (row_find(s, text(d, "table"), text(d, "key")))
-			row_put(s, text(d, "table"), text(d, "key"), NULL);
+		if (find_row(s, get_text(d, "table"), get_text(d, "key")))
+			put_row(s, get_text(d, "table"), get_text(d, "key"),
+				NULL);
 	}
-	feeds_wake(s, clock_now_ms());
-	if (s->lose) {
-		s->lose--;
-		serve_after(s, s->ev, LOST_MS, on_lost, request);
+	answer_feeds(s, clock_now_ms());
+	if (s->replies_to_lose) {
+		s->replies_to_lose--;
+		serve_after(s, s->ev, LOST_REPLY_MS, close_unanswered, request);
 		return;
 	}
 	reply(request, 200,
@@ -394,7 +404,7 @@
 	json_t *o = json_pack(
 		"{s:s, s:s, s:s, s:s, s:s, s:I, s:{s:i, s:i, s:i}, s:[s, s]}",
 		"service", w->pool, "address", "", "zone", "az-1", "state",
-		"ready", "machine", w->name, "born", (json_int_t)w->born,
+		"ready", "machine", w->name, "born", (json_int_t)w->started_ms,
 		"capacity", "cpu", CAPACITY_CPU, "memMb", CAPACITY_MEM, "gpu",
 		0, "labels", "a", "r1");
 	char address[64];
@@ -408,18 +418,19 @@
 	sodium_bin2base64(encoded, sizeof(encoded), (unsigned char *)dump,
 			  strlen(dump), sodium_base64_VARIANT_ORIGINAL);
 	w->site->revision++;
-	row_put(w->site, "servers", w->name, encoded);
+	put_row(w->site, "servers", w->name, encoded);
 	free(dump);
 	json_decref(o);
 }
 
-static void run_end(struct worker *w, uint32_t i, const char *how, uint64_t now)
+static void end_run(struct worker *w, uint32_t i, const char *how, uint64_t now)
 {
 	struct running *r = &w->running[i];
 
-	json_array_append_new(
-		w->ended, json_pack("[I, s, I, s, s]", (json_int_t)++w->next_n,
-				    r->task, (json_int_t)r->run, how, ""));
+	json_array_append_new(w->ended,
+			      json_pack("[I, s, I, s, s]",
+					(json_int_t)++w->last_end_seq, r->task,
+					(json_int_t)r->run, how, ""));
 	json_object_set_new(w->blocked, r->task,
 			    json_integer((json_int_t)r->run));
 	json_array_set_new(r->record, 4, json_integer((json_int_t)now));
@@ -428,7 +439,7 @@
 	w->running[i] = w->running[--w->running_count];
 }
 
-static json_t *lists_of(struct worker *w, uint64_t now)
+static json_t *encode_report(struct worker *w, uint64_t now)
 {
 	json_t *running = json_array();
 	uint32_t i;
@@ -439,48 +450,48 @@
 			json_pack("[s, I, s, i, i]", w->running[i].task,
 				  (json_int_t)w->running[i].run, "", 100, 0));
 	return json_pack("{s:I, s:I, s:o, s:O}", "clockMs", (json_int_t)now,
-			 "born", (json_int_t)w->born, "running", running,
+			 "born", (json_int_t)w->started_ms, "running", running,
 			 "ended", w->ended);
 }
 
-static void look_answer(struct worker *w, uint64_t now)
+static void answer_poll(struct worker *w, uint64_t now)
 {
-	struct httpd_request *request = w->looking;
+	struct httpd_request *request = w->poll_request;
 
-	w->looking = NULL;
-	reply(request, 200, lists_of(w, now));
+	w->poll_request = NULL;
+	reply(request, 200, encode_report(w, now));
 }
 
 static void worker_tick(struct worker *w, uint64_t now)
 {
 	uint32_t i;
 
-	if (w->dark_until_ms && now >= w->dark_until_ms) {
-		w->dark_until_ms = 0;
+	if (w->down_until_ms && now >= w->down_until_ms) {
+		w->down_until_ms = 0;
 		register_worker(w);
 	}
 	for (i = 0; i < w->running_count;) {
 		struct running *r = &w->running[i];
 
 		if (r->end_ms && now >= r->end_ms)
-			run_end(w, i, "done", now);
+			end_run(w, i, "done", now);
 		else if (r->stop_ms && now >= r->stop_ms)
-			run_end(w, i, "stopped", now);
+			end_run(w, i, "stopped", now);
 		else if (now >= w->lease_ms)
-			run_end(w, i, "lapsed", now);
+			end_run(w, i, "lapsed", now);
 		else
 			i++;
 	}
-	if (w->looking &&
-	    (json_array_size(w->ended) || now >= w->look_until_ms))
-		look_answer(w, now);
+	if (w->poll_request &&
+	    (json_array_size(w->ended) || now >= w->poll_deadline_ms))
+		answer_poll(w, now);
 }
 
 static void start_task(struct worker *w, struct httpd_request *request,
 		       const json_t *o, uint64_t now)
 {
-	const char *task = text(o, "task");
-	uint64_t run = number(o, "run");
+	const char *task = get_text(o, "task");
+	uint64_t run = get_number(o, "run");
 	struct running *r;
 	uint32_t i;
 
@@ -493,21 +504,22 @@
 					(json_int_t)now, "reason", "old"));
 			return;
 		}
-	if (number(w->blocked, task) >= run || number(o, "deadlineMs") <= now) {
+	if (get_number(w->blocked, task) >= run ||
+	    get_number(o, "deadlineMs") <= now) {
 		reply(request, 409,
 		      json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
 				"reason", "old"));
 		return;
 	}
-	if (number(o, "deadlineMs") > w->lease_ms)
-		w->lease_ms = number(o, "deadlineMs");
-	assert(w->running_count < 256);
+	if (get_number(o, "deadlineMs") > w->lease_ms)
+		w->lease_ms = get_number(o, "deadlineMs");
+	assert(w->running_count < RUNNING_MAX);
 	r = &w->running[w->running_count++];
 	memset(r, 0, sizeof(*r));
 	r->task = talloc_strdup(w->site, task);
 	r->run = run;
-	r->begin_ms = now;
-	i = (uint32_t)strtoul(text(o, "taskSpec"), NULL, 10);
+	r->start_ms = now;
+	i = (uint32_t)strtoul(get_text(o, "taskSpec"), NULL, 10);
 	r->end_ms = i ? now + i : 0;
 	r->record = json_pack("[s, I, s, I, i, s]", task, (json_int_t)run,
 			      w->name, (json_int_t)now, 0, "");
@@ -520,32 +532,32 @@
 {
 	uint32_t i;
 
-	json_object_set_new(w->blocked, text(o, "task"),
-			    json_integer((json_int_t)number(o, "run")));
+	json_object_set_new(w->blocked, get_text(o, "task"),
+			    json_integer((json_int_t)get_number(o, "run")));
 	for (i = 0; i < w->running_count; i++)
-		if (!strcmp(w->running[i].task, text(o, "task")) &&
-		    w->running[i].run == number(o, "run"))
+		if (!strcmp(w->running[i].task, get_text(o, "task")) &&
+		    w->running[i].run == get_number(o, "run"))
 			w->running[i].stop_ms = now + 20;
 	reply(request, 200, json_pack("{s:I}", "clockMs", (json_int_t)now));
 }
 
-static void look(struct worker *w, struct httpd_request *request,
-		 const json_t *o, uint64_t now)
+static void poll_worker(struct worker *w, struct httpd_request *request,
+			const json_t *o, uint64_t now)
 {
-	uint64_t acked = number(o, "ackedUpto");
+	uint64_t acked = get_number(o, "ackedUpto");
 
-	if (number(o, "deadlineMs") > w->lease_ms)
-		w->lease_ms = number(o, "deadlineMs");
+	if (get_number(o, "deadlineMs") > w->lease_ms)
+		w->lease_ms = get_number(o, "deadlineMs");
 	while (json_array_size(w->ended) &&
 	       (uint64_t)json_integer_value(
 		       json_array_get(json_array_get(w->ended, 0), 0)) <= acked)
 		json_array_remove(w->ended, 0);
-	if (w->looking)
-		look_answer(w, now);
-	w->looking = request;
-	w->look_until_ms = now + number(o, "waitMs");
-	if (!number(o, "waitMs") || json_array_size(w->ended))
-		look_answer(w, now);
+	if (w->poll_request)
+		answer_poll(w, now);
+	w->poll_request = request;
+	w->poll_deadline_ms = now + get_number(o, "waitMs");
+	if (!get_number(o, "waitMs") || json_array_size(w->ended))
+		answer_poll(w, now);
 }
 
 static void on_worker(void *arg, struct httpd_request *request)
@@ -555,21 +567,21 @@
 	json_t *o = json_loadb(request->body ? request->body : "",
 			       request->body_length, 0, NULL);
 
-	if (w->dark_until_ms) {
+	if (w->down_until_ms) {
 		shutdown(httpd_descriptor(request), SHUT_RDWR);
 		reply(request, 503, NULL);
-	} else if (number(o, "fence") < w->fence) {
+	} else if (get_number(o, "fence") < w->fence) {
 		reply(request, 409,
 		      json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
 				"reason", "fence"));
 	} else {
-		w->fence = number(o, "fence");
+		w->fence = get_number(o, "fence");
 		if (!strcmp(request->path, "/jackdawwell/run-start"))
 			start_task(w, request, o, now);
 		else if (!strcmp(request->path, "/jackdawwell/run-stop"))
 			stop_task(w, request, o, now);
 		else if (!strcmp(request->path, "/jackdawwell/hold"))
-			look(w, request, o, now);
+			poll_worker(w, request, o, now);
 		else
 			reply(request, 200,
 			      json_pack("{s:I}", "clockMs", (json_int_t)now));
@@ -596,17 +608,17 @@
 		}
 		json_array_clear(w->ended);
 		json_object_clear(w->blocked);
-		w->fence = w->lease_ms = w->next_n = 0;
-		w->born = now;
-		w->dark_until_ms = now + CRASH_MS;
+		w->fence = w->lease_ms = w->last_end_seq = 0;
+		w->started_ms = now;
+		w->down_until_ms = now + CRASH_DOWN_MS;
 		s->revision++;
-		row_put(s, "servers", name, NULL);
+		put_row(s, "servers", name, NULL);
 	}
 }
 
 /* Machines */
 
-static void machines(struct site *s, struct httpd_request *request)
+static void serve_machines(struct site *s, struct httpd_request *request)
 {
 	json_t *list = json_array();
 	int i;
@@ -618,66 +630,68 @@
 			list,
 			json_pack("{s:s, s:s, s:s, s:[s, s], s:s}", "machine",
 				  w->name, "pool", w->pool, "state",
-				  w->dark_until_ms ? "down" : "up", "labels",
+				  w->down_until_ms ? "down" : "up", "labels",
 				  "a", "r1", "id", w->name));
 	}
 	reply(request, 200,
 	      json_pack("{s:o, s:n}", "machines", list, "nextToken"));
 }
 
-static void duty(struct site *s, struct httpd_request *request, const json_t *o,
-		 bool moves)
+static void order_machine(struct site *s, struct httpd_request *request,
+			  const json_t *o, bool is_move)
 {
 	int i;
 
 	for (i = 0; i < s->worker_count; i++)
-		if (moves && !strcmp(s->workers[i].name, text(o, "machine")))
+		if (is_move &&
+		    !strcmp(s->workers[i].name, get_text(o, "machine")))
 			snprintf(s->workers[i].pool, sizeof(s->workers[i].pool),
-				 "%s", text(o, "pool"));
-	crash(s, text(o, "machine"), clock_now_ms());
+				 "%s", get_text(o, "pool"));
+	crash(s, get_text(o, "machine"), clock_now_ms());
 	reply(request, 200, json_object());
 }
 
 /* Control */
 
-static void control(struct site *s, struct httpd_request *request,
-		    const json_t *o)
+static void serve_control(struct site *s, struct httpd_request *request,
+			  const json_t *o)
 {
 	const json_t *put = json_object_get(o, "put");
 	char *encoded, *dump;
-	size_t room;
+	size_t capacity;
 
 	if (json_object_get(o, "down"))
 		s->down = json_is_true(json_object_get(o, "down"));
 	if (json_object_get(o, "mute")) {
-		TALLOC_FREE(s->mute);
+		TALLOC_FREE(s->muted_table);
 		if (*json_string_value(json_object_get(o, "mute")))
-			s->mute = talloc_strdup(
+			s->muted_table = talloc_strdup(
 				s,
 				json_string_value(json_object_get(o, "mute")));
 	}
 	if (json_object_get(o, "page"))
-		s->page = (uint32_t)number(o, "page");
+		s->page_rows = (uint32_t)get_number(o, "page");
 	if (json_is_true(json_object_get(o, "forget")))
-		s->forgotten = s->revision;
+		s->history_start = s->revision;
 	if (json_object_get(o, "lose"))
-		s->lose = (uint32_t)number(o, "lose");
+		s->replies_to_lose = (uint32_t)get_number(o, "lose");
 	if (json_object_get(o, "crash"))
-		crash(s, text(o, "crash"), clock_now_ms());
+		crash(s, get_text(o, "crash"), clock_now_ms());
 	if (put) {
 		dump = json_dumps(json_object_get(put, "value"), JSON_COMPACT);
 		assert(dump);
-		room = sodium_base64_encoded_len(
+		capacity = sodium_base64_encoded_len(
 			strlen(dump), sodium_base64_VARIANT_ORIGINAL);
-		encoded = talloc_size(s, room);
-		sodium_bin2base64(encoded, room, (unsigned char *)dump,
+		encoded = talloc_size(s, capacity);
+		sodium_bin2base64(encoded, capacity, (unsigned char *)dump,
 				  strlen(dump), sodium_base64_VARIANT_ORIGINAL);
 		s->revision++;
-		row_put(s, text(put, "table"), text(put, "key"), encoded);
+		put_row(s, get_text(put, "table"), get_text(put, "key"),
+			encoded);
 		talloc_free(encoded);
 		free(dump);
 	}
-	feeds_wake(s, clock_now_ms());
+	answer_feeds(s, clock_now_ms());
 	reply(request, 200,
 	      json_pack("{s:I, s:I, s:I, s:I}", "transactions",
 			(json_int_t)s->transactions, "reads",
@@ -694,23 +708,23 @@
 	const char *path = request->path;
 
 	if (!strcmp(path, "/control"))
-		control(s, request, o);
+		serve_control(s, request, o);
 	else if (!strcmp(path, "/record"))
 		reply(request, 200, json_deep_copy(s->record));
 	else if (s->down)
 		reply(request, 503, NULL);
 	else if (!strcmp(path, "/jackdawwell/rows-tx"))
-		rows_tx(s, request, o);
+		serve_rows_tx(s, request, o);
 	else if (!strcmp(path, "/jackdawwell/rows-get"))
-		rows_get(s, request);
+		serve_rows_get(s, request);
 	else if (!strcmp(path, "/jackdawwell/rows-feed"))
-		rows_feed(s, request);
+		serve_rows_feed(s, request);
 	else if (!strcmp(path, "/jackdawwell/machines"))
-		machines(s, request);
+		serve_machines(s, request);
 	else if (!strcmp(path, "/jackdawwell/machine-move"))
-		duty(s, request, o, true);
+		order_machine(s, request, o, true);
 	else if (!strcmp(path, "/jackdawwell/machine-upkeep"))
-		duty(s, request, o, false);
+		order_machine(s, request, o, false);
 	else
 		reply(request, 404, NULL);
 	json_decref(o);
@@ -724,7 +738,7 @@
 
 	for (i = 0; i < s->worker_count; i++)
 		worker_tick(&s->workers[i], now);
-	feeds_wake(s, now);
+	answer_feeds(s, now);
 }
 
 static bool add_worker(struct site *s, const char *pool, int port)
@@ -735,7 +749,7 @@
 	w->port = port;
 	snprintf(w->name, sizeof(w->name), "w-%d", ++s->worker_count);
 	snprintf(w->pool, sizeof(w->pool), "%s", pool);
-	w->born = clock_now_ms();
+	w->started_ms = clock_now_ms();
 	w->ended = json_array();
 	w->blocked = json_object();
 	register_worker(w);
@@ -748,11 +762,11 @@
 	struct arg_str *workers =
 		arg_strn(NULL, NULL, "POOL:PORT", 1, WORKERS_MAX, "a worker");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { port, workers, end };
+	void *arg_table[] = { port, workers, end };
 	struct site *s;
 	int i;
 
-	if (arg_parse(argc, argv, table)) {
+	if (arg_parse(argc, argv, arg_table)) {
 		arg_print_errors(stderr, end, "site");
 		return 2;
 	}
@@ -760,11 +774,11 @@
 	assert(s && sodium_init() >= 0);
 	s->ev = tevent_context_init(s);
 	s->record = json_array();
-	s->page = PAGE_ROWS;
+	s->page_rows = PAGE_ROWS;
 	if (!serve_listen(s, s->ev, "site", port->ival[0], on_request, s))
 		return 1;
 	for (i = 0; i < workers->count; i++) {
-		char pool[32];
+		char pool[NAME_MAX_BYTES];
 		int worker_port;
 
 		if (sscanf(workers->sval[i], "%31[^:]:%d", pool,
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -1,14 +1,15 @@
 /*
- * worker - stand-in of an upstream worker
+ * worker - stand-in for an upstream worker
  *
- * Answers each request after a hold time and records what ran. Behaviour
- * comes from the request's headers, so that one worker serves all tests:
- *	X-Hold-Ms	run time; --hold sets it for requests without
- *	X-Behave	fail (500), reset, truncate, badlength, chunked, never,
- *			refuse (not run), big
- * and /control switches the whole worker: {"fail": true}. /record lists how
- * often each request id was run, and [id, start, end] of each run in
- * milliseconds of the machine's monotonic clock; end is 0 while it runs.
+ * Answers each request after a hold time and records what ran. Headers of a
+ * request select the behavior, so that one worker serves all tests:
+ *	X-Hold-Ms	run time; the default is set by --hold
+ *	X-Behave	fail (500), reset, truncate, badlength, unframed,
+ *			chunkcut, chunked, never, refuse (not run), big
+ * A POST to /control changes the whole worker: {"fail": true} answers 500,
+ * {"hold_ms": N} sets the default run time. GET /record lists how often each
+ * request id was run, and [id, start, end] of each run in milliseconds of the
+ * machine's monotonic clock; end is 0 while it runs.
  */
 #include <argtable2.h>
 #include <assert.h>
@@ -26,11 +27,11 @@
 #include "standin/serve.h"
 
 #define BIG_BYTES (8u << 20)
-#define NEVER_MS 600000u
+#define NEVER_HOLD_MS 600000u /* longer than any test runs */
 
 struct state {
 	struct tevent_context *ev;
-	json_t *runs;	   /* id -> times it was run */
+	json_t *runs;	   /* id -> number of runs */
 	json_t *intervals; /* [id, start, end] */
 	uint32_t running;
 	uint64_t total;
@@ -43,7 +44,7 @@
 struct run {
 	struct state *state;
 	struct httpd_request *request;
-	const char *behave;
+	const char *behavior;
 	json_t *interval; /* borrowed; NULL when not recorded */
 };
 
@@ -65,7 +66,7 @@
 	httpd_answer(r, &answer);
 }
 
-/* Echoes the request's body, so that callers can check the whole answer. */
+/* Echoes the request's body, so that callers can check that it is whole. */
 static void answer_echo(struct httpd_request *r)
 {
 	struct httpd_answer answer = { .code = 200 };
@@ -91,23 +92,23 @@
 	httpd_answer(r, &answer);
 }
 
-/* Writes raw bytes past the server and cuts the connection. */
-static void cut(struct httpd_request *r, const char *raw)
+/* Writes raw bytes, bypassing the HTTP server, and closes the connection. */
+static void send_raw_and_close(struct httpd_request *r, const char *raw)
 {
 	int fd = httpd_descriptor(r);
 
 	if (*raw && write(fd, raw, strlen(raw)) < 0)
-		log_event(LOG_WARN, "worker", "cannot write");
+		log_event(LOG_WARN, "worker", "cannot write a raw answer");
 	shutdown(fd, SHUT_RDWR);
 	answer_text(r, 200, NULL, "");
 }
 
-static void finish(void *arg)
+static void finish_run(void *arg)
 {
 	struct run *run = arg;
 	struct state *s = run->state;
 	struct httpd_request *r = run->request;
-	const char *b = run->behave;
+	const char *b = run->behavior;
 
 	s->running--;
 	if (run->interval)
@@ -116,19 +117,26 @@
 	if (s->fail || !strcmp(b, "fail"))
 		answer_text(r, 500, NULL, "failed\n");
 	else if (!strcmp(b, "reset"))
-		cut(r, "");
+		send_raw_and_close(r, "");
 	else if (!strcmp(b, "truncate"))
-		cut(r, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
+		send_raw_and_close(
+			r,
+			"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
 	else if (!strcmp(b, "badlength"))
-		cut(r, "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nx");
+		send_raw_and_close(
+			r, "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nx");
 	else if (!strcmp(b, "unframed"))
-		cut(r, "HTTP/1.1 200 OK\r\n\r\nwhole or not");
+		send_raw_and_close(r, "HTTP/1.1 200 OK\r\n\r\nwhole or not");
 	else if (!strcmp(b, "chunkcut"))
-		cut(r, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-		       "5\r\nhello\r\n");
+		send_raw_and_close(
+			r,
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			"5\r\nhello\r\n");
 	else if (!strcmp(b, "chunked"))
-		cut(r, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-		       "5\r\nhello\r\n0\r\n\r\n");
+		send_raw_and_close(
+			r,
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			"5\r\nhello\r\n0\r\n\r\n");
 	else if (!strcmp(b, "big"))
 		answer_big(r);
 	else
@@ -136,7 +144,7 @@
 	talloc_free(run);
 }
 
-static void note_run(struct state *s, struct run *run)
+static void count_run(struct state *s, struct run *run)
 {
 	const char *id = header(run->request, "X-Request-Id");
 	json_t *times = json_object_get(s->runs, id);
@@ -153,7 +161,7 @@
 	json_array_append_new(s->intervals, run->interval);
 }
 
-static void run(struct state *s, struct httpd_request *r)
+static void start_run(struct state *s, struct httpd_request *r)
 {
 	struct run *run = talloc_zero(s, struct run);
 	const char *hold = header(r, "X-Hold-Ms");
@@ -161,18 +169,18 @@
 
 	run->state = s;
 	run->request = r;
-	note_run(s, run);
-	run->behave = header(r, "X-Behave");
-	if (!strcmp(run->behave, "never"))
-		ms = NEVER_MS;
+	count_run(s, run);
+	run->behavior = header(r, "X-Behave");
+	if (!strcmp(run->behavior, "never"))
+		ms = NEVER_HOLD_MS;
 	if (!ms) {
-		finish(run);
+		finish_run(run);
 		return;
 	}
-	serve_after(run, s->ev, ms, finish, run);
+	serve_after(run, s->ev, ms, finish_run, run);
 }
 
-static void control(struct state *s, struct httpd_request *r)
+static void serve_control(struct state *s, struct httpd_request *r)
 {
 	json_t *c = json_loadb(r->body ? r->body : "{}",
 			       r->body ? r->body_length : 2, 0, NULL);
@@ -186,7 +194,7 @@
 	answer_text(r, 200, NULL, "{}");
 }
 
-static void record(struct state *s, struct httpd_request *r)
+static void serve_record(struct state *s, struct httpd_request *r)
 {
 	json_t *body =
 		json_pack("{s:O, s:O, s:i, s:I, s:I}", "runs", s->runs,
@@ -205,26 +213,27 @@
 	struct state *s = arg;
 
 	if (!strcmp(r->path, "/control"))
-		control(s, r);
+		serve_control(s, r);
 	else if (!strcmp(r->path, "/record"))
-		record(s, r);
+		serve_record(s, r);
 	else if (!strcmp(header(r, "X-Behave"), "refuse"))
 		answer_text(r, 503, "Jackdawwell-Not-Run: 1\r\n", "full\n");
 	else
-		run(s, r);
+		start_run(s, r);
 }
 
 int main(int argc, char **argv)
 {
 	struct arg_int *port = arg_int1("p", "port", "PORT", "listen here");
 	struct arg_int *hold = arg_int0(NULL, "hold", "MS", "run time");
-	struct arg_lit *quiet = arg_lit0(NULL, "no-record", "record no ids");
+	struct arg_lit *no_record =
+		arg_lit0(NULL, "no-record", "record no ids");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { port, hold, quiet, end };
+	void *arg_table[] = { port, hold, no_record, end };
 	struct state *s = talloc_zero(NULL, struct state);
 
 	hold->ival[0] = 0;
-	if (arg_parse(argc, argv, table)) {
+	if (arg_parse(argc, argv, arg_table)) {
 		arg_print_errors(stderr, end, "worker");
 		return 2;
 	}
@@ -232,7 +241,7 @@
 	s->runs = json_object();
 	s->intervals = json_array();
 	s->hold_ms = (uint32_t)hold->ival[0];
-	s->record = !quiet->count;
+	s->record = !no_record->count;
 	if (!serve_listen(s, s->ev, "worker", port->ival[0], on_request, s))
 		return 1;
 	return tevent_loop_wait(s->ev);
