--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: all, demo, check, lint, bench, bench-slopes, soak, mutants, format,
 # clean.
-# `make SANITIZE=1 ...` builds with the address and undefined sanitizers
-# into a folder of its own.
+# `make SANITIZE=1 ...` builds with the address and undefined behavior
+# sanitizers into build/sanitize.
 
 CC = gcc
 PACKAGES = libtalloc-dev libtevent-dev libmicrohttpd-dev \
@@ -53,7 +53,7 @@
 $(B)/jackdawwell-node: $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c)) $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-# What the platform's deploy file runs.
+# The program that deploy/system.toml runs.
 target/jackdawwell-node:
 	@mkdir -p target
 	$(MAKE) --no-print-directory B=target/build target/build/jackdawwell-node
@@ -76,7 +76,7 @@
 $(B)/bench/%: $(B)/bench/%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-# Installs what is missing; silent when nothing is.
+# Installs missing packages; prints nothing if there are none.
 packages:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
 		{ apt-get update -qq && \
@@ -103,7 +103,7 @@
 	@$(MAKE) --no-print-directory -s all
 	@python3 tools/slopes.py $(B)
 
-# Faults at random for a minute a seed: SOAK="--seed 7 --count 10".
+# Random faults, one minute per seed: SOAK="--seed 7 --count 10".
 soak: packages
 	@$(MAKE) --no-print-directory -s all
 	@python3 tools/soak.py $(B) $(SOAK)
--- a/test/runner_test.py
+++ b/test/runner_test.py
@@ -1,4 +1,4 @@
-"""The runner of cases itself: ports, and a node that does not start."""
+"""Tests of the case runner: port allocation, a node that fails to start."""
 
 import os
 import socket
@@ -14,8 +14,8 @@
 
 PORT_ROUNDS = 16000
 FORKING_THREADS = 6
-TAKE_PORTS = "import fleet; print(*fleet.free_ports(200))"
-CASE = """# A node whose port something else has
+PRINT_PORTS = "import fleet; print(*fleet.free_ports(200))"
+CASE = """# A node whose port is in use
 nodes 1
 expect accepted == 0
 """
@@ -24,7 +24,7 @@
 class PortsTest(unittest.TestCase):
     def test_two_runs_get_different_ports(self):
         runs = [subprocess.Popen(
-            [sys.executable, "-c", f"{TAKE_PORTS}; input()"],
+            [sys.executable, "-c", f"{PRINT_PORTS}; input()"],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
             env={**os.environ, "PYTHONPATH": os.path.dirname(fleet.__file__)})
             for _ in range(3)]
@@ -36,10 +36,10 @@
 
     def test_the_kernel_gives_none_of_them_to_a_client(self):
         for port in fleet.free_ports(100):
-            self.assertLess(port, fleet.Ports.end())
+            self.assertLess(port, fleet.Ports.range_end())
 
     def test_a_taken_port_can_be_bound_while_processes_start(self):
-        """A child holds its parent's sockets between fork and exec."""
+        """A child process inherits open sockets between fork and exec."""
         done = threading.Event()
         refused = []
 
@@ -54,7 +54,7 @@
         try:
             ports = fleet.Ports()
             for _ in range(PORT_ROUNDS):
-                port = ports.take()
+                port = ports.allocate()
                 ports.free.append(port)
                 with socket.socket() as s:
                     s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -71,21 +71,21 @@
 
 class StartTest(unittest.TestCase):
     def test_a_node_that_ends_at_its_start_fails_its_case(self):
-        taken = []
+        bound_sockets = []
 
         class Site(jobs.Site):
-            def write_settings(self, name, first):
+            def write_settings(self, name, first_start):
                 s = socket.socket()
                 s.bind((fleet.HOST, self.ports[name][0]))
-                taken.append(s)
-                return super().write_settings(name, first)
+                bound_sockets.append(s)
+                return super().write_settings(name, first_start)
 
-        site, jobs.Site = jobs.Site, Site
+        original, jobs.Site = jobs.Site, Site
         try:
-            error = jobs.play(jobs.Case(CASE), "build")
+            error = jobs.run_case(jobs.Case(CASE), "build")
         finally:
-            jobs.Site = site
-            for s in taken:
+            jobs.Site = original
+            for s in bound_sockets:
                 s.close()
         self.assertIn("node-1 ended with", error)
         self.assertIn("cannot listen", error)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -1,8 +1,8 @@
-"""Measures the request path; each figure beside its bound.
+"""Measures the request path and prints each figure with its bound.
 
-Seconds are printed for people. What CI checks are ratios of one run, bytes,
-memory and instruction counts, which do not depend on how busy the machine
-is; see main() for the bounds and where each comes from.
+Durations are printed for information only. CI checks ratios within one run,
+bytes, memory and instruction counts, which do not depend on how busy the
+machine is.
 """
 
 import json
@@ -13,14 +13,16 @@
 
 import fleet
 
-RATIO_LEAST = 0.4            # issue 3
-WAITING = 10000              # issue 3
-WAITING_MIB_MOST = 128       # issue 3
-IDLE_BYTES_MOST = 6000       # issue 3: per entry, bytes a second
-STORE_READS = 2000           # brief: the table service, for everybody
-STORE_WRITES = 300           # brief: several hundred
-STORE_PART_MOST = 0.05       # issue 3
-IDLE_S = 10.0
+# Bounds from issue 3. The table service's capacity is shared by all its
+# clients; its figures are those of the requirements.
+RATE_RATIO_MIN = 0.4         # through an entry / direct to the worker
+WAITING_REQUESTS = 10000
+WAITING_MEMORY_MAX_MIB = 128
+IDLE_MAX_BYTES_PER_S = 6000  # one entry, to and from peers and the store
+STORE_READS_PER_S = 2000
+STORE_WRITES_PER_S = 300     # the requirements say several hundred
+STORE_LOAD_SHARE_MAX = 0.05  # an idle fleet of seven
+IDLE_MEASURE_S = 10.0
 CALLGRIND = ["valgrind", "--tool=callgrind",
              "--callgrind-out-file=/dev/null"]
 TEAM = {"shop": {"share": 1, "limit": 64}}
@@ -29,21 +31,21 @@
 
 
 class Bench:
-    """Collects figures and what is out of bounds."""
+    """Prints figures and collects the names of those out of bounds."""
 
     def __init__(self, build):
         self.build = build
-        self.bad = []
+        self.out_of_bounds = []
 
-    def show(self, name, value, unit, bound=None, most=True):
-        within = bound is None or (value <= bound if most
+    def show(self, name, value, unit, bound=None, is_max=True):
+        within = bound is None or (value <= bound if is_max
                                    else value >= bound)
         limit = "" if bound is None else (
-            f"  bound {'<=' if most else '>='} {bound}")
+            f"  bound {'<=' if is_max else '>='} {bound}")
         print(f"{name:44} {value:12.4g} {unit}{limit}"
               f"{'' if within else '  OUT OF BOUNDS'}", flush=True)
         if not within:
-            self.bad.append(name)
+            self.out_of_bounds.append(name)
 
     def load(self, port, path, key="none.none", requests=20000):
         out = subprocess.run(
@@ -52,8 +54,8 @@
             capture_output=True, text=True, check=True).stdout
         return json.loads(out)
 
-    def rate(self):
-        """One entry on one thread against the worker, by the same tool."""
+    def rates(self):
+        """Request rate through one single-threaded entry and direct."""
         with fleet.Fleet(self.build) as f:
             f.add_worker("w1", "--no-record")
             f.add_entry("entry-1")
@@ -75,38 +77,40 @@
                       "us")
             self.show("answers other than 200", bad, "", 0)
             self.show("rate through / direct, best of 3", max(ratios), "",
-                      RATIO_LEAST, most=False)
+                      RATE_RATIO_MIN, is_max=False)
 
-    def memory_of(self, process):
+    def resident_mib(self, process):
         with open(f"/proc/{process.popen.pid}/status") as f:
             return int(re.search(r"VmRSS:\s+(\d+)", f.read())[1]) / 1024
 
     def waiting(self):
-        """Requests that wait, over a worker that is busy with one."""
-        settings = {"waiting_max": WAITING + 10, "connections_max": 20000}
+        """Memory of an entry whose requests wait for one busy worker."""
+        settings = {"waiting_max": WAITING_REQUESTS + 10,
+                    "connections_max": 20000}
         with fleet.Fleet(self.build, settings) as f:
             f.add_worker("w1", "--no-record", "--hold", "50000")
-            p = f.add_entry("entry-1")
+            process = f.add_entry("entry-1")
             f.load("entry-1", TEAM, QUEUE, slots=1)
-            before = self.memory_of(p)
+            before = self.resident_mib(process)
             load = subprocess.Popen(
-                [f"{self.build}/bench/load", "--port", str(p.port), "--path",
-                 "/run/renew", "--key", f.keys["shop-key"], "--connections",
-                 str(WAITING), "--requests", str(WAITING)],
+                [f"{self.build}/bench/load", "--port", str(process.port),
+                 "--path", "/run/renew", "--key", f.keys["shop-key"],
+                 "--connections", str(WAITING_REQUESTS), "--requests",
+                 str(WAITING_REQUESTS)],
                 stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
             try:
                 fleet.wait_until("requests waiting", lambda: f.status(
-                    "entry-1")["waiting"] >= WAITING - 2, 60.0)
-                after = self.memory_of(p)
+                    "entry-1")["waiting"] >= WAITING_REQUESTS - 2, 60.0)
+                after = self.resident_mib(process)
             finally:
                 load.kill()
                 load.wait()
             self.show("memory of an entry without requests", before, "MiB")
-            self.show(f"memory with {WAITING} requests waiting", after,
-                      "MiB", WAITING_MIB_MOST)
+            self.show(f"memory with {WAITING_REQUESTS} requests waiting",
+                      after, "MiB", WAITING_MEMORY_MAX_MIB)
 
     def idle(self):
-        """Seven entries without requests."""
+        """Traffic of seven entries that receive no requests."""
         with fleet.Fleet(self.build, workers=["w1", "w2"]) as f:
             names = [f"entry-{i + 1}" for i in range(7)]
             for name in names:
@@ -115,36 +119,36 @@
             time.sleep(3.0)
             before = {n: f.status(n)["traffic"] for n in names}
             store = f.control_platform()
-            time.sleep(IDLE_S)
+            time.sleep(IDLE_MEASURE_S)
             after = {n: f.status(n)["traffic"] for n in names}
             store_after = f.control_platform()
             bytes_s = max(sum(
                 after[n][k] - before[n][k] for k in
                 ("store_bytes", "peer_bytes_in", "peer_bytes_out"))
-                for n in names) / IDLE_S
-            reads = (store_after["reads"] - store["reads"]) / IDLE_S
-            writes = (store_after["writes"] - store["writes"]) / IDLE_S
+                for n in names) / IDLE_MEASURE_S
+            reads = (store_after["reads"] - store["reads"]) / IDLE_MEASURE_S
+            writes = (store_after["writes"] - store["writes"]) / IDLE_MEASURE_S
             self.show("idle entry, peers and store", bytes_s, "B/s",
-                      IDLE_BYTES_MOST)
+                      IDLE_MAX_BYTES_PER_S)
             self.show("idle fleet of seven, store reads", reads, "1/s",
-                      STORE_READS * STORE_PART_MOST)
+                      STORE_READS_PER_S * STORE_LOAD_SHARE_MAX)
             self.show("idle fleet of seven, store writes", writes, "1/s",
-                      STORE_WRITES * STORE_PART_MOST)
+                      STORE_WRITES_PER_S * STORE_LOAD_SHARE_MAX)
 
     def instructions(self):
-        """Instructions a request, of the entry and of the worker itself.
+        """Instructions per request of an entry and of the worker stand-in.
 
-        The bound is that of the rates: an entry may take as much as the
-        worker stand-in takes divided by RATIO_LEAST.
+        The bound follows from that of the rates: an entry may execute as
+        many instructions as the worker stand-in, divided by RATE_RATIO_MIN.
         """
-        entry = self.slope(self.count_entry)
-        worker = self.slope(self.count_worker)
+        entry = self.instructions_per_request(self.count_entry)
+        worker = self.instructions_per_request(self.count_worker)
         self.show("instructions a request, worker stand-in", worker, "")
         self.show("instructions a request, whole entry", entry, "",
-                  worker / RATIO_LEAST)
+                  worker / RATE_RATIO_MIN)
 
     def decisions(self):
-        """Instructions a request of the decision code, its bench included."""
+        """Instructions per request of the decision code and its benchmark."""
         done = subprocess.run(
             [*CALLGRIND, f"{self.build}/bench/fairness", "--brief",
              "--seconds", "20"], capture_output=True, text=True)
@@ -154,49 +158,49 @@
                   count / ended, "")
 
     @staticmethod
-    def slope(count):
+    def instructions_per_request(count):
         few, many = 500, 1500
         return (count(many) - count(few)) / (many - few)
 
     @staticmethod
-    def counted(process, log_text):
-        process.send(fleet.signal.SIGTERM)
+    def stop_and_count(process, log_tail):
+        process.send_signal(fleet.signal.SIGTERM)
         process.popen.wait(timeout=60)
-        return int(re.search(r"Collected : (\d+)", log_text())[1])
+        return int(re.search(r"Collected : (\d+)", log_tail())[1])
 
     def count_entry(self, requests):
         with fleet.Fleet(self.build, wrap=CALLGRIND) as f:
             f.add_worker("w1", "--no-record")
-            p = f.add_entry("entry-1", ready=False)
+            process = f.add_entry("entry-1", ready=False)
             f.wait_ready("entry-1", 60.0)
             f.load("entry-1", TEAM, QUEUE, slots=64)
-            self.load(p.port, "/run/renew", f.keys["shop-key"], requests)
-            return self.counted(p, f.log_text)
+            self.load(process.port, "/run/renew", f.keys["shop-key"], requests)
+            return self.stop_and_count(process, f.log_tail)
 
     def count_worker(self, requests):
         with fleet.Fleet(self.build) as f:
             port, = fleet.free_ports(1)
-            p = fleet.Process("w1", port, [
+            process = fleet.Process("w1", port, [
                 *CALLGRIND, f"{self.build}/standin/worker", "--port",
                 str(port), "--no-record"], f.log)
-            f.workers["w1"] = p
-            p.start()
-            fleet.wait_until("worker", lambda: f.listens(port), 60.0)
+            f.workers["w1"] = process
+            process.start()
+            fleet.wait_until("worker", lambda: f.is_listening(port), 60.0)
             self.load(port, "/renew", requests=requests)
-            return self.counted(p, f.log_text)
+            return self.stop_and_count(process, f.log_tail)
 
 
 def main(build):
     bench = Bench(build)
-    bench.rate()
+    bench.rates()
     bench.waiting()
     bench.idle()
     bench.instructions()
     bench.decisions()
     fair = subprocess.run([f"{build}/bench/fairness"])
-    for name in bench.bad:
+    for name in bench.out_of_bounds:
         print(f"out of bounds: {name}")
-    return bool(bench.bad or fair.returncode)
+    return bool(bench.out_of_bounds or fair.returncode)
 
 
 if __name__ == "__main__":
--- a/tools/check.py
+++ b/tools/check.py
@@ -1,7 +1,7 @@
 """Runs all checks and ends with the line `N passed, N failed`.
 
-A check listed in KNOWN-RED.txt is run and printed, and counts as passed
-over: neither as passed nor as failed.
+A failure of a check listed in KNOWN-RED.txt is printed and counted neither
+as passed nor as failed.
 """
 
 import concurrent.futures
@@ -15,16 +15,17 @@
 import jobs
 import scenario
 
-WALK_SCHEDULES = 10000
+LEDGER_WALK_SCHEDULES = 10000
 FLEET_WALK_SEEDS = 10000
-QUICK_RESTART_FAULTS = 4095  # all, and workers that restart in 0.5 s
-FLEET_WALK_PARTS = 5 # side by side
+# Bit mask of --faults: all faults, with workers that restart within 0.5 s.
+QUICK_RESTART_FAULTS = 4095
+FLEET_WALK_PARTS = 5  # processes that run concurrently
 SAFEGUARDS = ("round-tag", "sequence", "late-draw", "report", "debt",
               "unknown", "end-of-work", "lease")
 
 
 def known_red():
-    """Names of the checks that KNOWN-RED.txt lists, one a line."""
+    """Returns the names in the `check: ` lines of KNOWN-RED.txt."""
     if not os.path.exists("KNOWN-RED.txt"):
         return {}
     with open("KNOWN-RED.txt") as f:
@@ -33,14 +34,14 @@
 
 
 class Results:
-    """Counts and prints what passed."""
+    """Prints the result of each check and counts them."""
 
     def __init__(self):
         self.passed = self.failed = 0
-        self.red = known_red()
+        self.known_red = known_red()
 
     def add(self, name, error):
-        if error and name in self.red:
+        if error and name in self.known_red:
             print(f"KNOWN RED  {name}: {error}", flush=True)
             return
         if error:
@@ -57,7 +58,7 @@
 
 
 def make_sanitized():
-    """Builds what the malformed-input check runs, with sanitizers."""
+    """Builds the programs and tests that run with sanitizers."""
     folder = "build/sanitize"
     subprocess.run(["make", "-s", "-j", "SANITIZE=1",
                     f"{folder}/jackdawwelld", f"{folder}/standin/worker",
@@ -70,30 +71,32 @@
 
 
 def check_bench(results, build):
-    """The bounds that do not depend on how busy the machine is."""
+    """Checks the bounds that do not depend on how busy the machine is."""
     for name, measure in (("waiting", bench.Bench.waiting),
                           ("idle", bench.Bench.idle),
                           ("instructions", bench.Bench.instructions)):
         b = bench.Bench(build)
         measure(b)
+        names = ", ".join(b.out_of_bounds)
         results.add(f"bench {name}",
-                    f"out of bounds: {', '.join(b.bad)}" if b.bad else None)
+                    f"out of bounds: {names}" if names else None)
     done = subprocess.run([f"{build}/bench/fairness"], capture_output=True,
                           text=True)
     print(done.stdout, end="")
-    results.add("bench fairness", "nearness to share is out of bounds"
+    results.add("bench fairness",
+                "deviation from the fair share is out of bounds"
                 if done.returncode else None)
 
 
 def check_file(build, path):
-    """A bad file is refused with the message that its second line expects."""
+    """Checks that a bad file is refused with the message it expects."""
     with open(path) as f:
-        what, expect = (f.readline()[2:].strip() for _ in range(2))
+        kind, expect = (f.readline()[2:].strip() for _ in range(2))
     expect = expect[len("expect: "):]
     command = {"settings": [f"{build}/jackdawwelld", "--check", path],
                "node": [f"{build}/jackdawwell-node", "--check", path],
                "inventory": [f"{build}/jackdawwell", "-e", "127.0.0.1:1",
-                             "load", path]}[what]
+                             "load", path]}[kind]
     done = subprocess.run(command, capture_output=True, text=True)
     if done.returncode and expect in done.stderr:
         return None
@@ -101,7 +104,7 @@
 
 
 def run_scenarios(build):
-    """The cases of each file one after another, the files side by side."""
+    """Runs files of cases concurrently, the cases of one file in sequence."""
     for runner, pattern in ((scenario, "test/scenarios/*.txt"),
                             (jobs, "test/jobs/*.txt")):
         paths = sorted(glob.glob(pattern))
@@ -111,7 +114,7 @@
 
 
 def fleet_walk(build, *options):
-    """The walk over the scheduler, its seeds in parts side by side."""
+    """Splits the seeds of the scheduler walk over concurrent processes."""
     part = FLEET_WALK_SEEDS // FLEET_WALK_PARTS
     walks = [subprocess.Popen(
         [f"{build}/test/fleet_walk", "--seed", str(i * part + 1), "--count",
@@ -131,10 +134,11 @@
         results.add(f"refused: {os.path.basename(path)}",
                     check_file(build, path))
     walk = f"{build}/test/ledger_walk"
-    results.command("ledger walk", [walk, "--count", str(WALK_SCHEDULES)])
-    for guard in SAFEGUARDS:
-        results.command(f"ledger walk finds {guard} removed",
-                        [walk, "--without", guard, "--count", "30000"])
+    results.command("ledger walk",
+                    [walk, "--count", str(LEDGER_WALK_SCHEDULES)])
+    for safeguard in SAFEGUARDS:
+        results.command(f"ledger walk finds {safeguard} removed",
+                        [walk, "--without", safeguard, "--count", "30000"])
     results.add("fleet walk", fleet_walk(build))
     results.add("fleet walk, quick restarts",
                 fleet_walk(build, "--faults", str(QUICK_RESTART_FAULTS)))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,7 +1,7 @@
-"""Starts stand-ins and entries on loopback and speaks to them.
+"""Starts stand-ins and entries on loopback and makes calls to them.
 
-Used by the demo, the scenario runner and the benchmarks. Every process is
-one that this module started; they end with it.
+Used by the demo, the scenario runner and the benchmarks. A Fleet stops all
+processes that it started when it is closed.
 """
 
 import http.client
@@ -18,16 +18,17 @@
 
 HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-for-tests"
-READY_S = 10.0
-PORTS_BEGIN, PORTS_END = 11000, 32000
-PORT_BLOCK = 50
+READY_TIMEOUT_S = 10.0
+PORT_RANGE_BEGIN, PORT_RANGE_END = 11000, 32000
+PORT_BLOCK_SIZE = 50
 
 
-def bound(port, exclusive):
-    """A socket bound to the port; None if something else has it.
+def bind_port(port, exclusive):
+    """Returns a socket bound to the port; None if the port is in use.
 
-    A child that another thread is starting holds a copy until its exec. One
-    that is not exclusive lets the port be bound again meanwhile.
+    A child process inherits the socket between fork and exec, so the port can
+    stay bound for a moment after the socket is closed here. If exclusive is
+    false, SO_REUSEADDR lets the port be bound again meanwhile.
     """
     s = socket.socket()
     if not exclusive:
@@ -41,44 +42,46 @@
 
 
 class Ports:
-    """Ports that nothing else gets while this process lives.
+    """Allocates ports that no other run gets while this process runs.
 
     They lie below the range from which the kernel takes the ports of
-    outgoing connections. A block of them belongs to whoever holds its first
-    port bound, so that several runs on one machine keep apart.
+    outgoing connections. A run claims a block by binding its first port, so
+    that several runs on one machine use different blocks.
     """
 
     def __init__(self):
         self.lock = threading.Lock()
         self.free = []
-        self.held = []
+        self.block_sockets = []
 
     @staticmethod
-    def end():
+    def range_end():
         try:
             with open("/proc/sys/net/ipv4/ip_local_port_range") as f:
-                return min(PORTS_END, int(f.read().split()[0]))
+                return min(PORT_RANGE_END, int(f.read().split()[0]))
         except OSError:
-            return PORTS_END
+            return PORT_RANGE_END
 
     def claim_block(self):
-        blocks = list(range(PORTS_BEGIN, self.end() - PORT_BLOCK, PORT_BLOCK))
+        blocks = list(range(PORT_RANGE_BEGIN,
+                            self.range_end() - PORT_BLOCK_SIZE,
+                            PORT_BLOCK_SIZE))
         random.shuffle(blocks)
         for first in blocks:
-            s = bound(first, exclusive=True)
+            s = bind_port(first, exclusive=True)
             if s:
-                self.held.append(s)
-                self.free.extend(range(first + 1, first + PORT_BLOCK))
+                self.block_sockets.append(s)
+                self.free.extend(range(first + 1, first + PORT_BLOCK_SIZE))
                 return
-        raise OSError("no block of ports is free")
+        raise OSError("all port blocks are in use")
 
-    def take(self):
+    def allocate(self):
         with self.lock:
             while True:
                 if not self.free:
                     self.claim_block()
                 port = self.free.pop(0)
-                s = bound(port, exclusive=False)
+                s = bind_port(port, exclusive=False)
                 if s:
                     s.close()
                     return port
@@ -88,8 +91,8 @@
 
 
 def free_ports(count):
-    """Returns ports that no other process is given."""
-    return [PORTS.take() for _ in range(count)]
+    """Returns newly allocated ports; see Ports."""
+    return [PORTS.allocate() for _ in range(count)]
 
 
 def call(port, method, path, body=None, headers=None, timeout=15.0):
@@ -103,18 +106,18 @@
         c.close()
 
 
-def wait_until(what, true, seconds=READY_S):
-    """Waits until true() holds; raises TimeoutError naming what."""
-    end = time.monotonic() + seconds
+def wait_until(what, condition, timeout_s=READY_TIMEOUT_S):
+    """Waits until condition() is true; raises TimeoutError naming what."""
+    end = time.monotonic() + timeout_s
     while time.monotonic() < end:
-        if true():
+        if condition():
             return
         time.sleep(0.02)
     raise TimeoutError(what)
 
 
-def keep_log(build, title, text):
-    """Keeps the log of a failed case; returns the file's path."""
+def save_log(build, title, text):
+    """Saves the log of a failed case; returns the file's path."""
     folder = os.path.join(build, "failed")
     os.makedirs(folder, exist_ok=True)
     name = re.sub(r"[^a-z0-9]+", "-", title.lower())[:60]
@@ -125,7 +128,7 @@
 
 
 class Process:
-    """One process of the fleet, on a port."""
+    """A process that listens on a port."""
 
     def __init__(self, name, port, command, log):
         self.name = name
@@ -138,7 +141,7 @@
         self.popen = subprocess.Popen(
             self.command, stdout=self.log, stderr=self.log)
 
-    def send(self, number):
+    def send_signal(self, number):
         self.popen.send_signal(number)
 
     def running(self):
@@ -146,26 +149,26 @@
 
     def stop(self):
         if self.running():
-            self.send(signal.SIGCONT)
+            self.send_signal(signal.SIGCONT)
             self.popen.kill()
         if self.popen:
             self.popen.wait()
 
 
 class Fleet:
-    """A platform, workers and entries with an inventory loaded."""
+    """A platform stand-in, worker stand-ins and entries."""
 
-    def __init__(self, build, settings=None, workers=(), wrap=()):
+    def __init__(self, build, settings=None, workers=(), command_prefix=()):
         self.build = build
         self.dir = tempfile.TemporaryDirectory()
         self.settings = settings or {}
-        self.wrap = list(wrap)
+        self.command_prefix = list(command_prefix)
         self.log = open(os.path.join(self.dir.name, "log"), "w+")
         port, = free_ports(1)
         self.platform = Process("platform", port, [
             f"{build}/standin/platform", "--port", str(port)], self.log)
         self.platform.start()
-        wait_until("platform", lambda: self.listens(port))
+        wait_until("platform", lambda: self.is_listening(port))
         self.workers = {}
         self.entries = {}
         self.keys = {}
@@ -173,7 +176,7 @@
             self.add_worker(name)
 
     @staticmethod
-    def listens(port):
+    def is_listening(port):
         with socket.socket() as s:
             return s.connect_ex((HOST, port)) == 0
 
@@ -183,7 +186,7 @@
                                  str(port), *options], self.log)
         p.start()
         self.workers[name] = p
-        wait_until(name, lambda: self.listens(port))
+        wait_until(name, lambda: self.is_listening(port))
         return p
 
     def settings_text(self, name, ports):
@@ -203,38 +206,39 @@
         with open(path, "w") as f:
             f.write(self.settings_text(name, ports))
         p = Process(name, ports[0], [
-            *self.wrap, f"{self.build}/jackdawwelld", path], self.log)
+            *self.command_prefix, f"{self.build}/jackdawwelld", path],
+            self.log)
         p.admin = ports[1]
         self.entries[name] = p
-        self.list_instances()
+        self.set_instance_list()
         p.start()
         if ready:
             self.wait_ready(name)
         return p
 
-    def wait_ready(self, name, seconds=READY_S):
+    def wait_ready(self, name, timeout_s=READY_TIMEOUT_S):
         p = self.entries[name]
 
         def ready():
             if not p.running():
-                raise RuntimeError(f"{name} ended: {self.log_text()}")
+                raise RuntimeError(f"{name} ended: {self.log_tail()}")
             try:
                 return call(p.admin, "GET", "/readyz")[0] == 200
             except OSError:
                 return False
-        wait_until(f"{name} ready: {self.log_text()}", ready, seconds)
+        wait_until(f"{name} ready: {self.log_tail()}", ready, timeout_s)
 
-    def list_instances(self, without=()):
+    def set_instance_list(self, without=()):
         names = [n for n in [*self.entries, *self.workers]
                  if n not in without]
         self.control_platform(instances=names)
 
-    def control_platform(self, **what):
+    def control_platform(self, **fields):
         return json.loads(call(self.platform.port, "POST", "/control",
-                               json.dumps(what))[2])
+                               json.dumps(fields))[2])
 
-    def control_worker(self, name, **what):
-        call(self.workers[name].port, "POST", "/control", json.dumps(what))
+    def control_worker(self, name, **fields):
+        call(self.workers[name].port, "POST", "/control", json.dumps(fields))
 
     def record(self, name):
         return json.loads(call(self.workers[name].port, "GET", "/record")[2])
@@ -256,11 +260,11 @@
     def status(self, entry):
         return self.admin(entry, "GET", "/v1/status")[1]
 
-    def change(self, entry, change, **more):
+    def change_config(self, entry, change, **fields):
         return self.admin(entry, "POST", "/v1/config",
-                          {"change": change, **more})
+                          {"change": change, **fields})
 
-    def issue(self, entry, name, team):
+    def issue_key(self, entry, name, team):
         code, body = self.admin(entry, "POST", "/v1/keys",
                                 {"name": name, "team": team})
         if code != 200:
@@ -270,27 +274,27 @@
 
     def load(self, entry, teams, queues, slots=8, pool_of=None,
              workers=None):
-        """Loads pools, instances, teams and queues; one key a team."""
+        """Loads pools, instances, teams and queues; issues a key per team."""
         pools = {q["pool"] for q in queues.values()}
         pools |= set((pool_of or {}).values())
         names = sorted(pools)
-        listed = workers or list(self.workers)
+        worker_names = workers or list(self.workers)
         instances = {
             w: {"address": f"{HOST}:{self.workers[w].port}",
                 "pool": (pool_of or {}).get(w, names[0]),
                 "zone": f"az-{i % 3 + 1}", "rack": f"rack-{i // 4 + 1}",
-                "slots": slots} for i, w in enumerate(listed)}
-        code, body = self.change(entry, {
+                "slots": slots} for i, w in enumerate(worker_names)}
+        code, body = self.change_config(entry, {
             "pools": {p: {"service": p, "out_max": 2} for p in pools},
             "instances": instances, "teams": teams, "queues": queues})
         if code != 200:
             raise RuntimeError(f"load: {code} {body}")
         for team in teams:
-            self.issue(entry, f"{team}-key", team)
-        self.wait_in_force(self.status(entry)["version"])
+            self.issue_key(entry, f"{team}-key", team)
+        self.wait_for_version(self.status(entry)["version"])
 
-    def wait_in_force(self, version):
-        """Waits until every entry has the version, or a newer one."""
+    def wait_for_version(self, version):
+        """Waits until every entry has this version or a newer one."""
         for name in self.entries:
             wait_until(f"{name} has version {version}",
                        lambda n=name: self.status(n)["version"] >= version)
@@ -300,17 +304,18 @@
         all_headers = dict(headers or {})
         if key:
             all_headers["Authorization"] = f"Bearer {self.keys[key]}"
-        code, got, answer = call(self.entries[entry].port, method,
-                                 f"/run/{queue}", body, all_headers, timeout)
-        return code, got.get("Jackdawwell-Outcome"), answer
+        code, answer_headers, answer = call(
+            self.entries[entry].port, method, f"/run/{queue}", body,
+            all_headers, timeout)
+        return code, answer_headers.get("Jackdawwell-Outcome"), answer
 
-    def whole_log(self):
+    def read_log(self):
         self.log.flush()
         with open(self.log.name) as f:
             return f.read()
 
-    def log_text(self):
-        return self.whole_log()[-8000:]
+    def log_tail(self):
+        return self.read_log()[-8000:]
 
     def close(self):
         for p in [*self.entries.values(), *self.workers.values(),
@@ -326,7 +331,7 @@
         self.close()
 
 
-class Background:
+class BackgroundCalls:
     """Runs calls in threads and collects their results."""
 
     def __init__(self):
@@ -334,10 +339,10 @@
         self.results = []
         self.lock = threading.Lock()
 
-    def start(self, fn, *args, **more):
+    def start(self, fn, *args, **kwargs):
         def run():
             try:
-                result = fn(*args, **more)
+                result = fn(*args, **kwargs)
             except OSError as e:
                 result = (0, "broken", str(e).encode())
             except http.client.HTTPException as e:
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -1,7 +1,7 @@
-"""Malformed requests and frames against an entry built with sanitizers.
+"""Sends malformed requests and frames to an entry built with sanitizers.
 
-Fails when the entry crashes, leaks, reports an error of memory or use, or
-does not answer a good request afterwards.
+Fails if the entry crashes, leaks memory, makes a sanitizer report an error,
+or does not answer a valid request afterwards.
 """
 
 import subprocess
@@ -9,12 +9,12 @@
 
 import fleet
 
-MESSAGES = 200000
+MESSAGE_COUNT = 200000
 SEED = 20261204
 
 
 def run(build):
-    """Returns None, or what went wrong."""
+    """Returns None, or a description of the failure."""
     with fleet.Fleet(f"{build}/sanitize", workers=["w1"]) as f:
         p = f.add_entry("entry-1")
         f.add_entry("entry-2")
@@ -25,21 +25,21 @@
             peer = settings.read().split("peers: 127.0.0.1:")[1].split()[0]
         done = subprocess.run(
             [f"{build}/test/fuzz_client", "--http", str(p.port), "--peer",
-             peer, "--seed", str(SEED), "--count", str(MESSAGES)],
+             peer, "--seed", str(SEED), "--count", str(MESSAGE_COUNT)],
             capture_output=True, text=True)
         if done.returncode:
-            return f"client: {done.stderr} {f.log_text()}"
+            return f"client: {done.stderr} {f.log_tail()}"
         if not p.running():
-            return f"entry ended: {f.log_text()}"
+            return f"entry ended: {f.log_tail()}"
         for _ in range(5):
             answer = f.request("entry-1", "renew", "shop-key", b"whole")
             if answer != (200, "answered", b"whole"):
                 return f"answered {answer}"
-        p.send(fleet.signal.SIGTERM)
+        p.send_signal(fleet.signal.SIGTERM)
         if p.popen.wait(timeout=60):
-            return f"exit {p.popen.returncode}: {f.log_text()}"
-        if "Sanitizer" in f.log_text() or "runtime error" in f.log_text():
-            return f.log_text()
+            return f"exit {p.popen.returncode}: {f.log_tail()}"
+        if "Sanitizer" in f.log_tail() or "runtime error" in f.log_tail():
+            return f.log_tail()
     return None
 
 
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -1,7 +1,7 @@
-"""Runs cases of jobs on nodes and a stand-in of the users' platform.
+"""Runs test cases with jobs on nodes and a stand-in for the platform.
 
-docs/SCENARIOS.md has the grammar (jobs). Every process is one that this
-module started; they end with it.
+docs/SCENARIOS.md describes the grammar (jobs). A Site stops all processes
+that it started when its context ends.
 """
 
 import base64
@@ -21,7 +21,7 @@
 import fleet
 import versions
 from link import Link
-from scenario import COMPARE, ScenarioError, seconds
+from scenario import COMPARISONS, ScenarioError, parse_duration_s
 
 NODE_SETTINGS = """\
 node: {name}
@@ -46,41 +46,42 @@
 upkeep_s: 2
 config_ms: 2000
 """
-SHARE = 0.3       # of a core, as told to a node
-POOLS = {"q0": "p0", "q1": "p1"}  # of queues; any other has the first
-KEY = "key-of-the-shop-workspace"
-CALL_S = 5.0
-SETTLE_S = 30.0
-RETRIES = 40     # of one call: callers come again until they know
-RETRY_S = 0.25
+NODE_SHARE_CORES = 0.3
+QUEUE_POOLS = {"q0": "p0", "q1": "p1"}  # other queues are served by p0
+API_KEY = "key-of-the-shop-workspace"
+CALL_TIMEOUT_S = 5.0
+JOBS_END_TIMEOUT_S = 30.0
+CALL_ATTEMPTS_MAX = 40  # callers retry until they know the outcome
+RETRY_DELAY_S = 0.25
 GARBAGE_SEED = 20261204
-GARBAGE_SIZES = (0, 1, 5, 64, 700)  # bytes of a frame
-LEADING_EVENTS = ("start", "stop", "end", "lead", "claim", "takeover",
-                  "resign", "predecessor-gone", "store-lost",
-                  "store-regained", "stood-still", "write-unknown")
-LEADING_LINES = 60
-TERMINAL = ("completed", "failed", "cancelled")
-
-
-def config(version, queues=("q0", "q1"), cap=400000, routes=0):
-    """The operators' document: a queue a pool, one workspace."""
-    more = tuple(f"more{i}" for i in range(routes))
+GARBAGE_SIZES_BYTES = (0, 1, 5, 64, 700)
+LEADERSHIP_EVENTS = ("start", "stop", "end", "lead", "claim", "takeover",
+                     "resign", "predecessor-gone", "store-lost",
+                     "store-regained", "stood-still", "write-unknown")
+LEADERSHIP_LINES_MAX = 60
+TERMINAL_STATES = ("completed", "failed", "cancelled")
+
+
+def config_document(version, queues=("q0", "q1"), cap_cpu=400000,
+                    extra_routes=0):
+    """Returns a configuration with a queue per pool and one workspace."""
+    extra = tuple(f"more{i}" for i in range(extra_routes))
     return {
         "version": version,
         "routes": [{"name": q, "host": "jobs.example", "pathPrefix": f"/{q}/",
-                    "service": POOLS.get(q, "p0"), "sloMs": 20000,
+                    "service": QUEUE_POOLS.get(q, "p0"), "sloMs": 20000,
                     "stretch": 10.0, "maxAttempts": 3, "priority": 0,
                     "timeoutMs": 3000, "public": False}
-                   for q in (*queues, *more)],
+                   for q in (*queues, *extra)],
         "services": [{"name": "p0", "admissionCheck": True, "spare": False},
                      {"name": "p1", "admissionCheck": True, "spare": False}],
-        "tenants": [{"name": "shop", "apiKeys": [KEY], "weight": 1,
-                     "cap": {"cpu": cap, "memMb": 0, "gpu": 0}}],
+        "tenants": [{"name": "shop", "apiKeys": [API_KEY], "weight": 1,
+                     "cap": {"cpu": cap_cpu, "memMb": 0, "gpu": 0}}],
     }
 
 
 class Site:
-    """The stand-in, its workers and the nodes."""
+    """The platform stand-in (standin/site), its workers and the nodes."""
 
     def __init__(self, build, workers=4):
         self.build = build
@@ -89,77 +90,80 @@
         ports = fleet.free_ports(workers + 1)
         self.port = ports[0]
         pools = [f"p{i % 2}:{p}" for i, p in enumerate(ports[1:])]
-        self.site = fleet.Process("site", self.port, [
+        self.platform = fleet.Process("site", self.port, [
             f"{build}/standin/site", "--port", str(self.port), *pools],
             self.log)
-        self.site.start()
-        fleet.wait_until("site", lambda: fleet.Fleet.listens(self.port))
+        self.platform.start()
+        fleet.wait_until("site", lambda: fleet.Fleet.is_listening(self.port))
         self.nodes = {}
         self.ports = {}
-        self.links = {}  # of each node to the store
+        self.links = {}  # node -> its rate-limited link to the store
         self.version = 1
-        self.versions = versions.Versions(self)
+        self.version_checker = versions.VersionChecker(self)
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exc):
-        self.versions.close()
+        self.version_checker.close()
         for link in self.links.values():
             link.close()
-        for p in [*self.nodes.values(), self.site]:
+        for p in [*self.nodes.values(), self.platform]:
             p.stop()
         self.log.close()
         self.dir.cleanup()
 
-    def control(self, **what):
+    def control(self, **fields):
         return json.loads(fleet.call(self.port, "POST", "/control",
-                                     json.dumps(what))[2])
+                                     json.dumps(fields))[2])
 
     def configure(self, **changes):
         self.control(put={"table": "op", "key": "config",
-                          "value": config(self.version, **changes)})
+                          "value": config_document(self.version, **changes)})
         self.version += 1
 
     strong = ()
-    alone = 1000  # instances that a lead calls without help
+    calls_alone = 1000  # instances that a leader calls without relays
 
-    def share(self, name):
-        """Of a core; a third of it for the others where some are strong."""
-        return SHARE if not self.strong or name in self.strong else SHARE / 3
+    def processor_share(self, name):
+        """A third of the usual share if only other nodes are strong."""
+        if not self.strong or name in self.strong:
+            return NODE_SHARE_CORES
+        return NODE_SHARE_CORES / 3
 
     def prepare_node(self, name):
         self.ports[name] = fleet.free_ports(4)
         self.links[name] = Link(self.port)
-        path = self.write_settings(name, first=True)
+        path = self.write_settings(name, first_start=True)
         self.nodes[name] = fleet.Process(
             name, self.ports[name][0],
             [f"{self.build}/jackdawwell-node", path], self.log)
 
-    def write_settings(self, name, first):
+    def write_settings(self, name, first_start):
         callers, readiness, peers, links = self.ports[name]
         seeds = ",".join(f"127.0.0.1:{p[2]}" for p in self.ports.values())
         path = os.path.join(self.dir.name, f"{name}.yaml")
         with open(path, "w") as f:
             f.write(NODE_SETTINGS.format(
                 name=name, callers=callers, readiness=readiness, peers=peers,
-                links=links, alone=self.alone,
+                links=links, alone=self.calls_alone,
                 seeds=seeds, store=self.links[name].port,
-                fleet=self.port, share=self.share(name),
-                first=str(first).lower()))
+                fleet=self.port, share=self.processor_share(name),
+                first=str(first_start).lower()))
         return path
 
-    def ready(self, name):
+    def is_ready(self, name):
         try:
-            return fleet.call(self.ports[name][1], "GET", "/", timeout=1)[0] == 200
+            return fleet.call(self.ports[name][1], "GET", "/",
+                              timeout=1)[0] == 200
         except OSError:
             return False
 
-    def ready_or_ended(self, name):
+    def is_ready_or_raise(self, name):
         if not self.nodes[name].running():
             raise ScenarioError(
                 f"{name} ended with {self.nodes[name].popen.returncode}")
-        return self.ready(name)
+        return self.is_ready(name)
 
     def start_nodes(self, count):
         for i in range(count):
@@ -168,9 +172,9 @@
             p.start()
         for name in self.nodes:
             fleet.wait_until(f"{name} is ready",
-                             lambda n=name: self.ready_or_ended(n))
+                             lambda n=name: self.is_ready_or_raise(n))
         for name in self.nodes:
-            self.write_settings(name, first=False)
+            self.write_settings(name, first_start=False)
 
     def metric(self, name, metric):
         try:
@@ -181,8 +185,8 @@
         m = re.search(rf"^jackdawwell_{metric} (\d+)", text, re.M)
         return int(m[1]) if m else 0
 
-    def lead(self):
-        """The node that leads, by its own word with the newest epoch."""
+    def leader(self):
+        """Of the nodes that report to be leader, the one of newest epoch."""
         best = None
         for name, p in self.nodes.items():
             if p.running() and name not in self.frozen and \
@@ -194,24 +198,24 @@
 
     frozen = frozenset()
 
-    def request(self, method, path, body=None, node=None, key=KEY):
+    def request(self, method, path, body=None, node=None, key=API_KEY):
         names = [n for n, p in self.nodes.items()
                  if p.running() and n not in self.frozen]
         if not names:
-            raise ConnectionError("no node runs")
+            raise ConnectionError("no node is running")
         name = node or names[hash(path + str(time.monotonic())) % len(names)]
         headers = {"Host": "jobs.example", "Deadline-Ms": "3000",
                    "X-Api-Key": key}
         return fleet.call(self.ports[name][0], method, path,
                           json.dumps(body) if body else None, headers,
-                          CALL_S)
+                          CALL_TIMEOUT_S)
 
     def record(self):
         return json.loads(fleet.call(self.port, "GET", "/record")[2])
 
 
 class Job:
-    """One job and what its caller was told."""
+    """One job and the answers that its caller received."""
 
     def __init__(self, number, queue, tasks, steps, ms):
         self.id = f"{number:016x}"
@@ -229,7 +233,7 @@
 
 
 class Case:
-    """One case: timed actions, then what is expected."""
+    """A parsed case: settings, timed actions and expectations."""
 
     def __init__(self, text):
         lines = [l.strip() for l in text.splitlines() if l.strip()]
@@ -237,13 +241,13 @@
         self.actions, self.expects = [], []
         self.nodes, self.workers = 3, 4
         self.strong = ()
-        self.alone = Site.alone
+        self.alone = Site.calls_alone
         for line in lines[1:]:
             if line.startswith("#"):
                 continue
             words = line.split()
             if words[0] == "at":
-                self.actions.append((seconds(words[1]), words[2:]))
+                self.actions.append((parse_duration_s(words[1]), words[2:]))
             elif words[0] == "expect":
                 self.expects.append(words[1:])
             elif words[0] == "strong":
@@ -251,35 +255,35 @@
             elif words[0] in ("nodes", "workers", "alone"):
                 setattr(self, words[0], int(words[1]))
             else:
-                raise ScenarioError(f"not understood: {line}")
+                raise ScenarioError(f"unknown verb: {line}")
 
 
 class Run:
-    """Plays a case against a site."""
+    """Runs the actions of a case on a site and checks the expectations."""
 
     def __init__(self, case, site):
         self.case = case
         self.site = site
         self.jobs = []
         self.threads = []
-        self.cut = 0
+        self.dropped_connections = 0
         self.killed = set()
         self.lock = threading.Lock()
 
     def submit(self, job):
-        for _ in range(RETRIES):
+        for _ in range(CALL_ATTEMPTS_MAX):
             try:
                 code = self.site.request("POST", f"/{job.queue}/{job.id}",
                                          job.body)[0]
             except OSError:
                 with self.lock:
-                    self.cut += 1
+                    self.dropped_connections += 1
                 code = 0
             job.answers.append(code)
             if code == 200:
                 job.accepted = True
                 return
-            time.sleep(RETRY_S)
+            time.sleep(RETRY_DELAY_S)
 
     def in_thread(self, fn, *args):
         t = threading.Thread(target=fn, args=args)
@@ -288,23 +292,23 @@
 
     def do_submit(self, words):
         count, queue = int(words[0]), words[2]
-        given = dict(zip(words[3::2], words[4::2]))
+        params = dict(zip(words[3::2], words[4::2]))
         for _ in range(count):
-            job = Job(len(self.jobs) + 1, queue, int(given.get("tasks", 2)),
-                      int(given.get("steps", 1)), int(given.get("ms", 200)))
+            job = Job(len(self.jobs) + 1, queue, int(params.get("tasks", 2)),
+                      int(params.get("steps", 1)), int(params.get("ms", 200)))
             self.jobs.append(job)
             self.in_thread(self.submit, job)
 
-    def names(self, word):
+    def node_names(self, word):
         if word == "all":
             return list(self.site.nodes)
         if word == "lead":
             deadline = time.monotonic() + 5
-            while not (lead := self.site.lead()):
+            while not (leader := self.site.leader()):
                 if time.monotonic() > deadline:
-                    raise ScenarioError("no node leads")
+                    raise ScenarioError("no node is the leader")
                 time.sleep(0.05)
-            return [lead]
+            return [leader]
         return [word]
 
     def do(self, verb, words):
@@ -323,7 +327,7 @@
         elif verb == "forget":
             site.control(forget=True)
         elif verb == "garbage":
-            self.garbage(words[0])
+            self.send_garbage(words[0])
         elif verb == "lose":
             site.control(lose=int(words[0]))
         elif verb == "crash":
@@ -331,7 +335,7 @@
         elif verb == "link":
             site.links[words[0]].kb_per_s = int(words[1])
         elif verb == "version":
-            site.versions.write(int(words[1]))
+            site.version_checker.write(int(words[1]))
         elif verb == "configure":
             site.configure(queues=words)
         elif verb == "wave":
@@ -339,35 +343,35 @@
                 "wave": 1, "machines": words, "durationS": 20, "cap": 1}})
         elif verb == "thaw":
             for name in sorted(site.frozen):
-                site.nodes[name].send(signal.SIGCONT)
+                site.nodes[name].send_signal(signal.SIGCONT)
             site.frozen = frozenset()
         elif verb in ("kill", "freeze", "stop", "start"):
-            for name in self.names(words[0]):
-                self.signal(verb, name)
+            for name in self.node_names(words[0]):
+                self.control_node(verb, name)
         else:
-            raise ScenarioError(f"not an action: {verb}")
+            raise ScenarioError(f"unknown action: {verb}")
 
-    def signal(self, verb, name):
+    def control_node(self, verb, name):
         site = self.site
         if verb == "kill":
             self.killed.add(name)
-            site.nodes[name].send(signal.SIGKILL)
+            site.nodes[name].send_signal(signal.SIGKILL)
             site.nodes[name].popen.wait()
         elif verb == "freeze":
             site.frozen = site.frozen | {name}
-            site.nodes[name].send(signal.SIGSTOP)
+            site.nodes[name].send_signal(signal.SIGSTOP)
         elif verb == "stop":
-            site.nodes[name].send(signal.SIGTERM)
+            site.nodes[name].send_signal(signal.SIGTERM)
         else:
             if site.nodes[name].popen:
                 site.nodes[name].popen.wait()
             site.nodes[name].start()
 
-    def garbage(self, name):
-        """Frames that make no sense, whole and torn, to a node's links."""
-        draw = random.Random(GARBAGE_SEED)
-        for size in GARBAGE_SIZES:
-            body = draw.randbytes(size)
+    def send_garbage(self, name):
+        """Sends malformed frames, complete and truncated, to a node."""
+        rng = random.Random(GARBAGE_SEED)
+        for size in GARBAGE_SIZES_BYTES:
+            body = rng.randbytes(size)
             for head in (struct.pack(">I", size), struct.pack(">I", size + 9),
                          b"\xff\xff\xff\xff"):
                 with socket.create_connection(
@@ -375,27 +379,27 @@
                     s.sendall(head + body)
 
     def cancel(self, job):
-        for _ in range(RETRIES):
+        for _ in range(CALL_ATTEMPTS_MAX):
             try:
                 if self.site.request("DELETE", f"/{job.queue}/{job.id}")[0] \
                         in (200, 410):
                     return
             except OSError:
                 pass
-            time.sleep(RETRY_S)
+            time.sleep(RETRY_DELAY_S)
 
-    def play(self):
+    def run_actions(self):
         begin = time.monotonic()
         for at, words in self.case.actions:
             time.sleep(max(0, begin + at - time.monotonic()))
             self.do(words[0], words[1:])
         for t in self.threads:
             t.join()
-        self.settle()
+        self.wait_for_jobs()
 
-    def ask_states(self):
+    def poll_job_states(self):
         for job in self.jobs:
-            if job.state in TERMINAL or not job.accepted:
+            if job.state in TERMINAL_STATES or not job.accepted:
                 continue
             try:
                 code, _, body = self.site.request(
@@ -405,55 +409,55 @@
             if code == 200:
                 job.state = json.loads(body)["state"]
             elif code == 410:
-                raise ScenarioError(f"accepted job {job.id} is not known")
+                raise ScenarioError(f"accepted job {job.id} is unknown")
 
-    def settle(self, within_s=SETTLE_S):
-        """Waits until every accepted job that ends has ended."""
-        deadline = time.monotonic() + within_s
+    def wait_for_jobs(self, timeout_s=JOBS_END_TIMEOUT_S):
+        """Waits until all accepted jobs but long-running ones have ended."""
+        deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
-            self.ask_states()
-            if all(j.state in TERMINAL or j.body["taskSpec"] == "0 ms"
+            self.poll_job_states()
+            if all(j.state in TERMINAL_STATES or j.body["taskSpec"] == "0 ms"
                    for j in self.jobs if j.accepted):
                 return
             time.sleep(0.2)
 
     def value(self, words):
-        if words[0] in TERMINAL:
+        if words[0] in TERMINAL_STATES:
             return sum(j.state == words[0] for j in self.jobs)
         if words[0] == "accepted":
             return sum(j.accepted for j in self.jobs)
         if words[0] == "answers":
             return sum(j.answers.count(int(words[1])) for j in self.jobs)
         if words[0] == "cut":
-            return self.cut
+            return self.dropped_connections
         if words[0] == "running":
             return sum(r[4] == 0 for r in self.site.record())
         if words[0] == "upkeep":
             return len({r[2] for r in self.site.record() if r[5] == "gone"})
         if words[0] == "command":
-            return self.command(words[1:])
+            return self.command_status(words[1:])
         if words[0] == "wave":
             return int(self.wave_state() == words[1])
         if words[0] == "status":
-            return self.status(words[1], words[2])
+            return self.request_status(words[1], words[2])
         if words[0] == "served":
             return sum(self.site.metric(n, "relay_calls_served_total")
                        for n in self.site.nodes)
         if words[0] == "in-force":
-            return self.site.versions.in_force()
+            return self.site.version_checker.in_force()
         if words[0] == "up":
             return sum(p.running() for p in self.site.nodes.values())
         if words[0] == "rows-read":
             return self.site.control()["rows_read"]
         if words[0] == "lead":
-            return int(self.site.lead() == words[1])
+            return int(self.site.leader() == words[1])
         if words[0] == "takeovers":
             return max(self.site.metric(n, "lead_epoch")
                        for n in self.site.nodes)
-        raise ScenarioError(f"not a value: {' '.join(words)}")
+        raise ScenarioError(f"unknown value: {' '.join(words)}")
 
-    def command(self, words):
-        """Exit code of the operators' command, asked of every node."""
+    def command_status(self, words):
+        """Exit status of the command line tool, run with all nodes as -e."""
         entries = [w for ports in self.site.ports.values()
                    for w in ("-e", f"{fleet.HOST}:{ports[2]}")]
         done = subprocess.run(
@@ -469,29 +473,34 @@
                   for r in body["rows"]]
         return states[0] if states else "none"
 
-    def status(self, method, path):
+    def request_status(self, method, path):
         return self.site.request(method, path)[0]
 
-    def check_always(self):
-        """No task runs twice at once, or again after it was done.
+    def check_invariants(self):
+        """Checks what must hold in every case.
 
-        No node answers by a version that is too old.
+        No task runs twice at once or again after it was done, a completed job
+        has run all its tasks, and no node applies a version that is too old.
         """
-        if self.site.versions.errors:
-            raise ScenarioError("; ".join(self.site.versions.errors[:3]) +
-                                f" ({len(self.site.versions.errors)} in all)")
+        if self.site.version_checker.errors:
+            errors = self.site.version_checker.errors
+            raise ScenarioError("; ".join(errors[:3]) +
+                                f" ({len(errors)} in all)")
         runs = {}
-        for task, run, worker, begin, end, how in self.site.record():
-            runs.setdefault(task, []).append((begin, end, how, worker))
-        for task, of in runs.items():
-            of.sort()
-            for (b1, e1, how, _), (b2, _, _, _) in zip(of, of[1:]):
+        for task, run, worker, begin, end, outcome in self.site.record():
+            runs.setdefault(task, []).append((begin, end, outcome, worker))
+        for task, task_runs in runs.items():
+            task_runs.sort()
+            for (b1, e1, outcome, _), (b2, _, _, _) in zip(task_runs,
+                                                           task_runs[1:]):
                 if not e1 or b2 < e1:
-                    raise ScenarioError(f"{task} ran twice at once: {of}")
-                if how == "done":
-                    raise ScenarioError(f"{task} ran again when done: {of}")
-        done = {t for t, of in runs.items()
-                if any(r[2] == "done" for r in of)}
+                    raise ScenarioError(
+                        f"{task} had two runs at once: {task_runs}")
+                if outcome == "done":
+                    raise ScenarioError(
+                        f"{task} ran again after it was done: {task_runs}")
+        done = {t for t, task_runs in runs.items()
+                if any(r[2] == "done" for r in task_runs)}
         for job in self.jobs:
             if job.state != "completed":
                 continue
@@ -499,42 +508,42 @@
                 for t in range(step["count"]):
                     if f"{job.id}.0.{s}.{t}" not in done:
                         raise ScenarioError(
-                            f"{job.id} is shown as completed, task {s}.{t} "
-                            "has not ended so")
+                            f"{job.id} is completed but no run of task "
+                            f"{s}.{t} was done")
 
     def check(self):
-        self.check_always()
+        self.check_invariants()
         for words in self.case.expects:
-            compare = next(w for w in words if w in COMPARE)
+            compare = next(w for w in words if w in COMPARISONS)
             at = words.index(compare)
             got = self.value(words[:at])
-            if not COMPARE[compare](got, float(words[at + 1])):
+            if not COMPARISONS[compare](got, float(words[at + 1])):
                 raise ScenarioError(
                     f"expected {' '.join(words)}, got {got}")
 
 
-def leading_lines(text):
-    """The lines of a log that tell who led and what was believed of whom."""
+def leadership_log(text):
+    """Returns the last log lines about leadership or not in JSON."""
     return "\n".join([l for l in text.splitlines() if any(
-        f'"event":"{event}"' in l for event in LEADING_EVENTS)
-        or not l.startswith("{")][-LEADING_LINES:])
+        f'"event":"{event}"' in l for event in LEADERSHIP_EVENTS)
+        or not l.startswith("{")][-LEADERSHIP_LINES_MAX:])
 
 
-def play(case, build):
+def run_case(case, build):
     with Site(build, case.workers) as site:
         site.strong = case.strong
-        site.alone = case.alone
+        site.calls_alone = case.alone
         try:
             site.configure()
             site.start_nodes(case.nodes)
             run = Run(case, site)
-            run.play()
+            run.run_actions()
             run.check()
         except (ScenarioError, TimeoutError, OSError) as e:
             site.log.seek(0)
             text = site.log.read()
-            path = fleet.keep_log(build, case.title, text)
-            return f"{e}; whole log: {path}\n{leading_lines(text)}"
+            path = fleet.save_log(build, case.title, text)
+            return f"{e}; complete log: {path}\n{leadership_log(text)}"
     return None
 
 
@@ -543,7 +552,7 @@
         for text in re.split(r"^-{3,}$", f.read(), flags=re.M):
             if text.strip():
                 case = Case(text)
-                yield case.title, play(case, build)
+                yield case.title, run_case(case, build)
 
 
 if __name__ == "__main__":
--- a/tools/link.py
+++ b/tools/link.py
@@ -1,4 +1,4 @@
-"""A loopback link of limited speed between one process and another."""
+"""A TCP forwarder that limits the rate between two local processes."""
 
 import socket
 import threading
@@ -6,18 +6,18 @@
 
 import fleet
 
-CHUNK = 4096  # bytes
+CHUNK_BYTES = 4096
 
 
 class Link:
-    """Forwards connections; what comes back shares kb_per_s (0: no limit)."""
+    """Forwards connections; all responses share kb_per_s (0: no limit)."""
 
-    def __init__(self, to_port):
-        self.to_port = to_port
+    def __init__(self, target_port):
+        self.target_port = target_port
         self.kb_per_s = 0
-        self.free_at = 0.0
+        self.free_at_s = 0.0
         self.lock = threading.Lock()
-        self.open = True
+        self.accepting = True
         self.sockets = set()
         self.server = socket.socket()
         self.server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -27,37 +27,38 @@
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
-        while self.open:
+        while self.accepting:
             try:
-                near = self.server.accept()[0]
+                client = self.server.accept()[0]
             except OSError:
                 return
             try:
-                far = socket.create_connection((fleet.HOST, self.to_port))
+                target = socket.create_connection(
+                    (fleet.HOST, self.target_port))
             except OSError:
-                near.close()
+                client.close()
                 continue
             with self.lock:
-                self.sockets |= {near, far}
-            for pair in ((near, far, False), (far, near, True)):
+                self.sockets |= {client, target}
+            for pair in ((client, target, False), (target, client, True)):
                 threading.Thread(target=self.forward, args=pair,
                                  daemon=True).start()
 
-    def pause(self, size):
-        """Waits for the link's turn to carry so many bytes."""
+    def throttle(self, size):
+        """Sleeps until the rate limit admits this many bytes."""
         if not self.kb_per_s:
             return
         with self.lock:
-            begin = max(self.free_at, time.monotonic())
-            self.free_at = begin + size / 1000 / self.kb_per_s
-            wait = self.free_at - time.monotonic()
-        time.sleep(max(0.0, wait))
+            begin = max(self.free_at_s, time.monotonic())
+            self.free_at_s = begin + size / 1000 / self.kb_per_s
+            wait_s = self.free_at_s - time.monotonic()
+        time.sleep(max(0.0, wait_s))
 
     def forward(self, source, sink, limited):
         try:
-            while data := source.recv(CHUNK):
+            while data := source.recv(CHUNK_BYTES):
                 if limited:
-                    self.pause(len(data))
+                    self.throttle(len(data))
                 sink.sendall(data)
         except OSError:
             pass
@@ -71,7 +72,7 @@
         source.close()
 
     def close(self):
-        self.open = False
+        self.accepting = False
         self.server.close()
         with self.lock:
             for s in self.sockets:
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Checks formatting, layering, symbols and forbidden calls; prints each
-# finding and ends with a non-zero status if there was one.
+# Checks formatting, layering, symbols and forbidden calls. Prints each finding
+# and exits with a non-zero status if there are any.
 set -u
 bad=0
 fail() {
@@ -11,8 +11,9 @@
 sources=$(git ls-files '*.c' '*.h' | grep -v pb-c)
 clang-format --dry-run --Werror $sources 2>&1 | head -20 | grep . && bad=1
 
-# A folder includes only folders of a longer life than its own.
-layer() {
+# forbid_includes FOLDER OTHER...: a folder includes only headers of folders
+# whose objects live longer than its own.
+forbid_includes() {
 	folder=$1
 	shift
 	for other in "$@"; do
@@ -20,36 +21,36 @@
 			sed "s/^/lint: layering: /" | grep . && bad=1
 	done
 }
-layer process entry request connection version job pool fleet node
-layer version entry request connection job pool fleet node
-layer request entry connection job pool fleet node
-layer connection entry request version job pool fleet node
-layer job entry request connection version process pool fleet node
-layer pool entry request connection version fleet node
-layer fleet entry request connection version process node
-layer node entry request version
-layer entry job pool fleet node
-
-# The platform's names stay where they are translated.
+forbid_includes process entry request connection version job pool fleet node
+forbid_includes version entry request connection job pool fleet node
+forbid_includes request entry connection job pool fleet node
+forbid_includes connection entry request version job pool fleet node
+forbid_includes job entry request connection version process pool fleet node
+forbid_includes pool entry request connection version fleet node
+forbid_includes fleet entry request connection version process node
+forbid_includes node entry request version
+forbid_includes entry job pool fleet node
+
+# Only platform/ uses the platform's names and translates them.
 grep -nE 'rows-(tx|get|feed|parts)|run-(start|stop)|machine-(move|upkeep)|ackedUpto|setKeys|taskSpec|blob-' \
 	src/*/*.[ch] cli/*.[ch] daemon/*.c && bad=1
 grep -rn '#include "platform/' src cli daemon && bad=1
 
-# Product code starts no process and shares no memory.
+# Product code starts no processes and uses no shared memory or io_uring.
 grep -nE '\b(system|popen|posix_spawn|execv[pe]*|fork|shm_open|io_uring_[a-z]+) ?\(' \
 	src/*/*.c daemon/*.c cli/*.c platform/*.c && bad=1
 
-# No public symbol of ours may shadow one of a library's.
+# A global function must not shadow a symbol of a shared library.
 if [ -f build/jackdawwelld ]; then
 	nm --defined-only build/jackdawwelld | awk '$2 == "T" { print $3 }' |
-		sort >build/ours.txt
+		sort >build/own-symbols.txt
 	for l in $(ldd build/jackdawwelld | awk '/=>/ { print $3 }'); do
 		nm -D --defined-only "$l" 2>/dev/null |
 			awk '{ sub(/@.*/, "", $3); print $3 }'
-	done | sort -u >build/libraries.txt
-	shadowed=$(comm -12 build/ours.txt build/libraries.txt |
+	done | sort -u >build/library-symbols.txt
+	shadowed=$(comm -12 build/own-symbols.txt build/library-symbols.txt |
 		grep -vE '^(_init|_fini|_start|main)$')
-	[ -z "$shadowed" ] || fail "symbols shadow a library's: $shadowed"
+	[ -z "$shadowed" ] || fail "symbols shadow those of a library: $shadowed"
 fi
 
 cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1,8 +1,8 @@
-"""Takes one safeguard away at a time and expects a scenario to notice.
+"""Mutation tests (make mutants): removes safeguards one at a time.
 
-Works on a copy of the tree; make mutants. Each row: what is taken away, the
-file, the text and its replacement, the scenarios and the title of the case
-that must fail.
+Works on a copy of the tree and expects a test to fail for each. A row has
+the safeguard removed, the file, the text and its replacement, the scenario
+file and the title of the case that must fail.
 """
 
 import os
@@ -12,20 +12,20 @@
 import tempfile
 
 MUTANTS = (
-    ("the guard against resending", "src/connection/httpc.c",
+    ("the check against resending a request", "src/connection/httpc.c",
      "if (x->once && x->sends)", "if (0)", "path.txt",
      "A worker that runs and resets on a reused connection runs it once"),
-    ("the demand for a length", "src/connection/httpc.c",
+    ("rejection of answers without a length", "src/connection/httpc.c",
      "if (!x->framed && ", "if (0 && ", "path.txt",
      "Truncated, unframed and malformed answers are never passed on as whole"),
-    ("freshness", "src/entry/core.c",
+    ("the freshness check of the configuration", "src/entry/core.c",
      "if (!c->cfg || c->now_ms >= c->fresh_until_ms)", "if (!c->cfg)",
      "faults.txt", "A withdrawn key stops working everywhere, also at an "
      "entry frozen meanwhile"),
-    ("the key's check at dispatch", "src/entry/core.c",
+    ("the check of the key at dispatch", "src/entry/core.c",
      "if (job->checked_version == c->cfg->version)", "if (1)", "faults.txt",
      "Queued work of a withdrawn key does not start"),
-    ("the comparison of the head", "src/entry/entry_change.c",
+    ("the compare-and-swap on the head row", "src/entry/entry_change.c",
      "platform_compare(txn, ROW_HEAD, e->head_revision);", ";", "faults.txt",
      "Two operators race: one wins, the other is told of the conflict"),
     ("the proof that an instance is empty", "src/entry/entry_change.c",
@@ -38,120 +38,120 @@
      "and an outage, by the workers' records"),
 )
 
-# Safeguards of the scheduler: what is taken away, the file, the text and its
-# replacement, the test that must fail.
+# Safeguards of job scheduling: the safeguard removed, the file, the text and
+# its replacement, the test program that must fail.
 SCHEDULER = (
-    ("writing a job before it is started", "src/pool/sched_place.c",
+    ("recording a job before it starts", "src/pool/sched_place.c",
      "if (!step->job->taken)", "if (0)", "sched_test"),
-    ("writing of a recorded job", "src/pool/sched_ask.c",
+    ("writing the row of a recorded job", "src/pool/sched_ask.c",
      "	job->stored = true;\n	job_change(s, job);",
      "	job->stored = job->taken = true;", "sched_test"),
     ("confirmation of new instances", "src/pool/sched_instance.c",
      "return i->seen && i->met_ms < s->confirmed_ms",
      "return i->seen", "sched_test"),
-    ("the first of two changes", "src/pool/sched.c",
+    ("the sequence of the first of two changes", "src/pool/sched.c",
      "if (!job->changed_again)", "if (1)", "sched_test"),
-    ("the millisecond of an answer", "src/pool/sched_look.c",
+    ("runs started in the millisecond of a poll", "src/pool/sched_look.c",
      "run->known_ms < sent_ms", "run->known_ms <= sent_ms", "sched_test"),
-    ("the proof of a stop", "src/pool/sched_run.c",
+    ("the proof that a run has stopped", "src/pool/sched_run.c",
      "if (result != ORDER_DONE)\n		return; /* tried",
      "if (result == ORDER_UNKNOWN)\n		return; /* tried",
      "sched_test"),
-    ("lapsing", "src/pool/sched_look.c",
+    ("lease expiry of unresponsive instances", "src/pool/sched_look.c",
      "if (i->run_count && !i->silent)", "if (i->run_count)", "sched_test"),
-    ("a life's own acknowledgements", "src/pool/sched_look.c",
+    ("acknowledgements of one incarnation", "src/pool/sched_look.c",
      "look->acked = same_session(i, now) ? i->acked : 0;",
      "look->acked = i->acked;",
      "look_test"),
-    ("instances without a row", "src/pool/sched_instance.c",
+    ("counting instances without a row", "src/pool/sched_instance.c",
      "	count_unseen(s, i);\n	sched_trace", "	sched_trace",
      "sched_test"),
-    ("the cap", "src/pool/sched_place.c",
+    ("the workspace cap", "src/pool/sched_place.c",
      "return (!cap->cpu || cpu <= cap->cpu) &&", "return", "sched_test"),
-    ("budgets of what lasts", "src/pool/sched_avail.c",
+    ("budgets of long-running tasks", "src/pool/sched_avail.c",
      "return away < step->spec->may_miss;", "return true;", "sched_test"),
-    ("attempts counted once", "src/pool/sched_look.c",
+    ("counting each end of a run once", "src/pool/sched_look.c",
      "if (e->n <= i->last_n)", "if (0)", "fleet_walk"),
-    ("waiting for the unseen", "src/pool/sched.c",
+    ("waiting for possibly running tasks", "src/pool/sched.c",
      "return !task->done && !task->maybe_running && !task->runs &&",
      "return !task->done && !task->runs &&", "fleet_walk"),
     ("the order of steps", "src/pool/sched.c",
      "if (o->steps[step->spec->after[i]].left)", "if (0)", "fleet_walk"),
-    ("settling what is in doubt", "src/pool/sched_run.c",
+    ("resolving orders of unknown outcome", "src/pool/sched_run.c",
      "if (run->state == RUN_ORDERED)\n			run->state = RUN_DOUBTFUL;",
      "run_free(s, run, now);\n		return;", "fleet_walk"),
-    ("acknowledging what is written only", "src/pool/sched_change.c",
+    ("acknowledging only ends that are stored", "src/pool/sched_change.c",
      "if (inst->unacked[n].seq > durable)", "if (0)", "fleet_walk"),
-    ("batches of their own", "src/pool/sched_change.c",
+    ("matching written changes to their batch", "src/pool/sched_change.c",
      " || job->batch != batch)", ")", "sched_test"),
-    ("lost calls that blame nobody", "src/pool/sched_run.c",
+    ("lost calls that are not failures", "src/pool/sched_run.c",
      "		if (result == ORDER_UNKNOWN)\n			instance_unanswered",
      "			instance_unanswered", "sched_test"),
-    ("looks before orders to machines", "src/fleet/upkeep.c",
+    ("polling before orders to machines", "src/fleet/upkeep.c",
      "	if (load.unknown)\n		return false;\n", "", "fleet_test"),
-    ("what a former lead ordered away", "src/fleet/upkeep.c",
+    ("machines ordered away by a former leader", "src/fleet/upkeep.c",
      "count + away_for_others(f, w)", "count", "fleet_test"),
-    ("settling alone", "src/node/commit.c",
+    ("resolving without other commits", "src/node/commit.c",
      "return !settle && under_way", "return under_way", "node_test"),
-    ("the wait for the last holder", "src/node/machines.c",
+    ("the wait for the previous leader", "src/node/machines.c",
      "return v->predecessor_ended && now", "return now", "node_test"),
-    ("a store that is left to the lead", "src/node/ask.c",
+    ("dividing the rate of records among nodes", "src/node/ask.c",
      "(nodes ? nodes : 1)", "1", "node_test"),
-    ("a directory's gap", "src/pool/sched_look.c",
+    ("a new session after a gap in the list", "src/pool/sched_look.c",
      "i->report_ms >= i->listed_ms &&", "", "look_test"),
-    ("the unseen runs of a job that has ended", "src/pool/sched_change.c",
+    ("unreported runs of an ended job", "src/pool/sched_change.c",
      "	if (job->loaded)\n		return true;\n", "", "sched_test"),
-    ("short waits while calls are lost", "src/pool/sched_look.c",
+    ("short polls while calls are lost", "src/pool/sched_look.c",
      "? LOOK_WAIT_LOSSY_MS", "? LOOK_WAIT_MS", "look_test"),
-    ("which lead refused", "src/node/lead.c",
+    ("the incarnation of the leader that refused", "src/node/lead.c",
      "incarnation == n->lead.incarnation &&", "", "lead_test"),
-    ("saying that the store refuses", "src/node/lead.c",
+    ("reporting that the store refuses", "src/node/lead.c",
      "(!failing_ms || now - failing_ms < LEAD_REFUSED_MS)", "1",
      "lead_test"),
-    ("peers' unread words", "src/node/relay.c", "return !unread && ",
+    ("unread messages of peers", "src/node/relay.c", "return !unread && ",
      "return ", "node_test"),
     ("few machines for a few long tasks", "src/fleet/balance.c",
      "if (needed > at_once)", "if (0)", "fleet_test"),
-    ("the pool that lacks least", "src/fleet/balance.c",
+    ("choosing the pool with the least deficit", "src/fleet/balance.c",
      "b->pools[i].lacking < best->lacking", "b->pools[i].lacking > best->lacking",
      "fleet_test"),
-    ("keeping rows while something runs", "src/pool/sched_change.c",
+    ("keeping rows while a task runs", "src/pool/sched_change.c",
      "change->drop = !job_has_runs(job);", "change->drop = true;",
      "fleet_walk"),
 )
-OPTIONS = {"fleet_walk": ["--count", "10000"]}  # of a test
+TEST_OPTIONS = {"fleet_walk": ["--count", "10000"]}  # test -> its options
 
 
-def cases(path, wanted):
-    """The text of the case with that title."""
+def cases(path, title):
+    """Returns the text of the case with this title."""
     with open(path) as f:
         for text in f.read().split("\n---\n"):
-            if text.lstrip().startswith(f"# {wanted}"):
+            if text.lstrip().startswith(f"# {title}"):
                 return text
-    raise LookupError(f"{path}: no case {wanted}")
+    raise LookupError(f"{path}: no case {title}")
 
 
-FLAGS = "CFLAGS=-std=gnu11 -O1 -D_GNU_SOURCE -Isrc -I."
+BUILD_FLAGS = "CFLAGS=-std=gnu11 -O1 -D_GNU_SOURCE -Isrc -I."
 
 
-def without(folder, file, old, new, targets, try_it):
-    """Builds with the text replaced; None if try_it then notices."""
+def apply_mutant(folder, file, old, new, targets, is_noticed):
+    """Builds with old replaced by new; returns None if a test notices."""
     path = os.path.join(folder, file)
     with open(path) as f:
-        whole = f.read()
-    if old not in whole:
+        original = f.read()
+    if old not in original:
         return f"{file} has no `{old}`"
     with open(path, "w") as f:
-        f.write(whole.replace(old, new))
-    subprocess.run(["make", "-s", "-j", *targets, FLAGS], cwd=folder,
+        f.write(original.replace(old, new))
+    subprocess.run(["make", "-s", "-j", *targets, BUILD_FLAGS], cwd=folder,
                    check=True)
-    noticed = try_it()
+    noticed = is_noticed()
     with open(path, "w") as f:
-        f.write(whole)
+        f.write(original)
     return None if noticed else "not noticed"
 
 
-def fails(folder, command):
+def run_fails(folder, command):
     return subprocess.run(command, cwd=folder, capture_output=True,
                           timeout=300).returncode != 0
 
@@ -160,22 +160,23 @@
     case = os.path.join(folder, "case.txt")
     with open(case, "w") as f:
         f.write(cases(f"test/scenarios/{scenarios}", title))
-    return without(
+    return apply_mutant(
         folder, file, old, new,
         ["build/jackdawwelld", "build/standin/platform",
          "build/standin/worker"],
-        lambda: fails(folder, [sys.executable, "tools/scenario.py", case,
-                               "build"]))
+        lambda: run_fails(folder, [sys.executable, "tools/scenario.py", case,
+                                   "build"]))
 
 
 def try_scheduler(folder, file, old, new, test):
-    return without(folder, file, old, new, [f"build/test/{test}"],
-                   lambda: fails(folder, [f"build/test/{test}",
-                                          *OPTIONS.get(test, [])]))
+    return apply_mutant(
+        folder, file, old, new, [f"build/test/{test}"],
+        lambda: run_fails(folder, [f"build/test/{test}",
+                                   *TEST_OPTIONS.get(test, [])]))
 
 
 def main(only=None, words=""):
-    """only: "scheduler" leaves the others out; words: those that have them."""
+    """only="scheduler" skips MUTANTS; words filters by description."""
     rows = [(try_mutant, row) for row in MUTANTS if only != "scheduler"]
     rows += [(try_scheduler, row) for row in SCHEDULER]
     rows = [(attempt, row) for attempt, row in rows if words in row[0]]
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -1,7 +1,8 @@
-"""Checks that what the pages quote in backticks is still in the tree.
+"""Checks that names quoted in the documentation still exist.
 
-Files and folders must exist, functions must be defined, make targets must be
-in the Makefile, and slopes must be measured.
+Of the names in backticks, files and folders must exist, functions must occur
+in src/, make targets must be in the Makefile, and the slopes that CAPACITY.md
+quotes must be measured.
 """
 
 import glob
@@ -10,7 +11,7 @@
 import sys
 
 
-def read(pattern):
+def read_files(pattern):
     text = ""
     for path in glob.glob(pattern, recursive=True):
         with open(path) as f:
@@ -18,7 +19,7 @@
     return text
 
 
-def missing(page, code, makefile, slopes):
+def missing_references(page, code, makefile, slopes):
     with open(page) as f:
         quoted = re.findall(r"`([^`\n]+)`", f.read())
     for q in quoted:
@@ -41,16 +42,16 @@
 
 
 def main():
-    code = read("src/**/*.c")
-    makefile = read("Makefile")
-    slopes = read("bench/slopes.c") + read("tools/slopes.py")
-    bad = 0
+    code = read_files("src/**/*.c")
+    makefile = read_files("Makefile")
+    slopes = read_files("bench/slopes.c") + read_files("tools/slopes.py")
+    status = 0
     for page in sorted(glob.glob("docs/**/*.md", recursive=True)
                        + ["README.md"]):
-        for q in missing(page, code, makefile, slopes):
+        for q in missing_references(page, code, makefile, slopes):
             print(f"{page}: `{q}` is not in the tree")
-            bad = 1
-    return bad
+            status = 1
+    return status
 
 
 if __name__ == "__main__":
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -1,8 +1,8 @@
-"""Runs scenarios: plain-text cases over real processes.
+"""Runs scenarios: plain-text test cases on real processes.
 
-docs/SCENARIOS.md has the grammar. A file holds cases separated by lines of
-dashes; a case begins with its title as a comment. Actions run at their
-times, expectations after the last call has ended.
+docs/SCENARIOS.md describes the grammar. A file holds cases separated by lines
+of dashes; the first comment of a case is its title. Actions run at their
+times; expectations are checked after the last call has ended.
 """
 
 import collections
@@ -17,33 +17,37 @@
 import fleet
 
 KNOWN_OUTCOMES = ("answered", "not-run", "unknown", "broken")
-COMPARE = {
+COMPARISONS = {
     "<=": lambda a, b: a <= b, ">=": lambda a, b: a >= b,
     "==": lambda a, b: a == b,
 }
 
 
 class ScenarioError(Exception):
-    """A failed expectation or a line that cannot be read."""
+    """A failed expectation, or a line with a syntax error."""
 
 
-def seconds(text):
-    """Reads 300ms, 2s or 1.5s."""
+def parse_duration_s(text):
+    """Parses a duration such as 300ms, 2s or 1.5s."""
     m = re.fullmatch(r"([0-9.]+)(ms|s)", text)
     if not m:
-        raise ScenarioError(f"not a time: {text}")
+        raise ScenarioError(f"invalid duration: {text}")
     return float(m[1]) / (1000 if m[2] == "ms" else 1)
 
 
-def options(words):
-    """Reads `name value` pairs."""
+def parse_duration_ms(text):
+    return int(parse_duration_s(text) * 1000)
+
+
+def parse_pairs(words):
+    """Parses `name value` pairs."""
     if len(words) % 2:
-        raise ScenarioError(f"wanted pairs: {' '.join(words)}")
+        raise ScenarioError(f"expected name value pairs: {' '.join(words)}")
     return dict(zip(words[::2], words[1::2]))
 
 
 class Case:
-    """One case: its set-up, its timed actions and its expectations."""
+    """A parsed case: set-up, timed actions and expectations."""
 
     def __init__(self, text):
         self.title = ""
@@ -74,11 +78,11 @@
             self.settings[rest[0]] = rest[1]
         elif verb == "team":
             self.teams[rest[0]] = {
-                k: int(v) for k, v in options(rest[1:]).items()}
+                k: int(v) for k, v in parse_pairs(rest[1:]).items()}
         elif verb == "queue":
             self.queues[rest[0]] = self.read_queue(rest[1:])
         elif verb == "at":
-            self.actions.append((seconds(rest[0]), rest[1:], line))
+            self.actions.append((parse_duration_s(rest[0]), rest[1:], line))
         elif verb == "always":
             self.always.append((rest, line))
         elif verb == "expect":
@@ -97,32 +101,32 @@
                 queue[flags[w][0]] = flags[w][1]
             else:
                 pairs.append(w)
-        for k, v in options(pairs).items():
+        for k, v in parse_pairs(pairs).items():
             if k in ("run", "wait"):
-                queue[f"{k}_max_ms"] = int(seconds(v) * 1000)
+                queue[f"{k}_max_ms"] = parse_duration_ms(v)
             else:
                 queue[k] = v
         return queue
 
 
 class Run:
-    """A case under way."""
+    """Runs one case and records what its callers and operators received."""
 
     def __init__(self, case, build):
         self.case = case
-        self.serial = 0
+        self.request_count = 0
         self.outcomes = {}  # request id -> outcome
         self.sent_to = {}   # request id -> entry
         self.killed = set()
-        self.codes = []     # of operators' changes
-        self.backlogs = []  # seconds, as looked at
-        self.failed = 0     # answers that tell of a failure
-        self.spreads = []
+        self.change_statuses = []  # HTTP statuses of operators' changes
+        self.backlogs = []  # ages in seconds, one per `look`
+        self.error_answers = 0  # answers with status 500
+        self.call_groups = []
         self.stopped = set()
         self.lock = threading.Lock()
-        self.out = {}       # worker -> from and to, ms
-        self.background = fleet.Background()
-        self.log_text = ""  # of all processes, once it has ended
+        self.out_ms = {}    # worker -> (begin, end) of its state `out`
+        self.background = fleet.BackgroundCalls()
+        self.log = ""       # of all processes, set when the case has ended
         self.fleet = fleet.Fleet(
             build, case.settings,
             [f"w{i + 1}" for i in range(case.workers)])
@@ -136,33 +140,33 @@
     def run(self):
         with self.fleet:
             try:
-                self.play()
+                self.run_actions()
             finally:
-                self.log_text = self.fleet.whole_log()
+                self.log = self.fleet.read_log()
 
-    def play(self):
+    def run_actions(self):
         self.set_up()
         start = time.monotonic()
         for at, words, line in sorted(self.case.actions,
                                       key=lambda a: a[0]):
             time.sleep(max(0.0, start + at - time.monotonic()))
-            self.last_ms = time.clock_gettime(
+            self.last_action_ms = time.clock_gettime(
                 time.CLOCK_MONOTONIC) * 1000
             try:
-                self.act(words)
+                self.run_action(words)
             except (ValueError, KeyError, IndexError) as e:
                 raise ScenarioError(f"{line.strip()}: {e!r}") from e
-        for calls in self.spreads:
+        for calls in self.call_groups:
             calls.join()
         self.background.join()
         self.records = self.fleet.records()
         self.check_calls()
         for words, line in self.case.always + self.case.expects:
-            self.expect(words, line)
+            self.check_expectation(words, line)
 
     # Actions
 
-    def act(self, words):
+    def run_action(self, words):
         verb, rest = words[0], words[1:]
         name = "do_" + verb.replace("-", "_")
         if not hasattr(self, name):
@@ -171,48 +175,49 @@
 
     def do_call(self, count, _as, team, _to, queue, *more):
         """call N as TEAM to QUEUE [hold T] [via ENTRY] [behave B]
-        [over T]: N calls, spread over the entries and the time."""
-        opts = options(more)
-        calls = fleet.Background()
-        calls.start(self.spread, int(count), team, queue, opts)
-        self.spreads.append(calls)
-
-    def spread(self, count, team, queue, opts):
-        """Starts the calls of one action over its time."""
-        gap = seconds(opts.get("over", "0s")) / count
+        [over T]: starts N calls at equal intervals, to all entries in
+        turn."""
+        params = parse_pairs(more)
+        calls = fleet.BackgroundCalls()
+        calls.start(self.start_calls, int(count), team, queue, params)
+        self.call_groups.append(calls)
+
+    def start_calls(self, count, team, queue, params):
+        """Starts the calls of one action at equal intervals."""
+        interval_s = parse_duration_s(params.get("over", "0s")) / count
         for i in range(count):
             with self.lock:
-                self.serial += 1
-                request_id = f"{team}-{self.serial}"
+                self.request_count += 1
+                request_id = f"{team}-{self.request_count}"
             alive = [n for n, p in self.fleet.entries.items()
                      if p.running() and n not in self.stopped]
-            entry = opts.get("via", alive[i % len(alive)])
+            entry = params.get("via", alive[i % len(alive)])
             headers = {"X-Request-Id": request_id}
-            if "hold" in opts:
-                headers["X-Hold-Ms"] = str(int(seconds(opts["hold"]) * 1000))
-            if "behave" in opts:
-                headers["X-Behave"] = opts["behave"]
-            body = opts.get("body", request_id).encode()
+            if "hold" in params:
+                headers["X-Hold-Ms"] = str(parse_duration_ms(params["hold"]))
+            if "behave" in params:
+                headers["X-Behave"] = params["behave"]
+            body = params.get("body", request_id).encode()
             if body == b"empty":
                 body = b""
             self.outcomes[request_id] = "broken"
             self.sent_to[request_id] = entry
             self.background.start(self.call_one, entry, queue, team, body,
                                   headers)
-            if gap:
-                time.sleep(gap)
+            if interval_s:
+                time.sleep(interval_s)
 
     def call_one(self, entry, queue, team, body, headers):
         code, outcome, answer = self.fleet.request(
             entry, queue, f"{team}-key", body, headers, timeout=60.0)
         request_id = headers["X-Request-Id"]
-        whole = answer == body or code != 200 or "X-Behave" in headers
-        self.outcomes[request_id] = outcome if whole else "wrong answer"
-        self.failed += code == 500
+        intact = answer == body or code != 200 or "X-Behave" in headers
+        self.outcomes[request_id] = outcome if intact else "wrong answer"
+        self.error_answers += code == 500
         return code, outcome, answer
 
     def do_abandon(self, count, _as, team, _to, queue):
-        """abandon N as TEAM to QUEUE: callers that hang up at once."""
+        """abandon N as TEAM to QUEUE: callers that disconnect at once."""
         for _ in range(int(count)):
             with socket.create_connection(
                     (fleet.HOST, self.fleet.entries["entry-1"].port)) as s:
@@ -228,7 +233,7 @@
         self.stopped.add(name)
 
     def do_look(self, queue):
-        """look QUEUE: notes the backlog age that entry-1 shows."""
+        """look QUEUE: records the backlog age in entry-1's metrics."""
         text = fleet.call(self.fleet.entries["entry-1"].admin, "GET",
                           "/metrics")[2].decode()
         found = re.search(r"backlog_age_seconds\{queue=\"" + queue
@@ -237,20 +242,20 @@
 
     def do_freeze(self, *names):
         for name in names:
-            self.process(name).send(signal.SIGSTOP)
+            self.find_process(name).send_signal(signal.SIGSTOP)
 
     def do_thaw(self, *names):
         for name in names:
-            self.process(name).send(signal.SIGCONT)
+            self.find_process(name).send_signal(signal.SIGCONT)
 
     def do_kill(self, *names):
         for name in names:
             self.killed.add(name)
-            self.process(name).stop()
+            self.find_process(name).stop()
 
     def do_stop(self, name):
         self.stopped.add(name)
-        self.process(name).send(signal.SIGTERM)
+        self.find_process(name).send_signal(signal.SIGTERM)
 
     def do_start(self, *names):
         for name in names:
@@ -261,7 +266,7 @@
         self.fleet.wait_ready(name, 30.0)
 
     def do_unlist(self, name):
-        self.fleet.list_instances(without=[name])
+        self.fleet.set_instance_list(without=[name])
 
     def do_outage(self, state):
         self.fleet.control_platform(outage=state == "on")
@@ -270,63 +275,66 @@
         self.fleet.control_platform(lose=int(count))
 
     def do_slow(self, time_text):
-        self.fleet.control_platform(latency_ms=int(seconds(time_text) * 1000))
+        self.fleet.control_platform(latency_ms=parse_duration_ms(time_text))
 
     def do_worker(self, name, behaviour):
         self.fleet.control_worker(name, fail=behaviour == "fails")
 
     def do_limit(self, team, limit, _via="via", entry="entry-1"):
         teams = {team: {**self.case.teams[team], "limit": int(limit)}}
-        self.codes.append(self.fleet.change(entry, {"teams": teams})[0])
+        self.change_statuses.append(self.fleet.change_config(
+            entry, {"teams": teams})[0])
 
     def do_race(self, team, first, second):
-        """race TEAM A B: two operators set the limit from one version."""
+        """race TEAM A B: two operators change the limit of one version."""
         base = self.fleet.status("entry-1")["version"]
-        both = fleet.Background()
+        both = fleet.BackgroundCalls()
         for entry, limit in (("entry-1", first), ("entry-2", second)):
             teams = {team: {**self.case.teams[team], "limit": int(limit)}}
-            both.start(self.fleet.change, entry, {"teams": teams}, base=base)
-        self.codes += [code for code, _ in both.join()]
+            both.start(self.fleet.change_config, entry, {"teams": teams},
+                       base=base)
+        self.change_statuses += [code for code, _ in both.join()]
 
     def do_withdraw(self, key, _via="via", entry="entry-1"):
-        self.codes.append(self.fleet.change(entry, {"keys": {key: None}})[0])
+        self.change_statuses.append(self.fleet.change_config(
+            entry, {"keys": {key: None}})[0])
 
-    def instance(self, name):
-        """An instance's object in the configuration, and the version."""
+    def read_instance(self, name):
+        """Returns an instance's configuration object and the version."""
         body = self.fleet.admin("entry-1", "GET", "/v1/config")[1]
         return dict(body["config"]["instances"][name]), body["version"]
 
     def do_set(self, name, state):
-        """set INSTANCE STATE; a refusal's status counts in `changes`."""
-        changed, _ = self.instance(name)
-        changed["state"] = state
+        """set INSTANCE STATE; its status is counted by `changes`."""
+        instance, _ = self.read_instance(name)
+        instance["state"] = state
         now_ms = time.clock_gettime(time.CLOCK_MONOTONIC) * 1000
         if state == "out":
-            self.out[name] = (now_ms, 1 << 62)
-        if state == "serving" and name in self.out:
-            self.out[name] = (self.out[name][0], now_ms)
-        self.codes.append(self.fleet.change(
-            "entry-1", {"instances": {name: changed}})[0])
+            self.out_ms[name] = (now_ms, 1 << 62)
+        if state == "serving" and name in self.out_ms:
+            self.out_ms[name] = (self.out_ms[name][0], now_ms)
+        self.change_statuses.append(self.fleet.change_config(
+            "entry-1", {"instances": {name: instance}})[0])
 
     def do_move(self, name, pool):
-        changed, _ = self.instance(name)
-        changed["pool"] = pool
-        self.codes.append(self.fleet.change(
-            "entry-1", {"instances": {name: changed}})[0])
+        instance, _ = self.read_instance(name)
+        instance["pool"] = pool
+        self.change_statuses.append(self.fleet.change_config(
+            "entry-1", {"instances": {name: instance}})[0])
 
     def do_wave(self, name, state, *more):
-        """wave NAME STATE [FIELD VALUE]...: sets a wave's object."""
-        wave = {"state": state, **options(more)}
+        """wave NAME STATE [FIELD VALUE]...: sets a wave's configuration."""
+        wave = {"state": state, **parse_pairs(more)}
         if "return_max_s" in wave:
             wave["return_max_s"] = int(wave["return_max_s"])
-        self.codes.append(self.fleet.change(
+        self.change_statuses.append(self.fleet.change_config(
             "entry-1", {"waves": {name: wave}})[0])
 
     def do_reboots(self, time_text):
-        self.fleet.control_platform(reboot_ms=int(seconds(time_text) * 1000))
+        self.fleet.control_platform(reboot_ms=parse_duration_ms(time_text))
 
     def do_await(self, name, state):
-        """await WAVE STATE: waits for the conductor."""
+        """await WAVE STATE: waits until the wave reaches the state."""
         def reached():
             for p in self.fleet.entries.values():
                 if p.running() and p.name not in self.stopped:
@@ -336,20 +344,23 @@
         fleet.wait_until(f"wave {name} {state}", reached, 60.0)
 
     def do_home(self, name):
-        """home INSTANCE: waits until no entry holds a slot of it."""
-        def home():
+        """home INSTANCE: waits until no entry holds units of its slots."""
+        def units_returned():
             unit = self.fleet.status("entry-1")["units"][f"w:{name}"]
             return unit["limit"] == 0 and unit["free"] == 0
-        fleet.wait_until(f"{name} home", home, 60.0)
+        fleet.wait_until(f"{name} home", units_returned, 60.0)
 
-    def process(self, name):
+    def find_process(self, name):
         return self.fleet.entries.get(name) or self.fleet.workers[name]
 
     # Expectations
 
     def check_calls(self):
-        """What holds in every case: at most once, true refusals, and broken
-        connections only at killed entries."""
+        """Checks what must hold in every case.
+
+        Requests run at most once, refused requests do not run, and only
+        connections to killed entries break.
+        """
         for request_id, outcome in self.outcomes.items():
             runs = sum(r["runs"].get(request_id, 0)
                        for r in self.records.values())
@@ -359,78 +370,79 @@
                                     f"{self.sent_to[request_id]}, which was "
                                     f"not killed")
             if outcome == "wrong answer":
-                raise ScenarioError(f"{request_id}: wrong or cut answer")
+                raise ScenarioError(f"{request_id}: wrong or truncated answer")
             if outcome == "not-run" and runs:
-                raise ScenarioError(f"{request_id}: told not run, ran {runs}")
-            if runs > 1 and not self.idempotent():
+                raise ScenarioError(f"{request_id}: outcome is not-run, "
+                                    f"ran {runs} times")
+            if runs > 1 and not self.has_idempotent_queue():
                 raise ScenarioError(f"{request_id}: ran {runs} times")
 
-    def idempotent(self):
+    def has_idempotent_queue(self):
         return any(q.get("idempotent") for q in self.case.queues.values())
 
-    def most_running(self, team):
-        """The most work of a team that ran at once on all workers."""
+    def max_running(self, team):
+        """The team's maximum of concurrent requests on all workers."""
         edges = []
         for r in self.records.values():
             for request_id, start, end in r["intervals"]:
                 if request_id.rsplit("-", 1)[0] == team:
                     edges.append((start, 1))
                     edges.append((end or 1 << 62, -1))
-        most = running = 0
+        highest = running = 0
         for _, step in sorted(edges):
             running += step
-            most = max(most, running)
-        return most
+            highest = max(highest, running)
+        return highest
 
     def value(self, words):
-        what = words[0]
-        if what in KNOWN_OUTCOMES:
-            return sum(o == what for o in self.outcomes.values())
-        if what == "running":
-            return self.most_running(words[1])
-        if what == "runs":
+        name = words[0]
+        if name in KNOWN_OUTCOMES:
+            return sum(o == name for o in self.outcomes.values())
+        if name == "running":
+            return self.max_running(words[1])
+        if name == "runs":
             return sum(r["total"] for r in self.records.values())
-        if what == "changes":
-            return sum(c == int(words[1]) for c in self.codes)
-        if what == "alive":
+        if name == "changes":
+            return sum(c == int(words[1]) for c in self.change_statuses)
+        if name == "alive":
             return sum(p.running() for p in self.fleet.entries.values())
-        if what == "exit":
+        if name == "exit":
             return self.fleet.entries[words[1]].popen.wait(timeout=30)
-        if what == "backlog":
+        if name == "backlog":
             return max(self.backlogs, default=0)
-        if what == "failed":
-            return self.failed
-        if what == "ran-last":
-            return sum(r[1] > self.last_ms
+        if name == "failed":
+            return self.error_answers
+        if name == "ran-last":
+            return sum(r[1] > self.last_action_ms
                        for r in self.records[words[1]]["intervals"])
-        if what == "gap":
-            return self.longest_gap(words[1])
-        if what == "maintained":
+        if name == "gap":
+            return self.longest_idle_s(words[1])
+        if name == "maintained":
             body = self.fleet.admin("entry-1", "GET", "/v1/config")[1]
             return sum(i.get("wave") == words[1] and i["state"] == "serving"
                        for i in body["config"]["instances"].values())
-        if what == "started":
+        if name == "started":
             return self.started_while_out(words[1])
-        if what == "idle":
+        if name == "idle":
             return min(r["idle_ms"] for r in self.records.values()) / 1000
-        if what == "lost":
+        if name == "lost":
             return self.lost_units()
         raise ScenarioError(f"unknown value: {' '.join(words)}")
 
-    def longest_gap(self, worker):
-        """Seconds for which a worker ran nothing, between two runs."""
+    def longest_idle_s(self, worker):
+        """The worker's longest idle time between two runs, in seconds."""
         runs = sorted(r[1:] for r in self.records[worker]["intervals"])
         gaps = [b[0] - a[1] for a, b in zip(runs, runs[1:]) if a[1]]
         return max(gaps, default=0) / 1000
 
     def started_while_out(self, worker):
-        """Runs that a worker started between its `out` and its return."""
-        start, end = self.out.get(worker, (0, 0))
+        """Runs that a worker started while its state was `out`."""
+        start, end = self.out_ms.get(worker, (0, 0))
         return sum(start < r[1] < end
                    for r in self.records[worker]["intervals"])
 
     def lost_units(self):
-        """Units that no live entry holds and the table does not show."""
+        """Units that neither a live entry nor the table accounts for."""
         views = [self.fleet.status(n)["units"]
                  for n, p in self.fleet.entries.items() if p.running()]
         lost = 0
@@ -439,21 +451,22 @@
             lost += max(0, unit["limit"] - held - unit["free"])
         return lost
 
-    def expect(self, words, line):
+    def check_expectation(self, words, line):
         *what, compare, wanted = words
         value = self.value(what)
-        limit = seconds(wanted) if wanted[-1] == "s" else float(wanted)
-        if not COMPARE[compare](value, limit):
+        limit = (parse_duration_s(wanted) if wanted[-1] == "s"
+                 else float(wanted))
+        if not COMPARISONS[compare](value, limit):
             raise ScenarioError(
                 f"{line.strip()}: it is {value}; outcomes "
                 f"{dict(collections.Counter(self.outcomes.values()))}")
 
 
-def kept_log(run, case, build):
-    """Where the log of a failed case lies."""
+def log_note(run, case, build):
+    """Says where the log of a failed case is."""
     if not run:
-        return "it did not begin"
-    return f"whole log: {fleet.keep_log(build, case.title, run.log_text)}"
+        return "the case did not start"
+    return f"complete log: {fleet.save_log(build, case.title, run.log)}"
 
 
 def run_file(path, build):
@@ -469,7 +482,7 @@
             yield case.title, None
         except (ScenarioError, TimeoutError, RuntimeError, OSError,
                 subprocess.SubprocessError) as e:
-            yield case.title, f"{e}; {kept_log(run, case, build)}"
+            yield case.title, f"{e}; {log_note(run, case, build)}"
 
 
 if __name__ == "__main__":
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -1,7 +1,7 @@
 """Prints the slopes that docs/CAPACITY.md quotes: make bench-slopes.
 
-The decision code's come from bench/slopes; those of whole processes are
-measured here, at three sizes each.
+bench/slopes measures those of the decision code; those of whole processes
+are measured here, at three sizes each.
 """
 
 import subprocess
@@ -11,13 +11,13 @@
 import bench
 import fleet
 
-IDLE_S = 5.0
-FLEETS = (3, 5, 7)
-WAITING = (2500, 5000, 10000)
+IDLE_MEASURE_S = 5.0
+FLEET_SIZES = (3, 5, 7)
+WAITING_COUNTS = (2500, 5000, 10000)
 
 
 def fit(xs, ys):
-    """Least squares: slope, constant, r squared."""
+    """Least-squares fit: returns slope, constant and r squared."""
     n = len(xs)
     mx, my = sum(xs) / n, sum(ys) / n
     vx = sum((x - mx) ** 2 for x in xs)
@@ -40,8 +40,8 @@
     return (int(fields[13]) + int(fields[14])) / 100
 
 
-def idle(build, count):
-    """Peer bytes, store bytes, reads a second and CPU of an idle entry."""
+def measure_idle(build, count):
+    """Peer bytes, store bytes and reads per second, and CPU %, when idle."""
     with fleet.Fleet(build, workers=["w1", "w2"]) as f:
         names = [f"entry-{i + 1}" for i in range(count)]
         for name in names:
@@ -50,34 +50,34 @@
         time.sleep(3.0)
         before = f.status(names[-1])["traffic"]
         cpu = cpu_s(f.entries[names[-1]])
-        time.sleep(IDLE_S)
+        time.sleep(IDLE_MEASURE_S)
         after = f.status(names[-1])["traffic"]
-        cpu = (cpu_s(f.entries[names[-1]]) - cpu) / IDLE_S
-        step = {k: (after[k] - before[k]) / IDLE_S for k in after}
-        return (step["peer_bytes_in"] + step["peer_bytes_out"],
-                step["store_bytes"], step["store_reads"], cpu * 100)
+        cpu = (cpu_s(f.entries[names[-1]]) - cpu) / IDLE_MEASURE_S
+        per_s = {k: (after[k] - before[k]) / IDLE_MEASURE_S for k in after}
+        return (per_s["peer_bytes_in"] + per_s["peer_bytes_out"],
+                per_s["store_bytes"], per_s["store_reads"], cpu * 100)
 
 
-def waiting(build, count):
-    """Memory of an entry in which that many requests wait, MiB."""
-    b = bench.Bench(build)
-    shown = {}
-    b.show = lambda name, value, *_, **__: shown.update({name: value})
-    bench.WAITING = count
-    b.waiting()
-    return shown[f"memory with {count} requests waiting"]
+def measure_waiting_mib(build, count):
+    """Memory in MiB of an entry in which count requests wait."""
+    bounds = bench.Bench(build)
+    figures = {}
+    bounds.show = lambda name, value, *_, **__: figures.update({name: value})
+    bench.WAITING_REQUESTS = count
+    bounds.waiting()
+    return figures[f"memory with {count} requests waiting"]
 
 
 def main(build):
     subprocess.run([f"{build}/bench/slopes"], check=True)
-    found = [idle(build, n) for n in FLEETS]
+    idle_figures = [measure_idle(build, n) for n in FLEET_SIZES]
     for i, (name, unit) in enumerate((("idle-peers", "B/s"),
                                       ("idle-store", "B/s"),
                                       ("idle-reads", "1/s"),
                                       ("idle-cpu", "% of a core"))):
-        show(name, unit, "entry", FLEETS, [f[i] for f in found])
-    show("waiting-memory", "MiB", "waiting request", WAITING,
-         [waiting(build, n) for n in WAITING])
+        show(name, unit, "entry", FLEET_SIZES, [f[i] for f in idle_figures])
+    show("waiting-memory", "MiB", "waiting request", WAITING_COUNTS,
+         [measure_waiting_mib(build, n) for n in WAITING_COUNTS])
     subprocess.run([f"{build}/bench/fairness", "--brief"], check=True)
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,11 +1,11 @@
-"""Faults at random on nodes and the stand-in of the users' platform.
-
-Callers hand in jobs and operators write versions all the time while nodes are
-killed, frozen and stopped, links from the store turn slow, workers forget
-everything, and the store refuses or loses answers; what
-docs/SCENARIOS.md says is checked in every case is checked at the end. The
-same seed draws the same faults at the same times; processes and their
-answers are real, so two runs differ. Ends with status 0 if all held.
+"""Random faults on nodes and the platform stand-in.
+
+Callers submit jobs and operators write configuration versions continuously
+while nodes are killed, frozen and stopped, links from the store are slowed
+down, workers lose their state, and the store refuses requests or loses
+answers. At the end the invariants in docs/SCENARIOS.md are checked. A seed
+determines the faults and their times, but not the timing of the processes,
+so two runs with one seed differ. Exits with status 0 if all checks passed.
 """
 
 import argparse
@@ -16,18 +16,18 @@
 import jobs
 from scenario import ScenarioError
 
-CALM_S = 2.0        # between two faults: a takeover takes 1.0 s and a little
-FAULT_S = (0.5, 4)  # how long one lasts: below and above a lease
-JOBS_A_SECOND = 4.0
-SETTLE_S = 60       # for what is owed when the faults are over
+FAULT_GAP_S = 2.0  # a takeover takes a little over 1.0 s
+FAULT_DURATION_S = (0.5, 4)  # from shorter to longer than a lease
+JOBS_PER_S = 4.0
+JOBS_END_TIMEOUT_S = 60  # for jobs unfinished after the last fault
 WORKERS = 8
-VERSIONS_A_SECOND = 0.5
-ROUTES = (0, 0, 100, 1600)  # more, of a version
-LINK_KB = (20, 100, 500)    # a second, of a link that is slow
+VERSIONS_PER_S = 0.5
+EXTRA_ROUTES = (0, 0, 100, 1600)  # added to a version
+LINK_KB_PER_S = (20, 100, 500)  # of a slow link
 
 
 class Soak:
-    """One run: a clock, a random source, and the faults that are on."""
+    """Submits jobs, writes versions and starts and ends faults."""
 
     def __init__(self, run, rng):
         self.run = run
@@ -38,15 +38,15 @@
         self.store_up = up
         self.run.do("store", ["up" if up else "down"])
 
-    def fault(self):
-        """Draws one fault; returns what ends it."""
+    def start_fault(self):
+        """Starts a random fault; returns the function that ends it."""
         site, run, rng = self.run.site, self.run, self.rng
         node = rng.choice(sorted(site.nodes))
         kind = rng.choice(("kill", "kill lead", "kill all", "freeze", "stop",
                            "store", "lose", "mute", "crash", "link"))
         print(f"  {kind} {node}", flush=True)
         if kind == "kill lead":
-            node = site.lead() or node
+            node = site.leader() or node
         if kind in ("kill", "kill lead", "stop"):
             run.do(kind.split()[0], [node])
             return lambda: run.do("start", [node])
@@ -60,7 +60,7 @@
             self.set_store(False)
             return lambda: self.set_store(True)
         if kind == "link":
-            run.do("link", [node, str(rng.choice(LINK_KB))])
+            run.do("link", [node, str(rng.choice(LINK_KB_PER_S))])
             return lambda: run.do("link", [node, "0"])
         if kind == "mute":
             run.do("mute", [rng.choice(("inbox", "servers", "op"))])
@@ -78,50 +78,51 @@
                                "steps", str(rng.randint(1, 2)),
                                "ms", str(rng.randint(50, 1500))])
 
-    def version(self):
-        """A store that serves nobody confirms nothing."""
+    def write_version(self):
+        """Writes a version, unless the store is down and cannot confirm it."""
         if self.store_up:
-            self.run.do("version", ["with", str(self.rng.choice(ROUTES)),
+            self.run.do("version", ["with", str(self.rng.choice(EXTRA_ROUTES)),
                                     "routes"])
 
-    def play(self, seconds):
+    def run_for(self, seconds):
         begin = time.monotonic()
         next_job = next_fault = next_version = 0.0
-        end = None
+        end_fault = None
         while (now := time.monotonic() - begin) < seconds:
             if now >= next_job:
                 self.submit()
-                next_job = now + self.rng.expovariate(JOBS_A_SECOND)
+                next_job = now + self.rng.expovariate(JOBS_PER_S)
             if now >= next_version:
-                self.version()
-                next_version = now + self.rng.expovariate(VERSIONS_A_SECOND)
+                self.write_version()
+                next_version = now + self.rng.expovariate(VERSIONS_PER_S)
             if now >= next_fault:
-                if end:
-                    end()
-                    end, wait = None, CALM_S
+                if end_fault:
+                    end_fault()
+                    end_fault, wait_s = None, FAULT_GAP_S
                 else:
-                    end, wait = self.fault(), self.rng.uniform(*FAULT_S)
-                next_fault = now + wait
+                    end_fault = self.start_fault()
+                    wait_s = self.rng.uniform(*FAULT_DURATION_S)
+                next_fault = now + wait_s
             time.sleep(0.01)
-        if end:
-            end()
+        if end_fault:
+            end_fault()
 
 
 def soak(build, seed, seconds):
-    """None if all held, else what did not."""
+    """Returns None if all checks passed, else the error."""
     case = jobs.Case(f"# soak {seed}")
     with jobs.Site(build, WORKERS) as site:
         site.configure()
         site.start_nodes(case.nodes)
         run = jobs.Run(case, site)
         try:
-            Soak(run, random.Random(seed)).play(seconds)
+            Soak(run, random.Random(seed)).run_for(seconds)
             for t in run.threads:
                 t.join()
-            run.settle(SETTLE_S)
-            run.check_always()
+            run.wait_for_jobs(JOBS_END_TIMEOUT_S)
+            run.check_invariants()
             accepted = sum(j.accepted for j in run.jobs)
-            ended = sum(j.state in jobs.TERMINAL for j in run.jobs)
+            ended = sum(j.state in jobs.TERMINAL_STATES for j in run.jobs)
             print(f"{len(run.jobs)} jobs, {accepted} accepted, {ended} ended, "
                   f"{len(site.record())} runs")
             if ended < accepted:
@@ -143,7 +144,7 @@
     for seed in range(args.seed, args.seed + args.count):
         print(f"seed {seed}", flush=True)
         error = soak(args.build, seed, args.seconds)
-        print(f"{'FAIL' if error else 'held'}  seed {seed}"
+        print(f"{'FAIL' if error else 'ok  '}  seed {seed}"
               f"{': ' + error if error else ''}", flush=True)
         failed += error is not None
     return failed > 0
--- a/tools/versions.py
+++ b/tools/versions.py
@@ -1,58 +1,62 @@
-"""Checks which version of the configuration each node answers by.
+"""Checks that no node applies a configuration version that is too old.
 
-Version K has the queue vK and no longer the queue of the version before. A
-node may answer 503; what it answers otherwise must not be older than the
-newest version that was confirmed BOUND_S before the request was sent, nor
-older than a version by which the same process answered before.
+Version K adds the queue vK and removes the queue of the previous version. A
+node may answer 503; any other answer must not be based on a version older
+than the newest one confirmed STALENESS_MAX_S before the request was sent, nor
+older than one that the same process has applied before.
 """
 
 import threading
 import time
 
-BOUND_S = 2.0    # as in the nodes' settings
-PERIOD_S = 0.05  # between two requests to a node
-MARKER = "v"     # of the names of queues that tell a version
+STALENESS_MAX_S = 2.0  # config_ms of the nodes' settings
+PROBE_INTERVAL_S = 0.05  # between two probes of a node
+QUEUE_PREFIX = "v"  # of the queue that marks a version
 
 
-class Versions:
-    """Writes versions and asks each node for the newest all the while."""
+class VersionChecker:
+    """Writes versions and probes each node for the newest continuously."""
 
     def __init__(self, site):
         self.site = site
-        self.confirmed = []  # [(marker's number, time)]
-        self.begun = 0       # the newest marker that may be in force
+        self.confirmed = []  # [(version, time)]
+        self.last_written = 0  # the newest version that a node may apply
         self.errors = []
-        self.seen = {}       # node -> newest marker that it answered by
-        self.stop = threading.Event()
+        self.last_applied = {}  # node -> (pid, newest version it applied)
+        self.stopping = threading.Event()
         self.threads = []
 
-    def write(self, routes):
-        """Confirms a version with so many routes more."""
+    def write(self, extra_routes):
+        """Writes a version with this many additional routes."""
         number = len(self.confirmed) + 1
-        self.begun = number
-        self.site.configure(queues=("q0", "q1", f"{MARKER}{number}"),
-                            routes=routes)
+        self.last_written = number
+        self.site.configure(queues=("q0", "q1", f"{QUEUE_PREFIX}{number}"),
+                            extra_routes=extra_routes)
         self.confirmed.append((number, time.monotonic()))
         if not self.threads:
             for name in self.site.nodes:
-                t = threading.Thread(target=self.watch, args=(name,))
+                t = threading.Thread(target=self.probe_loop, args=(name,))
                 t.start()
                 self.threads.append(t)
 
-    def due(self, at):
-        """The newest marker that must be in force for a request sent at."""
+    def required_version(self, at):
+        """The oldest version that may answer a request sent at this time."""
         return max((n for n, when in list(self.confirmed)
-                    if when + BOUND_S < at), default=0)
+                    if when + STALENESS_MAX_S < at), default=0)
 
-    def ask(self, name, number):
+    def queue_status(self, name, number):
         try:
-            return self.site.request("GET", f"/{MARKER}{number}/",
+            return self.site.request("GET", f"/{QUEUE_PREFIX}{number}/",
                                      node=name)[0]
         except OSError:
             return 0
 
-    def watch(self, name):
-        while not self.stop.wait(PERIOD_S):
+    def reported_version(self, name):
+        version = self.site.metric(name, "config_version")
+        return f"the node reports version {version}"
+
+    def probe_loop(self, name):
+        while not self.stopping.wait(PROBE_INTERVAL_S):
             if name in self.site.frozen or \
                     not self.site.nodes[name].running():
                 continue
@@ -62,31 +66,30 @@
         pid = self.site.nodes[name].popen.pid
         newest = self.confirmed[-1][0]
         sent = time.monotonic()
-        due = self.due(sent)
-        code = self.ask(name, newest)
+        required = self.required_version(sent)
+        code = self.queue_status(name, newest)
         if code == 200:
-            self.seen[name] = (pid, newest)
-        elif code == 404 and self.begun == newest:
-            before = self.seen.get(name, (0, 0))
-            if newest <= due:
+            self.last_applied[name] = (pid, newest)
+        elif code == 404 and self.last_written == newest:
+            previous = self.last_applied.get(name, (0, 0))
+            if newest <= required:
                 self.errors.append(f"{name}: 404 for version {newest}'s "
-                                   f"queue, confirmed {BOUND_S} s before; by "
-                                   "its own word it has "
-                                   f"{self.site.metric(name, 'config_version')}")
-            elif before == (pid, newest):
-                self.errors.append(f"{name}: version {newest} was in force "
-                                   "and is no longer; by its own word it has "
-                                   f"{self.site.metric(name, 'config_version')}")
-        if due > 1 and self.ask(name, due - 1) == 200:
-            self.errors.append(f"{name}: version {due - 1}'s queue answered, "
-                               f"dropped {BOUND_S} s before")
+                                   f"queue, confirmed {STALENESS_MAX_S} s "
+                                   f"before; {self.reported_version(name)}")
+            elif previous == (pid, newest):
+                self.errors.append(f"{name}: version {newest} is no longer "
+                                   f"applied; {self.reported_version(name)}")
+        if required > 1 and self.queue_status(name, required - 1) == 200:
+            self.errors.append(f"{name}: version {required - 1}'s queue "
+                               f"answered, removed {STALENESS_MAX_S} s before")
 
     def in_force(self):
-        """How many nodes answer by the newest version now."""
+        """Returns how many nodes apply the newest version."""
         newest = self.confirmed[-1][0]
-        return sum(self.ask(name, newest) == 200 for name in self.site.nodes)
+        return sum(self.queue_status(name, newest) == 200
+                   for name in self.site.nodes)
 
     def close(self):
-        self.stop.set()
+        self.stopping.set()
         for t in self.threads:
             t.join()
