bench: wording of fairness, load, slopes and waves

Names were figurative or without a unit: way, guard, owed, turned, old step, woken. Terms now: mode, safeguard, pending arrivals, phase end, stale step; units are acquired and returned, the conductor has iterations. The bounds of fairness are named constants. Rows that tools parse are unchanged; waves prints "without units returned" for "without home".

--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -1,14 +1,14 @@
 /*
- * fairness - nearness to share, utilization and control traffic of the
- * real decision code, in virtual time
+ * fairness - simulates the decision code of seven entries
  *
- * Seven cores with a fake table service and a fake network. Six teams, two
- * of them large, ask five times their mean or a twentieth of it in phases
- * of 4 to 15 seconds, drawn anew for each team and phase. After each step no
- *team may run more than its limit and no worker more than its slots. The ways
- *compared in one run: escrow	units drawn, lent and brokered
+ * Measures deviation from the fair share, utilization and control traffic in
+ * virtual time, with a simulated table service and network. Each of six teams,
+ * two of them with large shares, sends five times its mean rate or a twentieth
+ * of it, chosen at random for each phase of 4 to 15 seconds. No team may ever
+ * run more than its limit and no worker more than its slots. Modes compared:
+ *	escrow	entries acquire units, lend them and follow brokers' advice
  *	static	each entry has a fixed part of every limit and worker
- *	owner	each team's requests all go to one entry
+ *	owner	all requests of a team go to one entry
  */
 #include <argtable2.h>
 #include <assert.h>
@@ -30,14 +30,17 @@
 #define HOLD_MEAN_MS 200
 #define WAIT_MAX_MS 12000
 #define SHARDS 2
-#define LATENCY_MS 2 /* between entries */
-#define STORE_MS 5   /* to the table service and back */
-#define LEAVE_OUT_MS 2000
+#define PEER_LATENCY_MS 2
+#define STORE_ROUND_TRIP_MS 5
+#define WARMUP_MS 2000 /* not measured at the start of a phase */
 #define PHASE_MIN_MS 4000
-#define PHASE_MORE_MS 11000
-#define EVENT_RING 65536 /* milliseconds */
+#define PHASE_RANGE_MS 11000
+#define EVENT_RING_MS 65536
+#define SHARE_ERROR_MAX 0.05
+#define BUSY_MIN 0.97
+#define BYTES_MAX_PER_S 6000
 
-enum way { WAY_ESCROW, WAY_STATIC, WAY_OWNER };
+enum mode { MODE_ESCROW, MODE_STATIC, MODE_OWNER };
 
 enum event_kind { EVENT_END, EVENT_MESSAGE, EVENT_WRITE };
 
@@ -55,39 +58,39 @@
 
 struct sim;
 
-struct node {
+struct sim_entry {
 	struct sim *sim;
 	uint32_t index;
 	struct core *core;
-	struct entry frames; /* packs messages, to count their bytes */
+	struct entry frames; /* context to pack messages in, for their size */
 	uint64_t bytes;
 	bool dead;
 };
 
 struct team {
-	double rate; /* mean, requests a millisecond */
-	bool high;
-	double owed; /* arrivals not yet made */
+	double rate; /* mean, requests per millisecond */
+	bool high_demand;
+	double pending_arrivals; /* requests due, with a fraction */
 	uint32_t share;
 	uint32_t limit;
 	uint32_t running;
 	uint32_t waiting;
-	double slot_ms;	 /* in this interval */
-	double asked;	 /* requests that waited or came in this interval */
-	bool backlogged; /* all through this interval */
+	double slot_ms;	  /* used in this interval */
+	double requested; /* requests running, waiting or arrived in it */
+	bool backlogged;  /* requests waited throughout the interval */
 };
 
 struct sim {
 	TALLOC_CTX *ctx;
-	enum way way;
+	enum mode mode;
 	bool skewed; /* all callers reach one entry */
 	uint64_t random;
 	uint64_t now;
-	struct node nodes[ENTRIES];
+	struct sim_entry entries[ENTRIES];
 	struct team teams[TEAMS];
-	uint32_t workers[WORKERS]; /* running */
-	struct event *ring[EVENT_RING];
-	struct event **ring_tail[EVENT_RING];
+	uint32_t workers[WORKERS]; /* requests running on each */
+	struct event *ring[EVENT_RING_MS];
+	struct event **ring_tail[EVENT_RING_MS];
 	struct cfg_names *names;
 	struct ledger_row *rows[SHARDS];
 	uint64_t revision;
@@ -95,11 +98,12 @@
 	uint64_t phase_ends_ms;
 	bool store_out;
 	/* Results */
-	double worst; /* departure from share, of one */
+	double worst_error; /* relative deviation from the fair share */
 	double sum_error;
-	uint32_t intervals;
-	double busy_ms;
-	double wanted_ms;
+	uint32_t error_count;
+	double busy_slot_ms;
+	double usable_slot_ms; /* of all slots, while work waits that could run
+				*/
 	uint64_t refused;
 	uint64_t ended;
 };
@@ -114,13 +118,13 @@
 
 /* Events */
 
-static struct event *event_at(struct sim *s, uint64_t delay,
-			      enum event_kind kind, uint32_t entry)
+static struct event *add_event(struct sim *s, uint64_t delay,
+			       enum event_kind kind, uint32_t entry)
 {
 	struct event *e = calloc(1, sizeof(*e));
-	uint64_t slot = (s->now + delay) % EVENT_RING;
+	uint64_t slot = (s->now + delay) % EVENT_RING_MS;
 
-	assert(delay > 0 && delay < EVENT_RING);
+	assert(delay > 0 && delay < EVENT_RING_MS);
 	e->kind = kind;
 	e->entry = entry;
 	if (!s->ring[slot])
@@ -134,7 +138,7 @@
 
 static void on_start(void *arg, struct job *job)
 {
-	struct node *n = arg;
+	struct sim_entry *n = arg;
 	struct sim *s = n->sim;
 	struct team *t = &s->teams[job->team.i];
 	uint64_t hold = 1 + (uint64_t)(uniform(s) * 2 * HOLD_MEAN_MS);
@@ -146,12 +150,12 @@
 		       s->now, job->team.i, t->running, t->limit);
 		exit(1);
 	}
-	event_at(s, hold, EVENT_END, n->index)->job = job;
+	add_event(s, hold, EVENT_END, n->index)->job = job;
 }
 
 static void on_refuse(void *arg, struct job *job, enum job_refusal why)
 {
-	struct node *n = arg;
+	struct sim_entry *n = arg;
 
 	n->sim->refused++;
 	free(job);
@@ -188,37 +192,39 @@
 
 static void on_send(void *arg, uint64_t to, const struct core_message *m)
 {
-	struct node *n = arg;
+	struct sim_entry *n = arg;
 	Jackdawwell__PeerFrame *frame = entry_pack(&n->frames, m);
 	size_t bytes = jackdawwell__peer_frame__get_packed_size(frame) + 4;
 	struct event *e;
 
 	jackdawwell__peer_frame__free_unpacked(frame, NULL);
 	n->bytes += bytes;
-	n->sim->nodes[to - 1].bytes += bytes;
-	e = event_at(n->sim, LATENCY_MS, EVENT_MESSAGE, (uint32_t)to - 1);
+	n->sim->entries[to - 1].bytes += bytes;
+	e = add_event(n->sim, PEER_LATENCY_MS, EVENT_MESSAGE, (uint32_t)to - 1);
 	e->from = n->index + 1;
 	copy_message(&e->message, m);
 }
 
 static void on_write(void *arg, uint32_t shard, const struct ledger_cas *cas)
 {
-	struct node *n = arg;
-	struct event *e = event_at(n->sim, STORE_MS, EVENT_WRITE, n->index);
+	struct sim_entry *n = arg;
+	struct event *e =
+		add_event(n->sim, STORE_ROUND_TRIP_MS, EVENT_WRITE, n->index);
 
 	e->shard = shard;
 	e->row = ledger_row_copy(NULL, cas->row);
 	e->row_version = cas->row_version;
 }
 
-static void run_write(struct sim *s, struct node *n, struct event *e)
+static void finish_write(struct sim *s, struct sim_entry *n, struct event *e)
 {
 	struct ledger_row **row = &s->rows[e->shard];
 	uint32_t i;
 
 	if (s->store_out) {
 		core_planned(n->core, e->shard, LEDGER_CAS_CONFLICT, 0, s->now);
-	} else if (s->way != WAY_STATIC && (*row)->version != e->row_version) {
+	} else if (s->mode != MODE_STATIC &&
+		   (*row)->version != e->row_version) {
 		core_planned(n->core, e->shard, LEDGER_CAS_CONFLICT, 0, s->now);
 		core_row(n->core, e->shard, *row, s->now);
 	} else {
@@ -227,15 +233,15 @@
 		(*row)->version = ++s->revision;
 		core_planned(n->core, e->shard, LEDGER_CAS_DONE, s->revision,
 			     s->now);
-		for (i = 0; i < ENTRIES && s->way != WAY_STATIC; i++)
-			if (!s->nodes[i].dead && s->now % 1000 < 50)
-				core_row(s->nodes[i].core, e->shard, *row,
+		for (i = 0; i < ENTRIES && s->mode != MODE_STATIC; i++)
+			if (!s->entries[i].dead && s->now % 1000 < 50)
+				core_row(s->entries[i].core, e->shard, *row,
 					 s->now);
 	}
 	talloc_free(e->row);
 }
 
-static void run_end(struct sim *s, struct node *n, struct job *job)
+static void finish_job(struct sim *s, struct sim_entry *n, struct job *job)
 {
 	s->teams[job->team.i].running--;
 	s->workers[job->instance.i]--;
@@ -247,19 +253,19 @@
 
 static void run_events(struct sim *s)
 {
-	uint64_t slot = s->now % EVENT_RING;
+	uint64_t slot = s->now % EVENT_RING_MS;
 	struct event *e;
 
 	while ((e = s->ring[slot])) {
-		struct node *n = &s->nodes[e->entry];
+		struct sim_entry *n = &s->entries[e->entry];
 
 		s->ring[slot] = e->next;
 		if (e->kind == EVENT_END)
-			run_end(s, n, e->job);
+			finish_job(s, n, e->job);
 		else if (e->kind == EVENT_MESSAGE && !n->dead)
 			core_receive(n->core, e->from, &e->message, s->now);
 		else if (e->kind == EVENT_WRITE && !n->dead)
-			run_write(s, n, e);
+			finish_write(s, n, e);
 		if (e->kind == EVENT_MESSAGE)
 			free_message(&e->message);
 		free(e);
@@ -268,7 +274,7 @@
 
 /* Demand */
 
-static void arrive(struct sim *s, uint32_t team)
+static void submit_request(struct sim *s, uint32_t team)
 {
 	struct job *job = calloc(1, sizeof(*job));
 	uint32_t entry = (uint32_t)(uniform(s) * ENTRIES);
@@ -276,58 +282,58 @@
 
 	if (s->skewed)
 		entry = team % 2;
-	if (s->way == WAY_OWNER)
+	if (s->mode == MODE_OWNER)
 		entry = team % ENTRIES;
-	if (s->nodes[entry].dead)
+	if (s->entries[entry].dead)
 		entry = (entry + 1) % ENTRIES;
 	job->team.i = team;
 	job->run_max_ms = 60000;
 	job->arrived_ms = s->now;
 	job->deadline_ms = s->now + WAIT_MAX_MS;
 	job->checked_version = 1;
-	if (!core_submit(s->nodes[entry].core, job, s->now, &why)) {
+	if (!core_submit(s->entries[entry].core, job, s->now, &why)) {
 		s->refused++;
 		free(job);
 	}
 }
 
-/* Draws who asks much in the next phase; two teams at least. */
+/* Chooses the teams, two at least, with high demand in the next phase. */
 static void start_phase(struct sim *s)
 {
-	uint32_t high = 0;
+	uint32_t high_count = 0;
 	uint32_t i;
 
-	while (high < 2)
-		for (i = 0, high = 0; i < TEAMS; i++) {
-			s->teams[i].high = uniform(s) < 0.5;
-			high += s->teams[i].high;
+	while (high_count < 2)
+		for (i = 0, high_count = 0; i < TEAMS; i++) {
+			s->teams[i].high_demand = uniform(s) < 0.5;
+			high_count += s->teams[i].high_demand;
 		}
 	s->phase_ends_ms =
-		s->now + PHASE_MIN_MS + (uint64_t)(uniform(s) * PHASE_MORE_MS);
+		s->now + PHASE_MIN_MS + (uint64_t)(uniform(s) * PHASE_RANGE_MS);
 }
 
-/* True when a phase has ended, over which nearness is taken. */
-static bool run_demand(struct sim *s)
+/* Returns true if a phase has ended, the interval that is measured. */
+static bool generate_demand(struct sim *s)
 {
-	bool turned = s->now >= s->phase_ends_ms;
+	bool phase_ended = s->now >= s->phase_ends_ms;
 	uint32_t i;
 
-	if (turned)
+	if (phase_ended)
 		start_phase(s);
 	for (i = 0; i < TEAMS; i++) {
 		struct team *t = &s->teams[i];
 
-		t->owed += t->rate * (t->high ? 5.0 : 0.05);
-		while (t->owed >= 1.0) {
-			t->owed -= 1.0;
-			t->asked += 1.0;
-			arrive(s, i);
+		t->pending_arrivals += t->rate * (t->high_demand ? 5.0 : 0.05);
+		while (t->pending_arrivals >= 1.0) {
+			t->pending_arrivals -= 1.0;
+			t->requested += 1.0;
+			submit_request(s, i);
 		}
 	}
-	return turned;
+	return phase_ended;
 }
 
-/* Measures */
+/* Measurement */
 
 static void count_waiting(struct sim *s)
 {
@@ -339,18 +345,18 @@
 	for (i = 0; i < TEAMS; i++) {
 		s->teams[i].waiting = 0;
 		for (k = 0; k < ENTRIES; k++) {
-			if (s->nodes[k].dead)
+			if (s->entries[k].dead)
 				continue;
-			core_team_load(s->nodes[k].core, (pool_handle){ 0 },
+			core_team_load(s->entries[k].core, (pool_handle){ 0 },
 				       (team_handle){ i }, &waiting, &running);
 			s->teams[i].waiting += waiting;
 		}
 	}
 }
 
-static void measure(struct sim *s)
+static void sample(struct sim *s)
 {
-	bool wanted = false;
+	bool work_waits = false;
 	uint32_t busy = 0;
 	uint32_t i;
 
@@ -360,35 +366,35 @@
 
 		busy += t->running;
 		if (t->waiting && t->running < t->limit)
-			wanted = true;
-		if (s->now < s->interval_start + LEAVE_OUT_MS)
+			work_waits = true;
+		if (s->now < s->interval_start + WARMUP_MS)
 			continue;
-		if (s->now == s->interval_start + LEAVE_OUT_MS)
-			t->asked = t->running + t->waiting;
+		if (s->now == s->interval_start + WARMUP_MS)
+			t->requested = t->running + t->waiting;
 		t->slot_ms += t->running;
 		if (!t->waiting)
 			t->backlogged = false;
 	}
-	if (wanted && s->now > LEAVE_OUT_MS) {
-		s->busy_ms += busy;
-		s->wanted_ms += CAPACITY;
+	if (work_waits && s->now > WARMUP_MS) {
+		s->busy_slot_ms += busy;
+		s->usable_slot_ms += CAPACITY;
 	}
 }
 
-/* Slots that a team could use: what it asked for, if that is less. */
+/* Slots a team could use: of its requests, at most its limit. */
 static double demand_of(const struct team *t, double ms)
 {
-	double asked = t->asked * HOLD_MEAN_MS / ms;
+	double requested = t->requested * HOLD_MEAN_MS / ms;
 
 	if (!t->backlogged)
 		return t->slot_ms / ms;
-	return asked < t->limit ? asked : t->limit;
+	return requested < t->limit ? requested : t->limit;
 }
 
-static void judge_interval(struct sim *s)
+static void record_errors(struct sim *s)
 {
 	struct share_claim claims[TEAMS];
-	double ms = (double)(s->now - s->interval_start - LEAVE_OUT_MS);
+	double ms = (double)(s->now - s->interval_start - WARMUP_MS);
 	uint32_t i;
 
 	for (i = 0; i < TEAMS; i++) {
@@ -406,10 +412,10 @@
 			continue;
 		error = fabs(t->slot_ms / ms - claims[i].given) /
 			claims[i].given;
-		if (error > s->worst)
-			s->worst = error;
+		if (error > s->worst_error)
+			s->worst_error = error;
 		s->sum_error += error;
-		s->intervals++;
+		s->error_count++;
 	}
 }
 
@@ -418,7 +424,7 @@
 	uint32_t i;
 
 	if (s->interval_start && s->now >= s->interval_start + PHASE_MIN_MS)
-		judge_interval(s);
+		record_errors(s);
 	s->interval_start = s->now;
 	for (i = 0; i < TEAMS; i++) {
 		s->teams[i].slot_ms = 0;
@@ -428,26 +434,26 @@
 
 /* Set-up */
 
-static json_t *instances_json(uint32_t slots, uint32_t extra)
+static json_t *instances_json(uint32_t slots, uint32_t entry)
 {
 	json_t *all = json_object();
 	char name[16];
 	uint32_t i;
 
 	for (i = 0; i < WORKERS; i++) {
-		uint32_t more = (i + extra) % ENTRIES == 0;
+		uint32_t extra_slot = (i + entry) % ENTRIES == 0;
 
 		snprintf(name, sizeof(name), "w%u", i);
 		json_object_set_new(all, name,
 				    json_pack("{s:s, s:s, s:s, s:s, s:i}",
 					      "address", "x", "pool", "p",
 					      "zone", "z", "rack", "r", "slots",
-					      (int)(slots + more)));
+					      (int)(slots + extra_slot)));
 	}
 	return all;
 }
 
-static json_t *teams_json(const struct sim *s, uint32_t part)
+static json_t *teams_json(const struct sim *s, uint32_t divisor)
 {
 	json_t *all = json_object();
 	char name[16];
@@ -455,29 +461,30 @@
 
 	for (i = 0; i < TEAMS; i++) {
 		snprintf(name, sizeof(name), "t%u", i);
-		json_object_set_new(all, name,
-				    json_pack("{s:i, s:i}", "share",
-					      (int)s->teams[i].share, "limit",
-					      (int)(s->teams[i].limit / part)));
+		json_object_set_new(
+			all, name,
+			json_pack("{s:i, s:i}", "share", (int)s->teams[i].share,
+				  "limit", (int)(s->teams[i].limit / divisor)));
 	}
 	return all;
 }
 
 static struct cfg *make_cfg(struct sim *s, uint32_t entry)
 {
-	bool parts = s->way == WAY_STATIC;
+	bool is_static = s->mode == MODE_STATIC;
 	struct cfg *empty = cfg_empty(s->names);
 	struct status_message m;
 	struct cfg *cfg = NULL;
-	json_t *change = json_pack("{s:{s:{s:s}}, s:o, s:o}", "pools", "p",
-				   "service", "s", "instances",
-				   parts ? instances_json(1, entry)
-					 : instances_json(SLOTS, 99),
-				   "teams", teams_json(s, parts ? ENTRIES : 1));
+	json_t *change =
+		json_pack("{s:{s:{s:s}}, s:o, s:o}", "pools", "p", "service",
+			  "s", "instances",
+			  is_static ? instances_json(1, entry)
+				    : instances_json(SLOTS, 99),
+			  "teams", teams_json(s, is_static ? ENTRIES : 1));
 	json_t *w;
 	const char *name;
 
-	if (!parts)
+	if (!is_static)
 		json_object_foreach(json_object_get(change, "instances"), name,
 				    w)
 			json_object_set_new(w, "slots", json_integer(SLOTS));
@@ -490,25 +497,25 @@
 	return cfg;
 }
 
-static void make_node(struct sim *s, uint32_t i)
+static void make_entry(struct sim *s, uint32_t i)
 {
 	static const uint64_t ids[ENTRIES] = { 1, 2, 3, 4, 5, 6, 7 };
 	struct ledger_members members = { 1, ENTRIES, ids };
-	struct node *n = &s->nodes[i];
+	struct sim_entry *n = &s->entries[i];
 	struct core_options options = {
 		.incarnation = i + 1,
 		.shard_count = SHARDS,
 		.waiting_max = 1000000,
 		.waiting_bytes = UINT64_MAX / 2,
 		.random = i,
-		.advice = s->way != WAY_STATIC,
+		.advice = s->mode != MODE_STATIC,
 		.callbacks = { on_start, on_refuse, on_send, on_write, n },
 	};
 	struct ledger_row empty = { .version = 0 };
 	struct cfg *cfg = make_cfg(s, i);
 	uint32_t k;
 
-	if (s->way == WAY_STATIC)
+	if (s->mode == MODE_STATIC)
 		members.count = 1;
 	n->sim = s;
 	n->index = i;
@@ -525,7 +532,7 @@
 	cfg_unref(cfg);
 }
 
-static void set_up(struct sim *s, enum way way, bool skewed, uint64_t seed,
+static void set_up(struct sim *s, enum mode mode, bool skewed, uint64_t seed,
 		   const uint32_t *limits)
 {
 	static const uint32_t shares[TEAMS] = { 4, 4, 1, 1, 1, 1 };
@@ -533,7 +540,7 @@
 
 	memset(s, 0, sizeof(*s));
 	s->ctx = talloc_new(NULL);
-	s->way = way;
+	s->mode = mode;
 	s->skewed = skewed;
 	s->random = seed * 0x9e3779b97f4a7c15u + 12345;
 	s->names = cfg_names_new(s->ctx);
@@ -547,7 +554,7 @@
 	for (i = 0; i < SHARDS; i++)
 		s->rows[i] = talloc_zero(s->ctx, struct ledger_row);
 	for (i = 0; i < ENTRIES; i++)
-		make_node(s, i);
+		make_entry(s, i);
 }
 
 static void tick_all(struct sim *s)
@@ -555,8 +562,8 @@
 	uint32_t i;
 
 	for (i = 0; i < ENTRIES; i++)
-		if (!s->nodes[i].dead && (s->now + i * 7) % CORE_TICK_MS == 0)
-			core_tick(s->nodes[i].core, s->now);
+		if (!s->entries[i].dead && (s->now + i * 7) % CORE_TICK_MS == 0)
+			core_tick(s->entries[i].core, s->now);
 }
 
 static void run(struct sim *s, uint64_t until)
@@ -564,61 +571,63 @@
 	while (s->now < until) {
 		s->now++;
 		run_events(s);
-		if (run_demand(s))
+		if (generate_demand(s))
 			start_interval(s);
 		tick_all(s);
-		measure(s);
+		sample(s);
 	}
 }
 
-static double bytes_a_second(const struct sim *s)
+static double bytes_per_s(const struct sim *s)
 {
 	uint64_t most = 0;
 	uint32_t i;
 
 	for (i = 0; i < ENTRIES; i++)
-		if (s->nodes[i].bytes > most)
-			most = s->nodes[i].bytes;
+		if (s->entries[i].bytes > most)
+			most = s->entries[i].bytes;
 	return (double)most * 1000.0 / (double)s->now;
 }
 
-/* Row writes of all entries together. */
-static double writes_a_second(const struct sim *s)
+/* Ledger row writes of all entries. */
+static double writes_per_s(const struct sim *s)
 {
 	uint64_t writes = 0;
 	uint32_t i;
 
 	for (i = 0; i < ENTRIES; i++)
-		writes += core_counters(s->nodes[i].core)->writes;
+		writes += core_counters(s->entries[i].core)->writes;
 	return (double)writes * 1000.0 / (double)s->now;
 }
 
 static const uint32_t wide_limits[TEAMS] = { 80, 80, 80, 80, 80, 80 };
 
-static int bench_way(const char *name, enum way way, bool skewed,
-		     uint64_t seconds, uint64_t seed, bool bound)
+static int bench_mode(const char *name, enum mode mode, bool skewed,
+		      uint64_t seconds, uint64_t seed, bool check_bounds)
 {
 	static struct sim s;
 	double utilization;
 
-	set_up(&s, way, skewed, seed, wide_limits);
+	set_up(&s, mode, skewed, seed, wide_limits);
 	run(&s, seconds * 1000);
-	utilization = s.busy_ms / s.wanted_ms;
+	utilization = s.busy_slot_ms / s.usable_slot_ms;
 	printf("%-7s %-6s worst %5.1f%% mean %4.1f%% over %3u, busy %5.1f%%, "
 	       "%6.0f B/s, %.2f writes/s, %" PRIu64 " ended\n",
-	       name, skewed ? "skewed" : "even", s.worst * 100,
-	       s.sum_error / s.intervals * 100, s.intervals, utilization * 100,
-	       bytes_a_second(&s), writes_a_second(&s), s.ended);
-	if (bound && (s.worst > 0.05 || utilization < 0.97 ||
-		      bytes_a_second(&s) > 6000)) {
+	       name, skewed ? "skewed" : "even", s.worst_error * 100,
+	       s.sum_error / s.error_count * 100, s.error_count,
+	       utilization * 100, bytes_per_s(&s), writes_per_s(&s), s.ended);
+	if (check_bounds &&
+	    (s.worst_error > SHARE_ERROR_MAX || utilization < BUSY_MIN ||
+	     bytes_per_s(&s) > BYTES_MAX_PER_S)) {
 		printf("out of bounds: share 5%%, busy 97%%, 6000 B/s\n");
 		return 1;
 	}
 	return 0;
 }
 
-/* A limit of 5 over 7 entries, while as much again waits. */
-static int bench_small_limit(enum way way, const char *name, bool bound)
+/* Usage of a limit of 5 over 7 entries while at least 5 requests wait. */
+static int bench_small_limit(enum mode mode, const char *name,
+			     bool check_bounds)
 {
 	static const uint32_t limits[TEAMS] = { 5, 5, 5, 5, 5, 5 };
 	static struct sim s;
@@ -626,11 +635,11 @@
 	uint64_t ms = 0;
 	uint32_t i;
 
-	set_up(&s, way, false, 5, limits);
+	set_up(&s, mode, false, 5, limits);
 	while (s.now < 40000) {
 		run(&s, s.now + 1);
 		for (i = 0; i < TEAMS; i++)
-			if (s.now > LEAVE_OUT_MS &&
+			if (s.now > WARMUP_MS &&
 			    s.teams[i].waiting >= s.teams[i].limit) {
 				used += s.teams[i].running;
 				ms++;
@@ -639,15 +648,18 @@
 	used = ms ? used / (double)ms / 5 : 0;
 	printf("%-7s limit 5 over 7 entries: %5.1f%% used while 5 wait\n", name,
 	       used * 100);
-	if (bound && used < 0.97) {
+	if (check_bounds && used < BUSY_MIN) {
 		printf("out of bounds: 97%%\n");
 		return 1;
 	}
 	return 0;
 }
 
-/* One entry dies while the store is out. */
-static int bench_dead(void)
+/*
+ * An entry dies while the store is unavailable: only the slots that it held
+ * may stay idle.
+ */
+static int bench_dead_entry(void)
 {
 	static struct sim s;
 	struct ledger_domain_view view;
@@ -656,18 +668,18 @@
 	int64_t dead_held = 0;
 	uint32_t i;
 
-	set_up(&s, WAY_ESCROW, false, 7, wide_limits);
+	set_up(&s, MODE_ESCROW, false, 7, wide_limits);
 	run(&s, 20000);
 	s.store_out = true;
-	s.nodes[3].dead = true;
+	s.entries[3].dead = true;
 	for (i = 0; i < ENTRIES; i++)
-		core_reachable(s.nodes[i].core, 4, false);
+		core_reachable(s.entries[i].core, 4, false);
 	run(&s, 40000);
 	for (i = 0; i < ENTRIES; i++)
 		for (d.i = 0;
-		     d.i < ledger_domain_count(core_ledger(s.nodes[i].core));
+		     d.i < ledger_domain_count(core_ledger(s.entries[i].core));
 		     d.i++) {
-			struct ledger *l = core_ledger(s.nodes[i].core);
+			struct ledger *l = core_ledger(s.entries[i].core);
 
 			if (ledger_domain_name(l, d)[0] != 'w')
 				continue;
@@ -685,13 +697,14 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_int *seconds = arg_int0(NULL, "seconds", "S", "virtual");
-	struct arg_int *seed = arg_int0(NULL, "seed", "N", "first");
-	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "how many");
-	struct arg_lit *brief = arg_lit0(NULL, "brief", "escrow only");
+	struct arg_int *seconds =
+		arg_int0(NULL, "seconds", "S", "virtual time");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "first seed");
+	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "number of seeds");
+	struct arg_lit *brief = arg_lit0(NULL, "brief", "one escrow run");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { seconds, seed, seeds, brief, end };
-	int bad = 0;
+	int failed = 0;
 	int i;
 
 	seconds->ival[0] = 120;
@@ -700,21 +713,23 @@
 	if (arg_parse(argc, argv, table))
 		return 2;
 	if (brief->count)
-		return bench_way("escrow", WAY_ESCROW, false,
-				 (uint64_t)seconds->ival[0],
-				 (uint64_t)seed->ival[0], false);
+		return bench_mode("escrow", MODE_ESCROW, false,
+				  (uint64_t)seconds->ival[0],
+				  (uint64_t)seed->ival[0], false);
 	for (i = 0; i < seeds->ival[0]; i++) {
 		uint64_t n = (uint64_t)(seed->ival[0] + i);
 		uint64_t time = (uint64_t)seconds->ival[0];
 
-		bad |= bench_way("escrow", WAY_ESCROW, false, time, n, true);
-		bad |= bench_way("escrow", WAY_ESCROW, true, time, n, true);
+		failed |=
+			bench_mode("escrow", MODE_ESCROW, false, time, n, true);
+		failed |=
+			bench_mode("escrow", MODE_ESCROW, true, time, n, true);
 	}
-	bench_way("static", WAY_STATIC, false, 120, 1, false);
-	bench_way("static", WAY_STATIC, true, 120, 1, false);
-	bench_way("owner", WAY_OWNER, false, 120, 1, false);
-	bad |= bench_small_limit(WAY_ESCROW, "escrow", true);
-	bench_small_limit(WAY_STATIC, "static", false);
-	bad |= bench_dead();
-	return bad;
+	bench_mode("static", MODE_STATIC, false, 120, 1, false);
+	bench_mode("static", MODE_STATIC, true, 120, 1, false);
+	bench_mode("owner", MODE_OWNER, false, 120, 1, false);
+	failed |= bench_small_limit(MODE_ESCROW, "escrow", true);
+	bench_small_limit(MODE_STATIC, "static", false);
+	failed |= bench_dead_entry();
+	return failed;
 }
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -1,9 +1,9 @@
 /*
- * slopes - what an entry's decision code costs for each object more
+ * slopes - cost of an entry's decision code per additional object
  *
- * Each line measures at three sizes or more, five times, and prints the
- * least-squares slope, its constant, the fit (r squared) and the spread of
- * the slope over the five. docs/CAPACITY.md quotes the slopes by name.
+ * Measures each cost at four sizes, five times, and prints the slope and
+ * constant of a least-squares fit, r squared, and the range of the slope over
+ * the repeats. docs/CAPACITY.md quotes the slopes by name.
  */
 #include <assert.h>
 #include <malloc.h>
@@ -58,12 +58,12 @@
 	return f;
 }
 
-/* Documents of a size */
+/* Configurations of a given size */
 
-static json_t *make_doc(uint32_t instances, uint32_t teams)
+static json_t *make_document(uint32_t instances, uint32_t teams)
 {
 	json_t *pools = json_object();
-	json_t *all = json_object();
+	json_t *instance_objects = json_object();
 	json_t *team_objects = json_object();
 	char name[32];
 	char pool[32];
@@ -78,7 +78,7 @@
 		snprintf(name, sizeof(name), "worker-%u", i);
 		snprintf(pool, sizeof(pool), "pool-%u", i % 60);
 		json_object_set_new(
-			all, name,
+			instance_objects, name,
 			json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i}",
 				  "address", "10.0.0.1:8000", "pool", pool,
 				  "zone", "az-1", "rack", "rack-1", "slots", 8,
@@ -90,15 +90,15 @@
 			team_objects, name,
 			json_pack("{s:i, s:i}", "share", 1, "limit", 100));
 	}
-	return json_pack("{s:o, s:o, s:o}", "pools", pools, "instances", all,
-			 "teams", team_objects);
+	return json_pack("{s:o, s:o, s:o}", "pools", pools, "instances",
+			 instance_objects, "teams", team_objects);
 }
 
 static struct cfg *make_cfg(struct cfg_names *names, uint32_t instances,
 			    uint32_t teams)
 {
 	struct cfg *empty = cfg_empty(names);
-	json_t *doc = make_doc(instances, teams);
+	json_t *doc = make_document(instances, teams);
 	struct status_message m;
 	struct cfg *cfg = NULL;
 
@@ -111,7 +111,7 @@
 	return cfg;
 }
 
-/* A core with that many workers; its effects go nowhere. */
+/* A core with a given number of workers; its effects are discarded. */
 
 struct bench {
 	struct cfg_names *names;
@@ -147,7 +147,7 @@
 	f = entry_pack(&b->frames, m);
 	bytes = jackdawwell__peer_frame__get_packed_size(f) + 4;
 	if (bytes > b->report_bytes)
-		b->report_bytes = bytes; /* of the pool with demand */
+		b->report_bytes = bytes; /* the pool with demand */
 	jackdawwell__peer_frame__free_unpacked(f, NULL);
 }
 
@@ -196,7 +196,7 @@
 	return b;
 }
 
-/* Measures */
+/* Measurements */
 
 static double cfg_change_us(uint32_t size)
 {
@@ -235,7 +235,7 @@
 
 static double snapshot_bytes(uint32_t size)
 {
-	json_t *doc = make_doc(size, size / 4);
+	json_t *doc = make_document(size, size / 4);
 	char *text = json_dumps(doc, JSON_COMPACT);
 	double bytes = (double)strlen(text);
 
@@ -295,7 +295,7 @@
 	return us;
 }
 
-/* One start and end while that many teams wait in one pool of 8 workers. */
+/* One end and start while a number of teams wait in one pool of 8 workers. */
 static double dispatch_us(uint32_t teams)
 {
 	struct bench *b = bench_new(8 * 60, teams);
@@ -329,7 +329,8 @@
 	return us;
 }
 
-static bool one_team(void *arg, uint32_t team, uint32_t *share, uint32_t *limit)
+static bool find_team(void *arg, uint32_t team, uint32_t *share,
+		      uint32_t *limit)
 {
 	(void)arg;
 	(void)team;
@@ -338,21 +339,22 @@
 	return true;
 }
 
-static void no_advice(void *arg, uint64_t entry, const struct broker_advice *a)
+static void discard_advice(void *arg, uint64_t entry,
+			   const struct broker_advice *a)
 {
 	(void)arg;
 	(void)entry;
 	(void)a;
 }
 
-/* One run for one pool, with that many teams waiting at each of 7 entries. */
+/* One broker run for a pool with a number of teams waiting at 7 entries. */
 static double broker_us(uint32_t teams)
 {
-	struct broker_callbacks callbacks = { one_team, no_advice, NULL };
+	struct broker_callbacks callbacks = { find_team, discard_advice, NULL };
 	struct broker *b = broker_new(NULL, &callbacks);
 	struct broker_team *t = talloc_zero_array(b, struct broker_team, teams);
 	struct broker_demand d = { { BROKER_POOL, 0 }, 60, 0, teams, t };
-	uint64_t spent = 0;
+	uint64_t total_us = 0;
 	uint64_t start;
 	uint32_t i;
 	int round;
@@ -364,10 +366,10 @@
 			broker_report(b, i + 1, &d, (uint64_t)round * 1000);
 		start = clock_now_us();
 		broker_run(b, (uint64_t)round * 1000 + 500);
-		spent += clock_now_us() - start;
+		total_us += clock_now_us() - start;
 	}
 	talloc_free(b);
-	return (double)spent / 5;
+	return (double)total_us / 5;
 }
 
 static double report_bytes(uint32_t teams)
--- a/bench/waves.c
+++ b/bench/waves.c
@@ -1,11 +1,12 @@
 /*
- * waves - maintenance waves in virtual time, planned by the real planner
+ * waves - simulates maintenance waves with the production planner
  *
- * 50 workers in 5 pools over 3 zones with 4 to a rack. Work on a worker ends
- * some time after it drains; nothing is taken out before all its units are
- * home. Workers fail, correlated in racks; the conductor is killed or frozen
- * between any two steps, and one that wakes tries an old step, which its
- * version must refuse. Budgets and cut requests are checked after each step.
+ * 50 workers in 5 pools over 3 zones, 4 per rack, in virtual time. Work on a
+ * worker ends some time after it starts to drain; a worker is taken out only
+ * after all its units have been returned. Workers of a rack fail together. The
+ * conductor is killed or frozen between any two steps; one that resumes tries
+ * a stale step, which must be refused by its version. After each step the
+ * budgets and the number of interrupted requests are checked.
  */
 #include <argtable2.h>
 #include <malloc.h>
@@ -20,20 +21,25 @@
 #define POOLS 5
 #define ZONES 3
 #define RACKS 13
-#define DRAIN_S 4.0 /* mean time until work has ended */
+#define DRAIN_MEAN_S 4.0 /* until the work on a worker has ended */
 #define REBOOT_S 60.0
-#define STEP_S 1 /* between two looks of the conductor */
-#define TAKE_OVER_S 3
-#define GIVE_UP_S 20000
-
-enum way { WAY_PLANNER, WAY_ONE, WAY_RACK };
-
-/* Safeguards that the bench takes away to see that it would notice. */
-enum guard { GUARD_NONE, GUARD_BUDGET, GUARD_HOME, GUARD_VERSION };
+#define STEP_S 1 /* between two iterations of the conductor */
+#define TAKEOVER_S 3
+#define WAVE_TIMEOUT_S 20000
+
+enum mode { MODE_PLANNER, MODE_ONE, MODE_RACK };
+
+/* Safeguards removed in turn to verify that the checks notice. */
+enum safeguard {
+	SAFEGUARD_NONE,
+	SAFEGUARD_BUDGET,
+	SAFEGUARD_UNITS_RETURNED,
+	SAFEGUARD_VERSION
+};
 
 struct worker {
 	struct plan_instance plan;
-	double work_ends_s; /* of what runs when it drains */
+	double work_ends_s; /* of the work running when the drain began */
 	double back_s;	    /* end of a reboot or of a failure */
 	double failed_s;    /* when it last failed */
 };
@@ -44,29 +50,29 @@
 	uint32_t out_max;
 };
 
-/* Aluat wants it done soon; the Consortium gives up little capacity. */
+/* Aluat needs short waves; the Consortium can spare little capacity. */
 static const struct user users[] = {
 	{ "aluat", 8, 2 },
 	{ "consortium", 9, 1 },
 };
 
 struct run {
-	enum way way;
+	enum mode mode;
 	uint64_t random;
 	struct worker workers[WORKERS];
 	struct plan_pool pools[POOLS];
 	double now_s;
 	uint64_t version; /* of the configuration */
 	double conductor_back_s;
-	struct plan_step old_step; /* of a frozen conductor */
-	uint64_t old_seen;	   /* version that it was planned on */
-	double old_s;		   /* when it was planned */
-	double woken_s;		   /* when it takes that step, 0 for none */
-	uint32_t cut;
+	struct plan_step stale_step; /* next one of a frozen conductor */
+	uint64_t stale_version;	     /* version that it was planned for */
+	double stale_planned_s;	     /* when it was planned */
+	double stale_retry_s;	     /* when it is tried, 0 for none */
+	uint32_t cut_requests;
 	uint32_t violations;
-	enum guard without; /* safeguard that is taken away */
-	uint32_t refused;   /* old steps of a conductor that woke */
-	double out_s;	    /* instance-seconds out */
+	enum safeguard removed;
+	uint32_t refused_steps; /* stale steps */
+	double out_instance_s;	/* instance-seconds not serving */
 };
 
 static double uniform(struct run *r)
@@ -77,13 +83,13 @@
 	return (double)(r->random >> 11) / 9007199254740992.0;
 }
 
-static void set_up(struct run *r, const struct user *user, enum way way,
+static void set_up(struct run *r, const struct user *user, enum mode mode,
 		   uint64_t seed)
 {
 	uint32_t i;
 
 	memset(r, 0, sizeof(*r));
-	r->way = way;
+	r->mode = mode;
 	r->random = seed * 0x9e3779b97f4a7c15u + 99;
 	for (i = 0; i < WORKERS; i++) {
 		struct plan_instance *p = &r->workers[i].plan;
@@ -103,14 +109,14 @@
 	{ 0, 99 }, { 0, 99 }, { 0, 99 }, { 0, 99 }, { 0, 99 },
 };
 
-static struct plan_input input_of(struct run *r, struct plan_instance *view)
+static struct plan_input make_input(struct run *r, struct plan_instance *view)
 {
 	struct plan_input in = { .instances = view };
 	uint32_t i;
 
 	for (i = 0; i < WORKERS; i++)
 		view[i] = r->workers[i].plan;
-	in.pools = r->without == GUARD_BUDGET ? no_budget : r->pools;
+	in.pools = r->removed == SAFEGUARD_BUDGET ? no_budget : r->pools;
 	in.instance_count = WORKERS;
 	in.pool_count = POOLS;
 	in.zone_count = ZONES;
@@ -119,10 +125,10 @@
 }
 
 /*
- * Out in a pool, but for failures after the step was planned: those may as
- * well come right after it, and no planner can know of them.
+ * Counts the instances of a pool that are not serving, without those that
+ * failed after the step was planned, which no planner can know of.
  */
-static uint32_t out_in(const struct run *r, uint32_t pool, double planned_s)
+static uint32_t count_out(const struct run *r, uint32_t pool, double planned_s)
 {
 	uint32_t out = 0;
 	uint32_t i;
@@ -139,33 +145,33 @@
 
 static void check_budget(struct run *r, uint32_t pool, double planned_s)
 {
-	uint32_t out = out_in(r, pool, planned_s);
+	uint32_t out = count_out(r, pool, planned_s);
 
 	if (out > r->pools[pool].out_max ||
 	    WORKERS / POOLS - out < r->pools[pool].serving_min)
 		r->violations++;
 }
 
-/* One conditional transaction: refused when the version has moved on. */
-static void apply(struct run *r, const struct plan_step *s, uint64_t seen,
-		  double planned_s)
+/* A conditional transaction: refused if the version has changed. */
+static void apply_step(struct run *r, const struct plan_step *s,
+		       uint64_t planned_version, double planned_s)
 {
 	struct worker *w = &r->workers[s->instance];
 
-	if (r->version != seen && r->without != GUARD_VERSION) {
-		r->refused++;
+	if (r->version != planned_version && r->removed != SAFEGUARD_VERSION) {
+		r->refused_steps++;
 		return;
 	}
 	r->version++;
 	switch (s->kind) {
 	case PLAN_DRAIN:
 		w->plan.state = PLAN_DRAINING;
-		w->work_ends_s = r->now_s + uniform(r) * 2 * DRAIN_S;
+		w->work_ends_s = r->now_s + uniform(r) * 2 * DRAIN_MEAN_S;
 		check_budget(r, w->plan.pool, planned_s);
 		break;
 	case PLAN_TAKE_OUT:
-		r->cut += w->plan.state != PLAN_DRAINING ||
-			  r->now_s < w->work_ends_s;
+		r->cut_requests += w->plan.state != PLAN_DRAINING ||
+				   r->now_s < w->work_ends_s;
 		w->plan.state = PLAN_OUT;
 		w->plan.home = false;
 		w->back_s = r->now_s + REBOOT_S * (0.8 + 0.4 * uniform(r));
@@ -178,46 +184,46 @@
 	}
 }
 
-/* What the ways compared with take of the planner's steps. */
-static bool way_takes(struct run *r, const struct plan_step *s)
+/* Whether a mode other than the planner's admits this step. */
+static bool mode_allows(struct run *r, const struct plan_step *s)
 {
 	const struct plan_instance *p = &r->workers[s->instance].plan;
 	uint32_t i;
 
-	if (r->way == WAY_PLANNER || s->kind != PLAN_DRAIN)
+	if (r->mode == MODE_PLANNER || s->kind != PLAN_DRAIN)
 		return true;
 	for (i = 0; i < WORKERS; i++) {
 		const struct plan_instance *o = &r->workers[i].plan;
 
 		if (o->state == PLAN_SERVING || o->state == PLAN_FAILED)
 			continue;
-		if (r->way == WAY_ONE || o->rack != p->rack)
+		if (r->mode == MODE_ONE || o->rack != p->rack)
 			return false;
 	}
 	return true;
 }
 
-static void conduct(struct run *r)
+static void run_conductor(struct run *r)
 {
 	struct plan_instance view[WORKERS];
-	struct plan_input in = input_of(r, view);
+	struct plan_input in = make_input(r, view);
 	struct plan_result result;
 	uint32_t i;
 
 	plan_next(NULL, &in, &result);
 	for (i = 0; i < result.count; i++) {
-		if (uniform(r) < 0.02) { /* killed or frozen before a step */
-			r->conductor_back_s = r->now_s + TAKE_OVER_S;
+		if (uniform(r) < 0.02) { /* killed or frozen before it */
+			r->conductor_back_s = r->now_s + TAKEOVER_S;
 			break;
 		}
-		if (way_takes(r, &result.steps[i]))
-			apply(r, &result.steps[i], r->version, r->now_s);
+		if (mode_allows(r, &result.steps[i]))
+			apply_step(r, &result.steps[i], r->version, r->now_s);
 	}
-	if (i < result.count && !r->woken_s) { /* it was frozen */
-		r->old_step = result.steps[i];
-		r->old_seen = r->version;
-		r->old_s = r->now_s;
-		r->woken_s = r->now_s + 1 + uniform(r) * 120;
+	if (i < result.count && !r->stale_retry_s) { /* frozen */
+		r->stale_step = result.steps[i];
+		r->stale_version = r->version;
+		r->stale_planned_s = r->now_s;
+		r->stale_retry_s = r->now_s + 1 + uniform(r) * 120;
 	}
 	talloc_free(result.steps);
 }
@@ -239,7 +245,7 @@
 	}
 }
 
-static void pass_time(struct run *r)
+static void advance_time(struct run *r)
 {
 	uint32_t i;
 
@@ -247,10 +253,10 @@
 	for (i = 0; i < WORKERS; i++) {
 		struct worker *w = &r->workers[i];
 
-		r->out_s += w->plan.state != PLAN_SERVING;
+		r->out_instance_s += w->plan.state != PLAN_SERVING;
 		w->plan.home = w->plan.state == PLAN_DRAINING &&
 			       (r->now_s >= w->work_ends_s ||
-				r->without == GUARD_HOME);
+				r->removed == SAFEGUARD_UNITS_RETURNED);
 		w->plan.rebooted =
 			w->plan.state == PLAN_OUT && r->now_s >= w->back_s;
 		if (w->plan.state == PLAN_FAILED && r->now_s >= w->back_s)
@@ -258,7 +264,7 @@
 	}
 }
 
-static bool finished(const struct run *r)
+static bool wave_finished(const struct run *r)
 {
 	uint32_t i;
 
@@ -268,51 +274,54 @@
 	return true;
 }
 
-/* Seconds that the wave took. */
-static double wave(struct run *r, bool faults)
+/* Returns the duration of the wave in seconds. */
+static double run_wave(struct run *r, bool faults)
 {
 	bool outage = false;
 
-	while (!finished(r) && r->now_s < GIVE_UP_S) {
-		pass_time(r);
+	while (!wave_finished(r) && r->now_s < WAVE_TIMEOUT_S) {
+		advance_time(r);
 		if (faults && uniform(r) < 0.002)
 			fail_rack(r);
 		if (faults && uniform(r) < 0.01)
-			outage = uniform(r) < 0.3; /* nothing new then */
-		if (!outage && r->woken_s && r->now_s >= r->woken_s) {
-			r->woken_s = 0;
-			apply(r, &r->old_step, r->old_seen, r->old_s);
+			outage = uniform(r) < 0.3; /* no transactions */
+		if (!outage && r->stale_retry_s &&
+		    r->now_s >= r->stale_retry_s) {
+			r->stale_retry_s = 0;
+			apply_step(r, &r->stale_step, r->stale_version,
+				   r->stale_planned_s);
 		}
 		if (!outage && r->now_s >= r->conductor_back_s)
-			conduct(r);
+			run_conductor(r);
 	}
 	return r->now_s;
 }
 
-/* Each safeguard, taken away, must show in some run. */
-static int bench_guards(const struct user *user)
+/* Without a safeguard, a violation must be found in some run. */
+static int bench_safeguards(const struct user *user)
 {
-	static const char *const names[] = { "none", "budget", "home",
+	static const char *const names[] = { "none", "budget", "units returned",
 					     "version" };
 	static struct run r;
-	int bad = 0;
-	int guard;
+	int failed = 0;
+	int safeguard;
 	uint32_t i;
 
-	for (guard = GUARD_BUDGET; guard <= GUARD_VERSION; guard++) {
-		uint32_t seen = 0;
+	for (safeguard = SAFEGUARD_BUDGET; safeguard <= SAFEGUARD_VERSION;
+	     safeguard++) {
+		uint32_t found = 0;
 
-		for (i = 0; i < 200 && !seen; i++) {
-			set_up(&r, user, WAY_PLANNER, i + 1);
-			r.without = (enum guard)guard;
-			wave(&r, true);
-			seen = r.cut + r.violations;
+		for (i = 0; i < 200 && !found; i++) {
+			set_up(&r, user, MODE_PLANNER, i + 1);
+			r.removed = (enum safeguard)safeguard;
+			run_wave(&r, true);
+			found = r.cut_requests + r.violations;
 		}
-		printf("without %s: %s\n", names[guard],
-		       seen ? "found" : "NOT FOUND");
-		bad |= !seen;
+		printf("without %s: %s\n", names[safeguard],
+		       found ? "found" : "NOT FOUND");
+		failed |= !found;
 	}
-	return bad;
+	return failed;
 }
 
 static int bench_user(const struct user *user, uint32_t seeds)
@@ -321,44 +330,44 @@
 					     "rack by rack" };
 	static struct run r;
 	struct plan_instance view[WORKERS];
-	uint32_t cut = 0, violations = 0, stuck = 0;
+	uint32_t cut = 0, violations = 0, unfinished = 0;
 	double bound;
-	double took = 0;
-	int bad = 0;
-	int way;
+	double planner_s = 0;
+	int failed = 0;
+	int mode;
 	uint32_t i;
 
-	set_up(&r, user, WAY_PLANNER, 1);
-	struct plan_input in = input_of(&r, view);
+	set_up(&r, user, MODE_PLANNER, 1);
+	struct plan_input in = make_input(&r, view);
 
-	bound = plan_bound_s(&in, DRAIN_S + REBOOT_S);
-	for (way = WAY_PLANNER; way <= WAY_RACK; way++) {
-		set_up(&r, user, (enum way)way, 1);
-		double s = wave(&r, false);
+	bound = plan_bound_s(&in, DRAIN_MEAN_S + REBOOT_S);
+	for (mode = MODE_PLANNER; mode <= MODE_RACK; mode++) {
+		set_up(&r, user, (enum mode)mode, 1);
+		double s = run_wave(&r, false);
 
-		took = way == WAY_PLANNER ? s : took;
+		planner_s = mode == MODE_PLANNER ? s : planner_s;
 		printf("%-10s %-12s roll-out %6.0f s, %5.2f of the bound %.0f "
 		       "s; capacity out %.1f instances; moves 0\n",
-		       user->name, names[way], s, s / bound, bound,
-		       r.out_s / s);
+		       user->name, names[mode], s, s / bound, bound,
+		       r.out_instance_s / s);
 	}
 	for (i = 0; i < seeds; i++) {
-		set_up(&r, user, WAY_PLANNER, i + 1);
-		stuck += wave(&r, true) >= GIVE_UP_S;
-		cut += r.cut;
+		set_up(&r, user, MODE_PLANNER, i + 1);
+		unfinished += run_wave(&r, true) >= WAVE_TIMEOUT_S;
+		cut += r.cut_requests;
 		violations += r.violations;
 	}
 	printf("%-10s %u runs with faults: %u requests cut, %u budget "
 	       "violations, %u unfinished\n",
-	       user->name, seeds, cut, violations, stuck);
-	bad = cut || violations || stuck || took > 1.25 * bound;
-	if (bad)
+	       user->name, seeds, cut, violations, unfinished);
+	failed = cut || violations || unfinished || planner_s > 1.25 * bound;
+	if (failed)
 		printf("out of bounds: 0 cut, 0 violations, roll-out 1.25\n");
-	return bad;
+	return failed;
 }
 
-/* Planning at the size to design for, and the cost of a step. */
-static int bench_size(void)
+/* Time and memory of a plan, up to the largest fleet designed for. */
+static int bench_plan(void)
 {
 	static const uint32_t sizes[] = { 50, 500, 1650, 3300 };
 	double us = 0;
@@ -400,17 +409,18 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_int *seeds = arg_int0(NULL, "seeds", "N", "with faults");
+	struct arg_int *seeds =
+		arg_int0(NULL, "seeds", "N", "runs with faults");
 	struct arg_end *end = arg_end(2);
 	void *table[] = { seeds, end };
-	int bad = 0;
+	int failed = 0;
 	size_t i;
 
 	seeds->ival[0] = 2000;
 	if (arg_parse(argc, argv, table))
 		return 2;
 	for (i = 0; i < sizeof(users) / sizeof(users[0]); i++)
-		bad |= bench_user(&users[i], (uint32_t)seeds->ival[0]);
-	bad |= bench_guards(&users[0]);
-	return bad | bench_size();
+		failed |= bench_user(&users[i], (uint32_t)seeds->ival[0]);
+	failed |= bench_safeguards(&users[0]);
+	return failed | bench_plan();
 }
