--- a/tools/bench.py
+++ b/tools/bench.py
@@ -169,7 +169,7 @@
         return int(re.search(r"Collected : (\d+)", log_tail())[1])
 
     def count_entry(self, requests):
-        with fleet.Fleet(self.build, wrap=CALLGRIND) as f:
+        with fleet.Fleet(self.build, command_prefix=CALLGRIND) as f:
             f.add_worker("w1", "--no-record")
             process = f.add_entry("entry-1", ready=False)
             f.wait_ready("entry-1", 60.0)
