pool: restore reasons and correct comments

The score of a place said nothing of why tasks that end are packed: other machines become idle and can be moved or powered off. The head of sched_avail left open that nobody checks for a free place elsewhere. The delays after advice and polls named neither their start nor their end. may_miss is the disruption budget in both folders.

--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -44,7 +44,7 @@
 struct sched_options {
 	uint32_t lease_ms;	   /* granted by each start and each poll */
 	uint32_t lease_max_ms;	   /* instances shorten longer leases to this */
-	uint32_t former_leader_ms; /* a predecessor may order for this long */
+	uint32_t former_leader_ms; /* a former one may order that long */
 	uint32_t start_wait_ms;	   /* until an unanswered start is resolved */
 	uint32_t end_keep_ms;	   /* retention of an ended job's state */
 };
@@ -260,7 +260,10 @@
 void sched_machine_listed(struct sched *s, const char *machine, const char *id,
 			  uint64_t sent_ms, uint64_t now);
 
-/* sched_needs_machine_list - whether an instance does not report its runs */
+/*
+ * sched_needs_machine_list - whether an instance that may have runs does not
+ * report them, so that only the list can show that they are gone
+ */
 bool sched_needs_machine_list(const struct sched *s);
 
 /* sched_next_poll - the next poll that is due; false when none is */
@@ -359,7 +362,7 @@
 	struct amount waiting; /* requested by startable tasks */
 	uint32_t spread;       /* instances that spread_limit requires */
 	uint32_t long_running_waiting; /* the most of any one step */
-	uint64_t waiting_work;	       /* thousandths of core x ms */
+	uint64_t waiting_work;	       /* millicores x ms */
 	uint64_t running_work;	       /* left of running tasks, same unit */
 };
 
@@ -404,7 +407,7 @@
 void sched_mark_maintenance(struct sched *s, instance_handle_t i);
 
 /*
- * sched_evacuate - stops long-running tasks as far as budgets allow
+ * sched_evacuate - stops long-running tasks as far as disruption budgets allow
  *
  * Called repeatedly until sched_machine_load shows no run. If graceful, other
  * tasks may finish, otherwise they are stopped too.
@@ -415,7 +418,7 @@
 /*
  * sched_may_interrupt - whether all runs there may end at once
  *
- * False while a step with an availability budget runs there.
+ * False while a step with a disruption budget runs there.
  */
 bool sched_may_interrupt(const struct sched *s, instance_handle_t i);
 
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -3,8 +3,9 @@
  *
  * The adviser takes time for each call and for each instance named in it, and
  * handles the calls of this node one at a time. So a step makes one call, for
- * the instances with the most free CPU, and another one only when the approved
- * instances have no room or the approval has expired.
+ * the instances with the most free CPU. Another call follows, after
+ * ADVICE_REPEAT_MS, only if tasks still wait then: no approved instance had
+ * room, or the approval has expired.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -16,8 +17,8 @@
 
 #define ADVICE_INSTANCES_MIN 4u /* named in a call, if there are enough */
 #define ADVICE_MARGIN_MS 400u	/* remaining validity that a start needs */
-#define ADVICE_RETRY_MS 300u	/* delay after a call without an answer */
-#define ADVICE_REPEAT_MS 1000u	/* delay after an answered call */
+#define ADVICE_RETRY_MS 300u	/* after a failed call or without candidates */
+#define ADVICE_REPEAT_MS 1000u	/* delay after an answer */
 
 bool step_needs_advice(const struct step *step)
 {
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -1,9 +1,14 @@
 /*
- * sched_avail - emptying an instance within availability budgets
+ * sched_avail - draining an instance within disruption budgets
  *
- * A long-running step declares how many of its tasks may be unavailable at
- * once because of maintenance. A task is stopped only while fewer of the other
- * tasks of its step are unavailable.
+ * The disruption budget of a step, may_miss, is the number of its tasks that
+ * may be unavailable at once because of maintenance; 0 is no limit. A task is
+ * stopped only while fewer of the other tasks of its step are unavailable.
+ *
+ * Neither this module nor its caller, fleet/maintenance.c, checks that another
+ * instance has room for the task. A stopped task that finds none stays
+ * unavailable, so the budget keeps further tasks of its step from being
+ * stopped.
  */
 #include <string.h>
 
@@ -18,6 +23,7 @@
 	       now - i->clock_read_ms < REPORT_MAX_MS;
 }
 
+/* Whether no run of the task serves at full speed and was reported lately. */
 static bool task_unavailable(const struct task *task, uint64_t now)
 {
 	const struct run *run;
@@ -29,7 +35,7 @@
 	return true;
 }
 
-/* Whether the task may be stopped within the budget of its step. */
+/* Whether the task may be stopped within the disruption budget. */
 bool task_may_stop(const struct task *task, uint64_t now)
 {
 	const struct step *step = task->step;
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -93,7 +93,10 @@
 	return true;
 }
 
-/* Frees what only a job with runs needs; first has its rows dropped. */
+/*
+ * Frees what an ended job needs only while it has runs. Rows that were kept for
+ * the runs are deleted first; the write that deletes them calls this again.
+ */
 void job_shrink(struct sched *s, struct job *job)
 {
 	if (job_has_runs(job))
@@ -109,7 +112,10 @@
 	job->row = NULL;
 }
 
-/* The number up to which all changes are written. */
+/*
+ * Returns the number up to which all changes are written. Ends that depend on
+ * no later change may be acknowledged.
+ */
 static uint64_t durable_seq(const struct sched *s)
 {
 	uint64_t least = s->change_seq + 1;
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -1,5 +1,5 @@
 /*
- * sched_instance_listed - instances: the directory, the machine list, leases,
+ * sched_instance - instances: the directory, the machine list, leases,
  * and ejection after failures
  */
 #include <assert.h>
@@ -282,6 +282,7 @@
 	sched_trace(s, "instance-expected", id, "\"pool\":\"%s\"", pool);
 }
 
+/* Whether it does not report, or has not yet, and may have runs. */
 static bool is_unaccounted(const struct instance *i)
 {
 	return (i->unresponsive || !i->reported) && !i->expired &&
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -8,7 +8,7 @@
  * sched_instance.c instances, leases, ejection of failing instances
  * sched_poll.c     polls and reports
  * sched_advice.c   queues whose placement an adviser decides
- * sched_avail.c    availability budgets
+ * sched_avail.c    draining within disruption budgets
  * sched_throttle.c speed of fillers beside tasks that serve
  * sched_place.c    order of steps, placement, admission
  * sched_row.c      encoding and decoding of progress rows
@@ -126,7 +126,7 @@
 	uint64_t ended_ms;
 	uint64_t objective_ms;	   /* completion deadline */
 	uint64_t critical_path_ms; /* estimate */
-	uint64_t work;		   /* estimate, thousandths of core x ms */
+	uint64_t work;		   /* estimate, millicores x ms */
 	uint32_t occurrence_count;
 	uint32_t occurrences_left;
 	struct occurrence *occurrences;
@@ -223,8 +223,8 @@
 	const struct config *config;
 	uint64_t epoch;
 	uint64_t leader_since_ms;     /* when this epoch began */
-	uint64_t leader_confirmed_ms; /* still leader at this time */
-	uint64_t predecessor_end_ms;  /* former leader's last orders */
+	uint64_t leader_confirmed_ms; /* known to be leader then */
+	uint64_t predecessor_end_ms;  /* no more orders of a former leader */
 	uint64_t unix_ms;
 	struct job *jobs;
 	struct job *changed;
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -15,10 +15,10 @@
 #define RANK_PRIORITY 1e12	/* a queue's priority precedes all else */
 #define RANK_LATE 1e9		/* late work goes after work in time */
 #define RANK_LONG_RUNNING -1e9	/* long-running tasks serve callers now */
-#define STARTED_BONUS_MS 1500.0 /* urgency of started jobs */
-#define SHARE_PENALTY_MS 300.0	/* for a workspace at twice its share */
+#define STARTED_BONUS_MS 1500.0 /* deducted from a started job's slack */
+#define SHARE_PENALTY_MS 300.0	/* added at twice the share */
 #define SHARE_ABOVE_MAX 2.0
-#define MAINTENANCE_PENALTY 1.5 /* ranks below a full instance */
+#define MAINTENANCE_PENALTY 1.5 /* makes it rank below a full one */
 #define STEPS_TRIED_MAX 64u	/* that found no room, in one pass */
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
@@ -214,7 +214,8 @@
 /*
  * Score of an instance for a task, highest first. Long-running tasks go where
  * most CPU is free, since they share the instance with the load of others for
- * long. Other tasks go where least is free.
+ * long. Other tasks are packed where least CPU is free, so that other machines
+ * become idle and can be moved to another pool or powered off.
  */
 static double place_score(const struct instance *i, const struct task *task)
 {
@@ -370,7 +371,10 @@
 	DL_SORT(pool->ready, by_rank);
 	DL_FOREACH_SAFE(pool->ready, step, next)
 	{
-		/* Until its rows are written, a job is not accepted. */
+		/*
+		 * Before a leader has written it, a new job may never be
+		 * accepted, and a successor may start a recorded one.
+		 */
 		if (!step->job->claimed)
 			continue;
 		if (!place_step(s, step, now) && ++failed >= STEPS_TRIED_MAX)
@@ -431,7 +435,7 @@
 	}
 }
 
-/* The most instances that the spread limit of one step requires. */
+/* The most instances that the spread limit of a long-running step needs. */
 static void add_spread(const struct sched *s, const struct pool *pool,
 		       struct sched_pool_load *load)
 {
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -8,17 +8,24 @@
 
 #include "pool/sched_internal.h"
 
-#define POLL_WAIT_MS 1000u	  /* the instance holds a poll for an end */
-#define POLL_WAIT_IDLE_MS 2000u	  /* the same, where nothing runs */
-#define POLL_WAIT_ENDING_MS 500u  /* the same, beside tasks that end */
-#define POLL_WAIT_LOSSY_MS 200u	  /* the same, while calls go unanswered */
-#define CALLS_LOSSY_MS 3000u	  /* since the last unanswered call */
-#define POLL_WAIT_SERVING_MS 500u /* the same, beside tasks that serve */
-#define POLL_UNWRITTEN_MS 300u	  /* between polls while ends are not durable */
-#define SESSION_GAP_MS 500u	/* above POLL_UNWRITTEN_MS plus an iteration */
+/* How long an instance holds a poll for a task to end */
+#define POLL_WAIT_MS 1000u
+#define POLL_WAIT_IDLE_MS 2000u	  /* where nothing runs */
+#define POLL_WAIT_ENDING_MS 500u  /* where tasks run that end */
+#define POLL_WAIT_LOSSY_MS 200u	  /* there, while calls go unanswered */
+#define POLL_WAIT_SERVING_MS 500u /* where tasks have a latency target */
+
+#define CALLS_LOSSY_MS 3000u	/* that long after the last unanswered call */
+#define POLL_UNWRITTEN_MS 300u	/* between polls while ends are not durable */
 #define POLL_ANSWER_MS 300u	/* beyond the wait: network, busy leader */
-#define POLL_FAILED_MS 50u	/* delay before a poll is repeated */
-#define POLL_FAILED_GAP_MS 200u /* between two failing polls */
+#define POLL_FAILED_MS 50u	/* from a failure to the next poll */
+#define POLL_FAILED_GAP_MS 200u /* from sending a failed poll to the next */
+
+/*
+ * Longest time from a report to the next poll without assuming a restart:
+ * above POLL_UNWRITTEN_MS plus an iteration of the event loop.
+ */
+#define SESSION_GAP_MS 500u
 
 static bool instance_serves(const struct instance *i)
 {
@@ -241,7 +248,7 @@
 
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
-		/* Within one millisecond the order is unknown. */
+		/* Times of the same millisecond show no order of events. */
 		bool was_running = run->running_since_ms &&
 				   run->running_since_ms < sent_ms;
 		bool prevented =
