fleet: wording of constants, disruption budget; tests: long_running, outcome

A comment above the limit of demand read as its opposite; it says now why the limit is a few times the current work. The test rig and the simulation use long_running, outcome and cap for the terms lasting, how and quota.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -15,8 +15,8 @@
 
 #define BALANCE_INTERVAL_MS 100u /* between two planning runs */
 #define BACKLOG_TARGET_MS 250u	 /* drain time aimed at for waiting work */
-#define HEADROOM_FACTOR 4.0    /* limits demand to a multiple of current work */
-#define DRAIN_TIMEOUT_MS 2000u /* after which a move is cancelled */
+#define HEADROOM_FACTOR 4.0	 /* demand is at most this times current work */
+#define DRAIN_TIMEOUT_MS 2000u	 /* after which a move is cancelled */
 #define DONOR_UTILIZATION_MAX 0.7 /* of a pool that gives machines away */
 #define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
 #define POOL_MACHINES_MIN 2u	  /* left in a donor pool in any case */
@@ -78,7 +78,10 @@
 	uint32_t machines = l->instances + v->incoming;
 	int64_t limit_cpu = (int64_t)(HEADROOM_FACTOR * (double)busy_cpu);
 
-	/* More work than is known now may arrive while machines move. */
+	/*
+	 * A few long tasks cannot use more machines than they have tasks. The
+	 * limit is above that, since more work may arrive during the moves.
+	 */
 	if (needed_cpu > limit_cpu)
 		needed_cpu = limit_cpu;
 	v->deficit = needed_cpu > capacity ? needed_cpu - capacity : 0;
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -2,7 +2,7 @@
  * maintenance - waves of machine maintenance
  *
  * Every machine of a wave gets its maintenance before the wave's deadline, at
- * most max_concurrent machines at a time, and no long-running step goes below
+ * most max_concurrent machines at a time, and no long-running step exceeds
  * its disruption budget.
  *
  * Designed for a wave that comes while queues demand more than their pools hold
@@ -16,16 +16,15 @@
 
 #include "fleet/fleet_internal.h"
 
-#define DRAIN_AHEAD 1u /* machines drained beyond max_concurrent */
-#define TASK_END_WAIT_MS \
-	2500u /* before tasks that end by themselves are stopped */
+#define DRAIN_AHEAD 1u	       /* machines drained beyond max_concurrent */
+#define TASK_END_WAIT_MS 2500u /* before tasks that would end are stopped */
 #define ORDER_RETRY_MS 300u
-#define LIST_IN_PROGRESS_MS \
-	500u /* between two readings while an earlier leader's orders run */
 #define DRAIN_EXPECTED_MS 1500u /* estimated drain time of a busy machine */
 #define COST_UNKNOWN 1e12	/* may run unreported work: not drained now */
-#define WAVE_PLANNED_SHARE \
-	0.6 /* of its duration; the rest is a reserve for an outage */
+#define WAVE_PLANNED_SHARE 0.6	/* of its time; an outage may take the rest */
+
+/* Between two readings of the list while an earlier leader's orders run */
+#define LIST_IN_PROGRESS_MS 500u
 
 void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
 		    uint32_t max_concurrent, uint32_t duration_ms,
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -85,14 +85,14 @@
 }
 
 /*
- * A demand peak while instances leave some calls unanswered. A task's end must
+ * Instances leave some calls unanswered during a demand peak. A task's end must
  * be known within the slack of its queue, or one lost poll makes its job late.
  * Where no task ends polls stay rare.
  */
 static void test_lost_polls(void **state)
 {
 	static const struct {
-		bool lasting, lossy;
+		bool long_running, lossy;
 		uint64_t known_within_ms;
 		uint32_t wait_ms;
 	} cases[] = {
@@ -109,7 +109,7 @@
 		rig_new(&r);
 		rig_become_leader(&r);
 		make_all_usable(&r);
-		submit(&r, id_a, 1, 1, cases[c].lasting);
+		submit(&r, id_a, 1, 1, cases[c].long_running);
 		write_all(&r);
 		assert_int_equal(orders(&r), 1);
 		answer_all(&r, ORDER_DONE);
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -89,7 +89,7 @@
 	sched_leader_confirmed(r->s, r->now);
 }
 
-Fleet__JobRow *job_row(uint32_t tasks, uint32_t steps, bool lasting)
+Fleet__JobRow *job_row(uint32_t tasks, uint32_t steps, bool long_running)
 {
 	Fleet__JobRow *row = calloc(1, sizeof(*row));
 	uint32_t i;
@@ -112,8 +112,8 @@
 		st->label = strdup("");
 		st->near_rack = strdup("");
 		st->image = strdup("");
-		st->lasting = lasting;
-		st->may_miss = lasting;
+		st->lasting = long_running;
+		st->may_miss = long_running;
 		if (i) {
 			st->after = calloc(1, sizeof(*st->after));
 			st->after[st->n_after++] = i - 1;
@@ -126,11 +126,12 @@
 const char id_a[] = "000000000000000a";
 
 void submit(struct rig *r, const char *id, uint32_t tasks, uint32_t steps,
-	    bool lasting)
+	    bool long_running)
 {
 	uint32_t after;
 
-	assert_int_equal(sched_submit(r->s, id, job_row(tasks, steps, lasting),
+	assert_int_equal(sched_submit(r->s, id,
+				      job_row(tasks, steps, long_running),
 				      r->now, r->now, &after),
 			 SUBMIT_ACCEPTED);
 }
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -19,7 +19,7 @@
 #define QUEUE_SLACK_MS 600u
 #define ENDS_MAX 16
 
-/* The test supplies the reports of the instances. */
+/* A scheduler and its instances, whose reports the test supplies. */
 struct rig {
 	struct sched *s;
 	uint64_t now;
@@ -44,9 +44,9 @@
 	    uint64_t sent_ms);
 void poll_all_empty(struct rig *r);
 void make_all_usable(struct rig *r);
-Fleet__JobRow *job_row(uint32_t tasks, uint32_t steps, bool lasting);
+Fleet__JobRow *job_row(uint32_t tasks, uint32_t steps, bool long_running);
 void submit(struct rig *r, const char *id, uint32_t tasks, uint32_t steps,
-	    bool lasting);
+	    bool long_running);
 uint32_t batch_all(struct rig *r);
 void write_all(struct rig *r);
 uint32_t orders(struct rig *r);
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -402,7 +402,7 @@
 {
 	static const struct {
 		uint32_t weight_w, weight_v;
-		const char *first; /* job that gets the last room */
+		const char *first; /* job that gets the last free CPU */
 	} cases[] = { { 1, 1, "000000000000000c" },
 		      { 10, 1, "000000000000000b" } };
 	size_t c;
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -129,7 +129,7 @@
 		ended[r] =
 			(struct sched_ended){ c->ended[r].n, c->ended[r].task,
 					      c->ended[r].number,
-					      c->ended[r].how, "" };
+					      c->ended[r].outcome, "" };
 	if (!timed_out && c->refused)
 		l->confirmed_ms = 0;
 	sched_poll_done(l->s, c->poll.instance,
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -14,7 +14,8 @@
 }
 
 static void report_end(struct world *w, struct world_instance *i,
-		       const struct world_task_run *r, enum sched_outcome how)
+		       const struct world_task_run *r,
+		       enum sched_outcome outcome)
 {
 	struct world_end *e = &i->ends[i->end_count++];
 	uint32_t step, index;
@@ -24,12 +25,12 @@
 	e->n = ++i->next_n;
 	memcpy(e->task, r->task, sizeof(e->task));
 	e->number = r->number;
-	e->how = how;
-	if (how == SCHED_DONE)
+	e->outcome = outcome;
+	if (outcome == SCHED_DONE)
 		job->done[step][index] = true;
 	w->result->ends++;
 	trace(w, "%s: %s run %llu ended as %d", i->id, r->task,
-	      (unsigned long long)r->number, how);
+	      (unsigned long long)r->number, outcome);
 }
 
 static void record_stopped(struct world_instance *i, const char *task,
@@ -64,19 +65,19 @@
 	}
 	for (r = 0; r < i->run_count;) {
 		struct world_task_run *run = &i->runs[r];
-		enum sched_outcome how;
+		enum sched_outcome outcome;
 
 		if (run->ends_ms && w->now >= run->ends_ms)
-			how = run->fails ? SCHED_FAILED : SCHED_DONE;
+			outcome = run->fails ? SCHED_FAILED : SCHED_DONE;
 		else if (run->stop_ms && w->now >= run->stop_ms)
-			how = SCHED_STOPPED;
+			outcome = SCHED_STOPPED;
 		else if (instance_clock_ms(w, i) >= i->lease_end)
-			how = SCHED_LAPSED;
+			outcome = SCHED_LAPSED;
 		else {
 			r++;
 			continue;
 		}
-		report_end(w, i, run, how);
+		report_end(w, i, run, outcome);
 		remove_run(i, r);
 	}
 }
@@ -128,7 +129,7 @@
 			  o->task, job->failures[step][index]);
 }
 
-static void check_quota(struct world *w, const struct sched_order *o)
+static void check_cap(struct world *w, const struct sched_order *o)
 {
 	uint32_t i, r, step, index;
 	struct world_job *job = job_of_task(w, o->task, &step, &index);
@@ -217,7 +218,7 @@
 	run->ends_ms =
 		job->long_running ? 0 : w->now + 100 + random_below(w, 1500);
 	run->fails = i->failing && !job->long_running;
-	check_quota(w, o);
+	check_cap(w, o);
 	w->result->starts++;
 	trace(w, "%s starts %s run %llu for leader %u", i->id, o->task,
 	      (unsigned long long)o->number, c->leader);
@@ -260,9 +261,9 @@
 			continue;
 		}
 		job = job_of_task(w, end->task, &step, &index);
-		if (end->how == SCHED_DONE)
+		if (end->outcome == SCHED_DONE)
 			job->acknowledged[step][index] = true;
-		if (end->how == SCHED_FAILED)
+		if (end->outcome == SCHED_FAILED)
 			job->failures[step][index]++;
 		memmove(end, end + 1, (--i->end_count - e) * sizeof(*end));
 	}
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -49,7 +49,7 @@
 	uint64_t n;
 	char task[SCHED_TASK_MAX];
 	uint64_t number;
-	enum sched_outcome how;
+	enum sched_outcome outcome;
 };
 
 struct stopped_run {
