pool: say when advice is repeated, and why one millisecond decides nothing

Tasks that still wait cause the next call, whatever the cause of the wait. A report and an answer of the same millisecond have no known order.

--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -4,8 +4,8 @@
  * The adviser takes time for each call and for each instance named in it, and
  * handles the calls of this node one at a time. So a step makes one call, for
  * the instances with the most free CPU. Another call follows, after
- * ADVICE_REPEAT_MS, only if tasks still wait then: no approved instance had
- * room, or the approval has expired.
+ * ADVICE_REPEAT_MS, only if tasks of the step still wait then, usually because
+ * no approved instance had room or the approval has expired.
  */
 #include <assert.h>
 #include <inttypes.h>
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -248,7 +248,7 @@
 
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
-		/* Times of the same millisecond show no order of events. */
+		/* Which came first in one millisecond is unknown. */
 		bool was_running = run->running_since_ms &&
 				   run->running_since_ms < sent_ms;
 		bool prevented =
