--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -133,15 +133,15 @@
 }
 
 static void set_wave(struct entry *e, const struct cfg_wave *wave,
-		     enum cfg_wave_state state, const char *why)
+		     enum cfg_wave_state state, const char *reason)
 {
 	json_t *object = copy_of(e, "waves", wave->name);
 
 	log_event(LOG_INFO, "conductor", "wave %s is %s%s%s", wave->name,
-		  cfg_wave_state_name(state), *why ? ": " : "", why);
+		  cfg_wave_state_name(state), *reason ? ": " : "", reason);
 	json_object_set_new(object, "state",
 			    json_string(cfg_wave_state_name(state)));
-	json_object_set_new(object, "why", json_string(why));
+	json_object_set_new(object, "why", json_string(reason));
 	commit(e, json_pack("{s:{s:o}}", "waves", wave->name, object));
 }
 
@@ -206,7 +206,7 @@
  */
 static bool reboot_instances(struct entry *e, const struct cfg_wave *wave,
 			     const struct plan_instance *all, uint64_t now_ms,
-			     struct status_message *why)
+			     struct status_message *reason)
 {
 	bool good = true;
 	uint32_t i;
@@ -228,7 +228,7 @@
 		if (!good ||
 		    now_ms < s->away_since_ms + wave->return_max_s * 1000ull)
 			continue;
-		status_set(why, "%s %s after %u s", w->name,
+		status_set(reason, "%s %s after %u s", w->name,
 			   out ? "has not come back" : "still has work",
 			   wave->return_max_s);
 		good = false;
@@ -279,16 +279,16 @@
 	struct plan_instance *all;
 	struct plan_input *in = wave_input(e, e->cfg, wave, &all);
 	struct plan_result plan;
-	struct status_message why = { "" };
+	struct status_message reason = { "" };
 	json_t *steps;
 
 	add_observations(e, all);
 	plan_next(in, in, &plan);
 	steps = steps_to_json(e, wave, all, &plan);
-	if (!reboot_instances(e, wave, all, now_ms, &why) &&
+	if (!reboot_instances(e, wave, all, now_ms, &reason) &&
 	    wave->state == CFG_WAVE_RUNNING) {
 		json_decref(steps);
-		set_wave(e, wave, CFG_WAVE_HALTED, why.text);
+		set_wave(e, wave, CFG_WAVE_HALTED, reason.text);
 	} else if (json_object_size(steps)) {
 		commit(e, json_pack("{s:o}", "instances", steps));
 	} else {
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -6,7 +6,7 @@
 #define CORE_ESTIMATE_MIN 16 /* waiting jobs needed to estimate a wait */
 #define CORE_HOLDS_INITIAL 64u
 #define CORE_RESERVE_MAX_MS 150	      /* longest reservation of a free slot */
-#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots */
+#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots in use above the target */
 
 /* Request path */
 
@@ -24,16 +24,17 @@
 	c->teams[job->team.i].waiting++;
 }
 
-static void refuse(struct core *c, struct job *job, enum job_refusal why)
+static void refuse(struct core *c, struct job *job, enum job_refusal refusal)
 {
 	remove_waiting(c, job);
 	job->state = JOB_DONE;
-	c->counters.refused[why]++;
-	c->options.callbacks.refuse(c->options.callbacks.arg, job, why);
+	c->counters.refused[refusal]++;
+	c->options.callbacks.refuse(c->options.callbacks.arg, job, refusal);
 }
 
 /* Whether the current configuration lets the job's key use its queue. */
-static bool job_allowed(struct core *c, struct job *job, enum job_refusal *why)
+static bool job_allowed(struct core *c, struct job *job,
+			enum job_refusal *refusal)
 {
 	const struct cfg_key *key;
 	const struct cfg_queue *queue;
@@ -44,13 +45,13 @@
 	key = cfg_find_key(c->cfg, job->key);
 	if (*job->key && (!key || key->team.i != job->team.i ||
 			  memcmp(key->hash, job->key_hash, CFG_HASH_BYTES))) {
-		*why = JOB_REFUSED_KEY;
+		*refusal = JOB_REFUSED_KEY;
 		return false;
 	}
 	if (!queue || queue->pool.i != job->pool.i ||
 	    (!*job->key && !queue->open) ||
 	    (queue->team.i != INTERN_NONE && queue->team.i != job->team.i)) {
-		*why = JOB_REFUSED_QUEUE;
+		*refusal = JOB_REFUSED_QUEUE;
 		return false;
 	}
 	job->checked_version = c->cfg->version;
@@ -157,7 +158,7 @@
 {
 	struct core_pool *p = &c->pools[pool.i];
 	instance_handle instance;
-	enum job_refusal why;
+	enum job_refusal refusal;
 	struct job *job;
 
 	if (!c->cfg || c->now_ms >= c->fresh_until_ms)
@@ -167,9 +168,9 @@
 		job = fq_pick(p->queue, c->now_ms, team_may_start, c);
 		if (!job)
 			return;
-		if (!job_allowed(c, job, &why)) {
+		if (!job_allowed(c, job, &refusal)) {
 			fq_remove(p->queue, job);
-			refuse(c, job, why);
+			refuse(c, job, refusal);
 			continue;
 		}
 		if (!choose_instance(c, job, &instance) ||
@@ -194,24 +195,24 @@
 }
 
 bool core_submit(struct core *c, struct job *job, uint64_t now_ms,
-		 enum job_refusal *why)
+		 enum job_refusal *refusal)
 {
 	bool refused = true;
 
 	c->now_ms = now_ms;
 	c->counters.submitted++;
 	if (c->stopping)
-		*why = JOB_REFUSED_STOPPING;
+		*refusal = JOB_REFUSED_STOPPING;
 	else if (c->waiting >= c->options.waiting_max ||
 		 c->waiting_bytes + job->bytes > c->options.waiting_bytes)
-		*why = JOB_REFUSED_FULL;
+		*refusal = JOB_REFUSED_FULL;
 	else if (would_expire(c, job))
-		*why = JOB_REFUSED_EARLY;
+		*refusal = JOB_REFUSED_EARLY;
 	else
 		refused = false;
 	if (refused) {
 		job->state = JOB_DONE;
-		c->counters.refused[*why]++;
+		c->counters.refused[*refusal]++;
 		return false;
 	}
 	job->state = JOB_WAITING;
@@ -225,7 +226,7 @@
 	return true;
 }
 
-/* Frees the units of an ended attempt; they're freed nowhere else. */
+/* Frees the units of an ended attempt. They are freed nowhere else. */
 static void free_units(struct core *c, const struct core_hold *h)
 {
 	ledger_end_unit(c->ledger, c->teams[h->team.i].domain);
@@ -552,5 +553,6 @@
 {
 	return instance.i < c->instance_count &&
 	       c->instances[instance.i].configured &&
-	       ledger_is_empty(c->ledger, c->instances[instance.i].domain);
+	       ledger_domain_is_empty(c->ledger,
+				      c->instances[instance.i].domain);
 }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -47,7 +47,7 @@
 	/* Start the job at job->instance; report by core_end_attempt. */
 	void (*start)(void *arg, struct job *job);
 	/* The job has not run and will not run. */
-	void (*refuse)(void *arg, struct job *job, enum job_refusal why);
+	void (*refuse)(void *arg, struct job *job, enum job_refusal refusal);
 	/* Send to the peer with this incarnation; the message may be lost. */
 	void (*send)(void *arg, uint64_t incarnation,
 		     const struct core_message *message);
@@ -115,7 +115,7 @@
  * when it was refused at once. The refuse callback isn't called for that.
  */
 bool core_submit(struct core *c, struct job *job, uint64_t now_ms,
-		 enum job_refusal *why);
+		 enum job_refusal *refusal);
 
 enum core_next {
 	CORE_FINISHED, /* the job is done: answer the caller */
--- a/src/entry/core_cfg.c
+++ b/src/entry/core_cfg.c
@@ -5,16 +5,16 @@
 /* Tables sized by the configuration */
 
 static void *grow(TALLOC_CTX *ctx, void *table, size_t size, uint32_t *count,
-		  uint32_t wanted)
+		  uint32_t needed)
 {
 	char *grown = table;
 
-	if (wanted <= *count)
+	if (needed <= *count)
 		return table;
-	grown = talloc_realloc_size(ctx, table, size * wanted);
+	grown = talloc_realloc_size(ctx, table, size * needed);
 	assert(grown);
-	memset(grown + size * *count, 0, size * (wanted - *count));
-	*count = wanted;
+	memset(grown + size * *count, 0, size * (needed - *count));
+	*count = needed;
 	return grown;
 }
 
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -18,7 +18,7 @@
 #include "request/retry.h"
 
 #define CORE_PEERS_MAX 64	/* entries */
-#define CORE_ADVICE_TTL_MS 5000 /* then local targets are used instead */
+#define CORE_ADVICE_TTL_MS 5000 /* older advice is not followed */
 
 /* Units withheld because a job's attempt may still run on a worker. */
 struct core_hold {
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -2,12 +2,18 @@
 
 #include <string.h>
 
-#define REPORT_INTERVAL_MS 250 /* unless demand changes urgently */
-#define CHANGE_MILLI 300 /* thousandths of a slot; also more than an eighth */
-#define CHANGE_URGENT_MILLI 2000 /* same; also more than a quarter */
-#define FULL_UPDATE_MS 1000	 /* between updates of idle pools and teams */
-#define REPORT_REFRESH_MS 2000	 /* resend of an unchanged report */
-#define TRANSFER_RESEND_MS 500	 /* for unacknowledged transfers */
+#define REPORT_INTERVAL_MS 250 /* minimum; urgent changes are not delayed */
+#define FULL_UPDATE_MS 1000    /* between updates of idle pools and teams */
+#define REPORT_REFRESH_MS 2000 /* resend of an unchanged report */
+#define TRANSFER_RESEND_MS 500 /* for unacknowledged transfers */
+
+/*
+ * Thousandths of a slot. A report is due when a team's demand differs from the
+ * last report by more than the first and by more than an eighth. It is sent at
+ * once when it differs by more than the second and by more than a quarter.
+ */
+#define DEMAND_CHANGE_MILLI 300
+#define DEMAND_CHANGE_URGENT_MILLI 2000
 
 /* Acquiring units from the table service */
 
@@ -281,9 +287,9 @@
 {
 	uint32_t change = now > reported ? now - reported : reported - now;
 
-	if (change > CHANGE_URGENT_MILLI && change > reported / 4)
+	if (change > DEMAND_CHANGE_URGENT_MILLI && change > reported / 4)
 		return DEMAND_CHANGED_URGENTLY;
-	if (change > CHANGE_MILLI && change > reported / 8)
+	if (change > DEMAND_CHANGE_MILLI && change > reported / 8)
 		return DEMAND_CHANGED;
 	return DEMAND_UNCHANGED;
 }
@@ -413,7 +419,7 @@
 		      &p->reported_ms);
 }
 
-/* A team's units need to move only where the team waits for its limit. */
+/* A team's demand: its running jobs and, up to its limit, the waiting ones. */
 static void report_team(struct core *c, uint32_t id)
 {
 	struct core_team *t = &c->teams[id];
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,7 +14,7 @@
 #define SCAN_INTERVAL_MS 1000
 #define PROBE_INTERVAL_MS 1000
 #define LIST_INTERVAL_MS 1000
-#define NOTICE_DELAY_MS 1000   /* from not ready to accepting no more */
+#define NOTICE_DELAY_MS 1000   /* still accepts while reporting not ready */
 #define RETURN_TIMEOUT_MS 5000 /* to return all units to the store */
 
 /* Periodic work */
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -6,7 +6,7 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define CHANGE_RESOLVE_MS 6000 /* then the outcome is reported as unknown */
+#define CHANGE_RESOLVE_MS 6000 /* then a write has failed or is unknown */
 #define CHANGE_ACCEPT_MS 5000  /* for a majority of entries to know a change */
 #define CHANGE_RETRY_MS 300    /* between attempts to write */
 #define SNAPSHOT_INTERVAL 256  /* versions */
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -219,7 +219,7 @@
 
 struct front *front_new(struct entry *e, uint32_t index);
 void front_start(void *arg, struct job *job);
-void front_refuse(void *arg, struct job *job, enum job_refusal why);
+void front_refuse(void *arg, struct job *job, enum job_refusal refusal);
 void front_stop_accepting(struct front *f);
 uint32_t front_pending(const struct front *f);
 void front_join(struct front *f);
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -17,7 +17,7 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define HANG_UP_CHECK_MS 10	/* longer waits: check for a hang-up at start */
+#define HANG_UP_CHECK_MS 10 /* after a longer wait the caller may have gone */
 #define FRONT_IDLE_TIMEOUT_S 75 /* for callers' connections */
 #define RUN_PREFIX "/run/"
 
@@ -62,12 +62,12 @@
 	enqueue((struct request *)job, FRONT_MESSAGE_START);
 }
 
-void front_refuse(void *arg, struct job *job, enum job_refusal why)
+void front_refuse(void *arg, struct job *job, enum job_refusal refusal)
 {
 	struct request *r = (struct request *)job;
 
 	(void)arg;
-	r->refusal = why;
+	r->refusal = refusal;
 	enqueue(r, FRONT_MESSAGE_REFUSE);
 }
 
@@ -243,16 +243,16 @@
 {
 	struct front *f = r->front;
 	struct entry *e = f->entry;
-	enum job_refusal why;
+	enum job_refusal refusal;
 	bool accepted;
 
 	front_in_core = f;
 	pthread_mutex_lock(&e->core_lock);
-	accepted = core_submit(e->core, &r->job, clock_now_ms(), &why);
+	accepted = core_submit(e->core, &r->job, clock_now_ms(), &refusal);
 	pthread_mutex_unlock(&e->core_lock);
 	front_in_core = NULL;
 	if (!accepted)
-		front_finish_refused(r, why);
+		front_finish_refused(r, refusal);
 	front_process_messages(f);
 }
 
--- a/src/entry/front_internal.h
+++ b/src/entry/front_internal.h
@@ -69,7 +69,7 @@
 void front_request_free(struct request *r);
 
 /* front_finish_refused - answer a refused request and free it */
-void front_finish_refused(struct request *r, enum job_refusal why);
+void front_finish_refused(struct request *r, enum job_refusal refusal);
 
 /* front_end_attempt - report an attempt's result to the core */
 enum core_next front_end_attempt(struct request *r, enum job_result result);
--- a/src/entry/front_worker.c
+++ b/src/entry/front_worker.c
@@ -49,20 +49,20 @@
 	free(r);
 }
 
-static void finish(struct request *r, const struct outcome_input *end)
+static void finish(struct request *r, const struct outcome_input *input)
 {
-	struct outcome_answer a = outcome_of(end);
+	struct outcome_answer a = outcome_of(input);
 
 	front_send_text(r->front, r->http, a.code, a.outcome, a.reason);
 	front_request_free(r);
 }
 
-void front_finish_refused(struct request *r, enum job_refusal why)
+void front_finish_refused(struct request *r, enum job_refusal refusal)
 {
-	struct outcome_input end = { .refused = true, .refusal = why };
+	struct outcome_input input = { .refused = true, .refusal = refusal };
 
-	end.may_have_run = r->job.may_have_run;
-	finish(r, &end);
+	input.may_have_run = r->job.may_have_run;
+	finish(r, &input);
 }
 
 /* Whether a header belongs to one connection or to this system. */
@@ -181,15 +181,15 @@
 	struct request *r = arg;
 	struct front *f = r->front;
 	enum job_result result = attempt_result(http);
-	struct outcome_input end = { .result = result };
+	struct outcome_input input = { .result = result };
 
-	end.timed_out = http->status == HTTPC_TIMEOUT;
+	input.timed_out = http->status == HTTPC_TIMEOUT;
 	if (front_end_attempt(r, result) == CORE_FINISHED) {
-		end.may_have_run = r->job.may_have_run;
-		if (outcome_of(&end).outcome == OUTCOME_ANSWERED)
+		input.may_have_run = r->job.may_have_run;
+		if (outcome_of(&input).outcome == OUTCOME_ANSWERED)
 			forward_answer(r, http);
 		else
-			finish(r, &end);
+			finish(r, &input);
 	}
 	front_process_messages(f);
 }
--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -6,11 +6,15 @@
 
 #include "process/share.h"
 
-#define RUN_INTERVAL_MS 250	    /* between two allocations of a group */
-#define RUN_SHIFTED_INTERVAL_MS 50  /* after a large change of demand */
-#define SHIFT_SLOTS_MIN 2.0	    /* change of demand that counts as large */
-#define ADVICE_REPEAT_MS 2000	    /* resends unchanged advice after this */
-#define ADVICE_CHANGE_MIN_MILLI 100 /* smaller changes are not sent */
+#define RUN_INTERVAL_MS 250	   /* between two allocations of a group */
+#define RUN_SHIFTED_INTERVAL_MS 50 /* after a large change of demand */
+#define ADVICE_REPEAT_MS 2000	   /* resends unchanged advice after this */
+
+/* A change of demand is large if it exceeds this and a quarter of it before. */
+#define SHIFT_SLOTS_MIN 2.0
+
+/* Changed targets are sent if a change exceeds this and a twentieth. */
+#define ADVICE_CHANGE_MIN_MILLI 100
 
 /* One entry's latest report on a group. */
 struct report {
@@ -25,7 +29,7 @@
 	struct broker_target *advised; /* targets last sent */
 	uint32_t advised_count;
 	uint64_t advised_ms;
-	bool had_transfers; /* the last advice had transfers */
+	bool had_transfers; /* in the last advice: the next must replace them */
 };
 
 struct group {
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -13,8 +13,11 @@
 
 #define EVENT_LINE_MAX 1024u	 /* bytes */
 #define EVENT_BUFFER (64u << 10) /* bytes */
-#define EVENT_KINDS_MAX 64u	 /* kinds that are rate limited */
-/* Lines per second of one kind; 5 times the mean of starts on a busy day. */
+#define EVENT_KINDS_MAX 64u	 /* further kinds are not rate limited */
+/*
+ * Lines per second of one kind. Designed for job starts on a busy day: a mean
+ * of 200 per second with peaks of 5 times that.
+ */
 #define EVENT_RATE_MAX 1000u
 #define EVENT_TEXT_MAX 256u
 
--- a/src/process/freshness.c
+++ b/src/process/freshness.c
@@ -83,7 +83,7 @@
 	if (!is_full(members, self))
 		return 0;
 	if (!needed)
-		return FRESHNESS_ALWAYS; /* no change without this entry */
+		return FRESHNESS_ALWAYS; /* it is a majority by itself */
 	for (i = 0; i < f->count; i++) {
 		const struct freshness_peer *p = &f->peers[i];
 
--- a/src/process/freshness.h
+++ b/src/process/freshness.h
@@ -36,7 +36,7 @@
 /* freshness_forget - drop a peer's response */
 void freshness_forget(struct freshness *f, uint64_t incarnation);
 
-/* freshness_until - when this entry ceases to be fresh; or 0 */
+/* freshness_until - until when this entry is fresh; 0 if it is not */
 uint64_t freshness_until(const struct freshness *f,
 			 const struct members *members, uint64_t self,
 			 uint64_t version);
--- a/src/process/health.h
+++ b/src/process/health.h
@@ -2,8 +2,8 @@
  * health - outlier ejection of workers
  *
  * A worker is ejected when most of its recent requests fail while those of the
- * pool's other workers succeed: requests that fail at all workers are to blame
- * themselves. Ejected workers count against the pool's availability budget.
+ * pool's other workers succeed: if requests fail at all workers, the requests
+ * are the cause. Ejected workers count against the pool's availability budget.
  * After a delay, one request at a time probes whether the worker has recovered.
  */
 #ifndef HEALTH_H
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -151,21 +151,21 @@
 }
 
 void ledger_configure(struct ledger *l, domain_handle handle, int64_t total,
-		      uint64_t generation, uint64_t conf)
+		      uint64_t generation, uint64_t config_version)
 {
 	struct domain *d = ledger_domain_of(l, handle);
 	bool lower = d->configured
 			     ? total < d->total || generation != d->generation
 			     : row_exceeds(l, handle, total, generation);
 
-	d->config_version = conf;
+	d->config_version = config_version;
 	if (d->configured && total == d->total && generation == d->generation)
 		return;
 	d->configured = true;
 	d->total = total;
 	d->generation = generation;
 	if (lower)
-		d->lowering_version = conf;
+		d->lowering_version = config_version;
 	l->shards[d->shard].dirty = true;
 	domain_refresh(l, handle);
 }
@@ -235,7 +235,7 @@
 	view->closed = d->lowering_version || d->deficit;
 }
 
-bool ledger_is_empty(const struct ledger *l, domain_handle handle)
+bool ledger_domain_is_empty(const struct ledger *l, domain_handle handle)
 {
 	const struct ledger_cell *cell =
 		ledger_row_cell(l, ledger_shard_at(l, handle)->row, handle);
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -133,7 +133,7 @@
  * seen has it applied and has no deficit.
  */
 void ledger_configure(struct ledger *l, domain_handle d, int64_t total,
-		      uint64_t generation, uint64_t conf);
+		      uint64_t generation, uint64_t config_version);
 
 /* ledger_start_unit - mark one idle unit as running, for a new request */
 enum ledger_status ledger_start_unit(struct ledger *l, domain_handle d);
@@ -154,11 +154,11 @@
 		 struct ledger_domain_view *view);
 
 /*
- * ledger_is_empty - whether the row last seen proves the domain empty
+ * ledger_domain_is_empty - whether the row last seen proves the domain empty
  *
  * With total and free at 0 no entry holds a unit and none can acquire one.
  */
-bool ledger_is_empty(const struct ledger *l, domain_handle d);
+bool ledger_domain_is_empty(const struct ledger *l, domain_handle d);
 
 /* ledger_holds_any - whether units of any domain are held or in the outboxes */
 bool ledger_holds_any(const struct ledger *l);
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -24,18 +24,18 @@
 	const char *address;
 	const char *state;
 	json_int_t incarnation;
-	json_int_t boot;
+	json_int_t nonce;
 
 	memset(m, 0, sizeof(*m));
 	if (json_unpack(value, "{s:s, s:s, s:s, s:s, s:I, s:I}", "name", &name,
 			"zone", &zone, "address", &address, "state", &state,
-			"incarnation", &incarnation, "boot", &boot))
+			"incarnation", &incarnation, "boot", &nonce))
 		return false;
 	snprintf(m->name, sizeof(m->name), "%s", name);
 	snprintf(m->zone, sizeof(m->zone), "%s", zone);
 	snprintf(m->address, sizeof(m->address), "%s", address);
 	m->incarnation = (uint64_t)incarnation;
-	m->nonce = (uint64_t)boot;
+	m->nonce = (uint64_t)nonce;
 	return parse_state(state, &m->state);
 }
 
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -24,7 +24,8 @@
 	char zone[CFG_NAME_MAX + 1];
 	char address[32]; /* of its peer listener */
 	uint64_t incarnation;
-	uint64_t nonce; /* random; finds one's own registration */
+	/* Random. Finds a registration whose write had no response. */
+	uint64_t nonce;
 	enum member_state state;
 };
 
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define FQ_CREDIT_MAX 8.0     /* slots, either sign */
-#define FQ_CREDIT_TIME_S 0.25 /* in which a shortfall of one slot earns one */
+#define FQ_CREDIT_TIME_S 0.25 /* time for a shortfall of 1 to add 1 credit */
 #define FQ_GAP_SMOOTHING 0.1  /* weight of the newest gap between starts */
 #define FQ_CLASSES 2
 
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -20,33 +20,33 @@
 	[JOB_REFUSED_HUNG_UP] = { "hung_up", 499, "the caller hung up" },
 };
 
-static struct outcome_answer unknown(const struct outcome_input *end)
+static struct outcome_answer unknown(const struct outcome_input *input)
 {
 	struct outcome_answer a = { OUTCOME_UNKNOWN, 502,
 				    "no whole answer from the worker" };
 
-	if (!end->refused && end->timed_out) {
+	if (!input->refused && input->timed_out) {
 		a.code = 504;
 		a.reason = "no answer from the worker in time";
 	}
 	return a;
 }
 
-struct outcome_answer outcome_of(const struct outcome_input *end)
+struct outcome_answer outcome_of(const struct outcome_input *input)
 {
 	struct outcome_answer answered = { OUTCOME_ANSWERED, 0, NULL };
 	struct outcome_answer not_run = { OUTCOME_NOT_RUN, 503,
 					  "no worker could be reached" };
 
-	if (!end->refused &&
-	    (end->result == JOB_ENDED || end->result == JOB_FAILED))
+	if (!input->refused &&
+	    (input->result == JOB_ENDED || input->result == JOB_FAILED))
 		return answered;
-	if (end->may_have_run ||
-	    (!end->refused && end->result == JOB_POSSIBLY_RUNNING))
-		return unknown(end);
-	if (end->refused) {
-		not_run.code = refusals[end->refusal].code;
-		not_run.reason = refusals[end->refusal].reason;
+	if (input->may_have_run ||
+	    (!input->refused && input->result == JOB_POSSIBLY_RUNNING))
+		return unknown(input);
+	if (input->refused) {
+		not_run.code = refusals[input->refusal].code;
+		not_run.reason = refusals[input->refusal].reason;
 	}
 	return not_run;
 }
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -32,7 +32,7 @@
 };
 
 /* outcome_of - the response for the caller */
-struct outcome_answer outcome_of(const struct outcome_input *end);
+struct outcome_answer outcome_of(const struct outcome_input *input);
 
 /* outcome_name - value of the Jackdawwell-Outcome header */
 const char *outcome_name(enum outcome outcome);
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -1,8 +1,8 @@
 /*
  * retry - a team's retry budget, a token bucket
  *
- * Each request adds a fraction of a retry, so that retries stay a fraction of
- * the team's traffic and cannot amplify an overload.
+ * Each request adds a fraction of a retry, up to a small maximum, so that
+ * retries stay a fraction of the team's traffic and cannot amplify an overload.
  */
 #ifndef RETRY_H
 #define RETRY_H
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -81,7 +81,7 @@
 
 enum cfg_wave_state {
 	CFG_WAVE_RUNNING,
-	CFG_WAVE_PAUSED,  /* finishes instances that are out, drains no more */
+	CFG_WAVE_PAUSED,  /* finishes instances draining or out; starts none */
 	CFG_WAVE_HALTED,  /* paused by the conductor, with a reason */
 	CFG_WAVE_ABORTED, /* draining instances serve again */
 	CFG_WAVE_DONE,
@@ -137,7 +137,8 @@
 	uint32_t queue_count;
 	uint32_t key_count;
 	uint32_t wave_count;
-	uint32_t run_max_ms; /* of all queues so far */
+	/* Maximum of all queues; also removed ones, whose work may still run */
+	uint32_t run_max_ms;
 	struct intern *queue_names;
 	struct intern *key_names;
 	int refs; /* atomic */
@@ -152,8 +153,9 @@
 /*
  * cfg_apply - build the version that follows base
  *
- * Borrows change. On CFG_OK, *out is a new reference. Otherwise message names
- * kind, object, field, the value found and the expected value.
+ * Borrows change. On CFG_OK, *out is a new reference. Otherwise *out is
+ * not set; message names kind, object, field, the value found and the expected
+ * value.
  */
 enum cfg_status cfg_apply(const struct cfg *base, struct cfg_names *names,
 			  const json_t *change, uint64_t version,
--- a/test/decide_test.c
+++ b/test/decide_test.c
@@ -22,7 +22,7 @@
 struct share_row {
 	double capacity;
 	struct share_claim claims[3];
-	double given[3];
+	double allocated[3];
 };
 
 static const struct share_row share_rows[] = {
@@ -46,8 +46,8 @@
 
 		share_divide(r.claims, 3, r.capacity);
 		for (k = 0; k < 3; k++)
-			assert_float_equal(r.claims[k].allocated, r.given[k],
-					   1e-6);
+			assert_float_equal(r.claims[k].allocated,
+					   r.allocated[k], 1e-6);
 	}
 }
 
--- a/test/event_test.c
+++ b/test/event_test.c
@@ -56,8 +56,8 @@
 
 	(void)state;
 	for (c = 0; c < sizeof(reads) / sizeof(reads[0]); c++) {
-		size_t room = LINES * 1024;
-		char *text = calloc(1, room);
+		size_t text_size = LINES * 1024;
+		char *text = calloc(1, text_size);
 		uint64_t dropped = event_dropped();
 		int saved = dup(STDOUT_FILENO);
 		size_t used = 0, before;
--- a/test/walk/world.c
+++ b/test/walk/world.c
@@ -47,8 +47,8 @@
 	for (i = 0; i < w->entry_count; i++) {
 		if (!w->entries[i].removed)
 			sum += walk_domain_view(&w->entries[i], d).held;
-		sum += w->entries[i].orphaned[d]; /* each must hold a unit while
-						     it runs */
+		/* Running work must hold its unit. */
+		sum += w->entries[i].orphaned[d];
 	}
 	return sum;
 }
@@ -81,7 +81,10 @@
 	}
 }
 
-/* A start may exceed neither its entry's limit nor all newer ones. */
+/*
+ * After a start, no more units may run than the highest of the limits in the
+ * entry's configuration version and in all newer ones.
+ */
 void walk_check_start(struct world *w, const struct entry *e, uint32_t d)
 {
 	int64_t allowed = 0;
