--- a/cli/command.h
+++ b/cli/command.h
@@ -27,9 +27,10 @@
 };
 
 /*
- * command_change - commit a change that was made on base; print the outcome
+ * command_change - commit a change; print the outcome
  *
- * Takes over the reference to change.
+ * base_version is the version that the change was made for. Takes over the
+ * reference to change.
  */
 int command_change(const struct command_context *cmd, json_int_t base_version,
 		   json_t *change);
