--- a/src/process/event.c
+++ b/src/process/event.c
@@ -15,8 +15,8 @@
 #define EVENT_BUFFER (64u << 10) /* bytes */
 #define EVENT_KINDS_MAX 64u	 /* further kinds are not rate limited */
 /*
- * Lines per second of one kind. Designed for job starts on a busy day: a mean
- * of 200 per second with peaks of 5 times that.
+ * Lines per second of one kind. Designed for the starts of jobs on a busy day:
+ * 5 times their mean.
  */
 #define EVENT_RATE_MAX 1000u
 #define EVENT_TEXT_MAX 256u
