--- a/src/connection/platform_http.c
+++ b/src/connection/platform_http.c
@@ -14,7 +14,7 @@
 
 #define PLATFORM_CONNECTIONS 4u
 #define PLATFORM_URL_MAX 512	  /* bytes */
-#define PLATFORM_HEADER_BYTES 250 /* estimate, request and answer */
+#define PLATFORM_HEADER_BYTES 250 /* of request and answer, estimated */
 
 struct platform {
 	struct httpc *http;
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -19,7 +19,7 @@
 #define COMMIT_MS 1500u
 #define COMMIT_RETRY_MS 100u
 #define COMMIT_STALLED_MS 800u	  /* a slow store takes 0.6 s */
-#define COMMIT_SLOW_MS 30u	  /* without a reply: send the next one */
+#define COMMIT_SLOW_MS 30u	  /* no reply for so long: send the next one */
 #define COMMITS_IN_FLIGHT_MAX 2u  /* the store applies them one by one */
 #define COMMIT_ENTRIES_PER_JOB 5u /* maximum for one job's change */
 
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -15,20 +15,21 @@
 
 #include "node/node_internal.h"
 
-#define LEADER_HEARTBEAT_MS 300u /* interval of heartbeats to the leader */
-#define PEER_HEARTBEAT_MS 300u	 /* interval of those to other peers */
+#define LEADER_HEARTBEAT_MS 300u /* between two heartbeats to the leader */
+#define PEER_HEARTBEAT_MS 300u	 /* between two to other peers, in turn */
 #define HEARTBEAT_TIMEOUT_MS 500u
 #define CONNECT_TIMEOUT_MS 250u /* a powered-off machine never refuses */
 /* Wait for the configuration from the store before a peer is asked. */
 #define CONFIG_WAIT_STORE_MS 1200u   /* while the store answers */
-#define CONFIG_WAIT_NO_STORE_MS 400u /* otherwise; a fifth of 2 s */
+#define CONFIG_WAIT_NO_STORE_MS 400u /* else; a fifth of config_ms, 2 s */
 #define FETCH_TIMEOUT_MS 10000u	     /* while bytes keep arriving */
 #define FETCH_STALL_MS 1000u
 #define FETCH_PAUSE_MS 100u /* between two fetches */
 /* Peers described per heartbeat; few, since each node contacts all others. */
 #define HEARTBEAT_PEERS 3u
-#define PEER_FORGET_MS 60000u  /* without a message: the peer is removed */
-#define SEED_INTERVAL_MS 1000u /* for seeds and for the node table */
+#define PEER_FORGET_MS 60000u /* without a message: the peer is removed */
+/* Between two requests to seeds, and between two to the node table. */
+#define SEED_INTERVAL_MS 1000u
 
 struct heartbeat_call {
 	struct node *node;
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -15,23 +15,27 @@
 
 #include "node/node_internal.h"
 
-#define LEADER_SILENT_MS 1000u	 /* no node heard from the leader: claim */
+#define LEADER_SILENT_MS 1000u	 /* no node heard of the leader: claim */
 #define LEADER_AGE_MAX_MS 60000u /* ages from here on count as unknown */
 #define LEADER_CLAIM_RANK_MS 80u /* delay between two nodes' claims */
 #define LEADER_CLAIM_RANKS 8u
 #define LEADER_WEAK_DELAY_MS 1200u /* weak nodes claim after strong ones */
-#define LEADER_GRACE_MS 1500u	   /* until a newly learned leader is silent */
+#define LEADER_GRACE_MS 1500u	   /* before a new leader counts as silent */
 #define LEADER_NODES_WAIT_MS 2000u /* for the node table to be read */
 
-/* Ratio of power that makes a node weak; the load per node is uneven. */
+/*
+ * A node is weak if another one has more than this times its power. The work
+ * is uneven: most of it is the leader's, and on a weak leader heartbeats and
+ * confirmations wait behind decisions until it is replaced.
+ */
 #define LEADER_POWER_RATIO 1.5
-#define LEADER_POWER_HEARD_MS 15000u   /* heartbeats with all of 40 nodes */
-#define LEADER_MIN_TERM_MS 3000u       /* before a weak leader steps down */
+#define LEADER_POWER_HEARD_MS 15000u   /* heartbeats to 40 nodes in turn */
+#define LEADER_MIN_TERM_MS 3000u       /* of a weak leader */
 #define LEADER_STEP_DOWN_HEARD_MS 600u /* the stronger node is up now */
 
 #define LEADER_CONFIRM_MS 800u /* interval of confirmations */
 #define LEADER_LIVE_MS 1400u   /* unconfirmed for longer: others may claim */
-#define LEADER_REFUSED_MS 300u /* same, while every store call fails */
+#define LEADER_REFUSED_MS 300u /* same, while all store calls fail */
 #define LEADER_CLAIM_RETRY_MS 400u
 #define LEADER_READ_MS 600u	/* timeout; a slow store takes 300 ms */
 #define LEADER_RECOVERY_MS 800u /* a read that times out, and the next one */
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -13,11 +13,12 @@
 #include "node/node_internal.h"
 
 #define LIST_RETRY_MS 200u
-#define LIST_UNRESPONSIVE_MS 400u /* while an instance is unresponsive */
+/* Least time between two lists while an instance is unresponsive. */
+#define LIST_UNRESPONSIVE_MS 400u
 #define POOLS_LOG_MS 1000u
-#define WAVE_REPLAY_MS 5000u /* so soon after start, a wave may be old */
+#define WAVE_REPLAY_MS 5000u /* so soon after the start, a wave may be old */
 #define HOLDER_MARGIN_MS 300u
-#define HOLDER_CONFIRMED_MS 1500u /* maximum age of the confirmation */
+#define HOLDER_CONFIRMED_MS 1500u /* orders need a confirmation this recent */
 #define MAINTENANCE_RETRY_MS 300u
 
 struct machines {
@@ -41,7 +42,7 @@
 
 struct machine_call {
 	struct node *node;
-	uint64_t lead_epoch;
+	uint64_t phase_generation;
 	struct fleet_action action;
 	uint64_t sent_ms;
 };
@@ -78,7 +79,10 @@
 		  request->number, request->machine_count, request->at_once,
 		  request->duration_ms);
 	request->begun_ms = now;
-	/* It may have been requested long before this process started. */
+	/*
+	 * It may have been requested long before this process started, so all
+	 * of its duration counts as over.
+	 */
 	if (!n->settings.first_start && now - n->started_ms < WAVE_REPLAY_MS)
 		request->begun_ms = now - request->duration_ms;
 	m->waves = talloc_realloc(m, m->waves, struct wave_request *,
@@ -144,7 +148,7 @@
 	struct fleet_machine_info *infos;
 	uint32_t i;
 
-	if (call->lead_epoch == n->phase_generation && m->fleet) {
+	if (call->phase_generation == n->phase_generation && m->fleet) {
 		m->listing = false;
 		log_list_result(m, whole);
 		infos = talloc_zero_array(call, struct fleet_machine_info,
@@ -173,7 +177,7 @@
 
 	assert(call);
 	call->node = n;
-	call->lead_epoch = n->phase_generation;
+	call->phase_generation = n->phase_generation;
 	call->sent_ms = clock_now_ms();
 	return call;
 }
@@ -225,7 +229,7 @@
 	struct machines *m = n->machines;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch != n->phase_generation || !m->fleet)
+	if (call->phase_generation != n->phase_generation || !m->fleet)
 		goto out;
 	m->maintenance_reading = false;
 	if (reply->status != STORE_OK) {
@@ -318,7 +322,8 @@
 	event_log("machine-answer", call->action.machine,
 		  "\"kind\":%d,\"result\":%d,\"took_ms\":%" PRIu64,
 		  call->action.kind, result, clock_now_ms() - call->sent_ms);
-	if (call->lead_epoch == n->phase_generation && n->machines->fleet) {
+	if (call->phase_generation == n->phase_generation &&
+	    n->machines->fleet) {
 		fleet_action_result(n->machines->fleet, n->sched, &call->action,
 				    results[result], clock_now_ms());
 		if (result == MACHINE_OK &&
@@ -335,7 +340,7 @@
 	struct node *n = call->node;
 
 	node_store_result(n, reply->status);
-	if (call->lead_epoch == n->phase_generation && n->machines->fleet)
+	if (call->phase_generation == n->phase_generation && n->machines->fleet)
 		fleet_action_result(n->machines->fleet, n->sched, &call->action,
 				    reply->status == STORE_OK ? FLEET_DONE
 							      : FLEET_REFUSED,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,9 +23,9 @@
 struct node_settings {
 	const char *name;
 	const char *zone;
-	const char *peers;    /* IP address and port for other nodes */
-	const char *links;    /* same, for framed links; NULL: none */
-	uint32_t calls_alone; /* instances that a leader calls without relays */
+	const char *peers;	   /* IP address and port for other nodes */
+	const char *links;	   /* same, for framed links; NULL: none */
+	uint32_t direct_calls_max; /* instances called without relays */
 	uint32_t seed_count;
 	const char *seeds[NODE_SEEDS_MAX]; /* addresses of some other nodes */
 	uint32_t power;			   /* CPU, thousandths of a core */
@@ -51,7 +51,7 @@
  * node_config_is_current - whether node_config may be used for an answer
  *
  * False once the node can't prove that no newer version was confirmed more than
- * config_ms ago: a queue or key that it doesn't know may exist by then.
+ * config_ms ago: a queue or key that it doesn't know may exist by now.
  */
 bool node_config_is_current(const struct node *n);
 
@@ -74,12 +74,13 @@
 	Fleet__JobRow *job;	 /* of a SUBMIT; owned by the caller, copied */
 	uint32_t deadline_ms;	 /* how long the caller waits */
 	uint64_t config_version; /* by which the request was admitted */
-	bool config_old; /* it may be outdated: the leader must have no newer */
+	bool config_stale; /* it may be outdated: the leader must have no newer
+			    */
 	node_answer_fn fn; /* called once, maybe before node_request returns */
 	void *arg;
 };
 
-void node_request(struct node *n, const struct node_request *ask);
+void node_request(struct node *n, const struct node_request *req);
 
 /* node_stop - hand over leadership, then call done once; still answers requests
  */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -8,12 +8,12 @@
  * session.c      polls of instances and orders to them
  * watch.c        change feeds: configuration, instances, inbox, waves
  * staleness.c    age of the knowledge of the configuration
- * request.c          callers' requests, answered by the leader or the store
+ * request.c      callers' requests, answered by the leader or the store
  * gossip.c       heartbeats between nodes, copies of the configuration
  * peer_server.c  HTTP server for other nodes and operators
  * machines.c     machine moves and maintenance, decided in fleet/
  * relay.c        calls to instances that peers make for the leader
- * relay_server.c  calls to instances that this node makes for the leader
+ * relay_server.c calls to instances that this node makes for the leader
  */
 #ifndef NODE_INTERNAL_H
 #define NODE_INTERNAL_H
@@ -83,7 +83,7 @@
 	uint64_t first_revision; /* of the first page of such a read */
 	char *page_from;     /* first key of the next page; NULL: first page */
 	uint64_t retry_ms;   /* no call before this time */
-	uint32_t generation; /* incremented by watch_from(); outdates replies */
+	uint32_t generation; /* incremented by watch_from() */
 	bool in_flight;
 };
 
@@ -109,7 +109,7 @@
 /* Token bucket: new jobs that this node may record in the store by itself. */
 struct record_bucket {
 	double tokens;
-	uint64_t updated_ms; /* when left was computed; 0: never */
+	uint64_t updated_ms; /* when tokens was computed; 0: never */
 };
 
 struct relay_stats {
@@ -141,7 +141,7 @@
 	uint32_t next_peer;
 	uint32_t next_seed;
 	uint64_t seed_heartbeat_ms; /* last request to a seed */
-	uint64_t peer_heartbeat_ms; /* last heartbeat to a follower */
+	uint64_t peer_heartbeat_ms; /* last round-robin heartbeat */
 	uint64_t next_register_ms;  /* next write or read of the node table */
 
 	/* Configuration */
@@ -161,8 +161,8 @@
 	struct leader_view leader;
 	enum leader_phase phase;
 	uint64_t store_last_slow_ms;	 /* last slow or refused store call */
-	uint64_t store_failing_since_ms; /* 0: the store answers */
-	uint64_t leader_last_heard_ms;	 /* start of the leader's silence */
+	uint64_t store_failing_since_ms; /* no reply since; 0: it replies */
+	uint64_t leader_last_heard_ms;	 /* its silence counts from here */
 	uint64_t leader_live_ms;	 /* last known to be live; 0: never */
 	uint64_t leader_not_live_ms; /* when it last reported not to be live */
 	bool leader_ended;	     /* its process is known to have ended */
@@ -173,8 +173,8 @@
 	uint64_t leader_suspect_until_ms; /* no request to it before */
 	uint64_t fence;
 	uint64_t leader_since_ms;
-	uint64_t confirmed_ms;	/* last confirmed call was sent; 0: none */
-	bool predecessor_gone;	/* it gives no more orders */
+	uint64_t confirmed_ms; /* sending of the last confirmed call; 0: none */
+	bool predecessor_gone; /* it gives no more orders */
 	bool predecessor_ended; /* its process ended without handing over */
 	char predecessor[128];
 	uint64_t predecessor_incarnation;
@@ -195,7 +195,7 @@
 	struct relay *relay;
 	struct relay_server
 		*relay_server;	   /* NULL: no address for framed links */
-	uint64_t phase_generation; /* changes with phase; for callbacks */
+	uint64_t phase_generation; /* callbacks of an earlier one are ignored */
 	struct waiter *waiters;
 	struct inbox_id *inbox;
 	uint32_t advice_calls; /* calls to the adviser in flight */
@@ -253,7 +253,7 @@
 uint32_t leader_claim_delay_ms(uint32_t power, uint32_t strongest,
 			       uint64_t hash);
 
-/* leader_silent_ms - a leader's silence; heard_ms may be in the future */
+/* leader_silent_ms - time since heard_ms; 0 if that is in the future */
 uint32_t leader_silent_ms(uint64_t heard_ms, uint64_t now);
 void leader_tick(struct node *n, uint64_t now);
 void leader_learn(struct node *n, const struct leader_view *view,
@@ -351,7 +351,7 @@
  * The node that forwarded the request may have admitted it by another version.
  */
 enum staleness_verdict staleness_verdict(const struct config *own,
-					 const struct node_request *ask);
+					 const struct node_request *req);
 
 /* staleness_tick - log when the configuration becomes fresh or stale */
 void staleness_tick(struct node *n, uint64_t now);
@@ -367,14 +367,14 @@
 
 /* record_bucket_take - take a token; `nodes` nodes share the rate */
 bool record_bucket_take(struct record_bucket *r, uint32_t nodes, uint64_t now);
-void request_decide(struct node *n, const struct node_request *ask);
+void request_decide(struct node *n, const struct node_request *req);
 
 /* gossip.c */
 
 /* gossip_pack - this node's heartbeat, serialized; owned by ctx */
 uint8_t *gossip_pack(struct node *n, TALLOC_CTX *ctx, bool with_config,
 		     size_t *length);
-void gossip_receive(struct node *n, const Fleet__Beat *beat);
+void gossip_receive(struct node *n, const Fleet__Beat *heartbeat);
 void gossip_tick(struct node *n, uint64_t now);
 void gossip_update_peer(struct node *n, const char *name,
 			const Fleet__NodeRow *row);
@@ -386,13 +386,18 @@
 void relay_end(struct node *n);
 void relay_tick(struct node *n, uint64_t now);
 
-/* relay_power_needed - peers' power; a leader calls `alone` instances itself */
-uint32_t relay_power_needed(uint32_t instances, uint32_t alone);
+/*
+ * relay_power_needed - power of the peers that a leader needs as relays
+ *
+ * In thousandths of a core; 0 for up to direct_max instances, which the leader
+ * calls itself.
+ */
+uint32_t relay_power_needed(uint32_t instances, uint32_t direct_max);
 
 /*
  * relay_is_unresponsive - whether a peer last heard at heard_ms counts as lost
  *
- * unread: received data of it waits to be read.
+ * unread: data that it sent waits to be read.
  */
 bool relay_is_unresponsive(uint64_t heard_ms, bool unread, uint64_t now);
 
@@ -406,7 +411,7 @@
  */
 bool relay_order(struct node *n, const struct sched_order *order,
 		 uint32_t timeout_ms, order_fn fn, void *arg);
-bool relay_poll(struct node *n, const struct sched_poll *look,
+bool relay_poll(struct node *n, const struct sched_poll *poll,
 		uint32_t timeout_ms, poll_fn fn, void *arg);
 void relay_flush(struct node *n);
 void relay_stats(const struct node *n, struct relay_stats *stats);
@@ -431,8 +436,9 @@
  * machines_holder_free - whether another leader's last order to a machine is at
  * least holder_ms ago
  *
- * A predecessor whose process has ended, while this process is younger than
- * holder_ms, was stopped by the same restart of all nodes: no need to wait.
+ * A predecessor whose process ended shortly before this process started was
+ * stopped by the same restart of all nodes, so none of its orders can be under
+ * way: no wait is needed while this process is younger than holder_ms.
  */
 bool machines_holder_free(const struct holder_view *view, uint64_t now);
 void machines_begin(struct node *n);
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -97,7 +97,7 @@
 		goto out;
 	}
 	req.config_version = in->config_version;
-	req.config_old = in->config_old;
+	req.config_stale = in->config_old;
 	req.verb = in->verb;
 	req.id = in->id;
 	req.queue = in->queue;
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -22,7 +22,7 @@
 #define RELAY_OUT_MAX (8u << 20)   /* bytes queued for one peer */
 #define RELAY_UNRESPONSIVE_MS 600u /* six keepalive intervals */
 #define RELAY_RETRY_MS 2000u	   /* delay before a peer is dialed again */
-#define RELAY_FIRST_RETRY_MS 400u  /* if it has not answered yet */
+#define RELAY_FIRST_RETRY_MS 400u  /* same, for one that never answered */
 #define RELAY_ANSWER_SLACK_MS 300u /* for the round trip to the peer */
 #define RELAY_CHOICE_MS 200u	   /* interval of choosing peers */
 #define RELAY_CONNECT_WAIT_MS 300u /* a new leader waits so long for links */
@@ -56,7 +56,7 @@
 	bool linked;		     /* it has sent a frame */
 	bool stopping;
 	uint64_t last_heard_ms;
-	uint64_t retry_ms; /* not dialed earlier, if disconnected */
+	uint64_t retry_ms; /* while disconnected: not dialed before */
 	struct relay_call *calls;
 	uint8_t *batch; /* packed calls to send */
 	size_t batch_length;
@@ -388,9 +388,10 @@
 	return NULL;
 }
 
-uint32_t relay_power_needed(uint32_t instances, uint32_t alone)
+uint32_t relay_power_needed(uint32_t instances, uint32_t direct_max)
 {
-	return instances > alone ? instances * RELAY_POWER_PER_INSTANCE : 0;
+	return instances > direct_max ? instances * RELAY_POWER_PER_INSTANCE
+				      : 0;
 }
 
 static uint32_t power_needed(const struct node *n)
@@ -400,7 +401,8 @@
 	if (!n->sched)
 		return 0;
 	sched_stats(n->sched, &stats);
-	return relay_power_needed(stats.instances, n->settings.calls_alone);
+	return relay_power_needed(stats.instances,
+				  n->settings.direct_calls_max);
 }
 
 static void peer_dial(struct relay *r, const struct peer_node *from,
--- a/src/node/relay_server.c
+++ b/src/node/relay_server.c
@@ -16,7 +16,7 @@
 #define SERVER_FRAME_MAX (8u << 20) /* bytes */
 #define SERVER_OUT_MAX (8u << 20)   /* bytes queued for one leader */
 #define RESULT_BATCH_MS 2u	    /* delay until results are sent */
-#define KEEPALIVE_INTERVAL_MS 100u  /* an idle link sends an empty frame */
+#define KEEPALIVE_INTERVAL_MS 100u  /* between empty frames on an idle link */
 #define STALL_MAX_MS 500u	    /* ten ticks: pending calls are stale */
 
 struct relayed_call;
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -14,7 +14,7 @@
 
 #include "node/node_internal.h"
 
-#define LEADER_TIMEOUT_MS 700u /* for an answer that needs a store write */
+#define LEADER_TIMEOUT_MS 700u	     /* the answer may need a store write */
 #define LEADER_TIMEOUT_LIVE_MS 2200u /* while the leader is live */
 #define LEADER_LIVE_MS 600u /* live: heard from within two heartbeats */
 /*
@@ -24,12 +24,12 @@
 #define RECORDS_PER_S 100u
 #define RECORD_BURST 2.0       /* jobs, per node */
 #define RECORD_PAUSE_MS 1500u  /* after a slow or refused store call */
-#define RETRY_DROPPED_MS 1000u /* by then all nodes know the version */
+#define RETRY_DROPPED_MS 1000u /* the asked node knows the version by then */
 #define RETRY_STALLED_MS 1000u /* while the store does not answer */
-#define LEADER_TIME_DIVISOR 2u /* of the time left, if it is not live */
+#define LEADER_TIME_DIVISOR 2u /* half of the time left if it is not live */
 #define ANSWER_MARGIN_MS 100u  /* between the answer and the deadline */
 #define STORE_CALL_MIN_MS 150u /* with less time left, none is made */
-#define LEADER_SUSPECT_MS 700u /* no request is sent after one failed */
+#define LEADER_SUSPECT_MS 700u /* no request to it after one failed */
 
 struct pending_request {
 	struct node *node;
@@ -44,7 +44,7 @@
 	size_t job_length;
 	uint64_t job_revision;	 /* of its row, as read; 0: no row */
 	uint64_t config_version; /* see struct node_request */
-	bool config_old;
+	bool config_stale;
 	uint64_t deadline_ms;
 	uint64_t recorded_ms;	/* when the write was sent */
 	bool possibly_recorded; /* outcome of a write is unknown */
@@ -138,9 +138,9 @@
 
 /*
  * Without the store no new configuration version can be confirmed, so what the
- * leader knows of its jobs stays valid. While the store answers, a leader with
- * a stale configuration may have missed a newer version and does not answer a
- * node whose version is stale too.
+ * leader says of the jobs that it knows stays valid. While the store answers, a
+ * leader with a stale configuration may have missed a newer version and does
+ * not answer a node whose version is stale too.
  */
 static bool leader_may_answer(const struct node *n,
 			      const struct node_request *req, uint64_t now)
@@ -148,7 +148,7 @@
 	if (staleness_in_bound(n, now))
 		return true;
 	return req->verb != FLEET__VERB__SUBMIT &&
-	       (!req->config_old || !n->store_ok);
+	       (!req->config_stale || !n->store_ok);
 }
 
 /* A job that the leader already has needs no new admission. */
@@ -158,7 +158,7 @@
 	enum staleness_verdict verdict = staleness_verdict(n->config, req);
 
 	if (verdict == STALENESS_DECIDES ||
-	    (!req->config_old && sched_state(n->sched, req->id, req->queue)))
+	    (!req->config_stale && sched_state(n->sched, req->id, req->queue)))
 		return true;
 	if (verdict == STALENESS_REMOVED) {
 		r->result = FLEET__RESULT__REFUSED;
@@ -410,10 +410,13 @@
 				  clock_now_ms());
 }
 
-/* With a stale configuration, the caller's permission cannot be checked. */
+/*
+ * With a stale configuration nothing is done here: the store's rows don't show
+ * whether the caller may still make the request.
+ */
 static void try_store(struct pending_request *p)
 {
-	if (p->config_old || time_left_ms(p) < STORE_CALL_MIN_MS ||
+	if (p->config_stale || time_left_ms(p) < STORE_CALL_MIN_MS ||
 	    p->verb == FLEET__VERB__PENDING ||
 	    (p->verb == FLEET__VERB__SUBMIT && !may_record(p))) {
 		finish_with(p, FLEET__RESULT__UNANSWERED);
@@ -505,7 +508,7 @@
 		out.job.len = p->job_length;
 	}
 	out.config_version = p->config_version;
-	out.config_old = p->config_old;
+	out.config_old = p->config_stale;
 	out.verb = req->verb;
 	out.id = p->id;
 	out.queue = p->queue;
@@ -535,7 +538,7 @@
 	p->node = n;
 	p->verb = req->verb;
 	p->config_version = n->config ? n->config->version : 0;
-	p->config_old = !staleness_in_bound(n, now);
+	p->config_stale = !staleness_in_bound(n, now);
 	snprintf(p->id, sizeof(p->id), "%s", req->id);
 	snprintf(p->queue, sizeof(p->queue), "%s", req->queue);
 	p->deadline_ms = now + (req->deadline_ms > ANSWER_MARGIN_MS
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -62,7 +62,7 @@
 };
 
 #define STORE_TXN_MAX 100u	     /* entries of one transaction */
-#define STORE_TXN_BYTES (512u << 10) /* values; the platform allows 1 MB */
+#define STORE_TXN_BYTES (512u << 10) /* of values; the platform allows 1 MB */
 
 /*
  * store_partition - the partition that holds a table's rows
@@ -89,7 +89,7 @@
 	POLL_ANSWERED,	   /* report isn't NULL */
 	POLL_UNANSWERED,   /* the instance didn't answer */
 	POLL_NEWER_LEADER, /* it knows a newer leader; no report */
-	POLL_LOST,	   /* with the relaying node; no news of the instance */
+	POLL_LOST, /* the relay was lost; says nothing of the instance */
 };
 
 typedef void (*poll_fn)(void *arg, enum poll_result result,
@@ -139,7 +139,7 @@
 	uint64_t number;
 	uint32_t at_once; /* maximum of machines down at a time */
 	uint32_t duration_ms;
-	uint64_t begun_ms; /* when this node learned of it */
+	uint64_t begun_ms; /* when this node learned of it, or earlier */
 	uint32_t machine_count;
 	char **machines; /* owned by the request */
 };
--- a/src/node/staleness.c
+++ b/src/node/staleness.c
@@ -51,19 +51,19 @@
 }
 
 enum staleness_verdict staleness_verdict(const struct config *own,
-					 const struct node_request *ask)
+					 const struct node_request *req)
 {
-	const char *workspace = ask->job ? ask->job->workspace : "";
+	const char *workspace = req->job ? req->job->workspace : "";
 	uint64_t version = own ? own->version : 0;
 
-	if (!own || (ask->config_old && version > ask->config_version))
+	if (!own || (req->config_stale && version > req->config_version))
 		return STALENESS_BEHIND;
-	if (ask->verb != FLEET__VERB__SUBMIT ||
-	    version == ask->config_version ||
-	    (config_queue(own, ask->queue) &&
+	if (req->verb != FLEET__VERB__SUBMIT ||
+	    version == req->config_version ||
+	    (config_queue(own, req->queue) &&
 	     (!*workspace || config_workspace(own, workspace))))
 		return STALENESS_DECIDES;
-	return version < ask->config_version ? STALENESS_BEHIND
+	return version < req->config_version ? STALENESS_BEHIND
 					     : STALENESS_REMOVED;
 }
 
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -10,7 +10,7 @@
 
 #include "node/node_internal.h"
 
-#define START_SKEW_MS 300u /* between the starts of two nodes */
+#define START_SKEW_MS 300u /* the platform starts all nodes within this */
 
 struct claim_case {
 	const char *what;
@@ -109,7 +109,8 @@
 
 /*
  * A refused connection proves that the leader's process has ended only if the
- * call was made to this incarnation of it.
+ * call was made to this incarnation of it. Silence and a new leader prove
+ * nothing.
  */
 static void test_leader_connection_refused(void **state)
 {
--- a/test/staleness_test.c
+++ b/test/staleness_test.c
@@ -120,18 +120,18 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		Fleet__JobRow job = FLEET__JOB_ROW__INIT;
-		struct node_request ask = { .verb = cases[c].verb,
+		struct node_request req = { .verb = cases[c].verb,
 					    .queue = cases[c].queue,
 					    .config_version =
 						    cases[c].admitted_by,
-					    .config_old = cases[c].old };
+					    .config_stale = cases[c].old };
 
 		job.workspace = (char *)cases[c].workspace;
 		if (cases[c].verb == FLEET__VERB__SUBMIT)
-			ask.job = &job;
-		if (staleness_verdict(&own, &ask) != cases[c].verdict)
+			req.job = &job;
+		if (staleness_verdict(&own, &req) != cases[c].verdict)
 			fail_msg("%s", cases[c].what);
-		if (staleness_verdict(NULL, &ask) != STALENESS_BEHIND)
+		if (staleness_verdict(NULL, &req) != STALENESS_BEHIND)
 			fail_msg("%s, without a configuration", cases[c].what);
 	}
 }
