--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -161,7 +161,7 @@
 	struct leader_view leader;
 	enum leader_phase phase;
 	uint64_t store_last_slow_ms;	 /* last slow or refused store call */
-	uint64_t store_failing_since_ms; /* no reply since; 0: it replies */
+	uint64_t store_failing_since_ms; /* calls fail since; 0: they do not */
 	uint64_t leader_last_heard_ms;	 /* its silence counts from here */
 	uint64_t leader_live_ms;	 /* last known to be live; 0: never */
 	uint64_t leader_not_live_ms; /* when it last reported not to be live */
