tools, bench: review of the wording

Reasons that the new comments had dropped are back: why failures after a step was planned don't count against a budget, by which tool the two rates are measured, what the modes compared with drain. Titles of cases and the row 'without home' have their old text.

--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -102,8 +102,7 @@
 	double sum_error;
 	uint32_t error_count;
 	double busy_slot_ms;
-	double usable_slot_ms; /* of all slots, while work waits that could run
-				*/
+	double usable_slot_ms; /* of all slots, while a team could use more */
 	uint64_t refused;
 	uint64_t ended;
 };
@@ -314,7 +313,7 @@
 		s->now + PHASE_MIN_MS + (uint64_t)(uniform(s) * PHASE_RANGE_MS);
 }
 
-/* Returns true if a phase has ended, the interval that is measured. */
+/* Returns true if a phase has ended; deviation is measured per phase. */
 static bool generate_demand(struct sim *s)
 {
 	bool phase_ended = s->now >= s->phase_ends_ms;
@@ -383,7 +382,10 @@
 	}
 }
 
-/* Slots a team could use: of its requests, at most its limit. */
+/*
+ * Slots that a team could use on average: as many as its requests need, at most
+ * its limit. If it was not backlogged, it used what it needed.
+ */
 static double demand_of(const struct team *t, double ms)
 {
 	double requested = t->requested * HOLD_MEAN_MS / ms;
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -348,7 +348,7 @@
 	(void)a;
 }
 
-/* One broker run for a pool with a number of teams waiting at 7 entries. */
+/* One broker run for one pool, with teams waiting at each of 7 entries. */
 static double broker_us(uint32_t teams)
 {
 	struct broker_callbacks callbacks = { find_team, discard_advice, NULL };
--- a/bench/waves.c
+++ b/bench/waves.c
@@ -3,7 +3,7 @@
  *
  * 50 workers in 5 pools over 3 zones, 4 per rack, in virtual time. Work on a
  * worker ends some time after it starts to drain; a worker is taken out only
- * after all its units have been returned. Workers of a rack fail together. The
+ * after all its units have been returned. Failures are correlated by rack. The
  * conductor is killed or frozen between any two steps; one that resumes tries
  * a stale step, which must be refused by its version. After each step the
  * budgets and the number of interrupted requests are checked.
@@ -126,7 +126,8 @@
 
 /*
  * Counts the instances of a pool that are not serving, without those that
- * failed after the step was planned, which no planner can know of.
+ * failed after the step was planned: these could as well have failed right
+ * after the step, and no planner can know of them.
  */
 static uint32_t count_out(const struct run *r, uint32_t pool, double planned_s)
 {
@@ -184,7 +185,10 @@
 	}
 }
 
-/* Whether a mode other than the planner's admits this step. */
+/*
+ * Whether the mode admits this step of the planner: the modes that it is
+ * compared with drain one worker or one rack at a time.
+ */
 static bool mode_allows(struct run *r, const struct plan_step *s)
 {
 	const struct plan_instance *p = &r->workers[s->instance].plan;
@@ -212,7 +216,7 @@
 
 	plan_next(NULL, &in, &result);
 	for (i = 0; i < result.count; i++) {
-		if (uniform(r) < 0.02) { /* killed or frozen before it */
+		if (uniform(r) < 0.02) { /* frozen or killed here */
 			r->conductor_back_s = r->now_s + TAKEOVER_S;
 			break;
 		}
@@ -300,7 +304,7 @@
 /* Without a safeguard, a violation must be found in some run. */
 static int bench_safeguards(const struct user *user)
 {
-	static const char *const names[] = { "none", "budget", "units returned",
+	static const char *const names[] = { "none", "budget", "home",
 					     "version" };
 	static struct run r;
 	int failed = 0;
@@ -366,7 +370,7 @@
 	return failed;
 }
 
-/* Time and memory of a plan, up to the largest fleet designed for. */
+/* Time and memory of one plan; bounded at the size to design for, the last. */
 static int bench_plan(void)
 {
 	static const uint32_t sizes[] = { 50, 500, 1650, 3300 };
--- a/test/runner_test.py
+++ b/test/runner_test.py
@@ -15,7 +15,7 @@
 PORT_ROUNDS = 16000
 FORKING_THREADS = 6
 PRINT_PORTS = "import fleet; print(*fleet.free_ports(200))"
-CASE = """# A node whose port is in use
+CASE = """# A node whose port something else has
 nodes 1
 expect accepted == 0
 """
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -55,7 +55,7 @@
         return json.loads(out)
 
     def rates(self):
-        """Request rate through one single-threaded entry and direct."""
+        """Rates of one load generator: through a one-thread entry, direct."""
         with fleet.Fleet(self.build) as f:
             f.add_worker("w1", "--no-record")
             f.add_entry("entry-1")
--- a/tools/check.py
+++ b/tools/check.py
@@ -77,9 +77,9 @@
                           ("instructions", bench.Bench.instructions)):
         b = bench.Bench(build)
         measure(b)
-        names = ", ".join(b.out_of_bounds)
         results.add(f"bench {name}",
-                    f"out of bounds: {names}" if names else None)
+                    f"out of bounds: {', '.join(b.out_of_bounds)}"
+                    if b.out_of_bounds else None)
     done = subprocess.run([f"{build}/bench/fairness"], capture_output=True,
                           text=True)
     print(done.stdout, end="")
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -2,7 +2,7 @@
 
 Starts the stand-ins and three entries with the settings in examples/, loads
 the inventory, issues keys, sends requests, withdraws a key and prints the
-outcomes. Exits with status 0 only if all checks passed.
+outcomes and measurements. Exits with status 0 only if all checks passed.
 """
 
 import re
@@ -181,7 +181,8 @@
                 p.stop()
         for failure in self.failures[:20]:
             print(f"FAILED: {failure}")
-        print("demo: failed" if self.failures else "demo: all checks passed")
+        print("demo: all checks passed" if not self.failures
+              else "demo: failed")
         return bool(self.failures)
 
 
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -46,7 +46,7 @@
 upkeep_s: 2
 config_ms: 2000
 """
-NODE_SHARE_CORES = 0.3
+NODE_SHARE_CORES = 0.3  # in the settings of a node
 QUEUE_POOLS = {"q0": "p0", "q1": "p1"}  # other queues are served by p0
 API_KEY = "key-of-the-shop-workspace"
 CALL_TIMEOUT_S = 5.0
@@ -54,7 +54,7 @@
 CALL_ATTEMPTS_MAX = 40  # callers retry until they know the outcome
 RETRY_DELAY_S = 0.25
 GARBAGE_SEED = 20261204
-GARBAGE_SIZES_BYTES = (0, 1, 5, 64, 700)
+GARBAGE_SIZES_BYTES = (0, 1, 5, 64, 700)  # of the body of a frame
 LEADERSHIP_EVENTS = ("start", "stop", "end", "lead", "claim", "takeover",
                      "resign", "predecessor-gone", "store-lost",
                      "store-regained", "stood-still", "write-unknown")
@@ -97,7 +97,7 @@
         fleet.wait_until("site", lambda: fleet.Fleet.is_listening(self.port))
         self.nodes = {}
         self.ports = {}
-        self.links = {}  # node -> its rate-limited link to the store
+        self.links = {}  # node -> its link to the store
         self.version = 1
         self.version_checker = versions.VersionChecker(self)
 
@@ -126,10 +126,9 @@
     calls_alone = 1000  # instances that a leader calls without relays
 
     def processor_share(self, name):
-        """A third of the usual share if only other nodes are strong."""
-        if not self.strong or name in self.strong:
-            return NODE_SHARE_CORES
-        return NODE_SHARE_CORES / 3
+        """Share in cores; if some nodes are strong, others get a third."""
+        return (NODE_SHARE_CORES if not self.strong or name in self.strong
+                else NODE_SHARE_CORES / 3)
 
     def prepare_node(self, name):
         self.ports[name] = fleet.free_ports(4)
@@ -186,7 +185,7 @@
         return int(m[1]) if m else 0
 
     def leader(self):
-        """Of the nodes that report to be leader, the one of newest epoch."""
+        """The node that reports to be the leader, with the newest epoch."""
         best = None
         for name, p in self.nodes.items():
             if p.running() and name not in self.frozen and \
@@ -368,7 +367,7 @@
             site.nodes[name].start()
 
     def send_garbage(self, name):
-        """Sends malformed frames, complete and truncated, to a node."""
+        """Sends malformed frames, whole and truncated, to a node's links."""
         rng = random.Random(GARBAGE_SEED)
         for size in GARBAGE_SIZES_BYTES:
             body = rng.randbytes(size)
@@ -483,9 +482,9 @@
         has run all its tasks, and no node applies a version that is too old.
         """
         if self.site.version_checker.errors:
-            errors = self.site.version_checker.errors
-            raise ScenarioError("; ".join(errors[:3]) +
-                                f" ({len(errors)} in all)")
+            raise ScenarioError(
+                "; ".join(self.site.version_checker.errors[:3]) +
+                f" ({len(self.site.version_checker.errors)} in all)")
         runs = {}
         for task, run, worker, begin, end, outcome in self.site.record():
             runs.setdefault(task, []).append((begin, end, outcome, worker))
@@ -523,7 +522,7 @@
 
 
 def leadership_log(text):
-    """Returns the last log lines about leadership or not in JSON."""
+    """Returns the last lines about leadership, and those not in JSON."""
     return "\n".join([l for l in text.splitlines() if any(
         f'"event":"{event}"' in l for event in LEADERSHIP_EVENTS)
         or not l.startswith("{")][-LEADERSHIP_LINES_MAX:])
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -35,10 +35,6 @@
     return float(m[1]) / (1000 if m[2] == "ms" else 1)
 
 
-def parse_duration_ms(text):
-    return int(parse_duration_s(text) * 1000)
-
-
 def parse_pairs(words):
     """Parses `name value` pairs."""
     if len(words) % 2:
@@ -103,7 +99,7 @@
                 pairs.append(w)
         for k, v in parse_pairs(pairs).items():
             if k in ("run", "wait"):
-                queue[f"{k}_max_ms"] = parse_duration_ms(v)
+                queue[f"{k}_max_ms"] = int(parse_duration_s(v) * 1000)
             else:
                 queue[k] = v
         return queue
@@ -175,8 +171,8 @@
 
     def do_call(self, count, _as, team, _to, queue, *more):
         """call N as TEAM to QUEUE [hold T] [via ENTRY] [behave B]
-        [over T]: starts N calls at equal intervals, to all entries in
-        turn."""
+        [over T]: starts N calls at equal intervals over T, to the entries
+        that are running in turn."""
         params = parse_pairs(more)
         calls = fleet.BackgroundCalls()
         calls.start(self.start_calls, int(count), team, queue, params)
@@ -194,7 +190,8 @@
             entry = params.get("via", alive[i % len(alive)])
             headers = {"X-Request-Id": request_id}
             if "hold" in params:
-                headers["X-Hold-Ms"] = str(parse_duration_ms(params["hold"]))
+                headers["X-Hold-Ms"] = str(
+                    int(parse_duration_s(params["hold"]) * 1000))
             if "behave" in params:
                 headers["X-Behave"] = params["behave"]
             body = params.get("body", request_id).encode()
@@ -275,7 +272,8 @@
         self.fleet.control_platform(lose=int(count))
 
     def do_slow(self, time_text):
-        self.fleet.control_platform(latency_ms=parse_duration_ms(time_text))
+        self.fleet.control_platform(
+            latency_ms=int(parse_duration_s(time_text) * 1000))
 
     def do_worker(self, name, behaviour):
         self.fleet.control_worker(name, fail=behaviour == "fails")
@@ -331,7 +329,8 @@
             "entry-1", {"waves": {name: wave}})[0])
 
     def do_reboots(self, time_text):
-        self.fleet.control_platform(reboot_ms=parse_duration_ms(time_text))
+        self.fleet.control_platform(
+            reboot_ms=int(parse_duration_s(time_text) * 1000))
 
     def do_await(self, name, state):
         """await WAVE STATE: waits until the wave reaches the state."""
@@ -373,7 +372,7 @@
                 raise ScenarioError(f"{request_id}: wrong or truncated answer")
             if outcome == "not-run" and runs:
                 raise ScenarioError(f"{request_id}: outcome is not-run, "
-                                    f"ran {runs} times")
+                                    f"runs: {runs}")
             if runs > 1 and not self.has_idempotent_queue():
                 raise ScenarioError(f"{request_id}: ran {runs} times")
 
@@ -436,7 +435,7 @@
         return max(gaps, default=0) / 1000
 
     def started_while_out(self, worker):
-        """Runs that a worker started while its state was `out`."""
+        """Runs that a worker started between `out` and its return."""
         start, end = self.out_ms.get(worker, (0, 0))
         return sum(start < r[1] < end
                    for r in self.records[worker]["intervals"])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -100,8 +100,9 @@
                     end_fault()
                     end_fault, wait_s = None, FAULT_GAP_S
                 else:
-                    end_fault = self.start_fault()
-                    wait_s = self.rng.uniform(*FAULT_DURATION_S)
+                    end_fault, wait_s = (
+                        self.start_fault(),
+                        self.rng.uniform(*FAULT_DURATION_S))
                 next_fault = now + wait_s
             time.sleep(0.01)
         if end_fault:
--- a/tools/versions.py
+++ b/tools/versions.py
@@ -51,10 +51,6 @@
         except OSError:
             return 0
 
-    def reported_version(self, name):
-        version = self.site.metric(name, "config_version")
-        return f"the node reports version {version}"
-
     def probe_loop(self, name):
         while not self.stopping.wait(PROBE_INTERVAL_S):
             if name in self.site.frozen or \
@@ -73,12 +69,16 @@
         elif code == 404 and self.last_written == newest:
             previous = self.last_applied.get(name, (0, 0))
             if newest <= required:
-                self.errors.append(f"{name}: 404 for version {newest}'s "
-                                   f"queue, confirmed {STALENESS_MAX_S} s "
-                                   f"before; {self.reported_version(name)}")
+                self.errors.append(
+                    f"{name}: 404 for version {newest}'s "
+                    f"queue, confirmed {STALENESS_MAX_S} s "
+                    "before; the node reports version "
+                    f"{self.site.metric(name, 'config_version')}")
             elif previous == (pid, newest):
-                self.errors.append(f"{name}: version {newest} is no longer "
-                                   f"applied; {self.reported_version(name)}")
+                self.errors.append(
+                    f"{name}: version {newest} is no longer "
+                    "applied; the node reports version "
+                    f"{self.site.metric(name, 'config_version')}")
         if required > 1 and self.queue_status(name, required - 1) == 200:
             self.errors.append(f"{name}: version {required - 1}'s queue "
                                f"answered, removed {STALENESS_MAX_S} s before")
