--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -445,7 +445,7 @@
   char *task;
   uint64_t number;
   /*
-   * enum sched_how
+   * enum sched_outcome
    */
   uint32_t how;
   char *saved;
