src/pool: comments that stand by themselves

Misread before: sched_pool_load.instances counted as usable only; needs_machine_list as the only proof that runs are gone; refusal as certain lateness; why a confirmation precedes the first use of an instance. Constants say between which events they run; list members name their list. Terms: run, report, unresponsive, unreported, incarnation, lossy calls. Static names: STOP_RETRY_MS is ORDER_RETRY_MS, since it is used for throttle orders too; step_critical_path_ms is remaining_path_ms.

--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -12,8 +12,9 @@
 
 #include "pool/sched_internal.h"
 
-#define SWEEP_MS 20u  /* a tenth of the shortest timeout or less */
-#define TRACE_MAX 512 /* bytes of the text of one event */
+/* Between two checks of timers; at most a tenth of the shortest timeout */
+#define SWEEP_MS 20u
+#define TRACE_MAX 512 /* bytes of the text of one traced decision */
 
 /* uthash allocates table heads with malloc(3), outside talloc. */
 static int sched_destroy(struct sched *s)
@@ -135,7 +136,7 @@
 {
 	const struct config_queue *q = job->conf;
 
-	/* A removed queue's jobs are still done, in the pool that it had. */
+	/* Jobs of a removed queue stay in the pool that it had. */
 	if (q && strcmp(q->pool, job->pool->name)) {
 		uint32_t k, i;
 
@@ -255,7 +256,7 @@
 	}
 }
 
-/* Allocates the steps of an occurrence, whether it is due or not. */
+/* Allocates the steps of an occurrence, which need not be due yet. */
 static void occurrence_build(struct job *job, uint32_t k)
 {
 	struct occurrence *o = &job->occurrences[k];
@@ -312,7 +313,7 @@
 		job_end(s, job, FLEET__JOB_STATE__COMPLETED, now);
 }
 
-/* Completes a task; its other runs are no longer needed. */
+/* Marks a task as done and stops its other runs. */
 void task_done(struct sched *s, struct task *task, uint64_t now)
 {
 	struct step *step = task->step;
@@ -381,7 +382,7 @@
 	return job->state >= FLEET__JOB_STATE__COMPLETED;
 }
 
-/* Appends a job to the list of jobs to be written. */
+/* Appends a job to the list of jobs to be written, if it is not in it. */
 void job_mark_changed(struct sched *s, struct job *job)
 {
 	if (job->change == CHANGE_BATCHED) {
@@ -430,7 +431,7 @@
 	HASH_ADD_STR(s->jobs, id, job);
 	if (!row->times)
 		occurrence_begin(s, job, 0, now);
-	/* The node that accepted it may have an older configuration. */
+	/* The row's pool may come from an older configuration. */
 	if (s->config)
 		job_follow_queue(s, job);
 	return job;
@@ -455,7 +456,7 @@
 			step_refresh(&job->occurrences[k].steps[i]);
 }
 
-/* Removes a job's steps from their pool's list before it is freed. */
+/* Removes a job's steps from pool.ready, so that the job can be freed. */
 void job_discard_steps(struct sched *s, struct job *job)
 {
 	job->state = FLEET__JOB_STATE__CANCELLED;
@@ -546,7 +547,8 @@
 	return job->row->first_due_unix_ms + k * job->row->interval_ms;
 }
 
-static void begin_due(struct sched *s, struct job *job, uint64_t now)
+static void begin_due_occurrences(struct sched *s, struct job *job,
+				  uint64_t now)
 {
 	uint32_t k;
 
@@ -559,7 +561,7 @@
 	}
 }
 
-/* Handles timers: jobs that become due, ended jobs to drop, leases. */
+/* Handles timers: occurrences due, ended jobs to free, leases. */
 static void sweep(struct sched *s, uint64_t now)
 {
 	struct job *job, *next;
@@ -569,7 +571,7 @@
 		next = job->hh.next;
 		if (!job_is_over(job)) {
 			if (job->row->times)
-				begin_due(s, job, now);
+				begin_due_occurrences(s, job, now);
 			continue;
 		}
 		if (job->change != CHANGE_NONE)
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -1,10 +1,11 @@
 /*
  * sched - the leader's decisions about jobs, tasks and instances
  *
- * Holds every job that is accepted and unfinished, every instance and what
- * runs on it. Events come in with a time in milliseconds of a monotonic clock;
- * decisions come out as orders to instances and as rows to be written. The
- * module is deterministic: it uses no clock, socket, thread or random number.
+ * Holds every accepted job until some time after its end, every instance and
+ * the runs on it. Events come in with a time in milliseconds of a monotonic
+ * clock; decisions come out as orders to instances and as rows to be written.
+ * The module is deterministic: it uses no clock, socket, thread or random
+ * number. sched_internal.h lists its files.
  *
  * A run is one start of a task on an instance. From its start order until the
  * proof that it ended or never began it counts as running: for the capacity
@@ -35,21 +36,26 @@
 	uint32_t generation;
 } run_handle;
 
-/* Differs from instance_handle in version/cfg.h, an index of the inventory. */
+/*
+ * Refers to an instance in the scheduler; instance_handle in version/cfg.h is
+ * an index of the inventory.
+ */
 typedef struct {
 	uint32_t i;
 	uint32_t generation;
 } instance_handle_t;
 
 struct sched_options {
-	uint32_t lease_ms;	   /* granted by each start and each poll */
-	uint32_t lease_max_ms;	   /* instances shorten longer leases to this */
-	uint32_t former_leader_ms; /* a former one may order that long */
-	uint32_t start_wait_ms;	   /* until an unanswered start is resolved */
-	uint32_t end_keep_ms;	   /* retention of an ended job's state */
+	uint32_t lease_ms;     /* of a lease, from a start or poll */
+	uint32_t lease_max_ms; /* instances shorten longer leases to this */
+	/* after a takeover, a former leader may send orders for this time */
+	uint32_t former_leader_ms;
+	/* from an unanswered start to the stop that resolves its outcome */
+	uint32_t start_wait_ms;
+	uint32_t end_keep_ms; /* retention of an ended job's state */
 };
 
-/* The directory's entry of an instance. */
+/* An instance's entry in the directory. */
 struct sched_instance_info {
 	const char *id;
 	const char *address;
@@ -58,16 +64,17 @@
 	const char *machine;
 	uint64_t started_unix_ms; /* 0 if unknown */
 	struct amount capacity;
-	bool leaving;
+	bool leaving; /* it is draining: nothing is placed there */
 	uint32_t label_count;
-	const char *labels[SCHED_LABELS_MAX]; /* kind, then rack */
+	/* the first is the machine's kind, the last its rack */
+	const char *labels[SCHED_LABELS_MAX];
 };
 
 enum sched_outcome {
 	SCHED_DONE,
 	SCHED_FAILED,
 	SCHED_STOPPED,
-	SCHED_LAPSED,
+	SCHED_LAPSED,	       /* the lease expired */
 	SCHED_GANG_BROKEN,     /* another member of the gang ended */
 	SCHED_GANG_INCOMPLETE, /* other members did not start */
 };
@@ -76,19 +83,20 @@
 	const char *task;
 	uint64_t number;
 	const char *checkpoint;
-	uint32_t percent; /* of the work; a long-running task serves at 100 */
-	double load;	  /* tail latency in ms if it serves, else CPU in use */
+	uint32_t percent; /* progress; a long-running task serves at 100 */
+	/* of a task with a latency target, tail in ms; else CPU in use */
+	double load;
 };
 
 struct sched_ended {
-	uint64_t seq;
+	uint64_t seq; /* counted from 1 by each incarnation */
 	const char *task;
 	uint64_t number;
 	enum sched_outcome outcome;
 	const char *checkpoint;
 };
 
-/* What an instance runs and what has ended there, as it reports. */
+/* Runs and unacknowledged ends on an instance, as it reports them. */
 struct sched_report {
 	uint64_t clock_ms; /* the instance's clock */
 	uint64_t started_unix_ms;
@@ -109,24 +117,25 @@
 	const char *address;
 	char task[SCHED_TASK_MAX];
 	uint64_t number;
-	uint64_t lease_until; /* instance's clock, 0 if its clock is unknown */
+	/* of a start, by the instance's clock; 0 if that clock is unknown */
+	uint64_t lease_until;
 	const char *payload;
 	const char *checkpoint;
-	const char *ticket;
-	uint32_t percent;
+	const char *ticket; /* of a start: the adviser's; NULL without */
+	uint32_t percent;   /* of ORDER_THROTTLE: the filler's speed */
 };
 
 enum sched_order_result {
 	ORDER_DONE,
 	ORDER_REFUSED_FENCE, /* the instance knows a newer leader */
-	ORDER_REFUSED_STALE, /* it knows a higher run number */
+	ORDER_REFUSED_STALE, /* the instance knows a higher run number */
 	ORDER_REFUSED_CAPACITY,
-	ORDER_REFUSED_LATE,
+	ORDER_REFUSED_LATE, /* received after lease_until */
 	ORDER_REFUSED_TICKET,
-	ORDER_REFUSED,	 /* not carried out */
+	ORDER_REFUSED,	 /* not carried out, for another reason */
 	ORDER_UNREACHED, /* no connection: not carried out */
-	ORDER_UNKNOWN,	 /* may have been or may still be carried out */
-	ORDER_LOST,	 /* the same, through no fault of the instance */
+	ORDER_UNKNOWN,	 /* no answer: may have been or may be carried out */
+	ORDER_LOST,	 /* the same, but the relaying peer was lost */
 };
 
 /* One poll of an instance, which also renews its lease. */
@@ -134,17 +143,17 @@
 	instance_handle_t instance;
 	const char *instance_id;
 	const char *address;
-	uint64_t lease_until; /* instance's clock, 0 if its clock is unknown */
-	uint64_t acked;	      /* ends up to this number are durable */
-	uint32_t wait_ms;     /* the instance holds the poll for an end */
-	uint32_t timeout_ms;  /* until the poll counts as unanswered */
+	uint64_t lease_until; /* by the instance's clock; 0: not renewed */
+	uint64_t acked;	      /* ends up to this seq are durable */
+	uint32_t wait_ms;     /* longest wait of the instance for a new end */
+	uint32_t timeout_ms;  /* then the poll counts as unanswered */
 };
 
 enum sched_submit {
 	SUBMIT_ACCEPTED, /* tell the caller once it is durable */
 	SUBMIT_KNOWN,	 /* submitted before; durable or being written */
 	SUBMIT_REFUSED,	 /* cannot be done in time */
-	SUBMIT_INVALID,
+	SUBMIT_INVALID,	 /* another queue has a job of that id */
 };
 
 /* A job whose rows have to be written. */
@@ -170,30 +179,36 @@
 /* sched_new - creates an empty scheduler, owned by ctx */
 struct sched *sched_new(TALLOC_CTX *ctx, const struct sched_options *options);
 
-/* sched_set_clock - sets the time of day; before rows with times are loaded */
+/* sched_set_clock - sets the time of day; called before jobs are loaded */
 void sched_set_clock(struct sched *s, uint64_t unix_ms);
 
-/* sched_become_leader - starts an epoch; all instances are unreported */
+/*
+ * sched_become_leader - starts an epoch; called before the first poll
+ *
+ * Unless predecessor_gone, a former leader may send orders for another
+ * former_leader_ms.
+ */
 void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
 			 uint64_t now);
 
 /* sched_predecessor_gone - the former leader sends no more orders */
 void sched_predecessor_gone(struct sched *s, uint64_t now);
 
-/* sched_configure - applies a version; keeps a reference to it */
+/* sched_configure - applies a configuration and keeps a reference to it */
 void sched_configure(struct sched *s, const struct config *c, uint64_t now);
 
 /*
  * sched_leader_confirmed - the leader row was unchanged at sent_ms or later
  *
- * An instance that is new to this leader, or was unresponsive, is used only
- * after the next confirmation: it may know no newer fence, and a former leader
- * must not start work there that its successor, which has not polled it,
- * starts elsewhere.
+ * An instance that reports for the first time, or again after it was
+ * unresponsive, is used only after the next confirmation. If this leader has a
+ * successor that has not polled the instance yet, the instance would still
+ * accept this leader's fence and start work that the successor starts
+ * elsewhere.
  */
 void sched_leader_confirmed(struct sched *s, uint64_t sent_ms);
 
-/* sched_needs_confirmation - whether an instance cannot be used without one */
+/* sched_needs_confirmation - whether an instance waits for a confirmation */
 bool sched_needs_confirmation(const struct sched *s);
 
 /* Rows loaded at takeover */
@@ -208,7 +223,7 @@
 /*
  * sched_submit - submits a job; takes ownership of row
  *
- * Sets retry_after_ms with SUBMIT_REFUSED. After SUBMIT_ACCEPTED and
+ * Sets *retry_after_ms if it returns SUBMIT_REFUSED. After SUBMIT_ACCEPTED and
  * SUBMIT_KNOWN, sched_durable says when the job is in the store.
  */
 enum sched_submit sched_submit(struct sched *s, const char *id,
@@ -243,38 +258,48 @@
 /*
  * sched_expect_instance - adds an instance that the machine list names
  *
- * The directory may have lost its row for a while; until the instance reports,
- * tasks that a predecessor started may run there. sched_expect_complete says
- * that all such instances have been added.
+ * Its row may be missing from the directory for a while; until the instance
+ * reports, tasks that a predecessor started may run there.
+ * sched_expect_complete says that all such instances have been added.
  */
 void sched_expect_instance(struct sched *s, const char *id, const char *pool,
 			   const char *machine, uint64_t now);
 void sched_expect_complete(struct sched *s, uint64_t now);
 
 /*
- * sched_machine_listed - a machine's entry of a list requested at sent_ms
+ * sched_machine_listed - applies an entry of a list requested at sent_ms
  *
- * id is the instance that is up on it, "" when none is. Other instances of
- * that machine which have not reported since then run nothing any more.
+ * id is the instance that is up on the machine, "" when none is. Other
+ * instances of that machine that have not reported since then have no runs any
+ * more.
  */
 void sched_machine_listed(struct sched *s, const char *machine, const char *id,
 			  uint64_t sent_ms, uint64_t now);
 
 /*
  * sched_needs_machine_list - whether an instance that may have runs does not
- * report them, so that only the list can show that they are gone
+ * report them, so that the list may show before its lease expires that they are
+ * gone
  */
 bool sched_needs_machine_list(const struct sched *s);
 
 /* sched_next_poll - the next poll that is due; false when none is */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll);
 
-/* sched_poll_done - its report, NULL for no answer; once for each poll */
+/*
+ * sched_poll_done - applies the report that answered a poll, NULL if unanswered
+ *
+ * Each poll ends with one call of sched_poll_done or sched_poll_lost.
+ */
 void sched_poll_done(struct sched *s, instance_handle_t i,
 		     const struct sched_report *report, uint64_t sent_ms,
 		     uint64_t now);
 
-/* sched_poll_lost - its outcome will stay unknown; this proves nothing */
+/*
+ * sched_poll_lost - ends a poll whose relaying peer was lost
+ *
+ * It does not make the instance unresponsive.
+ */
 void sched_poll_lost(struct sched *s, instance_handle_t i, uint64_t now);
 
 /* sched_tick - handles timers and places tasks */
@@ -310,7 +335,11 @@
 bool sched_next_advice(struct sched *s, uint64_t now,
 		       struct sched_advice *advice);
 
-/* sched_advice_done - its answer, rows NULL without one; once for each call */
+/*
+ * sched_advice_done - applies the adviser's answer, rows is NULL if unanswered
+ *
+ * Called exactly once for each call that sched_next_advice returned.
+ */
 void sched_advice_done(struct sched *s, const char *step,
 		       const struct sched_approval *rows, uint32_t count,
 		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now);
@@ -341,8 +370,9 @@
 struct sched_queue_stats {
 	const char *queue;
 	uint64_t accepted, refused, in_time, late, failed, cancelled;
-	struct metric_histogram first_start; /* ms from acceptance */
-	struct metric_histogram completed;   /* ms from acceptance */
+	/* ms from acceptance to the first start and to completion */
+	struct metric_histogram first_start;
+	struct metric_histogram completed;
 };
 
 #define SCHED_QUEUE_STATS_MAX 256u /* further queues share the last entry */
@@ -355,15 +385,17 @@
 
 struct sched_pool_load {
 	const char *pool;
-	uint32_t instances; /* usable now */
+	uint32_t instances; /* listed; not leaving, expired or reserved */
 	uint32_t pinned;    /* of these, with long-running tasks */
 	struct amount capacity;
 	struct amount used;
 	struct amount waiting; /* requested by startable tasks */
-	uint32_t spread;       /* instances that spread_limit requires */
-	uint32_t long_running_waiting; /* the most of any one step */
-	uint64_t waiting_work;	       /* millicores x ms */
-	uint64_t running_work;	       /* left of running tasks, same unit */
+	/* instances needed by the long-running step that needs most */
+	uint32_t spread;
+	/* startable tasks of the long-running step that has most */
+	uint32_t long_running_waiting;
+	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
+	uint64_t running_work; /* rest of running tasks, in millicores x ms */
 };
 
 /* sched_pool_load - false when no instance or job uses that pool */
@@ -379,8 +411,8 @@
 	bool usable;
 	bool unreported; /* has not reported to this leader: runs unknown */
 	uint32_t runs;
-	uint32_t long_running; /* of these, long-running, without fillers */
-	uint32_t fillers;
+	uint32_t long_running; /* of runs, long-running tasks except fillers */
+	uint32_t fillers;      /* of runs */
 	struct amount used;
 };
 
@@ -389,18 +421,19 @@
 			 struct sched_instance_load *load);
 
 /*
- * sched_machine_load - the newest instance of a machine that is usable, has
- * runs, or has not reported and may have some; false when there is none
+ * sched_machine_load - load of the machine's newest instance among those that
+ * are usable, have runs, or have not reported and may have runs; false when
+ * there is none
  */
 bool sched_machine_load(const struct sched *s, const char *machine,
 			struct sched_instance_load *load);
 
-/* sched_reserve - excludes an instance from placement, or ends that */
+/* sched_reserve - excludes an instance from placement, or includes it again */
 void sched_reserve(struct sched *s, instance_handle_t i, bool reserved,
 		   uint64_t now);
 
 /*
- * sched_mark_maintenance - the instance will be emptied
+ * sched_mark_maintenance - the instance will be drained for maintenance
  *
  * Long-running tasks are placed there only if no other instance fits.
  */
@@ -409,8 +442,8 @@
 /*
  * sched_evacuate - stops long-running tasks as far as disruption budgets allow
  *
- * Called repeatedly until sched_machine_load shows no run. If graceful, other
- * tasks may finish, otherwise they are stopped too.
+ * Called repeatedly until sched_machine_load shows no runs. Other tasks are
+ * left to end if graceful, and are stopped too otherwise.
  */
 void sched_evacuate(struct sched *s, instance_handle_t i, bool graceful,
 		    uint64_t now);
@@ -422,7 +455,7 @@
  */
 bool sched_may_interrupt(const struct sched *s, instance_handle_t i);
 
-/* sched_machine_down - its machine was ordered down: nothing runs there */
+/* sched_machine_down - frees all runs: the machine was ordered down */
 void sched_machine_down(struct sched *s, instance_handle_t i, uint64_t now);
 
 /* sched_explain - describes one job as JSON for operators; owned by ctx */
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -3,9 +3,9 @@
  *
  * The adviser takes time for each call and for each instance named in it, and
  * handles the calls of this node one at a time. So a step makes one call, for
- * the instances with the most free CPU. Another call follows, after
- * ADVICE_REPEAT_MS, only if tasks of the step still wait then, usually because
- * no approved instance had room or the approval has expired.
+ * the instances with the most free CPU. It makes another one ADVICE_REPEAT_MS
+ * after the answer only if tasks of it still wait then, usually because no
+ * approved instance had room or the approval has expired.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -15,10 +15,10 @@
 
 #include "pool/sched_internal.h"
 
-#define ADVICE_INSTANCES_MIN 4u /* named in a call, if there are enough */
-#define ADVICE_MARGIN_MS 400u	/* remaining validity that a start needs */
-#define ADVICE_RETRY_MS 300u	/* after a failed call or without candidates */
-#define ADVICE_REPEAT_MS 1000u	/* delay after an answer */
+#define ADVICE_INSTANCES_MIN 4u /* named in a call, if as many are usable */
+#define ADVICE_MARGIN_MS 400u	/* validity that must remain at a start */
+#define ADVICE_RETRY_MS 300u	/* until the next call, after a failed one */
+#define ADVICE_REPEAT_MS 1000u	/* until the next call, after an answer */
 
 bool step_needs_advice(const struct step *step)
 {
@@ -51,8 +51,9 @@
 	return free_x > free_y ? -1 : free_x < free_y;
 }
 
-static uint32_t candidates(const struct sched *s, const struct step *step,
-			   struct instance **list, uint32_t max, uint64_t now)
+static uint32_t list_candidates(const struct sched *s, const struct step *step,
+				struct instance **list, uint32_t max,
+				uint64_t now)
 {
 	struct instance *i;
 	uint32_t count = 0;
@@ -65,9 +66,9 @@
 	return count;
 }
 
-/* Whether a step needs approval for more instances and may ask again. */
-static bool wants_advice(const struct sched *s, const struct step *step,
-			 uint64_t now)
+/* Whether tasks of the step wait and its next call is due. */
+static bool advice_due(const struct sched *s, const struct step *step,
+		       uint64_t now)
 {
 	return step->job->claimed && !step->advice_pending && step->startable &&
 	       now >= step->advice_due_ms && step_needs_advice(step);
@@ -80,7 +81,7 @@
 
 	for (pool = s->pools; pool; pool = pool->hh.next)
 		DL_FOREACH(pool->ready, step)
-	if (wants_advice(s, step, now))
+	if (advice_due(s, step, now))
 		return step;
 	return NULL;
 }
@@ -94,7 +95,7 @@
 
 	if (!step)
 		return false;
-	count = candidates(s, step, list, SCHED_ADVICE_MAX * 4, now);
+	count = list_candidates(s, step, list, SCHED_ADVICE_MAX * 4, now);
 	step->advice_due_ms = now + ADVICE_RETRY_MS;
 	if (!count)
 		return false;
@@ -113,7 +114,7 @@
 	return true;
 }
 
-static struct step *step_of(const struct sched *s, const char *name)
+static struct step *step_find(const struct sched *s, const char *name)
 {
 	char task[SCHED_TASK_MAX];
 	struct task *t;
@@ -127,7 +128,7 @@
 		       const struct sched_approval *rows, uint32_t count,
 		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now)
 {
-	struct step *step = step_of(s, name);
+	struct step *step = step_find(s, name);
 	uint32_t n;
 
 	if (!step)
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -3,10 +3,11 @@
  *
  * The disruption budget of a step, may_miss, is the number of its tasks that
  * may be unavailable at once because of maintenance; 0 is no limit. A task is
- * stopped only while fewer of the other tasks of its step are unavailable.
+ * stopped only while fewer than may_miss other tasks of its step are
+ * unavailable.
  *
  * Neither this module nor its caller, fleet/maintenance.c, checks that another
- * instance has room for the task. A stopped task that finds none stays
+ * instance has room for the task. A stopped task that finds no room stays
  * unavailable, so the budget keeps further tasks of its step from being
  * stopped.
  */
@@ -14,23 +15,23 @@
 
 #include "pool/sched_internal.h"
 
-#define REPORT_MAX_MS 2500u /* age beyond which a report is outdated */
+#define REPORT_MAX_MS 2500u /* an older report is outdated */
 
 /* Whether the instance has recently reported what runs on it. */
-static bool reported_lately(const struct instance *i, uint64_t now)
+static bool reported_recently(const struct instance *i, uint64_t now)
 {
 	return !i->unresponsive && i->clock_read_ms &&
 	       now - i->clock_read_ms < REPORT_MAX_MS;
 }
 
-/* Whether no run of the task serves at full speed and was reported lately. */
+/* Whether no recently reported run of the task serves at full speed. */
 static bool task_unavailable(const struct task *task, uint64_t now)
 {
 	const struct run *run;
 
 	DL_FOREACH2(task->runs, run, task_next)
 	if (run_is_available(run) && run->speed_percent == 100 &&
-	    reported_lately(run->instance, now))
+	    reported_recently(run->instance, now))
 		return false;
 	return true;
 }
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -95,12 +95,13 @@
 
 /*
  * Frees what an ended job needs only while it has runs. Rows that were kept for
- * the runs are deleted first; the write that deletes them calls this again.
+ * the runs are deleted first; sched_batch_done() of the deletion calls this
+ * again.
  */
 void job_shrink(struct sched *s, struct job *job)
 {
 	if (job_has_runs(job))
-		return; /* they are still being stopped */
+		return; /* its runs are still being stopped */
 	if (job->rows_kept) {
 		job_mark_changed(s, job);
 		return;
@@ -113,8 +114,8 @@
 }
 
 /*
- * Returns the number up to which all changes are written. Ends that depend on
- * no later change may be acknowledged.
+ * Returns the change_seq up to which all changes are written. Ends that depend
+ * on no later change may be acknowledged.
  */
 static uint64_t durable_seq(const struct sched *s)
 {
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -9,10 +9,11 @@
 
 #include "pool/sched_internal.h"
 
-#define INSTANCES_FIRST 64u
-#define INSTANCE_KEEP_MS 5000u /* unlisted; a lost directory is back in 2 s */
-#define LEASE_SLACK 0.03       /* the instance's clock may be 2% slow */
-#define LEASE_MARGIN_MS 150u
+#define INSTANCES_FIRST 64u /* slots allocated first */
+/* From leaving the directory to removal; a lost directory is back in 2 s */
+#define INSTANCE_KEEP_MS 5000u
+#define LEASE_SLACK 0.03     /* of a lease: clocks may be 2% slow */
+#define LEASE_MARGIN_MS 150u /* from a lease's end until it expires here */
 #define FAILURES_MAX 3u /* consecutive, of different jobs, before ejection */
 #define EJECT_MS 4000u	/* until an ejected instance is used again */
 
@@ -37,9 +38,10 @@
 }
 
 /*
- * All instances of the pool have reported, so no unreported run of a
- * predecessor is left there. A job whose queue was moved to another pool may
- * run in either, so it is cleared when all pools have reported.
+ * Called when all instances of the pool have reported or expired, so that no
+ * unreported run of a predecessor is left there. A job whose queue was moved to
+ * another pool may run in either, so it is cleared when that holds for all
+ * pools.
  */
 static void pool_clear_possibly_running(struct sched *s, struct pool *pool)
 {
@@ -90,6 +92,7 @@
 	amount_add(&s->unreported, &i->unreported_capacity);
 }
 
+/* Assumes that a predecessor renewed the lease with its latest order. */
 static void lease_set_from_predecessor(struct sched *s, struct instance *i)
 {
 	i->lease_end_ms = s->predecessor_end_ms +
@@ -215,7 +218,7 @@
 	talloc_free(i);
 }
 
-/* It has left for good, with no run and no end to acknowledge. */
+/* Whether an instance has left for good and has no run or end pending. */
 static bool instance_forgettable(const struct instance *i, uint64_t now)
 {
 	return i->unlisted_ms && now - i->unlisted_ms >= INSTANCE_KEEP_MS &&
@@ -282,7 +285,7 @@
 	sched_trace(s, "instance-expected", id, "\"pool\":\"%s\"", pool);
 }
 
-/* Whether it does not report, or has not yet, and may have runs. */
+/* Whether an instance may have runs that it does not report now. */
 static bool is_unaccounted(const struct instance *i)
 {
 	return (i->unresponsive || !i->reported) && !i->expired &&
@@ -345,6 +348,7 @@
 
 /* Leases */
 
+/* Returns the new end by the instance's clock, 0 if that clock is unknown. */
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now)
 {
@@ -372,7 +376,7 @@
 		i->lease_end_ms = end;
 }
 
-/* All runs on it have lapsed or were killed. */
+/* Frees the runs of an instance: all have lapsed or were killed. */
 void instance_expire(struct sched *s, struct instance *i, const char *why,
 		     uint64_t now)
 {
@@ -441,7 +445,7 @@
 	if (++i->failures < FAILURES_MAX)
 		return;
 	i->ejected_until_ms = now + EJECT_MS;
-	i->failures = FAILURES_MAX - 1; /* one more ejects it again */
+	i->failures = FAILURES_MAX - 1; /* one more failure ejects it again */
 	sched_trace(s, "instance-shunned", i->id, "\"for_ms\":%u", EJECT_MS);
 }
 
@@ -475,7 +479,7 @@
 		if (instance_forgettable(i, now))
 			instance_forget(s, i);
 	}
-	/* All runs that a predecessor started have ended by then. */
+	/* By then, all runs that a predecessor started have ended. */
 	if (now >= s->predecessor_end_ms +
 			   s->options.lease_ms * (1 + LEASE_SLACK) +
 			   LEASE_MARGIN_MS)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -9,7 +9,7 @@
  * sched_poll.c     polls and reports
  * sched_advice.c   queues whose placement an adviser decides
  * sched_avail.c    draining within disruption budgets
- * sched_throttle.c speed of fillers beside tasks that serve
+ * sched_throttle.c speed of fillers beside tasks with a latency target
  * sched_place.c    order of steps, placement, admission
  * sched_row.c      encoding and decoding of progress rows
  * sched_stats.c    counters and histograms
@@ -44,16 +44,16 @@
 	uint64_t created_ms;	   /* when placed, or found in a report */
 	uint64_t ordered_ms;	   /* when its last order was sent */
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
-	uint64_t stop_done_ms;	   /* when its stop was done; 0: not yet */
-	bool to_send;		   /* its order is queued */
-	bool in_flight;		   /* its order is not answered yet */
-	uint32_t percent;	   /* as reported */
-	uint32_t speed_percent;	   /* of fillers, as carried out, 0 to 100 */
-	uint32_t speed_wanted;
+	uint64_t stop_done_ms;	/* when its stop order was done; 0: not yet */
+	bool to_send;		/* it is in sched.to_send */
+	bool in_flight;		/* its order was sent and is not answered */
+	uint32_t percent;	/* progress, as reported */
+	uint32_t speed_percent; /* of a filler; last one carried out */
+	uint32_t speed_wanted;	/* of a filler; last one decided */
 	double load;
-	struct run *prev, *next;	     /* of the instance */
-	struct run *task_prev, *task_next;   /* of the task */
-	struct run *order_prev, *order_next; /* of the orders to send */
+	struct run *prev, *next;	     /* in instance.runs */
+	struct run *task_prev, *task_next;   /* in task.runs */
+	struct run *order_prev, *order_next; /* in sched.to_send */
 };
 
 struct task {
@@ -61,10 +61,10 @@
 	uint32_t index;
 	bool done;
 	bool possibly_running; /* started by a predecessor, in no report yet */
-	uint32_t failed;
-	uint32_t starts;	       /* in this epoch */
-	uint32_t avoid_instance;       /* index + 1 of where it failed last */
-	uint64_t unavailable_since_ms; /* long-running tasks; 0: available */
+	uint32_t failed;       /* runs that failed */
+	uint32_t starts;       /* in this epoch */
+	uint32_t avoid_instance;       /* slot + 1 of where it failed last */
+	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
 	struct run *runs;
 	char checkpoint[SCHED_CHECKPOINT_MAX];
@@ -72,7 +72,7 @@
 
 /* An adviser's approval of a step for one incarnation of an instance. */
 struct ticket {
-	uint32_t instance; /* index */
+	uint32_t instance; /* slot */
 	uint64_t started_unix_ms;
 	uint64_t valid_until_ms;
 	char text[SCHED_TICKET_MAX];
@@ -85,18 +85,18 @@
 	uint32_t occurrence;
 	uint32_t index;
 	uint32_t tasks_left;
-	uint32_t startable; /* tasks that could be started */
+	uint32_t startable; /* tasks not done and without a possible run */
 	bool ready;	    /* all steps before it are done */
-	bool queued;	    /* in its pool's list */
+	bool queued;	    /* in pool.ready */
 	uint32_t failed_count;
-	uint32_t *failed; /* pairs of index and run number, as stored */
+	uint32_t *failed; /* pairs of task index and run number */
 	struct task *tasks;
 	bool advice_pending;	/* a call to the adviser is not answered */
 	uint64_t advice_due_ms; /* earliest next call */
 	uint32_t ticket_count;
 	struct ticket *tickets;
 	double rank;		  /* in the current pass, lowest first */
-	struct step *prev, *next; /* of the pool's ready steps */
+	struct step *prev, *next; /* in pool.ready */
 };
 
 struct occurrence {
@@ -117,33 +117,33 @@
 	Fleet__JobState state; /* as decided */
 	Fleet__JobState shown; /* to callers: state once durable */
 	bool stored;	       /* its row is in the store */
-	bool rows_kept; /* it ended, its rows are kept for remaining runs */
-	bool claimed;	/* a leader has written its rows: tasks may start */
+	bool rows_kept;	       /* it ended, but has runs: its rows are kept */
+	bool claimed; /* a leader has written its rows: tasks may start */
 	bool started;
-	bool pool_changed; /* queue was moved to another pool since loading */
+	bool pool_changed; /* a predecessor may run it in another pool */
 	bool loaded;	   /* from a predecessor's rows */
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
-	uint64_t objective_ms;	   /* completion deadline */
+	uint64_t objective_ms;	   /* deadline for its completion */
 	uint64_t critical_path_ms; /* estimate */
-	uint64_t work;		   /* estimate, millicores x ms */
+	uint64_t work;		   /* estimate in millicores x ms */
 	uint32_t occurrence_count;
 	uint32_t occurrences_left;
 	struct occurrence *occurrences;
-	char queue[128]; /* name; outlives row */
+	char queue[128]; /* name; still set when row is NULL */
 	enum change_state change;
-	uint32_t batch; /* that it is in */
+	uint32_t batch; /* that contains it, if CHANGE_BATCHED */
 	bool changed_while_batched;
-	uint64_t change_seq;	  /* of the unwritten change */
-	uint64_t next_change_seq; /* of the change made while batched */
-	struct job *prev, *next;  /* of changed jobs */
+	uint64_t change_seq;	  /* of the first unwritten change */
+	uint64_t next_change_seq; /* of the first change made while batched */
+	struct job *prev, *next;  /* in sched.changed */
 	UT_hash_handle hh;
 };
 
 struct workspace {
 	char name[128];
 	struct amount used;
-	struct amount unreported;	     /* of possibly running tasks */
+	struct amount unreported; /* requested by possibly running tasks */
 	const struct config_workspace *conf; /* NULL when it was removed */
 	UT_hash_handle hh;
 };
@@ -160,10 +160,10 @@
 /* A reported end to be acknowledged once its changes are durable. */
 struct unacked {
 	uint64_t end_seq;
-	uint64_t change_seq; /* of the last change to wait for */
+	uint64_t change_seq; /* changes up to this one must be durable */
 };
 
-/* The instances that have been up on one machine, oldest first. */
+/* The instances of one machine, in the order in which they became known. */
 struct machine_instances {
 	char machine[128];
 	struct instance *instances;
@@ -182,39 +182,40 @@
 	struct amount capacity;
 	struct amount used;
 	uint64_t started_unix_ms;
-	bool listed;	      /* in the directory */
-	bool leaving;	      /* according to the directory */
-	bool reported;	      /* to this leader */
-	bool expired;	      /* nothing can run there any more */
-	bool unresponsive;    /* poll or orders were not answered */
-	bool maintenance_due; /* it will be emptied */
-	bool reserved;	      /* by the decisions about machines */
-	bool polling;
-	bool counted_unreported;	   /* in its pool's unreported */
-	struct amount unreported_capacity; /* counted in sched.unreported */
-	uint64_t known_ms;	  /* when this leader first learned of it */
-	uint64_t unlisted_ms;	  /* left the directory; 0: it is listed */
-	uint64_t listed_ms;	  /* last added to the directory */
-	uint64_t report_sent_ms;  /* when the poll of its report was sent */
-	uint64_t first_report_ms; /* since it started or was unresponsive */
+	bool listed;		 /* in the directory */
+	bool leaving;		 /* draining, according to the directory */
+	bool reported;		 /* to this leader */
+	bool expired;		 /* nothing can run there any more */
+	bool unresponsive;	 /* poll or orders were not answered */
+	bool maintenance_due;	 /* it will be drained for maintenance */
+	bool reserved;		 /* excluded from placement by fleet/ */
+	bool polling;		 /* a poll is not answered yet */
+	bool counted_unreported; /* in pool.unreported */
+	struct amount unreported_capacity; /* its part of sched.unreported */
+	uint64_t known_ms;	 /* when this leader first learned of it */
+	uint64_t unlisted_ms;	 /* left the directory; 0: it is listed */
+	uint64_t listed_ms;	 /* last added to the directory */
+	uint64_t report_sent_ms; /* when the poll of its report was sent */
+	/* first report since its start or since it was unresponsive */
+	uint64_t first_report_ms;
 	uint64_t next_poll_ms;
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
-	uint64_t clock_read_ms; /* on the leader's clock; 0: unknown */
-	uint64_t lease_end_ms;	/* on the leader's clock: all has lapsed */
-	uint64_t last_end_seq;	/* highest end reported */
-	uint64_t acked;		/* highest end that is durable */
+	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
+	uint64_t lease_end_ms;	/* by the leader's clock; then no run is left */
+	uint64_t last_end_seq;	/* highest seq reported */
+	uint64_t acked;		/* highest seq whose changes are durable */
 	struct unacked *unacked;
 	uint32_t unacked_count;
 	uint32_t unacked_alloc;
 	uint32_t run_count;
 	struct run *runs;
-	uint32_t failures; /* consecutive, of different jobs */
+	uint32_t failures; /* consecutive failed runs, of different jobs */
 	char failed_job[SCHED_ID_BYTES + 1];
-	uint64_t ejected_until_ms;  /* no starts before, after failures */
+	uint64_t ejected_until_ms;  /* no starts before, because of failures */
 	uint64_t next_throttle_ms;  /* earliest next change of speed */
 	uint32_t unanswered_orders; /* consecutive */
-	struct instance *pool_prev, *pool_next;
-	struct instance *machine_prev, *machine_next;
+	struct instance *pool_prev, *pool_next;	      /* in pool.instances */
+	struct instance *machine_prev, *machine_next; /* of one machine */
 	UT_hash_handle hh;
 };
 
@@ -223,8 +224,8 @@
 	const struct config *config;
 	uint64_t epoch;
 	uint64_t leader_since_ms;     /* when this epoch began */
-	uint64_t leader_confirmed_ms; /* known to be leader then */
-	uint64_t predecessor_end_ms;  /* no more orders of a former leader */
+	uint64_t leader_confirmed_ms; /* latest known time of being leader */
+	uint64_t predecessor_end_ms;  /* latest order of a former leader */
 	uint64_t unix_ms;
 	struct job *jobs;
 	struct job *changed;
@@ -236,17 +237,17 @@
 	struct instance **instances; /* NULL in free slots */
 	uint32_t instance_slots;     /* used or free */
 	uint32_t instance_alloc;
-	uint32_t instance_generation; /* of the newest */
+	uint32_t instance_generation; /* last one given to an instance */
 	uint64_t call_lost_ms;	      /* when a call was last not answered */
-	uint32_t next_poll_slot;      /* where the search for polls goes on */
+	uint32_t next_poll_slot; /* where the next search for polls begins */
 	uint64_t next_sweep_ms;
 	struct run **runs;
 	uint32_t *run_generations;
 	uint32_t run_alloc;
-	uint32_t run_free_hint;
+	uint32_t run_free_hint; /* where the search for a free slot begins */
 	struct run *to_send;
 	struct amount unreported; /* capacity of unreported instances */
-	bool expect_complete;	  /* all possible instances are in the tables */
+	bool expect_complete; /* every instance that may have runs is known */
 	struct sched_stats stats;
 	uint32_t queue_count;
 	struct sched_queue_stats *queues;
@@ -269,7 +270,11 @@
 	a->gpu -= b->gpu;
 }
 
-/* step_amount - resources that a task of the step takes of its instance */
+/*
+ * step_amount - resources that a task of the step takes of its instance
+ *
+ * A filler requests CPU but uses only what other tasks leave, so it takes none.
+ */
 static inline struct amount step_amount(const Fleet__Step *spec)
 {
 	struct amount a = { spec->filler ? 0 : spec->cpu, spec->mem,
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -5,25 +5,27 @@
  * capacity of their pool, for some seconds, and a fraction of it; for estimates
  * that are off by up to 100%; and for jobs that are worth little once they are
  * late. So work that can still be in time goes first, started jobs before
- * others, and a job that is certain to be late is refused at submission.
+ * others, and a job that the backlog makes worthless is refused at submission.
  */
 #include <assert.h>
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
-#define RANK_PRIORITY 1e12	/* a queue's priority precedes all else */
+/* Rank of a step: its slack in ms with these added; lowest first */
+#define RANK_PRIORITY 1e12	/* per level: above everything else */
 #define RANK_LATE 1e9		/* late work goes after work in time */
-#define RANK_LONG_RUNNING -1e9	/* long-running tasks serve callers now */
-#define STARTED_BONUS_MS 1500.0 /* deducted from a started job's slack */
-#define SHARE_PENALTY_MS 300.0	/* added at twice the share */
-#define SHARE_ABOVE_MAX 2.0
-#define MAINTENANCE_PENALTY 1.5 /* makes it rank below a full one */
-#define STEPS_TRIED_MAX 64u	/* that found no room, in one pass */
+#define RANK_LONG_RUNNING -1e9	/* they go first: they answer live requests */
+#define STARTED_BONUS_MS 1500.0 /* subtracted for a started job */
+#define SHARE_PENALTY_MS 300.0	/* added for a workspace at twice its share */
+#define SHARE_ABOVE_MAX 2.0	/* largest value of above_share() */
+
+#define MAINTENANCE_PENALTY 1.5 /* puts an instance below a full one */
+#define STEPS_TRIED_MAX 64u	/* without room, then a pass over a pool ends */
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_MAX_MS 5000u
-#define LATE_FACTOR 3.0 /* times the objective: then a job is worth nothing */
+#define LATE_FACTOR 3.0 /* x objective: later, a job is worth nothing */
 
 /* Estimates */
 
@@ -32,7 +34,7 @@
 	return spec->estimate_ms ? spec->estimate_ms : DEFAULT_ESTIMATE_MS;
 }
 
-/* The longest path of estimates through the steps. */
+/* Returns the longest sum of estimates along a path through the steps. */
 static uint64_t critical_path_ms(const Fleet__JobRow *row)
 {
 	uint64_t ends[row->n_steps ? row->n_steps : 1];
@@ -71,7 +73,8 @@
 				       (double)job->critical_path_ms);
 }
 
-static uint64_t step_critical_path_ms(const struct step *step)
+/* The job's critical path without the completed steps before this one. */
+static uint64_t remaining_path_ms(const struct step *step)
 {
 	const Fleet__JobRow *row = step->job->row;
 	uint64_t done = 0;
@@ -126,7 +129,7 @@
 		return;
 	}
 	slack = (double)job->objective_ms - (double)now -
-		(double)step_critical_path_ms(step);
+		(double)remaining_path_ms(step);
 	if (slack < 0)
 		step->rank += RANK_LATE + (double)job->work / 1e6;
 	else
@@ -197,7 +200,7 @@
 	       step_runs_on(i, step) < spec->spread_limit;
 }
 
-/* 1 if other tasks of the step run on the rack, -1 if on another rack. */
+/* 1 if the step's first task that runs is on the rack, -1 if on another. */
 static int step_on_rack(const struct step *step, const char *rack)
 {
 	uint32_t t;
@@ -269,8 +272,9 @@
 }
 
 /*
- * A workspace's cap limits the requested resources over all pools. Possibly
- * running tasks count, up to the capacity of the unreported instances.
+ * Whether that many more tasks of the step stay within the workspace's cap,
+ * which limits the resources requested over all pools. Possibly running tasks
+ * count, up to the capacity of the unreported instances.
  */
 static bool cap_allows(const struct sched *s, const struct step *step,
 		       uint32_t tasks)
@@ -338,7 +342,7 @@
 	return false;
 }
 
-/* Returns true if all startable tasks were placed. */
+/* Returns whether all startable tasks were placed. */
 static bool place_step(struct sched *s, struct step *step, uint64_t now)
 {
 	uint32_t t;
@@ -364,7 +368,7 @@
 static void place_pool(struct sched *s, struct pool *pool, uint64_t now)
 {
 	struct step *step, *next;
-	uint32_t failed = 0;
+	uint32_t unplaced = 0;
 
 	DL_FOREACH(pool->ready, step)
 	step_rank(s, step, now);
@@ -372,12 +376,12 @@
 	DL_FOREACH_SAFE(pool->ready, step, next)
 	{
 		/*
-		 * Before a leader has written it, a new job may never be
-		 * accepted, and a successor may start a recorded one.
+		 * Until a leader has written the job, its submission may still
+		 * fail, or a successor may start it from another node's record.
 		 */
 		if (!step->job->claimed)
 			continue;
-		if (!place_step(s, step, now) && ++failed >= STEPS_TRIED_MAX)
+		if (!place_step(s, step, now) && ++unplaced >= STEPS_TRIED_MAX)
 			return;
 	}
 }
@@ -435,8 +439,8 @@
 	}
 }
 
-/* The most instances that the spread limit of a long-running step needs. */
-static void add_spread(const struct sched *s, const struct pool *pool,
+/* Sets load->spread from the spread limits of long-running steps. */
+static void set_spread(const struct sched *s, const struct pool *pool,
 		       struct sched_pool_load *load)
 {
 	const struct job *job;
@@ -481,7 +485,7 @@
 		amount_add(&load->used, &i->used);
 		add_running(i, now, load);
 	}
-	add_spread(s, pool, load);
+	set_spread(s, pool, load);
 	DL_FOREACH(pool->ready, step)
 	{
 		struct amount a = step_amount(step->spec);
@@ -544,8 +548,9 @@
 }
 
 /*
- * Returns 0 to accept a job, or milliseconds to retry after. A job is refused
- * when the backlog alone would make it so late that it is worth nothing.
+ * Returns 0 to accept a job, else the milliseconds to retry after. A job is
+ * refused if no instance could run one of its steps, or if the backlog alone
+ * would make it so late that it is worth nothing.
  */
 uint32_t sched_retry_after(const struct sched *s, const struct job *job,
 			   uint64_t now)
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -8,18 +8,20 @@
 
 #include "pool/sched_internal.h"
 
-/* How long an instance holds a poll for a task to end */
-#define POLL_WAIT_MS 1000u
-#define POLL_WAIT_IDLE_MS 2000u	  /* where nothing runs */
-#define POLL_WAIT_ENDING_MS 500u  /* where tasks run that end */
-#define POLL_WAIT_LOSSY_MS 200u	  /* there, while calls go unanswered */
-#define POLL_WAIT_SERVING_MS 500u /* where tasks have a latency target */
-
-#define CALLS_LOSSY_MS 3000u	/* that long after the last unanswered call */
-#define POLL_UNWRITTEN_MS 300u	/* between polls while ends are not durable */
-#define POLL_ANSWER_MS 300u	/* beyond the wait: network, busy leader */
-#define POLL_FAILED_MS 50u	/* from a failure to the next poll */
-#define POLL_FAILED_GAP_MS 200u /* from sending a failed poll to the next */
+/* How long an instance waits for a task to end before it answers a poll */
+#define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
+#define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
+#define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
+#define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
+#define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
+
+#define CALLS_LOSSY_MS 3000u   /* calls are lossy this long after a lost one */
+#define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
+#define POLL_ANSWER_MS 300u /* timeout after the wait: network, busy leader */
+
+/* After an unanswered poll the next one follows at the later of these times */
+#define POLL_FAILED_MS 50u	/* from the failure */
+#define POLL_FAILED_GAP_MS 200u /* from sending the unanswered poll */
 
 /*
  * Longest time from a report to the next poll without assuming a restart:
@@ -48,8 +50,9 @@
 }
 
 /*
- * Designed for instances that leave calls unanswered. An end is reported by
- * the next poll, so where ends are expected a lost poll must be noticed soon.
+ * Designed for instances that leave calls unanswered. An end is reported in
+ * answer to the next poll, so where ends are expected a lost poll must be
+ * noticed soon.
  */
 static uint32_t poll_wait(const struct sched *s, const struct instance *i,
 			  uint64_t now)
@@ -72,9 +75,10 @@
 }
 
 /*
- * Polls follow one another without a gap while an instance answers. After a
- * gap, or when it was listed in the directory again, it may have restarted,
- * and its ends may be numbered from the start again.
+ * Whether ends may be acknowledged by the numbers that the instance gave them.
+ * Polls follow one another without a gap while it answers. After a gap, or when
+ * it was listed in the directory again, it may have restarted, and may number
+ * its ends from the start again.
  */
 static bool same_session(const struct instance *i, uint64_t now)
 {
@@ -82,7 +86,7 @@
 	       now - i->clock_read_ms <= SESSION_GAP_MS;
 }
 
-/* Each search goes on where the last one ended: round robin. */
+/* Searches round robin, so that no instance is passed over. */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll)
 {
 	uint32_t n;
@@ -121,7 +125,7 @@
 	return NULL;
 }
 
-/* Adds a run found in a report; stops it if it should not be there. */
+/* Adds a run found in a report; stops it if it should not run. */
 static void adopt_run(struct sched *s, struct instance *i,
 		      const struct sched_running *r, struct task *task,
 		      uint64_t now)
@@ -180,6 +184,7 @@
 	i->unacked_count++;
 }
 
+/* Stops the other members of a gang, so that all are placed anew. */
 static void gang_restart(struct sched *s, struct step *step)
 {
 	struct run *run;
@@ -248,13 +253,12 @@
 
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
-		/* Which came first in one millisecond is unknown. */
+		/* Within a millisecond the order of events is unknown. */
 		bool was_running = run->running_since_ms &&
 				   run->running_since_ms < sent_ms;
-		bool prevented =
-			run->stop_done_ms && run->stop_done_ms < sent_ms;
+		bool stopped = run->stop_done_ms && run->stop_done_ms < sent_ms;
 
-		if (!was_running && !prevented)
+		if (!was_running && !stopped)
 			continue;
 		task_name(run->task, name);
 		for (n = 0; n < r->running_count; n++)
@@ -263,7 +267,7 @@
 				break;
 		if (n < r->running_count)
 			continue;
-		if (!prevented) {
+		if (!stopped) {
 			s->stats.runs_lost++;
 			sched_trace(s, "run-lost", name,
 				    "\"instance\":\"%s\",\"run\":%" PRIu64,
@@ -307,7 +311,7 @@
 	}
 }
 
-/* With no change to be written, the next poll acknowledges all ends. */
+/* If no change is to be written, the next poll acknowledges all ends. */
 static void acknowledge_unchanged(struct sched *s, struct instance *i)
 {
 	if (s->changed || !i->unacked_count)
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -8,11 +8,12 @@
 #include "pool/sched_internal.h"
 
 #define RUN_NUMBER_STRIDE 10000u /* most starts of a task in one epoch */
-#define RUNS_FIRST 64u
-#define STOP_RETRY_MS 300u    /* between attempts of an unanswered order */
-#define REFUSED_RETRY_MS 100u /* before a refused task is placed again */
-#define CLOCK_BACK_MS 1000u   /* answers are reordered by less */
-#define UNANSWERED_MAX 2u     /* consecutive orders, then it is unresponsive */
+#define RUNS_FIRST 64u		 /* slots allocated first */
+#define ORDER_RETRY_MS 300u   /* until a stop or throttle order is repeated */
+#define REFUSED_RETRY_MS 100u /* until a refused task is placed again */
+#define CLOCK_BACK_MS 1000u   /* reordered answers differ by less */
+/* Consecutive unanswered orders that make an instance unresponsive */
+#define UNANSWERED_MAX 2u
 
 static uint32_t free_slot(struct sched *s)
 {
@@ -44,6 +45,7 @@
 	return s->runs[h.i];
 }
 
+/* Counts a run's resources for its instance and workspace, or stops to. */
 static void account_run(struct run *run, bool begins)
 {
 	const struct step *step = run->task->step;
@@ -202,7 +204,7 @@
 	return false;
 }
 
-/* A start was not carried out. */
+/* Frees the run of a start that was not carried out. */
 static void start_refused(struct sched *s, struct run *run,
 			  enum sched_order_result result, uint64_t now)
 {
@@ -306,7 +308,7 @@
 		run_queue_order(s, run);
 }
 
-/* Resolves starts of unknown outcome by a stop; repeats unanswered orders. */
+/* Stops runs whose start has an unknown outcome; repeats unanswered orders. */
 void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
 	if (run->in_flight || run->to_send || run->instance->unresponsive)
@@ -318,12 +320,12 @@
 		break;
 	case RUN_STOPPING:
 		if (!run->stop_done_ms &&
-		    now - run->ordered_ms >= STOP_RETRY_MS)
+		    now - run->ordered_ms >= ORDER_RETRY_MS)
 			run_queue_order(s, run);
 		break;
 	case RUN_RUNNING:
 		if (run->speed_percent != run->speed_wanted &&
-		    now - run->ordered_ms >= STOP_RETRY_MS)
+		    now - run->ordered_ms >= ORDER_RETRY_MS)
 			run_queue_order(s, run);
 		break;
 	case RUN_ORDERED:
--- a/src/pool/sched_throttle.c
+++ b/src/pool/sched_throttle.c
@@ -1,21 +1,22 @@
 /*
- * sched_throttle - speed of fillers beside tasks that serve
+ * sched_throttle - speed of fillers beside tasks with a latency target
  *
- * A task that serves must keep its tail latency under its target. Fillers on
+ * A task with a latency target must keep its tail latency under it. Fillers on
  * its instance are slowed down as soon as the tail comes near the target, and
- * sped up again step by step, so that they use the remaining capacity.
+ * sped up again step by step, so that they use the remaining capacity. After
+ * each change, the next one waits until its effect shows in the tail.
  */
 #include <inttypes.h>
 
 #include "pool/sched_internal.h"
 
-#define SLOWDOWN_ABOVE 0.85	  /* ratio of tail to target */
-#define SPEEDUP_BELOW 0.6	  /* ratio of tail to target */
-#define SLOWDOWN_DIVISOR 2u	  /* halves the speed at once */
-#define SPEEDUP_STEP 10u	  /* percentage points */
-#define SPEED_MIN 5u		  /* percent; below, a filler is paused */
-#define SPEEDUP_INTERVAL_MS 1500u /* wait after a step up */
-#define SLOWDOWN_INTERVAL_MS 500u /* wait for the effect on the tail */
+#define SLOWDOWN_ABOVE 0.85 /* ratio of tail to target */
+#define SPEEDUP_BELOW 0.6   /* ratio of tail to target */
+#define SLOWDOWN_DIVISOR 2u /* halves the speed at once */
+#define SPEEDUP_STEP 10u    /* percentage points */
+#define SPEED_MIN 5u /* percent; a filler that would be slower is paused */
+#define SPEEDUP_INTERVAL_MS 1500u /* until the next change, after a speedup */
+#define SLOWDOWN_INTERVAL_MS 500u /* the same after a slowdown */
 
 /* The highest ratio of tail latency to target on the instance. */
 static double worst_tail(const struct instance *i)
