src/fleet: constants and costs explained by themselves

Misread before: a drain cost of 0 or less (it is drained whatever the deadline requires); the limit of a pool's demand; what TASK_END_WAIT_MS runs from and to. ORDER_RETRY_MS was used nowhere. ordered_by_earlier_leader is ordered_by_former_leader, also in mutants.py. Terms: drain, maintenance, wave, move, donor pool, planning pass.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -13,27 +13,29 @@
 
 #include "fleet/fleet_internal.h"
 
-#define BALANCE_INTERVAL_MS 100u /* between two planning runs */
-#define BACKLOG_TARGET_MS 250u	 /* drain time aimed at for waiting work */
-#define HEADROOM_FACTOR 4.0	 /* demand is at most this times current work */
-#define DRAIN_TIMEOUT_MS 2000u	 /* after which a move is cancelled */
-#define DONOR_UTILIZATION_MAX 0.7 /* of a pool that gives machines away */
+#define BALANCE_INTERVAL_MS 100u  /* between two planning passes */
+#define BACKLOG_TARGET_MS 250u	  /* for a pool to do its waiting work */
+#define DONOR_UTILIZATION_MAX 0.7 /* of a pool after it gave machines away */
+#define POOL_MACHINES_MIN 2u	  /* machines that a donor pool always keeps */
+#define DRAIN_TIMEOUT_MS 2000u	  /* of a busy machine; then it stays */
 #define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
-#define POOL_MACHINES_MIN 2u	  /* left in a donor pool in any case */
-#define SPREAD_RESERVE 1u	  /* beyond a long-running step's spread */
 #define MOVE_COOLDOWN_MS 1500u	  /* between two moves of the same machine */
-#define MACHINE_CPU_DEFAULT 16000 /* millicores, before it is known */
+#define MACHINE_CPU_DEFAULT 16000 /* millicores, if a pool has no instance */
+/* Limit of a pool's demand, times the CPU that its tasks use and wait for */
+#define HEADROOM_FACTOR 4.0
+/* Machines beyond those that the spread of a long-running step needs */
+#define SPREAD_RESERVE 1u
 #define POOLS_MAX 256u
 
 struct pool_balance {
 	const char *name;
 	bool spare;
 	struct sched_pool_load load;
-	uint32_t incoming; /* machines that are being moved to it */
-	uint32_t outgoing;
-	int64_t machine_cpu; /* mean capacity of a machine, in millicores */
-	int64_t deficit;     /* millicores */
-	int64_t surplus;
+	uint32_t incoming;   /* machines that are being moved to it */
+	uint32_t outgoing;   /* machines that drain to leave it */
+	int64_t machine_cpu; /* mean capacity of its machines, in millicores */
+	int64_t deficit;     /* CPU that it lacks, in millicores */
+	int64_t surplus;     /* CPU that it can give away, in millicores */
 };
 
 struct balance {
@@ -79,8 +81,9 @@
 	int64_t limit_cpu = (int64_t)(HEADROOM_FACTOR * (double)busy_cpu);
 
 	/*
-	 * A few long tasks cannot use more machines than they have tasks. The
-	 * limit is above that, since more work may arrive during the moves.
+	 * A few long tasks are much work, but use no more CPU than they
+	 * request. The limit is a multiple of that, since more work may arrive
+	 * during the moves.
 	 */
 	if (needed_cpu > limit_cpu)
 		needed_cpu = limit_cpu;
@@ -96,7 +99,7 @@
 							 DONOR_UTILIZATION_MAX);
 }
 
-/* Number of machines that the pool does not give away. */
+/* Returns the number of machines that the pool does not give away. */
 static uint32_t min_machines(const struct pool_balance *v)
 {
 	uint32_t spread = v->load.spread ? v->load.spread + SPREAD_RESERVE : 0;
@@ -126,7 +129,7 @@
 		compute_demand(&b->pools[i]);
 }
 
-static bool movable(const struct machine *m, uint64_t now)
+static bool machine_is_movable(const struct machine *m, uint64_t now)
 {
 	return m->listed && m->phase == PHASE_NONE && m->state == FLEET_UP &&
 	       now - m->pool_since_ms >= MOVE_COOLDOWN_MS;
@@ -144,7 +147,7 @@
 	for (m = f->machines; m; m = m->hh.next) {
 		struct sched_instance_load load;
 
-		if (strcmp(m->pool, from->name) || !movable(m, now))
+		if (strcmp(m->pool, from->name) || !machine_is_movable(m, now))
 			continue;
 		if (from->spare)
 			return m;
@@ -169,9 +172,9 @@
 }
 
 /*
- * Returns the pool with the smallest deficit. When there are too few machines
- * for all pools, one at its demand peak would take every machine, while each
- * other pool needs only a few.
+ * Returns the pool with the smallest deficit. If machines are too few for all
+ * pools and the largest deficit went first, a pool at its demand peak would
+ * take every machine, while each other pool needs only a few.
  */
 static struct pool_balance *smallest_deficit(struct balance *b)
 {
@@ -221,7 +224,7 @@
 	while ((from = donor_pool(b, to))) {
 		m = pick_machine(f, s, from, false, now);
 		if (!m) {
-			/* no machine of this pool can be moved now */
+			/* No machine of this pool can be moved now. */
 			from->spare = false;
 			from->surplus = 0;
 			continue;
@@ -246,7 +249,7 @@
 	return NULL;
 }
 
-/* Moves machines that have been idle for long to the spare pool. */
+/* Moves machines that were idle for IDLE_BEFORE_OFF_MS to the spare pool. */
 static void move_idle_off(struct fleet *f, struct sched *s, uint64_t now)
 {
 	const char *spare_name = find_spare_pool(f);
@@ -258,7 +261,7 @@
 		struct pool_balance *v = balance_of(f->balance, m->pool);
 		struct sched_instance_load load;
 
-		if (!v || v->spare || !movable(m, now) ||
+		if (!v || v->spare || !machine_is_movable(m, now) ||
 		    !sched_machine_load(s, m->name, &load) || !load.usable ||
 		    load.runs || load.unreported) {
 			m->idle_since_ms = 0;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,3 +1,6 @@
+/*
+ * fleet - the table of machines, and outcomes of actions
+ */
 #include "fleet/fleet.h"
 
 #include <assert.h>
@@ -6,8 +9,8 @@
 
 #include "fleet/fleet_internal.h"
 
-#define LIST_INTERVAL_MS 5000u /* between two readings of the list */
-#define LIST_UNCERTAIN_MS 300u /* delay after an order of unknown outcome */
+#define LIST_INTERVAL_MS 5000u /* between two readings of the machine list */
+#define LIST_UNCERTAIN_MS 300u /* same, after an order of unknown outcome */
 #define RETURN_SLACK_MS 400u   /* added to a machine's expected absence */
 
 struct fleet *fleet_new(TALLOC_CTX *ctx, const struct fleet_options *options)
@@ -58,7 +61,7 @@
 	return m;
 }
 
-/* Resolves an order whose outcome is unknown from the state in the list. */
+/* Uses the list to resolve an order whose outcome is unknown. */
 static void machine_resolve_order(struct fleet *f, struct machine *m,
 				  uint64_t now)
 {
@@ -72,7 +75,7 @@
 		m->phase_since_ms = now;
 		maintenance_ordered(f, m, now);
 	} else {
-		m->phase = PHASE_DRAINING; /* idempotent, so sent again */
+		m->phase = PHASE_DRAINING; /* ordered again: idempotent */
 	}
 }
 
@@ -106,7 +109,7 @@
 		sched_reserve(s, load.instance, true, now);
 }
 
-/* Marks machines as back once their expected absence is over. */
+/* Marks machines as up once their expected absence is over. */
 static void machines_mark_returned(struct fleet *f, uint64_t now)
 {
 	struct machine *m;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,7 +5,8 @@
  * of machines and the scheduler's view of their instances. A machine first gets
  * no new work, then is drained within the disruption budgets of its
  * long-running tasks, and is then ordered into maintenance or to another pool.
- * No clock or I/O inside; times are the scheduler's.
+ * The planner uses no clock and no I/O; its times are those of the scheduler.
+ * maintenance.c and balance.c name the load that they are designed for.
  */
 #ifndef FLEET_H
 #define FLEET_H
@@ -21,7 +22,7 @@
 struct fleet;
 
 struct fleet_options {
-	uint32_t maintenance_ms; /* absence of a machine for its maintenance */
+	uint32_t maintenance_ms; /* absence of a machine for maintenance */
 	uint32_t move_ms;	 /* absence of a machine for a move */
 };
 
@@ -29,7 +30,7 @@
 	FLEET_UP,
 	FLEET_IN_MAINTENANCE,
 	FLEET_MOVING,
-	FLEET_DOWN, /* not by an order; may never come back */
+	FLEET_DOWN, /* down without an order; may never come back */
 };
 
 struct fleet_machine_info {
@@ -42,16 +43,16 @@
 enum fleet_action_kind {
 	FLEET_ACTION_MAINTENANCE, /* order a machine into maintenance */
 	FLEET_ACTION_MOVE,	  /* order a machine to another pool */
-	FLEET_ACTION_WAVE_STATE	  /* report that a wave runs or is complete */
+	FLEET_ACTION_WAVE_STATE	  /* record that a wave runs or is complete */
 };
 
 struct fleet_action {
 	enum fleet_action_kind kind;
 	char machine[FLEET_NAME_MAX];
-	char pool[FLEET_NAME_MAX];
+	char pool[FLEET_NAME_MAX]; /* FLEET_ACTION_MOVE: the target */
 	uint64_t wave;
 	char wave_name[FLEET_NAME_MAX];
-	bool completed; /* of FLEET_ACTION_WAVE_STATE */
+	bool completed; /* FLEET_ACTION_WAVE_STATE: complete, else running */
 };
 
 enum fleet_result {
@@ -61,7 +62,7 @@
 	FLEET_UNKNOWN, /* outcome unknown: it may have been done */
 };
 
-/* fleet_new - a planner without machines and waves, owned by ctx */
+/* fleet_new - create a planner without machines and waves, owned by ctx */
 struct fleet *fleet_new(TALLOC_CTX *ctx, const struct fleet_options *options);
 
 /* fleet_configure - set the configuration, which is kept by reference */
@@ -77,15 +78,15 @@
 		    const char *const *machines, uint32_t count,
 		    uint64_t started_ms);
 
-/* fleet_record_maintenance - the machine's part of the wave is done */
+/* fleet_record_maintenance - mark a machine's maintenance in a wave as done */
 void fleet_record_maintenance(struct fleet *f, uint64_t wave,
 			      const char *machine);
 
-/* fleet_set_machines - update from the complete list, as read at `now` */
+/* fleet_set_machines - apply the complete machine list, read at `now` */
 void fleet_set_machines(struct fleet *f, const struct fleet_machine_info *list,
 			uint32_t count, uint64_t now);
 
-/* fleet_needs_machine_list - whether the list should be read now */
+/* fleet_needs_machine_list - whether the machine list should be read now */
 bool fleet_needs_machine_list(const struct fleet *f, uint64_t now);
 
 /*
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -1,3 +1,10 @@
+/*
+ * fleet_internal - the tables behind fleet.h
+ *
+ * fleet.c        the table of machines, outcomes of actions
+ * maintenance.c  waves of maintenance
+ * balance.c      moves between pools
+ */
 #ifndef FLEET_INTERNAL_H
 #define FLEET_INTERNAL_H
 
@@ -8,10 +15,10 @@
 
 enum machine_phase {
 	PHASE_NONE,
-	PHASE_DRAINING,	 /* gets no new work until nothing runs on it */
-	PHASE_ORDERING,	 /* the order is sent and not answered yet */
-	PHASE_UNCERTAIN, /* outcome of the order unknown; the list shows it */
-	PHASE_AWAY,	 /* the order was carried out; not back yet */
+	PHASE_DRAINING,	 /* it gets no new work, until nothing runs on it */
+	PHASE_ORDERING,	 /* its order is not answered yet */
+	PHASE_UNCERTAIN, /* the outcome of its order is unknown */
+	PHASE_AWAY,	 /* its order was carried out; it is not back yet */
 };
 
 struct machine {
@@ -19,12 +26,12 @@
 	char pool[FLEET_NAME_MAX];
 	char rack[FLEET_NAME_MAX];
 	enum fleet_machine_state state;
-	bool listed; /* present in the last list */
+	bool listed; /* in the last machine list */
 	enum machine_phase phase;
 	struct wave *wave; /* the wave of its maintenance; NULL during a move */
 	char target_pool[FLEET_NAME_MAX];
 	uint64_t phase_since_ms;
-	uint64_t pool_since_ms; /* end of its last move */
+	uint64_t pool_since_ms; /* end of its last move; 0: none */
 	uint64_t idle_since_ms; /* 0 while something runs on it */
 	UT_hash_handle hh;
 };
@@ -45,7 +52,8 @@
 	uint64_t deadline_ms;
 	uint32_t count;
 	struct wave_member *members;
-	bool reported_running, reported_completed, reporting;
+	bool reported_running, reported_completed; /* recorded states */
+	bool reporting; /* a FLEET_ACTION_WAVE_STATE has no result yet */
 };
 
 struct fleet {
@@ -53,9 +61,9 @@
 	const struct config *config;
 	struct machine *machines;
 	struct wave *waves;
-	uint64_t list_read_ms;
-	uint64_t list_due_ms;	 /* 0: LIST_INTERVAL_MS applies */
-	uint64_t balance_due_ms; /* next planning of moves */
+	uint64_t list_read_ms;	 /* when the machine list was last read */
+	uint64_t list_due_ms;	 /* early next reading; 0: none */
+	uint64_t balance_due_ms; /* next planning pass of moves */
 	struct fleet_stats stats;
 	struct balance *balance;
 };
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -16,14 +16,18 @@
 
 #include "fleet/fleet_internal.h"
 
-#define DRAIN_AHEAD 1u	       /* machines drained beyond max_concurrent */
-#define TASK_END_WAIT_MS 2500u /* before tasks that would end are stopped */
-#define ORDER_RETRY_MS 300u
+#define DRAIN_AHEAD 1u /* machines drained beyond max_concurrent */
+/* From the start of a drain until tasks that end by themselves are stopped */
+#define TASK_END_WAIT_MS 2500u
 #define DRAIN_EXPECTED_MS 1500u /* estimated drain time of a busy machine */
-#define COST_UNKNOWN 1e12	/* may run unreported work: not drained now */
-#define WAVE_PLANNED_SHARE 0.6	/* of its time; an outage may take the rest */
+/* Part of a wave's time in which it should end; an outage may take the rest */
+#define WAVE_PLANNED_SHARE 0.6
 
-/* Between two readings of the list while an earlier leader's orders run */
+/* Cost of draining a machine, in millicores in use */
+#define COST_LONG_RUNNING 100000.0 /* added for each long-running task */
+#define COST_UNKNOWN 1e12 /* unreported, may have runs: not drained now */
+
+/* Between readings of the list while a former leader's orders are under way */
 #define LIST_IN_PROGRESS_MS 500u
 
 void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
@@ -66,7 +70,7 @@
 			w->members[i].state = MEMBER_DONE;
 }
 
-/* The machine's order was carried out: its part of the wave is done. */
+/* Called when a machine's order was carried out: its maintenance is done. */
 void maintenance_ordered(struct fleet *f, struct machine *m, uint64_t now)
 {
 	(void)now;
@@ -74,9 +78,9 @@
 		fleet_record_maintenance(f, m->wave->number, m->name);
 }
 
-/* Machines of the wave that an earlier leader ordered, by the last list. */
-static uint32_t ordered_by_earlier_leader(const struct fleet *f,
-					  const struct wave *w)
+/* Counts the wave's machines that a former leader ordered, by the list. */
+static uint32_t ordered_by_former_leader(const struct fleet *f,
+					 const struct wave *w)
 {
 	uint32_t count = 0;
 	uint32_t i;
@@ -91,7 +95,7 @@
 	return count;
 }
 
-/* Counts the machines that are draining, or else those ordered or absent. */
+/* Counts the wave's machines that are draining, or else ordered or absent. */
 static uint32_t wave_count_machines(const struct fleet *f, const struct wave *w,
 				    bool draining)
 {
@@ -102,13 +106,13 @@
 		if (m->wave == w && m->phase != PHASE_NONE &&
 		    (m->phase == PHASE_DRAINING) == draining)
 			count++;
-	return draining ? count : count + ordered_by_earlier_leader(f, w);
+	return draining ? count : count + ordered_by_former_leader(f, w);
 }
 
 /*
- * Returns the cost of draining the machine now, where the cheapest machine goes
- * first and 0 or less is free. Also asks the scheduler to place no long-running
- * task there any more.
+ * Returns the cost of draining the machine now: the cheapest machine is drained
+ * first, and one that costs 0 or less at once, whatever the deadline requires.
+ * Also asks the scheduler to place long-running tasks elsewhere if it can.
  */
 static double drain_cost(struct sched *s, const struct machine *m)
 {
@@ -119,7 +123,7 @@
 	if (load.unreported)
 		return COST_UNKNOWN;
 	sched_mark_maintenance(s, load.instance);
-	return (double)load.used.cpu + 100000.0 * load.long_running;
+	return (double)load.used.cpu + COST_LONG_RUNNING * load.long_running;
 }
 
 static struct machine *cheapest_candidate(struct fleet *f, struct sched *s,
@@ -158,7 +162,7 @@
 			w->members[i].state = MEMBER_IN_PROGRESS;
 }
 
-/* How many machines must be in progress to finish within the planned share. */
+/* How many machines must be in progress for the wave to end as planned. */
 static uint32_t needed_concurrency(const struct fleet *f, const struct wave *w,
 				   uint64_t now)
 {
@@ -200,7 +204,7 @@
 	}
 }
 
-/* Whether the machine is empty; drains it further if not. */
+/* Returns whether nothing runs on the machine; drains it further if not. */
 static bool drain_finished(struct sched *s, struct machine *m, uint64_t now)
 {
 	struct sched_instance_load load;
@@ -240,7 +244,7 @@
 	return false;
 }
 
-/* A machine missing from the complete list is not waited for. */
+/* A machine that is missing from the list is not waited for. */
 static bool wave_is_complete(const struct fleet *f, const struct wave *w)
 {
 	uint32_t i;
@@ -285,7 +289,7 @@
 		}
 		if (report_wave(w, false, action))
 			return true;
-		if (ordered_by_earlier_leader(f, w))
+		if (ordered_by_former_leader(f, w))
 			fleet_schedule_list(f, f->list_read_ms +
 						       LIST_IN_PROGRESS_MS);
 		start_draining(f, s, w, now);
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -94,7 +94,7 @@
     ("polling before orders to machines", "src/fleet/maintenance.c",
      "	if (load.unreported)\n		return false;\n", "", "fleet_test"),
     ("machines ordered away by a former leader", "src/fleet/maintenance.c",
-     "count + ordered_by_earlier_leader(f, w)", "count", "fleet_test"),
+     "count + ordered_by_former_leader(f, w)", "count", "fleet_test"),
     ("resolving without other commits", "src/node/commit.c",
      "return !resolving && in_flight", "return in_flight", "node_test"),
     ("the wait for the previous leader", "src/node/machines.c",
