src/job: an objective and an attempt limit explained

Second reading of the configuration's fields: how an objective follows from factor and slack, what attempts_max counts, what host and prefix belong to.

--- a/src/job/config.c
+++ b/src/job/config.c
@@ -1,3 +1,6 @@
+/*
+ * config - look-ups in a version of the configuration
+ */
 #include "job/config.h"
 
 #include <string.h>
--- a/src/job/config.h
+++ b/src/job/config.h
@@ -20,17 +20,18 @@
 
 struct config_queue {
 	const char *name;
-	const char *host;   /* of its calls */
-	const char *prefix; /* of their path */
+	const char *host;   /* that its calls name */
+	const char *prefix; /* of the paths of its calls */
 	const char *pool;
-	double objective_factor;     /* times the critical path of the job... */
-	uint32_t objective_slack_ms; /* ...plus this is its objective */
-	uint32_t timeout_ms;	     /* of a call */
-	uint32_t priority;	     /* 0 is served first */
-	uint32_t attempts_max;
-	bool is_public;	   /* calls need no key */
-	bool needs_advice; /* an adviser names the instances for a step */
-	uint32_t advice_valid_ms;
+	/* a job's objective is the factor x its critical path + the slack */
+	double objective_factor;
+	uint32_t objective_slack_ms;
+	uint32_t timeout_ms;   /* of a call */
+	uint32_t priority;     /* 0 is served first */
+	uint32_t attempts_max; /* failed runs of a task; 0: unlimited */
+	bool is_public;	       /* calls need no key */
+	bool needs_advice;     /* an adviser names the instances for a step */
+	uint32_t advice_valid_ms; /* validity of the adviser's answer */
 };
 
 struct config_pool {
@@ -42,7 +43,7 @@
 struct config_workspace {
 	const char *name;
 	uint32_t weight;   /* relative share while resources are scarce */
-	struct amount cap; /* limit on running tasks; 0 is unlimited */
+	struct amount cap; /* limit on its running tasks; 0: unlimited */
 	uint32_t key_count;
 	const char **keys;
 };
@@ -57,7 +58,7 @@
 	struct config_workspace *workspaces;
 };
 
-/* config_route - the queue for a host and path (longest prefix), or NULL */
+/* config_route - the queue with the host and the longest prefix, or NULL */
 const struct config_queue *config_route(const struct config *c,
 					const char *host, const char *path);
 
