proto: comments in the terms of the code

Comments only; the generated headers repeat them. Misread before: failed in StepProgress holds pairs of task index and run number, not a count per task; an end row replaces the others only once the job has no runs. Terms: leader, heartbeat, poll, relay, disruption budget, stale, outcome unknown.

--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -57,18 +57,18 @@
 } Fleet__Verb;
 typedef enum _Fleet__Result {
   /*
-   * not the lead, or it cannot say
+   * not the leader, or it cannot answer now
    */
   FLEET__RESULT__UNANSWERED = 0,
   FLEET__RESULT__ACCEPTED = 1,
   /*
-   * has not run and will not
+   * the job has not run and will not run
    */
   FLEET__RESULT__REFUSED = 2,
   FLEET__RESULT__KNOWN = 3,
   FLEET__RESULT__NO_SUCH_JOB = 4,
   /*
-   * may have been recorded
+   * outcome unknown: may have been recorded
    */
   FLEET__RESULT__UNSETTLED = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FLEET__RESULT)
@@ -84,8 +84,8 @@
 /* --- messages --- */
 
 /*
- * One step of a job as its caller asked for it. Amounts: thousandths of a
- * core, MiB, accelerators.
+ * One step of a job as its caller requested it; cpu in millicores, mem in MiB,
+ * gpu in accelerators.
  */
 struct  Fleet__Step
 {
@@ -96,47 +96,47 @@
   uint32_t gpu;
   uint32_t estimate_ms;
   /*
-   * earlier steps that must be done
+   * indexes of earlier steps that must be done
    */
   size_t n_after;
   uint32_t *after;
   protobuf_c_boolean checkpoints;
   /*
-   * all tasks run together or not at all
+   * all tasks run together or none does
    */
   protobuf_c_boolean gang;
   protobuf_c_boolean same_rack;
   /*
-   * the instance must have it; empty for any
+   * label that the instance must have; empty: any
    */
   char *label;
   /*
-   * where the data lies; empty for anywhere
+   * preferred rack, which has the data; empty: any
    */
   char *near_rack;
   /*
-   * tasks of the step on one instance; 0: any
+   * most tasks on one instance; 0: no limit
    */
   uint32_t spread_limit;
   /*
-   * copies may run side by side
+   * a task may have several runs at once
    */
   protobuf_c_boolean duplicates;
   /*
-   * runs until the job is cancelled
+   * long-running: until its job is cancelled
    */
   protobuf_c_boolean lasting;
   char *image;
   /*
-   * tail of the task's own response times
+   * target of a serving task's tail latency
    */
   uint32_t target_ms;
   /*
-   * takes what others leave of the processor
+   * best-effort: uses the CPU that others leave
    */
   protobuf_c_boolean filler;
   /*
-   * tasks that may be away at once
+   * disruption budget, in tasks; 0: no limit
    */
   uint32_t may_miss;
 };
@@ -153,22 +153,22 @@
   ProtobufCMessage base;
   char *queue;
   /*
-   * of the queue when it was accepted
+   * the queue's pool at the job's acceptance
    */
   char *pool;
   /*
-   * empty for an open queue
+   * empty if the queue is public
    */
   char *workspace;
   /*
-   * handed to each task
+   * passed to each task
    */
   char *payload;
   size_t n_steps;
   Fleet__Step **steps;
   uint64_t accepted_unix_ms;
   /*
-   * 0: once, at once
+   * occurrences; 0: one, due at once
    */
   uint32_t times;
   uint64_t first_due_unix_ms;
@@ -185,11 +185,11 @@
   uint32_t occurrence;
   uint32_t step;
   /*
-   * a bit a task
+   * one bit per task
    */
   ProtobufCBinaryData done;
   /*
-   * a count a task; empty if none failed
+   * pairs of task index and run number
    */
   size_t n_failed;
   uint32_t *failed;
@@ -200,7 +200,7 @@
 
 
 /*
- * Table "progress": ends of tasks taken note of.
+ * Table "progress": tasks of a job that are done, and runs that failed.
  */
 struct  Fleet__ProgressRow
 {
@@ -214,7 +214,8 @@
 
 
 /*
- * Table "end": a job that has ended; replaces its other rows.
+ * Table "end": a job that has ended; its other rows are deleted once it has no
+ * runs.
  */
 struct  Fleet__EndRow
 {
@@ -229,23 +230,23 @@
 
 
 /*
- * Table "lead": which node decides. Its revision is a write's condition.
+ * Table "lead": the leader, whose writes are conditional on this row's revision.
  */
 struct  Fleet__LeadRow
 {
   ProtobufCMessage base;
   /*
-   * empty: free to be claimed at once
+   * empty: may be claimed at once
    */
   char *node;
   uint64_t incarnation;
   char *address;
   /*
-   * rises with each claim
+   * incremented by each claim
    */
   uint64_t epoch;
   /*
-   * rises to void writes of unknown outcome
+   * incremented to void writes of unknown outcome
    */
   uint32_t settled;
 };
@@ -255,7 +256,7 @@
 
 
 /*
- * Table "node": one process of the system.
+ * Table "node": one node.
  */
 struct  Fleet__NodeRow
 {
@@ -264,11 +265,11 @@
   char *zone;
   uint64_t incarnation;
   /*
-   * thousandths of a core; 0: not told
+   * CPU in millicores; 0: unknown
    */
   uint32_t power;
   /*
-   * where it takes frames; empty: nowhere
+   * address for relay frames; empty: none
    */
   char *links;
 };
@@ -278,13 +279,14 @@
 
 
 /*
- * Table "inbox": what a node recorded while the lead could not be asked.
+ * Table "inbox": a request that a node recorded because the leader did not
+ * answer.
  */
 struct  Fleet__InboxRow
 {
   ProtobufCMessage base;
   /*
-   * else a new job
+   * a cancellation; else a new job
    */
   protobuf_c_boolean cancel;
   char *queue;
@@ -295,7 +297,7 @@
 
 
 /*
- * Between nodes, as bodies of HTTP calls.
+ * PeerInfo, Beat, Ask and Answer are bodies of HTTP calls between nodes.
  */
 struct  Fleet__PeerInfo
 {
@@ -308,13 +310,16 @@
     , (char *)protobuf_c_empty_string, NULL }
 
 
+/*
+ * A heartbeat, and its reply.
+ */
 struct  Fleet__Beat
 {
   ProtobufCMessage base;
   char *node;
   Fleet__NodeRow *row;
   /*
-   * of the lead as the sender knows it
+   * of the leader that the sender knows
    */
   uint64_t epoch;
   char *lead;
@@ -322,18 +327,18 @@
   uint64_t lead_incarnation;
   uint64_t config_version;
   /*
-   * set when the receiver's was older
+   * set if the receiver's version is older
    */
   ProtobufCBinaryData config;
   size_t n_peers;
   Fleet__PeerInfo **peers;
   /*
-   * the sender decides
+   * the sender is the leader
    */
   protobuf_c_boolean leading;
   protobuf_c_boolean stopping;
   /*
-   * since the sender knew the lead able
+   * since the leader was last known to be live
    */
   uint32_t lead_age_ms;
   /*
@@ -357,11 +362,11 @@
    */
   ProtobufCBinaryData job;
   /*
-   * by which the call was let in
+   * version that admitted the call
    */
   uint64_t config_version;
   /*
-   * it may be too old: the lead must know none newer
+   * stale: the leader must know no newer version
    */
   protobuf_c_boolean config_old;
 };
@@ -394,7 +399,7 @@
   char *task;
   uint64_t number;
   /*
-   * instance's clock, 0: unknown
+   * by the instance's clock; 0: none
    */
   uint64_t lease_until;
   char *payload;
@@ -410,7 +415,7 @@
 
 
 /*
- * From the lead; without calls it asks for a sign of life.
+ * From the leader; without calls it is a heartbeat, to be answered.
  */
 struct  Fleet__Calls
 {
@@ -475,13 +480,13 @@
   ProtobufCMessage base;
   uint32_t id;
   /*
-   * enum sched_order_result, of an order
+   * of an order: enum sched_order_result
    */
   uint32_t result;
   uint64_t clock_ms;
   protobuf_c_boolean newer_lead;
   /*
-   * of a look that was answered
+   * of an answered poll
    */
   Fleet__CallReport *report;
 };
@@ -491,7 +496,7 @@
 
 
 /*
- * To the lead; without results it is a sign of life.
+ * To the leader; without results it is a heartbeat.
  */
 struct  Fleet__CallResults
 {
@@ -499,7 +504,7 @@
   size_t n_results;
   Fleet__CallResult **results;
   /*
-   * give it no more calls
+   * the sender takes no more calls
    */
   protobuf_c_boolean stopping;
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -172,7 +172,7 @@
 
 
 /*
- * What one team asks of one pool at the reporting entry.
+ * Demand of one team in a group, at the reporting entry.
  */
 struct  Jackdawwell__TeamDemand
 {
@@ -188,6 +188,9 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Units and demand of one group at the reporting entry.
+ */
 struct  Jackdawwell__Demand
 {
   ProtobufCMessage base;
@@ -206,7 +209,7 @@
 
 
 /*
- * Demand of every group whose broker is the receiver; only what changed.
+ * Changed demand of the groups whose broker is the receiver.
  */
 struct  Jackdawwell__DemandReport
 {
@@ -237,7 +240,7 @@
 {
   ProtobufCMessage base;
   /*
-   * incarnation
+   * incarnation of the receiving entry
    */
   uint64_t to;
   uint32_t units;
@@ -247,6 +250,9 @@
     , 0, 0 }
 
 
+/*
+ * A broker's targets for the teams of a group, and transfers for the receiver.
+ */
 struct  Jackdawwell__Advice
 {
   ProtobufCMessage base;
