test: scheduler, polls, fleet and simulation in the terms of the code

Second reading of sched_test, poll_test, fleet_test, fleet_walk, rig/ and walk/fleet_world*. Misread before: test_attempts claims nothing about two leaders (fleet_walk checks that); STARTUP_MS applies to every run. Seven cases have plainer names (same-code NAME lines): failed_attempts, disruption_budget, concurrent_batches, workspace_cap, unlisted_instances, poll_in_millisecond_of_start, unresponsive_instance_expires. ENDS_MAX of sched_rig.h was unused. Bounds, seeds and numbers of checks are as before.

--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -7,8 +7,8 @@
 struct wave_case {
 	const char *name;
 	enum fleet_result result;
-	enum fleet_machine_state listed; /* afterwards */
-	bool completed;			 /* its maintenance */
+	enum fleet_machine_state next_state; /* in the next machine list */
+	bool completed;			     /* the wave, by then */
 };
 
 static const struct wave_case wave_cases[] = {
@@ -33,6 +33,7 @@
 	return false;
 }
 
+/* An order's answer or the next list shows whether it was carried out. */
 static void test_wave(void **state)
 {
 	static const char *const machines[] = { "m-0" };
@@ -59,7 +60,7 @@
 					 FLEET_ACTION_MAINTENANCE, &action));
 		fleet_action_result(f, r.s, &action, c->result, r.now);
 		r.now += 400;
-		info.state = c->listed;
+		info.state = c->next_state;
 		fleet_set_machines(f, &info, 1, r.now);
 		while (fleet_next_action(f, r.s, r.now, &action) &&
 		       action.kind == FLEET_ACTION_WAVE_STATE)
@@ -72,7 +73,7 @@
 	}
 }
 
-static void named_instance(struct rig *r, const char *id, const char *pool)
+static void add_instance_to(struct rig *r, const char *id, const char *pool)
 {
 	struct sched_instance_info info = {
 		.id = id,
@@ -90,8 +91,8 @@
 
 struct drain_case {
 	const char *name;
-	uint32_t busy;	     /* of six machines, all in the wave */
-	uint64_t elapsed_ms; /* of a wave of 60 s, six machines at a time */
+	uint32_t busy;	     /* number of busy machines among the six */
+	uint64_t elapsed_ms; /* since the wave began; it has 60 s */
 	uint32_t ordered_min;
 	uint32_t draining_min, draining_max;
 };
@@ -127,7 +128,7 @@
 		rig_new(&r);
 		r.workspace.cap.cpu = 0;
 		for (i = 0; i < 6; i++) {
-			named_instance(&r, ids[i], "p");
+			add_instance_to(&r, ids[i], "p");
 			infos[i] =
 				(struct fleet_machine_info){ ids[i], "p", "r1",
 							     FLEET_UP };
@@ -142,8 +143,8 @@
 		else
 			fleet__job_row__free_unpacked(row, NULL);
 		write_all(&r);
-		assert_int_equal(orders(&r), p->busy);
-		answer_all(&r, ORDER_DONE);
+		assert_int_equal(take_orders(&r), p->busy);
+		answer_orders(&r, ORDER_DONE);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		fleet_set_machines(f, infos, 6, r.now);
@@ -172,7 +173,7 @@
 					 .move_ms = 1500 };
 	static const struct {
 		const char *name;
-		bool listed; /* in the directory; all are in the list */
+		bool listed; /* in the directory; all are in the machine list */
 		bool reported;
 		uint64_t elapsed_ms;
 		uint32_t ordered;
@@ -196,7 +197,7 @@
 		rig_new(&r);
 		for (i = 0; i < 4; i++) {
 			if (cases[c].listed)
-				named_instance(&r, ids[i], "p");
+				add_instance_to(&r, ids[i], "p");
 			else
 				sched_expect_instance(r.s, ids[i], "p", ids[i],
 						      r.now);
@@ -273,8 +274,8 @@
 
 struct move_case {
 	const char *name;
-	uint32_t long_running; /* tasks of a step, one on each instance */
-	uint32_t waiting;      /* jobs in the other pool */
+	uint32_t long_running; /* tasks in pool p, one on each instance */
+	uint32_t waiting;      /* jobs in pool o */
 	uint32_t moves_max;
 	uint32_t moves_min;
 };
@@ -286,6 +287,7 @@
 	{ "a long-running step needs all", 4, 60, 0, 0 },
 };
 
+/* Work that waits in pool o moves machines of pool p, except those p needs. */
 static void test_moves(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2",
@@ -320,7 +322,7 @@
 		for (i = 0; i < 6; i++) {
 			const char *pool = i < 5 ? "p" : "o";
 
-			named_instance(&r, ids[i], pool);
+			add_instance_to(&r, ids[i], pool);
 			infos[i] =
 				(struct fleet_machine_info){ ids[i], pool, "r1",
 							     FLEET_UP };
@@ -344,7 +346,7 @@
 			sched_submit(r.s, id, row, r.now, r.now, &after);
 		}
 		write_all(&r);
-		orders(&r);
+		take_orders(&r);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		r.now += 5000;
@@ -357,16 +359,16 @@
 	}
 }
 
-#define SPARES 10u
+#define SPARES 10u /* machines in the spare pool */
 
 struct peak_case {
 	const char *name;
 	uint32_t jobs[2]; /* of one core each, in pools p and o */
-	uint32_t ms[2];	  /* their estimates */
+	uint32_t estimate_ms[2];
 	uint32_t moves_min[2], moves_max[2];
 };
 
-/* Machines have four cores; each pool has one machine. */
+/* Machines have four cores; p and o have one machine each. */
 static const struct peak_case peak_cases[] = {
 	{ "a demand peak takes the powered-off machines",
 	  { 0, 200 },
@@ -443,7 +445,7 @@
 				ids[i], i < 2 ? names[i] : "off", "r1", FLEET_UP
 			};
 			if (i < 2)
-				named_instance(&r, ids[i], names[i]);
+				add_instance_to(&r, ids[i], names[i]);
 		}
 		sched_become_leader(r.s, 1, true, r.now);
 		sched_expect_complete(r.s, r.now);
@@ -451,9 +453,9 @@
 		for (q = 0; q < 2; q++)
 			for (i = 0; i < t->jobs[q]; i++)
 				submit_job(&r, names[q], (q + 1) * 1000 + i,
-					   t->ms[q]);
+					   t->estimate_ms[q]);
 		write_all(&r);
-		orders(&r);
+		take_orders(&r);
 		f = fleet_new(r.s, &options);
 		fleet_configure(f, &r.config);
 		r.now += 5000;
--- a/test/fleet_walk.c
+++ b/test/fleet_walk.c
@@ -17,7 +17,7 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "first seed");
 	struct arg_int *faults =
 		arg_int0(NULL, "faults", "MASK",
-			 "enum world_fault, FAULT_ALL by default");
+			 "bits of enum world_fault, FAULT_ALL by default");
 	struct arg_lit *verbose = arg_lit0("v", "verbose", "print all events");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { count, seed, faults, verbose, end };
@@ -40,9 +40,8 @@
 
 		world_run((uint64_t)i, mask, print_events, &r);
 		if (*r.error) {
-			printf("seed %d: %s\nreproduce with: fleet_walk --seed "
-			       "%d "
-			       "--faults %u --verbose\n",
+			printf("seed %d: %s\nreproduce with: fleet_walk "
+			       "--seed %d --faults %u --verbose\n",
 			       i, r.error, i, mask);
 			return 1;
 		}
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -4,7 +4,10 @@
  */
 #include "test/rig/sched_rig.h"
 
-/* Ends of a former incarnation are not acknowledged to the next one. */
+/*
+ * After an unanswered poll, or when it was listed again, an instance may have
+ * restarted. Its ends are then not acknowledged by their former numbers.
+ */
 static void test_ack_of_former_incarnation(void **state)
 {
 	static const enum {
@@ -24,8 +27,8 @@
 		make_all_usable(&r);
 		submit(&r, id_a, 1, 1, false);
 		write_all(&r);
-		orders(&r);
-		answer_all(&r, ORDER_DONE);
+		take_orders(&r);
+		answer_orders(&r, ORDER_DONE);
 		r.now += 2500;
 		poll = next_poll(&r, r.orders[0].instance);
 		ended = (struct sched_ended){ 5, r.orders[0].task,
@@ -39,7 +42,7 @@
 		if (cases[c] == RELISTED) {
 			sched_instance_unlisted(r.s, poll.instance_id,
 						r.now + 1);
-			instance(&r, poll.instance_id, false);
+			add_instance(&r, poll.instance_id, false);
 		}
 		if (cases[c] == UNANSWERED)
 			sched_poll_done(r.s, poll.instance, NULL, r.now, r.now);
@@ -87,7 +90,7 @@
 /*
  * Instances leave some calls unanswered during a demand peak. A task's end must
  * be known within the slack of its queue, or one lost poll makes its job late.
- * Where no task ends polls stay rare.
+ * Where no task ends by itself, polls stay rare.
  */
 static void test_lost_polls(void **state)
 {
@@ -111,8 +114,8 @@
 		make_all_usable(&r);
 		submit(&r, id_a, 1, 1, cases[c].long_running);
 		write_all(&r);
-		assert_int_equal(orders(&r), 1);
-		answer_all(&r, ORDER_DONE);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_DONE);
 		r.now += 2500;
 		if (cases[c].known_within_ms) {
 			assert_in_range(end_known_after(&r, cases[c].lossy), 1,
@@ -144,7 +147,7 @@
 					r.now + 1);
 			polls++;
 		}
-	assert_in_range(polls, 2, 12); /* of two instances */
+	assert_in_range(polls, 2, 12); /* of two instances in 1 s */
 	talloc_free(r.s);
 }
 
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -1,6 +1,6 @@
 #include "test/rig/sched_rig.h"
 
-void instance(struct rig *r, const char *id, bool leaving)
+void add_instance(struct rig *r, const char *id, bool leaving)
 {
 	struct sched_instance_info info = {
 		.id = id,
@@ -48,8 +48,8 @@
 /* Becomes leader without a predecessor, with two listed instances. */
 void rig_become_leader(struct rig *r)
 {
-	instance(r, "i-0", false);
-	instance(r, "i-1", false);
+	add_instance(r, "i-0", false);
+	add_instance(r, "i-1", false);
 	sched_become_leader(r->s, 1, true, r->now);
 	sched_expect_complete(r->s, r->now);
 }
@@ -136,7 +136,7 @@
 			 SUBMIT_ACCEPTED);
 }
 
-/* Puts all changes into batch 1; returns how many. */
+/* Puts all changed jobs into batch 1; returns how many. */
 uint32_t batch_all(struct rig *r)
 {
 	struct sched_change change;
@@ -157,7 +157,8 @@
 	sched_batch_done(r->s, 1, true, r->now);
 }
 
-uint32_t orders(struct rig *r)
+/* Runs a pass and takes its orders into r->orders; returns how many. */
+uint32_t take_orders(struct rig *r)
 {
 	r->order_count = 0;
 	sched_tick(r->s, r->now, r->now);
@@ -167,7 +168,7 @@
 	return r->order_count;
 }
 
-void answer_all(struct rig *r, enum sched_order_result result)
+void answer_orders(struct rig *r, enum sched_order_result result)
 {
 	uint32_t i;
 
@@ -176,7 +177,7 @@
 				 r->now);
 }
 
-/* The next poll of an instance, to be answered by the test. */
+/* Returns the next poll of an instance; the test answers it. */
 struct sched_poll next_poll(struct rig *r, instance_handle_t i)
 {
 	struct sched_poll poll;
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -17,7 +17,6 @@
 
 #define LEASE_MS 4000u
 #define QUEUE_SLACK_MS 600u
-#define ENDS_MAX 16
 
 /* A scheduler and its instances, whose reports the test supplies. */
 struct rig {
@@ -33,9 +32,9 @@
 	uint32_t sent_poll_count;
 };
 
-extern const char id_a[]; /* job of most cases */
+extern const char id_a[]; /* the job of most cases */
 
-void instance(struct rig *r, const char *id, bool leaving);
+void add_instance(struct rig *r, const char *id, bool leaving);
 void rig_new(struct rig *r);
 void rig_become_leader(struct rig *r);
 void report(struct rig *r, instance_handle_t i,
@@ -49,8 +48,8 @@
 	    bool long_running);
 uint32_t batch_all(struct rig *r);
 void write_all(struct rig *r);
-uint32_t orders(struct rig *r);
-void answer_all(struct rig *r, enum sched_order_result result);
+uint32_t take_orders(struct rig *r);
+void answer_orders(struct rig *r, enum sched_order_result result);
 struct sched_poll next_poll(struct rig *r, instance_handle_t i);
 
 #endif
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -14,19 +14,19 @@
 	rig_become_leader(&r);
 	make_all_usable(&r);
 	submit(&r, id_a, 2, 1, false);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	assert_false(sched_durable(r.s, id_a));
 	batch_all(&r);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	sched_batch_done(r.s, 1, false, r.now);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	write_all(&r);
 	assert_true(sched_durable(r.s, id_a));
-	assert_int_equal(orders(&r), 2);
+	assert_int_equal(take_orders(&r), 2);
 	talloc_free(r.s);
 }
 
-/* The leader writes a job that another node recorded before starting it. */
+/* A job that another node recorded is written by the leader, then started. */
 static void test_recorded_is_written_first(void **state)
 {
 	struct rig r;
@@ -36,14 +36,14 @@
 	rig_become_leader(&r);
 	make_all_usable(&r);
 	sched_recorded(r.s, id_a, job_row(2, 1, false), r.now);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	assert_int_equal(batch_all(&r), 1);
 	sched_batch_done(r.s, 1, true, r.now);
-	assert_int_equal(orders(&r), 2);
+	assert_int_equal(take_orders(&r), 2);
 	talloc_free(r.s);
 }
 
-/* An instance is used only after a confirmation newer than its report. */
+/* An instance is used only after a confirmation later than its first report. */
 static void test_new_instance_waits_for_confirmation(void **state)
 {
 	struct rig r;
@@ -57,9 +57,9 @@
 	r.now += 10;
 	poll_all_empty(&r);
 	assert_true(sched_needs_confirmation(r.s));
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	sched_leader_confirmed(r.s, r.now + 1);
-	assert_int_equal(orders(&r), 2);
+	assert_int_equal(take_orders(&r), 2);
 	talloc_free(r.s);
 }
 
@@ -78,14 +78,14 @@
 	(void)state;
 	rig_new(&r);
 	r.workspace.cap.cpu = 0;
-	instance(&r, "i-0", false);
+	add_instance(&r, "i-0", false);
 	sched_become_leader(r.s, 1, true, r.now);
 	sched_expect_complete(r.s, r.now);
 	make_all_usable(&r);
 	submit(&r, id_a, 3, 1, false);
 	write_all(&r);
-	assert_int_equal(orders(&r), 3);
-	answer_all(&r, ORDER_DONE);
+	assert_int_equal(take_orders(&r), 3);
+	answer_orders(&r, ORDER_DONE);
 	i = r.orders[0].instance;
 	r.now += 2500;
 	poll = next_poll(&r, i);
@@ -100,7 +100,7 @@
 	running[1] = (struct sched_running){ r.orders[2].task,
 					     r.orders[2].number, "", 50, 0 };
 	report(&r, i, running, 2, ended, 1, r.now);
-	assert_int_equal(batch_all(&r), 1); /* of the first end */
+	assert_int_equal(batch_all(&r), 1); /* the change by the first end */
 	r.now += 400;
 	poll = next_poll(&r, i);
 	assert_int_equal(poll.acked, 0);
@@ -120,8 +120,8 @@
 	talloc_free(r.s);
 }
 
-/* A report in the millisecond of a start's answer does not disprove it. */
-static void test_same_millisecond(void **state)
+/* A poll sent in the millisecond of a start's answer does not prove a loss. */
+static void test_poll_in_millisecond_of_start(void **state)
 {
 	struct rig r;
 	struct sched_poll poll;
@@ -132,15 +132,15 @@
 	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
-	assert_int_equal(orders(&r), 1);
-	answer_all(&r, ORDER_DONE);
+	assert_int_equal(take_orders(&r), 1);
+	answer_orders(&r, ORDER_DONE);
 	poll = next_poll(&r, r.orders[0].instance);
 	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	r.now += 10;
 	poll = next_poll(&r, r.orders[0].instance);
 	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
-	assert_int_equal(orders(&r), 1); /* the run was lost */
+	assert_int_equal(take_orders(&r), 1); /* the run was lost */
 	talloc_free(r.s);
 }
 
@@ -160,38 +160,38 @@
 	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
-	assert_int_equal(orders(&r), 1);
-	answer_all(&r, ORDER_UNKNOWN);
+	assert_int_equal(take_orders(&r), 1);
+	answer_orders(&r, ORDER_UNKNOWN);
 	r.now += 500;
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	r.now += 600;
 	/* A stop that was not carried out proves nothing. */
 	for (n = 0; n < sizeof(refusals) / sizeof(refusals[0]); n++) {
-		assert_int_equal(orders(&r), 1);
+		assert_int_equal(take_orders(&r), 1);
 		assert_int_equal(r.orders[0].kind, ORDER_STOP);
-		answer_all(&r, refusals[n]);
+		answer_orders(&r, refusals[n]);
 		r.now += 10;
 		poll = next_poll(&r, r.orders[0].instance);
 		report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
-		assert_int_equal(orders(&r), 0);
+		assert_int_equal(take_orders(&r), 0);
 		r.now += 400;
 	}
-	assert_int_equal(orders(&r), 1);
-	answer_all(&r, ORDER_DONE);
+	assert_int_equal(take_orders(&r), 1);
+	answer_orders(&r, ORDER_DONE);
 	r.now += 10;
 	poll = next_poll(&r, r.orders[0].instance);
 	report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
-	assert_int_equal(orders(&r), 1);
+	assert_int_equal(take_orders(&r), 1);
 	assert_int_equal(r.orders[0].kind, ORDER_START);
 	talloc_free(r.s);
 }
 
 /* Tasks of an unresponsive instance are restarted after its lease. */
-static void test_unresponsive_instance_lapses(void **state)
+static void test_unresponsive_instance_expires(void **state)
 {
 	struct sched_poll polls[8];
 	struct rig r;
-	uint64_t begun;
+	uint64_t started_ms;
 	instance_handle_t unresponsive;
 
 	(void)state;
@@ -200,11 +200,11 @@
 	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, true);
 	write_all(&r);
-	assert_int_equal(orders(&r), 1);
-	answer_all(&r, ORDER_DONE);
+	assert_int_equal(take_orders(&r), 1);
+	answer_orders(&r, ORDER_DONE);
 	unresponsive = r.orders[0].instance;
-	begun = r.now;
-	while (!orders(&r) && r.now - begun < 3 * LEASE_MS) {
+	started_ms = r.now;
+	while (!take_orders(&r) && r.now - started_ms < 3 * LEASE_MS) {
 		uint32_t n = 0;
 
 		r.now += 50;
@@ -223,8 +223,8 @@
 	assert_int_equal(r.order_count, 1);
 	assert_int_equal(r.orders[0].kind, ORDER_START);
 	assert_int_not_equal(r.orders[0].instance.i, unresponsive.i);
-	assert_true(r.now - begun >= LEASE_MS);
-	assert_true(r.now - begun < 2 * LEASE_MS);
+	assert_true(r.now - started_ms >= LEASE_MS);
+	assert_true(r.now - started_ms < 2 * LEASE_MS);
 	talloc_free(r.s);
 }
 
@@ -235,21 +235,21 @@
 
 	(void)state;
 	rig_new(&r);
-	instance(&r, "i-0", false);
-	instance(&r, "i-1", false);
+	add_instance(&r, "i-0", false);
+	add_instance(&r, "i-1", false);
 	sched_load_job(r.s, id_a, job_row(2, 1, false), NULL, r.now);
 	sched_become_leader(r.s, 2, false, r.now);
-	sched_expect_instance(r.s, "i-2", "p", "m-2",
-			      r.now); /* its row is gone */
+	/* in the machine list, but not in the directory */
+	sched_expect_instance(r.s, "i-2", "p", "m-2", r.now);
 	sched_expect_complete(r.s, r.now);
 	make_all_usable(&r);
-	assert_int_equal(orders(&r), 0);
-	instance(&r, "i-2", false);
+	assert_int_equal(take_orders(&r), 0);
+	add_instance(&r, "i-2", false);
 	r.now += 10;
 	poll_all_empty(&r);
 	r.now++;
 	sched_leader_confirmed(r.s, r.now);
-	assert_int_equal(orders(&r), 2);
+	assert_int_equal(take_orders(&r), 2);
 	talloc_free(r.s);
 }
 
@@ -270,8 +270,8 @@
 
 	(void)state;
 	rig_new(&r);
-	instance(&r, "i-0", false);
-	instance(&r, "i-1", false);
+	add_instance(&r, "i-0", false);
+	add_instance(&r, "i-1", false);
 	sched_load_job(r.s, id_a, job_row(1, 1, false), NULL, r.now);
 	sched_become_leader(r.s, 2, false, r.now);
 	sched_expect_complete(r.s, r.now);
@@ -282,9 +282,9 @@
 	assert_int_equal(sched_state(r.s, id_a, "q"),
 			 FLEET__JOB_STATE__COMPLETED);
 	r.now += 300;
-	orders(&r);
+	take_orders(&r);
 	report(&r, second.instance, &running, 1, NULL, 0, r.now - 1);
-	assert_int_equal(orders(&r), 1);
+	assert_int_equal(take_orders(&r), 1);
 	assert_int_equal(r.orders[0].kind, ORDER_STOP);
 	assert_int_equal(r.orders[0].number, 10002);
 	assert_true(sched_machine_load(r.s, second.instance_id, &load));
@@ -317,7 +317,7 @@
 	r.config.pool_count = 2;
 	r.config.pools = pools;
 	sched_configure(r.s, &r.config, r.now);
-	instance(&r, "i-0", false);
+	add_instance(&r, "i-0", false);
 	sched_instance_listed(r.s, &info, r.now);
 	sched_load_job(r.s, id_a, job_row(2, 1, false), NULL, r.now);
 	sched_become_leader(r.s, 2, false, r.now);
@@ -328,17 +328,17 @@
 	report(&r, polls[1].instance, NULL, 0, NULL, 0, r.now);
 	r.now++;
 	sched_leader_confirmed(r.s, r.now);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	report(&r, polls[0].instance, NULL, 0, NULL, 0, r.now);
 	r.now++;
 	sched_leader_confirmed(r.s, r.now);
-	assert_int_equal(orders(&r), 2);
+	assert_int_equal(take_orders(&r), 2);
 	assert_string_equal(r.orders[0].instance_id, "o-0");
 	talloc_free(r.s);
 }
 
 /* No workspace exceeds its cap, with possibly running tasks counted. */
-static void test_cap(void **state)
+static void test_workspace_cap(void **state)
 {
 	struct rig r;
 
@@ -348,12 +348,12 @@
 	make_all_usable(&r);
 	submit(&r, id_a, 6, 1, false);
 	write_all(&r);
-	assert_int_equal(orders(&r), 3);
+	assert_int_equal(take_orders(&r), 3);
 	talloc_free(r.s);
 }
 
 /* Maintenance stops one task of a step, and none while one is unavailable. */
-static void test_availability_budget(void **state)
+static void test_disruption_budget(void **state)
 {
 	struct sched_running running[2];
 	struct rig r;
@@ -367,8 +367,8 @@
 	make_all_usable(&r);
 	submit(&r, id_a, 2, 1, true);
 	write_all(&r);
-	assert_int_equal(orders(&r), 2);
-	answer_all(&r, ORDER_DONE);
+	assert_int_equal(take_orders(&r), 2);
+	answer_orders(&r, ORDER_DONE);
 	assert_int_not_equal(r.orders[0].instance.i, r.orders[1].instance.i);
 	r.now += 2500;
 	for (i = 0; i < 2; i++) {
@@ -386,13 +386,13 @@
 	{
 		struct rig other = r;
 
-		assert_int_equal(orders(&other), 0);
+		assert_int_equal(take_orders(&other), 0);
 	}
 	poll = next_poll(&r, r.orders[1].instance);
 	report(&r, poll.instance, &running[1], 1, NULL, 0, r.now);
 	sched_evacuate(r.s, r.orders[0].instance, true, r.now);
 	sched_evacuate(r.s, r.orders[1].instance, true, r.now);
-	assert_int_equal(orders(&r), 1);
+	assert_int_equal(take_orders(&r), 1);
 	assert_int_equal(r.orders[0].kind, ORDER_STOP);
 	talloc_free(r.s);
 }
@@ -423,14 +423,14 @@
 		sched_configure(r.s, &r.config, r.now);
 		rig_become_leader(&r);
 		make_all_usable(&r);
-		submit(&r, id_a, 6, 1, false); /* of w: 6 of 8 cores */
+		submit(&r, id_a, 6, 1, false); /* w uses 6 of 8 cores */
 		row = job_row(1, 1, false);
 		free(row->workspace);
 		row->workspace = strdup("v");
 		sched_submit(r.s, "000000000000000d", row, r.now, r.now,
-			     &after); /* of v: 1 core */
+			     &after); /* v uses 1 core */
 		write_all(&r);
-		assert_int_equal(orders(&r), 7);
+		assert_int_equal(take_orders(&r), 7);
 		submit(&r, "000000000000000b", 1, 1, false);
 		row = job_row(1, 1, false);
 		free(row->workspace);
@@ -439,13 +439,13 @@
 		sched_submit(r.s, "000000000000000c", row, r.now, r.now,
 			     &after);
 		write_all(&r);
-		assert_int_equal(orders(&r), 1);
+		assert_int_equal(take_orders(&r), 1);
 		assert_memory_equal(r.orders[0].task, cases[c].first, 16);
 		talloc_free(r.s);
 	}
 }
 
-/* A task of an advised queue starts only with a valid approval. */
+/* If its queue has an adviser, a task starts only with a valid approval. */
 static void test_advice(void **state)
 {
 	struct sched_approval rows[1];
@@ -459,24 +459,24 @@
 	make_all_usable(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	assert_true(sched_next_advice(r.s, r.now, &advice));
 	assert_int_equal(advice.count, 2);
 	assert_false(sched_next_advice(r.s, r.now, &advice));
 	rows[0] = (struct sched_approval){ "i-1", "t-1" };
 	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 100, r.now,
 			  r.now);
-	assert_int_equal(orders(&r), 0); /* it would expire on the way */
+	assert_int_equal(take_orders(&r), 0); /* too short a validity */
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
 	sched_advice_done(r.s, "000000000000000a.0.0", NULL, 0, 0, r.now,
 			  r.now);
-	assert_int_equal(orders(&r), 0);
+	assert_int_equal(take_orders(&r), 0);
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
 	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 3000, r.now,
 			  r.now);
-	assert_int_equal(orders(&r), 1);
+	assert_int_equal(take_orders(&r), 1);
 	assert_string_equal(r.orders[0].instance_id, "i-1");
 	assert_string_equal(r.orders[0].ticket, "t-1");
 	talloc_free(r.s);
@@ -505,7 +505,7 @@
 		row->steps[0]->gang = true;
 		sched_submit(r.s, id_a, row, r.now, r.now, &after);
 		write_all(&r);
-		assert_int_equal(orders(&r), cases[c].starts);
+		assert_int_equal(take_orders(&r), cases[c].starts);
 		for (i = 1; i < r.order_count; i++)
 			assert_int_equal(r.orders[i].number,
 					 r.orders[0].number);
@@ -513,8 +513,8 @@
 	}
 }
 
-/* A failed end counts once, also when it is reported to two leaders. */
-static void test_attempts(void **state)
+/* A job fails when one of its tasks has failed attempts_max times. */
+static void test_failed_attempts(void **state)
 {
 	struct sched_ended ended;
 	struct rig r;
@@ -531,8 +531,8 @@
 		assert_int_equal(sched_state(r.s, id_a, "q") <
 					 FLEET__JOB_STATE__COMPLETED,
 				 1);
-		assert_int_equal(orders(&r), 1);
-		answer_all(&r, ORDER_DONE);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_DONE);
 		r.now += 2500;
 		poll = next_poll(&r, r.orders[0].instance);
 		ended = (struct sched_ended){ 1, r.orders[0].task,
@@ -540,8 +540,8 @@
 					      "" };
 		report(&r, poll.instance, NULL, 0, &ended, 1, r.now);
 	}
-	assert_int_equal(orders(&r), 0);
-	/* Callers see the state once it is written. */
+	assert_int_equal(take_orders(&r), 0);
+	/* Callers see the end of a job once it is written. */
 	assert_int_equal(sched_state(r.s, id_a, "q"),
 			 FLEET__JOB_STATE__RUNNING);
 	write_all(&r);
@@ -574,12 +574,12 @@
 				 &after) == SUBMIT_REFUSED)
 			break;
 	}
-	/* 8 cores, 4 core-seconds a job, 3 times an objective of 1.6 s. */
+	/* 4 core-seconds a job; 8 cores for 3 times an objective of 1.6 s. */
 	assert_in_range(i, 5, 15);
 	talloc_free(r.s);
 }
 
-static uint32_t instances_known(const struct rig *r)
+static uint32_t count_instances(const struct rig *r)
 {
 	struct sched_stats stats;
 
@@ -587,8 +587,8 @@
 	return stats.instances;
 }
 
-/* An instance that left is removed, but not while tasks may run there. */
-static void test_forgotten_instances(void **state)
+/* An unlisted instance is removed, but not while it has runs. */
+static void test_unlisted_instances(void **state)
 {
 	struct sched_instance_load load;
 	struct rig r;
@@ -598,17 +598,17 @@
 	rig_new(&r);
 	rig_become_leader(&r);
 	make_all_usable(&r);
-	known = instances_known(&r);
+	known = count_instances(&r);
 	submit(&r, id_a, 1, 1, false);
 	write_all(&r);
-	assert_int_equal(orders(&r), 1);
-	answer_all(&r, ORDER_DONE);
+	assert_int_equal(take_orders(&r), 1);
+	answer_orders(&r, ORDER_DONE);
 	assert_true(sched_machine_load(r.s, "i-0", &load));
 	sched_instance_unlisted(r.s, "i-0", r.now);
 	sched_instance_unlisted(r.s, "i-1", r.now);
 	r.now += 60000;
 	sched_tick(r.s, r.now, r.now);
-	assert_int_equal(instances_known(&r), known - 1);
+	assert_int_equal(count_instances(&r), known - 1);
 	assert_int_equal(sched_machine_load(r.s, "i-0", &load) +
 				 sched_machine_load(r.s, "i-1", &load),
 			 1);
@@ -617,9 +617,8 @@
 }
 
 /*
- * Calls that a peer made for the leader and that were lost with the peer: the
- * outcome of the starts is unknown, but the instances stay usable. A lost poll
- * is repeated at once.
+ * Relayed calls that were lost with the peer: the outcome of the starts is
+ * unknown, but the instances stay usable. A lost poll is repeated at once.
  */
 static void test_lost_calls_are_not_failures(void **state)
 {
@@ -636,19 +635,19 @@
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		rig_new(&r);
 		r.workspace.cap.cpu = 0;
-		instance(&r, "i-0", false);
+		add_instance(&r, "i-0", false);
 		sched_become_leader(r.s, 1, true, r.now);
 		sched_expect_complete(r.s, r.now);
 		make_all_usable(&r);
 		submit(&r, id_a, 4, 1, false);
 		write_all(&r);
-		assert_int_equal(orders(&r), 4);
-		answer_all(&r, cases[c].result);
+		assert_int_equal(take_orders(&r), 4);
+		answer_orders(&r, cases[c].result);
 		assert_true(sched_machine_load(r.s, "i-0", &load));
 		assert_int_equal(load.usable, cases[c].usable);
 		assert_int_equal(load.runs, 4);
-		/* Outcome unknown: no task is started elsewhere. */
-		assert_int_equal(orders(&r), 0);
+		/* Until it is resolved, no task is started elsewhere. */
+		assert_int_equal(take_orders(&r), 0);
 		r.now += 2500;
 		poll = next_poll(&r, r.orders[0].instance);
 		sched_poll_lost(r.s, poll.instance, r.now);
@@ -673,7 +672,7 @@
  * With a slow store few rows are written per second. Callers wait for new
  * jobs, so these go first; batches hold different jobs and end independently.
  */
-static void test_batches_side_by_side(void **state)
+static void test_concurrent_batches(void **state)
 {
 	static const char *const ids[] = { "000000000000000b",
 					   "000000000000000c" };
@@ -708,22 +707,22 @@
 		cmocka_unit_test(test_recorded_is_written_first),
 		cmocka_unit_test(test_new_instance_waits_for_confirmation),
 		cmocka_unit_test(test_end_waits_for_its_change),
-		cmocka_unit_test(test_same_millisecond),
+		cmocka_unit_test(test_poll_in_millisecond_of_start),
 		cmocka_unit_test(test_unanswered_start),
-		cmocka_unit_test(test_unresponsive_instance_lapses),
+		cmocka_unit_test(test_unresponsive_instance_expires),
 		cmocka_unit_test(test_takeover_waits_for_unreported),
 		cmocka_unit_test(test_takeover_finds_a_duplicate),
 		cmocka_unit_test(test_takeover_after_pool_change),
-		cmocka_unit_test(test_cap),
-		cmocka_unit_test(test_availability_budget),
+		cmocka_unit_test(test_workspace_cap),
+		cmocka_unit_test(test_disruption_budget),
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_advice),
 		cmocka_unit_test(test_gang),
-		cmocka_unit_test(test_attempts),
+		cmocka_unit_test(test_failed_attempts),
 		cmocka_unit_test(test_refusals),
-		cmocka_unit_test(test_forgotten_instances),
+		cmocka_unit_test(test_unlisted_instances),
 		cmocka_unit_test(test_lost_calls_are_not_failures),
-		cmocka_unit_test(test_batches_side_by_side),
+		cmocka_unit_test(test_concurrent_batches),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -91,7 +91,7 @@
 			     w->now, w->now, &after);
 		return;
 	}
-	/* Recorded by another node, which notifies every leader. */
+	/* Another node records the job and notifies every leader. */
 	if (!job->has_row && !job->end)
 		job->has_row = true;
 	for (i = 0; i < WORLD_LEADERS; i++)
@@ -148,7 +148,8 @@
 						violation(w,
 							  "FALSE STATE: %s is "
 							  "reported as "
-							  "completed",
+							  "completed but a "
+							  "task is not done",
 							  job->id);
 		}
 }
@@ -199,15 +200,15 @@
 
 static void election_advance(struct world *w)
 {
-	uint32_t who = random_below(w, WORLD_LEADERS);
+	uint32_t index = random_below(w, WORLD_LEADERS);
 
 	if (w->now < w->next_claim_ms ||
-	    w->now < w->leaders[who].paused_until_ms ||
-	    w->now < w->leaders[who].partitioned_until_ms)
+	    w->now < w->leaders[index].paused_until_ms ||
+	    w->now < w->leaders[index].partitioned_until_ms)
 		return;
 	if (!leader_is_unresponsive(w) && !fault_occurs(w, FAULT_TAKEOVERS, 5))
 		return;
-	leader_claim(w, who);
+	leader_claim(w, index);
 	w->next_claim_ms = w->now + 300;
 }
 
@@ -334,7 +335,8 @@
 						 job->id, SCHED_ID_BYTES);
 		if (!job->long_running || running < job->row->steps[0]->count)
 			violation(w,
-				  "LOST JOB: %s has not ended (%u tasks run)",
+				  "LOST JOB: %s has not ended; %u of its tasks "
+				  "run",
 				  job->id, running);
 	}
 }
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -2,10 +2,11 @@
  * fleet_world - randomized simulation of several leaders in virtual time
  *
  * Simulates jobs, instances, a store and several leaders. By a seeded schedule,
- * calls are lost, executed late or lose their answer; instances crash, restart
- * or are partitioned; leaders are paused, replaced or cut off from the store;
- * writes have an unknown outcome. The real scheduler decides; the simulation
- * checks every start that reaches an instance.
+ * calls are lost or executed late, or their answers are lost; instances crash,
+ * restart or are partitioned; leaders are paused, replaced or cut off from the
+ * store; writes have an unknown outcome. The real scheduler decides; the
+ * simulation checks every start that reaches an instance, and at the end that
+ * no job was lost.
  */
 #ifndef FLEET_WORLD_H
 #define FLEET_WORLD_H
@@ -34,8 +35,8 @@
 	FAULT_CANCELS = 1 << 8,
 	FAULT_EVACUATIONS = 1 << 9,
 	FAULT_UNLISTED = 1 << 10,
-	FAULT_ALL = (1 << 11) - 1,
-	FAULT_QUICK_RESTARTS = 1 << 11, /* an instance restarts during a poll */
+	FAULT_ALL = (1 << 11) - 1,	/* all of the above */
+	FAULT_QUICK_RESTARTS = 1 << 11, /* crashed ones restart during a poll */
 };
 
 struct world_result {
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -80,11 +80,12 @@
 	return c;
 }
 
+/* Whether a call that is executed now takes effect. */
 static bool reachable(const struct world *w, const struct call *c)
 {
 	if (c->kind == CALL_TXN)
 		return w->now >= w->leaders[c->leader].partitioned_until_ms;
-	/* A call to a process that has ended is lost with it. */
+	/* A call to an incarnation that has ended is lost. */
 	return w->instances[c->instance].up &&
 	       w->instances[c->instance].incarnation == c->target_incarnation &&
 	       w->now >= w->instances[c->instance].partitioned_until_ms;
@@ -163,8 +164,8 @@
 	if (c->conflict_job) {
 		sched_row_exists(l->s, w->jobs[c->conflict_job - 1].id);
 	} else if (w->holder == c->leader + 1) {
-		l->revision =
-			w->leader_revision; /* resolved by an earlier write */
+		l->revision = w->leader_revision; /* resolved by an earlier
+						     transaction */
 		l->resolve = false;
 	} else {
 		leader_resign(w, l);
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -22,7 +22,7 @@
 	struct world_job *job = job_of_task(w, r->task, &step, &index);
 
 	assert(i->end_count < ENDS_MAX);
-	e->n = ++i->next_n;
+	e->n = ++i->last_n;
 	memcpy(e->task, r->task, sizeof(e->task));
 	e->number = r->number;
 	e->outcome = outcome;
@@ -57,7 +57,7 @@
 			i->up = true;
 			i->incarnation = w->now + 1;
 			i->clock_start = w->now;
-			i->fence = i->lease_end = i->next_n = 0;
+			i->fence = i->lease_end = i->last_n = 0;
 			i->run_count = i->end_count = i->stopped_count = 0;
 			trace(w, "%s restarted", i->id);
 		}
@@ -82,7 +82,7 @@
 	}
 }
 
-/* Checks of a start against the true state of the simulation */
+/* Checks of a start against the state of the simulation */
 
 static void check_duplicate_start(struct world *w,
 				  const struct world_instance *here,
@@ -233,7 +233,7 @@
 	if (c->fence < i->fence)
 		return ORDER_REFUSED_FENCE;
 	i->fence = c->fence;
-	c->clock_ms = instance_clock_ms(w, i); /* every answer carries it */
+	c->clock_ms = instance_clock_ms(w, i); /* every answer has the clock */
 	if (c->order.kind == ORDER_START)
 		return exec_start(w, i, c);
 	if (c->order.kind == ORDER_THROTTLE)
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -16,32 +16,32 @@
 #define LEASE_MS 4000u
 #define LEASE_MAX_MS 10000u
 #define PAUSE_DETECT_MS 1000u /* a longer pause requires a new confirmation */
-#define ORDERS_VALID_MS 6000u /* orders may follow a confirmation this long */
+#define ORDERS_VALID_MS 6000u /* since a confirmation, for sending orders */
 #define CONFIRM_INTERVAL_MS 800u
 #define ORDER_TIMEOUT_MS 500u
 #define TXN_TIMEOUT_MS 1000u
-#define COMMITS_MAX 3u	   /* of one leader at a time */
-#define LATE_MAX_MS 12000u /* latest execution of a delayed call */
-#define STOP_MAX_MS 200u
-#define STARTUP_MS 300u /* of a long-running task */
-#define UNLISTED_MS 3000u
-#define RESTART_MS 2000u
-#define QUICK_RESTART_MS 500u
-#define TASKS_MAX 8u
-#define RUNS_MAX 64u
-#define ENDS_MAX 256u
+#define COMMITS_MAX 3u	      /* transactions of a leader in flight */
+#define LATE_MAX_MS 12000u    /* longest additional delay of a late call */
+#define STOP_MAX_MS 200u      /* from a stop to the end of the run */
+#define STARTUP_MS 300u	      /* until a run reports 100 percent */
+#define UNLISTED_MS 3000u     /* longest absence from the directory */
+#define RESTART_MS 2000u      /* shortest time from a crash to the restart */
+#define QUICK_RESTART_MS 500u /* same, with FAULT_QUICK_RESTARTS */
+#define TASKS_MAX 8u	      /* of a step */
+#define RUNS_MAX 64u	      /* on an instance */
+#define ENDS_MAX 256u	      /* on an instance, and of its stopped runs */
 #define ATTEMPTS_MAX 3u
-#define CANCEL_GRACE_MS 3000u
-#define CAP_CPU 9000
+#define CANCEL_GRACE_MS 3000u /* starts may follow a cancellation this long */
+#define CAP_CPU 9000	      /* millicores; of workspace w1 */
 
 /* Instances */
 
 struct world_task_run {
 	char task[SCHED_TASK_MAX];
 	uint64_t number;
-	uint64_t ends_ms; /* by itself; 0 for a long-running task */
+	uint64_t ends_ms; /* when it ends by itself; 0: never */
 	uint64_t started_ms;
-	uint64_t stop_ms; /* end by a stop order; 0: none */
+	uint64_t stop_ms; /* when a stop order ends it; 0: never */
 	bool fails;
 };
 
@@ -62,20 +62,20 @@
 	const char *pool;
 	uint64_t incarnation;
 	uint64_t clock_start; /* simulation time at which its clock was 0 */
-	double rate;	      /* of its clock, relative to the simulation */
+	double rate; /* speed of its clock relative to the simulation */
 	uint64_t fence;
 	uint64_t lease_end; /* by its own clock */
 	bool up;
 	uint64_t restart_ms;	       /* time of its next start */
 	uint64_t partitioned_until_ms; /* no call passes until then */
 	uint64_t unlisted_until_ms;
-	uint64_t next_n;
+	uint64_t last_n; /* of its ends */
 	uint32_t run_count, end_count, stopped_count;
 	struct world_task_run runs[RUNS_MAX];
 	struct world_end ends[ENDS_MAX];
 	struct stopped_run stopped[ENDS_MAX];
-	bool failing;
-	bool listed;
+	bool failing; /* its runs fail */
+	bool listed;  /* in the directory */
 };
 
 /* Jobs, as callers and the store know them */
@@ -85,13 +85,13 @@
 	Fleet__JobRow *row;
 	uint64_t submit_ms;
 	bool submitted, accepted, cancel_sent;
-	uint64_t cancelled_ms; /* acknowledged; 0: not */
+	uint64_t cancelled_ms; /* when its caller learned of it; 0: not yet */
 	uint64_t cancel_ms;    /* when the caller cancels it; 0: never */
 	bool long_running;
 	bool done[4][TASKS_MAX];	 /* the task ended successfully */
-	bool acknowledged[4][TASKS_MAX]; /* to the instance */
+	bool acknowledged[4][TASKS_MAX]; /* its end was acknowledged */
 	uint32_t failures[4][TASKS_MAX];
-	/* Stored rows */
+	/* Rows in the store */
 	bool has_row;
 	bool has_progress;
 	uint8_t progress[512];
@@ -123,7 +123,7 @@
 	uint64_t fence;
 	struct sched_order order;
 	struct sched_poll poll;
-	uint64_t target_incarnation; /* of the instance at sent_ms */
+	uint64_t target_incarnation; /* of its instance, at sent_ms */
 	enum sched_order_result result;
 	uint64_t clock_ms;
 	uint64_t incarnation;
@@ -134,10 +134,10 @@
 	bool refused;
 	/* Transactions */
 	uint32_t batch;
-	uint64_t condition;
-	bool resolves;
+	uint64_t condition; /* expected world.leader_revision */
+	bool resolves;	    /* it also writes the leader row */
 	bool applied, conflict;
-	uint32_t conflict_job; /* + 1 */
+	uint32_t conflict_job; /* index + 1 of a job that has a row; 0: none */
 	uint64_t revision;
 	uint32_t change_count;
 	struct change changes[WORLD_JOBS];
@@ -145,17 +145,19 @@
 
 struct leader {
 	struct sched *s;
-	uint64_t incarnation; /* rises when it claims or resigns */
+	uint64_t incarnation; /* incremented when it claims or resigns */
 	uint64_t revision, fence, epoch;
 	uint64_t confirmed_ms;
 	uint64_t paused_until_ms;
-	uint64_t advanced_ms;	       /* last iteration */
+	uint64_t advanced_ms;	       /* time of its last iteration */
 	uint64_t partitioned_until_ms; /* cut off from the store until then */
-	uint64_t machines_due_ms;      /* machine list arrives; 0: done */
-	uint32_t commits;	       /* transactions in flight */
+	uint64_t machines_due_ms; /* arrival of the machine list; 0: over */
+	uint32_t commits;	  /* transactions in flight */
+	/* its next transaction must void writes of unknown outcome */
 	bool resolve;
-	uint64_t retry_ms;
-	uint64_t inbox_due_ms[WORLD_JOBS]; /* notice of the job; 0: none */
+	uint64_t retry_ms; /* no transaction before */
+	/* when it learns of a recorded job; 0: not recorded or known */
+	uint64_t inbox_due_ms[WORLD_JOBS];
 };
 
 struct world {
@@ -202,7 +204,7 @@
 void leader_resign(struct world *w, struct leader *l);
 
 /* fleet_world_leader.c */
-void leader_claim(struct world *w, uint32_t who);
-void leader_advance(struct world *w, uint32_t who);
+void leader_claim(struct world *w, uint32_t index);
+void leader_advance(struct world *w, uint32_t index);
 
 #endif
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -83,23 +83,23 @@
 	trace(arg, "    %s %s %s", kind, id, text);
 }
 
-void leader_claim(struct world *w, uint32_t who)
+void leader_claim(struct world *w, uint32_t index)
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = LEASE_MAX_MS,
 					 .former_leader_ms = ORDERS_VALID_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
-	struct leader *l = &w->leaders[who];
+	struct leader *l = &w->leaders[index];
 
 	if (l->s)
 		leader_resign(w, l);
 	l->incarnation++;
-	w->holder = who + 1;
+	w->holder = index + 1;
 	w->leader_revision = ++w->store_revision;
 	w->epoch++;
 	w->result->takeovers++;
-	trace(w, "leader %u claims epoch %llu", who,
+	trace(w, "leader %u claims epoch %llu", index,
 	      (unsigned long long)w->epoch);
 	l->revision = l->fence = w->leader_revision;
 	l->epoch = w->epoch;
@@ -156,9 +156,9 @@
 	}
 }
 
-static void leader_commit(struct world *w, uint32_t who)
+static void leader_commit(struct world *w, uint32_t index)
 {
-	struct leader *l = &w->leaders[who];
+	struct leader *l = &w->leaders[index];
 	struct sched_change change;
 	struct call *c;
 	uint32_t change_limit;
@@ -167,7 +167,7 @@
 	    (l->commits && (l->resolve || random_below(w, 4))) ||
 	    !sched_change_pending(l->s))
 		return;
-	c = call_new(w, who, CALL_TXN, TXN_TIMEOUT_MS);
+	c = call_new(w, index, CALL_TXN, TXN_TIMEOUT_MS);
 	c->condition = l->revision;
 	c->batch = ++w->last_batch;
 	change_limit = 1 + random_below(w, WORLD_JOBS);
@@ -194,9 +194,9 @@
 	l->commits++;
 }
 
-static void leader_send(struct world *w, uint32_t who)
+static void leader_send(struct world *w, uint32_t index)
 {
-	struct leader *l = &w->leaders[who];
+	struct leader *l = &w->leaders[index];
 	struct sched_order order;
 	struct sched_poll poll;
 	struct call *c;
@@ -204,14 +204,14 @@
 	if (!l->confirmed_ms || w->now - l->confirmed_ms >= ORDERS_VALID_MS)
 		return;
 	while (sched_next_order(l->s, w->now, &order)) {
-		c = call_new(w, who, CALL_ORDER, ORDER_TIMEOUT_MS);
+		c = call_new(w, index, CALL_ORDER, ORDER_TIMEOUT_MS);
 		c->order = order;
 		c->fence = l->fence;
 		c->instance = instance_index(w, order.instance_id);
 		c->target_incarnation = w->instances[c->instance].incarnation;
 	}
 	while (sched_next_poll(l->s, w->now, &poll)) {
-		c = call_new(w, who, CALL_POLL, poll.timeout_ms);
+		c = call_new(w, index, CALL_POLL, poll.timeout_ms);
 		c->poll = poll;
 		c->fence = l->fence;
 		c->instance = instance_index(w, poll.instance_id);
@@ -221,9 +221,9 @@
 	}
 }
 
-void leader_advance(struct world *w, uint32_t who)
+void leader_advance(struct world *w, uint32_t index)
 {
-	struct leader *l = &w->leaders[who];
+	struct leader *l = &w->leaders[index];
 
 	if (!l->s || w->now < l->paused_until_ms)
 		return;
@@ -233,11 +233,11 @@
 	leader_read_machines(w, l);
 	leader_read_inbox(w, l);
 	leader_read_directory(w, l);
-	/* Reading the leader row confirms the leader or ends its term. */
+	/* Reading the leader row confirms the leader or makes it resign. */
 	if ((w->now - l->confirmed_ms >= CONFIRM_INTERVAL_MS ||
 	     sched_needs_confirmation(l->s)) &&
 	    w->now >= l->partitioned_until_ms && !random_below(w, 4)) {
-		if (w->holder != who + 1) {
+		if (w->holder != index + 1) {
 			leader_resign(w, l);
 			return;
 		}
@@ -252,6 +252,6 @@
 		if (sched_instance_next(l->s, &slot, &load))
 			sched_evacuate(l->s, load.instance, true, w->now);
 	}
-	leader_send(w, who);
-	leader_commit(w, who);
+	leader_send(w, index);
+	leader_commit(w, index);
 }
