--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -31,6 +31,7 @@
 
 struct sched;
 
+/* Refers to a run in the scheduler. */
 typedef struct {
 	uint32_t i;
 	uint32_t generation;
@@ -46,7 +47,7 @@
 } instance_handle_t;
 
 struct sched_options {
-	uint32_t lease_ms;     /* of a lease, from a start or poll */
+	uint32_t lease_ms;     /* lease that a start or a poll grants */
 	uint32_t lease_max_ms; /* instances shorten longer leases to this */
 	/* after a takeover, a former leader may send orders for this time */
 	uint32_t former_leader_ms;
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -44,14 +44,14 @@
 	uint64_t created_ms;	   /* when placed, or found in a report */
 	uint64_t ordered_ms;	   /* when its last order was sent */
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
-	uint64_t stop_done_ms;	/* when its stop order was done; 0: not yet */
-	bool to_send;		/* it is in sched.to_send */
-	bool in_flight;		/* its order was sent and is not answered */
-	uint32_t percent;	/* progress, as reported */
-	uint32_t speed_percent; /* of a filler; last one carried out */
-	uint32_t speed_wanted;	/* of a filler; last one decided */
-	double load;
-	struct run *prev, *next;	     /* in instance.runs */
+	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
+	bool to_send;		 /* it is in sched.to_send */
+	bool in_flight;		 /* its order was sent and is not answered */
+	uint32_t percent;	 /* progress, as reported */
+	uint32_t speed_percent;	 /* of a filler; last one carried out */
+	uint32_t speed_wanted;	 /* of a filler; last one decided */
+	double load;		 /* as reported; see struct sched_running */
+	struct run *prev, *next; /* in instance.runs */
 	struct run *task_prev, *task_next;   /* in task.runs */
 	struct run *order_prev, *order_next; /* in sched.to_send */
 };
@@ -86,7 +86,7 @@
 	uint32_t index;
 	uint32_t tasks_left;
 	uint32_t startable; /* tasks not done and without a possible run */
-	bool ready;	    /* all steps before it are done */
+	bool ready;	    /* occurrence is due, steps before it are done */
 	bool queued;	    /* in pool.ready */
 	uint32_t failed_count;
 	uint32_t *failed; /* pairs of task index and run number */
@@ -114,14 +114,14 @@
 	const struct config_queue *conf; /* NULL: queue removed, or job ended */
 	struct pool *pool;
 	struct workspace *workspace;
-	Fleet__JobState state; /* as decided */
-	Fleet__JobState shown; /* to callers: state once durable */
+	Fleet__JobState state; /* as decided; may not be written yet */
+	Fleet__JobState shown; /* the state that callers get: it is written */
 	bool stored;	       /* its row is in the store */
 	bool rows_kept;	       /* it ended, but has runs: its rows are kept */
-	bool claimed; /* a leader has written its rows: tasks may start */
-	bool started;
+	bool claimed;	   /* a leader has written its rows: tasks may start */
+	bool started;	   /* a task of it has run */
 	bool pool_changed; /* a predecessor may run it in another pool */
-	bool loaded;	   /* from a predecessor's rows */
+	bool loaded;	   /* at takeover; it may have unreported runs */
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
 	uint64_t objective_ms;	   /* deadline for its completion */
@@ -193,8 +193,8 @@
 	bool counted_unreported; /* in pool.unreported */
 	struct amount unreported_capacity; /* its part of sched.unreported */
 	uint64_t known_ms;	 /* when this leader first learned of it */
-	uint64_t unlisted_ms;	 /* left the directory; 0: it is listed */
-	uint64_t listed_ms;	 /* last added to the directory */
+	uint64_t unlisted_ms;	 /* when it left the directory; 0: it did not */
+	uint64_t listed_ms;	 /* when last added to the directory */
 	uint64_t report_sent_ms; /* when the poll of its report was sent */
 	/* first report since its start or since it was unresponsive */
 	uint64_t first_report_ms;
@@ -224,9 +224,9 @@
 	const struct config *config;
 	uint64_t epoch;
 	uint64_t leader_since_ms;     /* when this epoch began */
-	uint64_t leader_confirmed_ms; /* latest known time of being leader */
-	uint64_t predecessor_end_ms;  /* latest order of a former leader */
-	uint64_t unix_ms;
+	uint64_t leader_confirmed_ms; /* last time known to be leader */
+	uint64_t predecessor_end_ms;  /* last possible order of a predecessor */
+	uint64_t unix_ms;	      /* time of day */
 	struct job *jobs;
 	struct job *changed;
 	uint64_t change_seq;
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -200,7 +200,10 @@
 	       step_runs_on(i, step) < spec->spread_limit;
 }
 
-/* 1 if the step's first task that runs is on the rack, -1 if on another. */
+/*
+ * Returns 1 if the step's first running task is on the rack, -1 if it is on
+ * another, 0 if no task runs.
+ */
 static int step_on_rack(const struct step *step, const char *rack)
 {
 	uint32_t t;
