connection: comments state what is bounded, and the cases that they left out

Misread before: HTTPC_TIMEOUT also stands for the stall timeout; the connection limit of httpc_new bounds the connections kept open, and only host_max makes requests wait; a stream is broken and counted as refused also when its owner rejects a frame; several capacities had only a unit.

Terms: in flight, completed, interim answer, buffer capacity, prefix, link up and down.

--- a/src/connection/frames.c
+++ b/src/connection/frames.c
@@ -11,9 +11,9 @@
 
 #include "process/settings.h"
 
-#define FRAMES_READ_BYTES 65536u
-#define FRAMES_BUFFER_BYTES 4096u
-#define FRAMES_PREFIX 4u /* bytes of a frame's length */
+#define FRAMES_READ_BYTES 65536u  /* maximum of one recv(2) */
+#define FRAMES_BUFFER_BYTES 4096u /* initial capacity of a buffer */
+#define FRAMES_PREFIX_BYTES 4u	  /* length field before each frame */
 #define FRAMES_BACKLOG 64
 
 struct buffer {
@@ -30,7 +30,7 @@
 	void *data;
 	struct buffer in;
 	struct buffer out;
-	size_t reserved; /* bytes reserved by frame_reserve */
+	size_t reserved; /* bytes of the frame in frame_reserve, with prefix */
 	int fd;
 	bool broken;
 };
@@ -134,10 +134,10 @@
 		frame_stream_break(s);
 		return NULL;
 	}
-	to = buffer_extend(s, &s->out, FRAMES_PREFIX + length);
-	memcpy(to, &prefix, FRAMES_PREFIX);
-	s->reserved = FRAMES_PREFIX + length;
-	return to + FRAMES_PREFIX;
+	to = buffer_extend(s, &s->out, FRAMES_PREFIX_BYTES + length);
+	memcpy(to, &prefix, FRAMES_PREFIX_BYTES);
+	s->reserved = FRAMES_PREFIX_BYTES + length;
+	return to + FRAMES_PREFIX_BYTES;
 }
 
 void frame_send(struct frame_stream *s)
@@ -148,27 +148,27 @@
 	stream_flush(s);
 }
 
-/* Handles each complete frame; false when one is malformed. */
+/* Handles each complete frame; false when one is too long or rejected. */
 static bool handle_frames(struct frame_stream *s)
 {
 	const struct frames_options *o = &s->frames->options;
 	size_t at = 0;
 	uint32_t length;
 
-	while (s->in.length - at >= FRAMES_PREFIX) {
-		memcpy(&length, s->in.data + at, FRAMES_PREFIX);
+	while (s->in.length - at >= FRAMES_PREFIX_BYTES) {
+		memcpy(&length, s->in.data + at, FRAMES_PREFIX_BYTES);
 		length = ntohl(length);
 		if (length > o->frame_max)
 			return false;
-		if (s->in.length - at < FRAMES_PREFIX + length)
+		if (s->in.length - at < FRAMES_PREFIX_BYTES + length)
 			break;
 		s->frames->counters.frames_in++;
-		if (!o->frame(o->arg, s, s->in.data + at + FRAMES_PREFIX,
+		if (!o->frame(o->arg, s, s->in.data + at + FRAMES_PREFIX_BYTES,
 			      length))
 			return false;
 		if (s->broken)
 			return true;
-		at += FRAMES_PREFIX + length;
+		at += FRAMES_PREFIX_BYTES + length;
 	}
 	buffer_consume(&s->in, at);
 	return true;
--- a/src/connection/frames.h
+++ b/src/connection/frames.h
@@ -3,7 +3,9 @@
  *
  * Frames arrive whole and in order while a stream is open; pending frames are
  * lost when it breaks. A broken stream is closed from the event loop: `closed`
- * is called once, and its owner must not use the stream afterwards.
+ * is called once, and its owner must not use the stream afterwards. frame_max
+ * and out_max bound the memory that a malformed frame, or a peer that does not
+ * read, can take up.
  */
 #ifndef FRAMES_H
 #define FRAMES_H
@@ -18,9 +20,9 @@
 struct frame_stream;
 
 struct frames_options {
-	const char *address; /* IP number and port to listen on; NULL: none */
+	const char *address; /* IP address and port to listen on; NULL: none */
 	size_t frame_max;    /* bytes; a longer frame breaks its stream */
-	size_t out_max;	     /* bytes queued; more break the stream */
+	size_t out_max;	     /* bytes queued; more breaks the stream */
 	/* Called for each accepted stream. */
 	void (*opened)(void *arg, struct frame_stream *stream);
 	/* Called for each frame; false breaks the stream. */
@@ -35,7 +37,7 @@
 	uint64_t frames_out;
 	uint64_t bytes_in;
 	uint64_t bytes_out;
-	uint64_t refused; /* streams broken by malformed frames */
+	uint64_t refused; /* streams broken by a too long or rejected frame */
 };
 
 /*
@@ -47,21 +49,27 @@
 			  const struct frames_options *options);
 void frames_accept(struct frames *f);
 
-/* frames_dial - connect a stream to address; NULL when it fails at once */
+/*
+ * frames_dial - connect a stream to address; NULL when it fails at once
+ *
+ * A connection that fails later is closed like a broken stream.
+ */
 struct frame_stream *frames_dial(struct frames *f, const char *address);
 
 /*
- * frame_reserve, frame_send - write length bytes, then send them as one frame
+ * frame_reserve, frame_send - send one frame of length bytes
  *
- * frame_reserve returns NULL and breaks the stream when out_max is exceeded.
+ * The caller writes the bytes to the address that frame_reserve returns.
+ * frame_reserve returns NULL when the stream is broken; it breaks the stream
+ * when out_max would be exceeded.
  */
 uint8_t *frame_reserve(struct frame_stream *stream, size_t length);
 void frame_send(struct frame_stream *stream);
 
-/* frame_stream_has_unread - whether unread bytes from the peer are queued */
+/* frame_stream_has_unread - whether the socket holds unread bytes */
 bool frame_stream_has_unread(const struct frame_stream *stream);
 
-/* frame_stream_break - close it from the event loop */
+/* frame_stream_break - close the stream from the event loop */
 void frame_stream_break(struct frame_stream *stream);
 
 /* The owner's data of a stream, initially NULL. */
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -14,12 +14,12 @@
 #include "process/clock.h"
 #include "process/mtimer.h"
 
-#define HTTPC_BUFFER_BYTES 1024u      /* bytes */
-#define HTTPC_BUFFER_KEEP 4096u	      /* bytes, of an idle handle */
-#define HTTPC_HEADERS_MAX (64u << 10) /* bytes */
-#define HTTPC_WATCHES_MIN 64
-#define HTTPC_READ_BYTES 16384L
-#define HTTPC_IDLE_HANDLES 256u /* easy handles kept for reuse */
+#define HTTPC_BUFFER_BYTES 1024u      /* initial capacity of a buffer */
+#define HTTPC_BUFFER_KEEP 4096u	      /* bytes; larger ones aren't reused */
+#define HTTPC_HEADERS_MAX (64u << 10) /* bytes of one answer's headers */
+#define HTTPC_WATCHES_EXTRA 64	      /* spare entries of a grown table */
+#define HTTPC_READ_BYTES 16384L	      /* maximum of one recv(2) */
+#define HTTPC_IDLE_HANDLES 256u	      /* easy handles kept for reuse */
 /*
  * libcurl iterates over all connections of a multi handle when a request ends.
  * Hosts are distributed over several handles, so that each has few connections.
@@ -28,33 +28,33 @@
 
 struct httpc;
 
-/* One multi handle, for a part of the hosts. */
+/* A multi handle, which serves some of the hosts. */
 struct shard {
 	struct httpc *client;
 	CURLM *multi;
-	struct tevent_immediate *now; /* runs a timeout of zero */
-	uint64_t due_ms;	      /* next timeout; 0: none */
+	struct tevent_immediate *now; /* runs a libcurl timeout of zero */
+	uint64_t due_ms;	      /* libcurl's next timeout; 0: none */
 };
 
 struct exchange {
 	struct httpc *client;
-	struct shard *shard; /* that runs the request */
+	struct shard *shard; /* runs the request */
 	struct exchange *next_idle;
-	struct exchange *prev, *next; /* in_flight */
+	struct exchange *prev, *next; /* of the in_flight list */
 	CURL *easy;
 	struct curl_slist *headers;
 	char error[CURL_ERROR_SIZE];
 	size_t body_length;
 	size_t answer_max;
 	uint64_t send_before_us;
-	uint64_t progress_ms; /* last byte received, or start */
+	uint64_t progress_ms; /* time of the last byte, or of the start */
 	uint32_t stall_timeout_ms;
-	uint32_t sends; /* times that on_prerequest let it pass */
+	uint32_t sends; /* attempts that on_prerequest allowed */
 	bool once;
 	bool framed; /* the answer declares its length */
 	bool too_large;
 	bool late; /* not sent: send_before_us had passed */
-	bool head;
+	bool head; /* the method is HEAD */
 	httpc_done_fn done;
 	void *arg;
 	struct httpc_answer answer;
@@ -65,7 +65,7 @@
 struct httpc {
 	struct tevent_context *ev;
 	struct mtimer *timer;  /* shared by all shards */
-	uint64_t timer_due_ms; /* when it fires; 0: not set */
+	uint64_t timer_due_ms; /* when the timer fires; 0: not set */
 	struct shard shards[HTTPC_SHARDS];
 	struct exchange *idle;
 	struct exchange *in_flight;
@@ -166,7 +166,7 @@
 
 	x->progress_ms = clock_now_ms();
 	if (length >= 5 && !memcmp(line, "HTTP/", 5)) {
-		x->answer.headers.length = 0; /* drop an interim answer */
+		x->answer.headers.length = 0; /* of an interim answer */
 		x->framed = false;
 		return length;
 	}
@@ -184,7 +184,7 @@
 
 /* Exchanges, reused with their easy handles */
 
-/* Clears the request; the easy handle keeps its fixed options. */
+/* Clears the request; the easy handle keeps the options that never change. */
 static void exchange_reset(struct exchange *x)
 {
 	CURL *easy = x->easy;
@@ -268,7 +268,7 @@
 	c->idle_count++;
 }
 
-static bool answer_needs_no_body(const struct exchange *x, long code)
+static bool answer_has_no_body(const struct exchange *x, long code)
 {
 	return x->head || code == 204 || code == 304;
 }
@@ -283,7 +283,7 @@
 		return HTTPC_TIMEOUT;
 	if (code != CURLE_OK)
 		return HTTPC_BROKEN;
-	if (!x->framed && !answer_needs_no_body(x, x->answer.code)) {
+	if (!x->framed && !answer_has_no_body(x, x->answer.code)) {
 		snprintf(x->error, sizeof(x->error),
 			 "answer without a length: cannot tell whether it is "
 			 "complete");
@@ -313,7 +313,8 @@
 	x->answer.status = exchange_status(x, code);
 	x->answer.refused = connection_refused(x, code);
 	if (x->late)
-		x->answer.message = "not sent: the time to send it had passed";
+		x->answer.message =
+			"not sent: its deadline for sending had passed";
 	else if (x->error[0])
 		x->answer.message = x->error;
 	else
@@ -323,7 +324,7 @@
 	exchange_release(x);
 }
 
-static void reap(struct shard *s)
+static void finish_completed(struct shard *s)
 {
 	struct CURLMsg *msg;
 	struct exchange *x;
@@ -343,10 +344,10 @@
 /*
  * A socket stays watched for reading between two requests, which saves the
  * system calls that remove and add it; libcurl closes it through on_close. A
- * socket that never connected is closed by libcurl before it calls on_watch,
- * and the event loop must not hold a closed descriptor. So a duplicate is
- * watched until libcurl polls for reading only, which shows that the socket is
- * connected.
+ * socket that never connected is closed by libcurl before it calls on_watch
+ * with CURL_POLL_REMOVE, and the event loop must not hold a closed descriptor.
+ * So a duplicate is watched until libcurl polls for reading only, which shows
+ * that the socket is connected.
  */
 struct watch {
 	struct shard *shard;
@@ -383,7 +384,7 @@
 	if (flags & TEVENT_FD_WRITE)
 		mask |= CURL_CSELECT_OUT;
 	curl_multi_socket_action(s->multi, fd, mask, &running);
-	reap(s);
+	finish_completed(s);
 }
 
 static struct watch *watch_of(struct httpc *c, curl_socket_t fd)
@@ -403,7 +404,7 @@
 	w->duplicate = -1;
 	talloc_set_destructor(w, watch_destroy);
 	if (fd >= capacity) {
-		c->watch_capacity = fd * 2 + HTTPC_WATCHES_MIN;
+		c->watch_capacity = fd * 2 + HTTPC_WATCHES_EXTRA;
 		c->watches = talloc_realloc(c, c->watches, struct watch *,
 					    c->watch_capacity);
 		assert(c->watches);
@@ -485,11 +486,14 @@
 
 	s->due_ms = 0;
 	curl_multi_socket_action(s->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-	reap(s);
+	finish_completed(s);
 }
 
-/* A pending timer may fire early; that is cheaper than resetting it. */
-static void timer_set_before(struct httpc *c, uint64_t due_ms, uint64_t now)
+/*
+ * Makes the timer fire at due_ms or earlier: a timer that is already set for
+ * an earlier time stays, since firing early is cheaper than resetting it.
+ */
+static void timer_set_by(struct httpc *c, uint64_t due_ms, uint64_t now)
 {
 	if (c->timer_due_ms && c->timer_due_ms <= due_ms)
 		return;
@@ -509,7 +513,7 @@
 			continue;
 		due_ms = x->progress_ms + x->stall_timeout_ms;
 		if (due_ms > now) {
-			timer_set_before(c, due_ms, now);
+			timer_set_by(c, due_ms, now);
 			continue;
 		}
 		snprintf(x->error, sizeof(x->error),
@@ -532,7 +536,7 @@
 			shard_run_timeout(&c->shards[i]);
 	for (i = 0; i < HTTPC_SHARDS; i++)
 		if (c->shards[i].due_ms)
-			timer_set_before(c, c->shards[i].due_ms, now);
+			timer_set_by(c, c->shards[i].due_ms, now);
 }
 
 static void on_now(struct tevent_context *ev, struct tevent_immediate *im,
@@ -557,7 +561,7 @@
 		return 0;
 	}
 	s->due_ms = now + (uint64_t)ms;
-	timer_set_before(s->client, s->due_ms, now);
+	timer_set_by(s->client, s->due_ms, now);
 	return 0;
 }
 
@@ -566,7 +570,7 @@
 	struct exchange *x;
 	uint32_t i;
 
-	/* The owner frees the client: done is not called. */
+	/* The owner freed the client: done is not called. */
 	while ((x = c->in_flight)) {
 		DL_DELETE(c->in_flight, x);
 		curl_multi_remove_handle(x->shard->multi, x->easy);
@@ -623,7 +627,7 @@
 	return NULL;
 }
 
-/* The host and port choose the shard. */
+/* Chosen by host and port, so that requests to a host share connections. */
 static struct shard *shard_of(struct httpc *c, const char *url)
 {
 	const char *host = strstr(url, "://");
@@ -633,8 +637,10 @@
 	length = strcspn(host, "/");
 	return &c->shards[XXH64(host, length, 0) % HTTPC_SHARDS];
 }
+
 static void set_headers(struct exchange *x, const char *const *headers)
 {
+	/* An empty value removes a header that libcurl adds by itself. */
 	x->headers = curl_slist_append(NULL, "Expect:");
 	if (!x->body_length)
 		x->headers = curl_slist_append(x->headers, "Content-Type:");
@@ -686,8 +692,8 @@
 	DL_APPEND(c->in_flight, x);
 	curl_multi_add_handle(x->shard->multi, e);
 	if (x->stall_timeout_ms)
-		timer_set_before(c, x->progress_ms + x->stall_timeout_ms,
-				 x->progress_ms);
+		timer_set_by(c, x->progress_ms + x->stall_timeout_ms,
+			     x->progress_ms);
 }
 
 uint32_t httpc_active(const struct httpc *c)
--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -1,11 +1,12 @@
 /*
  * httpc - HTTP client over libcurl's multi interface, driven by tevent
  *
- * One client belongs to one thread and one tevent context. Every request to
- * an upstream, to the table service or to an entry passes through httpc_start,
- * which guarantees that a request marked `once` is sent at most once. libcurl
- * itself resends a request when a reused connection closes before the first
- * byte of an answer; its pre-request callback aborts this second attempt.
+ * One client belongs to one thread and one tevent context. Every HTTP request
+ * of this process passes through httpc_start, which guarantees that a request
+ * marked `once` is sent at most once, so that a caller's work is not run twice.
+ * libcurl itself resends a request when a reused connection closes before the
+ * first byte of an answer; the client's pre-request callback aborts this second
+ * attempt.
  */
 #ifndef HTTPC_H
 #define HTTPC_H
@@ -19,10 +20,10 @@
 struct httpc;
 
 enum httpc_status {
-	HTTPC_OK,	 /* complete answer, checked by its framing */
+	HTTPC_OK,	 /* complete answer, of the length it declares */
 	HTTPC_NOT_SENT,	 /* no byte of the request left this process */
 	HTTPC_BROKEN,	 /* possibly sent; no complete answer */
-	HTTPC_TIMEOUT,	 /* as HTTPC_BROKEN, after timeout_ms */
+	HTTPC_TIMEOUT,	 /* as HTTPC_BROKEN, after one of the timeouts */
 	HTTPC_TOO_LARGE, /* sent; the answer exceeds answer_max */
 };
 
@@ -36,7 +37,8 @@
 	enum httpc_status status;
 	long code;    /* HTTP status, 0 without an answer */
 	bool refused; /* connection refused: no process listens */
-	struct httpc_buffer headers; /* "Name: value\r\n" lines, no status */
+	/* "Name: value\r\n" lines, without the status line */
+	struct httpc_buffer headers;
 	struct httpc_buffer body;
 	const char *message; /* error text; valid in the callback */
 };
@@ -51,10 +53,10 @@
 	size_t body_length;
 	uint32_t timeout_ms;	     /* for the whole exchange */
 	uint32_t connect_timeout_ms; /* for connecting alone */
-	uint32_t stall_timeout_ms;   /* without a byte received; 0: none */
+	uint32_t stall_timeout_ms;   /* between received bytes; 0: none */
 	size_t answer_max;	     /* bytes of body; 0: HTTPC_ANSWER_MAX */
-	bool once;		     /* never send it twice */
-	uint64_t send_before_us;     /* not sent later; 0: no limit */
+	bool once;		     /* sent at most once */
+	uint64_t send_before_us;     /* not sent after it; 0: no limit */
 	httpc_done_fn done;	     /* called once, never from httpc_start */
 	void *arg;
 };
@@ -64,8 +66,9 @@
 /*
  * httpc_new - a client on ev, owned by ctx; NULL when libcurl fails
  *
- * It keeps up to connections_max connections, at most host_max to one host; 0
- * means no limit. Further requests wait for a free connection.
+ * Up to about connections_max connections are kept open for reuse. At most
+ * host_max connections to one host are open (0: no limit); further requests to
+ * this host wait for a free connection.
  */
 struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 			uint32_t connections_max, uint32_t host_max);
--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -11,8 +11,8 @@
 
 #include "process/mtimer.h"
 
-#define HTTPD_BODY_BYTES 1024u		   /* bytes */
-#define HTTPD_CONNECTION_MEMORY (8u << 10) /* bytes, limits the headers */
+#define HTTPD_BODY_BYTES 1024u		   /* initial capacity of a body */
+#define HTTPD_CONNECTION_MEMORY (8u << 10) /* bytes; limits the headers */
 
 struct httpd {
 	struct tevent_context *ev;
@@ -22,9 +22,9 @@
 	struct MHD_Daemon *daemon;
 	struct httpd_options options;
 	uint32_t pending;
-	bool running;	/* in MHD_run */
-	bool run_again; /* MHD_run must be called again */
-	int quiesced_fd;
+	bool running;	 /* inside MHD_run */
+	bool run_again;	 /* a request was answered inside MHD_run */
+	int quiesced_fd; /* no longer accepting; -1: still accepting */
 };
 
 /* A request, from its first header to the end of its answer. */
@@ -34,8 +34,8 @@
 	struct MHD_Response *response;
 	char *path;
 	char *query;
-	size_t capacity;
-	unsigned int code;
+	size_t capacity;   /* bytes allocated for the body */
+	unsigned int code; /* status of the answer */
 	bool too_large;
 	bool dispatched; /* passed to the handler */
 };
--- a/src/connection/httpd.h
+++ b/src/connection/httpd.h
@@ -4,7 +4,8 @@
  * One server belongs to one thread and one tevent context; several servers
  * may listen on one port. The handler is called when the whole body has been
  * received. The request is then suspended until httpd_answer is called, from
- * the handler or later, in the server's thread.
+ * the handler or later, in the server's thread. The sizes of headers and
+ * bodies, the number of connections and their idle time are limited.
  */
 #ifndef HTTPD_H
 #define HTTPD_H
@@ -35,7 +36,7 @@
 typedef void (*httpd_handler_fn)(void *arg, struct httpd_request *request);
 
 struct httpd_options {
-	const char *address; /* IP number */
+	const char *address; /* IP address */
 	uint16_t port;
 	size_t body_max; /* bytes; a larger body gets status 413 */
 	uint32_t connections_max;
@@ -75,14 +76,14 @@
 	size_t body_length;
 };
 
-/* httpd_answer - answer and resume the request, which is freed when sent */
+/* httpd_answer - answer a request, which is freed once the answer is sent */
 void httpd_answer(struct httpd_request *request,
 		  const struct httpd_answer *answer);
 
 /* httpd_stop_accepting - accept no new connections; open ones continue */
 void httpd_stop_accepting(struct httpd *s);
 
-/* httpd_pending - requests passed to the handler, answer not yet sent */
+/* httpd_pending - number of requests passed to the handler and not yet sent */
 uint32_t httpd_pending(const struct httpd *s);
 
 #endif
--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -6,13 +6,13 @@
 
 #include "connection/frames.h"
 
-#define PEER_REDIAL_MS 500
+#define PEER_REDIAL_MS 500 /* between attempts to dial a peer */
 
 struct link {
 	struct peer_net *net;
 	struct link *next;
 	struct frame_stream *stream;
-	uint64_t incarnation; /* 0 until its Hello */
+	uint64_t incarnation; /* of the peer; 0 until its Hello */
 	bool broken;	      /* its stream will be closed */
 };
 
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -3,7 +3,8 @@
  *
  * Frames arrive in order while a link is up; pending frames are lost when it
  * breaks. Both sides first send a Hello that proves knowledge of the fleet's
- * secret. The newer incarnation dials.
+ * secret. Of two entries, the newer incarnation dials, and dials again when
+ * the link breaks.
  */
 #ifndef PEER_H
 #define PEER_H
@@ -16,12 +17,14 @@
 #include "proto/peer.pb-c.h"
 
 #define PEER_FRAME_MAX (4u << 20) /* bytes */
-#define PEER_OUT_MAX (16u << 20)  /* bytes queued; more break the link */
+#define PEER_OUT_MAX (16u << 20)  /* bytes queued; more breaks the link */
 
 struct peer_net;
 
 struct peer_callbacks {
+	/* A link is up: the peer's Hello was valid. */
 	void (*up)(void *arg, uint64_t incarnation);
+	/* The last link to the peer is closed. */
 	void (*down)(void *arg, uint64_t incarnation);
 	void (*frame)(void *arg, uint64_t incarnation,
 		      const Jackdawwell__PeerFrame *frame);
@@ -29,9 +32,9 @@
 };
 
 struct peer_options {
-	const char *address; /* IP number and port to listen on */
-	const char *name;
-	const char *secret;
+	const char *address; /* IP address and port to listen on */
+	const char *name;    /* of this entry */
+	const char *secret;  /* of the fleet, the same for all entries */
 	struct peer_callbacks callbacks;
 };
 
--- a/src/connection/platform_http.c
+++ b/src/connection/platform_http.c
@@ -12,9 +12,11 @@
 #include "connection/httpc.h"
 #include "process/clock.h"
 
-#define PLATFORM_CONNECTIONS 4u
-#define PLATFORM_URL_MAX 512	  /* bytes */
-#define PLATFORM_HEADER_BYTES 250 /* of request and answer, estimated */
+#define PLATFORM_CONNECTIONS 4u		 /* kept open for reuse */
+#define PLATFORM_URL_MAX 512		 /* bytes */
+#define PLATFORM_ANSWER_MAX (256u << 20) /* bytes; a scan returns all rows */
+/* Headers of a request and its answer, approximately; for counters.bytes. */
+#define PLATFORM_HEADER_BYTES 250
 
 struct platform {
 	struct httpc *http;
@@ -119,8 +121,8 @@
 		.body_length = body ? strlen(body) : 0,
 		.timeout_ms = PLATFORM_TIMEOUT_MS,
 		.connect_timeout_ms = PLATFORM_TIMEOUT_MS,
-		.answer_max = 256u << 20,
-		.once = body != NULL,
+		.answer_max = PLATFORM_ANSWER_MAX,
+		.once = body != NULL, /* writes */
 		.done = on_done,
 		.arg = call,
 	};
