--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -20,7 +20,7 @@
 struct httpc;
 
 enum httpc_status {
-	HTTPC_OK,	 /* complete answer, of the length it declares */
+	HTTPC_OK,	 /* complete answer, checked by its framing */
 	HTTPC_NOT_SENT,	 /* no byte of the request left this process */
 	HTTPC_BROKEN,	 /* possibly sent; no complete answer */
 	HTTPC_TIMEOUT,	 /* as HTTPC_BROKEN, after one of the timeouts */
