standin: what each fault does, and terms of the interfaces it stands for

Misread before: latency_ms is said to delay every answer, but not that of /control; page bounds the answer to a read, not that of a feed; a revision that gets 410 is one that a feed asks for; the values of X-Behave were a list without their meaning.

Terms: machine service, lease until, unanswered poll, stop delay, pending feed. STOP_DELAY_MS names a literal.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -2,10 +2,11 @@
  * platform - stand-in for the platform's table service, object store and
  * instance list
  *
- * Rows are kept in memory. Tests inject faults with a POST to /control:
+ * Rows are kept in memory. Tests inject faults with a POST to /control, whose
+ * answer has the revision and the number of reads and writes so far:
  *	outage		true: requests are answered with 500 after 30 s, later
  *			than any client waits
- *	latency_ms	delay of every answer
+ *	latency_ms	delay of each service's answers
  *	lose		number of commits whose answer is lost after the commit
  *	instances	array of names that replaces the instance list
  *	reboot_ms	duration of a reboot; 0: it never ends
@@ -21,7 +22,7 @@
 
 #include "standin/serve.h"
 
-#define REBOOT_MS 1000
+#define REBOOT_MS 1000	/* unless /control sets another duration */
 #define LOST_REPLY_S 30 /* delay of a lost answer, longer than clients wait */
 
 struct state {
@@ -29,8 +30,8 @@
 	json_t *rows; /* key -> {"version", "value"} */
 	json_t *objects;
 	json_t *instances;
-	json_t *boots; /* name -> number of boots */
-	uint32_t reboot_ms;
+	json_t *boots;	    /* name -> number of boots */
+	uint32_t reboot_ms; /* 0: a reboot never ends */
 	uint64_t revision;
 	uint64_t reads;
 	uint64_t writes;
@@ -57,7 +58,7 @@
 	talloc_free(r);
 }
 
-/* Takes over the reference to body. */
+/* Answers after delay_ms; takes over the reference to body. */
 static void reply(struct state *s, struct httpd_request *request,
 		  unsigned int code, json_t *body, uint32_t delay_ms)
 {
--- a/standin/site.c
+++ b/standin/site.c
@@ -1,15 +1,15 @@
 /*
  * site - stand-in for the users' platform: store, machines and workers
  *
- * One process serves the platform's store and its list of machines on one
- * port, and each worker on a port of its own. The payload of a task starts
- * with its run time in milliseconds; "0" runs until it is stopped.
+ * One process serves the platform's store and its machine service on one port,
+ * and each worker on a port of its own. The payload of a task starts with its
+ * run time in milliseconds; "0" runs until it is stopped.
  * Tests inject faults and operators' writes with a POST to /control:
- *	down		true: the store and the machine list answer 503
+ *	down		true: the store and the machine service answer 503
  *	mute		table whose feeds are not answered; "": none
  *	lose		number of transactions whose answer is lost after the
  *			commit
- *	page		maximum number of rows in one answer
+ *	page		maximum number of rows in the answer to one read
  *	forget		true: drops the history so far, so that a feed from an
  *			older revision is answered with 410
  *	crash		name of a worker that loses all state and does not
@@ -37,13 +37,14 @@
 #define WORKERS_MAX 512
 #define RUNNING_MAX 256 /* tasks of one worker at a time */
 #define NAME_MAX_BYTES 32
-#define TICK_MS 10u
+#define TICK_MS 10u	  /* between checks for ended runs and due answers */
+#define STOP_DELAY_MS 20u /* from a stop order to the end of the run */
 #define CRASH_DOWN_MS 2000u
-#define CAPACITY_CPU 16000
-#define CAPACITY_MEM 65536
-#define PAGE_ROWS 500u
-#define CHANGES_INITIAL 256u
-#define LOST_REPLY_MS 5000u /* until the connection is closed unanswered */
+#define CAPACITY_CPU 16000   /* millicores of each worker */
+#define CAPACITY_MEM 65536   /* MiB of each worker */
+#define PAGE_ROWS 500u	     /* unless /control sets another page */
+#define CHANGES_INITIAL 256u /* initial capacity */
+#define LOST_REPLY_MS 5000u  /* from the commit to closing the connection */
 
 struct site;
 
@@ -66,9 +67,9 @@
 	char *task;
 	uint64_t run;
 	uint64_t start_ms;
-	uint64_t end_ms; /* 0: runs until stopped */
-	uint64_t stop_ms;
-	json_t *record; /* borrowed */
+	uint64_t end_ms;  /* 0: runs until stopped */
+	uint64_t stop_ms; /* 0: not ordered to stop */
+	json_t *record;	  /* its entry in site.record; borrowed */
 };
 
 struct worker {
@@ -77,15 +78,15 @@
 	char pool[NAME_MAX_BYTES];
 	int port;
 	uint64_t started_ms;
-	uint64_t down_until_ms;
-	uint64_t fence;
-	uint64_t lease_ms;
+	uint64_t down_until_ms; /* 0: up */
+	uint64_t fence;		/* highest that it has seen */
+	uint64_t lease_until_ms;
 	uint64_t last_end_seq;
 	json_t *ended;	 /* as in a report, until acknowledged */
 	json_t *blocked; /* task -> highest run that may not start */
 	uint32_t running_count;
 	struct running running[RUNNING_MAX];
-	struct httpd_request *poll_request;
+	struct httpd_request *poll_request; /* unanswered poll, or NULL */
 	uint64_t poll_deadline_ms;
 };
 
@@ -95,15 +96,15 @@
 	uint32_t row_count;
 	struct row *rows;
 	uint32_t change_count, change_capacity;
-	struct row *changes; /* all so far, oldest first */
+	struct row *changes; /* of all rows so far, oldest first */
 	uint64_t revision;
 	struct pending_feed *pending_feeds;
 	json_t *record;
 	bool down;
 	char *muted_table; /* its feeds are not answered; may be NULL */
 	uint32_t replies_to_lose;
-	uint32_t page_rows;	/* maximum in one answer */
-	uint64_t history_start; /* older revisions get 410 */
+	uint32_t page_rows;	/* maximum in the answer to a read */
+	uint64_t history_start; /* feeds from an older revision get 410 */
 	uint64_t transactions, reads, rows_read;
 	int worker_count;
 	struct worker workers[WORKERS_MAX];
@@ -267,7 +268,7 @@
 	talloc_free(tmp);
 }
 
-/* s->changes is sorted by revision. */
+/* Relies on s->changes being sorted by revision. */
 static json_t *changes_after(struct site *s, const char *table, uint64_t after)
 {
 	json_t *rows = json_array();
@@ -284,56 +285,58 @@
 static void answer_feeds(struct site *s, uint64_t now)
 {
 	struct pending_feed **at = &s->pending_feeds;
-	struct pending_feed *w;
+	struct pending_feed *feed;
 
-	while ((w = *at)) {
+	while ((feed = *at)) {
 		json_t *rows;
 
-		if (s->muted_table && !strcmp(w->table, s->muted_table)) {
-			at = &w->next;
+		if (s->muted_table && !strcmp(feed->table, s->muted_table)) {
+			at = &feed->next;
 			continue;
 		}
-		rows = changes_after(s, w->table, w->after);
+		rows = changes_after(s, feed->table, feed->after);
 
-		if (!json_array_size(rows) && now < w->until_ms && !s->down) {
+		if (!json_array_size(rows) && now < feed->until_ms &&
+		    !s->down) {
 			json_decref(rows);
-			at = &w->next;
+			at = &feed->next;
 			continue;
 		}
-		*at = w->next;
-		reply(w->request, 200, encode_rows(s, rows, false));
-		talloc_free(w);
+		*at = feed->next;
+		reply(feed->request, 200, encode_rows(s, rows, false));
+		talloc_free(feed);
 	}
 }
 
 static void serve_rows_feed(struct site *s, struct httpd_request *request)
 {
-	struct pending_feed *w = talloc_zero(s, struct pending_feed);
+	struct pending_feed *feed = talloc_zero(s, struct pending_feed);
 
-	assert(w);
+	assert(feed);
 	s->reads++;
-	w->request = request;
-	w->table = query_parameter(w, request->query, "table");
-	w->after =
-		strtoull(query_parameter(w, request->query, "after"), NULL, 10);
-	if (w->after && w->after < s->history_start) {
-		talloc_free(w);
+	feed->request = request;
+	feed->table = query_parameter(feed, request->query, "table");
+	feed->after = strtoull(query_parameter(feed, request->query, "after"),
+			       NULL, 10);
+	if (feed->after && feed->after < s->history_start) {
+		talloc_free(feed);
 		reply(request, 410, NULL);
 		return;
 	}
-	w->until_ms = clock_now_ms() +
-		      strtoull(query_parameter(w, request->query, "waitMs"),
-			       NULL, 10);
-	w->next = s->pending_feeds;
-	s->pending_feeds = w;
+	feed->until_ms =
+		clock_now_ms() +
+		strtoull(query_parameter(feed, request->query, "waitMs"), NULL,
+			 10);
+	feed->next = s->pending_feeds;
+	s->pending_feeds = feed;
 	answer_feeds(s, clock_now_ms());
 }
 
-/* False if any condition fails; rows gets the current rows of all of them. */
+/* False if any condition fails. Appends the current row of each to rows. */
 static bool check_conditions(struct site *s, const json_t *conditions,
 			     json_t *rows)
 {
-	bool hold = true;
+	bool all_hold = true;
 	size_t i;
 
 	for (i = 0; i < json_array_size(conditions); i++) {
@@ -343,11 +346,11 @@
 		uint64_t revision = r && r->value ? r->revision : 0;
 
 		if (revision != get_number(c, "revision"))
-			hold = false;
+			all_hold = false;
 		if (revision)
 			json_array_append_new(rows, encode_row(r));
 	}
-	return hold;
+	return all_hold;
 }
 
 static void close_unanswered(void *arg)
@@ -477,7 +480,7 @@
 			end_run(w, i, "done", now);
 		else if (r->stop_ms && now >= r->stop_ms)
 			end_run(w, i, "stopped", now);
-		else if (now >= w->lease_ms)
+		else if (now >= w->lease_until_ms)
 			end_run(w, i, "lapsed", now);
 		else
 			i++;
@@ -511,8 +514,8 @@
 				"reason", "old"));
 		return;
 	}
-	if (get_number(o, "deadlineMs") > w->lease_ms)
-		w->lease_ms = get_number(o, "deadlineMs");
+	if (get_number(o, "deadlineMs") > w->lease_until_ms)
+		w->lease_until_ms = get_number(o, "deadlineMs");
 	assert(w->running_count < RUNNING_MAX);
 	r = &w->running[w->running_count++];
 	memset(r, 0, sizeof(*r));
@@ -537,7 +540,7 @@
 	for (i = 0; i < w->running_count; i++)
 		if (!strcmp(w->running[i].task, get_text(o, "task")) &&
 		    w->running[i].run == get_number(o, "run"))
-			w->running[i].stop_ms = now + 20;
+			w->running[i].stop_ms = now + STOP_DELAY_MS;
 	reply(request, 200, json_pack("{s:I}", "clockMs", (json_int_t)now));
 }
 
@@ -546,8 +549,8 @@
 {
 	uint64_t acked = get_number(o, "ackedUpto");
 
-	if (get_number(o, "deadlineMs") > w->lease_ms)
-		w->lease_ms = get_number(o, "deadlineMs");
+	if (get_number(o, "deadlineMs") > w->lease_until_ms)
+		w->lease_until_ms = get_number(o, "deadlineMs");
 	while (json_array_size(w->ended) &&
 	       (uint64_t)json_integer_value(
 		       json_array_get(json_array_get(w->ended, 0), 0)) <= acked)
@@ -608,7 +611,7 @@
 		}
 		json_array_clear(w->ended);
 		json_object_clear(w->blocked);
-		w->fence = w->lease_ms = w->last_end_seq = 0;
+		w->fence = w->lease_until_ms = w->last_end_seq = 0;
 		w->started_ms = now;
 		w->down_until_ms = now + CRASH_DOWN_MS;
 		s->revision++;
@@ -637,6 +640,7 @@
 	      json_pack("{s:o, s:n}", "machines", list, "nextToken"));
 }
 
+/* Both orders restart the machine: its worker crashes and comes back. */
 static void order_machine(struct site *s, struct httpd_request *request,
 			  const json_t *o, bool is_move)
 {
@@ -758,7 +762,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_int *port = arg_int1(NULL, "port", "N", "of the store");
+	struct arg_int *port = arg_int1(NULL, "port", "N", "port of the store");
 	struct arg_str *workers =
 		arg_strn(NULL, NULL, "POOL:PORT", 1, WORKERS_MAX, "a worker");
 	struct arg_end *end = arg_end(8);
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -1,11 +1,15 @@
 /*
  * worker - stand-in for an upstream worker
  *
- * Answers each request after a hold time and records what ran. Headers of a
+ * Answers each request after its run time and records what ran. Headers of a
  * request select the behavior, so that one worker serves all tests:
  *	X-Hold-Ms	run time; the default is set by --hold
- *	X-Behave	fail (500), reset, truncate, badlength, unframed,
- *			chunkcut, chunked, never, refuse (not run), big
+ *	X-Behave	fail: status 500; refuse: status 503, not run
+ *			reset: closes the connection without an answer
+ *			never: does not answer while the test runs
+ *			truncate, chunkcut: an incomplete body
+ *			unframed, badlength: no length, an invalid length
+ *			chunked, big: a chunked body, a body of 8 MiB
  * A POST to /control changes the whole worker: {"fail": true} answers 500,
  * {"hold_ms": N} sets the default run time. GET /record lists how often each
  * request id was run, and [id, start, end] of each run in milliseconds of the
@@ -27,7 +31,7 @@
 #include "standin/serve.h"
 
 #define BIG_BYTES (8u << 20)
-#define NEVER_HOLD_MS 600000u /* longer than any test runs */
+#define NEVER_ANSWER_MS 600000u /* longer than any test runs */
 
 struct state {
 	struct tevent_context *ev;
@@ -38,7 +42,7 @@
 	uint64_t last_start_ms;
 	uint32_t hold_ms;
 	bool fail;
-	bool record;
+	bool record; /* false: only the totals are counted */
 };
 
 struct run {
@@ -172,7 +176,7 @@
 	count_run(s, run);
 	run->behavior = header(r, "X-Behave");
 	if (!strcmp(run->behavior, "never"))
-		ms = NEVER_HOLD_MS;
+		ms = NEVER_ANSWER_MS;
 	if (!ms) {
 		finish_run(run);
 		return;
@@ -226,8 +230,8 @@
 {
 	struct arg_int *port = arg_int1("p", "port", "PORT", "listen here");
 	struct arg_int *hold = arg_int0(NULL, "hold", "MS", "run time");
-	struct arg_lit *no_record =
-		arg_lit0(NULL, "no-record", "record no ids");
+	struct arg_lit *no_record = arg_lit0(
+		NULL, "no-record", "record no request ids and intervals");
 	struct arg_end *end = arg_end(4);
 	void *arg_table[] = { port, hold, no_record, end };
 	struct state *s = talloc_zero(NULL, struct state);
