test: frames, httpc, fuzz_client: names of the field, complete case titles

Misread before: the head of frames_test claimed that only malformed frames close a stream, and a comment that the test of a peer that does not read looks at other streams; titles of cases began with an "it" without a referent.

Terms: malformed case, backlog, input that is discarded (drain is something else here), random generator. No code differs; titles of cases and help texts are reworded; number of tests, bounds and seeds stay.

--- a/test/frames_test.c
+++ b/test/frames_test.c
@@ -1,6 +1,7 @@
 /*
- * Frames over TCP arrive whole and in order however the bytes are split. Only
- * streams with malformed frames are closed.
+ * Frames over TCP arrive whole and in order however the bytes are split. A
+ * malformed frame closes its stream and no other; a peer that does not read
+ * has its stream closed too.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -16,8 +17,8 @@
 #include "connection/frames.h"
 
 #define FRAME_MAX 1000u
-#define ITERATIONS 40 /* of the event loop, until sent bytes are read */
-#define FRAMES 50u
+#define ITERATIONS 40 /* of the event loop; sent bytes are read by then */
+#define FRAMES 50u    /* in one stream of test_split_frames */
 
 struct received {
 	uint32_t frames, bytes, opened, closed;
@@ -171,7 +172,7 @@
 	opened_stream = stream;
 }
 
-/* A slow reader can tell a peer that has sent bytes from a silent one. */
+/* Unread bytes tell a peer that has sent something from a silent one. */
 static void test_unread_bytes(void **state)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
@@ -189,7 +190,7 @@
 	int fd;
 
 	(void)state;
-	/* Only to get a free port. */
+	/* Finds a free port. */
 	talloc_free(frames_on(ev, &received, &port, address));
 	o.address = address;
 	o.arg = &received;
@@ -207,7 +208,7 @@
 	talloc_free(ev);
 }
 
-struct bad_case {
+struct malformed_case {
 	const char *what;
 	const char *bytes;
 	size_t length;
@@ -216,10 +217,10 @@
 
 static void test_malformed_frames(void **state)
 {
-	static const struct bad_case cases[] = {
-		{ "a length far beyond the limit", "\xff\xff\xff\xff", 4, 0 },
-		{ "one byte too long", "\0\0\x03\xe9", 4, 0 },
-		{ "a frame that its owner refuses", "\0\0\0\1z", 5, 'z' },
+	static const struct malformed_case cases[] = {
+		{ "length far beyond frame_max", "\xff\xff\xff\xff", 4, 0 },
+		{ "length one byte beyond frame_max", "\0\0\x03\xe9", 4, 0 },
+		{ "frame rejected by its owner", "\0\0\0\1z", 5, 'z' },
 	};
 	size_t c;
 
@@ -239,8 +240,8 @@
 		send(bad, cases[c].bytes, cases[c].length, 0);
 		iterate(ev);
 		if (received.closed != 1 || received.opened != 2)
-			fail_msg("%s: %u closed", cases[c].what,
-				 received.closed);
+			fail_msg("%s: %u streams closed, wanted 1 of 2",
+				 cases[c].what, received.closed);
 		assert_int_equal(frames_counters(f)->refused, 1);
 		send(good, "\0\0\0\0", 4, 0);
 		iterate(ev);
@@ -251,7 +252,7 @@
 	}
 }
 
-/* A peer that does not read breaks its own stream and no other. */
+/* A peer that does not read breaks its stream once out_max is exceeded. */
 static void test_peer_that_does_not_read(void **state)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
--- a/test/fuzz_client.c
+++ b/test/fuzz_client.c
@@ -16,18 +16,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define PER_CONNECTION 2
-#define MESSAGE_MAX 2048
-#define ANSWER_WAIT_MS 2
+#define PER_CONNECTION 2 /* messages */
+#define MESSAGE_MAX 2048 /* bytes */
+#define ANSWER_WAIT_MS 2 /* between bytes of the answers */
 
-static uint64_t state;
+static uint64_t random_state; /* of an xorshift generator */
 
-static uint32_t pick(uint32_t n)
+static uint32_t random_below(uint32_t n)
 {
-	state ^= state << 13;
-	state ^= state >> 7;
-	state ^= state << 17;
-	return (uint32_t)((state >> 11) % n);
+	random_state ^= random_state << 13;
+	random_state ^= random_state >> 7;
+	random_state ^= random_state << 17;
+	return (uint32_t)((random_state >> 11) % n);
 }
 
 static const char *const requests[] = {
@@ -51,15 +51,15 @@
 
 static size_t mutate(uint8_t *m, size_t length)
 {
-	uint32_t changes = pick(6);
+	uint32_t changes = random_below(6);
 	uint32_t i;
 
 	for (i = 0; i < changes && length > 1; i++) {
-		uint32_t at = pick((uint32_t)length);
+		uint32_t at = random_below((uint32_t)length);
 
-		switch (pick(4)) {
+		switch (random_below(4)) {
 		case 0:
-			m[at] = (uint8_t)pick(256);
+			m[at] = (uint8_t)random_below(256);
 			break;
 		case 1: /* truncate */
 			length = at + 1;
@@ -71,7 +71,7 @@
 			}
 			break;
 		default:
-			m[at] ^= (uint8_t)(1u << pick(8));
+			m[at] ^= (uint8_t)(1u << random_below(8));
 			break;
 		}
 	}
@@ -83,13 +83,13 @@
 	size_t length;
 
 	if (http) {
-		const char *r =
-			requests[pick(sizeof(requests) / sizeof(requests[0]))];
+		const char *r = requests[random_below(sizeof(requests) /
+						      sizeof(requests[0]))];
 
 		length = strlen(r);
 		memcpy(m, r, length);
 	} else {
-		uint32_t i = pick(sizeof(frames) / sizeof(frames[0]));
+		uint32_t i = random_below(sizeof(frames) / sizeof(frames[0]));
 
 		length = sizeof(frames[i]);
 		memcpy(m, frames[i], length);
@@ -115,7 +115,7 @@
 }
 
 /* Discards received bytes; false when the other side has closed. */
-static bool drain(int fd)
+static bool discard_input(int fd)
 {
 	struct pollfd p = { .fd = fd, .events = POLLIN };
 	char buffer[4096];
@@ -139,13 +139,14 @@
 		for (i = 0; i < PER_CONNECTION; i++, sent++) {
 			size_t length = make_message(http, m);
 
-			if (send(fd, m, length, MSG_NOSIGNAL) < 0 || !drain(fd))
+			if (send(fd, m, length, MSG_NOSIGNAL) < 0 ||
+			    !discard_input(fd))
 				break;
 		}
 		sent++;
 		shutdown(fd, SHUT_WR);
 		p = (struct pollfd){ .fd = fd, .events = POLLIN };
-		while (poll(&p, 1, ANSWER_WAIT_MS) > 0 && drain(fd))
+		while (poll(&p, 1, ANSWER_WAIT_MS) > 0 && discard_input(fd))
 			;
 		close(fd);
 	}
@@ -153,9 +154,10 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_int *http = arg_int1(NULL, "http", "PORT", "for callers");
-	struct arg_int *peer = arg_int1(NULL, "peer", "PORT", "for peers");
-	struct arg_int *seed = arg_int1(NULL, "seed", "N", "of the run");
+	struct arg_int *http = arg_int1(NULL, "http", "PORT", "callers' port");
+	struct arg_int *peer = arg_int1(NULL, "peer", "PORT", "peers' port");
+	struct arg_int *seed =
+		arg_int1(NULL, "seed", "N", "of the random generator");
 	struct arg_int *count = arg_int1(NULL, "count", "N", "messages");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { http, peer, seed, count, end };
@@ -164,7 +166,7 @@
 		arg_print_errors(stderr, end, "fuzz_client");
 		return 2;
 	}
-	state = (uint64_t)seed->ival[0] * 0x9e3779b97f4a7c15u + 1;
+	random_state = (uint64_t)seed->ival[0] * 0x9e3779b97f4a7c15u + 1;
 	fuzz((uint16_t)http->ival[0], true, (uint32_t)count->ival[0] / 2);
 	fuzz((uint16_t)peer->ival[0], false, (uint32_t)count->ival[0] / 2);
 	return 0;
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -16,9 +16,9 @@
 
 #include "connection/httpc.h"
 
-#define QUEUE_FILL 8 /* connections; more than a backlog of 0 holds */
-#define HANGING 8    /* consecutive requests */
-#define ITERATIONS 3 /* of the event loop: sent, none is answered */
+#define BACKLOG_FILL 8 /* connections; more than a backlog of 0 holds */
+#define CONSECUTIVE 8  /* requests of test_unconnected_sockets */
+#define ITERATIONS 3   /* of the event loop; requests are sent by then */
 
 /* Listens on a loopback port and never answers. */
 static int listen_silent(uint16_t *port)
@@ -39,7 +39,7 @@
 {
 	(void)arg;
 	(void)answer;
-	fail_msg("a freed client answered");
+	fail_msg("a freed client called done");
 }
 
 static void test_freed_in_flight(void **state)
@@ -108,7 +108,7 @@
 
 		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
 		httpc_start(client, &r);
-		tevent_loop_once(ev); /* starts to connect */
+		tevent_loop_once(ev); /* starts connecting */
 		peer = accept(fd, NULL, NULL);
 		assert_int_equal(write(peer, parts[c], strlen(parts[c])),
 				 strlen(parts[c]));
@@ -123,7 +123,7 @@
 }
 
 /* Fills a port's backlog, so that the next connection stays pending. */
-static void fill_queue(uint16_t port, int *fds, int count)
+static void fill_backlog(uint16_t port, int *fds, int count)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 				 .sin_port = htons(port) };
@@ -162,7 +162,7 @@
 	uint16_t ports[2];
 	int listeners[2] = { listen_silent(&ports[0]),
 			     listen_silent(&ports[1]) };
-	int fillers[QUEUE_FILL];
+	int fillers[BACKLOG_FILL];
 	int messages = 0;
 	int done = 0;
 	char urls[2][64];
@@ -170,9 +170,9 @@
 
 	(void)state;
 	listen(listeners[0], 0);
-	fill_queue(ports[0], fillers, QUEUE_FILL);
+	fill_backlog(ports[0], fillers, BACKLOG_FILL);
 	tevent_set_debug(ev, on_loop_message, &messages);
-	for (i = 0; i < HANGING; i++) {
+	for (i = 0; i < CONSECUTIVE; i++) {
 		struct httpc_request r = { .method = "GET",
 					   .url = urls[i % 2],
 					   .timeout_ms = 60,
@@ -189,7 +189,7 @@
 	assert_int_equal(messages, 0);
 	talloc_free(client);
 	talloc_free(ev);
-	for (i = 0; i < QUEUE_FILL; i++)
+	for (i = 0; i < BACKLOG_FILL; i++)
 		close(fillers[i]);
 	close(listeners[0]);
 	close(listeners[1]);
@@ -209,7 +209,7 @@
 	outcome->status = answer->status;
 }
 
-/* Only a port without a process refuses connections; a silent one does not. */
+/* Only a port on which no process listens counts as refusing connections. */
 static void test_refused(void **state)
 {
 	static const struct {
@@ -217,9 +217,9 @@
 		bool listens, full, refused;
 		enum httpc_status status;
 	} cases[] = {
-		{ "nothing listens", false, false, true, HTTPC_NOT_SENT },
-		{ "it accepts nothing", true, true, false, HTTPC_NOT_SENT },
-		{ "it does not answer", true, false, false, HTTPC_TIMEOUT },
+		{ "no process listens", false, false, true, HTTPC_NOT_SENT },
+		{ "full backlog", true, true, false, HTTPC_NOT_SENT },
+		{ "no answer", true, false, false, HTTPC_TIMEOUT },
 	};
 	size_t c;
 
@@ -228,7 +228,7 @@
 		struct tevent_context *ev = tevent_context_init(NULL);
 		struct httpc *client = httpc_new(ev, ev, 4, 0);
 		struct outcome outcome = { 0 };
-		int fillers[QUEUE_FILL];
+		int fillers[BACKLOG_FILL];
 		char url[64];
 		uint16_t port;
 		int fd = listen_silent(&port);
@@ -243,7 +243,7 @@
 			close(fd);
 		if (cases[c].full) {
 			listen(fd, 0);
-			fill_queue(port, fillers, QUEUE_FILL);
+			fill_backlog(port, fillers, BACKLOG_FILL);
 		}
 		snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
 		httpc_start(client, &r);
