--- a/src/connection/httpc.h
+++ b/src/connection/httpc.h
@@ -56,7 +56,7 @@
 	uint32_t stall_timeout_ms;   /* between received bytes; 0: none */
 	size_t answer_max;	     /* bytes of body; 0: HTTPC_ANSWER_MAX */
 	bool once;		     /* sent at most once */
-	uint64_t send_before_us;     /* not sent after it; 0: no limit */
+	uint64_t send_before_us;     /* not sent after this time; 0: none */
 	httpc_done_fn done;	     /* called once, never from httpc_start */
 	void *arg;
 };
