--- a/standin/site.c
+++ b/standin/site.c
@@ -544,8 +544,8 @@
 	reply(request, 200, json_pack("{s:I}", "clockMs", (json_int_t)now));
 }
 
-static void poll_worker(struct worker *w, struct httpd_request *request,
-			const json_t *o, uint64_t now)
+static void serve_poll(struct worker *w, struct httpd_request *request,
+		       const json_t *o, uint64_t now)
 {
 	uint64_t acked = get_number(o, "ackedUpto");
 
@@ -563,7 +563,7 @@
 		answer_poll(w, now);
 }
 
-static void on_worker(void *arg, struct httpd_request *request)
+static void on_worker_request(void *arg, struct httpd_request *request)
 {
 	struct worker *w = arg;
 	uint64_t now = clock_now_ms();
@@ -584,7 +584,7 @@
 		else if (!strcmp(request->path, "/jackdawwell/run-stop"))
 			stop_task(w, request, o, now);
 		else if (!strcmp(request->path, "/jackdawwell/hold"))
-			poll_worker(w, request, o, now);
+			serve_poll(w, request, o, now);
 		else
 			reply(request, 200,
 			      json_pack("{s:I}", "clockMs", (json_int_t)now));
@@ -592,7 +592,7 @@
 	json_decref(o);
 }
 
-static void crash(struct site *s, const char *name, uint64_t now)
+static void crash_worker(struct site *s, const char *name, uint64_t now)
 {
 	int i;
 
@@ -651,7 +651,7 @@
 		    !strcmp(s->workers[i].name, get_text(o, "machine")))
 			snprintf(s->workers[i].pool, sizeof(s->workers[i].pool),
 				 "%s", get_text(o, "pool"));
-	crash(s, get_text(o, "machine"), clock_now_ms());
+	crash_worker(s, get_text(o, "machine"), clock_now_ms());
 	reply(request, 200, json_object());
 }
 
@@ -680,7 +680,7 @@
 	if (json_object_get(o, "lose"))
 		s->replies_to_lose = (uint32_t)get_number(o, "lose");
 	if (json_object_get(o, "crash"))
-		crash(s, get_text(o, "crash"), clock_now_ms());
+		crash_worker(s, get_text(o, "crash"), clock_now_ms());
 	if (put) {
 		dump = json_dumps(json_object_get(put, "value"), JSON_COMPACT);
 		assert(dump);
@@ -757,7 +757,7 @@
 	w->ended = json_array();
 	w->blocked = json_object();
 	register_worker(w);
-	return serve_listen(s, s->ev, w->name, port, on_worker, w);
+	return serve_listen(s, s->ev, w->name, port, on_worker_request, w);
 }
 
 int main(int argc, char **argv)
