--- a/test/frames_test.c
+++ b/test/frames_test.c
@@ -78,9 +78,9 @@
 	}
 }
 
-static struct frames *frames_on(struct tevent_context *ev,
-				struct received *received, uint16_t *port,
-				char *address)
+static struct frames *listen_on_free_port(struct tevent_context *ev,
+					  struct received *received,
+					  uint16_t *port, char *address)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET };
 	socklen_t length = sizeof(a);
@@ -136,7 +136,7 @@
 		uint32_t i;
 		int fd;
 
-		frames_on(ev, &received, &port, address);
+		listen_on_free_port(ev, &received, &port, address);
 		fd = dial(port);
 		for (i = 0; i < FRAMES; i++) {
 			uint32_t size = i % 12;
@@ -191,7 +191,7 @@
 
 	(void)state;
 	/* Finds a free port. */
-	talloc_free(frames_on(ev, &received, &port, address));
+	talloc_free(listen_on_free_port(ev, &received, &port, address));
 	o.address = address;
 	o.arg = &received;
 	frames_accept(frames_new(ev, ev, &o));
@@ -233,7 +233,7 @@
 		uint16_t port;
 		int bad, good;
 
-		f = frames_on(ev, &received, &port, address);
+		f = listen_on_free_port(ev, &received, &port, address);
 		bad = dial(port);
 		good = dial(port);
 		iterate(ev);
@@ -264,7 +264,7 @@
 	int fd;
 
 	(void)state;
-	frames_on(ev, &received, &port, address);
+	listen_on_free_port(ev, &received, &port, address);
 	fd = dial(port);
 	iterate(ev);
 	assert_non_null(received.last);
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -145,7 +145,7 @@
 	(*(int *)arg)++;
 }
 
-static void on_counted(void *arg, struct httpc_answer *answer)
+static void on_failed(void *arg, struct httpc_answer *answer)
 {
 	assert_int_not_equal(answer->status, HTTPC_OK);
 	(*(int *)arg)++;
@@ -177,7 +177,7 @@
 					   .url = urls[i % 2],
 					   .timeout_ms = 60,
 					   .connect_timeout_ms = 30,
-					   .done = on_counted,
+					   .done = on_failed,
 					   .arg = &done };
 
 		snprintf(urls[i % 2], sizeof(urls[0]), "http://127.0.0.1:%u/",
