--- a/src/connection/frames.c
+++ b/src/connection/frames.c
@@ -30,7 +30,7 @@
 	void *data;
 	struct buffer in;
 	struct buffer out;
-	size_t reserved; /* bytes of the frame in frame_reserve, with prefix */
+	size_t reserved; /* bytes of the reserved frame, with its prefix */
 	int fd;
 	bool broken;
 };
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -51,7 +51,7 @@
 	uint32_t stall_timeout_ms;
 	uint32_t sends; /* attempts that on_prerequest allowed */
 	bool once;
-	bool framed; /* the answer declares its length */
+	bool framed; /* has Content-Length or Transfer-Encoding */
 	bool too_large;
 	bool late; /* not sent: send_before_us had passed */
 	bool head; /* the method is HEAD */
@@ -166,7 +166,8 @@
 
 	x->progress_ms = clock_now_ms();
 	if (length >= 5 && !memcmp(line, "HTTP/", 5)) {
-		x->answer.headers.length = 0; /* of an interim answer */
+		/* Any headers so far were those of an interim answer. */
+		x->answer.headers.length = 0;
 		x->framed = false;
 		return length;
 	}
--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -24,7 +24,7 @@
 	uint32_t pending;
 	bool running;	 /* inside MHD_run */
 	bool run_again;	 /* a request was answered inside MHD_run */
-	int quiesced_fd; /* no longer accepting; -1: still accepting */
+	int quiesced_fd; /* listener after httpd_stop_accepting, or -1 */
 };
 
 /* A request, from its first header to the end of its answer. */
