--- a/standin/site.c
+++ b/standin/site.c
@@ -79,10 +79,10 @@
 	int port;
 	uint64_t started_ms;
 	uint64_t down_until_ms; /* 0: up */
-	uint64_t fence;		/* highest that it has seen */
+	uint64_t fence;		/* highest fence received */
 	uint64_t lease_until_ms;
 	uint64_t last_end_seq;
-	json_t *ended;	 /* as in a report, until acknowledged */
+	json_t *ended;	 /* runs, as in a report, until acknowledged */
 	json_t *blocked; /* task -> highest run that may not start */
 	uint32_t running_count;
 	struct running running[RUNNING_MAX];
