--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -7,38 +7,45 @@
 #include "process/share.h"
 
 #define RUN_INTERVAL_MS 250	   /* between two allocations of a group */
-#define RUN_SHIFTED_INTERVAL_MS 50 /* after a large change of demand */
-#define ADVICE_REPEAT_MS 2000	   /* resends unchanged advice after this */
+#define RUN_SHIFTED_INTERVAL_MS 50 /* instead, if demand has shifted */
+#define ADVICE_REPEAT_MS 2000	   /* until unchanged advice is sent again */
 
-/* A change of demand is large if it exceeds this and a quarter of it before. */
+/*
+ * An entry's demand has shifted if it differs from the previous report by more
+ * than this and by more than a quarter.
+ */
 #define SHIFT_SLOTS_MIN 2.0
 
-/* Changed targets are sent if a change exceeds this and a twentieth. */
+/*
+ * Thousandths of a slot. A target has changed if it differs from the one last
+ * sent by more than this and by more than a twentieth.
+ */
 #define ADVICE_CHANGE_MIN_MILLI 100
 
-/* One entry's latest report on a group. */
+/* One entry's latest report on a group, and the advice that it gets. */
 struct report {
 	uint64_t entry;
 	uint64_t received_ms;
 	struct broker_demand demand;
-	double slots;	 /* allocated */
-	int32_t rounded; /* allocated, in whole slots */
-	int32_t surplus; /* held above that; negative: lacking */
+	double slots;	 /* allocated to the entry */
+	int32_t rounded; /* `slots` as a whole number */
+	int32_t surplus; /* units held minus `rounded` */
 	struct broker_target *targets;
 	uint32_t target_count;
 	struct broker_target *advised; /* targets last sent */
 	uint32_t advised_count;
 	uint64_t advised_ms;
-	bool had_transfers; /* in the last advice: the next must replace them */
+	/* The last advice had transfers, which the next one must replace. */
+	bool had_transfers;
 };
 
 struct group {
 	struct broker_group id;
 	struct report *reports;
-	uint64_t run_ms; /* last allocation */
+	uint64_t run_ms; /* time of the last allocation */
 	uint32_t count;
-	bool changed;
-	bool shifted; /* some demand has changed by a large amount */
+	bool changed; /* a report was stored or removed since `run_ms` */
+	bool shifted; /* an entry's demand has shifted since `run_ms` */
 };
 
 struct broker {
@@ -100,7 +107,7 @@
 	g->changed = true;
 }
 
-static double slots_of(const struct broker_demand *d)
+static double demand_slots(const struct broker_demand *d)
 {
 	double slots = 0;
 	uint32_t i;
@@ -110,11 +117,11 @@
 	return slots;
 }
 
-static bool demand_shifted(const struct broker_demand *was,
-			   const struct broker_demand *is)
+static bool demand_shifted(const struct broker_demand *old,
+			   const struct broker_demand *new)
 {
-	double before = slots_of(was);
-	double change = slots_of(is) - before;
+	double before = demand_slots(old);
+	double change = demand_slots(new) - before;
 
 	if (change < 0)
 		change = -change;
@@ -150,11 +157,12 @@
 
 /* Allocation */
 
+/* The claims on a group's units, one for each team with demand. */
 struct claims {
 	struct share_claim *claims;
 	uint32_t *teams;
-	double *demands; /* sum over all entries */
-	uint32_t *index; /* by team; 0 for none, else index + 1 */
+	double *demands; /* in slots, summed over all entries */
+	uint32_t *index; /* by team: the claim's index + 1, 0 for none */
 	uint32_t count;
 };
 
@@ -232,11 +240,11 @@
 	for (i = 0; i < r->demand.team_count; i++) {
 		const struct broker_team *t = &r->demand.teams[i];
 		uint32_t k = claim_index(c, t->team);
-		double part = t->milli_slots / 1000.0;
+		double demand = t->milli_slots / 1000.0;
 		double slots = 0;
 
 		if (c->demands[k] > 0)
-			slots = c->claims[k].allocated * part / c->demands[k];
+			slots = c->claims[k].allocated * demand / c->demands[k];
 		r->targets[i].team = t->team;
 		r->targets[i].milli_slots = (uint32_t)(slots * 1000.0 + 0.5);
 		r->slots += slots;
@@ -248,21 +256,21 @@
 	return r->slots - r->rounded;
 }
 
-/* Rounds to whole slots by the largest-remainder method. */
+/* Rounds entries' allocations by the largest-remainder method. */
 static void round_slots(struct group *g)
 {
 	double sum = 0;
-	int32_t left;
+	int32_t remaining;
 	uint32_t i;
 
 	for (i = 0; i < g->count; i++)
 		sum += g->reports[i].slots;
-	left = (int32_t)(sum + 0.5);
+	remaining = (int32_t)(sum + 0.5);
 	for (i = 0; i < g->count; i++) {
 		g->reports[i].rounded = (int32_t)g->reports[i].slots;
-		left -= g->reports[i].rounded;
+		remaining -= g->reports[i].rounded;
 	}
-	while (left-- > 0) {
+	while (remaining-- > 0) {
 		struct report *best = &g->reports[0];
 
 		for (i = 1; i < g->count; i++)
@@ -275,7 +283,7 @@
 					g->reports[i].rounded;
 }
 
-/* Scales an entry's targets so that their sum is its whole slots. */
+/* Scales an entry's targets so that their sum is its rounded allocation. */
 static void scale_targets(struct report *r)
 {
 	double scale = r->slots > 0 ? r->rounded / r->slots : 0;
@@ -286,7 +294,7 @@
 			(uint32_t)(r->targets[i].milli_slots * scale + 0.5);
 }
 
-static struct report *neediest(struct group *g)
+static struct report *lowest_surplus(struct group *g)
 {
 	struct report *best = NULL;
 	uint32_t i;
@@ -298,14 +306,14 @@
 	return best;
 }
 
-/* Matches a holder's surplus with the entries that lack most. */
+/* Gives a holder's surplus to the entries that lack most units. */
 static uint32_t plan_transfers(struct group *g, struct report *holder,
 			       struct broker_transfer *transfers)
 {
 	struct report *to;
 	uint32_t n = 0;
 
-	while (holder->surplus > 0 && (to = neediest(g))) {
+	while (holder->surplus > 0 && (to = lowest_surplus(g))) {
 		int32_t units = -to->surplus < holder->surplus
 					? -to->surplus
 					: holder->surplus;
@@ -318,19 +326,19 @@
 	return n;
 }
 
-static bool same_targets(const struct report *r)
+static bool targets_unchanged(const struct report *r)
 {
 	uint32_t i;
 
 	if (r->target_count != r->advised_count)
 		return false;
 	for (i = 0; i < r->target_count; i++) {
-		uint32_t is = r->targets[i].milli_slots;
-		uint32_t was = r->advised[i].milli_slots;
-		uint32_t change = is > was ? is - was : was - is;
+		uint32_t new = r->targets[i].milli_slots;
+		uint32_t old = r->advised[i].milli_slots;
+		uint32_t change = new > old ? new - old : old - new;
 
 		if (r->targets[i].team != r->advised[i].team ||
-		    (change > ADVICE_CHANGE_MIN_MILLI && change > was / 20))
+		    (change > ADVICE_CHANGE_MIN_MILLI && change > old / 20))
 			return false;
 	}
 	return true;
@@ -348,7 +356,7 @@
 	};
 	bool has_transfers = advice.transfer_count || r->had_transfers;
 
-	if (!has_transfers && same_targets(r) &&
+	if (!has_transfers && targets_unchanged(r) &&
 	    now_ms < r->advised_ms + ADVICE_REPEAT_MS)
 		return;
 	r->had_transfers = advice.transfer_count;
@@ -360,7 +368,10 @@
 	b->callbacks.advise(b->callbacks.arg, r->entry, &advice);
 }
 
-/* Holders with idle units come first: those can be lent at once. */
+/*
+ * Plans the transfers of entries with idle units first: these units can be lent
+ * at once, others only when a request ends.
+ */
 static void advise_entries(struct broker *b, struct group *g, uint64_t now_ms)
 {
 	struct broker_transfer *transfers =
--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -16,7 +16,8 @@
 #include <stdint.h>
 #include <talloc.h>
 
-#define BROKER_REPORT_TTL_MS 5000 /* older reports are discarded */
+/* Older reports are discarded, so that a silent entry is allocated nothing. */
+#define BROKER_REPORT_TTL_MS 5000
 
 enum broker_kind { BROKER_POOL, BROKER_TEAM };
 
@@ -33,7 +34,7 @@
 
 struct broker_demand {
 	struct broker_group group;
-	uint32_t held;
+	uint32_t held; /* units held by the entry */
 	uint32_t idle; /* nonzero if some of `held` is idle */
 	uint32_t team_count;
 	struct broker_team *teams;
@@ -41,11 +42,11 @@
 
 struct broker_target {
 	uint32_t team;
-	uint32_t milli_slots; /* thousandths of a slot */
+	uint32_t milli_slots; /* allocated, in thousandths of a slot */
 };
 
 struct broker_transfer {
-	uint64_t to; /* entry's incarnation */
+	uint64_t to; /* incarnation of the receiving entry */
 	uint32_t units;
 };
 
@@ -58,7 +59,7 @@
 };
 
 struct broker_callbacks {
-	/* A team's share and limit; false when the team does not exist. */
+	/* Sets a team's share and limit; false if there is no such team. */
 	bool (*team)(void *arg, uint32_t team, uint32_t *share,
 		     uint32_t *limit);
 	/* Sends advice to one entry; advice is valid during the call. */
@@ -80,13 +81,14 @@
 /* broker_forget - drop all reports of an entry */
 void broker_forget(struct broker *b, uint64_t entry);
 
-/* broker_run - allocate and advise for groups with new reports */
+/* broker_run - allocate the groups whose reports changed; send advice */
 void broker_run(struct broker *b, uint64_t now_ms);
 
 /*
- * broker_choose - the live entry that is a group's broker
+ * broker_choose - the entry, of the live ones given, that is a group's broker
  *
- * Takes the pool's or team's name, as ids differ between processes.
+ * name is that of the pool or team: ids differ between processes. Returns 0 if
+ * count is 0.
  */
 uint64_t broker_choose(enum broker_kind kind, const char *name,
 		       const uint64_t *entries, uint32_t count);
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -15,16 +15,16 @@
 #define EVENT_BUFFER (64u << 10) /* bytes */
 #define EVENT_KINDS_MAX 64u	 /* further kinds are not rate limited */
 /*
- * Lines per second of one kind. Designed for the starts of jobs on a busy day:
- * 5 times their mean.
+ * Lines per second of one kind: 5 times the mean rate of job starts on a busy
+ * day.
  */
 #define EVENT_RATE_MAX 1000u
-#define EVENT_TEXT_MAX 256u
+#define EVENT_TEXT_MAX 256u /* bytes; event_sanitize truncates to this */
 
 struct kind {
-	const char *name; /* compared by address: kinds are literals */
-	uint64_t second;
-	uint32_t count;
+	const char *name; /* a literal, compared by address */
+	uint64_t second;  /* to which `count` belongs */
+	uint32_t count;	  /* lines in that second */
 };
 
 static struct {
@@ -32,8 +32,8 @@
 	char buffer[EVENT_BUFFER];
 	size_t used;
 	struct kind kinds[EVENT_KINDS_MAX];
-	uint64_t dropped;
-	uint64_t dropped_logged; /* of `dropped`, already reported in the log */
+	uint64_t dropped;	 /* lines so far */
+	uint64_t dropped_logged; /* `dropped` as last logged */
 } log_state = { .node = "" };
 
 void event_open(const char *node)
@@ -137,7 +137,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n < 0) {
-		log_state.used = 0; /* the reader closed the pipe */
+		log_state.used = 0; /* e.g. the reader closed the pipe */
 		log_state.dropped++;
 		return;
 	}
--- a/src/process/freshness.c
+++ b/src/process/freshness.c
@@ -2,6 +2,7 @@
 
 #include <stdbool.h>
 
+/* A time that never expires, also after adding the lifetime. */
 #define FRESHNESS_ALWAYS (UINT64_MAX - FRESHNESS_LIFETIME_MS)
 
 static const struct freshness_peer *find(const struct freshness *f,
@@ -40,7 +41,7 @@
 		}
 }
 
-static bool is_full(const struct members *m, uint64_t incarnation)
+static bool is_full_member(const struct members *m, uint64_t incarnation)
 {
 	uint32_t i;
 
@@ -50,7 +51,7 @@
 	return false;
 }
 
-/* The needed-th newest of the times: so many peers responded since then. */
+/* The needed-th newest time; reorders the times. */
 static uint64_t nth_newest(uint64_t *times, uint32_t count, uint32_t needed)
 {
 	uint32_t best;
@@ -71,25 +72,31 @@
 	return times[needed - 1];
 }
 
-static uint64_t peers_ms(const struct freshness *f,
-			 const struct members *members, uint64_t self,
-			 uint64_t version)
+/*
+ * When a majority of the full members last proved that `config_version` and the
+ * members are the newest: the time of the oldest request among the newest
+ * responses that make a majority with this entry. 0 if too few have responded
+ * or any has a newer version.
+ */
+static uint64_t majority_ms(const struct freshness *f,
+			    const struct members *members, uint64_t self,
+			    uint64_t config_version)
 {
 	uint64_t times[MEMBERS_MAX];
 	uint32_t needed = members_majority(members) - 1;
 	uint32_t n = 0;
 	uint32_t i;
 
-	if (!is_full(members, self))
+	if (!is_full_member(members, self))
 		return 0;
 	if (!needed)
-		return FRESHNESS_ALWAYS; /* it is a majority by itself */
+		return FRESHNESS_ALWAYS; /* no change is accepted without it */
 	for (i = 0; i < f->count; i++) {
 		const struct freshness_peer *p = &f->peers[i];
 
-		if (!is_full(members, p->incarnation))
+		if (!is_full_member(members, p->incarnation))
 			continue;
-		if (p->config_version > version ||
+		if (p->config_version > config_version ||
 		    p->members_version > members->version)
 			return 0;
 		times[n++] = p->sent_ms;
@@ -99,9 +106,9 @@
 
 uint64_t freshness_until(const struct freshness *f,
 			 const struct members *members, uint64_t self,
-			 uint64_t version)
+			 uint64_t config_version)
 {
-	uint64_t peers = peers_ms(f, members, self, version);
+	uint64_t peers = majority_ms(f, members, self, config_version);
 	uint64_t newest = peers > f->store_read_ms ? peers : f->store_read_ms;
 
 	return newest ? newest + FRESHNESS_LIFETIME_MS : 0;
@@ -109,14 +116,14 @@
 
 uint32_t freshness_count_config(const struct freshness *f,
 				const struct members *members, uint64_t self,
-				uint64_t version)
+				uint64_t config_version)
 {
-	uint32_t n = is_full(members, self);
+	uint32_t n = is_full_member(members, self);
 	uint32_t i;
 
 	for (i = 0; i < f->count; i++)
-		n += is_full(members, f->peers[i].incarnation) &&
-		     f->peers[i].config_version >= version;
+		n += is_full_member(members, f->peers[i].incarnation) &&
+		     f->peers[i].config_version >= config_version;
 	return n;
 }
 
@@ -128,7 +135,7 @@
 	uint32_t i;
 
 	for (i = 0; i < f->count; i++)
-		n += is_full(members, f->peers[i].incarnation) &&
+		n += is_full_member(members, f->peers[i].incarnation) &&
 		     f->peers[i].members_version >= members_version;
 	return n;
 }
--- a/src/process/freshness.h
+++ b/src/process/freshness.h
@@ -4,9 +4,9 @@
  * A change is accepted once it is committed in the table service and known to
  * a majority of the full members. An entry is fresh if within the last
  * FRESHNESS_LIFETIME_MS it read the table service, or learned the versions of
- * a majority of the full members, itself included, and none was newer. Times
- * are those at which the request was sent: a response that waited in a socket
- * while the process was stopped counts with its true age.
+ * a majority of the full members, itself included, and none was newer. A
+ * response counts from the time at which its request was sent, so that one that
+ * waited in a socket while the process was stopped is not taken for a new one.
  */
 #ifndef FRESHNESS_H
 #define FRESHNESS_H
@@ -19,36 +19,46 @@
 
 struct freshness_peer {
 	uint64_t incarnation;
-	uint64_t sent_ms;	  /* when the request to it was sent */
-	uint64_t config_version;  /* that it has */
-	uint64_t members_version; /* that it has */
+	uint64_t sent_ms;	  /* when the request to the peer was sent */
+	uint64_t config_version;  /* of the peer's configuration */
+	uint64_t members_version; /* of the peer's members */
 };
 
 struct freshness {
-	uint64_t store_read_ms; /* when the last successful read was sent */
+	/* When the last successful read of the table service was sent. */
+	uint64_t store_read_ms;
 	uint32_t count;
 	struct freshness_peer peers[MEMBERS_MAX];
 };
 
-/* freshness_record - store a peer's response unless it is outdated */
+/* freshness_record - store a peer's response unless a newer one is stored */
 void freshness_record(struct freshness *f, const struct freshness_peer *peer);
 
 /* freshness_forget - drop a peer's response */
 void freshness_forget(struct freshness *f, uint64_t incarnation);
 
-/* freshness_until - until when this entry is fresh; 0 if it is not */
+/*
+ * freshness_until - the time at which this entry stops being fresh
+ *
+ * self is this entry's incarnation, config_version that of its configuration.
+ * The time may have passed; it is 0 if the entry was never known to be fresh.
+ */
 uint64_t freshness_until(const struct freshness *f,
 			 const struct members *members, uint64_t self,
-			 uint64_t version);
+			 uint64_t config_version);
 
 /*
- * freshness_count_config - number of full members, self included, that have
- * the configuration version; freshness_count_members - that have the version
- * of the members, self not included
+ * freshness_count_config - number of full members that have this version or a
+ * newer one, counting self
  */
 uint32_t freshness_count_config(const struct freshness *f,
 				const struct members *members, uint64_t self,
-				uint64_t version);
+				uint64_t config_version);
+
+/*
+ * freshness_count_members - number of full members that have this version of
+ * the members or a newer one, not counting self
+ */
 uint32_t freshness_count_members(const struct freshness *f,
 				 const struct members *members,
 				 uint64_t members_version);
--- a/src/process/intern.c
+++ b/src/process/intern.c
@@ -9,11 +9,11 @@
 struct intern {
 	const char **names;
 	uint32_t count;
-	uint32_t *buckets; /* id + 1, 0 if empty */
+	uint32_t *buckets; /* by hash: id + 1, 0 if empty */
 	uint32_t bucket_count;
 };
 
-static uint32_t intern_slot(const struct intern *t, const char *name)
+static uint32_t intern_bucket(const struct intern *t, const char *name)
 {
 	uint32_t mask = t->bucket_count - 1;
 	uint32_t i = (uint32_t)XXH64(name, strlen(name), 0) & mask;
@@ -33,7 +33,7 @@
 	t->names = talloc_realloc(t, t->names, const char *, t->bucket_count);
 	assert(t->buckets && t->names);
 	for (i = 0; i < t->count; i++)
-		t->buckets[intern_slot(t, t->names[i])] = i + 1;
+		t->buckets[intern_bucket(t, t->names[i])] = i + 1;
 }
 
 struct intern *intern_new(TALLOC_CTX *ctx)
@@ -48,25 +48,25 @@
 
 uint32_t intern_add(struct intern *t, const char *name)
 {
-	uint32_t slot = intern_slot(t, name);
+	uint32_t bucket = intern_bucket(t, name);
 
-	if (t->buckets[slot])
-		return t->buckets[slot] - 1;
+	if (t->buckets[bucket])
+		return t->buckets[bucket] - 1;
 	if ((t->count + 1) * 2 > t->bucket_count) {
 		intern_grow(t);
-		slot = intern_slot(t, name);
+		bucket = intern_bucket(t, name);
 	}
 	t->names[t->count] = talloc_strdup(t, name);
 	assert(t->names[t->count]);
-	t->buckets[slot] = ++t->count;
+	t->buckets[bucket] = ++t->count;
 	return t->count - 1;
 }
 
 uint32_t intern_find(const struct intern *t, const char *name)
 {
-	uint32_t slot = intern_slot(t, name);
+	uint32_t bucket = intern_bucket(t, name);
 
-	return t->buckets[slot] ? t->buckets[slot] - 1 : INTERN_NONE;
+	return t->buckets[bucket] ? t->buckets[bucket] - 1 : INTERN_NONE;
 }
 
 const char *intern_name(const struct intern *t, uint32_t id)
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -140,7 +140,7 @@
 	d->deficit = cell->free < 0;
 }
 
-/* Whether the row has a higher total or another generation than configured. */
+/* Whether the row has a higher total or another generation than these. */
 static bool row_exceeds(const struct ledger *l, domain_handle handle,
 			int64_t total, uint64_t generation)
 {
@@ -302,7 +302,7 @@
 	for (i = 0; i < l->options.shard_count; i++) {
 		l->shards[i].loss_suspected = true;
 		l->shards[i].dirty = true;
-		l->shards[i].removed_at = members_version;
+		l->shards[i].removed_version = members_version;
 	}
 }
 
@@ -328,14 +328,14 @@
 	if (s->row && row->version <= s->row->version)
 		return;
 	if (!s->row)
-		s->joined_round = row->round; /* nothing held before */
+		s->joined_round = row->round; /* no unit to report yet */
 	TALLOC_FREE(s->row);
 	s->row = ledger_row_copy(l, row);
 	s->dirty = true;
 	if (row->open && ledger_row_awaits(row, l->options.incarnation))
 		ledger_join_round(l, shard, row->round);
 	if (row->round > s->suspected_in_round &&
-	    row->members_version >= s->removed_at)
+	    row->members_version >= s->removed_version)
 		s->loss_suspected = false;
 	refresh_shard(l, shard);
 }
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -13,7 +13,7 @@
  * loses units and never creates any. A round reclaims lost units: an entry
  * that joins a round records the units that it holds as its report and refuses
  * transfers of older rounds. Once every registered incarnation has reported,
- * free = total - reports, less what was acquired since the round was opened.
+ * free = total - reports - units acquired since the round was opened.
  *
  * Lowering a total lowers `free` by the same amount. A negative `free` is a
  * deficit: no entry starts work in the domain until returned units cover it.
@@ -52,13 +52,13 @@
 
 /* A shard's row in the table service. */
 struct ledger_row {
-	uint64_t version; /* store revision, 0 when there is no row */
-	uint64_t round;
-	uint64_t members_version; /* of the members it awaits */
+	uint64_t version;	  /* store revision, 0 when there is no row */
+	uint64_t round;		  /* number of the newest round */
+	uint64_t members_version; /* of the members that the round awaits */
 	bool open;
 	uint32_t pending_count;
 	uint32_t cell_count;
-	uint64_t *pending; /* incarnations that have not reported */
+	uint64_t *pending; /* incarnations that have yet to report */
 	struct ledger_cell *cells;
 };
 
@@ -71,26 +71,29 @@
 
 /* Safeguards that tests disable one at a time. */
 enum ledger_unsafe {
-	LEDGER_UNSAFE_ROUND_TAG = 1 << 0,    /* accept transfers of any round */
-	LEDGER_UNSAFE_SEQUENCE = 1 << 1,     /* accept a duplicate transfer */
-	LEDGER_UNSAFE_LATE_ACQUIRE = 1 << 2, /* keep units of an older round */
-	LEDGER_UNSAFE_REPORT = 1 << 3,	/* report units held now, not on join */
+	LEDGER_UNSAFE_ROUND_TAG = 1 << 0, /* accept transfers of any round */
+	LEDGER_UNSAFE_SEQUENCE = 1 << 1,  /* accept a duplicate transfer */
+	/* Keep units of a write that was planned in an older round. */
+	LEDGER_UNSAFE_LATE_ACQUIRE = 1 << 2,
+	/* Report the units held when reporting, not those held on joining. */
+	LEDGER_UNSAFE_REPORT = 1 << 3,
 	LEDGER_UNSAFE_DEFICIT = 1 << 4, /* start work despite a deficit */
-	LEDGER_UNSAFE_UNKNOWN = 1 << 5, /* no response means success */
+	/* Take a write without a response for an applied one. */
+	LEDGER_UNSAFE_UNKNOWN = 1 << 5,
 };
 
 struct ledger_options {
 	uint64_t incarnation;		/* of this entry */
 	uint32_t shard_count;		/* the same at all entries */
-	uint32_t round_interval_min_ms; /* between two rounds opened here */
+	uint32_t round_interval_min_ms; /* between rounds opened in a shard */
 	unsigned int unsafe; /* enum ledger_unsafe, 0 outside tests */
 };
 
 /* A compare-and-set on a shard's row. */
 struct ledger_cas {
-	struct ledger_row *row;	  /* new row; owned by the ledger */
+	struct ledger_row *row;	  /* the new row; owned by the ledger */
 	uint64_t row_version;	  /* expected, 0 for no row */
-	uint64_t members_version; /* expected, 0 to skip the comparison */
+	uint64_t members_version; /* expected, 0 for no comparison */
 };
 
 /* A transfer to a peer; kept in the outbox until acknowledged. */
@@ -107,7 +110,7 @@
 	int64_t running;
 	int64_t total; /* in this entry's configuration */
 	int64_t free;  /* in the row last seen */
-	bool closed;
+	bool closed;   /* ledger_start_unit returns LEDGER_CLOSED */
 };
 
 struct ledger;
@@ -129,8 +132,8 @@
 /*
  * ledger_configure - set a domain's total from a configuration version
  *
- * A lower total or a new generation closes the domain here until the row last
- * seen has it applied and has no deficit.
+ * A lower total or a new generation closes the domain at this entry until the
+ * row last seen has the change and no deficit.
  */
 void ledger_configure(struct ledger *l, domain_handle d, int64_t total,
 		      uint64_t generation, uint64_t config_version);
@@ -144,10 +147,14 @@
 /* ledger_end_unit - mark a unit as idle: its work is known to have ended */
 void ledger_end_unit(struct ledger *l, domain_handle d);
 
-/* ledger_set_idle_target - acquire units until `units` are idle here */
+/* ledger_set_idle_target - acquire units while fewer than these are idle */
 void ledger_set_idle_target(struct ledger *l, domain_handle d, int64_t units);
 
-/* ledger_return_units - return up to `units` idle units to the store */
+/*
+ * ledger_return_units - return `units` units to the store as they become idle
+ *
+ * Replaces a request that has not been met yet.
+ */
 void ledger_return_units(struct ledger *l, domain_handle d, int64_t units);
 
 void ledger_view(const struct ledger *l, domain_handle d,
@@ -165,7 +172,7 @@
 
 /* Rows */
 
-/* ledger_set_row - take over a shard's row as read; ignores older versions */
+/* ledger_set_row - copy a shard's row as read, unless a newer one was seen */
 void ledger_set_row(struct ledger *l, uint32_t shard,
 		    const struct ledger_row *row);
 
@@ -187,22 +194,22 @@
 enum ledger_cas_status {
 	LEDGER_CAS_DONE,
 	LEDGER_CAS_CONFLICT, /* not applied */
-	LEDGER_CAS_UNKNOWN,  /* no response: may or may not be applied */
+	LEDGER_CAS_UNKNOWN,  /* no response: may have been applied */
 };
 
-/* ledger_finish_cas - take the outcome; version: the new row's, if done */
+/* ledger_finish_cas - apply the outcome; version: the new row's if DONE */
 void ledger_finish_cas(struct ledger *l, uint32_t shard,
 		       enum ledger_cas_status status, uint64_t version);
 
-/* ledger_suspect_loss - units may be lost: open a round in every shard */
+/* ledger_suspect_loss - open a round in every shard: units may be lost */
 void ledger_suspect_loss(struct ledger *l);
 
 /*
  * ledger_member_removed - a dead incarnation was unregistered
  *
- * The leases of its work have expired. Its units are reclaimed by a round that
- * is opened at this version of the members or later. A round that is open
- * already may contain its report and does not reclaim them.
+ * Called after the leases of its work have expired. A round that is opened at
+ * this version of the members or later reclaims its units. A round that is open
+ * already does not, as it may contain the incarnation's report.
  */
 void ledger_member_removed(struct ledger *l, uint64_t members_version);
 
@@ -214,8 +221,8 @@
 /*
  * ledger_link_drop - free the link to an incarnation that was unregistered
  *
- * Units in its outbox are lost until the round that ledger_member_removed
- * asks for.
+ * Units in its outbox are lost; the round that ledger_member_removed asks for
+ * reclaims them.
  */
 void ledger_link_drop(struct ledger_link *link);
 
@@ -232,9 +239,9 @@
 /*
  * ledger_receive - handle a transfer from the link's peer
  *
- * Returns the sequence number to acknowledge. A transfer out of order is
- * ignored, as its sender repeats it; one of an older round is acknowledged and
- * discarded.
+ * Returns the sequence number to acknowledge. A transfer out of order, or
+ * before the shard's first row, is ignored, as its sender repeats it. One of an
+ * older round is acknowledged and its units are discarded.
  */
 uint64_t ledger_receive(struct ledger_link *link,
 			const struct ledger_transfer *t);
--- a/src/process/ledger_cas.c
+++ b/src/process/ledger_cas.c
@@ -28,7 +28,7 @@
 		}
 }
 
-/* Adds returned units to a cell's free units; acquired ones are negative. */
+/* Adds units to a cell's free ones: returned units, or minus acquired ones. */
 static void cell_add_free(const struct ledger_row *row,
 			  struct ledger_cell *cell, int64_t units)
 {
@@ -84,7 +84,7 @@
 	}
 }
 
-static bool member_known(const struct ledger_members *m, uint64_t incarnation)
+static bool is_registered(const struct ledger_members *m, uint64_t incarnation)
 {
 	uint32_t i;
 
@@ -100,7 +100,7 @@
 	uint32_t i;
 
 	for (i = 0; i < row->pending_count; i++)
-		if (!member_known(m, row->pending[i]))
+		if (!is_registered(m, row->pending[i]))
 			return true;
 	return false;
 }
@@ -108,7 +108,7 @@
 /*
  * Opens a round when units may be lost, or when the open one awaits the report
  * of an incarnation that was unregistered. That report cannot be taken as 0:
- * the incarnation may have joined the round and then lent units.
+ * the incarnation may have joined the round and lent units before it reported.
  */
 static bool plan_round(struct ledger *l, uint32_t shard, uint64_t now_ms,
 		       const struct ledger_members *m, struct ledger_row *row)
@@ -132,7 +132,8 @@
 /*
  * Adds this entry's reports to the open round and closes it after the last
  * report. The entry joins a round when it sees the row, not when it plans to
- * open the round: if that write failed, the recorded report would be stale.
+ * open the round: if that write failed, it would later report units as they
+ * were held at the failed attempt.
  */
 static bool plan_report(struct ledger *l, uint32_t shard,
 			struct ledger_row *row)
@@ -152,7 +153,7 @@
 	if (ledger_cell_applied(cell, d))
 		return false;
 	if (new_generation && (cell->total || cell->free)) {
-		/* All units are returned before the pool changes. */
+		/* The pool changes after all units are returned. */
 		if (!cell->total)
 			return false;
 		cell->free -= cell->total;
@@ -194,7 +195,7 @@
 	return changed;
 }
 
-/* Idle units to return now: as requested, or as the deficit needs. */
+/* Idle units to return now: those requested, or the deficit if larger. */
 static int64_t units_to_return(const struct domain *d,
 			       const struct ledger_cell *cell)
 {
@@ -258,7 +259,7 @@
 	row = ledger_row_copy(l, s->row);
 	changed = plan_totals(l, s, row);
 	opens_round = plan_round(l, shard, now_ms, members, row);
-	/* The reports would count units moved in an opening write again. */
+	/* Units moved in an opening write would count in the reports too. */
 	if (!opens_round) {
 		changed |= plan_report(l, shard, row);
 		changed |= plan_units(l, row);
@@ -276,12 +277,12 @@
 	return true;
 }
 
-enum cas_effect { EFFECT_APPLIED, EFFECT_UNDONE, EFFECT_LOST };
+enum cas_effect { EFFECT_APPLIED, EFFECT_NOT_APPLIED, EFFECT_UNKNOWN };
 
 /*
- * A round that was joined while the compare-and-set was in progress counts
- * neither the acquired nor the returned units as held, so they are dropped
- * here and the round reclaims them.
+ * Settles the units that a compare-and-set acquired or returned. A round that
+ * was joined while it was in progress has a report without either of them, so
+ * they are dropped here and the round reclaims them.
  */
 static void apply_effect(struct ledger *l, const struct shard *s,
 			 enum cas_effect effect, bool same_round)
@@ -293,7 +294,7 @@
 
 		if (effect == EFFECT_APPLIED && same_round)
 			d->held += d->acquiring;
-		if (effect == EFFECT_UNDONE && same_round)
+		if (effect == EFFECT_NOT_APPLIED && same_round)
 			d->held += d->returning;
 		d->acquiring = 0;
 		d->returning = 0;
@@ -323,12 +324,12 @@
 		ledger_set_row(l, shard, next);
 		break;
 	case LEDGER_CAS_CONFLICT:
-		apply_effect(l, s, EFFECT_UNDONE, same_round);
+		apply_effect(l, s, EFFECT_NOT_APPLIED, same_round);
 		break;
 	case LEDGER_CAS_UNKNOWN:
 		if (l->options.unsafe & LEDGER_UNSAFE_UNKNOWN)
 			apply_effect(l, s, EFFECT_APPLIED, same_round);
-		apply_effect(l, s, EFFECT_LOST, same_round);
+		apply_effect(l, s, EFFECT_UNKNOWN, same_round);
 		ledger_suspect_shard(l, shard);
 		break;
 	}
--- a/src/process/ledger_internal.h
+++ b/src/process/ledger_internal.h
@@ -13,18 +13,22 @@
 
 struct domain {
 	uint32_t shard;
-	uint32_t cell_hint; /* index of its cell in the row last seen */
+	uint32_t cell_hint; /* index of its cell when last found in a row */
 	int64_t held;
 	int64_t running;
 	int64_t idle_target; /* idle units to acquire up to */
-	int64_t to_return;   /* idle units to return to the store */
+	int64_t to_return;   /* units to return to the store once idle */
 	int64_t report;	     /* units held on joining the shard's round */
 	int64_t total;
 	uint64_t generation;
-	uint64_t config_version;   /* newest version known */
-	uint64_t lowering_version; /* lower total, not in the row; or 0 */
+	uint64_t config_version; /* of the last ledger_configure */
+	/*
+	 * Configuration version that lowered the total or changed the
+	 * generation; 0 once the row last seen has the change.
+	 */
+	uint64_t lowering_version;
 	bool configured;
-	bool deficit;
+	bool deficit; /* in the row last seen */
 	/* Units moved by the compare-and-set in progress */
 	int64_t acquiring;
 	int64_t returning;
@@ -35,11 +39,16 @@
 	uint32_t domain_count;
 	struct ledger_row *row;	     /* as last seen, NULL before the first */
 	struct ledger_row *next_row; /* being written by the compare-and-set */
-	uint64_t joined_round;	     /* newest */
-	uint64_t cas_round;	     /* joined_round at ledger_plan_cas */
-	uint64_t suspected_in_round; /* needs a newer round */
-	uint64_t removed_at; /* members version; see ledger_member_removed */
-	uint64_t round_opened_ms;
+	uint64_t joined_round; /* the newest joined, or of the first row */
+	uint64_t cas_round;    /* joined_round at ledger_plan_cas */
+	/*
+	 * While loss_suspected: the round that reclaims the units must be newer
+	 * than suspected_in_round and await members of removed_version or
+	 * newer.
+	 */
+	uint64_t suspected_in_round;
+	uint64_t removed_version;
+	uint64_t round_opened_ms; /* last time that this entry opened one */
 	bool loss_suspected;
 	bool cas_pending; /* a compare-and-set is in progress */
 	bool dirty;	  /* state changed since the last ledger_plan_cas */
@@ -79,7 +88,7 @@
 /* ledger_row_awaits - whether the incarnation has yet to report */
 bool ledger_row_awaits(const struct ledger_row *row, uint64_t incarnation);
 
-/* ledger_cell_applied - whether the cell has the configured total */
+/* ledger_cell_applied - whether the cell has this or a newer configuration */
 bool ledger_cell_applied(const struct ledger_cell *cell,
 			 const struct domain *d);
 
@@ -94,7 +103,7 @@
 /* ledger_set_reports - record the units held now as the shard's reports */
 void ledger_set_reports(struct ledger *l, uint32_t shard);
 
-/* ledger_suspect_shard - units may be lost: ask for a newer round */
+/* ledger_suspect_shard - ask for a newer round: units may be lost */
 void ledger_suspect_shard(struct ledger *l, uint32_t shard);
 
 #endif
--- a/src/process/ledger_link.c
+++ b/src/process/ledger_link.c
@@ -7,10 +7,10 @@
 struct ledger_link {
 	struct ledger *ledger;
 	struct ledger_transfer *outbox;
-	uint32_t count;
+	uint32_t outbox_count;
 	uint32_t outbox_capacity;
 	uint64_t next_seq;
-	uint64_t received_seq; /* last one accepted */
+	uint64_t received_seq; /* of the last transfer accepted */
 };
 
 struct ledger_link *ledger_link_new(TALLOC_CTX *ctx, struct ledger *l)
@@ -31,20 +31,20 @@
 		return;
 	for (i = 0; i < count; i++)
 		link->ledger->outbound -= link->outbox[i].units;
-	link->count -= count;
+	link->outbox_count -= count;
 	memmove(link->outbox, link->outbox + count,
-		link->count * sizeof(*link->outbox));
+		link->outbox_count * sizeof(*link->outbox));
 }
 
 void ledger_link_drop(struct ledger_link *link)
 {
-	outbox_remove(link, link->count);
+	outbox_remove(link, link->outbox_count);
 	talloc_free(link);
 }
 
 static struct ledger_transfer *outbox_add(struct ledger_link *link)
 {
-	if (link->count == link->outbox_capacity) {
+	if (link->outbox_count == link->outbox_capacity) {
 		link->outbox_capacity = link->outbox_capacity
 						? link->outbox_capacity * 2
 						: LEDGER_INITIAL_OUTBOX;
@@ -53,7 +53,7 @@
 					      link->outbox_capacity);
 		assert(link->outbox);
 	}
-	return &link->outbox[link->count++];
+	return &link->outbox[link->outbox_count++];
 }
 
 uint32_t ledger_lend(struct ledger_link *link, domain_handle handle,
@@ -83,7 +83,7 @@
 const struct ledger_transfer *ledger_outbox(const struct ledger_link *link,
 					    uint32_t *count)
 {
-	*count = link->count;
+	*count = link->outbox_count;
 	return link->outbox;
 }
 
@@ -91,7 +91,7 @@
 {
 	uint32_t n = 0;
 
-	while (n < link->count && link->outbox[n].seq <= seq)
+	while (n < link->outbox_count && link->outbox[n].seq <= seq)
 		n++;
 	outbox_remove(link, n);
 }
@@ -105,7 +105,7 @@
 		ledger_join_round(l, d->shard, t->round);
 	if (t->round < s->joined_round &&
 	    !(l->options.unsafe & LEDGER_UNSAFE_ROUND_TAG))
-		return; /* the newer round reclaims them */
+		return; /* the round joined here reclaims the units */
 	if (t->generation != d->generation) {
 		ledger_suspect_shard(l, d->shard);
 		return;
@@ -117,7 +117,7 @@
 			const struct ledger_transfer *t)
 {
 	struct ledger *l = link->ledger;
-	bool next = t->seq == link->received_seq + 1;
+	bool in_order = t->seq == link->received_seq + 1;
 
 	if (!ledger_ready(l, ledger_domain_of(l, t->domain)->shard))
 		return link->received_seq;
@@ -127,7 +127,7 @@
 			link->received_seq = t->seq;
 		return link->received_seq;
 	}
-	if (!next)
+	if (!in_order)
 		return link->received_seq;
 	link->received_seq = t->seq;
 	accept_units(l, t);
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -1,8 +1,8 @@
 /*
- * log - log lines on standard error, for changes of state
+ * log - an entry's log lines on standard error
  *
- * One line per event: time, level, component, text. Requests are counted
- * (metric.h), never logged.
+ * One line per change of state: time, level, component, text. Requests are
+ * counted (metric.h), never logged.
  */
 #ifndef LOG_H
 #define LOG_H
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -1,10 +1,11 @@
 /*
  * members - the list of registered entries
  *
- * Stored in one row of the table service. A joining entry counts toward
- * majorities once a majority of the full members has its registration, so
- * that majorities of any two versions share a member. A dead entry does not
- * count, but it keeps its units until the leases of its work have expired.
+ * Stored in one row of the table service. A joining entry becomes a full
+ * member, which counts toward majorities, once a majority of the full members
+ * has its registration, so that majorities of any two versions share a member.
+ * A dead entry does not count, but it keeps its units until the leases of its
+ * work have expired.
  */
 #ifndef MEMBERS_H
 #define MEMBERS_H
@@ -15,7 +16,7 @@
 
 #include "process/limits.h"
 
-#define MEMBERS_MAX 64
+#define MEMBERS_MAX 64 /* incarnations, dead ones included */
 
 enum member_state { MEMBER_JOINING, MEMBER_FULL, MEMBER_DEAD };
 
@@ -24,7 +25,7 @@
 	char zone[CFG_NAME_MAX + 1];
 	char address[32]; /* of its peer listener */
 	uint64_t incarnation;
-	/* Random. Finds a registration whose write had no response. */
+	/* Random. Identifies a registration whose write had no response. */
 	uint64_t nonce;
 	enum member_state state;
 };
@@ -32,7 +33,7 @@
 struct members {
 	uint64_t version; /* the row's revision, 0 if there is no row */
 	uint64_t next_incarnation; /* of the next registration */
-	uint32_t shards; /* of the ledger, set by the first registration */
+	uint32_t shards; /* of the ledger; set by the first registration */
 	uint32_t count;
 	struct member list[MEMBERS_MAX];
 };
@@ -46,11 +47,11 @@
 struct member *members_find(struct members *m, uint64_t incarnation);
 
 /*
- * members_register - add a new incarnation of an instance
+ * members_register - add a new incarnation of an entry
  *
  * Marks older incarnations of the same name as dead, as this one uses their
- * address. Returns the incarnation, or 0 if the list is full or the ledger has
- * another number of shards.
+ * address. Returns the new incarnation, or 0 if the list is full or the ledger
+ * has another number of shards.
  */
 uint64_t members_register(struct members *m, const struct member *self,
 			  uint32_t shards);
--- a/src/process/metric.h
+++ b/src/process/metric.h
@@ -1,8 +1,9 @@
 /*
  * metric - histograms of durations
  *
- * Bucket bounds double from one millisecond. There is one histogram per team
- * and class. Counters are plain integers in the module that counts.
+ * Bucket bounds double from one millisecond. An entry has one histogram of
+ * waiting times per team and class. Counters are plain integers in the module
+ * that counts.
  */
 #ifndef METRIC_H
 #define METRIC_H
@@ -10,10 +11,10 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#define METRIC_BUCKETS 18 /* up to 2^17 ms; one more for larger values */
+#define METRIC_BUCKETS 18 /* bounds, up to 2^17 ms */
 
 struct metric_histogram {
-	uint64_t buckets[METRIC_BUCKETS + 1];
+	uint64_t buckets[METRIC_BUCKETS + 1]; /* the last: larger values */
 	uint64_t count;
 	uint64_t sum_ms;
 };
@@ -21,7 +22,7 @@
 /* metric_observe - add one duration */
 void metric_observe(struct metric_histogram *h, uint64_t ms);
 
-/* metric_quantile_ms - upper bound of the bucket that has the quantile */
+/* metric_quantile_ms - upper bound of the bucket that contains the quantile */
 uint64_t metric_quantile_ms(const struct metric_histogram *h, double quantile);
 
 /*
--- a/src/process/mtimer.h
+++ b/src/process/mtimer.h
@@ -23,7 +23,7 @@
 /* mtimer_set - call fn once after ms; replaces the previous setting */
 void mtimer_set(struct mtimer *t, uint64_t ms);
 
-/* mtimer_every - call fn every ms */
+/* mtimer_every - call fn at this interval, until set or cleared */
 void mtimer_every(struct mtimer *t, uint64_t ms);
 
 /* mtimer_clear - stop the timer */
--- a/src/process/plan.c
+++ b/src/process/plan.c
@@ -3,12 +3,12 @@
 #include <assert.h>
 #include <stdlib.h>
 
-/* Instances serving by pool; not serving by pool, zone and rack. */
+/* Numbers of instances; one that does not serve for any reason is out. */
 struct counters {
-	uint32_t *out;	   /* by pool */
-	uint32_t *serving; /* by pool */
-	uint32_t *zones;
-	uint32_t *racks;
+	uint32_t *out;	    /* by pool */
+	uint32_t *serving;  /* by pool */
+	uint32_t *zone_out; /* by zone */
+	uint32_t *rack_out; /* by rack */
 };
 
 static uint32_t *new_counters(TALLOC_CTX *ctx, uint32_t count)
@@ -26,8 +26,8 @@
 
 	c->out = new_counters(ctx, in->pool_count);
 	c->serving = new_counters(ctx, in->pool_count);
-	c->zones = new_counters(ctx, in->zone_count);
-	c->racks = new_counters(ctx, in->rack_count);
+	c->zone_out = new_counters(ctx, in->zone_count);
+	c->rack_out = new_counters(ctx, in->rack_count);
 	for (i = 0; i < in->instance_count; i++) {
 		const struct plan_instance *n = &in->instances[i];
 
@@ -36,8 +36,8 @@
 			continue;
 		}
 		c->out[n->pool]++;
-		c->zones[n->zone]++;
-		c->racks[n->rack]++;
+		c->zone_out[n->zone]++;
+		c->rack_out[n->rack]++;
 	}
 }
 
@@ -52,10 +52,10 @@
 	if (c->serving[n->pool] <= p->serving_min)
 		return PLAN_SERVING_MIN;
 	if (in->rules.zone_out_max &&
-	    c->zones[n->zone] >= in->rules.zone_out_max)
+	    c->zone_out[n->zone] >= in->rules.zone_out_max)
 		return PLAN_ZONE;
 	if (in->rules.rack_out_max &&
-	    c->racks[n->rack] >= in->rules.rack_out_max)
+	    c->rack_out[n->rack] >= in->rules.rack_out_max)
 		return PLAN_RACK;
 	return PLAN_NOT_BLOCKED;
 }
@@ -67,7 +67,7 @@
 	out->steps[out->count++].instance = instance;
 }
 
-/* Next steps of instances already draining or out; these need no budget. */
+/* Adds the next steps of instances draining or out; these need no budget. */
 static void plan_in_progress(const struct plan_input *in,
 			     struct plan_result *out)
 {
@@ -92,7 +92,10 @@
 	uint32_t rack;
 };
 
-/* By zone and rack, so that the instances out are in few failure domains. */
+/*
+ * Orders by zone and rack, so that the instances out at once are in few failure
+ * domains.
+ */
 static int by_failure_domain(const void *a, const void *b)
 {
 	const struct candidate *x = a;
@@ -105,8 +108,8 @@
 	return x->instance < y->instance ? -1 : x->instance > y->instance;
 }
 
-static uint32_t candidates(TALLOC_CTX *ctx, const struct plan_input *in,
-			   struct candidate **found)
+static uint32_t find_candidates(TALLOC_CTX *ctx, const struct plan_input *in,
+				struct candidate **found)
 {
 	uint32_t n = 0;
 	uint32_t i;
@@ -128,7 +131,7 @@
 			struct counters *c, struct plan_result *out)
 {
 	struct candidate *found;
-	uint32_t n = candidates(ctx, in, &found);
+	uint32_t n = find_candidates(ctx, in, &found);
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
@@ -145,8 +148,8 @@
 		}
 		c->out[x->pool]++;
 		c->serving[x->pool]--;
-		c->zones[x->zone]++;
-		c->racks[x->rack]++;
+		c->zone_out[x->zone]++;
+		c->rack_out[x->rack]++;
 		add_step(out, PLAN_DRAIN, found[i].instance);
 	}
 }
@@ -167,7 +170,7 @@
 	talloc_free(scratch);
 }
 
-/* Instances of a pool that may be out at once if all are healthy. */
+/* How many of a pool's instances may be out at once if none has failed. */
 static uint32_t max_parallel(const struct plan_pool *p, uint32_t instances)
 {
 	uint32_t spare =
--- a/src/process/plan.h
+++ b/src/process/plan.h
@@ -3,7 +3,8 @@
  *
  * A pure function of the current state: the instances of the wave, those out
  * of service for any reason, and the availability budgets. It keeps no state,
- * so a new conductor continues from the stored rows.
+ * so that another entry that becomes the conductor continues from the stored
+ * rows.
  */
 #ifndef PLAN_H
 #define PLAN_H
@@ -26,20 +27,20 @@
 	uint32_t zone;
 	uint32_t rack;
 	enum plan_state state;
-	bool selected; /* part of the wave */
+	bool selected; /* the wave includes it */
 	bool done;     /* the wave has finished with it */
 	bool empty;    /* no entry holds a unit of it */
-	bool rebooted; /* since it was taken out, and live again */
+	bool rebooted; /* since it was taken out */
 };
 
 struct plan_pool {
-	uint32_t serving_min; /* minimum of instances serving */
-	uint32_t out_max;     /* maximum out at once, for any reason */
+	uint32_t serving_min; /* least number of instances serving */
+	uint32_t out_max;     /* most instances out at once, for any reason */
 };
 
 struct plan_rules {
-	uint32_t zone_out_max; /* maximum out at once in a zone; 0: no limit */
-	uint32_t rack_out_max;
+	uint32_t zone_out_max; /* most instances out in a zone; 0: no limit */
+	uint32_t rack_out_max; /* most instances out in a rack; 0: no limit */
 };
 
 struct plan_input {
@@ -65,8 +66,8 @@
 
 enum plan_budget {
 	PLAN_NOT_BLOCKED, /* no budget is exhausted */
-	PLAN_SERVING_MIN, /* of a pool */
-	PLAN_OUT_MAX,	  /* of a pool */
+	PLAN_SERVING_MIN, /* the pool's serving_min */
+	PLAN_OUT_MAX,	  /* the pool's out_max */
 	PLAN_ZONE,
 	PLAN_RACK,
 };
@@ -75,8 +76,8 @@
 	struct plan_step *steps; /* owned by plan_next's ctx */
 	uint32_t count;
 	uint32_t remaining;	  /* selected instances not yet done */
-	enum plan_budget blocked; /* what delays the next drain */
-	uint32_t blocked_pool;
+	enum plan_budget blocked; /* budget that delays the first drain */
+	uint32_t blocked_pool;	  /* pool of that instance */
 };
 
 /* plan_next - the steps to take now, allocated on ctx */
@@ -86,15 +87,16 @@
 /*
  * plan_feasible - whether the budgets allow the wave at all
  *
- * If false, out->blocked and out->blocked_pool name the budget that does not.
+ * If false, out->blocked and out->blocked_pool name the budget that forbids it.
  */
 bool plan_feasible(const struct plan_input *in, struct plan_result *out);
 
 /*
  * plan_min_duration_s - lower bound of the wave's duration, in seconds
  *
- * cycle_s is the time that an instance is out. Assumes that pools proceed in
- * parallel and each has as many instances out as its budgets allow.
+ * cycle_s is the time from draining an instance until it serves again. Assumes
+ * that pools proceed in parallel, each with as many instances out as its
+ * budgets allow.
  */
 double plan_min_duration_s(const struct plan_input *in, double cycle_s);
 
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -1,8 +1,8 @@
 /*
  * platform - client of the table service, object store and instance list
  *
- * A row is a JSON value under a key, with the revision that wrote it. All
- * calls are asynchronous: each invokes its callback exactly once, never
+ * A row is a JSON value under a key; its version is the revision that wrote it.
+ * All calls are asynchronous: each invokes its callback exactly once, never
  * before it returns.
  */
 #ifndef PLATFORM_H
@@ -20,13 +20,13 @@
 	PLATFORM_OK,
 	PLATFORM_CONFLICT, /* a compared row has another version */
 	PLATFORM_ABSENT,   /* no such object */
-	PLATFORM_NOT_SENT, /* had no effect */
+	PLATFORM_NOT_SENT, /* never sent, so without effect */
 	PLATFORM_UNKNOWN,  /* no response; a write may have taken effect */
 };
 
 struct platform_answer {
 	enum platform_status status;
-	uint64_t revision;   /* of a commit */
+	uint64_t revision;   /* written by a commit, read by a scan */
 	json_t *value;	     /* rows, object or instances; borrowed */
 	uint64_t started_ms; /* when the call was made */
 	const char *message; /* what failed and where */
@@ -64,8 +64,8 @@
 /*
  * platform_scan - read the rows under a prefix that changed after a revision
  *
- * The callback's value is an array of {"key", "version", "value"}, sorted by
- * key; its revision is the one at which the rows were read.
+ * The answer's value is an array of {"key", "version", "value"}, sorted by key;
+ * the answer's revision is the one at which the rows were read.
  */
 void platform_scan(struct platform *p, const char *prefix, uint64_t after,
 		   platform_fn fn, void *arg);
@@ -79,7 +79,8 @@
 /*
  * platform_reboot - reboot an instance whose boot count is `boots`
  *
- * Idempotent: the boot count has changed when it is called again.
+ * Safe to repeat: a reboot changes the boot count, so that a later call has no
+ * effect.
  */
 void platform_reboot(struct platform *p, const char *instance, uint32_t boots,
 		     platform_fn fn, void *arg);
@@ -87,8 +88,8 @@
 /*
  * platform_instances - read the instance list
  *
- * The callback's value is an array of {"name", "state", "boots"}; state is
- * live, leaving or failed. The list lags behind the instances.
+ * The answer's value is an array of {"name", "state", "boots"}; state is live,
+ * leaving or failed. The list lags behind the instances' real states.
  */
 void platform_instances(struct platform *p, platform_fn fn, void *arg);
 
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -32,9 +32,9 @@
 			    operator_fields),
 };
 
-#define TEXT_FIELD(field, least)                                            \
+#define TEXT_FIELD(field, min_bytes)                                        \
 	CYAML_FIELD_STRING_PTR(#field, CYAML_FLAG_POINTER, struct settings, \
-			       field, least, TEXT_MAX)
+			       field, min_bytes, TEXT_MAX)
 #define NUMBER_FIELD(field) \
 	CYAML_FIELD_UINT(#field, CYAML_FLAG_OPTIONAL, struct settings, field)
 
@@ -70,7 +70,7 @@
 struct bound {
 	const char *field;
 	size_t offset;
-	uint32_t default_value; /* if the file has none */
+	uint32_t default_value; /* if the file lacks the field */
 	uint32_t min;
 	uint32_t max;
 };
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -1,5 +1,5 @@
 /*
- * settings - an entry's settings file
+ * settings - an entry's settings file, read at its start
  */
 #ifndef SETTINGS_H
 #define SETTINGS_H
@@ -15,20 +15,20 @@
 };
 
 struct settings {
-	char *name;	/* as in the platform's instance list */
-	char *zone;	/* availability zone */
-	char *callers;	/* IP address and port */
-	char *admin;	/* IP address and port */
-	char *peers;	/* IP address and port */
-	char *platform; /* URL of the table service */
-	char *secret;	/* fleet-wide; hashes keys, authenticates peers */
-	uint32_t threads;
-	uint32_t shards;	  /* of the ledger; the same at all entries */
-	uint32_t waiting_max;	  /* requests */
-	uint32_t waiting_mib;	  /* memory for them, in MiB */
-	uint32_t body_max_kib;	  /* size of a request's body, in KiB */
-	uint32_t connections_max; /* of callers */
-	uint32_t entries_max;	  /* that share a worker's connections */
+	char *name;	      /* as in the platform's instance list */
+	char *zone;	      /* availability zone */
+	char *callers;	      /* IP address and port */
+	char *admin;	      /* IP address and port */
+	char *peers;	      /* IP address and port */
+	char *platform;	      /* URL of the table service */
+	char *secret;	      /* fleet-wide; hashes keys, authenticates peers */
+	uint32_t threads;     /* that serve callers */
+	uint32_t shards;      /* of the ledger; the same at all entries */
+	uint32_t waiting_max; /* most requests waiting */
+	uint32_t waiting_mib; /* most memory of waiting requests, in MiB */
+	uint32_t body_max_kib;	  /* largest body of a request, in KiB */
+	uint32_t connections_max; /* most connections of callers */
+	uint32_t entries_max;	  /* entries that divide worker_connections */
 	uint32_t worker_connections; /* of all entries to one worker */
 	struct settings_operator *operators;
 	uint32_t operators_count;
--- a/src/process/share.c
+++ b/src/process/share.c
@@ -2,7 +2,7 @@
 
 #include <stdbool.h>
 
-#define SHARE_UNALLOCATED (-1.0) /* demand is not met yet */
+#define SHARE_UNALLOCATED (-1.0) /* the claim has no allocation yet */
 
 static double unallocated_weight(const struct share_claim *claims,
 				 uint32_t count)
@@ -16,9 +16,12 @@
 	return sum;
 }
 
-/* Meets all claims whose demand is below the level; true if there were any. */
-static bool satisfy(struct share_claim *claims, uint32_t count, double level,
-		    double *capacity)
+/*
+ * Allocates their demand to all claims whose demand per weight is at most
+ * level; true if there were any.
+ */
+static bool allocate_demands(struct share_claim *claims, uint32_t count,
+			     double level, double *capacity)
 {
 	bool found = false;
 	uint32_t i;
@@ -48,7 +51,7 @@
 			return;
 		if (capacity < 0)
 			capacity = 0;
-	} while (satisfy(claims, count, capacity / weight, &capacity));
+	} while (allocate_demands(claims, count, capacity / weight, &capacity));
 	for (i = 0; i < count; i++)
 		if (claims[i].allocated < 0)
 			claims[i].allocated =
--- a/src/process/share.h
+++ b/src/process/share.h
@@ -11,7 +11,7 @@
 
 struct share_claim {
 	double weight;	  /* above zero */
-	double demand;	  /* maximum that it can use */
+	double demand;	  /* most that the claim can use */
 	double allocated; /* result */
 };
 
--- a/src/process/status.h
+++ b/src/process/status.h
@@ -1,8 +1,8 @@
 /*
  * status - text of an error message
  *
- * Each module has its own status enum; this holds the text that goes with a
- * failure. A message names what failed and where.
+ * Each module has its own status enum; a status_message holds the text that
+ * goes with a failure. It names what failed and where.
  */
 #ifndef STATUS_H
 #define STATUS_H
--- a/src/process/yamlfile.c
+++ b/src/process/yamlfile.c
@@ -57,7 +57,7 @@
 	cyaml_free(&config, schema, value, 0);
 }
 
-/* Whether text continues with exactly this value. */
+/* Whether the value at text is exactly this one, bare or in quotes. */
 static bool value_is(const char *text, const char *value)
 {
 	size_t n = strlen(value);
@@ -67,7 +67,7 @@
 	       (!text[n] || strchr(" \"',}\r\n#", text[n]));
 }
 
-static bool line_has(const char *text, const char *field, const char *value)
+static bool line_sets(const char *text, const char *field, const char *value)
 {
 	const char *s = text + strspn(text, " -{");
 	size_t n = strlen(field);
@@ -88,7 +88,7 @@
 		return 0;
 	while (!found && fgets(text, sizeof(text), in)) {
 		line++;
-		if (line_has(text, field, value))
+		if (line_sets(text, field, value))
 			found = line;
 	}
 	fclose(in);
--- a/src/process/yamlfile.h
+++ b/src/process/yamlfile.h
@@ -1,5 +1,7 @@
 /*
  * yamlfile - YAML files checked by a libcyaml schema
+ *
+ * All errors that libcyaml reports for a file become one message.
  */
 #ifndef YAMLFILE_H
 #define YAMLFILE_H
@@ -23,8 +25,8 @@
 /*
  * yamlfile_line - number of the first line that begins with a field, or 0
  *
- * With a value, the first line that gives the field this value. Does not find
- * a field in the middle of a line.
+ * If value is not NULL, the field must have this value. Does not find a field
+ * in the middle of a line.
  */
 unsigned int yamlfile_line(const char *path, const char *field,
 			   const char *value);
