src/request: second reading of comments and local names

Corrected against the code: a refused job has not run only if no earlier attempt may have run it; JOB_REFUSED_UNREACHED is a retry that was not started in time; a flow without waiting jobs may keep negative credit.

--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <string.h>
 
-#define FQ_CREDIT_MAX 8.0     /* slots, either sign */
+#define FQ_CREDIT_MAX 8.0     /* slots, above or below 0 */
 #define FQ_CREDIT_TIME_S 0.25 /* time for a shortfall of 1 to add 1 credit */
 #define FQ_GAP_SMOOTHING 0.1  /* weight of the newest gap between starts */
 #define FQ_CLASSES 2
@@ -19,15 +19,15 @@
 	uint32_t waiting;
 	uint32_t running;
 	double target;
-	double credit; /* accumulated shortfall, slots */
-	double start_gap_ms;
+	double credit;	     /* shortfall accumulated over time, in slots */
+	double start_gap_ms; /* smoothed time between starts */
 	uint64_t credit_updated_ms;
 	uint64_t last_start_ms;
 };
 
 struct fq {
 	struct flow *flows;
-	uint32_t *by_team; /* flow's index + 1, 0 for none */
+	uint32_t *by_team; /* index of the team's flow + 1, 0 for none */
 	uint32_t count;
 	uint32_t team_capacity;
 	uint32_t waiting;
@@ -72,7 +72,10 @@
 	return f;
 }
 
-/* Updates the accumulated shortfall; a flow without work has none. */
+/*
+ * Updates a flow's credit. A flow without waiting jobs keeps only a negative
+ * credit, and that only while it has running jobs.
+ */
 static void flow_update_credit(struct flow *f, uint64_t now_ms)
 {
 	double seconds = (double)(now_ms - f->credit_updated_ms) / 1000.0;
@@ -199,18 +202,22 @@
 	q->running--;
 }
 
-/* A team below its target that has urgent work precedes all other flows. */
+/*
+ * A flow below its target that has urgent jobs precedes all others; next comes
+ * the one with the largest shortfall plus credit, then the one whose next job
+ * arrived first.
+ */
 static bool flow_precedes(const struct flow *a, const struct flow *b)
 {
 	bool urgent_a = a->lists[CFG_URGENT].head && a->running < a->target;
 	bool urgent_b = b->lists[CFG_URGENT].head && b->running < b->target;
-	double short_a = a->target + a->credit - a->running;
-	double short_b = b->target + b->credit - b->running;
+	double shortfall_a = a->target + a->credit - a->running;
+	double shortfall_b = b->target + b->credit - b->running;
 
 	if (urgent_a != urgent_b)
 		return urgent_a;
-	if (short_a != short_b)
-		return short_a > short_b;
+	if (shortfall_a != shortfall_b)
+		return shortfall_a > shortfall_b;
 	return flow_head(a)->arrived_ms < flow_head(b)->arrived_ms;
 }
 
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -16,15 +16,15 @@
 
 enum job_state { JOB_NEW, JOB_WAITING, JOB_RUNNING, JOB_DONE };
 
-/* Why a job was refused. A job that was never sent has not run. */
+/* Why a job was refused. It has not run, unless may_have_run is set. */
 enum job_refusal {
 	JOB_REFUSED_WAIT,      /* was not started in time */
 	JOB_REFUSED_EARLY,     /* is not expected to start in time */
 	JOB_REFUSED_FULL,      /* the queue is full */
-	JOB_REFUSED_KEY,       /* its key was revoked while it waited */
+	JOB_REFUSED_KEY,       /* its key was withdrawn while it waited */
 	JOB_REFUSED_QUEUE,     /* its queue was removed while it waited */
 	JOB_REFUSED_STOPPING,  /* the entry is shutting down */
-	JOB_REFUSED_UNREACHED, /* no worker could be reached */
+	JOB_REFUSED_UNREACHED, /* its retry was not started in time */
 	JOB_REFUSED_HUNG_UP,   /* the caller closed the connection */
 };
 
@@ -43,11 +43,11 @@
 	pool_handle pool;
 	enum cfg_class class;
 	bool idempotent;
-	uint32_t run_max_ms;
+	uint32_t run_max_ms; /* task lease */
 	uint64_t arrived_ms;
 	uint64_t deadline_ms;	  /* refused if not started by then */
 	uint32_t bytes;		  /* memory that it takes while it waits */
-	uint64_t checked_version; /* of the configuration with its key */
+	uint64_t checked_version; /* newest configuration that allowed it */
 	char key[CFG_NAME_MAX + 1];
 	char queue[CFG_NAME_MAX + 1];
 	uint8_t key_hash[CFG_HASH_BYTES];
@@ -59,9 +59,9 @@
 	instance_handle instance; /* while it runs */
 	uint64_t started_ms;
 	uint64_t not_before_ms; /* earliest start of a retry */
-	bool may_have_run;	/* response to some attempt was incomplete */
+	bool may_have_run;	/* an attempt had no complete response */
 	uint32_t attempts;
-	uint32_t attempted[JOB_ATTEMPTS_MAX]; /* instances */
+	uint32_t attempted[JOB_ATTEMPTS_MAX]; /* instance of each attempt */
 };
 
 #endif
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -22,14 +22,14 @@
 
 static struct outcome_answer unknown(const struct outcome_input *input)
 {
-	struct outcome_answer a = { OUTCOME_UNKNOWN, 502,
-				    "no whole answer from the worker" };
+	struct outcome_answer answer = { OUTCOME_UNKNOWN, 502,
+					 "no whole answer from the worker" };
 
 	if (!input->refused && input->timed_out) {
-		a.code = 504;
-		a.reason = "no answer from the worker in time";
+		answer.code = 504;
+		answer.reason = "no answer from the worker in time";
 	}
-	return a;
+	return answer;
 }
 
 struct outcome_answer outcome_of(const struct outcome_input *input)
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -22,7 +22,7 @@
 	enum job_refusal refusal;
 	enum job_result result;
 	bool may_have_run; /* in an earlier attempt */
-	bool timed_out;	   /* the last attempt */
+	bool timed_out;	   /* in the last attempt */
 };
 
 struct outcome_answer {
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -16,7 +16,7 @@
 #define RETRY_DELAY_MAX_MS 50
 
 struct retry_budget {
-	uint32_t milli;
+	uint32_t milli; /* thousandths of a retry */
 };
 
 /* retry_credit - add the credit of one request */
@@ -36,7 +36,7 @@
 	return true;
 }
 
-/* retry_delay_ms - a delay with jitter, from any random number */
+/* retry_delay_ms - a delay within the bounds, from any random number */
 static inline uint32_t retry_delay_ms(uint32_t random)
 {
 	return RETRY_DELAY_MIN_MS +
