src/version: second reading of comments and static names

Misread before: which queues run_max_ms covers, when a wave halts, what "the last one" drained, which references cfg_check leaves out and why, what *instances of wave_input is. The departed and absent instances of a wave are in an extra pool of which none is selected.

The text of one _Static_assert changed.

--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -4,11 +4,11 @@
 #include <sodium.h>
 #include <string.h>
 
-#define WAVE_RETURN_MAX_S 600 /* default */
+#define DEFAULT_RETURN_MAX_S 600 /* of a wave */
 
 /* Documents */
 
-/* A copy of doc with the change applied; objects are shared. */
+/* Returns a copy of doc with the change applied; it shares doc's objects. */
 static json_t *doc_merge(const json_t *doc, const json_t *change)
 {
 	json_t *merged = json_object();
@@ -302,7 +302,7 @@
 		w->rack = get_text(o, "rack");
 		w->halt_reason = get_text(o, "why");
 		w->return_max_s =
-			get_number(o, "return_max_s", WAVE_RETURN_MAX_S);
+			get_number(o, "return_max_s", DEFAULT_RETURN_MAX_S);
 		w->state = (enum cfg_wave_state)cfg_wave_state_find(
 			get_text(o, "state"));
 	}
@@ -314,7 +314,10 @@
 	return 0;
 }
 
-/* Builds a version; takes over the reference to doc. */
+/*
+ * Builds a version; takes over the reference to doc. run_max_ms is the longest
+ * task lease of the earlier versions.
+ */
 static enum cfg_status compile(json_t *doc, struct cfg_names *names,
 			       uint64_t version, uint32_t run_max_ms,
 			       struct cfg **out, struct status_message *m)
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -3,8 +3,9 @@
  *
  * A version consists of a JSON document and the tables compiled from it. The
  * document has named objects by kind (departments, pools, instances, teams,
- * queues, keys, waves). A change is a document of the same form that has only
- * what differs: an object replaces the one of its name, null removes it.
+ * queues, keys, waves). A change is a document of the same form with only the
+ * objects that differ: an object replaces the one of its kind and name, null
+ * removes it.
  *
  * Teams, pools and instances have process-wide ids, so that counters and
  * ledgers outlive a version. Queues and keys are looked up by name in one
@@ -45,21 +46,22 @@
 	CFG_SERVING,
 	CFG_DRAINING, /* no new work; units are returned */
 	CFG_OUT,      /* all units were returned; may reboot or move */
-	CFG_DEPARTED,
+	CFG_DEPARTED, /* no longer part of the fleet */
 };
 
 struct cfg_team {
 	const char *name;
 	uint32_t share; /* weight under contention */
-	uint32_t limit; /* units running at once, fleet-wide */
+	uint32_t limit; /* most units running at once, fleet-wide */
 	bool present;
 };
 
 struct cfg_pool {
 	const char *name;
 	const char *service;
-	uint32_t serving_min; /* availability budget: minimum of instances */
-	uint32_t out_max;     /* maximum out at once, for any reason */
+	/* Availability budget */
+	uint32_t serving_min; /* least number of instances serving */
+	uint32_t out_max;     /* most instances out at once, for any reason */
 	bool present;
 };
 
@@ -70,10 +72,10 @@
 	const char *rack;
 	const char *department;
 	pool_handle pool;
-	uint32_t slots;
+	uint32_t slots; /* requests that it runs at once */
 	uint32_t connections;
 	uint32_t generation; /* incremented when the pool changes */
-	const char *wave;    /* the last one that drained it, "" for none */
+	const char *wave;    /* the last wave that drained it, "" for none */
 	uint32_t boots;	     /* boot count when it was taken out */
 	enum cfg_instance_state state;
 	bool present;
@@ -81,7 +83,7 @@
 
 enum cfg_wave_state {
 	CFG_WAVE_RUNNING,
-	CFG_WAVE_PAUSED,  /* finishes instances draining or out; starts none */
+	CFG_WAVE_PAUSED,  /* finishes instances draining or out; drains none */
 	CFG_WAVE_HALTED,  /* paused by the conductor, with a reason */
 	CFG_WAVE_ABORTED, /* draining instances serve again */
 	CFG_WAVE_DONE,
@@ -94,19 +96,20 @@
 	const char *zone;
 	const char *rack;
 	const char *halt_reason; /* "" if not halted */
-	uint32_t return_max_s;	 /* halts if one drains or is out longer */
+	/* The wave halts if an instance is draining or out for longer. */
+	uint32_t return_max_s;
 	enum cfg_wave_state state;
 };
 
 struct cfg_queue {
 	const char *name;
 	pool_handle pool;
-	team_handle team; /* owner; INTERN_NONE: any team with a key */
+	team_handle team; /* INTERN_NONE: any team that has a key */
 	enum cfg_class class;
 	bool idempotent;
-	bool open; /* accepts requests without a key, on behalf of team */
+	bool open; /* accepts requests without a key, counted for `team` */
 	uint32_t run_max_ms;  /* task lease */
-	uint32_t wait_max_ms; /* refused as not-run after this */
+	uint32_t wait_max_ms; /* longest wait, then refused as not-run */
 };
 
 struct cfg_key {
@@ -125,9 +128,9 @@
 struct cfg {
 	uint64_t version;
 	json_t *doc;
-	struct cfg_team *teams; /* by team_handle */
-	struct cfg_pool *pools;
-	struct cfg_instance *instances;
+	struct cfg_team *teams;		/* by team_handle */
+	struct cfg_pool *pools;		/* by pool_handle */
+	struct cfg_instance *instances; /* by instance_handle */
 	struct cfg_queue *queues;
 	struct cfg_key *keys;
 	struct cfg_wave *waves;
@@ -137,7 +140,10 @@
 	uint32_t queue_count;
 	uint32_t key_count;
 	uint32_t wave_count;
-	/* Maximum of all queues; also removed ones, whose work may still run */
+	/*
+	 * Longest task lease of all queues, also of removed ones, whose work
+	 * may still run
+	 */
 	uint32_t run_max_ms;
 	struct intern *queue_names;
 	struct intern *key_names;
@@ -161,7 +167,7 @@
 			  const json_t *change, uint64_t version,
 			  struct cfg **out, struct status_message *message);
 
-/* cfg_check - check each object of a change, but not the names it refers to */
+/* cfg_check - check a change's objects one by one, without their references */
 enum cfg_status cfg_check(const json_t *change, struct status_message *message);
 
 /*
--- a/src/version/cfg_check.c
+++ b/src/version/cfg_check.c
@@ -99,7 +99,7 @@
 };
 
 _Static_assert(sizeof(kinds) / sizeof(kinds[0]) == CFG_KINDS,
-	       "every kind has its fields");
+	       "CFG_KINDS is the number of kinds");
 
 static const char *const state_names[] = { "serving", "draining", "out",
 					   "departed" };
--- a/src/version/cfg_internal.h
+++ b/src/version/cfg_internal.h
@@ -1,7 +1,7 @@
 /*
  * cfg_internal - declarations shared by the configuration's source files
  *
- * cfg.c builds versions, cfg_check.c checks objects by their kind's fields.
+ * cfg.c builds versions, cfg_check.c checks each object's fields by its kind.
  */
 #ifndef CFG_INTERNAL_H
 #define CFG_INTERNAL_H
--- a/src/version/inventory.c
+++ b/src/version/inventory.c
@@ -129,7 +129,7 @@
 		json_object_set_new(o, field, json_boolean(*value));
 }
 
-static json_t *object_json(const struct object *x)
+static json_t *object_to_json(const struct object *x)
 {
 	json_t *o = json_object();
 
@@ -173,13 +173,13 @@
 			return false;
 		}
 		json_object_set_new(all, objects[i].name,
-				    object_json(&objects[i]));
+				    object_to_json(&objects[i]));
 	}
 	return true;
 }
 
-static json_t *inventory_json(const struct inventory *v, const char *path,
-			      struct status_message *m)
+static json_t *inventory_to_json(const struct inventory *v, const char *path,
+				 struct status_message *m)
 {
 	json_t *doc = json_object();
 
@@ -196,8 +196,9 @@
 }
 
 /*
- * Makes the checks that the entries make, so that an invalid value is reported
- * with its line. References to objects outside the file cannot be checked.
+ * Checks objects as the entries will, so that an invalid value is reported with
+ * its line. References are not checked: they may be to objects that are not in
+ * the file.
  */
 static bool check_values(const json_t *doc, const char *path,
 			 struct status_message *m)
@@ -223,7 +224,7 @@
 
 	if (!yamlfile_load(path, &inventory_schema, (void **)&v, message))
 		return NULL;
-	doc = inventory_json(v, path, message);
+	doc = inventory_to_json(v, path, message);
 	yamlfile_free(&inventory_schema, v);
 	if (doc && !check_values(doc, path, message)) {
 		json_decref(doc);
--- a/src/version/inventory.h
+++ b/src/version/inventory.h
@@ -1,9 +1,9 @@
 /*
- * inventory - operators' YAML files of inventory and rules
+ * inventory - YAML files in which operators describe the fleet
  *
  * A file lists departments, pools, instances, teams and queues by name. It is
- * converted to a configuration document; kinds that are not in the file stay
- * unchanged.
+ * converted to a configuration document; loading it leaves kinds that are not
+ * in the file unchanged.
  */
 #ifndef INVENTORY_H
 #define INVENTORY_H
--- a/src/version/wave.c
+++ b/src/version/wave.c
@@ -8,7 +8,7 @@
 	return !*pattern || !strcmp(pattern, name);
 }
 
-static enum plan_state state_of(const struct cfg_instance *w)
+static enum plan_state plan_state_of(const struct cfg_instance *w)
 {
 	switch (w->state) {
 	case CFG_SERVING:
@@ -22,28 +22,31 @@
 	return PLAN_OUT;
 }
 
-/* Departed and absent instances are in an extra pool without a budget. */
+/*
+ * Departed and absent instances are in an extra pool, with the index
+ * pool_count, of which no instance is selected.
+ */
 static void fill_instance(const struct cfg *cfg, const struct cfg_wave *wave,
 			  const struct cfg_instance *w, struct plan_instance *p,
 			  struct intern *zones, struct intern *racks)
 {
-	bool started;
+	bool drained_by_wave;
 
 	p->pool = cfg->pool_count;
 	p->state = PLAN_OUT;
 	if (!w->present || w->state == CFG_DEPARTED)
 		return;
-	started = !strcmp(w->wave, wave->name);
+	drained_by_wave = !strcmp(w->wave, wave->name);
 	p->pool = w->pool.i;
 	p->zone = intern_add(zones, w->zone);
 	p->rack = intern_add(racks, w->rack);
-	p->state = state_of(w);
+	p->state = plan_state_of(w);
 	p->selected =
-		started ||
+		drained_by_wave ||
 		(w->state == CFG_SERVING &&
 		 matches(wave->pool, cfg->pools[w->pool.i].name) &&
 		 matches(wave->zone, w->zone) && matches(wave->rack, w->rack));
-	p->done = started && w->state == CFG_SERVING;
+	p->done = drained_by_wave && w->state == CFG_SERVING;
 }
 
 struct plan_input *wave_input(TALLOC_CTX *ctx, const struct cfg *cfg,
--- a/src/version/wave.h
+++ b/src/version/wave.h
@@ -10,9 +10,10 @@
 /*
  * wave_input - a wave as the planner's input, allocated on ctx
  *
- * Has all instances of the configuration, by instance_handle; those that are
- * not present are not selected and are in an extra pool. `empty` and
- * `rebooted` are left false: the entry fills them in.
+ * Has all instances of the configuration, by instance_handle; departed and
+ * absent ones are not selected and are in an extra pool. `empty` and `rebooted`
+ * are left false: the entry fills them in. *instances is the array in the
+ * result, for writing.
  */
 struct plan_input *wave_input(TALLOC_CTX *ctx, const struct cfg *cfg,
 			      const struct cfg_wave *wave,
