cli: second reading of comments and one message

The message on a wave that is not feasible says which budget of which pool lets no instance be out; no test or tool matches it.

--- a/cli/api.c
+++ b/cli/api.c
@@ -9,7 +9,7 @@
 
 #define API_ANSWER_MAX (256u << 20) /* bytes */
 #define API_TIMEOUT_MS 20000
-#define API_CONNECT_MS 2000
+#define API_CONNECT_TIMEOUT_MS 2000
 #define API_URL_MAX 512	   /* bytes */
 #define API_HEADER_MAX 512 /* bytes */
 
@@ -50,7 +50,7 @@
 		.body = request_body,
 		.body_length = request_body ? strlen(request_body) : 0,
 		.timeout_ms = API_TIMEOUT_MS,
-		.connect_timeout_ms = API_CONNECT_MS,
+		.connect_timeout_ms = API_CONNECT_TIMEOUT_MS,
 		.answer_max = API_ANSWER_MAX,
 		.once = true,
 		.done = on_answer,
--- a/cli/command.c
+++ b/cli/command.c
@@ -9,7 +9,7 @@
 #include "version/cfg.h"
 #include "version/inventory.h"
 
-#define ID_BYTES 16
+#define ID_BYTES 16 /* of a change's id */
 
 /* Answers */
 
@@ -167,7 +167,10 @@
 	}
 }
 
-/* A file cannot change states and generations: the current ones are kept. */
+/*
+ * Files do not set states and generations: keeps the current ones. An instance
+ * that has no state yet is serving.
+ */
 static void keep_current_state(const json_t *config, json_t *doc)
 {
 	const char *name;
@@ -364,7 +367,7 @@
 
 /* States of instances */
 
-/* Sets a field of each named instance in one change. */
+/* Sets a field of the instances named by the first arguments, in one change. */
 static int change_instances(const struct command_context *cmd, int count,
 			    const char *field, const char *value)
 {
--- a/cli/command.h
+++ b/cli/command.h
@@ -12,15 +12,15 @@
 
 struct command_context {
 	struct api api;
-	bool json;    /* machine-readable output */
-	bool dry_run; /* only show what load would change */
+	bool json;    /* print JSON instead of tables and text */
+	bool dry_run; /* load shows the change without making it */
 	int arg_count;
 	const char **args; /* without the command's name */
 };
 
 struct command {
 	const char *name;
-	const char *usage; /* its arguments */
+	const char *usage; /* syntax of the arguments */
 	int args_min;
 	int args_max;
 	int (*run)(const struct command_context *cmd);
@@ -35,14 +35,22 @@
 int command_change(const struct command_context *cmd, json_int_t base_version,
 		   json_t *change);
 
-/* command_config - fetch the configuration; NULL after printing the error */
+/*
+ * command_config - fetch the configuration and its version
+ *
+ * Returns a new reference to the answer. On failure prints the error, sets
+ * *exit_code and returns NULL.
+ */
 json_t *command_config(const struct command_context *cmd, int *exit_code);
 
-int command_load(const struct command_context *cmd);
-int command_key(const struct command_context *cmd);
 /* command_list - print the objects of one kind */
 int command_list(const struct command_context *cmd, const char *kind,
 		 const char *const *columns);
+
+/* The commands, by their names on the command line */
+
+int command_load(const struct command_context *cmd);
+int command_key(const struct command_context *cmd);
 int command_teams(const struct command_context *cmd);
 int command_queues(const struct command_context *cmd);
 int command_instances(const struct command_context *cmd);
--- a/cli/node.c
+++ b/cli/node.c
@@ -1,7 +1,7 @@
 /*
- * node - commands for nodes of the users' platform
+ * node - the commands `nodes` and `explain`, which call nodes, not entries
  *
- * Here the option -e gives the nodes' addresses for peers.
+ * For them the option -e gives the nodes' addresses for peers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,9 +30,9 @@
 	int i;
 
 	for (i = 0; i < cmd->api.entry_count; i++) {
-		const char *entry = cmd->api.entries[i];
+		const char *node = cmd->api.entries[i];
 		long code;
-		json_t *status = api_call_entry(&cmd->api, entry, "GET",
+		json_t *status = api_call_entry(&cmd->api, node, "GET",
 						"/status", NULL, &code);
 		const char *name =
 			json_string_value(json_object_get(status, "node"));
@@ -40,7 +40,7 @@
 		if (code == 200 && name)
 			json_object_set(rows, name, status);
 		else
-			fprintf(stderr, "jackdawwell: %s: no answer\n", entry);
+			fprintf(stderr, "jackdawwell: %s: no answer\n", node);
 		json_decref(status);
 	}
 	exit_code = json_object_size(rows) ? 0 : EXIT_UNREACHABLE;
@@ -52,7 +52,7 @@
 	return exit_code;
 }
 
-/* Only the leader knows all of a job, so the first answer is the leader's. */
+/* Only the leader can explain a job; other nodes answer 404. */
 int command_explain(const struct command_context *cmd)
 {
 	char path[EXPLAIN_PATH_MAX];
--- a/cli/table.c
+++ b/cli/table.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TABLE_CELL_MAX 64 /* bytes */
-#define TABLE_COLUMNS_MAX 12
+#define TABLE_CELL_MAX 64    /* bytes */
+#define TABLE_COLUMNS_MAX 12 /* besides the name */
 
 static void cell_text(const json_t *value, char *text)
 {
--- a/cli/table.h
+++ b/cli/table.h
@@ -1,5 +1,5 @@
 /*
- * table - prints objects as aligned columns
+ * table - prints named objects as a table with aligned columns
  */
 #ifndef TABLE_H
 #define TABLE_H
@@ -9,7 +9,8 @@
 /*
  * table_print - print one row for each object, sorted by name
  *
- * columns is a list of field names that ends with NULL.
+ * The first column has the names, under title. columns is a list of field names
+ * that ends with NULL.
  */
 void table_print(const json_t *objects, const char *title,
 		 const char *const *columns);
--- a/cli/wave.c
+++ b/cli/wave.c
@@ -8,30 +8,30 @@
 #include "cli/command.h"
 #include "version/wave.h"
 
-#define BAR_WIDTH 30
-#define DRAIN_REBOOT_S 300.0 /* estimate for one instance */
+#define BAR_WIDTH 30	     /* characters */
+#define DRAIN_REBOOT_S 300.0 /* estimate per instance */
 
-/* A wave from arguments `field=value`; NULL after printing the error. */
+/* Reads a wave from arguments `field=value`; NULL after printing an error. */
 static json_t *parse_wave(const struct command_context *cmd, int first_arg)
 {
 	json_t *object = json_pack("{s:s}", "state", "running");
 	int i;
 
 	for (i = first_arg; i < cmd->arg_count; i++) {
-		const char *word = cmd->args[i];
-		const char *equals = strchr(word, '=');
+		const char *arg = cmd->args[i];
+		const char *equals = strchr(arg, '=');
 		char field[32];
 
-		if (!equals || equals - word >= (int)sizeof(field)) {
+		if (!equals || equals - arg >= (int)sizeof(field)) {
 			fprintf(stderr,
 				"jackdawwell: \"%s\": expected pool=NAME, "
 				"zone=NAME, rack=NAME or return_max_s=N\n",
-				word);
+				arg);
 			json_decref(object);
 			return NULL;
 		}
-		snprintf(field, sizeof(field), "%.*s", (int)(equals - word),
-			 word);
+		snprintf(field, sizeof(field), "%.*s", (int)(equals - arg),
+			 arg);
 		if (!strcmp(field, "return_max_s"))
 			json_object_set_new(object, field,
 					    json_integer(atoi(equals + 1)));
@@ -62,6 +62,7 @@
 	return cfg;
 }
 
+/* Numbers of instances of a wave. */
 struct progress {
 	uint32_t selected;
 	uint32_t done;
@@ -166,7 +167,7 @@
 	       DRAIN_REBOOT_S, s / 60);
 }
 
-/* False after printing which budget blocks the wave. */
+/* Whether the budgets allow the wave; prints the one that does not. */
 static bool check_feasible(const struct cfg *cfg, const struct plan_input *in)
 {
 	struct plan_result result;
@@ -174,8 +175,8 @@
 	if (plan_feasible(in, &result))
 		return true;
 	fprintf(stderr,
-		"jackdawwell: the wave is not feasible: pool \"%s\", budget "
-		"%s blocks it until it is changed\n",
+		"jackdawwell: the wave is not feasible: in pool \"%s\" the "
+		"budget %s lets no instance be out\n",
 		cfg->pools[result.blocked_pool].name,
 		plan_budget_name(result.blocked));
 	return false;
@@ -259,19 +260,20 @@
 
 static int run_subcommand(const struct command_context *cmd, json_t *answer)
 {
-	const char *verb = cmd->args[0];
+	const char *subcommand = cmd->args[0];
 	const char *name = cmd->args[1];
 
-	if (!strcmp(verb, "plan") || !strcmp(verb, "start"))
-		return plan_or_start(cmd, answer, name, !strcmp(verb, "start"));
-	if (!strcmp(verb, "show"))
+	if (!strcmp(subcommand, "plan") || !strcmp(subcommand, "start"))
+		return plan_or_start(cmd, answer, name,
+				     !strcmp(subcommand, "start"));
+	if (!strcmp(subcommand, "show"))
 		return show_wave(json_object_get(answer, "config"), name, NULL,
 				 false);
-	if (!strcmp(verb, "pause"))
+	if (!strcmp(subcommand, "pause"))
 		return set_wave_state(cmd, answer, name, "paused");
-	if (!strcmp(verb, "resume"))
+	if (!strcmp(subcommand, "resume"))
 		return set_wave_state(cmd, answer, name, "running");
-	if (!strcmp(verb, "abort"))
+	if (!strcmp(subcommand, "abort"))
 		return set_wave_state(cmd, answer, name, "aborted");
 	fprintf(stderr, "usage: jackdawwell wave plan|start|pause|resume|"
 			"abort|show NAME\n");
