test: second reading of the tests of cfg, decisions, events, outcome, ledger

Heads say which failure a test guards against. Misread before: what peer_ms and peer_version of a freshness row stand for, "late write", "running work must hold its unit" (orphaned work has no unit at an entry), the constants of the ledger's simulation.

Terms: response (not answer), store_read_ms and peer_sent_ms, milli_slots and transfers of an advice, orphaned work, recovery step, total (a domain's; limit is a team's).

Two violation texts of ledger_walk changed, which nothing matches either. asserts on renamed variables check the same: key_check(&hasher, ...), of_7/of_6, milli_slots, transfers.

--- a/test/cfg_test.c
+++ b/test/cfg_test.c
@@ -1,6 +1,7 @@
 /*
- * Configuration versions: invalid changes and their messages, the effect of
- * valid ones, and callers' keys.
+ * Configuration versions: invalid changes are refused with a message that names
+ * the fault, valid changes build the next version without changing the base,
+ * and a key is accepted only with the right name and secret.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -137,7 +138,7 @@
 	json_decref(doc);
 }
 
-static void test_maximum_lease_is_kept(void **state)
+static void test_removed_queue_keeps_its_lease(void **state)
 {
 	struct status_message m;
 	struct cfg *next = apply(*state, "{\"queues\":{\"renew\":null}}", &m);
@@ -147,9 +148,9 @@
 	cfg_unref(next);
 }
 
-static void test_key(void **state)
+static void test_key_check(void **state)
 {
-	struct key_hasher h;
+	struct key_hasher hasher;
 	struct key_hasher other;
 	struct status_message m;
 	uint8_t hash[CFG_HASH_BYTES];
@@ -159,9 +160,9 @@
 	struct cfg *next;
 	size_t i;
 
-	key_hasher_init(&h, "a fleet's secret");
+	key_hasher_init(&hasher, "a fleet's secret");
 	key_hasher_init(&other, "another secret");
-	key_issue(&h, "k1", text, hash);
+	key_issue(&hasher, "k1", text, hash);
 	for (i = 0; i < sizeof(hash); i++)
 		snprintf(hex + 2 * i, 3, "%02x", hash[i]);
 	snprintf(change, sizeof(change),
@@ -169,13 +170,13 @@
 		 hex);
 	next = apply(*state, change, &m);
 	assert_non_null(next);
-	assert_non_null(key_check(&h, next, text));
+	assert_non_null(key_check(&hasher, next, text));
 	assert_null(key_check(&other, next, text));
-	assert_null(key_check(&h, next, "k1"));
-	assert_null(key_check(&h, next, "k1."));
-	assert_null(key_check(&h, next, "k2.00"));
+	assert_null(key_check(&hasher, next, "k1"));
+	assert_null(key_check(&hasher, next, "k1."));
+	assert_null(key_check(&hasher, next, "k2.00"));
 	text[strlen(text) - 1] ^= 1;
-	assert_null(key_check(&h, next, text));
+	assert_null(key_check(&hasher, next, text));
 	cfg_unref(next);
 }
 
@@ -185,8 +186,8 @@
 		cmocka_unit_test(test_invalid_changes),
 		cmocka_unit_test(test_change_replaces_one_object),
 		cmocka_unit_test(test_diff_of_documents),
-		cmocka_unit_test(test_maximum_lease_is_kept),
-		cmocka_unit_test(test_key),
+		cmocka_unit_test(test_removed_queue_keeps_its_lease),
+		cmocka_unit_test(test_key_check),
 	};
 
 	return cmocka_run_group_tests_name("cfg", tests, set_up, tear_down);
--- a/test/decide_test.c
+++ b/test/decide_test.c
@@ -1,6 +1,6 @@
 /*
- * Tests of shares, the fair queue, health, retries, freshness, members and
- * brokers.
+ * Decisions of an entry without I/O: shares, the fair queue, health, retries,
+ * freshness, members and brokers.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -89,10 +89,10 @@
 	assert_ptr_equal(fq_pick(q, 5, not_team_1, NULL), &c);
 	fq_remove(q, &c);
 	assert_ptr_equal(fq_pick(q, 5, not_team_1, NULL), &a);
-	/* A team below its target goes first, regardless of arrival. */
+	/* A team below its target goes first, even if its job came later. */
 	fq_set_target(q, (team_handle){ 1 }, 2.0);
 	assert_ptr_equal(fq_pick(q, 5, any_team, NULL), &d);
-	/* A delayed retry is not overtaken by other work of its team. */
+	/* A delayed retry is not overtaken by other jobs of its team. */
 	fq_remove(q, &a);
 	a.not_before_ms = 50;
 	fq_push_front(q, &a, 6);
@@ -101,7 +101,7 @@
 	talloc_free(q);
 }
 
-static void test_fq_shares_over_time(void **state)
+static void test_fq_fractional_targets(void **state)
 {
 	/* One slot, targets 0.75 and 0.25: team 0 gets 3 of 4 starts. */
 	struct fq *q = fq_new(NULL);
@@ -140,7 +140,8 @@
 	(void)state;
 	for (i = 0; i < 5; i++)
 		health_record(&h, true, now);
-	assert_false(health_should_eject(&h, 0.9)); /* requests to blame */
+	/* If the peers fail too, the requests are the cause. */
+	assert_false(health_should_eject(&h, 0.9));
 	assert_true(health_should_eject(&h, 0.0));
 	health_eject(&h, now);
 	assert_false(health_available(&h, now + HEALTH_PROBE_DELAY_MS - 1));
@@ -172,15 +173,15 @@
 /* Freshness */
 
 struct freshness_row {
-	const char *what;
-	uint64_t store_ms;
-	uint64_t peer_ms[2];
-	uint64_t peer_version[2];
+	const char *name;
+	uint64_t store_read_ms;
+	uint64_t peer_sent_ms[2]; /* 0: no response */
+	uint64_t peer_version[2]; /* this entry has version 7 */
 	uint64_t until;
 };
 
 static const struct freshness_row freshness_rows[] = {
-	{ "nothing known", 0, { 0, 0 }, { 0, 0 }, 0 },
+	{ "no read and no response", 0, { 0, 0 }, { 0, 0 }, 0 },
 	{ "read the store",
 	  5000,
 	  { 0, 0 },
@@ -191,18 +192,18 @@
 	  { 4000, 0 },
 	  { 7, 0 },
 	  4000 + FRESHNESS_LIFETIME_MS },
-	{ "the newer of two",
+	{ "the newer of two peers",
 	  0,
 	  { 4000, 6000 },
 	  { 7, 7 },
 	  6000 + FRESHNESS_LIFETIME_MS },
-	{ "a peer knows more", 0, { 4000, 6000 }, { 8, 7 }, 0 },
-	{ "a peer knows less",
+	{ "a peer has a newer version", 0, { 4000, 6000 }, { 8, 7 }, 0 },
+	{ "a peer has an older version",
 	  0,
 	  { 4000, 6000 },
 	  { 6, 7 },
 	  6000 + FRESHNESS_LIFETIME_MS },
-	{ "store newer",
+	{ "the store was read after the peers",
 	  9000,
 	  { 4000, 6000 },
 	  { 7, 7 },
@@ -223,18 +224,18 @@
 	for (i = 0; i < sizeof(freshness_rows) / sizeof(freshness_rows[0]);
 	     i++) {
 		const struct freshness_row *r = &freshness_rows[i];
-		struct freshness f = { .store_read_ms = r->store_ms };
+		struct freshness f = { .store_read_ms = r->store_read_ms };
 
 		for (k = 0; k < 2; k++) {
 			struct freshness_peer p = { (uint64_t)k + 2,
-						    r->peer_ms[k],
+						    r->peer_sent_ms[k],
 						    r->peer_version[k], 3 };
 
-			if (r->peer_ms[k])
+			if (r->peer_sent_ms[k])
 				freshness_record(&f, &p);
 		}
 		if (freshness_until(&f, &m, 1, 7) != r->until)
-			fail_msg("%s", r->what);
+			fail_msg("%s", r->name);
 	}
 }
 
@@ -253,7 +254,7 @@
 	assert_int_equal(freshness_until(&f, &m, 1, 7), 0);
 	assert_int_equal(freshness_count_config(&f, &m, 1, 7), 1);
 	m.list[2].state = MEMBER_DEAD;
-	/* The only full member: no change is accepted without it. */
+	/* Entry 1 is the only full member: no change is accepted without it. */
 	assert_true(freshness_until(&f, &m, 1, 7) > 1u << 30);
 }
 
@@ -280,8 +281,8 @@
 /* Brokers */
 
 struct advised {
-	uint32_t milli[4];   /* target of team 0, by entry */
-	uint32_t sent[4][4]; /* units, from and to */
+	uint32_t milli_slots[4];  /* target of team 0, by entry */
+	uint32_t transfers[4][4]; /* units, by lender and receiver */
 };
 
 static bool team_view(void *arg, uint32_t team, uint32_t *share,
@@ -301,9 +302,10 @@
 
 	for (i = 0; i < a->target_count; i++)
 		if (a->targets[i].team == 0)
-			got->milli[entry] = a->targets[i].milli_slots;
+			got->milli_slots[entry] = a->targets[i].milli_slots;
 	for (i = 0; i < a->transfer_count; i++)
-		got->sent[entry][a->transfers[i].to] = a->transfers[i].units;
+		got->transfers[entry][a->transfers[i].to] =
+			a->transfers[i].units;
 }
 
 static void test_broker_moves_units_to_demand(void **state)
@@ -315,21 +317,22 @@
 	struct broker_demand d = { { BROKER_POOL, 0 }, 6, 0, 1, &t };
 
 	(void)state;
-	broker_report(b, 1, &d, 1000); /* all of the demand, 6 of 18 slots */
+	/* Entry 1 has all of the demand and holds 6 of the 18 slots. */
+	broker_report(b, 1, &d, 1000);
 	d.team_count = 0;
 	d.idle = 6;
 	broker_report(b, 2, &d, 1000);
 	broker_report(b, 3, &d, 1000);
 	broker_run(b, 1000);
-	assert_int_equal(got.milli[1], 18000);
-	assert_int_equal(got.sent[2][1], 6);
-	assert_int_equal(got.sent[3][1], 6);
+	assert_int_equal(got.milli_slots[1], 18000);
+	assert_int_equal(got.transfers[2][1], 6);
+	assert_int_equal(got.transfers[3][1], 6);
 	memset(&got, 0, sizeof(got));
-	broker_run(b, 1250); /* nothing new: no advice */
-	assert_int_equal(got.milli[1], 0);
+	broker_run(b, 1250); /* no new report: no advice */
+	assert_int_equal(got.milli_slots[1], 0);
 	broker_forget(b, 1);
 	broker_run(b, 1500);
-	assert_int_equal(got.sent[2][1], 0);
+	assert_int_equal(got.transfers[2][1], 0);
 	talloc_free(b);
 }
 
@@ -342,14 +345,14 @@
 
 	(void)state;
 	for (i = 0; i < 1000; i++) {
-		uint64_t all, fewer;
+		uint64_t of_7, of_6;
 
 		snprintf(name, sizeof(name), "pool-%d", i);
-		all = broker_choose(BROKER_POOL, name, entries, 7);
-		fewer = broker_choose(BROKER_POOL, name, entries, 6);
-		if (all != 7)
-			assert_int_equal(all, fewer);
-		moved += all != fewer;
+		of_7 = broker_choose(BROKER_POOL, name, entries, 7);
+		of_6 = broker_choose(BROKER_POOL, name, entries, 6);
+		if (of_7 != 7)
+			assert_int_equal(of_7, of_6);
+		moved += of_7 != of_6;
 	}
 	assert_in_range(moved, 1000 / 14, 1000 * 2 / 7);
 }
@@ -359,7 +362,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_share),
 		cmocka_unit_test(test_fq_order),
-		cmocka_unit_test(test_fq_shares_over_time),
+		cmocka_unit_test(test_fq_fractional_targets),
 		cmocka_unit_test(test_health),
 		cmocka_unit_test(test_retry_budget),
 		cmocka_unit_test(test_freshness),
--- a/test/event_test.c
+++ b/test/event_test.c
@@ -1,6 +1,6 @@
 /*
- * With a slow reader of the log, every line is either written whole or
- * counted as dropped.
+ * With a slow reader of the log, each line is either written whole or counted
+ * as dropped: a partial write must not cut a line.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -17,14 +17,14 @@
 
 #include "process/event.h"
 
-#define PIPE_BYTES 4096 /* the minimum of the kernel */
+#define PIPE_BYTES 4096 /* smallest pipe that the kernel allows */
 #define LINES 900u	/* below the rate limit of one kind */
-#define FLUSH_EVERY 20u
+#define FLUSH_LINES 20u /* lines between two flushes */
 
-/* Appends up to `most` bytes from the pipe to text. */
-static size_t read_some(int fd, char *text, size_t used, size_t most)
+/* Appends up to max bytes from the pipe to text. */
+static size_t read_some(int fd, char *text, size_t used, size_t max)
 {
-	ssize_t n = read(fd, text + used, most);
+	ssize_t n = read(fd, text + used, max);
 
 	return used + (n > 0 ? (size_t)n : 0);
 }
@@ -50,12 +50,12 @@
 
 static void test_lines_stay_whole(void **state)
 {
-	static const size_t reads[] = { 1, 7, 1000,
-					4096 }; /* bytes per flush */
+	/* Bytes read after each flush */
+	static const size_t read_sizes[] = { 1, 7, 1000, 4096 };
 	size_t c;
 
 	(void)state;
-	for (c = 0; c < sizeof(reads) / sizeof(reads[0]); c++) {
+	for (c = 0; c < sizeof(read_sizes) / sizeof(read_sizes[0]); c++) {
 		size_t text_size = LINES * 1024;
 		char *text = calloc(1, text_size);
 		uint64_t dropped = event_dropped();
@@ -72,10 +72,10 @@
 		for (i = 0; i < LINES; i++) {
 			event_log("probe", NULL, "\"n\":%u,\"text\":\"%0*u\"",
 				  i, (int)(i % 200), i);
-			if (i % FLUSH_EVERY)
+			if (i % FLUSH_LINES)
 				continue;
 			event_flush();
-			used = read_some(ends[0], text, used, reads[c]);
+			used = read_some(ends[0], text, used, read_sizes[c]);
 		}
 		do {
 			before = used;
--- a/test/ledger_walk.c
+++ b/test/ledger_walk.c
@@ -1,12 +1,12 @@
 /*
  * ledger_walk - randomized simulation of entries, store and network
  *
- * Runs the ledger in virtual time, with a fixed seed per schedule. The weights
- * of the operations are random per seed, so that schedules with few ends of
- * work, long freezes or many kills all occur. Invariants are checked after
- * every step; once the faults end, all units must be accounted for within
- * RECOVERY_MS. --without disables one safeguard; the simulation must then find
- * a violation.
+ * Runs the ledgers of several entries in virtual time, with a fixed seed per
+ * schedule. The weights of the operations are random per seed, so that
+ * schedules in which work rarely ends, freezes are long or kills are many all
+ * occur. Invariants are checked after every step; once the faults end, all
+ * units must be accounted for within RECOVERY_MS. --without disables one
+ * safeguard; the simulation must then find a violation.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -17,11 +17,11 @@
 
 /* Operations */
 
-static void configure(struct world *w)
+static void commit_config(struct world *w)
 {
 	uint32_t d = walk_random(w, DOMAINS);
 
-	if (w->config_version == 255 || w->outage)
+	if (w->config_version == VERSIONS_MAX - 1 || w->outage)
 		return;
 	memcpy(w->totals[w->config_version + 1], w->totals[w->config_version],
 	       sizeof(w->totals[0]));
@@ -33,7 +33,7 @@
 		w->generations[w->config_version][d]++;
 }
 
-static void start(struct world *w, struct entry *e)
+static void start_unit(struct world *w, struct entry *e)
 {
 	domain_handle d = { walk_random(w, DOMAINS) };
 
@@ -41,7 +41,7 @@
 		walk_check_start(w, e, d.i);
 }
 
-static void end(struct world *w, struct entry *e)
+static void end_unit(struct world *w, struct entry *e)
 {
 	domain_handle d = { walk_random(w, DOMAINS) };
 
@@ -78,10 +78,10 @@
 
 	switch (op) {
 	case OP_START:
-		start(w, e);
+		start_unit(w, e);
 		break;
 	case OP_END:
-		end(w, e);
+		end_unit(w, e);
 		break;
 	case OP_SET_IDLE_TARGET:
 		ledger_set_idle_target(e->ledger, d, walk_random(w, 5));
@@ -147,10 +147,10 @@
 	else if (op == OP_OUTAGE)
 		w->outage = !walk_random(w, 3);
 	else if (op == OP_CONFIGURE)
-		configure(w);
+		commit_config(w);
 }
 
-static bool op_is_of_entry(enum op op)
+static bool is_entry_op(enum op op)
 {
 	return op <= OP_RESEND || op == OP_PLAN_CAS || op == OP_READ ||
 	       op == OP_FREEZE || op == OP_CONFIGURE_ENTRY || op == OP_SUSPECT;
@@ -165,7 +165,7 @@
 	while (n >= w->weights[op])
 		n -= w->weights[op++];
 	w->now_ms += walk_random(w, 20);
-	if (!op_is_of_entry((enum op)op)) {
+	if (!is_entry_op((enum op)op)) {
 		step_world(w, (enum op)op);
 	} else {
 		e = walk_random_entry(w);
@@ -175,7 +175,7 @@
 	walk_check_units(w, "a step");
 }
 
-static bool all_accounted(const struct world *w)
+static bool all_units_accounted(const struct world *w)
 {
 	uint32_t d;
 
@@ -189,7 +189,7 @@
 	return true;
 }
 
-static void recovery_tick(struct world *w)
+static void recovery_step(struct world *w)
 {
 	uint32_t i;
 	uint32_t s;
@@ -260,15 +260,16 @@
 	until = w->now_ms + RECOVERY_MS;
 	while (w->now_ms < until && !*w->violation) {
 		w->now_ms += TICK_MS;
-		recovery_tick(w);
-		if (all_accounted(w))
+		recovery_step(w);
+		if (all_units_accounted(w))
 			return;
 	}
 	if (*w->violation)
 		return;
 	print_domains(w);
 	snprintf(w->violation, sizeof(w->violation),
-		 "units not accounted for %d ms after the faults", RECOVERY_MS);
+		 "units not accounted for %d ms after the last fault",
+		 RECOVERY_MS);
 }
 
 static void set_up(struct world *w, uint64_t seed, unsigned int unsafe)
@@ -326,35 +327,38 @@
 	{ "lease", UNSAFE_LEASE },
 };
 
-static int run(const struct safeguard *guard, int first, int count)
+/* Returns 0 if all schedules pass or, without a safeguard, if one fails. */
+static int run(const struct safeguard *disabled, int first, int count)
 {
 	static struct world w;
 	uint64_t rounds = 0;
 	int seed;
 
 	for (seed = first; seed < first + count; seed++) {
-		if (walk(&w, (uint64_t)seed, guard->unsafe)) {
+		if (walk(&w, (uint64_t)seed, disabled->unsafe)) {
 			rounds += w.rounds;
 			continue;
 		}
-		printf("%s: seed %d: %s\n", guard->name, seed, w.violation);
+		printf("%s: seed %d: %s\n", disabled->name, seed, w.violation);
 		printf("repeat: build/test/ledger_walk --without %s --first "
 		       "%d --count 1\n",
-		       guard->name, seed);
-		return guard->unsafe ? 0 : 1;
+		       disabled->name, seed);
+		return disabled->unsafe ? 0 : 1;
 	}
 	printf("%s: %d schedules of %d steps, %" PRIu64
 	       " rounds, no violation\n",
-	       guard->name, count, STEPS, rounds);
-	return guard->unsafe ? 1 : 0;
+	       disabled->name, count, STEPS, rounds);
+	return disabled->unsafe ? 1 : 0;
 }
 
 int main(int argc, char **argv)
 {
 	struct arg_str *without =
-		arg_str0(NULL, "without", "SAFEGUARD", "disable a safeguard");
+		arg_str0(NULL, "without", "SAFEGUARD",
+			 "disable a safeguard and expect a violation");
 	struct arg_int *first = arg_int0(NULL, "first", "SEED", "first seed");
-	struct arg_int *count = arg_int0(NULL, "count", "N", "schedules");
+	struct arg_int *count =
+		arg_int0(NULL, "count", "N", "number of schedules");
 	struct arg_end *stop = arg_end(4);
 	void *table[] = { without, first, count, stop };
 	int code = 2;
--- a/test/outcome_test.c
+++ b/test/outcome_test.c
@@ -1,6 +1,6 @@
 /*
- * Every path to the outcome "not run" with the proof for it, and every path
- * that must not lead to it.
+ * Every end of a job that proves the outcome "not-run", and every end that must
+ * not lead to it: a caller repeats such a request, which could then run twice.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -11,8 +11,8 @@
 #include "request/outcome.h"
 
 struct row {
-	const char *proof;
-	struct outcome_input end;
+	const char *name;
+	struct outcome_input input;
 	enum outcome outcome;
 	unsigned int code;
 };
@@ -27,8 +27,8 @@
 	}
 
 static const struct row rows[] = {
-	/* Refused before a start: never sent */
-	{ "waited", REFUSED(JOB_REFUSED_WAIT), OUTCOME_NOT_RUN, 503 },
+	/* Refused and never sent */
+	{ "wait expired", REFUSED(JOB_REFUSED_WAIT), OUTCOME_NOT_RUN, 503 },
 	{ "early", REFUSED(JOB_REFUSED_EARLY), OUTCOME_NOT_RUN, 503 },
 	{ "full", REFUSED(JOB_REFUSED_FULL), OUTCOME_NOT_RUN, 503 },
 	{ "key", REFUSED(JOB_REFUSED_KEY), OUTCOME_NOT_RUN, 401 },
@@ -40,14 +40,15 @@
 	{ "not sent", RESULT(JOB_NOT_SENT), OUTCOME_NOT_RUN, 503 },
 	{ "worker refused", RESULT(JOB_NOT_RUN), OUTCOME_NOT_RUN, 503 },
 	/* Complete responses */
-	{ "answer", RESULT(JOB_ENDED), OUTCOME_ANSWERED, 0 },
-	{ "failure answered", RESULT(JOB_FAILED), OUTCOME_ANSWERED, 0 },
-	{ "answer after an unknown attempt",
+	{ "response", RESULT(JOB_ENDED), OUTCOME_ANSWERED, 0 },
+	{ "response with a failure", RESULT(JOB_FAILED), OUTCOME_ANSWERED, 0 },
+	{ "response after an unknown attempt",
 	  { .result = JOB_ENDED, .may_have_run = true },
 	  OUTCOME_ANSWERED,
 	  0 },
 	/* Nothing proves that it has not run */
-	{ "broken", RESULT(JOB_POSSIBLY_RUNNING), OUTCOME_UNKNOWN, 502 },
+	{ "incomplete response", RESULT(JOB_POSSIBLY_RUNNING), OUTCOME_UNKNOWN,
+	  502 },
 	{ "timed out",
 	  { .result = JOB_POSSIBLY_RUNNING, .timed_out = true },
 	  OUTCOME_UNKNOWN,
@@ -70,10 +71,10 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		struct outcome_answer a = outcome_of(&rows[i].end);
+		struct outcome_answer a = outcome_of(&rows[i].input);
 
 		if (a.outcome != rows[i].outcome || a.code != rows[i].code)
-			fail_msg("%s: outcome %d code %u", rows[i].proof,
+			fail_msg("%s: outcome %d code %u", rows[i].name,
 				 a.outcome, a.code);
 	}
 }
--- a/test/walk/world.c
+++ b/test/walk/world.c
@@ -47,7 +47,7 @@
 	for (i = 0; i < w->entry_count; i++) {
 		if (!w->entries[i].removed)
 			sum += walk_domain_view(&w->entries[i], d).held;
-		/* Running work must hold its unit. */
+		/* Orphaned work uses its unit although no entry holds it. */
 		sum += w->entries[i].orphaned[d];
 	}
 	return sum;
@@ -82,8 +82,8 @@
 }
 
 /*
- * After a start, no more units may run than the highest of the limits in the
- * entry's configuration version and in all newer ones.
+ * After a start, no more units may run than the highest total in the entry's
+ * configuration version and all newer ones.
  */
 void walk_check_start(struct world *w, const struct entry *e, uint32_t d)
 {
@@ -95,7 +95,8 @@
 			allowed = w->totals[v][d];
 	if (walk_running(w, d) > allowed)
 		snprintf(w->violation, sizeof(w->violation),
-			 "started %s: %" PRId64 " running, limit %" PRId64,
+			 "after a start in %s: %" PRId64
+			 " running, total %" PRId64,
 			 walk_domain_names[d], walk_running(w, d), allowed);
 }
 
@@ -221,13 +222,13 @@
 	return e->links[to];
 }
 
-static void enqueue(struct world *w, uint32_t from, uint32_t to, bool ack,
-		    const struct ledger_transfer *t)
+static void send_message(struct world *w, uint32_t from, uint32_t to, bool ack,
+			 const struct ledger_transfer *t)
 {
 	struct message *m;
 
 	if (w->message_count == QUEUE_MAX)
-		return; /* lost */
+		return; /* the message is lost */
 	m = &w->messages[w->message_count++];
 	m->from = from;
 	m->to = to;
@@ -253,7 +254,7 @@
 		return;
 	}
 	m.t.seq = ledger_receive(link, &m.t);
-	enqueue(w, m.to, m.from, true, &m.t);
+	send_message(w, m.to, m.from, true, &m.t);
 }
 
 void walk_resend(struct world *w, struct entry *e)
@@ -270,7 +271,7 @@
 			continue;
 		t = ledger_outbox(e->links[to], &n);
 		for (i = 0; i < n; i++)
-			enqueue(w, from, to, false, &t[i]);
+			send_message(w, from, to, false, &t[i]);
 	}
 }
 
@@ -318,7 +319,7 @@
 	w->writes[i] = w->writes[--w->write_count];
 }
 
-/* Delivers a write's outcome to its entry, or that it is unknown. */
+/* A write that is not applied, in an outage, stays and may be applied later. */
 void walk_respond(struct world *w, uint32_t i, bool lost)
 {
 	struct write *write = &w->writes[i];
