--- a/tools/check.py
+++ b/tools/check.py
@@ -20,7 +20,7 @@
 # Bit mask of --faults: all faults, with workers that restart within 0.5 s.
 QUICK_RESTART_FAULTS = 4095
 FLEET_WALK_PARTS = 5  # processes that run concurrently
-SAFEGUARDS = ("round-tag", "sequence", "late-draw", "report", "debt",
+SAFEGUARDS = ("round-tag", "sequence", "late-acquire", "report", "deficit",
               "unknown", "end-of-work", "lease")
 
 
