--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -7,7 +7,7 @@
 #include "process/share.h"
 
 #define RUN_INTERVAL_MS 250	   /* between two allocations of a group */
-#define RUN_SHIFTED_INTERVAL_MS 50 /* instead, if demand has shifted */
+#define RUN_SHIFTED_INTERVAL_MS 50 /* between two after a shift */
 #define ADVICE_REPEAT_MS 2000	   /* until unchanged advice is sent again */
 
 /*
--- a/src/process/health.h
+++ b/src/process/health.h
@@ -12,10 +12,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define HEALTH_EJECT_RATE 0.5	   /* minimum failure rate to eject */
-#define HEALTH_PEER_RATE_MAX 0.25  /* the peers' mean must be lower */
-#define HEALTH_SAMPLES_MIN 5	   /* results needed to eject a worker */
-#define HEALTH_PROBE_DELAY_MS 2000 /* doubles after each failed probe */
+#define HEALTH_EJECT_RATE 0.5	  /* minimum failure rate to eject */
+#define HEALTH_PEER_RATE_MAX 0.25 /* the peers' mean must be lower */
+#define HEALTH_SAMPLES_MIN 5	  /* results needed to eject a worker */
+/* The first probe is sent after this; the delay doubles after a failed one. */
+#define HEALTH_PROBE_DELAY_MS 2000
 #define HEALTH_PROBE_DELAY_MAX_MS 30000
 
 struct health {
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -328,7 +328,7 @@
 	if (s->row && row->version <= s->row->version)
 		return;
 	if (!s->row)
-		s->joined_round = row->round; /* no unit to report yet */
+		s->joined_round = row->round; /* holds no unit to report */
 	TALLOC_FREE(s->row);
 	s->row = ledger_row_copy(l, row);
 	s->dirty = true;
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -83,9 +83,10 @@
 };
 
 struct ledger_options {
-	uint64_t incarnation;		/* of this entry */
-	uint32_t shard_count;		/* the same at all entries */
-	uint32_t round_interval_min_ms; /* between rounds opened in a shard */
+	uint64_t incarnation; /* of this entry */
+	uint32_t shard_count; /* the same at all entries */
+	/* Least time between two rounds that this entry opens in a shard. */
+	uint32_t round_interval_min_ms;
 	unsigned int unsafe; /* enum ledger_unsafe, 0 outside tests */
 };
 
--- a/src/process/ledger_internal.h
+++ b/src/process/ledger_internal.h
@@ -39,7 +39,7 @@
 	uint32_t domain_count;
 	struct ledger_row *row;	     /* as last seen, NULL before the first */
 	struct ledger_row *next_row; /* being written by the compare-and-set */
-	uint64_t joined_round; /* the newest joined, or of the first row */
+	uint64_t joined_round; /* newest one; at first, that of the first row */
 	uint64_t cas_round;    /* joined_round at ledger_plan_cas */
 	/*
 	 * While loss_suspected: the round that reclaims the units must be newer
@@ -48,7 +48,7 @@
 	 */
 	uint64_t suspected_in_round;
 	uint64_t removed_version;
-	uint64_t round_opened_ms; /* last time that this entry opened one */
+	uint64_t round_opened_ms; /* when this entry last planned to open one */
 	bool loss_suspected;
 	bool cas_pending; /* a compare-and-set is in progress */
 	bool dirty;	  /* state changed since the last ledger_plan_cas */
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -1,5 +1,5 @@
 /*
- * log - an entry's log lines on standard error
+ * log - log lines on standard error
  *
  * One line per change of state: time, level, component, text. Requests are
  * counted (metric.h), never logged.
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -33,7 +33,8 @@
 struct members {
 	uint64_t version; /* the row's revision, 0 if there is no row */
 	uint64_t next_incarnation; /* of the next registration */
-	uint32_t shards; /* of the ledger; set by the first registration */
+	/* Number of the ledger's shards, set by the first registration. */
+	uint32_t shards;
 	uint32_t count;
 	struct member list[MEMBERS_MAX];
 };
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -15,21 +15,21 @@
 };
 
 struct settings {
-	char *name;	      /* as in the platform's instance list */
-	char *zone;	      /* availability zone */
-	char *callers;	      /* IP address and port */
-	char *admin;	      /* IP address and port */
-	char *peers;	      /* IP address and port */
-	char *platform;	      /* URL of the table service */
-	char *secret;	      /* fleet-wide; hashes keys, authenticates peers */
-	uint32_t threads;     /* that serve callers */
-	uint32_t shards;      /* of the ledger; the same at all entries */
-	uint32_t waiting_max; /* most requests waiting */
-	uint32_t waiting_mib; /* most memory of waiting requests, in MiB */
+	char *name;	  /* as in the platform's instance list */
+	char *zone;	  /* availability zone */
+	char *callers;	  /* IP address and port */
+	char *admin;	  /* IP address and port */
+	char *peers;	  /* IP address and port */
+	char *platform;	  /* URL of the table service */
+	char *secret;	  /* fleet-wide; hashes keys, authenticates peers */
+	uint32_t threads; /* threads that serve callers */
+	uint32_t shards;  /* shards of the ledger; the same at all entries */
+	uint32_t waiting_max;	  /* most requests waiting */
+	uint32_t waiting_mib;	  /* most memory of waiting requests, in MiB */
 	uint32_t body_max_kib;	  /* largest body of a request, in KiB */
 	uint32_t connections_max; /* most connections of callers */
 	uint32_t entries_max;	  /* entries that divide worker_connections */
-	uint32_t worker_connections; /* of all entries to one worker */
+	uint32_t worker_connections; /* most of all entries to one worker */
 	struct settings_operator *operators;
 	uint32_t operators_count;
 };
--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <string.h>
 
-#define FQ_CREDIT_MAX 8.0     /* slots, above or below 0 */
+#define FQ_CREDIT_MAX 8.0     /* slots; bounds the credit in both signs */
 #define FQ_CREDIT_TIME_S 0.25 /* time for a shortfall of 1 to add 1 credit */
 #define FQ_GAP_SMOOTHING 0.1  /* weight of the newest gap between starts */
 #define FQ_CLASSES 2
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -47,7 +47,7 @@
 	uint64_t arrived_ms;
 	uint64_t deadline_ms;	  /* refused if not started by then */
 	uint32_t bytes;		  /* memory that it takes while it waits */
-	uint64_t checked_version; /* newest configuration that allowed it */
+	uint64_t checked_version; /* configuration version that allowed it */
 	char key[CFG_NAME_MAX + 1];
 	char queue[CFG_NAME_MAX + 1];
 	uint8_t key_hash[CFG_HASH_BYTES];
--- a/test/walk/world.h
+++ b/test/walk/world.h
@@ -45,7 +45,7 @@
 	OP_REGISTER,
 	OP_OUTAGE,	    /* start or end an outage of the store */
 	OP_CONFIGURE,	    /* commit a configuration version */
-	OP_CONFIGURE_ENTRY, /* bring it to one entry */
+	OP_CONFIGURE_ENTRY, /* bring the newest version to one entry */
 	OP_SUSPECT,
 	OP_COUNT,
 };
