--- a/src/process/metric.h
+++ b/src/process/metric.h
@@ -22,7 +22,11 @@
 /* metric_observe - add one duration */
 void metric_observe(struct metric_histogram *h, uint64_t ms);
 
-/* metric_quantile_ms - upper bound of the bucket that contains the quantile */
+/*
+ * metric_quantile_ms - upper bound of the bucket that contains the quantile
+ *
+ * For the last bucket, twice the highest bound.
+ */
 uint64_t metric_quantile_ms(const struct metric_histogram *h, double quantile);
 
 /*
--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -177,32 +177,33 @@
 	json_object_foreach(all, name, o)
 	{
 		uint32_t id = intern_find(names->instances, name);
-		struct cfg_instance *w = &c->instances[id];
+		struct cfg_instance *instance = &c->instances[id];
 		json_t *state = json_object_get(o, "state");
 
-		w->name = intern_name(names->instances, id);
-		w->address = get_text(o, "address");
-		w->zone = get_text(o, "zone");
-		w->rack = get_text(o, "rack");
-		w->department = get_text(o, "department");
-		w->slots = get_number(o, "slots", 1);
-		w->connections = get_number(o, "connections", 64);
-		w->generation = get_number(o, "generation", 0);
-		w->wave = get_text(o, "wave");
-		w->boots = get_number(o, "boots", 0);
-		w->state = state ? (enum cfg_instance_state)cfg_state_find(
-					   json_string_value(state))
-				 : CFG_SERVING;
-		w->present = true;
-		if (!find_pool(c, names, get_text(o, "pool"), &w->pool))
+		instance->name = intern_name(names->instances, id);
+		instance->address = get_text(o, "address");
+		instance->zone = get_text(o, "zone");
+		instance->rack = get_text(o, "rack");
+		instance->department = get_text(o, "department");
+		instance->slots = get_number(o, "slots", 1);
+		instance->connections = get_number(o, "connections", 64);
+		instance->generation = get_number(o, "generation", 0);
+		instance->wave = get_text(o, "wave");
+		instance->boots = get_number(o, "boots", 0);
+		instance->state =
+			state ? (enum cfg_instance_state)cfg_state_find(
+					json_string_value(state))
+			      : CFG_SERVING;
+		instance->present = true;
+		if (!find_pool(c, names, get_text(o, "pool"), &instance->pool))
 			return dangling_reference("instances", name, "pool",
 						  get_text(o, "pool"), m);
-		if (*w->department &&
+		if (*instance->department &&
 		    !json_object_get(json_object_get(c->doc, "departments"),
-				     w->department))
+				     instance->department))
 			return dangling_reference("instances", name,
-						  "department", w->department,
-						  m);
+						  "department",
+						  instance->department, m);
 	}
 	return CFG_OK;
 }
--- a/src/version/inventory.h
+++ b/src/version/inventory.h
@@ -15,8 +15,9 @@
 /*
  * inventory_load - read and check a file
  *
- * Returns a new reference. On failure returns NULL; the message names file,
- * line, field, the value found and the expected value.
+ * Returns a new reference. On failure returns NULL; the message names the file
+ * and, unless an object is listed twice, the line, the field, the value found
+ * and the expected value.
  */
 json_t *inventory_load(const char *path, struct status_message *message);
 
--- a/src/version/wave.c
+++ b/src/version/wave.c
@@ -8,9 +8,9 @@
 	return !*pattern || !strcmp(pattern, name);
 }
 
-static enum plan_state plan_state_of(const struct cfg_instance *w)
+static enum plan_state plan_state_of(const struct cfg_instance *instance)
 {
-	switch (w->state) {
+	switch (instance->state) {
 	case CFG_SERVING:
 		return PLAN_SERVING;
 	case CFG_DRAINING:
@@ -27,26 +27,27 @@
  * pool_count, of which no instance is selected.
  */
 static void fill_instance(const struct cfg *cfg, const struct cfg_wave *wave,
-			  const struct cfg_instance *w, struct plan_instance *p,
-			  struct intern *zones, struct intern *racks)
+			  const struct cfg_instance *instance,
+			  struct plan_instance *p, struct intern *zones,
+			  struct intern *racks)
 {
 	bool drained_by_wave;
 
 	p->pool = cfg->pool_count;
 	p->state = PLAN_OUT;
-	if (!w->present || w->state == CFG_DEPARTED)
+	if (!instance->present || instance->state == CFG_DEPARTED)
 		return;
-	drained_by_wave = !strcmp(w->wave, wave->name);
-	p->pool = w->pool.i;
-	p->zone = intern_add(zones, w->zone);
-	p->rack = intern_add(racks, w->rack);
-	p->state = plan_state_of(w);
-	p->selected =
-		drained_by_wave ||
-		(w->state == CFG_SERVING &&
-		 matches(wave->pool, cfg->pools[w->pool.i].name) &&
-		 matches(wave->zone, w->zone) && matches(wave->rack, w->rack));
-	p->done = drained_by_wave && w->state == CFG_SERVING;
+	drained_by_wave = !strcmp(instance->wave, wave->name);
+	p->pool = instance->pool.i;
+	p->zone = intern_add(zones, instance->zone);
+	p->rack = intern_add(racks, instance->rack);
+	p->state = plan_state_of(instance);
+	p->selected = drained_by_wave ||
+		      (instance->state == CFG_SERVING &&
+		       matches(wave->pool, cfg->pools[instance->pool.i].name) &&
+		       matches(wave->zone, instance->zone) &&
+		       matches(wave->rack, instance->rack));
+	p->done = drained_by_wave && instance->state == CFG_SERVING;
 }
 
 struct plan_input *wave_input(TALLOC_CTX *ctx, const struct cfg *cfg,
