--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -4,11 +4,11 @@
 #include <sodium.h>
 #include <string.h>
 
-#define WAVE_RETURN_MAX_S 600 /* default */
+#define DEFAULT_RETURN_MAX_S 600 /* of a wave */
 
 /* Documents */
 
-/* A copy of doc with the change applied; objects are shared. */
+/* Returns a copy of doc with the change applied; it shares doc's objects. */
 static json_t *doc_merge(const json_t *doc, const json_t *change)
 {
 	json_t *merged = json_object();
@@ -177,32 +177,33 @@
 	json_object_foreach(all, name, o)
 	{
 		uint32_t id = intern_find(names->instances, name);
-		struct cfg_instance *w = &c->instances[id];
+		struct cfg_instance *instance = &c->instances[id];
 		json_t *state = json_object_get(o, "state");
 
-		w->name = intern_name(names->instances, id);
-		w->address = get_text(o, "address");
-		w->zone = get_text(o, "zone");
-		w->rack = get_text(o, "rack");
-		w->department = get_text(o, "department");
-		w->slots = get_number(o, "slots", 1);
-		w->connections = get_number(o, "connections", 64);
-		w->generation = get_number(o, "generation", 0);
-		w->wave = get_text(o, "wave");
-		w->boots = get_number(o, "boots", 0);
-		w->state = state ? (enum cfg_instance_state)cfg_state_find(
-					   json_string_value(state))
-				 : CFG_SERVING;
-		w->present = true;
-		if (!find_pool(c, names, get_text(o, "pool"), &w->pool))
+		instance->name = intern_name(names->instances, id);
+		instance->address = get_text(o, "address");
+		instance->zone = get_text(o, "zone");
+		instance->rack = get_text(o, "rack");
+		instance->department = get_text(o, "department");
+		instance->slots = get_number(o, "slots", 1);
+		instance->connections = get_number(o, "connections", 64);
+		instance->generation = get_number(o, "generation", 0);
+		instance->wave = get_text(o, "wave");
+		instance->boots = get_number(o, "boots", 0);
+		instance->state =
+			state ? (enum cfg_instance_state)cfg_state_find(
+					json_string_value(state))
+			      : CFG_SERVING;
+		instance->present = true;
+		if (!find_pool(c, names, get_text(o, "pool"), &instance->pool))
 			return dangling_reference("instances", name, "pool",
 						  get_text(o, "pool"), m);
-		if (*w->department &&
+		if (*instance->department &&
 		    !json_object_get(json_object_get(c->doc, "departments"),
-				     w->department))
+				     instance->department))
 			return dangling_reference("instances", name,
-						  "department", w->department,
-						  m);
+						  "department",
+						  instance->department, m);
 	}
 	return CFG_OK;
 }
@@ -302,7 +303,7 @@
 		w->rack = get_text(o, "rack");
 		w->halt_reason = get_text(o, "why");
 		w->return_max_s =
-			get_number(o, "return_max_s", WAVE_RETURN_MAX_S);
+			get_number(o, "return_max_s", DEFAULT_RETURN_MAX_S);
 		w->state = (enum cfg_wave_state)cfg_wave_state_find(
 			get_text(o, "state"));
 	}
@@ -314,7 +315,10 @@
 	return 0;
 }
 
-/* Builds a version; takes over the reference to doc. */
+/*
+ * Builds a version; takes over the reference to doc. run_max_ms is the longest
+ * task lease of the earlier versions.
+ */
 static enum cfg_status compile(json_t *doc, struct cfg_names *names,
 			       uint64_t version, uint32_t run_max_ms,
 			       struct cfg **out, struct status_message *m)
--- a/src/version/inventory.h
+++ b/src/version/inventory.h
@@ -1,9 +1,9 @@
 /*
- * inventory - operators' YAML files of inventory and rules
+ * inventory - YAML files in which operators describe the fleet
  *
  * A file lists departments, pools, instances, teams and queues by name. It is
- * converted to a configuration document; kinds that are not in the file stay
- * unchanged.
+ * converted to a configuration document; loading it leaves kinds that are not
+ * in the file unchanged.
  */
 #ifndef INVENTORY_H
 #define INVENTORY_H
@@ -15,8 +15,9 @@
 /*
  * inventory_load - read and check a file
  *
- * Returns a new reference. On failure returns NULL; the message names file,
- * line, field, the value found and the expected value.
+ * Returns a new reference. On failure returns NULL; the message names the file
+ * and, unless an object is listed twice, the line, the field, the value found
+ * and the expected value.
  */
 json_t *inventory_load(const char *path, struct status_message *message);
 
