--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -21,7 +21,9 @@
 #define LEADER_CLAIM_RANK_MS 80u /* claim delay per rank */
 #define LEADER_CLAIM_RANKS 8u
 #define LEADER_WEAK_DELAY_MS 1200u /* weak nodes claim after strong ones */
-#define LEADER_GRACE_MS 1500u /* a newly learned leader isn't silent before */
+
+/* A newly learned leader counts as silent only after this. */
+#define LEADER_GRACE_MS 1500u
 
 /* After its start, a node waits so long for the node table before it claims. */
 #define LEADER_NODES_WAIT_MS 2000u
@@ -221,6 +223,7 @@
 	if (!strcmp(view->node, n->settings.name))
 		leader_peer_seen(n, view->node, n->incarnation);
 	if (!*view->node && !n->stopping) {
+		/* Leadership was released: no silence is waited for. */
 		n->leader_last_heard_ms = 0;
 		n->next_claim_ms = now + claim_delay(n);
 	}
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -66,7 +66,7 @@
 
 /* The leader row as last known. */
 struct leader_view {
-	char node[128];
+	char node[128]; /* empty: leadership was released */
 	char address[64];
 	uint64_t incarnation;
 	uint64_t epoch;
@@ -454,6 +454,7 @@
 
 /* machines.c */
 
+/* Input of machines_wait_is_over. */
 struct holder_view {
 	uint64_t started_ms;	  /* start of this process */
 	uint64_t leader_since_ms; /* start of its leadership */
