--- a/src/node/relay_server.c
+++ b/src/node/relay_server.c
@@ -16,8 +16,7 @@
 #define SERVER_FRAME_MAX (8u << 20) /* bytes */
 #define SERVER_OUT_MAX (8u << 20)   /* bytes queued for one leader */
 #define RESULT_BATCH_MS 2u	    /* delay until results are sent */
-#define KEEPALIVE_INTERVAL_MS 100u  /* until an idle link gets an empty frame \
-				     */
+#define KEEPALIVE_INTERVAL_MS 100u  /* between two frames on an idle link */
 #define STALL_MAX_MS 500u	    /* ten ticks: waiting calls are outdated */
 
 struct relayed_call;
