src/entry: second reading of comments and messages

Comments that needed the name beside them now say what is bounded or counted: the thresholds of demand reports, the reservation of a free slot, the drain's timeouts, a change's timeouts, what a full update covers. Corrected: the conductor's changing flag covers any change, not a step only; a member is removed after the leases of its requests; core_pool.instances has instances of any state. Terms: idle slot or unit, attempt, base version, update, reports. others_failure_rate was peers_failure_rate: a peer is an entry. Seven messages say what was wanted; no assert changed.

--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -259,11 +259,12 @@
 
 	if (!name || !team || strlen(name) > CFG_NAME_MAX) {
 		send_error(http, 400,
-			   "fields \"name\" and \"team\": wanted texts");
+			   "fields \"name\" and \"team\": wanted strings, "
+			   "\"name\" of limited length");
 		return;
 	}
 	if (cfg_find_key(e->cfg, name)) {
-		send_error(http, 422, "a key of that name exists");
+		send_error(http, 422, "a key with that name already exists");
 		return;
 	}
 	key_issue(&e->hasher, name, key, hash);
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -16,21 +16,21 @@
 #include "process/log.h"
 #include "version/wave.h"
 
-#define STEPS_PER_CHANGE 50  /* instances in one configuration change */
+#define STEPS_PER_CHANGE 50  /* planned steps in one configuration change */
 #define REBOOT_RETRY_MS 5000 /* between requests to reboot an instance */
 
 /* What this entry has observed of an instance. */
 struct conductor_instance {
-	uint32_t boots;		 /* in the platform's list */
-	bool failed;		 /* state in the platform's list */
-	uint64_t away_since_ms;	 /* draining or out since, else 0 */
+	uint32_t boots;		 /* boot count in the platform's list */
+	bool failed;		 /* the platform's list has it as failed */
+	uint64_t away_since_ms;	 /* draining or out for a wave since, else 0 */
 	uint64_t reboot_sent_ms; /* last request to reboot */
 };
 
 struct conductor {
 	struct conductor_instance *instances; /* index: instance_handle */
 	uint32_t count;
-	bool changing; /* a step is being committed */
+	bool changing; /* a configuration change is being committed */
 };
 
 /* Observations */
@@ -201,14 +201,14 @@
 
 /*
  * Requests reboots of the wave's instances that are out. Returns false with
- * the reason when one has been draining or out for too long; running work is
- * never stopped for that.
+ * the reason when one has been draining or out for the wave's return_max_s;
+ * running work is never stopped to end a drain.
  */
 static bool reboot_instances(struct entry *e, const struct cfg_wave *wave,
 			     const struct plan_instance *all, uint64_t now_ms,
 			     struct status_message *reason)
 {
-	bool good = true;
+	bool in_time = true;
 	uint32_t i;
 
 	for (i = 0; i < e->cfg->instance_count; i++) {
@@ -225,15 +225,15 @@
 			s->away_since_ms = now_ms;
 		if (out)
 			request_reboot(e, w, s, now_ms);
-		if (!good ||
+		if (!in_time ||
 		    now_ms < s->away_since_ms + wave->return_max_s * 1000ull)
 			continue;
 		status_set(reason, "%s %s after %u s", w->name,
 			   out ? "has not come back" : "still has work",
 			   wave->return_max_s);
-		good = false;
+		in_time = false;
 	}
-	return good;
+	return in_time;
 }
 
 /* The instance state after a step; false when the wave's state forbids it. */
@@ -254,6 +254,7 @@
 	return false;
 }
 
+/* The plan's steps that the wave's state admits; aborting ends all drains. */
 static json_t *steps_to_json(struct entry *e, const struct cfg_wave *wave,
 			     const struct plan_instance *all,
 			     const struct plan_result *plan)
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -3,10 +3,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define CORE_ESTIMATE_MIN 16 /* waiting jobs needed to estimate a wait */
+#define CORE_ESTIMATE_MIN 16 /* waiting jobs of a team to estimate its wait */
 #define CORE_HOLDS_INITIAL 64u
 #define CORE_RESERVE_MAX_MS 150	      /* longest reservation of a free slot */
-#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots in use above the target */
+#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots above the target, minimum */
 
 /* Request path */
 
@@ -68,7 +68,10 @@
 	return false;
 }
 
-/* Chooses the worker with the most free slots, among those not yet tried. */
+/*
+ * Chooses the worker of which this entry holds the most idle slots, among those
+ * that the job has not tried. Returns false if there is none.
+ */
 static bool choose_instance(struct core *c, const struct job *job,
 			    instance_handle *chosen)
 {
@@ -131,10 +134,11 @@
 }
 
 /*
- * Whether a free slot stays reserved instead of going to a team that is
- * above its target. When targets take up all slots held here, the broker is
- * about to advise lending a freed slot to another entry. Using it at once
- * would put this team ahead of teams there that are below their share.
+ * Whether a free slot stays reserved, for CORE_RESERVE_MAX_MS at most, instead
+ * of going to a team that is above its target. When the targets take up all
+ * slots held here, the broker is about to advise lending a freed slot to
+ * another entry. A job started in it at once would put its team ahead of teams
+ * at that entry that are below their share.
  */
 static bool reserves_slot(struct core *c, struct core_pool *p,
 			  const struct job *job)
@@ -180,7 +184,10 @@
 	}
 }
 
-/* Whether the estimated wait, by the rate of recent starts, is too long. */
+/*
+ * Whether a new job would wait beyond its deadline, estimated by the rate of
+ * its team's recent starts. Not for urgent jobs, which go ahead of the others.
+ */
 static bool would_expire(const struct core *c, const struct job *job)
 {
 	struct fq_flow_view flow;
@@ -248,8 +255,12 @@
 	c->holds[c->hold_count++] = *h;
 }
 
-static double peers_failure_rate(const struct core *c, pool_handle pool,
-				 uint32_t instance, uint32_t *unavailable)
+/*
+ * Mean failure rate of the pool's other available workers, 1 if there are none.
+ * Counts the other workers that are not available.
+ */
+static double others_failure_rate(const struct core *c, pool_handle pool,
+				  uint32_t instance, uint32_t *unavailable)
 {
 	const struct core_pool *p = &c->pools[pool.i];
 	double sum = 0;
@@ -282,7 +293,7 @@
 	health_record(h, failed, c->now_ms);
 	if (!failed)
 		return;
-	rate = peers_failure_rate(c, job->pool, job->instance.i, &unavailable);
+	rate = others_failure_rate(c, job->pool, job->instance.i, &unavailable);
 	if (!health_should_eject(h, rate) ||
 	    job->pool.i >= c->cfg->pool_count ||
 	    unavailable >= c->cfg->pools[job->pool.i].out_max)
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -44,14 +44,14 @@
 };
 
 struct core_callbacks {
-	/* Start the job at job->instance; report by core_end_attempt. */
+	/* Start the job at job->instance; core_end_attempt takes the result. */
 	void (*start)(void *arg, struct job *job);
 	/* The job has not run and will not run. */
 	void (*refuse)(void *arg, struct job *job, enum job_refusal refusal);
 	/* Send to the peer with this incarnation; the message may be lost. */
 	void (*send)(void *arg, uint64_t incarnation,
 		     const struct core_message *message);
-	/* Write a shard's row; report by core_finish_cas. */
+	/* Write a shard's row; core_finish_cas takes the outcome. */
 	void (*write)(void *arg, uint32_t shard, const struct ledger_cas *cas);
 	void *arg;
 };
@@ -68,8 +68,8 @@
 
 struct core_counters {
 	uint64_t submitted;
-	uint64_t started;
-	uint64_t ended;
+	uint64_t started; /* attempts, as are the next three */
+	uint64_t ended;	  /* failed ones included */
 	uint64_t failed;
 	uint64_t possibly_running;
 	uint64_t retried;
@@ -97,12 +97,12 @@
 /*
  * core_set_fresh_until - set until when the configuration counts as fresh
  *
- * Until then the entry knows every accepted change. No job starts at or
- * after that time.
+ * Before until_ms this entry has every accepted change. At and after it, no
+ * job starts here.
  */
 void core_set_fresh_until(struct core *c, uint64_t until_ms);
 
-/* core_stop - refuse new jobs; return units to the store when none waits */
+/* core_stop - refuse new jobs; return units to the store once no job waits */
 void core_stop(struct core *c, uint64_t now_ms);
 
 /* core_drained - whether no job is waiting or running and no unit is held */
@@ -129,8 +129,8 @@
 /*
  * core_tick - periodic work, every CORE_TICK_MS
  *
- * Refuses jobs past their deadline, frees units of expired holds, acquires
- * units, reports demand and starts jobs.
+ * Refuses jobs past their deadline, frees units of expired holds, acquires and
+ * lends units, reports demand and starts jobs.
  */
 void core_tick(struct core *c, uint64_t now_ms);
 
@@ -143,7 +143,7 @@
 		     enum ledger_cas_status status, uint64_t version,
 		     uint64_t now_ms);
 
-/* core_member_removed - an entry is unregistered as of that members version */
+/* core_member_removed - an entry was unregistered by this members version */
 void core_member_removed(struct core *c, uint64_t incarnation,
 			 uint64_t version);
 
@@ -161,7 +161,7 @@
 void core_team_load(const struct core *c, pool_handle pool, team_handle team,
 		    uint32_t *waiting, uint32_t *running);
 
-/* core_instance_is_empty - whether no entry holds a slot of the instance */
+/* core_instance_is_empty - whether no entry holds a unit of the instance */
 bool core_instance_is_empty(const struct core *c, instance_handle instance);
 
 /* core_print_metrics - print counters, backlog ages and histograms */
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -25,7 +25,7 @@
 	team_handle team;
 	pool_handle pool;
 	instance_handle instance;
-	uint64_t until_ms;
+	uint64_t until_ms; /* end of the attempt's lease and its margin */
 };
 
 /* Units that the broker advises this entry to lend. */
@@ -55,13 +55,13 @@
 
 struct core_pool {
 	struct fq *queue;
-	uint32_t *instances; /* all that the configuration has in the pool */
+	uint32_t *instances; /* the pool's instances in any state */
 	uint32_t instance_count;
-	uint32_t slots; /* total of serving instances */
+	uint32_t slots; /* total of the serving instances */
 	struct core_transfers transfers;
-	struct broker_demand reported;
+	struct broker_demand reported; /* last demand sent to the broker */
 	uint64_t reported_ms;
-	uint64_t advised_ms;
+	uint64_t advised_ms;	    /* when the last advice came */
 	double target_sum;	    /* sum of the advised targets, in slots */
 	uint64_t reserved_since_ms; /* 0 when no slot is reserved */
 };
@@ -69,7 +69,7 @@
 struct core_peer {
 	uint64_t incarnation;
 	struct ledger_link *link;
-	uint64_t resent_ms;
+	uint64_t resent_ms; /* last resend of unacknowledged transfers */
 	bool reachable;
 };
 
@@ -95,7 +95,7 @@
 	uint64_t random;
 	uint64_t fresh_until_ms;
 	uint64_t now_ms;	 /* time of the current call */
-	uint64_t full_update_ms; /* last update of idle pools and teams */
+	uint64_t full_update_ms; /* last update of all; 0 makes one due */
 	uint32_t waiting;
 	uint64_t waiting_bytes;
 	uint32_t running;
--- a/src/entry/core_print.c
+++ b/src/entry/core_print.c
@@ -59,10 +59,10 @@
 	}
 }
 
-/* Arrival of each queue's oldest waiting job, in configuration order. */
+/* Arrival of each queue's oldest waiting job, 0 if none waits. */
 struct backlog_ages {
 	const struct cfg *cfg;
-	uint64_t *oldest_ms;
+	uint64_t *oldest_ms; /* index: as in cfg->queues */
 };
 
 static void record_age(void *arg, const struct job *job)
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -2,15 +2,16 @@
 
 #include <string.h>
 
-#define REPORT_INTERVAL_MS 250 /* minimum; urgent changes are not delayed */
+#define REPORT_INTERVAL_MS 250 /* between reports of changes not urgent */
 #define FULL_UPDATE_MS 1000    /* between updates of idle pools and teams */
-#define REPORT_REFRESH_MS 2000 /* resend of an unchanged report */
-#define TRANSFER_RESEND_MS 500 /* for unacknowledged transfers */
+#define REPORT_REFRESH_MS 2000 /* until an unchanged report is sent again */
+#define TRANSFER_RESEND_MS 500 /* between sends of unacknowledged transfers */
 
 /*
- * Thousandths of a slot. A report is due when a team's demand differs from the
- * last report by more than the first and by more than an eighth. It is sent at
- * once when it differs by more than the second and by more than a quarter.
+ * Thousandths of a slot. A team's demand counts as changed when it differs from
+ * the last report by more than DEMAND_CHANGE_MILLI and more than an eighth of
+ * the reported demand. The change is urgent, and reported at once, when it is
+ * more than DEMAND_CHANGE_URGENT_MILLI and more than a quarter.
  */
 #define DEMAND_CHANGE_MILLI 300
 #define DEMAND_CHANGE_URGENT_MILLI 2000
@@ -45,8 +46,8 @@
 }
 
 /*
- * Spreads the need of a pool's waiting jobs over its workers, in order. Each
- * takes at most the idle units held here plus the free ones in the store.
+ * Divides a pool's waiting jobs among its workers, in order. A worker's part is
+ * at most its idle units held here plus its free units in the store.
  */
 static void update_pool_targets(struct core *c, struct core_pool *p)
 {
@@ -68,8 +69,9 @@
 }
 
 /*
- * A pool or team without work, here or in its last report, changes only with
- * rows, members and configuration; those are handled by a full update.
+ * A pool or team that has no work, and had none in its last report, needs an
+ * update only after a change of rows, members or configuration. The next full
+ * update covers it.
  */
 static bool pool_is_active(const struct core_pool *p)
 {
@@ -115,7 +117,8 @@
 
 /* Lending */
 
-static void send_transfers(struct core *c, struct core_peer *p, uint32_t newest)
+/* Sends the `last` newest transfers of the peer's outbox. */
+static void send_transfers(struct core *c, struct core_peer *p, uint32_t last)
 {
 	struct core_message m = { .kind = CORE_LEND };
 	const struct ledger_transfer *t;
@@ -123,7 +126,7 @@
 	uint32_t i;
 
 	t = ledger_outbox(p->link, &count);
-	for (i = count - newest; i < count; i++) {
+	for (i = count - last; i < count; i++) {
 		m.u.lend = t[i];
 		core_send(c, p->incarnation, &m);
 	}
@@ -391,7 +394,7 @@
 		fq_view(p->queue, i, &flow);
 		if (!flow.waiting && !flow.running)
 			continue;
-		/* More demand than the pool's slots changes no allocation. */
+		/* Demand above the pool's slots changes no allocation. */
 		demand->teams[demand->team_count++] = (struct broker_team){
 			flow.team.i,
 			1000 * min_u32(flow.waiting + flow.running, p->slots),
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,8 +14,8 @@
 #define SCAN_INTERVAL_MS 1000
 #define PROBE_INTERVAL_MS 1000
 #define LIST_INTERVAL_MS 1000
-#define NOTICE_DELAY_MS 1000   /* still accepts while reporting not ready */
-#define RETURN_TIMEOUT_MS 5000 /* to return all units to the store */
+#define NOTICE_DELAY_MS 1000   /* from reporting not ready to draining */
+#define RETURN_TIMEOUT_MS 5000 /* to return all units and unregister */
 
 /* Periodic work */
 
@@ -100,7 +100,8 @@
 
 /*
  * Whether draining is finished. An entry unregisters once it has no work and
- * has returned all its units; after RETURN_TIMEOUT_MS it stops anyway.
+ * has returned all its units. RETURN_TIMEOUT_MS after its last request it stops
+ * in any case.
  */
 static bool drain_done(struct entry *e, uint64_t now_ms)
 {
@@ -237,7 +238,7 @@
 	e->effects_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	pthread_mutex_init(&e->core_lock, NULL);
 	randombytes_buf(&e->registration_nonce, sizeof(e->registration_nonce));
-	e->registration_nonce >>= 16; /* exact in a JSON number */
+	e->registration_nonce >>= 16; /* 48 bits are exact in a JSON number */
 	key_hasher_init(&e->hasher, settings->secret);
 	e->platform = platform_new(e, e->ev, settings->platform);
 	assert(e->ev && e->effects_fd >= 0 && e->platform && e->conductor);
@@ -282,7 +283,7 @@
 	log_event(LOG_INFO, "entry", "stopped");
 	exit_code = e->exit_code;
 	if (entry_state(e) == ENTRY_GONE)
-		_exit(exit_code); /* running work no longer has its units */
+		_exit(exit_code); /* peers reclaim the units of running jobs */
 	for (i = 0; i < settings->threads; i++)
 		front_join(e->fronts[i]);
 	entry_free(e);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,5 +1,5 @@
 /*
- * entry - an entry process: serves requests, takes part in the fleet
+ * entry - an entry process: forwards requests, shares limits with its peers
  */
 #ifndef ENTRY_H
 #define ENTRY_H
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -6,7 +6,7 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define CHANGE_RESOLVE_MS 6000 /* then a write has failed or is unknown */
+#define CHANGE_RESOLVE_MS 6000 /* for a change to be written, else an error */
 #define CHANGE_ACCEPT_MS 5000  /* for a majority of entries to know a change */
 #define CHANGE_RETRY_MS 300    /* between attempts to write */
 #define SNAPSHOT_INTERVAL 256  /* versions */
@@ -25,10 +25,10 @@
 	json_t *record; /* row of the log */
 	char id[ENTRY_KEY_MAX];
 	uint64_t base;
-	uint64_t version; /* set once committed */
-	uint64_t since_ms;
-	uint64_t retry_ms;
-	bool may_be_written; /* an attempt has an unknown outcome */
+	uint64_t version;    /* set once committed */
+	uint64_t since_ms;   /* submission; the commit once committed */
+	uint64_t retry_ms;   /* earliest next attempt to write */
+	bool may_be_written; /* the outcome of an attempt is unknown */
 	entry_change_fn done;
 	void *arg;
 };
@@ -65,7 +65,7 @@
 	return change;
 }
 
-/* Answers with the changes since the version that the operator saw. */
+/* Refuses the change; the answer has the changes committed since its base. */
 static void finish_conflict(struct entry_change *c)
 {
 	struct entry *e = c->entry;
@@ -80,8 +80,8 @@
 	}
 	finish(c, 409,
 	       json_pack("{s:s, s:I, s:o}", "error",
-			 "the configuration has changed since the version "
-			 "seen",
+			 "the configuration has changed since the base "
+			 "version",
 			 "version", (json_int_t)e->cfg->version, "changes",
 			 others));
 }
@@ -124,6 +124,10 @@
 	return empty;
 }
 
+/*
+ * Whether an instance's change is allowed. Sets the generation in its object:
+ * one more when the instance changes its pool.
+ */
 static bool check_instance(struct entry *e, const char *name, json_t *object,
 			   struct status_message *m)
 {
@@ -204,6 +208,7 @@
 	platform_put(txn, ROW_SNAPSHOT,
 		     json_pack("{s:I, s:I}", "version", (json_int_t)s->version,
 			       "run_max_ms", (json_int_t)s->run_max_ms));
+	/* Deletes the log's rows up to the previous snapshot's version. */
 	for (v = 1; v <= SNAPSHOT_INTERVAL && s->version > SNAPSHOT_INTERVAL;
 	     v++) {
 		snprintf(key, sizeof(key), ROW_LOG "%016" PRIx64,
@@ -339,7 +344,7 @@
 		if (c->may_be_written)
 			finish_error(c, 504,
 				     "unsettled: the table service gave no "
-				     "answer and may have taken the change; "
+				     "answer and may have written the change; "
 				     "repeat it with the same id");
 		else
 			finish_error(c, 503,
@@ -429,7 +434,8 @@
 			      "change", json_deep_copy(change));
 	append(e, c);
 	if (!c->record) {
-		finish_error(c, 400, "id or operator's name is not text");
+		finish_error(c, 400,
+			     "field \"id\" or operator's name: wanted UTF-8");
 		return;
 	}
 	if (entry_state(e) == ENTRY_STARTING) {
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -49,7 +49,7 @@
 	ENTRY_SERVING,
 	ENTRY_NOTICE,	/* reports not ready to load balancers, still accepts */
 	ENTRY_DRAINING, /* accepts no connections, finishes its requests */
-	ENTRY_GONE,	/* unregistered by its peers, or refused: must stop */
+	ENTRY_GONE,	/* unregistered by peers or can't register: must stop */
 };
 
 struct front;
@@ -69,9 +69,9 @@
 /* Whether a member's process has ended, as far as this entry can tell. */
 struct entry_absence {
 	uint64_t incarnation;
-	uint64_t since_ms;
-	bool was_listed; /* the platform's instance list once had its name */
-	bool absent;
+	uint64_t since_ms; /* when `absent` was set */
+	bool was_listed;   /* the platform's instance list once had its name */
+	bool absent;	   /* its process has ended */
 };
 
 struct entry {
@@ -97,7 +97,7 @@
 	_Atomic uint64_t cfg_version;
 	uint64_t revision; /* rows have been read up to this revision */
 	bool scanning;
-	bool loading_snapshot; /* a snapshot is being read */
+	bool loading_snapshot;
 	uint64_t snapshot_version;
 	uint32_t snapshot_run_max_ms;
 	struct members members;
@@ -108,7 +108,7 @@
 	uint64_t registration_nonce;
 	uint64_t registered_members_version;
 	bool writing_members;
-	json_t *changes[ENTRY_CHANGES_KEPT]; /* index: version modulo size */
+	json_t *changes[ENTRY_CHANGES_KEPT]; /* index: version modulo count */
 	uint64_t head_revision;		     /* of ROW_HEAD */
 	uint64_t head_version;		     /* last committed configuration */
 	struct entry_change *pending; /* unfinished changes, oldest first */
@@ -152,7 +152,13 @@
 /* entry_register - add this entry to the members and start the core */
 void entry_register(struct entry *e);
 
-/* entry_check_members - mark or remove ended members, make this one full */
+/*
+ * entry_check_members - write the changes of the members' row that are due
+ *
+ * A member whose process has ended is marked dead at once, and removed when the
+ * leases of its requests have expired. This entry becomes a full member once a
+ * majority of the full members knows of it.
+ */
 void entry_check_members(struct entry *e, uint64_t now_ms);
 
 /* entry_read_instances - read the platform's instance list */
@@ -168,9 +174,9 @@
 /*
  * entry_change - commit a configuration change
  *
- * base is the version that the change was made for. change is borrowed. id
+ * base is the version that the change is based on. change is borrowed. id
  * identifies the change, so that a repeated request isn't committed twice.
- * done gets the answer's status and body and owns the body.
+ * done receives the answer's HTTP status and body and owns the body.
  */
 void entry_change(struct entry *e, uint64_t base, const json_t *change,
 		  const char *id, const char *operator_name,
@@ -191,7 +197,7 @@
 					   const struct core_message *m);
 void entry_push_change(struct entry *e, uint64_t to, uint64_t version);
 
-/* Core callbacks that queue effects, and the control loop's side */
+/* Effects: the core's callbacks queue them, the control thread runs them */
 
 void entry_core_send(void *arg, uint64_t incarnation,
 		     const struct core_message *m);
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -80,7 +80,7 @@
 	if (version <= e->members.version)
 		return;
 	if (!members_parse(value, version, &now)) {
-		log_event(LOG_ERROR, "members", "row %s is malformed",
+		log_event(LOG_ERROR, "members", "row %s is malformed: ignored",
 			  ROW_MEMBERS);
 		return;
 	}
@@ -178,7 +178,8 @@
 		return;
 	}
 	log_event(LOG_ERROR, "members",
-		  "field \"shards\" is %u, the registered entries have %u",
+		  "cannot register: field \"shards\" is %u, the registered "
+		  "entries have %u",
 		  e->settings->shards, e->members.shards);
 	e->exit_code = 1;
 	atomic_store(&e->state, ENTRY_GONE);
@@ -286,7 +287,7 @@
 
 /*
  * A member is absent when the list had its name and no longer has it, or when
- * it is marked dead, as one is whose address belongs to another incarnation.
+ * it is marked dead. A registration marks older incarnations of its name so.
  */
 static void on_list(void *arg, const struct platform_answer *answer)
 {
@@ -325,13 +326,13 @@
 	entry_scan(e);
 }
 
-/* Longest time that an ended entry's work may still run on a worker. */
+/* Longest time that requests of an ended entry may still run on workers. */
 static uint64_t lease_ms(const struct entry *e)
 {
 	return e->cfg->run_max_ms + CORE_LEASE_MARGIN_MS;
 }
 
-/* Updates next to what the row should be; true when anything changed. */
+/* Makes the changes to the members that are due; false if there are none. */
 static bool next_members(struct entry *e, struct members *next, uint64_t now_ms)
 {
 	struct member *self = members_find(next, e->incarnation);
--- a/src/entry/entry_wire.c
+++ b/src/entry/entry_wire.c
@@ -365,7 +365,7 @@
 				       r->members_version };
 
 	if (r->nonce > e->probed_ms)
-		return; /* a nonce is the time of a probe: none was so late */
+		return; /* invalid: a nonce is the time of a sent probe */
 	freshness_record(&e->freshness, &peer);
 	if (r->version > e->cfg->version)
 		request_changes(e, from);
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -17,7 +17,7 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define HANG_UP_CHECK_MS 10 /* after a longer wait the caller may have gone */
+#define HANG_UP_CHECK_MS 10	/* shortest wait with a check for a hang-up */
 #define FRONT_IDLE_TIMEOUT_S 75 /* for callers' connections */
 #define RUN_PREFIX "/run/"
 
@@ -79,7 +79,7 @@
 		front_send_to_worker(r);
 		return;
 	}
-	/* If the core retries, the next start finds the caller gone as well. */
+	/* If the core retries, the next start finds the hang-up as well. */
 	if (front_end_attempt(r, JOB_NOT_SENT) == CORE_FINISHED)
 		front_finish_refused(r, JOB_REFUSED_HUNG_UP);
 }
--- a/src/entry/front_internal.h
+++ b/src/entry/front_internal.h
@@ -45,7 +45,7 @@
 	pthread_mutex_t message_lock;
 	struct request *messages;
 	struct request **messages_tail;
-	bool stop;    /* under message_lock */
+	bool stop;    /* stop accepting connections; under message_lock */
 	bool stopped; /* no longer accepts connections */
 	_Atomic uint32_t pending;
 	_Atomic uint64_t outcomes[3]; /* index: enum outcome */
--- a/src/entry/front_worker.c
+++ b/src/entry/front_worker.c
@@ -8,7 +8,7 @@
 
 #include "process/clock.h"
 
-#define FRONT_SEND_TIMEOUT_MS 1000 /* from the start to the first byte sent */
+#define FRONT_SEND_TIMEOUT_MS 1000    /* from a job's start to the first byte */
 #define FRONT_CONNECT_TIMEOUT_MS 1000 /* to connect to a worker */
 #define FRONT_URL_MAX 8192	      /* bytes */
 
@@ -65,7 +65,7 @@
 	finish(r, &input);
 }
 
-/* Whether a header belongs to one connection or to this system. */
+/* Whether a header is not forwarded: hop-by-hop ones and this system's own. */
 static bool is_hop_header(const char *name, size_t length)
 {
 	static const char *const names[] = {
