bench: second reading of comments and messages

Wrong or unclear before: a skewed load reaches two entries, not one; 'cut requests' counted workers taken out with work running (now interruptions); fields of an interval did not say from when they count. Bounds say what is measured, and a message out of bounds says what was wanted. job_refusal parameters are called refusal, as in the core. NAME 'home' -> 'returned units': the printed label of a safeguard in build/bench/waves; nothing matches it. No assert changed.

--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -32,13 +32,13 @@
 #define SHARDS 2
 #define PEER_LATENCY_MS 2
 #define STORE_ROUND_TRIP_MS 5
-#define WARMUP_MS 2000 /* not measured at the start of a phase */
+#define WARMUP_MS 2000 /* start of a phase that is not measured */
 #define PHASE_MIN_MS 4000
 #define PHASE_RANGE_MS 11000
-#define EVENT_RING_MS 65536
-#define SHARE_ERROR_MAX 0.05
-#define BUSY_MIN 0.97
-#define BYTES_MAX_PER_S 6000
+#define EVENT_RING_MS 65536  /* events lie less than this ahead */
+#define SHARE_ERROR_MAX 0.05 /* relative deviation from the fair share */
+#define BUSY_MIN 0.97	     /* part of the slots or units that are usable */
+#define BYTES_MAX_PER_S 6000 /* messages to and from one entry */
 
 enum mode { MODE_ESCROW, MODE_STATIC, MODE_OWNER };
 
@@ -70,20 +70,21 @@
 struct team {
 	double rate; /* mean, requests per millisecond */
 	bool high_demand;
-	double pending_arrivals; /* requests due, with a fraction */
+	double pending_arrivals; /* due but not submitted, with a fraction */
 	uint32_t share;
 	uint32_t limit;
 	uint32_t running;
 	uint32_t waiting;
-	double slot_ms;	  /* used in this interval */
-	double requested; /* requests running, waiting or arrived in it */
-	bool backlogged;  /* requests waited throughout the interval */
+	/* Since the warm-up of the interval */
+	double slot_ms;	  /* slots used, summed over the milliseconds */
+	double requested; /* requests running or waiting then, or arrived */
+	bool backlogged;  /* some request has waited all the time */
 };
 
 struct sim {
 	TALLOC_CTX *ctx;
 	enum mode mode;
-	bool skewed; /* all callers reach one entry */
+	bool skewed; /* callers use entries 0 and 1 only, by their team */
 	uint64_t random;
 	uint64_t now;
 	struct sim_entry entries[ENTRIES];
@@ -152,7 +153,7 @@
 	add_event(s, hold, EVENT_END, n->index)->job = job;
 }
 
-static void on_refuse(void *arg, struct job *job, enum job_refusal why)
+static void on_refuse(void *arg, struct job *job, enum job_refusal refusal)
 {
 	struct sim_entry *n = arg;
 
@@ -279,7 +280,7 @@
 {
 	struct job *job = calloc(1, sizeof(*job));
 	uint32_t entry = (uint32_t)(uniform(s) * ENTRIES);
-	enum job_refusal why;
+	enum job_refusal refusal;
 
 	if (s->skewed)
 		entry = team % 2;
@@ -292,7 +293,7 @@
 	job->arrived_ms = s->now;
 	job->deadline_ms = s->now + WAIT_MAX_MS;
 	job->checked_version = 1;
-	if (!core_submit(s->entries[entry].core, job, s->now, &why)) {
+	if (!core_submit(s->entries[entry].core, job, s->now, &refusal)) {
 		s->refused++;
 		free(job);
 	}
@@ -383,8 +384,9 @@
 }
 
 /*
- * Slots that a team could use on average: as many as its requests need, at most
- * its limit. If it was not backlogged, it used what it needed.
+ * Slots that a team could use on average, in an interval of `ms`: as many as
+ * its requests need, at most its limit. If it was not backlogged, it used what
+ * it needed.
  */
 static double demand_of(const struct team *t, double ms)
 {
@@ -623,13 +625,14 @@
 	if (check_bounds &&
 	    (s.worst_error > SHARE_ERROR_MAX || utilization < BUSY_MIN ||
 	     bytes_per_s(&s) > BYTES_MAX_PER_S)) {
-		printf("out of bounds: share 5%%, busy 97%%, 6000 B/s\n");
+		printf("out of bounds: wanted worst <= 5%%, busy >= 97%%, "
+		       "<= 6000 B/s\n");
 		return 1;
 	}
 	return 0;
 }
 
-/* Usage of a limit of 5 over 7 entries while at least 5 requests wait. */
+/* Measures how much of a limit of 5 is used by 7 entries while 5 wait. */
 static int bench_small_limit(enum mode mode, const char *name,
 			     bool check_bounds)
 {
@@ -653,15 +656,15 @@
 	printf("%-7s limit 5 over 7 entries: %5.1f%% used while 5 wait\n", name,
 	       used * 100);
 	if (check_bounds && used < BUSY_MIN) {
-		printf("out of bounds: 97%%\n");
+		printf("out of bounds: wanted >= 97%%\n");
 		return 1;
 	}
 	return 0;
 }
 
 /*
- * An entry dies while the store is unavailable: only the slots that it held
- * may stay idle.
+ * An entry is killed while the store is unavailable: the other entries must
+ * hold all slots but those that it held.
  */
 static int bench_dead_entry(void)
 {
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -111,7 +111,7 @@
 	return cfg;
 }
 
-/* A core with a given number of workers; its effects are discarded. */
+/* A core with a given number of workers; writes succeed, messages are lost. */
 
 struct bench {
 	struct cfg_names *names;
@@ -119,8 +119,8 @@
 	struct job *started;
 	struct ledger_row *written;
 	uint32_t shard;
-	struct entry frames;
-	size_t report_bytes;
+	struct entry frames; /* context to pack messages in, for their size */
+	size_t report_bytes; /* largest report of a pool's demand */
 };
 
 static void on_start(void *arg, struct job *job)
@@ -128,11 +128,11 @@
 	((struct bench *)arg)->started = job;
 }
 
-static void on_refuse(void *arg, struct job *job, enum job_refusal why)
+static void on_refuse(void *arg, struct job *job, enum job_refusal refusal)
 {
 	(void)arg;
 	(void)job;
-	(void)why;
+	(void)refusal;
 }
 
 static void on_send(void *arg, uint64_t to, const struct core_message *m)
@@ -147,7 +147,7 @@
 	f = entry_pack_message(&b->frames, m);
 	bytes = jackdawwell__peer_frame__get_packed_size(f) + 4;
 	if (bytes > b->report_bytes)
-		b->report_bytes = bytes; /* the pool with demand */
+		b->report_bytes = bytes; /* that of the pool with demand */
 	jackdawwell__peer_frame__free_unpacked(f, NULL);
 }
 
@@ -296,12 +296,12 @@
 	return us;
 }
 
-/* One end and start while a number of teams wait in one pool of 8 workers. */
+/* One end and one start while this many teams wait for a pool of 8 workers. */
 static double dispatch_us(uint32_t teams)
 {
 	struct bench *b = bench_new(8 * 60, teams);
 	struct job *jobs = talloc_zero_array(b, struct job, teams * 2);
-	enum job_refusal why;
+	enum job_refusal refusal;
 	uint64_t now = 1000;
 	uint64_t start;
 	double us;
@@ -313,7 +313,7 @@
 		jobs[i].arrived_ms = now;
 		jobs[i].deadline_ms = now + 1000000;
 		jobs[i].checked_version = 1;
-		core_submit(b->core, &jobs[i], now, &why);
+		core_submit(b->core, &jobs[i], now, &refusal);
 	}
 	assert(b->started);
 	start = clock_now_us();
@@ -323,7 +323,7 @@
 		now++;
 		core_end_attempt(b->core, job, JOB_ENDED, now);
 		job->arrived_ms = now;
-		core_submit(b->core, job, now, &why);
+		core_submit(b->core, job, now, &refusal);
 	}
 	us = (double)(clock_now_us() - start) / 500;
 	talloc_free(b);
@@ -348,7 +348,7 @@
 	(void)a;
 }
 
-/* One broker run for one pool, with teams waiting at each of 7 entries. */
+/* One run of a pool's broker while this many teams wait at 7 entries each. */
 static double broker_us(uint32_t teams)
 {
 	struct broker_callbacks callbacks = { find_team, discard_advice, NULL };
@@ -379,7 +379,7 @@
 	static const uint64_t ids[] = { 1, 2, 3, 4, 5, 6, 7 };
 	struct ledger_members members = { 1, ENTRIES, ids };
 	struct job *jobs = talloc_zero_array(b, struct job, teams * 2);
-	enum job_refusal why;
+	enum job_refusal refusal;
 	double bytes;
 	uint32_t i;
 
@@ -391,7 +391,7 @@
 		jobs[i].pool.i = 7; /* its broker is another entry */
 		jobs[i].deadline_ms = 1000000;
 		jobs[i].checked_version = 1;
-		core_submit(b->core, &jobs[i], 1000, &why);
+		core_submit(b->core, &jobs[i], 1000, &refusal);
 	}
 	for (i = 0; i < 20; i++)
 		core_tick(b->core, 1000 + i * CORE_TICK_MS);
--- a/bench/waves.c
+++ b/bench/waves.c
@@ -5,8 +5,8 @@
  * worker ends some time after it starts to drain; a worker is taken out only
  * after all its units have been returned. Failures are correlated by rack. The
  * conductor is killed or frozen between any two steps; one that resumes tries
- * a stale step, which must be refused by its version. After each step the
- * budgets and the number of interrupted requests are checked.
+ * a stale step, which must be refused by its version. Each drain is checked
+ * against the budgets; no worker may be taken out while work runs on it.
  */
 #include <argtable2.h>
 #include <malloc.h>
@@ -22,9 +22,9 @@
 #define ZONES 3
 #define RACKS 13
 #define DRAIN_MEAN_S 4.0 /* until the work on a worker has ended */
-#define REBOOT_S 60.0
-#define STEP_S 1 /* between two iterations of the conductor */
-#define TAKEOVER_S 3
+#define REBOOT_S 60.0	 /* mean time that a worker is out */
+#define STEP_S 1	 /* between two iterations of the conductor */
+#define TAKEOVER_S 3	 /* until another entry acts as conductor */
 #define WAVE_TIMEOUT_S 20000
 
 enum mode { MODE_PLANNER, MODE_ONE, MODE_RACK };
@@ -39,7 +39,7 @@
 
 struct worker {
 	struct plan_instance plan;
-	double work_ends_s; /* of the work running when the drain began */
+	double work_ends_s; /* when the work at the drain's start has ended */
 	double back_s;	    /* end of a reboot or of a failure */
 	double failed_s;    /* when it last failed */
 };
@@ -64,14 +64,14 @@
 	double now_s;
 	uint64_t version; /* of the configuration */
 	double conductor_back_s;
-	struct plan_step stale_step; /* next one of a frozen conductor */
+	struct plan_step stale_step; /* next step of a frozen conductor */
 	uint64_t stale_version;	     /* version that it was planned for */
 	double stale_planned_s;	     /* when it was planned */
 	double stale_retry_s;	     /* when it is tried, 0 for none */
-	uint32_t cut_requests;
-	uint32_t violations;
+	uint32_t interruptions;	     /* workers taken out with work running */
+	uint32_t violations;	     /* drains that exceed a budget */
 	enum safeguard removed;
-	uint32_t refused_steps; /* stale steps */
+	uint32_t refused_steps; /* stale steps refused by their version */
 	double out_instance_s;	/* instance-seconds not serving */
 };
 
@@ -171,8 +171,8 @@
 		check_budget(r, w->plan.pool, planned_s);
 		break;
 	case PLAN_TAKE_OUT:
-		r->cut_requests += w->plan.state != PLAN_DRAINING ||
-				   r->now_s < w->work_ends_s;
+		r->interruptions += w->plan.state != PLAN_DRAINING ||
+				    r->now_s < w->work_ends_s;
 		w->plan.state = PLAN_OUT;
 		w->plan.empty = false;
 		w->back_s = r->now_s + REBOOT_S * (0.8 + 0.4 * uniform(r));
@@ -186,8 +186,8 @@
 }
 
 /*
- * Whether the mode admits this step of the planner: the modes that it is
- * compared with drain one worker or one rack at a time.
+ * Whether the mode admits this step. The modes that the planner is compared
+ * with drain one worker or one rack at a time.
  */
 static bool mode_allows(struct run *r, const struct plan_step *s)
 {
@@ -223,7 +223,8 @@
 		if (mode_allows(r, &result.steps[i]))
 			apply_step(r, &result.steps[i], r->version, r->now_s);
 	}
-	if (i < result.count && !r->stale_retry_s) { /* frozen */
+	/* The conductor is frozen: it tries the step when it resumes. */
+	if (i < result.count && !r->stale_retry_s) {
 		r->stale_step = result.steps[i];
 		r->stale_version = r->version;
 		r->stale_planned_s = r->now_s;
@@ -278,7 +279,7 @@
 	return true;
 }
 
-/* Returns the duration of the wave in seconds. */
+/* Returns the duration of the wave in seconds, at most WAVE_TIMEOUT_S. */
 static double run_wave(struct run *r, bool faults)
 {
 	bool outage = false;
@@ -304,7 +305,7 @@
 /* Without a safeguard, a violation must be found in some run. */
 static int bench_safeguards(const struct user *user)
 {
-	static const char *const names[] = { "none", "budget", "home",
+	static const char *const names[] = { "none", "budget", "returned units",
 					     "version" };
 	static struct run r;
 	int failed = 0;
@@ -319,7 +320,7 @@
 			set_up(&r, user, MODE_PLANNER, i + 1);
 			r.removed = (enum safeguard)safeguard;
 			run_wave(&r, true);
-			found = r.cut_requests + r.violations;
+			found = r.interruptions + r.violations;
 		}
 		printf("without %s: %s\n", names[safeguard],
 		       found ? "found" : "NOT FOUND");
@@ -334,7 +335,7 @@
 					     "rack by rack" };
 	static struct run r;
 	struct plan_instance view[WORKERS];
-	uint32_t cut = 0, violations = 0, unfinished = 0;
+	uint32_t interruptions = 0, violations = 0, unfinished = 0;
 	double bound;
 	double planner_s = 0;
 	int failed = 0;
@@ -358,19 +359,21 @@
 	for (i = 0; i < seeds; i++) {
 		set_up(&r, user, MODE_PLANNER, i + 1);
 		unfinished += run_wave(&r, true) >= WAVE_TIMEOUT_S;
-		cut += r.cut_requests;
+		interruptions += r.interruptions;
 		violations += r.violations;
 	}
-	printf("%-10s %u runs with faults: %u requests cut, %u budget "
+	printf("%-10s %u runs with faults: %u interruptions, %u budget "
 	       "violations, %u unfinished\n",
-	       user->name, seeds, cut, violations, unfinished);
-	failed = cut || violations || unfinished || planner_s > 1.25 * bound;
+	       user->name, seeds, interruptions, violations, unfinished);
+	failed = interruptions || violations || unfinished ||
+		 planner_s > 1.25 * bound;
 	if (failed)
-		printf("out of bounds: 0 cut, 0 violations, roll-out 1.25\n");
+		printf("out of bounds: wanted 0 interruptions, 0 violations, 0 "
+		       "unfinished, roll-out <= 1.25 of the bound\n");
 	return failed;
 }
 
-/* Time and memory of one plan; bounded at the size to design for, the last. */
+/* Time and memory of one plan; bounded at the last size, the design size. */
 static int bench_plan(void)
 {
 	static const uint32_t sizes[] = { 50, 500, 1650, 3300 };
@@ -407,7 +410,7 @@
 	}
 	if (us < 1e6 && used < 64u << 20)
 		return 0;
-	printf("out of bounds: 1 s, 64 MB\n");
+	printf("out of bounds: wanted < 1 s and < 64 MiB\n");
 	return 1;
 }
 
