tools, test: second reading of comments, messages and titles

Titles of scenarios name the situation and what must hold; tools/mutants.py follows the one that it matches, and names each safeguard so that 'without' reads on. Stale configurations are 'more than' the bound old. Terms: leader, disruption budget, rate of a link (not throttle), find_case for one case. Errors of fleet.py say what was tried. Numbers, bounds and seeds of tests are unchanged.

--- a/test/runner_test.py
+++ b/test/runner_test.py
@@ -15,7 +15,7 @@
 PORT_ROUNDS = 16000
 FORKING_THREADS = 6
 PRINT_PORTS = "import fleet; print(*fleet.free_ports(200))"
-CASE = """# A node whose port something else has
+CASE = """# A node whose port is in use
 nodes 1
 expect accepted == 0
 """
@@ -34,12 +34,12 @@
         self.assertEqual(len(ports), 600)
         self.assertEqual(len(set(ports)), 600)
 
-    def test_the_kernel_gives_none_of_them_to_a_client(self):
+    def test_ports_lie_below_the_range_of_outgoing_connections(self):
         for port in fleet.free_ports(100):
             self.assertLess(port, fleet.Ports.range_end())
 
-    def test_a_taken_port_can_be_bound_while_processes_start(self):
-        """A child process inherits open sockets between fork and exec."""
+    def test_an_allocated_port_can_be_bound_while_processes_start(self):
+        """A child process holds inherited sockets, and ports, until exec."""
         done = threading.Event()
         refused = []
 
@@ -70,7 +70,7 @@
 
 
 class StartTest(unittest.TestCase):
-    def test_a_node_that_ends_at_its_start_fails_its_case(self):
+    def test_a_case_fails_if_a_node_ends_at_its_start(self):
         bound_sockets = []
 
         class Site(jobs.Site):
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -55,7 +55,7 @@
         return json.loads(out)
 
     def rates(self):
-        """Rates of one load generator: through a one-thread entry, direct."""
+        """One load generator's rates: through a one-thread entry, direct."""
         with fleet.Fleet(self.build) as f:
             f.add_worker("w1", "--no-record")
             f.add_entry("entry-1")
@@ -84,7 +84,7 @@
             return int(re.search(r"VmRSS:\s+(\d+)", f.read())[1]) / 1024
 
     def waiting(self):
-        """Memory of an entry whose requests wait for one busy worker."""
+        """Memory of an entry whose requests wait for a worker's one slot."""
         settings = {"waiting_max": WAITING_REQUESTS + 10,
                     "connections_max": 20000}
         with fleet.Fleet(self.build, settings) as f:
@@ -138,8 +138,8 @@
     def instructions(self):
         """Instructions per request of an entry and of the worker stand-in.
 
-        The bound follows from that of the rates: an entry may execute as
-        many instructions as the worker stand-in, divided by RATE_RATIO_MIN.
+        The bound follows from that of the rates: an entry may execute at
+        most the instructions of the worker stand-in / RATE_RATIO_MIN.
         """
         entry = self.instructions_per_request(self.count_entry)
         worker = self.instructions_per_request(self.count_worker)
@@ -148,7 +148,7 @@
                   worker / RATE_RATIO_MIN)
 
     def decisions(self):
-        """Instructions per request of the decision code and its benchmark."""
+        """Instructions per request of bench/fairness and the core in it."""
         done = subprocess.run(
             [*CALLGRIND, f"{self.build}/bench/fairness", "--brief",
              "--seconds", "20"], capture_output=True, text=True)
@@ -159,6 +159,7 @@
 
     @staticmethod
     def instructions_per_request(count):
+        """The slope between two counts of requests: leaves out the start."""
         few, many = 500, 1500
         return (count(many) - count(few)) / (many - few)
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -17,7 +17,7 @@
 
 LEDGER_WALK_SCHEDULES = 10000
 FLEET_WALK_SEEDS = 10000
-# Bit mask of --faults: all faults, with workers that restart within 0.5 s.
+# Mask of enum world_fault: all faults; instances restart within 0.5 s.
 QUICK_RESTART_FAULTS = 4095
 FLEET_WALK_PARTS = 5  # processes that run concurrently
 SAFEGUARDS = ("round-tag", "sequence", "late-draw", "report", "debt",
@@ -89,7 +89,10 @@
 
 
 def check_file(build, path):
-    """Checks that a bad file is refused with the message it expects."""
+    """Checks that a file with an error is refused.
+
+    Its first line names the kind of file, its second the message wanted.
+    """
     with open(path) as f:
         kind, expect = (f.readline()[2:].strip() for _ in range(2))
     expect = expect[len("expect: "):]
--- a/tools/demo_jobs.py
+++ b/tools/demo_jobs.py
@@ -11,7 +11,7 @@
 import jobs
 from scenario import ScenarioError
 
-CASE = """# Jobs of two queues; the lead is killed
+CASE = """# Jobs of two queues; the leader is killed
 at 0s submit 30 to q0 tasks 3 steps 2 ms 400
 at 0.2s submit 20 to q1 tasks 2 ms 300
 at 1.5s kill lead
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -241,12 +241,14 @@
         call(self.workers[name].port, "POST", "/control", json.dumps(fields))
 
     def record(self, name):
+        """Returns the requests that a worker stand-in ran, with times."""
         return json.loads(call(self.workers[name].port, "GET", "/record")[2])
 
     def records(self):
         return {name: self.record(name) for name in self.workers}
 
     def runs(self, request_id):
+        """Returns how often the workers ran a request."""
         return sum(r["runs"].get(request_id, 0)
                    for r in self.records().values())
 
@@ -268,7 +270,7 @@
         code, body = self.admin(entry, "POST", "/v1/keys",
                                 {"name": name, "team": team})
         if code != 200:
-            raise RuntimeError(f"key {name}: {code} {body}")
+            raise RuntimeError(f"issuing key {name}: status {code}, {body}")
         self.keys[name] = body["key"]
         return body
 
@@ -288,7 +290,7 @@
             "pools": {p: {"service": p, "out_max": 2} for p in pools},
             "instances": instances, "teams": teams, "queues": queues})
         if code != 200:
-            raise RuntimeError(f"load: {code} {body}")
+            raise RuntimeError(f"loading inventory: status {code}, {body}")
         for team in teams:
             self.issue_key(entry, f"{team}-key", team)
         self.wait_for_version(self.status(entry)["version"])
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -46,7 +46,7 @@
 upkeep_s: 2
 config_ms: 2000
 """
-NODE_SHARE_CORES = 0.3  # in the settings of a node
+NODE_SHARE_CORES = 0.3  # processor_share of a node
 QUEUE_POOLS = {"q0": "p0", "q1": "p1"}  # other queues are served by p0
 API_KEY = "key-of-the-shop-workspace"
 CALL_TIMEOUT_S = 5.0
@@ -122,11 +122,11 @@
                           "value": config_document(self.version, **changes)})
         self.version += 1
 
-    strong = ()
+    strong = ()  # nodes with the full share; if empty, all have it
     calls_alone = 1000  # instances that a leader calls without relays
 
     def processor_share(self, name):
-        """Share in cores; if some nodes are strong, others get a third."""
+        """Returns a node's share in cores, a third if others are strong."""
         return (NODE_SHARE_CORES if not self.strong or name in self.strong
                 else NODE_SHARE_CORES / 3)
 
@@ -185,7 +185,7 @@
         return int(m[1]) if m else 0
 
     def leader(self):
-        """The node that reports to be the leader, with the newest epoch."""
+        """Returns the node that reports being leader in the newest epoch."""
         best = None
         for name, p in self.nodes.items():
             if p.running() and name not in self.frozen and \
@@ -195,7 +195,7 @@
                     best = (epoch, name)
         return best[1] if best else None
 
-    frozen = frozenset()
+    frozen = frozenset()  # nodes stopped by SIGSTOP
 
     def request(self, method, path, body=None, node=None, key=API_KEY):
         names = [n for n, p in self.nodes.items()
@@ -305,7 +305,7 @@
             deadline = time.monotonic() + 5
             while not (leader := self.site.leader()):
                 if time.monotonic() > deadline:
-                    raise ScenarioError("no node is the leader")
+                    raise ScenarioError("no node was the leader for 5 s")
                 time.sleep(0.05)
             return [leader]
         return [word]
@@ -367,7 +367,7 @@
             site.nodes[name].start()
 
     def send_garbage(self, name):
-        """Sends malformed frames, whole and truncated, to a node's links."""
+        """Sends random and truncated frames to a node's peer listener."""
         rng = random.Random(GARBAGE_SEED)
         for size in GARBAGE_SIZES_BYTES:
             body = rng.randbytes(size)
@@ -456,7 +456,7 @@
         raise ScenarioError(f"unknown value: {' '.join(words)}")
 
     def command_status(self, words):
-        """Exit status of the command line tool, run with all nodes as -e."""
+        """Exit status of the command line tool; it may use any node."""
         entries = [w for ports in self.site.ports.values()
                    for w in ("-e", f"{fleet.HOST}:{ports[2]}")]
         done = subprocess.run(
@@ -478,8 +478,9 @@
     def check_invariants(self):
         """Checks what must hold in every case.
 
-        No task runs twice at once or again after it was done, a completed job
-        has run all its tasks, and no node applies a version that is too old.
+        No task has two runs at once or runs again after it was done, each
+        task of a completed job was done, and no node applies a configuration
+        version that is too old (versions.py).
         """
         if self.site.version_checker.errors:
             raise ScenarioError(
@@ -522,7 +523,7 @@
 
 
 def leadership_log(text):
-    """Returns the last lines about leadership, and those not in JSON."""
+    """Returns the last lines that are about leadership or not in JSON."""
     return "\n".join([l for l in text.splitlines() if any(
         f'"event":"{event}"' in l for event in LEADERSHIP_EVENTS)
         or not l.startswith("{")][-LEADERSHIP_LINES_MAX:])
--- a/tools/link.py
+++ b/tools/link.py
@@ -1,4 +1,4 @@
-"""A TCP forwarder that limits the rate between two local processes."""
+"""A TCP forwarder with a limited rate, between two local processes."""
 
 import socket
 import threading
@@ -15,7 +15,7 @@
     def __init__(self, target_port):
         self.target_port = target_port
         self.kb_per_s = 0
-        self.free_at_s = 0.0
+        self.free_at_s = 0.0  # when the rate limit admits the next bytes
         self.lock = threading.Lock()
         self.accepting = True
         self.sockets = set()
@@ -44,7 +44,7 @@
                 threading.Thread(target=self.forward, args=pair,
                                  daemon=True).start()
 
-    def throttle(self, size):
+    def wait_for_rate(self, size):
         """Sleeps until the rate limit admits this many bytes."""
         if not self.kb_per_s:
             return
@@ -58,7 +58,7 @@
         try:
             while data := source.recv(CHUNK_BYTES):
                 if limited:
-                    self.throttle(len(data))
+                    self.wait_for_rate(len(data))
                 sink.sendall(data)
         except OSError:
             pass
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -14,7 +14,7 @@
 MUTANTS = (
     ("the check against resending a request", "src/connection/httpc.c",
      "if (x->once && x->sends)", "if (0)", "path.txt",
-     "A worker that runs and resets on a reused connection runs it once"),
+     "A request runs once when its worker resets the reused connection"),
     ("rejection of answers without a length", "src/connection/httpc.c",
      "if (!x->framed && ", "if (0 && ", "path.txt",
      "Truncated, unframed and malformed answers are never passed on as whole"),
@@ -50,7 +50,8 @@
     ("confirmation of new instances", "src/pool/sched_instance.c",
      "return i->reported && i->first_report_ms < s->leader_confirmed_ms",
      "return i->reported", "sched_test"),
-    ("the sequence of the first of two changes", "src/pool/sched.c",
+    ("keeping the sequence of a batched job's first change",
+     "src/pool/sched.c",
      "if (!job->changed_while_batched)", "if (1)", "sched_test"),
     ("runs started in the millisecond of a poll", "src/pool/sched_poll.c",
      "run->running_since_ms < sent_ms", "run->running_since_ms <= sent_ms",
@@ -62,7 +63,8 @@
     ("lease expiry of unresponsive instances", "src/pool/sched_poll.c",
      "if (i->run_count && !i->unresponsive)", "if (i->run_count)",
      "sched_test"),
-    ("acknowledgements of one incarnation", "src/pool/sched_poll.c",
+    ("acknowledging ends of the current session only",
+     "src/pool/sched_poll.c",
      "poll->acked = same_session(i, now) ? i->acked : 0;",
      "poll->acked = i->acked;",
      "poll_test"),
@@ -71,7 +73,7 @@
      "sched_test"),
     ("the workspace cap", "src/pool/sched_place.c",
      "return (!cap->cpu || cpu <= cap->cpu) &&", "return", "sched_test"),
-    ("budgets of long-running tasks", "src/pool/sched_avail.c",
+    ("disruption budgets of long-running tasks", "src/pool/sched_avail.c",
      "return unavailable < step->spec->may_miss;", "return true;",
      "sched_test"),
     ("counting each end of a run once", "src/pool/sched_poll.c",
@@ -88,33 +90,37 @@
      "if (inst->unacked[n].change_seq > durable)", "if (0)", "fleet_walk"),
     ("matching written changes to their batch", "src/pool/sched_change.c",
      " || job->batch != batch)", ")", "sched_test"),
-    ("lost calls that are not failures", "src/pool/sched_run.c",
+    ("the exemption of lost calls from no-answer counts",
+     "src/pool/sched_run.c",
      "		if (result == ORDER_UNKNOWN)\n			instance_record_no_answer",
      "			instance_record_no_answer", "sched_test"),
-    ("polling before orders to machines", "src/fleet/maintenance.c",
+    ("waiting for reports before orders to machines",
+     "src/fleet/maintenance.c",
      "	if (load.unreported)\n		return false;\n", "", "fleet_test"),
-    ("machines ordered away by a former leader", "src/fleet/maintenance.c",
+    ("counting machines that an earlier leader ordered",
+     "src/fleet/maintenance.c",
      "count + ordered_by_earlier_leader(f, w)", "count", "fleet_test"),
-    ("resolving without other commits", "src/node/commit.c",
+    ("holding commits while an unknown one is resolved", "src/node/commit.c",
      "return !resolving && in_flight", "return in_flight", "node_test"),
     ("the wait for the previous leader", "src/node/machines.c",
      "return v->predecessor_ended && now", "return now", "node_test"),
     ("dividing the rate of records among nodes", "src/node/request.c",
      "(nodes ? nodes : 1)", "1", "node_test"),
-    ("a new session after a gap in the list", "src/pool/sched_poll.c",
+    ("a new session after an absence from the list", "src/pool/sched_poll.c",
      "i->report_sent_ms >= i->listed_ms &&", "", "poll_test"),
-    ("unreported runs of an ended job", "src/pool/sched_change.c",
+    ("keeping a loaded job whose runs may be unreported",
+     "src/pool/sched_change.c",
      "	if (job->loaded)\n		return true;\n", "", "sched_test"),
     ("short polls while calls are lost", "src/pool/sched_poll.c",
      "? POLL_WAIT_LOSSY_MS", "? POLL_WAIT_MS", "poll_test"),
-    ("the incarnation of the leader that refused", "src/node/leader.c",
+    ("comparing the incarnation of a refusing leader", "src/node/leader.c",
      "incarnation == n->leader.incarnation &&", "", "leader_test"),
     ("reporting that the store refuses", "src/node/leader.c",
      "(!failing_since_ms ||\n		now - failing_since_ms < LEADER_REFUSED_MS)", "1",
      "leader_test"),
-    ("unread messages of peers", "src/node/relay.c", "return !unread && ",
-     "return ", "node_test"),
-    ("few machines for a few long tasks", "src/fleet/balance.c",
+    ("the check for unread messages of peers", "src/node/relay.c",
+     "return !unread && ", "return ", "node_test"),
+    ("the limit of machines for few long tasks", "src/fleet/balance.c",
      "if (needed_cpu > limit_cpu)", "if (0)", "fleet_test"),
     ("choosing the pool with the least deficit", "src/fleet/balance.c",
      "b->pools[i].deficit < best->deficit",
@@ -127,7 +133,7 @@
 TEST_OPTIONS = {"fleet_walk": ["--count", "10000"]}  # test -> its options
 
 
-def cases(path, title):
+def find_case(path, title):
     """Returns the text of the case with this title."""
     with open(path) as f:
         for text in f.read().split("\n---\n"):
@@ -164,7 +170,7 @@
 def try_mutant(folder, file, old, new, scenarios, title):
     case = os.path.join(folder, "case.txt")
     with open(case, "w") as f:
-        f.write(cases(f"test/scenarios/{scenarios}", title))
+        f.write(find_case(f"test/scenarios/{scenarios}", title))
     return apply_mutant(
         folder, file, old, new,
         ["build/jackdawwelld", "build/standin/platform",
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -2,7 +2,7 @@
 
 docs/SCENARIOS.md describes the grammar. A file holds cases separated by lines
 of dashes; the first comment of a case is its title. Actions run at their
-times; expectations are checked after the last call has ended.
+times; expectations are checked after all calls have ended.
 """
 
 import collections
@@ -225,6 +225,7 @@
                 time.sleep(0.05)
 
     def do_misfit(self, name):
+        """misfit ENTRY: starts an entry with another number of shards."""
         self.fleet.settings["shards"] = 2
         self.fleet.add_entry(name, ready=False)
         self.stopped.add(name)
@@ -284,7 +285,7 @@
             entry, {"teams": teams})[0])
 
     def do_race(self, team, first, second):
-        """race TEAM A B: two operators change the limit of one version."""
+        """race TEAM A B: two operators set a limit, based on one version."""
         base = self.fleet.status("entry-1")["version"]
         both = fleet.BackgroundCalls()
         for entry, limit in (("entry-1", first), ("entry-2", second)):
@@ -303,7 +304,7 @@
         return dict(body["config"]["instances"][name]), body["version"]
 
     def do_set(self, name, state):
-        """set INSTANCE STATE; its status is counted by `changes`."""
+        """set INSTANCE STATE: its HTTP status is counted by `changes`."""
         instance, _ = self.read_instance(name)
         instance["state"] = state
         now_ms = time.clock_gettime(time.CLOCK_MONOTONIC) * 1000
@@ -347,7 +348,7 @@
         def units_returned():
             unit = self.fleet.status("entry-1")["units"][f"w:{name}"]
             return unit["limit"] == 0 and unit["free"] == 0
-        fleet.wait_until(f"{name} home", units_returned, 60.0)
+        fleet.wait_until(f"{name} free of units", units_returned, 60.0)
 
     def find_process(self, name):
         return self.fleet.entries.get(name) or self.fleet.workers[name]
@@ -435,13 +436,13 @@
         return max(gaps, default=0) / 1000
 
     def started_while_out(self, worker):
-        """Runs that a worker started between `out` and its return."""
+        """Counts the runs that a worker started while its state was `out`."""
         start, end = self.out_ms.get(worker, (0, 0))
         return sum(start < r[1] < end
                    for r in self.records[worker]["intervals"])
 
     def lost_units(self):
-        """Units that neither a live entry nor the table accounts for."""
+        """Counts the units neither held by a live entry nor in the store."""
         views = [self.fleet.status(n)["units"]
                  for n, p in self.fleet.entries.items() if p.running()]
         lost = 0
@@ -457,7 +458,7 @@
                  else float(wanted))
         if not COMPARISONS[compare](value, limit):
             raise ScenarioError(
-                f"{line.strip()}: it is {value}; outcomes "
+                f"{line.strip()}: got {value}; outcomes "
                 f"{dict(collections.Counter(self.outcomes.values()))}")
 
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -59,7 +59,7 @@
 
 
 def measure_waiting_mib(build, count):
-    """Memory in MiB of an entry in which count requests wait."""
+    """Memory of an entry in which this many requests wait, in MiB."""
     bounds = bench.Bench(build)
     figures = {}
     bounds.show = lambda name, value, *_, **__: figures.update({name: value})
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -16,14 +16,14 @@
 import jobs
 from scenario import ScenarioError
 
-FAULT_GAP_S = 2.0  # a takeover takes a little over 1.0 s
-FAULT_DURATION_S = (0.5, 4)  # from shorter to longer than a lease
+FAULT_GAP_S = 2.0  # between two faults; a takeover takes a little over 1.0 s
+FAULT_DURATION_S = (0.5, 4)  # range: from shorter to longer than a lease
 JOBS_PER_S = 4.0
 JOBS_END_TIMEOUT_S = 60  # for jobs unfinished after the last fault
 WORKERS = 8
 VERSIONS_PER_S = 0.5
-EXTRA_ROUTES = (0, 0, 100, 1600)  # added to a version
-LINK_KB_PER_S = (20, 100, 500)  # of a slow link
+EXTRA_ROUTES = (0, 0, 100, 1600)  # choices for a version
+LINK_KB_PER_S = (20, 100, 500)  # choices for a slow link
 
 
 class Soak:
@@ -79,7 +79,7 @@
                                "ms", str(rng.randint(50, 1500))])
 
     def write_version(self):
-        """Writes a version, unless the store is down and cannot confirm it."""
+        """Writes a configuration version if the store can confirm it."""
         if self.store_up:
             self.run.do("version", ["with", str(self.rng.choice(EXTRA_ROUTES)),
                                     "routes"])
--- a/tools/versions.py
+++ b/tools/versions.py
@@ -19,7 +19,7 @@
 
     def __init__(self, site):
         self.site = site
-        self.confirmed = []  # [(version, time)]
+        self.confirmed = []  # [(version, when the store had confirmed it)]
         self.last_written = 0  # the newest version that a node may apply
         self.errors = []
         self.last_applied = {}  # node -> (pid, newest version it applied)
@@ -71,7 +71,7 @@
             if newest <= required:
                 self.errors.append(
                     f"{name}: 404 for version {newest}'s "
-                    f"queue, confirmed {STALENESS_MAX_S} s "
+                    f"queue, confirmed more than {STALENESS_MAX_S} s "
                     "before; the node reports version "
                     f"{self.site.metric(name, 'config_version')}")
             elif previous == (pid, newest):
@@ -81,7 +81,8 @@
                     f"{self.site.metric(name, 'config_version')}")
         if required > 1 and self.queue_status(name, required - 1) == 200:
             self.errors.append(f"{name}: version {required - 1}'s queue "
-                               f"answered, removed {STALENESS_MAX_S} s before")
+                               "answered, removed more than "
+                               f"{STALENESS_MAX_S} s before")
 
     def in_force(self):
         """Returns how many nodes apply the newest version."""
