src/entry, tools: names of actions, parsers and observations

jobs.Run.run_action was do and start_thread was in_thread; scenario.Case has parse_line and parse_queue; the conductor's observation of an instance is called seen. Comments of src/entry say table service where a row is read or units are free. away_since_ms starts when this entry first sees the instance draining or out. Errors of fuzz.py name what failed.

--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -23,7 +23,7 @@
 struct conductor_instance {
 	uint32_t boots;		 /* boot count in the platform's list */
 	bool failed;		 /* the platform's list has it as failed */
-	uint64_t away_since_ms;	 /* draining or out for a wave since, else 0 */
+	uint64_t away_since_ms;	 /* first seen draining or out, 0 if neither */
 	uint64_t reboot_sent_ms; /* last request to reboot */
 };
 
@@ -69,14 +69,14 @@
 			json_string_value(json_object_get(item, "state"));
 		uint32_t id = name ? intern_find(e->names->instances, name)
 				   : INTERN_NONE;
-		struct conductor_instance *s;
+		struct conductor_instance *seen;
 
 		if (id == INTERN_NONE)
 			continue;
-		s = get_instance(e->conductor, id);
-		s->boots = (uint32_t)json_integer_value(
+		seen = get_instance(e->conductor, id);
+		seen->boots = (uint32_t)json_integer_value(
 			json_object_get(item, "boots"));
-		s->failed = state && !strcmp(state, "failed");
+		seen->failed = state && !strcmp(state, "failed");
 	}
 }
 
@@ -171,14 +171,14 @@
 	pthread_mutex_lock(&e->core_lock);
 	for (i = 0; i < e->cfg->instance_count; i++) {
 		const struct cfg_instance *w = &e->cfg->instances[i];
-		const struct conductor_instance *s =
+		const struct conductor_instance *seen =
 			get_instance(e->conductor, i);
 
 		all[i].empty =
 			w->present &&
 			core_instance_is_empty(e->core, (instance_handle){ i });
-		all[i].rebooted = w->present && s->boots > w->boots;
-		if (all[i].state == PLAN_SERVING && s->failed)
+		all[i].rebooted = w->present && seen->boots > w->boots;
+		if (all[i].state == PLAN_SERVING && seen->failed)
 			all[i].state = PLAN_FAILED;
 	}
 	pthread_mutex_unlock(&e->core_lock);
@@ -191,11 +191,11 @@
 }
 
 static void request_reboot(struct entry *e, const struct cfg_instance *w,
-			   struct conductor_instance *s, uint64_t now_ms)
+			   struct conductor_instance *seen, uint64_t now_ms)
 {
-	if (now_ms < s->reboot_sent_ms + REBOOT_RETRY_MS)
+	if (now_ms < seen->reboot_sent_ms + REBOOT_RETRY_MS)
 		return;
-	s->reboot_sent_ms = now_ms;
+	seen->reboot_sent_ms = now_ms;
 	platform_reboot(e->platform, w->name, w->boots, on_reboot, NULL);
 }
 
@@ -213,20 +213,20 @@
 
 	for (i = 0; i < e->cfg->instance_count; i++) {
 		const struct cfg_instance *w = &e->cfg->instances[i];
-		struct conductor_instance *s = get_instance(e->conductor, i);
+		struct conductor_instance *seen = get_instance(e->conductor, i);
 		bool out = all[i].state == PLAN_OUT;
 
 		if (!all[i].selected || all[i].rebooted ||
 		    (!out && all[i].state != PLAN_DRAINING)) {
-			s->away_since_ms = 0;
+			seen->away_since_ms = 0;
 			continue;
 		}
-		if (!s->away_since_ms)
-			s->away_since_ms = now_ms;
+		if (!seen->away_since_ms)
+			seen->away_since_ms = now_ms;
 		if (out)
-			request_reboot(e, w, s, now_ms);
+			request_reboot(e, w, seen, now_ms);
 		if (!in_time ||
-		    now_ms < s->away_since_ms + wave->return_max_s * 1000ull)
+		    now_ms < seen->away_since_ms + wave->return_max_s * 1000ull)
 			continue;
 		status_set(reason, "%s %s after %u s", w->name,
 			   out ? "has not come back" : "still has work",
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -102,7 +102,7 @@
  */
 void core_set_fresh_until(struct core *c, uint64_t until_ms);
 
-/* core_stop - refuse new jobs; return units to the store once no job waits */
+/* core_stop - refuse new jobs; return all idle units once no job waits */
 void core_stop(struct core *c, uint64_t now_ms);
 
 /* core_drained - whether no job is waiting or running and no unit is held */
@@ -134,7 +134,7 @@
  */
 void core_tick(struct core *c, uint64_t now_ms);
 
-/* core_set_row - process a shard's row as read from the store */
+/* core_set_row - process a shard's row as read from the table service */
 void core_set_row(struct core *c, uint32_t shard, const struct ledger_row *row,
 		  uint64_t now_ms);
 
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -120,7 +120,7 @@
 /* core_units_lend_team - lend a team's free units as advised */
 void core_units_lend_team(struct core *c, uint32_t team);
 
-/* core_units_set_advice - store a broker's advice and follow it */
+/* core_units_set_advice - keep a broker's advice and follow it */
 void core_units_set_advice(struct core *c, const struct broker_advice *advice);
 
 /* core_units_broker - create the broker that sends advice by core_send */
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -47,7 +47,7 @@
 
 /*
  * Divides a pool's waiting jobs among its workers, in order. A worker's part is
- * at most its idle units held here plus its free units in the store.
+ * at most its idle units held here plus its units free in the table service.
  */
 static void update_pool_targets(struct core *c, struct core_pool *p)
 {
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -133,7 +133,7 @@
 void entry_install(struct entry *e, struct cfg *cfg);
 
 /*
- * entry_apply_change - apply a row of the log, from the store or a peer
+ * entry_apply_change - apply a row of the log, read or sent by a peer
  *
  * Returns false unless it is the current version's successor and applies.
  */
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -28,16 +28,16 @@
              peer, "--seed", str(SEED), "--count", str(MESSAGE_COUNT)],
             capture_output=True, text=True)
         if done.returncode:
-            return f"client: {done.stderr} {f.log_tail()}"
+            return f"fuzz_client failed: {done.stderr} {f.log_tail()}"
         if not p.running():
             return f"entry ended: {f.log_tail()}"
         for _ in range(5):
             answer = f.request("entry-1", "renew", "shop-key", b"whole")
             if answer != (200, "answered", b"whole"):
-                return f"answered {answer}"
+                return f"a valid request got {answer}"
         p.send_signal(fleet.signal.SIGTERM)
         if p.popen.wait(timeout=60):
-            return f"exit {p.popen.returncode}: {f.log_tail()}"
+            return f"exit status {p.popen.returncode}: {f.log_tail()}"
         if "Sanitizer" in f.log_tail() or "runtime error" in f.log_tail():
             return f.log_tail()
     return None
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -284,7 +284,7 @@
                 return
             time.sleep(RETRY_DELAY_S)
 
-    def in_thread(self, fn, *args):
+    def start_thread(self, fn, *args):
         t = threading.Thread(target=fn, args=args)
         t.start()
         self.threads.append(t)
@@ -296,7 +296,7 @@
             job = Job(len(self.jobs) + 1, queue, int(params.get("tasks", 2)),
                       int(params.get("steps", 1)), int(params.get("ms", 200)))
             self.jobs.append(job)
-            self.in_thread(self.submit, job)
+            self.start_thread(self.submit, job)
 
     def node_names(self, word):
         if word == "all":
@@ -310,13 +310,13 @@
             return [leader]
         return [word]
 
-    def do(self, verb, words):
+    def run_action(self, verb, words):
         site = self.site
         if verb == "submit":
             self.do_submit(words)
         elif verb == "cancel":
             job = self.jobs[int(words[0]) - 1]
-            self.in_thread(self.cancel, job)
+            self.start_thread(self.cancel, job)
         elif verb == "store":
             site.control(down=words[0] == "down")
         elif verb in ("mute", "unmute"):
@@ -391,7 +391,7 @@
         begin = time.monotonic()
         for at, words in self.case.actions:
             time.sleep(max(0, begin + at - time.monotonic()))
-            self.do(words[0], words[1:])
+            self.run_action(words[0], words[1:])
         for t in self.threads:
             t.join()
         self.wait_for_jobs()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -25,7 +25,7 @@
     ("the check of the key at dispatch", "src/entry/core.c",
      "if (job->checked_version == c->cfg->version)", "if (1)", "faults.txt",
      "Queued work of a withdrawn key does not start"),
-    ("the compare-and-swap on the head row", "src/entry/entry_change.c",
+    ("the compare-and-set on the head row", "src/entry/entry_change.c",
      "platform_compare(txn, ROW_HEAD, e->head_revision);", ";", "faults.txt",
      "Two operators race: one wins, the other is told of the conflict"),
     ("the proof that an instance is empty", "src/entry/entry_change.c",
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -62,9 +62,9 @@
             if not self.title and line.startswith("#"):
                 self.title = line.lstrip("# ")
             if words:
-                self.read(words, line, number)
+                self.parse_line(words, line, number)
 
-    def read(self, words, line, number):
+    def parse_line(self, words, line, number):
         verb, rest = words[0], words[1:]
         if verb in ("entries", "workers", "slots"):
             setattr(self, verb, int(rest[0]))
@@ -76,7 +76,7 @@
             self.teams[rest[0]] = {
                 k: int(v) for k, v in parse_pairs(rest[1:]).items()}
         elif verb == "queue":
-            self.queues[rest[0]] = self.read_queue(rest[1:])
+            self.queues[rest[0]] = self.parse_queue(rest[1:])
         elif verb == "at":
             self.actions.append((parse_duration_s(rest[0]), rest[1:], line))
         elif verb == "always":
@@ -87,7 +87,7 @@
             raise ScenarioError(f"line {number}: unknown verb {verb}")
 
     @staticmethod
-    def read_queue(words):
+    def parse_queue(words):
         queue = {"pool": "p1", "run_max_ms": 2000, "wait_max_ms": 5000}
         flags = {"urgent": ("class", "urgent"), "open": ("open", True),
                  "idempotent": ("idempotent", True)}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -36,7 +36,7 @@
 
     def set_store(self, up):
         self.store_up = up
-        self.run.do("store", ["up" if up else "down"])
+        self.run.run_action("store", ["up" if up else "down"])
 
     def start_fault(self):
         """Starts a random fault; returns the function that ends it."""
@@ -48,41 +48,41 @@
         if kind == "kill lead":
             node = site.leader() or node
         if kind in ("kill", "kill lead", "stop"):
-            run.do(kind.split()[0], [node])
-            return lambda: run.do("start", [node])
+            run.run_action(kind.split()[0], [node])
+            return lambda: run.run_action("start", [node])
         if kind == "kill all":
-            run.do("kill", ["all"])
-            return lambda: run.do("start", ["all"])
+            run.run_action("kill", ["all"])
+            return lambda: run.run_action("start", ["all"])
         if kind == "freeze":
-            run.do("freeze", [node])
-            return lambda: run.do("thaw", [])
+            run.run_action("freeze", [node])
+            return lambda: run.run_action("thaw", [])
         if kind == "store":
             self.set_store(False)
             return lambda: self.set_store(True)
         if kind == "link":
-            run.do("link", [node, str(rng.choice(LINK_KB_PER_S))])
-            return lambda: run.do("link", [node, "0"])
+            run.run_action("link", [node, str(rng.choice(LINK_KB_PER_S))])
+            return lambda: run.run_action("link", [node, "0"])
         if kind == "mute":
-            run.do("mute", [rng.choice(("inbox", "servers", "op"))])
-            return lambda: run.do("unmute", [])
+            run.run_action("mute", [rng.choice(("inbox", "servers", "op"))])
+            return lambda: run.run_action("unmute", [])
         if kind == "lose":
-            run.do("lose", [str(rng.randint(1, 5))])
+            run.run_action("lose", [str(rng.randint(1, 5))])
         else:
-            run.do("crash", [f"w-{rng.randint(1, WORKERS)}"])
+            run.run_action("crash", [f"w-{rng.randint(1, WORKERS)}"])
         return lambda: None
 
     def submit(self):
         rng = self.rng
-        self.run.do("submit", ["1", "to", rng.choice(("q0", "q1")),
-                               "tasks", str(rng.randint(1, 4)),
-                               "steps", str(rng.randint(1, 2)),
-                               "ms", str(rng.randint(50, 1500))])
+        self.run.run_action("submit", [
+            "1", "to", rng.choice(("q0", "q1")),
+            "tasks", str(rng.randint(1, 4)), "steps", str(rng.randint(1, 2)),
+            "ms", str(rng.randint(50, 1500))])
 
     def write_version(self):
         """Writes a configuration version if the store can confirm it."""
         if self.store_up:
-            self.run.do("version", ["with", str(self.rng.choice(EXTRA_ROUTES)),
-                                    "routes"])
+            self.run.run_action("version", [
+                "with", str(self.rng.choice(EXTRA_ROUTES)), "routes"])
 
     def run_for(self, seconds):
         begin = time.monotonic()
