src/entry: the texts of answers to operators are the former ones again

The wording had changed five error texts of the administration API. They leave the process in answers, so they stay letter for letter like other texts on the wire; log lines and messages on standard error keep their new wording.

--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -259,12 +259,11 @@
 
 	if (!name || !team || strlen(name) > CFG_NAME_MAX) {
 		send_error(http, 400,
-			   "fields \"name\" and \"team\": wanted strings, "
-			   "\"name\" of limited length");
+			   "fields \"name\" and \"team\": wanted texts");
 		return;
 	}
 	if (cfg_find_key(e->cfg, name)) {
-		send_error(http, 422, "a key with that name already exists");
+		send_error(http, 422, "a key of that name exists");
 		return;
 	}
 	key_issue(&e->hasher, name, key, hash);
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -80,8 +80,8 @@
 	}
 	finish(c, 409,
 	       json_pack("{s:s, s:I, s:o}", "error",
-			 "the configuration has changed since the base "
-			 "version",
+			 "the configuration has changed since the version "
+			 "seen",
 			 "version", (json_int_t)e->cfg->version, "changes",
 			 others));
 }
@@ -344,7 +344,7 @@
 		if (c->may_be_written)
 			finish_error(c, 504,
 				     "unsettled: the table service gave no "
-				     "answer and may have written the change; "
+				     "answer and may have taken the change; "
 				     "repeat it with the same id");
 		else
 			finish_error(c, 503,
@@ -434,8 +434,7 @@
 			      "change", json_deep_copy(change));
 	append(e, c);
 	if (!c->record) {
-		finish_error(c, 400,
-			     "field \"id\" or operator's name: wanted UTF-8");
+		finish_error(c, 400, "id or operator's name is not text");
 		return;
 	}
 	if (entry_state(e) == ENTRY_STARTING) {
