--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -124,7 +124,7 @@
 	if (settings_address(value, ip, &port))
 		return true;
 	status_set(m,
-		   "%s:%u: field \"%s\" is \"%s\", wanted an IP number and a "
+		   "%s:%u: field \"%s\" is \"%s\", wanted an IP address and a "
 		   "port, as in 10.0.0.1:8080",
 		   path, yamlfile_line(path, field, NULL), field, value);
 	return false;
