--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -32,8 +32,8 @@
 struct shard {
 	struct httpc *client;
 	CURLM *multi;
-	struct tevent_immediate *now; /* runs a libcurl timeout of zero */
-	uint64_t due_ms;	      /* libcurl's next timeout; 0: none */
+	struct tevent_immediate *immediate; /* runs a libcurl timeout of zero */
+	uint64_t due_ms; /* libcurl's next timeout; 0: none */
 };
 
 struct exchange {
@@ -49,7 +49,7 @@
 	uint64_t send_before_us;
 	uint64_t progress_ms; /* time of the last byte, or of the start */
 	uint32_t stall_timeout_ms;
-	uint32_t sends; /* attempts that on_prerequest allowed */
+	uint32_t attempts; /* allowed by on_prerequest */
 	bool once;
 	bool framed; /* has Content-Length or Transfer-Encoding */
 	bool too_large;
@@ -129,13 +129,13 @@
 	(void)local;
 	(void)rport;
 	(void)lport;
-	if (x->once && x->sends)
+	if (x->once && x->attempts)
 		return CURL_PREREQFUNC_ABORT;
 	if (x->send_before_us && clock_now_us() > x->send_before_us) {
 		x->late = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
-	x->sends++;
+	x->attempts++;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -276,7 +276,7 @@
 
 static enum httpc_status exchange_status(struct exchange *x, CURLcode code)
 {
-	if (!x->sends)
+	if (!x->attempts)
 		return HTTPC_NOT_SENT;
 	if (x->too_large)
 		return HTTPC_TOO_LARGE;
@@ -540,8 +540,8 @@
 			timer_set_by(c, c->shards[i].due_ms, now);
 }
 
-static void on_now(struct tevent_context *ev, struct tevent_immediate *im,
-		   void *arg)
+static void on_immediate(struct tevent_context *ev, struct tevent_immediate *im,
+			 void *arg)
 {
 	(void)ev;
 	(void)im;
@@ -558,7 +558,8 @@
 	if (ms < 0)
 		return 0;
 	if (ms == 0) {
-		tevent_schedule_immediate(s->now, s->client->ev, on_now, s);
+		tevent_schedule_immediate(s->immediate, s->client->ev,
+					  on_immediate, s);
 		return 0;
 	}
 	s->due_ms = now + (uint64_t)ms;
@@ -590,9 +591,9 @@
 		       uint32_t connections_max, uint32_t host_max)
 {
 	s->client = c;
-	s->now = tevent_create_immediate(c);
+	s->immediate = tevent_create_immediate(c);
 	s->multi = curl_multi_init();
-	if (!s->now || !s->multi)
+	if (!s->immediate || !s->multi)
 		return false;
 	curl_multi_setopt(s->multi, CURLMOPT_SOCKETFUNCTION, on_watch);
 	curl_multi_setopt(s->multi, CURLMOPT_SOCKETDATA, s);
--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -18,7 +18,7 @@
 	struct tevent_context *ev;
 	struct tevent_fd *fde;
 	struct mtimer *timer;
-	struct tevent_immediate *now;
+	struct tevent_immediate *immediate; /* runs MHD_run again */
 	struct MHD_Daemon *daemon;
 	struct httpd_options options;
 	uint32_t pending;
@@ -189,17 +189,17 @@
 	serve(arg);
 }
 
-static void on_now(struct tevent_context *ev, struct tevent_immediate *im,
-		   void *arg)
+static void on_immediate(struct tevent_context *ev, struct tevent_immediate *im,
+			 void *arg)
 {
 	(void)ev;
 	(void)im;
 	serve(arg);
 }
 
-static void wake_now(struct httpd *s)
+static void schedule_run(struct httpd *s)
 {
-	tevent_schedule_immediate(s->now, s->ev, on_now, s);
+	tevent_schedule_immediate(s->immediate, s->ev, on_immediate, s);
 }
 
 static void serve(struct httpd *s)
@@ -211,7 +211,7 @@
 	MHD_run(s->daemon);
 	s->running = false;
 	if (s->run_again) {
-		wake_now(s);
+		schedule_run(s);
 		return;
 	}
 	if (MHD_get_timeout(s->daemon, &ms) != MHD_YES) {
@@ -219,7 +219,7 @@
 		return;
 	}
 	if (ms == 0)
-		wake_now(s);
+		schedule_run(s);
 	else if (!mtimer_pending(s->timer))
 		mtimer_set(s->timer, ms);
 }
@@ -245,9 +245,9 @@
 	s->ev = ev;
 	s->options = *options;
 	s->quiesced_fd = -1;
-	s->now = tevent_create_immediate(s);
+	s->immediate = tevent_create_immediate(s);
 	s->timer = mtimer_new(s, ev, on_timer, s);
-	assert(s->now && s->timer);
+	assert(s->immediate && s->timer);
 	address.sin_port = htons(options->port);
 	if (inet_pton(AF_INET, options->address, &address.sin_addr) != 1)
 		goto fail;
@@ -299,10 +299,10 @@
 	return MHD_YES;
 }
 
-void httpd_each_header(const struct httpd_request *request,
-		       void (*fn)(void *arg, const char *name,
-				  const char *value),
-		       void *arg)
+void httpd_for_each_header(const struct httpd_request *request,
+			   void (*fn)(void *arg, const char *name,
+				      const char *value),
+			   void *arg)
 {
 	const struct exchange *x = request->internal;
 	struct header_visitor visitor = { fn, arg };
@@ -368,7 +368,7 @@
 	if (s->running)
 		s->run_again = true;
 	else
-		wake_now(s);
+		schedule_run(s);
 }
 
 void httpd_stop_accepting(struct httpd *s)
--- a/src/connection/httpd.h
+++ b/src/connection/httpd.h
@@ -52,11 +52,11 @@
 /* httpd_header - value of a request header or NULL */
 const char *httpd_header(const struct httpd_request *request, const char *name);
 
-/* httpd_each_header - call fn for each request header in order */
-void httpd_each_header(const struct httpd_request *request,
-		       void (*fn)(void *arg, const char *name,
-				  const char *value),
-		       void *arg);
+/* httpd_for_each_header - call fn for each request header in order */
+void httpd_for_each_header(const struct httpd_request *request,
+			   void (*fn)(void *arg, const char *name,
+				      const char *value),
+			   void *arg);
 
 /*
  * httpd_hung_up - whether the caller has closed its end
--- a/src/entry/front_worker.c
+++ b/src/entry/front_worker.c
@@ -241,7 +241,7 @@
 	const char *mark = *http->query ? "?" : "";
 
 	if (!r->header_count) {
-		httpd_each_header(http, add_header, r);
+		httpd_for_each_header(http, add_header, r);
 		add_lease(r);
 	}
 	snprintf(url, sizeof(url), "http://%s/%s%s%s%s",
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -13,7 +13,7 @@
 
 MUTANTS = (
     ("the check against resending a request", "src/connection/httpc.c",
-     "if (x->once && x->sends)", "if (0)", "path.txt",
+     "if (x->once && x->attempts)", "if (0)", "path.txt",
      "A worker that runs and resets on a reused connection runs it once"),
     ("rejection of answers without a length", "src/connection/httpc.c",
      "if (!x->framed && ", "if (0 && ", "path.txt",
