process, version, request, standin: one word each for answer and store

A peer's or a worker's answer was called answer, response and reply: it is an answer. The table service was also called the store; platform.h says that they are one, and the comments of the older path say store. log_event (lines on standard error) and event_log (JSON lines on standard output) were easily confused: log_event is log_write. Budgets of zone and rack have the names of their rules, PLAN_ZONE_OUT_MAX and PLAN_RACK_OUT_MAX, and plan_kind is plan_step_kind. A queue's team is the only one that may use it, and the extra pool of a wave's input has no budget: both had been lost. The heads of ledger_walk and decide_test say which failures they guard against.

--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -106,7 +106,7 @@
 
 	e->conductor->changing = false;
 	if (code != 200 && code != 202 && code != 409)
-		log_event(LOG_WARN, "conductor",
+		log_write(LOG_WARN, "conductor",
 			  "configuration change refused: %s",
 			  json_string_value(json_object_get(body, "error")));
 	json_decref(body);
@@ -137,7 +137,7 @@
 {
 	json_t *object = copy_of(e, "waves", wave->name);
 
-	log_event(LOG_INFO, "conductor", "wave %s is %s%s%s", wave->name,
+	log_write(LOG_INFO, "conductor", "wave %s is %s%s%s", wave->name,
 		  cfg_wave_state_name(state), *reason ? ": " : "", reason);
 	json_object_set_new(object, "state",
 			    json_string(cfg_wave_state_name(state)));
@@ -237,7 +237,7 @@
 }
 
 /* The instance state after a step; false when the wave's state forbids it. */
-static bool step_state(const struct cfg_wave *wave, enum plan_kind kind,
+static bool step_state(const struct cfg_wave *wave, enum plan_step_kind kind,
 		       enum cfg_instance_state *state)
 {
 	switch (kind) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -78,7 +78,7 @@
 	    !atomic_compare_exchange_strong(&e->state, &starting, ENTRY_NOTICE))
 		return;
 	e->drain_since_ms = clock_now_ms();
-	log_event(LOG_INFO, "entry", "stopping: reporting not ready");
+	log_write(LOG_INFO, "entry", "stopping: reporting not ready");
 }
 
 static void begin_drain(struct entry *e, uint64_t now_ms)
@@ -94,7 +94,7 @@
 		pthread_mutex_unlock(&e->core_lock);
 	}
 	e->drain_since_ms = now_ms;
-	log_event(LOG_INFO, "entry",
+	log_write(LOG_INFO, "entry",
 		  "draining: no longer accepting connections");
 }
 
@@ -201,7 +201,7 @@
 		e->fronts[i] = front_new(e, i);
 		if (e->fronts[i])
 			continue;
-		log_event(LOG_ERROR, "entry", "cannot listen on %s",
+		log_write(LOG_ERROR, "entry", "cannot listen on %s",
 			  e->settings->callers);
 		return false;
 	}
@@ -211,12 +211,12 @@
 static bool listen_all(struct entry *e)
 {
 	if (!entry_listen_to_peers(e)) {
-		log_event(LOG_ERROR, "entry", "cannot listen on %s",
+		log_write(LOG_ERROR, "entry", "cannot listen on %s",
 			  e->settings->peers);
 		return false;
 	}
 	if (!admin_listen(e)) {
-		log_event(LOG_ERROR, "entry", "cannot listen on %s",
+		log_write(LOG_ERROR, "entry", "cannot listen on %s",
 			  e->settings->admin);
 		return false;
 	}
@@ -279,7 +279,7 @@
 	start_events(e);
 	while (!e->finished)
 		tevent_loop_once(e->ev);
-	log_event(LOG_INFO, "entry", "stopped");
+	log_write(LOG_INFO, "entry", "stopped");
 	exit_code = e->exit_code;
 	if (entry_state(e) == ENTRY_GONE)
 		_exit(exit_code); /* running work no longer has its units */
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -242,7 +242,7 @@
 	c->version = version;
 	c->step = CHANGE_COMMITTED;
 	c->since_ms = clock_now_ms();
-	log_event(LOG_INFO, "config", "version %" PRIu64 " committed by %s",
+	log_write(LOG_INFO, "config", "version %" PRIu64 " committed by %s",
 		  version, json_string_value(json_object_get(c->record, "by")));
 	write_snapshot(e);
 	for (i = 0; i < e->members.count; i++)
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -43,7 +43,7 @@
 static void remove_member(struct entry *e, const struct member *m,
 			  uint64_t version)
 {
-	log_event(LOG_INFO, "members",
+	log_write(LOG_INFO, "members",
 		  "%s (incarnation %" PRIu64 ") is unregistered", m->name,
 		  m->incarnation);
 	peer_forget(e->net, m->incarnation);
@@ -66,7 +66,7 @@
 {
 	if (members_find(&e->members, e->incarnation) || e->removed_self)
 		return;
-	log_event(LOG_ERROR, "members",
+	log_write(LOG_ERROR, "members",
 		  "incarnation %" PRIu64 " was unregistered: stopping",
 		  e->incarnation);
 	atomic_store(&e->state, ENTRY_GONE);
@@ -80,7 +80,7 @@
 	if (version <= e->members.version)
 		return;
 	if (!members_parse(value, version, &now)) {
-		log_event(LOG_ERROR, "members", "row %s is malformed",
+		log_write(LOG_ERROR, "members", "row %s is malformed",
 			  ROW_MEMBERS);
 		return;
 	}
@@ -172,12 +172,12 @@
 static void refuse_registration(struct entry *e)
 {
 	if (e->members.shards == e->settings->shards) {
-		log_event(LOG_ERROR, "members",
+		log_write(LOG_ERROR, "members",
 			  "cannot register: there are already %d entries",
 			  MEMBERS_MAX);
 		return;
 	}
-	log_event(LOG_ERROR, "members",
+	log_write(LOG_ERROR, "members",
 		  "field \"shards\" is %u, the registered entries have %u",
 		  e->settings->shards, e->members.shards);
 	e->exit_code = 1;
@@ -212,7 +212,7 @@
 {
 	struct entry *e = arg;
 
-	log_event(LOG_INFO, "peer", "link to incarnation %" PRIu64 " is up",
+	log_write(LOG_INFO, "peer", "link to incarnation %" PRIu64 " is up",
 		  incarnation);
 	pthread_mutex_lock(&e->core_lock);
 	if (e->core)
@@ -228,7 +228,7 @@
 {
 	struct entry *e = arg;
 
-	log_event(LOG_INFO, "peer", "link to incarnation %" PRIu64 " is down",
+	log_write(LOG_INFO, "peer", "link to incarnation %" PRIu64 " is down",
 		  incarnation);
 	pthread_mutex_lock(&e->core_lock);
 	if (e->core)
--- a/src/entry/entry_sync.c
+++ b/src/entry/entry_sync.c
@@ -20,7 +20,7 @@
 	atomic_store(&e->cfg_version, cfg->version);
 	pthread_mutex_unlock(&e->core_lock);
 	cfg_unref(old);
-	log_event(LOG_INFO, "config", "version %" PRIu64 " in force",
+	log_write(LOG_INFO, "config", "version %" PRIu64 " in force",
 		  cfg->version);
 }
 
@@ -41,7 +41,7 @@
 		return false;
 	if (cfg_apply(e->cfg, e->names, json_object_get(change, "change"),
 		      version, &next, &m) != CFG_OK) {
-		log_event(LOG_ERROR, "config",
+		log_write(LOG_ERROR, "config",
 			  "version %" PRIu64 " cannot be applied: %s", version,
 			  m.text);
 		return false;
@@ -61,7 +61,7 @@
 	e->loading_snapshot = false;
 	e->revision = 0; /* read the log again, from the snapshot on */
 	if (answer->status != PLATFORM_OK) {
-		log_event(LOG_WARN, "config", "cannot read the snapshot: %s",
+		log_write(LOG_WARN, "config", "cannot read the snapshot: %s",
 			  answer->message);
 		return;
 	}
@@ -72,7 +72,7 @@
 			next->run_max_ms = e->snapshot_run_max_ms;
 		entry_install(e, next);
 	} else {
-		log_event(LOG_ERROR, "config", "cannot apply the snapshot: %s",
+		log_write(LOG_ERROR, "config", "cannot apply the snapshot: %s",
 			  m.text);
 	}
 	cfg_unref(empty);
@@ -173,7 +173,7 @@
 	if (!e->core || e->cfg->version < e->head_version)
 		return;
 	if (atomic_compare_exchange_strong(&e->state, &starting, ENTRY_SERVING))
-		log_event(LOG_INFO, "entry", "serving as incarnation %" PRIu64,
+		log_write(LOG_INFO, "entry", "serving as incarnation %" PRIu64,
 			  e->incarnation);
 }
 
--- a/src/process/freshness.c
+++ b/src/process/freshness.c
@@ -5,8 +5,8 @@
 /* A time that never expires, also after adding the lifetime. */
 #define FRESHNESS_ALWAYS (UINT64_MAX - FRESHNESS_LIFETIME_MS)
 
-static const struct freshness_peer *find(const struct freshness *f,
-					 uint64_t incarnation)
+static const struct freshness_peer *find_peer(const struct freshness *f,
+					      uint64_t incarnation)
 {
 	uint32_t i;
 
@@ -19,7 +19,7 @@
 void freshness_record(struct freshness *f, const struct freshness_peer *peer)
 {
 	struct freshness_peer *known =
-		(struct freshness_peer *)find(f, peer->incarnation);
+		(struct freshness_peer *)find_peer(f, peer->incarnation);
 
 	if (!known && f->count < MEMBERS_MAX) {
 		f->peers[f->count++] = *peer;
@@ -75,7 +75,7 @@
 /*
  * When a majority of the full members last proved that `config_version` and the
  * members are the newest: the time of the oldest request among the newest
- * responses that make a majority with this entry. 0 if too few have responded
+ * answers that make a majority with this entry. 0 if too few have answered
  * or any has a newer version.
  */
 static uint64_t majority_ms(const struct freshness *f,
--- a/src/process/freshness.h
+++ b/src/process/freshness.h
@@ -1,12 +1,12 @@
 /*
  * freshness - until when an entry is known to have every accepted change
  *
- * A change is accepted once it is committed in the table service and known to
- * a majority of the full members. An entry is fresh if within the last
- * FRESHNESS_LIFETIME_MS it read the table service, or learned the versions of
- * a majority of the full members, itself included, and none was newer. A
- * response counts from the time at which its request was sent, so that one that
- * waited in a socket while the process was stopped is not taken for a new one.
+ * A change is accepted once it is committed in the store and known to a
+ * majority of the full members. An entry is fresh if within the last
+ * FRESHNESS_LIFETIME_MS it read the store, or learned the versions of a
+ * majority of the full members, itself included, and none was newer. An answer
+ * counts from the time at which its request was sent, so that one that waited
+ * in a socket while the process was stopped is not taken for a new one.
  */
 #ifndef FRESHNESS_H
 #define FRESHNESS_H
@@ -25,16 +25,16 @@
 };
 
 struct freshness {
-	/* When the last successful read of the table service was sent. */
+	/* When the last successful read of the store was sent. */
 	uint64_t store_read_ms;
 	uint32_t count;
 	struct freshness_peer peers[MEMBERS_MAX];
 };
 
-/* freshness_record - store a peer's response unless a newer one is stored */
+/* freshness_record - store a peer's answer unless a newer one is stored */
 void freshness_record(struct freshness *f, const struct freshness_peer *peer);
 
-/* freshness_forget - drop a peer's response */
+/* freshness_forget - drop a peer's answer */
 void freshness_forget(struct freshness *f, uint64_t incarnation);
 
 /*
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -7,12 +7,12 @@
  *
  *	free + held by all entries + in transfer + lost = total
  *
- * `total` and `free` are stored in the table service. An entry acquires units
- * from `free` and returns them by compare-and-set on the row of the domain's
- * shard; entries lend units to each other directly. A lost message or response
- * loses units and never creates any. A round reclaims lost units: an entry
- * that joins a round records the units that it holds as its report and refuses
- * transfers of older rounds. Once every registered incarnation has reported,
+ * `total` and `free` are kept in the store. An entry acquires units from `free`
+ * and returns them by compare-and-set on the row of the domain's shard; entries
+ * lend units to each other directly. A lost message or answer loses units and
+ * never creates any. A round reclaims lost units: an entry that joins a round
+ * records the units that it holds as its report and refuses transfers of older
+ * rounds. Once every registered incarnation has reported,
  * free = total - reports - units acquired since the round was opened.
  *
  * Lowering a total lowers `free` by the same amount. A negative `free` is a
@@ -50,7 +50,7 @@
 	uint64_t config_version; /* configuration version that set total */
 };
 
-/* A shard's row in the table service. */
+/* A shard's row in the store. */
 struct ledger_row {
 	uint64_t version;	  /* store revision, 0 when there is no row */
 	uint64_t round;		  /* number of the newest round */
@@ -78,7 +78,7 @@
 	/* Report the units held when reporting, not those held on joining. */
 	LEDGER_UNSAFE_REPORT = 1 << 3,
 	LEDGER_UNSAFE_DEFICIT = 1 << 4, /* start work despite a deficit */
-	/* Take a write without a response for an applied one. */
+	/* Take a write without an answer for an applied one. */
 	LEDGER_UNSAFE_UNKNOWN = 1 << 5,
 };
 
@@ -195,7 +195,7 @@
 enum ledger_cas_status {
 	LEDGER_CAS_DONE,
 	LEDGER_CAS_CONFLICT, /* not applied */
-	LEDGER_CAS_UNKNOWN,  /* no response: may have been applied */
+	LEDGER_CAS_UNKNOWN,  /* no answer: may have been applied */
 };
 
 /* ledger_finish_cas - apply the outcome; version: the new row's if DONE */
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -15,7 +15,7 @@
 	log_name = name;
 }
 
-void log_event(enum log_level level, const char *component, const char *fmt,
+void log_write(enum log_level level, const char *component, const char *fmt,
 	       ...)
 {
 	static const char *const names[] = { "error", "warn", "info", "debug" };
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -16,8 +16,8 @@
  */
 void log_init(enum log_level max_level, const char *name);
 
-/* log_event - write one line; thread-safe */
-__attribute__((format(printf, 3, 4))) void log_event(enum log_level level,
+/* log_write - write one line; thread-safe */
+__attribute__((format(printf, 3, 4))) void log_write(enum log_level level,
 						     const char *component,
 						     const char *fmt, ...);
 
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -1,11 +1,11 @@
 /*
  * members - the list of registered entries
  *
- * Stored in one row of the table service. A joining entry becomes a full
- * member, which counts toward majorities, once a majority of the full members
- * has its registration, so that majorities of any two versions share a member.
- * A dead entry does not count, but it keeps its units until the leases of its
- * work have expired.
+ * Kept in one row of the store. A joining entry becomes a full member, which
+ * counts toward majorities, once a majority of the full members has its
+ * registration, so that majorities of any two versions share a member. A dead
+ * entry does not count, but it keeps its units until the leases of its work
+ * have expired.
  */
 #ifndef MEMBERS_H
 #define MEMBERS_H
@@ -25,7 +25,7 @@
 	char zone[CFG_NAME_MAX + 1];
 	char address[32]; /* of its peer listener */
 	uint64_t incarnation;
-	/* Random. Identifies a registration whose write had no response. */
+	/* Random. Identifies a registration whose write had no answer. */
 	uint64_t nonce;
 	enum member_state state;
 };
--- a/src/process/plan.c
+++ b/src/process/plan.c
@@ -53,14 +53,14 @@
 		return PLAN_SERVING_MIN;
 	if (in->rules.zone_out_max &&
 	    c->zone_out[n->zone] >= in->rules.zone_out_max)
-		return PLAN_ZONE;
+		return PLAN_ZONE_OUT_MAX;
 	if (in->rules.rack_out_max &&
 	    c->rack_out[n->rack] >= in->rules.rack_out_max)
-		return PLAN_RACK;
+		return PLAN_RACK_OUT_MAX;
 	return PLAN_NOT_BLOCKED;
 }
 
-static void add_step(struct plan_result *out, enum plan_kind kind,
+static void add_step(struct plan_result *out, enum plan_step_kind kind,
 		     uint32_t instance)
 {
 	out->steps[out->count].kind = kind;
@@ -239,9 +239,9 @@
 		return "serving_min";
 	case PLAN_OUT_MAX:
 		return "out_max";
-	case PLAN_ZONE:
+	case PLAN_ZONE_OUT_MAX:
 		return "zone_out_max";
-	case PLAN_RACK:
+	case PLAN_RACK_OUT_MAX:
 		return "rack_out_max";
 	}
 	return "none";
--- a/src/process/plan.h
+++ b/src/process/plan.h
@@ -53,23 +53,23 @@
 	struct plan_rules rules;
 };
 
-enum plan_kind {
+enum plan_step_kind {
 	PLAN_DRAIN,    /* serving to draining */
 	PLAN_TAKE_OUT, /* draining to out, then reboot */
 	PLAN_RETURN,   /* out to serving */
 };
 
 struct plan_step {
-	enum plan_kind kind;
+	enum plan_step_kind kind;
 	uint32_t instance;
 };
 
 enum plan_budget {
-	PLAN_NOT_BLOCKED, /* no budget is exhausted */
-	PLAN_SERVING_MIN, /* the pool's serving_min */
-	PLAN_OUT_MAX,	  /* the pool's out_max */
-	PLAN_ZONE,
-	PLAN_RACK,
+	PLAN_NOT_BLOCKED,  /* no budget is exhausted */
+	PLAN_SERVING_MIN,  /* the pool's serving_min */
+	PLAN_OUT_MAX,	   /* the pool's out_max */
+	PLAN_ZONE_OUT_MAX, /* the zone_out_max of the rules */
+	PLAN_RACK_OUT_MAX, /* the rack_out_max of the rules */
 };
 
 struct plan_result {
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -1,6 +1,8 @@
 /*
  * platform - client of the table service, object store and instance list
  *
+ * Names and comments elsewhere call the table service the store.
+ *
  * A row is a JSON value under a key; its version is the revision that wrote it.
  * All calls are asynchronous: each invokes its callback exactly once, never
  * before it returns.
@@ -21,7 +23,7 @@
 	PLATFORM_CONFLICT, /* a compared row has another version */
 	PLATFORM_ABSENT,   /* no such object */
 	PLATFORM_NOT_SENT, /* never sent, so without effect */
-	PLATFORM_UNKNOWN,  /* no response; a write may have taken effect */
+	PLATFORM_UNKNOWN,  /* no answer; a write may have taken effect */
 };
 
 struct platform_answer {
--- a/src/request/job.h
+++ b/src/request/job.h
@@ -30,11 +30,11 @@
 
 /* What is known about a job after an attempt. */
 enum job_result {
-	JOB_ENDED,	      /* complete response: the work has ended */
-	JOB_FAILED,	      /* complete response with a 5xx status */
+	JOB_ENDED,	      /* complete answer: the work has ended */
+	JOB_FAILED,	      /* complete answer with a 5xx status */
 	JOB_NOT_SENT,	      /* no byte of it was sent to the worker */
 	JOB_NOT_RUN,	      /* the worker refused it before starting it */
-	JOB_POSSIBLY_RUNNING, /* sent, response incomplete: may still run */
+	JOB_POSSIBLY_RUNNING, /* sent, answer incomplete: may still run */
 };
 
 struct job {
@@ -59,7 +59,7 @@
 	instance_handle instance; /* while it runs */
 	uint64_t started_ms;
 	uint64_t not_before_ms; /* earliest start of a retry */
-	bool may_have_run;	/* an attempt had no complete response */
+	bool may_have_run;	/* an attempt had no complete answer */
 	uint32_t attempts;
 	uint32_t attempted[JOB_ATTEMPTS_MAX]; /* instance of each attempt */
 };
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -20,7 +20,7 @@
 	[JOB_REFUSED_HUNG_UP] = { "hung_up", 499, "the caller hung up" },
 };
 
-static struct outcome_answer unknown(const struct outcome_input *input)
+static struct outcome_answer unknown_answer(const struct outcome_input *input)
 {
 	struct outcome_answer answer = { OUTCOME_UNKNOWN, 502,
 					 "no whole answer from the worker" };
@@ -43,7 +43,7 @@
 		return answered;
 	if (input->may_have_run ||
 	    (!input->refused && input->result == JOB_POSSIBLY_RUNNING))
-		return unknown(input);
+		return unknown_answer(input);
 	if (input->refused) {
 		not_run.code = refusals[input->refusal].code;
 		not_run.reason = refusals[input->refusal].reason;
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -2,7 +2,7 @@
  * outcome - the outcome of a request as reported to its caller
  *
  * "not-run" guarantees that the request has not run and will not; only
- * outcome_of decides this. Without a complete response from the worker, every
+ * outcome_of decides this. Without a complete answer from the worker, every
  * other outcome is "unknown".
  */
 #ifndef OUTCOME_H
@@ -11,7 +11,7 @@
 #include "request/job.h"
 
 enum outcome {
-	OUTCOME_ANSWERED, /* complete response from the worker */
+	OUTCOME_ANSWERED, /* complete answer from the worker */
 	OUTCOME_NOT_RUN,  /* has not run and will not */
 	OUTCOME_UNKNOWN,  /* may have run, or may still run */
 };
@@ -31,7 +31,7 @@
 	const char *reason; /* for the body, NULL to use the worker's */
 };
 
-/* outcome_of - the response for the caller */
+/* outcome_of - the answer for the caller */
 struct outcome_answer outcome_of(const struct outcome_input *input);
 
 /* outcome_name - value of the Jackdawwell-Outcome header */
--- a/src/version/cfg.h
+++ b/src/version/cfg.h
@@ -104,7 +104,8 @@
 struct cfg_queue {
 	const char *name;
 	pool_handle pool;
-	team_handle team; /* INTERN_NONE: any team that has a key */
+	/* The only team that may use it; INTERN_NONE: any team with a key */
+	team_handle team;
 	enum cfg_class class;
 	bool idempotent;
 	bool open; /* accepts requests without a key, counted for `team` */
--- a/src/version/wave.c
+++ b/src/version/wave.c
@@ -24,7 +24,7 @@
 
 /*
  * Departed and absent instances are in an extra pool, with the index
- * pool_count, of which no instance is selected.
+ * pool_count. It has no budget, and none of its instances is selected.
  */
 static void fill_instance(const struct cfg *cfg, const struct cfg_wave *wave,
 			  const struct cfg_instance *instance,
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -22,8 +22,8 @@
 
 #include "standin/serve.h"
 
-#define REBOOT_MS 1000	/* unless /control sets another duration */
-#define LOST_REPLY_S 30 /* delay of a lost answer, longer than clients wait */
+#define REBOOT_MS 1000	 /* unless /control sets another duration */
+#define LOST_ANSWER_S 30 /* delay of a lost answer; no client waits so long */
 
 struct state {
 	struct tevent_context *ev;
@@ -37,18 +37,18 @@
 	uint64_t writes;
 	bool outage;
 	uint32_t latency_ms;
-	uint32_t replies_to_lose;
+	uint32_t answers_to_lose;
 };
 
-struct reply {
+struct pending_answer {
 	struct httpd_request *request;
 	unsigned int code;
 	json_t *body;
 };
 
-static void send_reply(void *arg)
+static void send_pending(void *arg)
 {
-	struct reply *r = arg;
+	struct pending_answer *r = arg;
 	struct httpd_answer answer = { .code = r->code };
 
 	answer.body = json_dumps(r->body, JSON_COMPACT);
@@ -59,19 +59,19 @@
 }
 
 /* Answers after delay_ms; takes over the reference to body. */
-static void reply(struct state *s, struct httpd_request *request,
-		  unsigned int code, json_t *body, uint32_t delay_ms)
+static void send_answer(struct state *s, struct httpd_request *request,
+			unsigned int code, json_t *body, uint32_t delay_ms)
 {
-	struct reply *r = talloc_zero(s, struct reply);
+	struct pending_answer *r = talloc_zero(s, struct pending_answer);
 
 	r->request = request;
 	r->code = code;
 	r->body = body;
 	if (!delay_ms) {
-		send_reply(r);
+		send_pending(r);
 		return;
 	}
-	serve_after(r, s->ev, delay_ms, send_reply, r);
+	serve_after(r, s->ev, delay_ms, send_pending, r);
 }
 
 static uint64_t row_version(const struct state *s, const char *key)
@@ -128,26 +128,26 @@
 
 	s->writes++;
 	if (!txn) {
-		reply(s, r, 400, json_pack("{s:s}", "error", "bad JSON"),
-		      delay);
+		send_answer(s, r, 400, json_pack("{s:s}", "error", "bad JSON"),
+			    delay);
 		return;
 	}
 	key = find_conflict(s, txn);
 	if (key) {
-		reply(s, r, 409, json_pack("{s:s}", "key", key), delay);
+		send_answer(s, r, 409, json_pack("{s:s}", "key", key), delay);
 		json_decref(txn);
 		return;
 	}
 	apply_txn(s, txn);
 	json_decref(txn);
-	if (s->replies_to_lose) {
-		s->replies_to_lose--;
-		delay = LOST_REPLY_S * 1000;
+	if (s->answers_to_lose) {
+		s->answers_to_lose--;
+		delay = LOST_ANSWER_S * 1000;
 	}
-	reply(s, r, 200,
-	      json_pack("{s:I, s:n}", "revision", (json_int_t)s->revision,
-			"value"),
-	      delay);
+	send_answer(s, r, 200,
+		    json_pack("{s:I, s:n}", "revision", (json_int_t)s->revision,
+			      "value"),
+		    delay);
 }
 
 static char *query_parameter(const struct httpd_request *r, const char *name)
@@ -206,10 +206,10 @@
 	json_t *rows = rows_after(s, prefix, strtoull(after, NULL, 10));
 
 	s->reads++;
-	reply(s, r, 200,
-	      json_pack("{s:I, s:o}", "revision", (json_int_t)s->revision,
-			"value", rows),
-	      s->latency_ms);
+	send_answer(s, r, 200,
+		    json_pack("{s:I, s:o}", "revision", (json_int_t)s->revision,
+			      "value", rows),
+		    s->latency_ms);
 	talloc_free(prefix);
 	talloc_free(after);
 }
@@ -224,16 +224,16 @@
 		value = json_loadb(r->body ? r->body : "", r->body_length,
 				   JSON_DECODE_ANY, NULL);
 		json_object_set_new(s->objects, name, value);
-		reply(s, r, 200, json_object(), s->latency_ms);
+		send_answer(s, r, 200, json_object(), s->latency_ms);
 		return;
 	}
 	s->reads++;
 	value = json_object_get(s->objects, name);
 	if (!value)
-		reply(s, r, 404, json_object(), s->latency_ms);
+		send_answer(s, r, 404, json_object(), s->latency_ms);
 	else
-		reply(s, r, 200, json_pack("{s:O}", "value", value),
-		      s->latency_ms);
+		send_answer(s, r, 200, json_pack("{s:O}", "value", value),
+			    s->latency_ms);
 }
 
 static json_t *instance_list(const struct state *s)
@@ -287,7 +287,7 @@
 		serve_after(b, s->ev, s->reboot_ms, on_booted, b);
 	}
 	json_decref(body);
-	reply(s, r, 200, json_object(), s->latency_ms);
+	send_answer(s, r, 200, json_object(), s->latency_ms);
 }
 
 static void serve_control(struct state *s, struct httpd_request *r)
@@ -301,18 +301,19 @@
 	if ((v = json_object_get(c, "latency_ms")))
 		s->latency_ms = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "lose")))
-		s->replies_to_lose = (uint32_t)json_integer_value(v);
+		s->answers_to_lose = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "reboot_ms")))
 		s->reboot_ms = (uint32_t)json_integer_value(v);
 	if ((v = json_object_get(c, "instances")))
 		json_array_clear(s->instances),
 			json_array_extend(s->instances, v);
 	json_decref(c);
-	reply(s, r, 200,
-	      json_pack("{s:I, s:I, s:I}", "revision", (json_int_t)s->revision,
-			"reads", (json_int_t)s->reads, "writes",
-			(json_int_t)s->writes),
-	      0);
+	send_answer(s, r, 200,
+		    json_pack("{s:I, s:I, s:I}", "revision",
+			      (json_int_t)s->revision, "reads",
+			      (json_int_t)s->reads, "writes",
+			      (json_int_t)s->writes),
+		    0);
 }
 
 static void on_request(void *arg, struct httpd_request *r)
@@ -322,7 +323,7 @@
 	if (!strcmp(r->path, "/control"))
 		serve_control(s, r);
 	else if (s->outage)
-		reply(s, r, 500, json_object(), LOST_REPLY_S * 1000);
+		send_answer(s, r, 500, json_object(), LOST_ANSWER_S * 1000);
 	else if (!strcmp(r->path, "/txn"))
 		commit_txn(s, r);
 	else if (!strcmp(r->path, "/rows"))
@@ -332,10 +333,11 @@
 	else if (!strncmp(r->path, "/reboot/", 8))
 		start_reboot(s, r);
 	else if (!strcmp(r->path, "/instances"))
-		reply(s, r, 200, json_pack("{s:o}", "value", instance_list(s)),
-		      s->latency_ms);
+		send_answer(s, r, 200,
+			    json_pack("{s:o}", "value", instance_list(s)),
+			    s->latency_ms);
 	else
-		reply(s, r, 404, json_object(), 0);
+		send_answer(s, r, 404, json_object(), 0);
 }
 
 int main(int argc, char **argv)
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -29,7 +29,7 @@
 	log_init(LOG_INFO, name);
 	if (httpd_new(ctx, ev, &options))
 		return true;
-	log_event(LOG_ERROR, name, "cannot listen on port %d", port);
+	log_write(LOG_ERROR, name, "cannot listen on port %d", port);
 	return false;
 }
 
--- a/standin/site.c
+++ b/standin/site.c
@@ -44,7 +44,7 @@
 #define CAPACITY_MEM 65536   /* MiB of each worker */
 #define PAGE_ROWS 500u	     /* unless /control sets another page */
 #define CHANGES_INITIAL 256u /* initial capacity */
-#define LOST_REPLY_MS 5000u  /* from the commit to closing the connection */
+#define LOST_ANSWER_MS 5000u /* from the commit to closing the connection */
 
 struct site;
 
@@ -59,8 +59,8 @@
 	struct pending_feed *next;
 	struct httpd_request *request;
 	char *table;
-	uint64_t after;
-	uint64_t until_ms;
+	uint64_t after_revision; /* answered with the changes after this */
+	uint64_t deadline_ms;	 /* then answered without any change */
 };
 
 struct running {
@@ -102,7 +102,7 @@
 	json_t *record;
 	bool down;
 	char *muted_table; /* its feeds are not answered; may be NULL */
-	uint32_t replies_to_lose;
+	uint32_t answers_to_lose;
 	uint32_t page_rows;	/* maximum in the answer to a read */
 	uint64_t history_start; /* feeds from an older revision get 410 */
 	uint64_t transactions, reads, rows_read;
@@ -112,7 +112,8 @@
 
 /* Answers */
 
-static void reply(struct httpd_request *request, unsigned int code, json_t *o)
+static void send_answer(struct httpd_request *request, unsigned int code,
+			json_t *o)
 {
 	struct httpd_answer answer = { .code = code };
 
@@ -264,7 +265,7 @@
 	for (i = 0; i < count && i < s->page_rows; i++)
 		json_array_append_new(rows, encode_row(found[i]));
 	s->rows_read += json_array_size(rows);
-	reply(request, 200, encode_rows(s, rows, count > s->page_rows));
+	send_answer(request, 200, encode_rows(s, rows, count > s->page_rows));
 	talloc_free(tmp);
 }
 
@@ -294,16 +295,16 @@
 			at = &feed->next;
 			continue;
 		}
-		rows = changes_after(s, feed->table, feed->after);
+		rows = changes_after(s, feed->table, feed->after_revision);
 
-		if (!json_array_size(rows) && now < feed->until_ms &&
+		if (!json_array_size(rows) && now < feed->deadline_ms &&
 		    !s->down) {
 			json_decref(rows);
 			at = &feed->next;
 			continue;
 		}
 		*at = feed->next;
-		reply(feed->request, 200, encode_rows(s, rows, false));
+		send_answer(feed->request, 200, encode_rows(s, rows, false));
 		talloc_free(feed);
 	}
 }
@@ -316,14 +317,14 @@
 	s->reads++;
 	feed->request = request;
 	feed->table = query_parameter(feed, request->query, "table");
-	feed->after = strtoull(query_parameter(feed, request->query, "after"),
-			       NULL, 10);
-	if (feed->after && feed->after < s->history_start) {
+	feed->after_revision = strtoull(
+		query_parameter(feed, request->query, "after"), NULL, 10);
+	if (feed->after_revision && feed->after_revision < s->history_start) {
 		talloc_free(feed);
-		reply(request, 410, NULL);
+		send_answer(request, 410, NULL);
 		return;
 	}
-	feed->until_ms =
+	feed->deadline_ms =
 		clock_now_ms() +
 		strtoull(query_parameter(feed, request->query, "waitMs"), NULL,
 			 10);
@@ -358,7 +359,7 @@
 	struct httpd_request *request = arg;
 
 	shutdown(httpd_descriptor(request), SHUT_RDWR);
-	reply(request, 500, NULL);
+	send_answer(request, 500, NULL);
 }
 
 static void serve_rows_tx(struct site *s, struct httpd_request *request,
@@ -371,7 +372,7 @@
 
 	s->transactions++;
 	if (!check_conditions(s, json_object_get(o, "precondition"), rows)) {
-		reply(request, 412, encode_rows(s, rows, false));
+		send_answer(request, 412, encode_rows(s, rows, false));
 		return;
 	}
 	json_decref(rows);
@@ -390,14 +391,15 @@
 				NULL);
 	}
 	answer_feeds(s, clock_now_ms());
-	if (s->replies_to_lose) {
-		s->replies_to_lose--;
-		serve_after(s, s->ev, LOST_REPLY_MS, close_unanswered, request);
+	if (s->answers_to_lose) {
+		s->answers_to_lose--;
+		serve_after(s, s->ev, LOST_ANSWER_MS, close_unanswered,
+			    request);
 		return;
 	}
-	reply(request, 200,
-	      json_pack("{s:I, s:I}", "revision", (json_int_t)s->revision,
-			"nowMs", (json_int_t)clock_now_ms()));
+	send_answer(request, 200,
+		    json_pack("{s:I, s:I}", "revision", (json_int_t)s->revision,
+			      "nowMs", (json_int_t)clock_now_ms()));
 }
 
 /* Workers */
@@ -462,7 +464,7 @@
 	struct httpd_request *request = w->poll_request;
 
 	w->poll_request = NULL;
-	reply(request, 200, encode_report(w, now));
+	send_answer(request, 200, encode_report(w, now));
 }
 
 static void worker_tick(struct worker *w, uint64_t now)
@@ -502,16 +504,17 @@
 		if (!strcmp(w->running[i].task, task)) {
 			bool same = w->running[i].run == run;
 
-			reply(request, same ? 200 : 409,
-			      json_pack("{s:I, s:s}", "clockMs",
-					(json_int_t)now, "reason", "old"));
+			send_answer(request, same ? 200 : 409,
+				    json_pack("{s:I, s:s}", "clockMs",
+					      (json_int_t)now, "reason",
+					      "old"));
 			return;
 		}
 	if (get_number(w->blocked, task) >= run ||
 	    get_number(o, "deadlineMs") <= now) {
-		reply(request, 409,
-		      json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
-				"reason", "old"));
+		send_answer(request, 409,
+			    json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
+				      "reason", "old"));
 		return;
 	}
 	if (get_number(o, "deadlineMs") > w->lease_until_ms)
@@ -527,7 +530,8 @@
 	r->record = json_pack("[s, I, s, I, i, s]", task, (json_int_t)run,
 			      w->name, (json_int_t)now, 0, "");
 	json_array_append_new(w->site->record, r->record);
-	reply(request, 200, json_pack("{s:I}", "clockMs", (json_int_t)now));
+	send_answer(request, 200,
+		    json_pack("{s:I}", "clockMs", (json_int_t)now));
 }
 
 static void stop_task(struct worker *w, struct httpd_request *request,
@@ -541,7 +545,8 @@
 		if (!strcmp(w->running[i].task, get_text(o, "task")) &&
 		    w->running[i].run == get_number(o, "run"))
 			w->running[i].stop_ms = now + STOP_DELAY_MS;
-	reply(request, 200, json_pack("{s:I}", "clockMs", (json_int_t)now));
+	send_answer(request, 200,
+		    json_pack("{s:I}", "clockMs", (json_int_t)now));
 }
 
 static void serve_poll(struct worker *w, struct httpd_request *request,
@@ -572,11 +577,11 @@
 
 	if (w->down_until_ms) {
 		shutdown(httpd_descriptor(request), SHUT_RDWR);
-		reply(request, 503, NULL);
+		send_answer(request, 503, NULL);
 	} else if (get_number(o, "fence") < w->fence) {
-		reply(request, 409,
-		      json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
-				"reason", "fence"));
+		send_answer(request, 409,
+			    json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
+				      "reason", "fence"));
 	} else {
 		w->fence = get_number(o, "fence");
 		if (!strcmp(request->path, "/jackdawwell/run-start"))
@@ -586,8 +591,9 @@
 		else if (!strcmp(request->path, "/jackdawwell/hold"))
 			serve_poll(w, request, o, now);
 		else
-			reply(request, 200,
-			      json_pack("{s:I}", "clockMs", (json_int_t)now));
+			send_answer(
+				request, 200,
+				json_pack("{s:I}", "clockMs", (json_int_t)now));
 	}
 	json_decref(o);
 }
@@ -636,8 +642,8 @@
 				  w->down_until_ms ? "down" : "up", "labels",
 				  "a", "r1", "id", w->name));
 	}
-	reply(request, 200,
-	      json_pack("{s:o, s:n}", "machines", list, "nextToken"));
+	send_answer(request, 200,
+		    json_pack("{s:o, s:n}", "machines", list, "nextToken"));
 }
 
 /* Both orders restart the machine: its worker crashes and comes back. */
@@ -652,7 +658,7 @@
 			snprintf(s->workers[i].pool, sizeof(s->workers[i].pool),
 				 "%s", get_text(o, "pool"));
 	crash_worker(s, get_text(o, "machine"), clock_now_ms());
-	reply(request, 200, json_object());
+	send_answer(request, 200, json_object());
 }
 
 /* Control */
@@ -678,7 +684,7 @@
 	if (json_is_true(json_object_get(o, "forget")))
 		s->history_start = s->revision;
 	if (json_object_get(o, "lose"))
-		s->replies_to_lose = (uint32_t)get_number(o, "lose");
+		s->answers_to_lose = (uint32_t)get_number(o, "lose");
 	if (json_object_get(o, "crash"))
 		crash_worker(s, get_text(o, "crash"), clock_now_ms());
 	if (put) {
@@ -696,12 +702,12 @@
 		free(dump);
 	}
 	answer_feeds(s, clock_now_ms());
-	reply(request, 200,
-	      json_pack("{s:I, s:I, s:I, s:I}", "transactions",
-			(json_int_t)s->transactions, "reads",
-			(json_int_t)s->reads, "rows_read",
-			(json_int_t)s->rows_read, "revision",
-			(json_int_t)s->revision));
+	send_answer(request, 200,
+		    json_pack("{s:I, s:I, s:I, s:I}", "transactions",
+			      (json_int_t)s->transactions, "reads",
+			      (json_int_t)s->reads, "rows_read",
+			      (json_int_t)s->rows_read, "revision",
+			      (json_int_t)s->revision));
 }
 
 static void on_request(void *arg, struct httpd_request *request)
@@ -714,9 +720,9 @@
 	if (!strcmp(path, "/control"))
 		serve_control(s, request, o);
 	else if (!strcmp(path, "/record"))
-		reply(request, 200, json_deep_copy(s->record));
+		send_answer(request, 200, json_deep_copy(s->record));
 	else if (s->down)
-		reply(request, 503, NULL);
+		send_answer(request, 503, NULL);
 	else if (!strcmp(path, "/jackdawwell/rows-tx"))
 		serve_rows_tx(s, request, o);
 	else if (!strcmp(path, "/jackdawwell/rows-get"))
@@ -730,7 +736,7 @@
 	else if (!strcmp(path, "/jackdawwell/machine-upkeep"))
 		order_machine(s, request, o, false);
 	else
-		reply(request, 404, NULL);
+		send_answer(request, 404, NULL);
 	json_decref(o);
 }
 
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -102,7 +102,7 @@
 	int fd = httpd_descriptor(r);
 
 	if (*raw && write(fd, raw, strlen(raw)) < 0)
-		log_event(LOG_WARN, "worker", "cannot write a raw answer");
+		log_write(LOG_WARN, "worker", "cannot write a raw answer");
 	shutdown(fd, SHUT_RDWR);
 	answer_text(r, 200, NULL, "");
 }
--- a/test/decide_test.c
+++ b/test/decide_test.c
@@ -1,6 +1,9 @@
 /*
  * Decisions of an entry without I/O: shares, the fair queue, health, retries,
- * freshness, members and brokers.
+ * freshness, members and brokers. Guards against a team that gets less than its
+ * share, a worker that is ejected because of its requests, retries that exceed
+ * their budget, an entry that is taken for fresh although it may lack an
+ * accepted change, and units that stay where there is no demand.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -175,13 +178,13 @@
 struct freshness_row {
 	const char *name;
 	uint64_t store_read_ms;
-	uint64_t peer_sent_ms[2]; /* 0: no response */
+	uint64_t peer_sent_ms[2]; /* 0: no answer */
 	uint64_t peer_version[2]; /* this entry has version 7 */
 	uint64_t until;
 };
 
 static const struct freshness_row freshness_rows[] = {
-	{ "no read and no response", 0, { 0, 0 }, { 0, 0 }, 0 },
+	{ "no read and no answer", 0, { 0, 0 }, { 0, 0 }, 0 },
 	{ "read the store",
 	  5000,
 	  { 0, 0 },
--- a/test/ledger_walk.c
+++ b/test/ledger_walk.c
@@ -4,9 +4,11 @@
  * Runs the ledgers of several entries in virtual time, with a fixed seed per
  * schedule. The weights of the operations are random per seed, so that
  * schedules in which work rarely ends, freezes are long or kills are many all
- * occur. Invariants are checked after every step; once the faults end, all
- * units must be accounted for within RECOVERY_MS. --without disables one
- * safeguard; the simulation must then find a violation.
+ * occur. Guards against a unit that two entries hold, so that more work runs
+ * than a limit allows, and against lost units that are never reclaimed: the
+ * invariants are checked after every step, and once the faults end, all units
+ * must be accounted for within RECOVERY_MS. --without disables one safeguard;
+ * the simulation must then find a violation.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -131,8 +133,8 @@
 		walk_deliver(w, message, true);
 	else if (op == OP_DROP && w->message_count)
 		w->messages[message] = w->messages[--w->message_count];
-	else if (op == OP_RESPOND && w->write_count)
-		walk_respond(w, write, !walk_random(w, 4));
+	else if (op == OP_ANSWER && w->write_count)
+		walk_answer(w, write, !walk_random(w, 4));
 	else if (op == OP_LATE_WRITE && w->write_count && !w->outage &&
 		 !w->writes[write].applied)
 		walk_apply_write(w, &w->writes[write]);
@@ -209,7 +211,7 @@
 	while (w->message_count)
 		walk_deliver(w, 0, false);
 	while (w->write_count)
-		walk_respond(w, 0, false);
+		walk_answer(w, 0, false);
 	walk_check_units(w, "a recovery step");
 }
 
--- a/test/outcome_test.c
+++ b/test/outcome_test.c
@@ -39,15 +39,15 @@
 	/* Attempts that prove that it has not run */
 	{ "not sent", RESULT(JOB_NOT_SENT), OUTCOME_NOT_RUN, 503 },
 	{ "worker refused", RESULT(JOB_NOT_RUN), OUTCOME_NOT_RUN, 503 },
-	/* Complete responses */
-	{ "response", RESULT(JOB_ENDED), OUTCOME_ANSWERED, 0 },
-	{ "response with a failure", RESULT(JOB_FAILED), OUTCOME_ANSWERED, 0 },
-	{ "response after an unknown attempt",
+	/* Complete answers */
+	{ "answer", RESULT(JOB_ENDED), OUTCOME_ANSWERED, 0 },
+	{ "answer with a failure", RESULT(JOB_FAILED), OUTCOME_ANSWERED, 0 },
+	{ "answer after an unknown attempt",
 	  { .result = JOB_ENDED, .may_have_run = true },
 	  OUTCOME_ANSWERED,
 	  0 },
 	/* Nothing proves that it has not run */
-	{ "incomplete response", RESULT(JOB_POSSIBLY_RUNNING), OUTCOME_UNKNOWN,
+	{ "incomplete answer", RESULT(JOB_POSSIBLY_RUNNING), OUTCOME_UNKNOWN,
 	  502 },
 	{ "timed out",
 	  { .result = JOB_POSSIBLY_RUNNING, .timed_out = true },
--- a/test/walk/world.c
+++ b/test/walk/world.c
@@ -320,7 +320,7 @@
 }
 
 /* A write that is not applied, in an outage, stays and may be applied later. */
-void walk_respond(struct world *w, uint32_t i, bool lost)
+void walk_answer(struct world *w, uint32_t i, bool lost)
 {
 	struct write *write = &w->writes[i];
 	struct entry *e = &w->entries[write->entry];
--- a/test/walk/world.h
+++ b/test/walk/world.h
@@ -1,5 +1,5 @@
 /*
- * world - simulated entries, table service and network for ledger_walk
+ * world - simulated entries, store and network for ledger_walk
  *
  * Nothing happens by itself: each event is a call of one of these functions.
  * walk_check_units and walk_check_start check the invariants and describe a
@@ -35,8 +35,8 @@
 	OP_DROP, /* lose a message */
 	OP_DUPLICATE,
 	OP_PLAN_CAS,
-	OP_RESPOND,    /* to a write; the response may be lost */
-	OP_LATE_WRITE, /* apply a write without a response */
+	OP_ANSWER,     /* to a write; the answer may be lost */
+	OP_LATE_WRITE, /* apply a write without an answer */
 	OP_READ,
 	OP_FREEZE,
 	OP_UNFREEZE,
@@ -154,7 +154,7 @@
 void walk_plan_cas(struct world *w, struct entry *e, uint32_t shard);
 void walk_apply_write(struct world *w, struct write *write);
 
-/* walk_respond - bring a write's outcome to its entry; lost: as unknown */
-void walk_respond(struct world *w, uint32_t i, bool lost);
+/* walk_answer - bring a write's outcome to its entry; lost: as unknown */
+void walk_answer(struct world *w, uint32_t i, bool lost);
 
 #endif
