--- a/test/frames_test.c
+++ b/test/frames_test.c
@@ -1,7 +1,8 @@
 /*
  * Frames over TCP arrive whole and in order however the bytes are split. A
- * malformed frame closes its stream and no other; a peer that does not read
- * has its stream closed too.
+ * malformed frame closes its stream and no other. A peer that does not read has
+ * its stream closed too, so that the bytes queued for it don't grow without
+ * bound.
  */
 #include <setjmp.h>
 #include <stdarg.h>
--- a/test/fuzz_client.c
+++ b/test/fuzz_client.c
@@ -3,7 +3,8 @@
  *
  * Sends mutated HTTP requests to the callers' port and mutated frames to the
  * peers' port of an entry, one connection at a time, and discards the answers.
- * The caller of this program then checks that the entry still serves.
+ * Malformed input must not crash the entry or keep it from serving, which the
+ * caller of this program checks afterwards.
  */
 #include <argtable2.h>
 #include <arpa/inet.h>
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -1,6 +1,9 @@
 /*
- * The HTTP client: requests in flight when it is freed, stalled answers and
- * failed connections. The address sanitizer shows leaks.
+ * The HTTP client. A client that is freed with requests in flight must not leak
+ * memory, which the address sanitizer shows, nor call done. An answer that
+ * stalls must not hold its request until the total timeout. A connection that
+ * is never established must leave no descriptor in the event loop, and must not
+ * be taken for a refused one, which proves that the process has ended.
  */
 #include <setjmp.h>
 #include <stdarg.h>
