--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -13,7 +13,7 @@
 
 MUTANTS = (
     ("the check against resending a request", "src/connection/httpc.c",
-     "if (x->once && x->sends)", "if (0)", "path.txt",
+     "if (x->once && x->attempts)", "if (0)", "path.txt",
      "A request runs once when its worker resets the reused connection"),
     ("rejection of answers without a length", "src/connection/httpc.c",
      "if (!x->framed && ", "if (0 && ", "path.txt",
