pool, fleet, node: one term for one thing, lost reasons back

Misread before: `holder_view` named no thing that a reader knows; `same_session` and session.c used one word for two things; "lost" was both an unanswered call and one whose relay was lost; "paused" was both a frozen process and a filler at speed 0; "partitioned" stood beside the store's partitions.

Terms now: predecessor (the leader just before this one) and former leader (any earlier one); relay; unanswered (no answer) and lost (with its relay); frozen; cut off; max_concurrent and started_ms of a wave everywhere; approvals for the adviser's answer.

Back in the text: a failed run counts once although two leaders may read its end (task_failed); why a ticket must stay valid for ADVICE_MARGIN_MS (the start must arrive). Heads of fleet_test, leader_test, staleness_test name the failures that they guard against.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -43,7 +43,7 @@
 enum fleet_action_kind {
 	FLEET_ACTION_MAINTENANCE, /* order a machine into maintenance */
 	FLEET_ACTION_MOVE,	  /* order a machine to another pool */
-	FLEET_ACTION_WAVE_STATE	  /* record that a wave runs or is complete */
+	FLEET_ACTION_WAVE_STATE	  /* store that a wave runs or is complete */
 };
 
 struct fleet_action {
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -27,7 +27,7 @@
 #define COST_LONG_RUNNING 100000.0 /* added for each long-running task */
 #define COST_UNKNOWN 1e12 /* unreported, may have runs: not drained now */
 
-/* Between readings of the list while a former leader's orders are under way */
+/* Between readings of the list while machines are away for a former leader */
 #define LIST_IN_PROGRESS_MS 500u
 
 void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -271,7 +271,7 @@
 		heartbeat = fleet__beat__unpack(NULL, h->body.length,
 						(uint8_t *)h->body.data);
 	if (heartbeat) {
-		/* After a long transfer, the leader in it is out of date. */
+		/* After a long transfer, the leader in it is outdated. */
 		if (call->fetch_config)
 			update_config(n, heartbeat);
 		else
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -3,8 +3,8 @@
  *
  * The orders of two leaders to machines must be at least holder_ms apart. A new
  * leader waits that long, and a leader that isn't confirmed stops giving
- * orders. After a restart of all nodes no order of the previous leader is in
- * flight, so the new one needn't wait.
+ * orders. After a restart of all nodes no order of the predecessor is in
+ * flight, so the new leader needn't wait.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -20,8 +20,8 @@
 
 /* A wave read this soon after the start may have been requested long before. */
 #define WAVE_REPLAY_MS 5000u
-#define HOLDER_MARGIN_MS 300u	  /* added to holder_ms */
-#define HOLDER_CONFIRMED_MS 1500u /* orders need a confirmation this recent */
+#define HOLDER_MARGIN_MS 300u	 /* added to holder_ms */
+#define ORDER_CONFIRMED_MS 1500u /* orders need a confirmation this recent */
 #define MAINTENANCE_RETRY_MS 300u
 
 struct machines {
@@ -60,9 +60,9 @@
 
 static void start_wave(struct machines *m, const struct wave_request *w)
 {
-	fleet_add_wave(m->fleet, w->name, w->number, w->at_once, w->duration_ms,
-		       (const char *const *)w->machines, w->machine_count,
-		       w->begun_ms);
+	fleet_add_wave(m->fleet, w->name, w->number, w->max_concurrent,
+		       w->duration_ms, (const char *const *)w->machines,
+		       w->machine_count, w->started_ms);
 }
 
 void machines_add_wave(struct node *n, struct wave_request *request)
@@ -79,15 +79,15 @@
 	event_log("wave", request->name,
 		  "\"wave\":%" PRIu64 ",\"machines\":%u,\"at_once\":%u,"
 		  "\"duration_ms\":%u",
-		  request->number, request->machine_count, request->at_once,
-		  request->duration_ms);
-	request->begun_ms = now;
+		  request->number, request->machine_count,
+		  request->max_concurrent, request->duration_ms);
+	request->started_ms = now;
 	/*
 	 * The wave may have been requested long before this process started,
 	 * so all of its duration counts as over.
 	 */
 	if (!n->settings.first_start && now - n->started_ms < WAVE_REPLAY_MS)
-		request->begun_ms = now - request->duration_ms;
+		request->started_ms = now - request->duration_ms;
 	m->waves = talloc_realloc(m, m->waves, struct wave_request *,
 				  m->wave_count + 1);
 	assert(m->waves);
@@ -398,21 +398,21 @@
 	}
 }
 
-bool machines_wait_is_over(const struct holder_view *v, uint64_t now)
+bool machines_wait_is_over(const struct machines_wait *w, uint64_t now)
 {
-	if (now - v->leader_since_ms >= v->holder_ms + HOLDER_MARGIN_MS)
+	if (now - w->leader_since_ms >= w->holder_ms + HOLDER_MARGIN_MS)
 		return true;
-	return v->predecessor_ended && now - v->started_ms < v->holder_ms;
+	return w->predecessor_ended && now - w->started_ms < w->holder_ms;
 }
 
 static bool may_order(const struct node *n, uint64_t now)
 {
-	struct holder_view view = { n->started_ms, n->leader_since_ms,
-				    n->settings.holder_ms,
-				    n->predecessor_ended };
+	struct machines_wait wait = { n->started_ms, n->leader_since_ms,
+				      n->settings.holder_ms,
+				      n->predecessor_ended };
 
-	return machines_wait_is_over(&view, now) && n->confirmed_ms &&
-	       now - n->confirmed_ms < HOLDER_CONFIRMED_MS && !n->releasing &&
+	return machines_wait_is_over(&wait, now) && n->confirmed_ms &&
+	       now - n->confirmed_ms < ORDER_CONFIRMED_MS && !n->releasing &&
 	       !n->stopping;
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -48,7 +48,7 @@
 	if (n->phase != LEADER_DECIDING)
 		return;
 	sched_tick(n->sched, node_unix_ms(n), now);
-	session_run(n, now);
+	session_send_calls(n, now);
 	commit_run(n, now);
 	n->pass_ended_ms = clock_now_ms();
 	n->pass_duration_ms = n->pass_ended_ms - now;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -333,7 +333,7 @@
 void inbox_add(struct node *n, const char *id);
 
 /* session.c */
-void session_run(struct node *n, uint64_t now);
+void session_send_calls(struct node *n, uint64_t now);
 
 /* watch.c */
 void watch_tick(struct node *n, uint64_t now);
@@ -454,16 +454,16 @@
 
 /* machines.c */
 
-/* Input of machines_wait_is_over. */
-struct holder_view {
+/* What a new leader's wait before its first order to a machine depends on. */
+struct machines_wait {
 	uint64_t started_ms;	  /* start of this process */
 	uint64_t leader_since_ms; /* start of its leadership */
-	uint32_t holder_ms;
-	bool predecessor_ended; /* see struct node */
+	uint32_t holder_ms;	  /* see struct node_settings */
+	bool predecessor_ended;	  /* see struct node */
 };
 
 /*
- * machines_wait_is_over - whether the former leader's last order to a machine
+ * machines_wait_is_over - whether the predecessor's last order to a machine
  * is at least holder_ms ago
  *
  * If the predecessor's process ended and this process is younger than
@@ -471,7 +471,7 @@
  * before this process started. None of its orders can be in flight then: no
  * wait is needed.
  */
-bool machines_wait_is_over(const struct holder_view *view, uint64_t now);
+bool machines_wait_is_over(const struct machines_wait *w, uint64_t now);
 void machines_begin(struct node *n);
 void machines_end(struct node *n);
 void machines_tick(struct node *n, uint64_t now);
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -96,8 +96,8 @@
 typedef void (*poll_fn)(void *arg, enum poll_result result,
 			const struct sched_report *report);
 
-/* Advice; rows is NULL when the adviser didn't answer */
-typedef void (*advice_fn)(void *arg, const struct sched_approval *rows,
+/* Advice; approvals is NULL when the adviser didn't answer */
+typedef void (*advice_fn)(void *arg, const struct sched_approval *approvals,
 			  uint32_t count, uint32_t valid_ms);
 
 /* Machines */
@@ -139,9 +139,9 @@
 struct wave_request {
 	char name[64];
 	uint64_t number;
-	uint32_t at_once; /* maximum of machines down at a time */
+	uint32_t max_concurrent; /* maximum of machines down at a time */
 	uint32_t duration_ms;
-	uint64_t begun_ms; /* set by the node: start of duration_ms */
+	uint64_t started_ms; /* set by the node: start of duration_ms */
 	uint32_t machine_count;
 	char **machines; /* owned by the request */
 };
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -120,7 +120,7 @@
 	char step[SCHED_TASK_MAX];
 };
 
-static void on_advised(void *arg, const struct sched_approval *rows,
+static void on_advised(void *arg, const struct sched_approval *approvals,
 		       uint32_t count, uint32_t valid_ms)
 {
 	struct advice_call *call = arg;
@@ -128,8 +128,8 @@
 
 	if (call->generation == n->phase_generation) {
 		n->advice_calls--;
-		sched_advice_done(n->sched, call->step, rows, count, valid_ms,
-				  call->sent_ms, clock_now_ms());
+		sched_advice_done(n->sched, call->step, approvals, count,
+				  valid_ms, call->sent_ms, clock_now_ms());
 		node_schedule_pass(n);
 	}
 	talloc_free(call);
@@ -150,7 +150,7 @@
 			    call);
 }
 
-void session_run(struct node *n, uint64_t now)
+void session_send_calls(struct node *n, uint64_t now)
 {
 	struct sched_advice advice;
 	struct sched_order order;
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -159,7 +159,7 @@
 	struct sched_options options = {
 		.lease_ms = n->settings.lease_ms,
 		.lease_max_ms = n->settings.lease_max_ms,
-		.former_leader_ms = LEADER_ORDERS_MS,
+		.predecessor_orders_ms = LEADER_ORDERS_MS,
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
 	};
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -349,6 +349,11 @@
 						    : UINT32_MAX;
 }
 
+/*
+ * Counts a failed run for its task, of a gang for the gang's first task. The
+ * step keeps the numbers of its failed runs, so a run counts once, also if an
+ * end that a former leader has counted is reported to its successor again.
+ */
 void task_failed(struct sched *s, struct task *task, uint64_t number,
 		 uint64_t now)
 {
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -49,8 +49,8 @@
 struct sched_options {
 	uint32_t lease_ms;     /* lease that a start or a poll grants */
 	uint32_t lease_max_ms; /* instances shorten longer leases to this */
-	/* after a takeover, a former leader may send orders for this time */
-	uint32_t former_leader_ms;
+	/* after a takeover, the predecessor may send orders for this time */
+	uint32_t predecessor_orders_ms;
 	/* from an unanswered start to the stop that resolves its outcome */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms; /* retention of an ended job's state */
@@ -136,7 +136,7 @@
 	ORDER_REFUSED,	 /* not carried out, for another reason */
 	ORDER_UNREACHED, /* no connection: not carried out */
 	ORDER_UNKNOWN,	 /* no answer: may have been or may be carried out */
-	ORDER_LOST,	 /* the same, but the relaying peer was lost */
+	ORDER_LOST,	 /* the same, but the relay was lost */
 };
 
 /* One poll of an instance, which also renews its lease. */
@@ -186,13 +186,13 @@
 /*
  * sched_become_leader - starts an epoch; called before the first poll
  *
- * Unless predecessor_gone, a former leader may send orders for another
- * former_leader_ms.
+ * Unless predecessor_gone, the predecessor may send orders for another
+ * predecessor_orders_ms.
  */
 void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
 			 uint64_t now);
 
-/* sched_predecessor_gone - the former leader sends no more orders */
+/* sched_predecessor_gone - the predecessor sends no more orders */
 void sched_predecessor_gone(struct sched *s, uint64_t now);
 
 /* sched_configure - applies a configuration and keeps a reference to it */
@@ -260,7 +260,7 @@
  * sched_expect_instance - adds an instance that the machine list names
  *
  * Its row may be missing from the directory for a while; until the instance
- * reports, tasks that a predecessor started may run there.
+ * reports, tasks that a former leader started may run there.
  * sched_expect_complete says that all such instances have been added.
  */
 void sched_expect_instance(struct sched *s, const char *id, const char *pool,
@@ -297,7 +297,7 @@
 		     uint64_t now);
 
 /*
- * sched_poll_lost - ends a poll whose relaying peer was lost
+ * sched_poll_lost - ends a poll whose relay was lost
  *
  * It does not make the instance unresponsive.
  */
@@ -337,12 +337,13 @@
 		       struct sched_advice *advice);
 
 /*
- * sched_advice_done - applies the adviser's answer, rows is NULL if unanswered
+ * sched_advice_done - applies the adviser's answer
  *
- * Called exactly once for each call that sched_next_advice returned.
+ * approvals is NULL if the call got none. Called exactly once for each call
+ * that sched_next_advice returned.
  */
 void sched_advice_done(struct sched *s, const char *step,
-		       const struct sched_approval *rows, uint32_t count,
+		       const struct sched_approval *approvals, uint32_t count,
 		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now);
 
 /* Rows */
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -16,9 +16,10 @@
 #include "pool/sched_internal.h"
 
 #define ADVICE_INSTANCES_MIN 4u /* named in a call, if as many are usable */
-#define ADVICE_MARGIN_MS 400u	/* validity that must remain at a start */
-#define ADVICE_RETRY_MS 300u	/* until the next call, after a failed one */
-#define ADVICE_REPEAT_MS 1000u	/* until the next call, after an answer */
+/* Validity that a ticket must have left at placement: the start must arrive */
+#define ADVICE_MARGIN_MS 400u
+#define ADVICE_RETRY_MS 300u   /* until the next call, after a failed one */
+#define ADVICE_REPEAT_MS 1000u /* until the next call, after an answer */
 
 bool step_needs_advice(const struct step *step)
 {
@@ -125,7 +126,7 @@
 }
 
 void sched_advice_done(struct sched *s, const char *name,
-		       const struct sched_approval *rows, uint32_t count,
+		       const struct sched_approval *approvals, uint32_t count,
 		       uint32_t valid_ms, uint64_t sent_ms, uint64_t now)
 {
 	struct step *step = step_find(s, name);
@@ -138,7 +139,7 @@
 		    "\"step\":%u,\"approved\":%u,\"valid_ms\":%u,"
 		    "\"took_ms\":%" PRIu64,
 		    step->index, count, valid_ms, now - sent_ms);
-	if (!rows) {
+	if (!approvals) {
 		step->advice_due_ms = now + ADVICE_RETRY_MS;
 		return;
 	}
@@ -151,13 +152,13 @@
 		struct instance *i;
 		struct ticket *t = &step->tickets[step->ticket_count];
 
-		HASH_FIND_STR(s->by_id, rows[n].instance, i);
+		HASH_FIND_STR(s->by_id, approvals[n].instance, i);
 		if (!i)
 			continue;
 		t->instance = i->handle.i;
 		t->started_unix_ms = i->started_unix_ms;
 		t->valid_until_ms = sent_ms + valid_ms;
-		snprintf(t->text, sizeof(t->text), "%s", rows[n].ticket);
+		snprintf(t->text, sizeof(t->text), "%s", approvals[n].ticket);
 		step->ticket_count++;
 	}
 }
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -39,8 +39,8 @@
 
 /*
  * Called when all instances of the pool have reported or expired, so that no
- * unreported run of a predecessor is left there. A job whose queue was moved to
- * another pool may run in either, so it is cleared when that holds for all
+ * unreported run of a former leader is left there. A job whose queue was moved
+ * to another pool may run in either, so it is cleared when that holds for all
  * pools.
  */
 static void pool_clear_possibly_running(struct sched *s, struct pool *pool)
@@ -92,7 +92,7 @@
 	amount_add(&s->unreported, &i->unreported_capacity);
 }
 
-/* Assumes that a predecessor renewed the lease with its latest order. */
+/* Assumes that the predecessor renewed the lease with its last order. */
 static void lease_set_from_predecessor(struct sched *s, struct instance *i)
 {
 	i->lease_end_ms = s->predecessor_end_ms +
@@ -108,7 +108,7 @@
 	s->epoch = epoch;
 	s->leader_since_ms = now;
 	s->predecessor_end_ms =
-		predecessor_gone ? now : now + s->options.former_leader_ms;
+		predecessor_gone ? now : now + s->options.predecessor_orders_ms;
 	for (n = 0; n < s->instance_slots; n++)
 		if (s->instances[n])
 			lease_set_from_predecessor(s, s->instances[n]);
@@ -479,7 +479,7 @@
 		if (instance_forgettable(i, now))
 			instance_forget(s, i);
 	}
-	/* By then, all runs that a predecessor started have ended. */
+	/* By then, all runs that a former leader started have ended. */
 	if (now >= s->predecessor_end_ms +
 			   s->options.lease_ms * (1 + LEASE_SLACK) +
 			   LEASE_MARGIN_MS)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -60,10 +60,10 @@
 	struct step *step;
 	uint32_t index;
 	bool done;
-	bool possibly_running; /* started by a predecessor, in no report yet */
-	uint32_t failed;       /* runs that failed */
-	uint32_t starts;       /* in this epoch */
-	uint32_t avoid_instance;       /* slot + 1 of where it failed last */
+	bool possibly_running;	 /* started by a former leader, unreported */
+	uint32_t failed;	 /* runs that failed */
+	uint32_t starts;	 /* in this epoch */
+	uint32_t avoid_instance; /* slot + 1 of where it failed last */
 	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
 	struct run *runs;
@@ -120,7 +120,7 @@
 	bool rows_kept;	       /* it ended, but has runs: its rows are kept */
 	bool claimed;	   /* a leader has written its rows: tasks may start */
 	bool started;	   /* a task of it has run */
-	bool pool_changed; /* a predecessor may run it in another pool */
+	bool pool_changed; /* a former leader may run it in another pool */
 	bool loaded;	   /* at takeover; it may have unreported runs */
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
@@ -225,7 +225,7 @@
 	uint64_t epoch;
 	uint64_t leader_since_ms;     /* when this epoch began */
 	uint64_t leader_confirmed_ms; /* last time known to be leader */
-	uint64_t predecessor_end_ms;  /* last possible order of a predecessor */
+	uint64_t predecessor_end_ms;  /* time of its last possible order */
 	uint64_t unix_ms;	      /* time of day */
 	struct job *jobs;
 	struct job *changed;
@@ -238,7 +238,7 @@
 	uint32_t instance_slots;     /* used or free */
 	uint32_t instance_alloc;
 	uint32_t instance_generation; /* last one given to an instance */
-	uint64_t call_lost_ms;	      /* when a call was last not answered */
+	uint64_t call_unanswered_ms;  /* when a call last got no answer */
 	uint32_t next_poll_slot; /* where the next search for polls begins */
 	uint64_t next_sweep_ms;
 	struct run **runs;
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -15,7 +15,9 @@
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
-#define CALLS_LOSSY_MS 3000u   /* calls are lossy this long after a lost one */
+/* Calls are lossy for so long after one that got no answer */
+#define CALLS_LOSSY_MS 3000u
+
 #define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
 #define POLL_ANSWER_MS 300u /* timeout after the wait: network, busy leader */
 
@@ -27,7 +29,7 @@
  * Longest time from a report to the next poll without assuming a restart:
  * above POLL_UNWRITTEN_MS plus an iteration of the event loop.
  */
-#define SESSION_GAP_MS 500u
+#define SAME_INCARNATION_MS 500u
 
 static bool instance_serves(const struct instance *i)
 {
@@ -51,8 +53,8 @@
 
 /*
  * Designed for instances that leave calls unanswered. An end is reported in
- * answer to the next poll, so where ends are expected a lost poll must be
- * noticed soon.
+ * answer to the next poll, so where ends are expected an unanswered poll must
+ * be noticed soon.
  */
 static uint32_t poll_wait(const struct sched *s, const struct instance *i,
 			  uint64_t now)
@@ -62,7 +64,8 @@
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
 	if (instance_has_ending(i))
-		return s->call_lost_ms && now - s->call_lost_ms < CALLS_LOSSY_MS
+		return s->call_unanswered_ms && now - s->call_unanswered_ms <
+							CALLS_LOSSY_MS
 			       ? POLL_WAIT_LOSSY_MS
 			       : POLL_WAIT_ENDING_MS;
 	return instance_serves(i) ? POLL_WAIT_SERVING_MS : POLL_WAIT_MS;
@@ -75,15 +78,16 @@
 }
 
 /*
- * Whether ends may be acknowledged by the numbers that the instance gave them.
- * Polls follow one another without a gap while it answers. After a gap, or when
- * it was listed in the directory again, it may have restarted, and may number
- * its ends from the start again.
+ * Whether no restart of the instance is assumed since its last report, so that
+ * its ends may be acknowledged by the numbers that it gave them. Polls follow
+ * one another without a gap while it answers. After a gap, or when it was
+ * listed in the directory again, it may have restarted, and may number its ends
+ * from the start again.
  */
-static bool same_session(const struct instance *i, uint64_t now)
+static bool is_same_incarnation(const struct instance *i, uint64_t now)
 {
 	return !i->unresponsive && i->report_sent_ms >= i->listed_ms &&
-	       now - i->clock_read_ms <= SESSION_GAP_MS;
+	       now - i->clock_read_ms <= SAME_INCARNATION_MS;
 }
 
 /* Searches round robin, so that no instance is passed over. */
@@ -102,7 +106,7 @@
 		poll->instance = i->handle;
 		poll->instance_id = i->id;
 		poll->address = i->address;
-		poll->acked = same_session(i, now) ? i->acked : 0;
+		poll->acked = is_same_incarnation(i, now) ? i->acked : 0;
 		poll->wait_ms = poll_wait(s, i, now);
 		poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
 		poll->lease_until = 0;
@@ -330,7 +334,7 @@
 	i->next_poll_ms = now;
 }
 
-static uint64_t later(uint64_t a, uint64_t b)
+static uint64_t max_uint64(uint64_t a, uint64_t b)
 {
 	return a > b ? a : b;
 }
@@ -347,15 +351,15 @@
 	i->polling = false;
 	if (!r) {
 		if (!i->unresponsive && i->reported)
-			s->call_lost_ms = now;
+			s->call_unanswered_ms = now;
 		if (!i->unresponsive)
 			sched_trace(s, "instance-silent", i->id,
 				    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
 				    i->run_count,
 				    (int64_t)(i->lease_end_ms - now));
 		i->unresponsive = true;
-		i->next_poll_ms = later(now + POLL_FAILED_MS,
-					sent_ms + POLL_FAILED_GAP_MS);
+		i->next_poll_ms = max_uint64(now + POLL_FAILED_MS,
+					     sent_ms + POLL_FAILED_GAP_MS);
 		return;
 	}
 	if (i->started_unix_ms != r->started_unix_ms || !i->reported) {
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -336,7 +336,7 @@
 void instance_record_no_answer(struct sched *s, struct instance *i,
 			       uint64_t now)
 {
-	s->call_lost_ms = now;
+	s->call_unanswered_ms = now;
 	if (++i->unanswered_orders >= UNANSWERED_MAX)
 		i->unresponsive = true;
 }
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -1,4 +1,9 @@
-/* Planning of machine maintenance and of moves in virtual time. */
+/*
+ * Planning of machine maintenance and of moves in virtual time. Guards against
+ * a wave that misses its deadline, takes more machines at once than its limit
+ * or one that may still run tasks, and against moves that leave a pool with
+ * fewer machines than its work needs.
+ */
 #include "fleet/fleet.h"
 #include "test/rig/sched_rig.h"
 
@@ -224,10 +229,10 @@
 }
 
 /*
- * Machines that an earlier leader ordered count against the limit as long as
+ * Machines that a former leader ordered count against the limit as long as
  * the list shows them in maintenance.
  */
-static void test_wave_counts_earlier_orders(void **state)
+static void test_wave_counts_former_orders(void **state)
 {
 	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3" };
 	struct fleet_options options = { .maintenance_ms = 2000,
@@ -479,7 +484,7 @@
 		cmocka_unit_test(test_wave),
 		cmocka_unit_test(test_wave_drains_as_needed),
 		cmocka_unit_test(test_wave_waits_for_reports),
-		cmocka_unit_test(test_wave_counts_earlier_orders),
+		cmocka_unit_test(test_wave_counts_former_orders),
 		cmocka_unit_test(test_moves),
 		cmocka_unit_test(test_demand_peaks),
 	};
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -1,6 +1,8 @@
 /*
  * Leader election: in which order nodes of unequal power claim, and when a
- * leader counts as silent, ended or not live.
+ * leader counts as silent, ended or not live. Guards against a weak node that
+ * becomes leader before a strong one claims, and against the replacement of a
+ * leader that was only just learned of or is only slow.
  */
 #include <setjmp.h>
 #include <stdarg.h>
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -203,7 +203,7 @@
 
 struct wait_case {
 	const char *what;
-	struct holder_view view;
+	struct machines_wait wait;
 	uint64_t now;
 	bool over;
 };
@@ -241,7 +241,7 @@
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
-		if (machines_wait_is_over(&cases[c].view, cases[c].now) !=
+		if (machines_wait_is_over(&cases[c].wait, cases[c].now) !=
 		    cases[c].over)
 			fail_msg("%s", cases[c].what);
 }
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -1,6 +1,6 @@
 /*
  * Polls of instances in virtual time: when they are sent, which ends they
- * acknowledge, and how soon a lost poll is noticed.
+ * acknowledge, and how soon an unanswered poll is noticed.
  */
 #include "test/rig/sched_rig.h"
 
@@ -89,10 +89,10 @@
 
 /*
  * Instances leave some calls unanswered during a demand peak. A task's end must
- * be known within the slack of its queue, or one lost poll makes its job late.
- * Where no task ends by itself, polls stay rare.
+ * be known within the slack of its queue, or one unanswered poll makes its job
+ * late. Where no task ends by itself, polls stay rare.
  */
-static void test_lost_polls(void **state)
+static void test_unanswered_polls(void **state)
 {
 	static const struct {
 		bool long_running, lossy;
@@ -155,7 +155,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_ack_of_former_incarnation),
-		cmocka_unit_test(test_lost_polls),
+		cmocka_unit_test(test_unanswered_polls),
 		cmocka_unit_test(test_refused_polls_are_spaced),
 	};
 
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -21,7 +21,7 @@
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = 10000,
-					 .former_leader_ms = 6000,
+					 .predecessor_orders_ms = 6000,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
 
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -466,7 +466,7 @@
 	rows[0] = (struct sched_approval){ "i-1", "t-1" };
 	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 100, r.now,
 			  r.now);
-	assert_int_equal(take_orders(&r), 0); /* too short a validity */
+	assert_int_equal(take_orders(&r), 0); /* it would expire on the way */
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
 	sched_advice_done(r.s, "000000000000000a.0.0", NULL, 0, 0, r.now,
--- a/test/staleness_test.c
+++ b/test/staleness_test.c
@@ -1,7 +1,8 @@
 /*
  * How long a node may use its configuration: which replies prove it to be the
  * newest, and a simulation of nodes that freeze and whose replies are lost or
- * late.
+ * late. Guards against answers by a configuration that was replaced longer ago
+ * than the operators' bound.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -170,7 +171,7 @@
 	uint32_t answered; /* checks that found a usable version */
 };
 
-static uint32_t pick(struct sim *w, uint32_t below)
+static uint32_t random_below(struct sim *w, uint32_t below)
 {
 	w->random = w->random * 6364136223846793005u + 1442695040888963407u;
 	return (uint32_t)((w->random >> 33) % below);
@@ -181,10 +182,11 @@
 {
 	c->in_flight = true;
 	c->sent_ms = now;
-	c->processed_ms = now + pick(w, pick(w, SLOW_PART) ? 20 : 2000);
-	c->arrives_ms =
-		c->processed_ms + pick(w, pick(w, SLOW_PART) ? 20 : 3000);
-	c->lost = now < o->cut_off_until_ms || !pick(w, 10);
+	c->processed_ms =
+		now + random_below(w, random_below(w, SLOW_PART) ? 20 : 2000);
+	c->arrives_ms = c->processed_ms +
+			random_below(w, random_below(w, SLOW_PART) ? 20 : 3000);
+	c->lost = now < o->cut_off_until_ms || !random_below(w, 10);
 	c->version = 0;
 }
 
@@ -192,7 +194,7 @@
 static void process_call(struct sim *w, struct sim_call *c, bool store,
 			 uint64_t now)
 {
-	const struct sim_node *peer = &w->nodes[pick(w, NODES)];
+	const struct sim_node *peer = &w->nodes[random_below(w, NODES)];
 
 	if (c->version || now < c->processed_ms)
 		return;
@@ -209,7 +211,7 @@
 	c->in_flight = false;
 	if (c->lost)
 		return;
-	if (c->version > n->config->version && (store || !pick(w, 3)))
+	if (c->version > n->config->version && (store || !random_below(w, 3)))
 		n->config->version = c->version;
 	if (store && c->version == n->config->version)
 		staleness_verified(n, c->sent_ms);
@@ -223,22 +225,22 @@
 
 	if (now < o->frozen_until_ms)
 		return;
-	if (!pick(w, FAULT_STEPS))
-		o->frozen_until_ms = now + pick(w, 5000);
-	if (!pick(w, FAULT_STEPS))
-		o->cut_off_until_ms = now + pick(w, 5000);
+	if (!random_below(w, FAULT_STEPS))
+		o->frozen_until_ms = now + random_below(w, 5000);
+	if (!random_below(w, FAULT_STEPS))
+		o->cut_off_until_ms = now + random_below(w, 5000);
 	for (i = 0; i < CALLS; i++) {
 		struct sim_call *c = &o->calls[i];
 
-		if (!c->in_flight && !pick(w, 20))
+		if (!c->in_flight && !random_below(w, 20))
 			send_call(w, o, c, now);
 		if (c->in_flight && c->version && now >= c->arrives_ms)
 			receive_reply(w, o, c, i == 0);
 	}
 }
 
-static void check(struct sim *w, const struct sim_node *o, uint64_t now,
-		  uint32_t seed)
+static void check_version(struct sim *w, const struct sim_node *o, uint64_t now,
+			  uint32_t seed)
 {
 	const struct node *n = o->node;
 
@@ -271,7 +273,7 @@
 		n->config->version = 1;
 	}
 	for (now = 100000; now < 100000 + SIM_MS; now += STEP_MS) {
-		if (!pick(w, 150))
+		if (!random_below(w, 150))
 			w->confirmed_ms[++w->version] = now;
 		for (i = 0; i < NODES; i++)
 			for (k = 0; k < CALLS; k++)
@@ -280,7 +282,7 @@
 						     k == 0, now);
 		for (i = 0; i < NODES; i++) {
 			node_step(w, &w->nodes[i], now);
-			check(w, &w->nodes[i], now, seed);
+			check_version(w, &w->nodes[i], now, seed);
 		}
 	}
 	answered = w->answered;
--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -67,17 +67,18 @@
 
 /* Callers */
 
-static struct leader *holder(struct world *w)
+static struct leader *responsive_leader(struct world *w)
 {
-	struct leader *l = w->holder ? &w->leaders[w->holder - 1] : NULL;
+	struct leader *l =
+		w->row_leader ? &w->leaders[w->row_leader - 1] : NULL;
 
-	return l && l->s && w->now >= l->paused_until_ms ? l : NULL;
+	return l && l->s && w->now >= l->frozen_until_ms ? l : NULL;
 }
 
 static void submit(struct world *w, uint32_t j)
 {
 	struct world_job *job = &w->jobs[j];
-	struct leader *l = holder(w);
+	struct leader *l = responsive_leader(w);
 	uint8_t bytes[2048];
 	uint32_t after;
 	uint32_t i;
@@ -109,7 +110,7 @@
 
 	for (j = 0; j < WORLD_JOBS; j++) {
 		struct world_job *job = &w->jobs[j];
-		struct leader *l = holder(w);
+		struct leader *l = responsive_leader(w);
 
 		if (w->now >= job->submit_ms && !job->has_row && !job->end) {
 			submit(w, j);
@@ -174,27 +175,28 @@
 			w->now + restart_delay_ms(w) + random_below(w, 6000);
 		trace(w, "%s crashed", i->id);
 	}
-	if (fault_occurs(w, FAULT_PARTITIONS, 3)) {
-		i->partitioned_until_ms = w->now + 500 + random_below(w, 7000);
-		trace(w, "%s is partitioned", i->id);
+	if (fault_occurs(w, FAULT_CUT_OFF, 3)) {
+		i->cut_off_until_ms = w->now + 500 + random_below(w, 7000);
+		trace(w, "%s is cut off", i->id);
 	}
 	if (fault_occurs(w, FAULT_UNLISTED, 3))
 		i->unlisted_until_ms = w->now + random_below(w, UNLISTED_MS);
 	if (fault_occurs(w, FAULT_FAILING, 2))
 		i->failing = !i->failing;
-	if (fault_occurs(w, FAULT_PAUSES, 3))
-		l->paused_until_ms = w->now + random_below(w, 8000);
+	if (fault_occurs(w, FAULT_FREEZES, 3))
+		l->frozen_until_ms = w->now + random_below(w, 8000);
 	if (fault_occurs(w, FAULT_STORE, 3))
-		l->partitioned_until_ms = w->now + random_below(w, 8000);
+		l->cut_off_until_ms = w->now + random_below(w, 8000);
 	if (w->now >= WORLD_FAULTS_MS)
 		i->failing = false;
 }
 
 static bool leader_is_unresponsive(const struct world *w)
 {
-	const struct leader *l = w->holder ? &w->leaders[w->holder - 1] : NULL;
+	const struct leader *l =
+		w->row_leader ? &w->leaders[w->row_leader - 1] : NULL;
 
-	return !l || !l->s || w->now < l->paused_until_ms ||
+	return !l || !l->s || w->now < l->frozen_until_ms ||
 	       w->now - l->confirmed_ms > 1400;
 }
 
@@ -203,8 +205,8 @@
 	uint32_t index = random_below(w, WORLD_LEADERS);
 
 	if (w->now < w->next_claim_ms ||
-	    w->now < w->leaders[index].paused_until_ms ||
-	    w->now < w->leaders[index].partitioned_until_ms)
+	    w->now < w->leaders[index].frozen_until_ms ||
+	    w->now < w->leaders[index].cut_off_until_ms)
 		return;
 	if (!leader_is_unresponsive(w) && !fault_occurs(w, FAULT_TAKEOVERS, 5))
 		return;
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -3,7 +3,7 @@
  *
  * Simulates jobs, instances, a store and several leaders. By a seeded schedule,
  * calls are lost or executed late, or their answers are lost; instances crash,
- * restart or are partitioned; leaders are paused, replaced or cut off from the
+ * restart or are cut off; leaders are frozen, replaced or cut off from the
  * store; writes have an unknown outcome. The real scheduler decides; the
  * simulation checks every start that reaches an instance, and at the end that
  * no job was lost.
@@ -27,9 +27,9 @@
 	FAULT_LATE_ORDERS = 1 << 0,
 	FAULT_LOST_ANSWERS = 1 << 1,
 	FAULT_CRASHES = 1 << 2,
-	FAULT_PARTITIONS = 1 << 3,
+	FAULT_CUT_OFF = 1 << 3,
 	FAULT_TAKEOVERS = 1 << 4,
-	FAULT_PAUSES = 1 << 5,
+	FAULT_FREEZES = 1 << 5,
 	FAULT_STORE = 1 << 6,
 	FAULT_FAILING = 1 << 7,
 	FAULT_CANCELS = 1 << 8,
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -84,11 +84,11 @@
 static bool reachable(const struct world *w, const struct call *c)
 {
 	if (c->kind == CALL_TXN)
-		return w->now >= w->leaders[c->leader].partitioned_until_ms;
+		return w->now >= w->leaders[c->leader].cut_off_until_ms;
 	/* A call to an incarnation that has ended is lost. */
 	return w->instances[c->instance].up &&
 	       w->instances[c->instance].incarnation == c->target_incarnation &&
-	       w->now >= w->instances[c->instance].partitioned_until_ms;
+	       w->now >= w->instances[c->instance].cut_off_until_ms;
 }
 
 void leader_resign(struct world *w, struct leader *l)
@@ -128,7 +128,7 @@
 						     c->percents[r], 0 };
 	for (r = 0; r < c->ended_count; r++)
 		ended[r] =
-			(struct sched_ended){ c->ended[r].n, c->ended[r].task,
+			(struct sched_ended){ c->ended[r].seq, c->ended[r].task,
 					      c->ended[r].number,
 					      c->ended[r].outcome, "" };
 	if (!timed_out && c->refused)
@@ -163,7 +163,7 @@
 	sched_batch_done(l->s, c->batch, false, w->now);
 	if (c->conflict_job) {
 		sched_row_exists(l->s, w->jobs[c->conflict_job - 1].id);
-	} else if (w->holder == c->leader + 1) {
+	} else if (w->row_leader == c->leader + 1) {
 		l->revision = w->leader_revision; /* resolved by an earlier
 						     transaction */
 		l->resolve = false;
@@ -217,11 +217,11 @@
 
 	DL_FOREACH_SAFE(w->calls, c, next)
 	{
-		bool paused = w->now < w->leaders[c->leader].paused_until_ms;
+		bool frozen = w->now < w->leaders[c->leader].frozen_until_ms;
 
 		if (!c->executed && w->now >= c->exec_ms)
 			call_exec(w, c);
-		if (paused)
+		if (frozen)
 			continue;
 		if (!c->answered && c->executed && w->now >= c->answer_ms &&
 		    w->now < c->timeout_ms)
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -22,7 +22,7 @@
 	struct world_job *job = job_of_task(w, r->task, &step, &index);
 
 	assert(i->end_count < ENDS_MAX);
-	e->n = ++i->last_n;
+	e->seq = ++i->last_seq;
 	memcpy(e->task, r->task, sizeof(e->task));
 	e->number = r->number;
 	e->outcome = outcome;
@@ -57,7 +57,7 @@
 			i->up = true;
 			i->incarnation = w->now + 1;
 			i->clock_start = w->now;
-			i->fence = i->lease_end = i->last_n = 0;
+			i->fence = i->lease_end = i->last_seq = 0;
 			i->run_count = i->end_count = i->stopped_count = 0;
 			trace(w, "%s restarted", i->id);
 		}
@@ -256,7 +256,7 @@
 		struct world_end *end = &i->ends[e];
 		struct world_job *job;
 
-		if (end->n > upto) {
+		if (end->seq > upto) {
 			e++;
 			continue;
 		}
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -15,8 +15,8 @@
 
 #define LEASE_MS 4000u
 #define LEASE_MAX_MS 10000u
-#define PAUSE_DETECT_MS 1000u /* a longer pause requires a new confirmation */
-#define ORDERS_VALID_MS 6000u /* since a confirmation, for sending orders */
+#define FREEZE_DETECT_MS 1000u /* longer freezes need a new confirmation */
+#define ORDERS_VALID_MS 6000u  /* since a confirmation, for sending orders */
 #define CONFIRM_INTERVAL_MS 800u
 #define ORDER_TIMEOUT_MS 500u
 #define TXN_TIMEOUT_MS 1000u
@@ -46,7 +46,7 @@
 };
 
 struct world_end {
-	uint64_t n;
+	uint64_t seq;
 	char task[SCHED_TASK_MAX];
 	uint64_t number;
 	enum sched_outcome outcome;
@@ -66,10 +66,10 @@
 	uint64_t fence;
 	uint64_t lease_end; /* by its own clock */
 	bool up;
-	uint64_t restart_ms;	       /* time of its next start */
-	uint64_t partitioned_until_ms; /* no call passes until then */
+	uint64_t restart_ms;	   /* time of its next start */
+	uint64_t cut_off_until_ms; /* no call passes until then */
 	uint64_t unlisted_until_ms;
-	uint64_t last_n; /* of its ends */
+	uint64_t last_seq; /* of its ends */
 	uint32_t run_count, end_count, stopped_count;
 	struct world_task_run runs[RUNS_MAX];
 	struct world_end ends[ENDS_MAX];
@@ -148,11 +148,11 @@
 	uint64_t incarnation; /* incremented when it claims or resigns */
 	uint64_t revision, fence, epoch;
 	uint64_t confirmed_ms;
-	uint64_t paused_until_ms;
-	uint64_t advanced_ms;	       /* time of its last iteration */
-	uint64_t partitioned_until_ms; /* cut off from the store until then */
-	uint64_t machines_due_ms; /* arrival of the machine list; 0: over */
-	uint32_t commits;	  /* transactions in flight */
+	uint64_t frozen_until_ms;
+	uint64_t advanced_ms;	   /* time of its last iteration */
+	uint64_t cut_off_until_ms; /* cut off from the store until then */
+	uint64_t machines_due_ms;  /* arrival of the machine list; 0: over */
+	uint32_t commits;	   /* transactions in flight */
 	/* its next transaction must void writes of unknown outcome */
 	bool resolve;
 	uint64_t retry_ms; /* no transaction before */
@@ -173,7 +173,7 @@
 	struct world_job jobs[WORLD_JOBS];
 	struct leader leaders[WORLD_LEADERS];
 	uint64_t store_revision, leader_revision, epoch;
-	uint32_t holder; /* index + 1 of the leader that the leader row names */
+	uint32_t row_leader; /* index + 1 of the leader that the row names */
 	uint64_t next_claim_ms;
 	struct call *calls;
 	struct world_result *result;
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -87,7 +87,8 @@
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
 					 .lease_max_ms = LEASE_MAX_MS,
-					 .former_leader_ms = ORDERS_VALID_MS,
+					 .predecessor_orders_ms =
+						 ORDERS_VALID_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000 };
 	struct leader *l = &w->leaders[index];
@@ -95,7 +96,7 @@
 	if (l->s)
 		leader_resign(w, l);
 	l->incarnation++;
-	w->holder = index + 1;
+	w->row_leader = index + 1;
 	w->leader_revision = ++w->store_revision;
 	w->epoch++;
 	w->result->takeovers++;
@@ -225,9 +226,9 @@
 {
 	struct leader *l = &w->leaders[index];
 
-	if (!l->s || w->now < l->paused_until_ms)
+	if (!l->s || w->now < l->frozen_until_ms)
 		return;
-	if (w->now - l->advanced_ms >= PAUSE_DETECT_MS)
+	if (w->now - l->advanced_ms >= FREEZE_DETECT_MS)
 		l->confirmed_ms = 0;
 	l->advanced_ms = w->now;
 	leader_read_machines(w, l);
@@ -236,8 +237,8 @@
 	/* Reading the leader row confirms the leader or makes it resign. */
 	if ((w->now - l->confirmed_ms >= CONFIRM_INTERVAL_MS ||
 	     sched_needs_confirmation(l->s)) &&
-	    w->now >= l->partitioned_until_ms && !random_below(w, 4)) {
-		if (w->holder != index + 1) {
+	    w->now >= l->cut_off_until_ms && !random_below(w, 4)) {
+		if (w->row_leader != index + 1) {
 			leader_resign(w, l);
 			return;
 		}
