pool, node: names of configurations, and when a relayed call is lost

job.queue_config and workspace.config, pool.config instead of three fields `conf`. ORDER_LOST and POLL_LOST said that the relay was lost; a relay that reports no result in time gives them too. The inbox table says what is in it. The head of fleet_world.h names all three things that it checks.

No assert was changed.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -34,6 +34,7 @@
 #define NODE_TABLE_JOB "job"
 #define NODE_TABLE_PROGRESS "progress"
 #define NODE_TABLE_END "end"
+/* Jobs and cancellations that nodes recorded for the leader; keys: job ids. */
 #define NODE_TABLE_INBOX "inbox"
 /* Ordered maintenance; keys are WAVE/MACHINE. */
 #define NODE_TABLE_MAINTENANCE "upkeep"
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -90,7 +90,7 @@
 	POLL_ANSWERED,	   /* report isn't NULL */
 	POLL_UNANSWERED,   /* the instance didn't answer */
 	POLL_NEWER_LEADER, /* it knows a newer leader; no report */
-	POLL_LOST, /* the relay failed; nothing is known of the instance */
+	POLL_LOST, /* the relay reported no result: the instance may be fine */
 };
 
 typedef void (*poll_fn)(void *arg, enum poll_result result,
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -81,7 +81,7 @@
 	assert(pool);
 	snprintf(pool->name, sizeof(pool->name), "%s", name);
 	if (s->config)
-		pool->conf = config_pool(s->config, name);
+		pool->config = config_pool(s->config, name);
 	HASH_ADD_STR(s->pools, name, pool);
 	return pool;
 }
@@ -99,7 +99,7 @@
 	assert(w);
 	snprintf(w->name, sizeof(w->name), "%s", name);
 	if (s->config)
-		w->conf = config_workspace(s->config, name);
+		w->config = config_workspace(s->config, name);
 	HASH_ADD_STR(s->workspaces, name, w);
 	return w;
 }
@@ -134,7 +134,7 @@
 
 void job_follow_queue(struct sched *s, struct job *job)
 {
-	const struct config_queue *q = job->conf;
+	const struct config_queue *q = job->queue_config;
 
 	/* Jobs of a removed queue stay in the pool that it had. */
 	if (q && strcmp(q->pool, job->pool->name)) {
@@ -168,13 +168,14 @@
 
 	s->config = c;
 	for (w = s->workspaces; w; w = w->hh.next)
-		w->conf = config_workspace(c, w->name);
+		w->config = config_workspace(c, w->name);
 	for (p = s->pools; p; p = p->hh.next)
-		p->conf = config_pool(c, p->name);
+		p->config = config_pool(c, p->name);
 	for (job = s->jobs; job; job = job->hh.next) {
 		bool unfinished = job->row && !job_is_over(job);
 
-		job->conf = unfinished ? config_queue(c, job->queue) : NULL;
+		job->queue_config =
+			unfinished ? config_queue(c, job->queue) : NULL;
 		if (unfinished)
 			job_follow_queue(s, job);
 	}
@@ -345,8 +346,9 @@
 
 static uint32_t attempts_max(const struct job *job)
 {
-	return job->conf && job->conf->attempts_max ? job->conf->attempts_max
-						    : UINT32_MAX;
+	return job->queue_config && job->queue_config->attempts_max
+		       ? job->queue_config->attempts_max
+		       : UINT32_MAX;
 }
 
 /*
@@ -431,7 +433,7 @@
 					     job->occurrence_count);
 	assert(job->occurrences);
 	if (s->config)
-		job->conf = config_queue(s->config, job->queue);
+		job->queue_config = config_queue(s->config, job->queue);
 	job_estimate(job);
 	HASH_ADD_STR(s->jobs, id, job);
 	if (!row->times)
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -136,7 +136,7 @@
 	ORDER_REFUSED,	 /* not carried out, for another reason */
 	ORDER_UNREACHED, /* no connection: not carried out */
 	ORDER_UNKNOWN,	 /* no answer: may have been or may be carried out */
-	ORDER_LOST,	 /* the same, but the relay was lost */
+	ORDER_LOST,	 /* the same: the relay reported no result */
 };
 
 /* One poll of an instance, which also renews its lease. */
@@ -297,7 +297,7 @@
 		     uint64_t now);
 
 /*
- * sched_poll_lost - ends a poll whose relay was lost
+ * sched_poll_lost - ends a poll of which the relay reported no result
  *
  * It does not make the instance unresponsive.
  */
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -23,7 +23,7 @@
 
 bool step_needs_advice(const struct step *step)
 {
-	return step->job->conf && step->job->conf->needs_advice;
+	return step->job->queue_config && step->job->queue_config->needs_advice;
 }
 
 const char *step_ticket(const struct step *step, const struct instance *i,
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -111,7 +111,8 @@
 struct job {
 	char id[SCHED_ID_BYTES + 1];
 	Fleet__JobRow *row;
-	const struct config_queue *conf; /* NULL: queue removed, or job ended */
+	/* NULL: the queue was removed, or the job has ended */
+	const struct config_queue *queue_config;
 	struct pool *pool;
 	struct workspace *workspace;
 	Fleet__JobState state; /* as decided; may not be written yet */
@@ -144,13 +145,13 @@
 	char name[128];
 	struct amount used;
 	struct amount unreported; /* requested by possibly running tasks */
-	const struct config_workspace *conf; /* NULL when it was removed */
+	const struct config_workspace *config; /* NULL when it was removed */
 	UT_hash_handle hh;
 };
 
 struct pool {
 	char name[128];
-	const struct config_pool *conf;
+	const struct config_pool *config;
 	struct step *ready;
 	struct instance *instances;
 	uint32_t unreported; /* instances without a report to this leader */
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -56,7 +56,7 @@
 
 void job_estimate(struct job *job)
 {
-	const struct config_queue *q = job->conf;
+	const struct config_queue *q = job->queue_config;
 	size_t i;
 
 	job->critical_path_ms = critical_path_ms(job->row);
@@ -103,24 +103,24 @@
 	const struct workspace *other;
 	double above;
 
-	if (!w || !w->conf || !w->conf->weight)
+	if (!w || !w->config || !w->config->weight)
 		return 0;
 	for (other = s->workspaces; other; other = other->hh.next) {
-		if (!other->conf)
+		if (!other->config)
 			continue;
 		in_use += (double)other->used.cpu;
-		weights += other->conf->weight;
+		weights += other->config->weight;
 	}
 	if (in_use <= 0)
 		return 0;
-	above = (double)w->used.cpu / in_use * weights / w->conf->weight - 1;
+	above = (double)w->used.cpu / in_use * weights / w->config->weight - 1;
 	return above > SHARE_ABOVE_MAX ? SHARE_ABOVE_MAX : above;
 }
 
 static void step_rank(const struct sched *s, struct step *step, uint64_t now)
 {
 	const struct job *job = step->job;
-	const struct config_queue *q = job->conf;
+	const struct config_queue *q = job->queue_config;
 	double slack;
 
 	step->rank = q ? q->priority * RANK_PRIORITY : 0;
@@ -286,9 +286,9 @@
 	const struct amount *cap;
 	int64_t cpu, mem, gpu;
 
-	if (!w || !w->conf)
+	if (!w || !w->config)
 		return true;
-	cap = &w->conf->cap;
+	cap = &w->config->cap;
 	cpu = w->used.cpu + min_int64(w->unreported.cpu, s->unreported.cpu) +
 	      (int64_t)tasks * step->spec->cpu;
 	mem = w->used.mem + min_int64(w->unreported.mem, s->unreported.mem) +
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -175,7 +175,7 @@
 	(void)sent_ms;
 }
 
-static void add_unacked(struct sched *s, struct instance *i, uint64_t n)
+static void add_unacked(struct sched *s, struct instance *i, uint64_t end_seq)
 {
 	if (i->unacked_count == i->unacked_alloc) {
 		i->unacked_alloc = i->unacked_alloc ? i->unacked_alloc * 2 : 8;
@@ -183,7 +183,7 @@
 					    i->unacked_alloc);
 		assert(i->unacked);
 	}
-	i->unacked[i->unacked_count].end_seq = n;
+	i->unacked[i->unacked_count].end_seq = end_seq;
 	i->unacked[i->unacked_count].change_seq = s->change_seq;
 	i->unacked_count++;
 }
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -5,8 +5,8 @@
  * calls are lost or executed late, or their answers are lost; instances crash,
  * restart or are cut off; leaders are frozen, replaced or cut off from the
  * store; writes have an unknown outcome. The real scheduler decides; the
- * simulation checks every start that reaches an instance, and at the end that
- * no job was lost.
+ * simulation checks every start that reaches an instance, that no job is
+ * reported as completed too early, and at the end that no job was lost.
  */
 #ifndef FLEET_WORLD_H
 #define FLEET_WORLD_H
