--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -448,7 +448,7 @@
 /* If its queue has an adviser, a task starts only with a valid approval. */
 static void test_advice(void **state)
 {
-	struct sched_approval rows[1];
+	struct sched_approval approvals[1];
 	struct sched_advice advice;
 	struct rig r;
 
@@ -463,8 +463,8 @@
 	assert_true(sched_next_advice(r.s, r.now, &advice));
 	assert_int_equal(advice.count, 2);
 	assert_false(sched_next_advice(r.s, r.now, &advice));
-	rows[0] = (struct sched_approval){ "i-1", "t-1" };
-	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 100, r.now,
+	approvals[0] = (struct sched_approval){ "i-1", "t-1" };
+	sched_advice_done(r.s, "000000000000000a.0.0", approvals, 1, 100, r.now,
 			  r.now);
 	assert_int_equal(take_orders(&r), 0); /* it would expire on the way */
 	r.now += 1000;
@@ -474,8 +474,8 @@
 	assert_int_equal(take_orders(&r), 0);
 	r.now += 1000;
 	assert_true(sched_next_advice(r.s, r.now, &advice));
-	sched_advice_done(r.s, "000000000000000a.0.0", rows, 1, 3000, r.now,
-			  r.now);
+	sched_advice_done(r.s, "000000000000000a.0.0", approvals, 1, 3000,
+			  r.now, r.now);
 	assert_int_equal(take_orders(&r), 1);
 	assert_string_equal(r.orders[0].instance_id, "i-1");
 	assert_string_equal(r.orders[0].ticket, "t-1");
