pool: names for sizes and weights of placement

place_score() had bare 4 and 2: RACK_WEIGHT and AVOID_PENALTY, in units of the free part of an instance's CPU, with what each outweighs. Also WORK_PER_CORE_S, CANDIDATES_MAX, UNACKED_FIRST, and SCHED_NAME_MAX, SCHED_ADDRESS_MAX, SCHED_ZONE_MAX for buffers whose sizes must agree.

--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -27,7 +27,10 @@
 #define SCHED_TASK_MAX 64	 /* bytes of a task's name, with the NUL */
 #define SCHED_CHECKPOINT_MAX 128 /* bytes of a checkpoint, with the NUL */
 #define SCHED_LABEL_MAX 64	 /* bytes of a label, with the NUL */
-#define SCHED_LABELS_MAX 8
+#define SCHED_LABELS_MAX 8	 /* of an instance */
+#define SCHED_NAME_MAX 128	 /* bytes of a name or id, with the NUL */
+#define SCHED_ADDRESS_MAX 64	 /* bytes of host and port, with the NUL */
+#define SCHED_ZONE_MAX 64	 /* bytes of a zone's name, with the NUL */
 
 struct sched;
 
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -15,6 +15,8 @@
 
 #include "pool/sched_internal.h"
 
+/* Instances considered for a call; those with most free CPU are named */
+#define CANDIDATES_MAX (SCHED_ADVICE_MAX * 4)
 #define ADVICE_INSTANCES_MIN 4u /* named in a call, if as many are usable */
 /* Validity that a ticket must have left at placement: the start must arrive */
 #define ADVICE_MARGIN_MS 400u
@@ -90,13 +92,13 @@
 bool sched_next_advice(struct sched *s, uint64_t now,
 		       struct sched_advice *advice)
 {
-	struct instance *list[SCHED_ADVICE_MAX * 4];
+	struct instance *list[CANDIDATES_MAX];
 	struct step *step = next_step(s, now);
 	uint32_t count, n;
 
 	if (!step)
 		return false;
-	count = list_candidates(s, step, list, SCHED_ADVICE_MAX * 4, now);
+	count = list_candidates(s, step, list, CANDIDATES_MAX, now);
 	step->advice_due_ms = now + ADVICE_RETRY_MS;
 	if (!count)
 		return false;
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -131,7 +131,7 @@
 	uint32_t occurrence_count;
 	uint32_t occurrences_left;
 	struct occurrence *occurrences;
-	char queue[128]; /* name; still set when row is NULL */
+	char queue[SCHED_NAME_MAX]; /* name; still set when row is NULL */
 	enum change_state change;
 	uint32_t batch; /* that contains it, if CHANGE_BATCHED */
 	bool changed_while_batched;
@@ -142,7 +142,7 @@
 };
 
 struct workspace {
-	char name[128];
+	char name[SCHED_NAME_MAX];
 	struct amount used;
 	struct amount unreported; /* requested by possibly running tasks */
 	const struct config_workspace *config; /* NULL when it was removed */
@@ -150,7 +150,7 @@
 };
 
 struct pool {
-	char name[128];
+	char name[SCHED_NAME_MAX];
 	const struct config_pool *config;
 	struct step *ready;
 	struct instance *instances;
@@ -166,16 +166,16 @@
 
 /* The instances of one machine, in the order in which they became known. */
 struct machine_instances {
-	char machine[128];
+	char machine[SCHED_NAME_MAX];
 	struct instance *instances;
 	UT_hash_handle hh;
 };
 
 struct instance {
 	instance_handle_t handle;
-	char id[128];
-	char address[64];
-	char zone[64];
+	char id[SCHED_NAME_MAX];
+	char address[SCHED_ADDRESS_MAX];
+	char zone[SCHED_ZONE_MAX];
 	struct machine_instances *machine;
 	char labels[SCHED_LABELS_MAX][SCHED_LABEL_MAX];
 	uint32_t label_count;
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -20,8 +20,14 @@
 #define SHARE_PENALTY_MS 300.0	/* added for a workspace at twice its share */
 #define SHARE_ABOVE_MAX 2.0	/* largest value of above_share() */
 
+#define WORK_PER_CORE_S 1e6 /* millicores x ms in a second of one core */
+
+/* Score of an instance: part of its CPU that is free, with these applied */
 #define MAINTENANCE_PENALTY 1.5 /* puts an instance below a full one */
-#define STEPS_TRIED_MAX 64u	/* without room, then a pass over a pool ends */
+#define AVOID_PENALTY 2 /* where the task failed: outweighs any free CPU */
+#define RACK_WEIGHT 4	/* outweighs free CPU and AVOID_PENALTY together */
+
+#define STEPS_TRIED_MAX 64u /* without room, then a pass over a pool ends */
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_MAX_MS 5000u
@@ -131,7 +137,7 @@
 	slack = (double)job->objective_ms - (double)now -
 		(double)remaining_path_ms(step);
 	if (slack < 0)
-		step->rank += RANK_LATE + (double)job->work / 1e6;
+		step->rank += RANK_LATE + (double)job->work / WORK_PER_CORE_S;
 	else
 		step->rank += slack - (job->started ? STARTED_BONUS_MS : 0) +
 			      SHARE_PENALTY_MS * above_share(s, job->workspace);
@@ -234,11 +240,11 @@
 	else if (i->maintenance_due)
 		score -= MAINTENANCE_PENALTY;
 	if (spec->same_rack)
-		score += 4 * step_on_rack(task->step, rack_of(i));
+		score += RACK_WEIGHT * step_on_rack(task->step, rack_of(i));
 	if (*spec->near_rack && has_label(i, spec->near_rack))
-		score += 4;
+		score += RACK_WEIGHT;
 	if (task->avoid_instance == i->handle.i + 1)
-		score -= 2;
+		score -= AVOID_PENALTY;
 	return score;
 }
 
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -21,6 +21,8 @@
 #define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
 #define POLL_ANSWER_MS 300u /* timeout after the wait: network, busy leader */
 
+#define UNACKED_FIRST 8u /* entries allocated first, for reported ends */
+
 /* After an unanswered poll the next one follows at the later of these times */
 #define POLL_FAILED_MS 50u	/* from the failure */
 #define POLL_FAILED_GAP_MS 200u /* from sending the unanswered poll */
@@ -178,7 +180,8 @@
 static void add_unacked(struct sched *s, struct instance *i, uint64_t end_seq)
 {
 	if (i->unacked_count == i->unacked_alloc) {
-		i->unacked_alloc = i->unacked_alloc ? i->unacked_alloc * 2 : 8;
+		i->unacked_alloc =
+			i->unacked_alloc ? i->unacked_alloc * 2 : UNACKED_FIRST;
 		i->unacked = talloc_realloc(i, i->unacked, struct unacked,
 					    i->unacked_alloc);
 		assert(i->unacked);
