--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,7 +17,7 @@
 
 #include "pool/sched.h"
 
-#define FLEET_NAME_MAX 128
+#define FLEET_NAME_MAX 128 /* bytes, with the NUL */
 
 struct fleet;
 
