node: names for sizes of names, addresses and counters

NODE_NAME_MAX, NODE_ADDRESS_MAX, NODE_COUNTERS, WAVE_NAME_MAX, CONNECTIONS_PER_PEER and ANSWER_BYTES_MAX in place of bare numbers; names and zones that come from the scheduler have its sizes.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -42,7 +42,7 @@
 struct heartbeat_call {
 	struct node *node;
 	uint8_t *body;
-	char address[64];
+	char address[NODE_ADDRESS_MAX];
 	uint64_t leader_incarnation; /* 0: the address isn't the leader's */
 	uint64_t sent_ms;
 	bool fetch_config; /* asks for the configuration too */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -40,6 +40,9 @@
 #define NODE_TABLE_MAINTENANCE "upkeep"
 #define NODE_LEADER_KEY "lead"
 #define NODE_PEERS_MAX 512u
+#define NODE_NAME_MAX 128   /* bytes, with the NUL */
+#define NODE_ADDRESS_MAX 64 /* bytes of host and port, with the NUL */
+#define NODE_COUNTERS 8	    /* more than there are verbs or results */
 #define NODE_TICK_MS 50u
 #define NODE_STORE_MS 1500u /* timeout of a store call; normally 4 ms */
 
@@ -47,10 +50,10 @@
 #define LEADER_ORDERS_MS 6000u
 
 struct peer_node {
-	char name[128];
-	char zone[64];
-	char address[64];
-	char links[64]; /* address for framed links; empty: none */
+	char name[NODE_NAME_MAX];
+	char zone[SCHED_ZONE_MAX];
+	char address[NODE_ADDRESS_MAX];
+	char links[NODE_ADDRESS_MAX]; /* for framed links; empty: none */
 	uint64_t incarnation;
 	uint32_t power;		/* thousandths of a core */
 	uint64_t last_heard_ms; /* last heartbeat, or when it became known */
@@ -67,8 +70,8 @@
 
 /* The leader row as last known. */
 struct leader_view {
-	char node[128]; /* empty: leadership was released */
-	char address[64];
+	char node[NODE_NAME_MAX]; /* empty: leadership was released */
+	char address[NODE_ADDRESS_MAX];
 	uint64_t incarnation;
 	uint64_t epoch;
 	uint64_t revision;
@@ -195,7 +198,7 @@
 	/* predecessor_ended: its process ended without releasing leadership. */
 	bool predecessor_gone; /* the predecessor gives no more orders */
 	bool predecessor_ended;
-	char predecessor[128];
+	char predecessor[NODE_NAME_MAX];
 	uint64_t predecessor_incarnation;
 	bool registered;  /* this node's row is stored */
 	bool registering; /* a read or write of the node table is in flight */
@@ -232,8 +235,8 @@
 	struct feed feeds[FEED_COUNT];
 
 	/* Counters */
-	uint64_t requests[8]; /* decided as the leader, by verb */
-	uint64_t answers[8];  /* by result */
+	uint64_t requests[NODE_COUNTERS]; /* decided as the leader, by verb */
+	uint64_t answers[NODE_COUNTERS];  /* by result */
 	uint64_t store_calls, store_unknown, store_refused, claims, takeovers;
 	uint64_t commits, polls, polls_failed, orders;
 	uint64_t calls_served; /* calls to instances made as a relay */
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -14,6 +14,8 @@
 #define CONFIGS_SENT_PER_S 3u	   /* by one node: half of a 10 Mbit/s link */
 #define REQUEST_TIMEOUT_MS 2000u   /* until the job or cancellation is stored */
 #define SERVER_IDLE_S 60u
+#define CONNECTIONS_PER_PEER 2 /* accepted */
+#define ANSWER_BYTES_MAX 64    /* of an encoded Fleet__Answer: 4 integers */
 
 static void send_bytes(struct httpd_request *request, const uint8_t *bytes,
 		       size_t length)
@@ -76,7 +78,7 @@
 static void on_decided(void *arg, const struct node_answer *r)
 {
 	Fleet__Answer out = FLEET__ANSWER__INIT;
-	uint8_t bytes[64];
+	uint8_t bytes[ANSWER_BYTES_MAX];
 
 	out.result = r->result;
 	out.state = r->state;
@@ -201,7 +203,7 @@
 	struct httpd_options options = {
 		.address = ip,
 		.body_max = SERVER_BODY_MAX,
-		.connections_max = NODE_PEERS_MAX * 2,
+		.connections_max = NODE_PEERS_MAX * CONNECTIONS_PER_PEER,
 		.idle_timeout_s = SERVER_IDLE_S,
 		.handler = on_request,
 		.arg = n,
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -49,7 +49,7 @@
 
 struct relay_peer {
 	struct relay_peer *prev, *next;
-	char name[128];
+	char name[NODE_NAME_MAX];
 	uint64_t hash;
 	uint32_t power;
 	struct frame_stream *stream; /* NULL: disconnected */
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -45,7 +45,7 @@
 	struct node *node;
 	Fleet__Verb verb;
 	char id[SCHED_ID_BYTES + 1];
-	char queue[128];
+	char queue[SCHED_NAME_MAX];
 	char *url;
 	uint64_t leader_incarnation; /* of the leader that was called */
 	uint8_t *body;		     /* of the call to the leader */
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -62,6 +62,7 @@
 	const char *key;
 };
 
+#define WAVE_NAME_MAX 64	     /* bytes, with the NUL */
 #define STORE_TXN_MAX 100u	     /* entries of one transaction */
 #define STORE_TXN_BYTES (512u << 10) /* of values; the platform allows 1 MB */
 
@@ -137,7 +138,7 @@
 
 /* A wave of maintenance that operators request. */
 struct wave_request {
-	char name[64];
+	char name[WAVE_NAME_MAX];
 	uint64_t number;
 	uint32_t max_concurrent; /* maximum of machines down at a time */
 	uint32_t duration_ms;
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -26,7 +26,7 @@
 	uint64_t generation;
 	uint64_t sent_ms;
 	struct sched_order order;
-	char instance_id[128];
+	char instance_id[SCHED_NAME_MAX];
 };
 
 static void on_polled(void *arg, enum poll_result result,
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -114,7 +114,7 @@
 	uint64_t phase_generation;
 	char id[SCHED_ID_BYTES + 1];
 	bool cancel;
-	char queue[128];
+	char queue[SCHED_NAME_MAX];
 };
 
 static void on_inbox_job(void *arg, const struct store_reply *reply)
