process: names for relative thresholds, units in names

broker: SHIFT_DIVISOR and ADVICE_CHANGE_DIVISOR in place of 4 and 20. event: EVENT_BUFFER is EVENT_BUFFER_BYTES, EVENT_RATE_MAX is EVENT_RATE_MAX_PER_S, and 3 is EVENT_LINE_END_BYTES. members: the loop over states ends at the last one instead of at 3.

--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -12,15 +12,17 @@
 
 /*
  * An entry's demand has shifted if it differs from the previous report by more
- * than this and by more than a quarter.
+ * slots than this and by more than one part in SHIFT_DIVISOR.
  */
 #define SHIFT_SLOTS_MIN 2.0
+#define SHIFT_DIVISOR 4
 
 /*
- * Thousandths of a slot. A target has changed if it differs from the one last
- * sent by more than this and by more than a twentieth.
+ * A target has changed if it differs from the one last sent by more than this,
+ * in thousandths of a slot, and by more than one part in ADVICE_CHANGE_DIVISOR.
  */
 #define ADVICE_CHANGE_MIN_MILLI 100
+#define ADVICE_CHANGE_DIVISOR 20
 
 /* One entry's latest report on a group, and the advice that it gets. */
 struct report {
@@ -125,7 +127,7 @@
 
 	if (change < 0)
 		change = -change;
-	return change > SHIFT_SLOTS_MIN && change > before / 4;
+	return change > SHIFT_SLOTS_MIN && change > before / SHIFT_DIVISOR;
 }
 
 void broker_report(struct broker *b, uint64_t entry,
@@ -338,7 +340,8 @@
 		uint32_t change = new > old ? new - old : old - new;
 
 		if (r->targets[i].team != r->advised[i].team ||
-		    (change > ADVICE_CHANGE_MIN_MILLI && change > old / 20))
+		    (change > ADVICE_CHANGE_MIN_MILLI &&
+		     change > old / ADVICE_CHANGE_DIVISOR))
 			return false;
 	}
 	return true;
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -11,14 +11,15 @@
 
 #include "process/clock.h"
 
-#define EVENT_LINE_MAX 1024u	 /* bytes */
-#define EVENT_BUFFER (64u << 10) /* bytes */
-#define EVENT_KINDS_MAX 64u	 /* further kinds are not rate limited */
+#define EVENT_LINE_MAX 1024u   /* bytes */
+#define EVENT_LINE_END_BYTES 3 /* closing brace, line feed, one spare */
+#define EVENT_BUFFER_BYTES (64u << 10)
+#define EVENT_KINDS_MAX 64u /* further kinds are not rate limited */
 /*
  * Lines per second of one kind: 5 times the mean rate of job starts on a busy
  * day.
  */
-#define EVENT_RATE_MAX 1000u
+#define EVENT_RATE_MAX_PER_S 1000u
 #define EVENT_TEXT_MAX 256u /* bytes; event_sanitize truncates to this */
 
 struct kind {
@@ -29,7 +30,7 @@
 
 static struct {
 	const char *node;
-	char buffer[EVENT_BUFFER];
+	char buffer[EVENT_BUFFER_BYTES];
 	size_t used;
 	struct kind kinds[EVENT_KINDS_MAX];
 	uint64_t dropped;	 /* lines so far */
@@ -62,7 +63,7 @@
 		k->second = now_ms / 1000;
 		k->count = 0;
 	}
-	return ++k->count <= EVENT_RATE_MAX;
+	return ++k->count <= EVENT_RATE_MAX_PER_S;
 }
 
 static size_t line_format(char *line, const char *kind, const char *id,
@@ -80,8 +81,8 @@
 		line[n++] = ',';
 		n += (size_t)vsnprintf(line + n, EVENT_LINE_MAX - n, fmt, ap);
 	}
-	if (n > EVENT_LINE_MAX - 3)
-		n = EVENT_LINE_MAX - 3;
+	if (n > EVENT_LINE_MAX - EVENT_LINE_END_BYTES)
+		n = EVENT_LINE_MAX - EVENT_LINE_END_BYTES;
 	line[n++] = '}';
 	line[n++] = '\n';
 	return n;
@@ -101,9 +102,9 @@
 	va_start(ap, fmt);
 	n = line_format(line, kind, id, now_ms, fmt, ap);
 	va_end(ap);
-	if (log_state.used + n > EVENT_BUFFER)
+	if (log_state.used + n > EVENT_BUFFER_BYTES)
 		event_flush();
-	if (log_state.used + n > EVENT_BUFFER) {
+	if (log_state.used + n > EVENT_BUFFER_BYTES) {
 		log_state.dropped++;
 		return;
 	}
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -9,7 +9,7 @@
 {
 	int i;
 
-	for (i = 0; i < 3; i++)
+	for (i = 0; i <= MEMBER_DEAD; i++)
 		if (name && !strcmp(name, state_names[i])) {
 			*state = (enum member_state)i;
 			return true;
