--- a/src/version/cfg.c
+++ b/src/version/cfg.c
@@ -4,6 +4,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#define DEFAULT_CONNECTIONS 64	 /* to an instance */
 #define DEFAULT_RETURN_MAX_S 600 /* of a wave */
 
 /* Documents */
@@ -186,7 +187,8 @@
 		instance->rack = get_text(o, "rack");
 		instance->department = get_text(o, "department");
 		instance->slots = get_number(o, "slots", 1);
-		instance->connections = get_number(o, "connections", 64);
+		instance->connections =
+			get_number(o, "connections", DEFAULT_CONNECTIONS);
 		instance->generation = get_number(o, "generation", 0);
 		instance->wave = get_text(o, "wave");
 		instance->boots = get_number(o, "boots", 0);
--- a/src/version/cfg_check.c
+++ b/src/version/cfg_check.c
@@ -122,7 +122,7 @@
 {
 	int i;
 
-	for (i = 0; i < 4; i++)
+	for (i = 0; i <= CFG_DEPARTED; i++)
 		if (!strcmp(state_names[i], name))
 			return i;
 	return -1;
--- a/src/version/key.h
+++ b/src/version/key.h
@@ -14,6 +14,7 @@
 #include "version/cfg.h"
 
 #define KEY_SECRET_BYTES 24
+/* Bytes of a name, a dot, the secret in hex and the NUL */
 #define KEY_TEXT_MAX (CFG_NAME_MAX + 1 + KEY_SECRET_BYTES * 2 + 1)
 
 /* The hash key. */
