--- a/src/connection/frames.c
+++ b/src/connection/frames.c
@@ -14,7 +14,7 @@
 #define FRAMES_READ_BYTES 65536u  /* maximum of one recv(2) */
 #define FRAMES_BUFFER_BYTES 4096u /* initial capacity of a buffer */
 #define FRAMES_PREFIX_BYTES 4u	  /* length field before each frame */
-#define FRAMES_BACKLOG 64
+#define FRAMES_BACKLOG 64	  /* connections that wait for accept(2) */
 
 struct buffer {
 	uint8_t *data;
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -15,7 +15,7 @@
 #include "process/mtimer.h"
 
 #define HTTPC_BUFFER_BYTES 1024u      /* initial capacity of a buffer */
-#define HTTPC_BUFFER_KEEP 4096u	      /* bytes; larger ones aren't reused */
+#define HTTPC_BUFFER_KEEP_BYTES 4096u /* larger ones aren't reused */
 #define HTTPC_HEADERS_MAX (64u << 10) /* bytes of one answer's headers */
 #define HTTPC_WATCHES_EXTRA 64	      /* spare entries of a grown table */
 #define HTTPC_READ_BYTES 16384L	      /* maximum of one recv(2) */
@@ -101,7 +101,7 @@
 {
 	struct httpc_buffer kept = { b->data, 0, b->capacity };
 
-	if (b->capacity <= HTTPC_BUFFER_KEEP)
+	if (b->capacity <= HTTPC_BUFFER_KEEP_BYTES)
 		return kept;
 	free(b->data);
 	return (struct httpc_buffer){ 0 };
--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -11,8 +11,8 @@
 
 #include "process/mtimer.h"
 
-#define HTTPD_BODY_BYTES 1024u		   /* initial capacity of a body */
-#define HTTPD_CONNECTION_MEMORY (8u << 10) /* bytes; limits the headers */
+#define HTTPD_BODY_BYTES 1024u		  /* initial capacity of a body */
+#define HTTPD_CONNECTION_BYTES (8u << 10) /* limits the headers */
 
 struct httpd {
 	struct tevent_context *ev;
@@ -260,7 +260,7 @@
 		MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
 		MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)HTTPD_CONNECTION_MEMORY, MHD_OPTION_END);
+		(size_t)HTTPD_CONNECTION_BYTES, MHD_OPTION_END);
 	if (!s->daemon)
 		goto fail;
 	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
