--- a/cli/jackdawwell.c
+++ b/cli/jackdawwell.c
@@ -14,6 +14,7 @@
 
 #define ENTRIES_MAX 64
 #define ARGS_MAX 1000
+#define ARG_ERRORS_MAX 8 /* reported for one command line */
 
 static const struct command commands[] = {
 	{ "load", "FILE", 1, 1, command_load },
@@ -93,7 +94,7 @@
 		arg_lit0(NULL, "dry-run", "show what load would change");
 	struct arg_str *words =
 		arg_strn(NULL, NULL, "COMMAND", 1, ARGS_MAX, "see below");
-	struct arg_end *end = arg_end(8);
+	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
 	void *arg_table[] = { entries, token, json, dry_run, words, end };
 	struct command_context cmd = { 0 };
 
--- a/daemon/jackdawwelld.c
+++ b/daemon/jackdawwelld.c
@@ -11,6 +11,7 @@
 #include "process/log.h"
 
 #define EXIT_USAGE 2
+#define ARG_ERRORS_MAX 8 /* reported for one command line */
 
 int main(int argc, char **argv)
 {
@@ -19,7 +20,7 @@
 	struct arg_lit *check =
 		arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *verbose = arg_lit0("v", "verbose", "log more");
-	struct arg_end *end = arg_end(8);
+	struct arg_end *end = arg_end(ARG_ERRORS_MAX);
 	void *arg_table[] = { check, verbose, file, end };
 	struct status_message message;
 	struct settings *settings;
