src/entry: lost reasons put back; one word for the store

Back are: where the broker moves a team's units (to entries that hold fewer than they demand, so where jobs wait for the limit), that older advice gives way to local targets (only "not followed" was left, which is wrong for transfers), that an unregistered entry doesn't await its running requests, and what ends each timeout of a change. The refusal of a registration names both of its causes.

--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -3,10 +3,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define CORE_ESTIMATE_MIN 16 /* waiting jobs of a team to estimate its wait */
+#define CORE_ESTIMATE_MIN 16 /* waiting jobs; with fewer no estimate */
 #define CORE_HOLDS_INITIAL 64u
 #define CORE_RESERVE_MAX_MS 150	      /* longest reservation of a free slot */
-#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots above the target, minimum */
+#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots a team uses above its target */
 
 /* Request path */
 
@@ -257,7 +257,7 @@
 
 /*
  * Mean failure rate of the pool's other available workers, 1 if there are none.
- * Counts the other workers that are not available.
+ * Sets *unavailable to the number of other workers that are not available.
  */
 static double others_failure_rate(const struct core *c, pool_handle pool,
 				  uint32_t instance, uint32_t *unavailable)
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -134,7 +134,7 @@
  */
 void core_tick(struct core *c, uint64_t now_ms);
 
-/* core_set_row - process a shard's row as read from the table service */
+/* core_set_row - process a shard's row as read from the store */
 void core_set_row(struct core *c, uint32_t shard, const struct ledger_row *row,
 		  uint64_t now_ms);
 
--- a/src/entry/core_internal.h
+++ b/src/entry/core_internal.h
@@ -18,7 +18,7 @@
 #include "request/retry.h"
 
 #define CORE_PEERS_MAX 64	/* entries */
-#define CORE_ADVICE_TTL_MS 5000 /* older advice is not followed */
+#define CORE_ADVICE_TTL_MS 5000 /* local targets replace older advised ones */
 
 /* Units withheld because a job's attempt may still run on a worker. */
 struct core_hold {
@@ -95,7 +95,7 @@
 	uint64_t random;
 	uint64_t fresh_until_ms;
 	uint64_t now_ms;	 /* time of the current call */
-	uint64_t full_update_ms; /* last update of all; 0 makes one due */
+	uint64_t full_update_ms; /* last full update; 0 makes one due */
 	uint32_t waiting;
 	uint64_t waiting_bytes;
 	uint32_t running;
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -16,7 +16,7 @@
 #define DEMAND_CHANGE_MILLI 300
 #define DEMAND_CHANGE_URGENT_MILLI 2000
 
-/* Acquiring units from the table service */
+/* Acquiring units from the store */
 
 static int64_t equal_share(const struct core *c, int64_t total)
 {
@@ -46,8 +46,9 @@
 }
 
 /*
- * Divides a pool's waiting jobs among its workers, in order. A worker's part is
- * at most its idle units held here plus its units free in the table service.
+ * Divides a pool's waiting jobs among its workers, in the order of their list.
+ * A worker's part is at most its idle units held here plus its units free in
+ * the store.
  */
 static void update_pool_targets(struct core *c, struct core_pool *p)
 {
@@ -422,7 +423,11 @@
 		      &p->reported_ms);
 }
 
-/* A team's demand: its running jobs and, up to its limit, the waiting ones. */
+/*
+ * A team's demand: its running jobs and the waiting ones, these up to its
+ * limit, as more can't start. The broker moves units only to entries that hold
+ * fewer than they demand: where jobs wait for the limit, not just for workers.
+ */
 static void report_team(struct core *c, uint32_t id)
 {
 	struct core_team *t = &c->teams[id];
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -282,8 +282,9 @@
 		tevent_loop_once(e->ev);
 	log_write(LOG_INFO, "entry", "stopped");
 	exit_code = e->exit_code;
+	/* Unregistered: peers reclaim the units, nothing running is awaited. */
 	if (entry_state(e) == ENTRY_GONE)
-		_exit(exit_code); /* peers reclaim the units of running jobs */
+		_exit(exit_code);
 	for (i = 0; i < settings->threads; i++)
 		front_join(e->fronts[i]);
 	entry_free(e);
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -6,8 +6,8 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define CHANGE_RESOLVE_MS 6000 /* for a change to be written, else an error */
-#define CHANGE_ACCEPT_MS 5000  /* for a majority of entries to know a change */
+#define CHANGE_RESOLVE_MS 6000 /* until a change not known as written fails */
+#define CHANGE_ACCEPT_MS 5000  /* for a majority to know a change, else 202 */
 #define CHANGE_RETRY_MS 300    /* between attempts to write */
 #define SNAPSHOT_INTERVAL 256  /* versions */
 
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -2,7 +2,7 @@
  * entry_internal - shared by the entry's source files
  *
  * entry.c		the process: start, control loop, drain
- * entry_sync.c		reads rows from the table service
+ * entry_sync.c		reads rows from the store
  * entry_register.c	registration, removal of entries that have ended
  * entry_change.c	commits configuration changes
  * entry_row.c		ledger rows as JSON
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -166,8 +166,9 @@
 }
 
 /*
- * Every entry must map the ledger's domains to the same shards: with another
- * number of shards, limits would be counted twice.
+ * There are too many entries, or this one has another number of shards. All
+ * entries must map the ledger's domains to the same shards, otherwise limits
+ * would be counted twice.
  */
 static void refuse_registration(struct entry *e)
 {
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -306,7 +306,7 @@
 	return f->server != NULL;
 }
 
-/* This front's part of the connections that a worker may get. */
+/* This front's part of the connections to a worker, shared by all fronts. */
 static uint32_t connections_per_worker(const struct settings *s)
 {
 	uint32_t part = s->worker_connections / (s->entries_max * s->threads);
