bench: store; sums and read times of the fairness bench say what they cover

busy_slot_ms and usable_slot_ms sum the same milliseconds, `requested` begins at the end of the warm-up. Entries of the simulation read only rows written in the first 50 ms of a second: this had no word.

--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -2,8 +2,8 @@
  * fairness - simulates the decision code of seven entries
  *
  * Measures deviation from the fair share, utilization and control traffic in
- * virtual time, with a simulated table service and network. Each of six teams,
- * two of them with large shares, sends five times its mean rate or a twentieth
+ * virtual time, with a simulated store and network. Each of six teams, two of
+ * them with large shares, sends five times its mean rate or a twentieth
  * of it, chosen at random for each phase of 4 to 15 seconds. No team may ever
  * run more than its limit and no worker more than its slots. Modes compared:
  *	escrow	entries acquire units, lend them and follow brokers' advice
@@ -75,9 +75,9 @@
 	uint32_t limit;
 	uint32_t running;
 	uint32_t waiting;
-	/* Since the warm-up of the interval */
+	/* Since the end of the interval's warm-up */
 	double slot_ms;	  /* slots used, summed over the milliseconds */
-	double requested; /* requests running or waiting then, or arrived */
+	double requested; /* running or waiting at that end, or arrived */
 	bool backlogged;  /* some request has waited all the time */
 };
 
@@ -102,8 +102,8 @@
 	double worst_error; /* relative deviation from the fair share */
 	double sum_error;
 	uint32_t error_count;
-	double busy_slot_ms;
-	double usable_slot_ms; /* of all slots, while a team could use more */
+	double busy_slot_ms; /* while a team below its limit has waiting work */
+	double usable_slot_ms; /* of all slots, in the same milliseconds */
 	uint64_t refused;
 	uint64_t ended;
 };
@@ -235,6 +235,7 @@
 		(*row)->version = ++s->revision;
 		core_finish_cas(n->core, e->shard, LEDGER_CAS_DONE, s->revision,
 				s->now);
+		/* Entries read rows written in the first 50 ms of a second. */
 		for (i = 0; i < ENTRIES && s->mode != MODE_STATIC; i++)
 			if (!s->entries[i].dead && s->now % 1000 < 50)
 				core_set_row(s->entries[i].core, e->shard, *row,
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -358,15 +358,15 @@
 	uint64_t total_us = 0;
 	uint64_t start;
 	uint32_t i;
-	int round;
+	int repeat;
 
 	for (i = 0; i < teams; i++)
 		t[i] = (struct broker_team){ i, 1000 + i };
-	for (round = 0; round < 5; round++) {
+	for (repeat = 0; repeat < 5; repeat++) {
 		for (i = 0; i < ENTRIES; i++)
-			broker_report(b, i + 1, &d, (uint64_t)round * 1000);
+			broker_report(b, i + 1, &d, (uint64_t)repeat * 1000);
 		start = clock_now_us();
-		broker_run(b, (uint64_t)round * 1000 + 500);
+		broker_run(b, (uint64_t)repeat * 1000 + 500);
 		total_us += clock_now_us() - start;
 	}
 	talloc_free(b);
