--- a/test/runner_test.py
+++ b/test/runner_test.py
@@ -12,7 +12,7 @@
 import fleet
 import jobs
 
-PORT_ROUNDS = 16000
+PORT_ALLOCATIONS = 16000
 FORKING_THREADS = 6
 PRINT_PORTS = "import fleet; print(*fleet.free_ports(200))"
 CASE = """# A node whose port is in use
@@ -53,7 +53,7 @@
             t.start()
         try:
             ports = fleet.Ports()
-            for _ in range(PORT_ROUNDS):
+            for _ in range(PORT_ALLOCATIONS):
                 port = ports.allocate()
                 ports.free.append(port)
                 with socket.socket() as s:
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -13,15 +13,15 @@
 
 import fleet
 
-# Bounds from issue 3. The table service's capacity is shared by all its
-# clients; its figures are those of the requirements.
+# Bounds from issue 3. STORE_..._PER_S is the store's capacity for all its
+# clients, from the requirements.
 RATE_RATIO_MIN = 0.4         # through an entry / direct to the worker
 WAITING_REQUESTS = 10000
 WAITING_MEMORY_MAX_MIB = 128
 IDLE_MAX_BYTES_PER_S = 6000  # one entry, to and from peers and the store
 STORE_READS_PER_S = 2000
 STORE_WRITES_PER_S = 300     # the requirements say several hundred
-STORE_LOAD_SHARE_MAX = 0.05  # an idle fleet of seven
+STORE_LOAD_SHARE_MAX = 0.05  # part of it that seven idle entries may use
 IDLE_MEASURE_S = 10.0
 CALLGRIND = ["valgrind", "--tool=callgrind",
              "--callgrind-out-file=/dev/null"]
@@ -159,7 +159,7 @@
 
     @staticmethod
     def instructions_per_request(count):
-        """The slope between two counts of requests: leaves out the start."""
+        """Instructions per additional request, without those of the start."""
         few, many = 500, 1500
         return (count(many) - count(few)) / (many - few)
 
--- a/tools/link.py
+++ b/tools/link.py
@@ -10,7 +10,7 @@
 
 
 class Link:
-    """Forwards connections; all responses share kb_per_s (0: no limit)."""
+    """Forwards connections; all answers share kb_per_s (0: no limit)."""
 
     def __init__(self, target_port):
         self.target_port = target_port
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -171,8 +171,8 @@
 
     def do_call(self, count, _as, team, _to, queue, *more):
         """call N as TEAM to QUEUE [hold T] [via ENTRY] [behave B]
-        [over T]: starts N calls at equal intervals over T, to the entries
-        that are running in turn."""
+        [body TEXT] [over T]: starts N calls at equal intervals over T, in
+        turn to each running entry."""
         params = parse_pairs(more)
         calls = fleet.BackgroundCalls()
         calls.start(self.start_calls, int(count), team, queue, params)
