src/pool, src/fleet, src/job: comments say which time, pool or order they mean

Misread before: "then" and "since then" without a time, "same" without the line above, "or stops to" (subtracts a run), "it" for a queue, a list or a job, and a job's objective as a formula of fields that have other names. next_sweep_ms and the false return of sched_next_change are described; a restarted instance may hold work for up to lease_max_ms, not "long".

Terms: requested reading of the machine list, unresolved order, a former leader's orders, outcome unknown.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -14,14 +14,14 @@
 #include "fleet/fleet_internal.h"
 
 #define BALANCE_INTERVAL_MS 100u  /* between two planning passes */
-#define BACKLOG_TARGET_MS 250u	  /* for a pool to do its waiting work */
+#define BACKLOG_TARGET_MS 250u	  /* goal for a pool to do its waiting work */
 #define DONOR_UTILIZATION_MAX 0.7 /* of a pool after it gave machines away */
 #define POOL_MACHINES_MIN 2u	  /* machines that a donor pool always keeps */
 #define DRAIN_TIMEOUT_MS 2000u	  /* of a busy machine; then it stays */
 #define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
 #define MOVE_COOLDOWN_MS 1500u	  /* between two moves of the same machine */
 #define MACHINE_CPU_DEFAULT 16000 /* millicores, if a pool has no instance */
-/* Limit of a pool's demand, times the CPU that its tasks use and wait for */
+/* Highest ratio of a pool's demand to the CPU that its tasks use or wait for */
 #define HEADROOM_FACTOR 4.0
 /* Machines beyond those that the spread of a long-running step needs */
 #define SPREAD_RESERVE 1u
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -10,7 +10,7 @@
 #include "fleet/fleet_internal.h"
 
 #define LIST_INTERVAL_MS 5000u /* between two readings of the machine list */
-#define LIST_UNCERTAIN_MS 300u /* same, after an order of unknown outcome */
+#define LIST_UNCERTAIN_MS 300u /* from an unresolved order to a reading */
 #define RETURN_SLACK_MS 400u   /* added to a machine's expected absence */
 
 struct fleet *fleet_new(TALLOC_CTX *ctx, const struct fleet_options *options)
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -15,7 +15,7 @@
 
 enum machine_phase {
 	PHASE_NONE,
-	PHASE_DRAINING,	 /* it gets no new work, until nothing runs on it */
+	PHASE_DRAINING,	 /* it gets no new work; ordered once it is idle */
 	PHASE_ORDERING,	 /* its order is not answered yet */
 	PHASE_UNCERTAIN, /* the outcome of its order is unknown */
 	PHASE_AWAY,	 /* its order was carried out; it is not back yet */
@@ -52,7 +52,7 @@
 	uint64_t deadline_ms;
 	uint32_t count;
 	struct wave_member *members;
-	bool reported_running, reported_completed; /* recorded states */
+	bool reported_running, reported_completed; /* states that are stored */
 	bool reporting; /* a FLEET_ACTION_WAVE_STATE has no result yet */
 };
 
@@ -62,7 +62,7 @@
 	struct machine *machines;
 	struct wave *waves;
 	uint64_t list_read_ms;	 /* when the machine list was last read */
-	uint64_t list_due_ms;	 /* early next reading; 0: none */
+	uint64_t list_due_ms;	 /* requested earlier reading; 0: none */
 	uint64_t balance_due_ms; /* next planning pass of moves */
 	struct fleet_stats stats;
 	struct balance *balance;
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -27,7 +27,7 @@
 #define COST_LONG_RUNNING 100000.0 /* added for each long-running task */
 #define COST_UNKNOWN 1e12 /* unreported, may have runs: not drained now */
 
-/* Between readings of the list while machines are away for a former leader */
+/* Between readings of the list while it shows a former leader's orders */
 #define LIST_IN_PROGRESS_MS 500u
 
 void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
@@ -78,7 +78,7 @@
 		fleet_record_maintenance(f, m->wave->number, m->name);
 }
 
-/* Counts the wave's machines that a former leader ordered, by the list. */
+/* Counts the wave's machines in maintenance that a former leader ordered. */
 static uint32_t ordered_by_former_leader(const struct fleet *f,
 					 const struct wave *w)
 {
@@ -95,7 +95,7 @@
 	return count;
 }
 
-/* Counts the wave's machines that are draining, or else ordered or absent. */
+/* Counts the wave's draining machines, or those ordered or in maintenance. */
 static uint32_t wave_count_machines(const struct fleet *f, const struct wave *w,
 				    bool draining)
 {
--- a/src/job/config.h
+++ b/src/job/config.h
@@ -20,10 +20,10 @@
 
 struct config_queue {
 	const char *name;
-	const char *host;   /* that its calls name */
+	const char *host;   /* in the Host header of its calls; any port */
 	const char *prefix; /* of the paths of its calls */
 	const char *pool;
-	/* a job's objective is the factor x its critical path + the slack */
+	/* a job's time to complete: factor x its critical path + slack */
 	double objective_factor;
 	uint32_t objective_slack_ms;
 	uint32_t timeout_ms;   /* of a call */
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -136,7 +136,7 @@
 {
 	const struct config_queue *q = job->queue_config;
 
-	/* Jobs of a removed queue stay in the pool that it had. */
+	/* Jobs of a removed queue stay in the pool that the queue had. */
 	if (q && strcmp(q->pool, job->pool->name)) {
 		uint32_t k, i;
 
@@ -352,7 +352,7 @@
 }
 
 /*
- * Counts a failed run for its task, of a gang for the gang's first task. The
+ * Counts a failed run for its task; in a gang, for the gang's first task. The
  * step keeps the numbers of its failed runs, so a run counts once, also if an
  * end that a former leader has counted is reported to its successor again.
  */
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -88,7 +88,7 @@
 	uint64_t number;
 	const char *checkpoint;
 	uint32_t percent; /* progress; a long-running task serves at 100 */
-	/* of a task with a latency target, tail in ms; else CPU in use */
+	/* with a latency target: tail latency in ms; else CPU in use */
 	double load;
 };
 
@@ -138,8 +138,8 @@
 	ORDER_REFUSED_TICKET,
 	ORDER_REFUSED,	 /* not carried out, for another reason */
 	ORDER_UNREACHED, /* no connection: not carried out */
-	ORDER_UNKNOWN,	 /* no answer: may have been or may be carried out */
-	ORDER_LOST,	 /* the same: the relay reported no result */
+	ORDER_UNKNOWN,	 /* no answer: may be carried out, now or later */
+	ORDER_LOST,	 /* outcome unknown: the relay reported no result */
 };
 
 /* One poll of an instance, which also renews its lease. */
@@ -150,7 +150,7 @@
 	uint64_t lease_until; /* by the instance's clock; 0: not renewed */
 	uint64_t acked;	      /* ends up to this seq are durable */
 	uint32_t wait_ms;     /* longest wait of the instance for a new end */
-	uint32_t timeout_ms;  /* then the poll counts as unanswered */
+	uint32_t timeout_ms;  /* after this, the poll counts as unanswered */
 };
 
 enum sched_submit {
@@ -274,8 +274,8 @@
  * sched_machine_listed - applies an entry of a list requested at sent_ms
  *
  * id is the instance that is up on the machine, "" when none is. Other
- * instances of that machine that have not reported since then have no runs any
- * more.
+ * instances of that machine that have not reported since sent_ms have no runs
+ * any more.
  */
 void sched_machine_listed(struct sched *s, const char *machine, const char *id,
 			  uint64_t sent_ms, uint64_t now);
@@ -352,7 +352,7 @@
 /* Rows */
 
 /*
- * sched_next_change - adds the next changed job to a batch
+ * sched_next_change - adds the next changed job to a batch; false if none
  *
  * A job is in one batch at a time, so batches may be written concurrently.
  * sched_batch_done ends a batch: if written, all its jobs are durable,
@@ -460,7 +460,7 @@
  */
 bool sched_may_interrupt(const struct sched *s, instance_handle_t i);
 
-/* sched_machine_down - frees all runs: the machine was ordered down */
+/* sched_machine_down - frees all runs: an order to its machine ended them */
 void sched_machine_down(struct sched *s, instance_handle_t i, uint64_t now);
 
 /* sched_explain - describes one job as JSON for operators; owned by ctx */
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -13,7 +13,7 @@
 /* From leaving the directory to removal; a lost directory is back in 2 s */
 #define INSTANCE_KEEP_MS 5000u
 #define LEASE_SLACK 0.03     /* of a lease: clocks may be 2% slow */
-#define LEASE_MARGIN_MS 150u /* from a lease's end until it expires here */
+#define LEASE_MARGIN_MS 150u /* until an ended lease counts as expired */
 #define FAILURES_MAX 3u /* consecutive, of different jobs, before ejection */
 #define EJECT_MS 4000u	/* until an ejected instance is used again */
 
@@ -40,8 +40,8 @@
 /*
  * Called when all instances of the pool have reported or expired, so that no
  * unreported run of a former leader is left there. A job whose queue was moved
- * to another pool may run in either, so it is cleared when that holds for all
- * pools.
+ * to another pool may run in either, so its tasks are cleared once that holds
+ * for all pools.
  */
 static void pool_clear_possibly_running(struct sched *s, struct pool *pool)
 {
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -60,10 +60,11 @@
 	struct step *step;
 	uint32_t index;
 	bool done;
-	bool possibly_running;	 /* started by a former leader, unreported */
+	/* a former leader may have started it; no report shows it */
+	bool possibly_running;
 	uint32_t failed;	 /* runs that failed */
 	uint32_t starts;	 /* in this epoch */
-	uint32_t avoid_instance; /* slot + 1 of where it failed last */
+	uint32_t avoid_instance; /* slot + 1 of its last failure; 0: none */
 	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
 	struct run *runs;
@@ -202,7 +203,7 @@
 	uint64_t next_poll_ms;
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
 	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
-	uint64_t lease_end_ms;	/* by the leader's clock; then no run is left */
+	uint64_t lease_end_ms;	/* by the leader's clock; no run outlasts it */
 	uint64_t last_end_seq;	/* highest seq reported */
 	uint64_t acked;		/* highest seq whose changes are durable */
 	struct unacked *unacked;
@@ -241,7 +242,7 @@
 	uint32_t instance_generation; /* last one given to an instance */
 	uint64_t call_unanswered_ms;  /* when a call last got no answer */
 	uint32_t next_poll_slot; /* where the next search for polls begins */
-	uint64_t next_sweep_ms;
+	uint64_t next_sweep_ms;	 /* next check of timers */
 	struct run **runs;
 	uint32_t *run_generations;
 	uint32_t run_alloc;
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -15,7 +15,7 @@
 /* Rank of a step: its slack in ms with these added; lowest first */
 #define RANK_PRIORITY 1e12	/* per level: above everything else */
 #define RANK_LATE 1e9		/* late work goes after work in time */
-#define RANK_LONG_RUNNING -1e9	/* they go first: they answer live requests */
+#define RANK_LONG_RUNNING -1e9	/* go first: they answer live requests */
 #define STARTED_BONUS_MS 1500.0 /* subtracted for a started job */
 #define SHARE_PENALTY_MS 300.0	/* added for a workspace at twice its share */
 #define SHARE_ABOVE_MAX 2.0	/* largest value of above_share() */
@@ -27,7 +27,8 @@
 #define AVOID_PENALTY 2 /* where the task failed: outweighs any free CPU */
 #define RACK_WEIGHT 4	/* outweighs free CPU and AVOID_PENALTY together */
 
-#define STEPS_TRIED_MAX 64u /* without room, then a pass over a pool ends */
+/* Steps without room, after which a pass over a pool ends */
+#define STEPS_TRIED_MAX 64u
 #define DEFAULT_ESTIMATE_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_MAX_MS 5000u
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -15,7 +15,7 @@
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
-/* Calls are lossy for so long after one that got no answer */
+/* Calls count as lossy for this long after one that got no answer */
 #define CALLS_LOSSY_MS 3000u
 
 #define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -45,7 +45,7 @@
 	return s->runs[h.i];
 }
 
-/* Counts a run's resources for its instance and workspace, or stops to. */
+/* Adds a run's resources to its instance and workspace, or subtracts them. */
 static void account_run(struct run *run, bool begins)
 {
 	const struct step *step = run->task->step;
@@ -255,9 +255,9 @@
 
 /*
  * A clock that went back shows that the instance has restarted: it has read
- * the order's deadline by its new clock and may hold the work for long. Until
- * it reports, its state is unknown, and ends are not acknowledged with the
- * numbers of its former incarnation.
+ * the order's deadline by its new clock and may hold the work for up to
+ * lease_max_ms. Until it reports, its state is unknown, and ends are not
+ * acknowledged with the numbers of its former incarnation.
  */
 static void check_restart(struct sched *s, struct instance *i,
 			  const struct sched_order *order, uint64_t clock_ms,
