--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -36,7 +36,7 @@
 	FAULT_EVACUATIONS = 1 << 9,
 	FAULT_UNLISTED = 1 << 10,
 	FAULT_ALL = (1 << 11) - 1,	/* all of the above */
-	FAULT_QUICK_RESTARTS = 1 << 11, /* crashed ones restart during a poll */
+	FAULT_QUICK_RESTARTS = 1 << 11, /* a crash and restart within a poll */
 };
 
 struct world_result {
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -29,7 +29,7 @@
 #define QUICK_RESTART_MS 500u /* same, with FAULT_QUICK_RESTARTS */
 #define TASKS_MAX 8u	      /* of a step */
 #define RUNS_MAX 64u	      /* on an instance */
-#define ENDS_MAX 256u	      /* on an instance, and of its stopped runs */
+#define ENDS_MAX 256u	      /* ends, and stopped runs, of an instance */
 #define ATTEMPTS_MAX 3u
 #define CANCEL_GRACE_MS 3000u /* starts may follow a cancellation this long */
 #define CAP_CPU 9000	      /* millicores; of workspace w1 */
@@ -151,11 +151,11 @@
 	uint64_t frozen_until_ms;
 	uint64_t advanced_ms;	   /* time of its last iteration */
 	uint64_t cut_off_until_ms; /* cut off from the store until then */
-	uint64_t machines_due_ms;  /* arrival of the machine list; 0: over */
-	uint32_t commits;	   /* transactions in flight */
+	uint64_t machines_due_ms; /* arrival of the machine list; 0: none due */
+	uint32_t commits;	  /* transactions in flight */
 	/* its next transaction must void writes of unknown outcome */
 	bool resolve;
-	uint64_t retry_ms; /* no transaction before */
+	uint64_t retry_ms; /* no transaction before this time */
 	/* when it learns of a recorded job; 0: not recorded or known */
 	uint64_t inbox_due_ms[WORLD_JOBS];
 };
