src/node, src/pool: what resolve_pending and two limits mean

resolve_pending says which transactions the next one voids, the wait for links whose wait it is, and an order without an answer again that it may have been carried out already.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -230,7 +230,9 @@
 
 	/* Since when transactions wait for an answer; 0: none waits. */
 	uint64_t commit_waiting_since_ms;
-	bool resolve_pending;	  /* the next must void lost ones */
+
+	/* The next transaction must void those of unknown outcome. */
+	bool resolve_pending;
 	uint64_t commit_retry_ms; /* no transaction before this time */
 	struct feed feeds[FEED_COUNT];
 
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -25,7 +25,7 @@
 #define RELAY_FIRST_RETRY_MS 400u  /* same, if it was never linked */
 #define RELAY_ANSWER_SLACK_MS 300u /* for the round trip to the peer */
 #define RELAY_CHOICE_MS 200u	   /* between two choices of peers */
-#define RELAY_CONNECT_WAIT_MS 300u /* a new leader waits for first links */
+#define RELAY_CONNECT_WAIT_MS 300u /* a new leader's longest wait for links */
 #define RELAY_PEERS_MAX 24u
 #define RELAY_POWER_PER_INSTANCE 6u /* thousandths of a core */
 
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -138,7 +138,7 @@
 	ORDER_REFUSED_TICKET,
 	ORDER_REFUSED,	 /* not carried out, for another reason */
 	ORDER_UNREACHED, /* no connection: not carried out */
-	ORDER_UNKNOWN,	 /* no answer: may be carried out, now or later */
+	ORDER_UNKNOWN,	 /* no answer: may have been or may be carried out */
 	ORDER_LOST,	 /* outcome unknown: the relay reported no result */
 };
 
