process: comments that name what a bound is compared with

RUN_SHIFTED_INTERVAL_MS, SHIFT_* and ADVICE_CHANGE_* said "this" and "one part in" without naming the quantity. health_request_started counts nothing; the comment said so.

--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -7,19 +7,21 @@
 #include "process/share.h"
 
 #define RUN_INTERVAL_MS 250	   /* between two allocations of a group */
-#define RUN_SHIFTED_INTERVAL_MS 50 /* between two after a shift */
+#define RUN_SHIFTED_INTERVAL_MS 50 /* the same, after demand has shifted */
 #define ADVICE_REPEAT_MS 2000	   /* until unchanged advice is sent again */
 
 /*
- * An entry's demand has shifted if it differs from the previous report by more
- * slots than this and by more than one part in SHIFT_DIVISOR.
+ * An entry's demand has shifted if it differs from that in the previous report
+ * by more than SHIFT_SLOTS_MIN slots and by more than the latter divided by
+ * SHIFT_DIVISOR.
  */
 #define SHIFT_SLOTS_MIN 2.0
 #define SHIFT_DIVISOR 4
 
 /*
- * A target has changed if it differs from the one last sent by more than this,
- * in thousandths of a slot, and by more than one part in ADVICE_CHANGE_DIVISOR.
+ * A target has changed if it differs from the one last sent by more than
+ * ADVICE_CHANGE_MIN_MILLI, in thousandths of a slot, and by more than the
+ * latter divided by ADVICE_CHANGE_DIVISOR.
  */
 #define ADVICE_CHANGE_MIN_MILLI 100
 #define ADVICE_CHANGE_DIVISOR 20
@@ -46,7 +48,7 @@
 	struct report *reports;
 	uint64_t run_ms; /* time of the last allocation */
 	uint32_t count;
-	bool changed; /* a report was stored or removed since `run_ms` */
+	bool changed; /* a report came or was removed since `run_ms` */
 	bool shifted; /* an entry's demand has shifted since `run_ms` */
 };
 
--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -74,7 +74,7 @@
 struct broker *broker_new(TALLOC_CTX *ctx,
 			  const struct broker_callbacks *callbacks);
 
-/* broker_report - store an entry's demand; replaces its previous one */
+/* broker_report - keep an entry's demand in place of its previous one */
 void broker_report(struct broker *b, uint64_t entry,
 		   const struct broker_demand *demand, uint64_t now_ms);
 
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -11,7 +11,7 @@
 #include <time.h>
 
 /*
- * clock_now_us - microseconds since an arbitrary start
+ * clock_now_us - microseconds since an unspecified point in time
  *
  * CLOCK_BOOTTIME also advances while the machine is suspended, so that a
  * process that was stopped or suspended finds its timestamps expired.
--- a/src/process/freshness.c
+++ b/src/process/freshness.c
@@ -89,8 +89,9 @@
 
 	if (!is_full_member(members, self))
 		return 0;
+	/* Self is the only full member: no change is accepted without it. */
 	if (!needed)
-		return FRESHNESS_ALWAYS; /* no change is accepted without it */
+		return FRESHNESS_ALWAYS;
 	for (i = 0; i < f->count; i++) {
 		const struct freshness_peer *p = &f->peers[i];
 
--- a/src/process/freshness.h
+++ b/src/process/freshness.h
@@ -31,7 +31,7 @@
 	struct freshness_peer peers[MEMBERS_MAX];
 };
 
-/* freshness_record - store a peer's answer unless a newer one is stored */
+/* freshness_record - keep a peer's answer unless a newer one is known */
 void freshness_record(struct freshness *f, const struct freshness_peer *peer);
 
 /* freshness_forget - drop a peer's answer */
--- a/src/process/health.h
+++ b/src/process/health.h
@@ -12,10 +12,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define HEALTH_EJECT_RATE 0.5	  /* minimum failure rate to eject */
-#define HEALTH_PEER_RATE_MAX 0.25 /* the peers' mean must be lower */
-#define HEALTH_SAMPLES_MIN 5	  /* results needed to eject a worker */
-/* The first probe is sent after this; the delay doubles after a failed one. */
+#define HEALTH_EJECT_RATE 0.5 /* minimum failure rate to eject */
+#define HEALTH_SAMPLES_MIN 5  /* results needed to eject a worker */
+/* The mean failure rate of the pool's other workers must be lower. */
+#define HEALTH_PEER_RATE_MAX 0.25
+/* From an ejection to its first probe; doubles after each failed probe. */
 #define HEALTH_PROBE_DELAY_MS 2000
 #define HEALTH_PROBE_DELAY_MAX_MS 30000
 
@@ -43,7 +44,7 @@
 /* health_available - whether the worker may get a request now */
 bool health_available(const struct health *h, uint64_t now_ms);
 
-/* health_request_started - count a request; a probe if ejected */
+/* health_request_started - a request starts; if ejected, it is the probe */
 void health_request_started(struct health *h);
 
 #endif
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -140,7 +140,7 @@
 	d->deficit = cell->free < 0;
 }
 
-/* Whether the row has a higher total or another generation than these. */
+/* Whether the cell has more than this total, or another generation. */
 static bool row_exceeds(const struct ledger *l, domain_handle handle,
 			int64_t total, uint64_t generation)
 {
@@ -328,7 +328,7 @@
 	if (s->row && row->version <= s->row->version)
 		return;
 	if (!s->row)
-		s->joined_round = row->round; /* holds no unit to report */
+		s->joined_round = row->round; /* no unit is held yet */
 	TALLOC_FREE(s->row);
 	s->row = ledger_row_copy(l, row);
 	s->dirty = true;
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -148,7 +148,7 @@
 /* ledger_end_unit - mark a unit as idle: its work is known to have ended */
 void ledger_end_unit(struct ledger *l, domain_handle d);
 
-/* ledger_set_idle_target - acquire units while fewer than these are idle */
+/* ledger_set_idle_target - acquire units while fewer than `units` are idle */
 void ledger_set_idle_target(struct ledger *l, domain_handle d, int64_t units);
 
 /*
--- a/src/process/ledger_cas.c
+++ b/src/process/ledger_cas.c
@@ -153,7 +153,7 @@
 	if (ledger_cell_applied(cell, d))
 		return false;
 	if (new_generation && (cell->total || cell->free)) {
-		/* The pool changes after all units are returned. */
+		/* The total stays 0 until all units have been returned. */
 		if (!cell->total)
 			return false;
 		cell->free -= cell->total;
@@ -259,7 +259,10 @@
 	row = ledger_row_copy(l, s->row);
 	changed = plan_totals(l, s, row);
 	opens_round = plan_round(l, shard, now_ms, members, row);
-	/* Units moved in an opening write would count in the reports too. */
+	/*
+	 * The write that opens a round moves no units, as the reports would
+	 * count them too.
+	 */
 	if (!opens_round) {
 		changed |= plan_report(l, shard, row);
 		changed |= plan_units(l, row);
@@ -280,9 +283,9 @@
 enum cas_effect { EFFECT_APPLIED, EFFECT_NOT_APPLIED, EFFECT_UNKNOWN };
 
 /*
- * Settles the units that a compare-and-set acquired or returned. A round that
- * was joined while it was in progress has a report without either of them, so
- * they are dropped here and the round reclaims them.
+ * Settles the units that a compare-and-set acquired or returned. If a round was
+ * joined while the compare-and-set was in progress, its report lacks these
+ * units, so they are dropped here and the round reclaims them.
  */
 static void apply_effect(struct ledger *l, const struct shard *s,
 			 enum cas_effect effect, bool same_round)
--- a/src/process/plan.c
+++ b/src/process/plan.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <stdlib.h>
 
-/* Numbers of instances; one that does not serve for any reason is out. */
+/* Numbers of instances; one not serving, for whatever reason, is out. */
 struct counters {
 	uint32_t *out;	    /* by pool */
 	uint32_t *serving;  /* by pool */
--- a/src/process/plan.h
+++ b/src/process/plan.h
@@ -30,7 +30,7 @@
 	bool selected; /* the wave includes it */
 	bool done;     /* the wave has finished with it */
 	bool empty;    /* no entry holds a unit of it */
-	bool rebooted; /* since it was taken out */
+	bool rebooted; /* it has rebooted since it was taken out */
 };
 
 struct plan_pool {
@@ -75,9 +75,10 @@
 struct plan_result {
 	struct plan_step *steps; /* owned by plan_next's ctx */
 	uint32_t count;
-	uint32_t remaining;	  /* selected instances not yet done */
-	enum plan_budget blocked; /* budget that delays the first drain */
-	uint32_t blocked_pool;	  /* pool of that instance */
+	uint32_t remaining; /* selected instances not yet done */
+	/* Budget that delays a drain, and the pool of the instance delayed. */
+	enum plan_budget blocked;
+	uint32_t blocked_pool;
 };
 
 /* plan_next - the steps to take now, allocated on ctx */
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -29,7 +29,7 @@
 	uint32_t body_max_kib;	  /* largest body of a request, in KiB */
 	uint32_t connections_max; /* most connections of callers */
 	uint32_t entries_max;	  /* entries that divide worker_connections */
-	uint32_t worker_connections; /* most of all entries to one worker */
+	uint32_t worker_connections; /* most to one worker, from all entries */
 	struct settings_operator *operators;
 	uint32_t operators_count;
 };
