--- a/src/request/fq.c
+++ b/src/request/fq.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define FQ_CREDIT_MAX 8.0     /* slots; bounds the credit in both signs */
-#define FQ_CREDIT_TIME_S 0.25 /* time for a shortfall of 1 to add 1 credit */
+#define FQ_CREDIT_TIME_S 0.25 /* until a shortfall of 1 slot adds 1 credit */
 #define FQ_GAP_SMOOTHING 0.1  /* weight of the newest gap between starts */
 #define FQ_CLASSES 2
 
@@ -18,7 +18,7 @@
 	struct job_list lists[FQ_CLASSES]; /* by enum cfg_class */
 	uint32_t waiting;
 	uint32_t running;
-	double target;
+	double target;	     /* in slots */
 	double credit;	     /* shortfall accumulated over time, in slots */
 	double start_gap_ms; /* smoothed time between starts */
 	uint64_t credit_updated_ms;
--- a/src/request/fq.h
+++ b/src/request/fq.h
@@ -52,7 +52,7 @@
 	team_handle team;
 	uint32_t waiting;
 	uint32_t running;
-	double target;
+	double target;	    /* in slots */
 	uint64_t oldest_ms; /* arrival of the oldest waiting job, 0 if none */
 	/* Smoothed time between starts while jobs wait, 0 if unknown */
 	double start_gap_ms;
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -10,8 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define RETRY_CREDIT_MILLI 100 /* thousandths of a retry per request */
-#define RETRY_BUDGET_MAX_MILLI 10000
+#define RETRY_CREDIT_MILLI 100	     /* thousandths of a retry per request */
+#define RETRY_BUDGET_MAX_MILLI 10000 /* thousandths of a retry */
 #define RETRY_DELAY_MIN_MS 5
 #define RETRY_DELAY_MAX_MS 50
 
