entry: names for bare limits, comments on times of the control loop

New macros in place of literals: CORE_ROUND_INTERVAL_MIN_MS, CORE_RESERVE_UNTARGETED, DEMAND_CHANGE_DIVISOR, DEMAND_CHANGE_URGENT_DIVISOR, INSTANCES_EXTRA. The bounds of a change say from when to when they run.

--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -18,6 +18,7 @@
 
 #define STEPS_PER_CHANGE 50  /* planned steps in one configuration change */
 #define REBOOT_RETRY_MS 5000 /* between requests to reboot an instance */
+#define INSTANCES_EXTRA 16   /* spare entries of a grown table */
 
 /* What this entry has observed of an instance. */
 struct conductor_instance {
@@ -41,7 +42,7 @@
 	uint32_t count = c->count;
 
 	if (instance >= count) {
-		c->count = instance * 2 + 16;
+		c->count = instance * 2 + INSTANCES_EXTRA;
 		c->instances = talloc_realloc(
 			c, c->instances, struct conductor_instance, c->count);
 		assert(c->instances);
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -3,10 +3,17 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define CORE_ESTIMATE_MIN 16 /* waiting jobs; with fewer no estimate */
+#define CORE_ESTIMATE_MIN 16 /* waiting jobs of a team; fewer: no estimate */
 #define CORE_HOLDS_INITIAL 64u
-#define CORE_RESERVE_MAX_MS 150	      /* longest reservation of a free slot */
-#define CORE_RESERVE_ABOVE_TARGET 0.5 /* slots a team uses above its target */
+#define CORE_RESERVE_MAX_MS 150		/* longest reservation of a free slot */
+#define CORE_ROUND_INTERVAL_MIN_MS 1000 /* between rounds opened in a shard */
+/*
+ * In slots. A free slot is not reserved if the team that would get it runs less
+ * than CORE_RESERVE_ABOVE_TARGET above its target, or if this entry holds more
+ * than CORE_RESERVE_UNTARGETED above the sum of its targets.
+ */
+#define CORE_RESERVE_ABOVE_TARGET 0.5
+#define CORE_RESERVE_UNTARGETED 1.0
 
 /* Request path */
 
@@ -148,7 +155,7 @@
 	fq_team_view(p->queue, job->team, &flow);
 	if (!c->options.advice ||
 	    c->now_ms > p->advised_ms + CORE_ADVICE_TTL_MS ||
-	    p->target_sum + 1.0 < p->reported.held ||
+	    p->target_sum + CORE_RESERVE_UNTARGETED < p->reported.held ||
 	    flow.running < flow.target + CORE_RESERVE_ABOVE_TARGET) {
 		p->reserved_since_ms = 0;
 		return false;
@@ -522,7 +529,7 @@
 	struct ledger_options ledger = {
 		.incarnation = options->incarnation,
 		.shard_count = options->shard_count,
-		.round_interval_min_ms = 1000,
+		.round_interval_min_ms = CORE_ROUND_INTERVAL_MIN_MS,
 	};
 
 	assert(c);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -59,7 +59,7 @@
 struct core_options {
 	uint64_t incarnation;
 	uint32_t shard_count;
-	uint32_t waiting_max;	/* waiting jobs, over all queues */
+	uint32_t waiting_max;	/* most waiting jobs, over all queues */
 	uint64_t waiting_bytes; /* memory limit of the waiting jobs */
 	uint64_t random;	/* seed of the retry delays */
 	bool advice;		/* report demand to brokers, follow advice */
--- a/src/entry/core_units.c
+++ b/src/entry/core_units.c
@@ -2,19 +2,21 @@
 
 #include <string.h>
 
-#define REPORT_INTERVAL_MS 250 /* between reports of changes not urgent */
+#define REPORT_INTERVAL_MS 250 /* between reports, without an urgent change */
 #define FULL_UPDATE_MS 1000    /* between updates of idle pools and teams */
 #define REPORT_REFRESH_MS 2000 /* until an unchanged report is sent again */
 #define TRANSFER_RESEND_MS 500 /* between sends of unacknowledged transfers */
 
 /*
- * Thousandths of a slot. A team's demand counts as changed when it differs from
- * the last report by more than DEMAND_CHANGE_MILLI and more than an eighth of
- * the reported demand. The change is urgent, and reported at once, when it is
- * more than DEMAND_CHANGE_URGENT_MILLI and more than a quarter.
+ * A team's demand counts as changed when it differs from the last report by
+ * more than DEMAND_CHANGE_MILLI, in thousandths of a slot, and by more than the
+ * reported demand divided by DEMAND_CHANGE_DIVISOR. The _URGENT_ bounds apply
+ * in the same way to a change that is reported at once.
  */
 #define DEMAND_CHANGE_MILLI 300
+#define DEMAND_CHANGE_DIVISOR 8
 #define DEMAND_CHANGE_URGENT_MILLI 2000
+#define DEMAND_CHANGE_URGENT_DIVISOR 4
 
 /* Acquiring units from the store */
 
@@ -291,9 +293,11 @@
 {
 	uint32_t change = now > reported ? now - reported : reported - now;
 
-	if (change > DEMAND_CHANGE_URGENT_MILLI && change > reported / 4)
+	if (change > DEMAND_CHANGE_URGENT_MILLI &&
+	    change > reported / DEMAND_CHANGE_URGENT_DIVISOR)
 		return DEMAND_CHANGED_URGENTLY;
-	if (change > DEMAND_CHANGE_MILLI && change > reported / 8)
+	if (change > DEMAND_CHANGE_MILLI &&
+	    change > reported / DEMAND_CHANGE_DIVISOR)
 		return DEMAND_CHANGED;
 	return DEMAND_UNCHANGED;
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -282,7 +282,7 @@
 		tevent_loop_once(e->ev);
 	log_write(LOG_INFO, "entry", "stopped");
 	exit_code = e->exit_code;
-	/* Unregistered: peers reclaim the units, nothing running is awaited. */
+	/* If unregistered, does not wait for work: peers reclaim the units. */
 	if (entry_state(e) == ENTRY_GONE)
 		_exit(exit_code);
 	for (i = 0; i < settings->threads; i++)
--- a/src/entry/entry_change.c
+++ b/src/entry/entry_change.c
@@ -6,10 +6,12 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define CHANGE_RESOLVE_MS 6000 /* until a change not known as written fails */
-#define CHANGE_ACCEPT_MS 5000  /* for a majority to know a change, else 202 */
-#define CHANGE_RETRY_MS 300    /* between attempts to write */
-#define SNAPSHOT_INTERVAL 256  /* versions */
+/* From its submission until a change that is not known to be written fails. */
+#define CHANGE_RESOLVE_MS 6000
+/* From its commit until a change that no majority knows gets the answer 202. */
+#define CHANGE_ACCEPT_MS 5000
+#define CHANGE_RETRY_MS 300   /* between attempts to write */
+#define SNAPSHOT_INTERVAL 256 /* versions between two snapshots */
 
 enum change_step {
 	CHANGE_QUEUED,
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -106,7 +106,7 @@
 	struct freshness freshness;
 	uint64_t incarnation;
 	uint64_t registration_nonce;
-	uint64_t registered_members_version;
+	uint64_t registered_members_version; /* first seen with this entry */
 	bool writing_members;
 	json_t *changes[ENTRY_CHANGES_KEPT]; /* index: version modulo count */
 	uint64_t head_revision;		     /* of ROW_HEAD */
@@ -114,13 +114,13 @@
 	struct entry_change *pending; /* unfinished changes, oldest first */
 	uint64_t nonce;
 	struct conductor *conductor;
-	uint64_t drain_since_ms;
-	uint64_t probed_ms;
-	uint64_t scanned_ms;
-	uint64_t listed_ms;
+	uint64_t drain_since_ms; /* in ENTRY_DRAINING: last seen with work */
+	uint64_t probed_ms;	 /* last probe of the peers, also its nonce */
+	uint64_t scanned_ms;	 /* last scan of the store's rows */
+	uint64_t listed_ms;	 /* last read of the instance list */
 	uint64_t ticked_ms;
-	bool removed_self;
-	bool finished; /* the control loop may end */
+	bool removed_self; /* has begun to unregister */
+	bool finished;	   /* the control loop may end */
 	int exit_code;
 };
 
--- a/src/entry/entry_register.c
+++ b/src/entry/entry_register.c
@@ -288,7 +288,7 @@
 
 /*
  * A member is absent when the list had its name and no longer has it, or when
- * it is marked dead. A registration marks older incarnations of its name so.
+ * it is marked dead, which the registration of a newer incarnation does.
  */
 static void on_list(void *arg, const struct platform_answer *answer)
 {
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -17,7 +17,8 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define HANG_UP_CHECK_MS 10	/* shortest wait with a check for a hang-up */
+/* A job that waited longer starts only if its caller has not hung up. */
+#define HANG_UP_CHECK_MS 10
 #define FRONT_IDLE_TIMEOUT_S 75 /* for callers' connections */
 #define RUN_PREFIX "/run/"
 
