--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -24,10 +24,10 @@
 
 #define ENTRIES 7
 #define WORKERS 10
-#define SLOTS 8
+#define SLOTS 8 /* of each worker */
 #define TEAMS 6
 #define CAPACITY (WORKERS * SLOTS)
-#define HOLD_MEAN_MS 200
+#define HOLD_MEAN_MS 200 /* mean run time of a request */
 #define WAIT_MAX_MS 12000
 #define SHARDS 2
 #define PEER_LATENCY_MS 2
--- a/bench/waves.c
+++ b/bench/waves.c
@@ -50,7 +50,7 @@
 	uint32_t out_max;
 };
 
-/* Aluat needs short waves; the Consortium can spare little capacity. */
+/* Two users' budgets: Aluat needs short waves, the Consortium capacity. */
 static const struct user users[] = {
 	{ "aluat", 8, 2 },
 	{ "consortium", 9, 1 },
--- a/cli/wave.c
+++ b/cli/wave.c
@@ -9,7 +9,7 @@
 #include "version/wave.h"
 
 #define BAR_WIDTH 30	     /* characters */
-#define DRAIN_REBOOT_S 300.0 /* estimate per instance */
+#define DRAIN_REBOOT_S 300.0 /* estimate, from drain until serving again */
 
 /* Reads a wave from arguments `field=value`; NULL after printing an error. */
 static json_t *parse_wave(const struct command_context *cmd, int first_arg)
--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -49,7 +49,7 @@
 	uint64_t send_before_us;
 	uint64_t progress_ms; /* time of the last byte, or of the start */
 	uint32_t stall_timeout_ms;
-	uint32_t attempts; /* allowed by on_prerequest */
+	uint32_t attempts; /* to send, allowed by on_prerequest */
 	bool once;
 	bool framed; /* has Content-Length or Transfer-Encoding */
 	bool too_large;
