--- a/test/walk/world.h
+++ b/test/walk/world.h
@@ -21,7 +21,7 @@
 #define STEPS 400	 /* of a schedule, before the recovery */
 #define QUEUE_MAX 256	 /* messages, and writes, in transit at once */
 #define VERSIONS_MAX 256 /* configuration versions of a schedule */
-#define RECOVERY_MS 5000 /* from the last fault until no unit is missing */
+#define RECOVERY_MS 5000 /* limit, from the last fault to no unit missing */
 #define TICK_MS 50	 /* between two steps of the recovery */
 
 enum op {
@@ -30,7 +30,7 @@
 	OP_SET_IDLE_TARGET,
 	OP_RETURN,
 	OP_LEND,
-	OP_RESEND,
+	OP_RESEND, /* transfers that are not acknowledged */
 	OP_DELIVER,
 	OP_DROP, /* lose a message */
 	OP_DUPLICATE,
@@ -46,7 +46,7 @@
 	OP_OUTAGE,	    /* start or end an outage of the store */
 	OP_CONFIGURE,	    /* commit a configuration version */
 	OP_CONFIGURE_ENTRY, /* bring the newest version to one entry */
-	OP_SUSPECT,
+	OP_SUSPECT,	    /* an entry suspects that units are lost */
 	OP_COUNT,
 };
 
@@ -147,7 +147,7 @@
 void walk_remove_dead(struct world *w);
 struct ledger_link *walk_link(struct world *w, uint32_t from, uint32_t to);
 
-/* walk_deliver - deliver a message; keep: it is delivered once more later */
+/* walk_deliver - deliver a message; if keep is set, it stays in transit too */
 void walk_deliver(struct world *w, uint32_t i, bool keep);
 
 void walk_resend(struct world *w, struct entry *e);
