--- a/tools/check.py
+++ b/tools/check.py
@@ -17,7 +17,7 @@
 
 LEDGER_WALK_SCHEDULES = 10000
 FLEET_WALK_SEEDS = 10000
-# Mask of enum world_fault: all faults; instances restart within 0.5 s.
+# Bits of enum world_fault: FAULT_ALL and FAULT_QUICK_RESTARTS.
 QUICK_RESTART_FAULTS = 4095
 FLEET_WALK_PARTS = 5  # processes that run concurrently
 SAFEGUARDS = ("round-tag", "sequence", "late-acquire", "report", "deficit",
