--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -9,6 +9,7 @@
  */
 #include <assert.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +21,7 @@
 #define ADMIN_BODY_MAX (64u << 20) /* bytes */
 #define ADMIN_CONNECTIONS_MAX 256
 #define ADMIN_IDLE_TIMEOUT_S 60
+#define ADMIN_ERROR_MAX (JSON_ERROR_TEXT_LENGTH + 64) /* bytes */
 
 struct change_request {
 	struct entry *entry;
@@ -201,7 +203,7 @@
 
 static void random_id(char *id)
 {
-	uint8_t bytes[16];
+	uint8_t bytes[ENTRY_CHANGE_ID_BYTES];
 
 	randombytes_buf(bytes, sizeof(bytes));
 	sodium_bin2hex(id, sizeof(bytes) * 2 + 1, bytes, sizeof(bytes));
@@ -280,7 +282,7 @@
 	json_error_t error;
 	json_t *body = json_loadb(http->body ? http->body : "",
 				  http->body_length, 0, &error);
-	char text[JSON_ERROR_TEXT_LENGTH + 64];
+	char text[ADMIN_ERROR_MAX];
 
 	if (!body) {
 		snprintf(text, sizeof(text), "body, line %d: %s", error.line,
@@ -338,7 +340,7 @@
 
 bool admin_listen(struct entry *e)
 {
-	char ip[16];
+	char ip[INET_ADDRSTRLEN];
 	struct httpd_options options = {
 		.address = ip,
 		.body_max = ADMIN_BODY_MAX,
--- a/src/entry/conductor.c
+++ b/src/entry/conductor.c
@@ -116,7 +116,7 @@
 /* Takes over change. */
 static void commit(struct entry *e, json_t *change)
 {
-	uint8_t bytes[16];
+	uint8_t bytes[ENTRY_CHANGE_ID_BYTES];
 	char id[sizeof(bytes) * 2 + 1];
 
 	randombytes_buf(bytes, sizeof(bytes));
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -323,6 +323,7 @@
 
 static uint32_t next_random(struct core *c)
 {
+	/* Knuth's MMIX generator; its upper bits are the best. */
 	c->random = c->random * 6364136223846793005u + 1442695040888963407u;
 	return (uint32_t)(c->random >> 33);
 }
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -24,6 +24,8 @@
 #define CORE_TICK_MS 50		  /* interval between calls of core_tick */
 #define CORE_LEASE_MARGIN_MS 1000 /* from a lease's end to freeing units */
 #define CORE_REFUSAL_COUNT 8	  /* number of values of enum job_refusal */
+/* Bytes of a kind's letter, a colon, a name and the NUL, as in "t:shop" */
+#define CORE_KIND_NAME_MAX (2 + CFG_NAME_MAX + 1)
 
 /* A message to another entry's core. */
 enum core_message_kind {
--- a/src/entry/core_cfg.c
+++ b/src/entry/core_cfg.c
@@ -37,7 +37,7 @@
 
 static void configure_teams(struct core *c, const struct cfg *cfg)
 {
-	char name[CFG_NAME_MAX + 3];
+	char name[CORE_KIND_NAME_MAX];
 	uint32_t i;
 
 	for (i = 0; i < cfg->team_count; i++) {
@@ -64,7 +64,7 @@
 
 static void configure_instances(struct core *c, const struct cfg *cfg)
 {
-	char name[CFG_NAME_MAX + 3];
+	char name[CORE_KIND_NAME_MAX];
 	uint32_t i;
 
 	for (i = 0; i < cfg->instance_count; i++) {
--- a/src/entry/core_print.c
+++ b/src/entry/core_print.c
@@ -3,6 +3,8 @@
 #include "entry/core_internal.h"
 #include "request/outcome.h"
 
+#define LABELS_MAX (CFG_NAME_MAX + 64) /* bytes */
+
 static void print_counters(const struct core_counters *n, FILE *out)
 {
 	const struct {
@@ -39,7 +41,7 @@
 	const struct core_team *t = &c->teams[id];
 	struct ledger_domain_view view;
 	const char *name = c->cfg->teams[id].name;
-	char labels[CFG_NAME_MAX + 64];
+	char labels[LABELS_MAX];
 	int i;
 
 	ledger_view(c->ledger, t->domain, &view);
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -41,8 +41,9 @@
 #define ROW_SNAPSHOT ROW_PREFIX "config/snapshot"
 #define ROW_LEDGER ROW_PREFIX "ledger/"
 
-#define ENTRY_CHANGES_KEPT 256 /* most recent changes kept in memory */
-#define ENTRY_KEY_MAX 128      /* bytes of a row's key */
+#define ENTRY_CHANGES_KEPT 256	 /* most recent changes kept in memory */
+#define ENTRY_KEY_MAX 128	 /* bytes of a row's key */
+#define ENTRY_CHANGE_ID_BYTES 16 /* random bytes of a generated id */
 
 enum entry_state {
 	ENTRY_STARTING, /* not registered or configuration not yet read */
--- a/src/entry/entry_wire.c
+++ b/src/entry/entry_wire.c
@@ -67,7 +67,7 @@
 
 static char *group_name(const struct entry *e, struct broker_group g)
 {
-	char name[CFG_NAME_MAX + 3];
+	char name[CORE_KIND_NAME_MAX];
 
 	if (g.kind == BROKER_POOL)
 		snprintf(name, sizeof(name), "p:%s",
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -7,6 +7,7 @@
  */
 #include <assert.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -292,7 +293,7 @@
 static bool front_listen(struct front *f)
 {
 	const struct settings *s = f->entry->settings;
-	char ip[16];
+	char ip[INET_ADDRSTRLEN];
 	struct httpd_options options = {
 		.address = ip,
 		.body_max = (size_t)s->body_max_kib << 10,
