--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -223,7 +223,7 @@
 {
 	struct change_request *call = talloc_zero(e, struct change_request);
 	const char *id = json_string_value(json_object_get(body, "id"));
-	char generated[33];
+	char generated[ENTRY_CHANGE_ID_BYTES * 2 + 1];
 
 	assert(call);
 	call->entry = e;
