--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -7,6 +7,7 @@
  */
 #include <assert.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -17,7 +18,8 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define HANG_UP_CHECK_MS 10	/* shortest wait with a check for a hang-up */
+/* A job that waited longer starts only if its caller has not hung up. */
+#define HANG_UP_CHECK_MS 10
 #define FRONT_IDLE_TIMEOUT_S 75 /* for callers' connections */
 #define RUN_PREFIX "/run/"
 
@@ -291,7 +293,7 @@
 static bool front_listen(struct front *f)
 {
 	const struct settings *s = f->entry->settings;
-	char ip[16];
+	char ip[INET_ADDRSTRLEN];
 	struct httpd_options options = {
 		.address = ip,
 		.body_max = (size_t)s->body_max_kib << 10,
