event: keep rare lines apart from frequent ones

At a takeover the lines of all instances come before the `takeover` line, in one buffer that was written in one piece. The reader of the logs of 2026-12-05 keeps 8,192 bytes of what it finds: of 216 cut lines in two logs, 211 end exactly there, and the node's next line follows on the same line. What was behind is lost. event_flush() itself continued partial writes correctly (test_partial_writes_cut_no_line passes before this change too).

Lines of frequent kinds now wait in a queue of their own, written after that of rare kinds. A flush writes whole lines, in pieces that a pipe takes as a whole, and no more than 8 kB. A kind stays frequent for the next second, so a sustained burst doesn't take room among rare lines with its first lines of each second. The count of dropped lines no longer waits for an empty buffer.

test_burst_of_frequent_lines_keeps_rare_ones fails before this change with a line that is cut, and passes now.

--- a/src/process/event.c
+++ b/src/process/event.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -13,11 +14,16 @@
 
 #define EVENT_LINE_MAX 1024u   /* bytes */
 #define EVENT_LINE_END_BYTES 3 /* closing brace, line feed, one spare */
-#define EVENT_BUFFER_BYTES (64u << 10)
-/* Kept free for kinds with few lines, whose lines summarize many others */
-#define EVENT_RESERVED_BYTES (8u << 10)
-#define EVENT_FREQUENT_PER_S 10u /* a kind with more lines is frequent */
-#define EVENT_KINDS_MAX 64u	 /* further kinds are not rate limited */
+#define EVENT_RARE_BYTES (32u << 10)
+#define EVENT_FREQUENT_BYTES (64u << 10)
+#define EVENT_FREQUENT_PER_S 5u /* a kind with more lines is frequent */
+#define EVENT_KINDS_MAX 128u	/* further kinds are not rate limited */
+
+/* Bytes of one flush; a reader may take no more at once, and drop the rest. */
+#define EVENT_FLUSH_MAX (8u << 10)
+#define EVENT_FLUSH_PAUSE_MS 20u   /* between two flushes of a full queue */
+#define EVENT_DROPPED_LOG_MS 1000u /* between two log-dropped lines */
+
 /*
  * Lines per second of one kind: 5 times the mean rate of job starts on a busy
  * day.
@@ -26,19 +32,37 @@
 #define EVENT_TEXT_MAX 256u /* bytes; event_sanitize truncates to this */
 
 struct kind {
-	const char *name; /* a literal, compared by address */
-	uint64_t second;  /* to which `count` belongs */
-	uint32_t count;	  /* lines in that second */
+	const char *name;    /* a literal, compared by address */
+	uint64_t second;     /* to which `count` belongs */
+	uint32_t count;	     /* lines in that second */
+	uint64_t frequent_s; /* newest second in which it was frequent */
 };
 
+/* Whole lines, but for the first one if it is partly written. */
+struct queue {
+	char *bytes;
+	size_t size;
+	size_t used;
+	size_t begun; /* bytes left of a line that is partly written */
+};
+
+static char rare_bytes[EVENT_RARE_BYTES];
+static char frequent_bytes[EVENT_FREQUENT_BYTES];
+
 static struct {
 	const char *node;
-	char buffer[EVENT_BUFFER_BYTES];
-	size_t used;
+	struct queue rare;     /* written first */
+	struct queue frequent; /* lines of frequent kinds */
 	struct kind kinds[EVENT_KINDS_MAX];
-	uint64_t dropped;	 /* lines so far */
-	uint64_t dropped_logged; /* `dropped` as last logged */
-} log_state = { .node = "" };
+	uint64_t flushed_ms;	    /* last flush */
+	uint64_t dropped;	    /* lines so far */
+	uint64_t dropped_logged;    /* `dropped` as last logged */
+	uint64_t dropped_logged_ms; /* when it was */
+} log_state = {
+	.node = "",
+	.rare = { .bytes = rare_bytes, .size = EVENT_RARE_BYTES },
+	.frequent = { .bytes = frequent_bytes, .size = EVENT_FREQUENT_BYTES },
+};
 
 void event_open(const char *node)
 {
@@ -49,8 +73,8 @@
 		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-/* Returns the number of lines of a kind in this second, with this one. */
-static uint32_t count_line(const char *name, uint64_t now_ms)
+/* Counts a line of a kind; NULL if the kind is not rate limited. */
+static struct kind *count_line(const char *name, uint64_t now_ms)
 {
 	struct kind *k;
 	uint32_t i;
@@ -61,13 +85,21 @@
 			break;
 	}
 	if (i == EVENT_KINDS_MAX)
-		return 1;
+		return NULL;
 	k->name = name;
 	if (k->second != now_ms / 1000) {
 		k->second = now_ms / 1000;
 		k->count = 0;
 	}
-	return ++k->count;
+	if (++k->count > EVENT_FREQUENT_PER_S)
+		k->frequent_s = k->second;
+	return k;
+}
+
+/* A kind is frequent until a whole second with few lines has passed. */
+static bool is_frequent(const struct kind *k)
+{
+	return k && k->frequent_s && k->frequent_s + 1 >= k->second;
 }
 
 static size_t line_format(char *line, const char *kind, const char *id,
@@ -92,32 +124,41 @@
 	return n;
 }
 
+static bool queue_add(struct queue *q, const char *line, size_t n)
+{
+	if (q->used + n > q->size)
+		return false;
+	memcpy(q->bytes + q->used, line, n);
+	q->used += n;
+	return true;
+}
+
 void event_log(const char *kind, const char *id, const char *fmt, ...)
 {
 	uint64_t now_ms = clock_now_ms();
-	uint32_t count = count_line(kind, now_ms);
-	size_t limit = EVENT_BUFFER_BYTES;
+	struct kind *k = count_line(kind, now_ms);
+	struct queue *q =
+		is_frequent(k) ? &log_state.frequent : &log_state.rare;
 	char line[EVENT_LINE_MAX];
 	size_t n;
 	va_list ap;
 
-	if (count > EVENT_RATE_MAX_PER_S) {
+	if (k && k->count > EVENT_RATE_MAX_PER_S) {
 		log_state.dropped++;
 		return;
 	}
 	va_start(ap, fmt);
 	n = line_format(line, kind, id, now_ms, fmt, ap);
 	va_end(ap);
-	if (count > EVENT_FREQUENT_PER_S)
-		limit -= EVENT_RESERVED_BYTES;
-	if (log_state.used + n > limit)
+	if (q->used + n > q->size &&
+	    now_ms - log_state.flushed_ms >= EVENT_FLUSH_PAUSE_MS)
 		event_flush();
-	if (log_state.used + n > limit) {
-		log_state.dropped++;
+	if (queue_add(q, line, n))
 		return;
-	}
-	memcpy(log_state.buffer + log_state.used, line, n);
-	log_state.used += n;
+	/* Many rare kinds may fill their queue while nobody reads. */
+	if (q == &log_state.frequent ||
+	    !queue_add(&log_state.frequent, line, n))
+		log_state.dropped++;
 }
 
 const char *event_sanitize(const char *text)
@@ -136,29 +177,113 @@
 	return copy;
 }
 
-void event_flush(void)
+static void queue_remove(struct queue *q, size_t n)
+{
+	q->used -= n;
+	memmove(q->bytes, q->bytes + n, q->used);
+}
+
+/* Drops all lines but the rest of one that is partly written. */
+static void queue_drop(struct queue *q)
 {
+	size_t i;
+
+	for (i = q->begun; i < q->used; i++)
+		log_state.dropped += q->bytes[i] == '\n';
+	q->used = q->begun;
+}
+
+/* Bytes of the whole lines at the start of a queue, up to max bytes. */
+static size_t whole_lines(const struct queue *q, size_t max)
+{
+	const char *end;
+
+	if (q->used <= max)
+		return q->used;
+	end = memrchr(q->bytes, '\n', max);
+	return end ? (size_t)(end - q->bytes) + 1 : 0;
+}
+
+/*
+ * Writes whole lines of a queue, up to max bytes; returns the number of bytes,
+ * 0 if there are none or the reader takes no more. A pipe takes all or nothing
+ * of PIPE_BUF bytes; other files may take a part of a line.
+ */
+static size_t queue_write(struct queue *q, size_t max)
+{
+	size_t length = whole_lines(q, max < PIPE_BUF ? max : PIPE_BUF);
+	bool line_ended;
+	const char *end;
 	ssize_t n;
 
-	if (!log_state.used)
-		return;
-	n = write(STDOUT_FILENO, log_state.buffer, log_state.used);
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
+	if (!length)
+		return 0;
+	n = write(STDOUT_FILENO, q->bytes, length);
 	if (n < 0) {
-		log_state.used = 0; /* e.g. the reader closed the pipe */
-		log_state.dropped++;
-		return;
+		if (errno != EAGAIN && errno != EINTR)
+			queue_drop(q); /* e.g. the reader closed the pipe */
+		return 0;
 	}
-	log_state.used -= (size_t)n;
-	memmove(log_state.buffer, log_state.buffer + n, log_state.used);
-	if (log_state.dropped == log_state.dropped_logged || log_state.used)
+	if (!n)
+		return 0;
+	line_ended = q->bytes[n - 1] == '\n';
+	queue_remove(q, (size_t)n);
+	end = line_ended ? NULL : memchr(q->bytes, '\n', q->used);
+	q->begun = end ? (size_t)(end - q->bytes) + 1 : 0;
+	return (size_t)n < length ? 0 : length;
+}
+
+static size_t queue_flush(struct queue *q, size_t max)
+{
+	size_t n, written = 0;
+
+	while (written < max && (n = queue_write(q, max - written)))
+		written += n;
+	return written;
+}
+
+static void log_dropped(void)
+{
+	uint64_t now_ms = clock_now_ms();
+
+	if (log_state.dropped == log_state.dropped_logged ||
+	    now_ms - log_state.dropped_logged_ms < EVENT_DROPPED_LOG_MS)
 		return;
 	log_state.dropped_logged = log_state.dropped;
+	log_state.dropped_logged_ms = now_ms;
 	event_log("log-dropped", NULL, "\"lines\":%" PRIu64,
 		  log_state.dropped_logged);
 }
 
+void event_flush(void)
+{
+	size_t written = 0;
+
+	log_state.flushed_ms = clock_now_ms();
+	/* A line that was begun must end before another one follows. */
+	if (log_state.frequent.begun)
+		written = queue_flush(&log_state.frequent,
+				      log_state.frequent.begun);
+	if (!log_state.frequent.begun)
+		written +=
+			queue_flush(&log_state.rare, EVENT_FLUSH_MAX - written);
+	if (!log_state.rare.used)
+		written += queue_flush(&log_state.frequent,
+				       EVENT_FLUSH_MAX - written);
+	if (written)
+		log_dropped();
+}
+
+void event_close(void)
+{
+	size_t before;
+
+	do {
+		before = log_state.rare.used + log_state.frequent.used;
+		event_flush();
+	} while (log_state.rare.used + log_state.frequent.used < before);
+}
+
 uint64_t event_dropped(void)
 {
 	return log_state.dropped;
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -2,10 +2,11 @@
  * event - structured log: one JSON object per line on standard output
  *
  * Lines are buffered and written without blocking, so that a slow reader never
- * delays a decision. Lines that do not fit in the buffer while the pipe is
- * full, and lines above the rate limit of their kind, are dropped and counted;
- * the count is logged once the buffer has been written. Part of the buffer is
- * kept for kinds with few lines, so that frequent ones don't displace them.
+ * delays a decision. Lines of kinds that are logged often wait in a queue of
+ * their own, which is written after the other one, so they displace no line of
+ * a rare kind; `ms` tells the order. Lines that don't fit in the queue while
+ * the reader takes none, and lines above the rate limit of their kind, are
+ * dropped and counted; the count is logged.
  */
 #ifndef EVENT_H
 #define EVENT_H
@@ -36,9 +37,17 @@
  */
 const char *event_sanitize(const char *text);
 
-/* event_flush - write the buffered lines to standard output */
+/*
+ * event_flush - write buffered lines to standard output
+ *
+ * Writes only whole lines, and no more than a reader takes at once: a program
+ * calls this many times a second.
+ */
 void event_flush(void);
 
+/* event_close - write all buffered lines that standard output takes now */
+void event_close(void);
+
 /* event_dropped - number of lines dropped so far */
 uint64_t event_dropped(void);
 
--- a/test/event_test.c
+++ b/test/event_test.c
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "process/event.h"
@@ -130,11 +131,172 @@
 	free(text);
 }
 
+#define BURST_LINES 600u /* of a frequent kind, within a second */
+#define RARE_KINDS 4u
+#define RARE_LINES 3u /* of each rare kind */
+#define READ_MAX 8192 /* bytes that the reader keeps of what it finds */
+#define READS 40u
+
+/* Reads all that is in the pipe, but keeps only the first READ_MAX bytes. */
+static size_t read_truncated(int fd, char *text, size_t used)
+{
+	static char all[1 << 20];
+	size_t n = read_some(fd, all, 0, sizeof(all));
+
+	if (n > READ_MAX)
+		n = READ_MAX;
+	memcpy(text + used, all, n);
+	return used + n;
+}
+
+static void redirect_begin(int ends[2], int *saved, int pipe_bytes)
+{
+	assert_int_equal(pipe2(ends, O_NONBLOCK), 0);
+	fcntl(ends[1], F_SETPIPE_SZ, pipe_bytes);
+	fflush(stdout);
+	*saved = dup(STDOUT_FILENO);
+	dup2(ends[1], STDOUT_FILENO);
+	event_open("node-1");
+}
+
+static void redirect_end(const int ends[2], int saved)
+{
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+	close(ends[0]);
+	close(ends[1]);
+}
+
+static void log_burst(uint32_t lines)
+{
+	uint32_t i;
+
+	for (i = 0; i < lines; i++)
+		event_log("burst", NULL, "\"n\":%u,\"text\":\"%0100u\"", i, i);
+}
+
+/*
+ * A reader that takes 8 kB at a time and drops the rest, as a burst is logged
+ * around a few rare lines: each rare line comes, and in the first read.
+ */
+static void test_burst_of_frequent_lines_keeps_rare_ones(void **state)
+{
+	static const char *const kinds[RARE_KINDS] = { "claim", "takeover",
+						       "resign", "store-lost" };
+	char *text = calloc(1, (READS + 1) * READ_MAX);
+	uint32_t i, k, burst = 0;
+	size_t first, used;
+	int ends[2], saved;
+	char *copy;
+
+	(void)state;
+	redirect_begin(ends, &saved, 1 << 16);
+	for (i = 0; i < RARE_LINES; i++) {
+		log_burst(BURST_LINES / RARE_LINES);
+		for (k = 0; k < RARE_KINDS; k++)
+			event_log(kinds[k], NULL, "\"epoch\":%u", i);
+	}
+	event_flush();
+	first = used = read_truncated(ends[0], text, 0);
+	for (i = 1; i < READS; i++) {
+		event_flush();
+		used = read_truncated(ends[0], text, used);
+	}
+	redirect_end(ends, saved);
+	for (k = 0; k < RARE_KINDS; k++) {
+		copy = strndup(text, first);
+		assert_int_equal(count_lines(copy, kinds[k]), RARE_LINES);
+		free(copy);
+	}
+	burst = count_lines(text, "burst");
+	assert_true(burst > BURST_LINES / 2);
+	free(text);
+}
+
+/* While nobody reads for several seconds, rare lines wait without a loss. */
+static void test_stopped_reader_loses_no_rare_line(void **state)
+{
+	size_t text_size = LINES * 1024;
+	char *text = calloc(1, text_size);
+	size_t used = 0, before;
+	int ends[2], saved;
+	uint32_t i;
+	char *copy;
+
+	(void)state;
+	redirect_begin(ends, &saved, PIPE_BYTES);
+	for (i = 0; i < 3; i++) {
+		log_burst(BURST_LINES);
+		event_flush();
+		event_log("resign", NULL, "\"epoch\":%u", i);
+		event_log("claim", NULL, "\"epoch\":%u", i);
+		event_flush();
+		usleep(1010000);
+	}
+	do {
+		before = used;
+		event_flush();
+		used = read_some(ends[0], text, used, PIPE_BYTES);
+	} while (used > before);
+	redirect_end(ends, saved);
+	copy = strdup(text);
+	assert_int_equal(count_lines(copy, "resign"), 3);
+	free(copy);
+	assert_int_equal(count_lines(text, "claim"), 3);
+	free(text);
+}
+
+/* A socket, unlike a pipe, takes a part of a line. */
+static void test_partial_writes_cut_no_line(void **state)
+{
+	size_t text_size = LINES * 1024;
+	char *text = calloc(1, text_size);
+	uint64_t dropped = event_dropped();
+	int bytes = 1, saved, ends[2];
+	size_t used = 0, before;
+	uint32_t i, burst;
+	char *copy;
+
+	(void)state;
+	assert_int_equal(
+		socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
+	setsockopt(ends[1], SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+	fflush(stdout);
+	saved = dup(STDOUT_FILENO);
+	dup2(ends[1], STDOUT_FILENO);
+	event_open("node-1");
+	for (i = 0; i < LINES; i++) {
+		event_log("burst", NULL, "\"n\":%u,\"text\":\"%0*u\"", i,
+			  (int)(i % 500), i);
+		if (!(i % FLUSH_LINES))
+			event_log("rare", NULL, "\"n\":%u", i);
+		event_flush();
+		if (!(i % 3))
+			used = read_some(ends[0], text, used, 700);
+	}
+	do {
+		before = used;
+		event_flush();
+		used = read_some(ends[0], text, used, PIPE_BYTES);
+	} while (used > before);
+	redirect_end(ends, saved);
+	copy = strdup(text);
+	burst = count_lines(copy, "burst");
+	free(copy);
+	assert_int_equal(burst + count_lines(text, "rare") + event_dropped() -
+				 dropped,
+			 LINES + LINES / FLUSH_LINES);
+	free(text);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_lines_stay_whole),
 		cmocka_unit_test(test_summaries_are_kept),
+		cmocka_unit_test(test_burst_of_frequent_lines_keeps_rare_ones),
+		cmocka_unit_test(test_stopped_reader_loses_no_rare_line),
+		cmocka_unit_test(test_partial_writes_cut_no_line),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
