node: name the call and the status in store-lost

`store-lost` had a number for the status and didn't tell which call failed: a feed, a claim and a write of the leader look the same. It now has both as words, the phase of the node and, when the store answers again, for how long its calls failed.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -241,7 +241,7 @@
 	struct node *n = b->node;
 	uint64_t now = clock_now_ms();
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "commit", answer->status);
 	if (b->generation != n->phase_generation) {
 		talloc_free(b);
 		return;
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -412,7 +412,7 @@
 
 	n->registering = false;
 	n->registered = answer->status == STORE_OK;
-	node_store_result(n, answer->status);
+	node_store_result(n, "register", answer->status);
 }
 
 static void register_self(struct node *n)
@@ -438,7 +438,7 @@
 	uint32_t i;
 
 	n->registering = false;
-	node_store_result(n, answer->status);
+	node_store_result(n, "read nodes", answer->status);
 	if (answer->status != STORE_OK)
 		return;
 	for (i = 0; i < answer->row_count; i++) {
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -60,6 +60,17 @@
 /* Covers a leader's read of its row that times out, and its next one. */
 #define LEADER_RECOVERY_MS 800u
 
+const char *leader_phase_name(enum leader_phase phase)
+{
+	static const char *const names[] = {
+		[LEADER_NONE] = "none",
+		[LEADER_LOADING] = "loading",
+		[LEADER_DECIDING] = "deciding",
+	};
+
+	return names[phase];
+}
+
 bool leader_is_self(const struct node *n)
 {
 	return n->leader.known && n->leader.incarnation == n->incarnation;
@@ -280,7 +291,7 @@
 	uint32_t i;
 
 	n->claiming = false;
-	node_store_timed_result(n, answer->status, claim->sent_ms);
+	node_store_timed_result(n, "claim", answer->status, claim->sent_ms);
 	n->next_claim_ms = clock_now_ms() + LEADER_CLAIM_RETRY_MS;
 	switch (answer->status) {
 	case STORE_OK:
@@ -370,7 +381,7 @@
 	struct leader_view view;
 
 	n->leader_reading = false;
-	node_store_timed_result(n, answer->status, r->sent_ms);
+	node_store_timed_result(n, "read leader", answer->status, r->sent_ms);
 	if (answer->status == STORE_OK && answer->row_count &&
 	    leader_decode(&answer->rows[0], &view)) {
 		if (n->phase != LEADER_NONE &&
@@ -546,7 +557,7 @@
 {
 	struct node *n = arg;
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "release", answer->status);
 	n->releasing = false;
 	leader_resign(n, n->stopping ? "stopping"
 				     : "a stronger node is available");
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -232,7 +232,7 @@
 	struct node *n = call->node;
 	struct machines *m = n->machines;
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "read upkeep", answer->status);
 	if (call->phase_generation != n->phase_generation || !m->fleet)
 		goto out;
 	m->maintenance_reading = false;
@@ -262,7 +262,7 @@
 	struct maintenance_write *w = arg;
 	struct machines *m = w->node->machines;
 
-	node_store_result(w->node, answer->status);
+	node_store_result(w->node, "write upkeep", answer->status);
 	m->writing = false;
 	if (answer->status == STORE_OK) {
 		while (w->count-- > 0) {
@@ -342,7 +342,7 @@
 	struct machine_call *call = arg;
 	struct node *n = call->node;
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "write wave", answer->status);
 	if (call->phase_generation == n->phase_generation && n->machines->fleet)
 		fleet_action_result(n->machines->fleet, n->sched, &call->action,
 				    answer->status == STORE_OK ? FLEET_DONE
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -2,6 +2,7 @@
  * node - start, stop, tick, and scheduling of the leader's passes
  */
 #include <assert.h>
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -155,8 +156,10 @@
 }
 
 /* Logs when store calls begin to fail and when they succeed again. */
-void node_store_result(struct node *n, enum store_status status)
+void node_store_result(struct node *n, const char *call,
+		       enum store_status status)
 {
+	uint64_t now = clock_now_ms();
 	bool ok = status == STORE_OK || status == STORE_CONFLICT ||
 		  status == STORE_HISTORY_LOST;
 
@@ -167,22 +170,27 @@
 		n->store_refused++;
 	if (ok == n->store_ok)
 		return;
+	event_log(ok ? "store-regained" : "store-lost", NULL,
+		  "\"call\":\"%s\",\"status\":\"%s\",\"failing_ms\":%" PRIu64
+		  ",\"phase\":\"%s\"",
+		  call, store_status_name(status),
+		  n->store_failing_since_ms ? now - n->store_failing_since_ms
+					    : 0,
+		  leader_phase_name(n->phase));
 	n->store_ok = ok;
-	n->store_failing_since_ms = ok ? 0 : clock_now_ms();
-	event_log(ok ? "store-regained" : "store-lost", NULL, "\"status\":%d",
-		  status);
+	n->store_failing_since_ms = ok ? 0 : now;
 	if (ok)
 		leader_store_recovered(n);
 }
 
-void node_store_timed_result(struct node *n, enum store_status status,
-			     uint64_t sent_ms)
+void node_store_timed_result(struct node *n, const char *call,
+			     enum store_status status, uint64_t sent_ms)
 {
 	uint64_t now = clock_now_ms();
 
 	if (status == STORE_REFUSED || now - sent_ms >= STORE_SLOW_MS)
 		n->store_last_slow_ms = now;
-	node_store_result(n, status);
+	node_store_result(n, call, status);
 }
 
 struct node *node_new(TALLOC_CTX *ctx, struct tevent_context *ev,
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -307,12 +307,17 @@
  */
 uint32_t node_pass_pause_ms(uint64_t took_ms);
 
-/* node_store_result - count a call's result; note whether the store answers */
-void node_store_result(struct node *n, enum store_status status);
+/*
+ * node_store_result - count a call's result; note whether the store answers
+ *
+ * call: what was called, for the log.
+ */
+void node_store_result(struct node *n, const char *call,
+		       enum store_status status);
 
 /* node_store_timed_result - the same; also notes a slow or refused call */
-void node_store_timed_result(struct node *n, enum store_status status,
-			     uint64_t sent_ms);
+void node_store_timed_result(struct node *n, const char *call,
+			     enum store_status status, uint64_t sent_ms);
 
 /* load.c */
 void load_start(struct node *n);
@@ -326,6 +331,7 @@
 void load_add(struct node *n, enum load_part part, uint64_t begun_us);
 
 /* leader.c */
+const char *leader_phase_name(enum leader_phase phase);
 
 /* leader_is_weaker - whether a node leaves leadership to the strongest peer */
 bool leader_is_weaker(uint32_t power, uint32_t strongest);
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -255,7 +255,8 @@
 	bool same = true;
 	uint32_t i;
 
-	node_store_timed_result(n, answer->status, p->recorded_ms);
+	node_store_timed_result(n, "record job", answer->status,
+				p->recorded_ms);
 	switch (answer->status) {
 	case STORE_OK:
 		event_log("ask-recorded", p->id, "\"verb\":%d", p->verb);
@@ -330,7 +331,7 @@
 	struct node_answer r = { .result = FLEET__RESULT__KNOWN };
 	Fleet__EndRow *end = NULL;
 
-	node_store_result(p->node, answer->status);
+	node_store_result(p->node, "read end", answer->status);
 	if (answer->status != STORE_OK) {
 		finish_with(p, FLEET__RESULT__UNANSWERED);
 		return;
@@ -367,7 +368,7 @@
 	struct pending_request *p = arg;
 	bool same = false;
 
-	node_store_result(p->node, answer->status);
+	node_store_result(p->node, "read job", answer->status);
 	if (answer->status != STORE_OK) {
 		finish_with(p, FLEET__RESULT__UNANSWERED);
 		return;
--- a/src/node/services.c
+++ b/src/node/services.c
@@ -1,5 +1,5 @@
 /*
- * services - partitions of the store's tables
+ * services - partitions of the store's tables, names of its answers
  */
 #include "node/services.h"
 
@@ -18,3 +18,16 @@
 			return separate[i];
 	return "";
 }
+
+const char *store_status_name(enum store_status status)
+{
+	static const char *const names[STORE_STATUSES] = {
+		[STORE_OK] = "ok",
+		[STORE_CONFLICT] = "conflict",
+		[STORE_REFUSED] = "refused",
+		[STORE_HISTORY_LOST] = "history-lost",
+		[STORE_UNKNOWN] = "unknown",
+	};
+
+	return names[status];
+}
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -25,6 +25,8 @@
 	STORE_UNKNOWN,	    /* no answer: a write may be done now or later */
 };
 
+#define STORE_STATUSES (STORE_UNKNOWN + 1u)
+
 struct store_row {
 	const char *table;
 	const char *key;
@@ -75,6 +77,9 @@
  */
 const char *store_partition(const char *table);
 
+/* store_status_name - a status as a word, for the log and the metrics */
+const char *store_status_name(enum store_status status);
+
 struct store_txn {
 	uint32_t condition_count, put_count, delete_count;
 	struct store_condition conditions[STORE_TXN_MAX];
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -219,7 +219,7 @@
 	struct table_read *table;
 	uint32_t i;
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "takeover", answer->status);
 	if (!t || n->phase_generation != page->generation) {
 		talloc_free(page);
 		return;
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -123,7 +123,7 @@
 	struct node *n = r->node;
 	uint64_t now = clock_now_ms();
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "read job", answer->status);
 	if (r->phase_generation != n->phase_generation ||
 	    n->phase != LEADER_DECIDING) {
 		talloc_free(r);
@@ -316,7 +316,7 @@
 
 	log_watch(n, call, answer);
 	talloc_free(call);
-	node_store_result(n, answer->status);
+	node_store_result(n, reading ? "read table" : "feed", answer->status);
 	if (abandoned)
 		return;
 	if (superseded) {
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -124,7 +124,7 @@
 		struct node *n = talloc_zero(NULL, struct node);
 
 		n->store_ok = true;
-		node_store_timed_result(n, cases[c].status,
+		node_store_timed_result(n, "read", cases[c].status,
 					clock_now_ms() - cases[c].took_ms);
 		if ((n->store_last_slow_ms != 0) != cases[c].slow)
 			fail_msg("%s", cases[c].what);
