takeover: log progress and what a new leader doesn't know yet

A takeover that doesn't end left no line: of the 18 claims in the log of frozen leaders, one has a takeover line, and nothing tells a read that is retried from a line that was dropped. A node now logs once a second which tables it still reads and what it has read. The takeover line has the time for decoding, the instances that have not reported and the long-running tasks to start.

Instances that are loaded have no lines of their own any more: they said no more than the count in the takeover line, and came before it.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -379,6 +379,9 @@
 /* takeover.c */
 void takeover_begin(struct node *n);
 
+/* takeover_log - log the progress of loading, at most once a second */
+void takeover_log(struct node *n, uint64_t now);
+
 /* commit.c */
 
 /*
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -6,6 +6,7 @@
  */
 #include <assert.h>
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,8 @@
 /* Until a start that got no answer is stopped; an answer takes 3 ms. */
 #define START_WAIT_MS 400u
 #define TAKEOVER_READ_MS 2500u /* timeout; a full page is 1 MB */
+#define TAKEOVER_LOG_MS 1000u  /* between two lines of progress */
+#define TABLE_LIST_MAX 128u    /* bytes of names of tables */
 
 enum table_kind {
 	READ_INSTANCES,
@@ -50,6 +53,12 @@
 	uint64_t generation;
 	struct table_read tables[READ_COUNT];
 	bool done;
+
+	/* For the log */
+	uint64_t logged_ms;
+	uint32_t pages, rows, retries;
+	uint64_t bytes;
+	enum store_status last_failure;
 };
 
 struct page {
@@ -70,6 +79,8 @@
 	copy->length = row->length;
 	copy->revision = row->revision;
 	DL_APPEND(t->rows, copy);
+	t->takeover->rows++;
+	t->takeover->bytes += row->length;
 }
 
 static struct row_copy *find_row(struct table_read *t, const char *key)
@@ -153,6 +164,52 @@
 	event_log(kind, id, "%s", text);
 }
 
+static void log_finished(const struct takeover *t, uint64_t read_ms)
+{
+	const struct node *n = t->node;
+	struct sched_unreported unreported;
+	struct sched_stats stats;
+
+	sched_stats(n->sched, &stats);
+	sched_unreported(n->sched, &unreported);
+	event_log("takeover", NULL,
+		  "\"epoch\":%" PRIu64 ",\"jobs\":%u,\"unfinished\":%u"
+		  ",\"instances\":%u,\"unreported\":%u"
+		  ",\"lasting_startable\":%u,\"lasting_unseen\":%u"
+		  ",\"took_ms\":%" PRIu64 ",\"load_ms\":%" PRIu64
+		  ",\"pages\":%u,\"bytes\":%" PRIu64 ",\"retries\":%u",
+		  n->leader.epoch, stats.jobs, stats.unfinished,
+		  stats.instances, unreported.instances,
+		  unreported.lasting_startable, unreported.lasting_unseen,
+		  read_ms - n->leader_since_ms, clock_now_ms() - read_ms,
+		  t->pages, t->bytes, t->retries);
+}
+
+void takeover_log(struct node *n, uint64_t now)
+{
+	struct takeover *t = n->takeover;
+	char waiting[TABLE_LIST_MAX] = "";
+	size_t length = 0;
+	uint32_t i;
+
+	if (!t || now - t->logged_ms < TAKEOVER_LOG_MS)
+		return;
+	t->logged_ms = now;
+	for (i = 0; i < READ_COUNT && length < sizeof(waiting); i++)
+		if (!t->tables[i].complete)
+			length += (size_t)snprintf(
+				waiting + length, sizeof(waiting) - length,
+				"%s%s", length ? " " : "", t->tables[i].table);
+	event_log("takeover-wait", NULL,
+		  "\"epoch\":%" PRIu64 ",\"since_claim_ms\":%" PRIu64
+		  ",\"tables\":\"%s\",\"pages\":%u,\"rows\":%u"
+		  ",\"bytes\":%" PRIu64
+		  ",\"retries\":%u,\"last_failure\":\"%s\"",
+		  n->leader.epoch, now - n->leader_since_ms, waiting, t->pages,
+		  t->rows, t->bytes, t->retries,
+		  store_status_name(t->last_failure));
+}
+
 static void finish(struct takeover *t)
 {
 	struct node *n = t->node;
@@ -163,15 +220,15 @@
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
 	};
-	struct sched_stats stats;
 	uint64_t now = clock_now_ms();
 
 	n->sched = sched_new(n, &options);
-	sched_set_trace(n->sched, on_trace, n);
 	sched_set_clock(n->sched, node_unix_ms(n));
 	if (n->config)
 		sched_configure(n->sched, n->config, now);
 	load_rows(n, &t->tables[READ_INSTANCES], watch_instance_row);
+	/* The rows of all instances aren't news of each. */
+	sched_set_trace(n->sched, on_trace, n);
 	load_jobs(t);
 	sched_become_leader(n->sched, n->leader.epoch, n->predecessor_gone,
 			    now);
@@ -181,12 +238,7 @@
 	n->commit_retry_ms = 0;
 	n->advice_calls = 0;
 	load_rows(n, &t->tables[READ_INBOX], watch_inbox_row);
-	sched_stats(n->sched, &stats);
-	event_log("takeover", NULL,
-		  "\"epoch\":%" PRIu64 ",\"jobs\":%u,\"instances\":%u,"
-		  "\"took_ms\":%" PRIu64,
-		  n->leader.epoch, stats.jobs, stats.instances,
-		  now - n->leader_since_ms);
+	log_finished(t, now);
 	machines_begin(n);
 	relay_begin(n);
 	TALLOC_FREE(n->takeover);
@@ -227,9 +279,12 @@
 	table = &t->tables[page->kind];
 	talloc_free(page);
 	if (answer->status != STORE_OK) {
+		t->retries++;
+		t->last_failure = answer->status;
 		mtimer_set(table->retry, TAKEOVER_RETRY_MS);
 		return;
 	}
+	t->pages++;
 	if (!table->first_revision)
 		table->first_revision = answer->revision;
 	for (i = 0; i < answer->row_count; i++)
@@ -277,6 +332,7 @@
 	n->takeover = t;
 	t->node = n;
 	t->generation = n->phase_generation;
+	t->logged_ms = clock_now_ms();
 	for (i = 0; i < READ_COUNT; i++) {
 		struct table_read *table = &t->tables[i];
 
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -393,6 +393,16 @@
 
 void sched_stats(const struct sched *s, struct sched_stats *stats);
 
+/* What a leader doesn't know before all instances have reported to it. */
+struct sched_unreported {
+	uint32_t instances;	    /* that have not reported */
+	uint32_t lasting_startable; /* long-running tasks to be started */
+	uint32_t lasting_unseen;    /* that may run where nothing reported */
+};
+
+/* sched_unreported - takes time in proportion to the long-running tasks */
+void sched_unreported(const struct sched *s, struct sched_unreported *u);
+
 /* Outcomes of one queue's jobs; kept after the queue is removed. */
 struct sched_queue_stats {
 	const char *queue;
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -21,6 +21,34 @@
 	stats->instances = HASH_COUNT(s->by_id);
 }
 
+static void count_lasting(const struct step *step, struct sched_unreported *u)
+{
+	uint32_t i;
+
+	if (!step->spec->lasting)
+		return;
+	u->lasting_startable += step->startable;
+	for (i = 0; i < step->spec->count; i++)
+		u->lasting_unseen += step->tasks[i].possibly_running;
+}
+
+void sched_unreported(const struct sched *s, struct sched_unreported *u)
+{
+	const struct pool *pool;
+	const struct job *job;
+	uint32_t o;
+	size_t i;
+
+	memset(u, 0, sizeof(*u));
+	for (pool = s->pools; pool; pool = pool->hh.next)
+		u->instances += pool->unreported;
+	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
+	for (o = 0; o < job->occurrence_count; o++)
+		for (i = 0; job->occurrences[o].steps && i < job->row->n_steps;
+		     i++)
+			count_lasting(&job->occurrences[o].steps[i], u);
+}
+
 struct sched_queue_stats *queue_stats(struct sched *s, const char *queue)
 {
 	struct sched_queue_stats *q;
