node: log why a node claims, and how a term goes

A failed claim had a number for its status and nothing of the row in the answer, a claim no reason, and a resignation neither its term's length nor whether it ever decided. So the logs could not tell a claim that took effect without an answer from one that lost, nor a leader that was silent from one that reported that it isn't live.

term.c logs and counts these: the begin of a claim, what a failed one read, a leader that stops and resumes reporting itself as live, the first start of a term, its end, and once a second what a node without a live leader waits for. No decision changes.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -213,6 +213,7 @@
 {
 	struct peer_node *p;
 	uint64_t now = clock_now_ms();
+	uint64_t live_ms;
 	size_t i;
 
 	gossip_update_peer(n, heartbeat->node, heartbeat->row);
@@ -226,10 +227,13 @@
 				 heartbeat->row->incarnation);
 	/* A heartbeat of an earlier epoch says nothing about this leader. */
 	if (heartbeat->epoch == n->leader.epoch) {
+		live_ms = n->leader_live_ms;
 		if (!strcmp(heartbeat->node, n->leader.node))
 			leader_heartbeat(n, heartbeat->leading, now);
 		else
 			leader_reported_live(n, heartbeat->lead_age_ms, now);
+		if (n->leader_live_ms != live_ms)
+			term_heard_from(n, heartbeat->node);
 	}
 	p = find_peer(n, heartbeat->node);
 	if (p) {
@@ -261,6 +265,8 @@
 
 	if (call->fetch_config)
 		config_fetch_ended(n, call, h);
+	else if (call->leader_incarnation)
+		term_heartbeat_done(n, h->status, h->code);
 	for (i = 0; i < n->peer_count; i++)
 		if (!call->fetch_config &&
 		    !strcmp(n->peers[i].address, call->address))
@@ -301,6 +307,8 @@
 	snprintf(call->address, sizeof(call->address), "%s", address);
 	if (!strcmp(address, n->leader.address))
 		call->leader_incarnation = n->leader.incarnation;
+	if (call->leader_incarnation && !fetch_config)
+		n->term.heartbeats_sent++;
 	call->sent_ms = clock_now_ms();
 	call->fetch_config = fetch_config;
 	call->body = gossip_pack(n, call, false, &r.body_length);
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -215,8 +215,9 @@
 	if (changed) {
 		event_log("lead", NULL,
 			  "\"lead\":\"%s\",\"epoch\":%" PRIu64
-			  ",\"how\":\"%s\"",
-			  view->node, view->epoch, how);
+			  ",\"how\":\"%s\",\"own\":%d",
+			  view->node, view->epoch, how,
+			  view->incarnation == n->incarnation);
 		n->leader_last_heard_ms =
 			now - LEADER_SILENT_MS + LEADER_GRACE_MS;
 		if (n->phase != LEADER_NONE &&
@@ -244,8 +245,7 @@
 {
 	if (n->phase == LEADER_NONE)
 		return;
-	event_log("resign", NULL, "\"why\":\"%s\",\"epoch\":%" PRIu64, why,
-		  n->leader.epoch);
+	term_ended(n, why);
 	n->phase = LEADER_NONE;
 	n->phase_generation++;
 	n->commits_in_flight = 0;
@@ -267,6 +267,7 @@
 	n->leader_since_ms = n->confirmed_ms = clock_now_ms();
 	n->resolve_pending = false;
 	n->takeovers++;
+	term_begun(n);
 	event_log("claim", NULL,
 		  "\"epoch\":%" PRIu64 ",\"fence\":%" PRIu64
 		  ",\"predecessor\":\"%s\",\"predecessor_gone\":%d",
@@ -287,7 +288,7 @@
 {
 	struct claim *claim = arg;
 	struct node *n = claim->node;
-	struct leader_view view;
+	struct leader_view view = { .known = false };
 	uint32_t i;
 
 	n->claiming = false;
@@ -317,11 +318,8 @@
 		break;
 	}
 	if (answer->status != STORE_OK)
-		event_log("claim-failed", NULL,
-			  "\"epoch\":%" PRIu64
-			  ",\"status\":%d,\"took_ms\":%" PRIu64,
-			  claim->wanted.epoch, answer->status,
-			  clock_now_ms() - claim->sent_ms);
+		term_claim_failed(n, &claim->wanted, answer->status, &view,
+				  clock_now_ms() - claim->sent_ms);
 	talloc_free(claim);
 }
 
@@ -362,6 +360,8 @@
 	fill_leader_txn(n, txn, &claim->wanted);
 	n->claiming = true;
 	n->claims++;
+	term_claim_begun(n, claim_delay(n), LEADER_SILENT_MS + claim_delay(n),
+			 strongest_peer(n, LEADER_POWER_HEARD_MS), now);
 	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_claim,
 			 claim);
 }
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -123,6 +123,37 @@
 	}
 }
 
+static void print_leadership(FILE *out, const struct node *n)
+{
+	const struct term *t = &n->term;
+	uint64_t now = clock_now_ms();
+	char labels[64];
+	uint32_t i;
+
+	print_value(out, "lead", "", n->phase == LEADER_DECIDING);
+	print_value(out, "lead_epoch", "", n->leader.epoch);
+	print_value(out, "claims_total", "", n->claims);
+	for (i = STORE_CONFLICT; i < STORE_STATUSES; i++) {
+		snprintf(labels, sizeof(labels), "status=\"%s\"",
+			 store_status_name(i));
+		print_value(out, "claims_failed_total", labels,
+			    t->claims_failed[i]);
+	}
+	print_value(out, "takeovers_total", "", n->takeovers);
+	print_value(out, "terms_decided_total", "", t->decided);
+	print_value(out, "lead_phase_ms_total", "phase=\"loading\"",
+		    term_phase_ms(n, LEADER_LOADING, now));
+	print_value(out, "lead_phase_ms_total", "phase=\"deciding\"",
+		    term_phase_ms(n, LEADER_DECIDING, now));
+	print_value(out, "lead_beats_sent_total", "", t->heartbeats_sent);
+	print_value(out, "lead_beats_total", "result=\"answered\"",
+		    t->heartbeats_answered);
+	print_value(out, "lead_beats_total", "result=\"timed_out\"",
+		    t->heartbeats_timed_out);
+	print_value(out, "lead_beats_total", "result=\"failed\"",
+		    t->heartbeats_failed);
+}
+
 char *node_metrics(const struct node *n)
 {
 	struct relay_stats relay;
@@ -135,8 +166,7 @@
 	print_sched(out, n);
 	print_load(out, n);
 	print_value(out, "states_repeated_total", "", n->states->repeated);
-	print_value(out, "lead", "", n->phase == LEADER_DECIDING);
-	print_value(out, "lead_epoch", "", n->leader.epoch);
+	print_leadership(out, n);
 	print_value(out, "config_version", "",
 		    n->config ? n->config->version : 0);
 	print_value(out, "config_age_ms", "", staleness_ms(n, clock_now_ms()));
@@ -145,8 +175,6 @@
 	print_value(out, "store_calls_total", "", n->store_calls);
 	print_value(out, "store_unknown_total", "", n->store_unknown);
 	print_value(out, "store_refused_total", "", n->store_refused);
-	print_value(out, "claims_total", "", n->claims);
-	print_value(out, "takeovers_total", "", n->takeovers);
 	print_value(out, "commits_total", "", n->commits);
 	print_value(out, "looks_total", "", n->polls);
 	print_value(out, "looks_failed_total", "", n->polls_failed);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -110,6 +110,7 @@
 	check_stall(n, now);
 	load_tick(n, now);
 	leader_tick(n, now);
+	term_tick(n, clock_now_ms());
 	takeover_log(n, clock_now_ms());
 	watch_tick(n, now);
 	gossip_tick(n, now);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -3,6 +3,7 @@
  *
  * node.c         start, stop, tick, scheduling of the leader's passes
  * leader.c       leader election: claims, confirmations, resignation
+ * term.c         log lines and counters of claims and terms
  * takeover.c     loads the store's tables before a new leader decides
  * commit.c       writes the leader's decisions in transactions
  * session.c      the leader's polls, orders and calls for advice
@@ -82,6 +83,28 @@
 	bool known;
 };
 
+/* What is logged and counted of a node's claims and terms as the leader. */
+struct term {
+	uint64_t epoch;		    /* of the last term */
+	uint64_t deciding_since_ms; /* in that term; 0: it never decided */
+	bool first_start_sent;	    /* in that term */
+	uint64_t not_live_since_ms; /* as last logged; 0: it is live */
+
+	/* Who last reported a live leader: itself or another node. */
+	char heard_from[NODE_NAME_MAX];
+
+	uint64_t missing_since_ms;  /* no live leader is known; 0: one is */
+	uint64_t missing_logged_ms; /* when that was last logged */
+
+	/* Counters */
+	uint64_t decided;			 /* terms that decided */
+	uint64_t phase_ms[LEADER_DECIDING + 1u]; /* in terms that ended */
+	uint64_t claims_failed[STORE_STATUSES];
+	/* to the leader */
+	uint64_t heartbeats_sent, heartbeats_answered;
+	uint64_t heartbeats_timed_out, heartbeats_failed;
+};
+
 /* Tables that a node follows; the last two only while it is the leader. */
 enum feed_kind { FEED_OPERATOR, FEED_INSTANCES, FEED_INBOX, FEED_COUNT };
 
@@ -275,6 +298,7 @@
 	uint64_t commit_retry_ms; /* no transaction before this time */
 	struct feed feeds[FEED_COUNT];
 
+	struct term term;
 	struct load load;
 	struct load load_logged; /* load at load_logged_ms */
 	uint64_t load_logged_ms;
@@ -382,6 +406,28 @@
 /* takeover_log - log the progress of loading, at most once a second */
 void takeover_log(struct node *n, uint64_t now);
 
+/* term.c */
+void term_claim_begun(const struct node *n, uint32_t delay_ms,
+		      uint32_t threshold_ms, uint32_t strongest, uint64_t now);
+
+/* term_claim_failed - row: the leader row in the answer; not known: none */
+void term_claim_failed(struct node *n, const struct leader_view *wanted,
+		       enum store_status status, const struct leader_view *row,
+		       uint64_t took_ms);
+
+/* term_heard_from - note which node reported that the leader is live */
+void term_heard_from(struct node *n, const char *name);
+void term_begun(struct node *n);
+void term_deciding(struct node *n, uint64_t now);
+void term_ended(struct node *n, const char *why);
+void term_start_sent(struct node *n, const char *task, uint64_t now);
+void term_tick(struct node *n, uint64_t now);
+uint64_t term_phase_ms(const struct node *n, enum leader_phase phase,
+		       uint64_t now);
+
+/* term_heartbeat_done - count the outcome of a heartbeat to the leader */
+void term_heartbeat_done(struct node *n, enum httpc_status status, long code);
+
 /* commit.c */
 
 /*
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -90,6 +90,8 @@
 	memcpy(call->instance_id, order->instance_id,
 	       strnlen(order->instance_id, sizeof(call->instance_id) - 1));
 	n->orders++;
+	if (order->kind == ORDER_START)
+		term_start_sent(n, order->task, now);
 	if (relay_order(n, order, ORDER_MS, on_ordered, call))
 		return;
 	n->services->order(n->services->impl, order, n->fence, ORDER_MS,
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -233,6 +233,7 @@
 	sched_become_leader(n->sched, n->leader.epoch, n->predecessor_gone,
 			    now);
 	n->phase = LEADER_DECIDING;
+	term_deciding(n, now);
 	watch_from(n, FEED_INSTANCES, t->tables[READ_INSTANCES].first_revision);
 	watch_from(n, FEED_INBOX, t->tables[READ_INBOX].first_revision);
 	n->commit_retry_ms = 0;
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -183,6 +183,39 @@
 			fail_msg("%s", stores[c].what);
 }
 
+/* Times of terms add up, also of one that ended before it decided. */
+static void test_times_of_terms(void **state)
+{
+	static const struct {
+		const char *what;
+		enum leader_phase phase;
+		uint64_t deciding_since_ms;
+		uint64_t loading_ms, deciding_ms;
+	} terms[] = {
+		{ "not the leader", LEADER_NONE, 0, 10, 20 },
+		{ "loading", LEADER_LOADING, 0, 10 + 500, 20 },
+		{ "deciding", LEADER_DECIDING, 50100, 10 + 100, 20 + 400 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(terms) / sizeof(terms[0]); c++) {
+		struct node *n = talloc_zero(NULL, struct node);
+
+		n->phase = terms[c].phase;
+		n->leader_since_ms = 50000;
+		n->term.deciding_since_ms = terms[c].deciding_since_ms;
+		n->term.phase_ms[LEADER_LOADING] = 10; /* earlier terms */
+		n->term.phase_ms[LEADER_DECIDING] = 20;
+		if (term_phase_ms(n, LEADER_LOADING, 50500) !=
+			    terms[c].loading_ms ||
+		    term_phase_ms(n, LEADER_DECIDING, 50500) !=
+			    terms[c].deciding_ms)
+			fail_msg("%s", terms[c].what);
+		talloc_free(n);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -191,6 +224,7 @@
 		cmocka_unit_test(test_leader_not_live),
 		cmocka_unit_test(test_leader_connection_refused),
 		cmocka_unit_test(test_leader_without_store),
+		cmocka_unit_test(test_times_of_terms),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -55,9 +55,12 @@
 RETRY_DELAY_S = 0.25
 GARBAGE_SEED = 20261204
 GARBAGE_SIZES_BYTES = (0, 1, 5, 64, 700)  # of the body of a frame
-LEADERSHIP_EVENTS = ("start", "stop", "end", "lead", "claim", "takeover",
-                     "resign", "predecessor-gone", "store-lost",
-                     "store-regained", "stood-still", "write-unknown")
+LEADERSHIP_EVENTS = ("start", "stop", "end", "lead", "lead-live",
+                     "lead-not-live", "lead-missing", "claim", "claim-begin",
+                     "claim-failed", "takeover", "takeover-wait",
+                     "first-start", "resign", "predecessor-gone",
+                     "store-lost", "store-regained", "stood-still",
+                     "write-unknown")
 LEADERSHIP_LINES_MAX = 60
 TERMINAL_STATES = ("completed", "failed", "cancelled")
 
