--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -60,6 +60,17 @@
 /* Covers a leader's read of its row that times out, and its next one. */
 #define LEADER_RECOVERY_MS 800u
 
+const char *leader_phase_name(enum leader_phase phase)
+{
+	static const char *const names[] = {
+		[LEADER_NONE] = "none",
+		[LEADER_LOADING] = "loading",
+		[LEADER_DECIDING] = "deciding",
+	};
+
+	return names[phase];
+}
+
 bool leader_is_self(const struct node *n)
 {
 	return n->leader.known && n->leader.incarnation == n->incarnation;
@@ -204,8 +215,9 @@
 	if (changed) {
 		event_log("lead", NULL,
 			  "\"lead\":\"%s\",\"epoch\":%" PRIu64
-			  ",\"how\":\"%s\"",
-			  view->node, view->epoch, how);
+			  ",\"how\":\"%s\",\"own\":%d",
+			  view->node, view->epoch, how,
+			  view->incarnation == n->incarnation);
 		n->leader_last_heard_ms =
 			now - LEADER_SILENT_MS + LEADER_GRACE_MS;
 		if (n->phase != LEADER_NONE &&
@@ -233,8 +245,7 @@
 {
 	if (n->phase == LEADER_NONE)
 		return;
-	event_log("resign", NULL, "\"why\":\"%s\",\"epoch\":%" PRIu64, why,
-		  n->leader.epoch);
+	term_ended(n, why);
 	n->phase = LEADER_NONE;
 	n->phase_generation++;
 	n->commits_in_flight = 0;
@@ -256,6 +267,7 @@
 	n->leader_since_ms = n->confirmed_ms = clock_now_ms();
 	n->resolve_pending = false;
 	n->takeovers++;
+	term_begun(n);
 	event_log("claim", NULL,
 		  "\"epoch\":%" PRIu64 ",\"fence\":%" PRIu64
 		  ",\"predecessor\":\"%s\",\"predecessor_gone\":%d",
@@ -276,11 +288,11 @@
 {
 	struct claim *claim = arg;
 	struct node *n = claim->node;
-	struct leader_view view;
+	struct leader_view view = { .known = false };
 	uint32_t i;
 
 	n->claiming = false;
-	node_store_timed_result(n, answer->status, claim->sent_ms);
+	node_store_timed_result(n, "claim", answer->status, claim->sent_ms);
 	n->next_claim_ms = clock_now_ms() + LEADER_CLAIM_RETRY_MS;
 	switch (answer->status) {
 	case STORE_OK:
@@ -306,11 +318,8 @@
 		break;
 	}
 	if (answer->status != STORE_OK)
-		event_log("claim-failed", NULL,
-			  "\"epoch\":%" PRIu64
-			  ",\"status\":%d,\"took_ms\":%" PRIu64,
-			  claim->wanted.epoch, answer->status,
-			  clock_now_ms() - claim->sent_ms);
+		term_claim_failed(n, &claim->wanted, answer->status, &view,
+				  clock_now_ms() - claim->sent_ms);
 	talloc_free(claim);
 }
 
@@ -351,6 +360,8 @@
 	fill_leader_txn(n, txn, &claim->wanted);
 	n->claiming = true;
 	n->claims++;
+	term_claim_begun(n, claim_delay(n), LEADER_SILENT_MS + claim_delay(n),
+			 strongest_peer(n, LEADER_POWER_HEARD_MS), now);
 	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_claim,
 			 claim);
 }
@@ -370,7 +381,7 @@
 	struct leader_view view;
 
 	n->leader_reading = false;
-	node_store_timed_result(n, answer->status, r->sent_ms);
+	node_store_timed_result(n, "read leader", answer->status, r->sent_ms);
 	if (answer->status == STORE_OK && answer->row_count &&
 	    leader_decode(&answer->rows[0], &view)) {
 		if (n->phase != LEADER_NONE &&
@@ -546,7 +557,7 @@
 {
 	struct node *n = arg;
 
-	node_store_result(n, answer->status);
+	node_store_result(n, "release", answer->status);
 	n->releasing = false;
 	leader_resign(n, n->stopping ? "stopping"
 				     : "a stronger node is available");
