test: elections of whole nodes in virtual time

Tests of the election covered single decisions.

The rig runs real nodes and replaces the clock, timers, calls between nodes, the store and the log at link time, so the product is unchanged. Each host handles one event at a time, at the cost of its share of a processor. After the trouble a leader must decide within 5 s and not be replaced in the 20 s after, except by a stronger node.

--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,10 @@
 $(B)/test/overload_test $(B)/test/refusals_test $(B)/test/leader_cost: \
 		$(B)/test/rig/leader_rig.o
 
+$(B)/test/election_test $(B)/test/reelection_test $(B)/test/orders_test: \
+		$(addprefix $(B)/test/rig/, \
+			election.o site.o site_http.o site_store.o)
+
 $(B)/test/fleet_walk: $(patsubst %.c,$(B)/%.o,$(wildcard test/walk/fleet_world*.c))
 
 $(B)/bench/%: $(B)/bench/%.o $(LIB)
--- /dev/null
+++ b/test/reelection_test.c
@@ -0,0 +1,108 @@
+/*
+ * The same as election_test.c, where the trouble goes on: the store answers
+ * only some writes, or the leader is late with everything. Guards against nodes
+ * that replace a leader which does its work.
+ */
+#include "test/rig/election.h"
+
+static const struct election_case cases[] = {
+	{
+		.name = "the leader frozen, answers to writes lost for ever",
+		.seeds = 10,
+		.site = { .nodes = 9 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.store_ms = ELECTION_FOREVER_MS,
+		.store = { .lost = 0.6 },
+	},
+	{
+		.name = "the leader frozen, answers to commits lost for ever",
+		.seeds = 10,
+		.site = { .nodes = 9 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.store_ms = ELECTION_FOREVER_MS,
+		.store = { .lost = 0.6, .claims_answered = true },
+	},
+	{
+		.name = "the leader frozen, writes late for ever",
+		.seeds = 10,
+		.site = { .nodes = 9 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.store_ms = ELECTION_FOREVER_MS,
+		.store = { .late = 0.6 },
+	},
+	{
+		.name = "a quarter of the processor, the leader lags",
+		.seeds = 5,
+		.site = { .nodes = 9,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+	{
+		.name = "a quarter of the processor, the leader lags and is "
+			"frozen",
+		.seeds = 5,
+		.site = { .nodes = 9,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+	{
+		.name = "a quarter of the processor, the leader lags and "
+			"vanishes",
+		.seeds = 5,
+		.site = { .nodes = 9,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.frozen_ms = ELECTION_FOREVER_MS,
+		.freezes = 1,
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+	{
+		.name = "weak nodes hear the leader late",
+		.seeds = 20,
+		.site = { .nodes = 12, .weak = 8 },
+		.weak_delay_ms = 500,
+	},
+	{
+		.name = "weak nodes hear the leader late, it is frozen",
+		.seeds = 20,
+		.site = { .nodes = 12, .weak = 8 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.weak_delay_ms = 500,
+	},
+	{
+		.name = "45 nodes, a quarter of the processor, the leader lags",
+		.seeds = 2,
+		.site = { .nodes = 45,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+	{
+		.name = "147 nodes, a quarter of the processor, the leader "
+			"lags",
+		.seeds = 1,
+		.site = { .nodes = 147,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+};
+
+int main(int argc, char **argv)
+{
+	return election_run(cases, sizeof(cases) / sizeof(cases[0]), argc,
+			    argv);
+}
