test: what a leader's order needs to be excluded by

orders_test asked that no two nodes may give orders at one time. That isn't what the design promises: a leader gives orders for LEADER_ORDERS_MS after its last confirmation, instances refuse those under a lower fence than one they have seen, and a successor waits for tasks on instances that it hasn't reached. The check was wrong, not the product: in its failures the older leader's fence was lower and the time within the bound.

Cases without trouble still ask that no two nodes may give orders at all.

--- a/test/rig/election.c
+++ b/test/rig/election.c
@@ -48,9 +48,11 @@
 
 	struct host *newest; /* with the highest epoch that gave orders */
 	uint64_t newest_epoch;
-	uint64_t replaced_us;	 /* when its claim took effect */
-	bool overlap;		 /* a leader gave orders after its successor */
-	bool overlap_unexpected; /* that the successor doesn't reckon with */
+	uint64_t replaced_us; /* when its claim took effect */
+	uint64_t newest_fence;
+	bool overlap;	    /* a leader gave orders after its successor */
+	bool unexpected;    /* that the successor doesn't reckon with */
+	bool fence_too_low; /* instances would take the older one's orders */
 	uint32_t jobs;
 };
 
@@ -61,8 +63,9 @@
 }
 
 /*
- * A successor waits LEADER_ORDERS_MS for the tasks of a predecessor that may
- * still give orders, and not at all for one that is gone.
+ * Instances refuse orders under a lower fence than one they have seen. For
+ * those that a successor hasn't reached it waits LEADER_ORDERS_MS, and not at
+ * all if its predecessor is gone.
  */
 static void check_overlap(struct trial *t, struct host *h)
 {
@@ -71,13 +74,19 @@
 	uint64_t after_us = t->s->now_us - t->replaced_us;
 
 	if (n->leader.epoch > t->newest_epoch) {
+		t->fence_too_low |= n->fence <= t->newest_fence;
+		t->newest_fence = n->fence;
 		t->newest = h;
 		t->newest_epoch = n->leader.epoch;
 		t->replaced_us = site_claimed_us(t->s, n->leader.epoch);
 		return;
 	}
-	if (n->leader.epoch == t->newest_epoch)
+	if (n->leader.epoch == t->newest_epoch) {
+		t->fence_too_low |=
+			h != t->newest || n->fence != t->newest_fence;
 		return;
+	}
+	t->fence_too_low |= n->fence >= t->newest_fence;
 	if (!t->overlap)
 		site_note(t->s, "%s may give orders, as may %s since %.3f s",
 			  h->name, t->newest->name,
@@ -85,7 +94,7 @@
 	t->overlap = true;
 	if (after_us > LEADER_ORDERS_MS * MS ||
 	    (newest->predecessor_gone && !strcmp(newest->predecessor, h->name)))
-		t->overlap_unexpected = true;
+		t->unexpected = true;
 }
 
 /* Whether a claim has no cause in the trouble before. */
@@ -373,8 +382,10 @@
 {
 	uint64_t now_us = t->s->now_us;
 
-	if (t->overlap_unexpected)
+	if (t->unexpected)
 		return "a leader gives orders that its successor excludes";
+	if (t->fence_too_low)
+		return "a leader's fence doesn't exclude an earlier one";
 	if (t->c->one_orders && t->overlap)
 		return "two nodes may give orders";
 	if (now_us <= t->calm_us)
