node: a store call without an answer ends no term

Callers got 503 for seconds, again and again, while the store answered only some writes: LEADER_REFUSED_MS after a commit without an answer the leader no longer reported itself as live, though its reads were answered, and every node claimed the next epoch. The next leader's commits went the same way.

Only refusals count now: they tell that the store turns this node away. What an unanswered call may mean, LEADER_LIVE_MS after the last confirmation covers, as before.

--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -48,9 +48,9 @@
 #define LEADER_CONFIRM_MS 800u /* interval of confirmations */
 
 /*
- * A leader that was not confirmed for LEADER_LIVE_MS, or whose store calls all
- * failed for LEADER_REFUSED_MS, no longer reports itself as live, and others
- * may claim.
+ * A leader that was not confirmed for LEADER_LIVE_MS, or whose store calls were
+ * all refused for LEADER_REFUSED_MS, no longer reports itself as live, and
+ * others may claim.
  */
 #define LEADER_LIVE_MS 1400u
 #define LEADER_REFUSED_MS 300u
@@ -93,12 +93,12 @@
 	node_schedule_pass(n);
 }
 
-bool leader_has_store(uint64_t confirmed_ms, uint64_t failing_since_ms,
+bool leader_has_store(uint64_t confirmed_ms, uint64_t refusing_since_ms,
 		      uint64_t now)
 {
 	return now - confirmed_ms < LEADER_LIVE_MS &&
-	       (!failing_since_ms ||
-		now - failing_since_ms < LEADER_REFUSED_MS);
+	       (!refusing_since_ms ||
+		now - refusing_since_ms < LEADER_REFUSED_MS);
 }
 
 /*
@@ -109,7 +109,7 @@
 bool leader_is_live(const struct node *n)
 {
 	return n->phase != LEADER_NONE && !n->stopping &&
-	       leader_has_store(n->confirmed_ms, n->store_failing_since_ms,
+	       leader_has_store(n->confirmed_ms, n->store_refusing_since_ms,
 				clock_now_ms());
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -170,6 +170,10 @@
 		n->store_unknown++;
 	if (status == STORE_REFUSED)
 		n->store_refused++;
+	if (ok)
+		n->store_refusing_since_ms = 0;
+	else if (status == STORE_REFUSED && !n->store_refusing_since_ms)
+		n->store_refusing_since_ms = now;
 	if (ok == n->store_ok)
 		return;
 	event_log(ok ? "store-regained" : "store-lost", NULL,
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -235,6 +235,12 @@
 	/* First failed store call since one was answered; 0: none. */
 	uint64_t store_failing_since_ms;
 
+	/*
+	 * First refused store call since one succeeded; 0: none. A call
+	 * without an answer says nothing about the next one.
+	 */
+	uint64_t store_refusing_since_ms;
+
 	/* The leader's silence counts from here; may be in the future. */
 	uint64_t leader_last_heard_ms;
 
@@ -392,10 +398,10 @@
 /*
  * leader_has_store - whether a leader may report itself as live
  *
- * confirmed_ms: its last confirmation; failing_since_ms: since when its calls
- * to the store fail, 0 if they don't.
+ * confirmed_ms: its last confirmation; refusing_since_ms: since when the store
+ * refuses its calls, 0 if it doesn't.
  */
-bool leader_has_store(uint64_t confirmed_ms, uint64_t failing_since_ms,
+bool leader_has_store(uint64_t confirmed_ms, uint64_t refusing_since_ms,
 		      uint64_t now);
 void leader_connection_refused(struct node *n, uint64_t incarnation);
 void leader_peer_seen(struct node *n, const char *name, uint64_t incarnation);
--- a/test/election_test.c
+++ b/test/election_test.c
@@ -191,6 +191,24 @@
 			  .ended_jobs = 3000 },
 		.one_orders = true,
 	},
+	{
+		.name = "the leader frozen, answers to commits lost for ever",
+		.seeds = 10,
+		.site = { .nodes = 9 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.store_ms = ELECTION_FOREVER_MS,
+		.store = { .lost = 0.6, .claims_answered = true },
+	},
+	{
+		.name = "the leader frozen, writes late for ever",
+		.seeds = 10,
+		.site = { .nodes = 9 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.store_ms = ELECTION_FOREVER_MS,
+		.store = { .late = 0.6 },
+	},
 };
 
 int main(int argc, char **argv)
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -161,7 +161,7 @@
 {
 	static const struct {
 		const char *what;
-		uint64_t confirmed_ago, failing_ago; /* 0: not failing */
+		uint64_t confirmed_ago, refusing_ago; /* 0: not refusing */
 		bool live;
 	} stores[] = {
 		{ "normal", 100, 0, true },
@@ -176,8 +176,8 @@
 	(void)state;
 	for (c = 0; c < sizeof(stores) / sizeof(stores[0]); c++)
 		if (leader_has_store(now - stores[c].confirmed_ago,
-				     stores[c].failing_ago
-					     ? now - stores[c].failing_ago
+				     stores[c].refusing_ago
+					     ? now - stores[c].refusing_ago
 					     : 0,
 				     now) != stores[c].live)
 			fail_msg("%s", stores[c].what);
@@ -216,6 +216,26 @@
 	}
 }
 
+/* A call without an answer doesn't make a leader report itself as not live. */
+static void test_unanswered_commit_ends_no_term(void **state)
+{
+	struct node *n = talloc_zero(NULL, struct node);
+
+	(void)state;
+	n->settings.name = "n-0";
+	n->phase = LEADER_DECIDING;
+	n->store_ok = true;
+	node_store_result(n, "test", STORE_UNKNOWN);
+	assert_int_equal(n->store_refusing_since_ms, 0);
+	node_store_result(n, "test", STORE_REFUSED);
+	assert_int_not_equal(n->store_refusing_since_ms, 0);
+	node_store_result(n, "test", STORE_UNKNOWN);
+	assert_int_not_equal(n->store_refusing_since_ms, 0);
+	node_store_result(n, "test", STORE_OK);
+	assert_int_equal(n->store_refusing_since_ms, 0);
+	talloc_free(n);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -225,6 +245,7 @@
 		cmocka_unit_test(test_leader_connection_refused),
 		cmocka_unit_test(test_leader_without_store),
 		cmocka_unit_test(test_times_of_terms),
+		cmocka_unit_test(test_unanswered_commit_ends_no_term),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
