leader: a leader that answers late isn't replaced

The next leader had the same work, and the tables to load besides, and was replaced in turn: one epoch in 1.5 to 3 s, for ever, with nothing disturbed.

A heartbeat to the leader now waits 2 s for its answer, with another one sent beside it after 0.5 s; the limit of silence follows the longest answer of the last 8 to 16 s (also by a leader that was replaced meanwhile) and the lag of a node's own event loop; it is longer for a new leader, and grows with each of several changes within 15 s. A leader reads its confirmations as late as its loop runs. Without lag and changes the limit is what it was.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -15,9 +15,14 @@
 
 #include "node/node_internal.h"
 
-#define LEADER_HEARTBEAT_MS 300u /* between two heartbeats to the leader */
-#define PEER_HEARTBEAT_MS 300u	 /* same, to other peers in turn */
+#define PEER_HEARTBEAT_MS 300u /* between two heartbeats to other peers */
 #define HEARTBEAT_TIMEOUT_MS 500u
+
+/*
+ * A leader that answers late is not silent. A heartbeat without an answer is
+ * followed by another one, since its connection may be dead.
+ */
+#define LEADER_HEARTBEAT_TIMEOUT_MS 2000u
 #define CONNECT_TIMEOUT_MS 250u /* a powered-off machine doesn't refuse */
 
 /*
@@ -268,9 +273,9 @@
 	else if (call->leader_incarnation)
 		term_heartbeat_done(n, h->status, h->code);
 	for (i = 0; i < n->peer_count; i++)
-		if (!call->fetch_config &&
+		if (!call->fetch_config && n->peers[i].heartbeats_pending &&
 		    !strcmp(n->peers[i].address, call->address))
-			n->peers[i].heartbeat_pending = false;
+			n->peers[i].heartbeats_pending--;
 	if (h->refused)
 		leader_connection_refused(n, call->leader_incarnation);
 	if (h->status == HTTPC_OK && h->code == 200)
@@ -278,10 +283,15 @@
 						(uint8_t *)h->body.data);
 	if (heartbeat) {
 		/* After a long transfer, the leader in it is outdated. */
-		if (call->fetch_config)
+		if (call->fetch_config) {
 			update_config(n, heartbeat);
-		else
+		} else {
+			/* Also by a leader that was replaced meanwhile. */
+			if (call->leader_incarnation)
+				leader_answered(&n->leader_answers,
+						call->sent_ms, clock_now_ms());
 			gossip_receive(n, heartbeat);
+		}
 		staleness_peer_report(n, heartbeat->config_version,
 				      heartbeat->config_age_ms, call->sent_ms);
 		fleet__beat__free_unpacked(heartbeat, NULL);
@@ -295,9 +305,7 @@
 	struct heartbeat_call *call = talloc_zero(n, struct heartbeat_call);
 	struct httpc_request r = {
 		.method = "POST",
-		.timeout_ms =
-			fetch_config ? FETCH_TIMEOUT_MS : HEARTBEAT_TIMEOUT_MS,
-		.stall_timeout_ms = fetch_config ? FETCH_STALL_MS : 0,
+		.timeout_ms = HEARTBEAT_TIMEOUT_MS,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.done = on_heartbeat_answer,
 	};
@@ -305,10 +313,16 @@
 	assert(call);
 	call->node = n;
 	snprintf(call->address, sizeof(call->address), "%s", address);
-	if (!strcmp(address, n->leader.address))
+	if (!strcmp(address, n->leader.address)) {
 		call->leader_incarnation = n->leader.incarnation;
-	if (call->leader_incarnation && !fetch_config)
+		r.timeout_ms = LEADER_HEARTBEAT_TIMEOUT_MS;
+	}
+	if (fetch_config) {
+		r.timeout_ms = FETCH_TIMEOUT_MS;
+		r.stall_timeout_ms = FETCH_STALL_MS;
+	} else if (call->leader_incarnation) {
 		n->term.heartbeats_sent++;
+	}
 	call->sent_ms = clock_now_ms();
 	call->fetch_config = fetch_config;
 	call->body = gossip_pack(n, call, false, &r.body_length);
@@ -323,7 +337,7 @@
 			   const char *address)
 {
 	if (p) {
-		p->heartbeat_pending = true;
+		p->heartbeats_pending++;
 		p->heartbeat_sent_ms = clock_now_ms();
 	}
 	heartbeat_call_start(n, address, false);
@@ -364,6 +378,7 @@
 static void heartbeat_leader(struct node *n, uint64_t now)
 {
 	struct peer_node *p;
+	uint32_t wait_ms = LEADER_HEARTBEAT_MS;
 
 	if (n->phase != LEADER_NONE || !n->leader.known || !*n->leader.node)
 		return;
@@ -376,8 +391,9 @@
 		gossip_update_peer(n, n->leader.node, &row);
 		return;
 	}
-	if (!p->heartbeat_pending &&
-	    now - p->heartbeat_sent_ms >= LEADER_HEARTBEAT_MS)
+	if (p->heartbeats_pending && wait_ms < HEARTBEAT_TIMEOUT_MS)
+		wait_ms = HEARTBEAT_TIMEOUT_MS;
+	if (now - p->heartbeat_sent_ms >= wait_ms)
 		heartbeat_send(n, p, p->address);
 }
 
@@ -395,7 +411,7 @@
 		*p = n->peers[--n->peer_count];
 		return;
 	}
-	if (!p->heartbeat_pending)
+	if (!p->heartbeats_pending)
 		heartbeat_send(n, p, p->address);
 }
 
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -25,6 +25,22 @@
 /* A newly learned leader counts as silent only after this time. */
 #define LEADER_GRACE_MS 1500u
 
+/*
+ * After several changes of the leader within LEADER_CHANGES_MS each further one
+ * makes nodes wait longer for the next leader: a leader that is lost while it
+ * loads the tables leaves the same work to its successor.
+ */
+#define LEADER_CHANGES_MS 15000u
+#define LEADER_CHANGE_WAIT_MS 700u
+#define LEADER_CHANGES_MAX 6u
+
+/* A new leader has all waiting work before it, and stalls more easily. */
+#define LEADER_NEW_MS 5000u
+#define LEADER_NEW_WAIT_MS 1000u
+
+/* Times of answers count for once to twice as long. */
+#define LEADER_ANSWERS_MS 8000u
+
 /* Longest wait of a started node for the node table before it claims. */
 #define LEADER_NODES_WAIT_MS 2000u
 
@@ -97,9 +113,9 @@
 }
 
 bool leader_has_store(uint64_t confirmed_ms, uint64_t refusing_since_ms,
-		      uint64_t now)
+		      uint32_t loop_lag_ms, uint64_t now)
 {
-	return now - confirmed_ms < LEADER_LIVE_MS &&
+	return now - confirmed_ms < LEADER_LIVE_MS + loop_lag_ms &&
 	       (!refusing_since_ms ||
 		now - refusing_since_ms < LEADER_REFUSED_MS);
 }
@@ -113,7 +129,7 @@
 {
 	return n->phase != LEADER_NONE && !n->stopping &&
 	       leader_has_store(n->confirmed_ms, n->store_refusing_since_ms,
-				clock_now_ms());
+				n->loop_lag_ms, clock_now_ms());
 }
 
 bool leader_decode(const struct store_row *row, struct leader_view *view)
@@ -203,6 +219,19 @@
 		n->next_claim_ms = claim_ms;
 }
 
+/* Counts a change of a leader that neither released leadership nor ended. */
+static void count_change(struct node *n, uint64_t epoch, uint64_t now)
+{
+	if (!n->leader.known || !*n->leader.node || n->leader_ended)
+		return;
+	if (now - n->leader_changed_ms >= LEADER_CHANGES_MS)
+		n->leader_changes = 0;
+	n->leader_changed_ms = now;
+	n->leader_changes += (uint32_t)(epoch - n->leader.epoch);
+	if (n->leader_changes > LEADER_CHANGES_MAX)
+		n->leader_changes = LEADER_CHANGES_MAX;
+}
+
 static void start_term(struct node *n, const struct leader_view *view);
 static void read_row(struct node *n, uint64_t now);
 
@@ -244,6 +273,8 @@
 			  ",\"how\":\"%s\",\"own\":%d",
 			  view->node, view->epoch, how,
 			  view->incarnation == n->incarnation);
+		count_change(n, view->epoch, now);
+		n->leader_learned_ms = now;
 		n->leader_last_heard_ms =
 			now - LEADER_SILENT_MS + LEADER_GRACE_MS;
 		if (n->phase != LEADER_NONE &&
@@ -286,6 +317,7 @@
 
 static void start_term(struct node *n, const struct leader_view *view)
 {
+	count_change(n, view->epoch, clock_now_ms());
 	n->leader = *view;
 	n->fence = view->revision;
 	n->term_epoch = view->epoch;
@@ -305,6 +337,17 @@
 	takeover_begin(n);
 }
 
+static uint32_t silence_limit(const struct node *n, uint64_t now)
+{
+	return leader_silence_limit_ms(
+		LEADER_HEARTBEAT_MS, leader_answer_ms(&n->leader_answers),
+		n->loop_lag_ms,
+		now - n->leader_changed_ms < LEADER_CHANGES_MS
+			? n->leader_changes
+			: 0,
+		now - n->leader_learned_ms);
+}
+
 /* Claims */
 
 struct claim {
@@ -398,7 +441,8 @@
 	n->claiming = true;
 	n->claim_sent_ms = now;
 	n->claims++;
-	term_claim_begun(n, claim_delay(n), LEADER_SILENT_MS + claim_delay(n),
+	term_claim_begun(n, claim_delay(n),
+			 silence_limit(n, now) + claim_delay(n),
 			 strongest_peer(n, LEADER_POWER_HEARD_MS), now);
 	n->services->txn(n->services->impl, txn, NODE_STORE_MS, on_claim,
 			 claim);
@@ -444,7 +488,7 @@
 	r->generation = n->phase_generation;
 	n->leader_reading = true;
 	n->services->read(n->services->impl, NODE_TABLE_LEADER, NODE_LEADER_KEY,
-			  NULL, LEADER_READ_MS, on_read, r);
+			  NULL, LEADER_READ_MS + n->loop_lag_ms, on_read, r);
 }
 
 /* Handles a heartbeat of the leader; live: what it reports about itself. */
@@ -533,6 +577,41 @@
 		sched_predecessor_gone(n->sched, clock_now_ms());
 }
 
+uint32_t leader_silence_limit_ms(uint32_t interval_ms, uint32_t answer_ms,
+				 uint32_t loop_lag_ms, uint32_t changes,
+				 uint64_t age_ms)
+{
+	uint32_t lag_ms = answer_ms > loop_lag_ms ? answer_ms : loop_lag_ms;
+
+	if (lag_ms > NODE_LAG_MAX_MS)
+		lag_ms = NODE_LAG_MAX_MS;
+	if (changes > LEADER_CHANGES_MAX)
+		changes = LEADER_CHANGES_MAX;
+	return LEADER_SILENT_MS + (interval_ms - LEADER_HEARTBEAT_MS) + lag_ms +
+	       (changes > 1 ? (changes - 1) * LEADER_CHANGE_WAIT_MS : 0) +
+	       (age_ms < LEADER_NEW_MS ? LEADER_NEW_WAIT_MS : 0);
+}
+
+void leader_answered(struct leader_answers *a, uint64_t sent_ms, uint64_t now)
+{
+	uint32_t took_ms = (uint32_t)(now - sent_ms);
+
+	if (now - a->since_ms >= LEADER_ANSWERS_MS) {
+		a->before_ms = now - a->since_ms < 2 * LEADER_ANSWERS_MS
+				       ? a->longest_ms
+				       : 0;
+		a->longest_ms = 0;
+		a->since_ms = now;
+	}
+	if (took_ms > a->longest_ms)
+		a->longest_ms = took_ms;
+}
+
+uint32_t leader_answer_ms(const struct leader_answers *a)
+{
+	return a->longest_ms > a->before_ms ? a->longest_ms : a->before_ms;
+}
+
 uint32_t leader_silent_ms(uint64_t heard_ms, uint64_t now)
 {
 	if (heard_ms >= now)
@@ -564,7 +643,7 @@
 		return;
 	}
 	if (n->leader.known && *n->leader.node &&
-	    silent_ms < LEADER_SILENT_MS + claim_delay(n))
+	    silent_ms < silence_limit(n, now) + claim_delay(n))
 		return;
 	if (now < n->next_claim_ms)
 		return;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -101,12 +101,28 @@
 	tevent_schedule_immediate(n->pass_now, n->ev, on_pass_now, n);
 }
 
+/* Notes how late this tick comes. */
+static void measure_lag(struct node *n, uint64_t now)
+{
+	uint64_t since_ms = now - n->last_tick_ms;
+	uint64_t late_ms =
+		since_ms > NODE_TICK_MS ? since_ms - NODE_TICK_MS : 0;
+
+	if (late_ms > NODE_LAG_MAX_MS)
+		late_ms = NODE_LAG_MAX_MS;
+	n->last_tick_ms = now;
+	n->loop_lag_ms = n->loop_lag_ms * 15 / 16;
+	if (late_ms > n->loop_lag_ms)
+		n->loop_lag_ms = (uint32_t)late_ms;
+}
+
 static void on_tick(void *arg)
 {
 	struct node *n = arg;
 	uint64_t now = clock_now_ms();
 	uint64_t begun_us;
 
+	measure_lag(n, now);
 	check_stall(n, now);
 	load_tick(n, now);
 	leader_tick(n, now);
@@ -214,6 +230,7 @@
 	n->incarnation >>= 1; /* positive also where it is printed as signed */
 	n->started_ms = clock_now_ms();
 	n->leader_last_heard_ms = n->last_iteration_ms = n->started_ms;
+	n->last_tick_ms = n->started_ms;
 	n->store_ok = true;
 	clock_gettime(CLOCK_REALTIME, &ts);
 	n->unix_offset_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000 -
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -48,6 +48,11 @@
 #define NODE_ADDRESS_MAX 64 /* bytes of host and port, with the NUL */
 #define NODE_COUNTERS 8	    /* more than there are verbs or results */
 #define NODE_TICK_MS 50u
+#define NODE_LAG_MAX_MS \
+	2000u /* of an event loop, as far as it is allowed for */
+#define LEADER_HEARTBEAT_MS                                             \
+	300u		    /* shortest interval of those to the leader \
+			     */
 #define NODE_STORE_MS 1500u /* timeout of a store call; normally 4 ms */
 
 /* How long a leader gives orders after its last confirmation. */
@@ -61,9 +66,9 @@
 	uint64_t incarnation;
 	uint32_t power;		/* thousandths of a core */
 	uint64_t last_heard_ms; /* last heartbeat, or when it became known */
-	bool heartbeat_pending; /* the last heartbeat has no answer yet */
-	uint64_t heartbeat_sent_ms; /* when the last heartbeat was sent */
-	uint64_t config_version;    /* in its last heartbeat */
+	uint32_t heartbeats_pending; /* without an answer yet */
+	uint64_t heartbeat_sent_ms;  /* when the last heartbeat was sent */
+	uint64_t config_version;     /* in its last heartbeat */
 };
 
 enum leader_phase {
@@ -83,6 +88,13 @@
 	bool known;
 };
 
+/* How long the leader takes to answer heartbeats. */
+struct leader_answers {
+	uint64_t since_ms;   /* beginning of the current window */
+	uint32_t longest_ms; /* in the current window */
+	uint32_t before_ms;  /* in the one before */
+};
+
 /* What is logged and counted of a node's claims and terms as the leader. */
 struct term {
 	uint64_t epoch;		    /* of the last term */
@@ -199,6 +211,8 @@
 	uint64_t pass_ended_ms;	    /* end of the last pass */
 	uint64_t pass_duration_ms;  /* of the last pass */
 	uint64_t last_iteration_ms; /* last tick or pass */
+	uint64_t last_tick_ms;
+	uint32_t loop_lag_ms; /* how late ticks come; fades */
 
 	/* Peers */
 	struct httpc *http; /* calls to other nodes */
@@ -247,6 +261,10 @@
 	/* When the leader was last known to be live, and not live; 0: never. */
 	uint64_t leader_live_ms;
 	uint64_t leader_not_live_ms;
+	struct leader_answers leader_answers;
+	uint32_t leader_changes;    /* recent ones without a release */
+	uint64_t leader_changed_ms; /* when the last of them was learned */
+	uint64_t leader_learned_ms; /* when the leader was */
 	bool leader_ended; /* the leader's process is known to have ended */
 	bool claiming;	   /* a claim is in flight */
 	uint64_t claim_sent_ms; /* when the last claim was sent */
@@ -380,6 +398,23 @@
 
 /* leader_silent_ms - time since heard_ms; 0 if that is in the future */
 uint32_t leader_silent_ms(uint64_t heard_ms, uint64_t now);
+
+/*
+ * leader_silence_limit_ms - longest silence of a leader that isn't replaced
+ *
+ * interval_ms: of heartbeats to the leader; answer_ms: how long it takes for
+ * answers; loop_lag_ms: how late this node's event loop is; changes: of the
+ * leader in the last LEADER_CHANGES_MS; age_ms: since it was learned of.
+ */
+uint32_t leader_silence_limit_ms(uint32_t interval_ms, uint32_t answer_ms,
+				 uint32_t loop_lag_ms, uint32_t changes,
+				 uint64_t age_ms);
+
+/* leader_answered - note an answer of the leader to a heartbeat */
+void leader_answered(struct leader_answers *a, uint64_t sent_ms, uint64_t now);
+
+/* leader_answer_ms - the longest time that it took for an answer of late */
+uint32_t leader_answer_ms(const struct leader_answers *a);
 void leader_tick(struct node *n, uint64_t now);
 void leader_learn(struct node *n, const struct leader_view *view,
 		  const char *how);
@@ -402,10 +437,10 @@
  * leader_has_store - whether a leader may report itself as live
  *
  * confirmed_ms: its last confirmation; refusing_since_ms: since when the store
- * refuses its calls, 0 if it doesn't.
+ * refuses its calls, 0 if it doesn't; loop_lag_ms: how late it reads answers.
  */
 bool leader_has_store(uint64_t confirmed_ms, uint64_t refusing_since_ms,
-		      uint64_t now);
+		      uint32_t loop_lag_ms, uint64_t now);
 void leader_connection_refused(struct node *n, uint64_t incarnation);
 void leader_peer_seen(struct node *n, const char *name, uint64_t incarnation);
 
--- a/test/election_test.c
+++ b/test/election_test.c
@@ -218,6 +218,20 @@
 		.store_ms = ELECTION_FOREVER_MS,
 		.store = { .lost = 0.6 },
 	},
+	{
+		.name = "weak nodes hear the leader late",
+		.seeds = 20,
+		.site = { .nodes = 12, .weak = 8 },
+		.weak_delay_ms = 500,
+	},
+	{
+		.name = "weak nodes hear the leader late, it is frozen",
+		.seeds = 20,
+		.site = { .nodes = 12, .weak = 8 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.weak_delay_ms = 500,
+	},
 };
 
 int main(int argc, char **argv)
--- a/test/reelection_test.c
+++ b/test/reelection_test.c
@@ -39,20 +39,6 @@
 		.lag_min_ms = 500,
 		.lag_max_ms = 1500,
 	},
-	{
-		.name = "weak nodes hear the leader late",
-		.seeds = 20,
-		.site = { .nodes = 12, .weak = 8 },
-		.weak_delay_ms = 500,
-	},
-	{
-		.name = "weak nodes hear the leader late, it is frozen",
-		.seeds = 20,
-		.site = { .nodes = 12, .weak = 8 },
-		.frozen_ms = 4000,
-		.freezes = 1,
-		.weak_delay_ms = 500,
-	},
 	{
 		.name = "45 nodes, a quarter of the processor, the leader lags",
 		.seeds = 2,
