gossip: heartbeats leave a leader its processor

Each node sent a heartbeat to the leader every 300 ms, whatever the leader's power and the number of nodes: 490 a second from 147 nodes.

The interval now leaves these a fifth of the leader's processor at the most, up to 2 s, and the limit of silence allows for it.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -18,6 +18,14 @@
 #define PEER_HEARTBEAT_MS 300u /* between two heartbeats to other peers */
 #define HEARTBEAT_TIMEOUT_MS 500u
 
+/*
+ * The heartbeats of all nodes take a leader no more than HEARTBEAT_SHARE of its
+ * processor, as long as their interval stays below LEADER_HEARTBEAT_MAX_MS.
+ */
+#define HEARTBEAT_COST_US 200u /* processor time to receive and answer one */
+#define HEARTBEAT_SHARE 0.2
+#define LEADER_HEARTBEAT_MAX_MS 2000u
+
 /*
  * A leader that answers late is not silent. A heartbeat without an answer is
  * followed by another one, since its connection may be dead.
@@ -375,10 +383,34 @@
 	heartbeat_call_start(n, p->address, true);
 }
 
+uint32_t gossip_heartbeat_interval_ms(uint32_t nodes, uint32_t power)
+{
+	double interval_ms = power ? nodes * (HEARTBEAT_COST_US / 1000.0) /
+					     (power / 1000.0 * HEARTBEAT_SHARE)
+				   : 0;
+
+	if (interval_ms < LEADER_HEARTBEAT_MS)
+		return LEADER_HEARTBEAT_MS;
+	return interval_ms < LEADER_HEARTBEAT_MAX_MS ? (uint32_t)interval_ms
+						     : LEADER_HEARTBEAT_MAX_MS;
+}
+
+/* Interval of this node's heartbeats to the leader. */
+uint32_t gossip_leader_interval(const struct node *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->peer_count; i++)
+		if (!strcmp(n->peers[i].name, n->leader.node))
+			return gossip_heartbeat_interval_ms(n->peer_count,
+							    n->peers[i].power);
+	return LEADER_HEARTBEAT_MS;
+}
+
 static void heartbeat_leader(struct node *n, uint64_t now)
 {
 	struct peer_node *p;
-	uint32_t wait_ms = LEADER_HEARTBEAT_MS;
+	uint32_t wait_ms = gossip_leader_interval(n);
 
 	if (n->phase != LEADER_NONE || !n->leader.known || !*n->leader.node)
 		return;
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -340,7 +340,7 @@
 static uint32_t silence_limit(const struct node *n, uint64_t now)
 {
 	return leader_silence_limit_ms(
-		LEADER_HEARTBEAT_MS, leader_answer_ms(&n->leader_answers),
+		gossip_leader_interval(n), leader_answer_ms(&n->leader_answers),
 		n->loop_lag_ms,
 		now - n->leader_changed_ms < LEADER_CHANGES_MS
 			? n->leader_changes
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -577,6 +577,14 @@
 void gossip_update_peer(struct node *n, const char *name,
 			const Fleet__NodeRow *row);
 uint32_t gossip_max_power(const struct node *n, uint64_t since_ms);
+uint32_t gossip_leader_interval(const struct node *n);
+
+/*
+ * gossip_heartbeat_interval_ms - between a node's heartbeats to a leader
+ *
+ * nodes: that send heartbeats to it; power: its own, 0 if it isn't known.
+ */
+uint32_t gossip_heartbeat_interval_ms(uint32_t nodes, uint32_t power);
 
 /* relay.c */
 bool relay_start(struct node *n);
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -292,6 +292,30 @@
 	assert_int_equal(leader_answer_ms(&a), 3);
 }
 
+/* The heartbeats of all nodes leave a leader most of its processor. */
+static void test_heartbeats_follow_the_leaders_power(void **state)
+{
+	static const struct {
+		uint32_t nodes, power;
+		uint32_t interval_ms;
+	} intervals[] = {
+		{ 6, 250, 300 },    { 45, 500, 300 }, { 147, 500, 300 },
+		{ 147, 250, 588 },  { 45, 30, 1500 }, { 147, 120, 1225 },
+		{ 300, 120, 2000 }, { 45, 0, 300 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(intervals) / sizeof(intervals[0]); c++) {
+		uint32_t ms = gossip_heartbeat_interval_ms(intervals[c].nodes,
+							   intervals[c].power);
+
+		if (ms != intervals[c].interval_ms)
+			fail_msg("%u nodes, power %u: %u ms",
+				 intervals[c].nodes, intervals[c].power, ms);
+	}
+}
+
 static uint32_t reads;
 
 static void count_read(void *impl, const char *table, const char *from,
@@ -372,6 +396,7 @@
 		cmocka_unit_test(test_unanswered_commit_ends_no_term),
 		cmocka_unit_test(test_limit_of_silence),
 		cmocka_unit_test(test_slow_answers_count_for_a_while),
+		cmocka_unit_test(test_heartbeats_follow_the_leaders_power),
 		cmocka_unit_test(test_lost_answer_of_a_claim_burns_no_epoch),
 	};
 
