fleet: no order to a machine with ends that only this leader knows

Callers saw: tasks that had ended as done ran again under the next leader (TWICE). The leader of epoch 5 ordered the upkeep of its machine at 42.7 s, half a second after a successor had claimed; the machine dropped its list of ends, and the leader of epoch 6 started the task again at 45.256 s.

Cause: a machine without runs counted as idle. A run is freed when its end is reported, before the job's row is written, so the order dropped the other copy of the end. A leader that is replaced before it writes takes the end with it.

Change: while ends of a machine are not written, its order waits; so it does for an instance that has become unresponsive since. Then the end is in the store, which the next leader reads.

Result: test_order_waits_for_written_ends failed before, with the maintenance (5 orders, wanted 0) and with the move (3 orders). That the leader had read the end is inferred from its order; the trial's log lacks the line.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -344,7 +344,7 @@
 	struct sched_instance_load load;
 
 	if (sched_machine_load(s, m->name, &load) &&
-	    (load.runs || load.unreported)) {
+	    (load.runs || load.unreported || load.ends_unwritten)) {
 		if (now - m->phase_since_ms > DRAIN_TIMEOUT_MS)
 			cancel_move(m, s, now);
 		return false;
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -217,7 +217,10 @@
 	talloc_free(list);
 }
 
-/* Returns whether nothing runs on the machine; drains it further if not. */
+/*
+ * Returns whether nothing runs on the machine and no end is known to this
+ * leader alone; drains it further if not.
+ */
 static bool drain_finished(struct sched *s, struct machine *m, uint64_t now)
 {
 	struct sched_instance_load load;
@@ -228,7 +231,7 @@
 	if (load.unreported)
 		return false;
 	if (!load.runs)
-		return true;
+		return !load.ends_unwritten;
 	sched_reserve(s, load.instance, true, now);
 	sched_evacuate(s, load.instance, let_tasks_end, now);
 	return false;
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -436,6 +436,8 @@
 	const char *rack;
 	bool usable;
 	bool unreported; /* has not reported to this leader: runs unknown */
+	/* reported ends, whose jobs' rows are not written yet */
+	bool ends_unwritten;
 	uint32_t runs;
 	uint32_t long_running; /* of runs, long-running tasks except fillers */
 	uint32_t fillers;      /* of runs */
@@ -448,8 +450,8 @@
 
 /*
  * sched_machine_load - load of the machine's newest instance among those that
- * are usable, have runs, or have not reported and may have runs; false when
- * there is none
+ * are usable, have runs or unwritten ends, or have not reported and may have
+ * runs; false when there is none
  */
 bool sched_machine_load(const struct sched *s, const char *machine,
 			struct sched_instance_load *load);
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -558,6 +558,7 @@
 	load->usable =
 		i->listed && !i->leaving && !i->unresponsive && !i->expired;
 	load->unreported = !i->reported && !i->expired;
+	load->ends_unwritten = i->unacked_count > 0;
 	load->runs = i->run_count;
 	load->used = i->used;
 	DL_FOREACH(i->runs, run)
@@ -594,7 +595,7 @@
 	if (!m)
 		return false;
 	DL_FOREACH2(m->instances, i, machine_next)
-	if (i->run_count || (!i->reported && !i->expired) ||
+	if (i->run_count || i->unacked_count || (!i->reported && !i->expired) ||
 	    (i->listed && !i->leaving && !i->unresponsive && !i->expired))
 		newest = i;
 	if (newest)
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -408,6 +408,97 @@
 	sched_submit(r->s, id, row, r->now, r->now, &after);
 }
 
+/* Reports an end of each task that was ordered to start. */
+static void report_ends(struct rig *r)
+{
+	uint32_t count = r->order_count;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct sched_order *o = &r->orders[i];
+		struct sched_ended ended = { 1, o->task, o->number, SCHED_DONE,
+					     "" };
+		struct sched_poll poll = next_poll(r, o->instance);
+
+		report(r, poll.instance, NULL, 0, &ended, 1, r->now);
+	}
+}
+
+static uint32_t count_actions(struct fleet *f, struct sched *s, uint64_t now,
+			      enum fleet_action_kind kind)
+{
+	struct fleet_action action;
+	uint32_t count = 0;
+
+	while (fleet_next_action(f, s, now, &action))
+		count += action.kind == kind;
+	return count;
+}
+
+/*
+ * An order to a machine drops the ends that it lists. While their rows are not
+ * written, a new leader would run the tasks again.
+ */
+static void test_order_waits_for_written_ends(void **state)
+{
+	static const char *const ids[] = { "m-0", "m-1", "m-2", "m-3", "m-4" };
+	static const enum fleet_action_kind kinds[] = {
+		FLEET_ACTION_MAINTENANCE, FLEET_ACTION_MOVE
+	};
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
+	struct config_pool pools[2] = { { "p", true, false },
+					{ "o", true, false } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(kinds) / sizeof(kinds[0]); c++) {
+		struct fleet_machine_info infos[5];
+		struct config_queue queues[2];
+		Fleet__JobRow *row = job_row(5, 1, false);
+		uint32_t i, after;
+		struct rig r;
+		struct fleet *f;
+
+		rig_new(&r);
+		queues[0] = queues[1] = r.queue;
+		queues[1].name = "o";
+		queues[1].pool = "o";
+		queues[1].objective_slack_ms = 60000;
+		r.workspace.cap.cpu = 0;
+		r.config = (struct config){ 1,	    2,	   2,		1,
+					    queues, pools, &r.workspace };
+		for (i = 0; i < 5; i++) {
+			add_instance_to(&r, ids[i], "p");
+			infos[i] =
+				(struct fleet_machine_info){ ids[i], "p", "r1",
+							     FLEET_UP };
+		}
+		sched_become_leader(r.s, 1, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		make_all_usable(&r);
+		row->steps[0]->spread_limit = 1;
+		sched_submit(r.s, id_a, row, r.now, r.now, &after);
+		for (i = 0; i < 60; i++)
+			submit_job(&r, "o", i + 100, 500);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 5);
+		answer_orders(&r, ORDER_DONE);
+		r.now += 5000;
+		report_ends(&r);
+		f = fleet_new(r.s, &options);
+		fleet_configure(f, &r.config);
+		if (kinds[c] == FLEET_ACTION_MAINTENANCE)
+			fleet_add_wave(f, "wave/1", 1, 5, 60000, ids, 5, r.now);
+		fleet_set_machines(f, infos, 5, r.now);
+		assert_int_equal(count_actions(f, r.s, r.now, kinds[c]), 0);
+		write_all(&r);
+		r.now += 10;
+		assert_int_not_equal(count_actions(f, r.s, r.now, kinds[c]), 0);
+		talloc_free(r.s);
+	}
+}
+
 /*
  * During a demand peak in one queue, the few machines that another queue needs
  * must still reach its pool, although the powered-off machines do not suffice
@@ -486,6 +577,7 @@
 		cmocka_unit_test(test_wave_waits_for_reports),
 		cmocka_unit_test(test_wave_counts_former_orders),
 		cmocka_unit_test(test_moves),
+		cmocka_unit_test(test_order_waits_for_written_ends),
 		cmocka_unit_test(test_demand_peaks),
 	};
 
