sched: a long-running task isn't stopped while its start is only unanswered

Callers saw: tasks that last were stopped at work while as many others of their step were away as may be (AVAIL).

Cause: a start without an answer was stopped after 400 ms, whatever ran by then. That proves that the task doesn't run, but a relay that is slow reports nothing of starts that were carried out. A new leader starts many at once.

Change: a start of a task that lasts is stopped only if a report that was asked for after the wait lacks it; the instance is polled with a short wait until then. A report that shows it settles the matter, as before.

Result: test_unanswered_start_at_work failed before (1 order, wanted 0). Tasks that end by themselves are stopped after the wait as before.

--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -54,7 +54,10 @@
 	uint32_t lease_max_ms; /* instances shorten longer leases to this */
 	/* after a takeover, the predecessor may send orders for this time */
 	uint32_t predecessor_orders_ms;
-	/* from an unanswered start to the stop that resolves its outcome */
+	/*
+	 * From an unanswered start to the stop that resolves its outcome. If
+	 * the task is long-running, to the poll that must show it.
+	 */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms; /* retention of an ended job's state */
 };
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -49,6 +49,7 @@
 	uint64_t ordered_ms;	   /* when its last order was sent */
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
 	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
+	bool absent;		 /* its unanswered start is not in a report */
 	bool to_send;		 /* it is in sched.to_send */
 	bool in_flight;		 /* its order was sent and is not answered */
 	uint32_t percent;	 /* progress, as reported */
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -12,6 +12,7 @@
 #define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
 #define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
 #define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
+#define POLL_WAIT_START_MS 200u	  /* a long-running task may have started */
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
@@ -53,6 +54,16 @@
 	return false;
 }
 
+static bool instance_has_unanswered_start(const struct instance *i)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (run->state == RUN_UNKNOWN && run->task->step->spec->lasting)
+		return true;
+	return false;
+}
+
 /*
  * Designed for instances that leave calls unanswered. An end is reported in
  * answer to the next poll, so where ends are expected an unanswered poll must
@@ -70,6 +81,8 @@
 							CALLS_LOSSY_MS
 			       ? POLL_WAIT_LOSSY_MS
 			       : POLL_WAIT_ENDING_MS;
+	if (instance_has_unanswered_start(i))
+		return POLL_WAIT_START_MS;
 	return instance_serves(i) ? POLL_WAIT_SERVING_MS : POLL_WAIT_MS;
 }
 
@@ -286,6 +299,9 @@
 				   run->running_since_ms < sent_ms;
 		bool stopped = run->stop_done_ms && run->stop_done_ms < sent_ms;
 
+		if (run->state == RUN_UNKNOWN &&
+		    sent_ms >= run->ordered_ms + s->options.start_wait_ms)
+			run->absent = true;
 		if (!was_running && !stopped)
 			continue;
 		task_name(run->task, name);
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -331,6 +331,19 @@
 		run_queue_order(s, run);
 }
 
+/*
+ * Whether to stop a run whose start was not answered, so that it can't begin
+ * any more. A long-running task may be at work by then, and its step may not
+ * miss another, so a report must lack it first.
+ */
+static bool start_is_overdue(const struct sched *s, const struct run *run,
+			     uint64_t now)
+{
+	if (run->task->step->spec->lasting)
+		return run->absent;
+	return now - run->ordered_ms >= s->options.start_wait_ms;
+}
+
 /* Stops runs whose start has an unknown outcome; repeats unanswered orders. */
 static void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
@@ -338,7 +351,7 @@
 		return;
 	switch (run->state) {
 	case RUN_UNKNOWN:
-		if (now - run->ordered_ms >= s->options.start_wait_ms)
+		if (start_is_overdue(s, run, now))
 			run_stop(s, run);
 		break;
 	case RUN_STOPPING:
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -186,6 +186,56 @@
 	talloc_free(r.s);
 }
 
+/*
+ * A long-running task whose start was not answered may be at work: it is
+ * stopped only once a report lacks it.
+ */
+static void test_unanswered_start_at_work(void **state)
+{
+	struct sched_running running;
+	struct sched_order order;
+	struct sched_poll poll;
+	struct rig r;
+	int shown;
+
+	(void)state;
+	for (shown = 0; shown < 2; shown++) {
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, true);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_LOST);
+		order = r.orders[0];
+		running = (struct sched_running){ order.task, order.number, "",
+						  100, 0 };
+		poll = next_poll(&r, r.orders[0].instance);
+		report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
+		r.now += 1100;
+		assert_int_equal(take_orders(&r), 0);
+		poll = next_poll(&r, order.instance);
+		assert_true(poll.wait_ms <= 200);
+		r.now += 10;
+		report(&r, poll.instance, &running, shown, NULL, 0, r.now - 10);
+		r.now += 400;
+		if (shown) {
+			assert_int_equal(take_orders(&r), 0);
+			talloc_free(r.s);
+			continue;
+		}
+		assert_int_equal(take_orders(&r), 1);
+		assert_int_equal(r.orders[0].kind, ORDER_STOP);
+		answer_orders(&r, ORDER_DONE);
+		r.now += 10;
+		poll = next_poll(&r, r.orders[0].instance);
+		report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
+		assert_int_equal(take_orders(&r), 1);
+		assert_int_equal(r.orders[0].kind, ORDER_START);
+		talloc_free(r.s);
+	}
+}
+
 /* Tasks of an unresponsive instance are restarted after its lease. */
 static void test_unresponsive_instance_expires(void **state)
 {
@@ -835,6 +885,7 @@
 		cmocka_unit_test(test_end_waits_for_its_change),
 		cmocka_unit_test(test_poll_in_millisecond_of_start),
 		cmocka_unit_test(test_unanswered_start),
+		cmocka_unit_test(test_unanswered_start_at_work),
 		cmocka_unit_test(test_unresponsive_instance_expires),
 		cmocka_unit_test(test_takeover_waits_for_unreported),
 		cmocka_unit_test(test_takeover_finds_a_duplicate),
