test: the scheduler walk checks disruption budgets

A stop that reaches a long-running task at work, while as many others of its step as may be are absent, fails the walk. Jobs that are cancelled and stops that come late are exempt.

--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -42,12 +42,48 @@
 	s->number = number;
 }
 
+static bool is_at_work(const struct world *w, const struct world_task_run *r)
+{
+	return !r->stop_ms && w->now - r->started_ms > STARTUP_MS;
+}
+
+/*
+ * A stop of a task at work needs the other tasks of its step, but one, at work.
+ * Not checked for a job that is cancelled, nor for a stop that came late.
+ */
+static void check_disruption_budget(struct world *w, const struct call *c,
+				    const struct world_task_run *run)
+{
+	uint32_t step, index, t;
+	struct world_job *job = job_of_task(w, run->task, &step, &index);
+	uint32_t away = 0;
+
+	if (!job->long_running || job->cancel_sent || !is_at_work(w, run) ||
+	    w->now - c->sent_ms > ORDER_TIMEOUT_MS)
+		return;
+	for (t = 0; t < job->row->steps[0]->count; t++)
+		away += t != index && w->now - job->at_work_ms[t] >= NOTICE_MS;
+	job->at_work_ms[index] = 0;
+	if (away >= job->row->steps[0]->may_miss)
+		violation(w, "BUDGET: %s is stopped with %u others away",
+			  run->task, away);
+}
+
 static void remove_run(struct world_instance *i, uint32_t r)
 {
 	record_stopped(i, i->runs[r].task, i->runs[r].number);
 	i->runs[r] = i->runs[--i->run_count];
 }
 
+static void note_at_work(struct world *w, const struct world_task_run *run)
+{
+	uint32_t step, index;
+	struct world_job *job = job_of_task(w, run->task, &step, &index);
+
+	if (job->long_running && is_at_work(w, run))
+		job->at_work_ms[index] = w->now;
+}
+
 void instance_advance(struct world *w, struct world_instance *i)
 {
 	uint32_t r;
@@ -74,6 +110,7 @@
 		else if (instance_clock_ms(w, i) >= i->lease_end)
 			outcome = SCHED_LAPSED;
 		else {
+			note_at_work(w, run);
 			r++;
 			continue;
 		}
@@ -241,9 +278,11 @@
 	record_stopped(i, c->order.task, c->order.number);
 	for (r = 0; r < i->run_count; r++)
 		if (!strcmp(i->runs[r].task, c->order.task) &&
-		    i->runs[r].number == c->order.number)
+		    i->runs[r].number == c->order.number) {
+			check_disruption_budget(w, c, &i->runs[r]);
 			i->runs[r].stop_ms =
 				w->now + random_below(w, STOP_MAX_MS);
+		}
 	return ORDER_DONE;
 }
 
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -32,7 +32,9 @@
 #define ENDS_MAX 256u	      /* ends, and stopped runs, of an instance */
 #define ATTEMPTS_MAX 3u
 #define CANCEL_GRACE_MS 3000u /* starts may follow a cancellation this long */
-#define CAP_CPU 9000	      /* millicores; of workspace w1 */
+/* Absent for this long, a long-running task counts against the budget */
+#define NOTICE_MS 4000u
+#define CAP_CPU 9000 /* millicores; of workspace w1 */
 
 /* Instances */
 
@@ -91,6 +93,8 @@
 	bool done[4][TASKS_MAX];	 /* the task ended successfully */
 	bool acknowledged[4][TASKS_MAX]; /* its end was acknowledged */
 	uint32_t failures[4][TASKS_MAX];
+	/* when each long-running task was last at work; 0: stopped since */
+	uint64_t at_work_ms[TASKS_MAX];
 	/* Rows in the store */
 	bool has_row;
 	bool has_progress;
