sched: a lease is renewed at once when an instance is heard again

Callers saw: tasks that last lapsed although a new leader had found them.

Cause: the first poll of an instance can't renew its lease, as the leader knows neither its clock nor its runs. The second did, but waited 300 ms if the first report had ends, which are polled for again once they may be written. The same after a poll without an answer, which isn't followed by a renewal either.

Change: if this leader has given no lease since the instance was last silent, the next poll follows at once.

Result: test_takeover_renews_leases failed before (no second poll).

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -380,6 +380,7 @@
 		i->lease_end_ms = end;
 	if (!i->clock_read_ms)
 		return 0;
+	i->leased = true;
 	return i->clock_ms + (now - i->clock_read_ms) + s->options.lease_ms;
 }
 
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -254,6 +254,7 @@
 	bool reported;		 /* to this leader */
 	bool expired;		 /* nothing can run there any more */
 	bool unresponsive;	 /* poll or orders were not answered */
+	bool leased;		 /* by this leader, since it was last silent */
 	bool maintenance_due;	 /* it will be drained for maintenance */
 	bool reserved;		 /* excluded from placement by fleet/ */
 	bool polling;		 /* a poll is not answered yet */
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -379,6 +379,18 @@
 	return a > b ? a : b;
 }
 
+/*
+ * When to poll an instance that has just answered. Its first poll can't renew
+ * the lease, as its clock and runs aren't known; the next one has to, at once:
+ * the lease may be about to expire.
+ */
+static uint64_t next_poll_ms(const struct instance *i, uint64_t now)
+{
+	if (!i->unacked_count || (i->run_count && !i->leased))
+		return now;
+	return now + POLL_UNWRITTEN_MS;
+}
+
 void sched_poll_done(struct sched *s, instance_handle_t h,
 		     const struct sched_report *r, uint64_t sent_ms,
 		     uint64_t now)
@@ -398,6 +410,7 @@
 				    i->run_count,
 				    (int64_t)(i->lease_end_ms - now));
 		i->unresponsive = true;
+		i->leased = false;
 		i->next_poll_ms = max_uint64(now + POLL_FAILED_MS,
 					     sent_ms + POLL_FAILED_GAP_MS);
 		return;
@@ -424,6 +437,6 @@
 	free_missing_runs(s, i, r, sent_ms, now);
 	instance_count_reported(s, i);
 	acknowledge_unchanged(s, i);
-	i->next_poll_ms = i->unacked_count ? now + POLL_UNWRITTEN_MS : now;
+	i->next_poll_ms = next_poll_ms(i, now);
 	instance_throttle(s, i, now);
 }
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -342,6 +342,49 @@
 	talloc_free(r.s);
 }
 
+/*
+ * A new leader renews the lease of an instance with its second poll, without
+ * waiting for the ends of the first report to be written.
+ */
+static void test_takeover_renews_leases(void **state)
+{
+	struct sched_running running = { "000000000000000a.0.0.0", 10001, "",
+					 100, 0 };
+	struct sched_ended ended = { 1, "000000000000000b.0.0.0", 10001,
+				     SCHED_DONE, "" };
+	struct sched_poll poll;
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	add_instance(&r, "i-0", false);
+	sched_load_job(r.s, id_a, job_row(1, 1, true), NULL, r.now);
+	sched_load_job(r.s, "000000000000000b", job_row(1, 1, false), NULL,
+		       r.now);
+	sched_become_leader(r.s, 2, false, r.now);
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_equal(poll.lease_until, 0);
+	report(&r, poll.instance, &running, 1, &ended, 1, r.now);
+	r.now++;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_not_equal(poll.lease_until, 0);
+	report(&r, poll.instance, &running, 1, &ended, 1, r.now);
+	r.now++;
+	assert_false(sched_next_poll(r.s, r.now, &poll));
+	/* The same after a poll without an answer */
+	r.now += 400;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	sched_poll_done(r.s, poll.instance, NULL, r.now, r.now);
+	r.now += 400;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_equal(poll.lease_until, 0);
+	report(&r, poll.instance, &running, 1, &ended, 1, r.now);
+	r.now++;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_not_equal(poll.lease_until, 0);
+	talloc_free(r.s);
+}
+
 /* A loaded job whose queue was moved may still run in the old pool. */
 static void test_takeover_after_pool_change(void **state)
 {
@@ -889,6 +932,7 @@
 		cmocka_unit_test(test_unresponsive_instance_expires),
 		cmocka_unit_test(test_takeover_waits_for_unreported),
 		cmocka_unit_test(test_takeover_finds_a_duplicate),
+		cmocka_unit_test(test_takeover_renews_leases),
 		cmocka_unit_test(test_takeover_after_pool_change),
 		cmocka_unit_test(test_workspace_cap),
 		cmocka_unit_test(test_disruption_budget),
