sched: a start whose relay gave no result is looked for before its stop

Callers saw: under a leader with slow relays much work was begun, stopped and begun again.

Cause: a relay that gives no result within 600 ms has mostly carried out the start, but the run was stopped as if the instance had not answered, and its task started anew: more orders for relays that are behind already.

Change: such a start is treated like that of a long-running task: it is stopped only if a report asked for later lacks it. If the instance itself didn't answer nothing changes.

Result: test_unanswered_start_at_work, now for both, failed before (1 order, wanted 0).

--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -55,8 +55,8 @@
 	/* after a takeover, the predecessor may send orders for this time */
 	uint32_t predecessor_orders_ms;
 	/*
-	 * From an unanswered start to the stop that resolves its outcome. If
-	 * the task is long-running, to the poll that must show it.
+	 * From an unanswered start to the stop that resolves its outcome, or to
+	 * the poll that must show it first
 	 */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms; /* retention of an ended job's state */
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -49,6 +49,7 @@
 	uint64_t ordered_ms;	   /* when its last order was sent */
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
 	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
+	bool relay_lost;	 /* no result of its start from the relay */
 	bool absent;		 /* its unanswered start is not in a report */
 	bool to_send;		 /* it is in sched.to_send */
 	bool in_flight;		 /* its order was sent and is not answered */
@@ -441,6 +442,14 @@
 
 /* run_watch - let runs_tick look after the run until it is settled */
 void run_watch(struct sched *s, struct run *run);
+
+/*
+ * run_needs_report - whether a report must lack the run before it is stopped
+ *
+ * True of an unanswered start that may well have been carried out, as the relay
+ * is slow, or whose stop would make a long-running task unavailable.
+ */
+bool run_needs_report(const struct run *run);
 uint64_t sched_run_number(const struct sched *s, struct task *task);
 bool run_is_available(const struct run *run);
 
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -257,6 +257,7 @@
 		if (run->state == RUN_ORDERED)
 			run->state = RUN_UNKNOWN;
 		run_watch(s, run);
+		run->relay_lost = result == ORDER_LOST;
 		if (result == ORDER_UNKNOWN)
 			instance_record_no_answer(s, run->instance, now);
 		return;
@@ -331,15 +332,20 @@
 		run_queue_order(s, run);
 }
 
+bool run_needs_report(const struct run *run)
+{
+	return run->state == RUN_UNKNOWN &&
+	       (run->relay_lost || run->task->step->spec->lasting);
+}
+
 /*
  * Whether to stop a run whose start was not answered, so that it can't begin
- * any more. A long-running task may be at work by then, and its step may not
- * miss another, so a report must lack it first.
+ * any more.
  */
 static bool start_is_overdue(const struct sched *s, const struct run *run,
 			     uint64_t now)
 {
-	if (run->task->step->spec->lasting)
+	if (run_needs_report(run))
 		return run->absent;
 	return now - run->ordered_ms >= s->options.start_wait_ms;
 }
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -187,26 +187,37 @@
 }
 
 /*
- * A long-running task whose start was not answered may be at work: it is
- * stopped only once a report lacks it.
+ * A long-running task whose start was not answered may be at work, and so may
+ * any task if only the relay gave no result: it is stopped only once a report
+ * lacks it.
  */
 static void test_unanswered_start_at_work(void **state)
 {
+	static const struct {
+		enum sched_order_result result;
+		bool long_running;
+		uint32_t shown; /* in the report */
+	} cases[] = { { ORDER_UNKNOWN, true, 0 },
+		      { ORDER_UNKNOWN, true, 1 },
+		      { ORDER_LOST, false, 0 },
+		      { ORDER_LOST, false, 1 } };
 	struct sched_running running;
 	struct sched_order order;
 	struct sched_poll poll;
 	struct rig r;
-	int shown;
+	size_t c;
 
 	(void)state;
-	for (shown = 0; shown < 2; shown++) {
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		uint32_t shown = cases[c].shown;
+
 		rig_new(&r);
 		rig_become_leader(&r);
 		make_all_usable(&r);
-		submit(&r, id_a, 1, 1, true);
+		submit(&r, id_a, 1, 1, cases[c].long_running);
 		write_all(&r);
 		assert_int_equal(take_orders(&r), 1);
-		answer_orders(&r, ORDER_LOST);
+		answer_orders(&r, cases[c].result);
 		order = r.orders[0];
 		running = (struct sched_running){ order.task, order.number, "",
 						  100, 0 };
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -102,11 +102,14 @@
 static void answer_order(struct world *w, struct call *c, bool timed_out)
 {
 	struct leader *l = &w->leaders[c->leader];
+	enum sched_order_result result = c->result;
 
+	if (timed_out)
+		result = random_below(w, 2) ? ORDER_UNKNOWN : ORDER_LOST;
 	if (!timed_out && c->result == ORDER_REFUSED_FENCE)
 		l->confirmed_ms = 0;
-	sched_order_done(l->s, &c->order, timed_out ? ORDER_UNKNOWN : c->result,
-			 c->clock_ms, c->sent_ms, w->now);
+	sched_order_done(l->s, &c->order, result, c->clock_ms, c->sent_ms,
+			 w->now);
 }
 
 static void answer_poll(struct world *w, struct call *c, bool timed_out)
