--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -54,7 +54,10 @@
 	uint32_t lease_max_ms; /* instances shorten longer leases to this */
 	/* after a takeover, the predecessor may send orders for this time */
 	uint32_t predecessor_orders_ms;
-	/* from an unanswered start to the stop that resolves its outcome */
+	/*
+	 * From an unanswered start to the stop that resolves its outcome, or to
+	 * the poll that must show it first
+	 */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms; /* retention of an ended job's state */
 };
@@ -446,6 +449,8 @@
 	const char *rack;
 	bool usable;
 	bool unreported; /* has not reported to this leader: runs unknown */
+	/* reported ends, whose jobs' rows are not written yet */
+	bool ends_unwritten;
 	uint32_t runs;
 	uint32_t long_running; /* of runs, long-running tasks except fillers */
 	uint32_t fillers;      /* of runs */
@@ -458,8 +463,8 @@
 
 /*
  * sched_machine_load - load of the machine's newest instance among those that
- * are usable, have runs, or have not reported and may have runs; false when
- * there is none
+ * are usable, have runs or unwritten ends, or have not reported and may have
+ * runs; false when there is none
  */
 bool sched_machine_load(const struct sched *s, const char *machine,
 			struct sched_instance_load *load);
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -12,6 +12,7 @@
 #define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
 #define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
 #define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
+#define POLL_WAIT_START_MS 200u	  /* a start has an unknown outcome */
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
@@ -53,6 +54,16 @@
 	return false;
 }
 
+static bool instance_has_start_to_report(const struct instance *i)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (run_needs_report(run))
+		return true;
+	return false;
+}
+
 /*
  * Designed for instances that leave calls unanswered. An end is reported in
  * answer to the next poll, so where ends are expected an unanswered poll must
@@ -65,6 +76,8 @@
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
+	if (instance_has_start_to_report(i))
+		return POLL_WAIT_START_MS;
 	if (instance_has_ending(i))
 		return s->call_unanswered_ms && now - s->call_unanswered_ms <
 							CALLS_LOSSY_MS
@@ -286,6 +299,9 @@
 				   run->running_since_ms < sent_ms;
 		bool stopped = run->stop_done_ms && run->stop_done_ms < sent_ms;
 
+		if (run->state == RUN_UNKNOWN &&
+		    sent_ms >= run->ordered_ms + s->options.start_wait_ms)
+			run->absent = true;
 		if (!was_running && !stopped)
 			continue;
 		task_name(run->task, name);
@@ -363,6 +379,18 @@
 	return a > b ? a : b;
 }
 
+/*
+ * When to poll an instance that has just answered. Its first poll can't renew
+ * the lease, as its clock and runs aren't known; the next one has to, at once:
+ * the lease may be about to expire.
+ */
+static uint64_t next_poll_ms(const struct instance *i, uint64_t now)
+{
+	if (!i->unacked_count || (i->run_count && !i->leased))
+		return now;
+	return now + POLL_UNWRITTEN_MS;
+}
+
 void sched_poll_done(struct sched *s, instance_handle_t h,
 		     const struct sched_report *r, uint64_t sent_ms,
 		     uint64_t now)
@@ -382,6 +410,7 @@
 				    i->run_count,
 				    (int64_t)(i->lease_end_ms - now));
 		i->unresponsive = true;
+		i->leased = false;
 		i->next_poll_ms = max_uint64(now + POLL_FAILED_MS,
 					     sent_ms + POLL_FAILED_GAP_MS);
 		return;
@@ -408,6 +437,6 @@
 	free_missing_runs(s, i, r, sent_ms, now);
 	instance_count_reported(s, i);
 	acknowledge_unchanged(s, i);
-	i->next_poll_ms = i->unacked_count ? now + POLL_UNWRITTEN_MS : now;
+	i->next_poll_ms = next_poll_ms(i, now);
 	instance_throttle(s, i, now);
 }
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -257,6 +257,7 @@
 		if (run->state == RUN_ORDERED)
 			run->state = RUN_UNKNOWN;
 		run_watch(s, run);
+		run->relay_lost = result == ORDER_LOST;
 		if (result == ORDER_UNKNOWN)
 			instance_record_no_answer(s, run->instance, now);
 		return;
@@ -331,6 +332,24 @@
 		run_queue_order(s, run);
 }
 
+bool run_needs_report(const struct run *run)
+{
+	return run->state == RUN_UNKNOWN &&
+	       (run->relay_lost || run->task->step->spec->lasting);
+}
+
+/*
+ * Whether to stop a run whose start was not answered, so that it can't begin
+ * any more.
+ */
+static bool start_is_overdue(const struct sched *s, const struct run *run,
+			     uint64_t now)
+{
+	if (run_needs_report(run))
+		return run->absent;
+	return now - run->ordered_ms >= s->options.start_wait_ms;
+}
+
 /* Stops runs whose start has an unknown outcome; repeats unanswered orders. */
 static void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
@@ -338,7 +357,7 @@
 		return;
 	switch (run->state) {
 	case RUN_UNKNOWN:
-		if (now - run->ordered_ms >= s->options.start_wait_ms)
+		if (start_is_overdue(s, run, now))
 			run_stop(s, run);
 		break;
 	case RUN_STOPPING:
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -186,6 +186,67 @@
 	talloc_free(r.s);
 }
 
+/*
+ * A long-running task whose start was not answered may be at work, and so may
+ * any task if only the relay gave no result: it is stopped only once a report
+ * lacks it.
+ */
+static void test_unanswered_start_at_work(void **state)
+{
+	static const struct {
+		enum sched_order_result result;
+		bool long_running;
+		uint32_t shown; /* in the report */
+	} cases[] = { { ORDER_UNKNOWN, true, 0 },
+		      { ORDER_UNKNOWN, true, 1 },
+		      { ORDER_LOST, false, 0 },
+		      { ORDER_LOST, false, 1 } };
+	struct sched_running running;
+	struct sched_order order;
+	struct sched_poll poll;
+	struct rig r;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		uint32_t shown = cases[c].shown;
+
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, cases[c].long_running);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, cases[c].result);
+		order = r.orders[0];
+		running = (struct sched_running){ order.task, order.number, "",
+						  100, 0 };
+		poll = next_poll(&r, r.orders[0].instance);
+		report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
+		r.now += 1100;
+		assert_int_equal(take_orders(&r), 0);
+		poll = next_poll(&r, order.instance);
+		assert_true(poll.wait_ms <= 200);
+		r.now += 10;
+		report(&r, poll.instance, &running, shown, NULL, 0, r.now - 10);
+		r.now += 400;
+		if (shown) {
+			assert_int_equal(take_orders(&r), 0);
+			talloc_free(r.s);
+			continue;
+		}
+		assert_int_equal(take_orders(&r), 1);
+		assert_int_equal(r.orders[0].kind, ORDER_STOP);
+		answer_orders(&r, ORDER_DONE);
+		r.now += 10;
+		poll = next_poll(&r, r.orders[0].instance);
+		report(&r, poll.instance, NULL, 0, NULL, 0, r.now);
+		assert_int_equal(take_orders(&r), 1);
+		assert_int_equal(r.orders[0].kind, ORDER_START);
+		talloc_free(r.s);
+	}
+}
+
 /* Tasks of an unresponsive instance are restarted after its lease. */
 static void test_unresponsive_instance_expires(void **state)
 {
@@ -292,6 +353,49 @@
 	talloc_free(r.s);
 }
 
+/*
+ * A new leader renews the lease of an instance with its second poll, without
+ * waiting for the ends of the first report to be written.
+ */
+static void test_takeover_renews_leases(void **state)
+{
+	struct sched_running running = { "000000000000000a.0.0.0", 10001, "",
+					 100, 0 };
+	struct sched_ended ended = { 1, "000000000000000b.0.0.0", 10001,
+				     SCHED_DONE, "" };
+	struct sched_poll poll;
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	add_instance(&r, "i-0", false);
+	sched_load_job(r.s, id_a, job_row(1, 1, true), NULL, r.now);
+	sched_load_job(r.s, "000000000000000b", job_row(1, 1, false), NULL,
+		       r.now);
+	sched_become_leader(r.s, 2, false, r.now);
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_equal(poll.lease_until, 0);
+	report(&r, poll.instance, &running, 1, &ended, 1, r.now);
+	r.now++;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_not_equal(poll.lease_until, 0);
+	report(&r, poll.instance, &running, 1, &ended, 1, r.now);
+	r.now++;
+	assert_false(sched_next_poll(r.s, r.now, &poll));
+	/* The same after a poll without an answer */
+	r.now += 400;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	sched_poll_done(r.s, poll.instance, NULL, r.now, r.now);
+	r.now += 400;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_equal(poll.lease_until, 0);
+	report(&r, poll.instance, &running, 1, &ended, 1, r.now);
+	r.now++;
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	assert_int_not_equal(poll.lease_until, 0);
+	talloc_free(r.s);
+}
+
 /* A loaded job whose queue was moved may still run in the old pool. */
 static void test_takeover_after_pool_change(void **state)
 {
@@ -835,9 +939,11 @@
 		cmocka_unit_test(test_end_waits_for_its_change),
 		cmocka_unit_test(test_poll_in_millisecond_of_start),
 		cmocka_unit_test(test_unanswered_start),
+		cmocka_unit_test(test_unanswered_start_at_work),
 		cmocka_unit_test(test_unresponsive_instance_expires),
 		cmocka_unit_test(test_takeover_waits_for_unreported),
 		cmocka_unit_test(test_takeover_finds_a_duplicate),
+		cmocka_unit_test(test_takeover_renews_leases),
 		cmocka_unit_test(test_takeover_after_pool_change),
 		cmocka_unit_test(test_workspace_cap),
 		cmocka_unit_test(test_disruption_budget),
