relay: a slow new leader waits for its links

A new leader with too little processor started nothing for 16 s, so tasks that last were lost (LOST): it reads its links to relays late, stopped waiting for them after 300 ms and polled 349 instances itself, a connection each, which kept it from reading the links and the answers (leader-load lines: results_ms 0 and starts 0 from 5.4 to 20 s, the first relay-linked line 11 s after takeover).

The wait for links now follows the lag of its event loop.

--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -619,6 +619,14 @@
  */
 bool relay_call_is_lost(uint64_t deadline_ms, bool unread, uint64_t now);
 
+/*
+ * relay_waits_for_links - whether a new leader still waits for dialed peers
+ *
+ * since_ms: since it began to decide; loop_lag_ms: how late it reads.
+ */
+bool relay_waits_for_links(uint32_t dialed, uint32_t linked, uint64_t since_ms,
+			   uint32_t loop_lag_ms);
+
 /* relay_is_connecting - whether calls wait for the first links to peers */
 bool relay_is_connecting(const struct node *n, uint64_t now);
 
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -490,6 +490,13 @@
 	}
 }
 
+bool relay_waits_for_links(uint32_t dialed, uint32_t linked, uint64_t since_ms,
+			   uint32_t loop_lag_ms)
+{
+	return linked * 2 < dialed &&
+	       since_ms < RELAY_CONNECT_WAIT_MS + 2 * loop_lag_ms;
+}
+
 bool relay_is_connecting(const struct node *n, uint64_t now)
 {
 	const struct relay_peer *p;
@@ -500,8 +507,9 @@
 		dialed += p->stream != NULL;
 		linked += p->linked;
 	}
-	return linked * 2 < dialed &&
-	       now - n->relay->leader_since_ms < RELAY_CONNECT_WAIT_MS;
+	return relay_waits_for_links(dialed, linked,
+				     now - n->relay->leader_since_ms,
+				     n->loop_lag_ms);
 }
 
 void relay_begin(struct node *n)
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -286,6 +286,36 @@
 			cases[c].unresponsive);
 }
 
+/*
+ * Load: a new leader with hundreds of instances reads its links late. If it
+ * called them all itself meanwhile, it would read later still.
+ */
+static void test_late_links_of_a_new_leader(void **state)
+{
+	static const struct {
+		const char *what;
+		uint32_t dialed, linked;
+		uint64_t since_ms;
+		uint32_t loop_lag_ms;
+		bool waits;
+	} cases[] = {
+		{ "no peers", 0, 0, 0, 0, false },
+		{ "dialed a moment ago", 6, 0, 10, 0, true },
+		{ "half of them are linked", 6, 3, 10, 0, false },
+		{ "none answers", 6, 0, 300, 0, false },
+		{ "a late loop", 6, 0, 1500, 1000, true },
+		{ "a late loop, none answers", 6, 0, 4500, 2000, false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++)
+		if (relay_waits_for_links(
+			    cases[c].dialed, cases[c].linked, cases[c].since_ms,
+			    cases[c].loop_lag_ms) != cases[c].waits)
+			fail_msg("%s", cases[c].what);
+}
+
 /* A weak relay gets a small part of the instances, not as many as a strong. */
 static void test_instances_by_power(void **state)
 {
@@ -385,6 +415,7 @@
 		cmocka_unit_test(test_wait_for_former_leader),
 		cmocka_unit_test(test_relays_for_many_instances),
 		cmocka_unit_test(test_unresponsive_relays),
+		cmocka_unit_test(test_late_links_of_a_new_leader),
 		cmocka_unit_test(test_instances_by_power),
 		cmocka_unit_test(test_unread_results_are_not_lost),
 		cmocka_unit_test(test_repeated_states),
