node: a leader asks the store about a write that is late

Callers got no verdict, or 429 "store silent", for as long as the store lost answers, although a node led: each transaction without an answer was waited for until its timeout of 1,500 ms with nothing sent beside it, and the next one, which changes the leader row, was lost as often.

Every transaction now writes a marker (epoch, number, count of resolutions) into one of two rows of the table "commit". If it is unanswered for three times the usual answer time, the markers are read, on another connection. It is there: done, and true whatever happens later, since the marker is part of the transaction. It isn't: the transaction is voided as before, by one that changes the leader row and that has the same condition, so only one of the two can be done. A marker of an earlier resolving transaction that was done late shows the new revision of the leader row, and the asked one is void. An answer that comes before the read's is accepted.

A slow store isn't asked more: the wait follows the slowest answer lately seen, a read that itself is slow gives the transaction three times its time, and the wait doubles after every second transaction voided in a row. Answers of voided transactions still count for the usual answer time. A refused read is repeated at doubling intervals.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,8 @@
 
 $(B)/test/ledger_walk: $(B)/test/walk/world.o
 
-$(B)/test/sched_test $(B)/test/poll_test $(B)/test/fleet_test: \
+$(B)/test/sched_test $(B)/test/poll_test $(B)/test/fleet_test \
+		$(B)/test/lost_answer_test: \
 		$(B)/test/rig/sched_rig.o
 
 $(B)/test/overload_test $(B)/test/refusals_test: $(B)/test/rig/overload.o
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -5,9 +5,13 @@
  * the next one takes all changes made meanwhile. While the store is slow,
  * up to COMMITS_IN_FLIGHT_MAX are, with changes of different jobs. Every
  * transaction has the condition that the leader row is unchanged, so those of a
- * former leader fail. When an answer is lost, the next transaction also changes
- * the leader row, and none is sent beside it: if the lost one wasn't applied
- * before, it never will be.
+ * former leader fail.
+ *
+ * Every transaction also writes a marker, a row of the commit table. When a
+ * transaction is unanswered for longer than the store usually takes, the marker
+ * shows whether it was applied. If it wasn't, the next transaction also changes
+ * the leader row, and none is sent beside it: if the unanswered one isn't
+ * applied before, it never will be.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -19,22 +23,51 @@
 /* Timeout; covers two transactions of a store that takes 0.6 s for each. */
 #define COMMIT_MS 1500u
 #define COMMIT_RETRY_MS 100u
-#define COMMIT_STALLED_MS 800u	  /* unanswered; a slow store takes 0.6 s */
-#define COMMIT_SLOW_MS 30u	  /* unanswered: the next one may be sent */
-#define COMMITS_IN_FLIGHT_MAX 2u  /* the store applies them one by one */
-#define COMMIT_ENTRIES_PER_JOB 5u /* maximum for one job's change */
+#define COMMIT_ASK_TIMEOUT_MS 600u /* a read takes 300 ms when slow */
+#define COMMIT_STALLED_MS 800u	   /* unanswered; a slow store takes 0.6 s */
+#define COMMIT_SLOW_MS 30u	   /* unanswered: the next one may be sent */
+#define COMMIT_ENTRIES_PER_JOB 5u  /* maximum for one job's change */
+
+/*
+ * The marker of a transaction is read once it is unanswered for
+ * COMMIT_ASK_FACTOR times the answer time of the store. After every second
+ * transaction in a row that was voided this time is doubled, at most
+ * COMMIT_BACKOFF_MAX times.
+ */
+#define COMMIT_ASK_FACTOR 3u
+#define COMMIT_ASK_MIN_MS 40u
+#define COMMIT_BACKOFF_MAX 2u
+#define COMMIT_ANSWER_DECAY 8u /* part of the difference to a faster answer */
+#define COMMIT_MARKER_BYTES 64 /* of a marker's text, with the NUL */
 
 /* A transaction; number identifies its changes in sched. */
 struct batch {
 	struct node *node;
 	uint64_t generation;
 	uint64_t sent_ms;
+	uint64_t asked_ms; /* when the last read of the marker was sent */
 	uint32_t number;
+	uint32_t slot; /* its row of the commit table */
 	bool resolves;
+	bool answered; /* by the store, or timed out */
+	bool asking;   /* a read of the marker is in flight */
+	bool decided;  /* sched knows the outcome; an answer changes nothing */
+	uint64_t ask_ms; /* when the marker is read; 0: not yet known */
 	struct store_txn txn;
 	size_t bytes;
 };
 
+/* What a transaction writes into its row of the commit table. */
+struct marker {
+	uint64_t epoch;
+	uint32_t number;
+	uint32_t resolved; /* of the leader row, after the transaction */
+};
+
+#define MARKER_FORMAT(kind) "%" kind##u64 "/%" kind##u32 "/%" kind##u32
+
+static const char *const slot_keys[COMMITS_IN_FLIGHT_MAX] = { "0", "1" };
+
 /* Requests that wait until their decision is durable */
 
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
@@ -235,20 +268,33 @@
 			  answer->row_count);
 }
 
-static void on_written(void *arg, const struct store_answer *answer)
+static void batch_release(struct batch *b)
+{
+	if (!b->answered || b->asking)
+		return;
+	if (b->node->open_commits[b->slot] == b)
+		b->node->open_commits[b->slot] = NULL;
+	talloc_free(b);
+}
+
+/* Whether sched still waits for the outcome of b. */
+static bool is_awaited(const struct batch *b)
+{
+	return !b->decided && b->generation == b->node->phase_generation;
+}
+
+static void decide(struct batch *b, const struct store_answer *answer)
 {
-	struct batch *b = arg;
 	struct node *n = b->node;
 	uint64_t now = clock_now_ms();
 
-	node_store_result(n, answer->status);
-	if (b->generation != n->phase_generation) {
-		talloc_free(b);
-		return;
-	}
+	b->decided = true;
+	n->open_commits[b->slot] = NULL;
 	n->commits_in_flight--;
-	if (answer->status == STORE_OK || answer->status == STORE_CONFLICT)
+	if (answer->status == STORE_OK || answer->status == STORE_CONFLICT) {
 		n->commit_waiting_since_ms = n->commits_in_flight ? now : 0;
+		n->commits_voided = 0;
+	}
 	switch (answer->status) {
 	case STORE_OK:
 		n->commits++;
@@ -276,11 +322,224 @@
 		n->commit_retry_ms = now + COMMIT_RETRY_MS;
 		break;
 	}
-	talloc_free(b);
 	if (n->phase == LEADER_DECIDING)
 		node_schedule_pass(n);
 }
 
+static void on_written(void *arg, const struct store_answer *answer)
+{
+	struct batch *b = arg;
+	struct node *n = b->node;
+
+	b->answered = true;
+	if (answer->status != STORE_UNKNOWN)
+		n->commit_answer_ms = commit_answer_ms(
+			n->commit_answer_ms, clock_now_ms() - b->sent_ms);
+	if (b->decided && answer->status == STORE_UNKNOWN)
+		node_store_lost(n);
+	else
+		node_store_result(n, answer->status);
+	if (is_awaited(b))
+		decide(b, answer);
+	batch_release(b);
+}
+
+/* Unanswered transactions */
+
+uint32_t commit_answer_ms(uint32_t before_ms, uint64_t took_ms)
+{
+	const uint32_t max_ms = COMMIT_MS / COMMIT_ASK_FACTOR;
+
+	if (took_ms > max_ms)
+		took_ms = max_ms;
+	if (took_ms >= before_ms)
+		return (uint32_t)took_ms;
+	return before_ms -
+	       (before_ms - (uint32_t)took_ms + COMMIT_ANSWER_DECAY - 1) /
+		       COMMIT_ANSWER_DECAY;
+}
+
+uint32_t commit_ask_after_ms(uint32_t answer_ms, uint32_t voided)
+{
+	uint32_t ms = answer_ms * COMMIT_ASK_FACTOR;
+
+	if (ms < COMMIT_ASK_MIN_MS)
+		ms = COMMIT_ASK_MIN_MS;
+	ms <<= voided / 2 < COMMIT_BACKOFF_MAX ? voided / 2
+					       : COMMIT_BACKOFF_MAX;
+	return ms < COMMIT_MS ? ms : COMMIT_MS;
+}
+
+uint32_t commit_void_after_ms(uint64_t read_took_ms)
+{
+	return commit_ask_after_ms(commit_answer_ms(0, read_took_ms), 0);
+}
+
+static bool decode_marker(const struct store_row *row, struct marker *m)
+{
+	char text[COMMIT_MARKER_BYTES];
+
+	snprintf(text, sizeof(text), "%.*s", (int)row->length,
+		 (const char *)row->value);
+	return sscanf(text, MARKER_FORMAT(SCN), &m->epoch, &m->number,
+		      &m->resolved) == 3;
+}
+
+enum fate {
+	FATE_OPEN,    /* not applied, but it may still be */
+	FATE_APPLIED, /* at the revision */
+	FATE_VOID, /* an earlier one changed the leader row, at the revision */
+};
+
+static enum fate find_fate(const struct batch *b,
+			   const struct store_answer *answer,
+			   uint64_t *revision)
+{
+	const struct leader_view *leader = &b->node->leader;
+	enum fate fate = FATE_OPEN;
+	uint32_t i;
+
+	for (i = 0; i < answer->row_count; i++) {
+		const struct store_row *row = &answer->rows[i];
+		struct marker m;
+
+		if (!decode_marker(row, &m) || m.epoch != leader->epoch)
+			continue;
+		if (m.number != b->number && m.resolved <= leader->resolved)
+			continue;
+		*revision = row->revision;
+		if (m.number == b->number)
+			return FATE_APPLIED;
+		fate = FATE_VOID;
+	}
+	return fate;
+}
+
+/* b isn't applied yet; the next transaction will keep it from being. */
+static void give_up(struct batch *b)
+{
+	const struct store_answer unknown = { .status = STORE_UNKNOWN };
+
+	decide(b, &unknown);
+	b->node->commits_voided++;
+	b->node->commit_retry_ms = 0;
+}
+
+/* The leader row has the revision that an earlier transaction gave it. */
+static void adopt_resolution(struct batch *b, uint64_t revision)
+{
+	const struct store_answer refused = { .status = STORE_REFUSED };
+	struct node *n = b->node;
+
+	n->leader.revision = revision;
+	n->leader.resolved++;
+	n->resolve_pending = false;
+	decide(b, &refused);
+	n->commits_voided = 0;
+	n->commit_retry_ms = 0;
+}
+
+/* A timer that is set already may fire early, which is cheaper than to set. */
+static void ask_after(struct batch *b, uint64_t ms)
+{
+	struct node *n = b->node;
+
+	b->ask_ms = clock_now_ms() + ms;
+	if (!mtimer_pending(n->commit_ask_timer) ||
+	    b->ask_ms < n->commit_ask_ms) {
+		n->commit_ask_ms = b->ask_ms;
+		mtimer_set(n->commit_ask_timer, ms);
+	}
+}
+
+static void on_marker(void *arg, const struct store_answer *answer)
+{
+	struct batch *b = arg;
+	struct node *n = b->node;
+	struct store_answer applied = { .status = STORE_OK };
+	uint64_t now = clock_now_ms();
+	uint64_t waited_ms = now - b->sent_ms;
+	uint64_t took_ms = now - b->asked_ms;
+	uint32_t void_ms = commit_void_after_ms(took_ms);
+	enum fate fate = FATE_OPEN;
+
+	b->asking = false;
+	node_store_result(n, answer->status);
+	if (!is_awaited(b)) {
+		batch_release(b);
+		return;
+	}
+	if (answer->status == STORE_OK)
+		fate = find_fate(b, answer, &applied.revision);
+	event_log("write-asked", NULL,
+		  "\"after_ms\":%" PRIu64 ",\"status\":%d,\"fate\":%d",
+		  waited_ms, answer->status, fate);
+	if (fate == FATE_APPLIED) {
+		n->commit_answer_ms =
+			commit_answer_ms(n->commit_answer_ms, took_ms);
+		decide(b, &applied);
+	} else if (fate == FATE_VOID) {
+		adopt_resolution(b, applied.revision);
+	} else if (answer->status != STORE_OK) {
+		ask_after(b, waited_ms > void_ms ? waited_ms : void_ms);
+	} else if (waited_ms < void_ms) {
+		ask_after(b, void_ms - waited_ms);
+	} else {
+		give_up(b);
+	}
+}
+
+static void ask(struct batch *b, uint64_t now)
+{
+	struct node *n = b->node;
+
+	b->asking = true;
+	b->asked_ms = now;
+	b->ask_ms = 0;
+	n->services->read(n->services->impl, NODE_TABLE_COMMIT, NULL, NULL,
+			  COMMIT_ASK_TIMEOUT_MS, on_marker, b);
+}
+
+/* Asks about what is overdue; sets the timer for the others. */
+static void on_ask_timer(void *arg)
+{
+	struct node *n = arg;
+	uint64_t now = clock_now_ms();
+	uint64_t next_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < COMMITS_IN_FLIGHT_MAX; i++) {
+		struct batch *b = n->open_commits[i];
+
+		if (!b || !is_awaited(b) || !b->ask_ms)
+			continue;
+		if (now >= b->ask_ms)
+			ask(b, now);
+		else if (!next_ms || b->ask_ms < next_ms)
+			next_ms = b->ask_ms;
+	}
+	if (next_ms) {
+		n->commit_ask_ms = next_ms;
+		mtimer_set(n->commit_ask_timer, next_ms - now);
+	}
+}
+
+/* Lets the store show whether the transaction was applied. */
+static void add_marker(struct batch *b)
+{
+	struct node *n = b->node;
+	char *text;
+
+	while (n->open_commits[b->slot])
+		b->slot++;
+	n->open_commits[b->slot] = b;
+	text = talloc_asprintf(b, MARKER_FORMAT(PRI), n->leader.epoch,
+			       b->number, n->leader.resolved + b->resolves);
+	assert(text);
+	add_put(b, NODE_TABLE_COMMIT, slot_keys[b->slot], (const uint8_t *)text,
+		strlen(text));
+}
+
 bool commit_is_stalled(uint64_t waiting_since_ms, uint64_t now)
 {
 	return waiting_since_ms && now - waiting_since_ms >= COMMIT_STALLED_MS;
@@ -312,14 +571,23 @@
 	if (!n->commit_waiting_since_ms)
 		n->commit_waiting_since_ms = now;
 	b->number = ++n->last_batch;
+	if (!n->commits_in_flight)
+		memset(n->open_commits, 0, sizeof(n->open_commits));
+	if (!n->commit_ask_timer) {
+		n->commit_ask_timer = mtimer_new(n, n->ev, on_ask_timer, n);
+		assert(n->commit_ask_timer);
+	}
 	add_condition(b, NODE_TABLE_LEADER, NODE_LEADER_KEY,
 		      n->leader.revision);
 	if (n->resolve_pending)
 		add_resolution(b);
+	add_marker(b);
 	while (entry_count(&b->txn) + COMMIT_ENTRIES_PER_JOB <= STORE_TXN_MAX &&
 	       b->bytes < STORE_TXN_BYTES &&
 	       sched_next_change(n->sched, b->number, &change))
 		add_change(b, &change);
 	n->commits_in_flight++;
+	ask_after(b,
+		  commit_ask_after_ms(n->commit_answer_ms, n->commits_voided));
 	n->services->txn(n->services->impl, &b->txn, COMMIT_MS, on_written, b);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -175,6 +175,12 @@
 		leader_store_recovered(n);
 }
 
+void node_store_lost(struct node *n)
+{
+	n->store_calls++;
+	n->store_unknown++;
+}
+
 void node_store_timed_result(struct node *n, enum store_status status,
 			     uint64_t sent_ms)
 {
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -39,6 +39,8 @@
 #define NODE_TABLE_END "end"
 /* Jobs and cancellations that nodes recorded for the leader; keys: job ids. */
 #define NODE_TABLE_INBOX "inbox"
+/* Which of the leader's last transactions were applied. */
+#define NODE_TABLE_COMMIT "commit"
 /* Ordered maintenance; keys are WAVE/MACHINE. */
 #define NODE_TABLE_MAINTENANCE "upkeep"
 #define NODE_LEADER_KEY "lead"
@@ -111,6 +113,9 @@
 	UT_hash_handle hh;
 };
 
+#define COMMITS_IN_FLIGHT_MAX 2u /* the store applies them one by one */
+
+struct batch;
 struct machines;
 struct relay;
 struct relay_server;
@@ -267,6 +272,15 @@
 	uint32_t last_batch;	 /* number of the newest transaction */
 	uint64_t last_commit_ms; /* when the newest transaction was sent */
 
+	/* Of undecided outcome, by row of the commit table; NULL: none. */
+	struct batch *open_commits[COMMITS_IN_FLIGHT_MAX];
+	struct mtimer *commit_ask_timer; /* created with the first one */
+	uint64_t commit_ask_ms;		 /* when the timer fires, if set */
+
+	/* Answer time of transactions; falls slowly after a slow answer. */
+	uint32_t commit_answer_ms;
+	uint32_t commits_voided; /* in a row, because they were not applied */
+
 	/* Since when transactions wait for an answer; 0: none waits. */
 	uint64_t commit_waiting_since_ms;
 
@@ -310,6 +324,10 @@
 /* node_store_result - count a call's result; note whether the store answers */
 void node_store_result(struct node *n, enum store_status status);
 
+/* node_store_lost - count a call without an answer; a later one had an answer
+ */
+void node_store_lost(struct node *n);
+
 /* node_store_timed_result - the same; also notes a slow or refused call */
 void node_store_timed_result(struct node *n, enum store_status status,
 			     uint64_t sent_ms);
@@ -384,6 +402,26 @@
 bool commit_may_begin(uint32_t in_flight, bool resolving, uint64_t waited_ms);
 void commit_run(struct node *n, uint64_t now);
 
+/* commit_answer_ms - the store's answer time after another answer */
+uint32_t commit_answer_ms(uint32_t before_ms, uint64_t took_ms);
+
+/*
+ * commit_ask_after_ms - when the store is asked about a transaction without an
+ * answer
+ *
+ * answer_ms: the store's answer time; voided: transactions without an answer
+ * that were voided since the last one with a known outcome.
+ */
+uint32_t commit_ask_after_ms(uint32_t answer_ms, uint32_t voided);
+
+/*
+ * commit_void_after_ms - when a transaction that a read shows not to be applied
+ * is voided
+ *
+ * If the read took long, the store is slow, and the transaction gets more time.
+ */
+uint32_t commit_void_after_ms(uint64_t read_took_ms);
+
 /* commit_is_stalled - whether transactions were unanswered for too long */
 bool commit_is_stalled(uint64_t waiting_since_ms, uint64_t now);
 void waiters_tick(struct node *n, uint64_t now);
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -179,6 +179,7 @@
 	watch_from(n, FEED_INSTANCES, t->tables[READ_INSTANCES].first_revision);
 	watch_from(n, FEED_INBOX, t->tables[READ_INBOX].first_revision);
 	n->commit_retry_ms = 0;
+	n->commit_answer_ms = n->commits_voided = 0;
 	n->advice_calls = 0;
 	load_rows(n, &t->tables[READ_INBOX], watch_inbox_row);
 	sched_stats(n->sched, &stats);
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -49,18 +49,28 @@
 	apply_changes(w, c);
 	c->applied = true;
 	c->revision = ++w->store_revision;
-	if (c->resolves)
+	w->markers[c->slot] = c->marker;
+	w->markers[c->slot].revision = c->revision;
+	if (c->resolves) {
 		w->leader_revision = c->revision;
+		w->leader_resolved = c->marker.resolved;
+	}
 }
 
 /* Calls */
 
+static bool is_to_store(enum call_kind kind)
+{
+	return kind == CALL_TXN || kind == CALL_ASK;
+}
+
 struct call *call_new(struct world *w, uint32_t leader, enum call_kind kind,
 		      uint32_t timeout_ms)
 {
 	struct call *c = calloc(1, sizeof(*c));
-	unsigned int late = kind == CALL_TXN ? FAULT_STORE : FAULT_LATE_ORDERS;
-	unsigned int lost = kind == CALL_TXN ? FAULT_STORE : FAULT_LOST_ANSWERS;
+	bool to_store = is_to_store(kind);
+	unsigned int late = to_store ? FAULT_STORE : FAULT_LATE_ORDERS;
+	unsigned int lost = to_store ? FAULT_STORE : FAULT_LOST_ANSWERS;
 
 	assert(c);
 	c->kind = kind;
@@ -83,7 +93,7 @@
 /* Whether a call that is executed now takes effect. */
 static bool reachable(const struct world *w, const struct call *c)
 {
-	if (c->kind == CALL_TXN)
+	if (is_to_store(c->kind))
 		return w->now >= w->leaders[c->leader].cut_off_until_ms;
 	/* A call to an incarnation that has ended is lost. */
 	return w->instances[c->instance].up &&
@@ -138,40 +148,125 @@
 			w->now);
 }
 
-static void answer_txn(struct world *w, struct call *c, bool timed_out)
+static void unknown_txn(struct world *w, struct call *c)
+{
+	struct leader *l = &w->leaders[c->leader];
+
+	l->resolve = true;
+	sched_batch_done(l->s, c->batch, false, w->now);
+}
+
+static void applied_txn(struct world *w, struct call *c, uint64_t revision)
+{
+	struct leader *l = &w->leaders[c->leader];
+
+	if (c->resolves) {
+		l->revision = revision;
+		l->resolved++;
+		l->resolve = false;
+	}
+	if (c->sent_ms > l->confirmed_ms)
+		l->confirmed_ms = c->sent_ms;
+	sched_leader_confirmed(l->s, c->sent_ms);
+	sched_batch_done(l->s, c->batch, true, w->now);
+}
+
+static void decide_txn(struct world *w, struct call *c)
 {
 	struct leader *l = &w->leaders[c->leader];
 
+	c->decided = true;
 	l->commits--;
+	l->slots &= ~(1u << c->slot);
+}
+
+static void answer_txn(struct world *w, struct call *c, bool timed_out)
+{
+	struct leader *l = &w->leaders[c->leader];
+
+	if (c->decided)
+		return;
+	decide_txn(w, c);
 	if (timed_out) {
-		l->resolve = true;
 		l->retry_ms = w->now + 100;
-		sched_batch_done(l->s, c->batch, false, w->now);
+		unknown_txn(w, c);
 		return;
 	}
 	if (c->applied) {
-		if (c->resolves) {
-			l->revision = c->revision;
-			l->resolve = false;
-		}
-		if (c->sent_ms > l->confirmed_ms)
-			l->confirmed_ms = c->sent_ms;
-		sched_leader_confirmed(l->s, c->sent_ms);
-		sched_batch_done(l->s, c->batch, true, w->now);
+		applied_txn(w, c, c->revision);
 		return;
 	}
 	sched_batch_done(l->s, c->batch, false, w->now);
 	if (c->conflict_job) {
 		sched_row_exists(l->s, w->jobs[c->conflict_job - 1].id);
 	} else if (w->row_leader == c->leader + 1) {
-		l->revision = w->leader_revision; /* resolved by an earlier
-						     transaction */
+		/* Resolved by an earlier transaction. */
+		l->revision = w->leader_revision;
+		l->resolved = w->leader_resolved;
 		l->resolve = false;
 	} else {
 		leader_resign(w, l);
 	}
 }
 
+/* Questions about transactions without an answer */
+
+static struct call *undecided_txn(struct world *w, const struct call *ask)
+{
+	struct call *c;
+
+	DL_FOREACH(w->calls, c)
+	if (c->kind == CALL_TXN && c->batch == ask->batch && !c->answered &&
+	    !c->decided)
+		return c;
+	return NULL;
+}
+
+static void answer_ask(struct world *w, struct call *ask, bool timed_out)
+{
+	struct leader *l = &w->leaders[ask->leader];
+	struct call *c = undecided_txn(w, ask);
+	const struct world_marker *newer = NULL;
+	uint32_t i;
+
+	if (timed_out || !c)
+		return;
+	decide_txn(w, c);
+	for (i = 0; i < COMMITS_MAX; i++) {
+		const struct world_marker *m = &ask->markers[i];
+
+		if (m->epoch != l->epoch)
+			continue;
+		if (m->batch == c->batch) {
+			applied_txn(w, c, m->revision);
+			return;
+		}
+		if (m->resolved > l->resolved)
+			newer = m;
+	}
+	if (!newer) {
+		unknown_txn(w, c);
+		return;
+	}
+	l->revision = newer->revision;
+	l->resolved++;
+	l->resolve = false;
+	sched_batch_done(l->s, c->batch, false, w->now);
+}
+
+static void ask_if_overdue(struct world *w, struct call *c)
+{
+	struct call *ask;
+
+	if (c->kind != CALL_TXN || c->answered || c->decided ||
+	    w->now < c->ask_ms ||
+	    c->leader_incarnation != w->leaders[c->leader].incarnation)
+		return;
+	c->ask_ms = w->now + ASK_MIN_MS + random_below(w, ASK_SPREAD_MS);
+	ask = call_new(w, c->leader, CALL_ASK, ASK_TIMEOUT_MS);
+	ask->batch = c->batch;
+}
+
 static void call_answer(struct world *w, struct call *c, bool timed_out)
 {
 	c->answered = true;
@@ -188,6 +283,9 @@
 	case CALL_TXN:
 		answer_txn(w, c, timed_out);
 		break;
+	case CALL_ASK:
+		answer_ask(w, c, timed_out);
+		break;
 	}
 }
 
@@ -208,6 +306,9 @@
 	case CALL_TXN:
 		exec_txn(w, c);
 		break;
+	case CALL_ASK:
+		memcpy(c->markers, w->markers, sizeof(c->markers));
+		break;
 	}
 }
 
@@ -223,6 +324,7 @@
 			call_exec(w, c);
 		if (frozen)
 			continue;
+		ask_if_overdue(w, c);
 		if (!c->answered && c->executed && w->now >= c->answer_ms &&
 		    w->now < c->timeout_ms)
 			call_answer(w, c, false);
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -20,6 +20,9 @@
 #define CONFIRM_INTERVAL_MS 800u
 #define ORDER_TIMEOUT_MS 500u
 #define TXN_TIMEOUT_MS 1000u
+#define ASK_MIN_MS 60u	      /* until a question about a transaction */
+#define ASK_TIMEOUT_MS 600u   /* of the question */
+#define ASK_SPREAD_MS 300u    /* random addition to it */
 #define COMMITS_MAX 3u	      /* transactions of a leader in flight */
 #define LATE_MAX_MS 12000u    /* longest additional delay of a late call */
 #define STOP_MAX_MS 200u      /* from a stop to the end of the run */
@@ -101,7 +104,19 @@
 
 /* Calls in flight */
 
-enum call_kind { CALL_ORDER, CALL_POLL, CALL_TXN };
+enum call_kind {
+	CALL_ORDER,
+	CALL_POLL,
+	CALL_TXN,
+	CALL_ASK, /* reads the markers, because of a transaction */
+};
+
+/* Written by a transaction; see src/node/commit.c. */
+struct world_marker {
+	uint64_t epoch;
+	uint32_t batch, resolved;
+	uint64_t revision;
+};
 
 struct change {
 	uint32_t job;
@@ -132,8 +147,13 @@
 	uint32_t percents[RUNS_MAX];
 	struct world_end ended[ENDS_MAX];
 	bool refused;
-	/* Transactions */
+	/* Transactions, and questions about them */
 	uint32_t batch;
+	struct world_marker markers[COMMITS_MAX]; /* as read */
+	struct world_marker marker;		  /* to be written */
+	uint32_t slot;				  /* of the marker */
+	uint64_t ask_ms;    /* time of the next question */
+	bool decided;	    /* by a question; an answer changes nothing */
 	uint64_t condition; /* expected world.leader_revision */
 	bool resolves;	    /* it also writes the leader row */
 	bool applied, conflict;
@@ -153,6 +173,8 @@
 	uint64_t cut_off_until_ms; /* cut off from the store until then */
 	uint64_t machines_due_ms; /* arrival of the machine list; 0: none due */
 	uint32_t commits;	  /* transactions in flight */
+	uint32_t slots;		  /* rows of markers in use; bits */
+	uint32_t resolved;	  /* resolving transactions so far */
 	/* its next transaction must void writes of unknown outcome */
 	bool resolve;
 	uint64_t retry_ms; /* no transaction before this time */
@@ -173,8 +195,10 @@
 	struct world_job jobs[WORLD_JOBS];
 	struct leader leaders[WORLD_LEADERS];
 	uint64_t store_revision, leader_revision, epoch;
+	uint32_t leader_resolved; /* of the leader row */
 	uint32_t row_leader; /* index + 1 of the leader that the row names */
 	uint64_t next_claim_ms;
+	struct world_marker markers[COMMITS_MAX];
 	struct call *calls;
 	struct world_result *result;
 };
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -106,6 +106,7 @@
 	l->epoch = w->epoch;
 	l->confirmed_ms = w->now;
 	l->commits = 0;
+	l->resolved = w->leader_resolved = 0;
 	l->resolve = false;
 	l->retry_ms = 0;
 	l->machines_due_ms = w->now + 20 + random_below(w, 200);
@@ -171,8 +172,16 @@
 	c = call_new(w, index, CALL_TXN, TXN_TIMEOUT_MS);
 	c->condition = l->revision;
 	c->batch = ++w->last_batch;
+	c->ask_ms = w->now + ASK_MIN_MS + random_below(w, ASK_SPREAD_MS);
+	if (!l->commits)
+		l->slots = 0;
+	while (l->slots & (1u << c->slot))
+		c->slot++;
+	l->slots |= 1u << c->slot;
 	change_limit = 1 + random_below(w, WORLD_JOBS);
 	c->resolves = l->resolve;
+	c->marker = (struct world_marker){ l->epoch, c->batch,
+					   l->resolved + c->resolves, 0 };
 	while (c->change_count < change_limit &&
 	       sched_next_change(l->s, c->batch, &change)) {
 		struct change *ch = &c->changes[c->change_count++];
