node: a record of a job without an answer is looked for, and sent again

While no leader could be asked, a job or cancellation that another node wrote to the store was unsettled (504) for its caller whenever the answer to that one write was lost, at the end of the caller's time, though the job was there. The node also took the lost answer for a slow store and recorded nothing for 1.5 s.

A write that is unanswered for 100 ms is looked for by a read of the row that it puts; found, it is accepted. If it isn't there and the read was quick, the same write is sent, three times in all at most: each has the condition that the job has no row and no end yet, so one of them is done at most, and another that is refused finds the job. A cancellation may be written twice with the same content, while the job's row is unchanged. "Not run" is still said only if no write is without an answer. A store that is slow to read gets each write once.

test/lost_answer_test.c: two cases failed before. A third guards a slow store against the new calls.

--- a/src/node/request.c
+++ b/src/node/request.c
@@ -31,6 +31,11 @@
 #define STORE_CALL_MIN_MS 150u /* no store call with less time left */
 #define LEADER_SUSPECT_MS 700u /* no request to the leader after one failed */
 
+/* Until a write without an answer is looked for; doubled each time. */
+#define RECORD_ASK_MS 100u
+#define RECORD_QUICK_MS 50u /* a slow store takes longer for a read */
+#define RECORD_SENDS_MAX 3u
+
 /* A leader that isn't known to be live gets half of the time left. */
 #define LEADER_TIME_DIVISOR 2u
 
@@ -56,7 +61,6 @@
 	uint64_t config_version; /* see struct node_request */
 	bool config_stale;
 	uint64_t deadline_ms;
-	uint64_t recorded_ms;	/* when the write to the store was sent */
 	bool possibly_recorded; /* the outcome of a write is unknown */
 	bool leader_slow; /* the leader timed out while known to be live */
 	node_answer_fn fn;
@@ -248,28 +252,91 @@
 	return true;
 }
 
-static void on_recorded(void *arg, const struct store_answer *answer)
+/*
+ * A job or cancellation that is being recorded. A write without an answer is
+ * looked for in the store, and sent again if it isn't there: it changes nothing
+ * if the first one is done as well.
+ */
+struct record {
+	struct node *node;
+	struct pending_request *request; /* NULL once it has its answer */
+	bool cancel;
+	uint64_t job_revision; /* that the job's row must have */
+	struct mtimer *overdue;
+	uint32_t ask_ms;
+	uint64_t asked_ms;
+	uint32_t sends;
+	uint32_t calls; /* to the store, in flight */
+};
+
+struct record_send {
+	struct record *record;
+	uint64_t sent_ms;
+};
+
+static void record_send(struct record *r);
+
+static void record_finish(struct record *r, Fleet__Result result)
 {
-	struct pending_request *p = arg;
-	struct node *n = p->node;
-	bool same = true;
+	struct pending_request *p = r->request;
+
+	r->request = NULL;
+	TALLOC_FREE(r->overdue);
+	if (result == FLEET__RESULT__ACCEPTED)
+		event_log("ask-recorded", p->id, "\"verb\":%d", p->verb);
+	finish_with(p, result);
+}
+
+static void record_release(struct record *r)
+{
+	if (r->calls)
+		return;
+	if (r->request)
+		record_finish(r, FLEET__RESULT__UNANSWERED);
+	talloc_free(r);
+}
+
+/* The result if the store has a job of that id. */
+static Fleet__Result existing_job(const struct pending_request *p,
+				  const struct store_answer *answer,
+				  Fleet__Result otherwise)
+{
+	bool same;
 	uint32_t i;
 
-	node_store_timed_result(n, answer->status, p->recorded_ms);
+	for (i = 0; i < answer->row_count; i++)
+		if (!strcmp(answer->rows[i].table, NODE_TABLE_JOB) &&
+		    row_is_job(p, &answer->rows[i], &same))
+			return same ? FLEET__RESULT__ACCEPTED
+				    : FLEET__RESULT__REFUSED;
+	return otherwise;
+}
+
+static void on_recorded(void *arg, const struct store_answer *answer)
+{
+	struct record_send *send = arg;
+	struct record *r = send->record;
+	struct pending_request *p = r->request;
+
+	r->calls--;
+	if (!p && answer->status == STORE_UNKNOWN)
+		node_store_lost(r->node);
+	else
+		node_store_timed_result(r->node, answer->status, send->sent_ms);
+	talloc_free(send);
+	if (!p) {
+		record_release(r);
+		return;
+	}
 	switch (answer->status) {
 	case STORE_OK:
-		event_log("ask-recorded", p->id, "\"verb\":%d", p->verb);
-		finish_with(p, FLEET__RESULT__ACCEPTED);
-		return;
+		record_finish(r, FLEET__RESULT__ACCEPTED);
+		break;
 	case STORE_CONFLICT:
 		/* The job exists already or has ended. */
-		for (i = 0; i < answer->row_count; i++)
-			if (!strcmp(answer->rows[i].table, NODE_TABLE_JOB) &&
-			    row_is_job(p, &answer->rows[i], &same))
-				break;
-		finish_with(p, same ? FLEET__RESULT__ACCEPTED
-				    : FLEET__RESULT__REFUSED);
-		return;
+		record_finish(r,
+			      existing_job(p, answer, FLEET__RESULT__ACCEPTED));
+		break;
 	case STORE_UNKNOWN:
 		p->possibly_recorded = true;
 		break;
@@ -277,7 +344,73 @@
 	case STORE_HISTORY_LOST:
 		break;
 	}
-	finish_with(p, FLEET__RESULT__UNANSWERED);
+	record_release(r);
+}
+
+static bool is_cancellation(const struct pending_request *p,
+			    const struct store_row *row)
+{
+	Fleet__InboxRow *in;
+	bool is;
+
+	if (strcmp(row->key, p->id))
+		return false;
+	in = fleet__inbox_row__unpack(NULL, row->length, row->value);
+	is = in && in->cancel && !strcmp(in->queue, p->queue);
+	if (in)
+		fleet__inbox_row__free_unpacked(in, NULL);
+	return is;
+}
+
+static Fleet__Result found(const struct record *r,
+			   const struct store_answer *answer)
+{
+	uint32_t i;
+
+	if (!r->cancel)
+		return existing_job(r->request, answer,
+				    FLEET__RESULT__UNANSWERED);
+	for (i = 0; i < answer->row_count; i++)
+		if (is_cancellation(r->request, &answer->rows[i]))
+			return FLEET__RESULT__ACCEPTED;
+	return FLEET__RESULT__UNANSWERED;
+}
+
+static void on_record_read(void *arg, const struct store_answer *answer)
+{
+	struct record *r = arg;
+	bool quick = clock_now_ms() - r->asked_ms < RECORD_QUICK_MS;
+	Fleet__Result result = FLEET__RESULT__UNANSWERED;
+
+	r->calls--;
+	node_store_result(r->node, answer->status);
+	if (r->request && answer->status == STORE_OK)
+		result = found(r, answer);
+	if (result != FLEET__RESULT__UNANSWERED)
+		record_finish(r, result);
+	if (!r->request || !r->calls) {
+		record_release(r);
+		return;
+	}
+	if (answer->status == STORE_OK && quick && r->sends < RECORD_SENDS_MAX)
+		record_send(r);
+	r->ask_ms *= 2;
+	mtimer_set(r->overdue, r->ask_ms);
+}
+
+static void on_record_overdue(void *arg)
+{
+	struct record *r = arg;
+	struct pending_request *p = r->request;
+
+	if (time_left_ms(p) < STORE_CALL_MIN_MS)
+		return;
+	r->asked_ms = clock_now_ms();
+	r->calls++;
+	r->node->services->read(r->node->services->impl,
+				r->cancel ? NODE_TABLE_INBOX : NODE_TABLE_JOB,
+				p->id, node_key_end(p, p->id),
+				store_timeout_ms(p), on_record_read, r);
 }
 
 static uint8_t *inbox_row(struct pending_request *p, bool cancel,
@@ -290,21 +423,25 @@
 	return node_pack(p, &in, length);
 }
 
-static void record(struct pending_request *p, bool cancel, uint64_t revision)
+static void record_send(struct record *r)
 {
+	struct pending_request *p = r->request;
+	struct record_send *send = talloc_zero(r->node, struct record_send);
 	struct store_txn *txn = talloc_zero(p, struct store_txn);
 	size_t length;
 
-	assert(txn);
-	txn->conditions[0] =
-		(struct store_condition){ NODE_TABLE_JOB, p->id, revision };
+	assert(send && txn);
+	send->record = r;
+	send->sent_ms = clock_now_ms();
+	txn->conditions[0] = (struct store_condition){ NODE_TABLE_JOB, p->id,
+						       r->job_revision };
 	txn->condition_count = 1;
 	txn->puts[0].table = NODE_TABLE_INBOX;
 	txn->puts[0].key = p->id;
-	txn->puts[0].value = inbox_row(p, cancel, &length);
+	txn->puts[0].value = inbox_row(p, r->cancel, &length);
 	txn->puts[0].length = length;
 	txn->put_count = 1;
-	if (!cancel) {
+	if (!r->cancel) {
 		txn->conditions[1] =
 			(struct store_condition){ NODE_TABLE_END, p->id, 0 };
 		txn->condition_count = 2;
@@ -312,9 +449,26 @@
 						   p->job, p->job_length };
 		txn->put_count = 2;
 	}
-	p->recorded_ms = clock_now_ms();
-	p->node->services->txn(p->node->services->impl, txn,
-			       store_timeout_ms(p), on_recorded, p);
+	r->sends++;
+	r->calls++;
+	r->node->services->txn(r->node->services->impl, txn,
+			       store_timeout_ms(p), on_recorded, send);
+}
+
+static void record(struct pending_request *p, bool cancel, uint64_t revision)
+{
+	struct record *r = talloc_zero(p->node, struct record);
+
+	assert(r);
+	r->node = p->node;
+	r->request = p;
+	r->cancel = cancel;
+	r->job_revision = revision;
+	r->ask_ms = RECORD_ASK_MS;
+	r->overdue = mtimer_new(r, p->node->ev, on_record_overdue, r);
+	assert(r->overdue);
+	mtimer_set(r->overdue, r->ask_ms);
+	record_send(r);
 }
 
 static void read_row(struct pending_request *p, const char *table, store_fn fn)
--- a/test/lost_answer_test.c
+++ b/test/lost_answer_test.c
@@ -607,6 +607,123 @@
 	world_free(&w);
 }
 
+/* Without a leader, nodes record jobs and cancellations in the store. */
+
+static void follower_new(struct world *w, uint64_t seed, enum loss loss)
+{
+	struct node *n;
+
+	world_new(w, seed, loss);
+	n = w->node;
+	n->phase = LEADER_NONE;
+	n->leader.known = false;
+	n->config = &w->rig.config;
+	n->settings.config_ms = 60000;
+	n->config_verified_ms = now_ms;
+	n->states = states_new(n);
+}
+
+static void request(struct world *w, uint32_t job, Fleet__Verb verb,
+		    Fleet__JobRow *row)
+{
+	struct caller *caller = talloc_zero(w->node, struct caller);
+	char id[SCHED_ID_BYTES + 1];
+	struct node_request req = { .verb = verb,
+				    .queue = "q",
+				    .id = id,
+				    .job = row,
+				    .timeout_ms = 2000,
+				    .fn = on_answer,
+				    .arg = caller };
+
+	caller->world = w;
+	caller->job = job;
+	job_id(id, sizeof(id), job);
+	w->sent_ms[job] = now_ms;
+	node_request(w->node, &req);
+}
+
+/* Counts the accepted of 200 requests; sum_ms: the time until all answers. */
+static uint32_t run_records(enum loss loss, Fleet__Verb verb, uint32_t *sum_ms)
+{
+	uint32_t count = 0;
+	uint64_t seed;
+
+	*sum_ms = 0;
+	for (seed = 1; seed <= 200; seed++) {
+		Fleet__JobRow *row = job_row(1, 1, false);
+		struct world w;
+		uint32_t ms;
+
+		follower_new(&w, seed, LOSS_NONE);
+		if (verb == FLEET__VERB__CANCEL) {
+			request(&w, 1, FLEET__VERB__SUBMIT, row);
+			for (ms = 0; ms < 100; ms++)
+				world_advance(&w);
+			w.answered_ms[1] = 0;
+		}
+		w.loss = loss;
+		request(&w, 1, verb, row);
+		for (ms = 0; ms < 8000; ms++)
+			world_advance(&w);
+		assert_int_not_equal(w.answered_ms[1], 0);
+		/* A write of unknown outcome may still be done. */
+		assert_int_not_equal(w.results[1], FLEET__RESULT__UNANSWERED);
+		count += w.results[1] == FLEET__RESULT__ACCEPTED;
+		*sum_ms += (uint32_t)(w.answered_ms[1] - w.sent_ms[1]);
+		fleet__job_row__free_unpacked(row, NULL);
+		world_free(&w);
+	}
+	return count;
+}
+
+static void test_lost_answer_of_a_record_is_found(void **state)
+{
+	static const Fleet__Verb verbs[] = { FLEET__VERB__SUBMIT,
+					     FLEET__VERB__CANCEL };
+	uint32_t sum_ms;
+	size_t v;
+
+	(void)state;
+	for (v = 0; v < sizeof(verbs) / sizeof(verbs[0]); v++) {
+		assert_int_equal(run_records(LOSS_ANSWER, verbs[v], &sum_ms),
+				 200);
+		if (sum_ms / 200 > 150)
+			fail_msg("verb %d: callers wait %u ms on average",
+				 verbs[v], sum_ms / 200);
+	}
+}
+
+/* Without a repetition two of five are accepted. */
+static void test_late_record_is_repeated(void **state)
+{
+	uint32_t sum_ms;
+
+	(void)state;
+	if (run_records(LOSS_LATE, FLEET__VERB__SUBMIT, &sum_ms) < 140)
+		fail_msg("too few are accepted");
+}
+
+static void test_slow_store_gets_each_record_once(void **state)
+{
+	Fleet__JobRow *row = job_row(1, 1, false);
+	struct world w;
+	uint32_t ms;
+
+	(void)state;
+	follower_new(&w, 1, LOSS_NONE);
+	w.write_ms = SLOW_ANSWER_MS;
+	w.read_ms = SLOW_ANSWER_MS / 2;
+	request(&w, 1, FLEET__VERB__SUBMIT, row);
+	for (ms = 0; ms < 3000; ms++)
+		world_advance(&w);
+	assert_int_equal(w.results[1], FLEET__RESULT__ACCEPTED);
+	assert_int_equal(w.writes, 1);
+	assert_in_range(w.reads, 1, 2);
+	fleet__job_row__free_unpacked(row, NULL);
+	world_free(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -616,6 +733,9 @@
 		cmocka_unit_test(test_refused_question_is_not_repeated_often),
 		cmocka_unit_test(test_normal_store_is_not_asked),
 		cmocka_unit_test(test_unanswered_write_of_former_leader),
+		cmocka_unit_test(test_lost_answer_of_a_record_is_found),
+		cmocka_unit_test(test_late_record_is_repeated),
+		cmocka_unit_test(test_slow_store_gets_each_record_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
