sched: a run that a former leader may have stopped holds up other stops

A task that lasts was stopped for maintenance while another of its step was ending (AVAIL): a former leader had stopped that one just before the takeover, the first report still showed it at work, and the new leader counted it as available.

A run that a new leader finds counts against the disruption budget until a report that was asked for a second later shows it.

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -17,6 +17,9 @@
 
 #define REPORT_MAX_MS 2500u /* an older report is outdated */
 
+/* Time for a former leader's stop of a run to show in reports. */
+#define FORMER_STOP_MS 1000u
+
 /* Whether the instance has recently reported what runs on it. */
 static bool reported_recently(const struct instance *i, uint64_t now)
 {
@@ -24,6 +27,13 @@
 	       now - i->clock_read_ms < REPORT_MAX_MS;
 }
 
+/* Whether a former leader may have stopped the run, which still ends. */
+static bool may_be_stopping(const struct run *run)
+{
+	return run->adopted_ms &&
+	       run->instance->report_sent_ms < run->adopted_ms + FORMER_STOP_MS;
+}
+
 /* Whether no recently reported run of the task serves at full speed. */
 static bool task_unavailable(const struct task *task, uint64_t now)
 {
@@ -31,7 +41,7 @@
 
 	DL_FOREACH2(task->runs, run, task_next)
 	if (run_is_available(run) && run->speed_percent == 100 &&
-	    reported_recently(run->instance, now))
+	    !may_be_stopping(run) && reported_recently(run->instance, now))
 		return false;
 	return true;
 }
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -173,6 +173,7 @@
 	struct run *run = run_new(s, task, i, r->number, now);
 
 	run->state = RUN_RUNNING;
+	run->adopted_ms = now;
 	run_mark_running(s, run, now);
 	sched_trace(s, "run-found", r->task,
 		    "\"instance\":\"%s\",\"run\":%" PRIu64 ",\"twin\":%d",
