--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -48,7 +48,8 @@
 	uint64_t created_ms;	   /* when placed, or found in a report */
 	uint64_t ordered_ms;	   /* when its last order was sent */
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
-	uint64_t adopted_ms; /* when a report showed it first; 0: started here */
+	uint64_t
+		adopted_ms; /* when a report showed it first; 0: started here */
 	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
 	bool relay_lost;	 /* no result of its start from the relay */
 	bool absent;		 /* its unanswered start is not in a report */
