--- a/test/election_test.c
+++ b/test/election_test.c
@@ -232,6 +232,36 @@
 		.freezes = 1,
 		.weak_delay_ms = 500,
 	},
+	{
+		.name = "a quarter of the processor, the leader lags",
+		.seeds = 5,
+		.site = { .nodes = 9,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+	{
+		.name = "a quarter of the processor, the leader lags and is "
+			"frozen",
+		.seeds = 5,
+		.site = { .nodes = 9,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.frozen_ms = 4000,
+		.freezes = 1,
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
+	{
+		.name = "45 nodes, a quarter of the processor, the leader lags",
+		.seeds = 2,
+		.site = { .nodes = 45,
+			  .processor_share = 0.25,
+			  .ended_jobs = 3000 },
+		.lag_min_ms = 500,
+		.lag_max_ms = 1500,
+	},
 };
 
 int main(int argc, char **argv)
