--- a/test/reelection_test.c
+++ b/test/reelection_test.c
@@ -1,6 +1,7 @@
 /*
- * The same as election_test.c, where a leader with little processor is late with
- * everything. Guards against nodes that replace a leader which does its work.
+ * The same as election_test.c, where a leader with little processor is late
+ * with everything. Guards against nodes that replace a leader which does its
+ * work.
  */
 #include "test/rig/election.h"
 
