--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -336,7 +336,7 @@
 		n->commit_answer_ms = commit_answer_ms(
 			n->commit_answer_ms, clock_now_ms() - b->sent_ms);
 	if (b->decided && answer->status == STORE_UNKNOWN)
-		node_store_lost(n);
+		node_store_count_unanswered(n);
 	else
 		node_store_result(n, "commit", answer->status);
 	if (is_awaited(b))
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -219,7 +219,10 @@
 		n->next_claim_ms = claim_ms;
 }
 
-/* Counts a change of a leader that neither released leadership nor ended. */
+/*
+ * Counts the epochs since a leader that is not known to have released
+ * leadership or to have ended.
+ */
 static void count_change(struct node *n, uint64_t epoch, uint64_t now)
 {
 	if (!n->leader.known || !*n->leader.node || n->leader_ended)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -205,7 +205,7 @@
 		leader_store_recovered(n);
 }
 
-void node_store_lost(struct node *n)
+void node_store_count_unanswered(struct node *n)
 {
 	n->store_calls++;
 	n->store_unknown++;
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -50,12 +50,10 @@
 #define NODE_ADDRESS_MAX 64 /* bytes of host and port, with the NUL */
 #define NODE_COUNTERS 8	    /* more than there are verbs or results */
 #define NODE_TICK_MS 50u
-#define NODE_LAG_MAX_MS \
-	2000u /* of an event loop, as far as it is allowed for */
-#define LEADER_HEARTBEAT_MS                                             \
-	300u		    /* shortest interval of those to the leader \
-			     */
-#define NODE_STORE_MS 1500u /* timeout of a store call; normally 4 ms */
+#define NODE_LAG_MAX_MS 2000u	 /* of an event loop, as far as allowed for */
+#define LEADER_HEARTBEAT_MS 300u /* shortest interval of those to the leader \
+				  */
+#define NODE_STORE_MS 1500u	 /* timeout of a store call; normally 4 ms */
 
 /* How long a leader gives orders after its last confirmation. */
 #define LEADER_ORDERS_MS 6000u
@@ -380,9 +378,12 @@
 void node_store_result(struct node *n, const char *call,
 		       enum store_status status);
 
-/* node_store_lost - count a call without an answer; a later one had an answer
+/*
+ * node_store_count_unanswered - count a call without an answer
+ *
+ * For calls after which another one was answered: the store answers this node.
  */
-void node_store_lost(struct node *n);
+void node_store_count_unanswered(struct node *n);
 
 /* node_store_timed_result - the same; also notes a slow or refused call */
 void node_store_timed_result(struct node *n, const char *call,
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -31,7 +31,7 @@
 #define STORE_CALL_MIN_MS 150u /* no store call with less time left */
 #define LEADER_SUSPECT_MS 700u /* no request to the leader after one failed */
 
-/* Until a write without an answer is looked for; doubled each time. */
+/* Until a node looks for the row of an unanswered write; then doubled. */
 #define RECORD_ASK_MS 100u
 #define RECORD_QUICK_MS 50u /* a slow store takes longer for a read */
 #define RECORD_SENDS_MAX 3u
@@ -320,7 +320,7 @@
 
 	r->calls--;
 	if (!p && answer->status == STORE_UNKNOWN)
-		node_store_lost(r->node);
+		node_store_count_unanswered(r->node);
 	else
 		node_store_timed_result(r->node, "record job", answer->status,
 					send->sent_ms);
