--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -50,10 +50,13 @@
 #define NODE_ADDRESS_MAX 64 /* bytes of host and port, with the NUL */
 #define NODE_COUNTERS 8	    /* more than there are verbs or results */
 #define NODE_TICK_MS 50u
-#define NODE_LAG_MAX_MS 2000u	 /* of an event loop, as far as allowed for */
-#define LEADER_HEARTBEAT_MS 300u /* shortest interval of those to the leader \
-				  */
-#define NODE_STORE_MS 1500u	 /* timeout of a store call; normally 4 ms */
+#define NODE_STORE_MS 1500u /* timeout of a store call; normally 4 ms */
+
+/* The most that is allowed for the lag of an event loop. */
+#define NODE_LAG_MAX_MS 2000u
+
+/* Shortest interval of a node's heartbeats to the leader. */
+#define LEADER_HEARTBEAT_MS 300u
 
 /* How long a leader gives orders after its last confirmation. */
 #define LEADER_ORDERS_MS 6000u
