--- a/review/standin/rules.py
+++ b/review/standin/rules.py
@@ -13,7 +13,7 @@
 
     def start(self, worker, run):
         self.runs.setdefault(run.task, []).append({
-            "worker": worker.id, "run": run.number, "begun": time.monotonic(),
+            "worker": worker.id, "lapses": worker.lapses, "run": run.number, "begun": time.monotonic(),
             "ended": None, "how": None, "acked": None})
 
     def find(self, worker, task, number):
@@ -31,6 +31,12 @@
         if r:
             r["acked"] = time.monotonic()
 
+    @staticmethod
+    def noted(r):
+        """Whether the end of a run was taken note of, by the rule's words."""
+        return r["acked"] and not any(r["ended"] <= t <= r["acked"]
+                                      for t in r["lapses"])
+
     def twice(self):
         """Returns the breaks: (task, what), at most one of a task."""
         found = []
@@ -44,7 +50,7 @@
                         what = (f"run {later['run']} on {later['worker']} "
                                 f"began while run {before['run']} ran on "
                                 f"{before['worker']}")
-                    elif before["how"] == "done" and before["acked"]:
+                    elif before["how"] == "done" and self.noted(before):
                         what = (f"run {later['run']} on {later['worker']} "
                                 f"began {later['begun'] - before['ended']:.3f}"
                                 f" s after run {before['run']} on "
