--- a/review/5/case.py
+++ b/review/5/case.py
@@ -28,7 +28,12 @@
                 "intervalMs": 3000}
         if not await client.submit("renewal", platform.job_id(), body):
             raise RuntimeError("the job was not accepted")
-        await asyncio.sleep(3)
+        begun = time.monotonic()
+        while not any(w.running for w in site.workers):
+            if time.monotonic() > begun + 20:
+                raise RuntimeError("no task of the job has begun")
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)  # all of the occurrence's tasks run now
         leader = site.nodes.leader(site.store)
         if trouble:
             worker = max(site.workers, key=lambda w: len(w.running))
