--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -167,10 +167,11 @@
             pass
         finally:
             self.waiters.discard(event)
+        answer = {"rows": rows, **self.newest()}  # as of one moment
         await asyncio.sleep(READ_S)
         if self.down:
             return None if self.down == "silent" else (503, {})
-        return 200, {"rows": rows, **self.newest()}
+        return 200, answer
 
     async def transact(self, o, length):
         conditions = o.get("precondition", [])
