sched: keep what the adviser said of each instance

Cause: sched_next_advice() named the instances with most free CPU, and nothing kept which of them had been refused, so each call named the same ones.

A step now keeps the answer for each incarnation that it has named. Calls name approved instances with expired tickets first, then unknown ones, in pages that grow to 100 and that the adviser gets through in 0.5 s, only while tasks wait that approved instances have no room for. Calls alternate between the best rank and the longest wait. Tickets may have any length; a start whose ticket has expired in the queue of orders is not sent; a refused ticket is renewed. Two calls are in flight at most, since a ticket ages while its call waits.

--- a/src/job/config.h
+++ b/src/job/config.h
@@ -32,6 +32,9 @@
 	bool is_public;	       /* calls need no key */
 	bool needs_advice;     /* an adviser names the instances for a step */
 	uint32_t advice_valid_ms; /* validity of the adviser's answer */
+	/* time that the adviser takes for a call, and for each instance in it
+	 */
+	uint32_t advice_decision_ms, advice_instance_ms;
 };
 
 struct config_pool {
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -10,9 +10,9 @@
 
 #define ORDER_MS 300u /* timeout; an answer normally takes 3 ms */
 
-/* The adviser queues up to 32 calls, but advice ages while its call waits. */
 #define ADVICE_MS 4000u /* timeout */
-#define ADVICE_CALLS_MAX 4u
+/* One that the adviser handles, one that waits: advice ages while it waits. */
+#define ADVICE_CALLS_MAX 2u
 
 struct poll_call {
 	struct node *node;
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -310,6 +310,7 @@
 	struct occurrence *o = &job->occurrences[step->occurrence];
 
 	step_refresh(step);
+	step_forget_advice(step);
 	if (--o->steps_left) {
 		occurrence_refresh(s, job, step->occurrence);
 		return;
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -346,8 +346,7 @@
 
 /* Advice: for queues whose placement policy an external adviser decides */
 
-#define SCHED_ADVICE_MAX 30u /* instances named in one call */
-#define SCHED_TICKET_MAX 128 /* bytes, with the NUL */
+#define SCHED_ADVICE_MAX 100u /* instances named in one call */
 
 struct sched_advice {
 	char step[SCHED_TASK_MAX];
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -81,12 +81,19 @@
 	char checkpoint[SCHED_CHECKPOINT_MAX];
 };
 
-/* An adviser's approval of a step for one incarnation of an instance. */
-struct ticket {
-	uint32_t instance; /* slot */
+/* What an adviser said of one incarnation of an instance. */
+struct opinion {
+	instance_handle_t instance;
+	uint64_t started_unix_ms;
+	uint64_t answered_ms;
+	uint64_t valid_until_ms; /* of the ticket */
+	char *ticket;		 /* NULL: the instance may not run the step */
+};
+
+/* An incarnation of an instance that a call to the adviser names. */
+struct advice_asked {
+	instance_handle_t instance;
 	uint64_t started_unix_ms;
-	uint64_t valid_until_ms;
-	char text[SCHED_TICKET_MAX];
 };
 
 /* A step of one occurrence. */
@@ -103,9 +110,12 @@
 	uint32_t *failed; /* pairs of task index and run number */
 	struct task *tasks;
 	bool advice_pending;	/* a call to the adviser is not answered */
-	uint64_t advice_due_ms; /* earliest next call */
-	uint32_t ticket_count;
-	struct ticket *tickets;
+	uint64_t advice_due_ms; /* earliest next call; 0: never ready yet */
+	uint32_t advice_page;	/* instances in the next call; 0: the fewest */
+	uint32_t asked_count;	/* in the pending call */
+	struct advice_asked *asked;
+	uint32_t opinion_count;
+	struct opinion *opinions; /* sorted by slot of the instance */
 	double rank;		  /* as last determined, lowest first */
 	bool late;		  /* when last ranked */
 	struct step *prev, *next; /* in pool.ready */
@@ -344,6 +354,7 @@
 	struct amount unreported; /* capacity of unreported instances */
 	bool expect_complete; /* every instance that may have runs is known */
 	bool advice_used;     /* some queue needs advice */
+	bool advice_by_age;   /* the next call is for whom waits longest */
 	struct pace pace;
 	struct sched_stats stats;
 	uint32_t queue_count;
@@ -482,6 +493,12 @@
 const char *step_ticket(const struct step *step, const struct instance *i,
 			uint64_t now);
 
+/* step_ticket_refused - the instance refused it: it has to be renewed */
+void step_ticket_refused(struct step *step, const struct instance *i);
+
+/* step_forget_advice - called when the step is done */
+void step_forget_advice(struct step *step);
+
 /* sched_ready.c */
 #define DEFAULT_ESTIMATE_MS 500u
 void step_refresh(struct step *step);
@@ -549,6 +566,16 @@
 /* sched_place.c */
 bool instance_fits(const struct instance *i, const struct amount *a);
 bool instance_could_run(const struct instance *i, const Fleet__Step *spec);
+const char *instance_rack(const struct instance *i);
+
+/* step_room_on - how many more tasks of the step the instance has room for */
+uint32_t step_room_on(const struct step *step, const struct instance *i);
+
+/*
+ * step_rack_preference - 1 if the instance is where the step's data is or where
+ * its tasks, which must share a rack, run; -1 if these run elsewhere; else 0
+ */
+int step_rack_preference(const struct step *step, const struct instance *i);
 void sched_place(struct sched *s, uint64_t now);
 void pool_amounts(struct pool *pool, uint64_t now, struct amount *capacity,
 		  struct amount *used);
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -78,6 +78,11 @@
 
 /* Placement */
 
+static int64_t min_int64(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 static bool has_label(const struct instance *i, const char *label)
 {
 	uint32_t n;
@@ -88,7 +93,7 @@
 	return false;
 }
 
-static const char *rack_of(const struct instance *i)
+const char *instance_rack(const struct instance *i)
 {
 	return i->label_count ? i->labels[i->label_count - 1] : "";
 }
@@ -144,13 +149,49 @@
 
 	for (t = 0; t < step->spec->count; t++)
 		if (step->tasks[t].runs)
-			return strcmp(rack_of(step->tasks[t].runs->instance),
+			return strcmp(instance_rack(
+					      step->tasks[t].runs->instance),
 				      rack)
 				       ? -1
 				       : 1;
 	return 0;
 }
 
+int step_rack_preference(const struct step *step, const struct instance *i)
+{
+	const Fleet__Step *spec = step->spec;
+	int preference = 0;
+
+	if (spec->same_rack)
+		preference += step_on_rack(step, instance_rack(i));
+	if (*spec->near_rack && has_label(i, spec->near_rack))
+		preference++;
+	return preference;
+}
+
+static int64_t fits_times(int64_t capacity, int64_t used, int64_t each)
+{
+	if (!each)
+		return UINT32_MAX;
+	return used < capacity ? (capacity - used) / each : 0;
+}
+
+uint32_t step_room_on(const struct step *step, const struct instance *i)
+{
+	const struct amount a = step_amount(step->spec);
+	int64_t room = step->spec->count;
+
+	if (!may_run_on(i, step, &a))
+		return 0;
+	room = min_int64(room, fits_times(i->capacity.cpu, i->used.cpu, a.cpu));
+	room = min_int64(room, fits_times(i->capacity.mem, i->used.mem, a.mem));
+	room = min_int64(room, fits_times(i->capacity.gpu, i->used.gpu, a.gpu));
+	if (step->spec->spread_limit)
+		room = min_int64(room, step->spec->spread_limit -
+					       step_runs_on(i, step));
+	return (uint32_t)room;
+}
+
 /*
  * Score of an instance for a task, highest first. Long-running tasks go where
  * most CPU is free, since they share the instance with the load of others for
@@ -167,10 +208,7 @@
 		score = -score;
 	else if (i->maintenance_due)
 		score -= MAINTENANCE_PENALTY;
-	if (spec->same_rack)
-		score += RACK_WEIGHT * step_on_rack(task->step, rack_of(i));
-	if (*spec->near_rack && has_label(i, spec->near_rack))
-		score += RACK_WEIGHT;
+	score += RACK_WEIGHT * step_rack_preference(task->step, i);
 	if (task->avoid_instance == i->handle.i + 1)
 		score -= AVOID_PENALTY;
 	return score;
@@ -223,11 +261,6 @@
 						: i;
 }
 
-static int64_t min_int64(int64_t a, int64_t b)
-{
-	return a < b ? a : b;
-}
-
 /*
  * Whether that many more tasks of the step stay within the workspace's cap,
  * which limits the resources requested over all pools. Possibly running tasks
@@ -554,7 +587,7 @@
 	load->id = i->id;
 	load->machine = i->machine->machine;
 	load->pool = i->pool->name;
-	load->rack = rack_of(i);
+	load->rack = instance_rack(i);
 	load->usable =
 		i->listed && !i->leaving && !i->unresponsive && !i->expired;
 	load->unreported = !i->reported && !i->expired;
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -202,6 +202,35 @@
 	return true;
 }
 
+/* Frees the run of a start that was not carried out. */
+static void start_refused(struct sched *s, struct run *run,
+			  enum sched_order_result result, uint64_t now)
+{
+	struct task *task = run->task;
+
+	s->stats.starts_refused++;
+	task->retry_ms = now + REFUSED_RETRY_MS;
+	task->avoid_instance = run->instance->handle.i + 1;
+	if (result == ORDER_UNREACHED)
+		instance_record_no_answer(s, run->instance, now);
+	if (result == ORDER_REFUSED)
+		instance_record_failure(s, run->instance, task->step->job, now);
+	if (result == ORDER_REFUSED_TICKET)
+		step_ticket_refused(task->step, run->instance);
+	if (result == ORDER_REFUSED_CAPACITY || result == ORDER_REFUSED_STALE)
+		run->instance->next_poll_ms = now;
+	run_free(s, run, now);
+}
+
+/* Whether a start's ticket has expired while the start waited to be sent. */
+static bool lacks_ticket(const struct run *run, uint64_t now)
+{
+	const struct step *step = run->task->step;
+
+	return run->state == RUN_ORDERED && step_needs_advice(step) &&
+	       !step_ticket(step, run->instance, now);
+}
+
 bool sched_next_order(struct sched *s, uint64_t now, struct sched_order *order)
 {
 	struct run *run;
@@ -209,6 +238,10 @@
 	while ((run = s->to_send)) {
 		DL_DELETE2(s->to_send, run, order_prev, order_next);
 		run->to_send = false;
+		if (lacks_ticket(run, now)) {
+			start_refused(s, run, ORDER_REFUSED_TICKET, now);
+			continue;
+		}
 		if (!fill_order(s, run, now, order))
 			continue;
 		run->in_flight = true;
@@ -225,24 +258,6 @@
 	return false;
 }
 
-/* Frees the run of a start that was not carried out. */
-static void start_refused(struct sched *s, struct run *run,
-			  enum sched_order_result result, uint64_t now)
-{
-	struct task *task = run->task;
-
-	s->stats.starts_refused++;
-	task->retry_ms = now + REFUSED_RETRY_MS;
-	task->avoid_instance = run->instance->handle.i + 1;
-	if (result == ORDER_UNREACHED)
-		instance_record_no_answer(s, run->instance, now);
-	if (result == ORDER_REFUSED)
-		instance_record_failure(s, run->instance, task->step->job, now);
-	if (result == ORDER_REFUSED_CAPACITY || result == ORDER_REFUSED_STALE)
-		run->instance->next_poll_ms = now;
-	run_free(s, run, now);
-}
-
 static void start_answered(struct sched *s, struct run *run,
 			   enum sched_order_result result, uint64_t now)
 {
--- a/tools/check.py
+++ b/tools/check.py
@@ -75,6 +75,7 @@
                     f"{folder}/test/fleet_walk",
                     f"{folder}/test/sched_test",
                     f"{folder}/test/poll_test",
+                    f"{folder}/test/advice_test",
                     f"{folder}/test/httpc_test"], check=True)
 
 
@@ -192,6 +193,8 @@
         f"{build}/sanitize/test/sched_test"])
     results.command("poll_test with sanitizers", [
         f"{build}/sanitize/test/poll_test"])
+    results.command("advice_test with sanitizers", [
+        f"{build}/sanitize/test/advice_test"])
     results.command("httpc_test with sanitizers", [
         f"{build}/sanitize/test/httpc_test"])
     results.add("malformed requests and frames", fuzz.run(build))
