sched: tasks of occurrences that a former leader may have begun

Cause: row_apply() marked tasks as possibly running in the occurrences that existed when rows were loaded; the first tick built the due ones afterwards, with tasks that could start at once. A report of a task whose occurrence was not built was dropped.

An occurrence that is built while the job's instances have not all reported is built with all tasks possibly running; due ones are built with the rows; a report of a task builds its occurrence. The walk plays repeated jobs and leaders with different clocks (FAULT_REPEATS, which leaves the draws of other masks alone).

--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -66,6 +66,8 @@
 
 /* Tables */
 
+static void occurrence_build(struct job *job, uint32_t k);
+
 struct job *sched_job(const struct sched *s, const char *id)
 {
 	struct job *job;
@@ -126,26 +128,50 @@
 }
 
 /* A task's name is ID.OCCURRENCE.STEP.INDEX. */
-struct task *sched_task(const struct sched *s, const char *name)
+struct task_path {
+	struct job *job;
+	uint32_t occurrence, step, index;
+};
+
+/* Finds the job of a task; false if it can't have such a task. */
+static bool parse_task(const struct sched *s, const char *name,
+		       struct task_path *p)
 {
 	size_t length = strcspn(name, ".");
 	const char *rest = name + length;
 	char id[SCHED_ID_BYTES + 1];
-	uint32_t k, step, index;
-	struct job *job;
-	struct step *st;
 
-	if (length > SCHED_ID_BYTES || !read_part(&rest, &k) ||
-	    !read_part(&rest, &step) || !read_part(&rest, &index))
-		return NULL;
+	if (length > SCHED_ID_BYTES || !read_part(&rest, &p->occurrence) ||
+	    !read_part(&rest, &p->step) || !read_part(&rest, &p->index))
+		return false;
 	memcpy(id, name, length);
 	id[length] = '\0';
-	job = sched_job(s, id);
-	if (!job || !job->row || k >= job->occurrence_count ||
-	    step >= job->row->n_steps || !job->occurrences[k].steps)
+	p->job = sched_job(s, id);
+	return p->job && p->job->row &&
+	       p->occurrence < p->job->occurrence_count &&
+	       p->step < p->job->row->n_steps &&
+	       p->index < p->job->row->steps[p->step]->count;
+}
+
+struct task *sched_task(const struct sched *s, const char *name)
+{
+	struct task_path p;
+	struct step *steps;
+
+	if (!parse_task(s, name, &p))
 		return NULL;
-	st = &job->occurrences[k].steps[step];
-	return index < st->spec->count ? &st->tasks[index] : NULL;
+	steps = p.job->occurrences[p.occurrence].steps;
+	return steps ? &steps[p.step].tasks[p.index] : NULL;
+}
+
+struct task *sched_reported_task(struct sched *s, const char *name)
+{
+	struct task_path p;
+
+	if (!parse_task(s, name, &p))
+		return NULL;
+	occurrence_build(p.job, p.occurrence);
+	return sched_task(s, name);
 }
 
 void task_name(const struct task *task, char *name)
@@ -261,7 +287,12 @@
 	}
 }
 
-/* Allocates the steps of an occurrence, which need not be due yet. */
+/*
+ * Allocates the steps of an occurrence, which need not be due yet. Until the
+ * instances of a loaded job's pool have reported, a former leader may have
+ * started any task of it, also of an occurrence that was not due by this
+ * leader's clock or that became due after the former leader's last write.
+ */
 static void occurrence_build(struct job *job, uint32_t k)
 {
 	struct occurrence *o = &job->occurrences[k];
@@ -287,6 +318,7 @@
 		for (t = 0; t < step->spec->count; t++) {
 			step->tasks[t].step = step;
 			step->tasks[t].index = t;
+			task_set_possibly_running(&step->tasks[t], job->loaded);
 		}
 	}
 }
@@ -616,8 +648,7 @@
 	return job->row->first_due_unix_ms + k * job->row->interval_ms;
 }
 
-static void begin_due_occurrences(struct sched *s, struct job *job,
-				  uint64_t now)
+void job_begin_due(struct sched *s, struct job *job, uint64_t now)
 {
 	uint32_t k;
 
@@ -648,7 +679,7 @@
 	s->next_sweep_ms = now + SWEEP_MS;
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
 	if (job->row->times)
-		begin_due_occurrences(s, job, now);
+		job_begin_due(s, job, now);
 	DL_FOREACH_SAFE2(s->lists[JOBS_ENDING], job, next, list_next)
 	if (job->change == CHANGE_NONE)
 		job_shrink(s, job);
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -399,6 +399,14 @@
 /* sched.c */
 struct job *sched_job(const struct sched *s, const char *id);
 struct task *sched_task(const struct sched *s, const char *name);
+
+/*
+ * sched_reported_task - the task of a run that an instance reports
+ *
+ * Unlike sched_task, finds tasks of an occurrence that this leader has not
+ * begun: a former leader may have. NULL if the job has no such task.
+ */
+struct task *sched_reported_task(struct sched *s, const char *name);
 struct pool *sched_pool(struct sched *s, const char *name);
 struct workspace *sched_workspace(struct sched *s, const char *name);
 struct job *job_new(struct sched *s, const char *id, Fleet__JobRow *row,
@@ -428,6 +436,7 @@
 /* sched.c, steps */
 void occurrence_begin(struct sched *s, struct job *job, uint32_t k,
 		      uint64_t now);
+void job_begin_due(struct sched *s, struct job *job, uint64_t now);
 void job_discard_steps(struct sched *s, struct job *job);
 void step_done(struct sched *s, struct step *step, uint64_t now);
 void task_done(struct sched *s, struct task *task, uint64_t now);
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -186,7 +186,7 @@
 			  const struct sched_running *r, uint64_t sent_ms,
 			  uint64_t now)
 {
-	struct task *task = sched_task(s, r->task);
+	struct task *task = sched_reported_task(s, r->task);
 	struct run *run;
 
 	if (!task) {
@@ -240,7 +240,7 @@
 static void apply_end(struct sched *s, struct instance *i,
 		      const struct sched_ended *e, uint64_t now)
 {
-	struct task *task = sched_task(s, e->task);
+	struct task *task = sched_reported_task(s, e->task);
 	struct run *run;
 
 	if (!task)
--- a/src/pool/sched_row.c
+++ b/src/pool/sched_row.c
@@ -155,4 +155,6 @@
 		apply_step(s, &job->occurrences[p->occurrence].steps[p->step],
 			   p);
 	}
+	if (job->row->times)
+		job_begin_due(s, job, job->accepted_ms);
 }
--- a/test/advice_test.c
+++ b/test/advice_test.c
@@ -74,9 +74,9 @@
 
 		a->named[number]++;
 		if (a->allowed[number])
-			approvals[count++] = (struct sched_approval){
-				advice->instances[n], "ticket"
-			};
+			approvals[count++] =
+				(struct sched_approval){ advice->instances[n],
+							 "ticket" };
 	}
 	sched_advice_done(a->r.s, advice->step, approvals, count, VALID_MS,
 			  a->r.now, a->r.now);
--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -50,19 +50,45 @@
 
 /* Tasks by name */
 
-struct world_job *job_of_task(struct world *w, const char *task, uint32_t *step,
-			      uint32_t *index)
+uint32_t slot_of(uint32_t occurrence, uint32_t step)
+{
+	return occurrence * STEPS_MAX + step;
+}
+
+struct world_task find_task(struct world *w, const char *name)
 {
 	char id[SCHED_ID_BYTES + 1];
-	unsigned int k;
-	uint32_t i;
+	struct world_task t = { 0 };
+	uint32_t step, i;
 
-	if (sscanf(task, "%16[0-9a-f].%u.%u.%u", id, &k, step, index) != 4)
-		return NULL;
+	if (sscanf(name, "%16[0-9a-f].%u.%u.%u", id, &t.occurrence, &step,
+		   &t.index) != 4)
+		abort();
 	for (i = 0; i < WORLD_JOBS; i++)
 		if (!strcmp(w->jobs[i].id, id))
-			return &w->jobs[i];
-	return NULL;
+			t.job = &w->jobs[i];
+	if (!t.job || t.occurrence >= TIMES_MAX || step >= t.job->row->n_steps)
+		abort();
+	t.spec = t.job->row->steps[step];
+	t.slot = slot_of(t.occurrence, step);
+	return t;
+}
+
+static uint32_t occurrences_of(const struct world_job *job)
+{
+	return job->row->times ? job->row->times : 1;
+}
+
+uint64_t due_ms(const struct world_job *job, uint32_t occurrence)
+{
+	return job->row->times ? job->row->first_due_unix_ms +
+					 occurrence * job->row->interval_ms
+			       : 0;
+}
+
+uint64_t leader_unix_ms(const struct world *w, const struct leader *l)
+{
+	return (uint64_t)((int64_t)w->now + l->skew_ms);
 }
 
 /* Callers */
@@ -89,7 +115,7 @@
 
 		sched_submit(l->s, job->id,
 			     fleet__job_row__unpack(NULL, length, bytes),
-			     w->now, w->now, &after);
+			     leader_unix_ms(w, l), w->now, &after);
 		return;
 	}
 	/* Another node records the job and notifies every leader. */
@@ -130,28 +156,35 @@
 	}
 }
 
+static bool all_done(const struct world_job *job)
+{
+	uint32_t k, st, t;
+
+	for (k = 0; k < occurrences_of(job); k++)
+		for (st = 0; st < job->row->n_steps; st++)
+			for (t = 0; t < job->row->steps[st]->count; t++)
+				if (!job->done[slot_of(k, st)][t])
+					return false;
+	return true;
+}
+
 /* A job reported as completed must have completed every task. */
 static void check_reported_states(struct world *w)
 {
-	uint32_t l, j, st, t;
+	uint32_t l, j;
 
 	for (l = 0; l < WORLD_LEADERS; l++)
 		for (j = 0; w->leaders[l].s && j < WORLD_JOBS; j++) {
-			struct world_job *job = &w->jobs[j];
+			const struct world_job *job = &w->jobs[j];
 
 			if (sched_state(w->leaders[l].s, job->id,
-					job->row->queue) !=
-			    FLEET__JOB_STATE__COMPLETED)
-				continue;
-			for (st = 0; st < job->row->n_steps; st++)
-				for (t = 0; t < job->row->steps[st]->count; t++)
-					if (!job->done[st][t])
-						violation(w,
-							  "FALSE STATE: %s is "
-							  "reported as "
-							  "completed but a "
-							  "task is not done",
-							  job->id);
+					job->row->queue) ==
+				    FLEET__JOB_STATE__COMPLETED &&
+			    !all_done(job))
+				violation(w,
+					  "FALSE STATE: %s is reported as "
+					  "completed but a task is not done",
+					  job->id);
 		}
 }
 
@@ -243,11 +276,25 @@
 	return st;
 }
 
+/* Some are handed in late: several of their occurrences are due at once. */
+static void repeat_job(struct world *w, struct world_job *job)
+{
+	Fleet__JobRow *row = job->row;
+
+	row->times = 1 + random_below(w, TIMES_MAX);
+	row->interval_ms = 100 + random_below(w, 4000);
+	row->first_due_unix_ms = job->submit_ms + random_below(w, 3000);
+	if (!random_below(w, 3))
+		row->first_due_unix_ms -= row->first_due_unix_ms < 4000
+						  ? row->first_due_unix_ms
+						  : 4000;
+}
+
 static void setup_job(struct world *w, uint32_t j)
 {
 	struct world_job *job = &w->jobs[j];
 	Fleet__JobRow *row = calloc(1, sizeof(*row));
-	uint32_t steps = 1 + random_below(w, 3);
+	uint32_t steps = 1 + random_below(w, STEPS_MAX);
 	uint32_t i;
 
 	assert(row);
@@ -277,6 +324,8 @@
 	job->submit_ms = random_below(w, 10000);
 	if ((w->faults & FAULT_CANCELS) && !random_below(w, 4))
 		job->cancel_ms = job->submit_ms + random_below(w, 6000);
+	if ((w->faults & FAULT_REPEATS) && !job->long_running && j % 2)
+		repeat_job(w, job);
 }
 
 static void setup(struct world *w)
@@ -318,6 +367,10 @@
 	}
 	for (i = 0; i < WORLD_JOBS; i++)
 		setup_job(w, i);
+	for (i = 0; (w->faults & FAULT_REPEATS) && i < WORLD_LEADERS; i++)
+		w->leaders[i].skew_ms =
+			(int64_t)random_below(w, 2 * SKEW_MAX_MS) -
+			(int64_t)SKEW_MAX_MS;
 }
 
 static void check_final_state(struct world *w)
@@ -363,6 +416,8 @@
 void world_run(uint64_t seed, unsigned int faults, bool verbose,
 	       struct world_result *result)
 {
+	const uint64_t end_ms =
+		faults & FAULT_REPEATS ? WORLD_END_REPEATS_MS : WORLD_END_MS;
 	struct world *w = calloc(1, sizeof(*w));
 	uint32_t i;
 
@@ -374,8 +429,7 @@
 	w->result = result;
 	w->now = 1000;
 	setup(w);
-	for (; w->now < WORLD_END_MS && !*result->error;
-	     w->now += WORLD_TICK_MS) {
+	for (; w->now < end_ms && !*result->error; w->now += WORLD_TICK_MS) {
 		inject_faults(w);
 		directory_advance(w);
 		for (i = 0; i < WORLD_INSTANCES; i++)
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -22,6 +22,8 @@
 #define WORLD_TICK_MS 20u
 #define WORLD_FAULTS_MS 14000u /* no fault begins later */
 #define WORLD_END_MS 40000u    /* by then every job must have ended */
+/* Same, with FAULT_REPEATS: some jobs have four times the work */
+#define WORLD_END_REPEATS_MS 100000u
 
 enum world_fault {
 	FAULT_LATE_ORDERS = 1 << 0,
@@ -37,6 +39,8 @@
 	FAULT_UNLISTED = 1 << 10,
 	FAULT_ALL = (1 << 11) - 1,	/* all of the above */
 	FAULT_QUICK_RESTARTS = 1 << 11, /* a crash and restart within a poll */
+	/* Some jobs repeat, and the clocks of leaders differ. */
+	FAULT_REPEATS = 1 << 12,
 };
 
 struct world_result {
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -18,8 +18,7 @@
 		       enum sched_outcome outcome)
 {
 	struct world_end *e = &i->ends[i->end_count++];
-	uint32_t step, index;
-	struct world_job *job = job_of_task(w, r->task, &step, &index);
+	struct world_task task = find_task(w, r->task);
 
 	assert(i->end_count < ENDS_MAX);
 	e->seq = ++i->last_seq;
@@ -27,7 +26,7 @@
 	e->number = r->number;
 	e->outcome = outcome;
 	if (outcome == SCHED_DONE)
-		job->done[step][index] = true;
+		task.job->done[task.slot][task.index] = true;
 	w->result->ends++;
 	trace(w, "%s: %s run %llu ended as %d", i->id, r->task,
 	      (unsigned long long)r->number, outcome);
@@ -54,16 +53,18 @@
 static void check_disruption_budget(struct world *w, const struct call *c,
 				    const struct world_task_run *run)
 {
-	uint32_t step, index, t;
-	struct world_job *job = job_of_task(w, run->task, &step, &index);
+	struct world_task task = find_task(w, run->task);
+	struct world_job *job = task.job;
 	uint32_t away = 0;
+	uint32_t t;
 
 	if (!job->long_running || job->cancel_sent || !is_at_work(w, run) ||
 	    w->now - c->sent_ms > ORDER_TIMEOUT_MS)
 		return;
 	for (t = 0; t < job->row->steps[0]->count; t++)
-		away += t != index && w->now - job->at_work_ms[t] >= NOTICE_MS;
-	job->at_work_ms[index] = 0;
+		away += t != task.index &&
+			w->now - job->at_work_ms[t] >= NOTICE_MS;
+	job->at_work_ms[task.index] = 0;
 	if (away >= job->row->steps[0]->may_miss)
 		violation(w, "BUDGET: %s is stopped with %u others away",
 			  run->task, away);
@@ -77,11 +78,10 @@
 
 static void note_at_work(struct world *w, const struct world_task_run *run)
 {
-	uint32_t step, index;
-	struct world_job *job = job_of_task(w, run->task, &step, &index);
+	struct world_task task = find_task(w, run->task);
 
-	if (job->long_running && is_at_work(w, run))
-		job->at_work_ms[index] = w->now;
+	if (task.job->long_running && is_at_work(w, run))
+		task.job->at_work_ms[task.index] = w->now;
 }
 
 void instance_advance(struct world *w, struct world_instance *i)
@@ -125,8 +125,8 @@
 				  const struct world_instance *here,
 				  const struct sched_order *o, bool reachable)
 {
-	uint32_t i, r, step, index;
-	struct world_job *job = job_of_task(w, o->task, &step, &index);
+	struct world_task task = find_task(w, o->task);
+	uint32_t i, r;
 
 	for (i = 0; i < WORLD_INSTANCES; i++) {
 		const struct world_instance *other = &w->instances[i];
@@ -138,7 +138,8 @@
 					  "while it runs on %s",
 					  o->task, here->id, other->id);
 	}
-	if (job->acknowledged[step][index] && !job->long_running)
+	if (task.job->acknowledged[task.slot][task.index] &&
+	    !task.job->long_running)
 		violation(w,
 			  "DUPLICATE START: %s on %s after its end was "
 			  "acknowledged",
@@ -148,41 +149,48 @@
 
 static void check_step_order(struct world *w, const struct sched_order *o)
 {
-	uint32_t step, index;
-	struct world_job *job = job_of_task(w, o->task, &step, &index);
-	const Fleet__Step *spec = job->row->steps[step];
+	struct world_task task = find_task(w, o->task);
+	const struct world_job *job = task.job;
+	uint32_t failures = job->failures[task.slot][task.index];
+	uint32_t t, before;
 	size_t a;
-	uint32_t t;
 
-	for (a = 0; a < spec->n_after; a++)
-		for (t = 0; t < job->row->steps[spec->after[a]]->count; t++)
-			if (!job->done[spec->after[a]][t])
+	for (a = 0; a < task.spec->n_after; a++) {
+		before = task.spec->after[a];
+		for (t = 0; t < job->row->steps[before]->count; t++)
+			if (!job->done[slot_of(task.occurrence, before)][t])
 				violation(w,
 					  "STEP ORDER: %s starts before "
 					  "the end of step %u",
-					  o->task, spec->after[a]);
-	if (job->failures[step][index] >= ATTEMPTS_MAX && !job->long_running)
+					  o->task, before);
+	}
+	if (w->now + EARLY_MS < due_ms(job, task.occurrence))
+		violation(w, "STEP ORDER: %s starts %llu ms early", o->task,
+			  (unsigned long long)(due_ms(job, task.occurrence) -
+					       w->now));
+	if (failures >= ATTEMPTS_MAX && !job->long_running)
 		violation(w, "ATTEMPTS: %s starts after %u failed attempts",
-			  o->task, job->failures[step][index]);
+			  o->task, failures);
 }
 
 static void check_cap(struct world *w, const struct sched_order *o)
 {
-	uint32_t i, r, step, index;
-	struct world_job *job = job_of_task(w, o->task, &step, &index);
-	int64_t used = -(int64_t)job->row->steps[step]->cpu;
+	struct world_task task = find_task(w, o->task);
+	const struct world_job *job = task.job;
+	int64_t used = -(int64_t)task.spec->cpu;
+	uint32_t i, r;
 
 	if (!*job->row->workspace)
 		return;
 	for (i = 0; i < WORLD_INSTANCES; i++)
 		for (r = 0; w->instances[i].up && r < w->instances[i].run_count;
 		     r++) {
-			uint32_t st, ix;
-			struct world_job *j = job_of_task(
-				w, w->instances[i].runs[r].task, &st, &ix);
+			struct world_task other =
+				find_task(w, w->instances[i].runs[r].task);
 
-			if (!strcmp(j->row->workspace, job->row->workspace))
-				used += j->row->steps[st]->cpu;
+			if (!strcmp(other.job->row->workspace,
+				    job->row->workspace))
+				used += other.spec->cpu;
 		}
 	/* Before this start, use may reach the cap and its allowance of 10%. */
 	if (used > CAP_CPU * 11 / 10)
@@ -194,8 +202,7 @@
 static void check_requested(struct world *w, const struct sched_order *o,
 			    uint64_t sent_ms)
 {
-	uint32_t step, index;
-	struct world_job *job = job_of_task(w, o->task, &step, &index);
+	const struct world_job *job = find_task(w, o->task).job;
 
 	if (!job->submitted)
 		violation(
@@ -229,8 +236,8 @@
 {
 	const struct sched_order *o = &c->order;
 	struct world_task_run *run;
-	uint32_t step, index, r;
-	struct world_job *job = job_of_task(w, o->task, &step, &index);
+	const struct world_job *job = find_task(w, o->task).job;
+	uint32_t r;
 
 	if (o->lease_until <= instance_clock_ms(w, i))
 		return ORDER_REFUSED_LATE;
@@ -289,21 +296,21 @@
 static void acknowledge_ends(struct world *w, struct world_instance *i,
 			     uint64_t upto)
 {
-	uint32_t e, step, index;
+	uint32_t e;
 
 	for (e = 0; e < i->end_count;) {
 		struct world_end *end = &i->ends[e];
-		struct world_job *job;
+		struct world_task task;
 
 		if (end->seq > upto) {
 			e++;
 			continue;
 		}
-		job = job_of_task(w, end->task, &step, &index);
+		task = find_task(w, end->task);
 		if (end->outcome == SCHED_DONE)
-			job->acknowledged[step][index] = true;
+			task.job->acknowledged[task.slot][task.index] = true;
 		if (end->outcome == SCHED_FAILED)
-			job->failures[step][index]++;
+			task.job->failures[task.slot][task.index]++;
 		memmove(end, end + 1, (--i->end_count - e) * sizeof(*end));
 	}
 }
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -31,6 +31,11 @@
 #define RESTART_MS 2000u      /* shortest time from a crash to the restart */
 #define QUICK_RESTART_MS 500u /* same, with FAULT_QUICK_RESTARTS */
 #define TASKS_MAX 8u	      /* of a step */
+#define STEPS_MAX 3u	      /* of an occurrence */
+#define TIMES_MAX 4u	      /* occurrences of a job */
+#define EARLY_MS 250u	      /* a start may precede its due time by this */
+#define SKEW_MAX_MS 200u      /* of a leader's time of day, either way */
+#define PROGRESS_MAX 2048u    /* bytes of a progress row */
 #define RUNS_MAX 64u	      /* on an instance */
 #define ENDS_MAX 256u	      /* ends, and stopped runs, of an instance */
 #define ATTEMPTS_MAX 3u
@@ -93,15 +98,17 @@
 	uint64_t cancelled_ms; /* when its caller learned of it; 0: not yet */
 	uint64_t cancel_ms;    /* when the caller cancels it; 0: never */
 	bool long_running;
-	bool done[4][TASKS_MAX];	 /* the task ended successfully */
-	bool acknowledged[4][TASKS_MAX]; /* its end was acknowledged */
-	uint32_t failures[4][TASKS_MAX];
+	/* By occurrence and step; see struct world_task. */
+	bool done[TIMES_MAX * STEPS_MAX][TASKS_MAX]; /* ended successfully */
+	/* its end was acknowledged */
+	bool acknowledged[TIMES_MAX * STEPS_MAX][TASKS_MAX];
+	uint32_t failures[TIMES_MAX * STEPS_MAX][TASKS_MAX];
 	/* when each long-running task was last at work; 0: stopped since */
 	uint64_t at_work_ms[TASKS_MAX];
 	/* Rows in the store */
 	bool has_row;
 	bool has_progress;
-	uint8_t progress[512];
+	uint8_t progress[PROGRESS_MAX];
 	size_t progress_length;
 	Fleet__JobState end; /* UNKNOWN: no row */
 };
@@ -126,7 +133,7 @@
 	uint32_t job;
 	bool is_new, is_ended, drop, has_progress;
 	Fleet__JobState end;
-	uint8_t progress[512];
+	uint8_t progress[PROGRESS_MAX];
 	size_t progress_length;
 };
 
@@ -172,6 +179,7 @@
 	uint64_t incarnation; /* incremented when it claims or resigns */
 	uint64_t revision, fence, epoch;
 	uint64_t confirmed_ms;
+	int64_t skew_ms; /* of its time of day */
 	uint64_t frozen_until_ms;
 	uint64_t advanced_ms;	   /* time of its last iteration */
 	uint64_t cut_off_until_ms; /* cut off from the store until then */
@@ -207,6 +215,15 @@
 	struct world_result *result;
 };
 
+/* A task by its name. */
+struct world_task {
+	struct world_job *job;
+	const Fleet__Step *spec;
+	uint32_t occurrence;
+	uint32_t slot; /* occurrence * STEPS_MAX + step */
+	uint32_t index;
+};
+
 /* fleet_world.c */
 uint32_t random_below(struct world *w, uint32_t below);
 bool fault_occurs(struct world *w, unsigned int fault, uint32_t per_mille);
@@ -214,8 +231,14 @@
 						     const char *fmt, ...);
 __attribute__((format(printf, 2, 3))) void trace(const struct world *w,
 						 const char *fmt, ...);
-struct world_job *job_of_task(struct world *w, const char *task, uint32_t *step,
-			      uint32_t *index);
+struct world_task find_task(struct world *w, const char *name);
+
+/* due_ms - when the occurrence is due, in simulation time; 0: at once */
+uint64_t due_ms(const struct world_job *job, uint32_t occurrence);
+
+/* slot_of - index of an occurrence's step in the arrays of a job */
+uint32_t slot_of(uint32_t occurrence, uint32_t step);
+uint64_t leader_unix_ms(const struct world *w, const struct leader *l);
 
 /* fleet_world_instance.c */
 uint64_t instance_clock_ms(const struct world *w,
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -113,7 +113,7 @@
 	l->s = sched_new(NULL, &options);
 	if (w->verbose)
 		sched_set_trace(l->s, on_trace, w);
-	sched_set_clock(l->s, w->now);
+	sched_set_clock(l->s, leader_unix_ms(w, l));
 	sched_configure(l->s, &w->config, w->now);
 	leader_read_directory(w, l);
 	leader_load_rows(w, l);
@@ -254,7 +254,7 @@
 		l->confirmed_ms = w->now;
 		sched_leader_confirmed(l->s, w->now);
 	}
-	sched_tick(l->s, w->now, w->now);
+	sched_tick(l->s, leader_unix_ms(w, l), w->now);
 	if (fault_occurs(w, FAULT_EVACUATIONS, 5)) {
 		struct sched_instance_load load;
 		uint32_t slot = random_below(w, WORLD_INSTANCES);
--- a/tools/check.py
+++ b/tools/check.py
@@ -20,6 +20,9 @@
 FLEET_WALK_SEEDS = 10000
 # Bits of enum world_fault: FAULT_ALL and FAULT_QUICK_RESTARTS.
 QUICK_RESTART_FAULTS = 4095
+# These and FAULT_REPEATS; a seed takes longer.
+REPEAT_FAULTS = 8191
+REPEAT_SEEDS = 2000
 FLEET_WALK_PARTS = 5  # processes that run concurrently
 # Jobs of a leader of the large site: ended after some seconds and after two
 # minutes; waiting on a calm day and in a turn of demand.
@@ -125,9 +128,9 @@
                 lambda path, r=runner: list(r.run_file(path, build)), paths)
 
 
-def fleet_walk(build, *options):
+def fleet_walk(build, seeds, *options):
     """Splits the seeds of the scheduler walk over concurrent processes."""
-    part = FLEET_WALK_SEEDS // FLEET_WALK_PARTS
+    part = seeds // FLEET_WALK_PARTS
     walks = [subprocess.Popen(
         [f"{build}/test/fleet_walk", "--seed", str(i * part + 1), "--count",
          str(part), *options], stdout=subprocess.PIPE, text=True)
@@ -181,9 +184,13 @@
     for safeguard in SAFEGUARDS:
         results.command(f"ledger walk finds {safeguard} removed",
                         [walk, "--without", safeguard, "--count", "30000"])
-    results.add("fleet walk", fleet_walk(build))
+    results.add("fleet walk", fleet_walk(build, FLEET_WALK_SEEDS))
     results.add("fleet walk, quick restarts",
-                fleet_walk(build, "--faults", str(QUICK_RESTART_FAULTS)))
+                fleet_walk(build, FLEET_WALK_SEEDS, "--faults",
+                           str(QUICK_RESTART_FAULTS)))
+    results.add("fleet walk, repeated jobs",
+                fleet_walk(build, REPEAT_SEEDS, "--faults",
+                           str(REPEAT_FAULTS)))
     make_sanitized()
     results.command("ledger walk with sanitizers", [
         f"{build}/sanitize/test/ledger_walk", "--count", "500"])
