sched: state by open occurrences; bounds of a job where it is taken and loaded

Cause: job_new() allocated an entry for each of times occurrences and asserted success; nodes bounded fields, not jobs; leaders took every row for one they can hold.

A job holds its open occurrences, at most 256, and ranges of those done; an occurrence is open until its end is stored, so a successor's window covers the predecessor's. job_check() bounds a job for the node that takes it, for the leader and for loaded rows; a row that fails is set aside and logged. Numbers that don't fit are refused by name. A node whose leader's connection breaks asks once more and, if that fails, doesn't record the job.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 
 $(B)/test/ledger_walk: $(B)/test/walk/world.o
 
-$(B)/test/advice_test $(B)/test/repeat_test $(B)/test/sched_test $(B)/test/poll_test $(B)/test/fleet_test \
+$(B)/test/advice_test $(B)/test/job_test $(B)/test/repeat_test $(B)/test/sched_test $(B)/test/poll_test $(B)/test/fleet_test \
 		$(B)/test/lost_answer_test: \
 		$(B)/test/rig/sched_rig.o
 
@@ -81,6 +81,8 @@
 		$(addprefix $(B)/test/rig/, \
 			election.o site.o site_http.o site_store.o)
 
+$(B)/test/job_test: $(B)/platform/job.o $(B)/platform/json.o
+
 $(B)/test/fleet_walk: $(patsubst %.c,$(B)/%.o,$(wildcard test/walk/fleet_world*.c))
 
 $(B)/bench/%: $(B)/bench/%.o $(LIB)
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -62,7 +62,8 @@
 	bool config_stale;
 	uint64_t deadline_ms;
 	bool possibly_recorded; /* the outcome of a write is unknown */
-	bool leader_slow; /* the leader timed out while known to be live */
+	bool leader_slow;     /* the leader timed out while known to be live */
+	bool leader_vanished; /* the connection ended without its answer */
 	node_answer_fn fn;
 	void *arg;
 };
@@ -563,13 +564,14 @@
 
 /*
  * A leader that is live but slow waits for the store itself; recording the job
- * there as well would delay it further.
+ * there as well would delay it further. A leader that has vanished may have
+ * done so because of this job, which would then end its successors too.
  */
 static bool may_record(const struct pending_request *p)
 {
 	struct node *n = p->node;
 
-	return !p->leader_slow && n->store_ok &&
+	return !p->leader_slow && !p->leader_vanished && n->store_ok &&
 	       record_pause_is_over(n->store_last_slow_ms, clock_now_ms()) &&
 	       record_bucket_take(&n->record_bucket, n->peer_count + 1,
 				  clock_now_ms());
@@ -595,6 +597,8 @@
 
 /* Forwarded to the leader */
 
+static void forward_to_leader(struct pending_request *p);
+
 static void on_leader_answer(void *arg, struct httpc_answer *h)
 {
 	struct pending_request *p = arg;
@@ -613,6 +617,12 @@
 			p->possibly_recorded = true;
 		p->leader_slow = h->status == HTTPC_TIMEOUT &&
 				 leader_live_age_ms(n) < LEADER_LIVE_AGE_MS;
+		if (h->status == HTTPC_BROKEN && !p->leader_vanished) {
+			/* Not the leader but its connections may have ended. */
+			p->leader_vanished = true;
+			forward_to_leader(p);
+			return;
+		}
 		if (!p->leader_slow)
 			n->leader_suspect_until_ms =
 				clock_now_ms() + LEADER_SUSPECT_MS;
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -219,6 +219,7 @@
 		.predecessor_orders_ms = LEADER_ORDERS_MS,
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
+		.job_bytes_max = n->settings.job_bytes_max,
 	};
 	uint64_t now = clock_now_ms();
 
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -16,6 +16,8 @@
 /* Between two checks of timers; at most a tenth of the shortest timeout */
 #define SWEEP_MS 20u
 #define TRACE_MAX 512 /* bytes of the text of one traced decision */
+/* Jobs that were accepted elsewhere may take this times as much memory */
+#define LOADED_FACTOR 2
 
 /* uthash allocates table heads with malloc(3), outside talloc. */
 static int sched_destroy(struct sched *s)
@@ -66,8 +68,6 @@
 
 /* Tables */
 
-static void occurrence_build(struct job *job, uint32_t k);
-
 struct job *sched_job(const struct sched *s, const char *id)
 {
 	struct job *job;
@@ -147,8 +147,8 @@
 	memcpy(id, name, length);
 	id[length] = '\0';
 	p->job = sched_job(s, id);
-	return p->job && p->job->row &&
-	       p->occurrence < p->job->occurrence_count &&
+	return p->job && p->job->row && !p->job->set_aside &&
+	       p->occurrence < p->job->times &&
 	       p->step < p->job->row->n_steps &&
 	       p->index < p->job->row->steps[p->step]->count;
 }
@@ -156,12 +156,12 @@
 struct task *sched_task(const struct sched *s, const char *name)
 {
 	struct task_path p;
-	struct step *steps;
+	struct occurrence *o;
 
 	if (!parse_task(s, name, &p))
 		return NULL;
-	steps = p.job->occurrences[p.occurrence].steps;
-	return steps ? &steps[p.step].tasks[p.index] : NULL;
+	o = occurrence_find(p.job, p.occurrence);
+	return o ? &o->steps[p.step].tasks[p.index] : NULL;
 }
 
 struct task *sched_reported_task(struct sched *s, const char *name)
@@ -179,7 +179,7 @@
 	const struct step *step = task->step;
 
 	snprintf(name, SCHED_TASK_MAX, "%s.%u.%u.%u", step->job->id,
-		 step->occurrence, step->index, task->index);
+		 step->in->index, step->index, task->index);
 }
 
 /* Configuration */
@@ -190,22 +190,15 @@
 
 	/* Jobs of a removed queue stay in the pool that the queue had. */
 	if (q && strcmp(q->pool, job->pool->name)) {
-		uint32_t k, i;
-
-		for (k = 0; k < job->occurrence_count; k++) {
-			struct step *steps = job->occurrences[k].steps;
+		struct occurrence *o;
+		size_t i;
 
-			for (i = 0; steps && i < job->row->n_steps; i++)
-				step_leave_pool(&steps[i]);
-		}
+		for (o = job->occurrences; o; o = o->hh.next)
+			for (i = 0; i < job->row->n_steps; i++)
+				step_leave_pool(&o->steps[i]);
 		job->pool = sched_pool(s, q->pool);
 		job->pool_changed |= job->loaded;
-		for (k = 0; k < job->occurrence_count; k++) {
-			struct step *steps = job->occurrences[k].steps;
-
-			for (i = 0; steps && i < job->row->n_steps; i++)
-				step_refresh(&steps[i]);
-		}
+		job_refresh_steps(job);
 	}
 }
 
@@ -259,92 +252,14 @@
 		amount_sub(&w->unreported, &a);
 }
 
-static bool step_is_unblocked(const struct job *job, const struct step *step)
-{
-	const struct occurrence *o = &job->occurrences[step->occurrence];
-	size_t i;
-
-	if (!o->due)
-		return false;
-	for (i = 0; i < step->spec->n_after; i++)
-		if (o->steps[step->spec->after[i]].tasks_left)
-			return false;
-	return true;
-}
-
-static void occurrence_refresh(struct sched *s, struct job *job, uint32_t k)
-{
-	struct occurrence *o = &job->occurrences[k];
-	size_t i;
-
-	for (i = 0; o->steps && i < job->row->n_steps; i++) {
-		struct step *step = &o->steps[i];
-
-		if (step->ready || !step_is_unblocked(job, step))
-			continue;
-		step->ready = true;
-		step_refresh(step);
-	}
-}
-
-/*
- * Allocates the steps of an occurrence, which need not be due yet. Until the
- * instances of a loaded job's pool have reported, a former leader may have
- * started any task of it, also of an occurrence that was not due by this
- * leader's clock or that became due after the former leader's last write.
- */
-static void occurrence_build(struct job *job, uint32_t k)
-{
-	struct occurrence *o = &job->occurrences[k];
-	size_t i;
-	uint32_t t;
-
-	if (o->steps)
-		return;
-	o->steps = talloc_zero_array(job, struct step, job->row->n_steps);
-	assert(o->steps);
-	o->steps_left = (uint32_t)job->row->n_steps;
-	for (i = 0; i < job->row->n_steps; i++) {
-		struct step *step = &o->steps[i];
-
-		step->job = job;
-		step->spec = job->row->steps[i];
-		step->occurrence = k;
-		step->index = (uint32_t)i;
-		step->tasks_left = step->spec->count;
-		step->tasks = talloc_zero_array(o->steps, struct task,
-						step->spec->count);
-		assert(step->tasks);
-		for (t = 0; t < step->spec->count; t++) {
-			step->tasks[t].step = step;
-			step->tasks[t].index = t;
-			task_set_possibly_running(&step->tasks[t], job->loaded);
-		}
-	}
-}
-
-void occurrence_begin(struct sched *s, struct job *job, uint32_t k,
-		      uint64_t now)
-{
-	struct occurrence *o = &job->occurrences[k];
-
-	occurrence_build(job, k);
-	if (!o->due) {
-		o->due = true;
-		o->due_ms = now;
-	}
-	occurrence_refresh(s, job, k);
-}
-
 void step_done(struct sched *s, struct step *step, uint64_t now)
 {
 	struct job *job = step->job;
-	struct occurrence *o = &job->occurrences[step->occurrence];
 
 	step_refresh(step);
 	step_forget_advice(step);
-	if (--o->steps_left) {
-		occurrence_refresh(s, job, step->occurrence);
+	if (--step->in->steps_left) {
+		occurrence_refresh(step->in);
 		return;
 	}
 	if (--job->occurrences_left == 0)
@@ -381,6 +296,15 @@
 		step_refresh(step);
 }
 
+void step_clear_possibly_running(struct step *step)
+{
+	uint32_t t;
+
+	for (t = 0; t < step->spec->count; t++)
+		task_set_possibly_running(&step->tasks[t], false);
+	step_refresh(step);
+}
+
 static uint32_t attempts_max(const struct job *job)
 {
 	return job->queue_config && job->queue_config->attempts_max
@@ -407,7 +331,7 @@
 		if (step->failed[2 * i] == counted->index &&
 		    step->failed[2 * i + 1] == (uint32_t)number)
 			return;
-	step->failed = talloc_realloc(step->job, step->failed, uint32_t,
+	step->failed = talloc_realloc(step->in, step->failed, uint32_t,
 				      2 * (step->failed_count + 1));
 	assert(step->failed);
 	step->failed[2 * step->failed_count] = counted->index;
@@ -500,11 +424,68 @@
 
 static int job_destroy(struct job *job)
 {
+	/* uthash allocates its table with malloc(3). */
+	HASH_CLEAR(hh, job->occurrences);
 	if (job->row)
 		fleet__job_row__free_unpacked(job->row, NULL);
 	return 0;
 }
 
+uint64_t job_cost(const struct sched *s, const Fleet__JobRow *row)
+{
+	uint64_t occurrence = job_tasks(row) * sizeof(struct task) +
+			      row->n_steps * sizeof(struct step);
+
+	return sizeof(struct job) + strlen(row->payload) +
+	       row->n_steps * sizeof(Fleet__Step) +
+	       (row->times ? occurrence_window(s, row) : 1) * occurrence;
+}
+
+/* Sets the job aside if it can't be held. */
+static void job_set_cost(struct sched *s, struct job *job)
+{
+	struct job_verdict verdict;
+	uint64_t max = s->options.job_bytes_max * LOADED_FACTOR;
+
+	if (!job_check(job->row, &verdict)) {
+		job_set_aside(s, job, job_problem_name(verdict.problem),
+			      verdict.value, verdict.bound);
+		return;
+	}
+	job->bytes = job_cost(s, job->row);
+	if (max && s->job_bytes + job->bytes > max) {
+		job_set_aside(s, job, "memory of all jobs",
+			      s->job_bytes + job->bytes, max);
+		job->bytes = 0;
+	}
+	s->job_bytes += job->bytes;
+}
+
+void job_set_aside(struct sched *s, struct job *job, const char *why,
+		   uint64_t value, uint64_t bound)
+{
+	struct occurrence *o;
+	size_t i;
+
+	job->set_aside = true;
+	for (o = job->occurrences; o; o = o->hh.next)
+		for (i = 0; i < job->row->n_steps; i++) {
+			step_clear_possibly_running(&o->steps[i]);
+			step_leave_pool(&o->steps[i]);
+		}
+	occurrences_free(job);
+	sched_trace(s, "job-set-aside", job->id,
+		    "\"queue\":\"%s\",\"why\":\"%s\",\"value\":%" PRIu64
+		    ",\"bound\":%" PRIu64,
+		    job->queue, why, value, bound);
+}
+
+void job_forget_cost(struct sched *s, struct job *job)
+{
+	s->job_bytes -= job->bytes;
+	job->bytes = 0;
+}
+
 struct job *job_new(struct sched *s, const char *id, Fleet__JobRow *row,
 		    uint64_t now)
 {
@@ -519,17 +500,17 @@
 	job->workspace = sched_workspace(s, row->workspace);
 	job->state = job->shown = FLEET__JOB_STATE__QUEUED;
 	job->accepted_ms = now;
-	job->occurrence_count = row->times ? row->times : 1;
-	job->occurrences_left = job->occurrence_count;
-	job->occurrences = talloc_zero_array(job, struct occurrence,
-					     job->occurrence_count);
-	assert(job->occurrences);
+	job->times = job->occurrences_left = row->times ? row->times : 1;
 	if (s->config)
 		job->queue_config = config_queue(s->config, job->queue);
-	job_estimate(job);
+	job_set_cost(s, job);
 	job_add(s, job);
-	if (!row->times)
-		occurrence_begin(s, job, 0, now);
+	if (!job->set_aside) {
+		job->window = occurrence_window(s, row);
+		job_estimate(job);
+	}
+	if (!job->set_aside && !row->times)
+		occurrence_begin(job, 0, now);
 	/* The row's pool may come from an older configuration. */
 	if (s->config)
 		job_follow_queue(s, job);
@@ -544,19 +525,19 @@
 	s->unfinished -= is_unfinished(job->list);
 	if (job->pending)
 		job->queue_count->pending--;
+	job_forget_cost(s, job);
 	HASH_DEL(s->jobs, job);
 	talloc_free(job);
 }
 
 void job_refresh_steps(struct job *job)
 {
-	uint32_t k;
+	struct occurrence *o;
 	size_t i;
 
-	for (k = 0; k < job->occurrence_count; k++)
-		for (i = 0; job->occurrences[k].steps && i < job->row->n_steps;
-		     i++)
-			step_refresh(&job->occurrences[k].steps[i]);
+	for (o = job->occurrences; o; o = o->hh.next)
+		for (i = 0; i < job->row->n_steps; i++)
+			step_refresh(&o->steps[i]);
 }
 
 /* Removes a job's steps from pool.ready, so that the job can be freed. */
@@ -567,21 +548,24 @@
 	(void)s;
 }
 
-static void job_stop_runs(struct sched *s, struct job *job)
+static void step_stop_runs(struct sched *s, const struct step *step)
 {
 	struct run *run;
-	uint32_t k, t;
-	size_t i;
+	uint32_t t;
 
-	for (k = 0; k < job->occurrence_count; k++)
-		for (i = 0; job->occurrences[k].steps && i < job->row->n_steps;
-		     i++) {
-			struct step *step = &job->occurrences[k].steps[i];
+	for (t = 0; t < step->spec->count; t++)
+		DL_FOREACH2(step->tasks[t].runs, run, task_next)
+	run_stop(s, run);
+}
 
-			for (t = 0; t < step->spec->count; t++)
-				DL_FOREACH2(step->tasks[t].runs, run, task_next)
-			run_stop(s, run);
-		}
+static void job_stop_runs(struct sched *s, struct job *job)
+{
+	struct occurrence *o;
+	size_t i;
+
+	for (o = job->occurrences; o; o = o->hh.next)
+		for (i = 0; i < job->row->n_steps; i++)
+			step_stop_runs(s, &o->steps[i]);
 }
 
 void job_end(struct sched *s, struct job *job, Fleet__JobState state,
@@ -643,24 +627,6 @@
 	s->unix_ms = unix_ms;
 }
 
-static uint64_t due_unix_ms(const struct job *job, uint32_t k)
-{
-	return job->row->first_due_unix_ms + k * job->row->interval_ms;
-}
-
-void job_begin_due(struct sched *s, struct job *job, uint64_t now)
-{
-	uint32_t k;
-
-	for (k = 0; k < job->occurrence_count; k++) {
-		if (job->occurrences[k].due)
-			continue;
-		if (due_unix_ms(job, k) > s->unix_ms)
-			return;
-		occurrence_begin(s, job, k, now);
-	}
-}
-
 /* Frees the jobs that ended more than end_keep_ms ago. */
 static void free_old_jobs(struct sched *s, uint64_t now)
 {
@@ -678,8 +644,10 @@
 
 	s->next_sweep_ms = now + SWEEP_MS;
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
-	if (job->row->times)
+	if (job->row->times && !job->set_aside) {
+		occurrences_forget(job);
 		job_begin_due(s, job, now);
+	}
 	DL_FOREACH_SAFE2(s->lists[JOBS_ENDING], job, next, list_next)
 	if (job->change == CHANGE_NONE)
 		job_shrink(s, job);
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -23,14 +23,14 @@
 #include "process/metric.h"
 #include "proto/fleet.pb-c.h"
 
-#define SCHED_ID_BYTES 16	 /* of a job's id */
-#define SCHED_TASK_MAX 64	 /* bytes of a task's name, with the NUL */
-#define SCHED_CHECKPOINT_MAX 128 /* bytes of a checkpoint, with the NUL */
-#define SCHED_LABEL_MAX 64	 /* bytes of a label, with the NUL */
-#define SCHED_LABELS_MAX 8	 /* of an instance */
-#define SCHED_NAME_MAX 128	 /* bytes of a name or id, with the NUL */
-#define SCHED_ADDRESS_MAX 64	 /* bytes of host and port, with the NUL */
-#define SCHED_ZONE_MAX 64	 /* bytes of a zone's name, with the NUL */
+#define SCHED_ID_BYTES 16	  /* of a job's id */
+#define SCHED_TASK_MAX 64	  /* bytes of a task's name, with the NUL */
+#define SCHED_CHECKPOINT_MAX 4000 /* bytes of a checkpoint */
+#define SCHED_LABEL_MAX 64	  /* bytes of a label, with the NUL */
+#define SCHED_LABELS_MAX 8	  /* of an instance */
+#define SCHED_NAME_MAX 128	  /* bytes of a name or id, with the NUL */
+#define SCHED_ADDRESS_MAX 64	  /* bytes of host and port, with the NUL */
+#define SCHED_ZONE_MAX 64	  /* bytes of a zone's name, with the NUL */
 
 struct sched;
 
@@ -59,7 +59,9 @@
 	 * the poll that must show it first
 	 */
 	uint32_t start_wait_ms;
-	uint32_t end_keep_ms; /* retention of an ended job's state */
+	uint32_t end_keep_ms;	/* retention of an ended job's state */
+	uint64_t job_bytes_max; /* memory of all unfinished jobs; 0: no limit */
+	uint32_t open_max; /* open occurrences of a job; 0: as many as fit */
 };
 
 /* An instance's entry in the directory. */
@@ -159,8 +161,8 @@
 enum sched_submit {
 	SUBMIT_ACCEPTED, /* tell the caller once it is durable */
 	SUBMIT_KNOWN,	 /* submitted before; durable or being written */
-	SUBMIT_REFUSED,	 /* cannot be done in time */
-	SUBMIT_INVALID,	 /* another queue has a job of that id */
+	SUBMIT_REFUSED,	 /* cannot be done in time, or not be held */
+	SUBMIT_INVALID,	 /* another queue has a job of that id; job_check() */
 };
 
 /* A job whose rows have to be written. */
--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -300,7 +300,7 @@
 	search_begin(s, step, &search, now);
 	if (search.count && search.room < step->startable) {
 		snprintf(advice->step, sizeof(advice->step), "%s.%u.%u",
-			 step->job->id, step->occurrence, step->index);
+			 step->job->id, step->in->index, step->index);
 		made = name_instances(step, &search, advice) > 0;
 	}
 	if (made)
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -60,23 +60,8 @@
 /* Whether any task of the job runs or possibly runs. */
 bool job_has_runs(const struct job *job)
 {
-	uint32_t k, t;
-	size_t i;
-
 	/* Even a task that is done may have another, unreported run. */
-	if (job->loaded)
-		return true;
-	for (k = 0; k < job->occurrence_count; k++)
-		for (i = 0; job->occurrences[k].steps && i < job->row->n_steps;
-		     i++)
-			for (t = 0; t < job->row->steps[i]->count; t++) {
-				const struct task *task =
-					&job->occurrences[k].steps[i].tasks[t];
-
-				if (task->runs || task->possibly_running)
-					return true;
-			}
-	return false;
+	return job->loaded || job_occurrences_have_runs(job);
 }
 
 /* New jobs go first: callers wait for them, and none of them has started. */
@@ -129,9 +114,8 @@
 		job_mark_changed(s, job);
 		return;
 	}
-	talloc_free(job->occurrences);
-	job->occurrences = NULL;
-	job->occurrence_count = 0;
+	occurrences_free(job);
+	job_forget_cost(s, job);
 	fleet__job_row__free_unpacked(job->row, NULL);
 	job->row = NULL;
 	job_set_list(s, job, JOBS_ENDED);
@@ -196,6 +180,7 @@
 	job->stored = true;
 	job->claimed = true;
 	job_set_change(s, job, CHANGE_NONE);
+	occurrences_written(job, true);
 	if (job->changed_while_batched) {
 		job->change_seq = job->next_change_seq;
 		job_wait_for_write(s, job);
@@ -215,10 +200,12 @@
 	{
 		if (job->batch != batch)
 			continue;
-		if (written)
+		if (written) {
 			job_written(s, job);
-		else
-			job_wait_for_write(s, job);
+			continue;
+		}
+		occurrences_written(job, false);
+		job_wait_for_write(s, job);
 	}
 	acknowledge(s, now);
 }
--- a/src/pool/sched_explain.c
+++ b/src/pool/sched_explain.c
@@ -38,7 +38,7 @@
 		"%s{\"occurrence\":%u,\"step\":%u,\"tasks\":%u,\"done\":%u,"
 		"\"ready\":%d,\"running\":%u,\"ordered_or_stopping\":%u,"
 		"\"waiting\":%u,\"may_run_unseen\":%u,\"failed_ends\":%u}",
-		text[strlen(text) - 1] == '[' ? "" : ",", step->occurrence,
+		text[strlen(text) - 1] == '[' ? "" : ",", step->in->index,
 		step->index, step->spec->count,
 		step->spec->count - step->tasks_left, step->ready, running,
 		ordered_or_stopping, waiting, possibly_running,
@@ -49,7 +49,7 @@
 {
 	const struct job *job = sched_job(s, id);
 	char *text;
-	uint32_t k;
+	const struct occurrence *o;
 	size_t i;
 
 	if (!job)
@@ -58,13 +58,14 @@
 		ctx,
 		"{\"id\":\"%s\",\"queue\":\"%s\",\"pool\":\"%s\","
 		"\"state\":\"%s\",\"shown\":\"%s\",\"written\":%d,"
-		"\"steps\":[",
+		"\"set_aside\":%d,\"times\":%u,\"occurrences_left\":%u,"
+		"\"open\":%u,\"window\":%u,\"steps\":[",
 		job->id, job->queue, job->pool->name, state_names[job->state],
-		state_names[job->shown], job->change == CHANGE_NONE);
-	for (k = 0; k < job->occurrence_count; k++)
-		for (i = 0; job->occurrences[k].steps && i < job->row->n_steps;
-		     i++)
-			text = explain_step(text,
-					    &job->occurrences[k].steps[i]);
+		state_names[job->shown], job->change == CHANGE_NONE,
+		job->set_aside, job->times, job->occurrences_left,
+		job->open_count, job->window);
+	for (o = job->occurrences; o; o = o->hh.next)
+		for (i = 0; i < job->row->n_steps; i++)
+			text = explain_step(text, &o->steps[i]);
 	return talloc_asprintf_append(text, "]}\n");
 }
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -47,24 +47,17 @@
 static void pool_clear_possibly_running(struct sched *s, struct pool *pool)
 {
 	bool everywhere = all_reported(s);
+	struct occurrence *o;
 	struct job *job;
-	uint32_t k, t;
 	size_t i;
 
 	for (job = s->jobs; job; job = job->hh.next) {
 		if (!job->loaded || !job->row ||
 		    (!everywhere && (job->pool != pool || job->pool_changed)))
 			continue;
-		for (k = 0; k < job->occurrence_count; k++) {
-			struct step *steps = job->occurrences[k].steps;
-
-			for (i = 0; steps && i < job->row->n_steps; i++) {
-				for (t = 0; t < steps[i].spec->count; t++)
-					task_set_possibly_running(
-						&steps[i].tasks[t], false);
-				step_refresh(&steps[i]);
-			}
-		}
+		for (o = job->occurrences; o; o = o->hh.next)
+			for (i = 0; i < job->row->n_steps; i++)
+				step_clear_possibly_running(&o->steps[i]);
 		job->loaded = false;
 	}
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -2,6 +2,7 @@
  * sched_internal - the tables behind sched.h
  *
  * sched.c          jobs, steps and their ends
+ * sched_occurrence.c  occurrences of jobs
  * sched_change.c   rows to be written, acknowledgement of ends
  * sched_submit.c   new jobs and jobs loaded at takeover
  * sched_run.c      runs, their orders and the outcomes of orders
@@ -25,6 +26,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "job/job_check.h"
 #include "pool/sched.h"
 
 struct task;
@@ -78,7 +80,7 @@
 	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
 	struct run *runs;
-	char checkpoint[SCHED_CHECKPOINT_MAX];
+	char *checkpoint; /* NULL: none */
 };
 
 /* What an adviser said of one incarnation of an instance. */
@@ -99,8 +101,8 @@
 /* A step of one occurrence. */
 struct step {
 	struct job *job;
+	struct occurrence *in;
 	const Fleet__Step *spec;
-	uint32_t occurrence;
 	uint32_t index;
 	uint32_t tasks_left;
 	uint32_t startable; /* tasks not done and without a possible run */
@@ -122,10 +124,19 @@
 };
 
 struct occurrence {
+	uint32_t index;
 	uint32_t steps_left;
-	bool due;
+	bool due;      /* it has begun */
+	bool in_row;   /* done, according to the row that is being written */
+	bool recorded; /* done, according to the store */
 	uint64_t due_ms;
 	struct step *steps;
+	UT_hash_handle hh;
+};
+
+/* Numbers from first to before end. */
+struct range {
+	uint32_t first, end;
 };
 
 /* Jobs by what timers and load figures look for; each job is in one list. */
@@ -176,14 +187,23 @@
 	bool started;	   /* a task of it has run */
 	bool pool_changed; /* a former leader may run it in another pool */
 	bool loaded;	   /* at takeover; it may have unreported runs */
+	/* its row failed job_check(), or is too large: nothing of it starts */
+	bool set_aside;
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
-	uint64_t objective_ms;	   /* deadline for its completion */
-	uint64_t critical_path_ms; /* estimate */
-	uint64_t work;		   /* estimate in millicores x ms */
-	uint32_t occurrence_count;
-	uint32_t occurrences_left;
-	struct occurrence *occurrences;
+	uint64_t objective_ms;		/* deadline for its completion */
+	uint64_t critical_path_ms;	/* estimate */
+	uint64_t work;			/* estimate in millicores x ms */
+	uint32_t times;			/* occurrences */
+	uint32_t occurrences_left;	/* that are not done */
+	struct occurrence *occurrences; /* those that are held, by index */
+	uint32_t window;		/* most that are open at once */
+	uint32_t open_count; /* begun, not yet done according to the store */
+	uint32_t recorded_count; /* of the occurrences that are held */
+	uint32_t next_due;	 /* all before have begun */
+	uint32_t done_range_count, done_range_alloc;
+	struct range *done_ranges;  /* done according to the store; sorted */
+	uint64_t bytes;		    /* estimate of its memory */
 	char queue[SCHED_NAME_MAX]; /* name; still set when row is NULL */
 	enum change_state change;
 	uint32_t batch; /* that contains it, if CHANGE_BATCHED */
@@ -352,6 +372,7 @@
 	struct run *to_send;
 	struct run *unsettled;
 	struct amount unreported; /* capacity of unreported instances */
+	uint64_t job_bytes;	  /* estimate of the memory of all jobs */
 	bool expect_complete; /* every instance that may have runs is known */
 	bool advice_used;     /* some queue needs advice */
 	bool advice_by_age;   /* the next call is for whom waits longest */
@@ -412,6 +433,14 @@
 struct job *job_new(struct sched *s, const char *id, Fleet__JobRow *row,
 		    uint64_t now);
 void job_free(struct sched *s, struct job *job);
+
+/* job_cost - bytes of memory that a job takes at most; an estimate */
+uint64_t job_cost(const struct sched *s, const Fleet__JobRow *row);
+void job_forget_cost(struct sched *s, struct job *job);
+
+/* job_set_aside - nothing of the job starts; it can be cancelled */
+void job_set_aside(struct sched *s, struct job *job, const char *why,
+		   uint64_t value, uint64_t bound);
 void job_add(struct sched *s, struct job *job);
 void job_set_list(struct sched *s, struct job *job, enum job_list list);
 void job_set_started(struct job *job);
@@ -433,10 +462,40 @@
 bool job_has_runs(const struct job *job);
 void job_shrink(struct sched *s, struct job *job);
 
-/* sched.c, steps */
-void occurrence_begin(struct sched *s, struct job *job, uint32_t k,
-		      uint64_t now);
+/* sched_occurrence.c */
+
+/* occurrence_window - occurrences of the job that may be open at once */
+uint32_t occurrence_window(const struct sched *s, const Fleet__JobRow *row);
+
+/* occurrence_find - NULL if the job doesn't hold it */
+struct occurrence *occurrence_find(const struct job *job, uint32_t k);
+
+/* occurrence_build - allocates the steps; it need not be due yet */
+struct occurrence *occurrence_build(struct job *job, uint32_t k);
+struct occurrence *occurrence_begin(struct job *job, uint32_t k, uint64_t now);
+
+/* occurrence_refresh - its steps may have become unblocked */
+void occurrence_refresh(struct occurrence *o);
+
+/* occurrence_is_recorded - whether it is done according to the store */
+bool occurrence_is_recorded(const struct job *job, uint32_t k);
 void job_begin_due(struct sched *s, struct job *job, uint64_t now);
+bool job_occurrences_have_runs(const struct job *job);
+
+/* occurrence_loaded_done - a loaded row says that it is done */
+void occurrence_loaded_done(struct job *job, uint32_t k);
+
+/* occurrences_loaded - what was done by the loaded rows is recorded */
+void occurrences_loaded(struct job *job);
+
+/* occurrences_written - a write of the job's row has ended */
+void occurrences_written(struct job *job, bool written);
+
+/* occurrences_forget - frees those that are recorded and have no runs */
+void occurrences_forget(struct job *job);
+void occurrences_free(struct job *job);
+
+/* sched.c, steps */
 void job_discard_steps(struct sched *s, struct job *job);
 void step_done(struct sched *s, struct step *step, uint64_t now);
 void task_done(struct sched *s, struct task *task, uint64_t now);
@@ -444,6 +503,7 @@
 		 uint64_t now);
 void task_name(const struct task *task, char *name);
 void task_set_possibly_running(struct task *task, bool possibly_running);
+void step_clear_possibly_running(struct step *step);
 bool task_startable(const struct task *task, uint64_t now);
 
 /* sched_row.c */
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -436,7 +436,7 @@
 
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
 	{
-		if (job->pool != pool)
+		if (job->pool != pool || job->set_aside)
 			continue;
 		for (i = 0; i < job->row->n_steps; i++) {
 			const Fleet__Step *spec = job->row->steps[i];
@@ -538,6 +538,13 @@
 	return !any;
 }
 
+/* Whether the jobs, with the one to be admitted, take too much memory. */
+static bool memory_is_short(const struct sched *s)
+{
+	return s->options.job_bytes_max &&
+	       s->job_bytes > s->options.job_bytes_max;
+}
+
 static uint32_t clamp_retry_ms(double ms)
 {
 	if (ms < RETRY_AFTER_MIN_MS)
@@ -547,11 +554,11 @@
 
 /*
  * Returns 0 to accept a job, else the milliseconds to retry after. A job is
- * refused if no instance could run one of its steps, if the backlog of its pool
- * alone would make it so late that it is worth nothing, or if the leader could
- * not start it in time. Late work of a pool is done between two peaks of its
- * demand; the leader serves all pools, so its own late work would make other
- * work late.
+ * refused if no instance could run one of its steps, if the unfinished jobs
+ * take too much memory, if the backlog of its pool alone would make it so late
+ * that it is worth nothing, or if the leader could not start it in time. Late
+ * work of a pool is done between two peaks of its demand; the leader serves all
+ * pools, so its own late work would make other work late.
  */
 uint32_t sched_retry_after(const struct sched *s, const struct job *job,
 			   bool *for_load, uint64_t now)
@@ -567,9 +574,11 @@
 	for (i = 0; i < job->row->n_steps; i++)
 		if (!could_ever_run(job->pool, job->row->steps[i]))
 			return RETRY_AFTER_MAX_MS;
+	*for_load = true;
+	if (job->set_aside || memory_is_short(s))
+		return RETRY_AFTER_MAX_MS;
 	if (job->row->times || !job->work)
 		return 0;
-	*for_load = true;
 	if (backlog > (uint64_t)(LATE_FACTOR * (double)objective))
 		return clamp_retry_ms(backlog);
 	return pace_allows(s, job, late) ? 0 : clamp_retry_ms(pace_retry_ms(s));
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -182,6 +182,25 @@
 		run_stop(s, run);
 }
 
+/* Keeps the last checkpoint; one that is too long can't be sent back whole. */
+static void task_set_checkpoint(struct sched *s, struct task *task,
+				const char *text)
+{
+	size_t length = strlen(text);
+
+	if (!length || (task->checkpoint && !strcmp(task->checkpoint, text)))
+		return;
+	if (length > SCHED_CHECKPOINT_MAX) {
+		sched_trace(s, "checkpoint-too-long", task->step->job->id,
+			    "\"bytes\":%zu,\"bound\":%u", length,
+			    SCHED_CHECKPOINT_MAX);
+		return;
+	}
+	talloc_free(task->checkpoint);
+	task->checkpoint = talloc_strdup(task->step->tasks, text);
+	assert(task->checkpoint);
+}
+
 static void apply_running(struct sched *s, struct instance *i,
 			  const struct sched_running *r, uint64_t sent_ms,
 			  uint64_t now)
@@ -202,9 +221,7 @@
 	run_mark_running(s, run, now);
 	run->percent = r->percent;
 	run->load = r->load;
-	if (*r->checkpoint)
-		snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
-			 r->checkpoint);
+	task_set_checkpoint(s, task, r->checkpoint);
 	if (run_is_available(run))
 		task->unavailable_since_ms = 0;
 	(void)sent_ms;
@@ -251,9 +268,7 @@
 		    i->id, e->number, e->outcome, e->seq);
 	run = run_find(i, task, e->number);
 	job_set_started(task->step->job);
-	if (*e->checkpoint)
-		snprintf(task->checkpoint, sizeof(task->checkpoint), "%s",
-			 e->checkpoint);
+	task_set_checkpoint(s, task, e->checkpoint);
 	if (run)
 		run_free(s, run, now);
 	switch (e->outcome) {
--- a/src/pool/sched_ready.c
+++ b/src/pool/sched_ready.c
@@ -107,9 +107,7 @@
 	size_t i;
 
 	for (i = 0; i < step->index; i++)
-		if (!step->job->occurrences[step->occurrence]
-			     .steps[i]
-			     .tasks_left)
+		if (!step->in->steps[i].tasks_left)
 			done += step_estimate_ms(row->steps[i]);
 	return step->job->critical_path_ms > done
 		       ? step->job->critical_path_ms - done
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -194,7 +194,7 @@
 	task_name(run->task, o->task);
 	o->number = run->number;
 	o->payload = run->task->step->job->row->payload;
-	o->checkpoint = run->task->checkpoint;
+	o->checkpoint = run->task->checkpoint ? run->task->checkpoint : "";
 	if (o->kind == ORDER_START) {
 		o->ticket = step_ticket(run->task->step, i, now);
 		o->lease_until = instance_extend_lease(s, i, now);
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -36,17 +36,16 @@
 {
 	const struct pool *pool;
 	const struct job *job;
-	uint32_t o;
+	const struct occurrence *o;
 	size_t i;
 
 	memset(u, 0, sizeof(*u));
 	for (pool = s->pools; pool; pool = pool->hh.next)
 		u->instances += pool->unreported;
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
-	for (o = 0; o < job->occurrence_count; o++)
-		for (i = 0; job->occurrences[o].steps && i < job->row->n_steps;
-		     i++)
-			count_lasting(&job->occurrences[o].steps[i], u);
+	for (o = job->occurrences; o; o = o->hh.next)
+		for (i = 0; i < job->row->n_steps; i++)
+			count_lasting(&o->steps[i], u);
 }
 
 struct sched_queue_stats *queue_stats(struct sched *s, const char *queue)
--- a/src/pool/sched_submit.c
+++ b/src/pool/sched_submit.c
@@ -36,6 +36,7 @@
 			       uint64_t now, uint32_t *retry_after_ms)
 {
 	struct job *job = sched_job(s, id);
+	struct job_verdict verdict;
 	uint64_t first_ms;
 	bool for_load;
 	uint32_t wait;
@@ -46,6 +47,15 @@
 		fleet__job_row__free_unpacked(row, NULL);
 		return same ? SUBMIT_KNOWN : SUBMIT_INVALID;
 	}
+	if (!job_check(row, &verdict)) {
+		sched_trace(s, "job-invalid", id,
+			    "\"queue\":\"%s\",\"why\":\"%s\",\"value\":%" PRIu64
+			    ",\"bound\":%" PRIu64,
+			    row->queue, job_problem_name(verdict.problem),
+			    verdict.value, verdict.bound);
+		fleet__job_row__free_unpacked(row, NULL);
+		return SUBMIT_INVALID;
+	}
 	s->unix_ms = unix_ms;
 	first_ms = refused_since(s, id, now);
 	row->accepted_unix_ms = unix_ms - (now - first_ms);
--- a/test/repeat_test.c
+++ b/test/repeat_test.c
@@ -87,7 +87,8 @@
 		uint32_t tasks, steps;
 		bool gang;
 		const char *found; /* on the instance that reports */
-		uint32_t starts;   /* that fit, once nothing can run on the other */
+		uint32_t starts; /* that fit, once nothing can run on the other
+				  */
 	} cases[] = {
 		{ "due before", -500, 3, 1, false, "", 3 },
 		{ "due before, one task found", -500, 3, 1, false,
@@ -128,7 +129,8 @@
 	}
 }
 
-/* A second takeover, before the first leader knew all, starts nothing either. */
+/* A second takeover, before the first leader knew all, starts nothing either.
+ */
 static void test_progress_is_no_proof(void **state)
 {
 	Fleet__ProgressRow progress = FLEET__PROGRESS_ROW__INIT;
@@ -165,8 +167,9 @@
 
 		print_message("%s\n", cases[c].name);
 		take_over(&r,
-			  repeated_row(2, 1,
-				       (uint64_t)(TAKEOVER_MS + cases[c].due_in_ms)),
+			  repeated_row(
+				  2, 1,
+				  (uint64_t)(TAKEOVER_MS + cases[c].due_in_ms)),
 			  NULL);
 		assert_true(sched_cancel(r.s, id_a, "q", r.now));
 		write_all(&r);
--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -367,6 +367,8 @@
 	}
 	for (i = 0; i < WORLD_JOBS; i++)
 		setup_job(w, i);
+	if (w->faults & FAULT_REPEATS)
+		w->open_max = 1 + random_below(w, TIMES_MAX);
 	for (i = 0; (w->faults & FAULT_REPEATS) && i < WORLD_LEADERS; i++)
 		w->leaders[i].skew_ms =
 			(int64_t)random_below(w, 2 * SKEW_MAX_MS) -
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -199,6 +199,7 @@
 	uint64_t seed, random_counter, now;
 	unsigned int faults;
 	bool verbose;
+	uint32_t open_max; /* occurrences of a job that are open at once */
 	struct config config;
 	struct config_queue queues[2];
 	struct config_pool pools[2];
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -90,7 +90,8 @@
 					 .predecessor_orders_ms =
 						 ORDERS_VALID_MS,
 					 .start_wait_ms = 1000,
-					 .end_keep_ms = 120000 };
+					 .end_keep_ms = 120000,
+					 .open_max = w->open_max };
 	struct leader *l = &w->leaders[index];
 
 	if (l->s)
--- a/tools/check.py
+++ b/tools/check.py
@@ -79,6 +79,8 @@
                     f"{folder}/test/sched_test",
                     f"{folder}/test/poll_test",
                     f"{folder}/test/advice_test",
+                    f"{folder}/test/repeat_test",
+                    f"{folder}/test/job_test",
                     f"{folder}/test/httpc_test"], check=True)
 
 
@@ -200,8 +202,9 @@
         f"{build}/sanitize/test/sched_test"])
     results.command("poll_test with sanitizers", [
         f"{build}/sanitize/test/poll_test"])
-    results.command("advice_test with sanitizers", [
-        f"{build}/sanitize/test/advice_test"])
+    for test in ("advice_test", "repeat_test", "job_test"):
+        results.command(f"{test} with sanitizers", [
+            f"{build}/sanitize/test/{test}"])
     results.command("httpc_test with sanitizers", [
         f"{build}/sanitize/test/httpc_test"])
     results.add("malformed requests and frames", fuzz.run(build))
