commit: rows that fit into the store, and writes that go on without one that doesn't

A repeated job's progress row outgrew rowBytes after some 1,370 occurrences.

Cause: row_progress() listed finished occurrences one by one; a refused transaction was sent again as it was, with all other jobs' changes.

Finished occurrences are ranges, open ones are bounded so that the worst pattern takes half of a row. The limit comes from the settings; jobs whose rows wouldn't fit are refused by every node. STORE_INVALID tells what would be refused again: the transaction is split, and a job that is refused alone twice, with a write in between, is set aside.

Standins of the store bound rows now, standin/site.c by 65,536 bytes.

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -1340,7 +1340,7 @@
   (ProtobufCMessageInit) fleet__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__progress_row__field_descriptors[1] =
+static const ProtobufCFieldDescriptor fleet__progress_row__field_descriptors[2] =
 {
   {
     "steps",
@@ -1354,14 +1354,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Fleet__ProgressRow, n_done),
+    offsetof(Fleet__ProgressRow, done),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__progress_row__field_indices_by_name[] = {
+  1,   /* field[1] = done */
   0,   /* field[0] = steps */
 };
 static const ProtobufCIntRange fleet__progress_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor fleet__progress_row__descriptor =
 {
@@ -1371,7 +1384,7 @@
   "Fleet__ProgressRow",
   "fleet",
   sizeof(Fleet__ProgressRow),
-  1,
+  2,
   fleet__progress_row__field_descriptors,
   fleet__progress_row__field_indices_by_name,
   1,  fleet__progress_row__number_ranges,
@@ -1532,7 +1545,7 @@
   (ProtobufCMessageInit) fleet__lead_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__node_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor fleet__node_row__field_descriptors[6] =
 {
   {
     "address",
@@ -1594,9 +1607,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "formats",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__NodeRow, formats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__node_row__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  5,   /* field[5] = formats */
   2,   /* field[2] = incarnation */
   4,   /* field[4] = links */
   3,   /* field[3] = power */
@@ -1605,7 +1631,7 @@
 static const ProtobufCIntRange fleet__node_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor fleet__node_row__descriptor =
 {
@@ -1615,7 +1641,7 @@
   "Fleet__NodeRow",
   "fleet",
   sizeof(Fleet__NodeRow),
-  5,
+  6,
   fleet__node_row__field_descriptors,
   fleet__node_row__field_indices_by_name,
   1,  fleet__node_row__number_ranges,
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -207,10 +207,16 @@
   ProtobufCMessage base;
   size_t n_steps;
   Fleet__StepProgress **steps;
+  /*
+   * Occurrences that are done, as pairs of the first and their number. Nodes
+   * whose NodeRow.formats is 0 read them as entries of steps only.
+   */
+  size_t n_done;
+  uint32_t *done;
 };
 #define FLEET__PROGRESS_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__progress_row__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
@@ -272,10 +278,14 @@
    * address for relay frames; empty: none
    */
   char *links;
+  /*
+   * newest form of ProgressRow that it reads
+   */
+  uint32_t formats;
 };
 #define FLEET__NODE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__node_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/job/job_check.c
+++ b/src/job/job_check.c
@@ -2,6 +2,14 @@
 
 #include <string.h>
 
+/*
+ * Of a StepProgress without its bits: its tag and length, and those of three
+ * fields, of which two are numbers. Of the range before an occurrence.
+ */
+#define STEP_BYTES 20u
+#define RANGE_BYTES 10u
+#define ACCEPTED_BYTES 11u /* the time of acceptance, which is set later */
+
 static bool refuse(struct job_verdict *verdict, enum job_problem problem,
 		   uint64_t value, uint64_t bound)
 {
@@ -59,6 +67,30 @@
 	return true;
 }
 
+bool job_check_size(const Fleet__JobRow *row, uint32_t row_max,
+		    struct job_verdict *verdict)
+{
+	size_t bytes = fleet__job_row__get_packed_size(row) + ACCEPTED_BYTES;
+
+	memset(verdict, 0, sizeof(*verdict));
+	if (bytes > row_max)
+		return refuse(verdict, JOB_ROW_BYTES, bytes, row_max);
+	if (job_progress_bytes(row) > row_max / 2)
+		return refuse(verdict, JOB_PROGRESS_BYTES,
+			      job_progress_bytes(row), row_max / 2);
+	return true;
+}
+
+uint64_t job_progress_bytes(const Fleet__JobRow *row)
+{
+	uint64_t bytes = RANGE_BYTES;
+	size_t i;
+
+	for (i = 0; i < row->n_steps; i++)
+		bytes += STEP_BYTES + (row->steps[i]->count + 7) / 8;
+	return bytes;
+}
+
 const char *job_problem_name(enum job_problem problem)
 {
 	static const char *const names[JOB_PROBLEMS] = {
@@ -69,6 +101,8 @@
 		[JOB_AFTER] = "after names no earlier step",
 		[JOB_PAYLOAD] = "bytes of the payload",
 		[JOB_DUE] = "time of the last occurrence",
+		[JOB_ROW_BYTES] = "bytes of the job's row",
+		[JOB_PROGRESS_BYTES] = "bytes of an occurrence's progress",
 	};
 
 	return names[problem];
--- a/src/job/job_check.h
+++ b/src/job/job_check.h
@@ -27,6 +27,8 @@
 	JOB_AFTER, /* a step waits for one that isn't before it */
 	JOB_PAYLOAD,
 	JOB_DUE, /* the last occurrence is too far ahead */
+	JOB_ROW_BYTES,
+	JOB_PROGRESS_BYTES, /* of one occurrence */
 	JOB_PROBLEMS
 };
 
@@ -40,6 +42,21 @@
 /* job_check - false, and the first problem, if the job must not be stored */
 bool job_check(const Fleet__JobRow *row, struct job_verdict *verdict);
 
+/*
+ * job_check_size - same, if a row of the store holds more than row_max bytes of
+ * the job, or if half of one doesn't hold the progress of an occurrence
+ *
+ * Called after job_check, once all fields of the row are set.
+ */
+bool job_check_size(const Fleet__JobRow *row, uint32_t row_max,
+		    struct job_verdict *verdict);
+
+/*
+ * job_progress_bytes - of one open occurrence in a ProgressRow, at most,
+ * without failed runs
+ */
+uint64_t job_progress_bytes(const Fleet__JobRow *row);
+
 /* job_problem_name - for the log */
 const char *job_problem_name(enum job_problem problem);
 
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -53,6 +53,8 @@
 	bool asking;   /* a read of the marker is in flight */
 	bool decided;  /* sched knows the outcome; an answer changes nothing */
 	uint64_t ask_ms; /* when the marker is read; 0: not yet known */
+	uint32_t change_count;
+	char first_id[SCHED_ID_BYTES + 1]; /* of its first change */
 	struct store_txn txn;
 	size_t bytes;
 };
@@ -143,6 +145,19 @@
 	return true;
 }
 
+/* Takes a job out of what is written; its caller learns that it isn't stored */
+static void set_aside(struct node *n, const char *id, const char *why,
+		      uint64_t value, uint64_t bound)
+{
+	struct waiter *w, *next;
+
+	if (sched_change_invalid(n->sched, id, why, value, bound))
+		return;
+	DL_FOREACH_SAFE(n->waiters, w, next)
+	if (!strcmp(w->id, id))
+		waiter_answer(n, w, FLEET__RESULT__REFUSED);
+}
+
 /* Batches */
 
 static uint32_t entry_count(const struct store_txn *t)
@@ -205,11 +220,30 @@
 	add_put(b, NODE_TABLE_PROGRESS, key, bytes, length);
 }
 
+/* Whether no row of a change is larger than the store takes. */
+static bool check_size(struct node *n, const struct sched_change *c)
+{
+	const size_t max = n->settings.row_bytes;
+	size_t bytes = 0;
+
+	if (c->is_new && !c->is_ended)
+		bytes = fleet__job_row__get_packed_size(c->job);
+	if (c->progress &&
+	    fleet__progress_row__get_packed_size(c->progress) > bytes)
+		bytes = fleet__progress_row__get_packed_size(c->progress);
+	if (!max || bytes <= max)
+		return true;
+	set_aside(n, c->id, "bytes of a row", bytes, max);
+	return false;
+}
+
 static void add_change(struct batch *b, struct sched_change *c)
 {
 	char *key = talloc_strdup(b, c->id);
 
 	assert(key);
+	if (b->change_count++ == 0)
+		memcpy(b->first_id, c->id, sizeof(b->first_id));
 	if (c->is_ended)
 		add_end(b, key, &c->end, c->drop);
 	else if (c->is_new)
@@ -283,6 +317,36 @@
 	return !b->decided && b->generation == b->node->phase_generation;
 }
 
+/*
+ * The store would refuse the transaction again. Which change is at fault is
+ * found by sending fewer of them. A change that was refused alone is sent again
+ * once the store has taken another transaction, if need be an empty one; if it
+ * is refused again, its job is set aside.
+ */
+static void on_invalid(struct batch *b, uint64_t now)
+{
+	struct node *n = b->node;
+	bool alone = b->change_count == 1;
+
+	event_log("write-invalid", alone ? b->first_id : NULL,
+		  "\"changes\":%u,\"bytes\":%zu", b->change_count, b->bytes);
+	n->commit_changes_max = b->change_count > 1 ? b->change_count / 2 : 1;
+	n->commit_probe = alone;
+	n->commit_retry_ms = b->change_count ? now : now + COMMIT_RETRY_MS;
+	if (alone && sched_change_refused(n->sched, b->first_id, n->commits))
+		set_aside(n, b->first_id, "the store refuses its rows", 0, 0);
+}
+
+/* The store has taken a transaction: more changes may go into the next one. */
+static void on_valid(struct node *n)
+{
+	if (!n->commit_changes_max)
+		return;
+	n->commit_changes_max *= 2;
+	if (n->commit_changes_max > STORE_TXN_MAX)
+		n->commit_changes_max = 0;
+}
+
 static void decide(struct batch *b, const struct store_answer *answer)
 {
 	struct node *n = b->node;
@@ -305,6 +369,7 @@
 			n->resolve_pending = false;
 		}
 		sched_batch_done(n->sched, b->number, true, now);
+		on_valid(n);
 		answer_durable_waiters(n);
 		break;
 	case STORE_CONFLICT:
@@ -316,10 +381,13 @@
 		event_log("write-unknown", NULL, "\"after_ms\":%" PRIu64,
 			  now - b->sent_ms);
 		/* fallthrough */
+	case STORE_INVALID:
 	case STORE_REFUSED:
 	case STORE_HISTORY_LOST:
 		sched_batch_done(n->sched, b->number, false, now);
 		n->commit_retry_ms = now + COMMIT_RETRY_MS;
+		if (answer->status == STORE_INVALID)
+			on_invalid(b, now);
 		break;
 	}
 	if (n->phase == LEADER_DECIDING)
@@ -553,15 +621,37 @@
 	       waited_ms >= COMMIT_SLOW_MS;
 }
 
-void commit_run(struct node *n, uint64_t now)
+static bool has_room(const struct batch *b)
 {
+	const uint32_t max = b->node->commit_changes_max;
+
+	return entry_count(&b->txn) + COMMIT_ENTRIES_PER_JOB <= STORE_TXN_MAX &&
+	       b->bytes < STORE_TXN_BYTES && (!max || b->change_count < max);
+}
+
+static void add_changes(struct batch *b)
+{
+	struct node *n = b->node;
 	struct sched_change change;
+
+	sched_set_ranges(n->sched, gossip_all_read(n, ROW_FORMAT_RANGES));
+	while (has_room(b) && sched_next_change(n->sched, b->number, &change)) {
+		if (check_size(n, &change))
+			add_change(b, &change);
+		else if (change.progress)
+			fleet__progress_row__free_unpacked(change.progress,
+							   NULL);
+	}
+}
+
+void commit_run(struct node *n, uint64_t now)
+{
 	struct batch *b;
 
 	if (n->releasing || now < n->commit_retry_ms ||
 	    !commit_may_begin(n->commits_in_flight, n->resolve_pending,
 			      now - n->last_commit_ms) ||
-	    !sched_change_pending(n->sched))
+	    (!sched_change_pending(n->sched) && !n->commit_probe))
 		return;
 	b = talloc_zero(n, struct batch);
 	assert(b);
@@ -582,10 +672,9 @@
 	if (n->resolve_pending)
 		add_resolution(b);
 	add_marker(b);
-	while (entry_count(&b->txn) + COMMIT_ENTRIES_PER_JOB <= STORE_TXN_MAX &&
-	       b->bytes < STORE_TXN_BYTES &&
-	       sched_next_change(n->sched, b->number, &change))
-		add_change(b, &change);
+	if (!n->commit_probe)
+		add_changes(b);
+	n->commit_probe = false;
 	n->commits_in_flight++;
 	ask_after(b,
 		  commit_ask_after_ms(n->commit_answer_ms, n->commits_voided));
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -94,6 +94,17 @@
 	snprintf(p->links, sizeof(p->links), "%s", row->links);
 	p->incarnation = row->incarnation;
 	p->power = row->power;
+	p->formats = row->formats;
+}
+
+bool gossip_all_read(const struct node *n, uint32_t format)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->peer_count; i++)
+		if (n->peers[i].formats < format)
+			return false;
+	return n->nodes_read;
 }
 
 /* Largest power of the peers heard from since since_ms. */
@@ -120,6 +131,7 @@
 		row->links = (char *)n->settings.links;
 	row->incarnation = n->incarnation;
 	row->power = n->settings.power;
+	row->formats = ROW_FORMAT_RANGES;
 }
 
 /*
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -397,6 +397,7 @@
 			read_row(n, clock_now_ms());
 		break;
 	case STORE_REFUSED:
+	case STORE_INVALID:
 	case STORE_HISTORY_LOST:
 		break;
 	}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -179,7 +179,7 @@
 {
 	uint64_t now = clock_now_ms();
 	bool ok = status == STORE_OK || status == STORE_CONFLICT ||
-		  status == STORE_HISTORY_LOST;
+		  status == STORE_HISTORY_LOST || status == STORE_INVALID;
 
 	n->store_calls++;
 	if (status == STORE_UNKNOWN)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -37,7 +37,8 @@
 	uint32_t move_ms;      /* duration of a machine's move */
 	uint32_t maintenance_ms; /* duration of a machine's maintenance */
 	uint32_t config_ms;	 /* until every node uses a confirmed version */
-	uint64_t job_bytes_max;	 /* memory of the leader's jobs; 0: no limit */
+	uint32_t row_bytes;	/* most that a row of the store holds; 0: any */
+	uint64_t job_bytes_max; /* memory of the leader's jobs; 0: no limit */
 };
 
 /* node_new - NULL when the peers' address cannot be bound */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -61,6 +61,9 @@
 /* How long a leader gives orders after its last confirmation. */
 #define LEADER_ORDERS_MS 6000u
 
+/* Forms of ProgressRow: 0 lists each step that has progress */
+#define ROW_FORMAT_RANGES 1u /* and ranges of occurrences that are done */
+
 struct peer_node {
 	char name[NODE_NAME_MAX];
 	char zone[SCHED_ZONE_MAX];
@@ -68,6 +71,7 @@
 	char links[NODE_ADDRESS_MAX]; /* for framed links; empty: none */
 	uint64_t incarnation;
 	uint32_t power;		/* thousandths of a core */
+	uint32_t formats;	/* newest form of ProgressRow that it reads */
 	uint64_t last_heard_ms; /* last heartbeat, or when it became known */
 	uint32_t heartbeats_pending; /* without an answer yet */
 	uint64_t heartbeat_sent_ms;  /* when the last heartbeat was sent */
@@ -337,7 +341,9 @@
 
 	/* The next transaction must void those of unknown outcome. */
 	bool resolve_pending;
-	uint64_t commit_retry_ms; /* no transaction before this time */
+	uint64_t commit_retry_ms;    /* no transaction before this time */
+	uint32_t commit_changes_max; /* in a transaction; 0: as many as fit */
+	bool commit_probe; /* the next one is empty: does the store take it? */
 	struct feed feeds[FEED_COUNT];
 
 	struct term term;
@@ -619,6 +625,9 @@
 void gossip_update_peer(struct node *n, const char *name,
 			const Fleet__NodeRow *row);
 uint32_t gossip_max_power(const struct node *n, uint64_t since_ms);
+
+/* gossip_all_read - whether all known nodes read this form of progress rows */
+bool gossip_all_read(const struct node *n, uint32_t format);
 uint32_t gossip_leader_interval(const struct node *n);
 
 /*
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -343,6 +343,7 @@
 		p->possibly_recorded = true;
 		break;
 	case STORE_REFUSED:
+	case STORE_INVALID:
 	case STORE_HISTORY_LOST:
 		break;
 	}
--- a/src/node/services.c
+++ b/src/node/services.c
@@ -27,6 +27,7 @@
 		[STORE_REFUSED] = "refused",
 		[STORE_HISTORY_LOST] = "history-lost",
 		[STORE_UNKNOWN] = "unknown",
+		[STORE_INVALID] = "invalid",
 	};
 
 	return names[status];
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -23,9 +23,10 @@
 	STORE_REFUSED,	    /* or not reachable: nothing was written */
 	STORE_HISTORY_LOST, /* a feed's changes are gone: read the table */
 	STORE_UNKNOWN,	    /* no answer: a write may be done now or later */
+	STORE_INVALID,	    /* it would be refused again: nothing was written */
 };
 
-#define STORE_STATUSES (STORE_UNKNOWN + 1u)
+#define STORE_STATUSES (STORE_INVALID + 1u)
 
 struct store_row {
 	const char *table;
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -220,6 +220,7 @@
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
 		.job_bytes_max = n->settings.job_bytes_max,
+		.row_bytes = n->settings.row_bytes,
 	};
 	uint64_t now = clock_now_ms();
 
@@ -239,6 +240,8 @@
 	watch_from(n, FEED_INBOX, t->tables[READ_INBOX].first_revision);
 	n->commit_retry_ms = 0;
 	n->commit_answer_ms = n->commits_voided = 0;
+	n->commit_changes_max = 0;
+	n->commit_probe = false;
 	n->advice_calls = 0;
 	load_rows(n, &t->tables[READ_INBOX], watch_inbox_row);
 	log_finished(t, now);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -356,6 +356,7 @@
 		break;
 	case STORE_CONFLICT:
 	case STORE_REFUSED:
+	case STORE_INVALID:
 		if (kind == FEED_OPERATOR && n->config_behind_since_ms)
 			watch_from(n, kind, 0);
 		feed->retry_ms = clock_now_ms() + FEED_RETRY_MS;
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -147,8 +147,8 @@
 	memcpy(id, name, length);
 	id[length] = '\0';
 	p->job = sched_job(s, id);
-	return p->job && p->job->row && !p->job->set_aside &&
-	       p->occurrence < p->job->times &&
+	return p->job && p->job->row && p->occurrence < p->job->times &&
+	       (!p->job->set_aside || occurrence_find(p->job, p->occurrence)) &&
 	       p->step < p->job->row->n_steps &&
 	       p->index < p->job->row->steps[p->step]->count;
 }
@@ -464,16 +464,8 @@
 void job_set_aside(struct sched *s, struct job *job, const char *why,
 		   uint64_t value, uint64_t bound)
 {
-	struct occurrence *o;
-	size_t i;
-
 	job->set_aside = true;
-	for (o = job->occurrences; o; o = o->hh.next)
-		for (i = 0; i < job->row->n_steps; i++) {
-			step_clear_possibly_running(&o->steps[i]);
-			step_leave_pool(&o->steps[i]);
-		}
-	occurrences_free(job);
+	job_refresh_steps(job);
 	sched_trace(s, "job-set-aside", job->id,
 		    "\"queue\":\"%s\",\"why\":\"%s\",\"value\":%" PRIu64
 		    ",\"bound\":%" PRIu64,
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -61,6 +61,8 @@
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms;	/* retention of an ended job's state */
 	uint64_t job_bytes_max; /* memory of all unfinished jobs; 0: no limit */
+	uint32_t
+		row_bytes; /* most that a row of the store holds; 0: no limit */
 	uint32_t open_max; /* open occurrences of a job; 0: as many as fit */
 };
 
@@ -389,6 +391,30 @@
 void sched_batch_done(struct sched *s, uint32_t batch, bool written,
 		      uint64_t now);
 
+/*
+ * sched_change_refused - the store refused a job's rows, written alone
+ *
+ * commits counts the store's transactions so far. Returns whether it had
+ * refused them before too, and has taken another transaction since.
+ */
+bool sched_change_refused(struct sched *s, const char *id, uint64_t commits);
+
+/*
+ * sched_change_invalid - the store would refuse a job's rows again
+ *
+ * The job is set aside, so that the others can be written. Returns false if it
+ * was new: then it is forgotten, and nothing of it was recorded.
+ */
+bool sched_change_invalid(struct sched *s, const char *id, const char *why,
+			  uint64_t value, uint64_t bound);
+
+/*
+ * sched_set_ranges - whether progress rows may hold ranges of occurrences
+ *
+ * Not while a node of an earlier release may become the leader and read them.
+ */
+void sched_set_ranges(struct sched *s, bool ranges);
+
 /* sched_change_pending - whether a changed job is in no batch yet */
 bool sched_change_pending(const struct sched *s);
 
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -41,6 +41,8 @@
 /* Notes that a job's rows have to be written. */
 void job_mark_changed(struct sched *s, struct job *job)
 {
+	if (job->set_aside && !job_is_over(job) && job->claimed)
+		return;
 	switch (job->change) {
 	case CHANGE_BATCHED:
 		s->change_seq++;
@@ -94,7 +96,7 @@
 		change->end.state = job->state;
 		change->end.ended_unix_ms = s->unix_ms;
 	} else {
-		change->progress = row_progress(job);
+		change->progress = row_progress(s, job);
 		if (!change->progress && !change->is_new)
 			change->progress = row_progress_empty();
 	}
@@ -179,6 +181,7 @@
 {
 	job->stored = true;
 	job->claimed = true;
+	job->write_refused = false;
 	job_set_change(s, job, CHANGE_NONE);
 	occurrences_written(job, true);
 	if (job->changed_while_batched) {
@@ -210,6 +213,42 @@
 	acknowledge(s, now);
 }
 
+bool sched_change_refused(struct sched *s, const char *id, uint64_t commits)
+{
+	struct job *job = sched_job(s, id);
+	bool again;
+
+	if (!job)
+		return false;
+	again = job->write_refused && commits > job->refused_at_commit;
+	if (!job->write_refused)
+		job->refused_at_commit = commits;
+	job->write_refused = true;
+	return again;
+}
+
+bool sched_change_invalid(struct sched *s, const char *id, const char *why,
+			  uint64_t value, uint64_t bound)
+{
+	struct job *job = sched_job(s, id);
+
+	if (!job)
+		return true;
+	job_set_aside(s, job, why, value, bound);
+	occurrences_written(job, false);
+	job_set_change(s, job, CHANGE_NONE);
+	if (job->stored)
+		return true;
+	job_discard_steps(s, job);
+	job_free(s, job);
+	return false;
+}
+
+void sched_set_ranges(struct sched *s, bool ranges)
+{
+	s->ranges = ranges;
+}
+
 void sched_row_exists(struct sched *s, const char *id)
 {
 	struct job *job = sched_job(s, id);
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -189,6 +189,8 @@
 	bool loaded;	   /* at takeover; it may have unreported runs */
 	/* its row failed job_check(), or is too large: nothing of it starts */
 	bool set_aside;
+	bool write_refused;	    /* its rows, when they were written alone */
+	uint64_t refused_at_commit; /* number of commits at that time */
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
 	uint64_t objective_ms;		/* deadline for its completion */
@@ -372,6 +374,7 @@
 	struct run *to_send;
 	struct run *unsettled;
 	struct amount unreported; /* capacity of unreported instances */
+	bool ranges;		  /* progress rows may hold ranges */
 	uint64_t job_bytes;	  /* estimate of the memory of all jobs */
 	bool expect_complete; /* every instance that may have runs is known */
 	bool advice_used;     /* some queue needs advice */
@@ -482,8 +485,8 @@
 void job_begin_due(struct sched *s, struct job *job, uint64_t now);
 bool job_occurrences_have_runs(const struct job *job);
 
-/* occurrence_loaded_done - a loaded row says that it is done */
-void occurrence_loaded_done(struct job *job, uint32_t k);
+/* occurrences_loaded_done - a loaded row says that these are done */
+void occurrences_loaded_done(struct job *job, uint32_t first, uint32_t end);
 
 /* occurrences_loaded - what was done by the loaded rows is recorded */
 void occurrences_loaded(struct job *job);
@@ -507,7 +510,7 @@
 bool task_startable(const struct task *task, uint64_t now);
 
 /* sched_row.c */
-Fleet__ProgressRow *row_progress(const struct job *job);
+Fleet__ProgressRow *row_progress(struct sched *s, const struct job *job);
 Fleet__ProgressRow *row_progress_empty(void);
 void row_progress_free(Fleet__ProgressRow *row);
 void row_apply(struct sched *s, struct job *job, const Fleet__ProgressRow *row);
--- a/src/pool/sched_occurrence.c
+++ b/src/pool/sched_occurrence.c
@@ -4,9 +4,10 @@
  * A job holds the occurrences that are open, and of the others only ranges of
  * numbers, so that it takes the same memory however often it repeats. An
  * occurrence is open from its begin until its end is in the store. At most
- * job.window of them are open, the first ones that are due. So the occurrences
- * that a former leader had open are among those that its successor opens, by
- * the row alone.
+ * job.window of them are open, the first ones that are due; their progress fits
+ * into half of a row of the store, failed runs into the other half. So the
+ * occurrences that a former leader had open are among those that its successor
+ * opens, by the row alone.
  *
  * An occurrence that has runs on an instance is kept, or built again, also when
  * it is not due or done, so that the runs can be counted and stopped.
@@ -70,23 +71,23 @@
 		(--job->done_range_count - n) * sizeof(*job->done_ranges));
 }
 
-/* Adds an occurrence that is in no range; joins adjacent ranges. */
-static void add_done(struct job *job, uint32_t k)
+/* Adds occurrences that are in no range; joins adjacent ranges. */
+static void add_done(struct job *job, uint32_t first, uint32_t end)
 {
-	uint32_t n = range_place(job, k);
-	bool joins_next = n < job->done_range_count &&
-			  job->done_ranges[n].first == k + 1;
-	bool joins_last = n > 0 && job->done_ranges[n - 1].end == k;
+	uint32_t n = range_place(job, first);
+	bool joins_next =
+		n < job->done_range_count && job->done_ranges[n].first == end;
+	bool joins_last = n > 0 && job->done_ranges[n - 1].end == first;
 
 	if (joins_last && joins_next) {
 		job->done_ranges[n - 1].end = job->done_ranges[n].end;
 		range_remove(job, n);
 	} else if (joins_last) {
-		job->done_ranges[n - 1].end++;
+		job->done_ranges[n - 1].end = end;
 	} else if (joins_next) {
-		job->done_ranges[n].first--;
+		job->done_ranges[n].first = first;
 	} else {
-		range_insert(job, n, k, k + 1);
+		range_insert(job, n, first, end);
 	}
 }
 
@@ -108,11 +109,14 @@
 uint32_t occurrence_window(const struct sched *s, const Fleet__JobRow *row)
 {
 	uint32_t max = s->options.open_max ? s->options.open_max : OPEN_MAX;
-	uint32_t window = JOB_TASKS_MAX / job_tasks(row);
+	uint64_t window = JOB_TASKS_MAX / job_tasks(row);
+	uint64_t fit = s->options.row_bytes / 2 / job_progress_bytes(row);
 
+	if (s->options.row_bytes && window > fit)
+		window = fit;
 	if (window > max)
 		return max;
-	return window ? window : 1;
+	return window ? (uint32_t)window : 1;
 }
 
 /* Marks the tasks of an occurrence that is done according to the store. */
@@ -273,7 +277,7 @@
 	job->recorded_count++;
 	if (o->due)
 		job->open_count--;
-	add_done(job, o->index);
+	add_done(job, o->index, o->index + 1);
 }
 
 void occurrences_loaded(struct job *job)
@@ -285,12 +289,15 @@
 			occurrence_record(job, o);
 }
 
-void occurrence_loaded_done(struct job *job, uint32_t k)
+void occurrences_loaded_done(struct job *job, uint32_t first, uint32_t end)
 {
-	if (occurrence_is_recorded(job, k))
-		return;
-	add_done(job, k);
-	job->occurrences_left--;
+	uint32_t n = range_place(job, first);
+
+	if (first >= end || end > job->times ||
+	    (n < job->done_range_count && job->done_ranges[n].first < end))
+		return; /* not a row of ours */
+	add_done(job, first, end);
+	job->occurrences_left -= end - first;
 }
 
 void occurrences_written(struct job *job, bool written)
--- a/src/pool/sched_ready.c
+++ b/src/pool/sched_ready.c
@@ -67,7 +67,7 @@
 	uint32_t startable = 0;
 	uint32_t i;
 
-	if (step->ready && !job_is_over(job))
+	if (step->ready && !job_is_over(job) && !job->set_aside)
 		for (i = 0; i < step->spec->count; i++)
 			startable += is_startable(&step->tasks[i]);
 	set_startable(step, startable);
--- a/src/pool/sched_submit.c
+++ b/src/pool/sched_submit.c
@@ -47,7 +47,9 @@
 		fleet__job_row__free_unpacked(row, NULL);
 		return same ? SUBMIT_KNOWN : SUBMIT_INVALID;
 	}
-	if (!job_check(row, &verdict)) {
+	if (!job_check(row, &verdict) ||
+	    (s->options.row_bytes &&
+	     !job_check_size(row, s->options.row_bytes, &verdict))) {
 		sched_trace(s, "job-invalid", id,
 			    "\"queue\":\"%s\",\"why\":\"%s\",\"value\":%" PRIu64
 			    ",\"bound\":%" PRIu64,
--- a/standin/site.c
+++ b/standin/site.c
@@ -10,6 +10,7 @@
  *	lose		number of transactions whose answer is lost after the
  *			commit
  *	page		maximum number of rows in the answer to one read
+ *	row_bytes	maximum size of a value, in bytes before base64
  *	forget		true: drops the history so far, so that a feed from an
  *			older revision is answered with 410
  *	crash		name of a worker that loses all state and does not
@@ -42,6 +43,7 @@
 #define CRASH_DOWN_MS 2000u
 #define CAPACITY_CPU 16000   /* millicores of each worker */
 #define CAPACITY_MEM 65536   /* MiB of each worker */
+#define ROW_BYTES 65536u     /* unless /control sets row_bytes */
 #define PAGE_ROWS 500u	     /* unless /control sets another page */
 #define CHANGES_INITIAL 256u /* initial capacity */
 #define LOST_ANSWER_MS 5000u /* from the commit to closing the connection */
@@ -103,6 +105,7 @@
 	bool down;
 	char *muted_table; /* its feeds are not answered; may be NULL */
 	uint32_t answers_to_lose;
+	uint32_t row_bytes;	/* maximum size of a value */
 	uint32_t page_rows;	/* maximum in the answer to a read */
 	uint64_t history_start; /* feeds from an older revision get 410 */
 	uint64_t transactions, reads, rows_read;
@@ -362,6 +365,18 @@
 	send_answer(request, 500, NULL);
 }
 
+/* Whether no value is larger than a row may be; they are in base64. */
+static bool check_sizes(const struct site *s, const json_t *puts)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(puts); i++)
+		if (strlen(get_text(json_array_get(puts, i), "value")) / 4 * 3 >
+		    s->row_bytes)
+			return false;
+	return true;
+}
+
 static void serve_rows_tx(struct site *s, struct httpd_request *request,
 			  const json_t *o)
 {
@@ -371,6 +386,11 @@
 	size_t i;
 
 	s->transactions++;
+	if (!check_sizes(s, puts)) {
+		json_decref(rows);
+		send_answer(request, 400, json_object());
+		return;
+	}
 	if (!check_conditions(s, json_object_get(o, "precondition"), rows)) {
 		send_answer(request, 412, encode_rows(s, rows, false));
 		return;
@@ -681,6 +701,8 @@
 	}
 	if (json_object_get(o, "page"))
 		s->page_rows = (uint32_t)get_number(o, "page");
+	if (json_object_get(o, "row_bytes"))
+		s->row_bytes = (uint32_t)get_number(o, "row_bytes");
 	if (json_is_true(json_object_get(o, "forget")))
 		s->history_start = s->revision;
 	if (json_object_get(o, "lose"))
@@ -785,6 +807,7 @@
 	s->ev = tevent_context_init(s);
 	s->record = json_array();
 	s->page_rows = PAGE_ROWS;
+	s->row_bytes = ROW_BYTES;
 	if (!serve_listen(s, s->ev, "site", port->ival[0], on_request, s))
 		return 1;
 	for (i = 0; i < workers->count; i++) {
--- a/test/job_test.c
+++ b/test/job_test.c
@@ -25,8 +25,7 @@
 		{ "{\"steps\":[{\"count\":1}],\"times\":4294967296}",
 		  "times is 4294967296, wanted 0 to 4294967295" },
 		{ "{\"steps\":[{\"count\":1}],\"times\":-1}", "times is -1" },
-		{ "{\"steps\":[{\"count\":1}],\"times\":1.5}",
-		  "times is 1.5" },
+		{ "{\"steps\":[{\"count\":1}],\"times\":1.5}", "times is 1.5" },
 		{ "{\"steps\":[{\"count\":1}],\"times\":\"8\"}",
 		  "times: wanted a number" },
 		{ "{\"steps\":[{\"count\":4294967297}]}",
@@ -251,8 +250,8 @@
 	make_all_usable(&r);
 	for (n = 0; n < 100; n++) {
 		snprintf(id, sizeof(id), "%016x", n + 256);
-		if (sched_submit(r.s, id, job_row(1000, 1, false), r.now,
-				 r.now, &after) != SUBMIT_ACCEPTED)
+		if (sched_submit(r.s, id, job_row(1000, 1, false), r.now, r.now,
+				 &after) != SUBMIT_ACCEPTED)
 			break;
 		accepted++;
 	}
@@ -271,10 +270,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_decode),
-		cmocka_unit_test(test_window),
-		cmocka_unit_test(test_submit),
-		cmocka_unit_test(test_load),
+		cmocka_unit_test(test_decode), cmocka_unit_test(test_window),
+		cmocka_unit_test(test_submit), cmocka_unit_test(test_load),
 		cmocka_unit_test(test_memory),
 	};
 
--- a/test/lost_answer_test.c
+++ b/test/lost_answer_test.c
@@ -143,6 +143,8 @@
 	uint32_t lost_percent;
 	uint32_t write_ms, read_ms;
 	bool refuses_reads;
+	bool refuses_writes; /* as invalid, all of them */
+	uint64_t bad_jobs;   /* bits: any write of these is invalid */
 	uint64_t revision;
 	uint64_t free_ms; /* the partition does one write after another */
 	struct row rows[ROWS_MAX];
@@ -215,11 +217,26 @@
 	row->revision = w->revision;
 }
 
+static bool is_invalid(const struct world *w, const struct store_txn *t)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->put_count; i++)
+		if (!strcmp(t->puts[i].table, NODE_TABLE_JOB) &&
+		    w->bad_jobs >> (strtoul(t->puts[i].key, NULL, 16) - 1) & 1)
+			return true;
+	return w->refuses_writes;
+}
+
 static void do_write(struct world *w, struct call *c)
 {
 	const struct store_txn *t = c->txn;
 	uint32_t i;
 
+	if (is_invalid(w, t)) {
+		c->answer.status = STORE_INVALID;
+		return;
+	}
 	for (i = 0; i < t->condition_count; i++)
 		if (row_of(w, t->conditions[i].table, t->conditions[i].key)
 			    ->revision != t->conditions[i].revision)
@@ -724,6 +741,58 @@
 	world_free(&w);
 }
 
+/* A job that the store refuses doesn't keep the others from being written. */
+static void test_invalid_change_is_set_aside(void **state)
+{
+	static const struct {
+		const char *name;
+		uint64_t bad_jobs;
+	} cases[] = {
+		{ "the first", 1 << 0 },
+		{ "one", 1 << 10 },
+		{ "several", 1 << 3 | 1 << 4 | 1 << 17 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct world w;
+		uint32_t job;
+
+		print_message("%s\n", cases[c].name);
+		world_new(&w, 1, LOSS_NONE);
+		w.bad_jobs = cases[c].bad_jobs;
+		run_jobs(&w, 0);
+		for (job = 0; job < JOBS; job++)
+			assert_int_equal(w.results[job],
+					 cases[c].bad_jobs >> job & 1
+						 ? FLEET__RESULT__REFUSED
+						 : FLEET__RESULT__ACCEPTED);
+		assert_false(sched_change_pending(w.node->sched));
+		world_free(&w);
+	}
+}
+
+/* A store that refuses every write for a while costs no job its place. */
+static void test_invalid_store_sets_nothing_aside(void **state)
+{
+	struct world w;
+	uint32_t job, ms;
+
+	(void)state;
+	world_new(&w, 1, LOSS_NONE);
+	w.refuses_writes = true;
+	for (job = 0; job < JOBS; job++)
+		call_submit(&w, job);
+	for (ms = 0; ms < 2000; ms++)
+		world_advance(&w);
+	w.refuses_writes = false;
+	for (ms = 0; ms < CALLER_MS; ms++)
+		world_advance(&w);
+	assert_int_equal(accepted(&w), JOBS);
+	world_free(&w);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -736,6 +805,8 @@
 		cmocka_unit_test(test_lost_answer_of_a_record_is_found),
 		cmocka_unit_test(test_late_record_is_repeated),
 		cmocka_unit_test(test_slow_store_gets_each_record_once),
+		cmocka_unit_test(test_invalid_change_is_set_aside),
+		cmocka_unit_test(test_invalid_store_sets_nothing_aside),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -91,6 +91,7 @@
 						 ORDERS_VALID_MS,
 					 .start_wait_ms = 1000,
 					 .end_keep_ms = 120000,
+					 .row_bytes = PROGRESS_MAX,
 					 .open_max = w->open_max };
 	struct leader *l = &w->leaders[index];
 
@@ -116,6 +117,8 @@
 		sched_set_trace(l->s, on_trace, w);
 	sched_set_clock(l->s, leader_unix_ms(w, l));
 	sched_configure(l->s, &w->config, w->now);
+	if (w->faults & FAULT_REPEATS)
+		sched_set_ranges(l->s, random_below(w, 2));
 	leader_read_directory(w, l);
 	leader_load_rows(w, l);
 	sched_become_leader(l->s, l->epoch, false, w->now);
@@ -198,6 +201,8 @@
 		if (!change.progress)
 			continue;
 		ch->has_progress = true;
+		assert(fleet__progress_row__get_packed_size(change.progress) <=
+		       PROGRESS_MAX);
 		ch->progress_length = fleet__progress_row__pack(change.progress,
 								ch->progress);
 		fleet__progress_row__free_unpacked(change.progress, NULL);
--- a/tools/check.py
+++ b/tools/check.py
@@ -81,6 +81,7 @@
                     f"{folder}/test/advice_test",
                     f"{folder}/test/repeat_test",
                     f"{folder}/test/job_test",
+                    f"{folder}/test/row_test",
                     f"{folder}/test/httpc_test"], check=True)
 
 
@@ -202,7 +203,7 @@
         f"{build}/sanitize/test/sched_test"])
     results.command("poll_test with sanitizers", [
         f"{build}/sanitize/test/poll_test"])
-    for test in ("advice_test", "repeat_test", "job_test"):
+    for test in ("advice_test", "repeat_test", "job_test", "row_test"):
         results.command(f"{test} with sanitizers", [
             f"{build}/sanitize/test/{test}"])
     results.command("httpc_test with sanitizers", [
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import itertools
 import json
 import os
 import random
@@ -45,6 +46,7 @@
 move_s: 2
 upkeep_s: 2
 config_ms: 2000
+row_bytes: {row_bytes}
 """
 NODE_SHARE_CORES = 0.3  # processor_share of a node
 QUEUE_POOLS = {"q0": "p0", "q1": "p1"}  # other queues are served by p0
@@ -126,6 +128,7 @@
         self.version += 1
 
     strong = ()  # nodes with the full share; if empty, all have it
+    row_bytes = 65536  # of a row of the store, at most
     calls_alone = 1000  # instances that a leader calls without relays
 
     def processor_share(self, name):
@@ -150,7 +153,7 @@
                 name=name, callers=callers, readiness=readiness, peers=peers,
                 links=links, alone=self.calls_alone,
                 seeds=seeds, store=self.links[name].port,
-                fleet=self.port, share=self.processor_share(name),
+                fleet=self.port, row_bytes=self.row_bytes, share=self.processor_share(name),
                 first=str(first_start).lower()))
         return path
 
@@ -219,7 +222,8 @@
 class Job:
     """One job and the answers that its caller received."""
 
-    def __init__(self, number, queue, tasks, steps, ms):
+    def __init__(self, number, queue, tasks, steps, ms, times, interval_ms,
+                 late_ms):
         self.id = f"{number:016x}"
         self.queue = queue
         self.tasks = tasks
@@ -229,6 +233,10 @@
              **({"after": [s - 1]} if s else {}),
              **({"longRunning": True} if ms == 0 else {})}
             for s in range(steps)]}
+        self.times = max(times, 1)
+        if times:
+            self.body |= {"times": times, "intervalMs": interval_ms,
+                          "startMs": int(time.time() * 1000) - late_ms}
         self.answers = []
         self.accepted = False
         self.state = None
@@ -244,6 +252,7 @@
         self.nodes, self.workers = 3, 4
         self.strong = ()
         self.alone = Site.calls_alone
+        self.row_bytes = Site.row_bytes
         for line in lines[1:]:
             if line.startswith("#"):
                 continue
@@ -256,6 +265,8 @@
                 self.strong = words[1:]
             elif words[0] in ("nodes", "workers", "alone"):
                 setattr(self, words[0], int(words[1]))
+            elif words[0] == "rows":
+                self.row_bytes = int(words[1])
             else:
                 raise ScenarioError(f"unknown verb: {line}")
 
@@ -297,7 +308,9 @@
         params = dict(zip(words[3::2], words[4::2]))
         for _ in range(count):
             job = Job(len(self.jobs) + 1, queue, int(params.get("tasks", 2)),
-                      int(params.get("steps", 1)), int(params.get("ms", 200)))
+                      int(params.get("steps", 1)), int(params.get("ms", 200)),
+                      int(params.get("times", 0)), int(params.get("every", 0)),
+                      int(params.get("late", 0)))
             self.jobs.append(job)
             self.start_thread(self.submit, job)
 
@@ -507,12 +520,13 @@
         for job in self.jobs:
             if job.state != "completed":
                 continue
-            for s, step in enumerate(job.body["steps"]):
+            for k, (s, step) in itertools.product(
+                    range(job.times), enumerate(job.body["steps"])):
                 for t in range(step["count"]):
-                    if f"{job.id}.0.{s}.{t}" not in done:
+                    if f"{job.id}.{k}.{s}.{t}" not in done:
                         raise ScenarioError(
                             f"{job.id} is completed but no run of task "
-                            f"{s}.{t} was done")
+                            f"{k}.{s}.{t} was done")
 
     def check(self):
         self.check_invariants()
@@ -536,8 +550,10 @@
     with Site(build, case.workers) as site:
         site.strong = case.strong
         site.calls_alone = case.alone
+        site.row_bytes = case.row_bytes
         try:
             site.configure()
+            site.control(row_bytes=case.row_bytes)
             site.start_nodes(case.nodes)
             run = Run(case, site)
             run.run_actions()
