sched: log why a long-running task doesn't run

One line a step and second now counts the pool's instances by what keeps each from being used.

The record itself excludes a takeover: runs 10001 and 10002 are of epoch 1, and no start was tried between them.

--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -645,6 +645,7 @@
 		job_shrink(s, job);
 	free_old_jobs(s, now);
 	instances_tick(s, now);
+	waits_log(s, now);
 }
 
 void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -19,6 +19,7 @@
  * sched_row.c      encoding and decoding of progress rows
  * sched_stats.c    counters and histograms
  * sched_explain.c  state of one job for operators
+ * sched_waits.c    why a long-running task doesn't run
  */
 #ifndef SCHED_INTERNAL_H
 #define SCHED_INTERNAL_H
@@ -367,6 +368,7 @@
 	uint32_t instance_generation; /* last one given to an instance */
 	uint64_t call_unanswered_ms;  /* when a call last got no answer */
 	uint64_t next_sweep_ms;	      /* next check of timers */
+	uint64_t next_waits_log_ms;
 	struct run **runs;
 	uint32_t *run_generations;
 	uint32_t run_alloc;
@@ -659,6 +661,9 @@
 /* job_is_worthless - whether it would be worth nothing if completed now */
 bool job_is_worthless(const struct job *job, uint64_t now);
 
+/* sched_waits.c */
+void waits_log(struct sched *s, uint64_t now);
+
 /* sched_throttle.c */
 void instance_throttle(struct sched *s, struct instance *i, uint64_t now);
 
--- a/test/row_test.c
+++ b/test/row_test.c
@@ -81,7 +81,7 @@
 	static const struct {
 		uint32_t row_bytes, tasks, steps;
 	} cases[] = {
-		{ 65536, 1, 1 },   { 65536, 1, 5 },    { 65536, 9, 100 },
+		{ 65536, 1, 1 },     { 65536, 1, 5 },	  { 65536, 9, 100 },
 		{ 65536, 20, 1000 }, { 65536, 10000, 1 }, { 4096, 1, 5 },
 		{ 4096, 100, 2 },
 	};
@@ -90,8 +90,8 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		struct rig r = row_rig(cases[c].row_bytes);
-		struct job *job = load(&r, cases[c].tasks, cases[c].steps,
-				       NULL);
+		struct job *job =
+			load(&r, cases[c].tasks, cases[c].steps, NULL);
 		uint32_t k, i, n;
 
 		print_message("%u bytes, %u tasks, %u steps: %u open\n",
@@ -266,9 +266,9 @@
 			row->steps[i]->image = calloc(1, cases[c].image + 1);
 			memset(row->steps[i]->image, 'i', cases[c].image);
 		}
-		assert_int_equal(sched_submit(r.s, id_a, row, r.now, r.now,
-					      &after),
-				 cases[c].result);
+		assert_int_equal(
+			sched_submit(r.s, id_a, row, r.now, r.now, &after),
+			cases[c].result);
 		talloc_free(r.s);
 	}
 }
