fleet: machines for all long-running tasks that wait, by memory too

Cause: a pool's demand for machines was computed from CPU alone. Tasks that last ask for 22 GB on average, of instances with 64, so a pool is full by memory while half of its CPU is free. For tasks without room one machine was moved in at a time, some 2 s each, however many waited.

The load of a pool now tells how many machines its waiting long-running tasks take, by CPU, memory, accelerators and spread, none for tasks that fit on no machine or are at their cap; as many are ordered, less those on the way.

Measured: test/drain_test.c failed before.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -101,8 +101,9 @@
 	if (machines < v->load.spread + SPREAD_RESERVE && v->load.spread)
 		v->deficit += v->machine_cpu *
 			      (v->load.spread + SPREAD_RESERVE - machines);
-	if (!v->deficit && v->load.long_running_waiting && !v->incoming)
-		v->deficit = v->machine_cpu;
+	if (v->load.long_running_machines > v->incoming)
+		v->deficit += v->machine_cpu *
+			      (v->load.long_running_machines - v->incoming);
 	v->surplus = 0;
 	if (!v->deficit)
 		v->surplus = l->capacity.cpu - (int64_t)((double)busy_cpu /
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -459,8 +459,11 @@
 	struct amount waiting; /* requested by startable tasks */
 	/* instances needed by the long-running step that needs most */
 	uint32_t spread;
-	/* startable tasks of the long-running step that has most */
-	uint32_t long_running_waiting;
+	/*
+	 * Machines like those of the pool that would take its startable
+	 * long-running tasks
+	 */
+	uint32_t long_running_machines;
 	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
 };
 
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -452,6 +452,29 @@
 	}
 }
 
+/*
+ * Empty machines, of the mean size of the pool's, that take the startable tasks
+ * of a long-running step; 0 if one can't take any or the cap allows none.
+ */
+static uint32_t machines_for_waiting(const struct sched *s,
+				     const struct step *step,
+				     const struct sched_pool_load *load)
+{
+	const struct amount a = step_amount(step->spec);
+	const int64_t n = load->instances;
+	int64_t each = step->spec->spread_limit ? step->spec->spread_limit
+						: UINT32_MAX;
+
+	if (!step->spec->lasting || !n || step->job->pool->unreported)
+		return 0;
+	each = min_int64(each, fits_times(load->capacity.cpu / n, 0, a.cpu));
+	each = min_int64(each, fits_times(load->capacity.mem / n, 0, a.mem));
+	each = min_int64(each, fits_times(load->capacity.gpu / n, 0, a.gpu));
+	if (!each || !cap_allows(s, step, 1))
+		return 0;
+	return (uint32_t)((step->startable + each - 1) / each);
+}
+
 bool sched_pool_load(const struct sched *s, const char *name,
 		     struct sched_pool_load *load)
 {
@@ -482,9 +505,8 @@
 		load->waiting.cpu += a.cpu * step->startable;
 		load->waiting.mem += a.mem * step->startable;
 		load->waiting.gpu += a.gpu * step->startable;
-		if (step->spec->lasting &&
-		    step->startable > load->long_running_waiting)
-			load->long_running_waiting = step->startable;
+		load->long_running_machines +=
+			machines_for_waiting(s, step, load);
 	}
 	return true;
 }
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -16,10 +16,10 @@
 struct obstacles {
 	uint32_t instances;
 	uint32_t unlisted, leaving, reserved, ejected;
-	uint32_t silent;      /* unreported, expired, or unanswered calls */
-	uint32_t unconfirmed; /* reported, but the leader isn't confirmed */
-	uint32_t full;	      /* usable, without room or over a limit */
-	uint32_t usable;      /* with room */
+	uint32_t silent;	/* unreported, expired, or unanswered calls */
+	uint32_t unconfirmed;	/* reported, but the leader isn't confirmed */
+	uint32_t full;		/* usable, without room or over a limit */
+	uint32_t usable;	/* with room */
 	uint32_t reserved_room; /* of the reserved, those with room */
 };
 
--- /dev/null
+++ b/test/drain_test.c
@@ -0,0 +1,184 @@
+/*
+ * Long-running tasks beside waves and moves: none stays without a place because
+ * the machines of its pool are full.
+ */
+#include "fleet/fleet.h"
+#include "test/rig/sched_rig.h"
+
+#define PASS_MS 20u
+#define MACHINES_MAX 4u
+#define RUNS_MAX 16u
+
+struct fixture {
+	struct rig r;
+	struct fleet *f;
+	struct config_pool pools[2];
+	struct fleet_machine_info machines[MACHINES_MAX];
+	uint32_t machine_count;
+	uint64_t end_seq;
+	uint32_t starts, stops, upkeeps, moves;
+	char moved[FLEET_NAME_MAX]; /* the last machine that was ordered */
+	enum fleet_result result;   /* of moves */
+	struct sched_order running[RUNS_MAX];
+	uint32_t running_count;
+};
+
+static void fixture_new(struct fixture *x, uint32_t instances)
+{
+	static const char *const names[] = { "i-0", "i-1", "i-2" };
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
+	uint32_t i;
+
+	memset(x, 0, sizeof(*x));
+	rig_new(&x->r);
+	x->r.now = 10000;
+	x->r.workspace.cap.cpu = 0;
+	x->pools[0] = (struct config_pool){ "p", true, false };
+	x->pools[1] = (struct config_pool){ "spare", true, true };
+	x->r.config.pools = x->pools;
+	x->r.config.pool_count = 2;
+	sched_configure(x->r.s, &x->r.config, x->r.now);
+	for (i = 0; i < instances; i++) {
+		add_instance(&x->r, names[i], false);
+		x->machines[x->machine_count++] = (struct fleet_machine_info){
+			names[i], "p", "r1", FLEET_UP
+		};
+	}
+	sched_become_leader(x->r.s, 1, true, x->r.now);
+	sched_expect_complete(x->r.s, x->r.now);
+	make_all_usable(&x->r);
+	x->f = fleet_new(x->r.s, &options);
+	fleet_configure(x->f, &x->r.config);
+}
+
+static void list_machines(struct fixture *x)
+{
+	fleet_set_machines(x->f, x->machines, x->machine_count, x->r.now);
+}
+
+static void take_action(struct fixture *x, const struct fleet_action *action)
+{
+	enum fleet_result result = FLEET_DONE;
+
+	if (action->kind == FLEET_ACTION_MOVE) {
+		x->moves++;
+		memcpy(x->moved, action->machine, sizeof(x->moved));
+		result = x->result;
+	}
+	x->upkeeps += action->kind == FLEET_ACTION_MAINTENANCE;
+	fleet_action_result(x->f, x->r.s, action, result, x->r.now);
+}
+
+/* Answers a poll; a stop that was sent has ended its run. */
+static void report_one(struct fixture *x, const struct sched_poll *poll)
+{
+	struct sched_running running[RUNS_MAX];
+	struct sched_ended ended[RUNS_MAX];
+	uint32_t running_count = 0, ended_count = 0;
+	uint32_t n;
+
+	for (n = 0; n < x->running_count; n++) {
+		struct sched_order *o = &x->running[n];
+
+		if (strcmp(o->instance_id, poll->instance_id) || !o->number)
+			continue;
+		if (o->kind == ORDER_START) {
+			running[running_count++] = (struct sched_running){
+				o->task, o->number, "", 100, 0
+			};
+			continue;
+		}
+		ended[ended_count++] =
+			(struct sched_ended){ ++x->end_seq, o->task, o->number,
+					      SCHED_STOPPED, "" };
+	}
+	report(&x->r, poll->instance, running, running_count, ended,
+	       ended_count, x->r.now);
+	for (n = 0; n < x->running_count; n++)
+		if (!strcmp(x->running[n].instance_id, poll->instance_id) &&
+		    x->running[n].kind == ORDER_STOP)
+			x->running[n].number = 0;
+}
+
+static void report_all(struct fixture *x)
+{
+	struct sched_poll polls[MACHINES_MAX];
+	uint32_t count = 0;
+
+	while (count < MACHINES_MAX &&
+	       sched_next_poll(x->r.s, x->r.now, &polls[count]))
+		count++;
+	while (count-- > 0)
+		report_one(x, &polls[count]);
+}
+
+static void note_order(struct fixture *x, const struct sched_order *o)
+{
+	uint32_t n;
+
+	if (o->kind == ORDER_START) {
+		x->starts++;
+		x->running[x->running_count++] = *o;
+		return;
+	}
+	x->stops++;
+	for (n = 0; n < x->running_count; n++)
+		if (!strcmp(x->running[n].task, o->task) &&
+		    x->running[n].number == o->number)
+			x->running[n].kind = ORDER_STOP;
+}
+
+static void advance(struct fixture *x, uint32_t ms)
+{
+	uint64_t end = x->r.now + ms;
+	struct fleet_action action;
+	uint32_t n;
+
+	while (x->r.now < end) {
+		x->r.now += PASS_MS;
+		sched_leader_confirmed(x->r.s, x->r.now);
+		take_orders(&x->r);
+		for (n = 0; n < x->r.order_count; n++)
+			note_order(x, &x->r.orders[n]);
+		answer_orders(&x->r, ORDER_DONE);
+		report_all(x);
+		write_all(&x->r);
+		while (fleet_next_action(x->f, x->r.s, x->r.now, &action))
+			take_action(x, &action);
+	}
+}
+
+/* Machines are ordered for all waiting tasks at once, also by their memory. */
+static void test_machines_by_memory(void **state)
+{
+	static const char *const spares[] = { "m-0", "m-1", "m-2" };
+	struct fixture x;
+	Fleet__JobRow *row = job_row(3, 1, true);
+	uint32_t i, after;
+
+	(void)state;
+	fixture_new(&x, 1);
+	for (i = 0; i < 3; i++)
+		x.machines[x.machine_count++] = (struct fleet_machine_info){
+			spares[i], "spare", "r1", FLEET_UP
+		};
+	list_machines(&x);
+	row->steps[0]->cpu = 100;
+	row->steps[0]->mem = 3000; /* an instance has 4000 */
+	sched_submit(x.r.s, id_a, row, x.r.now, x.r.now, &after);
+	write_all(&x.r);
+	advance(&x, 300);
+	assert_int_equal(x.starts, 1);
+	assert_int_equal(x.moves, 2);
+	talloc_free(x.r.s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_machines_by_memory),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
