fleet: a wave leaves long-running tasks their place; lost machines aren't waited for

A wave stopped long-running tasks of a machine that it drained ahead of its turn, also where no other instance had room; the empty machine then stood reserved while the task waited. And a machine that was to be moved to a pool, but went down or left the list while it drained or its order's outcome was open, counted as on its way for good, so that the pool got no other.

A task without another place is stopped only when its machine's turn has come and nothing else runs there, and the turn is kept for it; until then the pool is given a machine. A drained machine that waits for its turn and has room for a waiting task goes back after 1 s. Machines that are down or not listed are released; a move that takes over 2 s is given up, whatever refused it.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -329,27 +329,24 @@
 	move_idle_off(f, s, now);
 }
 
-static void cancel_move(struct machine *m, struct sched *s, uint64_t now)
-{
-	struct sched_instance_load load;
-
-	m->phase = PHASE_NONE;
-	if (sched_machine_load(s, m->name, &load))
-		sched_reserve(s, load.instance, false, now);
-}
-
-/* A machine that takes too long to drain stays in its pool. */
+/*
+ * A machine that takes too long to drain stays in its pool, and so does one
+ * that its pool needs again or that the platform refuses to move.
+ */
 bool balance_order(struct sched *s, struct machine *m, uint64_t now,
 		   struct fleet_action *action)
 {
 	struct sched_instance_load load;
 
-	if (sched_machine_load(s, m->name, &load) &&
-	    (load.runs || load.unreported || load.ends_unwritten)) {
-		if (now - m->phase_since_ms > DRAIN_TIMEOUT_MS)
-			cancel_move(m, s, now);
+	bool known = sched_machine_load(s, m->name, &load);
+
+	if (now - m->drain_since_ms > DRAIN_TIMEOUT_MS ||
+	    (known && sched_has_place_for_waiting(s, load.instance))) {
+		machine_release(m, s, now);
 		return false;
 	}
+	if (known && (load.runs || load.unreported || load.ends_unwritten))
+		return false;
 	m->phase = PHASE_ORDERING;
 	m->phase_since_ms = now;
 	action->kind = FLEET_ACTION_MOVE;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -104,11 +104,45 @@
 	struct sched_instance_load load;
 
 	m->phase = PHASE_DRAINING;
-	m->phase_since_ms = now;
+	m->phase_since_ms = m->drain_since_ms = now;
+	m->emptied = false;
 	if (sched_machine_load(s, m->name, &load))
 		sched_reserve(s, load.instance, true, now);
 }
 
+void machine_release(struct machine *m, struct sched *s, uint64_t now)
+{
+	struct sched_instance_load load;
+
+	m->phase = PHASE_NONE;
+	if (sched_machine_load(s, m->name, &load))
+		sched_reserve(s, load.instance, false, now);
+}
+
+/*
+ * A machine that is no longer up, or not listed any more, will not come to the
+ * pool that it was to be moved to, nor be ordered into maintenance.
+ */
+static void release_lost_machines(struct fleet *f, struct sched *s,
+				  uint64_t now)
+{
+	struct machine *m;
+
+	for (m = f->machines; m; m = m->hh.next) {
+		bool ordered =
+			m->phase == PHASE_ORDERING || m->phase == PHASE_AWAY;
+
+		if (m->phase == PHASE_NONE || ordered ||
+		    (m->listed &&
+		     (m->state == FLEET_UP || m->phase == PHASE_UNCERTAIN)))
+			continue;
+		if (m->wave)
+			maintenance_release(m, s, now);
+		else
+			machine_release(m, s, now);
+	}
+}
+
 /* Marks machines as up once their expected absence is over. */
 static void machines_mark_returned(struct fleet *f, uint64_t now)
 {
@@ -141,6 +175,7 @@
 		return false;
 	if (!f->planned) {
 		machines_mark_returned(f, now);
+		release_lost_machines(f, s, now);
 		maintenance_plan(f, s, now);
 		balance_plan(f, s, now);
 		f->next_machine = f->machines;
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -31,6 +31,10 @@
 	struct wave *wave; /* the wave of its maintenance; NULL during a move */
 	char target_pool[FLEET_NAME_MAX];
 	uint64_t phase_since_ms;
+	uint64_t drain_since_ms; /* when it was chosen, whatever came after */
+	/* a long-running task was stopped that no other instance has room for
+	 */
+	bool emptied;
 	uint64_t pool_since_ms; /* end of its last move; 0: none */
 	uint64_t idle_since_ms; /* 0 while something runs on it */
 	UT_hash_handle hh;
@@ -56,6 +60,7 @@
 	bool reporting; /* a FLEET_ACTION_WAVE_STATE has no result yet */
 	/* As of the last planning: draining; ordered or in maintenance */
 	uint32_t draining, away;
+	uint32_t emptied; /* of those draining */
 };
 
 struct fleet {
@@ -77,8 +82,14 @@
 void machine_drain(struct machine *m, struct sched *s, uint64_t now);
 void fleet_schedule_list(struct fleet *f, uint64_t at);
 
+/* machine_release - it is drained no more, and stays in its pool */
+void machine_release(struct machine *m, struct sched *s, uint64_t now);
+
 /* maintenance.c */
 
+/* maintenance_release - same, for a machine of a wave: it is due again */
+void maintenance_release(struct machine *m, struct sched *s, uint64_t now);
+
 /* maintenance_plan - choose machines to drain for the waves */
 void maintenance_plan(struct fleet *f, struct sched *s, uint64_t now);
 
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -20,6 +20,8 @@
 #define DRAIN_AHEAD 1u /* machines drained beyond max_concurrent */
 /* From the start of a drain until tasks that end by themselves are stopped */
 #define TASK_END_WAIT_MS 2500u
+/* A drained machine is kept for so long although a task could use its room */
+#define DRAIN_KEEP_MS 1000u
 #define DRAIN_EXPECTED_MS 1500u /* estimated drain time of a busy machine */
 /* Part of a wave's time in which it should end; an outage may take the rest */
 #define WAVE_PLANNED_SHARE 0.6
@@ -102,14 +104,16 @@
 	struct wave *w;
 
 	DL_FOREACH(f->waves, w)
-	w->draining = w->away = 0;
+	w->draining = w->away = w->emptied = 0;
 	for (m = f->machines; m; m = m->hh.next) {
 		if (!m->wave || m->phase == PHASE_NONE)
 			continue;
-		if (m->phase == PHASE_DRAINING)
-			m->wave->draining++;
-		else
+		if (m->phase != PHASE_DRAINING) {
 			m->wave->away++;
+			continue;
+		}
+		m->wave->draining++;
+		m->wave->emptied += m->emptied;
 	}
 }
 
@@ -225,6 +229,8 @@
 {
 	struct sched_instance_load load;
 	bool let_tasks_end = now - m->phase_since_ms < TASK_END_WAIT_MS;
+	struct wave *w = m->wave;
+	bool may_empty;
 
 	if (!sched_machine_load(s, m->name, &load))
 		return true;
@@ -233,19 +239,57 @@
 	if (!load.runs)
 		return !load.ends_unwritten;
 	sched_reserve(s, load.instance, true, now);
-	sched_evacuate(s, load.instance, let_tasks_end, now);
+	may_empty = m->emptied || w->away + w->emptied < w->max_concurrent;
+	if (sched_evacuate(s, load.instance, let_tasks_end, may_empty, now) &&
+	    !m->emptied) {
+		m->emptied = true;
+		w->emptied++;
+	}
 	return false;
 }
 
+void maintenance_release(struct machine *m, struct sched *s, uint64_t now)
+{
+	struct wave *w = m->wave;
+	uint32_t i;
+
+	for (i = 0; i < w->count; i++)
+		if (!strcmp(w->members[i].machine, m->name) &&
+		    w->members[i].state == MEMBER_IN_PROGRESS)
+			w->members[i].state = MEMBER_DUE;
+	m->wave = NULL;
+	machine_release(m, s, now);
+}
+
+/*
+ * Whether a drained machine waits for its turn while a long-running task waits
+ * for room that it has.
+ */
+static bool is_needed(struct sched *s, const struct machine *m, uint64_t now)
+{
+	struct sched_instance_load load;
+
+	return now - m->drain_since_ms >= DRAIN_KEEP_MS &&
+	       sched_machine_load(s, m->name, &load) &&
+	       sched_has_place_for_waiting(s, load.instance);
+}
+
 bool maintenance_order(struct sched *s, struct machine *m, uint64_t now,
 		       struct fleet_action *action)
 {
 	struct wave *w = m->wave;
+	/* Turns are kept for machines whose tasks have no other place. */
+	uint32_t taken = w->away + (m->emptied ? 0 : w->emptied);
 
-	if (!drain_finished(s, m, now) || w->away >= w->max_concurrent)
+	if (!drain_finished(s, m, now) || taken >= w->max_concurrent) {
+		if (is_needed(s, m, now))
+			maintenance_release(m, s, now);
 		return false;
+	}
 	w->draining--;
 	w->away++;
+	if (m->emptied)
+		w->emptied--;
 	m->phase = PHASE_ORDERING;
 	m->phase_since_ms = now;
 	action->kind = FLEET_ACTION_MAINTENANCE;
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -651,6 +651,7 @@
 void sched_tick(struct sched *s, uint64_t unix_ms, uint64_t now)
 {
 	s->unix_ms = unix_ms;
+	s->tick_ms = now;
 	if (now >= s->next_sweep_ms)
 		sweep(s, now);
 	sched_place(s, now);
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -461,7 +461,8 @@
 	uint32_t spread;
 	/*
 	 * Machines like those of the pool that would take its startable
-	 * long-running tasks
+	 * long-running tasks; at least 1 if an instance can't be emptied
+	 * because no other has room
 	 */
 	uint32_t long_running_machines;
 	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
@@ -514,10 +515,19 @@
  * sched_evacuate - stops long-running tasks as far as disruption budgets allow
  *
  * Called repeatedly until sched_machine_load shows no runs. Other tasks are
- * left to end if graceful, and are stopped too otherwise.
+ * left to end if graceful, and are stopped too otherwise. A long-running task
+ * that no other instance has room for is stopped only if may_empty, and once
+ * nothing else runs there: its machine must go and come back soon. Returns
+ * whether such a task was stopped.
  */
-void sched_evacuate(struct sched *s, instance_handle_t i, bool graceful,
-		    uint64_t now);
+bool sched_evacuate(struct sched *s, instance_handle_t i, bool graceful,
+		    bool may_empty, uint64_t now);
+
+/*
+ * sched_has_place_for_waiting - whether a waiting long-running task would be
+ * placed on the instance if it were not reserved
+ */
+bool sched_has_place_for_waiting(const struct sched *s, instance_handle_t i);
 
 /*
  * sched_may_interrupt - whether all runs there may end at once
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -6,16 +6,16 @@
  * stopped only while fewer than may_miss other tasks of its step are
  * unavailable.
  *
- * Neither this module nor its caller, fleet/maintenance.c, checks that another
- * instance has room for the task. A stopped task that finds no room stays
- * unavailable, so the budget keeps further tasks of its step from being
- * stopped.
+ * A task that no other instance has room for would stay unavailable until one
+ * gains room. It is stopped only when its machine can be ordered at once, so
+ * that it finds room there again when the machine is back.
  */
 #include <string.h>
 
 #include "pool/sched_internal.h"
 
 #define REPORT_MAX_MS 2500u /* an older report is outdated */
+#define EVACUATION_MS 50u   /* between two attempts to empty an instance */
 
 /* Time for a former leader's stop of a run to show in reports. */
 #define FORMER_STOP_MS 1000u
@@ -62,24 +62,98 @@
 	return unavailable < step->spec->may_miss;
 }
 
-void sched_evacuate(struct sched *s, instance_handle_t h, bool graceful,
-		    uint64_t now)
+/* Tasks of the step that are being stopped and will need a place. */
+static uint32_t count_stopping(const struct step *step)
+{
+	uint32_t count = 0;
+	uint32_t t;
+
+	for (t = 0; t < step->spec->count; t++)
+		count += step->tasks[t].runs &&
+			 step->tasks[t].runs->state == RUN_STOPPING;
+	return count;
+}
+
+/*
+ * Whether an instance other than the run's has room for its task, beside the
+ * tasks of its step that wait for room already.
+ */
+static bool has_other_place(const struct sched *s, const struct run *run,
+			    uint64_t now)
+{
+	const struct step *step = run->task->step;
+	const uint32_t wanted = step->startable + count_stopping(step) + 1;
+	const struct instance *i;
+	uint32_t room = 0;
+
+	DL_FOREACH2(step->job->pool->instances, i, pool_next)
+	{
+		if (i == run->instance || !instance_usable(s, i, now))
+			continue;
+		room += step_room_on(step, i);
+		if (room >= wanted)
+			return true;
+	}
+	return false;
+}
+
+static bool only_lasting_runs(const struct instance *i)
+{
+	const struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (!run->task->step->spec->lasting)
+		return false;
+	return true;
+}
+
+bool sched_evacuate(struct sched *s, instance_handle_t h, bool graceful,
+		    bool may_empty, uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
+	bool emptied = false;
 	struct run *run;
 
-	if (!i)
-		return;
+	if (!i || now < i->next_evacuation_ms)
+		return false;
+	i->next_evacuation_ms = now + EVACUATION_MS;
+	may_empty = may_empty && (!graceful || only_lasting_runs(i));
 	DL_FOREACH(i->runs, run)
 	{
-		if (run->state != RUN_RUNNING)
-			continue;
-		if (!run->task->step->spec->lasting && graceful)
-			continue;
-		if (!task_may_stop(run->task, now))
+		bool lasting = run->task->step->spec->lasting;
+
+		if (run->state != RUN_RUNNING || (!lasting && graceful) ||
+		    !task_may_stop(run->task, now))
 			continue;
+		if (lasting && !has_other_place(s, run, now)) {
+			i->pool->no_place_ms = now;
+			if (!may_empty)
+				continue;
+			emptied = true;
+		}
+		sched_trace(s, "evacuate", run->task->step->job->id,
+			    "\"step\":%u,\"task\":%u,\"instance\":\"%s\","
+			    "\"other_place\":%d",
+			    run->task->step->index, run->task->index, i->id,
+			    !emptied);
 		run_stop(s, run);
 	}
+	return emptied;
+}
+
+bool sched_has_place_for_waiting(const struct sched *s, instance_handle_t h)
+{
+	const struct instance *i = instance_of(s, h);
+	const struct step *step;
+
+	if (!i || !i->listed || i->leaving || i->unresponsive || i->expired ||
+	    !i->reported)
+		return false;
+	DL_FOREACH(i->pool->ready, step)
+	if (step->spec->lasting && step->job->claimed &&
+	    step_room_on(step, i) && cap_allows(s, step, 1))
+		return true;
+	return false;
 }
 
 bool sched_may_interrupt(const struct sched *s, instance_handle_t h)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -256,7 +256,8 @@
 	uint64_t amounts_until_ms;
 	struct instance *instances;
 	struct room room;
-	uint32_t unreported; /* instances without a report to this leader */
+	uint32_t unreported;  /* instances without a report to this leader */
+	uint64_t no_place_ms; /* when an evacuation last found no other place */
 	UT_hash_handle hh;
 };
 
@@ -317,7 +318,8 @@
 	bool usable;	    /* when pool.room was sorted */
 	uint32_t failures;  /* consecutive failed runs, of different jobs */
 	char failed_job[SCHED_ID_BYTES + 1];
-	uint64_t ejected_until_ms;  /* no starts before, because of failures */
+	uint64_t ejected_until_ms; /* no starts before, because of failures */
+	uint64_t next_evacuation_ms;
 	uint64_t next_throttle_ms;  /* earliest next change of speed */
 	uint32_t unanswered_orders; /* consecutive */
 	struct instance *idle_prev, *idle_next;	      /* in sched.idle */
@@ -346,6 +348,7 @@
 	uint64_t leader_confirmed_ms; /* last time known to be leader */
 	uint64_t predecessor_end_ms;  /* time of its last possible order */
 	uint64_t unix_ms;	      /* time of day */
+	uint64_t tick_ms;	      /* of the last sched_tick */
 	struct job *jobs;
 	struct job *lists[JOB_LISTS];
 	struct queue_count *queue_counts;
@@ -640,6 +643,9 @@
 /* sched_place.c */
 bool instance_fits(const struct instance *i, const struct amount *a);
 bool instance_could_run(const struct instance *i, const Fleet__Step *spec);
+
+/* cap_allows - whether so many more tasks stay within the workspace's cap */
+bool cap_allows(const struct sched *s, const struct step *step, uint32_t tasks);
 const char *instance_rack(const struct instance *i);
 
 /* step_room_on - how many more tasks of the step the instance has room for */
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -23,6 +23,8 @@
 #define STEPS_CAPPED_MAX 2000u
 /* Sums over the instances of a pool */
 #define AMOUNTS_VALID_MS 20u
+/* A machine is wanted for this long after an evacuation had no other place */
+#define NO_PLACE_VALID_MS 500u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_MAX_MS 5000u
 #define LATE_FACTOR 3.0 /* x objective: later, a job is worth nothing */
@@ -266,8 +268,7 @@
  * which limits the resources requested over all pools. Possibly running tasks
  * count, up to the capacity of the unreported instances.
  */
-static bool cap_allows(const struct sched *s, const struct step *step,
-		       uint32_t tasks)
+bool cap_allows(const struct sched *s, const struct step *step, uint32_t tasks)
 {
 	const struct workspace *w = step->job->workspace;
 	const struct amount *cap;
@@ -508,6 +509,9 @@
 		load->long_running_machines +=
 			machines_for_waiting(s, step, load);
 	}
+	if (!load->long_running_machines && pool->no_place_ms &&
+	    s->tick_ms < pool->no_place_ms + NO_PLACE_VALID_MS)
+		load->long_running_machines = 1;
 	return true;
 }
 
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -1,6 +1,6 @@
 /*
  * Long-running tasks beside waves and moves: none stays without a place because
- * the machines of its pool are full.
+ * machines are drained, or because a machine that was to come is gone.
  */
 #include "fleet/fleet.h"
 #include "test/rig/sched_rig.h"
@@ -41,9 +41,9 @@
 	sched_configure(x->r.s, &x->r.config, x->r.now);
 	for (i = 0; i < instances; i++) {
 		add_instance(&x->r, names[i], false);
-		x->machines[x->machine_count++] = (struct fleet_machine_info){
-			names[i], "p", "r1", FLEET_UP
-		};
+		x->machines[x->machine_count++] =
+			(struct fleet_machine_info){ names[i], "p", "r1",
+						     FLEET_UP };
 	}
 	sched_become_leader(x->r.s, 1, true, x->r.now);
 	sched_expect_complete(x->r.s, x->r.now);
@@ -84,9 +84,9 @@
 		if (strcmp(o->instance_id, poll->instance_id) || !o->number)
 			continue;
 		if (o->kind == ORDER_START) {
-			running[running_count++] = (struct sched_running){
-				o->task, o->number, "", 100, 0
-			};
+			running[running_count++] =
+				(struct sched_running){ o->task, o->number, "",
+							100, 0 };
 			continue;
 		}
 		ended[ended_count++] =
@@ -149,6 +149,116 @@
 	}
 }
 
+/* Its tasks have no budget, and an instance has room for one of them. */
+static void submit_lasting(struct fixture *x, const char *id, uint32_t tasks)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, true);
+	uint32_t after;
+
+	row->steps[0]->may_miss = 0;
+	row->steps[0]->cpu = 3000;
+	assert_int_equal(
+		sched_submit(x->r.s, id, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x->r);
+}
+
+static void add_wave(struct fixture *x, uint32_t max_concurrent)
+{
+	static const char *const names[] = { "i-0", "i-1", "i-2" };
+
+	fleet_add_wave(x->f, "wave/1", 1, max_concurrent, 4000, names,
+		       x->machine_count, x->r.now);
+}
+
+/* A task without another place is stopped when its machine can be ordered. */
+static void test_no_other_place(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t instances, tasks, stops;
+	} cases[] = {
+		{ "no other place", 2, 2, 1 },
+		{ "one other place", 3, 2, 2 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x, cases[c].instances);
+		list_machines(&x);
+		submit_lasting(&x, id_a, cases[c].tasks);
+		advance(&x, 100);
+		assert_int_equal(x.starts, cases[c].tasks);
+		add_wave(&x, 1);
+		advance(&x, 60);
+		assert_in_range(x.stops, 1, cases[c].stops);
+		talloc_free(x.r.s);
+	}
+}
+
+/* A drained machine that waits for its turn takes a task that needs its room */
+static void test_drained_machine_is_needed(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 2);
+	list_machines(&x);
+	add_wave(&x, 1);
+	advance(&x, 40); /* both are idle: one is ordered, one waits */
+	assert_int_equal(x.upkeeps, 1);
+	submit_lasting(&x, id_a, 1);
+	advance(&x, 1500);
+	assert_int_equal(x.starts, 1);
+	talloc_free(x.r.s);
+}
+
+/* A machine that is gone, or was refused, is not waited for. */
+static void test_expected_machine_is_lost(void **state)
+{
+	static const struct {
+		const char *name;
+		bool listed;
+		enum fleet_machine_state state;
+	} cases[] = {
+		{ "it isn't listed any more", false, FLEET_UP },
+		{ "it is down", true, FLEET_DOWN },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x, 1);
+		x.machines[x.machine_count++] =
+			(struct fleet_machine_info){ "m-0", "spare", "r1",
+						     FLEET_UP };
+		list_machines(&x);
+		x.result = FLEET_BUSY;
+		submit_lasting(&x, id_a, 2); /* room for one */
+		advance(&x, 200);
+		assert_int_equal(x.moves, 1);
+		x.machine_count = 1;
+		if (cases[c].listed)
+			x.machines[x.machine_count++].state = cases[c].state;
+		x.machines[x.machine_count++] =
+			(struct fleet_machine_info){ "m-1", "spare", "r1",
+						     FLEET_UP };
+		list_machines(&x);
+		x.result = FLEET_DONE;
+		advance(&x, 3000);
+		assert_int_equal(x.moves, 2);
+		assert_string_equal(x.moved, "m-1");
+		talloc_free(x.r.s);
+	}
+}
+
 /* Machines are ordered for all waiting tasks at once, also by their memory. */
 static void test_machines_by_memory(void **state)
 {
@@ -160,9 +270,9 @@
 	(void)state;
 	fixture_new(&x, 1);
 	for (i = 0; i < 3; i++)
-		x.machines[x.machine_count++] = (struct fleet_machine_info){
-			spares[i], "spare", "r1", FLEET_UP
-		};
+		x.machines[x.machine_count++] =
+			(struct fleet_machine_info){ spares[i], "spare", "r1",
+						     FLEET_UP };
 	list_machines(&x);
 	row->steps[0]->cpu = 100;
 	row->steps[0]->mem = 3000; /* an instance has 4000 */
@@ -178,6 +288,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_machines_by_memory),
+		cmocka_unit_test(test_no_other_place),
+		cmocka_unit_test(test_drained_machine_is_needed),
+		cmocka_unit_test(test_expected_machine_is_lost),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -266,7 +266,7 @@
 		uint32_t slot = random_below(w, WORLD_INSTANCES);
 
 		if (sched_instance_next(l->s, &slot, &load))
-			sched_evacuate(l->s, load.instance, true, w->now);
+			sched_evacuate(l->s, load.instance, true, true, w->now);
 	}
 	leader_send(w, index);
 	leader_commit(w, index);
