--- a/tools/soak.py
+++ b/tools/soak.py
@@ -19,6 +19,7 @@
 FAULT_GAP_S = 2.0  # between two faults; a takeover takes a little over 1.0 s
 FAULT_DURATION_S = (0.5, 4)  # range: from shorter to longer than a lease
 JOBS_PER_S = 4.0
+REPEATED_OF = 8  # one of so many jobs repeats
 JOBS_END_TIMEOUT_S = 60  # for jobs unfinished after the last fault
 WORKERS = 8
 VERSIONS_PER_S = 0.5
@@ -73,10 +74,15 @@
 
     def submit(self):
         rng = self.rng
-        self.run.run_action("submit", [
-            "1", "to", rng.choice(("q0", "q1")),
-            "tasks", str(rng.randint(1, 4)), "steps", str(rng.randint(1, 2)),
-            "ms", str(rng.randint(50, 1500))])
+        words = ["1", "to", rng.choice(("q0", "q1")),
+                 "tasks", str(rng.randint(1, 4)),
+                 "steps", str(rng.randint(1, 2)),
+                 "ms", str(rng.randint(50, 1500))]
+        if not rng.randrange(REPEATED_OF):
+            words += ["times", str(rng.randint(2, 4)),
+                      "every", str(rng.randint(0, 1500)),
+                      "late", str(rng.randint(0, 2000))]
+        self.run.run_action("submit", words)
 
     def write_version(self):
         """Writes a configuration version if the store can confirm it."""
