--- a/src/node/session.c
+++ b/src/node/session.c
@@ -4,6 +4,7 @@
  * Calls to instances go through a relay if one is linked.
  */
 #include <assert.h>
+#include <inttypes.h>
 #include <string.h>
 
 #include "node/node_internal.h"
@@ -19,6 +20,7 @@
 	uint64_t generation;
 	uint64_t sent_ms;
 	instance_handle_t instance;
+	char instance_id[SCHED_NAME_MAX];
 };
 
 struct order_call {
@@ -29,6 +31,21 @@
 	char instance_id[SCHED_NAME_MAX];
 };
 
+/*
+ * An instance has orders of a newer leader. No more orders are given before the
+ * store confirms this one.
+ */
+static void newer_leader_seen(struct node *n, const char *instance,
+			      const char *call, uint64_t now)
+{
+	event_log("newer-leader", instance,
+		  "\"call\":\"%s\",\"epoch\":%" PRIu64 ",\"fence\":%" PRIu64
+		  ",\"confirmed_ms_ago\":%" PRId64,
+		  call, n->leader.epoch, n->fence,
+		  n->confirmed_ms ? (int64_t)(now - n->confirmed_ms) : -1);
+	n->confirmed_ms = 0;
+}
+
 static void on_polled(void *arg, enum poll_result result,
 		      const struct sched_report *report)
 {
@@ -45,8 +62,7 @@
 		sched_poll_lost(n->sched, call->instance, now);
 		break;
 	case POLL_NEWER_LEADER:
-		/* No more orders before the store confirms this leader. */
-		n->confirmed_ms = 0;
+		newer_leader_seen(n, call->instance_id, "poll", now);
 		/* fallthrough */
 	case POLL_UNANSWERED:
 		n->polls_failed++;
@@ -65,18 +81,24 @@
 {
 	struct order_call *call = arg;
 	struct node *n = call->node;
+	uint64_t now = clock_now_ms();
 
 	if (call->generation == n->phase_generation) {
 		call->order.instance_id = call->instance_id;
 		sched_order_done(n->sched, &call->order, result, clock_ms,
-				 call->sent_ms, clock_now_ms());
+				 call->sent_ms, now);
 		if (result == ORDER_REFUSED_FENCE)
-			n->confirmed_ms = 0;
+			newer_leader_seen(n, call->instance_id, "order", now);
 		node_schedule_pass(n);
 	}
 	talloc_free(call);
 }
 
+static void copy_id(char to[SCHED_NAME_MAX], const char *id)
+{
+	memcpy(to, id, strnlen(id, SCHED_NAME_MAX - 1));
+}
+
 static void send_order(struct node *n, const struct sched_order *order,
 		       uint64_t now)
 {
@@ -87,8 +109,7 @@
 	call->generation = n->phase_generation;
 	call->sent_ms = now;
 	call->order = *order;
-	memcpy(call->instance_id, order->instance_id,
-	       strnlen(order->instance_id, sizeof(call->instance_id) - 1));
+	copy_id(call->instance_id, order->instance_id);
 	n->orders++;
 	if (order->kind == ORDER_START)
 		term_start_sent(n, order->task, now);
@@ -108,6 +129,7 @@
 	call->generation = n->phase_generation;
 	call->sent_ms = now;
 	call->instance = poll->instance;
+	copy_id(call->instance_id, poll->instance_id);
 	n->polls++;
 	if (relay_poll(n, poll, poll->timeout_ms, on_polled, call))
 		return;
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -399,7 +399,12 @@
 
 	if (i->run_count || !i->reported)
 		sched_trace(s, "instance-expired", i->id,
-			    "\"why\":\"%s\",\"runs\":%u", why, i->run_count);
+			    "\"why\":\"%s\",\"runs\":%u,\"reported\":%d"
+			    ",\"lease_ended_ms_ago\":%" PRId64
+			    ",\"confirmed_ms_ago\":%" PRId64,
+			    why, i->run_count, i->reported,
+			    (int64_t)(now - i->lease_end_ms),
+			    (int64_t)(now - s->leader_confirmed_ms));
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
 		s->stats.runs_lost++;
