--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -195,6 +195,27 @@
 	return w->faults & FAULT_QUICK_RESTARTS ? QUICK_RESTART_MS : RESTART_MS;
 }
 
+/*
+ * Divides the network: one leader and some instances on one side; the store,
+ * the other leaders and the other instances on the other one.
+ */
+static void divide_network(struct world *w)
+{
+	uint32_t alone = random_below(w, WORLD_LEADERS);
+	uint64_t until_ms = w->now + 500 + random_below(w, 8000);
+	uint32_t i, l;
+
+	w->leaders[alone].cut_off_until_ms = until_ms;
+	for (i = 0; i < WORLD_INSTANCES; i++) {
+		bool is_alone = random_below(w, 3) == 0;
+
+		for (l = 0; l < WORLD_LEADERS; l++)
+			if ((l == alone) != is_alone)
+				w->instances[i].path_cut_until_ms[l] = until_ms;
+	}
+	trace(w, "leader %u is alone with some instances", alone);
+}
+
 static void inject_faults(struct world *w)
 {
 	struct world_instance *i =
@@ -220,6 +241,8 @@
 		l->frozen_until_ms = w->now + random_below(w, 8000);
 	if (fault_occurs(w, FAULT_STORE, 3))
 		l->cut_off_until_ms = w->now + random_below(w, 8000);
+	if (fault_occurs(w, FAULT_DIVIDED, 3))
+		divide_network(w);
 	if (w->now >= WORLD_FAULTS_MS)
 		i->failing = false;
 }
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -41,6 +41,8 @@
 	FAULT_QUICK_RESTARTS = 1 << 11, /* a crash and restart within a poll */
 	/* Some jobs repeat, and the clocks of leaders differ. */
 	FAULT_REPEATS = 1 << 12,
+	/* One leader and some instances are cut off from everything else. */
+	FAULT_DIVIDED = 1 << 13,
 };
 
 struct world_result {
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -98,7 +98,8 @@
 	/* A call to an incarnation that has ended is lost. */
 	return w->instances[c->instance].up &&
 	       w->instances[c->instance].incarnation == c->target_incarnation &&
-	       w->now >= w->instances[c->instance].cut_off_until_ms;
+	       w->now >= w->instances[c->instance].cut_off_until_ms &&
+	       w->now >= w->instances[c->instance].path_cut_until_ms[c->leader];
 }
 
 void leader_resign(struct world *w, struct leader *l)
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -78,6 +78,8 @@
 	bool up;
 	uint64_t restart_ms;	   /* time of its next start */
 	uint64_t cut_off_until_ms; /* no call passes until then */
+	/* until then no call of that leader passes */
+	uint64_t path_cut_until_ms[WORLD_LEADERS];
 	uint64_t unlisted_until_ms;
 	uint64_t last_seq; /* of its ends */
 	uint32_t run_count, end_count, stopped_count;
--- a/tools/check.py
+++ b/tools/check.py
@@ -23,6 +23,9 @@
 # These and FAULT_REPEATS; a seed takes longer.
 REPEAT_FAULTS = 8191
 REPEAT_SEEDS = 2000
+# FAULT_ALL and FAULT_DIVIDED.
+DIVIDED_FAULTS = 10239
+DIVIDED_SEEDS = 10000
 FLEET_WALK_PARTS = 5  # processes that run concurrently
 # Jobs of a leader of the large site: ended after some seconds and after two
 # minutes; waiting on a calm day and in a turn of demand.
@@ -194,6 +197,9 @@
     results.add("fleet walk, repeated jobs",
                 fleet_walk(build, REPEAT_SEEDS, "--faults",
                            str(REPEAT_FAULTS)))
+    results.add("fleet walk, divided network",
+                fleet_walk(build, DIVIDED_SEEDS, "--faults",
+                           str(DIVIDED_FAULTS)))
     make_sanitized()
     results.command("ledger walk with sanitizers", [
         f"{build}/sanitize/test/ledger_walk", "--count", "500"])
