sched: a lease has expired only if its leader was confirmed after its end

A leader that the store turned away could not reach some instances either. Nothing refused its calls there, so it didn't learn that its successor had renewed their leases; 4.27 s after its own last renewal it took them for expired and, until 6 s after its last confirmation, started their tasks again on an instance that its successor couldn't reach.

A lease now counts as expired when the leader row was found unchanged by a call that was sent after the lease's end: a successor renews leases only after its claim. The same holds for the time after which all runs of a former leader have ended. While a lease waits for it, a confirmation is asked for at each tick, so a leader that has the store restarts such tasks one call later than before.

--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -676,7 +676,8 @@
 		return;
 	}
 	if (now - n->confirmed_ms >= LEADER_CONFIRM_MS ||
-	    (n->phase == LEADER_DECIDING && sched_needs_confirmation(n->sched)))
+	    (n->phase == LEADER_DECIDING &&
+	     sched_needs_confirmation(n->sched, now)))
 		read_row(n, now);
 }
 
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -224,11 +224,17 @@
  * successor that has not polled the instance yet, the instance would still
  * accept this leader's fence and start work that the successor starts
  * elsewhere.
+ *
+ * A lease that this leader can't renew counts as expired only after a
+ * confirmation sent after its end: until then a successor may have renewed it.
  */
 void sched_leader_confirmed(struct sched *s, uint64_t sent_ms);
 
-/* sched_needs_confirmation - whether an instance waits for a confirmation */
-bool sched_needs_confirmation(const struct sched *s);
+/*
+ * sched_needs_confirmation - whether an instance, or a lease that has ended,
+ * waits for a confirmation
+ */
+bool sched_needs_confirmation(const struct sched *s, uint64_t now);
 
 /* Rows loaded at takeover */
 
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -98,12 +98,18 @@
 	set_unreported_capacity(s, i);
 }
 
+/* When all runs that a former leader started have ended. */
+static uint64_t predecessor_runs_end_ms(const struct sched *s)
+{
+	return s->predecessor_end_ms +
+	       (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK)) +
+	       LEASE_MARGIN_MS;
+}
+
 /* Assumes that the predecessor renewed the lease with its last order. */
 static void lease_set_from_predecessor(struct sched *s, struct instance *i)
 {
-	i->lease_end_ms = s->predecessor_end_ms +
-			  (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK)) +
-			  LEASE_MARGIN_MS;
+	i->lease_end_ms = predecessor_runs_end_ms(s);
 }
 
 void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
@@ -432,18 +438,42 @@
 	s->leader_confirmed_ms = sent_ms;
 }
 
-bool sched_needs_confirmation(const struct sched *s)
+/*
+ * Whether this leader is known to have had no successor at a time that has
+ * passed. A leader doesn't know which leases its successor renews, so a lease
+ * has expired only if this holds for its end.
+ */
+static bool was_leader_at(const struct sched *s, uint64_t at_ms)
+{
+	return s->leader_confirmed_ms >= at_ms;
+}
+
+/* Whether the instance has runs, or may have some, that its lease's end frees.
+ */
+static bool awaits_lease_end(const struct instance *i)
+{
+	return !i->expired && (i->unresponsive || !i->reported) &&
+	       (i->run_count || !i->reported);
+}
+
+bool sched_needs_confirmation(const struct sched *s, uint64_t now)
 {
 	uint32_t n;
 
 	for (n = 0; n < s->instance_slots; n++) {
 		const struct instance *i = s->instances[n];
 
-		if (i && i->reported && i->listed &&
+		if (!i)
+			continue;
+		if (i->reported && i->listed &&
 		    i->first_report_ms >= s->leader_confirmed_ms)
 			return true;
+		if (now >= i->lease_end_ms && awaits_lease_end(i) &&
+		    !was_leader_at(s, i->lease_end_ms))
+			return true;
 	}
-	return false;
+	return !s->expect_complete && now >= predecessor_runs_end_ms(s) &&
+	       !was_leader_at(s, predecessor_runs_end_ms(s));
 }
 
 bool instance_usable(const struct sched *s, const struct instance *i,
@@ -477,8 +507,7 @@
 
 void instance_tick(struct sched *s, struct instance *i, uint64_t now)
 {
-	if (!i->expired && now >= i->lease_end_ms &&
-	    (i->unresponsive || !i->reported) && (i->run_count || !i->reported))
+	if (awaits_lease_end(i) && was_leader_at(s, i->lease_end_ms))
 		instance_expire(s, i, "its lease expired", now);
 }
 
@@ -496,9 +525,6 @@
 		if (instance_forgettable(i, now))
 			instance_forget(s, i);
 	}
-	/* By then, all runs that a former leader started have ended. */
-	if (now >= s->predecessor_end_ms +
-			   s->options.lease_ms * (1 + LEASE_SLACK) +
-			   LEASE_MARGIN_MS)
+	if (was_leader_at(s, predecessor_runs_end_ms(s)))
 		sched_expect_complete(s, now);
 }
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -218,6 +218,7 @@
 		fleet_configure(f, &r.config);
 		fleet_add_wave(f, "wave/1", 1, 4, 60000, ids, 4, r.now);
 		r.now += cases[c].elapsed_ms;
+		sched_leader_confirmed(r.s, r.now);
 		sched_tick(r.s, r.now, r.now);
 		fleet_set_machines(f, infos, 4, r.now);
 		while (fleet_next_action(f, r.s, r.now, &action))
--- /dev/null
+++ b/test/lease_test.c
@@ -0,0 +1,156 @@
+/*
+ * Leases that the leader can't renew: a successor that it doesn't know of may
+ * have renewed them.
+ */
+#include "test/rig/sched_rig.h"
+
+#define TASK "000000000000000a.0.0.0"
+/* A leader counts a lease as 3% and 150 ms longer. */
+#define LEASE_OVER_MS (LEASE_MS + LEASE_MS * 3 / 100 + 150)
+#define ORDERS_MS 6000u /* of a former leader, after the takeover */
+
+/* Confirmations of the leader, relative to the end of the lease. */
+static const struct {
+	const char *name;
+	int64_t confirmed_ms;
+	bool expired;
+} cases[] = {
+	{ "confirmed when the lease was renewed", -(int64_t)LEASE_OVER_MS,
+	  false },
+	{ "confirmed shortly before the end", -1, false },
+	{ "confirmed at the end", 0, true },
+	{ "confirmed after the end", 100, true },
+};
+
+/* Leaves all polls of one instance unanswered; the other one has no runs. */
+static void poll_for_ms(struct rig *r, instance_handle_t silent, uint64_t ms)
+{
+	uint64_t end_ms = r->now + ms;
+
+	while (r->now < end_ms) {
+		struct sched_poll polls[8];
+		uint32_t n = 0;
+
+		r->now += 50;
+		sched_tick(r->s, r->now, r->now);
+		while (n < 8 && sched_next_poll(r->s, r->now, &polls[n]))
+			n++;
+		while (n-- > 0) {
+			if (polls[n].instance.i == silent.i)
+				sched_poll_done(r->s, silent, NULL, r->now,
+						r->now);
+			else
+				report(r, polls[n].instance, NULL, 0, NULL, 0,
+				       r->now);
+		}
+	}
+}
+
+/* Whether the task is started, once the leader is confirmed as in the case. */
+static void check_case(struct rig *r, size_t c, uint64_t end_ms)
+{
+	r->now += 50;
+	sched_leader_confirmed(r->s, end_ms + (uint64_t)cases[c].confirmed_ms);
+	if (take_orders(r) != cases[c].expired)
+		fail_msg("%s: %u starts", cases[c].name, r->order_count);
+	if (sched_needs_confirmation(r->s, r->now) == cases[c].expired)
+		fail_msg("%s: confirmation is %sneeded", cases[c].name,
+			 cases[c].expired ? "" : "not ");
+}
+
+static void test_run_is_not_repeated_on_a_lease_a_successor_may_renew(
+	void **state)
+{
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		instance_handle_t silent;
+		uint64_t end_ms;
+		struct rig r;
+
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, true);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_DONE);
+		silent = r.orders[0].instance;
+		next_poll(&r, silent);
+		sched_poll_done(r.s, silent, NULL, r.now, r.now);
+		end_ms = r.now + LEASE_OVER_MS;
+		poll_for_ms(&r, silent, LEASE_OVER_MS + 500);
+		check_case(&r, c, end_ms);
+		talloc_free(r.s);
+	}
+}
+
+static void test_takeover_repeats_no_run_that_a_successor_may_renew(
+	void **state)
+{
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct sched_poll polls[2];
+		uint64_t end_ms;
+		struct rig r;
+
+		rig_new(&r);
+		add_instance(&r, "i-0", false);
+		add_instance(&r, "i-1", false);
+		sched_load_job(r.s, id_a, job_row(1, 1, true), NULL, r.now);
+		sched_become_leader(r.s, 2, false, r.now);
+		sched_expect_complete(r.s, r.now);
+		end_ms = r.now + ORDERS_MS + LEASE_OVER_MS;
+		assert_true(sched_next_poll(r.s, r.now, &polls[0]));
+		assert_true(sched_next_poll(r.s, r.now, &polls[1]));
+		report(&r, polls[0].instance, NULL, 0, NULL, 0, r.now);
+		sched_poll_done(r.s, polls[1].instance, NULL, r.now, r.now);
+		r.now++;
+		sched_leader_confirmed(r.s, r.now);
+		poll_for_ms(&r, polls[1].instance,
+			    ORDERS_MS + LEASE_OVER_MS + 500);
+		check_case(&r, c, end_ms);
+		talloc_free(r.s);
+	}
+}
+
+static void test_runs_of_unknown_instances_may_be_renewed_by_a_successor(
+	void **state)
+{
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		instance_handle_t none = { .i = UINT32_MAX };
+		uint64_t end_ms;
+		struct rig r;
+
+		rig_new(&r);
+		add_instance(&r, "i-0", false);
+		sched_load_job(r.s, id_a, job_row(1, 1, true), NULL, r.now);
+		/* The list of machines is never read. */
+		sched_become_leader(r.s, 2, false, r.now);
+		end_ms = r.now + ORDERS_MS + LEASE_OVER_MS;
+		make_all_usable(&r);
+		poll_for_ms(&r, none, ORDERS_MS + LEASE_OVER_MS + 500);
+		check_case(&r, c, end_ms);
+		talloc_free(r.s);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_run_is_not_repeated_on_a_lease_a_successor_may_renew),
+		cmocka_unit_test(
+			test_takeover_repeats_no_run_that_a_successor_may_renew),
+		cmocka_unit_test(
+			test_runs_of_unknown_instances_may_be_renewed_by_a_successor),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -56,7 +56,7 @@
 	write_all(&r);
 	r.now += 10;
 	poll_all_empty(&r);
-	assert_true(sched_needs_confirmation(r.s));
+	assert_true(sched_needs_confirmation(r.s, r.now));
 	assert_int_equal(take_orders(&r), 0);
 	sched_leader_confirmed(r.s, r.now + 1);
 	assert_int_equal(take_orders(&r), 2);
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -251,7 +251,7 @@
 	leader_read_directory(w, l);
 	/* Reading the leader row confirms the leader or makes it resign. */
 	if ((w->now - l->confirmed_ms >= CONFIRM_INTERVAL_MS ||
-	     sched_needs_confirmation(l->s)) &&
+	     sched_needs_confirmation(l->s, w->now)) &&
 	    w->now >= l->cut_off_until_ms && !random_below(w, 4)) {
 		if (w->row_leader != index + 1) {
 			leader_resign(w, l);
