node: a late answer gives a leader that stood still no orders back

A leader whose process stood still for a second, or that met the fence of a newer one, gives no orders before the store confirms it. The answer to a call that it had sent before, still in its socket, counted as that confirmation and allowed orders for up to 6 s from its sending.

Orders now need a confirmation by a call sent since; one is sent at the next tick.

leader_test: test_late_answer_allows_no_orders fails without the condition in leader_confirmed_within() (trial).

--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -95,13 +95,24 @@
 	return n->leader.known && n->leader.incarnation == n->incarnation;
 }
 
+bool leader_confirmed_within(const struct node *n, uint64_t now, uint32_t ms)
+{
+	return n->confirmed_ms && n->confirmed_ms >= n->doubted_ms &&
+	       now - n->confirmed_ms < ms;
+}
+
 bool leader_may_order(const struct node *n, uint64_t now)
 {
-	return n->phase == LEADER_DECIDING && n->confirmed_ms &&
-	       now - n->confirmed_ms < LEADER_ORDERS_MS;
+	return n->phase == LEADER_DECIDING &&
+	       leader_confirmed_within(n, now, LEADER_ORDERS_MS);
+}
+
+void leader_doubted(struct node *n, uint64_t now)
+{
+	n->confirmed_ms = 0;
+	n->doubted_ms = now;
 }
 
-/* A store call that was sent at sent_ms found the row unchanged. */
 void leader_confirmed(struct node *n, uint64_t sent_ms)
 {
 	if (sent_ms > n->confirmed_ms)
@@ -676,6 +687,7 @@
 		return;
 	}
 	if (now - n->confirmed_ms >= LEADER_CONFIRM_MS ||
+	    n->confirmed_ms < n->doubted_ms ||
 	    (n->phase == LEADER_DECIDING &&
 	     sched_needs_confirmation(n->sched, now)))
 		read_row(n, now);
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -411,9 +411,9 @@
 				      n->settings.holder_ms,
 				      n->predecessor_ended };
 
-	return machines_wait_is_over(&wait, now) && n->confirmed_ms &&
-	       now - n->confirmed_ms < ORDER_CONFIRMED_MS && !n->releasing &&
-	       !n->stopping;
+	return machines_wait_is_over(&wait, now) &&
+	       leader_confirmed_within(n, now, ORDER_CONFIRMED_MS) &&
+	       !n->releasing && !n->stopping;
 }
 
 /* machines_stats - false while this node is not the leader */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -30,12 +30,12 @@
 	if (stalled_ms < STALL_MS)
 		return;
 	watch_from(n, FEED_OPERATOR, 0);
+	leader_doubted(n, now);
 	if (n->phase == LEADER_NONE)
 		return;
 	event_log("stood-still", NULL, "\"for_ms\":%llu,\"epoch\":%llu",
 		  (unsigned long long)stalled_ms,
 		  (unsigned long long)n->leader.epoch);
-	n->confirmed_ms = 0;
 }
 
 static void run_pass(void *arg)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -292,6 +292,7 @@
 	 * unchanged; 0: a new confirmation is needed before the next order.
 	 */
 	uint64_t confirmed_ms;
+	uint64_t doubted_ms; /* an earlier confirmation allows no order */
 
 	/* predecessor_ended: its process ended without releasing leadership. */
 	bool predecessor_gone; /* the predecessor gives no more orders */
@@ -454,7 +455,25 @@
 bool leader_is_live(const struct node *n);
 bool leader_may_order(const struct node *n, uint64_t now);
 void leader_release(struct node *n);
+
+/* leader_confirmed - a store call sent at sent_ms found the row unchanged */
 void leader_confirmed(struct node *n, uint64_t sent_ms);
+
+/*
+ * leader_confirmed_within - whether the last confirmation allows orders
+ *
+ * It must be less than ms old.
+ */
+bool leader_confirmed_within(const struct node *n, uint64_t now, uint32_t ms);
+
+/*
+ * leader_doubted - this node may have been replaced
+ *
+ * It gives orders again once a store call that is sent now or later has
+ * confirmed it. Answers to earlier calls, which may still come, show only that
+ * it was the leader then.
+ */
+void leader_doubted(struct node *n, uint64_t now);
 uint32_t leader_live_age_ms(const struct node *n);
 void leader_reported_live(struct node *n, uint32_t age_ms, uint64_t now);
 void leader_store_recovered(struct node *n);
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -43,7 +43,7 @@
 		  ",\"confirmed_ms_ago\":%" PRId64,
 		  call, n->leader.epoch, n->fence,
 		  n->confirmed_ms ? (int64_t)(now - n->confirmed_ms) : -1);
-	n->confirmed_ms = 0;
+	leader_doubted(n, now);
 }
 
 static void on_polled(void *arg, enum poll_result result,
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -384,6 +384,40 @@
 	}
 }
 
+/*
+ * A leader that stood still, or met the fence of a newer one, gives no orders
+ * on an answer to a call that it had sent before.
+ */
+static void test_late_answer_allows_no_orders(void **state)
+{
+	enum { DOUBTED_MS = 50000 };
+	static const struct {
+		const char *what;
+		uint64_t sent_ms;
+		bool may_order;
+	} answers[] = {
+		{ "sent before", DOUBTED_MS - 1, false },
+		{ "sent at that time", DOUBTED_MS, true },
+		{ "sent after it", DOUBTED_MS + 100, true },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(answers) / sizeof(answers[0]); c++) {
+		struct node *n = talloc_zero(NULL, struct node);
+
+		n->phase = LEADER_LOADING; /* it has no scheduler yet */
+		n->confirmed_ms = DOUBTED_MS - 200;
+		leader_doubted(n, DOUBTED_MS);
+		leader_confirmed(n, answers[c].sent_ms);
+		n->phase = LEADER_DECIDING;
+		if (leader_may_order(n, DOUBTED_MS + 200) !=
+		    answers[c].may_order)
+			fail_msg("%s", answers[c].what);
+		talloc_free(n);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -398,6 +432,7 @@
 		cmocka_unit_test(test_slow_answers_count_for_a_while),
 		cmocka_unit_test(test_heartbeats_follow_the_leaders_power),
 		cmocka_unit_test(test_lost_answer_of_a_claim_burns_no_epoch),
+		cmocka_unit_test(test_late_answer_allows_no_orders),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/rig/election.c
+++ b/test/rig/election.c
@@ -30,6 +30,8 @@
 #define LAG_GAP_MAX_MS 500u
 #define LAG_LOOK_MS 50u /* between two looks whether it has */
 
+#define STANDSTILL_MS 1000u /* after which a leader needs a confirmation */
+
 #define STEP_MS 500u /* between two looks at the result */
 
 #define MS 1000u /* us */
@@ -53,6 +55,7 @@
 	bool overlap;	    /* a leader gave orders after its successor */
 	bool unexpected;    /* that the successor doesn't reckon with */
 	bool fence_too_low; /* instances would take the older one's orders */
+	bool outdated;	    /* orders rest on an answer from before a freeze */
 	uint32_t jobs;
 };
 
@@ -97,6 +100,24 @@
 		t->unexpected = true;
 }
 
+/*
+ * A leader that stood still may have been replaced meanwhile. It gives orders
+ * once the store has confirmed it by the answer to a later call.
+ */
+static void check_resumed(struct trial *t, const struct host *h)
+{
+	if (h->thawed_us < h->frozen_us + STANDSTILL_MS * MS ||
+	    h->node->confirmed_ms * MS >= h->thawed_us)
+		return;
+	if (!t->outdated)
+		site_note(t->s,
+			  "%s gives orders, confirmed %.3f s before it went on",
+			  h->name,
+			  (double)(h->thawed_us - h->node->confirmed_ms * MS) /
+				  1e6);
+	t->outdated = true;
+}
+
 /* Whether a claim has no cause in the trouble before. */
 static bool is_change(const struct trial *t, const struct host *h)
 {
@@ -112,6 +133,7 @@
 	if (!gives_orders(h) || h->node->last_iteration_ms != clock_now_ms())
 		return; /* it has had no pass yet in which to give any */
 	check_overlap(t, h);
+	check_resumed(t, h);
 	if (now_us < t->calm_us || site_leader(t->s) != h)
 		return;
 	if (!t->first_us || (h != t->leader && !is_change(t, h))) {
@@ -386,6 +408,8 @@
 		return "a leader gives orders that its successor excludes";
 	if (t->fence_too_low)
 		return "a leader's fence doesn't exclude an earlier one";
+	if (t->outdated)
+		return "a leader that stood still gives orders unconfirmed";
 	if (t->c->one_orders && t->overlap)
 		return "two nodes may give orders";
 	if (now_us <= t->calm_us)
--- a/test/rig/site.c
+++ b/test/rig/site.c
@@ -189,12 +189,14 @@
 {
 	site_note(h->site, "%s is frozen", h->name);
 	h->frozen = true;
+	h->frozen_us = h->site->now_us;
 }
 
 void host_thaw(struct host *h)
 {
 	site_note(h->site, "%s goes on", h->name);
 	h->frozen = false;
+	h->thawed_us = h->site->now_us;
 	start_next(h);
 }
 
--- a/test/rig/site.h
+++ b/test/rig/site.h
@@ -48,7 +48,8 @@
 	uint32_t node_power;	/* thousandths of a core */
 	uint32_t delay_ms;	/* longest delay of a message to or from it */
 	bool frozen, killed;
-	bool refused; /* the store refuses its calls */
+	uint64_t frozen_us, thawed_us; /* last time; 0: never */
+	bool refused;		       /* the store refuses its calls */
 
 	struct work *queue, *current;
 	uint64_t free_us; /* when it has done what it is doing */
