leader: a refused connection proves no end of a leader

A leader whose address refused a connection counted as ended: its successor neither waited for its orders on instances that it couldn't reach, nor with orders to machines after a restart.

A refused connection still makes nodes claim at once; that the predecessor gives no more orders is known when it released leadership or a later incarnation of it is seen, which a restarted process shows with its first heartbeat.

--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -299,7 +299,7 @@
 		}
 	}
 	if (changed) {
-		n->leader_ended = false;
+		n->leader_ended = n->leader_restarted = false;
 		n->leader_live_ms = n->leader_not_live_ms = 0;
 	}
 	n->leader = *view;
@@ -335,7 +335,7 @@
 	n->leader = *view;
 	n->fence = view->revision;
 	n->term_epoch = view->epoch;
-	n->leader_ended = false;
+	n->leader_ended = n->leader_restarted = false;
 	n->leader_live_ms = n->leader_not_live_ms = 0;
 	n->phase = LEADER_LOADING;
 	n->phase_generation++;
@@ -449,9 +449,9 @@
 	snprintf(n->predecessor, sizeof(n->predecessor), "%s", n->leader.node);
 	n->predecessor_incarnation = n->leader.incarnation;
 	n->predecessor_gone =
-		!n->leader.known || !*n->leader.node || n->leader_ended;
+		!n->leader.known || !*n->leader.node || n->leader_restarted;
 	n->predecessor_ended =
-		n->leader.known && *n->leader.node && n->leader_ended;
+		n->leader.known && *n->leader.node && n->leader_restarted;
 	fill_leader_txn(n, txn, &claim->wanted);
 	n->claiming = true;
 	n->claim_sent_ms = now;
@@ -563,9 +563,9 @@
 }
 
 /*
- * A connection to the address of this incarnation of a leader was refused, so
- * its process has ended: a process that is frozen, slow or cut off refuses no
- * connection.
+ * A connection to the address of this incarnation of a leader was refused. Its
+ * process has probably ended: one that is frozen or slow refuses none. But a
+ * network may, in the name of a machine that it doesn't reach.
  */
 void leader_connection_refused(struct node *n, uint64_t incarnation)
 {
@@ -580,8 +580,10 @@
 {
 	if (n->phase == LEADER_NONE && n->leader.known &&
 	    n->leader.incarnation && !strcmp(name, n->leader.node) &&
-	    incarnation != n->leader.incarnation)
+	    incarnation != n->leader.incarnation) {
+		n->leader_restarted = true;
 		leader_has_ended(n, "a new incarnation");
+	}
 	if (n->phase == LEADER_NONE || n->predecessor_gone ||
 	    strcmp(name, n->predecessor) ||
 	    incarnation == n->predecessor_incarnation)
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -275,8 +275,9 @@
 	uint32_t leader_changes;    /* recent ones without a release */
 	uint64_t leader_changed_ms; /* when the last of them was learned */
 	uint64_t leader_learned_ms; /* when the leader was */
-	bool leader_ended; /* the leader's process is known to have ended */
-	bool claiming;	   /* a claim is in flight */
+	bool leader_ended;	/* the leader's process seems to have ended */
+	bool leader_restarted;	/* it has: a later one of that node is known */
+	bool claiming;		/* a claim is in flight */
 	uint64_t claim_sent_ms; /* when the last claim was sent */
 	uint64_t term_epoch;	/* of this node's newest term; 0: none */
 	bool stepped_down; /* has released leadership to a stronger node once */
--- a/test/leader_test.c
+++ b/test/leader_test.c
@@ -110,9 +110,9 @@
 }
 
 /*
- * A refused connection proves that the leader's process has ended, if the call
- * was made to that incarnation of it. It proves nothing about another
- * leader, and silence proves nothing either.
+ * After a refused connection a leader is replaced at once, if the call was made
+ * to that incarnation of it; but only a new incarnation proves that the process
+ * has ended. It says nothing about another leader, and silence neither.
  */
 static void test_leader_connection_refused(void **state)
 {
@@ -147,6 +147,7 @@
 		n->leader_last_heard_ms = clock_now_ms();
 		leader_connection_refused(n, refused[c].called);
 		if (n->leader_ended != refused[c].ended ||
+		    n->leader_restarted ||
 		    (n->leader_last_heard_ms == 0) != refused[c].ended)
 			fail_msg("%s", refused[c].what);
 		talloc_free(n);
