leader: a new leader waits for orders of all leaders before it

A leader waited for the orders of its predecessor, and not at all if that one had released leadership or restarted. But the predecessor may have replaced a leader that was cut off from the store and still gave orders: up to 4 s of two runs of one task (TWICE) on an instance that only that one reached.

The leader row now says whether earlier leaders could give orders when it was written; the next leader then waits until LEADER_ORDERS_MS after it learned of that claim. A row of an earlier release says no, as before.

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -1455,7 +1455,7 @@
   (ProtobufCMessageInit) fleet__end_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__lead_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor fleet__lead_row__field_descriptors[6] =
 {
   {
     "node",
@@ -1517,10 +1517,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "formers",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__LeadRow, formers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__lead_row__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = epoch */
+  5,   /* field[5] = formers */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = node */
   4,   /* field[4] = settled */
@@ -1528,7 +1541,7 @@
 static const ProtobufCIntRange fleet__lead_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor fleet__lead_row__descriptor =
 {
@@ -1538,7 +1551,7 @@
   "Fleet__LeadRow",
   "fleet",
   sizeof(Fleet__LeadRow),
-  5,
+  6,
   fleet__lead_row__field_descriptors,
   fleet__lead_row__field_indices_by_name,
   1,  fleet__lead_row__number_ranges,
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -255,10 +255,14 @@
    * incremented to void writes of unknown outcome
    */
   uint32_t settled;
+  /*
+   * earlier leaders may still give orders
+   */
+  protobuf_c_boolean formers;
 };
 #define FLEET__LEAD_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__lead_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -156,6 +156,7 @@
 	view->incarnation = l->incarnation;
 	view->epoch = l->epoch;
 	view->resolved = l->settled;
+	view->formers = l->formers;
 	view->revision = row->revision;
 	view->known = true;
 	fleet__lead_row__free_unpacked(l, NULL);
@@ -172,6 +173,7 @@
 	l.incarnation = view->incarnation;
 	l.epoch = view->epoch;
 	l.settled = view->resolved;
+	l.formers = view->formers;
 	return node_pack(ctx, &l, length);
 }
 
@@ -298,6 +300,8 @@
 			return;
 		}
 	}
+	if (!n->leader.known || view->epoch != n->leader.epoch)
+		n->epoch_learned_ms = now;
 	if (changed) {
 		n->leader_ended = n->leader_restarted = false;
 		n->leader_live_ms = n->leader_not_live_ms = 0;
@@ -329,12 +333,25 @@
 	n->leader_last_heard_ms = clock_now_ms();
 }
 
+/*
+ * The predecessor may have been replaced without its knowledge, as may any
+ * leader that it replaced, for LEADER_ORDERS_MS after the claim that did it.
+ */
+uint32_t leader_formers_order_ms(const struct node *n, uint64_t now)
+{
+	if (!n->predecessor_gone)
+		return LEADER_ORDERS_MS;
+	return now < n->formers_until_ms ? (uint32_t)(n->formers_until_ms - now)
+					 : 0;
+}
+
 static void start_term(struct node *n, const struct leader_view *view)
 {
 	count_change(n, view->epoch, clock_now_ms());
 	n->leader = *view;
 	n->fence = view->revision;
 	n->term_epoch = view->epoch;
+	n->epoch_learned_ms = clock_now_ms();
 	n->leader_ended = n->leader_restarted = false;
 	n->leader_live_ms = n->leader_not_live_ms = 0;
 	n->phase = LEADER_LOADING;
@@ -345,9 +362,11 @@
 	term_begun(n);
 	event_log("claim", NULL,
 		  "\"epoch\":%" PRIu64 ",\"fence\":%" PRIu64
-		  ",\"predecessor\":\"%s\",\"predecessor_gone\":%d",
+		  ",\"predecessor\":\"%s\",\"predecessor_gone\":%d"
+		  ",\"formers_ms\":%u",
 		  view->epoch, view->revision, n->predecessor,
-		  n->predecessor_gone);
+		  n->predecessor_gone,
+		  leader_formers_order_ms(n, clock_now_ms()));
 	takeover_begin(n);
 }
 
@@ -450,8 +469,13 @@
 	n->predecessor_incarnation = n->leader.incarnation;
 	n->predecessor_gone =
 		!n->leader.known || !*n->leader.node || n->leader_restarted;
-	n->predecessor_ended =
-		n->leader.known && *n->leader.node && n->leader_restarted;
+	n->formers_until_ms = n->leader.known && n->leader.formers
+				      ? n->epoch_learned_ms + LEADER_ORDERS_MS
+				      : 0;
+	n->predecessor_ended = n->leader.known && *n->leader.node &&
+			       n->leader_restarted &&
+			       now >= n->formers_until_ms;
+	claim->wanted.formers = leader_formers_order_ms(n, now) > 0;
 	fill_leader_txn(n, txn, &claim->wanted);
 	n->claiming = true;
 	n->claim_sent_ms = now;
@@ -578,6 +602,8 @@
 /* A new incarnation of a leader proves that the old process has ended. */
 void leader_peer_seen(struct node *n, const char *name, uint64_t incarnation)
 {
+	uint64_t now = clock_now_ms();
+
 	if (n->phase == LEADER_NONE && n->leader.known &&
 	    n->leader.incarnation && !strcmp(name, n->leader.node) &&
 	    incarnation != n->leader.incarnation) {
@@ -588,10 +614,14 @@
 	    strcmp(name, n->predecessor) ||
 	    incarnation == n->predecessor_incarnation)
 		return;
-	n->predecessor_gone = n->predecessor_ended = true;
-	event_log("predecessor-gone", NULL, "\"predecessor\":\"%s\"", name);
+	n->predecessor_gone = true;
+	n->predecessor_ended = now >= n->formers_until_ms;
+	event_log("predecessor-gone", NULL,
+		  "\"predecessor\":\"%s\",\"formers_ms\":%u", name,
+		  leader_formers_order_ms(n, now));
 	if (n->phase == LEADER_DECIDING)
-		sched_predecessor_gone(n->sched, clock_now_ms());
+		sched_predecessor_gone(n->sched,
+				       now + leader_formers_order_ms(n, now));
 }
 
 uint32_t leader_silence_limit_ms(uint32_t interval_ms, uint32_t answer_ms,
@@ -722,6 +752,7 @@
 void leader_release(struct node *n)
 {
 	struct leader_view view = n->leader;
+	uint64_t now = clock_now_ms();
 	struct store_txn *txn;
 
 	if (n->phase == LEADER_NONE) {
@@ -733,6 +764,8 @@
 	n->releasing = true;
 	view.node[0] = '\0';
 	view.incarnation = 0;
+	view.formers = leader_formers_order_ms(n, now) > 0 &&
+		       now - n->leader_since_ms < LEADER_ORDERS_MS;
 	txn = talloc_zero(n, struct store_txn);
 	assert(txn);
 	fill_leader_txn(n, txn, &view);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -92,6 +92,8 @@
 	uint64_t epoch;
 	uint64_t revision;
 	uint32_t resolved; /* incremented to void writes of unknown outcome */
+	/* When it was written, leaders before this one could give orders. */
+	bool formers;
 	bool known;
 };
 
@@ -275,6 +277,7 @@
 	uint32_t leader_changes;    /* recent ones without a release */
 	uint64_t leader_changed_ms; /* when the last of them was learned */
 	uint64_t leader_learned_ms; /* when the leader was */
+	uint64_t epoch_learned_ms;  /* when its epoch was */
 	bool leader_ended;	/* the leader's process seems to have ended */
 	bool leader_restarted;	/* it has: a later one of that node is known */
 	bool claiming;		/* a claim is in flight */
@@ -298,6 +301,8 @@
 	/* predecessor_ended: its process ended without releasing leadership. */
 	bool predecessor_gone; /* the predecessor gives no more orders */
 	bool predecessor_ended;
+	/* Until then leaders before the predecessor may; 0: there are none. */
+	uint64_t formers_until_ms;
 	char predecessor[NODE_NAME_MAX];
 	uint64_t predecessor_incarnation;
 	bool registered;  /* this node's row is stored */
@@ -457,6 +462,13 @@
 bool leader_may_order(const struct node *n, uint64_t now);
 void leader_release(struct node *n);
 
+/*
+ * leader_formers_order_ms - how long earlier leaders may still give orders
+ *
+ * now: when this leader begins to decide.
+ */
+uint32_t leader_formers_order_ms(const struct node *n, uint64_t now);
+
 /* leader_confirmed - a store call sent at sent_ms found the row unchanged */
 void leader_confirmed(struct node *n, uint64_t sent_ms);
 
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -213,16 +213,17 @@
 static void finish(struct takeover *t)
 {
 	struct node *n = t->node;
+	uint64_t now = clock_now_ms();
+	uint32_t orders_ms = leader_formers_order_ms(n, now);
 	struct sched_options options = {
 		.lease_ms = n->settings.lease_ms,
 		.lease_max_ms = n->settings.lease_max_ms,
-		.predecessor_orders_ms = LEADER_ORDERS_MS,
+		.predecessor_orders_ms = orders_ms,
 		.start_wait_ms = START_WAIT_MS,
 		.end_keep_ms = n->settings.end_keep_ms,
 		.job_bytes_max = n->settings.job_bytes_max,
 		.row_bytes = n->settings.row_bytes,
 	};
-	uint64_t now = clock_now_ms();
 
 	n->sched = sched_new(n, &options);
 	sched_set_clock(n->sched, node_unix_ms(n));
@@ -232,8 +233,7 @@
 	/* The rows of all instances aren't news of each. */
 	sched_set_trace(n->sched, on_trace, n);
 	load_jobs(t);
-	sched_become_leader(n->sched, n->leader.epoch, n->predecessor_gone,
-			    now);
+	sched_become_leader(n->sched, n->leader.epoch, !orders_ms, now);
 	n->phase = LEADER_DECIDING;
 	term_deciding(n, now);
 	watch_from(n, FEED_INSTANCES, t->tables[READ_INSTANCES].first_revision);
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -210,8 +210,8 @@
 void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
 			 uint64_t now);
 
-/* sched_predecessor_gone - the predecessor sends no more orders */
-void sched_predecessor_gone(struct sched *s, uint64_t now);
+/* sched_predecessor_gone - former leaders send no orders after end_ms */
+void sched_predecessor_gone(struct sched *s, uint64_t end_ms);
 
 /* sched_configure - applies a configuration and keeps a reference to it */
 void sched_configure(struct sched *s, const struct config *c, uint64_t now);
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -126,13 +126,13 @@
 			lease_set_from_predecessor(s, s->instances[n]);
 }
 
-void sched_predecessor_gone(struct sched *s, uint64_t now)
+void sched_predecessor_gone(struct sched *s, uint64_t end_ms)
 {
 	uint32_t n;
 
-	if (s->predecessor_end_ms <= now)
+	if (s->predecessor_end_ms <= end_ms)
 		return;
-	s->predecessor_end_ms = now;
+	s->predecessor_end_ms = end_ms;
 	for (n = 0; n < s->instance_slots; n++)
 		if (s->instances[n] && !s->instances[n]->reported)
 			lease_set_from_predecessor(s, s->instances[n]);
--- a/test/formers_test.c
+++ b/test/formers_test.c
@@ -1,5 +1,5 @@
 /*
- * Whether a new leader waits for orders of the one before it.
+ * How long a new leader waits for orders of those before it.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -43,22 +43,34 @@
 
 enum sign { SILENT, RELEASED, REFUSED, RESTARTED };
 
-/* What n-3 learns of n-2, the leader, before it claims. */
-static const struct {
+/* n-2 claims at START_MS; some time later n-3 finds a sign that it is gone. */
+struct former_case {
 	const char *what;
+	bool formers; /* as the row of n-2 says */
+	uint32_t led_ms;
 	enum sign sign;
-	bool gone;
-} cases[] = {
-	{ "released", RELEASED, true },
-	{ "restarted", RESTARTED, true },
-	{ "silent", SILENT, false },
-	{ "a refused connection proves no end", REFUSED, false },
+	uint32_t orders_end_ms; /* after START_MS; 0: none may come */
+	bool waits_in_full;	/* LEADER_ORDERS_MS, from the takeover on */
+};
+
+static const struct former_case cases[] = {
+	{ "released", false, 3000, RELEASED, 0, false },
+	{ "restarted", false, 3000, RESTARTED, 0, false },
+	{ "silent", false, 3000, SILENT, 0, true },
+	{ "a refused connection proves no end", false, 3000, REFUSED, 0, true },
+	{ "released, one that it replaced may order", true, 3000, RELEASED,
+	  LEADER_ORDERS_MS, false },
+	{ "restarted, one that it replaced may order", true, 3000, RESTARTED,
+	  LEADER_ORDERS_MS, false },
+	{ "released, one that it replaced may order no more", true,
+	  LEADER_ORDERS_MS + 1000, RELEASED, 0, false },
 };
 
 static void give_sign(struct node *n, enum sign sign)
 {
 	struct leader_view released = { .epoch = 2,
 					.revision = 30,
+					.formers = n->leader.formers,
 					.known = true };
 
 	switch (sign) {
@@ -76,18 +88,20 @@
 	}
 }
 
-static void test_leader_waits_for_orders_of_one_that_may_live(void **state)
+static void test_leader_waits_for_orders_of_all_before_it(void **state)
 {
-	struct leader_view view = { .node = "n-2",
-				    .incarnation = 2,
-				    .epoch = 2,
-				    .revision = 20,
-				    .known = true };
 	size_t c;
 
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct leader_view view = { .node = "n-2",
+					    .incarnation = 2,
+					    .epoch = 2,
+					    .revision = 20,
+					    .formers = cases[c].formers,
+					    .known = true };
 		struct node *n = talloc_zero(NULL, struct node);
+		uint64_t end_ms, wanted_ms;
 
 		n->ev = tevent_context_init(n);
 		n->services = &services;
@@ -97,15 +111,26 @@
 		claimed.known = false;
 		now_ms = START_MS;
 		leader_learn(n, &view, "test");
+		now_ms += cases[c].led_ms;
 		n->leader_last_heard_ms = now_ms;
 		give_sign(n, cases[c].sign);
 		while (!claimed.known && now_ms < 2 * START_MS) {
 			now_ms += STEP_MS;
 			leader_tick(n, now_ms);
 		}
-		assert_true(claimed.known);
-		if (n->predecessor_gone != cases[c].gone)
-			fail_msg("%s", cases[c].what);
+		end_ms = now_ms + leader_formers_order_ms(n, now_ms);
+		wanted_ms = now_ms;
+		if (cases[c].waits_in_full)
+			wanted_ms += LEADER_ORDERS_MS;
+		else if (wanted_ms < START_MS + cases[c].orders_end_ms)
+			wanted_ms = START_MS + cases[c].orders_end_ms;
+		if (end_ms != wanted_ms)
+			fail_msg("%s: waits for %u ms, wanted %u",
+				 cases[c].what, (unsigned int)(end_ms - now_ms),
+				 (unsigned int)(wanted_ms - now_ms));
+		if (claimed.formers != (end_ms > now_ms))
+			fail_msg("%s: its row says %d", cases[c].what,
+				 claimed.formers);
 		talloc_free(n);
 	}
 }
@@ -113,8 +138,7 @@
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
-		cmocka_unit_test(
-			test_leader_waits_for_orders_of_one_that_may_live),
+		cmocka_unit_test(test_leader_waits_for_orders_of_all_before_it),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/rig/election.c
+++ b/test/rig/election.c
@@ -67,8 +67,8 @@
 
 /*
  * Instances refuse orders under a lower fence than one they have seen. For
- * those that a successor hasn't reached it waits LEADER_ORDERS_MS, and not at
- * all if its predecessor is gone.
+ * those that a successor hasn't reached it waits LEADER_ORDERS_MS, and less if
+ * its predecessor is gone.
  */
 static void check_overlap(struct trial *t, struct host *h)
 {
@@ -96,7 +96,7 @@
 			  (double)(t->replaced_us - SITE_START_US) / 1e6);
 	t->overlap = true;
 	if (after_us > LEADER_ORDERS_MS * MS ||
-	    (newest->predecessor_gone && !strcmp(newest->predecessor, h->name)))
+	    !leader_formers_order_ms(newest, clock_now_ms()))
 		t->unexpected = true;
 }
 
