sched: a task whose found run has ended may run elsewhere still

A task had two runs at once, or a third attempt where two are allowed. A new leader that found a run of a task took it for the only one and, once it had ended, started the task again before all instances had reported. But the former leader may have seen that end too, by a poll that waited at the instance before the new fence came, and may have started the task on an instance that hasn't reported; or the found run is a second one, after a failure that another instance has yet to report.

Such a task counts as possibly running again until the instances of its pool have reported or expired, like one that no run was found of. A long-running task isn't drained in that time, since it could not be started again.

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -125,6 +125,9 @@
 		if (run->state != RUN_RUNNING || (!lasting && graceful) ||
 		    !task_may_stop(run->task, now))
 			continue;
+		/* It starts again once all instances have reported. */
+		if (lasting && run->task->step->job->loaded)
+			continue;
 		if (lasting && !has_other_place(s, run, now)) {
 			i->pool->no_place_ms = now;
 			if (!may_empty)
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -106,6 +106,16 @@
 	DL_DELETE2(s->unsettled, run, unsettled_prev, unsettled_next);
 }
 
+/*
+ * A former leader may know of the end of a run as well, and may have started
+ * the task again on an instance that has not reported yet.
+ */
+static void task_run_found_ended(struct task *task)
+{
+	if (!task->done)
+		task_set_possibly_running(task, true);
+}
+
 /* Frees a run that has ended or can no longer begin. */
 void run_free(struct sched *s, struct run *run, uint64_t now)
 {
@@ -121,6 +131,8 @@
 	s->runs[run->handle.i] = NULL;
 	s->run_generations[run->handle.i]++;
 	s->run_free_hint = run->handle.i;
+	if (run->adopted_ms && task->step->job->loaded && !task->runs)
+		task_run_found_ended(task);
 	if (task->step->spec->lasting && !task->unavailable_since_ms)
 		task->unavailable_since_ms = now;
 	step_refresh(task->step);
