sched: a run whose end is not listed yet isn't lost

While the store is down, ends can't be acknowledged, and an instance lists 500 of them at a time.

A full list says that further ends may follow. Until it is whole, no run counts as lost because a report lacks it, and a new leader doesn't take the instance for one that has reported everything. The stand-in lists 500 ends at a time, too.

--- a/proto/fleet.pb-c.c
+++ b/proto/fleet.pb-c.c
@@ -2589,7 +2589,7 @@
   (ProtobufCMessageInit) fleet__call_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fleet__call_report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor fleet__call_report__field_descriptors[5] =
 {
   {
     "clock_ms",
@@ -2639,17 +2639,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more_ended",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fleet__CallReport, more_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fleet__call_report__field_indices_by_name[] = {
   1,   /* field[1] = born */
   0,   /* field[0] = clock_ms */
   3,   /* field[3] = ended */
+  4,   /* field[4] = more_ended */
   2,   /* field[2] = running */
 };
 static const ProtobufCIntRange fleet__call_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor fleet__call_report__descriptor =
 {
@@ -2659,7 +2672,7 @@
   "Fleet__CallReport",
   "fleet",
   sizeof(Fleet__CallReport),
-  4,
+  5,
   fleet__call_report__field_descriptors,
   fleet__call_report__field_indices_by_name,
   1,  fleet__call_report__number_ranges,
--- a/proto/fleet.pb-c.h
+++ b/proto/fleet.pb-c.h
@@ -487,10 +487,14 @@
   Fleet__CallRunning **running;
   size_t n_ended;
   Fleet__CallEnded **ended;
+  /*
+   * further ends follow these
+   */
+  protobuf_c_boolean more_ended;
 };
 #define FLEET__CALL_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fleet__call_report__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Fleet__CallResult
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -308,6 +308,7 @@
 	report->ended_count = (uint32_t)in->n_ended;
 	report->running = running;
 	report->ended = ended;
+	report->more_ended = in->more_ended;
 	return report;
 }
 
--- a/src/node/relay_server.c
+++ b/src/node/relay_server.c
@@ -151,6 +151,7 @@
 	}
 	out->n_running = report->running_count;
 	out->n_ended = report->ended_count;
+	out->more_ended = report->more_ended;
 	out->clock_ms = report->clock_ms;
 	out->born = report->started_unix_ms;
 }
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -115,6 +115,7 @@
 	uint32_t ended_count;
 	const struct sched_running *running;
 	const struct sched_ended *ended;
+	bool more_ended; /* further ends follow once these are acknowledged */
 };
 
 enum sched_order_kind { ORDER_START, ORDER_STOP, ORDER_THROTTLE };
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -299,7 +299,10 @@
 		gang_restart(s, task->step);
 }
 
-/* Frees runs that should be in the report and are not. */
+/*
+ * Frees runs that should be in the report and are not. A run may be missing
+ * because its end is not listed yet.
+ */
 static void free_missing_runs(struct sched *s, struct instance *i,
 			      const struct sched_report *r, uint64_t sent_ms,
 			      uint64_t now)
@@ -308,6 +311,8 @@
 	char name[SCHED_TASK_MAX];
 	uint32_t n;
 
+	if (r->more_ended)
+		return;
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
 		/* Within a millisecond the order of events is unknown. */
@@ -451,7 +456,8 @@
 		apply_running(s, i, &r->running[n], sent_ms, now);
 	apply_ends(s, i, r, now);
 	free_missing_runs(s, i, r, sent_ms, now);
-	instance_count_reported(s, i);
+	if (!r->more_ended)
+		instance_count_reported(s, i);
 	acknowledge_unchanged(s, i);
 	i->next_poll_ms = next_poll_ms(i, now);
 	instance_throttle(s, i, now);
--- a/standin/site.c
+++ b/standin/site.c
@@ -38,6 +38,7 @@
 #define WORKERS_MAX 512
 #define RUNNING_MAX 256 /* tasks of one worker at a time */
 #define NAME_MAX_BYTES 32
+#define ENDS_PAGE 500u	  /* ends in one report */
 #define TICK_MS 10u	  /* between checks for ended runs and due answers */
 #define STOP_DELAY_MS 20u /* from a stop order to the end of the run */
 #define CRASH_DOWN_MS 2000u
@@ -467,16 +468,19 @@
 static json_t *encode_report(struct worker *w, uint64_t now)
 {
 	json_t *running = json_array();
+	json_t *ended = json_array();
 	uint32_t i;
 
+	for (i = 0; i < json_array_size(w->ended) && i < ENDS_PAGE; i++)
+		json_array_append(ended, json_array_get(w->ended, i));
 	for (i = 0; i < w->running_count; i++)
 		json_array_append_new(
 			running,
 			json_pack("[s, I, s, i, i]", w->running[i].task,
 				  (json_int_t)w->running[i].run, "", 100, 0));
-	return json_pack("{s:I, s:I, s:o, s:O}", "clockMs", (json_int_t)now,
+	return json_pack("{s:I, s:I, s:o, s:o}", "clockMs", (json_int_t)now,
 			 "born", (json_int_t)w->started_ms, "running", running,
-			 "ended", w->ended);
+			 "ended", ended);
 }
 
 static void answer_poll(struct worker *w, uint64_t now)
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -151,12 +151,67 @@
 	talloc_free(r.s);
 }
 
+/*
+ * A report whose list of ends is cut off may lack a run because it has ended:
+ * the run counts until its end is listed.
+ */
+static void test_run_whose_end_is_not_listed_yet(void **state)
+{
+	static const struct {
+		const char *what;
+		bool takeover, more_ended;
+		uint32_t starts;
+	} cases[] = {
+		{ "all ends are listed", false, false, 1 },
+		{ "further ends follow", false, true, 0 },
+		{ "to a new leader, all ends are listed", true, false, 1 },
+		{ "to a new leader, further ends follow", true, true, 0 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct sched_report cut_off = { .started_unix_ms = 7,
+						.more_ended =
+							cases[c].more_ended };
+		struct sched_poll poll;
+		struct rig r;
+
+		rig_new(&r);
+		add_instance(&r, "i-0", false);
+		if (cases[c].takeover) {
+			sched_load_job(r.s, id_a, job_row(1, 1, false), NULL,
+				       r.now);
+			sched_become_leader(r.s, 2, true, r.now);
+			sched_expect_complete(r.s, r.now);
+		} else {
+			sched_become_leader(r.s, 1, true, r.now);
+			sched_expect_complete(r.s, r.now);
+			make_all_usable(&r);
+			submit(&r, id_a, 1, 1, false);
+			write_all(&r);
+			assert_int_equal(take_orders(&r), 1);
+			answer_orders(&r, ORDER_DONE);
+			r.now += 1000;
+		}
+		assert_true(sched_next_poll(r.s, r.now, &poll));
+		cut_off.clock_ms = r.now;
+		sched_poll_done(r.s, poll.instance, &cut_off, r.now, r.now);
+		r.now += 100;
+		sched_leader_confirmed(r.s, r.now);
+		if (take_orders(&r) != cases[c].starts)
+			fail_msg("%s: %u starts", cases[c].what, r.order_count);
+		talloc_free(r.s);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_ack_of_former_incarnation),
 		cmocka_unit_test(test_unanswered_polls),
 		cmocka_unit_test(test_refused_polls_are_spaced),
+		cmocka_unit_test(test_run_whose_end_is_not_listed_yet),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
