sched: an estimated clock is as slow as leases allow for

After a time without reports (the store is down, the leader stood still) a start could be held for longer than its leader counted, by an instance with a slow clock; once that instance was silent the task ran a second time.

The deadline took the instance's clock to have advanced as the leader's has since the last report. It may be 2% slow, and the slack of a lease covers that for the time of the lease only: after 24 s the estimate is 0.48 s ahead.

The time since the report counts divided by 1 + LEASE_SLACK, the slowest clock that the end of the lease allows for. So the instance never holds its work longer than lease_end_ms, whatever the gap. After a long gap a start may be refused as late; polls follow one another, so the next report mends that.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -368,19 +368,26 @@
 
 /* Leases */
 
-/* Returns the new end by the instance's clock, 0 if that clock is unknown. */
+/*
+ * Returns the new end by the instance's clock, 0 if that clock is unknown. The
+ * clock is taken to have been as slow since its reading as leases allow for, so
+ * that the instance holds its work no longer than lease_end_ms.
+ */
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now)
 {
 	uint64_t end = now + LEASE_MARGIN_MS +
 		       (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK));
+	uint64_t clock_ms;
 
 	if (end > i->lease_end_ms)
 		i->lease_end_ms = end;
 	if (!i->clock_read_ms)
 		return 0;
 	i->leased = true;
-	return i->clock_ms + (now - i->clock_read_ms) + s->options.lease_ms;
+	clock_ms = i->clock_ms + (uint64_t)((double)(now - i->clock_read_ms) /
+					    (1 + LEASE_SLACK));
+	return clock_ms + s->options.lease_ms;
 }
 
 /*
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -1,12 +1,14 @@
 /*
  * Leases that the leader can't renew: a successor that it doesn't know of may
- * have renewed them.
+ * have renewed them. And a lease that an instance with a slow clock may hold
+ * for longer than the leader counts.
  */
 #include "test/rig/sched_rig.h"
 
 #define TASK "000000000000000a.0.0.0"
 /* A leader counts a lease as 3% and 150 ms longer. */
 #define LEASE_OVER_MS (LEASE_MS + LEASE_MS * 3 / 100 + 150)
+#define CLOCK_SLOW 0.98 /* an instance's clock, at the least */
 #define ORDERS_MS 6000u /* of a former leader, after the takeover */
 
 /* Confirmations of the leader, relative to the end of the lease. */
@@ -141,6 +143,44 @@
 	}
 }
 
+/*
+ * The store is down for 30 s and nothing is polled. The clock of an instance
+ * that is 2% slow is behind the estimate: its lease must still end before the
+ * leader takes it for over.
+ */
+static void test_lease_after_a_gap(void **state)
+{
+	const uint64_t gap_ms = 24000; /* 30 s less 6 s of orders */
+	uint64_t clock_ms, started_ms;
+	double held_ms;
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
+	clock_ms = r.now - 1; /* of the reports, by the rig */
+	r.now += gap_ms;
+	sched_leader_confirmed(r.s, r.now);
+	submit(&r, id_a, 1, 1, false);
+	write_all(&r);
+	assert_int_equal(take_orders(&r), 1);
+	held_ms = ((double)r.orders[0].lease_until - (double)clock_ms) /
+			  CLOCK_SLOW -
+		  (double)gap_ms;
+	answer_orders(&r, ORDER_DONE);
+	started_ms = r.now;
+	sched_poll_done(r.s, r.orders[0].instance, NULL, r.now, r.now);
+	while (!take_orders(&r) && r.now - started_ms < 3 * LEASE_MS) {
+		r.now += 10;
+		sched_leader_confirmed(r.s, r.now);
+	}
+	if ((double)(r.now - started_ms) < held_ms)
+		fail_msg("started again after %u ms, held for %.0f ms",
+			 (unsigned int)(r.now - started_ms), held_ms);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -150,6 +190,7 @@
 			test_takeover_repeats_no_run_that_a_successor_may_renew),
 		cmocka_unit_test(
 			test_runs_of_unknown_instances_may_be_renewed_by_a_successor),
+		cmocka_unit_test(test_lease_after_a_gap),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
