sched: an instance that changes its pool before it reports stays unreported

If the directory named another pool than the machine list had, a new leader started tasks of the old pool, although the instance had not reported and could run them for its predecessor: two runs at once.

A change of the pool counted the instance as reported, and it was counted in no pool from then on.

An unreported instance counts in each pool that it has been in, until it reports or its runs have expired; it may run tasks of any of them. sched_unreported() counts instances, not the pools' sums, so that one isn't counted twice.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -68,15 +68,36 @@
 		pool_clear_possibly_running(s, pool);
 }
 
+/* Counts an unreported instance in its pool, also if it has changed that. */
+static void pool_count_unreported(struct instance *i)
+{
+	uint32_t n;
+
+	for (n = 0; n < i->unreported_in_count; n++)
+		if (i->unreported_in[n] == i->pool)
+			return;
+	i->unreported_in = talloc_realloc(i, i->unreported_in, struct pool *,
+					  i->unreported_in_count + 1);
+	assert(i->unreported_in);
+	i->unreported_in[i->unreported_in_count++] = i->pool;
+	i->pool->unreported++;
+}
+
 void instance_count_reported(struct sched *s, struct instance *i)
 {
+	uint32_t n;
+
 	if (!i->counted_unreported)
 		return;
 	i->counted_unreported = false;
-	i->pool->unreported--;
 	amount_sub(&s->unreported, &i->unreported_capacity);
 	memset(&i->unreported_capacity, 0, sizeof(i->unreported_capacity));
-	pool_check_reported(s, i->pool);
+	for (n = 0; n < i->unreported_in_count; n++)
+		i->unreported_in[n]->unreported--;
+	for (n = 0; n < i->unreported_in_count; n++)
+		pool_check_reported(s, i->unreported_in[n]);
+	TALLOC_FREE(i->unreported_in);
+	i->unreported_in_count = 0;
 }
 
 /* An instance whose capacity isn't known may run any number of tasks. */
@@ -93,8 +114,8 @@
 
 static void instance_count_unreported(struct sched *s, struct instance *i)
 {
-	i->pool->unreported++;
 	i->counted_unreported = true;
+	pool_count_unreported(i);
 	set_unreported_capacity(s, i);
 }
 
@@ -148,9 +169,10 @@
 	if (i->pool) {
 		DL_DELETE2(i->pool->instances, i, pool_prev, pool_next);
 		room_changed(i->pool);
-		instance_count_reported(s, i);
 	}
 	i->pool = pool;
+	if (i->counted_unreported)
+		pool_count_unreported(i);
 	pool->amounts_until_ms = 0;
 	room_changed(pool);
 	DL_APPEND2(pool->instances, i, pool_prev, pool_next);
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -256,7 +256,9 @@
 	uint64_t amounts_until_ms;
 	struct instance *instances;
 	struct room room;
-	uint32_t unreported;  /* instances without a report to this leader */
+	/* instances without a report to this leader that are in the pool, or
+	 * were: tasks of it may run there */
+	uint32_t unreported;
 	uint64_t no_place_ms; /* when an evacuation last found no other place */
 	UT_hash_handle hh;
 };
@@ -295,7 +297,10 @@
 	bool maintenance_due;	 /* it will be drained for maintenance */
 	bool reserved;		 /* excluded from placement by fleet/ */
 	bool polling;		 /* a poll is not answered yet */
-	bool counted_unreported; /* in pool.unreported */
+	bool counted_unreported; /* in sched.unreported */
+	/* pools that count it in pool.unreported: all that it has been in */
+	struct pool **unreported_in;
+	uint32_t unreported_in_count;
 	struct amount unreported_capacity; /* its part of sched.unreported */
 	uint64_t known_ms;	 /* when this leader first learned of it */
 	uint64_t unlisted_ms;	 /* when it left the directory; 0: it did not */
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -34,14 +34,14 @@
 
 void sched_unreported(const struct sched *s, struct sched_unreported *u)
 {
-	const struct pool *pool;
+	const struct instance *instance;
 	const struct job *job;
 	const struct occurrence *o;
 	size_t i;
 
 	memset(u, 0, sizeof(*u));
-	for (pool = s->pools; pool; pool = pool->hh.next)
-		u->instances += pool->unreported;
+	for (instance = s->by_id; instance; instance = instance->hh.next)
+		u->instances += instance->counted_unreported;
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
 	for (o = job->occurrences; o; o = o->hh.next)
 		for (i = 0; i < job->row->n_steps; i++)
