fleet: an answered order ends the runs of the instance that it was given for

A task was started a second time while it ran on the new instance of a machine whose upkeep or move had been carried out for a former leader, unrecorded: the platform answers a repeated order as done although it ends nothing.

The answer freed the runs of whatever instance the machine had by then.

A machine keeps the handle, with its generation, of the instance that it had when it was ordered; the answer acts on that one only. If that was unknown, its runs are left to its reports, the machine list and its lease.

test_upkeep_that_was_done_before: before, "the task is started again on i-0, i-9 runs it"; passes now.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -347,8 +347,7 @@
 	}
 	if (known && (load.runs || load.unreported || load.ends_unwritten))
 		return false;
-	m->phase = PHASE_ORDERING;
-	m->phase_since_ms = now;
+	machine_order(m, s, now);
 	action->kind = FLEET_ACTION_MOVE;
 	snprintf(action->machine, sizeof(action->machine), "%s", m->name);
 	snprintf(action->pool, sizeof(action->pool), "%s", m->target_pool);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -110,6 +110,17 @@
 		sched_reserve(s, load.instance, true, now);
 }
 
+void machine_order(struct machine *m, const struct sched *s, uint64_t now)
+{
+	struct sched_instance_load load;
+
+	m->phase = PHASE_ORDERING;
+	m->phase_since_ms = now;
+	memset(&m->ordered, 0, sizeof(m->ordered));
+	if (sched_machine_load(s, m->name, &load))
+		m->ordered = load.instance;
+}
+
 void machine_release(struct machine *m, struct sched *s, uint64_t now)
 {
 	struct sched_instance_load load;
@@ -197,16 +208,17 @@
 	return false;
 }
 
+/*
+ * An order that was carried out before is answered in the same way, so an
+ * instance that was not known when it was given may be up and have runs.
+ */
 static void order_carried_out(struct fleet *f, struct sched *s,
 			      struct machine *m, uint64_t now)
 {
-	struct sched_instance_load load;
-
 	m->phase = PHASE_AWAY;
 	m->phase_since_ms = now;
 	m->state = m->wave ? FLEET_IN_MAINTENANCE : FLEET_MOVING;
-	if (sched_machine_load(s, m->name, &load))
-		sched_machine_down(s, load.instance, now);
+	sched_machine_down(s, m->ordered, now);
 	if (!m->wave) {
 		snprintf(m->pool, sizeof(m->pool), "%s", m->target_pool);
 		f->stats.moves++;
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -30,6 +30,7 @@
 	enum machine_phase phase;
 	struct wave *wave; /* the wave of its maintenance; NULL during a move */
 	char target_pool[FLEET_NAME_MAX];
+	instance_handle_t ordered; /* there when last ordered; zeros: none */
 	uint64_t phase_since_ms;
 	uint64_t drain_since_ms; /* when it was chosen, whatever came after */
 	/* a long-running task was stopped that no other instance has room for
@@ -82,6 +83,9 @@
 void machine_drain(struct machine *m, struct sched *s, uint64_t now);
 void fleet_schedule_list(struct fleet *f, uint64_t at);
 
+/* machine_order - an order for the machine, which is idle, is being given */
+void machine_order(struct machine *m, const struct sched *s, uint64_t now);
+
 /* machine_release - it is drained no more, and stays in its pool */
 void machine_release(struct machine *m, struct sched *s, uint64_t now);
 
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -290,8 +290,7 @@
 	w->away++;
 	if (m->emptied)
 		w->emptied--;
-	m->phase = PHASE_ORDERING;
-	m->phase_since_ms = now;
+	machine_order(m, s, now);
 	action->kind = FLEET_ACTION_MAINTENANCE;
 	action->wave = w->number;
 	snprintf(action->machine, sizeof(action->machine), "%s", m->name);
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -542,7 +542,11 @@
  */
 bool sched_may_interrupt(const struct sched *s, instance_handle_t i);
 
-/* sched_machine_down - frees all runs: an order to its machine ended them */
+/*
+ * sched_machine_down - frees all runs: an order to its machine ended them
+ *
+ * Ignores an instance that is not known any more, and a handle of zeros.
+ */
 void sched_machine_down(struct sched *s, instance_handle_t i, uint64_t now);
 
 /* sched_explain - describes one job as JSON for operators; owned by ctx */
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -276,6 +276,95 @@
 	}
 }
 
+/* Returns a machine's order into maintenance; the pass goes on to its end. */
+static struct fleet_action order_maintenance(struct fleet *f, struct rig *r)
+{
+	struct fleet_action action, ordered = { 0 };
+	bool any = false;
+
+	while (fleet_next_action(f, r->s, r->now, &action))
+		if (action.kind == FLEET_ACTION_MAINTENANCE) {
+			ordered = action;
+			any = true;
+		}
+	assert_true(any);
+	return ordered;
+}
+
+static struct fleet *fleet_of_one(struct rig *r, const char *machine)
+{
+	static const struct fleet_options options = { .maintenance_ms = 2000,
+						      .move_ms = 1500 };
+	struct fleet_machine_info info = { machine, "p", "r1", FLEET_UP };
+	struct fleet *f = fleet_new(r->s, &options);
+
+	fleet_configure(f, &r->config);
+	fleet_add_wave(f, "wave/1", 1, 1, 60000, &machine, 1, r->now);
+	fleet_set_machines(f, &info, 1, r->now);
+	return f;
+}
+
+static void list_on_machine(struct rig *r, const char *id, const char *machine)
+{
+	struct sched_instance_info info = { .id = id,
+					    .address = "a:1",
+					    .zone = "z",
+					    .pool = "p",
+					    .machine = machine,
+					    .capacity = { 4000, 4000, 0 },
+					    .label_count = 1,
+					    .labels = { "r1" } };
+
+	sched_instance_listed(r->s, &info, r->now);
+}
+
+/*
+ * A former leader's upkeep of m-1 was carried out and not recorded, so an order
+ * for it is answered as done although it ends nothing. Before the answer the
+ * machine's new instance is listed and used.
+ */
+static void test_upkeep_that_was_done_before(void **state)
+{
+	struct sched_running running = { "000000000000000a.0.0.0", 0, "", 0,
+					 0 };
+	struct sched_instance_load load;
+	struct fleet_action action;
+	struct fleet *f;
+	struct rig r;
+	uint32_t n;
+
+	(void)state;
+	rig_new(&r);
+	r.workspace.cap.cpu = 0;
+	sched_become_leader(r.s, 2, true, r.now);
+	sched_expect_complete(r.s, r.now);
+	f = fleet_of_one(&r, "m-1");
+	action = order_maintenance(f, &r);
+	r.now += 100;
+	list_on_machine(&r, "i-9", "m-1");
+	make_all_usable(&r);
+	submit(&r, id_a, 1, 1, false);
+	write_all(&r);
+	assert_int_equal(take_orders(&r), 1);
+	running.number = r.orders[0].number;
+	answer_orders(&r, ORDER_DONE);
+	r.now += 1000;
+	next_poll(&r, r.orders[0].instance);
+	report(&r, r.orders[0].instance, &running, 1, NULL, 0, r.now);
+	add_instance(&r, "i-0", false);
+	assert_true(sched_machine_load(r.s, "i-0", &load));
+	next_poll(&r, load.instance);
+	report(&r, load.instance, NULL, 0, NULL, 0, r.now);
+	r.now++;
+	sched_leader_confirmed(r.s, r.now);
+	fleet_action_result(f, r.s, &action, FLEET_DONE, r.now);
+	for (n = take_orders(&r); n-- > 0;)
+		if (r.orders[n].kind == ORDER_START)
+			fail_msg("the task is started again on %s, i-9 runs it",
+				 r.orders[n].instance_id);
+	talloc_free(r.s);
+}
+
 /* Moves */
 
 struct move_case {
@@ -577,6 +666,7 @@
 		cmocka_unit_test(test_wave_drains_as_needed),
 		cmocka_unit_test(test_wave_waits_for_reports),
 		cmocka_unit_test(test_wave_counts_former_orders),
+		cmocka_unit_test(test_upkeep_that_was_done_before),
 		cmocka_unit_test(test_moves),
 		cmocka_unit_test(test_order_waits_for_written_ends),
 		cmocka_unit_test(test_demand_peaks),
