fleet: no work on a new instance of a machine whose order may be carried out

An order that was not answered ended tasks that the leader itself had started on the machine's new instance, long-running ones too.

Only the instance known when the machine began to drain was reserved.

Each pass reserves the newest instance of each machine that drains or whose order has no known outcome. The reservation ends when the machine is due back, so an instance that such an order did not end is used again too.

test_new_instance_has_no_work_while_its_machine_is_ordered: before, "no answer yet: started on i-9"; passes now.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -155,7 +155,8 @@
 }
 
 /* Marks machines as up once their expected absence is over. */
-static void machines_mark_returned(struct fleet *f, uint64_t now)
+static void machines_mark_returned(struct fleet *f, struct sched *s,
+				   uint64_t now)
 {
 	struct machine *m;
 
@@ -166,7 +167,7 @@
 		if (m->phase != PHASE_AWAY ||
 		    now - m->phase_since_ms < away_ms + RETURN_SLACK_MS)
 			continue;
-		m->phase = PHASE_NONE;
+		machine_release(m, s, now);
 		m->state = FLEET_UP;
 		if (!m->wave)
 			m->pool_since_ms = now;
@@ -174,6 +175,22 @@
 	}
 }
 
+/*
+ * An order that is not answered may still be carried out, and would end what
+ * runs on an instance that was listed since.
+ */
+static void reserve_new_instances(struct fleet *f, struct sched *s,
+				  uint64_t now)
+{
+	struct sched_instance_load load;
+	struct machine *m;
+
+	for (m = f->machines; m; m = m->hh.next)
+		if (m->phase != PHASE_NONE && m->phase != PHASE_AWAY &&
+		    sched_machine_load(s, m->name, &load))
+			sched_reserve(s, load.instance, true, now);
+}
+
 /*
  * Plans, then goes once over the machines, however many orders there are, and
  * returns false at the end.
@@ -185,8 +202,9 @@
 	if (!f->machines)
 		return false;
 	if (!f->planned) {
-		machines_mark_returned(f, now);
+		machines_mark_returned(f, s, now);
 		release_lost_machines(f, s, now);
+		reserve_new_instances(f, s, now);
 		maintenance_plan(f, s, now);
 		balance_plan(f, s, now);
 		f->next_machine = f->machines;
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -365,6 +365,66 @@
 	talloc_free(r.s);
 }
 
+static void make_fleet_pass(struct fleet *f, struct rig *r)
+{
+	struct fleet_action action;
+
+	while (fleet_next_action(f, r->s, r->now, &action))
+		;
+}
+
+/*
+ * The order for m-1 is not answered, or with an unknown outcome, when a new
+ * instance is listed: it may end what is started there.
+ */
+static void test_new_instance_has_no_work_while_its_machine_is_ordered(
+	void **state)
+{
+	static const struct {
+		const char *name;
+		bool answered;
+		enum fleet_result result;
+	} cases[] = {
+		{ "no answer yet", false, FLEET_DONE },
+		{ "unknown outcome", true, FLEET_UNKNOWN },
+		{ "busy", true, FLEET_BUSY },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fleet_action action;
+		struct fleet *f;
+		struct rig r;
+
+		rig_new(&r);
+		sched_become_leader(r.s, 2, true, r.now);
+		sched_expect_complete(r.s, r.now);
+		f = fleet_of_one(&r, "m-1");
+		action = order_maintenance(f, &r);
+		r.now += 100;
+		if (cases[c].answered)
+			fleet_action_result(f, r.s, &action, cases[c].result,
+					    r.now);
+		list_on_machine(&r, "i-9", "m-1");
+		make_fleet_pass(f, &r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, false);
+		write_all(&r);
+		make_fleet_pass(f, &r);
+		if (take_orders(&r))
+			fail_msg("%s: started on i-9", cases[c].name);
+		if (!cases[c].answered) {
+			fleet_action_result(f, r.s, &action, FLEET_DONE, r.now);
+			r.now += 2500; /* the upkeep, and the slack for it */
+			make_fleet_pass(f, &r);
+			if (take_orders(&r) != 1)
+				fail_msg("%s: i-9 is not used", cases[c].name);
+		}
+		talloc_free(r.s);
+	}
+}
+
 /* Moves */
 
 struct move_case {
@@ -667,6 +727,8 @@
 		cmocka_unit_test(test_wave_waits_for_reports),
 		cmocka_unit_test(test_wave_counts_former_orders),
 		cmocka_unit_test(test_upkeep_that_was_done_before),
+		cmocka_unit_test(
+			test_new_instance_has_no_work_while_its_machine_is_ordered),
 		cmocka_unit_test(test_moves),
 		cmocka_unit_test(test_order_waits_for_written_ends),
 		cmocka_unit_test(test_demand_peaks),
