--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
 LIB = $(B)/libjackdawwell.a
 BINS = $(B)/jackdawwelld $(B)/jackdawwell $(B)/jackdawwell-node
-STANDINS = $(B)/standin/platform $(B)/standin/worker $(B)/standin/site
+STANDINS = $(B)/standin/platform $(B)/standin/worker $(B)/standin/site \
+	$(B)/standin/node
 TESTS = $(patsubst test/%.c,$(B)/test/%,$(wildcard test/*.c))
 BENCHES = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
 
@@ -60,6 +61,11 @@
 	cp target/build/jackdawwell-node $@.new
 	mv -f $@.new $@
 
+# The node of tests that cut paths.
+$(B)/standin/node: $(B)/standin/paths.o \
+		$(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c)) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(B)/standin/%: $(B)/standin/%.o $(B)/standin/serve.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -130,16 +130,18 @@
 class Process:
     """A process that listens on a port."""
 
-    def __init__(self, name, port, command, log):
+    def __init__(self, name, port, command, log, environment=None):
         self.name = name
         self.port = port
         self.command = command
         self.log = log
+        self.environment = environment or {}
         self.popen = None
 
     def start(self):
         self.popen = subprocess.Popen(
-            self.command, stdout=self.log, stderr=self.log)
+            self.command, stdout=self.log, stderr=self.log,
+            env={**os.environ, **self.environment})
 
     def send_signal(self, number):
         self.popen.send_signal(number)
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -48,6 +48,7 @@
 config_ms: 2000
 row_bytes: {row_bytes}
 """
+PATHS_HOST = "127.0.1.{}"  # where a node's connections go; see standin/paths.c
 NODE_SHARE_CORES = 0.3  # processor_share of a node
 QUEUE_POOLS = {"q0": "p0", "q1": "p1"}  # other queues are served by p0
 API_KEY = "key-of-the-shop-workspace"
@@ -94,6 +95,7 @@
         self.log = open(os.path.join(self.dir.name, "log"), "w+")
         ports = fleet.free_ports(workers + 1)
         self.port = ports[0]
+        self.worker_ports = {f"w-{i + 1}": p for i, p in enumerate(ports[1:])}
         pools = [f"p{i % 2}:{p}" for i, p in enumerate(ports[1:])]
         self.platform = fleet.Process("site", self.port, [
             f"{build}/standin/site", "--port", str(self.port), *pools],
@@ -103,6 +105,7 @@
         self.nodes = {}
         self.ports = {}
         self.links = {}  # node -> its link to the store
+        self.paths = {}  # (node, worker, node or "store") -> links
         self.version = 1
         self.version_checker = versions.VersionChecker(self)
 
@@ -111,7 +114,8 @@
 
     def __exit__(self, *exc):
         self.version_checker.close()
-        for link in self.links.values():
+        for link in itertools.chain(self.links.values(),
+                                    *self.paths.values()):
             link.close()
         for p in [*self.nodes.values(), self.platform]:
             p.stop()
@@ -136,13 +140,40 @@
         return (NODE_SHARE_CORES if not self.strong or name in self.strong
                 else NODE_SHARE_CORES / 3)
 
+    has_paths = False  # each node has a path of its own to each port
+
+    def start_paths(self):
+        """Starts a link from each node to each port that it calls."""
+        for name in self.nodes:
+            ports = {"store": [self.links[name].port, self.port],
+                     **{w: [p] for w, p in self.worker_ports.items()},
+                     **{n: p[2:] for n, p in self.ports.items() if n != name}}
+            for other, targets in ports.items():
+                self.paths[name, other] = [
+                    Link(p, PATHS_HOST.format(list(self.nodes).index(name)), p)
+                    for p in targets]
+
+    def divide(self, some, others):
+        """Cuts the paths between some nodes, workers or store and others."""
+        for (node, end), links in self.paths.items():
+            if node in some and end in others or \
+                    node in others and end in some:
+                for link in links:
+                    link.whole.clear()
+
+    def heal(self):
+        for link in itertools.chain(*self.paths.values()):
+            link.whole.set()
+
     def prepare_node(self, name):
         self.ports[name] = fleet.free_ports(4)
         self.links[name] = Link(self.port)
         path = self.write_settings(name, first_start=True)
+        program = "standin/node" if self.has_paths else "jackdawwell-node"
         self.nodes[name] = fleet.Process(
-            name, self.ports[name][0],
-            [f"{self.build}/jackdawwell-node", path], self.log)
+            name, self.ports[name][0], [f"{self.build}/{program}", path],
+            self.log, {"STANDIN_PATHS": PATHS_HOST.format(len(self.nodes))}
+            if self.has_paths else None)
 
     def write_settings(self, name, first_start):
         callers, readiness, peers, links = self.ports[name]
@@ -173,6 +204,8 @@
     def start_nodes(self, count):
         for i in range(count):
             self.prepare_node(f"node-{i + 1}")
+        if self.has_paths:
+            self.start_paths()
         for p in self.nodes.values():
             p.start()
         for name in self.nodes:
@@ -324,6 +357,9 @@
                     raise ScenarioError("no node was the leader for 5 s")
                 time.sleep(0.05)
             return [leader]
+        if word == "followers":
+            leader = self.node_names("lead")
+            return [n for n in self.site.nodes if n not in leader]
         return [word]
 
     def run_action(self, verb, words):
@@ -349,6 +385,10 @@
             site.control(crash=words[0])
         elif verb == "link":
             site.links[words[0]].kb_per_s = int(words[1])
+        elif verb == "divide":
+            self.divide(words)
+        elif verb == "heal":
+            site.heal()
         elif verb == "version":
             site.version_checker.write(int(words[1]))
         elif verb == "configure":
@@ -366,6 +406,16 @@
         else:
             raise ScenarioError(f"unknown action: {verb}")
 
+    def divide(self, words):
+        at = words.index("from")
+        some = {n for w in words[:at] for n in self.node_names(w)}
+        if words[at + 1:] == ["others"]:
+            others = {"store", *self.site.nodes,
+                      *self.site.worker_ports} - some
+        else:
+            others = {n for w in words[at + 1:] for n in self.node_names(w)}
+        self.site.divide(some, others)
+
     def control_node(self, verb, name):
         site = self.site
         if verb == "kill":
@@ -551,6 +601,7 @@
         site.strong = case.strong
         site.calls_alone = case.alone
         site.row_bytes = case.row_bytes
+        site.has_paths = any(words[0] == "divide" for _, words in case.actions)
         try:
             site.configure()
             site.control(row_bytes=case.row_bytes)
--- a/tools/link.py
+++ b/tools/link.py
@@ -1,4 +1,4 @@
-"""A TCP forwarder with a limited rate, between two local processes."""
+"""A TCP forwarder between two local processes: limited in rate, or cut."""
 
 import socket
 import threading
@@ -10,19 +10,25 @@
 
 
 class Link:
-    """Forwards connections; all answers share kb_per_s (0: no limit)."""
+    """Forwards connections; all answers share kb_per_s (0: no limit).
 
-    def __init__(self, target_port):
+    While it is cut, connections stay open and carry nothing, and what was sent
+    on them arrives once it is whole again.
+    """
+
+    def __init__(self, target_port, host=fleet.HOST, port=None):
         self.target_port = target_port
         self.kb_per_s = 0
         self.free_at_s = 0.0  # when the rate limit admits the next bytes
         self.lock = threading.Lock()
+        self.whole = threading.Event()  # unset while it is cut
+        self.whole.set()
         self.accepting = True
         self.sockets = set()
         self.server = socket.socket()
         self.server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.port = fleet.free_ports(1)[0]
-        self.server.bind((fleet.HOST, self.port))
+        self.port = port or fleet.free_ports(1)[0]
+        self.server.bind((host, self.port))
         self.server.listen(64)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -59,6 +65,7 @@
             while data := source.recv(CHUNK_BYTES):
                 if limited:
                     self.wait_for_rate(len(data))
+                self.whole.wait()
                 sink.sendall(data)
         except OSError:
             pass
@@ -73,6 +80,7 @@
 
     def close(self):
         self.accepting = False
+        self.whole.set()
         self.server.close()
         with self.lock:
             for s in self.sockets:
