sched: runs of a machine that is gone are lost only after a confirmation

The successor had moved a machine whose tasks were done; the replaced leader read in the list of machines that its instance was gone, took the runs for lost and started tasks that were done once more.

That a machine runs another instance, or was ordered down, is true whoever leads. But what became of the runs before, only a leader knows that has had no successor: they are freed once the store has confirmed it after the news.

lease_test: the new test fails without it (trial).

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -327,6 +327,15 @@
 	sched_trace(s, "instance-expected", id, "\"pool\":\"%s\"", pool);
 }
 
+/* Its runs are freed once this leader is known to have had no successor. */
+static void instance_set_gone(struct instance *i, const char *why, uint64_t now)
+{
+	if (i->gone_ms)
+		return;
+	i->gone_ms = now;
+	i->gone_why = why;
+}
+
 /* Whether an instance may have runs that it does not report now. */
 static bool is_unaccounted(const struct instance *i)
 {
@@ -348,8 +357,8 @@
 		if (!strcmp(i->id, id) || !is_unaccounted(i) ||
 		    i->clock_read_ms >= sent_ms || i->known_ms >= sent_ms)
 			continue;
-		instance_expire(
-			s, i, "its machine runs another instance or none", now);
+		instance_set_gone(
+			i, "its machine runs another instance or none", now);
 	}
 }
 
@@ -446,6 +455,7 @@
 		run_free(s, run, now);
 	}
 	i->expired = true;
+	i->gone_ms = 0;
 	instance_count_reported(s, i);
 }
 
@@ -457,7 +467,7 @@
 		return;
 	i->leaving = true;
 	i->unresponsive = true;
-	instance_expire(s, i, "its machine was ordered down", now);
+	instance_set_gone(i, "its machine was ordered down", now);
 }
 
 void sched_leader_confirmed(struct sched *s, uint64_t sent_ms)
@@ -469,10 +479,11 @@
 
 /*
  * Whether this leader is known to have had no successor at a time that has
- * passed. A leader doesn't know which leases its successor renews, so a lease
- * has expired only if this holds for its end.
+ * passed. A leader doesn't know which leases its successor renews, nor which
+ * ends it takes note of. So a lease has expired only if this holds for its end,
+ * and runs are lost only if it holds for the time at which that was learned.
  */
-static bool was_leader_at(const struct sched *s, uint64_t at_ms)
+bool was_leader_at(const struct sched *s, uint64_t at_ms)
 {
 	return s->leader_confirmed_ms >= at_ms;
 }
@@ -497,6 +508,8 @@
 		if (i->reported && i->listed &&
 		    i->first_report_ms >= s->leader_confirmed_ms)
 			return true;
+		if (i->gone_ms && !was_leader_at(s, i->gone_ms))
+			return true;
 		if (now >= i->lease_end_ms && awaits_lease_end(i) &&
 		    !was_leader_at(s, i->lease_end_ms))
 			return true;
@@ -536,6 +549,8 @@
 
 void instance_tick(struct sched *s, struct instance *i, uint64_t now)
 {
+	if (i->gone_ms && was_leader_at(s, i->gone_ms))
+		instance_expire(s, i, i->gone_why, now);
 	if (awaits_lease_end(i) && was_leader_at(s, i->lease_end_ms))
 		instance_expire(s, i, "its lease expired", now);
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -302,6 +302,9 @@
 	struct pool **unreported_in;
 	uint32_t unreported_in_count;
 	struct amount unreported_capacity; /* its part of sched.unreported */
+	/* when it was learned that nothing runs there any more; 0: it wasn't */
+	uint64_t gone_ms;
+	const char *gone_why;
 	uint64_t known_ms;	 /* when this leader first learned of it */
 	uint64_t unlisted_ms;	 /* when it left the directory; 0: it did not */
 	uint64_t listed_ms;	 /* when last added to the directory */
@@ -555,6 +558,7 @@
 void instance_count_reported(struct sched *s, struct instance *i);
 void instances_tick(struct sched *s, uint64_t now);
 void instance_tick(struct sched *s, struct instance *i, uint64_t now);
+bool was_leader_at(const struct sched *s, uint64_t at_ms);
 struct instance *instance_of(const struct sched *s, instance_handle_t h);
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now);
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -448,6 +448,8 @@
 	i->clock_ms = r->clock_ms;
 	i->clock_read_ms = now;
 	i->report_sent_ms = sent_ms;
+	if (sent_ms > i->gone_ms)
+		i->gone_ms = 0;
 	i->unresponsive = false;
 	i->unanswered_orders = 0;
 	i->expired = false;
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -181,9 +181,70 @@
 	talloc_free(r.s);
 }
 
+enum loss { LISTED_WITHOUT, ORDERED_DOWN };
+
+/*
+ * What runs on an instance has ended, by other signs than a report. If it had
+ * ended before, a successor may have taken note of that.
+ */
+static void test_lost_run_is_not_repeated_before_a_confirmation(void **state)
+{
+	static const struct {
+		const char *name;
+		enum loss loss;
+	} losses[] = {
+		{ "its machine runs another instance", LISTED_WITHOUT },
+		{ "its machine was ordered down", ORDERED_DOWN },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(losses) / sizeof(losses[0]); c++) {
+		instance_handle_t lost;
+		const char *id;
+		struct rig r;
+
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, false);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_DONE);
+		lost = r.orders[0].instance;
+		id = lost.i ? "i-1" : "i-0";
+		next_poll(&r, lost);
+		sched_poll_done(r.s, lost, NULL, r.now, r.now);
+		r.now += 100;
+		if (losses[c].loss == LISTED_WITHOUT)
+			sched_machine_listed(r.s, id, "i-9", r.now, r.now);
+		else
+			sched_machine_down(r.s, lost, r.now);
+		r.now += 100;
+		if (take_orders(&r))
+			fail_msg("%s: started without a confirmation",
+				 losses[c].name);
+		if (!sched_needs_confirmation(r.s, r.now))
+			fail_msg("%s: no confirmation is needed",
+				 losses[c].name);
+		sched_leader_confirmed(r.s, r.now - 101);
+		r.now += 100;
+		if (take_orders(&r))
+			fail_msg("%s: started on an early confirmation",
+				 losses[c].name);
+		sched_leader_confirmed(r.s, r.now - 100);
+		r.now += 100;
+		if (take_orders(&r) != 1)
+			fail_msg("%s: not started again", losses[c].name);
+		talloc_free(r.s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_lost_run_is_not_repeated_before_a_confirmation),
 		cmocka_unit_test(
 			test_run_is_not_repeated_on_a_lease_a_successor_may_renew),
 		cmocka_unit_test(
