--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -92,6 +92,8 @@
 	uint64_t epoch;
 	uint64_t revision;
 	uint32_t resolved; /* incremented to void writes of unknown outcome */
+	/* When it was written, leaders before this one could give orders. */
+	bool formers;
 	bool known;
 };
 
@@ -275,8 +277,10 @@
 	uint32_t leader_changes;    /* recent ones without a release */
 	uint64_t leader_changed_ms; /* when the last of them was learned */
 	uint64_t leader_learned_ms; /* when the leader was */
-	bool leader_ended; /* the leader's process is known to have ended */
-	bool claiming;	   /* a claim is in flight */
+	uint64_t epoch_learned_ms;  /* when its epoch was */
+	bool leader_ended;	/* the leader's process seems to have ended */
+	bool leader_restarted;	/* it has: a later one of that node is known */
+	bool claiming;		/* a claim is in flight */
 	uint64_t claim_sent_ms; /* when the last claim was sent */
 	uint64_t term_epoch;	/* of this node's newest term; 0: none */
 	bool stepped_down; /* has released leadership to a stronger node once */
@@ -292,10 +296,13 @@
 	 * unchanged; 0: a new confirmation is needed before the next order.
 	 */
 	uint64_t confirmed_ms;
+	uint64_t doubted_ms; /* an earlier confirmation allows no order */
 
 	/* predecessor_ended: its process ended without releasing leadership. */
 	bool predecessor_gone; /* the predecessor gives no more orders */
 	bool predecessor_ended;
+	/* Until then leaders before the predecessor may; 0: there are none. */
+	uint64_t formers_until_ms;
 	char predecessor[NODE_NAME_MAX];
 	uint64_t predecessor_incarnation;
 	bool registered;  /* this node's row is stored */
@@ -454,7 +461,32 @@
 bool leader_is_live(const struct node *n);
 bool leader_may_order(const struct node *n, uint64_t now);
 void leader_release(struct node *n);
+
+/*
+ * leader_formers_order_ms - how long earlier leaders may still give orders
+ *
+ * now: when this leader begins to decide.
+ */
+uint32_t leader_formers_order_ms(const struct node *n, uint64_t now);
+
+/* leader_confirmed - a store call sent at sent_ms found the row unchanged */
 void leader_confirmed(struct node *n, uint64_t sent_ms);
+
+/*
+ * leader_confirmed_within - whether the last confirmation allows orders
+ *
+ * It must be less than ms old.
+ */
+bool leader_confirmed_within(const struct node *n, uint64_t now, uint32_t ms);
+
+/*
+ * leader_doubted - this node may have been replaced
+ *
+ * It gives orders again once a store call that is sent now or later has
+ * confirmed it. Answers to earlier calls, which may still come, show only that
+ * it was the leader then.
+ */
+void leader_doubted(struct node *n, uint64_t now);
 uint32_t leader_live_age_ms(const struct node *n);
 void leader_reported_live(struct node *n, uint32_t age_ms, uint64_t now);
 void leader_store_recovered(struct node *n);
