sched: runs that a restarted instance lacks are lost only after a confirmation

Missing runs are marked, and freed once the leader was confirmed since the instance first reported, or reported again; the instance isn't used before that either.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -505,8 +505,8 @@
 
 		if (!i)
 			continue;
-		if (i->reported && i->listed &&
-		    i->first_report_ms >= s->leader_confirmed_ms)
+		if (i->reported && (i->listed || i->has_missing) &&
+		    !instance_is_confirmed(s, i))
 			return true;
 		if (i->gone_ms && !was_leader_at(s, i->gone_ms))
 			return true;
@@ -518,12 +518,17 @@
 	       !was_leader_at(s, predecessor_runs_end_ms(s));
 }
 
+bool instance_is_confirmed(const struct sched *s, const struct instance *i)
+{
+	return i->first_report_ms < s->leader_confirmed_ms;
+}
+
 bool instance_usable(const struct sched *s, const struct instance *i,
 		     uint64_t now)
 {
-	return i->reported && i->first_report_ms < s->leader_confirmed_ms &&
-	       i->listed && !i->leaving && !i->unresponsive && !i->expired &&
-	       !i->reserved && i->clock_read_ms && now >= i->ejected_until_ms;
+	return i->reported && instance_is_confirmed(s, i) && i->listed &&
+	       !i->leaving && !i->unresponsive && !i->expired && !i->reserved &&
+	       i->clock_read_ms && now >= i->ejected_until_ms;
 }
 
 /* Failures */
@@ -553,6 +558,7 @@
 		instance_expire(s, i, i->gone_why, now);
 	if (awaits_lease_end(i) && was_leader_at(s, i->lease_end_ms))
 		instance_expire(s, i, "its lease expired", now);
+	instance_free_missing(s, i, now);
 }
 
 void instances_tick(struct sched *s, uint64_t now)
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -56,6 +56,7 @@
 	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
 	bool relay_lost;	 /* no result of its start from the relay */
 	bool absent;		 /* its unanswered start is not in a report */
+	bool missing;		 /* a report lacks it, though it should be in */
 	bool to_send;		 /* it is in sched.to_send */
 	bool in_flight;		 /* its order was sent and is not answered */
 	uint32_t percent;	 /* progress, as reported */
@@ -297,6 +298,7 @@
 	bool maintenance_due;	 /* it will be drained for maintenance */
 	bool reserved;		 /* excluded from placement by fleet/ */
 	bool polling;		 /* a poll is not answered yet */
+	bool has_missing;	 /* some of its runs are missing */
 	bool counted_unreported; /* in sched.unreported */
 	/* pools that count it in pool.unreported: all that it has been in */
 	struct pool **unreported_in;
@@ -553,12 +555,19 @@
 
 /* sched_poll.c */
 void instance_leave_idle(struct sched *s, struct instance *i);
+void instance_free_missing(struct sched *s, struct instance *i, uint64_t now);
 
 /* sched_instance.c */
 void instance_count_reported(struct sched *s, struct instance *i);
 void instances_tick(struct sched *s, uint64_t now);
 void instance_tick(struct sched *s, struct instance *i, uint64_t now);
 bool was_leader_at(const struct sched *s, uint64_t at_ms);
+
+/*
+ * instance_is_confirmed - whether this leader was confirmed since the instance
+ * first reported, or reported again
+ */
+bool instance_is_confirmed(const struct sched *s, const struct instance *i);
 struct instance *instance_of(const struct sched *s, instance_handle_t h);
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now);
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -300,20 +300,19 @@
 }
 
 /*
- * Frees runs that should be in the report and are not. A run may be missing
+ * Marks runs that should be in the report and are not. A run may be missing
  * because its end is not listed yet.
  */
-static void free_missing_runs(struct sched *s, struct instance *i,
-			      const struct sched_report *r, uint64_t sent_ms,
-			      uint64_t now)
+static void mark_missing_runs(struct sched *s, struct instance *i,
+			      const struct sched_report *r, uint64_t sent_ms)
 {
-	struct run *run, *next;
+	struct run *run;
 	char name[SCHED_TASK_MAX];
 	uint32_t n;
 
 	if (r->more_ended)
 		return;
-	DL_FOREACH_SAFE(i->runs, run, next)
+	DL_FOREACH(i->runs, run)
 	{
 		/* Within a millisecond the order of events is unknown. */
 		bool was_running = run->running_since_ms &&
@@ -330,9 +329,30 @@
 			if (r->running[n].number == run->number &&
 			    !strcmp(r->running[n].task, name))
 				break;
-		if (n < r->running_count)
+		run->missing = n == r->running_count;
+		i->has_missing |= run->missing;
+	}
+}
+
+/*
+ * Frees the missing runs. After a restart an instance doesn't know the fence of
+ * a successor, nor which ends that has taken note of, so they wait for a
+ * confirmation.
+ */
+void instance_free_missing(struct sched *s, struct instance *i, uint64_t now)
+{
+	struct run *run, *next;
+	char name[SCHED_TASK_MAX];
+
+	if (!i->has_missing || !instance_is_confirmed(s, i))
+		return;
+	i->has_missing = false;
+	DL_FOREACH_SAFE(i->runs, run, next)
+	{
+		if (!run->missing)
 			continue;
-		if (!stopped) {
+		if (!run->stop_done_ms) {
+			task_name(run->task, name);
 			s->stats.runs_lost++;
 			sched_trace(s, "run-lost", name,
 				    "\"instance\":\"%s\",\"run\":%" PRIu64,
@@ -457,7 +477,8 @@
 	for (n = 0; n < r->running_count; n++)
 		apply_running(s, i, &r->running[n], sent_ms, now);
 	apply_ends(s, i, r, now);
-	free_missing_runs(s, i, r, sent_ms, now);
+	mark_missing_runs(s, i, r, sent_ms);
+	instance_free_missing(s, i, now);
 	if (!r->more_ended)
 		instance_count_reported(s, i);
 	acknowledge_unchanged(s, i);
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -181,7 +181,7 @@
 	talloc_free(r.s);
 }
 
-enum loss { LISTED_WITHOUT, ORDERED_DOWN };
+enum loss { LISTED_WITHOUT, ORDERED_DOWN, RESTARTED };
 
 /*
  * What runs on an instance has ended, by other signs than a report. If it had
@@ -195,7 +195,9 @@
 	} losses[] = {
 		{ "its machine runs another instance", LISTED_WITHOUT },
 		{ "its machine was ordered down", ORDERED_DOWN },
+		{ "it has restarted", RESTARTED },
 	};
+	struct sched_report restarted = { .started_unix_ms = 9 };
 	size_t c;
 
 	(void)state;
@@ -213,13 +215,22 @@
 		answer_orders(&r, ORDER_DONE);
 		lost = r.orders[0].instance;
 		id = lost.i ? "i-1" : "i-0";
+		r.now += 100;
 		next_poll(&r, lost);
-		sched_poll_done(r.s, lost, NULL, r.now, r.now);
+		if (losses[c].loss != RESTARTED)
+			sched_poll_done(r.s, lost, NULL, r.now, r.now);
 		r.now += 100;
-		if (losses[c].loss == LISTED_WITHOUT)
+		switch (losses[c].loss) {
+		case LISTED_WITHOUT:
 			sched_machine_listed(r.s, id, "i-9", r.now, r.now);
-		else
+			break;
+		case ORDERED_DOWN:
 			sched_machine_down(r.s, lost, r.now);
+			break;
+		case RESTARTED:
+			sched_poll_done(r.s, lost, &restarted, r.now, r.now);
+			break;
+		}
 		r.now += 100;
 		if (take_orders(&r))
 			fail_msg("%s: started without a confirmation",
@@ -232,7 +243,7 @@
 		if (take_orders(&r))
 			fail_msg("%s: started on an early confirmation",
 				 losses[c].name);
-		sched_leader_confirmed(r.s, r.now - 100);
+		sched_leader_confirmed(r.s, r.now - 50);
 		r.now += 100;
 		if (take_orders(&r) != 1)
 			fail_msg("%s: not started again", losses[c].name);
