sched: no starts on an instance that may have restarted before it reports

An idle instance that crashed during a long poll and restarted under its id left the directory and was listed again before that poll timed out. A leader that had been replaced half a second before used it at once, by the reports of its former life. The restarted instance knew no fence and started what the successor started elsewhere.

An entry that appears or changes and whose start isn't that of the last report now keeps the instance from being used until it answers a poll sent after it, and until the confirmation after that answer. That poll doesn't wait for an end. An instance that is out of the directory for a moment, and whose entry names the same start, is used as before; runs and leases are untouched in either case. The entries of fleet_walk and of the rig name the start, as those of the platform do.

--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -221,10 +221,10 @@
  * sched_leader_confirmed - the leader row was unchanged at sent_ms or later
  *
  * An instance that reports for the first time, or again after it was
- * unresponsive, is used only after the next confirmation. If this leader has a
- * successor that has not polled the instance yet, the instance would still
- * accept this leader's fence and start work that the successor starts
- * elsewhere.
+ * unresponsive or may have restarted, is used only after the next confirmation.
+ * If this leader has a successor that has not polled the instance yet, the
+ * instance would still accept this leader's fence and start work that the
+ * successor starts elsewhere.
  *
  * A lease that this leader can't renew counts as expired only after a
  * confirmation sent after its end: until then a successor may have renewed it.
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -276,6 +276,20 @@
 		snprintf(i->labels[n], SCHED_LABEL_MAX, "%s", info->labels[n]);
 }
 
+/*
+ * Whether the entry is new and may be of another incarnation than the last
+ * report. An instance that was out of the directory for a moment is still used.
+ */
+static bool may_have_restarted(const struct instance *i,
+			       const struct sched_instance_info *info)
+{
+	if (!i->reported ||
+	    (i->listed && i->listed_unix_ms == info->started_unix_ms))
+		return false;
+	return !info->started_unix_ms ||
+	       info->started_unix_ms != i->started_unix_ms;
+}
+
 void sched_instance_listed(struct sched *s,
 			   const struct sched_instance_info *info, uint64_t now)
 {
@@ -297,8 +311,11 @@
 	copy_labels(i, info);
 	i->capacity = info->capacity;
 	i->leaving = info->leaving;
-	if (!i->listed)
+	if (may_have_restarted(i, info))
+		i->restart_possible = true;
+	if (!i->listed || i->listed_unix_ms != info->started_unix_ms)
 		i->listed_ms = now;
+	i->listed_unix_ms = info->started_unix_ms;
 	i->listed = true;
 	i->unlisted_ms = 0;
 	instance_set_pool(s, i, info->pool);
@@ -510,7 +527,8 @@
 {
 	return i->reported && i->first_report_ms < s->leader_confirmed_ms &&
 	       i->listed && !i->leaving && !i->unresponsive && !i->expired &&
-	       !i->reserved && i->clock_read_ms && now >= i->ejected_until_ms;
+	       !i->restart_possible && !i->reserved && i->clock_read_ms &&
+	       now >= i->ejected_until_ms;
 }
 
 /* Failures */
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -291,6 +291,7 @@
 	bool listed;		 /* in the directory */
 	bool leaving;		 /* draining, according to the directory */
 	bool reported;		 /* to this leader */
+	bool restart_possible;	 /* it was listed again since it reported */
 	bool expired;		 /* nothing can run there any more */
 	bool unresponsive;	 /* poll or orders were not answered */
 	bool leased;		 /* by this leader, since it was last silent */
@@ -304,7 +305,8 @@
 	struct amount unreported_capacity; /* its part of sched.unreported */
 	uint64_t known_ms;	 /* when this leader first learned of it */
 	uint64_t unlisted_ms;	 /* when it left the directory; 0: it did not */
-	uint64_t listed_ms;	 /* when last added to the directory */
+	uint64_t listed_ms;	 /* when its entry last appeared or changed */
+	uint64_t listed_unix_ms; /* its start, according to its entry */
 	uint64_t report_sent_ms; /* when the poll of its report was sent */
 	/* first report since its start or since it was unresponsive */
 	uint64_t first_report_ms;
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -72,7 +72,8 @@
 static uint32_t poll_wait(const struct sched *s, const struct instance *i,
 			  uint64_t now)
 {
-	if (!i->reported || i->unacked_count || i->unresponsive)
+	if (!i->reported || i->restart_possible || i->unacked_count ||
+	    i->unresponsive)
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
@@ -445,6 +446,10 @@
 		sched_trace(s, "instance-answers", i->id, "\"runs\":%u",
 			    r->running_count);
 	}
+	if (i->restart_possible && sent_ms >= i->listed_ms) {
+		i->first_report_ms = now;
+		i->restart_possible = false;
+	}
 	i->clock_ms = r->clock_ms;
 	i->clock_read_ms = now;
 	i->report_sent_ms = sent_ms;
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -37,7 +37,8 @@
 	else if (!i->reported || i->expired || i->unresponsive ||
 		 !i->clock_read_ms)
 		o->silent++;
-	else if (i->first_report_ms >= s->leader_confirmed_ms)
+	else if (i->restart_possible ||
+		 i->first_report_ms >= s->leader_confirmed_ms)
 		o->unconfirmed++;
 	else if (i->reserved)
 		o->reserved++;
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -205,6 +205,109 @@
 	}
 }
 
+/* Lists both instances again, out of the directory before or not. */
+static void list_again(struct rig *r, bool unlisted, uint64_t started_unix_ms)
+{
+	r->now += 50;
+	if (unlisted) {
+		sched_instance_unlisted(r->s, "i-0", r->now);
+		sched_instance_unlisted(r->s, "i-1", r->now);
+	}
+	r->started_unix_ms = started_unix_ms;
+	r->now += 50;
+	add_instance(r, "i-0", false);
+	add_instance(r, "i-1", false);
+}
+
+/*
+ * A restarted instance knows no fence, so a leader that was replaced could
+ * start tasks there that its successor starts elsewhere.
+ */
+static void test_restarted_instance_is_used_without_report(void **state)
+{
+	static const struct {
+		const char *name;
+		bool unlisted;
+		uint64_t started_unix_ms;
+		bool used;
+	} cases[] = {
+		{ "not listed for a moment", true, 7, true },
+		{ "listed all the time", false, 7, true },
+		{ "listed again after a restart", true, 8, false },
+		{ "listed again, its start unknown", true, 0, false },
+		{ "restarted between two readings", false, 8, false },
+	};
+	struct sched_poll polls[2];
+	struct rig r;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 2, 1, false);
+		write_all(&r);
+		r.now += 50;
+		assert_true(sched_next_poll(r.s, r.now, &polls[0]));
+		assert_true(sched_next_poll(r.s, r.now, &polls[1]));
+		list_again(&r, cases[c].unlisted, cases[c].started_unix_ms);
+		if (take_orders(&r) != (cases[c].used ? 2 : 0))
+			fail_msg("%s: %u starts", cases[c].name, r.order_count);
+		if (cases[c].used) {
+			talloc_free(r.s);
+			continue;
+		}
+		report(&r, polls[0].instance, NULL, 0, NULL, 0, r.now - 100);
+		report(&r, polls[1].instance, NULL, 0, NULL, 0, r.now - 100);
+		sched_leader_confirmed(r.s, ++r.now);
+		if (take_orders(&r))
+			fail_msg("%s: %u starts, by a poll sent before",
+				 cases[c].name, r.order_count);
+		poll_all_empty(&r);
+		if (take_orders(&r) || !sched_needs_confirmation(r.s, r.now))
+			fail_msg("%s: %u starts, not confirmed", cases[c].name,
+				 r.order_count);
+		sched_leader_confirmed(r.s, ++r.now);
+		if (take_orders(&r) != 2)
+			fail_msg("%s: not used again", cases[c].name);
+		talloc_free(r.s);
+	}
+}
+
+/* An instance that is not listed for a moment keeps its runs and its lease. */
+static void test_instance_out_of_directory_loses_runs(void **state)
+{
+	static const uint64_t started_unix_ms[] = { 7, 0 };
+	struct sched_running running;
+	struct sched_poll poll;
+	struct rig r;
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < 2; c++) {
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, true);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_DONE);
+		running = (struct sched_running){ r.orders[0].task,
+						  r.orders[0].number, "", 100,
+						  0 };
+		list_again(&r, true, started_unix_ms[c]);
+		assert_int_equal(take_orders(&r), 0);
+		poll = next_poll(&r, r.orders[0].instance);
+		assert_true(poll.lease_until != 0);
+		r.started_unix_ms = 7;
+		report(&r, poll.instance, &running, 1, NULL, 0, r.now);
+		sched_leader_confirmed(r.s, ++r.now);
+		assert_int_equal(take_orders(&r), 0);
+		talloc_free(r.s);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -212,6 +315,9 @@
 		cmocka_unit_test(test_unanswered_polls),
 		cmocka_unit_test(test_refused_polls_are_spaced),
 		cmocka_unit_test(test_run_whose_end_is_not_listed_yet),
+		cmocka_unit_test(
+			test_restarted_instance_is_used_without_report),
+		cmocka_unit_test(test_instance_out_of_directory_loses_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -8,6 +8,7 @@
 		.zone = "z",
 		.pool = "p",
 		.machine = id,
+		.started_unix_ms = r->started_unix_ms,
 		.capacity = { 4000, 4000, 0 },
 		.leaving = leaving,
 		.label_count = 1,
@@ -27,6 +28,7 @@
 
 	memset(r, 0, sizeof(*r));
 	r->now = 1000;
+	r->started_unix_ms = 7;
 	r->queue = (struct config_queue){ .name = "q",
 					  .host = "h",
 					  .prefix = "/",
@@ -60,7 +62,7 @@
 	    uint64_t sent_ms)
 {
 	struct sched_report rep = { .clock_ms = r->now,
-				    .started_unix_ms = 7,
+				    .started_unix_ms = r->started_unix_ms,
 				    .running = running,
 				    .running_count = running_count,
 				    .ended = ended,
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -30,6 +30,7 @@
 	uint32_t order_count;
 	struct sched_poll sent_polls[8]; /* polls without an answer yet */
 	uint32_t sent_poll_count;
+	uint64_t started_unix_ms; /* of instances, as listed and reported */
 };
 
 extern const char id_a[]; /* the job of most cases */
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -29,6 +29,7 @@
 			.zone = "z",
 			.pool = in->pool,
 			.machine = in->id,
+			.started_unix_ms = in->incarnation,
 			.capacity = { 8000, 8000, 0 },
 			.label_count = 1,
 			.labels = { "r1" },
