sched: an unanswered stop asks for the disruption budget again

Such a stop is now repeated only after a report that was asked for since. If the run is known to run then and the budget doesn't allow its stop, the stop is withdrawn. As it may be carried out late, the task counts as unavailable for another second of reports. Stops of ended jobs, of second runs of a task, of gangs and of steps without a budget are repeated as before.

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -17,8 +17,8 @@
 #define REPORT_MAX_MS 2500u /* an older report is outdated */
 #define EVACUATION_MS 50u   /* between two attempts to empty an instance */
 
-/* Time for a former leader's stop of a run to show in reports. */
-#define FORMER_STOP_MS 1000u
+/* Time for a stop of unknown outcome to show in reports. */
+#define STOP_SHOWS_MS 1000u
 
 /* Whether the instance has recently reported what runs on it. */
 static bool reported_recently(const struct instance *i, uint64_t now)
@@ -27,11 +27,17 @@
 	       now - i->clock_read_ms < REPORT_MAX_MS;
 }
 
-/* Whether a former leader may have stopped the run, which still ends. */
+/*
+ * Whether a stop of a former leader, or one of this leader that was withdrawn,
+ * may still end the run.
+ */
 static bool may_be_stopping(const struct run *run)
 {
-	return run->adopted_ms &&
-	       run->instance->report_sent_ms < run->adopted_ms + FORMER_STOP_MS;
+	const uint64_t sent_ms = run->instance->report_sent_ms;
+
+	return (run->adopted_ms && sent_ms < run->adopted_ms + STOP_SHOWS_MS) ||
+	       (run->stop_withdrawn_ms &&
+		sent_ms < run->stop_withdrawn_ms + STOP_SHOWS_MS);
 }
 
 /* Whether no recently reported run of the task serves at full speed. */
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -53,7 +53,9 @@
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
 	uint64_t
 		adopted_ms; /* when a report showed it first; 0: started here */
-	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
+	uint64_t stop_done_ms; /* when its stop order was done; 0: not yet */
+	/* when its unanswered stop was given up; 0: it was not */
+	uint64_t stop_withdrawn_ms;
 	bool relay_lost;	 /* no result of its start from the relay */
 	bool absent;		 /* its unanswered start is not in a report */
 	bool to_send;		 /* it is in sched.to_send */
@@ -547,6 +549,12 @@
  * is slow, or whose stop would make a long-running task unavailable.
  */
 bool run_needs_report(const struct run *run);
+
+/*
+ * run_stop_needs_report - whether a report must show the run before its
+ * unanswered stop is repeated
+ */
+bool run_stop_needs_report(const struct run *run);
 uint64_t sched_run_number(const struct sched *s, struct task *task);
 bool run_is_available(const struct run *run);
 
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -12,7 +12,7 @@
 #define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
 #define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
 #define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
-#define POLL_WAIT_START_MS 200u	  /* a start has an unknown outcome */
+#define POLL_WAIT_START_MS 200u	  /* an order has an unknown outcome */
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
@@ -54,12 +54,12 @@
 	return false;
 }
 
-static bool instance_has_start_to_report(const struct instance *i)
+static bool instance_has_order_to_report(const struct instance *i)
 {
 	struct run *run;
 
 	DL_FOREACH(i->runs, run)
-	if (run_needs_report(run))
+	if (run_needs_report(run) || run_stop_needs_report(run))
 		return true;
 	return false;
 }
@@ -77,7 +77,7 @@
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
-	if (instance_has_start_to_report(i))
+	if (instance_has_order_to_report(i))
 		return POLL_WAIT_START_MS;
 	if (instance_has_ending(i))
 		return s->call_unanswered_ms && now - s->call_unanswered_ms <
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -377,6 +377,50 @@
 	return now - run->ordered_ms >= s->options.start_wait_ms;
 }
 
+/*
+ * Whether the run may go on after all, so that its stop counts against the
+ * disruption budget of its step again each time it is sent.
+ */
+static bool stop_is_optional(const struct run *run)
+{
+	const struct task *task = run->task;
+
+	return task->step->spec->may_miss && !task->step->spec->gang &&
+	       !task->runs->task_next && !job_is_over(task->step->job);
+}
+
+bool run_stop_needs_report(const struct run *run)
+{
+	return run->state == RUN_STOPPING && !run->stop_done_ms &&
+	       !run->in_flight && !run->to_send && stop_is_optional(run) &&
+	       run->instance->report_sent_ms <= run->ordered_ms;
+}
+
+/*
+ * Repeats an unanswered stop. Other tasks of the step may have become
+ * unavailable since it was sent, and an unanswered start may have been carried
+ * out late: a run that is known to run is then left to serve.
+ */
+static void repeat_stop(struct sched *s, struct run *run, uint64_t now)
+{
+	char name[SCHED_TASK_MAX];
+
+	if (run->stop_done_ms || now - run->ordered_ms < ORDER_RETRY_MS ||
+	    run_stop_needs_report(run))
+		return;
+	if (!stop_is_optional(run) || !run->running_since_ms ||
+	    task_may_stop(run->task, now)) {
+		run_queue_order(s, run);
+		return;
+	}
+	task_name(run->task, name);
+	sched_trace(s, "stop-withdrawn", name,
+		    "\"instance\":\"%s\",\"run\":%" PRIu64, run->instance->id,
+		    run->number);
+	run->state = RUN_RUNNING;
+	run->stop_withdrawn_ms = now;
+}
+
 /* Stops runs whose start has an unknown outcome; repeats unanswered orders. */
 static void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
@@ -388,9 +432,7 @@
 			run_stop(s, run);
 		break;
 	case RUN_STOPPING:
-		if (!run->stop_done_ms &&
-		    now - run->ordered_ms >= ORDER_RETRY_MS)
-			run_queue_order(s, run);
+		repeat_stop(s, run, now);
 		break;
 	case RUN_RUNNING:
 		if (run->speed_percent != run->speed_wanted &&
