--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -53,7 +53,9 @@
 	uint64_t running_since_ms; /* when first known to run; 0: not yet */
 	uint64_t
 		adopted_ms; /* when a report showed it first; 0: started here */
-	uint64_t stop_done_ms;	 /* when its stop order was done; 0: not yet */
+	uint64_t stop_done_ms; /* when its stop order was done; 0: not yet */
+	/* when its unanswered stop was given up; 0: it was not */
+	uint64_t stop_withdrawn_ms;
 	bool relay_lost;	 /* no result of its start from the relay */
 	bool absent;		 /* its unanswered start is not in a report */
 	bool missing;		 /* a report lacks it, though it should be in */
@@ -292,6 +294,7 @@
 	bool listed;		 /* in the directory */
 	bool leaving;		 /* draining, according to the directory */
 	bool reported;		 /* to this leader */
+	bool restart_possible;	 /* it was listed again since it reported */
 	bool expired;		 /* nothing can run there any more */
 	bool unresponsive;	 /* poll or orders were not answered */
 	bool leased;		 /* by this leader, since it was last silent */
@@ -309,7 +312,8 @@
 	const char *gone_why;
 	uint64_t known_ms;	 /* when this leader first learned of it */
 	uint64_t unlisted_ms;	 /* when it left the directory; 0: it did not */
-	uint64_t listed_ms;	 /* when last added to the directory */
+	uint64_t listed_ms;	 /* when its entry last appeared or changed */
+	uint64_t listed_unix_ms; /* its start, according to its entry */
 	uint64_t report_sent_ms; /* when the poll of its report was sent */
 	/* first report since its start or since it was unresponsive */
 	uint64_t first_report_ms;
@@ -550,6 +554,12 @@
  * is slow, or whose stop would make a long-running task unavailable.
  */
 bool run_needs_report(const struct run *run);
+
+/*
+ * run_stop_needs_report - whether a report must show the run before its
+ * unanswered stop is repeated
+ */
+bool run_stop_needs_report(const struct run *run);
 uint64_t sched_run_number(const struct sched *s, struct task *task);
 bool run_is_available(const struct run *run);
 
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -12,7 +12,7 @@
 #define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
 #define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
 #define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
-#define POLL_WAIT_START_MS 200u	  /* a start has an unknown outcome */
+#define POLL_WAIT_START_MS 200u	  /* an order has an unknown outcome */
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
@@ -54,12 +54,12 @@
 	return false;
 }
 
-static bool instance_has_start_to_report(const struct instance *i)
+static bool instance_has_order_to_report(const struct instance *i)
 {
 	struct run *run;
 
 	DL_FOREACH(i->runs, run)
-	if (run_needs_report(run))
+	if (run_needs_report(run) || run_stop_needs_report(run))
 		return true;
 	return false;
 }
@@ -72,11 +72,12 @@
 static uint32_t poll_wait(const struct sched *s, const struct instance *i,
 			  uint64_t now)
 {
-	if (!i->reported || i->unacked_count || i->unresponsive)
+	if (!i->reported || i->restart_possible || i->unacked_count ||
+	    i->unresponsive)
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
-	if (instance_has_start_to_report(i))
+	if (instance_has_order_to_report(i))
 		return POLL_WAIT_START_MS;
 	if (instance_has_ending(i))
 		return s->call_unanswered_ms && now - s->call_unanswered_ms <
@@ -465,6 +466,10 @@
 		sched_trace(s, "instance-answers", i->id, "\"runs\":%u",
 			    r->running_count);
 	}
+	if (i->restart_possible && sent_ms >= i->listed_ms) {
+		i->first_report_ms = now;
+		i->restart_possible = false;
+	}
 	i->clock_ms = r->clock_ms;
 	i->clock_read_ms = now;
 	i->report_sent_ms = sent_ms;
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -51,6 +51,11 @@
     ("restarts that a replaced leader sees", "src/pool/sched_poll.c",
      "if (!i->has_missing || !instance_is_confirmed(s, i))",
      "if (!i->has_missing)", "lease_test"),
+    ("instances that may have restarted", "src/pool/sched_instance.c",
+     "!i->restart_possible && ", "", "poll_test"),
+    ("the budget of repeated stops", "src/pool/sched_run.c",
+     "if (!stop_is_optional(run) || !run->running_since_ms ||\n"
+     "\t    task_may_stop(run->task, now)) {", "if (1) {", "stop_test"),
     ("slow clocks after a gap", "src/pool/sched_instance.c",
      "(now - i->clock_read_ms) /\n\t\t\t\t\t    (1 + LEASE_SLACK)",
      "(now - i->clock_read_ms)", "lease_test"),
