sched: an instance with a cut-off list of ends isn't waited for forever

If it had no runs and fell silent instead, neither its lease nor the list of machines ended that, and loaded tasks of its pool didn't start before the next takeover.

What counts as unreported now also expires. poll_test: the new test fails before (no start in 14 s) and passes.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -357,7 +357,7 @@
 static bool is_unaccounted(const struct instance *i)
 {
 	return (i->unresponsive || !i->reported) && !i->expired &&
-	       (i->run_count || !i->reported);
+	       (i->run_count || i->counted_unreported);
 }
 
 void sched_machine_listed(struct sched *s, const char *machine, const char *id,
@@ -458,7 +458,7 @@
 {
 	struct run *run, *next;
 
-	if (i->run_count || !i->reported)
+	if (i->run_count || i->counted_unreported)
 		sched_trace(s, "instance-expired", i->id,
 			    "\"why\":\"%s\",\"runs\":%u,\"reported\":%d"
 			    ",\"lease_ended_ms_ago\":%" PRId64
@@ -510,7 +510,7 @@
 static bool awaits_lease_end(const struct instance *i)
 {
 	return !i->expired && (i->unresponsive || !i->reported) &&
-	       (i->run_count || !i->reported);
+	       (i->run_count || i->counted_unreported);
 }
 
 bool sched_needs_confirmation(const struct sched *s, uint64_t now)
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -90,7 +90,7 @@
 static bool poll_needed(const struct instance *i)
 {
 	return *i->address && (i->listed || i->run_count || i->unacked_count ||
-			       (!i->reported && !i->expired));
+			       (i->counted_unreported && !i->expired));
 }
 
 /*
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -308,6 +308,72 @@
 	}
 }
 
+/*
+ * A new leader has seen a part of the ends of i-0 only. It waits for the rest,
+ * or for the end of the lease if i-0 falls silent.
+ */
+static void test_instance_with_a_cut_off_list_is_not_waited_for_ever(
+	void **state)
+{
+	static const struct {
+		const char *what;
+		bool silent;
+		uint64_t within_ms;
+	} cases[] = {
+		{ "the rest of its ends follows", false, 500 },
+		{ "it falls silent", true, 6000 + 2 * LEASE_MS },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct sched_report part = { .started_unix_ms = 7,
+					     .more_ended = true };
+		uint64_t begin_ms;
+		struct sched_poll polls[8];
+		struct rig r;
+
+		rig_new(&r);
+		add_instance(&r, "i-0", false);
+		add_instance(&r, "i-1", false);
+		sched_load_job(r.s, id_a, job_row(1, 1, false), NULL, r.now);
+		sched_become_leader(r.s, 2, false, r.now);
+		sched_expect_complete(r.s, r.now);
+		begin_ms = r.now;
+		assert_true(sched_next_poll(r.s, r.now, &polls[0]));
+		assert_string_equal(polls[0].instance_id, "i-0");
+		part.clock_ms = r.now;
+		sched_poll_done(r.s, polls[0].instance, &part, r.now, r.now);
+		r.now++;
+		sched_leader_confirmed(r.s, r.now);
+		assert_int_equal(take_orders(&r), 0);
+		do {
+			uint32_t n = 0;
+
+			r.now += 100;
+			while (n < 8 && sched_next_poll(r.s, r.now, &polls[n]))
+				n++;
+			while (n-- > 0) {
+				if (cases[c].silent &&
+				    !strcmp(polls[n].instance_id, "i-0"))
+					sched_poll_done(r.s, polls[n].instance,
+							NULL, r.now, r.now);
+				else
+					report(&r, polls[n].instance, NULL, 0,
+					       NULL, 0, r.now);
+			}
+			sched_leader_confirmed(r.s, r.now);
+		} while (!take_orders(&r) &&
+			 r.now - begin_ms < cases[c].within_ms);
+		if (!r.order_count)
+			fail_msg("%s: no start in %u ms", cases[c].what,
+				 (unsigned int)(r.now - begin_ms));
+		if (cases[c].silent)
+			assert_true(r.now - begin_ms >= 6000 + LEASE_MS);
+		talloc_free(r.s);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -315,6 +381,8 @@
 		cmocka_unit_test(test_unanswered_polls),
 		cmocka_unit_test(test_refused_polls_are_spaced),
 		cmocka_unit_test(test_run_whose_end_is_not_listed_yet),
+		cmocka_unit_test(
+			test_instance_with_a_cut_off_list_is_not_waited_for_ever),
 		cmocka_unit_test(
 			test_restarted_instance_is_used_without_report),
 		cmocka_unit_test(test_instance_out_of_directory_loses_runs),
