sched: an instance that outlives an order to its machine is used again

An order to a machine that was carried out before is answered as done. The instance that was there then counted as leaving until its entry in the directory changed, which may be never, so it idled for good.

It counts as leaving only until it answers a poll that was sent after the order's answer. lease_test: the new test fails before and passes.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -310,7 +310,7 @@
 	instance_set_machine(s, i, info->machine);
 	copy_labels(i, info);
 	i->capacity = info->capacity;
-	i->leaving = info->leaving;
+	i->leaving = i->listed_leaving = info->leaving;
 	if (may_have_restarted(i, info))
 		i->restart_possible = true;
 	if (!i->listed || i->listed_unix_ms != info->started_unix_ms)
@@ -483,6 +483,7 @@
 	if (!i)
 		return;
 	i->leaving = true;
+	i->down_ms = now;
 	i->unresponsive = true;
 	instance_set_gone(i, "its machine was ordered down", now);
 }
@@ -535,6 +536,14 @@
 	       !was_leader_at(s, predecessor_runs_end_ms(s));
 }
 
+/* An order that was carried out before is answered, too, and ends nothing. */
+void instance_outlived_order(struct instance *i)
+{
+	i->down_ms = 0;
+	i->leaving = i->listed_leaving;
+	room_changed(i->pool);
+}
+
 bool instance_is_confirmed(const struct sched *s, const struct instance *i)
 {
 	return i->first_report_ms < s->leader_confirmed_ms;
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -292,7 +292,8 @@
 	struct amount used;
 	uint64_t started_unix_ms;
 	bool listed;		 /* in the directory */
-	bool leaving;		 /* draining, according to the directory */
+	bool leaving;		 /* draining, or its machine was ordered down */
+	bool listed_leaving;	 /* draining, according to the directory */
 	bool reported;		 /* to this leader */
 	bool restart_possible;	 /* it was listed again since it reported */
 	bool expired;		 /* nothing can run there any more */
@@ -310,7 +311,8 @@
 	/* when it was learned that nothing runs there any more; 0: it wasn't */
 	uint64_t gone_ms;
 	const char *gone_why;
-	uint64_t known_ms;	 /* when this leader first learned of it */
+	uint64_t down_ms;  /* when its machine was ordered down; 0: it wasn't */
+	uint64_t known_ms; /* when this leader first learned of it */
 	uint64_t unlisted_ms;	 /* when it left the directory; 0: it did not */
 	uint64_t listed_ms;	 /* when its entry last appeared or changed */
 	uint64_t listed_unix_ms; /* its start, according to its entry */
@@ -573,6 +575,9 @@
 void instance_tick(struct sched *s, struct instance *i, uint64_t now);
 bool was_leader_at(const struct sched *s, uint64_t at_ms);
 
+/* instance_outlived_order - it reports after its machine was ordered down */
+void instance_outlived_order(struct instance *i);
+
 /*
  * instance_is_confirmed - whether this leader was confirmed since the instance
  * first reported, or reported again
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -475,6 +475,8 @@
 	i->report_sent_ms = sent_ms;
 	if (sent_ms > i->gone_ms)
 		i->gone_ms = 0;
+	if (i->down_ms && sent_ms > i->down_ms)
+		instance_outlived_order(i);
 	i->unresponsive = false;
 	i->unanswered_orders = 0;
 	i->expired = false;
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -251,9 +251,47 @@
 	}
 }
 
+/*
+ * An order for a machine is answered although it was carried out before: the
+ * instance that is there goes on, and is used again.
+ */
+static void test_instance_that_outlives_an_order_is_used_again(void **state)
+{
+	struct sched_poll poll;
+	instance_handle_t i;
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	add_instance(&r, "i-0", false);
+	sched_become_leader(r.s, 1, true, r.now);
+	sched_expect_complete(r.s, r.now);
+	assert_true(sched_next_poll(r.s, r.now, &poll));
+	i = poll.instance;
+	report(&r, i, NULL, 0, NULL, 0, r.now);
+	r.now++;
+	sched_leader_confirmed(r.s, r.now);
+	next_poll(&r, i);
+	sched_machine_down(r.s, i, r.now);
+	submit(&r, id_a, 1, 1, false);
+	write_all(&r);
+	report(&r, i, NULL, 0, NULL, 0, r.now); /* from before the answer */
+	r.now += 100;
+	sched_leader_confirmed(r.s, r.now);
+	assert_int_equal(take_orders(&r), 0);
+	next_poll(&r, i);
+	report(&r, i, NULL, 0, NULL, 0, r.now);
+	r.now += 100;
+	sched_leader_confirmed(r.s, r.now);
+	assert_int_equal(take_orders(&r), 1);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_instance_that_outlives_an_order_is_used_again),
 		cmocka_unit_test(
 			test_lost_run_is_not_repeated_before_a_confirmation),
 		cmocka_unit_test(
