--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -702,12 +702,23 @@
 	claim_leadership(n, now);
 }
 
+/* Takes back what the leader row says of earlier leaders, once it is over. */
+static void correct_formers(struct node *n, uint64_t now)
+{
+	if (!n->leader.formers || now - n->leader_since_ms < LEADER_ORDERS_MS)
+		return;
+	n->leader.formers = false;
+	n->resolve_pending = true; /* the next transaction rewrites the row */
+}
+
 void leader_tick(struct node *n, uint64_t now)
 {
 	if (n->phase == LEADER_NONE) {
 		tick_follower(n, now);
 		return;
 	}
+	if (n->phase == LEADER_DECIDING)
+		correct_formers(n, now);
 	if (n->releasing || n->leader_reading)
 		return;
 	if (n->phase == LEADER_DECIDING && !n->stepped_down &&
--- a/test/rig/election.c
+++ b/test/rig/election.c
@@ -463,6 +463,8 @@
 	} while ((!wrong || report == REPORT_ALWAYS) && t.s->now_us < end_us);
 	if (!wrong && !strong_leads(&t))
 		wrong = "a weak node leads";
+	if (!wrong && site_has_formers(t.s))
+		wrong = "the leader row says that earlier leaders give orders";
 	if (report == REPORT_ALWAYS || wrong)
 		printf("%s, seed %u: %s; calm from %.3f s, a leader decides "
 		       "after %.3f s, longest gap %.3f s, %u changes, "
--- a/test/rig/site.h
+++ b/test/rig/site.h
@@ -115,6 +115,9 @@
 /* site_leader - the host that the leader row names; NULL: none */
 struct host *site_leader(struct site *s);
 
+/* site_has_formers - whether the row says that earlier leaders may order */
+bool site_has_formers(struct site *s);
+
 /* site_claimed_us - when the claim of an epoch took effect; 0: it didn't */
 uint64_t site_claimed_us(const struct site *s, uint64_t epoch);
 
--- a/test/rig/site_store.c
+++ b/test/rig/site_store.c
@@ -674,6 +674,13 @@
 	return NULL;
 }
 
+bool site_has_formers(struct site *s)
+{
+	struct leader_view view;
+
+	return leader_row(s->store, &view) && view.formers;
+}
+
 uint64_t site_claimed_us(const struct site *s, uint64_t epoch)
 {
 	return epoch < EPOCHS_MAX ? s->store->claimed_us[epoch] : 0;
