--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -506,8 +506,7 @@
 	return s->leader_confirmed_ms >= at_ms;
 }
 
-/* Whether the instance has runs, or may have some, that its lease's end frees.
- */
+/* Whether runs, known or not, are freed when the instance's lease has ended. */
 static bool awaits_lease_end(const struct instance *i)
 {
 	return !i->expired && (i->unresponsive || !i->reported) &&
