node: read recorded jobs until their rows were read

Cause: when the read of a recorded job failed, on_inbox_job() set the inbox feed's revision to 0, to have the table read again. The feed's next call was in flight already, and its answer wrote the newest revision over the 0.

src/node/inbox.c keeps each job that is to be read, with its cancellation, until its row was read, whatever the feed returns.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -120,31 +120,6 @@
 		waiter_answer(n, n->waiters, FLEET__RESULT__UNSETTLED);
 }
 
-void inbox_add(struct node *n, const char *id)
-{
-	struct inbox_id *entry;
-
-	HASH_FIND_STR(n->inbox, id, entry);
-	if (entry)
-		return;
-	entry = talloc_zero(n, struct inbox_id);
-	assert(entry);
-	snprintf(entry->id, sizeof(entry->id), "%s", id);
-	HASH_ADD_STR(n->inbox, id, entry);
-}
-
-static bool inbox_remove(struct node *n, const char *id)
-{
-	struct inbox_id *entry;
-
-	HASH_FIND_STR(n->inbox, id, entry);
-	if (!entry)
-		return false;
-	HASH_DEL(n->inbox, entry);
-	talloc_free(entry);
-	return true;
-}
-
 /* Takes a job out of what is written; its caller learns that it isn't stored */
 static void set_aside(struct node *n, const char *id, const char *why,
 		      uint64_t value, uint64_t bound)
--- a/src/node/leader.c
+++ b/src/node/leader.c
@@ -326,6 +326,7 @@
 	n->commits_in_flight = 0;
 	n->commit_waiting_since_ms = 0;
 	waiters_drop(n);
+	inbox_end(n);
 	machines_end(n);
 	relay_end(n);
 	TALLOC_FREE(n->takeover);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -8,6 +8,7 @@
  * commit.c       writes the leader's decisions in transactions
  * session.c      the leader's polls, orders and calls for advice
  * watch.c        change feeds: configuration, instances, inbox, waves
+ * inbox.c        jobs and cancellations that other nodes recorded
  * load.c         how the event loop spends its time
  * staleness.c    time since the configuration was known to be the newest
  * request.c      callers' requests, answered by the leader or the store
@@ -329,7 +330,10 @@
 	uint64_t phase_generation;
 	struct waiter *waiters;
 	struct inbox_id *inbox;
-	uint32_t advice_calls; /* calls to the adviser in flight */
+	struct inbox_read *inbox_reads; /* jobs whose rows are to be read */
+	uint32_t inbox_reads_in_flight;
+	uint64_t inbox_retry_ms; /* the last read failed: none before; 0: no */
+	uint32_t advice_calls;	 /* calls to the adviser in flight */
 	uint32_t commits_in_flight;
 	uint32_t last_batch;	 /* number of the newest transaction */
 	uint64_t last_commit_ms; /* when the newest transaction was sent */
@@ -569,7 +573,6 @@
 void waiters_drop(struct node *n);
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
 		node_answer_fn fn, void *arg);
-void inbox_add(struct node *n, const char *id);
 
 /* session.c */
 void session_send_calls(struct node *n, uint64_t now);
@@ -579,10 +582,26 @@
 void watch_from(struct node *n, enum feed_kind kind, uint64_t revision);
 void watch_operator_row(struct node *n, const struct store_row *row);
 void watch_instance_row(struct node *n, const struct store_row *row);
-void watch_inbox_row(struct node *n, const struct store_row *row);
 void watch_config_bytes(struct node *n, const uint8_t *value, size_t length,
 			const char *from);
 
+/* inbox.c */
+
+/* inbox_receive - handle a row of the inbox; read its job if it isn't known */
+void inbox_receive(struct node *n, const struct store_row *row);
+
+/* inbox_read_jobs - start the reads of jobs that may be started now */
+void inbox_read_jobs(struct node *n, uint64_t now);
+
+/* inbox_end - forget the jobs that are still to be read */
+void inbox_end(struct node *n);
+
+/* inbox_add - note that a known job has a row in the inbox */
+void inbox_add(struct node *n, const char *id);
+
+/* inbox_remove - forget that row; false if there is none */
+bool inbox_remove(struct node *n, const char *id);
+
 /* staleness.c */
 
 #define STALENESS_UNKNOWN UINT32_MAX /* ms: never known to be the newest */
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -243,7 +243,7 @@
 	n->commit_changes_max = 0;
 	n->commit_probe = false;
 	n->advice_calls = 0;
-	load_rows(n, &t->tables[READ_INBOX], watch_inbox_row);
+	load_rows(n, &t->tables[READ_INBOX], inbox_receive);
 	log_finished(t, now);
 	machines_begin(n);
 	relay_begin(n);
--- a/src/node/watch.c
+++ b/src/node/watch.c
@@ -106,80 +106,6 @@
 	talloc_free(tmp);
 }
 
-/* Inbox */
-
-/* The read of the job that an inbox row names. */
-struct inbox_read {
-	struct node *node;
-	uint64_t phase_generation;
-	char id[SCHED_ID_BYTES + 1];
-	bool cancel;
-	char queue[SCHED_NAME_MAX];
-};
-
-static void on_inbox_job(void *arg, const struct store_answer *answer)
-{
-	struct inbox_read *r = arg;
-	struct node *n = r->node;
-	uint64_t now = clock_now_ms();
-
-	node_store_result(n, "read job", answer->status);
-	if (r->phase_generation != n->phase_generation ||
-	    n->phase != LEADER_DECIDING) {
-		talloc_free(r);
-		return;
-	}
-	if (answer->status != STORE_OK) {
-		/* Read the whole inbox again, with this row. */
-		n->feeds[FEED_INBOX].revision = 0;
-		talloc_free(r);
-		return;
-	}
-	if (answer->row_count && !strcmp(answer->rows[0].key, r->id)) {
-		Fleet__JobRow *job = fleet__job_row__unpack(
-			NULL, answer->rows[0].length, answer->rows[0].value);
-
-		if (job)
-			sched_recorded(n->sched, r->id, job, now);
-		if (r->cancel)
-			sched_cancel(n->sched, r->id, r->queue, now);
-		inbox_add(n, r->id);
-	}
-	node_schedule_pass(n);
-	talloc_free(r);
-}
-
-void watch_inbox_row(struct node *n, const struct store_row *row)
-{
-	Fleet__InboxRow *in;
-	struct inbox_read *r;
-
-	if (row->deleted || strlen(row->key) > SCHED_ID_BYTES)
-		return;
-	in = fleet__inbox_row__unpack(NULL, row->length, row->value);
-	if (!in)
-		return;
-	if (sched_state(n->sched, row->key, in->queue) !=
-	    FLEET__JOB_STATE__UNKNOWN) {
-		if (in->cancel)
-			sched_cancel(n->sched, row->key, in->queue,
-				     clock_now_ms());
-		inbox_add(n, row->key);
-	} else {
-		r = talloc_zero(n, struct inbox_read);
-		assert(r);
-		r->node = n;
-		r->phase_generation = n->phase_generation;
-		r->cancel = in->cancel;
-		snprintf(r->id, sizeof(r->id), "%s", row->key);
-		snprintf(r->queue, sizeof(r->queue), "%s", in->queue);
-		n->services->read(n->services->impl, NODE_TABLE_JOB, r->id,
-				  node_key_end(r, r->id), NODE_STORE_MS,
-				  on_inbox_job, r);
-	}
-	fleet__inbox_row__free_unpacked(in, NULL);
-}
-
 /* Feeds */
 
 static void apply_row(struct node *n, enum feed_kind kind,
@@ -194,7 +120,7 @@
 		break;
 	case FEED_INBOX:
 	case FEED_COUNT:
-		watch_inbox_row(n, row);
+		inbox_receive(n, row);
 		break;
 	}
 }
@@ -409,4 +335,6 @@
 		if (!n->feeds[kind].in_flight && now >= n->feeds[kind].retry_ms)
 			feed_start(n, kind, false);
 	}
+	if (n->phase == LEADER_DECIDING)
+		inbox_read_jobs(n, now);
 }
