sched: go on with a pass where the last one left off

Cause: place_pool() ended a pass after 64 steps without room, or 2,000 at their cap, and each pass began at the same step. The bound is there since each such step may cost a search of all instances.

A pass that ends early now also goes on where the last one left off, with a bound of the same size, or a 16th of the steps if that is more. So its cost stays bounded, the first steps keep their precedence, and every step is tried within some passes, whatever those before it wait for.

--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -250,6 +250,7 @@
 	struct step *ready; /* sorted by rank, but for the unranked */
 	struct step
 		*unranked; /* the first that became ready since; NULL: none */
+	struct step *untried; /* where the next pass goes on; NULL: nowhere */
 	uint32_t ready_count;
 	uint32_t startable;	  /* tasks of ready steps */
 	uint64_t waiting_work;	  /* of these, in millicores x ms */
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -17,10 +17,15 @@
 #define AVOID_PENALTY 2 /* where the task failed: outweighs any free CPU */
 #define RACK_WEIGHT 4	/* outweighs free CPU and AVOID_PENALTY together */
 
-/* Steps without room, after which a pass over a pool ends */
+/*
+ * A pass over a pool ends after so many steps without room, and after so many
+ * at their workspace's cap, which cost little. The next pass goes on there,
+ * after it has tried the first steps again.
+ */
 #define STEPS_TRIED_MAX 64u
-/* The same for steps at their workspace's cap, which cost little */
 #define STEPS_CAPPED_MAX 2000u
+/* Passes in which all steps of a pool without room are tried */
+#define PASSES_PER_ROUND 16u
 /* Sums over the instances of a pool */
 #define AMOUNTS_VALID_MS 20u
 /* A machine is wanted for this long after an evacuation had no other place */
@@ -368,16 +373,20 @@
 	return PLACE_DONE;
 }
 
-static void place_pool(struct sched *s, struct pool *pool, uint64_t now)
+/*
+ * Tries steps from this one on; returns the first that isn't tried, as too many
+ * before it could not be placed, or NULL.
+ */
+static struct step *place_from(struct sched *s, struct pool *pool,
+			       struct step *step, uint32_t tried_max,
+			       uint64_t now)
 {
-	struct step *step, *next;
 	uint32_t without_room = 0;
 	uint32_t capped = 0;
+	struct step *next;
 
-	room_begin(pool);
-	pool_order(s, pool, now);
-	DL_FOREACH_SAFE(pool->ready, step, next)
-	{
+	for (; step; step = next) {
+		next = step->next;
 		/*
 		 * Until a leader has written the job, its submission may still
 		 * fail, or a successor may start it from another node's record.
@@ -389,14 +398,38 @@
 			break;
 		case PLACE_CAPPED:
 			if (++capped >= STEPS_CAPPED_MAX)
-				return;
+				return next;
 			break;
 		case PLACE_NO_ROOM:
-			if (++without_room >= STEPS_TRIED_MAX)
-				return;
+			if (++without_room >= tried_max)
+				return next;
 			break;
 		}
 	}
+	return NULL;
+}
+
+/*
+ * Steps that can't be placed at present must not keep those after them from
+ * being tried: what these wait for may be there.
+ */
+static void place_pool(struct sched *s, struct pool *pool, uint64_t now)
+{
+	uint32_t tried_max = pool->ready_count / PASSES_PER_ROUND;
+	struct step *untried;
+
+	if (tried_max < STEPS_TRIED_MAX)
+		tried_max = STEPS_TRIED_MAX;
+	room_begin(pool);
+	pool_order(s, pool, now);
+	untried = place_from(s, pool, pool->ready, STEPS_TRIED_MAX, now);
+	if (!untried) {
+		pool->untried = NULL;
+		return;
+	}
+	if (!pool->untried)
+		pool->untried = untried;
+	pool->untried = place_from(s, pool, pool->untried, tried_max, now);
 }
 
 void sched_place(struct sched *s, uint64_t now)
--- a/src/pool/sched_ready.c
+++ b/src/pool/sched_ready.c
@@ -44,6 +44,8 @@
 {
 	if (pool->unranked == step)
 		pool->unranked = step->next;
+	if (pool->untried == step)
+		pool->untried = step->next;
 	DL_DELETE(pool->ready, step);
 	pool->ready_count--;
 	step->queued = false;
