sched: search for advice also in the order of waiting

Steps of a queue with an adviser for which no instance can be named kept later ones from a call: a search ends after 16 of them and began with the best ranks each time, so with a pass every 50 ms 96 such steps, due again after 300 ms, were all that was ever looked at.

A search that names nobody is followed by one that takes the step that has been due longest. test/advice_test.c: 300 such steps beside one that has a candidate; "no call for the step in 3 s" on the code before.

--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -362,6 +362,8 @@
 			return true;
 		}
 	}
+	/* Steps of the best ranks must not keep later ones from a search. */
+	s->advice_by_age = true;
 	return false;
 }
 
--- a/test/advice_test.c
+++ b/test/advice_test.c
@@ -304,6 +304,54 @@
 	talloc_free(a.r.s);
 }
 
+/* Steps that no instance can be named for don't keep others from a call. */
+static void test_call_beside_steps_without_candidates(void **state)
+{
+	const struct sched_instance_info special = {
+		.id = "special",
+		.address = "a:1",
+		.zone = "z",
+		.pool = "p",
+		.machine = "special",
+		.capacity = { 4000, 4000, 0 },
+		.label_count = 1,
+		.labels = { "special" },
+	};
+	struct advised a;
+	char id[SCHED_ID_BYTES + 1];
+	uint32_t after, n;
+
+	(void)state;
+	advised_new(&a, 4);
+	a.allowed[0] = true;
+	/* The only instance that could run them is lost. */
+	sched_instance_listed(a.r.s, &special, a.r.now);
+	for (n = 0; n < 300; n++) {
+		Fleet__JobRow *row = job_row(1, 1, true);
+
+		free(row->steps[0]->label);
+		row->steps[0]->label = strdup("special");
+		snprintf(id, sizeof(id), "%016x", 0x100 + n);
+		assert_int_equal(
+			sched_submit(a.r.s, id, row, a.r.now, a.r.now, &after),
+			SUBMIT_ACCEPTED);
+	}
+	sched_instance_unlisted(a.r.s, special.id, a.r.now);
+	submit(&a.r, id_a, 1, 1, false);
+	while (sched_change_pending(a.r.s))
+		write_all(&a.r);
+	take_orders(&a.r);
+	/* An idle leader has a pass every 50 ms. */
+	for (n = 0; n < 60 && !a.calls; n++) {
+		call_once(&a);
+		a.r.now += 40;
+		sched_tick(a.r.s, a.r.now, a.r.now);
+	}
+	if (!a.calls)
+		fail_msg("no call for the step in 3 s");
+	talloc_free(a.r.s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -315,6 +363,7 @@
 		cmocka_unit_test(test_turns),
 		cmocka_unit_test(test_page_of_slow_adviser),
 		cmocka_unit_test(test_tickets),
+		cmocka_unit_test(test_call_beside_steps_without_candidates),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
