fleet walk: calls that reach a later incarnation of their instance

FAULT_STALE_CALLS (16384): instances restart within 0.8 s, carry out orders to their former incarnation that arrive within their timeout, have a late entry, and may be cut off after that; then the leader may be killed, or stand still. FAULT_STALE_POLLS (32768): polls arrive late, too.

--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -216,6 +216,58 @@
 	trace(w, "leader %u is alone with some instances", alone);
 }
 
+/* The instance is back soon, and in half of the cases cut off after that. */
+static void restart_soon(struct world *w, struct world_instance *i)
+{
+	i->up = false;
+	i->run_count = 0;
+	i->restart_ms = w->now + REBORN_MS + random_below(w, REBORN_MS);
+	trace(w, "%s crashed", i->id);
+	if (random_below(w, 2))
+		i->cut_off_from_ms =
+			i->restart_ms + random_below(w, REBORN_CUT_OFF_MS);
+}
+
+/* Ends the leader's process; its successor knows that it gives no orders. */
+static void kill_leader(struct world *w)
+{
+	struct leader *l =
+		w->row_leader ? &w->leaders[w->row_leader - 1] : NULL;
+
+	if (!l || !l->s)
+		return;
+	trace(w, "leader %u is killed", w->row_leader - 1);
+	leader_resign(w, l);
+	l->confirmed_ms = 0;
+	w->leader_killed = true;
+}
+
+/* Cuts off what was restarted; the leader may stand still, or end, then. */
+static void cut_off_reborn(struct world *w)
+{
+	uint32_t n;
+
+	for (n = 0; n < WORLD_INSTANCES; n++) {
+		struct world_instance *i = &w->instances[n];
+
+		if (!i->cut_off_from_ms || w->now < i->cut_off_from_ms)
+			continue;
+		i->cut_off_from_ms = 0;
+		i->cut_off_until_ms = w->now + 2000 + random_below(w, 10000);
+		trace(w, "%s is cut off", i->id);
+		switch (random_below(w, 4)) {
+		case 0:
+			if (w->row_leader)
+				w->leaders[w->row_leader - 1].frozen_until_ms =
+					w->now + random_below(w, 8000);
+			break;
+		case 1:
+			kill_leader(w);
+			break;
+		}
+	}
+}
+
 static void inject_faults(struct world *w)
 {
 	struct world_instance *i =
@@ -243,6 +295,9 @@
 		l->cut_off_until_ms = w->now + random_below(w, 8000);
 	if (fault_occurs(w, FAULT_DIVIDED, 3))
 		divide_network(w);
+	if (fault_occurs(w, FAULT_STALE_CALLS, 20) && i->up)
+		restart_soon(w, i);
+	cut_off_reborn(w);
 	if (w->now >= WORLD_FAULTS_MS)
 		i->failing = false;
 }
@@ -270,6 +325,13 @@
 	w->next_claim_ms = w->now + 300;
 }
 
+static bool is_reborn_soon(const struct world *w,
+			   const struct world_instance *i)
+{
+	return (w->faults & FAULT_STALE_CALLS) &&
+	       i->restart_ms < w->now + REBORN_MS + REBORN_LISTED_MS;
+}
+
 static void directory_advance(struct world *w)
 {
 	uint32_t i;
@@ -277,7 +339,11 @@
 	for (i = 0; i < WORLD_INSTANCES; i++) {
 		struct world_instance *in = &w->instances[i];
 
-		in->listed = in->up && w->now >= in->unlisted_until_ms;
+		if (in->up && w->now >= in->relisted_ms)
+			in->listed_incarnation = in->incarnation;
+		/* An entry of the former incarnation may remain that long. */
+		in->listed = (in->up || is_reborn_soon(w, in)) &&
+			     w->now >= in->unlisted_until_ms;
 	}
 }
 
@@ -441,8 +507,10 @@
 void world_run(uint64_t seed, unsigned int faults, bool verbose,
 	       struct world_result *result)
 {
-	const uint64_t end_ms =
-		faults & FAULT_REPEATS ? WORLD_END_REPEATS_MS : WORLD_END_MS;
+	const uint64_t end_ms = faults & FAULT_REPEATS ? WORLD_END_REPEATS_MS
+				: faults & FAULT_STALE_CALLS
+					? WORLD_END_STALE_MS
+					: WORLD_END_MS;
 	struct world *w = calloc(1, sizeof(*w));
 	uint32_t i;
 
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -24,6 +24,8 @@
 #define WORLD_END_MS 40000u    /* by then every job must have ended */
 /* Same, with FAULT_REPEATS: some jobs have four times the work */
 #define WORLD_END_REPEATS_MS 100000u
+/* Same, with FAULT_STALE_CALLS: instances may be cut off for longer */
+#define WORLD_END_STALE_MS 70000u
 
 enum world_fault {
 	FAULT_LATE_ORDERS = 1 << 0,
@@ -43,6 +45,14 @@
 	FAULT_REPEATS = 1 << 12,
 	/* One leader and some instances are cut off from everything else. */
 	FAULT_DIVIDED = 1 << 13,
+	/*
+	 * Instances are back under their ids within a second and may be cut off
+	 * soon after. The new incarnation carries out calls that were meant for
+	 * the former one, and its entry may be late. Some orders arrive late,
+	 * but not later than their timeout.
+	 */
+	FAULT_STALE_CALLS = 1 << 14,
+	FAULT_STALE_POLLS = 1 << 15, /* some polls arrive late, too */
 };
 
 struct world_result {
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -86,18 +86,36 @@
 	} else if (fault_occurs(w, lost, 60)) {
 		c->answer_ms = UINT64_MAX;
 	}
+	if (!to_store && fault_occurs(w,
+				      kind == CALL_ORDER ? FAULT_STALE_CALLS
+							 : FAULT_STALE_POLLS,
+				      100))
+		c->exec_ms = w->now + random_below(w, timeout_ms);
+	if (c->answer_ms < c->exec_ms)
+		c->answer_ms = c->exec_ms;
 	DL_APPEND(w->calls, c);
 	return c;
 }
 
+/*
+ * A connection to an incarnation that has ended is lost. One that is made after
+ * a quick restart isn't, and an instance only checks its id; a caller gives up
+ * connecting with the call.
+ */
+static bool is_meant_for(const struct world *w, const struct call *c,
+			 const struct world_instance *i)
+{
+	return i->incarnation == c->target_incarnation ||
+	       ((w->faults & FAULT_STALE_CALLS) && w->now <= c->timeout_ms);
+}
+
 /* Whether a call that is executed now takes effect. */
 static bool reachable(const struct world *w, const struct call *c)
 {
 	if (is_to_store(c->kind))
 		return w->now >= w->leaders[c->leader].cut_off_until_ms;
-	/* A call to an incarnation that has ended is lost. */
 	return w->instances[c->instance].up &&
-	       w->instances[c->instance].incarnation == c->target_incarnation &&
+	       is_meant_for(w, c, &w->instances[c->instance]) &&
 	       w->now >= w->instances[c->instance].cut_off_until_ms &&
 	       w->now >= w->instances[c->instance].path_cut_until_ms[c->leader];
 }
--- a/test/walk/fleet_world_instance.c
+++ b/test/walk/fleet_world_instance.c
@@ -13,6 +13,18 @@
 	return 1000 + (uint64_t)((double)(w->now - i->clock_start) * i->rate);
 }
 
+/* A lease that is longer than the longest is shortened to that. */
+static void extend_lease(const struct world *w, struct world_instance *i,
+			 uint64_t until)
+{
+	uint64_t longest = instance_clock_ms(w, i) + LEASE_MAX_MS;
+
+	if (until > longest)
+		until = longest;
+	if (until > i->lease_end)
+		i->lease_end = until;
+}
+
 static void report_end(struct world *w, struct world_instance *i,
 		       const struct world_task_run *r,
 		       enum sched_outcome outcome)
@@ -93,6 +105,11 @@
 			i->up = true;
 			i->incarnation = w->now + 1;
 			i->clock_start = w->now;
+			i->relisted_ms =
+				w->faults & FAULT_STALE_CALLS
+					? w->now + random_below(
+							   w, REBORN_LISTED_MS)
+					: w->now;
 			i->fence = i->lease_end = i->last_seq = 0;
 			i->run_count = i->end_count = i->stopped_count = 0;
 			trace(w, "%s restarted", i->id);
@@ -251,8 +268,7 @@
 	check_duplicate_start(w, i, o, true);
 	check_step_order(w, o);
 	check_requested(w, o, c->sent_ms);
-	if (o->lease_until > i->lease_end)
-		i->lease_end = o->lease_until;
+	extend_lease(w, i, o->lease_until);
 	assert(i->run_count < RUNS_MAX);
 	run = &i->runs[i->run_count++];
 	memset(run, 0, sizeof(*run));
@@ -324,8 +340,7 @@
 		return;
 	}
 	i->fence = c->fence;
-	if (c->poll.lease_until > i->lease_end)
-		i->lease_end = c->poll.lease_until;
+	extend_lease(w, i, c->poll.lease_until);
 	acknowledge_ends(w, i, c->poll.acked);
 	c->clock_ms = instance_clock_ms(w, i);
 	c->incarnation = i->incarnation;
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -30,14 +30,18 @@
 #define UNLISTED_MS 3000u     /* longest absence from the directory */
 #define RESTART_MS 2000u      /* shortest time from a crash to the restart */
 #define QUICK_RESTART_MS 500u /* same, with FAULT_QUICK_RESTARTS */
-#define TASKS_MAX 8u	      /* of a step */
-#define STEPS_MAX 3u	      /* of an occurrence */
-#define TIMES_MAX 4u	      /* occurrences of a job */
-#define EARLY_MS 250u	      /* a start may precede its due time by this */
-#define SKEW_MAX_MS 200u      /* of a leader's time of day, either way */
-#define PROGRESS_MAX 2048u    /* bytes of a progress row */
-#define RUNS_MAX 64u	      /* on an instance */
-#define ENDS_MAX 256u	      /* ends, and stopped runs, of an instance */
+/* With FAULT_STALE_CALLS */
+#define REBORN_MS 400u		/* from a crash to the restart */
+#define REBORN_LISTED_MS 800u	/* longest, until its entry is a new one */
+#define REBORN_CUT_OFF_MS 3000u /* longest, until it is cut off */
+#define TASKS_MAX 8u		/* of a step */
+#define STEPS_MAX 3u		/* of an occurrence */
+#define TIMES_MAX 4u		/* occurrences of a job */
+#define EARLY_MS 250u		/* a start may precede its due time by this */
+#define SKEW_MAX_MS 200u	/* of a leader's time of day, either way */
+#define PROGRESS_MAX 2048u	/* bytes of a progress row */
+#define RUNS_MAX 64u		/* on an instance */
+#define ENDS_MAX 256u		/* ends, and stopped runs, of an instance */
 #define ATTEMPTS_MAX 3u
 #define CANCEL_GRACE_MS 3000u /* starts may follow a cancellation this long */
 /* Absent for this long, a long-running task counts against the budget */
@@ -77,6 +81,7 @@
 	uint64_t lease_end; /* by its own clock */
 	bool up;
 	uint64_t restart_ms;	   /* time of its next start */
+	uint64_t cut_off_from_ms;  /* it will be cut off then; 0: it won't */
 	uint64_t cut_off_until_ms; /* no call passes until then */
 	/* until then no call of that leader passes */
 	uint64_t path_cut_until_ms[WORLD_LEADERS];
@@ -88,6 +93,9 @@
 	struct stopped_run stopped[ENDS_MAX];
 	bool failing; /* its runs fail */
 	bool listed;  /* in the directory */
+	/* as its entry says; an entry of the former incarnation may remain */
+	uint64_t listed_incarnation;
+	uint64_t relisted_ms; /* when the entry is replaced */
 };
 
 /* Jobs, as callers and the store know them */
@@ -212,6 +220,7 @@
 	uint64_t store_revision, leader_revision, epoch;
 	uint32_t leader_resolved; /* of the leader row */
 	uint32_t row_leader; /* index + 1 of the leader that the row names */
+	bool leader_killed;  /* the row's leader; it gives no more orders */
 	uint64_t next_claim_ms;
 	struct world_marker markers[COMMITS_MAX];
 	struct call *calls;
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -29,7 +29,7 @@
 			.zone = "z",
 			.pool = in->pool,
 			.machine = in->id,
-			.started_unix_ms = in->incarnation,
+			.started_unix_ms = in->listed_incarnation,
 			.capacity = { 8000, 8000, 0 },
 			.label_count = 1,
 			.labels = { "r1" },
@@ -84,6 +84,17 @@
 	trace(arg, "    %s %s %s", kind, id, text);
 }
 
+/* Whether the predecessor was killed, and no leader before it is left. */
+static bool predecessors_gone(const struct world *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < WORLD_LEADERS; i++)
+		if (w->leaders[i].s)
+			return false;
+	return w->leader_killed;
+}
+
 void leader_claim(struct world *w, uint32_t index)
 {
 	struct sched_options options = { .lease_ms = LEASE_MS,
@@ -95,9 +106,12 @@
 					 .row_bytes = PROGRESS_MAX,
 					 .open_max = w->open_max };
 	struct leader *l = &w->leaders[index];
+	bool predecessor_gone;
 
 	if (l->s)
 		leader_resign(w, l);
+	predecessor_gone = predecessors_gone(w);
+	w->leader_killed = false;
 	l->incarnation++;
 	w->row_leader = index + 1;
 	w->leader_revision = ++w->store_revision;
@@ -122,7 +136,7 @@
 		sched_set_ranges(l->s, random_below(w, 2));
 	leader_read_directory(w, l);
 	leader_load_rows(w, l);
-	sched_become_leader(l->s, l->epoch, false, w->now);
+	sched_become_leader(l->s, l->epoch, predecessor_gone, w->now);
 }
 
 static void leader_read_machines(struct world *w, struct leader *l)
