sched: count what a restarted instance may hold by a former deadline

An instance that restarts under its id reads deadlines that were meant for its former life by its new clock and holds work for the longest lease.

Each call with a deadline sets stale_end_ms. A start that is neither answered nor reported is kept until then when its instance's lease ends; other runs are freed as before. After a restart, the whole instance is counted so, as is one that has started lately when it first reports to a new leader. A list without an instance doesn't free starts that were just sent.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -28,6 +28,16 @@
 	return i && i->handle.generation == h.generation ? i : NULL;
 }
 
+/*
+ * Whether the run's start was sent, and nothing shows which incarnation of its
+ * instance has carried it out, if one has. A deadline that was meant for a
+ * former incarnation holds for the longest lease.
+ */
+static bool start_is_open(const struct run *run)
+{
+	return run->ordered_ms && !run->running_since_ms;
+}
+
 static bool all_reported(const struct sched *s)
 {
 	const struct pool *pool;
@@ -119,12 +129,25 @@
 	set_unreported_capacity(s, i);
 }
 
-/* When all runs that a former leader started have ended. */
+/* How long a lease that an instance is given now may hold, at most. */
+static uint64_t lease_holds_ms(uint32_t lease_ms)
+{
+	return (uint64_t)(lease_ms * (1 + LEASE_SLACK)) + LEASE_MARGIN_MS;
+}
+
+/*
+ * When all runs that a former leader started have ended. An instance that
+ * restarted shortly before the end of its leadership may have read one of its
+ * deadlines by its new clock.
+ */
 static uint64_t predecessor_runs_end_ms(const struct sched *s)
 {
-	return s->predecessor_end_ms +
-	       (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK)) +
-	       LEASE_MARGIN_MS;
+	uint64_t lease_end =
+		s->predecessor_end_ms + lease_holds_ms(s->options.lease_ms);
+	uint64_t stale_end =
+		s->leader_since_ms + lease_holds_ms(s->options.lease_max_ms);
+
+	return lease_end > stale_end ? lease_end : stale_end;
 }
 
 /* Assumes that the predecessor renewed the lease with its last order. */
@@ -353,6 +376,20 @@
 	i->gone_why = why;
 }
 
+/*
+ * A machine without an instance may run it again under its old id. A start that
+ * was sent shortly before the list may then be carried out.
+ */
+static bool may_start_late(const struct instance *i, uint64_t listed_ms)
+{
+	const struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (start_is_open(run) && listed_ms < run->ordered_ms + ORDER_LATE_MS)
+		return true;
+	return false;
+}
+
 /* Whether an instance may have runs that it does not report now. */
 static bool is_unaccounted(const struct instance *i)
 {
@@ -372,7 +409,8 @@
 	DL_FOREACH_SAFE2(m->instances, i, next, machine_next)
 	{
 		if (!strcmp(i->id, id) || !is_unaccounted(i) ||
-		    i->clock_read_ms >= sent_ms || i->known_ms >= sent_ms)
+		    i->clock_read_ms >= sent_ms || i->known_ms >= sent_ms ||
+		    (!*id && may_start_late(i, sent_ms)))
 			continue;
 		instance_set_gone(
 			i, "its machine runs another instance or none", now);
@@ -424,8 +462,7 @@
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now)
 {
-	uint64_t end = now + LEASE_MARGIN_MS +
-		       (uint64_t)(s->options.lease_ms * (1 + LEASE_SLACK));
+	uint64_t end = now + lease_holds_ms(s->options.lease_ms);
 	uint64_t clock_ms;
 
 	if (end > i->lease_end_ms)
@@ -445,33 +482,57 @@
 void instance_extend_lease_max(const struct sched *s, struct instance *i,
 			       uint64_t now)
 {
-	uint64_t end = now + LEASE_MARGIN_MS +
-		       (uint64_t)(s->options.lease_max_ms * (1 + LEASE_SLACK));
+	uint64_t end = now + lease_holds_ms(s->options.lease_max_ms);
 
 	if (end > i->lease_end_ms)
 		i->lease_end_ms = end;
 }
 
-/* Frees the runs of an instance: all have lapsed or were killed. */
-void instance_expire(struct sched *s, struct instance *i, const char *why,
-		     uint64_t now)
+void instance_restarted(struct instance *i)
+{
+	if (i->stale_end_ms > i->lease_end_ms)
+		i->lease_end_ms = i->stale_end_ms;
+}
+
+void instance_deadline_sent(const struct sched *s, struct instance *i,
+			    uint64_t now, uint32_t late_ms)
+{
+	uint64_t end = now + late_ms + lease_holds_ms(s->options.lease_max_ms);
+
+	if (end > i->stale_end_ms)
+		i->stale_end_ms = end;
+}
+
+/*
+ * Frees runs of an instance: they have lapsed or were killed. Unless all have,
+ * those whose start is open remain.
+ */
+static void free_ended_runs(struct sched *s, struct instance *i, bool all,
+			    const char *why, uint64_t now)
 {
 	struct run *run, *next;
+	uint32_t open = 0;
 
-	if (i->run_count || i->counted_unreported)
+	if (!all)
+		DL_FOREACH(i->runs, run)
+	open += start_is_open(run);
+	if (i->run_count > open || i->counted_unreported)
 		sched_trace(s, "instance-expired", i->id,
-			    "\"why\":\"%s\",\"runs\":%u,\"reported\":%d"
+			    "\"why\":\"%s\",\"runs\":%u,\"open_starts\":%u"
+			    ",\"reported\":%d"
 			    ",\"lease_ended_ms_ago\":%" PRId64
 			    ",\"confirmed_ms_ago\":%" PRId64,
-			    why, i->run_count, i->reported,
+			    why, i->run_count, open, i->reported,
 			    (int64_t)(now - i->lease_end_ms),
 			    (int64_t)(now - s->leader_confirmed_ms));
 	DL_FOREACH_SAFE(i->runs, run, next)
 	{
+		if (!all && start_is_open(run))
+			continue;
 		s->stats.runs_lost++;
 		run_free(s, run, now);
 	}
-	i->expired = true;
+	i->expired = !open;
 	i->gone_ms = 0;
 	instance_count_reported(s, i);
 }
@@ -513,6 +574,19 @@
 	       (i->run_count || i->counted_unreported);
 }
 
+/* When the next of its runs are freed. */
+static uint64_t runs_end_ms(const struct instance *i)
+{
+	const struct run *run;
+
+	if (i->counted_unreported || i->stale_end_ms < i->lease_end_ms)
+		return i->lease_end_ms;
+	DL_FOREACH(i->runs, run)
+	if (!start_is_open(run))
+		return i->lease_end_ms;
+	return i->stale_end_ms;
+}
+
 bool sched_needs_confirmation(const struct sched *s, uint64_t now)
 {
 	uint32_t n;
@@ -527,8 +601,8 @@
 			return true;
 		if (i->gone_ms && !was_leader_at(s, i->gone_ms))
 			return true;
-		if (now >= i->lease_end_ms && awaits_lease_end(i) &&
-		    !was_leader_at(s, i->lease_end_ms))
+		if (awaits_lease_end(i) && now >= runs_end_ms(i) &&
+		    !was_leader_at(s, runs_end_ms(i)))
 			return true;
 	}
 	return !s->expect_complete && now >= predecessor_runs_end_ms(s) &&
@@ -581,9 +655,10 @@
 void instance_tick(struct sched *s, struct instance *i, uint64_t now)
 {
 	if (i->gone_ms && was_leader_at(s, i->gone_ms))
-		instance_expire(s, i, i->gone_why, now);
-	if (awaits_lease_end(i) && was_leader_at(s, i->lease_end_ms))
-		instance_expire(s, i, "its lease expired", now);
+		free_ended_runs(s, i, true, i->gone_why, now);
+	if (awaits_lease_end(i) && was_leader_at(s, runs_end_ms(i)))
+		free_ended_runs(s, i, was_leader_at(s, i->stale_end_ms),
+				"its lease expired", now);
 	instance_free_missing(s, i, now);
 }
 
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -323,9 +323,15 @@
 	uint64_t next_poll_ms;
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
 	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
-	uint64_t lease_end_ms;	/* by the leader's clock; no run outlasts it */
-	uint64_t last_end_seq;	/* highest seq reported */
-	uint64_t acked;		/* highest seq whose changes are durable */
+	/*
+	 * By the leader's clock; no run that is known to have begun outlasts
+	 * it. One whose start was not answered may, up to stale_end_ms, if
+	 * the instance has restarted meanwhile.
+	 */
+	uint64_t lease_end_ms;
+	uint64_t stale_end_ms;
+	uint64_t last_end_seq; /* highest seq reported */
+	uint64_t acked;	       /* highest seq whose changes are durable */
 	struct unacked *unacked;
 	uint32_t unacked_count;
 	uint32_t unacked_alloc;
@@ -589,8 +595,24 @@
 			       uint64_t now);
 void instance_extend_lease_max(const struct sched *s, struct instance *i,
 			       uint64_t now);
-void instance_expire(struct sched *s, struct instance *i, const char *why,
-		     uint64_t now);
+
+/* How late an order may arrive at an incarnation that it isn't meant for */
+#define ORDER_LATE_MS 1000u
+
+/*
+ * instance_restarted - a new incarnation may have read deadlines of the former
+ *
+ * Its work may be held as if each call that was sent had reached it.
+ */
+void instance_restarted(struct instance *i);
+
+/*
+ * instance_deadline_sent - note that a call with a deadline is being sent
+ *
+ * late_ms: how long after now it may still arrive.
+ */
+void instance_deadline_sent(const struct sched *s, struct instance *i,
+			    uint64_t now, uint32_t late_ms);
 bool instance_usable(const struct sched *s, const struct instance *i,
 		     uint64_t now);
 void instance_record_no_answer(struct sched *s, struct instance *i,
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -34,6 +34,14 @@
  */
 #define SAME_INCARNATION_MS 500u
 
+/*
+ * Longest time after a restart in which a leader doesn't notice it and sends
+ * calls to the former incarnation, with the error of clocks.
+ */
+#define RESTART_UNNOTICED_MS 8000u
+
+#define FIRST_EPOCH 1u /* its leader has no predecessor */
+
 static bool instance_serves(const struct instance *i)
 {
 	struct run *run;
@@ -146,6 +154,8 @@
 		/* The lease of an unresponsive instance is left to expire. */
 		if (i->run_count && !i->unresponsive)
 			poll->lease_until = instance_extend_lease(s, i, now);
+		if (poll->lease_until)
+			instance_deadline_sent(s, i, now, poll->timeout_ms);
 		s->idle_next = i->idle_next;
 		set_polling(s, i, true);
 		return true;
@@ -363,6 +373,19 @@
 	}
 }
 
+/*
+ * Whether the instance may have restarted, under the id that it had, so late
+ * that a deadline that a former leader sent to it still holds.
+ */
+static bool has_started_lately(const struct sched *s,
+			       const struct sched_report *r)
+{
+	return s->epoch > FIRST_EPOCH &&
+	       r->started_unix_ms + s->options.lease_max_ms +
+			       RESTART_UNNOTICED_MS >
+		       s->unix_ms;
+}
+
 static void new_incarnation(struct sched *s, struct instance *i,
 			    const struct sched_report *r, uint64_t now)
 {
@@ -372,6 +395,9 @@
 			    i->run_count);
 		if (i->run_count)
 			instance_extend_lease_max(s, i, now);
+		instance_restarted(i);
+	} else if (!i->reported && has_started_lately(s, r)) {
+		instance_extend_lease_max(s, i, now);
 	}
 	i->started_unix_ms = r->started_unix_ms;
 	i->last_end_seq = 0;
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -210,6 +210,7 @@
 	if (o->kind == ORDER_START) {
 		o->ticket = step_ticket(run->task->step, i, now);
 		o->lease_until = instance_extend_lease(s, i, now);
+		instance_deadline_sent(s, i, now, ORDER_LATE_MS);
 	}
 	return true;
 }
@@ -321,6 +322,7 @@
 		    clock_ms, i->clock_ms);
 	if (order->kind == ORDER_START)
 		instance_extend_lease_max(s, i, now);
+	instance_restarted(i);
 	i->clock_read_ms = 0;
 	i->unresponsive = true;
 	i->next_poll_ms = now;
