sched: the longest lease only while a restart is possible

Now one that reports keeps its lease, unless it has started lately; one that hasn't reported is waited for until stale_end_ms. The first leader of a site has no predecessor and waits for nothing.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -136,24 +136,38 @@
 }
 
 /*
- * When all runs that a former leader started have ended. An instance that
- * restarted shortly before the end of its leadership may have read one of its
- * deadlines by its new clock.
+ * When leases by former leaders end. Only an instance that restarted shortly
+ * before the end of their leadership can hold work longer, up to
+ * predecessor_stale_end_ms(): it may have read one of their deadlines by its
+ * new clock.
  */
+static uint64_t predecessor_leases_end_ms(const struct sched *s)
+{
+	return s->predecessor_end_ms + lease_holds_ms(s->options.lease_ms);
+}
+
+static uint64_t predecessor_stale_end_ms(const struct sched *s)
+{
+	return s->epoch > FIRST_EPOCH
+		       ? s->leader_since_ms +
+				 lease_holds_ms(s->options.lease_max_ms)
+		       : 0;
+}
+
+/* When all runs that a former leader started have ended. */
 static uint64_t predecessor_runs_end_ms(const struct sched *s)
 {
-	uint64_t lease_end =
-		s->predecessor_end_ms + lease_holds_ms(s->options.lease_ms);
-	uint64_t stale_end =
-		s->leader_since_ms + lease_holds_ms(s->options.lease_max_ms);
+	uint64_t leases_end_ms = predecessor_leases_end_ms(s);
+	uint64_t stale_end_ms = predecessor_stale_end_ms(s);
 
-	return lease_end > stale_end ? lease_end : stale_end;
+	return leases_end_ms > stale_end_ms ? leases_end_ms : stale_end_ms;
 }
 
 /* Assumes that the predecessor renewed the lease with its last order. */
 static void lease_set_from_predecessor(struct sched *s, struct instance *i)
 {
-	i->lease_end_ms = predecessor_runs_end_ms(s);
+	i->lease_end_ms = predecessor_leases_end_ms(s);
+	i->stale_end_ms = predecessor_stale_end_ms(s);
 }
 
 void sched_become_leader(struct sched *s, uint64_t epoch, bool predecessor_gone,
@@ -574,12 +588,12 @@
 	       (i->run_count || i->counted_unreported);
 }
 
-/* When the next of its runs are freed. */
+/* When the next of its runs are freed; what an unreported one runs is open. */
 static uint64_t runs_end_ms(const struct instance *i)
 {
 	const struct run *run;
 
-	if (i->counted_unreported || i->stale_end_ms < i->lease_end_ms)
+	if (i->stale_end_ms < i->lease_end_ms)
 		return i->lease_end_ms;
 	DL_FOREACH(i->runs, run)
 	if (!start_is_open(run))
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -596,6 +596,8 @@
 void instance_extend_lease_max(const struct sched *s, struct instance *i,
 			       uint64_t now);
 
+#define FIRST_EPOCH 1u /* its leader has no predecessor */
+
 /* How late an order may arrive at an incarnation that it isn't meant for */
 #define ORDER_LATE_MS 1000u
 
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -40,8 +40,6 @@
  */
 #define RESTART_UNNOTICED_MS 8000u
 
-#define FIRST_EPOCH 1u /* its leader has no predecessor */
-
 static bool instance_serves(const struct instance *i)
 {
 	struct run *run;
