test: restarts of instances that are cut off; bounds of a takeover

lease_test and repeat_test expected a predecessor's runs to be over 4.27 s after its last order; they ask for the longest lease now, which is later.

The walk no longer counts an end as taken note of if the lease ended before it was acknowledged.

--- a/test/repeat_test.c
+++ b/test/repeat_test.c
@@ -5,7 +5,8 @@
 
 #define INTERVAL_MS 60000
 #define TAKEOVER_MS 1000000
-#define EXPIRY_MS (LEASE_MS + 500u) /* a former leader's leases have ended */
+/* A former leader's leases have ended, also of instances that restarted */
+#define EXPIRY_MS (LEASE_MAX_MS + 500u)
 
 /* Runs of these tests have numbers of the first epoch. */
 #define RUN 10001u
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -16,6 +16,7 @@
 #include "pool/sched.h"
 
 #define LEASE_MS 4000u
+#define LEASE_MAX_MS 10000u
 #define QUEUE_SLACK_MS 600u
 
 /* A scheduler and its instances, whose reports the test supplies. */
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -24,6 +24,7 @@
 #define ASK_TIMEOUT_MS 600u   /* of the question */
 #define ASK_SPREAD_MS 300u    /* random addition to it */
 #define COMMITS_MAX 3u	      /* transactions of a leader in flight */
+#define CALL_DELAY_MAX_MS 40u /* of a call that isn't late */
 #define LATE_MAX_MS 12000u    /* longest additional delay of a late call */
 #define STOP_MAX_MS 200u      /* from a stop to the end of the run */
 #define STARTUP_MS 300u	      /* until a run reports 100 percent */
@@ -64,6 +65,7 @@
 	char task[SCHED_TASK_MAX];
 	uint64_t number;
 	enum sched_outcome outcome;
+	bool lapsed; /* the instance's lease has ended since */
 };
 
 struct stopped_run {
