test: a restarted worker that is cut off, with real processes

standin/site: a worker's clock starts anew with it, leases are shortened to the longest, `born` is a time of day, and `reborn` restarts a worker under its id, with its old entry for a while and one poll never answered.

--- a/standin/site.c
+++ b/standin/site.c
@@ -15,6 +15,9 @@
  *			older revision is answered with 410
  *	crash		name of a worker that loses all state and does not
  *			answer for 2 s
+ *	reborn		name of a worker that loses all state and is back after
+ *			down_ms under its id; it leaves a poll unanswered, and
+ *			its entry is replaced only after listed_ms
  *	put		{"table", "key", "value"}: writes a row as an operator
  * GET /record lists what the workers ran: [task, run, worker, begin, end, how]
  * in milliseconds of the machine's monotonic clock; end is 0 while it runs.
@@ -30,6 +33,7 @@
 #include <sys/socket.h>
 #include <talloc.h>
 #include <tevent.h>
+#include <time.h>
 
 #include "process/clock.h"
 #include "process/mtimer.h"
@@ -42,6 +46,8 @@
 #define TICK_MS 10u	  /* between checks for ended runs and due answers */
 #define STOP_DELAY_MS 20u /* from a stop order to the end of the run */
 #define CRASH_DOWN_MS 2000u
+#define LEASE_MAX_MS 10000u  /* longer leases are shortened */
+#define CLOCK_FIRST_MS 1000u /* a worker's clock at its start */
 #define CAPACITY_CPU 16000   /* millicores of each worker */
 #define CAPACITY_MEM 65536   /* MiB of each worker */
 #define ROW_BYTES 65536u     /* unless /control sets row_bytes */
@@ -81,9 +87,11 @@
 	char pool[NAME_MAX_BYTES];
 	int port;
 	uint64_t started_ms;
+	uint64_t born_unix_ms;	/* the same, as time of day */
 	uint64_t down_until_ms; /* 0: up */
+	uint64_t register_ms;	/* when it writes its entry; 0: it is written */
 	uint64_t fence;		/* highest fence received */
-	uint64_t lease_until_ms;
+	uint64_t lease_until_ms; /* by its own clock */
 	uint64_t last_end_seq;
 	json_t *ended;	 /* runs, as in a report, until acknowledged */
 	json_t *blocked; /* task -> highest run that may not start */
@@ -91,6 +99,8 @@
 	struct running running[RUNNING_MAX];
 	struct httpd_request *poll_request; /* unanswered poll, or NULL */
 	uint64_t poll_deadline_ms;
+	struct httpd_request *lost_poll; /* never answered; or NULL */
+	uint64_t lost_poll_end_ms;	 /* when its connection is closed */
 };
 
 struct site {
@@ -425,14 +435,40 @@
 
 /* Workers */
 
+/* A worker's clock starts anew with it. */
+static uint64_t worker_clock_ms(const struct worker *w, uint64_t now)
+{
+	return now - w->started_ms + CLOCK_FIRST_MS;
+}
+
+static void set_started(struct worker *w, uint64_t now)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	w->started_ms = now;
+	w->born_unix_ms =
+		(uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static void extend_lease(struct worker *w, uint64_t deadline_ms, uint64_t now)
+{
+	uint64_t longest_ms = worker_clock_ms(w, now) + LEASE_MAX_MS;
+
+	if (deadline_ms > longest_ms)
+		deadline_ms = longest_ms;
+	if (deadline_ms > w->lease_until_ms)
+		w->lease_until_ms = deadline_ms;
+}
+
 static void register_worker(struct worker *w)
 {
 	json_t *o = json_pack(
 		"{s:s, s:s, s:s, s:s, s:s, s:I, s:{s:i, s:i, s:i}, s:[s, s]}",
 		"service", w->pool, "address", "", "zone", "az-1", "state",
-		"ready", "machine", w->name, "born", (json_int_t)w->started_ms,
-		"capacity", "cpu", CAPACITY_CPU, "memMb", CAPACITY_MEM, "gpu",
-		0, "labels", "a", "r1");
+		"ready", "machine", w->name, "born",
+		(json_int_t)w->born_unix_ms, "capacity", "cpu", CAPACITY_CPU,
+		"memMb", CAPACITY_MEM, "gpu", 0, "labels", "a", "r1");
 	char address[64];
 	char *dump;
 	char encoded[2048];
@@ -478,8 +514,9 @@
 			running,
 			json_pack("[s, I, s, i, i]", w->running[i].task,
 				  (json_int_t)w->running[i].run, "", 100, 0));
-	return json_pack("{s:I, s:I, s:o, s:o}", "clockMs", (json_int_t)now,
-			 "born", (json_int_t)w->started_ms, "running", running,
+	return json_pack("{s:I, s:I, s:o, s:o}", "clockMs",
+			 (json_int_t)worker_clock_ms(w, now), "born",
+			 (json_int_t)w->born_unix_ms, "running", running,
 			 "ended", ended);
 }
 
@@ -497,8 +534,17 @@
 
 	if (w->down_until_ms && now >= w->down_until_ms) {
 		w->down_until_ms = 0;
+		set_started(w, now);
+	}
+	if (w->register_ms && now >= w->register_ms) {
+		w->register_ms = 0;
 		register_worker(w);
 	}
+	if (w->lost_poll && now >= w->lost_poll_end_ms) {
+		shutdown(httpd_descriptor(w->lost_poll), SHUT_RDWR);
+		send_answer(w->lost_poll, 503, NULL);
+		w->lost_poll = NULL;
+	}
 	for (i = 0; i < w->running_count;) {
 		struct running *r = &w->running[i];
 
@@ -506,7 +552,7 @@
 			end_run(w, i, "done", now);
 		else if (r->stop_ms && now >= r->stop_ms)
 			end_run(w, i, "stopped", now);
-		else if (now >= w->lease_until_ms)
+		else if (worker_clock_ms(w, now) >= w->lease_until_ms)
 			end_run(w, i, "lapsed", now);
 		else
 			i++;
@@ -521,6 +567,7 @@
 {
 	const char *task = get_text(o, "task");
 	uint64_t run = get_number(o, "run");
+	uint64_t clock_ms = worker_clock_ms(w, now);
 	struct running *r;
 	uint32_t i;
 
@@ -530,19 +577,18 @@
 
 			send_answer(request, same ? 200 : 409,
 				    json_pack("{s:I, s:s}", "clockMs",
-					      (json_int_t)now, "reason",
+					      (json_int_t)clock_ms, "reason",
 					      "old"));
 			return;
 		}
 	if (get_number(w->blocked, task) >= run ||
-	    get_number(o, "deadlineMs") <= now) {
+	    get_number(o, "deadlineMs") <= clock_ms) {
 		send_answer(request, 409,
-			    json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
-				      "reason", "old"));
+			    json_pack("{s:I, s:s}", "clockMs",
+				      (json_int_t)clock_ms, "reason", "old"));
 		return;
 	}
-	if (get_number(o, "deadlineMs") > w->lease_until_ms)
-		w->lease_until_ms = get_number(o, "deadlineMs");
+	extend_lease(w, get_number(o, "deadlineMs"), now);
 	assert(w->running_count < RUNNING_MAX);
 	r = &w->running[w->running_count++];
 	memset(r, 0, sizeof(*r));
@@ -555,7 +601,7 @@
 			      w->name, (json_int_t)now, 0, "");
 	json_array_append_new(w->site->record, r->record);
 	send_answer(request, 200,
-		    json_pack("{s:I}", "clockMs", (json_int_t)now));
+		    json_pack("{s:I}", "clockMs", (json_int_t)clock_ms));
 }
 
 static void stop_task(struct worker *w, struct httpd_request *request,
@@ -570,7 +616,8 @@
 		    w->running[i].run == get_number(o, "run"))
 			w->running[i].stop_ms = now + STOP_DELAY_MS;
 	send_answer(request, 200,
-		    json_pack("{s:I}", "clockMs", (json_int_t)now));
+		    json_pack("{s:I}", "clockMs",
+			      (json_int_t)worker_clock_ms(w, now)));
 }
 
 static void serve_poll(struct worker *w, struct httpd_request *request,
@@ -578,8 +625,7 @@
 {
 	uint64_t acked = get_number(o, "ackedUpto");
 
-	if (get_number(o, "deadlineMs") > w->lease_until_ms)
-		w->lease_until_ms = get_number(o, "deadlineMs");
+	extend_lease(w, get_number(o, "deadlineMs"), now);
 	while (json_array_size(w->ended) &&
 	       (uint64_t)json_integer_value(
 		       json_array_get(json_array_get(w->ended, 0), 0)) <= acked)
@@ -604,7 +650,8 @@
 		send_answer(request, 503, NULL);
 	} else if (get_number(o, "fence") < w->fence) {
 		send_answer(request, 409,
-			    json_pack("{s:I, s:s}", "clockMs", (json_int_t)now,
+			    json_pack("{s:I, s:s}", "clockMs",
+				      (json_int_t)worker_clock_ms(w, now),
 				      "reason", "fence"));
 	} else {
 		w->fence = get_number(o, "fence");
@@ -617,36 +664,63 @@
 		else
 			send_answer(
 				request, 200,
-				json_pack("{s:I}", "clockMs", (json_int_t)now));
+				json_pack("{s:I}", "clockMs",
+					  (json_int_t)worker_clock_ms(w, now)));
 	}
 	json_decref(o);
 }
 
-static void crash_worker(struct site *s, const char *name, uint64_t now)
+static struct worker *find_worker(struct site *s, const char *name)
 {
 	int i;
 
-	for (i = 0; i < s->worker_count; i++) {
-		struct worker *w = &s->workers[i];
+	for (i = 0; i < s->worker_count; i++)
+		if (!strcmp(s->workers[i].name, name))
+			return &s->workers[i];
+	return NULL;
+}
 
-		if (strcmp(w->name, name))
-			continue;
-		while (w->running_count) {
-			struct running *r = &w->running[--w->running_count];
+/* Ends all runs; the worker knows nothing of before when it is up again. */
+static void lose_state(struct worker *w, uint64_t now, uint64_t down_ms)
+{
+	while (w->running_count) {
+		struct running *r = &w->running[--w->running_count];
 
-			json_array_set_new(r->record, 4,
-					   json_integer((json_int_t)now));
-			json_array_set_new(r->record, 5, json_string("gone"));
-			talloc_free(r->task);
-		}
-		json_array_clear(w->ended);
-		json_object_clear(w->blocked);
-		w->fence = w->lease_until_ms = w->last_end_seq = 0;
-		w->started_ms = now;
-		w->down_until_ms = now + CRASH_DOWN_MS;
-		s->revision++;
-		put_row(s, "servers", name, NULL);
+		json_array_set_new(r->record, 4, json_integer((json_int_t)now));
+		json_array_set_new(r->record, 5, json_string("gone"));
+		talloc_free(r->task);
 	}
+	json_array_clear(w->ended);
+	json_object_clear(w->blocked);
+	w->fence = w->lease_until_ms = w->last_end_seq = 0;
+	w->down_until_ms = now + down_ms;
+}
+
+static void crash_worker(struct site *s, const char *name, uint64_t now)
+{
+	struct worker *w = find_worker(s, name);
+
+	if (!w)
+		return;
+	lose_state(w, now, CRASH_DOWN_MS);
+	w->register_ms = w->down_until_ms;
+	s->revision++;
+	put_row(s, "servers", name, NULL);
+}
+
+static void restart_worker(struct site *s, const json_t *o, uint64_t now)
+{
+	struct worker *w = find_worker(s, get_text(o, "reborn"));
+
+	if (!w)
+		return;
+	lose_state(w, now, get_number(o, "down_ms"));
+	w->register_ms = now + get_number(o, "listed_ms");
+	if (w->lost_poll)
+		return;
+	w->lost_poll = w->poll_request;
+	w->lost_poll_end_ms = now + LOST_ANSWER_MS;
+	w->poll_request = NULL;
 }
 
 /* Machines */
@@ -713,6 +787,8 @@
 		s->answers_to_lose = (uint32_t)get_number(o, "lose");
 	if (json_object_get(o, "crash"))
 		crash_worker(s, get_text(o, "crash"), clock_now_ms());
+	if (json_object_get(o, "reborn"))
+		restart_worker(s, o, clock_now_ms());
 	if (put) {
 		dump = json_dumps(json_object_get(put, "value"), JSON_COMPACT);
 		assert(dump);
@@ -785,7 +861,7 @@
 	w->port = port;
 	snprintf(w->name, sizeof(w->name), "w-%d", ++s->worker_count);
 	snprintf(w->pool, sizeof(w->pool), "%s", pool);
-	w->started_ms = clock_now_ms();
+	set_started(w, clock_now_ms());
 	w->ended = json_array();
 	w->blocked = json_object();
 	register_worker(w);
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -357,6 +357,8 @@
                     raise ScenarioError("no node was the leader for 5 s")
                 time.sleep(0.05)
             return [leader]
+        if word == "killed":
+            return sorted(self.killed)
         if word == "followers":
             leader = self.node_names("lead")
             return [n for n in self.site.nodes if n not in leader]
@@ -383,6 +385,10 @@
             site.control(lose=int(words[0]))
         elif verb == "crash":
             site.control(crash=words[0])
+        elif verb == "reborn":
+            down_s, listed_s = (parse_duration_s(words[i]) for i in (2, 4))
+            site.control(reborn=words[0], down_ms=int(down_s * 1000),
+                         listed_ms=int(listed_s * 1000))
         elif verb == "link":
             site.links[words[0]].kb_per_s = int(words[1])
         elif verb == "divide":
