--- a/test/restart_test.c
+++ b/test/restart_test.c
@@ -34,10 +34,11 @@
 }
 
 /*
- * Leaves polls of one instance unanswered until a task is started on another;
- * returns how long that took.
+ * Leaves polls of one instance unanswered until a task is started on the other,
+ * which reports what it runs, or nothing; returns how long that took.
  */
-static uint64_t start_elsewhere_ms(struct rig *r, instance_handle_t silent)
+static uint64_t start_elsewhere_ms(struct rig *r, instance_handle_t silent,
+				   const struct sched_running *running)
 {
 	uint64_t begin_ms = r->now;
 
@@ -59,8 +60,8 @@
 				sched_poll_done(r->s, silent, NULL, r->now,
 						r->now);
 			else
-				report(r, polls[n].instance, NULL, 0, NULL, 0,
-				       r->now);
+				report(r, polls[n].instance, running,
+				       running != NULL, NULL, 0, r->now);
 		}
 	}
 	fail_msg("never started");
@@ -109,13 +110,49 @@
 				 cases[c].clock_went_back ? NEW_CLOCK_MS
 							  : r.now,
 				 r.now, r.now);
-		check_between(cases[c].name,
-			      start_elsewhere_ms(&r, r.orders[0].instance),
-			      cases[c].min_ms, cases[c].max_ms + SLACK_MS);
+		check_between(
+			cases[c].name,
+			start_elsewhere_ms(&r, r.orders[0].instance, NULL),
+			cases[c].min_ms, cases[c].max_ms + SLACK_MS);
 		talloc_free(r.s);
 	}
 }
 
+/* A start without an answer doesn't hold up the other tasks of the instance. */
+static void test_answered_beside_unanswered(void **state)
+{
+	char task[SCHED_TASK_MAX];
+	struct sched_running restarted = { task, 0, "", 100, 0 };
+	uint64_t answered_ms, unanswered_ms;
+	instance_handle_t silent;
+	struct rig r;
+
+	(void)state;
+	site_new(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
+	submit(&r, id_a, 2, 1, false); /* packed onto one instance */
+	write_all(&r);
+	assert_int_equal(take_orders(&r), 2);
+	silent = r.orders[0].instance;
+	assert_int_equal(r.orders[1].instance.i, silent.i);
+	sched_order_done(r.s, &r.orders[0], ORDER_DONE, r.now, r.now, r.now);
+	sched_order_done(r.s, &r.orders[1], ORDER_UNKNOWN, 0, r.now, r.now);
+	answered_ms = start_elsewhere_ms(&r, silent, NULL);
+	assert_int_equal(r.order_count, 1);
+	answer_orders(&r, ORDER_DONE);
+	snprintf(task, sizeof(task), "%s", r.orders[0].task);
+	restarted.number = r.orders[0].number;
+	unanswered_ms =
+		answered_ms + start_elsewhere_ms(&r, silent, &restarted);
+	assert_string_not_equal(r.orders[0].task, task);
+	check_between("answered", answered_ms, LEASE_MS,
+		      LEASE_OVER_MS + SLACK_MS);
+	check_between("not answered", unanswered_ms, LEASE_MAX_MS,
+		      LEASE_MAX_OVER_MS + ORDER_LATE_MS + SLACK_MS);
+	talloc_free(r.s);
+}
+
 /* What a former leader started on an instance that its successor can't reach */
 static void test_takeover(void **state)
 {
@@ -157,7 +194,8 @@
 			report(&r, handle_of(&r, "i-0"), NULL, 0, NULL, 0,
 			       r.now);
 		}
-		check_between(cases[c].name, start_elsewhere_ms(&r, silent),
+		check_between(cases[c].name,
+			      start_elsewhere_ms(&r, silent, NULL),
 			      cases[c].min_ms, cases[c].max_ms + SLACK_MS);
 		talloc_free(r.s);
 	}
@@ -213,6 +251,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_start_by_its_answer),
+		cmocka_unit_test(test_answered_beside_unanswered),
 		cmocka_unit_test(test_takeover),
 		cmocka_unit_test(test_start_sent_before_the_machine_list),
 	};
--- a/tools/check.py
+++ b/tools/check.py
@@ -26,6 +26,9 @@
 # FAULT_ALL and FAULT_DIVIDED.
 DIVIDED_FAULTS = 10239
 DIVIDED_SEEDS = 10000
+# FAULT_STALE_CALLS, alone and with FAULT_ALL.
+STALE_FAULTS = (16384, 18431)
+STALE_SEEDS = 5000
 FLEET_WALK_PARTS = 5  # processes that run concurrently
 # Jobs of a leader of the large site: ended after some seconds and after two
 # minutes; waiting on a calm day and in a turn of demand.
@@ -200,6 +203,9 @@
     results.add("fleet walk, divided network",
                 fleet_walk(build, DIVIDED_SEEDS, "--faults",
                            str(DIVIDED_FAULTS)))
+    for faults in STALE_FAULTS:
+        results.add(f"fleet walk, calls to former incarnations, {faults}",
+                    fleet_walk(build, STALE_SEEDS, "--faults", str(faults)))
     make_sanitized()
     results.command("ledger walk with sanitizers", [
         f"{build}/sanitize/test/ledger_walk", "--count", "500"])
