--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -116,8 +116,7 @@
 		sched_poll_done(r.s, polls[1].instance, NULL, r.now, r.now);
 		r.now++;
 		sched_leader_confirmed(r.s, r.now);
-		poll_for_ms(&r, polls[1].instance,
-			    TAKEOVER_OVER_MS + 500);
+		poll_for_ms(&r, polls[1].instance, TAKEOVER_OVER_MS + 500);
 		check_case(&r, c, end_ms);
 		talloc_free(r.s);
 	}
