sched: count open starts in a function of its own

free_ended_runs() counted in a loop under a condition without braces, which reads as if the count were part of it.

--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -517,6 +517,16 @@
 		i->stale_end_ms = end;
 }
 
+static uint32_t count_open_starts(const struct instance *i)
+{
+	const struct run *run;
+	uint32_t count = 0;
+
+	DL_FOREACH(i->runs, run)
+	count += start_is_open(run);
+	return count;
+}
+
 /*
  * Frees runs of an instance: they have lapsed or were killed. Unless all have,
  * those whose start is open remain.
@@ -524,12 +534,9 @@
 static void free_ended_runs(struct sched *s, struct instance *i, bool all,
 			    const char *why, uint64_t now)
 {
+	const uint32_t open = all ? 0 : count_open_starts(i);
 	struct run *run, *next;
-	uint32_t open = 0;
 
-	if (!all)
-		DL_FOREACH(i->runs, run)
-	open += start_is_open(run);
 	if (i->run_count > open || i->counted_unreported)
 		sched_trace(s, "instance-expired", i->id,
 			    "\"why\":\"%s\",\"runs\":%u,\"open_starts\":%u"
