soak: workers that restart under their ids

A kind of fault for what the users' record shows: a worker is back within 0.6 s under its id, with its old entry for up to 2 s and one poll that gets no answer. The draws of earlier seeds change.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,7 +2,7 @@
 
 Callers submit jobs and operators write configuration versions continuously
 while nodes are killed, frozen and stopped, links from the store are slowed
-down, workers lose their state, and the store refuses requests or loses
+down, workers lose their state or restart under their ids, and the store refuses requests or loses
 answers. At the end the invariants in docs/SCENARIOS.md are checked. A seed
 determines the faults and their times, but not the timing of the processes,
 so two runs with one seed differ. Exits with status 0 if all checks passed.
@@ -25,6 +25,8 @@
 VERSIONS_PER_S = 0.5
 EXTRA_ROUTES = (0, 0, 100, 1600)  # choices for a version
 LINK_KB_PER_S = (20, 100, 500)  # choices for a slow link
+REBORN_DOWN_MS = (50, 200, 600)  # choices: until a worker is back
+REBORN_LISTED_MS = (700, 2000)  # choices: until its entry is replaced
 
 
 class Soak:
@@ -44,7 +46,7 @@
         site, run, rng = self.run.site, self.run, self.rng
         node = rng.choice(sorted(site.nodes))
         kind = rng.choice(("kill", "kill lead", "kill all", "freeze", "stop",
-                           "store", "lose", "mute", "crash", "link"))
+                           "store", "lose", "mute", "crash", "reborn", "link"))
         print(f"  {kind} {node}", flush=True)
         if kind == "kill lead":
             node = site.leader() or node
@@ -68,6 +70,11 @@
             return lambda: run.run_action("unmute", [])
         if kind == "lose":
             run.run_action("lose", [str(rng.randint(1, 5))])
+        elif kind == "reborn":
+            run.run_action("reborn", [
+                f"w-{rng.randint(1, WORKERS)}", "down",
+                f"{rng.choice(REBORN_DOWN_MS)}ms", "listed",
+                f"{rng.choice(REBORN_LISTED_MS)}ms"])
         else:
             run.run_action("crash", [f"w-{rng.randint(1, WORKERS)}"])
         return lambda: None
