sched: a run that a restarted instance lacks counts as unavailable

Cause: since runs that a restarted instance lacks are lost only after a confirmation, they stay RUN_RUNNING with the percent of their last report, marked as missing; task_unavailable() saw a run at work on an instance that had just reported.

A missing run no longer makes its task available. test_restart_counts_against_the_budget fails on the code before (one stop).

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -46,8 +46,9 @@
 	const struct run *run;
 
 	DL_FOREACH2(task->runs, run, task_next)
-	if (run_is_available(run) && run->speed_percent == 100 &&
-	    !may_be_stopping(run) && reported_recently(run->instance, now))
+	if (run_is_available(run) && !run->missing &&
+	    run->speed_percent == 100 && !may_be_stopping(run) &&
+	    reported_recently(run->instance, now))
 		return false;
 	return true;
 }
--- a/test/restart_test.c
+++ b/test/restart_test.c
@@ -77,6 +77,14 @@
 			 (unsigned int)max_ms);
 }
 
+static void report_run(struct rig *r, instance_handle_t i, const char *task)
+{
+	struct sched_running running = { task, 10001, "", 100, 0 };
+
+	next_poll(r, i);
+	report(r, i, &running, 1, NULL, 0, r->now);
+}
+
 /* A start whose answer, or lack of one, allows for a restart. */
 static void test_start_by_its_answer(void **state)
 {
@@ -247,6 +255,44 @@
 	}
 }
 
+/*
+ * What a new incarnation doesn't report is unavailable at once, also before
+ * its runs are taken for lost: no other task of the step may be stopped.
+ */
+static void test_restart_counts_against_the_budget(void **state)
+{
+	instance_handle_t other, restarted;
+	uint32_t stops = 0;
+	struct rig r;
+
+	(void)state;
+	site_new(&r);
+	rig_become_leader(&r);
+	add_instance(&r, "i-2", false); /* a place for a task that is stopped */
+	make_all_usable(&r);
+	submit(&r, id_a, 2, 1, true);
+	write_all(&r);
+	assert_int_equal(take_orders(&r), 2);
+	restarted = r.orders[0].instance;
+	other = r.orders[1].instance;
+	assert_int_not_equal(other.i, restarted.i);
+	answer_orders(&r, ORDER_DONE);
+	report_run(&r, restarted, "000000000000000a.0.0.0");
+	report_run(&r, other, "000000000000000a.0.0.1");
+	r.now += 100;
+	sched_leader_confirmed(r.s, r.now);
+	r.started_unix_ms = r.now;
+	r.now += 100;
+	next_poll(&r, restarted);
+	report(&r, restarted, NULL, 0, NULL, 0, r.now);
+	sched_evacuate(r.s, other, true, true, r.now);
+	take_orders(&r);
+	while (r.order_count-- > 0)
+		stops += r.orders[r.order_count].kind == ORDER_STOP;
+	assert_int_equal(stops, 0);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -254,6 +300,7 @@
 		cmocka_unit_test(test_answered_beside_unanswered),
 		cmocka_unit_test(test_takeover),
 		cmocka_unit_test(test_start_sent_before_the_machine_list),
+		cmocka_unit_test(test_restart_counts_against_the_budget),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
