httpc: reset connections that are closed

The sender had given it up after a second, but closed the connection in the ordinary way, and what was on its way went on being delivered.

Each connection that is closed is reset now. One that has its whole answer has nothing to deliver; of one that was given up, nothing is delivered any more.

--- a/src/connection/httpc.c
+++ b/src/connection/httpc.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
 #include <xxhash.h>
@@ -471,6 +472,19 @@
 	return 0;
 }
 
+/*
+ * Makes close(2) reset the connection. Otherwise the system, and whoever
+ * forwards its packets, go on delivering a request after it was given up, for
+ * instance when a cut ends. A connection with a whole answer has nothing left
+ * to deliver.
+ */
+static void reset_on_close(int fd)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 static int on_close(void *arg, curl_socket_t fd)
 {
 	struct httpc *c = arg;
@@ -478,6 +492,7 @@
 
 	if (w)
 		watch_remove(c, w);
+	reset_on_close(fd);
 	return close(fd);
 }
 
--- a/test/httpc_test.c
+++ b/test/httpc_test.c
@@ -11,6 +11,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
@@ -125,6 +126,58 @@
 	}
 }
 
+static void on_ended(void *arg, struct httpc_answer *answer)
+{
+	assert_int_equal(answer->status, HTTPC_TIMEOUT);
+	*(bool *)arg = true;
+}
+
+/* Reads all that comes; returns whether the peer reset the connection. */
+static bool read_until_reset(int fd)
+{
+	static char buffer[65536];
+	ssize_t n;
+
+	while ((n = read(fd, buffer, sizeof(buffer))) > 0)
+		;
+	return n < 0 && errno == ECONNRESET;
+}
+
+/* What a server hadn't received when its caller gave up doesn't arrive later */
+static void test_request_that_timed_out_is_not_delivered(void **state)
+{
+	const size_t body_length = 16u << 20; /* more than sockets hold */
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct httpc *client = httpc_new(ev, ev, 4, 0);
+	char *body = talloc_zero_size(ev, body_length);
+	uint16_t port;
+	int fd = listen_silent(&port);
+	bool ended = false;
+	char url[64];
+	struct httpc_request r = { .method = "POST",
+				   .url = url,
+				   .body = body,
+				   .body_length = body_length,
+				   .timeout_ms = 200,
+				   .connect_timeout_ms = 200,
+				   .done = on_ended,
+				   .arg = &ended };
+	int peer;
+
+	(void)state;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
+	httpc_start(client, &r);
+	tevent_loop_once(ev); /* starts connecting */
+	peer = accept(fd, NULL, NULL);
+	while (!ended)
+		tevent_loop_once(ev);
+	assert_true(read_until_reset(peer));
+	talloc_free(client);
+	talloc_free(ev);
+	close(peer);
+	close(fd);
+}
+
 /* Fills a port's backlog, so that the next connection stays pending. */
 static void fill_backlog(uint16_t port, int *fds, int count)
 {
@@ -269,6 +322,7 @@
 		cmocka_unit_test(test_stalled_answer),
 		cmocka_unit_test(test_unconnected_sockets),
 		cmocka_unit_test(test_refused),
+		cmocka_unit_test(test_request_that_timed_out_is_not_delivered),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -42,6 +42,10 @@
 # Safeguards of job scheduling: the safeguard removed, the file, the text and
 # its replacement, the test program that must fail.
 SCHEDULER = (
+    ("the reset of connections", "src/connection/httpc.c",
+     "	reset_on_close(fd);\n", "	(void)reset_on_close;\n", "httpc_test"),
+    ("missing runs in a disruption budget", "src/pool/sched_avail.c",
+     "!run->missing &&", "", "restart_test"),
     ("restarts that a former leader did not notice", "src/pool/sched_poll.c",
      "} else if (!i->reported && has_started_lately(s, r)) {",
      "} else if (0 && has_started_lately(s, r)) {", "restart_test"),
