test: one function that finds an instance of the scheduler's rig

attempts_test, repeat_test and restart_test each had the same function. It is find_instance() of the rig now; no assertion changes.

--- a/test/attempts_test.c
+++ b/test/attempts_test.c
@@ -9,23 +9,11 @@
 #define FIRST_RUN 10001u
 #define SECOND_RUN 10002u
 
-static instance_handle_t instance(const struct rig *r, const char *id)
-{
-	struct sched_instance_load load;
-	uint32_t slot = 0;
-
-	while (sched_instance_next(r->s, &slot, &load))
-		if (!strcmp(load.id, id))
-			return load.instance;
-	fail_msg("no instance %s", id);
-	return load.instance;
-}
-
 static void report_of(struct rig *r, const char *id,
 		      const struct sched_running *running,
 		      const struct sched_ended *ended)
 {
-	instance_handle_t i = instance(r, id);
+	instance_handle_t i = find_instance(r, id);
 
 	next_poll(r, i);
 	report(r, i, running, running != NULL, ended, ended != NULL, r->now);
@@ -123,7 +111,7 @@
 	sched_load_job(r.s, id_a, job_row(1, 1, true), NULL, r.now);
 	sched_become_leader(r.s, 2, false, r.now);
 	sched_expect_complete(r.s, r.now);
-	i = instance(&r, "i-0");
+	i = find_instance(&r, "i-0");
 	report_of(&r, "i-2", NULL, NULL);
 	for (n = 0; n < 8; n++) { /* a former leader's stop would show */
 		r.now += 250;
--- a/test/repeat_test.c
+++ b/test/repeat_test.c
@@ -11,18 +11,6 @@
 /* Runs of these tests have numbers of the first epoch. */
 #define RUN 10001u
 
-static instance_handle_t instance(const struct rig *r, const char *id)
-{
-	struct sched_instance_load load;
-	uint32_t slot = 0;
-
-	while (sched_instance_next(r->s, &slot, &load))
-		if (!strcmp(load.id, id))
-			return load.instance;
-	fail_msg("no instance %s", id);
-	return load.instance;
-}
-
 static Fleet__JobRow *repeated_row(uint32_t tasks, uint32_t steps,
 				   uint64_t first_due_ms)
 {
@@ -54,7 +42,7 @@
 static void report_first(struct rig *r, const char *task)
 {
 	struct sched_running running = { task, RUN, "", 0, 0 };
-	instance_handle_t i = instance(r, "i-0");
+	instance_handle_t i = find_instance(r, "i-0");
 
 	next_poll(r, i);
 	report(r, i, &running, *task ? 1 : 0, NULL, 0, r->now);
--- a/test/restart_test.c
+++ b/test/restart_test.c
@@ -21,18 +21,6 @@
 	sched_set_clock(r->s, r->now);
 }
 
-static instance_handle_t handle_of(struct rig *r, const char *id)
-{
-	struct sched_instance_load load;
-	uint32_t slot = 0;
-
-	while (sched_instance_next(r->s, &slot, &load))
-		if (!strcmp(load.id, id))
-			return load.instance;
-	fail_msg("no instance %s", id);
-	return load.instance;
-}
-
 /*
  * Leaves polls of one instance unanswered until a task is started on the other,
  * which reports what it runs, or nothing; returns how long that took.
@@ -194,12 +182,12 @@
 		sched_load_job(r.s, id_a, job_row(1, 1, true), NULL, r.now);
 		sched_become_leader(r.s, 2, true, r.now);
 		sched_expect_complete(r.s, r.now);
-		silent = handle_of(&r, "i-1");
+		silent = find_instance(&r, "i-1");
 		if (cases[c].reports) {
 			next_poll(&r, silent);
-			next_poll(&r, handle_of(&r, "i-0"));
+			next_poll(&r, find_instance(&r, "i-0"));
 			report(&r, silent, &running, 1, NULL, 0, r.now);
-			report(&r, handle_of(&r, "i-0"), NULL, 0, NULL, 0,
+			report(&r, find_instance(&r, "i-0"), NULL, 0, NULL, 0,
 			       r.now);
 		}
 		check_between(cases[c].name,
--- a/test/rig/sched_rig.c
+++ b/test/rig/sched_rig.c
@@ -47,6 +47,18 @@
 	sched_configure(r->s, &r->config, r->now);
 }
 
+instance_handle_t find_instance(const struct rig *r, const char *id)
+{
+	struct sched_instance_load load;
+	uint32_t slot = 0;
+
+	while (sched_instance_next(r->s, &slot, &load))
+		if (!strcmp(load.id, id))
+			return load.instance;
+	fail_msg("no instance %s", id);
+	return load.instance;
+}
+
 /* Becomes leader without a predecessor, with two listed instances. */
 void rig_become_leader(struct rig *r)
 {
--- a/test/rig/sched_rig.h
+++ b/test/rig/sched_rig.h
@@ -37,6 +37,7 @@
 extern const char id_a[]; /* the job of most cases */
 
 void add_instance(struct rig *r, const char *id, bool leaving);
+instance_handle_t find_instance(const struct rig *r, const char *id);
 void rig_new(struct rig *r);
 void rig_become_leader(struct rig *r);
 void report(struct rig *r, instance_handle_t i,
