drain_test: five failures of long-running tasks beside waves, not fixed yet

What callers saw: a long-running task had no run for 9 s while machines of its pool had room (LOST).

--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -6,19 +6,27 @@
 #include "test/rig/sched_rig.h"
 
 #define PASS_MS 20u
-#define MACHINES_MAX 4u
+#define MACHINES_MAX 5u
 #define RUNS_MAX 16u
+/* A task is stopped for a drain at most once in this time. */
+#define STOPPED_AGAIN_MS 5000u
+
+static const char id_other[] = "ffffffffffffffff";
 
 struct fixture {
 	struct rig r;
 	struct fleet *f;
-	struct config_pool pools[2];
+	struct config_pool pools[3];
+	struct config_queue queues[2];
+	struct config_workspace workspaces[2];
 	struct fleet_machine_info machines[MACHINES_MAX];
 	uint32_t machine_count;
 	uint64_t end_seq;
 	uint32_t starts, stops, upkeeps, moves;
 	char moved[FLEET_NAME_MAX]; /* the last machine that was ordered */
 	enum fleet_result result;   /* of moves */
+	enum fleet_result upkeep_result;
+	bool store_slow; /* nothing is written meanwhile */
 	struct sched_order running[RUNS_MAX];
 	uint32_t running_count;
 };
@@ -39,8 +47,21 @@
 	x->pools[1] = (struct config_pool){ .name = "spare",
 					    .has_admission_check = true,
 					    .spare = true };
+	x->pools[2] = (struct config_pool){ .name = "backlog",
+					    .has_admission_check = true };
+	x->queues[0] = x->queues[1] = x->r.queue;
+	x->queues[1].name = "backlog";
+	x->queues[1].prefix = "/backlog";
+	x->queues[1].pool = "backlog";
+	x->workspaces[0] = x->r.workspace;
+	x->workspaces[1] = (struct config_workspace){ .name = "capped",
+						      .cap = { 3000, 0, 0 } };
 	x->r.config.pools = x->pools;
-	x->r.config.pool_count = 2;
+	x->r.config.pool_count = 3;
+	x->r.config.queues = x->queues;
+	x->r.config.queue_count = 2;
+	x->r.config.workspaces = x->workspaces;
+	x->r.config.workspace_count = 2;
 	sched_configure(x->r.s, &x->r.config, x->r.now);
 	for (i = 0; i < instances; i++) {
 		add_instance(&x->r, names[i], false);
@@ -71,7 +92,10 @@
 		memcpy(x->moved, action->machine, sizeof(x->moved));
 		result = x->result;
 	}
-	x->upkeeps += action->kind == FLEET_ACTION_MAINTENANCE;
+	if (action->kind == FLEET_ACTION_MAINTENANCE) {
+		x->upkeeps++;
+		result = x->upkeep_result;
+	}
 	fleet_action_result(x->f, x->r.s, action, result, x->r.now);
 }
 
@@ -148,7 +172,8 @@
 			note_order(x, &x->r.orders[n]);
 		answer_orders(&x->r, ORDER_DONE);
 		report_all(x);
-		write_all(&x->r);
+		if (!x->store_slow)
+			write_all(&x->r);
 		while (fleet_next_action(x->f, x->r.s, x->r.now, &action))
 			take_action(x, &action);
 	}
@@ -295,9 +320,184 @@
 	talloc_free(x.r.s);
 }
 
+/* A pool whose jobs may use one instance at a time has many and a backlog. */
+static void add_backlog(struct fixture *x)
+{
+	static const char *const names[] = { "b-0", "b-1", "b-2" };
+	struct sched_instance_info info = {
+		.address = "a:1",
+		.zone = "z",
+		.pool = "backlog",
+		.capacity = { 4000, 4000, 0 },
+		.label_count = 1,
+		.labels = { "r1" },
+	};
+	Fleet__JobRow *row = job_row(200, 1, false);
+	uint32_t i, after;
+
+	for (i = 0; i < 3; i++) {
+		info.id = info.machine = names[i];
+		sched_instance_listed(x->r.s, &info, x->r.now);
+		x->machines[x->machine_count++] =
+			(struct fleet_machine_info){ .machine = names[i],
+						     .pool = "backlog",
+						     .rack = "r1",
+						     .state = FLEET_UP };
+	}
+	make_all_usable(&x->r);
+	free(row->queue);
+	free(row->pool);
+	free(row->workspace);
+	row->queue = strdup("backlog");
+	row->pool = strdup("backlog");
+	row->workspace = strdup("capped");
+	row->steps[0]->cpu = 3000;
+	assert_int_equal(
+		sched_submit(x->r.s, id_other, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x->r);
+}
+
+/* A pool with a backlog and idle machines gives none to a task that waits. */
+static void test_backlog_keeps_idle_machines(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 1);
+	add_backlog(&x);
+	list_machines(&x);
+	submit_lasting(&x, id_a, 2); /* room for one */
+	advance(&x, 2000);
+	assert_int_equal(x.moves, 1);
+	talloc_free(x.r.s);
+}
+
+static uint32_t count_stops(const struct fixture *x, const char *task)
+{
+	uint32_t count = 0;
+	uint32_t n;
+
+	for (n = 0; n < x->running_count; n++)
+		count += !strcmp(x->running[n].task, task) &&
+			 x->running[n].kind == ORDER_STOP;
+	return count;
+}
+
+/*
+ * Tasks without another place are stopped, their machines can't be ordered, so
+ * they start again, and are stopped again.
+ */
+static void test_task_is_stopped_again_and_again(void **state)
+{
+	struct fixture x;
+	uint32_t n, after;
+
+	(void)state;
+	fixture_new(&x, 2);
+	list_machines(&x);
+	submit_lasting(&x, id_a, 2);
+	advance(&x, 100);
+	add_wave(&x, 2);
+	x.store_slow = true;
+	assert_int_equal(sched_submit(x.r.s, id_other, job_row(1, 1, false),
+				      x.r.now, x.r.now, &after),
+			 SUBMIT_ACCEPTED);
+	advance(&x, STOPPED_AGAIN_MS);
+	for (n = 0; n < x.running_count; n++)
+		assert_in_range(count_stops(&x, x.running[n].task), 0, 1);
+	talloc_free(x.r.s);
+}
+
+/* A machine that the platform refuses to take down keeps its room for good. */
+static void test_refused_machine_keeps_room(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 2);
+	list_machines(&x);
+	submit_lasting(&x, id_a, 2);
+	advance(&x, 100);
+	add_wave(&x, 2);
+	x.upkeep_result = FLEET_REFUSED;
+	advance(&x, 1500);
+	assert_in_range(x.stops, 1, 2);
+	assert_int_equal(x.starts, 2 + x.stops);
+	talloc_free(x.r.s);
+}
+
+/* A drained machine keeps room that a task waits for until it is ordered. */
+static void test_drained_machine_keeps_room(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 2);
+	list_machines(&x);
+	add_wave(&x, 1);
+	advance(&x, 40); /* one is ordered, one waits for its turn */
+	assert_int_equal(x.upkeeps, 1);
+	submit_lasting(&x, id_a, 1);
+	advance(&x, 300);
+	assert_int_equal(x.starts, 1);
+	talloc_free(x.r.s);
+}
+
+static void fail_run(struct fixture *x, const char *task)
+{
+	struct sched_order *o = NULL;
+	struct sched_ended ended = { 0 };
+	uint32_t n;
+
+	for (n = 0; n < x->running_count; n++)
+		if (!strcmp(x->running[n].task, task))
+			o = &x->running[n];
+	assert_non_null(o);
+	ended = (struct sched_ended){ ++x->end_seq, o->task, o->number,
+				      SCHED_FAILED, "" };
+	report(&x->r, o->instance, NULL, 0, &ended, 1, x->r.now);
+	o->number = 0;
+	write_all(&x->r);
+}
+
+/* A task that has just lost its run goes before one that waits for longer. */
+static void test_longest_wait_goes_last(void **state)
+{
+	struct fixture x;
+	uint32_t n;
+	bool other = false;
+
+	(void)state;
+	fixture_new(&x, 2);
+	list_machines(&x);
+	submit_lasting(&x, id_a, 3); /* room for two */
+	advance(&x, 100);
+	submit_lasting(&x, id_other, 1);
+	advance(&x, 500);
+	assert_int_equal(x.starts, 2);
+	fail_run(&x, x.running[1].task);
+	advance(&x, 500);
+	assert_int_equal(x.starts, 3);
+	add_instance(&x.r, "i-2", false);
+	report(&x.r, find_instance(&x.r, "i-2"), NULL, 0, NULL, 0, x.r.now);
+	advance(&x, 500);
+	assert_int_equal(x.starts, 4);
+	for (n = 0; n < x.running_count; n++)
+		other |= !strncmp(x.running[n].task, id_other,
+				  sizeof(id_other) - 1);
+	assert_true(other);
+	talloc_free(x.r.s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_backlog_keeps_idle_machines),
+		cmocka_unit_test(test_task_is_stopped_again_and_again),
+		cmocka_unit_test(test_refused_machine_keeps_room),
+		cmocka_unit_test(test_drained_machine_keeps_room),
+		cmocka_unit_test(test_longest_wait_goes_last),
 		cmocka_unit_test(test_machines_by_memory),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
