sched: log starts and ends of long-running tasks under kinds of their own

Starts and ends of long-running tasks were lines of `order` and `run-end`. On a large site these kinds have 1,000 lines a second, at which the log drops lines, so a log didn't show where a task had run, nor why a run of it had been stopped.

`lasting-start` and `lasting-end` hold these tasks alone. run_stop() takes the reason of the stop, which `lasting-end` tells, or else the outcome that the instance reported. It also counts the runs of a task under 5 s, one after the other. No decision uses either.

--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -280,7 +280,7 @@
 	task->done = true;
 	task_set_possibly_running(task, false);
 	DL_FOREACH2(task->runs, run, task_next)
-	run_stop(s, run);
+	run_stop(s, run, STOP_JOB_OVER);
 	job_mark_changed(s, step->job);
 	if (step->spec->gang) {
 		/* The end of one member completes the gang. */
@@ -553,7 +553,7 @@
 
 	for (t = 0; t < step->spec->count; t++)
 		DL_FOREACH2(step->tasks[t].runs, run, task_next)
-	run_stop(s, run);
+	run_stop(s, run, STOP_JOB_OVER);
 }
 
 static void job_stop_runs(struct sched *s, struct job *job)
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -147,7 +147,7 @@
 			    "\"other_place\":%d",
 			    run->task->step->index, run->task->index, i->id,
 			    !emptied);
-		run_stop(s, run);
+		run_stop(s, run, STOP_RELOCATED);
 	}
 	return emptied;
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -48,6 +48,18 @@
 	RUN_STOPPING, /* stop order queued, in flight or carried out */
 };
 
+#define RUN_NO_OUTCOME (-1) /* the end of the run was not reported */
+
+/* Why a run was to be stopped. */
+enum stop_reason {
+	STOP_NONE,	 /* it was not */
+	STOP_RELOCATED,	 /* its machine is being drained */
+	STOP_JOB_OVER,	 /* cancelled or ended, or the task is done */
+	STOP_UNANSWERED, /* its start was not answered */
+	STOP_DUPLICATE,	 /* another run of its task was found */
+	STOP_GANG	 /* another member of its gang ended */
+};
+
 struct run {
 	run_handle handle;
 	struct task *task;
@@ -77,6 +89,9 @@
 	struct run *task_prev, *task_next;   /* in task.runs */
 	struct run *order_prev, *order_next; /* in sched.to_send */
 	bool unsettled;			     /* it is in sched.unsettled */
+	enum stop_reason stop_reason;
+	/* enum sched_outcome, or RUN_NO_OUTCOME */
+	int outcome;
 	struct run *unsettled_prev, *unsettled_next;
 };
 
@@ -88,6 +103,7 @@
 	bool possibly_running;
 	uint32_t failed;	 /* runs that failed */
 	uint32_t starts;	 /* in this epoch */
+	uint32_t short_runs;	 /* see task_count_end() */
 	uint32_t avoid_instance; /* slot + 1 of its last failure; 0: none */
 	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
@@ -680,7 +696,11 @@
 void run_free(struct sched *s, struct run *run, uint64_t now);
 struct run *run_of(const struct sched *s, run_handle h);
 void run_queue_order(struct sched *s, struct run *run);
-void run_stop(struct sched *s, struct run *run);
+void run_stop(struct sched *s, struct run *run, enum stop_reason reason);
+
+/* run_is_steady - whether it has lasted long enough to be worth its start */
+bool run_is_steady(const struct run *run, uint64_t now);
+
 void run_mark_running(struct sched *s, struct run *run, uint64_t now);
 void runs_tick(struct sched *s, uint64_t now);
 
@@ -1006,6 +1026,10 @@
 /* sched_waits.c */
 void waits_log(struct sched *s, uint64_t now);
 
+/* task_waited_ms - how long the task has been without a run that works */
+uint64_t task_waited_ms(const struct sched *s, const struct task *task,
+			uint64_t now);
+
 /* sched_evacuation.c */
 
 /* instance_check_zone - its zone is known or has changed */
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -187,8 +187,10 @@
 	sched_trace(s, "run-found", r->task,
 		    "\"instance\":\"%s\",\"run\":%" PRIu64 ",\"twin\":%d",
 		    i->id, r->number, duplicate);
-	if (duplicate || task->done || job_is_over(step->job))
-		run_stop(s, run);
+	if (task->done || job_is_over(step->job))
+		run_stop(s, run, STOP_JOB_OVER);
+	else if (duplicate)
+		run_stop(s, run, STOP_DUPLICATE);
 }
 
 /* Keeps the last checkpoint; one that is too long can't be sent back whole. */
@@ -260,7 +262,7 @@
 
 	for (t = 0; t < step->spec->count; t++)
 		DL_FOREACH2(step->tasks[t].runs, run, task_next)
-	run_stop(s, run);
+	run_stop(s, run, STOP_GANG);
 }
 
 static void apply_end(struct sched *s, struct instance *i,
@@ -276,6 +278,8 @@
 		    ",\"how\":%d,\"n\":%" PRIu64,
 		    i->id, e->number, e->outcome, e->seq);
 	run = run_find(i, task, e->number);
+	if (run)
+		run->outcome = (int)e->outcome;
 	job_set_started(task->step->job);
 	task_set_checkpoint(s, task, e->checkpoint);
 	if (run && e->outcome == SCHED_DONE)
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -12,6 +12,7 @@
 #define ORDER_RETRY_MS 300u   /* until a stop or throttle order is repeated */
 #define REFUSED_RETRY_MS 100u /* until a refused task is placed again */
 #define CLOCK_BACK_MS 1000u   /* reordered answers differ by less */
+#define STEADY_MS 5000u	      /* a run that lasts so long was worth its start */
 /* Consecutive unanswered orders that make an instance unresponsive */
 #define UNANSWERED_MAX 2u
 
@@ -81,6 +82,7 @@
 	run->instance = instance;
 	run->number = number;
 	run->created_ms = now;
+	run->outcome = RUN_NO_OUTCOME;
 	run->speed_percent = run->speed_wanted = 100;
 	DL_APPEND(instance->runs, run);
 	DL_APPEND2(task->runs, run, task_prev, task_next);
@@ -117,12 +119,83 @@
 		task_set_possibly_running(task, true);
 }
 
+bool run_is_steady(const struct run *run, uint64_t now)
+{
+	return run->adopted_ms || (run->running_since_ms &&
+				   now - run->running_since_ms >= STEADY_MS);
+}
+
+/*
+ * Counts the runs of a long-running task that ended within STEADY_MS of their
+ * start, one after the other: a task that is stopped and started again and
+ * again serves nobody, though it has a run most of the time.
+ */
+static void task_count_end(const struct run *run, uint64_t now)
+{
+	struct task *task = run->task;
+
+	if (!run->running_since_ms)
+		return;
+	if (run_is_steady(run, now))
+		task->short_runs = 0;
+	else
+		task->short_runs++;
+}
+
+static const char *end_reason(const struct run *run)
+{
+	static const char *const stopped[] = {
+		[STOP_RELOCATED] = "relocated",
+		[STOP_JOB_OVER] = "job over",
+		[STOP_UNANSWERED] = "start unanswered",
+		[STOP_DUPLICATE] = "duplicate",
+		[STOP_GANG] = "gang",
+	};
+	static const char *const outcomes[] = {
+		[SCHED_DONE] = "done",
+		[SCHED_FAILED] = "failed",
+		[SCHED_STOPPED] = "stopped",
+		[SCHED_LAPSED] = "lapsed",
+		[SCHED_GANG_BROKEN] = "gang broken",
+		[SCHED_GANG_INCOMPLETE] = "gang incomplete",
+	};
+
+	if (run->stop_reason && run->outcome != SCHED_LAPSED)
+		return stopped[run->stop_reason];
+	if (run->outcome != RUN_NO_OUTCOME)
+		return outcomes[run->outcome];
+	return run->missing ? "not in the report" : "instance gone";
+}
+
+/* A start that was not carried out is logged when it is answered. */
+static void log_lasting_end(struct sched *s, const struct run *run,
+			    uint64_t now)
+{
+	uint64_t since_ms = run->running_since_ms;
+	char name[SCHED_TASK_MAX];
+
+	if (!s->trace || (run->state == RUN_ORDERED && !run->in_flight))
+		return;
+	task_name(run->task, name);
+	sched_trace(s, "lasting-end", name,
+		    "\"instance\":\"%s\",\"run\":%" PRIu64
+		    ",\"why\":\"%s\",\"ran_ms\":%" PRIu64
+		    ",\"short_runs\":%u,\"reserved\":%d",
+		    run->instance->id, run->number, end_reason(run),
+		    since_ms ? now - since_ms : 0, run->task->short_runs,
+		    run->instance->reserved);
+}
+
 /* Frees a run that has ended or can no longer begin. */
 void run_free(struct sched *s, struct run *run, uint64_t now)
 {
 	struct task *task = run->task;
 
 	account_run(run, false);
+	if (task->step->spec->lasting) {
+		task_count_end(run, now);
+		log_lasting_end(s, run, now);
+	}
 	if (run->to_send)
 		DL_DELETE2(s->to_send, run, order_prev, order_next);
 	run_unwatch(s, run);
@@ -148,11 +221,12 @@
 	DL_APPEND2(s->to_send, run, order_prev, order_next);
 }
 
-void run_stop(struct sched *s, struct run *run)
+void run_stop(struct sched *s, struct run *run, enum stop_reason reason)
 {
 	if (run->state == RUN_STOPPING)
 		return;
 	run->state = RUN_STOPPING;
+	run->stop_reason = reason;
 	run_watch(s, run);
 	run->stop_done_ms = 0;
 	if (!run->in_flight)
@@ -348,6 +422,14 @@
 		    now - sent_ms);
 	if (!run)
 		return;
+	if (order->kind == ORDER_START && run->task->step->spec->lasting)
+		sched_trace(s, "lasting-start", order->task,
+			    "\"instance\":\"%s\",\"run\":%" PRIu64
+			    ",\"result\":%d,\"took_ms\":%" PRIu64
+			    ",\"waited_ms\":%" PRIu64 ",\"short_runs\":%u",
+			    order->instance_id, order->number, result,
+			    now - sent_ms, task_waited_ms(s, run->task, now),
+			    run->task->short_runs);
 	check_restart(s, run->instance, order, clock_ms, now);
 	run->in_flight = false;
 	switch (order->kind) {
@@ -427,6 +509,7 @@
 		    "\"instance\":\"%s\",\"run\":%" PRIu64, run->instance->id,
 		    run->number);
 	run->state = RUN_RUNNING;
+	run->stop_reason = STOP_NONE;
 	run->stop_withdrawn_ms = now;
 }
 
@@ -438,7 +521,7 @@
 	switch (run->state) {
 	case RUN_UNKNOWN:
 		if (start_is_overdue(s, run, now))
-			run_stop(s, run);
+			run_stop(s, run, STOP_UNANSWERED);
 		break;
 	case RUN_STOPPING:
 		repeat_stop(s, run, now);
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -54,9 +54,8 @@
 	o->reserved_room += i->reserved && room;
 }
 
-/* How long the task has been without a run that works, in ms. */
-static uint64_t waited_ms(const struct sched *s, const struct task *task,
-			  uint64_t now)
+uint64_t task_waited_ms(const struct sched *s, const struct task *task,
+			uint64_t now)
 {
 	uint64_t since = task->unavailable_since_ms;
 
@@ -87,8 +86,9 @@
 		    "\"reserved\":%u,\"reserved_room\":%u,\"leaving\":%u,"
 		    "\"silent\":%u,\"unconfirmed\":%u,\"ejected\":%u,"
 		    "\"unlisted\":%u,\"evacuated\":%u,\"held\":%d",
-		    step->index, longest->index, waited_ms(s, longest, now),
-		    waiting, ending, longest->possibly_running, step->startable,
+		    step->index, longest->index,
+		    task_waited_ms(s, longest, now), waiting, ending,
+		    longest->possibly_running, step->startable,
 		    step->job->claimed, step->job->pool->name, o.instances,
 		    o.usable, o.full, o.reserved, o.reserved_room, o.leaving,
 		    o.silent, o.unconfirmed, o.ejected, o.unlisted, o.evacuated,
@@ -106,12 +106,12 @@
 	for (t = 0; t < step->spec->count; t++) {
 		const struct task *task = &step->tasks[t];
 
-		if (waited_ms(s, task, now) < WAIT_LOGGED_MS)
+		if (task_waited_ms(s, task, now) < WAIT_LOGGED_MS)
 			continue;
 		waiting += !task->runs;
 		ending += task->runs && task->runs->state == RUN_STOPPING;
-		if (!longest ||
-		    waited_ms(s, task, now) > waited_ms(s, longest, now))
+		if (!longest || task_waited_ms(s, task, now) >
+					task_waited_ms(s, longest, now))
 			longest = task;
 	}
 	if (longest)
--- /dev/null
+++ b/test/waits_test.c
@@ -0,0 +1,323 @@
+/*
+ * What the log says of long-running tasks that wait. Guards against lines that
+ * leave open why a task has no run: no memory, machines that are kept, a task
+ * that is stopped again and again, no machine in any other pool.
+ */
+#include "test/rig/sched_rig.h"
+
+#define PASS_MS 20u
+#define RUNS_MAX 64u
+#define LINES_MAX 256u
+#define TEXT_MAX 800u
+
+struct line {
+	char kind[32];
+	char id[64];
+	char text[TEXT_MAX];
+};
+
+struct fixture {
+	struct rig r;
+	struct config_queue queue;
+	struct config_pool pools[3];
+	struct line lines[LINES_MAX];
+	uint32_t line_count;
+	uint64_t end_seq;
+	struct sched_order running[RUNS_MAX]; /* as ordered last; number 0: no
+						 run */
+	uint32_t running_count;
+};
+
+static void on_trace(void *arg, const char *kind, const char *id,
+		     const char *text)
+{
+	struct fixture *x = arg;
+	struct line *l = &x->lines[x->line_count];
+
+	if (strncmp(kind, "lasting-", 8))
+		return;
+	assert_true(x->line_count < LINES_MAX);
+	assert_true(strlen(text) < TEXT_MAX);
+	x->line_count++;
+	snprintf(l->kind, sizeof(l->kind), "%s", kind);
+	snprintf(l->id, sizeof(l->id), "%s", id);
+	snprintf(l->text, sizeof(l->text), "%s", text);
+}
+
+static uint32_t count_lines(const struct fixture *x, const char *kind)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < x->line_count; i++)
+		count += !strcmp(x->lines[i].kind, kind);
+	return count;
+}
+
+/* Returns the last line of a kind; fails if there is none. */
+static const struct line *last_line(const struct fixture *x, const char *kind)
+{
+	uint32_t i = x->line_count;
+
+	while (i-- > 0)
+		if (!strcmp(x->lines[i].kind, kind))
+			return &x->lines[i];
+	fail_msg("no line %s", kind);
+	return NULL;
+}
+
+static void add_to_pool(struct rig *r, const char *id, const char *pool)
+{
+	struct sched_instance_info info = {
+		.id = id,
+		.address = "a:1",
+		.zone = "z",
+		.pool = pool,
+		.machine = id,
+		.started_unix_ms = r->started_unix_ms,
+		.capacity = { 4000, 4000, 0 },
+		.label_count = 1,
+		.labels = { "r1" },
+	};
+
+	sched_instance_listed(r->s, &info, r->now);
+}
+
+/* Pool p has the two instances i-0 and i-1, pool o has o-0 and o-1. */
+static void fixture_new(struct fixture *x)
+{
+	memset(x, 0, sizeof(*x));
+	rig_new(&x->r);
+	x->r.now = 10000;
+	x->r.workspace.cap.cpu = 0;
+	x->pools[0] = (struct config_pool){ .name = "p",
+					    .has_admission_check = true };
+	x->pools[1] = (struct config_pool){ .name = "o",
+					    .has_admission_check = true };
+	x->pools[2] = (struct config_pool){ .name = "spare",
+					    .has_admission_check = true,
+					    .spare = true };
+	x->r.config.pools = x->pools;
+	x->r.config.pool_count = 3;
+	sched_configure(x->r.s, &x->r.config, x->r.now);
+	add_to_pool(&x->r, "i-0", "p");
+	add_to_pool(&x->r, "i-1", "p");
+	add_to_pool(&x->r, "o-0", "o");
+	add_to_pool(&x->r, "o-1", "o");
+	sched_become_leader(x->r.s, 1, true, x->r.now);
+	sched_expect_complete(x->r.s, x->r.now);
+	make_all_usable(&x->r);
+	sched_set_trace(x->r.s, on_trace, x);
+}
+
+/* Reports runs as ordered; a stop that was sent has ended its run. */
+static void report_one(struct fixture *x, const struct sched_poll *poll,
+		       enum sched_outcome outcome)
+{
+	struct sched_running running[RUNS_MAX];
+	struct sched_ended ended[RUNS_MAX];
+	uint32_t running_count = 0, ended_count = 0;
+	uint32_t n;
+
+	for (n = 0; n < x->running_count; n++) {
+		struct sched_order *o = &x->running[n];
+
+		if (strcmp(o->instance_id, poll->instance_id) || !o->number)
+			continue;
+		if (o->kind == ORDER_START)
+			running[running_count++] =
+				(struct sched_running){ o->task, o->number, "",
+							100, 0 };
+		else
+			ended[ended_count++] =
+				(struct sched_ended){ ++x->end_seq, o->task,
+						      o->number, outcome, "" };
+	}
+	report(&x->r, poll->instance, running, running_count, ended,
+	       ended_count, x->r.now);
+	for (n = 0; n < x->running_count; n++)
+		if (!strcmp(x->running[n].instance_id, poll->instance_id) &&
+		    x->running[n].kind == ORDER_STOP)
+			x->running[n].number = 0;
+}
+
+static void report_all(struct fixture *x, enum sched_outcome outcome)
+{
+	struct sched_poll polls[8];
+	uint32_t count = 0;
+
+	while (count < 8 && sched_next_poll(x->r.s, x->r.now, &polls[count]))
+		count++;
+	while (count-- > 0)
+		report_one(x, &polls[count], outcome);
+}
+
+static void note_orders(struct fixture *x)
+{
+	uint32_t i, n;
+
+	for (i = 0; i < x->r.order_count; i++) {
+		const struct sched_order *o = &x->r.orders[i];
+
+		if (o->kind == ORDER_START) {
+			assert_true(x->running_count < RUNS_MAX);
+			x->running[x->running_count++] = *o;
+			continue;
+		}
+		for (n = 0; n < x->running_count; n++)
+			if (x->running[n].number == o->number &&
+			    !strcmp(x->running[n].task, o->task))
+				x->running[n].kind = ORDER_STOP;
+	}
+}
+
+static void pass(struct fixture *x, enum sched_order_result result,
+		 enum sched_outcome outcome)
+{
+	x->r.now += PASS_MS;
+	sched_leader_confirmed(x->r.s, x->r.now);
+	take_orders(&x->r);
+	if (result == ORDER_DONE)
+		note_orders(x);
+	answer_orders(&x->r, result);
+	report_all(x, outcome);
+	write_all(&x->r);
+}
+
+static void advance(struct fixture *x, uint32_t ms)
+{
+	uint64_t end = x->r.now + ms;
+
+	while (x->r.now < end)
+		pass(x, ORDER_DONE, SCHED_STOPPED);
+}
+
+/* An instance has memory for one of its tasks. */
+static void submit_lasting(struct fixture *x, const char *id, uint32_t tasks)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, true);
+	uint32_t after;
+
+	row->steps[0]->may_miss = 0;
+	row->steps[0]->cpu = 100;
+	row->steps[0]->mem = 3000;
+	assert_int_equal(
+		sched_submit(x->r.s, id, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x->r);
+}
+
+static const char *instance_of_run(const struct fixture *x)
+{
+	uint32_t n = x->running_count;
+
+	while (n-- > 0)
+		if (x->running[n].number)
+			return x->running[n].instance_id;
+	fail_msg("no run");
+	return NULL;
+}
+
+/* Starts and ends */
+
+enum end_kind {
+	END_RELOCATED,
+	END_CANCELLED,
+	END_FAILED,
+	END_LAPSED,
+	END_MACHINE_DOWN,
+	END_START_REFUSED,
+	END_OF_SHORT_TASK,
+};
+
+static void end_run(struct fixture *x, enum end_kind kind)
+{
+	instance_handle_t i = find_instance(&x->r, instance_of_run(x));
+
+	switch (kind) {
+	case END_RELOCATED:
+		sched_relocate(x->r.s, i, true, true, x->r.now);
+		break;
+	case END_CANCELLED:
+		assert_true(sched_cancel(x->r.s, id_a, "q", x->r.now));
+		break;
+	case END_FAILED:
+	case END_LAPSED:
+	case END_OF_SHORT_TASK:
+		x->running[x->running_count - 1].kind = ORDER_STOP;
+		report_all(x, kind == END_LAPSED   ? SCHED_LAPSED
+			      : kind == END_FAILED ? SCHED_FAILED
+						   : SCHED_DONE);
+		break;
+	case END_MACHINE_DOWN:
+		sched_machine_down(x->r.s, i, x->r.now);
+		break;
+	case END_START_REFUSED:
+		break;
+	}
+}
+
+static void test_why_a_run_ended_is_logged(void **state)
+{
+	static const struct {
+		enum end_kind kind;
+		const char *why; /* NULL: no line */
+		uint32_t starts; /* lines by then */
+	} cases[] = {
+		{ END_RELOCATED, "relocated", 1 },
+		{ END_CANCELLED, "job over", 1 },
+		{ END_FAILED, "failed", 1 },
+		{ END_LAPSED, "lapsed", 1 },
+		{ END_MACHINE_DOWN, "instance gone", 1 },
+		{ END_START_REFUSED, NULL, 1 },
+		{ END_OF_SHORT_TASK, NULL, 0 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		bool refused = cases[c].kind == END_START_REFUSED;
+		char why[64];
+		struct fixture x;
+		uint32_t n;
+
+		fixture_new(&x);
+		if (cases[c].kind == END_OF_SHORT_TASK) {
+			submit(&x.r, id_a, 1, 1, false);
+			write_all(&x.r);
+		} else {
+			submit_lasting(&x, id_a, 1);
+		}
+		pass(&x, refused ? ORDER_REFUSED_CAPACITY : ORDER_DONE,
+		     SCHED_STOPPED);
+		if (!refused) {
+			advance(&x, 600);
+			end_run(&x, cases[c].kind);
+		}
+		assert_int_equal(count_lines(&x, "lasting-start"),
+				 cases[c].starts);
+		/* Stops are sent and answered; nothing starts again. */
+		sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
+		sched_reserve(x.r.s, find_instance(&x.r, "i-1"), true, x.r.now);
+		for (n = 0; n < 50; n++)
+			pass(&x, ORDER_DONE, SCHED_STOPPED);
+		assert_int_equal(count_lines(&x, "lasting-end"),
+				 cases[c].why ? 1 : 0);
+		if (cases[c].why) {
+			snprintf(why, sizeof(why), "\"why\":\"%s\"",
+				 cases[c].why);
+			if (!strstr(last_line(&x, "lasting-end")->text, why))
+				fail_msg("not %s: %s", why,
+					 last_line(&x, "lasting-end")->text);
+		}
+		talloc_free(x.r.s);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_why_a_run_ended_is_logged),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
