sched: tell in lasting-waits what a waiting task needs, and what is kept from it

A line named a wait, but left open why: CPU and memory of the pool were not in it, `reserved_room` counted instances that were gone from the directory, and a task that was stopped and started again and again counted as running.

The line now has what a task needs, CPU and memory of the usable instances, the machines wanted for waiting tasks, for how long the oldest reserved instance with room has been reserved, and tasks whose run doesn't work yet. Tasks with two or more runs under 5 s, one after the other, are logged whatever their present wait. The four steps with the longest waits keep the kind, which thereby stays one of the rare, whose lines are not displaced; the others are `lasting-waits-more`.

Measured: waits_test fails with unlisted instances counted as before, without reserved_since_ms, without the tasks that are started again, with six lines a second, and with 9 s for 5 s, and passes.

--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -376,6 +376,8 @@
 	struct amount capacity;	  /* sums over instances, see pool_amounts() */
 	struct amount used;
 	uint64_t amounts_until_ms;
+	/* sched_pool_load.long_running_machines, as last computed */
+	uint32_t machines_wanted;
 	struct instance *instances;
 	struct room room;
 	/* by no order; those that aren't active end with the pass */
@@ -471,6 +473,7 @@
 	char failed_job[SCHED_ID_BYTES + 1];
 	uint64_t ejected_until_ms; /* no starts before, because of failures */
 	uint64_t next_relocation_ms;
+	uint64_t reserved_since_ms;
 	uint32_t cold_ms;	/* from its entry */
 	uint64_t returned_ms;	/* end of an evacuation; 0: long ago */
 	uint32_t fill_permille; /* of its capacity, while returned_ms is set */
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -153,6 +153,7 @@
 	    (wanted_since(s, pool->no_place_ms) ||
 	     (!load->instances && wanted_since(s, pool->refused_evacuated_ms))))
 		load->long_running_machines = 1;
+	pool->machines_wanted = load->long_running_machines;
 	return true;
 }
 
@@ -262,8 +263,8 @@
 {
 	struct instance *i = instance_of(s, h);
 
-	(void)now;
 	if (!i || i->reserved == reserved)
 		return;
 	i->reserved = reserved;
+	i->reserved_since_ms = now;
 }
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -2,8 +2,9 @@
  * sched_waits - logs why a long-running task doesn't run
  *
  * One line a step and second, for the longest wait in it. It tells apart a run
- * whose end this leader hasn't heard of, a job that may not start yet, a cap,
- * and a pool without an instance for it, by what keeps each from being used.
+ * whose end this leader hasn't heard of, a job that may not start yet, a cap, a
+ * task that is stopped and started again and again, and a pool without an
+ * instance for it, by what keeps each from being used.
  */
 #include <inttypes.h>
 
@@ -11,6 +12,13 @@
 
 #define WAIT_LOGGED_MS 1500u /* a task that is placed at once waits less */
 #define WAITS_LOG_MS 1000u   /* between two lines on a step */
+#define SHORT_RUNS_LOGGED 2u /* one after the other, whatever the wait */
+
+/*
+ * Steps with the longest waits, whose lines have a kind of their own: with so
+ * few a second the log keeps them apart from kinds that are logged often.
+ */
+#define LONGEST_MAX 4u
 
 /* Instances of a pool by why they don't take a task of the step. */
 struct obstacles {
@@ -22,8 +30,31 @@
 	uint32_t full;		/* usable, without room or over a limit */
 	uint32_t usable;	/* with room */
 	uint32_t reserved_room; /* of the reserved, those with room */
+	uint64_t reserved_since_ms;	/* of the oldest of these; 0: none */
+	struct amount capacity, in_use; /* of `full` and `usable` */
+};
+
+/* A step with a task that waits, and its tasks by what they wait for. */
+struct waiting_step {
+	const struct step *step;
+	const struct task *longest;
+	uint64_t waited_ms; /* by it */
+	uint32_t waiting;   /* for a place */
+	uint32_t starting;  /* their run doesn't work yet */
+	uint32_t ending;    /* their run is being stopped */
+	uint32_t restarted; /* with several short runs one after the other */
 };
 
+static void count_reserved(const struct instance *i, bool room,
+			   struct obstacles *o)
+{
+	o->reserved++;
+	o->reserved_room += room;
+	if (room && (!o->reserved_since_ms ||
+		     i->reserved_since_ms < o->reserved_since_ms))
+		o->reserved_since_ms = i->reserved_since_ms;
+}
+
 static void count_obstacle(const struct sched *s, const struct step *step,
 			   const struct instance *i, uint64_t now,
 			   struct obstacles *o)
@@ -31,27 +62,28 @@
 	bool room = step_room_on(step, i) > 0;
 
 	o->instances++;
-	if (!i->listed)
+	if (!i->listed) {
 		o->unlisted++;
-	else if (i->leaving)
+	} else if (i->leaving) {
 		o->leaving++;
-	else if (i->evacuated)
+	} else if (i->evacuated) {
 		o->evacuated++;
-	else if (!i->reported || i->expired || i->unresponsive ||
-		 !i->clock_read_ms)
+	} else if (!i->reported || i->expired || i->unresponsive ||
+		   !i->clock_read_ms) {
 		o->silent++;
-	else if (i->restart_possible ||
-		 i->first_report_ms >= s->leader_confirmed_ms)
+	} else if (i->restart_possible ||
+		   i->first_report_ms >= s->leader_confirmed_ms) {
 		o->unconfirmed++;
-	else if (i->reserved)
-		o->reserved++;
-	else if (now < i->ejected_until_ms)
+	} else if (i->reserved) {
+		count_reserved(i, room, o);
+	} else if (now < i->ejected_until_ms) {
 		o->ejected++;
-	else if (room)
-		o->usable++;
-	else
-		o->full++;
-	o->reserved_room += i->reserved && room;
+	} else {
+		o->usable += room;
+		o->full += !room;
+		amount_add(&o->capacity, &i->capacity);
+		amount_add(&o->in_use, &i->used);
+	}
 }
 
 uint64_t task_waited_ms(const struct sched *s, const struct task *task,
@@ -69,57 +101,113 @@
 	return now > since ? now - since : 0;
 }
 
-static void log_step(struct sched *s, const struct step *step,
-		     const struct task *longest, uint32_t waiting,
-		     uint32_t ending, uint64_t now)
+static void log_step(struct sched *s, const char *kind,
+		     const struct waiting_step *w, uint64_t now)
 {
+	const struct step *step = w->step;
+	const struct pool *pool = step->job->pool;
+	struct amount needs = step_amount(step->spec);
 	struct obstacles o = { 0 };
 	const struct instance *i;
 
-	DL_FOREACH2(step->job->pool->instances, i, pool_next)
+	DL_FOREACH2(pool->instances, i, pool_next)
 	count_obstacle(s, step, i, now, &o);
-	sched_trace(s, "lasting-waits", step->job->id,
+	sched_trace(s, kind, step->job->id,
 		    "\"step\":%u,\"task\":%u,\"waited_ms\":%" PRIu64
-		    ",\"waiting\":%u,\"ending\":%u,\"unseen\":%d,"
+		    ",\"short_runs\":%u,\"waiting\":%u,\"starting\":%u,"
+		    "\"ending\":%u,\"restarted\":%u,\"unseen\":%d,"
 		    "\"startable\":%u,\"claimed\":%d,\"pool\":\"%s\","
+		    "\"needs_cpu\":%" PRId64 ",\"needs_mem\":%" PRId64
+		    ",\"cpu\":%" PRId64 ",\"used_cpu\":%" PRId64
+		    ",\"mem\":%" PRId64 ",\"used_mem\":%" PRId64
+		    ",\"machines_wanted\":%u,"
 		    "\"instances\":%u,\"usable\":%u,\"full\":%u,"
-		    "\"reserved\":%u,\"reserved_room\":%u,\"leaving\":%u,"
+		    "\"reserved\":%u,\"reserved_room\":%u,"
+		    "\"reserved_ms\":%" PRIu64 ",\"leaving\":%u,"
 		    "\"silent\":%u,\"unconfirmed\":%u,\"ejected\":%u,"
 		    "\"unlisted\":%u,\"evacuated\":%u,\"held\":%d",
-		    step->index, longest->index,
-		    task_waited_ms(s, longest, now), waiting, ending,
-		    longest->possibly_running, step->startable,
-		    step->job->claimed, step->job->pool->name, o.instances,
-		    o.usable, o.full, o.reserved, o.reserved_room, o.leaving,
-		    o.silent, o.unconfirmed, o.ejected, o.unlisted, o.evacuated,
-		    s->starts_held);
+		    step->index, w->longest->index, w->waited_ms,
+		    w->longest->short_runs, w->waiting, w->starting, w->ending,
+		    w->restarted, w->longest->possibly_running, step->startable,
+		    step->job->claimed, pool->name, needs.cpu, needs.mem,
+		    o.capacity.cpu, o.in_use.cpu, o.capacity.mem, o.in_use.mem,
+		    pool->machines_wanted, o.instances, o.usable, o.full,
+		    o.reserved, o.reserved_room,
+		    o.reserved_since_ms ? now - o.reserved_since_ms : 0,
+		    o.leaving, o.silent, o.unconfirmed, o.ejected, o.unlisted,
+		    o.evacuated, s->starts_held);
 }
 
-static void check_step(struct sched *s, const struct step *step, uint64_t now)
+/* Whether its present run, if any, may be one more in a row of short ones. */
+static bool is_restarted(const struct task *task, uint64_t now)
 {
-	const struct task *longest = NULL;
-	uint32_t waiting = 0, ending = 0;
-	uint32_t t;
+	const struct run *run = task->runs;
 
-	if (!step->ready || !step->spec->lasting)
+	return task->short_runs >= SHORT_RUNS_LOGGED && !task->done &&
+	       (!run || !run_is_steady(run, now));
+}
+
+static void count_task(struct waiting_step *w, const struct sched *s,
+		       const struct task *task, uint64_t now)
+{
+	uint64_t waited_ms = task_waited_ms(s, task, now);
+	bool restarted = is_restarted(task, now);
+
+	if (waited_ms < WAIT_LOGGED_MS && !restarted)
 		return;
-	for (t = 0; t < step->spec->count; t++) {
-		const struct task *task = &step->tasks[t];
+	w->restarted += restarted;
+	if (!task->runs)
+		w->waiting++;
+	else if (task->runs->state == RUN_STOPPING)
+		w->ending++;
+	else
+		w->starting += !run_is_available(task->runs);
+	if (!w->longest || waited_ms > w->waited_ms) {
+		w->longest = task;
+		w->waited_ms = waited_ms;
+	}
+}
+
+/*
+ * Keeps the steps with the longest waits, longest first, and logs the one that
+ * has no place among them.
+ */
+static void keep_longest(struct sched *s, struct waiting_step *kept,
+			 const struct waiting_step *w, uint64_t now)
+{
+	struct waiting_step next = *w;
+	uint32_t i;
 
-		if (task_waited_ms(s, task, now) < WAIT_LOGGED_MS)
+	for (i = 0; i < LONGEST_MAX; i++) {
+		struct waiting_step other = kept[i];
+
+		if (other.step && other.waited_ms >= next.waited_ms)
 			continue;
-		waiting += !task->runs;
-		ending += task->runs && task->runs->state == RUN_STOPPING;
-		if (!longest || task_waited_ms(s, task, now) >
-					task_waited_ms(s, longest, now))
-			longest = task;
+		kept[i] = next;
+		next = other;
+		if (!next.step)
+			return;
 	}
-	if (longest)
-		log_step(s, step, longest, waiting, ending, now);
+	log_step(s, "lasting-waits-more", &next, now);
+}
+
+static void check_step(struct sched *s, const struct step *step,
+		       struct waiting_step *kept, uint64_t now)
+{
+	struct waiting_step w = { .step = step };
+	uint32_t t;
+
+	if (!step->ready || !step->spec->lasting)
+		return;
+	for (t = 0; t < step->spec->count; t++)
+		count_task(&w, s, &step->tasks[t], now);
+	if (w.longest)
+		keep_longest(s, kept, &w, now);
 }
 
 void waits_log(struct sched *s, uint64_t now)
 {
+	struct waiting_step kept[LONGEST_MAX] = { 0 };
 	const struct occurrence *o;
 	const struct job *job;
 	size_t i;
@@ -130,5 +218,7 @@
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
 	for (o = job->occurrences; o; o = o->hh.next)
 		for (i = 0; i < job->row->n_steps; i++)
-			check_step(s, &o->steps[i], now);
+			check_step(s, &o->steps[i], kept, now);
+	for (i = 0; i < LONGEST_MAX && kept[i].step; i++)
+		log_step(s, "lasting-waits", &kept[i], now);
 }
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -9,6 +9,7 @@
 #define RUNS_MAX 64u
 #define LINES_MAX 256u
 #define TEXT_MAX 800u
+#define FIELDS_MAX 8u
 
 struct line {
 	char kind[32];
@@ -65,6 +66,18 @@
 	return NULL;
 }
 
+static long long field(const struct line *l, const char *name)
+{
+	char key[64];
+	const char *at;
+
+	snprintf(key, sizeof(key), "\"%s\":", name);
+	at = strstr(l->text, key);
+	if (!at)
+		fail_msg("no %s in %s", name, l->text);
+	return strtoll(at + strlen(key), NULL, 10);
+}
+
 static void add_to_pool(struct rig *r, const char *id, const char *pool)
 {
 	struct sched_instance_info info = {
@@ -217,6 +230,161 @@
 	return NULL;
 }
 
+/* What keeps a task waiting */
+
+enum obstacle { OBSTACLE_NONE, OBSTACLE_RESERVED, OBSTACLE_RESERVED_UNLISTED };
+
+struct wait_case {
+	const char *name;
+	enum obstacle obstacle; /* of i-0 */
+	uint32_t tasks;
+	struct {
+		const char *name;
+		long long min, max;
+	} fields[FIELDS_MAX];
+};
+
+static const struct wait_case wait_cases[] = {
+	{ "no memory is left, while CPU is",
+	  OBSTACLE_NONE,
+	  3,
+	  { { "waiting", 1, 1 },
+	    { "usable", 0, 0 },
+	    { "full", 2, 2 },
+	    { "cpu", 8000, 8000 },
+	    { "used_cpu", 200, 200 },
+	    { "mem", 8000, 8000 },
+	    { "used_mem", 6000, 6000 },
+	    { "machines_wanted", 1, 1 } } },
+	{ "an instance with room is kept",
+	  OBSTACLE_RESERVED,
+	  2,
+	  { { "waiting", 1, 1 },
+	    { "reserved", 1, 1 },
+	    { "reserved_room", 1, 1 },
+	    { "reserved_ms", 2000, 2200 },
+	    { "unlisted", 0, 0 },
+	    { "mem", 4000, 4000 },
+	    { "used_mem", 3000, 3000 } } },
+	{ "an instance that was kept is gone from the directory",
+	  OBSTACLE_RESERVED_UNLISTED,
+	  2,
+	  { { "waiting", 1, 1 },
+	    { "reserved", 0, 0 },
+	    { "reserved_room", 0, 0 },
+	    { "reserved_ms", 0, 0 },
+	    { "unlisted", 1, 1 } } },
+};
+
+static void test_obstacles_are_logged(void **state)
+{
+	size_t c, n;
+
+	(void)state;
+	for (c = 0; c < sizeof(wait_cases) / sizeof(wait_cases[0]); c++) {
+		const struct wait_case *w = &wait_cases[c];
+		struct sched_pool_load load;
+		const struct line *l;
+		struct fixture x;
+
+		print_message("%s\n", w->name);
+		fixture_new(&x);
+		if (w->obstacle != OBSTACLE_NONE)
+			sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true,
+				      x.r.now);
+		if (w->obstacle == OBSTACLE_RESERVED_UNLISTED)
+			sched_instance_unlisted(x.r.s, "i-0", x.r.now);
+		submit_lasting(&x, id_a, w->tasks);
+		advance(&x, 500);
+		sched_pool_load(x.r.s, "p", &load);
+		advance(&x, 1600);
+		l = last_line(&x, "lasting-waits");
+		for (n = 0; n < FIELDS_MAX && w->fields[n].name; n++) {
+			long long value = field(l, w->fields[n].name);
+
+			if (value < w->fields[n].min ||
+			    value > w->fields[n].max)
+				fail_msg("%s is %lld in %s", w->fields[n].name,
+					 value, l->text);
+		}
+		talloc_free(x.r.s);
+	}
+}
+
+/* A task that is stopped soon after each start has a run most of the time. */
+static void test_task_that_is_stopped_again_and_again_is_logged(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t stops;
+		uint32_t runs_ms; /* before each stop */
+		bool logged;
+	} cases[] = {
+		{ "one stop", 1, 200, false },
+		{ "four soon after the starts", 4, 200, true },
+		{ "four of runs that had lasted", 4, 6000, false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+		uint32_t i;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x);
+		submit_lasting(&x, id_a, 1);
+		for (i = 0; i < cases[c].stops; i++) {
+			advance(&x, cases[c].runs_ms);
+			sched_relocate(x.r.s,
+				       find_instance(&x.r, instance_of_run(&x)),
+				       true, true, x.r.now);
+		}
+		advance(&x, 1100);
+		assert_int_equal(count_lines(&x, "lasting-end"),
+				 cases[c].stops);
+		assert_int_equal(count_lines(&x, "lasting-start"),
+				 cases[c].stops + 1);
+		assert_int_equal(count_lines(&x, "lasting-waits") > 0,
+				 cases[c].logged);
+		if (cases[c].logged) {
+			const struct line *l = last_line(&x, "lasting-waits");
+
+			assert_int_equal(field(l, "restarted"), 1);
+			assert_int_equal(field(l, "short_runs"), 4);
+		}
+		talloc_free(x.r.s);
+	}
+}
+
+/* With more lines a second the log would drop them as it does frequent ones. */
+static void test_lines_of_the_longest_waits_are_few(void **state)
+{
+	static const char *const ids[] = {
+		"000000000000000a", "000000000000000b", "000000000000000c",
+		"000000000000000d", "000000000000000e", "000000000000000f",
+	};
+	struct fixture x;
+	uint32_t i;
+
+	(void)state;
+	fixture_new(&x);
+	sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
+	sched_reserve(x.r.s, find_instance(&x.r, "i-1"), true, x.r.now);
+	for (i = 0; i < 6; i++) {
+		submit_lasting(&x, ids[i], 1);
+		advance(&x, 100);
+	}
+	advance(&x, 2000);
+	x.line_count = 0;
+	advance(&x, 1000);
+	assert_int_equal(count_lines(&x, "lasting-waits"), 4);
+	assert_int_equal(count_lines(&x, "lasting-waits-more"), 2);
+	for (i = 0; i < 4; i++)
+		assert_string_equal(x.lines[2 + i].id, ids[i]);
+	talloc_free(x.r.s);
+}
+
 /* Starts and ends */
 
 enum end_kind {
@@ -316,6 +484,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_obstacles_are_logged),
+		cmocka_unit_test(
+			test_task_that_is_stopped_again_and_again_is_logged),
+		cmocka_unit_test(test_lines_of_the_longest_waits_are_few),
 		cmocka_unit_test(test_why_a_run_ended_is_logged),
 	};
 
