fleet: log pools that lack machines, and where machines are

When no other pool could give a machine to one whose long-running tasks wait, the planner set its deficit to 0 and nothing was said, so a log didn't tell a pool that got no machine from one whose machines were on their way.

Each planning pass of moves notes what a pool lacked and whether it was denied. Once a second `machines-wanted` tells what waiting long-running tasks want and what is on its way, and which of the pool's own machines are drained for waves or moves; `pool-short` tells what a pool lacks while no other gives one, and what the others hold: instances without a long-running task, the pool with most of them, CPU. At most four lines of each kind a second, the longest shortage first, so that these kinds stay rare. The machines are counted for these lines only. No decision uses them.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -56,6 +56,8 @@
 	double trust;
 	int64_t coming_cpu; /* that it needs within the time of a move */
 	int64_t kept_cpu;   /* that it needs before powering off pays */
+	int64_t lacked;	    /* its deficit before any move of this pass */
+	bool denied;	    /* no pool could give it a machine */
 	struct donor_machine *machines; /* NULL: not listed in this pass */
 	uint32_t machine_count;
 	uint32_t machines_taken;
@@ -186,8 +188,10 @@
 	if (f->forecast)
 		forecast_update(f->forecast, now);
 	count_moving(f, b);
-	for (i = 0; i < b->pool_count; i++)
+	for (i = 0; i < b->pool_count; i++) {
 		compute_demand(&b->pools[i]);
+		b->pools[i].lacked = b->pools[i].deficit;
+	}
 }
 
 /* A machine of an evacuated zone strengthens no pool, and stays until then. */
@@ -322,6 +326,7 @@
 		to->deficit -= to->machine_cpu;
 		return true;
 	}
+	to->denied = true;
 	return false;
 }
 
@@ -394,6 +399,7 @@
 	cover_deficits(f, s, now);
 	for (i = 0; i < f->balance->pool_count; i++) {
 		v = &f->balance->pools[i];
+		demand_note(f, v->name, &v->load, v->lacked, v->denied, now);
 		/* Below 0: the last machine was more than it lacked. */
 		v->deficit =
 			v->coming_deficit + (v->deficit < 0 ? v->deficit : 0);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -121,6 +121,38 @@
 
 void fleet_stats(const struct fleet *f, struct fleet_stats *stats);
 
+/* A pool that lacks machines, and where machines are. */
+struct fleet_pool_demand {
+	const char *pool;
+	uint64_t short_ms;  /* for how long no pool gave it one; 0: it isn't */
+	uint64_t wanted_ms; /* for how long its waiting tasks want some */
+	int64_t deficit;    /* CPU that it lacked, in millicores */
+	uint32_t wanted;    /* machines for waiting long-running tasks */
+	uint32_t instances; /* that count as its capacity */
+	/* Machines on the way to it, still drained, or ordered */
+	uint32_t incoming_draining, incoming_ordered;
+	uint32_t arrived; /* in the last second */
+	/* Its own machines that are drained, and those ordered away */
+	uint32_t kept_for_waves, kept_for_moves, away;
+	uint32_t spare; /* machines in the spare pool */
+	/* Of all other pools: instances without a long-running task, CPU */
+	uint32_t others_unpinned;
+	int64_t others_cpu, others_used_cpu;
+	const char *largest; /* with most such instances; NULL: none has any */
+	uint32_t largest_unpinned;
+};
+
+/*
+ * fleet_demands - the pools that lacked machines within the last window_ms
+ *
+ * Lists them with the longest shortage first, and returns their number; only
+ * the first max are described beyond short_ms and wanted_ms. The list is owned
+ * by ctx, its names by the planner. Goes over all machines max times.
+ */
+uint32_t fleet_demands(const struct fleet *f, TALLOC_CTX *ctx,
+		       uint64_t window_ms, uint64_t now,
+		       struct fleet_pool_demand **list, uint32_t max);
+
 /* fleet_forecast - the forecast of arrivals; NULL if there is none */
 const struct forecast *fleet_forecast(const struct fleet *f);
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -4,6 +4,7 @@
  * fleet.c        the table of machines, outcomes of actions
  * maintenance.c  waves of maintenance
  * balance.c      moves between pools
+ * demand.c       which pools lack machines, for the log
  */
 #ifndef FLEET_INTERNAL_H
 #define FLEET_INTERNAL_H
@@ -21,6 +22,17 @@
 	PHASE_AWAY,	 /* its order was carried out; it is not back yet */
 };
 
+/* What a pool lacked when moves were last planned; see demand.c. */
+struct pool_demand {
+	char pool[FLEET_NAME_MAX];
+	struct sched_pool_load load;
+	int64_t deficit; /* CPU, in millicores */
+	/* when no other pool gave it a machine: first of the row, and last */
+	uint64_t short_since_ms, short_ms;
+	/* same, when its waiting long-running tasks wanted machines */
+	uint64_t wanted_since_ms, wanted_ms;
+};
+
 struct machine {
 	char name[FLEET_NAME_MAX];
 	char pool[FLEET_NAME_MAX];
@@ -77,6 +89,8 @@
 	bool planned;		 /* since the last complete search for orders */
 	struct machine *next_machine; /* where the search goes on */
 	struct fleet_stats stats;
+	uint32_t demand_count;
+	struct pool_demand *demands;
 	uint32_t evacuated_count;
 	char (*evacuated_zones)[FLEET_NAME_MAX];
 	struct balance *balance;
@@ -120,4 +134,15 @@
 bool balance_order(struct sched *s, struct machine *m, uint64_t now,
 		   struct fleet_action *action);
 
+/* demand.c */
+
+/*
+ * demand_note - note a pool's load and deficit, in millicores, of this pass
+ *
+ * denied: no other pool gave it a machine, or one too few.
+ */
+void demand_note(struct fleet *f, const char *pool,
+		 const struct sched_pool_load *load, int64_t deficit,
+		 bool denied, uint64_t now);
+
 #endif
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -18,6 +18,9 @@
 /* Between two reads of the machine list while an instance is unresponsive. */
 #define LIST_UNRESPONSIVE_MS 400u
 #define POOLS_LOG_MS 1000u
+#define DEMANDS_LOG_MS 1000u
+/* Pools with a line a second: more would make the kind one of the frequent. */
+#define DEMANDS_LOGGED_MAX 4u
 #define FORECAST_LOG_MS 5000u /* between two lines about one pool */
 #define FORECAST_LOG_STEP 0.5 /* of the trust */
 
@@ -43,7 +46,8 @@
 	uint64_t list_retry_ms;
 	uint64_t list_sent_ms;	  /* when the list was last requested */
 	uint64_t pools_logged_ms; /* when the pools' load was last logged */
-	bool maintenance_read;	  /* all of the maintenance table was read */
+	uint64_t demands_logged_ms;
+	bool maintenance_read; /* all of the maintenance table was read */
 	uint64_t maintenance_retry_ms;
 	bool maintenance_reading;
 	char *maintenance_next_key; /* first key of the next page */
@@ -504,6 +508,50 @@
 	}
 }
 
+static void log_demand(const struct fleet_pool_demand *d, uint32_t pools)
+{
+	if (d->wanted_ms)
+		event_log("machines-wanted", d->pool,
+			  "\"for_ms\":%" PRIu64 ",\"machines\":%u,"
+			  "\"instances\":%u,\"draining\":%u,\"ordered\":%u,"
+			  "\"arrived\":%u,\"kept_for_waves\":%u,"
+			  "\"kept_for_moves\":%u,\"away\":%u,\"pools\":%u",
+			  d->wanted_ms, d->wanted, d->instances,
+			  d->incoming_draining, d->incoming_ordered, d->arrived,
+			  d->kept_for_waves, d->kept_for_moves, d->away, pools);
+	if (d->short_ms)
+		event_log("pool-short", d->pool,
+			  "\"for_ms\":%" PRIu64 ",\"deficit_cpu\":%" PRId64
+			  ",\"long_running_machines\":%u,\"incoming\":%u,"
+			  "\"spare\":%u,\"others_unpinned\":%u,"
+			  "\"others_cpu\":%" PRId64
+			  ",\"others_used_cpu\":%" PRId64
+			  ",\"largest\":\"%s\",\"largest_unpinned\":%u,"
+			  "\"pools\":%u",
+			  d->short_ms, d->deficit, d->wanted,
+			  d->incoming_draining + d->incoming_ordered, d->spare,
+			  d->others_unpinned, d->others_cpu, d->others_used_cpu,
+			  d->largest ? d->largest : "", d->largest_unpinned,
+			  pools);
+}
+
+/* Logs the pools that lack machines, and what there is elsewhere. */
+static void log_demands(struct node *n, uint64_t now)
+{
+	struct machines *m = n->machines;
+	struct fleet_pool_demand *list;
+	uint32_t count, i;
+
+	if (now - m->demands_logged_ms < DEMANDS_LOG_MS)
+		return;
+	m->demands_logged_ms = now;
+	count = fleet_demands(m->fleet, m, DEMANDS_LOG_MS, now, &list,
+			      DEMANDS_LOGGED_MAX);
+	for (i = 0; i < count && i < DEMANDS_LOGGED_MAX; i++)
+		log_demand(&list[i], count);
+	talloc_free(list);
+}
+
 void machines_tick(struct node *n, uint64_t now)
 {
 	struct machines *m = machines_get(n);
@@ -513,6 +561,7 @@
 		return;
 	fleet_configure(m->fleet, n->config);
 	log_pools(n, now);
+	log_demands(n, now);
 	log_forecast(n, now);
 	write_maintenance(n, now);
 	if (!m->maintenance_read) {
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -3,6 +3,7 @@
  * leave open why a task has no run: no memory, machines that are kept, a task
  * that is stopped again and again, no machine in any other pool.
  */
+#include "fleet/fleet.h"
 #include "test/rig/sched_rig.h"
 
 #define PASS_MS 20u
@@ -481,6 +482,83 @@
 	}
 }
 
+/* Pools that lack machines */
+
+static void plan(struct fixture *x, struct fleet *f, uint32_t ms)
+{
+	uint64_t end = x->r.now + ms;
+	struct fleet_action action;
+
+	while (x->r.now < end) {
+		pass(x, ORDER_DONE, SCHED_STOPPED);
+		while (fleet_next_action(f, x->r.s, x->r.now, &action))
+			fleet_action_result(f, x->r.s, &action, FLEET_DONE,
+					    x->r.now);
+	}
+}
+
+/* Pool o has no more machines than any pool keeps. */
+static void test_pools_that_lack_machines(void **state)
+{
+	static const char *const ids[] = { "i-0", "i-1", "o-0", "o-1", "s-0" };
+	static const char *const pools[] = { "p", "p", "o", "o", "spare" };
+	static const struct {
+		const char *name;
+		uint32_t tasks;
+		uint32_t machines; /* the fifth is a spare one */
+		uint32_t wanted;
+		bool is_short;
+		uint32_t incoming;
+	} cases[] = {
+		{ "nothing waits", 2, 4, 0, false, 0 },
+		{ "no pool gives a machine", 3, 4, 1, true, 0 },
+		{ "a spare machine comes", 3, 5, 1, false, 1 },
+		{ "one of two comes", 4, 5, 2, true, 1 },
+	};
+	struct fleet_options options = { .maintenance_ms = 2000,
+					 .move_ms = 1500 };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fleet_machine_info infos[5] = { 0 };
+		struct fleet_pool_demand *list;
+		struct fixture x;
+		struct fleet *f;
+		uint32_t count, i;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x);
+		f = fleet_new(x.r.s, &options);
+		fleet_configure(f, &x.r.config);
+		for (i = 0; i < cases[c].machines; i++) {
+			infos[i].machine = ids[i];
+			infos[i].pool = pools[i];
+			infos[i].rack = "r1";
+			infos[i].state = FLEET_UP;
+		}
+		fleet_set_machines(f, infos, cases[c].machines, x.r.now);
+		submit_lasting(&x, id_a, cases[c].tasks);
+		plan(&x, f, 1000);
+		count = fleet_demands(f, x.r.s, 1000, x.r.now, &list, 4);
+		assert_int_equal(count, cases[c].wanted ? 1 : 0);
+		if (count) {
+			assert_string_equal(list->pool, "p");
+			assert_int_equal(list->wanted, cases[c].wanted);
+			assert_in_range(list->wanted_ms, 800, 1001);
+			assert_int_equal(list->short_ms >= 800,
+					 cases[c].is_short);
+			assert_int_equal(list->incoming_draining +
+						 list->incoming_ordered,
+					 cases[c].incoming);
+			assert_int_equal(list->spare, 0);
+			assert_int_equal(list->others_unpinned, 2);
+			assert_string_equal(list->largest, "o");
+		}
+		talloc_free(x.r.s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -489,6 +567,7 @@
 			test_task_that_is_stopped_again_and_again_is_logged),
 		cmocka_unit_test(test_lines_of_the_longest_waits_are_few),
 		cmocka_unit_test(test_why_a_run_ended_is_logged),
+		cmocka_unit_test(test_pools_that_lack_machines),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
