sched: long-running tasks are placed by how long they have waited

What callers saw: a long-running task without a run for many seconds beside others of its pool that were stopped and started again meanwhile (LOST). Cause: waiting steps of long-running tasks had one rank, so the step that was first in the list was first for ever, and within a step the lowest index: a task that had just lost its run went before one that waited for longer. Steps are ranked by their longest wait now, tasks of a step go in the same order, fillers after all others. drain_test's test_longest_wait_goes_last failed before.

--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -795,6 +795,9 @@
 /* step_estimate_ms - the declared run time of a task, not corrected */
 uint64_t step_estimate_ms(const Fleet__Step *spec);
 
+/* task_unavailable_since - of a long-running task without a run that works */
+uint64_t task_unavailable_since(const struct sched *s, const struct task *task);
+
 /* step_leave_pool - take the step out of its pool's ready list */
 void step_leave_pool(struct step *step);
 
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -324,10 +324,46 @@
 	return PLACE_NO_ROOM;
 }
 
+/* The startable task that has been unavailable for longest, if any has. */
+static struct task *longest_unavailable(const struct step *step, uint64_t now)
+{
+	struct task *longest = NULL;
+	uint32_t t;
+
+	for (t = 0; t < step->spec->count; t++) {
+		struct task *task = &step->tasks[t];
+
+		if (task->unavailable_since_ms && task_startable(task, now) &&
+		    (!longest || task->unavailable_since_ms <
+					 longest->unavailable_since_ms))
+			longest = task;
+	}
+	return longest;
+}
+
+static enum place_result place_task(struct sched *s, struct task *task,
+				    uint64_t now)
+{
+	struct step *step = task->step;
+	struct instance *i;
+
+	if (!cap_allows(s, step, 1))
+		return PLACE_CAPPED;
+	i = choose_instance(s, task, now);
+	if (!i) {
+		reserve_step(s, step, now);
+		return PLACE_NO_ROOM;
+	}
+	start_run(s, task, i, sched_run_number(s, task), now);
+	return PLACE_DONE;
+}
+
 static enum place_result place_step(struct sched *s, struct step *step,
 				    uint64_t now)
 {
 	const struct amount a = step_amount(step->spec);
+	enum place_result result = PLACE_DONE;
+	struct task *task;
 	uint32_t t;
 
 	if (room_has_failed(step->job->pool, &a)) {
@@ -338,22 +374,15 @@
 	}
 	if (step->spec->gang)
 		return place_gang(s, step, now);
-	for (t = 0; t < step->spec->count; t++) {
-		struct task *task = &step->tasks[t];
-		struct instance *i;
-
-		if (!task_startable(task, now))
-			continue;
-		if (!cap_allows(s, step, 1))
-			return PLACE_CAPPED;
-		i = choose_instance(s, task, now);
-		if (!i) {
-			reserve_step(s, step, now);
-			return PLACE_NO_ROOM;
-		}
-		start_run(s, task, i, sched_run_number(s, task), now);
+	/* What has never run has waited for longest. */
+	for (t = 0; t < step->spec->count && result == PLACE_DONE; t++) {
+		task = &step->tasks[t];
+		if (!task->unavailable_since_ms && task_startable(task, now))
+			result = place_task(s, task, now);
 	}
-	return PLACE_DONE;
+	while (result == PLACE_DONE && (task = longest_unavailable(step, now)))
+		result = place_task(s, task, now);
+	return result;
 }
 
 /*
--- a/src/pool/sched_ready.c
+++ b/src/pool/sched_ready.c
@@ -9,12 +9,14 @@
 #include "pool/sched_internal.h"
 
 /* Rank of a step: its slack in ms with these added; lowest first */
-#define RANK_PRIORITY 1e12	/* per level: above everything else */
-#define RANK_LATE 1e9		/* late work goes after work in time */
-#define RANK_WORTHLESS 2e9	/* and work worth nothing after that */
-#define RANK_LONG_RUNNING -1e9	/* go first: they answer live requests */
-#define STARTED_BONUS_MS 1500.0 /* subtracted for a started job */
-#define SHARE_PENALTY_MS 300.0	/* added for a workspace at twice its share */
+#define RANK_PRIORITY 1e12	 /* per level: above everything else */
+#define RANK_LATE 1e9		 /* late work goes after work in time */
+#define RANK_WORTHLESS 2e9	 /* and work worth nothing after that */
+#define RANK_LONG_RUNNING -1e9	 /* go first: they answer live requests */
+#define RANK_FILLER 1e8		 /* added for those that fill idle CPU */
+#define RANK_UNAVAILABLE_MAX 1e7 /* subtracted: ms without a run that works */
+#define STARTED_BONUS_MS 1500.0	 /* subtracted for a started job */
+#define SHARE_PENALTY_MS 300.0	 /* added for a workspace at twice its share */
 /* The same by unfinished work in the pool, for a job that has not started */
 #define WORK_PENALTY_MS 300.0
 
@@ -189,6 +191,34 @@
 	return ms * share_above(&sum->work, job);
 }
 
+uint64_t task_unavailable_since(const struct sched *s, const struct task *task)
+{
+	const uint64_t accepted_ms = task->step->job->accepted_ms;
+
+	if (task->unavailable_since_ms)
+		return task->unavailable_since_ms;
+	return accepted_ms > s->leader_since_ms ? accepted_ms
+						: s->leader_since_ms;
+}
+
+/* Of the task of a long-running step that has waited for longest. */
+static double unavailable_ms(const struct sched *s, const struct step *step,
+			     uint64_t now)
+{
+	uint64_t since = now;
+	uint32_t t;
+
+	for (t = 0; t < step->spec->count; t++) {
+		const struct task *task = &step->tasks[t];
+
+		if (is_startable(task) &&
+		    task_unavailable_since(s, task) < since)
+			since = task_unavailable_since(s, task);
+	}
+	return now - since < RANK_UNAVAILABLE_MAX ? (double)(now - since)
+						  : RANK_UNAVAILABLE_MAX;
+}
+
 static void step_rank(const struct sched *s, const struct shares *sum,
 		      struct step *step, uint64_t now)
 {
@@ -198,7 +228,9 @@
 
 	step->rank = q ? q->priority * RANK_PRIORITY : 0;
 	if (step->spec->lasting) {
-		step->rank += RANK_LONG_RUNNING + (step->spec->filler ? 1 : 0);
+		step->rank += RANK_LONG_RUNNING +
+			      (step->spec->filler ? RANK_FILLER : 0) -
+			      unavailable_ms(s, step, now);
 		return;
 	}
 	slack = (double)job->objective_ms - (double)now -
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -89,15 +89,10 @@
 uint64_t task_waited_ms(const struct sched *s, const struct task *task,
 			uint64_t now)
 {
-	uint64_t since = task->unavailable_since_ms;
+	uint64_t since = task_unavailable_since(s, task);
 
-	if (since)
-		return now - since;
-	if (task->runs)
+	if (task->runs && !task->unavailable_since_ms)
 		return 0;
-	since = task->step->job->accepted_ms > s->leader_since_ms
-			? task->step->job->accepted_ms
-			: s->leader_since_ms;
 	return now > since ? now - since : 0;
 }
 
