--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -332,7 +332,7 @@
 
 	for (i = 0; i < b->pool_count; i++) {
 		struct pool_balance *v = &b->pools[i];
-		uint32_t keeps = v->load.spread ? min_machines(v) : 1;
+		uint32_t keeps = v->load.spread ? v->load.spread : 1;
 
 		if (v == to || v->exhausted || v->lacking ||
 		    v->load.instances <= keeps ||
