--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -27,6 +27,8 @@
 	enum fleet_result result;   /* of moves */
 	enum fleet_result upkeep_result;
 	bool store_slow; /* nothing is written meanwhile */
+	bool adviser_silent;
+	bool approves; /* the adviser does; else it names no instance */
 	struct sched_order running[RUNS_MAX];
 	uint32_t running_count;
 };
@@ -158,15 +160,39 @@
 			x->running[n].kind = ORDER_STOP;
 }
 
+static void order_machines(struct fixture *x)
+{
+	struct fleet_action action;
+
+	while (fleet_next_action(x->f, x->r.s, x->r.now, &action))
+		take_action(x, &action);
+}
+
+static void answer_adviser(struct fixture *x)
+{
+	struct sched_approval approvals[SCHED_ADVICE_MAX];
+	struct sched_advice advice;
+	uint32_t n;
+
+	if (x->adviser_silent || !sched_next_advice(x->r.s, x->r.now, &advice))
+		return;
+	for (n = 0; n < advice.count; n++)
+		approvals[n] = (struct sched_approval){ advice.instances[n],
+							"ticket" };
+	sched_advice_done(x->r.s, advice.step, approvals,
+			  x->approves ? advice.count : 0, 3000, x->r.now,
+			  x->r.now);
+}
+
 static void advance(struct fixture *x, uint32_t ms)
 {
 	uint64_t end = x->r.now + ms;
-	struct fleet_action action;
 	uint32_t n;
 
 	while (x->r.now < end) {
 		x->r.now += PASS_MS;
 		sched_leader_confirmed(x->r.s, x->r.now);
+		answer_adviser(x);
 		take_orders(&x->r);
 		for (n = 0; n < x->r.order_count; n++)
 			note_order(x, &x->r.orders[n]);
@@ -174,8 +200,7 @@
 		report_all(x);
 		if (!x->store_slow)
 			write_all(&x->r);
-		while (fleet_next_action(x->f, x->r.s, x->r.now, &action))
-			take_action(x, &action);
+		order_machines(x);
 	}
 }
 
@@ -491,6 +516,352 @@
 	talloc_free(x.r.s);
 }
 
+static Fleet__JobRow *lasting_row(uint32_t tasks, uint32_t may_miss)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, true);
+
+	row->steps[0]->may_miss = may_miss;
+	row->steps[0]->cpu = 3000;
+	return row;
+}
+
+static void submit_row(struct fixture *x, const char *id, Fleet__JobRow *row)
+{
+	uint32_t after;
+
+	assert_int_equal(
+		sched_submit(x->r.s, id, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x->r);
+}
+
+static void set_workspace(Fleet__JobRow *row, const char *name)
+{
+	free(row->workspace);
+	row->workspace = strdup(name);
+}
+
+static void set_label(Fleet__JobRow *row, const char *label)
+{
+	free(row->steps[0]->label);
+	row->steps[0]->label = strdup(label);
+}
+
+static void add_label(struct fixture *x, const char *id, const char *label)
+{
+	struct sched_instance_info info = {
+		.id = id,
+		.machine = id,
+		.address = "a:1",
+		.zone = "z",
+		.pool = "p",
+		.capacity = { 4000, 4000, 0 },
+		.started_unix_ms = x->r.started_unix_ms,
+		.label_count = 2,
+		.labels = { label, "r1" },
+	};
+
+	sched_instance_listed(x->r.s, &info, x->r.now);
+}
+
+static void add_spare(struct fixture *x, const char *machine)
+{
+	x->machines[x->machine_count++] =
+		(struct fleet_machine_info){ .machine = machine,
+					     .pool = "spare",
+					     .rack = "r1",
+					     .state = FLEET_UP };
+}
+
+/* A wave with time enough to wait for machines and turns. */
+static void add_long_wave(struct fixture *x, uint32_t machines)
+{
+	static const char *const names[] = { "i-0", "i-1", "i-2" };
+
+	fleet_add_wave(x->f, "wave/1", 1, 1, 20000, names, machines, x->r.now);
+}
+
+/*
+ * Room is held for a task that its budget keeps where it is, so the task of
+ * its step that could use the room waits for ever.
+ */
+static void test_held_room_is_kept_from_waiting_task(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t may_miss;
+	} cases[] = { { "no budget", 0 }, { "a budget of one task", 1 } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+		const char *failed;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x, 2);
+		list_machines(&x);
+		submit_row(&x, id_a, lasting_row(2, cases[c].may_miss));
+		advance(&x, 3000);
+		assert_int_equal(x.starts, 2);
+		failed = !strcmp(x.running[0].instance_id, "i-1")
+				 ? x.running[0].task
+				 : x.running[1].task;
+		add_long_wave(&x, 1);
+		advance(&x, 40);
+		assert_int_equal(x.upkeeps, 0);
+		fail_run(&x, failed);
+		order_machines(&x);
+		advance(&x, 6000);
+		assert_true(x.starts >= 3);
+		talloc_free(x.r.s);
+	}
+}
+
+/* A waiting task that may not start, or fits nowhere, stops a wave for good. */
+static void test_unplaceable_task_stops_wave(void **state)
+{
+	static const struct {
+		const char *name, *workspace, *label;
+		uint32_t tasks; /* that run when the wave begins */
+	} cases[] = {
+		{ "none waits", NULL, NULL, 2 },
+		{ "one at its cap", "capped", NULL, 2 },
+		{ "one with a label of full machines", "w", "gpu", 2 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x, 2);
+		add_label(&x, "i-0", "gpu");
+		x.workspaces[1].cap.cpu = 1000;
+		sched_configure(x.r.s, &x.r.config, x.r.now);
+		list_machines(&x);
+		submit_lasting(&x, id_a, cases[c].tasks);
+		if (cases[c].workspace) {
+			Fleet__JobRow *row = lasting_row(1, 0);
+
+			set_workspace(row, cases[c].workspace);
+			if (cases[c].label)
+				set_label(row, cases[c].label);
+			submit_row(&x, id_other, row);
+		}
+		advance(&x, 100);
+		assert_int_equal(x.starts, cases[c].tasks);
+		add_long_wave(&x, 2);
+		advance(&x, 30000);
+		assert_true(x.upkeeps >= 1);
+		talloc_free(x.r.s);
+	}
+}
+
+/* Machines that are moved join their pool, one at a time. */
+static void advance_joining(struct fixture *x, uint32_t ms)
+{
+	uint64_t end = x->r.now + ms;
+	uint64_t join_ms = 0;
+	char joining[FLEET_NAME_MAX];
+	uint32_t moves = x->moves;
+
+	while (x->r.now < end) {
+		advance(x, PASS_MS);
+		if (x->moves != moves) {
+			moves = x->moves;
+			join_ms = x->r.now + 1500;
+			memcpy(joining, x->moved, sizeof(joining));
+		}
+		if (join_ms && x->r.now >= join_ms) {
+			add_instance(&x->r, joining, false);
+			join_ms = 0;
+		}
+	}
+}
+
+/*
+ * A machine whose task can't run on any that may be had is never drained, and
+ * one machine after the other is moved to the pool for it.
+ */
+static void test_machines_that_cannot_help(void **state)
+{
+	static const char *const spares[] = { "m-0", "m-1", "m-2" };
+	Fleet__JobRow *row = lasting_row(1, 0);
+	struct fixture x;
+	uint32_t n;
+
+	(void)state;
+	fixture_new(&x, 2);
+	add_label(&x, "i-0", "gpu");
+	for (n = 0; n < 3; n++)
+		add_spare(&x, spares[n]);
+	list_machines(&x);
+	set_label(row, "gpu");
+	submit_row(&x, id_a, row);
+	advance(&x, 100);
+	assert_int_equal(x.starts, 1);
+	assert_int_equal(x.moves, 0);
+	add_long_wave(&x, 2);
+	advance_joining(&x, 30000);
+	assert_int_equal(x.upkeeps, 2);
+	assert_in_range(x.moves, 0, 1);
+	talloc_free(x.r.s);
+}
+
+static void fixture_new_advised(struct fixture *x, uint32_t instances)
+{
+	fixture_new(x, instances);
+	x->queues[0].needs_advice = true;
+	x->queues[0].advice_valid_ms = 3000;
+	x->queues[0].advice_decision_ms = 20;
+	x->queues[0].advice_instance_ms = 3;
+	sched_configure(x->r.s, &x->r.config, x->r.now);
+	x->approves = true;
+}
+
+/*
+ * No ticket is asked for while no task of a step waits, so no place is found
+ * for its tasks, though an instance is empty.
+ */
+static void test_no_place_without_a_ticket(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new_advised(&x, 2);
+	list_machines(&x);
+	submit_row(&x, id_a, lasting_row(1, 0));
+	advance(&x, 5000); /* its tickets have expired */
+	assert_int_equal(x.starts, 1);
+	add_long_wave(&x, 1);
+	advance(&x, 500);
+	assert_int_equal(x.starts, 2);
+	assert_int_equal(x.upkeeps, 1);
+	talloc_free(x.r.s);
+}
+
+/* A task that the adviser lets start nowhere keeps idle machines from a wave */
+static void test_task_without_ticket_stops_wave(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new_advised(&x, 2);
+	x.approves = false;
+	list_machines(&x);
+	submit_row(&x, id_a, lasting_row(1, 0));
+	advance(&x, 1000);
+	assert_int_equal(x.starts, 0);
+	add_long_wave(&x, 2);
+	advance(&x, 25000);
+	assert_int_equal(x.upkeeps, 2);
+	talloc_free(x.r.s);
+}
+
+/*
+ * Machines whose tasks their budget keeps get all turns of a wave again and
+ * again, while another could go.
+ */
+static void test_budget_keeps_turns(void **state)
+{
+	static const char *const names[] = { "i-0", "i-1", "i-2" };
+	static const struct {
+		const char *name;
+		uint32_t begun_ms; /* ago */
+	} cases[] = { { "in time", 0 }, { "after its deadline", 21000 } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+		Fleet__JobRow *row = lasting_row(3, 1);
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x, 3);
+		x.r.now += 30000;
+		make_all_usable(&x.r);
+		x.workspaces[1].cap.cpu = 6000;
+		sched_configure(x.r.s, &x.r.config, x.r.now);
+		list_machines(&x);
+		set_workspace(row, "capped");
+		submit_row(&x, id_a, row); /* one of three waits at the cap */
+		advance(&x, 100);
+		submit_row(&x, id_other, lasting_row(1, 0));
+		advance(&x, 100);
+		assert_int_equal(x.starts, 3);
+		assert_string_equal(x.running[2].instance_id, "i-2");
+		add_instance(&x.r, "i-3", false);
+		x.machines[x.machine_count++] =
+			(struct fleet_machine_info){ .machine = "i-3",
+						     .pool = "p",
+						     .rack = "r1",
+						     .state = FLEET_UP };
+		list_machines(&x);
+		advance(&x, 100);
+		fleet_add_wave(x.f, "wave/1", 1, 1, 20000, names, 3,
+			       x.r.now - cases[c].begun_ms);
+		advance(&x, 30000);
+		assert_int_equal(x.upkeeps, 1);
+		talloc_free(x.r.s);
+	}
+}
+
+/* A pool without a machine gets none for a long-running task. */
+static void test_empty_pool_gets_no_machine(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 0);
+	add_spare(&x, "m-0");
+	list_machines(&x);
+	submit_lasting(&x, id_a, 1);
+	advance(&x, 3000);
+	assert_int_equal(x.moves, 1);
+	talloc_free(x.r.s);
+}
+
+/* Machines come for a task that waits for a moment, with room in its pool. */
+static void test_machines_despite_room(void **state)
+{
+	static const struct {
+		const char *name;
+		bool store_slow, adviser_silent;
+	} cases[] = {
+		{ "a task that is placed at once", false, false },
+		{ "a job that is not written yet", true, false },
+		{ "the adviser does not answer", false, true },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+		uint32_t after;
+
+		print_message("%s\n", cases[c].name);
+		if (cases[c].adviser_silent)
+			fixture_new_advised(&x, 2);
+		else
+			fixture_new(&x, 2);
+		x.adviser_silent = cases[c].adviser_silent;
+		add_backlog(&x);
+		list_machines(&x);
+		advance(&x, 200);
+		x.store_slow = cases[c].store_slow;
+		assert_int_equal(sched_submit(x.r.s, id_a, lasting_row(1, 0),
+					      x.r.now, x.r.now, &after),
+				 SUBMIT_ACCEPTED);
+		if (!x.store_slow)
+			write_all(&x.r);
+		advance(&x, 1000);
+		assert_int_equal(x.moves, 0);
+		talloc_free(x.r.s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -499,6 +870,14 @@
 		cmocka_unit_test(test_refused_machine_keeps_room),
 		cmocka_unit_test(test_drained_machine_keeps_room),
 		cmocka_unit_test(test_longest_wait_goes_last),
+		cmocka_unit_test(test_held_room_is_kept_from_waiting_task),
+		cmocka_unit_test(test_unplaceable_task_stops_wave),
+		cmocka_unit_test(test_machines_that_cannot_help),
+		cmocka_unit_test(test_no_place_without_a_ticket),
+		cmocka_unit_test(test_task_without_ticket_stops_wave),
+		cmocka_unit_test(test_budget_keeps_turns),
+		cmocka_unit_test(test_empty_pool_gets_no_machine),
+		cmocka_unit_test(test_machines_despite_room),
 		cmocka_unit_test(test_machines_by_memory),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
