sched_hold: no room is held for tasks that their budgets keep

What callers would see: a long-running task without a run for as long as a wave lasts, with room on an instance of its pool (LOST), while as many others of its step are away as its budget allows.

Cause: room was held for a task that its budget doesn't let be stopped. The waiting task found no room, holds_yield() released it, and the next planning pass, before the next placement, held it again: 300 times in 6 s in drain_test. It starts if a planning pass comes between a report of free room and the placement, e.g. on a leader whose passes pause longer than its tick of 50 ms.

Now a machine with such a task isn't drained, so nothing is held for it. drain_test, test_held_room_is_kept_from_waiting_task, and test_budget_keeps_turns for a wave in time: failed before, pass now.

--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -119,6 +119,7 @@
 
 	/* A loaded job's task starts again once all instances have reported. */
 	return run->state == RUN_RUNNING && !task->step->job->loaded &&
+	       task_may_stop(task, now) &&
 	       (!task->relocated_ms ||
 		now - task->relocated_ms >= RELOCATION_PAUSE_MS);
 }
