maintenance: machines that wait for no place don't use up a wave's turns

start_draining() counted machines that can't be drained now against the number that the wave needs in progress, also those that wait for nothing that another machine's turn would delay: tasks that their budgets keep or that were stopped lately. Two of them, the cheapest, kept a late wave with max_concurrent 1 from all others for good.

drain_test, test_budget_keeps_turns: the wave after its deadline failed before, passes now.

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -245,14 +245,18 @@
 	return true;
 }
 
-/* Whether the machine may be drained now; looks for places for its tasks. */
+/*
+ * Whether the machine may be drained now; looks for places for its tasks.
+ * lacks_place: a task has none, so the wave waits for a machine.
+ */
 static bool may_drain(struct fleet *f, struct sched *s, const struct wave *w,
-		      const struct machine *m, bool *may_empty, uint64_t now)
+		      const struct machine *m, bool *may_empty,
+		      bool *lacks_place, uint64_t now)
 {
 	struct sched_instance_load load;
 	enum sched_places places;
 
-	*may_empty = false;
+	*may_empty = *lacks_place = false;
 	if (!sched_machine_load(s, m->name, &load))
 		return true;
 	if (load.held || sched_has_place_for_waiting(s, load.instance))
@@ -261,6 +265,7 @@
 		return true;
 	places = sched_hold_places(s, load.instance, now);
 	if (places == PLACES_NONE && !m->evacuated) {
+		*lacks_place = true;
 		sched_want_place(s, load.instance, now);
 		if (!demand_none_ms(f, m->pool, now))
 			f->balance_due_ms = now;
@@ -273,7 +278,8 @@
 			   uint64_t now)
 {
 	uint32_t needed = needed_concurrency(f, w, now);
-	uint32_t blocked = 0; /* wait for a place of a task */
+	uint32_t waiting = 0; /* for a place of a task */
+	uint32_t blocked = 0; /* for that or anything else */
 	struct candidate *list;
 	uint32_t count, i;
 
@@ -283,12 +289,13 @@
 	for (i = 0; i < count && blocked < PLACES_TRIED_MAX; i++) {
 		struct machine *m = list[i].machine;
 		uint32_t active = w->draining + w->away;
-		bool may_empty;
+		bool may_empty, lacks_place;
 
 		if (active >= w->max_concurrent + DRAIN_AHEAD ||
-		    (list[i].cost > 0 && active + blocked >= needed))
+		    (list[i].cost > 0 && active + waiting >= needed))
 			break;
-		if (!may_drain(f, s, w, m, &may_empty, now)) {
+		if (!may_drain(f, s, w, m, &may_empty, &lacks_place, now)) {
+			waiting += lacks_place;
 			blocked++;
 			continue;
 		}
