sched_avail: tasks that could not use a machine don't keep it from a wave

A machine whose tasks have no other place was not emptied while any long-running task of its pool waited, also one at its workspace's cap or with a label that the machine lacks. Such a task may wait for ever, so the wave never ended. Only tasks that the empty machine could run count now.

drain_test, test_unplaceable_task_stops_wave: no upkeep in 30 s before, passes now.

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -141,14 +141,15 @@
 	return waiting > 0;
 }
 
-bool pool_waits_for_room(const struct pool *pool)
+bool instance_is_waited_for(const struct sched *s, const struct instance *i)
 {
 	const struct step *step;
 
-	if (!pool->long_ready)
+	if (!i->pool->long_ready)
 		return false;
-	DL_FOREACH(pool->ready, step)
-	if (step_waits(step))
+	DL_FOREACH(i->pool->ready, step)
+	if (step_waits(step) && instance_could_run(i, step->spec) &&
+	    cap_allows(s, step, 1))
 		return true;
 	return false;
 }
--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -199,7 +199,7 @@
 	const struct run *run;
 
 	if (!i || i->evacuated || i->hold_count || i->unacked_count ||
-	    !may_relocate_all(i, now) || pool_waits_for_room(i->pool))
+	    !may_relocate_all(i, now) || instance_is_waited_for(s, i))
 		return false;
 	DL_FOREACH(i->runs, run)
 	if (!run->task->step->spec->lasting ||
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -1116,7 +1116,10 @@
 /* step_unavailable - tasks of the step that don't serve at full speed */
 uint32_t step_unavailable(const struct step *step, uint64_t now);
 
-/* pool_waits_for_room - a long-running task waits without a held place */
-bool pool_waits_for_room(const struct pool *pool);
+/*
+ * instance_is_waited_for - a long-running task without a held place waits that
+ * could run there if it were empty
+ */
+bool instance_is_waited_for(const struct sched *s, const struct instance *i);
 
 #endif
