sched_avail: a machine that the adviser denies a task isn't kept for it

A machine that has room for a waiting long-running task isn't drained for a wave. The adviser may have said that the task may not run there, which never changes, so the wave never took the machine, though it was idle.

--- a/src/pool/sched_advice.c
+++ b/src/pool/sched_advice.c
@@ -114,6 +114,13 @@
 	return o && ticket_is_valid(o, now) ? o->ticket : NULL;
 }
 
+bool step_is_denied(const struct step *step, const struct instance *i)
+{
+	const struct opinion *o = opinion_find(step, i);
+
+	return o && !o->ticket;
+}
+
 void step_ticket_refused(struct step *step, const struct instance *i)
 {
 	struct opinion *o = opinion_find(step, i);
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -163,7 +163,8 @@
 	    i->unresponsive || i->expired || !i->reported || i->evacuated)
 		return false;
 	DL_FOREACH(i->pool->ready, step)
-	if (step_waits(step) && step_room_on(step, i) && cap_allows(s, step, 1))
+	if (step_waits(step) && step_room_on(step, i) &&
+	    !step_is_denied(step, i) && cap_allows(s, step, 1))
 		return true;
 	return false;
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -812,6 +812,9 @@
 const char *step_ticket(const struct step *step, const struct instance *i,
 			uint64_t now);
 
+/* step_is_denied - the adviser lets no task of the step run there */
+bool step_is_denied(const struct step *step, const struct instance *i);
+
 /* step_ticket_refused - the instance refused it: it has to be renewed */
 void step_ticket_refused(struct step *step, const struct instance *i);
 
