sched_place: a place is held without a ticket, unless the adviser denies it

Tickets are asked for while a task waits, and are valid for seconds, so a running task of a queue with an adviser had a ticket for no other instance: no place could be held for it, and a wave asked for machines that could not help, or stopped the task without a place.

If the ticket isn't there when the task is to start, its hold ends and it is placed like others, as before.

--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -186,7 +186,10 @@
 	       !*spec->label && !spec->spread_limit && !step_needs_advice(step);
 }
 
-/* current: where the task runs, which is left out; NULL: nowhere */
+/*
+ * current: where the task runs, which is left out; NULL: nowhere. The adviser
+ * is asked for tickets only once the task is to start.
+ */
 static struct instance *choose_by_score(const struct sched *s,
 					const struct task *task,
 					const struct instance *current,
@@ -206,7 +209,8 @@
 		if (i == current || !instance_usable(s, i, now) ||
 		    !may_run_on(i, task->step, &a) ||
 		    !reserve_allows(pool, i, &a, end_ms) ||
-		    (advised && !step_ticket(task->step, i, now)))
+		    (advised && (current ? step_is_denied(task->step, i)
+					 : !step_ticket(task->step, i, now))))
 			continue;
 		score = place_score(i, task);
 		if (best && score <= best_score)
