sched_load: a job that may not start yet asks for no machines

Tasks of a job that the leader hasn't written are not started, whatever room there is, but were counted as lacking machines. Since pools with a backlog give machines to such tasks, a slow write took machines from them.

drain_test, test_machines_despite_room: the case "a job that is not written yet" failed before, passes now; the case "the adviser does not answer" fails still.

--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -83,7 +83,7 @@
 
 /*
  * Empty machines, of the mean size of the pool's, that take the startable tasks
- * of a long-running step; 0 if one can't take any or the cap allows none.
+ * of a long-running step; 0 if one can't take any, or more may not start now.
  */
 static uint32_t machines_for_waiting(const struct sched *s,
 				     const struct step *step,
@@ -93,12 +93,13 @@
 	int64_t each = step->spec->spread_limit ? step->spec->spread_limit
 						: UINT32_MAX;
 
-	if (!step->spec->lasting || !size->cpu || step->job->pool->unreported)
+	if (!step->spec->lasting || !step->job->claimed || !size->cpu ||
+	    step->job->pool->unreported || !cap_allows(s, step, 1))
 		return 0;
 	each = min_int64(each, fits_times(size->cpu, 0, a.cpu));
 	each = min_int64(each, fits_times(size->mem, 0, a.mem));
 	each = min_int64(each, fits_times(size->gpu, 0, a.gpu));
-	if (!each || !cap_allows(s, step, 1))
+	if (!each)
 		return 0;
 	return (uint32_t)((step->startable + each - 1) / each);
 }
