sched_load: a pool without a machine asks for one for its long-running tasks

The number of machines for waiting long-running tasks was computed from the mean size of the pool's machines, and was 0 while there is none, so an empty pool never got one for them. It asks for one now; how many more is known once it is there.

--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -93,9 +93,11 @@
 	int64_t each = step->spec->spread_limit ? step->spec->spread_limit
 						: UINT32_MAX;
 
-	if (!step->spec->lasting || !step->job->claimed || !size->cpu ||
+	if (!step->spec->lasting || !step->job->claimed ||
 	    step->job->pool->unreported || !cap_allows(s, step, 1))
 		return 0;
+	if (!size->cpu)
+		return 1;
 	each = min_int64(each, fits_times(size->cpu, 0, a.cpu));
 	each = min_int64(each, fits_times(size->mem, 0, a.mem));
 	each = min_int64(each, fits_times(size->gpu, 0, a.gpu));
@@ -150,6 +152,9 @@
 		load->long_running_machines +=
 			machines_for_waiting(s, step, &size);
 	}
+	/* How many fit on one is known once there is one. */
+	if (!size.cpu && load->long_running_machines)
+		load->long_running_machines = 1;
 	if (wanted_since(s, pool->no_place_ms))
 		load->place_machines = pool->no_place;
 	if (!load->long_running_machines && !load->instances &&
