sched_hold: no task is stopped for a wave while nothing may be started

While the evacuated zones aren't known the leader starts nothing, but by its conditions it may go on with waves. It stopped long-running tasks that could not start anywhere until that was over.

drain_test, test_stopped_while_starts_are_held: one stop in 6 s before, on too; none now, and the wave goes on afterwards.

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -108,8 +108,9 @@
 		if (run->state != RUN_RUNNING || (!lasting && graceful) ||
 		    !task_may_stop(run->task, now))
 			continue;
-		/* It starts again once all instances have reported. */
-		if (lasting && run->task->step->job->loaded)
+		/* It could not start again: if loaded, until all have reported.
+		 */
+		if (lasting && (s->starts_held || run->task->step->job->loaded))
 			continue;
 		if (lasting && !hold_place(s, run->task, now)) {
 			sched_want_place(s, h, now);
--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -140,7 +140,7 @@
 	struct instance *i = instance_of(s, h);
 	struct run *run;
 
-	if (!i || i->hold_count || !may_relocate_all(i, now))
+	if (!i || i->hold_count || s->starts_held || !may_relocate_all(i, now))
 		return PLACES_NOT_NOW;
 	DL_FOREACH(i->runs, run)
 	{
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -823,6 +823,39 @@
 	talloc_free(x.r.s);
 }
 
+/* A task is stopped for a wave while nothing may be started. */
+static void test_stopped_while_starts_are_held(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t tasks;
+	} cases[] = {
+		{ "another instance has room", 1 },
+		{ "no other place", 2 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x, 2);
+		list_machines(&x);
+		submit_lasting(&x, id_a, cases[c].tasks);
+		advance(&x, 100);
+		sched_hold_starts(x.r.s, true, x.r.now);
+		add_wave(&x, 1, 1);
+		advance(&x, 6000);
+		assert_int_equal(x.stops, 0);
+		sched_hold_starts(x.r.s, false, x.r.now);
+		advance(&x, 5000);
+		assert_int_equal(x.upkeeps, 1);
+		assert_int_equal(x.starts, 2); /* i-0 doesn't come back */
+		talloc_free(x.r.s);
+	}
+}
+
 /* Machines come for a task that waits for a moment, with room in its pool. */
 static void test_machines_despite_room(void **state)
 {
@@ -877,6 +910,7 @@
 		cmocka_unit_test(test_task_without_ticket_stops_wave),
 		cmocka_unit_test(test_budget_keeps_turns),
 		cmocka_unit_test(test_empty_pool_gets_no_machine),
+		cmocka_unit_test(test_stopped_while_starts_are_held),
 		cmocka_unit_test(test_machines_despite_room),
 		cmocka_unit_test(test_machines_by_memory),
 		cmocka_unit_test(test_no_other_place),
