--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -108,8 +108,9 @@
 		if (run->state != RUN_RUNNING || (!lasting && graceful) ||
 		    !task_may_stop(run->task, now))
 			continue;
-		/* It starts again once all instances have reported. */
-		if (lasting && run->task->step->job->loaded)
+		/* It could not start again: if loaded, until all have reported.
+		 */
+		if (lasting && (s->starts_held || run->task->step->job->loaded))
 			continue;
 		if (lasting && !hold_place(s, run->task, now)) {
 			sched_want_place(s, h, now);
@@ -141,14 +142,15 @@
 	return waiting > 0;
 }
 
-bool pool_waits_for_room(const struct pool *pool)
+bool instance_is_waited_for(const struct sched *s, const struct instance *i)
 {
 	const struct step *step;
 
-	if (!pool->long_ready)
+	if (!i->pool->long_ready)
 		return false;
-	DL_FOREACH(pool->ready, step)
-	if (step_waits(step))
+	DL_FOREACH(i->pool->ready, step)
+	if (step_waits(step) && instance_could_run(i, step->spec) &&
+	    cap_allows(s, step, 1))
 		return true;
 	return false;
 }
@@ -162,7 +164,8 @@
 	    i->unresponsive || i->expired || !i->reported || i->evacuated)
 		return false;
 	DL_FOREACH(i->pool->ready, step)
-	if (step_waits(step) && step_room_on(step, i) && cap_allows(s, step, 1))
+	if (step_waits(step) && step_room_on(step, i) &&
+	    !step_is_denied(step, i) && cap_allows(s, step, 1))
 		return true;
 	return false;
 }
--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -119,6 +119,7 @@
 
 	/* A loaded job's task starts again once all instances have reported. */
 	return run->state == RUN_RUNNING && !task->step->job->loaded &&
+	       task_may_stop(task, now) &&
 	       (!task->relocated_ms ||
 		now - task->relocated_ms >= RELOCATION_PAUSE_MS);
 }
@@ -139,7 +140,7 @@
 	struct instance *i = instance_of(s, h);
 	struct run *run;
 
-	if (!i || i->hold_count || !may_relocate_all(i, now))
+	if (!i || i->hold_count || s->starts_held || !may_relocate_all(i, now))
 		return PLACES_NOT_NOW;
 	DL_FOREACH(i->runs, run)
 	{
@@ -198,7 +199,7 @@
 	const struct run *run;
 
 	if (!i || i->evacuated || i->hold_count || i->unacked_count ||
-	    !may_relocate_all(i, now) || pool_waits_for_room(i->pool))
+	    !may_relocate_all(i, now) || instance_is_waited_for(s, i))
 		return false;
 	DL_FOREACH(i->runs, run)
 	if (!run->task->step->spec->lasting ||
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -812,6 +812,9 @@
 const char *step_ticket(const struct step *step, const struct instance *i,
 			uint64_t now);
 
+/* step_is_denied - the adviser lets no task of the step run there */
+bool step_is_denied(const struct step *step, const struct instance *i);
+
 /* step_ticket_refused - the instance refused it: it has to be renewed */
 void step_ticket_refused(struct step *step, const struct instance *i);
 
@@ -1116,7 +1119,10 @@
 /* step_unavailable - tasks of the step that don't serve at full speed */
 uint32_t step_unavailable(const struct step *step, uint64_t now);
 
-/* pool_waits_for_room - a long-running task waits without a held place */
-bool pool_waits_for_room(const struct pool *pool);
+/*
+ * instance_is_waited_for - a long-running task without a held place waits that
+ * could run there if it were empty
+ */
+bool instance_is_waited_for(const struct sched *s, const struct instance *i);
 
 #endif
