sched_load, balance: no machines for tasks that one would not help

Found by the review: a long-running task that can't run on any machine of its pool (a label, an adviser that denies it or doesn't answer) emptied a pool with a backlog, two of three machines in 2 s, and a wave moved a machine in and out 14 times in 30 s; three tasks that fit on one machine got three. No machine is requested for a task that would fit on an empty usable instance of the pool; the parts of machines that steps need are added before they are rounded up; a pool in which a machine stayed idle though a drain wanted it wants none for 30 s.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -63,6 +63,7 @@
 	int64_t lacked;	    /* its deficit before any move of this pass */
 	bool denied;	    /* no pool could give it a machine */
 	bool no_machine;    /* same, for its long-running tasks */
+	bool places_paused; /* machines that came for drains did not help */
 	struct donor_machine *machines; /* NULL: not listed in this pass */
 	uint32_t machine_count;
 	uint32_t machines_taken;
@@ -190,6 +191,9 @@
 		v->name = f->config->pools[i].name;
 		v->spare = f->config->pools[i].spare;
 		sched_pool_load(s, v->name, &v->load);
+		v->places_paused = demand_places_paused(f, v->name, now);
+		if (v->places_paused)
+			v->load.place_machines = 0;
 		v->machine_cpu = v->load.instances ? v->load.capacity.cpu /
 							     v->load.instances
 						   : MACHINE_CPU_DEFAULT;
@@ -416,6 +420,9 @@
 		    v->surplus < v->machine_cpu ||
 		    v->load.instances <= min_machines(v))
 			continue;
+		/* It stayed empty though drains wanted one. */
+		if (v->load.place_machines)
+			demand_pause_places(f, v->name, now);
 		v->surplus -= v->machine_cpu;
 		v->load.instances--;
 		start_move(m, spare_name, s, now);
@@ -469,6 +476,8 @@
 	for (i = 0; i < f->balance->pool_count; i++) {
 		struct pool_balance *v = &f->balance->pools[i];
 
+		if (v->places_paused)
+			v->no_machine = true;
 		if (v->load.place_machines && !v->spare && !v->incoming &&
 		    !v->moved_in && !v->load.long_running_machines)
 			v->no_machine = !move_one(f, s, v, true, now);
--- a/src/fleet/demand.c
+++ b/src/fleet/demand.c
@@ -13,6 +13,8 @@
 
 /* A shortage that comes back within this time has lasted all the while. */
 #define SHORT_GAP_MS 500u
+/* From a machine that came for a drain and didn't help until the next one */
+#define PLACES_PAUSE_MS 30000u
 #define ARRIVED_MS 1000u /* a machine that came within it is counted */
 
 static struct pool_demand *demand_find(const struct fleet *f, const char *pool)
@@ -65,6 +67,18 @@
 		note_since(&d->wanted_since_ms, &d->wanted_ms, now);
 }
 
+void demand_pause_places(struct fleet *f, const char *pool, uint64_t now)
+{
+	demand_get(f, pool)->places_paused_ms = now + PLACES_PAUSE_MS;
+}
+
+bool demand_places_paused(const struct fleet *f, const char *pool, uint64_t now)
+{
+	const struct pool_demand *d = demand_find(f, pool);
+
+	return d && now < d->places_paused_ms;
+}
+
 uint64_t demand_none_ms(const struct fleet *f, const char *pool, uint64_t now)
 {
 	const struct pool_demand *d = demand_find(f, pool);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -33,6 +33,7 @@
 	uint64_t wanted_since_ms, wanted_ms;
 	/* since when none could be had for long-running tasks; 0: one could */
 	uint64_t none_since_ms;
+	uint64_t places_paused_ms; /* until then none is wanted for drains */
 };
 
 struct machine {
@@ -152,6 +153,11 @@
 		 const struct sched_pool_load *load, int64_t deficit,
 		 bool denied, bool none, uint64_t now);
 
+/* demand_pause_places - want no machines for drains of the pool for a while */
+void demand_pause_places(struct fleet *f, const char *pool, uint64_t now);
+bool demand_places_paused(const struct fleet *f, const char *pool,
+			  uint64_t now);
+
 /*
  * demand_none_ms - for how long no machine could be had for the pool's
  * long-running tasks; 0 if one could
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -129,17 +129,16 @@
 	return emptied;
 }
 
-/* Whether a task of the step is startable and has no place held for it. */
-static bool step_waits(const struct step *step)
+uint32_t step_waiting(const struct step *step)
 {
 	uint32_t waiting = step->startable;
 	uint32_t t;
 
 	if (!step->spec->lasting || !step->job->claimed)
-		return false;
+		return 0;
 	for (t = 0; step->held && t < step->spec->count; t++)
 		waiting -= step->tasks[t].hold && !step->tasks[t].runs;
-	return waiting > 0;
+	return waiting;
 }
 
 bool instance_is_waited_for(const struct sched *s, const struct instance *i)
@@ -149,7 +148,7 @@
 	if (!i->pool->long_ready)
 		return false;
 	DL_FOREACH(i->pool->ready, step)
-	if (step_waits(step) && instance_could_run(i, step->spec) &&
+	if (step_waiting(step) && instance_could_run(i, step->spec) &&
 	    cap_allows(s, step, 1))
 		return true;
 	return false;
@@ -164,7 +163,7 @@
 	    i->unresponsive || i->expired || !i->reported || i->evacuated)
 		return false;
 	DL_FOREACH(i->pool->ready, step)
-	if (step_waits(step) && step_room_on(step, i) &&
+	if (step_waiting(step) && step_room_on(step, i) &&
 	    !step_is_denied(step, i) && cap_allows(s, step, 1))
 		return true;
 	return false;
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -585,6 +585,13 @@
 	a->gpu -= b->gpu;
 }
 
+static inline void amount_max(struct amount *a, const struct amount *b)
+{
+	a->cpu = a->cpu > b->cpu ? a->cpu : b->cpu;
+	a->mem = a->mem > b->mem ? a->mem : b->mem;
+	a->gpu = a->gpu > b->gpu ? a->gpu : b->gpu;
+}
+
 /* amount_covers - whether a is at least b in each respect */
 static inline bool amount_covers(const struct amount *a, const struct amount *b)
 {
@@ -1119,6 +1126,12 @@
 /* step_unavailable - tasks of the step that don't serve at full speed */
 uint32_t step_unavailable(const struct step *step, uint64_t now);
 
+/*
+ * step_waiting - tasks of a long-running step that wait for room: startable,
+ * and none is held for them
+ */
+uint32_t step_waiting(const struct step *step);
+
 /*
  * instance_is_waited_for - a long-running task without a held place waits that
  * could run there if it were empty
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -1,6 +1,7 @@
 /*
  * sched_load - load of pools and instances, for admission and for fleet/
  */
+#include <math.h>
 #include <string.h>
 
 #include "pool/sched_internal.h"
@@ -12,7 +13,6 @@
  * after a pool with evacuated instances alone refused a job
  */
 #define NO_PLACE_VALID_MS 500u
-
 /* Load of pools */
 
 /* Whether the instance counts towards the capacity of its pool. */
@@ -82,28 +82,48 @@
 }
 
 /*
- * Empty machines, of the mean size of the pool's, that take the startable tasks
+ * Sets the most of each resource that a usable instance without any task has. A
+ * task that finds no room although it would fit there waits for something else
+ * than a machine.
+ */
+static void set_largest_empty(const struct sched *s, const struct pool *pool,
+			      struct amount *largest)
+{
+	const struct instance *i;
+
+	memset(largest, 0, sizeof(*largest));
+	DL_FOREACH2(pool->instances, i, pool_next)
+	{
+		if (i->run_count || i->hold_count || i->returned_ms ||
+		    !instance_usable(s, i, s->tick_ms))
+			continue;
+		amount_max(largest, &i->capacity);
+	}
+}
+
+/*
+ * Empty machines, of the mean size of the pool's, that take the waiting tasks
  * of a long-running step; 0 if one can't take any, or more may not start now.
  */
-static uint32_t machines_for_waiting(const struct sched *s,
-				     const struct step *step,
-				     const struct amount *size)
+static double machines_for_waiting(const struct sched *s,
+				   const struct step *step,
+				   const struct amount *size,
+				   const struct amount *largest_empty)
 {
 	const struct amount a = step_amount(step->spec);
+	const uint32_t waiting = step_waiting(step);
 	int64_t each = step->spec->spread_limit ? step->spec->spread_limit
 						: UINT32_MAX;
 
-	if (!step->spec->lasting || !step->job->claimed ||
-	    step->job->pool->unreported || !cap_allows(s, step, 1))
+	if (!waiting || step->job->pool->unreported ||
+	    !cap_allows(s, step, 1) || amount_covers(largest_empty, &a))
 		return 0;
 	if (!size->cpu)
 		return 1;
 	each = min_int64(each, fits_times(size->cpu, 0, a.cpu));
 	each = min_int64(each, fits_times(size->mem, 0, a.mem));
 	each = min_int64(each, fits_times(size->gpu, 0, a.gpu));
-	if (!each)
-		return 0;
-	return (uint32_t)((step->startable + each - 1) / each);
+	return each ? (double)waiting / (double)each : 0;
 }
 
 static bool wanted_since(const struct sched *s, uint64_t since_ms)
@@ -120,9 +140,10 @@
 		     struct sched_pool_load *load)
 {
 	struct pool *pool;
-	struct amount size;
+	struct amount size, largest_empty;
 	const struct instance *i;
 	const struct step *step;
+	double machines = 0;
 
 	memset(load, 0, sizeof(*load));
 	load->pool = name;
@@ -139,6 +160,7 @@
 		amount_add(&load->used, &i->used);
 	}
 	set_machine_size(pool, &size);
+	set_largest_empty(s, pool, &largest_empty);
 	set_spread(s, pool, load);
 	load->waiting_work = pool->waiting_work;
 	load->arrived_work = pool->arrived_work;
@@ -149,9 +171,10 @@
 		load->waiting.cpu += a.cpu * step->startable;
 		load->waiting.mem += a.mem * step->startable;
 		load->waiting.gpu += a.gpu * step->startable;
-		load->long_running_machines +=
-			machines_for_waiting(s, step, &size);
+		machines +=
+			machines_for_waiting(s, step, &size, &largest_empty);
 	}
+	load->long_running_machines = (uint32_t)ceil(machines);
 	/* How many fit on one is known once there is one. */
 	if (!size.cpu && load->long_running_machines)
 		load->long_running_machines = 1;
--- a/src/pool/sched_room.c
+++ b/src/pool/sched_room.c
@@ -90,12 +90,7 @@
 			continue;
 		amount_add(&capacity, &i->capacity);
 		amount_add(&used, &i->used);
-		room->largest.cpu =
-			max_int64(room->largest.cpu, i->capacity.cpu);
-		room->largest.mem =
-			max_int64(room->largest.mem, i->capacity.mem);
-		room->largest.gpu =
-			max_int64(room->largest.gpu, i->capacity.gpu);
+		amount_max(&room->largest, &i->capacity);
 	}
 	room->balance = (double)used.mem * (double)capacity.cpu >
 			MEMORY_SCARCE * (double)used.cpu * (double)capacity.mem;
