fleet: a machine's reservation ends with its move, whatever its instance does

Cause: when a machine is back, it was released by its newest usable instance; one that had outlived the order, as the machine was where it was ordered to, counted as unresponsive until its next report, and wasn't found. All instances of a machine are released now, in whatever state. drain_test's test_reservation_outlives_move failed before.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -171,13 +171,8 @@
 
 void machine_release(struct machine *m, struct sched *s, uint64_t now)
 {
-	struct sched_instance_load load;
-
 	m->phase = PHASE_NONE;
-	if (!sched_machine_load(s, m->name, &load))
-		return;
-	sched_reserve(s, load.instance, false, now);
-	sched_release_places(s, load.instance);
+	sched_release_machine(s, m->name, now);
 }
 
 /* Whether a long-running task waits for room that the drained machine has. */
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -566,6 +566,12 @@
 void sched_reserve(struct sched *s, instance_handle_t i, bool reserved,
 		   uint64_t now);
 
+/*
+ * sched_release_machine - all instances of the machine, in whatever state, are
+ * included in placement again, and what is held for their tasks is released
+ */
+void sched_release_machine(struct sched *s, const char *machine, uint64_t now);
+
 /*
  * sched_mark_maintenance - the instance will be drained for maintenance
  *
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -282,6 +282,21 @@
 	return newest != NULL;
 }
 
+void sched_release_machine(struct sched *s, const char *machine, uint64_t now)
+{
+	const struct machine_instances *m;
+	struct instance *i;
+
+	HASH_FIND_STR(s->machines, machine, m);
+	if (!m)
+		return;
+	DL_FOREACH2(m->instances, i, machine_next)
+	{
+		sched_reserve(s, i->handle, false, now);
+		sched_release_places(s, i->handle);
+	}
+}
+
 void sched_want_place(struct sched *s, instance_handle_t h, uint64_t now)
 {
 	const struct instance *i = instance_of(s, h);
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -26,7 +26,8 @@
 	char moved[FLEET_NAME_MAX]; /* the last machine that was ordered */
 	enum fleet_result result;   /* of moves */
 	enum fleet_result upkeep_result;
-	bool store_slow; /* nothing is written meanwhile */
+	const char *silent; /* instance whose polls get no answer */
+	bool store_slow;    /* nothing is written meanwhile */
 	bool adviser_silent;
 	bool approves; /* the adviser does; else it names no instance */
 	struct sched_order running[RUNS_MAX];
@@ -141,7 +142,9 @@
 	       sched_next_poll(x->r.s, x->r.now, &polls[count]))
 		count++;
 	while (count-- > 0)
-		report_one(x, &polls[count]);
+		if (!x->silent ||
+		    strcmp(polls[count].instance_id, x->silent) != 0)
+			report_one(x, &polls[count]);
 }
 
 static void note_order(struct fixture *x, const struct sched_order *o)
@@ -399,6 +402,40 @@
 	talloc_free(x.r.s);
 }
 
+/*
+ * The list shows a machine in the pool that it has left, so it is ordered to
+ * the one where it is. It is back in time, but its instance reports a little
+ * later.
+ */
+static void test_reservation_outlives_move(void **state)
+{
+	Fleet__JobRow *row = job_row(200, 1, false);
+	struct fixture x;
+	uint32_t after;
+
+	(void)state;
+	fixture_new(&x, 2);
+	x.machines[1].pool = "spare";
+	list_machines(&x);
+	free(row->workspace);
+	row->workspace = strdup("capped"); /* one task at a time */
+	row->steps[0]->cpu = 3000;
+	assert_int_equal(
+		sched_submit(x.r.s, id_other, row, x.r.now, x.r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x.r);
+	x.silent = "i-1";
+	advance(&x, 2500);
+	assert_int_equal(x.moves, 1);
+	assert_string_equal(x.moved, "i-1");
+	x.silent = NULL;
+	report(&x.r, find_instance(&x.r, "i-1"), NULL, 0, NULL, 0, x.r.now);
+	submit_lasting(&x, id_a, 1);
+	advance(&x, 500);
+	assert_int_equal(x.starts, 2);
+	talloc_free(x.r.s);
+}
+
 static uint32_t count_stops(const struct fixture *x, const char *task)
 {
 	uint32_t count = 0;
@@ -949,6 +986,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_backlog_keeps_idle_machines),
+		cmocka_unit_test(test_reservation_outlives_move),
 		cmocka_unit_test(test_task_is_stopped_again_and_again),
 		cmocka_unit_test(test_refused_machine_keeps_room),
 		cmocka_unit_test(test_drained_machine_keeps_room),
