fleet: a machine list that is older than an order's answer doesn't undo it

Such entries are skipped now and the list is read again soon. drain_test's test_old_list_hides_move fails without the comparison (two moves).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -123,6 +123,17 @@
 		m->evacuated = zone_is_evacuated(f, m->zone);
 }
 
+void fleet_list_requested(struct fleet *f, uint64_t now)
+{
+	f->list_sent_ms = now;
+}
+
+/* Whether the machine's order was answered after the list was requested. */
+static bool list_is_older(const struct fleet *f, const struct machine *m)
+{
+	return f->list_sent_ms && m->answered_ms >= f->list_sent_ms;
+}
+
 void fleet_set_machines(struct fleet *f, const struct fleet_machine_info *list,
 			uint32_t count, uint64_t now)
 {
@@ -135,13 +146,17 @@
 		m->listed = false;
 	for (i = 0; i < count; i++) {
 		m = machine_get(f, list[i].machine);
+		m->listed = true;
+		if (list_is_older(f, m)) {
+			fleet_schedule_list(f, now + LIST_UNCERTAIN_MS);
+			continue;
+		}
 		snprintf(m->pool, sizeof(m->pool), "%s", list[i].pool);
 		snprintf(m->rack, sizeof(m->rack), "%s", list[i].rack);
 		snprintf(m->zone, sizeof(m->zone), "%s",
 			 list[i].zone ? list[i].zone : "");
 		m->evacuated = zone_is_evacuated(f, m->zone);
 		m->state = list[i].state;
-		m->listed = true;
 		machine_resolve_order(f, m, now);
 	}
 }
@@ -350,6 +365,7 @@
 	}
 	if (!m || m->phase != PHASE_ORDERING)
 		return;
+	m->answered_ms = now;
 	switch (result) {
 	case FLEET_DONE:
 		order_carried_out(f, s, m, now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -87,6 +87,13 @@
 void fleet_record_maintenance(struct fleet *f, uint64_t wave,
 			      const char *machine);
 
+/*
+ * fleet_list_requested - the list that is applied next is requested now
+ *
+ * What it shows of a machine whose order is answered meanwhile is out of date.
+ */
+void fleet_list_requested(struct fleet *f, uint64_t now);
+
 /* fleet_set_machines - apply the complete machine list, read at `now` */
 void fleet_set_machines(struct fleet *f, const struct fleet_machine_info *list,
 			uint32_t count, uint64_t now);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -53,6 +53,7 @@
 	/* its long-running tasks may be stopped without another place */
 	bool may_empty;
 	uint64_t emptied_ms;	/* when the first of them was; 0: none was */
+	uint64_t answered_ms;	/* when its last order was; 0: none */
 	uint64_t pool_since_ms; /* end of its last move; 0: none */
 	uint64_t idle_since_ms; /* 0 while something runs on it */
 	UT_hash_handle hh;
@@ -87,6 +88,7 @@
 	struct machine *machines;
 	struct wave *waves;
 	uint64_t list_read_ms;	 /* when the machine list was last read */
+	uint64_t list_sent_ms;	 /* when that was requested; 0: unknown */
 	uint64_t list_due_ms;	 /* requested earlier reading; 0: none */
 	uint64_t balance_due_ms; /* next planning pass of moves */
 	bool planned;		 /* since the last complete search for orders */
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -212,6 +212,7 @@
 {
 	n->machines->listing = true;
 	n->machines->list_sent_ms = clock_now_ms();
+	fleet_list_requested(n->machines->fleet, n->machines->list_sent_ms);
 	n->services->machines(n->services->impl, on_list, call_new(n));
 }
 
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -610,6 +610,25 @@
 					     .state = FLEET_UP };
 }
 
+/* A list that was requested before a move was answered shows the old pool. */
+static void test_old_list_hides_move(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 1);
+	add_spare(&x, "m-0");
+	list_machines(&x);
+	submit_lasting(&x, id_a, 2); /* room for one */
+	fleet_list_requested(x.f, x.r.now);
+	advance(&x, 100);
+	assert_int_equal(x.moves, 1);
+	list_machines(&x);
+	advance(&x, 4000);
+	assert_int_equal(x.moves, 1);
+	talloc_free(x.r.s);
+}
+
 /* A wave with time enough to wait for machines and turns. */
 static void add_long_wave(struct fixture *x, uint32_t machines)
 {
@@ -987,6 +1006,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_backlog_keeps_idle_machines),
 		cmocka_unit_test(test_reservation_outlives_move),
+		cmocka_unit_test(test_old_list_hides_move),
 		cmocka_unit_test(test_task_is_stopped_again_and_again),
 		cmocka_unit_test(test_refused_machine_keeps_room),
 		cmocka_unit_test(test_drained_machine_keeps_room),
