test: upkeep_walk, a model of a site in maintenance waves

Cause: no test holds the scheduler and the planner together to the promise to long-running tasks. drain_test has a few machines and no demand; fleet_walk has no planner.

Change: test/upkeep_walk.c plays random histories of 10 to 80 machines in virtual time around the real scheduler and planner: waves, moves, demand that alternates between pools, long-running tasks bound by memory, and by mask crashes of racks, a slow store, failing orders to machines and refused starts. Six invariants are checked against the simulated site: ROOM, PLACE, TWICE-STOPPED, BUDGET, WAVE, END. tools/check.py plays seeds 1 to 500 without and with faults; each invariant is a check of its own.

--- a/Makefile
+++ b/Makefile
@@ -100,6 +100,8 @@
 
 $(B)/test/fleet_walk: $(patsubst %.c,$(B)/%.o,$(wildcard test/walk/fleet_world*.c))
 
+$(B)/test/upkeep_walk: $(patsubst %.c,$(B)/%.o,$(wildcard test/walk/upkeep_world*.c))
+
 $(B)/bench/%: $(B)/bench/%.o $(LIB)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- /dev/null
+++ b/test/walk/upkeep_world.h
@@ -0,0 +1,51 @@
+/*
+ * upkeep_world - randomized simulation of a site during maintenance waves
+ *
+ * Simulates machines, instances, the directory, the machine list, the store
+ * and jobs in virtual time, around the real scheduler and planner of one
+ * leader. Checks the guarantees to long-running tasks against the simulated
+ * site, not against what the scheduler believes.
+ *
+ * Designed for sites whose long-running tasks fill the memory of their pools
+ * while the queues' demand for CPU exceeds one pool after the other.
+ */
+#ifndef UPKEEP_WORLD_H
+#define UPKEEP_WORLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum upkeep_fault {
+	UPKEEP_FAULT_RACKS = 1 << 0,  /* racks crash and come back */
+	UPKEEP_FAULT_STORE = 1 << 1,  /* writes take seconds */
+	UPKEEP_FAULT_ORDERS = 1 << 2, /* orders to machines fail */
+	UPKEEP_FAULT_STARTS = 1 << 3, /* instances refuse starts */
+	UPKEEP_FAULT_ALL = (1 << 4) - 1,
+};
+
+enum upkeep_invariant {
+	UPKEEP_ROOM,
+	UPKEEP_PLACE,
+	UPKEEP_TWICE_STOPPED,
+	UPKEEP_BUDGET,
+	UPKEEP_WAVE,
+	UPKEEP_END,
+	UPKEEP_INVARIANTS
+};
+
+struct upkeep_result {
+	/* The first violation of each invariant; empty if there is none */
+	char errors[UPKEEP_INVARIANTS][200];
+	uint32_t violations[UPKEEP_INVARIANTS];
+	uint32_t starts, stops; /* of long-running tasks */
+	uint32_t maintenances, moves, jobs;
+};
+
+/* upkeep_invariant_name - as in errors and in KNOWN-RED.txt */
+const char *upkeep_invariant_name(enum upkeep_invariant invariant);
+
+/* upkeep_world_run - simulates one seed with the given mask of faults */
+void upkeep_world_run(uint64_t seed, unsigned int faults, bool verbose,
+		      struct upkeep_result *result);
+
+#endif
--- /dev/null
+++ b/test/walk/upkeep_world_lead.c
@@ -0,0 +1,311 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "test/walk/upkeep_world_internal.h"
+
+#define CALL_MIN_MS 5u
+#define CALL_MAX_MS 50u /* one way */
+#define LOST_ORDER_MS 500u
+#define STORE_MIN_MS 5u
+#define STORE_MAX_MS 30u
+#define STORE_SLOW_MIN_MS 500u
+#define STORE_SLOW_MAX_MS 4000u
+#define WRITES_MAX 3u /* transactions in flight */
+#define CHANGES_MAX 100u
+#define CONFIRM_MS 400u
+#define CONFIRMED_MS 1500u	  /* orders need a confirmation this recent */
+#define LIST_UNRESPONSIVE_MS 400u /* between two reads while one is silent */
+#define RESERVATIONS 2u
+#define LEASE_MS 4000u
+#define LEASE_MAX_MS 10000u
+
+static struct upkeep_call *call_new(struct upkeep_world *w,
+				    enum upkeep_call_kind kind)
+{
+	struct upkeep_call *c = talloc_zero(w->ctx, struct upkeep_call);
+
+	assert(c);
+	c->kind = kind;
+	c->sent_ms = w->now;
+	c->exec_ms = w->now + upkeep_between(w, CALL_MIN_MS, CALL_MAX_MS);
+	c->answer_ms = UPKEEP_NEVER;
+	DL_APPEND(w->calls, c);
+	return c;
+}
+
+static uint64_t one_way_ms(struct upkeep_world *w)
+{
+	return w->now + upkeep_between(w, CALL_MIN_MS, CALL_MAX_MS);
+}
+
+static uint64_t store_answer_ms(struct upkeep_world *w)
+{
+	return w->now +
+	       (upkeep_fault_active(w, w->store_faults)
+			? upkeep_between(w, STORE_SLOW_MIN_MS,
+					 STORE_SLOW_MAX_MS)
+			: upkeep_between(w, STORE_MIN_MS, STORE_MAX_MS));
+}
+
+/* An instance answers once a run has ended, or after the wait. */
+static bool exec_poll(struct upkeep_world *w, struct upkeep_call *c)
+{
+	struct upkeep_machine *m = site_instance(w, c->instance);
+	uint32_t n, kept = 0;
+
+	if (!m) {
+		c->answer_ms = c->sent_ms + c->poll.timeout_ms;
+		return true;
+	}
+	for (n = 0; n < m->end_count; n++)
+		if (m->ends[n].seq > c->poll.acked)
+			m->ends[kept++] = m->ends[n];
+	m->end_count = kept;
+	if (!kept && w->now < c->exec_ms + c->poll.wait_ms)
+		return false;
+	site_report(w, c);
+	c->answer_ms = one_way_ms(w);
+	return true;
+}
+
+/* What an order to a machine comes to while such orders fail. */
+static void exec_failing_action(struct upkeep_world *w, struct upkeep_call *c)
+{
+	switch (upkeep_random(w, 4)) {
+	case 0:
+		c->action_result = FLEET_BUSY;
+		break;
+	case 1:
+		c->action_result = FLEET_REFUSED;
+		break;
+	case 2:
+		c->action_result = FLEET_UNKNOWN;
+		if (upkeep_random(w, 2))
+			site_action(w, &c->action);
+		c->answer_ms = c->sent_ms + LOST_ORDER_MS;
+		break;
+	default:
+		c->action_result = site_action(w, &c->action);
+		break;
+	}
+}
+
+static void exec_call(struct upkeep_world *w, struct upkeep_call *c)
+{
+	c->executed = true;
+	switch (c->kind) {
+	case UPKEEP_CALL_ORDER:
+		c->order_result = site_order(w, c);
+		break;
+	case UPKEEP_CALL_POLL:
+		c->executed = exec_poll(w, c);
+		return;
+	case UPKEEP_CALL_WRITE:
+	case UPKEEP_CALL_CONFIRM:
+		c->answer_ms = store_answer_ms(w);
+		return;
+	case UPKEEP_CALL_LIST:
+		site_list(w, c);
+		break;
+	case UPKEEP_CALL_ACTION:
+		c->answer_ms = one_way_ms(w);
+		if (c->action.kind != FLEET_ACTION_WAVE_STATE &&
+		    upkeep_fault_active(w, w->order_faults))
+			exec_failing_action(w, c);
+		else
+			c->action_result = site_action(w, &c->action);
+		return;
+	}
+	c->answer_ms = one_way_ms(w);
+}
+
+static void machines_listed(struct upkeep_world *w, const struct upkeep_call *c)
+{
+	uint32_t i;
+
+	w->listing = false;
+	fleet_set_machines(w->fleet, c->machines, c->machine_count, w->now);
+	for (i = 0; i < c->machine_count; i++) {
+		const struct fleet_machine_info *m = &c->machines[i];
+
+		if (*c->instances[i])
+			sched_expect_instance(w->sched, c->instances[i],
+					      m->pool, m->machine, w->now);
+		sched_machine_listed(w->sched, m->machine, c->instances[i],
+				     c->sent_ms, w->now);
+	}
+	sched_expect_complete(w->sched, w->now);
+}
+
+static void poll_answered(struct upkeep_world *w, const struct upkeep_call *c)
+{
+	struct sched_report r = { .clock_ms = c->report_ms,
+				  .started_unix_ms = c->born_ms,
+				  .running = c->running,
+				  .running_count = c->running_count,
+				  .ended = c->ended,
+				  .ended_count = c->ended_count };
+
+	sched_poll_done(w->sched, c->poll.instance, c->answered ? &r : NULL,
+			c->sent_ms, w->now);
+}
+
+static void answer_call(struct upkeep_world *w, struct upkeep_call *c)
+{
+	switch (c->kind) {
+	case UPKEEP_CALL_ORDER:
+		sched_order_done(w->sched, &c->order, c->order_result,
+				 c->exec_ms, c->sent_ms, w->now);
+		break;
+	case UPKEEP_CALL_POLL:
+		poll_answered(w, c);
+		break;
+	case UPKEEP_CALL_WRITE:
+		w->writes--;
+		sched_batch_done(w->sched, c->batch, true, w->now);
+		break;
+	case UPKEEP_CALL_CONFIRM:
+		w->confirming = false;
+		w->confirmed_ms = c->sent_ms;
+		sched_leader_confirmed(w->sched, c->sent_ms);
+		break;
+	case UPKEEP_CALL_LIST:
+		machines_listed(w, c);
+		break;
+	case UPKEEP_CALL_ACTION:
+		fleet_action_result(w->fleet, w->sched, &c->action,
+				    c->action_result, w->now);
+		break;
+	}
+}
+
+static void calls_advance(struct upkeep_world *w)
+{
+	struct upkeep_call *c, *next;
+
+	DL_FOREACH_SAFE(w->calls, c, next)
+	{
+		if (!c->executed && w->now >= c->exec_ms)
+			exec_call(w, c);
+		if (!c->executed || w->now < c->answer_ms)
+			continue;
+		DL_DELETE(w->calls, c);
+		answer_call(w, c);
+		talloc_free(c);
+	}
+}
+
+static void send_calls(struct upkeep_world *w)
+{
+	struct sched_order order;
+	struct sched_poll poll;
+	struct upkeep_call *c;
+
+	while (sched_next_order(w->sched, w->now, &order)) {
+		c = call_new(w, UPKEEP_CALL_ORDER);
+		c->order = order;
+		c->order.instance_id = talloc_strdup(c, order.instance_id);
+		assert(c->order.instance_id);
+		c->instance = (uint32_t)atoi(order.instance_id + 2);
+	}
+	while (sched_next_poll(w->sched, w->now, &poll)) {
+		c = call_new(w, UPKEEP_CALL_POLL);
+		c->poll = poll;
+		c->instance = (uint32_t)atoi(poll.instance_id + 2);
+	}
+}
+
+static void write_changes(struct upkeep_world *w)
+{
+	while (w->writes < WRITES_MAX && sched_change_pending(w->sched)) {
+		struct sched_change change;
+		struct upkeep_call *c = call_new(w, UPKEEP_CALL_WRITE);
+		uint32_t count = 0;
+
+		c->batch = ++w->last_batch;
+		w->writes++;
+		while (count++ < CHANGES_MAX &&
+		       sched_next_change(w->sched, c->batch, &change))
+			if (change.progress)
+				fleet__progress_row__free_unpacked(
+					change.progress, NULL);
+	}
+}
+
+static void plan(struct upkeep_world *w)
+{
+	struct fleet_action action;
+
+	if (w->now < w->plan_due_ms)
+		return;
+	w->plan_due_ms = w->now + UPKEEP_PLAN_MS;
+	if (!w->listing &&
+	    (fleet_needs_machine_list(w->fleet, w->now) ||
+	     (sched_needs_machine_list(w->sched) &&
+	      w->now - w->list_sent_ms >= LIST_UNRESPONSIVE_MS))) {
+		w->listing = true;
+		w->list_sent_ms = w->now;
+		call_new(w, UPKEEP_CALL_LIST);
+	}
+	if (w->now - w->confirmed_ms > CONFIRMED_MS)
+		return;
+	while (fleet_next_action(w->fleet, w->sched, w->now, &action)) {
+		struct upkeep_call *c = call_new(w, UPKEEP_CALL_ACTION);
+
+		c->action = action;
+	}
+}
+
+static void trace_decision(void *arg, const char *kind, const char *id,
+			   const char *text)
+{
+	static const char *const kinds[] = { "relocate", "reserve",
+					     "instance-silent", "run-lost" };
+	const struct upkeep_world *w = arg;
+	size_t i;
+
+	for (i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++)
+		if (!strcmp(kind, kinds[i]))
+			upkeep_trace(w, "sched: %s %s {%s}", kind, id, text);
+}
+
+void lead_begin(struct upkeep_world *w)
+{
+	struct sched_options options = { .lease_ms = LEASE_MS,
+					 .lease_max_ms = LEASE_MAX_MS,
+					 .predecessor_orders_ms = 6000,
+					 .start_wait_ms = 1000,
+					 .end_keep_ms = 120000,
+					 .placement_reservations =
+						 RESERVATIONS };
+	struct fleet_options fleet_options = {
+		.maintenance_ms = UPKEEP_MAINTENANCE_MS,
+		.move_ms = UPKEEP_MOVE_MS,
+		.forecast_trust_max = upkeep_random(w, 2) ? 100 : 0,
+	};
+
+	w->sched = sched_new(w->ctx, &options);
+	sched_set_clock(w->sched, w->now);
+	sched_configure(w->sched, &w->config, w->now);
+	sched_become_leader(w->sched, 1, true, w->now);
+	if (w->verbose)
+		sched_set_trace(w->sched, trace_decision, w);
+	w->fleet = fleet_new(w->ctx, &fleet_options);
+	fleet_configure(w->fleet, &w->config);
+}
+
+void lead_advance(struct upkeep_world *w)
+{
+	calls_advance(w);
+	if (!w->confirming && (w->now - w->confirmed_ms >= CONFIRM_MS ||
+			       sched_needs_confirmation(w->sched, w->now))) {
+		w->confirming = true;
+		call_new(w, UPKEEP_CALL_CONFIRM);
+	}
+	sched_tick(w->sched, w->now, w->now);
+	send_calls(w);
+	write_changes(w);
+	plan(w);
+}
--- a/tools/check.py
+++ b/tools/check.py
@@ -36,6 +36,10 @@
 EVACUATION_FAULTS = (67583, 75775)
 EVACUATION_SEEDS = 5000
 FLEET_WALK_PARTS = 5  # processes that run concurrently
+# No faults, and UPKEEP_FAULT_ALL.
+UPKEEP_FAULTS = (0, 15)
+UPKEEP_SEEDS = 500
+UPKEEP_INVARIANTS = ("ROOM", "PLACE", "TWICE-STOPPED", "BUDGET", "WAVE", "END")
 # Jobs of a leader of the large site: ended after some seconds and after two
 # minutes; waiting on a calm day and in a turn of demand.
 LEADER_ENDED_FEW, LEADER_ENDED_MANY = 500, 20000
@@ -200,6 +204,26 @@
         results.add(name, None)
 
 
+def upkeep_walk(results, build, faults):
+    """Plays a site in maintenance waves.
+
+    Each invariant is a check of its own, so that one that is known to fail
+    hides no other.
+    """
+    walk = subprocess.run(
+        [f"{build}/test/upkeep_walk", "--count", str(UPKEEP_SEEDS),
+         "--faults", str(faults)], capture_output=True, text=True)
+    played = walk.returncode in (0, 1) and "maintenances" in walk.stdout
+    results.add(f"upkeep walk, faults {faults}",
+                None if played else (walk.stdout + walk.stderr)[-2000:])
+    for invariant in UPKEEP_INVARIANTS:
+        failed = re.findall(rf"^(seed \d+: {invariant} .*)$", walk.stdout,
+                            re.M)
+        results.add(f"upkeep walk, faults {faults}, {invariant}",
+                    f"{len(failed)} of {UPKEEP_SEEDS} seeds, first "
+                    f"{failed[0]}" if failed else None)
+
+
 def leader_instructions(build, ended, waiting):
     """Instructions of a leader in a second of its traffic."""
     def count(seconds):
@@ -263,6 +287,8 @@
     for faults in EVACUATION_FAULTS:
         fleet_walk(results, build, f"fleet walk, evacuations, {faults}",
                    EVACUATION_SEEDS, "--faults", str(faults))
+    for faults in UPKEEP_FAULTS:
+        upkeep_walk(results, build, faults)
     make_sanitized()
     results.command("ledger walk with sanitizers", [
         f"{build}/sanitize/test/ledger_walk", "--count", "500"])
