test: upkeep_walk names the machines that a late wave has left

Cause: an error of WAVE said only how many machines were due. Change: it names them, their pools and how many long-running tasks run there.

--- a/test/walk/upkeep_world_check.c
+++ b/test/walk/upkeep_world_check.c
@@ -275,9 +275,27 @@
 	}
 }
 
+/* Names the machines without their maintenance and what runs there. */
+static const char *list_due(const struct upkeep_world *w,
+			    const struct upkeep_wave *v)
+{
+	char *text = talloc_strdup(w->ctx, "");
+	uint32_t i;
+
+	for (i = 0; text && i < v->count; i++) {
+		const struct upkeep_machine *m = &w->machines[v->machines[i]];
+
+		if (!v->done[i])
+			text = talloc_asprintf_append(
+				text, "%s in %s with %u long-running, ",
+				m->name, w->names[m->pool], m->lasting_count);
+	}
+	return text;
+}
+
 static void check_waves(struct upkeep_world *w)
 {
-	uint32_t n, i, due;
+	uint32_t n;
 
 	for (n = 0; n < w->wave_count; n++) {
 		struct upkeep_wave *v = &w->waves[n];
@@ -290,12 +308,10 @@
 		if (w->now <= due_ms + v->duration_ms)
 			continue;
 		v->completed = true;
-		for (i = due = 0; i < v->count; i++)
-			due += !v->done[i];
 		check_failed(w, UPKEEP_WAVE,
 			     "wave %u is not complete %u ms after its "
-			     "deadline: %u of %u machines are due",
-			     n + 1, v->duration_ms, due, v->count);
+			     "deadline; due: %s",
+			     n + 1, v->duration_ms, list_due(w, v));
 	}
 }
 
