--- a/test/upkeep_walk.c
+++ b/test/upkeep_walk.c
@@ -4,7 +4,8 @@
  *
  *	upkeep_walk [--count N] [--seed N] [--faults MASK] [--verbose]
  *
- * Plays all seeds; prints the first violation of each invariant in each seed.
+ * UPKEEP_TIGHT is a bit of MASK besides the faults. Plays all seeds; prints the
+ * first violation of each invariant in each seed.
  */
 #include <argtable2.h>
 #include <stdio.h>
--- a/test/walk/upkeep_world.c
+++ b/test/walk/upkeep_world.c
@@ -52,6 +52,11 @@
 	return a > b ? a : b;
 }
 
+static bool is_tight(const struct upkeep_world *w)
+{
+	return w->faults & UPKEEP_TIGHT;
+}
+
 static void set_up_config(struct upkeep_world *w)
 {
 	uint32_t p;
@@ -111,6 +116,7 @@
 static void set_up_lasting(struct upkeep_world *w, uint32_t machines,
 			   uint32_t *needs)
 {
+	const bool tight = is_tight(w);
 	uint32_t count = upkeep_between(w, 3, LASTING_MAX);
 	uint32_t n;
 
@@ -119,12 +125,14 @@
 
 		job->lasting = true;
 		job->pool = upkeep_random(w, w->pool_count - 1);
-		job->count = upkeep_between(w, 2, TASKS_MAX);
+		job->count = upkeep_between(w, tight ? 12 : 2, TASKS_MAX);
 		job->cpu = upkeep_between(w, 100, 1000);
-		job->mem = upkeep_between(w, 10000, 35000);
-		job->may_miss = w->tight ? 0 : upkeep_random(w, 4);
-		job->spread_limit =
-			upkeep_random(w, 3) ? 0 : upkeep_between(w, 1, 3);
+		job->mem = tight ? upkeep_between(w, 16000, 22000)
+				 : upkeep_between(w, 10000, 35000);
+		job->may_miss = tight ? 0 : upkeep_random(w, 4);
+		job->spread_limit = tight || upkeep_random(w, 3)
+					    ? 0
+					    : upkeep_between(w, 1, 3);
 		while (job->count > 2 && machines_for(job) > machines)
 			job->count--;
 		if (machines_for(job) > machines) {
@@ -172,8 +180,8 @@
 	for (n = 0; n < w->wave_count; n++)
 		others += w->waves[n].at_once;
 	most = w->machine_count > others ? w->machine_count - others : 1;
-	return max_uint32(1, most * upkeep_between(w, w->tight ? 90 : 50, 100) /
-				     100);
+	return max_uint32(
+		1, most * upkeep_between(w, is_tight(w) ? 90 : 50, 100) / 100);
 }
 
 /* Pools hold what their long-running tasks need, and some machines more. */
@@ -205,12 +213,12 @@
 	double site = (double)w->machine_count * MACHINE_CPU;
 
 	w->peak_work = site *
-		       (w->tight ? upkeep_between(w, 150, 300)
-				 : upkeep_between(w, 40, 200)) /
+		       (is_tight(w) ? upkeep_between(w, 150, 300)
+				    : upkeep_between(w, 40, 200)) /
 		       100;
 	w->quiet_work = w->peak_work / TURN_FACTOR / QUIET_DIVISOR;
-	w->turn_ms = w->tight ? upkeep_between(w, 8000, 15000)
-			      : upkeep_between(w, 2000, 10000);
+	w->turn_ms = is_tight(w) ? upkeep_between(w, 2000, 6000)
+				 : upkeep_between(w, 2000, 10000);
 	w->turn_offset_ms = upkeep_random(w, 40000);
 	w->traffic_end_ms = w->now + upkeep_between(w, 30000, 45000);
 }
@@ -278,7 +286,6 @@
 {
 	uint32_t n, j;
 
-	w->tight = !upkeep_random(w, 3);
 	set_up_config(w);
 	w->machine_count =
 		10 + upkeep_random(w, 71) * upkeep_random(w, 71) / 70;
@@ -288,7 +295,7 @@
 			 "m-%u", n);
 		w->machines[n].rack = n / RACK_MACHINES;
 	}
-	w->wave_count = upkeep_between(w, 1, WAVES_MAX);
+	w->wave_count = upkeep_between(w, is_tight(w) ? 2 : 1, WAVES_MAX);
 	for (n = 0; n < w->wave_count; n++)
 		set_up_wave(w, &w->waves[n]);
 	set_up_machines(w);
--- a/test/walk/upkeep_world.h
+++ b/test/walk/upkeep_world.h
@@ -21,6 +21,12 @@
 	UPKEEP_FAULT_ORDERS = 1 << 2, /* orders to machines fail */
 	UPKEEP_FAULT_STARTS = 1 << 3, /* instances refuse starts */
 	UPKEEP_FAULT_ALL = (1 << 4) - 1,
+	/*
+	 * No fault: long-running tasks, two or three to a machine, fill all
+	 * that waves leave and may be stopped at any time, and the demand
+	 * exceeds the whole site.
+	 */
+	UPKEEP_TIGHT = 1 << 4,
 };
 
 enum upkeep_invariant {
--- a/test/walk/upkeep_world_internal.h
+++ b/test/walk/upkeep_world_internal.h
@@ -178,11 +178,6 @@
 	struct upkeep_machine machines[MACHINES_MAX];
 	uint32_t instance_count;
 	uint32_t *instance_machine; /* by serial number */
-	/*
-	 * Stops have no budgets, long-running tasks fill all that waves leave,
-	 * and one pool after the other has a backlog for long.
-	 */
-	bool tight;
 	/* Demand: each pool in its turn */
 	double peak_work;  /* millicores */
 	double quiet_work; /* same, outside of a pool's turn */
--- a/tools/check.py
+++ b/tools/check.py
@@ -36,9 +36,9 @@
 EVACUATION_FAULTS = (67583, 75775)
 EVACUATION_SEEDS = 5000
 FLEET_WALK_PARTS = 5  # processes that run concurrently
-# No faults, and UPKEEP_FAULT_ALL.
-UPKEEP_FAULTS = (0, 15)
-UPKEEP_SEEDS = 500
+# No faults, UPKEEP_FAULT_ALL, and UPKEEP_TIGHT.
+UPKEEP_FAULTS = (0, 15, 16)
+UPKEEP_SEEDS = 400
 UPKEEP_INVARIANTS = ("ROOM", "PLACE", "TWICE-STOPPED", "BUDGET", "WAVE", "END")
 # Jobs of a leader of the large site: ended after some seconds and after two
 # minutes; waiting on a calm day and in a turn of demand.
