httpd: bodies that grow leave no gaps in the heap

Cause: a body without Content-Length grew by realloc(3) from 1 KB in doubling steps. Beside other load, several bodies grow in turn while clients connect: each step is copied past the memory that connections have taken meanwhile and leaves a gap in the heap, which stays resident and which the budget does not count.

A body of more than 4 KB has a mapping of its own now, grown by mremap(2): without a copy, without a gap, and given back at once.

--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +17,11 @@
 #include "process/mtimer.h"
 
 #define HTTPD_BODY_BYTES 1024u /* initial capacity of a body */
+/*
+ * A larger body has a mapping of its own. Bodies that grow in the heap leave
+ * gaps between the memory of connections, which are not given back.
+ */
+#define HTTPD_BODY_HEAP_BYTES 4096u
 /*
  * libmicrohttpd keeps the headers twice in a connection's memory: as received,
  * and as a table. It gets no more than 32 KB from malloc(3): above that it
@@ -135,9 +141,44 @@
 	return response;
 }
 
+static bool is_mapped(size_t capacity)
+{
+	return capacity > HTTPD_BODY_HEAP_BYTES;
+}
+
+static void free_buffer(char *buffer, size_t capacity)
+{
+	if (is_mapped(capacity))
+		munmap(buffer, capacity);
+	else
+		free(buffer);
+}
+
+/* Like realloc(3); keeps the first length bytes. */
+static char *grow_buffer(char *buffer, size_t length, size_t old_capacity,
+			 size_t capacity)
+{
+	char *grown;
+
+	if (!is_mapped(capacity))
+		return realloc(buffer, capacity);
+	if (is_mapped(old_capacity)) {
+		grown = mremap(buffer, old_capacity, capacity, MREMAP_MAYMOVE);
+		return grown == MAP_FAILED ? NULL : grown;
+	}
+	grown = mmap(NULL, capacity, PROT_READ | PROT_WRITE,
+		     MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+	if (grown == MAP_FAILED)
+		return NULL;
+	if (length)
+		memcpy(grown, buffer, length);
+	free(buffer);
+	return grown;
+}
+
 static void free_body(struct exchange *x)
 {
-	free(x->request.body);
+	free_buffer(x->request.body, x->capacity);
 	x->request.body = NULL;
 	x->request.body_length = 0;
 	x->capacity = 0;
@@ -179,7 +220,8 @@
 	if (!budget_take(s->budget, &x->client->budget, capacity - x->capacity,
 			 clock_now_ms()))
 		return false;
-	grown = realloc(x->request.body, capacity);
+	grown = grow_buffer(x->request.body, x->request.body_length,
+			    x->capacity, capacity);
 	if (!grown)
 		return false;
 	x->request.body = grown;
@@ -350,7 +392,7 @@
 {
 	if (x->response)
 		MHD_destroy_response(x->response);
-	free(x->request.body);
+	free_buffer(x->request.body, x->capacity);
 	free(x->path);
 	free(x->query);
 	free(x);
