--- a/tools/bodies.py
+++ b/tools/bodies.py
@@ -114,11 +114,14 @@
     return send
 
 
-def chunked(length):
+def chunked(length, header_bytes=0):
     """A body without Content-Length that doesn't end."""
+    fill = "".join(f"X-Fill-{i}: {'h' * 1000}\r\n"
+                   for i in range(header_bytes // 1000))
+
     def send(s, number):
-        send_all(s, head(job_path(number),
-                         more="Transfer-Encoding: chunked\r\n\r\n"))
+        send_all(s, head(job_path(number), more=(
+            f"{fill}Transfer-Encoding: chunked\r\n\r\n")))
         for piece in pieces(length):
             if piece and not send_all(
                     s, b"%x\r\n" % len(piece) + piece + b"\r\n"):
@@ -228,6 +231,8 @@
      announced(900000000, sent=200000), "wait"),
     ("callers, chunked bodies in the limit", "callers", CLIENTS,
      chunked(260000), "wait"),
+    ("callers, chunked bodies after large header blocks", "callers", CLIENTS,
+     chunked(260000, 15000), "wait"),
     ("callers, chunked bodies over the limit", "callers", CLIENTS,
      chunked(1000000), "wait"),
     ("callers, bodies with an unknown key", "callers", CLIENTS,
