soak: open connections, overlapping faults, waits of long-running tasks

The soak checked neither how long tasks that last wait nor what clients with open connections see, and played one fault at a time. Nothing noticed a node that ended by itself.

--- a/standin/site.c
+++ b/standin/site.c
@@ -23,6 +23,8 @@
  * The answer has now_ms, the time of the machine's monotonic clock.
  * GET /record lists what the workers ran: [task, run, worker, begin, end, how]
  * in milliseconds of the machine's monotonic clock; end is 0 while it runs.
+ * GET /lives lists the workers, as [worker, pool, zone, begin, end] for each
+ * span in which one was listed and up.
  */
 #include <argtable2.h>
 #include <assert.h>
@@ -98,6 +100,7 @@
 	uint64_t last_end_seq;
 	json_t *ended;	 /* runs, as in a report, until acknowledged */
 	json_t *blocked; /* task -> highest run that may not start */
+	json_t *life;	 /* its entry in site.lives; NULL: not listed */
 	uint32_t running_count;
 	struct running running[RUNNING_MAX];
 	struct httpd_request *poll_request; /* unanswered poll, or NULL */
@@ -116,6 +119,7 @@
 	uint64_t revision;
 	struct pending_feed *pending_feeds;
 	json_t *record;
+	json_t *lives;
 	bool down;
 	char *muted_table; /* its feeds are not answered; may be NULL */
 	uint32_t answers_to_lose;
@@ -486,6 +490,9 @@
 	put_row(w->site, "servers", w->name, encoded);
 	free(dump);
 	json_decref(o);
+	w->life = json_pack("[s, s, s, I, i]", w->name, w->pool, w->zone,
+			    (json_int_t)clock_now_ms(), 0);
+	json_array_append_new(w->site->lives, w->life);
 }
 
 static void end_run(struct worker *w, uint32_t i, const char *how, uint64_t now)
@@ -693,6 +700,9 @@
 		json_array_set_new(r->record, 5, json_string("gone"));
 		talloc_free(r->task);
 	}
+	if (w->life)
+		json_array_set_new(w->life, 4, json_integer((json_int_t)now));
+	w->life = NULL;
 	json_array_clear(w->ended);
 	json_object_clear(w->blocked);
 	w->fence = w->lease_until_ms = w->last_end_seq = 0;
@@ -834,6 +844,8 @@
 		serve_control(s, request, o);
 	else if (!strcmp(path, "/record"))
 		send_answer(request, 200, json_deep_copy(s->record));
+	else if (!strcmp(path, "/lives"))
+		send_answer(request, 200, json_deep_copy(s->lives));
 	else if (s->down)
 		send_answer(request, 503, NULL);
 	else if (!strcmp(path, "/jackdawwell/rows-tx"))
@@ -900,6 +912,7 @@
 	assert(s && sodium_init() >= 0);
 	s->ev = tevent_context_init(s);
 	s->record = json_array();
+	s->lives = json_array();
 	s->page_rows = PAGE_ROWS;
 	s->row_bytes = ROW_BYTES;
 	if (!serve_listen(s, s->ev, "site", port->ival[0], on_request, s))
--- a/tools/check.py
+++ b/tools/check.py
@@ -43,6 +43,7 @@
 # Served against the processor's share is to be flat: a leader that holds more
 # may need a fifth more processor time for the same.
 LEADER_GROWTH_MAX = 1.25
+SOAK_SEEDS = (1, 2)  # run concurrently, each for less than a minute
 SAFEGUARDS = ("round-tag", "sequence", "late-acquire", "report", "deficit",
               "unknown", "end-of-work", "lease")
 
@@ -230,11 +231,23 @@
                     if ratio > LEADER_GROWTH_MAX else None)
 
 
+def check_soak(results, build):
+    with concurrent.futures.ThreadPoolExecutor(len(SOAK_SEEDS)) as pool:
+        runs = list(pool.map(lambda seed: subprocess.run(
+            [sys.executable, "tools/soak.py", build, "--quick", "--seed",
+             str(seed)], capture_output=True, text=True), SOAK_SEEDS))
+    for seed, done in zip(SOAK_SEEDS, runs):
+        out = (done.stdout + done.stderr).strip()
+        results.add(f"soak, seed {seed}",
+                    out[-2000:] if done.returncode else None)
+
+
 def main(build):
     results = Results()
     for path in sorted(glob.glob(f"{build}/test/*_test")):
         results.command(os.path.basename(path), [path])
-    results.command("runner_test", [sys.executable, "test/runner_test.py"])
+    for test in ("runner_test", "soak_test"):
+        results.command(test, [sys.executable, f"test/{test}.py"])
     for path in sorted(glob.glob("test/files/*.yaml")):
         results.add(f"refused: {os.path.basename(path)}",
                     check_file(build, path))
@@ -283,6 +296,7 @@
     check_bench(results, build)
     check_leader_cost(results, build)
     results.command("bench waves", [f"{build}/bench/waves"])
+    check_soak(results, build)
     for found in run_scenarios(build):
         for title, error in found:
             results.add(title, error)
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -88,6 +88,11 @@
     }
 
 
+def monotonic_ms():
+    """The clock of the stand-in's record."""
+    return int(time.monotonic() * 1000)
+
+
 class Site:
     """The platform stand-in (standin/site), its workers and the nodes."""
 
@@ -274,27 +279,39 @@
     def record(self):
         return json.loads(fleet.call(self.port, "GET", "/record")[2])
 
+    def lives(self):
+        return json.loads(fleet.call(self.port, "GET", "/lives")[2])
+
+    def request_wave(self, number, machines, duration_s=20, cap=1):
+        self.control(put={"table": "op", "key": f"wave/{number}", "value": {
+            "wave": number, "machines": machines, "durationS": duration_s,
+            "cap": cap}})
+
 
 class Job:
     """One job and the answers that its caller received."""
 
-    def __init__(self, number, queue, tasks, steps, ms, times, interval_ms,
-                 late_ms):
+    def __init__(self, number, queue, tasks, steps, ms, times=0,
+                 interval_ms=0, late_ms=0, cpu=500, mem_mb=64, may_miss=0):
         self.id = f"{number:016x}"
         self.queue = queue
         self.tasks = tasks
         self.body = {"taskSpec": f"{ms} ms", "steps": [
-            {"count": tasks, "cpu": 500, "memMb": 64,
+            {"count": tasks, "cpu": cpu, "memMb": mem_mb,
              "estimateMs": max(ms, 1),
              **({"after": [s - 1]} if s else {}),
-             **({"longRunning": True} if ms == 0 else {})}
+             **({"longRunning": True} if ms == 0 else {}),
+             **({"mayMiss": may_miss} if may_miss else {})}
             for s in range(steps)]}
         self.times = max(times, 1)
         if times:
             self.body |= {"times": times, "intervalMs": interval_ms,
                           "startMs": int(time.time() * 1000) - late_ms}
+        self.lasts = ms == 0
         self.answers = []
         self.accepted = False
+        self.accepted_ms = None  # by the stand-in's clock, as the next
+        self.cancelled_ms = None  # when its cancelling was first sent
         self.state = None
 
 
@@ -355,6 +372,7 @@
                 code = 0
             job.answers.append(code)
             if code == 200:
+                job.accepted_ms = monotonic_ms()
                 job.accepted = True
                 return
             time.sleep(RETRY_DELAY_S)
@@ -371,7 +389,9 @@
             job = Job(len(self.jobs) + 1, queue, int(params.get("tasks", 2)),
                       int(params.get("steps", 1)), int(params.get("ms", 200)),
                       int(params.get("times", 0)), int(params.get("every", 0)),
-                      int(params.get("late", 0)))
+                      int(params.get("late", 0)),
+                      int(params.get("cpu", 500)), int(params.get("mem", 64)),
+                      int(params.get("miss", 0)))
             self.jobs.append(job)
             self.start_thread(self.submit, job)
 
@@ -431,8 +451,7 @@
             for zone in words:
                 getattr(site, verb)(zone)
         elif verb == "wave":
-            site.control(put={"table": "op", "key": "wave/1", "value": {
-                "wave": 1, "machines": words, "durationS": 20, "cap": 1}})
+            site.request_wave(1, words)
         elif verb == "thaw":
             for name in sorted(site.frozen):
                 site.nodes[name].send_signal(signal.SIGCONT)
@@ -481,6 +500,7 @@
                     s.sendall(head + body)
 
     def cancel(self, job):
+        job.cancelled_ms = monotonic_ms()
         for _ in range(CALL_ATTEMPTS_MAX):
             try:
                 if self.site.request("DELETE", f"/{job.queue}/{job.id}")[0] \
@@ -519,7 +539,8 @@
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             self.poll_job_states()
-            if all(j.state in TERMINAL_STATES or j.body["taskSpec"] == "0 ms"
+            if all(j.state in TERMINAL_STATES or
+                   j.lasts and j.cancelled_ms is None
                    for j in self.jobs if j.accepted):
                 return
             time.sleep(0.2)
--- a/tools/versions.py
+++ b/tools/versions.py
@@ -19,6 +19,7 @@
 
     def __init__(self, site):
         self.site = site
+        self.interval_s = PROBE_INTERVAL_S
         self.confirmed = []  # [(version, when the store had confirmed it)]
         self.last_written = 0  # the newest version that a node may apply
         self.errors = []
@@ -52,7 +53,7 @@
             return 0
 
     def probe_loop(self, name):
-        while not self.stopping.wait(PROBE_INTERVAL_S):
+        while not self.stopping.wait(self.interval_s):
             if name in self.site.frozen or \
                     not self.site.nodes[name].running():
                 continue
