soak: requests that were read and dropped at SIGTERM, waits at the end

A connection that is closed with unread bytes is reset, so one that ends without a reset later than 30 ms after a whole request was sent had read it. A fault of its own stops a node while its requests wait for a frozen leader.

A node may be stopped only once it answers: one that was stopped milliseconds after its start ended with the signal's default action, before it had accepted anything.

--- a/test/soak_test.py
+++ b/test/soak_test.py
@@ -1,6 +1,7 @@
-"""Tests of the checks of tools/soak.py: what they report and what they allow."""
+"""Tests of the checks of tools/soak.py: what they report and allow."""
 
 import os
+import select
 import socket
 import sys
 import threading
@@ -135,6 +136,24 @@
         self.assertEqual(c.errors([("node-1", now - 9, now)]), [])
         self.assertGreater(len(c.errors([("node-2", now - 9, now)])), 0)
 
+    def test_a_request_that_was_read_may_not_be_cut_soon(self):
+        def cut(s):
+            if read_request(s):
+                time.sleep(clients.READ_SLACK_S + 0.05)
+
+        self.assertGreater(len(run_clients(cut).errors([])), 0)
+
+    def test_a_request_that_was_not_read_may_be_cut_soon(self):
+        for pause_s, reported in ((clients.READ_SLACK_S + 0.05, False),
+                                  (clients.SLACK_S + 0.1, True)):
+            def cut(s, pause_s=pause_s):
+                select.select([s], [], [])
+                time.sleep(pause_s)
+
+            c = run_clients(cut)
+            self.assertGreater(len(c.cuts), 0)
+            self.assertEqual(len(c.errors([])) > 0, reported)
+
     def test_an_incomplete_answer_is_reported(self):
         def cut(s):
             if read_request(s):
--- a/tools/clients.py
+++ b/tools/clients.py
@@ -17,6 +17,9 @@
 
 FIRST_JOB_NUMBER = 1 << 32  # other jobs have lower numbers
 SLACK_S = 0.2  # a request that came so late may be cut (lossSlackMs)
+# A connection that is closed with unread bytes is reset, so one that ends in
+# another way was closed after the request had been read, or before it came.
+READ_SLACK_S = 0.03
 CONTACT_S = 3.0  # after a fault of the node nothing is checked (contactMs)
 PAUSE_S = (0.02, 0.4)  # between two requests
 PART_PAUSE_S = (0.05, 1.5)  # between the parts of a request
@@ -36,7 +39,7 @@
         self.lock = threading.Lock()
         self.numbers = iter(range(FIRST_JOB_NUMBER, 2 * FIRST_JOB_NUMBER))
         self.answered = 0
-        self.cuts = []  # [(node, first byte, last byte, end, request)]
+        self.cuts = []  # [(node, first byte, last byte, end, request, reset)]
         self.stopping = threading.Event()
         self.threads = [
             threading.Thread(target=self.connect_again, args=(
@@ -91,9 +94,12 @@
                 answer.read()
             except TimeoutError:
                 return
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as e:
+                # RemoteDisconnected, of an end without a reset, is one too.
+                reset = isinstance(e, OSError) and \
+                    not isinstance(e, http.client.RemoteDisconnected)
                 self.cuts.append((name, first, last, time.monotonic(),
-                                  job.id if job else "GET"))
+                                  job.id if job else "GET", reset))
                 return
             self.answered += 1
             if job and answer.status == 200:
@@ -121,7 +127,8 @@
         """
         return [f"{name}: {request} was cut {end - last:.3f} s after its last "
                 f"byte, at {end:.3f}"
-                for name, first, last, end, request in self.cuts
-                if end - last > SLACK_S and not any(
+                for name, first, last, end, request, reset in self.cuts
+                if end - last > (SLACK_S if reset else READ_SLACK_S) and
+                not any(
                     n == name and b < end and e > first - CONTACT_S
                     for n, b, e in harmed)]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -51,6 +51,7 @@
 REBORN_LISTED_MS = (700, 2000)  # choices: until its entry is replaced
 WORKER_CRASH_MS = 2000  # as standin/site.c
 LOST_ANSWER_MS = 5000  # as standin/site.c
+LASTING_WAIT_S = 10.0  # for jobs that last, at the end
 LASTING_GAP_S = 2.0  # between two changes of the jobs that last
 LASTING_MEM_MB = (10000, 20000, 30000)  # choices; a few fill a worker
 LASTING_SHARES = (0.5, 0.7, 0.9)  # choices: of a pool's memory, asked for
@@ -64,8 +65,8 @@
 CLIENT_NODES_MAX = 8  # nodes that have clients of clients.py
 PROBED_NODES = 4  # with more, each is probed for its version less often
 FAULTS = ("kill", "kill_lead", "kill_all", "freeze", "stop", "stop_killed",
-          "stop_all", "hangup", "store", "lose", "mute", "crash", "reborn",
-          "link")
+          "stop_busy", "stop_all", "hangup", "store", "lose", "mute", "crash",
+          "reborn", "link")
 
 
 class Soak:
@@ -96,8 +97,16 @@
         self.site.nodes[node].popen.wait()
 
     def start(self, node):
+        """Returns once the node handles signals and requests."""
         self.site.nodes[node].start()
         self.up.add(node)
+        fleet.wait_until(f"{node} answers", lambda: self.answers(node))
+
+    def answers(self, node):
+        try:
+            return fleet.call(self.site.ports[node][1], "GET", "/", timeout=1)
+        except OSError:
+            return None
 
     def stop(self, node):
         """Sends SIGTERM and waits until the process is gone."""
@@ -160,6 +169,15 @@
         time.sleep(rng.uniform(*DOWN_S))
         self.start(node)
 
+    def stop_busy(self, nodes, rng):
+        """Stops a node while its requests wait for a frozen leader."""
+        leader, node = nodes
+        t = threading.Thread(target=self.freeze, args=(leader, rng))
+        t.start()
+        time.sleep(rng.uniform(0, 0.5))
+        self.stop_all([node], rng)
+        t.join()
+
     def hangup(self, node, rng):
         for _ in range(rng.randint(1, 8)):
             self.site.write_settings(node, first_start=False)
@@ -206,6 +224,11 @@
             what = [kind]
         elif kind in ("crash", "reborn"):
             what = [rng.choice(sorted(self.site.worker_ports))]
+        elif kind == "stop_busy":
+            leader = self.site.leader()
+            others = [n for n in free if n != leader]
+            what = [leader, rng.choice(others)] \
+                if leader in free and others else []
         else:
             what = [rng.choice(free)] if free else []
             leader = self.site.leader() if kind == "kill_lead" else None
@@ -220,7 +243,7 @@
         actions = {"kill": self.kill_node, "kill_lead": self.kill_node,
                    "stop": self.stop_all}
         action = actions.get(kind) or getattr(self, kind)
-        many = kind in ("kill_all", "stop_all", "stop")
+        many = kind in ("kill_all", "stop_all", "stop_busy", "stop")
         fault = [kind, what, jobs.monotonic_ms(), None]
         self.faults.append(fault)
         try:
@@ -364,9 +387,19 @@
     def harmed(self):
         """Returns the spans in which nodes were killed or frozen."""
         return [(node, f[2] / 1000, (f[3] or jobs.monotonic_ms()) / 1000)
-                for f in self.faults for node in f[1]
+                for f in self.faults
+                for node in (f[1][:1] if f[0] == "stop_busy" else f[1])
                 if f[0].startswith("kill") or
-                f[0] in ("freeze", "stop_killed")]
+                f[0] in ("freeze", "stop_killed", "stop_busy")]
+
+
+def wait_for_lasting(run):
+    """Waits until all jobs that last run, or have waited for too long."""
+    deadline = time.monotonic() + LASTING_WAIT_S
+    while time.monotonic() < deadline and any(
+            j.lasts and j.accepted and j.state == "queued" for j in run.jobs):
+        time.sleep(0.2)
+        run.poll_job_states()
 
 
 def check(run, soak, callers):
@@ -381,8 +414,10 @@
         site.record(), site.lives(), run.jobs, jobs.QUEUE_POOLS,
         soak.disruptions(), jobs.monotonic_ms()).errors()
     for job in run.jobs:
+        # lasting.py judges whether a job that lasts may still be queued.
         if job.accepted and job.state not in jobs.TERMINAL_STATES and \
-                not (job.lasts and job.state == "running"):
+                not (job.lasts and job.cancelled_ms is None and
+                     job.state in ("queued", "running")):
             errors.append(f"accepted job {job.id} is {job.state}")
     return errors
 
@@ -418,6 +453,7 @@
             for t in run.threads:
                 t.join()
             run.wait_for_jobs(JOBS_END_TIMEOUT_S)
+            wait_for_lasting(run)
             errors = check(run, made, callers)
         except (ScenarioError, TimeoutError, OSError) as e:
             errors = [repr(e), *made.errors]
