--- a/tools/clients.py
+++ b/tools/clients.py
@@ -80,6 +80,8 @@
     def keep_alive(self, s, name, rng):
         while not self.stopping.wait(rng.uniform(*PAUSE_S)):
             request, job = self.make_request(rng)
+            if job:  # it may be accepted without an answer
+                self.run.jobs.append(job)
             first = time.monotonic()
             if not rng.randrange(PARTS_OF):
                 at = rng.randrange(1, len(request))
@@ -105,7 +107,6 @@
             if job and answer.status == 200:
                 job.accepted_ms = jobs.monotonic_ms()
                 job.accepted = True
-                self.run.jobs.append(job)
             if answer.will_close:
                 return
 
