node: a leader with a stale configuration refuses its own callers too

Callers of a leader that had not read the newest version for over config_ms got an answer by the old one: GET of a queue's counts, removed more than 2 s before, was answered 200.

node_request() passed the caller's request to request_decide() without the staleness that it had just determined, so leader_may_answer() took the configuration for current. Requests that other nodes forward carried it.

--- a/src/node/request.c
+++ b/src/node/request.c
@@ -768,6 +768,8 @@
 	if (leader_may_order(n, now) && !n->releasing) {
 		struct node_request own = *req;
 
+		own.config_version = p->config_version;
+		own.config_stale = p->config_stale;
 		own.timeout_ms = time_left_ms(p);
 		own.fn = on_local_answer;
 		own.arg = p;
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -438,7 +438,8 @@
             site.control(reborn=words[0], down_ms=int(down_s * 1000),
                          listed_ms=int(listed_s * 1000))
         elif verb == "link":
-            site.links[words[0]].kb_per_s = int(words[1])
+            for name in self.node_names(words[0]):
+                site.links[name].kb_per_s = int(words[1])
         elif verb == "divide":
             self.divide(words)
         elif verb == "heal":
