--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -436,6 +436,30 @@
 	talloc_free(x.r.s);
 }
 
+/* Same, of an instance that is listed again, under its id, later than that. */
+static void test_reservation_outlives_maintenance(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x, 2);
+	list_machines(&x);
+	add_wave(&x, 1, 1);
+	advance(&x, 40);
+	assert_int_equal(x.upkeeps, 1);
+	x.silent = "i-0";
+	sched_instance_unlisted(x.r.s, "i-0", x.r.now);
+	advance(&x, 3000);
+	x.silent = NULL;
+	x.r.started_unix_ms++;
+	add_instance(&x.r, "i-0", false);
+	report(&x.r, find_instance(&x.r, "i-0"), NULL, 0, NULL, 0, x.r.now);
+	submit_lasting(&x, id_a, 2);
+	advance(&x, 500);
+	assert_int_equal(x.starts, 2);
+	talloc_free(x.r.s);
+}
+
 static uint32_t count_stops(const struct fixture *x, const char *task)
 {
 	uint32_t count = 0;
@@ -1006,6 +1030,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_backlog_keeps_idle_machines),
 		cmocka_unit_test(test_reservation_outlives_move),
+		cmocka_unit_test(test_reservation_outlives_maintenance),
 		cmocka_unit_test(test_old_list_hides_move),
 		cmocka_unit_test(test_task_is_stopped_again_and_again),
 		cmocka_unit_test(test_refused_machine_keeps_room),
