fleet: an older list is read again only if an order's outcome is open

Skipped entries of a list asked for it again within 300 ms, so under steady orders the list would have been read all the time.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -148,7 +148,8 @@
 		m = machine_get(f, list[i].machine);
 		m->listed = true;
 		if (list_is_older(f, m)) {
-			fleet_schedule_list(f, now + LIST_UNCERTAIN_MS);
+			if (m->phase == PHASE_UNCERTAIN)
+				fleet_schedule_list(f, now + LIST_UNCERTAIN_MS);
 			continue;
 		}
 		snprintf(m->pool, sizeof(m->pool), "%s", list[i].pool);
