test: a rig for long-running tasks beside waves; donor_test apart from drain_test

Change: the fixture is test/rig/drain_rig.c. waits_test uses its runs (struct drain_runs) and its instances, and keeps its own pools and passes, which differ. The nine cases about machines of other pools are in test/donor_test.c, the fourteen about waves and tasks stay in drain_test.c; the entry in KNOWN-RED.txt holds as it is. No assertion, bound, figure or case is changed. The rig asserts that its tables of runs and machines aren't full; runs had 16 places in drain_test and 64 in waits_test, and no check in the former. A pass answers up to 8 polls in all three (5 in drain_test, of at most 5 instances).

Measured: the 28 cases have the same results before and after; test_machines_that_cannot_help fails as before (3 is not within the range 0-1), the other 27 pass. At the end of each run of the other cases of drain_test, counters, clock and list of runs are equal before and after (scratch copies that print them, 104 lines). Each of the 28 cases notices a mutant of the product in its new place; with 49 mutants (single edits and combinations), the cases that fail are the same before and after in 46. In the other 3 the old drain_test crashed, as it wrote past its 16 runs; with room for 1,024 in both (trial) the same cases fail there too. test_machines_that_cannot_help, red already, gives 14 without the pause of demand_places_paused(). Noticed by none of the three programs, before and after: holds_yield() without effect, budget_covers() always true, starts_held ignored in sched_relocate(), pool_is_short() ignored in may_be_emptied(), and sched_may_empty() without unacked_count. make lint: clean.

--- /dev/null
+++ b/test/donor_test.c
@@ -0,0 +1,250 @@
+/*
+ * Machines of other pools for long-running tasks that wait: as many as help,
+ * and none is waited for that is gone or kept after its move.
+ */
+#include "test/rig/drain_rig.h"
+
+/* A machine that is gone, or was refused, is not waited for. */
+static void test_expected_machine_is_lost(void **state)
+{
+	static const struct {
+		const char *name;
+		bool listed;
+		enum fleet_machine_state state;
+	} cases[] = {
+		{ "it isn't listed any more", false, FLEET_UP },
+		{ "it is down", true, FLEET_DOWN },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 1);
+		drain_add_machine(&x, "m-0", "spare");
+		drain_list_machines(&x);
+		x.result = FLEET_BUSY;
+		drain_submit(&x, id_a, 2); /* room for one */
+		drain_advance(&x, 200);
+		assert_int_equal(x.moves, 1);
+		x.machine_count = 1;
+		if (cases[c].listed)
+			x.machines[x.machine_count++].state = cases[c].state;
+		drain_add_machine(&x, "m-1", "spare");
+		drain_list_machines(&x);
+		x.result = FLEET_DONE;
+		drain_advance(&x, 3000);
+		assert_int_equal(x.moves, 2);
+		assert_string_equal(x.moved, "m-1");
+		drain_free(&x);
+	}
+}
+
+/* Machines are ordered for all waiting tasks at once, also by their memory. */
+static void test_machines_by_memory(void **state)
+{
+	static const char *const spares[] = { "m-0", "m-1", "m-2" };
+	struct drain_rig x;
+	Fleet__JobRow *row = job_row(3, 1, true);
+	uint32_t i, after;
+
+	(void)state;
+	drain_new(&x, 1);
+	for (i = 0; i < 3; i++)
+		drain_add_machine(&x, spares[i], "spare");
+	drain_list_machines(&x);
+	row->steps[0]->cpu = 100;
+	row->steps[0]->mem = 3000; /* an instance has 4000 */
+	sched_submit(x.r.s, id_a, row, x.r.now, x.r.now, &after);
+	write_all(&x.r);
+	drain_advance(&x, 300);
+	assert_int_equal(x.starts, 1);
+	assert_int_equal(x.moves, 2);
+	drain_free(&x);
+}
+
+/* A pool with a backlog and idle machines gives none to a task that waits. */
+static void test_backlog_keeps_idle_machines(void **state)
+{
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 1);
+	drain_add_backlog(&x);
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 2); /* room for one */
+	drain_advance(&x, 1000);
+	assert_int_equal(x.moves, 1);
+	drain_free(&x);
+}
+
+/*
+ * The list shows a machine in the pool that it has left, so it is ordered to
+ * the one where it is. It is back in time, but its instance reports a little
+ * later.
+ */
+static void test_reservation_outlives_move(void **state)
+{
+	Fleet__JobRow *row = job_row(200, 1, false);
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 2);
+	x.machines[1].pool = "spare";
+	drain_list_machines(&x);
+	drain_set_workspace(row, "capped"); /* one task at a time */
+	row->steps[0]->cpu = 3000;
+	drain_submit_row(&x, drain_id_other, row);
+	x.runs.silent = "i-1";
+	drain_advance(&x, 2500);
+	assert_int_equal(x.moves, 1);
+	assert_string_equal(x.moved, "i-1");
+	x.runs.silent = NULL;
+	report(&x.r, find_instance(&x.r, "i-1"), NULL, 0, NULL, 0, x.r.now);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 500);
+	assert_int_equal(x.starts, 2);
+	drain_free(&x);
+}
+
+/* A list that was requested before a move was answered shows the old pool. */
+static void test_old_list_hides_move(void **state)
+{
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 1);
+	drain_add_machine(&x, "m-0", "spare");
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 2); /* room for one */
+	fleet_list_requested(x.f, x.r.now);
+	drain_advance(&x, 100);
+	assert_int_equal(x.moves, 1);
+	drain_list_machines(&x);
+	drain_advance(&x, 4000);
+	assert_int_equal(x.moves, 1);
+	drain_free(&x);
+}
+
+/* A pool without a machine gets none for a long-running task. */
+static void test_empty_pool_gets_no_machine(void **state)
+{
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 0);
+	drain_add_machine(&x, "m-0", "spare");
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 3000);
+	assert_int_equal(x.moves, 1);
+	drain_free(&x);
+}
+
+/* A pool gives its machines to a task that can run on none of them. */
+static void test_waiting_task_empties_other_pool(void **state)
+{
+	static const char id_labelled[] = "00000000000000ab";
+	Fleet__JobRow *row = drain_row(1, 0);
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 1);
+	drain_list_instance(&x.r, "i-0", "p", "gpu");
+	drain_add_backlog(&x);
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 200);
+	drain_set_label(row, "gpu"); /* the instance with it is full */
+	drain_submit_row(&x, id_labelled, row);
+	drain_advance_joining(&x, 10000);
+	assert_in_range(x.moves, 0, 1);
+	drain_free(&x);
+}
+
+/* Tasks of several jobs that fit on one machine get one each. */
+static void test_a_machine_for_each_job(void **state)
+{
+	static const char *const ids[] = { "00000000000000a1",
+					   "00000000000000a2",
+					   "00000000000000a3" };
+	static const char *const spares[] = { "m-0", "m-1", "m-2" };
+	struct drain_rig x;
+	uint32_t n;
+
+	(void)state;
+	drain_new(&x, 1);
+	for (n = 0; n < 3; n++)
+		drain_add_machine(&x, spares[n], "spare");
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 100);
+	for (n = 0; n < 3; n++) {
+		Fleet__JobRow *row = drain_row(1, 0);
+
+		row->steps[0]->cpu = 1200; /* an instance has 4000 */
+		drain_submit_row(&x, ids[n], row);
+	}
+	drain_advance(&x, 500);
+	assert_int_equal(x.starts, 1);
+	assert_int_equal(x.moves, 1);
+	drain_free(&x);
+}
+
+/* Machines come for a task that waits for a moment, with room in its pool. */
+static void test_machines_despite_room(void **state)
+{
+	static const struct {
+		const char *name;
+		bool store_slow, adviser_silent;
+	} cases[] = {
+		{ "a task that is placed at once", false, false },
+		{ "a job that is not written yet", true, false },
+		{ "the adviser does not answer", false, true },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct drain_rig x;
+		uint32_t after;
+
+		print_message("%s\n", cases[c].name);
+		if (cases[c].adviser_silent)
+			drain_new_advised(&x, 2);
+		else
+			drain_new(&x, 2);
+		x.adviser_silent = cases[c].adviser_silent;
+		drain_add_backlog(&x);
+		drain_list_machines(&x);
+		drain_advance(&x, 200);
+		x.store_slow = cases[c].store_slow;
+		assert_int_equal(sched_submit(x.r.s, id_a, drain_row(1, 0),
+					      x.r.now, x.r.now, &after),
+				 SUBMIT_ACCEPTED);
+		if (!x.store_slow)
+			write_all(&x.r);
+		drain_advance(&x, 1000);
+		assert_int_equal(x.moves, 0);
+		drain_free(&x);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_backlog_keeps_idle_machines),
+		cmocka_unit_test(test_reservation_outlives_move),
+		cmocka_unit_test(test_old_list_hides_move),
+		cmocka_unit_test(test_empty_pool_gets_no_machine),
+		cmocka_unit_test(test_waiting_task_empties_other_pool),
+		cmocka_unit_test(test_a_machine_for_each_job),
+		cmocka_unit_test(test_machines_despite_room),
+		cmocka_unit_test(test_machines_by_memory),
+		cmocka_unit_test(test_expected_machine_is_lost),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -3,11 +3,9 @@
  * leave open why a task has no run: no memory, machines that are kept, a task
  * that is stopped again and again, no machine in any other pool.
  */
-#include "fleet/fleet.h"
-#include "test/rig/sched_rig.h"
+#include "test/rig/drain_rig.h"
 
 #define PASS_MS 20u
-#define RUNS_MAX 64u
 #define LINES_MAX 256u
 #define TEXT_MAX 800u
 #define FIELDS_MAX 8u
@@ -24,10 +22,7 @@
 	struct config_pool pools[3];
 	struct line lines[LINES_MAX];
 	uint32_t line_count;
-	uint64_t end_seq;
-	struct sched_order running[RUNS_MAX]; /* as ordered last; number 0: no
-						 run */
-	uint32_t running_count;
+	struct drain_runs runs;
 };
 
 static void on_trace(void *arg, const char *kind, const char *id,
@@ -79,23 +74,6 @@
 	return strtoll(at + strlen(key), NULL, 10);
 }
 
-static void add_to_pool(struct rig *r, const char *id, const char *pool)
-{
-	struct sched_instance_info info = {
-		.id = id,
-		.address = "a:1",
-		.zone = "z",
-		.pool = pool,
-		.machine = id,
-		.started_unix_ms = r->started_unix_ms,
-		.capacity = { 4000, 4000, 0 },
-		.label_count = 1,
-		.labels = { "r1" },
-	};
-
-	sched_instance_listed(r->s, &info, r->now);
-}
-
 /* Pool p has the two instances i-0 and i-1, pool o has o-0. */
 static void fixture_new(struct fixture *x)
 {
@@ -113,86 +91,27 @@
 	x->r.config.pools = x->pools;
 	x->r.config.pool_count = 3;
 	sched_configure(x->r.s, &x->r.config, x->r.now);
-	add_to_pool(&x->r, "i-0", "p");
-	add_to_pool(&x->r, "i-1", "p");
-	add_to_pool(&x->r, "o-0", "o");
+	drain_list_instance(&x->r, "i-0", "p", NULL);
+	drain_list_instance(&x->r, "i-1", "p", NULL);
+	drain_list_instance(&x->r, "o-0", "o", NULL);
 	sched_become_leader(x->r.s, 1, true, x->r.now);
 	sched_expect_complete(x->r.s, x->r.now);
 	make_all_usable(&x->r);
 	sched_set_trace(x->r.s, on_trace, x);
 }
 
-/* Reports runs as ordered; a stop that was sent has ended its run. */
-static void report_one(struct fixture *x, const struct sched_poll *poll,
-		       enum sched_outcome outcome)
-{
-	struct sched_running running[RUNS_MAX];
-	struct sched_ended ended[RUNS_MAX];
-	uint32_t running_count = 0, ended_count = 0;
-	uint32_t n;
-
-	for (n = 0; n < x->running_count; n++) {
-		struct sched_order *o = &x->running[n];
-
-		if (strcmp(o->instance_id, poll->instance_id) || !o->number)
-			continue;
-		if (o->kind == ORDER_START)
-			running[running_count++] =
-				(struct sched_running){ o->task, o->number, "",
-							100, 0 };
-		else
-			ended[ended_count++] =
-				(struct sched_ended){ ++x->end_seq, o->task,
-						      o->number, outcome, "" };
-	}
-	report(&x->r, poll->instance, running, running_count, ended,
-	       ended_count, x->r.now);
-	for (n = 0; n < x->running_count; n++)
-		if (!strcmp(x->running[n].instance_id, poll->instance_id) &&
-		    x->running[n].kind == ORDER_STOP)
-			x->running[n].number = 0;
-}
-
-static void report_all(struct fixture *x, enum sched_outcome outcome)
-{
-	struct sched_poll polls[8];
-	uint32_t count = 0;
-
-	while (count < 8 && sched_next_poll(x->r.s, x->r.now, &polls[count]))
-		count++;
-	while (count-- > 0)
-		report_one(x, &polls[count], outcome);
-}
-
-static void note_orders(struct fixture *x)
-{
-	uint32_t i, n;
-
-	for (i = 0; i < x->r.order_count; i++) {
-		const struct sched_order *o = &x->r.orders[i];
-
-		if (o->kind == ORDER_START) {
-			assert_true(x->running_count < RUNS_MAX);
-			x->running[x->running_count++] = *o;
-			continue;
-		}
-		for (n = 0; n < x->running_count; n++)
-			if (x->running[n].number == o->number &&
-			    !strcmp(x->running[n].task, o->task))
-				x->running[n].kind = ORDER_STOP;
-	}
-}
-
 static void pass(struct fixture *x, enum sched_order_result result,
 		 enum sched_outcome outcome)
 {
+	uint32_t n;
+
 	x->r.now += PASS_MS;
 	sched_leader_confirmed(x->r.s, x->r.now);
 	take_orders(&x->r);
-	if (result == ORDER_DONE)
-		note_orders(x);
+	for (n = 0; result == ORDER_DONE && n < x->r.order_count; n++)
+		drain_runs_note(&x->runs, &x->r.orders[n]);
 	answer_orders(&x->r, result);
-	report_all(x, outcome);
+	drain_runs_report(&x->runs, &x->r, outcome);
 	write_all(&x->r);
 }
 
@@ -221,11 +140,11 @@
 
 static const char *instance_of_run(const struct fixture *x)
 {
-	uint32_t n = x->running_count;
+	uint32_t n = x->runs.count;
 
 	while (n-- > 0)
-		if (x->running[n].number)
-			return x->running[n].instance_id;
+		if (x->runs.orders[n].number)
+			return x->runs.orders[n].instance_id;
 	fail_msg("no run");
 	return NULL;
 }
@@ -411,10 +330,11 @@
 	case END_FAILED:
 	case END_LAPSED:
 	case END_OF_SHORT_TASK:
-		x->running[x->running_count - 1].kind = ORDER_STOP;
-		report_all(x, kind == END_LAPSED   ? SCHED_LAPSED
-			      : kind == END_FAILED ? SCHED_FAILED
-						   : SCHED_DONE);
+		x->runs.orders[x->runs.count - 1].kind = ORDER_STOP;
+		drain_runs_report(&x->runs, &x->r,
+				  kind == END_LAPSED   ? SCHED_LAPSED
+				  : kind == END_FAILED ? SCHED_FAILED
+						       : SCHED_DONE);
 		break;
 	case END_MACHINE_DOWN:
 		sched_machine_down(x->r.s, i, x->r.now);
