httpd: refuse connections once the server stops accepting

httpd_stop_accepting left the listener open. The kernel went on completing connections that no process accepted, so that a caller's request stayed unread until the process ended and its connection was reset. A node that stops usually ends at the same moment, 2.6 s after SIGTERM, but while requests wait for a leader or the store it stays up to 5.3 s.

The listener is closed now, after the connections in its queue have been accepted, and callers are refused at once, as docs and the readiness check's delay intend.

The new test fails without the change.

--- a/src/connection/httpd.c
+++ b/src/connection/httpd.c
@@ -63,9 +63,9 @@
 	uint32_t pending;
 	uint64_t worked_us; /* since the last pause */
 	bool paused;
-	bool running;	 /* inside MHD_run */
-	bool run_again;	 /* a request was answered inside MHD_run */
-	int quiesced_fd; /* listener after httpd_stop_accepting, or -1 */
+	bool running;	/* inside MHD_run */
+	bool run_again; /* a request was answered inside MHD_run */
+	bool quiesced;	/* after httpd_stop_accepting */
 };
 
 struct exchange;
@@ -629,8 +629,6 @@
 	TALLOC_FREE(s->fde);
 	TALLOC_FREE(s->sweep);
 	MHD_stop_daemon(s->daemon);
-	if (s->quiesced_fd >= 0)
-		close(s->quiesced_fd);
 	return 0;
 }
 
@@ -663,7 +661,6 @@
 		return NULL;
 	s->ev = ev;
 	s->options = *options;
-	s->quiesced_fd = -1;
 	s->immediate = tevent_create_immediate(s);
 	s->timer = mtimer_new(s, ev, on_timer, s);
 	s->sweep = mtimer_new(s, ev, on_sweep, s);
@@ -823,8 +820,13 @@
 
 void httpd_stop_accepting(struct httpd *s)
 {
-	if (s->quiesced_fd < 0)
-		s->quiesced_fd = MHD_quiesce_daemon(s->daemon);
+	if (s->quiesced)
+		return;
+	if (!s->running)
+		serve(s); /* accepts the connections that are there */
+	s->quiesced = true;
+	/* An open listener would queue connections that nobody accepts. */
+	close(MHD_quiesce_daemon(s->daemon));
 }
 
 uint32_t httpd_pending(const struct httpd *s)
--- a/src/connection/httpd.h
+++ b/src/connection/httpd.h
@@ -113,7 +113,7 @@
 void httpd_answer(struct httpd_request *request,
 		  const struct httpd_answer *answer);
 
-/* httpd_stop_accepting - accept no new connections; open ones continue */
+/* httpd_stop_accepting - refuse new connections; open ones continue */
 void httpd_stop_accepting(struct httpd *s);
 
 /* httpd_pending - number of requests passed to the handler and not yet sent */
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -1,7 +1,8 @@
 /*
  * Bodies arrive whole whatever their size, also across the sizes at which
  * their memory is moved. Bodies that grow in turn leave no gaps in the heap,
- * which are not given back and which the budget does not count.
+ * which are not given back and which the budget does not count. A server that
+ * stops accepting refuses connections and still answers on those it has.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -9,6 +10,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <arpa/inet.h>
+#include <errno.h>
 #include <malloc.h>
 #include <microhttpd.h>
 #include <stdio.h>
@@ -32,6 +34,7 @@
 struct world {
 	struct tevent_context *ev;
 	struct budget *budget;
+	struct httpd *server;
 	uint16_t port;
 	uint32_t requests;
 	size_t length; /* of the last body */
@@ -102,17 +105,29 @@
 	assert_non_null(w->ev);
 	w->budget = o.budget = budget_new(w->ev, &bounds);
 	w->port = o.port;
-	assert_non_null(httpd_new(w->ev, w->ev, &o));
+	w->server = httpd_new(w->ev, w->ev, &o);
+	assert_non_null(w->server);
 }
 
-static int dial(uint16_t port)
+/* Returns the socket, or -1 and sets errno. */
+static int try_dial(uint16_t port)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 				 .sin_port = htons(port) };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	if (!connect(fd, (struct sockaddr *)&a, sizeof(a)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static int dial(uint16_t port)
+{
+	int fd = try_dial(port);
+
+	assert_true(fd >= 0);
 	return fd;
 }
 
@@ -221,11 +236,34 @@
 	talloc_free(w.ev);
 }
 
+static void test_no_connection_waits_unread_once_it_stops_accepting(
+	void **state)
+{
+	struct world w = { 0 };
+	int fd, n;
+
+	(void)state;
+	listen_on_free_port(&w);
+	fd = dial(w.port); /* not accepted yet */
+	httpd_stop_accepting(w.server);
+	httpd_stop_accepting(w.server);
+	assert_int_equal(try_dial(w.port), -1);
+	assert_int_equal(errno, ECONNREFUSED);
+	send_text(fd, "GET / HTTP/1.1\r\nHost: n\r\n\r\n");
+	for (n = 0; n < WAIT_ITERATIONS && !w.requests; n++)
+		iterate(&w);
+	assert_int_equal(w.requests, 1);
+	close(fd);
+	talloc_free(w.ev);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_bodies_arrive_whole),
 		cmocka_unit_test(test_growing_bodies_leave_no_gaps),
+		cmocka_unit_test(
+			test_no_connection_waits_unread_once_it_stops_accepting),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
