jobs: a task may run again if the end of its run was never acknowledged

The check of every case reported any run after one that ended `done`. An end that is lost with its worker's state is known to nobody, and the task must run again.

No node leads until 2390.336, and w-3 loses its state at 2388.968 (fault `reborn`). No log has a run-end of run 20001; the new leader starts run 30001 at 2390.345.

The stand-in now records when an end was acknowledged. A run after an acknowledged `done` is reported as before, as are two runs at once. A run over 1 s after its job was seen to be completed is reported too, whether or not an end was acknowledged.

test/soak_test.py has what is reported and allowed, and that the stand-in records what was acknowledged.

--- a/test/soak_test.py
+++ b/test/soak_test.py
@@ -1,5 +1,6 @@
 """Tests of the checks of tools/soak.py: what they report and allow."""
 
+import json
 import os
 import select
 import socket
@@ -21,6 +22,7 @@
 OTHER = f"{2:016x}.0.0.{{}}"
 POOLS = {"q0": "p0"}
 END_MS = 30000
+NOTED, UNNOTED = 9000, 0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -77,6 +79,66 @@
                                         END_MS).errors(), [])
 
 
+class RunsTest(unittest.TestCase):
+    def test_cases(self):
+        done, gone = (1000, 2000, "done"), (1000, 2000, "gone")
+        for title, reported, runs, completed_ms in (
+                ("once", False, [(*done, NOTED)], 2100),
+                ("twice at once", True, [(1000, 0, "", UNNOTED),
+                                         (1500, 0, "", UNNOTED)], None),
+                ("after an acknowledged end", True,
+                 [(*done, NOTED), (3000, 4000, "done", NOTED)], None),
+                ("after the same, of two", True,
+                 [(*gone, UNNOTED), (2500, 2600, "done", NOTED),
+                  (3000, 0, "", UNNOTED)], None),
+                ("after an end that was lost", False,
+                 [(*done, UNNOTED), (3000, 4000, "done", NOTED)], None),
+                ("after a loss", False,
+                 [(*gone, UNNOTED), (3000, 4000, "done", NOTED)], 4100),
+                ("after a lost end of a completed job", True,
+                 [(*done, UNNOTED), (3200, 4000, "done", NOTED)], 2100),
+                ("right after a job is completed", False,
+                 [(*done, UNNOTED), (3000, 4000, "done", NOTED)], 2100)):
+            with self.subTest(title):
+                record = [(TASK, n, "w-1", *run) for n, run in enumerate(runs)]
+                try:
+                    jobs.check_runs(record, {TASK.split(".")[0]: completed_ms})
+                    self.assertFalse(reported)
+                except jobs.ScenarioError:
+                    self.assertTrue(reported)
+
+    def test_the_stand_in_records_which_ends_were_acknowledged(self):
+        with jobs.Site("build", workers=1) as site:
+            def call(path, **fields):
+                return json.loads(fleet.call(
+                    site.worker_ports["w-1"], "POST", f"/jackdawwell/{path}",
+                    json.dumps(fields))[2])
+
+            def run(number, lease_ms):
+                """Starts a run that ends and returns the ends listed."""
+                now = call("hold", deadlineMs=0, ackedUpto=0)["clockMs"]
+                call("run-start", task=TASK, run=number, taskSpec="10 ms",
+                     deadlineMs=now + lease_ms)
+                time.sleep(0.1)
+                return call("hold", deadlineMs=0, ackedUpto=0)["ended"]
+
+            def noted():
+                return [r[6] > 0 for r in site.record()]
+
+            self.assertEqual(len(run(1, 3000)), 1)
+            self.assertEqual(noted(), [False])
+            call("hold", deadlineMs=0, ackedUpto=1)
+            self.assertEqual(noted(), [True])
+            self.assertEqual(len(run(2, 3000)), 1)
+            site.control(reborn="w-1", down_ms=1, listed_ms=1)
+            fleet.wait_until("w-1", lambda: site.lives()[-1][4] == 0)
+            call("hold", deadlineMs=0, ackedUpto=9)
+            self.assertEqual(noted(), [True, False])
+            self.assertEqual(len(run(3, 50)), 1)
+            call("hold", deadlineMs=0, ackedUpto=9)
+            self.assertEqual(noted(), [True, False, False])
+
+
 class Server:
     """Answers some requests and closes connections; a node's stand-in."""
 
--- a/tools/jobs.py
+++ b/tools/jobs.py
@@ -66,6 +66,7 @@
                      "store-lost", "store-regained", "stood-still",
                      "write-unknown")
 LEADERSHIP_LINES_MAX = 60
+COMPLETED_SLACK_MS = 1000  # from a job seen to be completed to the last start
 EVACUATION_BOUND_MS = 5000  # from the confirmed request to the last start
 TERMINAL_STATES = ("completed", "failed", "cancelled")
 
@@ -312,6 +313,7 @@
         self.accepted = False
         self.accepted_ms = None  # by the stand-in's clock, as the next
         self.cancelled_ms = None  # when its cancelling was first sent
+        self.completed_ms = None  # when it was first seen to be completed
         self.state = None
 
 
@@ -532,6 +534,8 @@
                 continue
             if code == 200:
                 job.state = json.loads(body)["state"]
+                if job.state == "completed":
+                    job.completed_ms = monotonic_ms()
             elif code == 410:
                 raise ScenarioError(f"accepted job {job.id} is unknown")
 
@@ -611,30 +615,18 @@
     def check_invariants(self):
         """Checks what must hold in every case.
 
-        No task has two runs at once or runs again after it was done, each
-        task of a completed job was done, none starts in an evacuated zone, and
-        no node applies a configuration version that is too old (versions.py).
+        No task runs twice (see check_runs), each task of a completed job was
+        done, none starts in an evacuated zone, and no node applies a
+        configuration version that is too old (versions.py).
         """
         if self.site.version_checker.errors:
             raise ScenarioError(
                 "; ".join(self.site.version_checker.errors[:3]) +
                 f" ({len(self.site.version_checker.errors)} in all)")
         self.check_evacuations()
-        runs = {}
-        for task, run, worker, begin, end, outcome in self.site.record():
-            runs.setdefault(task, []).append((begin, end, outcome, worker))
-        for task, task_runs in runs.items():
-            task_runs.sort()
-            for (b1, e1, outcome, _), (b2, _, _, _) in zip(task_runs,
-                                                           task_runs[1:]):
-                if not e1 or b2 < e1:
-                    raise ScenarioError(
-                        f"{task} had two runs at once: {task_runs}")
-                if outcome == "done":
-                    raise ScenarioError(
-                        f"{task} ran again after it was done: {task_runs}")
-        done = {t for t, task_runs in runs.items()
-                if any(r[2] == "done" for r in task_runs)}
+        record = self.site.record()
+        check_runs(record, {j.id: j.completed_ms for j in self.jobs})
+        done = {r[0] for r in record if r[5] == "done"}
         for job in self.jobs:
             if job.state != "completed":
                 continue
@@ -649,7 +641,7 @@
     def check_evacuations(self):
         """Checks that no start reached a zone later than the bound."""
         for zone, from_ms, until_ms in self.site.evacuations:
-            for task, _, worker, begin, _, _ in self.site.record():
+            for task, _, worker, begin, *_ in self.site.record():
                 if self.site.worker_zones[worker] == zone and \
                         begin > from_ms + EVACUATION_BOUND_MS and \
                         (until_ms is None or begin < until_ms):
@@ -668,6 +660,33 @@
                     f"expected {' '.join(words)}, got {got}")
 
 
+def check_runs(record, completed_ms):
+    """Checks that no task has two runs at once or runs again once done.
+
+    An end that was never acknowledged is not known to the product, as when its
+    worker loses its state first; then a task may run again unless its job was
+    seen to be completed over COMPLETED_SLACK_MS before.
+    """
+    runs = {}
+    for task, _, worker, begin, end, outcome, noted in record:
+        runs.setdefault(task, []).append((begin, end, outcome, worker, noted))
+    for task, task_runs in runs.items():
+        task_runs.sort()
+        completed = completed_ms.get(task.split(".")[0])
+        for (b1, e1, outcome, _, noted), (b2, *_) in zip(task_runs,
+                                                         task_runs[1:]):
+            if not e1 or b2 < e1:
+                raise ScenarioError(
+                    f"{task} had two runs at once: {task_runs}")
+            if outcome == "done" and noted:
+                raise ScenarioError(
+                    f"{task} ran again after it was done: {task_runs}")
+        if completed and task_runs[-1][0] > completed + COMPLETED_SLACK_MS:
+            raise ScenarioError(
+                f"{task} ran after its job was completed at {completed}: "
+                f"{task_runs}")
+
+
 def leadership_log(text):
     """Returns the last lines that are about leadership or not in JSON."""
     return "\n".join([l for l in text.splitlines() if any(
--- a/tools/lasting.py
+++ b/tools/lasting.py
@@ -19,7 +19,7 @@
     """The runs of a site, the lives of its workers and the faults."""
 
     def __init__(self, runs, lives, jobs, pools, faults, end_ms):
-        self.runs = runs  # [(task, run, worker, begin, end, how)]
+        self.runs = runs  # as standin/site.c records them
         self.lives = lives  # [(worker, pool, zone, begin, end)]
         self.jobs = {j.id: j for j in jobs}
         self.pools = pools  # queue -> pool
@@ -40,7 +40,7 @@
         pool = self.pools[self.jobs[task.split(".")[0]].queue]
         free = {w: list(CAPACITY) for w, p, _, begin, end in self.lives
                 if p == pool and begin <= at_ms and not 0 < end <= at_ms}
-        for other, _, worker, begin, end, _ in self.runs:
+        for other, _, worker, begin, end, *_ in self.runs:
             if worker in free and begin <= at_ms and not 0 < end <= at_ms:
                 for i, need in enumerate(self.needs(other)):
                     free[worker][i] -= need
