--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -8,7 +8,8 @@
  * Designed for a wave that comes while queues demand more than their pools hold
  * and long-running tasks run on most machines. Idle machines are ordered at
  * once; of the busy ones only as many are drained at a time as the deadline
- * requires.
+ * requires, and only once their long-running tasks have places elsewhere: the
+ * wave may be late, while a task without a place would not run at all.
  */
 #include <assert.h>
 #include <stdio.h>
