sched_hold: a task that is moved keeps its part of the workspace's cap

What callers saw: a long-running task was stopped for a wave, with a place held on another instance, and then didn't start, since another task of its workspace had started up to the cap between the end of its run and its own turn. The hold kept the room, not the request that counts towards the cap.

The request of a task with a held place counts towards the cap from the end of its run until it starts or the hold ends.

--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -4,8 +4,9 @@
  * Designed for waves of maintenance in pools whose instances are full of
  * long-running tasks: a task is stopped only after room on another instance has
  * been found for it. Until it starts there the room counts as used, so that no
- * other task takes it. A hold ends when its task is next placed, wherever that
- * is, when the task needs no place any more, or with its instance.
+ * other task takes it, and once its run has ended its request counts towards
+ * the cap of its workspace. A hold ends when its task is next placed, wherever
+ * that is, when the task needs no place any more, or with its instance.
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -19,14 +20,35 @@
 	struct task *task;
 	struct instance *instance;
 	struct amount amount;
+	struct workspace *workspace; /* NULL: none */
+	struct amount requested;
+	bool in_cap;		  /* requested is counted in workspace.held */
 	struct hold *prev, *next; /* in instance.holds */
 };
 
+static void hold_set_in_cap(struct hold *h, bool in_cap)
+{
+	if (!h->workspace || h->in_cap == in_cap)
+		return;
+	h->in_cap = in_cap;
+	if (in_cap)
+		amount_add(&h->workspace->held, &h->requested);
+	else
+		amount_sub(&h->workspace->held, &h->requested);
+}
+
+void hold_update_cap(struct task *task)
+{
+	if (task->hold)
+		hold_set_in_cap(task->hold, !task->runs);
+}
+
 /* Unlinks a hold, also one that is freed with the steps of its job. */
 static int hold_unlink(struct hold *h)
 {
 	struct instance *i = h->instance;
 
+	hold_set_in_cap(h, false);
 	DL_DELETE(i->holds, h);
 	i->hold_count--;
 	i->pool->hold_count--;
@@ -83,18 +105,22 @@
 /* The hold is freed with the step's tasks, if not before. */
 static void hold_make(struct task *task, struct instance *i)
 {
+	const Fleet__Step *spec = task->step->spec;
 	struct hold *h = talloc_zero(task->step->tasks, struct hold);
 
 	assert(h);
 	h->task = task;
 	h->instance = i;
-	h->amount = step_amount(task->step->spec);
+	h->amount = step_amount(spec);
+	h->workspace = task->step->job->workspace;
+	h->requested = (struct amount){ spec->cpu, spec->mem, spec->gpu };
 	DL_APPEND(i->holds, h);
 	i->hold_count++;
 	i->pool->hold_count++;
 	amount_add(&i->used, &h->amount);
 	task->step->held++;
 	task->hold = h;
+	hold_update_cap(task);
 	talloc_set_destructor(h, hold_unlink);
 }
 
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -312,6 +312,7 @@
 	char name[SCHED_NAME_MAX];
 	struct amount used;
 	struct amount unreported; /* requested by possibly running tasks */
+	struct amount held; /* by tasks without a run, with a held place */
 	const struct config_workspace *config; /* NULL when it was removed */
 	struct demand *demands;		       /* one for each pool it used */
 	struct accept_rate accepted;
@@ -751,6 +752,9 @@
 void hold_release(struct task *task);
 void step_release_holds(struct step *step);
 
+/* hold_update_cap - the task's run has begun or ended */
+void hold_update_cap(struct task *task);
+
 /* step_release_unneeded - what is held for tasks that won't start again */
 void step_release_unneeded(struct step *step);
 
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -276,11 +276,14 @@
 	if (!w || !w->config)
 		return true;
 	cap = &w->config->cap;
-	cpu = w->used.cpu + min_int64(w->unreported.cpu, s->unreported.cpu) +
+	cpu = w->used.cpu + w->held.cpu +
+	      min_int64(w->unreported.cpu, s->unreported.cpu) +
 	      (int64_t)tasks * step->spec->cpu;
-	mem = w->used.mem + min_int64(w->unreported.mem, s->unreported.mem) +
+	mem = w->used.mem + w->held.mem +
+	      min_int64(w->unreported.mem, s->unreported.mem) +
 	      (int64_t)tasks * step->spec->mem;
-	gpu = w->used.gpu + min_int64(w->unreported.gpu, s->unreported.gpu) +
+	gpu = w->used.gpu + w->held.gpu +
+	      min_int64(w->unreported.gpu, s->unreported.gpu) +
 	      (int64_t)tasks * step->spec->gpu;
 	return (!cap->cpu || cpu <= cap->cpu) &&
 	       (!cap->mem || mem <= cap->mem) && (!cap->gpu || gpu <= cap->gpu);
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -88,6 +88,7 @@
 	DL_APPEND2(task->runs, run, task_prev, task_next);
 	instance->run_count++;
 	task_set_possibly_running(task, false);
+	hold_update_cap(task);
 	account_run(run, true);
 	step_refresh(task->step);
 	return run;
@@ -201,6 +202,7 @@
 	run_unwatch(s, run);
 	DL_DELETE(run->instance->runs, run);
 	DL_DELETE2(task->runs, run, task_prev, task_next);
+	hold_update_cap(task);
 	run->instance->run_count--;
 	s->runs[run->handle.i] = NULL;
 	s->run_generations[run->handle.i]++;
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -403,6 +403,30 @@
 	}
 }
 
+/* While a task is moved, others of its workspace start up to the cap. */
+static void test_others_fill_the_cap_of_a_moved_task(void **state)
+{
+	struct drain_rig x;
+	Fleet__JobRow *moved = drain_row(1, 0);
+	Fleet__JobRow *other = drain_row(1, 0);
+
+	(void)state;
+	drain_new(&x, 3);
+	drain_list_machines(&x);
+	drain_set_workspace(moved, "capped"); /* at most one of its tasks */
+	drain_set_workspace(other, "capped");
+	drain_submit_row(&x, id_a, moved);
+	drain_advance(&x, 100);
+	assert_int_equal(x.starts, 1);
+	drain_submit_row(&x, drain_id_other, other);
+	drain_add_wave(&x, 1, 1);
+	drain_advance(&x, 1000);
+	assert_int_equal(x.stops, 1);
+	assert_int_equal(x.starts, 2);
+	assert_string_equal(x.runs.orders[1].task, x.runs.orders[0].task);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -418,6 +442,7 @@
 		cmocka_unit_test(test_task_without_ticket_stops_wave),
 		cmocka_unit_test(test_budget_keeps_turns),
 		cmocka_unit_test(test_stopped_while_starts_are_held),
+		cmocka_unit_test(test_others_fill_the_cap_of_a_moved_task),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
