sched_poll: a task that a former leader stopped isn't stopped again at once

The pause of 5 s between two such stops is counted from a time that only the leader that stopped it knew.

The next leader hears of the end as stopped, with no stop of its own, and counts the pause from there. drain_test, test_stopped_again_by_the_next_leader, failed before: the task was stopped at once.

--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -280,6 +280,9 @@
 	run = run_find(i, task, e->number);
 	if (run)
 		run->outcome = (int)e->outcome;
+	/* Stopped by a former leader, maybe for a drain. */
+	if (e->outcome == SCHED_STOPPED && (!run || !run->stop_reason))
+		task->relocated_ms = now;
 	job_set_started(task->step->job);
 	task_set_checkpoint(s, task, e->checkpoint);
 	if (run && e->outcome == SCHED_DONE)
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -427,6 +427,30 @@
 	drain_free(&x);
 }
 
+/* The next leader stops a task again right after its predecessor did. */
+static void test_stopped_again_by_the_next_leader(void **state)
+{
+	struct drain_rig x;
+	struct sched_ended ended = { 0 };
+
+	(void)state;
+	drain_new(&x, 2);
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 100);
+	assert_int_equal(x.starts, 1);
+	ended = (struct sched_ended){ ++x.runs.end_seq, x.runs.orders[0].task,
+				      1, SCHED_STOPPED, "" };
+	report(&x.r, find_instance(&x.r, "i-1"), NULL, 0, &ended, 1, x.r.now);
+	write_all(&x.r);
+	drain_add_long_wave(&x, 1, 0);
+	drain_advance(&x, STOPPED_AGAIN_MS - 100);
+	assert_int_equal(x.stops, 0);
+	drain_advance(&x, 1000);
+	assert_int_equal(x.stops, 1);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -443,6 +467,7 @@
 		cmocka_unit_test(test_budget_keeps_turns),
 		cmocka_unit_test(test_stopped_while_starts_are_held),
 		cmocka_unit_test(test_others_fill_the_cap_of_a_moved_task),
+		cmocka_unit_test(test_stopped_again_by_the_next_leader),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
