fleet: an instance listed beside its machine's order gets no task

A machine is ordered before the directory lists its instance. Instances that appear while the order is under way are reserved in the next planning pass, but not if the answer comes first: then only the instance known at the order, here none, was taken for gone. The answer now reserves it, until the machine is back.

drain_test, test_instance_listed_beside_its_order, failed before: a task was started there.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -316,11 +316,16 @@
 
 /*
  * An order that was carried out before is answered in the same way, so an
- * instance that was not known when it was given may be up and have runs.
+ * instance that was not known when it was given may be up and have runs. It may
+ * also have been ended by the order, so it gets none until the machine is back.
  */
 static void order_carried_out(struct fleet *f, struct sched *s,
 			      struct machine *m, uint64_t now)
 {
+	struct sched_instance_load load;
+
+	if (!m->ordered.generation && sched_machine_load(s, m->name, &load))
+		sched_reserve(s, load.instance, true, now);
 	m->phase = PHASE_AWAY;
 	m->phase_since_ms = now;
 	m->state = m->wave ? FLEET_IN_MAINTENANCE : FLEET_MOVING;
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -451,6 +451,47 @@
 	drain_free(&x);
 }
 
+/*
+ * An instance is listed while the order that ends it is under way, and tasks
+ * are started there.
+ */
+static void test_instance_listed_beside_its_order(void **state)
+{
+	static const struct {
+		const char *name;
+		bool gone;
+		uint32_t ms, starts; /* by then */
+	} cases[] = {
+		{ "the order ends it", true, 2000, 0 },
+		{ "the order was carried out before", false, 2500, 1 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fleet_action action = { 0 };
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 0);
+		drain_add_machine(&x, "i-0", "p");
+		drain_list_machines(&x);
+		drain_add_long_wave(&x, 1, 0);
+		do {
+			assert_true(fleet_next_action(x.f, x.r.s, x.r.now,
+						      &action));
+		} while (action.kind != FLEET_ACTION_MAINTENANCE);
+		add_instance(&x.r, "i-0", false);
+		drain_advance(&x, DRAIN_PASS_MS);
+		fleet_action_result(x.f, x.r.s, &action, FLEET_DONE, x.r.now);
+		x.runs.silent = cases[c].gone ? "i-0" : NULL;
+		drain_submit(&x, id_a, 1);
+		drain_advance(&x, cases[c].ms);
+		assert_int_equal(x.starts, cases[c].starts);
+		drain_free(&x);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -468,6 +509,7 @@
 		cmocka_unit_test(test_stopped_while_starts_are_held),
 		cmocka_unit_test(test_others_fill_the_cap_of_a_moved_task),
 		cmocka_unit_test(test_stopped_again_by_the_next_leader),
+		cmocka_unit_test(test_instance_listed_beside_its_order),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
