sched, event: the longest wait of each pool, in lines that load can't drop

Only four steps have a line of a rare kind; lasting-waits-more, lasting-start and lasting-end are frequent under load, and the queue of rare lines is shared with all other kinds. None told why a pool asked for no machine.

- lasting-longest, once a second for each of at most 16 pools: the task with the longest wait, why, what its start or its pool waits for, counts by reason, and the longest wait of the term, so that a later line makes up for a lost one.
- Lines of preferred kinds (event_prefer) have a queue of 16 kB that is written first; when it is full, the oldest give way.
Nothing blocks.
- The same figures at /metrics: lasting_waiting, lasting_longest_wait_ms and lasting_longest_wait_term_ms.

Tasks are counted in the sample of once a second that waits_log() takes already; the instances of a pool are gone over once for its line.

--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -143,6 +143,14 @@
 		    s.reservations_displaced);
 	print_value(out, "reservations_moved_total", "", s.reservations_moved);
 	print_value(out, "reservations", "", s.reservations);
+	for (i = 0; i < SCHED_WAITS; i++) {
+		snprintf(labels, sizeof(labels), "why=\"%s\"",
+			 sched_wait_name(i));
+		print_value(out, "lasting_waiting", labels, s.lasting_waits[i]);
+	}
+	print_value(out, "lasting_longest_wait_ms", "", s.lasting_longest_ms);
+	print_value(out, "lasting_longest_wait_term_ms", "",
+		    s.lasting_longest_term_ms);
 	print_queues(out, n);
 	print_machines(out, n);
 	print_forecast(out, n);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -223,6 +223,15 @@
 	node_store_result(n, call, status);
 }
 
+/* Lines that tell why long-running tasks wait; at most 28 a second. */
+static void prefer_waits(void)
+{
+	event_prefer("lasting-longest");
+	event_prefer("lasting-waits");
+	event_prefer("machines-wanted");
+	event_prefer("pool-short");
+}
+
 struct node *node_new(TALLOC_CTX *ctx, struct tevent_context *ev,
 		      const struct node_settings *settings,
 		      const struct services *services)
@@ -246,6 +255,7 @@
 	clock_gettime(CLOCK_REALTIME, &ts);
 	n->unix_offset_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000 -
 			    (int64_t)n->started_ms;
+	prefer_waits();
 	n->states = states_new(n);
 	n->pass_now = tevent_create_immediate(n);
 	n->http = httpc_new(n, ev, NODE_CONNECTIONS_MAX, 0);
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -202,6 +202,24 @@
 /* sched_refusal_name - as in logs and metrics */
 const char *sched_refusal_name(enum sched_refusal reason);
 
+/* Why a long-running task has no run that works. */
+enum sched_wait {
+	SCHED_WAIT_UNWRITTEN,  /* no leader has written its job yet */
+	SCHED_WAIT_UNSEEN,     /* a former leader's run of it may go on */
+	SCHED_WAIT_STARTS,     /* nothing may be started now */
+	SCHED_WAIT_CAP,	       /* its workspace's cap */
+	SCHED_WAIT_PLACE,      /* for an instance */
+	SCHED_WAIT_SILENT,     /* the end of its run, on a silent instance */
+	SCHED_WAIT_UNANSWERED, /* its start, or the stop of that, isn't answered
+				*/
+	SCHED_WAIT_STARTING, /* its run has been ordered, or doesn't work yet */
+	SCHED_WAIT_ENDING,   /* its run is being stopped */
+	SCHED_WAITS
+};
+
+/* sched_wait_name - as in logs and metrics */
+const char *sched_wait_name(enum sched_wait wait);
+
 struct sched_stats {
 	uint64_t accepted, refused, completed, failed, cancelled;
 	uint64_t refusals[REFUSALS]; /* of refused, by reason */
@@ -225,6 +243,10 @@
 	 * leader's processor; 1e9: there is none */
 	double rate, rate_limit;
 	double delay_ms; /* of answers to orders */
+	/* long-running tasks that have waited for over 1.5 s; their longest
+	 * wait now, and in this term. As of the last second */
+	uint32_t lasting_waits[SCHED_WAITS];
+	uint64_t lasting_longest_ms, lasting_longest_term_ms;
 };
 
 /* sched_new - creates an empty scheduler, owned by ctx */
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -27,6 +27,7 @@
  * sched_stats.c    counters and histograms
  * sched_explain.c  state of one job for operators
  * sched_waits.c    why a long-running task doesn't run
+ * sched_longest.c  the longest wait of such a task in each pool
  */
 #ifndef SCHED_INTERNAL_H
 #define SCHED_INTERNAL_H
@@ -361,6 +362,16 @@
 	uint32_t in_time; /* backlog of work in time, as sampled last */
 };
 
+/* Long-running tasks of a pool that wait; see sched_longest.c. */
+struct longest {
+	uint32_t tasks[SCHED_WAITS]; /* in this sample, by why they wait */
+	const struct task *task;     /* with the longest wait; NULL: none */
+	uint64_t waited_ms;	     /* by it */
+	uint64_t term_ms;	     /* longest wait in this term */
+	char term_task[SCHED_TASK_MAX];
+	uint64_t logged_ms; /* 0: never */
+};
+
 struct pool {
 	char name[SCHED_NAME_MAX];
 	const struct config_pool *config;
@@ -402,6 +413,7 @@
 	/* when a job was last refused as evacuated instances alone could run it
 	 */
 	uint64_t refused_evacuated_ms;
+	struct longest longest;
 	UT_hash_handle hh;
 };
 
@@ -1077,7 +1089,26 @@
 /* job_is_worthless - whether it would be worth nothing if completed now */
 bool job_is_worthless(const struct job *job, uint64_t now);
 
+/* sched_longest.c */
+
+/*
+ * longest_begin, longest_log - around a sample of the tasks that wait, once a
+ * second
+ */
+void longest_begin(struct sched *s);
+void longest_log(struct sched *s, uint64_t now);
+
+/* longest_count - the task has waited for so long */
+void longest_count(struct sched *s, const struct task *task,
+		   uint64_t waited_ms);
+
+/* longest_ended - a run of the task works again after so long */
+void longest_ended(const struct task *task, uint64_t waited_ms);
+
 /* sched_waits.c */
+#define WAIT_LOGGED_MS 1500u /* a task that is placed at once waits less */
+
+/* waits_log - called with each sweep; samples the tasks that wait */
 void waits_log(struct sched *s, uint64_t now);
 
 /* task_waited_ms - how long the task has been without a run that works */
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -233,8 +233,10 @@
 	run->percent = r->percent;
 	run->load = r->load;
 	task_set_checkpoint(s, task, r->checkpoint);
-	if (run_is_available(run))
+	if (run_is_available(run)) {
+		longest_ended(task, task_waited_ms(s, task, now));
 		task->unavailable_since_ms = 0;
+	}
 	(void)sent_ms;
 }
 
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -23,6 +23,18 @@
 	return names[reason];
 }
 
+static void count_waits(const struct longest *l, struct sched_stats *stats)
+{
+	uint32_t i;
+
+	for (i = 0; i < SCHED_WAITS; i++)
+		stats->lasting_waits[i] += l->tasks[i];
+	if (l->waited_ms > stats->lasting_longest_ms)
+		stats->lasting_longest_ms = l->waited_ms;
+	if (l->term_ms > stats->lasting_longest_term_ms)
+		stats->lasting_longest_term_ms = l->term_ms;
+}
+
 void sched_stats(const struct sched *s, struct sched_stats *stats)
 {
 	const struct pool *pool;
@@ -35,6 +47,7 @@
 	for (pool = s->pools; pool; pool = pool->hh.next) {
 		stats->startable += pool->startable;
 		stats->reservations += pool->reservation_count;
+		count_waits(&pool->longest, stats);
 	}
 	stats->jobs = HASH_COUNT(s->jobs);
 	stats->instances = HASH_COUNT(s->by_id);
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -10,7 +10,6 @@
 
 #include "pool/sched_internal.h"
 
-#define WAIT_LOGGED_MS 1500u /* a task that is placed at once waits less */
 #define WAITS_LOG_MS 1000u   /* between two lines on a step */
 #define SHORT_RUNS_LOGGED 2u /* one after the other, whatever the wait */
 
@@ -105,6 +104,8 @@
 	struct obstacles o = { 0 };
 	const struct instance *i;
 
+	if (!s->trace)
+		return;
 	DL_FOREACH2(pool->instances, i, pool_next)
 	count_obstacle(s, step, i, now, &o);
 	sched_trace(s, kind, step->job->id,
@@ -142,7 +143,7 @@
 	       (!run || !run_is_steady(run, now));
 }
 
-static void count_task(struct waiting_step *w, const struct sched *s,
+static void count_task(struct waiting_step *w, struct sched *s,
 		       const struct task *task, uint64_t now)
 {
 	uint64_t waited_ms = task_waited_ms(s, task, now);
@@ -150,6 +151,8 @@
 
 	if (waited_ms < WAIT_LOGGED_MS && !restarted)
 		return;
+	if (waited_ms >= WAIT_LOGGED_MS)
+		longest_count(s, task, waited_ms);
 	w->restarted += restarted;
 	if (!task->runs)
 		w->waiting++;
@@ -207,13 +210,15 @@
 	const struct job *job;
 	size_t i;
 
-	if (!s->trace || now < s->next_waits_log_ms)
+	if (now < s->next_waits_log_ms)
 		return;
 	s->next_waits_log_ms = now + WAITS_LOG_MS;
+	longest_begin(s);
 	DL_FOREACH2(s->lists[JOBS_LONG], job, list_next)
 	for (o = job->occurrences; o; o = o->hh.next)
 		for (i = 0; i < job->row->n_steps; i++)
 			check_step(s, &o->steps[i], kept, now);
 	for (i = 0; i < LONGEST_MAX && kept[i].step; i++)
 		log_step(s, "lasting-waits", &kept[i], now);
+	longest_log(s, now);
 }
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -1,5 +1,6 @@
 #include "process/event.h"
 
+#include <assert.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
@@ -14,10 +15,12 @@
 
 #define EVENT_LINE_MAX 1024u   /* bytes */
 #define EVENT_LINE_END_BYTES 3 /* closing brace, line feed, one spare */
+#define EVENT_PREFERRED_BYTES (16u << 10)
 #define EVENT_RARE_BYTES (32u << 10)
 #define EVENT_FREQUENT_BYTES (64u << 10)
 #define EVENT_FREQUENT_PER_S 5u /* a kind with more lines is frequent */
 #define EVENT_KINDS_MAX 128u	/* further kinds are not rate limited */
+#define EVENT_PREFERRED_MAX 8u	/* kinds */
 
 /* Bytes of one flush; a reader may take no more at once, and drop the rest. */
 #define EVENT_FLUSH_MAX (8u << 10)
@@ -37,6 +40,7 @@
 	uint64_t second;     /* to which `count` belongs */
 	uint32_t count;	     /* lines in that second */
 	uint64_t frequent_s; /* newest second in which it was frequent */
+	bool preferred;
 };
 
 /* Whole lines, but for the first one if it is partly written. */
@@ -47,14 +51,23 @@
 	size_t begun; /* bytes left of a line that is partly written */
 };
 
+enum queue_index {
+	QUEUE_PREFERRED, /* written first; its newest lines are kept */
+	QUEUE_RARE,
+	QUEUE_FREQUENT, /* lines of frequent kinds */
+	QUEUES
+};
+
+static char preferred_bytes[EVENT_PREFERRED_BYTES];
 static char rare_bytes[EVENT_RARE_BYTES];
 static char frequent_bytes[EVENT_FREQUENT_BYTES];
 
 static struct {
 	const char *node;
-	struct queue rare;     /* written first */
-	struct queue frequent; /* lines of frequent kinds */
+	struct queue queues[QUEUES];
 	struct kind kinds[EVENT_KINDS_MAX];
+	const char *preferred[EVENT_PREFERRED_MAX];
+	uint32_t preferred_count;
 	uint64_t flushed_ms;	    /* last flush */
 	uint64_t flushed_full_ms;   /* last one that a full queue caused */
 	uint64_t dropped;	    /* lines so far */
@@ -62,8 +75,14 @@
 	uint64_t dropped_logged_ms; /* when it was */
 } log_state = {
 	.node = "",
-	.rare = { .bytes = rare_bytes, .size = EVENT_RARE_BYTES },
-	.frequent = { .bytes = frequent_bytes, .size = EVENT_FREQUENT_BYTES },
+	.queues = {
+		[QUEUE_PREFERRED] = { .bytes = preferred_bytes,
+				      .size = EVENT_PREFERRED_BYTES },
+		[QUEUE_RARE] = { .bytes = rare_bytes,
+				 .size = EVENT_RARE_BYTES },
+		[QUEUE_FREQUENT] = { .bytes = frequent_bytes,
+				     .size = EVENT_FREQUENT_BYTES },
+	},
 };
 
 void event_open(const char *node)
@@ -75,6 +94,24 @@
 		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+static bool is_preferred(const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < log_state.preferred_count; i++)
+		if (!strcmp(log_state.preferred[i], name))
+			return true;
+	return false;
+}
+
+void event_prefer(const char *kind)
+{
+	if (is_preferred(kind))
+		return;
+	assert(log_state.preferred_count < EVENT_PREFERRED_MAX);
+	log_state.preferred[log_state.preferred_count++] = kind;
+}
+
 /* Counts a line of a kind; NULL if the kind is not rate limited. */
 static struct kind *count_line(const char *name, uint64_t now_ms)
 {
@@ -88,7 +125,10 @@
 	}
 	if (i == EVENT_KINDS_MAX)
 		return NULL;
-	k->name = name;
+	if (!k->name) {
+		k->name = name;
+		k->preferred = is_preferred(name);
+	}
 	if (k->second != now_ms / 1000) {
 		k->second = now_ms / 1000;
 		k->count = 0;
@@ -104,6 +144,13 @@
 	return k && k->frequent_s && k->frequent_s + 1 >= k->second;
 }
 
+static enum queue_index queue_of(const struct kind *k)
+{
+	if (k && k->preferred)
+		return QUEUE_PREFERRED;
+	return is_frequent(k) ? QUEUE_FREQUENT : QUEUE_RARE;
+}
+
 static size_t line_format(char *line, const char *kind, const char *id,
 			  uint64_t now_ms, const char *fmt, va_list ap)
 {
@@ -135,19 +182,38 @@
 	return true;
 }
 
+static void queue_remove(struct queue *q, size_t from, size_t n)
+{
+	q->used -= n;
+	memmove(q->bytes + from, q->bytes + from + n, q->used - from);
+}
+
+/* Drops the oldest lines, but for one that is partly written, until n fit. */
+static void queue_make_room(struct queue *q, size_t n)
+{
+	const char *first = q->bytes + q->begun;
+	const char *end;
+
+	while (q->used + n > q->size &&
+	       (end = memchr(first, '\n', q->used - q->begun))) {
+		queue_remove(q, q->begun, (size_t)(end - first) + 1);
+		log_state.dropped++;
+	}
+}
+
 static void flush(uint64_t now_ms);
 
 void event_log(const char *kind, const char *id, const char *fmt, ...)
 {
 	uint64_t now_ms = clock_now_ms();
 	struct kind *k = count_line(kind, now_ms);
-	struct queue *q =
-		is_frequent(k) ? &log_state.frequent : &log_state.rare;
+	const enum queue_index queue = queue_of(k);
+	struct queue *q = &log_state.queues[queue];
 	char line[EVENT_LINE_MAX];
 	size_t n;
 	va_list ap;
 
-	if (k && k->count > EVENT_RATE_MAX_PER_S) {
+	if (k && !k->preferred && k->count > EVENT_RATE_MAX_PER_S) {
 		log_state.dropped++;
 		return;
 	}
@@ -159,11 +225,13 @@
 		flush(now_ms);
 		log_state.flushed_full_ms = now_ms;
 	}
+	if (queue == QUEUE_PREFERRED)
+		queue_make_room(q, n);
 	if (queue_add(q, line, n))
 		return;
 	/* Many rare kinds may fill their queue while nobody reads. */
-	if (q == &log_state.frequent ||
-	    !queue_add(&log_state.frequent, line, n))
+	if (queue == QUEUE_FREQUENT ||
+	    !queue_add(&log_state.queues[QUEUE_FREQUENT], line, n))
 		log_state.dropped++;
 }
 
@@ -183,12 +251,6 @@
 	return copy;
 }
 
-static void queue_remove(struct queue *q, size_t n)
-{
-	q->used -= n;
-	memmove(q->bytes, q->bytes + n, q->used);
-}
-
 /* Drops all lines but the rest of one that is partly written. */
 static void queue_drop(struct queue *q)
 {
@@ -233,7 +295,7 @@
 	if (!n)
 		return 0;
 	line_ended = q->bytes[n - 1] == '\n';
-	queue_remove(q, (size_t)n);
+	queue_remove(q, 0, (size_t)n);
 	end = line_ended ? NULL : memchr(q->bytes, '\n', q->used);
 	q->begun = end ? (size_t)(end - q->bytes) + 1 : 0;
 	return (size_t)n < length ? 0 : length;
@@ -263,19 +325,24 @@
 
 static void flush(uint64_t now_ms)
 {
+	struct queue *q = log_state.queues;
 	size_t written = 0;
+	bool begun = false;
+	uint32_t i;
 
 	log_state.flushed_ms = now_ms;
 	/* A line that was begun must end before another one follows. */
-	if (log_state.frequent.begun)
-		written = queue_flush(&log_state.frequent,
-				      log_state.frequent.begun);
-	if (!log_state.frequent.begun)
-		written +=
-			queue_flush(&log_state.rare, EVENT_FLUSH_MAX - written);
-	if (!log_state.rare.used)
-		written += queue_flush(&log_state.frequent,
-				       EVENT_FLUSH_MAX - written);
+	for (i = 0; i < QUEUES; i++) {
+		if (!q[i].begun)
+			continue;
+		written = queue_flush(&q[i], q[i].begun);
+		begun |= q[i].begun > 0;
+	}
+	for (i = 0; i < QUEUES && !begun; i++) {
+		written += queue_flush(&q[i], EVENT_FLUSH_MAX - written);
+		if (q[i].used)
+			break;
+	}
 	if (written)
 		log_dropped();
 }
@@ -288,14 +355,24 @@
 		flush(now_ms);
 }
 
+static size_t bytes_waiting(void)
+{
+	size_t bytes = 0;
+	uint32_t i;
+
+	for (i = 0; i < QUEUES; i++)
+		bytes += log_state.queues[i].used;
+	return bytes;
+}
+
 void event_close(void)
 {
 	size_t before;
 
 	do {
-		before = log_state.rare.used + log_state.frequent.used;
+		before = bytes_waiting();
 		flush(clock_now_ms());
-	} while (log_state.rare.used + log_state.frequent.used < before);
+	} while (bytes_waiting() < before);
 }
 
 uint64_t event_dropped(void)
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -7,6 +7,9 @@
  * a rare kind; `ms` tells the order. Lines that don't fit in the queue while
  * the reader takes none, and lines above the rate limit of their kind, are
  * dropped and counted; the count is logged.
+ *
+ * Lines of a few preferred kinds are written before all others and have no rate
+ * limit. While the reader takes none, the newest of them are kept.
  */
 #ifndef EVENT_H
 #define EVENT_H
@@ -20,6 +23,14 @@
  */
 void event_open(const char *node);
 
+/*
+ * event_prefer - prefer lines of this kind, for those that sum up a state
+ *
+ * Called before the first such line, for at most 8 kinds; may be repeated.
+ * Keeps a reference to the name.
+ */
+void event_prefer(const char *kind);
+
 /*
  * event_log - log time, node, kind, id and the "key":value pairs of fmt
  *
--- a/test/event_test.c
+++ b/test/event_test.c
@@ -360,9 +360,78 @@
 	free(text);
 }
 
+#define PREFERRED_KINDS 4u
+#define PREFERRED_MS 1000u /* between two lines of a preferred kind */
+
+/*
+ * Frequent and rare kinds log more than the reader takes: the lines that sum up
+ * come all the same, and those of a stopped reader's last second.
+ */
+static void test_load_loses_lines_that_sum_up(void **state)
+{
+	static const char *const rare[] = { "r-0", "r-1", "r-2", "r-3", "r-4",
+					    "r-5", "r-6", "r-7", "r-8", "r-9" };
+	static const char *const kinds[PREFERRED_KINDS] = { "sum-0", "sum-1",
+							    "sum-2", "sum-3" };
+	static const struct {
+		const char *name;
+		uint32_t seconds;
+		size_t read_bytes;  /* in a tick, until the last of them */
+		uint32_t lines_min; /* of each preferred kind */
+	} cases[] = {
+		{ "a slow reader", 5, 1000, 5 },
+		{ "a reader that stops", 30, 0, 1 },
+	};
+	uint32_t k, t, i;
+	size_t c;
+
+	(void)state;
+	for (k = 0; k < PREFERRED_KINDS; k++)
+		event_prefer(kinds[k]);
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		const uint32_t ticks = cases[c].seconds * 1000 / TICK_MS;
+		char *text = calloc(1, 4u << 20);
+		size_t used = 0, before;
+		int ends[2], saved;
+
+		redirect_begin(ends, &saved, PIPE_BYTES);
+		for (t = 0; t < ticks; t++) {
+			log_burst(100);
+			for (i = 0; t % 4 == 0 && i < 10; i++)
+				event_log(rare[i], NULL, "\"text\":\"%0600u\"",
+					  i);
+			if (t % (PREFERRED_MS / TICK_MS) == 0)
+				for (k = 0; k < PREFERRED_KINDS; k++)
+					event_log(kinds[k], NULL,
+						  "\"n\":%u,\"s\":\"%0400u\"",
+						  t, t);
+			tick();
+			used = read_some(ends[0], text, used,
+					 cases[c].read_bytes);
+		}
+		do {
+			before = used;
+			tick();
+			used = read_some(ends[0], text, used, PIPE_BYTES);
+		} while (used > before);
+		redirect_end(ends, saved);
+		for (k = 0; k < PREFERRED_KINDS; k++) {
+			char *copy = strdup(text);
+			uint32_t lines = count_lines(copy, kinds[k]);
+
+			free(copy);
+			if (lines < cases[c].lines_min)
+				fail_msg("%s: %u lines of %s", cases[c].name,
+					 lines, kinds[k]);
+		}
+		free(text);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_load_loses_lines_that_sum_up),
 		cmocka_unit_test(test_lines_stay_whole),
 		cmocka_unit_test(test_summaries_are_kept),
 		cmocka_unit_test(test_burst_of_frequent_lines_keeps_rare_ones),
--- a/test/lost_answer_test.c
+++ b/test/lost_answer_test.c
@@ -89,6 +89,11 @@
 
 /* No log. */
 
+void event_prefer(const char *kind)
+{
+	(void)kind;
+}
+
 void event_log(const char *kind, const char *id, const char *fmt, ...)
 {
 	(void)kind;
--- a/test/rig/site.c
+++ b/test/rig/site.c
@@ -328,6 +328,11 @@
 	va_end(args);
 }
 
+void event_prefer(const char *kind)
+{
+	(void)kind;
+}
+
 void event_log(const char *kind, const char *id, const char *fmt, ...)
 {
 	static const char *const kept[] = { "claim",	    "claim-failed",
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -230,6 +230,107 @@
 	}
 }
 
+/* The longest wait of each pool */
+
+enum blocked_by {
+	BLOCKED_FULL,
+	BLOCKED_LABEL,
+	BLOCKED_UNREPORTED,
+	BLOCKED_CAP,
+	BLOCKED_UNANSWERED, /* its second start */
+};
+
+static void submit_blocked(struct fixture *x, enum blocked_by by)
+{
+	const bool runs_first = by == BLOCKED_UNANSWERED;
+	Fleet__JobRow *row = job_row(runs_first ? 1 : 3, 1, true);
+	uint32_t after;
+
+	row->steps[0]->may_miss = 0;
+	row->steps[0]->mem = 3000;
+	if (by == BLOCKED_LABEL || by == BLOCKED_UNREPORTED)
+		drain_list_instance(&x->r, "i-2", "p", "l");
+	if (by == BLOCKED_UNREPORTED)
+		x->runs.silent = "i-2";
+	if (by == BLOCKED_LABEL) {
+		free(row->steps[0]->label);
+		row->steps[0]->label = strdup("l");
+	}
+	if (by == BLOCKED_CAP) {
+		x->r.workspace.cap.cpu = 1000;
+		sched_configure(x->r.s, &x->r.config, x->r.now);
+	}
+	assert_int_equal(
+		sched_submit(x->r.s, id_a, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x->r);
+	if (!runs_first)
+		return;
+	advance(x, 600);
+	sched_relocate(x->r.s, find_instance(&x->r, instance_of_run(x)), true,
+		       true, x->r.now);
+	advance(x, PASS_MS);
+}
+
+/*
+ * A wait whose cause is not told: why the pool asks for no machine, a cap, a
+ * start without an answer.
+ */
+static void test_longest_wait_tells_its_cause(void **state)
+{
+	static const struct {
+		enum blocked_by by;
+		enum sched_wait wait;
+		const char *place;
+		long long machines_wanted, waiting, unanswered;
+	} cases[] = {
+		{ BLOCKED_FULL, SCHED_WAIT_PLACE, "machines wanted", 1, 1, 0 },
+		{ BLOCKED_LABEL, SCHED_WAIT_PLACE, "empty instance", 0, 2, 0 },
+		{ BLOCKED_UNREPORTED, SCHED_WAIT_PLACE, "unreported instance",
+		  0, 1, 0 },
+		{ BLOCKED_CAP, SCHED_WAIT_CAP, "", 0, 0, 0 },
+		{ BLOCKED_UNANSWERED, SCHED_WAIT_UNANSWERED, "", 0, 0, 1 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		const char *name = sched_wait_name(cases[c].wait);
+		const struct line *l;
+		struct sched_pool_load load;
+		struct sched_stats stats;
+		struct fixture x;
+		char text[64];
+		uint32_t n;
+
+		print_message("%s: %s\n", name, cases[c].place);
+		fixture_new(&x);
+		submit_blocked(&x, cases[c].by);
+		for (n = 0; n < 2600 / PASS_MS; n++) {
+			pass(&x,
+			     cases[c].by == BLOCKED_UNANSWERED ? ORDER_LOST
+							       : ORDER_DONE,
+			     SCHED_STOPPED);
+			sched_pool_load(x.r.s, "p", &load);
+		}
+		l = last_line(&x, "lasting-longest");
+		assert_string_equal(l->id, "p");
+		snprintf(text, sizeof(text), "\"why\":\"%s\",\"place\":\"%s\"",
+			 name, cases[c].place);
+		if (!strstr(l->text, text))
+			fail_msg("not %s: %s", text, l->text);
+		assert_in_range(field(l, "waited_ms"), 1500, 3000);
+		assert_int_equal(field(l, "machines_wanted"),
+				 cases[c].machines_wanted);
+		assert_int_equal(field(l, "waiting"), cases[c].waiting);
+		assert_int_equal(field(l, "unanswered"), cases[c].unanswered);
+		sched_stats(x.r.s, &stats);
+		assert_true(stats.lasting_waits[cases[c].wait] > 0);
+		assert_true(stats.lasting_longest_ms >= 1500);
+		talloc_free(x.r.s);
+	}
+}
+
 /* A task that is stopped soon after each start has a run most of the time. */
 static void test_task_that_is_stopped_again_and_again_is_logged(void **state)
 {
@@ -484,6 +585,7 @@
 		cmocka_unit_test(test_obstacles_are_logged),
 		cmocka_unit_test(
 			test_task_that_is_stopped_again_and_again_is_logged),
+		cmocka_unit_test(test_longest_wait_tells_its_cause),
 		cmocka_unit_test(test_lines_of_the_longest_waits_are_few),
 		cmocka_unit_test(test_why_a_run_ended_is_logged),
 		cmocka_unit_test(test_pools_that_lack_machines),
