sched_poll: an instance that outlived an order to its machine is used again sooner

An order to a machine that was carried out before is answered like a new one, so the instance is taken for gone though it lives. It counted as leaving until a poll sent after that answered, and the poll in flight and the next one each wait for an end for 2 s.

The next poll doesn't wait while the instance is taken for gone. poll_test, test_instance_outlives_order, failed before: 2,000 ms, 0 wanted.

--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -79,7 +79,7 @@
 			  uint64_t now)
 {
 	if (!i->reported || i->restart_possible || i->unacked_count ||
-	    i->unresponsive)
+	    i->unresponsive || i->down_ms)
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -374,9 +374,33 @@
 	}
 }
 
+/* An instance that outlived an order to its machine is out of use for long. */
+static void test_instance_outlives_order(void **state)
+{
+	struct sched_poll poll;
+	instance_handle_t i;
+	struct rig r;
+	uint64_t sent_ms;
+
+	(void)state;
+	rig_new(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
+	i = find_instance(&r, "i-0");
+	poll = next_poll(&r, i);
+	sent_ms = r.now++;
+	sched_machine_down(r.s, i, r.now);
+	r.now = sent_ms + poll.wait_ms;
+	report(&r, i, NULL, 0, NULL, 0, sent_ms);
+	poll = next_poll(&r, i);
+	assert_int_equal(poll.wait_ms, 0);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_instance_outlives_order),
 		cmocka_unit_test(test_ack_of_former_incarnation),
 		cmocka_unit_test(test_unanswered_polls),
 		cmocka_unit_test(test_refused_polls_are_spaced),
