sched: an order without an answer to a long-running task is looked for at once

Cause: such an order is settled by reports, and an instance has one poll at a time. The poll in flight waits for an end for up to 2 s, and an order that was lost brings none. So a start was given up after 0.3 s, missed in a report after the poll in flight and a further one asked for 0.4 s after the start or later, stopped, and its stop was believed only after two more polls, the second of which waited for an end for up to 1 s again. A stop that a budget lets be repeated only after a report waited for the poll in flight as well.

Change: a second poll, which doesn't wait, asks beside the first one. A start that its instance left unanswered may be stopped by the first report that lacks it, if the budget of its step allows to stop the task; if not, as before, only by one asked for start_wait_ms after the start (a late start may be at work when the stop comes). Starts without a result from the relay are looked for as before. No task is placed again before the stop is answered and a later report lacks the run. Of two answers that overlap, one that is older than one applied before is dropped.

--- a/Makefile
+++ b/Makefile
@@ -78,12 +78,13 @@
 $(B)/test/ledger_walk: $(B)/test/walk/world.o
 
 $(B)/test/evacuation_pool_test $(B)/test/evacuation_node_test $(B)/test/advice_test $(B)/test/attempts_test $(B)/test/drain_test $(B)/test/donor_test $(B)/test/job_test $(B)/test/lease_test $(B)/test/repeat_test $(B)/test/row_test $(B)/test/sched_test $(B)/test/stop_test $(B)/test/takeover_test $(B)/test/place_test $(B)/test/reserve_test $(B)/test/estimate_test $(B)/test/poll_test $(B)/test/restart_test $(B)/test/fleet_test $(B)/test/waits_test \
-		$(B)/test/lost_answer_test $(B)/test/inbox_test: \
+		$(B)/test/lost_answer_test $(B)/test/inbox_test $(B)/test/unanswered_test: \
 		$(B)/test/rig/sched_rig.o
 
 $(B)/test/share_test: $(B)/test/rig/share_rig.o
 
-$(B)/test/drain_test $(B)/test/donor_test $(B)/test/waits_test: \
+$(B)/test/drain_test $(B)/test/donor_test $(B)/test/waits_test \
+		$(B)/test/unanswered_test: \
 		$(B)/test/rig/drain_rig.o
 
 $(B)/test/reserve_test $(B)/test/estimate_test: $(B)/test/rig/run_rig.o
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -57,7 +57,8 @@
 	uint32_t predecessor_orders_ms;
 	/*
 	 * From an unanswered start to the stop that resolves its outcome, or to
-	 * the poll that must show it first
+	 * the poll that must show it first. A long-running task of which the
+	 * disruption budget allows to stop one is polled for at once.
 	 */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms;	/* retention of an ended job's state */
@@ -386,7 +387,12 @@
  */
 void sched_hold_starts(struct sched *s, bool hold, uint64_t now);
 
-/* sched_next_poll - the next poll that is due; false when none is */
+/*
+ * sched_next_poll - the next poll that is due; false when none is
+ *
+ * A second poll of an instance, which doesn't wait, may follow while the first
+ * waits for an end. They may be answered in any order.
+ */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll);
 
 /*
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -77,8 +77,12 @@
 	uint64_t stop_done_ms; /* when its stop order was done; 0: not yet */
 	/* when its unanswered stop was given up; 0: it was not */
 	uint64_t stop_withdrawn_ms;
+	/* when its last order was given up without an answer; 0: it wasn't */
+	uint64_t unanswered_ms;
+	/* when the newest report that lacks its unanswered start was asked for;
+	 * 0: none does */
+	uint64_t absent_ms;
 	bool relay_lost;  /* no result of its start from the relay */
-	bool absent;	  /* its unanswered start is not in a report */
 	bool missing;	  /* a report lacks it, though it should be in */
 	bool to_send;	  /* it is in sched.to_send */
 	bool withdrawn;	  /* its start must not be sent */
@@ -454,6 +458,9 @@
 	bool reserved;		 /* excluded from placement by fleet/ */
 	bool evacuated;		 /* nothing may be started in its zone */
 	bool polling;		 /* a poll is not answered yet */
+	bool asked;		 /* in sched.asked: to be polled at once */
+	uint32_t polls;		 /* that are not answered yet; 2 at most */
+	bool polls_overlap;	 /* their answers may come in any order */
 	bool has_missing;	 /* some of its runs are missing */
 	bool counted_unreported; /* in sched.unreported */
 	/* pools that count it in pool.unreported: all that it has been in */
@@ -472,6 +479,7 @@
 	/* first report since its start or since it was unresponsive */
 	uint64_t first_report_ms;
 	uint64_t next_poll_ms;
+	uint64_t poll_sent_ms;	/* the last poll; 0: it failed */
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
 	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
 	/*
@@ -503,6 +511,7 @@
 	uint64_t next_throttle_ms;  /* earliest next change of speed */
 	uint32_t unanswered_orders; /* consecutive */
 	struct instance *idle_prev, *idle_next;	      /* in sched.idle */
+	struct instance *asked_prev, *asked_next;     /* in sched.asked */
 	struct instance *unacked_prev, *unacked_next; /* in sched.unacked */
 	struct instance *pool_prev, *pool_next;	      /* in pool.instances */
 	struct instance *machine_prev, *machine_next; /* of one machine */
@@ -546,6 +555,7 @@
 	struct instance *idle;	     /* instances without a poll in flight */
 	struct instance *idle_next;  /* where the search for polls goes on */
 	struct instance *unacked;    /* instances with unacknowledged ends */
+	struct instance *asked;	     /* instances to be polled at once */
 	struct instance **instances; /* NULL in free slots */
 	uint32_t instance_slots;     /* used or free */
 	uint32_t instance_alloc;
@@ -731,6 +741,13 @@
 void run_queue_order(struct sched *s, struct run *run);
 void run_stop(struct sched *s, struct run *run, enum stop_reason reason);
 
+/*
+ * run_report_wanted_ms - when the report must be asked for, or later, that
+ * tells what became of the run's last order; 0: none is awaited
+ */
+uint64_t run_report_wanted_ms(const struct sched *s, const struct run *run,
+			      uint64_t now);
+
 /* run_is_steady - whether it has lasted long enough to be worth its start */
 bool run_is_steady(const struct run *run, uint64_t now);
 
@@ -777,6 +794,9 @@
 
 /* sched_poll.c */
 void instance_leave_idle(struct sched *s, struct instance *i);
+
+/* instance_ask - poll it at once, beside a poll that waits for an end */
+void instance_ask(struct sched *s, struct instance *i, uint64_t now);
 void instance_free_missing(struct sched *s, struct instance *i, uint64_t now);
 
 /* sched_instance.c */
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -70,6 +70,23 @@
 	return false;
 }
 
+/* Whether a run awaits a report that may be asked for now and wasn't yet. */
+static bool instance_is_awaited(const struct sched *s, const struct instance *i,
+				uint64_t now)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	{
+		uint64_t wanted_ms = run_report_wanted_ms(s, run, now);
+
+		if (wanted_ms && now >= wanted_ms &&
+		    i->report_sent_ms < wanted_ms)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Designed for instances that leave calls unanswered. An end is reported in
  * answer to the next poll, so where ends are expected an unanswered poll must
@@ -83,6 +100,8 @@
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
+	if (instance_is_awaited(s, i, now))
+		return 0;
 	if (instance_has_order_to_report(i))
 		return POLL_WAIT_START_MS;
 	if (instance_has_ending(i))
@@ -119,15 +138,62 @@
 	DL_DELETE2(s->idle, i, idle_prev, idle_next);
 }
 
-static void set_polling(struct sched *s, struct instance *i, bool polling)
+static void leave_asked(struct sched *s, struct instance *i)
+{
+	if (!i->asked)
+		return;
+	i->asked = false;
+	DL_DELETE2(s->asked, i, asked_prev, asked_next);
+}
+
+void instance_ask(struct sched *s, struct instance *i, uint64_t now)
+{
+	if (!i->polling) {
+		if (!i->unresponsive)
+			i->next_poll_ms = now;
+		return;
+	}
+	if (i->asked || i->polls > 1 || now < i->next_poll_ms)
+		return;
+	i->asked = true;
+	DL_APPEND2(s->asked, i, asked_prev, asked_next);
+}
+
+static void poll_begun(struct sched *s, struct instance *i, uint64_t now)
+{
+	i->poll_sent_ms = now;
+	i->polls_overlap = i->polls > 0;
+	if (i->polls++)
+		return;
+	i->polling = true;
+	instance_leave_idle(s, i);
+}
+
+static void poll_ended(struct sched *s, struct instance *i)
 {
-	if (i->polling == polling)
+	if (!i->polls || --i->polls)
 		return;
-	i->polling = polling;
-	if (polling)
-		instance_leave_idle(s, i);
-	else
-		DL_APPEND2(s->idle, i, idle_prev, idle_next);
+	leave_asked(s, i);
+	i->polling = false;
+	DL_APPEND2(s->idle, i, idle_prev, idle_next);
+}
+
+static void fill_poll(struct sched *s, struct instance *i, uint32_t wait_ms,
+		      uint64_t now, struct sched_poll *poll)
+{
+	poll->instance = i->handle;
+	poll->instance_id = i->id;
+	poll->address = i->address;
+	poll->acked = is_same_incarnation(i, now) ? i->acked : 0;
+	poll->wait_ms = wait_ms;
+	poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
+	poll->lease_until = 0;
+	/* The lease of an unresponsive instance is left to expire. */
+	if (i->run_count && !i->unresponsive)
+		poll->lease_until = instance_extend_lease(s, i, now);
+	if (poll->lease_until)
+		instance_deadline_sent(s, i, now, poll->timeout_ms);
+	poll_begun(s, i, now);
 }
 
 /*
@@ -136,26 +202,20 @@
  */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll)
 {
-	struct instance *i = s->idle_next ? s->idle_next : s->idle;
+	struct instance *i = s->asked;
 
+	if (i) {
+		leave_asked(s, i);
+		fill_poll(s, i, 0, now, poll);
+		return true;
+	}
+	i = s->idle_next ? s->idle_next : s->idle;
 	s->idle_next = NULL;
 	for (; i; i = i->idle_next) {
 		if (now < i->next_poll_ms || !poll_needed(i))
 			continue;
-		poll->instance = i->handle;
-		poll->instance_id = i->id;
-		poll->address = i->address;
-		poll->acked = is_same_incarnation(i, now) ? i->acked : 0;
-		poll->wait_ms = poll_wait(s, i, now);
-		poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
-		poll->lease_until = 0;
-		/* The lease of an unresponsive instance is left to expire. */
-		if (i->run_count && !i->unresponsive)
-			poll->lease_until = instance_extend_lease(s, i, now);
-		if (poll->lease_until)
-			instance_deadline_sent(s, i, now, poll->timeout_ms);
 		s->idle_next = i->idle_next;
-		set_polling(s, i, true);
+		fill_poll(s, i, poll_wait(s, i, now), now, poll);
 		return true;
 	}
 	return false;
@@ -337,8 +397,9 @@
 		bool stopped = run->stop_done_ms && run->stop_done_ms < sent_ms;
 
 		if (run->state == RUN_UNKNOWN &&
-		    sent_ms >= run->ordered_ms + s->options.start_wait_ms)
-			run->absent = true;
+		    (sent_ms > run->unanswered_ms ||
+		     sent_ms >= run->ordered_ms + s->options.start_wait_ms))
+			run->absent_ms = sent_ms;
 		if (!was_running && !stopped)
 			continue;
 		task_name(run->task, name);
@@ -444,7 +505,8 @@
 
 	if (!i)
 		return;
-	set_polling(s, i, false);
+	poll_ended(s, i);
+	i->poll_sent_ms = 0;
 	i->next_poll_ms = now;
 }
 
@@ -465,28 +527,53 @@
 	return now + POLL_UNWRITTEN_MS;
 }
 
+/*
+ * Whether a later answer has been applied already; answers to polls that follow
+ * one another come in their order.
+ */
+static bool is_outdated(const struct instance *i, const struct sched_report *r,
+			uint64_t sent_ms)
+{
+	if (!i->polls_overlap)
+		return false;
+	return sent_ms < i->report_sent_ms ||
+	       (r && i->reported && r->started_unix_ms == i->started_unix_ms &&
+		r->clock_ms <= i->clock_ms);
+}
+
+static void poll_failed(struct sched *s, struct instance *i, uint64_t sent_ms,
+			uint64_t now)
+{
+	if (!i->unresponsive && i->reported)
+		s->call_unanswered_ms = now;
+	if (!i->unresponsive)
+		sched_trace(s, "instance-silent", i->id,
+			    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
+			    i->run_count, (int64_t)(i->lease_end_ms - now));
+	i->unresponsive = true;
+	i->leased = false;
+	i->next_poll_ms =
+		max_uint64(now + POLL_FAILED_MS, sent_ms + POLL_FAILED_GAP_MS);
+}
+
 void sched_poll_done(struct sched *s, instance_handle_t h,
 		     const struct sched_report *r, uint64_t sent_ms,
 		     uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
+	bool outdated;
 	uint32_t n;
 
 	if (!i)
 		return;
-	set_polling(s, i, false);
+	outdated = is_outdated(i, r, sent_ms);
+	poll_ended(s, i);
+	if (outdated) {
+		i->next_poll_ms = now;
+		return;
+	}
 	if (!r) {
-		if (!i->unresponsive && i->reported)
-			s->call_unanswered_ms = now;
-		if (!i->unresponsive)
-			sched_trace(s, "instance-silent", i->id,
-				    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
-				    i->run_count,
-				    (int64_t)(i->lease_end_ms - now));
-		i->unresponsive = true;
-		i->leased = false;
-		i->next_poll_ms = max_uint64(now + POLL_FAILED_MS,
-					     sent_ms + POLL_FAILED_GAP_MS);
+		poll_failed(s, i, sent_ms, now);
 		return;
 	}
 	if (i->started_unix_ms != r->started_unix_ms || !i->reported) {
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -369,6 +369,7 @@
 			run->state = RUN_UNKNOWN;
 		run_watch(s, run);
 		run->relay_lost = result == ORDER_LOST;
+		run->unanswered_ms = now;
 		if (result == ORDER_UNKNOWN)
 			instance_record_no_answer(s, run->instance, now);
 		return;
@@ -381,8 +382,11 @@
 static void stop_answered(struct run *run, enum sched_order_result result,
 			  uint64_t now)
 {
-	if (result != ORDER_DONE)
-		return; /* tried again by run_tick() */
+	if (result != ORDER_DONE) {
+		/* Tried again by run_tick(). */
+		run->unanswered_ms = now;
+		return;
+	}
 	run->stop_done_ms = now;
 	run->instance->next_poll_ms = now;
 }
@@ -458,6 +462,20 @@
 	       (run->relay_lost || run->task->step->spec->lasting);
 }
 
+/*
+ * From when on a report that lacks the run lets it be stopped. A start that the
+ * instance left unanswered isn't under way any more, unless the instance holds
+ * it; then its stop may end a task that has just begun to work, so other tasks
+ * of the step must be there.
+ */
+static uint64_t absence_counts_ms(const struct sched *s, const struct run *run,
+				  uint64_t now)
+{
+	if (run->relay_lost || !task_may_stop(run->task, now))
+		return run->ordered_ms + s->options.start_wait_ms;
+	return run->unanswered_ms + 1; /* order is unknown within 1 ms */
+}
+
 /*
  * Whether to stop a run whose start was not answered, so that it can't begin
  * any more.
@@ -466,7 +484,8 @@
 			     uint64_t now)
 {
 	if (run_needs_report(run))
-		return run->absent;
+		return run->absent_ms &&
+		       run->absent_ms >= absence_counts_ms(s, run, now);
 	return now - run->ordered_ms >= s->options.start_wait_ms;
 }
 
@@ -489,6 +508,35 @@
 	       run->instance->report_sent_ms <= run->ordered_ms;
 }
 
+uint64_t run_report_wanted_ms(const struct sched *s, const struct run *run,
+			      uint64_t now)
+{
+	if (!run->task->step->spec->lasting)
+		return 0;
+	if (run->state == RUN_UNKNOWN)
+		return absence_counts_ms(s, run, now);
+	if (run_stop_needs_report(run))
+		return run->unanswered_ms + 1;
+	/* If it has not begun it has no end, which a poll would wait for. */
+	return run->state == RUN_STOPPING && run->stop_done_ms &&
+			       !run->running_since_ms
+		       ? run->stop_done_ms + 1
+		       : 0;
+}
+
+/*
+ * A poll in flight may wait for an end for seconds, so another one asks what
+ * became of an order.
+ */
+static void ask_for_report(struct sched *s, const struct run *run, uint64_t now)
+{
+	uint64_t wanted_ms = run_report_wanted_ms(s, run, now);
+
+	if (wanted_ms && now >= wanted_ms &&
+	    run->instance->poll_sent_ms < wanted_ms)
+		instance_ask(s, run->instance, now);
+}
+
 /*
  * Repeats an unanswered stop. Other tasks of the step may have become
  * unavailable since it was sent, and an unanswered start may have been carried
@@ -519,7 +567,10 @@
 /* Stops runs whose start has an unknown outcome; repeats unanswered orders. */
 static void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
-	if (run->in_flight || run->to_send || run->instance->unresponsive)
+	if (run->in_flight || run->to_send)
+		return;
+	ask_for_report(s, run, now);
+	if (run->instance->unresponsive)
 		return;
 	switch (run->state) {
 	case RUN_UNKNOWN:
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -374,9 +374,100 @@
 	}
 }
 
+/* Answers a poll with a report of that time, of one run or one end. */
+static void answer_at(struct rig *r, instance_handle_t i, uint64_t clock_ms,
+		      uint64_t sent_ms, const struct sched_running *running,
+		      const struct sched_ended *ended)
+{
+	struct sched_report rep = { .clock_ms = clock_ms,
+				    .started_unix_ms = r->started_unix_ms,
+				    .running = running,
+				    .running_count = running != NULL,
+				    .ended = ended,
+				    .ended_count = ended != NULL };
+
+	sched_poll_done(r->s, i, &rep, sent_ms, r->now);
+}
+
+/*
+ * A second poll asks what became of a start while the first waits for an end.
+ * An answer that is older than one applied before would bring back a run that
+ * has ended.
+ */
+static void test_older_of_two_answers_is_applied(void **state)
+{
+	static const struct {
+		const char *name;
+		bool first_answered_last;
+	} cases[] = {
+		{ "the first poll is answered last", true },
+		{ "the second one is, with an older report", false },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct sched_running running;
+		struct sched_ended ended;
+		struct sched_poll first, second;
+		struct sched_order start;
+		uint64_t first_ms, second_ms;
+		struct rig r;
+		uint32_t n;
+
+		print_message("%s\n", cases[c].name);
+		rig_new(&r);
+		rig_become_leader(&r);
+		make_all_usable(&r);
+		submit(&r, id_a, 1, 1, true);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		start = r.orders[0];
+		first_ms = r.now;
+		first = next_poll(&r, start.instance);
+		r.now += 300;
+		answer_orders(&r, ORDER_UNKNOWN);
+		r.now += 20;
+		take_orders(&r);
+		second_ms = r.now;
+		second = next_poll(&r, start.instance);
+		assert_int_equal(second.wait_ms, 0);
+		running = (struct sched_running){ start.task, start.number, "",
+						  100, 0 };
+		ended = (struct sched_ended){ 1, start.task, start.number,
+					      SCHED_LAPSED, "" };
+		r.now += 20;
+		if (cases[c].first_answered_last)
+			answer_at(&r, second.instance, r.now, second_ms, NULL,
+				  &ended);
+		else
+			answer_at(&r, first.instance, r.now, first_ms, NULL,
+				  &ended);
+		write_all(&r);
+		assert_int_equal(take_orders(&r), 1);
+		answer_orders(&r, ORDER_DONE);
+		if (cases[c].first_answered_last)
+			answer_at(&r, first.instance, r.now - 10, first_ms,
+				  &running, NULL);
+		else
+			answer_at(&r, second.instance, r.now - 10, second_ms,
+				  &running, NULL);
+		r.now += 20;
+		take_orders(&r);
+		for (n = 0; n < r.order_count; n++)
+			if (r.orders[n].kind == ORDER_STOP)
+				fail_msg(
+					"%s: run %llu is stopped",
+					cases[c].name,
+					(unsigned long long)r.orders[n].number);
+		talloc_free(r.s);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_older_of_two_answers_is_applied),
 		cmocka_unit_test(test_ack_of_former_incarnation),
 		cmocka_unit_test(test_unanswered_polls),
 		cmocka_unit_test(test_refused_polls_are_spaced),
--- /dev/null
+++ b/test/unanswered_test.c
@@ -0,0 +1,403 @@
+/*
+ * Starts of long-running tasks that get no answer. Guards against a task that
+ * waits for seconds for each of them, in virtual time: a poll of an instance
+ * waits for an end as long as it says, and orders take their time.
+ */
+#include "test/rig/drain_rig.h"
+
+#define STEP_MS 10u
+#define CALLS_MAX 64u
+#define RUNS_MAX 32u
+#define ANSWER_MS 10u	/* until an order or a poll is answered */
+#define ORDER_MS 300u	/* timeout of an order */
+#define STOP_MS 200u	/* longest stop */
+#define STARTUP_MS 300u /* until a task works */
+#define HELD_MS 2000u	/* until an order that is held is carried out */
+
+/* What an instance does with orders, in turn. */
+enum fate {
+	FATE_DONE,
+	FATE_NONE,	 /* neither carried out nor answered */
+	FATE_UNANSWERED, /* carried out */
+	FATE_HELD,	 /* not answered, carried out after HELD_MS */
+};
+
+struct order_call {
+	struct sched_order order;
+	uint64_t sent_ms, done_ms, answer_ms;
+	bool answered;
+};
+
+struct poll_call {
+	struct sched_poll poll;
+	uint64_t sent_ms;
+};
+
+struct run {
+	char task[SCHED_TASK_MAX];
+	uint64_t number, started_ms;
+	uint64_t stopped_ms; /* 0: it isn't; when it ends */
+	uint64_t end_seq;    /* 0: it hasn't ended */
+	bool rejected;	     /* stopped before its start came */
+	instance_handle_t instance;
+};
+
+struct fixture {
+	struct rig r;
+	struct order_call orders[CALLS_MAX];
+	struct poll_call polls[CALLS_MAX];
+	struct run runs[RUNS_MAX];
+	uint32_t order_count, poll_count, run_count;
+	uint64_t end_seq;
+	enum fate start_fates[8], stop_fates[8]; /* of the first ones */
+	uint32_t starts, stops;
+	uint64_t start_ms[CALLS_MAX], stop_ms[CALLS_MAX];
+	uint32_t stop_takes_ms;
+};
+
+static struct run *find_run(struct fixture *x, const struct sched_order *o)
+{
+	uint32_t n;
+
+	for (n = 0; n < x->run_count; n++)
+		if (x->runs[n].number == o->number &&
+		    x->runs[n].instance.i == o->instance.i &&
+		    !strcmp(x->runs[n].task, o->task))
+			return &x->runs[n];
+	return NULL;
+}
+
+static uint32_t count_running(const struct fixture *x, const char *task)
+{
+	uint32_t n, count = 0;
+
+	for (n = 0; n < x->run_count; n++)
+		count += !strcmp(x->runs[n].task, task) &&
+			 !x->runs[n].rejected && !x->runs[n].end_seq;
+	return count;
+}
+
+static void carry_out(struct fixture *x, const struct sched_order *o)
+{
+	struct run *run = find_run(x, o);
+
+	if (o->kind == ORDER_START && run)
+		return;
+	if (!run) {
+		assert_true(x->run_count < RUNS_MAX);
+		run = &x->runs[x->run_count++];
+		memset(run, 0, sizeof(*run));
+		snprintf(run->task, sizeof(run->task), "%s", o->task);
+		run->number = o->number;
+		run->instance = o->instance;
+		run->started_ms = x->r.now;
+		run->rejected = o->kind == ORDER_STOP;
+		if (count_running(x, o->task) > 1)
+			fail_msg("%s runs twice", o->task);
+	} else if (!run->stopped_ms) {
+		run->stopped_ms = x->r.now + x->stop_takes_ms;
+	}
+}
+
+static void send_order(struct fixture *x, const struct sched_order *o)
+{
+	struct order_call *c = &x->orders[x->order_count++];
+	enum fate fate = FATE_DONE;
+
+	assert_true(x->order_count < CALLS_MAX);
+	if (o->kind == ORDER_START) {
+		if (x->starts < 8)
+			fate = x->start_fates[x->starts];
+		x->start_ms[x->starts++] = x->r.now;
+	} else {
+		if (x->stops < 8)
+			fate = x->stop_fates[x->stops];
+		x->stop_ms[x->stops++] = x->r.now;
+	}
+	c->order = *o;
+	c->sent_ms = x->r.now;
+	c->answered = fate == FATE_DONE;
+	c->answer_ms = x->r.now + (c->answered ? ANSWER_MS : ORDER_MS);
+	c->done_ms = x->r.now + ANSWER_MS;
+	if (fate == FATE_NONE)
+		c->done_ms = UINT64_MAX;
+	if (fate == FATE_HELD)
+		c->done_ms = x->r.now + HELD_MS;
+}
+
+static void run_orders(struct fixture *x)
+{
+	uint32_t n;
+
+	for (n = 0; n < x->order_count; n++) {
+		struct order_call *c = &x->orders[n];
+
+		if (x->r.now >= c->done_ms) {
+			c->done_ms = UINT64_MAX;
+			carry_out(x, &c->order);
+		}
+		if (x->r.now < c->answer_ms)
+			continue;
+		c->answer_ms = UINT64_MAX;
+		sched_order_done(x->r.s, &c->order,
+				 c->answered ? ORDER_DONE : ORDER_UNKNOWN, 0,
+				 c->sent_ms, x->r.now);
+	}
+}
+
+static void end_runs(struct fixture *x)
+{
+	uint32_t n;
+
+	for (n = 0; n < x->run_count; n++)
+		if (x->runs[n].stopped_ms && !x->runs[n].end_seq &&
+		    x->r.now >= x->runs[n].stopped_ms)
+			x->runs[n].end_seq = ++x->end_seq;
+}
+
+/* Returns whether the poll is answered: an end is there, or it has waited. */
+static bool answer_poll(struct fixture *x, const struct poll_call *c)
+{
+	struct sched_running running[RUNS_MAX];
+	struct sched_ended ended[RUNS_MAX];
+	uint32_t running_count = 0, ended_count = 0;
+	uint32_t n;
+
+	for (n = 0; n < x->run_count; n++) {
+		const struct run *run = &x->runs[n];
+
+		if (run->instance.i != c->poll.instance.i || run->rejected ||
+		    (run->end_seq && run->end_seq <= c->poll.acked))
+			continue;
+		if (run->end_seq)
+			ended[ended_count++] =
+				(struct sched_ended){ run->end_seq, run->task,
+						      run->number,
+						      SCHED_STOPPED, "" };
+		else
+			running[running_count++] = (struct sched_running){
+				run->task, run->number, "",
+				x->r.now - run->started_ms >= STARTUP_MS ? 100
+									 : 0,
+				0
+			};
+	}
+	if (x->r.now < c->sent_ms + ANSWER_MS ||
+	    (!ended_count && x->r.now < c->sent_ms + c->poll.wait_ms))
+		return false;
+	report(&x->r, c->poll.instance, running, running_count, ended,
+	       ended_count, c->sent_ms);
+	return true;
+}
+
+static void run_polls(struct fixture *x)
+{
+	uint32_t n;
+
+	for (n = 0; n < x->poll_count; n++)
+		if (answer_poll(x, &x->polls[n]))
+			x->polls[n--] = x->polls[--x->poll_count];
+}
+
+static void step(struct fixture *x)
+{
+	struct sched_order order;
+	struct sched_poll poll;
+
+	x->r.now += STEP_MS;
+	run_orders(x);
+	end_runs(x);
+	run_polls(x);
+	sched_leader_confirmed(x->r.s, x->r.now);
+	write_all(&x->r);
+	sched_tick(x->r.s, x->r.now, x->r.now);
+	while (sched_next_order(x->r.s, x->r.now, &order))
+		send_order(x, &order);
+	while (sched_next_poll(x->r.s, x->r.now, &poll)) {
+		assert_true(x->poll_count < CALLS_MAX);
+		x->polls[x->poll_count].poll = poll;
+		x->polls[x->poll_count++].sent_ms = x->r.now;
+	}
+}
+
+static void advance(struct fixture *x, uint32_t ms)
+{
+	uint64_t end = x->r.now + ms;
+
+	while (x->r.now < end)
+		step(x);
+}
+
+/* Three instances, idle for a while: their polls wait as long as they may. */
+static void fixture_new(struct fixture *x)
+{
+	memset(x, 0, sizeof(*x));
+	rig_new(&x->r);
+	x->r.now = 10000;
+	x->r.workspace.cap.cpu = 0;
+	x->stop_takes_ms = STOP_MS;
+	sched_configure(x->r.s, &x->r.config, x->r.now);
+	drain_list_instance(&x->r, "i-0", "p", NULL);
+	drain_list_instance(&x->r, "i-1", "p", "l");
+	drain_list_instance(&x->r, "i-2", "p", NULL);
+	sched_become_leader(x->r.s, 1, true, x->r.now);
+	sched_expect_complete(x->r.s, x->r.now);
+	advance(x, 5000);
+}
+
+static void submit_lasting(struct fixture *x, const char *id, uint32_t tasks,
+			   uint32_t may_miss, const char *label)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, true);
+	uint32_t after;
+
+	row->steps[0]->may_miss = may_miss;
+	drain_set_label(row, label);
+	assert_int_equal(
+		sched_submit(x->r.s, id, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+}
+
+/* Returns how many runs the task has that have not ended. */
+static uint32_t runs_of(const struct fixture *x, const char *id)
+{
+	char task[SCHED_TASK_MAX];
+
+	snprintf(task, sizeof(task), "%s.0.0.0", id);
+	return count_running(x, task);
+}
+
+static void test_each_unanswered_start_costs_seconds(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t may_miss;
+		enum fate starts[2], stops[2];
+		uint32_t starts_count, stops_count;
+		uint32_t again_ms; /* longest time to the last start */
+	} cases[] = {
+		{ "the start is lost",
+		  0,
+		  { FATE_NONE },
+		  { FATE_DONE },
+		  2,
+		  1,
+		  ORDER_MS + ORDER_MS + STOP_MS },
+		{ "the start is lost, with a budget",
+		  1,
+		  { FATE_NONE },
+		  { FATE_DONE },
+		  2,
+		  1,
+		  ORDER_MS + ORDER_MS + STOP_MS },
+		{ "the start is held",
+		  1,
+		  { FATE_HELD },
+		  { FATE_DONE },
+		  2,
+		  1,
+		  ORDER_MS + ORDER_MS + STOP_MS },
+		{ "two starts are lost",
+		  0,
+		  { FATE_NONE, FATE_NONE },
+		  { FATE_DONE },
+		  3,
+		  2,
+		  2 * (ORDER_MS + ORDER_MS + STOP_MS) },
+		{ "the stop is lost, too",
+		  1,
+		  { FATE_NONE },
+		  { FATE_NONE },
+		  2,
+		  2,
+		  ORDER_MS + 2 * ORDER_MS + STOP_MS },
+		{ "only the answer is lost",
+		  1,
+		  { FATE_UNANSWERED },
+		  { FATE_DONE },
+		  1,
+		  0,
+		  0 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+		uint64_t took;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x);
+		memcpy(x.start_fates, cases[c].starts, sizeof(cases[c].starts));
+		memcpy(x.stop_fates, cases[c].stops, sizeof(cases[c].stops));
+		submit_lasting(&x, id_a, 1, cases[c].may_miss, "");
+		advance(&x, 12000);
+		assert_int_equal(runs_of(&x, id_a), 1);
+		assert_int_equal(x.starts, cases[c].starts_count);
+		assert_int_equal(x.stops, cases[c].stops_count);
+		took = x.start_ms[x.starts - 1] - x.start_ms[0];
+		if (took > cases[c].again_ms)
+			fail_msg("%s: started again after %llu ms",
+				 cases[c].name, (unsigned long long)took);
+		talloc_free(x.r.s);
+	}
+}
+
+/* The stop for a drain is repeated once a report shows the task at work. */
+static void test_unanswered_stop_is_repeated_late(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x);
+	submit_lasting(&x, id_a, 1, 1, "");
+	advance(&x, 1500);
+	x.stop_fates[0] = FATE_NONE;
+	sched_relocate(x.r.s, find_instance(&x.r, "i-0"), true, true, x.r.now);
+	sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
+	advance(&x, 3000);
+	assert_int_equal(x.stops, 2);
+	assert_in_range(x.stop_ms[1] - x.stop_ms[0], 0, ORDER_MS + 100);
+	assert_int_equal(x.starts, 2);
+	assert_in_range(x.start_ms[1] - x.stop_ms[0], 0,
+			ORDER_MS + ORDER_MS + STOP_MS);
+	talloc_free(x.r.s);
+}
+
+/* The instance may hold the start and carry it out before the stop. */
+static void test_stop_beyond_budget_comes_early(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t tasks; /* all of them are away */
+		uint32_t stop_ms_min;
+	} cases[] = { { "one away, one may be", 1, ORDER_MS },
+		      { "two away, one may be", 2, 1000 } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x);
+		x.start_fates[0] = x.start_fates[1] = FATE_NONE;
+		submit_lasting(&x, id_a, cases[c].tasks, 1, "");
+		advance(&x, 3000);
+		assert_true(x.stops >= cases[c].tasks);
+		assert_in_range(x.stop_ms[0] - x.start_ms[0],
+				cases[c].stop_ms_min, 1300);
+		talloc_free(x.r.s);
+	}
+}
+
+int main(void)
+{
+	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_unanswered_start_costs_seconds),
+		cmocka_unit_test(test_unanswered_stop_is_repeated_late),
+		cmocka_unit_test(test_stop_beyond_budget_comes_early),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
