sched: a long-running task goes to an instance that has answered lately

Cause: nothing remembers an unanswered order once the instance answers a poll. An instance that answers polls and loses or holds orders stays the best place: it has most free CPU, as the start that was lost left it empty. So a task that was lost there is started there again, and a place that is held on it for a drain is used though another task's start was lost there meanwhile.

Change: an instance that has left an order unanswered in the last 10 s goes behind all others that aren't due for maintenance, until a start there is answered; for the task whose start it was, behind those too. A place that is held on it is given up for a better one, if there is one.

Evidence: test/unanswered_test.c. On the code before, the second start goes to the same instance ("i-0" == "i-0"), and the task that is moved is started on the instance that has lost a start ("i-1" != "i-2"); both pass now.

--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -108,10 +108,11 @@
 	bool done;
 	/* a former leader may have started it; no report shows it */
 	bool possibly_running;
-	uint32_t failed;	 /* runs that failed */
-	uint32_t starts;	 /* in this epoch */
-	uint32_t short_runs;	 /* see task_count_end() */
-	uint32_t avoid_instance; /* slot + 1 of its last failure; 0: none */
+	uint32_t failed;     /* runs that failed */
+	uint32_t starts;     /* in this epoch */
+	uint32_t short_runs; /* see task_count_end() */
+	/* slot + 1 of its last failure, or unanswered start; 0: none */
+	uint32_t avoid_instance;
 	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
 	uint64_t relocated_ms; /* end of the last run stopped for a drain */
@@ -510,6 +511,8 @@
 	uint32_t fill_permille; /* of its capacity, while returned_ms is set */
 	uint64_t next_throttle_ms;  /* earliest next change of speed */
 	uint32_t unanswered_orders; /* consecutive */
+	/* when an order last got no answer; 0: a start has got one since */
+	uint64_t unanswered_ms;
 	struct instance *idle_prev, *idle_next;	      /* in sched.idle */
 	struct instance *asked_prev, *asked_next;     /* in sched.asked */
 	struct instance *unacked_prev, *unacked_next; /* in sched.unacked */
@@ -842,6 +845,9 @@
 		     uint64_t now);
 void instance_record_no_answer(struct sched *s, struct instance *i,
 			       uint64_t now);
+
+/* instance_was_silent - whether it has lately left an order unanswered */
+bool instance_was_silent(const struct instance *i, uint64_t now);
 void instance_record_failure(struct sched *s, struct instance *i,
 			     const struct job *job, uint64_t now);
 void instance_record_success(struct instance *i);
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -14,6 +14,7 @@
 
 /* Score of an instance: part of its CPU that is free, with these applied */
 #define MAINTENANCE_PENALTY 1.5 /* puts an instance below a full one */
+#define SILENT_PENALTY 1.25	/* below a full one that answers */
 #define RETURN_PENALTY 16	/* after an evacuation: below all others */
 #define AVOID_PENALTY 2 /* where the task failed: outweighs any free CPU */
 #define RACK_WEIGHT 4	/* outweighs free CPU and AVOID_PENALTY together */
@@ -160,7 +161,8 @@
  * long. Other tasks are packed where least CPU is free, so that other machines
  * become idle and can be moved to another pool or powered off.
  */
-static double place_score(const struct instance *i, const struct task *task)
+static double place_score(const struct instance *i, const struct task *task,
+			  uint64_t now)
 {
 	const Fleet__Step *spec = task->step->spec;
 	double score = (double)(i->capacity.cpu - i->used.cpu) /
@@ -170,6 +172,8 @@
 		score = -score;
 	else if (i->maintenance_due)
 		score -= MAINTENANCE_PENALTY;
+	if (spec->lasting && instance_was_silent(i, now))
+		score -= SILENT_PENALTY;
 	score += RACK_WEIGHT * step_rack_preference(task->step, i);
 	if (task->avoid_instance == i->handle.i + 1)
 		score -= AVOID_PENALTY;
@@ -212,7 +216,7 @@
 		    (advised && (current ? step_is_denied(task->step, i)
 					 : !step_ticket(task->step, i, now))))
 			continue;
-		score = place_score(i, task);
+		score = place_score(i, task, now);
 		if (best && score <= best_score)
 			continue;
 		best = i;
@@ -344,8 +348,9 @@
 }
 
 /*
- * Starts a task where a place is held for it. The hold has ended in any case:
- * if the instance can't take the task any more, it is placed like others.
+ * Starts a task where a place is held for it, or on a better instance if that
+ * one has lately left an order unanswered. The hold has ended in any case: if
+ * the instance can't take the task any more, it is placed like others.
  */
 static void place_held(struct sched *s, struct task *task, uint64_t now)
 {
@@ -354,7 +359,9 @@
 	struct instance *i = hold_instance(task);
 
 	hold_release(task);
-	if (instance_usable(s, i, now) && may_run_on(i, step, &a) &&
+	if (instance_was_silent(i, now))
+		i = choose_held_instance(s, task, now);
+	if (i && instance_usable(s, i, now) && may_run_on(i, step, &a) &&
 	    (!step_needs_advice(step) || step_ticket(step, i, now)) &&
 	    cap_allows(s, step, 1))
 		start_run(s, task, i, sched_run_number(s, task), now);
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -15,6 +15,11 @@
 #define STEADY_MS 5000u	      /* a run that lasts so long was worth its start */
 /* Consecutive unanswered orders that make an instance unresponsive */
 #define UNANSWERED_MAX 2u
+/*
+ * An instance that has left an order unanswered is avoided for so long: about
+ * as long as orders are seen to be carried out late.
+ */
+#define SILENT_LATELY_MS 10000u
 
 static uint32_t free_slot(struct sched *s)
 {
@@ -353,12 +358,20 @@
 	return false;
 }
 
+static void start_unanswered(struct sched *s, struct run *run, uint64_t now)
+{
+	instance_record_no_answer(s, run->instance, now);
+	if (run->task->step->spec->lasting)
+		run->task->avoid_instance = run->instance->handle.i + 1;
+}
+
 static void start_answered(struct sched *s, struct run *run,
 			   enum sched_order_result result, uint64_t now)
 {
 	switch (result) {
 	case ORDER_DONE:
 		run->instance->unanswered_orders = 0;
+		run->instance->unanswered_ms = 0;
 		run->timed = !run->running_since_ms && !run->task->checkpoint;
 		run_mark_running(s, run, now);
 		return;
@@ -371,7 +384,7 @@
 		run->relay_lost = result == ORDER_LOST;
 		run->unanswered_ms = now;
 		if (result == ORDER_UNKNOWN)
-			instance_record_no_answer(s, run->instance, now);
+			start_unanswered(s, run, now);
 		return;
 	default:
 		start_refused(s, run, result, now);
@@ -385,6 +398,8 @@
 	if (result != ORDER_DONE) {
 		/* Tried again by run_tick(). */
 		run->unanswered_ms = now;
+		if (result == ORDER_UNKNOWN)
+			run->instance->unanswered_ms = now;
 		return;
 	}
 	run->stop_done_ms = now;
@@ -613,10 +628,16 @@
 			       uint64_t now)
 {
 	s->call_unanswered_ms = now;
+	i->unanswered_ms = now;
 	if (++i->unanswered_orders >= UNANSWERED_MAX)
 		i->unresponsive = true;
 }
 
+bool instance_was_silent(const struct instance *i, uint64_t now)
+{
+	return i->unanswered_ms && now - i->unanswered_ms < SILENT_LATELY_MS;
+}
+
 uint64_t sched_run_number(const struct sched *s, struct task *task)
 {
 	return s->epoch * RUN_NUMBER_STRIDE + ++task->starts;
--- a/test/unanswered_test.c
+++ b/test/unanswered_test.c
@@ -52,6 +52,8 @@
 	enum fate start_fates[8], stop_fates[8]; /* of the first ones */
 	uint32_t starts, stops;
 	uint64_t start_ms[CALLS_MAX], stop_ms[CALLS_MAX];
+	char start_on[CALLS_MAX][16];
+	char start_of[CALLS_MAX][SCHED_TASK_MAX];
 	uint32_t stop_takes_ms;
 };
 
@@ -108,6 +110,8 @@
 	if (o->kind == ORDER_START) {
 		if (x->starts < 8)
 			fate = x->start_fates[x->starts];
+		snprintf(x->start_on[x->starts], 16, "%s", o->instance_id);
+		memcpy(x->start_of[x->starts], o->task, SCHED_TASK_MAX);
 		x->start_ms[x->starts++] = x->r.now;
 	} else {
 		if (x->stops < 8)
@@ -391,12 +395,75 @@
 	}
 }
 
+static void test_silent_instance_gets_the_next_start(void **state)
+{
+	static const struct {
+		const char *name;
+		bool others_due; /* for maintenance */
+	} cases[] = { { "others are free", false },
+		      { "others are due for maintenance", true } };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fixture x;
+
+		print_message("%s\n", cases[c].name);
+		fixture_new(&x);
+		if (cases[c].others_due) {
+			sched_mark_maintenance(x.r.s,
+					       find_instance(&x.r, "i-1"));
+			sched_mark_maintenance(x.r.s,
+					       find_instance(&x.r, "i-2"));
+		}
+		x.start_fates[0] = FATE_NONE;
+		if (!cases[c].others_due)
+			x.start_fates[1] = FATE_NONE;
+		submit_lasting(&x, id_a, 1, 0, "");
+		advance(&x, 12000);
+		assert_int_equal(x.starts, cases[c].others_due ? 2 : 3);
+		assert_string_not_equal(x.start_on[1], x.start_on[0]);
+		if (!cases[c].others_due) {
+			assert_string_not_equal(x.start_on[2], x.start_on[0]);
+			assert_string_not_equal(x.start_on[2], x.start_on[1]);
+		}
+		talloc_free(x.r.s);
+	}
+}
+
+/* Another task's start, on the held instance, is lost before the stop ends. */
+static void test_place_is_held_on_a_silent_instance(void **state)
+{
+	struct fixture x;
+	uint32_t n;
+
+	(void)state;
+	fixture_new(&x);
+	submit_lasting(&x, id_a, 1, 0, "");
+	advance(&x, 1000);
+	assert_string_equal(x.start_on[0], "i-0");
+	x.stop_takes_ms = 600;
+	sched_relocate(x.r.s, find_instance(&x.r, "i-0"), true, true, x.r.now);
+	sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
+	x.start_fates[1] = x.start_fates[2] = FATE_NONE;
+	submit_lasting(&x, drain_id_other, 1, 0, "l");
+	advance(&x, 3000);
+	assert_string_equal(x.start_on[1], "i-1");
+	for (n = 1; strcmp(x.start_of[n], x.start_of[0]) != 0; n++)
+		assert_true(n < x.starts);
+	assert_string_equal(x.start_on[n], "i-2");
+	assert_int_equal(runs_of(&x, id_a), 1);
+	talloc_free(x.r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_each_unanswered_start_costs_seconds),
 		cmocka_unit_test(test_unanswered_stop_is_repeated_late),
 		cmocka_unit_test(test_stop_beyond_budget_comes_early),
+		cmocka_unit_test(test_silent_instance_gets_the_next_start),
+		cmocka_unit_test(test_place_is_held_on_a_silent_instance),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -436,6 +436,18 @@
      "	ask_for_report(s, run, now);\n", "", "unanswered_test"),
     ("the order of answers to two polls", "src/pool/sched_poll.c",
      "r->clock_ms <= i->clock_ms);", "0);", "poll_test"),
+    ("instances that have left an order unanswered",
+     "src/pool/sched_place.c",
+     "if (spec->lasting && instance_was_silent(i, now))", "if (0)",
+     "unanswered_test"),
+    ("held places on such instances", "src/pool/sched_place.c",
+     "	if (instance_was_silent(i, now))\n"
+     "		i = choose_held_instance(s, task, now);\n", "",
+     "unanswered_test"),
+    ("the instance of the last unanswered start", "src/pool/sched_run.c",
+     "	if (run->task->step->spec->lasting)\n"
+     "		run->task->avoid_instance = run->instance->handle.i + 1;\n",
+     "", "unanswered_test"),
     ("keeping rows while a task runs", "src/pool/sched_change.c",
      "change->drop = !job_has_runs(job);", "change->drop = true;",
      "fleet_walk"),
