sched: an instance on which a place is held is polled before the task comes

Callers would see a task that worked, and was stopped so that its machine can be drained, wait for a lease (10.45 s): its place was held on an instance that had just gone dark.

Cause: an idle instance's poll waits for 2 s, so for as long nothing tells that it is gone, and a held place was used unseen. A start there gets no answer, and nor does its stop.

Change: holding a place polls the instance at once, beside the poll that waits. The stop takes longer than that answer.

Evidence: test_place_is_held_on_a_dark_instance; on the code before, the task is started on the dark instance ("i-1" != "i-2").

--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -109,6 +109,8 @@
 	if (!i)
 		return false;
 	hold_make(task, i);
+	/* Shows whether it still answers before the task's stop has ended. */
+	instance_ask(s, i, now);
 	return true;
 }
 
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -296,6 +296,7 @@
 	room_changed(i->pool);
 	instance_clear_machine(s, i);
 	instance_leave_idle(s, i);
+	instance_leave_asked(s, i);
 	s->instances[i->handle.i] = NULL;
 	talloc_free(i);
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -481,6 +481,7 @@
 	uint64_t first_report_ms;
 	uint64_t next_poll_ms;
 	uint64_t poll_sent_ms;	/* the last poll; 0: it failed */
+	uint64_t answer_due_ms; /* when it was to be answered at the latest */
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
 	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
 	/*
@@ -797,8 +798,9 @@
 
 /* sched_poll.c */
 void instance_leave_idle(struct sched *s, struct instance *i);
+void instance_leave_asked(struct sched *s, struct instance *i);
 
-/* instance_ask - poll it at once, beside a poll that waits for an end */
+/* instance_ask - poll it at once, also beside a poll that waits for an end */
 void instance_ask(struct sched *s, struct instance *i, uint64_t now);
 void instance_free_missing(struct sched *s, struct instance *i, uint64_t now);
 
@@ -846,7 +848,10 @@
 void instance_record_no_answer(struct sched *s, struct instance *i,
 			       uint64_t now);
 
-/* instance_was_silent - whether it has lately left an order unanswered */
+/*
+ * instance_was_silent - whether it has lately left an order unanswered, or a
+ * poll that had no longer to wait
+ */
 bool instance_was_silent(const struct instance *i, uint64_t now);
 void instance_record_failure(struct sched *s, struct instance *i,
 			     const struct job *job, uint64_t now);
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -22,6 +22,8 @@
 #define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
 #define POLL_ANSWER_MS 300u /* timeout after the wait: network, busy leader */
 
+#define ANSWER_LATE_MS 50u /* after the wait; an answer normally takes 3 ms */
+
 #define UNACKED_FIRST 8u /* entries allocated first, for reported ends */
 
 /* After an unanswered poll the next one follows at the later of these times */
@@ -138,7 +140,7 @@
 	DL_DELETE2(s->idle, i, idle_prev, idle_next);
 }
 
-static void leave_asked(struct sched *s, struct instance *i)
+void instance_leave_asked(struct sched *s, struct instance *i)
 {
 	if (!i->asked)
 		return;
@@ -148,20 +150,18 @@
 
 void instance_ask(struct sched *s, struct instance *i, uint64_t now)
 {
-	if (!i->polling) {
-		if (!i->unresponsive)
-			i->next_poll_ms = now;
-		return;
-	}
-	if (i->asked || i->polls > 1 || now < i->next_poll_ms)
+	if (i->asked || i->polls > 1 ||
+	    (i->unresponsive && now < i->next_poll_ms))
 		return;
 	i->asked = true;
 	DL_APPEND2(s->asked, i, asked_prev, asked_next);
 }
 
-static void poll_begun(struct sched *s, struct instance *i, uint64_t now)
+static void poll_begun(struct sched *s, struct instance *i, uint32_t wait_ms,
+		       uint64_t now)
 {
 	i->poll_sent_ms = now;
+	i->answer_due_ms = now + wait_ms + ANSWER_LATE_MS;
 	i->polls_overlap = i->polls > 0;
 	if (i->polls++)
 		return;
@@ -173,7 +173,6 @@
 {
 	if (!i->polls || --i->polls)
 		return;
-	leave_asked(s, i);
 	i->polling = false;
 	DL_APPEND2(s->idle, i, idle_prev, idle_next);
 }
@@ -193,7 +192,7 @@
 		poll->lease_until = instance_extend_lease(s, i, now);
 	if (poll->lease_until)
 		instance_deadline_sent(s, i, now, poll->timeout_ms);
-	poll_begun(s, i, now);
+	poll_begun(s, i, wait_ms, now);
 }
 
 /*
@@ -205,7 +204,7 @@
 	struct instance *i = s->asked;
 
 	if (i) {
-		leave_asked(s, i);
+		instance_leave_asked(s, i);
 		fill_poll(s, i, 0, now, poll);
 		return true;
 	}
--- a/test/unanswered_test.c
+++ b/test/unanswered_test.c
@@ -55,6 +55,7 @@
 	char start_on[CALLS_MAX][16];
 	char start_of[CALLS_MAX][SCHED_TASK_MAX];
 	uint32_t stop_takes_ms;
+	const char *dark; /* instance that answers nothing; NULL: none */
 };
 
 static struct run *find_run(struct fixture *x, const struct sched_order *o)
@@ -106,15 +107,17 @@
 	struct order_call *c = &x->orders[x->order_count++];
 	enum fate fate = FATE_DONE;
 
+	if (x->dark && !strcmp(o->instance_id, x->dark))
+		fate = FATE_NONE;
 	assert_true(x->order_count < CALLS_MAX);
 	if (o->kind == ORDER_START) {
-		if (x->starts < 8)
+		if (x->starts < 8 && x->start_fates[x->starts])
 			fate = x->start_fates[x->starts];
 		snprintf(x->start_on[x->starts], 16, "%s", o->instance_id);
 		memcpy(x->start_of[x->starts], o->task, SCHED_TASK_MAX);
 		x->start_ms[x->starts++] = x->r.now;
 	} else {
-		if (x->stops < 8)
+		if (x->stops < 8 && x->stop_fates[x->stops])
 			fate = x->stop_fates[x->stops];
 		x->stop_ms[x->stops++] = x->r.now;
 	}
@@ -186,6 +189,13 @@
 				0
 			};
 	}
+	if (x->dark && !strcmp(c->poll.instance_id, x->dark)) {
+		if (x->r.now < c->sent_ms + c->poll.timeout_ms)
+			return false;
+		sched_poll_done(x->r.s, c->poll.instance, NULL, c->sent_ms,
+				x->r.now);
+		return true;
+	}
 	if (x->r.now < c->sent_ms + ANSWER_MS ||
 	    (!ended_count && x->r.now < c->sent_ms + c->poll.wait_ms))
 		return false;
@@ -456,6 +466,27 @@
 	talloc_free(x.r.s);
 }
 
+/* Polls of idle instances wait for 2 s: i-1 isn't known to be gone. */
+static void test_place_is_held_on_a_dark_instance(void **state)
+{
+	struct fixture x;
+
+	(void)state;
+	fixture_new(&x);
+	submit_lasting(&x, id_a, 1, 0, "");
+	advance(&x, 1000);
+	assert_string_equal(x.start_on[0], "i-0");
+	advance(&x, 100);
+	x.dark = "i-1";
+	sched_relocate(x.r.s, find_instance(&x.r, "i-0"), true, true, x.r.now);
+	sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
+	advance(&x, 1000);
+	assert_int_equal(x.starts, 2);
+	assert_string_equal(x.start_on[1], "i-2");
+	assert_int_equal(runs_of(&x, id_a), 1);
+	talloc_free(x.r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -464,6 +495,7 @@
 		cmocka_unit_test(test_stop_beyond_budget_comes_early),
 		cmocka_unit_test(test_silent_instance_gets_the_next_start),
 		cmocka_unit_test(test_place_is_held_on_a_silent_instance),
+		cmocka_unit_test(test_place_is_held_on_a_dark_instance),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -448,6 +448,9 @@
      "	if (run->task->step->spec->lasting)\n"
      "		run->task->avoid_instance = run->instance->handle.i + 1;\n",
      "", "unanswered_test"),
+    ("the poll of an instance on which a place is held",
+     "src/pool/sched_hold.c", "	instance_ask(s, i, now);\n", "",
+     "unanswered_test"),
     ("keeping rows while a task runs", "src/pool/sched_change.c",
      "change->drop = !job_has_runs(job);", "change->drop = true;",
      "fleet_walk"),
