sched: beyond the budget an unanswered start waits for its deadline

Callers would see a task that has just begun to work stopped while as many others of its step are away as may be.

Cause: a start of 3.22 s without an answer was carried out at 4.28, after the report that lacks it and before the stop which that report allowed. The stop took 420 ms; by then the task was at work.

Change: while the budget allows no further stop, only a report that was asked for after the start's deadline, 4.27 s, lets the run be stopped: an instance doesn't begin it any more. Once the others of the step are at work again the first report is enough. The price is a longer wait of tasks whose starts got no answer while more of their step are away than may be.

--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -57,8 +57,9 @@
 	uint32_t predecessor_orders_ms;
 	/*
 	 * From an unanswered start to the stop that resolves its outcome, or to
-	 * the poll that must show it first. A long-running task of which the
-	 * disruption budget allows to stop one is polled for at once.
+	 * the poll that must show it first. The start of a long-running task
+	 * that its instance left unanswered is looked for at once; while the
+	 * disruption budget allows no further stop, after its deadline.
 	 */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms;	/* retention of an ended job's state */
--- a/src/pool/sched_instance.c
+++ b/src/pool/sched_instance.c
@@ -131,8 +131,7 @@
 	set_unreported_capacity(s, i);
 }
 
-/* How long a lease that an instance is given now may hold, at most. */
-static uint64_t lease_holds_ms(uint32_t lease_ms)
+uint64_t lease_holds_ms(uint32_t lease_ms)
 {
 	return (uint64_t)(lease_ms * (1 + LEASE_SLACK)) + LEASE_MARGIN_MS;
 }
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -819,6 +819,9 @@
  */
 bool instance_is_confirmed(const struct sched *s, const struct instance *i);
 struct instance *instance_of(const struct sched *s, instance_handle_t h);
+
+/* lease_holds_ms - how long a lease that is given now may hold, at most */
+uint64_t lease_holds_ms(uint32_t lease_ms);
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now);
 void instance_extend_lease_max(const struct sched *s, struct instance *i,
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -480,13 +480,15 @@
 /*
  * From when on a report that lacks the run lets it be stopped. A start that the
  * instance left unanswered isn't under way any more, unless the instance holds
- * it; then its stop may end a task that has just begun to work, so other tasks
- * of the step must be there.
+ * it; then its stop may end a task that has just begun to work. If too many
+ * others of the step are away for that, its deadline must have passed.
  */
 static uint64_t absence_counts_ms(const struct sched *s, const struct run *run,
 				  uint64_t now)
 {
-	if (run->relay_lost || !task_may_stop(run->task, now))
+	if (!task_may_stop(run->task, now))
+		return run->ordered_ms + lease_holds_ms(s->options.lease_ms);
+	if (run->relay_lost)
 		return run->ordered_ms + s->options.start_wait_ms;
 	return run->unanswered_ms + 1; /* order is unknown within 1 ms */
 }
