--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -77,8 +77,12 @@
 	uint64_t stop_done_ms; /* when its stop order was done; 0: not yet */
 	/* when its unanswered stop was given up; 0: it was not */
 	uint64_t stop_withdrawn_ms;
+	/* when its last order was given up without an answer; 0: it wasn't */
+	uint64_t unanswered_ms;
+	/* when the newest report that lacks its unanswered start was asked for;
+	 * 0: none does */
+	uint64_t absent_ms;
 	bool relay_lost;  /* no result of its start from the relay */
-	bool absent;	  /* its unanswered start is not in a report */
 	bool missing;	  /* a report lacks it, though it should be in */
 	bool to_send;	  /* it is in sched.to_send */
 	bool withdrawn;	  /* its start must not be sent */
@@ -104,10 +108,11 @@
 	bool done;
 	/* a former leader may have started it; no report shows it */
 	bool possibly_running;
-	uint32_t failed;	 /* runs that failed */
-	uint32_t starts;	 /* in this epoch */
-	uint32_t short_runs;	 /* see task_count_end() */
-	uint32_t avoid_instance; /* slot + 1 of its last failure; 0: none */
+	uint32_t failed;     /* runs that failed */
+	uint32_t starts;     /* in this epoch */
+	uint32_t short_runs; /* see task_count_end() */
+	/* slot + 1 of its last failure, or unanswered start; 0: none */
+	uint32_t avoid_instance;
 	uint64_t unavailable_since_ms; /* if long-running; 0: available */
 	uint64_t retry_ms;	       /* earliest next start */
 	uint64_t relocated_ms; /* end of the last run stopped for a drain */
@@ -455,6 +460,9 @@
 	bool reserved;		 /* excluded from placement by fleet/ */
 	bool evacuated;		 /* nothing may be started in its zone */
 	bool polling;		 /* a poll is not answered yet */
+	bool asked;		 /* in sched.asked: to be polled at once */
+	uint32_t polls;		 /* that are not answered yet; 2 at most */
+	bool polls_overlap;	 /* their answers may come in any order */
 	bool has_missing;	 /* some of its runs are missing */
 	bool counted_unreported; /* in sched.unreported */
 	/* pools that count it in pool.unreported: all that it has been in */
@@ -473,6 +481,8 @@
 	/* first report since its start or since it was unresponsive */
 	uint64_t first_report_ms;
 	uint64_t next_poll_ms;
+	uint64_t poll_sent_ms;	/* the last poll; 0: it failed */
+	uint64_t answer_due_ms; /* when it was to be answered at the latest */
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
 	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
 	/*
@@ -503,7 +513,10 @@
 	uint32_t fill_permille; /* of its capacity, while returned_ms is set */
 	uint64_t next_throttle_ms;  /* earliest next change of speed */
 	uint32_t unanswered_orders; /* consecutive */
+	/* when an order last got no answer; 0: a start has got one since */
+	uint64_t unanswered_ms;
 	struct instance *idle_prev, *idle_next;	      /* in sched.idle */
+	struct instance *asked_prev, *asked_next;     /* in sched.asked */
 	struct instance *unacked_prev, *unacked_next; /* in sched.unacked */
 	struct instance *pool_prev, *pool_next;	      /* in pool.instances */
 	struct instance *machine_prev, *machine_next; /* of one machine */
@@ -547,6 +560,7 @@
 	struct instance *idle;	     /* instances without a poll in flight */
 	struct instance *idle_next;  /* where the search for polls goes on */
 	struct instance *unacked;    /* instances with unacknowledged ends */
+	struct instance *asked;	     /* instances to be polled at once */
 	struct instance **instances; /* NULL in free slots */
 	uint32_t instance_slots;     /* used or free */
 	uint32_t instance_alloc;
@@ -732,6 +746,13 @@
 void run_queue_order(struct sched *s, struct run *run);
 void run_stop(struct sched *s, struct run *run, enum stop_reason reason);
 
+/*
+ * run_report_wanted_ms - when the report must be asked for, or later, that
+ * tells what became of the run's last order; 0: none is awaited
+ */
+uint64_t run_report_wanted_ms(const struct sched *s, const struct run *run,
+			      uint64_t now);
+
 /* run_is_steady - whether it has lasted long enough to be worth its start */
 bool run_is_steady(const struct run *run, uint64_t now);
 
@@ -781,6 +802,10 @@
 
 /* sched_poll.c */
 void instance_leave_idle(struct sched *s, struct instance *i);
+void instance_leave_asked(struct sched *s, struct instance *i);
+
+/* instance_ask - poll it at once, also beside a poll that waits for an end */
+void instance_ask(struct sched *s, struct instance *i, uint64_t now);
 void instance_free_missing(struct sched *s, struct instance *i, uint64_t now);
 
 /* sched_instance.c */
@@ -798,6 +823,9 @@
  */
 bool instance_is_confirmed(const struct sched *s, const struct instance *i);
 struct instance *instance_of(const struct sched *s, instance_handle_t h);
+
+/* lease_holds_ms - how long a lease that is given now may hold, at most */
+uint64_t lease_holds_ms(uint32_t lease_ms);
 uint64_t instance_extend_lease(const struct sched *s, struct instance *i,
 			       uint64_t now);
 void instance_extend_lease_max(const struct sched *s, struct instance *i,
@@ -826,6 +854,12 @@
 		     uint64_t now);
 void instance_record_no_answer(struct sched *s, struct instance *i,
 			       uint64_t now);
+
+/*
+ * instance_was_silent - whether it has lately left an order unanswered, or a
+ * poll that had no longer to wait
+ */
+bool instance_was_silent(const struct instance *i, uint64_t now);
 void instance_record_failure(struct sched *s, struct instance *i,
 			     const struct job *job, uint64_t now);
 void instance_record_success(struct instance *i);
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -15,6 +15,11 @@
 #define STEADY_MS 5000u	      /* a run that lasts so long was worth its start */
 /* Consecutive unanswered orders that make an instance unresponsive */
 #define UNANSWERED_MAX 2u
+/*
+ * An instance that has left an order unanswered is avoided for so long: about
+ * as long as orders are seen to be carried out late.
+ */
+#define SILENT_LATELY_MS 10000u
 
 static uint32_t free_slot(struct sched *s)
 {
@@ -355,12 +360,20 @@
 	return false;
 }
 
+static void start_unanswered(struct sched *s, struct run *run, uint64_t now)
+{
+	instance_record_no_answer(s, run->instance, now);
+	if (run->task->step->spec->lasting)
+		run->task->avoid_instance = run->instance->handle.i + 1;
+}
+
 static void start_answered(struct sched *s, struct run *run,
 			   enum sched_order_result result, uint64_t now)
 {
 	switch (result) {
 	case ORDER_DONE:
 		run->instance->unanswered_orders = 0;
+		run->instance->unanswered_ms = 0;
 		run->timed = !run->running_since_ms && !run->task->checkpoint;
 		run_mark_running(s, run, now);
 		return;
@@ -371,8 +384,9 @@
 			run->state = RUN_UNKNOWN;
 		run_watch(s, run);
 		run->relay_lost = result == ORDER_LOST;
+		run->unanswered_ms = now;
 		if (result == ORDER_UNKNOWN)
-			instance_record_no_answer(s, run->instance, now);
+			start_unanswered(s, run, now);
 		return;
 	default:
 		start_refused(s, run, result, now);
@@ -383,8 +397,13 @@
 static void stop_answered(struct run *run, enum sched_order_result result,
 			  uint64_t now)
 {
-	if (result != ORDER_DONE)
-		return; /* tried again by run_tick() */
+	if (result != ORDER_DONE) {
+		/* Tried again by run_tick(). */
+		run->unanswered_ms = now;
+		if (result == ORDER_UNKNOWN)
+			run->instance->unanswered_ms = now;
+		return;
+	}
 	run->stop_done_ms = now;
 	run->instance->next_poll_ms = now;
 }
@@ -460,6 +479,22 @@
 	       (run->relay_lost || run->task->step->spec->lasting);
 }
 
+/*
+ * From when on a report that lacks the run lets it be stopped. A start that the
+ * instance left unanswered isn't under way any more, unless the instance holds
+ * it; then its stop may end a task that has just begun to work. If too many
+ * others of the step are away for that, its deadline must have passed.
+ */
+static uint64_t absence_counts_ms(const struct sched *s, const struct run *run,
+				  uint64_t now)
+{
+	if (!task_may_stop(run->task, now))
+		return run->ordered_ms + lease_holds_ms(s->options.lease_ms);
+	if (run->relay_lost)
+		return run->ordered_ms + s->options.start_wait_ms;
+	return run->unanswered_ms + 1; /* order is unknown within 1 ms */
+}
+
 /*
  * Whether to stop a run whose start was not answered, so that it can't begin
  * any more.
@@ -468,7 +503,8 @@
 			     uint64_t now)
 {
 	if (run_needs_report(run))
-		return run->absent;
+		return run->absent_ms &&
+		       run->absent_ms >= absence_counts_ms(s, run, now);
 	return now - run->ordered_ms >= s->options.start_wait_ms;
 }
 
@@ -491,6 +527,35 @@
 	       run->instance->report_sent_ms <= run->ordered_ms;
 }
 
+uint64_t run_report_wanted_ms(const struct sched *s, const struct run *run,
+			      uint64_t now)
+{
+	if (!run->task->step->spec->lasting)
+		return 0;
+	if (run->state == RUN_UNKNOWN)
+		return absence_counts_ms(s, run, now);
+	if (run_stop_needs_report(run))
+		return run->unanswered_ms + 1;
+	/* If it has not begun it has no end, which a poll would wait for. */
+	return run->state == RUN_STOPPING && run->stop_done_ms &&
+			       !run->running_since_ms
+		       ? run->stop_done_ms + 1
+		       : 0;
+}
+
+/*
+ * A poll in flight may wait for an end for seconds, so another one asks what
+ * became of an order.
+ */
+static void ask_for_report(struct sched *s, const struct run *run, uint64_t now)
+{
+	uint64_t wanted_ms = run_report_wanted_ms(s, run, now);
+
+	if (wanted_ms && now >= wanted_ms &&
+	    run->instance->poll_sent_ms < wanted_ms)
+		instance_ask(s, run->instance, now);
+}
+
 /*
  * Repeats an unanswered stop. Other tasks of the step may have become
  * unavailable since it was sent, and an unanswered start may have been carried
@@ -521,7 +586,10 @@
 /* Stops runs whose start has an unknown outcome; repeats unanswered orders. */
 static void run_tick(struct sched *s, struct run *run, uint64_t now)
 {
-	if (run->in_flight || run->to_send || run->instance->unresponsive)
+	if (run->in_flight || run->to_send)
+		return;
+	ask_for_report(s, run, now);
+	if (run->instance->unresponsive)
 		return;
 	switch (run->state) {
 	case RUN_UNKNOWN:
@@ -564,10 +632,19 @@
 			       uint64_t now)
 {
 	s->call_unanswered_ms = now;
+	i->unanswered_ms = now;
 	if (++i->unanswered_orders >= UNANSWERED_MAX)
 		i->unresponsive = true;
 }
 
+bool instance_was_silent(const struct instance *i, uint64_t now)
+{
+	return (i->unanswered_ms &&
+		now - i->unanswered_ms < SILENT_LATELY_MS) ||
+	       (i->polling && i->report_sent_ms < i->poll_sent_ms &&
+		now >= i->answer_due_ms);
+}
+
 uint64_t sched_run_number(const struct sched *s, struct task *task)
 {
 	return s->epoch * RUN_NUMBER_STRIDE + ++task->starts;
