--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,8 @@
 $(B)/test/drain_test $(B)/test/donor_test $(B)/test/waits_test: \
 		$(B)/test/rig/drain_rig.o
 
+$(B)/test/quiet_pool_test: $(B)/test/rig/course_rig.o
+
 $(B)/test/reserve_test $(B)/test/estimate_test: $(B)/test/rig/run_rig.o
 
 $(B)/test/overload_test $(B)/test/refusals_test: $(B)/test/rig/overload.o
