sched: an instance that never reports doesn't keep its pool from a machine

What callers see: after a change of leader a long-running task that was stopped, or has just been accepted, gets no machine for ten seconds, while spare machines are idle.

Cause: machines_for_waiting() asks for none while any instance of the pool, or one that has left it, has not reported to this leader. One that is cut off counts until its lease ends: 4 s for a first leader, over 10 s (the longest lease) for a later one.

Only a first report that is about to come may show room, so the pool now waits for one for 1.5 s. Tasks that may run on the silent instance aren't startable and ask for nothing. A leader that has led for longer than leases last was not affected: an instance that joins and never reports expires at once, as test_silent_instance_that_joins_stops_requests shows.

--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -13,6 +13,12 @@
  * after a pool with evacuated instances alone refused a job
  */
 #define NO_PLACE_VALID_MS 500u
+/*
+ * A pool asks for no machine while an instance of it may report first to this
+ * leader, and have room: for longer than a poll and its answer take, and no
+ * longer, since one that is cut off may stay so until its lease ends.
+ */
+#define FIRST_REPORT_MS 1500u
 /* Load of pools */
 
 /* Whether the instance counts towards the capacity of its pool. */
@@ -101,6 +107,25 @@
 	}
 }
 
+static bool awaits_first_report(const struct sched *s, const struct pool *pool)
+{
+	const struct instance *i;
+
+	if (!pool->unreported)
+		return false;
+	DL_FOREACH2(pool->instances, i, pool_next)
+	{
+		uint64_t since_ms = i->known_ms > s->leader_since_ms
+					    ? i->known_ms
+					    : s->leader_since_ms;
+
+		if (!i->reported && !i->expired &&
+		    s->tick_ms < since_ms + FIRST_REPORT_MS)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Empty machines, of the mean size of the pool's, that take the waiting tasks
  * of a long-running step; 0 if one can't take any, or more may not start now.
@@ -115,8 +140,8 @@
 	int64_t each = step->spec->spread_limit ? step->spec->spread_limit
 						: UINT32_MAX;
 
-	if (!waiting || step->job->pool->unreported ||
-	    !cap_allows(s, step, 1) || amount_covers(largest_empty, &a))
+	if (!waiting || !cap_allows(s, step, 1) ||
+	    amount_covers(largest_empty, &a))
 		return 0;
 	if (!size->cpu)
 		return 1;
@@ -144,6 +169,7 @@
 	const struct instance *i;
 	const struct step *step;
 	double machines = 0;
+	bool awaits_report;
 
 	memset(load, 0, sizeof(*load));
 	load->pool = name;
@@ -161,6 +187,7 @@
 	}
 	set_machine_size(pool, &size);
 	set_largest_empty(s, pool, &largest_empty);
+	awaits_report = awaits_first_report(s, pool);
 	set_spread(s, pool, load);
 	load->waiting_work = pool->waiting_work;
 	load->arrived_work = pool->arrived_work;
@@ -171,8 +198,9 @@
 		load->waiting.cpu += a.cpu * step->startable;
 		load->waiting.mem += a.mem * step->startable;
 		load->waiting.gpu += a.gpu * step->startable;
-		machines +=
-			machines_for_waiting(s, step, &size, &largest_empty);
+		if (!awaits_report)
+			machines += machines_for_waiting(s, step, &size,
+							 &largest_empty);
 	}
 	load->long_running_machines = (uint32_t)ceil(machines);
 	/* How many fit on one is known once there is one. */
