balance: a machine whose move was given up is chosen after others

What callers see: a long-running task waits for as long as one machine can't be moved, although others could be: ten seconds and more, until its queue's next turn orders several machines at once.

Cause: of a pool's machines the one with the least CPU in use is drained. If it isn't idle after 2 s it stays, and is the one with the least in use again, since it got no work meanwhile. So a single task of 20 s keeps all others of its pool from being asked; they would be idle within a second. It is the same with a spare machine that the platform refuses to move, or whose orders get no answer.

A machine whose move was given up goes after the others of its pool for 10 s, longer than several tries take. A spare one isn't tried meanwhile: nothing that runs there could keep it, and other pools can be asked.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -20,6 +20,8 @@
 #define DONOR_UTILIZATION_MAX 0.7 /* of a pool after it gave machines away */
 #define POOL_MACHINES_MIN 2u	  /* machines that a donor pool always keeps */
 #define DRAIN_TIMEOUT_MS 2000u	  /* of a busy machine; then it stays */
+/* A machine whose move was given up is chosen after others for this long */
+#define GIVEN_UP_MS 10000u
 #define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
 #define IDLE_TRUSTED_MS 300u	  /* same, by a fully trusted forecast */
 #define IDLE_PAYS_MS 1500u	  /* idle time that costs less than two moves */
@@ -39,6 +41,7 @@
 /* A machine that its pool may give away. */
 struct donor_machine {
 	struct machine *machine;
+	uint64_t given_up_ms; /* when its last move was, lately; 0: it wasn't */
 	int64_t used_cpu;
 };
 
@@ -219,15 +222,22 @@
 	       !m->evacuated && now - m->pool_since_ms >= MOVE_COOLDOWN_MS;
 }
 
-static int by_used(const void *a, const void *b)
+static int by_given_up_and_used(const void *a, const void *b)
 {
 	const struct donor_machine *x = a;
 	const struct donor_machine *y = b;
 
+	if (x->given_up_ms != y->given_up_ms)
+		return x->given_up_ms < y->given_up_ms ? -1 : 1;
 	return x->used_cpu < y->used_cpu ? -1 : x->used_cpu > y->used_cpu;
 }
 
-/* Lists the machines that the pool may give away, the least used first. */
+/*
+ * Lists the machines that the pool may give away, the least used first, but
+ * those last whose move was given up lately: what kept them may last, and
+ * others may be idle sooner. A spare one of them stays: nothing runs on it, so
+ * the platform doesn't move it.
+ */
 static void list_machines(struct fleet *f, const struct sched *s,
 			  struct pool_balance *from, uint64_t now)
 {
@@ -239,19 +249,24 @@
 	from->machine_count = from->machines_taken = 0;
 	for (m = f->machines; m; m = m->hh.next) {
 		struct sched_instance_load load = { 0 };
+		bool given_up =
+			m->given_up_ms && now - m->given_up_ms < GIVEN_UP_MS;
 
 		if (strcmp(m->pool, from->name) || !machine_is_movable(m, now))
 			continue;
+		if (from->spare && given_up)
+			continue;
 		if (!from->spare &&
 		    (!sched_machine_load(s, m->name, &load) || !load.usable ||
 		     load.unreported || load.long_running || load.fillers ||
 		     load.held))
 			continue;
-		from->machines[from->machine_count++] =
-			(struct donor_machine){ m, load.used.cpu };
+		from->machines[from->machine_count++] = (struct donor_machine){
+			m, given_up ? m->given_up_ms : 0, load.used.cpu
+		};
 	}
 	qsort(from->machines, from->machine_count, sizeof(*from->machines),
-	      by_used);
+	      by_given_up_and_used);
 }
 
 static struct machine *pick_machine(struct fleet *f, const struct sched *s,
@@ -521,8 +536,11 @@
 	struct sched_instance_load load;
 
 	bool known = sched_machine_load(s, m->name, &load);
+	bool given_up = now - m->drain_since_ms > DRAIN_TIMEOUT_MS;
 
-	if (now - m->drain_since_ms > DRAIN_TIMEOUT_MS || m->evacuated ||
+	if (given_up)
+		m->given_up_ms = now;
+	if (given_up || m->evacuated ||
 	    (known && sched_has_place_for_waiting(s, load.instance))) {
 		machine_release(m, s, now);
 		return false;
