balance: a machine with an open order counts as coming for a second

What callers see: a long-running task waits for a machine whose order got no answer, while others could come, for as long as the platform's list can't be read.

Cause: a machine whose order's outcome is unknown counts as on its way until a list shows where it is, so nothing else is ordered for the pool. A list is requested 300 ms after the order, and resolves it; without one there is no bound.

It now counts for 1 s, enough for that list. If it comes after all, the pool has one machine more for a while.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -20,6 +20,11 @@
 #define DONOR_UTILIZATION_MAX 0.7 /* of a pool after it gave machines away */
 #define POOL_MACHINES_MIN 2u	  /* machines that a donor pool always keeps */
 #define DRAIN_TIMEOUT_MS 2000u	  /* of a busy machine; then it stays */
+/*
+ * Longest time for which a machine with an open order counts as coming. A list
+ * that shows its outcome is read 300 ms after the order, if one can be read.
+ */
+#define OPEN_ORDER_MS 1000u
 /* A machine whose move was given up is chosen after others for this long */
 #define GIVEN_UP_MS 10000u
 #define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
@@ -88,7 +93,14 @@
 	return NULL;
 }
 
-static void count_moving(struct fleet *f, struct balance *b)
+static bool may_not_come(const struct machine *m, uint64_t now)
+{
+	return m->evacuated /* it adds no capacity */ ||
+	       (m->phase == PHASE_UNCERTAIN &&
+		now - m->phase_since_ms > OPEN_ORDER_MS);
+}
+
+static void count_moving(struct fleet *f, struct balance *b, uint64_t now)
 {
 	struct machine *m;
 
@@ -99,7 +111,7 @@
 			continue;
 		to = balance_of(b, m->target_pool);
 		from = balance_of(b, m->pool);
-		if (to && !m->evacuated) /* it adds no capacity */
+		if (to && !may_not_come(m, now))
 			to->incoming++;
 		if (from && m->phase == PHASE_DRAINING)
 			from->outgoing++;
@@ -208,7 +220,7 @@
 	}
 	if (f->forecast)
 		forecast_update(f->forecast, now);
-	count_moving(f, b);
+	count_moving(f, b, now);
 	for (i = 0; i < b->pool_count; i++) {
 		compute_demand(&b->pools[i]);
 		b->pools[i].lacked = b->pools[i].deficit;
