balance: a pool with a waiting task gives machines that the task can't need

What callers see: a long-running task waits although another pool has a backlog and many machines without such tasks, for as long as a single long-running task waits there too.

Cause: backlog_donor() skips a pool that lacks a machine itself. After a wave or a fault tasks wait in several pools at once; a task that needs a label, or more room than short tasks leave, waits for some time, and all that time its pool gives none of its machines, whatever their number.

A pool now keeps as many machines without long-running tasks as its own waiting ones would take, and gives the others.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -353,7 +353,7 @@
 /*
  * Returns the pool with most machines that run no long-running task, whatever
  * waits there: its backlog takes somewhat longer, while a long-running task
- * would not run at all.
+ * would not run at all. It keeps those that its own waiting tasks may take.
  */
 static struct pool_balance *backlog_donor(struct balance *b,
 					  const struct pool_balance *to)
@@ -365,9 +365,9 @@
 		struct pool_balance *v = &b->pools[i];
 		uint32_t keeps = v->load.spread ? v->load.spread : 1;
 
-		if (v == to || v->exhausted || v->lacking ||
-		    v->load.instances <= keeps ||
-		    v->load.instances <= v->load.pinned)
+		if (v == to || v->exhausted || v->load.instances <= keeps ||
+		    v->load.instances <=
+			    v->load.pinned + v->load.long_running_machines)
 			continue;
 		if (!best || v->load.instances - v->load.pinned >
 				     best->load.instances - best->load.pinned)
