--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -279,6 +279,56 @@
 	check_order(FLEET_UNKNOWN, true);
 }
 
+/* Runs that have ended: a wave stops a task, and another instance has room */
+
+enum stop_fault { SILENT_AFTER_STOP, STOP_UNANSWERED, BOTH, STORE_SLOW };
+
+static void check_stop(enum stop_fault fault)
+{
+	static const char *const machines[] = { "m-0" };
+	struct course_options options = { .pools = 1 };
+	struct course_machine *m;
+	struct course_rig x;
+	uint32_t job;
+
+	course_new(&x, &options);
+	m = course_add_machine(&x, 0);
+	job = submit_lasting(&x, 0, 1);
+	course_advance(&x, 1000);
+	assert_ptr_equal(course_machine_of(&x, job, 0), m);
+	add_machines(&x, 0, 2);
+	course_advance(&x, 6000); /* a task that has just started isn't moved */
+	m->silent_after_stop = fault == SILENT_AFTER_STOP || fault == BOTH;
+	m->stop_unanswered = fault == STOP_UNANSWERED || fault == BOTH;
+	x.store_slow = fault == STORE_SLOW;
+	fleet_add_wave(x.f, "wave/1", 1, 1, 20000, machines, 1, x.now);
+	course_advance(&x, 200);
+	assert_ptr_not_equal(course_machine_of(&x, job, 0), m);
+	course_advance(&x, BOUND_MS - 200);
+	assert_int_equal(x.jobs[job].tasks[0].starts, 2);
+	assert_int_equal(x.jobs[job].tasks[0].runs, 1);
+	course_free(&x);
+}
+
+static void test_end_is_not_reported(void **state)
+{
+	(void)state;
+	check_stop(SILENT_AFTER_STOP);
+	check_stop(BOTH);
+}
+
+static void test_stop_is_not_answered(void **state)
+{
+	(void)state;
+	check_stop(STOP_UNANSWERED);
+}
+
+static void test_end_is_not_written(void **state)
+{
+	(void)state;
+	check_stop(STORE_SLOW);
+}
+
 /* The course of 2026-12-05: a task is stopped in the quiet part of its pool */
 
 #define COURSE_ZONES 5u
@@ -522,6 +572,9 @@
 		cmocka_unit_test(test_refused_machine_is_chosen_again),
 		cmocka_unit_test(test_machine_without_answers_is_chosen_again),
 		cmocka_unit_test(test_open_order_is_waited_for_without_a_list),
+		cmocka_unit_test(test_end_is_not_reported),
+		cmocka_unit_test(test_stop_is_not_answered),
+		cmocka_unit_test(test_end_is_not_written),
 	};
 
 	if (argc == 3 && !strcmp(argv[1], "--seeds"))
--- a/test/rig/course_rig.c
+++ b/test/rig/course_rig.c
@@ -153,6 +153,8 @@
 {
 	struct sched_change change;
 
+	if (x->store_slow)
+		return;
 	while (sched_next_change(x->s, 1, &change))
 		if (change.progress)
 			fleet__progress_row__free_unpacked(change.progress,
@@ -326,8 +328,9 @@
 	return ORDER_DONE;
 }
 
-static void stop(struct course_rig *x, struct course_machine *m,
-		 const struct sched_order *o)
+static enum sched_order_result stop(struct course_rig *x,
+				    struct course_machine *m,
+				    const struct sched_order *o)
 {
 	uint32_t job, task, r;
 
@@ -336,6 +339,8 @@
 		if (m->runs[r].job == job && m->runs[r].task == task &&
 		    m->runs[r].number == o->number)
 			run_end(x, m, r, true, SCHED_STOPPED);
+	m->silent |= m->silent_after_stop;
+	return m->stop_unanswered ? ORDER_UNKNOWN : ORDER_DONE;
 }
 
 static void carry_out(struct course_rig *x, const struct sched_order *o)
@@ -348,7 +353,7 @@
 	else if (o->kind == ORDER_START)
 		result = start(x, m, o);
 	else if (o->kind == ORDER_STOP)
-		stop(x, m, o);
+		result = stop(x, m, o);
 	sched_order_done(x->s, o, result, x->now, x->now, x->now);
 }
 
--- a/test/rig/course_rig.h
+++ b/test/rig/course_rig.h
@@ -56,6 +56,8 @@
 	/* What goes wrong */
 	bool refuses_starts;
 	bool silent;		  /* polls get no answer */
+	bool silent_after_stop;	  /* same, once it has carried out a stop */
+	bool stop_unanswered;	  /* a stop is carried out without an answer */
 	bool denied;		  /* the adviser doesn't approve it */
 	enum fleet_result result; /* of orders to move it */
 };
@@ -96,6 +98,7 @@
 	uint32_t machine_count, job_count, instance_count;
 	struct course_machine machines[COURSE_MACHINES_MAX];
 	struct course_job *jobs;
+	bool store_slow;  /* nothing is written */
 	bool list_fails;  /* the platform's list can't be read */
 	bool list_is_due; /* it is read at the next tick */
 	uint64_t listed_ms;
