sched: a machine is requested beside an empty one that doesn't take a task

What callers see: a long-running task waits without an end while its pool has an empty instance that refuses its starts, or that the queue's adviser doesn't let it use. Other machines would take it.

Cause: an empty instance with room for the task ends the request for a machine: the task is taken to wait for something else. That is so for a ticket or a first start, which come within a second. Nothing ends the wait if the adviser has denied the instance to the step, or if it refuses starts of one job only: it is ejected after three failures of different jobs.

Once a task has waited for 1.5 s, and each empty instance that could run it is denied to its step or failed its last start, one machine is requested, and no other within 30 s, as the next may not take the task either. An empty instance without the step's label still ends the request: the planner doesn't know which machines have the label.

--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -164,6 +164,7 @@
 	uint64_t late_work;	  /* of it, in pool.late_work and demand.late */
 	uint64_t waiting_work;	  /* as counted in pool.waiting_work */
 	struct reserve_wait reserve;
+	uint64_t other_wanted_ms; /* see other_is_wanted(); 0: never yet */
 	/* Since when reservations alone keep it from room; 0: they don't */
 	uint64_t reserved_out_ms;
 	struct step *prev, *next; /* in pool.ready */
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -19,6 +19,19 @@
  * longer, since one that is cut off may stay so until its lease ends.
  */
 #define FIRST_REPORT_MS 1500u
+/*
+ * A task that waits for so long, although an empty instance has room for it, is
+ * not about to start there
+ */
+#define NO_START_MS 1500u
+/*
+ * A machine beside empty ones that don't take a step is requested for so long,
+ * which is less than a move takes, and not again before a pause: others may not
+ * take it either
+ */
+#define OTHER_WANTED_MS 1500u
+#define OTHER_PAUSE_MS 30000u
+
 /* Load of pools */
 
 /* Whether the instance counts towards the capacity of its pool. */
@@ -87,10 +100,16 @@
 	}
 }
 
+static bool is_empty(const struct sched *s, const struct instance *i)
+{
+	return !i->run_count && !i->hold_count && !i->returned_ms &&
+	       instance_usable(s, i, s->tick_ms);
+}
+
 /*
  * Sets the most of each resource that a usable instance without any task has. A
  * task that finds no room although it would fit there waits for something else
- * than a machine.
+ * than a machine: its ticket, or the first start; see other_is_wanted().
  */
 static void set_largest_empty(const struct sched *s, const struct pool *pool,
 			      struct amount *largest)
@@ -100,8 +119,7 @@
 	memset(largest, 0, sizeof(*largest));
 	DL_FOREACH2(pool->instances, i, pool_next)
 	{
-		if (i->run_count || i->hold_count || i->returned_ms ||
-		    !instance_usable(s, i, s->tick_ms))
+		if (!is_empty(s, i))
 			continue;
 		amount_max(largest, &i->capacity);
 	}
@@ -126,12 +144,51 @@
 	return false;
 }
 
+static bool waits_for_long(const struct sched *s, const struct step *step)
+{
+	uint32_t t;
+
+	for (t = 0; t < step->spec->count; t++) {
+		const struct task *task = &step->tasks[t];
+
+		if (!task->done && !task->runs && !task->possibly_running &&
+		    task_waited_ms(s, task, s->tick_ms) >= NO_START_MS)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether a machine is requested for a step although some are empty: each that
+ * could run it is denied to it, or starts failed there last. One without the
+ * step's label tells nothing; the next machine may lack it as well.
+ */
+static bool other_is_wanted(const struct sched *s, struct step *step)
+{
+	const struct instance *i;
+	bool refused = false;
+
+	if (!waits_for_long(s, step))
+		return false;
+	DL_FOREACH2(step->job->pool->instances, i, pool_next)
+	{
+		if (!is_empty(s, i) || !instance_could_run(i, step->spec))
+			continue;
+		if (!i->failures && !step_is_denied(step, i))
+			return false;
+		refused = true;
+	}
+	if (refused && (!step->other_wanted_ms ||
+			s->tick_ms - step->other_wanted_ms >= OTHER_PAUSE_MS))
+		step->other_wanted_ms = s->tick_ms;
+	return refused && s->tick_ms - step->other_wanted_ms < OTHER_WANTED_MS;
+}
+
 /*
  * Empty machines, of the mean size of the pool's, that take the waiting tasks
  * of a long-running step; 0 if one can't take any, or more may not start now.
  */
-static double machines_for_waiting(const struct sched *s,
-				   const struct step *step,
+static double machines_for_waiting(const struct sched *s, struct step *step,
 				   const struct amount *size,
 				   const struct amount *largest_empty)
 {
@@ -140,9 +197,10 @@
 	int64_t each = step->spec->spread_limit ? step->spec->spread_limit
 						: UINT32_MAX;
 
-	if (!waiting || !cap_allows(s, step, 1) ||
-	    amount_covers(largest_empty, &a))
+	if (!waiting || !cap_allows(s, step, 1))
 		return 0;
+	if (amount_covers(largest_empty, &a))
+		return other_is_wanted(s, step);
 	if (!size->cpu)
 		return 1;
 	each = min_int64(each, fits_times(size->cpu, 0, a.cpu));
@@ -167,7 +225,7 @@
 	struct pool *pool;
 	struct amount size, largest_empty;
 	const struct instance *i;
-	const struct step *step;
+	struct step *step;
 	double machines = 0;
 	bool awaits_report;
 
--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -138,6 +138,34 @@
 	check_empty_instance(LACKS_LABEL);
 }
 
+/* One machine after the other is moved to a pool for a task that none takes. */
+static void test_machines_for_a_task_that_all_refuse(void **state)
+{
+	static const enum no_place reasons[] = { REFUSES_STARTS, IS_DENIED };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(reasons) / sizeof(reasons[0]); c++) {
+		struct course_options options = {
+			.pools = 1, .advised = reasons[c] == IS_DENIED
+		};
+		struct course_rig x;
+		uint32_t n;
+
+		course_new(&x, &options);
+		add_machines(&x, 0, 1);
+		add_machines(&x, 1, 6);
+		for (n = 0; n < x.machine_count; n++) {
+			x.machines[n].refuses_starts = !options.advised;
+			x.machines[n].denied = options.advised;
+		}
+		submit_lasting(&x, 0, 1);
+		course_advance(&x, 30000);
+		assert_in_range(x.moves_to[0], 0, 1);
+		course_free(&x);
+	}
+}
+
 /* Donors */
 
 /*
@@ -564,6 +592,7 @@
 		cmocka_unit_test(test_empty_instance_refuses_starts),
 		cmocka_unit_test(test_empty_instance_is_denied),
 		cmocka_unit_test(test_empty_instance_lacks_label),
+		cmocka_unit_test(test_machines_for_a_task_that_all_refuse),
 		cmocka_unit_test(test_pool_with_waiting_task_gives_none),
 		cmocka_unit_test(
 			test_pool_without_movable_machine_is_asked_first),
