waits: log what ends a request for a machine, and open or given-up moves

lasting-waits tells whether the cap keeps the step (`capped`), the pool's `unreported` instances, the `empty` ones, and how many with room are `not_taken` since the adviser denies them or they failed their last start. machines-wanted tells of the ordered machines those without an outcome (`open`), and how many of other pools had a move `given_up` lately. No new line, and each is as bounded as before; a line grows by up to 70 bytes, so a traced decision may have 896.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -234,6 +234,11 @@
 	       !m->evacuated && now - m->pool_since_ms >= MOVE_COOLDOWN_MS;
 }
 
+bool balance_given_up(const struct machine *m, uint64_t now)
+{
+	return m->given_up_ms && now - m->given_up_ms < GIVEN_UP_MS;
+}
+
 static int by_given_up_and_used(const void *a, const void *b)
 {
 	const struct donor_machine *x = a;
@@ -261,8 +266,7 @@
 	from->machine_count = from->machines_taken = 0;
 	for (m = f->machines; m; m = m->hh.next) {
 		struct sched_instance_load load = { 0 };
-		bool given_up =
-			m->given_up_ms && now - m->given_up_ms < GIVEN_UP_MS;
+		bool given_up = balance_given_up(m, now);
 
 		if (strcmp(m->pool, from->name) || !machine_is_movable(m, now))
 			continue;
--- a/src/fleet/demand.c
+++ b/src/fleet/demand.c
@@ -139,6 +139,9 @@
 		*(m->wave ? &out->kept_for_waves : &out->kept_for_moves) += 1;
 	else if (is_in && m->phase != PHASE_NONE)
 		out->away++;
+	out->incoming_open += coming && (m->phase == PHASE_ORDERING ||
+					 m->phase == PHASE_UNCERTAIN);
+	out->given_up += !is_in && balance_given_up(m, now);
 	out->arrived += is_in && m->phase == PHASE_NONE &&
 			is_within(m->pool_since_ms, ARRIVED_MS, now);
 	out->spare += m->phase == PHASE_NONE && m->listed &&
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -146,6 +146,9 @@
 	uint32_t instances; /* that count as its capacity */
 	/* Machines on the way to it, still drained, or ordered */
 	uint32_t incoming_draining, incoming_ordered;
+	uint32_t incoming_open; /* of those ordered, without an outcome */
+	/* Of all other pools: machines whose move was given up lately */
+	uint32_t given_up;
 	uint32_t arrived; /* in the last second */
 	/* Its own machines that are drained, and those ordered away */
 	uint32_t kept_for_waves, kept_for_moves, away;
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -137,6 +137,9 @@
 
 /* balance.c */
 
+/* balance_given_up - whether a move of the machine was given up lately */
+bool balance_given_up(const struct machine *m, uint64_t now);
+
 /* balance_plan - choose machines to drain for moves, if that is due */
 void balance_plan(struct fleet *f, struct sched *s, uint64_t now);
 
--- a/src/node/machines.c
+++ b/src/node/machines.c
@@ -515,10 +515,12 @@
 		event_log("machines-wanted", d->pool,
 			  "\"for_ms\":%" PRIu64 ",\"machines\":%u,"
 			  "\"instances\":%u,\"draining\":%u,\"ordered\":%u,"
-			  "\"arrived\":%u,\"kept_for_waves\":%u,"
+			  "\"open\":%u,\"given_up\":%u,\"arrived\":%u,\"kept_"
+			  "for_waves\":%u,"
 			  "\"kept_for_moves\":%u,\"away\":%u,\"pools\":%u",
 			  d->wanted_ms, d->wanted, d->instances,
-			  d->incoming_draining, d->incoming_ordered, d->arrived,
+			  d->incoming_draining, d->incoming_ordered,
+			  d->incoming_open, d->given_up, d->arrived,
 			  d->kept_for_waves, d->kept_for_moves, d->away, pools);
 	if (d->short_ms)
 		event_log("pool-short", d->pool,
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -15,7 +15,7 @@
 
 /* Between two checks of timers; at most a tenth of the shortest timeout */
 #define SWEEP_MS 20u
-#define TRACE_MAX 768 /* bytes of the text of one traced decision */
+#define TRACE_MAX 896 /* bytes of the text of one traced decision */
 /* Jobs that were accepted elsewhere may take this times as much memory */
 #define LOADED_FACTOR 2
 
--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -29,6 +29,8 @@
 	uint32_t unconfirmed;	/* reported, but the leader isn't confirmed */
 	uint32_t full;		/* usable, without room or over a limit */
 	uint32_t usable;	/* with room */
+	uint32_t not_taken;	/* of these, denied, or a start failed last */
+	uint32_t empty;		/* of both, with nothing on them */
 	uint32_t reserved_room; /* of the reserved, those with room */
 	uint64_t reserved_since_ms;	/* of the oldest of these; 0: none */
 	struct amount capacity, in_use; /* of `full` and `usable` */
@@ -80,6 +82,9 @@
 		o->ejected++;
 	} else {
 		o->usable += room;
+		o->not_taken +=
+			room && (i->failures || step_is_denied(step, i));
+		o->empty += !i->run_count && !i->hold_count;
 		o->full += !room;
 		amount_add(&o->capacity, &i->capacity);
 		amount_add(&o->in_use, &i->used);
@@ -115,8 +120,9 @@
 		    "\"needs_cpu\":%" PRId64 ",\"needs_mem\":%" PRId64
 		    ",\"cpu\":%" PRId64 ",\"used_cpu\":%" PRId64
 		    ",\"mem\":%" PRId64 ",\"used_mem\":%" PRId64
-		    ",\"machines_wanted\":%u,"
-		    "\"instances\":%u,\"usable\":%u,\"full\":%u,"
+		    ",\"machines_wanted\":%u,\"capped\":%d,"
+		    "\"unreported\":%u,\"instances\":%u,\"usable\":%u,"
+		    "\"not_taken\":%u,\"empty\":%u,\"full\":%u,"
 		    "\"reserved\":%u,\"reserved_room\":%u,"
 		    "\"reserved_ms\":%" PRIu64 ",\"leaving\":%u,"
 		    "\"silent\":%u,\"unconfirmed\":%u,\"ejected\":%u,"
@@ -126,8 +132,9 @@
 		    w->restarted, w->longest->possibly_running, step->startable,
 		    step->job->claimed, pool->name, needs.cpu, needs.mem,
 		    o.capacity.cpu, o.in_use.cpu, o.capacity.mem, o.in_use.mem,
-		    pool->machines_wanted, o.instances, o.usable, o.full,
-		    o.reserved, o.reserved_room,
+		    pool->machines_wanted, !cap_allows(s, step, 1),
+		    pool->unreported, o.instances, o.usable, o.not_taken,
+		    o.empty, o.full, o.reserved, o.reserved_room,
 		    o.reserved_since_ms ? now - o.reserved_since_ms : 0,
 		    o.leaving, o.silent, o.unconfirmed, o.ejected, o.unlisted,
 		    o.evacuated, s->starts_held);
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -115,12 +115,18 @@
 	write_all(&x->r);
 }
 
-static void advance(struct fixture *x, uint32_t ms)
+static void advance_with(struct fixture *x, uint32_t ms,
+			 enum sched_order_result result)
 {
 	uint64_t end = x->r.now + ms;
 
 	while (x->r.now < end)
-		pass(x, ORDER_DONE, SCHED_STOPPED);
+		pass(x, result, SCHED_STOPPED);
+}
+
+static void advance(struct fixture *x, uint32_t ms)
+{
+	advance_with(x, ms, ORDER_DONE);
 }
 
 /* An instance has memory for one of its tasks. */
@@ -151,7 +157,13 @@
 
 /* What keeps a task waiting */
 
-enum obstacle { OBSTACLE_NONE, OBSTACLE_RESERVED, OBSTACLE_RESERVED_UNLISTED };
+enum obstacle {
+	OBSTACLE_NONE,
+	OBSTACLE_RESERVED,
+	OBSTACLE_RESERVED_UNLISTED,
+	OBSTACLE_CAP,
+	OBSTACLE_FAILURES, /* on both instances */
+};
 
 struct wait_case {
 	const char *name;
@@ -185,6 +197,24 @@
 	    { "unlisted", 0, 0 },
 	    { "mem", 4000, 4000 },
 	    { "used_mem", 3000, 3000 } } },
+	{ "the cap of its workspace",
+	  OBSTACLE_CAP,
+	  2,
+	  { { "waiting", 1, 1 },
+	    { "capped", 1, 1 },
+	    { "usable", 1, 1 },
+	    { "not_taken", 0, 0 },
+	    { "empty", 1, 1 },
+	    { "unreported", 0, 0 },
+	    { "machines_wanted", 0, 0 } } },
+	{ "all instances fail its starts",
+	  OBSTACLE_FAILURES,
+	  1,
+	  { { "waiting", 1, 1 },
+	    { "capped", 0, 0 },
+	    { "usable", 2, 2 },
+	    { "not_taken", 2, 2 },
+	    { "empty", 2, 2 } } },
 	{ "an instance that was kept is gone from the directory",
 	  OBSTACLE_RESERVED_UNLISTED,
 	  2,
@@ -202,21 +232,26 @@
 	(void)state;
 	for (c = 0; c < sizeof(wait_cases) / sizeof(wait_cases[0]); c++) {
 		const struct wait_case *w = &wait_cases[c];
+		enum sched_order_result result =
+			w->obstacle == OBSTACLE_FAILURES ? ORDER_REFUSED
+							 : ORDER_DONE;
 		struct sched_pool_load load;
 		const struct line *l;
 		struct fixture x;
 
 		print_message("%s\n", w->name);
 		fixture_new(&x);
-		if (w->obstacle != OBSTACLE_NONE)
+		if (w->obstacle == OBSTACLE_RESERVED ||
+		    w->obstacle == OBSTACLE_RESERVED_UNLISTED)
 			sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true,
 				      x.r.now);
 		if (w->obstacle == OBSTACLE_RESERVED_UNLISTED)
 			sched_instance_unlisted(x.r.s, "i-0", x.r.now);
+		x.r.workspace.cap.cpu = w->obstacle == OBSTACLE_CAP ? 100 : 0;
 		submit_lasting(&x, id_a, w->tasks);
-		advance(&x, 500);
+		advance_with(&x, 500, result);
 		sched_pool_load(x.r.s, "p", &load);
-		advance(&x, 1600);
+		advance_with(&x, 1600, result);
 		l = last_line(&x, "lasting-waits");
 		for (n = 0; n < FIELDS_MAX && w->fields[n].name; n++) {
 			long long value = field(l, w->fields[n].name);
@@ -403,7 +438,8 @@
 
 /* Pools that lack machines */
 
-static void plan(struct fixture *x, struct fleet *f, uint32_t ms)
+static void plan(struct fixture *x, struct fleet *f, enum fleet_result result,
+		 uint32_t ms)
 {
 	uint64_t end = x->r.now + ms;
 	struct fleet_action action;
@@ -411,7 +447,7 @@
 	while (x->r.now < end) {
 		pass(x, ORDER_DONE, SCHED_STOPPED);
 		while (fleet_next_action(f, x->r.s, x->r.now, &action))
-			fleet_action_result(f, x->r.s, &action, FLEET_DONE,
+			fleet_action_result(f, x->r.s, &action, result,
 					    x->r.now);
 	}
 }
@@ -428,11 +464,13 @@
 		uint32_t wanted;
 		bool is_short;
 		uint32_t incoming;
+		enum fleet_result result; /* of its order */
 	} cases[] = {
-		{ "nothing waits", 2, 3, 0, false, 0 },
-		{ "no pool gives a machine", 3, 3, 1, true, 0 },
-		{ "a spare machine comes", 3, 4, 1, false, 1 },
-		{ "one of two comes", 4, 4, 2, true, 1 },
+		{ "nothing waits", 2, 3, 0, false, 0, FLEET_DONE },
+		{ "no pool gives a machine", 3, 3, 1, true, 0, FLEET_DONE },
+		{ "a spare machine comes", 3, 4, 1, false, 1, FLEET_DONE },
+		{ "one of two comes", 4, 4, 2, true, 1, FLEET_DONE },
+		{ "its order is open", 3, 4, 1, false, 1, FLEET_UNKNOWN },
 	};
 	struct fleet_options options = { .maintenance_ms = 2000,
 					 .move_ms = 1500 };
@@ -458,7 +496,7 @@
 		}
 		fleet_set_machines(f, infos, cases[c].machines, x.r.now);
 		submit_lasting(&x, id_a, cases[c].tasks);
-		plan(&x, f, 1000);
+		plan(&x, f, cases[c].result, 1000);
 		count = fleet_demands(f, x.r.s, 1000, x.r.now, &list, 4);
 		assert_int_equal(count, cases[c].wanted ? 1 : 0);
 		if (count) {
@@ -470,6 +508,8 @@
 			assert_int_equal(list->incoming_draining +
 						 list->incoming_ordered,
 					 cases[c].incoming);
+			assert_int_equal(list->incoming_open,
+					 cases[c].result == FLEET_UNKNOWN);
 			assert_int_equal(list->spare, 0);
 			assert_int_equal(list->others_unpinned, 1);
 			assert_string_equal(list->largest, "o");
