--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -55,6 +55,7 @@
 	uint64_t emptied_ms;	/* when the first of them was; 0: none was */
 	uint64_t answered_ms;	/* when its last order was; 0: none */
 	uint64_t pool_since_ms; /* end of its last move; 0: none */
+	uint64_t given_up_ms;	/* when a move of it last was; 0: none was */
 	uint64_t idle_since_ms; /* 0 while something runs on it */
 	UT_hash_handle hh;
 };
@@ -136,6 +137,9 @@
 
 /* balance.c */
 
+/* balance_given_up - whether a move of the machine was given up lately */
+bool balance_given_up(const struct machine *m, uint64_t now);
+
 /* balance_plan - choose machines to drain for moves, if that is due */
 void balance_plan(struct fleet *f, struct sched *s, uint64_t now);
 
