--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -491,7 +491,6 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_instance_outlives_order),
-=======
 		cmocka_unit_test(test_older_of_two_answers_is_applied),
 		cmocka_unit_test(test_ack_of_former_incarnation),
 		cmocka_unit_test(test_unanswered_polls),
