sched_poll: a started task that has a disruption budget is seen at work sooner

The poll that follows waits 2 s on the idle instance, so the start that comes meanwhile was seen at work only then, and the next machine of the wave had to wait for that.

A start with a budget is followed by a poll beside the one that waits, and for 2 s polls wait 200 ms until its task works.

--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -12,10 +12,13 @@
 #define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
 #define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
 #define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
-#define POLL_WAIT_START_MS 200u	  /* an order has an unknown outcome */
+#define POLL_WAIT_START_MS 200u	  /* an order's effect has to be seen */
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
+/* Polls are short for so long after a start; tasks start up in less */
+#define STARTUP_MS 2000u
+
 /* Calls count as lossy for this long after one that got no answer */
 #define CALLS_LOSSY_MS 3000u
 
@@ -89,6 +92,19 @@
 	return false;
 }
 
+/* Whether a task with a disruption budget was started lately, to work soon. */
+static bool instance_has_starting(const struct instance *i, uint64_t now)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (run->state == RUN_RUNNING && !run_is_available(run) &&
+	    now - run->running_since_ms < STARTUP_MS &&
+	    run->task->step->spec->lasting && run->task->step->spec->may_miss)
+		return true;
+	return false;
+}
+
 /*
  * Designed for instances that leave calls unanswered. An end is reported in
  * answer to the next poll, so where ends are expected an unanswered poll must
@@ -104,7 +120,7 @@
 		return POLL_WAIT_IDLE_MS;
 	if (instance_is_awaited(s, i, now))
 		return 0;
-	if (instance_has_order_to_report(i))
+	if (instance_has_order_to_report(i) || instance_has_starting(i, now))
 		return POLL_WAIT_START_MS;
 	if (instance_has_ending(i))
 		return s->call_unanswered_ms && now - s->call_unanswered_ms <
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -376,6 +376,9 @@
 		run->instance->unanswered_ms = 0;
 		run->timed = !run->running_since_ms && !run->task->checkpoint;
 		run_mark_running(s, run, now);
+		/* Others of its step are drained only once it works. */
+		if (run->task->step->spec->may_miss && run->instance->polling)
+			instance_ask(s, run->instance, now);
 		return;
 	case ORDER_UNKNOWN:
 	case ORDER_LOST:
--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -487,9 +487,50 @@
 	}
 }
 
+/*
+ * A wave waits for a task that already works: its start came while the poll of
+ * an idle instance waited.
+ */
+static void test_task_at_work_is_seen_late(void **state)
+{
+	struct sched_running running;
+	struct sched_poll poll;
+	instance_handle_t i;
+	Fleet__JobRow *row;
+	uint32_t after;
+	struct rig r;
+
+	(void)state;
+	rig_new(&r);
+	rig_become_leader(&r);
+	make_all_usable(&r);
+	i = find_instance(&r, "i-0");
+	poll = next_poll(&r, i);
+	assert_int_equal(poll.wait_ms, 2000);
+	row = job_row(1, 1, true);
+	row->steps[0]->may_miss = 1;
+	assert_int_equal(sched_submit(r.s, id_a, row, r.now, r.now, &after),
+			 SUBMIT_ACCEPTED);
+	write_all(&r);
+	assert_int_equal(take_orders(&r), 1);
+	assert_int_equal(r.orders[0].instance.i, i.i);
+	r.now += 10;
+	answer_orders(&r, ORDER_DONE);
+	poll = next_poll(&r, i);
+	assert_int_equal(poll.wait_ms, 0);
+	running = (struct sched_running){ r.orders[0].task, r.orders[0].number,
+					  "", 50, 0 };
+	report(&r, i, &running, 1, NULL, 0, r.now++);
+	report(&r, i, &running, 1, NULL, 0, r.now++); /* of the first poll */
+	poll = next_poll(&r, i);
+	assert_in_range(poll.wait_ms, 0, 200);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_task_at_work_is_seen_late),
 		cmocka_unit_test(test_instance_outlives_order),
 		cmocka_unit_test(test_older_of_two_answers_is_applied),
 		cmocka_unit_test(test_ack_of_former_incarnation),
