--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -221,6 +221,31 @@
 	course_free(&x);
 }
 
+/* Each machine of the other pool runs a task that has room on the next one. */
+static void test_all_machines_of_quiet_pools_are_pinned(void **state)
+{
+	struct course_options options = { .pools = 2 };
+	struct course_job small = lasting;
+	struct course_rig x;
+	uint32_t job;
+
+	(void)state;
+	course_new(&x, &options);
+	add_machines(&x, 0, 1);
+	add_machines(&x, 1, 6);
+	small.pool = 1;
+	small.count = 6;
+	small.mem = 20000;
+	submit_lasting(&x, 0, 1);
+	course_submit(&x, &small);
+	course_advance(&x, 6000); /* a task that has just started isn't moved */
+	job = submit_lasting(&x, 0, 1);
+	course_advance(&x, BOUND_MS);
+	assert_int_equal(x.jobs[job].tasks[0].runs, 1);
+	assert_int_equal(x.moves_to[0], 1);
+	course_free(&x);
+}
+
 /* Machines that are counted and don't come */
 
 /* tasks of run_ms on all machines of the donor, one of long_ms on its first */
@@ -596,6 +621,7 @@
 		cmocka_unit_test(test_pool_with_waiting_task_gives_none),
 		cmocka_unit_test(
 			test_pool_without_movable_machine_is_asked_first),
+		cmocka_unit_test(test_all_machines_of_quiet_pools_are_pinned),
 		cmocka_unit_test(test_machine_with_long_task_is_chosen_again),
 		cmocka_unit_test(test_machines_are_busy_for_longer),
 		cmocka_unit_test(test_refused_machine_is_chosen_again),
