fleet: machines for pools whose accepted jobs can't run

What callers saw: accepted jobs waited for minutes or for good while machines of other pools were idle.

Cause: a donor pool kept POOL_MACHINES_MIN machines whatever waited elsewhere, and only long-running tasks got machines of pools with a deficit. A pool without any machine got none once all others had two.

Change: the load of a pool says whether it is stranded: tasks that end by themselves may start, and no instance is there to run them. Such a pool gets one machine before deficits are covered, the longest stranded first, from a spare pool, a surplus, idle machines of others, and then pools with a backlog. The last idle machine leaves a pool only if the pool has no work. Pools whose backlog outlasts a move get the second machine of a quiet pool too.

Why it holds: an idle machine is asked for in the next planning pass (100 ms), or at the end of the 1.5 s between two moves of a machine, so it is idle for less than a move takes. The same pause bounds how often two pools can take one machine from each other; a machine at work is not taken for it.

waits_test: pool o had an idle machine and kept it; it has a task at work now, so that the case is again one in which no pool gives a machine. It passes on the code before as well.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -18,7 +18,12 @@
 #define BALANCE_INTERVAL_MS 100u  /* between two planning passes */
 #define BACKLOG_TARGET_MS 250u	  /* goal for a pool to do its waiting work */
 #define DONOR_UTILIZATION_MAX 0.7 /* of a pool after it gave machines away */
-#define POOL_MACHINES_MIN 2u	  /* machines that a donor pool always keeps */
+/*
+ * Machines that a donor pool keeps for jobs that may come, unless another pool
+ * has a backlog for longer than a move
+ */
+#define POOL_MACHINES_MIN 2u
+#define ARRIVED_MS 1000u /* from a machine's return to its instance's entry */
 #define DRAIN_TIMEOUT_MS 2000u	  /* of a busy machine; then it stays */
 #define IDLE_BEFORE_OFF_MS 1000u  /* idle time before power-off */
 #define IDLE_TRUSTED_MS 300u	  /* same, by a fully trusted forecast */
@@ -40,6 +45,7 @@
 struct donor_machine {
 	struct machine *machine;
 	int64_t used_cpu;
+	bool idle;
 };
 
 struct pool_balance {
@@ -49,6 +55,7 @@
 	uint32_t incoming;   /* machines that are being moved to it */
 	uint32_t outgoing;   /* machines that drain to leave it */
 	uint32_t moved_in;   /* of incoming ones, those of this pass */
+	uint32_t arrived;    /* came within ARRIVED_MS */
 	int64_t machine_cpu; /* mean capacity of its machines, in millicores */
 	uint32_t lacking;    /* machines, for long-running tasks that wait */
 	/* more of them, for those that drains want to stop */
@@ -85,13 +92,19 @@
 	return NULL;
 }
 
-static void count_moving(struct fleet *f, struct balance *b)
+static void count_moving(struct fleet *f, struct balance *b, uint64_t now)
 {
 	struct machine *m;
 
 	for (m = f->machines; m; m = m->hh.next) {
 		struct pool_balance *to, *from;
 
+		if (m->phase == PHASE_NONE && m->pool_since_ms &&
+		    now - m->pool_since_ms < ARRIVED_MS) {
+			to = balance_of(b, m->pool);
+			if (to)
+				to->arrived++;
+		}
 		if (m->wave || m->phase == PHASE_NONE)
 			continue;
 		to = balance_of(b, m->target_pool);
@@ -170,12 +183,31 @@
 						arrival_ms + IDLE_PAYS_MS));
 }
 
+static uint32_t max_uint32(uint32_t a, uint32_t b)
+{
+	return a > b ? a : b;
+}
+
 /* Returns the number of machines that the pool does not give away. */
-static uint32_t min_machines(const struct pool_balance *v)
+static uint32_t min_machines(const struct pool_balance *v, uint32_t least)
 {
 	uint32_t spread = v->load.spread ? v->load.spread + SPREAD_RESERVE : 0;
 
-	return spread > POOL_MACHINES_MIN ? spread : POOL_MACHINES_MIN;
+	return max_uint32(spread, least);
+}
+
+/*
+ * Whether a machine that is moved to the pool now arrives before the pool, with
+ * those it has and gets, has done the work that waits.
+ */
+static bool backlog_outlasts_move(const struct fleet *f,
+				  const struct pool_balance *v)
+{
+	uint32_t coming = v->incoming + v->moved_in;
+	int64_t capacity = v->load.capacity.cpu + coming * v->machine_cpu;
+
+	return v->load.allowed_work >
+	       (uint64_t)capacity * (f->options.move_ms + MOVE_MARGIN_MS);
 }
 
 static void assess_pools(struct fleet *f, const struct sched *s, uint64_t now)
@@ -205,7 +237,7 @@
 	}
 	if (f->forecast)
 		forecast_update(f->forecast, now);
-	count_moving(f, b);
+	count_moving(f, b, now);
 	for (i = 0; i < b->pool_count; i++) {
 		compute_demand(&b->pools[i]);
 		b->pools[i].lacked = b->pools[i].deficit;
@@ -248,20 +280,22 @@
 		     load.held))
 			continue;
 		from->machines[from->machine_count++] =
-			(struct donor_machine){ m, load.used.cpu };
+			(struct donor_machine){ m, load.used.cpu, !load.runs };
 	}
 	qsort(from->machines, from->machine_count, sizeof(*from->machines),
 	      by_used);
 }
 
 static struct machine *pick_machine(struct fleet *f, const struct sched *s,
-				    struct pool_balance *from, uint64_t now)
+				    struct pool_balance *from, bool idle,
+				    uint64_t now)
 {
 	if (!from->machines)
 		list_machines(f, s, from, now);
-	return from->machines_taken < from->machine_count
-		       ? from->machines[from->machines_taken++].machine
-		       : NULL;
+	if (from->machines_taken == from->machine_count ||
+	    (idle && !from->machines[from->machines_taken].idle))
+		return NULL;
+	return from->machines[from->machines_taken++].machine;
 }
 
 static void forget_machines(struct balance *b)
@@ -301,9 +335,11 @@
  * Returns the pool to take a machine from: a spare pool if one is left, else
  * the one with the largest surplus.
  */
-static struct pool_balance *donor_pool(struct balance *b,
+static struct pool_balance *donor_pool(const struct fleet *f,
 				       const struct pool_balance *to)
 {
+	struct balance *b = f->balance;
+	uint32_t least = backlog_outlasts_move(f, to) ? 1 : POOL_MACHINES_MIN;
 	struct pool_balance *best = NULL;
 	uint32_t i;
 
@@ -315,7 +351,7 @@
 		if (v->spare)
 			return v;
 		if (v->surplus < v->machine_cpu ||
-		    v->load.instances <= min_machines(v))
+		    v->load.instances <= min_machines(v, least))
 			continue;
 		if (!best || v->surplus > best->surplus)
 			best = v;
@@ -323,6 +359,38 @@
 	return best;
 }
 
+static bool has_no_work(const struct sched_pool_load *l)
+{
+	return l->idle == l->instances && !l->waiting_work &&
+	       !l->long_running_machines;
+}
+
+/*
+ * Returns the pool with most idle machines, whatever it would keep for jobs
+ * that may come, for a pool with tasks that can't run or are to be stopped. A
+ * pool without work gives its last one too. It gets one back the same way, but
+ * no machine is moved again within MOVE_COOLDOWN_MS.
+ */
+static struct pool_balance *idle_donor(struct balance *b,
+				       const struct pool_balance *to)
+{
+	struct pool_balance *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < b->pool_count; i++) {
+		struct pool_balance *v = &b->pools[i];
+		uint32_t keeps =
+			max_uint32(v->load.spread, !has_no_work(&v->load));
+
+		if (v == to || v->spare || v->exhausted || v->lacking ||
+		    v->load.stranded || v->load.instances <= keeps)
+			continue;
+		if (v->load.idle && (!best || v->load.idle > best->load.idle))
+			best = v;
+	}
+	return best;
+}
+
 /*
  * Returns the pool with most machines that run no long-running task, whatever
  * waits there: its backlog takes somewhat longer, while a long-running task
@@ -349,17 +417,39 @@
 	return best;
 }
 
-/* despite_backlog: also from a pool that has a deficit itself */
+/*
+ * despite_backlog: for tasks that can't run, so also from a pool that has a
+ * deficit itself, idle machines first. Sets whether the pool gives only those.
+ */
+static struct pool_balance *next_donor(const struct fleet *f,
+				       const struct pool_balance *to,
+				       bool despite_backlog, bool *idle)
+{
+	struct pool_balance *from = donor_pool(f, to);
+
+	*idle = false;
+	if (!from && despite_backlog) {
+		from = idle_donor(f->balance, to);
+		*idle = from != NULL;
+	}
+	if (!from && despite_backlog)
+		from = backlog_donor(f->balance, to);
+	return from;
+}
+
 static bool move_one(struct fleet *f, struct sched *s, struct pool_balance *to,
 		     bool despite_backlog, uint64_t now)
 {
-	struct balance *b = f->balance;
 	struct pool_balance *from;
 	struct machine *m;
+	bool idle;
 
-	while ((from = donor_pool(b, to)) ||
-	       (despite_backlog && (from = backlog_donor(b, to)))) {
-		m = pick_machine(f, s, from, now);
+	while ((from = next_donor(f, to, despite_backlog, &idle))) {
+		m = pick_machine(f, s, from, idle, now);
+		if (!m && idle) {
+			from->load.idle = 0;
+			continue;
+		}
 		if (!m) {
 			/* No machine of this pool can be moved now. */
 			from->spare = false;
@@ -371,6 +461,8 @@
 		from->surplus -= from->machine_cpu;
 		if (from->load.instances)
 			from->load.instances--;
+		if (from->load.idle)
+			from->load.idle--;
 		to->deficit -= to->machine_cpu;
 		to->moved_in++;
 		return true;
@@ -418,7 +510,7 @@
 			m->idle_since_ms = now;
 		if (now - m->idle_since_ms < idle_before_off_ms(v) ||
 		    v->surplus < v->machine_cpu ||
-		    v->load.instances <= min_machines(v))
+		    v->load.instances <= min_machines(v, POOL_MACHINES_MIN))
 			continue;
 		/* It stayed empty though drains wanted one. */
 		if (v->load.place_machines)
@@ -465,6 +557,45 @@
 	}
 }
 
+/* Returns the pool that has been stranded for longest and gets no machine. */
+static struct pool_balance *longest_stranded(const struct fleet *f,
+					     uint64_t now)
+{
+	struct balance *b = f->balance;
+	struct pool_balance *best = NULL;
+	uint64_t longest_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < b->pool_count; i++) {
+		struct pool_balance *v = &b->pools[i];
+		uint64_t stranded_ms;
+
+		if (!v->load.stranded || v->spare || v->denied || v->incoming ||
+		    v->moved_in || v->arrived)
+			continue;
+		stranded_ms = demand_stranded_ms(f, v->name, now);
+		if (best && stranded_ms <= longest_ms)
+			continue;
+		best = v;
+		longest_ms = stranded_ms;
+	}
+	return best;
+}
+
+/*
+ * A pool that can run nothing of what waits gets one machine before others get
+ * more, however large their deficits are. Accepted jobs are to end within a few
+ * seconds, so an idle machine is not kept from them for longer than a move
+ * takes.
+ */
+static void cover_stranded(struct fleet *f, struct sched *s, uint64_t now)
+{
+	struct pool_balance *to;
+
+	while ((to = longest_stranded(f, now)))
+		move_one(f, s, to, true, now);
+}
+
 /*
  * With one machine more, a wave takes the others of the pool one after the
  * other, so a pool with a backlog gives no more than one.
@@ -495,6 +626,7 @@
 	assert(f->balance);
 	assess_pools(f, s, now);
 	cover_waiting(f, s, now);
+	cover_stranded(f, s, now);
 	cover_deficits(f, s, now);
 	cover_places(f, s, now);
 	for (i = 0; i < f->balance->pool_count; i++) {
--- a/src/fleet/demand.c
+++ b/src/fleet/demand.c
@@ -42,6 +42,11 @@
 	return d;
 }
 
+static bool is_within(uint64_t last_ms, uint64_t window_ms, uint64_t now)
+{
+	return last_ms && now - last_ms <= window_ms;
+}
+
 static void note_since(uint64_t *since_ms, uint64_t *last_ms, uint64_t now)
 {
 	if (!*since_ms || now - *last_ms > SHORT_GAP_MS)
@@ -65,6 +70,18 @@
 		note_since(&d->short_since_ms, &d->short_ms, now);
 	if (load->long_running_machines)
 		note_since(&d->wanted_since_ms, &d->wanted_ms, now);
+	if (load->stranded)
+		note_since(&d->stranded_since_ms, &d->stranded_ms, now);
+}
+
+uint64_t demand_stranded_ms(const struct fleet *f, const char *pool,
+			    uint64_t now)
+{
+	const struct pool_demand *d = demand_find(f, pool);
+
+	return d && is_within(d->stranded_ms, SHORT_GAP_MS, now)
+		       ? now - d->stranded_since_ms
+		       : 0;
 }
 
 void demand_pause_places(struct fleet *f, const char *pool, uint64_t now)
@@ -86,11 +103,6 @@
 	return d && d->none_since_ms ? now - d->none_since_ms + 1 : 0;
 }
 
-static bool is_within(uint64_t last_ms, uint64_t window_ms, uint64_t now)
-{
-	return last_ms && now - last_ms <= window_ms;
-}
-
 /* Counts what each other pool has that runs no long-running task. */
 static void count_others(const struct fleet *f, const struct pool_demand *d,
 			 struct fleet_pool_demand *out)
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -31,6 +31,8 @@
 	uint64_t short_since_ms, short_ms;
 	/* same, when its waiting long-running tasks wanted machines */
 	uint64_t wanted_since_ms, wanted_ms;
+	/* same, when none of its instances could run what waits */
+	uint64_t stranded_since_ms, stranded_ms;
 	/* since when none could be had for long-running tasks; 0: one could */
 	uint64_t none_since_ms;
 	uint64_t places_paused_ms; /* until then none is wanted for drains */
@@ -155,6 +157,10 @@
 		 const struct sched_pool_load *load, int64_t deficit,
 		 bool denied, bool none, uint64_t now);
 
+/* demand_stranded_ms - for how long the pool has been stranded */
+uint64_t demand_stranded_ms(const struct fleet *f, const char *pool,
+			    uint64_t now);
+
 /* demand_pause_places - want no machines for drains of the pool for a while */
 void demand_pause_places(struct fleet *f, const char *pool, uint64_t now);
 bool demand_places_paused(const struct fleet *f, const char *pool,
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -512,9 +512,12 @@
 	/* listed; not leaving, expired, reserved or evacuated */
 	uint32_t instances;
 	uint32_t pinned; /* of these, with long-running tasks */
+	uint32_t idle; /* of these, usable and without a run or a held place */
 	struct amount capacity;
 	struct amount used;
 	struct amount waiting; /* requested by startable tasks */
+	/* its tasks that end by themselves may start, but on no instance */
+	bool stranded;
 	/* instances needed by the long-running step that needs most */
 	uint32_t spread;
 	/*
@@ -526,6 +529,7 @@
 	/* more of them, for tasks that run where a drain wants to stop them */
 	uint32_t place_machines;
 	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
+	uint64_t allowed_work; /* of it, of steps within their cap */
 	uint64_t arrived_work; /* of jobs accepted by this leader, same unit */
 };
 
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -22,6 +22,22 @@
 	       !i->evacuated;
 }
 
+static bool is_idle(const struct sched *s, const struct instance *i)
+{
+	return !i->run_count && !i->hold_count &&
+	       instance_usable(s, i, s->tick_ms);
+}
+
+/*
+ * Whether tasks of the step, which end by themselves, may start now. Those of
+ * long-running steps request machines by their number.
+ */
+static bool may_start(const struct sched *s, const struct step *step)
+{
+	return !step->spec->lasting && step->job->claimed &&
+	       cap_allows(s, step, 1);
+}
+
 /*
  * Sets the mean size of the pool's machines. Those of evacuated zones count:
  * the pool may have no others, and needs some like them.
@@ -144,6 +160,7 @@
 	const struct instance *i;
 	const struct step *step;
 	double machines = 0;
+	uint32_t responsive = 0;
 
 	memset(load, 0, sizeof(*load));
 	load->pool = name;
@@ -156,6 +173,8 @@
 			continue;
 		load->instances++;
 		load->pinned += is_pinned(i);
+		load->idle += is_idle(s, i);
+		responsive += !i->unresponsive;
 		amount_add(&load->capacity, &i->capacity);
 		amount_add(&load->used, &i->used);
 	}
@@ -171,6 +190,10 @@
 		load->waiting.cpu += a.cpu * step->startable;
 		load->waiting.mem += a.mem * step->startable;
 		load->waiting.gpu += a.gpu * step->startable;
+		if (may_start(s, step)) {
+			load->allowed_work += step->waiting_work;
+			load->stranded = load->stranded || !responsive;
+		}
 		machines +=
 			machines_for_waiting(s, step, &size, &largest_empty);
 	}
--- a/test/donor_test.c
+++ b/test/donor_test.c
@@ -232,10 +232,132 @@
 	}
 }
 
+static void add_idle_machines(struct drain_rig *x, uint32_t count)
+{
+	static const char *const names[] = { "b-0", "b-1", "b-2" };
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		drain_list_instance(&x->r, names[i], "backlog", NULL);
+		drain_add_machine(x, names[i], "backlog");
+	}
+	make_all_usable(&x->r);
+	drain_list_machines(x);
+}
+
+/* Tasks that end by themselves; an instance has room for one of them. */
+static Fleet__JobRow *short_row(const char *pool, uint32_t tasks,
+				uint32_t estimate_ms)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, false);
+
+	free(row->queue);
+	free(row->pool);
+	row->queue = strdup(!strcmp(pool, "p") ? "q" : pool);
+	row->pool = strdup(pool);
+	row->steps[0]->cpu = 3000;
+	row->steps[0]->estimate_ms = estimate_ms;
+	return row;
+}
+
+/* Jobs of a pool without a machine wait for good beside idle machines. */
+static void test_pool_without_machine_beside_idle_ones(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t idle; /* machines of another pool */
+		uint32_t work; /* tasks there, one to a machine */
+		bool capped;
+		bool long_running;
+		uint32_t moves;
+	} cases[] = {
+		{ "two of a pool without work", 2, 0, false, false, 1 },
+		{ "the last of a pool without work", 1, 0, false, false, 1 },
+		{ "same, for a long-running task", 1, 0, false, true, 1 },
+		{ "one beside one at work", 2, 1, false, false, 1 },
+		{ "the last of a pool at work", 1, 1, false, false, 0 },
+		{ "the workspace is at its cap", 2, 0, true, false, 0 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		Fleet__JobRow *row = short_row("p", 1, 500);
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 0);
+		add_idle_machines(&x, cases[c].idle);
+		if (cases[c].work)
+			drain_submit_row(
+				&x, drain_id_other,
+				short_row("backlog", cases[c].work, 500));
+		drain_advance(&x, 200);
+		if (cases[c].capped) {
+			drain_set_workspace(row, "capped");
+			row->steps[0]->cpu = 3500;
+		}
+		row->steps[0]->lasting = cases[c].long_running;
+		drain_submit_row(&x, id_a, row);
+		drain_advance(&x, 300);
+		assert_int_equal(x.moves, cases[c].moves);
+		drain_free(&x);
+	}
+}
+
+/* A pool takes its only machine back as soon as it has given it away. */
+static void test_last_machine_goes_back_at_once(void **state)
+{
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 0);
+	add_idle_machines(&x, 1);
+	drain_submit_row(&x, id_a, short_row("p", 1, 500));
+	drain_advance_joining(&x, 500);
+	drain_submit_row(&x, drain_id_other, short_row("backlog", 1, 500));
+	drain_advance_joining(&x, 5000);
+	assert_int_equal(x.moves, 1);
+	assert_int_equal(x.starts, 1);
+	drain_free(&x);
+}
+
+/* A backlog of minutes waits for one machine while a quiet pool keeps two. */
+static void test_backlog_beside_quiet_pools(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t tasks, estimate_ms;
+		uint32_t moves;
+	} cases[] = {
+		{ "shorter than a move", 3, 500, 0 },
+		{ "longer than a move", 10, 500, 1 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 1);
+		add_idle_machines(&x, 2);
+		drain_submit_row(
+			&x, id_a,
+			short_row("p", cases[c].tasks, cases[c].estimate_ms));
+		drain_advance(&x, 1000);
+		assert_int_equal(x.moves, cases[c].moves);
+		drain_free(&x);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_backlog_keeps_idle_machines),
+		cmocka_unit_test(test_pool_without_machine_beside_idle_ones),
+		cmocka_unit_test(test_last_machine_goes_back_at_once),
+		cmocka_unit_test(test_backlog_beside_quiet_pools),
 		cmocka_unit_test(test_reservation_outlives_move),
 		cmocka_unit_test(test_old_list_hides_move),
 		cmocka_unit_test(test_empty_pool_gets_no_machine),
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -403,6 +403,8 @@
 
 /* Pools that lack machines */
 
+static const char id_other[] = "00000000000000bb";
+
 static void plan(struct fixture *x, struct fleet *f, uint32_t ms)
 {
 	uint64_t end = x->r.now + ms;
@@ -416,7 +418,31 @@
 	}
 }
 
-/* Pool o has no more machines than a pool keeps in any case. */
+/* A task that ends by itself runs in pool o, which keeps its machine for it. */
+static void submit_work_for_other_pool(struct fixture *x,
+				       struct config_queue *queues)
+{
+	Fleet__JobRow *row = job_row(1, 1, false);
+	uint32_t after;
+
+	queues[0] = queues[1] = x->r.queue;
+	queues[1].name = queues[1].pool = "o";
+	queues[1].prefix = "/o";
+	x->r.config.queues = queues;
+	x->r.config.queue_count = 2;
+	sched_configure(x->r.s, &x->r.config, x->r.now);
+	free(row->queue);
+	free(row->pool);
+	row->queue = strdup("o");
+	row->pool = strdup("o");
+	assert_int_equal(
+		sched_submit(x->r.s, id_other, row, x->r.now, x->r.now, &after),
+		SUBMIT_ACCEPTED);
+	write_all(&x->r);
+	advance(x, 100);
+}
+
+/* Pool o has no more machines than a pool at work keeps in any case. */
 static void test_pools_that_lack_machines(void **state)
 {
 	static const char *const ids[] = { "i-0", "i-1", "o-0", "s-0" };
@@ -442,6 +468,7 @@
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		struct fleet_machine_info infos[4] = { 0 };
 		struct fleet_pool_demand *list;
+		struct config_queue queues[2];
 		struct fixture x;
 		struct fleet *f;
 		uint32_t count, i;
@@ -457,6 +484,7 @@
 			infos[i].state = FLEET_UP;
 		}
 		fleet_set_machines(f, infos, cases[c].machines, x.r.now);
+		submit_work_for_other_pool(&x, queues);
 		submit_lasting(&x, id_a, cases[c].tasks);
 		plan(&x, f, 1000);
 		count = fleet_demands(f, x.r.s, 1000, x.r.now, &list, 4);
