node: delete the rows of jobs that ended long ago, don't load them

Each new one loaded the whole table `end`, one row for each job that ever ended, passed 260 MB and was killed in turn; recorded jobs stayed queued for ever.

Cause: commit.c writes a row of `end` for each job, and nothing deleted one; end_keep_ms freed only the leader's memory. takeover.c kept a copy of every row and made a job of each.

Now the leader deletes a row 150 s (end_keep_ms and a margin) after it wrote it or found it at its takeover, by its own steady clock, in its usual transactions: at most 90 rows each 100 ms, once in 3 s while the store is slow or loses answers, alone only when many wait. The job stays known until the deletion is known to be done. The time in the row decides only which rows a new leader loads; it leaves older ones, reads them page by page later and deletes them. An end whose job has other rows is always loaded, since the job would start again. The state of a job whose end could only be written late is kept from that write.

Ruled out: deletion by the time in the row (a case of the test has a leader that is an hour ahead), and a second table in order of time, which earlier releases would not read.

Open: a takeover still reads the rows that earlier releases left until they are deleted, 100,000 a second on this machine. Leaders that each lead for less than 150 s delete nothing of their predecessors'.

--- a/Makefile
+++ b/Makefile
@@ -93,9 +93,11 @@
 $(B)/test/overload_test $(B)/test/refusals_test $(B)/test/leader_cost: \
 		$(B)/test/rig/leader_rig.o
 
-$(B)/test/election_test $(B)/test/reelection_test: \
+$(B)/test/election_test $(B)/test/reelection_test $(B)/test/end_rows_test: \
 		$(addprefix $(B)/test/rig/, \
-			election.o site.o site_http.o site_store.o)
+			site.o site_http.o site_store.o)
+
+$(B)/test/election_test $(B)/test/reelection_test: $(B)/test/rig/election.o
 
 $(B)/test/job_test: $(B)/platform/job.o $(B)/platform/json.o
 
--- a/bench/forecast.c
+++ b/bench/forecast.c
@@ -383,6 +383,8 @@
 			count_end(w,
 				  &w->jobs[strtoul(change.id, NULL, 16) - 1]);
 	}
+	while (sched_next_expired(w->s, 1))
+		any = true;
 	if (any)
 		sched_batch_done(w->s, 1, true, w->now);
 	sched_leader_confirmed(w->s, w->now);
--- a/bench/lookahead.c
+++ b/bench/lookahead.c
@@ -367,6 +367,8 @@
 			job->done_ms = p->now;
 		}
 	}
+	while (sched_next_expired(p->s, 1))
+		;
 	sched_batch_done(p->s, 1, true, p->now);
 }
 
--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -27,6 +27,7 @@
 #define COMMIT_STALLED_MS 800u	   /* unanswered; a slow store takes 0.6 s */
 #define COMMIT_SLOW_MS 30u	   /* unanswered: the next one may be sent */
 #define COMMIT_ENTRIES_PER_JOB 5u  /* maximum for one job's change */
+#define EXPIRED_ENTRIES 2u	   /* maximum for one expired job */
 
 /*
  * The marker of a transaction is read once it is unanswered for
@@ -619,6 +620,25 @@
 	}
 }
 
+static void add_expired(struct batch *b)
+{
+	struct node *n = b->node;
+	uint32_t left = end_rows_batch(n, b->sent_ms);
+	const char *id;
+
+	while (left-- &&
+	       entry_count(&b->txn) + EXPIRED_ENTRIES <= STORE_TXN_MAX &&
+	       (id = sched_next_expired(n->sched, b->number))) {
+		char *key = talloc_strdup(b, id);
+
+		assert(key);
+		add_delete(b, NODE_TABLE_END, key);
+		if (inbox_remove(n, key))
+			add_delete(b, NODE_TABLE_INBOX, key);
+		n->end_rows.sent_ms = b->sent_ms;
+	}
+}
+
 void commit_run(struct node *n, uint64_t now)
 {
 	struct batch *b;
@@ -626,7 +646,8 @@
 	if (n->releasing || now < n->commit_retry_ms ||
 	    !commit_may_begin(n->commits_in_flight, n->resolve_pending,
 			      now - n->last_commit_ms) ||
-	    (!sched_change_pending(n->sched) && !n->commit_probe))
+	    (!sched_change_pending(n->sched) && !n->commit_probe &&
+	     !end_rows_due(n, now)))
 		return;
 	b = talloc_zero(n, struct batch);
 	assert(b);
@@ -647,8 +668,10 @@
 	if (n->resolve_pending)
 		add_resolution(b);
 	add_marker(b);
-	if (!n->commit_probe)
+	if (!n->commit_probe) {
 		add_changes(b);
+		add_expired(b);
+	}
 	n->commit_probe = false;
 	n->commits_in_flight++;
 	ask_after(b,
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -114,6 +114,8 @@
 	print_value(out, "jobs_ended_total", "state=\"failed\"", s.failed);
 	print_value(out, "jobs_ended_total", "state=\"cancelled\"",
 		    s.cancelled);
+	print_value(out, "end_rows_deleted_total", "", s.ends_deleted);
+	print_value(out, "end_rows_waiting", "", s.ends_waiting);
 	print_value(out, "runs_started_total", "", s.starts);
 	print_value(out, "runs_refused_total", "", s.starts_refused);
 	print_value(out, "runs_unanswered_total", "", s.starts_unknown);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -140,6 +140,7 @@
 		machines_tick(n, now);
 		load_add(n, LOAD_MACHINES, begun_us);
 		waiters_tick(n, now);
+		end_rows_tick(n, now);
 		node_schedule_pass(n);
 	}
 	event_flush();
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -6,6 +6,7 @@
  * term.c         log lines and counters of claims and terms
  * takeover.c     loads the store's tables before a new leader decides
  * commit.c       writes the leader's decisions in transactions
+ * end_rows.c     deletion of the rows of jobs that ended long ago
  * session.c      the leader's polls, orders and calls for advice
  * watch.c        change feeds: configuration, instances, inbox, waves
  * inbox.c        jobs and cancellations that other nodes recorded
@@ -183,6 +184,17 @@
 	UT_hash_handle hh;
 };
 
+/* Rows of ended jobs that this leader deletes. */
+struct end_rows {
+	uint64_t left; /* rows that the takeover left in the store; 0: none */
+	uint64_t rows; /* of the table that were read since, for the log */
+	uint64_t read_ms; /* no read of these before this time */
+	char *from;	  /* first key of the next page; NULL: first page */
+	bool reading;
+	uint64_t sent_ms;	   /* when deletions were last sent */
+	uint64_t waiting_since_ms; /* expired jobs in no batch; 0: none */
+};
+
 #define COMMITS_IN_FLIGHT_MAX 2u /* the store applies them one by one */
 
 struct batch;
@@ -359,6 +371,7 @@
 	 */
 	uint64_t phase_generation;
 	struct waiter *waiters;
+	struct end_rows end_rows;
 	struct inbox_id *inbox;
 	struct inbox_read *inbox_reads; /* jobs whose rows are to be read */
 	uint32_t inbox_reads_in_flight;
@@ -604,6 +617,26 @@
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
 		node_answer_fn fn, void *arg);
 
+/* end_rows.c */
+
+/* end_rows_keep_ms - how long the row of an ended job is kept */
+uint32_t end_rows_keep_ms(const struct node *n);
+
+/* end_rows_recent - whether a new leader loads the row; else it leaves it */
+bool end_rows_recent(const struct node *n, const Fleet__EndRow *end);
+
+/* end_rows_begin - this leader begins to decide; left: rows that it left */
+void end_rows_begin(struct node *n, uint64_t left, uint64_t now);
+
+/* end_rows_tick - called at each tick of a deciding leader */
+void end_rows_tick(struct node *n, uint64_t now);
+
+/* end_rows_batch - deletions that the next transaction may have */
+uint32_t end_rows_batch(const struct node *n, uint64_t now);
+
+/* end_rows_due - whether to send a transaction for deletions alone */
+bool end_rows_due(const struct node *n, uint64_t now);
+
 /* session.c */
 void session_send_calls(struct node *n, uint64_t now);
 
--- a/src/node/takeover.c
+++ b/src/node/takeover.c
@@ -18,6 +18,8 @@
 #define TAKEOVER_READ_MS 2500u /* timeout; a full page is 1 MB */
 #define TAKEOVER_LOG_MS 1000u  /* between two lines of progress */
 #define TABLE_LIST_MAX 128u    /* bytes of names of tables */
+/* Ends that are held until all jobs are read; about 0.4 KB each */
+#define UNSIFTED_MAX 5000u
 
 enum table_kind {
 	READ_INSTANCES,
@@ -43,6 +45,7 @@
 	char *from; /* first key of the next page; NULL: first page */
 	uint64_t first_revision;
 	bool complete;
+	bool paused; /* the next page waits for the jobs */
 	struct mtimer *retry;
 	struct row_copy *rows;
 };
@@ -54,6 +57,12 @@
 	struct table_read tables[READ_COUNT];
 	bool done;
 
+	/* Ends of which it isn't known yet whether they are to be loaded */
+	struct row_copy *unsifted;
+	uint32_t unsifted_count;
+	struct row_copy *sift_job; /* the first job that they may belong to */
+	uint64_t ends_left;	   /* ends that aren't loaded */
+
 	/* For the log */
 	uint64_t logged_ms;
 	uint32_t pages, rows, retries;
@@ -105,6 +114,46 @@
 	return NULL;
 }
 
+/*
+ * Whether the end's job has another row: it is kept for runs of the job, and
+ * without the end a new leader would start the job again. Keys are looked up in
+ * ascending order.
+ */
+static bool has_job(struct takeover *t, const char *key)
+{
+	while (t->sift_job && strcmp(t->sift_job->key, key) < 0)
+		t->sift_job = t->sift_job->next;
+	return t->sift_job && !strcmp(t->sift_job->key, key);
+}
+
+static bool is_needed(const struct node *n, const struct row_copy *row)
+{
+	Fleet__EndRow *end =
+		fleet__end_row__unpack(NULL, row->length, row->value);
+	bool needed = end && end_rows_recent(n, end);
+
+	if (end)
+		fleet__end_row__free_unpacked(end, NULL);
+	return needed;
+}
+
+/* Drops the ends that needn't be loaded; there may be very many. */
+static void sift_ends(struct takeover *t)
+{
+	struct row_copy *row, *next;
+
+	for (row = t->unsifted; row; row = next) {
+		next = row->next;
+		if (is_needed(t->node, row) || has_job(t, row->key))
+			continue;
+		DL_DELETE(t->tables[READ_ENDS].rows, row);
+		talloc_free(row);
+		t->ends_left++;
+	}
+	t->unsifted = NULL;
+	t->unsifted_count = 0;
+}
+
 static void load_jobs(struct takeover *t)
 {
 	struct node *n = t->node;
@@ -177,12 +226,13 @@
 		  ",\"instances\":%u,\"unreported\":%u"
 		  ",\"lasting_startable\":%u,\"lasting_unseen\":%u"
 		  ",\"took_ms\":%" PRIu64 ",\"load_ms\":%" PRIu64
-		  ",\"pages\":%u,\"bytes\":%" PRIu64 ",\"retries\":%u",
+		  ",\"pages\":%u,\"bytes\":%" PRIu64 ",\"retries\":%u"
+		  ",\"ends_left\":%" PRIu64,
 		  n->leader.epoch, stats.jobs, stats.unfinished,
 		  stats.instances, unreported.instances,
 		  unreported.lasting_startable, unreported.lasting_unseen,
 		  read_ms - n->leader_since_ms, clock_now_ms() - read_ms,
-		  t->pages, t->bytes, t->retries);
+		  t->pages, t->bytes, t->retries, t->ends_left);
 }
 
 void takeover_log(struct node *n, uint64_t now)
@@ -220,7 +270,7 @@
 		.lease_max_ms = n->settings.lease_max_ms,
 		.predecessor_orders_ms = orders_ms,
 		.start_wait_ms = START_WAIT_MS,
-		.end_keep_ms = n->settings.end_keep_ms,
+		.end_keep_ms = end_rows_keep_ms(n),
 		.job_bytes_max = n->settings.job_bytes_max,
 		.row_bytes = n->settings.row_bytes,
 		.placement_reservations = n->settings.placement_reservations,
@@ -245,6 +295,7 @@
 	n->commit_changes_max = 0;
 	n->commit_probe = false;
 	n->advice_calls = 0;
+	end_rows_begin(n, t->ends_left, now);
 	load_rows(n, &t->tables[READ_INBOX], inbox_receive);
 	log_finished(t, now);
 	machines_begin(n);
@@ -268,7 +319,41 @@
 	talloc_free(t->from);
 	t->from = node_key_after(t->takeover,
 				 answer->rows[answer->row_count - 1].key);
-	read_page(t);
+	t->paused = t->takeover->unsifted_count > UNSIFTED_MAX &&
+		    t->kind == READ_ENDS;
+	if (!t->paused)
+		read_page(t);
+}
+
+/* Copies the rows of a page. */
+static void add_page(struct table_read *t, const struct store_answer *answer)
+{
+	struct takeover *takeover = t->takeover;
+	uint32_t i;
+
+	for (i = 0; i < answer->row_count; i++) {
+		copy_row(t, &answer->rows[i]);
+		if (t->kind != READ_ENDS)
+			continue;
+		if (!takeover->unsifted)
+			takeover->unsifted = t->rows->prev;
+		takeover->unsifted_count++;
+	}
+	if (t->kind == READ_ENDS && takeover->tables[READ_JOBS].complete)
+		sift_ends(takeover);
+}
+
+/* All jobs are read: it is known which ends are needed. */
+static void jobs_complete(struct takeover *t)
+{
+	struct table_read *ends = &t->tables[READ_ENDS];
+
+	t->sift_job = t->tables[READ_JOBS].rows;
+	sift_ends(t);
+	if (!ends->paused)
+		return;
+	ends->paused = false;
+	read_page(ends);
 }
 
 static void on_page(void *arg, const struct store_answer *answer)
@@ -277,7 +362,6 @@
 	struct node *n = page->node;
 	struct takeover *t = n->takeover;
 	struct table_read *table;
-	uint32_t i;
 
 	node_store_result(n, "takeover", answer->status);
 	if (!t || n->phase_generation != page->generation) {
@@ -295,13 +379,14 @@
 	t->pages++;
 	if (!table->first_revision)
 		table->first_revision = answer->revision;
-	for (i = 0; i < answer->row_count; i++)
-		copy_row(table, &answer->rows[i]);
+	add_page(table, answer);
 	if (answer->more && answer->row_count) {
 		next_page(table, answer);
 		return;
 	}
 	table->complete = true;
+	if (table->kind == READ_JOBS)
+		jobs_complete(t);
 	if (all_complete(t))
 		finish(t);
 }
--- a/src/pool/sched.c
+++ b/src/pool/sched.c
@@ -577,7 +577,6 @@
 	if (job_is_over(job))
 		return;
 	job->state = state;
-	job->ended_ms = now;
 	job_set_list(s, job, JOBS_ENDING);
 	pace_count(s, job, false);
 	share_count(job, false);
@@ -631,17 +630,7 @@
 	s->unix_ms = unix_ms;
 }
 
-/* Frees the jobs that ended more than end_keep_ms ago. */
-static void free_old_jobs(struct sched *s, uint64_t now)
-{
-	struct job *job;
-
-	while ((job = s->lists[JOBS_ENDED]) && job->change == CHANGE_NONE &&
-	       now - job->ended_ms > s->options.end_keep_ms)
-		job_free(s, job);
-}
-
-/* Handles timers: occurrences due, ended jobs to free, leases. */
+/* Handles timers: occurrences due, ended jobs to forget, leases. */
 static void sweep(struct sched *s, uint64_t now)
 {
 	struct job *job, *next;
@@ -655,7 +644,7 @@
 	DL_FOREACH_SAFE2(s->lists[JOBS_ENDING], job, next, list_next)
 	if (job->change == CHANGE_NONE)
 		job_shrink(s, job);
-	free_old_jobs(s, now);
+	ends_expire(s, now);
 	instances_tick(s, now);
 	waits_log(s, now);
 }
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -60,7 +60,7 @@
 	 * the poll that must show it first
 	 */
 	uint32_t start_wait_ms;
-	uint32_t end_keep_ms;	/* retention of an ended job's state */
+	uint32_t end_keep_ms;	/* until an ended job's row may be deleted */
 	uint64_t job_bytes_max; /* memory of all unfinished jobs; 0: no limit */
 	uint32_t
 		row_bytes; /* most that a row of the store holds; 0: no limit */
@@ -219,8 +219,10 @@
 	uint64_t reservations_displaced, reservations_moved;
 	uint32_t reservations; /* held */
 	uint32_t jobs, instances, runs;
-	uint32_t unfinished; /* of jobs */
-	uint32_t startable;  /* tasks that wait for an instance */
+	uint32_t unfinished;   /* of jobs */
+	uint64_t ends_deleted; /* rows of ended jobs */
+	uint32_t ends_waiting; /* the same, to be deleted */
+	uint32_t startable;    /* tasks that wait for an instance */
 	/* tasks a second that unfinished jobs ask for, and their limit by the
 	 * leader's processor; 1e9: there is none */
 	double rate, rate_limit;
@@ -446,6 +448,26 @@
 void sched_batch_done(struct sched *s, uint32_t batch, bool written,
 		      uint64_t now);
 
+/*
+ * Rows of ended jobs: an ended job expires after end_keep_ms, or that long
+ * after it was loaded. Its row is deleted in a batch; it is forgotten once that
+ * is written, else put into a later batch.
+ */
+
+/* sched_expired - expired jobs that are in no batch */
+uint32_t sched_expired(const struct sched *s);
+
+/* sched_next_expired - add one to a batch; its id, valid until it is done */
+const char *sched_next_expired(struct sched *s, uint32_t batch);
+
+/*
+ * sched_load_expired - load a row that has been kept for long enough
+ *
+ * Does nothing if the job is known.
+ */
+void sched_load_expired(struct sched *s, const char *id,
+			const Fleet__EndRow *row, uint64_t now);
+
 /*
  * sched_change_refused - the store refused a job's rows, written alone
  *
--- a/src/pool/sched_change.c
+++ b/src/pool/sched_change.c
@@ -120,6 +120,8 @@
 	job_forget_cost(s, job);
 	fleet__job_row__free_unpacked(job->row, NULL);
 	job->row = NULL;
+	/* Not since its end: callers learn of that once it is written. */
+	job->kept_since_ms = s->tick_ms;
 	job_set_list(s, job, JOBS_ENDED);
 }
 
@@ -210,6 +212,7 @@
 		occurrences_written(job, false);
 		job_wait_for_write(s, job);
 	}
+	ends_batch_done(s, batch, written);
 	acknowledge(s, now);
 }
 
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -4,6 +4,7 @@
  * sched.c          jobs, steps and their ends
  * sched_occurrence.c  occurrences of jobs
  * sched_change.c   rows to be written, acknowledgement of ends
+ * sched_ends.c     ended jobs whose rows are to be deleted
  * sched_submit.c   new jobs and jobs loaded at takeover
  * sched_run.c      runs, their orders and the outcomes of orders
  * sched_instance.c instances, leases, ejection of failing instances
@@ -187,10 +188,12 @@
 
 /* Jobs by what timers and load figures look for; each job is in one list. */
 enum job_list {
-	JOBS_SHORT,  /* unfinished, due once, all tasks end by themselves */
-	JOBS_LONG,   /* unfinished; repeated or with long-running tasks */
-	JOBS_ENDING, /* ended; runs or rows of it may remain */
-	JOBS_ENDED,  /* only its state is kept; oldest end first */
+	JOBS_SHORT,    /* unfinished, due once, all tasks end by themselves */
+	JOBS_LONG,     /* unfinished; repeated or with long-running tasks */
+	JOBS_ENDING,   /* ended; runs or rows of it may remain */
+	JOBS_ENDED,    /* only its state is kept; oldest end first */
+	JOBS_EXPIRED,  /* the same, for long enough: its row is to be deleted */
+	JOBS_DELETING, /* its row's deletion is in a batch */
 	JOB_LISTS
 };
 
@@ -251,7 +254,7 @@
 	bool write_refused;	    /* its rows, when they were written alone */
 	uint64_t refused_at_commit; /* number of commits at that time */
 	uint64_t accepted_ms;
-	uint64_t ended_ms;
+	uint64_t kept_since_ms;	   /* only its state; 0: more of it is kept */
 	uint64_t objective_ms;	   /* deadline for its completion */
 	uint64_t critical_path_ms; /* estimate */
 	double estimate_ratio;	   /* of its queue when it was estimated */
@@ -272,7 +275,8 @@
 	uint64_t bytes;		    /* estimate of its memory */
 	char queue[SCHED_NAME_MAX]; /* name; still set when row is NULL */
 	enum change_state change;
-	uint32_t batch; /* that contains it, if CHANGE_BATCHED */
+	/* that contains it, if CHANGE_BATCHED or in JOBS_DELETING */
+	uint32_t batch;
 	bool changed_while_batched;
 	uint64_t change_seq;	  /* of the first unwritten change */
 	uint64_t next_change_seq; /* of the first change made while batched */
@@ -522,6 +526,7 @@
 	struct job *lists[JOB_LISTS];
 	struct queue_count *queue_counts;
 	uint32_t unfinished; /* jobs in the first two lists */
+	uint32_t expired;    /* jobs in JOBS_EXPIRED */
 	struct refused *refused;
 	struct refused *refused_list;
 	uint32_t refused_for_load;
@@ -661,6 +666,16 @@
 bool job_has_runs(const struct job *job);
 void job_shrink(struct sched *s, struct job *job);
 
+/* sched_ends.c */
+
+/* ends_add - adds a job of which only the state is kept */
+struct job *ends_add(struct sched *s, const char *id, const Fleet__EndRow *row,
+		     uint64_t now);
+
+/* ends_expire - finds the jobs whose state has been kept for long enough */
+void ends_expire(struct sched *s, uint64_t now);
+void ends_batch_done(struct sched *s, uint32_t batch, bool written);
+
 /* sched_occurrence.c */
 
 /* occurrence_window - occurrences of the job that may be open at once */
--- a/src/pool/sched_stats.c
+++ b/src/pool/sched_stats.c
@@ -29,6 +29,7 @@
 
 	*stats = s->stats;
 	stats->unfinished = s->unfinished;
+	stats->ends_waiting = s->expired;
 	stats->rate = s->pace.rate;
 	stats->rate_limit = s->pace.limit;
 	stats->delay_ms = s->pace.delay_ms;
--- a/src/pool/sched_submit.c
+++ b/src/pool/sched_submit.c
@@ -191,7 +191,6 @@
 	if (job) {
 		/* Its other rows were kept because runs of it may remain. */
 		job->state = job->shown = row->state;
-		job->ended_ms = now;
 		job->rows_kept = true;
 		job_set_list(s, job, JOBS_ENDING);
 		pace_count(s, job, false);
@@ -199,13 +198,5 @@
 		job_refresh_steps(job);
 		return;
 	}
-	job = talloc_zero(s, struct job);
-	assert(job);
-	snprintf(job->id, sizeof(job->id), "%s", id);
-	snprintf(job->queue, sizeof(job->queue), "%s", row->queue);
-	job->state = job->shown = row->state;
-	job->stored = true;
-	job->ended_ms = now;
-	job->pool = sched_pool(s, "");
-	job_add(s, job);
+	ends_add(s, id, row, now);
 }
--- a/test/rig/leader_rig.c
+++ b/test/rig/leader_rig.c
@@ -449,6 +449,8 @@
 	}
 	if (!count)
 		return;
+	while (sched_next_expired(r->s, r->batch))
+		;
 	r->committing = true;
 	spend(r, COST_COMMIT / 2);
 	event_new(r, EVENT_WRITTEN, r->now_us + 1000u * STORE_MS, r->batch);
--- a/test/rig/share_rig.c
+++ b/test/rig/share_rig.c
@@ -333,6 +333,8 @@
 		if (change.is_ended)
 			job_ended(r, job_of(r, change.id));
 	}
+	while (sched_next_expired(r->s, 1))
+		;
 	sched_batch_done(r->s, 1, true, r->now);
 	sched_leader_confirmed(r->s, r->now);
 }
--- a/test/rig/site.c
+++ b/test/rig/site.c
@@ -409,7 +409,7 @@
 	s->history = talloc_strdup(s, "");
 	s->host_count = options->nodes;
 	current_site = s;
-	site_store_new(s, options->ended_jobs);
+	site_store_new(s, options);
 	for (i = 0; i < options->nodes; i++) {
 		struct host *h = &s->hosts[i];
 
--- a/test/rig/site.h
+++ b/test/rig/site.h
@@ -12,7 +12,11 @@
 #include "node/node_internal.h"
 
 #define SITE_HOSTS_MAX 160u
-#define SITE_START_US 100000000u /* virtual time at the start */
+#define SITE_START_US 40000000000u /* virtual time at the start */
+
+/* Ids of jobs that have ended, by number */
+#define SITE_OLD_JOB "0%015x"
+#define SITE_ENDED_JOB "1%015x"
 
 struct site;
 struct store;
@@ -80,7 +84,9 @@
 	uint32_t nodes;
 	uint32_t weak;		/* of these; they have a quarter of the power */
 	double processor_share; /* that a node gets of its power */
-	uint32_t ended_jobs;	/* rows that a new leader reads */
+	uint32_t ended_jobs;	/* rows of jobs that end at the start */
+	uint32_t old_jobs;	/* rows of jobs that ended hours before */
+	uint32_t kept_jobs;	/* of these, whose job row is there too */
 	uint64_t seed;
 };
 
@@ -109,7 +115,7 @@
 void host_kill(struct host *h);
 
 /* site_store.c */
-void site_store_new(struct site *s, uint32_t ended_jobs);
+void site_store_new(struct site *s, const struct site_options *options);
 void site_store_services(struct host *h);
 
 /* site_leader - the host that the leader row names; NULL: none */
@@ -118,6 +124,13 @@
 /* site_has_formers - whether the row says that earlier leaders may order */
 bool site_has_formers(struct site *s);
 
+/* site_job_row - a job of one task; freed with free_unpacked */
+Fleet__JobRow *site_job_row(void);
+
+/* site_rows - how many rows a table of the store has */
+uint32_t site_rows(struct site *s, const char *table);
+bool site_has_row(struct site *s, const char *table, const char *key);
+
 /* site_claimed_us - when the claim of an epoch took effect; 0: it didn't */
 uint64_t site_claimed_us(const struct site *s, uint64_t epoch);
 
--- a/test/rig/site_store.c
+++ b/test/rig/site_store.c
@@ -22,6 +22,8 @@
 #define LATE_MAX_MS 6000u
 #define FEED_MARGIN_MS 500u
 #define TABLES_MAX 16u
+#define OLD_MS 36000000u /* 10 hours */
+#define JOB_ROW_MAX 256u /* bytes */
 #define EPOCHS_MAX 256u
 
 #define OPERATOR_TABLE "operator"
@@ -633,7 +635,8 @@
 	talloc_free(bytes);
 }
 
-static void add_ended(struct store *st, uint32_t count)
+static void add_ended(struct store *st, const char *format, uint32_t count,
+		      uint64_t ended_ms)
 {
 	Fleet__EndRow end = FLEET__END_ROW__INIT;
 	uint8_t *bytes;
@@ -643,16 +646,54 @@
 
 	end.queue = (char *)"q";
 	end.state = FLEET__JOB_STATE__COMPLETED;
-	end.ended_unix_ms = SITE_START_US / 1000;
+	end.ended_unix_ms = ended_ms;
 	bytes = node_pack(st, &end, &length);
 	for (i = 0; i < count; i++) {
-		snprintf(key, sizeof(key), "%016x", i);
+		snprintf(key, sizeof(key), format, i);
 		row_put(st, NODE_TABLE_END, key, bytes, length);
 	}
 	talloc_free(bytes);
 }
 
-void site_store_new(struct site *s, uint32_t ended_jobs)
+/* Job rows of every so many of the old jobs */
+static void add_kept(struct store *st, const struct site_options *options)
+{
+	Fleet__JobRow *job = site_job_row();
+	char key[SCHED_ID_BYTES + 1];
+	uint8_t *bytes;
+	size_t length;
+	uint32_t i;
+
+	bytes = node_pack(st, job, &length);
+	fleet__job_row__free_unpacked(job, NULL);
+	for (i = 0; i < options->kept_jobs; i++) {
+		snprintf(key, sizeof(key), SITE_OLD_JOB,
+			 i * (options->old_jobs / options->kept_jobs));
+		row_put(st, NODE_TABLE_JOB, key, bytes, length);
+	}
+	talloc_free(bytes);
+}
+
+Fleet__JobRow *site_job_row(void)
+{
+	Fleet__Step step = FLEET__STEP__INIT;
+	Fleet__Step *steps[] = { &step };
+	Fleet__JobRow job = FLEET__JOB_ROW__INIT;
+	uint8_t bytes[JOB_ROW_MAX];
+
+	step.count = step.cpu = step.mem = 1;
+	step.estimate_ms = 1000;
+	job.queue = (char *)"q";
+	job.pool = (char *)"p";
+	job.workspace = (char *)"w";
+	job.payload = (char *)"x";
+	job.steps = steps;
+	job.n_steps = 1;
+	return fleet__job_row__unpack(NULL, fleet__job_row__pack(&job, bytes),
+				      bytes);
+}
+
+void site_store_new(struct site *s, const struct site_options *options)
 {
 	struct store *st = talloc_zero(s, struct store);
 
@@ -661,7 +702,29 @@
 	st->revision = 1;
 	s->store = st;
 	row_put(st, OPERATOR_TABLE, CONFIG_KEY, (const uint8_t *)"1", 1);
-	add_ended(st, ended_jobs);
+	add_ended(st, SITE_OLD_JOB, options->old_jobs,
+		  SITE_START_US / 1000 - OLD_MS);
+	add_kept(st, options);
+	add_ended(st, SITE_ENDED_JOB, options->ended_jobs,
+		  SITE_START_US / 1000);
+}
+
+uint32_t site_rows(struct site *s, const char *table)
+{
+	const struct table *t = table_get(s->store, table);
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < t->count; i++)
+		count += !t->rows[i].deleted;
+	return count;
+}
+
+bool site_has_row(struct site *s, const char *table, const char *key)
+{
+	const struct row *row = row_find(table_get(s->store, table), key);
+
+	return row && !row->deleted;
 }
 
 struct host *site_leader(struct site *s)
