fleet walk: rows of ended jobs are deleted, and some are not loaded

FAULT_FORGET (1 << 17): the leader deletes the end of a job 4 s after it was written or found, and a new leader leaves some in the store and reads them later. Invariants: LOST END, a row is deleted early or while its job has others; END LEFT, a row is still there 12 s after its job ended.

--- a/test/walk/fleet_world.c
+++ b/test/walk/fleet_world.c
@@ -503,6 +503,20 @@
 			(int64_t)SKEW_MAX_MS;
 }
 
+/* Rows of jobs that ended well before the end are deleted. */
+static void check_final_ends(struct world *w)
+{
+	uint32_t j;
+
+	for (j = 0; (w->faults & FAULT_FORGET) && j < WORLD_JOBS; j++)
+		if (w->jobs[j].end_ms && !w->jobs[j].has_row &&
+		    w->now - w->jobs[j].end_ms > FORGOTTEN_MS)
+			violation(w, "END LEFT: of %s, which ended %llu ms ago",
+				  w->jobs[j].id,
+				  (unsigned long long)(w->now -
+						       w->jobs[j].end_ms));
+}
+
 static void check_final_state(struct world *w)
 {
 	uint32_t j, i, r;
@@ -575,5 +589,6 @@
 		check_reported_states(w);
 	}
 	check_final_state(w);
+	check_final_ends(w);
 	cleanup(w);
 }
--- a/test/walk/fleet_world.h
+++ b/test/walk/fleet_world.h
@@ -26,6 +26,7 @@
 #define WORLD_END_REPEATS_MS 100000u
 /* Same, with FAULT_STALE_CALLS: instances may be cut off for longer */
 #define WORLD_END_STALE_MS 70000u
+#define FORGET_MS 4000u
 /* Same, with FAULT_EVACUATIONS: a pool may have no instances for a while */
 #define WORLD_END_EVACUATIONS_MS 60000u
 
@@ -60,6 +61,11 @@
 	 * their feed is silent.
 	 */
 	FAULT_EVACUATIONS = 1 << 16,
+	/*
+	 * No fault: rows of ended jobs are deleted after FORGET_MS, and a new
+	 * leader may leave some of them in the store until then.
+	 */
+	FAULT_FORGET = 1 << 17,
 	/* no fault: tasks that take half an instance wait for room, and get
 	 * reservations */
 	FAULT_LARGE = 1 << 20,
--- a/test/walk/fleet_world_call.c
+++ b/test/walk/fleet_world_call.c
@@ -19,6 +19,7 @@
 			job->has_row = true;
 		if (ch->is_ended) {
 			job->end = ch->end;
+			job->end_ms = w->now;
 			if (ch->drop)
 				job->has_row = job->has_progress = false;
 			trace(w, "store: %s ended as %d", job->id, ch->end);
@@ -31,6 +32,26 @@
 	}
 }
 
+static void apply_deletions(struct world *w, const struct call *c)
+{
+	uint32_t j;
+
+	for (j = 0; j < WORLD_JOBS; j++) {
+		struct world_job *job = &w->jobs[j];
+
+		if (!(c->deleted & 1u << j) || !job->end_ms)
+			continue;
+		trace(w, "store: the end of %s is deleted", job->id);
+		if (job->has_row)
+			violation(w, "LOST END: of %s, which has other rows",
+				  job->id);
+		if (w->now - job->end_ms < FORGET_MS)
+			violation(w, "LOST END: of %s, after %llu ms", job->id,
+				  (unsigned long long)(w->now - job->end_ms));
+		job->end_ms = 0;
+	}
+}
+
 static void exec_txn(struct world *w, struct call *c)
 {
 	uint32_t n;
@@ -47,6 +68,7 @@
 			return;
 		}
 	apply_changes(w, c);
+	apply_deletions(w, c);
 	c->applied = true;
 	c->revision = ++w->store_revision;
 	w->markers[c->slot] = c->marker;
--- a/test/walk/fleet_world_internal.h
+++ b/test/walk/fleet_world_internal.h
@@ -129,7 +129,8 @@
 	bool has_progress;
 	uint8_t progress[PROGRESS_MAX];
 	size_t progress_length;
-	Fleet__JobState end; /* UNKNOWN: no row */
+	Fleet__JobState end; /* UNKNOWN: it has not ended */
+	uint64_t end_ms;     /* when the end's row was written; 0: no row */
 };
 
 /* Calls in flight */
@@ -148,6 +149,9 @@
 	uint64_t revision;
 };
 
+/* By then its row is deleted: two terms and two transactions without answer */
+#define FORGOTTEN_MS (3 * FORGET_MS)
+
 struct change {
 	uint32_t job;
 	bool is_new, is_ended, drop, has_progress;
@@ -191,6 +195,7 @@
 	uint64_t revision;
 	uint32_t change_count;
 	struct change changes[WORLD_JOBS];
+	uint32_t deleted; /* ends of jobs; bits */
 };
 
 struct leader {
@@ -213,6 +218,8 @@
 	/* its next transaction must void writes of unknown outcome */
 	bool resolve;
 	uint64_t retry_ms; /* no transaction before this time */
+	uint64_t claimed_ms;
+	uint32_t ends_left; /* in the store, at its claim; bits of jobs */
 	/* when it learns of a recorded job; 0: not recorded or known */
 	uint64_t inbox_due_ms[WORLD_JOBS];
 };
--- a/test/walk/fleet_world_leader.c
+++ b/test/walk/fleet_world_leader.c
@@ -56,7 +56,11 @@
 		size_t length;
 
 		l->inbox_due_ms[i] = 0;
-		if (job->end && !job->has_row) {
+		l->ends_left &= ~(1u << i);
+		if (job->end_ms && !job->has_row &&
+		    (w->faults & FAULT_FORGET) && random_below(w, 2)) {
+			l->ends_left |= 1u << i;
+		} else if (job->end_ms && !job->has_row) {
 			end.queue = job->row->queue;
 			end.state = job->end;
 			sched_load_end(l->s, job->id, &end, w->now);
@@ -72,7 +76,7 @@
 			       progress, w->now);
 		if (progress)
 			fleet__progress_row__free_unpacked(progress, NULL);
-		if (!job->end)
+		if (!job->end_ms)
 			continue;
 		end.queue = job->row->queue;
 		end.state = job->end;
@@ -99,15 +103,16 @@
 
 void leader_claim(struct world *w, uint32_t index)
 {
-	struct sched_options options = { .lease_ms = LEASE_MS,
-					 .lease_max_ms = LEASE_MAX_MS,
-					 .predecessor_orders_ms =
-						 ORDERS_VALID_MS,
-					 .start_wait_ms = 1000,
-					 .end_keep_ms = 120000,
-					 .row_bytes = PROGRESS_MAX,
-					 .open_max = w->open_max,
-					 .placement_reservations = 4 };
+	struct sched_options options = {
+		.lease_ms = LEASE_MS,
+		.lease_max_ms = LEASE_MAX_MS,
+		.predecessor_orders_ms = ORDERS_VALID_MS,
+		.start_wait_ms = 1000,
+		.end_keep_ms = w->faults & FAULT_FORGET ? FORGET_MS : 120000,
+		.row_bytes = PROGRESS_MAX,
+		.open_max = w->open_max,
+		.placement_reservations = 4
+	};
 	struct leader *l = &w->leaders[index];
 	bool predecessor_gone;
 
@@ -124,7 +129,7 @@
 	      (unsigned long long)w->epoch);
 	l->revision = l->fence = w->leader_revision;
 	l->epoch = w->epoch;
-	l->confirmed_ms = w->now;
+	l->confirmed_ms = l->claimed_ms = w->now;
 	l->commits = 0;
 	l->resolved = w->leader_resolved = 0;
 	l->resolve = false;
@@ -223,6 +228,40 @@
 	}
 }
 
+/* Reads the ends that were left in the store, some time after the claim. */
+static void leader_read_ends(struct world *w, struct leader *l)
+{
+	uint32_t i;
+
+	if (!l->ends_left || w->now - l->claimed_ms < FORGET_MS ||
+	    w->now < l->cut_off_until_ms)
+		return;
+	for (i = 0; i < WORLD_JOBS; i++) {
+		Fleet__EndRow end = FLEET__END_ROW__INIT;
+
+		if (!(l->ends_left & 1u << i) || !w->jobs[i].end_ms)
+			continue;
+		end.queue = w->jobs[i].row->queue;
+		end.state = w->jobs[i].end;
+		sched_load_expired(l->s, w->jobs[i].id, &end, w->now);
+	}
+	l->ends_left = 0;
+}
+
+static void add_deletions(struct world *w, struct leader *l, struct call *c)
+{
+	const char *id;
+	uint32_t i;
+
+	if (l->commits)
+		return;
+	while ((id = sched_next_expired(l->s, c->batch))) {
+		for (i = 0; strcmp(w->jobs[i].id, id); i++)
+			;
+		c->deleted |= 1u << i;
+	}
+}
+
 static void leader_commit(struct world *w, uint32_t index)
 {
 	struct leader *l = &w->leaders[index];
@@ -232,7 +271,7 @@
 
 	if (w->now < l->retry_ms || l->commits >= COMMITS_MAX ||
 	    (l->commits && (l->resolve || random_below(w, 4))) ||
-	    !sched_change_pending(l->s))
+	    (!sched_change_pending(l->s) && !sched_expired(l->s)))
 		return;
 	c = call_new(w, index, CALL_TXN, TXN_TIMEOUT_MS);
 	c->condition = l->revision;
@@ -268,6 +307,7 @@
 								ch->progress);
 		fleet__progress_row__free_unpacked(change.progress, NULL);
 	}
+	add_deletions(w, l, c);
 	l->commits++;
 }
 
@@ -323,6 +363,7 @@
 		sched_leader_confirmed(l->s, w->now);
 	}
 	leader_read_evacuations(w, l);
+	leader_read_ends(w, l);
 	sched_tick(l->s, leader_unix_ms(w, l), w->now);
 	if (fault_occurs(w, FAULT_RELOCATIONS, 5)) {
 		struct sched_instance_load load;
--- a/tools/check.py
+++ b/tools/check.py
@@ -35,6 +35,9 @@
 # FAULT_ALL and FAULT_EVACUATIONS, and these with FAULT_DIVIDED.
 EVACUATION_FAULTS = (67583, 75775)
 EVACUATION_SEEDS = 5000
+# FAULT_ALL and FAULT_FORGET, with FAULT_DIVIDED.
+FORGET_FAULTS = 141311
+FORGET_SEEDS = 2000
 FLEET_WALK_PARTS = 5  # processes that run concurrently
 # No faults, UPKEEP_FAULT_ALL, and UPKEEP_TIGHT.
 UPKEEP_FAULTS = (0, 15, 16)
@@ -319,6 +322,8 @@
     for faults in EVACUATION_FAULTS:
         fleet_walk(results, build, f"fleet walk, evacuations, {faults}",
                    EVACUATION_SEEDS, "--faults", str(faults))
+    fleet_walk(results, build, "fleet walk, deleted ends", FORGET_SEEDS,
+               "--faults", str(FORGET_FAULTS))
     for faults in UPKEEP_FAULTS:
         upkeep_walk(results, build, faults)
     make_sanitized()
