--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -71,67 +71,12 @@
 
 static const char *const slot_keys[COMMITS_IN_FLIGHT_MAX] = { "0", "1" };
 
-/* Requests that wait until their decision is durable */
-
-void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
-		node_answer_fn fn, void *arg)
-{
-	struct waiter *w = talloc_zero(n, struct waiter);
-
-	assert(w);
-	snprintf(w->id, sizeof(w->id), "%s", id);
-	w->deadline_ms = deadline_ms;
-	w->fn = fn;
-	w->arg = arg;
-	DL_APPEND(n->waiters, w);
-}
-
-static void waiter_answer(struct node *n, struct waiter *w,
-			  Fleet__Result result)
-{
-	struct node_answer answer = { .result = result };
-
-	DL_DELETE(n->waiters, w);
-	n->answers[result]++;
-	w->fn(w->arg, &answer);
-	talloc_free(w);
-}
-
-static void answer_durable_waiters(struct node *n)
-{
-	struct waiter *w, *next;
-
-	DL_FOREACH_SAFE(n->waiters, w, next)
-	if (sched_durable(n->sched, w->id))
-		waiter_answer(n, w, FLEET__RESULT__ACCEPTED);
-}
-
-void waiters_tick(struct node *n, uint64_t now)
-{
-	struct waiter *w, *next;
-
-	DL_FOREACH_SAFE(n->waiters, w, next)
-	if (now >= w->deadline_ms)
-		waiter_answer(n, w, FLEET__RESULT__UNSETTLED);
-}
-
-void waiters_drop(struct node *n)
-{
-	while (n->waiters)
-		waiter_answer(n, n->waiters, FLEET__RESULT__UNSETTLED);
-}
-
 /* Takes a job out of what is written; its caller learns that it isn't stored */
 static void set_aside(struct node *n, const char *id, const char *why,
 		      uint64_t value, uint64_t bound)
 {
-	struct waiter *w, *next;
-
-	if (sched_change_invalid(n->sched, id, why, value, bound))
-		return;
-	DL_FOREACH_SAFE(n->waiters, w, next)
-	if (!strcmp(w->id, id))
-		waiter_answer(n, w, FLEET__RESULT__REFUSED);
+	if (!sched_change_invalid(n->sched, id, why, value, bound))
+		waiters_refuse(n, id);
 }
 
 /* Batches */
@@ -346,7 +291,7 @@
 		}
 		sched_batch_done(n->sched, b->number, true, now);
 		on_valid(n);
-		answer_durable_waiters(n);
+		waiters_answer_durable(n);
 		break;
 	case STORE_CONFLICT:
 		sched_batch_done(n->sched, b->number, false, now);
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -6,6 +6,7 @@
  * term.c         log lines and counters of claims and terms
  * takeover.c     loads the store's tables before a new leader decides
  * commit.c       writes the leader's decisions in transactions
+ * waiters.c      requests that wait until the leader's decision is durable
  * end_rows.c     deletion of the rows of jobs that ended long ago
  * session.c      the leader's polls, orders and calls for advice
  * watch.c        change feeds: configuration, instances, inbox, waves
@@ -612,11 +613,23 @@
 
 /* commit_is_stalled - whether transactions were unanswered for too long */
 bool commit_is_stalled(uint64_t waiting_since_ms, uint64_t now);
-void waiters_tick(struct node *n, uint64_t now);
-void waiters_drop(struct node *n);
+
+/* waiters.c */
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
 		node_answer_fn fn, void *arg);
 
+/* waiters_answer_durable - answer those whose decision is durable now */
+void waiters_answer_durable(struct node *n);
+
+/* waiters_refuse - a job's rows can't be stored: nothing was recorded */
+void waiters_refuse(struct node *n, const char *id);
+
+/* waiters_tick - answer those whose deadline has passed */
+void waiters_tick(struct node *n, uint64_t now);
+
+/* waiters_drop - answer all that their outcome is unknown */
+void waiters_drop(struct node *n);
+
 /* end_rows.c */
 
 /* end_rows_keep_ms - how long the row of an ended job is kept */
