node: a row of the inbox stays known until its deletion is written

Seen in the store: a row of the inbox whose job has ended stays for ever if the transaction that should delete it gets no answer and isn't done. Each new leader reads its job again. (No caller sees it.)

Cause: add_end() forgot the row (inbox_remove()) when it built the transaction, so the next one, which writes the end again, no longer deleted it.

Evidence: test_inbox_rows_stay_after_a_failed_write of test/end_rows_test.c, 60 recorded jobs while the store loses and delays writes, failed before: rows left at 100 s. Now the row is forgotten when a transaction that deletes it is known to be done; the test passes, as do inbox_test, lost_answer_test, node_test, formers_test, election_test and takeover_test.

Rows that an earlier release has left so stay.

--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -128,7 +128,7 @@
 		return;
 	add_delete(b, NODE_TABLE_JOB, key);
 	add_delete(b, NODE_TABLE_PROGRESS, key);
-	if (inbox_remove(b->node, key))
+	if (inbox_has(b->node, key))
 		add_delete(b, NODE_TABLE_INBOX, key);
 }
 
@@ -268,6 +268,17 @@
 		n->commit_changes_max = 0;
 }
 
+/* The rows of the inbox that the transaction deleted needn't be deleted again.
+ */
+static void forget_inbox_rows(const struct batch *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->txn.delete_count; i++)
+		if (!strcmp(b->txn.deletes[i].table, NODE_TABLE_INBOX))
+			inbox_remove(b->node, b->txn.deletes[i].key);
+}
+
 static void decide(struct batch *b, const struct store_answer *answer)
 {
 	struct node *n = b->node;
@@ -290,6 +301,7 @@
 			n->resolve_pending = false;
 		}
 		sched_batch_done(n->sched, b->number, true, now);
+		forget_inbox_rows(b);
 		on_valid(n);
 		waiters_answer_durable(n);
 		break;
@@ -578,7 +590,7 @@
 
 		assert(key);
 		add_delete(b, NODE_TABLE_END, key);
-		if (inbox_remove(n, key))
+		if (inbox_has(n, key))
 			add_delete(b, NODE_TABLE_INBOX, key);
 		n->end_rows.sent_ms = b->sent_ms;
 	}
--- a/src/node/inbox.c
+++ b/src/node/inbox.c
@@ -49,16 +49,23 @@
 	HASH_ADD_STR(n->inbox, id, entry);
 }
 
-bool inbox_remove(struct node *n, const char *id)
+bool inbox_has(const struct node *n, const char *id)
+{
+	const struct inbox_id *entry;
+
+	HASH_FIND_STR(n->inbox, id, entry);
+	return entry;
+}
+
+void inbox_remove(struct node *n, const char *id)
 {
 	struct inbox_id *entry;
 
 	HASH_FIND_STR(n->inbox, id, entry);
 	if (!entry)
-		return false;
+		return;
 	HASH_DEL(n->inbox, entry);
 	talloc_free(entry);
-	return true;
 }
 
 /* Reads of jobs */
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -675,8 +675,11 @@
 /* inbox_add - note that a known job has a row in the inbox */
 void inbox_add(struct node *n, const char *id);
 
-/* inbox_remove - forget that row; false if there is none */
-bool inbox_remove(struct node *n, const char *id);
+/* inbox_has - whether that is known of the job */
+bool inbox_has(const struct node *n, const char *id);
+
+/* inbox_remove - its row is deleted */
+void inbox_remove(struct node *n, const char *id);
 
 /* staleness.c */
 
--- a/test/end_rows_test.c
+++ b/test/end_rows_test.c
@@ -219,6 +219,86 @@
 		run_case(&cases[c]);
 }
 
+/* Jobs that nodes record for the leader */
+
+#define RECORDED_JOBS 60u
+#define RECORD_S 10u /* the first one, and one a second */
+#define FAULTS_END_S 90u
+
+static void on_recorded(void *arg, const struct store_answer *answer)
+{
+	talloc_free(arg);
+	(void)answer;
+}
+
+static void record_job(void *arg)
+{
+	struct trial *t = arg;
+	struct host *h = t->s->running;
+	struct store_txn *txn = talloc_zero(t->s, struct store_txn);
+	Fleet__JobRow *job = site_job_row();
+	Fleet__InboxRow in = FLEET__INBOX_ROW__INIT;
+	char *id = talloc_zero_size(txn, SCHED_ID_BYTES + 1);
+
+	job_id(id, t->jobs++);
+	in.queue = job->queue;
+	txn->conditions[0] = (struct store_condition){ NODE_TABLE_JOB, id, 0 };
+	txn->conditions[1] = (struct store_condition){ NODE_TABLE_END, id, 0 };
+	txn->puts[0] = (struct store_put){ .table = NODE_TABLE_JOB, .key = id };
+	txn->puts[0].value = node_pack(txn, job, &txn->puts[0].length);
+	txn->puts[1] =
+		(struct store_put){ .table = NODE_TABLE_INBOX, .key = id };
+	txn->puts[1].value = node_pack(txn, &in, &txn->puts[1].length);
+	txn->condition_count = txn->put_count = 2;
+	fleet__job_row__free_unpacked(job, NULL);
+	h->services.txn(h, txn, NODE_STORE_MS, on_recorded, txn);
+}
+
+static void cancel_jobs(void *arg)
+{
+	struct trial *t = arg;
+	struct node *n = t->s->running->node;
+	char id[SCHED_ID_BYTES + 1];
+	uint32_t i;
+
+	for (i = 0; i < t->jobs && n->phase == LEADER_DECIDING; i++) {
+		job_id(id, i);
+		sched_cancel(n->sched, id, "q", clock_now_ms());
+	}
+}
+
+static void test_inbox_rows_stay_after_a_failed_write(void **state)
+{
+	const struct rows_case c = { .name = "recorded jobs",
+				     .site = { .nodes = 3,
+					       .processor_share = 1 } };
+	struct trial t = { .c = &c, .s = site_new(&c.site) };
+	uint32_t second;
+
+	(void)state;
+	t.s->faults = (struct store_faults){
+		.lost = 0.1, .dropped = 0.05, .late = 0.1, .slowness = 1
+	};
+	for (second = 1; second <= FAULTS_END_S + RECORD_S; second++) {
+		struct host *leader = site_leader(t.s);
+
+		if (second == FAULTS_END_S)
+			t.s->faults = (struct store_faults){ .slowness = 1 };
+		if (second >= RECORD_S && t.jobs < RECORDED_JOBS)
+			host_post(&t.s->hosts[t.jobs % 3], COST_JOB, record_job,
+				  &t);
+		if (leader && leader->node)
+			host_post(leader, COST_JOB, cancel_jobs, &t);
+		site_run_until(t.s, SITE_START_US + (uint64_t)second * S);
+	}
+	if (site_rows(t.s, NODE_TABLE_END) < RECORDED_JOBS / 2 ||
+	    site_rows(t.s, NODE_TABLE_JOB))
+		report_fault(&t, "the leader", "has not ended the jobs");
+	if (site_rows(t.s, NODE_TABLE_INBOX))
+		report_fault(&t, "the inbox", "has rows of ended jobs");
+	site_free(t.s);
+}
+
 /* Decisions of the scheduler */
 
 #define KEEP_MS 1000u
@@ -381,6 +461,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rows_of_ended_jobs_stay_for_ever),
+		cmocka_unit_test(test_inbox_rows_stay_after_a_failed_write),
 		cmocka_unit_test(test_state_is_lost_after_a_late_write),
 		cmocka_unit_test(test_job_is_unknown_before_its_row_is_deleted),
 		cmocka_unit_test(test_old_row_ends_a_new_job),
