--- a/src/node/commit.c
+++ b/src/node/commit.c
@@ -27,6 +27,7 @@
 #define COMMIT_STALLED_MS 800u	   /* unanswered; a slow store takes 0.6 s */
 #define COMMIT_SLOW_MS 30u	   /* unanswered: the next one may be sent */
 #define COMMIT_ENTRIES_PER_JOB 5u  /* maximum for one job's change */
+#define EXPIRED_ENTRIES 2u	   /* maximum for one expired job */
 
 /*
  * The marker of a transaction is read once it is unanswered for
@@ -70,67 +71,12 @@
 
 static const char *const slot_keys[COMMITS_IN_FLIGHT_MAX] = { "0", "1" };
 
-/* Requests that wait until their decision is durable */
-
-void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
-		node_answer_fn fn, void *arg)
-{
-	struct waiter *w = talloc_zero(n, struct waiter);
-
-	assert(w);
-	snprintf(w->id, sizeof(w->id), "%s", id);
-	w->deadline_ms = deadline_ms;
-	w->fn = fn;
-	w->arg = arg;
-	DL_APPEND(n->waiters, w);
-}
-
-static void waiter_answer(struct node *n, struct waiter *w,
-			  Fleet__Result result)
-{
-	struct node_answer answer = { .result = result };
-
-	DL_DELETE(n->waiters, w);
-	n->answers[result]++;
-	w->fn(w->arg, &answer);
-	talloc_free(w);
-}
-
-static void answer_durable_waiters(struct node *n)
-{
-	struct waiter *w, *next;
-
-	DL_FOREACH_SAFE(n->waiters, w, next)
-	if (sched_durable(n->sched, w->id))
-		waiter_answer(n, w, FLEET__RESULT__ACCEPTED);
-}
-
-void waiters_tick(struct node *n, uint64_t now)
-{
-	struct waiter *w, *next;
-
-	DL_FOREACH_SAFE(n->waiters, w, next)
-	if (now >= w->deadline_ms)
-		waiter_answer(n, w, FLEET__RESULT__UNSETTLED);
-}
-
-void waiters_drop(struct node *n)
-{
-	while (n->waiters)
-		waiter_answer(n, n->waiters, FLEET__RESULT__UNSETTLED);
-}
-
 /* Takes a job out of what is written; its caller learns that it isn't stored */
 static void set_aside(struct node *n, const char *id, const char *why,
 		      uint64_t value, uint64_t bound)
 {
-	struct waiter *w, *next;
-
-	if (sched_change_invalid(n->sched, id, why, value, bound))
-		return;
-	DL_FOREACH_SAFE(n->waiters, w, next)
-	if (!strcmp(w->id, id))
-		waiter_answer(n, w, FLEET__RESULT__REFUSED);
+	if (!sched_change_invalid(n->sched, id, why, value, bound))
+		waiters_refuse(n, id);
 }
 
 /* Batches */
@@ -182,7 +128,7 @@
 		return;
 	add_delete(b, NODE_TABLE_JOB, key);
 	add_delete(b, NODE_TABLE_PROGRESS, key);
-	if (inbox_remove(b->node, key))
+	if (inbox_has(b->node, key))
 		add_delete(b, NODE_TABLE_INBOX, key);
 }
 
@@ -322,6 +268,17 @@
 		n->commit_changes_max = 0;
 }
 
+/* The rows of the inbox that the transaction deleted needn't be deleted again.
+ */
+static void forget_inbox_rows(const struct batch *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->txn.delete_count; i++)
+		if (!strcmp(b->txn.deletes[i].table, NODE_TABLE_INBOX))
+			inbox_remove(b->node, b->txn.deletes[i].key);
+}
+
 static void decide(struct batch *b, const struct store_answer *answer)
 {
 	struct node *n = b->node;
@@ -344,8 +301,9 @@
 			n->resolve_pending = false;
 		}
 		sched_batch_done(n->sched, b->number, true, now);
+		forget_inbox_rows(b);
 		on_valid(n);
-		answer_durable_waiters(n);
+		waiters_answer_durable(n);
 		break;
 	case STORE_CONFLICT:
 		sched_batch_done(n->sched, b->number, false, now);
@@ -619,6 +577,25 @@
 	}
 }
 
+static void add_expired(struct batch *b)
+{
+	struct node *n = b->node;
+	uint32_t left = end_rows_batch(n, b->sent_ms);
+	const char *id;
+
+	while (left-- &&
+	       entry_count(&b->txn) + EXPIRED_ENTRIES <= STORE_TXN_MAX &&
+	       (id = sched_next_expired(n->sched, b->number))) {
+		char *key = talloc_strdup(b, id);
+
+		assert(key);
+		add_delete(b, NODE_TABLE_END, key);
+		if (inbox_has(n, key))
+			add_delete(b, NODE_TABLE_INBOX, key);
+		n->end_rows.sent_ms = b->sent_ms;
+	}
+}
+
 void commit_run(struct node *n, uint64_t now)
 {
 	struct batch *b;
@@ -626,7 +603,8 @@
 	if (n->releasing || now < n->commit_retry_ms ||
 	    !commit_may_begin(n->commits_in_flight, n->resolve_pending,
 			      now - n->last_commit_ms) ||
-	    (!sched_change_pending(n->sched) && !n->commit_probe))
+	    (!sched_change_pending(n->sched) && !n->commit_probe &&
+	     !end_rows_due(n, now)))
 		return;
 	b = talloc_zero(n, struct batch);
 	assert(b);
@@ -647,8 +625,10 @@
 	if (n->resolve_pending)
 		add_resolution(b);
 	add_marker(b);
-	if (!n->commit_probe)
+	if (!n->commit_probe) {
 		add_changes(b);
+		add_expired(b);
+	}
 	n->commit_probe = false;
 	n->commits_in_flight++;
 	ask_after(b,
--- a/src/node/node_internal.h
+++ b/src/node/node_internal.h
@@ -6,6 +6,8 @@
  * term.c         log lines and counters of claims and terms
  * takeover.c     loads the store's tables before a new leader decides
  * commit.c       writes the leader's decisions in transactions
+ * waiters.c      requests that wait until the leader's decision is durable
+ * end_rows.c     deletion of the rows of jobs that ended long ago
  * session.c      the leader's polls, orders and calls for advice
  * watch.c        change feeds: configuration, instances, inbox, waves
  * inbox.c        jobs and cancellations that other nodes recorded
@@ -183,6 +185,17 @@
 	UT_hash_handle hh;
 };
 
+/* Rows of ended jobs that this leader deletes. */
+struct end_rows {
+	uint64_t left; /* rows that the takeover left in the store; 0: none */
+	uint64_t rows; /* of the table that were read since, for the log */
+	uint64_t read_ms; /* no read of these before this time */
+	char *from;	  /* first key of the next page; NULL: first page */
+	bool reading;
+	uint64_t sent_ms;	   /* when deletions were last sent */
+	uint64_t waiting_since_ms; /* expired jobs in no batch; 0: none */
+};
+
 #define COMMITS_IN_FLIGHT_MAX 2u /* the store applies them one by one */
 
 struct batch;
@@ -359,6 +372,7 @@
 	 */
 	uint64_t phase_generation;
 	struct waiter *waiters;
+	struct end_rows end_rows;
 	struct inbox_id *inbox;
 	struct inbox_read *inbox_reads; /* jobs whose rows are to be read */
 	uint32_t inbox_reads_in_flight;
@@ -599,11 +613,43 @@
 
 /* commit_is_stalled - whether transactions were unanswered for too long */
 bool commit_is_stalled(uint64_t waiting_since_ms, uint64_t now);
-void waiters_tick(struct node *n, uint64_t now);
-void waiters_drop(struct node *n);
+
+/* waiters.c */
 void waiter_add(struct node *n, const char *id, uint64_t deadline_ms,
 		node_answer_fn fn, void *arg);
 
+/* waiters_answer_durable - answer those whose decision is durable now */
+void waiters_answer_durable(struct node *n);
+
+/* waiters_refuse - a job's rows can't be stored: nothing was recorded */
+void waiters_refuse(struct node *n, const char *id);
+
+/* waiters_tick - answer those whose deadline has passed */
+void waiters_tick(struct node *n, uint64_t now);
+
+/* waiters_drop - answer all that their outcome is unknown */
+void waiters_drop(struct node *n);
+
+/* end_rows.c */
+
+/* end_rows_keep_ms - how long the row of an ended job is kept */
+uint32_t end_rows_keep_ms(const struct node *n);
+
+/* end_rows_recent - whether a new leader loads the row; else it leaves it */
+bool end_rows_recent(const struct node *n, const Fleet__EndRow *end);
+
+/* end_rows_begin - this leader begins to decide; left: rows that it left */
+void end_rows_begin(struct node *n, uint64_t left, uint64_t now);
+
+/* end_rows_tick - called at each tick of a deciding leader */
+void end_rows_tick(struct node *n, uint64_t now);
+
+/* end_rows_batch - deletions that the next transaction may have */
+uint32_t end_rows_batch(const struct node *n, uint64_t now);
+
+/* end_rows_due - whether to send a transaction for deletions alone */
+bool end_rows_due(const struct node *n, uint64_t now);
+
 /* session.c */
 void session_send_calls(struct node *n, uint64_t now);
 
@@ -629,8 +675,11 @@
 /* inbox_add - note that a known job has a row in the inbox */
 void inbox_add(struct node *n, const char *id);
 
-/* inbox_remove - forget that row; false if there is none */
-bool inbox_remove(struct node *n, const char *id);
+/* inbox_has - whether that is known of the job */
+bool inbox_has(const struct node *n, const char *id);
+
+/* inbox_remove - its row is deleted */
+void inbox_remove(struct node *n, const char *id);
 
 /* staleness.c */
 
