sched: only the instance of a held place owes an answer; ends in overlapping answers

Cause: an instance whose poll was answered 50 ms late counted as silent for each placement, which a slow round trip is enough for. And an answer to the first of two polls was dropped once the second had been answered, although it was newer and told of an end.

Change: whether the answer is owed matters only where a place is held: if the instance hasn't answered the poll that was sent when the place was held, the task goes elsewhere if another instance has room. Of two answers by one incarnation its clock tells which is older.

--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -19,6 +19,7 @@
 	struct task *task;
 	struct instance *instance;
 	struct amount amount;
+	uint64_t made_ms;
 	struct hold *prev, *next; /* in instance.holds */
 };
 
@@ -70,6 +71,11 @@
 	return task->hold ? task->hold->instance : NULL;
 }
 
+bool hold_is_answered(const struct task *task)
+{
+	return task->hold->instance->report_sent_ms >= task->hold->made_ms;
+}
+
 uint32_t step_holds_on(const struct instance *i, const struct step *step)
 {
 	const struct hold *h;
@@ -81,7 +87,7 @@
 }
 
 /* The hold is freed with the step's tasks, if not before. */
-static void hold_make(struct task *task, struct instance *i)
+static void hold_make(struct task *task, struct instance *i, uint64_t now)
 {
 	struct hold *h = talloc_zero(task->step->tasks, struct hold);
 
@@ -89,6 +95,7 @@
 	h->task = task;
 	h->instance = i;
 	h->amount = step_amount(task->step->spec);
+	h->made_ms = now;
 	DL_APPEND(i->holds, h);
 	i->hold_count++;
 	i->pool->hold_count++;
@@ -108,7 +115,7 @@
 	i = choose_held_instance(s, task, now);
 	if (!i)
 		return false;
-	hold_make(task, i);
+	hold_make(task, i, now);
 	/* Shows whether it still answers before the task's stop has ended. */
 	instance_ask(s, i, now);
 	return true;
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -481,7 +481,6 @@
 	uint64_t first_report_ms;
 	uint64_t next_poll_ms;
 	uint64_t poll_sent_ms;	/* the last poll; 0: it failed */
-	uint64_t answer_due_ms; /* when it was to be answered at the latest */
 	uint64_t clock_ms;	/* its clock, read at clock_read_ms */
 	uint64_t clock_read_ms; /* by the leader's clock; 0: unknown */
 	/*
@@ -794,6 +793,9 @@
  */
 void holds_yield(const struct step *step);
 struct instance *hold_instance(const struct task *task);
+
+/* hold_is_answered - its instance has answered a poll since it was made */
+bool hold_is_answered(const struct task *task);
 uint32_t step_holds_on(const struct instance *i, const struct step *step);
 
 /* sched_poll.c */
@@ -851,10 +853,7 @@
 void instance_record_no_answer(struct sched *s, struct instance *i,
 			       uint64_t now);
 
-/*
- * instance_was_silent - whether it has lately left an order unanswered, or a
- * poll that had no longer to wait
- */
+/* instance_was_silent - whether it has lately left an order unanswered */
 bool instance_was_silent(const struct instance *i, uint64_t now);
 void instance_record_failure(struct sched *s, struct instance *i,
 			     const struct job *job, uint64_t now);
--- a/src/pool/sched_place.c
+++ b/src/pool/sched_place.c
@@ -348,20 +348,37 @@
 }
 
 /*
- * Starts a task where a place is held for it, or on a better instance if that
- * one has lately left an order unanswered. The hold has ended in any case: if
+ * The instance on which a place is held for the task, or another one if that
+ * one may leave the start unanswered and the other has room.
+ */
+static struct instance *choose_answering(const struct sched *s,
+					 const struct task *task, uint64_t now)
+{
+	struct instance *held = hold_instance(task);
+	struct instance *other;
+
+	if (hold_is_answered(task) && !instance_was_silent(held, now))
+		return held;
+	other = choose_by_score(s, task, held, 0, now);
+	if (!other || instance_was_silent(other, now) ||
+	    (step_needs_advice(task->step) &&
+	     !step_ticket(task->step, other, now)))
+		return held;
+	return other;
+}
+
+/*
+ * Starts a task for which a place is held. The hold has ended in any case: if
  * the instance can't take the task any more, it is placed like others.
  */
 static void place_held(struct sched *s, struct task *task, uint64_t now)
 {
 	const struct step *step = task->step;
 	const struct amount a = step_amount(step->spec);
-	struct instance *i = hold_instance(task);
+	struct instance *i = choose_answering(s, task, now);
 
 	hold_release(task);
-	if (instance_was_silent(i, now))
-		i = choose_held_instance(s, task, now);
-	if (i && instance_usable(s, i, now) && may_run_on(i, step, &a) &&
+	if (instance_usable(s, i, now) && may_run_on(i, step, &a) &&
 	    (!step_needs_advice(step) || step_ticket(step, i, now)) &&
 	    cap_allows(s, step, 1))
 		start_run(s, task, i, sched_run_number(s, task), now);
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -22,8 +22,6 @@
 #define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
 #define POLL_ANSWER_MS 300u /* timeout after the wait: network, busy leader */
 
-#define ANSWER_LATE_MS 50u /* after the wait; an answer normally takes 3 ms */
-
 #define UNACKED_FIRST 8u /* entries allocated first, for reported ends */
 
 /* After an unanswered poll the next one follows at the later of these times */
@@ -157,11 +155,9 @@
 	DL_APPEND2(s->asked, i, asked_prev, asked_next);
 }
 
-static void poll_begun(struct sched *s, struct instance *i, uint32_t wait_ms,
-		       uint64_t now)
+static void poll_begun(struct sched *s, struct instance *i, uint64_t now)
 {
 	i->poll_sent_ms = now;
-	i->answer_due_ms = now + wait_ms + ANSWER_LATE_MS;
 	i->polls_overlap = i->polls > 0;
 	if (i->polls++)
 		return;
@@ -192,7 +188,7 @@
 		poll->lease_until = instance_extend_lease(s, i, now);
 	if (poll->lease_until)
 		instance_deadline_sent(s, i, now, poll->timeout_ms);
-	poll_begun(s, i, wait_ms, now);
+	poll_begun(s, i, now);
 }
 
 /*
@@ -527,17 +523,18 @@
 }
 
 /*
- * Whether a later answer has been applied already; answers to polls that follow
- * one another come in their order.
+ * Whether what came later, or was asked for later, is known already. Answers to
+ * polls that follow one another come in their order; those of two that overlap
+ * are told apart by the instance's clock.
  */
 static bool is_outdated(const struct instance *i, const struct sched_report *r,
 			uint64_t sent_ms)
 {
 	if (!i->polls_overlap)
 		return false;
-	return sent_ms < i->report_sent_ms ||
-	       (r && i->reported && r->started_unix_ms == i->started_unix_ms &&
-		r->clock_ms <= i->clock_ms);
+	if (r && i->reported && r->started_unix_ms == i->started_unix_ms)
+		return r->clock_ms <= i->clock_ms;
+	return sent_ms < i->report_sent_ms;
 }
 
 static void poll_failed(struct sched *s, struct instance *i, uint64_t sent_ms,
@@ -590,7 +587,7 @@
 	}
 	i->clock_ms = r->clock_ms;
 	i->clock_read_ms = now;
-	i->report_sent_ms = sent_ms;
+	i->report_sent_ms = max_uint64(i->report_sent_ms, sent_ms);
 	if (sent_ms > i->gone_ms)
 		i->gone_ms = 0;
 	if (i->down_ms && sent_ms > i->down_ms)
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -637,10 +637,7 @@
 
 bool instance_was_silent(const struct instance *i, uint64_t now)
 {
-	return (i->unanswered_ms &&
-		now - i->unanswered_ms < SILENT_LATELY_MS) ||
-	       (i->polling && i->report_sent_ms < i->poll_sent_ms &&
-		now >= i->answer_due_ms);
+	return i->unanswered_ms && now - i->unanswered_ms < SILENT_LATELY_MS;
 }
 
 uint64_t sched_run_number(const struct sched *s, struct task *task)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -440,9 +440,8 @@
      "if (spec->lasting && instance_was_silent(i, now))", "if (0)",
      "unanswered_test"),
     ("held places on such instances", "src/pool/sched_place.c",
-     "	if (instance_was_silent(i, now))\n"
-     "		i = choose_held_instance(s, task, now);\n", "",
-     "unanswered_test"),
+     "if (hold_is_answered(task) && !instance_was_silent(held, now))",
+     "if (hold_is_answered(task))", "unanswered_test"),
     ("the instance of the last unanswered start", "src/pool/sched_run.c",
      "	if (run->task->step->spec->lasting)\n"
      "		run->task->avoid_instance = run->instance->handle.i + 1;\n",
