--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -434,7 +434,7 @@
     ("a second poll beside one that waits", "src/pool/sched_run.c",
      "	ask_for_report(s, run, now);\n", "", "unanswered_test"),
     ("the order of answers to two polls", "src/pool/sched_poll.c",
-     "r->clock_ms <= i->clock_ms);", "0);", "poll_test"),
+     "return r->clock_ms <= i->clock_ms;", "return false;", "poll_test"),
     ("instances that have left an order unanswered",
      "src/pool/sched_place.c",
      "if (spec->lasting && instance_was_silent(i, now))", "if (0)",
