sched_load, maintenance: no machine for a drained task that none would help

What operators saw: beside a wave, three machines are moved into and out of a pool in 30 s for a task whose label none of them has; on larger sites one for each pause of 30 s. A drain asked for a machine whenever a task found no other place, also if an empty machine of the pool lacked nothing but the label. And it asked right when a machine of the pool came back from its maintenance, before the instance there was usable, so that the request was moot 20 ms later. A task that only its label keeps from an empty instance of its pool now wants no machine, unless some instance of another pool has the label; the pool counts as one that can't be given any, so that the wave goes on after POOL_SHORT_MS. No machine is wanted for a drain within INSTANCE_WAIT_MS of a return, until the instance is usable. drain_test's test_machines_that_cannot_help (known red) failed before, three moves; none now.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -238,7 +238,8 @@
 		v->name = f->config->pools[i].name;
 		v->spare = f->config->pools[i].spare;
 		sched_pool_load(s, v->name, &v->load);
-		v->places_paused = demand_places_paused(f, v->name, now);
+		v->places_paused = v->load.places_barred ||
+				   demand_places_paused(f, v->name, now);
 		if (v->places_paused)
 			v->load.place_machines = 0;
 		v->machine_cpu = v->load.instances ? v->load.capacity.cpu /
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -256,6 +256,7 @@
 			continue;
 		machine_release(m, s, now);
 		m->state = FLEET_UP;
+		m->back_ms = now;
 		if (!m->wave)
 			m->pool_since_ms = now;
 		m->wave = NULL;
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -58,6 +58,7 @@
 	uint64_t answered_ms;	/* when its last order was; 0: none */
 	uint64_t pool_since_ms; /* end of its last move; 0: none */
 	uint64_t given_up_ms;	/* when a move of it last was; 0: none was */
+	uint64_t back_ms;	/* end of its last absence; 0: none */
 	uint64_t idle_since_ms; /* 0 while something runs on it */
 	UT_hash_handle hh;
 };
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -37,6 +37,8 @@
  */
 #define POOL_SHORT_MS 3000u
 #define POOL_SHORT_MIN_MS 500u /* same, if the wave would be late otherwise */
+/* From a machine's return until its instance is usable, at most */
+#define INSTANCE_WAIT_MS 1000u
 /* Machines of a wave whose tasks are looked for places in one planning pass */
 #define PLACES_TRIED_MAX 16u
 
@@ -246,6 +248,23 @@
 	return true;
 }
 
+/* Whether a machine of the pool is back and its instance isn't usable yet. */
+static bool instance_is_due(const struct fleet *f, const struct sched *s,
+			    const char *pool, uint64_t now)
+{
+	struct sched_instance_load load;
+	const struct machine *m;
+
+	for (m = f->machines; m; m = m->hh.next)
+		if (m->phase == PHASE_NONE && m->back_ms &&
+		    now - m->back_ms < INSTANCE_WAIT_MS &&
+		    !strcmp(m->pool, pool) &&
+		    (!sched_machine_load(s, m->name, &load) || !load.usable ||
+		     load.unreported))
+			return true;
+	return false;
+}
+
 /*
  * Whether the machine may be drained now; looks for places for its tasks.
  * lacks_place: a task has none, so the wave waits for a machine.
@@ -256,6 +275,7 @@
 {
 	struct sched_instance_load load;
 	enum sched_places places;
+	bool want;
 
 	*may_empty = *lacks_place = false;
 	if (!sched_machine_load(s, m->name, &load))
@@ -264,11 +284,11 @@
 		return false;
 	if (!load.long_running && !load.fillers)
 		return true;
-	places = sched_hold_places(s, load.instance, now);
+	want = !m->evacuated && !instance_is_due(f, s, m->pool, now);
+	places = sched_hold_places(s, load.instance, want, now);
 	if (places == PLACES_NONE && !m->evacuated) {
 		*lacks_place = true;
-		sched_want_place(s, load.instance, now);
-		if (!demand_none_ms(f, m->pool, now))
+		if (want && !demand_none_ms(f, m->pool, now))
 			f->balance_due_ms = now;
 		*may_empty = may_be_emptied(f, s, w, m, &load, now);
 	}
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -557,6 +557,7 @@
 	uint32_t long_running_machines;
 	/* more of them, for tasks that run where a drain wants to stop them */
 	uint32_t place_machines;
+	bool places_barred; /* such tasks have no place, but none would help */
 	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
 	uint64_t allowed_work; /* of it, of steps within their cap */
 	uint64_t arrived_work; /* of jobs accepted by this leader, same unit */
@@ -623,10 +624,11 @@
  * tasks
  *
  * All or none. The room is theirs until they have started there, or
- * sched_release_places() is called.
+ * sched_release_places() is called. If there is none and want is set, the pool
+ * wants one more machine.
  */
 enum sched_places sched_hold_places(struct sched *s, instance_handle_t i,
-				    uint64_t now);
+				    bool want, uint64_t now);
 
 /* sched_release_places - same tasks stay: what is held for them is released */
 void sched_release_places(struct sched *s, instance_handle_t i);
@@ -643,9 +645,6 @@
  */
 bool sched_may_empty(const struct sched *s, instance_handle_t i, uint64_t now);
 
-/* sched_want_place - a drain would need one more machine in the pool */
-void sched_want_place(struct sched *s, instance_handle_t i, uint64_t now);
-
 /*
  * sched_relocate - stops long-running tasks as far as disruption budgets allow
  *
--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -113,7 +113,7 @@
 		if (lasting && (s->starts_held || run->task->step->job->loaded))
 			continue;
 		if (lasting && !hold_place(s, run->task, now)) {
-			sched_want_place(s, h, now);
+			want_place(s, i, run->task, now);
 			/* In an evacuated zone it would find none here, too. */
 			if (!may_empty || i->evacuated)
 				continue;
--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -163,7 +163,7 @@
 }
 
 enum sched_places sched_hold_places(struct sched *s, instance_handle_t h,
-				    uint64_t now)
+				    bool want, uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
 	struct run *run;
@@ -175,6 +175,8 @@
 		if (!run->task->step->spec->lasting ||
 		    hold_place(s, run->task, now))
 			continue;
+		if (want)
+			want_place(s, i, run->task, now);
 		sched_release_places(s, h);
 		return PLACES_NONE;
 	}
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -416,7 +416,7 @@
 	 * were: tasks of it may run there */
 	uint32_t unreported;
 	uint64_t no_place_ms; /* when a drain last found no other place */
-	uint32_t no_place;    /* machines that drains wanted then */
+	uint32_t no_place;    /* machines that would have helped it then */
 	/* when a job was last refused as evacuated instances alone could run it
 	 */
 	uint64_t refused_evacuated_ms;
@@ -781,6 +781,14 @@
 
 /* sched_hold.c */
 
+/*
+ * want_place - a drain of the instance would need one more machine in its pool
+ *
+ * Not counted if a machine would not help the task.
+ */
+void want_place(const struct sched *s, struct instance *i,
+		const struct task *task, uint64_t now);
+
 /* hold_place - whether an instance other than the run's has room, held now */
 bool hold_place(struct sched *s, struct task *task, uint64_t now);
 void hold_release(struct task *task);
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -287,8 +287,10 @@
 	/* How many fit on one is known once there is one. */
 	if (!size.cpu && load->long_running_machines)
 		load->long_running_machines = 1;
-	if (wanted_since(s, pool->no_place_ms))
+	if (wanted_since(s, pool->no_place_ms)) {
 		load->place_machines = pool->no_place;
+		load->places_barred = !pool->no_place;
+	}
 	if (!load->long_running_machines && !load->instances &&
 	    wanted_since(s, pool->refused_evacuated_ms))
 		load->long_running_machines = 1;
@@ -406,16 +408,40 @@
 	}
 }
 
-void sched_want_place(struct sched *s, instance_handle_t h, uint64_t now)
+/*
+ * Whether only its label keeps the task from an empty instance of its pool, and
+ * no other pool has an instance with that label.
+ */
+static bool is_barred(const struct sched *s, const struct task *task)
 {
-	const struct instance *i = instance_of(s, h);
+	const Fleet__Step *spec = task->step->spec;
+	const struct pool *pool = task->step->job->pool;
+	const struct amount a = step_amount(spec);
+	const struct instance *i;
+	bool barred = false;
+	uint32_t slot;
 
-	if (!i)
-		return;
-	if (i->pool->no_place_ms != now)
-		i->pool->no_place = 0;
-	i->pool->no_place_ms = now;
-	i->pool->no_place++;
+	DL_FOREACH2(pool->instances, i, pool_next)
+	barred |= is_empty(s, i) && amount_covers(&i->capacity, &a) &&
+		  !instance_could_run(i, spec);
+	for (slot = 0; barred && slot < s->instance_slots; slot++) {
+		i = s->instances[slot];
+		if (i && i->pool != pool && i->listed &&
+		    instance_could_run(i, spec))
+			return false;
+	}
+	return barred;
+}
+
+void want_place(const struct sched *s, struct instance *i,
+		const struct task *task, uint64_t now)
+{
+	struct pool *pool = i->pool;
+
+	if (pool->no_place_ms != now)
+		pool->no_place = 0;
+	pool->no_place_ms = now;
+	pool->no_place += !is_barred(s, task);
 }
 
 void sched_mark_maintenance(struct sched *s, instance_handle_t h)
