upkeep walk: invariants ROOM-SOON and STARVED

ROOM-SOON is ROOM with 3 s without a run in place of 6.

STARVED: for 10 s on end, tasks of an accepted job wait and none of its pool's instances has room for one, while a machine of another pool, or of the spare one, is up and idle all the time, with no fault near. The 10 s are twice the idle time before power-off (1 s), the longest drain (2 s) and a move (2 s). Until now only END saw such a pool, and only if its jobs waited for five minutes. Not judged beside half of the workspace's cap, nor for machines of evacuated zones.

--verbose prints each pool's machines and waiting tasks once a second.

Traces: a pool with one machine or none and 23 to 576 waiting tasks, beside a pool that keeps an idle machine for good, since balance.c leaves two to each (POOL_MACHINES_MIN), or one more than the spread of its long-running steps needs.

--- a/test/walk/upkeep_world_check.c
+++ b/test/walk/upkeep_world_check.c
@@ -4,14 +4,19 @@
 
 #include "test/walk/upkeep_world_internal.h"
 
+#define STARVED_CHECK_MS 200u
+#define TRACE_POOLS_MS 1000u
+
 const char *upkeep_invariant_name(enum upkeep_invariant invariant)
 {
 	static const char *const names[UPKEEP_INVARIANTS] = {
 		[UPKEEP_ROOM] = "ROOM",
+		[UPKEEP_ROOM_SOON] = "ROOM-SOON",
 		[UPKEEP_PLACE] = "PLACE",
 		[UPKEEP_TWICE_STOPPED] = "TWICE-STOPPED",
 		[UPKEEP_BUDGET] = "BUDGET",
 		[UPKEEP_WAVE] = "WAVE",
+		[UPKEEP_STARVED] = "STARVED",
 		[UPKEEP_END] = "END",
 	};
 
@@ -57,6 +62,7 @@
 {
 	struct upkeep_task *t;
 
+	w->jobs[job].stuck_since_ms = 0;
 	if (!w->jobs[job].lasting)
 		return;
 	t = &w->jobs[job].tasks[task];
@@ -287,6 +293,7 @@
 			continue;
 		check_place(w, job, t);
 		check_room(w, job, t, UPKEEP_ROOM, ROOM_WITHOUT_RUN_MS);
+		check_room(w, job, t, UPKEEP_ROOM_SOON, ROOM_SOON_MS);
 	}
 }
 
@@ -330,6 +337,121 @@
 	}
 }
 
+static const struct upkeep_machine *idle_elsewhere(const struct upkeep_world *w,
+						   uint32_t pool,
+						   uint64_t since_ms)
+{
+	const struct upkeep_machine *m;
+
+	for (m = w->machines; m < w->machines + w->machine_count; m++)
+		if (m->pool != pool && m->idle_since_ms &&
+		    m->idle_since_ms <= since_ms)
+			return m;
+	return NULL;
+}
+
+static void note_idle_machines(struct upkeep_world *w)
+{
+	struct upkeep_machine *m;
+
+	for (m = w->machines; m < w->machines + w->machine_count; m++) {
+		if (m->state != UPKEEP_UP || m->run_count ||
+		    !fault_is_usable(w, m))
+			m->idle_since_ms = 0;
+		else if (!m->idle_since_ms)
+			m->idle_since_ms = w->now;
+	}
+}
+
+static uint32_t count_waiting(const struct upkeep_job *job)
+{
+	uint32_t begun = job->running + job->done;
+
+	return begun < job->count ? job->count - begun : 0;
+}
+
+/* Tasks of the job wait, and none of the pool's instances has room. */
+static bool is_stuck(const struct upkeep_world *w, uint32_t index)
+{
+	const struct upkeep_job *job = &w->jobs[index];
+
+	return count_waiting(job) && !fault_near_cap(w, job) &&
+	       !has_room(w, index, 1);
+}
+
+static void check_starved(struct upkeep_world *w, uint32_t index)
+{
+	struct upkeep_job *job = &w->jobs[index];
+	const struct upkeep_machine *m;
+	uint64_t since_ms = w->now - STARVED_MS;
+
+	if (fault_is_near(w) || !is_stuck(w, index)) {
+		job->stuck_since_ms = 0;
+		return;
+	}
+	if (!job->stuck_since_ms)
+		job->stuck_since_ms = w->now;
+	m = idle_elsewhere(w, job->pool, since_ms);
+	if (job->stuck_since_ms > since_ms || !m)
+		return;
+	job->stuck_since_ms = w->now;
+	check_failed(w, UPKEEP_STARVED,
+		     "job %s in %s fits on none of its instances: %u tasks of "
+		     "%u millicores, %u MiB; %s in %s is idle for %u ms",
+		     job->id, w->names[job->pool], count_waiting(job), job->cpu,
+		     job->mem, m->name, w->names[m->pool],
+		     (unsigned int)(w->now - m->idle_since_ms));
+}
+
+static void check_open_jobs(struct upkeep_world *w)
+{
+	uint32_t i, kept = 0;
+
+	if (w->now % STARVED_CHECK_MS)
+		return;
+	for (i = 0; i < w->open_count; i++) {
+		const struct upkeep_job *job = &w->jobs[w->open[i]];
+
+		if (job->ended || job->done >= job->count)
+			continue;
+		check_starved(w, w->open[i]);
+		w->open[kept++] = w->open[i];
+	}
+	w->open_count = kept;
+}
+
+/* Each pool's machines: up, idle, with long-running tasks; tasks that wait. */
+static void trace_pools(const struct upkeep_world *w)
+{
+	uint32_t p, i;
+
+	if (!w->verbose || w->now % TRACE_POOLS_MS)
+		return;
+	for (p = 0; p < w->pool_count; p++) {
+		uint32_t up = 0, idle = 0, pinned = 0, waiting = 0;
+
+		for (i = 0; i < w->machine_count; i++) {
+			const struct upkeep_machine *m = &w->machines[i];
+
+			if (m->pool != p || m->state != UPKEEP_UP)
+				continue;
+			up++;
+			idle += m->idle_since_ms > 0;
+			pinned += m->lasting_count > 0;
+		}
+		for (i = 0; i < w->open_count; i++) {
+			const struct upkeep_job *job = &w->jobs[w->open[i]];
+
+			if (job->pool == p)
+				waiting += count_waiting(job);
+		}
+		upkeep_trace(w,
+			     "pool %s: %u up, %u idle, %u pinned; %u tasks "
+			     "wait",
+			     w->names[p], up, idle, pinned, waiting);
+	}
+}
+
 void check_tick(struct upkeep_world *w)
 {
 	uint32_t i;
@@ -340,6 +462,9 @@
 		if (is_owed(&w->jobs[i]))
 			check_job(w, i);
 	check_waves(w);
+	note_idle_machines(w);
+	check_open_jobs(w);
+	trace_pools(w);
 }
 
 void check_end(struct upkeep_world *w)
--- a/test/walk/upkeep_world_internal.h
+++ b/test/walk/upkeep_world_internal.h
@@ -29,7 +29,13 @@
 
 /* Bounds of the invariants */
 #define ROOM_WITHOUT_RUN_MS 6000u
+#define ROOM_SOON_MS 3000u
 #define ROOM_SINCE_MS 3000u
+/*
+ * Twice the idle time before power-off (1 s), the longest drain (2 s) and a
+ * move (2 s): an idle machine reaches a pool with waiting work by then
+ */
+#define STARVED_MS 10000u
 #define PLACE_MS 1500u
 #define PLACE_FREE_MS 3000u
 #define TWICE_STOPPED_MS 5000u
@@ -73,7 +79,8 @@
 	uint64_t room_since_ms; /* room for two more without a break; 0: none */
 	uint32_t workspace;
 	uint32_t near_rack; /* number of the preferred one, from 1; 0: none */
-	uint32_t running, done; /* runs at present, and ended by themselves */
+	uint32_t running, done;	 /* runs at present, and ended by themselves */
+	uint64_t stuck_since_ms; /* it waits and fits nowhere; 0: it doesn't */
 	struct upkeep_task *tasks; /* of a long-running job */
 };
 
@@ -116,8 +123,9 @@
 	uint64_t refuses_until_ms;	   /* starts */
 	uint64_t silent_until_ms;	   /* no poll or order reaches it */
 	bool silent_by_fault;
-	bool stands_still; /* orders are carried out after the silence */
-	uint64_t lease_ms; /* end of the lease, with UPKEEP_LEASES */
+	bool stands_still;	/* orders are carried out after the silence */
+	uint64_t lease_ms;	/* end of the lease, with UPKEEP_LEASES */
+	uint64_t idle_since_ms; /* up without runs; 0: it isn't */
 	/* Runs that ended or were told to stop, with UPKEEP_LEASES */
 	struct upkeep_run past[PAST_MAX];
 	uint32_t past_count;
