upkeep walk: changes of leader

Bit 4096: the leader ends, with its orders on their way, which are still carried out; 0.2 to 4 s later another one loads what the store has: jobs, their progress and ends, waves and recorded maintenances. It knows in half of the cases that its predecessor is gone. Instances refuse calls of a former leader. What was not written is not owed: callers of other jobs got no answer, those of long-running ones repeat.

--- a/test/walk/upkeep_world.c
+++ b/test/walk/upkeep_world.c
@@ -378,7 +378,7 @@
 
 /* Callers */
 
-static Fleet__JobRow *job_row(const struct upkeep_world *w,
+Fleet__JobRow *upkeep_job_row(const struct upkeep_world *w,
 			      const struct upkeep_job *job)
 {
 	Fleet__JobRow *row = calloc(1, sizeof(*row));
@@ -415,8 +415,8 @@
 {
 	uint32_t after = 0;
 
-	switch (sched_submit(w->sched, job->id, job_row(w, job), w->now, w->now,
-			     &after)) {
+	switch (sched_submit(w->sched, job->id, upkeep_job_row(w, job), w->now,
+			     w->now, &after)) {
 	case SUBMIT_ACCEPTED:
 	case SUBMIT_KNOWN:
 		job->submitted = true;
@@ -512,7 +512,7 @@
 	bool all = true;
 	uint32_t i;
 
-	if (w->now % STATES_MS)
+	if (w->now % STATES_MS || !w->sched)
 		return false;
 	for (i = w->lasting_count; i < w->job_count; i++) {
 		struct upkeep_job *job = &w->jobs[i];
@@ -556,15 +556,20 @@
 	w->result = result;
 	w->now = UPKEEP_BEGIN_MS;
 	set_up(w);
+	w->forecast_trust_max = upkeep_random(w, 2) ? 100 : 0;
 	lead_begin(w);
 	while (!is_over(w)) {
 		w->now += UPKEEP_TICK_MS;
 		faults_advance(w);
 		site_advance(w);
-		waves_advance(w);
-		lasting_advance(w);
-		demand_advance(w);
-		lead_advance(w);
+		if (w->sched) {
+			waves_advance(w);
+			lasting_advance(w);
+			demand_advance(w);
+		}
+		lead_calls_advance(w);
+		if (w->sched)
+			lead_advance(w);
 		check_tick(w);
 	}
 	check_end(w);
--- a/test/walk/upkeep_world.h
+++ b/test/walk/upkeep_world.h
@@ -33,6 +33,8 @@
 	UPKEEP_FAULT_ANSWERS = 1 << 6,
 	/* Lists and reports come late or not, machines' orders meet a limit */
 	UPKEEP_FAULT_LISTS = 1 << 7,
+	/* Leaders end; the next one knows what the store has */
+	UPKEEP_FAULT_LEADERS = 1 << 12,
 	/* No faults either: what operators, callers and the site itself do */
 	UPKEEP_EVACUATIONS = 1 << 8, /* of zones, lifted after seconds */
 	UPKEEP_CAPS = 1 << 9,	 /* set and lifted; more jobs are cancelled */
--- a/test/walk/upkeep_world_fault.c
+++ b/test/walk/upkeep_world_fault.c
@@ -93,6 +93,8 @@
 	upkeep_set_windows(w, UPKEEP_FAULT_ANSWERS, w->answer_faults, 500,
 			   4000);
 	upkeep_set_windows(w, UPKEEP_FAULT_LISTS, w->list_faults, 1000, 5000);
+	upkeep_set_windows(w, UPKEEP_FAULT_LEADERS, w->leader_faults, 200,
+			   4000);
 	set_up_evacuations(w);
 	upkeep_set_windows(w, UPKEEP_CAPS, w->cap_changes, 2000, 8000);
 	set_up_joins(w);
@@ -149,10 +151,22 @@
 
 /* Evacuations */
 
-static void evacuations_advance(struct upkeep_world *w)
+void fault_tell_evacuated(struct upkeep_world *w)
 {
 	const char *zones[ZONES];
-	uint32_t evacuated = 0, count = 0;
+	uint32_t count = 0;
+	uint32_t n;
+
+	for (n = 0; n < ZONES; n++)
+		if (w->evacuated & 1u << n)
+			zones[count++] = zone_names[n];
+	sched_set_evacuated(w->sched, zones, count, w->now);
+	fleet_set_evacuated(w->fleet, zones, count);
+}
+
+static void evacuations_advance(struct upkeep_world *w)
+{
+	uint32_t evacuated = 0;
 	uint32_t n;
 
 	for (n = 0; n < WINDOWS_MAX; n++)
@@ -163,16 +177,12 @@
 		return;
 	if (evacuated & ~w->evacuated)
 		w->barred_ms = w->now;
-	for (n = 0; n < ZONES; n++) {
-		if (evacuated & 1u << n)
-			zones[count++] = zone_names[n];
-		else if (w->evacuated & 1u << n)
+	for (n = 0; n < ZONES; n++)
+		if (w->evacuated & ~evacuated & 1u << n)
 			w->lifted_ms[n] = w->now;
-	}
 	w->evacuated = evacuated;
+	fault_tell_evacuated(w);
 	upkeep_trace(w, "zones evacuated, as bits: %u", evacuated);
-	sched_set_evacuated(w->sched, zones, count, w->now);
-	fleet_set_evacuated(w->fleet, zones, count);
 }
 
 /* Caps and cancelled jobs */
@@ -246,6 +256,18 @@
 	}
 }
 
+static void leaders_advance(struct upkeep_world *w)
+{
+	bool none = upkeep_fault_active(w, w->leader_faults);
+
+	if (none)
+		w->fault_ms = w->now;
+	if (none && w->sched)
+		lead_end(w);
+	else if (!none && !w->sched)
+		lead_begin(w);
+}
+
 void fault_advance(struct upkeep_world *w)
 {
 	silence_advance(w);
@@ -253,6 +275,7 @@
 	    upkeep_fault_active(w, w->list_faults) ||
 	    w->now <= w->late_until_ms)
 		w->fault_ms = w->now;
+	leaders_advance(w);
 	if (!w->sched)
 		return;
 	evacuations_advance(w);
--- a/test/walk/upkeep_world_internal.h
+++ b/test/walk/upkeep_world_internal.h
@@ -5,6 +5,7 @@
  * upkeep_world_site.c   machines and instances, what orders and polls do there
  * upkeep_world_fault.c  faults and changes of the site from UPKEEP_FAULT_SILENT
  * upkeep_world_lead.c   the leader: scheduler, planner and their calls
+ * upkeep_world_rows.c   the store's rows, and a leader that loads them
  * upkeep_world_check.c  the invariants
  */
 #ifndef UPKEEP_WORLD_INTERNAL_H
@@ -79,7 +80,12 @@
 	uint64_t room_since_ms; /* room for two more without a break; 0: none */
 	uint32_t workspace;
 	uint32_t near_rack; /* number of the preferred one, from 1; 0: none */
-	uint32_t running, done;	 /* runs at present, and ended by themselves */
+	uint32_t running, done; /* runs at present, and ended by themselves */
+	/* In the store, with UPKEEP_FAULT_LEADERS */
+	bool written, ended_written;
+	Fleet__JobState end_state;
+	uint8_t *progress; /* packed; NULL: none */
+	size_t progress_bytes;
 	uint64_t stuck_since_ms; /* it waits and fits nowhere; 0: it doesn't */
 	struct upkeep_task *tasks; /* of a long-running job */
 };
@@ -124,6 +130,7 @@
 	uint64_t silent_until_ms;	   /* no poll or order reaches it */
 	bool silent_by_fault;
 	bool stands_still;	/* orders are carried out after the silence */
+	uint64_t fence;		/* highest epoch of a call */
 	uint64_t lease_ms;	/* end of the lease, with UPKEEP_LEASES */
 	uint64_t idle_since_ms; /* up without runs; 0: it isn't */
 	/* Runs that ended or were told to stop, with UPKEEP_LEASES */
@@ -142,7 +149,8 @@
 	bool started, completed;
 	const char *names[MACHINES_MAX];
 	uint32_t machines[MACHINES_MAX];
-	bool done[MACHINES_MAX]; /* its maintenance has begun */
+	bool done[MACHINES_MAX];     /* its maintenance has begun */
+	bool recorded[MACHINES_MAX]; /* in the store */
 };
 
 struct upkeep_window {
@@ -161,6 +169,16 @@
 	UPKEEP_CALL_ACTION,
 };
 
+/* What a write changes of a job in the store. */
+struct upkeep_row {
+	struct upkeep_row *next;
+	uint32_t job;
+	bool is_ended;
+	Fleet__JobState end_state;
+	uint8_t *progress; /* owned by the row */
+	size_t progress_bytes;
+};
+
 struct upkeep_call {
 	struct upkeep_call *prev, *next;
 	enum upkeep_call_kind kind;
@@ -179,6 +197,8 @@
 	struct sched_ended *ended;
 	uint32_t running_count, ended_count;
 	uint32_t batch;
+	uint64_t fence;
+	struct upkeep_row *rows; /* of a write */
 	struct fleet_machine_info *machines;
 	char (*instances)[16];
 	uint32_t machine_count;
@@ -221,6 +241,8 @@
 	struct upkeep_window silent_faults[WINDOWS_MAX];
 	struct upkeep_window answer_faults[WINDOWS_MAX];
 	struct upkeep_window list_faults[WINDOWS_MAX];
+	struct upkeep_window leader_faults[WINDOWS_MAX]; /* no leader */
+	uint64_t epoch;
 	uint64_t late_until_ms; /* the last late order */
 	struct upkeep_window evacuations[WINDOWS_MAX];
 	uint32_t evacuation_zones[WINDOWS_MAX]; /* bits */
@@ -234,8 +256,9 @@
 	uint64_t fault_ms;	    /* time of the last fault; 0: none */
 	uint64_t free_since_ms;	    /* see check_tick() */
 	/* The leader */
-	struct sched *sched;
+	struct sched *sched; /* NULL: there is none */
 	struct fleet *fleet;
+	uint32_t forecast_trust_max;
 	struct upkeep_call *calls;
 	uint32_t last_batch, writes;
 	uint64_t confirmed_ms, plan_due_ms, list_sent_ms;
@@ -269,6 +292,7 @@
 bool fault_has_leases(const struct upkeep_world *w);
 void fault_set_up(struct upkeep_world *w);
 void fault_advance(struct upkeep_world *w);
+void fault_tell_evacuated(struct upkeep_world *w);
 /* Called when an instance has come up. */
 void fault_came_up(struct upkeep_world *w, struct upkeep_machine *m);
 void fault_job_added(struct upkeep_world *w, uint32_t index);
@@ -281,6 +305,7 @@
 
 /* upkeep_world_site.c */
 void site_advance(struct upkeep_world *w);
+void site_list_instance(struct upkeep_world *w, struct upkeep_machine *m);
 void site_come_up(struct upkeep_world *w, struct upkeep_machine *m);
 void site_crash(struct upkeep_world *w, struct upkeep_machine *m,
 		uint64_t back_ms);
@@ -292,11 +317,26 @@
 				   const struct upkeep_call *c);
 void site_report(struct upkeep_world *w, struct upkeep_call *c);
 void site_list(struct upkeep_world *w, struct upkeep_call *c);
+/* Records an order of maintenance that was carried out, for later leaders. */
+void site_record(struct upkeep_world *w, const struct fleet_action *a);
+void site_load_waves(struct upkeep_world *w);
 enum fleet_result site_action(struct upkeep_world *w,
 			      const struct fleet_action *a);
 
+Fleet__JobRow *upkeep_job_row(const struct upkeep_world *w,
+			      const struct upkeep_job *job);
+
+/* upkeep_world_rows.c */
+void rows_add(struct upkeep_call *write, struct sched_change *change);
+void rows_apply(struct upkeep_world *w, const struct upkeep_call *write);
+void rows_load(struct upkeep_world *w);
+void rows_forget_unwritten(struct upkeep_world *w);
+
 /* upkeep_world_lead.c */
 void lead_begin(struct upkeep_world *w);
+/* Ends the leader; orders on their way are carried out. */
+void lead_end(struct upkeep_world *w);
+void lead_calls_advance(struct upkeep_world *w);
 void lead_advance(struct upkeep_world *w);
 
 /* upkeep_world_check.c */
--- a/test/walk/upkeep_world_lead.c
+++ b/test/walk/upkeep_world_lead.c
@@ -31,6 +31,7 @@
 
 	assert(c);
 	c->kind = kind;
+	c->fence = w->epoch;
 	c->sent_ms = w->now;
 	c->exec_ms = w->now + upkeep_between(w, CALL_MIN_MS, CALL_MAX_MS);
 	c->answer_ms = UPKEEP_NEVER;
@@ -58,10 +59,11 @@
 	struct upkeep_machine *m = site_instance(w, c->instance);
 	uint32_t n, kept = 0;
 
-	if (!m || w->now < m->silent_until_ms) {
+	if (!m || w->now < m->silent_until_ms || c->fence < m->fence) {
 		c->answer_ms = c->sent_ms + c->poll.timeout_ms;
 		return true;
 	}
+	m->fence = c->fence;
 	if (fault_has_leases(w) && c->poll.lease_until)
 		site_extend_lease(w, m, c->poll.lease_until);
 	for (n = 0; n < m->end_count; n++)
@@ -113,6 +115,7 @@
 	late->late = true;
 	late->exec_ms = exec_ms;
 	late->order = c->order;
+	late->fence = c->fence;
 	late->instance = c->instance;
 	if (w->late_until_ms < exec_ms)
 		w->late_until_ms = exec_ms;
@@ -168,6 +171,8 @@
 		c->executed = exec_poll(w, c);
 		return;
 	case UPKEEP_CALL_WRITE:
+		rows_apply(w, c);
+		/* fallthrough */
 	case UPKEEP_CALL_CONFIRM:
 		c->answer_ms = store_answer_ms(w);
 		return;
@@ -245,13 +250,16 @@
 		machines_listed(w, c);
 		break;
 	case UPKEEP_CALL_ACTION:
+		if (c->action.kind == FLEET_ACTION_MAINTENANCE &&
+		    c->action_result == FLEET_DONE)
+			site_record(w, &c->action);
 		fleet_action_result(w->fleet, w->sched, &c->action,
 				    c->action_result, w->now);
 		break;
 	}
 }
 
-static void calls_advance(struct upkeep_world *w)
+void lead_calls_advance(struct upkeep_world *w)
 {
 	struct upkeep_call *c, *next;
 
@@ -299,9 +307,7 @@
 		w->writes++;
 		while (count++ < CHANGES_MAX &&
 		       sched_next_change(w->sched, c->batch, &change))
-			if (change.progress)
-				fleet__progress_row__free_unpacked(
-					change.progress, NULL);
+			rows_add(c, &change);
 	}
 }
 
@@ -357,22 +363,53 @@
 	struct fleet_options fleet_options = {
 		.maintenance_ms = UPKEEP_MAINTENANCE_MS,
 		.move_ms = UPKEEP_MOVE_MS,
-		.forecast_trust_max = upkeep_random(w, 2) ? 100 : 0,
+		.forecast_trust_max = w->forecast_trust_max,
 	};
+	bool predecessor_gone = true;
 
 	w->sched = sched_new(w->ctx, &options);
 	sched_set_clock(w->sched, w->now);
-	sched_configure(w->sched, &w->config, w->now);
-	sched_become_leader(w->sched, 1, true, w->now);
+	sched_configure(w->sched, w->config_now, w->now);
 	if (w->verbose)
 		sched_set_trace(w->sched, trace_decision, w);
+	if (++w->epoch > 1) {
+		rows_load(w);
+		predecessor_gone = upkeep_random(w, 2);
+		upkeep_trace(w, "leader of epoch %llu",
+			     (unsigned long long)w->epoch);
+	}
+	sched_become_leader(w->sched, w->epoch, predecessor_gone, w->now);
 	w->fleet = fleet_new(w->ctx, &fleet_options);
-	fleet_configure(w->fleet, &w->config);
+	fleet_configure(w->fleet, w->config_now);
+	if (w->epoch > 1) {
+		site_load_waves(w);
+		fault_tell_evacuated(w);
+	}
+}
+
+void lead_end(struct upkeep_world *w)
+{
+	struct upkeep_call *c, *next;
+
+	upkeep_trace(w, "the leader ends");
+	DL_FOREACH_SAFE(w->calls, c, next)
+	{
+		c->late = true;
+		if (c->kind == UPKEEP_CALL_ORDER ||
+		    c->kind == UPKEEP_CALL_ACTION)
+			continue;
+		DL_DELETE(w->calls, c);
+		talloc_free(c);
+	}
+	TALLOC_FREE(w->sched);
+	TALLOC_FREE(w->fleet);
+	w->writes = 0;
+	w->confirming = w->listing = false;
+	rows_forget_unwritten(w);
 }
 
 void lead_advance(struct upkeep_world *w)
 {
-	calls_advance(w);
 	if (!w->confirming && (w->now - w->confirmed_ms >= CONFIRM_MS ||
 			       sched_needs_confirmation(w->sched, w->now))) {
 		w->confirming = true;
--- a/test/walk/upkeep_world_site.c
+++ b/test/walk/upkeep_world_site.c
@@ -101,7 +101,7 @@
 	m->state = UPKEEP_UP;
 	m->up_ms = w->now;
 	m->last_seq = m->end_count = m->past_count = 0;
-	m->lease_ms = m->silent_until_ms = 0;
+	m->lease_ms = m->silent_until_ms = m->fence = 0;
 	upkeep_trace(w, "%s is up in %s", m->name, w->names[m->pool]);
 	if (is_spare(w, m->pool))
 		return;
@@ -137,7 +137,8 @@
 	go_away(w, m, UPKEEP_DOWN, back_ms, CAUSE_CRASH);
 }
 
-static void directory_advance(struct upkeep_world *w, struct upkeep_machine *m)
+/* Tells the leader of the instance that the directory shows. */
+void site_list_instance(struct upkeep_world *w, struct upkeep_machine *m)
 {
 	char id[16], rack[16];
 	struct sched_instance_info info = {
@@ -149,12 +150,24 @@
 		.capacity = { MACHINE_CPU, MACHINE_MEM, 0 },
 		.label_count = 1,
 		.labels = { rack },
+		.started_unix_ms = m->up_ms,
 	};
 
+	snprintf(id, sizeof(id), "i-%u", m->listed);
+	snprintf(rack, sizeof(rack), "r%u", m->rack);
+	if (w->sched)
+		sched_instance_listed(w->sched, &info, w->now);
+}
+
+static void directory_advance(struct upkeep_world *w, struct upkeep_machine *m)
+{
+	char id[16];
+
 	if (m->listed && (w->now >= m->unlisting_ms ||
 			  (w->now >= m->listing_ms && m->instance))) {
 		snprintf(id, sizeof(id), "i-%u", m->listed);
-		sched_instance_unlisted(w->sched, id, w->now);
+		if (w->sched)
+			sched_instance_unlisted(w->sched, id, w->now);
 		m->listed = 0;
 		m->unlisting_ms = UPKEEP_NEVER;
 	}
@@ -162,10 +175,7 @@
 		return;
 	m->listing_ms = UPKEEP_NEVER;
 	m->listed = m->instance;
-	snprintf(id, sizeof(id), "i-%u", m->listed);
-	snprintf(rack, sizeof(rack), "r%u", m->rack);
-	info.started_unix_ms = m->up_ms;
-	sched_instance_listed(w->sched, &info, w->now);
+	site_list_instance(w, m);
 }
 
 void site_advance(struct upkeep_world *w)
@@ -306,6 +316,9 @@
 
 	if (!m)
 		return ORDER_UNREACHED;
+	if (c->fence < m->fence)
+		return ORDER_REFUSED_FENCE;
+	m->fence = c->fence;
 	switch (c->order.kind) {
 	case ORDER_START:
 		return start_task(w, m, c);
@@ -466,3 +479,33 @@
 	return a->kind == FLEET_ACTION_MOVE ? move(w, m, a->pool)
 					    : maintain(w, m, (uint32_t)a->wave);
 }
+
+void site_record(struct upkeep_world *w, const struct fleet_action *a)
+{
+	struct upkeep_wave *v = &w->waves[a->wave - 1];
+	uint32_t i;
+
+	for (i = 0; i < v->count; i++)
+		if (!strcmp(v->names[i], a->machine))
+			v->recorded[i] = true;
+}
+
+void site_load_waves(struct upkeep_world *w)
+{
+	uint32_t n, i;
+
+	for (n = 0; n < w->wave_count; n++) {
+		struct upkeep_wave *v = &w->waves[n];
+		char name[16];
+
+		if (!v->started)
+			continue;
+		snprintf(name, sizeof(name), "wave/%u", n + 1);
+		fleet_add_wave(w->fleet, name, n + 1, v->at_once,
+			       v->duration_ms, v->names, v->count, v->start_ms);
+		for (i = 0; i < v->count; i++)
+			if (v->recorded[i])
+				fleet_record_maintenance(w->fleet, n + 1,
+							 v->names[i]);
+	}
+}
