--- a/test/walk/upkeep_world.c
+++ b/test/walk/upkeep_world.c
@@ -442,6 +442,7 @@
 		    sched_durable(w->sched, job->id)) {
 			upkeep_trace(w, "job %s is accepted", job->id);
 			job->accepted = true;
+			fault_job_added(w, i);
 			for (t = 0; t < job->count; t++)
 				job->tasks[t].without_since_ms =
 					job->tasks[t].at_work_ms = w->now;
