balance: the pool that has lacked a place for longest gets the next machine

Cause: machines for drains were handed out by the order of the configuration, and a pool that had got one was served first again once it had joined. donor_test's test_longest_lack_goes_last failed before (the pool that had just begun to lack one got it).

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -78,6 +78,7 @@
 	int64_t lacked;	    /* its deficit before any move of this pass */
 	bool denied;	    /* no pool could give it a machine */
 	bool no_machine;    /* same, for its long-running tasks */
+	bool places_tried;  /* in this pass */
 	bool places_paused; /* machines that came for drains did not help */
 	struct donor_machine *machines; /* NULL: not listed in this pass */
 	uint32_t machine_count;
@@ -629,22 +630,47 @@
 		move_one(f, s, to, true, now);
 }
 
+static bool wants_place(const struct pool_balance *v)
+{
+	return v->load.place_machines && !v->spare && !v->incoming &&
+	       !v->moved_in && !v->load.long_running_machines &&
+	       !v->places_tried;
+}
+
+/* In any other order one pool gets every machine while others get none. */
+static struct pool_balance *longest_without_place(struct fleet *f, uint64_t now)
+{
+	struct pool_balance *best = NULL;
+	uint64_t best_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->balance->pool_count; i++) {
+		struct pool_balance *v = &f->balance->pools[i];
+		uint64_t none_ms = demand_none_ms(f, v->name, now);
+
+		if (!wants_place(v) || (best && none_ms <= best_ms))
+			continue;
+		best = v;
+		best_ms = none_ms;
+	}
+	return best;
+}
+
 /*
  * With one machine more, a wave takes the others of the pool one after the
  * other, so a pool with a backlog gives no more than one.
  */
 static void cover_places(struct fleet *f, struct sched *s, uint64_t now)
 {
+	struct pool_balance *to;
 	uint32_t i;
 
-	for (i = 0; i < f->balance->pool_count; i++) {
-		struct pool_balance *v = &f->balance->pools[i];
-
-		if (v->places_paused)
-			v->no_machine = true;
-		if (v->load.place_machines && !v->spare && !v->incoming &&
-		    !v->moved_in && !v->load.long_running_machines)
-			v->no_machine = !move_one(f, s, v, true, now);
+	for (i = 0; i < f->balance->pool_count; i++)
+		if (f->balance->pools[i].places_paused)
+			f->balance->pools[i].no_machine = true;
+	while ((to = longest_without_place(f, now))) {
+		to->places_tried = true;
+		to->no_machine = !move_one(f, s, to, true, now);
 	}
 }
 
--- a/test/donor_test.c
+++ b/test/donor_test.c
@@ -351,6 +351,50 @@
 	}
 }
 
+static void list_machine(struct drain_rig *x, const char *name,
+			 const char *pool)
+{
+	drain_list_instance(&x->r, name, pool, NULL);
+	drain_add_machine(x, name, pool);
+	drain_list_machines(x);
+	make_all_usable(&x->r);
+}
+
+/*
+ * Two pools lack a machine for a wave, and the one that another pool can give
+ * goes to the pool that has just begun to lack it.
+ */
+static void test_longest_lack_goes_last(void **state)
+{
+	static const char *const old[] = { "o-0" };
+	static const char *const young[] = { "i-0" };
+	Fleet__JobRow *row = drain_row(1, 0);
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 1);
+	x.pools[1].spare = false;
+	list_machine(&x, "o-0", "backlog");
+	free(row->queue);
+	free(row->pool);
+	row->queue = strdup("backlog");
+	row->pool = strdup("backlog");
+	drain_submit_row(&x, drain_id_other, row);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 200);
+	assert_int_equal(x.starts, 2);
+	fleet_add_wave(x.f, "wave/1", 1, 1, 20000, old, 1, x.r.now);
+	drain_advance(&x, 1000);
+	fleet_add_wave(x.f, "wave/2", 2, 1, 20000, young, 1, x.r.now);
+	drain_advance(&x, 500);
+	assert_int_equal(x.moves, 0);
+	list_machine(&x, "d-0", "spare");
+	drain_advance(&x, 500);
+	assert_int_equal(x.moves, 1);
+	assert_string_equal(x.moved_to, "backlog");
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -366,6 +410,7 @@
 		cmocka_unit_test(test_machines_despite_room),
 		cmocka_unit_test(test_machines_by_memory),
 		cmocka_unit_test(test_expected_machine_is_lost),
+		cmocka_unit_test(test_longest_lack_goes_last),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/rig/drain_rig.c
+++ b/test/rig/drain_rig.c
@@ -267,6 +267,7 @@
 	if (action->kind == FLEET_ACTION_MOVE) {
 		x->moves++;
 		memcpy(x->moved, action->machine, sizeof(x->moved));
+		memcpy(x->moved_to, action->pool, sizeof(x->moved_to));
 		result = x->result;
 	}
 	if (action->kind == FLEET_ACTION_MAINTENANCE) {
--- a/test/rig/drain_rig.h
+++ b/test/rig/drain_rig.h
@@ -50,7 +50,8 @@
 	uint32_t machine_count;
 	uint32_t starts, stops, upkeeps, moves;
 	char moved[FLEET_NAME_MAX]; /* the last machine that was ordered */
-	enum fleet_result result;   /* of moves */
+	char moved_to[FLEET_NAME_MAX];
+	enum fleet_result result; /* of moves */
 	enum fleet_result upkeep_result;
 	bool store_slow; /* nothing is written meanwhile */
 	bool adviser_silent;
