maintenance: a machine of several waves goes for the one that is due first

Nothing keeps the empty machines: each wave takes 2.5 s of them, one after the other. Cause: waves were considered in the order in which they began. drain_test's test_wave_due_first_goes_last failed before (maintenance of wave 1).

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -50,6 +50,13 @@
 /* Between readings of the list while it shows a former leader's orders */
 #define LIST_IN_PROGRESS_MS 500u
 
+static int by_deadline(const struct wave *a, const struct wave *b)
+{
+	if (a->deadline_ms == b->deadline_ms)
+		return 0;
+	return a->deadline_ms < b->deadline_ms ? -1 : 1;
+}
+
 void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
 		    uint32_t max_concurrent, uint32_t duration_ms,
 		    const char *const *machines, uint32_t count,
@@ -75,7 +82,8 @@
 	for (i = 0; i < count; i++)
 		snprintf(w->members[i].machine, FLEET_NAME_MAX, "%s",
 			 machines[i]);
-	DL_APPEND(f->waves, w);
+	/* A machine of several waves goes for the one that is due first. */
+	DL_INSERT_INORDER(f->waves, w, by_deadline);
 }
 
 void fleet_record_maintenance(struct fleet *f, uint64_t wave,
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -492,6 +492,23 @@
 	}
 }
 
+/* A machine of two waves goes for the older one, which is due much later. */
+static void test_wave_due_first_goes_last(void **state)
+{
+	static const char *const names[] = { "i-0" };
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 1);
+	drain_list_machines(&x);
+	drain_add_long_wave(&x, 1, 1000);
+	fleet_add_wave(x.f, "wave/2", 2, 1, 4000, names, 1, x.r.now);
+	drain_advance(&x, 40);
+	assert_int_equal(x.upkeeps, 1);
+	assert_int_equal(x.upkeep_wave, 2);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -510,6 +527,7 @@
 		cmocka_unit_test(test_others_fill_the_cap_of_a_moved_task),
 		cmocka_unit_test(test_stopped_again_by_the_next_leader),
 		cmocka_unit_test(test_instance_listed_beside_its_order),
+		cmocka_unit_test(test_wave_due_first_goes_last),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
--- a/test/rig/drain_rig.c
+++ b/test/rig/drain_rig.c
@@ -272,6 +272,7 @@
 	}
 	if (action->kind == FLEET_ACTION_MAINTENANCE) {
 		x->upkeeps++;
+		x->upkeep_wave = action->wave;
 		result = x->upkeep_result;
 	}
 	fleet_action_result(x->f, x->r.s, action, result, x->r.now);
--- a/test/rig/drain_rig.h
+++ b/test/rig/drain_rig.h
@@ -51,6 +51,7 @@
 	uint32_t starts, stops, upkeeps, moves;
 	char moved[FLEET_NAME_MAX]; /* the last machine that was ordered */
 	char moved_to[FLEET_NAME_MAX];
+	uint64_t upkeep_wave;	  /* of the last maintenance */
 	enum fleet_result result; /* of moves */
 	enum fleet_result upkeep_result;
 	bool store_slow; /* nothing is written meanwhile */
