maintenance: machines that are blocked for long don't hide the others of a wave

What operators saw: a wave of more than 16 machines doesn't go on while the 16 cheapest ones can't be drained, e.g. as the budget of their tasks keeps them, although another one could be: each planning looked at the same 16. The next planning now passes over the busy machines that were found blocked, and begins again after the last. drain_test's test_blocked_machines_hide_another failed before (no maintenance in 10 s).

--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -84,6 +84,8 @@
 	/* As of the last planning: draining; ordered or in maintenance */
 	uint32_t draining, away;
 	uint32_t emptied; /* of those draining, with may_empty */
+	/* The cheapest busy machines, passed over in the next planning */
+	uint32_t blocked;
 };
 
 struct fleet {
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -39,7 +39,10 @@
 #define POOL_SHORT_MIN_MS 500u /* same, if the wave would be late otherwise */
 /* From a machine's return until its instance is usable, at most */
 #define INSTANCE_WAIT_MS 1000u
-/* Machines of a wave whose tasks are looked for places in one planning pass */
+/*
+ * Machines of a wave whose tasks are looked for places in one planning pass; if
+ * none of them can be drained, the next pass looks at those after them
+ */
 #define PLACES_TRIED_MAX 16u
 
 /* Cost of draining a machine, in millicores in use */
@@ -309,6 +312,7 @@
 	uint32_t needed = needed_concurrency(f, w, now);
 	uint32_t waiting = 0; /* for a place of a task */
 	uint32_t blocked = 0; /* for that or anything else */
+	uint32_t busy = 0;    /* machines that aren't idle */
 	struct candidate *list;
 	uint32_t count, i;
 
@@ -323,6 +327,8 @@
 		if (active >= w->max_concurrent + DRAIN_AHEAD ||
 		    (list[i].cost > 0 && active + waiting >= needed))
 			break;
+		if (list[i].cost > 0 && busy++ < w->blocked)
+			continue;
 		if (!may_drain(f, s, w, m, &may_empty, &lacks_place, now)) {
 			waiting += lacks_place;
 			blocked++;
@@ -335,6 +341,7 @@
 		w->draining++;
 		w->emptied += may_empty;
 	}
+	w->blocked = blocked < PLACES_TRIED_MAX ? 0 : w->blocked + blocked;
 	talloc_free(list);
 }
 
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -509,6 +509,44 @@
 	drain_free(&x);
 }
 
+/* Machines that their budget keeps hide one that could go. */
+static void test_blocked_machines_hide_another(void **state)
+{
+	static const char *const names[] = {
+		"h-0",	"h-1",	"h-2",	"h-3",	"h-4",	"h-5",
+		"h-6",	"h-7",	"h-8",	"h-9",	"h-10", "h-11",
+		"h-12", "h-13", "h-14", "h-15", "h-16", "h-17",
+	};
+	const uint32_t kept = 16, members = 17;
+	Fleet__JobRow *row = drain_row(kept + 1, 1);
+	struct drain_rig x;
+	uint32_t n;
+
+	(void)state;
+	drain_new(&x, 0);
+	x.workspaces[1].cap.cpu = kept * 3000;
+	sched_configure(x.r.s, &x.r.config, x.r.now);
+	drain_set_workspace(row, "capped"); /* one task waits at the cap */
+	for (n = 0; n < kept; n++)
+		drain_list_instance(&x.r, names[n], "p", NULL);
+	for (n = 0; n <= members; n++)
+		drain_add_machine(&x, names[n], "p");
+	drain_list_machines(&x);
+	make_all_usable(&x.r);
+	drain_submit_row(&x, id_a, row);
+	drain_advance(&x, 500);
+	assert_int_equal(x.starts, kept);
+	drain_list_instance(&x.r, names[kept], "p", NULL);
+	drain_submit(&x, drain_id_other, 1);
+	drain_advance(&x, 500);
+	assert_int_equal(x.starts, kept + 1);
+	drain_list_instance(&x.r, names[members], "p", NULL);
+	fleet_add_wave(x.f, "wave/1", 1, 1, 20000, names, members, x.r.now);
+	drain_advance(&x, 10000);
+	assert_int_equal(x.upkeeps, 1);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -528,6 +566,7 @@
 		cmocka_unit_test(test_stopped_again_by_the_next_leader),
 		cmocka_unit_test(test_instance_listed_beside_its_order),
 		cmocka_unit_test(test_wave_due_first_goes_last),
+		cmocka_unit_test(test_blocked_machines_hide_another),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
--- a/test/rig/drain_rig.h
+++ b/test/rig/drain_rig.h
@@ -12,7 +12,7 @@
 #include "test/rig/sched_rig.h"
 
 #define DRAIN_PASS_MS 20u
-#define DRAIN_MACHINES_MAX 5u /* in the platform's list */
+#define DRAIN_MACHINES_MAX 20u /* in the platform's list */
 #define DRAIN_RUNS_MAX 64u
 #define DRAIN_POLLS_MAX 8u /* in a pass */
 
