--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -39,7 +39,10 @@
 #define POOL_SHORT_MIN_MS 500u /* same, if the wave would be late otherwise */
 /* From a machine's return until its instance is usable, at most */
 #define INSTANCE_WAIT_MS 1000u
-/* Machines of a wave whose tasks are looked for places in one planning pass */
+/*
+ * Machines of a wave whose tasks are looked for places in one planning pass; if
+ * none of them can be drained, the next pass looks at those after them
+ */
 #define PLACES_TRIED_MAX 16u
 
 /* Cost of draining a machine, in millicores in use */
@@ -50,6 +53,13 @@
 /* Between readings of the list while it shows a former leader's orders */
 #define LIST_IN_PROGRESS_MS 500u
 
+static int by_deadline(const struct wave *a, const struct wave *b)
+{
+	if (a->deadline_ms == b->deadline_ms)
+		return 0;
+	return a->deadline_ms < b->deadline_ms ? -1 : 1;
+}
+
 void fleet_add_wave(struct fleet *f, const char *name, uint64_t number,
 		    uint32_t max_concurrent, uint32_t duration_ms,
 		    const char *const *machines, uint32_t count,
@@ -75,7 +85,8 @@
 	for (i = 0; i < count; i++)
 		snprintf(w->members[i].machine, FLEET_NAME_MAX, "%s",
 			 machines[i]);
-	DL_APPEND(f->waves, w);
+	/* A machine of several waves goes for the one that is due first. */
+	DL_INSERT_INORDER(f->waves, w, by_deadline);
 }
 
 void fleet_record_maintenance(struct fleet *f, uint64_t wave,
@@ -301,6 +312,7 @@
 	uint32_t needed = needed_concurrency(f, w, now);
 	uint32_t waiting = 0; /* for a place of a task */
 	uint32_t blocked = 0; /* for that or anything else */
+	uint32_t busy = 0;    /* machines that aren't idle */
 	struct candidate *list;
 	uint32_t count, i;
 
@@ -315,6 +327,8 @@
 		if (active >= w->max_concurrent + DRAIN_AHEAD ||
 		    (list[i].cost > 0 && active + waiting >= needed))
 			break;
+		if (list[i].cost > 0 && busy++ < w->blocked)
+			continue;
 		if (!may_drain(f, s, w, m, &may_empty, &lacks_place, now)) {
 			waiting += lacks_place;
 			blocked++;
@@ -327,6 +341,7 @@
 		w->draining++;
 		w->emptied += may_empty;
 	}
+	w->blocked = blocked < PLACES_TRIED_MAX ? 0 : w->blocked + blocked;
 	talloc_free(list);
 }
 
--- a/test/rig/drain_rig.c
+++ b/test/rig/drain_rig.c
@@ -267,10 +267,12 @@
 	if (action->kind == FLEET_ACTION_MOVE) {
 		x->moves++;
 		memcpy(x->moved, action->machine, sizeof(x->moved));
+		memcpy(x->moved_to, action->pool, sizeof(x->moved_to));
 		result = x->result;
 	}
 	if (action->kind == FLEET_ACTION_MAINTENANCE) {
 		x->upkeeps++;
+		x->upkeep_wave = action->wave;
 		result = x->upkeep_result;
 	}
 	fleet_action_result(x->f, x->r.s, action, result, x->r.now);
--- a/test/rig/drain_rig.h
+++ b/test/rig/drain_rig.h
@@ -12,7 +12,7 @@
 #include "test/rig/sched_rig.h"
 
 #define DRAIN_PASS_MS 20u
-#define DRAIN_MACHINES_MAX 5u /* in the platform's list */
+#define DRAIN_MACHINES_MAX 20u /* in the platform's list */
 #define DRAIN_RUNS_MAX 64u
 #define DRAIN_POLLS_MAX 8u /* in a pass */
 
@@ -50,7 +50,9 @@
 	uint32_t machine_count;
 	uint32_t starts, stops, upkeeps, moves;
 	char moved[FLEET_NAME_MAX]; /* the last machine that was ordered */
-	enum fleet_result result;   /* of moves */
+	char moved_to[FLEET_NAME_MAX];
+	uint64_t upkeep_wave;	  /* of the last maintenance */
+	enum fleet_result result; /* of moves */
 	enum fleet_result upkeep_result;
 	bool store_slow; /* nothing is written meanwhile */
 	bool adviser_silent;
