--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -57,7 +57,9 @@
 	uint32_t predecessor_orders_ms;
 	/*
 	 * From an unanswered start to the stop that resolves its outcome, or to
-	 * the poll that must show it first
+	 * the poll that must show it first. The start of a long-running task
+	 * that its instance left unanswered is looked for at once; while the
+	 * disruption budget allows no further stop, after its deadline.
 	 */
 	uint32_t start_wait_ms;
 	uint32_t end_keep_ms;	/* retention of an ended job's state */
@@ -202,6 +204,24 @@
 /* sched_refusal_name - as in logs and metrics */
 const char *sched_refusal_name(enum sched_refusal reason);
 
+/* Why a long-running task has no run that works. */
+enum sched_wait {
+	SCHED_WAIT_UNWRITTEN,  /* no leader has written its job yet */
+	SCHED_WAIT_UNSEEN,     /* a former leader's run of it may go on */
+	SCHED_WAIT_STARTS,     /* nothing may be started now */
+	SCHED_WAIT_CAP,	       /* its workspace's cap */
+	SCHED_WAIT_PLACE,      /* for an instance */
+	SCHED_WAIT_SILENT,     /* the end of its run, on a silent instance */
+	SCHED_WAIT_UNANSWERED, /* its start, or the stop of that, isn't answered
+				*/
+	SCHED_WAIT_STARTING, /* its run has been ordered, or doesn't work yet */
+	SCHED_WAIT_ENDING,   /* its run is being stopped */
+	SCHED_WAITS
+};
+
+/* sched_wait_name - as in logs and metrics */
+const char *sched_wait_name(enum sched_wait wait);
+
 struct sched_stats {
 	uint64_t accepted, refused, completed, failed, cancelled;
 	uint64_t refusals[REFUSALS]; /* of refused, by reason */
@@ -225,6 +245,10 @@
 	 * leader's processor; 1e9: there is none */
 	double rate, rate_limit;
 	double delay_ms; /* of answers to orders */
+	/* long-running tasks that have waited for over 1.5 s; their longest
+	 * wait now, and in this term. As of the last second */
+	uint32_t lasting_waits[SCHED_WAITS];
+	uint64_t lasting_longest_ms, lasting_longest_term_ms;
 };
 
 /* sched_new - creates an empty scheduler, owned by ctx */
@@ -364,7 +388,12 @@
  */
 void sched_hold_starts(struct sched *s, bool hold, uint64_t now);
 
-/* sched_next_poll - the next poll that is due; false when none is */
+/*
+ * sched_next_poll - the next poll that is due; false when none is
+ *
+ * A second poll of an instance, which doesn't wait, may follow while the first
+ * waits for an end. They may be answered in any order.
+ */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll);
 
 /*
@@ -512,9 +541,12 @@
 	/* listed; not leaving, expired, reserved or evacuated */
 	uint32_t instances;
 	uint32_t pinned; /* of these, with long-running tasks */
+	uint32_t idle; /* of these, usable and without a run or a held place */
 	struct amount capacity;
 	struct amount used;
 	struct amount waiting; /* requested by startable tasks */
+	/* its tasks that end by themselves may start, but on no instance */
+	bool stranded;
 	/* instances needed by the long-running step that needs most */
 	uint32_t spread;
 	/*
@@ -526,6 +558,7 @@
 	/* more of them, for tasks that run where a drain wants to stop them */
 	uint32_t place_machines;
 	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
+	uint64_t allowed_work; /* of it, of steps within their cap */
 	uint64_t arrived_work; /* of jobs accepted by this leader, same unit */
 };
 
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -12,16 +12,21 @@
 #define POLL_WAIT_IDLE_MS 2000u	  /* nothing runs */
 #define POLL_WAIT_ENDING_MS 500u  /* a task runs that will end by itself */
 #define POLL_WAIT_LOSSY_MS 200u	  /* such a task runs, and calls are lossy */
-#define POLL_WAIT_START_MS 200u	  /* an order has an unknown outcome */
+#define POLL_WAIT_START_MS 200u	  /* an order's effect has to be seen */
 #define POLL_WAIT_SERVING_MS 500u /* else, a task has a latency target */
 #define POLL_WAIT_MS 1000u	  /* else: other long-running tasks */
 
+/* Polls are short for so long after a start; tasks start up in less */
+#define STARTUP_MS 2000u
+
 /* Calls count as lossy for this long after one that got no answer */
 #define CALLS_LOSSY_MS 3000u
 
 #define POLL_UNWRITTEN_MS 300u /* between polls while ends are not durable */
 #define POLL_ANSWER_MS 300u /* timeout after the wait: network, busy leader */
 
+#define ANSWER_LATE_MS 50u /* after the wait; an answer normally takes 3 ms */
+
 #define UNACKED_FIRST 8u /* entries allocated first, for reported ends */
 
 /* After an unanswered poll the next one follows at the later of these times */
@@ -70,6 +75,36 @@
 	return false;
 }
 
+/* Whether a run awaits a report that may be asked for now and wasn't yet. */
+static bool instance_is_awaited(const struct sched *s, const struct instance *i,
+				uint64_t now)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	{
+		uint64_t wanted_ms = run_report_wanted_ms(s, run, now);
+
+		if (wanted_ms && now >= wanted_ms &&
+		    i->report_sent_ms < wanted_ms)
+			return true;
+	}
+	return false;
+}
+
+/* Whether a task with a disruption budget was started lately, to work soon. */
+static bool instance_has_starting(const struct instance *i, uint64_t now)
+{
+	struct run *run;
+
+	DL_FOREACH(i->runs, run)
+	if (run->state == RUN_RUNNING && !run_is_available(run) &&
+	    now - run->running_since_ms < STARTUP_MS &&
+	    run->task->step->spec->lasting && run->task->step->spec->may_miss)
+		return true;
+	return false;
+}
+
 /*
  * Designed for instances that leave calls unanswered. An end is reported in
  * answer to the next poll, so where ends are expected an unanswered poll must
@@ -79,11 +114,13 @@
 			  uint64_t now)
 {
 	if (!i->reported || i->restart_possible || i->unacked_count ||
-	    i->unresponsive)
+	    i->unresponsive || i->down_ms)
 		return 0;
 	if (!i->run_count)
 		return POLL_WAIT_IDLE_MS;
-	if (instance_has_order_to_report(i))
+	if (instance_is_awaited(s, i, now))
+		return 0;
+	if (instance_has_order_to_report(i) || instance_has_starting(i, now))
 		return POLL_WAIT_START_MS;
 	if (instance_has_ending(i))
 		return s->call_unanswered_ms && now - s->call_unanswered_ms <
@@ -119,15 +156,59 @@
 	DL_DELETE2(s->idle, i, idle_prev, idle_next);
 }
 
-static void set_polling(struct sched *s, struct instance *i, bool polling)
+void instance_leave_asked(struct sched *s, struct instance *i)
+{
+	if (!i->asked)
+		return;
+	i->asked = false;
+	DL_DELETE2(s->asked, i, asked_prev, asked_next);
+}
+
+void instance_ask(struct sched *s, struct instance *i, uint64_t now)
 {
-	if (i->polling == polling)
+	if (i->asked || i->polls > 1 ||
+	    (i->unresponsive && now < i->next_poll_ms))
 		return;
-	i->polling = polling;
-	if (polling)
-		instance_leave_idle(s, i);
-	else
-		DL_APPEND2(s->idle, i, idle_prev, idle_next);
+	i->asked = true;
+	DL_APPEND2(s->asked, i, asked_prev, asked_next);
+}
+
+static void poll_begun(struct sched *s, struct instance *i, uint32_t wait_ms,
+		       uint64_t now)
+{
+	i->poll_sent_ms = now;
+	i->answer_due_ms = now + wait_ms + ANSWER_LATE_MS;
+	i->polls_overlap = i->polls > 0;
+	if (i->polls++)
+		return;
+	i->polling = true;
+	instance_leave_idle(s, i);
+}
+
+static void poll_ended(struct sched *s, struct instance *i)
+{
+	if (!i->polls || --i->polls)
+		return;
+	i->polling = false;
+	DL_APPEND2(s->idle, i, idle_prev, idle_next);
+}
+
+static void fill_poll(struct sched *s, struct instance *i, uint32_t wait_ms,
+		      uint64_t now, struct sched_poll *poll)
+{
+	poll->instance = i->handle;
+	poll->instance_id = i->id;
+	poll->address = i->address;
+	poll->acked = is_same_incarnation(i, now) ? i->acked : 0;
+	poll->wait_ms = wait_ms;
+	poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
+	poll->lease_until = 0;
+	/* The lease of an unresponsive instance is left to expire. */
+	if (i->run_count && !i->unresponsive)
+		poll->lease_until = instance_extend_lease(s, i, now);
+	if (poll->lease_until)
+		instance_deadline_sent(s, i, now, poll->timeout_ms);
+	poll_begun(s, i, wait_ms, now);
 }
 
 /*
@@ -136,26 +217,20 @@
  */
 bool sched_next_poll(struct sched *s, uint64_t now, struct sched_poll *poll)
 {
-	struct instance *i = s->idle_next ? s->idle_next : s->idle;
+	struct instance *i = s->asked;
 
+	if (i) {
+		instance_leave_asked(s, i);
+		fill_poll(s, i, 0, now, poll);
+		return true;
+	}
+	i = s->idle_next ? s->idle_next : s->idle;
 	s->idle_next = NULL;
 	for (; i; i = i->idle_next) {
 		if (now < i->next_poll_ms || !poll_needed(i))
 			continue;
-		poll->instance = i->handle;
-		poll->instance_id = i->id;
-		poll->address = i->address;
-		poll->acked = is_same_incarnation(i, now) ? i->acked : 0;
-		poll->wait_ms = poll_wait(s, i, now);
-		poll->timeout_ms = poll->wait_ms + POLL_ANSWER_MS;
-		poll->lease_until = 0;
-		/* The lease of an unresponsive instance is left to expire. */
-		if (i->run_count && !i->unresponsive)
-			poll->lease_until = instance_extend_lease(s, i, now);
-		if (poll->lease_until)
-			instance_deadline_sent(s, i, now, poll->timeout_ms);
 		s->idle_next = i->idle_next;
-		set_polling(s, i, true);
+		fill_poll(s, i, poll_wait(s, i, now), now, poll);
 		return true;
 	}
 	return false;
@@ -233,8 +308,10 @@
 	run->percent = r->percent;
 	run->load = r->load;
 	task_set_checkpoint(s, task, r->checkpoint);
-	if (run_is_available(run))
+	if (run_is_available(run)) {
+		longest_ended(task, task_waited_ms(s, task, now));
 		task->unavailable_since_ms = 0;
+	}
 	(void)sent_ms;
 }
 
@@ -280,6 +357,9 @@
 	run = run_find(i, task, e->number);
 	if (run)
 		run->outcome = (int)e->outcome;
+	/* Stopped by a former leader, maybe for a drain. */
+	if (e->outcome == SCHED_STOPPED && (!run || !run->stop_reason))
+		task->relocated_ms = now;
 	job_set_started(task->step->job);
 	task_set_checkpoint(s, task, e->checkpoint);
 	if (run && e->outcome == SCHED_DONE)
@@ -335,8 +415,9 @@
 		bool stopped = run->stop_done_ms && run->stop_done_ms < sent_ms;
 
 		if (run->state == RUN_UNKNOWN &&
-		    sent_ms >= run->ordered_ms + s->options.start_wait_ms)
-			run->absent = true;
+		    (sent_ms > run->unanswered_ms ||
+		     sent_ms >= run->ordered_ms + s->options.start_wait_ms))
+			run->absent_ms = sent_ms;
 		if (!was_running && !stopped)
 			continue;
 		task_name(run->task, name);
@@ -442,7 +523,8 @@
 
 	if (!i)
 		return;
-	set_polling(s, i, false);
+	poll_ended(s, i);
+	i->poll_sent_ms = 0;
 	i->next_poll_ms = now;
 }
 
@@ -463,28 +545,53 @@
 	return now + POLL_UNWRITTEN_MS;
 }
 
+/*
+ * Whether a later answer has been applied already; answers to polls that follow
+ * one another come in their order.
+ */
+static bool is_outdated(const struct instance *i, const struct sched_report *r,
+			uint64_t sent_ms)
+{
+	if (!i->polls_overlap)
+		return false;
+	return sent_ms < i->report_sent_ms ||
+	       (r && i->reported && r->started_unix_ms == i->started_unix_ms &&
+		r->clock_ms <= i->clock_ms);
+}
+
+static void poll_failed(struct sched *s, struct instance *i, uint64_t sent_ms,
+			uint64_t now)
+{
+	if (!i->unresponsive && i->reported)
+		s->call_unanswered_ms = now;
+	if (!i->unresponsive)
+		sched_trace(s, "instance-silent", i->id,
+			    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
+			    i->run_count, (int64_t)(i->lease_end_ms - now));
+	i->unresponsive = true;
+	i->leased = false;
+	i->next_poll_ms =
+		max_uint64(now + POLL_FAILED_MS, sent_ms + POLL_FAILED_GAP_MS);
+}
+
 void sched_poll_done(struct sched *s, instance_handle_t h,
 		     const struct sched_report *r, uint64_t sent_ms,
 		     uint64_t now)
 {
 	struct instance *i = instance_of(s, h);
+	bool outdated;
 	uint32_t n;
 
 	if (!i)
 		return;
-	set_polling(s, i, false);
+	outdated = is_outdated(i, r, sent_ms);
+	poll_ended(s, i);
+	if (outdated) {
+		i->next_poll_ms = now;
+		return;
+	}
 	if (!r) {
-		if (!i->unresponsive && i->reported)
-			s->call_unanswered_ms = now;
-		if (!i->unresponsive)
-			sched_trace(s, "instance-silent", i->id,
-				    "\"runs\":%u,\"lease_in_ms\":%" PRId64,
-				    i->run_count,
-				    (int64_t)(i->lease_end_ms - now));
-		i->unresponsive = true;
-		i->leased = false;
-		i->next_poll_ms = max_uint64(now + POLL_FAILED_MS,
-					     sent_ms + POLL_FAILED_GAP_MS);
+		poll_failed(s, i, sent_ms, now);
 		return;
 	}
 	if (i->started_unix_ms != r->started_unix_ms || !i->reported) {
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -403,6 +403,95 @@
 	}
 }
 
+/* While a task is moved, others of its workspace start up to the cap. */
+static void test_others_fill_the_cap_of_a_moved_task(void **state)
+{
+	struct drain_rig x;
+	Fleet__JobRow *moved = drain_row(1, 0);
+	Fleet__JobRow *other = drain_row(1, 0);
+
+	(void)state;
+	drain_new(&x, 3);
+	drain_list_machines(&x);
+	drain_set_workspace(moved, "capped"); /* at most one of its tasks */
+	drain_set_workspace(other, "capped");
+	drain_submit_row(&x, id_a, moved);
+	drain_advance(&x, 100);
+	assert_int_equal(x.starts, 1);
+	drain_submit_row(&x, drain_id_other, other);
+	drain_add_wave(&x, 1, 1);
+	drain_advance(&x, 1000);
+	assert_int_equal(x.stops, 1);
+	assert_int_equal(x.starts, 2);
+	assert_string_equal(x.runs.orders[1].task, x.runs.orders[0].task);
+	drain_free(&x);
+}
+
+/* The next leader stops a task again right after its predecessor did. */
+static void test_stopped_again_by_the_next_leader(void **state)
+{
+	struct drain_rig x;
+	struct sched_ended ended = { 0 };
+
+	(void)state;
+	drain_new(&x, 2);
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 100);
+	assert_int_equal(x.starts, 1);
+	ended = (struct sched_ended){ ++x.runs.end_seq, x.runs.orders[0].task,
+				      1, SCHED_STOPPED, "" };
+	report(&x.r, find_instance(&x.r, "i-1"), NULL, 0, &ended, 1, x.r.now);
+	write_all(&x.r);
+	drain_add_long_wave(&x, 1, 0);
+	drain_advance(&x, STOPPED_AGAIN_MS - 100);
+	assert_int_equal(x.stops, 0);
+	drain_advance(&x, 1000);
+	assert_int_equal(x.stops, 1);
+	drain_free(&x);
+}
+
+/*
+ * An instance is listed while the order that ends it is under way, and tasks
+ * are started there.
+ */
+static void test_instance_listed_beside_its_order(void **state)
+{
+	static const struct {
+		const char *name;
+		bool gone;
+		uint32_t ms, starts; /* by then */
+	} cases[] = {
+		{ "the order ends it", true, 2000, 0 },
+		{ "the order was carried out before", false, 2500, 1 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct fleet_action action = { 0 };
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 0);
+		drain_add_machine(&x, "i-0", "p");
+		drain_list_machines(&x);
+		drain_add_long_wave(&x, 1, 0);
+		do {
+			assert_true(fleet_next_action(x.f, x.r.s, x.r.now,
+						      &action));
+		} while (action.kind != FLEET_ACTION_MAINTENANCE);
+		add_instance(&x.r, "i-0", false);
+		drain_advance(&x, DRAIN_PASS_MS);
+		fleet_action_result(x.f, x.r.s, &action, FLEET_DONE, x.r.now);
+		x.runs.silent = cases[c].gone ? "i-0" : NULL;
+		drain_submit(&x, id_a, 1);
+		drain_advance(&x, cases[c].ms);
+		assert_int_equal(x.starts, cases[c].starts);
+		drain_free(&x);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -418,6 +507,9 @@
 		cmocka_unit_test(test_task_without_ticket_stops_wave),
 		cmocka_unit_test(test_budget_keeps_turns),
 		cmocka_unit_test(test_stopped_while_starts_are_held),
+		cmocka_unit_test(test_others_fill_the_cap_of_a_moved_task),
+		cmocka_unit_test(test_stopped_again_by_the_next_leader),
+		cmocka_unit_test(test_instance_listed_beside_its_order),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
