sched_poll: a task restarted shortly before a change of leader isn't stopped again

The number of a run tells that the task had been started before in that term. Such a task is left where it is for 5 s after a new leader has found it.

--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -791,6 +791,9 @@
  */
 bool run_stop_needs_report(const struct run *run);
 uint64_t sched_run_number(const struct sched *s, struct task *task);
+
+/* run_number_is_first - whether it is the first start of its epoch */
+bool run_number_is_first(uint64_t number);
 bool run_is_available(const struct run *run);
 
 /* sched_hold.c */
--- a/src/pool/sched_poll.c
+++ b/src/pool/sched_poll.c
@@ -254,6 +254,9 @@
 
 	run->state = RUN_RUNNING;
 	run->adopted_ms = now;
+	/* A former leader may have stopped the run before it for a drain. */
+	if (!run_number_is_first(r->number))
+		task->relocated_ms = now;
 	run_mark_running(s, run, now);
 	sched_trace(s, "run-found", r->task,
 		    "\"instance\":\"%s\",\"run\":%" PRIu64 ",\"twin\":%d",
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -649,3 +649,8 @@
 {
 	return s->epoch * RUN_NUMBER_STRIDE + ++task->starts;
 }
+
+bool run_number_is_first(uint64_t number)
+{
+	return number % RUN_NUMBER_STRIDE <= 1;
+}
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -430,25 +430,47 @@
 /* The next leader stops a task again right after its predecessor did. */
 static void test_stopped_again_by_the_next_leader(void **state)
 {
-	struct drain_rig x;
-	struct sched_ended ended = { 0 };
+	static const struct {
+		const char *name;
+		bool end_unknown; /* to the predecessor */
+	} cases[] = {
+		{ "it learns of the end", true },
+		{ "it finds the next run", false },
+	};
+	size_t c;
 
 	(void)state;
-	drain_new(&x, 2);
-	drain_list_machines(&x);
-	drain_submit(&x, id_a, 1);
-	drain_advance(&x, 100);
-	assert_int_equal(x.starts, 1);
-	ended = (struct sched_ended){ ++x.runs.end_seq, x.runs.orders[0].task,
-				      1, SCHED_STOPPED, "" };
-	report(&x.r, find_instance(&x.r, "i-1"), NULL, 0, &ended, 1, x.r.now);
-	write_all(&x.r);
-	drain_add_long_wave(&x, 1, 0);
-	drain_advance(&x, STOPPED_AGAIN_MS - 100);
-	assert_int_equal(x.stops, 0);
-	drain_advance(&x, 1000);
-	assert_int_equal(x.stops, 1);
-	drain_free(&x);
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		static const char task[] = "000000000000000a.0.0.0";
+		struct drain_rig x;
+		struct sched_ended ended = { 0 };
+		struct sched_order found = { .kind = ORDER_START,
+					     .instance_id = "i-0",
+					     .number = 10002 };
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 2);
+		drain_list_machines(&x);
+		drain_submit(&x, id_a, 1);
+		if (cases[c].end_unknown) {
+			drain_advance(&x, 100);
+			ended = (struct sched_ended){ ++x.runs.end_seq, task, 1,
+						      SCHED_STOPPED, "" };
+			report(&x.r, find_instance(&x.r, "i-1"), NULL, 0,
+			       &ended, 1, x.r.now);
+			write_all(&x.r);
+		} else {
+			memcpy(found.task, task, sizeof(task));
+			drain_runs_note(&x.runs, &found);
+			drain_runs_report(&x.runs, &x.r, SCHED_STOPPED);
+		}
+		drain_add_long_wave(&x, 1, 0);
+		drain_advance(&x, STOPPED_AGAIN_MS - 100);
+		assert_int_equal(x.stops, 0);
+		drain_advance(&x, 1000);
+		assert_int_equal(x.stops, 1);
+		drain_free(&x);
+	}
 }
 
 /*
