sched_waits: a first start without an answer is a wait

A long-running task whose first start gets no answer had no line while it waited: a task that has a run, and never had one that worked, counted as one that doesn't wait. It waits since its job was accepted, or the term began, like one without a run. waits_test has a case: no line before.

--- a/src/pool/sched_waits.c
+++ b/src/pool/sched_waits.c
@@ -90,7 +90,8 @@
 {
 	uint64_t since = task_unavailable_since(s, task);
 
-	if (task->runs && !task->unavailable_since_ms)
+	if (task->runs && task->runs->running_since_ms &&
+	    !task->unavailable_since_ms)
 		return 0;
 	return now > since ? now - since : 0;
 }
--- a/test/waits_test.c
+++ b/test/waits_test.c
@@ -237,13 +237,15 @@
 	BLOCKED_LABEL,
 	BLOCKED_UNREPORTED,
 	BLOCKED_CAP,
-	BLOCKED_UNANSWERED, /* its second start */
+	BLOCKED_FIRST_UNANSWERED, /* its first start */
+	BLOCKED_UNANSWERED,	  /* its second start */
 };
 
 static void submit_blocked(struct fixture *x, enum blocked_by by)
 {
 	const bool runs_first = by == BLOCKED_UNANSWERED;
-	Fleet__JobRow *row = job_row(runs_first ? 1 : 3, 1, true);
+	const uint32_t tasks = by >= BLOCKED_FIRST_UNANSWERED ? 1 : 3;
+	Fleet__JobRow *row = job_row(tasks, 1, true);
 	uint32_t after;
 
 	row->steps[0]->may_miss = 0;
@@ -289,6 +291,8 @@
 		{ BLOCKED_UNREPORTED, SCHED_WAIT_PLACE, "unreported instance",
 		  0, 1, 0 },
 		{ BLOCKED_CAP, SCHED_WAIT_CAP, "", 0, 0, 0 },
+		{ BLOCKED_FIRST_UNANSWERED, SCHED_WAIT_UNANSWERED, "", 0, 0,
+		  1 },
 		{ BLOCKED_UNANSWERED, SCHED_WAIT_UNANSWERED, "", 0, 0, 1 },
 	};
 	size_t c;
@@ -308,8 +312,9 @@
 		submit_blocked(&x, cases[c].by);
 		for (n = 0; n < 2600 / PASS_MS; n++) {
 			pass(&x,
-			     cases[c].by == BLOCKED_UNANSWERED ? ORDER_LOST
-							       : ORDER_DONE,
+			     cases[c].by >= BLOCKED_FIRST_UNANSWERED
+				     ? ORDER_LOST
+				     : ORDER_DONE,
 			     SCHED_STOPPED);
 			sched_pool_load(x.r.s, "p", &load);
 		}
