--- a/test/unanswered_test.c
+++ b/test/unanswered_test.c
@@ -12,14 +12,14 @@
 #define ORDER_MS 300u	/* timeout of an order */
 #define STOP_MS 200u	/* longest stop */
 #define STARTUP_MS 300u /* until a task works */
-#define HELD_MS 2000u	/* until an order that is held is carried out */
-
-/* What an instance does with orders, in turn. */
-enum fate {
-	FATE_DONE,
-	FATE_NONE,	 /* neither carried out nor answered */
-	FATE_UNANSWERED, /* carried out */
-	FATE_HELD,	 /* not answered, carried out after HELD_MS */
+#define LATE_MS 2000u	/* until a late order is carried out */
+
+/* What becomes of an order. */
+enum delivery {
+	DELIVERED,
+	LOST,		/* neither carried out nor answered */
+	ANSWER_LOST,	/* carried out */
+	DELIVERED_LATE, /* not answered, carried out after LATE_MS */
 };
 
 struct order_call {
@@ -49,13 +49,14 @@
 	struct run runs[RUNS_MAX];
 	uint32_t order_count, poll_count, run_count;
 	uint64_t end_seq;
-	enum fate start_fates[8], stop_fates[8]; /* of the first ones */
+	enum delivery start_deliveries[8],
+		stop_deliveries[8]; /* of the first ones */
 	uint32_t starts, stops;
 	uint64_t start_ms[CALLS_MAX], stop_ms[CALLS_MAX];
 	char start_on[CALLS_MAX][16];
 	char start_of[CALLS_MAX][SCHED_TASK_MAX];
 	uint32_t stop_takes_ms;
-	const char *dark; /* instance that answers nothing; NULL: none */
+	const char *gone; /* instance that answers nothing; NULL: none */
 };
 
 static struct run *find_run(struct fixture *x, const struct sched_order *o)
@@ -105,31 +106,31 @@
 static void send_order(struct fixture *x, const struct sched_order *o)
 {
 	struct order_call *c = &x->orders[x->order_count++];
-	enum fate fate = FATE_DONE;
+	enum delivery delivery = DELIVERED;
 
-	if (x->dark && !strcmp(o->instance_id, x->dark))
-		fate = FATE_NONE;
+	if (x->gone && !strcmp(o->instance_id, x->gone))
+		delivery = LOST;
 	assert_true(x->order_count < CALLS_MAX);
 	if (o->kind == ORDER_START) {
-		if (x->starts < 8 && x->start_fates[x->starts])
-			fate = x->start_fates[x->starts];
+		if (x->starts < 8 && x->start_deliveries[x->starts])
+			delivery = x->start_deliveries[x->starts];
 		snprintf(x->start_on[x->starts], 16, "%s", o->instance_id);
 		memcpy(x->start_of[x->starts], o->task, SCHED_TASK_MAX);
 		x->start_ms[x->starts++] = x->r.now;
 	} else {
-		if (x->stops < 8 && x->stop_fates[x->stops])
-			fate = x->stop_fates[x->stops];
+		if (x->stops < 8 && x->stop_deliveries[x->stops])
+			delivery = x->stop_deliveries[x->stops];
 		x->stop_ms[x->stops++] = x->r.now;
 	}
 	c->order = *o;
 	c->sent_ms = x->r.now;
-	c->answered = fate == FATE_DONE;
+	c->answered = delivery == DELIVERED;
 	c->answer_ms = x->r.now + (c->answered ? ANSWER_MS : ORDER_MS);
 	c->done_ms = x->r.now + ANSWER_MS;
-	if (fate == FATE_NONE)
+	if (delivery == LOST)
 		c->done_ms = UINT64_MAX;
-	if (fate == FATE_HELD)
-		c->done_ms = x->r.now + HELD_MS;
+	if (delivery == DELIVERED_LATE)
+		c->done_ms = x->r.now + LATE_MS;
 }
 
 static void run_orders(struct fixture *x)
@@ -189,7 +190,7 @@
 				0
 			};
 	}
-	if (x->dark && !strcmp(c->poll.instance_id, x->dark)) {
+	if (x->gone && !strcmp(c->poll.instance_id, x->gone)) {
 		if (x->r.now < c->sent_ms + c->poll.timeout_ms)
 			return false;
 		sched_poll_done(x->r.s, c->poll.instance, NULL, c->sent_ms,
@@ -286,49 +287,49 @@
 	static const struct {
 		const char *name;
 		uint32_t may_miss;
-		enum fate starts[2], stops[2];
+		enum delivery starts[2], stops[2];
 		uint32_t starts_count, stops_count;
 		uint32_t again_ms; /* longest time to the last start */
 	} cases[] = {
 		{ "the start is lost",
 		  0,
-		  { FATE_NONE },
-		  { FATE_DONE },
+		  { LOST },
+		  { DELIVERED },
 		  2,
 		  1,
 		  ORDER_MS + ORDER_MS + STOP_MS },
 		{ "the start is lost, with a budget",
 		  1,
-		  { FATE_NONE },
-		  { FATE_DONE },
+		  { LOST },
+		  { DELIVERED },
 		  2,
 		  1,
 		  ORDER_MS + ORDER_MS + STOP_MS },
-		{ "the start is held",
+		{ "the start is carried out late",
 		  1,
-		  { FATE_HELD },
-		  { FATE_DONE },
+		  { DELIVERED_LATE },
+		  { DELIVERED },
 		  2,
 		  1,
 		  ORDER_MS + ORDER_MS + STOP_MS },
 		{ "two starts are lost",
 		  0,
-		  { FATE_NONE, FATE_NONE },
-		  { FATE_DONE },
+		  { LOST, LOST },
+		  { DELIVERED },
 		  3,
 		  2,
 		  2 * (ORDER_MS + ORDER_MS + STOP_MS) },
 		{ "the stop is lost, too",
 		  1,
-		  { FATE_NONE },
-		  { FATE_NONE },
+		  { LOST },
+		  { LOST },
 		  2,
 		  2,
 		  ORDER_MS + 2 * ORDER_MS + STOP_MS },
 		{ "only the answer is lost",
 		  1,
-		  { FATE_UNANSWERED },
-		  { FATE_DONE },
+		  { ANSWER_LOST },
+		  { DELIVERED },
 		  1,
 		  0,
 		  0 },
@@ -342,8 +343,10 @@
 
 		print_message("%s\n", cases[c].name);
 		fixture_new(&x);
-		memcpy(x.start_fates, cases[c].starts, sizeof(cases[c].starts));
-		memcpy(x.stop_fates, cases[c].stops, sizeof(cases[c].stops));
+		memcpy(x.start_deliveries, cases[c].starts,
+		       sizeof(cases[c].starts));
+		memcpy(x.stop_deliveries, cases[c].stops,
+		       sizeof(cases[c].stops));
 		submit_lasting(&x, id_a, 1, cases[c].may_miss, "");
 		advance(&x, 12000);
 		assert_int_equal(runs_of(&x, id_a), 1);
@@ -366,7 +369,7 @@
 	fixture_new(&x);
 	submit_lasting(&x, id_a, 1, 1, "");
 	advance(&x, 1500);
-	x.stop_fates[0] = FATE_NONE;
+	x.stop_deliveries[0] = LOST;
 	sched_relocate(x.r.s, find_instance(&x.r, "i-0"), true, true, x.r.now);
 	sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
 	advance(&x, 3000);
@@ -378,7 +381,7 @@
 	talloc_free(x.r.s);
 }
 
-/* The instance may hold the start and carry it out before the stop. */
+/* The start may be carried out late, just before the stop. */
 static void test_stop_beyond_budget_comes_early(void **state)
 {
 	static const struct {
@@ -395,7 +398,7 @@
 
 		print_message("%s\n", cases[c].name);
 		fixture_new(&x);
-		x.start_fates[0] = x.start_fates[1] = FATE_NONE;
+		x.start_deliveries[0] = x.start_deliveries[1] = LOST;
 		submit_lasting(&x, id_a, cases[c].tasks, 1, "");
 		advance(&x, 6000);
 		assert_true(x.stops >= cases[c].tasks);
@@ -426,9 +429,9 @@
 			sched_mark_maintenance(x.r.s,
 					       find_instance(&x.r, "i-2"));
 		}
-		x.start_fates[0] = FATE_NONE;
+		x.start_deliveries[0] = LOST;
 		if (!cases[c].others_due)
-			x.start_fates[1] = FATE_NONE;
+			x.start_deliveries[1] = LOST;
 		submit_lasting(&x, id_a, 1, 0, "");
 		advance(&x, 12000);
 		assert_int_equal(x.starts, cases[c].others_due ? 2 : 3);
@@ -455,7 +458,7 @@
 	x.stop_takes_ms = 600;
 	sched_relocate(x.r.s, find_instance(&x.r, "i-0"), true, true, x.r.now);
 	sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
-	x.start_fates[1] = x.start_fates[2] = FATE_NONE;
+	x.start_deliveries[1] = x.start_deliveries[2] = LOST;
 	submit_lasting(&x, drain_id_other, 1, 0, "l");
 	advance(&x, 3000);
 	assert_string_equal(x.start_on[1], "i-1");
@@ -470,10 +473,10 @@
  * Polls of idle instances wait for 2 s, so i-1 isn't known to be gone; a place
  * on an instance that answers is used.
  */
-static void test_place_is_held_on_a_dark_instance(void **state)
+static void test_place_is_held_on_an_instance_that_is_gone(void **state)
 {
 	static const struct {
-		const char *dark, *start_on;
+		const char *gone, *start_on;
 	} cases[] = { { "i-1", "i-2" }, { NULL, "i-1" } };
 	size_t c;
 
@@ -485,7 +488,7 @@
 		submit_lasting(&x, id_a, 1, 0, "");
 		advance(&x, 1100);
 		assert_string_equal(x.start_on[0], "i-0");
-		x.dark = cases[c].dark;
+		x.gone = cases[c].gone;
 		sched_relocate(x.r.s, find_instance(&x.r, "i-0"), true, true,
 			       x.r.now);
 		sched_reserve(x.r.s, find_instance(&x.r, "i-0"), true, x.r.now);
@@ -505,7 +508,8 @@
 		cmocka_unit_test(test_stop_beyond_budget_comes_early),
 		cmocka_unit_test(test_silent_instance_gets_the_next_start),
 		cmocka_unit_test(test_place_is_held_on_a_silent_instance),
-		cmocka_unit_test(test_place_is_held_on_a_dark_instance),
+		cmocka_unit_test(
+			test_place_is_held_on_an_instance_that_is_gone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
