maintenance: no task is stopped beside a machine that is just back

Cause: a task may be stopped without another place unless a machine of its pool is away and about to come back. A machine counted as away until its maintenance is over; its instance is listed up to a second later. It is waited for now, for INSTANCE_WAIT_MS at most. drain_test's test_stopped_beside_a_machine_that_is_back failed before (two stops, one wanted).

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -237,6 +237,23 @@
 	return demand_none_ms(f, m->pool, now) >= (no_time ? 1 : POOL_SHORT_MS);
 }
 
+/* Whether a machine of the pool is back and its instance isn't usable yet. */
+static bool instance_is_due(const struct fleet *f, const struct sched *s,
+			    const char *pool, uint64_t now)
+{
+	struct sched_instance_load load;
+	const struct machine *m;
+
+	for (m = f->machines; m; m = m->hh.next)
+		if (m->phase == PHASE_NONE && m->back_ms &&
+		    now - m->back_ms < INSTANCE_WAIT_MS &&
+		    !strcmp(m->pool, pool) &&
+		    (!sched_machine_load(s, m->name, &load) || !load.usable ||
+		     load.unreported))
+			return true;
+	return false;
+}
+
 /*
  * Whether the machine's long-running tasks may be stopped although no other
  * instance has room for one of them: its pool can't be given a machine, none of
@@ -250,6 +267,7 @@
 
 	if (w->away + w->emptied >= w->max_concurrent ||
 	    !pool_is_short(f, w, m, now) ||
+	    instance_is_due(f, s, m->pool, now) ||
 	    !sched_may_empty(s, load->instance, now))
 		return false;
 	for (other = f->machines; other; other = other->hh.next)
@@ -259,23 +277,6 @@
 	return true;
 }
 
-/* Whether a machine of the pool is back and its instance isn't usable yet. */
-static bool instance_is_due(const struct fleet *f, const struct sched *s,
-			    const char *pool, uint64_t now)
-{
-	struct sched_instance_load load;
-	const struct machine *m;
-
-	for (m = f->machines; m; m = m->hh.next)
-		if (m->phase == PHASE_NONE && m->back_ms &&
-		    now - m->back_ms < INSTANCE_WAIT_MS &&
-		    !strcmp(m->pool, pool) &&
-		    (!sched_machine_load(s, m->name, &load) || !load.usable ||
-		     load.unreported))
-			return true;
-	return false;
-}
-
 /*
  * Whether the machine may be drained now; looks for places for its tasks.
  * lacks_place: a task has none, so the wave waits for a machine.
--- a/test/drain_test.c
+++ b/test/drain_test.c
@@ -547,6 +547,45 @@
 	drain_free(&x);
 }
 
+/*
+ * A task is stopped without another place while a machine of its pool is back
+ * from its maintenance and its instance is about to be listed.
+ */
+static void test_stopped_beside_a_machine_that_is_back(void **state)
+{
+	static const char *const full[] = { "i-0" };
+	static const char *const freed[] = { "i-1" };
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 2);
+	drain_list_machines(&x);
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 100);
+	drain_submit(&x, drain_id_other, 1);
+	drain_advance(&x, 100);
+	assert_int_equal(x.starts, 2);
+	assert_string_equal(x.runs.orders[1].instance_id, "i-1");
+	fleet_add_wave(x.f, "wave/1", 1, 1, 20000, full, 1, x.r.now - 9000);
+	drain_advance(&x, 1000);
+	sched_cancel(x.r.s, drain_id_other, x.r.queue.name, x.r.now);
+	fleet_add_wave(x.f, "wave/2", 2, 1, 9000, freed, 1, x.r.now);
+	drain_advance(&x, 100);
+	assert_int_equal(x.upkeeps, 1);
+	assert_int_equal(x.stops, 1);
+	sched_instance_unlisted(x.r.s, "i-1", x.r.now);
+	x.runs.silent = "i-1";
+	drain_advance(&x, 2900);
+	assert_int_equal(x.stops, 1);
+	x.runs.silent = NULL;
+	x.r.started_unix_ms++;
+	add_instance(&x.r, "i-1", false);
+	drain_advance(&x, 500);
+	assert_int_equal(x.stops, 2);
+	assert_int_equal(x.starts, 3);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -567,6 +606,7 @@
 		cmocka_unit_test(test_instance_listed_beside_its_order),
 		cmocka_unit_test(test_wave_due_first_goes_last),
 		cmocka_unit_test(test_blocked_machines_hide_another),
+		cmocka_unit_test(test_stopped_beside_a_machine_that_is_back),
 		cmocka_unit_test(test_no_other_place),
 		cmocka_unit_test(test_drained_machine_is_needed),
 	};
