fleet: demand of pools whose memory or accelerators are used up

What callers saw: jobs waited for good in a pool whose machines long-running tasks fill by memory, beside idle machines of other pools; queues of tasks with much memory and little CPU were done one task at a time.

Cause: demand counted CPU only. A pool full by memory with 2.3 of 16 cores in use showed a surplus: it got no machine, and gave machines away.

Change: a pool is stranded also if a task that may start fits on none of its instances once all that ends by itself has ended there, and it has no idle instance (another machine like that would not help). Its deficit is the largest by CPU, memory and accelerators, its surplus the smallest; of the latter two only what long-running tasks leave counts, and no more than waiting tasks request. A backlog outlasts a move also by either of them.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -121,6 +121,107 @@
 	return wanted > incoming ? wanted - incoming : 0;
 }
 
+/*
+ * Demand for memory or for accelerators. Long-running tasks don't give theirs
+ * back, so only the room that they leave counts.
+ */
+struct room_demand {
+	int64_t machine; /* mean of the pool's machines; 0: they have none */
+	int64_t room;
+	int64_t coming;	 /* on machines that are being moved to the pool */
+	int64_t used;	 /* of room */
+	int64_t waiting; /* requested by tasks that may start */
+	int64_t work;	 /* of these, x ms */
+};
+
+#define ROOM_DEMANDS 2u
+
+static void set_room(const struct pool_balance *v, struct room_demand *d,
+		     int64_t capacity, int64_t lasting)
+{
+	d->machine = v->load.instances ? capacity / v->load.instances : 0;
+	d->room = capacity - lasting;
+	d->coming = d->machine * (v->incoming + v->moved_in);
+}
+
+static void room_demands(const struct pool_balance *v,
+			 struct room_demand *demands)
+{
+	const struct sched_pool_load *l = &v->load;
+
+	demands[0].used = l->used.mem - l->lasting.mem;
+	demands[0].waiting = l->allowed.mem;
+	demands[0].work = l->allowed_work.mem;
+	set_room(v, &demands[0], l->capacity.mem, l->lasting.mem);
+	demands[1].used = l->used.gpu - l->lasting.gpu;
+	demands[1].waiting = l->allowed.gpu;
+	demands[1].work = l->allowed_work.gpu;
+	set_room(v, &demands[1], l->capacity.gpu, l->lasting.gpu);
+}
+
+static int64_t min_int64(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t max_int64(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* Returns the CPU of the machines that have so much of a resource. */
+static int64_t machines_cpu(const struct pool_balance *v, int64_t amount,
+			    int64_t machine)
+{
+	return (int64_t)((double)amount / (double)machine *
+			 (double)v->machine_cpu);
+}
+
+/*
+ * Returns the CPU of the machines that it lacks for memory or accelerators, and
+ * no more than what waits takes: unlike CPU, it can't be used up faster.
+ */
+static int64_t room_deficit(const struct pool_balance *v)
+{
+	struct room_demand demands[ROOM_DEMANDS];
+	int64_t deficit = 0;
+	uint32_t n;
+
+	room_demands(v, demands);
+	for (n = 0; n < ROOM_DEMANDS; n++) {
+		const struct room_demand *d = &demands[n];
+		int64_t needed = min_int64(d->work / BACKLOG_TARGET_MS,
+					   d->used + d->waiting);
+
+		if (d->machine)
+			deficit = max_int64(
+				deficit,
+				machines_cpu(v, needed - d->room - d->coming,
+					     d->machine));
+	}
+	return deficit;
+}
+
+/* Limits a surplus of CPU to the machines that are not kept for either. */
+static int64_t limit_surplus(const struct pool_balance *v, int64_t surplus)
+{
+	struct room_demand demands[ROOM_DEMANDS];
+	uint32_t n;
+
+	room_demands(v, demands);
+	for (n = 0; n < ROOM_DEMANDS; n++) {
+		const struct room_demand *d = &demands[n];
+		int64_t kept = (int64_t)((double)(d->used + d->waiting) /
+					 DONOR_UTILIZATION_MAX);
+
+		if (d->machine && kept)
+			surplus = min_int64(
+				surplus,
+				machines_cpu(v, d->room - kept, d->machine));
+	}
+	return surplus;
+}
+
 static void compute_demand(struct pool_balance *v)
 {
 	const struct sched_pool_load *l = &v->load;
@@ -142,6 +243,7 @@
 		needed_cpu = v->coming_cpu;
 	v->coming_deficit =
 		needed_cpu > capacity ? needed_cpu - capacity - v->deficit : 0;
+	v->deficit = max_int64(v->deficit, room_deficit(v));
 	if (machines < v->load.spread + SPREAD_RESERVE && v->load.spread)
 		v->deficit += v->machine_cpu *
 			      (v->load.spread + SPREAD_RESERVE - machines);
@@ -152,13 +254,13 @@
 		v->lacking;
 	v->deficit += v->machine_cpu * (v->lacking + v->places_lacking);
 	v->surplus = 0;
-	if (!v->deficit && !v->coming_deficit) {
+	if (!v->deficit && !v->coming_deficit && !l->stranded) {
 		int64_t kept =
 			(int64_t)((double)busy_cpu / DONOR_UTILIZATION_MAX);
 
 		if (kept < v->kept_cpu)
 			kept = v->kept_cpu;
-		v->surplus = l->capacity.cpu - kept;
+		v->surplus = limit_surplus(v, l->capacity.cpu - kept);
 	}
 }
 
@@ -203,11 +305,20 @@
 static bool backlog_outlasts_move(const struct fleet *f,
 				  const struct pool_balance *v)
 {
+	const uint32_t ms = f->options.move_ms + MOVE_MARGIN_MS;
 	uint32_t coming = v->incoming + v->moved_in;
-	int64_t capacity = v->load.capacity.cpu + coming * v->machine_cpu;
-
-	return v->load.allowed_work >
-	       (uint64_t)capacity * (f->options.move_ms + MOVE_MARGIN_MS);
+	struct room_demand demands[ROOM_DEMANDS];
+	bool outlasts = v->load.allowed_work.cpu >
+			(v->load.capacity.cpu + coming * v->machine_cpu) * ms;
+	uint32_t n;
+
+	room_demands(v, demands);
+	for (n = 0; n < ROOM_DEMANDS; n++)
+		outlasts = outlasts ||
+			   (demands[n].machine &&
+			    demands[n].work >
+				    (demands[n].room + demands[n].coming) * ms);
+	return outlasts;
 }
 
 static void assess_pools(struct fleet *f, const struct sched *s, uint64_t now)
--- a/src/pool/sched.h
+++ b/src/pool/sched.h
@@ -515,8 +515,19 @@
 	uint32_t idle; /* of these, usable and without a run or a held place */
 	struct amount capacity;
 	struct amount used;
+	struct amount lasting; /* of used, by long-running tasks */
 	struct amount waiting; /* requested by startable tasks */
-	/* its tasks that end by themselves may start, but on no instance */
+	/*
+	 * Of waiting, by tasks that end by themselves and whose cap allows one
+	 * more; and their work, in millicores, MiB and accelerators x ms
+	 */
+	struct amount allowed;
+	struct amount allowed_work;
+	/*
+	 * Some of these fit on no instance, however many of the tasks that end
+	 * by themselves have ended there. False with an idle instance: another
+	 * machine like it would not help.
+	 */
 	bool stranded;
 	/* instances needed by the long-running step that needs most */
 	uint32_t spread;
@@ -529,7 +540,6 @@
 	/* more of them, for tasks that run where a drain wants to stop them */
 	uint32_t place_machines;
 	uint64_t waiting_work; /* of startable tasks, in millicores x ms */
-	uint64_t allowed_work; /* of it, of steps within their cap */
 	uint64_t arrived_work; /* of jobs accepted by this leader, same unit */
 };
 
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -429,6 +429,7 @@
 	struct pool *pool;
 	struct amount capacity;
 	struct amount used;
+	struct amount lasting; /* of used, by long-running tasks */
 	uint64_t started_unix_ms;
 	bool listed;		 /* in the directory */
 	bool leaving;		 /* draining, or its machine was ordered down */
--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -13,6 +13,8 @@
  * after a pool with evacuated instances alone refused a job
  */
 #define NO_PLACE_VALID_MS 500u
+/* Searches for steps of a pool that may fit on no instance, in one call */
+#define ROOM_SEARCHES_MAX 8u
 /* Load of pools */
 
 /* Whether the instance counts towards the capacity of its pool. */
@@ -38,6 +40,63 @@
 	       cap_allows(s, step, 1);
 }
 
+/* Run times of the step's startable tasks, in ms, as waiting_work has them. */
+static int64_t waiting_ms(const struct step *step)
+{
+	if (step->spec->cpu)
+		return (int64_t)(step->waiting_work / step->spec->cpu);
+	return (int64_t)(step->startable *
+			 estimate_scaled_ms(
+				 step->spec,
+				 estimate_ratio(step->job->queue_count)));
+}
+
+static void add_allowed(const struct step *step, const struct amount *a,
+			struct sched_pool_load *load)
+{
+	const int64_t ms = waiting_ms(step);
+
+	load->allowed.cpu += a->cpu * step->startable;
+	load->allowed.mem += a->mem * step->startable;
+	load->allowed.gpu += a->gpu * step->startable;
+	load->allowed_work.cpu += (int64_t)step->waiting_work;
+	load->allowed_work.mem += a->mem * ms;
+	load->allowed_work.gpu += a->gpu * ms;
+}
+
+/* Room that long-running tasks leave on an instance, as found so far. */
+struct room_left {
+	struct amount found; /* on one instance */
+	uint32_t searches;
+};
+
+/*
+ * Whether some instance has that much room once what ends by itself has ended.
+ * Also true after too many searches: steps in front of this one go first.
+ */
+static bool has_room_left(const struct pool *pool, const struct amount *a,
+			  struct room_left *left)
+{
+	const struct instance *i;
+
+	if (left->searches && amount_covers(&left->found, a))
+		return true;
+	if (left->searches++ >= ROOM_SEARCHES_MAX)
+		return true;
+	DL_FOREACH2(pool->instances, i, pool_next)
+	{
+		struct amount unused = i->capacity;
+
+		amount_sub(&unused, &i->lasting);
+		if (!counts_as_capacity(i) || i->unresponsive ||
+		    !amount_covers(&unused, a))
+			continue;
+		left->found = unused;
+		return true;
+	}
+	return false;
+}
+
 /*
  * Sets the mean size of the pool's machines. Those of evacuated zones count:
  * the pool may have no others, and needs some like them.
@@ -160,7 +219,7 @@
 	const struct instance *i;
 	const struct step *step;
 	double machines = 0;
-	uint32_t responsive = 0;
+	struct room_left left = { 0 };
 
 	memset(load, 0, sizeof(*load));
 	load->pool = name;
@@ -174,9 +233,9 @@
 		load->instances++;
 		load->pinned += is_pinned(i);
 		load->idle += is_idle(s, i);
-		responsive += !i->unresponsive;
 		amount_add(&load->capacity, &i->capacity);
 		amount_add(&load->used, &i->used);
+		amount_add(&load->lasting, &i->lasting);
 	}
 	set_machine_size(pool, &size);
 	set_largest_empty(s, pool, &largest_empty);
@@ -191,8 +250,10 @@
 		load->waiting.mem += a.mem * step->startable;
 		load->waiting.gpu += a.gpu * step->startable;
 		if (may_start(s, step)) {
-			load->allowed_work += step->waiting_work;
-			load->stranded = load->stranded || !responsive;
+			add_allowed(step, &a, load);
+			if (!load->stranded && !load->idle)
+				load->stranded =
+					!has_room_left(pool, &a, &left);
 		}
 		machines +=
 			machines_for_waiting(s, step, &size, &largest_empty);
--- a/src/pool/sched_run.c
+++ b/src/pool/sched_run.c
@@ -58,10 +58,14 @@
 	share_count_run(step, begins);
 	if (begins) {
 		amount_add(&run->instance->used, &on_instance);
+		if (step->spec->lasting)
+			amount_add(&run->instance->lasting, &on_instance);
 		if (w)
 			amount_add(&w->used, &requested);
 	} else {
 		amount_sub(&run->instance->used, &on_instance);
+		if (step->spec->lasting)
+			amount_sub(&run->instance->lasting, &on_instance);
 		if (w)
 			amount_sub(&w->used, &requested);
 	}
--- a/test/donor_test.c
+++ b/test/donor_test.c
@@ -351,6 +351,111 @@
 	}
 }
 
+/* Lists an instance with an accelerator besides what others have. */
+static void add_machine(struct drain_rig *x, const char *id, const char *pool)
+{
+	struct sched_instance_info info = {
+		.id = id,
+		.address = "a:1",
+		.zone = "z",
+		.pool = pool,
+		.machine = id,
+		.started_unix_ms = x->r.started_unix_ms,
+		.capacity = { 4000, 4000, 1 },
+		.label_count = 1,
+		.labels = { "r1" },
+	};
+
+	sched_instance_listed(x->r.s, &info, x->r.now);
+	drain_add_machine(x, id, pool);
+}
+
+static Fleet__JobRow *row_of_size(uint32_t tasks, uint32_t mem, uint32_t gpu,
+				  uint32_t estimate_ms)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, false);
+
+	row->steps[0]->cpu = 100;
+	row->steps[0]->mem = mem;
+	row->steps[0]->gpu = gpu;
+	row->steps[0]->estimate_ms = estimate_ms;
+	return row;
+}
+
+/* Jobs wait for good, as CPU is free where memory or accelerators are not. */
+static void test_full_by_memory_beside_idle_machines(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t lasting, lasting_mem, lasting_gpu; /* tasks; of each */
+		uint32_t tasks, mem, gpu;
+		uint32_t estimate_ms;
+		uint32_t moves;
+	} cases[] = {
+		{ "long-running tasks leave too little memory", 2, 3000, 0, 1,
+		  2000, 0, 500, 1 },
+		{ "they take the accelerators", 2, 100, 1, 1, 100, 1, 500, 1 },
+		{ "two jobs get one machine first", 2, 3000, 0, 2, 2000, 0, 100,
+		  1 },
+		{ "they leave enough", 2, 1000, 0, 1, 2000, 0, 500, 0 },
+		{ "memory is free on one instance", 1, 3000, 0, 1, 2000, 0, 500,
+		  0 },
+		{ "a short queue by memory", 0, 0, 0, 3, 3000, 0, 100, 0 },
+		{ "a backlog by memory", 0, 0, 0, 10, 3000, 0, 2000, 1 },
+		{ "a backlog by accelerators", 0, 0, 0, 10, 10, 1, 2000, 1 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		Fleet__JobRow *row;
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 0);
+		add_machine(&x, "i-0", "p");
+		add_machine(&x, "i-1", "p");
+		add_machine(&x, "b-0", "backlog");
+		add_machine(&x, "b-1", "backlog");
+		make_all_usable(&x.r);
+		drain_list_machines(&x);
+		if (cases[c].lasting) {
+			row = row_of_size(cases[c].lasting,
+					  cases[c].lasting_mem,
+					  cases[c].lasting_gpu, 500);
+			row->steps[0]->lasting = true;
+			drain_submit_row(&x, drain_id_other, row);
+			drain_advance(&x, 500);
+			assert_int_equal(x.starts, cases[c].lasting);
+		}
+		drain_submit_row(&x, id_a,
+				 row_of_size(cases[c].tasks, cases[c].mem,
+					     cases[c].gpu,
+					     cases[c].estimate_ms));
+		drain_advance(&x, 500);
+		assert_int_equal(x.moves, cases[c].moves);
+		drain_free(&x);
+	}
+}
+
+/* A pool whose machines are full by memory gives one to another pool. */
+static void test_surplus_of_pool_full_by_memory(void **state)
+{
+	struct fleet_stats stats;
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 3);
+	add_idle_machines(&x, 1);
+	drain_submit_row(&x, id_a, row_of_size(4, 3000, 0, 2000));
+	drain_advance(&x, 200);
+	drain_submit_row(&x, drain_id_other, short_row("backlog", 10, 500));
+	drain_advance(&x, 500);
+	fleet_stats(x.f, &stats);
+	assert_int_equal(stats.draining + x.moves, 0);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -358,6 +463,8 @@
 		cmocka_unit_test(test_pool_without_machine_beside_idle_ones),
 		cmocka_unit_test(test_last_machine_goes_back_at_once),
 		cmocka_unit_test(test_backlog_beside_quiet_pools),
+		cmocka_unit_test(test_full_by_memory_beside_idle_machines),
+		cmocka_unit_test(test_surplus_of_pool_full_by_memory),
 		cmocka_unit_test(test_reservation_outlives_move),
 		cmocka_unit_test(test_old_list_hides_move),
 		cmocka_unit_test(test_empty_pool_gets_no_machine),
