--- a/test/donor_test.c
+++ b/test/donor_test.c
@@ -266,16 +266,17 @@
 	static const struct {
 		const char *name;
 		uint32_t idle; /* machines of another pool */
-		uint32_t work; /* tasks there, one to a machine */
+		uint32_t work; /* tasks there, one at a time to a machine */
 		bool capped;
 		bool long_running;
-		uint32_t moves;
+		uint32_t moves; /* ordered, or of machines that are drained */
 	} cases[] = {
 		{ "two of a pool without work", 2, 0, false, false, 1 },
 		{ "the last of a pool without work", 1, 0, false, false, 1 },
 		{ "same, for a long-running task", 1, 0, false, true, 1 },
 		{ "one beside one at work", 2, 1, false, false, 1 },
 		{ "the last of a pool at work", 1, 1, false, false, 0 },
+		{ "two at work, with a backlog", 2, 9, false, false, 1 },
 		{ "the workspace is at its cap", 2, 0, true, false, 0 },
 	};
 	size_t c;
@@ -283,6 +284,7 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		Fleet__JobRow *row = short_row("p", 1, 500);
+		struct fleet_stats stats;
 		struct drain_rig x;
 
 		print_message("%s\n", cases[c].name);
@@ -300,11 +302,32 @@
 		row->steps[0]->lasting = cases[c].long_running;
 		drain_submit_row(&x, id_a, row);
 		drain_advance(&x, 300);
-		assert_int_equal(x.moves, cases[c].moves);
+		fleet_stats(x.f, &stats);
+		assert_int_equal(x.moves + stats.draining, cases[c].moves);
 		drain_free(&x);
 	}
 }
 
+/* The last machine leaves a pool whose accepted job isn't written yet. */
+static void test_last_machine_leaves_accepted_job(void **state)
+{
+	struct drain_rig x;
+	uint32_t after;
+
+	(void)state;
+	drain_new(&x, 0);
+	add_idle_machines(&x, 1);
+	drain_submit_row(&x, id_a, short_row("p", 1, 500));
+	assert_int_equal(sched_submit(x.r.s, drain_id_other,
+				      short_row("backlog", 1, 500), x.r.now,
+				      x.r.now, &after),
+			 SUBMIT_ACCEPTED);
+	x.store_slow = true;
+	drain_advance(&x, 300);
+	assert_int_equal(x.moves, 0);
+	drain_free(&x);
+}
+
 /* A pool takes its only machine back as soon as it has given it away. */
 static void test_last_machine_goes_back_at_once(void **state)
 {
@@ -461,6 +484,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_backlog_keeps_idle_machines),
 		cmocka_unit_test(test_pool_without_machine_beside_idle_ones),
+		cmocka_unit_test(test_last_machine_leaves_accepted_job),
 		cmocka_unit_test(test_last_machine_goes_back_at_once),
 		cmocka_unit_test(test_backlog_beside_quiet_pools),
 		cmocka_unit_test(test_full_by_memory_beside_idle_machines),
