--- a/test/donor_test.c
+++ b/test/donor_test.c
@@ -266,16 +266,17 @@
 	static const struct {
 		const char *name;
 		uint32_t idle; /* machines of another pool */
-		uint32_t work; /* tasks there, one to a machine */
+		uint32_t work; /* tasks there, one at a time to a machine */
 		bool capped;
 		bool long_running;
-		uint32_t moves;
+		uint32_t moves; /* ordered, or of machines that are drained */
 	} cases[] = {
 		{ "two of a pool without work", 2, 0, false, false, 1 },
 		{ "the last of a pool without work", 1, 0, false, false, 1 },
 		{ "same, for a long-running task", 1, 0, false, true, 1 },
 		{ "one beside one at work", 2, 1, false, false, 1 },
 		{ "the last of a pool at work", 1, 1, false, false, 0 },
+		{ "two at work, with a backlog", 2, 9, false, false, 1 },
 		{ "the workspace is at its cap", 2, 0, true, false, 0 },
 	};
 	size_t c;
@@ -283,6 +284,7 @@
 	(void)state;
 	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
 		Fleet__JobRow *row = short_row("p", 1, 500);
+		struct fleet_stats stats;
 		struct drain_rig x;
 
 		print_message("%s\n", cases[c].name);
@@ -300,11 +302,32 @@
 		row->steps[0]->lasting = cases[c].long_running;
 		drain_submit_row(&x, id_a, row);
 		drain_advance(&x, 300);
-		assert_int_equal(x.moves, cases[c].moves);
+		fleet_stats(x.f, &stats);
+		assert_int_equal(x.moves + stats.draining, cases[c].moves);
 		drain_free(&x);
 	}
 }
 
+/* The last machine leaves a pool whose accepted job isn't written yet. */
+static void test_last_machine_leaves_accepted_job(void **state)
+{
+	struct drain_rig x;
+	uint32_t after;
+
+	(void)state;
+	drain_new(&x, 0);
+	add_idle_machines(&x, 1);
+	drain_submit_row(&x, id_a, short_row("p", 1, 500));
+	assert_int_equal(sched_submit(x.r.s, drain_id_other,
+				      short_row("backlog", 1, 500), x.r.now,
+				      x.r.now, &after),
+			 SUBMIT_ACCEPTED);
+	x.store_slow = true;
+	drain_advance(&x, 300);
+	assert_int_equal(x.moves, 0);
+	drain_free(&x);
+}
+
 /* A pool takes its only machine back as soon as it has given it away. */
 static void test_last_machine_goes_back_at_once(void **state)
 {
@@ -395,13 +418,121 @@
 	drain_free(&x);
 }
 
+/* Lists an instance with an accelerator besides what others have. */
+static void add_machine(struct drain_rig *x, const char *id, const char *pool)
+{
+	struct sched_instance_info info = {
+		.id = id,
+		.address = "a:1",
+		.zone = "z",
+		.pool = pool,
+		.machine = id,
+		.started_unix_ms = x->r.started_unix_ms,
+		.capacity = { 4000, 4000, 1 },
+		.label_count = 1,
+		.labels = { "r1" },
+	};
+
+	sched_instance_listed(x->r.s, &info, x->r.now);
+	drain_add_machine(x, id, pool);
+}
+
+static Fleet__JobRow *row_of_size(uint32_t tasks, uint32_t mem, uint32_t gpu,
+				  uint32_t estimate_ms)
+{
+	Fleet__JobRow *row = job_row(tasks, 1, false);
+
+	row->steps[0]->cpu = 100;
+	row->steps[0]->mem = mem;
+	row->steps[0]->gpu = gpu;
+	row->steps[0]->estimate_ms = estimate_ms;
+	return row;
+}
+
+/* Jobs wait for good, as CPU is free where memory or accelerators are not. */
+static void test_full_by_memory_beside_idle_machines(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t lasting, lasting_mem, lasting_gpu; /* tasks; of each */
+		uint32_t tasks, mem, gpu;
+		uint32_t estimate_ms;
+		uint32_t moves;
+	} cases[] = {
+		{ "long-running tasks leave too little memory", 2, 3000, 0, 1,
+		  2000, 0, 500, 1 },
+		{ "they take the accelerators", 2, 100, 1, 1, 100, 1, 500, 1 },
+		{ "two jobs get one machine first", 2, 3000, 0, 2, 2000, 0, 100,
+		  1 },
+		{ "they leave enough", 2, 1000, 0, 1, 2000, 0, 500, 0 },
+		{ "memory is free on one instance", 1, 3000, 0, 1, 2000, 0, 500,
+		  0 },
+		{ "a short queue by memory", 0, 0, 0, 3, 3000, 0, 100, 0 },
+		{ "a backlog by memory", 0, 0, 0, 10, 3000, 0, 2000, 1 },
+		{ "a backlog by accelerators", 0, 0, 0, 10, 10, 1, 2000, 1 },
+	};
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		Fleet__JobRow *row;
+		struct drain_rig x;
+
+		print_message("%s\n", cases[c].name);
+		drain_new(&x, 0);
+		add_machine(&x, "i-0", "p");
+		add_machine(&x, "i-1", "p");
+		add_machine(&x, "b-0", "backlog");
+		add_machine(&x, "b-1", "backlog");
+		make_all_usable(&x.r);
+		drain_list_machines(&x);
+		if (cases[c].lasting) {
+			row = row_of_size(cases[c].lasting,
+					  cases[c].lasting_mem,
+					  cases[c].lasting_gpu, 500);
+			row->steps[0]->lasting = true;
+			drain_submit_row(&x, drain_id_other, row);
+			drain_advance(&x, 500);
+			assert_int_equal(x.starts, cases[c].lasting);
+		}
+		drain_submit_row(&x, id_a,
+				 row_of_size(cases[c].tasks, cases[c].mem,
+					     cases[c].gpu,
+					     cases[c].estimate_ms));
+		drain_advance(&x, 500);
+		assert_int_equal(x.moves, cases[c].moves);
+		drain_free(&x);
+	}
+}
+
+/* A pool whose machines are full by memory gives one to another pool. */
+static void test_surplus_of_pool_full_by_memory(void **state)
+{
+	struct fleet_stats stats;
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 3);
+	add_idle_machines(&x, 1);
+	drain_submit_row(&x, id_a, row_of_size(4, 3000, 0, 2000));
+	drain_advance(&x, 200);
+	drain_submit_row(&x, drain_id_other, short_row("backlog", 10, 500));
+	drain_advance(&x, 500);
+	fleet_stats(x.f, &stats);
+	assert_int_equal(stats.draining + x.moves, 0);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_backlog_keeps_idle_machines),
 		cmocka_unit_test(test_pool_without_machine_beside_idle_ones),
+		cmocka_unit_test(test_last_machine_leaves_accepted_job),
 		cmocka_unit_test(test_last_machine_goes_back_at_once),
 		cmocka_unit_test(test_backlog_beside_quiet_pools),
+		cmocka_unit_test(test_full_by_memory_beside_idle_machines),
+		cmocka_unit_test(test_surplus_of_pool_full_by_memory),
 		cmocka_unit_test(test_reservation_outlives_move),
 		cmocka_unit_test(test_old_list_hides_move),
 		cmocka_unit_test(test_empty_pool_gets_no_machine),
