poll_test: places that are given up are polled

A planning pass looks for places for all long-running tasks of a machine and releases them if one task has none. Each held place polls its instance at once, so a wave that waits for room polls the same instances in each pass. Fails on: 20 polls in 20 passes, at most 1 expected.

--- a/test/poll_test.c
+++ b/test/poll_test.c
@@ -527,10 +527,71 @@
 	talloc_free(r.s);
 }
 
+/* Reports the runs that were started on the instance. */
+static void report_started(struct rig *r, instance_handle_t i,
+			   const struct sched_order *orders, uint32_t count)
+{
+	struct sched_running running[8];
+	uint32_t n, here = 0;
+
+	for (n = 0; n < count; n++)
+		if (orders[n].instance.i == i.i)
+			running[here++] = (struct sched_running){
+				orders[n].task, orders[n].number, "", 100, 0
+			};
+	report(r, i, running, here, NULL, 0, r->now);
+}
+
+/* Only one of two tasks finds another place, so neither is drained. */
+static void test_places_that_are_given_up_are_polled(void **state)
+{
+	Fleet__JobRow *row = job_row(3, 1, true);
+	struct sched_order orders[3];
+	struct sched_poll poll;
+	instance_handle_t i;
+	struct rig r;
+	uint32_t after, n, polls = 0;
+
+	(void)state;
+	rig_new(&r);
+	r.workspace.cap.cpu = 0;
+	rig_become_leader(&r);
+	make_all_usable(&r);
+	row->steps[0]->cpu = 1400; /* an instance has 4000 */
+	sched_submit(r.s, id_a, row, r.now, r.now, &after);
+	write_all(&r);
+	assert_int_equal(take_orders(&r), 3);
+	memcpy(orders, r.orders, sizeof(orders));
+	answer_orders(&r, ORDER_DONE);
+	r.now += 2500;
+	for (n = 0; n < 2; n++) {
+		poll = next_poll(&r, find_instance(&r, n ? "i-1" : "i-0"));
+		report_started(&r, poll.instance, orders, 3);
+	}
+	i = orders[0].instance.i == orders[1].instance.i ||
+			    orders[0].instance.i == orders[2].instance.i
+		    ? orders[0].instance
+		    : orders[1].instance;
+	for (n = 0; n < 20; n++) {
+		r.now += 100;
+		sched_tick(r.s, r.now, r.now);
+		assert_int_equal(sched_hold_places(r.s, i, true, r.now),
+				 PLACES_NONE);
+		while (sched_next_poll(r.s, r.now, &poll)) {
+			polls += poll.wait_ms == 0;
+			if (poll.wait_ms == 0)
+				report_started(&r, poll.instance, orders, 3);
+		}
+	}
+	assert_in_range(polls, 0, 1);
+	talloc_free(r.s);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_task_at_work_is_seen_late),
+		cmocka_unit_test(test_places_that_are_given_up_are_polled),
 		cmocka_unit_test(test_instance_outlives_order),
 		cmocka_unit_test(test_older_of_two_answers_is_applied),
 		cmocka_unit_test(test_ack_of_former_incarnation),
