sched_hold: poll a held instance only once the task is to be stopped

The poll is to show whether the instance answers before the stop has ended, so it is sent when places for all tasks are held, or at the stop.

--- a/src/pool/sched_avail.c
+++ b/src/pool/sched_avail.c
@@ -119,6 +119,7 @@
 				continue;
 			emptied = true;
 		}
+		hold_ask(s, run->task, now);
 		sched_trace(s, "relocate", run->task->step->job->id,
 			    "\"step\":%u,\"task\":%u,\"instance\":\"%s\","
 			    "\"other_place\":%d",
--- a/src/pool/sched_hold.c
+++ b/src/pool/sched_hold.c
@@ -24,6 +24,7 @@
 	struct amount requested;
 	bool in_cap; /* requested is counted in workspace.held */
 	uint64_t made_ms;
+	bool asked;		  /* instance_ask() was called for it */
 	struct hold *prev, *next; /* in instance.holds */
 };
 
@@ -142,11 +143,19 @@
 	if (!i)
 		return false;
 	hold_make(task, i, now);
-	/* Shows whether it still answers before the task's stop has ended. */
-	instance_ask(s, i, now);
 	return true;
 }
 
+void hold_ask(struct sched *s, const struct task *task, uint64_t now)
+{
+	struct hold *h = task->hold;
+
+	if (!h || h->asked)
+		return;
+	h->asked = true;
+	instance_ask(s, h->instance, now);
+}
+
 /* Whether the task may be stopped for a drain, if there is another place. */
 static bool may_relocate(const struct run *run, uint64_t now)
 {
@@ -187,6 +196,8 @@
 		sched_release_places(s, h);
 		return PLACES_NONE;
 	}
+	DL_FOREACH(i->runs, run)
+	hold_ask(s, run->task, now);
 	return PLACES_HELD;
 }
 
--- a/src/pool/sched_internal.h
+++ b/src/pool/sched_internal.h
@@ -805,6 +805,12 @@
 
 /* hold_place - whether an instance other than the run's has room, held now */
 bool hold_place(struct sched *s, struct task *task, uint64_t now);
+
+/*
+ * hold_ask - poll the held instance once, which shows whether it still answers
+ * before the task's stop has ended
+ */
+void hold_ask(struct sched *s, const struct task *task, uint64_t now);
 void hold_release(struct task *task);
 void step_release_holds(struct step *step);
 
