quiet_pool_test: empty instances that each lack a resource

set_largest_empty() takes the maximum of each resource over all empty instances, so one with little CPU and one with little memory count as room for a task that fits on neither, and no machine is requested for it. Fails on: the second task has no run after 6 s beside four idle machines of another pool.

--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -138,6 +138,45 @@
 	check_empty_instance(LACKS_LABEL);
 }
 
+/* Empty instances that lack different resources count as room together. */
+static void test_empty_instances_each_lack_a_resource(void **state)
+{
+	static const struct {
+		const char *name;
+		bool less_cpu, less_mem;
+	} cases[] = {
+		{ "less CPU", true, false },
+		{ "less memory", false, true },
+		{ "one has less CPU, the other less memory", true, true },
+	};
+	struct course_options options = { .pools = 2 };
+	struct course_job large = lasting;
+	size_t c;
+
+	(void)state;
+	large.count = 2;
+	large.cpu = COURSE_CPU * 3 / 4;
+	large.mem = COURSE_MEM * 3 / 4;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct course_rig x;
+		uint32_t job;
+
+		print_message("%s\n", cases[c].name);
+		course_new(&x, &options);
+		add_machines(&x, 0, 1);
+		add_machines(&x, 1, 4);
+		if (cases[c].less_cpu)
+			course_add_machine(&x, 0)->capacity_cpu /= 2;
+		if (cases[c].less_mem)
+			course_add_machine(&x, 0)->capacity_mem /= 2;
+		job = course_submit(&x, &large); /* one fits on a machine */
+		course_advance(&x, BOUND_MS);
+		assert_int_equal(x.jobs[job].tasks[0].runs, 1);
+		assert_int_equal(x.jobs[job].tasks[1].runs, 1);
+		course_free(&x);
+	}
+}
+
 /* One machine after the other is moved to a pool for a task that none takes. */
 static void test_machines_for_a_task_that_all_refuse(void **state)
 {
@@ -617,6 +656,7 @@
 		cmocka_unit_test(test_empty_instance_refuses_starts),
 		cmocka_unit_test(test_empty_instance_is_denied),
 		cmocka_unit_test(test_empty_instance_lacks_label),
+		cmocka_unit_test(test_empty_instances_each_lack_a_resource),
 		cmocka_unit_test(test_machines_for_a_task_that_all_refuse),
 		cmocka_unit_test(test_pool_with_waiting_task_gives_none),
 		cmocka_unit_test(
--- a/test/rig/course_rig.c
+++ b/test/rig/course_rig.c
@@ -112,6 +112,8 @@
 	m->pool = pool;
 	m->zone = "z";
 	m->result = FLEET_DONE;
+	m->capacity_cpu = COURSE_CPU;
+	m->capacity_mem = COURSE_MEM;
 	come_up(x, m);
 	x->list_is_due = true;
 	return m;
@@ -237,7 +239,7 @@
 		.pool = x->pools[m->pool].name,
 		.machine = m->name,
 		.started_unix_ms = m->up_ms,
-		.capacity = { COURSE_CPU, COURSE_MEM, 0 },
+		.capacity = { m->capacity_cpu, m->capacity_mem, 0 },
 	};
 
 	if (m->label)
@@ -313,7 +315,8 @@
 	job = &x->jobs[run.job];
 	if (m->refuses_starts)
 		return ORDER_REFUSED;
-	if (m->cpu + job->cpu > COURSE_CPU || m->mem + job->mem > COURSE_MEM)
+	if (m->cpu + job->cpu > m->capacity_cpu ||
+	    m->mem + job->mem > m->capacity_mem)
 		return ORDER_REFUSED_CAPACITY;
 	assert_true(m->run_count < COURSE_RUNS_MAX);
 	if (!job->lasting)
@@ -545,9 +548,9 @@
 		    (job->label &&
 		     (!m->label || strcmp(job->label, m->label) != 0)))
 			continue;
-		fits = (COURSE_MEM - m->mem) / job->mem;
-		if (fits > (COURSE_CPU - m->cpu) / job->cpu)
-			fits = (COURSE_CPU - m->cpu) / job->cpu;
+		fits = (m->capacity_mem - m->mem) / job->mem;
+		if (fits > (m->capacity_cpu - m->cpu) / job->cpu)
+			fits = (m->capacity_cpu - m->cpu) / job->cpu;
 		for (r = 0; r < m->run_count; r++)
 			taken += m->runs[r].job == index;
 		if (job->spread_limit && fits > job->spread_limit - taken)
--- a/test/rig/course_rig.h
+++ b/test/rig/course_rig.h
@@ -4,7 +4,8 @@
  * One scheduler and one planner lead a simulated site. Orders are carried out
  * and answered at once; a moved machine is away for 1.5 s, one in maintenance
  * for 2 s, and its instance is listed 300 ms after it is up. Every instance has
- * 16,000 millicores and 64,000 MiB. A test sets what goes wrong on a machine.
+ * 16,000 millicores and 64,000 MiB, unless a test sets its machine's capacity.
+ * A test sets what goes wrong on a machine.
  */
 #ifndef COURSE_RIG_H
 #define COURSE_RIG_H
@@ -48,6 +49,7 @@
 	enum fleet_machine_state state;
 	uint64_t back_ms, up_ms;
 	bool listed;
+	int64_t capacity_cpu, capacity_mem;
 	int64_t cpu, mem; /* used */
 	uint32_t run_count, end_count;
 	uint64_t last_seq;
