sched_load: an empty instance is room only if it has all resources

The request for a machine ended if the maxima of the pool's empty instances covered the task, also if no one of them did. Each is looked at now, for long-running steps that wait.

--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -141,6 +141,20 @@
 	}
 }
 
+/* Whether one of them has all that is asked for. */
+static bool empty_one_covers(const struct sched *s, const struct pool *pool,
+			     const struct amount *a)
+{
+	const struct instance *i;
+
+	DL_FOREACH2(pool->instances, i, pool_next)
+	{
+		if (is_empty(s, i) && amount_covers(&i->capacity, a))
+			return true;
+	}
+	return false;
+}
+
 static bool awaits_first_report(const struct sched *s, const struct pool *pool)
 {
 	const struct instance *i;
@@ -215,7 +229,8 @@
 
 	if (!waiting || !cap_allows(s, step, 1))
 		return 0;
-	if (amount_covers(largest_empty, &a))
+	if (amount_covers(largest_empty, &a) &&
+	    empty_one_covers(s, step->job->pool, &a))
 		return other_is_wanted(s, step);
 	if (!size->cpu)
 		return 1;
