quiet_pool_test: a job waits beside long-running tasks

compute_demand() counts the capacity of machines that long-running tasks fill as able to do what waits, and a pool counts as stranded only if none of its instances answers. A task that fits beside none of them waits without bound beside idle machines of another pool, if its work is less than 250 ms of the pool's full capacity. Fails on and on: two machines with 12 of 16 cores in use, a task of 8 cores, six idle machines, no move in 12 s.

--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -285,6 +285,35 @@
 	course_free(&x);
 }
 
+/* Long-running tasks fill a pool, whose capacity counts as if it were free. */
+static void test_job_waits_beside_long_running_tasks(void **state)
+{
+	struct course_options options = { .pools = 2 };
+	struct course_job wide = lasting;
+	struct course_job job = {
+		.count = 1, .cpu = 8000, .mem = 500, .run_ms = 1000
+	};
+	uint32_t machines;
+
+	(void)state;
+	wide.cpu = 12000;
+	for (machines = 1; machines < 6; machines++) {
+		struct course_rig x;
+
+		print_message("%u machines\n", machines);
+		course_new(&x, &options);
+		add_machines(&x, 0, machines);
+		add_machines(&x, 1, 6);
+		wide.count = machines;
+		course_submit(&x, &wide);
+		course_advance(&x, 2000);
+		course_submit(&x, &job);
+		course_advance(&x, 2 * BOUND_MS);
+		assert_int_equal(x.moves_to[0], 1);
+		course_free(&x);
+	}
+}
+
 /* Machines that are counted and don't come */
 
 /* tasks of run_ms on all machines of the donor, one of long_ms on its first */
@@ -657,6 +686,7 @@
 		cmocka_unit_test(test_empty_instance_is_denied),
 		cmocka_unit_test(test_empty_instance_lacks_label),
 		cmocka_unit_test(test_empty_instances_each_lack_a_resource),
+		cmocka_unit_test(test_job_waits_beside_long_running_tasks),
 		cmocka_unit_test(test_machines_for_a_task_that_all_refuse),
 		cmocka_unit_test(test_pool_with_waiting_task_gives_none),
 		cmocka_unit_test(
