quiet_pool_test: two pools with a waiting task exchange machines

backlog_donor() asks a pool whose own task waits; each of two such pools then gives a busy machine to the other, and both are away for a move. Fails on and on, with one move in each direction.

--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -285,6 +285,40 @@
 	course_free(&x);
 }
 
+/* Each of two pools with a waiting task gives the other a busy machine. */
+static void test_waiting_pools_exchange_machines(void **state)
+{
+	struct course_options options = { .pools = 2 };
+	struct course_rig x;
+	uint32_t pool;
+
+	(void)state;
+	course_new(&x, &options);
+	for (pool = 0; pool < 2; pool++) {
+		struct course_job wide = { .pool = pool,
+					   .count = 4,
+					   .cpu = 12000,
+					   .mem = 20000,
+					   .run_ms = 4000 };
+
+		add_machines(&x, pool, 4);
+		submit_lasting(&x, pool, 1);
+		course_submit(&x, &wide);
+	}
+	course_advance(&x, 500);
+	for (pool = 0; pool < 2; pool++) {
+		struct course_job second = lasting;
+
+		second.pool = pool;
+		second.cpu = 6000;
+		second.mem = 30000;
+		course_submit(&x, &second);
+	}
+	course_advance(&x, 10000);
+	assert_true(!x.moves_to[0] || !x.moves_to[1]);
+	course_free(&x);
+}
+
 /* Long-running tasks fill a pool, whose capacity counts as if it were free. */
 static void test_job_waits_beside_long_running_tasks(void **state)
 {
@@ -686,6 +720,7 @@
 		cmocka_unit_test(test_empty_instance_is_denied),
 		cmocka_unit_test(test_empty_instance_lacks_label),
 		cmocka_unit_test(test_empty_instances_each_lack_a_resource),
+		cmocka_unit_test(test_waiting_pools_exchange_machines),
 		cmocka_unit_test(test_job_waits_beside_long_running_tasks),
 		cmocka_unit_test(test_machines_for_a_task_that_all_refuse),
 		cmocka_unit_test(test_pool_with_waiting_task_gives_none),
