--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -137,6 +137,45 @@
 	check_empty_instance(LACKS_LABEL);
 }
 
+/* Empty instances that lack different resources count as room together. */
+static void test_empty_instances_each_lack_a_resource(void **state)
+{
+	static const struct {
+		const char *name;
+		bool less_cpu, less_mem;
+	} cases[] = {
+		{ "less CPU", true, false },
+		{ "less memory", false, true },
+		{ "one has less CPU, the other less memory", true, true },
+	};
+	struct course_options options = { .pools = 2 };
+	struct course_job large = lasting;
+	size_t c;
+
+	(void)state;
+	large.count = 2;
+	large.cpu = COURSE_CPU * 3 / 4;
+	large.mem = COURSE_MEM * 3 / 4;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct course_rig x;
+		uint32_t job;
+
+		print_message("%s\n", cases[c].name);
+		course_new(&x, &options);
+		add_machines(&x, 0, 1);
+		add_machines(&x, 1, 4);
+		if (cases[c].less_cpu)
+			course_add_machine(&x, 0)->capacity_cpu /= 2;
+		if (cases[c].less_mem)
+			course_add_machine(&x, 0)->capacity_mem /= 2;
+		job = course_submit(&x, &large); /* one fits on a machine */
+		course_advance(&x, BOUND_MS);
+		assert_int_equal(x.jobs[job].tasks[0].runs, 1);
+		assert_int_equal(x.jobs[job].tasks[1].runs, 1);
+		course_free(&x);
+	}
+}
+
 /* One machine after the other is moved to a pool for a task that none takes. */
 static void test_machines_for_a_task_that_all_refuse(void **state)
 {
@@ -245,6 +284,69 @@
 	course_free(&x);
 }
 
+/* Each of two pools with a waiting task gives the other a busy machine. */
+static void test_waiting_pools_exchange_machines(void **state)
+{
+	struct course_options options = { .pools = 2 };
+	struct course_rig x;
+	uint32_t pool;
+
+	(void)state;
+	course_new(&x, &options);
+	for (pool = 0; pool < 2; pool++) {
+		struct course_job wide = { .pool = pool,
+					   .count = 4,
+					   .cpu = 12000,
+					   .mem = 20000,
+					   .run_ms = 4000 };
+
+		add_machines(&x, pool, 4);
+		submit_lasting(&x, pool, 1);
+		course_submit(&x, &wide);
+	}
+	course_advance(&x, 500);
+	for (pool = 0; pool < 2; pool++) {
+		struct course_job second = lasting;
+
+		second.pool = pool;
+		second.cpu = 6000;
+		second.mem = 30000;
+		course_submit(&x, &second);
+	}
+	course_advance(&x, 10000);
+	assert_true(!x.moves_to[0] || !x.moves_to[1]);
+	course_free(&x);
+}
+
+/* Long-running tasks fill a pool, whose capacity counts as if it were free. */
+static void test_job_waits_beside_long_running_tasks(void **state)
+{
+	struct course_options options = { .pools = 2 };
+	struct course_job wide = lasting;
+	struct course_job job = {
+		.count = 1, .cpu = 8000, .mem = 500, .run_ms = 1000
+	};
+	uint32_t machines;
+
+	(void)state;
+	wide.cpu = 12000;
+	for (machines = 1; machines < 6; machines++) {
+		struct course_rig x;
+
+		print_message("%u machines\n", machines);
+		course_new(&x, &options);
+		add_machines(&x, 0, machines);
+		add_machines(&x, 1, 6);
+		wide.count = machines;
+		course_submit(&x, &wide);
+		course_advance(&x, 2000);
+		course_submit(&x, &job);
+		course_advance(&x, 2 * BOUND_MS);
+		assert_int_equal(x.moves_to[0], 1);
+		course_free(&x);
+	}
+}
+
 /* Machines that are counted and don't come */
 
 /* tasks of run_ms on all machines of the donor, one of long_ms on its first */
@@ -616,6 +718,9 @@
 		cmocka_unit_test(test_empty_instance_refuses_starts),
 		cmocka_unit_test(test_empty_instance_is_denied),
 		cmocka_unit_test(test_empty_instance_lacks_label),
+		cmocka_unit_test(test_empty_instances_each_lack_a_resource),
+		cmocka_unit_test(test_waiting_pools_exchange_machines),
+		cmocka_unit_test(test_job_waits_beside_long_running_tasks),
 		cmocka_unit_test(test_machines_for_a_task_that_all_refuse),
 		cmocka_unit_test(test_pool_with_waiting_task_gives_none),
 		cmocka_unit_test(
