balance: two pools with waiting tasks don't exchange machines

What callers see: two pools that each wait for a machine for a long-running task give one to each other; both are away for the time of a move, and nothing is gained.

A pool that is being given machines for its waiting tasks alone gives none. quiet_pool_test, test_waiting_pools_exchange_machines (of the review), failed before: a move in each direction.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -536,6 +536,17 @@
 	return best;
 }
 
+/*
+ * Whether the pool is given machines for its waiting tasks alone: if it gave
+ * one to another such pool, the two would only exchange them.
+ */
+static bool gets_machines_for_waiting(const struct pool_balance *v)
+{
+	const uint32_t coming = v->incoming + v->moved_in;
+
+	return coming && coming <= v->load.long_running_machines;
+}
+
 /*
  * Returns the pool with most machines that run no long-running task, whatever
  * waits there: its backlog takes somewhat longer, while a long-running task
@@ -552,6 +563,7 @@
 		uint32_t keeps = v->load.spread ? v->load.spread : 1;
 
 		if (v == to || v->exhausted || v->load.instances <= keeps ||
+		    gets_machines_for_waiting(v) ||
 		    v->load.instances <=
 			    v->load.pinned + v->load.long_running_machines)
 			continue;
