quiet_pool_test: a request beside a refusing instance is not repeated

A machine beside an empty instance that refuses a task's starts is requested for 1.5 s, then not for 30 s, whether or not one came. If all donors are busy for that long, the task waits beside machines that are idle since. Fails on: no run in 12 s, four machines of another pool idle after 6 s; without the refusing instance the task runs.

--- a/test/quiet_pool_test.c
+++ b/test/quiet_pool_test.c
@@ -177,6 +177,46 @@
 	}
 }
 
+/* The request ends for 30 s while no other pool can give a machine. */
+static void test_request_beside_refusing_instance_is_not_repeated(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t refusing; /* empty instances that refuse starts */
+	} cases[] = {
+		{ "no instance has room", 0 },
+		{ "an empty one refuses starts", 1 },
+	};
+	struct course_options options = { .pools = 2 };
+	size_t c;
+
+	(void)state;
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		struct course_job busy = { .pool = 1,
+					   .count = 4,
+					   .cpu = 14000,
+					   .mem = 500,
+					   .run_ms = 6000 };
+		struct course_rig x;
+		uint32_t job;
+
+		print_message("%s\n", cases[c].name);
+		course_new(&x, &options);
+		add_machines(&x, 0, 1);
+		add_machines(&x, 1, 4);
+		if (cases[c].refusing)
+			course_add_machine(&x, 0)->refuses_starts = true;
+		submit_lasting(&x, 0, 1);
+		course_advance(&x, 1000);
+		course_submit(&x, &busy);
+		course_advance(&x, 500);
+		job = submit_lasting(&x, 0, 1);
+		course_advance(&x, 2 * BOUND_MS);
+		assert_int_equal(x.jobs[job].tasks[0].runs, 1);
+		course_free(&x);
+	}
+}
+
 /* One machine after the other is moved to a pool for a task that none takes. */
 static void test_machines_for_a_task_that_all_refuse(void **state)
 {
@@ -720,6 +760,8 @@
 		cmocka_unit_test(test_empty_instance_is_denied),
 		cmocka_unit_test(test_empty_instance_lacks_label),
 		cmocka_unit_test(test_empty_instances_each_lack_a_resource),
+		cmocka_unit_test(
+			test_request_beside_refusing_instance_is_not_repeated),
 		cmocka_unit_test(test_waiting_pools_exchange_machines),
 		cmocka_unit_test(test_job_waits_beside_long_running_tasks),
 		cmocka_unit_test(test_machines_for_a_task_that_all_refuse),
