sched_load: a request beside a refusing instance lasts until a machine comes

The request ended after 1.5 s although no pool had a machine to give, and was repeated after 30 s. It lasts until an instance joins the pool now, so at most one machine comes in 30 s as before (test_machines_for_a_task_that_all_refuse). Ruled out: a shorter pause, which would move machine after machine for a task that none takes.

--- a/src/pool/sched_load.c
+++ b/src/pool/sched_load.c
@@ -25,11 +25,10 @@
  */
 #define NO_START_MS 1500u
 /*
- * A machine beside empty ones that don't take a step is requested for so long,
- * which is less than a move takes, and not again before a pause: others may not
- * take it either
+ * A machine beside empty ones that don't take a step is requested until an
+ * instance joins the pool, and not again before a pause: others may not take it
+ * either
  */
-#define OTHER_WANTED_MS 1500u
 #define OTHER_PAUSE_MS 30000u
 
 /* Load of pools */
@@ -188,6 +187,18 @@
 	return false;
 }
 
+static bool has_joined_since(const struct pool *pool, uint64_t since_ms)
+{
+	const struct instance *i;
+
+	DL_FOREACH2(pool->instances, i, pool_next)
+	{
+		if (i->known_ms > since_ms)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Whether a machine is requested for a step although some are empty: each that
  * could run it is denied to it, or starts failed there last. One without the
@@ -211,7 +222,8 @@
 	if (refused && (!step->other_wanted_ms ||
 			s->tick_ms - step->other_wanted_ms >= OTHER_PAUSE_MS))
 		step->other_wanted_ms = s->tick_ms;
-	return refused && s->tick_ms - step->other_wanted_ms < OTHER_WANTED_MS;
+	return refused &&
+	       !has_joined_since(step->job->pool, step->other_wanted_ms);
 }
 
 /*
