maintenance: a wave waits for a machine that another pool has away

Cause: a task may be stopped without another place once no pool could give a machine for 3 s. A machine is away for 2.4 s and listed up to a second later, so one that is idle but for its maintenance didn't count. It is 4.5 s now.

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -33,9 +33,10 @@
 #define DRAIN_MAX_MS 5000u
 /*
  * Without a machine for the pool for so long, a task may be stopped without
- * another place: longer than a machine stays after a move, or is away
+ * another place: longer than a machine of another pool stays after a move, or
+ * is drained, away and about to be listed again
  */
-#define POOL_SHORT_MS 3000u
+#define POOL_SHORT_MS 4500u
 #define POOL_SHORT_MIN_MS 500u /* same, if the wave would be late otherwise */
 /* From a machine's return until its instance is usable, at most */
 #define INSTANCE_WAIT_MS 1000u
--- a/test/donor_test.c
+++ b/test/donor_test.c
@@ -523,6 +523,48 @@
 	drain_free(&x);
 }
 
+/*
+ * A task is stopped without another place while a machine that another pool can
+ * give is away for its maintenance.
+ */
+static void test_stopped_while_a_machine_is_away(void **state)
+{
+	static const char *const full[] = { "i-0" };
+	static const char *const idle[] = { "d-0" };
+	struct drain_rig x;
+
+	(void)state;
+	drain_new(&x, 1);
+	x.pools[1].spare = false;
+	drain_submit(&x, id_a, 1);
+	drain_advance(&x, 200);
+	assert_int_equal(x.starts, 1);
+	drain_list_instance(&x.r, "d-0", "spare", NULL);
+	drain_add_machine(&x, "d-0", "spare");
+	drain_list_machines(&x);
+	drain_advance(&x, 100);
+	fleet_add_wave(x.f, "wave/1", 1, 1, 2000, idle, 1, x.r.now);
+	fleet_add_wave(x.f, "wave/2", 2, 1, 20000, full, 1, x.r.now - 9000);
+	drain_advance(&x, 40);
+	assert_int_equal(x.upkeeps, 1);
+	sched_instance_unlisted(x.r.s, "d-0", x.r.now);
+	x.runs.silent = "d-0";
+	drain_advance(&x, 3200);
+	assert_int_equal(x.stops, 0);
+	x.runs.silent = NULL;
+	x.r.started_unix_ms++;
+	drain_list_instance(&x.r, "d-0", "spare", NULL);
+	drain_advance(&x, 500);
+	assert_int_equal(x.moves, 1);
+	assert_string_equal(x.moved_to, "p");
+	x.r.started_unix_ms++;
+	add_instance(&x.r, "d-0", false);
+	drain_advance(&x, 2500);
+	assert_int_equal(x.stops, 1);
+	assert_int_equal(x.starts, 2);
+	drain_free(&x);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -542,6 +584,7 @@
 		cmocka_unit_test(test_machines_by_memory),
 		cmocka_unit_test(test_expected_machine_is_lost),
 		cmocka_unit_test(test_longest_lack_goes_last),
+		cmocka_unit_test(test_stopped_while_a_machine_is_away),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
