--- a/review/standin3/stand.py
+++ b/review/standin3/stand.py
@@ -336,7 +336,10 @@
     async def handle(self, method, path, q, headers, body):
         if not self.up:
             return None
+        life = self.id
         await asyncio.sleep(0.001)
+        if not self.up or life != self.id:
+            return None
         if method == "GET":
             return 200, {}
         if headers.get("expected-instance", self.id) != self.id:
@@ -617,14 +620,17 @@
                     raise RuntimeError("node %s isn't ready" % n.name)
                 await asyncio.sleep(0.1)
 
-    async def leader(self):
+    async def leader(self, limit_s=8):
         """The node that gives the orders, by the pages of its own status."""
-        for n in self.nodes:
-            if n.lost:
-                continue
-            code, obj = await call("GET", n.peers, "/status", timeout=1)
-            if code == 200 and obj and obj.get("leads") == "yes":
-                return n
+        end = now_ms() + limit_s * 1000
+        while now_ms() < end:
+            for n in self.nodes:
+                if n.lost:
+                    continue
+                code, obj = await call("GET", n.peers, "/status", timeout=1)
+                if code == 200 and obj and obj.get("leads") == "yes":
+                    return n
+            await asyncio.sleep(0.2)
         return None
 
     async def close(self):
@@ -638,14 +644,17 @@
 
 
 def free_ports(count):
-    held = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
+    """Below the range from which the system picks ports by itself."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
