--- a/review/standin3/stand.py
+++ b/review/standin3/stand.py
@@ -814,12 +814,15 @@
 
     async def go():
         site = Site(folder / "record.txt")
+        for sig in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(
+                sig, asyncio.current_task().cancel)
         try:
             await site.start_platform()
             broken = await asyncio.wait_for(case(site, trouble), 110)
             site.note("verdict", broken or "held")
             return 1 if broken else 0
-        except Exception as e:      # the case could not run
+        except (Exception, asyncio.CancelledError) as e:    # could not run
             site.note("not-run", repr(e))
             print("the case could not run: %r" % e)
             return 2
